--- /dev/null
+++ b/benchlink/src/node.rs
@@ -0,0 +1,320 @@
+//! One instance on the wire: ids to small indices, events to calls, results to actions.
+
+use crate::given;
+use crankmux::balance::Balancer;
+use crankmux::words::{Arrival, Ending, Listed, Load, Outlet, PushEnd, Standing};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, HashMap};
+
+#[derive(Default)]
+struct Names {
+    ops: HashMap<u64, usize>,
+    /// By index: wire id and pushes still out; none once the op is done with.
+    held: BTreeMap<usize, (u64, usize, bool)>,
+    next_op: usize,
+    servers: HashMap<u64, usize>,
+    server_ids: Vec<u64>,
+    categories: Vec<String>,
+    customers: Vec<String>,
+    zones: Vec<String>,
+    pods: HashMap<u64, usize>,
+}
+
+impl Names {
+    fn server(&mut self, id: u64) -> usize {
+        let next = self.server_ids.len();
+        let index = *self.servers.entry(id).or_insert(next);
+        if index == next {
+            self.server_ids.push(id);
+        }
+        index
+    }
+
+    fn zone(&mut self, name: &str) -> usize {
+        self.zones.iter().position(|z| z == name).unwrap_or_else(|| {
+            self.zones.push(name.into());
+            self.zones.len() - 1
+        })
+    }
+
+    fn drop_if_done(&mut self, op: usize) {
+        if let Some((id, 0, true)) = self.held.get(&op) {
+            self.ops.remove(id);
+            self.held.remove(&op);
+        }
+    }
+}
+
+pub struct Node {
+    balancer: Balancer,
+    names: Names,
+}
+
+struct Link<'a> {
+    inst: u64,
+    names: &'a mut Names,
+    decisions: &'a mut Vec<Value>,
+}
+
+impl Link<'_> {
+    fn id(&self, op: usize) -> u64 {
+        self.names.held.get(&op).map_or(0, |h| h.0)
+    }
+
+    fn end(&mut self, op: usize) {
+        if let Some(held) = self.names.held.get_mut(&op) {
+            held.2 = true;
+        }
+        self.names.drop_if_done(op);
+    }
+}
+
+impl Outlet for Link<'_> {
+    fn push(&mut self, op: usize, server: usize, patience: f64) {
+        let server = self.names.server_ids[server];
+        self.decisions.push(json!(["Route", self.inst, self.id(op), patience, server]));
+        if let Some(held) = self.names.held.get_mut(&op) {
+            held.1 += 1;
+        }
+    }
+
+    fn cancel(&mut self, op: usize, push: usize) {
+        self.decisions.push(json!(["CallOff", self.inst, self.id(op), push]));
+    }
+
+    fn nack(&mut self, op: usize, come_back: f64) {
+        self.decisions.push(json!(["Decline", self.inst, self.id(op), come_back]));
+        self.end(op);
+    }
+
+    fn dead_letter(&mut self, op: usize) {
+        self.decisions.push(json!(["Fail", self.inst, self.id(op)]));
+        self.end(op);
+    }
+
+    fn wake(&mut self, at: f64, alarm: u64) {
+        self.decisions.push(json!(["Timer", self.inst, at, alarm.to_string()]));
+    }
+
+    fn follow_list(&mut self) {
+        self.decisions.push(json!(["Track", self.inst, true]));
+    }
+
+    fn ask_list(&mut self) {
+        self.decisions.push(json!(["Lookup", self.inst]));
+    }
+
+    fn probe(&mut self, server: usize) {
+        let server = self.names.server_ids[server];
+        self.decisions.push(json!(["HealthCheck", self.inst, server]));
+    }
+}
+
+/// The values of one message, by place; a bad one is named in the error.
+struct Fields<'a>(&'a str, &'a [Value]);
+
+impl Fields<'_> {
+    fn at(&self, place: usize) -> Option<&Value> {
+        self.1.get(place).filter(|v| !v.is_null())
+    }
+
+    fn wrong(&self, name: &str) -> String {
+        format!("{}: {name} is missing or of the wrong form", self.0)
+    }
+
+    fn whole(&self, place: usize, name: &str) -> Result<u64, String> {
+        self.at(place).and_then(Value::as_u64).ok_or_else(|| self.wrong(name))
+    }
+
+    fn text(&self, place: usize, name: &str) -> Result<&str, String> {
+        self.at(place).and_then(Value::as_str).ok_or_else(|| self.wrong(name))
+    }
+
+    /// A number that may be absent.
+    fn number(&self, place: usize, name: &str) -> Result<Option<f64>, String> {
+        self.at(place).map(|v| v.as_f64().ok_or_else(|| self.wrong(name))).transpose()
+    }
+
+    fn load(&self, place: usize) -> Result<Load, String> {
+        match self.at(place) {
+            None => Ok(Load::default()),
+            Some(Value::Object(load)) => {
+                let part = |name: &str| load.get(name).and_then(Value::as_f64);
+                Ok(Load { waiting: part("q"), held: part("rif") })
+            }
+            Some(_) => Err(self.wrong("Load")),
+        }
+    }
+}
+
+fn names_of(settings: &Value, list: &str) -> Vec<String> {
+    let items = settings.get(list).and_then(Value::as_array);
+    let name = |v: &Value| v.as_str().or_else(|| v.get("Name")?.as_str()).unwrap_or_default().to_string();
+    items.map(|items| items.iter().map(name).collect()).unwrap_or_default()
+}
+
+fn start(fields: &Fields) -> Result<Node, String> {
+    let seed = fields.at(2).and_then(|v| v.as_u64().or_else(|| v.as_i64().map(|s| s as u64)));
+    let seed = seed.ok_or_else(|| fields.wrong("Nonce64"))?;
+    let settings = fields.at(3).filter(|v| v.is_object()).ok_or_else(|| fields.wrong("Config"))?;
+    let mut names = Names {
+        categories: names_of(settings, "Categories"),
+        customers: names_of(settings, "Customers"),
+        zones: names_of(settings, "Zones"),
+        ..Names::default()
+    };
+    let mut given = given::translate(settings);
+    if let Some(zone) = settings.get("MyZone").and_then(Value::as_str) {
+        given.insert("my-zone".into(), names.zone(zone).into());
+    }
+    let balancer = Balancer::new(given, seed).map_err(|message| given::explain(&message))?;
+    Ok(Node { balancer, names })
+}
+
+fn listed(names: &mut Names, line: &Value) -> Result<Listed, String> {
+    let fields = Fields("Announce", line.as_array().ok_or("Announce: an entry is not an array")?);
+    let standing = match fields.whole(1, "Status")? {
+        1 => Standing::Ready,
+        2 => Standing::Draining,
+        0 => Standing::Gone,
+        _ => return Err(fields.wrong("Status")),
+    };
+    let pod = match fields.at(3) {
+        Some(_) => fields.whole(3, "Cohort")?,
+        // Without a pod it shares one with no other server.
+        None => u64::MAX - fields.whole(5, "Server")?,
+    };
+    let next = names.pods.len();
+    Ok(Listed {
+        standing,
+        zone: names.zone(fields.at(0).and_then(Value::as_str).unwrap_or_default()),
+        pod: *names.pods.entry(pod).or_insert(next),
+        started: fields.number(4, "OnlineSinceMs")?.unwrap_or(0.0),
+        server: names.server(fields.whole(5, "Server")?),
+    })
+}
+
+fn ending(fields: &Fields, place: usize) -> Result<Ending, String> {
+    Ok(match fields.text(place, "Verdict")? {
+        "Ok" => Ending::Acked,
+        "Failed" => Ending::Errored,
+        "QueueFull" => Ending::TurnedAway,
+        "TimedOut" => Ending::TimedOut,
+        "ConnectError" => Ending::Unreachable,
+        "ResetByPeer" => Ending::Broken,
+        "Canceled" => Ending::Cancelled,
+        "Ignored" => Ending::Unsent,
+        _ => return Err(fields.wrong("Verdict")),
+    })
+}
+
+pub fn decode(
+    nodes: &mut BTreeMap<u64, Node>,
+    now: f64,
+    event: &Value,
+    decisions: &mut Vec<Value>,
+) -> Result<(), String> {
+    let values = event.as_array().ok_or("an event is not an array")?;
+    let name = values.first().and_then(Value::as_str).ok_or("an event lacks its name")?;
+    let known = [
+        "Born", "Announce", "Submit", "Accepted", "Probed", "Aborted", "Wake", "Returned", "Down", "NoteFrom",
+    ];
+    if !known.contains(&name) {
+        return Ok(());
+    }
+    let fields = Fields(name, values);
+    let inst = fields.whole(1, "I")?;
+    if name == "Born" {
+        nodes.insert(inst, start(&fields)?);
+        return Ok(());
+    }
+    if name == "Down" {
+        nodes.remove(&inst);
+        return Ok(());
+    }
+    // Whatever still comes for an instance that is not running is passed over.
+    let Some(Node { balancer, names }) = nodes.get_mut(&inst) else { return Ok(()) };
+    match name {
+        "Announce" => {
+            let kind = fields.whole(2, "Kind")?;
+            let entries = match fields.at(4) {
+                None => &[][..],
+                Some(Value::Array(entries)) => entries,
+                Some(_) => return Err(fields.wrong("Items")),
+            };
+            let lines = entries.iter().map(|line| listed(names, line)).collect::<Result<Vec<_>, _>>()?;
+            let out = &mut Link { inst, names, decisions };
+            match kind {
+                0 => balancer.list(out, now, &lines, false, false),
+                1 => balancer.list(out, now, &lines, true, false),
+                2 => balancer.list(out, now, &lines, true, true),
+                3 => balancer.list_failed(out, now),
+                _ => return Err(fields.wrong("Kind")),
+            }
+        }
+        "Submit" => {
+            let id = fields.whole(2, "Req")?;
+            let category = fields.text(3, "Cls")?;
+            let category = names.categories.iter().position(|c| c == category);
+            let category = category.ok_or_else(|| fields.wrong("Cls"))?;
+            let customer = fields.at(4).and_then(Value::as_str);
+            let customer = customer.and_then(|name| names.customers.iter().position(|c| c == name));
+            let ttl = fields.number(6, "BudgetMs")?.ok_or_else(|| fields.wrong("BudgetMs"))?;
+            let flags = fields.at(8).map_or(Ok(0), |_| fields.whole(8, "Flags"))?;
+            let work = fields.number(7, "EffortMs")?.filter(|w| flags & 1 == 1 && *w > 0.0);
+            let op = names.next_op;
+            names.next_op += 1;
+            names.ops.insert(id, op);
+            names.held.insert(op, (id, 0, false));
+            let out = &mut Link { inst, names, decisions };
+            balancer.arrive(out, now, &Arrival { op, category, customer, ttl, work });
+        }
+        "Returned" => {
+            let id = fields.whole(2, "Req")?;
+            let push = fields.whole(3, "Shot")? as usize;
+            fields.whole(4, "Server")?;
+            let ending = ending(&fields, 5)?;
+            let took = fields.number(6, "TimeTakenMs")?.unwrap_or(0.0);
+            let closed =
+                fields.at(7).map_or(Ok(false), |v| v.as_bool().ok_or_else(|| fields.wrong("NoMore")))?;
+            let load = fields.load(8)?;
+            let Some(op) = names.ops.get(&id).copied() else { return Ok(()) };
+            if let Some(held) = names.held.get_mut(&op) {
+                held.1 = held.1.saturating_sub(1);
+                held.2 |= closed;
+            }
+            let out = &mut Link { inst, names, decisions };
+            balancer.push_ended(out, now, &PushEnd { op, push, ending, took, closed, load });
+            names.drop_if_done(op);
+        }
+        "Aborted" => {
+            let Some(op) = names.ops.get(&fields.whole(2, "Req")?).copied() else { return Ok(()) };
+            let out = &mut Link { inst, names, decisions };
+            balancer.departed(out, now, op);
+            out.end(op);
+        }
+        "Accepted" => {
+            if let Some(op) = names.ops.get(&fields.whole(2, "Req")?) {
+                balancer.began(now, *op);
+            }
+        }
+        "Wake" => {
+            let alarm = fields.text(2, "Tag")?.parse();
+            if let Ok(alarm) = alarm {
+                balancer.woken(&mut Link { inst, names, decisions }, now, alarm);
+            }
+        }
+        "Probed" => {
+            let id = fields.whole(2, "Server")?;
+            fields.text(3, "Verdict")?;
+            let load = fields.load(5)?;
+            let server = names.server(id);
+            balancer.probe_ended(now, server, load);
+        }
+        // Nodes tell each other nothing yet.
+        _ => {
+            fields.text(3, "Bytes")?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,868 @@
+//! Every decision of crankmux. A node makes one [`Balancer`] from what it is given and tells it, with the
+//! present time, what happens: [`Balancer::list`], [`Balancer::arrive`], [`Balancer::push_ended`],
+//! [`Balancer::woken`], [`Balancer::probe_ended`], [`Balancer::departed`], [`Balancer::began`],
+//! [`Balancer::list_failed`]. Answers leave by the [`Outlet`] given with each call; `words.rs` holds its types.
+//! The ordinary path is the split of docs/design.md; whatever narrows it says here which danger it meets.
+
+use crate::words::{Arrival, Effect, Ending, Given, Listed, Load, Outlet, PushEnd, Standing, Within};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+type Step = Box<dyn FnOnce(&mut Balancer, &mut dyn Outlet, &PushEnd) + Send>;
+type Alarm = Box<dyn FnOnce(&mut Balancer, &mut dyn Outlet) + Send>;
+
+// ---------------------------------------------------------------- duties: what is read at start
+
+struct Category {
+    effect: Effect,
+    within: Within,
+    window: f64,
+    target: f64,
+    benefit: f64,
+    late: f64,
+    /// Smoothed time of an acked push on a server of ordinary pace, and smoothed work where clients tell it.
+    time: f64,
+    work: f64,
+}
+
+struct Customer {
+    /// Ops a millisecond that this node takes at full benefit.
+    quota: f64,
+    purse: f64,
+    counted: f64,
+}
+
+fn number(given: &Given, name: &str) -> Result<f64, String> {
+    match given.get(name) {
+        Some(Value::Bool(yes)) => Ok(f64::from(u8::from(*yes))),
+        Some(value) => value.as_f64().ok_or_else(|| format!("setting {name} is not a number")),
+        None => Err(format!("setting {name} is missing")),
+    }
+}
+
+fn number_or(given: &Given, name: &str, otherwise: f64) -> f64 {
+    number(given, name).unwrap_or(otherwise)
+}
+
+fn category(given: &Given, index: usize) -> Result<Category, String> {
+    let name = |part: &str| format!("category.{index}.{part}");
+    let word = |part: &str| given.get(&name(part)).and_then(Value::as_str).unwrap_or_default();
+    let effect = match word("effect") {
+        "redeliverable" => Effect::Redeliverable,
+        "deduplicated" => Effect::Deduplicated,
+        "at-most-once" => Effect::AtMostOnce,
+        _ => return Err(format!("setting {} is missing or unknown", name("effect"))),
+    };
+    let target = number(given, &name("target-latency"))?;
+    Ok(Category {
+        effect,
+        within: match word("within") {
+            "zone" => Within::Zone,
+            "fleet" => Within::Fleet,
+            _ => Within::Pod,
+        },
+        window: number_or(given, &name("window"), 0.0),
+        target,
+        benefit: number_or(given, &name("benefit"), 1.0),
+        late: number_or(given, &name("late-benefit"), 0.0),
+        // Before the first answer: a target latency is usually set at a few times the ordinary time.
+        time: target / 4.0,
+        work: 0.0,
+    })
+}
+
+// ---------------------------------------------------------------- server records and list
+
+struct Sent {
+    at: f64,
+    usual: f64,
+}
+
+struct Server {
+    standing: Standing,
+    zone: usize,
+    pod: usize,
+    started: f64,
+    // reports
+    load: Option<f64>,
+    load_at: f64,
+    since_load: f64,
+    // rates and health
+    pace: Option<f64>,
+    best: f64,
+    faults: f64,
+    heard: f64,
+    out: BTreeMap<(usize, usize), Sent>,
+    resting: f64,
+    rest: f64,
+    // what it bears: own work acked a millisecond, smoothed
+    borne: f64,
+    borne_at: f64,
+    // limits
+    limit: f64,
+    cut_at: f64,
+    purse: f64,
+    purse_at: f64,
+    // the split as last solved
+    share: f64,
+    expected: f64,
+}
+
+/// Own pushes in flight that a server may have before anything is known of it: a handful, so that a
+/// new server is neither starved nor flooded; it grows and shrinks at once by what is seen.
+const FIRST_LIMIT: f64 = 6.0;
+
+impl Server {
+    fn new(line: &Listed, now: f64) -> Self {
+        Server {
+            standing: line.standing,
+            zone: line.zone,
+            pod: line.pod,
+            started: line.started,
+            load: None,
+            load_at: now,
+            since_load: 0.0,
+            pace: None,
+            best: 1.0,
+            faults: 0.0,
+            heard: now,
+            out: BTreeMap::new(),
+            resting: 0.0,
+            rest: 0.0,
+            borne: 0.0,
+            borne_at: now,
+            limit: FIRST_LIMIT,
+            cut_at: now,
+            purse: 0.0,
+            purse_at: now,
+            share: 0.0,
+            expected: 0.0,
+        }
+    }
+
+    fn ready(&self) -> bool {
+        self.standing == Standing::Ready
+    }
+
+    /// How overdue its oldest unanswered push is, in usual times; nothing while answers keep coming.
+    fn silence(&self, now: f64) -> f64 {
+        let overdue = |s: &Sent| (now - s.at.max(self.heard)) / s.usual.max(1.0);
+        self.out.values().map(overdue).fold(0.0, f64::max)
+    }
+
+    fn cut(&mut self, now: f64, share: f64, gap: f64) {
+        // One cut for what is one event: answers to pushes sent before the last cut say nothing new.
+        if now - self.cut_at > gap {
+            self.limit = (self.limit * share).max(1.0);
+            self.cut_at = now;
+        }
+    }
+}
+
+pub struct Balancer {
+    rng: oorandom::Rand64,
+    now: f64,
+    balancers: f64,
+    my_zone: usize,
+    categories: Vec<Category>,
+    customers: Vec<Customer>,
+    given: Given,
+    servers: BTreeMap<usize, Server>,
+    ops: BTreeMap<usize, Op>,
+    steps: BTreeMap<(usize, usize), Step>,
+    alarms: BTreeMap<u64, Alarm>,
+    next_alarm: u64,
+    line: Vec<usize>,
+    // rates over all servers
+    time: f64,
+    arrivals: f64,
+    arrived_at: f64,
+    copies: f64,
+    slack: f64,
+    solved_at: f64,
+    list_wait: f64,
+    top_benefit: f64,
+}
+
+impl Balancer {
+    /// Reads the duties it cannot do without; a missing one is named in the error.
+    pub fn new(given: Given, seed: u64) -> Result<Self, String> {
+        let count = number(&given, "categories")? as usize;
+        let categories = (0..count).map(|k| category(&given, k)).collect::<Result<Vec<_>, _>>()?;
+        let balancers = number(&given, "balancers")?.max(1.0);
+        for name in ["drain-grace", "cold-share", "cold-time", "fall-multiple", "fall-time", "most-pushes"] {
+            number(&given, name)?;
+        }
+        let customers = (0..number_or(&given, "customers", 0.0) as usize).map(|k| {
+            let quota = number_or(&given, &format!("customer.{k}.quota"), f64::INFINITY) / 1000.0 / balancers;
+            Customer { quota, purse: 0.0, counted: 0.0 }
+        });
+        let time = categories.iter().map(|c| c.time).sum::<f64>() / categories.len().max(1) as f64;
+        Ok(Balancer {
+            rng: oorandom::Rand64::new(u128::from(seed)),
+            now: 0.0,
+            balancers,
+            my_zone: number_or(&given, "my-zone", 0.0) as usize,
+            customers: customers.collect(),
+            top_benefit: categories.iter().map(|c| c.benefit).fold(f64::MIN_POSITIVE, f64::max),
+            categories,
+            given,
+            servers: BTreeMap::new(),
+            ops: BTreeMap::new(),
+            steps: BTreeMap::new(),
+            alarms: BTreeMap::new(),
+            next_alarm: 0,
+            line: Vec::new(),
+            time,
+            arrivals: 0.0,
+            arrived_at: f64::NEG_INFINITY,
+            copies: 1.0,
+            slack: 2.0,
+            solved_at: f64::NEG_INFINITY,
+            list_wait: 0.0,
+        })
+    }
+
+    fn allowed(&self, name: &str) -> bool {
+        number_or(&self.given, name, 0.0) > 0.0
+    }
+
+    /// The server list has spoken: a whole list, or only what changed. A cached list may be stale.
+    pub fn list(&mut self, out: &mut dyn Outlet, now: f64, lines: &[Listed], whole: bool, cached: bool) {
+        self.now = now;
+        if whole {
+            // Danger: a server missing from the whole list was removed unseen; it gets nothing more.
+            for (id, server) in &mut self.servers {
+                if !lines.iter().any(|line| line.server == *id) {
+                    server.standing = Standing::Gone;
+                }
+            }
+        }
+        for line in lines {
+            let fresh = Server::new(line, now);
+            let server = self.servers.entry(line.server).or_insert(fresh);
+            if line.started > server.started {
+                // Danger: a restarted process is cold, whatever its old record says.
+                let sent = std::mem::take(&mut server.out);
+                *server = Server { out: sent, ..Server::new(line, now) };
+            }
+            (server.standing, server.zone, server.pod) = (line.standing, line.zone, line.pod);
+        }
+        self.solved_at = f64::NEG_INFINITY;
+        if cached {
+            self.follow(out);
+        } else {
+            self.list_wait = 0.0;
+        }
+        self.serve_line(out);
+    }
+
+    fn follow(&mut self, out: &mut dyn Outlet) {
+        if self.allowed("list-must-be-asked") {
+            out.follow_list();
+        }
+    }
+
+    /// A call to the list failed or following broke off: ask again, after growing waits.
+    pub fn list_failed(&mut self, out: &mut dyn Outlet, now: f64) {
+        self.now = now;
+        // Danger: a node that does not follow goes on with a list that no longer holds. First wait: short
+        // beside any drain; longest: a quarter of the time after which it counts as told.
+        let longest = number_or(&self.given, "ask-within", 8000.0) / 4.0;
+        self.list_wait = (self.list_wait * 2.0).clamp(200.0_f64.min(longest), longest);
+        let at = now + self.list_wait * (0.75 + 0.5 * self.rng.rand_float());
+        self.alarm(out, at, Box::new(|b, out| b.follow(out)));
+    }
+
+    fn alarm(&mut self, out: &mut dyn Outlet, at: f64, alarm: Alarm) {
+        self.next_alarm += 1;
+        self.alarms.insert(self.next_alarm, alarm);
+        out.wake(at, self.next_alarm);
+    }
+
+    /// An alarm set earlier is due.
+    pub fn woken(&mut self, out: &mut dyn Outlet, now: f64, alarm: u64) {
+        self.now = now;
+        if let Some(alarm) = self.alarms.remove(&alarm) {
+            alarm(self, out);
+        }
+    }
+}
+
+// ---------------------------------------------------------------- reports, rates, health
+
+impl Balancer {
+    fn take_load(&mut self, id: usize, load: Load) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let Some(held) = load.held.or(load.waiting).filter(|l| l.is_finite()) else { return };
+        // A report is renewed now and then and repeated in between: only a new figure is a new report.
+        if server.load != Some(held) {
+            (server.load, server.load_at, server.since_load) = (Some(held.max(0.0)), self.now, 0.0);
+        }
+    }
+
+    /// Time an op would usually take on a server of ordinary pace.
+    fn usual(&self, category: usize, work: Option<f64>) -> f64 {
+        let c = &self.categories[category];
+        match work {
+            // Half of an ordinary op's time goes with its work; the rest is waiting of other kinds.
+            Some(work) if c.work > 0.0 => c.time * (0.5 + 0.5 * work / c.work),
+            _ => c.time,
+        }
+    }
+
+    fn learn(&mut self, id: usize, op: &Op, sent: &Sent, end: &PushEnd) {
+        let now = self.now;
+        let good = end.ending == Ending::Acked;
+        // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
+        const SMOOTH: f64 = 0.1;
+        if good {
+            let ratio = end.took / sent.usual.max(1.0);
+            let Some(server) = self.servers.get(&id) else { return };
+            let pace = server.pace.unwrap_or(1.0);
+            let step = 0.05 * self.slack;
+            // Follows the time, in usual times at the server's pace, that nineteen of twenty pushes stay under.
+            self.slack += if ratio > pace * self.slack { step * 0.95 } else { -step * 0.05 };
+            self.slack = self.slack.clamp(1.5, 8.0);
+            let c = &mut self.categories[op.category];
+            c.time += 0.02 * (end.took / (0.5 * pace + 0.5) - c.time);
+            if let Some(work) = op.work {
+                c.work += if c.work > 0.0 { 0.02 * (work - c.work) } else { work };
+            }
+            self.time += 0.02 * (end.took - self.time);
+        }
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
+            return;
+        }
+        let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
+        server.faults += SMOOTH * (bad - server.faults);
+        if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
+            server.heard = now;
+        }
+        if good || end.ending == Ending::TimedOut {
+            let ratio = end.took / sent.usual.max(1.0);
+            let old = server.pace.unwrap_or(1.0);
+            server.pace = Some(old + SMOOTH * (ratio.min(old * 10.0) - old));
+        }
+        if good {
+            let span = (now - server.borne_at).max(1.0);
+            let keep = (-span / 4000.0_f64).exp();
+            server.borne = server.borne * keep + sent.usual / self.time.max(1.0) / 4000.0;
+            server.borne_at = now;
+            server.rest = (server.rest / 2.0).floor();
+        }
+        let late = good && end.took > self.categories[op.category].target;
+        if late || !good {
+            server.cut(now, 0.7, sent.usual);
+        } else if server.out.len() as f64 >= server.limit / 2.0 {
+            server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
+        }
+        // Danger: a server that fails fast answers first and would draw ever more; most of its answers bad
+        // means it rests.
+        if server.faults > 0.5 {
+            Self::send_to_rest(server, now, self.time);
+        }
+    }
+
+    fn send_to_rest(server: &mut Server, now: f64, time: f64) {
+        // Danger: a server that takes ops and answers none, or fails them. It rests, longer each time, and
+        // comes back through a limit of one.
+        server.rest = (server.rest * 2.0).clamp(2.0 * time, 32.0 * time);
+        server.resting = now + server.rest;
+        server.limit = 1.0;
+        server.faults *= 0.5;
+        server.share = 0.0;
+    }
+}
+
+// ---------------------------------------------------------------- the split
+
+/// What the split knows of one server. `cost` and times in milliseconds, `mu` in ops a millisecond.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Seen {
+    pub queue: f64,
+    pub mu: f64,
+    pub horizon: f64,
+    pub cost: f64,
+    pub most: f64,
+}
+
+impl Seen {
+    fn room(&self) -> f64 {
+        (self.mu * self.horizon - self.queue).max(0.0)
+    }
+
+    /// Largest share whose marginal cost stays at or under `level`; `upto` counts flat stretches at it.
+    fn share(&self, lambda: f64, level: f64, upto: bool) -> f64 {
+        let flat = self.cost + 1.0 / self.mu;
+        let slope = 2.0 * lambda * self.horizon / self.mu;
+        let gap = self.queue - self.mu * self.horizon;
+        let reach = if level < flat || (level == flat && !upto) {
+            0.0
+        } else if slope <= 0.0 {
+            if gap > 0.0 && level < flat + gap / self.mu {
+                0.0
+            } else {
+                self.most
+            }
+        } else if gap < 0.0 {
+            let free = -gap / (lambda * self.horizon);
+            free.max((level - flat - gap / self.mu) / slope)
+        } else {
+            ((level - flat - gap / self.mu) / slope).max(0.0)
+        };
+        reach.min(self.most)
+    }
+}
+
+/// Shares that minimise the expected cost and time of an op when every balancer uses them: those whose
+/// marginal costs are level, found by bisection on that level; what is flat or tied goes by room.
+pub fn split(seen: &[Seen], lambda: f64) -> Vec<f64> {
+    let total = |level: f64| seen.iter().map(|s| s.share(lambda, level, true)).sum::<f64>();
+    if seen.iter().map(|s| s.most).sum::<f64>() <= 1.0 {
+        let sum = seen.iter().map(|s| s.most).sum::<f64>().max(f64::MIN_POSITIVE);
+        return seen.iter().map(|s| s.most / sum).collect();
+    }
+    let steepest = |s: &Seen| s.cost + (1.0 + s.queue + 2.0 * lambda * s.horizon) / s.mu;
+    let (mut low, mut high) = (f64::MIN, seen.iter().map(steepest).fold(0.0, f64::max) + 1.0);
+    low = low.max(seen.iter().map(|s| s.cost).fold(0.0, f64::min) - 1.0);
+    // Sixty halvings bring any level in use below rounding.
+    for _ in 0..60 {
+        let middle = 0.5 * (low + high);
+        if total(middle) >= 1.0 {
+            high = middle;
+        } else {
+            low = middle;
+        }
+    }
+    let mut shares: Vec<f64> = seen.iter().map(|s| s.share(lambda, low, false)).collect();
+    let rest = 1.0 - shares.iter().sum::<f64>();
+    let tied: Vec<f64> = seen.iter().zip(&shares).map(|(s, p)| s.share(lambda, high, true) - p).collect();
+    let over: f64 = tied.iter().sum();
+    if over <= 0.0 {
+        return shares;
+    }
+    for (share, more) in shares.iter_mut().zip(&tied) {
+        *share += rest * more / over;
+    }
+    shares
+}
+
+impl Balancer {
+    fn solve(&mut self) {
+        // At least this long between two solutions; the design's figure.
+        const REFRESH: f64 = 100.0;
+        // The design's floor under the horizon.
+        const FLOOR: f64 = 50.0;
+        if self.now - self.solved_at < REFRESH {
+            return;
+        }
+        self.solved_at = self.now;
+        let now = self.now;
+        for server in self.servers.values_mut().filter(|s| s.ready()) {
+            // Danger: silence. Two pushes overdue (one, on trial) and no answer since: it takes and gives nothing.
+            let bound = 2.0 * self.slack * server.pace.unwrap_or(1.0);
+            let overdue =
+                server.out.values().filter(|s| now - s.at.max(server.heard) > bound * s.usual).count();
+            if now >= server.resting && overdue as f64 >= server.limit.min(2.0) {
+                Self::send_to_rest(server, now, self.time);
+            }
+        }
+        let ids: Vec<usize> = self.servers.iter().filter(|(_, s)| s.ready()).map(|(id, _)| *id).collect();
+        if ids.is_empty() {
+            return;
+        }
+        let known: Vec<f64> = ids.iter().filter_map(|id| self.servers[id].pace).collect();
+        let mean_pace = |p: &[f64]| p.iter().map(|p| 1.0 / p).sum::<f64>() / p.len() as f64;
+        let mean = if known.is_empty() { 1.0 } else { 1.0 / mean_pace(&known) };
+        let queue = |s: &Server| {
+            // A report much older than any usual refresh is none.
+            if let Some(load) = s.load.filter(|_| now - s.load_at < 5000.0) {
+                load + s.since_load
+            } else {
+                s.out.len() as f64 * self.balancers
+            }
+        };
+        let queues: Vec<f64> = ids.iter().map(|id| queue(&self.servers[id])).collect();
+        let usual_queue = queues.iter().sum::<f64>() / ids.len() as f64;
+        let cross = number_or(&self.given, "cross-zone-price", 0.0);
+        let mut seen: Vec<Seen> = Vec::new();
+        for (id, queue) in ids.iter().zip(&queues) {
+            let s = &self.servers[id];
+            let pace = s.pace.unwrap_or(mean) * (1.0 + 0.25 * (s.silence(now) - 2.0).max(0.0));
+            let latency = (pace * self.time).max(1.0);
+            // The price of a crossing is a share of an op's benefit; an op's usual time stands for the whole.
+            let away = if s.zone == self.my_zone { 0.0 } else { cross * self.time };
+            // A failed op costs about another op's time.
+            let cost = away + latency * s.faults / (1.0 - s.faults).max(0.1);
+            let horizon = if s.load.is_some() { (now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
+            seen.push(Seen { queue: *queue, mu: (1.0 + usual_queue) / latency, horizon, cost, most: 1.0 });
+        }
+        let all: f64 = seen.iter().map(|s| s.mu).sum();
+        let lambda = (self.arrivals * self.balancers).max(all / 3.0);
+        for s in &mut seen {
+            s.most = 1.5 * s.mu / all;
+        }
+        let shares = split(&seen, lambda);
+        for ((id, share), s) in ids.iter().zip(&shares).zip(&seen) {
+            let server = self.servers.get_mut(id).expect("listed above");
+            server.share = *share;
+            server.expected =
+                1.0 / s.mu * (1.0 + (s.queue - s.mu * s.horizon + share * lambda * s.horizon).max(0.0));
+        }
+    }
+}
+
+// ---------------------------------------------------------------- cold budget and in-flight limit
+
+impl Balancer {
+    fn is_cold(&self, server: &Server) -> bool {
+        server.started > 0.0 && self.now < server.started + number_or(&self.given, "cold-time", 0.0)
+    }
+
+    /// Own work a millisecond that a cold server may get, in ordinary ops.
+    fn cold_rate(&self, server: &Server) -> f64 {
+        let age = (self.now - server.started) / number_or(&self.given, "cold-time", 1.0).max(1.0);
+        let from = number_or(&self.given, "cold-share", 0.1);
+        let able = from + (1.0 - from) * age.clamp(0.0, 1.0);
+        let decayed = |s: &Server| s.borne * (-(self.now - s.borne_at).max(0.0) / 4000.0).exp();
+        let warm = self.servers.values().filter(|s| s.ready() && !self.is_cold(s) && self.now >= s.resting);
+        let rates: Vec<f64> = warm.map(decayed).collect();
+        let mean = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
+        // Half: a full purse plus a window's income must stay within one window's budget. Half again: a
+        // successor may be half as strong as the mean of the warm ones.
+        0.25 * number_or(&self.given, "fall-multiple", 1.0) * able * mean
+    }
+
+    /// Danger: a cold server pushed over. Each node spends at most its own part of the budget of any window.
+    fn fill_purse(&mut self, id: usize) {
+        let rate = self.cold_rate(&self.servers[&id]);
+        let window = number_or(&self.given, "fall-time", 1000.0);
+        let now = self.now;
+        let server = self.servers.get_mut(&id).expect("caller holds it");
+        let most = (rate * window).max(1.0);
+        server.purse = (server.purse + rate * (now - server.purse_at)).min(most);
+        server.purse_at = now;
+    }
+}
+
+// ---------------------------------------------------------------- an op's steps
+
+struct Pushed {
+    server: usize,
+    at: f64,
+    may_have_run: bool,
+    out: bool,
+}
+
+struct Op {
+    category: usize,
+    work: Option<f64>,
+    arrived: f64,
+    ends: f64,
+    rank: f64,
+    bound: bool,
+    pushes: Vec<Pushed>,
+}
+
+impl Balancer {
+    /// An op has come in; it will get exactly one final answer.
+    pub fn arrive(&mut self, out: &mut dyn Outlet, now: f64, arrival: &Arrival) {
+        self.now = now;
+        if self.arrived_at.is_finite() {
+            // Own rate over the last second or so.
+            let span = now - self.arrived_at;
+            self.arrivals = self.arrivals * (-span / 1000.0_f64).exp() + 1.0 / 1000.0;
+        }
+        self.arrived_at = now;
+        self.copies = (self.copies + 0.1).min(10.0);
+        let mut rank = self.categories[arrival.category].benefit / self.top_benefit;
+        if let Some(customer) = arrival.customer.and_then(|c| self.customers.get_mut(c)) {
+            // A second's worth of quota may be saved up.
+            let income = customer.quota * (now - customer.counted);
+            customer.purse = (customer.purse + income).min(customer.quota * 1000.0) - 1.0;
+            customer.counted = now;
+            if customer.purse < 0.0 {
+                customer.purse = 0.0;
+                rank *= number_or(&self.given, "excess-benefit", 1.0);
+            }
+        }
+        let op = Op {
+            category: arrival.category,
+            work: arrival.work,
+            arrived: now,
+            ends: now + arrival.ttl,
+            rank,
+            bound: false,
+            pushes: Vec::new(),
+        };
+        self.ops.insert(arrival.op, op);
+        self.solve();
+        if !self.try_push(out, arrival.op) {
+            self.stand_in_line(out, arrival.op);
+        }
+    }
+
+    /// The servers that may get this op's next push, with their shares.
+    fn candidates(&mut self, id: usize, second: bool) -> Vec<(usize, f64)> {
+        let cold: Vec<usize> =
+            self.servers.iter().filter(|(_, s)| s.ready() && self.is_cold(s)).map(|(id, _)| *id).collect();
+        for server in cold {
+            self.fill_purse(server);
+        }
+        let op = &self.ops[&id];
+        let category = &self.categories[op.category];
+        let usual = self.usual(op.category, op.work);
+        let ready = self.servers.values().filter(|s| s.ready()).count();
+        let rested = self.servers.values().filter(|s| s.ready() && self.now < s.resting).count();
+        // Danger: a fault that all servers share must not empty the pool; with half at rest, rest is ignored.
+        let heed = rested * 2 <= ready;
+        let left = op.ends - self.now;
+        let fits = |sid: usize, s: &Server| {
+            let ran = op.pushes.iter().filter(|p| p.may_have_run);
+            let in_group = |p: &Pushed| match category.within {
+                Within::Fleet => true,
+                Within::Zone => self.servers.get(&p.server).is_some_and(|q| q.zone == s.zone),
+                Within::Pod => self.servers.get(&p.server).is_some_and(|q| q.pod == s.pod),
+            };
+            // A repeat must land inside the window: keep a tenth of it for the way.
+            let in_time = |p: &Pushed| self.now - p.at < category.window * 0.9;
+            let repeat = match category.effect {
+                Effect::Redeliverable => true,
+                Effect::Deduplicated => ran.clone().all(|p| in_group(p) && in_time(p)),
+                Effect::AtMostOnce => ran.clone().next().is_none(),
+            };
+            s.ready()
+                && repeat
+                && (!heed || self.now >= s.resting)
+                && (s.out.len() as f64) < s.limit.floor()
+                && (!self.is_cold(s) || s.purse >= usual / self.time)
+                && !op.pushes.iter().any(|p| p.server == sid && (second || p.out))
+                && s.expected * usual / self.time < left
+        };
+        self.servers.iter().filter(|(sid, s)| fits(**sid, s)).map(|(sid, s)| (*sid, s.share)).collect()
+    }
+
+    fn draw(&mut self, from: &[(usize, f64)]) -> usize {
+        let sum: f64 = from.iter().map(|(_, p)| p).sum();
+        if sum <= 0.0 {
+            return from[self.rng.rand_range(0..from.len() as u64) as usize].0;
+        }
+        let mut left = self.rng.rand_float() * sum;
+        for (id, p) in from {
+            left -= p;
+            if left < 0.0 {
+                return *id;
+            }
+        }
+        from[from.len() - 1].0
+    }
+
+    fn strain(&self) -> f64 {
+        let ready = || self.servers.values().filter(|s| s.ready());
+        let limits: f64 = ready().map(|s| s.limit).sum();
+        ready().map(|s| s.out.len()).sum::<usize>() as f64 / limits.max(1.0)
+    }
+
+    fn try_push(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
+        let op = &self.ops[&id];
+        if op.bound || op.pushes.len() as f64 >= number_or(&self.given, "most-pushes", 1.0) {
+            return false;
+        }
+        let again = op.pushes.iter().any(|p| p.may_have_run);
+        // Overload: the last of the room is kept for what brings most benefit.
+        if !again && self.strain() > 0.6 + 0.4 * op.rank {
+            return false;
+        }
+        let mut from = self.candidates(id, true);
+        if from.is_empty() {
+            from = self.candidates(id, false);
+        }
+        if from.is_empty() {
+            return false;
+        }
+        let mut server = self.draw(&from);
+        let busy: usize = from.iter().map(|(s, _)| self.servers[s].out.len()).sum();
+        // Redrawn once over twice the mean; under two in flight the mean says little.
+        if self.servers[&server].out.len() as f64 > (2.0 * busy as f64 / from.len() as f64).max(2.0) {
+            server = self.draw(&from);
+        }
+        self.push(out, id, server);
+        true
+    }
+
+    fn push(&mut self, out: &mut dyn Outlet, id: usize, to: usize) {
+        let (now, time) = (self.now, self.time);
+        let op = &self.ops[&id];
+        let usual = self.usual(op.category, op.work);
+        let cold = self.is_cold(&self.servers[&to]);
+        let second_copies = self.allowed("second-copies");
+        let left = op.ends - now;
+        let effect = self.categories[op.category].effect;
+        let op = self.ops.get_mut(&id).expect("caller holds it");
+        let n = op.pushes.len();
+        op.pushes.push(Pushed { server: to, at: now, may_have_run: true, out: true });
+        let server = self.servers.get_mut(&to).expect("drawn from the list");
+        server.since_load += 1.0;
+        if cold {
+            server.purse -= usual / time;
+        }
+        server.out.insert((id, n), Sent { at: now, usual });
+        let expected = (server.expected * usual / time).max(usual * server.pace.unwrap_or(1.0));
+        // Where no second copy may run beside the first, the time-out leaves time for a further push.
+        let may_repeat = effect != Effect::AtMostOnce;
+        let patience = if may_repeat && !second_copies { left.min(expected * self.slack) } else { left };
+        out.push(id, to, patience);
+        let facts = Op { pushes: Vec::new(), ..*op };
+        let step = move |b: &mut Balancer, out: &mut dyn Outlet, end: &PushEnd| {
+            if let Some(sent) = b.servers.get_mut(&to).and_then(|s| s.out.remove(&(id, n))) {
+                b.learn(to, &facts, &sent, end);
+            }
+            b.take_load(to, end.load);
+            b.after_push(out, id, n, end);
+        };
+        self.steps.insert((id, n), Box::new(step));
+        let wait = expected * self.slack;
+        if may_repeat && second_copies && n == 0 && wait < left {
+            self.alarm(out, now + wait, Box::new(move |b, out| b.second_copy(out, id)));
+        }
+    }
+
+    /// Danger: the first push hangs or drags. A second copy goes out where it may, as long as few are needed.
+    fn second_copy(&mut self, out: &mut dyn Outlet, id: usize) {
+        let Some(op) = self.ops.get(&id) else { return };
+        let late = self.now - op.arrived > self.categories[op.category].target;
+        let worthless = late && self.categories[op.category].late <= 0.0;
+        // Danger: copies feed a collapse; none on a strained fleet, and one op in ten at most.
+        if worthless || self.copies < 1.0 || self.strain() > 0.6 || !op.pushes.iter().any(|p| p.out) {
+            return;
+        }
+        self.solve();
+        let from = self.candidates(id, true);
+        if !from.is_empty() && (op_pushes(&self.ops, id) as f64) < number_or(&self.given, "most-pushes", 1.0)
+        {
+            self.copies -= 1.0;
+            let server = self.draw(&from);
+            self.push(out, id, server);
+        }
+    }
+
+    /// A push has ended.
+    pub fn push_ended(&mut self, out: &mut dyn Outlet, now: f64, end: &PushEnd) {
+        self.now = now;
+        if let Some(step) = self.steps.remove(&(end.op, end.push)) {
+            step(self, out, end);
+        }
+        self.serve_line(out);
+    }
+
+    fn after_push(&mut self, out: &mut dyn Outlet, id: usize, push: usize, end: &PushEnd) {
+        let Some(op) = self.ops.get_mut(&id) else { return };
+        op.pushes[push].out = false;
+        op.pushes[push].may_have_run = !end.ending.never_ran();
+        if end.closed || end.ending == Ending::Acked {
+            return self.close(out, id);
+        }
+        if op.pushes.iter().any(|p| p.out) {
+            return;
+        }
+        self.solve();
+        if !self.try_push(out, id) {
+            self.give_up(out, id);
+        }
+    }
+
+    /// The one final answer where no ack will come: a nack where the client may safely try again.
+    fn give_up(&mut self, out: &mut dyn Outlet, id: usize) {
+        let Some(op) = self.ops.get(&id) else { return };
+        let category = &self.categories[op.category];
+        let ran = op.pushes.iter().any(|p| p.may_have_run);
+        let harmless = match category.effect {
+            Effect::Redeliverable => true,
+            Effect::Deduplicated => !ran || category.within == Within::Fleet,
+            Effect::AtMostOnce => !ran,
+        };
+        if harmless {
+            let most = number_or(&self.given, "come-back-most", 0.0);
+            // The time in which the work in flight is mostly done.
+            let come_back = if self.allowed("come-back") { (2.0 * self.time).min(most) } else { 0.0 };
+            out.nack(id, come_back);
+        } else {
+            out.dead_letter(id);
+        }
+        self.close(out, id);
+    }
+
+    fn close(&mut self, out: &mut dyn Outlet, id: usize) {
+        let Some(op) = self.ops.remove(&id) else { return };
+        self.line.retain(|other| *other != id);
+        if self.allowed("may-cancel") {
+            for (n, _) in op.pushes.iter().enumerate().filter(|(_, p)| p.out) {
+                out.cancel(id, n);
+            }
+        }
+    }
+
+    fn stand_in_line(&mut self, out: &mut dyn Outlet, id: usize) {
+        let op = &self.ops[&id];
+        let flying: usize = self.servers.values().map(|s| s.out.len()).sum();
+        let patience = 0.25 * self.categories[op.category].target.min(op.ends - self.now);
+        // It waits only where as many answers as stand before it are due within that wait.
+        let due = flying as f64 * (patience / self.time).min(1.0);
+        if op.rank < 0.2 || (self.line.len() as f64) * 2.0 >= due {
+            return self.give_up(out, id);
+        }
+        self.line.push(id);
+        let at = self.now + patience;
+        self.alarm(
+            out,
+            at,
+            Box::new(move |b, out| {
+                if b.line.contains(&id) {
+                    b.give_up(out, id);
+                }
+            }),
+        );
+    }
+
+    fn serve_line(&mut self, out: &mut dyn Outlet) {
+        if self.line.is_empty() {
+            return;
+        }
+        self.solve();
+        let mut waiting = self.line.clone();
+        waiting.sort_by(|a, b| self.ops[b].rank.total_cmp(&self.ops[a].rank));
+        for id in waiting {
+            if !self.try_push(out, id) {
+                break;
+            }
+            self.line.retain(|other| *other != id);
+        }
+    }
+
+    /// The client has gone, or its op is closed by other means: nothing more is owed.
+    pub fn departed(&mut self, out: &mut dyn Outlet, now: f64, op: usize) {
+        self.now = now;
+        self.close(out, op);
+        self.serve_line(out);
+    }
+
+    /// A streamed answer has started: the op is bound to that push and gets no other.
+    pub fn began(&mut self, now: f64, op: usize) {
+        self.now = now;
+        if let Some(op) = self.ops.get_mut(&op) {
+            op.bound = true;
+        }
+    }
+
+    /// A probe has ended; the report that came with it counts.
+    pub fn probe_ended(&mut self, now: f64, server: usize, load: Load) {
+        self.now = now;
+        self.take_load(server, load);
+    }
+}
+
+fn op_pushes(ops: &BTreeMap<usize, Op>, id: usize) -> usize {
+    ops.get(&id).map_or(0, |op| op.pushes.len())
+}
--- /dev/null
+++ b/src/words.rs
@@ -0,0 +1,103 @@
+//! Plain types shared by the decisions and whatever protocol stands before them.
+
+use std::collections::BTreeMap;
+
+/// What is handed over at start: plain names to plain values.
+pub type Given = BTreeMap<String, serde_json::Value>;
+
+/// Whether an op may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Redeliverable,
+    Deduplicated,
+    AtMostOnce,
+}
+
+/// The servers that drop each other's repeats of a deduplicated op.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Within {
+    Fleet,
+    Zone,
+    Pod,
+}
+
+/// What the server list says of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the server list.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Listed {
+    pub server: usize,
+    pub standing: Standing,
+    pub zone: usize,
+    pub pod: usize,
+    /// Clock time of its last start; 0 means long ago.
+    pub started: f64,
+}
+
+/// An op at the door.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    pub op: usize,
+    pub category: usize,
+    pub customer: Option<usize>,
+    pub ttl: f64,
+    /// Expected work in milliseconds, where the client says it.
+    pub work: Option<f64>,
+}
+
+/// How a push ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Acked,
+    Errored,
+    TurnedAway,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Cancelled,
+    Unsent,
+}
+
+impl Ending {
+    /// Whether it is known that the op did not run there.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::TurnedAway | Ending::Unreachable | Ending::Unsent)
+    }
+}
+
+/// A server's word on its own load, as far as it gives one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub waiting: Option<f64>,
+    pub held: Option<f64>,
+}
+
+/// The result of one push.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PushEnd {
+    pub op: usize,
+    pub push: usize,
+    pub ending: Ending,
+    pub took: f64,
+    /// The client has its final answer, by this result or before it.
+    pub closed: bool,
+    pub load: Load,
+}
+
+/// Where the decisions go. Whoever runs the module implements it; calls take effect in their order.
+pub trait Outlet {
+    fn push(&mut self, op: usize, server: usize, patience: f64);
+    fn cancel(&mut self, op: usize, push: usize);
+    fn nack(&mut self, op: usize, come_back: f64);
+    fn dead_letter(&mut self, op: usize);
+    fn wake(&mut self, at: f64, alarm: u64);
+    fn follow_list(&mut self);
+    fn ask_list(&mut self);
+    fn probe(&mut self, server: usize);
+}
