--- a/src/balance.rs
+++ b/src/balance.rs
@@ -25,6 +25,47 @@
     work: f64,
 }
 
+/// What the operators oblige and allow the node.
+struct Duties {
+    balancers: f64,
+    my_zone: usize,
+    cross_price: f64,
+    excess_benefit: f64,
+    most_pushes: usize,
+    second_copies: bool,
+    may_cancel: bool,
+    come_back_most: f64,
+    cold_time: f64,
+    cold_share: f64,
+    fall_multiple: f64,
+    fall_time: f64,
+    list_asked: bool,
+    ask_within: f64,
+}
+
+impl Duties {
+    fn new(given: &Given) -> Result<Self, String> {
+        let or = |name: &str, otherwise: f64| number(given, name).unwrap_or(otherwise);
+        let yes = |name: &str| or(name, 0.0) > 0.0;
+        Ok(Duties {
+            balancers: number(given, "balancers")?.max(1.0),
+            my_zone: or("my-zone", 0.0) as usize,
+            cross_price: or("cross-zone-price", 0.0),
+            excess_benefit: or("excess-benefit", 1.0),
+            most_pushes: number(given, "most-pushes")? as usize,
+            second_copies: yes("second-copies"),
+            may_cancel: yes("may-cancel"),
+            come_back_most: if yes("come-back") { or("come-back-most", 0.0) } else { 0.0 },
+            cold_time: number(given, "cold-time")?.max(1.0),
+            cold_share: number(given, "cold-share")?,
+            fall_multiple: number(given, "fall-multiple")?,
+            fall_time: number(given, "fall-time")?,
+            list_asked: yes("list-must-be-asked"),
+            ask_within: or("ask-within", 8000.0),
+        })
+    }
+}
+
 struct Customer {
     /// Ops a millisecond that this node takes at full benefit.
     quota: f64,
@@ -162,11 +203,9 @@
 pub struct Balancer {
     rng: oorandom::Rand64,
     now: f64,
-    balancers: f64,
-    my_zone: usize,
     categories: Vec<Category>,
     customers: Vec<Customer>,
-    given: Given,
+    duties: Duties,
     servers: BTreeMap<usize, Server>,
     ops: BTreeMap<usize, Op>,
     steps: BTreeMap<(usize, usize), Step>,
@@ -182,6 +221,8 @@
     solved_at: f64,
     list_wait: f64,
     top_benefit: f64,
+    /// Own work a millisecond that a warm server bears in the mean.
+    warm_rate: f64,
 }
 
 impl Balancer {
@@ -189,24 +230,20 @@
     pub fn new(given: Given, seed: u64) -> Result<Self, String> {
         let count = number(&given, "categories")? as usize;
         let categories = (0..count).map(|k| category(&given, k)).collect::<Result<Vec<_>, _>>()?;
-        let balancers = number(&given, "balancers")?.max(1.0);
-        for name in ["drain-grace", "cold-share", "cold-time", "fall-multiple", "fall-time", "most-pushes"] {
-            number(&given, name)?;
-        }
+        let duties = Duties::new(&given)?;
         let customers = (0..number_or(&given, "customers", 0.0) as usize).map(|k| {
-            let quota = number_or(&given, &format!("customer.{k}.quota"), f64::INFINITY) / 1000.0 / balancers;
+            let quota =
+                number_or(&given, &format!("customer.{k}.quota"), f64::INFINITY) / 1000.0 / duties.balancers;
             Customer { quota, purse: 0.0, counted: 0.0 }
         });
         let time = categories.iter().map(|c| c.time).sum::<f64>() / categories.len().max(1) as f64;
         Ok(Balancer {
             rng: oorandom::Rand64::new(u128::from(seed)),
             now: 0.0,
-            balancers,
-            my_zone: number_or(&given, "my-zone", 0.0) as usize,
             customers: customers.collect(),
             top_benefit: categories.iter().map(|c| c.benefit).fold(f64::MIN_POSITIVE, f64::max),
             categories,
-            given,
+            duties,
             servers: BTreeMap::new(),
             ops: BTreeMap::new(),
             steps: BTreeMap::new(),
@@ -220,13 +257,10 @@
             slack: 2.0,
             solved_at: f64::NEG_INFINITY,
             list_wait: 0.0,
+            warm_rate: 0.0,
         })
     }
 
-    fn allowed(&self, name: &str) -> bool {
-        number_or(&self.given, name, 0.0) > 0.0
-    }
-
     /// The server list has spoken: a whole list, or only what changed. A cached list may be stale.
     pub fn list(&mut self, out: &mut dyn Outlet, now: f64, lines: &[Listed], whole: bool, cached: bool) {
         self.now = now;
@@ -258,7 +292,7 @@
     }
 
     fn follow(&mut self, out: &mut dyn Outlet) {
-        if self.allowed("list-must-be-asked") {
+        if self.duties.list_asked {
             out.follow_list();
         }
     }
@@ -268,7 +302,7 @@
         self.now = now;
         // Danger: a node that does not follow goes on with a list that no longer holds. First wait: short
         // beside any drain; longest: a quarter of the time after which it counts as told.
-        let longest = number_or(&self.given, "ask-within", 8000.0) / 4.0;
+        let longest = self.duties.ask_within / 4.0;
         self.list_wait = (self.list_wait * 2.0).clamp(200.0_f64.min(longest), longest);
         let at = now + self.list_wait * (0.75 + 0.5 * self.rng.rand_float());
         self.alarm(out, at, Box::new(|b, out| b.follow(out)));
@@ -460,6 +494,10 @@
         }
         self.solved_at = self.now;
         let now = self.now;
+        let decayed = |s: &Server| s.borne * (-(now - s.borne_at).max(0.0) / 4000.0).exp();
+        let warm = self.servers.values().filter(|s| s.ready() && !self.is_cold(s) && now >= s.resting);
+        let (sum, count) = warm.fold((0.0, 0.0), |(sum, count), s| (sum + decayed(s), count + 1.0));
+        self.warm_rate = sum / f64::max(count, 1.0);
         for server in self.servers.values_mut().filter(|s| s.ready()) {
             // Danger: silence. Two pushes overdue (one, on trial) and no answer since: it takes and gives nothing.
             let bound = 2.0 * self.slack * server.pace.unwrap_or(1.0);
@@ -481,26 +519,26 @@
             if let Some(load) = s.load.filter(|_| now - s.load_at < 5000.0) {
                 load + s.since_load
             } else {
-                s.out.len() as f64 * self.balancers
+                s.out.len() as f64 * self.duties.balancers
             }
         };
         let queues: Vec<f64> = ids.iter().map(|id| queue(&self.servers[id])).collect();
         let usual_queue = queues.iter().sum::<f64>() / ids.len() as f64;
-        let cross = number_or(&self.given, "cross-zone-price", 0.0);
+        let cross = self.duties.cross_price;
         let mut seen: Vec<Seen> = Vec::new();
         for (id, queue) in ids.iter().zip(&queues) {
             let s = &self.servers[id];
             let pace = s.pace.unwrap_or(mean) * (1.0 + 0.25 * (s.silence(now) - 2.0).max(0.0));
             let latency = (pace * self.time).max(1.0);
             // The price of a crossing is a share of an op's benefit; an op's usual time stands for the whole.
-            let away = if s.zone == self.my_zone { 0.0 } else { cross * self.time };
+            let away = if s.zone == self.duties.my_zone { 0.0 } else { cross * self.time };
             // A failed op costs about another op's time.
             let cost = away + latency * s.faults / (1.0 - s.faults).max(0.1);
             let horizon = if s.load.is_some() { (now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
             seen.push(Seen { queue: *queue, mu: (1.0 + usual_queue) / latency, horizon, cost, most: 1.0 });
         }
         let all: f64 = seen.iter().map(|s| s.mu).sum();
-        let lambda = (self.arrivals * self.balancers).max(all / 3.0);
+        let lambda = (self.arrivals * self.duties.balancers).max(all / 3.0);
         for s in &mut seen {
             s.most = 1.5 * s.mu / all;
         }
@@ -518,27 +556,23 @@
 
 impl Balancer {
     fn is_cold(&self, server: &Server) -> bool {
-        server.started > 0.0 && self.now < server.started + number_or(&self.given, "cold-time", 0.0)
+        server.started > 0.0 && self.now < server.started + self.duties.cold_time
     }
 
     /// Own work a millisecond that a cold server may get, in ordinary ops.
     fn cold_rate(&self, server: &Server) -> f64 {
-        let age = (self.now - server.started) / number_or(&self.given, "cold-time", 1.0).max(1.0);
-        let from = number_or(&self.given, "cold-share", 0.1);
+        let age = (self.now - server.started) / self.duties.cold_time;
+        let from = self.duties.cold_share;
         let able = from + (1.0 - from) * age.clamp(0.0, 1.0);
-        let decayed = |s: &Server| s.borne * (-(self.now - s.borne_at).max(0.0) / 4000.0).exp();
-        let warm = self.servers.values().filter(|s| s.ready() && !self.is_cold(s) && self.now >= s.resting);
-        let rates: Vec<f64> = warm.map(decayed).collect();
-        let mean = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
         // Half: a full purse plus a window's income must stay within one window's budget. Half again: a
         // successor may be half as strong as the mean of the warm ones.
-        0.25 * number_or(&self.given, "fall-multiple", 1.0) * able * mean
+        0.25 * self.duties.fall_multiple * able * self.warm_rate
     }
 
     /// Danger: a cold server pushed over. Each node spends at most its own part of the budget of any window.
     fn fill_purse(&mut self, id: usize) {
         let rate = self.cold_rate(&self.servers[&id]);
-        let window = number_or(&self.given, "fall-time", 1000.0);
+        let window = self.duties.fall_time;
         let now = self.now;
         let server = self.servers.get_mut(&id).expect("caller holds it");
         let most = (rate * window).max(1.0);
@@ -585,7 +619,7 @@
             customer.counted = now;
             if customer.purse < 0.0 {
                 customer.purse = 0.0;
-                rank *= number_or(&self.given, "excess-benefit", 1.0);
+                rank *= self.duties.excess_benefit;
             }
         }
         let op = Op {
@@ -667,7 +701,7 @@
 
     fn try_push(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
         let op = &self.ops[&id];
-        if op.bound || op.pushes.len() as f64 >= number_or(&self.given, "most-pushes", 1.0) {
+        if op.bound || op.pushes.len() >= self.duties.most_pushes {
             return false;
         }
         let again = op.pushes.iter().any(|p| p.may_have_run);
@@ -697,7 +731,7 @@
         let op = &self.ops[&id];
         let usual = self.usual(op.category, op.work);
         let cold = self.is_cold(&self.servers[&to]);
-        let second_copies = self.allowed("second-copies");
+        let second_copies = self.duties.second_copies;
         let left = op.ends - now;
         let effect = self.categories[op.category].effect;
         let op = self.ops.get_mut(&id).expect("caller holds it");
@@ -740,8 +774,7 @@
         }
         self.solve();
         let from = self.candidates(id, true);
-        if !from.is_empty() && (op_pushes(&self.ops, id) as f64) < number_or(&self.given, "most-pushes", 1.0)
-        {
+        if !from.is_empty() && op_pushes(&self.ops, id) < self.duties.most_pushes {
             self.copies -= 1.0;
             let server = self.draw(&from);
             self.push(out, id, server);
@@ -784,9 +817,8 @@
             Effect::AtMostOnce => !ran,
         };
         if harmless {
-            let most = number_or(&self.given, "come-back-most", 0.0);
             // The time in which the work in flight is mostly done.
-            let come_back = if self.allowed("come-back") { (2.0 * self.time).min(most) } else { 0.0 };
+            let come_back = (2.0 * self.time).min(self.duties.come_back_most);
             out.nack(id, come_back);
         } else {
             out.dead_letter(id);
@@ -797,7 +829,7 @@
     fn close(&mut self, out: &mut dyn Outlet, id: usize) {
         let Some(op) = self.ops.remove(&id) else { return };
         self.line.retain(|other| *other != id);
-        if self.allowed("may-cancel") {
+        if self.duties.may_cancel {
             for (n, _) in op.pushes.iter().enumerate().filter(|(_, p)| p.out) {
                 out.cancel(id, n);
             }
