--- a/src/balance.rs
+++ b/src/balance.rs
@@ -673,7 +673,9 @@
                 && (s.out.len() as f64) < s.limit.floor()
                 && (!self.is_cold(s) || s.purse >= usual / self.time)
                 && !op.pushes.iter().any(|p| p.server == sid && (second || p.out))
-                && s.expected * usual / self.time < left
+                // Danger: a server thought too slow would never be seen to recover; the first push of an op may
+                // go where nothing of ours is in flight.
+                && (s.expected * usual / self.time < left || (op.pushes.is_empty() && s.out.is_empty()))
         };
         self.servers.iter().filter(|(sid, s)| fits(**sid, s)).map(|(sid, s)| (*sid, s.share)).collect()
     }
