--- a/src/balance.rs
+++ b/src/balance.rs
@@ -149,9 +149,9 @@
     expected: f64,
 }
 
-/// Own pushes in flight that a server may have before anything is known of it: a handful, so that a
-/// new server is neither starved nor flooded; it grows and shrinks at once by what is seen.
-const FIRST_LIMIT: f64 = 6.0;
+/// Pushes that all nodes together may have in flight to a server before anything is known of it: a handful, so
+/// that a new server is neither starved nor flooded; it grows and shrinks at once by what is seen.
+const FIRST_LIMIT: f64 = 8.0;
 
 impl Server {
     fn new(line: &Listed, now: f64) -> Self {
@@ -194,7 +194,7 @@
     fn cut(&mut self, now: f64, share: f64, gap: f64) {
         // One cut for what is one event: answers to pushes sent before the last cut say nothing new.
         if now - self.cut_at > gap {
-            self.limit = (self.limit * share).max(1.0);
+            self.limit = (self.limit * share).max(1.0); // one at least
             self.cut_at = now;
         }
     }
@@ -348,6 +348,7 @@
     fn learn(&mut self, id: usize, op: &Op, sent: &Sent, end: &PushEnd) {
         let now = self.now;
         let good = end.ending == Ending::Acked;
+        let balancers = self.duties.balancers;
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
         const SMOOTH: f64 = 0.1;
         if good {
@@ -386,11 +387,16 @@
             server.borne_at = now;
             server.rest = (server.rest / 2.0).floor();
         }
-        let late = good && end.took > self.categories[op.category].target;
+        // Danger: a crowded server turns slower than the work alone would make it, for long. Late is past the
+        // target latency, or a pace over thrice the best seen here, which doubles of usual noise don't reach.
+        let pace = server.pace.unwrap_or(1.0);
+        server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
+        let late = good && (end.took > self.categories[op.category].target || pace > 3.0 * server.best);
         if late || !good {
             server.cut(now, 0.7, sent.usual);
-        } else if server.out.len() as f64 >= server.limit / 2.0 {
-            server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
+        } else if server.out.len() as f64 >= 0.5 * server.limit / balancers {
+            // Own answers are one in so many of all, so each counts for that many of a round's growth of one.
+            server.limit = (server.limit + balancers / server.limit).min(1000.0);
         }
         // Danger: a server that fails fast answers first and would draw ever more; most of its answers bad
         // means it rests.
@@ -503,7 +509,7 @@
             let bound = 2.0 * self.slack * server.pace.unwrap_or(1.0);
             let overdue =
                 server.out.values().filter(|s| now - s.at.max(server.heard) > bound * s.usual).count();
-            if now >= server.resting && overdue as f64 >= server.limit.min(2.0) {
+            if now >= server.resting && overdue as f64 >= if server.rest > 0.0 { 1.0 } else { 2.0 } {
                 Self::send_to_rest(server, now, self.time);
             }
         }
@@ -670,7 +676,7 @@
             s.ready()
                 && repeat
                 && (!heed || self.now >= s.resting)
-                && (s.out.len() as f64) < s.limit.floor()
+                && (s.out.len() as f64) < (s.limit / self.duties.balancers).max(1.0)
                 && (!self.is_cold(s) || s.purse >= usual / self.time)
                 && !op.pushes.iter().any(|p| p.server == sid && (second || p.out))
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op may
@@ -698,7 +704,7 @@
     fn strain(&self) -> f64 {
         let ready = || self.servers.values().filter(|s| s.ready());
         let limits: f64 = ready().map(|s| s.limit).sum();
-        ready().map(|s| s.out.len()).sum::<usize>() as f64 / limits.max(1.0)
+        ready().map(|s| s.out.len()).sum::<usize>() as f64 * self.duties.balancers / limits.max(1.0)
     }
 
     fn try_push(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
