--- a/src/balance.rs
+++ b/src/balance.rs
@@ -391,7 +391,7 @@
         // target latency, or a pace over thrice the best seen here, which doubles of usual noise don't reach.
         let pace = server.pace.unwrap_or(1.0);
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
-        let slow = pace * self.categories[op.category].time > 0.8 * self.categories[op.category].target;
+        let slow = end.took > self.categories[op.category].target;
         let crowded = slow || pace > 3.0 * server.best || end.ending != Ending::Acked;
         if crowded && end.ending != Ending::Errored {
             server.cut(now, 0.7, sent.usual);
