--- a/src/balance.rs
+++ b/src/balance.rs
@@ -465,6 +465,11 @@
         let sum = seen.iter().map(|s| s.most).sum::<f64>().max(f64::MIN_POSITIVE);
         return seen.iter().map(|s| s.most / sum).collect();
     }
+    // All that is due within the horizon fits into what is free: flat everywhere, and room decides.
+    let room = |s: &Seen| if s.horizon > 0.0 { s.room() / s.horizon } else { 0.0 };
+    if seen.iter().map(room).sum::<f64>() >= lambda {
+        return by_weight(seen, room);
+    }
     let steepest = |s: &Seen| s.cost + (1.0 + s.queue + 2.0 * lambda * s.horizon) / s.mu;
     let (mut low, mut high) = (f64::MIN, seen.iter().map(steepest).fold(0.0, f64::max) + 1.0);
     low = low.max(seen.iter().map(|s| s.cost).fold(0.0, f64::min) - 1.0);
@@ -490,6 +495,24 @@
     shares
 }
 
+/// Shares in proportion to a weight, none over its most; what one can't take goes to the others likewise.
+fn by_weight(seen: &[Seen], weight: impl Fn(&Seen) -> f64) -> Vec<f64> {
+    let mut shares = vec![0.0; seen.len()];
+    // Each turn fills at least one server up, or all is given out.
+    for _ in 0..seen.len() {
+        let left = 1.0 - shares.iter().sum::<f64>();
+        let open = |(s, p): &(&Seen, &f64)| **p < s.most;
+        let sum: f64 = seen.iter().zip(&shares).filter(open).map(|(s, _)| weight(s)).sum();
+        if left <= 1e-12 || sum <= 0.0 {
+            break;
+        }
+        for (s, share) in seen.iter().zip(&mut shares).filter(|(s, p)| **p < s.most) {
+            *share = (*share + left * weight(s) / sum).min(s.most);
+        }
+    }
+    shares
+}
+
 impl Balancer {
     fn solve(&mut self) {
         // At least this long between two solutions; the design's figure.
