--- a/src/balance.rs
+++ b/src/balance.rs
@@ -564,11 +564,7 @@
             let away = if s.zone == self.duties.my_zone { 0.0 } else { cross * self.time };
             // A failed op costs about another op's time.
             let cost = away + latency * s.faults / (1.0 - s.faults).max(0.1);
-            let horizon = if s.load.is_some() {
-                (now - s.load_at).clamp(FLOOR, FLOOR.max(0.5 * self.time))
-            } else {
-                FLOOR
-            };
+            let horizon = if s.load.is_some() { (now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
             seen.push(Seen { queue: *queue, mu: (1.0 + usual_queue) / latency, horizon, cost, most: 1.0 });
         }
         let all: f64 = seen.iter().map(|s| s.mu).sum();
