--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -140,7 +140,7 @@
             None => Ok(Load::default()),
             Some(Value::Object(load)) => {
                 let part = |name: &str| load.get(name).and_then(Value::as_f64);
-                Ok(Load { waiting: part("q"), held: part("rif") })
+                Ok(Load { waiting: part("q"), held: part("rif"), busy: part("busy") })
             }
             Some(_) => Err(self.wrong("Load")),
         }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -125,7 +125,7 @@
     pod: usize,
     started: f64,
     // reports
-    load: Option<f64>,
+    load: Load,
     load_at: f64,
     since_load: f64,
     // rates and health
@@ -160,7 +160,7 @@
             zone: line.zone,
             pod: line.pod,
             started: line.started,
-            load: None,
+            load: Load::default(),
             load_at: now,
             since_load: 0.0,
             pace: None,
@@ -328,10 +328,10 @@
 impl Balancer {
     fn take_load(&mut self, id: usize, load: Load) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        let Some(held) = load.held.or(load.waiting).filter(|l| l.is_finite()) else { return };
-        // A report is renewed now and then and repeated in between: only a new figure is a new report.
-        if server.load != Some(held) {
-            (server.load, server.load_at, server.since_load) = (Some(held.max(0.0)), self.now, 0.0);
+        // A report is renewed now and then and repeated in between: only a changed one is new. Any of its
+        // figures tells, as a queue may well be empty twice.
+        if load != Load::default() && server.load != load {
+            (server.load, server.load_at, server.since_load) = (load, self.now, 0.0);
         }
     }
 
@@ -546,8 +546,9 @@
         let mean = if known.is_empty() { 1.0 } else { 1.0 / mean_pace(&known) };
         let queue = |s: &Server| {
             // A report much older than any usual refresh is none.
-            if let Some(load) = s.load.filter(|_| now - s.load_at < 5000.0) {
-                load + s.since_load
+            let told = s.load.held.or(s.load.waiting).filter(|l| l.is_finite());
+            if let Some(told) = told.filter(|_| now - s.load_at < 5000.0) {
+                told.max(0.0) + s.since_load
             } else {
                 s.out.len() as f64 * self.duties.balancers
             }
@@ -564,7 +565,8 @@
             let away = if s.zone == self.duties.my_zone { 0.0 } else { cross * self.time };
             // A failed op costs about another op's time.
             let cost = away + latency * s.faults / (1.0 - s.faults).max(0.1);
-            let horizon = if s.load.is_some() { (now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
+            let horizon =
+                if s.load != Load::default() { (now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
             seen.push(Seen { queue: *queue, mu: (1.0 + usual_queue) / latency, horizon, cost, most: 1.0 });
         }
         let all: f64 = seen.iter().map(|s| s.mu).sum();
--- a/src/words.rs
+++ b/src/words.rs
@@ -76,6 +76,8 @@
 pub struct Load {
     pub waiting: Option<f64>,
     pub held: Option<f64>,
+    /// Share of its cores in use.
+    pub busy: Option<f64>,
 }
 
 /// The result of one push.
