Take the arrival rate from pushes and expected time from the present queue

Cause: retries of nacked ops inflated the rate, and the long horizon the expected time, until nothing fitted.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -214,8 +214,8 @@
     line: Vec<usize>,
     // rates over all servers
     time: f64,
-    arrivals: f64,
-    arrived_at: f64,
+    pushes: f64,
+    pushed_at: f64,
     copies: f64,
     slack: f64,
     solved_at: f64,
@@ -251,8 +251,8 @@
             next_alarm: 0,
             line: Vec::new(),
             time,
-            arrivals: 0.0,
-            arrived_at: f64::NEG_INFINITY,
+            pushes: 0.0,
+            pushed_at: f64::NEG_INFINITY,
             copies: 1.0,
             slack: 2.0,
             solved_at: f64::NEG_INFINITY,
@@ -570,7 +570,7 @@
             seen.push(Seen { queue: *queue, mu: (1.0 + usual_queue) / latency, horizon, cost, most: 1.0 });
         }
         let all: f64 = seen.iter().map(|s| s.mu).sum();
-        let lambda = (self.arrivals * self.duties.balancers).max(all / 3.0);
+        let lambda = (self.pushes * self.duties.balancers).max(all / 3.0);
         for s in &mut seen {
             s.most = 1.5 * s.mu / all;
         }
@@ -578,8 +578,7 @@
         for ((id, share), s) in ids.iter().zip(&shares).zip(&seen) {
             let server = self.servers.get_mut(id).expect("listed above");
             server.share = *share;
-            server.expected =
-                1.0 / s.mu * (1.0 + (s.queue - s.mu * s.horizon + share * lambda * s.horizon).max(0.0));
+            server.expected = (1.0 + s.queue) / s.mu;
         }
     }
 }
@@ -636,12 +635,6 @@
     /// An op has come in; it will get exactly one final answer.
     pub fn arrive(&mut self, out: &mut dyn Outlet, now: f64, arrival: &Arrival) {
         self.now = now;
-        if self.arrived_at.is_finite() {
-            // Own rate over the last second or so.
-            let span = now - self.arrived_at;
-            self.arrivals = self.arrivals * (-span / 1000.0_f64).exp() + 1.0 / 1000.0;
-        }
-        self.arrived_at = now;
         self.copies = (self.copies + 0.1).min(10.0);
         let mut rank = self.categories[arrival.category].benefit / self.top_benefit;
         if let Some(customer) = arrival.customer.and_then(|c| self.customers.get_mut(c)) {
@@ -762,6 +755,12 @@
 
     fn push(&mut self, out: &mut dyn Outlet, id: usize, to: usize) {
         let (now, time) = (self.now, self.time);
+        if self.pushed_at.is_finite() {
+            // Own rate over the last second or so. Pushes, as nacked ops reach no server: counting a crowd of
+            // retries would make every server look full.
+            self.pushes = self.pushes * (-(now - self.pushed_at) / 1000.0).exp() + 1.0 / 1000.0;
+        }
+        self.pushed_at = now;
         let op = &self.ops[&id];
         let usual = self.usual(op.category, op.work);
         let cold = self.is_cold(&self.servers[&to]);
