--- a/src/balance.rs
+++ b/src/balance.rs
@@ -385,7 +385,7 @@
             let keep = (-span / 4000.0_f64).exp();
             server.borne = server.borne * keep + sent.usual / self.time.max(1.0) / 4000.0;
             server.borne_at = now;
-            server.rest = (server.rest / 2.0).floor();
+            server.rest = if server.rest > 4.0 * self.time { 0.5 * server.rest } else { 0.0 };
         }
         // Danger: a crowded server turns slower than the work alone would make it, for long. Late is past the
         // target latency, or a pace over thrice the best seen here, which doubles of usual noise don't reach.
@@ -411,7 +411,7 @@
         // comes back through a limit of one.
         server.rest = (server.rest * 2.0).clamp(2.0 * time, 32.0 * time);
         server.resting = now + server.rest;
-        server.limit = 1.0;
+        server.limit = (0.5 * server.limit).max(1.0);
         server.faults *= 0.5;
         server.share = 0.0;
     }
@@ -530,7 +530,7 @@
         self.warm_rate = sum / f64::max(count, 1.0);
         for server in self.servers.values_mut().filter(|s| s.ready()) {
             // Danger: silence. Two pushes overdue (one, on trial) and no answer since: it takes and gives nothing.
-            let bound = 2.0 * self.slack * server.pace.unwrap_or(1.0);
+            let bound = 3.0 * self.slack * server.pace.unwrap_or(1.0);
             let overdue =
                 server.out.values().filter(|s| now - s.at.max(server.heard) > bound * s.usual).count();
             if now >= server.resting && overdue as f64 >= if server.rest > 0.0 { 1.0 } else { 2.0 } {
@@ -695,7 +695,7 @@
             s.ready()
                 && repeat
                 && (!heed || self.now >= s.resting)
-                && (s.out.len() as f64) < (s.limit / self.duties.balancers).max(1.0)
+                && (s.out.len() as f64) < if s.rest > 0.0 { 1.0 } else { (s.limit / self.duties.balancers).max(1.0) }
                 && (!self.is_cold(s) || s.purse >= usual / self.time)
                 && !op.pushes.iter().any(|p| p.server == sid && (second || p.out))
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op may
@@ -721,7 +721,7 @@
     }
 
     fn strain(&self) -> f64 {
-        let ready = || self.servers.values().filter(|s| s.ready());
+        let ready = || self.servers.values().filter(|s| s.ready() && s.rest == 0.0);
         let limits: f64 = ready().map(|s| s.limit).sum();
         ready().map(|s| s.out.len()).sum::<usize>() as f64 * self.duties.balancers / limits.max(1.0)
     }
