--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -262,12 +262,13 @@
             let ttl = fields.number(6, "BudgetMs")?.ok_or_else(|| fields.wrong("BudgetMs"))?;
             let flags = fields.at(8).map_or(Ok(0), |_| fields.whole(8, "Flags"))?;
             let work = fields.number(7, "EffortMs")?.filter(|w| flags & 1 == 1 && *w > 0.0);
+            let retry = flags & 2 == 2;
             let op = names.next_op;
             names.next_op += 1;
             names.ops.insert(id, op);
             names.held.insert(op, (id, 0, false));
             let out = &mut Link { inst, names, decisions };
-            balancer.arrive(out, now, &Arrival { op, category, customer, ttl, work });
+            balancer.arrive(out, now, &Arrival { op, category, customer, ttl, retry, work });
         }
         "Returned" => {
             let id = fields.whole(2, "Req")?;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -638,13 +638,16 @@
         self.copies = (self.copies + 0.1).min(10.0);
         let mut rank = self.categories[arrival.category].benefit / self.top_benefit;
         if let Some(customer) = arrival.customer.and_then(|c| self.customers.get_mut(c)) {
-            // A second's worth of quota may be saved up.
             let income = customer.quota * (now - customer.counted);
-            customer.purse = (customer.purse + income).min(customer.quota * 1000.0) - 1.0;
+            // Two seconds' worth of quota may be saved up: ops come in bursts, and unevenly over the nodes.
+            customer.purse = (customer.purse + income).min(customer.quota * 2000.0);
             customer.counted = now;
-            if customer.purse < 0.0 {
-                customer.purse = 0.0;
+            // A client's retry belongs to its first try and is not counted again.
+            let price = if arrival.retry { 0.0 } else { 1.0 };
+            if customer.purse < price {
                 rank *= self.duties.excess_benefit;
+            } else {
+                customer.purse -= price;
             }
         }
         let op = Op {
--- a/src/words.rs
+++ b/src/words.rs
@@ -47,6 +47,8 @@
     pub category: usize,
     pub customer: Option<usize>,
     pub ttl: f64,
+    /// The client has tried before.
+    pub retry: bool,
     /// Expected work in milliseconds, where the client says it.
     pub work: Option<f64>,
 }
