--- a/src/balance.rs
+++ b/src/balance.rs
@@ -388,11 +388,11 @@
             server.rest = if server.rest > 4.0 * self.time { 0.5 * server.rest } else { 0.0 };
         }
         // Danger: a crowded server turns slower than the work alone would make it, for long. Late is past the
-        // target latency, or a pace over thrice the best seen here, which doubles of usual noise don't reach.
+        // target latency, or a pace over twice the best seen here: half the time is then waiting.
         let pace = server.pace.unwrap_or(1.0);
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
         let slow = end.took > self.categories[op.category].target;
-        let crowded = slow || pace > 3.0 * server.best || end.ending != Ending::Acked;
+        let crowded = slow || pace > 2.0 * server.best || end.ending != Ending::Acked;
         if crowded && end.ending != Ending::Errored {
             server.cut(now, 0.7, sent.usual);
         } else if server.out.len() as f64 >= 0.5 * server.limit / balancers {
