--- a/src/balance.rs
+++ b/src/balance.rs
@@ -23,6 +23,7 @@
     /// Smoothed time of an acked push on a server of ordinary pace, and smoothed work where clients tell it.
     time: f64,
     work: f64,
+    acked: f64,
 }
 
 /// What the operators oblige and allow the node.
@@ -109,6 +110,7 @@
         // Before the first answer: a target latency is usually set at a few times the ordinary time.
         time: target / 4.0,
         work: 0.0,
+        acked: 0.0,
     })
 }
 
@@ -360,11 +362,15 @@
             self.slack += if ratio > pace * self.slack { step * 0.95 } else { -step * 0.05 };
             self.slack = self.slack.clamp(1.5, 8.0);
             let c = &mut self.categories[op.category];
-            c.time += 0.02 * (end.took / (0.5 * pace + 0.5) - c.time);
+            // Danger: were the usual time to follow a crowd, a fleet crowded as a whole would look ordinary. It is
+            // an average that soon stiffens to one part in five hundred; what changes faster is pace.
+            c.acked += 1.0;
+            let step = (1.0 / (c.acked + 10.0)).max(0.002);
+            c.time += step * (end.took / pace.max(0.2) - c.time);
             if let Some(work) = op.work {
-                c.work += if c.work > 0.0 { 0.02 * (work - c.work) } else { work };
+                c.work += if c.work > 0.0 { step * (work - c.work) } else { work };
             }
-            self.time += 0.02 * (end.took - self.time);
+            self.time += step * (end.took / pace.max(0.2) - self.time);
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
         if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
