--- a/src/balance.rs
+++ b/src/balance.rs
@@ -393,15 +393,19 @@
             server.borne_at = now;
             server.rest = if server.rest > 4.0 * self.time { 0.5 * server.rest } else { 0.0 };
         }
-        // Danger: a crowded server turns slower than the work alone would make it, for long. Late is past the
-        // target latency, or a pace over twice the best seen here: half the time is then waiting.
+        // Danger: a crowded server turns slower than its work alone would make it, for long, and smoothed figures
+        // show it too late. Each answer counts against the usual time at the server's best pace: a quick one lets
+        // the limit grow, one at thrice that or past its target latency cuts it. Uncrowded, the two balance at a
+        // dozen in flight; at half speed, at a third of that.
         let pace = server.pace.unwrap_or(1.0);
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
-        let slow = end.took > self.categories[op.category].target;
-        let crowded = slow || pace > 2.0 * server.best || end.ending != Ending::Acked;
-        if crowded && end.ending != Ending::Errored {
+        let stretch = end.took / (sent.usual * server.best).max(1.0);
+        let failed = !good && end.ending != Ending::Errored;
+        if failed || end.took > self.categories[op.category].target {
             server.cut(now, 0.7, sent.usual);
-        } else if server.out.len() as f64 >= 0.5 * server.limit / balancers {
+        } else if stretch > 3.0 {
+            server.cut(now, 0.9, 0.0);
+        } else if good && stretch < 1.0 && server.out.len() as f64 >= 0.5 * server.limit / balancers {
             // Own answers are one in so many of all, so each counts for that many of a round's growth of one.
             server.limit = (server.limit + balancers / server.limit).min(1000.0);
         }
