--- a/src/balance.rs
+++ b/src/balance.rs
@@ -149,7 +149,6 @@
     // the split as last solved
     share: f64,
     expected: f64,
-    queue: f64,
 }
 
 /// Pushes that all nodes together may have in flight to a server before anything is known of it: a handful, so
@@ -181,7 +180,6 @@
             purse_at: now,
             share: 0.0,
             expected: 0.0,
-            queue: 0.0,
         }
     }
 
@@ -591,7 +589,6 @@
             let server = self.servers.get_mut(id).expect("listed above");
             server.share = *share;
             server.expected = (1.0 + s.queue) / s.mu;
-            server.queue = s.queue;
         }
     }
 }
@@ -712,8 +709,6 @@
                 && repeat
                 && (!heed || self.now >= s.resting)
                 && (s.out.len() as f64) < if s.rest > 0.0 { 1.0 } else { (s.limit / self.duties.balancers).max(1.0) }
-                // Danger: other nodes fill a server up unseen. What it reports to hold counts against the limit too.
-                && (s.load.held.is_none() || s.queue < 1.5 * s.limit || s.out.is_empty())
                 && (!self.is_cold(s) || s.purse >= usual / self.time)
                 && !op.pushes.iter().any(|p| p.server == sid && (second || p.out))
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op may
