--- a/src/balance.rs
+++ b/src/balance.rs
@@ -400,12 +400,12 @@
         let pace = server.pace.unwrap_or(1.0);
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
         let stretch = end.took / (sent.usual * server.best).max(1.0);
-        let failed = !good && end.ending != Ending::Errored;
+        let failed = matches!(end.ending, Ending::TimedOut | Ending::TurnedAway | Ending::Unreachable);
         if failed || end.took > self.categories[op.category].target {
             server.cut(now, 0.7, sent.usual);
         } else if stretch > 3.0 {
             server.cut(now, 0.9, 0.0);
-        } else if good && stretch < 1.0 && server.out.len() as f64 >= 0.5 * server.limit / balancers {
+        } else if good && stretch < 1.0 && server.out.len() as f64 + 1.0 >= 0.5 * server.limit / balancers {
             // Own answers are one in so many of all, so each counts for that many of a round's growth of one.
             server.limit = (server.limit + balancers / server.limit).min(1000.0);
         }
