--- a/src/balance.rs
+++ b/src/balance.rs
@@ -351,6 +351,8 @@
         let now = self.now;
         let good = end.ending == Ending::Acked;
         let balancers = self.duties.balancers;
+        // A single server's share of a node may be under one push; whether limits are used shows over all.
+        let strained = self.strain() > 0.6;
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
         const SMOOTH: f64 = 0.1;
         if good {
@@ -405,7 +407,11 @@
             server.cut(now, 0.7, sent.usual);
         } else if stretch > 3.0 {
             server.cut(now, 0.9, 0.0);
-        } else if good && stretch < 1.0 && server.out.len() as f64 + 1.0 >= 0.5 * server.limit / balancers {
+        } else if good
+            && stretch < 1.0
+            && strained
+            && server.out.len() as f64 + 1.0 >= 0.5 * server.limit / balancers
+        {
             // Own answers are one in so many of all, so each counts for that many of a round's growth of one.
             server.limit = (server.limit + balancers / server.limit).min(1000.0);
         }
