Grow limits by one for a round of own answers, whatever the node count

Cause: growth was scaled up by the number of nodes, cuts were not, so limits rose with the root of that number.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -412,8 +412,9 @@
             && strained
             && server.out.len() as f64 + 1.0 >= 0.5 * server.limit / balancers
         {
-            // Own answers are one in so many of all, so each counts for that many of a round's growth of one.
-            server.limit = (server.limit + balancers / server.limit).min(1000.0);
+            // One for a round of own answers; scaled up to all nodes it would outrun the cuts, which come from own
+            // answers too.
+            server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
         }
         // Danger: a server that fails fast answers first and would draw ever more; most of its answers bad
         // means it rests.
