--- a/src/balance.rs
+++ b/src/balance.rs
@@ -753,7 +753,7 @@
         }
         let again = op.pushes.iter().any(|p| p.may_have_run);
         // Overload: the last of the room is kept for what brings most benefit.
-        if !again && self.strain() > 0.8 + 0.2 * op.rank {
+        if !again && self.strain() > 0.6 + 0.4 * op.rank {
             return false;
         }
         let mut from = self.candidates(id, true);
