--- a/src/balance.rs
+++ b/src/balance.rs
@@ -822,7 +822,7 @@
         let late = self.now - op.arrived > self.categories[op.category].target;
         let worthless = late && self.categories[op.category].late <= 0.0;
         // Danger: copies feed a collapse; none on a strained fleet, and one op in ten at most.
-        if worthless || self.copies < 100.0 || self.strain() > 0.6 || !op.pushes.iter().any(|p| p.out) {
+        if worthless || self.copies < 1.0 || self.strain() > 0.6 || !op.pushes.iter().any(|p| p.out) {
             return;
         }
         self.solve();
