--- a/src/balance.rs
+++ b/src/balance.rs
@@ -821,6 +821,12 @@
         let Some(op) = self.ops.get(&id) else { return };
         let late = self.now - op.arrived > self.categories[op.category].target;
         let worthless = late && self.categories[op.category].late <= 0.0;
+        // Danger: an op that drags may be heavy itself, and its copy as heavy. A copy goes out where the work was
+        // told beforehand, or where the server has answered nothing since.
+        let silent = |p: &Pushed| self.servers.get(&p.server).is_none_or(|s| s.heard <= p.at);
+        if op.work.is_none() && !op.pushes.iter().any(silent) {
+            return;
+        }
         // Danger: copies feed a collapse; none on a strained fleet, and one op in ten at most.
         if worthless || self.copies < 1.0 || self.strain() > 0.6 || !op.pushes.iter().any(|p| p.out) {
             return;
