--- a/src/balance.rs
+++ b/src/balance.rs
@@ -822,8 +822,9 @@
         let late = self.now - op.arrived > self.categories[op.category].target;
         let worthless = late && self.categories[op.category].late <= 0.0;
         // Danger: an op that drags may be heavy itself, and its copy as heavy. A copy goes out where the work was
-        // told beforehand, or where the server has answered nothing since.
-        let silent = |p: &Pushed| self.servers.get(&p.server).is_none_or(|s| s.heard <= p.at);
+        // told beforehand, or where the server has answered nothing since, this op not being its only one.
+        let silent =
+            |p: &Pushed| self.servers.get(&p.server).is_none_or(|s| s.heard <= p.at && s.out.len() > 1);
         if op.work.is_none() && !op.pushes.iter().any(silent) {
             return;
         }
