--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,8 +1,9 @@
 //! Every decision of crankmux. A node makes one [`Balancer`] from what it is given and tells it, with the
 //! present time, what happens: [`Balancer::list`], [`Balancer::arrive`], [`Balancer::push_ended`],
 //! [`Balancer::woken`], [`Balancer::probe_ended`], [`Balancer::departed`], [`Balancer::began`],
-//! [`Balancer::list_failed`]. Answers leave by the [`Outlet`] given with each call; `words.rs` holds its types.
-//! The ordinary path is the split of docs/design.md; whatever narrows it says here which danger it meets.
+//! [`Balancer::list_failed`]. Answers leave by the [`Outlet`] given with each call; `words.rs` holds its
+//! types. The ordinary path is the split of docs/design.md; whatever narrows it says here which danger it
+//! meets.
 
 use crate::words::{Arrival, Effect, Ending, Given, Listed, Load, Outlet, PushEnd, Standing, Within};
 use serde_json::Value;
@@ -26,47 +27,6 @@
     acked: f64,
 }
 
-/// What the operators oblige and allow the node.
-struct Duties {
-    balancers: f64,
-    my_zone: usize,
-    cross_price: f64,
-    excess_benefit: f64,
-    most_pushes: usize,
-    second_copies: bool,
-    may_cancel: bool,
-    come_back_most: f64,
-    cold_time: f64,
-    cold_share: f64,
-    fall_multiple: f64,
-    fall_time: f64,
-    list_asked: bool,
-    ask_within: f64,
-}
-
-impl Duties {
-    fn new(given: &Given) -> Result<Self, String> {
-        let or = |name: &str, otherwise: f64| number(given, name).unwrap_or(otherwise);
-        let yes = |name: &str| or(name, 0.0) > 0.0;
-        Ok(Duties {
-            balancers: number(given, "balancers")?.max(1.0),
-            my_zone: or("my-zone", 0.0) as usize,
-            cross_price: or("cross-zone-price", 0.0),
-            excess_benefit: or("excess-benefit", 1.0),
-            most_pushes: number(given, "most-pushes")? as usize,
-            second_copies: yes("second-copies"),
-            may_cancel: yes("may-cancel"),
-            come_back_most: if yes("come-back") { or("come-back-most", 0.0) } else { 0.0 },
-            cold_time: number(given, "cold-time")?.max(1.0),
-            cold_share: number(given, "cold-share")?,
-            fall_multiple: number(given, "fall-multiple")?,
-            fall_time: number(given, "fall-time")?,
-            list_asked: yes("list-must-be-asked"),
-            ask_within: or("ask-within", 8000.0),
-        })
-    }
-}
-
 struct Customer {
     /// Ops a millisecond that this node takes at full benefit.
     quota: f64,
@@ -74,28 +34,37 @@
     counted: f64,
 }
 
-fn number(given: &Given, name: &str) -> Result<f64, String> {
-    match given.get(name) {
-        Some(Value::Bool(yes)) => Ok(f64::from(u8::from(*yes))),
-        Some(value) => value.as_f64().ok_or_else(|| format!("setting {name} is not a number")),
-        None => Err(format!("setting {name} is missing")),
+/// What the operators oblige and allow this node: their names and values as handed over.
+struct Duties(Given);
+
+impl Duties {
+    fn must(&self, name: &str) -> Result<f64, String> {
+        match self.0.get(name) {
+            Some(Value::Bool(yes)) => Ok(f64::from(u8::from(*yes))),
+            Some(value) => value.as_f64().ok_or_else(|| format!("setting {name} is not a number")),
+            None => Err(format!("setting {name} is missing")),
+        }
+    }
+
+    fn or(&self, name: &str, otherwise: f64) -> f64 {
+        self.must(name).unwrap_or(otherwise)
     }
-}
 
-fn number_or(given: &Given, name: &str, otherwise: f64) -> f64 {
-    number(given, name).unwrap_or(otherwise)
+    fn allow(&self, name: &str) -> bool {
+        self.or(name, 0.0) > 0.0
+    }
 }
 
-fn category(given: &Given, index: usize) -> Result<Category, String> {
+fn category(duties: &Duties, index: usize) -> Result<Category, String> {
     let name = |part: &str| format!("category.{index}.{part}");
-    let word = |part: &str| given.get(&name(part)).and_then(Value::as_str).unwrap_or_default();
+    let word = |part: &str| duties.0.get(&name(part)).and_then(Value::as_str).unwrap_or_default();
     let effect = match word("effect") {
         "redeliverable" => Effect::Redeliverable,
         "deduplicated" => Effect::Deduplicated,
         "at-most-once" => Effect::AtMostOnce,
         _ => return Err(format!("setting {} is missing or unknown", name("effect"))),
     };
-    let target = number(given, &name("target-latency"))?;
+    let target = duties.must(&name("target-latency"))?;
     Ok(Category {
         effect,
         within: match word("within") {
@@ -103,10 +72,10 @@
             "fleet" => Within::Fleet,
             _ => Within::Pod,
         },
-        window: number_or(given, &name("window"), 0.0),
+        window: duties.or(&name("window"), 0.0),
         target,
-        benefit: number_or(given, &name("benefit"), 1.0),
-        late: number_or(given, &name("late-benefit"), 0.0),
+        benefit: duties.or(&name("benefit"), 1.0),
+        late: duties.or(&name("late-benefit"), 0.0),
         // Before the first answer: a target latency is usually set at a few times the ordinary time.
         time: target / 4.0,
         work: 0.0,
@@ -121,27 +90,29 @@
     usual: f64,
 }
 
+#[derive(Default)]
 struct Server {
     standing: Standing,
     zone: usize,
     pod: usize,
     started: f64,
+    warm_at: f64,
     // reports
     load: Load,
     load_at: f64,
     since_load: f64,
-    // rates and health
+    // rates and health: time over the usual, its best, share of failures, last word, end and length of rest
     pace: Option<f64>,
     best: f64,
     faults: f64,
     heard: f64,
-    out: BTreeMap<(usize, usize), Sent>,
     resting: f64,
     rest: f64,
+    out: BTreeMap<(usize, usize), Sent>,
     // what it bears: own work acked a millisecond, smoothed
     borne: f64,
     borne_at: f64,
-    // limits
+    // limits: in flight from all nodes together, and what a cold one may still get
     limit: f64,
     cut_at: f64,
     purse: f64,
@@ -151,38 +122,32 @@
     expected: f64,
 }
 
-/// Pushes that all nodes together may have in flight to a server before anything is known of it: a handful, so
-/// that a new server is neither starved nor flooded; it grows and shrinks at once by what is seen.
-const FIRST_LIMIT: f64 = 8.0;
+/// Span over which it is smoothed what a server bears: a few seconds, so that a lull does not empty it.
+const BORNE_OVER: f64 = 4000.0;
 
 impl Server {
-    fn new(line: &Listed, now: f64) -> Self {
+    fn new(line: &Listed, now: f64, cold_time: f64) -> Self {
         Server {
-            standing: line.standing,
-            zone: line.zone,
-            pod: line.pod,
             started: line.started,
-            load: Load::default(),
+            // A start time of none, or long past, is a warm server's.
+            warm_at: if line.started > 0.0 { line.started + cold_time } else { f64::NEG_INFINITY },
             load_at: now,
-            since_load: 0.0,
-            pace: None,
-            best: 1.0,
-            faults: 0.0,
             heard: now,
-            out: BTreeMap::new(),
-            resting: 0.0,
-            rest: 0.0,
-            borne: 0.0,
+            best: 1.0,
             borne_at: now,
-            limit: FIRST_LIMIT,
+            // A handful from all nodes together, so that a new server is neither starved nor flooded; it
+            // grows and shrinks at once by what is seen.
+            limit: 8.0,
             cut_at: now,
-            purse: 0.0,
             purse_at: now,
-            share: 0.0,
-            expected: 0.0,
+            ..Server::default()
         }
     }
 
+    fn bears(&self, now: f64) -> f64 {
+        self.borne * (-(now - self.borne_at).max(0.0) / BORNE_OVER).exp()
+    }
+
     fn ready(&self) -> bool {
         self.standing == Standing::Ready
     }
@@ -192,14 +157,6 @@
         let overdue = |s: &Sent| (now - s.at.max(self.heard)) / s.usual.max(1.0);
         self.out.values().map(overdue).fold(0.0, f64::max)
     }
-
-    fn cut(&mut self, now: f64, share: f64, gap: f64) {
-        // One cut for what is one event: answers to pushes sent before the last cut say nothing new.
-        if now - self.cut_at > gap {
-            self.limit = (self.limit * share).max(1.0); // one at least
-            self.cut_at = now;
-        }
-    }
 }
 
 pub struct Balancer {
@@ -208,6 +165,7 @@
     categories: Vec<Category>,
     customers: Vec<Customer>,
     duties: Duties,
+    balancers: f64,
     servers: BTreeMap<usize, Server>,
     ops: BTreeMap<usize, Op>,
     steps: BTreeMap<(usize, usize), Step>,
@@ -230,18 +188,22 @@
 impl Balancer {
     /// Reads the duties it cannot do without; a missing one is named in the error.
     pub fn new(given: Given, seed: u64) -> Result<Self, String> {
-        let count = number(&given, "categories")? as usize;
-        let categories = (0..count).map(|k| category(&given, k)).collect::<Result<Vec<_>, _>>()?;
-        let duties = Duties::new(&given)?;
-        let customers = (0..number_or(&given, "customers", 0.0) as usize).map(|k| {
-            let quota =
-                number_or(&given, &format!("customer.{k}.quota"), f64::INFINITY) / 1000.0 / duties.balancers;
+        let duties = Duties(given);
+        let count = duties.must("categories")? as usize;
+        let categories = (0..count).map(|k| category(&duties, k)).collect::<Result<Vec<_>, _>>()?;
+        for name in ["most-pushes", "drain-grace", "cold-share", "cold-time", "fall-multiple", "fall-time"] {
+            duties.must(name)?;
+        }
+        let balancers = duties.must("balancers")?.max(1.0);
+        let customers = (0..duties.or("customers", 0.0) as usize).map(|k| {
+            let quota = duties.or(&format!("customer.{k}.quota"), f64::MAX) / 1000.0 / balancers;
             Customer { quota, purse: 0.0, counted: 0.0 }
         });
         let time = categories.iter().map(|c| c.time).sum::<f64>() / categories.len().max(1) as f64;
         Ok(Balancer {
             rng: oorandom::Rand64::new(u128::from(seed)),
             now: 0.0,
+            balancers,
             customers: customers.collect(),
             top_benefit: categories.iter().map(|c| c.benefit).fold(f64::MIN_POSITIVE, f64::max),
             categories,
@@ -274,13 +236,14 @@
                 }
             }
         }
+        let cold_time = self.duties.or("cold-time", 0.0);
         for line in lines {
-            let fresh = Server::new(line, now);
+            let fresh = Server::new(line, now, cold_time);
             let server = self.servers.entry(line.server).or_insert(fresh);
             if line.started > server.started {
                 // Danger: a restarted process is cold, whatever its old record says.
                 let sent = std::mem::take(&mut server.out);
-                *server = Server { out: sent, ..Server::new(line, now) };
+                *server = Server { out: sent, ..Server::new(line, now, cold_time) };
             }
             (server.standing, server.zone, server.pod) = (line.standing, line.zone, line.pod);
         }
@@ -294,7 +257,7 @@
     }
 
     fn follow(&mut self, out: &mut dyn Outlet) {
-        if self.duties.list_asked {
+        if self.duties.allow("list-must-be-asked") {
             out.follow_list();
         }
     }
@@ -304,7 +267,7 @@
         self.now = now;
         // Danger: a node that does not follow goes on with a list that no longer holds. First wait: short
         // beside any drain; longest: a quarter of the time after which it counts as told.
-        let longest = self.duties.ask_within / 4.0;
+        let longest = self.duties.or("ask-within", 8000.0) / 4.0;
         self.list_wait = (self.list_wait * 2.0).clamp(200.0_f64.min(longest), longest);
         let at = now + self.list_wait * (0.75 + 0.5 * self.rng.rand_float());
         self.alarm(out, at, Box::new(|b, out| b.follow(out)));
@@ -347,73 +310,70 @@
         }
     }
 
-    fn learn(&mut self, id: usize, op: &Op, sent: &Sent, end: &PushEnd) {
+    fn learn(&mut self, id: usize, category: usize, work: Option<f64>, sent: &Sent, end: &PushEnd) {
+        if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
+            return;
+        }
         let now = self.now;
+        let ratio = end.took / sent.usual.max(1.0);
         let good = end.ending == Ending::Acked;
-        let balancers = self.duties.balancers;
+        let balancers = self.balancers;
         // A single server's share of a node may be under one push; whether limits are used shows over all.
         let strained = self.strain() > 0.6;
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
         const SMOOTH: f64 = 0.1;
         if good {
-            let ratio = end.took / sent.usual.max(1.0);
             let Some(server) = self.servers.get(&id) else { return };
             let pace = server.pace.unwrap_or(1.0);
             let step = 0.05 * self.slack;
-            // Follows the time, in usual times at the server's pace, that nineteen of twenty pushes stay under.
+            // Follows the time, in usual times at the server's pace, that nineteen of twenty pushes stay
+            // under.
             self.slack += if ratio > pace * self.slack { step * 0.95 } else { -step * 0.05 };
             self.slack = self.slack.clamp(1.5, 8.0);
-            let c = &mut self.categories[op.category];
-            // Danger: were the usual time to follow a crowd, a fleet crowded as a whole would look ordinary. It is
-            // an average that soon stiffens to one part in five hundred; what changes faster is pace.
+            let c = &mut self.categories[category];
+            // Danger: were the usual time to follow a crowd, a fleet crowded as a whole would look ordinary.
+            // It is an average that soon stiffens to one part in five hundred; what changes faster is pace.
             c.acked += 1.0;
             let step = (1.0 / (c.acked + 10.0)).max(0.002);
             c.time += step * (end.took / pace.max(0.2) - c.time);
-            if let Some(work) = op.work {
+            if let Some(work) = work {
                 c.work += if c.work > 0.0 { step * (work - c.work) } else { work };
             }
             self.time += step * (end.took / pace.max(0.2) - self.time);
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
-        if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
-            return;
-        }
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
         server.faults += SMOOTH * (bad - server.faults);
         if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
             server.heard = now;
         }
         if good || end.ending == Ending::TimedOut {
-            let ratio = end.took / sent.usual.max(1.0);
             let old = server.pace.unwrap_or(1.0);
             server.pace = Some(old + SMOOTH * (ratio.min(old * 10.0) - old));
         }
         if good {
-            let span = (now - server.borne_at).max(1.0);
-            let keep = (-span / 4000.0_f64).exp();
-            server.borne = server.borne * keep + sent.usual / self.time.max(1.0) / 4000.0;
-            server.borne_at = now;
+            let borne = server.bears(now) + sent.usual / self.time.max(1.0) / BORNE_OVER;
+            (server.borne, server.borne_at) = (borne, now);
             server.rest = if server.rest > 4.0 * self.time { 0.5 * server.rest } else { 0.0 };
         }
-        // Danger: a crowded server turns slower than its work alone would make it, for long, and smoothed figures
-        // show it too late. Each answer counts against the usual time at the server's best pace: a quick one lets
-        // the limit grow, one at thrice that or past its target latency cuts it. Uncrowded, the two balance at a
-        // dozen in flight; at half speed, at a third of that.
+        // Danger: a crowded server turns slower than its work alone would make it, for long, and smoothed
+        // figures show it too late. Each answer counts against the usual time at the server's best pace: a
+        // quick one lets the limit grow, one at thrice that or past its target latency cuts it. Uncrowded,
+        // the two balance at a dozen in flight; at half speed, at a third of that.
         let pace = server.pace.unwrap_or(1.0);
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
         let stretch = end.took / (sent.usual * server.best).max(1.0);
         let failed = matches!(end.ending, Ending::TimedOut | Ending::TurnedAway | Ending::Unreachable);
-        if failed || end.took > self.categories[op.category].target {
-            server.cut(now, 0.7, sent.usual);
-        } else if stretch > 3.0 {
-            server.cut(now, 0.9, 0.0);
-        } else if good
-            && stretch < 1.0
-            && strained
-            && server.out.len() as f64 + 1.0 >= 0.5 * server.limit / balancers
-        {
-            // One for a round of own answers; scaled up to all nodes it would outrun the cuts, which come from own
-            // answers too.
+        let late = failed || end.took > self.categories[category].target;
+        let used = strained && server.out.len() as f64 + 1.0 >= 0.5 * server.limit / balancers;
+        // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
+        if late && now - server.cut_at > sent.usual {
+            (server.limit, server.cut_at) = ((server.limit * 0.7).max(1.0), now);
+        } else if !late && stretch > 3.0 {
+            (server.limit, server.cut_at) = ((server.limit * 0.9).max(1.0), now);
+        } else if good && stretch < 1.0 && used {
+            // One for a round of own answers; scaled up to all nodes it would outrun the cuts, which come
+            // from own answers too.
             server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
         }
         // Danger: a server that fails fast answers first and would draw ever more; most of its answers bad
@@ -451,65 +411,49 @@
         (self.mu * self.horizon - self.queue).max(0.0)
     }
 
-    /// Largest share whose marginal cost stays at or under `level`; `upto` counts flat stretches at it.
-    fn share(&self, lambda: f64, level: f64, upto: bool) -> f64 {
-        let flat = self.cost + 1.0 / self.mu;
-        let slope = 2.0 * lambda * self.horizon / self.mu;
+    /// Largest share whose marginal cost stays at or under `level`, never over its most.
+    fn share(&self, lambda: f64, level: f64) -> f64 {
+        let due = (lambda * self.horizon).max(f64::MIN_POSITIVE);
+        let above = level - self.cost - 1.0 / self.mu;
+        if above < 0.0 {
+            return 0.0;
+        }
         let gap = self.queue - self.mu * self.horizon;
-        let reach = if level < flat || (level == flat && !upto) {
-            0.0
-        } else if slope <= 0.0 {
-            if gap > 0.0 && level < flat + gap / self.mu {
-                0.0
-            } else {
-                self.most
-            }
-        } else if gap < 0.0 {
-            let free = -gap / (lambda * self.horizon);
-            free.max((level - flat - gap / self.mu) / slope)
-        } else {
-            ((level - flat - gap / self.mu) / slope).max(0.0)
-        };
-        reach.min(self.most)
+        // Past what is free now the marginal cost rises by twice the share's own weight.
+        let rising = (above * self.mu - gap) / (2.0 * due);
+        rising.max(-gap / due).clamp(0.0, self.most)
     }
 }
 
 /// Shares that minimise the expected cost and time of an op when every balancer uses them: those whose
 /// marginal costs are level, found by bisection on that level; what is flat or tied goes by room.
 pub fn split(seen: &[Seen], lambda: f64) -> Vec<f64> {
-    let total = |level: f64| seen.iter().map(|s| s.share(lambda, level, true)).sum::<f64>();
-    if seen.iter().map(|s| s.most).sum::<f64>() <= 1.0 {
-        let sum = seen.iter().map(|s| s.most).sum::<f64>().max(f64::MIN_POSITIVE);
-        return seen.iter().map(|s| s.most / sum).collect();
+    let most: f64 = seen.iter().map(|s| s.most).sum();
+    if most <= 1.0 {
+        return seen.iter().map(|s| s.most / most.max(f64::MIN_POSITIVE)).collect();
     }
     // All that is due within the horizon fits into what is free: flat everywhere, and room decides.
     let room = |s: &Seen| if s.horizon > 0.0 { s.room() / s.horizon } else { 0.0 };
-    if seen.iter().map(room).sum::<f64>() >= lambda {
+    if seen.iter().map(room).sum::<f64>() > lambda {
         return by_weight(seen, room);
     }
-    let steepest = |s: &Seen| s.cost + (1.0 + s.queue + 2.0 * lambda * s.horizon) / s.mu;
-    let (mut low, mut high) = (f64::MIN, seen.iter().map(steepest).fold(0.0, f64::max) + 1.0);
-    low = low.max(seen.iter().map(|s| s.cost).fold(0.0, f64::min) - 1.0);
+    let at = |level: f64| seen.iter().map(|s| s.share(lambda, level)).collect::<Vec<f64>>();
+    let steepest = |s: &Seen| s.cost + (1.0 + s.queue + 2.0 * s.most * lambda * s.horizon) / s.mu;
+    let (mut low, mut high) = (0.0, seen.iter().map(steepest).fold(0.0, f64::max) + 1.0);
     // Sixty halvings bring any level in use below rounding.
     for _ in 0..60 {
         let middle = 0.5 * (low + high);
-        if total(middle) >= 1.0 {
+        if at(middle).iter().sum::<f64>() >= 1.0 {
             high = middle;
         } else {
             low = middle;
         }
     }
-    let mut shares: Vec<f64> = seen.iter().map(|s| s.share(lambda, low, false)).collect();
-    let rest = 1.0 - shares.iter().sum::<f64>();
-    let tied: Vec<f64> = seen.iter().zip(&shares).map(|(s, p)| s.share(lambda, high, true) - p).collect();
-    let over: f64 = tied.iter().sum();
-    if over <= 0.0 {
-        return shares;
-    }
-    for (share, more) in shares.iter_mut().zip(&tied) {
-        *share += rest * more / over;
-    }
-    shares
+    // Between the two levels lie the flat stretches that are tied.
+    let (under, over) = (at(low), at(high));
+    let (some, all) = (under.iter().sum::<f64>(), over.iter().sum::<f64>());
+    let part = if all > some { (1.0 - some) / (all - some) } else { 0.0 };
+    under.iter().zip(&over).map(|(u, o)| u + (o - u) * part).collect()
 }
 
 /// Shares in proportion to a weight, none over its most; what one can't take goes to the others likewise.
@@ -541,12 +485,12 @@
         }
         self.solved_at = self.now;
         let now = self.now;
-        let decayed = |s: &Server| s.borne * (-(now - s.borne_at).max(0.0) / 4000.0).exp();
-        let warm = self.servers.values().filter(|s| s.ready() && !self.is_cold(s) && now >= s.resting);
-        let (sum, count) = warm.fold((0.0, 0.0), |(sum, count), s| (sum + decayed(s), count + 1.0));
+        let warm = self.servers.values().filter(|s| s.ready() && now >= s.warm_at && now >= s.resting);
+        let (sum, count) = warm.fold((0.0, 0.0), |(sum, count), s| (sum + s.bears(now), count + 1.0));
         self.warm_rate = sum / f64::max(count, 1.0);
         for server in self.servers.values_mut().filter(|s| s.ready()) {
-            // Danger: silence. Two pushes overdue (one, on trial) and no answer since: it takes and gives nothing.
+            // Danger: silence. Two pushes overdue (one, on trial) and no answer since: it takes and gives
+            // nothing.
             let bound = 3.0 * self.slack * server.pace.unwrap_or(1.0);
             let overdue =
                 server.out.values().filter(|s| now - s.at.max(server.heard) > bound * s.usual).count();
@@ -567,19 +511,20 @@
             if let Some(told) = told.filter(|_| now - s.load_at < 5000.0) {
                 told.max(0.0) + s.since_load
             } else {
-                s.out.len() as f64 * self.duties.balancers
+                s.out.len() as f64 * self.balancers
             }
         };
         let queues: Vec<f64> = ids.iter().map(|id| queue(&self.servers[id])).collect();
         let usual_queue = queues.iter().sum::<f64>() / ids.len() as f64;
-        let cross = self.duties.cross_price;
+        let my_zone = self.duties.or("my-zone", 0.0) as usize;
+        let cross = self.duties.or("cross-zone-price", 0.0);
         let mut seen: Vec<Seen> = Vec::new();
         for (id, queue) in ids.iter().zip(&queues) {
             let s = &self.servers[id];
             let pace = s.pace.unwrap_or(mean) * (1.0 + 0.25 * (s.silence(now) - 2.0).max(0.0));
             let latency = (pace * self.time).max(1.0);
             // The price of a crossing is a share of an op's benefit; an op's usual time stands for the whole.
-            let away = if s.zone == self.duties.my_zone { 0.0 } else { cross * self.time };
+            let away = if s.zone == my_zone { 0.0 } else { cross * self.time };
             // A failed op costs about another op's time.
             let cost = away + latency * s.faults / (1.0 - s.faults).max(0.1);
             let horizon =
@@ -587,7 +532,7 @@
             seen.push(Seen { queue: *queue, mu: (1.0 + usual_queue) / latency, horizon, cost, most: 1.0 });
         }
         let all: f64 = seen.iter().map(|s| s.mu).sum();
-        let lambda = (self.pushes * self.duties.balancers).max(all / 3.0);
+        let lambda = (self.pushes * self.balancers).max(all / 3.0);
         for s in &mut seen {
             s.most = 1.5 * s.mu / all;
         }
@@ -603,29 +548,20 @@
 // ---------------------------------------------------------------- cold budget and in-flight limit
 
 impl Balancer {
-    fn is_cold(&self, server: &Server) -> bool {
-        server.started > 0.0 && self.now < server.started + self.duties.cold_time
-    }
-
-    /// Own work a millisecond that a cold server may get, in ordinary ops.
-    fn cold_rate(&self, server: &Server) -> f64 {
-        let age = (self.now - server.started) / self.duties.cold_time;
-        let from = self.duties.cold_share;
-        let able = from + (1.0 - from) * age.clamp(0.0, 1.0);
-        // Half: a full purse plus a window's income must stay within one window's budget. Half again: a
-        // successor may be half as strong as the mean of the warm ones.
-        0.25 * self.duties.fall_multiple * able * self.warm_rate
-    }
-
-    /// Danger: a cold server pushed over. Each node spends at most its own part of the budget of any window.
-    fn fill_purse(&mut self, id: usize) {
-        let rate = self.cold_rate(&self.servers[&id]);
-        let window = self.duties.fall_time;
-        let now = self.now;
-        let server = self.servers.get_mut(&id).expect("caller holds it");
-        let most = (rate * window).max(1.0);
-        server.purse = (server.purse + rate * (now - server.purse_at)).min(most);
-        server.purse_at = now;
+    /// Danger: a cold server pushed over. Each node spends at most its own part of the budget of any window;
+    /// a purse fills with what a cold server may get from here, in ordinary ops.
+    fn fill_purses(&mut self) {
+        let duty = |name: &str| self.duties.or(name, 0.0);
+        let (time, from) = (duty("cold-time").max(1.0), duty("cold-share"));
+        let (multiple, window) = (duty("fall-multiple"), duty("fall-time"));
+        for server in self.servers.values_mut().filter(|s| s.ready() && self.now < s.warm_at) {
+            let able = from + (1.0 - from) * ((self.now - server.started) / time).clamp(0.0, 1.0);
+            // Half: a full purse plus a window's income must stay within one window's budget. Half again: a
+            // successor may be half as strong as the mean of the warm ones.
+            let rate = 0.25 * multiple * able * self.warm_rate;
+            server.purse = (server.purse + rate * (self.now - server.purse_at)).min((rate * window).max(1.0));
+            server.purse_at = self.now;
+        }
     }
 }
 
@@ -662,7 +598,7 @@
             // A client's retry belongs to its first try and is not counted again.
             let price = if arrival.retry { 0.0 } else { 1.0 };
             if customer.purse < price {
-                rank *= self.duties.excess_benefit;
+                rank *= self.duties.or("excess-benefit", 1.0);
             } else {
                 customer.purse -= price;
             }
@@ -684,12 +620,8 @@
     }
 
     /// The servers that may get this op's next push, with their shares.
-    fn candidates(&mut self, id: usize, second: bool) -> Vec<(usize, f64)> {
-        let cold: Vec<usize> =
-            self.servers.iter().filter(|(_, s)| s.ready() && self.is_cold(s)).map(|(id, _)| *id).collect();
-        for server in cold {
-            self.fill_purse(server);
-        }
+    fn candidates(&mut self, id: usize) -> Vec<(usize, f64)> {
+        self.fill_purses();
         let op = &self.ops[&id];
         let category = &self.categories[op.category];
         let usual = self.usual(op.category, op.work);
@@ -698,7 +630,8 @@
         // Danger: a fault that all servers share must not empty the pool; with half at rest, rest is ignored.
         let heed = rested * 2 <= ready;
         let left = op.ends - self.now;
-        let fits = |sid: usize, s: &Server| {
+        let share = self.balancers;
+        let fits = |s: &Server| {
             let ran = op.pushes.iter().filter(|p| p.may_have_run);
             let in_group = |p: &Pushed| match category.within {
                 Within::Fleet => true,
@@ -715,40 +648,59 @@
             s.ready()
                 && repeat
                 && (!heed || self.now >= s.resting)
-                && (s.out.len() as f64) < if s.rest > 0.0 { 1.0 } else { (s.limit / self.duties.balancers).max(1.0) }
-                && (!self.is_cold(s) || s.purse >= usual / self.time)
-                && !op.pushes.iter().any(|p| p.server == sid && (second || p.out))
-                // Danger: a server thought too slow would never be seen to recover; the first push of an op may
-                // go where nothing of ours is in flight.
+                && (s.out.len() as f64) < if s.rest > 0.0 { 1.0 } else { (s.limit / share).max(1.0) }
+                && (self.now >= s.warm_at || s.purse >= usual / self.time)
+                // Danger: a server thought too slow would never be seen to recover; the first push of an op
+                // may go where nothing of ours is in flight.
                 && (s.expected * usual / self.time < left || (op.pushes.is_empty() && s.out.is_empty()))
         };
-        self.servers.iter().filter(|(sid, s)| fits(**sid, s)).map(|(sid, s)| (*sid, s.share)).collect()
+        let all = self.servers.iter().filter(|(_, s)| fits(s)).map(|(sid, s)| (*sid, s.share));
+        let (tried, fresh): (Vec<_>, Vec<_>) =
+            all.partition(|(sid, _)| op.pushes.iter().any(|p| p.server == *sid));
+        // The same server again only where no other may do it, and never beside a push still out there.
+        if fresh.is_empty() && !op.pushes.iter().any(|p| p.out) {
+            tried
+        } else {
+            fresh
+        }
     }
 
+    /// Draws by share; drawn over twice the mean of own pushes in flight, it is redrawn once.
     fn draw(&mut self, from: &[(usize, f64)]) -> usize {
+        let busy: usize = from.iter().map(|(id, _)| self.servers[id].out.len()).sum();
+        let server = self.roulette(from);
+        // Under two in flight the mean says little.
+        let bound = (2.0 * busy as f64 / from.len() as f64).max(2.0);
+        if self.servers[&server].out.len() as f64 > bound {
+            self.roulette(from)
+        } else {
+            server
+        }
+    }
+
+    fn roulette(&mut self, from: &[(usize, f64)]) -> usize {
         let sum: f64 = from.iter().map(|(_, p)| p).sum();
         if sum <= 0.0 {
             return from[self.rng.rand_range(0..from.len() as u64) as usize].0;
         }
         let mut left = self.rng.rand_float() * sum;
-        for (id, p) in from {
+        let hit = from.iter().find(|(_, p)| {
             left -= p;
-            if left < 0.0 {
-                return *id;
-            }
-        }
-        from[from.len() - 1].0
+            left < 0.0
+        });
+        hit.unwrap_or(&from[from.len() - 1]).0
     }
 
+    /// Own pushes in flight over what the limits leave this node.
     fn strain(&self) -> f64 {
-        let ready = || self.servers.values().filter(|s| s.ready() && s.rest == 0.0);
-        let limits: f64 = ready().map(|s| s.limit).sum();
-        ready().map(|s| s.out.len()).sum::<usize>() as f64 * self.duties.balancers / limits.max(1.0)
+        let working = self.servers.values().filter(|s| s.ready() && s.rest == 0.0);
+        let (out, limits) = working.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + s.limit));
+        out as f64 * self.balancers / f64::max(limits, 1.0)
     }
 
     fn try_push(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
         let op = &self.ops[&id];
-        if op.bound || op.pushes.len() >= self.duties.most_pushes {
+        if op.bound || op.pushes.len() as f64 >= self.duties.or("most-pushes", 1.0) {
             return false;
         }
         let again = op.pushes.iter().any(|p| p.may_have_run);
@@ -756,19 +708,11 @@
         if !again && self.strain() > 0.6 + 0.4 * op.rank {
             return false;
         }
-        let mut from = self.candidates(id, true);
-        if from.is_empty() {
-            from = self.candidates(id, false);
-        }
+        let from = self.candidates(id);
         if from.is_empty() {
             return false;
         }
-        let mut server = self.draw(&from);
-        let busy: usize = from.iter().map(|(s, _)| self.servers[s].out.len()).sum();
-        // Redrawn once over twice the mean; under two in flight the mean says little.
-        if self.servers[&server].out.len() as f64 > (2.0 * busy as f64 / from.len() as f64).max(2.0) {
-            server = self.draw(&from);
-        }
+        let server = self.draw(&from);
         self.push(out, id, server);
         true
     }
@@ -781,30 +725,26 @@
             self.pushes = self.pushes * (-(now - self.pushed_at) / 1000.0).exp() + 1.0 / 1000.0;
         }
         self.pushed_at = now;
+        let second_copies = self.duties.allow("second-copies");
         let op = &self.ops[&id];
-        let usual = self.usual(op.category, op.work);
-        let cold = self.is_cold(&self.servers[&to]);
-        let second_copies = self.duties.second_copies;
-        let left = op.ends - now;
-        let effect = self.categories[op.category].effect;
+        let (category, work, left, n) = (op.category, op.work, op.ends - now, op.pushes.len());
+        let usual = self.usual(category, work);
         let op = self.ops.get_mut(&id).expect("caller holds it");
-        let n = op.pushes.len();
         op.pushes.push(Pushed { server: to, at: now, may_have_run: true, out: true });
         let server = self.servers.get_mut(&to).expect("drawn from the list");
         server.since_load += 1.0;
-        if cold {
+        if now < server.warm_at {
             server.purse -= usual / time;
         }
         server.out.insert((id, n), Sent { at: now, usual });
         let expected = (server.expected * usual / time).max(usual * server.pace.unwrap_or(1.0));
         // Where no second copy may run beside the first, the time-out leaves time for a further push.
-        let may_repeat = effect != Effect::AtMostOnce;
+        let may_repeat = self.categories[category].effect != Effect::AtMostOnce;
         let patience = if may_repeat && !second_copies { left.min(expected * self.slack) } else { left };
         out.push(id, to, patience);
-        let facts = Op { pushes: Vec::new(), ..*op };
         let step = move |b: &mut Balancer, out: &mut dyn Outlet, end: &PushEnd| {
             if let Some(sent) = b.servers.get_mut(&to).and_then(|s| s.out.remove(&(id, n))) {
-                b.learn(to, &facts, &sent, end);
+                b.learn(to, category, work, &sent, end);
             }
             b.take_load(to, end.load);
             b.after_push(out, id, n, end);
@@ -818,11 +758,13 @@
 
     /// Danger: the first push hangs or drags. A second copy goes out where it may, as long as few are needed.
     fn second_copy(&mut self, out: &mut dyn Outlet, id: usize) {
-        let Some(op) = self.ops.get(&id) else { return };
+        let most = self.duties.or("most-pushes", 1.0);
+        let Some(op) = self.ops.get(&id).filter(|op| (op.pushes.len() as f64) < most) else { return };
         let late = self.now - op.arrived > self.categories[op.category].target;
         let worthless = late && self.categories[op.category].late <= 0.0;
-        // Danger: an op that drags may be heavy itself, and its copy as heavy. A copy goes out where the work was
-        // told beforehand, or where the server has answered nothing since, this op not being its only one.
+        // Danger: an op that drags may be heavy itself, and its copy as heavy. A copy goes out where the work
+        // was told beforehand, or where the server has answered nothing since, this op not being its only
+        // one.
         let silent =
             |p: &Pushed| self.servers.get(&p.server).is_none_or(|s| s.heard <= p.at && s.out.len() > 1);
         if op.work.is_none() && !op.pushes.iter().any(silent) {
@@ -833,8 +775,8 @@
             return;
         }
         self.solve();
-        let from = self.candidates(id, true);
-        if !from.is_empty() && op_pushes(&self.ops, id) < self.duties.most_pushes {
+        let from = self.candidates(id);
+        if !from.is_empty() {
             self.copies -= 1.0;
             let server = self.draw(&from);
             self.push(out, id, server);
@@ -878,7 +820,8 @@
         };
         if harmless {
             // The time in which the work in flight is mostly done.
-            let come_back = (2.0 * self.time).min(self.duties.come_back_most);
+            let come_back = if self.duties.allow("come-back") { 2.0 * self.time } else { 0.0 };
+            let come_back = come_back.min(self.duties.or("come-back-most", 0.0));
             out.nack(id, come_back);
         } else {
             out.dead_letter(id);
@@ -889,7 +832,7 @@
     fn close(&mut self, out: &mut dyn Outlet, id: usize) {
         let Some(op) = self.ops.remove(&id) else { return };
         self.line.retain(|other| *other != id);
-        if self.duties.may_cancel {
+        if self.duties.allow("may-cancel") {
             for (n, _) in op.pushes.iter().enumerate().filter(|(_, p)| p.out) {
                 out.cancel(id, n);
             }
@@ -906,16 +849,12 @@
             return self.give_up(out, id);
         }
         self.line.push(id);
-        let at = self.now + patience;
-        self.alarm(
-            out,
-            at,
-            Box::new(move |b, out| {
-                if b.line.contains(&id) {
-                    b.give_up(out, id);
-                }
-            }),
-        );
+        let lapse: Alarm = Box::new(move |b, out| {
+            if b.line.contains(&id) {
+                b.give_up(out, id);
+            }
+        });
+        self.alarm(out, self.now + patience, lapse);
     }
 
     fn serve_line(&mut self, out: &mut dyn Outlet) {
@@ -954,7 +893,3 @@
         self.take_load(server, load);
     }
 }
-
-fn op_pushes(ops: &BTreeMap<usize, Op>, id: usize) -> usize {
-    ops.get(&id).map_or(0, |op| op.pushes.len())
-}
--- a/src/words.rs
+++ b/src/words.rs
@@ -22,10 +22,11 @@
 }
 
 /// What the server list says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
