--- a/src/balance.rs
+++ b/src/balance.rs
@@ -627,8 +627,9 @@
         let usual = self.usual(op.category, op.work);
         let ready = self.servers.values().filter(|s| s.ready()).count();
         let rested = self.servers.values().filter(|s| s.ready() && self.now < s.resting).count();
-        // Danger: a fault that all servers share must not empty the pool; with half at rest, rest is ignored.
-        let heed = rested * 2 <= ready;
+        // Danger: a fault that all servers share must not empty the pool; with under a quarter fit, rest is
+        // ignored. More than that do better alone than with ops lost on the others.
+        let heed = rested * 4 <= ready * 3;
         let left = op.ends - self.now;
         let share = self.balancers;
         let fits = |s: &Server| {
