--- a/src/balance.rs
+++ b/src/balance.rs
@@ -483,11 +483,14 @@
         if self.now - self.solved_at < REFRESH {
             return;
         }
-        self.solved_at = self.now;
         let now = self.now;
         let warm = self.servers.values().filter(|s| s.ready() && now >= s.warm_at && now >= s.resting);
         let (sum, count) = warm.fold((0.0, 0.0), |(sum, count), s| (sum + s.bears(now), count + 1.0));
-        self.warm_rate = sum / f64::max(count, 1.0);
+        // What servers can bear does not fall when few are left warm or little is asked: the best mean seen stays,
+        // fading over a minute, in which a fleet may be replaced.
+        let faded = self.warm_rate * (-f64::min(now - self.solved_at, 1000.0).max(0.0) / 60_000.0).exp();
+        self.warm_rate = faded.max(sum / f64::max(count, 1.0));
+        self.solved_at = now;
         for server in self.servers.values_mut().filter(|s| s.ready()) {
             // Danger: silence. Two pushes overdue (one, on trial) and no answer since: it takes and gives
             // nothing.
