--- a/src/balance.rs
+++ b/src/balance.rs
@@ -112,6 +112,7 @@
     // what it bears: own work acked a millisecond, smoothed
     borne: f64,
     borne_at: f64,
+    peak: f64,
     // limits: in flight from all nodes together, and what a cold one may still get
     limit: f64,
     cut_at: f64,
@@ -242,8 +243,8 @@
             let server = self.servers.entry(line.server).or_insert(fresh);
             if line.started > server.started {
                 // Danger: a restarted process is cold, whatever its old record says.
-                let sent = std::mem::take(&mut server.out);
-                *server = Server { out: sent, ..Server::new(line, now, cold_time) };
+                let (out, peak) = (std::mem::take(&mut server.out), server.peak);
+                *server = Server { out, peak, ..Server::new(line, now, cold_time) };
             }
             (server.standing, server.zone, server.pod) = (line.standing, line.zone, line.pod);
         }
@@ -353,7 +354,7 @@
         }
         if good {
             let borne = server.bears(now) + sent.usual / self.time.max(1.0) / BORNE_OVER;
-            (server.borne, server.borne_at) = (borne, now);
+            (server.borne, server.borne_at, server.peak) = (borne, now, server.peak.max(borne));
             server.rest = if server.rest > 4.0 * self.time { 0.5 * server.rest } else { 0.0 };
         }
         // Danger: a crowded server turns slower than its work alone would make it, for long, and smoothed
@@ -559,10 +560,11 @@
         let (multiple, window) = (duty("fall-multiple"), duty("fall-time"));
         for server in self.servers.values_mut().filter(|s| s.ready() && self.now < s.warm_at) {
             let able = from + (1.0 - from) * ((self.now - server.started) / time).clamp(0.0, 1.0);
-            // Half: a full purse plus a window's income must stay within one window's budget. Half again: a
-            // successor may be half as strong as the mean of the warm ones.
-            let rate = 0.25 * multiple * able * self.warm_rate;
-            server.purse = (server.purse + rate * (self.now - server.purse_at)).min((rate * window).max(1.0));
+            // What it bore before a restart it will bear again; a stranger may be half as strong as the mean.
+            let rate = 0.7 * multiple * able * server.peak.max(0.5 * self.warm_rate);
+            // A full purse and a window's income stay just within one window's budget.
+            server.purse += rate * (self.now - server.purse_at);
+            server.purse = server.purse.min((0.3 * rate * window).max(1.0));
             server.purse_at = self.now;
         }
     }
