--- a/src/balance.rs
+++ b/src/balance.rs
@@ -152,12 +152,6 @@
     fn ready(&self) -> bool {
         self.standing == Standing::Ready
     }
-
-    /// How overdue its oldest unanswered push is, in usual times; nothing while answers keep coming.
-    fn silence(&self, now: f64) -> f64 {
-        let overdue = |s: &Sent| (now - s.at.max(self.heard)) / s.usual.max(1.0);
-        self.out.values().map(overdue).fold(0.0, f64::max)
-    }
 }
 
 pub struct Balancer {
@@ -181,7 +175,6 @@
     slack: f64,
     solved_at: f64,
     list_wait: f64,
-    top_benefit: f64,
     /// Own work a millisecond that a warm server bears in the mean.
     warm_rate: f64,
 }
@@ -206,7 +199,6 @@
             now: 0.0,
             balancers,
             customers: customers.collect(),
-            top_benefit: categories.iter().map(|c| c.benefit).fold(f64::MIN_POSITIVE, f64::max),
             categories,
             duties,
             servers: BTreeMap::new(),
@@ -435,20 +427,25 @@
     }
     // All that is due within the horizon fits into what is free: flat everywhere, and room decides.
     let room = |s: &Seen| if s.horizon > 0.0 { s.room() / s.horizon } else { 0.0 };
-    if seen.iter().map(room).sum::<f64>() > lambda {
-        return by_weight(seen, room);
+    let rooms: f64 = seen.iter().map(room).sum();
+    let usable: f64 = seen.iter().filter(|s| room(s) > 0.0).map(|s| s.most).sum();
+    if rooms > lambda && usable > 1.0 {
+        let smallest = seen.iter().map(room).filter(|r| *r > 0.0).fold(f64::MAX, f64::min);
+        return level(seen, 1.0 / smallest, |s, level| (level * room(s)).min(s.most));
     }
-    let at = |level: f64| seen.iter().map(|s| s.share(lambda, level)).collect::<Vec<f64>>();
     let steepest = |s: &Seen| s.cost + (1.0 + s.queue + 2.0 * s.most * lambda * s.horizon) / s.mu;
-    let (mut low, mut high) = (0.0, seen.iter().map(steepest).fold(0.0, f64::max) + 1.0);
+    let high = seen.iter().map(steepest).fold(0.0, f64::max) + 1.0;
+    level(seen, high, |s, level| s.share(lambda, level))
+}
+
+/// Bisects for the level at which the shares sum to one.
+fn level(seen: &[Seen], mut high: f64, share: impl Fn(&Seen, f64) -> f64) -> Vec<f64> {
+    let at = |level: f64| seen.iter().map(|s| share(s, level)).collect::<Vec<f64>>();
+    let mut low = 0.0;
     // Sixty halvings bring any level in use below rounding.
     for _ in 0..60 {
         let middle = 0.5 * (low + high);
-        if at(middle).iter().sum::<f64>() >= 1.0 {
-            high = middle;
-        } else {
-            low = middle;
-        }
+        *(if at(middle).iter().sum::<f64>() >= 1.0 { &mut high } else { &mut low }) = middle;
     }
     // Between the two levels lie the flat stretches that are tied.
     let (under, over) = (at(low), at(high));
@@ -457,24 +454,6 @@
     under.iter().zip(&over).map(|(u, o)| u + (o - u) * part).collect()
 }
 
-/// Shares in proportion to a weight, none over its most; what one can't take goes to the others likewise.
-fn by_weight(seen: &[Seen], weight: impl Fn(&Seen) -> f64) -> Vec<f64> {
-    let mut shares = vec![0.0; seen.len()];
-    // Each turn fills at least one server up, or all is given out.
-    for _ in 0..seen.len() {
-        let left = 1.0 - shares.iter().sum::<f64>();
-        let open = |(s, p): &(&Seen, &f64)| **p < s.most;
-        let sum: f64 = seen.iter().zip(&shares).filter(open).map(|(s, _)| weight(s)).sum();
-        if left <= 1e-12 || sum <= 0.0 {
-            break;
-        }
-        for (s, share) in seen.iter().zip(&mut shares).filter(|(s, p)| **p < s.most) {
-            *share = (*share + left * weight(s) / sum).min(s.most);
-        }
-    }
-    shares
-}
-
 impl Balancer {
     fn solve(&mut self) {
         // At least this long between two solutions; the design's figure.
@@ -525,7 +504,7 @@
         let mut seen: Vec<Seen> = Vec::new();
         for (id, queue) in ids.iter().zip(&queues) {
             let s = &self.servers[id];
-            let pace = s.pace.unwrap_or(mean) * (1.0 + 0.25 * (s.silence(now) - 2.0).max(0.0));
+            let pace = s.pace.unwrap_or(mean);
             let latency = (pace * self.time).max(1.0);
             // The price of a crossing is a share of an op's benefit; an op's usual time stands for the whole.
             let away = if s.zone == my_zone { 0.0 } else { cross * self.time };
@@ -594,7 +573,8 @@
     pub fn arrive(&mut self, out: &mut dyn Outlet, now: f64, arrival: &Arrival) {
         self.now = now;
         self.copies = (self.copies + 0.1).min(10.0);
-        let mut rank = self.categories[arrival.category].benefit / self.top_benefit;
+        let top = self.categories.iter().map(|c| c.benefit).fold(f64::MIN_POSITIVE, f64::max);
+        let mut rank = self.categories[arrival.category].benefit / top;
         if let Some(customer) = arrival.customer.and_then(|c| self.customers.get_mut(c)) {
             let income = customer.quota * (now - customer.counted);
             // Two seconds' worth of quota may be saved up: ops come in bursts, and unevenly over the nodes.
