--- a/src/balance.rs
+++ b/src/balance.rs
@@ -831,7 +831,7 @@
         let patience = 0.25 * self.categories[op.category].target.min(op.ends - self.now);
         // It waits only where as many answers as stand before it are due within that wait.
         let due = flying as f64 * (patience / self.time).min(1.0);
-        if op.rank < 0.2 || (self.line.len() as f64) * 2.0 >= due {
+        if op.rank < 2.0 || (self.line.len() as f64) * 2.0 >= due {
             return self.give_up(out, id);
         }
         self.line.push(id);
