--- a/src/balance.rs
+++ b/src/balance.rs
@@ -166,7 +166,6 @@
     steps: BTreeMap<(usize, usize), Step>,
     alarms: BTreeMap<u64, Alarm>,
     next_alarm: u64,
-    line: Vec<usize>,
     // rates over all servers
     time: f64,
     pushes: f64,
@@ -206,7 +205,6 @@
             steps: BTreeMap::new(),
             alarms: BTreeMap::new(),
             next_alarm: 0,
-            line: Vec::new(),
             time,
             pushes: 0.0,
             pushed_at: f64::NEG_INFINITY,
@@ -246,7 +244,6 @@
         } else {
             self.list_wait = 0.0;
         }
-        self.serve_line(out);
     }
 
     fn follow(&mut self, out: &mut dyn Outlet) {
@@ -600,7 +597,8 @@
         self.ops.insert(arrival.op, op);
         self.solve();
         if !self.try_push(out, arrival.op) {
-            self.stand_in_line(out, arrival.op);
+            // Nothing waits for room: a quick nack lets the client come back, and a long stay would feed a crowd.
+            self.give_up(out, arrival.op);
         }
     }
 
@@ -775,7 +773,6 @@
         if let Some(step) = self.steps.remove(&(end.op, end.push)) {
             step(self, out, end);
         }
-        self.serve_line(out);
     }
 
     fn after_push(&mut self, out: &mut dyn Outlet, id: usize, push: usize, end: &PushEnd) {
@@ -817,7 +814,6 @@
 
     fn close(&mut self, out: &mut dyn Outlet, id: usize) {
         let Some(op) = self.ops.remove(&id) else { return };
-        self.line.retain(|other| *other != id);
         if self.duties.allow("may-cancel") {
             for (n, _) in op.pushes.iter().enumerate().filter(|(_, p)| p.out) {
                 out.cancel(id, n);
@@ -825,44 +821,10 @@
         }
     }
 
-    fn stand_in_line(&mut self, out: &mut dyn Outlet, id: usize) {
-        let op = &self.ops[&id];
-        let flying: usize = self.servers.values().map(|s| s.out.len()).sum();
-        let patience = 0.25 * self.categories[op.category].target.min(op.ends - self.now);
-        // It waits only where as many answers as stand before it are due within that wait.
-        let due = flying as f64 * (patience / self.time).min(1.0);
-        if op.rank < 2.0 || (self.line.len() as f64) * 2.0 >= due {
-            return self.give_up(out, id);
-        }
-        self.line.push(id);
-        let lapse: Alarm = Box::new(move |b, out| {
-            if b.line.contains(&id) {
-                b.give_up(out, id);
-            }
-        });
-        self.alarm(out, self.now + patience, lapse);
-    }
-
-    fn serve_line(&mut self, out: &mut dyn Outlet) {
-        if self.line.is_empty() {
-            return;
-        }
-        self.solve();
-        let mut waiting = self.line.clone();
-        waiting.sort_by(|a, b| self.ops[b].rank.total_cmp(&self.ops[a].rank));
-        for id in waiting {
-            if !self.try_push(out, id) {
-                break;
-            }
-            self.line.retain(|other| *other != id);
-        }
-    }
-
     /// The client has gone, or its op is closed by other means: nothing more is owed.
     pub fn departed(&mut self, out: &mut dyn Outlet, now: f64, op: usize) {
         self.now = now;
         self.close(out, op);
-        self.serve_line(out);
     }
 
     /// A streamed answer has started: the op is bound to that push and gets no other.
