--- a/src/balance.rs
+++ b/src/balance.rs
@@ -537,8 +537,8 @@
         let (multiple, window) = (duty("fall-multiple"), duty("fall-time"));
         for server in self.servers.values_mut().filter(|s| s.ready() && self.now < s.warm_at) {
             let able = from + (1.0 - from) * ((self.now - server.started) / time).clamp(0.0, 1.0);
-            // What it bore before a restart it will bear again; a stranger may be half as strong as the mean.
-            let rate = 0.7 * multiple * able * server.peak.max(0.5 * self.warm_rate);
+            // What it bore before a restart it will bear again; a stranger may be weaker than the mean.
+            let rate = 0.7 * multiple * able * server.peak.max(0.8 * self.warm_rate);
             // A full purse and a window's income stay just within one window's budget.
             server.purse += rate * (self.now - server.purse_at);
             server.purse = server.purse.min((0.3 * rate * window).max(1.0));
