--- a/src/balance.rs
+++ b/src/balance.rs
@@ -639,13 +639,7 @@
                 // may go where nothing of ours is in flight.
                 && (s.expected * usual / self.time < left || (op.pushes.is_empty() && s.out.is_empty()))
         };
-        let all: Vec<_> = self.servers.iter().filter(|(_, s)| fits(s)).collect();
-        // Danger: a heavy op on a weak server is late before it starts. Where some server is expected to answer
-        // within the target latency, the draw is among such.
-        let aim = op.arrived + category.target - self.now;
-        let in_aim = |s: &Server| s.expected * usual / self.time < aim;
-        let narrow = all.iter().any(|(_, s)| in_aim(s));
-        let all = all.into_iter().filter(|(_, s)| !narrow || in_aim(s)).map(|(sid, s)| (*sid, s.share));
+        let all = self.servers.iter().filter(|(_, s)| fits(s)).map(|(sid, s)| (*sid, s.share));
         let (tried, fresh): (Vec<_>, Vec<_>) =
             all.partition(|(sid, _)| op.pushes.iter().any(|p| p.server == *sid));
         // The same server again only where no other may do it, and never beside a push still out there.
