--- a/src/balance.rs
+++ b/src/balance.rs
@@ -139,7 +139,7 @@
             borne_at: now,
             // A handful from all nodes together, so that a new server is neither starved nor flooded; it
             // grows and shrinks at once by what is seen.
-            limit: 5.0,
+            limit: 6.0,
             cut_at: now,
             purse_at: now,
             ..Server::default()
