--- a/src/balance.rs
+++ b/src/balance.rs
@@ -312,7 +312,10 @@
         // A single server's share of a node may be under one push; whether limits are used shows over all.
         let strained = self.strain() > 0.6;
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
-        const SMOOTH: f64 = 0.1;
+        // Danger: a server that gets little would be thought slow long after it has recovered; the longer since
+        // its last word, the more the new one counts, half at most.
+        let since = self.servers.get(&id).map_or(0.0, |s| now - s.heard);
+        let smooth = (since / 4000.0).clamp(0.1, 0.5);
         if good {
             let Some(server) = self.servers.get(&id) else { return };
             let pace = server.pace.unwrap_or(1.0);
@@ -334,13 +337,13 @@
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
-        server.faults += SMOOTH * (bad - server.faults);
+        server.faults += smooth * (bad - server.faults);
         if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
             server.heard = now;
         }
         if good || end.ending == Ending::TimedOut {
             let old = server.pace.unwrap_or(1.0);
-            server.pace = Some(old + SMOOTH * (ratio.min(old * 10.0) - old));
+            server.pace = Some(old + smooth * (ratio.min(old * 10.0) - old));
         }
         if good {
             let borne = server.bears(now) + sent.usual / self.time.max(1.0) / BORNE_OVER;
