--- a/src/balance.rs
+++ b/src/balance.rs
@@ -315,7 +315,7 @@
         // Danger: a server that gets little would be thought slow long after it has recovered; the longer since
         // its last word, the more the new one counts, half at most.
         let since = self.servers.get(&id).map_or(0.0, |s| now - s.heard);
-        let smooth = (since / 4000.0).clamp(0.1, 0.5);
+        let smooth = (since / 2000.0).clamp(0.1, 0.5);
         if good {
             let Some(server) = self.servers.get(&id) else { return };
             let pace = server.pace.unwrap_or(1.0);
