--- a/src/balance.rs
+++ b/src/balance.rs
@@ -693,7 +693,7 @@
         }
         let again = op.pushes.iter().any(|p| p.may_have_run);
         // Overload: the last of the room is kept for what brings most benefit.
-        if !again && self.strain() > 0.6 + 0.4 * op.rank {
+        if !again && self.strain() > 0.6 + 0.4 * op.rank.sqrt() {
             return false;
         }
         let from = self.candidates(id);
