--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,6 +24,7 @@
     /// Smoothed time of an acked push on a server of ordinary pace, and smoothed work where clients tell it.
     time: f64,
     work: f64,
+    told: f64,
     acked: f64,
 }
 
@@ -79,6 +80,7 @@
         // Before the first answer: a target latency is usually set at a few times the ordinary time.
         time: target / 4.0,
         work: 0.0,
+        told: 0.0,
         acked: 0.0,
     })
 }
@@ -330,9 +332,6 @@
             c.acked += 1.0;
             let step = (1.0 / (c.acked + 10.0)).max(0.002);
             c.time += step * (end.took / pace.max(0.2) - c.time);
-            if let Some(work) = work {
-                c.work += if c.work > 0.0 { step * (work - c.work) } else { work };
-            }
             self.time += step * (end.took / pace.max(0.2) - self.time);
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
@@ -589,6 +588,12 @@
                 customer.purse -= price;
             }
         }
+        if let Some(work) = arrival.work {
+            // A plain mean that stiffens like the usual time, over all that come: acks would favour light ops.
+            let c = &mut self.categories[arrival.category];
+            c.told += 1.0;
+            c.work += (1.0 / c.told).max(0.002) * (work - c.work);
+        }
         let op = Op {
             category: arrival.category,
             work: arrival.work,
