--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -190,7 +190,6 @@
         zone: names.zone(fields.at(0).and_then(Value::as_str).unwrap_or_default()),
         pod: *names.pods.entry(pod).or_insert(next),
         started: fields.number(4, "OnlineSinceMs")?.unwrap_or(0.0),
-        size: fields.number(6, "PowerHint")?.unwrap_or(1.0),
         server: names.server(fields.whole(5, "Server")?),
     })
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -98,7 +98,6 @@
     standing: Standing,
     zone: usize,
     pod: usize,
-    size: f64,
     started: f64,
     warm_at: f64,
     // reports
@@ -241,7 +240,6 @@
                 *server = Server { out, peak, ..Server::new(line, now, cold_time) };
             }
             (server.standing, server.zone, server.pod) = (line.standing, line.zone, line.pod);
-            server.size = if line.size > 0.0 { line.size } else { 1.0 };
         }
         self.solved_at = f64::NEG_INFINITY;
         if cached {
@@ -305,7 +303,7 @@
         }
     }
 
-    fn learn(&mut self, id: usize, category: usize, work: Option<f64>, sent: &Sent, end: &PushEnd) {
+    fn learn(&mut self, id: usize, category: usize, sent: &Sent, end: &PushEnd) {
         if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
             return;
         }
@@ -487,13 +485,9 @@
         if ids.is_empty() {
             return;
         }
-        // A server not yet measured is taken for as strong as its size in the list says beside the measured ones;
-        // where the list tells no sizes, for their mean.
-        let known =
-            ids.iter().filter_map(|id| self.servers[id].pace.map(|p| 1.0 / (p * self.servers[id].size)));
-        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), k| (sum + k, count + 1.0));
-        let sizes = ids.iter().map(|id| self.servers[id].size).sum::<f64>() / ids.len() as f64;
-        let strength = if count > 0.0 { sum / count } else { 1.0 / sizes };
+        let known: Vec<f64> = ids.iter().filter_map(|id| self.servers[id].pace).collect();
+        let mean_pace = |p: &[f64]| p.iter().map(|p| 1.0 / p).sum::<f64>() / p.len() as f64;
+        let mean = if known.is_empty() { 1.0 } else { 1.0 / mean_pace(&known) };
         let queue = |s: &Server| {
             // A report much older than any usual refresh is none.
             let told = s.load.held.or(s.load.waiting).filter(|l| l.is_finite());
@@ -510,7 +504,7 @@
         let mut seen: Vec<Seen> = Vec::new();
         for (id, queue) in ids.iter().zip(&queues) {
             let s = &self.servers[id];
-            let pace = s.pace.unwrap_or(1.0 / (strength * s.size));
+            let pace = s.pace.unwrap_or(mean);
             let latency = (pace * self.time).max(1.0);
             // The price of a crossing is a share of an op's benefit; an op's usual time stands for the whole.
             let away = if s.zone == my_zone { 0.0 } else { cross * self.time };
@@ -743,7 +737,7 @@
         out.push(id, to, patience);
         let step = move |b: &mut Balancer, out: &mut dyn Outlet, end: &PushEnd| {
             // Learnt from while still counted in flight: it was part of what the limit held.
-            b.learn(to, category, work, &Sent { at: now, usual }, end);
+            b.learn(to, category, &Sent { at: now, usual }, end);
             if let Some(server) = b.servers.get_mut(&to) {
                 server.out.remove(&(id, n));
             }
--- a/src/words.rs
+++ b/src/words.rs
@@ -39,8 +39,6 @@
     pub pod: usize,
     /// Clock time of its last start; 0 means long ago.
     pub started: f64,
-    /// Its strength beside others, as far as the list tells; 1 for all where it does not.
-    pub size: f64,
 }
 
 /// An op at the door.
--- a/tests/module/help.rs
+++ b/tests/module/help.rs
@@ -230,5 +230,5 @@
 
 /// Servers stand in pods of three and in two zones.
 pub fn line(server: usize, standing: Standing, started: f64) -> Listed {
-    Listed { server, standing, zone: server % 2, pod: server / 3, started, size: 1.0 }
+    Listed { server, standing, zone: server % 2, pod: server / 3, started }
 }
