--- a/src/balance.rs
+++ b/src/balance.rs
@@ -814,7 +814,7 @@
         };
         if harmless {
             // The time in which the work in flight is mostly done.
-            let come_back = if self.duties.allow("come-back") { 0.5 * self.time } else { 0.0 };
+            let come_back = if self.duties.allow("come-back") { 0.25 * self.time } else { 0.0 };
             let come_back = come_back.min(self.duties.or("come-back-most", 0.0));
             out.nack(id, come_back);
         } else {
