--- a/src/balance.rs
+++ b/src/balance.rs
@@ -357,7 +357,7 @@
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
         let stretch = end.took / (sent.usual * server.best).max(1.0);
         let failed = matches!(end.ending, Ending::TimedOut | Ending::TurnedAway | Ending::Unreachable);
-        let late = failed;
+        let late = failed || end.took > self.categories[category].target;
         let used = strained && server.out.len() as f64 >= 0.5 * server.limit / balancers;
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
         if late && now - server.cut_at > sent.usual {
