--- a/src/balance.rs
+++ b/src/balance.rs
@@ -335,15 +335,12 @@
             self.time += step * (end.took / pace.max(0.2) - self.time);
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
-        // Danger: ops or answers are lost on the way. A time-out from a server that has answered since is a fault,
-        // no sign of crowding: cutting the limit for it would leave good servers idle.
-        let lost = end.ending == Ending::TimedOut && server.heard > sent.at + sent.usual;
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
         server.faults += smooth * (bad - server.faults);
         if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
             server.heard = now;
         }
-        if good || (end.ending == Ending::TimedOut && !lost) {
+        if good || end.ending == Ending::TimedOut {
             let old = server.pace.unwrap_or(1.0);
             server.pace = Some(old + smooth * (ratio.min(old * 10.0) - old));
         }
@@ -360,7 +357,7 @@
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
         let stretch = end.took / (sent.usual * server.best).max(1.0);
         let failed = matches!(end.ending, Ending::TimedOut | Ending::TurnedAway | Ending::Unreachable);
-        let late = (failed && !lost) || (!failed && end.took > self.categories[category].target);
+        let late = failed || end.took > self.categories[category].target;
         let used = strained && server.out.len() as f64 >= 0.5 * server.limit / balancers;
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
         if late && now - server.cut_at > sent.usual {
