--- a/src/balance.rs
+++ b/src/balance.rs
@@ -336,7 +336,8 @@
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
-        server.faults += smooth * (bad - server.faults);
+        // Two failures in a row of a server seldom heard are no proof: only good news counts for more after silence.
+        server.faults += if good { smooth } else { 0.1 } * (bad - server.faults);
         if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
             server.heard = now;
         }
