--- a/src/balance.rs
+++ b/src/balance.rs
@@ -791,11 +791,6 @@
         let Some(op) = self.ops.get_mut(&id) else { return };
         op.pushes[push].out = false;
         op.pushes[push].may_have_run = !end.ending.never_ran();
-        // A copy that wins while the first push is still out has paid, and earns the next one: where many pushes
-        // are lost, more than one op in ten needs a copy.
-        if end.ending == Ending::Acked && op.pushes[..push].iter().any(|p| p.out) {
-            self.copies += 1.0;
-        }
         if end.closed || end.ending == Ending::Acked {
             return self.close(out, id);
         }
