--- a/src/balance.rs
+++ b/src/balance.rs
@@ -746,7 +746,7 @@
             b.after_push(out, id, n, end);
         };
         self.steps.insert((id, n), Box::new(step));
-        let wait = 1.5 * expected * self.slack;
+        let wait = 2.0 * expected * self.slack;
         if may_repeat && second_copies && n == 0 && wait < left {
             self.alarm(out, now + wait, Box::new(move |b, out| b.second_copy(out, id)));
         }
