--- a/src/balance.rs
+++ b/src/balance.rs
@@ -346,6 +346,8 @@
         }
         if good || end.ending == Ending::TimedOut {
             let old = server.pace.unwrap_or(1.0);
+            // Danger: a short time-out taken for a quick answer. It says "at least so long" and never lowers pace.
+            let ratio = if good { ratio } else { ratio.max(old) };
             server.pace = Some(old + smooth * (ratio.min(old * 10.0) - old));
         }
         if good {
@@ -368,8 +370,7 @@
             (server.limit, server.cut_at) = ((server.limit * 0.7).max(1.0), now);
         } else if !late && stretch > 3.0 {
             (server.limit, server.cut_at) = ((server.limit * 0.9).max(1.0), now);
-        } else if good && stretch < 1.1 && used {
-            // Quick means up to a tenth over the usual, as answers that all take the same would never be under it.
+        } else if good && stretch < 1.0 && used {
             // One for a round of own answers; scaled up to all nodes it would outrun the cuts, which come
             // from own answers too.
             server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
