--- a/src/balance.rs
+++ b/src/balance.rs
@@ -338,13 +338,16 @@
             self.time += step * (end.took / pace.max(0.2) - self.time);
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
+        // Danger: ops or answers are lost on the way. A time-out from a server that answered others meanwhile is a
+        // fault, no sign of crowding: cutting the limit for it would leave good servers idle.
+        let lost = end.ending == Ending::TimedOut && server.heard > sent.at;
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
         // Two failures in a row of a server seldom heard are no proof: only good news counts for more after silence.
         server.faults += if good { smooth } else { 0.1 } * (bad - server.faults);
         if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
             server.heard = now;
         }
-        if good || end.ending == Ending::TimedOut {
+        if good || (end.ending == Ending::TimedOut && !lost) {
             let old = server.pace.unwrap_or(1.0);
             // Danger: a short time-out taken for a quick answer. It says "at least so long" and never lowers pace.
             let ratio = if good { ratio } else { ratio.max(old) };
@@ -363,12 +366,12 @@
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
         let stretch = end.took / (sent.usual * server.best).max(1.0);
         let failed = matches!(end.ending, Ending::TimedOut | Ending::TurnedAway | Ending::Unreachable);
-        let late = failed || end.took > self.categories[category].target;
+        let late = !lost && (failed || end.took > self.categories[category].target);
         let used = strained && server.out.len() as f64 >= 0.5 * server.limit / balancers;
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
         if late && now - server.cut_at > sent.usual {
             (server.limit, server.cut_at) = ((server.limit * 0.7).max(1.0), now);
-        } else if !late && stretch > 3.0 {
+        } else if good && stretch > 3.0 {
             (server.limit, server.cut_at) = ((server.limit * 0.9).max(1.0), now);
         } else if good && stretch < 1.0 && used {
             // One for a round of own answers; scaled up to all nodes it would outrun the cuts, which come
--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -51,6 +51,28 @@
     assert!(play.out().len() >= 4, "{} in flight", play.out().len());
 }
 
+#[test]
+fn ops_lost_on_the_way_are_no_crowding() {
+    let mut play = Play::new(1);
+    for round in 0..60 {
+        let lost = play.op(2);
+        for n in 0..40 {
+            play.run(2, 15.0 + f64::from(n % 3), |_| None);
+            for (op, push) in play.out().into_iter().filter(|(op, _)| *op != lost) {
+                play.end(op, push, Ending::Acked);
+            }
+        }
+        if play.out().contains(&(lost, 0)) {
+            play.end(lost, 0, Ending::TimedOut);
+        }
+        assert!(round < 30 || !play.model.ops[lost].pushes.is_empty());
+    }
+    for _ in 0..6 {
+        play.op(0);
+    }
+    assert!(play.out().len() >= 3, "{} in flight", play.out().len());
+}
+
 #[test]
 fn a_silent_server_rests_and_comes_back() {
     let mut play = Play::new(4);
