--- a/src/balance.rs
+++ b/src/balance.rs
@@ -633,6 +633,10 @@
         let heed = rested * 4 <= ready * 3;
         let left = op.ends - self.now;
         let share = self.balancers;
+        // Danger: a repeat that must stay in its group finds that group full and is dead-lettered. It has been let in
+        // once and goes over the limit.
+        let bound =
+            category.effect == Effect::Deduplicated && op.pushes.iter().any(|p| p.may_have_run && !p.out);
         let fits = |s: &Server| {
             let ran = op.pushes.iter().filter(|p| p.may_have_run);
             let in_group = |p: &Pushed| match category.within {
@@ -651,7 +655,7 @@
                 && left > 0.0
                 && repeat
                 && (!heed || self.now >= s.resting)
-                && (s.out.len() as f64) < if s.rest > 0.0 { 1.0 } else { (s.limit / share).max(1.0) }
+                && (bound || (s.out.len() as f64) < if s.rest > 0.0 { 1.0 } else { (s.limit / share).max(1.0) })
                 && (self.now >= s.warm_at || s.purse >= usual / self.time)
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op
                 // may go where nothing of ours is in flight.
