--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn a_silent_server_rests_and_comes_back() {
+fn a_silent_server_gets_little_and_comes_back() {
     let mut play = Play::new(4);
     play.run(100, 20.0, |_| ACK);
     play.run(60, 20.0, |server| ACK.filter(|_| server != 2));
