--- a/src/balance.rs
+++ b/src/balance.rs
@@ -104,11 +104,13 @@
     load: Load,
     load_at: f64,
     since_load: f64,
-    // rates and health: time over the usual, its best, share of failures, last word
+    // rates and health: time over the usual, its best, share of failures, last word, end and length of rest
     pace: Option<f64>,
     best: f64,
     faults: f64,
     heard: f64,
+    resting: f64,
+    rest: f64,
     out: BTreeMap<(usize, usize), Sent>,
     // what it bears: own work acked a millisecond, smoothed
     borne: f64,
@@ -354,6 +356,7 @@
         if good {
             let borne = server.bears(now) + sent.usual / self.time.max(1.0) / BORNE_OVER;
             (server.borne, server.borne_at, server.peak) = (borne, now, server.peak.max(borne));
+            server.rest = if server.rest > 4.0 * self.time { 0.5 * server.rest } else { 0.0 };
         }
         // Danger: a crowded server turns slower than its work alone would make it, for long, and smoothed
         // figures show it too late. Each answer counts against the usual time at the server's best pace: a
@@ -375,6 +378,21 @@
             // from own answers too.
             server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
         }
+        // Danger: a server that fails fast answers first and would draw ever more; most of its answers bad
+        // means it rests.
+        if server.faults > 0.5 {
+            Self::send_to_rest(server, now, self.time);
+        }
+    }
+
+    fn send_to_rest(server: &mut Server, now: f64, time: f64) {
+        // Danger: a server that takes ops and answers none, or fails them. It rests, longer each time, and
+        // comes back through a limit of one.
+        server.rest = (server.rest * 2.0).clamp(2.0 * time, 32.0 * time);
+        server.resting = now + server.rest;
+        server.limit = (0.5 * server.limit).max(1.0);
+        server.faults *= 0.5;
+        server.share = 0.0;
     }
 }
 
@@ -455,13 +473,23 @@
             return;
         }
         let now = self.now;
-        let warm = self.servers.values().filter(|s| s.ready() && now >= s.warm_at);
+        let warm = self.servers.values().filter(|s| s.ready() && now >= s.warm_at && now >= s.resting);
         let (sum, count) = warm.fold((0.0, 0.0), |(sum, count), s| (sum + s.bears(now), count + 1.0));
         // What servers can bear does not fall when few are left warm or little is asked: the best mean seen stays,
         // fading over a minute, in which a fleet may be replaced.
         let faded = self.warm_rate * (-f64::min(now - self.solved_at, 1000.0).max(0.0) / 60_000.0).exp();
         self.warm_rate = faded.max(sum / f64::max(count, 1.0));
         self.solved_at = now;
+        for server in self.servers.values_mut().filter(|s| s.ready()) {
+            // Danger: silence. Two pushes overdue (one, on trial) and no answer since: it takes and gives
+            // nothing.
+            let bound = 3.0 * self.slack * server.pace.unwrap_or(1.0);
+            let overdue =
+                server.out.values().filter(|s| now - s.at.max(server.heard) > bound * s.usual).count();
+            if now >= server.resting && overdue as f64 >= if server.rest > 0.0 { 1.0 } else { 2.0 } {
+                Self::send_to_rest(server, now, self.time);
+            }
+        }
         let ids: Vec<usize> = self.servers.iter().filter(|(_, s)| s.ready()).map(|(id, _)| *id).collect();
         if ids.is_empty() {
             return;
@@ -488,13 +516,12 @@
             let pace = s.pace.unwrap_or(mean);
             let latency = (pace * self.time).max(1.0);
             // The price of a crossing is a share of an op's benefit; an op's usual time stands for the whole.
-            // Danger: a server that fails fast answers first and would draw ever more. Only what it acks is served:
-            // failures lower its rate, to a fiftieth at least, so that its recovery is seen.
-            let mu = (1.0 - s.faults).max(0.02) * (1.0 + usual_queue) / latency;
-            let cost = if s.zone == my_zone { 0.0 } else { cross * self.time };
+            let away = if s.zone == my_zone { 0.0 } else { cross * self.time };
+            // A failed op costs about another op's time.
+            let cost = away + latency * s.faults / (1.0 - s.faults).max(0.1);
             let horizon =
                 if s.load != Load::default() { (now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
-            seen.push(Seen { queue: *queue, mu, horizon, cost, most: 1.0 });
+            seen.push(Seen { queue: *queue, mu: (1.0 + usual_queue) / latency, horizon, cost, most: 1.0 });
         }
         let all: f64 = seen.iter().map(|s| s.mu).sum();
         let lambda = (self.pushes * self.balancers).max(all / 3.0);
@@ -599,6 +626,11 @@
         let op = &self.ops[&id];
         let category = &self.categories[op.category];
         let usual = self.usual(op.category, op.work);
+        let ready = self.servers.values().filter(|s| s.ready()).count();
+        let rested = self.servers.values().filter(|s| s.ready() && self.now < s.resting).count();
+        // Danger: a fault that all servers share must not empty the pool; with under a quarter fit, rest is
+        // ignored. More than that do better alone than with ops lost on the others.
+        let heed = rested * 4 <= ready * 3;
         let left = op.ends - self.now;
         let share = self.balancers;
         // Danger: a repeat that must stay in its group finds that group full and is dead-lettered. It has been let in
@@ -622,7 +654,8 @@
             s.ready()
                 && left > 0.0
                 && repeat
-                && (bound || (s.out.len() as f64) < (s.limit / share).max(1.0))
+                && (!heed || self.now >= s.resting)
+                && (bound || (s.out.len() as f64) < if s.rest > 0.0 { 1.0 } else { (s.limit / share).max(1.0) })
                 && (self.now >= s.warm_at || s.purse >= usual / self.time)
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op
                 // may go where nothing of ours is in flight.
@@ -667,7 +700,7 @@
 
     /// Own pushes in flight over what the limits leave this node.
     fn strain(&self) -> f64 {
-        let working = self.servers.values().filter(|s| s.ready());
+        let working = self.servers.values().filter(|s| s.ready() && s.rest == 0.0);
         let (out, limits) = working.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + s.limit));
         out as f64 * self.balancers / f64::max(limits, 1.0)
     }
--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn a_silent_server_gets_little_and_comes_back() {
+fn a_silent_server_rests_and_comes_back() {
     let mut play = Play::new(4);
     play.run(100, 20.0, |_| ACK);
     play.run(60, 20.0, |server| ACK.filter(|_| server != 2));
@@ -199,6 +199,19 @@
     assert!(waits[4] > 4.0 * waits[0] && waits.iter().all(|w| *w < 10_000.0 / 2.0), "{waits:?}");
 }
 
+#[test]
+fn a_repeat_bound_to_a_full_pod_goes_over_the_limit() {
+    let mut play = Play::new(3);
+    let op = play.op(1);
+    for _ in 0..40 {
+        play.op(0);
+    }
+    let held = play.out().len();
+    play.end(op, 0, Ending::Errored);
+    assert_eq!((play.model.ops[op].pushes.len(), play.out().len()), (2, held));
+    assert!(play.model.ops[op].answers.is_empty(), "not dead-lettered");
+}
+
 #[test]
 fn a_cached_list_is_asked_for_anew_where_changes_come_unasked() {
     let mut given = duties();
