--- a/src/balance.rs
+++ b/src/balance.rs
@@ -387,7 +387,7 @@
 
     fn send_to_rest(server: &mut Server, now: f64, time: f64) {
         // Danger: a server that takes ops and answers none, or fails them. It rests, longer each time, and
-        // comes back through a limit of one.
+        // comes back one push at a time, with half its limit.
         server.rest = (server.rest * 2.0).clamp(2.0 * time, 32.0 * time);
         server.resting = now + server.rest;
         server.limit = (0.5 * server.limit).max(1.0);
