Draw from an even part of the fleet; take the two rests out

Cause: hundreds of nodes spread thin over hundreds of servers; no evidence per server, a new connection for each push. Change: two runs from the node's own places in two orders of all servers, eight servers or sixteen nodes a server, widened by failures and cold servers.

--- a/benchlink/src/given.rs
+++ b/benchlink/src/given.rs
@@ -8,6 +8,7 @@
     ("balancers", "/GroupSize"),
     ("come-back", "/Limits/RetryAfter"),
     ("come-back-most", "/Limits/MaxRetryAfterMs"),
+    ("my-number", "/MyNumber"),
     ("may-cancel", "/Limits/MayCancel"),
     ("may-probe", "/Limits/Probes"),
     ("most-pushes", "/Limits/MostPushes"),
--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -180,12 +180,14 @@
         None => u64::MAX - fields.whole(5, "Server")?,
     };
     let next = names.pods.len();
+    let mark = fields.whole(5, "Server")?;
     Ok(Listed {
+        mark,
         standing,
         zone: names.zone(fields.at(0).and_then(Value::as_str).unwrap_or_default()),
         pod: *names.pods.entry(pod).or_insert(next),
         started: fields.number(4, "OnlineSinceMs")?.unwrap_or(0.0),
-        server: names.server(fields.whole(5, "Server")?),
+        server: names.server(mark),
     })
 }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -96,6 +96,7 @@
 #[derive(Default)]
 struct Server {
     standing: Standing,
+    mark: u64,
     zone: usize,
     pod: usize,
     started: f64,
@@ -104,13 +105,11 @@
     load: Load,
     load_at: f64,
     since_load: f64,
-    // rates and health: time over the usual, its best, share of failures, last word, end and length of rest
+    // rates and health: time over the usual, its best, share of failures, last word
     pace: Option<f64>,
     best: f64,
     faults: f64,
     heard: f64,
-    resting: f64,
-    rest: f64,
     out: BTreeMap<(usize, usize), Sent>,
     // what it bears: own work acked a millisecond, smoothed
     borne: f64,
@@ -132,6 +131,7 @@
 impl Server {
     fn new(line: &Listed, now: f64, cold_time: f64) -> Self {
         Server {
+            mark: line.mark,
             started: line.started,
             // A start time of none, or long past, is a warm server's.
             warm_at: if line.started > 0.0 { line.started + cold_time } else { f64::NEG_INFINITY },
@@ -165,6 +165,10 @@
     duties: Duties,
     balancers: f64,
     servers: BTreeMap<usize, Server>,
+    /// The servers that this node draws from, and how many nodes share each of them in the mean.
+    part: Vec<usize>,
+    sharers: f64,
+    parted_at: f64,
     ops: BTreeMap<usize, Op>,
     steps: BTreeMap<(usize, usize), Step>,
     alarms: BTreeMap<u64, Alarm>,
@@ -204,6 +208,9 @@
             categories,
             duties,
             servers: BTreeMap::new(),
+            part: Vec::new(),
+            sharers: balancers,
+            parted_at: f64::NEG_INFINITY,
             ops: BTreeMap::new(),
             steps: BTreeMap::new(),
             alarms: BTreeMap::new(),
@@ -241,7 +248,7 @@
             }
             (server.standing, server.zone, server.pod) = (line.standing, line.zone, line.pod);
         }
-        self.solved_at = f64::NEG_INFINITY;
+        (self.solved_at, self.parted_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
         if cached {
             self.follow(out);
         } else {
@@ -313,7 +320,7 @@
         let now = self.now;
         let ratio = end.took / sent.usual.max(1.0);
         let good = end.ending == Ending::Acked;
-        let balancers = self.balancers;
+        let sharers = self.sharers;
         // A single server's share of a node may be under one push; whether limits are used shows over all.
         let strained = self.strain() > 0.6;
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
@@ -356,7 +363,6 @@
         if good {
             let borne = server.bears(now) + sent.usual / self.time.max(1.0) / BORNE_OVER;
             (server.borne, server.borne_at, server.peak) = (borne, now, server.peak.max(borne));
-            server.rest = if server.rest > 4.0 * self.time { 0.5 * server.rest } else { 0.0 };
         }
         // Danger: a crowded server turns slower than its work alone would make it, for long, and smoothed
         // figures show it too late. Each answer counts against the usual time at the server's best pace: a
@@ -367,7 +373,7 @@
         let stretch = end.took / (sent.usual * server.best).max(1.0);
         let failed = matches!(end.ending, Ending::TimedOut | Ending::TurnedAway | Ending::Unreachable);
         let late = !lost && (failed || end.took > self.categories[category].target);
-        let used = strained && server.out.len() as f64 >= 0.5 * server.limit / balancers;
+        let used = strained && server.out.len() as f64 >= 0.5 * server.limit / sharers;
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
         if late && now - server.cut_at > sent.usual {
             (server.limit, server.cut_at) = ((server.limit * 0.7).max(1.0), now);
@@ -378,21 +384,6 @@
             // from own answers too.
             server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
         }
-        // Danger: a server that fails fast answers first and would draw ever more; most of its answers bad
-        // means it rests.
-        if server.faults > 0.5 {
-            Self::send_to_rest(server, now, self.time);
-        }
-    }
-
-    fn send_to_rest(server: &mut Server, now: f64, time: f64) {
-        // Danger: a server that takes ops and answers none, or fails them. It rests, longer each time, and
-        // comes back one push at a time, with half its limit.
-        server.rest = (server.rest * 2.0).clamp(2.0 * time, 32.0 * time);
-        server.resting = now + server.rest;
-        server.limit = (0.5 * server.limit).max(1.0);
-        server.faults *= 0.5;
-        server.share = 0.0;
     }
 }
 
@@ -463,7 +454,48 @@
     under.iter().zip(&over).map(|(u, o)| u + (o - u) * part).collect()
 }
 
+/// How often the part is chosen anew without news of the list: health moves it, and slowly is soon enough.
+const PART_EVERY: f64 = 1000.0;
+
 impl Balancer {
+    /// Danger: hundreds of nodes that each spread thin over hundreds of servers know none of them and open a
+    /// connection for every push. A node draws from a part of the fleet: runs from its own places in two orders
+    /// of all servers that every node knows alike. Even places cover all servers evenly, and a changed
+    /// list moves a run by little.
+    fn choose_part(&mut self) {
+        // A draw among eight has a choice even with a few of them in trouble; sixteen nodes a server even out
+        // what each of them gets wrong. Few nodes, or few servers, mean the whole fleet.
+        const LEAST: f64 = 8.0;
+        const NODES: f64 = 16.0;
+        self.parted_at = self.now;
+        let ready: Vec<_> = self.servers.iter().filter(|(_, s)| s.ready()).map(|(id, s)| (*id, s)).collect();
+        let target = (NODES * ready.len() as f64 / self.balancers).max(LEAST);
+        let number = self.duties.or("my-number", 0.0);
+        let mut part = Vec::new();
+        // The golden ratio's multiples lie evenly too, and far from the plain ones.
+        for (order, place) in [(1, number / self.balancers), (2, number * 0.618_033_988_75)] {
+            let mut ranked = ready.clone();
+            ranked.sort_by_key(|(_, s)| {
+                oorandom::Rand64::new(u128::from(s.mark) << 64 | u128::from(s.mark ^ order)).rand_u64()
+            });
+            let from = (place.fract() * ranked.len() as f64) as usize;
+            // Trouble widens the run: only what is warm and does not fail counts as found, up to twice the length.
+            let (mut found, mut taken) = (0.0, 0.0);
+            for (id, s) in ranked[from..].iter().chain(&ranked[..from]) {
+                if found >= 0.5 * target || taken >= target {
+                    break;
+                }
+                taken += 1.0;
+                found += if self.now >= s.warm_at { 1.0 - s.faults } else { 0.0 };
+                part.push(*id);
+            }
+        }
+        part.sort_unstable();
+        part.dedup();
+        self.sharers = (self.balancers * part.len() as f64 / ready.len().max(1) as f64).max(1.0);
+        self.part = part;
+    }
+
     fn solve(&mut self) {
         // At least this long between two solutions; the design's figure.
         const REFRESH: f64 = 100.0;
@@ -473,24 +505,17 @@
             return;
         }
         let now = self.now;
-        let warm = self.servers.values().filter(|s| s.ready() && now >= s.warm_at && now >= s.resting);
+        if now - self.parted_at >= PART_EVERY {
+            self.choose_part();
+        }
+        let warm = self.part.iter().map(|id| &self.servers[id]).filter(|s| now >= s.warm_at);
         let (sum, count) = warm.fold((0.0, 0.0), |(sum, count), s| (sum + s.bears(now), count + 1.0));
         // What servers can bear does not fall when few are left warm or little is asked: the best mean seen stays,
         // fading over a minute, in which a fleet may be replaced.
         let faded = self.warm_rate * (-f64::min(now - self.solved_at, 1000.0).max(0.0) / 60_000.0).exp();
         self.warm_rate = faded.max(sum / f64::max(count, 1.0));
         self.solved_at = now;
-        for server in self.servers.values_mut().filter(|s| s.ready()) {
-            // Danger: silence. Two pushes overdue (one, on trial) and no answer since: it takes and gives
-            // nothing.
-            let bound = 3.0 * self.slack * server.pace.unwrap_or(1.0);
-            let overdue =
-                server.out.values().filter(|s| now - s.at.max(server.heard) > bound * s.usual).count();
-            if now >= server.resting && overdue as f64 >= if server.rest > 0.0 { 1.0 } else { 2.0 } {
-                Self::send_to_rest(server, now, self.time);
-            }
-        }
-        let ids: Vec<usize> = self.servers.iter().filter(|(_, s)| s.ready()).map(|(id, _)| *id).collect();
+        let ids = self.part.clone();
         if ids.is_empty() {
             return;
         }
@@ -503,7 +528,7 @@
             if let Some(told) = told.filter(|_| now - s.load_at < 5000.0) {
                 told.max(0.0) + s.since_load
             } else {
-                s.out.len() as f64 * self.balancers
+                s.out.len() as f64 * self.sharers
             }
         };
         let queues: Vec<f64> = ids.iter().map(|id| queue(&self.servers[id])).collect();
@@ -524,9 +549,11 @@
             seen.push(Seen { queue: *queue, mu: (1.0 + usual_queue) / latency, horizon, cost, most: 1.0 });
         }
         let all: f64 = seen.iter().map(|s| s.mu).sum();
-        let lambda = (self.pushes * self.balancers).max(all / 3.0);
-        for s in &mut seen {
-            s.most = 1.5 * s.mu / all;
+        let lambda = (self.pushes * self.sharers).max(all / 3.0);
+        for (s, id) in seen.iter_mut().zip(&ids) {
+            // Danger: a server that fails fast answers first and would draw ever more. What it fails narrows its most,
+            // to a fiftieth at least, so that its recovery is seen.
+            s.most = 1.5 * s.mu / all * (1.0 - self.servers[id].faults).max(0.02);
         }
         let shares = split(&seen, lambda);
         for ((id, share), s) in ids.iter().zip(&shares).zip(&seen) {
@@ -546,7 +573,8 @@
         let duty = |name: &str| self.duties.or(name, 0.0);
         let (time, from) = (duty("cold-time").max(1.0), duty("cold-share"));
         let (multiple, window) = (duty("fall-multiple"), duty("fall-time"));
-        for server in self.servers.values_mut().filter(|s| s.ready() && self.now < s.warm_at) {
+        for id in &self.part {
+            let Some(server) = self.servers.get_mut(id).filter(|s| self.now < s.warm_at) else { continue };
             let able = from + (1.0 - from) * ((self.now - server.started) / time).clamp(0.0, 1.0);
             // What it bore before a restart it will bear again; a stranger may be weaker than the mean.
             let rate = 0.7 * multiple * able * server.peak.max(0.8 * self.warm_rate);
@@ -626,13 +654,8 @@
         let op = &self.ops[&id];
         let category = &self.categories[op.category];
         let usual = self.usual(op.category, op.work);
-        let ready = self.servers.values().filter(|s| s.ready()).count();
-        let rested = self.servers.values().filter(|s| s.ready() && self.now < s.resting).count();
-        // Danger: a fault that all servers share must not empty the pool; with under a quarter fit, rest is
-        // ignored. More than that do better alone than with ops lost on the others.
-        let heed = rested * 4 <= ready * 3;
         let left = op.ends - self.now;
-        let share = self.balancers;
+        let share = self.sharers;
         // Danger: a repeat that must stay in its group finds that group full and is dead-lettered. It has been let in
         // once and goes over the limit.
         let bound =
@@ -654,14 +677,19 @@
             s.ready()
                 && left > 0.0
                 && repeat
-                && (!heed || self.now >= s.resting)
-                && (bound || (s.out.len() as f64) < if s.rest > 0.0 { 1.0 } else { (s.limit / share).max(1.0) })
+                && (bound || (s.out.len() as f64) < (s.limit / share).max(1.0))
                 && (self.now >= s.warm_at || s.purse >= usual / self.time)
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op
                 // may go where nothing of ours is in flight.
                 && (s.expected * usual / self.time < left || (op.pushes.is_empty() && s.out.is_empty()))
         };
-        let all = self.servers.iter().filter(|(_, s)| fits(s)).map(|(sid, s)| (*sid, s.share));
+        let mut all: Vec<_> =
+            self.part.iter().map(|sid| (*sid, &self.servers[sid])).filter(|(_, s)| fits(s)).collect();
+        if all.is_empty() && bound {
+            // Danger: none of its group is in the part. Then the group's others may take it.
+            all = self.servers.iter().map(|(sid, s)| (*sid, s)).filter(|(_, s)| fits(s)).collect();
+        }
+        let all = all.into_iter().map(|(sid, s)| (sid, s.share));
         let (tried, fresh): (Vec<_>, Vec<_>) =
             all.partition(|(sid, _)| op.pushes.iter().any(|p| p.server == *sid));
         // The same server again only where no other may do it, and never beside a push still out there.
@@ -700,9 +728,9 @@
 
     /// Own pushes in flight over what the limits leave this node.
     fn strain(&self) -> f64 {
-        let working = self.servers.values().filter(|s| s.ready() && s.rest == 0.0);
-        let (out, limits) = working.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + s.limit));
-        out as f64 * self.balancers / f64::max(limits, 1.0)
+        let part = self.part.iter().map(|id| &self.servers[id]);
+        let (out, limits) = part.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + s.limit));
+        out as f64 * self.sharers / f64::max(limits, 1.0)
     }
 
     fn try_push(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
--- a/src/words.rs
+++ b/src/words.rs
@@ -34,6 +34,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Listed {
     pub server: usize,
+    /// The number by which all nodes know it.
+    pub mark: u64,
     pub standing: Standing,
     pub zone: usize,
     pub pod: usize,
