--- a/src/balance.rs
+++ b/src/balance.rs
@@ -93,10 +93,18 @@
     usual: f64,
 }
 
+/// What servers listed alike show together.
+#[derive(Clone, Copy)]
+struct Kind {
+    pace: Option<f64>,
+    limit: f64,
+}
+
 #[derive(Default)]
 struct Server {
     standing: Standing,
     mark: u64,
+    kind: usize,
     zone: usize,
     pod: usize,
     started: f64,
@@ -106,8 +114,10 @@
     load_at: f64,
     since_load: f64,
     // rates and health: time over the usual, its best, share of failures, last word
-    pace: Option<f64>,
+    pace: f64,
     best: f64,
+    seen: f64,
+    faded_at: f64,
     faults: f64,
     heard: f64,
     out: BTreeMap<(usize, usize), Sent>,
@@ -125,6 +135,10 @@
     expected: f64,
 }
 
+/// A handful from all nodes together, so that a new server is neither starved nor flooded; it grows and
+/// shrinks at once by what is seen.
+const FIRST_LIMIT: f64 = 6.0;
+
 /// Span over which it is smoothed what a server bears: a few seconds, so that a lull does not empty it.
 const BORNE_OVER: f64 = 4000.0;
 
@@ -132,6 +146,9 @@
     fn new(line: &Listed, now: f64, cold_time: f64) -> Self {
         Server {
             mark: line.mark,
+            kind: line.kind,
+            pace: 1.0,
+            faded_at: now,
             started: line.started,
             // A start time of none, or long past, is a warm server's.
             warm_at: if line.started > 0.0 { line.started + cold_time } else { f64::NEG_INFINITY },
@@ -139,15 +156,25 @@
             heard: now,
             best: 1.0,
             borne_at: now,
-            // A handful from all nodes together, so that a new server is neither starved nor flooded; it
-            // grows and shrinks at once by what is seen.
-            limit: 6.0,
+            limit: FIRST_LIMIT,
             cut_at: now,
             purse_at: now,
             ..Server::default()
         }
     }
 
+    /// Danger: a node that hears a server seldom holds noise for a measure, or an old trouble for a present one.
+    /// What it holds of a server fades back to what all servers listed alike show, unless confirmed.
+    fn fade(&mut self, now: f64, kind: &Kind, mean: f64) {
+        // Ten seconds: about as long as the shorter troubles last, and many answers of a server heard often.
+        let kept = (-(now - self.faded_at).max(0.0) / 10_000.0).exp();
+        self.faded_at = now;
+        self.seen *= kept;
+        let (pace, limit) = (kind.pace.unwrap_or(mean), kind.limit);
+        self.pace = pace + (self.pace - pace) * if self.seen > 0.0 { kept } else { 0.0 };
+        self.limit = limit + (self.limit - limit) * kept;
+    }
+
     fn bears(&self, now: f64) -> f64 {
         self.borne * (-(now - self.borne_at).max(0.0) / BORNE_OVER).exp()
     }
@@ -165,6 +192,7 @@
     duties: Duties,
     balancers: f64,
     servers: BTreeMap<usize, Server>,
+    kinds: Vec<Kind>,
     /// The servers that this node draws from, and how many nodes share each of them in the mean.
     part: Vec<usize>,
     sharers: f64,
@@ -208,6 +236,7 @@
             categories,
             duties,
             servers: BTreeMap::new(),
+            kinds: Vec::new(),
             part: Vec::new(),
             sharers: balancers,
             parted_at: f64::NEG_INFINITY,
@@ -239,6 +268,9 @@
         }
         let cold_time = self.duties.or("cold-time", 0.0);
         for line in lines {
+            if line.kind >= self.kinds.len() {
+                self.kinds.resize(line.kind + 1, Kind { pace: None, limit: FIRST_LIMIT });
+            }
             let fresh = Server::new(line, now, cold_time);
             let server = self.servers.entry(line.server).or_insert(fresh);
             if line.started > server.started {
@@ -313,6 +345,16 @@
         }
     }
 
+    fn mean_pace(&self) -> f64 {
+        let (sum, count) =
+            self.kinds.iter().filter_map(|k| k.pace).fold((0.0, 0.0), |(s, n), p| (s + 1.0 / p, n + 1.0));
+        if count > 0.0 {
+            count / sum
+        } else {
+            1.0
+        }
+    }
+
     fn learn(&mut self, id: usize, category: usize, sent: &Sent, end: &PushEnd) {
         if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
             return;
@@ -323,14 +365,15 @@
         let sharers = self.sharers;
         // A single server's share of a node may be under one push; whether limits are used shows over all.
         let strained = self.strain() > 0.6;
-        // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
-        // Danger: a server that gets little would be thought slow long after it has recovered; the longer since
-        // its last word, the more the new one counts, half at most.
-        let since = self.servers.get(&id).map_or(0.0, |s| now - s.heard);
-        let smooth = (since / 2000.0).clamp(0.1, 0.5);
+        let mean = self.mean_pace();
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.fade(now, &self.kinds[server.kind], mean);
+        server.seen += 1.0;
+        // A tenth a push follows a slowed server within ten pushes and evens out single heavy ops; the first few
+        // count as much as three of its kind's would.
+        let smooth = (1.0 / (server.seen + 1.0)).max(0.1);
         if good {
-            let Some(server) = self.servers.get(&id) else { return };
-            let pace = server.pace.unwrap_or(1.0);
+            let pace = server.pace;
             let step = 0.05 * self.slack;
             // Follows the time, in usual times at the server's pace, that nineteen of twenty pushes stay
             // under.
@@ -349,16 +392,19 @@
         // fault, no sign of crowding: cutting the limit for it would leave good servers idle.
         let lost = end.ending == Ending::TimedOut && server.heard > sent.at;
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
-        // Two failures in a row of a server seldom heard are no proof: only good news counts for more after silence.
-        server.faults += if good { smooth } else { 0.1 } * (bad - server.faults);
+        server.faults += smooth * (bad - server.faults);
         if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
             server.heard = now;
         }
         if good || (end.ending == Ending::TimedOut && !lost) {
-            let old = server.pace.unwrap_or(1.0);
+            let old = server.pace;
             // Danger: a short time-out taken for a quick answer. It says "at least so long" and never lowers pace.
             let ratio = if good { ratio } else { ratio.max(old) };
-            server.pace = Some(old + smooth * (ratio.min(old * 10.0) - old));
+            server.pace = old + smooth * (ratio.min(old * 10.0) - old);
+            // A few dozen answers of any of them; a single sick one among them moves it little.
+            let kind = &mut self.kinds[server.kind].pace;
+            let known = kind.unwrap_or(old);
+            *kind = Some(known + 0.05 * (ratio.min(known * 3.0) - known));
         }
         if good {
             let borne = server.bears(now) + sent.usual / self.time.max(1.0) / BORNE_OVER;
@@ -368,7 +414,7 @@
         // figures show it too late. Each answer counts against the usual time at the server's best pace: a
         // quick one lets the limit grow, one at thrice that or past its target latency cuts it. Uncrowded,
         // the two balance at a dozen in flight; at half speed, at a third of that.
-        let pace = server.pace.unwrap_or(1.0);
+        let pace = server.pace;
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
         let stretch = end.took / (sent.usual * server.best).max(1.0);
         let failed = matches!(end.ending, Ending::TimedOut | Ending::TurnedAway | Ending::Unreachable);
@@ -384,6 +430,8 @@
             // from own answers too.
             server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
         }
+        let kind = &mut self.kinds[server.kind].limit;
+        *kind += 0.2 * (server.limit - *kind);
     }
 }
 
@@ -519,9 +567,11 @@
         if ids.is_empty() {
             return;
         }
-        let known: Vec<f64> = ids.iter().filter_map(|id| self.servers[id].pace).collect();
-        let mean_pace = |p: &[f64]| p.iter().map(|p| 1.0 / p).sum::<f64>() / p.len() as f64;
-        let mean = if known.is_empty() { 1.0 } else { 1.0 / mean_pace(&known) };
+        let mean = self.mean_pace();
+        for id in &ids {
+            let server = self.servers.get_mut(id).expect("listed above");
+            server.fade(now, &self.kinds[server.kind], mean);
+        }
         let queue = |s: &Server| {
             // A report much older than any usual refresh is none.
             let told = s.load.held.or(s.load.waiting).filter(|l| l.is_finite());
@@ -538,8 +588,7 @@
         let mut seen: Vec<Seen> = Vec::new();
         for (id, queue) in ids.iter().zip(&queues) {
             let s = &self.servers[id];
-            let pace = s.pace.unwrap_or(mean);
-            let latency = (pace * self.time).max(1.0);
+            let latency = (s.pace * self.time).max(1.0);
             // The price of a crossing is a share of an op's benefit; an op's usual time stands for the whole.
             let away = if s.zone == my_zone { 0.0 } else { cross * self.time };
             // A failed op costs about another op's time.
@@ -772,7 +821,7 @@
             server.purse -= usual / time;
         }
         server.out.insert((id, n), Sent { at: now, usual });
-        let expected = (server.expected * usual / time).max(usual * server.pace.unwrap_or(1.0));
+        let expected = (server.expected * usual / time).max(usual * server.pace);
         // Where no second copy may run beside the first, the time-out leaves time for a further push.
         let may_repeat = self.categories[category].effect != Effect::AtMostOnce;
         let patience = if may_repeat && !second_copies { left.min(expected * self.slack) } else { left };
