--- a/src/balance.rs
+++ b/src/balance.rs
@@ -205,6 +205,8 @@
     time: f64,
     pushes: f64,
     pushed_at: f64,
+    held: f64,
+    held_at: f64,
     copies: f64,
     slack: f64,
     solved_at: f64,
@@ -246,6 +248,8 @@
             next_alarm: 0,
             time,
             pushes: 0.0,
+            held: 0.0,
+            held_at: 0.0,
             pushed_at: f64::NEG_INFINITY,
             copies: 1.0,
             slack: 2.0,
@@ -779,7 +783,19 @@
     fn strain(&self) -> f64 {
         let part = self.part.iter().map(|id| &self.servers[id]);
         let (out, limits) = part.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + s.limit));
-        out as f64 * self.sharers / f64::max(limits, 1.0)
+        // Danger: where a node's part is a few pushes, chance alone fills it and ops are nacked beside idle servers.
+        // The count now is one sample; it is weighed against its mean as a sample of so many is worth, three
+        // standing for how evenly the nodes are loaded.
+        let held = self.held.max(0.1);
+        let out = held * (3.0 + out as f64) / (3.0 + held);
+        out * self.sharers / f64::max(limits, 1.0)
+    }
+
+    /// Keeps the mean of own pushes in flight over the last seconds; called before their number changes.
+    fn count_held(&mut self) {
+        let out: usize = self.part.iter().map(|id| self.servers[id].out.len()).sum();
+        let kept = (-(self.now - self.held_at).max(0.0) / 2000.0).exp();
+        (self.held, self.held_at) = (out as f64 + (self.held - out as f64) * kept, self.now);
     }
 
     fn try_push(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
@@ -802,6 +818,7 @@
     }
 
     fn push(&mut self, out: &mut dyn Outlet, id: usize, to: usize) {
+        self.count_held();
         let (now, time) = (self.now, self.time);
         if self.pushed_at.is_finite() {
             // Own rate over the last second or so. Pushes, as nacked ops reach no server: counting a crowd of
@@ -873,6 +890,7 @@
     /// A push has ended.
     pub fn push_ended(&mut self, out: &mut dyn Outlet, now: f64, end: &PushEnd) {
         self.now = now;
+        self.count_held();
         if let Some(step) = self.steps.remove(&(end.op, end.push)) {
             step(self, out, end);
         }
