Learn limits over a kind's answers, start them at four

Cause: limits never left their first value at size, a server being heard every two seconds. A step is split between the server's own factor and its kind's limit by how much was heard of it; a server at twice its kind's pace moves only its own.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -125,8 +125,8 @@
     borne: f64,
     borne_at: f64,
     peak: f64,
-    // limits: in flight from all nodes together, and what a cold one may still get
-    limit: f64,
+    // limits: in flight from all nodes together, over its kind's, and what a cold one may still get
+    factor: f64,
     cut_at: f64,
     purse: f64,
     purse_at: f64,
@@ -137,7 +137,7 @@
 
 /// A handful from all nodes together, so that a new server is neither starved nor flooded; it grows and
 /// shrinks at once by what is seen.
-const FIRST_LIMIT: f64 = 6.0;
+const FIRST_LIMIT: f64 = 4.0;
 
 /// Span over which it is smoothed what a server bears: a few seconds, so that a lull does not empty it.
 const BORNE_OVER: f64 = 4000.0;
@@ -156,7 +156,7 @@
             heard: now,
             best: 1.0,
             borne_at: now,
-            limit: FIRST_LIMIT,
+            factor: 1.0,
             cut_at: now,
             purse_at: now,
             ..Server::default()
@@ -170,9 +170,9 @@
         let kept = (-(now - self.faded_at).max(0.0) / 10_000.0).exp();
         self.faded_at = now;
         self.seen *= kept;
-        let (pace, limit) = (kind.pace.unwrap_or(mean), kind.limit);
+        let pace = kind.pace.unwrap_or(mean);
         self.pace = pace + (self.pace - pace) * if self.seen > 0.0 { kept } else { 0.0 };
-        self.limit = limit + (self.limit - limit) * kept;
+        self.factor = 1.0 + (self.factor - 1.0) * kept;
     }
 
     fn bears(&self, now: f64) -> f64 {
@@ -349,6 +349,10 @@
         }
     }
 
+    fn limit(&self, server: &Server) -> f64 {
+        (self.kinds[server.kind].limit * server.factor).max(1.0)
+    }
+
     fn mean_pace(&self) -> f64 {
         let (sum, count) =
             self.kinds.iter().filter_map(|k| k.pace).fold((0.0, 0.0), |(s, n), p| (s + 1.0 / p, n + 1.0));
@@ -423,19 +427,31 @@
         let stretch = end.took / (sent.usual * server.best).max(1.0);
         let failed = matches!(end.ending, Ending::TimedOut | Ending::TurnedAway | Ending::Unreachable);
         let late = !lost && (failed || end.took > self.categories[category].target);
-        let used = strained && server.out.len() as f64 >= 0.5 * server.limit / sharers;
+        let kind = &mut self.kinds[server.kind];
+        let limit = (kind.limit * server.factor).max(1.0);
+        let used = strained && server.out.len() as f64 >= 0.5 * limit / sharers;
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
-        if late && now - server.cut_at > sent.usual {
-            (server.limit, server.cut_at) = ((server.limit * 0.7).max(1.0), now);
+        let moved = if late && now - server.cut_at > sent.usual {
+            server.cut_at = now;
+            0.7
         } else if good && stretch > 3.0 {
-            (server.limit, server.cut_at) = ((server.limit * 0.9).max(1.0), now);
+            server.cut_at = now;
+            0.9
         } else if good && stretch < 1.0 && used {
             // One for a round of own answers; scaled up to all nodes it would outrun the cuts, which come
             // from own answers too.
-            server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
+            1.0 + 1.0 / (limit * limit)
+        } else {
+            return;
+        };
+        // Where a server is seldom heard its limit is its kind's, moved by the answers of all; a server known well
+        // has its own. One that is far slower than its kind says nothing of the others.
+        let own = server.seen / (server.seen + 3.0);
+        server.factor *= f64::powf(moved, own);
+        if pace < 2.0 * kind.pace.unwrap_or(pace) {
+            kind.limit = (kind.limit * f64::powf(moved, 1.0 - own)).clamp(1.0, 1000.0);
         }
-        let kind = &mut self.kinds[server.kind].limit;
-        *kind += 0.2 * (server.limit - *kind);
+        server.factor = server.factor.max(1.0 / kind.limit);
     }
 }
 
@@ -730,7 +746,7 @@
             s.ready()
                 && left > 0.0
                 && repeat
-                && (bound || (s.out.len() as f64) < (s.limit / share).max(1.0))
+                && (bound || (s.out.len() as f64) < (self.limit(s) / share).max(1.0))
                 && (self.now >= s.warm_at || s.purse >= usual / self.time)
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op
                 // may go where nothing of ours is in flight.
@@ -782,7 +798,8 @@
     /// Own pushes in flight over what the limits leave this node.
     fn strain(&self) -> f64 {
         let part = self.part.iter().map(|id| &self.servers[id]);
-        let (out, limits) = part.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + s.limit));
+        let (out, limits) =
+            part.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + self.limit(s)));
         // Danger: where a node's part is a few pushes, chance alone fills it and ops are nacked beside idle servers.
         // The count now is one sample; it is weighed against its mean as a sample of so many is worth, three
         // standing for how evenly the nodes are loaded.
