--- a/src/balance.rs
+++ b/src/balance.rs
@@ -133,6 +133,7 @@
     // the split as last solved
     share: f64,
     expected: f64,
+    queue: f64,
 }
 
 /// A handful from all nodes together, so that a new server is neither starved nor flooded; it grows and
@@ -592,14 +593,20 @@
             let server = self.servers.get_mut(id).expect("listed above");
             server.fade(now, &self.kinds[server.kind], mean);
         }
-        let queue = |s: &Server| {
+        let told = |s: &Server| {
             // A report much older than any usual refresh is none.
             let told = s.load.held.or(s.load.waiting).filter(|l| l.is_finite());
-            if let Some(told) = told.filter(|_| now - s.load_at < 5000.0) {
-                told.max(0.0) + s.since_load
-            } else {
-                s.out.len() as f64 * self.sharers
-            }
+            told.filter(|_| now - s.load_at < 5000.0).map(|told| told.max(0.0))
+        };
+        let reports: Vec<f64> = ids.iter().filter_map(|id| told(&self.servers[id])).collect();
+        let own_share = self.held * self.sharers / ids.len() as f64;
+        let mean_told =
+            if reports.is_empty() { own_share } else { reports.iter().sum::<f64>() / reports.len() as f64 };
+        let queue = |s: &Server| match told(s) {
+            Some(told) => told + s.since_load,
+            // Danger: one push in flight times hundreds of nodes is noise. Weighed against the mean of the others as
+            // a sample of one in so many is worth.
+            None => mean_told * (1.0 + s.out.len() as f64) / (1.0 + mean_told / self.sharers),
         };
         let queues: Vec<f64> = ids.iter().map(|id| queue(&self.servers[id])).collect();
         let usual_queue = queues.iter().sum::<f64>() / ids.len() as f64;
@@ -629,6 +636,7 @@
             let server = self.servers.get_mut(id).expect("listed above");
             server.share = *share;
             server.expected = (1.0 + s.queue) / s.mu;
+            server.queue = s.queue;
         }
     }
 }
