Narrow the part to four servers or six nodes a server

Cause: with a dozen nodes and more a server, one push from each already exceeds any limit, and each hears it too seldom. Conclusion: 4/6 kept, as three servers leave too little choice when one is in trouble; widening stays with failures and cold servers.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -532,13 +532,16 @@
     /// of all servers that every node knows alike. Even places cover all servers evenly, and a changed
     /// list moves a run by little.
     fn choose_part(&mut self) {
-        // A draw among eight has a choice even with a few of them in trouble; sixteen nodes a server even out
-        // what each of them gets wrong. Few nodes, or few servers, mean the whole fleet.
-        const LEAST: f64 = 8.0;
-        const NODES: f64 = 16.0;
+        // A draw among four has a choice with one of them in trouble. Six nodes a server: about as many as it
+        // can hold pushes, so that one in flight from each is what a limit would allow, and each node hears
+        // it often. Larger parts lost more at every size tried.
+        const LEAST: f64 = 4.0;
+        const NODES: f64 = 6.0;
         self.parted_at = self.now;
         let ready: Vec<_> = self.servers.iter().filter(|(_, s)| s.ready()).map(|(id, s)| (*id, s)).collect();
         let target = (NODES * ready.len() as f64 / self.balancers).max(LEAST);
+        // Few nodes, or few servers, mean the whole fleet.
+        let run = if target < ready.len() as f64 { 0.5 * target } else { target };
         let number = self.duties.or("my-number", 0.0);
         let mut part = Vec::new();
         // The golden ratio's multiples lie evenly too, and far from the plain ones.
@@ -551,7 +554,7 @@
             // Trouble widens the run: only what is warm and does not fail counts as found, up to twice the length.
             let (mut found, mut taken) = (0.0, 0.0);
             for (id, s) in ranked[from..].iter().chain(&ranked[..from]) {
-                if found >= 0.5 * target || taken >= target {
+                if found >= run || taken >= 2.0 * run {
                     break;
                 }
                 taken += 1.0;
