--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -17,7 +17,6 @@
     categories: Vec<String>,
     customers: Vec<String>,
     zones: Vec<String>,
-    kinds: Vec<String>,
     pods: HashMap<u64, usize>,
 }
 
@@ -31,6 +30,13 @@
         index
     }
 
+    fn zone(&mut self, name: &str) -> usize {
+        self.zones.iter().position(|z| z == name).unwrap_or_else(|| {
+            self.zones.push(name.into());
+            self.zones.len() - 1
+        })
+    }
+
     fn drop_if_done(&mut self, op: usize) {
         if let Some((id, 0, true)) = self.held.get(&op) {
             self.ops.remove(id);
@@ -39,13 +45,6 @@
     }
 }
 
-fn place(names: &mut Vec<String>, name: &str) -> usize {
-    names.iter().position(|n| n == name).unwrap_or_else(|| {
-        names.push(name.into());
-        names.len() - 1
-    })
-}
-
 pub struct Node {
     balancer: Balancer,
     names: Names,
@@ -161,7 +160,7 @@
     };
     let mut given = given::translate(settings);
     if let Some(zone) = settings.get("MyZone").and_then(Value::as_str) {
-        given.insert("my-zone".into(), place(&mut names.zones, zone).into());
+        given.insert("my-zone".into(), names.zone(zone).into());
     }
     let balancer = Balancer::new(given, seed).map_err(|message| given::explain(&message))?;
     Ok(Node { balancer, names })
@@ -185,8 +184,7 @@
     Ok(Listed {
         mark,
         standing,
-        zone: place(&mut names.zones, fields.at(0).and_then(Value::as_str).unwrap_or_default()),
-        kind: place(&mut names.kinds, fields.at(2).and_then(Value::as_str).unwrap_or_default()),
+        zone: names.zone(fields.at(0).and_then(Value::as_str).unwrap_or_default()),
         pod: *names.pods.entry(pod).or_insert(next),
         started: fields.number(4, "OnlineSinceMs")?.unwrap_or(0.0),
         server: names.server(mark),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -93,18 +93,10 @@
     usual: f64,
 }
 
-/// What servers listed alike show together.
-#[derive(Clone, Copy)]
-struct Kind {
-    pace: Option<f64>,
-    limit: f64,
-}
-
 #[derive(Default)]
 struct Server {
     standing: Standing,
     mark: u64,
-    kind: usize,
     zone: usize,
     pod: usize,
     started: f64,
@@ -114,10 +106,8 @@
     load_at: f64,
     since_load: f64,
     // rates and health: time over the usual, its best, share of failures, last word
-    pace: f64,
+    pace: Option<f64>,
     best: f64,
-    seen: f64,
-    faded_at: f64,
     faults: f64,
     heard: f64,
     out: BTreeMap<(usize, usize), Sent>,
@@ -125,21 +115,16 @@
     borne: f64,
     borne_at: f64,
     peak: f64,
-    // limits: in flight from all nodes together, over its kind's, and what a cold one may still get
-    factor: f64,
+    // limits: in flight from all nodes together, and what a cold one may still get
+    limit: f64,
     cut_at: f64,
     purse: f64,
     purse_at: f64,
     // the split as last solved
     share: f64,
     expected: f64,
-    queue: f64,
 }
 
-/// A handful from all nodes together, so that a new server is neither starved nor flooded; it grows and
-/// shrinks at once by what is seen.
-const FIRST_LIMIT: f64 = 4.0;
-
 /// Span over which it is smoothed what a server bears: a few seconds, so that a lull does not empty it.
 const BORNE_OVER: f64 = 4000.0;
 
@@ -147,9 +132,6 @@
     fn new(line: &Listed, now: f64, cold_time: f64) -> Self {
         Server {
             mark: line.mark,
-            kind: line.kind,
-            pace: 1.0,
-            faded_at: now,
             started: line.started,
             // A start time of none, or long past, is a warm server's.
             warm_at: if line.started > 0.0 { line.started + cold_time } else { f64::NEG_INFINITY },
@@ -157,25 +139,15 @@
             heard: now,
             best: 1.0,
             borne_at: now,
-            factor: 1.0,
+            // A handful from all nodes together, so that a new server is neither starved nor flooded; it
+            // grows and shrinks at once by what is seen.
+            limit: 5.0,
             cut_at: now,
             purse_at: now,
             ..Server::default()
         }
     }
 
-    /// Danger: a node that hears a server seldom holds noise for a measure, or an old trouble for a present one.
-    /// What it holds of a server fades back to what all servers listed alike show, unless confirmed.
-    fn fade(&mut self, now: f64, kind: &Kind, mean: f64) {
-        // Ten seconds: about as long as the shorter troubles last, and many answers of a server heard often.
-        let kept = (-(now - self.faded_at).max(0.0) / 10_000.0).exp();
-        self.faded_at = now;
-        self.seen *= kept;
-        let pace = kind.pace.unwrap_or(mean);
-        self.pace = pace + (self.pace - pace) * if self.seen > 0.0 { kept } else { 0.0 };
-        self.factor = 1.0 + (self.factor - 1.0) * kept;
-    }
-
     fn bears(&self, now: f64) -> f64 {
         self.borne * (-(now - self.borne_at).max(0.0) / BORNE_OVER).exp()
     }
@@ -193,7 +165,6 @@
     duties: Duties,
     balancers: f64,
     servers: BTreeMap<usize, Server>,
-    kinds: Vec<Kind>,
     /// The servers that this node draws from, and how many nodes share each of them in the mean.
     part: Vec<usize>,
     sharers: f64,
@@ -206,8 +177,6 @@
     time: f64,
     pushes: f64,
     pushed_at: f64,
-    held: f64,
-    held_at: f64,
     copies: f64,
     slack: f64,
     solved_at: f64,
@@ -239,7 +208,6 @@
             categories,
             duties,
             servers: BTreeMap::new(),
-            kinds: Vec::new(),
             part: Vec::new(),
             sharers: balancers,
             parted_at: f64::NEG_INFINITY,
@@ -249,8 +217,6 @@
             next_alarm: 0,
             time,
             pushes: 0.0,
-            held: 0.0,
-            held_at: 0.0,
             pushed_at: f64::NEG_INFINITY,
             copies: 1.0,
             slack: 2.0,
@@ -273,9 +239,6 @@
         }
         let cold_time = self.duties.or("cold-time", 0.0);
         for line in lines {
-            if line.kind >= self.kinds.len() {
-                self.kinds.resize(line.kind + 1, Kind { pace: None, limit: FIRST_LIMIT });
-            }
             let fresh = Server::new(line, now, cold_time);
             let server = self.servers.entry(line.server).or_insert(fresh);
             if line.started > server.started {
@@ -350,20 +313,6 @@
         }
     }
 
-    fn limit(&self, server: &Server) -> f64 {
-        (self.kinds[server.kind].limit * server.factor).max(1.0)
-    }
-
-    fn mean_pace(&self) -> f64 {
-        let (sum, count) =
-            self.kinds.iter().filter_map(|k| k.pace).fold((0.0, 0.0), |(s, n), p| (s + 1.0 / p, n + 1.0));
-        if count > 0.0 {
-            count / sum
-        } else {
-            1.0
-        }
-    }
-
     fn learn(&mut self, id: usize, category: usize, sent: &Sent, end: &PushEnd) {
         if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
             return;
@@ -374,15 +323,14 @@
         let sharers = self.sharers;
         // A single server's share of a node may be under one push; whether limits are used shows over all.
         let strained = self.strain() > 0.6;
-        let mean = self.mean_pace();
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        server.fade(now, &self.kinds[server.kind], mean);
-        server.seen += 1.0;
-        // A tenth a push follows a slowed server within ten pushes and evens out single heavy ops; the first few
-        // count as much as three of its kind's would.
-        let smooth = (1.0 / (server.seen + 1.0)).max(0.1);
+        // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
+        // Danger: a server that gets little would be thought slow long after it has recovered; the longer since
+        // its last word, the more the new one counts, half at most.
+        let since = self.servers.get(&id).map_or(0.0, |s| now - s.heard);
+        let smooth = (since / 2000.0).clamp(0.1, 0.5);
         if good {
-            let pace = server.pace;
+            let Some(server) = self.servers.get(&id) else { return };
+            let pace = server.pace.unwrap_or(1.0);
             let step = 0.05 * self.slack;
             // Follows the time, in usual times at the server's pace, that nineteen of twenty pushes stay
             // under.
@@ -401,19 +349,16 @@
         // fault, no sign of crowding: cutting the limit for it would leave good servers idle.
         let lost = end.ending == Ending::TimedOut && server.heard > sent.at;
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
-        server.faults += smooth * (bad - server.faults);
+        // Two failures in a row of a server seldom heard are no proof: only good news counts for more after silence.
+        server.faults += if good { smooth } else { 0.1 } * (bad - server.faults);
         if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
             server.heard = now;
         }
         if good || (end.ending == Ending::TimedOut && !lost) {
-            let old = server.pace;
+            let old = server.pace.unwrap_or(1.0);
             // Danger: a short time-out taken for a quick answer. It says "at least so long" and never lowers pace.
             let ratio = if good { ratio } else { ratio.max(old) };
-            server.pace = old + smooth * (ratio.min(old * 10.0) - old);
-            // A few dozen answers of any of them; a single sick one among them moves it little.
-            let kind = &mut self.kinds[server.kind].pace;
-            let known = kind.unwrap_or(old);
-            *kind = Some(known + 0.05 * (ratio.min(known * 3.0) - known));
+            server.pace = Some(old + smooth * (ratio.min(old * 10.0) - old));
         }
         if good {
             let borne = server.bears(now) + sent.usual / self.time.max(1.0) / BORNE_OVER;
@@ -423,36 +368,22 @@
         // figures show it too late. Each answer counts against the usual time at the server's best pace: a
         // quick one lets the limit grow, one at thrice that or past its target latency cuts it. Uncrowded,
         // the two balance at a dozen in flight; at half speed, at a third of that.
-        let pace = server.pace;
+        let pace = server.pace.unwrap_or(1.0);
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
         let stretch = end.took / (sent.usual * server.best).max(1.0);
         let failed = matches!(end.ending, Ending::TimedOut | Ending::TurnedAway | Ending::Unreachable);
         let late = !lost && (failed || end.took > self.categories[category].target);
-        let kind = &mut self.kinds[server.kind];
-        let limit = (kind.limit * server.factor).max(1.0);
-        let used = strained && server.out.len() as f64 >= 0.5 * limit / sharers;
+        let used = strained && server.out.len() as f64 >= 0.5 * server.limit / sharers;
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
-        let moved = if late && now - server.cut_at > sent.usual {
-            server.cut_at = now;
-            0.7
+        if late && now - server.cut_at > sent.usual {
+            (server.limit, server.cut_at) = ((server.limit * 0.7).max(1.0), now);
         } else if good && stretch > 3.0 {
-            server.cut_at = now;
-            0.9
+            (server.limit, server.cut_at) = ((server.limit * 0.9).max(1.0), now);
         } else if good && stretch < 1.0 && used {
             // One for a round of own answers; scaled up to all nodes it would outrun the cuts, which come
             // from own answers too.
-            1.0 + 1.0 / (limit * limit)
-        } else {
-            return;
-        };
-        // Where a server is seldom heard its limit is its kind's, moved by the answers of all; a server known well
-        // has its own. One that is far slower than its kind says nothing of the others.
-        let own = server.seen / (server.seen + 3.0);
-        server.factor *= f64::powf(moved, own);
-        if pace < 2.0 * kind.pace.unwrap_or(pace) {
-            kind.limit = (kind.limit * f64::powf(moved, 1.0 - own)).clamp(1.0, 1000.0);
+            server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
         }
-        server.factor = server.factor.max(1.0 / kind.limit);
     }
 }
 
@@ -591,25 +522,17 @@
         if ids.is_empty() {
             return;
         }
-        let mean = self.mean_pace();
-        for id in &ids {
-            let server = self.servers.get_mut(id).expect("listed above");
-            server.fade(now, &self.kinds[server.kind], mean);
-        }
-        let told = |s: &Server| {
+        let known: Vec<f64> = ids.iter().filter_map(|id| self.servers[id].pace).collect();
+        let mean_pace = |p: &[f64]| p.iter().map(|p| 1.0 / p).sum::<f64>() / p.len() as f64;
+        let mean = if known.is_empty() { 1.0 } else { 1.0 / mean_pace(&known) };
+        let queue = |s: &Server| {
             // A report much older than any usual refresh is none.
             let told = s.load.held.or(s.load.waiting).filter(|l| l.is_finite());
-            told.filter(|_| now - s.load_at < 5000.0).map(|told| told.max(0.0))
-        };
-        let reports: Vec<f64> = ids.iter().filter_map(|id| told(&self.servers[id])).collect();
-        let own_share = self.held * self.sharers / ids.len() as f64;
-        let mean_told =
-            if reports.is_empty() { own_share } else { reports.iter().sum::<f64>() / reports.len() as f64 };
-        let queue = |s: &Server| match told(s) {
-            Some(told) => told + s.since_load,
-            // Danger: one push in flight times hundreds of nodes is noise. Weighed against the mean of the others as
-            // a sample of one in so many is worth.
-            None => mean_told * (1.0 + s.out.len() as f64) / (1.0 + mean_told / self.sharers),
+            if let Some(told) = told.filter(|_| now - s.load_at < 5000.0) {
+                told.max(0.0) + s.since_load
+            } else {
+                s.out.len() as f64 * self.sharers
+            }
         };
         let queues: Vec<f64> = ids.iter().map(|id| queue(&self.servers[id])).collect();
         let usual_queue = queues.iter().sum::<f64>() / ids.len() as f64;
@@ -618,7 +541,8 @@
         let mut seen: Vec<Seen> = Vec::new();
         for (id, queue) in ids.iter().zip(&queues) {
             let s = &self.servers[id];
-            let latency = (s.pace * self.time).max(1.0);
+            let pace = s.pace.unwrap_or(mean);
+            let latency = (pace * self.time).max(1.0);
             // The price of a crossing is a share of an op's benefit; an op's usual time stands for the whole.
             let away = if s.zone == my_zone { 0.0 } else { cross * self.time };
             // A failed op costs about another op's time.
@@ -639,7 +563,6 @@
             let server = self.servers.get_mut(id).expect("listed above");
             server.share = *share;
             server.expected = (1.0 + s.queue) / s.mu;
-            server.queue = s.queue;
         }
     }
 }
@@ -757,7 +680,7 @@
             s.ready()
                 && left > 0.0
                 && repeat
-                && (bound || (s.out.len() as f64) < (self.limit(s) / share).max(1.0))
+                && (bound || (s.out.len() as f64) < (s.limit / share).max(1.0))
                 && (self.now >= s.warm_at || s.purse >= usual / self.time)
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op
                 // may go where nothing of ours is in flight.
@@ -809,21 +732,8 @@
     /// Own pushes in flight over what the limits leave this node.
     fn strain(&self) -> f64 {
         let part = self.part.iter().map(|id| &self.servers[id]);
-        let (out, limits) =
-            part.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + self.limit(s)));
-        // Danger: where a node's part is a few pushes, chance alone fills it and ops are nacked beside idle servers.
-        // The count now is one sample; it is weighed against its mean as a sample of so many is worth, three
-        // standing for how evenly the nodes are loaded.
-        let held = self.held.max(0.1);
-        let out = held * (3.0 + out as f64) / (3.0 + held);
-        out * self.sharers / f64::max(limits, 1.0)
-    }
-
-    /// Keeps the mean of own pushes in flight over the last seconds; called before their number changes.
-    fn count_held(&mut self) {
-        let out: usize = self.part.iter().map(|id| self.servers[id].out.len()).sum();
-        let kept = (-(self.now - self.held_at).max(0.0) / 2000.0).exp();
-        (self.held, self.held_at) = (out as f64 + (self.held - out as f64) * kept, self.now);
+        let (out, limits) = part.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + s.limit));
+        out as f64 * self.sharers / f64::max(limits, 1.0)
     }
 
     fn try_push(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
@@ -846,7 +756,6 @@
     }
 
     fn push(&mut self, out: &mut dyn Outlet, id: usize, to: usize) {
-        self.count_held();
         let (now, time) = (self.now, self.time);
         if self.pushed_at.is_finite() {
             // Own rate over the last second or so. Pushes, as nacked ops reach no server: counting a crowd of
@@ -866,7 +775,7 @@
             server.purse -= usual / time;
         }
         server.out.insert((id, n), Sent { at: now, usual });
-        let expected = (server.expected * usual / time).max(usual * server.pace);
+        let expected = (server.expected * usual / time).max(usual * server.pace.unwrap_or(1.0));
         // Where no second copy may run beside the first, the time-out leaves time for a further push.
         let may_repeat = self.categories[category].effect != Effect::AtMostOnce;
         let patience = if may_repeat && !second_copies { left.min(expected * self.slack) } else { left };
@@ -918,7 +827,6 @@
     /// A push has ended.
     pub fn push_ended(&mut self, out: &mut dyn Outlet, now: f64, end: &PushEnd) {
         self.now = now;
-        self.count_held();
         if let Some(step) = self.steps.remove(&(end.op, end.push)) {
             step(self, out, end);
         }
--- a/src/words.rs
+++ b/src/words.rs
@@ -36,8 +36,6 @@
     pub server: usize,
     /// The number by which all nodes know it.
     pub mark: u64,
-    /// Servers of one kind are machines alike.
-    pub kind: usize,
     pub standing: Standing,
     pub zone: usize,
     pub pod: usize,
--- a/tests/module/help.rs
+++ b/tests/module/help.rs
@@ -231,5 +231,5 @@
 
 /// Servers stand in pods of three and in two zones.
 pub fn line(server: usize, standing: Standing, started: f64) -> Listed {
-    Listed { server, mark: server as u64, kind: 0, standing, zone: server % 2, pod: server / 3, started }
+    Listed { server, mark: server as u64, standing, zone: server % 2, pod: server / 3, started }
 }
