--- a/src/balance.rs
+++ b/src/balance.rs
@@ -582,9 +582,16 @@
             // What it bore before a restart it will bear again; a stranger may be weaker than the mean.
             let rate = 0.7 * multiple * able * server.peak.max(0.8 * self.warm_rate);
             // A full purse and a window's income stay just within one window's budget.
-            server.purse += rate * (self.now - server.purse_at);
-            server.purse = server.purse.min((0.3 * rate * window).max(1.0));
-            server.purse_at = self.now;
+            let (span, most) = (0.3 * window, 0.3 * window * rate);
+            if most >= 1.0 {
+                server.purse = (server.purse + rate * (self.now - server.purse_at)).min(most);
+                server.purse_at = self.now;
+            } else if self.now - server.purse_at >= span {
+                // Danger: hundreds of nodes that each save up one whole op push it over together. Where a span's
+                // part is less than one, chance grants one in proportion, and what is not used lapses.
+                server.purse = f64::from(u8::from(self.rng.rand_float() < most));
+                server.purse_at = self.now;
+            }
         }
     }
 }
@@ -681,7 +688,7 @@
                 && left > 0.0
                 && repeat
                 && (bound || (s.out.len() as f64) < (s.limit / share).max(1.0))
-                && (self.now >= s.warm_at || s.purse >= usual / self.time)
+                && (self.now >= s.warm_at || s.purse > 0.0)
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op
                 // may go where nothing of ours is in flight.
                 && (s.expected * usual / self.time < left || (op.pushes.is_empty() && s.out.is_empty()))
