Let a customer's purse hold three ops at least

Cause: at size two seconds of a node's quota are under one op, so every op counted as beyond its customer's share and ranks were lost.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -197,7 +197,7 @@
         let balancers = duties.must("balancers")?.max(1.0);
         let customers = (0..duties.or("customers", 0.0) as usize).map(|k| {
             let quota = duties.or(&format!("customer.{k}.quota"), f64::MAX) / 1000.0 / balancers;
-            Customer { quota, purse: 0.0, counted: 0.0 }
+            Customer { quota, purse: 3.0, counted: 0.0 }
         });
         let time = categories.iter().map(|c| c.time).sum::<f64>() / categories.len().max(1) as f64;
         Ok(Balancer {
@@ -624,8 +624,9 @@
         let mut rank = self.categories[arrival.category].benefit / top;
         if let Some(customer) = arrival.customer.and_then(|c| self.customers.get_mut(c)) {
             let income = customer.quota * (now - customer.counted);
-            // Two seconds' worth of quota may be saved up: ops come in bursts, and unevenly over the nodes.
-            customer.purse = (customer.purse + income).min(customer.quota * 2000.0);
+            // Two seconds' worth of quota may be saved up: ops come in bursts, and unevenly over the nodes. Danger: a
+            // small part's two seconds are under one op, and all it takes would count as beyond: three at least.
+            customer.purse = (customer.purse + income).min((customer.quota * 2000.0).max(3.0));
             customer.counted = now;
             // A client's retry belongs to its first try and is not counted again.
             let price = if arrival.retry { 0.0 } else { 1.0 };
