--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,7 +20,6 @@
     window: f64,
     target: f64,
     benefit: f64,
-    late: f64,
     /// Smoothed time of an acked push on a server of ordinary pace, and smoothed work where clients tell it.
     time: f64,
     work: f64,
@@ -76,7 +75,6 @@
         window: duties.or(&name("window"), 0.0),
         target,
         benefit: duties.or(&name("benefit"), 1.0),
-        late: duties.or(&name("late-benefit"), 0.0),
         // Before the first answer: a target latency is usually set at a few times the ordinary time.
         time: target / 4.0,
         work: 0.0,
@@ -177,7 +175,6 @@
     time: f64,
     pushes: f64,
     pushed_at: f64,
-    copies: f64,
     slack: f64,
     solved_at: f64,
     list_wait: f64,
@@ -218,7 +215,6 @@
             time,
             pushes: 0.0,
             pushed_at: f64::NEG_INFINITY,
-            copies: 1.0,
             slack: 2.0,
             solved_at: f64::NEG_INFINITY,
             list_wait: 0.0,
@@ -317,19 +313,17 @@
         if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
             return;
         }
-        let now = self.now;
+        let (now, sharers) = (self.now, self.sharers);
         let ratio = end.took / sent.usual.max(1.0);
         let good = end.ending == Ending::Acked;
-        let sharers = self.sharers;
         // A single server's share of a node may be under one push; whether limits are used shows over all.
         let strained = self.strain() > 0.6;
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
-        // Danger: a server that gets little would be thought slow long after it has recovered; the longer since
-        // its last word, the more the new one counts, half at most.
-        let since = self.servers.get(&id).map_or(0.0, |s| now - s.heard);
-        let smooth = (since / 2000.0).clamp(0.1, 0.5);
+        // Danger: a server that gets little would be thought slow long after it has recovered; the longer
+        // since its last word, the more the new one counts, half at most.
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let smooth = ((now - server.heard) / 2000.0).clamp(0.1, 0.5);
         if good {
-            let Some(server) = self.servers.get(&id) else { return };
             let pace = server.pace.unwrap_or(1.0);
             let step = 0.05 * self.slack;
             // Follows the time, in usual times at the server's pace, that nineteen of twenty pushes stay
@@ -344,19 +338,18 @@
             c.time += step * (end.took / pace.max(0.2) - c.time);
             self.time += step * (end.took / pace.max(0.2) - self.time);
         }
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        // Danger: ops or answers are lost on the way. A time-out from a server that answered others meanwhile is a
-        // fault, no sign of crowding: cutting the limit for it would leave good servers idle.
+        // Danger: ops or answers are lost on the way. A time-out from a server that answered others meanwhile
+        // is a fault, no sign of crowding: cutting the limit for it would leave good servers idle.
         let lost = end.ending == Ending::TimedOut && server.heard > sent.at;
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
-        // Two failures in a row of a server seldom heard are no proof: only good news counts for more after silence.
+        // Two failures in a row of a server seldom heard are no proof: only good news counts for more.
         server.faults += if good { smooth } else { 0.1 } * (bad - server.faults);
         if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
             server.heard = now;
         }
         if good || (end.ending == Ending::TimedOut && !lost) {
             let old = server.pace.unwrap_or(1.0);
-            // Danger: a short time-out taken for a quick answer. It says "at least so long" and never lowers pace.
+            // Danger: a short time-out taken for a quick answer. It says "at least so long", no less.
             let ratio = if good { ratio } else { ratio.max(old) };
             server.pace = Some(old + smooth * (ratio.min(old * 10.0) - old));
         }
@@ -371,7 +364,10 @@
         let pace = server.pace.unwrap_or(1.0);
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
         let stretch = end.took / (sent.usual * server.best).max(1.0);
-        let failed = matches!(end.ending, Ending::TimedOut | Ending::TurnedAway | Ending::Unreachable);
+        // Danger: idle servers turn one category away, and cuts for it starve all others. Where the server
+        // says that nothing waits, it is not full.
+        let full = end.ending == Ending::TurnedAway && server.load.waiting.is_none_or(|w| w > 0.0);
+        let failed = full || matches!(end.ending, Ending::TimedOut | Ending::Unreachable);
         let late = !lost && (failed || end.took > self.categories[category].target);
         let used = strained && server.out.len() as f64 >= 0.5 * server.limit / sharers;
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
@@ -459,9 +455,9 @@
 
 impl Balancer {
     /// Danger: hundreds of nodes that each spread thin over hundreds of servers know none of them and open a
-    /// connection for every push. A node draws from a part of the fleet: runs from its own places in two orders
-    /// of all servers that every node knows alike. Even places cover all servers evenly, and a changed
-    /// list moves a run by little.
+    /// connection for every push. A node draws from a part of the fleet: runs from its own places in two
+    /// orders of all servers that every node knows alike. Even places cover all servers evenly, and a
+    /// changed list moves a run by little.
     fn choose_part(&mut self) {
         // A draw among four has a choice with one of them in trouble. Six nodes a server: about as many as it
         // can hold pushes, so that one in flight from each is what a limit would allow, and each node hears
@@ -482,7 +478,7 @@
                 oorandom::Rand64::new(u128::from(s.mark) << 64 | u128::from(s.mark ^ order)).rand_u64()
             });
             let from = (place.fract() * ranked.len() as f64) as usize;
-            // Trouble widens the run: only what is warm and does not fail counts as found, up to twice the length.
+            // Trouble widens the run, to twice its length: only what is warm and acks counts as found.
             let (mut found, mut taken) = (0.0, 0.0);
             for (id, s) in ranked[from..].iter().chain(&ranked[..from]) {
                 if found >= run || taken >= 2.0 * run {
@@ -513,8 +509,8 @@
         }
         let warm = self.part.iter().map(|id| &self.servers[id]).filter(|s| now >= s.warm_at);
         let (sum, count) = warm.fold((0.0, 0.0), |(sum, count), s| (sum + s.bears(now), count + 1.0));
-        // What servers can bear does not fall when few are left warm or little is asked: the best mean seen stays,
-        // fading over a minute, in which a fleet may be replaced.
+        // What servers can bear does not fall when few are left warm or little is asked: the best mean seen
+        // stays, fading over a minute, in which a fleet may be replaced.
         let faded = self.warm_rate * (-f64::min(now - self.solved_at, 1000.0).max(0.0) / 60_000.0).exp();
         self.warm_rate = faded.max(sum / f64::max(count, 1.0));
         self.solved_at = now;
@@ -554,8 +550,8 @@
         let all: f64 = seen.iter().map(|s| s.mu).sum();
         let lambda = (self.pushes * self.sharers).max(all / 3.0);
         for (s, id) in seen.iter_mut().zip(&ids) {
-            // Danger: a server that fails fast answers first and would draw ever more. What it fails narrows its most,
-            // to a fiftieth at least, so that its recovery is seen.
+            // Danger: a server that fails fast answers first and would draw ever more. What it fails narrows
+            // its most, to a fiftieth at least, so that its recovery is seen.
             s.most = 1.5 * s.mu / all * (1.0 - self.servers[id].faults).max(0.02);
         }
         let shares = split(&seen, lambda);
@@ -587,8 +583,8 @@
                 server.purse = (server.purse + rate * (self.now - server.purse_at)).min(most);
                 server.purse_at = self.now;
             } else if self.now - server.purse_at >= span {
-                // Danger: hundreds of nodes that each save up one whole op push it over together. Where a span's
-                // part is less than one, chance grants one in proportion, and what is not used lapses.
+                // Danger: hundreds of nodes that each save up one whole op push it over together. Where a
+                // span's part is less than one, chance grants one in proportion; what is not used lapses.
                 server.purse = f64::from(u8::from(self.rng.rand_float() < most));
                 server.purse_at = self.now;
             }
@@ -608,7 +604,6 @@
 struct Op {
     category: usize,
     work: Option<f64>,
-    arrived: f64,
     ends: f64,
     rank: f64,
     bound: bool,
@@ -619,13 +614,12 @@
     /// An op has come in; it will get exactly one final answer.
     pub fn arrive(&mut self, out: &mut dyn Outlet, now: f64, arrival: &Arrival) {
         self.now = now;
-        self.copies = (self.copies + 0.1).min(10.0);
         let top = self.categories.iter().map(|c| c.benefit).fold(f64::MIN_POSITIVE, f64::max);
         let mut rank = self.categories[arrival.category].benefit / top;
         if let Some(customer) = arrival.customer.and_then(|c| self.customers.get_mut(c)) {
             let income = customer.quota * (now - customer.counted);
-            // Two seconds' worth of quota may be saved up: ops come in bursts, and unevenly over the nodes. Danger: a
-            // small part's two seconds are under one op, and all it takes would count as beyond: three at least.
+            // Two seconds' worth of quota may be saved up: ops come in bursts, and unevenly over the nodes.
+            // Danger: a small part's two seconds are under one op, and all would count as beyond it.
             customer.purse = (customer.purse + income).min((customer.quota * 2000.0).max(3.0));
             customer.counted = now;
             // A client's retry belongs to its first try and is not counted again.
@@ -637,7 +631,7 @@
             }
         }
         if let Some(work) = arrival.work {
-            // A plain mean that stiffens like the usual time, over all that come: acks would favour light ops.
+            // A mean that stiffens like the usual time, over all that come: acks would favour light ops.
             let c = &mut self.categories[arrival.category];
             c.told += 1.0;
             c.work += (1.0 / c.told).max(0.002) * (work - c.work);
@@ -645,7 +639,6 @@
         let op = Op {
             category: arrival.category,
             work: arrival.work,
-            arrived: now,
             ends: now + arrival.ttl,
             rank,
             bound: false,
@@ -654,7 +647,7 @@
         self.ops.insert(arrival.op, op);
         self.solve();
         if !self.try_push(out, arrival.op) {
-            // Nothing waits for room: a quick nack lets the client come back, and a long stay would feed a crowd.
+            // Nothing waits for room: a quick nack lets the client come back; a stay would feed a crowd.
             self.give_up(out, arrival.op);
         }
     }
@@ -667,8 +660,8 @@
         let usual = self.usual(op.category, op.work);
         let left = op.ends - self.now;
         let share = self.sharers;
-        // Danger: a repeat that must stay in its group finds that group full and is dead-lettered. It has been let in
-        // once and goes over the limit.
+        // Danger: a repeat that must stay in its group finds that group full and is dead-lettered. It has
+        // been let in once and goes over the limit.
         let bound =
             category.effect == Effect::Deduplicated && op.pushes.iter().any(|p| p.may_have_run && !p.out);
         let fits = |s: &Server| {
@@ -694,15 +687,14 @@
                 // may go where nothing of ours is in flight.
                 && (s.expected * usual / self.time < left || (op.pushes.is_empty() && s.out.is_empty()))
         };
-        let mut all: Vec<_> =
-            self.part.iter().map(|sid| (*sid, &self.servers[sid])).filter(|(_, s)| fits(s)).collect();
+        let fit = |sid: &usize| Some((*sid, self.servers.get(sid).filter(|s| fits(s))?.share));
+        let mut all: Vec<_> = self.part.iter().filter_map(fit).collect();
         if all.is_empty() && bound {
             // Danger: none of its group is in the part. Then the group's others may take it.
-            all = self.servers.iter().map(|(sid, s)| (*sid, s)).filter(|(_, s)| fits(s)).collect();
+            all = self.servers.keys().filter_map(fit).collect();
         }
-        let all = all.into_iter().map(|(sid, s)| (sid, s.share));
         let (tried, fresh): (Vec<_>, Vec<_>) =
-            all.partition(|(sid, _)| op.pushes.iter().any(|p| p.server == *sid));
+            all.into_iter().partition(|(sid, _)| op.pushes.iter().any(|p| p.server == *sid));
         // The same server again only where no other may do it, and never beside a push still out there.
         if fresh.is_empty() && !op.pushes.iter().any(|p| p.out) {
             tried
@@ -798,38 +790,6 @@
             b.after_push(out, id, n, end);
         };
         self.steps.insert((id, n), Box::new(step));
-        // An untold op may drag by its own weight and is given twice the time.
-        let wait = if work.is_some() { 1.0 } else { 2.0 } * expected * self.slack;
-        if may_repeat && second_copies && n == 0 && wait < left {
-            self.alarm(out, now + wait, Box::new(move |b, out| b.second_copy(out, id)));
-        }
-    }
-
-    /// Danger: the first push hangs or drags. A second copy goes out where it may, as long as few are needed.
-    fn second_copy(&mut self, out: &mut dyn Outlet, id: usize) {
-        let most = self.duties.or("most-pushes", 1.0);
-        let Some(op) = self.ops.get(&id).filter(|op| (op.pushes.len() as f64) < most) else { return };
-        let late = self.now - op.arrived > self.categories[op.category].target;
-        let worthless = late && self.categories[op.category].late <= 0.0;
-        // Danger: an op that drags may be heavy itself, and its copy as heavy. A copy goes out where the work
-        // was told beforehand, or where the server has answered nothing since, this op not being its only
-        // one.
-        let silent =
-            |p: &Pushed| self.servers.get(&p.server).is_none_or(|s| s.heard <= p.at && s.out.len() > 1);
-        if op.work.is_none() && !op.pushes.iter().any(silent) {
-            return;
-        }
-        // Danger: copies feed a collapse; none on a strained fleet, and one op in ten at most.
-        if worthless || self.copies < 1.0 || self.strain() > 0.6 || !op.pushes.iter().any(|p| p.out) {
-            return;
-        }
-        self.solve();
-        let from = self.candidates(id);
-        if !from.is_empty() {
-            self.copies -= 1.0;
-            let server = self.draw(&from);
-            self.push(out, id, server);
-        }
     }
 
     /// A push has ended.
