Round a run's length, so that a single failure does not widen it

Cause: any trace of a failure, or a target a little over four, made a run three servers long; parts wobbled between four and six.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -481,7 +481,7 @@
             // Trouble widens the run, to twice its length: only what is warm and acks counts as found.
             let (mut found, mut taken) = (0.0, 0.0);
             for (id, s) in ranked[from..].iter().chain(&ranked[..from]) {
-                if found >= run || taken >= 2.0 * run {
+                if found >= run - 0.5 || taken >= 2.0 * run {
                     break;
                 }
                 taken += 1.0;
