--- a/src/balance.rs
+++ b/src/balance.rs
@@ -268,7 +268,7 @@
         // beside any drain; longest: a quarter of the time after which it counts as told.
         let longest = self.duties.or("ask-within", 8000.0) / 4.0;
         self.list_wait = (self.list_wait * 2.0).clamp(200.0_f64.min(longest), longest);
-        let at = now + self.list_wait * (0.75 + 0.5 * self.rng.rand_float());
+        let at = now + self.list_wait * (0.5 + self.rng.rand_float());
         self.alarm(out, at, Box::new(|b, out| b.follow(out)));
     }
 
