Count cold servers as found in a run

Cause: in a deploy, cold servers widened the parts, more nodes shared each server, and the sharers' floors crowded them.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -478,14 +478,14 @@
                 oorandom::Rand64::new(u128::from(s.mark) << 64 | u128::from(s.mark ^ order)).rand_u64()
             });
             let from = (place.fract() * ranked.len() as f64) as usize;
-            // Trouble widens the run, to twice its length: only what is warm and acks counts as found.
+            // Trouble widens the run, to twice its length: only what does not fail counts as found.
             let (mut found, mut taken) = (0.0, 0.0);
             for (id, s) in ranked[from..].iter().chain(&ranked[..from]) {
                 if found >= run - 0.5 || taken >= 2.0 * run {
                     break;
                 }
                 taken += 1.0;
-                found += if self.now >= s.warm_at { 1.0 - s.faults } else { 0.0 };
+                found += 1.0 - s.faults;
                 part.push(*id);
             }
         }
