--- a/src/balance.rs
+++ b/src/balance.rs
@@ -687,8 +687,8 @@
                 // may go where nothing of ours is in flight.
                 && (s.expected * usual / self.time < left || (op.pushes.is_empty() && s.out.is_empty()))
         };
-        // Danger: one push from each of many nodes is more than a weak server's limit. A part under one push weighs
-        // its share by chance.
+        // Danger: one push from each of many nodes is more than a weak server's limit. A part under one push
+        // weighs its share by chance.
         let weighed = |s: &Server| s.share * (s.limit / share).min(1.0);
         let fit = |sid: &usize| Some((*sid, weighed(self.servers.get(sid).filter(|s| fits(s))?)));
         let mut all: Vec<_> = self.part.iter().filter_map(fit).collect();
