--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,7 +1,6 @@
 //! Adapter between the bench's wire and the decision module: one batch a line in, one reply a line out.
 //! It decodes into calls, encodes from what the calls give, and decides nothing.
 
-mod given;
 mod node;
 
 use node::Node;
--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -1,45 +1,23 @@
 //! One instance on the wire: ids to small indices, events to calls, results to actions.
 
-use crate::given;
 use crankmux::balance::Balancer;
+use crankmux::given::{self, Names};
 use crankmux::words::{Arrival, Ending, Listed, Load, Outlet, PushEnd, Standing};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap};
 
 #[derive(Default)]
-struct Names {
-    ops: HashMap<u64, usize>,
+struct Ops {
+    by_id: HashMap<u64, usize>,
     /// By index: wire id and pushes still out; none once the op is done with.
     held: BTreeMap<usize, (u64, usize, bool)>,
-    next_op: usize,
-    servers: HashMap<u64, usize>,
-    server_ids: Vec<u64>,
-    categories: Vec<String>,
-    customers: Vec<String>,
-    zones: Vec<String>,
-    pods: HashMap<u64, usize>,
+    next: usize,
 }
 
-impl Names {
-    fn server(&mut self, id: u64) -> usize {
-        let next = self.server_ids.len();
-        let index = *self.servers.entry(id).or_insert(next);
-        if index == next {
-            self.server_ids.push(id);
-        }
-        index
-    }
-
-    fn zone(&mut self, name: &str) -> usize {
-        self.zones.iter().position(|z| z == name).unwrap_or_else(|| {
-            self.zones.push(name.into());
-            self.zones.len() - 1
-        })
-    }
-
+impl Ops {
     fn drop_if_done(&mut self, op: usize) {
         if let Some((id, 0, true)) = self.held.get(&op) {
-            self.ops.remove(id);
+            self.by_id.remove(id);
             self.held.remove(&op);
         }
     }
@@ -48,32 +26,34 @@
 pub struct Node {
     balancer: Balancer,
     names: Names,
+    ops: Ops,
 }
 
 struct Link<'a> {
     inst: u64,
-    names: &'a mut Names,
+    names: &'a Names,
+    ops: &'a mut Ops,
     decisions: &'a mut Vec<Value>,
 }
 
 impl Link<'_> {
     fn id(&self, op: usize) -> u64 {
-        self.names.held.get(&op).map_or(0, |h| h.0)
+        self.ops.held.get(&op).map_or(0, |h| h.0)
     }
 
     fn end(&mut self, op: usize) {
-        if let Some(held) = self.names.held.get_mut(&op) {
+        if let Some(held) = self.ops.held.get_mut(&op) {
             held.2 = true;
         }
-        self.names.drop_if_done(op);
+        self.ops.drop_if_done(op);
     }
 }
 
 impl Outlet for Link<'_> {
     fn push(&mut self, op: usize, server: usize, patience: f64) {
-        let server = self.names.server_ids[server];
+        let server = self.names.mark(server);
         self.decisions.push(json!(["Route", self.inst, self.id(op), patience, server]));
-        if let Some(held) = self.names.held.get_mut(&op) {
+        if let Some(held) = self.ops.held.get_mut(&op) {
             held.1 += 1;
         }
     }
@@ -134,36 +114,26 @@
         match self.at(place) {
             None => Ok(Load::default()),
             Some(Value::Object(load)) => {
-                let part = |name: &str| load.get(name).and_then(Value::as_f64);
-                Ok(Load { waiting: part("q"), held: part("rif"), busy: part("busy") })
+                let mut told = Load::default();
+                for (name, value) in load {
+                    if let Some(value) = value.as_f64() {
+                        given::figure(&mut told, name, value);
+                    }
+                }
+                Ok(told)
             }
             Some(_) => Err(self.wrong("Load")),
         }
     }
 }
 
-fn names_of(settings: &Value, list: &str) -> Vec<String> {
-    let items = settings.get(list).and_then(Value::as_array);
-    let name = |v: &Value| v.as_str().or_else(|| v.get("Name")?.as_str()).unwrap_or_default().to_string();
-    items.map(|items| items.iter().map(name).collect()).unwrap_or_default()
-}
-
 fn start(fields: &Fields) -> Result<Node, String> {
     let seed = fields.at(2).and_then(|v| v.as_u64().or_else(|| v.as_i64().map(|s| s as u64)));
     let seed = seed.ok_or_else(|| fields.wrong("Nonce64"))?;
     let settings = fields.at(3).filter(|v| v.is_object()).ok_or_else(|| fields.wrong("Config"))?;
-    let mut names = Names {
-        categories: names_of(settings, "Categories"),
-        customers: names_of(settings, "Customers"),
-        zones: names_of(settings, "Zones"),
-        ..Names::default()
-    };
-    let mut given = given::translate(settings);
-    if let Some(zone) = settings.get("MyZone").and_then(Value::as_str) {
-        given.insert("my-zone".into(), names.zone(zone).into());
-    }
+    let (names, given) = Names::read(settings);
     let balancer = Balancer::new(given, seed).map_err(|message| given::explain(&message))?;
-    Ok(Node { balancer, names })
+    Ok(Node { balancer, names, ops: Ops::default() })
 }
 
 fn listed(names: &mut Names, line: &Value) -> Result<Listed, String> {
@@ -174,21 +144,11 @@
         0 => Standing::Gone,
         _ => return Err(fields.wrong("Status")),
     };
-    let pod = match fields.at(3) {
-        Some(_) => fields.whole(3, "Cohort")?,
-        // Without a pod it shares one with no other server.
-        None => u64::MAX - fields.whole(5, "Server")?,
-    };
-    let next = names.pods.len();
     let mark = fields.whole(5, "Server")?;
-    Ok(Listed {
-        mark,
-        standing,
-        zone: names.zone(fields.at(0).and_then(Value::as_str).unwrap_or_default()),
-        pod: *names.pods.entry(pod).or_insert(next),
-        started: fields.number(4, "OnlineSinceMs")?.unwrap_or(0.0),
-        server: names.server(mark),
-    })
+    let pod = fields.at(3).map(|_| fields.whole(3, "Cohort")).transpose()?;
+    let zone = fields.at(0).and_then(Value::as_str).unwrap_or_default();
+    let started = fields.number(4, "OnlineSinceMs")?.unwrap_or(0.0);
+    Ok(names.line(mark, standing, zone, pod, started))
 }
 
 fn ending(fields: &Fields, place: usize) -> Result<Ending, String> {
@@ -230,7 +190,7 @@
         return Ok(());
     }
     // Whatever still comes for an instance that is not running is passed over.
-    let Some(Node { balancer, names }) = nodes.get_mut(&inst) else { return Ok(()) };
+    let Some(Node { balancer, names, ops }) = nodes.get_mut(&inst) else { return Ok(()) };
     match name {
         "Announce" => {
             let kind = fields.whole(2, "Kind")?;
@@ -240,7 +200,7 @@
                 Some(_) => return Err(fields.wrong("Items")),
             };
             let lines = entries.iter().map(|line| listed(names, line)).collect::<Result<Vec<_>, _>>()?;
-            let out = &mut Link { inst, names, decisions };
+            let out = &mut Link { inst, names, ops, decisions };
             match kind {
                 0 => balancer.list(out, now, &lines, false, false),
                 1 => balancer.list(out, now, &lines, true, false),
@@ -260,11 +220,11 @@
             let flags = fields.at(8).map_or(Ok(0), |_| fields.whole(8, "Flags"))?;
             let work = fields.number(7, "EffortMs")?.filter(|w| flags & 1 == 1 && *w > 0.0);
             let retry = flags & 2 == 2;
-            let op = names.next_op;
-            names.next_op += 1;
-            names.ops.insert(id, op);
-            names.held.insert(op, (id, 0, false));
-            let out = &mut Link { inst, names, decisions };
+            let op = ops.next;
+            ops.next += 1;
+            ops.by_id.insert(id, op);
+            ops.held.insert(op, (id, 0, false));
+            let out = &mut Link { inst, names, ops, decisions };
             balancer.arrive(out, now, &Arrival { op, category, customer, ttl, retry, work });
         }
         "Returned" => {
@@ -276,30 +236,30 @@
             let closed =
                 fields.at(7).map_or(Ok(false), |v| v.as_bool().ok_or_else(|| fields.wrong("NoMore")))?;
             let load = fields.load(8)?;
-            let Some(op) = names.ops.get(&id).copied() else { return Ok(()) };
-            if let Some(held) = names.held.get_mut(&op) {
+            let Some(op) = ops.by_id.get(&id).copied() else { return Ok(()) };
+            if let Some(held) = ops.held.get_mut(&op) {
                 held.1 = held.1.saturating_sub(1);
                 held.2 |= closed;
             }
-            let out = &mut Link { inst, names, decisions };
+            let out = &mut Link { inst, names, ops, decisions };
             balancer.push_ended(out, now, &PushEnd { op, push, ending, took, closed, load });
-            names.drop_if_done(op);
+            ops.drop_if_done(op);
         }
         "Aborted" => {
-            let Some(op) = names.ops.get(&fields.whole(2, "Req")?).copied() else { return Ok(()) };
-            let out = &mut Link { inst, names, decisions };
+            let Some(op) = ops.by_id.get(&fields.whole(2, "Req")?).copied() else { return Ok(()) };
+            let out = &mut Link { inst, names, ops, decisions };
             balancer.departed(out, now, op);
             out.end(op);
         }
         "Accepted" => {
-            if let Some(op) = names.ops.get(&fields.whole(2, "Req")?) {
+            if let Some(op) = ops.by_id.get(&fields.whole(2, "Req")?) {
                 balancer.began(now, *op);
             }
         }
         "Wake" => {
             let alarm = fields.text(2, "Tag")?.parse();
             if let Ok(alarm) = alarm {
-                balancer.woken(&mut Link { inst, names, decisions }, now, alarm);
+                balancer.woken(&mut Link { inst, names, ops, decisions }, now, alarm);
             }
         }
         "Probed" => {
--- /dev/null
+++ b/node/src/life/configuration.rs
@@ -0,0 +1,80 @@
+//! The one place where configuration is read, checked and given defaults.
+
+use crankmux::dispatcher::Dispatcher;
+use crankmux::given::{self, Names};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Descriptors for other than clients and servers: the standard streams, polling, signals, the listener,
+/// discovery, and some to spare.
+const OTHER_SOCKETS: u64 = 24;
+
+pub struct Configuration {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    /// Connections to clients at most, and as many to servers: an op under way holds one of each.
+    pub connections: usize,
+    pub buffer_bytes: usize,
+    pub connect_within: f64,
+    pub keepalive: f64,
+    pub known: Option<Value>,
+    pub names: Names,
+    pub dispatcher: Dispatcher,
+}
+
+impl Configuration {
+    /// Reads the file that `BALANCER_CONFIG` names; single variables stand over it.
+    pub fn from_environment() -> Result<Self, String> {
+        let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
+        let mut whole: Value =
+            serde_json::from_str(&text).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
+        let object = whole.as_object_mut().ok_or("BALANCER_CONFIG: not a JSON object")?;
+        for (name, variable) in [("listen", "BALANCER_LISTEN"), ("discovery", "BALANCER_DISCOVERY")] {
+            if let Ok(value) = std::env::var(variable) {
+                object.insert(name.into(), value.into());
+            }
+        }
+        Self::read(&whole)
+    }
+
+    pub fn read(whole: &Value) -> Result<Self, String> {
+        let address = |name: &str| -> Result<SocketAddr, String> {
+            let text = whole.get(name).and_then(Value::as_str).ok_or(format!("{name} is missing"))?;
+            text.parse().map_err(|_| format!("{name} is no address with a port: {text}"))
+        };
+        let settings = whole.get("settings").filter(|s| s.is_object()).ok_or("settings is missing")?;
+        let number = |path: &str, otherwise: f64| match whole.pointer(path) {
+            None | Some(Value::Null) => Ok(otherwise),
+            Some(value) => match value.as_f64() {
+                Some(number) if number.is_finite() && number > 0.0 => Ok(number),
+                _ => Err(format!("{} is no number above 0", path.trim_start_matches('/').replace('/', "."))),
+            },
+        };
+        let seed = whole.get("seed").and_then(Value::as_str).ok_or("seed is missing")?;
+        let seed =
+            u64::from_str_radix(seed, 16).map_err(|_| format!("seed is no hexadecimal number: {seed}"))?;
+        let sockets = number("/limits/sockets", 1024.0)? as u64;
+        if sockets < OTHER_SOCKETS + 8 {
+            return Err(format!("limits.sockets is under {}", OTHER_SOCKETS + 8));
+        }
+        let memory = number("/limits/memory_mb", 192.0)?;
+        let (names, given) = Names::read(settings);
+        let dispatcher =
+            Dispatcher::new(given, seed).map_err(|m| format!("settings: {}", given::explain(&m)))?;
+        Ok(Configuration {
+            listen: address("listen")?,
+            discovery: address("discovery")?,
+            connections: ((sockets - OTHER_SOCKETS) / 2) as usize,
+            // Half of it: the rest is for tables, the program and what the system keeps for sockets.
+            buffer_bytes: (memory * 1024.0 * 1024.0 / 2.0) as usize,
+            // Where none is set: as long as a lost first packet takes to be sent again.
+            connect_within: number("/settings/Limits/ConnectTimeoutMs", 1000.0)?,
+            // Where none is set: what common servers keep at least.
+            keepalive: number("/settings/Limits/KeepaliveMs", 5000.0)?,
+            known: whole.get("known").cloned(),
+            names,
+            dispatcher,
+        })
+    }
+}
--- /dev/null
+++ b/node/src/life/mod.rs
@@ -0,0 +1,5 @@
+//! Start and stop.
+
+pub mod configuration;
+pub mod start;
+pub mod stop;
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,20 @@
+//! crankmux: a reverse proxy that spreads ops over HTTP servers. The decisions are the library's; this is
+//! the node that carries them out on sockets.
+
+mod life;
+mod memory;
+mod proxy;
+mod wire;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match life::start::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            log::error!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/node/src/memory/buffers.rs
@@ -0,0 +1,125 @@
+//! Buffers of one size, used again from a bounded pool.
+
+use std::io::{self, Read, Write};
+
+/// Head of a message at most: what common servers allow.
+pub const HEAD_MOST: usize = 8 * 1024;
+/// Body of a message at most: the protocol's figure.
+pub const BODY_MOST: usize = 64 * 1024;
+/// A whole message, and room for the chunk heads that come with its end.
+const SIZE: usize = HEAD_MOST + BODY_MOST + 4 * 1024;
+/// Buffers kept back for answers: danger, were requests and pushes to take the last one, nothing that is in
+/// could be answered and nothing would ever be given back.
+const RESERVE: usize = 8;
+
+pub struct Buffer {
+    bytes: Box<[u8]>,
+    filled: usize,
+}
+
+/// What a read has brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Filled {
+    Some,
+    /// Nothing for now.
+    Later,
+    /// The other side has ended its sending, or the connection broke.
+    Ended,
+    Full,
+}
+
+impl Buffer {
+    /// One of an own size, outside the pool, for whoever keeps it for good.
+    pub fn of(size: usize) -> Self {
+        Buffer { bytes: vec![0; size].into_boxed_slice(), filled: 0 }
+    }
+
+    pub fn held(&self) -> &[u8] {
+        &self.bytes[..self.filled]
+    }
+
+    pub fn held_mut(&mut self) -> &mut [u8] {
+        &mut self.bytes[..self.filled]
+    }
+
+    pub fn fill(&mut self, from: &mut impl Read) -> Filled {
+        if self.filled == self.bytes.len() {
+            return Filled::Full;
+        }
+        loop {
+            return match from.read(&mut self.bytes[self.filled..]) {
+                Ok(0) => Filled::Ended,
+                Ok(n) => {
+                    self.filled += n;
+                    Filled::Some
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => Filled::Later,
+                Err(_) => Filled::Ended,
+            };
+        }
+    }
+
+    /// Takes out the bytes from `from` to `to`; what stands behind them moves up.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        if from < to {
+            self.bytes.copy_within(to..self.filled, from);
+            self.filled -= to - from;
+        }
+    }
+
+    /// Adds bytes; whether they fitted.
+    pub fn add(&mut self, more: &[u8]) -> bool {
+        let Some(room) = self.bytes.get_mut(self.filled..self.filled + more.len()) else { return false };
+        room.copy_from_slice(more);
+        self.filled += more.len();
+        true
+    }
+
+    /// Writes what stands from `sent` on, as far as it goes now; whether all has gone.
+    pub fn drain(&self, sent: &mut usize, to: &mut impl Write) -> io::Result<bool> {
+        while *sent < self.filled {
+            match to.write(&self.bytes[*sent..self.filled]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => *sent += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(true)
+    }
+}
+
+pub struct Buffers {
+    free: Vec<Box<[u8]>>,
+    /// Not made yet.
+    left: usize,
+}
+
+impl Buffers {
+    pub fn new(bytes: usize) -> Self {
+        Buffers { free: Vec::new(), left: (bytes / SIZE).max(2 * RESERVE) }
+    }
+
+    /// One for a request or a push.
+    pub fn take(&mut self) -> Option<Buffer> {
+        if self.free.len() + self.left <= RESERVE {
+            return None;
+        }
+        self.take_last()
+    }
+
+    /// One for an answer.
+    pub fn take_last(&mut self) -> Option<Buffer> {
+        let bytes = self.free.pop().or_else(|| {
+            self.left = self.left.checked_sub(1)?;
+            Some(Buffer::of(SIZE).bytes)
+        })?;
+        Some(Buffer { bytes, filled: 0 })
+    }
+
+    pub fn give(&mut self, buffer: Buffer) {
+        self.free.push(buffer.bytes);
+    }
+}
--- /dev/null
+++ b/node/src/memory/timers.rs
@@ -0,0 +1,40 @@
+//! What is due, and when: each due time holds a closure that is handed the proxy.
+
+use std::collections::BTreeMap;
+
+pub type Due<P> = Box<dyn FnOnce(&mut P)>;
+/// Microseconds and a running number: unlike floating-point times these have an order.
+pub type Key = (u64, u64);
+
+pub struct Timers<P> {
+    due: BTreeMap<Key, Due<P>>,
+    next: u64,
+}
+
+impl<P> Timers<P> {
+    pub fn new() -> Self {
+        Timers { due: BTreeMap::new(), next: 0 }
+    }
+
+    pub fn set(&mut self, at: f64, due: impl FnOnce(&mut P) + 'static) -> Key {
+        self.next += 1;
+        let key = ((at.max(0.0) * 1000.0) as u64, self.next);
+        self.due.insert(key, Box::new(due));
+        key
+    }
+
+    pub fn unset(&mut self, key: Option<Key>) {
+        if let Some(key) = key {
+            self.due.remove(&key);
+        }
+    }
+
+    pub fn take_due(&mut self, now: f64) -> Option<Due<P>> {
+        let first = self.due.first_entry()?;
+        (first.key().0 as f64 <= now * 1000.0).then(|| first.remove())
+    }
+
+    pub fn first(&self) -> Option<f64> {
+        self.due.first_key_value().map(|(key, _)| key.0 as f64 / 1000.0)
+    }
+}
--- /dev/null
+++ b/node/src/proxy.rs
@@ -0,0 +1,289 @@
+//! The proxy: owns all tables, turns events into calls, and carries an op from its request to its answer.
+
+use crate::life::configuration::Configuration;
+use crate::memory::buffers::Buffers;
+use crate::memory::counters::Counters;
+use crate::memory::timers::Timers;
+use crate::wire::clients::Clients;
+use crate::wire::discovery::{self, Discovery, List};
+use crate::wire::servers::{Outcome, Servers};
+use crankmux::dispatcher::{Dispatcher, GivenUp, Next, Pick};
+use crankmux::given::Names;
+use crankmux::words::{Arrival, Ending, Load, PushEnd};
+use mio::net::TcpListener;
+use mio::{Events, Interest, Poll, Registry, Token};
+use slab::Slab;
+use std::io;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub const LISTENER: Token = Token(0);
+pub const SIGNALS: Token = Token(1);
+pub const DISCOVERY: Token = Token(2);
+
+/// Tokens of one table: its keys, beside those of the other.
+#[derive(Clone, Copy)]
+pub struct Side(usize);
+pub const CLIENT: Side = Side(0);
+pub const SERVER: Side = Side(1);
+
+impl Side {
+    pub fn token(self, key: usize) -> Token {
+        Token(4 + 2 * key + self.0)
+    }
+}
+
+/// Unix milliseconds that only advance.
+pub struct Clock {
+    from: Instant,
+    unix: f64,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0);
+        Clock { from: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.unix + self.from.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
+/// An op, from its request until it is answered and its last push has ended.
+pub struct Op {
+    /// None once it is answered, or the client is gone.
+    client: Option<usize>,
+    ends: f64,
+    /// Where each push is out; none once it has ended.
+    pushes: Vec<Option<usize>>,
+    out: usize,
+}
+
+pub struct Proxy {
+    pub registry: Registry,
+    pub clock: Clock,
+    pub buffers: Buffers,
+    pub timers: Timers<Proxy>,
+    pub counters: Counters,
+    pub clients: Clients,
+    pub servers: Servers,
+    pub discovery: Discovery,
+    pub ops: Slab<Op>,
+    pub dispatcher: Dispatcher,
+    pub names: Names,
+    /// Connections to servers that have something to write.
+    pub links_again: Vec<usize>,
+    pub some_ready: bool,
+    pub stop_at: Option<f64>,
+}
+
+impl Proxy {
+    pub fn new(configuration: Configuration, poll: &Poll) -> io::Result<Self> {
+        let mut listener = TcpListener::bind(configuration.listen)?;
+        log::info!("listening on {}", listener.local_addr()?);
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        let most = configuration.connections;
+        let mut proxy = Proxy {
+            registry: poll.registry().try_clone()?,
+            clock: Clock::new(),
+            buffers: Buffers::new(configuration.buffer_bytes),
+            timers: Timers::new(),
+            counters: Counters::default(),
+            clients: Clients::new(listener, most),
+            servers: Servers::new(most, configuration.connect_within, configuration.keepalive),
+            discovery: Discovery::new(configuration.discovery),
+            ops: Slab::new(),
+            dispatcher: configuration.dispatcher,
+            names: configuration.names,
+            links_again: Vec::new(),
+            some_ready: false,
+            stop_at: None,
+        };
+        let known: Option<List> = configuration.known.and_then(|known| {
+            discovery::read_list(&mut proxy.names, &known).inspect_err(|e| log::warn!("known: {e}")).ok()
+        });
+        match known {
+            Some(known) => proxy.take_list(&known, true),
+            None => proxy.call_list(),
+        }
+        Ok(proxy)
+    }
+
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
+    pub fn stopping(&self) -> bool {
+        self.stop_at.is_some()
+    }
+
+    /// Whether clients may come: there is a server to send to, and discovery has been asked.
+    pub fn ready(&self) -> bool {
+        self.some_ready && self.discovery.heard && !self.stopping()
+    }
+
+    /// Whether everything taken in is answered, and the answers are out.
+    pub fn finished(&self) -> bool {
+        self.ops.iter().all(|(_, op)| op.client.is_none()) && !self.clients.busy()
+    }
+
+    /// Waits for events until something is due, and does what they and the time call for.
+    pub fn turn(&mut self, poll: &mut Poll, events: &mut Events) -> io::Result<bool> {
+        let due = [self.timers.first(), self.dispatcher.next_tick()].into_iter().flatten();
+        let wait = due.min_by(f64::total_cmp).map(|at| (at - self.now()).max(0.0));
+        if let Err(e) = poll.poll(events, wait.map(|ms| Duration::from_secs_f64(ms / 1000.0))) {
+            if e.kind() != io::ErrorKind::Interrupted {
+                return Err(e);
+            }
+        }
+        let mut signalled = false;
+        for event in events.iter() {
+            match event.token() {
+                LISTENER => self.accept(),
+                SIGNALS => signalled = true,
+                DISCOVERY => self.discovery_event(),
+                Token(n) if n % 2 == 0 => self.serve((n - 4) / 2),
+                Token(n) => self.link((n - 4) / 2),
+            }
+            self.settle();
+        }
+        let now = self.now();
+        while let Some(due) = self.timers.take_due(now) {
+            due(self);
+            self.settle();
+        }
+        for (op, next) in self.dispatcher.tick(now) {
+            self.follow(op, next);
+        }
+        if self.dispatcher.wants_list() {
+            self.call_list();
+        }
+        self.settle();
+        Ok(signalled)
+    }
+
+    /// Does what the last event has left to do on other connections.
+    fn settle(&mut self) {
+        while !(self.links_again.is_empty() && self.clients.nothing_again()) {
+            while let Some(key) = self.links_again.pop() {
+                self.link(key);
+            }
+            self.serve_again();
+        }
+    }
+
+    // ------------------------------------------------------------ an op's life
+
+    /// An op comes in.
+    pub fn take_in(&mut self, client: usize, arrival: Arrival) -> usize {
+        self.counters.taken += 1;
+        let now = self.now();
+        let op = Op { client: Some(client), ends: now + arrival.ttl, pushes: Vec::new(), out: 0 };
+        let op = self.ops.insert(op);
+        let next = self.dispatcher.pick(now, &Arrival { op, ..arrival });
+        self.follow(op, next);
+        op
+    }
+
+    /// Whether a client still waits for the answer.
+    pub fn waits(&self, op: usize) -> bool {
+        self.ops.get(op).is_some_and(|op| op.client.is_some())
+    }
+
+    /// Carries out what is next for an op.
+    fn follow(&mut self, op: usize, next: Next) {
+        for push in next.cancel {
+            let link = self.ops.get(op).and_then(|o| o.pushes.get(push).copied().flatten());
+            if let Some(link) = link {
+                self.cancel(link);
+            }
+        }
+        match next.given_up {
+            None => {}
+            Some(GivenUp::Nacked { come_back }) => {
+                self.counters.nacked += 1;
+                self.give_up(op, 503, come_back);
+            }
+            Some(GivenUp::DeadLettered) => {
+                self.counters.dead_lettered += 1;
+                self.give_up(op, 502, 0.0);
+            }
+        }
+        for pick in next.picks {
+            self.push(op, pick);
+        }
+        if self.ops.get(op).is_some_and(|o| o.client.is_none() && o.out == 0) {
+            self.ops.remove(op);
+        }
+    }
+
+    fn give_up(&mut self, op: usize, status: u16, come_back: f64) {
+        if let Some(client) = self.ops.get_mut(op).and_then(|o| o.client.take()) {
+            self.answer(client, status, come_back);
+        }
+    }
+
+    fn push(&mut self, op: usize, pick: Pick) {
+        let now = self.now();
+        let record = &mut self.ops[op];
+        let (push, client) = (record.pushes.len(), record.client);
+        let patience = pick.patience.min(record.ends - now);
+        record.pushes.push(None);
+        record.out += 1;
+        let then = Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed(op, push, now, outcome));
+        let sent = match client {
+            Some(client) if patience > 0.0 => self.send(client, pick.server, patience, then),
+            _ => Err(Ending::Unsent),
+        };
+        match sent {
+            Ok(link) => {
+                self.counters.sent += 1;
+                self.ops[op].pushes[push] = Some(link);
+            }
+            Err(ending) => {
+                self.pushed(op, push, now, Outcome { ending, load: Load::default(), answer: None })
+            }
+        }
+    }
+
+    /// A push has ended: the first ack goes to the client, anything else to the decisions.
+    fn pushed(&mut self, op: usize, push: usize, at: f64, outcome: Outcome) {
+        let Outcome { ending, load, answer } = outcome;
+        let count = match ending {
+            Ending::Acked => &mut self.counters.push_acked,
+            Ending::Errored => &mut self.counters.push_errored,
+            Ending::TurnedAway => &mut self.counters.push_turned_away,
+            Ending::TimedOut => &mut self.counters.push_timed_out,
+            Ending::Unreachable => &mut self.counters.push_unreachable,
+            Ending::Broken => &mut self.counters.push_broken,
+            Ending::Cancelled | Ending::Unsent => &mut self.counters.push_cancelled,
+        };
+        *count += 1;
+        let now = self.now();
+        let record = &mut self.ops[op];
+        record.pushes[push] = None;
+        record.out -= 1;
+        let waiting = if ending == Ending::Acked { record.client.take() } else { None };
+        let closed = record.client.is_none();
+        if let Some((inbox, message)) = answer {
+            if let Some(client) = waiting {
+                self.counters.acked += 1;
+                self.hand_back(client, inbox.held(), &message);
+            }
+            self.buffers.give(inbox);
+        }
+        let next = self.dispatcher.report(now, &PushEnd { op, push, ending, took: now - at, closed, load });
+        self.follow(op, next);
+    }
+
+    /// The client has left.
+    pub fn client_gone(&mut self, op: usize) {
+        self.counters.departed += 1;
+        if let Some(record) = self.ops.get_mut(op) {
+            record.client = None;
+            let now = self.now();
+            let next = self.dispatcher.departed(now, op);
+            self.follow(op, next);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/wire/clients.rs
@@ -0,0 +1,426 @@
+//! Clients: accepts connections, reads requests, writes answers.
+
+use super::http::{self, Message, Refused};
+use crate::memory::buffers::{Buffer, Filled};
+use crate::memory::timers::Key;
+use crate::proxy::{Proxy, CLIENT};
+use crankmux::given::Names;
+use crankmux::words::Arrival;
+use httparse::Header;
+use mio::net::{TcpListener, TcpStream};
+use mio::Interest;
+use slab::Slab;
+use std::io;
+use std::net::Shutdown;
+
+/// A request's bytes, or an answer's, must go through within this many milliseconds: longer than any TTL, so
+/// that only a side that stands still is cut off.
+const SLOW: f64 = 10_000.0;
+/// How long a connection that is being closed still reads, so that its last answer is not lost.
+const LINGER: f64 = 1000.0;
+/// How soon accepting is tried again after an error: a few times within any client's patience.
+const ACCEPT_AGAIN: f64 = 50.0;
+
+struct Client {
+    stream: TcpStream,
+    /// The request, from its first byte until it is answered.
+    inbox: Option<Buffer>,
+    message: Option<Message>,
+    outbox: Option<Buffer>,
+    sent: usize,
+    op: Option<usize>,
+    /// Close once the answer is out; then only the other side's end is awaited.
+    close: bool,
+    lingers: bool,
+    timer: Option<Key>,
+    idle_since: f64,
+}
+
+impl Client {
+    fn idle(&self) -> bool {
+        self.op.is_none() && self.inbox.is_none() && self.outbox.is_none() && !self.lingers
+    }
+}
+
+pub struct Clients {
+    listener: Option<TcpListener>,
+    table: Slab<Client>,
+    most: usize,
+    /// Connections wait to be accepted.
+    waiting: bool,
+    /// Those that were answered and may have more to say.
+    again: Vec<usize>,
+}
+
+/// What a request asks for.
+enum Asked {
+    Health,
+    Op(Arrival),
+}
+
+fn asked(names: &Names, path: &str, headers: &[Header]) -> Result<Asked, Refused> {
+    if path == "/_health" {
+        return Ok(Asked::Health);
+    }
+    let header = |name: &str| http::value(headers, name).filter(|v| !v.is_empty());
+    header("X-Request-ID").ok_or(400_u16)?;
+    let category = header("X-Priority-Class").ok_or(400_u16)?;
+    let category = names.categories.iter().position(|c| c == category).ok_or(400_u16)?;
+    let ttl: f64 = header("X-Timeout").and_then(|v| v.parse().ok()).ok_or(400_u16)?;
+    if !(ttl.is_finite() && ttl > 0.0) {
+        return Err(400);
+    }
+    let customer = header("X-Tenant-Id");
+    if customer.is_none() && !names.customers.is_empty() {
+        return Err(400);
+    }
+    let customer = customer.and_then(|name| names.customers.iter().position(|c| c == name));
+    let work =
+        header("X-Attrs").and_then(|all| all.split(',').find_map(|one| one.trim().strip_prefix("EffortMs=")));
+    let work = work.and_then(|w| w.parse().ok()).filter(|w: &f64| w.is_finite() && *w > 0.0);
+    let retry = header("X-Retried") == Some("1");
+    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, work }))
+}
+
+impl Clients {
+    pub fn new(listener: TcpListener, most: usize) -> Self {
+        Clients { listener: Some(listener), table: Slab::new(), most, waiting: false, again: Vec::new() }
+    }
+
+    /// The request that an op came with.
+    pub fn request(&self, client: usize) -> Option<(&[u8], &Message)> {
+        let client = self.table.get(client)?;
+        Some((client.inbox.as_ref()?.held(), client.message.as_ref()?))
+    }
+
+    fn longest_idle(&self) -> Option<usize> {
+        let idle = self.table.iter().filter(|(_, c)| c.idle());
+        idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(key, _)| key)
+    }
+
+    pub fn nothing_again(&self) -> bool {
+        self.again.is_empty() && !(self.waiting && self.table.len() < self.most)
+    }
+
+    /// Whether any client still has an answer to come.
+    pub fn busy(&self) -> bool {
+        self.table.iter().any(|(_, c)| c.outbox.is_some() || c.op.is_some() || c.lingers)
+    }
+}
+
+impl Proxy {
+    pub fn accept(&mut self) {
+        self.clients.waiting = false;
+        loop {
+            if self.clients.table.len() >= self.clients.most {
+                // Danger: without a free descriptor accepting would fail and spin. The longest idle client
+                // makes room; where none is idle, the others wait until one leaves.
+                let Some(idle) = self.clients.longest_idle() else {
+                    self.clients.waiting = true;
+                    self.counters.full += 1;
+                    return;
+                };
+                self.drop_client(idle);
+            }
+            let Some(listener) = &self.clients.listener else { return };
+            match listener.accept() {
+                Ok((stream, _)) => self.add_client(stream),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) => {
+                    // Danger: out of descriptors all the same; the listener stays readable.
+                    log::warn!("cannot accept: {e}");
+                    self.timers.set(self.now() + ACCEPT_AGAIN, |proxy: &mut Proxy| proxy.accept());
+                    return;
+                }
+            }
+        }
+    }
+
+    fn add_client(&mut self, mut stream: TcpStream) {
+        let entry = self.clients.table.vacant_entry();
+        let key = entry.key();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        if let Err(e) = self.registry.register(&mut stream, CLIENT.token(key), both) {
+            log::warn!("cannot watch a client: {e}");
+            return;
+        }
+        // Without it a small answer may wait for the acknowledgement of the one before.
+        let _ = stream.set_nodelay(true);
+        let idle_since = self.clock.now();
+        entry.insert(Client {
+            stream,
+            inbox: None,
+            message: None,
+            outbox: None,
+            sent: 0,
+            op: None,
+            close: false,
+            lingers: false,
+            timer: None,
+            idle_since,
+        });
+        self.counters.accepted += 1;
+        self.clients.again.push(key);
+    }
+
+    /// The one place where a client's connection and buffers are given back.
+    fn drop_client(&mut self, key: usize) {
+        let Some(mut client) = self.clients.table.try_remove(key) else { return };
+        let _ = self.registry.deregister(&mut client.stream);
+        self.timers.unset(client.timer);
+        for buffer in [client.inbox, client.outbox].into_iter().flatten() {
+            self.buffers.give(buffer);
+        }
+        if let Some(op) = client.op {
+            self.client_gone(op);
+        }
+    }
+
+    /// Goes on with clients that were answered, and lets waiting ones in where there is room again.
+    pub fn serve_again(&mut self) {
+        while let Some(key) = self.clients.again.pop() {
+            self.serve(key);
+        }
+        if self.clients.waiting && self.clients.table.len() < self.clients.most {
+            self.accept();
+        }
+    }
+
+    /// Does for a client whatever can be done now.
+    pub fn serve(&mut self, key: usize) {
+        while self.write_answer(key) && self.read_request(key) {}
+    }
+
+    /// Writes what is left of an answer; whether the connection may be read.
+    fn write_answer(&mut self, key: usize) -> bool {
+        let Some(client) = self.clients.table.get_mut(key) else { return false };
+        let Some(outbox) = &client.outbox else { return true };
+        match outbox.drain(&mut client.sent, &mut client.stream) {
+            Ok(false) => false,
+            Err(_) => {
+                self.drop_client(key);
+                false
+            }
+            Ok(true) => {
+                let outbox = client.outbox.take();
+                self.timers.unset(client.timer.take());
+                outbox.into_iter().for_each(|b| self.buffers.give(b));
+                client.idle_since = self.clock.now();
+                if client.close {
+                    // Danger: closing with bytes unread resets the connection, and the answer is lost.
+                    client.lingers = true;
+                    let _ = client.stream.shutdown(Shutdown::Write);
+                    let at = client.idle_since + LINGER;
+                    client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.drop_client(key)));
+                }
+                true
+            }
+        }
+    }
+
+    /// Reads towards the next request and has it served; whether there is more to do at once.
+    fn read_request(&mut self, key: usize) -> bool {
+        let Some(client) = self.clients.table.get_mut(key) else { return false };
+        if client.op.is_some() {
+            // What comes after a request waits for its answer; only an end is of interest.
+            match client.stream.peek(&mut [0]) {
+                Ok(1..) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                _ => self.drop_client(key),
+            }
+            return false;
+        }
+        let Some(mut inbox) = client.inbox.take().or_else(|| self.buffers.take()) else {
+            // Danger: the pool is empty. The client is refused unread, and its next try is harmless.
+            self.counters.full += 1;
+            self.refuse(key, 503);
+            return true;
+        };
+        if client.lingers {
+            inbox.cut(0, inbox.held().len());
+            let filled = inbox.fill(&mut client.stream);
+            self.buffers.give(inbox);
+            if filled == Filled::Ended {
+                self.drop_client(key);
+            }
+            return filled == Filled::Some;
+        }
+        match self.read_whole(key, &mut inbox) {
+            Ok(Some(asked)) => {
+                self.put_back(key, inbox);
+                self.hear(key, asked);
+                true
+            }
+            Ok(None) => self.read_more(key, inbox),
+            Err(status) => {
+                self.put_back(key, inbox);
+                self.counters.bad += 1;
+                self.refuse(key, status);
+                true
+            }
+        }
+    }
+
+    fn put_back(&mut self, key: usize, inbox: Buffer) {
+        match self.clients.table.get_mut(key) {
+            Some(client) => client.inbox = Some(inbox),
+            None => self.buffers.give(inbox),
+        }
+    }
+
+    /// What is asked, once the whole request is in.
+    fn read_whole(&mut self, key: usize, inbox: &mut Buffer) -> Result<Option<Asked>, Refused> {
+        let client = &mut self.clients.table[key];
+        if client.message.is_none() {
+            let names = &self.names;
+            let read = http::request(inbox.held(), |_, _, headers| {
+                let expects = http::value(headers, "expect");
+                expects.is_some_and(|e| e.eq_ignore_ascii_case("100-continue"))
+            })?;
+            let Some((message, expects)) = read else { return Ok(None) };
+            // What is refused by its head is refused before its body has come.
+            let _ = http::request(inbox.held(), |_, path, headers| asked(names, path, headers).map(drop))?
+                .map_or(Ok(()), |(_, asked)| asked)?;
+            if expects {
+                use std::io::Write;
+                // So short a line fits into an empty socket buffer.
+                let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            client.message = Some(message);
+        }
+        let Some(message) = &mut client.message else { return Ok(None) };
+        if !message.advance(inbox)? {
+            return Ok(None);
+        }
+        let names = &self.names;
+        let read = http::request(inbox.held(), |_, path, headers| asked(names, path, headers))?;
+        read.map(|(_, asked)| asked).transpose()
+    }
+
+    /// Reads on; whether anything came.
+    fn read_more(&mut self, key: usize, mut inbox: Buffer) -> bool {
+        let client = &mut self.clients.table[key];
+        let filled = inbox.fill(&mut client.stream);
+        if inbox.held().is_empty() {
+            self.buffers.give(inbox);
+        } else {
+            client.inbox = Some(inbox);
+            if client.timer.is_none() {
+                // Danger: a client that sends a byte now and then would hold a buffer for ever.
+                let slow = move |proxy: &mut Proxy| {
+                    proxy.counters.bad += 1;
+                    proxy.refuse(key, 408);
+                    proxy.clients.again.push(key);
+                };
+                client.timer = Some(self.timers.set(self.clock.now() + SLOW, slow));
+            }
+        }
+        match filled {
+            Filled::Some => return true,
+            Filled::Later => {}
+            Filled::Ended => self.drop_client(key),
+            Filled::Full => {
+                self.counters.bad += 1;
+                self.refuse(key, 413);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn hear(&mut self, key: usize, asked: Asked) {
+        let client = &mut self.clients.table[key];
+        self.timers.unset(client.timer.take());
+        client.close = !client.message.as_ref().is_some_and(|m| m.keep);
+        match asked {
+            Asked::Health => {
+                let status = if self.ready() { 200 } else { 503 };
+                self.answer(key, status, 0.0);
+            }
+            Asked::Op(arrival) => {
+                let op = self.take_in(key, arrival);
+                // It may be answered already.
+                let waits = self.waits(op);
+                if let Some(client) = self.clients.table.get_mut(key).filter(|_| waits) {
+                    client.op = Some(op);
+                }
+            }
+        }
+    }
+
+    /// Refuses what cannot be read on; the connection goes with it.
+    fn refuse(&mut self, key: usize, status: Refused) {
+        if let Some(client) = self.clients.table.get_mut(key) {
+            client.close = true;
+            self.answer(key, status, 0.0);
+        }
+    }
+
+    /// An answer of the node's own.
+    pub fn answer(&mut self, key: usize, status: u16, come_back: f64) {
+        self.answer_by(key, |close, to| to.add(http::plain(status, come_back, close).as_bytes()));
+    }
+
+    /// A server's answer, handed back.
+    pub fn hand_back(&mut self, key: usize, held: &[u8], message: &Message) {
+        self.answer_by(key, |close, to| http::hand_back(held, message, close, to));
+    }
+
+    /// Writes an answer as far as it goes, and gives the request's buffer back.
+    fn answer_by(&mut self, key: usize, compose: impl FnOnce(bool, &mut Buffer) -> bool) {
+        let stopping = self.stopping();
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        client.op = None;
+        client.close |= stopping;
+        self.timers.unset(client.timer.take());
+        if let Some(mut inbox) = client.inbox.take() {
+            // What came behind the request is the next one's.
+            let end = client.message.take().map_or(inbox.held().len(), |m| m.end);
+            inbox.cut(0, end);
+            if inbox.held().is_empty() || client.close {
+                self.buffers.give(inbox);
+            } else {
+                client.inbox = Some(inbox);
+            }
+        }
+        let Some(mut outbox) = self.buffers.take_last() else {
+            // Danger: not even an answer's buffer is left, as many clients do not read. This one is cut off.
+            log::warn!("no buffer for an answer");
+            self.counters.full += 1;
+            return self.drop_client(key);
+        };
+        if !compose(client.close, &mut outbox) {
+            // Danger: a server's head that does not fit. The client must not take it for an answer.
+            self.buffers.give(outbox);
+            return self.drop_client(key);
+        }
+        (client.outbox, client.sent) = (Some(outbox), 0);
+        // Danger: a client that does not read its answer would hold a buffer for ever.
+        let at = self.clock.now() + SLOW;
+        client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.drop_client(key)));
+        self.write_answer(key);
+        self.clients.again.push(key);
+    }
+
+    /// No client comes any more: what has come is read, what is idle closed.
+    pub fn shut(&mut self) {
+        self.accept();
+        if let Some(mut listener) = self.clients.listener.take() {
+            let _ = self.registry.deregister(&mut listener);
+        }
+        self.close_idle();
+    }
+
+    /// Closes clients between requests, once what they may have sent is read.
+    pub fn close_idle(&mut self) {
+        let keys: Vec<usize> = self.clients.table.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.serve(key);
+            if self.clients.table.get(key).is_some_and(Client::idle) {
+                self.drop_client(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/wire/mod.rs
@@ -0,0 +1,6 @@
+//! What is spoken: HTTP/1.1 with clients, servers and discovery.
+
+pub mod clients;
+pub mod discovery;
+pub mod http;
+pub mod servers;
--- /dev/null
+++ b/node/src/wire/servers.rs
@@ -0,0 +1,353 @@
+//! Servers: connections to them, pushes written, answers read.
+
+use super::http::{self, Message};
+use crate::memory::buffers::{Buffer, Filled, BODY_MOST};
+use crate::memory::timers::Key;
+use crate::proxy::{Proxy, SERVER};
+use crankmux::given;
+use crankmux::words::{Ending, Load};
+use httparse::Header;
+use mio::net::TcpStream;
+use mio::Interest;
+use slab::Slab;
+use std::io;
+use std::net::SocketAddr;
+
+/// What a push has come to; an acked one's answer goes with it.
+pub struct Outcome {
+    pub ending: Ending,
+    pub load: Load,
+    pub answer: Option<(Buffer, Message)>,
+}
+
+/// What is next once a push has ended.
+pub type Then = Box<dyn FnOnce(&mut Proxy, Outcome)>;
+
+/// A connection to a server, with the push that it carries, if any.
+struct Link {
+    stream: TcpStream,
+    server: usize,
+    up: bool,
+    outbox: Option<Buffer>,
+    sent: usize,
+    whole: bool,
+    inbox: Option<Buffer>,
+    message: Option<(Message, Ending, Load)>,
+    then: Option<Then>,
+    ends: f64,
+    timer: Option<Key>,
+    idle_since: f64,
+}
+
+#[derive(Default)]
+struct Record {
+    dial: Option<SocketAddr>,
+    idle: Vec<usize>,
+}
+
+pub struct Servers {
+    links: Slab<Link>,
+    records: Vec<Record>,
+    most: usize,
+    connect_within: f64,
+    idle_most: f64,
+}
+
+impl Servers {
+    /// `most` connections, each to come up within a time and to be closed after another.
+    pub fn new(most: usize, connect_within: f64, keepalive: f64) -> Self {
+        // Danger: a push written while the server closes is lost and may have run. Three quarters leave
+        // room for what both sides' clocks and the way there differ by.
+        Servers { links: Slab::new(), records: Vec::new(), most, connect_within, idle_most: 0.75 * keepalive }
+    }
+}
+
+fn word(status: u16, headers: &[Header]) -> (u16, Ending, Load) {
+    let never = http::value(headers, "x-not-processed") == Some("1");
+    let ending = match status {
+        200 => Ending::Acked,
+        503 | 504 if never => Ending::TurnedAway,
+        _ => Ending::Errored,
+    };
+    let mut load = Load::default();
+    let told = http::value(headers, "x-server-load").unwrap_or_default();
+    for part in told.trim_start_matches("TEXT").split(',') {
+        if let Some((name, value)) = part.split_once('=') {
+            if let Ok(value) = value.trim().parse() {
+                given::figure(&mut load, name.trim(), value);
+            }
+        }
+    }
+    (status, ending, load)
+}
+
+impl Proxy {
+    /// What the list says of a server: where to dial it, or that it gets nothing new.
+    pub fn place(&mut self, server: usize, dial: Option<SocketAddr>) {
+        let records = &mut self.servers.records;
+        if records.len() <= server {
+            records.resize_with(server + 1, Record::default);
+        }
+        if records[server].dial != dial {
+            records[server].dial = dial;
+            for key in std::mem::take(&mut records[server].idle) {
+                self.drop_link(key);
+            }
+        }
+    }
+
+    /// Sends a client's request to a server. The connection's key, or how it failed at once.
+    pub fn send(&mut self, client: usize, server: usize, patience: f64, then: Then) -> Result<usize, Ending> {
+        let Some(mut outbox) = self.buffers.take() else {
+            self.counters.full += 1;
+            return Err(Ending::Unsent);
+        };
+        let request = self.clients.request(client);
+        if !request.is_some_and(|(held, message)| http::forward(held, message, patience, &mut outbox)) {
+            self.buffers.give(outbox);
+            return Err(Ending::Unsent);
+        }
+        let key = match self.idle_link(server).map_or_else(|| self.dial(server), Ok) {
+            Ok(key) => key,
+            Err(ending) => {
+                self.buffers.give(outbox);
+                return Err(ending);
+            }
+        };
+        let now = self.now();
+        let link = &mut self.servers.links[key];
+        (link.outbox, link.sent, link.whole, link.ends) = (Some(outbox), 0, false, now + patience);
+        link.then = Some(then);
+        let first = if link.up { patience } else { patience.min(self.servers.connect_within) };
+        link.timer = Some(self.timers.set(now + first, move |proxy: &mut Proxy| proxy.link_due(key)));
+        if link.up {
+            self.links_again.push(key);
+        }
+        Ok(key)
+    }
+
+    /// A connection that stands idle and is still open: the one used last, so that others may be closed.
+    fn idle_link(&mut self, server: usize) -> Option<usize> {
+        loop {
+            let key = self.servers.records.get_mut(server)?.idle.pop()?;
+            let link = &mut self.servers.links[key];
+            self.timers.unset(link.timer.take());
+            match link.stream.peek(&mut [0]) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Some(key),
+                // Danger: closed meanwhile, or bytes that belong to no push.
+                _ => self.drop_link(key),
+            }
+        }
+    }
+
+    fn dial(&mut self, server: usize) -> Result<usize, Ending> {
+        if self.servers.links.len() >= self.servers.most && !self.drop_longest_idle() {
+            // Danger: out of descriptors for servers. Nothing was sent, and the op is free to go elsewhere.
+            self.counters.full += 1;
+            return Err(Ending::Unsent);
+        }
+        let dial = self.servers.records.get(server).and_then(|r| r.dial).ok_or(Ending::Unreachable)?;
+        self.counters.dialled += 1;
+        let mut stream = TcpStream::connect(dial).map_err(|_| Ending::Unreachable)?;
+        let entry = self.servers.links.vacant_entry();
+        let key = entry.key();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        self.registry.register(&mut stream, SERVER.token(key), both).map_err(|_| Ending::Unreachable)?;
+        let _ = stream.set_nodelay(true);
+        entry.insert(Link {
+            stream,
+            server,
+            up: false,
+            outbox: None,
+            sent: 0,
+            whole: false,
+            inbox: None,
+            message: None,
+            then: None,
+            ends: 0.0,
+            timer: None,
+            idle_since: 0.0,
+        });
+        Ok(key)
+    }
+
+    fn drop_longest_idle(&mut self) -> bool {
+        let idle = self.servers.links.iter().filter(|(_, l)| l.then.is_none());
+        let Some((key, server)) = idle
+            .min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since))
+            .map(|(key, link)| (key, link.server))
+        else {
+            return false;
+        };
+        self.servers.records[server].idle.retain(|k| *k != key);
+        self.drop_link(key);
+        true
+    }
+
+    /// The one place where a server's connection and buffers are given back.
+    fn drop_link(&mut self, key: usize) {
+        let Some(mut link) = self.servers.links.try_remove(key) else { return };
+        let _ = self.registry.deregister(&mut link.stream);
+        self.timers.unset(link.timer);
+        for buffer in [link.outbox, link.inbox].into_iter().flatten() {
+            self.buffers.give(buffer);
+        }
+    }
+
+    /// The push is over: its connection is closed.
+    fn fail(&mut self, key: usize, ending: Ending, load: Load) {
+        let then = self.servers.links.get_mut(key).and_then(|link| link.then.take());
+        self.drop_link(key);
+        if let Some(then) = then {
+            then(self, Outcome { ending, load, answer: None });
+        }
+    }
+
+    pub fn cancel(&mut self, key: usize) {
+        self.fail(key, Ending::Cancelled, Load::default());
+    }
+
+    fn link_due(&mut self, key: usize) {
+        let now = self.now();
+        let Some(link) = self.servers.links.get_mut(key) else { return };
+        link.timer = None;
+        if link.up && now < link.ends {
+            let at = link.ends;
+            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.link_due(key)));
+        } else {
+            // Before its last byte is written it cannot have run.
+            let ending = if link.whole { Ending::TimedOut } else { Ending::Unreachable };
+            self.fail(key, ending, Load::default());
+        }
+    }
+
+    /// Something has happened on a connection to a server.
+    pub fn link(&mut self, key: usize) {
+        let Some(link) = self.servers.links.get_mut(key) else { return };
+        if link.then.is_none() {
+            // Idle: the server has closed it, or speaks out of turn.
+            if !matches!(link.stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock) {
+                let server = link.server;
+                self.servers.records[server].idle.retain(|k| *k != key);
+                self.drop_link(key);
+            }
+            return;
+        }
+        if !link.up {
+            if !matches!(link.stream.take_error(), Ok(None)) {
+                return self.fail(key, Ending::Unreachable, Load::default());
+            }
+            if link.stream.peer_addr().is_err() {
+                return;
+            }
+            link.up = true;
+        }
+        if let Some(outbox) = &link.outbox {
+            match outbox.drain(&mut link.sent, &mut link.stream) {
+                Ok(true) => {
+                    link.whole = true;
+                    link.outbox.take().into_iter().for_each(|b| self.buffers.give(b));
+                }
+                Ok(false) => {}
+                // An answer may have come before the request was through; reading tells.
+                Err(_) => {}
+            }
+        }
+        self.read_answer(key);
+    }
+
+    fn read_answer(&mut self, key: usize) {
+        loop {
+            let link = &mut self.servers.links[key];
+            let Some(mut inbox) = link.inbox.take().or_else(|| self.buffers.take_last()) else {
+                // Danger: no buffer to read into. The answer is lost; the push may have run.
+                self.counters.full += 1;
+                return self.fail(key, Ending::Broken, Load::default());
+            };
+            let filled = inbox.fill(&mut link.stream);
+            let ended = filled == Filled::Ended;
+            let whole = match read(&mut link.message, &mut inbox) {
+                Ok(whole) => whole || ended && link.message.as_ref().is_some_and(|(m, ..)| m.ends_here()),
+                // A broken answer ends the push as a broken connection does.
+                Err(_) => {
+                    link.inbox = Some(inbox);
+                    return self.broken(key);
+                }
+            };
+            if whole {
+                return self.answered(key, inbox);
+            }
+            if inbox.held().is_empty() {
+                self.buffers.give(inbox);
+            } else {
+                link.inbox = Some(inbox);
+            }
+            match filled {
+                Filled::Some => {}
+                Filled::Later => return,
+                Filled::Ended | Filled::Full => return self.broken(key),
+            }
+        }
+    }
+
+    fn broken(&mut self, key: usize) {
+        let whole = self.servers.links.get(key).is_some_and(|link| link.whole);
+        // What the server never had whole it has not run.
+        self.fail(key, if whole { Ending::Broken } else { Ending::Unreachable }, Load::default());
+    }
+
+    fn answered(&mut self, key: usize, inbox: Buffer) {
+        let now = self.now();
+        let link = &mut self.servers.links[key];
+        let Some((message, ending, load)) = link.message.take() else { return };
+        // Danger: an answer before the request was through, or bytes behind it: what comes next on this
+        // connection would be read wrongly.
+        if !(message.keep && link.whole && inbox.held().len() == message.end) {
+            link.inbox = Some(inbox);
+            let then = link.then.take();
+            let answer = link.inbox.take().map(|inbox| (inbox, message));
+            self.drop_link(key);
+            return self.hand(then, Outcome { ending, load, answer });
+        }
+        let then = link.then.take();
+        link.idle_since = now;
+        self.timers.unset(link.timer.take());
+        let server = link.server;
+        if self.servers.records[server].dial == link.stream.peer_addr().ok() {
+            let close = move |proxy: &mut Proxy| {
+                proxy.servers.records[server].idle.retain(|k| *k != key);
+                proxy.drop_link(key);
+            };
+            link.timer = Some(self.timers.set(now + self.servers.idle_most, close));
+            self.servers.records[server].idle.push(key);
+        } else {
+            self.drop_link(key);
+        }
+        self.hand(then, Outcome { ending, load, answer: Some((inbox, message)) });
+    }
+
+    fn hand(&mut self, then: Option<Then>, outcome: Outcome) {
+        match then {
+            Some(then) => then(self, outcome),
+            None => outcome.answer.into_iter().for_each(|(inbox, _)| self.buffers.give(inbox)),
+        }
+    }
+}
+
+/// Reads on in an answer; whether it is whole.
+fn read(at: &mut Option<(Message, Ending, Load)>, inbox: &mut Buffer) -> Result<bool, http::Refused> {
+    loop {
+        if let Some((message, ..)) = at {
+            return message.advance(inbox);
+        }
+        let Some((message, (status, ending, load))) = http::answer(inbox.held(), BODY_MOST, word)? else {
+            return Ok(false);
+        };
+        if status >= 200 {
+            *at = Some((message, ending, load));
+        } else {
+            // One of the answers that only say that another will come.
+            inbox.cut(0, message.head);
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatcher.rs
@@ -0,0 +1,137 @@
+//! The decisions in blocking style: a call says what happened and returns what is next. It decides nothing.
+
+use crate::balance::Balancer;
+use crate::words::{Arrival, Given, Listed, Outlet, PushEnd};
+
+/// Where an op goes, and how long in milliseconds that push may take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pick {
+    pub server: usize,
+    pub patience: f64,
+}
+
+/// The final answer to an op that gets no ack.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum GivenUp {
+    Nacked { come_back: f64 },
+    DeadLettered,
+}
+
+/// What is next for one op. Pushes are numbered from 0 in the order of their picks.
+#[derive(Debug, Default, PartialEq)]
+pub struct Next {
+    pub cancel: Vec<usize>,
+    pub picks: Vec<Pick>,
+    pub given_up: Option<GivenUp>,
+}
+
+#[derive(Default)]
+struct Said {
+    next: Vec<(usize, Next)>,
+    alarms: Vec<(f64, u64)>,
+    list: bool,
+}
+
+impl Said {
+    fn of(&mut self, op: usize) -> &mut Next {
+        let place = self.next.iter().position(|(o, _)| *o == op).unwrap_or_else(|| {
+            self.next.push((op, Next::default()));
+            self.next.len() - 1
+        });
+        &mut self.next[place].1
+    }
+
+    fn take(&mut self, op: usize) -> Next {
+        let place = self.next.iter().position(|(o, _)| *o == op);
+        place.map(|p| self.next.swap_remove(p).1).unwrap_or_default()
+    }
+}
+
+impl Outlet for Said {
+    fn push(&mut self, op: usize, server: usize, patience: f64) {
+        self.of(op).picks.push(Pick { server, patience });
+    }
+
+    fn cancel(&mut self, op: usize, push: usize) {
+        self.of(op).cancel.push(push);
+    }
+
+    fn nack(&mut self, op: usize, come_back: f64) {
+        self.of(op).given_up = Some(GivenUp::Nacked { come_back });
+    }
+
+    fn dead_letter(&mut self, op: usize) {
+        self.of(op).given_up = Some(GivenUp::DeadLettered);
+    }
+
+    fn wake(&mut self, at: f64, alarm: u64) {
+        self.alarms.push((at, alarm));
+    }
+
+    fn follow_list(&mut self) {
+        self.list = true;
+    }
+
+    fn ask_list(&mut self) {
+        self.list = true;
+    }
+}
+
+/// One node's decisions. Times are Unix milliseconds, as the list of servers has them.
+pub struct Dispatcher {
+    balancer: Balancer,
+    said: Said,
+}
+
+impl Dispatcher {
+    pub fn new(given: Given, seed: u64) -> Result<Self, String> {
+        Ok(Dispatcher { balancer: Balancer::new(given, seed)?, said: Said::default() })
+    }
+
+    /// An op has come in.
+    pub fn pick(&mut self, now: f64, arrival: &Arrival) -> Next {
+        self.balancer.arrive(&mut self.said, now, arrival);
+        self.said.take(arrival.op)
+    }
+
+    /// A push has ended.
+    pub fn report(&mut self, now: f64, end: &PushEnd) -> Next {
+        self.balancer.push_ended(&mut self.said, now, end);
+        self.said.take(end.op)
+    }
+
+    /// The client is gone; nothing more is owed.
+    pub fn departed(&mut self, now: f64, op: usize) -> Next {
+        self.balancer.departed(&mut self.said, now, op);
+        self.said.take(op)
+    }
+
+    /// The list as it was told: whole, or what changed. A cached one may be stale.
+    pub fn list(&mut self, now: f64, lines: &[Listed], whole: bool, cached: bool) {
+        self.balancer.list(&mut self.said, now, lines, whole, cached);
+    }
+
+    /// A call to the list failed.
+    pub fn list_failed(&mut self, now: f64) {
+        self.balancer.list_failed(&mut self.said, now);
+    }
+
+    /// Whether the list is to be asked for; told once.
+    pub fn wants_list(&mut self) -> bool {
+        std::mem::take(&mut self.said.list)
+    }
+
+    /// Does what is due by now, and returns what is next for the ops it moved.
+    pub fn tick(&mut self, now: f64) -> Vec<(usize, Next)> {
+        while let Some(place) = self.said.alarms.iter().position(|(at, _)| *at <= now) {
+            let (_, alarm) = self.said.alarms.swap_remove(place);
+            self.balancer.woken(&mut self.said, now, alarm);
+        }
+        std::mem::take(&mut self.said.next)
+    }
+
+    /// When the next tick is due.
+    pub fn next_tick(&self) -> Option<f64> {
+        self.said.alarms.iter().map(|(at, _)| *at).min_by(f64::total_cmp)
+    }
+}
--- a/benchlink/src/given.rs
+++ b/src/given.rs
@@ -1,7 +1,9 @@
-//! Wire settings to the module's plain map of names.
+//! The operators' settings to the module's plain map of names, and their other names to small indices. The
+//! bench's adapter and the real node both read by it.
 
-use crankmux::words::Given;
+use crate::words::{Given, Listed, Load, Standing};
 use serde_json::Value;
+use std::collections::HashMap;
 
 /// The module's name of a setting, and the path of the same on the wire.
 const NAMES: &[(&str, &str)] = &[
@@ -62,7 +64,7 @@
     }
 }
 
-pub fn translate(settings: &Value) -> Given {
+fn translate(settings: &Value) -> Given {
     let mut given = Given::new();
     for (name, path) in NAMES {
         if let Some(value) = settings.pointer(path).filter(|v| !v.is_null()) {
@@ -85,3 +87,87 @@
     let mut found = all.filter(|(name, _)| named(name));
     found.next().map_or_else(|| message.to_string(), |(_, wire)| format!("{message} (on the wire: {wire})"))
 }
+
+fn names_of(settings: &Value, list: &str) -> Vec<String> {
+    let items = settings.get(list).and_then(Value::as_array);
+    let name = |v: &Value| v.as_str().or_else(|| v.get("Name")?.as_str()).unwrap_or_default().to_string();
+    items.map(|items| items.iter().map(name).collect()).unwrap_or_default()
+}
+
+/// Names to small indices, as they stand in the settings or are met in the list of servers.
+#[derive(Default)]
+pub struct Names {
+    pub categories: Vec<String>,
+    pub customers: Vec<String>,
+    zones: Vec<String>,
+    servers: HashMap<u64, usize>,
+    marks: Vec<u64>,
+    pods: HashMap<u64, usize>,
+}
+
+impl Names {
+    /// The settings' names, and what the module is given at start.
+    pub fn read(settings: &Value) -> (Self, Given) {
+        let mut names = Names {
+            categories: names_of(settings, "Categories"),
+            customers: names_of(settings, "Customers"),
+            zones: names_of(settings, "Zones"),
+            ..Names::default()
+        };
+        let mut given = translate(settings);
+        if let Some(zone) = settings.get("MyZone").and_then(Value::as_str) {
+            given.insert("my-zone".into(), names.zone(zone).into());
+        }
+        (names, given)
+    }
+
+    fn zone(&mut self, name: &str) -> usize {
+        self.zones.iter().position(|z| z == name).unwrap_or_else(|| {
+            self.zones.push(name.into());
+            self.zones.len() - 1
+        })
+    }
+
+    fn server(&mut self, mark: u64) -> usize {
+        let next = self.marks.len();
+        let index = *self.servers.entry(mark).or_insert(next);
+        if index == next {
+            self.marks.push(mark);
+        }
+        index
+    }
+
+    /// How many servers have been met.
+    pub fn servers(&self) -> usize {
+        self.marks.len()
+    }
+
+    /// The number by which all nodes know a server.
+    pub fn mark(&self, server: usize) -> u64 {
+        self.marks[server]
+    }
+
+    /// One line of the list. Without a pod a server shares one with no other.
+    pub fn line(
+        &mut self,
+        mark: u64,
+        standing: Standing,
+        zone: &str,
+        pod: Option<u64>,
+        started: f64,
+    ) -> Listed {
+        let next = self.pods.len();
+        let pod = *self.pods.entry(pod.unwrap_or(u64::MAX - mark)).or_insert(next);
+        Listed { mark, standing, zone: self.zone(zone), pod, started, server: self.server(mark) }
+    }
+}
+
+/// Sets one figure of a server's word on its load by any of its names; others are passed over.
+pub fn figure(load: &mut Load, name: &str, value: f64) {
+    match name {
+        "q" | "queue" => load.waiting = Some(value),
+        "rif" | "inflight" => load.held = Some(value),
+        "busy" | "util" => load.busy = Some(value),
+        _ => {}
+    }
+}
