--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -281,8 +281,11 @@
             })?;
             let Some((message, expects)) = read else { return Ok(None) };
             // What is refused by its head is refused before its body has come.
-            let _ = http::request(inbox.held(), |_, path, headers| asked(names, path, headers).map(drop))?
-                .map_or(Ok(()), |(_, asked)| asked)?;
+            if let Some((_, asked)) =
+                http::request(inbox.held(), |_, path, headers| asked(names, path, headers))?
+            {
+                asked?;
+            }
             if expects {
                 use std::io::Write;
                 // So short a line fits into an empty socket buffer.
