--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -73,7 +73,6 @@
     pub names: Names,
     /// Connections to servers that have something to write.
     pub links_again: Vec<usize>,
-    pub some_ready: bool,
     pub stop_at: Option<f64>,
 }
 
@@ -96,7 +95,6 @@
             dispatcher: configuration.dispatcher,
             names: configuration.names,
             links_again: Vec::new(),
-            some_ready: false,
             stop_at: None,
         };
         let known: Option<List> = configuration.known.and_then(|known| {
@@ -119,7 +117,7 @@
 
     /// Whether clients may come: there is a server to send to, and discovery has been asked.
     pub fn ready(&self) -> bool {
-        self.some_ready && self.discovery.heard && !self.stopping()
+        self.servers.any() && self.discovery.heard && !self.stopping()
     }
 
     /// Whether everything taken in is answered, and the answers are out.
@@ -127,8 +125,20 @@
         self.ops.iter().all(|(_, op)| op.client.is_none()) && !self.clients.busy()
     }
 
-    /// Waits for events until something is due, and does what they and the time call for.
+    /// Does what is due, waits for events until something else is, and does what they call for.
     pub fn turn(&mut self, poll: &mut Poll, events: &mut Events) -> io::Result<bool> {
+        let now = self.now();
+        while let Some(due) = self.timers.take_due(now) {
+            due(self);
+            self.settle();
+        }
+        for (op, next) in self.dispatcher.tick(now) {
+            self.follow(op, next);
+        }
+        if self.dispatcher.wants_list() {
+            self.call_list();
+        }
+        self.settle();
         let due = [self.timers.first(), self.dispatcher.next_tick()].into_iter().flatten();
         let wait = due.min_by(f64::total_cmp).map(|at| (at - self.now()).max(0.0));
         if let Err(e) = poll.poll(events, wait.map(|ms| Duration::from_secs_f64(ms / 1000.0))) {
@@ -147,18 +157,6 @@
             }
             self.settle();
         }
-        let now = self.now();
-        while let Some(due) = self.timers.take_due(now) {
-            due(self);
-            self.settle();
-        }
-        for (op, next) in self.dispatcher.tick(now) {
-            self.follow(op, next);
-        }
-        if self.dispatcher.wants_list() {
-            self.call_list();
-        }
-        self.settle();
         Ok(signalled)
     }
 
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -13,9 +13,9 @@
 use std::io;
 use std::net::Shutdown;
 
-/// A request's bytes, or an answer's, must go through within this many milliseconds: longer than any TTL, so
-/// that only a side that stands still is cut off.
-const SLOW: f64 = 10_000.0;
+/// A request's bytes, or an answer's, must go through within this many milliseconds: clients wait for seconds
+/// at most, so that only a side that stands still is cut off.
+const SLOW: f64 = 5000.0;
 /// How long a connection that is being closed still reads, so that its last answer is not lost.
 const LINGER: f64 = 1000.0;
 /// How soon accepting is tried again after an error: a few times within any client's patience.
@@ -58,10 +58,14 @@
     Op(Arrival),
 }
 
-fn asked(names: &Names, path: &str, headers: &[Header]) -> Result<Asked, Refused> {
+fn asked(names: &Names, method: &str, path: &str, headers: &[Header]) -> Result<Asked, Refused> {
     if path == "/_health" {
         return Ok(Asked::Health);
     }
+    if matches!(method, "HEAD" | "CONNECT") {
+        // Their answers have no body, whatever is told of its length.
+        return Err(405);
+    }
     let header = |name: &str| http::value(headers, name).filter(|v| !v.is_empty());
     header("X-Request-ID").ok_or(400_u16)?;
     let category = header("X-Priority-Class").ok_or(400_u16)?;
@@ -93,9 +97,19 @@
         Some((client.inbox.as_ref()?.held(), client.message.as_ref()?))
     }
 
-    fn longest_idle(&self) -> Option<usize> {
-        let idle = self.table.iter().filter(|(_, c)| c.idle());
-        idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(key, _)| key)
+    /// Who makes room first: whoever was longest without an answer, idle or with a request begun, which is
+    /// not taken before its last byte; then who has its answer and only has to hang up. Danger: were idle ones
+    /// always first, a new client would go before it could speak, and those that never end a request stay.
+    fn least_needed(&self) -> Option<usize> {
+        let spare = self.table.iter().filter(|(key, _)| self.spare(*key));
+        let least = spare
+            .min_by(|(_, a), (_, b)| a.lingers.cmp(&b.lingers).then(a.idle_since.total_cmp(&b.idle_since)));
+        least.map(|(key, _)| key)
+    }
+
+    /// Whether it has neither an op under way nor an answer to be written.
+    fn spare(&self, key: usize) -> bool {
+        self.table.get(key).is_some_and(|c| c.op.is_none() && c.outbox.is_none())
     }
 
     pub fn nothing_again(&self) -> bool {
@@ -104,7 +118,7 @@
 
     /// Whether any client still has an answer to come.
     pub fn busy(&self) -> bool {
-        self.table.iter().any(|(_, c)| c.outbox.is_some() || c.op.is_some() || c.lingers)
+        self.table.iter().any(|(_, c)| c.outbox.is_some() || c.op.is_some())
     }
 }
 
@@ -113,14 +127,21 @@
         self.clients.waiting = false;
         loop {
             if self.clients.table.len() >= self.clients.most {
-                // Danger: without a free descriptor accepting would fail and spin. The longest idle client
-                // makes room; where none is idle, the others wait until one leaves.
-                let Some(idle) = self.clients.longest_idle() else {
-                    self.clients.waiting = true;
+                // Danger: without a free descriptor accepting would fail and spin, and connections that only
+                // stand there would keep clients out. The least needed makes room; where all have an op
+                // under way, the others wait until one is answered.
+                let Some(least) = self.clients.least_needed() else {
                     self.counters.full += 1;
+                    self.clients.waiting = true;
                     return;
                 };
-                self.drop_client(idle);
+                // What it may have sent by now counts as taken, and is read first.
+                self.serve(least);
+                if !self.clients.spare(least) {
+                    continue;
+                }
+                self.counters.full += 1;
+                self.drop_client(least);
             }
             let Some(listener) = &self.clients.listener else { return };
             match listener.accept() {
@@ -274,6 +295,9 @@
     fn read_whole(&mut self, key: usize, inbox: &mut Buffer) -> Result<Option<Asked>, Refused> {
         let client = &mut self.clients.table[key];
         if client.message.is_none() {
+            // Danger: line ends left over behind the last request, taken for a request that never ends.
+            let blank = inbox.held().iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+            inbox.cut(0, blank);
             let names = &self.names;
             let read = http::request(inbox.held(), |_, _, headers| {
                 let expects = http::value(headers, "expect");
@@ -282,7 +306,7 @@
             let Some((message, expects)) = read else { return Ok(None) };
             // What is refused by its head is refused before its body has come.
             if let Some((_, asked)) =
-                http::request(inbox.held(), |_, path, headers| asked(names, path, headers))?
+                http::request(inbox.held(), |method, path, headers| asked(names, method, path, headers))?
             {
                 asked?;
             }
@@ -298,7 +322,7 @@
             return Ok(None);
         }
         let names = &self.names;
-        let read = http::request(inbox.held(), |_, path, headers| asked(names, path, headers))?;
+        let read = http::request(inbox.held(), |method, path, headers| asked(names, method, path, headers))?;
         read.map(|(_, asked)| asked).transpose()
     }
 
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -41,7 +41,8 @@
 pub struct List {
     seq: u64,
     whole: bool,
-    lines: Vec<(Listed, Option<SocketAddr>)>,
+    /// Each with where to dial it, if it may get anything new.
+    lines: Vec<(Listed, Option<(SocketAddr, f64)>)>,
 }
 
 /// The number by which all nodes know a server: its name, hashed (FNV-1a), so that all come to the same.
@@ -72,7 +73,8 @@
         let started = host.get("born_ms").and_then(Value::as_f64).unwrap_or(0.0);
         let pod = host.get("block").and_then(Value::as_u64);
         let line = names.line(mark(name), standing, text("site").unwrap_or_default(), pod, started);
-        lines.push((line, dial.filter(|_| standing == Standing::Ready)));
+        let dial = dial.filter(|_| standing == Standing::Ready).map(|address| (address, started));
+        lines.push((line, dial));
     }
     Ok(List { seq, whole, lines })
 }
@@ -110,8 +112,6 @@
         for (line, dial) in &list.lines {
             self.place(line.server, *dial);
         }
-        self.some_ready =
-            lines.iter().any(|l| l.standing == Standing::Ready) || !list.whole && self.some_ready;
     }
 
     /// Calls discovery: for the whole list first, then for what has come since.
--- a/node/src/wire/http.rs
+++ b/node/src/wire/http.rs
@@ -149,13 +149,14 @@
         0 => lists(headers, "connection", "keep-alive"),
         _ => !lists(headers, "connection", "close"),
     };
-    let chunked = lists(headers, "transfer-encoding", "chunked");
+    let encoding = headers.iter().find(|h| h.name.eq_ignore_ascii_case("transfer-encoding"));
+    let chunked = encoding.is_some_and(|h| h.value.trim_ascii().eq_ignore_ascii_case(b"chunked"));
     let length = length(headers)?;
     let coming = match (chunked, length) {
         // Danger: two framings in one message are read in two ways by two readers.
         (true, Some(_)) => return Err(400),
         (true, None) => Coming::ChunkHead,
-        (false, _) if value(headers, "transfer-encoding").is_some() => return Err(400),
+        (false, _) if encoding.is_some() => return Err(400),
         (false, Some(length)) if length > most => return Err(413),
         (false, Some(length)) => Coming::Length(length),
         (false, None) => untold,
@@ -265,6 +266,7 @@
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
+        405 => "Method Not Allowed",
         408 => "Request Timeout",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -27,6 +27,8 @@
 struct Link {
     stream: TcpStream,
     server: usize,
+    /// The process it was opened to.
+    dial: (SocketAddr, f64),
     up: bool,
     outbox: Option<Buffer>,
     sent: usize,
@@ -41,7 +43,8 @@
 
 #[derive(Default)]
 struct Record {
-    dial: Option<SocketAddr>,
+    /// Where to dial it, and when it last started; none where it gets nothing new.
+    dial: Option<(SocketAddr, f64)>,
     idle: Vec<usize>,
 }
 
@@ -60,6 +63,11 @@
         // room for what both sides' clocks and the way there differ by.
         Servers { links: Slab::new(), records: Vec::new(), most, connect_within, idle_most: 0.75 * keepalive }
     }
+
+    /// Whether any server may be sent to.
+    pub fn any(&self) -> bool {
+        self.records.iter().any(|r| r.dial.is_some())
+    }
 }
 
 fn word(status: u16, headers: &[Header]) -> (u16, Ending, Load) {
@@ -83,16 +91,24 @@
 
 impl Proxy {
     /// What the list says of a server: where to dial it, or that it gets nothing new.
-    pub fn place(&mut self, server: usize, dial: Option<SocketAddr>) {
+    pub fn place(&mut self, server: usize, dial: Option<(SocketAddr, f64)>) {
         let records = &mut self.servers.records;
         if records.len() <= server {
             records.resize_with(server + 1, Record::default);
         }
         if records[server].dial != dial {
+            // Danger: connections to a process that is no more may stay open and silent.
             records[server].dial = dial;
             for key in std::mem::take(&mut records[server].idle) {
                 self.drop_link(key);
             }
+            // Danger: a connection that comes up only now would carry a new push past the grace.
+            let unsent =
+                |(_, l): &(usize, &Link)| l.server == server && l.then.is_some() && l.sent == 0 && !l.whole;
+            let unsent: Vec<usize> = self.servers.links.iter().filter(unsent).map(|(key, _)| key).collect();
+            for key in unsent {
+                self.fail(key, Ending::Unreachable, Load::default());
+            }
         }
     }
 
@@ -146,17 +162,33 @@
             self.counters.full += 1;
             return Err(Ending::Unsent);
         }
-        let dial = self.servers.records.get(server).and_then(|r| r.dial).ok_or(Ending::Unreachable)?;
+        let record = self.servers.records.get(server);
+        let dial @ (address, _) = record.and_then(|r| r.dial).ok_or(Ending::Unreachable)?;
         self.counters.dialled += 1;
-        let mut stream = TcpStream::connect(dial).map_err(|_| Ending::Unreachable)?;
         let entry = self.servers.links.vacant_entry();
         let key = entry.key();
         let both = Interest::READABLE | Interest::WRITABLE;
-        self.registry.register(&mut stream, SERVER.token(key), both).map_err(|_| Ending::Unreachable)?;
+        let stream = TcpStream::connect(address).and_then(|mut stream| {
+            self.registry.register(&mut stream, SERVER.token(key), both)?;
+            Ok(stream)
+        });
+        let stream = stream.map_err(|e| match e.kind() {
+            io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable => Ending::Unreachable,
+            // Danger: what this machine lacks, descriptors say, would be held against the server.
+            _ => {
+                log::warn!("cannot dial: {e}");
+                self.counters.full += 1;
+                Ending::Unsent
+            }
+        })?;
         let _ = stream.set_nodelay(true);
         entry.insert(Link {
             stream,
             server,
+            dial,
             up: false,
             outbox: None,
             sent: 0,
@@ -303,17 +335,16 @@
         // Danger: an answer before the request was through, or bytes behind it: what comes next on this
         // connection would be read wrongly.
         if !(message.keep && link.whole && inbox.held().len() == message.end) {
-            link.inbox = Some(inbox);
             let then = link.then.take();
-            let answer = link.inbox.take().map(|inbox| (inbox, message));
             self.drop_link(key);
-            return self.hand(then, Outcome { ending, load, answer });
+            return self.hand(then, Outcome { ending, load, answer: Some((inbox, message)) });
         }
         let then = link.then.take();
         link.idle_since = now;
         self.timers.unset(link.timer.take());
         let server = link.server;
-        if self.servers.records[server].dial == link.stream.peer_addr().ok() {
+        let still = matches!(link.stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+        if still && self.servers.records[server].dial == Some(link.dial) {
             let close = move |proxy: &mut Proxy| {
                 proxy.servers.records[server].idle.retain(|k| *k != key);
                 proxy.drop_link(key);
--- /dev/null
+++ b/node/tests/sockets/help.rs
@@ -0,0 +1,296 @@
+//! The one file of helpers: servers, a discovery and a node on loopback sockets, each at a port of its own.
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Reads one message: its head, and the body that its Content-Length tells of. None at the end.
+pub fn read_message(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let mut body = vec![0; header(&head, "Content-Length").and_then(|l| l.parse().ok()).unwrap_or(0)];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+pub fn header(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines().filter_map(|l| l.split_once(':'));
+    lines.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_string())
+}
+
+pub fn status(head: &str) -> u16 {
+    head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or_default()
+}
+
+pub fn ok(body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+pub struct Asked {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+/// A server that does with each whole request what its script says: the script gets the connection, and
+/// whether that is kept is its result.
+pub struct Server {
+    pub address: SocketAddr,
+    pub asked: Arc<Mutex<Vec<Asked>>>,
+    pub open: Arc<AtomicUsize>,
+}
+
+impl Server {
+    pub fn new(script: impl Fn(&mut TcpStream, &Asked) -> bool + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let (asked, open) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicUsize::new(0)));
+        let (script, seen, held) = (Arc::new(script), asked.clone(), open.clone());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (script, seen, held) = (script.clone(), seen.clone(), held.clone());
+                held.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || {
+                    while let Some((head, body)) = read_message(&mut stream) {
+                        let kept = script(&mut stream, &Asked { head: head.clone(), body: body.clone() });
+                        seen.lock().unwrap().push(Asked { head, body });
+                        if !kept {
+                            break;
+                        }
+                    }
+                    held.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        Server { address, asked, open }
+    }
+
+    /// One that always answers the same bytes.
+    pub fn saying(answer: Vec<u8>) -> Self {
+        Server::new(move |stream, _| stream.write_all(&answer).is_ok())
+    }
+
+    pub fn pushes(&self) -> usize {
+        self.asked.lock().unwrap().len()
+    }
+}
+
+pub fn host(name: &str, address: SocketAddr, health: &str) -> Value {
+    json!({"host": name, "dial": address.to_string(), "site": "a", "class": "m", "block": 1,
+           "health": health, "share": 1.0, "born_ms": 0})
+}
+
+pub fn list(seq: u64, whole: bool, hosts: &[Value]) -> Value {
+    json!({"seq": seq, "whole": whole, "hosts": hosts})
+}
+
+/// A discovery that answers each call with the next list it is given, and waits while there is none.
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub calls: Arc<Mutex<Vec<String>>>,
+    news: Sender<Value>,
+}
+
+impl Discovery {
+    pub fn new(first: Value) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let (news, lists): (Sender<Value>, Receiver<Value>) = mpsc::channel();
+        news.send(first).expect("held below");
+        let (lists, seen) = (Arc::new(Mutex::new(lists)), calls.clone());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (lists, seen) = (lists.clone(), seen.clone());
+                thread::spawn(move || {
+                    while let Some((head, _)) = read_message(&mut stream) {
+                        seen.lock().unwrap().push(head.lines().next().unwrap_or_default().to_string());
+                        let Ok(list) = lists.lock().unwrap().recv() else { return };
+                        if stream.write_all(&ok(&list.to_string())).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Discovery { address, calls, news }
+    }
+
+    pub fn tell(&self, list: Value) {
+        self.news.send(list).expect("discovery runs");
+    }
+}
+
+/// Settings with one category of each effect: `view`, `order` and `pay`.
+pub fn settings() -> Value {
+    let category = |name: &str, effect: &str| {
+        json!({"Name": name, "Effect": effect, "Group": "all", "WindowMs": 5000.0, "TargetLatencyMs": 500.0,
+               "TtlMs": 2000.0, "Benefit": 1.0})
+    };
+    json!({
+        "GroupSize": 1, "MyNumber": 0, "MyZone": "a", "Zones": ["a"], "Discovery": "automatic",
+        "Categories": [category("view", "read_like"), category("order", "idempotency_key"),
+                       category("pay", "non_idempotent")],
+        "Limits": {"MostPushes": 3, "MayCancel": true, "SecondCopies": true, "RetryAfter": true,
+                   "MaxRetryAfterMs": 1000.0, "ConnectTimeoutMs": 200.0, "KeepaliveMs": 60000.0},
+        "Obligations": {"ColdShare": 0.3, "ColdMs": 1000.0, "FallMultiple": 2.0, "FallMs": 1000.0,
+                        "StopSendingWithinMs": 100.0, "AnswerSlackMs": 20.0, "AskWithinMs": 1000.0}
+    })
+}
+
+pub fn configuration(discovery: SocketAddr, known: &Value) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": known, "settings": settings()
+    })
+}
+
+pub struct Node {
+    pub address: SocketAddr,
+    child: Child,
+    log: Arc<Mutex<String>>,
+    configuration: std::path::PathBuf,
+    _discovery: Option<Discovery>,
+}
+
+fn write_configuration(configuration: &Value) -> std::path::PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("crankmux-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, configuration.to_string()).expect("a writable folder");
+    path
+}
+
+/// Starts the program; with a limit on descriptors that the system sets, if one is given.
+fn program(path: &std::path::Path, descriptors: Option<usize>) -> Child {
+    let limit = descriptors.map(|n| format!("ulimit -n {n}; ")).unwrap_or_default();
+    let mut command = Command::new("/bin/sh");
+    command.arg("-c").arg(format!("{limit}exec {}", env!("CARGO_BIN_EXE_crankmux")));
+    command.env("BALANCER_CONFIG", path).stderr(Stdio::piped()).stdout(Stdio::null());
+    command.spawn().expect("the node starts")
+}
+
+/// What a start that must fail says; none if it does not fail.
+pub fn refused_start(configuration: &Value) -> Option<String> {
+    let path = write_configuration(configuration);
+    let output = program(&path, None).wait_with_output().expect("it ends");
+    let _ = std::fs::remove_file(path);
+    (!output.status.success()).then(|| String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+impl Node {
+    /// A node that knows these servers, and a discovery that knows the same.
+    pub fn before(servers: &[&Server]) -> Self {
+        let hosts = servers.iter().enumerate().map(|(i, s)| host(&format!("s{i}"), s.address, "Ready"));
+        let known = list(1, true, &hosts.collect::<Vec<_>>());
+        let discovery = Discovery::new(known.clone());
+        let mut node = Node::start(&configuration(discovery.address, &known), None);
+        node._discovery = Some(discovery);
+        node
+    }
+
+    pub fn start(configuration: &Value, descriptors: Option<usize>) -> Self {
+        let path = write_configuration(configuration);
+        let mut child = program(&path, descriptors);
+        let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let log = Arc::new(Mutex::new(String::new()));
+        let address = loop {
+            let line = lines.next().expect("it says where it listens").expect("text");
+            if let Some((_, address)) = line.split_once("listening on ") {
+                break address.parse().expect("an address");
+            }
+        };
+        let kept = log.clone();
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                kept.lock().unwrap().push_str(&(line + "\n"));
+            }
+        });
+        let node = Node { address, child, log, configuration: path, _discovery: None };
+        until("the node is ready", || {
+            let mut client = node.client();
+            client.write_all(b"GET /_health HTTP/1.1\r\n\r\n").is_ok()
+                && read_message(&mut client).is_some_and(|(head, _)| status(&head) == 200)
+        });
+        node
+    }
+
+    pub fn client(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("the node listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time is set");
+        stream
+    }
+
+    /// Sends bytes on a connection of their own; the answer's status and body, status 0 where none came.
+    pub fn ask(&self, request: &[u8]) -> (u16, String) {
+        let mut client = self.client();
+        let _ = client.write_all(request);
+        read_message(&mut client).map_or((0, String::new()), |(head, body)| {
+            (status(&head), String::from_utf8_lossy(&body).into_owned())
+        })
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {id}")).status();
+        assert!(sent.is_ok_and(|s| s.success()));
+    }
+
+    /// Waits for its end: whether it ended well, and its log.
+    pub fn ended(&mut self) -> (bool, String) {
+        let mut well = false;
+        until("the node ends", || match self.child.try_wait() {
+            Ok(Some(status)) => {
+                well = status.success();
+                true
+            }
+            _ => false,
+        });
+        thread::sleep(Duration::from_millis(50));
+        (well, self.log.lock().unwrap().clone())
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.configuration);
+    }
+}
+
+/// Waits until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let from = Instant::now();
+    while !holds() {
+        assert!(from.elapsed() < PATIENCE, "not in time: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A request's head and body. `category` and time to live as a client gives them.
+pub fn request(category: &str, ttl: f64, body: &str) -> Vec<u8> {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let id = NEXT.fetch_add(1, Ordering::SeqCst);
+    format!(
+        "POST /{category}/7?user=5 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: id{id}\r\n\
+         X-Priority-Class: {category}\r\nX-Timeout: {ttl}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
--- /dev/null
+++ b/node/tests/sockets/main.rs
@@ -0,0 +1,392 @@
+//! The node on loopback sockets: what it takes in, what comes out, and one small test for each danger.
+
+mod help;
+
+use help::*;
+use quickcheck::{Gen, QuickCheck};
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener};
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn after(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+#[test]
+fn an_op_goes_through_unchanged() {
+    let server = Server::saying(ok("a stall"));
+    let node = Node::before(&[&server]);
+    assert_eq!(node.ask(&request("view", 1.0, "which?")), (200, "a stall".into()));
+    let asked = server.asked.lock().unwrap();
+    assert!(asked[0].head.starts_with("POST /view/7?user=5 HTTP/1.1\r\n"), "{}", asked[0].head);
+    assert!(header(&asked[0].head, "X-Request-ID").is_some());
+    let told: f64 = header(&asked[0].head, "X-Timeout").and_then(|v| v.parse().ok()).expect("told");
+    assert!(told > 0.0 && told <= 1.0);
+    assert_eq!(asked[0].body, b"which?");
+}
+
+#[test]
+fn bad_input_gets_its_status_and_no_push() {
+    let server = Server::saying(ok("x"));
+    let node = Node::before(&[&server]);
+    let good = String::from_utf8(request("view", 1.0, "")).unwrap();
+    let without = |name: &str| {
+        let kept = good.split("\r\n").filter(|line| !line.starts_with(name));
+        kept.collect::<Vec<_>>().join("\r\n").into_bytes()
+    };
+    let long = format!("X-Long: {}\r\nHost:", "x".repeat(9000));
+    for (status, bytes) in [
+        (400, b"nonsense\r\n\r\n".to_vec()),
+        (400, vec![0xff; 40]),
+        (400, without("X-Request-ID")),
+        (400, without("X-Priority-Class")),
+        (400, without("X-Timeout")),
+        (400, good.replace("X-Timeout: 1", "X-Timeout: soon").into_bytes()),
+        (400, good.replace("X-Timeout: 1", "X-Timeout: -1").into_bytes()),
+        (400, good.replace("X-Timeout: 1", "X-Timeout: inf").into_bytes()),
+        (400, good.replace("Class: view", "Class: unheard-of").into_bytes()),
+        (400, good.replace("Length: 0", "Length: +3").into_bytes()),
+        (400, good.replace("Length: 0", "Length: 0\r\nContent-Length: 1").into_bytes()),
+        (400, good.replace("Length: 0", "Length: 0\r\nTransfer-Encoding: chunked").into_bytes()),
+        (400, good.replace("Content-Length: 0", "Transfer-Encoding: gzip, chunked").into_bytes()),
+        (400, (good.replace("Content-Length: 0", "Transfer-Encoding: chunked") + "zz\r\n").into_bytes()),
+        (413, good.replace("Length: 0", "Length: 65537").into_bytes()),
+        (413, good.replace("Length: 0", "Length: 99999999999999999999999").into_bytes()),
+        (413, (good.replace("Content-Length: 0", "Transfer-Encoding: chunked") + "10001\r\n").into_bytes()),
+        (431, good.replace("Host:", &long).into_bytes()),
+        (431, good.replace("Host:", &format!("{}Host:", "X-A: b\r\n".repeat(70))).into_bytes()),
+        (405, good.replace("POST", "HEAD").into_bytes()),
+    ] {
+        assert_eq!(node.ask(&bytes).0, status, "{}", String::from_utf8_lossy(&bytes[..bytes.len().min(300)]));
+    }
+    assert_eq!(server.pushes(), 0);
+    assert_eq!(node.ask(good.as_bytes()).0, 200, "still there");
+}
+
+#[test]
+fn a_request_may_come_in_any_pieces() {
+    let server = Server::new(|stream, asked| {
+        let body = String::from_utf8_lossy(&asked.body).into_owned();
+        stream.write_all(&ok(&body)).is_ok()
+    });
+    let node = Node::before(&[&server]);
+    let address = node.address;
+    let echoed = move |cuts: Vec<u8>, body: Vec<u8>, chunked: bool| {
+        let body: String = body.iter().map(|b| char::from(b'a' + b % 26)).collect();
+        let mut bytes = request("view", 4.0, &body);
+        if chunked {
+            let head = String::from_utf8(request("view", 4.0, "")).unwrap();
+            let mut text = head.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+            for part in body.as_bytes().chunks(7) {
+                text += &format!("{:x};odd=1\r\n{}\r\n", part.len(), std::str::from_utf8(part).unwrap());
+            }
+            bytes = (text + "0\r\nX-Trailer: t\r\n\r\n").into_bytes();
+        }
+        // A second request follows at once, after a stray line end.
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&request("view", 4.0, "next"));
+        let mut client = std::net::TcpStream::connect(address).unwrap();
+        client.set_read_timeout(Some(PATIENCE)).unwrap();
+        client.set_nodelay(true).unwrap();
+        let mut rest = &bytes[..];
+        for cut in cuts.iter().take(12) {
+            let (piece, more) = rest.split_at(rest.len().min(usize::from(*cut)));
+            client.write_all(piece).unwrap();
+            rest = more;
+            thread::yield_now();
+        }
+        client.write_all(rest).unwrap();
+        let first = read_message(&mut client).map(|(_, body)| body);
+        let second = read_message(&mut client).map(|(_, body)| body);
+        first == Some(body.into_bytes()) && second == Some(b"next".to_vec())
+    };
+    let mut check = QuickCheck::new().tests(60).rng(Gen::from_size_and_seed(300, 20_261_201));
+    // A closure that holds the address cannot be handed over as a plain function.
+    struct Echo<F>(F);
+    impl<F: Fn(Vec<u8>, Vec<u8>, bool) -> bool + 'static> quickcheck::Testable for Echo<F> {
+        fn result(&self, g: &mut Gen) -> quickcheck::TestResult {
+            use quickcheck::Arbitrary;
+            let (cuts, body) = (Vec::arbitrary(g), Vec::arbitrary(g));
+            quickcheck::TestResult::from_bool((self.0)(cuts, body, bool::arbitrary(g)))
+        }
+    }
+    check.quickcheck(Echo(echoed));
+}
+
+#[test]
+fn whole_answers_of_any_framing_are_handed_back() {
+    let answers: [&[u8]; 6] = [
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nabcde",
+        b"HTTP/1.0 200 OK\r\n\r\nabcde",
+        b"HTTP/1.1 200 OK\r\n\r\nabcde",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcdeand more",
+    ];
+    for answer in answers {
+        let server = Server::new(move |stream, _| {
+            // Byte by byte, as a slow network may bring it.
+            stream.set_nodelay(true).unwrap();
+            answer.chunks(1).for_each(|b| stream.write_all(b).unwrap());
+            let framed = answer.windows(7).any(|w| w == b"Length:" || w == b"Encodin");
+            framed && !answer.windows(5).any(|w| w == b"close")
+        });
+        let node = Node::before(&[&server]);
+        for _ in 0..3 {
+            let got = node.ask(&request("pay", 1.0, ""));
+            assert_eq!(got, (200, "abcde".into()), "{}", String::from_utf8_lossy(answer));
+        }
+    }
+}
+
+#[test]
+fn a_broken_answer_ends_the_push() {
+    let answers: [&[u8]; 5] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nabcde",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcde",
+        b"garbage\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n",
+        b"",
+    ];
+    for answer in answers {
+        let bad = Server::new(move |stream, _| stream.write_all(answer).is_err());
+        let node = Node::before(&[&bad]);
+        let from = Instant::now();
+        assert_eq!(node.ask(&request("pay", 3.0, "")).0, 502, "it may have run");
+        assert_eq!(bad.pushes(), 1, "an at-most-once op that may have run goes nowhere else");
+        assert!(from.elapsed() < Duration::from_secs(1), "given up on at once");
+        assert_eq!(node.ask(&request("view", 3.0, "")).0, 503);
+        assert!(bad.pushes() > 1);
+    }
+}
+
+#[test]
+fn what_never_ran_goes_elsewhere() {
+    let turns = Server::saying(
+        b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nX-Server-Load: TEXT inflight=9, queue=4\r\nContent-Length: 0\r\n\r\n"
+            .to_vec(),
+    );
+    let refused = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let good = Server::saying(ok("yes"));
+    let known = list(
+        1,
+        true,
+        &[host("t", turns.address, "Ready"), host("r", refused, "Ready"), host("g", good.address, "Ready")],
+    );
+    let discovery = Discovery::new(known.clone());
+    let node = Node::start(&configuration(discovery.address, &known), None);
+    for _ in 0..12 {
+        assert_eq!(node.ask(&request("pay", 2.0, "")), (200, "yes".into()));
+    }
+    assert!(turns.pushes() > 0);
+}
+
+#[test]
+fn a_silent_server_is_given_up_on_in_time() {
+    let silent = Server::new(|stream, _| stream.read(&mut [0]).is_ok_and(|n| n > 0));
+    let node = Node::before(&[&silent]);
+    let from = Instant::now();
+    assert_eq!(node.ask(&request("pay", 0.3, "")).0, 502);
+    let took = from.elapsed();
+    assert!(took > Duration::from_millis(250) && took < Duration::from_millis(370), "{took:?}");
+    until("its connection is closed", || silent.open.load(Ordering::SeqCst) == 0);
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_push_with_it() {
+    let silent = Server::new(|stream, _| stream.read(&mut [0]).is_ok_and(|n| n > 0));
+    let node = Node::before(&[&silent]);
+    let mut client = node.client();
+    client.write_all(&request("view", 4.0, "")).unwrap();
+    until("the push is out", || silent.open.load(Ordering::SeqCst) == 1);
+    drop(client);
+    until("its connection is closed", || silent.open.load(Ordering::SeqCst) == 0);
+}
+
+#[test]
+fn an_idle_connection_that_the_server_closed_is_not_used() {
+    let closes = Server::new(|stream, _| {
+        stream.write_all(&ok("x")).unwrap();
+        after(5);
+        false
+    });
+    let node = Node::before(&[&closes]);
+    let mut client = node.client();
+    for _ in 0..20 {
+        client.write_all(&request("pay", 2.0, "")).unwrap();
+        assert_eq!(status(&read_message(&mut client).expect("an answer").0), 200);
+        after(10);
+    }
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_the_server_would() {
+    let server = Server::saying(ok("x"));
+    let known = list(1, true, &[host("s", server.address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let mut configuration = configuration(discovery.address, &known);
+    configuration["settings"]["Limits"]["KeepaliveMs"] = json!(400.0);
+    let node = Node::start(&configuration, None);
+    assert_eq!(node.ask(&request("view", 1.0, "")).0, 200);
+    assert_eq!(server.open.load(Ordering::SeqCst), 1);
+    let from = Instant::now();
+    until("it is closed", || server.open.load(Ordering::SeqCst) == 0);
+    assert!(from.elapsed() < Duration::from_millis(390));
+}
+
+#[test]
+fn a_server_that_drains_gets_nothing_new() {
+    let (one, two) = (Server::saying(ok("one")), Server::saying(ok("two")));
+    let known = list(1, true, &[host("one", one.address, "Ready"), host("two", two.address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let node = Node::start(&configuration(discovery.address, &known), None);
+    until("both are used", || {
+        node.ask(&request("view", 1.0, ""));
+        one.pushes() > 0 && two.pushes() > 0
+    });
+    until("it watches", || discovery.calls.lock().unwrap().iter().any(|c| c.contains("from=1&hold_ms=")));
+    discovery.tell(list(2, false, &[host("one", one.address, "Terminating")]));
+    until("idle connections are closed", || one.open.load(Ordering::SeqCst) == 0);
+    let before = one.pushes();
+    for _ in 0..20 {
+        assert_eq!(node.ask(&request("view", 1.0, "")), (200, "two".into()));
+    }
+    // A whole list without it says the same of the other.
+    discovery.tell(list(3, true, &[host("one", one.address, "Ready")]));
+    until("the other's are closed", || two.open.load(Ordering::SeqCst) == 0);
+    assert_eq!(one.pushes(), before);
+    assert_eq!(node.ask(&request("view", 1.0, "")), (200, "one".into()));
+}
+
+#[test]
+fn a_silent_or_broken_discovery_is_asked_again() {
+    let server = Server::saying(ok("x"));
+    let known = list(1, true, &[host("s", server.address, "Ready")]);
+    let discovery = Discovery::new(json!({"odd": true}));
+    let node = Node::start(&configuration(discovery.address, &known), None);
+    assert_eq!(node.ask(&request("view", 1.0, "")).0, 200, "served by the list it knew");
+    // After the broken answer nothing is said: it must call again and again, on new connections.
+    until("it has called three times", || discovery.calls.lock().unwrap().len() >= 3);
+}
+
+#[test]
+fn idle_and_half_sent_connections_make_room() {
+    let server = Server::saying(ok("x"));
+    let known = list(1, true, &[host("s", server.address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let mut configuration = configuration(discovery.address, &known);
+    configuration["limits"]["sockets"] = json!(48);
+    let node = Node::start(&configuration, None);
+    let standing: Vec<_> = (0..60)
+        .map(|k| {
+            let mut client = node.client();
+            if k % 2 == 0 {
+                let _ = client.write_all(b"POST /view HTTP/1.1\r\nX-Req");
+            }
+            client
+        })
+        .collect();
+    for _ in 0..5 {
+        assert_eq!(node.ask(&request("view", 1.0, "")).0, 200);
+    }
+    drop(standing);
+}
+
+#[test]
+fn more_ops_than_sockets_wait_or_are_nacked_and_none_is_lost() {
+    let slow = Server::new(|stream, _| {
+        after(100);
+        stream.write_all(&ok("x")).is_ok()
+    });
+    let known = list(1, true, &[host("s", slow.address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let mut configuration = configuration(discovery.address, &known);
+    configuration["limits"]["sockets"] = json!(40);
+    // The system's own limit is lower still.
+    let node = Node::start(&configuration, Some(20));
+    let node = &node;
+    thread::scope(|scope| {
+        for _ in 0..40 {
+            scope.spawn(move || {
+                let (status, _) = node.ask(&request("view", 2.0, ""));
+                assert!(matches!(status, 200 | 503), "{status}");
+            });
+        }
+    });
+    until("it serves again", || node.ask(&request("view", 1.0, "")).0 == 200);
+}
+
+#[test]
+fn told_to_stop_it_serves_what_still_comes_and_finishes() {
+    let slow = Server::new(|stream, _| {
+        after(900);
+        stream.write_all(&ok("late")).is_ok()
+    });
+    let mut node = Node::before(&[&slow]);
+    let mut idle = node.client();
+    let mut first = node.client();
+    first.write_all(&request("pay", 3.0, "")).unwrap();
+    until("it is out", || slow.open.load(Ordering::SeqCst) == 1);
+    node.signal("TERM");
+    after(200);
+    let mut second = node.client();
+    second.write_all(&request("view", 3.0, "")).unwrap();
+    for client in [&mut first, &mut second] {
+        let (head, body) = read_message(client).expect("an answer");
+        assert_eq!((status(&head), &body[..]), (200, &b"late"[..]));
+        assert_eq!(header(&head, "Connection").as_deref(), Some("close"));
+    }
+    assert_eq!(idle.read(&mut [0]).ok(), Some(0), "closed between requests");
+    let (well, log) = node.ended();
+    assert!(well && log.contains("ops: taken 2, acked 2"), "{log}");
+}
+
+#[test]
+fn counters_are_told_on_request() {
+    let server = Server::saying(ok("x"));
+    let mut node = Node::before(&[&server]);
+    assert_eq!(node.ask(&request("view", 1.0, "")).0, 200);
+    node.signal("USR1");
+    after(50);
+    assert_eq!(node.ask(&request("view", 1.0, "")).0, 200, "it goes on");
+    node.signal("TERM");
+    let (_, log) = node.ended();
+    assert!(log.contains("taken 1, acked 1") && log.contains("taken 2, acked 2"), "{log}");
+}
+
+#[test]
+fn a_half_closed_client_that_was_refused_still_reads_its_answer() {
+    let server = Server::saying(ok("x"));
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    let bytes = [&b"POST /view HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"[..], &[b'x'; 30_000]].concat();
+    client.write_all(&bytes).unwrap();
+    client.shutdown(Shutdown::Write).unwrap();
+    after(50);
+    assert_eq!(status(&read_message(&mut client).expect("an answer").0), 413);
+}
+
+#[test]
+fn a_faulty_key_is_named() {
+    let address = "127.0.0.1:9".parse().unwrap();
+    let good = configuration(address, &list(1, true, &[]));
+    for (path, value, named) in [
+        ("/listen", json!("nowhere"), "listen"),
+        ("/discovery", json!(5), "discovery"),
+        ("/seed", json!("xyz"), "seed"),
+        ("/limits/sockets", json!(3), "limits.sockets"),
+        ("/limits/memory_mb", json!("much"), "limits.memory_mb"),
+        ("/settings", json!(null), "settings"),
+        ("/settings/Obligations/ColdShare", json!(null), "ColdShare"),
+        ("/settings/Limits/KeepaliveMs", json!(-1), "KeepaliveMs"),
+        ("/settings/Categories/0/Effect", json!("odd"), "Effect"),
+    ] {
+        let mut bad = good.clone();
+        *bad.pointer_mut(path).expect("in the good one") = value;
+        let message = refused_start(&bad).expect("it does not start");
+        assert!(message.contains(named), "{path}: {message}");
+    }
+}
