Hear clients beyond the ops that may be under way, and nack those ops at once

At fault: accept() paused with no room to refuse. Now ops may bind three quarters; an op that comes beyond gets no push and the module nacks it. Ten descriptors go to others than clients and servers, so 16 are set aside instead of 24.

--- a/node/src/life/configuration.rs
+++ b/node/src/life/configuration.rs
@@ -5,9 +5,9 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
-/// Descriptors for other than clients and servers: the standard streams, polling, signals, the listener,
-/// discovery, and some to spare.
-const OTHER_SOCKETS: u64 = 24;
+/// Descriptors for other than clients and servers: ten for the standard streams, polling, signals, the
+/// listener and discovery, and some to spare.
+const OTHER_SOCKETS: u64 = 16;
 
 pub struct Configuration {
     pub listen: SocketAddr,
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -54,6 +54,8 @@
     /// None once it is answered, or the client is gone.
     client: Option<usize>,
     ends: f64,
+    /// Came in when as many as may be were under way.
+    over: bool,
     /// Where each push is out; none once it has ended.
     pushes: Vec<Option<usize>>,
     out: usize,
@@ -176,7 +178,10 @@
     pub fn take_in(&mut self, client: usize, arrival: Arrival) -> usize {
         self.counters.taken += 1;
         let now = self.now();
-        let op = Op { client: Some(client), ends: now + arrival.ttl, pushes: Vec::new(), out: 0 };
+        // Danger: were all clients' connections bound by ops, others would wait unaccepted, which counts as
+        // taken, and be lost. A quarter is left to hear them; their ops get no push and so a quick nack.
+        let over = self.ops.len() >= self.clients.most() * 3 / 4;
+        let op = Op { client: Some(client), ends: now + arrival.ttl, over, pushes: Vec::new(), out: 0 };
         let op = self.ops.insert(op);
         let next = self.dispatcher.pick(now, &Arrival { op, ..arrival });
         self.follow(op, next);
@@ -224,7 +229,7 @@
     fn push(&mut self, op: usize, pick: Pick) {
         let now = self.now();
         let record = &mut self.ops[op];
-        let (push, client) = (record.pushes.len(), record.client);
+        let (push, client) = (record.pushes.len(), record.client.filter(|_| !record.over));
         let patience = pick.patience.min(record.ends - now);
         record.pushes.push(None);
         record.out += 1;
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -91,6 +91,11 @@
         Clients { listener: Some(listener), table: Slab::new(), most, waiting: false, again: Vec::new() }
     }
 
+    /// Connections at most.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
     /// The request that an op came with.
     pub fn request(&self, client: usize) -> Option<(&[u8], &Message)> {
         let client = self.table.get(client)?;
@@ -321,6 +326,7 @@
         if !message.advance(inbox)? {
             return Ok(None);
         }
+        log::trace!("{}", String::from_utf8_lossy(&inbox.held()[..message.head]));
         let names = &self.names;
         let read = http::request(inbox.held(), |method, path, headers| asked(names, method, path, headers))?;
         read.map(|(_, asked)| asked).transpose()
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -278,7 +278,7 @@
     let known = list(1, true, &[host("s", server.address, "Ready")]);
     let discovery = Discovery::new(known.clone());
     let mut configuration = configuration(discovery.address, &known);
-    configuration["limits"]["sockets"] = json!(48);
+    configuration["limits"]["sockets"] = json!(40);
     let node = Node::start(&configuration, None);
     let standing: Vec<_> = (0..60)
         .map(|k| {
@@ -295,6 +295,27 @@
     drop(standing);
 }
 
+#[test]
+fn ops_that_find_the_tables_full_are_nacked_at_once() {
+    let silent = Server::new(|stream, _| stream.read(&mut [0]).is_ok_and(|n| n > 0));
+    let known = list(1, true, &[host("s", silent.address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let mut configuration = configuration(discovery.address, &known);
+    configuration["limits"]["sockets"] = json!(40);
+    let node = Node::start(&configuration, None);
+    let node = &node;
+    thread::scope(|scope| {
+        for _ in 0..40 {
+            scope.spawn(move || {
+                let from = Instant::now();
+                assert!(matches!(node.ask(&request("view", 0.6, "")).0, 502 | 503));
+                // Whoever waited unaccepted while the first ones were out would come after their time.
+                assert!(from.elapsed() < Duration::from_millis(750));
+            });
+        }
+    });
+}
+
 #[test]
 fn more_ops_than_sockets_wait_or_are_nacked_and_none_is_lost() {
     let slow = Server::new(|stream, _| {
