--- a/node/src/memory/mod.rs
+++ b/node/src/memory/mod.rs
@@ -1,5 +1,7 @@
-//! What is kept: buffers, due times, counters. Each has one owner, the proxy, and one place of return.
+//! What is kept: buffers, tables of connections and ops, due times, counters. Each has one owner, the proxy, and one place of return.
 
 pub mod buffers;
 pub mod counters;
+pub mod ops;
+pub mod tables;
 pub mod timers;
--- /dev/null
+++ b/node/src/memory/ops.rs
@@ -0,0 +1,76 @@
+//! Ops that are under way, from their request until they are answered and their last push has ended.
+
+use slab::Slab;
+
+struct Op {
+    /// None once it is answered, or the client is gone.
+    client: Option<usize>,
+    ends: f64,
+    /// Came in when as many as may be were under way.
+    over: bool,
+    /// Where each push is out; none once it has ended.
+    pushes: Vec<Option<usize>>,
+    out: usize,
+}
+
+pub struct Ops {
+    table: Slab<Op>,
+    most: usize,
+}
+
+impl Ops {
+    pub fn new(most: usize) -> Self {
+        Ops { table: Slab::new(), most }
+    }
+
+    pub fn take_in(&mut self, client: usize, ends: f64) -> usize {
+        let over = self.table.len() >= self.most;
+        self.table.insert(Op { client: Some(client), ends, over, pushes: Vec::new(), out: 0 })
+    }
+
+    /// Whether a client still waits for the answer.
+    pub fn waits(&self, op: usize) -> bool {
+        self.table.get(op).is_some_and(|op| op.client.is_some())
+    }
+
+    /// Whether no client waits for any answer.
+    pub fn none_waits(&self) -> bool {
+        self.table.iter().all(|(_, op)| op.client.is_none())
+    }
+
+    /// A push begins: its number, the client whose request it carries unless the op is over, and its end.
+    pub fn push(&mut self, op: usize) -> (usize, Option<usize>, f64) {
+        let op = &mut self.table[op];
+        op.pushes.push(None);
+        op.out += 1;
+        (op.pushes.len() - 1, op.client.filter(|_| !op.over), op.ends)
+    }
+
+    pub fn out_at(&mut self, op: usize, push: usize, link: usize) {
+        self.table[op].pushes[push] = Some(link);
+    }
+
+    /// Where a push is out.
+    pub fn link(&self, op: usize, push: usize) -> Option<usize> {
+        self.table.get(op)?.pushes.get(push).copied().flatten()
+    }
+
+    pub fn push_ended(&mut self, op: usize, push: usize) {
+        let op = &mut self.table[op];
+        op.pushes[push] = None;
+        op.out -= 1;
+    }
+
+    /// The client that waits, as its answer is made or it has left; from then on none does.
+    pub fn answered(&mut self, op: usize) -> Option<usize> {
+        self.table.get_mut(op)?.client.take()
+    }
+
+    /// The one place where an op is given back: answered, and none of its pushes out. Danger: an index used
+    /// again while a push is out would take that push's end for its own.
+    pub fn drop_if_done(&mut self, op: usize) {
+        if self.table.get(op).is_some_and(|op| op.client.is_none() && op.out == 0) {
+            self.table.remove(op);
+        }
+    }
+}
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -3,6 +3,7 @@
 use crate::life::configuration::Configuration;
 use crate::memory::buffers::Buffers;
 use crate::memory::counters::Counters;
+use crate::memory::ops::Ops;
 use crate::memory::timers::Timers;
 use crate::wire::clients::Clients;
 use crate::wire::discovery::{self, Discovery, List};
@@ -12,7 +13,6 @@
 use crankmux::words::{Arrival, Ending, Load, PushEnd};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Registry, Token};
-use slab::Slab;
 use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -49,18 +49,6 @@
     }
 }
 
-/// An op, from its request until it is answered and its last push has ended.
-pub struct Op {
-    /// None once it is answered, or the client is gone.
-    client: Option<usize>,
-    ends: f64,
-    /// Came in when as many as may be were under way.
-    over: bool,
-    /// Where each push is out; none once it has ended.
-    pushes: Vec<Option<usize>>,
-    out: usize,
-}
-
 pub struct Proxy {
     pub registry: Registry,
     pub clock: Clock,
@@ -70,7 +58,7 @@
     pub clients: Clients,
     pub servers: Servers,
     pub discovery: Discovery,
-    pub ops: Slab<Op>,
+    pub ops: Ops,
     pub dispatcher: Dispatcher,
     pub names: Names,
     /// Connections to servers that have something to write.
@@ -84,6 +72,8 @@
         log::info!("listening on {}", listener.local_addr()?);
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let most = configuration.connections;
+        // Danger: were all clients' connections bound by ops, others would wait unaccepted, which counts as
+        // taken, and be lost. A quarter is left to hear them; their ops get no push and so a quick nack.
         let mut proxy = Proxy {
             registry: poll.registry().try_clone()?,
             clock: Clock::new(),
@@ -93,7 +83,7 @@
             clients: Clients::new(listener, most),
             servers: Servers::new(most, configuration.connect_within, configuration.keepalive),
             discovery: Discovery::new(configuration.discovery),
-            ops: Slab::new(),
+            ops: Ops::new(most * 3 / 4),
             dispatcher: configuration.dispatcher,
             names: configuration.names,
             links_again: Vec::new(),
@@ -124,7 +114,7 @@
 
     /// Whether everything taken in is answered, and the answers are out.
     pub fn finished(&self) -> bool {
-        self.ops.iter().all(|(_, op)| op.client.is_none()) && !self.clients.busy()
+        self.ops.none_waits() && !self.clients.busy()
     }
 
     /// Does what is due, waits for events until something else is, and does what they call for.
@@ -178,26 +168,16 @@
     pub fn take_in(&mut self, client: usize, arrival: Arrival) -> usize {
         self.counters.taken += 1;
         let now = self.now();
-        // Danger: were all clients' connections bound by ops, others would wait unaccepted, which counts as
-        // taken, and be lost. A quarter is left to hear them; their ops get no push and so a quick nack.
-        let over = self.ops.len() >= self.clients.most() * 3 / 4;
-        let op = Op { client: Some(client), ends: now + arrival.ttl, over, pushes: Vec::new(), out: 0 };
-        let op = self.ops.insert(op);
+        let op = self.ops.take_in(client, now + arrival.ttl);
         let next = self.dispatcher.pick(now, &Arrival { op, ..arrival });
         self.follow(op, next);
         op
     }
 
-    /// Whether a client still waits for the answer.
-    pub fn waits(&self, op: usize) -> bool {
-        self.ops.get(op).is_some_and(|op| op.client.is_some())
-    }
-
     /// Carries out what is next for an op.
     fn follow(&mut self, op: usize, next: Next) {
         for push in next.cancel {
-            let link = self.ops.get(op).and_then(|o| o.pushes.get(push).copied().flatten());
-            if let Some(link) = link {
+            if let Some(link) = self.ops.link(op, push) {
                 self.cancel(link);
             }
         }
@@ -215,24 +195,19 @@
         for pick in next.picks {
             self.push(op, pick);
         }
-        if self.ops.get(op).is_some_and(|o| o.client.is_none() && o.out == 0) {
-            self.ops.remove(op);
-        }
+        self.ops.drop_if_done(op);
     }
 
     fn give_up(&mut self, op: usize, status: u16, come_back: f64) {
-        if let Some(client) = self.ops.get_mut(op).and_then(|o| o.client.take()) {
+        if let Some(client) = self.ops.answered(op) {
             self.answer(client, status, come_back);
         }
     }
 
     fn push(&mut self, op: usize, pick: Pick) {
         let now = self.now();
-        let record = &mut self.ops[op];
-        let (push, client) = (record.pushes.len(), record.client.filter(|_| !record.over));
-        let patience = pick.patience.min(record.ends - now);
-        record.pushes.push(None);
-        record.out += 1;
+        let (push, client, ends) = self.ops.push(op);
+        let patience = pick.patience.min(ends - now);
         let then = Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed(op, push, now, outcome));
         let sent = match client {
             Some(client) if patience > 0.0 => self.send(client, pick.server, patience, then),
@@ -241,7 +216,7 @@
         match sent {
             Ok(link) => {
                 self.counters.sent += 1;
-                self.ops[op].pushes[push] = Some(link);
+                self.ops.out_at(op, push, link);
             }
             Err(ending) => {
                 self.pushed(op, push, now, Outcome { ending, load: Load::default(), answer: None })
@@ -263,11 +238,9 @@
         };
         *count += 1;
         let now = self.now();
-        let record = &mut self.ops[op];
-        record.pushes[push] = None;
-        record.out -= 1;
-        let waiting = if ending == Ending::Acked { record.client.take() } else { None };
-        let closed = record.client.is_none();
+        self.ops.push_ended(op, push);
+        let waiting = if ending == Ending::Acked { self.ops.answered(op) } else { None };
+        let closed = !self.ops.waits(op);
         if let Some((inbox, message)) = answer {
             if let Some(client) = waiting {
                 self.counters.acked += 1;
@@ -282,8 +255,7 @@
     /// The client has left.
     pub fn client_gone(&mut self, op: usize) {
         self.counters.departed += 1;
-        if let Some(record) = self.ops.get_mut(op) {
-            record.client = None;
+        if self.ops.answered(op).is_some() {
             let now = self.now();
             let next = self.dispatcher.departed(now, op);
             self.follow(op, next);
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -2,6 +2,7 @@
 
 use super::http::{self, Message, Refused};
 use crate::memory::buffers::{Buffer, Filled};
+use crate::memory::tables::Table;
 use crate::memory::timers::Key;
 use crate::proxy::{Proxy, CLIENT};
 use crankmux::given::Names;
@@ -9,7 +10,6 @@
 use httparse::Header;
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
-use slab::Slab;
 use std::io;
 use std::net::Shutdown;
 
@@ -37,15 +37,19 @@
 }
 
 impl Client {
+    /// Neither an op is under way nor an answer to be written.
+    fn spare(&self) -> bool {
+        self.op.is_none() && self.outbox.is_none()
+    }
+
     fn idle(&self) -> bool {
-        self.op.is_none() && self.inbox.is_none() && self.outbox.is_none() && !self.lingers
+        self.spare() && self.inbox.is_none() && !self.lingers
     }
 }
 
 pub struct Clients {
     listener: Option<TcpListener>,
-    table: Slab<Client>,
-    most: usize,
+    table: Table<Client>,
     /// Connections wait to be accepted.
     waiting: bool,
     /// Those that were answered and may have more to say.
@@ -87,12 +91,7 @@
 
 impl Clients {
     pub fn new(listener: TcpListener, most: usize) -> Self {
-        Clients { listener: Some(listener), table: Slab::new(), most, waiting: false, again: Vec::new() }
-    }
-
-    /// Connections at most.
-    pub fn most(&self) -> usize {
-        self.most
+        Clients { listener: Some(listener), table: Table::new(most), waiting: false, again: Vec::new() }
     }
 
     /// The request that an op came with.
@@ -105,24 +104,18 @@
     /// not taken before its last byte; then who has its answer and only has to hang up. Danger: were idle ones
     /// always first, a new client would go before it could speak, and those that never end a request stay.
     fn least_needed(&self) -> Option<usize> {
-        let spare = self.table.iter().filter(|(key, _)| self.spare(*key));
-        let least = spare
-            .min_by(|(_, a), (_, b)| a.lingers.cmp(&b.lingers).then(a.idle_since.total_cmp(&b.idle_since)));
-        least.map(|(key, _)| key)
-    }
-
-    /// Whether it has neither an op under way nor an answer to be written.
-    fn spare(&self, key: usize) -> bool {
-        self.table.get(key).is_some_and(|c| c.op.is_none() && c.outbox.is_none())
+        let spare =
+            |lingers: bool| move |c: &Client| (c.spare() && c.lingers == lingers).then_some(c.idle_since);
+        self.table.least(spare(false)).or_else(|| self.table.least(spare(true)))
     }
 
     pub fn nothing_again(&self) -> bool {
-        self.again.is_empty() && !(self.waiting && self.table.len() < self.most)
+        self.again.is_empty() && (self.table.full() || !self.waiting)
     }
 
     /// Whether any client still has an answer to come.
     pub fn busy(&self) -> bool {
-        self.table.iter().any(|(_, c)| c.outbox.is_some() || c.op.is_some())
+        !self.table.keys(|c| c.outbox.is_some() || c.op.is_some()).is_empty()
     }
 }
 
@@ -130,7 +123,7 @@
     pub fn accept(&mut self) {
         self.clients.waiting = false;
         loop {
-            if self.clients.table.len() >= self.clients.most {
+            if self.clients.table.full() {
                 // Danger: without a free descriptor accepting would fail and spin, and connections that only
                 // stand there would keep clients out. The least needed makes room; where all have an op
                 // under way, the others wait until one is answered.
@@ -141,7 +134,7 @@
                 };
                 // What it may have sent by now counts as taken, and is read first.
                 self.serve(least);
-                if !self.clients.spare(least) {
+                if !self.clients.table.get(least).is_some_and(Client::spare) {
                     continue;
                 }
                 self.counters.full += 1;
@@ -164,8 +157,7 @@
     }
 
     fn add_client(&mut self, mut stream: TcpStream) {
-        let entry = self.clients.table.vacant_entry();
-        let key = entry.key();
+        let key = self.clients.table.next_key();
         let both = Interest::READABLE | Interest::WRITABLE;
         if let Err(e) = self.registry.register(&mut stream, CLIENT.token(key), both) {
             log::warn!("cannot watch a client: {e}");
@@ -174,7 +166,7 @@
         // Without it a small answer may wait for the acknowledgement of the one before.
         let _ = stream.set_nodelay(true);
         let idle_since = self.clock.now();
-        entry.insert(Client {
+        self.clients.table.insert(Client {
             stream,
             inbox: None,
             message: None,
@@ -192,7 +184,7 @@
 
     /// The one place where a client's connection and buffers are given back.
     fn drop_client(&mut self, key: usize) {
-        let Some(mut client) = self.clients.table.try_remove(key) else { return };
+        let Some(mut client) = self.clients.table.take(key) else { return };
         let _ = self.registry.deregister(&mut client.stream);
         self.timers.unset(client.timer);
         for buffer in [client.inbox, client.outbox].into_iter().flatten() {
@@ -208,7 +200,7 @@
         while let Some(key) = self.clients.again.pop() {
             self.serve(key);
         }
-        if self.clients.waiting && self.clients.table.len() < self.clients.most {
+        if self.clients.waiting && !self.clients.table.full() {
             self.accept();
         }
     }
@@ -374,7 +366,7 @@
             Asked::Op(arrival) => {
                 let op = self.take_in(key, arrival);
                 // It may be answered already.
-                let waits = self.waits(op);
+                let waits = self.ops.waits(op);
                 if let Some(client) = self.clients.table.get_mut(key).filter(|_| waits) {
                     client.op = Some(op);
                 }
@@ -447,7 +439,7 @@
 
     /// Closes clients between requests, once what they may have sent is read.
     pub fn close_idle(&mut self) {
-        let keys: Vec<usize> = self.clients.table.iter().map(|(key, _)| key).collect();
+        let keys = self.clients.table.keys(|_| true);
         for key in keys {
             self.serve(key);
             if self.clients.table.get(key).is_some_and(Client::idle) {
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -2,6 +2,7 @@
 
 use super::http::{self, Message};
 use crate::memory::buffers::{Buffer, Filled, BODY_MOST};
+use crate::memory::tables::Table;
 use crate::memory::timers::Key;
 use crate::proxy::{Proxy, SERVER};
 use crankmux::given;
@@ -9,7 +10,6 @@
 use httparse::Header;
 use mio::net::TcpStream;
 use mio::Interest;
-use slab::Slab;
 use std::io;
 use std::net::SocketAddr;
 
@@ -49,9 +49,8 @@
 }
 
 pub struct Servers {
-    links: Slab<Link>,
+    links: Table<Link>,
     records: Vec<Record>,
-    most: usize,
     connect_within: f64,
     idle_most: f64,
 }
@@ -61,7 +60,7 @@
     pub fn new(most: usize, connect_within: f64, keepalive: f64) -> Self {
         // Danger: a push written while the server closes is lost and may have run. Three quarters leave
         // room for what both sides' clocks and the way there differ by.
-        Servers { links: Slab::new(), records: Vec::new(), most, connect_within, idle_most: 0.75 * keepalive }
+        Servers { links: Table::new(most), records: Vec::new(), connect_within, idle_most: 0.75 * keepalive }
     }
 
     /// Whether any server may be sent to.
@@ -103,9 +102,8 @@
                 self.drop_link(key);
             }
             // Danger: a connection that comes up only now would carry a new push past the grace.
-            let unsent =
-                |(_, l): &(usize, &Link)| l.server == server && l.then.is_some() && l.sent == 0 && !l.whole;
-            let unsent: Vec<usize> = self.servers.links.iter().filter(unsent).map(|(key, _)| key).collect();
+            let unsent = |l: &Link| l.server == server && l.then.is_some() && l.sent == 0 && !l.whole;
+            let unsent = self.servers.links.keys(unsent);
             for key in unsent {
                 self.fail(key, Ending::Unreachable, Load::default());
             }
@@ -157,7 +155,7 @@
     }
 
     fn dial(&mut self, server: usize) -> Result<usize, Ending> {
-        if self.servers.links.len() >= self.servers.most && !self.drop_longest_idle() {
+        if self.servers.links.full() && !self.drop_longest_idle() {
             // Danger: out of descriptors for servers. Nothing was sent, and the op is free to go elsewhere.
             self.counters.full += 1;
             return Err(Ending::Unsent);
@@ -165,8 +163,7 @@
         let record = self.servers.records.get(server);
         let dial @ (address, _) = record.and_then(|r| r.dial).ok_or(Ending::Unreachable)?;
         self.counters.dialled += 1;
-        let entry = self.servers.links.vacant_entry();
-        let key = entry.key();
+        let key = self.servers.links.next_key();
         let both = Interest::READABLE | Interest::WRITABLE;
         let stream = TcpStream::connect(address).and_then(|mut stream| {
             self.registry.register(&mut stream, SERVER.token(key), both)?;
@@ -185,7 +182,7 @@
             }
         })?;
         let _ = stream.set_nodelay(true);
-        entry.insert(Link {
+        self.servers.links.insert(Link {
             stream,
             server,
             dial,
@@ -204,13 +201,9 @@
     }
 
     fn drop_longest_idle(&mut self) -> bool {
-        let idle = self.servers.links.iter().filter(|(_, l)| l.then.is_none());
-        let Some((key, server)) = idle
-            .min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since))
-            .map(|(key, link)| (key, link.server))
-        else {
-            return false;
-        };
+        let idle = |link: &Link| link.then.is_none().then_some(link.idle_since);
+        let Some(key) = self.servers.links.least(idle) else { return false };
+        let server = self.servers.links[key].server;
         self.servers.records[server].idle.retain(|k| *k != key);
         self.drop_link(key);
         true
@@ -218,7 +211,7 @@
 
     /// The one place where a server's connection and buffers are given back.
     fn drop_link(&mut self, key: usize) {
-        let Some(mut link) = self.servers.links.try_remove(key) else { return };
+        let Some(mut link) = self.servers.links.take(key) else { return };
         let _ = self.registry.deregister(&mut link.stream);
         self.timers.unset(link.timer);
         for buffer in [link.outbox, link.inbox].into_iter().flatten() {
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -132,6 +132,8 @@
 
     /// When the next tick is due.
     pub fn next_tick(&self) -> Option<f64> {
-        self.said.alarms.iter().map(|(at, _)| *at).min_by(f64::total_cmp)
+        let waiting = self.said.list || !self.said.next.is_empty();
+        let alarms = self.said.alarms.iter().map(|(at, _)| *at);
+        alarms.chain(waiting.then_some(0.0)).min_by(f64::total_cmp)
     }
 }
