Node: no spin and no lost place when the system is out of descriptors; distrust a silent server's idle links

Read through for the case that the system's limit is under the configured one: each failed accept set a timer of its own, so that their number grew with each event; idle clients kept others out; a push had no descriptor and was nacked. Now there is one timer, the least needed client makes room, and an idle one does for a push. Idle connections of a server that said nothing since a push that timed out are closed, so that a machine cut off swallows one push and not one for each. Both tests fail with the mend taken out.

--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: accepts connections, reads requests, writes answers.
 
 use super::http::{self, Message, Refused};
+use super::silent;
 use crate::memory::buffers::{Buffer, Filled};
 use crate::memory::tables::Table;
 use crate::memory::timers::Key;
@@ -20,6 +21,8 @@
 const LINGER: f64 = 1000.0;
 /// How soon accepting is tried again after an error: a few times within any client's patience.
 const ACCEPT_AGAIN: f64 = 50.0;
+/// A client sends its request right after it has connected: within the way there, which is under this.
+const JUST_COME: f64 = 100.0;
 
 struct Client {
     stream: TcpStream,
@@ -52,6 +55,7 @@
     table: Table<Client>,
     /// Connections wait to be accepted.
     waiting: bool,
+    accept_again: Option<Key>,
     /// Those that were answered and may have more to say.
     again: Vec<usize>,
 }
@@ -91,7 +95,13 @@
 
 impl Clients {
     pub fn new(listener: TcpListener, most: usize) -> Self {
-        Clients { listener: Some(listener), table: Table::new(most), waiting: false, again: Vec::new() }
+        Clients {
+            listener: Some(listener),
+            table: Table::new(most),
+            waiting: false,
+            accept_again: None,
+            again: Vec::new(),
+        }
     }
 
     /// The request that an op came with.
@@ -122,23 +132,14 @@
 impl Proxy {
     pub fn accept(&mut self) {
         self.clients.waiting = false;
+        self.timers.unset(self.clients.accept_again.take());
         loop {
-            if self.clients.table.full() {
-                // Danger: without a free descriptor accepting would fail and spin, and connections that only
-                // stand there would keep clients out. The least needed makes room; where all have an op
-                // under way, the others wait until one is answered.
-                let Some(least) = self.clients.least_needed() else {
-                    self.counters.full += 1;
-                    self.clients.waiting = true;
-                    return;
-                };
-                // What it may have sent by now counts as taken, and is read first.
-                self.serve(least);
-                if !self.clients.table.get(least).is_some_and(Client::spare) {
-                    continue;
-                }
-                self.counters.full += 1;
-                self.drop_client(least);
+            // Danger: without a free descriptor accepting would fail and spin, and connections that only stand
+            // there would keep clients out.
+            if self.clients.table.full() && !self.make_room() {
+                // All have an op under way; the others wait until one is answered.
+                self.clients.waiting = true;
+                return;
             }
             let Some(listener) = &self.clients.listener else { return };
             match listener.accept() {
@@ -146,16 +147,43 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                // Danger: the system is out of descriptors before the table is full; the listener stays
+                // readable, and trying at once again and again would take the whole core.
                 Err(e) => {
-                    // Danger: out of descriptors all the same; the listener stays readable.
-                    log::warn!("cannot accept: {e}");
-                    self.timers.set(self.now() + ACCEPT_AGAIN, |proxy: &mut Proxy| proxy.accept());
-                    return;
+                    if !(self.make_room() || self.drop_longest_idle()) {
+                        log::warn!("cannot accept: {e}");
+                        let at = self.now() + ACCEPT_AGAIN;
+                        self.clients.accept_again =
+                            Some(self.timers.set(at, |proxy: &mut Proxy| proxy.accept()));
+                        return;
+                    }
                 }
             }
         }
     }
 
+    /// Drops the least needed client; whether there was one. What it may have sent by now counts as taken, and
+    /// is read first.
+    fn make_room(&mut self) -> bool {
+        self.counters.full += 1;
+        while let Some(least) = self.clients.least_needed() {
+            self.serve(least);
+            if self.clients.table.get(least).is_none_or(Client::spare) {
+                self.drop_client(least);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Drops the client that was idle longest; whether there was one. One that has just come is about to speak.
+    pub fn drop_idle_client(&mut self) -> bool {
+        let now = self.clock.now();
+        let quiet = |c: &Client| c.idle() && now - c.idle_since > JUST_COME && silent(&c.stream);
+        let idle = self.clients.table.least(|c| quiet(c).then_some(c.idle_since));
+        idle.inspect(|key| self.drop_client(*key)).is_some()
+    }
+
     fn add_client(&mut self, mut stream: TcpStream) {
         let key = self.clients.table.next_key();
         let both = Interest::READABLE | Interest::WRITABLE;
@@ -242,10 +270,8 @@
         let Some(client) = self.clients.table.get_mut(key) else { return false };
         if client.op.is_some() {
             // What comes after a request waits for its answer; only an end is of interest.
-            match client.stream.peek(&mut [0]) {
-                Ok(1..) => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                _ => self.drop_client(key),
+            if !matches!(client.stream.peek(&mut [0]), Ok(1..)) && !silent(&client.stream) {
+                self.drop_client(key);
             }
             return false;
         }
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -4,3 +4,8 @@
 pub mod discovery;
 pub mod http;
 pub mod servers;
+
+/// Whether a connection is open and has nothing to say.
+fn silent(stream: &mio::net::TcpStream) -> bool {
+    matches!(stream.peek(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -1,6 +1,7 @@
 //! Servers: connections to them, pushes written, answers read.
 
 use super::http::{self, Message};
+use super::silent;
 use crate::memory::buffers::{Buffer, Filled, BODY_MOST};
 use crate::memory::tables::Table;
 use crate::memory::timers::Key;
@@ -30,6 +31,7 @@
     /// The process it was opened to.
     dial: (SocketAddr, f64),
     up: bool,
+    began: f64,
     outbox: Option<Buffer>,
     sent: usize,
     whole: bool,
@@ -46,6 +48,8 @@
     /// Where to dial it, and when it last started; none where it gets nothing new.
     dial: Option<(SocketAddr, f64)>,
     idle: Vec<usize>,
+    /// When any of its connections last came up or brought something.
+    heard: f64,
 }
 
 pub struct Servers {
@@ -130,7 +134,8 @@
         };
         let now = self.now();
         let link = &mut self.servers.links[key];
-        (link.outbox, link.sent, link.whole, link.ends) = (Some(outbox), 0, false, now + patience);
+        (link.outbox, link.sent, link.whole) = (Some(outbox), 0, false);
+        (link.began, link.ends) = (now, now + patience);
         link.then = Some(then);
         let first = if link.up { patience } else { patience.min(self.servers.connect_within) };
         link.timer = Some(self.timers.set(now + first, move |proxy: &mut Proxy| proxy.link_due(key)));
@@ -146,11 +151,11 @@
             let key = self.servers.records.get_mut(server)?.idle.pop()?;
             let link = &mut self.servers.links[key];
             self.timers.unset(link.timer.take());
-            match link.stream.peek(&mut [0]) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Some(key),
-                // Danger: closed meanwhile, or bytes that belong to no push.
-                _ => self.drop_link(key),
+            if silent(&link.stream) {
+                return Some(key);
             }
+            // Danger: closed meanwhile, or bytes that belong to no push.
+            self.drop_link(key);
         }
     }
 
@@ -163,30 +168,40 @@
         let record = self.servers.records.get(server);
         let dial @ (address, _) = record.and_then(|r| r.dial).ok_or(Ending::Unreachable)?;
         self.counters.dialled += 1;
-        let key = self.servers.links.next_key();
         let both = Interest::READABLE | Interest::WRITABLE;
-        let stream = TcpStream::connect(address).and_then(|mut stream| {
-            self.registry.register(&mut stream, SERVER.token(key), both)?;
-            Ok(stream)
-        });
-        let stream = stream.map_err(|e| match e.kind() {
-            io::ErrorKind::ConnectionRefused
-            | io::ErrorKind::ConnectionReset
-            | io::ErrorKind::HostUnreachable
-            | io::ErrorKind::NetworkUnreachable => Ending::Unreachable,
-            // Danger: what this machine lacks, descriptors say, would be held against the server.
-            _ => {
-                log::warn!("cannot dial: {e}");
-                self.counters.full += 1;
-                Ending::Unsent
+        let key = self.servers.links.next_key();
+        let stream = loop {
+            let stream = TcpStream::connect(address).and_then(|mut stream| {
+                self.registry.register(&mut stream, SERVER.token(key), both)?;
+                Ok(stream)
+            });
+            match stream.map_err(|e| (e.kind(), e)) {
+                Ok(stream) => break stream,
+                Err((
+                    io::ErrorKind::ConnectionRefused
+                    | io::ErrorKind::ConnectionReset
+                    | io::ErrorKind::HostUnreachable
+                    | io::ErrorKind::NetworkUnreachable,
+                    _,
+                )) => return Err(Ending::Unreachable),
+                // Danger: what this machine lacks, descriptors say, would be held against the server, and
+                // clients that are idle would keep others' ops from going out.
+                Err((_, e)) => {
+                    if !self.drop_idle_client() {
+                        log::warn!("cannot dial: {e}");
+                        self.counters.full += 1;
+                        return Err(Ending::Unsent);
+                    }
+                }
             }
-        })?;
+        };
         let _ = stream.set_nodelay(true);
         self.servers.links.insert(Link {
             stream,
             server,
             dial,
             up: false,
+            began: 0.0,
             outbox: None,
             sent: 0,
             whole: false,
@@ -200,7 +215,7 @@
         Ok(key)
     }
 
-    fn drop_longest_idle(&mut self) -> bool {
+    pub fn drop_longest_idle(&mut self) -> bool {
         let idle = |link: &Link| link.then.is_none().then_some(link.idle_since);
         let Some(key) = self.servers.links.least(idle) else { return false };
         let server = self.servers.links[key].server;
@@ -242,6 +257,14 @@
         } else {
             // Before its last byte is written it cannot have run.
             let ending = if link.whole { Ending::TimedOut } else { Ending::Unreachable };
+            let record = &mut self.servers.records[link.server];
+            if record.heard < link.began {
+                // Danger: a machine that is cut off says nothing, and each of its idle connections would
+                // swallow a push. A new one shows at once whether it is there.
+                for idle in std::mem::take(&mut record.idle) {
+                    self.drop_link(idle);
+                }
+            }
             self.fail(key, ending, Load::default());
         }
     }
@@ -251,7 +274,7 @@
         let Some(link) = self.servers.links.get_mut(key) else { return };
         if link.then.is_none() {
             // Idle: the server has closed it, or speaks out of turn.
-            if !matches!(link.stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock) {
+            if !silent(&link.stream) {
                 let server = link.server;
                 self.servers.records[server].idle.retain(|k| *k != key);
                 self.drop_link(key);
@@ -266,6 +289,7 @@
                 return;
             }
             link.up = true;
+            self.servers.records[link.server].heard = self.clock.now();
         }
         if let Some(outbox) = &link.outbox {
             match outbox.drain(&mut link.sent, &mut link.stream) {
@@ -290,6 +314,9 @@
                 return self.fail(key, Ending::Broken, Load::default());
             };
             let filled = inbox.fill(&mut link.stream);
+            if filled == Filled::Some {
+                self.servers.records[link.server].heard = self.clock.now();
+            }
             let ended = filled == Filled::Ended;
             let whole = match read(&mut link.message, &mut inbox) {
                 Ok(whole) => whole || ended && link.message.as_ref().is_some_and(|(m, ..)| m.ends_here()),
@@ -336,8 +363,7 @@
         link.idle_since = now;
         self.timers.unset(link.timer.take());
         let server = link.server;
-        let still = matches!(link.stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
-        if still && self.servers.records[server].dial == Some(link.dial) {
+        if silent(&link.stream) && self.servers.records[server].dial == Some(link.dial) {
             let close = move |proxy: &mut Proxy| {
                 proxy.servers.records[server].idle.retain(|k| *k != key);
                 proxy.drop_link(key);
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -7,7 +7,8 @@
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -195,6 +196,23 @@
     until("its connection is closed", || silent.open.load(Ordering::SeqCst) == 0);
 }
 
+#[test]
+fn idle_connections_to_a_server_that_fell_silent_are_not_trusted() {
+    let silent = Arc::new(AtomicBool::new(false));
+    let falls = silent.clone();
+    let server = Server::new(move |stream, _| {
+        after(100);
+        falls.load(Ordering::SeqCst) || stream.write_all(&ok("x")).is_ok()
+    });
+    let node = Node::before(&[&server]);
+    let ask = || assert_eq!(node.ask(&request("view", 1.0, "")).0, 200);
+    thread::scope(|scope| (0..3).for_each(|_| drop(scope.spawn(ask))));
+    assert_eq!(server.open.load(Ordering::SeqCst), 3, "kept");
+    silent.store(true, Ordering::SeqCst);
+    assert_eq!(node.ask(&request("pay", 0.3, "")).0, 502);
+    until("all are closed", || server.open.load(Ordering::SeqCst) == 0);
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_push_with_it() {
     let silent = Server::new(|stream, _| stream.read(&mut [0]).is_ok_and(|n| n > 0));
@@ -295,6 +313,19 @@
     drop(standing);
 }
 
+#[test]
+fn out_of_descriptors_below_its_own_limit_it_still_serves() {
+    let server = Server::saying(ok("x"));
+    let known = list(1, true, &[host("s", server.address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let node = Node::start(&configuration(discovery.address, &known), Some(20));
+    let standing: Vec<_> = (0..40).map(|_| node.client()).collect();
+    for _ in 0..5 {
+        assert_eq!(node.ask(&request("view", 1.0, "")).0, 200);
+    }
+    drop(standing);
+}
+
 #[test]
 fn ops_that_find_the_tables_full_are_nacked_at_once() {
     let silent = [(); 8].map(|()| Server::new(|stream, _| stream.read(&mut [0]).is_ok_and(|n| n > 0)));
