--- a/node/tests/sockets/help.rs
+++ b/node/tests/sockets/help.rs
@@ -22,7 +22,7 @@
         }
         head.push(byte[0]);
     }
-    let head = String::from_utf8(head).ok()?;
+    let head = String::from_utf8_lossy(&head).into_owned();
     let mut body = vec![0; header(&head, "Content-Length").and_then(|l| l.parse().ok()).unwrap_or(0)];
     stream.read_exact(&mut body).ok()?;
     Some((head, body))
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -3,12 +3,12 @@
 mod help;
 
 use help::*;
-use quickcheck::{Gen, QuickCheck};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -67,6 +67,18 @@
     assert_eq!(node.ask(good.as_bytes()).0, 200, "still there");
 }
 
+/// Checks what holds for generated input, from a fixed seed.
+fn generated(tests: u64, holds: impl Fn(&mut Gen) -> bool + 'static) {
+    // A closure that holds an address cannot be handed over as a plain function.
+    struct Holds<F>(F);
+    impl<F: Fn(&mut Gen) -> bool + 'static> Testable for Holds<F> {
+        fn result(&self, g: &mut Gen) -> TestResult {
+            TestResult::from_bool((self.0)(g))
+        }
+    }
+    QuickCheck::new().tests(tests).rng(Gen::from_size_and_seed(300, 20_261_201)).quickcheck(Holds(holds));
+}
+
 #[test]
 fn a_request_may_come_in_any_pieces() {
     let server = Server::new(|stream, asked| {
@@ -104,17 +116,45 @@
         let second = read_message(&mut client).map(|(_, body)| body);
         first == Some(body.into_bytes()) && second == Some(b"next".to_vec())
     };
-    let mut check = QuickCheck::new().tests(60).rng(Gen::from_size_and_seed(300, 20_261_201));
-    // A closure that holds the address cannot be handed over as a plain function.
-    struct Echo<F>(F);
-    impl<F: Fn(Vec<u8>, Vec<u8>, bool) -> bool + 'static> quickcheck::Testable for Echo<F> {
-        fn result(&self, g: &mut Gen) -> quickcheck::TestResult {
-            use quickcheck::Arbitrary;
-            let (cuts, body) = (Vec::arbitrary(g), Vec::arbitrary(g));
-            quickcheck::TestResult::from_bool((self.0)(cuts, body, bool::arbitrary(g)))
-        }
+    generated(60, move |g| echoed(Vec::arbitrary(g), Vec::arbitrary(g), bool::arbitrary(g)));
+}
+
+/// Bytes as they should be, some of them changed, the end perhaps missing.
+fn garbled(g: &mut Gen, good: &[u8]) -> Vec<u8> {
+    let mut bytes = good.to_vec();
+    for _ in 0..usize::arbitrary(g) % 6 {
+        let at = usize::arbitrary(g) % bytes.len();
+        bytes[at] = u8::arbitrary(g);
+    }
+    if bool::arbitrary(g) {
+        bytes.truncate(usize::arbitrary(g) % bytes.len());
     }
-    check.quickcheck(Echo(echoed));
+    bytes
+}
+
+#[test]
+fn garbled_requests_and_answers_are_survived() {
+    let good = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Server-Load: TEXT queue=1\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    let next = Mutex::new(Gen::from_size_and_seed(100, 7));
+    let server = Server::new(move |stream, _| {
+        let answer = garbled(&mut next.lock().unwrap(), good);
+        stream.write_all(&answer).is_err()
+    });
+    let node = Node::before(&[&server]);
+    let address = node.address;
+    generated(400, move |g| {
+        let mut client = std::net::TcpStream::connect(address).unwrap();
+        client.set_read_timeout(Some(PATIENCE)).unwrap();
+        let whole = bool::arbitrary(g);
+        let request = request("view", 0.2, "some body");
+        client.write_all(&if whole { request } else { garbled(g, &request) }).unwrap();
+        if !whole {
+            let _ = client.shutdown(Shutdown::Write);
+        }
+        // What is whole has an answer, made of what a server sent or of the node's own.
+        let answer = read_message(&mut client).map(|(head, _)| status(&head));
+        answer.map_or(!whole, |status| matches!(status, 200 | 400 | 405 | 413 | 431 | 502 | 503))
+    });
 }
 
 #[test]
--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -2,7 +2,8 @@
 
 use crate::help::{duties, line, node, Play, TTL};
 use crankmux::balance::Balancer;
-use crankmux::words::{Ending, Listed, Load, PushEnd, Standing};
+use crankmux::dispatcher::{Dispatcher, GivenUp, Next};
+use crankmux::words::{Arrival, Ending, Listed, Load, PushEnd, Standing};
 use serde_json::json;
 use std::collections::BTreeSet;
 
@@ -378,3 +379,32 @@
     let counts = play.run(50, 20.0, |_| ACK);
     assert_eq!(counts.values().sum::<usize>(), 50);
 }
+
+#[test]
+fn the_dispatcher_returns_what_the_module_says() {
+    let mut dispatcher = Dispatcher::new(duties(), 7).expect("all duties are given");
+    let lines: Vec<_> = (0..2).map(|s| line(s, Standing::Ready, 0.0)).collect();
+    dispatcher.list(50_000.0, &lines, true, true);
+    assert_eq!(dispatcher.next_tick(), Some(0.0), "a cached list is to be followed at once");
+    assert!(dispatcher.wants_list() && !dispatcher.wants_list());
+    let arrival = Arrival { op: 3, category: 2, customer: None, ttl: TTL, retry: false, work: None };
+    let first = dispatcher.pick(50_000.0, &arrival);
+    assert_eq!((first.picks.len(), first.given_up), (1, None));
+    let end = |push, ending| PushEnd {
+        op: 3,
+        push,
+        ending,
+        took: 5.0,
+        closed: ending == Ending::Acked,
+        load: Load::default(),
+    };
+    let second = dispatcher.report(50_005.0, &end(0, Ending::TurnedAway));
+    assert_ne!(second.picks[0].server, first.picks[0].server);
+    let last = dispatcher.report(50_010.0, &end(1, Ending::Errored));
+    assert_eq!((last.picks.len(), last.given_up), (0, Some(GivenUp::DeadLettered)));
+    assert_eq!(dispatcher.report(50_020.0, &end(1, Ending::Errored)), Next::default());
+    dispatcher.list_failed(50_030.0);
+    let due = dispatcher.next_tick().expect("it asks again");
+    assert!(due > 50_030.0 && !dispatcher.wants_list());
+    assert!(dispatcher.tick(due).is_empty() && dispatcher.wants_list());
+}
