--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -11,7 +11,7 @@
 use httparse::Header;
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
-use std::io;
+use std::io::{self, Read, Write};
 use std::net::Shutdown;
 
 /// A request's bytes, or an answer's, must go through within this many milliseconds: clients wait for seconds
@@ -28,7 +28,7 @@
     stream: TcpStream,
     /// The request, from its first byte until it is answered.
     inbox: Option<Buffer>,
-    message: Option<Message>,
+    request: Option<(Message, Asked)>,
     outbox: Option<Buffer>,
     sent: usize,
     op: Option<usize>,
@@ -61,6 +61,7 @@
 }
 
 /// What a request asks for.
+#[derive(Clone, Copy)]
 enum Asked {
     Health,
     Op(Arrival),
@@ -107,7 +108,7 @@
     /// The request that an op came with.
     pub fn request(&self, client: usize) -> Option<(&[u8], &Message)> {
         let client = self.table.get(client)?;
-        Some((client.inbox.as_ref()?.held(), client.message.as_ref()?))
+        Some((client.inbox.as_ref()?.held(), &client.request.as_ref()?.0))
     }
 
     /// Who makes room first: whoever was longest without an answer, idle or with a request begun, which is
@@ -197,7 +198,7 @@
         self.clients.table.insert(Client {
             stream,
             inbox: None,
-            message: None,
+            request: None,
             outbox: None,
             sent: 0,
             op: None,
@@ -275,21 +276,22 @@
             }
             return false;
         }
+        if client.lingers {
+            return match client.stream.read(&mut [0; 4096]) {
+                Ok(1..) => true,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => false,
+                _ => {
+                    self.drop_client(key);
+                    false
+                }
+            };
+        }
         let Some(mut inbox) = client.inbox.take().or_else(|| self.buffers.take()) else {
             // Danger: the pool is empty. The client is refused unread, and its next try is harmless.
             self.counters.full += 1;
             self.refuse(key, 503);
             return true;
         };
-        if client.lingers {
-            inbox.cut(0, inbox.held().len());
-            let filled = inbox.fill(&mut client.stream);
-            self.buffers.give(inbox);
-            if filled == Filled::Ended {
-                self.drop_client(key);
-            }
-            return filled == Filled::Some;
-        }
         match self.read_whole(key, &mut inbox) {
             Ok(Some(asked)) => {
                 self.put_back(key, inbox);
@@ -316,37 +318,26 @@
     /// What is asked, once the whole request is in.
     fn read_whole(&mut self, key: usize, inbox: &mut Buffer) -> Result<Option<Asked>, Refused> {
         let client = &mut self.clients.table[key];
-        if client.message.is_none() {
+        if client.request.is_none() {
             // Danger: line ends left over behind the last request, taken for a request that never ends.
             let blank = inbox.held().iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
             inbox.cut(0, blank);
             let names = &self.names;
-            let read = http::request(inbox.held(), |_, _, headers| {
-                let expects = http::value(headers, "expect");
-                expects.is_some_and(|e| e.eq_ignore_ascii_case("100-continue"))
+            let head = http::request(inbox.held(), |method, path, headers| {
+                let expect = http::value(headers, "expect").unwrap_or_default();
+                (asked(names, method, path, headers), expect.eq_ignore_ascii_case("100-continue"))
             })?;
-            let Some((message, expects)) = read else { return Ok(None) };
-            // What is refused by its head is refused before its body has come.
-            if let Some((_, asked)) =
-                http::request(inbox.held(), |method, path, headers| asked(names, method, path, headers))?
-            {
-                asked?;
-            }
+            let Some((message, (asked, expects))) = head else { return Ok(None) };
+            log::trace!("{}", String::from_utf8_lossy(&inbox.held()[..message.head]));
+            // What its head rules out is refused before its body has come.
+            client.request = Some((message, asked?));
             if expects {
-                use std::io::Write;
                 // So short a line fits into an empty socket buffer.
                 let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
             }
-            client.message = Some(message);
-        }
-        let Some(message) = &mut client.message else { return Ok(None) };
-        if !message.advance(inbox)? {
-            return Ok(None);
         }
-        log::trace!("{}", String::from_utf8_lossy(&inbox.held()[..message.head]));
-        let names = &self.names;
-        let read = http::request(inbox.held(), |method, path, headers| asked(names, method, path, headers))?;
-        read.map(|(_, asked)| asked).transpose()
+        let Some((message, asked)) = &mut client.request else { return Ok(None) };
+        Ok(message.advance(inbox)?.then_some(*asked))
     }
 
     /// Reads on; whether anything came.
@@ -383,7 +374,7 @@
     fn hear(&mut self, key: usize, asked: Asked) {
         let client = &mut self.clients.table[key];
         self.timers.unset(client.timer.take());
-        client.close = !client.message.as_ref().is_some_and(|m| m.keep);
+        client.close = !client.request.as_ref().is_some_and(|(m, _)| m.keep);
         match asked {
             Asked::Health => {
                 let status = if self.ready() { 200 } else { 503 };
@@ -427,7 +418,7 @@
         self.timers.unset(client.timer.take());
         if let Some(mut inbox) = client.inbox.take() {
             // What came behind the request is the next one's.
-            let end = client.message.take().map_or(inbox.held().len(), |m| m.end);
+            let end = client.request.take().map_or(inbox.held().len(), |(m, _)| m.end);
             inbox.cut(0, end);
             if inbox.held().is_empty() || client.close {
                 self.buffers.give(inbox);
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -353,6 +353,28 @@
     drop(standing);
 }
 
+#[test]
+fn without_a_buffer_left_a_request_is_refused_and_later_ones_served() {
+    let server = Server::saying(ok("x"));
+    let known = list(1, true, &[host("s", server.address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let mut configuration = configuration(discovery.address, &known);
+    configuration["limits"]["memory_mb"] = json!(1);
+    let node = Node::start(&configuration, None);
+    let begun: Vec<_> = (0..12)
+        .map(|_| {
+            let mut client = node.client();
+            client.write_all(b"POST /view HTTP/1.1\r\nX-Req").unwrap();
+            client
+        })
+        .collect();
+    after(50);
+    // What it sent is read on without a buffer: a reset would take the answer with it.
+    assert_eq!(node.ask(&request("view", 1.0, "")).0, 503);
+    drop(begun);
+    until("buffers are back", || node.ask(&request("view", 1.0, "")).0 == 200);
+}
+
 #[test]
 fn out_of_descriptors_below_its_own_limit_it_still_serves() {
     let server = Server::saying(ok("x"));
