Node: all of a list is placed before pushes that have not begun leave changed servers

Read through: place() failed such pushes server by server, so that the next pick could meet an address not yet placed. Test: a push whose connection does not come up, on a server that then drains, goes to the new server at once.

--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -112,6 +112,7 @@
         for (line, dial) in &list.lines {
             self.place(line.server, *dial);
         }
+        self.leave_unsent();
     }
 
     /// Calls discovery: for the whole list first, then for what has come since.
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -105,12 +105,16 @@
             for key in std::mem::take(&mut records[server].idle) {
                 self.drop_link(key);
             }
-            // Danger: a connection that comes up only now would carry a new push past the grace.
-            let unsent = |l: &Link| l.server == server && l.then.is_some() && l.sent == 0 && !l.whole;
-            let unsent = self.servers.links.keys(unsent);
-            for key in unsent {
-                self.fail(key, Ending::Unreachable, Load::default());
-            }
+        }
+    }
+
+    /// Once the whole list is placed: pushes that have not begun leave servers that are not as they were.
+    pub fn leave_unsent(&mut self) {
+        // Danger: a connection that comes up only now would carry a new push past the grace.
+        let records = &self.servers.records;
+        let left = |l: &Link| l.sent == 0 && l.outbox.is_some() && records[l.server].dial != Some(l.dial);
+        for key in self.servers.links.keys(left) {
+            self.fail(key, Ending::Unreachable, Load::default());
         }
     }
 
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -6,7 +6,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -101,7 +101,7 @@
         // A second request follows at once, after a stray line end.
         bytes.extend_from_slice(b"\r\n");
         bytes.extend_from_slice(&request("view", 4.0, "next"));
-        let mut client = std::net::TcpStream::connect(address).unwrap();
+        let mut client = TcpStream::connect(address).unwrap();
         client.set_read_timeout(Some(PATIENCE)).unwrap();
         client.set_nodelay(true).unwrap();
         let mut rest = &bytes[..];
@@ -143,7 +143,7 @@
     let node = Node::before(&[&server]);
     let address = node.address;
     generated(400, move |g| {
-        let mut client = std::net::TcpStream::connect(address).unwrap();
+        let mut client = TcpStream::connect(address).unwrap();
         client.set_read_timeout(Some(PATIENCE)).unwrap();
         let whole = bool::arbitrary(g);
         let request = request("view", 0.2, "some body");
@@ -319,6 +319,31 @@
     assert_eq!(node.ask(&request("view", 1.0, "")), (200, "one".into()));
 }
 
+#[test]
+fn a_push_whose_connection_is_not_up_leaves_a_server_that_drains() {
+    // Its queue of connections is full, so that a further one comes up late, if at all.
+    let stuck = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = stuck.local_addr().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(50)) {
+        queued.push(stream);
+    }
+    let good = Server::saying(ok("good"));
+    let known = list(1, true, &[host("stuck", address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let mut configuration = configuration(discovery.address, &known);
+    configuration["settings"]["Limits"]["ConnectTimeoutMs"] = json!(3000.0);
+    let node = Node::start(&configuration, None);
+    let mut client = node.client();
+    client.write_all(&request("pay", 2.0, "")).unwrap();
+    after(50);
+    let hosts = [host("stuck", address, "Terminating"), host("good", good.address, "Ready")];
+    let from = Instant::now();
+    discovery.tell(list(2, false, &hosts));
+    assert_eq!(read_message(&mut client).expect("an answer").1, b"good");
+    assert!(from.elapsed() < Duration::from_millis(500), "at once");
+}
+
 #[test]
 fn a_silent_or_broken_discovery_is_asked_again() {
     let server = Server::saying(ok("x"));
