--- a/node/src/life/configuration.rs
+++ b/node/src/life/configuration.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, checked and given defaults.
 
+use crate::wire::discovery::{read_list, List};
 use crankmux::dispatcher::Dispatcher;
 use crankmux::given::{self, Names};
 use serde_json::Value;
@@ -17,7 +18,8 @@
     pub buffer_bytes: usize,
     pub connect_within: f64,
     pub keepalive: f64,
-    pub known: Option<Value>,
+    /// The list of servers as it was last known.
+    pub known: Option<List>,
     pub names: Names,
     pub dispatcher: Dispatcher,
 }
@@ -59,7 +61,10 @@
             return Err(format!("limits.sockets is under {}", OTHER_SOCKETS + 8));
         }
         let memory = number("/limits/memory_mb", 192.0)?;
-        let (names, given) = Names::read(settings);
+        let (mut names, given) = Names::read(settings);
+        let known = whole.get("known").filter(|k| !k.is_null());
+        let known =
+            known.map(|known| read_list(&mut names, known)).transpose().map_err(|e| format!("known: {e}"))?;
         let dispatcher =
             Dispatcher::new(given, seed).map_err(|m| format!("settings: {}", given::explain(&m)))?;
         Ok(Configuration {
@@ -72,7 +77,7 @@
             connect_within: number("/settings/Limits/ConnectTimeoutMs", 1000.0)?,
             // Where none is set: what common servers keep at least.
             keepalive: number("/settings/Limits/KeepaliveMs", 5000.0)?,
-            known: whole.get("known").cloned(),
+            known,
             names,
             dispatcher,
         })
--- a/node/src/memory/mod.rs
+++ b/node/src/memory/mod.rs
@@ -1,4 +1,5 @@
-//! What is kept: buffers, tables of connections and ops, due times, counters. Each has one owner, the proxy, and one place of return.
+//! What is kept: buffers, tables of connections and ops, due times, counters. Each has one owner and one
+//! place of return.
 
 pub mod buffers;
 pub mod counters;
--- a/node/src/memory/timers.rs
+++ b/node/src/memory/timers.rs
@@ -1,6 +1,24 @@
-//! What is due, and when: each due time holds a closure that is handed the proxy.
+//! The time, and what is due when: each due time holds a closure that is handed the proxy.
 
 use std::collections::BTreeMap;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Unix milliseconds that only advance.
+pub struct Clock {
+    from: Instant,
+    unix: f64,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0);
+        Clock { from: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.unix + self.from.elapsed().as_secs_f64() * 1000.0
+    }
+}
 
 pub type Due<P> = Box<dyn FnOnce(&mut P)>;
 /// Microseconds and a running number: unlike floating-point times these have an order.
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -4,9 +4,9 @@
 use crate::memory::buffers::Buffers;
 use crate::memory::counters::Counters;
 use crate::memory::ops::Ops;
-use crate::memory::timers::Timers;
+use crate::memory::timers::{Clock, Timers};
 use crate::wire::clients::Clients;
-use crate::wire::discovery::{self, Discovery, List};
+use crate::wire::discovery::Discovery;
 use crate::wire::servers::{Outcome, Servers};
 use crankmux::dispatcher::{Dispatcher, GivenUp, Next, Pick};
 use crankmux::given::Names;
@@ -14,7 +14,7 @@
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Registry, Token};
 use std::io;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 pub const LISTENER: Token = Token(0);
 pub const SIGNALS: Token = Token(1);
@@ -32,23 +32,6 @@
     }
 }
 
-/// Unix milliseconds that only advance.
-pub struct Clock {
-    from: Instant,
-    unix: f64,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0);
-        Clock { from: Instant::now(), unix }
-    }
-
-    pub fn now(&self) -> f64 {
-        self.unix + self.from.elapsed().as_secs_f64() * 1000.0
-    }
-}
-
 pub struct Proxy {
     pub registry: Registry,
     pub clock: Clock,
@@ -89,10 +72,7 @@
             links_again: Vec::new(),
             stop_at: None,
         };
-        let known: Option<List> = configuration.known.and_then(|known| {
-            discovery::read_list(&mut proxy.names, &known).inspect_err(|e| log::warn!("known: {e}")).ok()
-        });
-        match known {
+        match configuration.known {
             Some(known) => proxy.take_list(&known, true),
             None => proxy.call_list(),
         }
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -112,8 +112,9 @@
     }
 
     /// Who makes room first: whoever was longest without an answer, idle or with a request begun, which is
-    /// not taken before its last byte; then who has its answer and only has to hang up. Danger: were idle ones
-    /// always first, a new client would go before it could speak, and those that never end a request stay.
+    /// not taken before its last byte; then who has its answer and only has to hang up. Danger: were idle
+    /// ones always first, a new client would go before it could speak, and those that never end a request
+    /// would stay.
     fn least_needed(&self) -> Option<usize> {
         let spare =
             |lingers: bool| move |c: &Client| (c.spare() && c.lingers == lingers).then_some(c.idle_since);
@@ -135,8 +136,8 @@
         self.clients.waiting = false;
         self.timers.unset(self.clients.accept_again.take());
         loop {
-            // Danger: without a free descriptor accepting would fail and spin, and connections that only stand
-            // there would keep clients out.
+            // Danger: without a free descriptor accepting would fail and spin, and connections that only
+            // stand there would keep clients out.
             if self.clients.table.full() && !self.make_room() {
                 // All have an op under way; the others wait until one is answered.
                 self.clients.waiting = true;
@@ -163,8 +164,8 @@
         }
     }
 
-    /// Drops the least needed client; whether there was one. What it may have sent by now counts as taken, and
-    /// is read first.
+    /// Drops the least needed client; whether there was one. What it may have sent by now counts as taken,
+    /// and is read first.
     fn make_room(&mut self) -> bool {
         self.counters.full += 1;
         while let Some(least) = self.clients.least_needed() {
@@ -177,7 +178,8 @@
         false
     }
 
-    /// Drops the client that was idle longest; whether there was one. One that has just come is about to speak.
+    /// Drops the client that was idle longest; whether there was one. One that has just come is about to
+    /// speak.
     pub fn drop_idle_client(&mut self) -> bool {
         let now = self.clock.now();
         let quiet = |c: &Client| c.idle() && now - c.idle_since > JUST_COME && silent(&c.stream);
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -119,7 +119,7 @@
     pub fn call_list(&mut self) {
         let now = self.now();
         let discovery = &mut self.discovery;
-        if discovery.timer.is_some() && discovery.asked_at > 0.0 {
+        if discovery.timer.is_some() {
             // A call is on its way.
             return;
         }
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -519,6 +519,7 @@
         ("/seed", json!("xyz"), "seed"),
         ("/limits/sockets", json!(3), "limits.sockets"),
         ("/limits/memory_mb", json!("much"), "limits.memory_mb"),
+        ("/known/seq", json!("one"), "known: seq"),
         ("/settings", json!(null), "settings"),
         ("/settings/Obligations/ColdShare", json!(null), "ColdShare"),
         ("/settings/Limits/KeepaliveMs", json!(-1), "KeepaliveMs"),
