--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -21,7 +21,8 @@
 const LINGER: f64 = 1000.0;
 /// How soon accepting is tried again after an error: a few times within any client's patience.
 const ACCEPT_AGAIN: f64 = 50.0;
-/// A client sends its request right after it has connected: within the way there, which is under this.
+/// A client that has connected, or begun a request, goes on at once: within the way there, which is under this.
+/// Until then it makes no room for others.
 const JUST_COME: f64 = 100.0;
 
 struct Client {
@@ -36,6 +37,7 @@
     close: bool,
     lingers: bool,
     timer: Option<Key>,
+    /// When it came, had its last answer, or began a request.
     idle_since: f64,
 }
 
@@ -115,10 +117,10 @@
     /// not taken before its last byte; then who has its answer and only has to hang up. Danger: were idle
     /// ones always first, a new client would go before it could speak, and those that never end a request
     /// would stay.
-    fn least_needed(&self) -> Option<usize> {
-        let spare =
-            |lingers: bool| move |c: &Client| (c.spare() && c.lingers == lingers).then_some(c.idle_since);
-        self.table.least(spare(false)).or_else(|| self.table.least(spare(true)))
+    fn least_needed(&self, now: f64) -> Option<usize> {
+        let spare = |c: &Client| c.spare() && !c.lingers && now - c.idle_since > JUST_COME;
+        let stands = self.table.least(|c| spare(c).then_some(c.idle_since));
+        stands.or_else(|| self.table.least(|c| c.lingers.then_some(c.idle_since)))
     }
 
     pub fn nothing_again(&self) -> bool {
@@ -139,9 +141,9 @@
             // Danger: without a free descriptor accepting would fail and spin, and connections that only
             // stand there would keep clients out.
             if self.clients.table.full() && !self.make_room() {
-                // All have an op under way; the others wait until one is answered.
+                // All have an op under way or have just come; the others wait until one is answered.
                 self.clients.waiting = true;
-                return;
+                return self.accept_later();
             }
             let Some(listener) = &self.clients.listener else { return };
             match listener.accept() {
@@ -154,21 +156,23 @@
                 Err(e) => {
                     if !(self.make_room() || self.drop_longest_idle()) {
                         log::warn!("cannot accept: {e}");
-                        let at = self.now() + ACCEPT_AGAIN;
-                        self.clients.accept_again =
-                            Some(self.timers.set(at, |proxy: &mut Proxy| proxy.accept()));
-                        return;
+                        return self.accept_later();
                     }
                 }
             }
         }
     }
 
+    fn accept_later(&mut self) {
+        let at = self.now() + ACCEPT_AGAIN;
+        self.clients.accept_again = Some(self.timers.set(at, |proxy: &mut Proxy| proxy.accept()));
+    }
+
     /// Drops the least needed client; whether there was one. What it may have sent by now counts as taken,
     /// and is read first.
     fn make_room(&mut self) -> bool {
         self.counters.full += 1;
-        while let Some(least) = self.clients.least_needed() {
+        while let Some(least) = self.clients.least_needed(self.clock.now()) {
             self.serve(least);
             if self.clients.table.get(least).is_none_or(Client::spare) {
                 self.drop_client(least);
@@ -351,6 +355,7 @@
         } else {
             client.inbox = Some(inbox);
             if client.timer.is_none() {
+                client.idle_since = self.clock.now();
                 // Danger: a client that sends a byte now and then would hold a buffer for ever.
                 let slow = move |proxy: &mut Proxy| {
                     proxy.counters.bad += 1;
