--- a/node/tests/sockets/help.rs
+++ b/node/tests/sockets/help.rs
@@ -197,10 +197,17 @@
 impl Node {
     /// A node that knows these servers, and a discovery that knows the same.
     pub fn before(servers: &[&Server]) -> Self {
+        Node::with(servers, |_| (), None)
+    }
+
+    /// The same with a changed configuration, and perhaps a limit on descriptors that the system sets.
+    pub fn with(servers: &[&Server], change: impl FnOnce(&mut Value), descriptors: Option<usize>) -> Self {
         let hosts = servers.iter().enumerate().map(|(i, s)| host(&format!("s{i}"), s.address, "Ready"));
         let known = list(1, true, &hosts.collect::<Vec<_>>());
         let discovery = Discovery::new(known.clone());
-        let mut node = Node::start(&configuration(discovery.address, &known), None);
+        let mut configuration = configuration(discovery.address, &known);
+        change(&mut configuration);
+        let mut node = Node::start(&configuration, descriptors);
         node._discovery = Some(discovery);
         node
     }
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -282,11 +282,7 @@
 #[test]
 fn an_idle_connection_is_closed_before_the_server_would() {
     let server = Server::saying(ok("x"));
-    let known = list(1, true, &[host("s", server.address, "Ready")]);
-    let discovery = Discovery::new(known.clone());
-    let mut configuration = configuration(discovery.address, &known);
-    configuration["settings"]["Limits"]["KeepaliveMs"] = json!(400.0);
-    let node = Node::start(&configuration, None);
+    let node = Node::with(&[&server], |c| c["settings"]["Limits"]["KeepaliveMs"] = json!(400.0), None);
     assert_eq!(node.ask(&request("view", 1.0, "")).0, 200);
     assert_eq!(server.open.load(Ordering::SeqCst), 1);
     let from = Instant::now();
@@ -357,11 +353,7 @@
 #[test]
 fn idle_and_half_sent_connections_make_room() {
     let server = Server::saying(ok("x"));
-    let known = list(1, true, &[host("s", server.address, "Ready")]);
-    let discovery = Discovery::new(known.clone());
-    let mut configuration = configuration(discovery.address, &known);
-    configuration["limits"]["sockets"] = json!(40);
-    let node = Node::start(&configuration, None);
+    let node = Node::with(&[&server], |c| c["limits"]["sockets"] = json!(40), None);
     let standing: Vec<_> = (0..60)
         .map(|k| {
             let mut client = node.client();
@@ -380,11 +372,7 @@
 #[test]
 fn without_a_buffer_left_a_request_is_refused_and_later_ones_served() {
     let server = Server::saying(ok("x"));
-    let known = list(1, true, &[host("s", server.address, "Ready")]);
-    let discovery = Discovery::new(known.clone());
-    let mut configuration = configuration(discovery.address, &known);
-    configuration["limits"]["memory_mb"] = json!(1);
-    let node = Node::start(&configuration, None);
+    let node = Node::with(&[&server], |c| c["limits"]["memory_mb"] = json!(1), None);
     let begun: Vec<_> = (0..12)
         .map(|_| {
             let mut client = node.client();
@@ -402,9 +390,7 @@
 #[test]
 fn out_of_descriptors_below_its_own_limit_it_still_serves() {
     let server = Server::saying(ok("x"));
-    let known = list(1, true, &[host("s", server.address, "Ready")]);
-    let discovery = Discovery::new(known.clone());
-    let node = Node::start(&configuration(discovery.address, &known), Some(20));
+    let node = Node::with(&[&server], |_| (), Some(20));
     let standing: Vec<_> = (0..40).map(|_| node.client()).collect();
     for _ in 0..5 {
         assert_eq!(node.ask(&request("view", 1.0, "")).0, 200);
@@ -415,12 +401,7 @@
 #[test]
 fn ops_that_find_the_tables_full_are_nacked_at_once() {
     let silent = [(); 8].map(|()| Server::new(|stream, _| stream.read(&mut [0]).is_ok_and(|n| n > 0)));
-    let hosts = silent.iter().enumerate().map(|(i, s)| host(&format!("s{i}"), s.address, "Ready"));
-    let known = list(1, true, &hosts.collect::<Vec<_>>());
-    let discovery = Discovery::new(known.clone());
-    let mut configuration = configuration(discovery.address, &known);
-    configuration["limits"]["sockets"] = json!(40);
-    let node = Node::start(&configuration, None);
+    let node = Node::with(&silent.each_ref(), |c| c["limits"]["sockets"] = json!(40), None);
     let node = &node;
     thread::scope(|scope| {
         for _ in 0..40 {
@@ -440,12 +421,8 @@
         after(100);
         stream.write_all(&ok("x")).is_ok()
     });
-    let known = list(1, true, &[host("s", slow.address, "Ready")]);
-    let discovery = Discovery::new(known.clone());
-    let mut configuration = configuration(discovery.address, &known);
-    configuration["limits"]["sockets"] = json!(40);
     // The system's own limit is lower still.
-    let node = Node::start(&configuration, Some(20));
+    let node = Node::with(&[&slow], |c| c["limits"]["sockets"] = json!(40), Some(20));
     let node = &node;
     thread::scope(|scope| {
         for _ in 0..40 {
