Reload: SIGHUP reads the configuration again and follows the address that its file names

Checked: life/start.rs watched SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP's default ended the process; and configuration.rs let BALANCER_DISCOVERY stand over the file whenever it was read, so that a mere handler would have gone on with the old address. Ruled out: a crash inside the node, as its log ends without a word. Now life/reload.rs reads and checks the whole file again, without that variable. A faulty file is logged and changes nothing; a good one gives the discovery address, called at once for the whole list, and the times of connections. What else it holds counts from the next start. Ops, connections and all that was learnt live on. The test starts a node under the variable, gives it two faulty files and a good one with an op out, on loopback.

--- a/node/src/life/configuration.rs
+++ b/node/src/life/configuration.rs
@@ -26,15 +26,25 @@
 
 impl Configuration {
     /// Reads the file that `BALANCER_CONFIG` names; single variables stand over it.
-    pub fn from_environment() -> Result<Self, String> {
+    pub fn at_start() -> Result<Self, String> {
+        Self::from_file(&[("listen", "BALANCER_LISTEN"), ("discovery", "BALANCER_DISCOVERY")])
+    }
+
+    /// Reads that file again. Danger: variables are those of the start; were `BALANCER_DISCOVERY` to stand over
+    /// the file for good, no new file could ever name another address.
+    pub fn again() -> Result<Self, String> {
+        Self::from_file(&[("listen", "BALANCER_LISTEN")])
+    }
+
+    fn from_file(over: &[(&str, &str)]) -> Result<Self, String> {
         let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
         let mut whole: Value =
             serde_json::from_str(&text).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
         let object = whole.as_object_mut().ok_or("BALANCER_CONFIG: not a JSON object")?;
-        for (name, variable) in [("listen", "BALANCER_LISTEN"), ("discovery", "BALANCER_DISCOVERY")] {
+        for (name, variable) in over {
             if let Ok(value) = std::env::var(variable) {
-                object.insert(name.into(), value.into());
+                object.insert((*name).into(), value.into());
             }
         }
         Self::read(&whole)
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -1,5 +1,6 @@
-//! Start and stop.
+//! Start, reload and stop.
 
 pub mod configuration;
+pub mod reload;
 pub mod start;
 pub mod stop;
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -1,17 +1,18 @@
 //! Start: one event loop over everything, until told to stop.
 
 use super::configuration::Configuration;
+use super::reload;
 use super::stop::Stop;
 use crate::proxy::{Proxy, SIGNALS};
 use mio::{Events, Interest, Poll};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 
 pub fn run() -> Result<(), String> {
-    let configuration = Configuration::from_environment()?;
+    let configuration = Configuration::at_start()?;
     let text = |e: std::io::Error| e.to_string();
     let mut poll = Poll::new().map_err(text)?;
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(text)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(text)?;
     poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(text)?;
     let listen = configuration.listen;
     let mut proxy = Proxy::new(configuration, &poll).map_err(|e| format!("listen: {listen}: {e}"))?;
@@ -21,6 +22,7 @@
         if proxy.turn(&mut poll, &mut events).map_err(text)? {
             for signal in signals.pending() {
                 match signal {
+                    SIGHUP => reload::again(&mut proxy),
                     SIGUSR1 => log::info!("{}", proxy.counters),
                     _ => stop.begin(&mut proxy),
                 }
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -146,6 +146,18 @@
         self.discovery_event();
     }
 
+    /// Follows the list at an address, as a reload names it. The servers known so far stay until it has spoken.
+    pub fn follow_discovery(&mut self, address: SocketAddr) {
+        if self.discovery.address == address {
+            return;
+        }
+        // Danger: the old address says nothing more, and its versions need not be the new one's.
+        self.hang_up();
+        self.timers.unset(self.discovery.timer.take());
+        (self.discovery.address, self.discovery.seq) = (address, None);
+        self.call_list();
+    }
+
     fn hang_up(&mut self) {
         if let Some(mut stream) = self.discovery.stream.take() {
             let _ = self.registry.deregister(&mut stream);
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -62,9 +62,17 @@
 impl Servers {
     /// `most` connections, each to come up within a time and to be closed after another.
     pub fn new(most: usize, connect_within: f64, keepalive: f64) -> Self {
+        let (links, records) = (Table::new(most), Vec::new());
+        let mut servers = Servers { links, records, connect_within, idle_most: 0.0 };
+        servers.take_times(connect_within, keepalive);
+        servers
+    }
+
+    /// Both times, for connections that are used from now on.
+    pub fn take_times(&mut self, connect_within: f64, keepalive: f64) {
         // Danger: a push written while the server closes is lost and may have run. Three quarters leave
         // room for what both sides' clocks and the way there differ by.
-        Servers { links: Table::new(most), records: Vec::new(), connect_within, idle_most: 0.75 * keepalive }
+        (self.connect_within, self.idle_most) = (connect_within, 0.75 * keepalive);
     }
 
     /// Whether any server may be sent to.
--- a/node/tests/sockets/help.rs
+++ b/node/tests/sockets/help.rs
@@ -178,10 +178,11 @@
 }
 
 /// Starts the program; with a limit on descriptors that the system sets, if one is given.
-fn program(path: &std::path::Path, descriptors: Option<usize>) -> Child {
+fn program(path: &std::path::Path, descriptors: Option<usize>, variables: &[(&str, String)]) -> Child {
     let limit = descriptors.map(|n| format!("ulimit -n {n}; ")).unwrap_or_default();
     let mut command = Command::new("/bin/sh");
     command.arg("-c").arg(format!("{limit}exec {}", env!("CARGO_BIN_EXE_crankmux")));
+    command.envs(variables.iter().map(|(name, value)| (name, value)));
     command.env("BALANCER_CONFIG", path).stderr(Stdio::piped()).stdout(Stdio::null());
     command.spawn().expect("the node starts")
 }
@@ -189,7 +190,7 @@
 /// What a start that must fail says; none if it does not fail.
 pub fn refused_start(configuration: &Value) -> Option<String> {
     let path = write_configuration(configuration);
-    let output = program(&path, None).wait_with_output().expect("it ends");
+    let output = program(&path, None, &[]).wait_with_output().expect("it ends");
     let _ = std::fs::remove_file(path);
     (!output.status.success()).then(|| String::from_utf8_lossy(&output.stderr).into_owned())
 }
@@ -213,8 +214,17 @@
     }
 
     pub fn start(configuration: &Value, descriptors: Option<usize>) -> Self {
+        Node::started(configuration, descriptors, &[])
+    }
+
+    /// The same under variables of the environment.
+    pub fn start_under(configuration: &Value, variables: &[(&str, String)]) -> Self {
+        Node::started(configuration, None, variables)
+    }
+
+    fn started(configuration: &Value, descriptors: Option<usize>, variables: &[(&str, String)]) -> Self {
         let path = write_configuration(configuration);
-        let mut child = program(&path, descriptors);
+        let mut child = program(&path, descriptors, variables);
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log = Arc::new(Mutex::new(String::new()));
         let address = loop {
@@ -263,12 +273,22 @@
         }
     }
 
+    /// Puts other text into the file of its configuration, and tells it to read that again.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.configuration, text).expect("a writable folder");
+        self.signal("HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {id}")).status();
         assert!(sent.is_ok_and(|s| s.success()));
     }
 
+    pub fn log(&self) -> String {
+        self.log.lock().unwrap().clone()
+    }
+
     /// Waits for its end: whether it ended well, and its log.
     pub fn ended(&mut self) -> (bool, String) {
         let mut well = false;
@@ -280,7 +300,7 @@
             _ => false,
         });
         thread::sleep(Duration::from_millis(50));
-        (well, self.log.lock().unwrap().clone())
+        (well, self.log())
     }
 }
 
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -460,6 +460,40 @@
     assert!(well && log.contains("ops: taken 2, acked 2"), "{log}");
 }
 
+#[test]
+fn a_reload_follows_the_new_address_and_a_faulty_file_changes_nothing() {
+    let slow = Server::new(|stream, _| {
+        after(400);
+        stream.write_all(&ok("old")).is_ok()
+    });
+    let new = Server::saying(ok("new"));
+    let known = list(7, true, &[host("old", slow.address, "Ready")]);
+    let (first, second) =
+        (Discovery::new(known.clone()), Discovery::new(list(3, true, &[host("new", new.address, "Ready")])));
+    let start = configuration(first.address, &known);
+    // What the variable said at the start must not hide what a new file says.
+    let node = Node::start_under(&start, &[("BALANCER_DISCOVERY", first.address.to_string())]);
+    let mut client = node.client();
+    client.write_all(&request("pay", 2.0, "")).unwrap();
+    until("its op is out", || slow.pushes() == 1);
+    let mut faulty = configuration(second.address, &known);
+    faulty["limits"]["sockets"] = json!("many");
+    for (text, said) in
+        [("{\"name\":".to_string(), "BALANCER_CONFIG"), (faulty.to_string(), "limits.sockets")]
+    {
+        node.reload(&text);
+        until("it says what is wrong", || node.log().contains(said));
+    }
+    assert!(second.calls.lock().unwrap().is_empty(), "the old state stays");
+    node.reload(&configuration(second.address, &known).to_string());
+    until("the new address is watched", || {
+        second.calls.lock().unwrap().iter().any(|c| c.contains("from=3&hold_ms="))
+    });
+    assert_eq!(read_message(&mut client).expect("the op lives on").1, b"old");
+    client.write_all(&request("view", 2.0, "")).unwrap();
+    assert_eq!(read_message(&mut client).expect("so does the connection").1, b"new");
+}
+
 #[test]
 fn counters_are_told_on_request() {
     let server = Server::saying(ok("x"));
