Clients that say nothing or too little are sent away in 2.5 s; gone servers' indices are reused

Now: 2.5 s from connecting to a first whole request, 5 s idle after an answer, both read once more before the close; who lingers is read for 256 KiB at most; strangers make room before known clients; an open id gets a 409; path and class must agree, headers that count come once. The module forgets a server a minute after its last word, once no push and no open op names it (balance.rs forget, holds), and only then is its index used again (given.rs keep). Tests on loopback and without sockets for each; figures are of simulated servers and clients.

--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -208,6 +208,7 @@
                 3 => balancer.list_failed(out, now),
                 _ => return Err(fields.wrong("Kind")),
             }
+            names.keep(|server| balancer.holds(server));
         }
         "Submit" => {
             let id = fields.whole(2, "Req")?;
--- a/node/src/memory/ops.rs
+++ b/node/src/memory/ops.rs
@@ -1,8 +1,13 @@
 //! Ops that are under way, from their request until they are answered and their last push has ended.
 
 use slab::Slab;
+use std::collections::hash_map::RandomState;
+use std::collections::HashSet;
+use std::hash::BuildHasher;
 
 struct Op {
+    /// What its client's id is hashed to.
+    mark: u64,
     /// None once it is answered, or the client is gone.
     client: Option<usize>,
     ends: f64,
@@ -16,16 +21,31 @@
 pub struct Ops {
     table: Slab<Op>,
     most: usize,
+    /// Marks of those that a client waits for.
+    open: HashSet<u64>,
+    /// Keyed anew at each start, so that nobody outside can make two ids meet.
+    marks: RandomState,
 }
 
 impl Ops {
     pub fn new(most: usize) -> Self {
-        Ops { table: Slab::new(), most }
+        Ops { table: Slab::new(), most, open: HashSet::new(), marks: RandomState::new() }
     }
 
-    pub fn take_in(&mut self, client: usize, ends: f64) -> usize {
+    /// What a client's id is known by here.
+    pub fn mark(&self, id: &str) -> u64 {
+        self.marks.hash_one(id)
+    }
+
+    /// Whether a client waits under this id already.
+    pub fn is_open(&self, mark: u64) -> bool {
+        self.open.contains(&mark)
+    }
+
+    pub fn take_in(&mut self, client: usize, ends: f64, mark: u64) -> usize {
         let over = self.table.len() >= self.most;
-        self.table.insert(Op { client: Some(client), ends, over, pushes: Vec::new(), out: 0 })
+        self.open.insert(mark);
+        self.table.insert(Op { mark, client: Some(client), ends, over, pushes: Vec::new(), out: 0 })
     }
 
     /// Whether a client still waits for the answer.
@@ -63,7 +83,10 @@
 
     /// The client that waits, as its answer is made or it has left; from then on none does.
     pub fn answered(&mut self, op: usize) -> Option<usize> {
-        self.table.get_mut(op)?.client.take()
+        let op = self.table.get_mut(op)?;
+        let client = op.client.take()?;
+        self.open.remove(&op.mark);
+        Some(client)
     }
 
     /// The one place where an op is given back: answered, and none of its pushes out. Danger: an index used
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -144,11 +144,11 @@
 
     // ------------------------------------------------------------ an op's life
 
-    /// An op comes in.
-    pub fn take_in(&mut self, client: usize, arrival: Arrival) -> usize {
+    /// An op comes in, under the mark of its client's id.
+    pub fn take_in(&mut self, client: usize, arrival: Arrival, mark: u64) -> usize {
         self.counters.taken += 1;
         let now = self.now();
-        let op = self.ops.take_in(client, now + arrival.ttl);
+        let op = self.ops.take_in(client, now + arrival.ttl, mark);
         let next = self.dispatcher.pick(now, &Arrival { op, ..arrival });
         self.follow(op, next);
         op
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -3,6 +3,7 @@
 use super::http::{self, Message, Refused};
 use super::silent;
 use crate::memory::buffers::{Buffer, Filled};
+use crate::memory::ops::Ops;
 use crate::memory::tables::Table;
 use crate::memory::timers::Key;
 use crate::proxy::{Proxy, CLIENT};
@@ -14,11 +15,16 @@
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
 
-/// A request's bytes, or an answer's, must go through within this many milliseconds: clients wait for seconds
-/// at most, so that only a side that stands still is cut off.
-const SLOW: f64 = 5000.0;
-/// How long a connection that is being closed still reads, so that its last answer is not lost.
+/// A new connection's first request, a later one from its first byte on, and an answer must go through within
+/// this many milliseconds: under the 3 s in which even a rude client is owed an error or a close.
+const SLOW: f64 = 2500.0;
+/// How long a connection stays on which no request follows the last answer: longer than clients pause
+/// between two requests while they have work, and short enough that those who asked once do not pile up.
+const IDLE_MOST: f64 = 5000.0;
+/// How long a connection that is being closed still reads, so that its last answer is not lost, and how many
+/// bytes: more than a socket's buffer holds by the time that the answer arrives.
 const LINGER: f64 = 1000.0;
+const LINGER_BYTES: usize = 256 * 1024;
 /// How soon accepting is tried again after an error: a few times within any client's patience.
 const ACCEPT_AGAIN: f64 = 50.0;
 /// A client that has connected, or begun a request, goes on at once: within the way there, which is under this.
@@ -36,6 +42,12 @@
     /// Close once the answer is out; then only the other side's end is awaited.
     close: bool,
     lingers: bool,
+    /// Bytes read while it lingers.
+    past: usize,
+    /// Has had an answer before.
+    known: bool,
+    /// Part of a request is in.
+    begun: bool,
     timer: Option<Key>,
     /// When it came, had its last answer, or began a request.
     idle_since: f64,
@@ -66,10 +78,14 @@
 #[derive(Clone, Copy)]
 enum Asked {
     Health,
-    Op(Arrival),
+    /// With the mark of its id.
+    Op(Arrival, u64),
 }
 
-fn asked(names: &Names, method: &str, path: &str, headers: &[Header]) -> Result<Asked, Refused> {
+/// Longer than any client waits: a deadline past it is a mistake.
+const TTL_MOST: f64 = 3600.0;
+
+fn asked(names: &Names, ops: &Ops, method: &str, path: &str, headers: &[Header]) -> Result<Asked, Refused> {
     if path == "/_health" {
         return Ok(Asked::Health);
     }
@@ -78,11 +94,19 @@
         return Err(405);
     }
     let header = |name: &str| http::value(headers, name).filter(|v| !v.is_empty());
-    header("X-Request-ID").ok_or(400_u16)?;
+    // Danger: two headers of one name are read in two ways by two readers.
+    let told_twice = |name: &&str| headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name)).count() > 1;
+    if ["X-Request-ID", "X-Priority-Class", "X-Timeout"].iter().any(told_twice) {
+        return Err(400);
+    }
+    let mark = ops.mark(header("X-Request-ID").ok_or(400_u16)?);
     let category = header("X-Priority-Class").ok_or(400_u16)?;
+    if path.trim_start_matches('/').split(['/', '?']).next() != Some(category) {
+        return Err(400);
+    }
     let category = names.categories.iter().position(|c| c == category).ok_or(400_u16)?;
     let ttl: f64 = header("X-Timeout").and_then(|v| v.parse().ok()).ok_or(400_u16)?;
-    if !(ttl.is_finite() && ttl > 0.0) {
+    if !(ttl > 0.0 && ttl <= TTL_MOST) {
         return Err(400);
     }
     let customer = header("X-Tenant-Id");
@@ -93,7 +117,7 @@
     // Of a client's word on the work only its ratio to other ops' counts, so its unit does not matter.
     let work = header("X-Cost").and_then(|w| w.parse().ok()).filter(|w: &f64| w.is_finite() && *w > 0.0);
     let retry = header("X-Retried") == Some("1");
-    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, work }))
+    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, work }, mark))
 }
 
 impl Clients {
@@ -113,14 +137,18 @@
         Some((client.inbox.as_ref()?.held(), &client.request.as_ref()?.0))
     }
 
-    /// Who makes room first: whoever was longest without an answer, idle or with a request begun, which is
-    /// not taken before its last byte; then who has its answer and only has to hang up. Danger: were idle
-    /// ones always first, a new client would go before it could speak, and those that never end a request
-    /// would stay.
+    /// Who makes room first: who had its last answer a while ago and only has to hang up; who has never
+    /// ended a request; then whoever was longest without an answer; at last any that only has to hang up.
+    /// Danger: were idle ones always first, a new client would go before it could speak, and hundreds that
+    /// say nothing would push out those that do.
     fn least_needed(&self, now: f64) -> Option<usize> {
-        let spare = |c: &Client| c.spare() && !c.lingers && now - c.idle_since > JUST_COME;
-        let stands = self.table.least(|c| spare(c).then_some(c.idle_since));
-        stands.or_else(|| self.table.least(|c| c.lingers.then_some(c.idle_since)))
+        let stands = |c: &Client| c.spare() && now - c.idle_since > JUST_COME;
+        let table = &self.table;
+        let over = table.least(|c| (c.lingers && stands(c)).then_some(c.idle_since));
+        let strange = || table.least(|c| (!c.known && !c.lingers && stands(c)).then_some(c.idle_since));
+        let idle = || table.least(|c| (!c.lingers && stands(c)).then_some(c.idle_since));
+        let hung_up = || table.least(|c| c.lingers.then_some(c.idle_since));
+        over.or_else(strange).or_else(idle).or_else(hung_up)
     }
 
     pub fn nothing_again(&self) -> bool {
@@ -210,9 +238,14 @@
             op: None,
             close: false,
             lingers: false,
+            past: 0,
+            known: false,
+            begun: false,
             timer: None,
             idle_since,
         });
+        // Danger: connections by hundreds that never say anything would hold descriptors for good.
+        self.may_stand(key, SLOW);
         self.counters.accepted += 1;
         self.clients.again.push(key);
     }
@@ -260,18 +293,50 @@
                 self.timers.unset(client.timer.take());
                 outbox.into_iter().for_each(|b| self.buffers.give(b));
                 client.idle_since = self.clock.now();
+                client.known = true;
+                client.begun = client.inbox.is_some();
                 if client.close {
                     // Danger: closing with bytes unread resets the connection, and the answer is lost.
                     client.lingers = true;
                     let _ = client.stream.shutdown(Shutdown::Write);
                     let at = client.idle_since + LINGER;
                     client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.drop_client(key)));
+                } else {
+                    let most = if client.begun { SLOW } else { IDLE_MOST };
+                    self.may_stand(key, most);
                 }
                 true
             }
         }
     }
 
+    /// From now on nothing but a whole request may keep the connection for longer than this.
+    fn may_stand(&mut self, key: usize, most: f64) {
+        let at = self.clock.now() + most;
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        self.timers.unset(client.timer.take());
+        client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.stood(key)));
+    }
+
+    /// It has stood for as long as it may; what it has sent by now is read first.
+    fn stood(&mut self, key: usize) {
+        if let Some(client) = self.clients.table.get_mut(key) {
+            client.timer = None;
+        }
+        self.serve(key);
+        let Some(client) = self.clients.table.get(key) else { return };
+        if !client.spare() || client.timer.is_some() {
+            return;
+        }
+        if client.inbox.is_some() {
+            // Danger: a client that sends a byte now and then would hold a buffer for ever.
+            self.counters.bad += 1;
+            self.refuse(key, 408);
+        } else {
+            self.drop_client(key);
+        }
+    }
+
     /// Reads towards the next request and has it served; whether there is more to do at once.
     fn read_request(&mut self, key: usize) -> bool {
         let Some(client) = self.clients.table.get_mut(key) else { return false };
@@ -283,8 +348,16 @@
             return false;
         }
         if client.lingers {
-            return match client.stream.read(&mut [0; 4096]) {
-                Ok(1..) => true,
+            // Danger: a client that goes on sending at full speed would keep the loop for itself. What it sends
+            // past this stays with its own machine until the connection is closed.
+            if client.past >= LINGER_BYTES {
+                return false;
+            }
+            return match client.stream.read(&mut [0; 16 * 1024]) {
+                Ok(read @ 1..) => {
+                    client.past += read;
+                    true
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => false,
                 _ => {
                     self.drop_client(key);
@@ -328,10 +401,10 @@
             // Danger: line ends left over behind the last request, taken for a request that never ends.
             let blank = inbox.held().iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
             inbox.cut(0, blank);
-            let names = &self.names;
+            let (names, ops) = (&self.names, &self.ops);
             let head = http::request(inbox.held(), |method, path, headers| {
                 let expect = http::value(headers, "expect").unwrap_or_default();
-                (asked(names, method, path, headers), expect.eq_ignore_ascii_case("100-continue"))
+                (asked(names, ops, method, path, headers), expect.eq_ignore_ascii_case("100-continue"))
             })?;
             let Some((message, (asked, expects))) = head else { return Ok(None) };
             log::trace!("{}", String::from_utf8_lossy(&inbox.held()[..message.head]));
@@ -354,15 +427,12 @@
             self.buffers.give(inbox);
         } else {
             client.inbox = Some(inbox);
-            if client.timer.is_none() {
+            if !std::mem::replace(&mut client.begun, true) {
                 client.idle_since = self.clock.now();
-                // Danger: a client that sends a byte now and then would hold a buffer for ever.
-                let slow = move |proxy: &mut Proxy| {
-                    proxy.counters.bad += 1;
-                    proxy.refuse(key, 408);
-                    proxy.clients.again.push(key);
-                };
-                client.timer = Some(self.timers.set(self.clock.now() + SLOW, slow));
+                // A new connection's time has run since it came.
+                if client.known {
+                    self.may_stand(key, SLOW);
+                }
             }
         }
         match filled {
@@ -381,14 +451,20 @@
     fn hear(&mut self, key: usize, asked: Asked) {
         let client = &mut self.clients.table[key];
         self.timers.unset(client.timer.take());
+        client.begun = false;
         client.close = !client.request.as_ref().is_some_and(|(m, _)| m.keep);
         match asked {
             Asked::Health => {
                 let status = if self.ready() { 200 } else { 503 };
                 self.answer(key, status, 0.0);
             }
-            Asked::Op(arrival) => {
-                let op = self.take_in(key, arrival);
+            Asked::Op(_, mark) if self.ops.is_open(mark) => {
+                // Danger: two clients under one id, of whom one would get the other's answer.
+                self.counters.bad += 1;
+                self.refuse(key, 409);
+            }
+            Asked::Op(arrival, mark) => {
+                let op = self.take_in(key, arrival, mark);
                 // It may be answered already.
                 let waits = self.ops.waits(op);
                 if let Some(client) = self.clients.table.get_mut(key).filter(|_| waits) {
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -9,6 +9,7 @@
 use mio::net::TcpStream;
 use mio::Interest;
 use serde_json::Value;
+use std::collections::HashSet;
 use std::io::Write;
 use std::net::SocketAddr;
 
@@ -103,16 +104,16 @@
         let lines: Vec<Listed> = list.lines.iter().map(|(line, _)| *line).collect();
         self.dispatcher.list(now, &lines, list.whole, cached);
         if list.whole {
-            for server in 0..self.names.servers() {
-                if !lines.iter().any(|line| line.server == server) {
-                    self.place(server, None);
-                }
+            let listed: HashSet<usize> = lines.iter().map(|line| line.server).collect();
+            for server in (0..self.servers.met()).filter(|server| !listed.contains(server)) {
+                self.place(server, None);
             }
         }
         for (line, dial) in &list.lines {
             self.place(line.server, *dial);
         }
         self.leave_unsent();
+        self.names.keep(|server| self.dispatcher.holds(server));
     }
 
     /// Calls discovery: for the whole list first, then for what has come since.
--- a/node/src/wire/http.rs
+++ b/node/src/wire/http.rs
@@ -268,6 +268,7 @@
         400 => "Bad Request",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -75,6 +75,11 @@
         (self.connect_within, self.idle_most) = (connect_within, 0.75 * keepalive);
     }
 
+    /// All servers' indices are under this.
+    pub fn met(&self) -> usize {
+        self.records.len()
+    }
+
     /// Whether any server may be sent to.
     pub fn any(&self) -> bool {
         self.records.iter().any(|r| r.dial.is_some())
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -49,6 +49,8 @@
         (400, good.replace("X-Timeout: 1", "X-Timeout: -1").into_bytes()),
         (400, good.replace("X-Timeout: 1", "X-Timeout: inf").into_bytes()),
         (400, good.replace("Class: view", "Class: unheard-of").into_bytes()),
+        (400, good.replace("POST /view", "POST /order").into_bytes()),
+        (400, good.replace("X-Request-ID: ", "X-Request-ID: other\r\nX-Request-ID: ").into_bytes()),
         (400, good.replace("Length: 0", "Length: +3").into_bytes()),
         (400, good.replace("Length: 0", "Length: 0\r\nContent-Length: 1").into_bytes()),
         (400, good.replace("Length: 0", "Length: 0\r\nTransfer-Encoding: chunked").into_bytes()),
@@ -350,6 +352,65 @@
     until("it has called three times", || discovery.calls.lock().unwrap().len() >= 3);
 }
 
+#[test]
+fn whoever_says_nothing_or_too_little_is_sent_away_within_3_s() {
+    let server = Server::saying(ok("x"));
+    let node = Node::before(&[&server]);
+    let (mut silent, mut half, mut kept) = (node.client(), node.client(), node.client());
+    let from = Instant::now();
+    half.write_all(b"POST /view HTTP/1.1\r\nX-Req").unwrap();
+    kept.write_all(&request("view", 1.0, "")).unwrap();
+    assert_eq!(status(&read_message(&mut kept).expect("an answer").0), 200);
+    assert_eq!(silent.read(&mut [0]).ok(), Some(0), "closed");
+    assert_eq!(status(&read_message(&mut half).expect("an answer").0), 408);
+    assert!(from.elapsed() > Duration::from_millis(2000) && from.elapsed() < Duration::from_millis(3000));
+    kept.write_all(&request("view", 1.0, "")).unwrap();
+    assert_eq!(status(&read_message(&mut kept).expect("an answer").0), 200, "may stand for longer");
+    // Those that ask once and stay would hold descriptors for good.
+    kept.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+    assert_eq!(kept.read(&mut [0]).ok(), Some(0), "closed in the end");
+}
+
+#[test]
+fn a_body_without_end_is_refused_and_keeps_nobody_waiting() {
+    let server = Server::saying(ok("x"));
+    let node = Node::before(&[&server]);
+    let address = node.address;
+    let fat = thread::spawn(move || {
+        let mut client = TcpStream::connect(address).unwrap();
+        client.write_all(b"POST /view HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n").unwrap();
+        let (from, mut sent) = (Instant::now(), 0);
+        while let Ok(more) = client.write(&[b'x'; 65_536]) {
+            sent += more;
+            assert!(from.elapsed() < Duration::from_secs(3), "neither refused nor closed");
+        }
+        sent
+    });
+    after(100);
+    for _ in 0..20 {
+        let from = Instant::now();
+        assert_eq!(node.ask(&request("view", 1.0, "")).0, 200);
+        assert!(from.elapsed() < Duration::from_millis(300));
+    }
+    assert!(fat.join().unwrap() < 30_000_000, "most of it is never read");
+}
+
+#[test]
+fn an_id_that_another_client_has_open_is_refused() {
+    let slow = Server::new(|stream, _| {
+        after(300);
+        stream.write_all(&ok("x")).is_ok()
+    });
+    let node = Node::before(&[&slow]);
+    let (bytes, mut first) = (request("pay", 2.0, ""), node.client());
+    first.write_all(&bytes).unwrap();
+    until("it is out", || slow.pushes() == 1);
+    assert_eq!(node.ask(&bytes).0, 409);
+    assert_eq!(status(&read_message(&mut first).expect("an answer").0), 200);
+    assert_eq!(slow.pushes(), 1);
+    assert_eq!(node.ask(&bytes).0, 200, "once it is answered, the id is free");
+}
+
 #[test]
 fn idle_and_half_sent_connections_make_room() {
     let server = Server::saying(ok("x"));
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,9 +1,8 @@
 //! Every decision of crankmux. A node makes one [`Balancer`] from what it is given and tells it, with the
-//! present time, what happens: [`Balancer::list`], [`Balancer::arrive`], [`Balancer::push_ended`],
-//! [`Balancer::woken`], [`Balancer::departed`], [`Balancer::began`],
-//! [`Balancer::list_failed`]. Answers leave by the [`Outlet`] given with each call; `words.rs` holds its
-//! types. The ordinary path is the split of docs/design.md; whatever narrows it says here which danger it
-//! meets.
+//! present time, what happens: [`Balancer::list`], [`Balancer::list_failed`], [`Balancer::arrive`],
+//! [`Balancer::push_ended`], [`Balancer::woken`], [`Balancer::departed`], [`Balancer::began`]. Answers leave by
+//! the [`Outlet`] given with each call; `words.rs` holds its types. The ordinary path is the split of
+//! docs/design.md; whatever narrows it says here which danger it meets.
 
 use crate::words::{Arrival, Effect, Ending, Given, Listed, Load, Outlet, PushEnd, Standing, Within};
 use serde_json::Value;
@@ -149,10 +148,6 @@
     fn bears(&self, now: f64) -> f64 {
         self.borne * (-(now - self.borne_at).max(0.0) / BORNE_OVER).exp()
     }
-
-    fn ready(&self) -> bool {
-        self.standing == Standing::Ready
-    }
 }
 
 pub struct Balancer {
@@ -244,6 +239,7 @@
             }
             (server.standing, server.zone, server.pod) = (line.standing, line.zone, line.pod);
         }
+        self.forget();
         (self.solved_at, self.parted_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
         if cached {
             self.follow(out);
@@ -252,6 +248,19 @@
         }
     }
 
+    /// Danger: servers ever new fill the memory, and an index used again too early makes an open op's push
+    /// another server's. One that is back within a minute is still known by what it bore.
+    fn forget(&mut self) {
+        let tried = |id: usize| self.ops.values().any(|op| op.pushes.iter().any(|p| p.server == id));
+        let gone = |s: &Server| s.standing == Standing::Gone && self.now - s.heard > 60_000.0;
+        self.servers.retain(|id, s| !gone(s) || !s.out.is_empty() || tried(*id));
+        self.part.retain(|id| self.servers.contains_key(id));
+    }
+
+    pub fn holds(&self, server: usize) -> bool {
+        self.servers.contains_key(&server)
+    }
+
     fn follow(&mut self, out: &mut dyn Outlet) {
         // Danger: a cached list may be stale. Where changes come unasked, the whole list is asked for once.
         if self.duties.allow("list-must-be-asked") {
@@ -465,7 +474,12 @@
         const LEAST: f64 = 4.0;
         const NODES: f64 = 6.0;
         self.parted_at = self.now;
-        let ready: Vec<_> = self.servers.iter().filter(|(_, s)| s.ready()).map(|(id, s)| (*id, s)).collect();
+        let ready: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|(_, s)| s.standing == Standing::Ready)
+            .map(|(id, s)| (*id, s))
+            .collect();
         let target = (NODES * ready.len() as f64 / self.balancers).max(LEAST);
         // Few nodes, or few servers, mean the whole fleet.
         let run = if target < ready.len() as f64 { 0.5 * target } else { target };
@@ -515,20 +529,13 @@
         self.warm_rate = faded.max(sum / f64::max(count, 1.0));
         self.solved_at = now;
         let ids = self.part.clone();
-        if ids.is_empty() {
-            return;
-        }
         let known: Vec<f64> = ids.iter().filter_map(|id| self.servers[id].pace).collect();
         let mean_pace = |p: &[f64]| p.iter().map(|p| 1.0 / p).sum::<f64>() / p.len() as f64;
         let mean = if known.is_empty() { 1.0 } else { 1.0 / mean_pace(&known) };
         let queue = |s: &Server| {
             // A report much older than any usual refresh is none.
-            let told = s.load.held.or(s.load.waiting).filter(|l| l.is_finite());
-            if let Some(told) = told.filter(|_| now - s.load_at < 5000.0) {
-                told.max(0.0) + s.since_load
-            } else {
-                s.out.len() as f64 * self.sharers
-            }
+            let told = s.load.held.or(s.load.waiting).filter(|_| now - s.load_at < 5000.0);
+            told.map_or(s.out.len() as f64 * self.sharers, |told| told + s.since_load)
         };
         let queues: Vec<f64> = ids.iter().map(|id| queue(&self.servers[id])).collect();
         let usual_queue = queues.iter().sum::<f64>() / ids.len() as f64;
@@ -678,7 +685,7 @@
                 Effect::Deduplicated => ran.clone().all(|p| in_group(p) && in_time(p)),
                 Effect::AtMostOnce => ran.clone().next().is_none(),
             };
-            s.ready()
+            s.standing == Standing::Ready
                 && left > 0.0
                 && repeat
                 && (bound || (s.out.len() as f64) < (s.limit / share).max(1.0))
@@ -709,14 +716,10 @@
     /// Draws by share; drawn over twice the mean of own pushes in flight, it is redrawn once.
     fn draw(&mut self, from: &[(usize, f64)]) -> usize {
         let busy: usize = from.iter().map(|(id, _)| self.servers[id].out.len()).sum();
-        let server = self.roulette(from);
         // Under two in flight the mean says little.
         let bound = (2.0 * busy as f64 / from.len() as f64).max(2.0);
-        if self.servers[&server].out.len() as f64 > bound {
-            self.roulette(from)
-        } else {
-            server
-        }
+        let server = Some(self.roulette(from)).filter(|id| self.servers[id].out.len() as f64 <= bound);
+        server.unwrap_or_else(|| self.roulette(from))
     }
 
     fn roulette(&mut self, from: &[(usize, f64)]) -> usize {
@@ -858,8 +861,6 @@
     /// A streamed answer has started: the op is bound to that push and gets no other.
     pub fn began(&mut self, now: f64, op: usize) {
         self.now = now;
-        if let Some(op) = self.ops.get_mut(&op) {
-            op.bound = true;
-        }
+        self.ops.entry(op).and_modify(|op| op.bound = true);
     }
 }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -111,6 +111,11 @@
         self.balancer.list(&mut self.said, now, lines, whole, cached);
     }
 
+    /// Whether it still goes by this server's index; one that is not held may stand for another.
+    pub fn holds(&self, server: usize) -> bool {
+        self.balancer.holds(server)
+    }
+
     /// A call to the list failed.
     pub fn list_failed(&mut self, now: f64) {
         self.balancer.list_failed(&mut self.said, now);
--- a/src/given.rs
+++ b/src/given.rs
@@ -3,6 +3,7 @@
 
 use crate::words::{Given, Listed, Load, Standing};
 use serde_json::Value;
+use slab::Slab;
 use std::collections::HashMap;
 
 /// The module's name of a setting, and the path of the same on the wire.
@@ -100,9 +101,28 @@
     pub categories: Vec<String>,
     pub customers: Vec<String>,
     zones: Vec<String>,
-    servers: HashMap<u64, usize>,
-    marks: Vec<u64>,
-    pods: HashMap<u64, usize>,
+    servers: Indices,
+    pods: Indices,
+    /// Each server's pod, by its index.
+    pod_of: Vec<usize>,
+}
+
+/// Small indices for numbers from outside, used again once what they stood for is forgotten.
+#[derive(Default)]
+struct Indices {
+    by_number: HashMap<u64, usize>,
+    numbers: Slab<u64>,
+}
+
+impl Indices {
+    fn of(&mut self, number: u64) -> usize {
+        *self.by_number.entry(number).or_insert_with(|| self.numbers.insert(number))
+    }
+
+    fn keep(&mut self, held: impl Fn(usize) -> bool) {
+        let by_number = &mut self.by_number;
+        self.numbers.retain(|index, number| held(index) || by_number.remove(number).is_none());
+    }
 }
 
 impl Names {
@@ -128,23 +148,17 @@
         })
     }
 
-    fn server(&mut self, mark: u64) -> usize {
-        let next = self.marks.len();
-        let index = *self.servers.entry(mark).or_insert(next);
-        if index == next {
-            self.marks.push(mark);
-        }
-        index
-    }
-
-    /// How many servers have been met.
-    pub fn servers(&self) -> usize {
-        self.marks.len()
+    /// Forgets all servers but those that something still knows by their index, and pods that held no other.
+    /// Danger: servers that are replaced by new ones under new names would fill the memory.
+    pub fn keep(&mut self, held: impl Fn(usize) -> bool) {
+        self.servers.keep(held);
+        let (servers, pod_of) = (&self.servers.numbers, &self.pod_of);
+        self.pods.keep(|pod| servers.iter().any(|(server, _)| pod_of[server] == pod));
     }
 
     /// The number by which all nodes know a server.
     pub fn mark(&self, server: usize) -> u64 {
-        self.marks[server]
+        self.servers.numbers[server]
     }
 
     /// One line of the list. Without a pod a server shares one with no other.
@@ -156,14 +170,21 @@
         pod: Option<u64>,
         started: f64,
     ) -> Listed {
-        let next = self.pods.len();
-        let pod = *self.pods.entry(pod.unwrap_or(u64::MAX - mark)).or_insert(next);
-        Listed { mark, standing, zone: self.zone(zone), pod, started, server: self.server(mark) }
+        let (server, pod) = (self.servers.of(mark), self.pods.of(pod.unwrap_or(u64::MAX - mark)));
+        if self.pod_of.len() <= server {
+            self.pod_of.resize(server + 1, pod);
+        }
+        self.pod_of[server] = pod;
+        Listed { mark, standing, zone: self.zone(zone), pod, started, server }
     }
 }
 
-/// Sets one figure of a server's word on its load by any of its names; others are passed over.
+/// Sets one figure of a server's word on its load by any of its names; others are passed over, and so is what
+/// can't be one. Danger: no number, or one without end, would make a server look empty or full for seconds.
 pub fn figure(load: &mut Load, name: &str, value: f64) {
+    if !(0.0..1e6).contains(&value) {
+        return;
+    }
     match name {
         "q" | "queue" => load.waiting = Some(value),
         "rif" | "inflight" => load.held = Some(value),
--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -3,6 +3,7 @@
 use crate::help::{duties, line, node, Play, TTL};
 use crankmux::balance::Balancer;
 use crankmux::dispatcher::{Dispatcher, GivenUp, Next};
+use crankmux::given::{figure, Names};
 use crankmux::words::{Arrival, Ending, Listed, Load, PushEnd, Standing};
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -408,3 +409,42 @@
     assert!(due > 50_030.0 && !dispatcher.wants_list());
     assert!(dispatcher.tick(due).is_empty() && dispatcher.wants_list());
 }
+
+#[test]
+fn servers_that_are_replaced_for_ever_leave_no_names_and_no_records() {
+    let (mut names, _) = Names::read(&json!({}));
+    let mut dispatcher = Dispatcher::new(duties(), 7).expect("all duties are given");
+    let mut told = |round: u64, dispatcher: &mut Dispatcher| {
+        let new = names.line(round, Standing::Ready, "a", None, 0.0);
+        let old = names.line(round.wrapping_sub(1), Standing::Gone, "a", None, 0.0);
+        dispatcher.list(50_000.0 + 1000.0 * round as f64, &[old, new], false, false);
+        names.keep(|server| dispatcher.holds(server));
+        assert_eq!(names.mark(new.server), round);
+        new
+    };
+    let first = told(0, &mut dispatcher);
+    let ttl = 1000.0 * TTL;
+    let arrival = Arrival { op: 3, category: 2, customer: None, ttl, retry: false, work: None };
+    assert_eq!(dispatcher.pick(50_000.0, &arrival).picks[0].server, first.server);
+    for round in 1..500 {
+        let new = told(round, &mut dispatcher);
+        assert!(new.server < 70 && new.pod < 70, "a minute's worth: {new:?}");
+        assert_ne!(new.server, first.server, "its push is still out");
+    }
+    // The late report finds the server that it is about; once it is in, the index is free.
+    let load = Load::default();
+    let end = PushEnd { op: 3, push: 0, ending: Ending::Errored, took: 9.0, closed: false, load };
+    assert_eq!(dispatcher.report(550_000.0, &end).given_up, Some(GivenUp::DeadLettered));
+    assert!((500..600)
+        .any(|round| told(round, &mut dispatcher).server == first.server || !dispatcher.holds(first.server)));
+}
+
+#[test]
+fn a_figure_that_can_not_be_is_none() {
+    let mut load = Load::default();
+    for value in [f64::NAN, f64::INFINITY, -1.0, 1e300] {
+        figure(&mut load, "queue", value);
+    }
+    figure(&mut load, "inflight", 3.0);
+    assert_eq!(load, Load { held: Some(3.0), ..Load::default() });
+}
