Second copies beside overdue pushes, later where the fleet is full; called-off ones are learnt from

Checked: fresh servers' silence was ruled out (quick answers of the same servers meanwhile), so it is single connections, and nothing but the op's own time can tell. At fault: push() in balance.rs, whose patience is all that is left where second copies are allowed, with none ever sent; learn() passed over what was called off. Now an overdue push gets a second copy after slack x expected time x (1 + strain).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,7 @@
 //! Every decision of crankmux. A node makes one [`Balancer`] from what it is given and tells it, with the
 //! present time, what happens: [`Balancer::list`], [`Balancer::list_failed`], [`Balancer::arrive`],
-//! [`Balancer::push_ended`], [`Balancer::woken`], [`Balancer::departed`], [`Balancer::began`]. Answers leave by
-//! the [`Outlet`] given with each call; `words.rs` holds its types. The ordinary path is the split of
+//! [`Balancer::push_ended`], [`Balancer::woken`], [`Balancer::departed`], [`Balancer::began`]. Answers leave
+//! by the [`Outlet`] given with each call; `words.rs` holds its types. The ordinary path is the split of
 //! docs/design.md; whatever narrows it says here which danger it meets.
 
 use crate::words::{Arrival, Effect, Ending, Given, Listed, Load, Outlet, PushEnd, Standing, Within};
@@ -86,6 +86,8 @@
 struct Sent {
     at: f64,
     usual: f64,
+    /// After this an answer is overdue: nineteen of twenty come sooner.
+    patience: f64,
 }
 
 #[derive(Default)]
@@ -96,7 +98,6 @@
     pod: usize,
     started: f64,
     warm_at: f64,
-    // reports
     load: Load,
     load_at: f64,
     since_load: f64,
@@ -115,7 +116,6 @@
     cut_at: f64,
     purse: f64,
     purse_at: f64,
-    // the split as last solved
     share: f64,
     expected: f64,
 }
@@ -148,6 +148,22 @@
     }
 }
 
+struct Pushed {
+    server: usize,
+    at: f64,
+    may_have_run: bool,
+    out: bool,
+}
+
+struct Op {
+    category: usize,
+    work: Option<f64>,
+    ends: f64,
+    rank: f64,
+    bound: bool,
+    pushes: Vec<Pushed>,
+}
+
 pub struct Balancer {
     rng: oorandom::Rand64,
     now: f64,
@@ -164,7 +180,6 @@
     steps: BTreeMap<(usize, usize), Step>,
     alarms: BTreeMap<u64, Alarm>,
     next_alarm: u64,
-    // rates over all servers
     time: f64,
     pushes: f64,
     pushed_at: f64,
@@ -292,11 +307,9 @@
             alarm(self, out);
         }
     }
-}
 
-// ---------------------------------------------------------------- reports, rates, health
+    // ------------------------------------------------------------ reports, rates, health
 
-impl Balancer {
     fn take_load(&mut self, id: usize, load: Load) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         // A report is renewed now and then and repeated in between: only a changed one is new. Any of its
@@ -317,12 +330,17 @@
     }
 
     fn learn(&mut self, id: usize, category: usize, sent: &Sent, end: &PushEnd) {
-        if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
-            return;
-        }
         let (now, sharers) = (self.now, self.sharers);
         let ratio = end.took / sent.usual.max(1.0);
         let good = end.ending == Ending::Acked;
+        // Danger: a silent server, whose pushes are all called off once a second copy is back. If nothing was
+        // heard since, one that was overdue has timed out.
+        let silent = self.servers.get(&id).is_some_and(|s| s.heard <= sent.at);
+        let overdue = end.ending == Ending::Cancelled && end.took > sent.patience && silent;
+        let end = &PushEnd { ending: if overdue { Ending::TimedOut } else { end.ending }, ..*end };
+        if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
+            return;
+        }
         // A single server's share of a node may be under one push; whether limits are used shows over all.
         let strained = self.strain() > 0.6;
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
@@ -562,11 +580,9 @@
             server.expected = (1.0 + s.queue) / s.mu;
         }
     }
-}
 
-// ---------------------------------------------------------------- cold budget and in-flight limit
+    // ------------------------------------------------------------ cold budget
 
-impl Balancer {
     /// Danger: a cold server pushed over. Each node spends at most its own part of the budget of any window;
     /// a purse fills with what a cold server may get from here, in ordinary ops.
     fn fill_purses(&mut self) {
@@ -591,27 +607,9 @@
             }
         }
     }
-}
 
-// ---------------------------------------------------------------- an op's steps
+    // ------------------------------------------------------------ an op's steps
 
-struct Pushed {
-    server: usize,
-    at: f64,
-    may_have_run: bool,
-    out: bool,
-}
-
-struct Op {
-    category: usize,
-    work: Option<f64>,
-    ends: f64,
-    rank: f64,
-    bound: bool,
-    pushes: Vec<Pushed>,
-}
-
-impl Balancer {
     /// An op has come in; it will get exactly one final answer.
     pub fn arrive(&mut self, out: &mut dyn Outlet, now: f64, arrival: &Arrival) {
         self.now = now;
@@ -649,7 +647,7 @@
         self.go_on(out, arrival.op);
     }
 
-    /// The next push, or the end. Nothing waits for room: a quick nack lets the client come back; a stay would
+    /// The next push, or the end: nothing waits for room. Nacked at once a client may come back; a stay would
     /// feed a crowd.
     fn go_on(&mut self, out: &mut dyn Outlet, id: usize) {
         self.solve();
@@ -705,11 +703,8 @@
         let (tried, fresh): (Vec<_>, Vec<_>) =
             all.into_iter().partition(|(sid, _)| op.pushes.iter().any(|p| p.server == *sid));
         // The same server again only where no other may do it, and never beside a push still out there.
-        if fresh.is_empty() && !op.pushes.iter().any(|p| p.out) {
-            tried
-        } else {
-            fresh
-        }
+        let fresh = Some(fresh).filter(|f| !f.is_empty() || op.pushes.iter().any(|p| p.out));
+        fresh.unwrap_or(tried)
     }
 
     /// Draws by share, among the servers that hold at most their share of the own pushes in flight. Danger:
@@ -762,11 +757,9 @@
 
     fn push(&mut self, out: &mut dyn Outlet, id: usize, to: usize) {
         let (now, time) = (self.now, self.time);
-        if self.pushed_at.is_finite() {
-            // Own rate over the last second or so. Pushes, as nacked ops reach no server: counting a crowd of
-            // retries would make every server look full.
-            self.pushes = self.pushes * (-(now - self.pushed_at) / 1000.0).exp() + 1.0 / 1000.0;
-        }
+        // Own rate over the last second or so. Pushes, as nacked ops reach no server: counting a crowd of
+        // retries would make every server look full.
+        self.pushes = self.pushes * (-(now - self.pushed_at) / 1000.0).exp() + 1.0 / 1000.0;
         self.pushed_at = now;
         let second_copies = self.duties.allow("second-copies");
         let op = &self.ops[&id];
@@ -779,15 +772,20 @@
         if now < server.warm_at {
             server.purse -= usual / time;
         }
-        server.out.insert((id, n), Sent { at: now, usual });
         let expected = (server.expected * usual / time).max(usual * server.pace.unwrap_or(1.0));
+        let sent = Sent { at: now, usual, patience: expected * self.slack };
+        server.out.insert((id, n), sent);
         // Where no second copy may run beside the first, the time-out leaves time for a further push.
         let may_repeat = self.categories[category].effect != Effect::AtMostOnce;
-        let patience = if may_repeat && !second_copies { left.min(expected * self.slack) } else { left };
+        let patience = if may_repeat && !second_copies { left.min(sent.patience) } else { left };
         out.push(id, to, patience);
+        if may_repeat && second_copies {
+            let at = now + sent.patience * (1.0 + self.strain());
+            self.alarm(out, at, Box::new(move |b, out| b.overdue(out, id, n, now)));
+        }
         let step = move |b: &mut Balancer, out: &mut dyn Outlet, end: &PushEnd| {
             // Learnt from while still counted in flight: it was part of what the limit held.
-            b.learn(to, category, &Sent { at: now, usual }, end);
+            b.learn(to, category, &sent, end);
             if let Some(server) = b.servers.get_mut(&to) {
                 server.out.remove(&(id, n));
             }
@@ -797,6 +795,14 @@
         self.steps.insert((id, n), Box::new(step));
     }
 
+    /// Danger: what fell silent holds an op to its end. A second copy goes; the fuller all is, the later.
+    fn overdue(&mut self, out: &mut dyn Outlet, id: usize, n: usize, at: f64) {
+        let waits = |op: &Op| op.pushes.len() == n + 1 && op.pushes[n].out && op.pushes[n].at == at;
+        if self.ops.get(&id).is_some_and(waits) {
+            self.try_push(out, id);
+        }
+    }
+
     /// A push has ended.
     pub fn push_ended(&mut self, out: &mut dyn Outlet, now: f64, end: &PushEnd) {
         self.now = now;
