Idle clients are closed after 2 s, and at most a third of the connections stand idle

Connections that had their answer and ask nothing more fill the table (155 of 184), and clients, who may hold a third of the descriptors, have none left to ask on; each spell ends when full tables make room. Checked and ruled out: nacks (none in those spells), the servers (two errors in 3000), accepting that waits (a dozen times). At fault: IDLE_MOST of 5 s in clients.rs, and that idle ones went only where a new one met a full table. Simulated clients and servers. The test has forty clients ask once and stay on sixty places.

--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -19,8 +19,11 @@
 /// this many milliseconds: under the 3 s in which even a rude client is owed an error or a close.
 const SLOW: f64 = 2500.0;
 /// How long a connection stays on which no request follows the last answer: longer than clients pause
-/// between two requests while they have work, and short enough that those who asked once do not pile up.
-const IDLE_MOST: f64 = 5000.0;
+/// between two requests while they have work.
+const IDLE_MOST: f64 = 2000.0;
+/// The share of all clients' connections that may stand idle after an answer. Danger: clients that ask once and
+/// stay use up what their side may open, and others, who would ask, find no connection left.
+const IDLE_SHARE: f64 = 1.0 / 3.0;
 /// How long a connection that is being closed still reads, so that its last answer is not lost, and how many
 /// bytes: more than a socket's buffer holds by the time that the answer arrives.
 const LINGER: f64 = 1000.0;
@@ -67,6 +70,7 @@
 pub struct Clients {
     listener: Option<TcpListener>,
     table: Table<Client>,
+    most: usize,
     /// Connections wait to be accepted.
     waiting: bool,
     accept_again: Option<Key>,
@@ -125,6 +129,7 @@
         Clients {
             listener: Some(listener),
             table: Table::new(most),
+            most,
             waiting: false,
             accept_again: None,
             again: Vec::new(),
@@ -304,12 +309,24 @@
                 } else {
                     let most = if client.begun { SLOW } else { IDLE_MOST };
                     self.may_stand(key, most);
+                    self.bound_idle();
                 }
                 true
             }
         }
     }
 
+    /// Closes whoever had its answer longest ago, where too many stand there since theirs.
+    fn bound_idle(&mut self) {
+        let now = self.clock.now();
+        let stands = |c: &Client| c.known && c.idle() && now - c.idle_since > JUST_COME;
+        let table = &self.clients.table;
+        if table.keys(stands).len() as f64 > IDLE_SHARE * self.clients.most as f64 {
+            let longest = table.least(|c| (stands(c) && silent(&c.stream)).then_some(c.idle_since));
+            longest.into_iter().for_each(|key| self.drop_client(key));
+        }
+    }
+
     /// From now on nothing but a whole request may keep the connection for longer than this.
     fn may_stand(&mut self, key: usize, most: f64) {
         let at = self.clock.now() + most;
