A health check's connection is closed with its answer

Checked: a trace of what is asked shows 1750 GET /_health without Connection: close beside 5700 ops; they are answered, stay open, and leave ops neither a place in the table nor, on their side, a connection to ask on. Bad input (none) and nacks (50 in all) are ruled out. At fault: hear() in clients.rs, which kept a check's connection like an op's. Simulated clients and servers.

--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -45,6 +45,8 @@
     /// Close once the answer is out; then only the other side's end is awaited.
     close: bool,
     lingers: bool,
+    /// It asked for something whole, and nothing more is expected of it.
+    over: bool,
     /// Bytes read while it lingers.
     past: usize,
     /// Has had an answer before.
@@ -243,6 +245,7 @@
             op: None,
             close: false,
             lingers: false,
+            over: false,
             past: 0,
             known: false,
             begun: false,
@@ -300,6 +303,10 @@
                 client.idle_since = self.clock.now();
                 client.known = true;
                 client.begun = client.inbox.is_some();
+                if client.over && client.inbox.is_none() && silent(&client.stream) {
+                    self.drop_client(key);
+                    return false;
+                }
                 if client.close {
                     // Danger: closing with bytes unread resets the connection, and the answer is lost.
                     client.lingers = true;
@@ -470,6 +477,9 @@
         self.timers.unset(client.timer.take());
         client.begun = false;
         client.close = !client.request.as_ref().is_some_and(|(m, _)| m.keep);
+        // Danger: health checks that keep their connection, a thousand a second, leave no room for ops.
+        client.close |= matches!(asked, Asked::Health);
+        client.over = client.close;
         match asked {
             Asked::Health => {
                 let status = if self.ready() { 200 } else { 503 };
@@ -494,7 +504,7 @@
     /// Refuses what cannot be read on; the connection goes with it.
     fn refuse(&mut self, key: usize, status: Refused) {
         if let Some(client) = self.clients.table.get_mut(key) {
-            client.close = true;
+            (client.close, client.over) = (true, false);
             self.answer(key, status, 0.0);
         }
     }
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -369,6 +369,25 @@
     assert!(from.elapsed() < Duration::from_millis(3000));
 }
 
+#[test]
+fn a_health_check_keeps_no_connection() {
+    let server = Server::saying(ok("x"));
+    let node = Node::with(&[&server], |c| c["limits"]["sockets"] = json!(40), None);
+    let mut kept = node.client();
+    for _ in 0..3 {
+        kept.write_all(&request("view", 1.0, "")).unwrap();
+        assert_eq!(status(&read_message(&mut kept).expect("the op's client stays").0), 200);
+        let mut checks: Vec<_> = (0..20).map(|_| node.client()).collect();
+        for check in &mut checks {
+            check.write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+            let (head, _) = read_message(check).expect("an answer");
+            assert_eq!((status(&head), header(&head, "Connection").as_deref()), (200, Some("close")));
+            assert_eq!(check.read(&mut [0]).ok(), Some(0));
+        }
+        after(110);
+    }
+}
+
 #[test]
 fn clients_that_ask_once_and_stay_leave_room_for_others() {
     let server = Server::saying(ok("x"));
