A server connection is used again only 1 ms after its answer

Checked: a loopback server that sends the copy 0.6 ms later; the second of fifty ops got the first one's body. Now a connection that brought its answer less than 1 ms ago is passed over.

--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -25,6 +25,10 @@
 /// What is next once a push has ended.
 pub type Then = Box<dyn FnOnce(&mut Proxy, Outcome)>;
 
+/// How long a connection must have been quiet since its last answer. Danger: a second copy of that answer, right
+/// behind it, is read as the next push's. What a server sends in one go comes within this.
+const QUIET: f64 = 1.0;
+
 /// A connection to a server, with the push that it carries, if any.
 pub struct Link {
     pub stream: TcpStream,
@@ -173,10 +177,14 @@
         Ok(key)
     }
 
-    /// A connection that stands idle and is still open: the one used last, so that others may be closed.
+    /// A connection that stands idle and is still open: the one used last, so that others may be closed, but none
+    /// that has only just brought its answer.
     fn idle_link(&mut self, server: usize) -> Option<usize> {
+        let now = self.now();
         loop {
-            let key = self.servers.records.get_mut(server)?.idle.pop()?;
+            let idle = &mut self.servers.records.get_mut(server)?.idle;
+            let links = &self.servers.links;
+            let key = idle.remove(idle.iter().rposition(|key| now - links[*key].idle_since >= QUIET)?);
             let link = &mut self.servers.links[key];
             self.timers.unset(link.timer.take());
             if silent(&link.stream) {
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -247,6 +247,26 @@
     assert_eq!(read_message(&mut client).expect("still there").1, long);
 }
 
+#[test]
+fn a_second_copy_behind_an_answer_is_nobodys() {
+    let server = Server::new(|stream, asked| {
+        let answer = ok(&String::from_utf8_lossy(&asked.body));
+        stream.set_nodelay(true).unwrap();
+        let first = stream.write_all(&answer).is_ok();
+        let from = Instant::now();
+        while from.elapsed() < Duration::from_micros(600) {}
+        first && stream.write_all(&answer).is_ok()
+    });
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    for number in 0..50 {
+        let body = number.to_string();
+        client.write_all(&request("pay", 2.0, &body)).unwrap();
+        let (head, got) = read_message(&mut client).expect("an answer");
+        assert_eq!((status(&head), String::from_utf8_lossy(&got).into_owned()), (200, body));
+    }
+}
+
 #[test]
 fn what_never_ran_goes_elsewhere() {
     let turns = Server::saying(
@@ -291,6 +311,8 @@
     let ask = || assert_eq!(node.ask(&request("view", 1.0, "")).0, 200);
     thread::scope(|scope| (0..3).for_each(|_| drop(scope.spawn(ask))));
     assert_eq!(server.open.load(Ordering::SeqCst), 3, "kept");
+    // Long enough for them to be used again.
+    after(10);
     silent.store(true, Ordering::SeqCst);
     assert_eq!(node.ask(&request("pay", 0.3, "")).0, 502);
     until("all are closed", || server.open.load(Ordering::SeqCst) == 0);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -779,7 +779,7 @@
         let may_repeat = self.categories[category].effect != Effect::AtMostOnce;
         let patience = if may_repeat && !second_copies { left.min(sent.patience) } else { left };
         out.push(id, to, patience);
-        if may_repeat && second_copies {
+        if may_repeat && second_copies && sent.patience < left {
             let at = now + sent.patience * (1.0 + self.strain());
             self.alarm(out, at, Box::new(move |b, out| b.overdue(out, id, n, now)));
         }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use crate::balance::Balancer;
 use crate::words::{Arrival, Given, Listed, Outlet, PushEnd};
+use std::collections::BTreeSet;
 
 /// Where an op goes, and how long in milliseconds that push may take.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,7 +29,8 @@
 #[derive(Default)]
 struct Said {
     next: Vec<(usize, Next)>,
-    alarms: Vec<(f64, u64)>,
+    /// By when they are due, in microseconds: unlike floating-point times these have an order.
+    alarms: BTreeSet<(u64, u64)>,
     list: bool,
 }
 
@@ -65,7 +67,7 @@
     }
 
     fn wake(&mut self, at: f64, alarm: u64) {
-        self.alarms.push((at, alarm));
+        self.alarms.insert(((at.max(0.0) * 1000.0) as u64, alarm));
     }
 
     fn follow_list(&mut self) {
@@ -133,9 +135,9 @@
 
     /// Does what is due by now, and returns what is next for the ops it moved.
     pub fn tick(&mut self, now: f64) -> Vec<(usize, Next)> {
-        while let Some(place) = self.said.alarms.iter().position(|(at, _)| *at <= now) {
-            let (_, alarm) = self.said.alarms.swap_remove(place);
-            self.balancer.woken(&mut self.said, now, alarm);
+        while let Some(due) = self.said.alarms.first().copied().filter(|(at, _)| *at as f64 <= now * 1000.0) {
+            self.said.alarms.remove(&due);
+            self.balancer.woken(&mut self.said, now, due.1);
         }
         std::mem::take(&mut self.said.next)
     }
@@ -143,7 +145,7 @@
     /// When the next tick is due.
     pub fn next_tick(&self) -> Option<f64> {
         let waiting = self.said.list || !self.said.next.is_empty();
-        let alarms = self.said.alarms.iter().map(|(at, _)| *at);
-        alarms.chain(waiting.then_some(0.0)).min_by(f64::total_cmp)
+        let alarm = self.said.alarms.first().map(|(at, _)| *at as f64 / 1000.0);
+        waiting.then_some(0.0).or(alarm)
     }
 }
