Second copies only where fewer than three nodes share a server

Six nodes share a server there, each with about one push of its limit, and a copy takes another op's. At fault: push() in balance.rs, which set the alarm whatever the sharers.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -581,8 +581,6 @@
         }
     }
 
-    // ------------------------------------------------------------ cold budget
-
     /// Danger: a cold server pushed over. Each node spends at most its own part of the budget of any window;
     /// a purse fills with what a cold server may get from here, in ordinary ops.
     fn fill_purses(&mut self) {
@@ -779,7 +777,7 @@
         let may_repeat = self.categories[category].effect != Effect::AtMostOnce;
         let patience = if may_repeat && !second_copies { left.min(sent.patience) } else { left };
         out.push(id, to, patience);
-        if may_repeat && second_copies && sent.patience < left {
+        if may_repeat && second_copies && sent.patience < left && self.sharers < 3.0 {
             let at = now + sent.patience * (1.0 + self.strain());
             self.alarm(out, at, Box::new(move |b, out| b.overdue(out, id, n, now)));
         }
@@ -796,6 +794,7 @@
     }
 
     /// Danger: what fell silent holds an op to its end. A second copy goes; the fuller all is, the later.
+    /// Where three nodes or more share a server each has a push or two of its limit; copies would take them.
     fn overdue(&mut self, out: &mut dyn Outlet, id: usize, n: usize, at: f64) {
         let waits = |op: &Op| op.pushes.len() == n + 1 && op.pushes[n].out && op.pushes[n].at == at;
         if self.ops.get(&id).is_some_and(waits) {
