--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -58,6 +58,10 @@
         }
     }
 
+    fn probe(&mut self, server: usize) {
+        self.decisions.push(json!(["HealthCheck", self.inst, self.names.mark(server)]));
+    }
+
     fn cancel(&mut self, op: usize, push: usize) {
         self.decisions.push(json!(["CallOff", self.inst, self.id(op), push]));
     }
@@ -221,12 +225,13 @@
             let flags = fields.at(8).map_or(Ok(0), |_| fields.whole(8, "Flags"))?;
             let work = fields.number(7, "EffortMs")?.filter(|w| flags & 1 == 1 && *w > 0.0);
             let retry = flags & 2 == 2;
+            let key = fields.at(5).map(|_| fields.whole(5, "Affinity")).transpose()?;
             let op = ops.next;
             ops.next += 1;
             ops.by_id.insert(id, op);
             ops.held.insert(op, (id, 0, false));
             let out = &mut Link { inst, names, ops, decisions };
-            balancer.arrive(out, now, &Arrival { op, category, customer, ttl, retry, work });
+            balancer.arrive(out, now, &Arrival { op, category, customer, ttl, retry, work, key });
         }
         "Returned" => {
             let id = fields.whole(2, "Req")?;
@@ -264,9 +269,13 @@
             }
         }
         "Probed" => {
-            // No probe is ever sent; one that is told of all the same is passed over.
-            fields.whole(2, "Server")?;
-            fields.text(3, "Verdict")?;
+            let mark = fields.whole(2, "Server")?;
+            let answered = fields.text(3, "Verdict")? == "Ok";
+            let load = fields.load(5)?;
+            // One that was never asked for, or of a server that is forgotten, is passed over.
+            let Some(server) = names.known(mark) else { return Ok(()) };
+            let out = &mut Link { inst, names, ops, decisions };
+            balancer.probed(out, now, server, answered.then_some(load));
         }
         // Nodes tell each other nothing yet.
         _ => {
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -127,7 +127,7 @@
     // Of a client's word on the work only its ratio to other ops' counts, so its unit does not matter.
     let work = header("X-Cost").and_then(|w| w.parse().ok()).filter(|w: &f64| w.is_finite() && *w > 0.0);
     let retry = header("X-Retried") == Some("1");
-    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, work }, mark))
+    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, work, key: None }, mark))
 }
 
 impl Clients {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -100,6 +100,7 @@
     warm_at: f64,
     load: Load,
     load_at: f64,
+    asked_at: f64,
     since_load: f64,
     // rates and health: time over the usual, its best, share of failures, last word
     pace: Option<f64>,
@@ -131,18 +132,31 @@
             // A start time of none, or long past, is a warm server's.
             warm_at: if line.started > 0.0 { line.started + cold_time } else { f64::NEG_INFINITY },
             load_at: now,
+            asked_at: f64::NEG_INFINITY,
             heard: now,
             best: 1.0,
             borne_at: now,
             // A handful from all nodes together, so that a new server is neither starved nor flooded; it
             // grows and shrinks at once by what is seen.
-            limit: 5.0,
+            limit: 12.0,
             cut_at: now,
             purse_at: now,
             ..Server::default()
         }
     }
 
+    /// What it holds for all nodes together, by its own word and what went there since.
+    fn told(&self, now: f64) -> Option<f64> {
+        let load = &self.load;
+        // Danger: a server that works at many ops at once has none waiting long after it is full. Where only
+        // its cores' use is told: a single queue of that use holds so many.
+        let busy = load.busy.filter(|_| load.held.is_none()).map_or(0.0, |b| b.min(1.0) / (1.1 - b.min(1.0)));
+        let told = load.held.or(load.waiting.map(|w| w + busy));
+        // A report much older than any usual refresh is none.
+        let told = told.filter(|_| now - self.load_at < 5000.0);
+        told.map(|told| (told + self.since_load).max(self.out.len() as f64))
+    }
+
     fn bears(&self, now: f64) -> f64 {
         self.borne * (-(now - self.borne_at).max(0.0) / BORNE_OVER).exp()
     }
@@ -161,6 +175,10 @@
     ends: f64,
     rank: f64,
     bound: bool,
+    key: Option<u64>,
+    /// The servers asked for their load before its first push, and whether it still waits for one.
+    asked: Vec<usize>,
+    waits: bool,
     pushes: Vec<Pushed>,
 }
 
@@ -178,6 +196,8 @@
     parted_at: f64,
     ops: BTreeMap<usize, Op>,
     steps: BTreeMap<(usize, usize), Step>,
+    /// Probes that are out, by server, with when they went.
+    probes: BTreeMap<usize, f64>,
     alarms: BTreeMap<u64, Alarm>,
     next_alarm: u64,
     time: f64,
@@ -188,6 +208,11 @@
     list_wait: f64,
     /// Own work a millisecond that a warm server bears in the mean.
     warm_rate: f64,
+    // of the part, at the last solution: mean pace, told and taken queue, arrivals over all rates
+    mean_pace: f64,
+    mean_told: f64,
+    mean_queue: f64,
+    lambda: f64,
 }
 
 impl Balancer {
@@ -218,6 +243,7 @@
             parted_at: f64::NEG_INFINITY,
             ops: BTreeMap::new(),
             steps: BTreeMap::new(),
+            probes: BTreeMap::new(),
             alarms: BTreeMap::new(),
             next_alarm: 0,
             time,
@@ -227,6 +253,10 @@
             solved_at: f64::NEG_INFINITY,
             list_wait: 0.0,
             warm_rate: 0.0,
+            mean_pace: 1.0,
+            mean_told: 0.0,
+            mean_queue: 0.0,
+            lambda: 0.0,
         })
     }
 
@@ -342,7 +372,7 @@
             return;
         }
         // A single server's share of a node may be under one push; whether limits are used shows over all.
-        let strained = self.strain() > 0.6;
+        let (strained, asks) = (self.strain() > 0.6, self.asks());
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
         // Danger: a server that gets little would be thought slow long after it has recovered; the longer
         // since its last word, the more the new one counts, half at most.
@@ -394,7 +424,12 @@
         let full = end.ending == Ending::TurnedAway && server.load.waiting.is_none_or(|w| w > 0.0);
         let failed = full || matches!(end.ending, Ending::TimedOut | Ending::Unreachable);
         let late = !lost && (failed || end.took > self.categories[category].target);
-        let used = strained && server.out.len() as f64 >= 0.5 * server.limit / sharers;
+        let told = server.told(now);
+        let held = told.filter(|_| asks).unwrap_or(server.out.len() as f64 * sharers);
+        // Danger: a heavy op is late on an idle server. Where it says what it holds, little held is no crowd.
+        let idle = asks && held < 0.5 * server.limit;
+        let (late, stretch) = (late && !idle, if idle { 0.0 } else { stretch });
+        let used = strained && held >= 0.5 * server.limit;
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
         if late && now - server.cut_at > sent.usual {
             (server.limit, server.cut_at) = ((server.limit * 0.7).max(1.0), now);
@@ -492,7 +527,7 @@
             .filter(|(_, s)| s.standing == Standing::Ready)
             .map(|(id, s)| (*id, s))
             .collect();
-        let target = (NODES * ready.len() as f64 / self.balancers).max(LEAST);
+        let target = (NODES * ready.len() as f64 / self.balancers).max(if self.asks() { 1e9 } else { LEAST });
         // Few nodes, or few servers, mean the whole fleet.
         let run = if target < ready.len() as f64 { 0.5 * target } else { target };
         let number = self.duties.or("my-number", 0.0);
@@ -524,8 +559,6 @@
     fn solve(&mut self) {
         // At least this long between two solutions; the design's figure.
         const REFRESH: f64 = 100.0;
-        // The design's floor under the horizon.
-        const FLOOR: f64 = 50.0;
         if self.now - self.solved_at < REFRESH {
             return;
         }
@@ -541,44 +574,74 @@
         self.warm_rate = faded.max(sum / f64::max(count, 1.0));
         self.solved_at = now;
         let ids = self.part.clone();
-        let known: Vec<f64> = ids.iter().filter_map(|id| self.servers[id].pace).collect();
-        let mean_pace = |p: &[f64]| p.iter().map(|p| 1.0 / p).sum::<f64>() / p.len() as f64;
-        let mean = if known.is_empty() { 1.0 } else { 1.0 / mean_pace(&known) };
-        let queue = |s: &Server| {
-            // A report much older than any usual refresh is none.
-            let told = s.load.held.or(s.load.waiting).filter(|_| now - s.load_at < 5000.0);
-            told.map_or(s.out.len() as f64 * self.sharers, |told| told + s.since_load)
-        };
-        let queues: Vec<f64> = ids.iter().map(|id| queue(&self.servers[id])).collect();
-        let usual_queue = queues.iter().sum::<f64>() / ids.len() as f64;
+        let part = ids.iter().map(|id| &self.servers[id]);
+        let paces: Vec<f64> = part.clone().filter_map(|s| s.pace).collect();
+        let told: Vec<f64> = part.filter_map(|s| s.told(now)).collect();
+        let count = |of: &[f64]| f64::max(of.len() as f64, 1.0);
+        self.mean_pace = if paces.is_empty() { 1.0 } else { count(&paces) / paces.iter().map(|p| 1.0 / p).sum::<f64>() };
+        self.mean_told = told.iter().sum::<f64>() / count(&told);
+        self.mean_queue = ids.iter().map(|id| self.queue(&self.servers[id])).sum::<f64>() / f64::max(ids.len() as f64, 1.0);
+        let mut seen = self.seen(&ids, 1.5);
+        let all: f64 = seen.iter().map(|s| s.mu).sum();
+        for s in &mut seen {
+            s.most *= s.mu / all;
+        }
+        self.lambda = (self.pushes * self.sharers).max(all / 3.0) / all;
+        let shares = split(&seen, self.lambda * all);
+        for ((id, share), s) in ids.iter().zip(&shares).zip(&seen) {
+            let server = self.servers.get_mut(id).expect("listed above");
+            server.share = *share;
+            server.expected = (1.0 + s.queue) / s.mu;
+        }
+    }
+
+    fn queue(&self, s: &Server) -> f64 {
+        let unknown = if self.asks() { self.mean_told } else { s.out.len() as f64 * self.sharers };
+        s.told(self.now).unwrap_or(unknown)
+    }
+
+    /// What the split knows of these servers; each one's most is still to be weighed by its rate.
+    fn seen(&self, ids: &[usize], most: f64) -> Vec<Seen> {
+        // The design's floor under the horizon.
+        const FLOOR: f64 = 50.0;
         let my_zone = self.duties.or("my-zone", 0.0) as usize;
         let cross = self.duties.or("cross-zone-price", 0.0);
-        let mut seen: Vec<Seen> = Vec::new();
-        for (id, queue) in ids.iter().zip(&queues) {
+        let one = |id: &usize| {
             let s = &self.servers[id];
-            let pace = s.pace.unwrap_or(mean);
-            let latency = (pace * self.time).max(1.0);
+            let latency = (s.pace.unwrap_or(self.mean_pace) * self.time).max(1.0);
             // The price of a crossing is a share of an op's benefit; an op's usual time stands for the whole.
             let away = if s.zone == my_zone { 0.0 } else { cross * self.time };
             // A failed op costs about another op's time.
             let cost = away + latency * s.faults / (1.0 - s.faults).max(0.1);
             let horizon =
-                if s.load != Load::default() { (now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
-            seen.push(Seen { queue: *queue, mu: (1.0 + usual_queue) / latency, horizon, cost, most: 1.0 });
-        }
-        let all: f64 = seen.iter().map(|s| s.mu).sum();
-        let lambda = (self.pushes * self.sharers).max(all / 3.0);
-        for (s, id) in seen.iter_mut().zip(&ids) {
+                if s.load != Load::default() { (self.now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
             // Danger: a server that fails fast answers first and would draw ever more. What it fails narrows
             // its most, to a fiftieth at least, so that its recovery is seen.
-            s.most = 1.5 * s.mu / all * (1.0 - self.servers[id].faults).max(0.02);
+            let most = most * (1.0 - s.faults).max(0.02);
+            Seen { queue: self.queue(s), mu: (1.0 + self.mean_queue) / latency, horizon, cost, most }
+        };
+        ids.iter().map(one).collect()
+    }
+
+    /// Shares of those among which an op has asked, by what they said.
+    fn weigh(&mut self, id: usize, from: &mut Vec<(usize, f64)>) {
+        let op = &self.ops[&id];
+        let told = |sid: &usize| op.asked.contains(sid) && self.now - self.servers[sid].asked_at < 500.0;
+        let asked: Vec<usize> = from.iter().map(|(id, _)| *id).filter(told).collect();
+        if asked.is_empty() {
+            return;
         }
-        let shares = split(&seen, lambda);
-        for ((id, share), s) in ids.iter().zip(&shares).zip(&seen) {
-            let server = self.servers.get_mut(id).expect("listed above");
-            server.share = *share;
-            server.expected = (1.0 + s.queue) / s.mu;
+        let mut seen = self.seen(&asked, 1.0);
+        if let Some(key) = op.key {
+            let homes = self.homes(key);
+            for (s, sid) in seen.iter_mut().zip(&asked) {
+                let rank = homes.iter().position(|h| h == sid).unwrap_or(9) as f64;
+                s.cost += 0.5 * self.time * (0.5 * rank).min(1.0);
+            }
         }
+        let all: f64 = seen.iter().map(|s| s.mu).sum();
+        let shares = split(&seen, self.lambda * all);
+        *from = asked.into_iter().zip(shares).collect();
     }
 
     /// Danger: a cold server pushed over. Each node spends at most its own part of the budget of any window;
@@ -639,10 +702,91 @@
             ends: now + arrival.ttl,
             rank,
             bound: false,
+            key: arrival.key.filter(|_| self.duties.allow("servers-know-keys")),
+            asked: Vec::new(),
+            waits: false,
             pushes: Vec::new(),
         };
         self.ops.insert(arrival.op, op);
-        self.go_on(out, arrival.op);
+        self.solve();
+        if !self.ask(out, arrival.op) {
+            self.go_on(out, arrival.op);
+        }
+    }
+
+    fn asks(&self) -> bool {
+        self.duties.allow("load-must-be-asked") && self.duties.allow("may-probe")
+    }
+
+    /// The key's servers in the order that all nodes know alike: its home first.
+    fn homes(&self, key: u64) -> Vec<usize> {
+        let rank = |id: &usize| oorandom::Rand64::new(u128::from(key) << 64 | u128::from(self.servers[id].mark)).rand_u64();
+        let mut homes = self.part.clone();
+        homes.sort_by_key(rank);
+        homes
+    }
+
+    /// Danger: where servers tell their load only when asked, a quiet node knows none when an op comes. It asks
+    /// a few, drawn by the split, and the op waits for a moment. A node without ops asks nothing.
+    fn ask(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
+        const ASKED: usize = 2;
+        if !self.asks() {
+            return false;
+        }
+        let mut from = self.candidates(id);
+        let mut asked: Vec<usize> = Vec::new();
+        if let Some(key) = self.ops[&id].key {
+            let homes = self.homes(key);
+            asked.extend(homes.iter().filter(|h| from.iter().any(|(id, _)| id == *h)).take(ASKED));
+            from.retain(|(id, _)| !asked.contains(id));
+        }
+        while asked.len() < ASKED && !from.is_empty() {
+            let server = self.roulette(&from);
+            from.retain(|(id, _)| *id != server);
+            asked.push(server);
+        }
+        let now = self.now;
+        let mut waits = false;
+        for server in &asked {
+            let fresh = now - self.servers[server].asked_at < 50.0;
+            if !fresh {
+                waits = true;
+                if !self.probes.contains_key(server) {
+                    self.probes.insert(*server, now);
+                    out.probe(*server);
+                }
+            }
+        }
+        let op = self.ops.get_mut(&id).expect("just taken in");
+        (op.asked, op.waits) = (asked, waits);
+        let category = op.category;
+        if waits {
+            let at = now + 0.1 * self.categories[category].target;
+            self.alarm(out, at, Box::new(move |b, out| b.waited(out, id)));
+        }
+        waits
+    }
+
+    fn waited(&mut self, out: &mut dyn Outlet, id: usize) {
+        let Some(op) = self.ops.get_mut(&id) else { return };
+        if std::mem::take(&mut op.waits) {
+            self.go_on(out, id);
+        }
+    }
+
+    /// A probe has ended, with a report or none.
+    pub fn probed(&mut self, out: &mut dyn Outlet, now: f64, server: usize, answer: Option<Load>) {
+        self.now = now;
+        self.probes.remove(&server);
+        if let Some(load) = answer {
+            if let Some(server) = self.servers.get_mut(&server) {
+                (server.load, server.load_at, server.asked_at, server.since_load) = (load, now, now, 0.0);
+            }
+        }
+        let done: Vec<usize> = self.ops.iter().filter(|(_, op)| op.waits && op.asked.contains(&server)).filter(|(_, op)| !op.asked.iter().any(|s| self.probes.contains_key(s))).map(|(id, _)| *id).collect();
+        for id in done {
+            self.waited(out, id);
+        }
     }
 
     /// The next push, or the end: nothing waits for room. Nacked at once a client may come back; a stay would
@@ -661,7 +805,7 @@
         let category = &self.categories[op.category];
         let usual = self.usual(op.category, op.work);
         let left = op.ends - self.now;
-        let share = self.sharers;
+        let (share, asks) = (self.sharers, self.asks());
         // Danger: a repeat that must stay in its group finds that group full and is dead-lettered. It has
         // been let in once and goes over the limit.
         let bound =
@@ -683,7 +827,7 @@
             s.standing == Standing::Ready
                 && left > 0.0
                 && repeat
-                && (bound || (s.out.len() as f64) < (s.limit / share).max(1.0))
+                && (bound || if asks { self.queue(s) < s.limit } else { (s.out.len() as f64) < (s.limit / share).max(1.0) })
                 && (self.now >= s.warm_at || s.purse > 0.0)
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op
                 // may go where nothing of ours is in flight.
@@ -691,7 +835,7 @@
         };
         // Danger: one push from each of many nodes is more than a weak server's limit. A part under one push
         // weighs its share by chance.
-        let weighed = |s: &Server| s.share * (s.limit / share).min(1.0);
+        let weighed = |s: &Server| s.share * if asks { 1.0 } else { (s.limit / share).min(1.0) };
         let fit = |sid: &usize| Some((*sid, weighed(self.servers.get(sid).filter(|s| fits(s))?)));
         let mut all: Vec<_> = self.part.iter().filter_map(fit).collect();
         if all.is_empty() && bound {
@@ -730,6 +874,11 @@
     /// Own pushes in flight over what the limits leave this node.
     fn strain(&self) -> f64 {
         let part = self.part.iter().map(|id| &self.servers[id]);
+        if self.asks() {
+            let known = part.filter_map(|s| Some((s.told(self.now)?, s.limit)));
+            let (told, limits) = known.fold((0.0, 0.0), |(t, l), (told, limit)| (t + told, l + limit));
+            return told / f64::max(limits, 1.0);
+        }
         let (out, limits) = part.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + s.limit));
         out as f64 * self.sharers / f64::max(limits, 1.0)
     }
@@ -744,11 +893,12 @@
         if !again && self.strain() > 0.6 + 0.4 * op.rank.sqrt() {
             return false;
         }
-        let from = self.candidates(id);
+        let mut from = self.candidates(id);
         if from.is_empty() {
             return false;
         }
-        let server = self.draw(&from);
+        self.weigh(id, &mut from);
+        let server = if self.asks() { self.roulette(&from) } else { self.draw(&from) };
         self.push(out, id, server);
         true
     }
@@ -775,7 +925,8 @@
         server.out.insert((id, n), sent);
         // Where no second copy may run beside the first, the time-out leaves time for a further push.
         let may_repeat = self.categories[category].effect != Effect::AtMostOnce;
-        let patience = if may_repeat && !second_copies { left.min(sent.patience) } else { left };
+        let rest = self.categories[category].target.min(left) - sent.patience;
+        let patience = if may_repeat && !second_copies { sent.patience.max(rest).min(left) } else { left };
         out.push(id, to, patience);
         if may_repeat && second_copies && sent.patience < left && self.sharers < 3.0 {
             let at = now + sent.patience * (1.0 + self.strain());
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The decisions in blocking style: a call says what happened and returns what is next. It decides nothing.
 
 use crate::balance::Balancer;
-use crate::words::{Arrival, Given, Listed, Outlet, PushEnd};
+use crate::words::{Arrival, Given, Listed, Load, Outlet, PushEnd};
 use std::collections::BTreeSet;
 
 /// Where an op goes, and how long in milliseconds that push may take.
@@ -31,6 +31,7 @@
     next: Vec<(usize, Next)>,
     /// By when they are due, in microseconds: unlike floating-point times these have an order.
     alarms: BTreeSet<(u64, u64)>,
+    probes: Vec<usize>,
     list: bool,
 }
 
@@ -54,6 +55,10 @@
         self.of(op).picks.push(Pick { server, patience });
     }
 
+    fn probe(&mut self, server: usize) {
+        self.probes.push(server);
+    }
+
     fn cancel(&mut self, op: usize, push: usize) {
         self.of(op).cancel.push(push);
     }
@@ -123,6 +128,16 @@
         self.balancer.holds(server)
     }
 
+    /// The servers to be asked for their load; told once.
+    pub fn wants_probes(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.said.probes)
+    }
+
+    /// What a probe has come to; the ops that waited for it move on with the next tick.
+    pub fn probed(&mut self, now: f64, server: usize, answer: Option<Load>) {
+        self.balancer.probed(&mut self.said, now, server, answer);
+    }
+
     /// A call to the list failed.
     pub fn list_failed(&mut self, now: f64) {
         self.balancer.list_failed(&mut self.said, now);
@@ -144,7 +159,7 @@
 
     /// When the next tick is due.
     pub fn next_tick(&self) -> Option<f64> {
-        let waiting = self.said.list || !self.said.next.is_empty();
+        let waiting = self.said.list || !self.said.probes.is_empty() || !self.said.next.is_empty();
         let alarm = self.said.alarms.first().map(|(at, _)| *at as f64 / 1000.0);
         waiting.then_some(0.0).or(alarm)
     }
--- a/src/given.rs
+++ b/src/given.rs
@@ -25,6 +25,7 @@
     ("excess-benefit", "/ExcessBenefit"),
     ("cross-zone-price", "/Fees/CrossZone"),
     ("waste-price", "/Fees/Waste"),
+    ("servers-know-keys", "/Specifics/WarmKeys"),
 ];
 
 /// The same for each category and each customer.
@@ -76,6 +77,8 @@
     each(&mut given, settings, "Customers", "customers", "customer", CUSTOMER);
     let ask = settings.get("Discovery").and_then(Value::as_str) == Some("subscribe");
     given.insert("list-must-be-asked".into(), ask.into());
+    let pull = settings.pointer("/Reporting/Via").and_then(Value::as_str) == Some("pull");
+    given.insert("load-must-be-asked".into(), pull.into());
     given
 }
 
@@ -161,6 +164,11 @@
         self.servers.numbers[server]
     }
 
+    /// The index of a server by that number, while it is known.
+    pub fn known(&self, mark: u64) -> Option<usize> {
+        self.servers.by_number.get(&mark).copied()
+    }
+
     /// One line of the list. Without a pod a server shares one with no other.
     pub fn line(
         &mut self,
@@ -189,6 +197,7 @@
         "q" | "queue" => load.waiting = Some(value),
         "rif" | "inflight" => load.held = Some(value),
         "busy" | "util" => load.busy = Some(value),
+        "rate" | "qps" => load.rate = Some(value / 1000.0),
         _ => {}
     }
 }
--- a/src/words.rs
+++ b/src/words.rs
@@ -54,6 +54,8 @@
     pub retry: bool,
     /// Expected work in milliseconds, where the client says it.
     pub work: Option<f64>,
+    /// What it is about, where it says so; ops of one key belong together.
+    pub key: Option<u64>,
 }
 
 /// How a push ended.
@@ -83,6 +85,8 @@
     pub held: Option<f64>,
     /// Share of its cores in use.
     pub busy: Option<f64>,
+    /// Ops served a millisecond.
+    pub rate: Option<f64>,
 }
 
 /// The result of one push.
@@ -100,6 +104,8 @@
 /// Where the decisions go. Whoever runs the module implements it; calls take effect in their order.
 pub trait Outlet {
     fn push(&mut self, op: usize, server: usize, patience: f64);
+    /// Asks a server for its load; the answer, or that there is none, comes by `Balancer::probed`.
+    fn probe(&mut self, server: usize);
     fn cancel(&mut self, op: usize, push: usize);
     fn nack(&mut self, op: usize, come_back: f64);
     fn dead_letter(&mut self, op: usize);
--- a/tests/module/help.rs
+++ b/tests/module/help.rs
@@ -188,7 +188,7 @@
     pub fn op_of(&mut self, category: usize, customer: Option<usize>, retry: bool) -> usize {
         let (op, now) = (self.model.ops.len(), self.model.now);
         self.model.ops.push(Taken { category, ends: now + TTL, ..Taken::default() });
-        let arrival = Arrival { op, category, customer, ttl: TTL, retry, work: None };
+        let arrival = Arrival { op, category, customer, ttl: TTL, retry, work: None, key: None };
         self.balancer.arrive(&mut self.model, now, &arrival);
         op
     }
