A push waits to its op's end where no second copy may run beside it

Cause: time-outs of deduplicated pushes at slack x expected time ended heavy ops that would have answered; the work goes on at the server and the repeat doubles it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -154,7 +154,7 @@
         let told = load.held.or(load.waiting.map(|w| w + busy));
         // A report much older than any usual refresh is none.
         let told = told.filter(|_| now - self.load_at < 5000.0);
-        told.map(|told| (told + self.since_load).max(self.out.len() as f64))
+        told.map(|told| told + self.since_load.max(self.out.len() as f64))
     }
 
     fn bears(&self, now: f64) -> f64 {
@@ -923,11 +923,8 @@
         let expected = (server.expected * usual / time).max(usual * server.pace.unwrap_or(1.0));
         let sent = Sent { at: now, usual, patience: expected * self.slack };
         server.out.insert((id, n), sent);
-        // Where no second copy may run beside the first, the time-out leaves time for a further push.
         let may_repeat = self.categories[category].effect != Effect::AtMostOnce;
-        let rest = self.categories[category].target.min(left) - sent.patience;
-        let patience = if may_repeat && !second_copies { sent.patience.max(rest).min(left) } else { left };
-        out.push(id, to, patience);
+        out.push(id, to, left);
         if may_repeat && second_copies && sent.patience < left && self.sharers < 3.0 {
             let at = now + sent.patience * (1.0 + self.strain());
             self.alarm(out, at, Box::new(move |b, out| b.overdue(out, id, n, now)));
