Asked loads: whole fleet, one limit, own part learned; the node sends probes

Lines at fault: choose_part (part of four), learn (limits a server, cut for heavy ops), sharers and lambda (even traffic), push (time-outs), seen and split (crossings free on idle fleets), candidates (first looks).

--- a/node/src/life/configuration.rs
+++ b/node/src/life/configuration.rs
@@ -10,6 +10,11 @@
 /// listener and discovery, and some to spare.
 const OTHER_SOCKETS: u64 = 16;
 
+/// What a header's name may hold.
+fn token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)
+}
+
 pub struct Configuration {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -21,6 +26,8 @@
     /// The list of servers as it was last known.
     pub known: Option<List>,
     pub names: Names,
+    /// The header in which a request says what it is about; none by default.
+    pub key_header: Option<String>,
     pub dispatcher: Dispatcher,
 }
 
@@ -71,6 +78,12 @@
             return Err(format!("limits.sockets is under {}", OTHER_SOCKETS + 8));
         }
         let memory = number("/limits/memory_mb", 192.0)?;
+        let key_header = match whole.get("key_header") {
+            None | Some(Value::Null) => None,
+            Some(Value::String(name)) if name.bytes().all(token) && !name.is_empty() => Some(name.clone()),
+            Some(_) => return Err("key_header is no header's name".into()),
+        };
+        given::check(settings).map_err(|m| format!("settings: {m}"))?;
         let (mut names, given) = Names::read(settings);
         let known = whole.get("known").filter(|k| !k.is_null());
         let known =
@@ -89,6 +102,7 @@
             keepalive: number("/settings/Limits/KeepaliveMs", 5000.0)?,
             known,
             names,
+            key_header,
             dispatcher,
         })
     }
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -24,6 +24,8 @@
     pub push_cancelled: u64,
     pub accepted: u64,
     pub dialled: u64,
+    pub probes: u64,
+    pub probes_failed: u64,
     pub lists: u64,
     pub lists_failed: u64,
 }
@@ -50,8 +52,8 @@
         )?;
         write!(
             f,
-            "connections: accepted {}, dialled {}; lists: {}, failed {}",
-            self.accepted, self.dialled, self.lists, self.lists_failed
+            "connections: accepted {}, dialled {}; probes: sent {}, without report {}; lists: {}, failed {}",
+            self.accepted, self.dialled, self.probes, self.probes_failed, self.lists, self.lists_failed
         )
     }
 }
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -46,6 +46,9 @@
     pub names: Names,
     /// Connections to servers that have something to write.
     pub links_again: Vec<usize>,
+    pub probes_out: usize,
+    /// Where a request says what it is about, if it does.
+    pub key_header: Option<String>,
     pub stop_at: Option<f64>,
 }
 
@@ -70,6 +73,8 @@
             dispatcher: configuration.dispatcher,
             names: configuration.names,
             links_again: Vec::new(),
+            probes_out: 0,
+            key_header: configuration.key_header,
             stop_at: None,
         };
         match configuration.known {
@@ -110,6 +115,7 @@
         if self.dispatcher.wants_list() {
             self.call_list();
         }
+        self.send_probes();
         self.settle();
         let due = [self.timers.first(), self.dispatcher.next_tick()].into_iter().flatten();
         let wait = due.min_by(f64::total_cmp).map(|at| (at - self.now()).max(0.0));
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -1,5 +1,6 @@
 //! Clients: accepts connections, reads requests, writes answers.
 
+use super::discovery::hashed;
 use super::http::{self, Message, Refused};
 use super::silent;
 use crate::memory::buffers::{Buffer, Filled};
@@ -95,7 +96,14 @@
 /// Longer than any client waits: a deadline past it is a mistake.
 const TTL_MOST: f64 = 3600.0;
 
-fn asked(names: &Names, ops: &Ops, method: &str, path: &str, headers: &[Header]) -> Result<Asked, Refused> {
+fn asked(
+    names: &Names,
+    ops: &Ops,
+    key: Option<&str>,
+    method: &str,
+    path: &str,
+    headers: &[Header],
+) -> Result<Asked, Refused> {
     if path == "/_health" {
         return Ok(Asked::Health);
     }
@@ -127,7 +135,9 @@
     // Of a client's word on the work only its ratio to other ops' counts, so its unit does not matter.
     let work = header("X-Cost").and_then(|w| w.parse().ok()).filter(|w: &f64| w.is_finite() && *w > 0.0);
     let retry = header("X-Retried") == Some("1");
-    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, work, key: None }, mark))
+    // All nodes come to the same number, so that a key's servers are known to all alike.
+    let key = key.and_then(header).map(hashed);
+    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, work, key }, mark))
 }
 
 impl Clients {
@@ -475,10 +485,10 @@
             // Danger: line ends left over behind the last request, taken for a request that never ends.
             let blank = inbox.held().iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
             inbox.cut(0, blank);
-            let (names, ops) = (&self.names, &self.ops);
+            let (names, ops, key) = (&self.names, &self.ops, self.key_header.as_deref());
             let head = http::request(inbox.held(), |method, path, headers| {
                 let expect = http::value(headers, "expect").unwrap_or_default();
-                (asked(names, ops, method, path, headers), expect.eq_ignore_ascii_case("100-continue"))
+                (asked(names, ops, key, method, path, headers), expect.eq_ignore_ascii_case("100-continue"))
             })?;
             let Some((message, (asked, expects))) = head else { return Ok(None) };
             log::trace!("{}", String::from_utf8_lossy(&inbox.held()[..message.head]));
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -46,8 +46,8 @@
     lines: Vec<(Listed, Option<(SocketAddr, f64)>)>,
 }
 
-/// The number by which all nodes know a server: its name, hashed (FNV-1a), so that all come to the same.
-fn mark(name: &str) -> u64 {
+/// A name's number, the same at every node (FNV-1a).
+pub fn hashed(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, b| (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
@@ -73,7 +73,7 @@
         };
         let started = host.get("born_ms").and_then(Value::as_f64).unwrap_or(0.0);
         let pod = host.get("block").and_then(Value::as_u64);
-        let line = names.line(mark(name), standing, text("site").unwrap_or_default(), pod, started);
+        let line = names.line(hashed(name), standing, text("site").unwrap_or_default(), pod, started);
         let dial = dial.filter(|_| standing == Standing::Ready).map(|address| (address, started));
         lines.push((line, dial));
     }
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -4,6 +4,7 @@
 pub mod discovery;
 pub mod http;
 pub mod passing;
+pub mod probes;
 pub mod servers;
 
 /// Whether a connection is open and has nothing to say.
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -29,6 +29,9 @@
 /// behind it, is read as the next push's. What a server sends in one go comes within this.
 const QUIET: f64 = 1.0;
 
+/// Stands for an op's index on a connection that carries a probe.
+pub const NO_OP: usize = usize::MAX;
+
 /// A connection to a server, with the push that it carries, if any.
 pub struct Link {
     pub stream: TcpStream,
@@ -84,6 +87,11 @@
         (self.connect_within, self.idle_most) = (connect_within, 0.75 * keepalive);
     }
 
+    /// Whether a connection may be opened without closing one that a push might use.
+    pub fn roomy(&self) -> bool {
+        !self.links.full()
+    }
+
     /// All servers' indices are under this.
     pub fn met(&self) -> usize {
         self.records.len()
@@ -103,15 +111,19 @@
         _ => Ending::Errored,
     };
     let mut load = Load::default();
-    let told = http::value(headers, "x-server-load").unwrap_or_default();
-    for part in told.trim_start_matches("TEXT").split(',') {
+    read_load(http::value(headers, "x-server-load").unwrap_or_default(), &mut load);
+    (status, ending, load)
+}
+
+/// Reads a report on load; what is no figure of one is passed over.
+pub fn read_load(told: &str, load: &mut Load) {
+    for part in told.trim().trim_start_matches("TEXT").split(',') {
         if let Some((name, value)) = part.split_once('=') {
             if let Ok(value) = value.trim().parse() {
-                given::figure(&mut load, name.trim(), value);
+                given::figure(load, name.trim(), value);
             }
         }
     }
-    (status, ending, load)
 }
 
 impl Proxy {
@@ -157,6 +169,18 @@
             self.buffers.give(outbox);
             return Err(Ending::Unsent);
         }
+        self.send_written(op, server, outbox, patience, then)
+    }
+
+    /// Sends what is written in a buffer to a server, for an op or for none.
+    pub fn send_written(
+        &mut self,
+        op: usize,
+        server: usize,
+        outbox: Buffer,
+        patience: f64,
+        then: Then,
+    ) -> Result<usize, Ending> {
         let key = match self.idle_link(server).map_or_else(|| self.dial(server), Ok) {
             Ok(key) => key,
             Err(ending) => {
@@ -380,6 +404,11 @@
                     return self.broken(key);
                 }
             };
+            if link.op == NO_OP && link.too_long(&inbox) {
+                // Danger: a report without end would be passed on to whichever client has that index.
+                link.inbox = Some(inbox);
+                return self.broken(key);
+            }
             if link.too_long(&inbox) {
                 self.begin_passing(key, inbox);
                 return self.pass(key);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -100,7 +100,7 @@
     warm_at: f64,
     load: Load,
     load_at: f64,
-    asked_at: f64,
+    listed_at: f64,
     since_load: f64,
     // rates and health: time over the usual, its best, share of failures, last word
     pace: Option<f64>,
@@ -132,13 +132,13 @@
             // A start time of none, or long past, is a warm server's.
             warm_at: if line.started > 0.0 { line.started + cold_time } else { f64::NEG_INFINITY },
             load_at: now,
-            asked_at: f64::NEG_INFINITY,
+            listed_at: now,
             heard: now,
             best: 1.0,
             borne_at: now,
             // A handful from all nodes together, so that a new server is neither starved nor flooded; it
             // grows and shrinks at once by what is seen.
-            limit: 12.0,
+            limit: 5.0,
             cut_at: now,
             purse_at: now,
             ..Server::default()
@@ -148,13 +148,14 @@
     /// What it holds for all nodes together, by its own word and what went there since.
     fn told(&self, now: f64) -> Option<f64> {
         let load = &self.load;
-        // Danger: a server that works at many ops at once has none waiting long after it is full. Where only
-        // its cores' use is told: a single queue of that use holds so many.
-        let busy = load.busy.filter(|_| load.held.is_none()).map_or(0.0, |b| b.min(1.0) / (1.1 - b.min(1.0)));
+        // Danger: a server that works at many ops at once is full long before any waits. Where no count is told
+        // but its cores' use: a single queue of that use holds so many; a reading's noise caps it at seven.
+        let queue = |busy: f64| busy.min(1.0) / (1.15 - busy.min(1.0));
+        let busy = load.busy.filter(|_| load.held.is_none()).map_or(0.0, queue);
         let told = load.held.or(load.waiting.map(|w| w + busy));
         // A report much older than any usual refresh is none.
         let told = told.filter(|_| now - self.load_at < 5000.0);
-        told.map(|told| told + self.since_load.max(self.out.len() as f64))
+        told.map(|told| told + self.since_load)
     }
 
     fn bears(&self, now: f64) -> f64 {
@@ -189,6 +190,8 @@
     customers: Vec<Customer>,
     duties: Duties,
     balancers: f64,
+    /// Servers tell their load only when asked, and may be asked.
+    asks: bool,
     servers: BTreeMap<usize, Server>,
     /// The servers that this node draws from, and how many nodes share each of them in the mean.
     part: Vec<usize>,
@@ -213,6 +216,8 @@
     mean_told: f64,
     mean_queue: f64,
     lambda: f64,
+    /// Own pushes a millisecond over some ten seconds.
+    own: f64,
 }
 
 impl Balancer {
@@ -234,6 +239,7 @@
             rng: oorandom::Rand64::new(u128::from(seed)),
             now: 0.0,
             balancers,
+            asks: duties.allow("load-must-be-asked") && duties.allow("may-probe"),
             customers: customers.collect(),
             categories,
             duties,
@@ -257,6 +263,7 @@
             mean_told: 0.0,
             mean_queue: 0.0,
             lambda: 0.0,
+            own: 0.0,
         })
     }
 
@@ -372,7 +379,7 @@
             return;
         }
         // A single server's share of a node may be under one push; whether limits are used shows over all.
-        let (strained, asks) = (self.strain() > 0.6, self.asks());
+        let (strained, asks) = (self.strain() > 0.6, self.asks);
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
         // Danger: a server that gets little would be thought slow long after it has recovered; the longer
         // since its last word, the more the new one counts, half at most.
@@ -424,22 +431,28 @@
         let full = end.ending == Ending::TurnedAway && server.load.waiting.is_none_or(|w| w > 0.0);
         let failed = full || matches!(end.ending, Ending::TimedOut | Ending::Unreachable);
         let late = !lost && (failed || end.took > self.categories[category].target);
-        let told = server.told(now);
-        let held = told.filter(|_| asks).unwrap_or(server.out.len() as f64 * sharers);
-        // Danger: a heavy op is late on an idle server. Where it says what it holds, little held is no crowd.
+        let told = server.told(now).filter(|_| asks);
+        let held = told.unwrap_or(server.out.len() as f64 * sharers);
+        // Danger: a heavy op is late on an idle server. Where servers say what they hold, little is no crowd.
         let idle = asks && held < 0.5 * server.limit;
-        let (late, stretch) = (late && !idle, if idle { 0.0 } else { stretch });
-        let used = strained && held >= 0.5 * server.limit;
+        let used = strained && (asks || held >= 0.5 * server.limit);
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
-        if late && now - server.cut_at > sent.usual {
-            (server.limit, server.cut_at) = ((server.limit * 0.7).max(1.0), now);
-        } else if good && stretch > 3.0 {
+        if late && !idle && now - server.cut_at > sent.usual {
+            let kept = if asks { 0.9 } else { 0.7 };
+            (server.limit, server.cut_at) = ((server.limit * kept).max(1.0), now);
+        } else if good && stretch > 3.0 && !asks {
             (server.limit, server.cut_at) = ((server.limit * 0.9).max(1.0), now);
         } else if good && stretch < 1.0 && used {
             // One for a round of own answers; scaled up to all nodes it would outrun the cuts, which come
             // from own answers too.
             server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
         }
+        if asks {
+            // Danger: many quiet nodes hear each of many servers once in seconds; limits of single servers
+            // would follow a crowd too late. What any answer says counts for all.
+            let limit = (server.limit, server.cut_at);
+            self.servers.values_mut().for_each(|s| (s.limit, s.cut_at) = limit);
+        }
     }
 }
 
@@ -452,6 +465,8 @@
     pub mu: f64,
     pub horizon: f64,
     pub cost: f64,
+    /// What of the cost is for the way.
+    pub away: f64,
     pub most: f64,
 }
 
@@ -481,7 +496,8 @@
     let room = |s: &Seen| if s.horizon > 0.0 { (s.mu - s.queue / s.horizon).max(0.0) } else { 0.0 };
     let rooms: f64 = seen.iter().map(room).sum();
     let usable: f64 = seen.iter().filter(|s| room(s) > 0.0).map(|s| s.most).sum();
-    if rooms > lambda && usable > 1.0 {
+    // Danger: room alone would send ops across zones past idle servers. Where ways differ, costs decide.
+    if rooms > lambda && usable > 1.0 && seen.iter().all(|s| s.away == seen[0].away) {
         let smallest = seen.iter().map(room).filter(|r| *r > 0.0).fold(f64::MAX, f64::min);
         return level(seen, 1.0 / smallest, |s, level| (level * room(s)).min(s.most));
     }
@@ -527,7 +543,10 @@
             .filter(|(_, s)| s.standing == Standing::Ready)
             .map(|(id, s)| (*id, s))
             .collect();
-        let target = (NODES * ready.len() as f64 / self.balancers).max(if self.asks() { 1e9 } else { LEAST });
+        // Danger: a few busy nodes crowd their parts, and a key's home lies outside. Where load is asked for, the
+        // answers are the evidence that a narrow part was for.
+        let least = if self.asks { f64::MAX } else { LEAST };
+        let target = (NODES * ready.len() as f64 / self.balancers).max(least);
         // Few nodes, or few servers, mean the whole fleet.
         let run = if target < ready.len() as f64 { 0.5 * target } else { target };
         let number = self.duties.or("my-number", 0.0);
@@ -578,15 +597,26 @@
         let paces: Vec<f64> = part.clone().filter_map(|s| s.pace).collect();
         let told: Vec<f64> = part.filter_map(|s| s.told(now)).collect();
         let count = |of: &[f64]| f64::max(of.len() as f64, 1.0);
-        self.mean_pace = if paces.is_empty() { 1.0 } else { count(&paces) / paces.iter().map(|p| 1.0 / p).sum::<f64>() };
+        self.mean_pace =
+            if paces.is_empty() { 1.0 } else { count(&paces) / paces.iter().map(|p| 1.0 / p).sum::<f64>() };
         self.mean_told = told.iter().sum::<f64>() / count(&told);
-        self.mean_queue = ids.iter().map(|id| self.queue(&self.servers[id])).sum::<f64>() / f64::max(ids.len() as f64, 1.0);
+        self.mean_queue =
+            ids.iter().map(|id| self.queue(&self.servers[id])).sum::<f64>() / f64::max(ids.len() as f64, 1.0);
         let mut seen = self.seen(&ids, 1.5);
         let all: f64 = seen.iter().map(|s| s.mu).sum();
         for s in &mut seen {
             s.most *= s.mu / all;
         }
-        self.lambda = (self.pushes * self.sharers).max(all / 3.0) / all;
+        // Danger: nodes carry unlike traffic, and own rate times their number is far off. Where load is asked
+        // for, what servers hold tells the arrivals (Little's law).
+        let told = all * self.mean_told / (1.0 + self.mean_told);
+        let rate = if self.asks { told } else { self.pushes * self.sharers };
+        self.lambda = rate.max(all / 3.0) / all;
+        if self.asks {
+            let total = self.mean_told.max(0.3) * ids.len() as f64 / (self.time * self.mean_pace).max(1.0);
+            // A node's own part of it; one with next to none still has some.
+            self.sharers = (total / self.own.max(1e-6)).clamp(1.0, 20.0 * self.balancers);
+        }
         let shares = split(&seen, self.lambda * all);
         for ((id, share), s) in ids.iter().zip(&shares).zip(&seen) {
             let server = self.servers.get_mut(id).expect("listed above");
@@ -596,7 +626,7 @@
     }
 
     fn queue(&self, s: &Server) -> f64 {
-        let unknown = if self.asks() { self.mean_told } else { s.out.len() as f64 * self.sharers };
+        let unknown = if self.asks { self.mean_told } else { s.out.len() as f64 * self.sharers };
         s.told(self.now).unwrap_or(unknown)
     }
 
@@ -606,11 +636,14 @@
         const FLOOR: f64 = 50.0;
         let my_zone = self.duties.or("my-zone", 0.0) as usize;
         let cross = self.duties.or("cross-zone-price", 0.0);
+        // The price of a crossing is a share of an op's benefit. Time costs all of it at the target latency; where
+        // every node asks before it sends, that is the exchange rate, elsewhere an op's usual time.
+        let targets = self.categories.iter().map(|c| c.target).sum::<f64>();
+        let worth = if self.asks { targets / self.categories.len() as f64 } else { self.time };
         let one = |id: &usize| {
             let s = &self.servers[id];
             let latency = (s.pace.unwrap_or(self.mean_pace) * self.time).max(1.0);
-            // The price of a crossing is a share of an op's benefit; an op's usual time stands for the whole.
-            let away = if s.zone == my_zone { 0.0 } else { cross * self.time };
+            let away = if s.zone == my_zone { 0.0 } else { cross * worth };
             // A failed op costs about another op's time.
             let cost = away + latency * s.faults / (1.0 - s.faults).max(0.1);
             let horizon =
@@ -618,7 +651,14 @@
             // Danger: a server that fails fast answers first and would draw ever more. What it fails narrows
             // its most, to a fiftieth at least, so that its recovery is seen.
             let most = most * (1.0 - s.faults).max(0.02);
-            Seen { queue: self.queue(s), mu: (1.0 + self.mean_queue) / latency, horizon, cost, most }
+            Seen {
+                queue: self.queue(s),
+                mu: (1.0 + self.mean_queue) / latency,
+                horizon,
+                cost,
+                away: if self.asks { away } else { 0.0 },
+                most,
+            }
         };
         ids.iter().map(one).collect()
     }
@@ -626,7 +666,7 @@
     /// Shares of those among which an op has asked, by what they said.
     fn weigh(&mut self, id: usize, from: &mut Vec<(usize, f64)>) {
         let op = &self.ops[&id];
-        let told = |sid: &usize| op.asked.contains(sid) && self.now - self.servers[sid].asked_at < 500.0;
+        let told = |sid: &usize| op.asked.contains(sid) && self.now - self.servers[sid].load_at < 500.0;
         let asked: Vec<usize> = from.iter().map(|(id, _)| *id).filter(told).collect();
         if asked.is_empty() {
             return;
@@ -714,62 +754,53 @@
         }
     }
 
-    fn asks(&self) -> bool {
-        self.duties.allow("load-must-be-asked") && self.duties.allow("may-probe")
-    }
-
     /// The key's servers in the order that all nodes know alike: its home first.
     fn homes(&self, key: u64) -> Vec<usize> {
-        let rank = |id: &usize| oorandom::Rand64::new(u128::from(key) << 64 | u128::from(self.servers[id].mark)).rand_u64();
+        let rank = |id: &usize| {
+            oorandom::Rand64::new(u128::from(key) << 64 | u128::from(self.servers[id].mark)).rand_u64()
+        };
         let mut homes = self.part.clone();
         homes.sort_by_key(rank);
         homes
     }
 
     /// Danger: where servers tell their load only when asked, a quiet node knows none when an op comes. It asks
-    /// a few, drawn by the split, and the op waits for a moment. A node without ops asks nothing.
+    /// two, drawn by the split or the first of the op's key, and the op waits for a moment. More than two
+    /// crowd whoever looked empty last; without ops nothing is asked.
     fn ask(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
         const ASKED: usize = 2;
-        if !self.asks() {
-            return false;
-        }
-        let mut from = self.candidates(id);
-        let mut asked: Vec<usize> = Vec::new();
-        if let Some(key) = self.ops[&id].key {
-            let homes = self.homes(key);
-            asked.extend(homes.iter().filter(|h| from.iter().any(|(id, _)| id == *h)).take(ASKED));
-            from.retain(|(id, _)| !asked.contains(id));
-        }
+        let mut from = if self.asks { self.candidates(id) } else { Vec::new() };
+        let homes = self.ops[&id].key.map(|key| self.homes(key)).unwrap_or_default();
+        let fits = |home: &usize| from.iter().any(|(id, _)| id == home);
+        let mut asked: Vec<usize> = homes.into_iter().filter(fits).take(ASKED).collect();
+        from.retain(|(id, _)| !asked.contains(id));
         while asked.len() < ASKED && !from.is_empty() {
             let server = self.roulette(&from);
             from.retain(|(id, _)| *id != server);
             asked.push(server);
         }
-        let now = self.now;
-        let mut waits = false;
         for server in &asked {
-            let fresh = now - self.servers[server].asked_at < 50.0;
-            if !fresh {
-                waits = true;
-                if !self.probes.contains_key(server) {
-                    self.probes.insert(*server, now);
-                    out.probe(*server);
-                }
+            // A report renews itself a few times a second at best: one just heard is not asked for again.
+            let s = &self.servers[server];
+            let fresh = s.told(self.now).is_some() && self.now - s.load_at < 300.0;
+            if !fresh && !self.probes.contains_key(server) {
+                self.probes.insert(*server, self.now);
+                out.probe(*server);
             }
         }
+        let waits = asked.iter().any(|s| self.probes.contains_key(s));
         let op = self.ops.get_mut(&id).expect("just taken in");
         (op.asked, op.waits) = (asked, waits);
-        let category = op.category;
         if waits {
-            let at = now + 0.1 * self.categories[category].target;
+            // Danger: a probe that waits like an op, or has no answer. A tenth of the target latency is lost.
+            let at = op.ends.min(self.now + 0.1 * self.categories[op.category].target);
             self.alarm(out, at, Box::new(move |b, out| b.waited(out, id)));
         }
         waits
     }
 
     fn waited(&mut self, out: &mut dyn Outlet, id: usize) {
-        let Some(op) = self.ops.get_mut(&id) else { return };
-        if std::mem::take(&mut op.waits) {
+        if self.ops.get_mut(&id).is_some_and(|op| std::mem::take(&mut op.waits)) {
             self.go_on(out, id);
         }
     }
@@ -777,14 +808,16 @@
     /// A probe has ended, with a report or none.
     pub fn probed(&mut self, out: &mut dyn Outlet, now: f64, server: usize, answer: Option<Load>) {
         self.now = now;
-        self.probes.remove(&server);
-        if let Some(load) = answer {
-            if let Some(server) = self.servers.get_mut(&server) {
-                (server.load, server.load_at, server.asked_at, server.since_load) = (load, now, now, 0.0);
-            }
+        // Danger: one asked before the process restarted tells of the process before it.
+        let asked_at = self.probes.remove(&server).unwrap_or(f64::NEG_INFINITY);
+        let listed = self.servers.get_mut(&server).filter(|s| asked_at >= s.listed_at);
+        if let (Some(load), Some(s)) = (answer, listed) {
+            // What is out counts as sent since: how old an asked report is nobody says.
+            (s.load, s.load_at, s.since_load) = (load, now, s.out.len() as f64);
         }
-        let done: Vec<usize> = self.ops.iter().filter(|(_, op)| op.waits && op.asked.contains(&server)).filter(|(_, op)| !op.asked.iter().any(|s| self.probes.contains_key(s))).map(|(id, _)| *id).collect();
-        for id in done {
+        let answered = |op: &Op| op.waits && !op.asked.iter().any(|s| self.probes.contains_key(s));
+        let ready: Vec<usize> = self.ops.iter().filter(|(_, op)| answered(op)).map(|(id, _)| *id).collect();
+        for id in ready {
             self.waited(out, id);
         }
     }
@@ -804,8 +837,10 @@
         let op = &self.ops[&id];
         let category = &self.categories[op.category];
         let usual = self.usual(op.category, op.work);
-        let left = op.ends - self.now;
-        let (share, asks) = (self.sharers, self.asks());
+        // Danger: an op that cannot make its target latency costs a server's work for little.
+        let most = if self.asks { category.target } else { f64::MAX };
+        let left = (op.ends - self.now).min(most);
+        let share = self.sharers;
         // Danger: a repeat that must stay in its group finds that group full and is dead-lettered. It has
         // been let in once and goes over the limit.
         let bound =
@@ -827,15 +862,17 @@
             s.standing == Standing::Ready
                 && left > 0.0
                 && repeat
-                && (bound || if asks { self.queue(s) < s.limit } else { (s.out.len() as f64) < (s.limit / share).max(1.0) })
+                && (bound || (s.out.len() as f64) < (s.limit / share).max(1.0))
                 && (self.now >= s.warm_at || s.purse > 0.0)
                 // Danger: a server thought too slow would never be seen to recover; the first push of an op
-                // may go where nothing of ours is in flight.
-                && (s.expected * usual / self.time < left || (op.pushes.is_empty() && s.out.is_empty()))
+                // may go where nothing of ours is in flight. Where load is asked for, its word shows that.
+                && (s.expected * usual / self.time < left
+                    || (!self.asks && op.pushes.is_empty() && s.out.is_empty()))
         };
         // Danger: one push from each of many nodes is more than a weak server's limit. A part under one push
         // weighs its share by chance.
-        let weighed = |s: &Server| s.share * if asks { 1.0 } else { (s.limit / share).min(1.0) };
+        let part = |s: &Server| if self.asks { 1.0 } else { (s.limit / share).min(1.0) };
+        let weighed = |s: &Server| s.share * part(s);
         let fit = |sid: &usize| Some((*sid, weighed(self.servers.get(sid).filter(|s| fits(s))?)));
         let mut all: Vec<_> = self.part.iter().filter_map(fit).collect();
         if all.is_empty() && bound {
@@ -874,7 +911,7 @@
     /// Own pushes in flight over what the limits leave this node.
     fn strain(&self) -> f64 {
         let part = self.part.iter().map(|id| &self.servers[id]);
-        if self.asks() {
+        if self.asks {
             let known = part.filter_map(|s| Some((s.told(self.now)?, s.limit)));
             let (told, limits) = known.fold((0.0, 0.0), |(t, l), (told, limit)| (t + told, l + limit));
             return told / f64::max(limits, 1.0);
@@ -898,7 +935,7 @@
             return false;
         }
         self.weigh(id, &mut from);
-        let server = if self.asks() { self.roulette(&from) } else { self.draw(&from) };
+        let server = if self.asks { self.roulette(&from) } else { self.draw(&from) };
         self.push(out, id, server);
         true
     }
@@ -908,6 +945,7 @@
         // Own rate over the last second or so. Pushes, as nacked ops reach no server: counting a crowd of
         // retries would make every server look full.
         self.pushes = self.pushes * (-(now - self.pushed_at) / 1000.0).exp() + 1.0 / 1000.0;
+        self.own = self.own * (-(now - self.pushed_at) / 10_000.0).exp() + 1.0 / 10_000.0;
         self.pushed_at = now;
         let second_copies = self.duties.allow("second-copies");
         let op = &self.ops[&id];
--- a/src/given.rs
+++ b/src/given.rs
@@ -82,6 +82,34 @@
     given
 }
 
+/// Names a setting whose value cannot be one. Danger: a wrong word or sign would count as none, and a node
+/// would serve for days in a shape that nobody meant.
+pub fn check(settings: &Value) -> Result<(), String> {
+    let faulty = |path: &str, what: &str| Err(format!("{} {what}", path.replace('/', ".").trim_matches('.')));
+    for (_, path) in NAMES {
+        let fine = match settings.pointer(path) {
+            None | Some(Value::Null | Value::Bool(_)) => true,
+            Some(value) => value.as_f64().is_some_and(|n| n.is_finite() && n >= 0.0),
+        };
+        if !fine {
+            return faulty(path, "is no number from 0 and neither true nor false");
+        }
+    }
+    let via = settings.pointer("/Reporting/Via").filter(|v| !v.is_null());
+    if !via.is_none_or(|via| ["piggyback", "pull", "silent"].iter().any(|word| via == word)) {
+        return faulty("/Reporting/Via", "is none of piggyback, pull and silent");
+    }
+    let probes = settings.pointer("/Limits/Probes").is_some_and(|v| v != false && v != 0 && !v.is_null());
+    if via.is_some_and(|via| via == "pull") && !probes {
+        return faulty("/Reporting/Via", "is pull, but Limits.Probes allows no probe");
+    }
+    let most = |path: &str| settings.pointer(path).and_then(Value::as_f64);
+    match (most("/MyNumber"), most("/GroupSize")) {
+        (Some(mine), Some(all)) if mine >= all.max(1.0) => faulty("/MyNumber", "is not under GroupSize"),
+        _ => Ok(()),
+    }
+}
+
 /// A message of the module with the wire's name of the setting beside ours.
 pub fn explain(message: &str) -> String {
     let all = [("categories", "Categories")].into_iter();
@@ -197,7 +225,6 @@
         "q" | "queue" => load.waiting = Some(value),
         "rif" | "inflight" => load.held = Some(value),
         "busy" | "util" => load.busy = Some(value),
-        "rate" | "qps" => load.rate = Some(value / 1000.0),
         _ => {}
     }
 }
--- a/src/words.rs
+++ b/src/words.rs
@@ -85,8 +85,6 @@
     pub held: Option<f64>,
     /// Share of its cores in use.
     pub busy: Option<f64>,
-    /// Ops served a millisecond.
-    pub rate: Option<f64>,
 }
 
 /// The result of one push.
