--- a/src/balance.rs
+++ b/src/balance.rs
@@ -927,7 +927,11 @@
         }
         let again = op.pushes.iter().any(|p| p.may_have_run);
         // Overload: the last of the room is kept for what brings most benefit.
-        if !again && self.strain() > 0.6 + 0.4 * op.rank.sqrt() {
+        let over = self.strain() / (0.6 + 0.4 * op.rank.sqrt());
+        // Danger: asked loads are seconds old in trouble. Were all over the line refused, the fleet would stand
+        // empty until the word of that comes, and then jam: chance takes some, by the fourth power of the
+        // excess (second to tenth alike at most sites, less lets crowded servers jam).
+        if !again && over > 1.0 && !(self.asks && self.rng.rand_float() < over.powi(-4)) {
             return false;
         }
         let mut from = self.candidates(id);
