--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -223,7 +223,7 @@
             let customer = customer.and_then(|name| names.customers.iter().position(|c| c == name));
             let ttl = fields.number(6, "BudgetMs")?.ok_or_else(|| fields.wrong("BudgetMs"))?;
             let flags = fields.at(8).map_or(Ok(0), |_| fields.whole(8, "Flags"))?;
-            let work = fields.number(7, "EffortMs")?.filter(|w| flags & 1 == 1 && *w > 0.0);
+            fields.number(7, "EffortMs")?;
             let retry = flags & 2 == 2;
             let key = fields.at(5).map(|_| fields.whole(5, "Affinity")).transpose()?;
             let op = ops.next;
@@ -231,7 +231,7 @@
             ops.by_id.insert(id, op);
             ops.held.insert(op, (id, 0, false));
             let out = &mut Link { inst, names, ops, decisions };
-            balancer.arrive(out, now, &Arrival { op, category, customer, ttl, retry, work, key });
+            balancer.arrive(out, now, &Arrival { op, category, customer, ttl, retry, key });
         }
         "Returned" => {
             let id = fields.whole(2, "Req")?;
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -132,12 +132,10 @@
         return Err(400);
     }
     let customer = customer.and_then(|name| names.customers.iter().position(|c| c == name));
-    // Of a client's word on the work only its ratio to other ops' counts, so its unit does not matter.
-    let work = header("X-Cost").and_then(|w| w.parse().ok()).filter(|w: &f64| w.is_finite() && *w > 0.0);
     let retry = header("X-Retried") == Some("1");
     // All nodes come to the same number, so that a key's servers are known to all alike.
     let key = key.and_then(header).map(hashed);
-    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, work, key }, mark))
+    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, key }, mark))
 }
 
 impl Clients {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -19,10 +19,8 @@
     window: f64,
     target: f64,
     benefit: f64,
-    /// Smoothed time of an acked push on a server of ordinary pace, and smoothed work where clients tell it.
+    /// Smoothed time of an acked push on a server of ordinary pace.
     time: f64,
-    work: f64,
-    told: f64,
     acked: f64,
 }
 
@@ -74,8 +72,6 @@
         benefit: duties.or(&name("benefit"), 1.0),
         // Before the first answer: a target latency is usually set at a few times the ordinary time.
         time: target / 4.0,
-        work: 0.0,
-        told: 0.0,
         acked: 0.0,
     })
 }
@@ -172,7 +168,6 @@
 
 struct Op {
     category: usize,
-    work: Option<f64>,
     ends: f64,
     rank: f64,
     bound: bool,
@@ -356,16 +351,6 @@
         }
     }
 
-    /// Time an op would usually take on a server of ordinary pace.
-    fn usual(&self, category: usize, work: Option<f64>) -> f64 {
-        let c = &self.categories[category];
-        match work {
-            // Half of an ordinary op's time goes with its work; the rest is waiting of other kinds.
-            Some(work) if c.work > 0.0 => c.time * (0.5 + 0.5 * work / c.work),
-            _ => c.time,
-        }
-    }
-
     fn learn(&mut self, id: usize, category: usize, sent: &Sent, end: &PushEnd) {
         let (now, sharers) = (self.now, self.sharers);
         let ratio = end.took / sent.usual.max(1.0);
@@ -650,7 +635,10 @@
                 if s.load != Load::default() { (self.now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
             // Danger: a server that fails fast answers first and would draw ever more. What it fails narrows
             // its most, to a fiftieth at least, so that its recovery is seen.
-            let most = most * (1.0 - s.faults).max(0.02);
+            // Danger: a jammed server stays slow until it has been mostly idle. At thrice its best pace it rests
+            // (two rests sound ones too often, six hardly any).
+            let jammed = self.asks && s.pace.is_some_and(|pace| pace > 3.0 * s.best);
+            let most = most * (1.0 - s.faults).max(0.02) * if jammed { 0.05 } else { 1.0 };
             Seen {
                 queue: self.queue(s),
                 mu: (1.0 + self.mean_queue) / latency,
@@ -674,9 +662,9 @@
         let mut seen = self.seen(&asked, 1.0);
         if let Some(key) = op.key {
             let homes = self.homes(key);
-            for (s, sid) in seen.iter_mut().zip(&asked) {
-                let rank = homes.iter().position(|h| h == sid).unwrap_or(9) as f64;
-                s.cost += 0.5 * self.time * (0.5 * rank).min(1.0);
+            // Half of an op's time goes with its work, most of which a server that knows the key is spared.
+            for (s, _) in seen.iter_mut().zip(&asked).filter(|(_, id)| homes.first() != Some(id)) {
+                s.cost += 0.5 * self.time;
             }
         }
         let all: f64 = seen.iter().map(|s| s.mu).sum();
@@ -730,15 +718,8 @@
                 customer.purse -= price;
             }
         }
-        if let Some(work) = arrival.work {
-            // A mean that stiffens like the usual time, over all that come: acks would favour light ops.
-            let c = &mut self.categories[arrival.category];
-            c.told += 1.0;
-            c.work += (1.0 / c.told).max(0.002) * (work - c.work);
-        }
         let op = Op {
             category: arrival.category,
-            work: arrival.work,
             ends: now + arrival.ttl,
             rank,
             bound: false,
@@ -836,7 +817,7 @@
         self.fill_purses();
         let op = &self.ops[&id];
         let category = &self.categories[op.category];
-        let usual = self.usual(op.category, op.work);
+        let usual = category.time;
         // Danger: an op that cannot make its target latency costs a server's work for little.
         let most = if self.asks { category.target } else { f64::MAX };
         let left = (op.ends - self.now).min(most);
@@ -953,8 +934,8 @@
         self.pushed_at = now;
         let second_copies = self.duties.allow("second-copies");
         let op = &self.ops[&id];
-        let (category, work, left, n) = (op.category, op.work, op.ends - now, op.pushes.len());
-        let usual = self.usual(category, work);
+        let (category, left, n) = (op.category, op.ends - now, op.pushes.len());
+        let usual = self.categories[category].time;
         let op = self.ops.get_mut(&id).expect("caller holds it");
         op.pushes.push(Pushed { server: to, at: now, may_have_run: true, out: true });
         let server = self.servers.get_mut(&to).expect("drawn from the list");
--- a/src/words.rs
+++ b/src/words.rs
@@ -52,8 +52,6 @@
     pub ttl: f64,
     /// The client has tried before.
     pub retry: bool,
-    /// Expected work in milliseconds, where the client says it.
-    pub work: Option<f64>,
     /// What it is about, where it says so; ops of one key belong together.
     pub key: Option<u64>,
 }
--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -388,8 +388,7 @@
     dispatcher.list(50_000.0, &lines, true, true);
     assert_eq!(dispatcher.next_tick(), Some(0.0), "a cached list is to be followed at once");
     assert!(dispatcher.wants_list() && !dispatcher.wants_list());
-    let arrival =
-        Arrival { op: 3, category: 2, customer: None, ttl: TTL, retry: false, work: None, key: None };
+    let arrival = Arrival { op: 3, category: 2, customer: None, ttl: TTL, retry: false, key: None };
     let first = dispatcher.pick(50_000.0, &arrival);
     assert_eq!((first.picks.len(), first.given_up), (1, None));
     let end = |push, ending| PushEnd {
@@ -425,7 +424,7 @@
     };
     let first = told(0, &mut dispatcher);
     let ttl = 1000.0 * TTL;
-    let arrival = Arrival { op: 3, category: 2, customer: None, ttl, retry: false, work: None, key: None };
+    let arrival = Arrival { op: 3, category: 2, customer: None, ttl, retry: false, key: None };
     assert_eq!(dispatcher.pick(50_000.0, &arrival).picks[0].server, first.server);
     for round in 1..500 {
         let new = told(round, &mut dispatcher);
--- a/tests/module/help.rs
+++ b/tests/module/help.rs
@@ -218,7 +218,7 @@
     ) -> usize {
         let (op, now) = (self.model.ops.len(), self.model.now);
         self.model.ops.push(Taken { category, ends: now + TTL, ..Taken::default() });
-        let arrival = Arrival { op, category, customer, ttl: TTL, retry, work: None, key };
+        let arrival = Arrival { op, category, customer, ttl: TTL, retry, key };
         self.balancer.arrive(&mut self.model, now, &arrival);
         op
     }
