--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,12 +1,12 @@
 //! Every decision of crankmux. A node makes one [`Balancer`] from what it is given and tells it, with the
 //! present time, what happens: [`Balancer::list`], [`Balancer::list_failed`], [`Balancer::arrive`],
-//! [`Balancer::push_ended`], [`Balancer::woken`], [`Balancer::departed`], [`Balancer::began`]. Answers leave
-//! by the [`Outlet`] given with each call; `words.rs` holds its types. The ordinary path is the split of
-//! docs/design.md; whatever narrows it says here which danger it meets.
+//! [`Balancer::push_ended`], [`Balancer::probed`], [`Balancer::woken`], [`Balancer::departed`],
+//! [`Balancer::began`]. Answers leave by the [`Outlet`] given with each call; `words.rs` holds its types. The
+//! ordinary path is the split of docs/design.md; whatever narrows it says here which danger it meets.
 
 use crate::words::{Arrival, Effect, Ending, Given, Listed, Load, Outlet, PushEnd, Standing, Within};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 type Step = Box<dyn FnOnce(&mut Balancer, &mut dyn Outlet, &PushEnd) + Send>;
 type Alarm = Box<dyn FnOnce(&mut Balancer, &mut dyn Outlet) + Send>;
@@ -96,7 +96,6 @@
     warm_at: f64,
     load: Load,
     load_at: f64,
-    listed_at: f64,
     since_load: f64,
     // rates and health: time over the usual, its best, share of failures, last word
     pace: Option<f64>,
@@ -128,12 +127,10 @@
             // A start time of none, or long past, is a warm server's.
             warm_at: if line.started > 0.0 { line.started + cold_time } else { f64::NEG_INFINITY },
             load_at: now,
-            listed_at: now,
             heard: now,
             best: 1.0,
             borne_at: now,
-            // A handful from all nodes together, so that a new server is neither starved nor flooded; it
-            // grows and shrinks at once by what is seen.
+            // A handful from all nodes together: a new server is neither starved nor flooded.
             limit: 5.0,
             cut_at: now,
             purse_at: now,
@@ -144,14 +141,12 @@
     /// What it holds for all nodes together, by its own word and what went there since.
     fn told(&self, now: f64) -> Option<f64> {
         let load = &self.load;
-        // Danger: a server that works at many ops at once is full long before any waits. Where no count is told
-        // but its cores' use: a single queue of that use holds so many; a reading's noise caps it at seven.
+        // Danger: many at work leave none waiting. Use of the cores counts as one queue of that use would.
         let queue = |busy: f64| busy.min(1.0) / (1.15 - busy.min(1.0));
         let busy = load.busy.filter(|_| load.held.is_none()).map_or(0.0, queue);
         let told = load.held.or(load.waiting.map(|w| w + busy));
         // A report much older than any usual refresh is none.
-        let told = told.filter(|_| now - self.load_at < 5000.0);
-        told.map(|told| told + self.since_load)
+        told.filter(|_| now - self.load_at < 5000.0).map(|told| told + self.since_load)
     }
 
     fn bears(&self, now: f64) -> f64 {
@@ -194,8 +189,8 @@
     parted_at: f64,
     ops: BTreeMap<usize, Op>,
     steps: BTreeMap<(usize, usize), Step>,
-    /// Probes that are out, by server, with when they went.
-    probes: BTreeMap<usize, f64>,
+    /// Servers that are asked for their load.
+    probes: BTreeSet<usize>,
     alarms: BTreeMap<u64, Alarm>,
     next_alarm: u64,
     time: f64,
@@ -206,13 +201,10 @@
     list_wait: f64,
     /// Own work a millisecond that a warm server bears in the mean.
     warm_rate: f64,
-    // of the part, at the last solution: mean pace, told and taken queue, arrivals over all rates
+    // of the part, at the last solution: mean pace and queue, arrivals over all rates
     mean_pace: f64,
-    mean_told: f64,
     mean_queue: f64,
     lambda: f64,
-    /// Own pushes a millisecond over some ten seconds.
-    own: f64,
 }
 
 impl Balancer {
@@ -244,7 +236,7 @@
             parted_at: f64::NEG_INFINITY,
             ops: BTreeMap::new(),
             steps: BTreeMap::new(),
-            probes: BTreeMap::new(),
+            probes: BTreeSet::new(),
             alarms: BTreeMap::new(),
             next_alarm: 0,
             time,
@@ -255,10 +247,8 @@
             list_wait: 0.0,
             warm_rate: 0.0,
             mean_pace: 1.0,
-            mean_told: 0.0,
             mean_queue: 0.0,
             lambda: 0.0,
-            own: 0.0,
         })
     }
 
@@ -278,7 +268,8 @@
             let fresh = Server::new(line, now, cold_time);
             let server = self.servers.entry(line.server).or_insert(fresh);
             if line.started > server.started {
-                // Danger: a restarted process is cold, whatever its old record says.
+                // Danger: a restarted process is cold, whatever its old record or a report on its way says.
+                self.probes.remove(&line.server);
                 let (out, peak) = (std::mem::take(&mut server.out), server.peak);
                 *server = Server { out, peak, ..Server::new(line, now, cold_time) };
             }
@@ -293,8 +284,7 @@
         }
     }
 
-    /// Danger: servers ever new fill the memory, and an index used again too early makes an open op's push
-    /// another server's. One that is back within a minute is still known by what it bore.
+    /// Danger: servers ever new fill the memory; an index used again too early is another server's.
     fn forget(&mut self) {
         let tried = |id: usize| self.ops.values().any(|op| op.pushes.iter().any(|p| p.server == id));
         let gone = |s: &Server| s.standing == Standing::Gone && self.now - s.heard > 60_000.0;
@@ -318,8 +308,7 @@
     /// A call to the list failed or following broke off: ask again, after growing waits.
     pub fn list_failed(&mut self, out: &mut dyn Outlet, now: f64) {
         self.now = now;
-        // Danger: a node that does not follow goes on with a list that no longer holds. First wait: short
-        // beside any drain; longest: a quarter of the time after which it counts as told.
+        // Danger: an old list no longer holds. Waits: short beside any drain, and well within `ask-within`.
         let longest = self.duties.or("ask-within", 8000.0) / 4.0;
         self.list_wait = (self.list_wait * 2.0).clamp(200.0_f64.min(longest), longest);
         let at = now + self.list_wait * (0.5 + self.rng.rand_float());
@@ -344,8 +333,7 @@
 
     fn take_load(&mut self, id: usize, load: Load) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        // A report is renewed now and then and repeated in between: only a changed one is new. Any of its
-        // figures tells, as a queue may well be empty twice.
+        // A report is repeated until it is renewed: only a change of any figure tells a new one.
         if load != Load::default() && server.load != load {
             (server.load, server.load_at, server.since_load) = (load, self.now, 0.0);
         }
@@ -355,8 +343,7 @@
         let (now, sharers) = (self.now, self.sharers);
         let ratio = end.took / sent.usual.max(1.0);
         let good = end.ending == Ending::Acked;
-        // Danger: a silent server, whose pushes are all called off once a second copy is back. If nothing was
-        // heard since, one that was overdue has timed out.
+        // Danger: a silent server's pushes are all called off once a second copy is back.
         let silent = self.servers.get(&id).is_some_and(|s| s.heard <= sent.at);
         let overdue = end.ending == Ending::Cancelled && end.took > sent.patience && silent;
         let end = &PushEnd { ending: if overdue { Ending::TimedOut } else { end.ending }, ..*end };
@@ -366,27 +353,23 @@
         // A single server's share of a node may be under one push; whether limits are used shows over all.
         let (strained, asks) = (self.strain() > 0.6, self.asks);
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
-        // Danger: a server that gets little would be thought slow long after it has recovered; the longer
-        // since its last word, the more the new one counts, half at most.
+        // Danger: one that gets little would seem slow for long: after a silence the new counts for more.
         let Some(server) = self.servers.get_mut(&id) else { return };
         let smooth = ((now - server.heard) / 2000.0).clamp(0.1, 0.5);
         if good {
             let pace = server.pace.unwrap_or(1.0);
             let step = 0.05 * self.slack;
-            // Follows the time, in usual times at the server's pace, that nineteen of twenty pushes stay
-            // under.
+            // Follows the multiple of the usual time that nineteen of twenty pushes stay under.
             self.slack += if ratio > pace * self.slack { step * 0.95 } else { -step * 0.05 };
             self.slack = self.slack.clamp(1.5, 8.0);
             let c = &mut self.categories[category];
-            // Danger: were the usual time to follow a crowd, a fleet crowded as a whole would look ordinary.
-            // It is an average that soon stiffens to one part in five hundred; what changes faster is pace.
+            // Danger: were it to follow a crowd, a crowded fleet would look ordinary. It stiffens, not pace.
             c.acked += 1.0;
             let step = (1.0 / (c.acked + 10.0)).max(0.002);
             c.time += step * (end.took / pace.max(0.2) - c.time);
             self.time += step * (end.took / pace.max(0.2) - self.time);
         }
-        // Danger: ops or answers are lost on the way. A time-out from a server that answered others meanwhile
-        // is a fault, no sign of crowding: cutting the limit for it would leave good servers idle.
+        // Danger: ops are lost on the way. A time-out where others were answered meanwhile is no crowding.
         let lost = end.ending == Ending::TimedOut && server.heard > sent.at;
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
         // Two failures in a row of a server seldom heard are no proof: only good news counts for more.
@@ -404,37 +387,30 @@
             let borne = server.bears(now) + sent.usual / self.time.max(1.0) / BORNE_OVER;
             (server.borne, server.borne_at, server.peak) = (borne, now, server.peak.max(borne));
         }
-        // Danger: a crowded server turns slower than its work alone would make it, for long, and smoothed
-        // figures show it too late. Each answer counts against the usual time at the server's best pace: a
-        // quick one lets the limit grow, one at thrice that or past its target latency cuts it. Uncrowded,
-        // the two balance at a dozen in flight; at half speed, at a third of that.
+        // Danger: a crowded server turns slower, and smoothed figures show it too late. A quick answer,
+        // at the server's best pace, lets the limit grow; thrice the usual time or a late one cuts it.
         let pace = server.pace.unwrap_or(1.0);
         server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
         let stretch = end.took / (sent.usual * server.best).max(1.0);
-        // Danger: idle servers turn one category away, and cuts for it starve all others. Where the server
-        // says that nothing waits, it is not full.
+        // Danger: idle servers turn one category away. Where nothing waits, it is not full.
         let full = end.ending == Ending::TurnedAway && server.load.waiting.is_none_or(|w| w > 0.0);
         let failed = full || matches!(end.ending, Ending::TimedOut | Ending::Unreachable);
         let late = !lost && (failed || end.took > self.categories[category].target);
-        let told = server.told(now).filter(|_| asks);
-        let held = told.unwrap_or(server.out.len() as f64 * sharers);
+        let held = server.told(now).filter(|_| asks).unwrap_or(server.out.len() as f64 * sharers);
         // Danger: a heavy op is late on an idle server. Where servers say what they hold, little is no crowd.
         let idle = asks && held < 0.5 * server.limit;
         let used = strained && (asks || held >= 0.5 * server.limit);
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
         if late && !idle && now - server.cut_at > sent.usual {
-            let kept = if asks { 0.9 } else { 0.7 };
-            (server.limit, server.cut_at) = ((server.limit * kept).max(1.0), now);
+            (server.limit, server.cut_at) = ((server.limit * if asks { 0.9 } else { 0.7 }).max(1.0), now);
         } else if good && stretch > 3.0 && !asks {
             (server.limit, server.cut_at) = ((server.limit * 0.9).max(1.0), now);
         } else if good && stretch < 1.0 && used {
-            // One for a round of own answers; scaled up to all nodes it would outrun the cuts, which come
-            // from own answers too.
+            // One for a round of own answers: scaled up to all nodes it would outrun the cuts.
             server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
         }
         if asks {
-            // Danger: many quiet nodes hear each of many servers once in seconds; limits of single servers
-            // would follow a crowd too late. What any answer says counts for all.
+            // Danger: quiet nodes hear each server once in seconds. What any answer says counts for all.
             let limit = (server.limit, server.cut_at);
             self.servers.values_mut().for_each(|s| (s.limit, s.cut_at) = limit);
         }
@@ -511,26 +487,19 @@
 const PART_EVERY: f64 = 1000.0;
 
 impl Balancer {
-    /// Danger: hundreds of nodes that each spread thin over hundreds of servers know none of them and open a
-    /// connection for every push. A node draws from a part of the fleet: runs from its own places in two
-    /// orders of all servers that every node knows alike. Even places cover all servers evenly, and a
-    /// changed list moves a run by little.
+    /// Danger: hundreds of nodes over hundreds of servers know none and dial for every push. A node draws
+    /// from a part of the fleet: runs from its own places in two orders of all servers that every node knows
+    /// alike. Even places cover all servers evenly, and a changed list moves a run by little.
     fn choose_part(&mut self) {
-        // A draw among four has a choice with one of them in trouble. Six nodes a server: about as many as it
-        // can hold pushes, so that one in flight from each is what a limit would allow, and each node hears
-        // it often. Larger parts lost more at every size tried.
+        // Four leave a choice with one in trouble. Six nodes a server: about what it can hold of pushes, so
+        // that one from each is what a limit would allow. Larger parts lost more at every size tried.
         const LEAST: f64 = 4.0;
         const NODES: f64 = 6.0;
         self.parted_at = self.now;
-        let ready: Vec<_> = self
-            .servers
-            .iter()
-            .filter(|(_, s)| s.standing == Standing::Ready)
-            .map(|(id, s)| (*id, s))
-            .collect();
-        // Danger: a few busy nodes crowd their parts, and a key's home lies outside. Where load is asked for, the
-        // answers are the evidence that a narrow part was for.
-        let least = if self.asks { f64::MAX } else { LEAST };
+        let ready = self.servers.iter().filter(|(_, s)| s.standing == Standing::Ready);
+        let ready: Vec<_> = ready.map(|(id, s)| (*id, s)).collect();
+        // Danger: busy nodes crowd their parts, a key's home lies outside. Reports are what a part was for.
+        let least = if self.asks { ready.len() as f64 } else { LEAST };
         let target = (NODES * ready.len() as f64 / self.balancers).max(least);
         // Few nodes, or few servers, mean the whole fleet.
         let run = if target < ready.len() as f64 { 0.5 * target } else { target };
@@ -566,42 +535,35 @@
         if self.now - self.solved_at < REFRESH {
             return;
         }
-        let now = self.now;
-        if now - self.parted_at >= PART_EVERY {
+        if self.now - self.parted_at >= PART_EVERY {
             self.choose_part();
         }
+        let now = self.now;
         let warm = self.part.iter().map(|id| &self.servers[id]).filter(|s| now >= s.warm_at);
         let (sum, count) = warm.fold((0.0, 0.0), |(sum, count), s| (sum + s.bears(now), count + 1.0));
-        // What servers can bear does not fall when few are left warm or little is asked: the best mean seen
-        // stays, fading over a minute, in which a fleet may be replaced.
+        // What servers can bear does not fall when little is asked: the best mean fades over a minute.
         let faded = self.warm_rate * (-f64::min(now - self.solved_at, 1000.0).max(0.0) / 60_000.0).exp();
         self.warm_rate = faded.max(sum / f64::max(count, 1.0));
         self.solved_at = now;
         let ids = self.part.clone();
         let part = ids.iter().map(|id| &self.servers[id]);
-        let paces: Vec<f64> = part.clone().filter_map(|s| s.pace).collect();
-        let told: Vec<f64> = part.filter_map(|s| s.told(now)).collect();
-        let count = |of: &[f64]| f64::max(of.len() as f64, 1.0);
-        self.mean_pace =
-            if paces.is_empty() { 1.0 } else { count(&paces) / paces.iter().map(|p| 1.0 / p).sum::<f64>() };
-        self.mean_told = told.iter().sum::<f64>() / count(&told);
-        self.mean_queue =
-            ids.iter().map(|id| self.queue(&self.servers[id])).sum::<f64>() / f64::max(ids.len() as f64, 1.0);
+        let paces: Vec<f64> = part.clone().filter_map(|s| s.pace).map(|pace| 1.0 / pace).collect();
+        let queues: Vec<f64> = part.filter_map(|s| self.known(s)).collect();
+        let mean = |of: &[f64]| of.iter().sum::<f64>() / f64::max(of.len() as f64, 1.0);
+        self.mean_pace = if paces.is_empty() { 1.0 } else { 1.0 / mean(&paces) };
+        self.mean_queue = mean(&queues);
         let mut seen = self.seen(&ids, 1.5);
         let all: f64 = seen.iter().map(|s| s.mu).sum();
         for s in &mut seen {
             s.most *= s.mu / all;
         }
-        // Danger: nodes carry unlike traffic, and own rate times their number is far off. Where load is asked
-        // for, what servers hold tells the arrivals (Little's law).
-        let told = all * self.mean_told / (1.0 + self.mean_told);
-        let rate = if self.asks { told } else { self.pushes * self.sharers };
-        self.lambda = rate.max(all / 3.0) / all;
+        // Danger: nodes carry unlike traffic. What servers hold tells all of it (Little's law).
         if self.asks {
-            let total = self.mean_told.max(0.3) * ids.len() as f64 / (self.time * self.mean_pace).max(1.0);
-            // A node's own part of it; one with next to none still has some.
-            self.sharers = (total / self.own.max(1e-6)).clamp(1.0, 20.0 * self.balancers);
+            let total = self.mean_queue.max(0.3) * ids.len() as f64 / (self.time * self.mean_pace).max(1.0);
+            self.sharers = (total / self.pushes.max(1e-6)).max(1.0);
         }
+        let held = self.mean_queue / (1.0 + self.mean_queue);
+        self.lambda = if self.asks { held } else { self.pushes * self.sharers / all }.max(1.0 / 3.0);
         let shares = split(&seen, self.lambda * all);
         for ((id, share), s) in ids.iter().zip(&shares).zip(&seen) {
             let server = self.servers.get_mut(id).expect("listed above");
@@ -610,9 +572,9 @@
         }
     }
 
-    fn queue(&self, s: &Server) -> f64 {
-        let unknown = if self.asks { self.mean_told } else { s.out.len() as f64 * self.sharers };
-        s.told(self.now).unwrap_or(unknown)
+    /// What a server holds: as told, else by own pushes; where these are few, nothing.
+    fn known(&self, s: &Server) -> Option<f64> {
+        s.told(self.now).or((!self.asks).then_some(s.out.len() as f64 * self.sharers))
     }
 
     /// What the split knows of these servers; each one's most is still to be weighed by its rate.
@@ -621,8 +583,8 @@
         const FLOOR: f64 = 50.0;
         let my_zone = self.duties.or("my-zone", 0.0) as usize;
         let cross = self.duties.or("cross-zone-price", 0.0);
-        // The price of a crossing is a share of an op's benefit. Time costs all of it at the target latency; where
-        // every node asks before it sends, that is the exchange rate, elsewhere an op's usual time.
+        // A crossing costs a share of an op's benefit, as time does (all at the target latency) where each
+        // op's servers are asked first; elsewhere an op's usual time stands for the whole.
         let targets = self.categories.iter().map(|c| c.target).sum::<f64>();
         let worth = if self.asks { targets / self.categories.len() as f64 } else { self.time };
         let one = |id: &usize| {
@@ -633,20 +595,12 @@
             let cost = away + latency * s.faults / (1.0 - s.faults).max(0.1);
             let horizon =
                 if s.load != Load::default() { (self.now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
-            // Danger: a server that fails fast answers first and would draw ever more. What it fails narrows
-            // its most, to a fiftieth at least, so that its recovery is seen.
-            // Danger: a jammed server stays slow until it has been mostly idle. At thrice its best pace it rests
-            // (two rests sound ones too often, six hardly any).
+            // Danger: one that fails fast answers first. Its most shrinks, to a fiftieth, to see it recover.
+            // Danger: a jammed server is slow until it was mostly idle. At thrice its best pace it rests.
             let jammed = self.asks && s.pace.is_some_and(|pace| pace > 3.0 * s.best);
             let most = most * (1.0 - s.faults).max(0.02) * if jammed { 0.05 } else { 1.0 };
-            Seen {
-                queue: self.queue(s),
-                mu: (1.0 + self.mean_queue) / latency,
-                horizon,
-                cost,
-                away: if self.asks { away } else { 0.0 },
-                most,
-            }
+            let (queue, mu) = (self.known(s).unwrap_or(self.mean_queue), (1.0 + self.mean_queue) / latency);
+            Seen { queue, mu, horizon, cost, away: if self.asks { away } else { 0.0 }, most }
         };
         ids.iter().map(one).collect()
     }
@@ -654,7 +608,7 @@
     /// Shares of those among which an op has asked, by what they said.
     fn weigh(&mut self, id: usize, from: &mut Vec<(usize, f64)>) {
         let op = &self.ops[&id];
-        let told = |sid: &usize| op.asked.contains(sid) && self.now - self.servers[sid].load_at < 500.0;
+        let told = |id: &usize| op.asked.contains(id) && self.now - self.servers[id].load_at < 500.0;
         let asked: Vec<usize> = from.iter().map(|(id, _)| *id).filter(told).collect();
         if asked.is_empty() {
             return;
@@ -667,13 +621,11 @@
                 s.cost += 0.5 * self.time;
             }
         }
-        let all: f64 = seen.iter().map(|s| s.mu).sum();
-        let shares = split(&seen, self.lambda * all);
+        let shares = split(&seen, self.lambda * seen.iter().map(|s| s.mu).sum::<f64>());
         *from = asked.into_iter().zip(shares).collect();
     }
 
-    /// Danger: a cold server pushed over. Each node spends at most its own part of the budget of any window;
-    /// a purse fills with what a cold server may get from here, in ordinary ops.
+    /// Danger: a cold server pushed over. Each node spends its part of any window's budget, in ordinary ops.
     fn fill_purses(&mut self) {
         let duty = |name: &str| self.duties.or(name, 0.0);
         let (time, from) = (duty("cold-time").max(1.0), duty("cold-share"));
@@ -689,8 +641,7 @@
                 server.purse = (server.purse + rate * (self.now - server.purse_at)).min(most);
                 server.purse_at = self.now;
             } else if self.now - server.purse_at >= span {
-                // Danger: hundreds of nodes that each save up one whole op push it over together. Where a
-                // span's part is less than one, chance grants one in proportion; what is not used lapses.
+                // Danger: hundreds of nodes that each save up an op push it over. Chance grants one.
                 server.purse = f64::from(u8::from(self.rng.rand_float() < most));
                 server.purse_at = self.now;
             }
@@ -706,8 +657,7 @@
         let mut rank = self.categories[arrival.category].benefit / top;
         if let Some(customer) = arrival.customer.and_then(|c| self.customers.get_mut(c)) {
             let income = customer.quota * (now - customer.counted);
-            // Two seconds' worth of quota may be saved up: ops come in bursts, and unevenly over the nodes.
-            // Danger: a small part's two seconds are under one op, and all would count as beyond it.
+            // Two seconds' worth may be saved up, as ops come unevenly; three ops at least, for a small part.
             customer.purse = (customer.purse + income).min((customer.quota * 2000.0).max(3.0));
             customer.counted = now;
             // A client's retry belongs to its first try and is not counted again.
@@ -745,9 +695,8 @@
         homes
     }
 
-    /// Danger: where servers tell their load only when asked, a quiet node knows none when an op comes. It asks
-    /// two, drawn by the split or the first of the op's key, and the op waits for a moment. More than two
-    /// crowd whoever looked empty last; without ops nothing is asked.
+    /// Danger: where load is told only when asked, a quiet node knows none. An op asks two, drawn by the
+    /// split or its key's first, and waits for a moment. More would crowd whoever looked empty last.
     fn ask(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
         const ASKED: usize = 2;
         let mut from = if self.asks { self.candidates(id) } else { Vec::new() };
@@ -764,20 +713,19 @@
             // A report renews itself a few times a second at best: one just heard is not asked for again.
             let s = &self.servers[server];
             let fresh = s.told(self.now).is_some() && self.now - s.load_at < 300.0;
-            if !fresh && !self.probes.contains_key(server) {
-                self.probes.insert(*server, self.now);
+            if !fresh && self.probes.insert(*server) {
                 out.probe(*server);
             }
         }
-        let waits = asked.iter().any(|s| self.probes.contains_key(s));
         let op = self.ops.get_mut(&id).expect("just taken in");
-        (op.asked, op.waits) = (asked, waits);
-        if waits {
+        op.waits = asked.iter().any(|s| self.probes.contains(s));
+        op.asked = asked;
+        if op.waits {
             // Danger: a probe that waits like an op, or has no answer. A tenth of the target latency is lost.
             let at = op.ends.min(self.now + 0.1 * self.categories[op.category].target);
             self.alarm(out, at, Box::new(move |b, out| b.waited(out, id)));
         }
-        waits
+        self.ops[&id].waits
     }
 
     fn waited(&mut self, out: &mut dyn Outlet, id: usize) {
@@ -789,22 +737,20 @@
     /// A probe has ended, with a report or none.
     pub fn probed(&mut self, out: &mut dyn Outlet, now: f64, server: usize, answer: Option<Load>) {
         self.now = now;
-        // Danger: one asked before the process restarted tells of the process before it.
-        let asked_at = self.probes.remove(&server).unwrap_or(f64::NEG_INFINITY);
-        let listed = self.servers.get_mut(&server).filter(|s| asked_at >= s.listed_at);
-        if let (Some(load), Some(s)) = (answer, listed) {
+        // One not waited for any more, or never asked, tells nothing.
+        let asked = self.probes.remove(&server);
+        if let (true, Some(load), Some(s)) = (asked, answer, self.servers.get_mut(&server)) {
             // What is out counts as sent since: how old an asked report is nobody says.
             (s.load, s.load_at, s.since_load) = (load, now, s.out.len() as f64);
         }
-        let answered = |op: &Op| op.waits && !op.asked.iter().any(|s| self.probes.contains_key(s));
+        let answered = |op: &Op| op.waits && !op.asked.iter().any(|s| self.probes.contains(s));
         let ready: Vec<usize> = self.ops.iter().filter(|(_, op)| answered(op)).map(|(id, _)| *id).collect();
         for id in ready {
             self.waited(out, id);
         }
     }
 
-    /// The next push, or the end: nothing waits for room. Nacked at once a client may come back; a stay would
-    /// feed a crowd.
+    /// The next push, or the end: a stay would feed a crowd. Nacked at once a client may come back.
     fn go_on(&mut self, out: &mut dyn Outlet, id: usize) {
         self.solve();
         if !self.try_push(out, id) {
@@ -817,13 +763,9 @@
         self.fill_purses();
         let op = &self.ops[&id];
         let category = &self.categories[op.category];
-        let usual = category.time;
         // Danger: an op that cannot make its target latency costs a server's work for little.
-        let most = if self.asks { category.target } else { f64::MAX };
-        let left = (op.ends - self.now).min(most);
-        let share = self.sharers;
-        // Danger: a repeat that must stay in its group finds that group full and is dead-lettered. It has
-        // been let in once and goes over the limit.
+        let left = (op.ends - self.now).min(if self.asks { category.target } else { f64::MAX });
+        // Danger: a repeat finds the group that it must stay in full. It was let in once: over the limit.
         let bound =
             category.effect == Effect::Deduplicated && op.pushes.iter().any(|p| p.may_have_run && !p.out);
         let fits = |s: &Server| {
@@ -843,17 +785,14 @@
             s.standing == Standing::Ready
                 && left > 0.0
                 && repeat
-                && (bound || (s.out.len() as f64) < (s.limit / share).max(1.0))
+                && (bound || (s.out.len() as f64) < (s.limit / self.sharers).max(1.0))
                 && (self.now >= s.warm_at || s.purse > 0.0)
-                // Danger: a server thought too slow would never be seen to recover; the first push of an op
-                // may go where nothing of ours is in flight. Where load is asked for, its word shows that.
-                && (s.expected * usual / self.time < left
+                // Danger: one thought slow is never seen to recover. First pushes look, or its word tells.
+                && (s.expected * category.time / self.time < left
                     || (!self.asks && op.pushes.is_empty() && s.out.is_empty()))
         };
-        // Danger: one push from each of many nodes is more than a weak server's limit. A part under one push
-        // weighs its share by chance.
-        let part = |s: &Server| if self.asks { 1.0 } else { (s.limit / share).min(1.0) };
-        let weighed = |s: &Server| s.share * part(s);
+        // Danger: one push from each of many nodes is over a weak server's limit. Chance takes the part.
+        let weighed = |s: &Server| s.share * if self.asks { 1.0 } else { (s.limit / self.sharers).min(1.0) };
         let fit = |sid: &usize| Some((*sid, weighed(self.servers.get(sid).filter(|s| fits(s))?)));
         let mut all: Vec<_> = self.part.iter().filter_map(fit).collect();
         if all.is_empty() && bound {
@@ -867,8 +806,8 @@
         fresh.unwrap_or(tried)
     }
 
-    /// Draws by share, among the servers that hold at most their share of the own pushes in flight. Danger:
-    /// chance heaps pushes on one server while cores of another stand idle; near capacity that costs most.
+    /// Draws by share among those at or under their share of own pushes out. Danger: chance heaps pushes
+    /// on one server while cores of another stand idle.
     fn draw(&mut self, from: &[(usize, f64)]) -> usize {
         let out = |id: &usize| self.servers[id].out.len() as f64;
         let (busy, sum) = from.iter().fold((0.0, 0.0), |(busy, sum), (id, p)| (busy + out(id), sum + p));
@@ -909,9 +848,8 @@
         let again = op.pushes.iter().any(|p| p.may_have_run);
         // Overload: the last of the room is kept for what brings most benefit.
         let over = self.strain() / (0.6 + 0.4 * op.rank.sqrt());
-        // Danger: asked loads are seconds old in trouble. Were all over the line refused, the fleet would stand
-        // empty until the word of that comes, and then jam: chance takes some, by the fourth power of the
-        // excess (second to tenth alike at most sites, less lets crowded servers jam).
+        // Danger: asked loads may be seconds old. Were all over the line refused, the fleet would empty and
+        // then jam: chance takes some, by the excess to the fourth (lower lets servers jam, higher swings).
         if !again && over > 1.0 && !(self.asks && self.rng.rand_float() < over.powi(-4)) {
             return false;
         }
@@ -927,16 +865,13 @@
 
     fn push(&mut self, out: &mut dyn Outlet, id: usize, to: usize) {
         let (now, time) = (self.now, self.time);
-        // Own rate over the last second or so. Pushes, as nacked ops reach no server: counting a crowd of
-        // retries would make every server look full.
-        self.pushes = self.pushes * (-(now - self.pushed_at) / 1000.0).exp() + 1.0 / 1000.0;
-        self.own = self.own * (-(now - self.pushed_at) / 10_000.0).exp() + 1.0 / 10_000.0;
+        // Own rate over a second, or ten to tell a quiet node's part. Pushes: crowds of retries reach nobody.
+        let over = if self.asks { 10_000.0 } else { 1000.0 };
+        self.pushes = self.pushes * (-(now - self.pushed_at) / over).exp() + 1.0 / over;
         self.pushed_at = now;
-        let second_copies = self.duties.allow("second-copies");
-        let op = &self.ops[&id];
-        let (category, left, n) = (op.category, op.ends - now, op.pushes.len());
-        let usual = self.categories[category].time;
         let op = self.ops.get_mut(&id).expect("caller holds it");
+        let (category, left, n) = (op.category, op.ends - now, op.pushes.len());
+        let Category { time: usual, effect, .. } = self.categories[category];
         op.pushes.push(Pushed { server: to, at: now, may_have_run: true, out: true });
         let server = self.servers.get_mut(&to).expect("drawn from the list");
         server.since_load += 1.0;
@@ -946,9 +881,9 @@
         let expected = (server.expected * usual / time).max(usual * server.pace.unwrap_or(1.0));
         let sent = Sent { at: now, usual, patience: expected * self.slack };
         server.out.insert((id, n), sent);
-        let may_repeat = self.categories[category].effect != Effect::AtMostOnce;
         out.push(id, to, left);
-        if may_repeat && second_copies && sent.patience < left && self.sharers < 3.0 {
+        let copies = effect != Effect::AtMostOnce && self.duties.allow("second-copies");
+        if copies && sent.patience < left && self.sharers < 3.0 {
             let at = now + sent.patience * (1.0 + self.strain());
             self.alarm(out, at, Box::new(move |b, out| b.overdue(out, id, n, now)));
         }
@@ -964,8 +899,8 @@
         self.steps.insert((id, n), Box::new(step));
     }
 
-    /// Danger: what fell silent holds an op to its end. A second copy goes; the fuller all is, the later.
-    /// Where three nodes or more share a server each has a push or two of its limit; copies would take them.
+    /// Danger: what falls silent holds an op for good. A second copy goes, later the fuller all is, not where
+    /// three nodes or more share a server, as copies would take each one's push or two of its limit.
     fn overdue(&mut self, out: &mut dyn Outlet, id: usize, n: usize, at: f64) {
         let waits = |op: &Op| op.pushes.len() == n + 1 && op.pushes[n].out && op.pushes[n].at == at;
         if self.ops.get(&id).is_some_and(waits) {
@@ -1005,8 +940,9 @@
         };
         if harmless {
             // The time in which the work in flight is mostly done.
-            let come_back = if self.duties.allow("come-back") { 0.25 * self.time } else { 0.0 };
-            let come_back = come_back.min(self.duties.or("come-back-most", 0.0));
+            let most =
+                self.duties.or("come-back-most", 0.0) * f64::from(u8::from(self.duties.allow("come-back")));
+            let come_back = (0.25 * self.time).min(most);
             out.nack(id, come_back);
         } else {
             out.dead_letter(id);
