--- a/src/balance.rs
+++ b/src/balance.rs
@@ -694,13 +694,16 @@
     /// Danger: where load is told only when asked, a quiet node knows none. An op asks two, drawn by the
     /// split or its key's first, and waits for a moment. More would crowd whoever looked empty last.
     fn ask(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
-        const ASKED: usize = 2;
         let mut from = if self.asks { self.candidates(id) } else { Vec::new() };
         let homes = self.ops[&id].key.map(|key| self.homes(key)).unwrap_or_default();
         let fits = |home: &usize| from.iter().any(|(id, _)| id == home);
-        let mut asked: Vec<usize> = homes.into_iter().filter(fits).take(ASKED).collect();
+        let mut asked: Vec<usize> = homes.into_iter().filter(fits).take(2).collect();
+        // A key's first server is asked alone while its last word was light: a probe has its price.
+        let light = |s: &Server| s.told(self.now).is_some_and(|told| told < 0.3 * s.limit);
+        let most = if asked.first().is_some_and(|id| light(&self.servers[id])) { 1 } else { 2 };
+        asked.truncate(most);
         from.retain(|(id, _)| !asked.contains(id));
-        while asked.len() < ASKED && !from.is_empty() {
+        while asked.len() < most && !from.is_empty() {
             let server = self.roulette(&from);
             from.retain(|(id, _)| *id != server);
             asked.push(server);
