--- a/node/src/wire/probes.rs
+++ b/node/src/wire/probes.rs
@@ -12,7 +12,7 @@
 const PROBES_MOST: usize = 32;
 
 impl Proxy {
-    /// Sends the probes that the decisions want. Danger: one that cannot go out would hold its op. It has failed.
+    /// Sends the probes that the decisions want. Danger: one that cannot go out would hold its op.
     pub fn send_probes(&mut self) {
         for server in self.dispatcher.wants_probes() {
             if !self.probe(server) {
