--- a/node/src/life/configuration.rs
+++ b/node/src/life/configuration.rs
@@ -1,14 +1,17 @@
 //! The one place where configuration is read, checked and given defaults.
 
-use crate::wire::discovery::{read_list, List};
+use crate::wire::admin;
+use crate::wire::discovery::read_list;
 use crankmux::dispatcher::Dispatcher;
 use crankmux::given::{self, Names};
 use serde_json::Value;
 use std::net::SocketAddr;
 
 /// Descriptors for other than clients and servers: ten for the standard streams, polling, signals, the
-/// listener and discovery, and some to spare.
-const OTHER_SOCKETS: u64 = 16;
+/// listener and discovery, the door and its callers, and some to spare.
+const OTHER_SOCKETS: u64 = 20 + admin::MOST as u64;
+
+const ADMIN: (&str, &str) = ("admin_addr", "BALANCER_ADMIN_ADDR");
 
 /// What a header's name may hold.
 fn token(byte: u8) -> bool {
@@ -16,15 +19,20 @@
 }
 
 pub struct Configuration {
+    pub name: String,
+    /// Of all categories, in milliseconds.
+    pub longest_ttl: f64,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call; no door where none is named.
+    pub admin: Option<SocketAddr>,
     /// Connections to clients at most, and as many to servers: an op under way holds one of each.
     pub connections: usize,
     pub buffer_bytes: usize,
     pub connect_within: f64,
     pub keepalive: f64,
     /// The list of servers as it was last known.
-    pub known: Option<List>,
+    pub known: Value,
     pub names: Names,
     /// The header in which a request says what it is about; none by default.
     pub key_header: Option<String>,
@@ -34,13 +42,14 @@
 impl Configuration {
     /// Reads the file that `BALANCER_CONFIG` names; single variables stand over it.
     pub fn at_start() -> Result<Self, String> {
-        Self::from_file(&[("listen", "BALANCER_LISTEN"), ("discovery", "BALANCER_DISCOVERY")])
+        let over = [("listen", "BALANCER_LISTEN"), ("discovery", "BALANCER_DISCOVERY"), ADMIN];
+        Self::from_file(&over)
     }
 
     /// Reads that file again. Danger: variables are those of the start; were `BALANCER_DISCOVERY` to stand over
     /// the file for good, no new file could ever name another address.
     pub fn again() -> Result<Self, String> {
-        Self::from_file(&[("listen", "BALANCER_LISTEN")])
+        Self::from_file(&[("listen", "BALANCER_LISTEN"), ADMIN])
     }
 
     fn from_file(over: &[(&str, &str)]) -> Result<Self, String> {
@@ -84,15 +93,25 @@
             Some(_) => return Err("key_header is no header's name".into()),
         };
         given::check(settings).map_err(|m| format!("settings: {m}"))?;
-        let (mut names, given) = Names::read(settings);
-        let known = whole.get("known").filter(|k| !k.is_null());
-        let known =
-            known.map(|known| read_list(&mut names, known)).transpose().map_err(|e| format!("known: {e}"))?;
+        let (names, given) = Names::read(settings);
+        let known = whole.get("known").cloned().unwrap_or_default();
+        if !known.is_null() {
+            // Read for its faults, under names that are thrown away.
+            read_list(&mut Names::default(), &known).map_err(|e| format!("known: {e}"))?;
+        }
         let dispatcher =
             Dispatcher::new(given, seed).map_err(|m| format!("settings: {}", given::explain(&m)))?;
+        let ttls = settings.get("Categories").and_then(Value::as_array).into_iter().flatten();
+        let longest = ttls.filter_map(|c| c.get("TtlMs")?.as_f64()).fold(0.0, f64::max);
         Ok(Configuration {
+            name: whole.get("name").and_then(Value::as_str).unwrap_or_default().to_string(),
+            longest_ttl: longest,
             listen: address("listen")?,
             discovery: address("discovery")?,
+            admin: match whole.get("admin_addr") {
+                None | Some(Value::Null) => None,
+                Some(_) => Some(address("admin_addr")?),
+            },
             connections: ((sockets - OTHER_SOCKETS) / 2) as usize,
             // Half of it: the rest is for tables, the program and what the system keeps for sockets.
             buffer_bytes: (memory * 1024.0 * 1024.0 / 2.0) as usize,
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -3,4 +3,6 @@
 pub mod configuration;
 pub mod reload;
 pub mod start;
+pub mod state;
 pub mod stop;
+pub mod upgrade;
--- a/node/src/life/reload.rs
+++ b/node/src/life/reload.rs
@@ -8,8 +8,12 @@
     // Danger: a faulty file, or one half written, would end a node that serves. It keeps what it has.
     let new = match Configuration::again() {
         Ok(new) => new,
-        Err(e) => return log::error!("the configuration stays as it was: {e}"),
+        Err(e) => {
+            proxy.tally.rejected += 1;
+            return log::error!("the configuration stays as it was: {e}");
+        }
     };
+    proxy.tally.applied += 1;
     proxy.servers.take_times(new.connect_within, new.keepalive);
     proxy.follow_discovery(new.discovery);
     log::info!("configuration read again; discovery at {}", new.discovery);
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -14,8 +14,7 @@
     let mut poll = Poll::new().map_err(text)?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(text)?;
     poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(text)?;
-    let listen = configuration.listen;
-    let mut proxy = Proxy::new(configuration, &poll).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let mut proxy = Proxy::new(configuration, &poll)?;
     let mut events = Events::with_capacity(1024);
     let mut stop = Stop::default();
     while !stop.done(&mut proxy) {
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -4,10 +4,16 @@
 
 /// How long after the signal clients may still come: the front notices within 0.4 s, and some to spare.
 const STILL_COMING: f64 = 600.0;
+/// The end comes this long after the longest TTL, which counts as `LONGEST` at most; and what is kept of it for
+/// the way of the last answers.
+const END_AFTER: f64 = 700.0;
+const LONGEST: f64 = 3000.0;
+const FOR_THE_WAY: f64 = 200.0;
 
 #[derive(Default)]
 pub struct Stop {
     shut: bool,
+    idle_until: f64,
 }
 
 impl Stop {
@@ -18,22 +24,33 @@
         log::info!("stopping");
         let now = proxy.now();
         proxy.stop_at = Some(now);
+        let longest = proxy.longest_ttl.min(LONGEST);
+        proxy.end_at = now + longest + END_AFTER - FOR_THE_WAY;
+        self.idle_until = now + STILL_COMING;
+        if proxy.upgrade.followed() {
+            // Danger: an idle connection that is closed as its client writes is a request unread. Clients that
+            // ask are told to close; for the others it waits, and leaves half the longest TTL to a late one.
+            self.idle_until = self.idle_until.max(proxy.end_at - 0.5 * longest);
+            self.shut = true;
+            proxy.shut();
+        }
         // Wakes the loop when the time is over.
-        proxy.timers.set(now + STILL_COMING, |_| {});
+        proxy.timers.set(self.idle_until, |_| {});
     }
 
     /// Whether all is answered and the node may exit.
     pub fn done(&mut self, proxy: &mut Proxy) -> bool {
-        let Some(at) = proxy.stop_at else { return false };
-        if proxy.now() < at + STILL_COMING {
+        if !proxy.stopping() {
             return false;
         }
-        if self.shut {
-            proxy.close_idle();
-        } else {
-            self.shut = true;
+        if proxy.now() < self.idle_until {
+            // With nobody left there is nothing to wait for.
+            return self.shut && proxy.finished() && proxy.clients.none();
+        }
+        if !std::mem::replace(&mut self.shut, true) {
             proxy.shut();
         }
+        proxy.close_idle();
         proxy.finished()
     }
 }
--- /dev/null
+++ b/node/src/life/upgrade.rs
@@ -0,0 +1,224 @@
+//! Upgrades: a second process beside the first, both one node. The first hands over its listener and what it knows
+//! through a Unix socket in the state directory; that connection stays open for as long as both live.
+
+use super::state::State;
+use crate::proxy::{Proxy, HANDOVER, NEWER, OLDER};
+use mio::net::{UnixListener, UnixStream};
+use mio::{Interest, Registry};
+use rustix::net::{self, RecvAncillaryMessage, SendAncillaryMessage};
+use serde_json::{json, Value};
+use std::io::{self, IoSlice, IoSliceMut, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsFd;
+use std::time::Duration;
+
+const SOCKET: &str = "handover";
+const HANDED: &str = "handed.json";
+/// The older process answers within a turn of its loop; after this the newer one goes on alone.
+const ANSWER_WITHIN: Duration = Duration::from_millis(1000);
+
+/// What an older process has handed over.
+pub struct Handed {
+    pub listener: TcpListener,
+    stream: std::os::unix::net::UnixStream,
+    /// This process's share of the node's limits is one in so many.
+    parts: u8,
+    /// The list as last told, in discovery's form, and the numbers of servers once listed.
+    pub list: Value,
+    pub once: Vec<u64>,
+}
+
+/// Asks an older process at the same address for what it has; none where none runs.
+pub fn ask(state: &State, listen: SocketAddr) -> Option<Handed> {
+    let stream = std::os::unix::net::UnixStream::connect(state.path(SOCKET)?).ok()?;
+    match receive(stream, state) {
+        Ok(handed) if handed.listener.local_addr().is_ok_and(|at| at == listen) => Some(handed),
+        // Danger: a node of the same name that listens elsewhere is another one.
+        Ok(_) => None,
+        Err(e) => {
+            log::warn!("nothing was handed over: {e}");
+            None
+        }
+    }
+}
+
+fn receive(stream: std::os::unix::net::UnixStream, state: &State) -> io::Result<Handed> {
+    stream.set_read_timeout(Some(ANSWER_WITHIN))?;
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut beside = net::RecvAncillaryBuffer::new(&mut space);
+    let mut parts = [0];
+    let told =
+        net::recvmsg(&stream, &mut [IoSliceMut::new(&mut parts)], &mut beside, net::RecvFlags::CMSG_CLOEXEC)?;
+    let sent = beside.drain().find_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(mut descriptors) => descriptors.next(),
+        _ => None,
+    });
+    let (1, Some(sent)) = (told.bytes, sent) else { return Err(io::ErrorKind::UnexpectedEof.into()) };
+    let path = state.path(HANDED).ok_or(io::ErrorKind::NotFound)?;
+    // Danger: a torn file. The configuration's list stands in for what can't be read.
+    let told: Value = serde_json::from_slice(&std::fs::read(&path).unwrap_or_default()).unwrap_or_default();
+    let _ = std::fs::remove_file(path);
+    let once = told.get("once").and_then(Value::as_array);
+    let once = once.map(|once| once.iter().filter_map(Value::as_u64).collect()).unwrap_or_default();
+    let list = told.get("list").cloned().unwrap_or_default();
+    Ok(Handed { listener: sent.into(), stream, parts: parts[0].max(2), list, once })
+}
+
+/// The other processes of this node, and this one's part.
+#[derive(Default)]
+pub struct Upgrade {
+    door: Option<UnixListener>,
+    older: Option<UnixStream>,
+    newer: Option<UnixStream>,
+    /// One in so many of the node's limits is for this process and those that come after it.
+    parts: u8,
+    /// It has a listener, but does not yet take clients in.
+    pub holds_back: bool,
+}
+
+impl Upgrade {
+    pub fn new(handed: Option<Handed>, state: &State, registry: &Registry) -> io::Result<Self> {
+        let mut upgrade = Upgrade { parts: 1, holds_back: handed.is_some(), ..Upgrade::default() };
+        if let Some(Handed { stream, parts, .. }) = handed {
+            stream.set_nonblocking(true)?;
+            let mut stream = UnixStream::from_std(stream);
+            registry.register(&mut stream, OLDER, Interest::READABLE)?;
+            (upgrade.older, upgrade.parts) = (Some(stream), parts);
+        }
+        if let Some(path) = state.path(SOCKET) {
+            // What a crash or the older process has left there leads nowhere any more.
+            let _ = std::fs::remove_file(&path);
+            match UnixListener::bind(&path) {
+                Ok(mut door) => {
+                    registry.register(&mut door, HANDOVER, Interest::READABLE)?;
+                    upgrade.door = Some(door);
+                }
+                Err(e) => log::warn!("no upgrade can be handed over at {}: {e}", path.display()),
+            }
+        }
+        Ok(upgrade)
+    }
+
+    /// Whether another process of this node runs.
+    pub fn both(&self) -> bool {
+        self.older.is_some() || self.newer.is_some()
+    }
+
+    pub fn followed(&self) -> bool {
+        self.newer.is_some()
+    }
+
+    /// This process's share of the node's limits.
+    pub fn share(&self) -> f64 {
+        1.0 / (f64::from(self.parts) * if self.newer.is_some() { 2.0 } else { 1.0 })
+    }
+}
+
+impl Proxy {
+    /// A newer process asks for what this one has.
+    pub fn hand_over(&mut self) {
+        loop {
+            let Some(door) = &self.upgrade.door else { return };
+            let stream = match door.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(_) => return,
+            };
+            if self.stopping() || self.upgrade.followed() {
+                // Nothing to give any more, or given already: that one goes on alone.
+                continue;
+            }
+            if let Err(e) = self.hand_over_to(stream) {
+                log::warn!("cannot hand over: {e}");
+            }
+        }
+    }
+
+    fn hand_over_to(&mut self, mut stream: UnixStream) -> io::Result<()> {
+        let Some(path) = self.state.path(HANDED) else { return Ok(()) };
+        let once: Vec<u64> = self.bans.once().collect();
+        std::fs::write(path, json!({"list": self.discovery.whole_list(), "once": once}).to_string())?;
+        self.registry.register(&mut stream, NEWER, Interest::READABLE)?;
+        self.upgrade.newer = Some(stream);
+        // Danger: both together over the node's limits. This one shrinks before the other has anything.
+        self.take_share();
+        let sent = self.send_listener();
+        if sent.is_err() {
+            self.newer_ended();
+        }
+        log::info!("handed over to a newer process");
+        self.watch_bans();
+        sent
+    }
+
+    fn send_listener(&self) -> io::Result<()> {
+        let (Some(stream), Some(listener)) = (&self.upgrade.newer, self.clients.listener()) else {
+            return Err(io::ErrorKind::NotConnected.into());
+        };
+        let descriptors = [listener.as_fd()];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut beside = net::SendAncillaryBuffer::new(&mut space);
+        if !beside.push(SendAncillaryMessage::ScmRights(&descriptors)) {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
+        let parts = [self.upgrade.parts.saturating_mul(2)];
+        net::sendmsg(stream, &[IoSlice::new(&parts)], &mut beside, net::SendFlags::NOSIGNAL)?;
+        Ok(())
+    }
+
+    /// The newer process says that it takes clients in, or has ended.
+    pub fn newer_event(&mut self) {
+        let Some(stream) = &mut self.upgrade.newer else { return };
+        match stream.read(&mut [0]) {
+            Ok(1..) => {
+                log::info!("the newer process takes clients in");
+                self.unlisten();
+            }
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+            _ => self.newer_ended(),
+        }
+    }
+
+    /// Danger: an upgrade that failed leaves nobody to take clients in, and half a node.
+    fn newer_ended(&mut self) {
+        log::warn!("the newer process has ended");
+        if let Some(mut stream) = self.upgrade.newer.take() {
+            let _ = self.registry.deregister(&mut stream);
+        }
+        self.take_share();
+        if !self.stopping() {
+            self.listen();
+        }
+    }
+
+    /// The older process has ended: all limits are this one's.
+    pub fn older_event(&mut self) {
+        let Some(stream) = &mut self.upgrade.older else { return };
+        match stream.read(&mut [0]) {
+            Ok(1..) => {}
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+            _ => {
+                log::info!("the older process has ended");
+                if let Some(mut stream) = self.upgrade.older.take() {
+                    let _ = self.registry.deregister(&mut stream);
+                }
+                self.upgrade.parts = 1;
+                self.take_share();
+                self.take_clients_in();
+            }
+        }
+    }
+
+    /// Takes clients in, once it can serve them or nobody else does.
+    pub fn take_clients_in(&mut self) {
+        if !std::mem::take(&mut self.upgrade.holds_back) {
+            return;
+        }
+        self.listen();
+        if let Some(stream) = &mut self.upgrade.older {
+            // One byte fits into an empty socket buffer.
+            let _ = stream.write(&[1]);
+        }
+    }
+}
--- a/node/src/memory/buffers.rs
+++ b/node/src/memory/buffers.rs
@@ -96,18 +96,28 @@
 
 pub struct Buffers {
     free: Vec<Box<[u8]>>,
-    /// Not made yet.
-    left: usize,
+    made: usize,
+    most: usize,
 }
 
 impl Buffers {
     pub fn new(bytes: usize) -> Self {
-        Buffers { free: Vec::new(), left: (bytes / SIZE).max(2 * RESERVE) }
+        let mut buffers = Buffers { free: Vec::new(), made: 0, most: 0 };
+        buffers.resize(bytes);
+        buffers
+    }
+
+    /// So many bytes from now on; what is out beyond that is let go as it comes back.
+    pub fn resize(&mut self, bytes: usize) {
+        self.most = (bytes / SIZE).max(2 * RESERVE);
+        while self.made > self.most && self.free.pop().is_some() {
+            self.made -= 1;
+        }
     }
 
     /// One for a request or a push.
     pub fn take(&mut self) -> Option<Buffer> {
-        if self.free.len() + self.left <= RESERVE {
+        if self.free.len() + self.most.saturating_sub(self.made) <= RESERVE {
             return None;
         }
         self.take_last()
@@ -116,13 +126,17 @@
     /// One for an answer.
     pub fn take_last(&mut self) -> Option<Buffer> {
         let bytes = self.free.pop().or_else(|| {
-            self.left = self.left.checked_sub(1)?;
+            self.made = Some(self.made + 1).filter(|made| *made <= self.most)?;
             Some(Buffer::of(SIZE).bytes)
         })?;
         Some(Buffer { bytes, filled: 0 })
     }
 
     pub fn give(&mut self, buffer: Buffer) {
-        self.free.push(buffer.bytes);
+        if self.made > self.most {
+            self.made -= 1;
+        } else {
+            self.free.push(buffer.bytes);
+        }
     }
 }
--- a/node/src/memory/mod.rs
+++ b/node/src/memory/mod.rs
@@ -5,4 +5,5 @@
 pub mod counters;
 pub mod ops;
 pub mod tables;
+pub mod tally;
 pub mod timers;
--- a/node/src/memory/ops.rs
+++ b/node/src/memory/ops.rs
@@ -32,6 +32,11 @@
         Ops { table: Slab::new(), most, open: HashSet::new(), marks: RandomState::new() }
     }
 
+    /// So many from now on.
+    pub fn resize(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// What a client's id is known by here.
     pub fn mark(&self, id: &str) -> u64 {
         self.marks.hash_one(id)
--- a/node/src/memory/tables.rs
+++ b/node/src/memory/tables.rs
@@ -13,6 +13,19 @@
         Table { slots: Slab::new(), most }
     }
 
+    /// So many from now on; those beyond stay until they are taken out.
+    pub fn resize(&mut self, most: usize) {
+        self.most = most;
+    }
+
+    pub fn over(&self) -> bool {
+        self.slots.len() > self.most
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
     pub fn full(&self) -> bool {
         self.slots.len() >= self.most
     }
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -1,24 +1,38 @@
 //! The proxy: owns all tables, turns events into calls, and carries an op from its request to its answer.
 
 use crate::life::configuration::Configuration;
+use crate::life::state::State;
+use crate::life::upgrade::{self, Upgrade};
 use crate::memory::buffers::Buffers;
 use crate::memory::counters::Counters;
 use crate::memory::ops::Ops;
+use crate::memory::tally::Tally;
 use crate::memory::timers::{Clock, Timers};
+use crate::wire::admin::{self, Door};
+use crate::wire::bans::Bans;
 use crate::wire::clients::Clients;
-use crate::wire::discovery::Discovery;
+use crate::wire::discovery::{read_list, Discovery};
 use crate::wire::servers::{Outcome, Servers};
 use crankmux::dispatcher::{Dispatcher, GivenUp, Next, Pick};
 use crankmux::given::Names;
 use crankmux::words::{Arrival, Ending, Load, PushEnd};
 use mio::net::TcpListener;
-use mio::{Events, Interest, Poll, Registry, Token};
+use mio::{Events, Poll, Registry, Token};
+use socket2::{Domain, Socket, Type};
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 pub const LISTENER: Token = Token(0);
 pub const SIGNALS: Token = Token(1);
 pub const DISCOVERY: Token = Token(2);
+pub const DOOR: Token = Token(3);
+pub const HANDOVER: Token = Token(4);
+pub const NEWER: Token = Token(5);
+pub const OLDER: Token = Token(6);
+/// The first of the door's callers, and the first of both tables.
+pub const CALLERS: Token = Token(7);
+const TABLES: usize = CALLERS.0 + admin::MOST;
 
 /// Tokens of one table: its keys, beside those of the other.
 #[derive(Clone, Copy)]
@@ -28,7 +42,7 @@
 
 impl Side {
     pub fn token(self, key: usize) -> Token {
-        Token(4 + 2 * key + self.0)
+        Token(TABLES + 2 * key + self.0)
     }
 }
 
@@ -38,6 +52,8 @@
     pub buffers: Buffers,
     pub timers: Timers<Proxy>,
     pub counters: Counters,
+    pub tally: Tally,
+    pub door: Door,
     pub clients: Clients,
     pub servers: Servers,
     pub discovery: Discovery,
@@ -50,22 +66,56 @@
     /// Where a request says what it is about, if it does.
     pub key_header: Option<String>,
     pub stop_at: Option<f64>,
+    /// Whatever is not answered by then won't be, once it is stopping.
+    pub end_at: f64,
+    /// Of all categories.
+    pub longest_ttl: f64,
+    pub state: State,
+    pub bans: Bans,
+    pub upgrade: Upgrade,
+    connections: usize,
+    buffer_bytes: usize,
+}
+
+/// Listens at an address. Danger: without sharing it the newer process of an upgrade could not listen where no
+/// listener was handed over.
+fn bound(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    // As many as the system lets wait.
+    socket.listen(1024)?;
+    Ok(socket.into())
 }
 
 impl Proxy {
-    pub fn new(configuration: Configuration, poll: &Poll) -> io::Result<Self> {
-        let mut listener = TcpListener::bind(configuration.listen)?;
-        log::info!("listening on {}", listener.local_addr()?);
-        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+    pub fn new(configuration: Configuration, poll: &Poll) -> Result<Self, String> {
+        let of_listen = |e: io::Error| format!("listen: {}: {e}", configuration.listen);
+        let text = |e: io::Error| e.to_string();
+        let state = State::of(&configuration.name);
+        let mut handed = upgrade::ask(&state, configuration.listen);
+        let (list, once) =
+            handed.as_mut().map(|h| (h.list.take(), std::mem::take(&mut h.once))).unwrap_or_default();
+        let taken = handed.as_ref().map(|h| h.listener.try_clone());
+        let listener = taken.unwrap_or_else(|| bound(configuration.listen)).map_err(of_listen)?;
+        listener.set_nonblocking(true).map_err(of_listen)?;
+        let listener = TcpListener::from_std(listener);
+        let door = configuration.admin.map(|address| admin::listen(address, poll.registry()));
+        let door = door.transpose().map_err(|e| format!("admin_addr: {e}"))?;
         let most = configuration.connections;
+        let upgrade = Upgrade::new(handed, &state, poll.registry()).map_err(text)?;
+        log::info!("listening on {}", listener.local_addr().map_err(of_listen)?);
         // Danger: were all clients' connections bound by ops, others would wait unaccepted, which counts as
         // taken, and be lost. A quarter is left to hear them; their ops get no push and so a quick nack.
         let mut proxy = Proxy {
-            registry: poll.registry().try_clone()?,
+            registry: poll.registry().try_clone().map_err(text)?,
             clock: Clock::new(),
             buffers: Buffers::new(configuration.buffer_bytes),
             timers: Timers::new(),
             counters: Counters::default(),
+            tally: Tally::default(),
+            door: Door::new(door),
             clients: Clients::new(listener, most),
             servers: Servers::new(most, configuration.connect_within, configuration.keepalive),
             discovery: Discovery::new(configuration.discovery),
@@ -76,10 +126,29 @@
             probes_out: 0,
             key_header: configuration.key_header,
             stop_at: None,
+            end_at: f64::INFINITY,
+            longest_ttl: configuration.longest_ttl,
+            state,
+            bans: Bans::default(),
+            upgrade,
+            connections: most,
+            buffer_bytes: configuration.buffer_bytes,
         };
-        match configuration.known {
-            Some(known) => proxy.take_list(&known, true),
-            None => proxy.call_list(),
+        once.into_iter().for_each(|mark| proxy.bans.listed(mark));
+        // Before any list: nothing may go to a server that was taken out before this start.
+        proxy.watch_bans();
+        proxy.take_share();
+        let known = if list.is_null() { configuration.known } else { list };
+        match known.is_null() {
+            false => {
+                let read = read_list(&mut proxy.names, &known).map_err(|e| format!("known: {e}"))?;
+                proxy.discovery.keep(&known);
+                proxy.take_list(&read, true);
+            }
+            true => proxy.call_list(),
+        }
+        if !proxy.upgrade.holds_back {
+            proxy.listen();
         }
         Ok(proxy)
     }
@@ -97,6 +166,19 @@
         self.servers.any() && self.discovery.heard && !self.stopping()
     }
 
+    /// Lives on its share of the node's limits.
+    pub fn take_share(&mut self) {
+        let share = self.upgrade.share();
+        let connections = (self.connections as f64 * share) as usize;
+        self.clients.resize(connections);
+        self.servers.links.resize(connections);
+        self.ops.resize(connections * 3 / 4);
+        self.buffers.resize((self.buffer_bytes as f64 * share) as usize);
+        while self.servers.links.over() && self.drop_longest_idle() {}
+        while self.clients.over() && self.drop_idle_client() {}
+        self.dispatcher.share(share);
+    }
+
     /// Whether everything taken in is answered, and the answers are out.
     pub fn finished(&self) -> bool {
         self.ops.none_waits() && !self.clients.busy()
@@ -116,6 +198,9 @@
             self.call_list();
         }
         self.send_probes();
+        if self.upgrade.holds_back && self.ready() {
+            self.take_clients_in();
+        }
         self.settle();
         let due = [self.timers.first(), self.dispatcher.next_tick()].into_iter().flatten();
         let wait = due.min_by(f64::total_cmp).map(|at| (at - self.now()).max(0.0));
@@ -125,13 +210,26 @@
             }
         }
         let mut signalled = false;
+        // Danger: under a flood of clients an operator would wait for all of them.
+        for Token(at) in events.iter().map(|event| event.token()) {
+            match at {
+                _ if at == DOOR.0 => self.open_door(),
+                _ if at == HANDOVER.0 => self.hand_over(),
+                _ if at == NEWER.0 => self.newer_event(),
+                _ if at == OLDER.0 => self.older_event(),
+                _ if (CALLERS.0..TABLES).contains(&at) => self.hear_caller(at - CALLERS.0),
+                _ => continue,
+            }
+            self.settle();
+        }
         for event in events.iter() {
             match event.token() {
+                Token(n) if (DOOR.0..TABLES).contains(&n) => continue,
                 LISTENER => self.accept(),
                 SIGNALS => signalled = true,
                 DISCOVERY => self.discovery_event(),
-                Token(n) if n % 2 == 0 => self.serve((n - 4) / 2),
-                Token(n) => self.link((n - 4) / 2),
+                Token(n) if (n - TABLES) % 2 == 0 => self.serve((n - TABLES) / 2),
+                Token(n) => self.link((n - TABLES) / 2),
             }
             self.settle();
         }
@@ -154,8 +252,10 @@
     pub fn take_in(&mut self, client: usize, arrival: Arrival, mark: u64) -> usize {
         self.counters.taken += 1;
         let now = self.now();
-        let op = self.ops.take_in(client, now + arrival.ttl, mark);
-        let next = self.dispatcher.pick(now, &Arrival { op, ..arrival });
+        // Danger: what is taken in near the end of a process must be answered before that.
+        let ttl = arrival.ttl.min((self.end_at - now).max(1.0));
+        let op = self.ops.take_in(client, now + ttl, mark);
+        let next = self.dispatcher.pick(now, &Arrival { op, ttl, ..arrival });
         self.follow(op, next);
         op
     }
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -6,8 +6,9 @@
 use crate::memory::buffers::{Buffer, Filled};
 use crate::memory::ops::Ops;
 use crate::memory::tables::Table;
+use crate::memory::tally::{End, Receipt};
 use crate::memory::timers::Key;
-use crate::proxy::{Proxy, CLIENT};
+use crate::proxy::{Proxy, CLIENT, LISTENER};
 use crankmux::given::Names;
 use crankmux::words::{Arrival, Ending, Load};
 use httparse::Header;
@@ -47,6 +48,9 @@
     /// The connection to a server from which more of its answer comes.
     fed_by: Option<usize>,
     op: Option<usize>,
+    /// Of its op, until the answer is out, and what that answer makes of it.
+    receipt: Option<Receipt>,
+    end: Option<End>,
     /// Close once the answer is out; then only the other side's end is awaited.
     close: bool,
     lingers: bool,
@@ -76,6 +80,8 @@
 
 pub struct Clients {
     listener: Option<TcpListener>,
+    /// Whether the loop watches the listener.
+    listening: bool,
     table: Table<Client>,
     most: usize,
     /// Connections wait to be accepted.
@@ -142,6 +148,7 @@
     pub fn new(listener: TcpListener, most: usize) -> Self {
         Clients {
             listener: Some(listener),
+            listening: false,
             table: Table::new(most),
             most,
             waiting: false,
@@ -150,6 +157,24 @@
         }
     }
 
+    pub fn listener(&self) -> Option<&TcpListener> {
+        self.listener.as_ref()
+    }
+
+    /// So many from now on.
+    pub fn resize(&mut self, most: usize) {
+        self.most = most;
+        self.table.resize(most);
+    }
+
+    pub fn over(&self) -> bool {
+        self.table.over()
+    }
+
+    pub fn none(&self) -> bool {
+        self.table.is_empty()
+    }
+
     /// The request that an op came with.
     pub fn request(&self, client: usize) -> Option<(&[u8], &Message)> {
         let client = self.table.get(client)?;
@@ -183,6 +208,13 @@
         Some(outbox)
     }
 
+    /// What its answer, once it is out, makes of its op.
+    pub fn ends_as(&mut self, key: usize, end: End) {
+        if let Some(client) = self.table.get_mut(key) {
+            client.end = Some(end);
+        }
+    }
+
     /// Nothing more comes of its answer.
     pub fn fed(&mut self, key: usize) {
         if let Some(client) = self.table.get_mut(key) {
@@ -202,8 +234,29 @@
 }
 
 impl Proxy {
+    /// Has the loop watch the listener.
+    pub fn listen(&mut self) {
+        if let Some(listener) = self.clients.listener.as_mut().filter(|_| !self.clients.listening) {
+            match self.registry.register(listener, LISTENER, Interest::READABLE) {
+                Ok(()) => self.clients.listening = true,
+                Err(e) => log::error!("cannot watch the listener: {e}"),
+            }
+        }
+    }
+
+    /// Leaves what comes to the other process that has this listener.
+    pub fn unlisten(&mut self) {
+        if let Some(listener) = self.clients.listener.as_mut().filter(|_| self.clients.listening) {
+            let _ = self.registry.deregister(listener);
+            self.clients.listening = false;
+        }
+    }
+
     pub fn accept(&mut self) {
         self.clients.waiting = false;
+        if !self.clients.listening {
+            return;
+        }
         self.timers.unset(self.clients.accept_again.take());
         loop {
             // Danger: without a free descriptor accepting would fail and spin, and connections that only
@@ -277,6 +330,8 @@
             sent: 0,
             fed_by: None,
             op: None,
+            receipt: None,
+            end: None,
             close: false,
             lingers: false,
             over: false,
@@ -304,6 +359,11 @@
         for buffer in [client.inbox, client.outbox].into_iter().flatten() {
             self.buffers.give(buffer);
         }
+        if let Some(receipt) = client.receipt {
+            // One that was cut off on its way has failed; else the client did not stay for its answer.
+            let cut = client.end == Some(End::Aborted);
+            self.tally.end(receipt, if cut { End::Aborted } else { End::Departed });
+        }
         if let Some(op) = client.op {
             self.client_gone(op);
         }
@@ -345,6 +405,9 @@
             }
             Ok(true) => {
                 let outbox = client.outbox.take();
+                if let (Some(receipt), Some(end)) = (client.receipt.take(), client.end.take()) {
+                    self.tally.end(receipt, end);
+                }
                 self.timers.unset(client.timer.take());
                 outbox.into_iter().for_each(|b| self.buffers.give(b));
                 client.idle_since = self.clock.now();
@@ -549,6 +612,7 @@
                 self.refuse(key, 409);
             }
             Asked::Op(arrival, mark) => {
+                client.receipt = Some(self.tally.take_in(arrival.category));
                 let op = self.take_in(key, arrival, mark);
                 // It may be answered already.
                 let waits = self.ops.waits(op);
@@ -569,6 +633,7 @@
 
     /// An answer of the node's own.
     pub fn answer(&mut self, key: usize, status: u16, come_back: f64) {
+        self.clients.ends_as(key, if status == 503 { End::Declined } else { End::Aborted });
         self.answer_by(key, |close, to| to.add(http::plain(status, come_back, close).as_bytes()));
     }
 
@@ -581,6 +646,7 @@
 
     /// A server's answer, handed back.
     pub fn hand_back(&mut self, key: usize, held: &[u8], message: &Message) {
+        self.clients.ends_as(key, End::Succeeded);
         self.answer_by(key, |close, to| http::hand_back(held, message, close, to));
     }
 
@@ -622,11 +688,11 @@
 
     /// No client comes any more: what has come is read, what is idle closed.
     pub fn shut(&mut self) {
-        self.accept();
-        if let Some(mut listener) = self.clients.listener.take() {
-            let _ = self.registry.deregister(&mut listener);
+        if !self.upgrade.followed() {
+            self.accept();
         }
-        self.close_idle();
+        self.unlisten();
+        self.clients.listener = None;
     }
 
     /// Closes clients between requests, once what they may have sent is read.
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -8,8 +8,8 @@
 use crankmux::words::{Listed, Standing};
 use mio::net::TcpStream;
 use mio::Interest;
-use serde_json::Value;
-use std::collections::HashSet;
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, HashSet};
 use std::io::Write;
 use std::net::SocketAddr;
 
@@ -34,6 +34,8 @@
     asked_at: f64,
     seq: Option<u64>,
     timer: Option<Key>,
+    /// The list as last told, line by line.
+    lines: BTreeMap<String, Value>,
     /// Has answered, or failed to, since the start.
     pub heard: bool,
 }
@@ -92,9 +94,31 @@
             asked_at: 0.0,
             seq: None,
             timer: None,
+            lines: BTreeMap::new(),
             heard: false,
         }
     }
+
+    /// Keeps what a list tells, for a process that comes after this one.
+    pub fn keep(&mut self, list: &Value) {
+        if list.get("whole") == Some(&Value::Bool(true)) {
+            self.lines.clear();
+        }
+        for line in list.get("hosts").and_then(Value::as_array).into_iter().flatten() {
+            let Some(host) = line.get("host").and_then(Value::as_str) else { continue };
+            if line.get("health").and_then(Value::as_str) == Some("Gone") {
+                self.lines.remove(host);
+            } else {
+                self.lines.insert(host.to_string(), line.clone());
+            }
+        }
+    }
+
+    /// The list as last told, in the form in which it is told.
+    pub fn whole_list(&self) -> Value {
+        let hosts: Vec<&Value> = self.lines.values().collect();
+        json!({"seq": self.seq.unwrap_or_default(), "whole": true, "hosts": hosts})
+    }
 }
 
 impl Proxy {
@@ -110,6 +134,7 @@
             }
         }
         for (line, dial) in &list.lines {
+            self.bans.listed(line.mark);
             self.place(line.server, *dial);
         }
         self.leave_unsent();
@@ -229,7 +254,13 @@
         let Some((message, status)) = discovery.message.take() else { return };
         let body = &discovery.inbox.held()[message.head..message.end];
         let list = match (status, serde_json::from_slice(body)) {
-            (200, Ok(list)) => read_list(&mut self.names, &list),
+            (200, Ok(list)) => {
+                let read = read_list(&mut self.names, &list);
+                if read.is_ok() {
+                    self.discovery.keep(&list);
+                }
+                read
+            }
             (200, Err(e)) => Err(e.to_string()),
             _ => Err(format!("status {status}")),
         };
--- a/node/src/wire/http.rs
+++ b/node/src/wire/http.rs
@@ -278,11 +278,11 @@
     matches!(wrote, Ok(Some((_, true)))) && to.add(&held[head..])
 }
 
-/// An answer of the node's own.
-pub fn plain(status: u16, come_back: f64, close: bool) -> String {
-    let reason = match status {
+fn reason(status: u16) -> &'static str {
+    match status {
         200 => "OK",
         400 => "Bad Request",
+        404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
         409 => "Conflict",
@@ -290,7 +290,21 @@
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         _ => "Service Unavailable",
-    };
+    }
+}
+
+/// An answer to an operator.
+pub fn told(status: u16, text: &str) -> String {
+    let (reason, length) = (reason(status), text.len());
+    format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {length}\r\n\
+         Connection: close\r\n\r\n{text}"
+    )
+}
+
+/// An answer of the node's own.
+pub fn plain(status: u16, come_back: f64, close: bool) -> String {
+    let reason = reason(status);
     let retry =
         if come_back > 0.0 { format!("Retry-After: {:.3}\r\n", come_back / 1000.0) } else { String::new() };
     let close = if close { "Connection: close\r\n" } else { "" };
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -1,5 +1,7 @@
 //! What is spoken: HTTP/1.1 with clients, servers and discovery.
 
+pub mod admin;
+pub mod bans;
 pub mod clients;
 pub mod discovery;
 pub mod http;
--- a/node/src/wire/passing.rs
+++ b/node/src/wire/passing.rs
@@ -5,6 +5,7 @@
 use super::servers::{Link, Outcome};
 use super::silent;
 use crate::memory::buffers::{Buffer, Filled, BODY_MOST};
+use crate::memory::tally::End;
 use crate::proxy::Proxy;
 use crankmux::words::{Ending, Load};
 
@@ -47,6 +48,8 @@
         let now = self.now();
         self.dispatcher.began(now, op);
         self.feed_client(client, key);
+        // Until its last byte is with the client.
+        self.clients.ends_as(client, End::Aborted);
         self.answer_by(client, |close, to| http::pass_on_from(held, message.head, length, close, to));
         self.buffers.give(inbox);
     }
@@ -86,6 +89,7 @@
         let Some(Passing { client, keep, load, .. }) = link.passing.take() else { return };
         let then = link.then.take();
         self.counters.acked += 1;
+        self.clients.ends_as(client, End::Succeeded);
         self.clients.fed(client);
         if keep && silent(&self.servers.links[key].stream) {
             self.keep_link(key);
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -59,7 +59,7 @@
 pub struct Record {
     /// Where to dial it, and when it last started; none where it gets nothing new.
     dial: Option<(SocketAddr, f64)>,
-    idle: Vec<usize>,
+    pub idle: Vec<usize>,
     /// When any of its connections last came up or brought something.
     pub heard: f64,
 }
@@ -126,6 +126,13 @@
     }
 }
 
+impl Link {
+    /// It carries a push of which nothing has left.
+    pub fn unsent(&self) -> bool {
+        self.sent == 0 && self.outbox.is_some()
+    }
+}
+
 impl Proxy {
     /// What the list says of a server: where to dial it, or that it gets nothing new.
     pub fn place(&mut self, server: usize, dial: Option<(SocketAddr, f64)>) {
@@ -146,7 +153,7 @@
     pub fn leave_unsent(&mut self) {
         // Danger: a connection that comes up only now would carry a new push past the grace.
         let records = &self.servers.records;
-        let left = |l: &Link| l.sent == 0 && l.outbox.is_some() && records[l.server].dial != Some(l.dial);
+        let left = |l: &Link| l.unsent() && records[l.server].dial != Some(l.dial);
         for key in self.servers.links.keys(left) {
             self.fail(key, Ending::Unreachable, Load::default());
         }
@@ -365,6 +372,7 @@
             match outbox.drain(&mut link.sent, &mut link.stream) {
                 Ok(true) => {
                     link.whole = true;
+                    self.tally.forwards += u64::from(link.op != NO_OP);
                     link.outbox.take().into_iter().for_each(|b| self.buffers.give(b));
                 }
                 Ok(false) => {}
--- a/node/tests/sockets/help.rs
+++ b/node/tests/sockets/help.rs
@@ -166,6 +166,8 @@
     child: Child,
     log: Arc<Mutex<String>>,
     configuration: std::path::PathBuf,
+    /// Where the node keeps what outlives a process.
+    pub folder: std::path::PathBuf,
     _discovery: Option<Discovery>,
 }
 
@@ -182,6 +184,10 @@
     let limit = descriptors.map(|n| format!("ulimit -n {n}; ")).unwrap_or_default();
     let mut command = Command::new("/bin/sh");
     command.arg("-c").arg(format!("{limit}exec {}", env!("CARGO_BIN_EXE_crankmux")));
+    // Danger: nodes of several tests have one name; each test's own folder keeps them apart.
+    let folder = path.with_extension("d");
+    let _ = std::fs::create_dir(&folder);
+    command.env("TMPDIR", folder);
     command.envs(variables.iter().map(|(name, value)| (name, value)));
     command.env("BALANCER_CONFIG", path).stderr(Stdio::piped()).stdout(Stdio::null());
     command.spawn().expect("the node starts")
@@ -239,7 +245,8 @@
                 kept.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        let node = Node { address, child, log, configuration: path, _discovery: None };
+        let folder = path.with_extension("d");
+        let node = Node { address, child, log, configuration: path, folder, _discovery: None };
         until("the node is ready", || {
             let mut client = node.client();
             client.write_all(b"GET /_health HTTP/1.1\r\n\r\n").is_ok()
@@ -309,6 +316,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.configuration);
+        let _ = std::fs::remove_dir_all(self.configuration.with_extension("d"));
     }
 }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,6 @@
 //! Every decision of crankmux. A node makes one [`Balancer`] from what it is given and tells it, with the
-//! present time, what happens: [`Balancer::list`], [`Balancer::list_failed`], [`Balancer::arrive`],
-//! [`Balancer::push_ended`], [`Balancer::probed`], [`Balancer::woken`], [`Balancer::departed`],
-//! [`Balancer::began`]. Answers leave by the [`Outlet`] given with each call; `words.rs` holds its types. The
+//! present time, what happens: `list`, `list_failed`, `arrive`, `push_ended`, `probed`, `woken`, `departed`,
+//! `began`, `suspend`, `resume`, `renew`. Answers leave by the [`Outlet`] given with each call; `words.rs` holds its types. The
 //! ordinary path is the split of docs/design.md; whatever narrows it says here which danger it meets.
 
 use crate::words::{Arrival, Effect, Ending, Given, Listed, Load, Outlet, PushEnd, Standing, Within};
@@ -89,6 +88,8 @@
 #[derive(Default)]
 struct Server {
     standing: Standing,
+    /// Taken out by hand.
+    suspended: bool,
     mark: u64,
     zone: usize,
     pod: usize,
@@ -138,6 +139,10 @@
         }
     }
 
+    fn usable(&self) -> bool {
+        self.standing == Standing::Ready && !self.suspended
+    }
+
     /// What it holds for all nodes together, by its own word and what went there since.
     fn told(&self, now: f64) -> Option<f64> {
         let load = &self.load;
@@ -180,6 +185,8 @@
     customers: Vec<Customer>,
     duties: Duties,
     balancers: f64,
+    /// Which part of a node this process is.
+    own: f64,
     /// Servers tell their load only when asked, and may be asked.
     asks: bool,
     servers: BTreeMap<usize, Server>,
@@ -226,6 +233,7 @@
             rng: oorandom::Rand64::new(u128::from(seed)),
             now: 0.0,
             balancers,
+            own: 1.0,
             asks: duties.allow("load-must-be-asked") && duties.allow("may-probe"),
             customers: customers.collect(),
             categories,
@@ -270,8 +278,8 @@
             if line.started > server.started {
                 // Danger: a restarted process is cold, whatever its old record or a report on its way says.
                 self.probes.remove(&line.server);
-                let (out, peak) = (std::mem::take(&mut server.out), server.peak);
-                *server = Server { out, peak, ..Server::new(line, now, cold_time) };
+                let (out, peak, suspended) = (std::mem::take(&mut server.out), server.peak, server.suspended);
+                *server = Server { out, peak, suspended, ..Server::new(line, now, cold_time) };
             }
             (server.standing, server.zone, server.pod) = (line.standing, line.zone, line.pod);
         }
@@ -287,7 +295,8 @@
     /// Danger: servers ever new fill the memory; an index used again too early is another server's.
     fn forget(&mut self) {
         let tried = |id: usize| self.ops.values().any(|op| op.pushes.iter().any(|p| p.server == id));
-        let gone = |s: &Server| s.standing == Standing::Gone && self.now - s.heard > 60_000.0;
+        let old = |s: &Server| self.now - s.heard > 60_000.0 && !s.suspended;
+        let gone = |s: &Server| s.standing == Standing::Gone && old(s);
         self.servers.retain(|id, s| !gone(s) || !s.out.is_empty() || tried(*id));
         self.part.retain(|id| self.servers.contains_key(id));
     }
@@ -296,6 +305,34 @@
         self.servers.contains_key(&server)
     }
 
+    /// Taken out by hand. Danger: it is restarted meanwhile, and the list may name it anew: the mark stays.
+    pub fn suspend(&mut self, now: f64, server: usize) {
+        (self.now, self.solved_at, self.parted_at) = (now, f64::NEG_INFINITY, f64::NEG_INFINITY);
+        let unlisted = Listed { server, ..Listed::default() };
+        self.servers.entry(server).or_insert_with(|| Server::new(&unlisted, now, 0.0)).suspended = true;
+    }
+
+    /// Back by hand. Danger: the list may tell late, or not at all, that it has started anew: it comes cold.
+    pub fn resume(&mut self, now: f64, server: usize) {
+        (self.now, self.solved_at, self.parted_at) = (now, f64::NEG_INFINITY, f64::NEG_INFINITY);
+        let cold_time = self.duties.or("cold-time", 0.0);
+        let Some(s) = self.servers.get_mut(&server).filter(|s| s.suspended) else { return };
+        let (standing, mark, zone, pod, started) = (s.standing, s.mark, s.zone, s.pod, now);
+        let fresh = Server::new(&Listed { server, mark, standing, zone, pod, started }, now, cold_time);
+        *s = Server { out: std::mem::take(&mut s.out), peak: s.peak, standing, zone, pod, ..fresh };
+    }
+
+    /// Danger: the two processes of an upgrade would spend a node's limits, purses and quotas twice.
+    pub fn share(&mut self, share: f64) {
+        (self.own, self.solved_at, self.parted_at) = (share, f64::NEG_INFINITY, f64::NEG_INFINITY);
+    }
+
+    /// Servers in the list; those of them that are suspended, or fail so often that hardly a draw falls on them.
+    pub fn census(&self) -> (usize, usize) {
+        let listed = || self.servers.values().filter(|s| s.standing != Standing::Gone);
+        (listed().count(), listed().filter(|s| s.suspended || s.faults > 0.5).count())
+    }
+
     fn follow(&mut self, out: &mut dyn Outlet) {
         // Danger: a cached list may be stale. Where changes come unasked, the whole list is asked for once.
         if self.duties.allow("list-must-be-asked") {
@@ -493,7 +530,7 @@
         const LEAST: f64 = 4.0;
         const NODES: f64 = 6.0;
         self.parted_at = self.now;
-        let ready = self.servers.iter().filter(|(_, s)| s.standing == Standing::Ready);
+        let ready = self.servers.iter().filter(|(_, s)| s.usable());
         let ready: Vec<_> = ready.map(|(id, s)| (*id, s)).collect();
         // Danger: busy nodes crowd their parts, a key's home lies outside. Reports are what a part was for.
         let least = if self.asks { ready.len() as f64 } else { LEAST };
@@ -521,7 +558,7 @@
         }
         part.sort_unstable();
         part.dedup();
-        self.sharers = (self.balancers * part.len() as f64 / ready.len().max(1) as f64).max(1.0);
+        self.sharers = (self.balancers * part.len() as f64 / ready.len().max(1) as f64).max(1.0) / self.own;
         self.part = part;
     }
 
@@ -630,7 +667,7 @@
             let Some(server) = self.servers.get_mut(id).filter(|s| self.now < s.warm_at) else { continue };
             let able = from + (1.0 - from) * ((self.now - server.started) / time).clamp(0.0, 1.0);
             // What it bore before a restart it will bear again; a stranger may be weaker than the mean.
-            let rate = 0.7 * multiple * able * server.peak.max(0.8 * self.warm_rate);
+            let rate = self.own * 0.7 * multiple * able * server.peak.max(0.8 * self.warm_rate);
             // A full purse and a window's income stay just within one window's budget.
             let (span, most) = (0.3 * window, 0.3 * window * rate);
             if most >= 1.0 {
@@ -652,7 +689,7 @@
         let top = self.categories.iter().map(|c| c.benefit).fold(f64::MIN_POSITIVE, f64::max);
         let mut rank = self.categories[arrival.category].benefit / top;
         if let Some(customer) = arrival.customer.and_then(|c| self.customers.get_mut(c)) {
-            let income = customer.quota * (now - customer.counted);
+            let income = self.own * customer.quota * (now - customer.counted);
             // Two seconds' worth may be saved up, as ops come unevenly; three ops at least, for a small part.
             customer.purse = (customer.purse + income).min((customer.quota * 2000.0).max(3.0));
             customer.counted = now;
@@ -780,7 +817,7 @@
                 Effect::Deduplicated => ran.clone().all(|p| in_group(p) && in_time(p)),
                 Effect::AtMostOnce => ran.clone().next().is_none(),
             };
-            s.standing == Standing::Ready
+            s.usable()
                 && left > 0.0
                 && repeat
                 && (bound || (s.out.len() as f64) < (s.limit / self.sharers).max(1.0))
@@ -881,7 +918,7 @@
         server.out.insert((id, n), sent);
         out.push(id, to, left);
         let copies = effect != Effect::AtMostOnce && self.duties.allow("second-copies");
-        if copies && sent.patience < left && self.sharers < 3.0 {
+        if copies && sent.patience < left && self.sharers * self.own < 3.0 {
             let at = now + sent.patience * (1.0 + self.strain());
             self.alarm(out, at, Box::new(move |b, out| b.overdue(out, id, n, now)));
         }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -123,6 +123,26 @@
         self.balancer.list(&mut self.said, now, lines, whole, cached);
     }
 
+    /// Nothing new goes to a server from now on, whatever the list says of it.
+    pub fn suspend(&mut self, now: f64, server: usize) {
+        self.balancer.suspend(now, server);
+    }
+
+    /// It may be used again, as a cold one.
+    pub fn resume(&mut self, now: f64, server: usize) {
+        self.balancer.resume(now, server);
+    }
+
+    /// Its share of the node, where two processes are one.
+    pub fn share(&mut self, share: f64) {
+        self.balancer.share(share);
+    }
+
+    /// How many servers the list holds, and how many of them are avoided.
+    pub fn census(&self) -> (usize, usize) {
+        self.balancer.census()
+    }
+
     /// Whether it still goes by this server's index; one that is not held may stand for another.
     pub fn holds(&self, server: usize) -> bool {
         self.balancer.holds(server)
--- a/src/given.rs
+++ b/src/given.rs
@@ -192,6 +192,15 @@
         self.servers.numbers[server]
     }
 
+    /// The index of a server by that number, which it gets if it has none.
+    pub fn server(&mut self, mark: u64) -> usize {
+        let (server, pod) = (self.servers.of(mark), self.pods.of(u64::MAX - mark));
+        if self.pod_of.len() <= server {
+            self.pod_of.resize(server + 1, pod);
+        }
+        server
+    }
+
     /// The index of a server by that number, while it is known.
     pub fn known(&self, mark: u64) -> Option<usize> {
         self.servers.by_number.get(&mark).copied()
--- a/src/words.rs
+++ b/src/words.rs
@@ -31,7 +31,7 @@
 }
 
 /// One line of the server list.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Listed {
     pub server: usize,
     /// The number by which all nodes know it.
