--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -228,7 +228,7 @@
                 LISTENER => self.accept(),
                 SIGNALS => signalled = true,
                 DISCOVERY => self.discovery_event(),
-                Token(n) if (n - TABLES) % 2 == 0 => self.serve((n - TABLES) / 2),
+                Token(n) if (n - TABLES).is_multiple_of(2) => self.serve((n - TABLES) / 2),
                 Token(n) => self.link((n - TABLES) / 2),
             }
             self.settle();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,10 +1,10 @@
 //! Every decision of crankmux. A node makes one [`Balancer`] from what it is given and tells it, with the
-//! present time, what happens: `list`, `list_failed`, `arrive`, `push_ended`, `probed`, `woken`, `departed`,
-//! `began`, `suspend`, `resume`, `renew`. Answers leave by the [`Outlet`] given with each call; `words.rs` holds its types. The
-//! ordinary path is the split of docs/design.md; whatever narrows it says here which danger it meets.
+//! present time, what happens, by its public methods. Answers leave by the [`Outlet`] given with each call;
+//! `words.rs` holds its types. The ordinary path is the split of docs/design.md; whatever narrows it says here
+//! which danger it meets.
 
-use crate::words::{Arrival, Effect, Ending, Given, Listed, Load, Outlet, PushEnd, Standing, Within};
-use serde_json::Value;
+use crate::given::Duties;
+use crate::words::{Arrival, Chance, Effect, Ending, Given, Listed, Load, Outlet, PushEnd, Standing, Within};
 use std::collections::{BTreeMap, BTreeSet};
 
 type Step = Box<dyn FnOnce(&mut Balancer, &mut dyn Outlet, &PushEnd) + Send>;
@@ -12,6 +12,7 @@
 
 // ---------------------------------------------------------------- duties: what is read at start
 
+#[derive(Clone, Copy, Default)]
 struct Category {
     effect: Effect,
     within: Within,
@@ -30,42 +31,13 @@
     counted: f64,
 }
 
-/// What the operators oblige and allow this node: their names and values as handed over.
-struct Duties(Given);
-
-impl Duties {
-    fn must(&self, name: &str) -> Result<f64, String> {
-        let value = self.0.get(name).ok_or_else(|| format!("setting {name} is missing"))?;
-        let number = value.as_f64().or_else(|| value.as_bool().map(|yes| f64::from(u8::from(yes))));
-        number.ok_or_else(|| format!("setting {name} is not a number"))
-    }
-
-    fn or(&self, name: &str, otherwise: f64) -> f64 {
-        self.must(name).unwrap_or(otherwise)
-    }
-
-    fn allow(&self, name: &str) -> bool {
-        self.or(name, 0.0) > 0.0
-    }
-}
-
 fn category(duties: &Duties, index: usize) -> Result<Category, String> {
     let name = |part: &str| format!("category.{index}.{part}");
-    let word = |part: &str| duties.0.get(&name(part)).and_then(Value::as_str).unwrap_or_default();
-    let effect = match word("effect") {
-        "redeliverable" => Effect::Redeliverable,
-        "deduplicated" => Effect::Deduplicated,
-        "at-most-once" => Effect::AtMostOnce,
-        _ => return Err(format!("setting {} is missing or unknown", name("effect"))),
-    };
+    let effect = Effect::named(duties.word(&name("effect")));
     let target = duties.must(&name("target-latency"))?;
     Ok(Category {
-        effect,
-        within: match word("within") {
-            "zone" => Within::Zone,
-            "fleet" => Within::Fleet,
-            _ => Within::Pod,
-        },
+        effect: effect.ok_or_else(|| format!("setting {} is missing or unknown", name("effect")))?,
+        within: Within::named(duties.word(&name("within"))),
         window: duties.or(&name("window"), 0.0),
         target,
         benefit: duties.or(&name("benefit"), 1.0),
@@ -81,6 +53,7 @@
 struct Sent {
     at: f64,
     usual: f64,
+    target: f64,
     /// After this an answer is overdue: nineteen of twenty come sooner.
     patience: f64,
 }
@@ -121,12 +94,12 @@
 const BORNE_OVER: f64 = 4000.0;
 
 impl Server {
-    fn new(line: &Listed, now: f64, cold_time: f64) -> Self {
+    fn new(mark: u64, started: f64, now: f64, cold_time: f64) -> Self {
         Server {
-            mark: line.mark,
-            started: line.started,
+            mark,
+            started,
             // A start time of none, or long past, is a warm server's.
-            warm_at: if line.started > 0.0 { line.started + cold_time } else { f64::NEG_INFINITY },
+            warm_at: if started > 0.0 { started + cold_time } else { f64::NEG_INFINITY },
             load_at: now,
             heard: now,
             best: 1.0,
@@ -139,6 +112,13 @@
         }
     }
 
+    /// A new process under the old name: what it holds still and what it once bore outlast the old one.
+    fn restarted(&mut self, started: f64, now: f64, cold_time: f64) {
+        let Server { standing, suspended, zone, pod, peak, .. } = *self;
+        let (out, new) = (std::mem::take(&mut self.out), Server::new(self.mark, started, now, cold_time));
+        *self = Server { standing, suspended, zone, pod, peak, out, ..new };
+    }
+
     fn usable(&self) -> bool {
         self.standing == Standing::Ready && !self.suspended
     }
@@ -166,6 +146,7 @@
     out: bool,
 }
 
+#[derive(Default)]
 struct Op {
     category: usize,
     ends: f64,
@@ -175,11 +156,15 @@
     /// The servers asked for their load before its first push, and whether it still waits for one.
     asked: Vec<usize>,
     waits: bool,
+    /// Its category's terms, and how many pushes it may have, as they stood when it came.
+    terms: Category,
+    most: f64,
     pushes: Vec<Pushed>,
 }
 
+#[derive(Default)]
 pub struct Balancer {
-    rng: oorandom::Rand64,
+    rng: Chance,
     now: f64,
     categories: Vec<Category>,
     customers: Vec<Customer>,
@@ -230,73 +215,51 @@
         });
         let time = categories.iter().map(|c| c.time).sum::<f64>() / categories.len().max(1) as f64;
         Ok(Balancer {
-            rng: oorandom::Rand64::new(u128::from(seed)),
-            now: 0.0,
+            rng: Chance(oorandom::Rand64::new(u128::from(seed))),
             balancers,
             own: 1.0,
             asks: duties.allow("load-must-be-asked") && duties.allow("may-probe"),
             customers: customers.collect(),
             categories,
             duties,
-            servers: BTreeMap::new(),
-            part: Vec::new(),
-            sharers: balancers,
-            parted_at: f64::NEG_INFINITY,
-            ops: BTreeMap::new(),
-            steps: BTreeMap::new(),
-            probes: BTreeSet::new(),
-            alarms: BTreeMap::new(),
-            next_alarm: 0,
             time,
-            pushes: 0.0,
-            pushed_at: f64::NEG_INFINITY,
             slack: 2.0,
-            solved_at: f64::NEG_INFINITY,
-            list_wait: 0.0,
-            warm_rate: 0.0,
-            mean_pace: 1.0,
-            mean_queue: 0.0,
-            lambda: 0.0,
+            ..Balancer::default()
         })
     }
 
     /// The server list has spoken: a whole list, or only what changed. A cached list may be stale.
     pub fn list(&mut self, out: &mut dyn Outlet, now: f64, lines: &[Listed], whole: bool, cached: bool) {
         self.now = now;
-        if whole {
-            // Danger: a server missing from the whole list was removed unseen; it gets nothing more.
-            for (id, server) in &mut self.servers {
-                if !lines.iter().any(|line| line.server == *id) {
-                    server.standing = Standing::Gone;
-                }
-            }
+        // Danger: a server missing from the whole list was removed unseen; it gets nothing more.
+        let missing = |id: &usize| whole && !lines.iter().any(|line| line.server == *id);
+        for (_, server) in self.servers.iter_mut().filter(|(id, _)| missing(id)) {
+            server.standing = Standing::Gone;
         }
         let cold_time = self.duties.or("cold-time", 0.0);
         for line in lines {
-            let fresh = Server::new(line, now, cold_time);
+            let fresh = Server::new(line.mark, line.started, now, cold_time);
             let server = self.servers.entry(line.server).or_insert(fresh);
             if line.started > server.started {
                 // Danger: a restarted process is cold, whatever its old record or a report on its way says.
                 self.probes.remove(&line.server);
-                let (out, peak, suspended) = (std::mem::take(&mut server.out), server.peak, server.suspended);
-                *server = Server { out, peak, suspended, ..Server::new(line, now, cold_time) };
+                server.restarted(line.started, now, cold_time);
             }
-            (server.standing, server.zone, server.pod) = (line.standing, line.zone, line.pod);
+            (server.mark, server.standing) = (line.mark, line.standing);
+            (server.zone, server.pod) = (line.zone, line.pod);
         }
         self.forget();
         (self.solved_at, self.parted_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
-        if cached {
-            self.follow(out);
-        } else {
-            self.list_wait = 0.0;
+        match cached {
+            true => self.follow(out),
+            false => self.list_wait = 0.0,
         }
     }
 
     /// Danger: servers ever new fill the memory; an index used again too early is another server's.
     fn forget(&mut self) {
         let tried = |id: usize| self.ops.values().any(|op| op.pushes.iter().any(|p| p.server == id));
-        let old = |s: &Server| self.now - s.heard > 60_000.0 && !s.suspended;
-        let gone = |s: &Server| s.standing == Standing::Gone && old(s);
+        let gone = |s: &Server| s.standing == Standing::Gone && !s.suspended && self.now - s.heard > 60_000.0;
         self.servers.retain(|id, s| !gone(s) || !s.out.is_empty() || tried(*id));
         self.part.retain(|id| self.servers.contains_key(id));
     }
@@ -308,18 +271,17 @@
     /// Taken out by hand. Danger: it is restarted meanwhile, and the list may name it anew: the mark stays.
     pub fn suspend(&mut self, now: f64, server: usize) {
         (self.now, self.solved_at, self.parted_at) = (now, f64::NEG_INFINITY, f64::NEG_INFINITY);
-        let unlisted = Listed { server, ..Listed::default() };
-        self.servers.entry(server).or_insert_with(|| Server::new(&unlisted, now, 0.0)).suspended = true;
+        self.servers.entry(server).or_insert_with(|| Server::new(0, 0.0, now, 0.0)).suspended = true;
     }
 
     /// Back by hand. Danger: the list may tell late, or not at all, that it has started anew: it comes cold.
     pub fn resume(&mut self, now: f64, server: usize) {
         (self.now, self.solved_at, self.parted_at) = (now, f64::NEG_INFINITY, f64::NEG_INFINITY);
         let cold_time = self.duties.or("cold-time", 0.0);
-        let Some(s) = self.servers.get_mut(&server).filter(|s| s.suspended) else { return };
-        let (standing, mark, zone, pod, started) = (s.standing, s.mark, s.zone, s.pod, now);
-        let fresh = Server::new(&Listed { server, mark, standing, zone, pod, started }, now, cold_time);
-        *s = Server { out: std::mem::take(&mut s.out), peak: s.peak, standing, zone, pod, ..fresh };
+        if let Some(s) = self.servers.get_mut(&server).filter(|s| s.suspended) {
+            s.restarted(now, now, cold_time);
+            s.suspended = false;
+        }
     }
 
     /// Danger: the two processes of an upgrade would spend a node's limits, purses and quotas twice.
@@ -333,12 +295,26 @@
         (listed().count(), listed().filter(|s| s.suspended || s.faults > 0.5).count())
     }
 
+    /// New duties. Ops under way keep the terms that they came under, and what was learnt stays.
+    pub fn renew(&mut self, given: Given) -> Result<(), String> {
+        let mut new = Balancer::new(given, 0)?;
+        for (new, old) in new.categories.iter_mut().zip(&self.categories) {
+            (new.time, new.acked) = (old.time, old.acked);
+        }
+        for (new, old) in new.customers.iter_mut().zip(&self.customers) {
+            (new.purse, new.counted) = (old.purse, old.counted);
+        }
+        (self.categories, self.customers, self.duties) = (new.categories, new.customers, new.duties);
+        (self.balancers, self.asks) = (new.balancers, new.asks);
+        (self.solved_at, self.parted_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
+        Ok(())
+    }
+
     fn follow(&mut self, out: &mut dyn Outlet) {
         // Danger: a cached list may be stale. Where changes come unasked, the whole list is asked for once.
-        if self.duties.allow("list-must-be-asked") {
-            out.follow_list();
-        } else {
-            out.ask_list();
+        match self.duties.allow("list-must-be-asked") {
+            true => out.follow_list(),
+            false => out.ask_list(),
         }
     }
 
@@ -348,7 +324,7 @@
         // Danger: an old list no longer holds. Waits: short beside any drain, and well within `ask-within`.
         let longest = self.duties.or("ask-within", 8000.0) / 4.0;
         self.list_wait = (self.list_wait * 2.0).clamp(200.0_f64.min(longest), longest);
-        let at = now + self.list_wait * (0.5 + self.rng.rand_float());
+        let at = now + self.list_wait * (0.5 + self.rng.0.rand_float());
         self.alarm(out, at, Box::new(|b, out| b.follow(out)));
     }
 
@@ -377,7 +353,8 @@
     }
 
     fn learn(&mut self, id: usize, category: usize, sent: &Sent, end: &PushEnd) {
-        let (now, sharers) = (self.now, self.sharers);
+        // A single server's share of a node may be under one push; whether limits are used shows over all.
+        let (now, sharers, strained, asks) = (self.now, self.sharers, self.strain() > 0.6, self.asks);
         let ratio = end.took / sent.usual.max(1.0);
         let good = end.ending == Ending::Acked;
         // Danger: a silent server's pushes are all called off once a second copy is back.
@@ -387,8 +364,6 @@
         if matches!(end.ending, Ending::Cancelled | Ending::Unsent) {
             return;
         }
-        // A single server's share of a node may be under one push; whether limits are used shows over all.
-        let (strained, asks) = (self.strain() > 0.6, self.asks);
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
         // Danger: one that gets little would seem slow for long: after a silence the new counts for more.
         let Some(server) = self.servers.get_mut(&id) else { return };
@@ -432,7 +407,7 @@
         // Danger: idle servers turn one category away. Where nothing waits, it is not full.
         let full = end.ending == Ending::TurnedAway && server.load.waiting.is_none_or(|w| w > 0.0);
         let failed = full || matches!(end.ending, Ending::TimedOut | Ending::Unreachable);
-        let late = !lost && (failed || end.took > self.categories[category].target);
+        let late = !lost && (failed || end.took > sent.target);
         let used = strained && (asks || server.out.len() as f64 >= 0.5 * server.limit / sharers);
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
         if late && now - server.cut_at > sent.usual {
@@ -675,7 +650,7 @@
                 server.purse_at = self.now;
             } else if self.now - server.purse_at >= span {
                 // Danger: hundreds of nodes that each save up an op push it over. Chance grants one.
-                server.purse = f64::from(u8::from(self.rng.rand_float() < most));
+                server.purse = f64::from(u8::from(self.rng.0.rand_float() < most));
                 server.purse_at = self.now;
             }
         }
@@ -705,11 +680,10 @@
             category: arrival.category,
             ends: now + arrival.ttl,
             rank,
-            bound: false,
             key: arrival.key.filter(|_| self.duties.allow("servers-know-keys")),
-            asked: Vec::new(),
-            waits: false,
-            pushes: Vec::new(),
+            terms: self.categories[arrival.category],
+            most: self.duties.or("most-pushes", 1.0),
+            ..Op::default()
         };
         self.ops.insert(arrival.op, op);
         self.solve();
@@ -754,11 +728,10 @@
             }
         }
         let op = self.ops.get_mut(&id).expect("just taken in");
-        op.waits = asked.iter().any(|s| self.probes.contains(s));
-        op.asked = asked;
+        (op.waits, op.asked) = (asked.iter().any(|s| self.probes.contains(s)), asked);
         if op.waits {
             // Danger: a probe that waits like an op, or has no answer. A tenth of the target latency is lost.
-            let at = op.ends.min(self.now + 0.1 * self.categories[op.category].target);
+            let at = op.ends.min(self.now + 0.1 * op.terms.target);
             self.alarm(out, at, Box::new(move |b, out| b.waited(out, id)));
         }
         self.ops[&id].waits
@@ -797,7 +770,7 @@
     fn candidates(&mut self, id: usize) -> Vec<(usize, f64)> {
         self.fill_purses();
         let op = &self.ops[&id];
-        let category = &self.categories[op.category];
+        let (category, time) = (&op.terms, self.categories[op.category].time);
         // Danger: an op that cannot make its target latency costs a server's work for little.
         let left = (op.ends - self.now).min(if self.asks { category.target } else { f64::MAX });
         // Danger: a repeat finds the group that it must stay in full. It was let in once: over the limit.
@@ -823,7 +796,7 @@
                 && (bound || (s.out.len() as f64) < (s.limit / self.sharers).max(1.0))
                 && (self.now >= s.warm_at || s.purse > 0.0)
                 // Danger: one thought slow is never seen to recover. First pushes look, or its word tells.
-                && (s.expected * category.time / self.time < left
+                && (s.expected * time / self.time < left
                     || (!self.asks && op.pushes.is_empty() && s.out.is_empty()))
         };
         // Danger: one push from each of many nodes is over a weak server's limit. Chance takes the part.
@@ -837,8 +810,7 @@
         let (tried, fresh): (Vec<_>, Vec<_>) =
             all.into_iter().partition(|(sid, _)| op.pushes.iter().any(|p| p.server == *sid));
         // The same server again only where no other may do it, and never beside a push still out there.
-        let fresh = Some(fresh).filter(|f| !f.is_empty() || op.pushes.iter().any(|p| p.out));
-        fresh.unwrap_or(tried)
+        Some(fresh).filter(|f| !f.is_empty() || op.pushes.iter().any(|p| p.out)).unwrap_or(tried)
     }
 
     /// Draws by share among those at or under their share of own pushes out. Danger: chance heaps pushes
@@ -852,12 +824,11 @@
 
     fn roulette(&mut self, from: &[(usize, f64)]) -> usize {
         let sum: f64 = from.iter().map(|(_, p)| p).sum();
-        if sum <= 0.0 {
-            return from[self.rng.rand_range(0..from.len() as u64) as usize].0;
-        }
-        let mut left = self.rng.rand_float() * sum;
+        // Where no share is above 0 all are alike.
+        let even = f64::from(u8::from(sum <= 0.0));
+        let mut left = self.rng.0.rand_float() * (sum + even * from.len() as f64);
         let hit = from.iter().find(|(_, p)| {
-            left -= p;
+            left -= p + even;
             left < 0.0
         });
         hit.unwrap_or(&from[from.len() - 1]).0
@@ -865,19 +836,16 @@
 
     /// Own pushes in flight over what the limits leave this node.
     fn strain(&self) -> f64 {
-        let part = self.part.iter().map(|id| &self.servers[id]);
-        if self.asks {
-            let known = part.filter_map(|s| Some((s.told(self.now)?, s.limit)));
-            let (told, limits) = known.fold((0.0, 0.0), |(t, l), (told, limit)| (t + told, l + limit));
-            return told / f64::max(limits, 1.0);
-        }
-        let (out, limits) = part.fold((0, 0.0), |(out, limits), s| (out + s.out.len(), limits + s.limit));
-        out as f64 * self.sharers / f64::max(limits, 1.0)
+        let (asks, now, sharers) = (self.asks, self.now, self.sharers);
+        let held = |s: &Server| if asks { s.told(now) } else { Some(s.out.len() as f64 * sharers) };
+        let known = self.part.iter().map(|id| &self.servers[id]).filter_map(|s| Some((held(s)?, s.limit)));
+        let (held, limits) = known.fold((0.0, 0.0), |(h, l), (held, limit)| (h + held, l + limit));
+        held / f64::max(limits, 1.0)
     }
 
     fn try_push(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
         let op = &self.ops[&id];
-        if op.bound || op.pushes.len() as f64 >= self.duties.or("most-pushes", 1.0) {
+        if op.bound || op.pushes.len() as f64 >= op.most {
             return false;
         }
         let again = op.pushes.iter().any(|p| p.may_have_run);
@@ -885,7 +853,7 @@
         let over = self.strain() / (0.6 + 0.4 * op.rank.sqrt());
         // Danger: asked loads may be seconds old. Were all over the line refused, the fleet would empty and
         // then jam: chance takes some, by the excess to the fourth (lower lets servers jam, higher swings).
-        if !again && over > 1.0 && !(self.asks && self.rng.rand_float() < over.powi(-4)) {
+        if !again && over > 1.0 && !(self.asks && self.rng.0.rand_float() < over.powi(-4)) {
             return false;
         }
         let mut from = self.candidates(id);
@@ -906,7 +874,7 @@
         self.pushed_at = now;
         let op = self.ops.get_mut(&id).expect("caller holds it");
         let (category, left, n) = (op.category, op.ends - now, op.pushes.len());
-        let Category { time: usual, effect, .. } = self.categories[category];
+        let (Category { effect, target, .. }, usual) = (op.terms, self.categories[category].time);
         op.pushes.push(Pushed { server: to, at: now, may_have_run: true, out: true });
         let server = self.servers.get_mut(&to).expect("drawn from the list");
         server.since_load += 1.0;
@@ -914,7 +882,7 @@
             server.purse -= usual / time;
         }
         let expected = (server.expected * usual / time).max(usual * server.pace.unwrap_or(1.0));
-        let sent = Sent { at: now, usual, patience: expected * self.slack };
+        let sent = Sent { at: now, usual, target, patience: expected * self.slack };
         server.out.insert((id, n), sent);
         out.push(id, to, left);
         let copies = effect != Effect::AtMostOnce && self.duties.allow("second-copies");
@@ -968,7 +936,7 @@
     /// The one final answer where no ack will come: a nack where the client may safely try again.
     fn give_up(&mut self, out: &mut dyn Outlet, id: usize) {
         let Some(op) = self.ops.get(&id) else { return };
-        let category = &self.categories[op.category];
+        let category = &op.terms;
         let ran = op.pushes.iter().any(|p| p.may_have_run);
         let harmless = match category.effect {
             Effect::Redeliverable => true,
@@ -978,9 +946,8 @@
         if harmless {
             // The time in which the work in flight is mostly done.
             let most =
-                self.duties.or("come-back-most", 0.0) * f64::from(u8::from(self.duties.allow("come-back")));
-            let come_back = (0.25 * self.time).min(most);
-            out.nack(id, come_back);
+                if self.duties.allow("come-back") { self.duties.or("come-back-most", 0.0) } else { 0.0 };
+            out.nack(id, (0.25 * self.time).min(most));
         } else {
             out.dead_letter(id);
         }
@@ -989,10 +956,9 @@
 
     fn close(&mut self, out: &mut dyn Outlet, id: usize) {
         let Some(op) = self.ops.remove(&id) else { return };
-        if self.duties.allow("may-cancel") {
-            for (n, _) in op.pushes.iter().enumerate().filter(|(_, p)| p.out) {
-                out.cancel(id, n);
-            }
+        let may = self.duties.allow("may-cancel");
+        for (n, _) in op.pushes.iter().enumerate().filter(|(_, p)| p.out && may) {
+            out.cancel(id, n);
         }
     }
 
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -133,6 +133,11 @@
         self.balancer.resume(now, server);
     }
 
+    /// New settings; ops under way keep those that they came under.
+    pub fn renew(&mut self, given: Given) -> Result<(), String> {
+        self.balancer.renew(given)
+    }
+
     /// Its share of the node, where two processes are one.
     pub fn share(&mut self, share: f64) {
         self.balancer.share(share);
--- a/src/given.rs
+++ b/src/given.rs
@@ -40,6 +40,30 @@
 ];
 const CUSTOMER: &[(&str, &str)] = &[("quota", "QuotaPerS"), ("share", "Fraction")];
 
+/// What the operators oblige and allow this node: their names and values as handed over.
+#[derive(Default)]
+pub struct Duties(pub Given);
+
+impl Duties {
+    pub fn must(&self, name: &str) -> Result<f64, String> {
+        let value = self.0.get(name).ok_or_else(|| format!("setting {name} is missing"))?;
+        let number = value.as_f64().or_else(|| value.as_bool().map(|yes| f64::from(u8::from(yes))));
+        number.ok_or_else(|| format!("setting {name} is not a number"))
+    }
+
+    pub fn or(&self, name: &str, otherwise: f64) -> f64 {
+        self.must(name).unwrap_or(otherwise)
+    }
+
+    pub fn word(&self, name: &str) -> &str {
+        self.0.get(name).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    pub fn allow(&self, name: &str) -> bool {
+        self.or(name, 0.0) > 0.0
+    }
+}
+
 /// Wire words that stand as values, and ours.
 const WORDS: &[(&str, &str)] = &[
     ("read_like", "redeliverable"),
--- a/src/words.rs
+++ b/src/words.rs
@@ -5,22 +5,55 @@
 /// What is handed over at start: plain names to plain values.
 pub type Given = BTreeMap<String, serde_json::Value>;
 
+/// The generator of chance; what is made without a seed is given one before it is used.
+pub struct Chance(pub oorandom::Rand64);
+
+impl Default for Chance {
+    fn default() -> Self {
+        Chance(oorandom::Rand64::new(0))
+    }
+}
+
 /// Whether an op may run again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     Redeliverable,
     Deduplicated,
+    /// The strictest.
+    #[default]
     AtMostOnce,
 }
 
+impl Effect {
+    pub fn named(word: &str) -> Option<Self> {
+        match word {
+            "redeliverable" => Some(Effect::Redeliverable),
+            "deduplicated" => Some(Effect::Deduplicated),
+            "at-most-once" => Some(Effect::AtMostOnce),
+            _ => None,
+        }
+    }
+}
+
 /// The servers that drop each other's repeats of a deduplicated op.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Within {
     Fleet,
     Zone,
+    #[default]
     Pod,
 }
 
+impl Within {
+    pub fn named(word: &str) -> Self {
+        match word {
+            "zone" => Within::Zone,
+            "fleet" => Within::Fleet,
+            _ => Within::Pod,
+        }
+    }
+}
+
 /// What the server list says of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
