--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -217,10 +217,10 @@
         "Submit" => {
             let id = fields.whole(2, "Req")?;
             let category = fields.text(3, "Cls")?;
-            let category = names.categories.iter().position(|c| c == category);
+            let category = names.categories.index(category);
             let category = category.ok_or_else(|| fields.wrong("Cls"))?;
             let customer = fields.at(4).and_then(Value::as_str);
-            let customer = customer.and_then(|name| names.customers.iter().position(|c| c == name));
+            let customer = customer.and_then(|name| names.customers.index(name));
             let ttl = fields.number(6, "BudgetMs")?.ok_or_else(|| fields.wrong("BudgetMs"))?;
             let flags = fields.at(8).map_or(Ok(0), |_| fields.whole(8, "Flags"))?;
             fields.number(7, "EffortMs")?;
--- a/node/src/life/configuration.rs
+++ b/node/src/life/configuration.rs
@@ -18,7 +18,33 @@
     byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)
 }
 
+/// The first key that a running configuration has and a new one lacks: at the top, in `settings`, `limits` and in
+/// each category. One that is new must have what all others had. Danger: a file cut short that still reads as one.
+fn lacks(running: &Value, new: &Value) -> Option<String> {
+    let keys = |of: &Value| of.as_object().map(|o| o.keys().cloned().collect::<Vec<_>>()).unwrap_or_default();
+    for path in ["", "/settings", "/limits"] {
+        let (had, has) = (running.pointer(path)?, new.pointer(path));
+        if let Some(key) = keys(had).into_iter().find(|key| has.is_none_or(|has| has.get(key).is_none())) {
+            return Some(format!("{path}/{key}").trim_start_matches('/').replace('/', "."));
+        }
+    }
+    let categories = |of: &Value| {
+        of.pointer("/settings/Categories").and_then(Value::as_array).cloned().unwrap_or_default()
+    };
+    let had = categories(running);
+    let common = keys(had.first()?).into_iter().filter(|key| had.iter().all(|c| c.get(key).is_some()));
+    let common: Vec<String> = common.collect();
+    categories(new).iter().enumerate().find_map(|(index, category)| {
+        let same = had.iter().find(|c| c.get("Name") == category.get("Name"));
+        let needed = same.map_or_else(|| common.clone(), &keys);
+        let key = needed.into_iter().find(|key| category.get(key).is_none())?;
+        Some(format!("settings.Categories.{index}.{key}"))
+    })
+}
+
 pub struct Configuration {
+    /// All of it as it was read, but for the servers of the list.
+    pub whole: Value,
     pub name: String,
     /// Of all categories, in milliseconds.
     pub longest_ttl: f64,
@@ -48,8 +74,12 @@
 
     /// Reads that file again. Danger: variables are those of the start; were `BALANCER_DISCOVERY` to stand over
     /// the file for good, no new file could ever name another address.
-    pub fn again() -> Result<Self, String> {
-        Self::from_file(&[("listen", "BALANCER_LISTEN"), ADMIN])
+    pub fn again(running: &Value) -> Result<Self, String> {
+        let new = Self::from_file(&[("listen", "BALANCER_LISTEN"), ADMIN])?;
+        match lacks(running, &new.whole) {
+            Some(key) => Err(format!("{key} is missing")),
+            None => Ok(new),
+        }
     }
 
     fn from_file(over: &[(&str, &str)]) -> Result<Self, String> {
@@ -103,7 +133,12 @@
             Dispatcher::new(given, seed).map_err(|m| format!("settings: {}", given::explain(&m)))?;
         let ttls = settings.get("Categories").and_then(Value::as_array).into_iter().flatten();
         let longest = ttls.filter_map(|c| c.get("TtlMs")?.as_f64()).fold(0.0, f64::max);
+        let mut kept = whole.clone();
+        if let Some(known) = kept.get_mut("known") {
+            *known = Value::Null;
+        }
         Ok(Configuration {
+            whole: kept,
             name: whole.get("name").and_then(Value::as_str).unwrap_or_default().to_string(),
             longest_ttl: longest,
             listen: address("listen")?,
--- a/node/src/life/reload.rs
+++ b/node/src/life/reload.rs
@@ -6,16 +6,30 @@
 /// Ops, connections and all that was learnt live on, whatever the new file holds.
 pub fn again(proxy: &mut Proxy) {
     // Danger: a faulty file, or one half written, would end a node that serves. It keeps what it has.
-    let new = match Configuration::again() {
-        Ok(new) => new,
+    let taken = Configuration::again(&proxy.running).and_then(|new| take_over(proxy, new));
+    match taken {
+        Ok(()) => {
+            proxy.tally.applied += 1;
+            log::info!("listen, admin_addr, limits, seed, name and known count from the next start");
+        }
         Err(e) => {
             proxy.tally.rejected += 1;
-            return log::error!("the configuration stays as it was: {e}");
+            log::error!("the configuration stays as it was: {e}");
         }
-    };
-    proxy.tally.applied += 1;
+    }
+}
+
+/// All that can fail comes first, on a copy of the names: no half of a file is ever in force.
+fn take_over(proxy: &mut Proxy, new: Configuration) -> Result<(), String> {
+    let mut names = proxy.names.clone();
+    let given = names.renew(&new.whole["settings"]);
+    proxy.dispatcher.renew(given)?;
+    proxy.names = names;
     proxy.servers.take_times(new.connect_within, new.keepalive);
+    proxy.longest_ttl = new.longest_ttl;
+    proxy.key_header = new.key_header;
+    proxy.running = new.whole;
     proxy.follow_discovery(new.discovery);
     log::info!("configuration read again; discovery at {}", new.discovery);
-    log::info!("listen, limits, seed, known and all other settings count from the next start");
+    Ok(())
 }
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -18,6 +18,7 @@
 use crankmux::words::{Arrival, Ending, Load, PushEnd};
 use mio::net::TcpListener;
 use mio::{Events, Poll, Registry, Token};
+use serde_json::Value;
 use socket2::{Domain, Socket, Type};
 use std::io;
 use std::net::SocketAddr;
@@ -70,6 +71,8 @@
     pub end_at: f64,
     /// Of all categories.
     pub longest_ttl: f64,
+    /// The configuration in force.
+    pub running: Value,
     pub state: State,
     pub bans: Bans,
     pub upgrade: Upgrade,
@@ -128,6 +131,7 @@
             stop_at: None,
             end_at: f64::INFINITY,
             longest_ttl: configuration.longest_ttl,
+            running: configuration.whole,
             state,
             bans: Bans::default(),
             upgrade,
--- a/node/src/wire/admin.rs
+++ b/node/src/wire/admin.rs
@@ -216,7 +216,8 @@
     /// What the node reports, a figure a line.
     fn figures(&self) -> String {
         let (discovered, ejected) = self.dispatcher.census();
-        self.tally.lines(&self.names.categories) + &format!("discovered={discovered}\nejected={ejected}\n")
+        self.tally.lines(&self.names.categories.names)
+            + &format!("discovered={discovered}\nejected={ejected}\n")
     }
 }
 
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -128,7 +128,7 @@
     if path.trim_start_matches('/').split(['/', '?']).next() != Some(category) {
         return Err(400);
     }
-    let category = names.categories.iter().position(|c| c == category).ok_or(400_u16)?;
+    let category = names.categories.index(category).ok_or(400_u16)?;
     let ttl: f64 = header("X-Timeout").and_then(|v| v.parse().ok()).ok_or(400_u16)?;
     if !(ttl > 0.0 && ttl <= TTL_MOST) {
         return Err(400);
@@ -137,7 +137,7 @@
     if customer.is_none() && !names.customers.is_empty() {
         return Err(400);
     }
-    let customer = customer.and_then(|name| names.customers.iter().position(|c| c == name));
+    let customer = customer.and_then(|name| names.customers.index(name));
     let retry = header("X-Retried") == Some("1");
     // All nodes come to the same number, so that a key's servers are known to all alike.
     let key = key.and_then(header).map(hashed);
--- a/src/given.rs
+++ b/src/given.rs
@@ -119,6 +119,23 @@
             return faulty(path, "is no number from 0 and neither true nor false");
         }
     }
+    // Danger: a deadline of nothing ends each op at once, none at all, or a number in quotes, never.
+    let above =
+        |value: Option<&Value>| value.and_then(Value::as_f64).is_some_and(|n| n.is_finite() && n > 0.0);
+    if !above(settings.pointer("/Limits/MostPushes")) {
+        return faulty("/Limits/MostPushes", "is no number above 0");
+    }
+    let categories = settings.get("Categories").and_then(Value::as_array);
+    for (index, category) in categories.ok_or("Categories is missing or no list")?.iter().enumerate() {
+        for name in ["TargetLatencyMs", "TtlMs"] {
+            if !above(category.get(name)) {
+                return faulty(&format!("Categories/{index}/{name}"), "is no number above 0");
+            }
+        }
+        if category.get("Name").and_then(Value::as_str).is_none_or(str::is_empty) {
+            return faulty(&format!("Categories/{index}/Name"), "is missing or no name");
+        }
+    }
     let via = settings.pointer("/Reporting/Via").filter(|v| !v.is_null());
     if !via.is_none_or(|via| ["piggyback", "pull", "silent"].iter().any(|word| via == word)) {
         return faulty("/Reporting/Via", "is none of piggyback, pull and silent");
@@ -150,11 +167,56 @@
     items.map(|items| items.iter().map(name).collect()).unwrap_or_default()
 }
 
+/// What stands in the settings under names: each keeps its index for good, also once it is gone from them.
+#[derive(Clone, Default)]
+pub struct Roll {
+    pub names: Vec<String>,
+    items: Vec<Value>,
+    served: Vec<bool>,
+}
+
+impl Roll {
+    /// Takes over what the settings list now, and returns all that ever was, by index.
+    fn renew(&mut self, settings: &Value, list: &str) -> Value {
+        let names = names_of(settings, list);
+        self.served.fill(false);
+        for (name, item) in
+            names.into_iter().zip(settings.get(list).and_then(Value::as_array).into_iter().flatten())
+        {
+            let index = self.names.iter().position(|n| *n == name).unwrap_or_else(|| {
+                self.names.push(name);
+                self.items.push(Value::Null);
+                self.served.push(false);
+                self.names.len() - 1
+            });
+            (self.items[index], self.served[index]) = (item.clone(), true);
+        }
+        let mut all = self.items.clone();
+        // Danger: a benefit that nothing brings any more would make all others look small.
+        for (item, _) in
+            all.iter_mut().zip(&self.served).filter(|(item, served)| item.is_object() && !**served)
+        {
+            item["Benefit"] = 0.into();
+        }
+        all.into()
+    }
+
+    /// The index of one that the settings list now.
+    pub fn index(&self, name: &str) -> Option<usize> {
+        self.names.iter().position(|n| n == name).filter(|index| self.served[*index])
+    }
+
+    /// Whether the settings list none.
+    pub fn is_empty(&self) -> bool {
+        !self.served.contains(&true)
+    }
+}
+
 /// Names to small indices, as they stand in the settings or are met in the list of servers.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Names {
-    pub categories: Vec<String>,
-    pub customers: Vec<String>,
+    pub categories: Roll,
+    pub customers: Roll,
     zones: Vec<String>,
     servers: Indices,
     pods: Indices,
@@ -163,7 +225,7 @@
 }
 
 /// Small indices for numbers from outside, used again once what they stood for is forgotten.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Indices {
     by_number: HashMap<u64, usize>,
     numbers: Slab<u64>,
@@ -183,17 +245,27 @@
 impl Names {
     /// The settings' names, and what the module is given at start.
     pub fn read(settings: &Value) -> (Self, Given) {
-        let mut names = Names {
-            categories: names_of(settings, "Categories"),
-            customers: names_of(settings, "Customers"),
-            zones: names_of(settings, "Zones"),
-            ..Names::default()
-        };
-        let mut given = translate(settings);
+        let mut names = Names::default();
+        let given = names.renew(settings);
+        (names, given)
+    }
+
+    /// New settings' names: what had an index keeps it.
+    pub fn renew(&mut self, settings: &Value) -> Given {
+        for zone in names_of(settings, "Zones") {
+            self.zone(&zone);
+        }
+        let mut whole = settings.clone();
+        for (roll, list) in [(&mut self.categories, "Categories"), (&mut self.customers, "Customers")] {
+            if settings.get(list).is_some() {
+                whole[list] = roll.renew(settings, list);
+            }
+        }
+        let mut given = translate(&whole);
         if let Some(zone) = settings.get("MyZone").and_then(Value::as_str) {
-            given.insert("my-zone".into(), names.zone(zone).into());
+            given.insert("my-zone".into(), self.zone(zone).into());
         }
-        (names, given)
+        given
     }
 
     fn zone(&mut self, name: &str) -> usize {
