--- a/node/src/memory/buffers.rs
+++ b/node/src/memory/buffers.rs
@@ -4,8 +4,10 @@
 
 /// Head of a message at most: what common servers allow.
 pub const HEAD_MOST: usize = 8 * 1024;
-/// Body of a message at most: the protocol's figure.
+/// Body of a message that is held whole: the protocol's figure.
 pub const BODY_MOST: usize = 64 * 1024;
+/// Body of a message that is passed on in pieces at most: the operators' figure.
+pub const BODY_LONG: usize = 32 * 1024 * 1024;
 /// A whole message, and room for the chunk heads that come with its end.
 const SIZE: usize = HEAD_MOST + BODY_MOST + 4 * 1024;
 /// Never read into: room for the lines that the node adds to a head that it passes on.
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -13,6 +13,8 @@
     pub departed: u64,
     /// Bad input, answered without an op.
     pub bad: u64,
+    /// Clients that took nothing of their answer for too long.
+    pub stalled: u64,
     /// Pushes and requests that met full tables or an empty pool.
     pub full: u64,
     pub push_acked: u64,
@@ -34,8 +36,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "ops: taken {}, acked {}, nacked {}, dead-lettered {}, departed {}, bad {}, full {}; ",
-            self.taken, self.acked, self.nacked, self.dead_lettered, self.departed, self.bad, self.full
+            "ops: taken {}, acked {}, nacked {}, dead-lettered {}, departed {}, bad {}, stalled {}, full {}; ",
+            self.taken, self.acked, self.nacked, self.dead_lettered, self.departed, self.bad, self.stalled, self.full
         )?;
         write!(
             f,
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -308,15 +308,18 @@
                 self.counters.sent += 1;
                 self.ops.out_at(op, push, link);
             }
-            Err(ending) => {
-                self.pushed(op, push, now, Outcome { ending, load: Load::default(), answer: None })
-            }
+            Err(ending) => self.pushed(
+                op,
+                push,
+                now,
+                Outcome { ending, load: Load::default(), answer: None, took: None },
+            ),
         }
     }
 
     /// A push has ended: the first ack goes to the client, anything else to the decisions.
     fn pushed(&mut self, op: usize, push: usize, at: f64, outcome: Outcome) {
-        let Outcome { ending, load, answer } = outcome;
+        let Outcome { ending, load, answer, took } = outcome;
         let count = match ending {
             Ending::Acked => &mut self.counters.push_acked,
             Ending::Errored => &mut self.counters.push_errored,
@@ -339,7 +342,8 @@
             }
             self.buffers.give(inbox);
         }
-        let next = self.dispatcher.report(now, &PushEnd { op, push, ending, took: now - at, closed, load });
+        let took = took.unwrap_or(now - at);
+        let next = self.dispatcher.report(now, &PushEnd { op, push, ending, took, closed, load });
         self.follow(op, next);
     }
 
--- a/node/src/wire/admin.rs
+++ b/node/src/wire/admin.rs
@@ -66,12 +66,6 @@
     String::from_utf8(bytes).ok().filter(|id| !id.is_empty())
 }
 
-/// The path of a target, which may name a host before it and a question behind it.
-fn path_of(target: &str) -> &str {
-    let named = target.strip_prefix("http://").map(|rest| rest.find('/').map_or("/", |at| &rest[at..]));
-    named.unwrap_or(target).split('?').next().unwrap_or_default()
-}
-
 impl Proxy {
     pub fn open_door(&mut self) {
         while let Some(listener) = &self.door.listener {
@@ -166,7 +160,7 @@
             }
             let filled = caller.said.fill(&mut caller.stream);
             let found = http::request(caller.said.held(), |method, target, _| {
-                (method.to_string(), path_of(target).to_string())
+                (method.to_string(), http::origin(target).split('?').next().unwrap_or_default().to_string())
             });
             match (found, filled) {
                 (Ok(Some((_, (method, path)))), _) => {
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -2,8 +2,10 @@
 
 use super::discovery::hashed;
 use super::http::{self, Message, Refused};
+use super::passing::STALL;
 use super::silent;
-use crate::memory::buffers::{Buffer, Filled};
+use super::uploading::Upload;
+use crate::memory::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
 use crate::memory::ops::Ops;
 use crate::memory::tables::Table;
 use crate::memory::tally::{End, Receipt};
@@ -14,12 +16,17 @@
 use httparse::Header;
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
+use socket2::SockRef;
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
+use std::time::Duration;
 
-/// A new connection's first request, a later one from its first byte on, and an answer must go through within
-/// this many milliseconds: under the 3 s in which even a rude client is owed an error or a close.
+/// The head of a new connection's first request, and of a later one from its first byte on, must be in within
+/// this many milliseconds, and a body may not stand for so long: under the 3 s in which even a rude client is owed
+/// an error or a close.
 const SLOW: f64 = 2500.0;
+/// Beyond that a body keeps this pace, in bytes a millisecond: a quarter of the slowest that is promised.
+const PACE: f64 = 16.0;
 /// How long a connection stays on which no request follows the last answer: longer than clients pause
 /// between two requests while they have work.
 const IDLE_MOST: f64 = 2000.0;
@@ -47,6 +54,15 @@
     sent: usize,
     /// The connection to a server from which more of its answer comes.
     fed_by: Option<usize>,
+    /// Only the connection's end tells that answer's.
+    unframed: bool,
+    /// The connection to a server to which its body goes on, and whether its first piece has been let go.
+    feeds: Option<usize>,
+    let_go: bool,
+    /// Since when its body comes, how much has come since, and when anything last came or was taken.
+    body_from: f64,
+    got: usize,
+    moved: f64,
     op: Option<usize>,
     /// Of its op, until the answer is out, and what that answer makes of it.
     receipt: Option<Receipt>,
@@ -56,8 +72,9 @@
     lingers: bool,
     /// It asked for something whole, and nothing more is expected of it.
     over: bool,
-    /// Bytes read while it lingers.
+    /// Bytes read while it lingers; one that was answered while its body still came may go on for longer.
     past: usize,
+    patient: bool,
     /// How many it has had.
     answers: u32,
     /// Part of a request is in.
@@ -68,6 +85,16 @@
 }
 
 impl Client {
+    /// Its head is in, but its body is not whole.
+    fn in_body(&self) -> bool {
+        self.request.as_ref().is_some_and(|(message, _)| !message.whole())
+    }
+
+    /// By when more of its body must have come.
+    fn body_due(&self) -> f64 {
+        (self.moved + SLOW).min(self.body_from + SLOW + self.got as f64 / PACE)
+    }
+
     /// Neither an op is under way nor an answer to be written.
     fn spare(&self) -> bool {
         self.op.is_none() && self.outbox.is_none()
@@ -215,6 +242,31 @@
         }
     }
 
+    /// Whether it has taken all that stood to be written.
+    pub fn has_taken(&self, key: usize) -> bool {
+        let client = self.table.get(key);
+        client.is_none_or(|c| c.outbox.as_ref().is_none_or(|outbox| c.sent == outbox.held().len()))
+    }
+
+    /// Whether its request showed that it knows chunks.
+    pub fn takes_chunks(&self, key: usize) -> bool {
+        self.table.get(key).and_then(|c| c.request.as_ref()).is_none_or(|(message, _)| message.chunks)
+    }
+
+    /// Its body goes on to a connection to a server.
+    pub fn feeds(&mut self, key: usize, link: usize) {
+        if let Some(client) = self.table.get_mut(key) {
+            client.feeds = Some(link);
+        }
+    }
+
+    /// Its body, while it comes.
+    pub fn upload(&mut self, key: usize) -> Option<Upload<'_>> {
+        let Client { stream, inbox, request, let_go, got, moved, .. } = self.table.get_mut(key)?;
+        let (inbox, (message, _)) = (inbox.as_mut()?, request.as_mut()?);
+        Some(Upload { stream, inbox, message, let_go, got, moved })
+    }
+
     /// Nothing more comes of its answer.
     pub fn fed(&mut self, key: usize) {
         if let Some(client) = self.table.get_mut(key) {
@@ -329,6 +381,12 @@
             outbox: None,
             sent: 0,
             fed_by: None,
+            unframed: false,
+            feeds: None,
+            let_go: false,
+            body_from: idle_since,
+            got: 0,
+            moved: idle_since,
             op: None,
             receipt: None,
             end: None,
@@ -336,6 +394,7 @@
             lingers: false,
             over: false,
             past: 0,
+            patient: false,
             answers: 0,
             begun: false,
             timer: None,
@@ -350,6 +409,10 @@
     /// The one place where a client's connection and buffers are given back.
     pub fn drop_client(&mut self, key: usize) {
         let Some(mut client) = self.clients.table.take(key) else { return };
+        if client.fed_by.is_some() && client.unframed {
+            // Danger: an answer cut short whose end is the connection's would look whole. A reset tells.
+            let _ = SockRef::from(&client.stream).set_linger(Some(Duration::ZERO));
+        }
         if let Some(link) = client.fed_by.filter(|link| self.servers.links.get(*link).is_some()) {
             self.counters.departed += 1;
             self.fail(link, Ending::Cancelled, Load::default());
@@ -388,7 +451,12 @@
     pub fn write_answer(&mut self, key: usize) -> bool {
         let Some(client) = self.clients.table.get_mut(key) else { return false };
         let Some(outbox) = &client.outbox else { return true };
-        match outbox.drain(&mut client.sent, &mut client.stream) {
+        let before = client.sent;
+        let drained = outbox.drain(&mut client.sent, &mut client.stream);
+        if client.sent > before {
+            client.moved = self.clock.now();
+        }
+        match drained {
             Ok(false) => false,
             Err(_) => {
                 self.drop_client(key);
@@ -422,7 +490,7 @@
                     client.lingers = true;
                     let _ = client.stream.shutdown(Shutdown::Write);
                     let at = client.idle_since + LINGER;
-                    client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.drop_client(key)));
+                    client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.lingered(key)));
                 } else {
                     let most = if client.begun { SLOW } else { IDLE_MOST };
                     self.may_stand(key, most);
@@ -469,10 +537,27 @@
             client.timer = None;
         }
         self.serve(key);
-        let Some(client) = self.clients.table.get(key) else { return };
-        if !client.spare() || client.timer.is_some() {
+        let now = self.clock.now();
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        if client.outbox.is_some() || client.timer.is_some() {
             return;
         }
+        if client.in_body() {
+            if client.op.is_some() && !self.servers.hungry(client.feeds, key) {
+                // It is the server's turn: what it takes its time for is not held against the client.
+                (client.body_from, client.got, client.moved) = (now, 0, now);
+            }
+            let due = client.body_due();
+            if due > now + 1.0 {
+                client.timer = Some(self.timers.set(due, move |proxy: &mut Proxy| proxy.stood(key)));
+                return;
+            }
+            if client.op.is_some() {
+                self.counters.bad += 1;
+                return self.drop_client(key);
+            }
+        }
+        let Some(client) = self.clients.table.get(key).filter(|c| c.spare()) else { return };
         if client.inbox.is_some() {
             // Danger: a client that sends a byte now and then would hold a buffer for ever.
             self.counters.bad += 1;
@@ -485,6 +570,11 @@
     /// Reads towards the next request and has it served; whether there is more to do at once.
     fn read_request(&mut self, key: usize) -> bool {
         let Some(client) = self.clients.table.get_mut(key) else { return false };
+        if client.op.is_some() && client.in_body() {
+            // Whoever it feeds reads on.
+            self.links_again.extend(client.feeds);
+            return false;
+        }
         if client.op.is_some() {
             // What comes after a request waits for its answer; only an end is of interest.
             if !matches!(client.stream.peek(&mut [0]), Ok(1..)) && !silent(&client.stream) {
@@ -495,12 +585,13 @@
         if client.lingers {
             // Danger: a client that goes on sending at full speed would keep the loop for itself. What it sends
             // past this stays with its own machine until the connection is closed.
-            if client.past >= LINGER_BYTES {
+            if client.past >= if client.patient { BODY_LONG } else { LINGER_BYTES } {
                 return false;
             }
             return match client.stream.read(&mut [0; 16 * 1024]) {
                 Ok(read @ 1..) => {
                     client.past += read;
+                    client.moved = self.clock.now();
                     true
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => false,
@@ -555,19 +646,29 @@
             log::trace!("{}", String::from_utf8_lossy(&inbox.held()[..message.head]));
             // What its head rules out is refused before its body has come.
             client.request = Some((message, asked?));
+            let now = self.clock.now();
+            (client.body_from, client.got, client.moved) = (now, 0, now);
+            (client.feeds, client.let_go) = (None, false);
             if expects {
                 // So short a line fits into an empty socket buffer.
                 let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
             }
         }
         let Some((message, asked)) = &mut client.request else { return Ok(None) };
-        Ok(message.advance(inbox)?.then_some(*asked))
+        // One too long to be held whole is heard before its end.
+        let whole = message.advance(inbox)?;
+        Ok((whole || message.end - message.head > BODY_MOST).then_some(*asked))
     }
 
     /// Reads on; whether anything came.
     fn read_more(&mut self, key: usize, mut inbox: Buffer) -> bool {
         let client = &mut self.clients.table[key];
+        let before = inbox.held().len();
         let filled = inbox.fill(&mut client.stream);
+        if inbox.held().len() > before {
+            client.got += inbox.held().len() - before;
+            client.moved = self.clock.now();
+        }
         if inbox.held().is_empty() {
             self.buffers.give(inbox);
         } else {
@@ -618,11 +719,53 @@
                 let waits = self.ops.waits(op);
                 if let Some(client) = self.clients.table.get_mut(key).filter(|_| waits) {
                     client.op = Some(op);
+                    if client.in_body() {
+                        self.may_stand(key, SLOW);
+                    }
                 }
             }
         }
     }
 
+    /// An answered client has been read from for a while: one whose body still comes may go on, or would not
+    /// read its answer.
+    fn lingered(&mut self, key: usize) {
+        let now = self.clock.now();
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        client.timer = None;
+        if client.patient && now - client.moved < LINGER && client.past < BODY_LONG {
+            client.timer = Some(self.timers.set(now + LINGER, move |proxy: &mut Proxy| proxy.lingered(key)));
+        } else {
+            self.drop_client(key);
+        }
+    }
+
+    /// Whether a client takes its answer at all.
+    fn answer_due(&mut self, key: usize) {
+        let now = self.clock.now();
+        let waits = self.clients.has_taken(key);
+        let Some(client) = self.clients.table.get_mut(key).filter(|c| c.outbox.is_some()) else { return };
+        client.timer = None;
+        // It is the server's turn.
+        client.moved = if waits { now } else { client.moved };
+        if now - client.moved >= STALL {
+            // Danger: a client that does not read its answer would hold a buffer for ever.
+            self.counters.stalled += 1;
+            return self.drop_client(key);
+        }
+        let at = client.moved + STALL;
+        client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.answer_due(key)));
+    }
+
+    /// Refuses the rest of a body that was being fed on: its push is called off before its last byte.
+    pub fn refuse_upload(&mut self, key: usize, status: Refused) {
+        let op = self.clients.table.get_mut(key).and_then(|client| client.op.take());
+        self.refuse(key, status);
+        if let Some(op) = op {
+            self.client_gone(op);
+        }
+    }
+
     /// Refuses what cannot be read on; the connection goes with it.
     fn refuse(&mut self, key: usize, status: Refused) {
         if let Some(client) = self.clients.table.get_mut(key) {
@@ -638,9 +781,10 @@
     }
 
     /// More of a client's answer will come from a connection to a server.
-    pub fn feed_client(&mut self, key: usize, link: usize) {
+    pub fn feed_client(&mut self, key: usize, link: usize, unframed: bool) {
         if let Some(client) = self.clients.table.get_mut(key) {
-            client.fed_by = Some(link);
+            (client.fed_by, client.unframed) = (Some(link), unframed);
+            client.close |= unframed;
         }
     }
 
@@ -658,6 +802,10 @@
         client.close |= stopping;
         self.timers.unset(client.timer.take());
         if let Some(mut inbox) = client.inbox.take() {
+            if client.in_body() {
+                // What still comes of its body is read away.
+                (client.close, client.over, client.patient) = (true, false, client.receipt.is_some());
+            }
             // What came behind the request is the next one's.
             let end = client.request.take().map_or(inbox.held().len(), |(m, _)| m.end);
             inbox.cut(0, end);
@@ -678,10 +826,9 @@
             self.buffers.give(outbox);
             return self.drop_client(key);
         }
-        (client.outbox, client.sent) = (Some(outbox), 0);
-        // Danger: a client that does not read its answer would hold a buffer for ever.
-        let at = self.clock.now() + SLOW;
-        client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.drop_client(key)));
+        let now = self.clock.now();
+        (client.outbox, client.sent, client.moved) = (Some(outbox), 0, now);
+        client.timer = Some(self.timers.set(now + STALL, move |proxy: &mut Proxy| proxy.answer_due(key)));
         self.write_answer(key);
         self.clients.again.push(key);
     }
--- a/node/src/wire/http.rs
+++ b/node/src/wire/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 messages: where a body ends, which headers go on, plain answers. Bodies are brought together in
 //! place, in the buffer that they came in.
 
-use crate::memory::buffers::{Buffer, BODY_MOST, HEAD_MOST};
+use crate::memory::buffers::{Buffer, BODY_LONG, HEAD_MOST};
 use httparse::{Header, Status, EMPTY_HEADER};
 
 /// More headers than any client of ours sends; each costs stack only.
@@ -25,10 +25,41 @@
     pub end: usize,
     /// The connection may carry another.
     pub keep: bool,
+    /// Its sender knows chunks.
+    pub chunks: bool,
     most: usize,
+    /// Bytes of its body that have left the buffer.
+    gone: usize,
     coming: Coming,
 }
 
+/// How a body that is passed on is told to end.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    Length(usize),
+    Chunked,
+    Unframed,
+}
+
+impl Framing {
+    /// The last lines of a head.
+    fn lines(self) -> String {
+        match self {
+            Framing::Length(length) => format!("Content-Length: {length}\r\n\r\n"),
+            Framing::Chunked => "Transfer-Encoding: chunked\r\n\r\n".into(),
+            Framing::Unframed => "\r\n".into(),
+        }
+    }
+}
+
+/// Adds a piece of a body, as a chunk where it goes in chunks; whether it fitted.
+fn piece(bytes: &[u8], chunked: bool, to: &mut Buffer) -> bool {
+    if !chunked || bytes.is_empty() {
+        return to.add(bytes);
+    }
+    to.add(format!("{:x}\r\n", bytes.len()).as_bytes()) && to.add(bytes) && to.add(b"\r\n")
+}
+
 /// Why a message is refused, as the status that says so.
 pub type Refused = u16;
 
@@ -68,7 +99,7 @@
                     Ok(Status::Complete((used, size))) => {
                         next += used;
                         // Danger: a body that never ends, in chunks, would fill the buffer.
-                        if size > (self.most - (self.end - self.head)) as u64 {
+                        if size > self.most.saturating_sub(self.gone + self.end - self.head) as u64 {
                             return Err(413);
                         }
                         self.coming = if size == 0 { Coming::Trailer } else { Coming::Chunk(size as usize) };
@@ -92,7 +123,7 @@
                     }
                 }
                 Coming::Unframed => {
-                    if here + self.end - self.head > self.most {
+                    if self.gone + here + self.end - self.head > self.most {
                         return Err(413);
                     }
                     (self.end, next) = (self.end + here, next + here);
@@ -104,15 +135,39 @@
         Ok(matches!(self.coming, Coming::Whole))
     }
 
-    /// Length of its body, where its head tells it.
+    /// Length of its body, where its head tells it or it is whole.
     pub fn length(&self) -> Option<usize> {
         match self.coming {
-            Coming::Length(left) => Some(self.end - self.head + left),
-            Coming::Whole => Some(self.end - self.head),
+            Coming::Length(left) => Some(self.gone + self.end - self.head + left),
+            Coming::Whole => Some(self.gone + self.end - self.head),
             _ => None,
         }
     }
 
+    pub fn whole(&self) -> bool {
+        matches!(self.coming, Coming::Whole)
+    }
+
+    /// The connection has ended, and with it the message.
+    pub fn end_here(&mut self) {
+        self.coming = Coming::Whole;
+    }
+
+    /// Lets go of its head and of what is here of its body.
+    pub fn let_go(&mut self, buffer: &mut Buffer) {
+        self.gone += self.end - self.head;
+        buffer.cut(0, self.end);
+        (self.head, self.end) = (0, 0);
+    }
+
+    /// Moves what is here of its body to another buffer, which is empty and of the same size.
+    pub fn move_on(&mut self, from: &mut Buffer, to: &mut Buffer, chunked: bool) {
+        let fitted = piece(&from.held()[self.head..self.end], chunked, to)
+            && (!chunked || !self.whole() || to.add(b"0\r\n\r\n"));
+        debug_assert!(fitted, "no buffer is filled to its end");
+        self.let_go(from);
+    }
+
     /// The connection has ended: whether that makes the message whole.
     pub fn ends_here(&self) -> bool {
         matches!(self.coming, Coming::Unframed)
@@ -171,7 +226,7 @@
         (false, None) => untold,
     };
     let keep = keep && !matches!(coming, Coming::Unframed);
-    Ok(Message { head, end: head, keep, most, coming })
+    Ok(Message { head, end: head, keep, chunks: version > 0, most, gone: 0, coming })
 }
 
 /// What a parser made of a head: its length once it is whole.
@@ -197,7 +252,7 @@
     let Some(head) = head(request.parse(held), held.len())? else { return Ok(None) };
     let (method, path) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
     let message =
-        body(request.headers, head, request.version.unwrap_or(1), (BODY_MOST, BODY_MOST), Coming::Length(0))?;
+        body(request.headers, head, request.version.unwrap_or(1), (BODY_LONG, BODY_LONG), Coming::Length(0))?;
     Ok(Some((message, read(method, path, request.headers))))
 }
 
@@ -250,32 +305,39 @@
 /// The request as it goes on to a server that the node will wait for so long; whether it fitted.
 pub fn forward(held: &[u8], message: &Message, patience: f64, to: &mut Buffer) -> bool {
     let wrote = request(held, |method, path, headers| {
-        let length = message.end - message.head;
-        let own = match (length, method) {
-            (0, "GET" | "HEAD") => format!("X-Timeout: {:.3}\r\n\r\n", patience / 1000.0),
-            _ => format!("X-Timeout: {:.3}\r\nContent-Length: {length}\r\n\r\n", patience / 1000.0),
+        let framing = match (message.length(), method) {
+            (Some(0), "GET" | "HEAD") => Framing::Unframed,
+            (Some(length), _) => Framing::Length(length),
+            (None, _) => Framing::Chunked,
         };
-        to.add(format!("{method} {path} HTTP/1.1\r\n").as_bytes())
+        to.add(format!("{method} {} HTTP/1.1\r\n", origin(path)).as_bytes())
             && pass_on(headers, "x-timeout", to)
-            && to.add(own.as_bytes())
+            && to.add(format!("X-Timeout: {:.3}\r\n{}", patience / 1000.0, framing.lines()).as_bytes())
     });
-    matches!(wrote, Ok(Some((_, true)))) && to.add(&held[message.head..message.end])
+    let body = &held[message.head..message.end];
+    matches!(wrote, Ok(Some((_, true)))) && piece(body, message.length().is_none(), to)
+}
+
+/// A target without the scheme and host that may stand before its path.
+pub fn origin(target: &str) -> &str {
+    let named = target.strip_prefix("http://").map(|rest| rest.find('/').map_or("/", |at| &rest[at..]));
+    named.unwrap_or(target)
 }
 
 /// A server's answer as it goes back to the client; whether it fitted.
 pub fn hand_back(held: &[u8], message: &Message, close: bool, to: &mut Buffer) -> bool {
     let length = message.end - message.head;
-    pass_on_from(&held[..message.end], message.head, length, close, to)
+    pass_on_from(&held[..message.end], message.head, Framing::Length(length), close, to)
 }
 
 /// The start of an answer that goes back in pieces: its head, and what of its body is held; whether it fitted.
-pub fn pass_on_from(held: &[u8], head: usize, length: usize, close: bool, to: &mut Buffer) -> bool {
-    let wrote = answer(held, (BODY_MOST, usize::MAX), |_, headers| {
+pub fn pass_on_from(held: &[u8], head: usize, framing: Framing, close: bool, to: &mut Buffer) -> bool {
+    let wrote = answer(held, (BODY_LONG, BODY_LONG), |_, headers| {
         let close = if close { "Connection: close\r\n" } else { "" };
-        let own = format!("{close}Content-Length: {length}\r\n\r\n");
+        let own = format!("{close}{}", framing.lines());
         to.add(b"HTTP/1.1 200 OK\r\n") && pass_on(headers, "x-server-load", to) && to.add(own.as_bytes())
     });
-    matches!(wrote, Ok(Some((_, true)))) && to.add(&held[head..])
+    matches!(wrote, Ok(Some((_, true)))) && piece(&held[head..], framing == Framing::Chunked, to)
 }
 
 fn reason(status: u16) -> &'static str {
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -8,6 +8,7 @@
 pub mod passing;
 pub mod probes;
 pub mod servers;
+pub mod uploading;
 
 /// Whether a connection is open and has nothing to say.
 fn silent(stream: &mio::net::TcpStream) -> bool {
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -1,9 +1,9 @@
 //! Servers: connections to them, pushes written, answers read.
 
 use super::http::{self, Message};
-use super::passing::{Passing, PASSED_MOST};
+use super::passing::{Passing, HELD_MOST, STALL};
 use super::silent;
-use crate::memory::buffers::{Buffer, Filled, BODY_MOST};
+use crate::memory::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
 use crate::memory::tables::Table;
 use crate::memory::timers::Key;
 use crate::proxy::{Proxy, SERVER};
@@ -20,6 +20,8 @@
     pub ending: Ending,
     pub load: Load,
     pub answer: Option<(Buffer, Message)>,
+    /// How long it took its server, where that is not the time since the push began.
+    pub took: Option<f64>,
 }
 
 /// What is next once a push has ended.
@@ -42,16 +44,30 @@
     dial: (SocketAddr, f64),
     up: bool,
     began: f64,
-    outbox: Option<Buffer>,
-    sent: usize,
+    pub outbox: Option<Buffer>,
+    pub sent: usize,
+    /// Something of its push has left, and all of it.
+    pub begun: bool,
     pub whole: bool,
-    inbox: Option<Buffer>,
+    /// The client from which more of the request comes, and whether it goes on in chunks.
+    pub feeding: Option<usize>,
+    pub chunked: bool,
+    fed: bool,
+    /// When the last byte of a request fed on had left, and the first of an answer passed on.
+    fed_at: Option<f64>,
+    pub until: Option<f64>,
+    /// When anything last went through it, where it is fed or passes on.
+    pub moved: f64,
+    patience: f64,
+    pub inbox: Option<Buffer>,
     pub message: Option<(Message, Ending, Load)>,
     /// Its answer is being passed on in pieces.
     pub passing: Option<Passing>,
+    /// Since when its answer, of unknown length, waits to be whole.
+    held_since: Option<f64>,
     pub then: Option<Then>,
     ends: f64,
-    timer: Option<Key>,
+    pub timer: Option<Key>,
     idle_since: f64,
 }
 
@@ -87,6 +103,12 @@
         (self.connect_within, self.idle_most) = (connect_within, 0.75 * keepalive);
     }
 
+    /// Whether a connection waits for more of a client's request.
+    pub fn hungry(&self, key: Option<usize>, client: usize) -> bool {
+        let link = key.and_then(|key| self.links.get(key)).filter(|l| l.up && l.feeding == Some(client));
+        link.is_some_and(|l| l.outbox.as_ref().is_some_and(|o| l.begun && o.held().is_empty()))
+    }
+
     /// Whether a connection may be opened without closing one that a push might use.
     pub fn roomy(&self) -> bool {
         !self.links.full()
@@ -129,7 +151,13 @@
 impl Link {
     /// It carries a push of which nothing has left.
     pub fn unsent(&self) -> bool {
-        self.sent == 0 && self.outbox.is_some()
+        !self.begun && self.outbox.is_some()
+    }
+
+    /// What its push took the server: not the time in which a client still fed or took its bytes.
+    pub fn took(&self, now: f64) -> Option<f64> {
+        let told = self.fed_at.is_some() || self.until.is_some();
+        told.then(|| self.until.unwrap_or(now) - self.fed_at.unwrap_or(self.began))
     }
 }
 
@@ -176,7 +204,13 @@
             self.buffers.give(outbox);
             return Err(Ending::Unsent);
         }
-        self.send_written(op, server, outbox, patience, then)
+        let key = self.send_written(op, server, outbox, patience, then)?;
+        if let Some((_, message)) = self.clients.request(client).filter(|(_, message)| !message.whole()) {
+            let link = &mut self.servers.links[key];
+            (link.feeding, link.fed, link.chunked) = (Some(client), true, message.length().is_none());
+            self.clients.feeds(client, key);
+        }
+        Ok(key)
     }
 
     /// Sends what is written in a buffer to a server, for an op or for none.
@@ -198,7 +232,9 @@
         let now = self.now();
         let link = &mut self.servers.links[key];
         (link.op, link.outbox, link.sent, link.whole) = (op, Some(outbox), 0, false);
-        (link.began, link.ends) = (now, now + patience);
+        (link.feeding, link.begun, link.fed_at, link.until) = (None, false, None, None);
+        (link.fed, link.held_since) = (false, None);
+        (link.began, link.moved, link.patience, link.ends) = (now, now, patience, now + patience);
         link.then = Some(then);
         let first = if link.up { patience } else { patience.min(self.servers.connect_within) };
         link.timer = Some(self.timers.set(now + first, move |proxy: &mut Proxy| proxy.link_due(key)));
@@ -272,10 +308,19 @@
             began: 0.0,
             outbox: None,
             sent: 0,
+            begun: false,
             whole: false,
+            feeding: None,
+            chunked: false,
+            fed: false,
+            fed_at: None,
+            until: None,
+            moved: 0.0,
+            patience: 0.0,
             inbox: None,
             message: None,
             passing: None,
+            held_since: None,
             then: None,
             ends: 0.0,
             timer: None,
@@ -309,10 +354,12 @@
 
     /// The push is over: its connection is closed.
     pub fn fail(&mut self, key: usize, ending: Ending, load: Load) {
-        let then = self.servers.links.get_mut(key).and_then(|link| link.then.take());
+        let now = self.now();
+        let Some(link) = self.servers.links.get_mut(key) else { return };
+        let (then, took) = (link.then.take(), link.took(now));
         self.drop_link(key);
         if let Some(then) = then {
-            then(self, Outcome { ending, load, answer: None });
+            then(self, Outcome { ending, load, answer: None, took });
         }
     }
 
@@ -324,10 +371,27 @@
         self.fail(key, Ending::Cancelled, Load::default());
     }
 
-    fn link_due(&mut self, key: usize) {
+    pub fn link_due(&mut self, key: usize) {
         let now = self.now();
         let Some(link) = self.servers.links.get_mut(key) else { return };
         link.timer = None;
+        let passing = link.passing.as_ref().map(|passing| passing.client);
+        if passing.is_some() || (link.up && link.fed && !link.whole) {
+            // Danger: a server that neither takes nor gives, between a client and its end. Whose turn it is to
+            // move tells who stalls; a client has a time of its own.
+            let waits = passing.map_or_else(
+                || link.feeding.is_some() && link.outbox.as_ref().is_none_or(|o| o.held().is_empty()),
+                |client| !self.clients.has_taken(client),
+            );
+            link.moved = if waits { now } else { link.moved };
+            if now - link.moved >= STALL {
+                let ending = if link.whole { Ending::Broken } else { Ending::Unreachable };
+                return self.fail(key, ending, Load::default());
+            }
+            let at = link.moved + STALL;
+            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.link_due(key)));
+            return;
+        }
         if link.up && now < link.ends {
             let at = link.ends;
             link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.link_due(key)));
@@ -368,10 +432,24 @@
             link.up = true;
             self.servers.records[link.server].heard = self.clock.now();
         }
-        if let Some(outbox) = &link.outbox {
-            match outbox.drain(&mut link.sent, &mut link.stream) {
+        if link.feeding.is_some() {
+            self.feed(key);
+        }
+        let now = self.clock.now();
+        let Some(link) = self.servers.links.get_mut(key) else { return };
+        if let Some(outbox) = link.outbox.as_ref().filter(|_| link.feeding.is_none()) {
+            let drained = outbox.drain(&mut link.sent, &mut link.stream);
+            link.begun |= link.sent > 0;
+            match drained {
                 Ok(true) => {
                     link.whole = true;
+                    if link.fed {
+                        // An op's time starts with its last byte.
+                        (link.fed_at, link.ends) = (Some(now), now + link.patience);
+                        self.timers.unset(link.timer.take());
+                        let due = move |proxy: &mut Proxy| proxy.link_due(key);
+                        link.timer = Some(self.timers.set(link.ends, due));
+                    }
                     self.tally.forwards += u64::from(link.op != NO_OP);
                     link.outbox.take().into_iter().for_each(|b| self.buffers.give(b));
                 }
@@ -412,17 +490,31 @@
                     return self.broken(key);
                 }
             };
-            if link.op == NO_OP && link.too_long(&inbox) {
+            if whole {
+                return self.answered(key, inbox);
+            }
+            if link.op == NO_OP && link.passes(&inbox) {
                 // Danger: a report without end would be passed on to whichever client has that index.
                 link.inbox = Some(inbox);
                 return self.broken(key);
             }
-            if link.too_long(&inbox) {
+            if link.passes(&inbox) {
                 self.begin_passing(key, inbox);
                 return self.pass(key);
             }
-            if whole {
-                return self.answered(key, inbox);
+            let long = |m: &Message| m.length().is_some_and(|l| l > BODY_MOST) || m.end - m.head > BODY_MOST;
+            if let Some((_, ending, load)) =
+                link.message.as_ref().filter(|(m, e, _)| *e != Ending::Acked && long(m))
+            {
+                // A refusal needs no long body: its head has said it.
+                let (ending, load) = (*ending, *load);
+                link.inbox = Some(inbox);
+                return self.fail(key, ending, load);
+            }
+            if link.op != NO_OP && link.may_pass() && link.held_since.is_none() {
+                let now = self.clock.now();
+                link.held_since = Some(now);
+                self.timers.set(now + HELD_MOST, move |proxy: &mut Proxy| proxy.held_back(key, now));
             }
             if inbox.held().is_empty() {
                 self.buffers.give(inbox);
@@ -437,6 +529,20 @@
         }
     }
 
+    /// Danger: an answer of unknown length whose server pauses would be held back from a client that waits.
+    fn held_back(&mut self, key: usize, since: f64) {
+        let Some(link) = self.servers.links.get_mut(key).filter(|l| l.held_since == Some(since)) else {
+            return;
+        };
+        if link.then.is_none() || link.passing.is_some() {
+            return;
+        }
+        if let Some(inbox) = link.inbox.take() {
+            self.begin_passing(key, inbox);
+            self.pass(key);
+        }
+    }
+
     fn broken(&mut self, key: usize) {
         let whole = self.servers.links.get(key).is_some_and(|link| link.whole);
         // What the server never had whole it has not run.
@@ -446,7 +552,7 @@
     fn answered(&mut self, key: usize, inbox: Buffer) {
         let link = &mut self.servers.links[key];
         let Some((message, ending, load)) = link.message.take() else { return };
-        let then = link.then.take();
+        let (then, took) = (link.then.take(), link.took(self.clock.now()));
         // Danger: an answer before the request was through, or bytes behind it: what comes next on this
         // connection would be read wrongly.
         let clean = message.keep && link.whole && inbox.held().len() == message.end;
@@ -455,7 +561,7 @@
         } else {
             self.drop_link(key);
         }
-        self.hand(then, Outcome { ending, load, answer: Some((inbox, message)) });
+        self.hand(then, Outcome { ending, load, answer: Some((inbox, message)), took });
     }
 
     /// A connection that has brought a whole answer stands idle, for as long as its server is as it was.
@@ -496,7 +602,7 @@
             return message.advance(inbox);
         }
         let Some((message, (status, ending, load))) =
-            http::answer(inbox.held(), (BODY_MOST, PASSED_MOST), word)?
+            http::answer(inbox.held(), (BODY_LONG, BODY_LONG), word)?
         else {
             return Ok(false);
         };
--- /dev/null
+++ b/node/src/wire/uploading.rs
@@ -0,0 +1,112 @@
+//! Requests too long for one buffer, fed to their server piece by piece: the client is read only once the server has
+//! taken the piece before, so that neither side's pace costs more than two buffers.
+
+use super::http::Message;
+use super::servers::Link;
+use crate::memory::buffers::{Buffer, Filled};
+use crate::proxy::Proxy;
+use crankmux::words::{Ending, Load};
+use mio::net::TcpStream;
+
+/// A client's body that is still coming.
+pub struct Upload<'a> {
+    pub stream: &'a mut TcpStream,
+    pub inbox: &'a mut Buffer,
+    pub message: &'a mut Message,
+    /// What came first has been let go: the op can't go elsewhere any more.
+    pub let_go: &'a mut bool,
+    /// Bytes of the body so far, and when the last of them came.
+    pub got: &'a mut usize,
+    pub moved: &'a mut f64,
+}
+
+enum Fed {
+    More,
+    Whole,
+    Later,
+    /// The client has ended too early, or its body can't be read.
+    Spoilt(Option<u16>),
+}
+
+/// Moves the next piece of a body from its client to the server's connection.
+fn next(upload: &mut Upload, outbox: &mut Buffer, chunked: bool, now: f64) -> Fed {
+    match upload.message.advance(upload.inbox) {
+        Err(status) => return Fed::Spoilt(Some(status)),
+        Ok(_) => {
+            upload.message.move_on(upload.inbox, outbox, chunked);
+        }
+    }
+    if upload.message.whole() {
+        return Fed::Whole;
+    }
+    if !outbox.held().is_empty() {
+        return Fed::More;
+    }
+    let before = upload.inbox.held().len();
+    match upload.inbox.fill(upload.stream) {
+        Filled::Some => {
+            *upload.got += upload.inbox.held().len() - before;
+            *upload.moved = now;
+            Fed::More
+        }
+        Filled::Later => Fed::Later,
+        Filled::Ended => Fed::Spoilt(None),
+        Filled::Full => Fed::Spoilt(Some(400)),
+    }
+}
+
+impl Link {
+    /// Writes what stands to be written; whether all of it has left.
+    fn drained(&mut self) -> bool {
+        let Some(outbox) = &mut self.outbox else { return true };
+        let drained = outbox.drain(&mut self.sent, &mut self.stream);
+        self.begun |= self.sent > 0;
+        if !matches!(drained, Ok(true)) {
+            // An error shows as the connection is read.
+            return false;
+        }
+        outbox.cut(0, self.sent);
+        self.sent = 0;
+        true
+    }
+}
+
+impl Proxy {
+    /// Feeds a push's request on, as far as both sides go.
+    pub fn feed(&mut self, key: usize) {
+        let now = self.now();
+        loop {
+            let Some(link) = self.servers.links.get_mut(key) else { return };
+            let Some(client) = link.feeding else { return };
+            if !link.drained() {
+                return;
+            }
+            let (op, chunked) = (link.op, link.chunked);
+            link.moved = now;
+            let Some(mut upload) = self.clients.upload(client) else {
+                // Its client has gone, and its server never had it whole.
+                return self.fail(key, Ending::Cancelled, Load::default());
+            };
+            if !std::mem::replace(upload.let_go, true) {
+                // The first piece is with the server, and makes room for the next.
+                upload.message.let_go(upload.inbox);
+                self.dispatcher.began(now, op);
+            }
+            let Some(outbox) = &mut link.outbox else { return };
+            match next(&mut upload, outbox, chunked, now) {
+                Fed::More => {}
+                Fed::Whole => {
+                    link.feeding = None;
+                    return;
+                }
+                Fed::Later => return,
+                Fed::Spoilt(None) => return self.drop_client(client),
+                Fed::Spoilt(Some(status)) => {
+                    // Danger: a body that can't be read on, and half of it at a server. It never ran there.
+                    self.counters.bad += 1;
+                    return self.refuse_upload(client, status);
+                }
+            }
+        }
+    }
+}
