--- a/node/tests/sockets/help.rs
+++ b/node/tests/sockets/help.rs
@@ -163,11 +163,11 @@
 
 pub struct Node {
     pub address: SocketAddr,
+    /// Where operators call; none where the configuration names no door.
+    door: Option<SocketAddr>,
     child: Child,
     log: Arc<Mutex<String>>,
     configuration: std::path::PathBuf,
-    /// Where the node keeps what outlives a process.
-    pub folder: std::path::PathBuf,
     _discovery: Option<Discovery>,
 }
 
@@ -195,8 +195,14 @@
 
 /// What a start that must fail says; none if it does not fail.
 pub fn refused_start(configuration: &Value) -> Option<String> {
+    refused_start_under(configuration, &[])
+}
+
+/// The same under variables of the environment.
+pub fn refused_start_under(configuration: &Value, variables: &[(&str, String)]) -> Option<String> {
     let path = write_configuration(configuration);
-    let output = program(&path, None, &[]).wait_with_output().expect("it ends");
+    let output = program(&path, None, variables).wait_with_output().expect("it ends");
+    let _ = std::fs::remove_dir_all(path.with_extension("d"));
     let _ = std::fs::remove_file(path);
     (!output.status.success()).then(|| String::from_utf8_lossy(&output.stderr).into_owned())
 }
@@ -233,8 +239,12 @@
         let mut child = program(&path, descriptors, variables);
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log = Arc::new(Mutex::new(String::new()));
+        let mut door = None;
         let address = loop {
             let line = lines.next().expect("it says where it listens").expect("text");
+            if let Some((_, address)) = line.split_once("the door is at ") {
+                door = address.parse().ok();
+            }
             if let Some((_, address)) = line.split_once("listening on ") {
                 break address.parse().expect("an address");
             }
@@ -245,8 +255,7 @@
                 kept.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        let folder = path.with_extension("d");
-        let node = Node { address, child, log, configuration: path, folder, _discovery: None };
+        let node = Node { address, door, child, log, configuration: path, _discovery: None };
         until("the node is ready", || {
             let mut client = node.client();
             client.write_all(b"GET /_health HTTP/1.1\r\n\r\n").is_ok()
@@ -255,6 +264,63 @@
         node
     }
 
+    /// A node with a door, at an address of its own that a second process may share.
+    pub fn with_door(servers: &[&Server], change: impl FnOnce(&mut Value)) -> Self {
+        let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+        let doors = |configuration: &mut Value| {
+            configuration["listen"] = json!(free.to_string());
+            configuration["admin_addr"] = json!("127.0.0.1:0");
+            change(configuration);
+        };
+        Node::with(servers, doors, None)
+    }
+
+    /// The folder in which it keeps what outlives a process.
+    pub fn folder(&self) -> std::path::PathBuf {
+        self.configuration.with_extension("d")
+    }
+
+    /// The text of its configuration's file.
+    pub fn file(&self) -> Value {
+        let text = std::fs::read_to_string(&self.configuration).expect("written at its start");
+        serde_json::from_str(&text).expect("as it was written")
+    }
+
+    /// A second process of this node, beside it.
+    pub fn beside(&self) -> Self {
+        let folder = self.folder().to_string_lossy().into_owned();
+        Node::start_under(&self.file(), &[("TMPDIR", folder)])
+    }
+
+    /// A connection to the door.
+    pub fn caller(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.door.expect("it has a door")).expect("the door is open");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time is set");
+        stream
+    }
+
+    /// What a call at the door comes to.
+    pub fn call(&self, method: &str, path: &str) -> (u16, String) {
+        let mut caller = self.caller();
+        let _ = caller.write_all(format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n").as_bytes());
+        read_message(&mut caller).map_or((0, String::new()), |(head, body)| {
+            (status(&head), String::from_utf8_lossy(&body).into_owned())
+        })
+    }
+
+    /// One of the figures that it reports.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let (_, text) = self.call("GET", "/v1/metrics");
+        text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+    }
+
+    /// The most memory that it has held, in kB, as the system counts.
+    pub fn memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        line.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok()).expect("the system tells")
+    }
+
     pub fn client(&self) -> TcpStream {
         let stream = TcpStream::connect(self.address).expect("the node listens");
         stream.set_read_timeout(Some(PATIENCE)).expect("a time is set");
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The node on loopback sockets: what it takes in, what comes out, and one small test for each danger.
 
+mod days;
 mod help;
 
 use help::*;
--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -4,7 +4,7 @@
 use crankmux::balance::Balancer;
 use crankmux::dispatcher::{Dispatcher, GivenUp, Next};
 use crankmux::given::{figure, Names};
-use crankmux::words::{Arrival, Ending, Listed, Load, PushEnd, Standing};
+use crankmux::words::{Arrival, Effect, Ending, Listed, Load, PushEnd, Standing};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -487,7 +487,10 @@
         }
     }
     let ops = &play.model.ops[from..];
-    assert!(ops.iter().all(|op| op.answers == ["acked"] || op.category == 1), "saved by a second copy");
+    assert!(
+        ops.iter().all(|op| op.answers == ["acked"] || op.effect == Effect::Deduplicated),
+        "saved by a second copy"
+    );
     let late = ops[20..].iter().filter(|op| op.pushes[0].server == 0).count();
     assert!(late < 8, "a silent server is found out: {late} of 40");
     let mut many = Play::with(node(0, 12), 4);
@@ -675,3 +678,68 @@
     }
     assert!(to_jammed < 3, "{to_jammed} of 80");
 }
+
+#[test]
+fn a_suspended_server_gets_nothing_whatever_the_list_says_and_comes_back_cold() {
+    let mut play = Play::new(3);
+    play.run(300, 20.0, |_| ACK);
+    play.suspend(1);
+    play.run(30, 20.0, |_| ACK);
+    let now = play.model.now;
+    play.list(&[line(1, Standing::Gone, 0.0)], false, false);
+    play.pass(70_000.0);
+    play.list(&[line(1, Standing::Ready, now)], false, false);
+    assert!(!play.run(60, 20.0, |_| ACK).contains_key(&1));
+    play.resume(1);
+    // The list has not told its last start: it counts from here.
+    let first = play.run(20, 20.0, |_| ACK).get(&1).copied().unwrap_or(0);
+    let later = play.run(200, 20.0, |_| ACK).get(&1).copied().unwrap_or(0);
+    assert!(first <= 6, "{first} of 20 to a cold server");
+    assert!(later >= 5, "{later} of 200 within 5 s");
+    play.resume(1);
+    assert!(play.run(20, 20.0, |_| ACK).contains_key(&1), "a second call back changes nothing");
+}
+
+#[test]
+fn a_server_suspended_before_any_list_gets_nothing() {
+    let mut play = Play::new(0);
+    play.suspend(2);
+    play.list(&[line(1, Standing::Ready, 0.0), line(2, Standing::Ready, 0.0)], true, false);
+    assert!(!play.run(30, 20.0, |_| ACK).contains_key(&2));
+    play.suspend(1);
+    let op = play.op(0);
+    assert_eq!(play.model.ops[op].answers, ["nacked"], "at once, with all servers out");
+    assert_eq!(play.balancer.census(), (2, 2));
+}
+
+#[test]
+fn an_op_under_way_keeps_the_terms_that_it_came_under() {
+    let mut play = Play::new(6);
+    play.run(100, 20.0, |_| ACK);
+    let (old, kept) = (play.op(0), play.model.now);
+    play.renew(duties(), 2, 1);
+    let new = play.op(0);
+    play.end(old, 0, Ending::Broken);
+    play.end(new, 0, Ending::Broken);
+    assert_eq!(play.model.ops[old].pushes.len(), 2, "redeliverable still");
+    assert_eq!(play.model.ops[new].answers, ["dead-lettered"], "at-most-once from then on");
+    assert_eq!(play.model.now, kept);
+    // What was learnt is still there: an answer at the old pace is no surprise.
+    let mut given = duties();
+    given.remove("cold-time");
+    assert!(play.balancer.renew(given).is_err_and(|e| e.contains("cold-time")));
+}
+
+#[test]
+fn two_processes_of_a_node_spend_one_purse() {
+    let spent = |share: f64| {
+        let mut play = Play::new(3);
+        play.run(400, 10.0, |_| ACK);
+        let now = play.model.now;
+        play.list(&[line(3, Standing::Ready, now)], false, false);
+        play.balancer.share(share);
+        play.run(400, 2.5, |_| ACK).get(&3).copied().unwrap_or(0)
+    };
+    let (whole, half) = (spent(1.0), spent(0.5));
+    assert!(whole >= 8 && half <= whole * 2 / 3, "{half} of {whole}");
+}
--- a/tests/module/help.rs
+++ b/tests/module/help.rs
@@ -4,7 +4,7 @@
 use crankmux::balance::Balancer;
 use crankmux::words::*;
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub const EFFECTS: [Effect; 3] = [Effect::Redeliverable, Effect::Deduplicated, Effect::AtMostOnce];
 pub const WINDOW: f64 = 700.0;
@@ -50,7 +50,9 @@
 
 #[derive(Default)]
 pub struct Taken {
-    pub category: usize,
+    /// As its category's terms stood when it came.
+    pub effect: Effect,
+    pub most: usize,
     pub ends: f64,
     pub answers: Vec<&'static str>,
     pub pushes: Vec<Push>,
@@ -66,6 +68,10 @@
     pub follows: usize,
     pub asks: usize,
     pub probes: Vec<usize>,
+    pub suspended: BTreeSet<usize>,
+    /// By how many places the categories' effects are moved on, and how many pushes an op may have.
+    pub moved: usize,
+    pub most: usize,
     /// Of these duties, whether two pushes of one op may be out.
     pub one_at_a_time: bool,
 }
@@ -86,10 +92,11 @@
         let op = &self.ops[op];
         assert!(op.answers.is_empty() && now < op.ends && patience > 0.0, "a push after the end");
         assert!(to.standing == Standing::Ready, "a push to a server that drains or is gone");
-        assert!(op.pushes.len() < MOST_PUSHES, "a push too many");
+        assert!(!self.suspended.contains(&server), "a push to a suspended server");
+        assert!(op.pushes.len() < op.most, "a push too many");
         assert!(!self.one_at_a_time || op.pushes.iter().all(|p| !p.out), "two pushes out");
         for earlier in op.pushes.iter().filter(|p| p.may_have_run) {
-            match EFFECTS[op.category] {
+            match op.effect {
                 Effect::Redeliverable => {}
                 Effect::Deduplicated => {
                     assert!(pod(earlier.server) == to.pod, "a repeat outside its pod");
@@ -104,6 +111,7 @@
 
     fn probe(&mut self, server: usize) {
         assert!(self.list.contains_key(&server), "a probe of a server never listed");
+        assert!(!self.suspended.contains(&server), "a probe of a suspended server");
         self.probes.push(server);
     }
 
@@ -113,7 +121,7 @@
 
     fn nack(&mut self, op: usize, come_back: f64) {
         let ran = self.ops[op].pushes.iter().any(|p| p.may_have_run);
-        let harmless = self.ops[op].category == 0 || !ran;
+        let harmless = self.ops[op].effect == Effect::Redeliverable || !ran;
         assert!(harmless, "a nack of what may have run");
         assert!((0.0..=500.0).contains(&come_back));
         self.answer(op, "nacked");
@@ -169,7 +177,8 @@
         let seed = given.get("my-number").and_then(|n| n.as_u64()).unwrap_or(7);
         let one_at_a_time = given.get("second-copies") == Some(&json!(false));
         let balancer = Balancer::new(given, seed).expect("all duties are given");
-        let mut play = Play { balancer, model: Model { now: 50_000.0, one_at_a_time, ..Model::default() } };
+        let model = Model { now: 50_000.0, one_at_a_time, most: MOST_PUSHES, ..Model::default() };
+        let mut play = Play { balancer, model };
         let lines: Vec<_> = (0..servers).map(|s| line(s, Standing::Ready, 0.0)).collect();
         play.list(&lines, true, true);
         play
@@ -186,6 +195,27 @@
         self.balancer.list(&mut self.model, now, lines, whole, cached);
     }
 
+    pub fn suspend(&mut self, server: usize) {
+        self.model.suspended.insert(server);
+        self.balancer.suspend(self.model.now, server);
+    }
+
+    pub fn resume(&mut self, server: usize) {
+        self.model.suspended.remove(&server);
+        self.balancer.resume(self.model.now, server);
+    }
+
+    /// New settings: effects moved on by so many places, and so many pushes an op.
+    pub fn renew(&mut self, mut given: Given, moved: usize, most: usize) {
+        for k in 0..3 {
+            let effect = ["redeliverable", "deduplicated", "at-most-once"][(k + moved) % 3];
+            given.insert(format!("category.{k}.effect"), json!(effect));
+        }
+        given.insert("most-pushes".into(), json!(most));
+        (self.model.moved, self.model.most) = (moved, most);
+        self.balancer.renew(given).expect("all duties are given");
+    }
+
     pub fn pass(&mut self, time: f64) {
         let till = self.model.now + time;
         loop {
@@ -217,7 +247,8 @@
         key: Option<u64>,
     ) -> usize {
         let (op, now) = (self.model.ops.len(), self.model.now);
-        self.model.ops.push(Taken { category, ends: now + TTL, ..Taken::default() });
+        let effect = EFFECTS[(category + self.model.moved) % 3];
+        self.model.ops.push(Taken { effect, most: self.model.most, ends: now + TTL, ..Taken::default() });
         let arrival = Arrival { op, category, customer, ttl: TTL, retry, key };
         self.balancer.arrive(&mut self.model, now, &arrival);
         op
--- a/tests/module/rules.rs
+++ b/tests/module/rules.rs
@@ -1,8 +1,8 @@
 //! The rules' slow, plain model beside the module, on generated inputs.
 
-use crate::help::{asked_duties, line, Play, TTL};
+use crate::help::{asked_duties, duties, line, Play, TTL};
 use crankmux::balance::{split, Seen};
-use crankmux::words::{Ending, Load, Standing};
+use crankmux::words::{Ending, Given, Load, Standing};
 use quickcheck::{Gen, QuickCheck};
 
 const ENDINGS: [Ending; 8] = [
@@ -22,14 +22,15 @@
 
 /// Whatever comes, in whatever order, the model finds no rule broken and every op has one answer.
 fn kept(news: Vec<(u8, u8, u8)>) -> bool {
-    kept_with(Play::new(7), &news) && kept_with(Play::with(asked_duties(), 7), &news)
+    [duties(), asked_duties()].into_iter().all(|given| kept_with(given, &news))
 }
 
-fn kept_with(mut play: Play, news: &[(u8, u8, u8)]) -> bool {
+fn kept_with(given: Given, news: &[(u8, u8, u8)]) -> bool {
+    let mut play = Play::with(given.clone(), 7);
     for (kind, a, b) in news {
         let (a, b) = (usize::from(*a), usize::from(*b));
         let now = play.model.now;
-        match kind % 16 {
+        match kind % 20 {
             0..=4 => drop(play.op_about(a % 3, None, false, Some(b as u64))),
             5..=9 => {
                 if let Some((op, push)) = play.out().get(a % play.out().len().max(1)).copied() {
@@ -48,6 +49,10 @@
             }
             14 if a % 2 == 0 => play.balancer.list_failed(&mut play.model, now),
             14 => drop(play.tell(|server| Some((server * b % 11) as f64).filter(|_| b % 3 > 0))),
+            15 if a % 2 == 0 => play.suspend(a % 9),
+            15 => play.resume(a % 9),
+            16 => play.renew(given.clone(), a % 3, 1 + b % 4),
+            17 => play.balancer.share(if a % 2 == 0 { 0.5 } else { 1.0 }),
             _ => {
                 // Ids no longer held, results after the end, alarms never set: all harmless.
                 play.balancer.woken(&mut play.model, now, u64::MAX);
