--- a/node/src/life/upgrade.rs
+++ b/node/src/life/upgrade.rs
@@ -3,10 +3,12 @@
 
 use super::state::State;
 use crate::proxy::{Proxy, HANDOVER, NEWER, OLDER};
+use crankmux::given::Names;
+use crankmux::words::{Experience, Learnt};
 use mio::net::{UnixListener, UnixStream};
 use mio::{Interest, Registry};
 use rustix::net::{self, RecvAncillaryMessage, SendAncillaryMessage};
-use serde_json::{json, Value};
+use serde_json::{json, Map, Value};
 use std::io::{self, IoSlice, IoSliceMut, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
@@ -27,6 +29,8 @@
     /// The list as last told, in discovery's form, and the numbers of servers once listed.
     pub list: Value,
     pub once: Vec<u64>,
+    /// What it has learnt, by servers' numbers and categories' names.
+    pub learnt: Value,
 }
 
 /// Asks an older process at the same address for what it has; none where none runs.
@@ -61,8 +65,55 @@
     let _ = std::fs::remove_file(path);
     let once = told.get("once").and_then(Value::as_array);
     let once = once.map(|once| once.iter().filter_map(Value::as_u64).collect()).unwrap_or_default();
-    let list = told.get("list").cloned().unwrap_or_default();
-    Ok(Handed { listener: sent.into(), stream, parts: parts[0].max(2), list, once })
+    let part = |name: &str| told.get(name).cloned().unwrap_or_default();
+    let (list, learnt) = (part("list"), part("learnt"));
+    Ok(Handed { listener: sent.into(), stream, parts: parts[0].max(2), list, once, learnt })
+}
+
+/// What was learnt, in numbers and names that another process knows too.
+fn told(names: &Names, experience: &Experience) -> Value {
+    let category = |(name, times): (&String, &(f64, f64))| (name.clone(), json!([times.0, times.1]));
+    let categories: Map<String, Value> =
+        names.categories.names.iter().zip(&experience.categories).map(category).collect();
+    let server = |(id, l): &(usize, Learnt)| {
+        json!({"mark": names.mark(*id), "pace": l.pace, "best": l.best, "faults": l.faults, "borne": l.borne,
+               "peak": l.peak, "limit": l.limit})
+    };
+    let servers: Vec<Value> = experience.servers.iter().map(server).collect();
+    json!({"time": experience.time, "slack": experience.slack, "warm_rate": experience.warm_rate,
+           "categories": categories, "servers": servers})
+}
+
+/// Reads what was learnt over what this process starts from. Danger: a figure that is none, or far off, would starve
+/// a server or flood it for good; each is held to what it can be, and what is missing stays as it is.
+fn read(names: &Names, told: &Value, mut experience: Experience) -> Experience {
+    let figure = |of: &Value, name: &str, least: f64, most: f64| {
+        of.get(name).and_then(Value::as_f64).filter(|f| f.is_finite()).map(|f| f.clamp(least, most))
+    };
+    experience.time = figure(told, "time", 0.01, 1e6).unwrap_or(experience.time);
+    experience.slack = figure(told, "slack", 1.5, 8.0).unwrap_or(experience.slack);
+    experience.warm_rate = figure(told, "warm_rate", 0.0, 1e3).unwrap_or(experience.warm_rate);
+    for (name, times) in names.categories.names.iter().zip(&mut experience.categories) {
+        let told = told.get("categories").and_then(|c| c.get(name)).and_then(Value::as_array);
+        let numbers: Vec<f64> = told.into_iter().flatten().filter_map(Value::as_f64).collect();
+        if let [time, acked] = numbers[..] {
+            *times = (time.clamp(0.01, 1e6), acked.clamp(0.0, 1e9));
+        }
+    }
+    let servers = told.get("servers").and_then(Value::as_array);
+    let of = |mark: u64| servers?.iter().find(|s| s.get("mark").and_then(Value::as_u64) == Some(mark));
+    for (id, learnt) in &mut experience.servers {
+        let Some(told) = of(names.mark(*id)) else { continue };
+        *learnt = Learnt {
+            pace: figure(told, "pace", 0.001, 1e3),
+            best: figure(told, "best", 0.001, 1e3).unwrap_or(learnt.best),
+            faults: figure(told, "faults", 0.0, 1.0).unwrap_or(learnt.faults),
+            borne: figure(told, "borne", 0.0, 1e3).unwrap_or(learnt.borne),
+            peak: figure(told, "peak", 0.0, 1e3).unwrap_or(learnt.peak),
+            limit: figure(told, "limit", 1.0, 1e3).unwrap_or(learnt.limit),
+        };
+    }
+    experience
 }
 
 /// The other processes of this node, and this one's part.
@@ -138,7 +189,9 @@
     fn hand_over_to(&mut self, mut stream: UnixStream) -> io::Result<()> {
         let Some(path) = self.state.path(HANDED) else { return Ok(()) };
         let once: Vec<u64> = self.bans.once().collect();
-        std::fs::write(path, json!({"list": self.discovery.whole_list(), "once": once}).to_string())?;
+        let learnt = told(&self.names, &self.dispatcher.experience());
+        let handed = json!({"list": self.discovery.whole_list(), "once": once, "learnt": learnt});
+        std::fs::write(path, handed.to_string())?;
         self.registry.register(&mut stream, NEWER, Interest::READABLE)?;
         self.upgrade.newer = Some(stream);
         // Danger: both together over the node's limits. This one shrinks before the other has anything.
@@ -210,6 +263,12 @@
         }
     }
 
+    /// Takes over what the older process has learnt of the servers that are listed now.
+    pub fn inherit(&mut self, learnt: &Value) {
+        let experience = read(&self.names, learnt, self.dispatcher.experience());
+        self.dispatcher.inherit(&experience);
+    }
+
     /// Takes clients in, once it can serve them or nobody else does.
     pub fn take_clients_in(&mut self) {
         if !std::mem::take(&mut self.upgrade.holds_back) {
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -98,8 +98,9 @@
         let text = |e: io::Error| e.to_string();
         let state = State::of(&configuration.name);
         let mut handed = upgrade::ask(&state, configuration.listen);
-        let (list, once) =
-            handed.as_mut().map(|h| (h.list.take(), std::mem::take(&mut h.once))).unwrap_or_default();
+        let (list, once, learnt) = handed.as_mut().map_or_else(Default::default, |handed| {
+            (handed.list.take(), std::mem::take(&mut handed.once), handed.learnt.take())
+        });
         let taken = handed.as_ref().map(|h| h.listener.try_clone());
         let listener = taken.unwrap_or_else(|| bound(configuration.listen)).map_err(of_listen)?;
         listener.set_nonblocking(true).map_err(of_listen)?;
@@ -151,6 +152,7 @@
             }
             true => proxy.call_list(),
         }
+        proxy.inherit(&learnt);
         if !proxy.upgrade.holds_back {
             proxy.listen();
         }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,14 +4,13 @@
 //! which danger it meets.
 
 use crate::given::Duties;
-use crate::words::{Arrival, Chance, Effect, Ending, Given, Listed, Load, Outlet, PushEnd, Standing, Within};
+use crate::words::{Arrival, Chance, Effect, Ending, Experience, Given, Learnt, Listed, Load, Outlet};
+use crate::words::{PushEnd, Standing, Within};
 use std::collections::{BTreeMap, BTreeSet};
 
 type Step = Box<dyn FnOnce(&mut Balancer, &mut dyn Outlet, &PushEnd) + Send>;
 type Alarm = Box<dyn FnOnce(&mut Balancer, &mut dyn Outlet) + Send>;
 
-// ---------------------------------------------------------------- duties: what is read at start
-
 #[derive(Clone, Copy, Default)]
 struct Category {
     effect: Effect,
@@ -47,8 +46,6 @@
     })
 }
 
-// ---------------------------------------------------------------- server records and list
-
 #[derive(Clone, Copy)]
 struct Sent {
     at: f64,
@@ -71,19 +68,12 @@
     load: Load,
     load_at: f64,
     since_load: f64,
-    // rates and health: time over the usual, its best, share of failures, last word
-    pace: Option<f64>,
-    best: f64,
-    faults: f64,
     heard: f64,
     out: BTreeMap<(usize, usize), Sent>,
-    // what it bears: own work acked a millisecond, smoothed
-    borne: f64,
+    past: Learnt,
     borne_at: f64,
-    peak: f64,
-    // limits: in flight from all nodes together, and what a cold one may still get
-    limit: f64,
     cut_at: f64,
+    // what a cold one may still get
     purse: f64,
     purse_at: f64,
     share: f64,
@@ -102,10 +92,9 @@
             warm_at: if started > 0.0 { started + cold_time } else { f64::NEG_INFINITY },
             load_at: now,
             heard: now,
-            best: 1.0,
-            borne_at: now,
             // A handful from all nodes together: a new server is neither starved nor flooded.
-            limit: 5.0,
+            past: Learnt { best: 1.0, limit: 5.0, ..Learnt::default() },
+            borne_at: now,
             cut_at: now,
             purse_at: now,
             ..Server::default()
@@ -114,9 +103,10 @@
 
     /// A new process under the old name: what it holds still and what it once bore outlast the old one.
     fn restarted(&mut self, started: f64, now: f64, cold_time: f64) {
-        let Server { standing, suspended, zone, pod, peak, .. } = *self;
+        let Server { standing, suspended, zone, pod, past: Learnt { peak, .. }, .. } = *self;
         let (out, new) = (std::mem::take(&mut self.out), Server::new(self.mark, started, now, cold_time));
-        *self = Server { standing, suspended, zone, pod, peak, out, ..new };
+        *self = Server { standing, suspended, zone, pod, out, ..new };
+        self.past.peak = peak;
     }
 
     fn usable(&self) -> bool {
@@ -135,7 +125,7 @@
     }
 
     fn bears(&self, now: f64) -> f64 {
-        self.borne * (-(now - self.borne_at).max(0.0) / BORNE_OVER).exp()
+        self.past.borne * (-(now - self.borne_at).max(0.0) / BORNE_OVER).exp()
     }
 }
 
@@ -233,9 +223,8 @@
         self.now = now;
         // Danger: a server missing from the whole list was removed unseen; it gets nothing more.
         let missing = |id: &usize| whole && !lines.iter().any(|line| line.server == *id);
-        for (_, server) in self.servers.iter_mut().filter(|(id, _)| missing(id)) {
-            server.standing = Standing::Gone;
-        }
+        let gone = self.servers.iter_mut().filter(|(id, _)| missing(id));
+        gone.for_each(|(_, s)| s.standing = Standing::Gone);
         let cold_time = self.duties.or("cold-time", 0.0);
         for line in lines {
             let fresh = Server::new(line.mark, line.started, now, cold_time);
@@ -292,15 +281,31 @@
     /// Servers in the list; those of them that are suspended, or fail so often that hardly a draw falls on them.
     pub fn census(&self) -> (usize, usize) {
         let listed = || self.servers.values().filter(|s| s.standing != Standing::Gone);
-        (listed().count(), listed().filter(|s| s.suspended || s.faults > 0.5).count())
+        (listed().count(), listed().filter(|s| s.suspended || s.past.faults > 0.5).count())
+    }
+
+    /// What it has learnt, for a process that comes after this one.
+    pub fn experience(&self) -> Experience {
+        let servers = self.servers.iter().map(|(id, s)| (*id, s.past)).collect();
+        let categories = self.categories.iter().map(|c| (c.time, c.acked)).collect();
+        Experience { time: self.time, slack: self.slack, warm_rate: self.warm_rate, categories, servers }
+    }
+
+    /// Danger: a process that knows of no server what it bears gives cold ones nothing, and all too little.
+    pub fn inherit(&mut self, from: &Experience) {
+        (self.time, self.slack, self.warm_rate) = (from.time, from.slack, from.warm_rate);
+        for (category, told) in self.categories.iter_mut().zip(&from.categories) {
+            (category.time, category.acked) = *told;
+        }
+        for (id, learnt) in &from.servers {
+            self.servers.entry(*id).and_modify(|s| s.past = *learnt);
+        }
     }
 
     /// New duties. Ops under way keep the terms that they came under, and what was learnt stays.
     pub fn renew(&mut self, given: Given) -> Result<(), String> {
         let mut new = Balancer::new(given, 0)?;
-        for (new, old) in new.categories.iter_mut().zip(&self.categories) {
-            (new.time, new.acked) = (old.time, old.acked);
-        }
+        new.inherit(&self.experience());
         for (new, old) in new.customers.iter_mut().zip(&self.customers) {
             (new.purse, new.counted) = (old.purse, old.counted);
         }
@@ -342,8 +347,6 @@
         }
     }
 
-    // ------------------------------------------------------------ reports, rates, health
-
     fn take_load(&mut self, id: usize, load: Load) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         // A report is repeated until it is renewed: only a change of any figure tells a new one.
@@ -367,67 +370,65 @@
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
         // Danger: one that gets little would seem slow for long: after a silence the new counts for more.
         let Some(server) = self.servers.get_mut(&id) else { return };
+        let (bears, l) = (server.bears(now), &mut server.past);
+        let old = l.pace.unwrap_or(1.0);
         let smooth = ((now - server.heard) / 2000.0).clamp(0.1, 0.5);
         if good {
-            let pace = server.pace.unwrap_or(1.0);
             let step = 0.05 * self.slack;
             // Follows the multiple of the usual time that nineteen of twenty pushes stay under.
-            self.slack += if ratio > pace * self.slack { step * 0.95 } else { -step * 0.05 };
+            self.slack += if ratio > old * self.slack { step * 0.95 } else { -step * 0.05 };
             self.slack = self.slack.clamp(1.5, 8.0);
             let c = &mut self.categories[category];
             // Danger: were it to follow a crowd, a crowded fleet would look ordinary. It stiffens, not pace.
             c.acked += 1.0;
             let step = (1.0 / (c.acked + 10.0)).max(0.002);
-            c.time += step * (end.took / pace.max(0.2) - c.time);
-            self.time += step * (end.took / pace.max(0.2) - self.time);
+            c.time += step * (end.took / old.max(0.2) - c.time);
+            self.time += step * (end.took / old.max(0.2) - self.time);
         }
         // Danger: ops are lost on the way. A time-out where others were answered meanwhile is no crowding.
         let lost = end.ending == Ending::TimedOut && server.heard > sent.at;
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
         // Two failures in a row of a server seldom heard are no proof: only good news counts for more.
-        server.faults += if good { smooth } else { 0.1 } * (bad - server.faults);
+        l.faults += if good { smooth } else { 0.1 } * (bad - l.faults);
         if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
             server.heard = now;
         }
         if good || (end.ending == Ending::TimedOut && !lost) {
-            let old = server.pace.unwrap_or(1.0);
             // Danger: a short time-out taken for a quick answer. It says "at least so long", no less.
             let ratio = if good { ratio } else { ratio.max(old) };
-            server.pace = Some(old + smooth * (ratio.min(old * 10.0) - old));
+            l.pace = Some(old + smooth * (ratio.min(old * 10.0) - old));
         }
         if good {
-            let borne = server.bears(now) + sent.usual / self.time.max(1.0) / BORNE_OVER;
-            (server.borne, server.borne_at, server.peak) = (borne, now, server.peak.max(borne));
+            let borne = bears + sent.usual / self.time.max(1.0) / BORNE_OVER;
+            (l.borne, server.borne_at, l.peak) = (borne, now, l.peak.max(borne));
         }
         // Danger: a crowded server turns slower, and smoothed figures show it too late. A quick answer,
         // at the server's best pace, lets the limit grow; thrice the usual time or a late one cuts it.
-        let pace = server.pace.unwrap_or(1.0);
-        server.best = if pace < server.best { pace } else { server.best + 0.005 * (pace - server.best) };
-        let stretch = end.took / (sent.usual * server.best).max(1.0);
+        let pace = l.pace.unwrap_or(1.0);
+        l.best = if pace < l.best { pace } else { l.best + 0.005 * (pace - l.best) };
+        let stretch = end.took / (sent.usual * l.best).max(1.0);
         // Danger: idle servers turn one category away. Where nothing waits, it is not full.
         let full = end.ending == Ending::TurnedAway && server.load.waiting.is_none_or(|w| w > 0.0);
         let failed = full || matches!(end.ending, Ending::TimedOut | Ending::Unreachable);
         let late = !lost && (failed || end.took > sent.target);
-        let used = strained && (asks || server.out.len() as f64 >= 0.5 * server.limit / sharers);
+        let used = strained && (asks || server.out.len() as f64 >= 0.5 * l.limit / sharers);
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
         if late && now - server.cut_at > sent.usual {
-            (server.limit, server.cut_at) = ((server.limit * if asks { 0.9 } else { 0.7 }).max(1.0), now);
+            (l.limit, server.cut_at) = ((l.limit * if asks { 0.9 } else { 0.7 }).max(1.0), now);
         } else if good && stretch > 3.0 && !asks {
-            (server.limit, server.cut_at) = ((server.limit * 0.9).max(1.0), now);
+            (l.limit, server.cut_at) = ((l.limit * 0.9).max(1.0), now);
         } else if good && stretch < 1.0 && used {
             // One for a round of own answers: scaled up to all nodes it would outrun the cuts.
-            server.limit = (server.limit + 1.0 / server.limit).min(1000.0);
+            l.limit = (l.limit + 1.0 / l.limit).min(1000.0);
         }
         if asks {
             // Danger: quiet nodes hear each server once in seconds. What any answer says counts for all.
-            let limit = (server.limit, server.cut_at);
-            self.servers.values_mut().for_each(|s| (s.limit, s.cut_at) = limit);
+            let limit = (l.limit, server.cut_at);
+            self.servers.values_mut().for_each(|s| (s.past.limit, s.cut_at) = limit);
         }
     }
 }
 
-// ---------------------------------------------------------------- the split
-
 /// What the split knows of one server. `cost` and times in milliseconds, `mu` in ops a millisecond.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Seen {
@@ -527,7 +528,7 @@
                     break;
                 }
                 taken += 1.0;
-                found += 1.0 - s.faults;
+                found += 1.0 - s.past.faults;
                 part.push(*id);
             }
         }
@@ -555,7 +556,7 @@
         self.solved_at = now;
         let ids = self.part.clone();
         let part = ids.iter().map(|id| &self.servers[id]);
-        let paces: Vec<f64> = part.clone().filter_map(|s| s.pace).map(|pace| 1.0 / pace).collect();
+        let paces: Vec<f64> = part.clone().filter_map(|s| s.past.pace).map(|pace| 1.0 / pace).collect();
         let queues: Vec<f64> = part.filter_map(|s| self.known(s)).collect();
         let mean = |of: &[f64]| of.iter().sum::<f64>() / f64::max(of.len() as f64, 1.0);
         self.mean_pace = if paces.is_empty() { 1.0 } else { 1.0 / mean(&paces) };
@@ -597,16 +598,16 @@
         let worth = if self.asks { targets / self.categories.len() as f64 } else { self.time };
         let one = |id: &usize| {
             let s = &self.servers[id];
-            let latency = (s.pace.unwrap_or(self.mean_pace) * self.time).max(1.0);
+            let latency = (s.past.pace.unwrap_or(self.mean_pace) * self.time).max(1.0);
             let away = if s.zone == my_zone { 0.0 } else { cross * worth };
             // A failed op costs about another op's time.
-            let cost = away + latency * s.faults / (1.0 - s.faults).max(0.1);
+            let cost = away + latency * s.past.faults / (1.0 - s.past.faults).max(0.1);
             let horizon =
                 if s.load != Load::default() { (self.now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
             // Danger: one that fails fast answers first. Its most shrinks, to a fiftieth, to see it recover.
             // Danger: a jammed server is slow until it was mostly idle. At thrice its best pace it rests.
-            let jammed = self.asks && s.pace.is_some_and(|pace| pace > 3.0 * s.best);
-            let most = most * (1.0 - s.faults).max(0.02) * if jammed { 0.05 } else { 1.0 };
+            let jammed = self.asks && s.past.pace.is_some_and(|pace| pace > 3.0 * s.past.best);
+            let most = most * (1.0 - s.past.faults).max(0.02) * if jammed { 0.05 } else { 1.0 };
             let (queue, mu) = (self.known(s).unwrap_or(self.mean_queue), (1.0 + self.mean_queue) / latency);
             Seen { queue, mu, horizon, cost, away: if self.asks { away } else { 0.0 }, most }
         };
@@ -642,7 +643,7 @@
             let Some(server) = self.servers.get_mut(id).filter(|s| self.now < s.warm_at) else { continue };
             let able = from + (1.0 - from) * ((self.now - server.started) / time).clamp(0.0, 1.0);
             // What it bore before a restart it will bear again; a stranger may be weaker than the mean.
-            let rate = self.own * 0.7 * multiple * able * server.peak.max(0.8 * self.warm_rate);
+            let rate = self.own * 0.7 * multiple * able * server.past.peak.max(0.8 * self.warm_rate);
             // A full purse and a window's income stay just within one window's budget.
             let (span, most) = (0.3 * window, 0.3 * window * rate);
             if most >= 1.0 {
@@ -656,8 +657,6 @@
         }
     }
 
-    // ------------------------------------------------------------ an op's steps
-
     /// An op has come in; it will get exactly one final answer.
     pub fn arrive(&mut self, out: &mut dyn Outlet, now: f64, arrival: &Arrival) {
         self.now = now;
@@ -710,7 +709,7 @@
         let fits = |home: &usize| from.iter().any(|(id, _)| id == home);
         let mut asked: Vec<usize> = homes.into_iter().filter(fits).take(2).collect();
         // A key's first server is asked alone while its last word was light: a probe has its price.
-        let light = |s: &Server| s.told(self.now).is_some_and(|told| told < 0.3 * s.limit);
+        let light = |s: &Server| s.told(self.now).is_some_and(|told| told < 0.3 * s.past.limit);
         let most = if asked.first().is_some_and(|id| light(&self.servers[id])) { 1 } else { 2 };
         asked.truncate(most);
         from.retain(|(id, _)| !asked.contains(id));
@@ -753,9 +752,7 @@
         }
         let answered = |op: &Op| op.waits && !op.asked.iter().any(|s| self.probes.contains(s));
         let ready: Vec<usize> = self.ops.iter().filter(|(_, op)| answered(op)).map(|(id, _)| *id).collect();
-        for id in ready {
-            self.waited(out, id);
-        }
+        ready.into_iter().for_each(|id| self.waited(out, id));
     }
 
     /// The next push, or the end: a stay would feed a crowd. Nacked at once a client may come back.
@@ -793,14 +790,15 @@
             s.usable()
                 && left > 0.0
                 && repeat
-                && (bound || (s.out.len() as f64) < (s.limit / self.sharers).max(1.0))
+                && (bound || (s.out.len() as f64) < (s.past.limit / self.sharers).max(1.0))
                 && (self.now >= s.warm_at || s.purse > 0.0)
                 // Danger: one thought slow is never seen to recover. First pushes look, or its word tells.
                 && (s.expected * time / self.time < left
                     || (!self.asks && op.pushes.is_empty() && s.out.is_empty()))
         };
         // Danger: one push from each of many nodes is over a weak server's limit. Chance takes the part.
-        let weighed = |s: &Server| s.share * if self.asks { 1.0 } else { (s.limit / self.sharers).min(1.0) };
+        let weighed =
+            |s: &Server| s.share * if self.asks { 1.0 } else { (s.past.limit / self.sharers).min(1.0) };
         let fit = |sid: &usize| Some((*sid, weighed(self.servers.get(sid).filter(|s| fits(s))?)));
         let mut all: Vec<_> = self.part.iter().filter_map(fit).collect();
         if all.is_empty() && bound {
@@ -838,8 +836,8 @@
     fn strain(&self) -> f64 {
         let (asks, now, sharers) = (self.asks, self.now, self.sharers);
         let held = |s: &Server| if asks { s.told(now) } else { Some(s.out.len() as f64 * sharers) };
-        let known = self.part.iter().map(|id| &self.servers[id]).filter_map(|s| Some((held(s)?, s.limit)));
-        let (held, limits) = known.fold((0.0, 0.0), |(h, l), (held, limit)| (h + held, l + limit));
+        let of = |id: &usize| Some((held(&self.servers[id])?, self.servers[id].past.limit));
+        let (held, limits) = self.part.iter().filter_map(of).fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1));
         held / f64::max(limits, 1.0)
     }
 
@@ -881,7 +879,7 @@
         if now < server.warm_at {
             server.purse -= usual / time;
         }
-        let expected = (server.expected * usual / time).max(usual * server.pace.unwrap_or(1.0));
+        let expected = (server.expected * usual / time).max(usual * server.past.pace.unwrap_or(1.0));
         let sent = Sent { at: now, usual, target, patience: expected * self.slack };
         server.out.insert((id, n), sent);
         out.push(id, to, left);
@@ -945,8 +943,7 @@
         };
         if harmless {
             // The time in which the work in flight is mostly done.
-            let most =
-                if self.duties.allow("come-back") { self.duties.or("come-back-most", 0.0) } else { 0.0 };
+            let most = self.duties.or("come-back", 0.0).min(1.0) * self.duties.or("come-back-most", 0.0);
             out.nack(id, (0.25 * self.time).min(most));
         } else {
             out.dead_letter(id);
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The decisions in blocking style: a call says what happened and returns what is next. It decides nothing.
 
 use crate::balance::Balancer;
-use crate::words::{Arrival, Given, Listed, Load, Outlet, PushEnd};
+use crate::words::{Arrival, Experience, Given, Listed, Load, Outlet, PushEnd};
 use std::collections::BTreeSet;
 
 /// Where an op goes, and how long in milliseconds that push may take.
@@ -138,6 +138,16 @@
         self.balancer.renew(given)
     }
 
+    /// What was learnt, for a process that comes after this one.
+    pub fn experience(&self) -> Experience {
+        self.balancer.experience()
+    }
+
+    /// Takes over what the process before this one has learnt, once the list is known.
+    pub fn inherit(&mut self, from: &Experience) {
+        self.balancer.inherit(from);
+    }
+
     /// Its share of the node, where two processes are one.
     pub fn share(&mut self, share: f64) {
         self.balancer.share(share);
--- a/src/words.rs
+++ b/src/words.rs
@@ -130,6 +130,33 @@
     pub load: Load,
 }
 
+/// What a node has learnt of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Learnt {
+    /// Time over the usual, and its best.
+    pub pace: Option<f64>,
+    pub best: f64,
+    /// Share of failures.
+    pub faults: f64,
+    /// What it bears: own work acked a millisecond, smoothed, and the most of it.
+    pub borne: f64,
+    pub peak: f64,
+    /// In flight from all nodes together.
+    pub limit: f64,
+}
+
+/// What a node has learnt of all.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Experience {
+    /// Smoothed time of an acked push, and the multiple of the usual time that most pushes stay under.
+    pub time: f64,
+    pub slack: f64,
+    pub warm_rate: f64,
+    /// Of each category: its time, and how many acks that rests on.
+    pub categories: Vec<(f64, f64)>,
+    pub servers: Vec<(usize, Learnt)>,
+}
+
 /// Where the decisions go. Whoever runs the module implements it; calls take effect in their order.
 pub trait Outlet {
     fn push(&mut self, op: usize, server: usize, patience: f64);
