--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -33,7 +33,6 @@
             self.idle_until = self.idle_until.max(proxy.end_at - 0.5 * longest);
             self.shut = true;
             proxy.shut();
-            proxy.leave_to_newer();
         }
         // Wakes the loop when the time is over.
         proxy.timers.set(self.idle_until, |_| {});
--- a/node/src/life/upgrade.rs
+++ b/node/src/life/upgrade.rs
@@ -124,8 +124,6 @@
     newer: Option<UnixStream>,
     /// One in so many of the node's limits is for this process and those that come after it.
     parts: u8,
-    /// The older of two has been told to stop: what comes goes to the newer.
-    leaves: bool,
     /// It has a listener, but does not yet take clients in.
     pub holds_back: bool,
 }
@@ -162,16 +160,6 @@
         self.newer.is_some()
     }
 
-    /// Its share of the node's traffic, by which it decides. Danger: half of all would be left to a process whose
-    /// clients are being sent away, while the other refuses them. Those that it still has ask once more.
-    pub fn part(&self) -> f64 {
-        match (self.leaves, &self.newer, &self.older) {
-            (true, Some(_), _) => self.share() * 0.5,
-            (true, None, Some(_)) => self.share() * 1.5,
-            _ => self.share(),
-        }
-    }
-
     /// This process's share of the node's limits.
     pub fn share(&self) -> f64 {
         1.0 / (f64::from(self.parts) * if self.newer.is_some() { 2.0 } else { 1.0 })
@@ -261,14 +249,10 @@
     pub fn older_event(&mut self) {
         let Some(stream) = &mut self.upgrade.older else { return };
         match stream.read(&mut [0]) {
-            Ok(1..) => {
-                self.upgrade.leaves = true;
-                self.take_share();
-            }
+            Ok(1..) => {}
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
             _ => {
                 log::info!("the older process has ended");
-                self.upgrade.leaves = false;
                 if let Some(mut stream) = self.upgrade.older.take() {
                     let _ = self.registry.deregister(&mut stream);
                 }
@@ -279,16 +263,6 @@
         }
     }
 
-    /// This process has been told to stop, and the newer one is told so.
-    pub fn leave_to_newer(&mut self) {
-        self.upgrade.leaves = true;
-        if let Some(stream) = &mut self.upgrade.newer {
-            // One byte fits into an empty socket buffer.
-            let _ = stream.write(&[1]);
-        }
-        self.take_share();
-    }
-
     /// Takes over what the older process has learnt of the servers that are listed now.
     pub fn inherit(&mut self, learnt: &Value) {
         let experience = read(&self.names, learnt, self.dispatcher.experience());
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -182,7 +182,7 @@
         self.buffers.resize((self.buffer_bytes as f64 * share) as usize);
         while self.servers.links.over() && self.drop_longest_idle() {}
         while self.clients.over() && self.drop_idle_client() {}
-        self.dispatcher.share(self.upgrade.part());
+        self.dispatcher.share(share);
     }
 
     /// Whether everything taken in is answered, and the answers are out.
