--- a/src/balance.rs
+++ b/src/balance.rs
@@ -968,6 +968,10 @@
     /// A streamed answer has started: the op is bound to that push and gets no other.
     pub fn began(&mut self, now: f64, op: usize) {
         self.now = now;
-        self.ops.entry(op).and_modify(|op| op.bound = true);
+        let Some(o) = self.ops.get_mut(&op) else { return };
+        o.bound = true;
+        for (n, p) in o.pushes.iter().enumerate() {
+            self.servers.entry(p.server).and_modify(|s| drop(s.out.remove(&(op, n))));
+        }
     }
 }
