--- a/benchlink/src/node.rs
+++ b/benchlink/src/node.rs
@@ -259,7 +259,8 @@
         }
         "Accepted" => {
             if let Some(op) = ops.by_id.get(&fields.whole(2, "Req")?) {
-                balancer.began(now, *op);
+                // Its server works on for as long as it streams: what it counts for stays as it is.
+                balancer.began(now, *op, usize::MAX, true);
             }
         }
         "Wake" => {
--- a/node/src/life/upgrade.rs
+++ b/node/src/life/upgrade.rs
@@ -281,3 +281,54 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names() -> Names {
+        let (mut names, _) = Names::read(&json!({"Categories": [{"Name": "view"}, {"Name": "pay"}]}));
+        (names.server(11), names.server(12));
+        names
+    }
+
+    fn fresh() -> Experience {
+        let learnt = Learnt { best: 1.0, limit: 5.0, ..Learnt::default() };
+        let categories = vec![(100.0, 0.0); 2];
+        Experience {
+            time: 100.0,
+            slack: 2.0,
+            categories,
+            servers: vec![(0, learnt), (1, learnt)],
+            ..Experience::default()
+        }
+    }
+
+    #[test]
+    fn what_was_learnt_is_read_as_it_was_told() {
+        let learnt = Learnt { pace: Some(1.5), best: 0.9, faults: 0.1, borne: 0.02, peak: 0.03, limit: 17.0 };
+        let old = Experience {
+            time: 80.0,
+            slack: 3.0,
+            warm_rate: 0.01,
+            categories: vec![(70.0, 40.0), (90.0, 7.0)],
+            servers: vec![(0, learnt), (1, Learnt { pace: None, ..learnt })],
+        };
+        assert_eq!(read(&names(), &told(&names(), &old), fresh()), old);
+    }
+
+    #[test]
+    fn torn_or_absurd_figures_change_nothing_or_are_held_to_what_can_be() {
+        for told in [Value::Null, json!([]), json!({"servers": 3, "categories": "x", "time": "soon"})] {
+            assert_eq!(read(&names(), &told, fresh()), fresh());
+        }
+        let absurd = json!({"time": -5, "slack": 1e300, "warm_rate": 1e300, "categories": {"pay": [0, -1], "view": [1]},
+            "servers": [{"mark": 11, "limit": 1e9, "faults": -3, "pace": 0, "peak": "x"}, {"mark": 99, "limit": 1}]});
+        let got = read(&names(), &absurd, fresh());
+        assert_eq!((got.time, got.slack, got.warm_rate), (0.01, 8.0, 1e3));
+        assert_eq!(got.categories, [(100.0, 0.0), (0.01, 0.0)]);
+        let first = got.servers[0].1;
+        assert_eq!((first.limit, first.faults, first.pace, first.peak), (1e3, 0.0, Some(0.001), 0.0));
+        assert_eq!(got.servers[1], fresh().servers[1]);
+    }
+}
--- a/node/src/memory/ops.rs
+++ b/node/src/memory/ops.rs
@@ -80,6 +80,11 @@
         self.table.get(op)?.pushes.get(push).copied().flatten()
     }
 
+    /// The push that is out on a connection.
+    pub fn push_on(&self, op: usize, link: usize) -> Option<usize> {
+        self.table.get(op)?.pushes.iter().position(|l| *l == Some(link))
+    }
+
     pub fn push_ended(&mut self, op: usize, push: usize) {
         let op = &mut self.table[op];
         op.pushes[push] = None;
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -319,6 +319,14 @@
         }
     }
 
+    /// A push's long body has begun to go to its server, is there whole, or begins to come back.
+    pub fn body_moves(&mut self, op: usize, link: usize, works: bool) {
+        if let Some(push) = self.ops.push_on(op, link) {
+            let now = self.now();
+            self.dispatcher.began(now, op, push, works);
+        }
+    }
+
     /// A push has ended: the first ack goes to the client, anything else to the decisions.
     fn pushed(&mut self, op: usize, push: usize, at: f64, outcome: Outcome) {
         let Outcome { ending, load, answer, took } = outcome;
--- a/node/src/wire/passing.rs
+++ b/node/src/wire/passing.rs
@@ -65,7 +65,7 @@
         self.timers.unset(link.timer.take());
         link.timer = Some(self.timers.set(now + STALL, move |proxy: &mut Proxy| proxy.link_due(key)));
         let (head, end) = (message.head, message.end);
-        self.dispatcher.began(now, op);
+        self.body_moves(op, key, false);
         self.feed_client(client, key, framing == Framing::Unframed);
         // Until its last byte is with the client.
         self.clients.ends_as(client, End::Aborted);
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -435,7 +435,7 @@
         if link.feeding.is_some() {
             self.feed(key);
         }
-        let now = self.clock.now();
+        let (now, mut fed_whole) = (self.clock.now(), None);
         let Some(link) = self.servers.links.get_mut(key) else { return };
         if let Some(outbox) = link.outbox.as_ref().filter(|_| link.feeding.is_none()) {
             let drained = outbox.drain(&mut link.sent, &mut link.stream);
@@ -444,6 +444,7 @@
                 Ok(true) => {
                     link.whole = true;
                     if link.fed {
+                        fed_whole = Some(link.op);
                         // An op's time starts with its last byte.
                         (link.fed_at, link.ends) = (Some(now), now + link.patience);
                         self.timers.unset(link.timer.take());
@@ -458,6 +459,9 @@
                 Err(_) => {}
             }
         }
+        if let Some(op) = fed_whole {
+            self.body_moves(op, key, true);
+        }
         self.read_answer(key);
     }
 
--- a/node/src/wire/uploading.rs
+++ b/node/src/wire/uploading.rs
@@ -90,7 +90,8 @@
             if !std::mem::replace(upload.let_go, true) {
                 // The first piece is with the server, and makes room for the next.
                 upload.message.let_go(upload.inbox);
-                self.dispatcher.began(now, op);
+                self.body_moves(op, key, false);
+                continue;
             }
             let Some(outbox) = &mut link.outbox else { return };
             match next(&mut upload, outbox, chunked, now) {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -131,7 +131,7 @@
 
 struct Pushed {
     server: usize,
-    at: f64,
+    sent: Sent,
     may_have_run: bool,
     out: bool,
 }
@@ -171,7 +171,6 @@
     parted_at: f64,
     ops: BTreeMap<usize, Op>,
     steps: BTreeMap<(usize, usize), Step>,
-    /// Servers that are asked for their load.
     probes: BTreeSet<usize>,
     alarms: BTreeMap<u64, Alarm>,
     next_alarm: u64,
@@ -181,7 +180,6 @@
     slack: f64,
     solved_at: f64,
     list_wait: f64,
-    /// Own work a millisecond that a warm server bears in the mean.
     warm_rate: f64,
     // of the part, at the last solution: mean pace and queue, arrivals over all rates
     mean_pace: f64,
@@ -228,14 +226,13 @@
         let cold_time = self.duties.or("cold-time", 0.0);
         for line in lines {
             let fresh = Server::new(line.mark, line.started, now, cold_time);
-            let server = self.servers.entry(line.server).or_insert(fresh);
-            if line.started > server.started {
+            let s = self.servers.entry(line.server).or_insert(fresh);
+            if line.started > s.started {
                 // Danger: a restarted process is cold, whatever its old record or a report on its way says.
                 self.probes.remove(&line.server);
-                server.restarted(line.started, now, cold_time);
+                s.restarted(line.started, now, cold_time);
             }
-            (server.mark, server.standing) = (line.mark, line.standing);
-            (server.zone, server.pod) = (line.zone, line.pod);
+            (s.mark, s.standing, s.zone, s.pod) = (line.mark, line.standing, line.zone, line.pod);
         }
         self.forget();
         (self.solved_at, self.parted_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
@@ -339,7 +336,6 @@
         out.wake(at, self.next_alarm);
     }
 
-    /// An alarm set earlier is due.
     pub fn woken(&mut self, out: &mut dyn Outlet, now: f64, alarm: u64) {
         self.now = now;
         if let Some(alarm) = self.alarms.remove(&alarm) {
@@ -493,9 +489,6 @@
     under.iter().zip(&over).map(|(u, o)| u + (o - u) * part).collect()
 }
 
-/// How often the part is chosen anew without news of the list: health moves it, and slowly is soon enough.
-const PART_EVERY: f64 = 1000.0;
-
 impl Balancer {
     /// Danger: hundreds of nodes over hundreds of servers know none and dial for every push. A node draws
     /// from a part of the fleet: runs from its own places in two orders of all servers that every node knows
@@ -539,12 +532,11 @@
     }
 
     fn solve(&mut self) {
-        // At least this long between two solutions; the design's figure.
-        const REFRESH: f64 = 100.0;
-        if self.now - self.solved_at < REFRESH {
+        // The design's least time between two solutions. Health moves the part, and a second is soon enough.
+        if self.now - self.solved_at < 100.0 {
             return;
         }
-        if self.now - self.parted_at >= PART_EVERY {
+        if self.now - self.parted_at >= 1000.0 {
             self.choose_part();
         }
         let now = self.now;
@@ -742,7 +734,6 @@
         }
     }
 
-    /// A probe has ended, with a report or none.
     pub fn probed(&mut self, out: &mut dyn Outlet, now: f64, server: usize, answer: Option<Load>) {
         self.now = now;
         // One not waited for any more, or never asked, tells nothing.
@@ -781,7 +772,7 @@
                 Within::Pod => self.servers.get(&p.server).is_some_and(|q| q.pod == s.pod),
             };
             // A repeat must land inside the window: keep a tenth of it for the way.
-            let in_time = |p: &Pushed| self.now - p.at < category.window * 0.9;
+            let in_time = |p: &Pushed| self.now - p.sent.at < category.window * 0.9;
             let repeat = match category.effect {
                 Effect::Redeliverable => true,
                 Effect::Deduplicated => ran.clone().all(|p| in_group(p) && in_time(p)),
@@ -873,7 +864,6 @@
         let op = self.ops.get_mut(&id).expect("caller holds it");
         let (category, left, n) = (op.category, op.ends - now, op.pushes.len());
         let (Category { effect, target, .. }, usual) = (op.terms, self.categories[category].time);
-        op.pushes.push(Pushed { server: to, at: now, may_have_run: true, out: true });
         let server = self.servers.get_mut(&to).expect("drawn from the list");
         server.since_load += 1.0;
         if now < server.warm_at {
@@ -881,6 +871,7 @@
         }
         let expected = (server.expected * usual / time).max(usual * server.past.pace.unwrap_or(1.0));
         let sent = Sent { at: now, usual, target, patience: expected * self.slack };
+        op.pushes.push(Pushed { server: to, sent, may_have_run: true, out: true });
         server.out.insert((id, n), sent);
         out.push(id, to, left);
         let copies = effect != Effect::AtMostOnce && self.duties.allow("second-copies");
@@ -905,13 +896,12 @@
     /// Danger: what falls silent holds an op for good. A second copy goes, later the fuller all is, not where
     /// three nodes or more share a server, as copies would take each one's push or two of its limit.
     fn overdue(&mut self, out: &mut dyn Outlet, id: usize, n: usize, at: f64) {
-        let waits = |op: &Op| op.pushes.len() == n + 1 && op.pushes[n].out && op.pushes[n].at == at;
+        let waits = |op: &Op| op.pushes.len() == n + 1 && op.pushes[n].out && op.pushes[n].sent.at == at;
         if self.ops.get(&id).is_some_and(waits) {
             self.try_push(out, id);
         }
     }
 
-    /// A push has ended.
     pub fn push_ended(&mut self, out: &mut dyn Outlet, now: f64, end: &PushEnd) {
         self.now = now;
         if let Some(step) = self.steps.remove(&(end.op, end.push)) {
@@ -965,13 +955,17 @@
         self.close(out, op);
     }
 
-    /// A streamed answer has started: the op is bound to that push and gets no other.
-    pub fn began(&mut self, now: f64, op: usize) {
+    /// A long body goes to a push's server, or comes from it: the op is bound to it, and it counts as work there only
+    /// from its last byte on (`works`) until it is answered. Danger: slow clients would use up all limits.
+    pub fn began(&mut self, now: f64, id: usize, push: usize, works: bool) {
         self.now = now;
-        let Some(o) = self.ops.get_mut(&op) else { return };
-        o.bound = true;
-        for (n, p) in o.pushes.iter().enumerate() {
-            self.servers.entry(p.server).and_modify(|s| drop(s.out.remove(&(op, n))));
+        let Some(op) = self.ops.get_mut(&id) else { return };
+        op.bound = true;
+        let Some(p) = op.pushes.get(push).filter(|p| p.out) else { return };
+        let server = self.servers.get_mut(&p.server).expect("kept for its pushes");
+        server.out.remove(&(id, push));
+        if works {
+            server.out.insert((id, push), p.sent);
         }
     }
 }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -107,9 +107,10 @@
         self.said.take(end.op)
     }
 
-    /// The answer to a push is on its way to the client, piece by piece: no other is wanted.
-    pub fn began(&mut self, now: f64, op: usize) {
-        self.balancer.began(now, op);
+    /// A long body is on its way to or from a push's server, piece by piece; no other push is wanted. Whether that
+    /// server works at it now: once it has all of it, and until its answer has begun.
+    pub fn began(&mut self, now: f64, op: usize, push: usize, works: bool) {
+        self.balancer.began(now, op, push, works);
     }
 
     /// The client is gone; nothing more is owed.
--- a/src/words.rs
+++ b/src/words.rs
@@ -151,6 +151,7 @@
     /// Smoothed time of an acked push, and the multiple of the usual time that most pushes stay under.
     pub time: f64,
     pub slack: f64,
+    /// Own work a millisecond that a warm server bears in the mean.
     pub warm_rate: f64,
     /// Of each category: its time, and how many acks that rests on.
     pub categories: Vec<(f64, f64)>,
--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -743,3 +743,50 @@
     let (whole, half) = (spent(1.0), spent(0.5));
     assert!(whole >= 8 && half <= whole * 2 / 3, "{half} of {whole}");
 }
+
+#[test]
+fn a_long_body_on_its_way_fills_no_limit() {
+    let taken = |begins: bool| {
+        let mut play = Play::new(2);
+        let mut out = 0;
+        for _ in 0..60 {
+            let op = play.op(0);
+            let push = play.model.ops[op].pushes.len();
+            out += push;
+            if push > 0 && begins {
+                play.balancer.began(play.model.now, op, 0, false);
+            }
+        }
+        out
+    };
+    assert!(taken(false) < 20, "limits hold what servers work at");
+    assert_eq!(taken(true), 60, "and nothing else");
+    // Once its server has it whole it is work again; a push that breaks is no other's turn.
+    let mut play = Play::new(2);
+    let ops: Vec<usize> = (0..30).map(|_| play.op(0)).collect();
+    for op in ops.iter().filter(|op| !play.model.ops[**op].pushes.is_empty()) {
+        play.balancer.began(play.model.now, *op, 0, false);
+        play.balancer.began(play.model.now, *op, 0, true);
+    }
+    let more = play.op(0);
+    assert_eq!(play.model.ops[more].answers, ["nacked"]);
+    play.end(ops[0], 0, Ending::Broken);
+    assert_eq!(play.model.ops[ops[0]].pushes.len(), 1, "bound to the one that it went to");
+}
+
+#[test]
+fn a_process_that_inherits_fills_cold_servers_as_the_one_before_did() {
+    let mut old = Play::new(4);
+    old.run(400, 10.0, |_| ACK);
+    let cold = |play: &mut Play, now: f64| {
+        play.model.now = now;
+        play.list(&[line(4, Standing::Ready, now)], false, false);
+        play.run(60, 2.5, |_| ACK).get(&4).copied().unwrap_or(0)
+    };
+    let now = old.model.now;
+    let (mut heir, mut stranger) = (Play::new(4), Play::new(4));
+    heir.balancer.inherit(&old.balancer.experience());
+    assert_eq!(heir.balancer.experience(), old.balancer.experience());
+    assert!(cold(&mut heir, now) > 0);
+    assert_eq!(cold(&mut stranger, now), 0, "it knows of no server what it bears");
+}
--- a/tests/module/rules.rs
+++ b/tests/module/rules.rs
@@ -52,12 +52,17 @@
             15 if a % 2 == 0 => play.suspend(a % 9),
             15 => play.resume(a % 9),
             16 => play.renew(given.clone(), a % 3, 1 + b % 4),
+            18 => {
+                if let Some((op, push)) = play.out().get(a % play.out().len().max(1)).copied() {
+                    play.balancer.began(now, op, push, b % 2 == 0);
+                }
+            }
             17 => play.balancer.share(if a % 2 == 0 { 0.5 } else { 1.0 }),
             _ => {
                 // Ids no longer held, results after the end, alarms never set: all harmless.
                 play.balancer.woken(&mut play.model, now, u64::MAX);
                 play.balancer.departed(&mut play.model, now, usize::MAX);
-                play.balancer.began(now, usize::MAX);
+                play.balancer.began(now, usize::MAX, 0, true);
                 play.balancer.probed(&mut play.model, now, usize::MAX, Some(Load::default()));
             }
         }
