--- a/node/tests/sockets/days.rs
+++ b/node/tests/sockets/days.rs
@@ -73,8 +73,8 @@
 fn figures_tell_each_end_once_and_never_fall() {
     let long = vec![b'l'; 200_000];
     let server = Server::new(move |stream, asked| match &asked.body[..] {
-        b"long" => stream.write_all(&[&ok(&"x".repeat(0))[..0], &long_answer(&long)].concat()).is_ok(),
-        b"half" => drop(stream.write_all(&long_answer(&long)[..150_000])) == () && false,
+        b"long" => stream.write_all(&long_answer(&long)).is_ok(),
+        b"half" => stream.write_all(&long_answer(&long)[..150_000]).is_err(),
         b"fail" => stream.write_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n").is_ok(),
         b"wait" => stream.read(&mut [0]).is_ok_and(|n| n > 0),
         _ => stream.write_all(&ok("x")).is_ok(),
@@ -494,7 +494,7 @@
     client.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
     let gone = (0..60).any(|_| {
         let _ = client.write_all(b"x");
-        matches!(client.read(&mut [0; 100]), Ok(_))
+        client.read(&mut [0; 100]).is_ok()
     });
     assert!(gone, "it creeps on");
 }
