--- a/src/balance.rs
+++ b/src/balance.rs
@@ -634,11 +634,8 @@
         for id in &self.part {
             let Some(server) = self.servers.get_mut(id).filter(|s| self.now < s.warm_at) else { continue };
             let able = from + (1.0 - from) * ((self.now - server.started) / time).clamp(0.0, 1.0);
-            // What it bore before a restart it will bear again; a stranger may be weaker than the mean. Danger: a
-            // node that has met no warm one gives nothing: half the pace of one op at a time is safe for any.
-            let mean =
-                if self.warm_rate > 0.0 { 0.8 * self.warm_rate } else { 0.5 / (self.time * self.sharers) };
-            let rate = self.own * 0.7 * multiple * able * server.past.peak.max(mean);
+            // What it bore before a restart it will bear again; a stranger may be weaker than the mean.
+            let rate = self.own * 0.7 * multiple * able * server.past.peak.max(0.8 * self.warm_rate);
             // A full purse and a window's income stay just within one window's budget.
             let (span, most) = (0.3 * window, 0.3 * window * rate);
             if most >= 1.0 {
