Two processes stay under one node's descriptors; faulty words in settings are named; a failed upgrade can be tried again

Found by reading and by hand: each process's own 32 descriptors stood beside half of all, 416 of 384; a killed newer process left a dead socket where the next one looks. WindowMs, Benefit, quotas and Group of a wrong kind counted as none at SIGHUP and at start.

--- a/node/src/life/configuration.rs
+++ b/node/src/life/configuration.rs
@@ -13,6 +13,12 @@
 
 const ADMIN: (&str, &str) = ("admin_addr", "BALANCER_ADMIN_ADDR");
 
+/// Connections to clients at most, and as many to servers, of so many descriptors: an op under way holds one of each.
+pub fn connections(sockets: f64) -> usize {
+    // Danger: a share so small that nothing is left would serve nobody.
+    ((sockets - OTHER_SOCKETS as f64) / 2.0).max(4.0) as usize
+}
+
 /// What a header's name may hold.
 fn token(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)
@@ -21,7 +27,11 @@
 /// The first key that a running configuration has and a new one lacks: at the top, in `settings`, `limits` and in
 /// each category. One that is new must have what all others had. Danger: a file cut short that still reads as one.
 fn lacks(running: &Value, new: &Value) -> Option<String> {
-    let keys = |of: &Value| of.as_object().map(|o| o.keys().cloned().collect::<Vec<_>>()).unwrap_or_default();
+    // The one key that may come and go.
+    let stays = |key: &&String| *key != "AimStretch";
+    let keys = |of: &Value| -> Vec<String> {
+        of.as_object().map(|o| o.keys().filter(stays).cloned().collect()).unwrap_or_default()
+    };
     for path in ["", "/settings", "/limits"] {
         let (had, has) = (running.pointer(path)?, new.pointer(path));
         if let Some(key) = keys(had).into_iter().find(|key| has.is_none_or(|has| has.get(key).is_none())) {
@@ -52,8 +62,8 @@
     pub discovery: SocketAddr,
     /// Where operators call; no door where none is named.
     pub admin: Option<SocketAddr>,
-    /// Connections to clients at most, and as many to servers: an op under way holds one of each.
-    pub connections: usize,
+    /// Descriptors that all processes of the node may hold together.
+    pub sockets: usize,
     pub buffer_bytes: usize,
     pub connect_within: f64,
     pub keepalive: f64,
@@ -147,7 +157,7 @@
                 None | Some(Value::Null) => None,
                 Some(_) => Some(address("admin_addr")?),
             },
-            connections: ((sockets - OTHER_SOCKETS) / 2) as usize,
+            sockets: sockets as usize,
             // Half of it: the rest is for tables, the program and what the system keeps for sockets.
             buffer_bytes: (memory * 1024.0 * 1024.0 / 2.0) as usize,
             // Where none is set: as long as a lost first packet takes to be sent again.
--- a/node/src/life/state.rs
+++ b/node/src/life/state.rs
@@ -58,7 +58,7 @@
         let path = self.path(&format!("{BAN}{mark:016x}")).ok_or(io::ErrorKind::NotFound)?;
         // Made first: the text is for whoever looks in, and may not fit.
         fs::File::create(&path)?;
-        let _ = fs::write(&path, id.chars().take(300).collect::<String>());
+        let _ = fs::write(&path, id.chars().take(300).collect::<String>() + "\n");
         Ok(())
     }
 
--- a/node/src/life/upgrade.rs
+++ b/node/src/life/upgrade.rs
@@ -137,18 +137,26 @@
             registry.register(&mut stream, OLDER, Interest::READABLE)?;
             (upgrade.older, upgrade.parts) = (Some(stream), parts);
         }
-        if let Some(path) = state.path(SOCKET) {
-            // What a crash or the older process has left there leads nowhere any more.
-            let _ = std::fs::remove_file(&path);
-            match UnixListener::bind(&path) {
-                Ok(mut door) => {
-                    registry.register(&mut door, HANDOVER, Interest::READABLE)?;
-                    upgrade.door = Some(door);
-                }
-                Err(e) => log::warn!("no upgrade can be handed over at {}: {e}", path.display()),
+        upgrade.open(state, registry)?;
+        Ok(upgrade)
+    }
+
+    /// Listens for a newer process.
+    fn open(&mut self, state: &State, registry: &Registry) -> io::Result<()> {
+        let Some(path) = state.path(SOCKET) else { return Ok(()) };
+        if let Some(mut door) = self.door.take() {
+            let _ = registry.deregister(&mut door);
+        }
+        // What a crash or another process has left there leads nowhere any more, or not to this one.
+        let _ = std::fs::remove_file(&path);
+        match UnixListener::bind(&path) {
+            Ok(mut door) => {
+                registry.register(&mut door, HANDOVER, Interest::READABLE)?;
+                self.door = Some(door);
             }
+            Err(e) => log::warn!("no upgrade can be handed over at {}: {e}", path.display()),
         }
-        Ok(upgrade)
+        Ok(())
     }
 
     /// Whether another process of this node runs.
@@ -242,6 +250,10 @@
         self.take_share();
         if !self.stopping() {
             self.listen();
+            // Danger: the newer one had put its own socket there, and the next would find a dead one.
+            if let Err(e) = self.upgrade.open(&self.state, &self.registry) {
+                log::warn!("no upgrade can be handed over: {e}");
+            }
         }
     }
 
@@ -288,7 +300,9 @@
 
     fn names() -> Names {
         let (mut names, _) = Names::read(&json!({"Categories": [{"Name": "view"}, {"Name": "pay"}]}));
-        (names.server(11), names.server(12));
+        for mark in [11, 12] {
+            names.server(mark);
+        }
         names
     }
 
--- a/node/src/memory/tally.rs
+++ b/node/src/memory/tally.rs
@@ -57,8 +57,9 @@
         }
     }
 
-    /// A figure a line, for each category that has ever been, from the first second on.
-    pub fn lines(&self, categories: &[String]) -> String {
+    /// A figure a line, for each category that has ever been, from the first second on. Those whose last byte is still
+    /// to come are not taken yet.
+    pub fn lines(&self, categories: &[String], coming: usize) -> String {
         let mut text = String::new();
         for (index, name) in categories.iter().enumerate() {
             let Ends { succeeded, declined, aborted } = self.ends.get(index).copied().unwrap_or_default();
@@ -66,7 +67,8 @@
             let _ = writeln!(text, "declined.{name}={declined}");
             let _ = writeln!(text, "aborted.{name}={aborted}");
         }
-        let _ = writeln!(text, "outstanding={}\nforwards={}", self.outstanding, self.forwards);
+        let taken = self.outstanding.saturating_sub(coming as u64);
+        let _ = writeln!(text, "outstanding={taken}\nforwards={}", self.forwards);
         let _ = writeln!(text, "sighup_applied={}\nsighup_rejected={}", self.applied, self.rejected);
         text
     }
@@ -96,7 +98,7 @@
             let names: Vec<String> = (0..4).map(|n| format!("c{n}")).collect();
             let told =
                 |line: &str| line.split_once('=').and_then(|(n, v)| Some((n.contains('.'), v.parse().ok()?)));
-            let text = tally.lines(&names);
+            let text = tally.lines(&names, 0);
             let ended: u64 =
                 text.lines().filter_map(told).filter(|(of, _)| *of).map(|(_, v): (bool, u64)| v).sum();
             text.contains(&format!("outstanding={}\n", open.len()))
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -1,6 +1,6 @@
 //! The proxy: owns all tables, turns events into calls, and carries an op from its request to its answer.
 
-use crate::life::configuration::Configuration;
+use crate::life::configuration::{self, Configuration};
 use crate::life::state::State;
 use crate::life::upgrade::{self, Upgrade};
 use crate::memory::buffers::Buffers;
@@ -76,7 +76,7 @@
     pub state: State,
     pub bans: Bans,
     pub upgrade: Upgrade,
-    connections: usize,
+    sockets: usize,
     buffer_bytes: usize,
 }
 
@@ -107,7 +107,7 @@
         let listener = TcpListener::from_std(listener);
         let door = configuration.admin.map(|address| admin::listen(address, poll.registry()));
         let door = door.transpose().map_err(|e| format!("admin_addr: {e}"))?;
-        let most = configuration.connections;
+        let most = configuration::connections(configuration.sockets as f64);
         let upgrade = Upgrade::new(handed, &state, poll.registry()).map_err(text)?;
         log::info!("listening on {}", listener.local_addr().map_err(of_listen)?);
         // Danger: were all clients' connections bound by ops, others would wait unaccepted, which counts as
@@ -136,7 +136,7 @@
             state,
             bans: Bans::default(),
             upgrade,
-            connections: most,
+            sockets: configuration.sockets,
             buffer_bytes: configuration.buffer_bytes,
         };
         once.into_iter().for_each(|mark| proxy.bans.listed(mark));
@@ -175,7 +175,8 @@
     /// Lives on its share of the node's limits.
     pub fn take_share(&mut self) {
         let share = self.upgrade.share();
-        let connections = (self.connections as f64 * share) as usize;
+        // Each process has descriptors of its own beside those of clients and servers.
+        let connections = configuration::connections(self.sockets as f64 * share);
         self.clients.resize(connections);
         self.servers.links.resize(connections);
         self.ops.resize(connections * 3 / 4);
--- a/node/src/wire/admin.rs
+++ b/node/src/wire/admin.rs
@@ -210,7 +210,7 @@
     /// What the node reports, a figure a line.
     fn figures(&self) -> String {
         let (discovered, ejected) = self.dispatcher.census();
-        self.tally.lines(&self.names.categories.names)
+        self.tally.lines(&self.names.categories.names, self.clients.uploads())
             + &format!("discovered={discovered}\nejected={ejected}\n")
     }
 }
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -235,6 +235,11 @@
         Some(outbox)
     }
 
+    /// Ops taken in whose body is still coming.
+    pub fn uploads(&self) -> usize {
+        self.table.keys(|c| c.receipt.is_some() && c.in_body()).len()
+    }
+
     /// What its answer, once it is out, makes of its op.
     pub fn ends_as(&mut self, key: usize, end: End) {
         if let Some(client) = self.table.get_mut(key) {
--- a/node/tests/sockets/days.rs
+++ b/node/tests/sockets/days.rs
@@ -247,6 +247,9 @@
         (changed("/settings/Categories/1/TtlMs", Some(json!(0))), "Categories.1.TtlMs"),
         (changed("/settings/Categories/1/TtlMs", Some(json!("900"))), "Categories.1.TtlMs"),
         (changed("/settings/Categories/0/TargetLatencyMs", Some(json!(-3))), "Categories.0.TargetLatencyMs"),
+        (changed("/settings/Categories/1/WindowMs", Some(json!("700"))), "Categories.1.WindowMs"),
+        (changed("/settings/Categories/1/Group", Some(json!("most"))), "Categories.1.Group"),
+        (changed("/settings/Categories/2/Effect", Some(json!("unheard-of"))), "Effect"),
         (changed("/settings/Limits/MostPushes", Some(json!(0))), "Limits.MostPushes"),
         (changed("/settings/Limits/MostPushes", Some(json!("3"))), "Limits.MostPushes"),
         (changed("/settings/Limits/MostPushes", Some(Value::Null)), "Limits.MostPushes"),
@@ -254,9 +257,11 @@
     for (count, (file, named)) in files.iter().enumerate() {
         node.reload(file);
         until("it is turned down", || node.figure("sighup_rejected") == Some(count as u64 + 1));
-        let log = node.log();
-        let last = log.lines().rfind(|line| line.contains("stays as it was")).unwrap_or_default();
-        assert!(last.contains(named), "{named}: {last}");
+        let last = || {
+            let log = node.log();
+            log.lines().rfind(|line| line.contains("stays as it was")).unwrap_or_default().to_string()
+        };
+        until(named, || last().contains(named));
     }
     assert_eq!(node.ask(&request("half", 1.0, "")).0, 400);
     assert_eq!(node.ask(&request("view", 1.0, "x")), (200, "x".into()));
@@ -336,6 +341,9 @@
     new.signal("KILL");
     until("the first takes clients in", || old.log().matches("the newer process has ended").count() == 2);
     assert_eq!(old.ask(&request("pay", 1.0, "x")), (200, "x".into()));
+    let third = old.beside();
+    until("it is handed over to again", || old.log().matches("handed over").count() == 3);
+    until("the third can serve", || third.call("GET", "/v1/readyz").0 == 200);
 }
 
 #[test]
--- a/src/given.rs
+++ b/src/given.rs
@@ -125,6 +125,17 @@
     if !above(settings.pointer("/Limits/MostPushes")) {
         return faulty("/Limits/MostPushes", "is no number above 0");
     }
+    let number = |value: Option<&Value>| {
+        value.is_none_or(|v| v.is_null() || v.as_f64().is_some_and(|n| n.is_finite() && n >= 0.0))
+    };
+    let customers = settings.get("Customers").and_then(Value::as_array).into_iter().flatten();
+    for (index, customer) in customers.enumerate() {
+        for name in ["QuotaPerS", "Fraction"] {
+            if !number(customer.get(name)) {
+                return faulty(&format!("Customers/{index}/{name}"), "is no number from 0");
+            }
+        }
+    }
     let categories = settings.get("Categories").and_then(Value::as_array);
     for (index, category) in categories.ok_or("Categories is missing or no list")?.iter().enumerate() {
         for name in ["TargetLatencyMs", "TtlMs"] {
@@ -132,6 +143,16 @@
                 return faulty(&format!("Categories/{index}/{name}"), "is no number above 0");
             }
         }
+        for name in ["WindowMs", "Benefit", "LateBenefit"] {
+            if !number(category.get(name)) {
+                return faulty(&format!("Categories/{index}/{name}"), "is no number from 0");
+            }
+        }
+        let grouped = category.get("Effect").is_some_and(|effect| effect == "idempotency_key");
+        let group = category.get("Group").filter(|group| grouped && !group.is_null());
+        if !group.is_none_or(|group| ["all", "zone", "cell"].iter().any(|word| group == word)) {
+            return faulty(&format!("Categories/{index}/Group"), "is none of all, zone and cell");
+        }
         if category.get("Name").and_then(Value::as_str).is_none_or(str::is_empty) {
             return faulty(&format!("Categories/{index}/Name"), "is missing or no name");
         }
