--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -148,6 +148,7 @@
             false => {
                 let read = read_list(&mut proxy.names, &known).map_err(|e| format!("known: {e}"))?;
                 proxy.discovery.keep(&known);
+                proxy.discovery.go_on_from(&read);
                 proxy.take_list(&read, true);
             }
             true => proxy.call_list(),
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Goes on from the version of a list that was known before.
+    pub fn go_on_from(&mut self, list: &List) {
+        self.seq = Some(list.seq).filter(|_| list.whole);
+    }
+
     /// Keeps what a list tells, for a process that comes after this one.
     pub fn keep(&mut self, list: &Value) {
         if list.get("whole") == Some(&Value::Bool(true)) {
@@ -150,6 +155,9 @@
             return;
         }
         let (path, wait) = match discovery.seq {
+            // At the start only what has come since the known list. Danger: were all nodes of a release to ask for
+            // whole lists at one moment, discovery would be short of room.
+            Some(seq) if !discovery.heard => (format!("/catalog/members?from={seq}&hold_ms=0"), 0.0),
             Some(seq) => (format!("/catalog/members?from={seq}&hold_ms={HOLD}"), HOLD),
             None => ("/catalog/members".to_string(), 0.0),
         };
@@ -274,6 +282,11 @@
         let discovery = &mut self.discovery;
         self.timers.unset(discovery.timer.take());
         self.counters.lists += 1;
+        if !list.whole && discovery.seq.is_some_and(|seq| list.seq < seq) {
+            // Danger: versions of another discovery, say. What this one has to tell since ours is unknown: all of it.
+            discovery.seq = None;
+            return self.call_list();
+        }
         let early = discovery.seq == Some(list.seq) && now - discovery.asked_at < APART;
         (discovery.seq, discovery.heard) = (Some(list.seq), true);
         self.take_list(&list, false);
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -432,8 +432,8 @@
             link.up = true;
             self.servers.records[link.server].heard = self.clock.now();
         }
-        if link.feeding.is_some() {
-            self.feed(key);
+        if link.feeding.is_some() && !self.feed(key) {
+            return;
         }
         let (now, mut fed_whole) = (self.clock.now(), None);
         let Some(link) = self.servers.links.get_mut(key) else { return };
--- a/node/src/wire/uploading.rs
+++ b/node/src/wire/uploading.rs
@@ -72,20 +72,22 @@
 }
 
 impl Proxy {
-    /// Feeds a push's request on, as far as both sides go.
-    pub fn feed(&mut self, key: usize) {
+    /// Feeds a push's request on, as far as both sides go. Whether its connection is still there: danger, a key
+    /// given back stands for another connection, opened for the next push.
+    pub fn feed(&mut self, key: usize) -> bool {
         let now = self.now();
         loop {
-            let Some(link) = self.servers.links.get_mut(key) else { return };
-            let Some(client) = link.feeding else { return };
+            let Some(link) = self.servers.links.get_mut(key) else { return false };
+            let Some(client) = link.feeding else { return true };
             if !link.drained() {
-                return;
+                return true;
             }
             let (op, chunked) = (link.op, link.chunked);
             link.moved = now;
             let Some(mut upload) = self.clients.upload(client) else {
                 // Its client has gone, and its server never had it whole.
-                return self.fail(key, Ending::Cancelled, Load::default());
+                self.fail(key, Ending::Cancelled, Load::default());
+                return false;
             };
             if !std::mem::replace(upload.let_go, true) {
                 // The first piece is with the server, and makes room for the next.
@@ -93,19 +95,23 @@
                 self.body_moves(op, key, false);
                 continue;
             }
-            let Some(outbox) = &mut link.outbox else { return };
+            let Some(outbox) = &mut link.outbox else { return true };
             match next(&mut upload, outbox, chunked, now) {
                 Fed::More => {}
                 Fed::Whole => {
                     link.feeding = None;
-                    return;
+                    return true;
+                }
+                Fed::Later => return true,
+                Fed::Spoilt(None) => {
+                    self.drop_client(client);
+                    return false;
                 }
-                Fed::Later => return,
-                Fed::Spoilt(None) => return self.drop_client(client),
                 Fed::Spoilt(Some(status)) => {
                     // Danger: a body that can't be read on, and half of it at a server. It never ran there.
                     self.counters.bad += 1;
-                    return self.refuse_upload(client, status);
+                    self.refuse_upload(client, status);
+                    return false;
                 }
             }
         }
--- a/node/tests/sockets/days.rs
+++ b/node/tests/sockets/days.rs
@@ -365,6 +365,23 @@
     assert_eq!(new.call("POST", "/v1/servers/s0/suspend").0, 200, "listed once");
 }
 
+#[test]
+fn a_start_asks_discovery_only_for_what_has_come_since_the_known_list() {
+    let server = echo();
+    let ready = [host("s0", server.address, "Ready")];
+    let known = list(7, true, &ready);
+    // It answers the first call with its own version, older than the one that is known.
+    let discovery = Discovery::new(list(3, false, &[]));
+    discovery.tell(list(3, true, &ready));
+    let node = Node::start(&configuration(discovery.address, &known), None);
+    assert_eq!(node.ask(&request("view", 1.0, "x")), (200, "x".into()));
+    let calls = || discovery.calls.lock().unwrap().clone();
+    until("it watches", || calls().len() >= 3);
+    assert!(calls()[0].contains("from=7&hold_ms=0"), "{:?}", calls());
+    assert!(!calls()[1].contains("from="), "all of it, as versions differ: {:?}", calls());
+    assert!(calls()[2].contains("from=3&hold_ms=2000"), "{:?}", calls());
+}
+
 // ---------------------------------------------------------------- long bodies
 
 /// A long body, sent in a framing and in pieces of any size; what the server got of it.
