--- /dev/null
+++ b/node/src/wire/clients/reading.rs
@@ -0,0 +1,281 @@
+//! Reading from clients: a request's head is checked as soon as it is in, its body awaited or fed on.
+
+use super::answering::LINGER_BYTES;
+use super::*;
+
+/// The head of a new connection's first request, and of a later one from its first byte on, must be in within
+/// this many milliseconds, and a body may not stand for so long: under the 3 s in which even a rude client is owed
+/// an error or a close.
+pub(super) const SLOW: f64 = 2500.0;
+/// Beyond that a body keeps this pace, in bytes a millisecond: a quarter of the slowest that is promised.
+pub(super) const PACE: f64 = 16.0;
+/// Longer than any client waits: a deadline past it is a mistake.
+const TTL_MOST: f64 = 3600.0;
+
+/// What a request asks for.
+#[derive(Clone, Copy)]
+pub(super) enum Asked {
+    Health,
+    /// With the mark of its id.
+    Op(Arrival, u64),
+    /// For a category that was served once.
+    Vanished(usize),
+}
+
+fn asked(
+    names: &Names,
+    ops: &Ops,
+    key: Option<&str>,
+    method: &str,
+    path: &str,
+    headers: &[Header],
+) -> Result<Asked, Refused> {
+    if path == "/_health" {
+        return Ok(Asked::Health);
+    }
+    if matches!(method, "HEAD" | "CONNECT") {
+        // Their answers have no body, whatever is told of its length.
+        return Err(405);
+    }
+    let header = |name: &str| http::value(headers, name).filter(|v| !v.is_empty());
+    // Danger: two headers of one name are read in two ways by two readers.
+    let told_twice = |name: &&str| headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name)).count() > 1;
+    if ["X-Request-ID", "X-Priority-Class", "X-Timeout"].iter().any(told_twice) {
+        return Err(400);
+    }
+    let mark = ops.mark(header("X-Request-ID").ok_or(400_u16)?);
+    let category = header("X-Priority-Class").ok_or(400_u16)?;
+    if path.trim_start_matches('/').split(['/', '?']).next() != Some(category) {
+        return Err(400);
+    }
+    let Some(category) = names.categories.index(category) else {
+        // Danger: clients that have not heard of it yet, whose failures no figure would tell.
+        let once = names.categories.names.iter().position(|name| name == category);
+        return once.map(Asked::Vanished).ok_or(400);
+    };
+    let ttl: f64 = header("X-Timeout").and_then(|v| v.parse().ok()).ok_or(400_u16)?;
+    if !(ttl > 0.0 && ttl <= TTL_MOST) {
+        return Err(400);
+    }
+    let customer = header("X-Tenant-Id");
+    if customer.is_none() && !names.customers.is_empty() {
+        return Err(400);
+    }
+    let customer = customer.and_then(|name| names.customers.index(name));
+    let retry = header("X-Retried") == Some("1");
+    // All nodes come to the same number, so that a key's servers are known to all alike.
+    let key = key.and_then(header).map(hashed);
+    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, key }, mark))
+}
+
+impl Proxy {
+    /// From now on nothing but a whole request may keep the connection for longer than this.
+    pub(super) fn may_stand(&mut self, key: usize, most: f64) {
+        let at = self.clock.now() + most;
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        self.timers.unset(client.timer.take());
+        client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.stood(key)));
+    }
+
+    /// It has stood for as long as it may; what it has sent by now is read first.
+    pub(super) fn stood(&mut self, key: usize) {
+        if let Some(client) = self.clients.table.get_mut(key) {
+            client.timer = None;
+        }
+        self.serve(key);
+        let now = self.clock.now();
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        if client.outbox.is_some() || client.timer.is_some() {
+            return;
+        }
+        if client.in_body() {
+            if client.op.is_some() && !self.servers.hungry(client.feeds, key) {
+                // It is the server's turn: what it takes its time for is not held against the client.
+                (client.body_from, client.got, client.moved) = (now, 0, now);
+            }
+            let due = client.body_due();
+            if due > now + 1.0 {
+                client.timer = Some(self.timers.set(due, move |proxy: &mut Proxy| proxy.stood(key)));
+                return;
+            }
+            if client.op.is_some() {
+                self.counters.bad += 1;
+                return self.drop_client(key);
+            }
+        }
+        let Some(client) = self.clients.table.get(key).filter(|c| c.spare()) else { return };
+        if client.inbox.is_some() {
+            // Danger: a client that sends a byte now and then would hold a buffer for ever.
+            self.counters.bad += 1;
+            self.refuse(key, 408);
+        } else {
+            self.drop_client(key);
+        }
+    }
+
+    /// Reads towards the next request and has it served; whether there is more to do at once.
+    pub(super) fn read_request(&mut self, key: usize) -> bool {
+        let Some(client) = self.clients.table.get_mut(key) else { return false };
+        if client.op.is_some() && client.in_body() {
+            // Whoever it feeds reads on.
+            self.links_again.extend(client.feeds);
+            return false;
+        }
+        if client.op.is_some() {
+            // What comes after a request waits for its answer; only an end is of interest.
+            if !matches!(client.stream.peek(&mut [0]), Ok(1..)) && !silent(&client.stream) {
+                self.drop_client(key);
+            }
+            return false;
+        }
+        if client.lingers {
+            // Danger: a client that goes on sending at full speed would keep the loop for itself. What it sends
+            // past this stays with its own machine until the connection is closed.
+            if client.past >= if client.patient { BODY_LONG } else { LINGER_BYTES } {
+                return false;
+            }
+            return match client.stream.read(&mut [0; 16 * 1024]) {
+                Ok(read @ 1..) => {
+                    client.past += read;
+                    client.moved = self.clock.now();
+                    true
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => false,
+                _ => {
+                    self.drop_client(key);
+                    false
+                }
+            };
+        }
+        let Some(mut inbox) = client.inbox.take().or_else(|| self.buffers.take()) else {
+            // Danger: the pool is empty. The client is refused unread, and its next try is harmless.
+            self.counters.full += 1;
+            self.refuse(key, 503);
+            return true;
+        };
+        match self.read_whole(key, &mut inbox) {
+            Ok(Some(asked)) => {
+                self.put_back(key, inbox);
+                self.hear(key, asked);
+                true
+            }
+            Ok(None) => self.read_more(key, inbox),
+            Err(status) => {
+                log::debug!("a request is refused with {status}: {}", start_of(&inbox));
+                self.put_back(key, inbox);
+                self.counters.bad += 1;
+                self.refuse(key, status);
+                true
+            }
+        }
+    }
+
+    pub(super) fn put_back(&mut self, key: usize, inbox: Buffer) {
+        match self.clients.table.get_mut(key) {
+            Some(client) => client.inbox = Some(inbox),
+            None => self.buffers.give(inbox),
+        }
+    }
+
+    /// What is asked, once the whole request is in.
+    pub(super) fn read_whole(&mut self, key: usize, inbox: &mut Buffer) -> Result<Option<Asked>, Refused> {
+        let client = &mut self.clients.table[key];
+        if client.request.is_none() {
+            // Danger: line ends left over behind the last request, taken for a request that never ends.
+            let blank = inbox.held().iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+            inbox.cut(0, blank);
+            let (names, ops, key) = (&self.names, &self.ops, self.key_header.as_deref());
+            let head = http::request(inbox.held(), |method, path, headers| {
+                let expect = http::value(headers, "expect").unwrap_or_default();
+                (asked(names, ops, key, method, path, headers), expect.eq_ignore_ascii_case("100-continue"))
+            })?;
+            let Some((message, (asked, expects))) = head else { return Ok(None) };
+            log::trace!("{}", String::from_utf8_lossy(&inbox.held()[..message.head]));
+            // What its head rules out is refused before its body has come.
+            client.request = Some((message, asked?));
+            let now = self.clock.now();
+            (client.body_from, client.got, client.moved) = (now, 0, now);
+            (client.feeds, client.let_go) = (None, false);
+            if expects {
+                // So short a line fits into an empty socket buffer.
+                let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
+            }
+        }
+        let Some((message, asked)) = &mut client.request else { return Ok(None) };
+        // One too long to be held whole is heard before its end.
+        let whole = message.advance(inbox)?;
+        Ok((whole || message.end - message.head > BODY_MOST).then_some(*asked))
+    }
+
+    /// Reads on; whether anything came.
+    pub(super) fn read_more(&mut self, key: usize, mut inbox: Buffer) -> bool {
+        let client = &mut self.clients.table[key];
+        let before = inbox.held().len();
+        let filled = inbox.fill(&mut client.stream);
+        if inbox.held().len() > before {
+            client.got += inbox.held().len() - before;
+            client.moved = self.clock.now();
+        }
+        if inbox.held().is_empty() {
+            self.buffers.give(inbox);
+        } else {
+            client.inbox = Some(inbox);
+            if !std::mem::replace(&mut client.begun, true) {
+                client.idle_since = self.clock.now();
+                // A new connection's time has run since it came.
+                if client.answers > 0 {
+                    self.may_stand(key, SLOW);
+                }
+            }
+        }
+        match filled {
+            Filled::Some => return true,
+            Filled::Later => {}
+            Filled::Ended => self.drop_client(key),
+            Filled::Full => {
+                self.counters.bad += 1;
+                self.refuse(key, 413);
+                return true;
+            }
+        }
+        false
+    }
+
+    pub(super) fn hear(&mut self, key: usize, asked: Asked) {
+        let client = &mut self.clients.table[key];
+        self.timers.unset(client.timer.take());
+        client.begun = false;
+        client.close = !client.request.as_ref().is_some_and(|(m, _)| m.keep);
+        // Danger: health checks that keep their connection, a thousand a second, leave no room for ops.
+        client.close |= matches!(asked, Asked::Health);
+        client.over = client.close;
+        match asked {
+            Asked::Health => {
+                let status = if self.ready() { 200 } else { 503 };
+                self.answer(key, status, 0.0);
+            }
+            Asked::Vanished(category) => {
+                client.receipt = Some(self.tally.take_in(category));
+                self.counters.bad += 1;
+                self.refuse(key, 400);
+            }
+            Asked::Op(_, mark) if self.ops.is_open(mark) => {
+                // Danger: two clients under one id, of whom one would get the other's answer.
+                self.counters.bad += 1;
+                self.refuse(key, 409);
+            }
+            Asked::Op(arrival, mark) => {
+                client.receipt = Some(self.tally.take_in(arrival.category));
+                let op = self.take_in(key, arrival, mark);
+                // It may be answered already.
+                let waits = self.ops.waits(op);
+                if let Some(client) = self.clients.table.get_mut(key).filter(|_| waits) {
+                    client.op = Some(op);
+                    if client.in_body() {
+                        self.may_stand(key, SLOW);
+                    }
+                }
+            }
+        }
+    }
+}
