--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -684,6 +684,19 @@
     assert_eq!(status(&read_message(&mut client).expect("an answer").0), 413);
 }
 
+#[test]
+fn it_tells_how_it_is_used_and_turns_other_arguments_down() {
+    let said = |argument: &str| {
+        let output =
+            std::process::Command::new(env!("CARGO_BIN_EXE_crankmux")).arg(argument).output().unwrap();
+        (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
+    };
+    let (code, text) = said("--help");
+    assert!(code == Some(0) && text.contains("BALANCER_ADMIN_ADDR"), "{text}");
+    assert_eq!(said("--version"), (Some(0), format!("crankmux {}\n", env!("CARGO_PKG_VERSION"))));
+    assert_eq!(said("--listen").0, Some(2));
+}
+
 #[test]
 fn a_faulty_key_is_named() {
     let address = "127.0.0.1:9".parse().unwrap();
