--- a/node/src/wire/clients/answering.rs
+++ b/node/src/wire/clients/answering.rs
@@ -1,7 +1,14 @@
 //! Writing to clients: answers as far as their sockets take them, and what becomes of the connection after.
 
 use super::reading::SLOW;
-use super::*;
+use super::{Client, JUST_COME};
+use crate::memory::buffers::{Buffer, BODY_LONG};
+use crate::memory::tally::End;
+use crate::proxy::Proxy;
+use crate::wire::http::{self, Message, Refused};
+use crate::wire::passing::STALL;
+use crate::wire::silent;
+use std::net::Shutdown;
 
 /// How long a connection stays on which no request follows the last answer: longer than clients pause
 /// between two requests while they have work.
--- a/node/src/wire/clients/mod.rs
+++ b/node/src/wire/clients/mod.rs
@@ -5,26 +5,19 @@
 mod reading;
 
 use self::reading::{Asked, PACE, SLOW};
-use super::discovery::hashed;
-use super::http::{self, Message, Refused};
-use super::passing::STALL;
-use super::servers::start_of;
+use super::http::Message;
 use super::silent;
 use super::uploading::Upload;
-use crate::memory::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
-use crate::memory::ops::Ops;
+use crate::memory::buffers::Buffer;
 use crate::memory::tables::Table;
 use crate::memory::tally::{End, Receipt};
 use crate::memory::timers::Key;
 use crate::proxy::{Proxy, CLIENT, LISTENER};
-use crankmux::given::Names;
-use crankmux::words::{Arrival, Ending, Load};
-use httparse::Header;
+use crankmux::words::{Ending, Load};
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
 use socket2::SockRef;
-use std::io::{self, Read, Write};
-use std::net::Shutdown;
+use std::io;
 use std::time::Duration;
 
 /// How soon accepting is tried again after an error: a few times within any client's patience.
--- a/node/src/wire/clients/reading.rs
+++ b/node/src/wire/clients/reading.rs
@@ -1,7 +1,17 @@
 //! Reading from clients: a request's head is checked as soon as it is in, its body awaited or fed on.
 
 use super::answering::LINGER_BYTES;
-use super::*;
+use crate::memory::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
+use crate::memory::ops::Ops;
+use crate::proxy::Proxy;
+use crate::wire::discovery::hashed;
+use crate::wire::http::{self, Refused};
+use crate::wire::servers::start_of;
+use crate::wire::silent;
+use crankmux::given::Names;
+use crankmux::words::Arrival;
+use httparse::Header;
+use std::io::{self, Read, Write};
 
 /// The head of a new connection's first request, and of a later one from its first byte on, must be in within
 /// this many milliseconds, and a body may not stand for so long: under the 3 s in which even a rude client is owed
