--- a/node/src/life/configuration.rs
+++ b/node/src/life/configuration.rs
@@ -13,7 +13,8 @@
 
 const ADMIN: (&str, &str) = ("admin_addr", "BALANCER_ADMIN_ADDR");
 
-/// Connections to clients at most, and as many to servers, of so many descriptors: an op under way holds one of each.
+/// Connections to clients at most, and as many to servers, of so many descriptors: an op under way holds
+/// one of each.
 pub fn connections(sockets: f64) -> usize {
     // Danger: a share so small that nothing is left would serve nobody.
     ((sockets - OTHER_SOCKETS as f64) / 2.0).max(4.0) as usize
@@ -24,8 +25,9 @@
     byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)
 }
 
-/// The first key that a running configuration has and a new one lacks: at the top, in `settings`, `limits` and in
-/// each category. One that is new must have what all others had. Danger: a file cut short that still reads as one.
+/// The first key that a running configuration has and a new one lacks: at the top, in `settings`, `limits`
+/// and in each category. One that is new must have what all others had. Danger: a file cut short that still
+/// reads as one.
 fn lacks(running: &Value, new: &Value) -> Option<String> {
     // The one key that may come and go.
     let stays = |key: &&String| *key != "AimStretch";
@@ -82,8 +84,8 @@
         Self::from_file(&over)
     }
 
-    /// Reads that file again. Danger: variables are those of the start; were `BALANCER_DISCOVERY` to stand over
-    /// the file for good, no new file could ever name another address.
+    /// Reads that file again. Danger: variables are those of the start; were `BALANCER_DISCOVERY` to stand
+    /// over the file for good, no new file could ever name another address.
     pub fn again(running: &Value) -> Result<Self, String> {
         let new = Self::from_file(&[("listen", "BALANCER_LISTEN"), ADMIN])?;
         match lacks(running, &new.whole) {
--- a/node/src/life/state.rs
+++ b/node/src/life/state.rs
@@ -29,7 +29,8 @@
         Err(e) if e.kind() != io::ErrorKind::AlreadyExists => return Err(e),
         _ => {}
     }
-    // Danger: in a folder that all may write to, another user's directory of that name would decide what we use.
+    // Danger: in a folder that all may write to, another user's directory of that name would decide what we
+    // use.
     let found = fs::symlink_metadata(folder)?;
     if !found.is_dir() || found.uid() != geteuid().as_raw() {
         return Err(io::Error::other("it is another's"));
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -4,8 +4,8 @@
 
 /// How long after the signal clients may still come: the front notices within 0.4 s, and some to spare.
 const STILL_COMING: f64 = 600.0;
-/// The end comes this long after the longest TTL, which counts as `LONGEST` at most; and what is kept of it for
-/// the way of the last answers.
+/// The end comes this long after the longest TTL, which counts as `LONGEST` at most; and what is kept of it
+/// for the way of the last answers.
 const END_AFTER: f64 = 700.0;
 const LONGEST: f64 = 3000.0;
 const FOR_THE_WAY: f64 = 200.0;
@@ -28,8 +28,9 @@
         proxy.end_at = now + longest + END_AFTER - FOR_THE_WAY;
         self.idle_until = now + STILL_COMING;
         if proxy.upgrade.followed() {
-            // Danger: an idle connection that is closed as its client writes is a request unread. Clients that
-            // ask are told to close; for the others it waits, and leaves half the longest TTL to a late one.
+            // Danger: an idle connection that is closed as its client writes is a request unread. Clients
+            // that ask are told to close; for the others it waits, and leaves half the longest TTL to a
+            // late one.
             self.idle_until = self.idle_until.max(proxy.end_at - 0.5 * longest);
             self.shut = true;
             proxy.shut();
--- a/node/src/life/upgrade.rs
+++ b/node/src/life/upgrade.rs
@@ -1,5 +1,6 @@
-//! Upgrades: a second process beside the first, both one node. The first hands over its listener and what it knows
-//! through a Unix socket in the state directory; that connection stays open for as long as both live.
+//! Upgrades: a second process beside the first, both one node. The first hands over its listener and what
+//! it knows through a Unix socket in the state directory; that connection stays open for as long as both
+//! live.
 
 use super::state::State;
 use crate::proxy::{Proxy, HANDOVER, NEWER, OLDER};
@@ -84,8 +85,9 @@
            "categories": categories, "servers": servers})
 }
 
-/// Reads what was learnt over what this process starts from. Danger: a figure that is none, or far off, would starve
-/// a server or flood it for good; each is held to what it can be, and what is missing stays as it is.
+/// Reads what was learnt over what this process starts from. Danger: a figure that is none, or far off,
+/// would starve a server or flood it for good; each is held to what it can be, and what is missing stays as
+/// it is.
 fn read(names: &Names, told: &Value, mut experience: Experience) -> Experience {
     let figure = |of: &Value, name: &str, least: f64, most: f64| {
         of.get(name).and_then(Value::as_f64).filter(|f| f.is_finite()).map(|f| f.clamp(least, most))
@@ -336,8 +338,13 @@
         for told in [Value::Null, json!([]), json!({"servers": 3, "categories": "x", "time": "soon"})] {
             assert_eq!(read(&names(), &told, fresh()), fresh());
         }
-        let absurd = json!({"time": -5, "slack": 1e300, "warm_rate": 1e300, "categories": {"pay": [0, -1], "view": [1]},
-            "servers": [{"mark": 11, "limit": 1e9, "faults": -3, "pace": 0, "peak": "x"}, {"mark": 99, "limit": 1}]});
+        let absurd = json!({
+            "time": -5, "slack": 1e300, "warm_rate": 1e300, "categories": {"pay": [0, -1], "view": [1]},
+            "servers": [
+                {"mark": 11, "limit": 1e9, "faults": -3, "pace": 0, "peak": "x"},
+                {"mark": 99, "limit": 1},
+            ],
+        });
         let got = read(&names(), &absurd, fresh());
         assert_eq!((got.time, got.slack, got.warm_rate), (0.01, 8.0, 1e3));
         assert_eq!(got.categories, [(100.0, 0.0), (0.01, 0.0)]);
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -36,8 +36,16 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "ops: taken {}, acked {}, nacked {}, dead-lettered {}, departed {}, bad {}, stalled {}, full {}; ",
-            self.taken, self.acked, self.nacked, self.dead_lettered, self.departed, self.bad, self.stalled, self.full
+            "ops: taken {}, acked {}, nacked {}, dead-lettered {}, departed {}, bad {}, stalled {}, \
+             full {}; ",
+            self.taken,
+            self.acked,
+            self.nacked,
+            self.dead_lettered,
+            self.departed,
+            self.bad,
+            self.stalled,
+            self.full
         )?;
         write!(
             f,
--- a/node/src/memory/tally.rs
+++ b/node/src/memory/tally.rs
@@ -1,5 +1,5 @@
-//! What became of ops, as the node reports it. A receipt is made as an op is taken in and handed back, once, as
-//! its answer is out or its client is gone: all counts of ops follow from receipts.
+//! What became of ops, as the node reports it. A receipt is made as an op is taken in and handed back,
+//! once, as its answer is out or its client is gone: all counts of ops follow from receipts.
 
 use std::fmt::Write;
 
@@ -57,8 +57,8 @@
         }
     }
 
-    /// A figure a line, for each category that has ever been, from the first second on. Those whose last byte is still
-    /// to come are not taken yet.
+    /// A figure a line, for each category that has ever been, from the first second on. Those whose last
+    /// byte is still to come are not taken yet.
     pub fn lines(&self, categories: &[String], coming: usize) -> String {
         let mut text = String::new();
         for (index, name) in categories.iter().enumerate() {
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -80,8 +80,8 @@
     buffer_bytes: usize,
 }
 
-/// Listens at an address. Danger: without sharing it the newer process of an upgrade could not listen where no
-/// listener was handed over.
+/// Listens at an address. Danger: without sharing it the newer process of an upgrade could not listen where
+/// no listener was handed over.
 fn bound(address: SocketAddr) -> io::Result<std::net::TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
--- a/node/src/wire/admin.rs
+++ b/node/src/wire/admin.rs
@@ -74,7 +74,8 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
-                // Danger: connections that stand idle have taken the last descriptor, and no operator gets in.
+                // Danger: connections that stand idle have taken the last descriptor, and no operator gets
+                // in.
                 Err(e) => {
                     if !(self.drop_longest_idle() || self.drop_idle_client()) {
                         log::warn!("the door cannot accept: {e}");
@@ -90,7 +91,8 @@
     fn let_in(&mut self, mut stream: TcpStream) {
         let free = |door: &Door| door.callers.iter().position(Option::is_none);
         if free(&self.door).is_none() {
-            // Danger: callers that say nothing keep a whole call out. What they have sent by now is heard first.
+            // Danger: callers that say nothing keep a whole call out. What they have sent by now is heard
+            // first.
             (0..MOST).for_each(|slot| self.hear_caller(slot));
             let callers = self.door.callers.iter().enumerate();
             let ranked = callers.filter_map(|(slot, caller)| Some((slot, caller.as_ref()?.worth())));
--- a/node/src/wire/bans.rs
+++ b/node/src/wire/bans.rs
@@ -1,11 +1,12 @@
-//! Servers taken out by hand: the operators' calls, the files that keep them, and what follows on the sockets.
-//! That nothing new goes there is the decisions' work.
+//! Servers taken out by hand: the operators' calls, the files that keep them, and what follows on the
+//! sockets. That nothing new goes there is the decisions' work.
 
 use crate::proxy::Proxy;
 use crankmux::words::{Ending, Load};
 use std::collections::{HashSet, VecDeque};
 
-/// Numbers of servers once listed, the oldest forgotten first. Danger: servers are replaced under ever new ids.
+/// Numbers of servers once listed, the oldest forgotten first. Danger: servers are replaced under ever new
+/// ids.
 const ONCE_MOST: usize = 8192;
 /// How often the files are read while another process of this node may write them: well within the second
 /// that a call may take to count.
--- a/node/src/wire/clients/answering.rs
+++ b/node/src/wire/clients/answering.rs
@@ -13,8 +13,8 @@
 /// How long a connection stays on which no request follows the last answer: longer than clients pause
 /// between two requests while they have work.
 const IDLE_MOST: f64 = 2000.0;
-/// The share of all clients' connections that may stand idle after an answer. Danger: clients that ask once and
-/// stay use up what their side may open, and others, who would ask, find no connection left.
+/// The share of all clients' connections that may stand idle after an answer. Danger: clients that ask once
+/// and stay use up what their side may open, and others, who would ask, find no connection left.
 const IDLE_SHARE: f64 = 1.0 / 3.0;
 /// The same of those that have asked only once: clients with more to ask have mostly come back.
 const ONCE_SHARE: f64 = 1.0 / 8.0;
--- a/node/src/wire/clients/mod.rs
+++ b/node/src/wire/clients/mod.rs
@@ -1,5 +1,5 @@
-//! Clients: their table, connections accepted and given back. What comes from them is read in `reading`, what goes
-//! to them is written in `answering`.
+//! Clients: their table, connections accepted and given back. What comes from them is read in `reading`,
+//! what goes to them is written in `answering`.
 
 mod answering;
 mod reading;
@@ -22,8 +22,8 @@
 
 /// How soon accepting is tried again after an error: a few times within any client's patience.
 const ACCEPT_AGAIN: f64 = 50.0;
-/// A client that has connected, or begun a request, goes on at once: within the way there, which is under this.
-/// Until then it makes no room for others.
+/// A client that has connected, or begun a request, goes on at once: within the way there, which is under
+/// this. Until then it makes no room for others.
 const JUST_COME: f64 = 100.0;
 
 struct Client {
--- a/node/src/wire/clients/reading.rs
+++ b/node/src/wire/clients/reading.rs
@@ -14,8 +14,8 @@
 use std::io::{self, Read, Write};
 
 /// The head of a new connection's first request, and of a later one from its first byte on, must be in within
-/// this many milliseconds, and a body may not stand for so long: under the 3 s in which even a rude client is owed
-/// an error or a close.
+/// this many milliseconds, and a body may not stand for so long: under the 3 s in which even a rude client
+/// is owed an error or a close.
 pub(super) const SLOW: f64 = 2500.0;
 /// Beyond that a body keeps this pace, in bytes a millisecond: a quarter of the slowest that is promised.
 pub(super) const PACE: f64 = 16.0;
@@ -139,8 +139,8 @@
             return false;
         }
         if client.lingers {
-            // Danger: a client that goes on sending at full speed would keep the loop for itself. What it sends
-            // past this stays with its own machine until the connection is closed.
+            // Danger: a client that goes on sending at full speed would keep the loop for itself. What it
+            // sends past this stays with its own machine until the connection is closed.
             if client.past >= if client.patient { BODY_LONG } else { LINGER_BYTES } {
                 return false;
             }
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -155,8 +155,8 @@
             return;
         }
         let (path, wait) = match discovery.seq {
-            // At the start only what has come since the known list. Danger: were all nodes of a release to ask for
-            // whole lists at one moment, discovery would be short of room.
+            // At the start only what has come since the known list. Danger: were all nodes of a release to
+            // ask for whole lists at one moment, discovery would be short of room.
             Some(seq) if !discovery.heard => (format!("/catalog/members?from={seq}&hold_ms=0"), 0.0),
             Some(seq) => (format!("/catalog/members?from={seq}&hold_ms={HOLD}"), HOLD),
             None => ("/catalog/members".to_string(), 0.0),
@@ -180,7 +180,8 @@
         self.discovery_event();
     }
 
-    /// Follows the list at an address, as a reload names it. The servers known so far stay until it has spoken.
+    /// Follows the list at an address, as a reload names it. The servers known so far stay until it has
+    /// spoken.
     pub fn follow_discovery(&mut self, address: SocketAddr) {
         if self.discovery.address == address {
             return;
@@ -283,7 +284,8 @@
         self.timers.unset(discovery.timer.take());
         self.counters.lists += 1;
         if !list.whole && discovery.seq.is_some_and(|seq| list.seq < seq) {
-            // Danger: versions of another discovery, say. What this one has to tell since ours is unknown: all of it.
+            // Danger: versions of another discovery, say. What this one has to tell since ours is unknown:
+            // all of it.
             discovery.seq = None;
             return self.call_list();
         }
--- a/node/src/wire/http.rs
+++ b/node/src/wire/http.rs
@@ -256,8 +256,8 @@
     Ok(Some((message, read(method, path, request.headers))))
 }
 
-/// Status and headers of an answer; none until its head is whole. Its body may be so long, and so long where its
-/// head tells the length.
+/// Status and headers of an answer; none until its head is whole. Its body may be so long, and so long
+/// where its head tells the length.
 pub fn answer<T>(
     held: &[u8],
     most: (usize, usize),
@@ -330,7 +330,8 @@
     pass_on_from(&held[..message.end], message.head, Framing::Length(length), close, to)
 }
 
-/// The start of an answer that goes back in pieces: its head, and what of its body is held; whether it fitted.
+/// The start of an answer that goes back in pieces: its head, and what of its body is held; whether it
+/// fitted.
 pub fn pass_on_from(held: &[u8], head: usize, framing: Framing, close: bool, to: &mut Buffer) -> bool {
     let wrote = answer(held, (BODY_LONG, BODY_LONG), |_, headers| {
         let close = if close { "Connection: close\r\n" } else { "" };
--- a/node/src/wire/passing.rs
+++ b/node/src/wire/passing.rs
@@ -9,13 +9,14 @@
 use crate::proxy::Proxy;
 use crankmux::words::{Ending, Load};
 
-/// An answer whose head tells that it is long goes on once so much has come. Danger: one that only says so, and whose
-/// op could still go elsewhere; spoilt answers bring little.
+/// An answer whose head tells that it is long goes on once so much has come. Danger: one that only says so,
+/// and whose op could still go elsewhere; spoilt answers bring little.
 const FIRST: usize = 8 * 1024;
-/// Of any other that is not whole, or brings less, nothing is held back for longer: well under the time in which a
-/// client would call it held back, and well over a server's pause within one answer.
+/// Of any other that is not whole, or brings less, nothing is held back for longer: well under the time in
+/// which a client would call it held back, and well over a server's pause within one answer.
 pub const HELD_MOST: f64 = 200.0;
-/// A server that has begun its answer, and a client that takes one, may pause for seconds, but not for so long.
+/// A server that has begun its answer, and a client that takes one, may pause for seconds, but not for so
+/// long.
 pub const STALL: f64 = 10_000.0;
 
 /// An answer on its way through: to which client, and how.
--- a/node/src/wire/servers/mod.rs
+++ b/node/src/wire/servers/mod.rs
@@ -29,8 +29,8 @@
 /// What is next once a push has ended.
 pub type Then = Box<dyn FnOnce(&mut Proxy, Outcome)>;
 
-/// How long a connection must have been quiet since its last answer. Danger: a second copy of that answer, right
-/// behind it, is read as the next push's. What a server sends in one go comes within this.
+/// How long a connection must have been quiet since its last answer. Danger: a second copy of that answer,
+/// right behind it, is read as the next push's. What a server sends in one go comes within this.
 const QUIET: f64 = 1.0;
 
 /// Stands for an op's index on a connection that carries a probe.
@@ -166,8 +166,8 @@
         }
     }
 
-    /// A connection that stands idle and is still open: the one used last, so that others may be closed, but none
-    /// that has only just brought its answer.
+    /// A connection that stands idle and is still open: the one used last, so that others may be closed,
+    /// but none that has only just brought its answer.
     fn idle_link(&mut self, server: usize) -> Option<usize> {
         let now = self.now();
         loop {
--- a/node/src/wire/servers/pushing.rs
+++ b/node/src/wire/servers/pushing.rs
@@ -1,4 +1,5 @@
-//! A push on its connection: written, waited for, its answer read, and what it came to handed to whoever sent it.
+//! A push on its connection: written, waited for, its answer read, and what it came to handed to whoever
+//! sent it.
 
 use super::{Outcome, Then, NO_OP};
 use crate::memory::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
@@ -10,7 +11,8 @@
 use crankmux::words::{Ending, Load};
 use httparse::Header;
 
-/// What is kept of an op's time for the way of an answer's first bytes: a few times what a turn of the loop takes.
+/// What is kept of an op's time for the way of an answer's first bytes: a few times what a turn of the loop
+/// takes.
 const FOR_THE_WAY: f64 = 20.0;
 
 fn word(status: u16, headers: &[Header]) -> (u16, Ending, Load) {
@@ -62,7 +64,8 @@
 }
 
 impl Proxy {
-    /// Sends an op's request, as its client gave it, to a server. The connection's key, or how it failed at once.
+    /// Sends an op's request, as its client gave it, to a server. The connection's key, or how it failed at
+    /// once.
     pub fn send(
         &mut self,
         (op, client): (usize, usize),
@@ -133,8 +136,8 @@
         link.timer = None;
         let passing = link.passing.as_ref().map(|passing| passing.client);
         if passing.is_some() || (link.up && link.fed && !link.whole) {
-            // Danger: a server that neither takes nor gives, between a client and its end. Whose turn it is to
-            // move tells who stalls; a client has a time of its own.
+            // Danger: a server that neither takes nor gives, between a client and its end. Whose turn it is
+            // to move tells who stalls; a client has a time of its own.
             let waits = passing.map_or_else(
                 || link.feeding.is_some() && link.outbox.as_ref().is_none_or(|o| o.held().is_empty()),
                 |client| !self.clients.has_taken(client),
@@ -275,7 +278,8 @@
             if link.op != NO_OP && link.may_pass() && link.held_since.is_none() {
                 let now = self.clock.now();
                 link.held_since = Some(now);
-                // Danger: one that begins just before the end of its op's time would be cut off though it comes.
+                // Danger: one that begins just before the end of its op's time would be cut off though it
+                // comes.
                 let at = (now + HELD_MOST).min(link.ends - FOR_THE_WAY).max(now);
                 self.timers.set(at, move |proxy: &mut Proxy| proxy.held_back(key, now));
             }
--- a/node/src/wire/uploading.rs
+++ b/node/src/wire/uploading.rs
@@ -1,5 +1,5 @@
-//! Requests too long for one buffer, fed to their server piece by piece: the client is read only once the server has
-//! taken the piece before, so that neither side's pace costs more than two buffers.
+//! Requests too long for one buffer, fed to their server piece by piece: the client is read only once the
+//! server has taken the piece before, so that neither side's pace costs more than two buffers.
 
 use super::http::Message;
 use super::servers::Link;
@@ -72,8 +72,8 @@
 }
 
 impl Proxy {
-    /// Feeds a push's request on, as far as both sides go. Whether its connection is still there: danger, a key
-    /// given back stands for another connection, opened for the next push.
+    /// Feeds a push's request on, as far as both sides go. Whether its connection is still there: danger, a
+    /// key given back stands for another connection, opened for the next push.
     pub fn feed(&mut self, key: usize) -> bool {
         let now = self.now();
         loop {
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -231,7 +231,8 @@
         assert!(status(&head) == 200 && got == long, "{head}{}", got.len());
     }
     assert_eq!(server.pushes(), 6, "none goes again");
-    // A client that leaves in the middle takes the connection with it; the end of its time does not cut it off.
+    // A client that leaves in the middle takes the connection with it; the end of its time does not cut it
+    // off.
     let open = server.open.load(Ordering::SeqCst);
     let mut leaves: Vec<_> = (0..5).map(|_| node.client()).collect();
     for client in &mut leaves {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,7 @@
 //! Every decision of crankmux. A node makes one [`Balancer`] from what it is given and tells it, with the
 //! present time, what happens, by its public methods. Answers leave by the [`Outlet`] given with each call;
-//! `words.rs` holds its types. The ordinary path is the split of docs/design.md; whatever narrows it says here
-//! which danger it meets.
+//! `words.rs` holds its types. The ordinary path is the split of docs/design.md; whatever narrows it says
+//! here which danger it meets.
 
 use crate::given::Duties;
 use crate::words::{Arrival, Chance, Effect, Ending, Experience, Given, Learnt, Listed, Load, Outlet};
@@ -275,7 +275,7 @@
         (self.own, self.solved_at, self.parted_at) = (share, f64::NEG_INFINITY, f64::NEG_INFINITY);
     }
 
-    /// Servers in the list; those of them that are suspended, or fail so often that under a twentieth is left.
+    /// Servers in the list; those of them that are suspended, or fail in over 19 of 20 pushes.
     pub fn census(&self) -> (usize, usize) {
         let listed = || self.servers.values().filter(|s| s.standing != Standing::Gone);
         (listed().count(), listed().filter(|s| s.suspended || s.past.faults > 0.95).count())
@@ -955,8 +955,9 @@
         self.close(out, op);
     }
 
-    /// A long body goes to a push's server, or comes from it: the op is bound to it, and it counts as work there only
-    /// from its last byte on (`works`) until it is answered. Danger: slow clients would use up all limits.
+    /// A long body goes to a push's server, or comes from it: the op is bound to it, and it counts as work
+    /// there from its last byte on (`works`) until it is answered. Danger: slow clients would use up all
+    /// limits.
     pub fn began(&mut self, now: f64, id: usize, push: usize, works: bool) {
         self.now = now;
         let Some(op) = self.ops.get_mut(&id) else { return };
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -107,8 +107,8 @@
         self.said.take(end.op)
     }
 
-    /// A long body is on its way to or from a push's server, piece by piece; no other push is wanted. Whether that
-    /// server works at it now: once it has all of it, and until its answer has begun.
+    /// A long body is on its way to or from a push's server, piece by piece; no other push is wanted.
+    /// Whether that server works at it now: once it has all of it, and until its answer has begun.
     pub fn began(&mut self, now: f64, op: usize, push: usize, works: bool) {
         self.balancer.began(now, op, push, works);
     }
