--- a/src/balance.rs
+++ b/src/balance.rs
@@ -180,7 +180,6 @@
     solved_at: f64,
     list_wait: f64,
     warm_rate: f64,
-    // of the part, at the last solution: mean pace and queue, arrivals over all rates
     mean_pace: f64,
     mean_queue: f64,
     lambda: f64,
@@ -378,8 +377,10 @@
             c.time += step * (end.took / old.max(0.2) - c.time);
             self.time += step * (end.took / old.max(0.2) - self.time);
         }
-        // Danger: ops are lost on the way. A time-out where others were answered meanwhile is no crowding.
-        let lost = end.ending == Ending::TimedOut && server.heard > sent.at;
+        // Danger: ops are lost on the way. A time-out beside other answers, or of an idle one, is no crowding.
+        let idle = server.load.waiting.is_some_and(|w| w <= 0.0);
+        let known = server.heard > sent.at || (!asks && idle && now - server.load_at < 5000.0);
+        let lost = end.ending == Ending::TimedOut && known;
         let bad = f64::from(u8::from(!good && end.ending != Ending::TurnedAway));
         // Two failures in a row of a server seldom heard are no proof: only good news counts for more.
         l.faults += if good { smooth } else { 0.1 } * (bad - l.faults);
@@ -401,7 +402,7 @@
         l.best = if pace < l.best { pace } else { l.best + 0.005 * (pace - l.best) };
         let stretch = end.took / (sent.usual * l.best).max(1.0);
         // Danger: idle servers turn one category away. Where nothing waits, it is not full.
-        let full = end.ending == Ending::TurnedAway && server.load.waiting.is_none_or(|w| w > 0.0);
+        let full = end.ending == Ending::TurnedAway && !idle;
         let failed = full || matches!(end.ending, Ending::TimedOut | Ending::Unreachable);
         let late = !lost && (failed || end.took > sent.target);
         let used = strained && (asks || server.out.len() as f64 >= 0.5 * l.limit / sharers);
@@ -663,10 +664,9 @@
             customer.counted = now;
             // A client's retry belongs to its first try and is not counted again.
             let price = if arrival.retry { 0.0 } else { 1.0 };
-            if customer.purse < price {
-                rank *= self.duties.or("excess-benefit", 1.0);
-            } else {
-                customer.purse -= price;
+            match customer.purse < price {
+                true => rank *= self.duties.or("excess-benefit", 1.0),
+                false => customer.purse -= price,
             }
         }
         let op = Op {
@@ -815,7 +815,6 @@
 
     fn roulette(&mut self, from: &[(usize, f64)]) -> usize {
         let sum: f64 = from.iter().map(|(_, p)| p).sum();
-        // Where no share is above 0 all are alike.
         let even = f64::from(u8::from(sum <= 0.0));
         let mut left = self.rng.0.rand_float() * (sum + even * from.len() as f64);
         let hit = from.iter().find(|(_, p)| {
@@ -825,27 +824,31 @@
         hit.unwrap_or(&from[from.len() - 1]).0
     }
 
-    /// Own pushes in flight over what the limits leave this node.
-    fn strain(&self) -> f64 {
-        let (asks, now, sharers) = (self.asks, self.now, self.sharers);
-        let held = |s: &Server| if asks { s.told(now) } else { Some(s.out.len() as f64 * sharers) };
+    /// What is held, by each server's figure, over all limits.
+    fn filled(&self, held: impl Fn(&Server) -> Option<f64>) -> f64 {
         let of = |id: &usize| Some((held(&self.servers[id])?, self.servers[id].past.limit));
         let (held, limits) = self.part.iter().filter_map(of).fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1));
         held / f64::max(limits, 1.0)
     }
 
+    fn strain(&self) -> f64 {
+        self.filled(|s| if self.asks { s.told(self.now) } else { Some(s.out.len() as f64 * self.sharers) })
+    }
+
     fn try_push(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
         let op = &self.ops[&id];
         if op.bound || op.pushes.len() as f64 >= op.most {
             return false;
         }
         let again = op.pushes.iter().any(|p| p.may_have_run);
-        // Danger: where many nodes share, a few own pushes, a sample of all that are out, look like a crowd by
-        // mere chance. What they tell counts less one standard error of such a sample.
+        // Danger: a few own pushes, a sample of those of all sharers, look like a crowd by chance. Within one
+        // standard error of such a sample the reports decide.
         let own: usize = self.part.iter().map(|id| self.servers[id].out.len()).sum();
         let error = if self.asks { 0.0 } else { ((1.0 - 1.0 / self.sharers) / own.max(1) as f64).sqrt() };
+        let strain = self.strain();
+        let strain = self.filled(|s| self.known(s)).clamp(strain * (1.0 - error), strain);
         // Overload: the last of the room is kept for what brings most benefit.
-        let over = self.strain() * (1.0 - error) / (0.6 + 0.4 * op.rank.sqrt());
+        let over = strain / (0.6 + 0.4 * op.rank.sqrt());
         // Danger: asked loads may be seconds old. Were all over the line refused, the fleet would empty and
         // then jam: chance takes some, by the excess to the fourth (lower lets servers jam, higher swings).
         if !again && over > 1.0 && !(self.asks && self.rng.0.rand_float() < over.powi(-4)) {
@@ -934,12 +937,11 @@
             Effect::Deduplicated => !ran || category.within == Within::Fleet,
             Effect::AtMostOnce => !ran,
         };
-        if harmless {
-            // The time in which the work in flight is mostly done.
-            let most = self.duties.or("come-back", 0.0).min(1.0) * self.duties.or("come-back-most", 0.0);
-            out.nack(id, (0.25 * self.time).min(most));
-        } else {
-            out.dead_letter(id);
+        // Back after the time in which the work in flight is mostly done.
+        let most = self.duties.or("come-back", 0.0).min(1.0) * self.duties.or("come-back-most", 0.0);
+        match harmless {
+            true => out.nack(id, (0.25 * self.time).min(most)),
+            false => out.dead_letter(id),
         }
         self.close(out, id);
     }
@@ -958,9 +960,8 @@
         self.close(out, op);
     }
 
-    /// A long body goes to a push's server, or comes from it: the op is bound to it, and it counts as work
-    /// there from its last byte on (`works`) until it is answered. Danger: slow clients would use up all
-    /// limits.
+    /// A long body goes to a push's server, or comes from it: the op is bound to it, and is work there only
+    /// from its last byte in to its answer (`works`). Danger: slow clients would use up all limits.
     pub fn began(&mut self, now: f64, id: usize, push: usize, works: bool) {
         self.now = now;
         let Some(op) = self.ops.get_mut(&id) else { return };
