--- a/tests/module/fleet.rs
+++ b/tests/module/fleet.rs
@@ -1,25 +1,63 @@
 //! Hundreds of nodes before the same servers, each seeing little traffic: what is harmless in one node must be
 //! harmless in all.
 
-use crate::help::{line, node, Play};
-use crankmux::words::{Ending, Listed, Standing};
+use crate::help::{line, node, Play, TTL};
+use crankmux::words::{Ending, Listed, Load, Standing};
 use std::collections::BTreeMap;
 
 const ACK: Option<Ending> = Some(Ending::Acked);
 
 #[test]
 fn a_node_of_many_does_not_take_a_few_own_pushes_for_a_crowd() {
-    // Sixty servers before a hundred nodes: four to a part. One late answer, and three pushes out looked like
-    // nineteen of nineteen, though the fourth server stands idle.
+    // Sixty servers before a hundred nodes: four to a part, each with a word that it holds one and none waits.
+    // One late answer, and three pushes out looked like nineteen of nineteen, though the fourth stands idle.
     let mut play = Play::with(node(3, 100), 60);
-    let late = play.op(0);
-    play.pass(450.0);
-    play.end(late, 0, Ending::Acked);
-    play.pass(2000.0);
-    let ops: Vec<usize> = (0..4).map(|_| play.op(0)).collect();
-    let pushed = ops.iter().filter(|op| play.model.ops[**op].pushes.len() == 1).count();
-    assert_eq!(pushed, 4, "of four ops at four idle servers");
-    assert_eq!(play.out().len(), 4);
+    // Only a report that differs from the last is news.
+    let load = |waiting: f64, round: usize| Load {
+        held: Some(1.0 + waiting + 0.01 * (round % 9) as f64),
+        waiting: Some(waiting),
+        ..Load::default()
+    };
+    let tell = |play: &mut Play, waiting: f64| {
+        for round in 0..40 {
+            play.op(0);
+            play.pass(if round == 0 { 450.0 } else { 80.0 });
+            while let Some((op, push)) = play.out().pop() {
+                play.end_with(op, push, Ending::Acked, load(waiting, round));
+            }
+        }
+    };
+    let pushed = |play: &mut Play| {
+        let ops: Vec<usize> = (0..4).map(|_| play.op(0)).collect();
+        ops.iter().filter(|op| play.model.ops[**op].pushes.len() == 1).count()
+    };
+    tell(&mut play, 0.0);
+    assert_eq!(pushed(&mut play), 4, "of four ops at four idle servers");
+    // Where reports say that it is a crowd, it is one.
+    let mut play = Play::with(node(3, 100), 60);
+    tell(&mut play, 7.0);
+    assert!(pushed(&mut play) <= 3, "four ops at four full servers");
+}
+
+#[test]
+fn an_answer_lost_beside_a_report_that_nothing_waits_is_no_crowding() {
+    // A node that hears a server now and then has no other answer of it between a push and its time-out.
+    for (waiting, most) in [(0.0, 4..10), (6.0, 0..3)] {
+        let mut play = Play::new(1);
+        for round in 0..20 {
+            let told = play.op(0);
+            play.pass(20.0);
+            let load = Load { held: Some(2.0 + 0.01 * f64::from(round)), waiting: Some(waiting), busy: None };
+            play.end_with(told, 0, Ending::Acked, load);
+            let lost = play.op(2);
+            play.pass(TTL - 1.0);
+            play.end(lost, 0, Ending::TimedOut);
+        }
+        for _ in 0..6 {
+            play.op(0);
+        }
+        assert!(most.contains(&play.out().len()), "{} in flight, {waiting} waiting", play.out().len());
+    }
 }
 
 #[test]
