--- /dev/null
+++ b/emulator/benches/events.rs
@@ -0,0 +1,39 @@
+//! Events a second on one core: `cargo bench -p crankmux-emulator`.
+
+use crankmux_emulator::chooser::How;
+use crankmux_emulator::script::Script;
+use crankmux_emulator::world::play;
+use criterion::{criterion_group, criterion_main, Criterion, Throughput};
+
+const TEXT: &str = r#"
+name = "bench"
+seconds = 10
+nodes = 30
+[[categories]]
+name = "view"
+effect = "redeliverable"
+target_ms = 200
+ttl_ms = 800
+work_ms = 20
+[[machines]]
+kind = "box"
+count = 40
+cores = 2
+[load]
+share = 0.6
+"#;
+
+fn events(c: &mut Criterion) {
+    let script = Script::read(TEXT).expect("whole");
+    let mut group = c.benchmark_group("events");
+    group.sample_size(10);
+    for how in [How::Random, How::Module] {
+        let events = play(&script, how, 1).expect("a chooser").events;
+        group.throughput(Throughput::Elements(events));
+        group.bench_function(how.name(), |b| b.iter(|| play(&script, how, 1).expect("a chooser").events));
+    }
+    group.finish();
+}
+
+criterion_group!(benches, events);
+criterion_main!(benches);
