--- a/emulator/src/chooser.rs
+++ b/emulator/src/chooser.rs
@@ -233,7 +233,8 @@
                 from.iter().copied().filter(|s| !op.pushes.iter().any(|p| p.0 == *s)).collect();
             from = if fresh.is_empty() { from } else { fresh };
         }
-        match self.pick(&from, left, truth) {
+        let target = category.target_ms;
+        match self.pick(&from, left, target, truth) {
             Some(server) => {
                 self.out[server] += 1;
                 let op = self.ops.get_mut(&id).expect("looked at above");
@@ -258,7 +259,13 @@
         Next { given_up: Some(given_up), ..self.close(id) }
     }
 
-    fn pick(&mut self, from: &[usize], left: f64, truth: &dyn Fn(usize) -> Truth) -> Option<usize> {
+    fn pick(
+        &mut self,
+        from: &[usize],
+        left: f64,
+        target: f64,
+        truth: &dyn Fn(usize) -> Truth,
+    ) -> Option<usize> {
         if from.is_empty() {
             return None;
         }
@@ -285,7 +292,7 @@
                 let soonest = from.iter().filter_map(|s| Some((truth(*s).takes?, *s)));
                 let (takes, server) = soonest.min_by(|a, b| a.0.total_cmp(&b.0))?;
                 // What cannot come in time is turned away, so that the rest can.
-                return (takes < left).then_some(server);
+                return (takes < left.min(target)).then_some(server);
             }
             How::Floods => *from
                 .iter()
--- a/emulator/src/script.rs
+++ b/emulator/src/script.rs
@@ -599,22 +599,28 @@
             Group::Pod => "cell",
         };
         let categories = self.categories.iter().map(|c| {
-            json!({"Name": c.name, "Effect": effect(c.effect), "Group": group(c.group),
-                   "WindowMs": c.window_ms, "TargetLatencyMs": c.target_ms, "TtlMs": c.ttl_ms, "Benefit": c.benefit,
-                   "LateBenefit": c.late_benefit})
+            json!({
+                "Name": c.name, "Effect": effect(c.effect), "Group": group(c.group), "WindowMs": c.window_ms,
+                "TargetLatencyMs": c.target_ms, "TtlMs": c.ttl_ms, "Benefit": c.benefit,
+                "LateBenefit": c.late_benefit
+            })
         });
-        let d = &self.duties;
+        let (d, way) = (&self.duties, &self.way);
         json!({
             "GroupSize": self.nodes, "MyNumber": node, "MyZone": self.zones[node % self.zones.len()],
             "Zones": self.zones, "Discovery": "automatic", "Categories": categories.collect::<Vec<_>>(),
-            "Limits": {"MostPushes": d.most_pushes, "MayCancel": d.may_cancel,
-                       "SecondCopies": d.second_copies, "RetryAfter": d.come_back_ms > 0.0, "MaxRetryAfterMs": d.come_back_ms,
-                       "ConnectTimeoutMs": self.way.connect_ms, "KeepaliveMs": 1000.0 * self.way.keepalive},
+            "Limits": {
+                "MostPushes": d.most_pushes, "MayCancel": d.may_cancel, "SecondCopies": d.second_copies,
+                "RetryAfter": d.come_back_ms > 0.0, "MaxRetryAfterMs": d.come_back_ms,
+                "ConnectTimeoutMs": way.connect_ms, "KeepaliveMs": 1000.0 * way.keepalive
+            },
             "Fees": {"CrossZone": d.cross_zone_price},
             "Reporting": {"Via": if self.reports.told { "piggyback" } else { "silent" }},
-            "Obligations": {"ColdShare": d.cold_share, "ColdMs": 1000.0 * d.cold, 
-                            "FallMultiple": d.fall_multiple, "FallMs": d.fall_ms, "StopSendingWithinMs": d.drain_grace_ms,
-                            "AnswerSlackMs": d.answer_slack_ms, "AskWithinMs": 10_000.0}
+            "Obligations": {
+                "ColdShare": d.cold_share, "ColdMs": 1000.0 * d.cold, "FallMultiple": d.fall_multiple,
+                "FallMs": d.fall_ms, "StopSendingWithinMs": d.drain_grace_ms,
+                "AnswerSlackMs": d.answer_slack_ms, "AskWithinMs": 10_000.0
+            }
         })
     }
 }
--- a/emulator/src/server.rs
+++ b/emulator/src/server.rs
@@ -74,6 +74,8 @@
     /// Counts its starts: what was sent to an earlier one is lost.
     pub life: u32,
     pub connections: usize,
+    /// Pushes on their way to it.
+    pub coming: usize,
     pub weather: Weather,
     /// No core moves before this.
     pub stopped_until: f64,
@@ -107,6 +109,7 @@
             up: true,
             life: 0,
             connections: 0,
+            coming: 0,
             weather: Weather::default(),
             stopped_until: 0.0,
             tipped: false,
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -22,7 +22,7 @@
 enum Event {
     Arrive,
     Again { wish: usize },
-    Reach { op: usize, serial: u64, push: usize, life: u32 },
+    Reach { op: usize, serial: u64, push: usize, server: usize, life: u32 },
     Done { server: usize, life: u32, number: u64 },
     Back { op: usize, serial: u64, push: usize, ending: Ending, load: Load },
     Patience { op: usize, serial: u64, push: usize },
@@ -333,7 +333,10 @@
         match event {
             Event::Arrive => self.arrive(),
             Event::Again { wish } => self.try_wish(wish),
-            Event::Reach { op, serial, push, life } => self.reach(op, serial, push, life),
+            Event::Reach { op, serial, push, server, life } => {
+                self.servers[server].coming -= 1;
+                self.reach(op, serial, push, life);
+            }
             Event::Done { server, life, number } => self.done(server, life, number),
             Event::Back { op, serial, push, ending, load } => self.back(op, serial, push, ending, load),
             Event::Patience { op, serial, push } => {
@@ -482,17 +485,22 @@
         let truth = |server: usize| {
             let s: &Server = &servers[server];
             let reached = s.up && !s.weather.silent && !asks[zone][s.zone] && !answers[s.zone][zone];
-            let sound = reached && s.weather.fail_fast < 0.5 && s.held() < s.machine.cores + s.machine.queue;
-            let rounds = (s.held() + 1) as f64 / s.machine.cores as f64;
+            let held = s.held() + s.coming;
+            let sound = reached && s.weather.fail_fast < 0.5 && held < s.machine.cores + s.machine.queue;
+            let rounds = (held + 1) as f64 / s.machine.cores as f64;
             let stopped = (s.stopped_until - now).max(0.0);
             let way = if s.zone == zone { script.way.same_ms } else { script.way.cross_ms };
-            let takes = 2.0 * way + stopped + rounds.max(1.0) * ordinary / s.speed(now).max(1e-6);
-            Truth { takes: sound.then_some(takes) }
+            let round = ordinary / s.speed(now).max(1e-6);
+            // Works differ: half of the wait that would tip a box is left to chance.
+            let waits = stopped + (rounds - 1.0).max(0.0) * round;
+            let tips = s.machine.tips.is_some_and(|tips| waits > 0.5 * tips.after_ms);
+            let takes = 2.0 * way + stopped + rounds.max(1.0) * round;
+            Truth { takes: (sound && !tips).then_some(takes) }
         };
         call(&mut self.nodes[node].chooser, now, &truth)
     }
 
-    /// A try came to nothing: refused, or failed. It comes again where that is harmless, while tries are left.
+    /// A try came to nothing: refused, or failed. It comes again if that is harmless and tries are left.
     fn client_failed(&mut self, wish: usize, harmless: bool, come_back: f64) {
         let script = self.script;
         let clients = &script.clients;
@@ -653,7 +661,7 @@
         if links.idle > 0 {
             links.idle -= 1;
             match heard {
-                true => self.after(way, Event::Reach { op, serial, push, life }),
+                true => self.send(way, op, serial, push, server),
                 false => self.settle(op, serial, push),
             }
             return;
@@ -673,7 +681,13 @@
             it.pushes[push].fresh = true;
         }
         let wait = way * (1.0 + 2.0 * self.script.way.handshake);
-        self.after(wait, Event::Reach { op, serial, push, life });
+        self.send(wait, op, serial, push, server);
+    }
+
+    fn send(&mut self, way: f64, op: usize, serial: u64, push: usize, server: usize) {
+        let life = self.servers[server].life;
+        self.servers[server].coming += 1;
+        self.after(way, Event::Reach { op, serial, push, server, life });
     }
 
     fn group(&self, server: usize, op: &Op) -> u64 {
--- a/emulator/tests/worlds.rs
+++ b/emulator/tests/worlds.rs
@@ -1,4 +1,4 @@
-//! Worlds played in virtual time: wrong nodes are caught, chance keeps to its streams, faulty scripts are named.
+//! Worlds in virtual time: wrong nodes are caught, chance keeps to its streams, faulty scripts are named.
 
 use crankmux_emulator::chooser::How;
 use crankmux_emulator::script::Script;
--- a/lab/src/tables.rs
+++ b/lab/src/tables.rs
@@ -82,7 +82,7 @@
     ]
 }
 
-/// A row and a column a fault; on the diagonal it is alone. Service by the module, a star where it broke a rule.
+/// A row and a column a fault; on the diagonal it is alone. Service by the module, a star by a broken rule.
 pub fn pairs(call: &Pairs) -> Result<bool, Failed> {
     let base = scripts::shipped("saturday")?;
     let faults = eight();
