--- a/lab/src/scripts.rs
+++ b/lab/src/scripts.rs
@@ -18,6 +18,7 @@
     "mass-restart",
     "hot-key",
     "late-reports",
+    "quiet-nodes",
 ];
 
 pub type Failed = (u8, String);
