--- a/src/balance.rs
+++ b/src/balance.rs
@@ -882,7 +882,7 @@
         server.out.insert((id, n), sent);
         out.push(id, to, left);
         let copies = effect != Effect::AtMostOnce && self.duties.allow("second-copies");
-        if copies && sent.patience < left {
+        if copies && sent.patience < left && self.sharers * self.own < 3.0 {
             let at = now + sent.patience * (1.0 + self.strain());
             self.alarm(out, at, Box::new(move |b, out| b.overdue(out, id, n, now)));
         }
@@ -900,7 +900,8 @@
         self.steps.insert((id, n), Box::new(step));
     }
 
-    /// Danger: what falls silent holds an op for good. A second copy goes, later the fuller all is.
+    /// Danger: what falls silent holds an op for good. A second copy goes, later the fuller all is, not where
+    /// three nodes or more share a server, as copies would take each one's push or two of its limit.
     fn overdue(&mut self, out: &mut dyn Outlet, id: usize, n: usize, at: f64) {
         let waits = |op: &Op| op.pushes.len() == n + 1 && op.pushes[n].out && op.pushes[n].sent.at == at;
         if self.ops.get(&id).is_some_and(waits) {
