--- a/emulator/src/figures.rs
+++ b/emulator/src/figures.rs
@@ -1,6 +1,6 @@
 //! What a day came to: service by second and by category, latency, pushes by server, rules kept or broken.
 
-use crate::judge::{Judge, Rule};
+use crate::judge::Judge;
 use crate::script::Script;
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -229,8 +229,12 @@
         let worst = counted.min_by(|a, b| a.counts.service.total_cmp(&b.counts.service));
         let worst_second = worst.map_or((0, 100.0), |s| (s.at, s.counts.service));
         let lives = judge.broken.iter().map(|b| {
-            let rule = [Rule::Lost, Rule::Twice, Rule::Drain, Rule::Cold][b.rule as usize].name();
-            format!("{rule}: {}\n{}", b.what, b.life.iter().map(|l| format!("    {l}\n")).collect::<String>())
+            format!(
+                "{}: {}\n{}",
+                b.rule.name(),
+                b.what,
+                b.life.iter().map(|l| format!("    {l}\n")).collect::<String>()
+            )
         });
         Figures {
             script: script.name.clone(),
--- a/emulator/src/server.rs
+++ b/emulator/src/server.rs
@@ -88,7 +88,6 @@
     relieved_since: Option<f64>,
     keys: Vec<u64>,
     told: VecDeque<(f64, usize, usize)>,
-    period: f64,
 }
 
 impl Server {
@@ -121,7 +120,6 @@
             relieved_since: Some(f64::NEG_INFINITY),
             keys: vec![0; machine.keys],
             told: VecDeque::new(),
-            period: 0.0,
         }
     }
 
@@ -233,8 +231,7 @@
 
     /// What it says of itself: held and waiting, as they were when its report was taken.
     pub fn report(&mut self, now: f64, period: f64, delay: f64) -> Option<(f64, f64)> {
-        self.period = period;
-        if self.told.back().is_none_or(|(at, ..)| now - at >= self.period) {
+        if self.told.back().is_none_or(|(at, ..)| now - at >= period) {
             self.told.push_back((now, self.held(), self.queue.len()));
         }
         let old = now - delay - self.weather.late;
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -596,7 +596,7 @@
         let Some(mut it) = self.ops.all[op].take() else { return };
         self.judge.answered(self.now, &mut it.life, answer);
         let first = !it.answered && !it.left;
-        (it.answered, it.left) = (true, it.left);
+        it.answered = true;
         let (wish, ends) = (it.wish, it.ends);
         self.ops.all[op] = Some(it);
         if first {
@@ -610,11 +610,7 @@
                 Answer::Nacked => self.client_failed(wish, true, come_back),
                 // A failed op that may run again is tried again by its client; others are not.
                 Answer::DeadLettered => {
-                    let again = terms.effect == Effect::Redeliverable;
-                    match again {
-                        true => self.client_failed(wish, true, 0.0),
-                        false => self.outcome(wish, Outcome::Failed),
-                    }
+                    self.client_failed(wish, terms.effect == Effect::Redeliverable, 0.0);
                 }
             }
         }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -2,7 +2,9 @@
 
 use crankmux_emulator::figures::Figures;
 use crankmux_emulator::script::Script;
+use plotters::coord::Shift;
 use plotters::prelude::*;
+use std::error::Error;
 use std::fmt::Write;
 use std::path::Path;
 
@@ -74,22 +76,29 @@
     text
 }
 
-type Drawn = Result<(), Box<dyn std::error::Error>>;
+type Drawn = Result<(), Box<dyn Error>>;
 type Line<'a> = (&'a str, Vec<(f64, f64)>);
 
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+
+/// A white sheet with a title and room for axes.
+fn framed<'a, 'b>(
+    area: &'a Area<'b>,
+    title: &str,
+) -> Result<ChartBuilder<'a, 'b, SVGBackend<'b>>, Box<dyn Error>> {
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(area);
+    chart.caption(title, ("sans-serif", 20)).margin(10).x_label_area_size(35).y_label_area_size(60);
+    Ok(chart)
+}
+
 /// Lines over the day. Colours follow the order of the lines.
 fn lines(path: &Path, title: &str, unit: &str, lines: &[Line]) -> Drawn {
     let all = || lines.iter().flat_map(|(_, points)| points);
     let most = all().map(|p| p.1).fold(1.0_f64, f64::max) * 1.05;
     let end = all().map(|p| p.0).fold(1.0_f64, f64::max);
     let area = SVGBackend::new(path, (900, 360)).into_drawing_area();
-    area.fill(&WHITE)?;
-    let mut chart = ChartBuilder::on(&area)
-        .caption(title, ("sans-serif", 20))
-        .margin(10)
-        .x_label_area_size(35)
-        .y_label_area_size(60)
-        .build_cartesian_2d(0.0..end, 0.0..most)?;
+    let mut chart = framed(&area, title)?.build_cartesian_2d(0.0..end, 0.0..most)?;
     chart.configure_mesh().x_desc("second").y_desc(unit).draw()?;
     let colours = [&BLUE, &RED, &BLACK, &GREEN];
     for ((name, points), colour) in lines.iter().zip(colours) {
@@ -105,13 +114,8 @@
 fn bars(path: &Path, title: &str, counts: &[u64]) -> Drawn {
     let most = counts.iter().copied().max().unwrap_or(1).max(1);
     let area = SVGBackend::new(path, (900, 360)).into_drawing_area();
-    area.fill(&WHITE)?;
-    let mut chart = ChartBuilder::on(&area)
-        .caption(title, ("sans-serif", 20))
-        .margin(10)
-        .x_label_area_size(35)
-        .y_label_area_size(60)
-        .build_cartesian_2d(0..counts.len().max(1), 0..most + most / 20 + 1)?;
+    let mut chart =
+        framed(&area, title)?.build_cartesian_2d(0..counts.len().max(1), 0..most + most / 20 + 1)?;
     chart.configure_mesh().disable_x_mesh().x_desc("server").y_desc("pushes").draw()?;
     let bar = |(server, n): (usize, &u64)| Rectangle::new([(server, 0), (server + 1, *n)], BLUE.filled());
     chart.draw_series(counts.iter().enumerate().map(bar))?;
