The charter: an operator's own file, read whole or not at all, and `crankmux check`

Cause: what a node does beyond its platform had no place to be set; the platform's JSON rejects keys it does not know. CRANKMUX_CHARTER names the file; a node refuses to start with a faulty one.

--- /dev/null
+++ b/node/src/life/charter.rs
@@ -0,0 +1,44 @@
+//! The operator's charter, with the files that it names.
+
+use crankmux_charter::{Charter, FleetCharter};
+use std::path::Path;
+
+/// A charter that is in order, and the keys of the fleet, read from their files.
+#[derive(Default)]
+pub struct Chartered {
+    pub fleet: Option<(FleetCharter, Vec<String>)>,
+}
+
+/// A fleet's key as short as this is guessed.
+const KEY_LEAST: usize = 16;
+
+/// Reads the charter that `CRANKMUX_CHARTER` names; without it nothing is on. Errors: all that is wrong.
+pub fn named() -> Result<Chartered, String> {
+    match std::env::var_os("CRANKMUX_CHARTER") {
+        None => Ok(Chartered::default()),
+        Some(path) => at(Path::new(&path)).map_err(|faults| faults.join("\n")),
+    }
+}
+
+/// Reads a charter's file. Errors: all that is wrong, each with the file's name.
+pub fn at(path: &Path) -> Result<Chartered, Vec<String>> {
+    let named = |what: String| format!("{}: {what}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| vec![named(e.to_string())])?;
+    let charter = Charter::read(&text)
+        .map_err(|faults| faults.iter().map(|fault| named(fault.to_string())).collect::<Vec<_>>())?;
+    let Some(fleet) = charter.fleet else { return Ok(Chartered::default()) };
+    let folder = path.parent().unwrap_or(Path::new("."));
+    let (mut keys, mut faults) = (Vec::new(), Vec::new());
+    for file in &fleet.key_files {
+        match std::fs::read_to_string(folder.join(file)) {
+            Ok(key) if key.trim().len() >= KEY_LEAST => keys.push(key.trim().to_string()),
+            Ok(_) => faults
+                .push(named(format!("fleet.key-files: {file}: a key has {KEY_LEAST} characters at least"))),
+            Err(e) => faults.push(named(format!("fleet.key-files: {file}: {e}"))),
+        }
+    }
+    match faults.is_empty() {
+        true => Ok(Chartered { fleet: Some((fleet, keys)) }),
+        false => Err(faults),
+    }
+}
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -1,5 +1,6 @@
 //! Start, reload and stop.
 
+pub mod charter;
 pub mod configuration;
 pub mod reload;
 pub mod start;
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -1,5 +1,6 @@
 //! Start: one event loop over everything, until told to stop.
 
+use super::charter;
 use super::configuration::Configuration;
 use super::reload;
 use super::stop::Stop;
@@ -11,6 +12,8 @@
 
 pub fn run() -> Result<(), String> {
     let configuration = Configuration::at_start()?;
+    // Danger: a faulty charter, half taken, would be another than was meant. No start with one.
+    charter::named()?;
     let text = |e: std::io::Error| e.to_string();
     let mut poll = Poll::new().map_err(text)?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(text)?;
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -724,6 +724,25 @@
     assert_eq!(said("--listen").0, Some(2));
 }
 
+#[test]
+fn a_charter_is_checked_and_all_that_is_wrong_with_it_named() {
+    let file = std::env::temp_dir().join(format!("crankmux-charter-{}.toml", std::process::id()));
+    let check = |text: &[u8]| {
+        std::fs::write(&file, text).unwrap();
+        let program = env!("CARGO_BIN_EXE_crankmux");
+        let output = std::process::Command::new(program).arg("check").arg(&file).output().unwrap();
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    assert_eq!(check(b"# nothing is on\n"), (Some(0), String::new()));
+    let (code, told) = check(b"flet = 1\n[fleet]\nlisten = 5\n");
+    assert!(code == Some(1) && told.lines().count() == 4, "{told}");
+    assert!(told.contains("line 1: flet") && told.contains("line 3: fleet.listen"), "{told}");
+    assert_eq!(check(&[0xff, 0xfe]).0, Some(1));
+    std::fs::remove_file(&file).unwrap();
+    assert_eq!(check(b"").0, Some(0));
+    std::fs::remove_file(&file).unwrap();
+}
+
 #[test]
 fn a_faulty_key_is_named() {
     let address = "127.0.0.1:9".parse().unwrap();
