--- a/membership/src/fleet.rs
+++ b/membership/src/fleet.rs
@@ -1,7 +1,8 @@
 //! The fleet as one node sees it: SWIM, what nodes say beside it, and how much of the fleet it reaches.
 
-use crate::count::{set_of, Counted, Purse};
+use crate::count::Counted;
 use crate::seal::{number, Refused, Seal, BODY_MOST};
+use crate::sharing::Sharing;
 use foca::{
     BroadcastHandler, Foca, Identity, Invalidates, Notification, PeriodicParams, PostcardCodec, Runtime,
 };
@@ -9,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::rc::Rc;
@@ -31,6 +32,8 @@
 /// late gossip of who left is minutes old at most.
 const FAILED_FOR: f64 = 86_400_000.0;
 const LEFT_FOR: f64 = 600_000.0;
+/// How often all members are gone through, which costs what they are many.
+const SWEEP: f64 = 1000.0;
 
 /// The kinds of datagram.
 const SWIM: u8 = 1;
@@ -90,7 +93,18 @@
     number: u64,
 }
 
-/// How much of the fleet last agreed on is reached.
+impl Known {
+    /// What stands for this life, the same at every node.
+    pub(crate) fn life(&self) -> (u64, u64) {
+        (self.number, self.name.born)
+    }
+
+    fn there(&self) -> bool {
+        matches!(self.state, State::Alive | State::Suspected)
+    }
+}
+
+/// How much of the fleet last agreed on is reached, this node counted.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Reach {
     Whole,
@@ -98,18 +112,24 @@
     Alone { since: f64 },
 }
 
+/// The same of one zone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ZoneReach {
+    pub zone: String,
+    pub of: usize,
+    pub reached: usize,
+    /// When it was last whole; none while it is.
+    pub since: Option<f64>,
+}
+
 /// What has happened, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
     Up(Name),
     Failed(Name),
     Left(Name),
-    /// A server drains, is gone or started anew, by the list of another node.
-    Listed {
-        server: u64,
-        standing: u8,
-        started: f64,
-    },
+    /// What the list of another node tells of a server.
+    Listed(SocketAddr, ListedWord),
     /// Two live nodes at two addresses call themselves by one name.
     TwoUnderOneName(Name, Name),
     /// This node did nothing for so many milliseconds.
@@ -133,11 +153,20 @@
     Counts(Counted),
     /// Whoever is new learns only of the living: this one failed, and may push.
     Failed(Name),
-    Listed {
-        server: u64,
-        standing: u8,
-        started: f64,
-    },
+    Listed(ListedWord),
+}
+
+/// What a node's list tells of a server: that it drains, is gone or started anew, or is ready again.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListedWord {
+    /// The number by which all nodes know it.
+    pub server: u64,
+    /// 0 ready, 1 draining, 2 gone: the higher the stricter.
+    pub standing: u8,
+    /// Clock time of its last start; 0 for long ago.
+    pub started: f64,
+    /// The version of the list that told it.
+    pub seq: u64,
 }
 
 /// Which earlier word a new one replaces.
@@ -154,7 +183,7 @@
             Word::Left => 0,
             Word::Counts(_) => 1,
             Word::Failed(_) => 2,
-            Word::Listed { server, .. } => server.max(3),
+            Word::Listed(word) => word.server.max(3),
         };
         Slot { who: self.who, about, order: (self.born, self.n) }
     }
@@ -273,25 +302,20 @@
     ask_at: f64,
     tries: usize,
     known: BTreeMap<SocketAddr, Known>,
-    purse: Purse,
-    /// As the settings have it, when it was last asked for this node's part.
-    told: f64,
-    /// The others that live and those that failed, by number, and the sets they make with this node.
-    live: Vec<u64>,
-    failed: Vec<u64>,
-    own: Counted,
-    /// What was said last.
-    counted: Counted,
-    /// Since when not the whole fleet is reached.
+    sharing: Sharing,
+    /// Since when not the whole fleet is reached, and of each zone.
     parted: Option<f64>,
+    parted_zones: BTreeMap<String, f64>,
+    forget_failed: f64,
+    /// When the start is, and when ends of which no news came were last looked for.
+    began: f64,
+    swept_at: f64,
     sends: Vec<(SocketAddr, Vec<u8>)>,
     news: Vec<News>,
     /// To whom it was told lately that a later life of theirs was heard.
     warned: BTreeMap<u64, f64>,
     leaving: bool,
     chance: ChaCha8Rng,
-    /// Who may push has changed since it was counted.
-    changed: bool,
     /// What stands for its own address.
     number: u64,
     /// When this node last told each suspected one.
@@ -318,24 +342,37 @@
             ask_at: now,
             tries: 0,
             known: BTreeMap::new(),
-            purse: Purse::default(),
-            told: f64::INFINITY,
-            live: Vec::new(),
-            failed: Vec::new(),
-            own: Counted::default(),
-            counted: Counted::default(),
+            sharing: Sharing::new(),
             parted: None,
+            parted_zones: BTreeMap::new(),
+            forget_failed: FAILED_FOR,
+            began: now,
+            swept_at: f64::NEG_INFINITY,
             sends: Vec::new(),
             news: Vec::new(),
             warned: BTreeMap::new(),
             leaving: false,
             chance: ChaCha8Rng::seed_from_u64(seed ^ 0x5357_494d),
             told_suspect: BTreeMap::new(),
-            changed: true,
             number,
         })
     }
 
+    /// How long one that failed is counted, in milliseconds; a day else.
+    pub fn forget_failed_after(&mut self, ms: f64) {
+        self.forget_failed = ms;
+    }
+
+    /// Other keys from now on: the first seals, all open. Errors: a key that is none, and nothing changes.
+    pub fn take_keys(&mut self, keys: &[&str]) -> Result<(), String> {
+        self.seal.take_keys(keys)
+    }
+
+    /// Other addresses to ask.
+    pub fn take_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.seeds = seeds.iter().copied().filter(|seed| *seed != self.me.address).collect();
+    }
+
     pub fn me(&self) -> &Name {
         &self.me
     }
@@ -461,9 +498,7 @@
     fn take_birth(&mut self, born: u64) {
         self.me.born = born;
         self.seal.reborn(born);
-        // A new life has agreed with nobody yet.
-        self.purse = Purse::default();
-        self.changed = true;
+        self.sharing.begin_anew();
         self.news.push(News::Reborn(born));
     }
 
@@ -512,7 +547,7 @@
         }
         self.known
             .insert(name.address, Known { number: at(name.address), name: name.clone(), state, since: now });
-        self.changed = true;
+        self.sharing.changed = true;
         // Danger: a new life never hears of those that failed before it came, counts another set for good, and
         // gets no part. All who know say so; one word each second of them goes round.
         if state == State::Alive {
@@ -536,12 +571,11 @@
                     return;
                 };
                 (known.state, known.since) = (State::Left, now);
-                self.purse.left(known.number);
+                self.sharing.left(known.number);
                 self.news.push(News::Left(known.name.clone()));
-                self.changed = true;
             }
             Word::Counts(set) if said.who != self.me.address => {
-                self.purse.said(at(said.who), set);
+                self.sharing.heard(at(said.who), set);
             }
             Word::Counts(_) => {}
             Word::Failed(name) if name.address != self.me.address => {
@@ -551,14 +585,14 @@
                         name.address,
                         Known { number: at(name.address), name, state: State::Failed, since: now },
                     );
-                    self.changed = true;
+                    self.sharing.changed = true;
                 }
             }
             Word::Failed(_) => {}
-            Word::Listed { server, standing, started } if said.who != self.me.address => {
-                self.news.push(News::Listed { server, standing, started });
+            Word::Listed(word) if said.who != self.me.address => {
+                self.news.push(News::Listed(said.who, word));
             }
-            Word::Listed { .. } => {}
+            Word::Listed(_) => {}
         }
     }
 
@@ -574,43 +608,58 @@
         self.words.borrow_mut().fresh.clear();
     }
 
-    /// This node's own list has told something that makes a node stricter: the others go by it from now on.
-    pub fn tell_listed(&mut self, server: u64, standing: u8, started: f64) {
-        self.say(Word::Listed { server, standing, started });
+    /// This node's own list has told something that makes a node stricter, or no longer does.
+    pub fn tell_listed(&mut self, word: ListedWord) {
+        self.say(Word::Listed(word));
     }
 
-    /// Says which set this node counts, once it has changed. Danger: said before the part was lowered, another
-    /// would take what this one still spends; whoever calls takes the part first.
+    /// Says which set this node counts, once it has changed, and takes in what time alone has brought.
     fn settle(&mut self, now: f64) {
+        if now - self.swept_at >= SWEEP {
+            self.swept_at = now;
+            self.sweep(now);
+        }
+        self.part(None);
+        if let Some(counts) = self.sharing.take_said() {
+            self.say(Word::Counts(counts));
+        }
+        self.tell_suspects(now);
+        let whole = self.known.values().all(|k| k.state != State::Failed);
+        self.parted = if whole { None } else { self.parted.or(Some(now)) };
+        let lost: BTreeSet<&str> =
+            self.known.values().filter(|k| k.state == State::Failed).map(|k| k.name.zone.as_str()).collect();
+        self.parted_zones.retain(|zone, _| lost.contains(zone.as_str()));
+        for zone in lost {
+            if !self.parted_zones.contains_key(zone) {
+                self.parted_zones.insert(zone.to_string(), now);
+            }
+        }
+    }
+
+    fn sweep(&mut self, now: f64) {
         // Danger: an end of which no news came, as the start was not known either.
         let state = |state| if state == foca::State::Down { State::Failed } else { State::Alive };
-        let differs = |(name, state): &(Name, State)| {
-            let known = self.known.get(&name.address);
-            known.is_none_or(|k| k.name.born < name.born || (k.name.born == name.born && k.state != *state))
+        let differs = |m: &&foca::Member<Name>| {
+            let known = self.known.get(&m.id().address);
+            known.is_none_or(|k| {
+                k.name.born < m.id().born || (k.name.born == m.id().born && k.state != state(m.state()))
+            })
         };
-        let members = self.foca.iter_membership_state().map(|m| (m.id().clone(), state(m.state())));
-        let changed: Vec<_> = members.filter(differs).collect();
+        let members = self.foca.iter_membership_state().filter(differs);
+        let changed: Vec<_> = members.map(|m| (m.id().clone(), state(m.state()))).collect();
         changed.into_iter().for_each(|(name, state)| self.learn(now, name, Some(state)));
-        self.part();
-        if self.own != self.counted {
-            self.counted = self.own;
-            self.say(Word::Counts(self.own));
-        }
-        self.tell_suspects(now);
         let before = self.known.len();
         self.known.retain(|_, k| match k.state {
-            State::Failed => now - k.since < FAILED_FOR,
+            State::Failed => now - k.since < self.forget_failed,
             State::Left => now - k.since < LEFT_FOR,
             _ => true,
         });
         if self.known.len() < before {
-            self.changed = true;
+            self.sharing.changed = true;
         }
-        let whole = self.known.values().all(|k| matches!(k.state, State::Alive | State::Left));
-        self.parted = if whole { None } else { self.parted.or(Some(now)) };
     }
 
-    fn number(&self) -> (u64, u64) {
+    fn life(&self) -> (u64, u64) {
         (self.number, self.me.born)
     }
 
@@ -622,7 +671,7 @@
             self.foca.iter_membership_state().filter(suspect).map(|m| m.id().clone()).collect();
         self.told_suspect.retain(|address, _| suspects.iter().any(|s| s.address == *address));
         // Eight of all in the mean, however many they are: enough that one in ten lost changes nothing.
-        let part = 8.0 / (self.live.len() + 1) as f64;
+        let part = 8.0 / (self.sharing.living() + 1) as f64;
         for suspect in suspects {
             let lately = self.told_suspect.get(&suspect.address).is_some_and(|at| now - at < PROBE / 2.0);
             if !lately {
@@ -634,38 +683,16 @@
         }
     }
 
-    /// Takes in who may push now.
-    fn recount(&mut self) {
-        let of = |k: &&Known| (k.number, k.name.born);
-        let pushing = || self.known.values().filter(|k| k.state != State::Left);
-        let (failed, live): (Vec<_>, Vec<_>) = pushing().partition(|k| k.state == State::Failed);
-        // Another birth marks one that failed: no life's own has its highest bit set.
-        let marked = |(node, born): (u64, u64)| (node, born | 1 << 63);
-        let lives: Vec<_> = live.iter().map(of).chain([self.number()]).collect();
-        let lost: Vec<_> = failed.iter().map(of).collect();
-        self.own.set = set_of(lives.iter().chain(&lost).copied());
-        self.own.split = set_of(lives.iter().copied().chain(lost.iter().copied().map(marked)));
-        self.live = live.iter().map(|k| k.number).collect();
-        self.failed = lost.iter().map(|(node, _)| *node).collect();
-    }
-
-    fn part(&mut self) -> f64 {
-        if std::mem::take(&mut self.changed) {
-            self.recount();
-        }
-        let alone = self.live.is_empty() && self.failed.is_empty() && self.tries > TRIES;
-        let part = self.purse.part(self.told, self.own, &self.live, &self.failed, alone);
-        self.own.full = self.purse.full();
-        part
+    fn part(&mut self, told: Option<f64>) -> f64 {
+        let (me, unanswered) = (self.life(), self.tries > TRIES);
+        self.sharing.part(told, me, self.known.values(), unanswered)
     }
 
     /// This node's part of a cold server's budget now, where so many nodes are told by the settings.
     pub fn purse(&mut self, told: f64) -> f64 {
-        self.told = told;
-        if self.leaving {
-            0.0
-        } else {
-            self.part()
+        match self.leaving {
+            true => 0.0,
+            false => self.part(Some(told)),
         }
     }
 
@@ -694,16 +721,34 @@
         all
     }
 
+    /// How many others live, and how many failed, of all that are known.
+    pub fn census(&self) -> (usize, usize) {
+        let count = |wanted: fn(&Known) -> bool| self.known.values().filter(|k| wanted(k)).count();
+        (count(Known::there), count(|k| k.state == State::Failed))
+    }
+
     /// How much of the fleet that was last whole it reaches.
     pub fn reach(&self) -> Reach {
-        let count = |state: fn(State) -> bool| self.known.values().filter(|k| state(k.state)).count();
-        let reached = count(|s| matches!(s, State::Alive | State::Suspected));
-        let of = reached + count(|s| s == State::Failed);
+        let (reached, failed) = self.census();
         match self.parted {
-            _ if of == 0 && self.tries > TRIES => Reach::Alone { since: self.ask_at },
+            _ if reached + failed == 0 && self.tries > TRIES => Reach::Alone { since: self.began },
             None => Reach::Whole,
             Some(since) if reached == 0 => Reach::Alone { since },
-            Some(since) => Reach::Part { of: of + 1, reached: reached + 1, since },
+            Some(since) => Reach::Part { of: reached + failed + 1, reached: reached + 1, since },
         }
     }
+
+    /// The same by zone, this node counted in its own; zones in the order of their names.
+    pub fn reach_by_zone(&self) -> Vec<ZoneReach> {
+        let mut zones = BTreeMap::from([(self.me.zone.as_str(), (1, 1))]);
+        for known in self.known.values().filter(|k| k.state != State::Left) {
+            let (of, reached) = zones.entry(known.name.zone.as_str()).or_default();
+            (*of, *reached) = (*of + 1, *reached + usize::from(known.there()));
+        }
+        let reach = |(zone, (of, reached)): (&str, (usize, usize))| {
+            let since = self.parted_zones.get(zone).copied();
+            ZoneReach { zone: zone.into(), of, reached, since }
+        };
+        zones.into_iter().map(reach).collect()
+    }
 }
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod count;
 pub mod fleet;
 pub mod seal;
+mod sharing;
 
-pub use fleet::{Fleet, Known, Name, News, Reach, State};
+pub use fleet::{Fleet, Known, ListedWord, Name, News, Reach, State, ZoneReach};
 pub use seal::{Refused, Seal};
--- a/membership/src/seal.rs
+++ b/membership/src/seal.rs
@@ -61,13 +61,20 @@
 impl Seal {
     /// The first secret seals, all open: two while one is exchanged. Errors: no secret, or an empty one.
     pub fn new(secrets: &[&str], name: &str, born: u64) -> Result<Self, String> {
+        let mut seal = Seal { keys: Vec::new(), sender: number(name), born, next: 0, heard: BTreeMap::new() };
+        seal.take_keys(secrets)?;
+        Ok(seal)
+    }
+
+    /// Other secrets from now on. Errors: as at the start, and the old ones stay.
+    pub fn take_keys(&mut self, secrets: &[&str]) -> Result<(), String> {
         if secrets.is_empty() || secrets.iter().any(|s| s.len() < 16) {
             return Err("a fleet's key needs 16 characters at least".into());
         }
         let derived =
             |secret: &&str| blake3::derive_key("crankmux fleet datagrams, version 1", secret.as_bytes());
-        let keys = secrets.iter().map(derived).collect();
-        Ok(Seal { keys, sender: number(name), born, next: 0, heard: BTreeMap::new() })
+        self.keys = secrets.iter().map(derived).collect();
+        Ok(())
     }
 
     /// A later life under the same name.
--- a/membership/tests/net.rs
+++ b/membership/tests/net.rs
@@ -1,6 +1,6 @@
 //! Fleets in virtual time: a network that loses, delays, repeats and cuts, and nodes that die and pause.
 
-use crankmux_membership::{Fleet, Known, Name, News, Reach, State};
+use crankmux_membership::{Fleet, Known, ListedWord, Name, News, Reach, State};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -315,11 +315,19 @@
 #[test]
 fn what_one_was_told_of_a_server_reaches_all() {
     let mut net = Net::met(12, 11);
-    net.nodes.get_mut(&7).unwrap().tell_listed(4711, 1, 5.0);
+    net.nodes.get_mut(&7).unwrap().tell_listed(ListedWord {
+        server: 4711,
+        standing: 1,
+        started: 5.0,
+        seq: 9,
+    });
     let at = net.now;
     net.pass(2000.0);
-    let heard: Vec<_> =
-        net.news.iter().filter(|(_, _, n)| matches!(n, News::Listed { server: 4711, .. })).collect();
+    let heard: Vec<_> = net
+        .news
+        .iter()
+        .filter(|(_, _, n)| matches!(n, News::Listed(_, ListedWord { server: 4711, .. })))
+        .collect();
     assert_eq!(heard.len(), 11, "each once");
     assert!(heard.iter().all(|(when, ..)| when - at < 1500.0));
 }
