The node runs membership: a UDP port, GET /fleet, crankmux fleet; counts reach the decisions

Cause: no two nodes shared anything; each believed a number told once, and a drain told to one node reached the others only by their own lists. The number is told apart by what servers hold beside own pushes (count::Told).

--- a/membership/src/count.rs
+++ b/membership/src/count.rs
@@ -156,3 +156,47 @@
         self.held
     }
 }
+
+/// What servers tell that they hold, beside what this node has under way there: how many nodes like this one
+/// there would be. Sums fade over seconds, so that each second counts as much however much went there.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told {
+    all: f64,
+    own: f64,
+    reports: f64,
+    /// Whether servers count an op that they have just answered: between 0 and 1.
+    itself: f64,
+    at: f64,
+}
+
+/// Over which reports are smoothed: shorter than [`SURE_AFTER`].
+const FADES: f64 = 5000.0;
+/// Fewer reports than these say nothing.
+const REPORTS: f64 = 40.0;
+
+impl Told {
+    /// A server holds so many, with an answer, while this node has so many others there.
+    pub fn heard(&mut self, now: f64, held: f64, own: f64) {
+        let stays = (-(now - self.at).max(0.0) / FADES).exp();
+        self.all = self.all * stays + held;
+        self.own = self.own * stays + own;
+        self.reports = self.reports * stays + 1.0;
+        self.at = now;
+    }
+
+    /// While the whole fleet of so many is known to live: what of the reports is their own op is learnt.
+    pub fn whole(&mut self, live: usize) {
+        if self.reports >= REPORTS {
+            let over = (self.all - live as f64 * self.own) / self.reports;
+            self.itself += 0.05 * (over.clamp(0.0, 1.0) - self.itself);
+        }
+    }
+
+    /// How many nodes like this one servers tell of; none where they tell too little.
+    pub fn nodes(&self, now: f64) -> Option<f64> {
+        let reports = self.reports * (-(now - self.at).max(0.0) / FADES).exp();
+        let all = (self.all - self.itself * self.reports).max(0.0);
+        // Danger: where this node has next to nothing under way, a few reports would say anything.
+        (reports >= REPORTS && self.own >= 0.1 * self.reports).then(|| all / self.own)
+    }
+}
--- a/membership/src/fleet.rs
+++ b/membership/src/fleet.rs
@@ -169,6 +169,9 @@
     pub seq: u64,
 }
 
+/// Stands for any node, in a word that is nobody's own.
+const NOBODY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+
 /// Which earlier word a new one replaces.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Slot {
@@ -183,7 +186,12 @@
             Word::Left => 0,
             Word::Counts(_) => 1,
             Word::Failed(_) => 2,
-            Word::Listed(word) => word.server.max(3),
+            // Danger: all nodes hear of a drain at one moment, and each would send the same word round. It is one
+            // word, whoever says it; the later version replaces the earlier.
+            Word::Listed(word) => {
+                let order = (word.seq, u64::from(word.standing) << 56 | word.started as u64);
+                return Slot { who: NOBODY, about: word.server, order };
+            }
         };
         Slot { who: self.who, about, order: (self.born, self.n) }
     }
@@ -445,7 +453,9 @@
             self.warned.insert(sender, now);
             let body: Vec<u8> = [sender, born].iter().flat_map(|n| n.to_le_bytes()).collect();
             let datagram = self.seal.close(LATER, &body);
-            self.sends.push((to, datagram));
+            // Danger: behind a translation of addresses it seems to come from where nobody hears.
+            let reached = self.known.values().find(|k| number(&k.name.name) == sender);
+            self.sends.push((reached.map_or(to, |k| k.name.address), datagram));
         }
     }
 
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod count;
 pub mod fleet;
+pub mod lists;
 pub mod seal;
 mod sharing;
 
--- a/membership/tests/count.rs
+++ b/membership/tests/count.rs
@@ -1,6 +1,6 @@
 //! How many nodes are assumed, whatever is told.
 
-use crankmux_membership::count::{Count, Others};
+use crankmux_membership::count::{Count, Others, Told};
 
 fn after(count: &mut Count, from: f64, seconds: usize, others: Others) -> f64 {
     (0..seconds).map(|s| count.heard(from + s as f64 * 1000.0, others)).last().unwrap()
@@ -38,3 +38,28 @@
     count.renew(5.0);
     assert_eq!(count.heard(1000.0, Others { live: 5, failed: 0, told_by_servers: None }), 20.0);
 }
+
+#[test]
+fn servers_tell_how_many_nodes_push_whether_or_not_they_count_what_they_answer() {
+    for itself in [0.0, 1.0] {
+        let mut told = Told::default();
+        assert_eq!(told.nodes(0.0), None, "nothing told yet");
+        let mut now = 0.0;
+        let mut run = |told: &mut Told, nodes: f64, whole: Option<usize>| {
+            for n in 0..4000 {
+                now += 5.0;
+                let own = f64::from(n % 3);
+                told.heard(now, nodes * own + itself, own);
+                whole.iter().for_each(|live| told.whole(*live));
+            }
+            told.nodes(now).expect("told")
+        };
+        assert!((run(&mut told, 8.0, Some(8)) - 8.0).abs() < 0.4);
+        assert!((run(&mut told, 2.0, None) - 2.0).abs() < 0.4, "six are gone");
+        assert!((run(&mut told, 8.0, None) - 8.0).abs() < 0.4, "six are back, or were never gone");
+    }
+    let mut quiet = Told::default();
+    (0..1000).for_each(|n| quiet.heard(f64::from(n) * 10.0, 5.0, 0.0));
+    assert_eq!(quiet.nodes(10_000.0), None, "a node that has nothing under way can tell nothing");
+    assert_eq!(quiet.nodes(90_000.0), None, "and what is long past counts for nothing");
+}
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -1,8 +1,11 @@
 //! The command line. Without an argument the node runs, as its platform starts it.
 
+mod fleet;
+
 use crate::life::charter;
 use clap::{Parser, Subcommand};
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -40,6 +43,12 @@
         /// The charter's file
         file: PathBuf,
     },
+    /// Shows what a node makes of the others of its fleet
+    Fleet {
+        /// The node's door, as its admin_addr says
+        #[arg(long, value_name = "ADDRESS")]
+        door: SocketAddr,
+    },
 }
 
 /// What the arguments ask for; none where the node is to run.
@@ -50,6 +59,16 @@
     }
     match Said::parse().wish? {
         Wish::Check { file } => Some(check(&file)),
+        Wish::Fleet { door } => Some(match fleet::table(door) {
+            Ok(table) => {
+                println!("{table}");
+                ExitCode::SUCCESS
+            }
+            Err(e) => {
+                eprintln!("{e}");
+                ExitCode::FAILURE
+            }
+        }),
     }
 }
 
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -6,6 +6,7 @@
 use super::stop::Stop;
 use crate::proxy::Proxy;
 use crate::tokens::SIGNALS;
+use crate::wire::fleet::Entry;
 use mio::{Events, Interest, Poll};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
@@ -13,12 +14,13 @@
 pub fn run() -> Result<(), String> {
     let configuration = Configuration::at_start()?;
     // Danger: a faulty charter, half taken, would be another than was meant. No start with one.
-    charter::named()?;
+    let fleet = charter::named()?.fleet;
+    let entry = fleet.map(|(fleet, keys)| Entry::new(fleet, keys, &configuration));
     let text = |e: std::io::Error| e.to_string();
     let mut poll = Poll::new().map_err(text)?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(text)?;
     poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(text)?;
-    let mut proxy = Proxy::new(configuration, &poll)?;
+    let mut proxy = Proxy::new(configuration, entry, &poll)?;
     let mut events = Events::with_capacity(1024);
     let mut stop = Stop::default();
     while !stop.done(&mut proxy) {
@@ -32,6 +34,7 @@
             }
         }
     }
+    proxy.leave_fleet();
     log::info!("{}", proxy.counters);
     Ok(())
 }
--- a/node/src/life/upgrade/handing.rs
+++ b/node/src/life/upgrade/handing.rs
@@ -31,6 +31,7 @@
         std::fs::write(path, handed.to_string())?;
         self.registry.register(&mut stream, NEWER, Interest::READABLE)?;
         self.upgrade.newer = Some(stream);
+        self.yield_fleet();
         // Danger: both together over the node's limits. This one shrinks before the other has anything.
         self.take_share();
         let sent = self.send_listener();
@@ -78,6 +79,7 @@
         }
         self.take_share();
         if !self.stopping() {
+            self.take_fleet_back();
             self.listen();
             // Danger: the newer one had put its own socket there, and the next would find a dead one.
             if let Err(e) = self.upgrade.open(&self.state, &self.registry) {
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -15,6 +15,7 @@
 use crate::wire::bans::Bans;
 use crate::wire::clients::Clients;
 use crate::wire::discovery::Discovery;
+use crate::wire::fleet::{Entry, Members};
 use crate::wire::servers::{Outcome, Servers};
 use crankmux::dispatcher::{Dispatcher, GivenUp, Next, Pick};
 use crankmux::given::Names;
@@ -54,12 +55,16 @@
     pub state: State,
     pub bans: Bans,
     pub upgrade: Upgrade,
+    /// The other nodes, where a charter has them known; and what they leave to this one.
+    pub entry: Option<Entry>,
+    pub members: Option<Members>,
+    pub fleet_shares: Option<(f64, f64)>,
     sockets: usize,
     buffer_bytes: usize,
 }
 
 impl Proxy {
-    pub fn new(configuration: Configuration, poll: &Poll) -> Result<Self, String> {
+    pub fn new(configuration: Configuration, entry: Option<Entry>, poll: &Poll) -> Result<Self, String> {
         let of_listen = |e: io::Error| format!("listen: {}: {e}", configuration.listen);
         let text = |e: io::Error| e.to_string();
         let state = State::of(&configuration.name);
@@ -102,6 +107,9 @@
             state,
             bans: Bans::default(),
             upgrade,
+            entry,
+            members: None,
+            fleet_shares: None,
             sockets: configuration.sockets,
             buffer_bytes: configuration.buffer_bytes,
         };
@@ -109,6 +117,8 @@
         // Before any list: nothing may go to a server that was taken out before this start.
         proxy.watch_bans();
         proxy.take_share();
+        // Before any list: what it tells is for the others too.
+        proxy.join_fleet()?;
         let known = if list.is_null() { configuration.known } else { list };
         match known.is_null() {
             false => {
@@ -150,7 +160,8 @@
         self.buffers.resize((self.buffer_bytes as f64 * share) as usize);
         while self.servers.links.over() && self.drop_longest_idle() {}
         while self.clients.over() && self.drop_idle_client() {}
-        self.dispatcher.share(share);
+        let nodes = self.fleet_shares.map(|(nodes, _)| nodes);
+        self.dispatcher.share(share, nodes, self.fleet_shares.map_or(1.0, |(_, cold)| cold));
     }
 
     /// Whether everything taken in is answered, and the answers are out.
@@ -172,11 +183,13 @@
             self.call_list();
         }
         self.send_probes();
+        self.meet_fleet();
         if self.upgrade.holds_back && self.ready() {
             self.take_clients_in();
         }
         self.settle();
-        let due = [self.timers.first(), self.dispatcher.next_tick()].into_iter().flatten();
+        let fleet = self.members.as_ref().map(|members| members.next_due());
+        let due = [self.timers.first(), self.dispatcher.next_tick(), fleet].into_iter().flatten();
         let wait = due.min_by(f64::total_cmp).map(|at| (at - self.now()).max(0.0));
         if let Err(e) = poll.poll(events, wait.map(|ms| Duration::from_secs_f64(ms / 1000.0))) {
             if e.kind() != io::ErrorKind::Interrupted {
@@ -191,6 +204,7 @@
                 _ if at == HANDOVER.0 => self.hand_over(),
                 _ if at == NEWER.0 => self.newer_event(),
                 _ if at == OLDER.0 => self.older_event(),
+                _ if at == FLEET.0 => self.hear_fleet(),
                 _ if (CALLERS.0..TABLES).contains(&at) => self.hear_caller(at - CALLERS.0),
                 _ => continue,
             }
@@ -267,8 +281,10 @@
     fn push(&mut self, op: usize, pick: Pick) {
         let now = self.now();
         let (push, client, ends) = self.ops.push(op);
+        let to = pick.server;
+        self.members.iter_mut().for_each(|members| members.pushes(to, false));
         let patience = pick.patience.min(ends - now);
-        let then = Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed(op, push, now, outcome));
+        let then = Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed((op, push), to, now, outcome));
         let sent = match client {
             Some(client) if patience > 0.0 => self.send((op, client), pick.server, patience, then),
             _ => Err(Ending::Unsent),
@@ -279,8 +295,8 @@
                 self.ops.out_at(op, push, link);
             }
             Err(ending) => self.pushed(
-                op,
-                push,
+                (op, push),
+                to,
                 now,
                 Outcome { ending, load: Load::default(), answer: None, took: None },
             ),
@@ -296,7 +312,7 @@
     }
 
     /// A push has ended: the first ack goes to the client, anything else to the decisions.
-    fn pushed(&mut self, op: usize, push: usize, at: f64, outcome: Outcome) {
+    fn pushed(&mut self, (op, push): (usize, usize), server: usize, at: f64, outcome: Outcome) {
         let Outcome { ending, load, answer, took } = outcome;
         let count = match ending {
             Ending::Acked => &mut self.counters.push_acked,
@@ -309,6 +325,10 @@
         };
         *count += 1;
         let now = self.now();
+        if let Some(members) = &mut self.members {
+            members.pushes(server, true);
+            load.held.iter().for_each(|held| members.reported(now, server, *held));
+        }
         log::debug!("op {op}: push {push} ended after {:.1} ms: {ending:?}", now - at);
         self.ops.push_ended(op, push);
         let waiting = if ending == Ending::Acked { self.ops.answered(op) } else { None };
--- a/node/src/tokens.rs
+++ b/node/src/tokens.rs
@@ -12,8 +12,9 @@
 pub const HANDOVER: Token = Token(4);
 pub const NEWER: Token = Token(5);
 pub const OLDER: Token = Token(6);
+pub const FLEET: Token = Token(7);
 /// The first of the door's callers, and the first of both tables.
-pub const CALLERS: Token = Token(7);
+pub const CALLERS: Token = Token(8);
 pub const TABLES: usize = CALLERS.0 + CALLERS_MOST;
 
 /// Tokens of one table: its keys, beside those of the other.
--- a/node/src/wire/admin/calls.rs
+++ b/node/src/wire/admin/calls.rs
@@ -128,6 +128,7 @@
         let server = path.strip_prefix("/v1/servers/").and_then(|rest| rest.rsplit_once('/'));
         let needed = match (path, server) {
             ("/v1/readyz" | "/v1/metrics", _) => "GET",
+            ("/fleet", _) if self.members.is_some() => "GET",
             (_, Some((_, "suspend" | "resume"))) => "POST",
             _ => return (404, "no such call\n".into()),
         };
@@ -137,6 +138,11 @@
         match server {
             None if path == "/v1/readyz" && self.ready() => (200, "ready\n".into()),
             None if path == "/v1/readyz" => (503, "not ready\n".into()),
+            None if path == "/fleet" => {
+                let now = self.now();
+                let page = self.members.as_ref().map(|members| members.page(now));
+                (200, page.map_or_else(String::new, |page| format!("{page:#}\n")))
+            }
             None => (200, self.figures()),
             Some((id, action)) => match decoded(id) {
                 Some(id) if action == "suspend" => self.suspend(hashed(&id), &id),
@@ -151,5 +157,6 @@
         let (discovered, ejected) = self.dispatcher.census();
         self.tally.lines(&self.names.categories.names, self.clients.uploads())
             + &format!("discovered={discovered}\nejected={ejected}\n")
+            + &self.members.as_ref().map_or_else(String::new, |members| members.figures())
     }
 }
--- a/node/src/wire/discovery/calls.rs
+++ b/node/src/wire/discovery/calls.rs
@@ -20,6 +20,7 @@
             self.place(line.server, *dial);
         }
         self.leave_unsent();
+        self.tell_fleet(list);
         self.names.keep(|server| self.dispatcher.holds(server));
     }
 
--- /dev/null
+++ b/node/src/wire/fleet/page.rs
@@ -0,0 +1,81 @@
+//! What the operators' door tells of the fleet.
+
+use super::*;
+use crankmux_membership::State;
+use serde_json::json;
+
+/// How much is reached, in words.
+pub fn words(reach: Reach) -> String {
+    match reach {
+        Reach::Whole => "the whole fleet".into(),
+        Reach::Part { of, reached, .. } => format!("{reached} of {of} nodes"),
+        Reach::Alone { .. } => "nobody else".into(),
+    }
+}
+
+fn state(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspected => "suspected",
+        State::Failed => "failed",
+        State::Left => "left",
+    }
+}
+
+impl Members {
+    /// All that is known of the fleet. Times are milliseconds ago.
+    pub fn page(&self, now: f64) -> Value {
+        let named = |name: &Name| {
+            json!({"name": name.name, "zone": name.zone, "address": name.address.to_string(),
+                   "born": name.born, "program": name.program, "settings": format!("{:016x}", name.settings)})
+        };
+        let members: Vec<Value> = (self.fleet.known().iter())
+            .map(|known| {
+                let mut line = named(&known.name);
+                line["state"] = state(known.state).into();
+                line["since_ms"] = (now - known.since).max(0.0).round().into();
+                line
+            })
+            .collect();
+        let ago = |since: f64| (now - since).max(0.0).round();
+        let reach = match self.fleet.reach() {
+            Reach::Whole => json!({"state": "whole"}),
+            Reach::Part { of, reached, since } => {
+                json!({"state": "part", "of": of, "reached": reached, "since_ms": ago(since)})
+            }
+            Reach::Alone { since } => json!({"state": "alone", "since_ms": ago(since)}),
+        };
+        let zones: Vec<Value> = (self.fleet.reach_by_zone().iter())
+            .map(|zone| {
+                json!({"zone": zone.zone, "of": zone.of, "reached": zone.reached,
+                       "since_ms": zone.since.map(ago)})
+            })
+            .collect();
+        let Datagrams { sent, unsent, heard, refused } = self.datagrams;
+        json!({
+            "me": named(self.fleet.me()), "reach": reach, "zones": zones, "members": members,
+            "nodes_told": self.count.told(), "nodes_assumed": self.shares.0, "cold_part": self.shares.1,
+            "nodes_told_by_servers": self.told.nodes(now), "held_stricter": self.lists.stricter(),
+            "datagrams": {"sent": sent, "unsent": unsent, "heard": heard, "refused": refused},
+        })
+    }
+
+    /// A figure a line.
+    pub fn figures(&self) -> String {
+        let known = self.fleet.known();
+        let count = |wanted: State| known.iter().filter(|k| k.state == wanted).count();
+        let Datagrams { sent, unsent, heard, refused } = self.datagrams;
+        format!(
+            "fleet_alive={}\nfleet_suspected={}\nfleet_failed={}\nfleet_left={}\nfleet_nodes_assumed={:.2}\n\
+             fleet_cold_part={:.4}\nfleet_held_stricter={}\nfleet_sent={sent}\nfleet_unsent={unsent}\n\
+             fleet_heard={heard}\nfleet_refused={refused}\n",
+            count(State::Alive) + 1,
+            count(State::Suspected),
+            count(State::Failed),
+            count(State::Left),
+            self.shares.0,
+            self.shares.1,
+            self.lists.stricter(),
+        )
+    }
+}
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -5,6 +5,7 @@
 pub mod bodies;
 pub mod clients;
 pub mod discovery;
+pub mod fleet;
 pub mod http;
 pub mod passing;
 pub mod probes;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -185,8 +185,9 @@
     customers: Vec<Customer>,
     duties: Duties,
     balancers: f64,
-    /// Which part of a node this process is.
+    /// Which part of a node this process is, and what it has of a told node's budget for cold servers.
     own: f64,
+    cold_part: f64,
     /// Servers tell their load only when asked, and may be asked.
     asks: bool,
     /// It can hold but a few answers for clients that still read.
@@ -222,16 +223,16 @@
         for name in ["most-pushes", "drain-grace", "cold-share", "cold-time", "fall-multiple", "fall-time"] {
             duties.must(name)?;
         }
-        let balancers = duties.must("balancers")?.max(1.0);
         let customers = (0..duties.or("customers", 0.0) as usize).map(|k| {
-            let quota = duties.or(&format!("customer.{k}.quota"), f64::MAX) / 1000.0 / balancers;
+            let quota = duties.or(&format!("customer.{k}.quota"), f64::MAX) / 1000.0;
             Customer { quota, purse: 3.0, counted: 0.0 }
         });
         let time = categories.iter().map(|c| c.time).sum::<f64>() / categories.len().max(1) as f64;
         Ok(Balancer {
             rng: Chance(oorandom::Rand64::new(u128::from(seed))),
-            balancers,
+            balancers: duties.must("balancers")?.max(1.0),
             own: 1.0,
+            cold_part: 1.0,
             asks: duties.allow("load-must-be-asked") && duties.allow("may-probe"),
             holds_few: duties.allow("held-answers"),
             customers: customers.collect(),
@@ -248,8 +249,7 @@
         self.now = now;
         // Danger: a server missing from the whole list was removed unseen; it gets nothing more.
         let missing = |id: &usize| whole && !lines.iter().any(|line| line.server == *id);
-        let gone = self.servers.iter_mut().filter(|(id, _)| missing(id));
-        gone.for_each(|(_, s)| s.standing = Standing::Gone);
+        self.servers.iter_mut().filter(|(id, _)| missing(id)).for_each(|(_, s)| s.standing = Standing::Gone);
         let cold = self.cold();
         for line in lines {
             let fresh = Server::new(line.mark, line.started, now, cold);
@@ -304,9 +304,11 @@
         }
     }
 
-    /// Danger: the two processes of an upgrade would spend a node's limits, purses and quotas twice.
-    pub fn share(&mut self, share: f64) {
-        (self.own, self.solved_at, self.parted_at) = (share, f64::NEG_INFINITY, f64::NEG_INFINITY);
+    /// Danger: an upgrade's two processes would spend a node's budgets twice; a fleet may not be as told.
+    pub fn share(&mut self, share: f64, nodes: Option<f64>, cold: f64) {
+        let nodes = nodes.unwrap_or(self.duties.or("balancers", 1.0)).max(1.0);
+        (self.own, self.cold_part, self.balancers, self.solved_at) = (share, share * cold, nodes, f64::MIN);
+        self.parted_at = f64::NEG_INFINITY;
     }
 
     /// Servers in the list; those of them that are suspended, or fail in over 19 of 20 pushes.
@@ -693,16 +695,15 @@
             let Some(server) = self.servers.get_mut(id).filter(|s| self.now < s.warm_at) else { continue };
             let able = from + (1.0 - from) * ((self.now - server.latest) / time).clamp(0.0, 1.0);
             // What it bore before a restart it will bear again; a stranger may be weaker than the mean.
-            let rate = self.own * 0.7 * multiple * able * server.past.peak.max(0.8 * self.warm_rate);
+            let rate = self.cold_part * 0.7 * multiple * able * server.past.peak.max(0.8 * self.warm_rate);
             // A full purse and a window's income stay just within one window's budget.
-            let (span, most) = (0.3 * window, 0.3 * window * rate);
+            let (since, span, most) = (self.now - server.purse_at, 0.3 * window, 0.3 * window * rate);
             if most >= 1.0 {
-                server.purse = (server.purse + rate * (self.now - server.purse_at)).min(most);
-                server.purse_at = self.now;
-            } else if self.now - server.purse_at >= span {
+                (server.purse, server.purse_at) = ((server.purse + rate * since).min(most), self.now);
+            } else if since >= span {
                 // Danger: hundreds of nodes that each save up an op push it over. Chance grants one.
-                server.purse = f64::from(u8::from(self.rng.0.rand_float() < most));
-                server.purse_at = self.now;
+                let granted = u8::from(self.rng.0.rand_float() < most);
+                (server.purse, server.purse_at) = (granted.into(), self.now);
             }
         }
     }
@@ -713,9 +714,9 @@
         let top = self.categories.iter().map(|c| c.benefit).fold(f64::MIN_POSITIVE, f64::max);
         let mut rank = self.categories[arrival.category].benefit / top;
         if let Some(customer) = arrival.customer.and_then(|c| self.customers.get_mut(c)) {
-            let income = self.own * customer.quota * (now - customer.counted);
+            let gain = self.own * customer.quota / self.balancers * (now - customer.counted);
             // Two seconds' worth may be saved up, as ops come unevenly; three ops at least, for a small part.
-            customer.purse = (customer.purse + income).min((customer.quota * 2000.0).max(3.0));
+            customer.purse = (customer.purse + gain).min((customer.quota * 2000.0 / self.balancers).max(3.0));
             customer.counted = now;
             // A client's retry belongs to its first try and is not counted again.
             let price = if arrival.retry { 0.0 } else { 1.0 };
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -149,9 +149,10 @@
         self.balancer.inherit(from);
     }
 
-    /// Its share of the node, where two processes are one.
-    pub fn share(&mut self, share: f64) {
-        self.balancer.share(share);
+    /// Its share of the node, where two processes are one; where nodes know each other, how many of them share
+    /// the servers (else as told) and which part of what that number leaves it of cold servers is its own.
+    pub fn share(&mut self, share: f64, nodes: Option<f64>, cold: f64) {
+        self.balancer.share(share, nodes, cold);
     }
 
     /// How many servers the list holds, and how many of them are avoided.
--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -730,18 +730,27 @@
     assert!(play.balancer.renew(given).is_err_and(|e| e.contains("cold-time")));
 }
 
+/// Pushes to a cold server of a node that has such a share of itself, and of a told node's budget.
+fn spent_on_a_cold_one(share: f64, cold: f64) -> usize {
+    let mut play = Play::new(3);
+    play.run(400, 10.0, |_| ACK);
+    let now = play.model.now;
+    play.list(&[line(3, Standing::Ready, now)], false, false);
+    play.balancer.share(share, None, cold);
+    play.run(400, 2.5, |_| ACK).get(&3).copied().unwrap_or(0)
+}
+
 #[test]
 fn two_processes_of_a_node_spend_one_purse() {
-    let spent = |share: f64| {
-        let mut play = Play::new(3);
-        play.run(400, 10.0, |_| ACK);
-        let now = play.model.now;
-        play.list(&[line(3, Standing::Ready, now)], false, false);
-        play.balancer.share(share);
-        play.run(400, 2.5, |_| ACK).get(&3).copied().unwrap_or(0)
-    };
-    let (whole, half) = (spent(1.0), spent(0.5));
+    let (whole, half) = (spent_on_a_cold_one(1.0, 1.0), spent_on_a_cold_one(0.5, 1.0));
+    assert!(whole >= 8 && half <= whole * 2 / 3, "{half} of {whole}");
+}
+
+#[test]
+fn a_node_of_a_fleet_larger_than_told_spends_its_part_of_cold_budgets() {
+    let (whole, half) = (spent_on_a_cold_one(1.0, 1.0), spent_on_a_cold_one(1.0, 0.5));
     assert!(whole >= 8 && half <= whole * 2 / 3, "{half} of {whole}");
+    assert_eq!(spent_on_a_cold_one(1.0, 0.0), 0, "one that has no part yet");
 }
 
 #[test]
--- a/tests/module/rules.rs
+++ b/tests/module/rules.rs
@@ -60,7 +60,7 @@
                     play.balancer.began(now, op, push, b % 2 == 0);
                 }
             }
-            17 => play.balancer.share(if a % 2 == 0 { 0.5 } else { 1.0 }),
+            17 => play.balancer.share(if a % 2 == 0 { 0.5 } else { 1.0 }, None, 1.0),
             _ => {
                 // Ids no longer held, results after the end, alarms never set: all harmless.
                 play.balancer.woken(&mut play.model, now, u64::MAX);
