--- /dev/null
+++ b/node/tests/fleet/main.rs
@@ -0,0 +1,288 @@
+//! Several processes of the node at once, with faults between them. Each test is one danger to a fleet; bounds
+//! on times are the issue's own where it names one, and else generous.
+
+use crankmux_emulator::script::Script;
+use crankmux_rig::{Rig, Start, Way};
+
+/// Small ops on servers with room to spare: what is looked at is the fleet, on machines of any pace.
+const WORLD: &str = r#"
+name = "fleet"
+seconds = 60
+nodes = 6
+zones = ["a", "b", "c"]
+[duties]
+come_back_ms = 500
+drain_grace_ms = 300
+cold = 8
+[[categories]]
+name = "view"
+effect = "redeliverable"
+target_ms = 400
+ttl_ms = 1500
+work_ms = 8
+weight = 6
+[[categories]]
+name = "order"
+effect = "deduplicated"
+group = "zone"
+target_ms = 400
+ttl_ms = 1500
+work_ms = 8
+weight = 3
+[[categories]]
+name = "pay"
+effect = "at-most-once"
+target_ms = 400
+ttl_ms = 1500
+work_ms = 8
+[[machines]]
+kind = "m"
+count = 9
+[load]
+rate = 150
+[reports]
+told = true
+"#;
+
+/// A rig of so many nodes; the settings tell as many, or so many.
+fn rig(name: &str, nodes: usize, change: impl FnOnce(&mut Start)) -> Rig {
+    let mut script = Script::read(WORLD).expect("in order");
+    script.nodes = nodes;
+    let folder = std::env::temp_dir().join(format!("crankmux-rig-{}-{name}", std::process::id()));
+    let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux"), folder);
+    change(&mut start);
+    Rig::new(script, start)
+}
+
+/// The same, all of it started and at one view, with clients bringing ops.
+fn whole(name: &str, nodes: usize) -> Rig {
+    let mut rig = rig(name, nodes, |_| ());
+    rig.start_all();
+    let all: Vec<usize> = (0..nodes).collect();
+    assert!(rig.until(15_000.0, |rig| rig.agree(&all)), "they come to know each other: {:?}", views(&rig));
+    rig.open();
+    rig.pass(1000.0);
+    rig
+}
+
+fn views(rig: &Rig) -> Vec<Option<crankmux_rig::View>> {
+    (0..rig.nodes.len()).map(|node| rig.view(node).cloned()).collect()
+}
+
+/// No rule was broken, and ops were served.
+fn kept(rig: &mut Rig) {
+    rig.shut();
+    rig.pass(2500.0);
+    assert!(rig.broken().is_empty(), "{:#?}", rig.broken());
+    let service = rig.service;
+    assert!(service.taken > 0 && service.acked * 10 >= (service.taken - service.gone) * 8, "{service:?}");
+}
+
+/// No live node was declared failed by another.
+fn nobody_failed(rig: &Rig, live: &[usize], since: f64) {
+    for view in rig.views.iter().filter(|view| view.at >= since && live.contains(&view.node)) {
+        let failed = view.states.iter().find(|(n, state)| live.contains(n) && *state == "failed");
+        assert!(failed.is_none(), "{view:?}");
+    }
+}
+
+#[test]
+fn a_third_killed_at_once_is_known_to_all_and_who_leaves_is_no_failure() {
+    let mut rig = whole("third", 6);
+    let at = rig.now();
+    (4..6).for_each(|node| rig.kill(node));
+    let live = [0, 1, 2, 3];
+    let all = |rig: &Rig| (4..6).all(|dead| rig.saw(&live, dead, "failed", at).iter().all(Option::is_some));
+    assert!(rig.until(8000.0, |rig| all(rig)), "{:?}", views(&rig));
+    nobody_failed(&rig, &live, at);
+    assert!(rig.until(2000.0, |rig| live.iter().all(|node| rig.view(*node).unwrap().reach == "part")));
+    let at = rig.now();
+    rig.terminate(3);
+    assert!(rig.until(8000.0, |rig| rig.saw(&live[..3], 3, "left", at).iter().all(Option::is_some)));
+    // Back under their old names, with no word of the old ones' end waited for.
+    [3, 4, 5].into_iter().for_each(|node| assert!(rig.until(5000.0, |rig| !rig.nodes[node].runs())));
+    [3, 4, 5].into_iter().for_each(|node| rig.start(node, true));
+    assert!(rig.until(15_000.0, |rig| rig.agree(&[0, 1, 2, 3, 4, 5])), "{:?}", views(&rig));
+    kept(&mut rig);
+}
+
+#[test]
+fn a_rolling_restart_of_all_loses_no_op_and_no_node() {
+    let mut rig = whole("rolling", 5);
+    for node in 0..5 {
+        rig.terminate(node);
+        assert!(rig.until(8000.0, |rig| !rig.nodes[node].runs()), "it ends");
+        rig.start(node, true);
+        assert!(rig.until(15_000.0, |rig| rig.agree(&[0, 1, 2, 3, 4])), "{:?}", views(&rig));
+        rig.pass(300.0);
+    }
+    nobody_failed(&rig, &[0, 1, 2, 3, 4], 0.0);
+    kept(&mut rig);
+}
+
+#[test]
+fn one_that_stood_still_for_ten_seconds_declares_nobody_failed_and_breaks_no_rule() {
+    let mut rig = whole("still", 5);
+    let at = rig.now();
+    rig.stop(2);
+    let others = [0, 1, 3, 4];
+    assert!(rig.until(8000.0, |rig| rig.saw(&others, 2, "failed", at).iter().all(Option::is_some)));
+    rig.drain(0);
+    rig.pass((at + 10_000.0 - rig.now()).max(0.0));
+    let woken = rig.now();
+    rig.go_on(2);
+    assert!(rig.until(8000.0, |rig| rig.agree(&[0, 1, 2, 3, 4])), "{:?}", views(&rig));
+    nobody_failed(&rig, &others, woken);
+    let wrong = rig.views.iter().find(|view| {
+        view.node == 2 && view.at > woken && view.states.values().any(|state| state == "failed")
+    });
+    assert!(wrong.is_none(), "{wrong:?}");
+    kept(&mut rig);
+}
+
+#[test]
+fn a_one_way_cut_and_a_lossy_slow_net_part_nobody() {
+    let mut rig = whole("oneway", 5);
+    let at = rig.now();
+    rig.ways(&[1], &[0], Way { cut: true, ..Way::default() });
+    rig.pass(5000.0);
+    nobody_failed(&rig, &[0, 1, 2, 3, 4], at);
+    let all = [0, 1, 2, 3, 4];
+    let bad = Way { loss: 0.2, delay: 100.0, twice: 0.1, garbled: 0.02, cut: false };
+    rig.part(&[&all], bad);
+    rig.pass(12_000.0);
+    nobody_failed(&rig, &all, at);
+    rig.part(&[&all], Way::default());
+    assert!(rig.until(8000.0, |rig| rig.agree(&all)), "{:?}", views(&rig));
+    kept(&mut rig);
+}
+
+#[test]
+fn a_split_in_three_keeps_the_count_and_cold_budgets_and_heals_in_any_order() {
+    let mut rig = whole("split", 6);
+    let groups: [&[usize]; 3] = [&[0, 1], &[2, 3], &[4, 5]];
+    rig.part(&groups, Way::default());
+    let at = rig.now();
+    assert!(rig.until(10_000.0, |rig| rig.saw(&[0, 1], 5, "failed", at).iter().all(Option::is_some)
+        && rig.saw(&[4, 5], 0, "failed", at).iter().all(Option::is_some)));
+    // Each part knows two of six; a server restarts cold meanwhile, and all six push to it.
+    rig.restart_server(1);
+    rig.pass(3000.0);
+    for view in rig.views.iter().filter(|view| view.at > at) {
+        assert!(view.assumed >= 5.99, "those beyond the cut push too: {view:?}");
+        assert!(view.cold_part <= 1.0 + 1e-9);
+    }
+    rig.part(&[&[0, 1, 4, 5], &[2, 3]], Way::default());
+    assert!(rig.until(15_000.0, |rig| rig.saw(&[0], 4, "alive", at + 6000.0)[0].is_some()));
+    rig.part(&[&[0, 1, 2, 3, 4, 5]], Way::default());
+    let healed = rig.now();
+    assert!(rig.until(15_000.0, |rig| rig.agree(&[0, 1, 2, 3, 4, 5])), "{:?}", views(&rig));
+    assert!(rig.now() - healed < 10_000.0, "all views equal soon: {:.0} ms", rig.now() - healed);
+    kept(&mut rig);
+}
+
+#[test]
+fn old_datagrams_garbage_strangers_and_floods_are_not_believed_and_hold_up_nobody() {
+    let mut rig = whole("flood", 5);
+    rig.pass(2000.0);
+    rig.kill(4);
+    rig.pass(200.0);
+    rig.start(4, true);
+    assert!(rig.until(15_000.0, |rig| rig.agree(&[0, 1, 2, 3, 4])));
+    let at = rig.now();
+    let repeated: usize = (0..4).map(|node| rig.relays.repeat(at, node, 2500.0)).sum();
+    assert!(repeated > 20, "{repeated}");
+    let refused =
+        |rig: &Rig| rig.nodes[0].page().map_or(0, |page| page["datagrams"]["refused"].as_u64().unwrap());
+    let before = refused(&rig);
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let to = rig.nodes[0].hears;
+    // Some thousands a second, in steps of the rig's loop.
+    for n in 0..300_u64 {
+        for m in 0..20_u64 {
+            let garbage: Vec<u8> = (0..(n * 7 + m) % 1300).map(|byte| (byte * n + m) as u8).collect();
+            let _ = socket.send_to(&garbage, to);
+        }
+        rig.pass(5.0);
+    }
+    rig.pass(1000.0);
+    nobody_failed(&rig, &[0, 1, 2, 3, 4], at);
+    assert!(refused(&rig) > before + 1000, "{before}");
+    // One with another key is nobody.
+    rig.kill(3);
+    rig.furnish(3, &["the key of quite another fleet"]);
+    rig.start(3, true);
+    rig.pass(4000.0);
+    assert!(rig.view(3).unwrap().states.values().all(|state| state != "alive"), "{:?}", rig.view(3));
+    kept(&mut rig);
+}
+
+#[test]
+fn a_key_is_exchanged_while_all_run() {
+    let mut rig = whole("key", 4);
+    let (old, new) = ("the key of this rig's own fleet", "the key that comes after it");
+    for keys in [&[old, new][..], &[new, old], &[new]] {
+        for node in 0..4 {
+            rig.furnish(node, keys);
+            rig.nodes[node].reload();
+            rig.pass(100.0);
+        }
+    }
+    let at = rig.now();
+    rig.pass(4000.0);
+    nobody_failed(&rig, &[0, 1, 2, 3], at);
+    assert!(rig.agree(&[0, 1, 2, 3]), "{:?}", views(&rig));
+    kept(&mut rig);
+}
+
+#[test]
+fn one_that_finds_only_dead_seeds_or_whose_port_fails_serves_on_as_a_node_that_shares_nothing() {
+    let mut rig = rig("alone", 3, |start| start.seeds = 1);
+    rig.start(1, false);
+    let found =
+        rig.until(10_000.0, |rig| rig.view(1).is_some_and(|v| v.reach == "alone" && v.cold_part == 1.0));
+    assert!(found, "{:?}", rig.view(1));
+    rig.open();
+    rig.pass(1000.0);
+    rig.start(2, false);
+    rig.pass(500.0);
+    rig.start(0, false);
+    assert!(rig.until(15_000.0, |rig| rig.agree(&[0, 1, 2])), "{:?}", views(&rig));
+    // Its datagrams alone are lost, both ways; its HTTP serves.
+    let at = rig.now();
+    let cut = Way { cut: true, ..Way::default() };
+    rig.ways(&[2], &[0, 1], cut);
+    rig.ways(&[0, 1], &[2], cut);
+    assert!(rig.until(8000.0, |rig| rig.saw(&[0, 1], 2, "failed", at).iter().all(Option::is_some)));
+    let served = rig.reached();
+    rig.pass(2000.0);
+    assert!(rig.reached() > served && rig.view(2).unwrap().reach == "alone", "{:?}", rig.view(2));
+    assert!(rig.view(0).unwrap().assumed >= 2.99, "it may push: {:?}", rig.view(0));
+    kept(&mut rig);
+}
+
+#[test]
+fn a_drain_that_one_node_was_told_holds_at_those_whose_discovery_is_silent() {
+    let mut rig = whole("drain", 4);
+    rig.blind[2] = true;
+    rig.blind[3] = true;
+    rig.drain(5);
+    rig.pass(1500.0);
+    let at = rig.now();
+    rig.pass(3000.0);
+    let pushes: Vec<usize> = (0..4).map(|node| rig.pushes(node, 5, at)).collect();
+    assert_eq!(pushes, [0, 0, 0, 0], "pushes to a server that drains, by node");
+    let elsewhere: usize = (0..9).map(|server| rig.pushes(2, server, at)).sum();
+    assert!(elsewhere > 0, "and it pushes elsewhere");
+    // Their own lists come as far, and tell that it is back.
+    rig.restart_server(5);
+    (rig.blind[2], rig.blind[3]) = (false, false);
+    let at = rig.now();
+    assert!(
+        rig.until(20_000.0, |rig| rig.pushes(2, 5, at) > 0),
+        "back, for one of its own zone that was blind"
+    );
+    let stricter = |rig: &Rig| rig.nodes[3].page().and_then(|page| page["held_stricter"].as_u64());
+    assert!(rig.until(10_000.0, |rig| stricter(rig) == Some(0)), "its own list has come as far");
+    kept(&mut rig);
+}
--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,13 @@
+//! Many processes of the program on one machine, with what they need around them: servers, discovery, clients,
+//! and a relay before each node's port, all in one thread of the caller's and on loopback. Faults are put
+//! between them by call or by script. Every rule is judged over all nodes together, by what servers and
+//! clients saw themselves. docs/rig.md has the ways weighed.
+
+mod conns;
+mod nodes;
+mod relay;
+mod world;
+
+pub use nodes::Start;
+pub use relay::Way;
+pub use world::{Rig, View};
