--- a/membership/src/fleet.rs
+++ b/membership/src/fleet.rs
@@ -16,12 +16,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How often a node looks at one other. Each is looked at by somebody within three of these, 19 times of 20.
-const PROBE: f64 = 300.0;
+/// How often a node looks at one other. Where a third is gone at once, each of those is looked at by somebody within
+/// seven of these, 99 times of 100.
+const PROBE: f64 = 200.0;
 /// How long a suspected one has to speak up, by way of others if need be.
 const SPEAK_UP: f64 = 1000.0;
-/// A due time that comes so late says that this node was paused: a probe's time, in which its answers waited.
-const PAUSED: f64 = PROBE;
+/// A due time that comes so late says that this node was paused: over a probe's time, in which its answers waited.
+const PAUSED: f64 = 1.5 * PROBE;
 /// How often seeds are asked while nobody is known, and a lost one else.
 const ASK: f64 = 1000.0;
 /// Tries of all seeds without an answer after which a node takes itself for alone.
@@ -35,6 +36,8 @@
 /// How often three others are told that this node goes: at a fifth of all datagrams lost, one in ten million runs
 /// has none of them heard.
 const FAREWELLS: usize = 4;
+/// How often a node says anew which set it counts, at most: a few hops of gossip.
+const SAY_EVERY: f64 = 500.0;
 /// How often all members are gone through, which costs what they are many.
 const SWEEP: f64 = 1000.0;
 
@@ -55,6 +58,14 @@
     pub settings: u64,
 }
 
+impl Name {
+    /// What stands for it as a sender of datagrams. Danger: two machines under one name would refuse each other's
+    /// as repeats, and take each other's life by turns; each address counts by itself.
+    fn sender(&self) -> u64 {
+        number(&format!("{}@{}", self.name, self.address))
+    }
+}
+
 /// What stands for an address, the same at every node.
 fn at(address: SocketAddr) -> u64 {
     number(&address.to_string())
@@ -330,6 +341,7 @@
     /// When the start is, and when ends of which no news came were last looked for.
     began: f64,
     swept_at: f64,
+    counted_at: f64,
     sends: Vec<(SocketAddr, Vec<u8>)>,
     news: Vec<News>,
     /// To whom it was told lately that a later life of theirs was heard.
@@ -351,7 +363,7 @@
         let foca = Foca::with_custom_broadcast(me.clone(), terms(), rng, PostcardCodec, hearing);
         let number = at(me.address);
         Ok(Fleet {
-            seal: Seal::new(keys, &me.name, me.born)?,
+            seal: Seal::new(keys, me.sender(), me.born)?,
             seeds: seeds.iter().copied().filter(|seed| *seed != me.address).collect(),
             me,
             foca,
@@ -368,6 +380,7 @@
             forget_failed: FAILED_FOR,
             began: now,
             swept_at: f64::NEG_INFINITY,
+            counted_at: f64::NEG_INFINITY,
             sends: Vec::new(),
             news: Vec::new(),
             warned: BTreeMap::new(),
@@ -435,7 +448,7 @@
                 let number =
                     |at: usize| u64::from_le_bytes(opened.body[at..at + 8].try_into().expect("sixteen"));
                 let (who, born) = (number(0), number(8));
-                if who == self::number(&self.me.name) && born >= self.me.born {
+                if who == self.me.sender() && born >= self.me.born {
                     self.live_on(now, born + 1);
                 }
             }
@@ -451,7 +464,7 @@
             k.state == State::Left
                 && k.name.born >= born
                 && now - k.since > SPEAK_UP
-                && number(&k.name.name) == sender
+                && k.name.sender() == sender
         };
         if let Some(left) = self.known.values().find(over).map(|k| k.name.born) {
             self.warn(now, from, sender, left);
@@ -466,7 +479,7 @@
             let body: Vec<u8> = [sender, born].iter().flat_map(|n| n.to_le_bytes()).collect();
             let datagram = self.seal.close(LATER, &body);
             // Danger: behind a translation of addresses it seems to come from where nobody hears.
-            let reached = self.known.values().find(|k| number(&k.name.name) == sender);
+            let reached = self.known.values().find(|k| k.name.sender() == sender);
             self.sends.push((reached.map_or(to, |k| k.name.address), datagram));
         }
     }
@@ -644,8 +657,13 @@
             self.sweep(now);
         }
         self.part(None);
-        if let Some(counts) = self.sharing.take_said() {
-            self.say(Word::Counts(counts));
+        // Danger: where twenty join at one moment, each of all would say twenty times what it counts, and what is said
+        // outruns what may be sent. Said late, it only raises parts later.
+        if now - self.counted_at >= SAY_EVERY {
+            if let Some(counts) = self.sharing.take_said() {
+                self.counted_at = now;
+                self.say(Word::Counts(counts));
+            }
         }
         self.tell_suspects(now);
         let whole = self.known.values().all(|k| k.state != State::Failed);
--- a/membership/src/seal.rs
+++ b/membership/src/seal.rs
@@ -60,8 +60,8 @@
 
 impl Seal {
     /// The first secret seals, all open: two while one is exchanged. Errors: no secret, or an empty one.
-    pub fn new(secrets: &[&str], name: &str, born: u64) -> Result<Self, String> {
-        let mut seal = Seal { keys: Vec::new(), sender: number(name), born, next: 0, heard: BTreeMap::new() };
+    pub fn new(secrets: &[&str], sender: u64, born: u64) -> Result<Self, String> {
+        let mut seal = Seal { keys: Vec::new(), sender, born, next: 0, heard: BTreeMap::new() };
         seal.take_keys(secrets)?;
         Ok(seal)
     }
