crankmux-lab fleet: scripts of faults between many processes; tests of twins, mass returns, doubling

Change: rig/src/script.rs and play.rs: a script names a world, processes and faults with time, place and strength, overlapping as they like; times to know a kill, to heal, false alarms, service, rules, latency, bytes and processor time follow from the record. Three more tests: two under one name, eight of nine gone and back beside cold servers, a fleet of twice the told number whose cold parts never add up to more than the budget.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! crankmux-lab: rehearses incidents on the emulator and reports what they came to.
 
+mod fleet;
 mod rehearse;
 mod report;
 mod scripts;
@@ -23,6 +24,8 @@
     Table(tables::Scripts),
     /// Plays all pairs of eight faults on one world: a table of service and rules
     Pairs(tables::Pairs),
+    /// Plays a script over many processes of the node, with faults between them
+    Fleet(fleet::Call),
 }
 
 /// Exit codes: 0 rules kept, 3 a rule broken, 2 a faulty script or argument, 1 what else failed.
@@ -31,6 +34,7 @@
         Call::Rehearse(call) => rehearse::run(&call),
         Call::Table(call) => tables::scripts(&call),
         Call::Pairs(call) => tables::pairs(&call),
+        Call::Fleet(call) => fleet::run(&call),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/node/tests/fleet/main.rs
+++ b/node/tests/fleet/main.rs
@@ -286,3 +286,68 @@
     assert!(rig.until(10_000.0, |rig| stricter(rig) == Some(0)), "its own list has come as far");
     kept(&mut rig);
 }
+
+#[test]
+fn two_machines_under_one_name_are_told_and_both_serve_on() {
+    let mut rig = rig("twins", 4, |_| ());
+    rig.nodes[3].name = Some("node-2".into());
+    rig.furnish(3, &["the key of this rig's own fleet"]);
+    rig.start_all();
+    let all = [0, 1, 2, 3];
+    assert!(rig.until(15_000.0, |rig| rig.agree(&all)), "{:?}", views(&rig));
+    let at = rig.now();
+    rig.open();
+    rig.pass(3000.0);
+    assert!(rig.nodes[0].log().contains("two nodes call themselves node-2"), "{}", rig.nodes[0].log());
+    nobody_failed(&rig, &all, at);
+    let pushes = |node| (0..9).map(|server| rig.pushes(node, server, at)).sum::<usize>();
+    assert!(pushes(2) > 0 && pushes(3) > 0);
+    kept(&mut rig);
+}
+
+#[test]
+fn most_gone_and_back_at_once_push_no_cold_server_over() {
+    let mut rig = whole("back", 9);
+    let at = rig.now();
+    (1..9).for_each(|node| rig.kill(node));
+    assert!(rig.until(10_000.0, |rig| (1..9).all(|dead| rig.saw(&[0], dead, "failed", at)[0].is_some())));
+    rig.pass(2000.0);
+    (1..9).for_each(|node| rig.start(node, false));
+    // Cold servers just as they are back: they must agree before they push there.
+    (0..3).for_each(|server| rig.restart_server(server));
+    let all: Vec<usize> = (0..9).collect();
+    assert!(rig.until(15_000.0, |rig| rig.agree(&all)), "{:?}", views(&rig));
+    (3..6).for_each(|server| rig.restart_server(server));
+    rig.pass(3000.0);
+    let parts: f64 = all.iter().map(|node| rig.view(*node).unwrap().cold_part).sum();
+    assert!(parts <= 9.0 + 1e-6 && parts > 0.0, "parts of a told node's: {parts}");
+    kept(&mut rig);
+}
+
+#[test]
+fn a_fleet_larger_than_told_counts_itself_and_shares_the_cold_budget() {
+    let mut rig = rig("doubled", 8, |start| start.told = Some(4));
+    (0..4).for_each(|node| rig.start(node, false));
+    let first = [0, 1, 2, 3];
+    assert!(rig.until(15_000.0, |rig| rig.agree(&first)), "{:?}", views(&rig));
+    rig.open();
+    assert!(rig.until(5000.0, |rig| first.iter().all(|node| rig.view(*node).unwrap().cold_part == 1.0)));
+    (4..8).for_each(|node| rig.start(node, false));
+    (0..3).for_each(|server| rig.restart_server(server));
+    let all: Vec<usize> = (0..8).collect();
+    assert!(rig.until(15_000.0, |rig| rig.agree(&all)), "{:?}", views(&rig));
+    let even = |rig: &Rig| {
+        all.iter().all(|node| {
+            let view = rig.view(*node).unwrap();
+            view.assumed >= 7.99 && (view.cold_part - 0.5).abs() < 1e-6
+        })
+    };
+    assert!(rig.until(10_000.0, |rig| even(rig)), "{:?}", views(&rig));
+    // Whatever was held while views differed: never more than the budget, at any moment that was seen.
+    let mut last = std::collections::BTreeMap::new();
+    for view in &rig.views {
+        last.insert(view.node, view.cold_part);
+        assert!(last.values().sum::<f64>() <= 4.0 + 1e-6, "{view:?}: {last:?}");
+    }
+    kept(&mut rig);
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -5,9 +5,13 @@
 
 mod conns;
 mod nodes;
+mod play;
 mod relay;
+mod script;
 mod world;
 
 pub use nodes::Start;
+pub use play::{play, Report, Times};
 pub use relay::Way;
+pub use script::{Fault, Kind, Play};
 pub use world::{Rig, View};
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -133,6 +133,11 @@
     ops: Slab<Op>,
     serial: u64,
     pub(crate) reached: Vec<Reached>,
+    latencies: Vec<f64>,
+    /// Ops that came in each second, and of those that were acked in time.
+    seconds: Vec<(u64, u64)>,
+    /// Processor time of processes that have ended.
+    cpu_past: f64,
     ordinary: f64,
 }
 
@@ -180,6 +185,9 @@
             ops: Slab::new(),
             serial: 0,
             reached: Vec::new(),
+            latencies: Vec::new(),
+            seconds: Vec::new(),
+            cpu_past: 0.0,
             ordinary,
             script,
             start,
@@ -219,7 +227,8 @@
     pub fn furnish(&self, node: usize, keys: &[&str]) {
         let mut settings = self.script.settings(node);
         if let Some(told) = self.start.told {
-            settings["GroupSize"] = told.into();
+            // A place in an order of so many.
+            (settings["GroupSize"], settings["MyNumber"]) = (told.into(), (node % told).into());
         }
         let configuration =
             configuration(node, &self.nodes[node], self.catalog[node], self.start.seed, settings);
@@ -242,6 +251,11 @@
         self.began.elapsed().as_secs_f64() * 1000.0
     }
 
+    /// Does something once so many milliseconds have passed.
+    pub(crate) fn later(&mut self, ms: f64, due: impl FnOnce(&mut Rig) + 'static) {
+        self.after(ms, due);
+    }
+
     fn after(&mut self, ms: f64, due: impl FnOnce(&mut Rig) + 'static) {
         self.next_due += 1;
         let key = (((self.now() + ms.max(0.0)) * 1000.0) as u64, self.next_due);
@@ -294,6 +308,7 @@
     }
 
     pub fn kill(&mut self, node: usize) {
+        self.cpu_past += self.nodes[node].cpu();
         self.nodes[node].kill();
         self.lose(node);
     }
@@ -526,6 +541,11 @@
         });
         self.conns[conn].1 = Side::Client { node, op: Some(op) };
         self.service.taken += 1;
+        let second = (now / 1000.0) as usize;
+        if self.seconds.len() <= second {
+            self.seconds.resize(second + 1, (0, 0));
+        }
+        self.seconds[second].0 += 1;
         let text = self.request(op);
         self.say(conn, &text);
         // Its life is over some time after its end: late pushes are still seen until then.
@@ -569,6 +589,7 @@
         if let Some((to, stream)) = stream {
             let conn = self.enter(stream, Side::Client { node: to, op: Some(op) });
             (self.ops[op].conn, self.ops[op].node) = (Some(conn), to);
+            self.ops[op].excused = self.nodes[to].stopped;
             let text = self.request(op);
             self.say(conn, &text);
         }
@@ -609,7 +630,10 @@
             Answer::Acked => {
                 service.acked += 1;
                 let target = self.script.categories[it.category].target_ms;
-                service.in_time += u64::from(now - it.sent <= target);
+                let in_time = u64::from(now - it.sent <= target);
+                service.in_time += in_time;
+                self.seconds[(it.sent / 1000.0) as usize].1 += in_time;
+                self.latencies.push(now - it.sent);
             }
             Answer::Nacked => service.nacked += 1,
             Answer::DeadLettered => service.dead_lettered += 1,
@@ -834,6 +858,68 @@
         nodes.iter().map(first).collect()
     }
 
+    /// When all live nodes that are looked at were at one view, first after a moment and by another.
+    pub(crate) fn equal_after(&self, from: f64, by: f64) -> Option<f64> {
+        let mut last: BTreeMap<usize, (f64, Vec<usize>)> = BTreeMap::new();
+        for view in self.views.iter().filter(|view| view.at >= from && view.at <= by) {
+            let alive = view.states.iter().filter(|(_, state)| *state == "alive").map(|(number, _)| *number);
+            let mut all: Vec<usize> = alive.chain([view.node]).collect();
+            all.sort_unstable();
+            last.insert(view.node, (view.at, all));
+            let first = last.values().next().map(|(_, all)| all.clone()).unwrap_or_default();
+            if first.iter().all(|node| last.get(node).is_some_and(|(_, all)| *all == first))
+                && last.len() == first.len()
+            {
+                return Some(view.at);
+            }
+        }
+        None
+    }
+
+    /// When a node's process was started last.
+    pub(crate) fn started(&self, node: usize) -> f64 {
+        self.began_at[node]
+    }
+
+    pub(crate) fn servers(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether a node hears clients.
+    pub(crate) fn up(&self, node: usize) -> bool {
+        std::net::TcpStream::connect(self.nodes[node].listen).is_ok()
+    }
+
+    /// Processor time that all nodes have used, in milliseconds.
+    pub(crate) fn cpu(&self) -> f64 {
+        self.cpu_past + self.nodes.iter().map(Node::cpu).sum::<f64>()
+    }
+
+    /// From an op's start to its ack, in milliseconds.
+    pub fn latencies(&self) -> &[f64] {
+        &self.latencies
+    }
+
+    /// Parts of the ops of each second that were acked in time.
+    pub fn by_second(&self) -> Vec<f64> {
+        self.seconds.iter().map(|(all, in_time)| *in_time as f64 / (*all).max(1) as f64).collect()
+    }
+
+    /// Garbage at a node's port, so many datagrams a second, until a moment.
+    pub(crate) fn flood(&mut self, node: usize, rate: f64, until: f64) {
+        const STEP: f64 = 5.0;
+        if let Ok(socket) = std::net::UdpSocket::bind("127.0.0.1:0") {
+            for _ in 0..(rate * STEP / 1000.0).round() as usize {
+                let length = self.chance.random_range(0..1300);
+                let garbage: Vec<u8> = (0..length).map(|_| self.chance.random()).collect();
+                let _ = socket.send_to(&garbage, self.nodes[node].hears);
+            }
+        }
+        if self.now() + STEP < until {
+            self.after(STEP, move |rig| rig.flood(node, rate, until));
+        }
+    }
+
     /// How many pushes reached servers at all.
     pub fn reached(&self) -> usize {
         self.reached.len()
