Who is gone for good is told apart from a cut by proportion: the count falls and stays down

Each node's page told why: what servers tell strays between 1.3 and 6 where three push, and any sample over 1.25 times the living brought all twelve back. Ruled out: views (all knew after 2 s), the limits themselves (told 3 it is 100). Change: the count stays while servers tell of a number nearer, in proportion, to all who may push than to the living; else it falls, after 10 s, by a fifth a second, never under what they tell; it rises at once to what they tell. Tried and taken back: own pushes looked at by the clock: twelve looked like four, and a cut would have passed for a loss.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -101,6 +101,7 @@
         println!("  all knew all after        {joined:.0} ms");
         println!("  kills and standstills     {}", times(&report.kill_known));
         println!("  cuts healed               {}", times(&report.healed));
+        println!("  nodes assumed at the end  {:.1}", report.assumed_at_end);
         println!("  live ones taken for failed {}", report.false_alarms);
     }
     let all = (report.taken - report.gone).max(1) as f64;
--- a/membership/src/count.rs
+++ b/membership/src/count.rs
@@ -8,11 +8,8 @@
 /// How long servers must tell that nobody else pushes before a node believes it: longer than any load report
 /// is late, and than an op lives at most deployments.
 const SURE_AFTER: f64 = 10_000.0;
-/// Of what is over the nodes that live, the share by which the count falls in a second: by half in seven.
-const FALLS: f64 = 0.1;
-/// What servers tell is a sample: so much over the live nodes still says that they are alone.
-const MARGIN: f64 = 1.25;
-
+/// Of what is over the nodes that live, the share by which the count falls in a second: by half in three.
+const FALLS: f64 = 0.2;
 /// What a node knows of the others at a moment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Others {
@@ -30,7 +27,7 @@
     /// As the operators' settings have it.
     told: f64,
     assumed: f64,
-    /// Since when servers tell of nobody but those that live.
+    /// Since when servers tell of hardly more than those that live.
     alone_since: Option<f64>,
     at: f64,
 }
@@ -51,18 +48,27 @@
     pub fn heard(&mut self, now: f64, others: Others) -> f64 {
         let live = others.live.max(1) as f64;
         let may_push = self.told.max(live + others.failed as f64);
-        let alone = others.told_by_servers.is_some_and(|told| told <= live * MARGIN);
-        // Danger: a cut that may be ours. Those beyond it push to the same servers: the count stays, and rises
-        // to all who may push as soon as servers hold what is not of the living.
-        self.alone_since = if alone { self.alone_since.or(Some(now)) } else { None };
-        let sure = self.alone_since.is_some_and(|since| now - since >= SURE_AFTER);
         let lasted = ((now - self.at) / 1000.0).max(0.0);
         self.at = now;
-        self.assumed = match sure {
-            true => live + (self.assumed - live).max(0.0) * (1.0 - FALLS).powf(lasted),
-            false if others.told_by_servers.is_some() && !alone => may_push,
+        let Some(told) = others.told_by_servers else {
             // Nothing is told: what was believed stays, joins count.
-            false => self.assumed.max(live),
+            self.alone_since = None;
+            self.assumed = self.assumed.max(live);
+            return self.assumed;
+        };
+        // Danger: a cut that may be ours. Those beyond it push to the same servers: the count stays as long as
+        // servers hold what is nearer to theirs, in proportion, than to the living's, and it is never under what
+        // they tell of. What they tell is a sample, and strays by a third.
+        let least = live.max(told.min(may_push));
+        if told * told >= live * may_push && may_push > live {
+            self.alone_since = None;
+            self.assumed = self.assumed.max(least);
+            return self.assumed;
+        }
+        let since = *self.alone_since.get_or_insert(now);
+        self.assumed = match now - since >= SURE_AFTER {
+            true => least + (self.assumed - least).max(0.0) * (1.0 - FALLS).powf(lasted),
+            false => self.assumed.max(least),
         };
         self.assumed
     }
@@ -158,7 +164,9 @@
 }
 
 /// What servers tell that they hold, beside what this node has under way there: how many nodes like this one
-/// there would be. Sums fade over seconds, so that each second counts as much however much went there.
+/// there would be. Both are of the moment of an answer: servers are answered from, as sent to, while they hold
+/// less than in the mean. (Own pushes looked at by the clock beside that made twelve nodes look like four.) Few
+/// nodes, that avoid where they have pushes out, look like up to twice as many. Sums fade over seconds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Told {
     all: f64,
--- a/node/src/wire/fleet.rs
+++ b/node/src/wire/fleet.rs
@@ -167,8 +167,11 @@
     /// these on before it sends.
     fn assume(&mut self, now: f64) -> (f64, f64) {
         let (others, failed) = self.fleet.census();
-        if failed == 0 {
-            self.told.whole(others + 1);
+        if now >= self.look_at {
+            self.look_at = now + LOOK;
+            if failed == 0 {
+                self.told.whole(others + 1);
+            }
         }
         let told_by_servers = self.told.nodes(now);
         let nodes = self.count.heard(now, Others { live: others + 1, failed, told_by_servers });
--- a/node/src/wire/fleet/calls.rs
+++ b/node/src/wire/fleet/calls.rs
@@ -77,7 +77,6 @@
             members.read(now);
         }
         members.fleet.due(now);
-        members.look_at = now + LOOK;
         self.fleet_moved();
     }
 
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -69,6 +69,8 @@
     /// In the order of the rules' numbers.
     pub rules_broken: [u64; 4],
     pub broken: Vec<String>,
+    /// By those that ran to the end, in the mean.
+    pub assumed_at_end: f64,
     pub latency_ms: Times,
     pub latency_p999_ms: f64,
     pub datagram_bytes_a_second_a_node: f64,
@@ -292,6 +294,12 @@
         }
     }
     let Service { taken, acked, in_time, nacked, dead_lettered, gone } = rig.service;
+    let last: Vec<f64> = all
+        .iter()
+        .filter_map(|node| rig.view(*node))
+        .filter(|v| rig.now() - v.at < 5000.0)
+        .map(|v| v.assumed)
+        .collect();
     let mut latencies: Vec<f64> = rig.latencies().to_vec();
     latencies.sort_by(f64::total_cmp);
     let p999 = latencies.get((latencies.len() as f64 * 0.999) as usize).copied().unwrap_or(0.0);
@@ -315,6 +323,7 @@
         gone,
         rules_broken: rig.judge.counts,
         broken: rig.broken(),
+        assumed_at_end: last.iter().sum::<f64>() / last.len().max(1) as f64,
         latency_ms: Times::of(&took),
         latency_p999_ms: p999,
         datagram_bytes_a_second_a_node: bytes,
