--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -9,7 +9,7 @@
 }
 
 /// Scripts that ship; the first is played where none is named.
-const SHIPPED: &[(&str, &str)] = ship!["kills", "lossy", "gone", "doubled", "storm"];
+const SHIPPED: &[(&str, &str)] = ship!["kills", "lossy", "gone", "doubled", "storm", "five"];
 const WORLD: &str = include_str!("../scripts/fleet-world.toml");
 
 #[derive(clap::Args)]
@@ -104,6 +104,10 @@
         println!("  nodes assumed at the end  {:.1}", report.assumed_at_end);
         println!("  live ones taken for failed {}", report.false_alarms);
     }
+    if let Some((node, seen)) = &report.seen_at_end {
+        let seen: Vec<String> = seen.iter().map(|(other, state)| format!("{other} {state}")).collect();
+        println!("  node {node} sees at the end  {}", seen.join(", "));
+    }
     let all = (report.taken - report.gone).max(1) as f64;
     println!(
         "  ops {}: acked in time {:.2}%, acked {:.2}%, nacked {}, dead-lettered {}, gone with their node {}",
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// How long all may take to know each other at the start.
@@ -71,6 +72,8 @@
     pub broken: Vec<String>,
     /// By those that ran to the end, in the mean.
     pub assumed_at_end: f64,
+    /// What the first that ran to the end made of the others.
+    pub seen_at_end: Option<(usize, BTreeMap<usize, String>)>,
     pub latency_ms: Times,
     pub latency_p999_ms: f64,
     pub datagram_bytes_a_second_a_node: f64,
@@ -294,6 +297,7 @@
         }
     }
     let Service { taken, acked, in_time, nacked, dead_lettered, gone } = rig.service;
+    let seen = all.iter().find_map(|node| Some((*node, rig.view(*node)?.states.clone())));
     let last: Vec<f64> = all
         .iter()
         .filter_map(|node| rig.view(*node))
@@ -324,6 +328,7 @@
         rules_broken: rig.judge.counts,
         broken: rig.broken(),
         assumed_at_end: last.iter().sum::<f64>() / last.len().max(1) as f64,
+        seen_at_end: seen,
         latency_ms: Times::of(&took),
         latency_p999_ms: p999,
         datagram_bytes_a_second_a_node: bytes,
