What a node assumes moves to membership/; rig's scripts are read by the emulator's reader

Cause, from reading the change since again: node/src held what follows from counts and parts, which is a decision; the rig read scripts beside the emulator's reader and told no line, though its page says so; a record of service and the least key stood twice. Change: membership/src/shares.rs; emulator::script::read_whole for both scripts; Report holds Service (figures.json has the same keys); KEY_LEAST stands in seal.rs alone.

--- a/emulator/src/script.rs
+++ b/emulator/src/script.rs
@@ -1,6 +1,7 @@
 //! A script: one world and what goes wrong in it, as a TOML file tells it. docs/scripts.md lists every key.
 //! A faulty script is refused whole, with the line and the key.
 
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::{json, Value};
 use toml::de::{DeTable, DeValue};
@@ -435,16 +436,24 @@
     line
 }
 
+/// Reads a text of any such form whole, and has it checked: a key and what is wrong with it, if anything is.
+pub fn read_whole<T: DeserializeOwned>(
+    text: &str,
+    check: impl FnOnce(&T) -> Result<(), (String, String)>,
+) -> Result<T, Faulty> {
+    let read: T = toml::from_str(text).map_err(|e| Faulty {
+        line: e.span().map_or(1, |span| line_at(text, span.start)),
+        key: String::new(),
+        what: e.message().to_string(),
+    })?;
+    check(&read).map_err(|(key, what)| Faulty { line: line_of(text, &key), key, what })?;
+    Ok(read)
+}
+
 impl Script {
     /// Reads a script whole, or names what is wrong with it.
     pub fn read(text: &str) -> Result<Self, Faulty> {
-        let script: Script = toml::from_str(text).map_err(|e| Faulty {
-            line: e.span().map_or(1, |span| line_at(text, span.start)),
-            key: String::new(),
-            what: e.message().to_string(),
-        })?;
-        script.check().map_err(|(key, what)| Faulty { line: line_of(text, &key), key, what })?;
-        Ok(script)
+        read_whole(text, Script::check)
     }
 
     fn check(&self) -> Result<(), (String, String)> {
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -108,15 +108,15 @@
         let seen: Vec<String> = seen.iter().map(|(other, state)| format!("{other} {state}")).collect();
         println!("  node {node} sees at the end  {}", seen.join(", "));
     }
-    let all = (report.taken - report.gone).max(1) as f64;
+    let all = (report.service.taken - report.service.gone).max(1) as f64;
     println!(
         "  ops {}: acked in time {:.2}%, acked {:.2}%, nacked {}, dead-lettered {}, gone with their node {}",
-        report.taken,
-        100.0 * report.in_time as f64 / all,
-        100.0 * report.acked as f64 / all,
-        report.nacked,
-        report.dead_lettered,
-        report.gone
+        report.service.taken,
+        100.0 * report.service.in_time as f64 / all,
+        100.0 * report.service.acked as f64 / all,
+        report.service.nacked,
+        report.service.dead_lettered,
+        report.service.gone
     );
     println!(
         "  latency median {:.1} ms, p99 {:.1} ms, p99.9 {:.1} ms",
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod lists;
 pub mod seal;
+pub mod shares;
 mod sharing;
 
 pub use fleet::{Fleet, Known, ListedWord, Name, News, Reach, State, ZoneReach};
--- a/membership/src/seal.rs
+++ b/membership/src/seal.rs
@@ -13,6 +13,9 @@
 /// Senders remembered: several times the largest fleet that is planned for.
 const SENDERS: usize = 4096;
 
+/// The shortest secret, in bytes: a shorter one is guessed.
+pub const KEY_LEAST: usize = 16;
+
 /// Why a datagram was not believed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refused {
@@ -68,8 +71,8 @@
 
     /// Other secrets from now on. Errors: as at the start, and the old ones stay.
     pub fn take_keys(&mut self, secrets: &[&str]) -> Result<(), String> {
-        if secrets.is_empty() || secrets.iter().any(|s| s.len() < 16) {
-            return Err("a fleet's key needs 16 characters at least".into());
+        if secrets.is_empty() || secrets.iter().any(|s| s.len() < KEY_LEAST) {
+            return Err(format!("a fleet's key needs {KEY_LEAST} characters at least"));
         }
         let derived =
             |secret: &&str| blake3::derive_key("crankmux fleet datagrams, version 1", secret.as_bytes());
--- a/node/src/life/charter.rs
+++ b/node/src/life/charter.rs
@@ -1,6 +1,7 @@
 //! The operator's charter, with the files that it names.
 
 use crankmux_charter::{Charter, FleetCharter};
+use crankmux_membership::seal::KEY_LEAST;
 use std::path::Path;
 
 /// A charter that is in order, and the keys of the fleet, read from their files.
@@ -9,9 +10,6 @@
     pub fleet: Option<(FleetCharter, Vec<String>)>,
 }
 
-/// A fleet's key as short as this is guessed.
-const KEY_LEAST: usize = 16;
-
 /// Reads the charter that `CRANKMUX_CHARTER` names; without it nothing is on. Errors: all that is wrong.
 pub fn named() -> Result<Chartered, String> {
     match std::env::var_os("CRANKMUX_CHARTER") {
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -282,7 +282,7 @@
         let now = self.now();
         let (push, client, ends) = self.ops.push(op);
         let to = pick.server;
-        self.members.iter_mut().for_each(|members| members.pushes(to, false));
+        self.members.iter_mut().for_each(|members| members.shares.pushes(to, false));
         let patience = pick.patience.min(ends - now);
         let then = Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed((op, push), to, now, outcome));
         let sent = match client {
@@ -326,8 +326,8 @@
         *count += 1;
         let now = self.now();
         if let Some(members) = &mut self.members {
-            members.pushes(server, true);
-            load.held.iter().for_each(|held| members.reported(now, server, *held));
+            members.shares.pushes(server, true);
+            load.held.iter().for_each(|held| members.shares.reported(now, server, *held));
         }
         log::debug!("op {op}: push {push} ended after {:.1} ms: {ending:?}", now - at);
         self.ops.push_ended(op, push);
--- a/node/src/wire/fleet.rs
+++ b/node/src/wire/fleet.rs
@@ -9,8 +9,8 @@
 use crate::tokens::FLEET;
 use crankmux::words::{Listed, Standing};
 use crankmux_charter::FleetCharter;
-use crankmux_membership::count::{Count, Others, Told};
 use crankmux_membership::lists::Lists;
+use crankmux_membership::shares::Shares;
 use crankmux_membership::{Fleet, Name, News, Reach};
 use mio::net::UdpSocket;
 use mio::{Interest, Registry};
@@ -23,8 +23,6 @@
 /// a node some twenty.
 const READ_MOST: usize = 32;
 const READ_AGAIN: f64 = 2.0;
-/// How often it is looked at what time alone changes: well within a probe of the fleet.
-const LOOK: f64 = 100.0;
 
 /// How a node comes into its fleet.
 #[derive(Clone)]
@@ -83,20 +81,15 @@
 pub struct Members {
     socket: UdpSocket,
     fleet: Fleet,
-    count: Count,
-    told: Told,
+    /// What the decisions were last told.
+    pub shares: Shares,
     lists: Lists,
     /// The lines of the own list, and where to dial, by the number by which all nodes know a server.
     lines: BTreeMap<u64, (Listed, Option<(SocketAddr, f64)>)>,
-    /// Own pushes under way, by server.
-    out: Vec<u32>,
     datagrams: Datagrams,
-    /// Read again, where more may wait than were read; and look at what time alone changes.
+    /// Read again, where more may wait than were read.
     read_at: f64,
-    look_at: f64,
     reach: Reach,
-    /// What the decisions were last told: how many nodes, and which part of a told node's cold budgets.
-    pub shares: (f64, f64),
 }
 
 impl Members {
@@ -123,22 +116,17 @@
         Ok(Members {
             socket,
             fleet,
-            count: Count::new(told, now),
-            told: Told::default(),
+            shares: Shares::new(told, now),
             lists: Lists::default(),
             lines: BTreeMap::new(),
-            out: Vec::new(),
             datagrams: Datagrams::default(),
             read_at: f64::INFINITY,
-            look_at: now,
             reach: Reach::Whole,
-            // No part of cold servers before the others are known.
-            shares: (told, 0.0),
         })
     }
 
     pub fn next_due(&self) -> f64 {
-        self.fleet.next_due().min(self.read_at).min(self.look_at)
+        self.fleet.next_due().min(self.read_at).min(self.shares.next_look())
     }
 
     /// Reads what has come, not more than one turn may take.
@@ -162,23 +150,6 @@
         }
     }
 
-    /// What may be assumed now: of how many nodes, and which part of a told node's cold budgets is this one's.
-    /// Danger: what is said before a part is lowered lets another take what is still spent. Whoever calls hands
-    /// these on before it sends.
-    fn assume(&mut self, now: f64) -> (f64, f64) {
-        let (others, failed) = self.fleet.census();
-        if now >= self.look_at {
-            self.look_at = now + LOOK;
-            if failed == 0 {
-                self.told.whole(others + 1);
-            }
-        }
-        let told_by_servers = self.told.nodes(now);
-        let nodes = self.count.heard(now, Others { live: others + 1, failed, told_by_servers });
-        let told = self.count.told();
-        (nodes, (self.fleet.purse(told) * told).min(1.0))
-    }
-
     /// Sends what is to be sent. One that does not fit is lost, as any datagram may be.
     fn send(&mut self) {
         for (to, datagram) in self.fleet.take_sends() {
@@ -189,20 +160,6 @@
         }
     }
 
-    /// A push goes to a server, or has ended there.
-    pub fn pushes(&mut self, server: usize, ends: bool) {
-        if self.out.len() <= server {
-            self.out.resize(server + 1, 0);
-        }
-        let out = &mut self.out[server];
-        *out = if ends { out.saturating_sub(1) } else { *out + 1 };
-    }
-
-    /// A server has told with an answer what it holds.
-    pub fn reported(&mut self, now: f64, server: usize, held: f64) {
-        self.told.heard(now, held, f64::from(self.out.get(server).copied().unwrap_or(0)));
-    }
-
     /// Other keys and seeds, as a reload has them.
     pub fn renew(&mut self, entry: &Entry, told: f64) {
         let keys: Vec<&str> = entry.keys.iter().map(String::as_str).collect();
@@ -210,7 +167,7 @@
             log::error!("fleet: the keys stay as they were: {e}");
         }
         self.fleet.take_seeds(&entry.charter.seeds);
-        self.count.renew(told);
+        self.shares.renew(told);
     }
 }
 
--- a/node/src/wire/fleet/calls.rs
+++ b/node/src/wire/fleet/calls.rs
@@ -10,7 +10,7 @@
         let Some(entry) = &self.entry else { return Ok(()) };
         let (told, now) = (self.told_nodes(), self.now());
         self.members = Some(Members::open(entry, told, now, &self.registry)?);
-        self.fleet_shares = self.members.as_ref().map(|members| members.shares);
+        self.fleet_shares = self.members.as_ref().map(|members| members.shares.now());
         self.take_share();
         Ok(())
     }
@@ -38,7 +38,7 @@
     pub fn yield_fleet(&mut self) {
         if let Some(mut members) = self.members.take() {
             let _ = self.registry.deregister(&mut members.socket);
-            self.fleet_shares = Some((members.shares.0, 0.0));
+            self.fleet_shares = Some((members.shares.now().0, 0.0));
         }
     }
 
@@ -94,16 +94,14 @@
                 told(&news);
             }
         }
-        let shares = members.assume(now);
+        let shows = members.shares.assume(now, &mut members.fleet);
         let reach = members.fleet.reach();
         if std::mem::discriminant(&reach) != std::mem::discriminant(&members.reach) {
             log::info!("fleet: reaches {}", page::words(reach));
         }
         members.reach = reach;
-        // Each new solution costs some work: not for a change that limits do not show.
-        if shares.1 != members.shares.1 || (shares.0 / members.shares.0 - 1.0).abs() > 0.005 {
-            members.shares = shares;
-            self.fleet_shares = Some(shares);
+        if shows {
+            self.fleet_shares = Some(members.shares.now());
             self.take_share();
         }
         if !held.is_empty() {
--- a/node/src/wire/fleet/page.rs
+++ b/node/src/wire/fleet/page.rs
@@ -52,10 +52,11 @@
             })
             .collect();
         let Datagrams { sent, unsent, heard, refused } = self.datagrams;
+        let ((nodes, cold), (told, by_servers)) = (self.shares.now(), self.shares.told(now));
         json!({
             "me": named(self.fleet.me()), "reach": reach, "zones": zones, "members": members,
-            "nodes_told": self.count.told(), "nodes_assumed": self.shares.0, "cold_part": self.shares.1,
-            "nodes_told_by_servers": self.told.nodes(now), "held_stricter": self.lists.stricter(),
+            "nodes_told": told, "nodes_assumed": nodes, "cold_part": cold,
+            "nodes_told_by_servers": by_servers, "held_stricter": self.lists.stricter(),
             "datagrams": {"sent": sent, "unsent": unsent, "heard": heard, "refused": refused},
         })
     }
@@ -65,6 +66,7 @@
         let known = self.fleet.known();
         let count = |wanted: State| known.iter().filter(|k| k.state == wanted).count();
         let Datagrams { sent, unsent, heard, refused } = self.datagrams;
+        let (nodes, cold) = self.shares.now();
         format!(
             "fleet_alive={}\nfleet_suspected={}\nfleet_failed={}\nfleet_left={}\nfleet_nodes_assumed={:.2}\n\
              fleet_cold_part={:.4}\nfleet_held_stricter={}\nfleet_sent={sent}\nfleet_unsent={unsent}\n\
@@ -73,8 +75,8 @@
             count(State::Suspected),
             count(State::Failed),
             count(State::Left),
-            self.shares.0,
-            self.shares.1,
+            nodes,
+            cold,
             self.lists.stricter(),
         )
     }
--- a/rig/src/nodes.rs
+++ b/rig/src/nodes.rs
@@ -5,7 +5,7 @@
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::time::Duration;
@@ -211,8 +211,3 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": null, "settings": settings
     })
 }
-
-/// Takes a run's folder away.
-pub fn clear(folder: &Path) {
-    let _ = fs::remove_dir_all(folder);
-}
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -60,13 +60,8 @@
     pub healed: Times,
     /// Pairs of nodes of which one was taken for failed though it ran and nothing cut it off.
     pub false_alarms: usize,
-    pub taken: u64,
-    pub acked: u64,
-    pub in_time: u64,
-    pub nacked: u64,
-    pub dead_lettered: u64,
-    /// Their node died or stood still.
-    pub gone: u64,
+    #[serde(flatten)]
+    pub service: Service,
     /// In the order of the rules' numbers.
     pub rules_broken: [u64; 4],
     pub broken: Vec<String>,
@@ -296,7 +291,6 @@
             }
         }
     }
-    let Service { taken, acked, in_time, nacked, dead_lettered, gone } = rig.service;
     let seen = all.iter().find_map(|node| Some((*node, rig.view(*node)?.states.clone())));
     let last: Vec<f64> = all
         .iter()
@@ -319,12 +313,7 @@
         kill_known: Times::of(&known),
         healed: Times::of(&healed),
         false_alarms: alarms.len(),
-        taken,
-        acked,
-        in_time,
-        nacked,
-        dead_lettered,
-        gone,
+        service: rig.service,
         rules_broken: rig.judge.counts,
         broken: rig.broken(),
         assumed_at_end: last.iter().sum::<f64>() / last.len().max(1) as f64,
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -1,6 +1,7 @@
 //! A rig's script: which world, how many processes, and what goes wrong between them, as a TOML file tells it.
 //! docs/rig.md lists every key. A faulty script is refused whole, with the line and the key.
 
+use crankmux_emulator::script::{read_whole, Faulty};
 use serde::Deserialize;
 
 #[derive(Clone, Debug, Deserialize)]
@@ -87,38 +88,37 @@
 }
 
 impl Play {
-    /// Reads a script's text. Errors: the line, and what is wrong there.
-    pub fn read(text: &str) -> Result<Self, String> {
-        let play: Play = toml::from_str(text).map_err(|e| e.to_string())?;
-        play.check()?;
-        Ok(play)
+    /// Reads a script whole, or names what is wrong with it.
+    pub fn read(text: &str) -> Result<Self, Faulty> {
+        read_whole(text, Play::check)
     }
 
-    fn check(&self) -> Result<(), String> {
+    fn check(&self) -> Result<(), (String, String)> {
+        let wrong = |key: &str, what: &str| Err((key.to_string(), what.to_string()));
         if self.processes < 1 || self.processes > 200 {
-            return Err("processes: 1 to 200".into());
+            return wrong("processes", "must be 1 to 200");
         }
         if !(self.seconds > 0.0 && self.seconds.is_finite()) {
-            return Err("seconds: above 0".into());
+            return wrong("seconds", "must be above 0");
         }
         for (index, fault) in self.faults.iter().enumerate() {
-            let wrong = |key: &str, what: &str| Err(format!("faults.{index}.{key}: {what}"));
+            let key = |name: &str| format!("faults.{index}.{name}");
             if !(fault.at >= 0.0 && fault.lasts.is_none_or(|lasts| lasts > 0.0)) {
-                return wrong("at", "at is 0 or more, for is above 0");
+                return wrong(&key("at"), "must be 0 or more, and for above 0");
             }
             if !(0.0..=1.0).contains(&fault.part) {
-                return wrong("part", "0 to 1");
+                return wrong(&key("part"), "must be 0 to 1");
             }
             let servers = matches!(fault.kind, Kind::Drain | Kind::Renew);
             if !servers && fault.which.iter().any(|node| *node >= self.processes) {
-                return wrong("which", "names a process that is none of this script's");
+                return wrong(&key("which"), "names a process that is none of this script's");
             }
             let share = matches!(fault.kind, Kind::Loss | Kind::Twice | Kind::Garble);
             if share && !(0.0..=1.0).contains(&fault.strength) {
-                return wrong("strength", "a part, 0 to 1");
+                return wrong(&key("strength"), "is a part, 0 to 1");
             }
             if fault.kind == Kind::Split && !(2.0..=20.0).contains(&fault.strength) {
-                return wrong("strength", "2 to 20 groups");
+                return wrong(&key("strength"), "must be 2 to 20 groups");
             }
         }
         Ok(())
@@ -132,9 +132,9 @@
     #[test]
     fn a_faulty_script_is_refused_with_its_key() {
         let good = "name = 'x'\nworld = 'fleet'\nprocesses = 3\nseconds = 5\n";
-        let fault = |text: &str| Play::read(&format!("{good}[[faults]]\n{text}")).unwrap_err();
+        let fault = |text: &str| Play::read(&format!("{good}[[faults]]\n{text}")).unwrap_err().to_string();
         assert!(Play::read(good).is_ok());
-        assert!(Play::read("name = 'x'\nprocesses = 3\n").unwrap_err().contains("world"));
+        assert!(Play::read("name = 'x'\nprocesses = 3\n").unwrap_err().to_string().contains("world"));
         assert!(fault("kind = 'kil'\nat = 1").contains("kil"));
         assert!(fault("kind = 'kill'\nat = 1\nwhich = [3]").contains("faults.0.which"));
         assert!(fault("kind = 'loss'\nat = 1\nstrength = 20").contains("faults.0.strength"));
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -11,6 +11,7 @@
 use mio::{Events, Interest, Poll, Token};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
 use serde_json::{json, Value};
 use slab::Slab;
 use std::collections::{BTreeMap, VecDeque};
@@ -79,7 +80,7 @@
 type Due = Box<dyn FnOnce(&mut Rig)>;
 
 /// What clients got.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Service {
     pub taken: u64,
     pub acked: u64,
@@ -950,6 +951,6 @@
 impl Drop for Rig {
     fn drop(&mut self) {
         self.nodes.iter_mut().for_each(Node::kill);
-        crate::nodes::clear(&self.start.folder);
+        let _ = std::fs::remove_dir_all(&self.start.folder);
     }
 }
