--- a/emulator/src/chooser.rs
+++ b/emulator/src/chooser.rs
@@ -137,7 +137,7 @@
 
     pub fn tick(&mut self, now: f64) -> Vec<(usize, Next)> {
         match self {
-            Chooser::Module(dispatcher) => dispatcher.tick(now),
+            Chooser::Module(dispatcher) => dispatcher.tick(now, now),
             Chooser::Plain(_) => Vec::new(),
         }
     }
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -4,6 +4,10 @@
 
 /// How long after the signal clients may still come: the front notices within 0.4 s, and some to spare.
 const STILL_COMING: f64 = 600.0;
+/// How long the door stays open after connections that stand idle were closed. Danger: a request crosses that
+/// close, and its one repeat on a new connection finds nobody. A client sees the close within its way there,
+/// and comes again at once: a few times the 0.1 s within which whoever connects is taken to speak.
+const REPEATS: f64 = 300.0;
 /// The end comes this long after the longest TTL, which counts as `LONGEST` at most; and what is kept of it
 /// for the way of the last answers.
 const END_AFTER: f64 = 700.0;
@@ -14,6 +18,8 @@
 pub struct Stop {
     shut: bool,
     idle_until: f64,
+    /// When the listener is closed.
+    door_until: f64,
 }
 
 impl Stop {
@@ -26,6 +32,8 @@
         proxy.stop_at = Some(now);
         let longest = proxy.longest_ttl.min(LONGEST);
         proxy.end_at = now + longest + END_AFTER - FOR_THE_WAY;
+        // Danger: what came in before the signal may have longer than this process has.
+        proxy.end_ops(proxy.end_at);
         self.idle_until = now + STILL_COMING;
         if proxy.upgrade.followed() {
             // Danger: an idle connection that is closed as its client writes is a request unread. Clients
@@ -35,8 +43,11 @@
             self.shut = true;
             proxy.shut();
         }
-        // Wakes the loop when the time is over.
-        proxy.timers.set(self.idle_until, |_| {});
+        self.door_until = (self.idle_until + REPEATS).min(proxy.end_at);
+        // They wake the loop.
+        for at in [self.idle_until, self.door_until, proxy.end_at] {
+            proxy.timers.set(at, |_| {});
+        }
     }
 
     /// Whether all is answered and the node may exit.
@@ -48,10 +59,15 @@
             // With nobody left there is nothing to wait for.
             return self.shut && proxy.finished() && proxy.clients.none();
         }
-        if !std::mem::replace(&mut self.shut, true) {
+        if proxy.now() >= self.door_until && !std::mem::replace(&mut self.shut, true) {
             proxy.shut();
         }
-        proxy.close_idle();
-        proxy.finished()
+        let over = proxy.now() >= proxy.end_at;
+        proxy.close_idle(over);
+        if !self.shut || !proxy.finished() {
+            return false;
+        }
+        // Danger: an exit resets whoever has more to send, and takes the answer on its way to it along.
+        over || !proxy.clients.hanging_up()
     }
 }
--- a/node/src/memory/ops.rs
+++ b/node/src/memory/ops.rs
@@ -75,6 +75,11 @@
         self.table[op].pushes[push] = Some(link);
     }
 
+    /// None may last past a time.
+    pub fn end_by(&mut self, at: f64) {
+        self.table.iter_mut().for_each(|(_, op)| op.ends = op.ends.min(at));
+    }
+
     /// Where a push is out.
     pub fn link(&self, op: usize, push: usize) -> Option<usize> {
         self.table.get(op)?.pushes.get(push).copied().flatten()
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -20,6 +20,7 @@
 use crankmux::dispatcher::{Dispatcher, GivenUp, Next, Pick};
 use crankmux::given::Names;
 use crankmux::words::{Arrival, Ending, Load, PushEnd};
+use mio::event::Event;
 use mio::net::TcpListener;
 use mio::{Events, Poll, Registry, Token};
 use serde_json::Value;
@@ -169,14 +170,26 @@
         self.ops.none_waits() && !self.clients.busy()
     }
 
-    /// Does what is due, waits for events until something else is, and does what they call for.
+    /// Waits for events until something is due, does what they call for, then what was due before it looked.
+    /// Danger: a process that was kept from running finds an answer, a client's end and the time at which
+    /// either is too late at one moment. Whatever lay ready by a time is heard before that time counts.
     pub fn turn(&mut self, poll: &mut Poll, events: &mut Events) -> io::Result<bool> {
-        let now = self.now();
-        while let Some(due) = self.timers.take_due(now) {
+        let looked = self.now();
+        let fleet = self.members.as_ref().map(|members| members.next_due());
+        let due = [self.timers.first(), self.dispatcher.next_tick(), fleet].into_iter().flatten();
+        let wait = due.min_by(f64::total_cmp).map(|at| (at - looked).max(0.0));
+        if let Err(e) = poll.poll(events, wait.map(|ms| Duration::from_secs_f64(ms / 1000.0))) {
+            if e.kind() != io::ErrorKind::Interrupted {
+                return Err(e);
+            }
+        }
+        let signalled = self.hear_all(events);
+        while let Some(due) = self.timers.take_due(looked) {
             due(self);
             self.settle();
         }
-        for (op, next) in self.dispatcher.tick(now) {
+        let now = self.now();
+        for (op, next) in self.dispatcher.tick(now, looked) {
             self.follow(op, next);
         }
         if self.dispatcher.wants_list() {
@@ -188,12 +201,17 @@
             self.take_clients_in();
         }
         self.settle();
-        let fleet = self.members.as_ref().map(|members| members.next_due());
-        let due = [self.timers.first(), self.dispatcher.next_tick(), fleet].into_iter().flatten();
-        let wait = due.min_by(f64::total_cmp).map(|at| (at - self.now()).max(0.0));
-        if let Err(e) = poll.poll(events, wait.map(|ms| Duration::from_secs_f64(ms / 1000.0))) {
-            if e.kind() != io::ErrorKind::Interrupted {
-                return Err(e);
+        Ok(signalled)
+    }
+
+    /// Does what events call for; whether a signal is among them.
+    fn hear_all(&mut self, events: &Events) -> bool {
+        // Danger: a server's failure, or a place that falls free, would send on the op of a client whose end
+        // lies there too. Noted before anything is done: a key may stand for another client after that.
+        let ends = |event: &&Event| event.is_read_closed() || event.is_error();
+        for Token(n) in events.iter().filter(ends).map(|event| event.token()) {
+            if n >= TABLES && (n - TABLES).is_multiple_of(2) {
+                self.clients.has_ended((n - TABLES) / 2);
             }
         }
         let mut signalled = false;
@@ -206,22 +224,28 @@
                 _ if at == OLDER.0 => self.older_event(),
                 _ if at == FLEET.0 => self.hear_fleet(),
                 _ if (CALLERS.0..TABLES).contains(&at) => self.hear_caller(at - CALLERS.0),
+                // Danger: a drain lies there, and a push to that server goes out ahead of it.
+                _ if at == DISCOVERY.0 => self.discovery_event(),
                 _ => continue,
             }
             self.settle();
         }
+        for client in self.clients.ended() {
+            self.serve(client);
+            self.settle();
+        }
         for event in events.iter() {
             match event.token() {
                 Token(n) if (DOOR.0..TABLES).contains(&n) => continue,
                 LISTENER => self.accept(),
                 SIGNALS => signalled = true,
-                DISCOVERY => self.discovery_event(),
+                DISCOVERY => continue,
                 Token(n) if (n - TABLES).is_multiple_of(2) => self.serve((n - TABLES) / 2),
                 Token(n) => self.link((n - TABLES) / 2),
             }
             self.settle();
         }
-        Ok(signalled)
+        signalled
     }
 
     /// Does what the last event has left to do on other connections.
--- a/node/src/wire/clients/answering.rs
+++ b/node/src/wire/clients/answering.rs
@@ -6,7 +6,7 @@
 use crate::proxy::Proxy;
 use crate::wire::bodies::STALL;
 use crate::wire::http::{self, Message, Refused};
-use crate::wire::silent;
+use crate::wire::{silent, speaks};
 use std::net::Shutdown;
 
 /// How long a connection stays on which no request follows the last answer: longer than clients pause
@@ -37,11 +37,8 @@
             }
             Ok(true) if client.fed_by.is_some() => {
                 // What it has taken makes room for the next piece; nothing else but its end is of interest.
-                if !matches!(client.stream.peek(&mut [0]), Ok(1..)) && !silent(&client.stream) {
-                    log::debug!(
-                        "a client left in the middle of its answer: {:?}",
-                        client.stream.peek(&mut [0])
-                    );
+                if client.ended || !(silent(&client.stream) || speaks(&client.stream)) {
+                    log::debug!("a client left in the middle of its answer");
                     self.drop_client(key);
                 } else {
                     self.links_again.extend(client.fed_by);
--- a/node/src/wire/clients/coming.rs
+++ b/node/src/wire/clients/coming.rs
@@ -115,6 +115,7 @@
             patient: false,
             answers: 0,
             begun: false,
+            ended: false,
             timer: None,
             idle_since,
         });
@@ -174,12 +175,15 @@
         self.clients.listener = None;
     }
 
-    /// Closes clients between requests, once what they may have sent is read.
-    pub fn close_idle(&mut self) {
+    /// Closes clients between requests, once what they may have sent is read; those that have just come only at
+    /// the very end: they are about to speak, and are told to close then.
+    pub fn close_idle(&mut self, all: bool) {
+        let now = self.clock.now();
         let keys = self.clients.table.keys(|_| true);
         for key in keys {
             self.serve(key);
-            if self.clients.table.get(key).is_some_and(Client::idle) {
+            let stands = |c: &Client| c.idle() && (all || now - c.idle_since > JUST_COME);
+            if self.clients.table.get(key).is_some_and(stands) {
                 self.drop_client(key);
             }
         }
--- a/node/src/wire/clients/mod.rs
+++ b/node/src/wire/clients/mod.rs
@@ -82,6 +82,8 @@
     answers: u32,
     /// Part of a request is in.
     begun: bool,
+    /// Its side has ended or broken, with bytes ahead of that perhaps still unread.
+    ended: bool,
     timer: Option<Key>,
     /// When it came, had its last answer, or began a request.
     idle_since: f64,
@@ -119,6 +121,8 @@
     accept_again: Option<Key>,
     /// Those that were answered and may have more to say.
     again: Vec<usize>,
+    /// Those whose end has just shown.
+    ended: Vec<usize>,
 }
 
 impl Clients {
@@ -131,6 +135,7 @@
             waiting: false,
             accept_again: None,
             again: Vec::new(),
+            ended: Vec::new(),
         }
     }
 
@@ -236,11 +241,29 @@
         }
     }
 
+    /// Its side has ended or broken; what it sent before that may still be unread.
+    pub fn has_ended(&mut self, key: usize) {
+        if let Some(client) = self.table.get_mut(key) {
+            client.ended = true;
+            self.ended.push(key);
+        }
+    }
+
+    /// Those whose end has shown since it was last asked.
+    pub fn ended(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// It may have more to say.
     pub fn go_on(&mut self, key: usize) {
         self.again.push(key);
     }
 
+    /// Whether any has had its last answer and may still be reading it.
+    pub fn hanging_up(&self) -> bool {
+        !self.table.keys(|c| c.lingers).is_empty()
+    }
+
     /// Whether any client still has an answer to come.
     pub fn busy(&self) -> bool {
         !self.table.keys(|c| c.outbox.is_some() || c.op.is_some()).is_empty()
--- a/node/src/wire/clients/reading.rs
+++ b/node/src/wire/clients/reading.rs
@@ -7,7 +7,6 @@
 use crate::proxy::Proxy;
 use crate::wire::http::{self, Refused};
 use crate::wire::servers::start_of;
-use crate::wire::silent;
 use crankmux::given::Names;
 use crankmux::words::Arrival;
 use httparse::Header;
@@ -110,16 +109,18 @@
     /// Reads towards the next request and has it served; whether there is more to do at once.
     pub(super) fn read_request(&mut self, key: usize) -> bool {
         let Some(client) = self.clients.table.get_mut(key) else { return false };
+        if client.op.is_some() && client.ended {
+            // Danger: whoever has left is served on by one server after another.
+            self.drop_client(key);
+            return false;
+        }
         if client.op.is_some() && client.in_body() {
             // Whoever it feeds reads on.
             self.links_again.extend(client.feeds);
             return false;
         }
         if client.op.is_some() {
-            // What comes after a request waits for its answer; only an end is of interest.
-            if !matches!(client.stream.peek(&mut [0]), Ok(1..)) && !silent(&client.stream) {
-                self.drop_client(key);
-            }
+            self.read_behind(key);
             return false;
         }
         if client.lingers {
@@ -164,6 +165,35 @@
         }
     }
 
+    /// What comes behind a request waits for its answer. Danger: an end shows only once all bytes before it
+    /// are read, and a client that sends much at once and goes would never be seen to go.
+    fn read_behind(&mut self, key: usize) {
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let (mut read, mut beyond) = (0, [0; 16 * 1024]);
+        // Danger: one that goes on sending at full speed would keep the loop for itself.
+        while read < BODY_MOST {
+            let held = client.inbox.as_mut().filter(|_| !client.close);
+            let filled = held.map_or(Filled::Full, |inbox| inbox.fill(&mut client.stream));
+            match filled {
+                Filled::Some => {}
+                Filled::Later => return,
+                Filled::Ended => return self.drop_client(key),
+                // It can't be kept, so nothing behind this request is answered: the connection goes with it.
+                Filled::Full => match client.stream.read(&mut beyond) {
+                    Ok(more @ 1..) => {
+                        (client.close, client.over) = (true, false);
+                        read += more;
+                    }
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                    _ => return self.drop_client(key),
+                },
+            }
+        }
+        let now = self.clock.now();
+        self.timers.set(now, move |proxy: &mut Proxy| proxy.serve(key));
+    }
+
     pub(super) fn put_back(&mut self, key: usize, inbox: Buffer) {
         match self.clients.table.get_mut(key) {
             Some(client) => client.inbox = Some(inbox),
--- a/node/src/wire/servers/pushing.rs
+++ b/node/src/wire/servers/pushing.rs
@@ -113,6 +113,20 @@
         self.fail(key, Ending::Cancelled, Load::default());
     }
 
+    /// No op waits past a time: what is out by then ends.
+    pub fn end_ops(&mut self, at: f64) {
+        self.ops.end_by(at);
+        self.timers.set(at, move |proxy: &mut Proxy| {
+            for key in proxy.servers.links.keys(|l| l.then.is_some() && l.passing.is_none()) {
+                if let Some(link) = proxy.servers.links.get_mut(key) {
+                    link.ends = link.ends.min(at);
+                    proxy.timers.unset(link.timer.take());
+                    proxy.link_due(key);
+                }
+            }
+        });
+    }
+
     pub fn link_due(&mut self, key: usize) {
         let now = self.now();
         let Some(link) = self.servers.links.get_mut(key) else { return };
@@ -175,6 +189,10 @@
             link.up = true;
             self.servers.records[link.server].heard = self.clock.now();
         }
+        if !link.begun && self.clock.now() >= link.ends {
+            // Danger: it comes up, or is looked at, only after its op's time; nothing may be sent any more.
+            return self.fail(key, Ending::Unreachable, Load::default());
+        }
         if link.feeding.is_some() && !self.feed(key) {
             return;
         }
--- /dev/null
+++ b/node/tests/sockets/ends.rs
@@ -0,0 +1,338 @@
+//! What is still owed when something ends: each crossing is forced. A stand-in holds back its step until it has
+//! seen the other side's, or the node stands still while both ends of a crossing come to lie ready.
+
+use super::after;
+use super::help::*;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// A server that answers each request only once it is told to, with what it is told.
+fn held_server() -> (Server, std::sync::mpsc::Sender<Vec<u8>>) {
+    let (say, said) = std::sync::mpsc::channel::<Vec<u8>>();
+    let said = Mutex::new(said);
+    let server = Server::new(move |stream, _| {
+        let answer = said.lock().unwrap().recv_timeout(PATIENCE).unwrap_or_default();
+        !answer.is_empty() && stream.write_all(&answer).is_ok()
+    });
+    (server, say)
+}
+
+const FAILED: &[u8] = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
+
+/// Ends a connection with a reset.
+fn reset(stream: TcpStream) {
+    let linger = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    linger.expect("a socket");
+}
+
+/// Has the node stand still, and waits until it does.
+fn stopped(node: &Node) {
+    node.signal("STOP");
+    until("it stands still", || {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", node.process())).unwrap_or_default();
+        stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+    });
+}
+
+/// How many requests of a category a server has had from a node, once that has ended and all it wrote is read.
+fn of_category(node: &mut Node, server: &Server, category: &str) -> usize {
+    node.signal("TERM");
+    assert!(node.ended().0);
+    until("all is read", || server.open.load(Ordering::SeqCst) == 0);
+    let path = format!("POST /{category}/");
+    server.asked.lock().unwrap().iter().filter(|a| a.head.starts_with(&path)).count()
+}
+
+#[test]
+fn a_client_that_sends_more_behind_its_request_and_goes_is_seen_to_go() {
+    for (behind, how) in
+        [(0, "closes"), (1, "closes"), (300_000, "closes"), (20, "resets"), (5000, "half closes")]
+    {
+        let quiet = Server::new(|stream, _| {
+            // Nothing is said; whoever gives up closes.
+            let _ = stream.read(&mut [0]);
+            false
+        });
+        let node = Node::before(&[&quiet]);
+        let mut client = node.client();
+        client.write_all(&request("view", 60.0, "")).unwrap();
+        until("it is out", || quiet.pushes() == 1);
+        let _ = client.write_all(&vec![b'x'; behind]);
+        match how {
+            "resets" => reset(client),
+            "half closes" => client.shutdown(Shutdown::Write).unwrap(),
+            _ => drop(client),
+        }
+        until(&format!("its push is given up, {behind} bytes behind, it {how}"), || {
+            quiet.open.load(Ordering::SeqCst) == 0
+        });
+        assert_eq!(quiet.pushes(), 1);
+    }
+}
+
+#[test]
+fn a_request_behind_another_waits_for_its_answer_also_while_the_end_is_watched() {
+    let (server, say) = held_server();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    client.write_all(&request("view", 5.0, "")).unwrap();
+    until("it is out", || server.pushes() == 1);
+    client.write_all(&request("view", 5.0, "")).unwrap();
+    for body in ["first", "second"] {
+        say.send(ok(body)).unwrap();
+        assert_eq!(read_message(&mut client).expect("an answer").1, body.as_bytes());
+    }
+}
+
+#[test]
+fn whoever_left_while_the_node_stood_still_is_not_sent_on_after_a_failure() {
+    let (server, say) = held_server();
+    let mut node = Node::before(&[&server]);
+    let mut client = node.client();
+    client.write_all(&request("view", 60.0, "")).unwrap();
+    until("it is out", || server.pushes() == 1);
+    stopped(&node);
+    // The failure lies there first, then the client's end behind some bytes.
+    say.send(FAILED.to_vec()).unwrap();
+    after(50);
+    client.write_all(b"x").unwrap();
+    drop(client);
+    after(50);
+    node.signal("CONT");
+    say.send(ok("next")).unwrap();
+    assert_eq!(node.ask(&request("order", 5.0, "")), (200, "next".into()));
+    assert_eq!(of_category(&mut node, &server, "view"), 1, "its client had left");
+}
+
+#[test]
+fn a_request_that_lies_there_with_its_clients_end_is_not_sent_on() {
+    let server = Server::saying(ok("x"));
+    let mut node = Node::before(&[&server]);
+    // One on a connection that the node knows, one on a new one.
+    let mut known = node.client();
+    known.write_all(&request("view", 60.0, "")).unwrap();
+    assert!(read_message(&mut known).is_some());
+    stopped(&node);
+    known.write_all(&request("pay", 60.0, "")).unwrap();
+    known.write_all(b"behind").unwrap();
+    drop(known);
+    let mut new = TcpStream::connect(node.address).unwrap();
+    new.write_all(&[&request("pay", 60.0, "")[..], b"behind"].concat()).unwrap();
+    drop(new);
+    node.signal("CONT");
+    assert_eq!(node.ask(&request("view", 5.0, "")).0, 200);
+    assert_eq!(of_category(&mut node, &server, "pay"), 0);
+}
+
+#[test]
+fn a_long_body_that_ends_with_its_client_goes_to_no_server_whole() {
+    let whole = Arc::new(AtomicBool::new(false));
+    let seen = whole.clone();
+    let server = Server::new(move |stream, asked| {
+        if asked.head.starts_with("POST /pay/") {
+            seen.store(true, Ordering::SeqCst);
+        }
+        stream.write_all(&ok("x")).is_ok()
+    });
+    let node = Node::before(&[&server]);
+    let body = "x".repeat(200_000);
+    let bytes = request("pay", 60.0, &body);
+    let mut client = node.client();
+    client.write_all(&bytes[..150_000]).unwrap();
+    until("its body goes on", || server.open.load(Ordering::SeqCst) == 1);
+    stopped(&node);
+    client.write_all(&bytes[150_000..]).unwrap();
+    drop(client);
+    node.signal("CONT");
+    until("its push is given up", || server.open.load(Ordering::SeqCst) == 0);
+    assert!(!whole.load(Ordering::SeqCst), "its client had left");
+}
+
+#[test]
+fn an_answer_that_lies_there_beside_the_end_of_its_time_is_no_time_out() {
+    let (server, say) = held_server();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    // At most once: a time-out beside the answer would be a failure for good.
+    client.write_all(&request("pay", 0.4, "")).unwrap();
+    until("it is out", || server.pushes() == 1);
+    stopped(&node);
+    say.send(ok("in time")).unwrap();
+    after(600);
+    node.signal("CONT");
+    let (head, body) = read_message(&mut client).expect("an answer");
+    assert_eq!((status(&head), &body[..]), (200, &b"in time"[..]));
+}
+
+/// A listener whose queue of connections is full, with those that fill it: a further one comes up only once
+/// they are accepted.
+fn stuck() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(50)) {
+        queued.push(stream);
+    }
+    (listener, address, queued)
+}
+
+#[test]
+fn a_connection_that_is_found_up_after_its_ops_time_carries_nothing() {
+    let (listener, address, queued) = stuck();
+    let known = list(1, true, &[host("stuck", address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let mut configuration = configuration(discovery.address, &known);
+    configuration["settings"]["Limits"]["ConnectTimeoutMs"] = json!(60_000.0);
+    let node = Node::start(&configuration, None);
+    let mut client = node.client();
+    client.write_all(&request("pay", 1.5, "")).unwrap();
+    let from = Instant::now();
+    let dials = || {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let port = format!("0100007F:{:04X}", address.port());
+        // State 02: its first packet is out and unanswered.
+        table.lines().filter(|l| l.split_whitespace().nth(2) == Some(&port[..])).any(|l| l.contains(" 02 "))
+    };
+    until("it dials", dials);
+    stopped(&node);
+    // Room, so that the connection comes up when its first packet is sent again.
+    for _ in 0..queued.len() {
+        listener.accept().unwrap();
+    }
+    drop(queued);
+    let (mut late, _) = listener.accept().unwrap();
+    let left = Duration::from_millis(1600).saturating_sub(from.elapsed());
+    std::thread::sleep(left);
+    node.signal("CONT");
+    late.set_read_timeout(Some(PATIENCE)).unwrap();
+    assert_eq!(late.read(&mut [0]).ok(), Some(0), "closed with nothing sent");
+    assert!(matches!(status(&read_message(&mut client).expect("an answer").0), 502 | 503));
+}
+
+#[test]
+fn a_drain_that_lies_there_is_heeded_before_a_request_that_came_ahead_of_it() {
+    let (one, two) = (Server::saying(ok("one")), Server::saying(ok("two")));
+    let known = list(1, true, &[host("one", one.address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let node = Node::start(&configuration(discovery.address, &known), None);
+    let mut client = node.client();
+    client.write_all(&request("view", 5.0, "")).unwrap();
+    assert_eq!(read_message(&mut client).expect("an answer").1, b"one");
+    until("it watches", || discovery.calls.lock().unwrap().len() >= 2);
+    stopped(&node);
+    client.write_all(&request("view", 60.0, "")).unwrap();
+    after(20);
+    discovery.tell(list(
+        2,
+        false,
+        &[host("one", one.address, "Terminating"), host("two", two.address, "Ready")],
+    ));
+    // Longer than the grace.
+    after(200);
+    node.signal("CONT");
+    assert_eq!(read_message(&mut client).expect("an answer").1, b"two");
+    assert_eq!(one.pushes(), 1);
+}
+
+#[test]
+fn a_watch_that_is_reset_again_and_again_is_opened_anew_within_a_drains_grace() {
+    let server = Server::saying(ok("x"));
+    let known = list(1, true, &[host("s0", server.address, "Ready")]);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut configuration = configuration(listener.local_addr().unwrap(), &known);
+    configuration["settings"]["Obligations"]["StopSendingWithinMs"] = json!(500.0);
+    configuration["settings"]["Obligations"]["AskWithinMs"] = json!(8000.0);
+    let gaps = std::thread::spawn(move || {
+        let mut gaps = Vec::new();
+        let mut last = None::<Instant>;
+        for stream in listener.incoming().take(9) {
+            let mut stream = stream.unwrap();
+            gaps.extend(last.map(|at| at.elapsed()));
+            if read_message(&mut stream).is_some() {
+                reset(stream);
+            }
+            last = Some(Instant::now());
+        }
+        gaps
+    });
+    let _node = Node::start(&configuration, None);
+    let mut gaps = gaps.join().unwrap();
+    gaps.sort();
+    // Waits that double to a quarter of `AskWithinMs` come to 1 s and more by the fourth. A busy machine may be
+    // late once or twice; half of the nine are not.
+    assert!(gaps[gaps.len() / 2] < Duration::from_millis(450), "{gaps:?}");
+}
+
+#[test]
+fn told_to_stop_it_still_hears_the_repeat_of_a_request_that_crossed_a_close() {
+    let server = Server::saying(ok("x"));
+    let mut node = Node::before(&[&server]);
+    let mut idle = node.client();
+    idle.write_all(&request("view", 2.0, "")).unwrap();
+    assert!(read_message(&mut idle).is_some());
+    node.signal("TERM");
+    // Its next request would cross this close.
+    assert_eq!(idle.read(&mut [0]).ok(), Some(0));
+    let mut again = TcpStream::connect(node.address).expect("the door is open");
+    again.write_all(&request("view", 2.0, "")).unwrap();
+    let (head, _) = read_message(&mut again).expect("an answer");
+    assert_eq!((status(&head), header(&head, "Connection").as_deref()), (200, Some("close")));
+    assert!(node.ended().0);
+}
+
+#[test]
+fn told_to_stop_it_answers_what_would_outlast_it() {
+    // One at a server that never answers, one at a server whose answer never ends.
+    let quiet = Server::new(|stream, asked| {
+        if asked.head.starts_with("POST /view/") {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n");
+        }
+        let _ = stream.read(&mut [0]);
+        false
+    });
+    let mut node = Node::with(&[&quiet], |c| c["settings"]["Limits"]["MostPushes"] = json!(1), None);
+    let (mut one, mut two) = (node.client(), node.client());
+    one.write_all(&request("pay", 60.0, "")).unwrap();
+    two.write_all(&request("view", 60.0, "")).unwrap();
+    until("they are out", || quiet.pushes() == 2);
+    node.signal("TERM");
+    assert_eq!(status(&read_message(&mut one).expect("an answer").0), 502);
+    let mut rest = Vec::new();
+    let _ = two.read_to_end(&mut rest);
+    assert!(!rest.ends_with(b"0\r\n\r\n"), "it can tell that it is not whole");
+    assert!(node.ended().0);
+}
+
+#[test]
+fn a_second_answer_some_milliseconds_late_is_nobodys() {
+    let spoilt = Arc::new(AtomicBool::new(false));
+    let sent = spoilt.clone();
+    let server = Server::new(move |stream, asked| {
+        let body = header(&asked.head, "X-Request-ID").expect("as the client gave it");
+        if stream.write_all(&ok(&body)).is_err() {
+            return false;
+        }
+        let from = Instant::now();
+        // The second copy goes out behind the next request on this connection, if that comes within 8 ms.
+        stream.set_read_timeout(Some(Duration::from_millis(8))).unwrap();
+        if stream.peek(&mut [0]).is_ok_and(|n| n > 0) && from.elapsed() < Duration::from_millis(9) {
+            sent.store(true, Ordering::SeqCst);
+            let _ = stream.write_all(&ok(&body));
+        }
+        stream.set_read_timeout(None).unwrap();
+        true
+    });
+    let node = Node::before(&[&server]);
+    for _ in 0..40 {
+        let bytes = request("view", 5.0, "");
+        let id = header(&String::from_utf8_lossy(&bytes), "X-Request-ID").unwrap();
+        let (code, body) = node.ask(&bytes);
+        assert!(code != 200 || body == id, "{body} for {id}");
+        after(3);
+    }
+    assert!(!spoilt.load(Ordering::SeqCst), "no connection is used again so soon");
+}
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -185,9 +185,10 @@
         std::mem::take(&mut self.said.list)
     }
 
-    /// Does what is due by now, and returns what is next for the ops it moved.
-    pub fn tick(&mut self, now: f64) -> Vec<(usize, Next)> {
-        while let Some(due) = self.said.alarms.first().copied().filter(|(at, _)| *at as f64 <= now * 1000.0) {
+    /// Does what was due by a time up to which all is told, now or earlier, and returns what is next for the
+    /// ops it moved.
+    pub fn tick(&mut self, now: f64, by: f64) -> Vec<(usize, Next)> {
+        while let Some(due) = self.said.alarms.first().copied().filter(|(at, _)| *at as f64 <= by * 1000.0) {
             self.said.alarms.remove(&due);
             self.balancer.woken(&mut self.said, now, due.1);
         }
