--- a/emulator/src/chooser.rs
+++ b/emulator/src/chooser.rs
@@ -5,7 +5,7 @@
 use crate::script::{Category, Effect, Group, Script};
 use crankmux::dispatcher::{Dispatcher, GivenUp, Next, Pick};
 use crankmux::given::{self, Names};
-use crankmux::words::{Arrival, Listed, PushEnd, Standing};
+use crankmux::words::{Arrival, Ending, Listed, PushEnd, Standing};
 use std::collections::BTreeMap;
 
 /// Which chooser a world's nodes have.
@@ -20,11 +20,12 @@
     /// Sees what every server truly holds and does, of all nodes.
     Top,
     /// Deliberately wrong: loses one op in fifty, repeats whatever failed, pushes to whatever was ever
-    /// listed, floods the server that started last. Each must be caught.
+    /// listed, floods the server that started last, serves on whoever has left. Each must be caught.
     Loses,
     Repeats,
     PastDrains,
     Floods,
+    SendsOn,
 }
 
 impl How {
@@ -44,6 +45,7 @@
             How::Repeats => "repeats",
             How::PastDrains => "past-drains",
             How::Floods => "floods",
+            How::SendsOn => "sends-on",
         }
     }
 
@@ -124,6 +126,7 @@
     pub fn departed(&mut self, now: f64, op: usize) -> Next {
         match self {
             Chooser::Module(dispatcher) => dispatcher.departed(now, op),
+            Chooser::Plain(plain) if plain.how == How::SendsOn => Next::default(),
             Chooser::Plain(plain) => plain.close(op),
         }
     }
@@ -186,7 +189,8 @@
         (push.2, push.3) = (!end.ending.never_ran(), false);
         let server = push.0;
         self.out[server] = self.out[server].saturating_sub(1);
-        match end.closed {
+        let heedless = self.how == How::SendsOn && end.ending != Ending::Acked;
+        match end.closed && !heedless {
             true => self.close(end.op),
             false => self.go_on(now, end.op, truth),
         }
--- a/emulator/src/figures.rs
+++ b/emulator/src/figures.rs
@@ -96,8 +96,8 @@
     pub pushes: u64,
     /// Second and service of the worst second that ten ops or more were wanted in.
     pub worst_second: (usize, f64),
-    /// Rules broken: no op lost, no effect twice, drains, cold servers.
-    pub broken: [u64; 4],
+    /// Rules broken: no op lost, no effect twice, drains, cold servers, clients that left.
+    pub broken: [u64; 5],
     pub fell_over: u64,
     pub tipped: u64,
     pub events: u64,
@@ -247,7 +247,7 @@
             tries: self.tries,
             pushes: self.pushes,
             worst_second,
-            broken: judge.counts,
+            broken: judge.counts(),
             fell_over: self.fell_over,
             tipped: self.tipped,
             events,
--- a/emulator/src/judge.rs
+++ b/emulator/src/judge.rs
@@ -1,4 +1,5 @@
-//! The judge: knows every op's whole life and checks the four rules, op by op, as it happens.
+//! The judge: knows every op's whole life and checks the four rules, op by op, as it happens, and over all of
+//! them that clients who have left are not served on.
 
 use crankmux::words::Ending;
 use std::collections::VecDeque;
@@ -10,6 +11,8 @@
     Twice,
     Drain,
     Cold,
+    /// Over a quarter of the ops whose clients left while they waited were sent on 0.3 s later.
+    Left,
 }
 
 impl Rule {
@@ -19,6 +22,7 @@
             Rule::Twice => "no effect twice",
             Rule::Drain => "drains kept",
             Rule::Cold => "no cold server pushed over",
+            Rule::Left => "nobody who has left served on",
         }
     }
 }
@@ -73,6 +77,9 @@
     answered: bool,
     /// The client is gone, or the node has died with it: nothing is owed.
     excused: bool,
+    /// When its client left while it waited, and whether it was sent on later than that allows.
+    left_at: Option<f64>,
+    sent_on: bool,
 }
 
 /// A rule broken, with the op's life in order.
@@ -84,12 +91,17 @@
     pub life: Vec<String>,
 }
 
+/// For so long, in milliseconds, an op may still be sent on once its client has left: the operators' figure.
+const SENT_ON: f64 = 300.0;
+
 /// How many are kept with their lives; all are counted.
 const KEPT: usize = 20;
 
 pub struct Judge {
     pub broken: Vec<Broken>,
-    pub counts: [u64; 4],
+    counts: [u64; 4],
+    /// Clients that left while their op waited, and those of their ops that were sent on too late.
+    left: [u64; 2],
     slack: f64,
     drain_grace: f64,
     fall_multiple: f64,
@@ -103,6 +115,7 @@
         Judge {
             broken: Vec::new(),
             counts: [0; 4],
+            left: [0; 2],
             slack,
             drain_grace,
             fall_multiple,
@@ -120,6 +133,18 @@
         }
     }
 
+    /// How often each rule was broken, in their order. Of clients that left, a quarter is no breach yet.
+    pub fn counts(&self) -> [u64; 5] {
+        let [lost, twice, drain, cold] = self.counts;
+        let [left, sent_on] = self.left;
+        [lost, twice, drain, cold, if 4 * sent_on > left { sent_on } else { 0 }]
+    }
+
+    /// A push of an op that nobody knows any more.
+    pub fn nobodys(&mut self) {
+        self.counts[Rule::Lost as usize] += 1;
+    }
+
     pub fn taken(&self, now: f64, node: usize, repeats: Repeats, window: f64, ends: f64) -> Life {
         Life {
             repeats,
@@ -130,6 +155,8 @@
             ran: Vec::new(),
             answered: false,
             excused: false,
+            left_at: None,
+            sent_on: false,
         }
     }
 
@@ -153,6 +180,10 @@
         if answered || late || excused {
             self.breaks(Rule::Lost, now, format!("push {push} to server {server} after its end"), Some(life));
         }
+        let on = life.left_at.is_some_and(|left| now > left + SENT_ON);
+        if on && !std::mem::replace(&mut life.sent_on, true) {
+            self.left[1] += 1;
+        }
         if let Some(what) = twice {
             self.breaks(Rule::Twice, now, format!("push {push}: {what}"), Some(life));
         }
@@ -205,11 +236,19 @@
         }
     }
 
-    pub fn client_left(&self, now: f64, life: &mut Life) {
-        life.steps.push((now, Step::ClientLeft));
+    /// The client has left while its op waited, and its node is told so.
+    pub fn client_left(&mut self, now: f64, life: &mut Life) {
+        self.client_closed(now, life);
         life.excused = true;
     }
 
+    /// The client has closed its connection while its op waited; its node has yet to find out.
+    pub fn client_closed(&mut self, now: f64, life: &mut Life) {
+        life.steps.push((now, Step::ClientLeft));
+        life.left_at = Some(now);
+        self.left[0] += 1;
+    }
+
     pub fn node_died(&self, now: f64, life: &mut Life) {
         life.steps.push((now, Step::NodeDied));
         life.excused = true;
--- a/emulator/tests/worlds.rs
+++ b/emulator/tests/worlds.rs
@@ -59,14 +59,15 @@
 }
 
 const RELEASE: &str = "[[faults]]\nkind = \"release\"\nat = 3\nfor = 4\npart = 0.5\n";
+const LEAVES: &str = "[clients]\nimpatient = 0.2\n";
 const LOST: &str = "[[faults]]\nkind = \"answers-lost\"\nat = 3\nfor = 8\nstrength = 0.2\n";
 
 /// Rules broken, in the order of the pages: lost, twice, drains, cold.
-fn broken(how: How, more: &str) -> [u64; 4] {
+fn broken(how: How, more: &str) -> [u64; 5] {
     let figures = play(&script(more), how, 5).expect("a chooser");
     assert!(figures.all.wanted > 1000, "{}", figures.all.wanted);
     if let Some(life) = figures.lives.first() {
-        assert!(figures.broken != [0; 4] && !life.is_empty());
+        assert!(figures.broken != [0; 5] && !life.is_empty());
     }
     figures.broken
 }
@@ -74,15 +75,15 @@
 #[test]
 fn nodes_that_keep_the_rules_are_found_to() {
     for how in [How::Module, How::Random, How::LeastOutstanding] {
-        let [lost, twice, drains, _] = broken(how, &format!("{RELEASE}{LOST}"));
-        assert_eq!([lost, twice, drains], [0; 3], "{}", how.name());
+        let [lost, twice, drains, _, left] = broken(how, &format!("{RELEASE}{LOST}{LEAVES}"));
+        assert_eq!([lost, twice, drains, left], [0; 4], "{}", how.name());
     }
-    assert_eq!(broken(How::Module, &format!("{RELEASE}{LOST}")), [0; 4]);
+    assert_eq!(broken(How::Module, &format!("{RELEASE}{LOST}")), [0; 5]);
 }
 
 #[test]
 fn a_node_that_loses_an_op_is_caught() {
-    let [lost, twice, drains, _] = broken(How::Loses, "");
+    let [lost, twice, drains, ..] = broken(How::Loses, "");
     assert!(lost > 20 && [twice, drains] == [0; 2], "{lost} {twice} {drains}");
 }
 
@@ -101,7 +102,7 @@
 
 #[test]
 fn a_node_that_pushes_past_a_drains_grace_is_caught() {
-    let [_, twice, drains, _] = broken(How::PastDrains, RELEASE);
+    let [_, twice, drains, ..] = broken(How::PastDrains, RELEASE);
     assert!(drains > 20 && twice == 0, "{drains} {twice}");
 }
 
@@ -111,6 +112,17 @@
     assert!(figures.broken[3] > 0 && figures.fell_over == figures.broken[3], "{:?}", figures.broken);
 }
 
+#[test]
+fn a_node_that_serves_on_whoever_has_left_is_caught() {
+    // Machines that say nothing: each push takes a second to fail, and clients leave after one and a half.
+    let more = "[way]\nconnect_ms = 1000\nkeepalive = 0.02\n[clients]\nimpatient = 0.5\n[[faults]]\nkind = \"silent\"\nat = 2\nfor = 10\npart = 0.8\n";
+    let script = text(more).replace("ttl_ms = 800", "ttl_ms = 3000").replace("ttl_ms = 900", "ttl_ms = 3000");
+    let script = Script::read(&script).unwrap_or_else(|faulty| panic!("{faulty}"));
+    let left = |how| play(&script, how, 5).expect("a chooser").broken[4];
+    assert!(left(How::SendsOn) > 20, "{}", left(How::SendsOn));
+    assert_eq!(left(How::Module), 0);
+}
+
 #[test]
 fn a_fault_more_does_not_shuffle_the_arrivals() {
     let wanted = |more: &str| {
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -82,7 +82,7 @@
     let text = serde_json::to_string_pretty(&report).map_err(|e| (1, e.to_string()))?;
     std::fs::write(call.out.join("figures.json"), text).map_err(|e| (1, e.to_string()))?;
     tell(&report);
-    Ok(report.rules_broken == [0; 4])
+    Ok(report.rules_broken == [0; 5])
 }
 
 fn tell(report: &Report) {
--- a/lab/src/rehearse.rs
+++ b/lab/src/rehearse.rs
@@ -115,7 +115,7 @@
     if let Some(out) = &call.out {
         report::write(out, &script, &figures, &json).map_err(|e| (1, format!("{}: {e}", out.display())))?;
     }
-    let kept = figures.iter().all(|f| f.broken == [0; 4]);
+    let kept = figures.iter().all(|f| f.broken == [0; 5]);
     for life in figures.iter().flat_map(|f| &f.lives).take(5) {
         eprintln!("broken: {life}");
     }
@@ -136,7 +136,7 @@
             let script = Script { seconds: 22.0, load, ..script };
             let play = Play { script: &script, how: How::Module, seed: 2 };
             let figures = play_all(&[play], Some(1)).expect("a chooser").remove(0);
-            assert_eq!(figures.broken, [0; 4], "{name}: {:?}", figures.lives.first());
+            assert_eq!(figures.broken, [0; 5], "{name}: {:?}", figures.lives.first());
             assert!(figures.all.wanted > 2000 && figures.service > worst, "{name}: {}", figures.service);
         }
     }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -8,7 +8,8 @@
 use std::fmt::Write;
 use std::path::Path;
 
-const RULES: [&str; 4] = ["ops lost", "effects twice", "drains not kept", "cold servers pushed over"];
+const RULES: [&str; 5] =
+    ["ops lost", "effects twice", "drains not kept", "cold servers pushed over", "ops sent on for nobody"];
 
 /// Service by second.
 pub fn seconds(figures: &Figures) -> String {
--- a/node/tests/fleet/main.rs
+++ b/node/tests/fleet/main.rs
@@ -351,3 +351,31 @@
     }
     kept(&mut rig);
 }
+
+#[test]
+fn whoever_leaves_while_servers_fail_one_after_another_is_not_served_on() {
+    let mut script = Script::read(WORLD).expect("in order");
+    (script.nodes, script.clients.impatient) = (2, 1.0);
+    script.duties.cold = 0.001;
+    script.categories.iter_mut().for_each(|category| category.work_ms = 60_000.0);
+    let folder = std::env::temp_dir().join(format!("crankmux-rig-{}-leavers", std::process::id()));
+    let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux"), folder);
+    start.fleet = false;
+    let mut rig = Rig::new(script, start);
+    rig.rate = 20.0;
+    rig.start_all();
+    rig.pass(500.0);
+    rig.open();
+    // Clients leave after 750 ms; whatever is out breaks every 300 ms, so that it would go again.
+    let mut server = 0;
+    let many = rig.until(20_000.0, |rig| {
+        if rig.now() > 300.0 * f64::from(server) {
+            (0..9).for_each(|s| rig.restart_server(s));
+            server += 1;
+        }
+        rig.service.gone > 60
+    });
+    assert!(many, "{:?}", rig.service);
+    let [lost, twice, drains, _, left] = rig.judge.counts();
+    assert_eq!([lost, twice, drains, left], [0; 4], "{:#?}", rig.broken());
+}
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -63,7 +63,7 @@
     #[serde(flatten)]
     pub service: Service,
     /// In the order of the rules' numbers.
-    pub rules_broken: [u64; 4],
+    pub rules_broken: [u64; 5],
     pub broken: Vec<String>,
     /// By those that ran to the end, in the mean.
     pub assumed_at_end: f64,
@@ -314,7 +314,7 @@
         healed: Times::of(&healed),
         false_alarms: alarms.len(),
         service: rig.service,
-        rules_broken: rig.judge.counts,
+        rules_broken: rig.judge.counts(),
         broken: rig.broken(),
         assumed_at_end: last.iter().sum::<f64>() / last.len().max(1) as f64,
         seen_at_end: seen,
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -549,6 +549,9 @@
         self.seconds[second].0 += 1;
         let text = self.request(op);
         self.say(conn, &text);
+        if self.chance.random::<f64>() < self.script.clients.impatient {
+            self.after(0.5 * terms.ttl_ms, move |rig| rig.leave(op));
+        }
         // Its life is over some time after its end: late pushes are still seen until then.
         let slack = self.script.duties.answer_slack_ms + LOOP_LATE;
         self.after(terms.ttl_ms + slack, move |rig| rig.over(op));
@@ -570,6 +573,17 @@
         self.after(20_000.0, move |rig| drop(rig.ops.remove(op)));
     }
 
+    /// Its client has waited for long enough, and closes its connection: no answer is owed any more.
+    fn leave(&mut self, op: usize) {
+        let now = self.now();
+        let Some(it) = self.ops.get_mut(op).filter(|it| !it.answered && !it.excused) else { return };
+        let Some(conn) = it.conn.take() else { return };
+        it.excused = true;
+        self.judge.client_closed(now, &mut it.life);
+        self.conns[conn].1 = Side::Client { node: it.node, op: None };
+        self.close(conn);
+    }
+
     /// The connection was closed without a word. As clients do, it is sent again once, where the node may have
     /// closed it before it read anything.
     fn unanswered(&mut self, op: usize, node: usize, refused: bool) {
@@ -599,10 +613,12 @@
     /// An op as it is written, with what is left of its time.
     fn request(&self, op: usize) -> String {
         let Op { serial, category, ends, .. } = self.ops[op];
-        let (name, ttl) = (&self.script.categories[category].name, (ends - self.now()).max(1.0));
+        // In seconds, as clients tell it.
+        let ttl = (ends - self.now()).max(1.0) / 1000.0;
+        let name = &self.script.categories[category].name;
         format!(
             "GET /{name} HTTP/1.1\r\nHost: rig\r\nX-Request-ID: {op}-{serial}\r\nX-Priority-Class: {name}\r\n\
-             X-Timeout: {ttl:.0}\r\n\r\n"
+             X-Timeout: {ttl:.3}\r\n\r\n"
         )
     }
 
@@ -659,7 +675,7 @@
             id.filter(|(op, serial)| self.ops.get(*op).is_some_and(|it: &Op| it.serial == *serial))
         else {
             // Long over, and still pushed.
-            self.judge.counts[Rule::Lost as usize] += 1;
+            self.judge.nobodys();
             return self.close(key);
         };
         self.reached.push(Reached { at: now, node, server });
@@ -934,8 +950,9 @@
     /// The broken rules, in words; empty where all were kept.
     pub fn broken(&self) -> Vec<String> {
         let told = self.judge.broken.iter().map(|b| format!("{}: {}: {:?}", b.rule.name(), b.what, b.life));
-        let counts = self.judge.counts;
-        told.chain((counts.iter().sum::<u64>() > 0).then(|| format!("counts {counts:?}"))).collect()
+        let counts = self.judge.counts();
+        let on = (counts[Rule::Left as usize] > 0).then(|| Rule::Left.name().to_string());
+        told.chain(on).chain((counts.iter().sum::<u64>() > 0).then(|| format!("counts {counts:?}"))).collect()
     }
 }
 
