--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -64,10 +64,6 @@
         }
         let over = proxy.now() >= proxy.end_at;
         proxy.close_idle(over);
-        if !self.shut || !proxy.finished() {
-            return false;
-        }
-        // Danger: an exit resets whoever has more to send, and takes the answer on its way to it along.
-        over || !proxy.clients.hanging_up()
+        self.shut && proxy.finished()
     }
 }
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -27,6 +27,11 @@
 use std::io;
 use std::time::Duration;
 
+/// For so long, in milliseconds, a new process leaves clients with the system until discovery has spoken. Danger:
+/// what the agent knows counts from the process's first moment, and the list that it starts with is older. The
+/// agent is on this machine and answers at once; a tenth of a second tells that it is silent.
+const FIRST_LIST: f64 = 100.0;
+
 pub struct Proxy {
     pub registry: Registry,
     pub clock: Clock,
@@ -132,7 +137,8 @@
         }
         proxy.inherit(&learnt);
         if !proxy.upgrade.holds_back {
-            proxy.listen();
+            let at = proxy.now() + FIRST_LIST;
+            proxy.timers.set(at, |proxy: &mut Proxy| proxy.first_listen());
         }
         Ok(proxy)
     }
@@ -145,6 +151,13 @@
         self.stop_at.is_some()
     }
 
+    /// Hears clients, as discovery has spoken or won't.
+    pub fn first_listen(&mut self) {
+        if !self.stopping() && !self.upgrade.holds_back && !self.upgrade.followed() {
+            self.listen();
+        }
+    }
+
     /// Whether clients may come: there is a server to send to, and discovery has been asked.
     pub fn ready(&self) -> bool {
         self.servers.any() && self.discovery.heard && !self.stopping()
--- a/node/src/wire/clients/mod.rs
+++ b/node/src/wire/clients/mod.rs
@@ -259,11 +259,6 @@
         self.again.push(key);
     }
 
-    /// Whether any has had its last answer and may still be reading it.
-    pub fn hanging_up(&self) -> bool {
-        !self.table.keys(|c| c.lingers).is_empty()
-    }
-
     /// Whether any client still has an answer to come.
     pub fn busy(&self) -> bool {
         !self.table.keys(|c| c.outbox.is_some() || c.op.is_some()).is_empty()
--- a/node/src/wire/discovery/calls.rs
+++ b/node/src/wire/discovery/calls.rs
@@ -77,11 +77,18 @@
         }
     }
 
+    /// Discovery has said something, or failed to.
+    fn has_spoken(&mut self) {
+        if !std::mem::replace(&mut self.discovery.heard, true) {
+            self.first_listen();
+        }
+    }
+
     fn list_call_failed(&mut self, why: &str) {
         log::warn!("discovery: {why}");
         self.hang_up();
         self.timers.unset(self.discovery.timer.take());
-        self.discovery.heard = true;
+        self.has_spoken();
         self.counters.lists_failed += 1;
         let now = self.now();
         self.dispatcher.list_failed(now);
@@ -168,8 +175,9 @@
             return self.call_list();
         }
         let early = discovery.seq == Some(list.seq) && now - discovery.asked_at < APART;
-        (discovery.seq, discovery.heard) = (Some(list.seq), true);
+        discovery.seq = Some(list.seq);
         self.take_list(&list, false);
+        self.has_spoken();
         if early {
             self.timers.set(now + APART, |proxy: &mut Proxy| proxy.call_list());
         } else {
