--- a/node/tests/sockets/ends.rs
+++ b/node/tests/sockets/ends.rs
@@ -503,3 +503,92 @@
     }
     panic!("no machine is so busy five times in a row");
 }
+
+#[test]
+fn lists_torn_indented_empty_repeated_or_older_end_nothing() {
+    let (one, two) = (Server::saying(ok("one")), Server::saying(ok("two")));
+    let known = list(5, true, &[host("one", one.address, "Ready")]);
+    let both = [host("one", one.address, "Terminating"), host("two", two.address, "Ready")];
+    let indented = serde_json::to_string_pretty(&list(6, false, &both)).unwrap();
+    let torn = list(7, false, &both).to_string();
+    let bodies = [
+        torn[..torn.len() / 2].to_string(),
+        String::new(),
+        "null".into(),
+        list(5, false, &[]).to_string(),
+        indented.clone(),
+        indented,
+        list(6, false, &[]).to_string(),
+        // Older: what has come since is asked for whole.
+        list(2, false, &[]).to_string(),
+        list(6, true, &both).to_string(),
+    ];
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = agent.local_addr().unwrap();
+    let calls = Arc::new(Mutex::new(Vec::new()));
+    let heard = calls.clone();
+    std::thread::spawn(move || {
+        let mut bodies = bodies.into_iter();
+        for mut stream in agent.incoming().flatten() {
+            while let Some((head, _)) = read_message(&mut stream) {
+                heard.lock().unwrap().push(head.lines().next().unwrap_or_default().to_string());
+                let Some(body) = bodies.next() else { return std::thread::sleep(PATIENCE) };
+                if stream.write_all(&ok(&body)).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    let node = Node::start(&configuration(address, &known), None);
+    until("all of them are told", || calls.lock().unwrap().len() == 10);
+    let asked = calls.lock().unwrap().clone();
+    assert!(
+        asked[8].starts_with("GET /catalog/members HTTP"),
+        "the whole list after an older one: {asked:?}"
+    );
+    assert!(asked[9].contains("from=6&hold_ms="), "{asked:?}");
+    for _ in 0..5 {
+        assert_eq!(node.ask(&request("view", 5.0, "")), (200, "two".into()));
+    }
+}
+
+#[test]
+fn other_customers_settings_start_and_serve() {
+    let server = Server::new(|stream, asked| {
+        let load = if asked.head.starts_with("GET /_load ") { "TEXT inflight=0" } else { "x" };
+        stream.write_all(&ok(load)).is_ok()
+    });
+    let category = |name: &str, effect: &str, ttl: f64| {
+        json!({"Name": name, "Effect": effect, "Group": "cell", "WindowMs": 5000.0, "TargetLatencyMs": ttl / 4.0,
+               "TtlMs": ttl, "Benefit": 3.5, "LateBenefit": 0.0})
+    };
+    let one = |name: &str, effect: &str, ttl: f64| vec![category(name, effect, ttl)];
+    let small = |c: &mut serde_json::Value| {
+        c["limits"] = json!({"cores": 0.1, "memory_mb": 1, "sockets": 48});
+        c["settings"]["Limits"]["MostPushes"] = json!(1);
+    };
+    for (categories, limits) in [
+        (one("Berth.Plan", "read_like", 120_000.0), false),
+        (one("x", "non_idempotent", 2000.0), true),
+        (one("UPPER_lower-9", "idempotency_key", 900_000.0), true),
+        ([one("a", "non_idempotent", 100.0), one("A", "read_like", 100.0)].concat(), false),
+    ] {
+        let change = |c: &mut serde_json::Value| {
+            c["settings"]["Categories"] = json!(categories);
+            limits.then(|| small(c));
+        };
+        let node = Node::with(&[&server], change, None);
+        for category in &categories {
+            let name = category["Name"].as_str().unwrap();
+            // As clients do after a nack; its time is long, so that a busy machine has enough of it.
+            assert_eq!(node.ask_till_acked(&request(name, 5.0, "")), 200, "{name}");
+        }
+        assert_eq!(node.ask(&request("view", 5.0, "")).0, 400, "a class that is not this customer's");
+    }
+    // Of one that lacks a key, the key is told.
+    let known = list(1, true, &[host("s0", server.address, "Ready")]);
+    let mut lacks = configuration("127.0.0.1:9".parse().unwrap(), &known);
+    lacks["settings"]["Categories"] = json!(one("x", "read_like", 100.0));
+    lacks["settings"]["Categories"][0].as_object_mut().unwrap().remove("TtlMs");
+    assert!(refused_start(&lacks).expect("it does not start").contains("TtlMs"));
+}
