Requests behind one do not keep the last buffer from its answer

Cause: an answer takes its buffer from a reserve, or the one that its request gave back; where more lay behind the request, that one was kept (clients/answering.rs, answer_by), and with long answers to slow readers the reserve ran out: the client was cut off without an answer.

--- a/node/src/wire/clients/answering.rs
+++ b/node/src/wire/clients/answering.rs
@@ -186,7 +186,14 @@
                 client.inbox = Some(inbox);
             }
         }
-        let Some(mut outbox) = self.buffers.take_last() else {
+        let mut outbox = self.buffers.take_last();
+        if let Some(behind) = client.inbox.take_if(|_| outbox.is_none()) {
+            // Danger: requests behind this one hold the last buffer, and its answer is lost. They come again.
+            self.buffers.give(behind);
+            (client.close, client.over) = (true, false);
+            outbox = self.buffers.take_last();
+        }
+        let Some(mut outbox) = outbox else {
             // Danger: not even an answer's buffer is left, as many clients do not read. This one is cut off.
             log::warn!("no buffer for an answer");
             self.counters.full += 1;
--- a/node/tests/sockets/ends.rs
+++ b/node/tests/sockets/ends.rs
@@ -592,3 +592,59 @@
     lacks["settings"]["Categories"][0].as_object_mut().unwrap().remove("TtlMs");
     assert!(refused_start(&lacks).expect("it does not start").contains("TtlMs"));
 }
+
+#[test]
+fn requests_behind_one_do_not_keep_the_last_buffer_from_its_answer() {
+    const LONG: usize = 30 * 1024 * 1024;
+    let (go, gone) = std::sync::mpsc::channel::<()>();
+    let gone = Arc::new(Mutex::new(gone));
+    let all = Arc::new(AtomicBool::new(false));
+    let script = |stream: &mut TcpStream, asked: &Asked, gone: &Mutex<_>, out: &AtomicBool| {
+        until("all are out", || out.load(Ordering::SeqCst));
+        if asked.head.starts_with("POST /pay/") {
+            let gone: std::sync::MutexGuard<std::sync::mpsc::Receiver<()>> = gone.lock().unwrap();
+            let _ = gone.recv_timeout(PATIENCE);
+            return stream.write_all(&ok("paid")).is_ok();
+        }
+        // Whoever asked for this takes nothing of it.
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
+        stream.write_all(head.as_bytes()).is_ok() && stream.write_all(&vec![b'x'; LONG]).is_ok()
+    };
+    // As many as have room for all of them from the start.
+    let servers: Vec<Server> = (0..3)
+        .map(|_| {
+            let (gone, out) = (gone.clone(), all.clone());
+            Server::new(move |stream, asked| script(stream, asked, &gone, &out))
+        })
+        .collect();
+    let pushes = || servers.iter().map(Server::pushes).sum::<usize>();
+    // Sixteen buffers, of which requests and pushes leave eight.
+    let change = |c: &mut serde_json::Value| {
+        c["limits"]["memory_mb"] = json!(1);
+        c["settings"]["Limits"]["SecondCopies"] = json!(false);
+    };
+    let node = Node::with(&servers.iter().collect::<Vec<_>>(), change, None);
+    let mut client = node.client();
+    client.write_all(&[&request("pay", 60.0, "")[..], &request("view", 60.0, "")[..]].concat()).unwrap();
+    until("it is out", || pushes() == 1);
+    let readers: Vec<_> = (0..6)
+        .map(|n| {
+            let mut reader = node.client();
+            reader.write_all(&[request("view", 60.0, ""), request("view", 60.0, "")].concat()).unwrap();
+            until("it is out", || pushes() == n + 2);
+            reader
+        })
+        .collect();
+    // One more waits for its body.
+    let mut half = node.client();
+    half.write_all(&request("view", 60.0, "xx")[..90]).unwrap();
+    all.store(true, Ordering::SeqCst);
+    let full = |stream: &TcpStream| stream.peek(&mut [0; 1024]).is_ok_and(|n| n == 1024);
+    until("long answers begin", || readers.iter().all(full));
+    after(200);
+    go.send(()).unwrap();
+    // Where none is left to read the server's answer into, it has failed; either is a final answer.
+    let (head, body) = read_message(&mut client).expect("an answer");
+    assert!(matches!((status(&head), &body[..]), (200, b"paid") | (502, b"")), "{head}");
+    drop(readers);
+}
