--- a/node/tests/sockets/ends.rs
+++ b/node/tests/sockets/ends.rs
@@ -648,3 +648,81 @@
     assert!(matches!((status(&head), &body[..]), (200, b"paid") | (502, b"")), "{head}");
     drop(readers);
 }
+
+#[test]
+fn a_request_that_lies_there_when_its_connection_has_stood_for_too_long_is_answered() {
+    let server = Server::saying(ok("x"));
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    client.write_all(&request("view", 5.0, "")).unwrap();
+    assert!(read_message(&mut client).is_some());
+    stopped(&node);
+    // Connections stand idle for 2 s at most.
+    after(2300);
+    client.write_all(&request("pay", 60.0, "")).unwrap();
+    node.signal("CONT");
+    assert_eq!(status(&read_message(&mut client).expect("an answer").0), 200);
+}
+
+#[test]
+fn a_request_that_lies_there_when_its_connection_would_make_room_is_answered() {
+    let server = Server::saying(ok("x"));
+    // Room for eight clients.
+    let node = Node::with(&[&server], |c| c["limits"]["sockets"] = json!(48), None);
+    let mut idle: Vec<TcpStream> = (0..8).map(|_| node.client()).collect();
+    for client in &mut idle {
+        client.write_all(&request("view", 5.0, "")).unwrap();
+        // One of them may have made room for another that came; it is the first ones that count below.
+        let _ = read_message(client);
+    }
+    // So long that they count as standing, and no longer than they may.
+    after(150);
+    stopped(&node);
+    let mut asking: Vec<TcpStream> = idle
+        .into_iter()
+        .filter(|client| {
+            client.set_nonblocking(true).unwrap();
+            let open = client.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+            client.set_nonblocking(false).unwrap();
+            open
+        })
+        .collect();
+    // Who had its answer longest ago would go first.
+    let mut first = asking.remove(0);
+    first.write_all(&request("pay", 60.0, "")).unwrap();
+    let mut new: Vec<TcpStream> = (0..4).map(|_| TcpStream::connect(node.address).unwrap()).collect();
+    new.iter_mut().for_each(|client| client.write_all(&request("view", 60.0, "")).unwrap());
+    node.signal("CONT");
+    assert_eq!(status(&read_message(&mut first).expect("an answer").0), 200);
+    for client in &mut new {
+        client.set_read_timeout(Some(PATIENCE)).unwrap();
+        assert!(matches!(status(&read_message(client).expect("an answer").0), 200 | 503));
+    }
+}
+
+#[test]
+fn another_customers_state_directory_changes_no_op() {
+    let (one, two) = (Server::saying(ok("one")), Server::saying(ok("two")));
+    let mut node = Node::with_door(&[&one, &two], |_| ());
+    assert_eq!(node.call("POST", "/v1/servers/s0/suspend").0, 200);
+    assert_eq!(node.ask(&request("view", 5.0, "")), (200, "two".into()));
+    let (folder, mut file) = (node.folder().to_string_lossy().into_owned(), node.file());
+    node.signal("KILL");
+    assert!(!node.ended().0);
+    let state = std::fs::read_dir(&folder).unwrap().flatten().next().expect("its state").path();
+    let learnt = json!({"time": 1e-9, "slack": 1e9, "categories": {"view": [1e9, 1e9]}, "servers": [{"mark": 1, "limit": 0}]});
+    std::fs::write(state.join("handed.json"), json!({"learnt": learnt, "list": {"seq": "x"}}).to_string())
+        .unwrap();
+    // The same classes with other effects, and one that was not there.
+    let effects = ["non_idempotent", "read_like", "read_like"];
+    for (category, effect) in file["settings"]["Categories"].as_array_mut().unwrap().iter_mut().zip(effects) {
+        category["Effect"] = json!(effect);
+    }
+    let mut more = file["settings"]["Categories"][0].clone();
+    more["Name"] = json!("more");
+    file["settings"]["Categories"].as_array_mut().unwrap().push(more);
+    let next = Node::start_under(&file, &[("TMPDIR", folder)]);
+    for category in ["view", "order", "pay", "more"] {
+        assert_eq!(next.ask(&request(category, 5.0, "")), (200, "two".into()), "the mark alone is kept");
+    }
+}
