--- a/node/tests/sockets/ends.rs
+++ b/node/tests/sockets/ends.rs
@@ -444,18 +444,29 @@
 
 #[test]
 fn a_request_in_the_systems_queue_when_the_door_would_close_is_answered() {
-    let server = Server::saying(ok("x"));
-    let mut node = Node::before(&[&server]);
-    node.signal("TERM");
-    until("it is told", || node.log().contains("stopping"));
-    stopped(&node);
-    // Past the time until which clients may come, and well before the end.
-    after(1200);
-    let mut late = TcpStream::connect(node.address).expect("the system takes it");
-    late.write_all(&request("view", 2.0, "")).unwrap();
-    node.signal("CONT");
-    assert_eq!(status(&read_message(&mut late).expect("an answer").0), 200);
-    assert!(node.ended().0);
+    // The door stays open for 0.9 s; where the machine is too busy to stop the node within that, it is tried again.
+    for _ in 0..5 {
+        let server = Server::saying(ok("x"));
+        let mut node = Node::before(&[&server]);
+        let from = Instant::now();
+        node.signal("TERM");
+        until("it is told", || node.log().contains("stopping"));
+        node.signal("STOP");
+        if from.elapsed() > Duration::from_millis(600) {
+            continue;
+        }
+        stopped(&node);
+        // Past the time until which clients may come, and well before the end.
+        after(1200);
+        let mut late = TcpStream::connect(node.address).expect("the system takes it");
+        late.set_read_timeout(Some(PATIENCE)).unwrap();
+        late.write_all(&request("view", 2.0, "")).unwrap();
+        node.signal("CONT");
+        assert_eq!(status(&read_message(&mut late).expect("an answer").0), 200);
+        assert!(node.ended().0);
+        return;
+    }
+    panic!("no machine is so busy five times in a row");
 }
 
 #[test]
