One poll holds all events; a stop before discovery has spoken answers whoever came

Cause, from reading the change again, each then forced: a poll held 1,024 events, so that with more sources ready what was due came ahead of the rest, an answer of its time-out (start.rs); and a process told to stop within its first tenth of a second had not begun to take clients in, and left them with the system (stop.rs, begin). Each guard was taken out and its test failed.

--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -21,7 +21,8 @@
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(text)?;
     poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(text)?;
     let mut proxy = Proxy::new(configuration, entry, &poll)?;
-    let mut events = Events::with_capacity(1024);
+    // Danger: were some that lie ready left for the next turn, what is due would be done ahead of them.
+    let mut events = Events::with_capacity(proxy.sockets());
     let mut stop = Stop::default();
     while !stop.done(&mut proxy) {
         if proxy.turn(&mut poll, &mut events).map_err(text)? {
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -28,6 +28,8 @@
             return;
         }
         log::info!("stopping");
+        // Danger: a process told to stop before discovery has spoken would leave whoever came with the system.
+        proxy.first_listen();
         let now = proxy.now();
         proxy.stop_at = Some(now);
         let longest = proxy.longest_ttl.min(LONGEST);
--- a/node/src/proxy.rs
+++ b/node/src/proxy.rs
@@ -151,6 +151,11 @@
         self.stop_at.is_some()
     }
 
+    /// Descriptors that it may hold, of which each has one event at most.
+    pub fn sockets(&self) -> usize {
+        self.sockets
+    }
+
     /// Hears clients, as discovery has spoken or won't.
     pub fn first_listen(&mut self) {
         if !self.stopping() && !self.upgrade.holds_back && !self.upgrade.followed() {
--- a/node/tests/sockets/ends.rs
+++ b/node/tests/sockets/ends.rs
@@ -3,6 +3,7 @@
 
 use super::after;
 use super::help::*;
+use rustix::process::{getrlimit, setrlimit, Resource};
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -756,3 +757,44 @@
         assert_eq!(next.ask(&request(category, 5.0, "")), (200, "two".into()), "the mark alone is kept");
     }
 }
+
+#[test]
+fn told_to_stop_before_its_agent_has_spoken_it_answers_whoever_came() {
+    let server = Server::saying(ok("x"));
+    let known = list(1, true, &[host("s0", server.address, "Ready")]);
+    // It hears and says nothing.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut node = Node::begun(&configuration(silent.local_addr().unwrap(), &known), None, &[]);
+    let mut client = node.client();
+    client.write_all(&request("view", 2.0, "")).unwrap();
+    node.signal("TERM");
+    assert_eq!(status(&read_message(&mut client).expect("an answer").0), 200);
+    assert!(node.ended().0);
+}
+
+#[test]
+fn more_events_than_a_thousand_are_heard_before_what_is_due() {
+    // The usual limit of 1,024 descriptors is under what this test holds.
+    let mut limit = getrlimit(Resource::Nofile);
+    limit.current = limit.maximum;
+    setrlimit(Resource::Nofile, limit).expect("up to the hard limit anybody may go");
+    let (server, say) = held_server();
+    let node = Node::with(&[&server], |c| c["limits"]["sockets"] = json!(4096), None);
+    let mut client = node.client();
+    client.write_all(&request("pay", 0.4, "")).unwrap();
+    until("it is out", || server.pushes() == 1);
+    // Twelve hundred that have come and say something, all of it ready at once, ahead of the answer.
+    let mut many: Vec<TcpStream> = (0..1200).map(|_| node.client()).collect();
+    let known = || node.log().contains("accepted 1202");
+    until("all are known", || {
+        node.signal("USR1");
+        known()
+    });
+    stopped(&node);
+    many.iter_mut().for_each(|client| client.write_all(b"x").unwrap());
+    say.send(ok("in time")).unwrap();
+    after(600);
+    node.signal("CONT");
+    let (head, body) = read_message(&mut client).expect("an answer");
+    assert_eq!((status(&head), &body[..]), (200, &b"in time"[..]));
+}
--- a/node/tests/sockets/help.rs
+++ b/node/tests/sockets/help.rs
@@ -236,6 +236,17 @@
     }
 
     fn started(configuration: &Value, descriptors: Option<usize>, variables: &[(&str, String)]) -> Self {
+        let node = Node::begun(configuration, descriptors, variables);
+        until("the node is ready", || {
+            let mut client = node.client();
+            client.write_all(b"GET /_health HTTP/1.1\r\n\r\n").is_ok()
+                && read_message(&mut client).is_some_and(|(head, _)| status(&head) == 200)
+        });
+        node
+    }
+
+    /// One whose process has a listener, ready or not.
+    pub fn begun(configuration: &Value, descriptors: Option<usize>, variables: &[(&str, String)]) -> Self {
         let path = write_configuration(configuration);
         let mut child = program(&path, descriptors, variables);
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
@@ -257,13 +268,7 @@
                 kept.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        let node = Node { address, door, child, log, configuration: path, _discovery: None };
-        until("the node is ready", || {
-            let mut client = node.client();
-            client.write_all(b"GET /_health HTTP/1.1\r\n\r\n").is_ok()
-                && read_message(&mut client).is_some_and(|(head, _)| status(&head) == 200)
-        });
-        node
+        Node { address, door, child, log, configuration: path, _discovery: None }
     }
 
     /// A node with a door, at an address of its own that a second process may share.
