--- a/node/tests/sockets/ends.rs
+++ b/node/tests/sockets/ends.rs
@@ -193,11 +193,7 @@
 #[test]
 fn a_client_that_leaves_while_a_connection_comes_up_takes_it_along() {
     let (_listener, address, _queued) = stuck();
-    let known = list(1, true, &[host("stuck", address, "Ready")]);
-    let discovery = Discovery::new(known.clone());
-    let mut configuration = configuration(discovery.address, &known);
-    configuration["settings"]["Limits"]["ConnectTimeoutMs"] = json!(60_000.0);
-    let node = Node::start(&configuration, None);
+    let (node, _discovery) = before_stuck(address);
     let mut client = node.client();
     client.write_all(&request("view", 60.0, "")).unwrap();
     until("it dials", || dialled(address));
@@ -255,16 +251,13 @@
     assert_eq!((status(&head), &body[..]), (200, &b"in time"[..]));
 }
 
-/// A listener whose queue of connections is full, with those that fill it: a further one comes up only once
-/// they are accepted.
-fn stuck() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let mut queued = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(50)) {
-        queued.push(stream);
-    }
-    (listener, address, queued)
+/// A node that knows one server, whose connections come up late, and waits for them as long as it takes.
+fn before_stuck(address: SocketAddr) -> (Node, Discovery) {
+    let known = list(1, true, &[host("stuck", address, "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let mut configuration = configuration(discovery.address, &known);
+    configuration["settings"]["Limits"]["ConnectTimeoutMs"] = json!(60_000.0);
+    (Node::start(&configuration, None), discovery)
 }
 
 /// An address as the system's table of connections has it.
@@ -289,11 +282,7 @@
 #[test]
 fn a_connection_that_is_found_up_after_its_ops_time_carries_nothing() {
     let (listener, address, queued) = stuck();
-    let known = list(1, true, &[host("stuck", address, "Ready")]);
-    let discovery = Discovery::new(known.clone());
-    let mut configuration = configuration(discovery.address, &known);
-    configuration["settings"]["Limits"]["ConnectTimeoutMs"] = json!(60_000.0);
-    let node = Node::start(&configuration, None);
+    let (node, _discovery) = before_stuck(address);
     let mut client = node.client();
     client.write_all(&request("pay", 1.5, "")).unwrap();
     let from = Instant::now();
--- a/node/tests/sockets/help.rs
+++ b/node/tests/sockets/help.rs
@@ -502,3 +502,15 @@
         Stage { servers: (0..servers).map(server).collect(), runs, set }
     }
 }
+
+/// A listener whose queue of connections is full, with those that fill it: a further one comes up only once
+/// they are accepted.
+pub fn stuck() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(50)) {
+        queued.push(stream);
+    }
+    (listener, address, queued)
+}
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -413,12 +413,7 @@
 #[test]
 fn a_push_whose_connection_is_not_up_leaves_a_server_that_drains() {
     // Its queue of connections is full, so that a further one comes up late, if at all.
-    let stuck = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = stuck.local_addr().unwrap();
-    let mut queued = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(50)) {
-        queued.push(stream);
-    }
+    let (_listener, address, _queued) = stuck();
     let good = Server::saying(ok("good"));
     let known = list(1, true, &[host("stuck", address, "Ready")]);
     let discovery = Discovery::new(known.clone());
