--- a/node/tests/sockets/ends.rs
+++ b/node/tests/sockets/ends.rs
@@ -48,6 +48,15 @@
     server.asked.lock().unwrap().iter().filter(|a| a.head.starts_with(&path)).count()
 }
 
+/// A client whose request is with a server that holds its answer back.
+fn sent(node: &Node, server: &Server, bytes: &[u8]) -> TcpStream {
+    let before = server.pushes();
+    let mut client = node.client();
+    client.write_all(bytes).unwrap();
+    until("it is out", || server.pushes() == before + 1);
+    client
+}
+
 /// Opens so many connections to a held server, which stand idle then: what goes to it next is written at once.
 fn warm(node: &Node, server: &Server, say: &std::sync::mpsc::Sender<Vec<u8>>, connections: usize) {
     let mut clients: Vec<_> = (0..connections).map(|_| node.client()).collect();
@@ -70,9 +79,7 @@
             false
         });
         let node = Node::before(&[&quiet]);
-        let mut client = node.client();
-        client.write_all(&request("view", 60.0, "")).unwrap();
-        until("it is out", || quiet.pushes() == 1);
+        let mut client = sent(&node, &quiet, &request("view", 60.0, ""));
         let _ = client.write_all(&vec![b'x'; behind]);
         match how {
             "resets" => reset(client),
@@ -90,9 +97,7 @@
 fn a_request_behind_another_waits_for_its_answer_also_while_the_end_is_watched() {
     let (server, say) = held_server();
     let node = Node::before(&[&server]);
-    let mut client = node.client();
-    client.write_all(&request("view", 5.0, "")).unwrap();
-    until("it is out", || server.pushes() == 1);
+    let mut client = sent(&node, &server, &request("view", 5.0, ""));
     client.write_all(&request("view", 5.0, "")).unwrap();
     for body in ["first", "second"] {
         say.send(ok(body)).unwrap();
@@ -105,9 +110,7 @@
     let (server, say) = held_server();
     let mut node = Node::before(&[&server]);
     warm(&node, &server, &say, 2);
-    let mut client = node.client();
-    client.write_all(&request("view", 60.0, "")).unwrap();
-    until("it is out", || server.pushes() == 3);
+    let mut client = sent(&node, &server, &request("view", 60.0, ""));
     stopped(&node);
     // The failure lies there first, then the client's end behind some bytes.
     say.send(FAILED.to_vec()).unwrap();
@@ -239,10 +242,8 @@
 fn an_answer_that_lies_there_beside_the_end_of_its_time_is_no_time_out() {
     let (server, say) = held_server();
     let node = Node::before(&[&server]);
-    let mut client = node.client();
     // At most once: a time-out beside the answer would be a failure for good.
-    client.write_all(&request("pay", 0.4, "")).unwrap();
-    until("it is out", || server.pushes() == 1);
+    let mut client = sent(&node, &server, &request("pay", 0.4, ""));
     stopped(&node);
     say.send(ok("in time")).unwrap();
     after(600);
@@ -770,9 +771,7 @@
     setrlimit(Resource::Nofile, limit).expect("up to the hard limit anybody may go");
     let (server, say) = held_server();
     let node = Node::with(&[&server], |c| c["limits"]["sockets"] = json!(4096), None);
-    let mut client = node.client();
-    client.write_all(&request("pay", 0.4, "")).unwrap();
-    until("it is out", || server.pushes() == 1);
+    let mut client = sent(&node, &server, &request("pay", 0.4, ""));
     // Twelve hundred that have come and say something, all of it ready at once, ahead of the answer.
     let mut many: Vec<TcpStream> = (0..1200).map(|_| node.client()).collect();
     let known = || node.log().contains("accepted 1202");
