A reset ends no answer; short answers of unknown length are whole before they go on

At fault: Buffer::fill returned `Ended` for an end in good order and for any read error, and read_answer and pass took that for the end of an answer of unknown length. Now: an error is `Broken`. An answer of unknown length is held until it is whole or over 64 KiB; one that has brought 8 KiB goes on after 1 s or 50 ms before its op's end, as it may be long; a shorter one has its op's time. One that may be short and stands still past its op's time by 0.4 s is cut, and all are at the end of a stop.

Taken out, and what fell: `Broken` (five tests of whole.rs), the mark of a failed write (a_server_that_breaks_around...), the 8 KiB (a_short_answer..., an_answer_that_breaks_late...), 1 s at 200 ms (an_answer_that_breaks_late...) and without it (an_answer_that_may_be_long...), 0.4 s (an_answer_that_may_be_short...), the cut at a stop (told_to_stop...).

--- a/node/src/memory/buffers.rs
+++ b/node/src/memory/buffers.rs
@@ -27,8 +27,10 @@
     Some,
     /// Nothing for now.
     Later,
-    /// The other side has ended its sending, or the connection broke.
+    /// The other side has ended its sending, in good order.
     Ended,
+    /// The connection broke. Danger: what only its connection's end makes whole would be taken for whole.
+    Broken,
     Full,
 }
 
@@ -60,7 +62,7 @@
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => Filled::Later,
-                Err(_) => Filled::Ended,
+                Err(_) => Filled::Broken,
             };
         }
     }
--- a/node/src/wire/admin/calls.rs
+++ b/node/src/wire/admin/calls.rs
@@ -110,7 +110,7 @@
                 (Ok(None), Filled::Some) => {}
                 (Ok(None), Filled::Later) => return,
                 (Ok(None), Filled::Full) => self.reply(slot, 431, ""),
-                (Ok(None), Filled::Ended) => return self.send_away(slot),
+                (Ok(None), Filled::Ended | Filled::Broken) => return self.send_away(slot),
             }
         }
     }
--- a/node/src/wire/bodies.rs
+++ b/node/src/wire/bodies.rs
@@ -4,12 +4,15 @@
 use crate::memory::buffers::Buffer;
 use mio::net::TcpStream;
 
-/// An answer whose head tells that it is long goes on once so much has come. Danger: one that only says so,
-/// and whose op could still go elsewhere; spoilt answers bring little.
+/// An answer whose head tells that it is long goes on once so much has come, and so may one of unknown length.
+/// Danger: one that is cut or hangs soon, and whose op could still go elsewhere; spoilt answers bring little.
 pub const FIRST: usize = 8 * 1024;
-/// Of any other that is not whole, or brings less, nothing is held back for longer: well under the time in
-/// which a client would call it held back, and well over a server's pause within one answer.
-pub const HELD_MOST: f64 = 200.0;
+/// What has come of an answer of unknown length, at least `FIRST` of it, is held back for no longer: half of
+/// the 2 s that operators call held back. A shorter one counts with its last byte, and loses nothing meanwhile.
+pub const HELD_MOST: f64 = 1000.0;
+/// How long after its op's time an answer that may still turn out to be short waits for more: the half second
+/// after which it would be lost, less a share for the way.
+pub const LATE_MOST: f64 = 400.0;
 /// A server that has begun its answer, and a client that takes one, may pause for seconds, but not for so
 /// long.
 pub const STALL: f64 = 10_000.0;
--- a/node/src/wire/clients/reading.rs
+++ b/node/src/wire/clients/reading.rs
@@ -177,7 +177,7 @@
             match filled {
                 Filled::Some => {}
                 Filled::Later => return,
-                Filled::Ended => return self.drop_client(key),
+                Filled::Ended | Filled::Broken => return self.drop_client(key),
                 // It can't be kept, so nothing behind this request is answered: the connection goes with it.
                 Filled::Full => match client.stream.read(&mut beyond) {
                     Ok(more @ 1..) => {
@@ -255,7 +255,7 @@
         match filled {
             Filled::Some => return true,
             Filled::Later => {}
-            Filled::Ended => self.drop_client(key),
+            Filled::Ended | Filled::Broken => self.drop_client(key),
             Filled::Full => {
                 self.counters.bad += 1;
                 self.refuse(key, 413);
--- a/node/src/wire/http.rs
+++ b/node/src/wire/http.rs
@@ -99,7 +99,7 @@
                     Ok(Status::Complete((used, size))) => {
                         next += used;
                         // Danger: a body that never ends, in chunks, would fill the buffer.
-                        if size > self.most.saturating_sub(self.gone + self.end - self.head) as u64 {
+                        if size > self.most.saturating_sub(self.brought()) as u64 {
                             return Err(413);
                         }
                         self.coming = if size == 0 { Coming::Trailer } else { Coming::Chunk(size as usize) };
@@ -138,12 +138,17 @@
     /// Length of its body, where its head tells it or it is whole.
     pub fn length(&self) -> Option<usize> {
         match self.coming {
-            Coming::Length(left) => Some(self.gone + self.end - self.head + left),
-            Coming::Whole => Some(self.gone + self.end - self.head),
+            Coming::Length(left) => Some(self.brought() + left),
+            Coming::Whole => Some(self.brought()),
             _ => None,
         }
     }
 
+    /// How much of its body has come.
+    pub fn brought(&self) -> usize {
+        self.gone + self.end - self.head
+    }
+
     pub fn whole(&self) -> bool {
         matches!(self.coming, Coming::Whole)
     }
--- a/node/src/wire/passing.rs
+++ b/node/src/wire/passing.rs
@@ -1,7 +1,7 @@
 //! Answers too long for one buffer, passed on piece by piece: each is read only once the client has taken the
 //! one before, so that neither side's pace costs more than two buffers.
 
-use super::bodies::{Passing, STALL};
+use super::bodies::Passing;
 use super::http::{self, Framing};
 use super::servers::Outcome;
 use super::silent;
@@ -29,7 +29,6 @@
         link.passing = Some(Passing { client, chunked: framing == Framing::Chunked });
         (link.moved, link.until) = (now, Some(now));
         self.timers.unset(link.timer.take());
-        link.timer = Some(self.timers.set(now + STALL, move |proxy: &mut Proxy| proxy.link_due(key)));
         let (head, end) = (message.head, message.end);
         self.body_moves(op, key, false);
         self.feed_client(client, key, framing == Framing::Unframed);
@@ -45,8 +44,9 @@
                 }
                 link.inbox = Some(inbox);
             }
-            None => self.buffers.give(inbox),
+            None => return self.buffers.give(inbox),
         }
+        self.link_due(key);
     }
 
     /// Passes on what has come and reads the next piece, if the client has taken the last one.
@@ -67,11 +67,13 @@
                 self.write_answer(client);
                 continue;
             }
-            let filled = inbox.fill(&mut link.stream);
+            let Some(mut inbox) = link.inbox.take() else { return };
+            let filled = link.fill(&mut inbox);
             if filled == Filled::Some {
                 self.servers.records[link.server].heard = now;
                 link.moved = now;
             }
+            let (inbox, Some((message, ..))) = (link.inbox.insert(inbox), &mut link.message) else { return };
             let read = message.advance(inbox);
             match (&read, filled) {
                 (Ok(_), Filled::Some) => {}
--- a/node/src/wire/servers/links.rs
+++ b/node/src/wire/servers/links.rs
@@ -95,6 +95,7 @@
             sent: 0,
             begun: false,
             whole: false,
+            broke: false,
             feeding: None,
             chunked: false,
             fed: false,
--- a/node/src/wire/servers/mod.rs
+++ b/node/src/wire/servers/mod.rs
@@ -6,7 +6,7 @@
 use super::bodies::{Passing, FIRST};
 use super::http::Message;
 use super::silent;
-use crate::memory::buffers::{Buffer, BODY_MOST};
+use crate::memory::buffers::{Buffer, Filled, BODY_MOST};
 use crate::memory::tables::Table;
 use crate::memory::timers::Key;
 use crate::tokens::SERVER;
@@ -68,6 +68,8 @@
     /// Something of its push has left, and all of it.
     pub begun: bool,
     pub whole: bool,
+    /// A write has failed. Danger: it took the error along, and a read then tells of an end in good order.
+    broke: bool,
     /// The client from which more of the request comes, and whether it goes on in chunks.
     pub feeding: Option<usize>,
     pub chunked: bool,
@@ -179,6 +181,7 @@
         let Some(outbox) = &mut self.outbox else { return true };
         let drained = outbox.drain(&mut self.sent, &mut self.stream);
         self.begun |= self.sent > 0;
+        self.broke |= drained.is_err();
         if !matches!(drained, Ok(true)) {
             // An error shows as the connection is read.
             return false;
@@ -187,4 +190,12 @@
         self.sent = 0;
         true
     }
+
+    /// Reads what has come of an answer.
+    pub fn fill(&mut self, inbox: &mut Buffer) -> Filled {
+        match inbox.fill(&mut self.stream) {
+            Filled::Ended if self.broke => Filled::Broken,
+            filled => filled,
+        }
+    }
 }
--- a/node/src/wire/servers/pushing.rs
+++ b/node/src/wire/servers/pushing.rs
@@ -1,18 +1,33 @@
 //! A push on its connection: written, waited for, its answer read, and what it came to handed to whoever
 //! sent it.
 
-use super::{read_load, start_of, Outcome, Then, NO_OP};
+use super::{read_load, start_of, Link, Outcome, Then, NO_OP};
 use crate::memory::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
 use crate::proxy::Proxy;
-use crate::wire::bodies::{HELD_MOST, STALL};
+use crate::wire::bodies::{FIRST, HELD_MOST, LATE_MOST, STALL};
 use crate::wire::http::{self, Message};
 use crate::wire::silent;
 use crankmux::words::{Ending, Load};
 use httparse::Header;
 
-/// What is kept of an op's time for the way of an answer's first bytes: a few times what a turn of the loop
-/// takes.
-const FOR_THE_WAY: f64 = 20.0;
+/// What is kept of an op's time for the way of an answer's first bytes: the protocol's slack, and a few times what
+/// a turn of the loop takes where many nodes share cores.
+const FOR_THE_WAY: f64 = 50.0;
+
+impl Link<Proxy> {
+    /// Until when its answer of unknown length, not whole, is held back from now on.
+    fn held_until(&self, now: f64) -> f64 {
+        (now + HELD_MOST).min(self.ends - FOR_THE_WAY).max(now)
+    }
+
+    /// When it has stood still for too long. Danger: an answer of unknown length that goes on past its op's time
+    /// and may be short would keep its client waiting for one that is lost.
+    fn stalls_at(&self) -> f64 {
+        let untold = |m: &Message| m.length().is_none() && m.brought() <= BODY_MOST;
+        let short = self.passing.is_some() && self.message.as_ref().is_some_and(|(m, ..)| untold(m));
+        self.moved + if short { (self.ends - self.moved).max(0.0) + LATE_MOST } else { STALL }
+    }
+}
 
 fn word(status: u16, headers: &[Header]) -> (u16, Ending, Load) {
     let never = http::value(headers, "x-not-processed") == Some("1");
@@ -94,7 +109,7 @@
         let link = &mut self.servers.links[key];
         (link.op, link.outbox, link.sent, link.whole) = (op, Some(outbox), 0, false);
         (link.feeding, link.begun, link.fed_at, link.until) = (None, false, None, None);
-        (link.fed, link.held_since) = (false, None);
+        (link.fed, link.held_since, link.broke) = (false, None, false);
         (link.began, link.moved, link.patience, link.ends) = (now, now, patience, now + patience);
         link.then = Some(then);
         let first = if link.up { patience } else { patience.min(self.servers.connect_within) };
@@ -117,7 +132,12 @@
     pub fn end_ops(&mut self, at: f64) {
         self.ops.end_by(at);
         self.timers.set(at, move |proxy: &mut Proxy| {
-            for key in proxy.servers.links.keys(|l| l.then.is_some() && l.passing.is_none()) {
+            // Danger: an answer on its way to a client would outlast the process, and end as if it were whole
+            // where only its connection's end tells.
+            for key in proxy.servers.links.keys(|l| l.passing.is_some()) {
+                proxy.fail(key, Ending::Broken, Load::default());
+            }
+            for key in proxy.servers.links.keys(|l| l.then.is_some()) {
                 if let Some(link) = proxy.servers.links.get_mut(key) {
                     link.ends = link.ends.min(at);
                     proxy.timers.unset(link.timer.take());
@@ -140,12 +160,12 @@
                 |client| !self.clients.has_taken(client),
             );
             link.moved = if waits { now } else { link.moved };
-            if now - link.moved >= STALL {
-                log::info!("server {}: nothing has moved for {STALL} ms", link.server);
+            let at = link.stalls_at();
+            if now >= at {
+                log::info!("server {}: nothing has moved for {:.0} ms", link.server, now - link.moved);
                 let ending = if link.whole { Ending::Broken } else { Ending::Unreachable };
                 return self.fail(key, ending, Load::default());
             }
-            let at = link.moved + STALL;
             link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.link_due(key)));
             return;
         }
@@ -217,7 +237,7 @@
                 }
                 Ok(false) => {}
                 // An answer may have come before the request was through; reading tells.
-                Err(_) => {}
+                Err(_) => link.broke = true,
             }
         }
         if let Some(op) = fed_whole {
@@ -237,7 +257,7 @@
                 self.counters.full += 1;
                 return self.fail(key, Ending::Broken, Load::default());
             };
-            let filled = inbox.fill(&mut link.stream);
+            let filled = link.fill(&mut inbox);
             if filled == Filled::Some {
                 self.servers.records[link.server].heard = self.clock.now();
             }
@@ -279,9 +299,7 @@
             if link.op != NO_OP && link.may_pass() && link.held_since.is_none() {
                 let now = self.clock.now();
                 link.held_since = Some(now);
-                // Danger: one that begins just before the end of its op's time would be cut off though it
-                // comes.
-                let at = (now + HELD_MOST).min(link.ends - FOR_THE_WAY).max(now);
+                let at = link.held_until(now);
                 self.timers.set(at, move |proxy: &mut Proxy| proxy.held_back(key, now));
             }
             if inbox.held().is_empty() {
@@ -292,22 +310,29 @@
             match filled {
                 Filled::Some => {}
                 Filled::Later => return,
-                Filled::Ended | Filled::Full => return self.broken(key),
+                Filled::Ended | Filled::Broken | Filled::Full => return self.broken(key),
             }
         }
     }
 
-    /// Danger: an answer of unknown length whose server pauses would be held back from a client that waits.
+    /// Danger: a long answer of unknown length whose server pauses would be held back from a client that waits,
+    /// or be cut off as its op's time ends though it comes. One that has brought little is no long one yet: it
+    /// has its op's time, and the op may go elsewhere as long as nothing of it has been passed on.
     pub(super) fn held_back(&mut self, key: usize, since: f64) {
+        let now = self.clock.now();
         let Some(link) = self.servers.links.get_mut(key).filter(|l| l.held_since == Some(since)) else {
             return;
         };
         if link.then.is_none() || link.passing.is_some() {
             return;
         }
-        if let Some(inbox) = link.inbox.take() {
+        let told = link.message.as_ref().is_some_and(|(m, ..)| m.length().is_some());
+        if let Some(inbox) = link.inbox.take_if(|inbox| told || inbox.held().len() >= FIRST) {
             self.begin_passing(key, inbox);
             self.pass(key);
+        } else if now < link.ends - FOR_THE_WAY {
+            let at = link.held_until(now);
+            self.timers.set(at, move |proxy: &mut Proxy| proxy.held_back(key, since));
         }
     }
 
--- a/node/src/wire/uploading.rs
+++ b/node/src/wire/uploading.rs
@@ -36,7 +36,7 @@
             Fed::More
         }
         Filled::Later => Fed::Later,
-        Filled::Ended => Fed::Spoilt(None),
+        Filled::Ended | Filled::Broken => Fed::Spoilt(None),
         Filled::Full => Fed::Spoilt(Some(400)),
     }
 }
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod help;
 mod mass;
+mod whole;
 
 use help::*;
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
