--- a/src/balance.rs
+++ b/src/balance.rs
@@ -95,6 +95,7 @@
     cut_at: f64,
     purse: f64,
     purse_at: f64,
+    due: Option<f64>,
     share: f64,
     expected: f64,
 }
@@ -359,7 +360,7 @@
         // Danger: what is pushed counts at once, what was missed 6 s after the list can be had. Short waits.
         let by = if self.duties.allow("list-must-be-asked") { "ask-within" } else { "drain-grace" };
         let longest = self.duties.or(by, 8000.0).clamp(50.0, 1200.0) / 4.0;
-        self.list_wait = (self.list_wait * 2.0).clamp(200.0_f64.min(longest), longest);
+        self.list_wait = (self.list_wait * 2.0).clamp(50.0_f64.min(longest), longest);
         let at = now + self.list_wait * (0.5 + self.rng.0.rand_float());
         self.alarm(out, at, Box::new(|b, out| b.follow(out)));
     }
@@ -686,25 +687,25 @@
         *from = asked.into_iter().zip(shares).collect();
     }
 
-    /// Danger: a cold server pushed over. Each node spends its part of any window's budget, in ordinary ops.
+    /// Danger: a cold server pushed over. A node spends its part of a window's budget of calls, none ahead.
     fn fill_purses(&mut self) {
-        let duty = |name: &str| self.duties.or(name, 0.0);
-        let (time, from) = (duty("cold-time").max(1.0), duty("cold-share"));
-        let (multiple, window) = (duty("fall-multiple"), duty("fall-time"));
+        let duties = ["cold-time", "cold-share", "fall-multiple", "fall-time"];
+        let [time, from, multiple, window] = duties.map(|name| self.duties.or(name, 0.0));
         for id in &self.part {
             let Some(server) = self.servers.get_mut(id).filter(|s| self.now < s.warm_at) else { continue };
-            let able = from + (1.0 - from) * ((self.now - server.latest) / time).clamp(0.0, 1.0);
+            let able = from + (1.0 - from) * ((self.now - server.latest) / time.max(1.0)).clamp(0.0, 1.0);
             // What it bore before a restart it will bear again; a stranger may be weaker than the mean.
             let rate = self.cold_part * 0.7 * multiple * able * server.past.peak.max(0.8 * self.warm_rate);
             // A full purse and a window's income stay just within one window's budget.
-            let (since, span, most) = (self.now - server.purse_at, 0.3 * window, 0.3 * window * rate);
-            if most >= 1.0 {
-                (server.purse, server.purse_at) = ((server.purse + rate * since).min(most), self.now);
-            } else if since >= span {
-                // Danger: hundreds of nodes that each save up an op push it over. Chance grants one.
-                let granted = u8::from(self.rng.0.rand_float() < most);
-                (server.purse, server.purse_at) = (granted.into(), self.now);
-            }
+            let (gain, most) = (rate * (self.now - server.purse_at), 0.3 * window * rate);
+            // Danger: hundreds of nodes that each save up a call. A rare one falls due evenly, and lapses.
+            let due = server.due.unwrap_or_else(|| self.rng.0.rand_float()) + gain;
+            (server.due, server.purse_at) = (Some(due.fract()), self.now);
+            server.purse = match most >= 1.0 {
+                true => (server.purse + gain).min(most),
+                false if due >= 1.0 || due >= most => f64::from(u8::from(due >= 1.0 && due.fract() < most)),
+                false => server.purse,
+            };
         }
     }
 
@@ -858,7 +859,7 @@
                 && left > 0.0
                 && repeat
                 && (bound || s.out.is_empty() || self.held(s) < s.past.limit)
-                && (self.now >= s.warm_at || s.purse > 0.0)
+                && (self.now >= s.warm_at || s.purse >= 1.0)
                 // Danger: one thought slow is never seen to recover. First pushes look, or its word tells.
                 && (s.expected * time / self.time < left
                     || (!self.asks && op.pushes.is_empty() && s.out.is_empty()))
@@ -959,7 +960,7 @@
         let (effect, target, usual) = (op.terms.effect, op.terms.target, self.categories[category].time);
         let server = self.servers.get_mut(&to).expect("drawn from the list");
         server.since_load += 1.0;
-        server.purse -= usual / time;
+        server.purse -= (usual / time).max(1.0);
         let expected = (server.expected * usual / time).max(usual * server.past.pace.unwrap_or(1.0));
         let sent = Sent { at: now, usual, target, patience: expected * self.slack };
         op.pushes.push(Pushed { server: to, sent, may_have_run: true, out: true });
@@ -1002,8 +1003,7 @@
 
     fn after_push(&mut self, out: &mut dyn Outlet, id: usize, push: usize, end: &PushEnd) {
         let Some(op) = self.ops.get_mut(&id) else { return };
-        op.pushes[push].out = false;
-        op.pushes[push].may_have_run = !end.ending.never_ran();
+        (op.pushes[push].out, op.pushes[push].may_have_run) = (false, !end.ending.never_ran());
         if end.closed || end.ending == Ending::Acked {
             return self.close(out, id);
         }
--- a/tests/module/main.rs
+++ b/tests/module/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision module alone, without any wire.
 
+mod cold;
 mod failures;
 mod fleet;
 mod help;
