--- a/node/src/wire/clients/mod.rs
+++ b/node/src/wire/clients/mod.rs
@@ -227,6 +227,18 @@
         Some(Upload { stream, inbox, message, let_go, got, moved })
     }
 
+    /// Whether all of its request has come, read or not, where the request tells its length.
+    pub fn rest_is_here(&self, key: usize) -> bool {
+        let Some(Client { stream, inbox: Some(inbox), request: Some((message, _)), .. }) =
+            self.table.get(key)
+        else {
+            return false;
+        };
+        let unread = rustix::io::ioctl_fionread(stream).unwrap_or(0) as usize;
+        let here = message.brought() + inbox.held().len().saturating_sub(message.end) + unread;
+        message.length().is_some_and(|length| here >= length)
+    }
+
     /// It has been given more to take: its time to take it starts now, not as its server paused.
     pub fn given(&mut self, key: usize, now: f64) {
         if let Some(client) = self.table.get_mut(key) {
--- a/node/src/wire/servers/links.rs
+++ b/node/src/wire/servers/links.rs
@@ -99,6 +99,7 @@
             feeding: None,
             chunked: false,
             fed: false,
+            rest_since: None,
             fed_at: None,
             until: None,
             moved: 0.0,
--- a/node/src/wire/servers/mod.rs
+++ b/node/src/wire/servers/mod.rs
@@ -74,6 +74,8 @@
     pub feeding: Option<usize>,
     pub chunked: bool,
     fed: bool,
+    /// Since when all that its server has yet to take lies here: its client has sent its last byte.
+    rest_since: Option<f64>,
     /// When the last byte of a request fed on had left, and the first of an answer passed on.
     fed_at: Option<f64>,
     pub until: Option<f64>,
--- a/node/src/wire/servers/pushing.rs
+++ b/node/src/wire/servers/pushing.rs
@@ -21,8 +21,12 @@
     }
 
     /// When it has stood still for too long. Danger: an answer of unknown length that goes on past its op's time
-    /// and may be short would keep its client waiting for one that is lost.
+    /// and may be short would keep its client waiting for one that is lost, and so would a server that is cut off
+    /// and takes no more of a request whose client has sent all of it.
     fn stalls_at(&self) -> f64 {
+        if let Some(since) = self.rest_since.filter(|_| !self.whole) {
+            return since + self.patience;
+        }
         let untold = |m: &Message| m.length().is_none() && m.brought() <= BODY_MOST;
         let short = self.passing.is_some() && self.message.as_ref().is_some_and(|(m, ..)| untold(m));
         self.moved + if short { (self.ends - self.moved).max(0.0) + LATE_MOST } else { STALL }
@@ -109,7 +113,7 @@
         let link = &mut self.servers.links[key];
         (link.op, link.outbox, link.sent, link.whole) = (op, Some(outbox), 0, false);
         (link.feeding, link.begun, link.fed_at, link.until) = (None, false, None, None);
-        (link.fed, link.held_since, link.broke) = (false, None, false);
+        (link.fed, link.held_since, link.broke, link.rest_since) = (false, None, false, None);
         (link.began, link.moved, link.patience, link.ends) = (now, now, patience, now + patience);
         link.then = Some(then);
         let first = if link.up { patience } else { patience.min(self.servers.connect_within) };
@@ -187,6 +191,20 @@
         }
     }
 
+    /// Its server takes no more for now. Where the rest of the request lies here, its op's time runs.
+    pub fn note_rest(&mut self, key: usize, client: usize) {
+        let now = self.clock.now();
+        let Some(link) = self.servers.links.get_mut(key).filter(|link| link.rest_since.is_none()) else {
+            return;
+        };
+        if self.clients.rest_is_here(client) {
+            link.rest_since = Some(now);
+            self.timers.unset(link.timer.take());
+            let at = link.stalls_at();
+            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.link_due(key)));
+        }
+    }
+
     /// Something has happened on a connection to a server.
     pub fn link(&mut self, key: usize) {
         let Some(link) = self.servers.links.get_mut(key) else { return };
@@ -227,7 +245,8 @@
                     if link.fed {
                         fed_whole = Some(link.op);
                         // An op's time starts with its last byte.
-                        (link.fed_at, link.ends) = (Some(now), now + link.patience);
+                        let from = link.rest_since.unwrap_or(now);
+                        (link.fed_at, link.ends) = (Some(now), from + link.patience);
                         self.timers.unset(link.timer.take());
                         let due = move |proxy: &mut Proxy| proxy.link_due(key);
                         link.timer = Some(self.timers.set(link.ends, due));
--- a/node/src/wire/uploading.rs
+++ b/node/src/wire/uploading.rs
@@ -50,6 +50,7 @@
             let Some(link) = self.servers.links.get_mut(key) else { return false };
             let Some(client) = link.feeding else { return true };
             if !link.drained() {
+                self.note_rest(key, client);
                 return true;
             }
             let (op, chunked) = (link.op, link.chunked);
--- a/node/tests/sockets/ends.rs
+++ b/node/tests/sockets/ends.rs
@@ -796,3 +796,47 @@
     let (head, body) = read_message(&mut client).expect("an answer");
     assert_eq!((status(&head), &body[..]), (200, &b"in time"[..]));
 }
+
+#[test]
+fn hundreds_that_come_and_leave_in_one_moment_are_not_sent_on() {
+    let (server, say) = held_server();
+    let mut node = Node::before(&[&server]);
+    warm(&node, &server, &say, 2);
+    stopped(&node);
+    for _ in 0..300 {
+        let mut client = node.client();
+        client.write_all(&request("view", 60.0, "")).unwrap();
+    }
+    after(100);
+    node.signal("CONT");
+    until("they are heard", || {
+        node.signal("USR1");
+        node.log().contains("taken 302")
+    });
+    assert_eq!(of_category(&mut node, &server, "view"), 0, "all had left");
+}
+
+#[test]
+fn whoever_leaves_while_its_answer_is_held_back_is_not_sent_on() {
+    // A short answer of unknown length, held for its end: its client leaves, then it breaks.
+    let (gate, opened) = std::sync::mpsc::channel::<()>();
+    let opened = Mutex::new(opened);
+    let server = Server::new(move |stream, _| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nabc");
+        let _ = opened.lock().unwrap().recv_timeout(PATIENCE);
+        socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+        false
+    });
+    let node = Node::before(&[&server]);
+    let client = sent(&node, &server, &request("view", 60.0, ""));
+    after(50);
+    stopped(&node);
+    // The break lies there first, then the client's end.
+    gate.send(()).unwrap();
+    after(50);
+    drop(client);
+    after(50);
+    node.signal("CONT");
+    after(300);
+    assert_eq!(server.pushes(), 1, "its client had left");
+}
--- a/node/tests/sockets/told.rs
+++ b/node/tests/sockets/told.rs
@@ -386,3 +386,82 @@
     assert_eq!(next.figure("ejected"), Some(1));
     drop(crowd);
 }
+
+/// How long each of so many processes, killed and started anew at one moment, takes until it is ready, in order.
+fn ready_after(count: usize, discovery: SocketAddr, known: &Value) -> Vec<Duration> {
+    let file = configuration(discovery, known);
+    let killed: Vec<Node> = (0..count).map(|_| Node::begun(&file, None, &[])).collect();
+    killed.iter().for_each(|node| node.signal("KILL"));
+    drop(killed);
+    let from = Instant::now();
+    let nodes: Vec<Node> = (0..count).map(|_| Node::begun(&file, None, &[])).collect();
+    let mut took: Vec<Duration> = Vec::new();
+    let mut left: Vec<&Node> = nodes.iter().collect();
+    while !left.is_empty() && from.elapsed() < Duration::from_secs(15) {
+        left.retain(|node| {
+            let ready = node.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").0 == 200;
+            took.extend(ready.then(|| from.elapsed()));
+            !ready
+        });
+        after(20);
+    }
+    took.extend(left.iter().map(|_| Duration::MAX));
+    took
+}
+
+#[test]
+fn nine_in_ten_processes_started_at_once_are_ready_within_ten_seconds() {
+    let server = Server::saying(ok("x"));
+    let named = |i: usize| host(&format!("server-{i:04}"), server.address, "Ready");
+    let hosts: Vec<Value> = (0..1024).map(named).collect();
+    let whole = list(1, true, &hosts);
+    // Silent for 8 s from the second start on, slow, and one that answers at once; with a list known before and
+    // with none.
+    let (count, silent) = (12, Arc::new(AtomicBool::new(false)));
+    let held = silent.clone();
+    let discovery = |pause: u64, down: Option<Arc<AtomicBool>>| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (address, whole) = (listener.local_addr().unwrap(), whole.clone());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (whole, down) = (whole.clone(), down.clone());
+                thread::spawn(move || {
+                    while let Some((head, _)) = read_message(&mut stream) {
+                        if down.as_ref().is_some_and(|down| down.load(Ordering::SeqCst)) {
+                            let _ = stream.read(&mut [0]);
+                            return;
+                        }
+                        after(if head.contains("hold_ms=2") { 2000 } else { pause });
+                        let _ = stream.write_all(&ok(&format!("{whole:#}")));
+                    }
+                });
+            }
+        });
+        address
+    };
+    let cases = [
+        ("at once, none known", discovery(0, None), &Value::Null),
+        ("slow by 0.7 s, none known", discovery(700, None), &Value::Null),
+        ("silent for 8 s, known", discovery(0, Some(held.clone())), &whole),
+        ("silent for 8 s, none known", discovery(0, Some(held)), &Value::Null),
+    ];
+    silent.store(true, Ordering::SeqCst);
+    let heal = thread::spawn({
+        let silent = silent.clone();
+        move || {
+            after(8000);
+            silent.store(false, Ordering::SeqCst);
+        }
+    });
+    thread::scope(|scope| {
+        for (name, discovery, known) in cases {
+            scope.spawn(move || {
+                let took = ready_after(count, discovery, known);
+                let at = |share: f64| took[((share * count as f64) as usize).min(count - 1)];
+                println!("{name}: half {:.1?}, nine in ten {:.1?}, last {:.1?}", at(0.5), at(0.9), at(1.0));
+                assert!(at(0.9) < Duration::from_secs(10), "{name}: {took:?}");
+            });
+        }
+    });
+    heal.join().unwrap();
+}
--- a/node/tests/sockets/whole.rs
+++ b/node/tests/sockets/whole.rs
@@ -276,3 +276,50 @@
         }
     }
 }
+
+/// A client whose own machine holds little of what it sends.
+fn thin_client(node: &Node) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_send_buffer_size(128 * 1024).unwrap();
+    socket.set_tcp_nodelay(true).unwrap();
+    socket.connect(&node.address.into()).unwrap();
+    let client: TcpStream = socket.into();
+    client.set_read_timeout(Some(PATIENCE)).unwrap();
+    client
+}
+
+#[test]
+fn a_long_request_whose_server_takes_no_more_of_it_is_answered_in_its_time() {
+    // Its client has sent all of it: the rest lies with the node, whose server is cut off.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(16).unwrap();
+    let listener: std::net::TcpListener = socket.into();
+    let known = list(1, true, &[host("s", listener.local_addr().unwrap(), "Ready")]);
+    let discovery = Discovery::new(known.clone());
+    let mut file = configuration(discovery.address, &known);
+    file["settings"]["Limits"]["SecondCopies"] = false.into();
+    let node = Node::start(&file, None);
+    // How much of one goes before nothing moves: what node and sockets hold between them.
+    let mut probe = thin_client(&node);
+    probe.set_write_timeout(Some(Duration::from_millis(400))).unwrap();
+    let head = String::from_utf8(request("pay", 60.0, "")).unwrap().replace("Length: 0", "Length: 30000000");
+    probe.write_all(head.as_bytes()).unwrap();
+    let mut sent = 0;
+    while let Ok(n @ 1..) = probe.write(&[b'p'; 65_536]) {
+        sent += n;
+    }
+    drop(probe);
+    // A little less, so that all of it is here; more than the server's side takes.
+    let body = "b".repeat(sent - 300_000);
+    for _ in 0..2 {
+        let mut client = thin_client(&node);
+        client.write_all(&request("pay", 0.5, &body)).unwrap();
+        let from = Instant::now();
+        let (head, _) = read_message(&mut client).expect("an answer");
+        // Where the sockets happen to take all of it the server may have it.
+        assert!(matches!(status(&head), 502 | 503), "{head}");
+        assert!(from.elapsed() < Duration::from_millis(950), "{:?}", from.elapsed());
+    }
+    drop(listener);
+}
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -947,6 +947,20 @@
         self.reached.iter().filter(|r| (r.node, r.server) == (node, server) && r.at >= since).count()
     }
 
+    /// How many pushes reached a server from all nodes since a moment.
+    pub fn calls(&self, server: usize, since: f64) -> usize {
+        self.reached.iter().filter(|r| r.server == server && r.at >= since).count()
+    }
+
+    /// The most calls that a server got from all nodes in any span of so many milliseconds since a moment.
+    pub fn most_calls(&self, server: usize, since: f64, span: f64) -> usize {
+        let mut at: Vec<f64> =
+            self.reached.iter().filter(|r| r.server == server && r.at >= since).map(|r| r.at).collect();
+        at.sort_unstable_by(f64::total_cmp);
+        let within = |last: usize| last + 1 - at.partition_point(|from| *from <= at[last] - span);
+        (0..at.len()).map(within).max().unwrap_or(0)
+    }
+
     /// The broken rules, in words; empty where all were kept.
     pub fn broken(&self) -> Vec<String> {
         let told = self.judge.broken.iter().map(|b| format!("{}: {}: {:?}", b.rule.name(), b.what, b.life));
