--- a/node/tests/sockets/told.rs
+++ b/node/tests/sockets/told.rs
@@ -465,3 +465,41 @@
     });
     heal.join().unwrap();
 }
+
+#[test]
+fn a_list_cut_at_any_byte_is_not_taken_and_the_whole_one_behind_it_is() {
+    let server = Server::saying(ok("x"));
+    let (one, two) = (host("s0", server.address, "Ready"), host("s1", server.address, "Ready"));
+    let known = list(1, true, std::slice::from_ref(&one));
+    // A key that nobody knows is no fault.
+    let mut news = list(2, true, &[one, two]);
+    news["more"] = json!({"odd": [1]});
+    let (text, lanes) = (ok(&news.to_string()), 12);
+    thread::scope(|scope| {
+        for lane in 0..lanes {
+            let (text, known) = (&text, &known);
+            scope.spawn(move || {
+                let cuts: Vec<usize> = (lane..text.len()).step_by(lanes).collect();
+                let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+                let mut file = configuration(listener.local_addr().unwrap(), known);
+                file["admin_addr"] = json!("127.0.0.1:0");
+                let node = Node::begun(&file, None, &[]);
+                for (number, cut) in cuts.iter().enumerate() {
+                    let (mut stream, _) = listener.accept().unwrap();
+                    if read_message(&mut stream).is_some() {
+                        let _ = stream.write_all(&text[..*cut]);
+                        after(5);
+                    }
+                    if number % 2 == 1 {
+                        reset(stream);
+                    }
+                }
+                assert_eq!(node.figure("discovered"), Some(1), "nothing of what was cut");
+                let (mut stream, _) = listener.accept().unwrap();
+                assert!(read_message(&mut stream).is_some());
+                stream.write_all(text).unwrap();
+                until("the whole one is taken", || node.figure("discovered") == Some(2));
+            });
+        }
+    });
+}
--- a/node/tests/sockets/whole.rs
+++ b/node/tests/sockets/whole.rs
@@ -323,3 +323,39 @@
     }
     drop(listener);
 }
+
+#[test]
+fn many_that_reset_in_the_middle_of_their_answers_leave_the_others_whole() {
+    // More than the sockets between node and client hold.
+    let body: Vec<u8> = (0..6_000_000_u32).map(|k| (k.wrapping_mul(k) >> 9) as u8).collect();
+    let told = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    let sent = [told.as_bytes(), &body].concat();
+    let server = Server::new(move |stream, _| stream.write_all(&sent).is_ok());
+    let node = Node::before(&[&server]);
+    let asks = || {
+        let mut client = node.client();
+        client.write_all(&request("pay", 20.0, "")).unwrap();
+        client
+    };
+    let mut stays = asks();
+    let mut leave = Vec::new();
+    while leave.len() < 100 {
+        // Where too many are out at once one is nacked, and another asks.
+        let mut client = asks();
+        leave.extend(client.read_exact(&mut [0; 1000]).is_ok().then_some(client));
+    }
+    stopped(&node);
+    leave.iter().for_each(resets);
+    drop(leave);
+    node.signal("CONT");
+    assert!(read_message(&mut stays).expect("an answer").1 == body, "its own, whole");
+    until("all that left are seen", || {
+        node.signal("USR1");
+        after(20);
+        node.log().contains("departed 100,")
+    });
+    // All buffers are back: as many pass again.
+    for _ in 0..10 {
+        assert!(read_message(&mut asks()).expect("an answer").1 == body);
+    }
+}
