--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -56,11 +56,25 @@
     }
 }
 
-/// The calls that a node sends to a server that starts cold, where that bears so much of the node in the usual.
-fn calls(number: usize, of: usize, rate: f64, demand: Demand, seed: u64) -> Vec<f64> {
+/// What befalls a node while the server is cold: nothing, new settings again and again, or a newer process that takes
+/// over from it, and from that the next.
+#[derive(Clone, Copy, PartialEq)]
+enum Befalls {
+    Nothing,
+    Reloads,
+    Upgrades,
+}
+
+fn given(number: usize, of: usize) -> Given {
     let mut given = node(number, of);
     given.insert("second-copies".into(), false.into());
-    let mut balancer = Balancer::new(given, seed).expect("all duties are given");
+    given
+}
+
+/// The calls that a node sends to a server that starts cold, where that bears so much of the node in the usual. It
+/// is told so many nodes.
+fn calls(number: usize, told: usize, rate: f64, (demand, befalls): (Demand, Befalls), seed: u64) -> Vec<f64> {
+    let mut balancer = Balancer::new(given(number, told), seed).expect("all duties are given");
     let out = &mut Sent::default();
     balancer.list(out, START - 1.0, &[line(0, Standing::Ready, 0.0)], true, false);
     let learnt = Learnt { best: 1.0, limit: 1000.0, peak: rate, borne: rate, ..Learnt::default() };
@@ -73,8 +87,17 @@
     });
     balancer.list(out, START, &[line(0, Standing::Ready, START)], false, false);
     let mut rng = oorandom::Rand64::new(u128::from(seed) << 1);
-    let mut calls = Vec::new();
+    let (mut calls, mut next) = (Vec::new(), 600.0 * rng.rand_float());
     for (op, at) in arrivals(demand, rate, &mut rng).into_iter().enumerate() {
+        if at >= next && befalls == Befalls::Reloads {
+            balancer.renew(given(number, told)).expect("all duties are given");
+        } else if at >= next && befalls == Befalls::Upgrades {
+            let mut newer = Balancer::new(given(number, told), rng.rand_u64()).expect("all duties are given");
+            newer.list(out, START + at, &[line(0, Standing::Ready, START)], true, false);
+            newer.inherit(&balancer.experience());
+            balancer = newer;
+        }
+        next = if at >= next { at + 600.0 } else { next };
         let category = if demand.light { 0 } else { rng.rand_range(0..3) as usize };
         let arrival = Arrival { op, category, customer: None, ttl: 1000.0, retry: false, key: None };
         balancer.arrive(out, START + at, &arrival);
@@ -96,12 +119,16 @@
     // The budget of the first window, 3 to 300 calls, and demand; nodes' traffic is unequal, up to thirty times.
     let budget = 3.0 * 100.0_f64.powf(rng.rand_float());
     let demand = Demand { kind: rng.rand_range(0..4) as usize, light: rng.rand_float() < 0.3 };
+    // Every other play has something befall all nodes, and tells them half or twice their number.
+    let befalls = [Befalls::Nothing, Befalls::Nothing, Befalls::Reloads, Befalls::Upgrades];
+    let befalls = befalls[rng.rand_range(0..4) as usize];
+    let told = [nodes, nodes, nodes.div_ceil(2), 2 * nodes][rng.rand_range(0..4) as usize];
     let weights: Vec<f64> = (0..nodes).map(|_| 30.0_f64.powf(rng.rand_float())).collect();
     let all: f64 = weights.iter().sum();
     let bears = budget / (MULTIPLE * SHARE * WINDOW);
     let mut at: Vec<f64> = Vec::new();
     for (number, weight) in weights.iter().enumerate() {
-        at.extend(calls(number, nodes, bears * weight / all, demand, rng.rand_u64()));
+        at.extend(calls(number, told, bears * weight / all, (demand, befalls), rng.rand_u64()));
     }
     at.sort_unstable_by(f64::total_cmp);
     let budget_at = |from: f64| {
