--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -65,6 +65,10 @@
     /// In the order of the rules' numbers.
     pub rules_broken: [u64; 5],
     pub broken: Vec<String>,
+    /// Clients that left while their op waited, and pushes of theirs that much later: under 10, 30 and 100 ms,
+    /// and over.
+    pub clients_left: u64,
+    pub pushes_after_leaves: [usize; 4],
     /// By those that ran to the end, in the mean.
     pub assumed_at_end: f64,
     /// What the first that ran to the end made of the others.
@@ -302,6 +306,10 @@
     latencies.sort_by(f64::total_cmp);
     let p999 = latencies.get((latencies.len() as f64 * 0.999) as usize).copied().unwrap_or(0.0);
     let took: Vec<Option<f64>> = latencies.into_iter().map(Some).collect();
+    let (clients_left, after) = rig.judge.after_leaves();
+    let within = |from: f64, to: f64| after.iter().filter(|since| (from..to).contains(*since)).count();
+    let pushes_after_leaves =
+        [within(0.0, 10.0), within(10.0, 30.0), within(30.0, 100.0), within(100.0, f64::INFINITY)];
     Report {
         name: play.name.clone(),
         processes: play.processes,
@@ -316,6 +324,8 @@
         service: rig.service,
         rules_broken: rig.judge.counts(),
         broken: rig.broken(),
+        clients_left,
+        pushes_after_leaves,
         assumed_at_end: last.iter().sum::<f64>() / last.len().max(1) as f64,
         seen_at_end: seen,
         latency_ms: Times::of(&took),
