--- a/node/tests/sockets/ends.rs
+++ b/node/tests/sockets/ends.rs
@@ -494,7 +494,7 @@
         let (one, two) = (Server::saying(ok("one")), Server::saying(ok("two")));
         let known = list(1, true, &[host("one", one.address, "Ready")]);
         let agent = TcpListener::bind("127.0.0.1:0").unwrap();
-        let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap();
+        let free = crankmux_rig::free_port();
         let mut configuration = configuration(agent.local_addr().unwrap(), &known);
         configuration["listen"] = json!(free.to_string());
         let news =
--- a/node/tests/sockets/help.rs
+++ b/node/tests/sockets/help.rs
@@ -273,7 +273,7 @@
 
     /// A node with a door, at an address of its own that a second process may share.
     pub fn with_door(servers: &[&Server], change: impl FnOnce(&mut Value)) -> Self {
-        let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+        let free = crankmux_rig::free_port();
         let doors = |configuration: &mut Value| {
             configuration["listen"] = json!(free.to_string());
             configuration["admin_addr"] = json!("127.0.0.1:0");
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -13,7 +13,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -307,7 +307,7 @@
         b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nX-Server-Load: TEXT inflight=9, queue=4\r\nContent-Length: 0\r\n\r\n"
             .to_vec(),
     );
-    let refused = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let refused = crankmux_rig::free_port();
     let good = Server::saying(ok("yes"));
     let known = list(
         1,
--- a/node/tests/sockets/told.rs
+++ b/node/tests/sockets/told.rs
@@ -353,7 +353,7 @@
     let (one, two) = (Server::saying(ok("s0")), Server::saying(ok("s1")));
     let hosts = [host("s0", one.address, "Ready"), host("s1", two.address, "Ready")];
     let agent = Agent::new(list(1, true, &hosts), &[]);
-    let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+    let free = crankmux_rig::free_port();
     let mut file = configuration(agent.address, &list(1, true, &hosts));
     file["listen"] = json!(free.to_string());
     file["admin_addr"] = json!("127.0.0.1:0");
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -10,7 +10,7 @@
 mod script;
 mod world;
 
-pub use nodes::Start;
+pub use nodes::{free_port, Start};
 pub use play::{play, Report, Times};
 pub use relay::Way;
 pub use script::{Fault, Kind, Play};
