--- a/node/src/life/descriptors.rs
+++ b/node/src/life/descriptors.rs
@@ -1,11 +1,19 @@
 //! Descriptors, where connections of clients have taken the last ones.
 
 use crate::proxy::Proxy;
+use rustix::io::Errno;
 use std::fs::File;
+use std::io;
 
 /// An upgrade needs two at once: a connection that stays, and a file beside it.
 const KEPT: usize = 2;
 
+/// Whether it is for want of a descriptor that something failed. Danger: any other reason stays, however many
+/// connections are closed for it.
+pub fn lacks(e: &io::Error) -> bool {
+    matches!(Errno::from_io_error(e), Some(Errno::MFILE | Errno::NFILE))
+}
+
 /// Descriptors kept back, to be given up for what must go on whatever clients do.
 pub struct Spare(Vec<File>);
 
@@ -25,8 +33,10 @@
     /// would never be.
     pub fn kept(&mut self) -> bool {
         while self.0.len() < KEPT {
-            let Ok(file) = File::open("/dev/null") else { return false };
-            self.0.push(file);
+            match File::open("/dev/null") {
+                Ok(file) => self.0.push(file),
+                Err(e) => return !lacks(&e),
+            }
         }
         true
     }
@@ -36,7 +46,7 @@
     /// Makes room for one more descriptor; whether there is. Danger: clients hold the last one, and the list is
     /// not asked for, a suspension not read, a new configuration turned down, an upgrade not handed over.
     pub fn free_descriptor(&mut self) -> bool {
-        let free = File::open("/dev/null").is_ok();
+        let free = !File::open("/dev/null").is_err_and(|e| lacks(&e));
         let freed = free || self.spare.give_up() || self.drop_longest_idle() || self.drop_idle_client();
         if !freed {
             log::warn!("no descriptor is left, and nobody stands idle");
--- a/node/src/life/upgrade/handing.rs
+++ b/node/src/life/upgrade/handing.rs
@@ -1,6 +1,7 @@
 //! What passes between the two processes of an upgrade.
 
 use super::*;
+use crate::life::descriptors::lacks;
 use crate::proxy::Proxy;
 
 impl Proxy {
@@ -14,7 +15,7 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 // Danger: no descriptor is left, and the newer process goes on without what this one knows.
                 Err(e) => {
-                    if !self.free_descriptor() {
+                    if !(lacks(&e) && self.free_descriptor()) {
                         log::warn!("cannot hear a newer process: {e}");
                         let at = self.now() + AGAIN;
                         self.timers.set(at, |proxy: &mut Proxy| proxy.hand_over());
--- a/node/src/wire/admin/calls.rs
+++ b/node/src/wire/admin/calls.rs
@@ -1,6 +1,7 @@
 //! The door's calls, heard and answered.
 
 use super::*;
+use crate::life::descriptors::lacks;
 use crate::proxy::Proxy;
 
 impl Proxy {
@@ -14,7 +15,7 @@
                 // Danger: connections that stand idle have taken the last descriptor, and no operator gets
                 // in.
                 Err(e) => {
-                    if !self.free_descriptor() {
+                    if !(lacks(&e) && self.free_descriptor()) {
                         log::warn!("the door cannot accept: {e}");
                         let at = self.now() + AGAIN;
                         self.timers.set(at, |proxy: &mut Proxy| proxy.open_door());
