--- a/benchlink/src/main.rs
+++ b/bench-adapter/src/main.rs
@@ -41,7 +41,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("crankmux-benchlink: {}", message.replace('\n', " "));
+            eprintln!("crankmux-bench-adapter: {}", message.replace('\n', " "));
             ExitCode::FAILURE
         }
     }
--- a/benchlink/src/node.rs
+++ b/bench-adapter/src/node.rs
@@ -1,8 +1,10 @@
 //! One instance on the wire: ids to small indices, events to calls, results to actions.
 
-use crankmux::balance::Balancer;
-use crankmux::given::{self, Names};
-use crankmux::words::{Arrival, Ending, Listed, Load, Outlet, PushEnd, Standing};
+use crankmux::balancer::Balancer;
+use crankmux::settings::{self, NameIndex};
+use crankmux::types::{
+    Actions, AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, LoadReport, NewRequest,
+};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap};
 
@@ -25,13 +27,13 @@
 
 pub struct Node {
     balancer: Balancer,
-    names: Names,
+    names: NameIndex,
     ops: Ops,
 }
 
 struct Link<'a> {
     inst: u64,
-    names: &'a Names,
+    names: &'a NameIndex,
     ops: &'a mut Ops,
     decisions: &'a mut Vec<Value>,
 }
@@ -49,9 +51,9 @@
     }
 }
 
-impl Outlet for Link<'_> {
-    fn push(&mut self, op: usize, server: usize, patience: f64) {
-        let server = self.names.mark(server);
+impl Actions for Link<'_> {
+    fn start_attempt(&mut self, op: usize, server: usize, patience: f64) {
+        let server = self.names.stable_hash(server);
         self.decisions.push(json!(["Route", self.inst, self.id(op), patience, server]));
         if let Some(held) = self.ops.held.get_mut(&op) {
             held.1 += 1;
@@ -59,32 +61,32 @@
     }
 
     fn probe(&mut self, server: usize) {
-        self.decisions.push(json!(["HealthCheck", self.inst, self.names.mark(server)]));
+        self.decisions.push(json!(["HealthCheck", self.inst, self.names.stable_hash(server)]));
     }
 
     fn cancel(&mut self, op: usize, push: usize) {
         self.decisions.push(json!(["CallOff", self.inst, self.id(op), push]));
     }
 
-    fn nack(&mut self, op: usize, come_back: f64) {
+    fn reject(&mut self, op: usize, come_back: f64) {
         self.decisions.push(json!(["Decline", self.inst, self.id(op), come_back]));
         self.end(op);
     }
 
-    fn dead_letter(&mut self, op: usize) {
+    fn fail(&mut self, op: usize) {
         self.decisions.push(json!(["Fail", self.inst, self.id(op)]));
         self.end(op);
     }
 
-    fn wake(&mut self, at: f64, alarm: u64) {
+    fn set_timer(&mut self, at: f64, alarm: u64) {
         self.decisions.push(json!(["Timer", self.inst, at, alarm.to_string()]));
     }
 
-    fn follow_list(&mut self) {
+    fn watch_endpoints(&mut self) {
         self.decisions.push(json!(["Track", self.inst, true]));
     }
 
-    fn ask_list(&mut self) {
+    fn poll_endpoints(&mut self) {
         self.decisions.push(json!(["Lookup", self.inst]));
     }
 }
@@ -114,14 +116,14 @@
         self.at(place).map(|v| v.as_f64().ok_or_else(|| self.wrong(name))).transpose()
     }
 
-    fn load(&self, place: usize) -> Result<Load, String> {
+    fn load(&self, place: usize) -> Result<LoadReport, String> {
         match self.at(place) {
-            None => Ok(Load::default()),
+            None => Ok(LoadReport::default()),
             Some(Value::Object(load)) => {
-                let mut told = Load::default();
+                let mut told = LoadReport::default();
                 for (name, value) in load {
                     if let Some(value) = value.as_f64() {
-                        given::figure(&mut told, name, value);
+                        settings::set_load_value(&mut told, name, value);
                     }
                 }
                 Ok(told)
@@ -135,36 +137,36 @@
     let seed = fields.at(2).and_then(|v| v.as_u64().or_else(|| v.as_i64().map(|s| s as u64)));
     let seed = seed.ok_or_else(|| fields.wrong("Nonce64"))?;
     let settings = fields.at(3).filter(|v| v.is_object()).ok_or_else(|| fields.wrong("Config"))?;
-    let (names, given) = Names::read(settings);
-    let balancer = Balancer::new(given, seed).map_err(|message| given::explain(&message))?;
+    let (names, given) = NameIndex::from_settings(settings);
+    let balancer = Balancer::new(given, seed).map_err(|message| settings::explain_error(&message))?;
     Ok(Node { balancer, names, ops: Ops::default() })
 }
 
-fn listed(names: &mut Names, line: &Value) -> Result<Listed, String> {
+fn listed(names: &mut NameIndex, line: &Value) -> Result<EndpointUpdate, String> {
     let fields = Fields("Announce", line.as_array().ok_or("Announce: an entry is not an array")?);
     let standing = match fields.whole(1, "Status")? {
-        1 => Standing::Ready,
-        2 => Standing::Draining,
-        0 => Standing::Gone,
+        1 => EndpointState::Ready,
+        2 => EndpointState::Draining,
+        0 => EndpointState::Removed,
         _ => return Err(fields.wrong("Status")),
     };
     let mark = fields.whole(5, "Server")?;
     let pod = fields.at(3).map(|_| fields.whole(3, "Cohort")).transpose()?;
     let name = |place| fields.at(place).and_then(Value::as_str).unwrap_or_default();
     let started = fields.number(4, "OnlineSinceMs")?.unwrap_or(0.0);
-    Ok(names.line(mark, standing, (name(0), name(2)), pod, started))
+    Ok(names.endpoint_update(mark, standing, (name(0), name(2)), pod, started))
 }
 
-fn ending(fields: &Fields, place: usize) -> Result<Ending, String> {
+fn ending(fields: &Fields, place: usize) -> Result<AttemptOutcome, String> {
     Ok(match fields.text(place, "Verdict")? {
-        "Ok" => Ending::Acked,
-        "Failed" => Ending::Errored,
-        "QueueFull" => Ending::TurnedAway,
-        "TimedOut" => Ending::TimedOut,
-        "ConnectError" => Ending::Unreachable,
-        "ResetByPeer" => Ending::Broken,
-        "Canceled" => Ending::Cancelled,
-        "Ignored" => Ending::Unsent,
+        "Ok" => AttemptOutcome::Succeeded,
+        "Failed" => AttemptOutcome::Failed,
+        "QueueFull" => AttemptOutcome::Rejected,
+        "TimedOut" => AttemptOutcome::TimedOut,
+        "ConnectError" => AttemptOutcome::Unreachable,
+        "ResetByPeer" => AttemptOutcome::ConnectionLost,
+        "Canceled" => AttemptOutcome::Cancelled,
+        "Ignored" => AttemptOutcome::NotSent,
         _ => return Err(fields.wrong("Verdict")),
     })
 }
@@ -194,7 +196,9 @@
         return Ok(());
     }
     // Whatever still comes for an instance that is not running is passed over.
-    let Some(Node { balancer, names, ops }) = nodes.get_mut(&inst) else { return Ok(()) };
+    let Some(Node { balancer, names, ops }) = nodes.get_mut(&inst) else {
+        return Ok(());
+    };
     match name {
         "Announce" => {
             let kind = fields.whole(2, "Kind")?;
@@ -206,21 +210,21 @@
             let lines = entries.iter().map(|line| listed(names, line)).collect::<Result<Vec<_>, _>>()?;
             let out = &mut Link { inst, names, ops, decisions };
             match kind {
-                0 => balancer.list(out, now, &lines, false, false),
-                1 => balancer.list(out, now, &lines, true, false),
-                2 => balancer.list(out, now, &lines, true, true),
-                3 => balancer.list_failed(out, now),
+                0 => balancer.update_endpoints(out, now, &lines, false, false),
+                1 => balancer.update_endpoints(out, now, &lines, true, false),
+                2 => balancer.update_endpoints(out, now, &lines, true, true),
+                3 => balancer.discovery_failed(out, now),
                 _ => return Err(fields.wrong("Kind")),
             }
-            names.keep(|server| balancer.holds(server));
+            names.retain_endpoints(|server| balancer.knows_endpoint(server));
         }
         "Submit" => {
             let id = fields.whole(2, "Req")?;
             let category = fields.text(3, "Cls")?;
-            let category = names.categories.index(category);
+            let category = names.classes.index(category);
             let category = category.ok_or_else(|| fields.wrong("Cls"))?;
             let customer = fields.at(4).and_then(Value::as_str);
-            let customer = customer.and_then(|name| names.customers.index(name));
+            let customer = customer.and_then(|name| names.tenants.index(name));
             let ttl = fields.number(6, "BudgetMs")?.ok_or_else(|| fields.wrong("BudgetMs"))?;
             let flags = fields.at(8).map_or(Ok(0), |_| fields.whole(8, "Flags"))?;
             fields.number(7, "EffortMs")?;
@@ -231,7 +235,18 @@
             ops.by_id.insert(id, op);
             ops.held.insert(op, (id, 0, false));
             let out = &mut Link { inst, names, ops, decisions };
-            balancer.arrive(out, now, &Arrival { op, category, customer, ttl, retry, key });
+            balancer.request_arrived(
+                out,
+                now,
+                &NewRequest {
+                    request: op,
+                    class: category,
+                    tenant: customer,
+                    ttl_ms: ttl,
+                    client_retry: retry,
+                    key,
+                },
+            );
         }
         "Returned" => {
             let id = fields.whole(2, "Req")?;
@@ -242,31 +257,46 @@
             let closed =
                 fields.at(7).map_or(Ok(false), |v| v.as_bool().ok_or_else(|| fields.wrong("NoMore")))?;
             let load = fields.load(8)?;
-            let Some(op) = ops.by_id.get(&id).copied() else { return Ok(()) };
+            let Some(op) = ops.by_id.get(&id).copied() else {
+                return Ok(());
+            };
             if let Some(held) = ops.held.get_mut(&op) {
                 held.1 = held.1.saturating_sub(1);
                 held.2 |= closed;
             }
             let out = &mut Link { inst, names, ops, decisions };
-            balancer.push_ended(out, now, &PushEnd { op, push, ending, took, closed, load });
+            balancer.attempt_ended(
+                out,
+                now,
+                &AttemptResult {
+                    request: op,
+                    attempt: push,
+                    outcome: ending,
+                    duration_ms: took,
+                    request_closed: closed,
+                    load,
+                },
+            );
             ops.drop_if_done(op);
         }
         "Aborted" => {
-            let Some(op) = ops.by_id.get(&fields.whole(2, "Req")?).copied() else { return Ok(()) };
+            let Some(op) = ops.by_id.get(&fields.whole(2, "Req")?).copied() else {
+                return Ok(());
+            };
             let out = &mut Link { inst, names, ops, decisions };
-            balancer.departed(out, now, op);
+            balancer.client_left(out, now, op);
             out.end(op);
         }
         "Accepted" => {
             if let Some(op) = ops.by_id.get(&fields.whole(2, "Req")?) {
                 // Its server works on for as long as it streams: what it counts for stays as it is.
-                balancer.began(now, *op, usize::MAX, true);
+                balancer.streaming(now, *op, usize::MAX, true);
             }
         }
         "Wake" => {
             let alarm = fields.text(2, "Tag")?.parse();
             if let Ok(alarm) = alarm {
-                balancer.woken(&mut Link { inst, names, ops, decisions }, now, alarm);
+                balancer.timer_expired(&mut Link { inst, names, ops, decisions }, now, alarm);
             }
         }
         "Probed" => {
@@ -274,9 +304,11 @@
             let answered = fields.text(3, "Verdict")? == "Ok";
             let load = fields.load(5)?;
             // One that was never asked for, or of a server that is forgotten, is passed over.
-            let Some(server) = names.known(mark) else { return Ok(()) };
+            let Some(server) = names.find_endpoint(mark) else {
+                return Ok(());
+            };
             let out = &mut Link { inst, names, ops, decisions };
-            balancer.probed(out, now, server, answered.then_some(load));
+            balancer.probe_ended(out, now, server, answered.then_some(load));
         }
         // Nodes tell each other nothing yet.
         _ => {
--- a/benchlink/tests/wire.rs
+++ b/bench-adapter/tests/wire.rs
@@ -8,7 +8,7 @@
 
 fn run(lines: &[String]) -> Output {
     #[allow(clippy::disallowed_methods)]
-    let mut command = Command::new(env!("CARGO_BIN_EXE_crankmux-benchlink"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_crankmux-bench-adapter"));
     let command = command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
     let mut child = command.spawn().expect("the adapter starts");
     let mut input = child.stdin.take().expect("piped");
--- a/rig/wrong/main.rs
+++ b/fault-injection/faulty-node/main.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-/// How long it waits for one server.
+/// PolicyKind long it waits for one server.
 const PATIENCE: Duration = Duration::from_millis(200);
 
 /// Reads up to a head's end; none where the connection ends or stands before that.
@@ -22,7 +22,9 @@
 }
 
 fn served(request: &str, server: SocketAddr) -> bool {
-    let Ok(mut stream) = TcpStream::connect_timeout(&server, PATIENCE) else { return false };
+    let Ok(mut stream) = TcpStream::connect_timeout(&server, PATIENCE) else {
+        return false;
+    };
     let set = stream.set_read_timeout(Some(PATIENCE));
     set.is_ok()
         && stream.write_all(request.as_bytes()).is_ok()
--- a/rig/src/world.rs
+++ b/fault-injection/src/harness.rs
@@ -1,12 +1,12 @@
 //! The one loop around the nodes: servers, discovery, clients, relays and views, and the record of all.
 
-use crate::conns::{Conn, Head};
-use crate::nodes::{configuration, free_port, Node, Start};
+use crate::connection::{Conn, Head};
+use crate::processes::{configuration, free_port, Node, Start};
 use crate::relay::{Relays, Way};
-use crankmux::words::Ending;
-use crankmux_emulator::judge::{Answer, Judge, Life, Repeats, Rule};
-use crankmux_emulator::script::{Category, Effect, Group, Script};
-use crankmux_emulator::server::{Begun, Job, Server};
+use crankmux::types::AttemptOutcome;
+use crankmux_simulator::invariants::{Answer, InvariantChecker, Life, Repeats, Rule};
+use crankmux_simulator::script::{Category, Group, Idempotency, Script};
+use crankmux_simulator::server::{Begun, Job, Server};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use rand::{RngExt, SeedableRng};
@@ -22,11 +22,11 @@
 const CONNS: usize = 1_000_000;
 /// What this loop, and a machine busy with other tests, may be late by before an answer counts as late.
 const LOOP_LATE: f64 = 700.0;
-/// How long clients go on dealing ops to a node that is gone or stands still.
+/// PolicyKind long clients go on dealing ops to a node that is gone or stands still.
 const NOTICE: f64 = 400.0;
-/// How long a server that fell over is gone.
+/// PolicyKind long a server that fell over is gone.
 const FALLEN: f64 = 3000.0;
-/// How often each node's view is taken down.
+/// PolicyKind often each node's view is taken down.
 const LOOK: f64 = 100.0;
 
 /// What a node said of the others at a moment.
@@ -77,7 +77,7 @@
     pub server: usize,
 }
 
-type Due = Box<dyn FnOnce(&mut Rig)>;
+type Due = Box<dyn FnOnce(&mut Harness)>;
 
 /// What clients got.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
@@ -92,10 +92,10 @@
     pub gone: u64,
 }
 
-pub struct Rig {
+pub struct Harness {
     pub nodes: Vec<Node>,
     pub relays: Relays,
-    pub judge: Judge,
+    pub judge: InvariantChecker,
     pub views: Vec<View>,
     pub service: Service,
     /// Ops a second to each node.
@@ -142,7 +142,7 @@
     ordinary: f64,
 }
 
-impl Rig {
+impl Harness {
     /// A world as a script has it, its nodes not started yet.
     pub fn new(script: Script, start: Start) -> Self {
         let poll = Poll::new().expect("the system polls");
@@ -151,9 +151,13 @@
         let ordinary = script.categories.iter().map(|c| c.weight * c.work_ms).sum::<f64>() / weights;
         let duties = &script.duties;
         let slack = duties.answer_slack_ms + LOOP_LATE;
-        let judge =
-            Judge::new(slack, duties.drain_grace_ms + LOOP_LATE, duties.fall_multiple, duties.fall_ms);
-        let mut rig = Rig {
+        let judge = InvariantChecker::new(
+            slack,
+            duties.drain_grace_ms + LOOP_LATE,
+            duties.fall_multiple,
+            duties.fall_ms,
+        );
+        let mut rig = Harness {
             nodes: Vec::new(),
             relays: Relays::default(),
             judge,
@@ -253,11 +257,11 @@
     }
 
     /// Does something once so many milliseconds have passed.
-    pub(crate) fn later(&mut self, ms: f64, due: impl FnOnce(&mut Rig) + 'static) {
+    pub(crate) fn later(&mut self, ms: f64, due: impl FnOnce(&mut Harness) + 'static) {
         self.after(ms, due);
     }
 
-    fn after(&mut self, ms: f64, due: impl FnOnce(&mut Rig) + 'static) {
+    fn after(&mut self, ms: f64, due: impl FnOnce(&mut Harness) + 'static) {
         self.next_due += 1;
         let key = (((self.now() + ms.max(0.0)) * 1000.0) as u64, self.next_due);
         self.due.insert(key, Box::new(due));
@@ -397,7 +401,7 @@
     }
 
     /// Lets time pass until something holds, so many milliseconds at most. Whether it came to hold.
-    pub fn until(&mut self, ms: f64, mut holds: impl FnMut(&mut Rig) -> bool) -> bool {
+    pub fn until(&mut self, ms: f64, mut holds: impl FnMut(&mut Harness) -> bool) -> bool {
         let until = self.now() + ms;
         while self.now() < until {
             if holds(self) {
@@ -472,7 +476,9 @@
 
     fn event(&mut self, key: usize) {
         loop {
-            let Some((conn, side)) = self.conns.get_mut(key) else { return };
+            let Some((conn, side)) = self.conns.get_mut(key) else {
+                return;
+            };
             let side = *side;
             conn.flush();
             conn.fill();
@@ -576,7 +582,9 @@
     /// Its client has waited for long enough, and closes its connection: no answer is owed any more.
     fn leave(&mut self, op: usize) {
         let now = self.now();
-        let Some(it) = self.ops.get_mut(op).filter(|it| !it.answered && !it.excused) else { return };
+        let Some(it) = self.ops.get_mut(op).filter(|it| !it.answered && !it.excused) else {
+            return;
+        };
         let Some(conn) = it.conn.take() else { return };
         it.excused = true;
         self.judge.client_closed(now, &mut it.life);
@@ -701,7 +709,7 @@
         if self.servers[server].offer(now, job) {
             self.serve(server);
         } else {
-            self.reply(server, job, Ending::TurnedAway);
+            self.reply(server, job, AttemptOutcome::Rejected);
         }
     }
 
@@ -726,7 +734,7 @@
                     }
                     self.after(work.due - now, move |rig| rig.done(server, life, work.number));
                 }
-                Begun::Expired(job) => self.reply(server, job, Ending::TurnedAway),
+                Begun::Expired(job) => self.reply(server, job, AttemptOutcome::Rejected),
             }
         }
     }
@@ -737,24 +745,26 @@
             return;
         }
         if let Ok(Some(job)) = self.servers[server].done(now, number) {
-            self.reply(server, job, Ending::Acked);
+            self.reply(server, job, AttemptOutcome::Succeeded);
         }
         self.serve(server);
     }
 
-    fn reply(&mut self, server: usize, job: Job, ending: Ending) {
+    fn reply(&mut self, server: usize, job: Job, ending: AttemptOutcome) {
         let now = self.now();
         if let Some(it) = self.ops.get_mut(job.op).filter(|it| it.serial == job.serial) {
             self.judge.ended(now, &mut it.life, job.push, ending);
         }
-        let Some(key) = self.awaited.remove(&(job.op, job.serial, job.push)) else { return };
+        let Some(key) = self.awaited.remove(&(job.op, job.serial, job.push)) else {
+            return;
+        };
         let reports = &self.script.reports;
         let told =
             reports.told.then(|| self.servers[server].report(now, reports.period_ms, reports.delay_ms));
         let load = told.flatten().map_or_else(String::new, |(held, waiting)| {
             format!("X-Server-Load: TEXT inflight={held}, queue={waiting}\r\n")
         });
-        let status = if ending == Ending::Acked { "200 OK" } else { "503 Service Unavailable" };
+        let status = if ending == AttemptOutcome::Succeeded { "200 OK" } else { "503 Service Unavailable" };
         self.say(key, &format!("HTTP/1.1 {status}\r\n{load}Content-Length: 0\r\n\r\n"));
     }
 
@@ -829,7 +839,9 @@
     fn viewed(&mut self, node: usize, head: &Head) {
         // It is up: clients deal ops to it.
         self.deals[node] |= self.opened && self.now() >= self.began_at[node] && !self.nodes[node].stopped;
-        let Ok(page) = serde_json::from_slice::<Value>(&head.body) else { return };
+        let Ok(page) = serde_json::from_slice::<Value>(&head.body) else {
+            return;
+        };
         let member = |member: &Value| {
             let address: SocketAddr = member["address"].as_str()?.parse().ok()?;
             let number = self.nodes.iter().position(|node| node.advertised == address)?;
@@ -937,17 +949,17 @@
         }
     }
 
-    /// How many pushes reached servers at all.
+    /// PolicyKind many pushes reached servers at all.
     pub fn reached(&self) -> usize {
         self.reached.len()
     }
 
-    /// How many pushes reached a server from a node since a moment.
+    /// PolicyKind many pushes reached a server from a node since a moment.
     pub fn pushes(&self, node: usize, server: usize, since: f64) -> usize {
         self.reached.iter().filter(|r| (r.node, r.server) == (node, server) && r.at >= since).count()
     }
 
-    /// How many pushes reached a server from all nodes since a moment.
+    /// PolicyKind many pushes reached a server from all nodes since a moment.
     pub fn calls(&self, server: usize, since: f64) -> usize {
         self.reached.iter().filter(|r| r.server == server && r.at >= since).count()
     }
@@ -972,14 +984,14 @@
 
 fn repeats(terms: &Category) -> Repeats {
     match terms.effect {
-        Effect::Redeliverable => Repeats::Freely,
-        Effect::Deduplicated => Repeats::Deduplicated { fleet: terms.group == Group::Fleet },
-        Effect::AtMostOnce => Repeats::Never,
+        Idempotency::Idempotent => Repeats::Freely,
+        Idempotency::IdempotentWithKey => Repeats::Deduplicated { fleet: terms.group == Group::Fleet },
+        Idempotency::NotIdempotent => Repeats::Never,
     }
 }
 
 /// Takes a run's folder away once no process uses it.
-impl Drop for Rig {
+impl Drop for Harness {
     fn drop(&mut self) {
         self.nodes.iter_mut().for_each(Node::kill);
         let _ = std::fs::remove_dir_all(&self.start.folder);
--- a/rig/src/lib.rs
+++ b/fault-injection/src/lib.rs
@@ -3,15 +3,15 @@
 //! between them by call or by script. Every rule is judged over all nodes together, by what servers and
 //! clients saw themselves. docs/rig.md has the ways weighed.
 
-mod conns;
-mod nodes;
-mod play;
+mod connection;
+mod harness;
+mod processes;
 mod relay;
+mod run;
 mod script;
-mod world;
 
-pub use nodes::{free_port, Start};
-pub use play::{play, Report, Times};
+pub use harness::{Harness, View};
+pub use processes::{free_port, Start};
 pub use relay::Way;
+pub use run::{play, Report, Times};
 pub use script::{Fault, Kind, Play};
-pub use world::{Rig, View};
--- a/rig/src/nodes.rs
+++ b/fault-injection/src/processes.rs
@@ -13,7 +13,7 @@
 /// A door answers within a turn of its loop; a busy machine may take a while to get there.
 const PATIENCE: Duration = Duration::from_millis(1000);
 
-/// How the fleet's nodes are started.
+/// PolicyKind the fleet's nodes are started.
 #[derive(Clone, Debug)]
 pub struct Start {
     /// The program of a node.
@@ -22,7 +22,7 @@
     pub folder: PathBuf,
     /// Whether they know each other: with a charter, or without.
     pub fleet: bool,
-    /// How many of the nodes are seeds of all.
+    /// PolicyKind many of the nodes are seeds of all.
     pub seeds: usize,
     /// What the settings tell of their number; the true one else.
     pub told: Option<usize>,
--- a/rig/src/relay.rs
+++ b/fault-injection/src/relay.rs
@@ -101,7 +101,7 @@
         self.later.keys().next().map(|(at, _)| *at as f64 / 1000.0)
     }
 
-    /// Sends one node again what came for it at least so long ago. How many datagrams that were.
+    /// Sends one node again what came for it at least so long ago. PolicyKind many datagrams that were.
     pub fn repeat(&mut self, now: f64, to: usize, older: f64) -> usize {
         let old: Vec<_> =
             self.kept.iter().filter(|(at, at_node, _)| *at_node == to && now - at >= older).collect();
--- a/rig/src/play.rs
+++ b/fault-injection/src/run.rs
@@ -1,10 +1,10 @@
 //! Plays a script on a rig, and computes from views and from the judge's record what it came to.
 
+use crate::harness::{Harness, Service};
 use crate::relay;
 use crate::script::{Fault, Kind, Play, Way};
-use crate::world::{Rig, Service};
 use crate::Start;
-use crankmux_emulator::script::Script;
+use crankmux_simulator::script::Script;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -12,9 +12,9 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// How long all may take to know each other at the start.
+/// PolicyKind long all may take to know each other at the start.
 const JOINED: f64 = 60_000.0;
-/// How long views are looked at after a heal.
+/// PolicyKind long views are looked at after a heal.
 const HEALED: f64 = 30_000.0;
 
 /// Times in milliseconds.
@@ -91,7 +91,7 @@
 }
 
 /// Sets every way by all faults in force together.
-fn lay(rig: &mut Rig, net: &Net) {
+fn lay(rig: &mut Harness, net: &Net) {
     let nodes = rig.nodes.len();
     for from in 0..nodes {
         for to in (0..nodes).filter(|to| *to != from) {
@@ -144,7 +144,7 @@
     idle: Vec<(f64, f64, usize)>,
 }
 
-fn begin(rig: &mut Rig, playing: &Rc<RefCell<Playing>>, index: usize, fault: &Fault, who: &[usize]) {
+fn begin(rig: &mut Harness, playing: &Rc<RefCell<Playing>>, index: usize, fault: &Fault, who: &[usize]) {
     let now = rig.now();
     let lasts = fault.lasts.map_or(f64::INFINITY, |lasts| lasts * 1000.0);
     let nets = [Kind::Loss, Kind::Twice, Kind::Garble, Kind::Delay, Kind::Cut, Kind::Split];
@@ -183,7 +183,7 @@
     }
 }
 
-fn end(rig: &mut Rig, playing: &Rc<RefCell<Playing>>, index: usize, fault: &Fault, who: &[usize]) {
+fn end(rig: &mut Harness, playing: &Rc<RefCell<Playing>>, index: usize, fault: &Fault, who: &[usize]) {
     let mut play = playing.borrow_mut();
     play.net.in_force.retain(|(at, ..)| *at != index);
     lay(rig, &play.net);
@@ -214,12 +214,18 @@
     let mut world = Script { nodes: play.processes, ..world };
     world.load.rate = play.rate.or(world.load.rate);
     let told = start.told.or(play.told).unwrap_or(play.processes);
-    let mut rig = Rig::new(world, Start { told: Some(told), ..start });
+    let mut rig = Harness::new(world, Start { told: Some(told), ..start });
     let late: Vec<usize> =
         (play.faults.iter().filter(|f| f.kind == Kind::Join)).flat_map(|f| f.which.clone()).collect();
     let first: Vec<usize> = (0..play.processes).filter(|node| !late.contains(node)).collect();
     first.iter().for_each(|node| rig.start(*node, false));
-    let came = |rig: &mut Rig| if fleet { rig.agree(&first) } else { first.iter().all(|n| rig.up(*n)) };
+    let came = |rig: &mut Harness| {
+        if fleet {
+            rig.agree(&first)
+        } else {
+            first.iter().all(|n| rig.up(*n))
+        }
+    };
     if !rig.until(JOINED, came) {
         let log = rig.nodes[0].log();
         return Err(format!("they did not come to know each other; the first one's log:\n{log}"));
@@ -253,7 +259,7 @@
 }
 
 fn report(
-    rig: &Rig,
+    rig: &Harness,
     play: &Play,
     playing: &Playing,
     (seed, fleet, told): (u64, bool, usize),
--- a/rig/src/script.rs
+++ b/fault-injection/src/script.rs
@@ -1,7 +1,7 @@
 //! A rig's script: which world, how many processes, and what goes wrong between them, as a TOML file tells it.
 //! docs/rig.md lists every key. A faulty script is refused whole, with the line and the key.
 
-use crankmux_emulator::script::{read_whole, Faulty};
+use crankmux_simulator::script::{read_whole, ScriptError};
 use serde::Deserialize;
 
 #[derive(Clone, Debug, Deserialize)]
@@ -89,7 +89,7 @@
 
 impl Play {
     /// Reads a script whole, or names what is wrong with it.
-    pub fn read(text: &str) -> Result<Self, Faulty> {
+    pub fn read(text: &str) -> Result<Self, ScriptError> {
         read_whole(text, Play::check)
     }
 
--- a/rig/tests/left.rs
+++ b/fault-injection/tests/client_left.rs
@@ -1,7 +1,7 @@
 //! Clients that leave while their ops wait: the judge tells a node that serves them on.
 
-use crankmux_emulator::script::Script;
-use crankmux_rig::{Rig, Start};
+use crankmux_fault_injection::{Harness, Start};
+use crankmux_simulator::script::Script;
 
 /// Servers too slow for any op, and clients that all leave halfway through its time.
 const WORLD: &str = r#"
@@ -30,10 +30,10 @@
 #[test]
 fn a_node_that_serves_on_whoever_has_left_is_caught() {
     let script = Script::read(WORLD).unwrap_or_else(|faulty| panic!("{faulty}"));
-    let folder = std::env::temp_dir().join(format!("crankmux-rig-{}-left", std::process::id()));
-    let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux-wrong-node"), folder);
+    let folder = std::env::temp_dir().join(format!("crankmux-fault-injection-{}-left", std::process::id()));
+    let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux-faulty-node"), folder);
     start.fleet = false;
-    let mut rig = Rig::new(script, start);
+    let mut rig = Harness::new(script, start);
     rig.start_all();
     // It hears clients as soon as it has the list.
     rig.pass(500.0);
--- a/membership/src/shares.rs
+++ b/membership/src/assumptions.rs
@@ -1,17 +1,17 @@
 //! What a node may assume of the others' pushes at a moment, for its decisions: how many nodes push, and which
 //! part of a told node's budget for cold servers is its own.
 
-use crate::count::{Count, Others, Told};
-use crate::Fleet;
+use crate::cluster_size::{ClusterSizeEstimate, LoadBasedEstimate, Others};
+use crate::Membership;
 
 /// How often it is looked at what time alone changes, in milliseconds: well within a probe of the fleet.
 const LOOK: f64 = 100.0;
 /// A change of the number under this share is none: limits do not show it, and each new solution costs work.
 const SHOWS: f64 = 0.005;
 
-pub struct Shares {
-    count: Count,
-    told: Told,
+pub struct ClusterAssumptions {
+    count: ClusterSizeEstimate,
+    told: LoadBasedEstimate,
     /// Own pushes under way, by server.
     out: Vec<u32>,
     look_at: f64,
@@ -19,12 +19,12 @@
     cold: f64,
 }
 
-impl Shares {
+impl ClusterAssumptions {
     /// Of a node that its settings tell of so many. No part of cold servers before the others are known.
     pub fn new(told: f64, now: f64) -> Self {
-        Shares {
-            count: Count::new(told, now),
-            told: Told::default(),
+        ClusterAssumptions {
+            count: ClusterSizeEstimate::new(told, now),
+            told: LoadBasedEstimate::default(),
             out: Vec::new(),
             look_at: now,
             nodes: told,
@@ -68,7 +68,7 @@
 
     /// Takes in what the fleet knows now. Whether decisions are to be told. Danger: what is said before a part is
     /// lowered lets another take what is still spent. Whoever calls hands these on before it sends.
-    pub fn assume(&mut self, now: f64, fleet: &mut Fleet) -> bool {
+    pub fn assume(&mut self, now: f64, fleet: &mut Membership) -> bool {
         let (others, failed) = fleet.census();
         if now >= self.look_at {
             self.look_at = now + LOOK;
--- a/membership/src/seal.rs
+++ b/membership/src/authentication.rs
@@ -14,11 +14,11 @@
 const SENDERS: usize = 4096;
 
 /// The shortest secret, in bytes: a shorter one is guessed.
-pub const KEY_LEAST: usize = 16;
+pub const MIN_KEY_LENGTH: usize = 16;
 
 /// Why a datagram was not believed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refused {
+pub enum AuthenticationError {
     /// Too short, too long, or of another version.
     Shape,
     /// Sealed by no key that is accepted here.
@@ -47,7 +47,7 @@
 }
 
 /// One node's seal: closes what it sends, opens what it hears.
-pub struct Seal {
+pub struct Authenticator {
     keys: Vec<[u8; 32]>,
     sender: u64,
     born: u64,
@@ -61,18 +61,18 @@
     u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("eight of thirty-two bytes"))
 }
 
-impl Seal {
+impl Authenticator {
     /// The first secret seals, all open: two while one is exchanged. Errors: no secret, or an empty one.
     pub fn new(secrets: &[&str], sender: u64, born: u64) -> Result<Self, String> {
-        let mut seal = Seal { keys: Vec::new(), sender, born, next: 0, heard: BTreeMap::new() };
+        let mut seal = Authenticator { keys: Vec::new(), sender, born, next: 0, heard: BTreeMap::new() };
         seal.take_keys(secrets)?;
         Ok(seal)
     }
 
     /// Other secrets from now on. Errors: as at the start, and the old ones stay.
     pub fn take_keys(&mut self, secrets: &[&str]) -> Result<(), String> {
-        if secrets.is_empty() || secrets.iter().any(|s| s.len() < KEY_LEAST) {
-            return Err(format!("a fleet's key needs {KEY_LEAST} characters at least"));
+        if secrets.is_empty() || secrets.iter().any(|s| s.len() < MIN_KEY_LENGTH) {
+            return Err(format!("a fleet's key needs {MIN_KEY_LENGTH} characters at least"));
         }
         let derived =
             |secret: &&str| blake3::derive_key("crankmux fleet datagrams, version 1", secret.as_bytes());
@@ -101,15 +101,15 @@
     }
 
     /// Opens one, once.
-    pub fn open<'a>(&mut self, now: f64, datagram: &'a [u8]) -> Result<Opened<'a>, Refused> {
+    pub fn open<'a>(&mut self, now: f64, datagram: &'a [u8]) -> Result<Opened<'a>, AuthenticationError> {
         if !(HEAD + MAC..=MOST).contains(&datagram.len()) || datagram[0] != VERSION {
-            return Err(Refused::Shape);
+            return Err(AuthenticationError::Shape);
         }
         let (said, mac) = datagram.split_at(datagram.len() - MAC);
         let mac = blake3::Hash::from_bytes(mac.try_into().expect("split there"));
         // Comparing hashes takes the same time wherever they differ.
         if !self.keys.iter().any(|key| blake3::keyed_hash(key, said) == mac) {
-            return Err(Refused::Key);
+            return Err(AuthenticationError::Key);
         }
         let number = |at: usize| u64::from_le_bytes(said[at..at + 8].try_into().expect("length was checked"));
         let (sender, born, n) = (number(2), number(10), number(18));
@@ -117,7 +117,7 @@
         Ok(Opened { sender, born, kind: said[1], body: &said[HEAD..] })
     }
 
-    fn fresh(&mut self, now: f64, sender: u64, born: u64, n: u64) -> Result<(), Refused> {
+    fn fresh(&mut self, now: f64, sender: u64, born: u64, n: u64) -> Result<(), AuthenticationError> {
         if self.heard.len() >= SENDERS && !self.heard.contains_key(&sender) {
             // Danger: names ever new fill the memory. The longest unheard makes room.
             let oldest = self.heard.iter().min_by(|a, b| a.1.at.total_cmp(&b.1.at)).map(|(id, _)| *id);
@@ -125,7 +125,7 @@
         }
         let heard = self.heard.entry(sender).or_insert(Heard { born, top: 0, below: 0, at: now });
         if born < heard.born {
-            return Err(Refused::Earlier { sender, born: heard.born });
+            return Err(AuthenticationError::Earlier { sender, born: heard.born });
         }
         if born > heard.born {
             (heard.born, heard.top, heard.below) = (born, 0, 0);
@@ -139,7 +139,7 @@
         } else {
             let back = heard.top - n;
             if back == 0 || back > 64 || heard.below >> (back - 1) & 1 == 1 {
-                return Err(Refused::Repeated { sender, born });
+                return Err(AuthenticationError::Repeated { sender, born });
             }
             heard.below |= 1 << (back - 1);
         }
--- a/membership/src/count.rs
+++ b/membership/src/cluster_size.rs
@@ -23,7 +23,7 @@
 
 /// The number of nodes that the module is to assume, for limits.
 #[derive(Clone, Copy, Debug)]
-pub struct Count {
+pub struct ClusterSizeEstimate {
     /// As the operators' settings have it.
     told: f64,
     assumed: f64,
@@ -32,10 +32,10 @@
     at: f64,
 }
 
-impl Count {
+impl ClusterSizeEstimate {
     pub fn new(told: f64, now: f64) -> Self {
         let told = told.max(1.0);
-        Count { told, assumed: told, alone_since: None, at: now }
+        ClusterSizeEstimate { told, assumed: told, alone_since: None, at: now }
     }
 
     /// New settings tell another number.
@@ -81,7 +81,7 @@
 
 /// What a node says that it counts. Equal numbers are equal sets of equal lives.
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct Counted {
+pub struct MemberSetDigest {
     /// All that have not left, itself among them.
     pub set: u64,
     /// The same with those marked that it holds for failed.
@@ -101,10 +101,10 @@
 ///
 /// One that reaches nobody at all takes one part of the told number, as a node does that shares nothing.
 #[derive(Clone, Debug, Default)]
-pub struct Purse {
+pub struct SlowStartShares {
     held: f64,
     full: usize,
-    said: BTreeMap<u64, Counted>,
+    said: BTreeMap<u64, MemberSetDigest>,
 }
 
 /// A set of nodes, as one number: the same at all nodes that count the same lives.
@@ -118,9 +118,9 @@
     nodes.into_iter().map(mixed).fold(0, u64::wrapping_add)
 }
 
-impl Purse {
+impl SlowStartShares {
     /// Another node has said what it counts.
-    pub fn said(&mut self, node: u64, counted: Counted) {
+    pub fn said(&mut self, node: u64, counted: MemberSetDigest) {
         self.said.insert(node, counted);
     }
 
@@ -136,7 +136,14 @@
 
     /// The part of a node that counts the living and the failed, by number, and itself. `alone` where it has
     /// asked all that it could and nobody answered.
-    pub fn part(&mut self, told: f64, own: Counted, live: &[u64], failed: &[u64], alone: bool) -> f64 {
+    pub fn part(
+        &mut self,
+        told: f64,
+        own: MemberSetDigest,
+        live: &[u64],
+        failed: &[u64],
+        alone: bool,
+    ) -> f64 {
         let told = told.max(1.0);
         let all = (live.len() + failed.len() + 1) as f64;
         let even = 1.0 / told.max(all);
@@ -146,7 +153,8 @@
         let least = fulls.filter(|full| *full > 0).min().unwrap_or(0) as f64;
         let lost = failed.len() as f64 / told.max(least);
         let left = ((1.0 - lost) / (live.len() + 1) as f64).max(0.0);
-        let says = |node: &u64, same: fn(&Counted) -> u64| self.said.get(node).map(same) == Some(same(&own));
+        let says =
+            |node: &u64, same: fn(&MemberSetDigest) -> u64| self.said.get(node).map(same) == Some(same(&own));
         if live.iter().chain(failed).all(|node| says(node, |c| c.set)) && all > 1.0 {
             (self.held, self.full) = (even, all as usize);
         } else if alone {
@@ -168,7 +176,7 @@
 /// less than in the mean. (Own pushes looked at by the clock beside that made twelve nodes look like four.) Few
 /// nodes, that avoid where they have pushes out, look like up to twice as many. Sums fade over seconds.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Told {
+pub struct LoadBasedEstimate {
     all: f64,
     own: f64,
     reports: f64,
@@ -182,7 +190,7 @@
 /// Fewer reports than these say nothing.
 const REPORTS: f64 = 40.0;
 
-impl Told {
+impl LoadBasedEstimate {
     /// A server holds so many, with an answer, while this node has so many others there.
     pub fn heard(&mut self, now: f64, held: f64, own: f64) {
         let stays = (-(now - self.at).max(0.0) / FADES).exp();
--- a/membership/src/lists.rs
+++ b/membership/src/endpoint_gossip.rs
@@ -1,7 +1,7 @@
 //! What other nodes' lists tell of servers beside one's own: the stricter counts until one's own list has come
 //! as far. All nodes' lists carry versions of one numbering; nothing counts that no list has told.
 
-use crate::fleet::ListedWord;
+use crate::membership::EndpointGossip;
 use std::collections::BTreeMap;
 
 /// Servers of which words are kept: as many as a list holds.
@@ -15,16 +15,21 @@
 
 /// One's own list, and what was heard over it.
 #[derive(Debug, Default)]
-pub struct Lists {
+pub struct EndpointView {
     seq: u64,
     own: BTreeMap<u64, Line>,
-    heard: BTreeMap<u64, ListedWord>,
+    heard: BTreeMap<u64, EndpointGossip>,
 }
 
-impl Lists {
+impl EndpointView {
     /// One's own list has told these (server, standing, started), up to a version. Returns what the other nodes
     /// are to hear of it, and the servers that were held stricter by others' words, and are no longer.
-    pub fn told(&mut self, seq: u64, whole: bool, lines: &[(u64, u8, f64)]) -> (Vec<ListedWord>, Vec<u64>) {
+    pub fn told(
+        &mut self,
+        seq: u64,
+        whole: bool,
+        lines: &[(u64, u8, f64)],
+    ) -> (Vec<EndpointGossip>, Vec<u64>) {
         let first = self.own.is_empty();
         let mut say = Vec::new();
         for (server, standing, started) in lines.iter().copied() {
@@ -36,7 +41,7 @@
                 Line { standing: 0, started: 0.0 }
             });
             if standing != before.standing || started > before.started {
-                say.push(ListedWord { server, standing, started, seq });
+                say.push(EndpointGossip { server, standing, started, seq });
             }
         }
         if whole {
@@ -47,7 +52,7 @@
             };
             for (server, started) in self.own.iter().filter_map(missing).collect::<Vec<_>>() {
                 self.own.insert(server, Line { standing: 2, started });
-                say.push(ListedWord { server, standing: 2, started, seq });
+                say.push(EndpointGossip { server, standing: 2, started, seq });
             }
         }
         // Another numbering's versions may be lower: the list that was heard last is the one to go by.
@@ -59,7 +64,7 @@
     }
 
     /// Another node's list has told this. Whether something else holds for that server from now on.
-    pub fn heard(&mut self, word: ListedWord) -> bool {
+    pub fn heard(&mut self, word: EndpointGossip) -> bool {
         let newer = self.heard.get(&word.server).is_none_or(|old| old.seq < word.seq);
         // Danger: words without end fill the memory; of servers that are not listed here nothing is needed.
         let room = self.heard.len() < SERVERS || self.heard.contains_key(&word.server);
@@ -93,12 +98,12 @@
 mod tests {
     use super::*;
 
-    fn word(server: u64, standing: u8, started: f64, seq: u64) -> ListedWord {
-        ListedWord { server, standing, started, seq }
+    fn word(server: u64, standing: u8, started: f64, seq: u64) -> EndpointGossip {
+        EndpointGossip { server, standing, started, seq }
     }
 
-    fn of(seq: u64) -> Lists {
-        let mut lists = Lists::default();
+    fn of(seq: u64) -> EndpointView {
+        let mut lists = EndpointView::default();
         assert!(lists.told(seq, true, &[(1, 0, 5.0), (2, 0, 0.0)]).0.is_empty(), "a first list is no news");
         lists
     }
--- a/membership/src/sharing.rs
+++ b/membership/src/member_set.rs
@@ -1,44 +1,44 @@
 //! What a node counts of the others, and its part of cold servers' budgets that follows.
 
-use crate::count::{set_of, Counted, Purse};
-use crate::fleet::{Known, State};
+use crate::cluster_size::{set_of, MemberSetDigest, SlowStartShares};
+use crate::membership::{Member, MemberState};
 
 /// A life, as a number: what stands for its address, and its birth.
 type Life = (u64, u64);
 
-pub struct Sharing {
-    purse: Purse,
+pub struct MemberSet {
+    purse: SlowStartShares,
     /// As the settings have it, when this node's part was last asked for.
     told: f64,
     /// The others that live and those that failed, by number.
     live: Vec<u64>,
     failed: Vec<u64>,
-    own: Counted,
+    own: MemberSetDigest,
     /// What was said last.
-    said: Counted,
+    said: MemberSetDigest,
     /// Who may push has changed since it was counted.
     pub changed: bool,
 }
 
-impl Sharing {
+impl MemberSet {
     pub fn new() -> Self {
-        Sharing {
-            purse: Purse::default(),
+        MemberSet {
+            purse: SlowStartShares::default(),
             told: f64::INFINITY,
             live: Vec::new(),
             failed: Vec::new(),
-            own: Counted::default(),
-            said: Counted::default(),
+            own: MemberSetDigest::default(),
+            said: MemberSetDigest::default(),
             changed: true,
         }
     }
 
     /// A new life has agreed with nobody yet.
     pub fn begin_anew(&mut self) {
-        (self.purse, self.changed) = (Purse::default(), true);
+        (self.purse, self.changed) = (SlowStartShares::default(), true);
     }
 
-    pub fn heard(&mut self, node: u64, counts: Counted) {
+    pub fn heard(&mut self, node: u64, counts: MemberSetDigest) {
         self.purse.said(node, counts);
     }
 
@@ -53,12 +53,12 @@
     }
 
     /// Takes in who may push now, where that has changed.
-    fn recount<'a>(&mut self, me: Life, known: impl Iterator<Item = &'a Known>) {
+    fn recount<'a>(&mut self, me: Life, known: impl Iterator<Item = &'a Member>) {
         if !std::mem::take(&mut self.changed) {
             return;
         }
         let (failed, live): (Vec<_>, Vec<_>) =
-            known.filter(|k| k.state != State::Left).partition(|k| k.state == State::Failed);
+            known.filter(|k| k.state != MemberState::Left).partition(|k| k.state == MemberState::Failed);
         // Another birth marks one that failed: no life's own has its highest bit set.
         let marked = |(node, born): Life| (node, born | 1 << 63);
         let lives: Vec<Life> = live.iter().map(|k| k.life()).chain([me]).collect();
@@ -75,7 +75,7 @@
         &mut self,
         told: Option<f64>,
         me: Life,
-        known: impl Iterator<Item = &'a Known>,
+        known: impl Iterator<Item = &'a Member>,
         unanswered: bool,
     ) -> f64 {
         self.told = told.unwrap_or(self.told);
@@ -88,7 +88,7 @@
 
     /// What is to be said of the set that this node counts, once it has changed. Danger: said before the part
     /// was lowered, another would take what this one still spends; whoever calls takes the part first.
-    pub fn take_said(&mut self) -> Option<Counted> {
+    pub fn take_said(&mut self) -> Option<MemberSetDigest> {
         (self.own != self.said).then(|| {
             self.said = self.own;
             self.own
--- a/membership/src/fleet.rs
+++ b/membership/src/membership.rs
@@ -1,8 +1,8 @@
 //! The fleet as one node sees it: SWIM, what nodes say beside it, and how much of the fleet it reaches.
 
-use crate::count::Counted;
-use crate::seal::{number, Refused, Seal, BODY_MOST};
-use crate::sharing::Sharing;
+use crate::authentication::{number, AuthenticationError, Authenticator, BODY_MOST};
+use crate::cluster_size::MemberSetDigest;
+use crate::member_set::MemberSet;
 use foca::{
     BroadcastHandler, Foca, Identity, Invalidates, Notification, PeriodicParams, PostcardCodec, Runtime,
 };
@@ -47,7 +47,7 @@
 
 /// A node, by the address at which others reach it. A later birth is a later life.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Name {
+pub struct NodeId {
     pub name: String,
     pub zone: String,
     pub address: SocketAddr,
@@ -58,7 +58,7 @@
     pub settings: u64,
 }
 
-impl Name {
+impl NodeId {
     /// What stands for it as a sender of datagrams. Danger: two machines under one name would refuse each other's
     /// as repeats, and take each other's life by turns; each address counts by itself.
     fn sender(&self) -> u64 {
@@ -71,7 +71,7 @@
     number(&address.to_string())
 }
 
-impl Identity for Name {
+impl Identity for NodeId {
     type Addr = SocketAddr;
 
     fn addr(&self) -> SocketAddr {
@@ -80,7 +80,7 @@
 
     /// Declared failed though it lives: it goes on under a later birth.
     fn renew(&self) -> Option<Self> {
-        Some(Name { born: self.born + 1, ..self.clone() })
+        Some(NodeId { born: self.born + 1, ..self.clone() })
     }
 
     fn win_addr_conflict(&self, other: &Self) -> bool {
@@ -90,7 +90,7 @@
 
 /// What is known of another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
+pub enum MemberState {
     Alive,
     Suspected,
     Failed,
@@ -99,36 +99,36 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct Known {
-    pub name: Name,
-    pub state: State,
+pub struct Member {
+    pub name: NodeId,
+    pub state: MemberState,
     pub since: f64,
     /// What stands for its address.
     number: u64,
 }
 
-impl Known {
+impl Member {
     /// What stands for this life, the same at every node.
     pub(crate) fn life(&self) -> (u64, u64) {
         (self.number, self.name.born)
     }
 
     fn there(&self) -> bool {
-        matches!(self.state, State::Alive | State::Suspected)
+        matches!(self.state, MemberState::Alive | MemberState::Suspected)
     }
 }
 
 /// How much of the fleet last agreed on is reached, this node counted.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Reach {
-    Whole,
-    Part { of: usize, reached: usize, since: f64 },
-    Alone { since: f64 },
+pub enum Reachability {
+    Full,
+    Partial { of: usize, reached: usize, since: f64 },
+    Isolated { since: f64 },
 }
 
 /// The same of one zone.
 #[derive(Clone, Debug, PartialEq)]
-pub struct ZoneReach {
+pub struct ZoneReachability {
     pub zone: String,
     pub of: usize,
     pub reached: usize,
@@ -138,14 +138,14 @@
 
 /// What has happened, in order.
 #[derive(Clone, Debug, PartialEq)]
-pub enum News {
-    Up(Name),
-    Failed(Name),
-    Left(Name),
+pub enum MembershipEvent {
+    Up(NodeId),
+    Failed(NodeId),
+    Left(NodeId),
     /// What the list of another node tells of a server.
-    Listed(SocketAddr, ListedWord),
+    EndpointUpdate(SocketAddr, EndpointGossip),
     /// Two live nodes at two addresses call themselves by one name.
-    TwoUnderOneName(Name, Name),
+    TwoUnderOneName(NodeId, NodeId),
     /// This node did nothing for so many milliseconds.
     Paused(f64),
     /// It was declared failed, or an earlier life was in its way, and lives on under this birth.
@@ -164,15 +164,15 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 enum Word {
     Left,
-    Counts(Counted),
+    Counts(MemberSetDigest),
     /// Whoever is new learns only of the living: this one failed, and may push.
-    Failed(Name),
-    Listed(ListedWord),
+    Failed(NodeId),
+    EndpointUpdate(EndpointGossip),
 }
 
 /// What a node's list tells of a server: that it drains, is gone or started anew, or is ready again.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ListedWord {
+pub struct EndpointGossip {
     /// The number by which all nodes know it.
     pub server: u64,
     /// 0 ready, 1 draining, 2 gone: the higher the stricter.
@@ -202,7 +202,7 @@
             Word::Failed(_) => 2,
             // Danger: all nodes hear of a drain at one moment, and each would send the same word round. It is one
             // word, whoever says it; the later version replaces the earlier.
-            Word::Listed(word) => {
+            Word::EndpointUpdate(word) => {
                 let order = (word.seq, u64::from(word.standing) << 56 | word.started as u64);
                 return Slot { who: NOBODY, about: word.server, order };
             }
@@ -236,11 +236,11 @@
 
 impl std::error::Error for NoWord {}
 
-impl BroadcastHandler<Name> for Hearing {
+impl BroadcastHandler<NodeId> for Hearing {
     type Key = Slot;
     type Error = NoWord;
 
-    fn receive_item(&mut self, data: &[u8], _: Option<&Name>) -> Result<Option<Slot>, NoWord> {
+    fn receive_item(&mut self, data: &[u8], _: Option<&NodeId>) -> Result<Option<Slot>, NoWord> {
         let said: Said = postcard::from_bytes(data).map_err(|_| NoWord)?;
         let slot = said.slot();
         let mut words = self.0.borrow_mut();
@@ -262,38 +262,38 @@
 #[derive(Default)]
 struct Wants {
     sends: Vec<(SocketAddr, Vec<u8>)>,
-    timers: Vec<(f64, foca::Timer<Name>)>,
+    timers: Vec<(f64, foca::Timer<NodeId>)>,
     /// Whose state is what now; none where only a later life has taken an earlier one's place.
-    changes: Vec<(Name, Option<State>)>,
+    changes: Vec<(NodeId, Option<MemberState>)>,
     reborn: Option<u64>,
 }
 
-impl Runtime<Name> for Wants {
-    fn notify(&mut self, notification: Notification<'_, Name>) {
+impl Runtime<NodeId> for Wants {
+    fn notify(&mut self, notification: Notification<'_, NodeId>) {
         match notification {
-            Notification::MemberUp(name) => self.changes.push((name.clone(), Some(State::Alive))),
-            Notification::MemberDown(name) => self.changes.push((name.clone(), Some(State::Failed))),
+            Notification::MemberUp(name) => self.changes.push((name.clone(), Some(MemberState::Alive))),
+            Notification::MemberDown(name) => self.changes.push((name.clone(), Some(MemberState::Failed))),
             Notification::Rename(_, new) => self.changes.push((new.clone(), None)),
             Notification::Rejoin(me) => self.reborn = Some(me.born),
             _ => {}
         }
     }
 
-    fn send_to(&mut self, to: Name, data: &[u8]) {
+    fn send_to(&mut self, to: NodeId, data: &[u8]) {
         self.sends.push((to.address, data.to_vec()));
     }
 
-    fn submit_after(&mut self, event: foca::Timer<Name>, after: Duration) {
+    fn submit_after(&mut self, event: foca::Timer<NodeId>, after: Duration) {
         self.timers.push((after.as_secs_f64() * 1000.0, event));
     }
 }
 
 /// What a member's state comes to here; one that is suspected lives until it is found to have failed.
-fn seen(state: foca::State) -> State {
+fn seen(state: foca::State) -> MemberState {
     if state == foca::State::Down {
-        State::Failed
+        MemberState::Failed
     } else {
-        State::Alive
+        MemberState::Alive
     }
 }
 
@@ -321,19 +321,19 @@
     }
 }
 
-pub struct Fleet {
-    me: Name,
-    seal: Seal,
-    foca: Foca<Name, PostcardCodec, ChaCha8Rng, Hearing>,
+pub struct Membership {
+    me: NodeId,
+    seal: Authenticator,
+    foca: Foca<NodeId, PostcardCodec, ChaCha8Rng, Hearing>,
     words: Rc<RefCell<Words>>,
     said: u64,
-    timers: BTreeMap<(u64, u64), foca::Timer<Name>>,
+    timers: BTreeMap<(u64, u64), foca::Timer<NodeId>>,
     next_timer: u64,
     seeds: Vec<SocketAddr>,
     ask_at: f64,
     tries: usize,
-    known: BTreeMap<SocketAddr, Known>,
-    sharing: Sharing,
+    known: BTreeMap<SocketAddr, Member>,
+    sharing: MemberSet,
     /// Since when not the whole fleet is reached, and of each zone.
     parted: Option<f64>,
     parted_zones: BTreeMap<String, f64>,
@@ -343,7 +343,7 @@
     swept_at: f64,
     counted_at: f64,
     sends: Vec<(SocketAddr, Vec<u8>)>,
-    news: Vec<News>,
+    news: Vec<MembershipEvent>,
     /// To whom it was told lately that a later life of theirs was heard.
     warned: BTreeMap<u64, f64>,
     leaving: bool,
@@ -354,16 +354,16 @@
     told_suspect: BTreeMap<SocketAddr, f64>,
 }
 
-impl Fleet {
+impl Membership {
     /// A node that knows some addresses to ask, any of which may be nobody's. Errors: a key that is none.
-    pub fn new(me: Name, seeds: &[SocketAddr], keys: &[&str], seed: u64, now: f64) -> Result<Self, String> {
+    pub fn new(me: NodeId, seeds: &[SocketAddr], keys: &[&str], seed: u64, now: f64) -> Result<Self, String> {
         let words = Rc::new(RefCell::new(Words::default()));
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let hearing = Hearing(Rc::clone(&words));
         let foca = Foca::with_custom_broadcast(me.clone(), terms(), rng, PostcardCodec, hearing);
         let number = at(me.address);
-        Ok(Fleet {
-            seal: Seal::new(keys, me.sender(), me.born)?,
+        Ok(Membership {
+            seal: Authenticator::new(keys, me.sender(), me.born)?,
             seeds: seeds.iter().copied().filter(|seed| *seed != me.address).collect(),
             me,
             foca,
@@ -374,7 +374,7 @@
             ask_at: now,
             tries: 0,
             known: BTreeMap::new(),
-            sharing: Sharing::new(),
+            sharing: MemberSet::new(),
             parted: None,
             parted_zones: BTreeMap::new(),
             forget_failed: FAILED_FOR,
@@ -406,7 +406,7 @@
         self.seeds = seeds.iter().copied().filter(|seed| *seed != self.me.address).collect();
     }
 
-    pub fn me(&self) -> &Name {
+    pub fn me(&self) -> &NodeId {
         &self.me
     }
 
@@ -420,21 +420,21 @@
         std::mem::take(&mut self.sends)
     }
 
-    pub fn take_news(&mut self) -> Vec<News> {
+    pub fn take_news(&mut self) -> Vec<MembershipEvent> {
         std::mem::take(&mut self.news)
     }
 
     /// A datagram has come. Errors: it was not believed, and nothing came of it.
-    pub fn heard(&mut self, now: f64, from: SocketAddr, datagram: &[u8]) -> Result<(), Refused> {
+    pub fn heard(&mut self, now: f64, from: SocketAddr, datagram: &[u8]) -> Result<(), AuthenticationError> {
         let opened = match self.seal.open(now, datagram) {
             Ok(opened) => opened,
-            Err(Refused::Earlier { sender, born }) => {
+            Err(AuthenticationError::Earlier { sender, born }) => {
                 self.warn(now, from, sender, born);
-                return Err(Refused::Earlier { sender, born });
+                return Err(AuthenticationError::Earlier { sender, born });
             }
-            Err(Refused::Repeated { sender, born }) => {
+            Err(AuthenticationError::Repeated { sender, born }) => {
                 self.outlived(now, from, sender, born);
-                return Err(Refused::Repeated { sender, born });
+                return Err(AuthenticationError::Repeated { sender, born });
             }
             Err(refused) => return Err(refused),
         };
@@ -459,9 +459,9 @@
 
     /// Danger: one that left was started again under a birth that it had used up, and all it says is old.
     fn outlived(&mut self, now: f64, from: SocketAddr, sender: u64, born: u64) {
-        let over = |k: &&Known| {
+        let over = |k: &&Member| {
             // Of one that has just left something may still be on its way.
-            k.state == State::Left
+            k.state == MemberState::Left
                 && k.name.born >= born
                 && now - k.since > SPEAK_UP
                 && k.name.sender() == sender
@@ -493,7 +493,7 @@
             let by = (late * 1000.0) as u64;
             self.timers =
                 std::mem::take(&mut self.timers).into_iter().map(|((at, n), t)| ((at + by, n), t)).collect();
-            self.news.push(News::Paused(late));
+            self.news.push(MembershipEvent::Paused(late));
         }
         if now >= self.ask_at {
             self.ask(now);
@@ -508,7 +508,7 @@
     /// Asks seeds who is there: all while nobody is known, else one that is not, so that two halves that forgot
     /// each other meet again.
     fn ask(&mut self, now: f64) {
-        let there = |known: &Known| matches!(known.state, State::Alive | State::Suspected);
+        let there = |known: &Member| matches!(known.state, MemberState::Alive | MemberState::Suspected);
         let lonely = !self.known.values().any(there);
         self.tries = if lonely { self.tries + 1 } else { 0 };
         let lost: Vec<SocketAddr> =
@@ -517,7 +517,7 @@
         let asked = lost.iter().skip(if lonely { 0 } else { turn }).take(if lonely { lost.len() } else { 1 });
         for address in asked.copied().collect::<Vec<_>>() {
             let nobody =
-                Name { address, born: 0, name: String::new(), zone: String::new(), ..self.me.clone() };
+                NodeId { address, born: 0, name: String::new(), zone: String::new(), ..self.me.clone() };
             self.with(now, |foca, wants| foca.announce(nobody, wants).is_ok());
         }
         self.ask_at = now + if lonely { ASK } else { 5.0 * ASK };
@@ -525,7 +525,7 @@
 
     /// A life is over for the others; this node goes on under a later birth.
     fn live_on(&mut self, now: f64, born: u64) {
-        let me = Name { born, ..self.me.clone() };
+        let me = NodeId { born, ..self.me.clone() };
         self.with(now, |foca, wants| foca.change_identity(me.clone(), wants).is_ok());
         self.take_birth(born);
     }
@@ -534,13 +534,13 @@
         self.me.born = born;
         self.seal.reborn(born);
         self.sharing.begin_anew();
-        self.news.push(News::Reborn(born));
+        self.news.push(MembershipEvent::Reborn(born));
     }
 
     fn with(
         &mut self,
         now: f64,
-        act: impl FnOnce(&mut Foca<Name, PostcardCodec, ChaCha8Rng, Hearing>, &mut Wants) -> bool,
+        act: impl FnOnce(&mut Foca<NodeId, PostcardCodec, ChaCha8Rng, Hearing>, &mut Wants) -> bool,
     ) {
         let mut wants = Wants::default();
         // What it cannot take, it has refused whole; what it wanted before that still counts.
@@ -563,41 +563,47 @@
         fresh.into_iter().for_each(|said| self.listen(now, said));
     }
 
-    fn learn(&mut self, now: f64, name: Name, state: Option<State>) {
+    fn learn(&mut self, now: f64, name: NodeId, state: Option<MemberState>) {
         // Danger: a later life may be known by its end alone, and one whose last life has left may live. Where news
         // tell only that it takes another's place, the member itself says which.
         let member = || {
-            let of = |m: &&foca::Member<Name>| *m.id() == name;
+            let of = |m: &&foca::Member<NodeId>| *m.id() == name;
             self.foca.iter_membership_state().find(of).map(|m| seen(m.state()))
         };
-        let Some(state) = state.or_else(member) else { return };
-        let twin = |known: &&Known| {
-            known.name.name == name.name && known.name.address != name.address && known.state == State::Alive
+        let Some(state) = state.or_else(member) else {
+            return;
+        };
+        let twin = |known: &&Member| {
+            known.name.name == name.name
+                && known.name.address != name.address
+                && known.state == MemberState::Alive
         };
         let twin = self.known.values().find(twin).map(|known| known.name.clone());
         let before = self.known.get(&name.address);
         // Gossip of a life's end that comes after its successor's start, or after its farewell, is no news.
-        let stale = before
-            .is_some_and(|b| b.name.born > name.born || (b.name.born == name.born && b.state == State::Left));
+        let stale = before.is_some_and(|b| {
+            b.name.born > name.born || (b.name.born == name.born && b.state == MemberState::Left)
+        });
         if stale {
             return;
         }
         self.known
-            .insert(name.address, Known { number: at(name.address), name: name.clone(), state, since: now });
+            .insert(name.address, Member { number: at(name.address), name: name.clone(), state, since: now });
         self.sharing.changed = true;
         // Danger: a new life never hears of those that failed before it came, counts another set for good, and
         // gets no part. All who know say so; one word each second of them goes round.
-        if state == State::Alive {
-            let failed = self.known.values().filter(|k| k.state == State::Failed).map(|k| k.name.clone());
+        if state == MemberState::Alive {
+            let failed =
+                self.known.values().filter(|k| k.state == MemberState::Failed).map(|k| k.name.clone());
             for name in failed.collect::<Vec<_>>() {
                 let (who, born, n) = (name.address, name.born, (now / 1000.0) as u64);
                 self.pass_on(Said { who, born, n, word: Word::Failed(name) });
             }
         }
         match (state, twin) {
-            (State::Alive, Some(twin)) => self.news.push(News::TwoUnderOneName(twin, name)),
-            (State::Alive, None) => self.news.push(News::Up(name)),
-            _ => self.news.push(News::Failed(name)),
+            (MemberState::Alive, Some(twin)) => self.news.push(MembershipEvent::TwoUnderOneName(twin, name)),
+            (MemberState::Alive, None) => self.news.push(MembershipEvent::Up(name)),
+            _ => self.news.push(MembershipEvent::Failed(name)),
         }
     }
 
@@ -607,9 +613,9 @@
                 let Some(known) = self.known.get_mut(&said.who).filter(|k| k.name.born <= said.born) else {
                     return;
                 };
-                (known.state, known.since) = (State::Left, now);
+                (known.state, known.since) = (MemberState::Left, now);
                 self.sharing.left(known.number);
-                self.news.push(News::Left(known.name.clone()));
+                self.news.push(MembershipEvent::Left(known.name.clone()));
             }
             Word::Counts(set) if said.who != self.me.address => {
                 self.sharing.heard(at(said.who), set);
@@ -620,16 +626,16 @@
                 if self.known.get(&name.address).is_none_or(|known| known.name.born < name.born) {
                     self.known.insert(
                         name.address,
-                        Known { number: at(name.address), name, state: State::Failed, since: now },
+                        Member { number: at(name.address), name, state: MemberState::Failed, since: now },
                     );
                     self.sharing.changed = true;
                 }
             }
             Word::Failed(_) => {}
-            Word::Listed(word) if said.who != self.me.address => {
-                self.news.push(News::Listed(said.who, word));
+            Word::EndpointUpdate(word) if said.who != self.me.address => {
+                self.news.push(MembershipEvent::EndpointUpdate(said.who, word));
             }
-            Word::Listed(_) => {}
+            Word::EndpointUpdate(_) => {}
         }
     }
 
@@ -646,8 +652,8 @@
     }
 
     /// This node's own list has told something that makes a node stricter, or no longer does.
-    pub fn tell_listed(&mut self, word: ListedWord) {
-        self.say(Word::Listed(word));
+    pub fn tell_listed(&mut self, word: EndpointGossip) {
+        self.say(Word::EndpointUpdate(word));
     }
 
     /// Says which set this node counts, once it has changed, and takes in what time alone has brought.
@@ -666,10 +672,14 @@
             }
         }
         self.tell_suspects(now);
-        let whole = self.known.values().all(|k| k.state != State::Failed);
+        let whole = self.known.values().all(|k| k.state != MemberState::Failed);
         self.parted = if whole { None } else { self.parted.or(Some(now)) };
-        let lost: BTreeSet<&str> =
-            self.known.values().filter(|k| k.state == State::Failed).map(|k| k.name.zone.as_str()).collect();
+        let lost: BTreeSet<&str> = self
+            .known
+            .values()
+            .filter(|k| k.state == MemberState::Failed)
+            .map(|k| k.name.zone.as_str())
+            .collect();
         self.parted_zones.retain(|zone, _| lost.contains(zone.as_str()));
         for zone in lost {
             if !self.parted_zones.contains_key(zone) {
@@ -680,7 +690,7 @@
 
     fn sweep(&mut self, now: f64) {
         // Danger: an end of which no news came, as the start was not known either.
-        let differs = |m: &&foca::Member<Name>| {
+        let differs = |m: &&foca::Member<NodeId>| {
             let known = self.known.get(&m.id().address);
             known.is_none_or(|k| {
                 k.name.born < m.id().born || (k.name.born == m.id().born && k.state != seen(m.state()))
@@ -691,8 +701,8 @@
         changed.into_iter().for_each(|(name, state)| self.learn(now, name, Some(state)));
         let before = self.known.len();
         self.known.retain(|_, k| match k.state {
-            State::Failed => now - k.since < self.forget_failed,
-            State::Left => now - k.since < LEFT_FOR,
+            MemberState::Failed => now - k.since < self.forget_failed,
+            MemberState::Left => now - k.since < LEFT_FOR,
             _ => true,
         });
         if self.known.len() < before {
@@ -707,8 +717,8 @@
     /// Danger: where datagrams are lost, gossip of a suspicion and of its denial are too slow to save who lives. A
     /// few nodes ask the suspected one themselves; what it answers carries its denial.
     fn tell_suspects(&mut self, now: f64) {
-        let suspect = |m: &&foca::Member<Name>| m.state() == foca::State::Suspect;
-        let suspects: Vec<Name> =
+        let suspect = |m: &&foca::Member<NodeId>| m.state() == foca::State::Suspect;
+        let suspects: Vec<NodeId> =
             self.foca.iter_membership_state().filter(suspect).map(|m| m.id().clone()).collect();
         self.told_suspect.retain(|address, _| suspects.iter().any(|s| s.address == *address));
         // Eight of all in the mean, however many they are: enough that one in ten lost changes nothing.
@@ -750,48 +760,49 @@
     }
 
     /// All others, by address, as they are known now.
-    pub fn known(&self) -> Vec<Known> {
+    pub fn known(&self) -> Vec<Member> {
         let suspected: Vec<SocketAddr> = self
             .foca
             .iter_membership_state()
             .filter(|member| member.state() == foca::State::Suspect)
             .map(|member| member.id().address)
             .collect();
-        let mut all: Vec<Known> = self.known.values().cloned().collect();
-        for known in all.iter_mut().filter(|k| k.state == State::Alive && suspected.contains(&k.name.address))
+        let mut all: Vec<Member> = self.known.values().cloned().collect();
+        for known in
+            all.iter_mut().filter(|k| k.state == MemberState::Alive && suspected.contains(&k.name.address))
         {
-            known.state = State::Suspected;
+            known.state = MemberState::Suspected;
         }
         all
     }
 
     /// How many others live, and how many failed, of all that are known.
     pub fn census(&self) -> (usize, usize) {
-        let count = |wanted: fn(&Known) -> bool| self.known.values().filter(|k| wanted(k)).count();
-        (count(Known::there), count(|k| k.state == State::Failed))
+        let count = |wanted: fn(&Member) -> bool| self.known.values().filter(|k| wanted(k)).count();
+        (count(Member::there), count(|k| k.state == MemberState::Failed))
     }
 
     /// How much of the fleet that was last whole it reaches.
-    pub fn reach(&self) -> Reach {
+    pub fn reach(&self) -> Reachability {
         let (reached, failed) = self.census();
         match self.parted {
-            _ if reached + failed == 0 && self.tries > TRIES => Reach::Alone { since: self.began },
-            None => Reach::Whole,
-            Some(since) if reached == 0 => Reach::Alone { since },
-            Some(since) => Reach::Part { of: reached + failed + 1, reached: reached + 1, since },
+            _ if reached + failed == 0 && self.tries > TRIES => Reachability::Isolated { since: self.began },
+            None => Reachability::Full,
+            Some(since) if reached == 0 => Reachability::Isolated { since },
+            Some(since) => Reachability::Partial { of: reached + failed + 1, reached: reached + 1, since },
         }
     }
 
     /// The same by zone, this node counted in its own; zones in the order of their names.
-    pub fn reach_by_zone(&self) -> Vec<ZoneReach> {
+    pub fn reach_by_zone(&self) -> Vec<ZoneReachability> {
         let mut zones = BTreeMap::from([(self.me.zone.as_str(), (1, 1))]);
-        for known in self.known.values().filter(|k| k.state != State::Left) {
+        for known in self.known.values().filter(|k| k.state != MemberState::Left) {
             let (of, reached) = zones.entry(known.name.zone.as_str()).or_default();
             (*of, *reached) = (*of + 1, *reached + usize::from(known.there()));
         }
         let reach = |(zone, (of, reached)): (&str, (usize, usize))| {
             let since = self.parted_zones.get(zone).copied();
-            ZoneReach { zone: zone.into(), of, reached, since }
+            ZoneReachability { zone: zone.into(), of, reached, since }
         };
         zones.into_iter().map(reach).collect()
     }
--- a/membership/tests/net.rs
+++ b/membership/tests/network.rs
@@ -1,6 +1,8 @@
 //! Fleets in virtual time: a network that loses, delays, repeats and cuts, and nodes that die and pause.
 
-use crankmux_membership::{Fleet, Known, ListedWord, Name, News, Reach, State};
+use crankmux_membership::{
+    EndpointGossip, Member, MemberState, Membership, MembershipEvent, NodeId, Reachability,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -12,8 +14,8 @@
     format!("10.0.{}.{}:7946", n / 250, n % 250 + 1).parse().unwrap()
 }
 
-fn name(n: usize, born: u64) -> Name {
-    Name {
+fn name(n: usize, born: u64) -> NodeId {
+    NodeId {
         name: format!("node-{n}"),
         zone: ["a", "b", "c"][n % 3].into(),
         address: address(n),
@@ -26,7 +28,7 @@
 struct Net {
     now: f64,
     rng: ChaCha8Rng,
-    nodes: BTreeMap<usize, Fleet>,
+    nodes: BTreeMap<usize, Membership>,
     paused: BTreeMap<usize, f64>,
     /// By when they arrive, in microseconds, and a running number: from, to, what.
     way: BTreeMap<(u64, u64), (usize, usize, Vec<u8>)>,
@@ -35,7 +37,7 @@
     delay: f64,
     cut: fn(usize, usize) -> bool,
     /// Each node's news with its time.
-    news: Vec<(f64, usize, News)>,
+    news: Vec<(f64, usize, MembershipEvent)>,
     bytes: u64,
     /// The greatest sum of all live nodes' parts, and what they are told.
     most: f64,
@@ -82,7 +84,7 @@
         let seeds = [address(0), address(1), address(2), address(9999)];
         let seed = self.rng.random();
         self.at.insert(address(n), n);
-        self.nodes.insert(n, Fleet::new(name(n, born), &seeds, &[KEY], seed, self.now).unwrap());
+        self.nodes.insert(n, Membership::new(name(n, born), &seeds, &[KEY], seed, self.now).unwrap());
     }
 
     fn send(&mut self, from: usize, to: usize, datagram: Vec<u8>) {
@@ -97,7 +99,9 @@
     }
 
     fn drain(&mut self, n: usize) {
-        let Some(node) = self.nodes.get_mut(&n) else { return };
+        let Some(node) = self.nodes.get_mut(&n) else {
+            return;
+        };
         let (sends, news) = (node.take_sends(), node.take_news());
         self.news.extend(news.into_iter().map(|news| (self.now, n, news)));
         for (to, datagram) in sends {
@@ -144,24 +148,27 @@
         }
     }
 
-    fn view(&self, n: usize) -> Vec<Known> {
+    fn view(&self, n: usize) -> Vec<Member> {
         self.nodes[&n].known()
     }
 
-    fn states(&self, n: usize, state: State) -> usize {
+    fn states(&self, n: usize, state: MemberState) -> usize {
         self.view(n).iter().filter(|k| k.state == state).count()
     }
 
     fn all_see(&self, others: usize) -> bool {
         // One that was asked and has not answered yet is still there.
-        let there = |n: &usize| self.states(*n, State::Alive) + self.states(*n, State::Suspected);
+        let there = |n: &usize| self.states(*n, MemberState::Alive) + self.states(*n, MemberState::Suspected);
         self.nodes.keys().all(|n| there(n) == others)
     }
 
     /// Failures told of nodes that live.
     fn false_alarms(&self) -> usize {
-        let live = |name: &Name| self.nodes.values().any(|node| node.me().address == name.address);
-        self.news.iter().filter(|(_, _, news)| matches!(news, News::Failed(name) if live(name))).count()
+        let live = |name: &NodeId| self.nodes.values().any(|node| node.me().address == name.address);
+        self.news
+            .iter()
+            .filter(|(_, _, news)| matches!(news, MembershipEvent::Failed(name) if live(name)))
+            .count()
     }
 }
 
@@ -170,7 +177,7 @@
     let mut net = Net::of(24, 1);
     net.pass(5000.0);
     assert!(net.all_see(23), "all of all");
-    assert!(net.nodes.values().all(|node| node.reach() == Reach::Whole));
+    assert!(net.nodes.values().all(|node| node.reach() == Reachability::Full));
     let parts: Vec<f64> = net.nodes.values_mut().map(|node| node.purse(24.0)).collect();
     assert!(parts.iter().all(|part| (part * 24.0 - 1.0).abs() < 1e-9), "each has its part: {parts:?}");
     assert!(net.most < 1.0 + 1e-9, "{} of a cold server's budget", net.most);
@@ -186,10 +193,11 @@
         (0..8).for_each(|n| drop(net.nodes.remove(&(3 * n))));
         net.news.clear();
         net.pass(8000.0);
-        let failed = |news: &News| matches!(news, News::Failed(name) if name.zone == "a");
+        let failed =
+            |news: &MembershipEvent| matches!(news, MembershipEvent::Failed(name) if name.zone == "a");
         times.extend(net.news.iter().filter(|(_, _, n)| failed(n)).map(|(at, ..)| at - killed_at));
         assert_eq!(net.false_alarms(), 0);
-        assert!(net.nodes.keys().all(|n| net.states(*n, State::Failed) == 8), "seed {seed}");
+        assert!(net.nodes.keys().all(|n| net.states(*n, MemberState::Failed) == 8), "seed {seed}");
     }
     times.sort_by(f64::total_cmp);
     let most = times[times.len() * 99 / 100];
@@ -207,7 +215,11 @@
         net.false_alarms(),
         0,
         "{:?}",
-        net.news.iter().filter(|(_, _, n)| matches!(n, News::Failed(_))).take(3).collect::<Vec<_>>()
+        net.news
+            .iter()
+            .filter(|(_, _, n)| matches!(n, MembershipEvent::Failed(_)))
+            .take(3)
+            .collect::<Vec<_>>()
     );
     assert!(net.most < 1.0 + 1e-9);
 }
@@ -217,11 +229,12 @@
     let mut net = Net::met(9, 4);
     net.paused.insert(4, net.now + 10_000.0);
     net.pass(9990.0);
-    assert!(net.states(0, State::Failed) == 1, "the others see that it does nothing");
+    assert!(net.states(0, MemberState::Failed) == 1, "the others see that it does nothing");
     net.pass(5000.0);
-    let by_it = net.news.iter().filter(|(_, n, news)| *n == 4 && matches!(news, News::Failed(_))).count();
+    let by_it =
+        net.news.iter().filter(|(_, n, news)| *n == 4 && matches!(news, MembershipEvent::Failed(_))).count();
     assert_eq!(by_it, 0, "it declares nobody failed");
-    assert!(net.news.iter().any(|(_, n, news)| *n == 4 && matches!(news, News::Paused(_))));
+    assert!(net.news.iter().any(|(_, n, news)| *n == 4 && matches!(news, MembershipEvent::Paused(_))));
     assert!(net.all_see(8), "all know all again");
     assert!(net.most < 1.0 + 1e-9, "{}", net.most);
 }
@@ -232,7 +245,7 @@
     net.cut = |a, b| a % 3 != b % 3;
     net.pass(20_000.0);
     assert!(
-        matches!(net.nodes[&0].reach(), Reach::Part { reached: 4, of: 12, .. }),
+        matches!(net.nodes[&0].reach(), Reachability::Partial { reached: 4, of: 12, .. }),
         "{:?}",
         net.nodes[&0].reach()
     );
@@ -307,7 +320,7 @@
     net.pass(50.0);
     net.nodes.remove(&3);
     net.pass(6000.0);
-    assert!(net.nodes.keys().all(|n| net.states(*n, State::Left) == 1), "all know that it left");
+    assert!(net.nodes.keys().all(|n| net.states(*n, MemberState::Left) == 1), "all know that it left");
     assert!(net.nodes.values_mut().all(|node| (node.purse(4.0) - 1.0 / 8.0).abs() < 1e-9));
     assert!(net.most < 1.0 + 1e-9, "{}", net.most);
 }
@@ -315,7 +328,7 @@
 #[test]
 fn what_one_was_told_of_a_server_reaches_all() {
     let mut net = Net::met(12, 11);
-    net.nodes.get_mut(&7).unwrap().tell_listed(ListedWord {
+    net.nodes.get_mut(&7).unwrap().tell_listed(EndpointGossip {
         server: 4711,
         standing: 1,
         started: 5.0,
@@ -326,7 +339,9 @@
     let heard: Vec<_> = net
         .news
         .iter()
-        .filter(|(_, _, n)| matches!(n, News::Listed(_, ListedWord { server: 4711, .. })))
+        .filter(|(_, _, n)| {
+            matches!(n, MembershipEvent::EndpointUpdate(_, EndpointGossip { server: 4711, .. }))
+        })
         .collect();
     assert_eq!(heard.len(), 11, "each once");
     assert!(heard.iter().all(|(when, ..)| when - at < 1500.0));
@@ -349,7 +364,7 @@
         }
         assert!(node.heard(now, address(from), &datagram[..datagram.len() / 2]).is_err());
     }
-    let mut stranger = Fleet::new(name(40, 1), &[address(0)], &["another fleet's key"], 1, now).unwrap();
+    let mut stranger = Membership::new(name(40, 1), &[address(0)], &["another fleet's key"], 1, now).unwrap();
     stranger.due(now);
     let sent = stranger.take_sends();
     assert!(!sent.is_empty());
@@ -361,24 +376,25 @@
 fn a_key_is_exchanged_while_the_fleet_runs() {
     let mut net = Net::of(4, 13);
     net.pass(5000.0);
-    let new = Fleet::new(name(4, 1), &[address(0)], &[KEY, "the next key of the fleet"], 4, net.now).unwrap();
+    let new =
+        Membership::new(name(4, 1), &[address(0)], &[KEY, "the next key of the fleet"], 4, net.now).unwrap();
     net.at.insert(address(4), 4);
     net.nodes.insert(4, new);
     net.pass(5000.0);
     assert!(net.all_see(4));
-    assert!(Fleet::new(name(4, 1), &[], &["short"], 4, 0.0).is_err());
+    assert!(Membership::new(name(4, 1), &[], &["short"], 4, 0.0).is_err());
 }
 
 #[test]
 fn two_under_one_name_are_told_and_both_serve_on() {
     let mut net = Net::of(6, 14);
     net.pass(5000.0);
-    let twin = Name { name: "node-3".into(), ..name(50, 1) };
-    let twin = Fleet::new(twin, &[address(0)], &[KEY], 5, net.now).unwrap();
+    let twin = NodeId { name: "node-3".into(), ..name(50, 1) };
+    let twin = Membership::new(twin, &[address(0)], &[KEY], 5, net.now).unwrap();
     net.at.insert(address(50), 50);
     net.nodes.insert(50, twin);
     net.pass(5000.0);
-    let told = net.news.iter().filter(|(_, _, n)| matches!(n, News::TwoUnderOneName(..))).count();
+    let told = net.news.iter().filter(|(_, _, n)| matches!(n, MembershipEvent::TwoUnderOneName(..))).count();
     assert!(told >= 1, "named");
 }
 
@@ -391,7 +407,7 @@
     assert_eq!(net.nodes.get_mut(&7).unwrap().purse(8.0), 0.0, "not before all seeds were asked");
     net.pass(10_000.0);
     assert_eq!(net.nodes.get_mut(&7).unwrap().purse(8.0), 1.0 / 8.0);
-    assert!(matches!(net.nodes[&7].reach(), Reach::Alone { .. }));
+    assert!(matches!(net.nodes[&7].reach(), Reachability::Isolated { .. }));
 }
 
 #[test]
@@ -510,8 +526,12 @@
         (0..count / 10).for_each(|n| drop(net.nodes.remove(&(10 * n + 5))));
         net.news.clear();
         net.pass(10_000.0);
-        let mut times: Vec<f64> =
-            net.news.iter().filter(|(_, _, n)| matches!(n, News::Failed(_))).map(|(t, ..)| t - at).collect();
+        let mut times: Vec<f64> = net
+            .news
+            .iter()
+            .filter(|(_, _, n)| matches!(n, MembershipEvent::Failed(_)))
+            .map(|(t, ..)| t - at)
+            .collect();
         times.sort_by(f64::total_cmp);
         let (median, most) = (times[times.len() / 2], times[times.len() * 99 / 100]);
         println!(
--- a/charter/src/fleet.rs
+++ b/operator-config/src/cluster.rs
@@ -1,7 +1,7 @@
 //! `[fleet]`: the nodes know each other.
 
-use crate::section::Section;
-use crate::{Lasting, Size};
+use crate::section_reader::Section;
+use crate::{DurationSetting, SizeSetting};
 use std::net::SocketAddr;
 
 /// What names may be as long as: one datagram carries several.
@@ -9,7 +9,7 @@
 
 /// How a node takes part in its fleet.
 #[derive(Clone, Debug, PartialEq)]
-pub struct FleetCharter {
+pub struct ClusterOptions {
     /// Its own name and zone; what the platform calls it, where they are not given.
     pub name: Option<String>,
     pub zone: Option<String>,
@@ -27,7 +27,7 @@
     pub receive_buffer: u64,
 }
 
-impl FleetCharter {
+impl ClusterOptions {
     pub(crate) fn read(part: &mut Section) -> Option<Self> {
         let mut name = |key: &'static str| {
             let (name, at) = part.may_at::<String>(key)?;
@@ -61,18 +61,19 @@
             part.fault(*at, "key-files", "names one file, or two while a key is exchanged");
         }
         // A day: whoever comes back by then is known as the one that was lost.
-        let forget = part.may_at::<Lasting>("forget-failed").unwrap_or((Lasting(86_400_000.0), 0));
+        let forget =
+            part.may_at::<DurationSetting>("forget-failed").unwrap_or((DurationSetting(86_400_000.0), 0));
         if forget.0 .0 < 60_000.0 {
             // Danger: one that is cut off for a while, and pushes, would not be counted.
             part.fault(forget.1, "forget-failed", "is a minute at least");
         }
         // Some two hundred datagrams: those of several seconds.
-        let buffer = part.may_at::<Size>("receive-buffer").unwrap_or((Size(256 * 1024), 0));
+        let buffer = part.may_at::<SizeSetting>("receive-buffer").unwrap_or((SizeSetting(256 * 1024), 0));
         if !(16 * 1024..=64 * 1024 * 1024).contains(&buffer.0 .0) {
             part.fault(buffer.1, "receive-buffer", "is 16KiB to 64MiB");
         }
         let (listen, _) = listen?;
-        Some(FleetCharter {
+        Some(ClusterOptions {
             name,
             zone,
             listen,
--- a/charter/src/section.rs
+++ b/operator-config/src/section_reader.rs
@@ -1,6 +1,6 @@
 //! A table of the file, whose keys are taken out one by one: what is left was not known.
 
-use crate::Fault;
+use crate::ConfigurationError;
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -10,7 +10,7 @@
 /// Where each line begins, and what was found wrong so far.
 struct Found {
     lines: Vec<usize>,
-    faults: RefCell<Vec<Fault>>,
+    faults: RefCell<Vec<ConfigurationError>>,
 }
 
 impl Found {
@@ -20,7 +20,7 @@
 
     fn add(&self, at: usize, key: String, what: String) {
         let line = self.line(at);
-        self.faults.borrow_mut().push(Fault { line, key, what });
+        self.faults.borrow_mut().push(ConfigurationError { line, key, what });
     }
 }
 
@@ -34,7 +34,7 @@
 }
 
 /// Reads a whole text by what takes its keys. Errors: all faults, by line.
-pub fn read<T>(text: &str, by: impl FnOnce(&mut Section) -> Option<T>) -> Result<T, Vec<Fault>> {
+pub fn read<T>(text: &str, by: impl FnOnce(&mut Section) -> Option<T>) -> Result<T, Vec<ConfigurationError>> {
     let begins = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n').map(|(at, _)| at + 1);
     let found = Rc::new(Found { lines: [0].into_iter().chain(begins).collect(), faults: RefCell::default() });
     let (table, errors) = DeTable::parse_recoverable(text);
--- a/charter/src/units.rs
+++ b/operator-config/src/units.rs
@@ -5,28 +5,28 @@
 
 /// A duration as `300ms`, `1h 30m`; in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Lasting(pub f64);
+pub struct DurationSetting(pub f64);
 
-impl<'de> Deserialize<'de> for Lasting {
+impl<'de> Deserialize<'de> for DurationSetting {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let text =
             String::deserialize(from).map_err(|_| D::Error::custom("a duration is text, as \"300ms\""))?;
         let read = humantime::parse_duration(&text);
         let read = read.map_err(|e| D::Error::custom(format!("{text:?} is no duration: {e}")))?;
-        Ok(Lasting(read.as_secs_f64() * 1000.0))
+        Ok(DurationSetting(read.as_secs_f64() * 1000.0))
     }
 }
 
 /// A size as `256KiB`; in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Size(pub u64);
+pub struct SizeSetting(pub u64);
 
-impl<'de> Deserialize<'de> for Size {
+impl<'de> Deserialize<'de> for SizeSetting {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let text =
             String::deserialize(from).map_err(|_| D::Error::custom("a size is text, as \"256KiB\""))?;
         let read = text.parse::<bytesize::ByteSize>();
-        read.map(|size| Size(size.as_u64()))
+        read.map(|size| SizeSetting(size.as_u64()))
             .map_err(|e| D::Error::custom(format!("{text:?} is no size: {e}")))
     }
 }
--- a/charter/tests/faults.rs
+++ b/operator-config/tests/errors.rs
@@ -1,6 +1,6 @@
 //! What is wrong with a file is told all at once, by line and key.
 
-use crankmux_charter::{Charter, FleetCharter};
+use crankmux_operator_config::{ClusterOptions, OperatorConfig};
 
 const GOOD: &str = r#"
 [fleet]
@@ -14,13 +14,13 @@
 "#;
 
 fn told(text: &str) -> Vec<String> {
-    Charter::read(text).expect_err("faults").iter().map(ToString::to_string).collect()
+    OperatorConfig::read(text).expect_err("faults").iter().map(ToString::to_string).collect()
 }
 
 #[test]
 fn a_good_file_is_read_and_what_it_does_not_name_is_off() {
-    let read = Charter::read(GOOD).expect("in order").fleet.expect("there");
-    let expected = FleetCharter {
+    let read = OperatorConfig::read(GOOD).expect("in order").fleet.expect("there");
+    let expected = ClusterOptions {
         name: None,
         zone: Some("north".into()),
         listen: "0.0.0.0:7900".parse().unwrap(),
@@ -31,7 +31,7 @@
         receive_buffer: 1024 * 1024,
     };
     assert_eq!(read, expected);
-    assert_eq!(Charter::read("# nothing\n"), Ok(Charter::default()));
+    assert_eq!(OperatorConfig::read("# nothing\n"), Ok(OperatorConfig::default()));
 }
 
 #[test]
@@ -81,17 +81,17 @@
 
 #[test]
 fn a_text_cut_short_or_garbled_anywhere_never_passes_for_another() {
-    let good = Charter::read(GOOD).unwrap();
+    let good = OperatorConfig::read(GOOD).unwrap();
     let longest = GOOD.trim_end().len();
     for cut in 0..longest {
         // What is cut between keys may be a shorter file that is in order: it lacks what must be there, or says
         // no more than its lines say.
-        if let Ok(read) = Charter::read(&GOOD[..cut]) {
+        if let Ok(read) = OperatorConfig::read(&GOOD[..cut]) {
             let fleet = read.fleet.as_ref();
             assert!(fleet.is_none_or(|f| f.seeds == good.fleet.as_ref().unwrap().seeds), "cut at {cut}");
         }
     }
     for twice in ["zone = \"b\"\n", "[fleet]\n"] {
-        assert!(Charter::read(&format!("{GOOD}{twice}")).is_err(), "{twice}");
+        assert!(OperatorConfig::read(&format!("{GOOD}{twice}")).is_err(), "{twice}");
     }
 }
--- a/node/src/wire/admin/calls.rs
+++ b/proxy/src/admin/calls.rs
@@ -1,12 +1,12 @@
 //! The door's calls, heard and answered.
 
 use super::*;
-use crate::life::descriptors::lacks;
+use crate::lifecycle::file_descriptors::lacks;
 use crate::proxy::Proxy;
 
 impl Proxy {
-    pub fn open_door(&mut self) {
-        while let Some(listener) = &self.door.listener {
+    pub fn accept_admin_callers(&mut self) {
+        while let Some(listener) = &self.admin.listener {
             match listener.accept() {
                 Ok((stream, _)) => self.let_in(stream),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -18,7 +18,7 @@
                     if !(lacks(&e) && self.free_descriptor()) {
                         log::warn!("the door cannot accept: {e}");
                         let at = self.now() + AGAIN;
-                        self.timers.set(at, |proxy: &mut Proxy| proxy.open_door());
+                        self.timers.set(at, |proxy: &mut Proxy| proxy.accept_admin_callers());
                         return;
                     }
                 }
@@ -27,21 +27,23 @@
     }
 
     fn let_in(&mut self, mut stream: TcpStream) {
-        let free = |door: &Door| door.callers.iter().position(Option::is_none);
-        if free(&self.door).is_none() {
+        let free = |door: &AdminServer| door.callers.iter().position(Option::is_none);
+        if free(&self.admin).is_none() {
             // Danger: callers that say nothing keep a whole call out. What they have sent by now is heard
             // first.
-            (0..CALLERS_MOST).for_each(|slot| self.hear_caller(slot));
-            let callers = self.door.callers.iter().enumerate();
+            (0..CALLERS_MOST).for_each(|slot| self.admin_event(slot));
+            let callers = self.admin.callers.iter().enumerate();
             let ranked = callers.filter_map(|(slot, caller)| Some((slot, caller.as_ref()?.worth())));
             let order = |a: &(bool, usize, f64), b: &(bool, usize, f64)| {
                 (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
             };
-            if let (None, Some((least, _))) = (free(&self.door), ranked.min_by(|a, b| order(&a.1, &b.1))) {
+            if let (None, Some((least, _))) = (free(&self.admin), ranked.min_by(|a, b| order(&a.1, &b.1))) {
                 self.send_away(least);
             }
         }
-        let Some(slot) = free(&self.door) else { return };
+        let Some(slot) = free(&self.admin) else {
+            return;
+        };
         let both = Interest::READABLE | Interest::WRITABLE;
         if let Err(e) = self.registry.register(&mut stream, Token(CALLERS.0 + slot), both) {
             return log::warn!("cannot watch a caller: {e}");
@@ -50,31 +52,35 @@
         let timer = Some(self.timers.set(came + CALL_WITHIN, move |proxy: &mut Proxy| proxy.call_due(slot)));
         let said = Buffer::of(2 * HEAD_MOST);
         let caller = Caller { stream, said, answer: Vec::new(), sent: 0, past: None, came, timer };
-        self.door.callers[slot] = Some(caller);
-        self.hear_caller(slot);
+        self.admin.callers[slot] = Some(caller);
+        self.admin_event(slot);
     }
 
     /// The one place where a caller's connection is given back.
     fn send_away(&mut self, slot: usize) {
-        let Some(mut caller) = self.door.callers[slot].take() else { return };
+        let Some(mut caller) = self.admin.callers[slot].take() else {
+            return;
+        };
         let _ = self.registry.deregister(&mut caller.stream);
         self.timers.unset(caller.timer);
     }
 
     fn call_due(&mut self, slot: usize) {
-        let Some(caller) = &mut self.door.callers[slot] else { return };
+        let Some(caller) = &mut self.admin.callers[slot] else {
+            return;
+        };
         caller.timer = None;
         if caller.answer.is_empty() && !caller.said.held().is_empty() {
             self.reply(slot, 408, "");
-            self.hear_caller(slot);
+            self.admin_event(slot);
         } else {
             self.send_away(slot);
         }
     }
 
     /// Does for a caller whatever can be done now.
-    pub fn hear_caller(&mut self, slot: usize) {
-        while let Some(caller) = &mut self.door.callers[slot] {
+    pub fn admin_event(&mut self, slot: usize) {
+        while let Some(caller) = &mut self.admin.callers[slot] {
             if let Some(past) = &mut caller.past {
                 match caller.stream.read(&mut [0; 4096]) {
                     Ok(read @ 1..) if *past + read <= LINGER_BYTES => *past += read,
@@ -118,7 +124,9 @@
 
     fn reply(&mut self, slot: usize, status: u16, text: &str) {
         let at = self.now() + LINGER;
-        let Some(caller) = &mut self.door.callers[slot] else { return };
+        let Some(caller) = &mut self.admin.callers[slot] else {
+            return;
+        };
         caller.answer = http::told(status, text).into_bytes();
         self.timers.unset(caller.timer.take());
         caller.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.send_away(slot)));
@@ -129,7 +137,7 @@
         let server = path.strip_prefix("/v1/servers/").and_then(|rest| rest.rsplit_once('/'));
         let needed = match (path, server) {
             ("/v1/readyz" | "/v1/metrics", _) => "GET",
-            ("/fleet", _) if self.members.is_some() => "GET",
+            ("/fleet", _) if self.cluster.is_some() => "GET",
             (_, Some((_, "suspend" | "resume"))) => "POST",
             _ => return (404, "no such call\n".into()),
         };
@@ -141,13 +149,13 @@
             None if path == "/v1/readyz" => (503, "not ready\n".into()),
             None if path == "/fleet" => {
                 let now = self.now();
-                let page = self.members.as_ref().map(|members| members.page(now));
+                let page = self.cluster.as_ref().map(|members| members.page(now));
                 (200, page.map_or_else(String::new, |page| format!("{page:#}\n")))
             }
             None => (200, self.figures()),
             Some((id, action)) => match decoded(id) {
-                Some(id) if action == "suspend" => self.suspend(hashed(&id), &id),
-                Some(id) => self.resume(hashed(&id), &id),
+                Some(id) if action == "suspend" => self.disable_endpoint(hashed(&id), &id),
+                Some(id) => self.enable_endpoint(hashed(&id), &id),
                 None => (400, "the id can't be read\n".into()),
             },
         }
@@ -155,9 +163,9 @@
 
     /// What the node reports, a figure a line.
     fn figures(&self) -> String {
-        let (discovered, ejected) = self.dispatcher.census();
-        self.tally.lines(&self.names.categories.names, self.clients.uploads())
+        let (discovered, ejected) = self.dispatcher.endpoint_counts();
+        self.access_metrics.lines(&self.name_index.classes.names, self.downstream.uploads())
             + &format!("discovered={discovered}\nejected={ejected}\n")
-            + &self.members.as_ref().map_or_else(String::new, |members| members.figures())
+            + &self.cluster.as_ref().map_or_else(String::new, |members| members.figures())
     }
 }
--- a/node/src/wire/bans.rs
+++ b/proxy/src/admin/disabled_endpoints/mod.rs
@@ -1,9 +1,9 @@
-//! Servers taken out by hand: the operators' calls, the files that keep them, and what follows on the
+//! Upstreams taken out by hand: the operators' calls, the files that keep them, and what follows on the
 //! sockets. That nothing new goes there is the decisions' work.
 
 mod watch;
 
-use crankmux::words::{Ending, Load};
+use crankmux::types::{AttemptOutcome, LoadReport};
 use std::collections::{HashSet, VecDeque};
 
 /// Numbers of servers once listed, the oldest forgotten first. Danger: servers are replaced under ever new
@@ -14,13 +14,13 @@
 const LOOK_EVERY: f64 = 100.0;
 
 #[derive(Default)]
-pub struct Bans {
+pub struct DisabledEndpoints {
     now: Vec<u64>,
     once: HashSet<u64>,
     order: VecDeque<u64>,
 }
 
-impl Bans {
+impl DisabledEndpoints {
     pub fn listed(&mut self, mark: u64) {
         if self.once.insert(mark) {
             self.order.push_back(mark);
--- a/node/src/wire/admin.rs
+++ b/proxy/src/admin/mod.rs
@@ -1,11 +1,12 @@
 //! The operators' door: one call to a connection, answered in the turn in which its head is whole.
 
 mod calls;
+pub mod disabled_endpoints;
 
-use super::http;
-use crate::memory::buffers::{Buffer, Filled, HEAD_MOST};
-use crate::memory::timers::Key;
-use crate::names::hashed;
+use crate::buffers::{Buffer, Filled, HEAD_MOST};
+use crate::endpoint_list::hashed;
+use crate::http;
+use crate::timers::TimerKey;
 use crate::tokens::{CALLERS, CALLERS_MOST, DOOR};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
@@ -28,7 +29,7 @@
     /// Bytes read since the answer was out; none before.
     past: Option<usize>,
     came: f64,
-    timer: Option<Key>,
+    timer: Option<TimerKey>,
 }
 
 impl Caller {
@@ -39,14 +40,14 @@
 }
 
 #[derive(Default)]
-pub struct Door {
+pub struct AdminServer {
     listener: Option<TcpListener>,
     callers: [Option<Caller>; CALLERS_MOST],
 }
 
-impl Door {
+impl AdminServer {
     pub fn new(listener: Option<TcpListener>) -> Self {
-        Door { listener, ..Door::default() }
+        AdminServer { listener, ..AdminServer::default() }
     }
 }
 
--- a/node/src/memory/buffers.rs
+++ b/proxy/src/buffers.rs
@@ -93,7 +93,9 @@
 
     /// Adds bytes; whether they fitted.
     pub fn add(&mut self, more: &[u8]) -> bool {
-        let Some(room) = self.bytes.get_mut(self.filled..self.filled + more.len()) else { return false };
+        let Some(room) = self.bytes.get_mut(self.filled..self.filled + more.len()) else {
+            return false;
+        };
         room.copy_from_slice(more);
         self.filled += more.len();
         true
--- a/node/src/cli.rs
+++ b/proxy/src/cli/mod.rs
@@ -1,8 +1,8 @@
 //! The command line. Without an argument the node runs, as its platform starts it.
 
-mod fleet;
+mod cluster;
 
-use crate::life::charter;
+use crate::config::operator_config;
 use clap::{Parser, Subcommand};
 
 use std::net::SocketAddr;
@@ -59,7 +59,7 @@
     }
     match Said::parse().wish? {
         Wish::Check { file } => Some(check(&file)),
-        Wish::Fleet { door } => Some(match fleet::table(door) {
+        Wish::Fleet { door } => Some(match cluster::table(door) {
             Ok(table) => {
                 println!("{table}");
                 ExitCode::SUCCESS
@@ -73,7 +73,7 @@
 }
 
 fn check(file: &Path) -> ExitCode {
-    match charter::at(file) {
+    match operator_config::at(file) {
         Ok(charter) => {
             let parts = if charter.fleet.is_some() { "fleet is on" } else { "nothing is on" };
             println!("{}: in order; {parts}", file.display());
--- a/node/src/wire/fleet.rs
+++ b/proxy/src/cluster/mod.rs
@@ -1,17 +1,17 @@
 //! The other nodes of the fleet: a socket for datagrams, and what they tell. Who is there, and what may be
 //! assumed, is decided in `membership/`; a node without a charter has none of this.
 
-mod calls;
-mod page;
+mod events;
+mod status_page;
 
-use crate::life::configuration::Configuration;
-use crate::names::hashed;
+use crate::config::configuration::Configuration;
+use crate::endpoint_list::hashed;
 use crate::tokens::FLEET;
-use crankmux::words::{Listed, Standing};
-use crankmux_charter::FleetCharter;
-use crankmux_membership::lists::Lists;
-use crankmux_membership::shares::Shares;
-use crankmux_membership::{Fleet, Name, News, Reach};
+use crankmux::types::{EndpointState, EndpointUpdate};
+use crankmux_membership::assumptions::ClusterAssumptions;
+use crankmux_membership::endpoint_gossip::EndpointView;
+use crankmux_membership::{Membership, MembershipEvent, NodeId, Reachability};
+use crankmux_operator_config::ClusterOptions;
 use mio::net::UdpSocket;
 use mio::{Interest, Registry};
 use serde_json::Value;
@@ -26,8 +26,8 @@
 
 /// How a node comes into its fleet.
 #[derive(Clone)]
-pub struct Entry {
-    pub charter: FleetCharter,
+pub struct ClusterConfig {
+    pub charter: ClusterOptions,
     pub keys: Vec<String>,
     pub name: String,
     pub zone: String,
@@ -52,11 +52,11 @@
         + part(env!("CARGO_PKG_VERSION_PATCH"))
 }
 
-impl Entry {
-    pub fn new(charter: FleetCharter, keys: Vec<String>, configuration: &Configuration) -> Self {
+impl ClusterConfig {
+    pub fn new(charter: ClusterOptions, keys: Vec<String>, configuration: &Configuration) -> Self {
         let settings = configuration.whole.get("settings").unwrap_or(&Value::Null);
         let zone = settings.get("MyZone").and_then(Value::as_str).unwrap_or_default();
-        Entry {
+        ClusterConfig {
             name: charter.name.clone().unwrap_or_else(|| configuration.name.clone()),
             zone: charter.zone.clone().unwrap_or_else(|| zone.to_string()),
             settings: version(settings),
@@ -78,30 +78,30 @@
 }
 
 /// The node among the others.
-pub struct Members {
+pub struct Cluster {
     socket: UdpSocket,
-    fleet: Fleet,
+    fleet: Membership,
     /// What the decisions were last told.
-    pub shares: Shares,
-    lists: Lists,
+    pub shares: ClusterAssumptions,
+    lists: EndpointView,
     /// The lines of the own list, and where to dial, by the number by which all nodes know a server.
-    lines: BTreeMap<u64, (Listed, Option<(SocketAddr, f64)>)>,
+    lines: BTreeMap<u64, (EndpointUpdate, Option<(SocketAddr, f64)>)>,
     datagrams: Datagrams,
     /// Read again, where more may wait than were read.
     read_at: f64,
-    reach: Reach,
+    reach: Reachability,
 }
 
-impl Members {
+impl Cluster {
     /// Opens the port, and asks the seeds. Errors: the port is another's, a key is none.
-    pub fn open(entry: &Entry, told: f64, now: f64, registry: &Registry) -> Result<Self, String> {
+    pub fn open(entry: &ClusterConfig, told: f64, now: f64, registry: &Registry) -> Result<Self, String> {
         let charter = &entry.charter;
         let of_listen = |e: std::io::Error| format!("fleet.listen: {}: {e}", charter.listen);
         let mut socket = UdpSocket::bind(charter.listen).map_err(of_listen)?;
         let held = socket2::SockRef::from(&socket).set_recv_buffer_size(charter.receive_buffer as usize);
         held.map_err(|e| format!("fleet.receive-buffer: {e}"))?;
         registry.register(&mut socket, FLEET, Interest::READABLE).map_err(of_listen)?;
-        let me = Name {
+        let me = NodeId {
             name: entry.name.clone(),
             zone: entry.zone.clone(),
             address: charter.advertise,
@@ -110,18 +110,18 @@
             settings: entry.settings,
         };
         let keys: Vec<&str> = entry.keys.iter().map(String::as_str).collect();
-        let mut fleet = Fleet::new(me, &charter.seeds, &keys, entry.seed ^ now as u64, now)?;
+        let mut fleet = Membership::new(me, &charter.seeds, &keys, entry.seed ^ now as u64, now)?;
         fleet.forget_failed_after(charter.forget_failed);
         log::info!("fleet: {} of zone {} hears at {}", entry.name, entry.zone, charter.listen);
-        Ok(Members {
+        Ok(Cluster {
             socket,
             fleet,
-            shares: Shares::new(told, now),
-            lists: Lists::default(),
+            shares: ClusterAssumptions::new(told, now),
+            lists: EndpointView::default(),
             lines: BTreeMap::new(),
             datagrams: Datagrams::default(),
             read_at: f64::INFINITY,
-            reach: Reach::Whole,
+            reach: Reachability::Full,
         })
     }
 
@@ -161,7 +161,7 @@
     }
 
     /// Other keys and seeds, as a reload has them.
-    pub fn renew(&mut self, entry: &Entry, told: f64) {
+    pub fn renew(&mut self, entry: &ClusterConfig, told: f64) {
         let keys: Vec<&str> = entry.keys.iter().map(String::as_str).collect();
         if let Err(e) = self.fleet.take_keys(&keys) {
             log::error!("fleet: the keys stay as they were: {e}");
@@ -172,19 +172,19 @@
 }
 
 /// How strict a standing is, for all nodes the same.
-fn strict(standing: Standing) -> u8 {
+fn strict(standing: EndpointState) -> u8 {
     match standing {
-        Standing::Ready => 0,
-        Standing::Draining => 1,
-        Standing::Gone => 2,
+        EndpointState::Ready => 0,
+        EndpointState::Draining => 1,
+        EndpointState::Removed => 2,
     }
 }
 
 /// Danger: were a server gone by another's word, its index would be used again while the own list holds it.
 /// Either way nothing new goes there.
-fn standing(strict: u8) -> Standing {
+fn standing(strict: u8) -> EndpointState {
     match strict {
-        0 => Standing::Ready,
-        _ => Standing::Draining,
+        0 => EndpointState::Ready,
+        _ => EndpointState::Draining,
     }
 }
--- a/node/src/wire/fleet/page.rs
+++ b/proxy/src/cluster/status_page.rs
@@ -1,31 +1,31 @@
 //! What the operators' door tells of the fleet.
 
 use super::*;
-use crankmux_membership::State;
+use crankmux_membership::MemberState;
 use serde_json::json;
 
 /// How much is reached, in words.
-pub fn words(reach: Reach) -> String {
+pub fn words(reach: Reachability) -> String {
     match reach {
-        Reach::Whole => "the whole fleet".into(),
-        Reach::Part { of, reached, .. } => format!("{reached} of {of} nodes"),
-        Reach::Alone { .. } => "nobody else".into(),
+        Reachability::Full => "the whole fleet".into(),
+        Reachability::Partial { of, reached, .. } => format!("{reached} of {of} nodes"),
+        Reachability::Isolated { .. } => "nobody else".into(),
     }
 }
 
-fn state(state: State) -> &'static str {
+fn state(state: MemberState) -> &'static str {
     match state {
-        State::Alive => "alive",
-        State::Suspected => "suspected",
-        State::Failed => "failed",
-        State::Left => "left",
+        MemberState::Alive => "alive",
+        MemberState::Suspected => "suspected",
+        MemberState::Failed => "failed",
+        MemberState::Left => "left",
     }
 }
 
-impl Members {
+impl Cluster {
     /// All that is known of the fleet. Times are milliseconds ago.
     pub fn page(&self, now: f64) -> Value {
-        let named = |name: &Name| {
+        let named = |name: &NodeId| {
             json!({"name": name.name, "zone": name.zone, "address": name.address.to_string(),
                    "born": name.born, "program": name.program, "settings": format!("{:016x}", name.settings)})
         };
@@ -39,11 +39,11 @@
             .collect();
         let ago = |since: f64| (now - since).max(0.0).round();
         let reach = match self.fleet.reach() {
-            Reach::Whole => json!({"state": "whole"}),
-            Reach::Part { of, reached, since } => {
+            Reachability::Full => json!({"state": "whole"}),
+            Reachability::Partial { of, reached, since } => {
                 json!({"state": "part", "of": of, "reached": reached, "since_ms": ago(since)})
             }
-            Reach::Alone { since } => json!({"state": "alone", "since_ms": ago(since)}),
+            Reachability::Isolated { since } => json!({"state": "alone", "since_ms": ago(since)}),
         };
         let zones: Vec<Value> = (self.fleet.reach_by_zone().iter())
             .map(|zone| {
@@ -64,17 +64,17 @@
     /// A figure a line.
     pub fn figures(&self) -> String {
         let known = self.fleet.known();
-        let count = |wanted: State| known.iter().filter(|k| k.state == wanted).count();
+        let count = |wanted: MemberState| known.iter().filter(|k| k.state == wanted).count();
         let Datagrams { sent, unsent, heard, refused } = self.datagrams;
         let (nodes, cold) = self.shares.now();
         format!(
             "fleet_alive={}\nfleet_suspected={}\nfleet_failed={}\nfleet_left={}\nfleet_nodes_assumed={:.2}\n\
              fleet_cold_part={:.4}\nfleet_held_stricter={}\nfleet_sent={sent}\nfleet_unsent={unsent}\n\
              fleet_heard={heard}\nfleet_refused={refused}\n",
-            count(State::Alive) + 1,
-            count(State::Suspected),
-            count(State::Failed),
-            count(State::Left),
+            count(MemberState::Alive) + 1,
+            count(MemberState::Suspected),
+            count(MemberState::Failed),
+            count(MemberState::Left),
             nodes,
             cold,
             self.lists.stricter(),
--- a/node/src/life/configuration.rs
+++ b/proxy/src/config/configuration.rs
@@ -1,9 +1,9 @@
 //! The one place where configuration is read, checked and given defaults.
 
-use crate::names::read_list;
+use crate::endpoint_list::read_list;
 use crate::tokens::CALLERS_MOST;
 use crankmux::dispatcher::Dispatcher;
-use crankmux::given::{self, Names};
+use crankmux::settings::{self, NameIndex};
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -71,7 +71,7 @@
     pub keepalive: f64,
     /// The list of servers as it was last known.
     pub known: Value,
-    pub names: Names,
+    pub names: NameIndex,
     /// The header in which a request says what it is about; none by default.
     pub key_header: Option<String>,
     pub dispatcher: Dispatcher,
@@ -134,15 +134,15 @@
             Some(Value::String(name)) if name.bytes().all(token) && !name.is_empty() => Some(name.clone()),
             Some(_) => return Err("key_header is no header's name".into()),
         };
-        given::check(settings).map_err(|m| format!("settings: {m}"))?;
-        let (names, given) = Names::read(settings);
+        settings::validate(settings).map_err(|m| format!("settings: {m}"))?;
+        let (names, given) = NameIndex::from_settings(settings);
         let known = whole.get("known").cloned().unwrap_or_default();
         if !known.is_null() {
             // Read for its faults, under names that are thrown away.
-            read_list(&mut Names::default(), &known).map_err(|e| format!("known: {e}"))?;
+            read_list(&mut NameIndex::default(), &known).map_err(|e| format!("known: {e}"))?;
         }
         let dispatcher =
-            Dispatcher::new(given, seed).map_err(|m| format!("settings: {}", given::explain(&m)))?;
+            Dispatcher::new(given, seed).map_err(|m| format!("settings: {}", settings::explain_error(&m)))?;
         let ttls = settings.get("Categories").and_then(Value::as_array).into_iter().flatten();
         let longest = ttls.filter_map(|c| c.get("TtlMs")?.as_f64()).fold(0.0, f64::max);
         let mut kept = whole.clone();
--- a/node/src/wire/discovery.rs
+++ b/proxy/src/discovery/mod.rs
@@ -1,13 +1,13 @@
 //! Discovery: the list of servers, watched.
 
-mod calls;
+mod poll;
 
-use super::http::{self, Message};
-use crate::memory::buffers::{Buffer, Filled};
-use crate::memory::timers::Key;
-use crate::names::{read_list, List};
+use crate::buffers::{Buffer, Filled};
+use crate::endpoint_list::{read_list, List};
+use crate::http::{self, Message};
+use crate::timers::TimerKey;
 use crate::tokens::DISCOVERY;
-use crankmux::words::Listed;
+use crankmux::types::EndpointUpdate;
 use mio::net::TcpStream;
 use mio::Interest;
 use serde_json::{json, Value};
@@ -40,7 +40,7 @@
     failed: bool,
     late: bool,
     seq: Option<u64>,
-    timer: Option<Key>,
+    timer: Option<TimerKey>,
     /// The list as last told, line by line.
     lines: BTreeMap<String, Value>,
     /// Has answered, or failed to, since the start.
@@ -77,7 +77,9 @@
             self.lines.clear();
         }
         for line in list.get("hosts").and_then(Value::as_array).into_iter().flatten() {
-            let Some(host) = line.get("host").and_then(Value::as_str) else { continue };
+            let Some(host) = line.get("host").and_then(Value::as_str) else {
+                continue;
+            };
             if line.get("health").and_then(Value::as_str) == Some("Gone") {
                 self.lines.remove(host);
             } else {
--- a/node/src/wire/discovery/calls.rs
+++ b/proxy/src/discovery/poll.rs
@@ -5,27 +5,27 @@
 
 impl Proxy {
     /// Takes a list over: to the decisions, and where to dial.
-    pub fn take_list(&mut self, list: &List, cached: bool) {
+    pub fn apply_endpoint_list(&mut self, list: &List, cached: bool) {
         let now = self.now();
-        let lines: Vec<Listed> = list.lines.iter().map(|(line, _)| *line).collect();
-        self.dispatcher.list(now, &lines, list.whole, cached);
+        let lines: Vec<EndpointUpdate> = list.lines.iter().map(|(line, _)| *line).collect();
+        self.dispatcher.update_endpoints(now, &lines, list.whole, cached);
         if list.whole {
-            let listed: HashSet<usize> = lines.iter().map(|line| line.server).collect();
-            for server in (0..self.servers.met()).filter(|server| !listed.contains(server)) {
+            let listed: HashSet<usize> = lines.iter().map(|line| line.endpoint).collect();
+            for server in (0..self.upstream.met()).filter(|server| !listed.contains(server)) {
                 self.place(server, None);
             }
         }
         for (line, dial) in &list.lines {
-            self.bans.listed(line.mark);
-            self.place(line.server, *dial);
+            self.disabled_endpoints.listed(line.stable_hash);
+            self.place(line.endpoint, *dial);
         }
-        self.leave_unsent();
-        self.tell_fleet(list);
-        self.names.keep(|server| self.dispatcher.holds(server));
+        self.leave_not_sent();
+        self.gossip_endpoint_list(list);
+        self.name_index.retain_endpoints(|server| self.dispatcher.knows_endpoint(server));
     }
 
     /// Calls discovery: for the whole list first, then for what has come since.
-    pub fn call_list(&mut self) {
+    pub fn poll_endpoints(&mut self) {
         let now = self.now();
         let discovery = &mut self.discovery;
         if discovery.timer.is_some() {
@@ -72,7 +72,7 @@
 
     /// Follows the list at an address, as a reload names it. The servers known so far stay until it has
     /// spoken.
-    pub fn follow_discovery(&mut self, address: SocketAddr) {
+    pub fn watch_discovery(&mut self, address: SocketAddr) {
         if self.discovery.address == address {
             return;
         }
@@ -80,7 +80,7 @@
         self.hang_up();
         self.timers.unset(self.discovery.timer.take());
         (self.discovery.address, self.discovery.seq, self.discovery.late) = (address, None, false);
-        self.call_list();
+        self.poll_endpoints();
     }
 
     fn hang_up(&mut self) {
@@ -92,7 +92,7 @@
     /// Discovery has said something, or failed to.
     fn has_spoken(&mut self) {
         if !std::mem::replace(&mut self.discovery.heard, true) {
-            self.first_listen();
+            self.listen_after_first_list();
         }
     }
 
@@ -104,12 +104,14 @@
         (self.discovery.failed, self.discovery.late) = (true, false);
         self.counters.lists_failed += 1;
         let now = self.now();
-        self.dispatcher.list_failed(now);
+        self.dispatcher.discovery_failed(now);
     }
 
     pub fn discovery_event(&mut self) {
         let discovery = &mut self.discovery;
-        let Some(stream) = &mut discovery.stream else { return };
+        let Some(stream) = &mut discovery.stream else {
+            return;
+        };
         if stream.peer_addr().is_err() {
             if let Ok(Some(e)) = stream.take_error() {
                 self.list_call_failed(&e.to_string());
@@ -160,11 +162,13 @@
     fn list_answered(&mut self) {
         let now = self.now();
         let discovery = &mut self.discovery;
-        let Some((message, status)) = discovery.message.take() else { return };
+        let Some((message, status)) = discovery.message.take() else {
+            return;
+        };
         let body = &discovery.inbox.held()[message.head..message.end];
         let list = match (status, serde_json::from_slice(body)) {
             (200, Ok(list)) => {
-                let read = read_list(&mut self.names, &list);
+                let read = read_list(&mut self.name_index, &list);
                 if read.is_ok() {
                     self.discovery.keep(&list);
                 }
@@ -192,16 +196,16 @@
             // Danger: versions of another discovery, say. What this one has to tell since ours is unknown:
             // all of it.
             discovery.seq = None;
-            return self.call_list();
+            return self.poll_endpoints();
         }
         let early = discovery.seq == Some(list.seq) && now - discovery.asked_at < APART;
         discovery.seq = Some(list.seq);
-        self.take_list(&list, false);
+        self.apply_endpoint_list(&list, false);
         self.has_spoken();
         if early {
-            self.timers.set(now + APART, |proxy: &mut Proxy| proxy.call_list());
+            self.timers.set(now + APART, |proxy: &mut Proxy| proxy.poll_endpoints());
         } else {
-            self.call_list();
+            self.poll_endpoints();
         }
     }
 }
--- a/node/src/wire/clients/coming.rs
+++ b/proxy/src/downstream/accept.rs
@@ -1,4 +1,4 @@
-//! Clients that come, go, and make room.
+//! DownstreamConnections that come, go, and make room.
 
 use super::*;
 use crate::proxy::Proxy;
@@ -6,40 +6,42 @@
 impl Proxy {
     /// Has the loop watch the listener.
     pub fn listen(&mut self) {
-        if let Some(listener) = self.clients.listener.as_mut().filter(|_| !self.clients.listening) {
+        if let Some(listener) = self.downstream.listener.as_mut().filter(|_| !self.downstream.listening) {
             match self.registry.register(listener, LISTENER, Interest::READABLE) {
-                Ok(()) => self.clients.listening = true,
+                Ok(()) => self.downstream.listening = true,
                 Err(e) => log::error!("cannot watch the listener: {e}"),
             }
         }
     }
 
     /// Leaves what comes to the other process that has this listener.
-    pub fn unlisten(&mut self) {
-        if let Some(listener) = self.clients.listener.as_mut().filter(|_| self.clients.listening) {
+    pub fn stop_listening(&mut self) {
+        if let Some(listener) = self.downstream.listener.as_mut().filter(|_| self.downstream.listening) {
             let _ = self.registry.deregister(listener);
-            self.clients.listening = false;
+            self.downstream.listening = false;
         }
     }
 
     pub fn accept(&mut self) {
-        self.clients.waiting = false;
-        if !self.clients.listening {
+        self.downstream.waiting = false;
+        if !self.downstream.listening {
             return;
         }
-        self.timers.unset(self.clients.accept_again.take());
+        self.timers.unset(self.downstream.accept_again.take());
         loop {
             // Danger: without a free descriptor accepting would fail and spin, and connections that only
             // stand there would keep clients out.
-            if self.clients.table.full() && !self.make_room() {
+            if self.downstream.table.full() && !self.make_room() {
                 // All have an op under way or have just come; the others wait until one is answered.
-                self.clients.waiting = true;
+                self.downstream.waiting = true;
                 return self.accept_later();
             }
-            let Some(listener) = &self.clients.listener else { return };
-            if !self.spare.kept() {
+            let Some(listener) = &self.downstream.listener else {
+                return;
+            };
+            if !self.reserved_descriptors.kept() {
                 // Danger: clients take the place of the descriptor that was given up, as soon as it is free.
-                if !(self.make_room() || self.drop_longest_idle()) {
+                if !(self.make_room() || self.close_longest_idle_upstream()) {
                     return self.accept_later();
                 }
                 continue;
@@ -52,7 +54,7 @@
                 // Danger: the system is out of descriptors before the table is full; the listener stays
                 // readable, and trying at once again and again would take the whole core.
                 Err(e) => {
-                    if !(self.make_room() || self.drop_longest_idle()) {
+                    if !(self.make_room() || self.close_longest_idle_upstream()) {
                         log::warn!("cannot accept: {e}");
                         return self.accept_later();
                     }
@@ -63,17 +65,17 @@
 
     fn accept_later(&mut self) {
         let at = self.now() + ACCEPT_AGAIN;
-        self.clients.accept_again = Some(self.timers.set(at, |proxy: &mut Proxy| proxy.accept()));
+        self.downstream.accept_again = Some(self.timers.set(at, |proxy: &mut Proxy| proxy.accept()));
     }
 
     /// Drops the least needed client; whether there was one. What it may have sent by now counts as taken,
     /// and is read first.
     fn make_room(&mut self) -> bool {
         self.counters.full += 1;
-        while let Some(least) = self.clients.least_needed(self.clock.now()) {
+        while let Some(least) = self.downstream.least_needed(self.clock.now()) {
             self.serve(least);
-            if self.clients.table.get(least).is_none_or(Client::spare) {
-                self.drop_client(least);
+            if self.downstream.table.get(least).is_none_or(DownstreamConnection::spare) {
+                self.drop_downstream(least);
                 return true;
             }
         }
@@ -82,15 +84,16 @@
 
     /// Drops the client that was idle longest; whether there was one. One that has just come is about to
     /// speak.
-    pub fn drop_idle_client(&mut self) -> bool {
+    pub fn close_idle_downstream(&mut self) -> bool {
         let now = self.clock.now();
-        let quiet = |c: &Client| c.idle() && now - c.idle_since > JUST_COME && silent(&c.stream);
-        let idle = self.clients.table.least(|c| quiet(c).then_some(c.idle_since));
-        idle.inspect(|key| self.drop_client(*key)).is_some()
+        let quiet =
+            |c: &DownstreamConnection| c.idle() && now - c.idle_since > JUST_COME && is_silent(&c.stream);
+        let idle = self.downstream.table.least(|c| quiet(c).then_some(c.idle_since));
+        idle.inspect(|key| self.drop_downstream(*key)).is_some()
     }
 
     fn add_client(&mut self, mut stream: TcpStream) {
-        let key = self.clients.table.next_key();
+        let key = self.downstream.table.next_key();
         let both = Interest::READABLE | Interest::WRITABLE;
         if let Err(e) = self.registry.register(&mut stream, CLIENT.token(key), both) {
             log::warn!("cannot watch a client: {e}");
@@ -99,7 +102,7 @@
         // Without it a small answer may wait for the acknowledgement of the one before.
         let _ = stream.set_nodelay(true);
         let idle_since = self.clock.now();
-        self.clients.table.insert(Client {
+        self.downstream.table.insert(DownstreamConnection {
             stream,
             inbox: None,
             request: None,
@@ -129,19 +132,21 @@
         // Danger: connections by hundreds that never say anything would hold descriptors for good.
         self.may_stand(key, SLOW);
         self.counters.accepted += 1;
-        self.clients.again.push(key);
+        self.downstream.again.push(key);
     }
 
     /// The one place where a client's connection and buffers are given back.
-    pub fn drop_client(&mut self, key: usize) {
-        let Some(mut client) = self.clients.table.take(key) else { return };
+    pub fn drop_downstream(&mut self, key: usize) {
+        let Some(mut client) = self.downstream.table.take(key) else {
+            return;
+        };
         if client.fed_by.is_some() && client.unframed {
             // Danger: an answer cut short whose end is the connection's would look whole. A reset tells.
             let _ = SockRef::from(&client.stream).set_linger(Some(Duration::ZERO));
         }
-        if let Some(link) = client.fed_by.filter(|link| self.servers.links.get(*link).is_some()) {
+        if let Some(link) = client.fed_by.filter(|link| self.upstream.links.get(*link).is_some()) {
             self.counters.departed += 1;
-            self.fail(link, Ending::Cancelled, Load::default());
+            self.fail(link, AttemptOutcome::Cancelled, LoadReport::default());
         }
         let _ = self.registry.deregister(&mut client.stream);
         self.timers.unset(client.timer);
@@ -151,19 +156,19 @@
         if let Some(receipt) = client.receipt {
             // One that was cut off on its way has failed; else the client did not stay for its answer.
             let cut = client.end == Some(End::Aborted);
-            self.tally.end(receipt, if cut { End::Aborted } else { End::Departed });
+            self.access_metrics.end(receipt, if cut { End::Aborted } else { End::Departed });
         }
         if let Some(op) = client.op {
-            self.client_gone(op);
+            self.client_left(op);
         }
     }
 
     /// Goes on with clients that were answered, and lets waiting ones in where there is room again.
-    pub fn serve_again(&mut self) {
-        while let Some(key) = self.clients.again.pop() {
+    pub fn serve_ready_clients(&mut self) {
+        while let Some(key) = self.downstream.again.pop() {
             self.serve(key);
         }
-        if self.clients.waiting && !self.clients.table.full() {
+        if self.downstream.waiting && !self.downstream.table.full() {
             self.accept();
         }
     }
@@ -178,20 +183,20 @@
         if !self.upgrade.followed() {
             self.accept();
         }
-        self.unlisten();
-        self.clients.listener = None;
+        self.stop_listening();
+        self.downstream.listener = None;
     }
 
     /// Closes clients between requests, once what they may have sent is read; those that have just come only at
     /// the very end: they are about to speak, and are told to close then.
     pub fn close_idle(&mut self, all: bool) {
         let now = self.clock.now();
-        let keys = self.clients.table.keys(|_| true);
+        let keys = self.downstream.table.keys(|_| true);
         for key in keys {
             self.serve(key);
-            let stands = |c: &Client| c.idle() && (all || now - c.idle_since > JUST_COME);
-            if self.clients.table.get(key).is_some_and(stands) {
-                self.drop_client(key);
+            let stands = |c: &DownstreamConnection| c.idle() && (all || now - c.idle_since > JUST_COME);
+            if self.downstream.table.get(key).is_some_and(stands) {
+                self.drop_downstream(key);
             }
         }
     }
--- a/node/src/wire/clients/mod.rs
+++ b/proxy/src/downstream/mod.rs
@@ -1,20 +1,20 @@
-//! Clients: their table, connections accepted and given back. What comes from them is read in `reading`,
+//! DownstreamConnections: their table, connections accepted and given back. What comes from them is read in `reading`,
 //! what goes to them is written in `answering`.
 
-mod answering;
-mod coming;
-mod reading;
-
-use super::bodies::Upload;
-use super::http::Message;
-use super::silent;
-use crate::memory::buffers::Buffer;
-use crate::memory::tables::Table;
-use crate::memory::tally::{End, Receipt};
-use crate::memory::timers::Key;
+mod accept;
+mod read_request;
+mod write_response;
+
+use crate::buffers::Buffer;
+use crate::http::Message;
+use crate::metrics::access::{End, RequestReceipt};
+use crate::slot_table::SlotTable;
+use crate::socket::is_silent;
+use crate::streaming::Upload;
+use crate::timers::TimerKey;
 use crate::tokens::{CLIENT, LISTENER};
-use crankmux::words::Arrival;
-use crankmux::words::{Ending, Load};
+use crankmux::types::NewRequest;
+use crankmux::types::{AttemptOutcome, LoadReport};
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
 use socket2::SockRef;
@@ -37,7 +37,7 @@
 enum Asked {
     Health,
     /// With the mark of its id.
-    Op(Arrival, u64),
+    Op(NewRequest, u64),
     /// For a category that was served once.
     Vanished(usize),
 }
@@ -48,7 +48,7 @@
 /// this. Until then it makes no room for others.
 const JUST_COME: f64 = 100.0;
 
-struct Client {
+struct DownstreamConnection {
     stream: TcpStream,
     /// The request, from its first byte until it is answered.
     inbox: Option<Buffer>,
@@ -68,7 +68,7 @@
     moved: f64,
     op: Option<usize>,
     /// Of its op, until the answer is out, and what that answer makes of it.
-    receipt: Option<Receipt>,
+    receipt: Option<RequestReceipt>,
     end: Option<End>,
     /// Close once the answer is out; then only the other side's end is awaited.
     close: bool,
@@ -84,12 +84,12 @@
     begun: bool,
     /// Its side has ended or broken, with bytes ahead of that perhaps still unread.
     ended: bool,
-    timer: Option<Key>,
+    timer: Option<TimerKey>,
     /// When it came, had its last answer, or began a request.
     idle_since: f64,
 }
 
-impl Client {
+impl DownstreamConnection {
     /// Its head is in, but its body is not whole.
     fn in_body(&self) -> bool {
         self.request.as_ref().is_some_and(|(message, _)| !message.whole())
@@ -110,27 +110,27 @@
     }
 }
 
-pub struct Clients {
+pub struct DownstreamConnections {
     listener: Option<TcpListener>,
     /// Whether the loop watches the listener.
     listening: bool,
-    table: Table<Client>,
+    table: SlotTable<DownstreamConnection>,
     most: usize,
     /// Connections wait to be accepted.
     waiting: bool,
-    accept_again: Option<Key>,
+    accept_again: Option<TimerKey>,
     /// Those that were answered and may have more to say.
     again: Vec<usize>,
     /// Those whose end has just shown.
     ended: Vec<usize>,
 }
 
-impl Clients {
+impl DownstreamConnections {
     pub fn new(listener: TcpListener, most: usize) -> Self {
-        Clients {
+        DownstreamConnections {
             listener: Some(listener),
             listening: false,
-            table: Table::new(most),
+            table: SlotTable::new(most),
             most,
             waiting: false,
             accept_again: None,
@@ -168,7 +168,7 @@
     /// Danger: were idle ones always first, a new client would go before it could speak, and hundreds that
     /// say nothing would push out those that do.
     fn least_needed(&self, now: f64) -> Option<usize> {
-        let stands = |c: &Client| c.spare() && now - c.idle_since > JUST_COME;
+        let stands = |c: &DownstreamConnection| c.spare() && now - c.idle_since > JUST_COME;
         let table = &self.table;
         let over = table.least(|c| (c.lingers && stands(c)).then_some(c.idle_since));
         let strange = || table.least(|c| (c.answers == 0 && !c.lingers && stands(c)).then_some(c.idle_since));
@@ -177,7 +177,7 @@
         over.or_else(strange).or_else(idle).or_else(hung_up)
     }
 
-    pub fn nothing_again(&self) -> bool {
+    pub fn none_ready(&self) -> bool {
         self.again.is_empty() && (self.table.full() || !self.waiting)
     }
 
@@ -190,7 +190,7 @@
         Some(outbox)
     }
 
-    /// Ops taken in whose body is still coming.
+    /// Requests taken in whose body is still coming.
     pub fn uploads(&self) -> usize {
         self.table.keys(|c| c.receipt.is_some() && c.in_body()).len()
     }
@@ -222,14 +222,15 @@
 
     /// Its body, while it comes.
     pub fn upload(&mut self, key: usize) -> Option<Upload<'_>> {
-        let Client { stream, inbox, request, let_go, got, moved, .. } = self.table.get_mut(key)?;
+        let DownstreamConnection { stream, inbox, request, let_go, got, moved, .. } =
+            self.table.get_mut(key)?;
         let (inbox, (message, _)) = (inbox.as_mut()?, request.as_mut()?);
         Some(Upload { stream, inbox, message, let_go, got, moved })
     }
 
     /// Whether all of its request has come, read or not, where the request tells its length.
     pub fn rest_is_here(&self, key: usize) -> bool {
-        let Some(Client { stream, inbox: Some(inbox), request: Some((message, _)), .. }) =
+        let Some(DownstreamConnection { stream, inbox: Some(inbox), request: Some((message, _)), .. }) =
             self.table.get(key)
         else {
             return false;
@@ -254,7 +255,7 @@
     }
 
     /// Its side has ended or broken; what it sent before that may still be unread.
-    pub fn has_ended(&mut self, key: usize) {
+    pub fn mark_closed(&mut self, key: usize) {
         if let Some(client) = self.table.get_mut(key) {
             client.ended = true;
             self.ended.push(key);
--- a/node/src/wire/clients/reading.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -1,14 +1,14 @@
 //! Reading from clients: a request's head is checked as soon as it is in, its body awaited or fed on.
 
 use super::{Asked, LINGER_BYTES, SLOW};
-use crate::memory::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
-use crate::memory::ops::Ops;
-use crate::names::hashed;
+use crate::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
+use crate::endpoint_list::hashed;
+use crate::http::{self, RequestError};
 use crate::proxy::Proxy;
-use crate::wire::http::{self, Refused};
-use crate::wire::servers::start_of;
-use crankmux::given::Names;
-use crankmux::words::Arrival;
+use crate::requests::Requests;
+use crate::upstream::start_of;
+use crankmux::settings::NameIndex;
+use crankmux::types::NewRequest;
 use httparse::Header;
 use std::io::{self, Read, Write};
 
@@ -16,13 +16,13 @@
 const TTL_MOST: f64 = 3600.0;
 
 fn asked(
-    names: &Names,
-    ops: &Ops,
+    names: &NameIndex,
+    ops: &Requests,
     key: Option<&str>,
     method: &str,
     path: &str,
     headers: &[Header],
-) -> Result<Asked, Refused> {
+) -> Result<Asked, RequestError> {
     if path == "/_health" {
         return Ok(Asked::Health);
     }
@@ -41,9 +41,9 @@
     if path.trim_start_matches('/').split(['/', '?']).next() != Some(category) {
         return Err(400);
     }
-    let Some(category) = names.categories.index(category) else {
+    let Some(category) = names.classes.index(category) else {
         // Danger: clients that have not heard of it yet, whose failures no figure would tell.
-        let once = names.categories.names.iter().position(|name| name == category);
+        let once = names.classes.names.iter().position(|name| name == category);
         return once.map(Asked::Vanished).ok_or(400);
     };
     let ttl: f64 = header("X-Timeout").and_then(|v| v.parse().ok()).ok_or(400_u16)?;
@@ -51,38 +51,52 @@
         return Err(400);
     }
     let customer = header("X-Tenant-Id");
-    if customer.is_none() && !names.customers.is_empty() {
+    if customer.is_none() && !names.tenants.is_empty() {
         return Err(400);
     }
-    let customer = customer.and_then(|name| names.customers.index(name));
+    let customer = customer.and_then(|name| names.tenants.index(name));
     let retry = header("X-Retried") == Some("1");
     // All nodes come to the same number, so that a key's servers are known to all alike.
     let key = key.and_then(header).map(hashed);
-    Ok(Asked::Op(Arrival { op: 0, category, customer, ttl: ttl * 1000.0, retry, key }, mark))
+    Ok(Asked::Op(
+        NewRequest {
+            request: 0,
+            class: category,
+            tenant: customer,
+            ttl_ms: ttl * 1000.0,
+            client_retry: retry,
+            key,
+        },
+        mark,
+    ))
 }
 
 impl Proxy {
     /// From now on nothing but a whole request may keep the connection for longer than this.
     pub(super) fn may_stand(&mut self, key: usize, most: f64) {
         let at = self.clock.now() + most;
-        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return;
+        };
         self.timers.unset(client.timer.take());
         client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.stood(key)));
     }
 
     /// It has stood for as long as it may; what it has sent by now is read first.
     pub(super) fn stood(&mut self, key: usize) {
-        if let Some(client) = self.clients.table.get_mut(key) {
+        if let Some(client) = self.downstream.table.get_mut(key) {
             client.timer = None;
         }
         self.serve(key);
         let now = self.clock.now();
-        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return;
+        };
         if client.outbox.is_some() || client.timer.is_some() {
             return;
         }
         if client.in_body() {
-            if client.op.is_some() && !self.servers.hungry(client.feeds, key) {
+            if client.op.is_some() && !self.upstream.hungry(client.feeds, key) {
                 // It is the server's turn: what it takes its time for is not held against the client.
                 (client.body_from, client.got, client.moved) = (now, 0, now);
             }
@@ -93,30 +107,34 @@
             }
             if client.op.is_some() {
                 self.counters.bad += 1;
-                return self.drop_client(key);
+                return self.drop_downstream(key);
             }
         }
-        let Some(client) = self.clients.table.get(key).filter(|c| c.spare()) else { return };
+        let Some(client) = self.downstream.table.get(key).filter(|c| c.spare()) else {
+            return;
+        };
         if client.inbox.is_some() {
             // Danger: a client that sends a byte now and then would hold a buffer for ever.
             self.counters.bad += 1;
             self.refuse(key, 408);
         } else {
-            self.drop_client(key);
+            self.drop_downstream(key);
         }
     }
 
     /// Reads towards the next request and has it served; whether there is more to do at once.
     pub(super) fn read_request(&mut self, key: usize) -> bool {
-        let Some(client) = self.clients.table.get_mut(key) else { return false };
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return false;
+        };
         if client.op.is_some() && client.ended {
             // Danger: whoever has left is served on by one server after another.
-            self.drop_client(key);
+            self.drop_downstream(key);
             return false;
         }
         if client.op.is_some() && client.in_body() {
             // Whoever it feeds reads on.
-            self.links_again.extend(client.feeds);
+            self.writable_upstream.extend(client.feeds);
             return false;
         }
         if client.op.is_some() {
@@ -137,7 +155,7 @@
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => false,
                 _ => {
-                    self.drop_client(key);
+                    self.drop_downstream(key);
                     false
                 }
             };
@@ -168,7 +186,9 @@
     /// What comes behind a request waits for its answer. Danger: an end shows only once all bytes before it
     /// are read, and a client that sends much at once and goes would never be seen to go.
     fn read_behind(&mut self, key: usize) {
-        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return;
+        };
         let (mut read, mut beyond) = (0, [0; 16 * 1024]);
         // Danger: one that goes on sending at full speed would keep the loop for itself.
         while read < BODY_MOST {
@@ -177,7 +197,7 @@
             match filled {
                 Filled::Some => {}
                 Filled::Later => return,
-                Filled::Ended | Filled::Broken => return self.drop_client(key),
+                Filled::Ended | Filled::Broken => return self.drop_downstream(key),
                 // It can't be kept, so nothing behind this request is answered: the connection goes with it.
                 Filled::Full => match client.stream.read(&mut beyond) {
                     Ok(more @ 1..) => {
@@ -186,7 +206,7 @@
                     }
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                     Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    _ => return self.drop_client(key),
+                    _ => return self.drop_downstream(key),
                 },
             }
         }
@@ -195,25 +215,31 @@
     }
 
     pub(super) fn put_back(&mut self, key: usize, inbox: Buffer) {
-        match self.clients.table.get_mut(key) {
+        match self.downstream.table.get_mut(key) {
             Some(client) => client.inbox = Some(inbox),
             None => self.buffers.give(inbox),
         }
     }
 
     /// What is asked, once the whole request is in.
-    pub(super) fn read_whole(&mut self, key: usize, inbox: &mut Buffer) -> Result<Option<Asked>, Refused> {
-        let client = &mut self.clients.table[key];
+    pub(super) fn read_whole(
+        &mut self,
+        key: usize,
+        inbox: &mut Buffer,
+    ) -> Result<Option<Asked>, RequestError> {
+        let client = &mut self.downstream.table[key];
         if client.request.is_none() {
             // Danger: line ends left over behind the last request, taken for a request that never ends.
             let blank = inbox.held().iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
             inbox.cut(0, blank);
-            let (names, ops, key) = (&self.names, &self.ops, self.key_header.as_deref());
+            let (names, ops, key) = (&self.name_index, &self.requests, self.key_header.as_deref());
             let head = http::request(inbox.held(), |method, path, headers| {
                 let expect = http::value(headers, "expect").unwrap_or_default();
                 (asked(names, ops, key, method, path, headers), expect.eq_ignore_ascii_case("100-continue"))
             })?;
-            let Some((message, (asked, expects))) = head else { return Ok(None) };
+            let Some((message, (asked, expects))) = head else {
+                return Ok(None);
+            };
             log::trace!("{}", String::from_utf8_lossy(&inbox.held()[..message.head]));
             // What its head rules out is refused before its body has come.
             client.request = Some((message, asked?));
@@ -225,7 +251,9 @@
                 let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
             }
         }
-        let Some((message, asked)) = &mut client.request else { return Ok(None) };
+        let Some((message, asked)) = &mut client.request else {
+            return Ok(None);
+        };
         // One too long to be held whole is heard before its end.
         let whole = message.advance(inbox)?;
         Ok((whole || message.end - message.head > BODY_MOST).then_some(*asked))
@@ -233,7 +261,7 @@
 
     /// Reads on; whether anything came.
     pub(super) fn read_more(&mut self, key: usize, mut inbox: Buffer) -> bool {
-        let client = &mut self.clients.table[key];
+        let client = &mut self.downstream.table[key];
         let before = inbox.held().len();
         let filled = inbox.fill(&mut client.stream);
         if inbox.held().len() > before {
@@ -255,7 +283,7 @@
         match filled {
             Filled::Some => return true,
             Filled::Later => {}
-            Filled::Ended | Filled::Broken => self.drop_client(key),
+            Filled::Ended | Filled::Broken => self.drop_downstream(key),
             Filled::Full => {
                 self.counters.bad += 1;
                 self.refuse(key, 413);
@@ -266,7 +294,7 @@
     }
 
     pub(super) fn hear(&mut self, key: usize, asked: Asked) {
-        let client = &mut self.clients.table[key];
+        let client = &mut self.downstream.table[key];
         self.timers.unset(client.timer.take());
         client.begun = false;
         client.close = !client.request.as_ref().is_some_and(|(m, _)| m.keep);
@@ -279,21 +307,21 @@
                 self.answer(key, status, 0.0);
             }
             Asked::Vanished(category) => {
-                client.receipt = Some(self.tally.take_in(category));
+                client.receipt = Some(self.access_metrics.begin(category));
                 self.counters.bad += 1;
                 self.refuse(key, 400);
             }
-            Asked::Op(_, mark) if self.ops.is_open(mark) => {
+            Asked::Op(_, mark) if self.requests.is_open(mark) => {
                 // Danger: two clients under one id, of whom one would get the other's answer.
                 self.counters.bad += 1;
                 self.refuse(key, 409);
             }
             Asked::Op(arrival, mark) => {
-                client.receipt = Some(self.tally.take_in(arrival.category));
-                let op = self.take_in(key, arrival, mark);
+                client.receipt = Some(self.access_metrics.begin(arrival.class));
+                let op = self.admit(key, arrival, mark);
                 // It may be answered already.
-                let waits = self.ops.waits(op);
-                if let Some(client) = self.clients.table.get_mut(key).filter(|_| waits) {
+                let waits = self.requests.waits(op);
+                if let Some(client) = self.downstream.table.get_mut(key).filter(|_| waits) {
                     client.op = Some(op);
                     if client.in_body() {
                         self.may_stand(key, SLOW);
--- a/node/src/wire/clients/answering.rs
+++ b/proxy/src/downstream/write_response.rs
@@ -1,12 +1,12 @@
 //! Writing to clients: answers as far as their sockets take them, and what becomes of the connection after.
 
-use super::{Client, JUST_COME, LINGER, SLOW};
-use crate::memory::buffers::{Buffer, BODY_LONG};
-use crate::memory::tally::End;
+use super::{DownstreamConnection, JUST_COME, LINGER, SLOW};
+use crate::buffers::{Buffer, BODY_LONG};
+use crate::http::{self, Message, RequestError};
+use crate::metrics::access::End;
 use crate::proxy::Proxy;
-use crate::wire::bodies::STALL;
-use crate::wire::http::{self, Message, Refused};
-use crate::wire::{silent, speaks};
+use crate::socket::{has_data, is_silent};
+use crate::streaming::STALL;
 use std::net::Shutdown;
 
 /// How long a connection stays on which no request follows the last answer: longer than clients pause
@@ -21,8 +21,12 @@
 impl Proxy {
     /// Writes what is left of an answer; whether the connection may be read.
     pub fn write_answer(&mut self, key: usize) -> bool {
-        let Some(client) = self.clients.table.get_mut(key) else { return false };
-        let Some(outbox) = &client.outbox else { return true };
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return false;
+        };
+        let Some(outbox) = &client.outbox else {
+            return true;
+        };
         let before = client.sent;
         let drained = outbox.drain(&mut client.sent, &mut client.stream);
         if client.sent > before {
@@ -32,31 +36,31 @@
             Ok(false) => false,
             Err(e) => {
                 log::debug!("a client left in the middle of its answer: {e}");
-                self.drop_client(key);
+                self.drop_downstream(key);
                 false
             }
             Ok(true) if client.fed_by.is_some() => {
                 // What it has taken makes room for the next piece; nothing else but its end is of interest.
-                if client.ended || !(silent(&client.stream) || speaks(&client.stream)) {
+                if client.ended || !(is_silent(&client.stream) || has_data(&client.stream)) {
                     log::debug!("a client left in the middle of its answer");
-                    self.drop_client(key);
+                    self.drop_downstream(key);
                 } else {
-                    self.links_again.extend(client.fed_by);
+                    self.writable_upstream.extend(client.fed_by);
                 }
                 false
             }
             Ok(true) => {
                 let outbox = client.outbox.take();
                 if let (Some(receipt), Some(end)) = (client.receipt.take(), client.end.take()) {
-                    self.tally.end(receipt, end);
+                    self.access_metrics.end(receipt, end);
                 }
                 self.timers.unset(client.timer.take());
                 outbox.into_iter().for_each(|b| self.buffers.give(b));
                 client.idle_since = self.clock.now();
                 client.answers = client.answers.saturating_add(1);
                 client.begun = client.inbox.is_some();
-                if client.over && client.inbox.is_none() && silent(&client.stream) {
-                    self.drop_client(key);
+                if client.over && client.inbox.is_none() && is_silent(&client.stream) {
+                    self.drop_downstream(key);
                     return false;
                 }
                 if client.close {
@@ -79,19 +83,19 @@
     pub(super) fn bound_idle(&mut self) {
         let now = self.clock.now();
         for (share, most_answers) in [(ONCE_SHARE, 1), (IDLE_SHARE, u32::MAX)] {
-            let stands = |c: &Client| {
+            let stands = |c: &DownstreamConnection| {
                 (1..=most_answers).contains(&c.answers) && c.idle() && now - c.idle_since > JUST_COME
             };
-            let mut standing = self.clients.table.keys(stands);
-            let over = standing.len().saturating_sub((share * self.clients.most as f64) as usize);
+            let mut standing = self.downstream.table.keys(stands);
+            let over = standing.len().saturating_sub((share * self.downstream.most as f64) as usize);
             if over > 0 {
-                let since = |key: &usize| self.clients.table[*key].idle_since;
+                let since = |key: &usize| self.downstream.table[*key].idle_since;
                 standing.sort_unstable_by(|a, b| since(a).total_cmp(&since(b)));
             }
             for key in standing.into_iter().take(over) {
                 // One that speaks up just now is heard.
-                if silent(&self.clients.table[key].stream) {
-                    self.drop_client(key);
+                if is_silent(&self.downstream.table[key].stream) {
+                    self.drop_downstream(key);
                 }
             }
         }
@@ -101,20 +105,24 @@
     /// read its answer.
     pub(super) fn lingered(&mut self, key: usize) {
         let now = self.clock.now();
-        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return;
+        };
         client.timer = None;
         if client.patient && now - client.moved < LINGER && client.past < BODY_LONG {
             client.timer = Some(self.timers.set(now + LINGER, move |proxy: &mut Proxy| proxy.lingered(key)));
         } else {
-            self.drop_client(key);
+            self.drop_downstream(key);
         }
     }
 
     /// Whether a client takes its answer at all.
     pub(super) fn answer_due(&mut self, key: usize) {
         let now = self.clock.now();
-        let waits = self.clients.has_taken(key);
-        let Some(client) = self.clients.table.get_mut(key).filter(|c| c.outbox.is_some()) else { return };
+        let waits = self.downstream.has_taken(key);
+        let Some(client) = self.downstream.table.get_mut(key).filter(|c| c.outbox.is_some()) else {
+            return;
+        };
         client.timer = None;
         // It is the server's turn.
         client.moved = if waits { now } else { client.moved };
@@ -122,24 +130,24 @@
             // Danger: a client that does not read its answer would hold a buffer for ever.
             self.counters.stalled += 1;
             log::info!("a client took nothing of its answer for {STALL} ms");
-            return self.drop_client(key);
+            return self.drop_downstream(key);
         }
         let at = client.moved + STALL;
         client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.answer_due(key)));
     }
 
     /// Refuses the rest of a body that was being fed on: its push is called off before its last byte.
-    pub fn refuse_upload(&mut self, key: usize, status: Refused) {
-        let op = self.clients.table.get_mut(key).and_then(|client| client.op.take());
+    pub fn reject_upload(&mut self, key: usize, status: RequestError) {
+        let op = self.downstream.table.get_mut(key).and_then(|client| client.op.take());
         self.refuse(key, status);
         if let Some(op) = op {
-            self.client_gone(op);
+            self.client_left(op);
         }
     }
 
     /// Refuses what cannot be read on; the connection goes with it.
-    pub(super) fn refuse(&mut self, key: usize, status: Refused) {
-        if let Some(client) = self.clients.table.get_mut(key) {
+    pub(super) fn refuse(&mut self, key: usize, status: RequestError) {
+        if let Some(client) = self.downstream.table.get_mut(key) {
             (client.close, client.over) = (true, false);
             self.answer(key, status, 0.0);
         }
@@ -147,13 +155,13 @@
 
     /// An answer of the node's own.
     pub fn answer(&mut self, key: usize, status: u16, come_back: f64) {
-        self.clients.ends_as(key, if status == 503 { End::Declined } else { End::Aborted });
+        self.downstream.ends_as(key, if status == 503 { End::Declined } else { End::Aborted });
         self.answer_by(key, |close, to| to.add(http::plain(status, come_back, close).as_bytes()));
     }
 
     /// More of a client's answer will come from a connection to a server.
-    pub fn feed_client(&mut self, key: usize, link: usize, unframed: bool) {
-        if let Some(client) = self.clients.table.get_mut(key) {
+    pub fn write_to_client(&mut self, key: usize, link: usize, unframed: bool) {
+        if let Some(client) = self.downstream.table.get_mut(key) {
             (client.fed_by, client.unframed) = (Some(link), unframed);
             client.close |= unframed;
         }
@@ -161,14 +169,16 @@
 
     /// A server's answer, handed back.
     pub fn hand_back(&mut self, key: usize, held: &[u8], message: &Message) {
-        self.clients.ends_as(key, End::Succeeded);
+        self.downstream.ends_as(key, End::Succeeded);
         self.answer_by(key, |close, to| http::hand_back(held, message, close, to));
     }
 
     /// Writes an answer as far as it goes, and gives the request's buffer back.
     pub fn answer_by(&mut self, key: usize, compose: impl FnOnce(bool, &mut Buffer) -> bool) {
         let stopping = self.stopping();
-        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return;
+        };
         client.op = None;
         client.close |= stopping;
         self.timers.unset(client.timer.take());
@@ -197,17 +207,17 @@
             // Danger: not even an answer's buffer is left, as many clients do not read. This one is cut off.
             log::warn!("no buffer for an answer");
             self.counters.full += 1;
-            return self.drop_client(key);
+            return self.drop_downstream(key);
         };
         if !compose(client.close, &mut outbox) {
             // Danger: a server's head that does not fit. The client must not take it for an answer.
             self.buffers.give(outbox);
-            return self.drop_client(key);
+            return self.drop_downstream(key);
         }
         let now = self.clock.now();
         (client.outbox, client.sent, client.moved) = (Some(outbox), 0, now);
         client.timer = Some(self.timers.set(now + STALL, move |proxy: &mut Proxy| proxy.answer_due(key)));
         self.write_answer(key);
-        self.clients.again.push(key);
+        self.downstream.again.push(key);
     }
 }
--- a/node/src/names.rs
+++ b/proxy/src/endpoint_list.rs
@@ -1,7 +1,7 @@
 //! Lists of servers as they are written, and the numbers that stand for names.
 
-use crankmux::given::Names;
-use crankmux::words::{Listed, Standing};
+use crankmux::settings::NameIndex;
+use crankmux::types::{EndpointState, EndpointUpdate};
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -10,7 +10,7 @@
     pub seq: u64,
     pub whole: bool,
     /// Each with where to dial it, if it may get anything new.
-    pub lines: Vec<(Listed, Option<(SocketAddr, f64)>)>,
+    pub lines: Vec<(EndpointUpdate, Option<(SocketAddr, f64)>)>,
 }
 
 /// A name's number, the same at every node (FNV-1a).
@@ -19,7 +19,7 @@
 }
 
 /// Reads a list; a line that lacks what it needs is named in the log and passed over.
-pub fn read_list(names: &mut Names, list: &Value) -> Result<List, String> {
+pub fn read_list(names: &mut NameIndex, list: &Value) -> Result<List, String> {
     let seq = list.get("seq").and_then(Value::as_u64).ok_or("seq is missing or no whole number")?;
     let whole =
         list.get("whole").and_then(Value::as_bool).ok_or("whole is missing or neither true nor false")?;
@@ -33,16 +33,16 @@
         };
         let dial = text("dial").and_then(|d| d.parse().ok());
         let standing = match health {
-            "Ready" if dial.is_some() => Standing::Ready,
-            "Gone" => Standing::Gone,
+            "Ready" if dial.is_some() => EndpointState::Ready,
+            "Gone" => EndpointState::Removed,
             // Danger: a word not known here, or an address that cannot be dialled: nothing new goes there.
-            _ => Standing::Draining,
+            _ => EndpointState::Draining,
         };
         let started = host.get("born_ms").and_then(Value::as_f64).unwrap_or(0.0);
         let pod = host.get("block").and_then(Value::as_u64);
         let place = (text("site").unwrap_or_default(), text("class").unwrap_or_default());
-        let line = names.line(hashed(name), standing, place, pod, started);
-        let dial = dial.filter(|_| standing == Standing::Ready).map(|address| (address, started));
+        let line = names.endpoint_update(hashed(name), standing, place, pod, started);
+        let dial = dial.filter(|_| standing == EndpointState::Ready).map(|address| (address, started));
         lines.push((line, dial));
     }
     Ok(List { seq, whole, lines })
--- a/node/src/wire/http.rs
+++ b/proxy/src/http/mod.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 messages: where a body ends, which headers go on, plain answers. Bodies are brought together in
 //! place, in the buffer that they came in.
 
-use crate::memory::buffers::{Buffer, BODY_LONG, HEAD_MOST};
+use crate::buffers::{Buffer, BODY_LONG, HEAD_MOST};
 use httparse::{Header, Status, EMPTY_HEADER};
 
 /// More headers than any client of ours sends; each costs stack only.
@@ -35,19 +35,19 @@
 
 /// How a body that is passed on is told to end.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Framing {
+pub enum BodyFraming {
     Length(usize),
     Chunked,
     Unframed,
 }
 
-impl Framing {
+impl BodyFraming {
     /// The last lines of a head.
     fn lines(self) -> String {
         match self {
-            Framing::Length(length) => format!("Content-Length: {length}\r\n\r\n"),
-            Framing::Chunked => "Transfer-Encoding: chunked\r\n\r\n".into(),
-            Framing::Unframed => "\r\n".into(),
+            BodyFraming::Length(length) => format!("Content-Length: {length}\r\n\r\n"),
+            BodyFraming::Chunked => "Transfer-Encoding: chunked\r\n\r\n".into(),
+            BodyFraming::Unframed => "\r\n".into(),
         }
     }
 }
@@ -61,11 +61,11 @@
 }
 
 /// Why a message is refused, as the status that says so.
-pub type Refused = u16;
+pub type RequestError = u16;
 
 impl Message {
     /// Goes on through what has come; true once the body is whole.
-    pub fn advance(&mut self, buffer: &mut Buffer) -> Result<bool, Refused> {
+    pub fn advance(&mut self, buffer: &mut Buffer) -> Result<bool, RequestError> {
         let mut next = self.end;
         loop {
             let held = buffer.held_mut();
@@ -190,7 +190,7 @@
 }
 
 /// Length of a body by its headers; none where none is told.
-fn length(headers: &[Header]) -> Result<Option<usize>, Refused> {
+fn length(headers: &[Header]) -> Result<Option<usize>, RequestError> {
     let mut found = None;
     for header in headers.iter().filter(|h| h.name.eq_ignore_ascii_case("content-length")) {
         let digits = header.value.trim_ascii();
@@ -213,7 +213,7 @@
     version: u8,
     (most, told_most): (usize, usize),
     untold: Coming,
-) -> Result<Message, Refused> {
+) -> Result<Message, RequestError> {
     let keep = match version {
         0 => lists(headers, "connection", "keep-alive"),
         _ => !lists(headers, "connection", "close"),
@@ -235,7 +235,7 @@
 }
 
 /// What a parser made of a head: its length once it is whole.
-fn head(parsed: httparse::Result<usize>, held: usize) -> Result<Option<usize>, Refused> {
+fn head(parsed: httparse::Result<usize>, held: usize) -> Result<Option<usize>, RequestError> {
     match parsed {
         Ok(Status::Complete(head)) if head > HEAD_MOST => Err(431),
         Ok(Status::Complete(head)) => Ok(Some(head)),
@@ -251,10 +251,12 @@
 pub fn request<T>(
     held: &[u8],
     read: impl FnOnce(&str, &str, &[Header]) -> T,
-) -> Result<Option<(Message, T)>, Refused> {
+) -> Result<Option<(Message, T)>, RequestError> {
     let mut headers = [EMPTY_HEADER; HEADERS_MOST];
     let mut request = httparse::Request::new(&mut headers);
-    let Some(head) = head(request.parse(held), held.len())? else { return Ok(None) };
+    let Some(head) = head(request.parse(held), held.len())? else {
+        return Ok(None);
+    };
     let (method, path) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
     let message =
         body(request.headers, head, request.version.unwrap_or(1), (BODY_LONG, BODY_LONG), Coming::Length(0))?;
@@ -267,10 +269,12 @@
     held: &[u8],
     most: (usize, usize),
     read: impl FnOnce(u16, &[Header]) -> T,
-) -> Result<Option<(Message, T)>, Refused> {
+) -> Result<Option<(Message, T)>, RequestError> {
     let mut headers = [EMPTY_HEADER; HEADERS_MOST];
     let mut answer = httparse::Response::new(&mut headers);
-    let Some(head) = head(answer.parse(held), held.len())? else { return Ok(None) };
+    let Some(head) = head(answer.parse(held), held.len())? else {
+        return Ok(None);
+    };
     let status = answer.code.unwrap_or_default();
     let mut message = body(answer.headers, head, answer.version.unwrap_or(1), most, Coming::Unframed)?;
     if status < 200 || status == 204 || status == 304 {
@@ -311,9 +315,9 @@
 pub fn forward(held: &[u8], message: &Message, patience: f64, to: &mut Buffer) -> bool {
     let wrote = request(held, |method, path, headers| {
         let framing = match (message.length(), method) {
-            (Some(0), "GET" | "HEAD") => Framing::Unframed,
-            (Some(length), _) => Framing::Length(length),
-            (None, _) => Framing::Chunked,
+            (Some(0), "GET" | "HEAD") => BodyFraming::Unframed,
+            (Some(length), _) => BodyFraming::Length(length),
+            (None, _) => BodyFraming::Chunked,
         };
         to.add(format!("{method} {} HTTP/1.1\r\n", origin(path)).as_bytes())
             && pass_on(headers, "x-timeout", to)
@@ -332,18 +336,18 @@
 /// A server's answer as it goes back to the client; whether it fitted.
 pub fn hand_back(held: &[u8], message: &Message, close: bool, to: &mut Buffer) -> bool {
     let length = message.end - message.head;
-    pass_on_from(&held[..message.end], message.head, Framing::Length(length), close, to)
+    pass_on_from(&held[..message.end], message.head, BodyFraming::Length(length), close, to)
 }
 
 /// The start of an answer that goes back in pieces: its head, and what of its body is held; whether it
 /// fitted.
-pub fn pass_on_from(held: &[u8], head: usize, framing: Framing, close: bool, to: &mut Buffer) -> bool {
+pub fn pass_on_from(held: &[u8], head: usize, framing: BodyFraming, close: bool, to: &mut Buffer) -> bool {
     let wrote = answer(held, (BODY_LONG, BODY_LONG), |_, headers| {
         let close = if close { "Connection: close\r\n" } else { "" };
         let own = format!("{close}{}", framing.lines());
         to.add(b"HTTP/1.1 200 OK\r\n") && pass_on(headers, "x-server-load", to) && to.add(own.as_bytes())
     });
-    matches!(wrote, Ok(Some((_, true)))) && piece(&held[head..], framing == Framing::Chunked, to)
+    matches!(wrote, Ok(Some((_, true)))) && piece(&held[head..], framing == BodyFraming::Chunked, to)
 }
 
 fn reason(status: u16) -> &'static str {
--- a/node/src/life/descriptors.rs
+++ b/proxy/src/lifecycle/file_descriptors.rs
@@ -15,11 +15,17 @@
 }
 
 /// Descriptors kept back, to be given up for what must go on whatever clients do.
-pub struct Spare(Vec<File>);
+pub struct ReservedDescriptors(Vec<File>);
 
-impl Spare {
+impl Default for ReservedDescriptors {
+    fn default() -> Self {
+        ReservedDescriptors::new()
+    }
+}
+
+impl ReservedDescriptors {
     pub fn new() -> Self {
-        let mut spare = Spare(Vec::new());
+        let mut spare = ReservedDescriptors(Vec::new());
         spare.kept();
         spare
     }
@@ -47,7 +53,10 @@
     /// not asked for, a suspension not read, a new configuration turned down, an upgrade not handed over.
     pub fn free_descriptor(&mut self) -> bool {
         let free = !File::open("/dev/null").is_err_and(|e| lacks(&e));
-        let freed = free || self.spare.give_up() || self.drop_longest_idle() || self.drop_idle_client();
+        let freed = free
+            || self.reserved_descriptors.give_up()
+            || self.close_longest_idle_upstream()
+            || self.close_idle_downstream();
         if !freed {
             log::warn!("no descriptor is left, and nobody stands idle");
         }
--- a/node/src/life/stop.rs
+++ b/proxy/src/lifecycle/shutdown.rs
@@ -1,4 +1,4 @@
-//! Stop: what still comes is served, then connections are closed, and what was taken is finished.
+//! Shutdown: what still comes is served, then connections are closed, and what was taken is finished.
 
 use crate::proxy::Proxy;
 
@@ -15,39 +15,39 @@
 const FOR_THE_WAY: f64 = 200.0;
 
 #[derive(Default)]
-pub struct Stop {
+pub struct Shutdown {
     shut: bool,
     idle_until: f64,
     /// When the listener is closed.
     door_until: f64,
 }
 
-impl Stop {
+impl Shutdown {
     pub fn begin(&mut self, proxy: &mut Proxy) {
         if proxy.stopping() {
             return;
         }
         log::info!("stopping");
         // Danger: a process told to stop before discovery has spoken would leave whoever came with the system.
-        proxy.first_listen();
+        proxy.listen_after_first_list();
         let now = proxy.now();
-        proxy.stop_at = Some(now);
-        let longest = proxy.longest_ttl.min(LONGEST);
-        proxy.end_at = now + longest + END_AFTER - FOR_THE_WAY;
+        proxy.shutdown_at = Some(now);
+        let longest = proxy.longest_ttl_ms.min(LONGEST);
+        proxy.answer_by = now + longest + END_AFTER - FOR_THE_WAY;
         // Danger: what came in before the signal may have longer than this process has.
-        proxy.end_ops(proxy.end_at);
+        proxy.end_requests(proxy.answer_by);
         self.idle_until = now + STILL_COMING;
         if proxy.upgrade.followed() {
-            // Danger: an idle connection that is closed as its client writes is a request unread. Clients
+            // Danger: an idle connection that is closed as its client writes is a request unread. DownstreamConnections
             // that ask are told to close; for the others it waits, and leaves half the longest TTL to a
             // late one.
-            self.idle_until = self.idle_until.max(proxy.end_at - 0.5 * longest);
+            self.idle_until = self.idle_until.max(proxy.answer_by - 0.5 * longest);
             self.shut = true;
             proxy.shut();
         }
-        self.door_until = (self.idle_until + REPEATS).min(proxy.end_at);
+        self.door_until = (self.idle_until + REPEATS).min(proxy.answer_by);
         // They wake the loop.
-        for at in [self.idle_until, self.door_until, proxy.end_at] {
+        for at in [self.idle_until, self.door_until, proxy.answer_by] {
             proxy.timers.set(at, |_| {});
         }
     }
@@ -59,12 +59,12 @@
         }
         if proxy.now() < self.idle_until {
             // With nobody left there is nothing to wait for.
-            return self.shut && proxy.finished() && proxy.clients.none();
+            return self.shut && proxy.finished() && proxy.downstream.none();
         }
         if proxy.now() >= self.door_until && !std::mem::replace(&mut self.shut, true) {
             proxy.shut();
         }
-        let over = proxy.now() >= proxy.end_at;
+        let over = proxy.now() >= proxy.answer_by;
         proxy.close_idle(over);
         self.shut && proxy.finished()
     }
--- a/node/src/life/state.rs
+++ b/proxy/src/lifecycle/state_directory.rs
@@ -9,7 +9,7 @@
 
 const BAN: &str = "suspended-";
 
-pub struct State {
+pub struct StateDirectory {
     /// None where it can't be kept.
     folder: Option<PathBuf>,
 }
@@ -20,7 +20,7 @@
     if !name.is_empty() && name.len() <= 40 && name.chars().all(fine) {
         name.to_string()
     } else {
-        format!("{:016x}", crate::names::hashed(name))
+        format!("{:016x}", crate::endpoint_list::hashed(name))
     }
 }
 
@@ -38,14 +38,14 @@
     Ok(())
 }
 
-impl State {
+impl StateDirectory {
     pub fn of(name: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("crankmux-{}", plain(name)));
         match made(&folder) {
-            Ok(()) => State { folder: Some(folder) },
+            Ok(()) => StateDirectory { folder: Some(folder) },
             Err(e) => {
                 log::warn!("no state directory {}: {e}; no server can be suspended", folder.display());
-                State { folder: None }
+                StateDirectory { folder: None }
             }
         }
     }
--- a/node/src/life/upgrade/handing.rs
+++ b/proxy/src/lifecycle/upgrade/handover.rs
@@ -1,14 +1,16 @@
 //! What passes between the two processes of an upgrade.
 
 use super::*;
-use crate::life::descriptors::lacks;
+use crate::lifecycle::file_descriptors::lacks;
 use crate::proxy::Proxy;
 
 impl Proxy {
     /// A newer process asks for what this one has.
-    pub fn hand_over(&mut self) {
+    pub fn accept_newer_process(&mut self) {
         loop {
-            let Some(door) = &self.upgrade.door else { return };
+            let Some(door) = &self.upgrade.listener else {
+                return;
+            };
             let stream = match door.accept() {
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
@@ -18,7 +20,7 @@
                     if !(lacks(&e) && self.free_descriptor()) {
                         log::warn!("cannot hear a newer process: {e}");
                         let at = self.now() + AGAIN;
-                        self.timers.set(at, |proxy: &mut Proxy| proxy.hand_over());
+                        self.timers.set(at, |proxy: &mut Proxy| proxy.accept_newer_process());
                         return;
                     }
                     continue;
@@ -35,28 +37,30 @@
     }
 
     fn hand_over_to(&mut self, mut stream: UnixStream) -> io::Result<()> {
-        let Some(path) = self.state.path(HANDED) else { return Ok(()) };
-        let once: Vec<u64> = self.bans.once().collect();
-        let learnt = told(&self.names, &self.dispatcher.experience());
+        let Some(path) = self.state_directory.path(HANDED) else {
+            return Ok(());
+        };
+        let once: Vec<u64> = self.disabled_endpoints.once().collect();
+        let learnt = told(&self.name_index, &self.dispatcher.learned_state());
         let handed = json!({"list": self.discovery.whole_list(), "once": once, "learnt": learnt});
         self.free_descriptor();
         std::fs::write(path, handed.to_string())?;
         self.registry.register(&mut stream, NEWER, Interest::READABLE)?;
         self.upgrade.newer = Some(stream);
-        self.yield_fleet();
+        self.yield_cluster();
         // Danger: both together over the node's limits. This one shrinks before the other has anything.
-        self.take_share();
+        self.apply_process_share();
         let sent = self.send_listener();
         if sent.is_err() {
             self.newer_ended();
         }
         log::info!("handed over to a newer process");
-        self.watch_bans();
+        self.watch_disabled_endpoints();
         sent
     }
 
     fn send_listener(&self) -> io::Result<()> {
-        let (Some(stream), Some(listener)) = (&self.upgrade.newer, self.clients.listener()) else {
+        let (Some(stream), Some(listener)) = (&self.upgrade.newer, self.downstream.listener()) else {
             return Err(io::ErrorKind::NotConnected.into());
         };
         let descriptors = [listener.as_fd()];
@@ -71,12 +75,14 @@
     }
 
     /// The newer process says that it takes clients in, or has ended.
-    pub fn newer_event(&mut self) {
-        let Some(stream) = &mut self.upgrade.newer else { return };
+    pub fn newer_process_event(&mut self) {
+        let Some(stream) = &mut self.upgrade.newer else {
+            return;
+        };
         match stream.read(&mut [0]) {
             Ok(1..) => {
                 log::info!("the newer process takes clients in");
-                self.unlisten();
+                self.stop_listening();
             }
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
             _ => self.newer_ended(),
@@ -89,20 +95,22 @@
         if let Some(mut stream) = self.upgrade.newer.take() {
             let _ = self.registry.deregister(&mut stream);
         }
-        self.take_share();
+        self.apply_process_share();
         if !self.stopping() {
-            self.take_fleet_back();
+            self.rejoin_cluster();
             self.listen();
             // Danger: the newer one had put its own socket there, and the next would find a dead one.
-            if let Err(e) = self.upgrade.open(&self.state, &self.registry) {
+            if let Err(e) = self.upgrade.open(&self.state_directory, &self.registry) {
                 log::warn!("no upgrade can be handed over: {e}");
             }
         }
     }
 
     /// The older process has ended: all limits are this one's.
-    pub fn older_event(&mut self) {
-        let Some(stream) = &mut self.upgrade.older else { return };
+    pub fn older_process_event(&mut self) {
+        let Some(stream) = &mut self.upgrade.older else {
+            return;
+        };
         match stream.read(&mut [0]) {
             Ok(1..) => {}
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
@@ -112,20 +120,20 @@
                     let _ = self.registry.deregister(&mut stream);
                 }
                 self.upgrade.parts = 1;
-                self.take_share();
-                self.take_clients_in();
+                self.apply_process_share();
+                self.start_accepting();
             }
         }
     }
 
     /// Takes over what the older process has learnt of the servers that are listed now.
-    pub fn inherit(&mut self, learnt: &Value) {
-        let experience = read(&self.names, learnt, self.dispatcher.experience());
-        self.dispatcher.inherit(&experience);
+    pub fn restore_learned_state(&mut self, learnt: &Value) {
+        let experience = read(&self.name_index, learnt, self.dispatcher.learned_state());
+        self.dispatcher.restore_learned_state(&experience);
     }
 
     /// Takes clients in, once it can serve them or nobody else does.
-    pub fn take_clients_in(&mut self) {
+    pub fn start_accepting(&mut self) {
         if !std::mem::take(&mut self.upgrade.holds_back) {
             return;
         }
--- a/node/src/main.rs
+++ b/proxy/src/main.rs
@@ -1,15 +1,7 @@
 //! crankmux: a reverse proxy that spreads ops over HTTP servers. The decisions are the library's; this is
 //! the node that carries them out on sockets.
 
-mod cli;
-mod life;
-mod listening;
-mod memory;
-mod names;
-mod proxy;
-mod tokens;
-mod wire;
-
+use crankmux_proxy::{cli, lifecycle};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -17,7 +9,7 @@
         return code;
     }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match life::start::run() {
+    match lifecycle::start::run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             log::error!("{message}");
--- a/node/src/memory/tally.rs
+++ b/proxy/src/metrics/access.rs
@@ -16,7 +16,7 @@
 /// One op taken in and not ended. It can't be copied, so that no op ends twice.
 #[derive(Debug)]
 #[must_use]
-pub struct Receipt {
+pub struct RequestReceipt {
     category: usize,
 }
 
@@ -28,7 +28,7 @@
 }
 
 #[derive(Default)]
-pub struct Tally {
+pub struct AccessMetrics {
     ends: Vec<Ends>,
     outstanding: u64,
     /// Pushes whose last byte has left.
@@ -37,13 +37,13 @@
     pub rejected: u64,
 }
 
-impl Tally {
-    pub fn take_in(&mut self, category: usize) -> Receipt {
+impl AccessMetrics {
+    pub fn begin(&mut self, category: usize) -> RequestReceipt {
         self.outstanding += 1;
-        Receipt { category }
+        RequestReceipt { category }
     }
 
-    pub fn end(&mut self, receipt: Receipt, end: End) {
+    pub fn end(&mut self, receipt: RequestReceipt, end: End) {
         self.outstanding -= 1;
         if self.ends.len() <= receipt.category {
             self.ends.resize(receipt.category + 1, Ends::default());
@@ -82,10 +82,10 @@
     #[test]
     fn taken_is_the_sum_of_ends_and_outstanding() {
         fn holds(steps: Vec<(u8, u8)>) -> bool {
-            let (mut tally, mut open, mut taken, mut departed) = (Tally::default(), Vec::new(), 0, 0);
+            let (mut tally, mut open, mut taken, mut departed) = (AccessMetrics::default(), Vec::new(), 0, 0);
             for (what, which) in steps {
                 if what % 3 == 0 || open.is_empty() {
-                    open.push(tally.take_in(usize::from(which) % 4));
+                    open.push(tally.begin(usize::from(which) % 4));
                     taken += 1;
                 } else {
                     let receipt = open.swap_remove(usize::from(which) % open.len());
--- a/node/src/memory/counters.rs
+++ b/proxy/src/metrics/counters.rs
@@ -9,11 +9,11 @@
     pub acked: u64,
     pub nacked: u64,
     pub dead_lettered: u64,
-    /// Clients that left before their answer.
+    /// DownstreamConnections that left before their answer.
     pub departed: u64,
     /// Bad input, answered without an op.
     pub bad: u64,
-    /// Clients that took nothing of their answer for too long.
+    /// DownstreamConnections that took nothing of their answer for too long.
     pub stalled: u64,
     /// Pushes and requests that met full tables or an empty pool.
     pub full: u64,
--- /dev/null
+++ b/proxy/src/metrics/mod.rs
@@ -0,0 +1,4 @@
+//! Counters of the process and access metrics of its requests.
+
+pub mod access;
+pub mod counters;
--- a/node/src/memory/ops.rs
+++ b/proxy/src/requests.rs
@@ -1,4 +1,4 @@
-//! Ops that are under way, from their request until they are answered and their last push has ended.
+//! Requests that are under way, from their request until they are answered and their last push has ended.
 
 use slab::Slab;
 use std::collections::hash_map::RandomState;
@@ -18,7 +18,7 @@
     out: usize,
 }
 
-pub struct Ops {
+pub struct Requests {
     table: Slab<Op>,
     most: usize,
     /// Marks of those that a client waits for.
@@ -27,9 +27,9 @@
     marks: RandomState,
 }
 
-impl Ops {
+impl Requests {
     pub fn new(most: usize) -> Self {
-        Ops { table: Slab::new(), most, open: HashSet::new(), marks: RandomState::new() }
+        Requests { table: Slab::new(), most, open: HashSet::new(), marks: RandomState::new() }
     }
 
     /// So many from now on.
@@ -47,7 +47,7 @@
         self.open.contains(&mark)
     }
 
-    pub fn take_in(&mut self, client: usize, ends: f64, mark: u64) -> usize {
+    pub fn admit(&mut self, client: usize, ends: f64, mark: u64) -> usize {
         let over = self.table.len() >= self.most;
         self.open.insert(mark);
         self.table.insert(Op { mark, client: Some(client), ends, over, pushes: Vec::new(), out: 0 })
--- a/node/src/memory/tables.rs
+++ b/proxy/src/slot_table.rs
@@ -3,14 +3,14 @@
 use slab::Slab;
 use std::ops::{Index, IndexMut};
 
-pub struct Table<T> {
+pub struct SlotTable<T> {
     slots: Slab<T>,
     most: usize,
 }
 
-impl<T> Table<T> {
+impl<T> SlotTable<T> {
     pub fn new(most: usize) -> Self {
-        Table { slots: Slab::new(), most }
+        SlotTable { slots: Slab::new(), most }
     }
 
     /// So many from now on; those beyond stay until they are taken out.
@@ -63,7 +63,7 @@
     }
 }
 
-impl<T> Index<usize> for Table<T> {
+impl<T> Index<usize> for SlotTable<T> {
     type Output = T;
 
     fn index(&self, key: usize) -> &T {
@@ -71,7 +71,7 @@
     }
 }
 
-impl<T> IndexMut<usize> for Table<T> {
+impl<T> IndexMut<usize> for SlotTable<T> {
     fn index_mut(&mut self, key: usize) -> &mut T {
         &mut self.slots[key]
     }
--- a/node/src/wire/bodies.rs
+++ b/proxy/src/streaming/mod.rs
@@ -1,7 +1,10 @@
 //! Long bodies on their way: what is known of one.
 
-use super::http::Message;
-use crate::memory::buffers::Buffer;
+mod request;
+mod response;
+
+use crate::buffers::Buffer;
+use crate::http::Message;
 use mio::net::TcpStream;
 
 /// An answer whose head tells that it is long goes on once so much has come, and so may one of unknown length.
--- a/node/src/wire/uploading.rs
+++ b/proxy/src/streaming/request.rs
@@ -1,10 +1,10 @@
 //! Requests too long for one buffer, fed to their server piece by piece: the client is read only once the
 //! server has taken the piece before, so that neither side's pace costs more than two buffers.
 
-use super::bodies::Upload;
-use crate::memory::buffers::{Buffer, Filled};
+use crate::buffers::{Buffer, Filled};
 use crate::proxy::Proxy;
-use crankmux::words::{Ending, Load};
+use crate::streaming::Upload;
+use crankmux::types::{AttemptOutcome, LoadReport};
 
 enum Fed {
     More,
@@ -47,26 +47,32 @@
     pub fn feed(&mut self, key: usize) -> bool {
         let now = self.now();
         loop {
-            let Some(link) = self.servers.links.get_mut(key) else { return false };
-            let Some(client) = link.feeding else { return true };
+            let Some(link) = self.upstream.links.get_mut(key) else {
+                return false;
+            };
+            let Some(client) = link.feeding else {
+                return true;
+            };
             if !link.drained() {
-                self.note_rest(key, client);
+                self.note_idle(key, client);
                 return true;
             }
             let (op, chunked) = (link.op, link.chunked);
             link.moved = now;
-            let Some(mut upload) = self.clients.upload(client) else {
+            let Some(mut upload) = self.downstream.upload(client) else {
                 // Its client has gone, and its server never had it whole.
-                self.fail(key, Ending::Cancelled, Load::default());
+                self.fail(key, AttemptOutcome::Cancelled, LoadReport::default());
                 return false;
             };
             if !std::mem::replace(upload.let_go, true) {
                 // The first piece is with the server, and makes room for the next.
                 upload.message.let_go(upload.inbox);
-                self.body_moves(op, key, false);
+                self.streaming_progress(op, key, false);
                 continue;
             }
-            let Some(outbox) = &mut link.outbox else { return true };
+            let Some(outbox) = &mut link.outbox else {
+                return true;
+            };
             match next(&mut upload, outbox, chunked, now) {
                 Fed::More => {}
                 Fed::Whole => {
@@ -75,13 +81,13 @@
                 }
                 Fed::Later => return true,
                 Fed::Spoilt(None) => {
-                    self.drop_client(client);
+                    self.drop_downstream(client);
                     return false;
                 }
                 Fed::Spoilt(Some(status)) => {
                     // Danger: a body that can't be read on, and half of it at a server. It never ran there.
                     self.counters.bad += 1;
-                    self.refuse_upload(client, status);
+                    self.reject_upload(client, status);
                     return false;
                 }
             }
--- a/node/src/wire/passing.rs
+++ b/proxy/src/streaming/response.rs
@@ -1,43 +1,43 @@
 //! Answers too long for one buffer, passed on piece by piece: each is read only once the client has taken the
 //! one before, so that neither side's pace costs more than two buffers.
 
-use super::bodies::Passing;
-use super::http::{self, Framing};
-use super::servers::Outcome;
-use super::silent;
-use crate::memory::buffers::{Buffer, Filled};
-use crate::memory::tally::End;
+use crate::buffers::{Buffer, Filled};
+use crate::http::{self, BodyFraming};
+use crate::metrics::access::End;
 use crate::proxy::Proxy;
-use crankmux::words::{Ending, Load};
+use crate::socket::is_silent;
+use crate::streaming::Passing;
+use crate::upstream::AttemptResponse;
+use crankmux::types::{AttemptOutcome, LoadReport};
 
 impl Proxy {
     /// Its head and first piece go to the client, whose final answer it is from now on.
-    pub fn begin_passing(&mut self, key: usize, mut inbox: Buffer) {
-        let link = &mut self.servers.links[key];
+    pub fn begin_response_stream(&mut self, key: usize, mut inbox: Buffer) {
+        let link = &mut self.upstream.links[key];
         let op = link.op;
-        let (Some((message, ..)), Some(client)) = (&mut link.message, self.ops.answered(op)) else {
+        let (Some((message, ..)), Some(client)) = (&mut link.message, self.requests.answered(op)) else {
             self.buffers.give(inbox);
-            return self.fail(key, Ending::Cancelled, Load::default());
+            return self.fail(key, AttemptOutcome::Cancelled, LoadReport::default());
         };
         let now = self.clock.now();
         let framing = match message.length() {
-            Some(length) => Framing::Length(length),
-            None if self.clients.takes_chunks(client) => Framing::Chunked,
+            Some(length) => BodyFraming::Length(length),
+            None if self.downstream.takes_chunks(client) => BodyFraming::Chunked,
             // Danger: where only the connection's end tells the answer's, one cut short is reset.
-            None => Framing::Unframed,
+            None => BodyFraming::Unframed,
         };
-        link.passing = Some(Passing { client, chunked: framing == Framing::Chunked });
+        link.passing = Some(Passing { client, chunked: framing == BodyFraming::Chunked });
         (link.moved, link.until) = (now, Some(now));
         self.timers.unset(link.timer.take());
         let (head, end) = (message.head, message.end);
-        self.body_moves(op, key, false);
-        self.feed_client(client, key, framing == Framing::Unframed);
+        self.streaming_progress(op, key, false);
+        self.write_to_client(client, key, framing == BodyFraming::Unframed);
         // Until its last byte is with the client.
-        self.clients.ends_as(client, End::Aborted);
+        self.downstream.ends_as(client, End::Aborted);
         self.answer_by(client, |close, to| {
             http::pass_on_from(&inbox.held()[..end], head, framing, close, to)
         });
-        match self.servers.links.get_mut(key) {
+        match self.upstream.links.get_mut(key) {
             Some(link) => {
                 if let Some((message, ..)) = &mut link.message {
                     message.let_go(&mut inbox);
@@ -46,34 +46,46 @@
             }
             None => return self.buffers.give(inbox),
         }
-        self.link_due(key);
+        self.upstream_timeout(key);
     }
 
     /// Passes on what has come and reads the next piece, if the client has taken the last one.
     pub fn pass(&mut self, key: usize) {
         loop {
             let now = self.clock.now();
-            let Some(link) = self.servers.links.get_mut(key) else { return };
-            let Some(Passing { client, chunked, .. }) = link.passing else { return };
-            let (Some(inbox), Some((message, ..))) = (&mut link.inbox, &mut link.message) else { return };
-            let Some(piece) = self.clients.taken(client) else { return };
+            let Some(link) = self.upstream.links.get_mut(key) else {
+                return;
+            };
+            let Some(Passing { client, chunked, .. }) = link.passing else {
+                return;
+            };
+            let (Some(inbox), Some((message, ..))) = (&mut link.inbox, &mut link.message) else {
+                return;
+            };
+            let Some(piece) = self.downstream.taken(client) else {
+                return;
+            };
             if message.end > message.head || message.whole() {
                 message.move_on(inbox, piece, chunked);
                 link.moved = now;
-                self.clients.given(client, now);
+                self.downstream.given(client, now);
                 if message.whole() {
                     return self.passed(key);
                 }
                 self.write_answer(client);
                 continue;
             }
-            let Some(mut inbox) = link.inbox.take() else { return };
+            let Some(mut inbox) = link.inbox.take() else {
+                return;
+            };
             let filled = link.fill(&mut inbox);
             if filled == Filled::Some {
-                self.servers.records[link.server].heard = now;
+                self.upstream.records[link.server].heard = now;
                 link.moved = now;
             }
-            let (inbox, Some((message, ..))) = (link.inbox.insert(inbox), &mut link.message) else { return };
+            let (inbox, Some((message, ..))) = (link.inbox.insert(inbox), &mut link.message) else {
+                return;
+            };
             let read = message.advance(inbox);
             match (&read, filled) {
                 (Ok(_), Filled::Some) => {}
@@ -82,7 +94,7 @@
                 // The client is cut off with the connection, so that it can tell.
                 _ => {
                     log::debug!("server {}: a long answer breaks off: {read:?}, {filled:?}", link.server);
-                    return self.fail(key, Ending::Broken, Load::default());
+                    return self.fail(key, AttemptOutcome::ConnectionLost, LoadReport::default());
                 }
             }
         }
@@ -90,22 +102,28 @@
 
     /// All of it is with the client's side.
     fn passed(&mut self, key: usize) {
-        let Some(link) = self.servers.links.get_mut(key) else { return };
-        let Some(Passing { client, .. }) = link.passing.take() else { return };
+        let Some(link) = self.upstream.links.get_mut(key) else {
+            return;
+        };
+        let Some(Passing { client, .. }) = link.passing.take() else {
+            return;
+        };
         let (then, took) = (link.then.take(), link.took(self.clock.now()));
-        let Some((message, _, load)) = link.message.take() else { return };
+        let Some((message, _, load)) = link.message.take() else {
+            return;
+        };
         let clean = message.keep && link.inbox.as_ref().is_none_or(|inbox| inbox.held().is_empty());
         link.inbox.take().into_iter().for_each(|inbox| self.buffers.give(inbox));
         self.counters.acked += 1;
-        self.clients.ends_as(client, End::Succeeded);
-        self.clients.fed(client);
-        if clean && silent(&self.servers.links[key].stream) {
-            self.keep_link(key);
+        self.downstream.ends_as(client, End::Succeeded);
+        self.downstream.fed(client);
+        if clean && is_silent(&self.upstream.links[key].stream) {
+            self.keep_upstream(key);
         } else {
-            self.drop_link(key);
+            self.drop_upstream(key);
         }
         self.write_answer(client);
-        self.clients.go_on(client);
-        self.hand(then, Outcome { ending: Ending::Acked, load, answer: None, took });
+        self.downstream.go_on(client);
+        self.hand(then, AttemptResponse { ending: AttemptOutcome::Succeeded, load, answer: None, took });
     }
 }
