--- a/node/src/wire/servers/pushing.rs
+++ b/proxy/src/upstream/attempts.rs
@@ -1,20 +1,20 @@
 //! A push on its connection: written, waited for, its answer read, and what it came to handed to whoever
 //! sent it.
 
-use super::{read_load, start_of, Link, Outcome, Then, NO_OP};
-use crate::memory::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
+use super::{read_load, start_of, AttemptResponse, CompletionCallback, UpstreamConnection, NO_OP};
+use crate::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
+use crate::http::{self, Message};
 use crate::proxy::Proxy;
-use crate::wire::bodies::{FIRST, HELD_MOST, LATE_MOST, STALL};
-use crate::wire::http::{self, Message};
-use crate::wire::silent;
-use crankmux::words::{Ending, Load};
+use crate::socket::is_silent;
+use crate::streaming::{FIRST, HELD_MOST, LATE_MOST, STALL};
+use crankmux::types::{AttemptOutcome, LoadReport};
 use httparse::Header;
 
 /// What is kept of an op's time for the way of an answer's first bytes: the protocol's slack, and a few times what
 /// a turn of the loop takes where many nodes share cores.
 const FOR_THE_WAY: f64 = 50.0;
 
-impl Link<Proxy> {
+impl UpstreamConnection<Proxy> {
     /// Until when its answer of unknown length, not whole, is held back from now on.
     fn held_until(&self, now: f64) -> f64 {
         (now + HELD_MOST).min(self.ends - FOR_THE_WAY).max(now)
@@ -33,20 +33,23 @@
     }
 }
 
-fn word(status: u16, headers: &[Header]) -> (u16, Ending, Load) {
+fn word(status: u16, headers: &[Header]) -> (u16, AttemptOutcome, LoadReport) {
     let never = http::value(headers, "x-not-processed") == Some("1");
     let ending = match status {
-        200 => Ending::Acked,
-        503 | 504 if never => Ending::TurnedAway,
-        _ => Ending::Errored,
+        200 => AttemptOutcome::Succeeded,
+        503 | 504 if never => AttemptOutcome::Rejected,
+        _ => AttemptOutcome::Failed,
     };
-    let mut load = Load::default();
+    let mut load = LoadReport::default();
     read_load(http::value(headers, "x-server-load").unwrap_or_default(), &mut load);
     (status, ending, load)
 }
 
 /// Reads on in an answer; whether it is whole.
-fn read(at: &mut Option<(Message, Ending, Load)>, inbox: &mut Buffer) -> Result<bool, http::Refused> {
+fn read(
+    at: &mut Option<(Message, AttemptOutcome, LoadReport)>,
+    inbox: &mut Buffer,
+) -> Result<bool, http::RequestError> {
     loop {
         if let Some((message, ..)) = at {
             return message.advance(inbox);
@@ -73,22 +76,22 @@
         (op, client): (usize, usize),
         server: usize,
         patience: f64,
-        then: Then<Proxy>,
-    ) -> Result<usize, Ending> {
+        then: CompletionCallback<Proxy>,
+    ) -> Result<usize, AttemptOutcome> {
         let Some(mut outbox) = self.buffers.take() else {
             self.counters.full += 1;
-            return Err(Ending::Unsent);
+            return Err(AttemptOutcome::NotSent);
         };
-        let request = self.clients.request(client);
+        let request = self.downstream.request(client);
         if !request.is_some_and(|(held, message)| http::forward(held, message, patience, &mut outbox)) {
             self.buffers.give(outbox);
-            return Err(Ending::Unsent);
+            return Err(AttemptOutcome::NotSent);
         }
         let key = self.send_written(op, server, outbox, patience, then)?;
-        if let Some((_, message)) = self.clients.request(client).filter(|(_, message)| !message.whole()) {
-            let link = &mut self.servers.links[key];
+        if let Some((_, message)) = self.downstream.request(client).filter(|(_, message)| !message.whole()) {
+            let link = &mut self.upstream.links[key];
             (link.feeding, link.fed, link.chunked) = (Some(client), true, message.length().is_none());
-            self.clients.feeds(client, key);
+            self.downstream.feeds(client, key);
         }
         Ok(key)
     }
@@ -100,8 +103,8 @@
         server: usize,
         outbox: Buffer,
         patience: f64,
-        then: Then<Proxy>,
-    ) -> Result<usize, Ending> {
+        then: CompletionCallback<Proxy>,
+    ) -> Result<usize, AttemptOutcome> {
         let key = match self.idle_link(server).map_or_else(|| self.dial(server), Ok) {
             Ok(key) => key,
             Err(ending) => {
@@ -110,50 +113,52 @@
             }
         };
         let now = self.now();
-        let link = &mut self.servers.links[key];
+        let link = &mut self.upstream.links[key];
         (link.op, link.outbox, link.sent, link.whole) = (op, Some(outbox), 0, false);
         (link.feeding, link.begun, link.fed_at, link.until) = (None, false, None, None);
         (link.fed, link.held_since, link.broke, link.rest_since) = (false, None, false, None);
         (link.began, link.moved, link.patience, link.ends) = (now, now, patience, now + patience);
         link.then = Some(then);
-        let first = if link.up { patience } else { patience.min(self.servers.connect_within) };
-        link.timer = Some(self.timers.set(now + first, move |proxy: &mut Proxy| proxy.link_due(key)));
+        let first = if link.up { patience } else { patience.min(self.upstream.connect_within) };
+        link.timer = Some(self.timers.set(now + first, move |proxy: &mut Proxy| proxy.upstream_timeout(key)));
         if link.up {
-            self.links_again.push(key);
+            self.writable_upstream.push(key);
         }
         Ok(key)
     }
 
     /// Danger: a push whose answer is on its way to the client, called off as one of several.
     pub fn cancel(&mut self, key: usize) {
-        if self.servers.links.get(key).is_some_and(|link| link.passing.is_some()) {
+        if self.upstream.links.get(key).is_some_and(|link| link.passing.is_some()) {
             return;
         }
-        self.fail(key, Ending::Cancelled, Load::default());
+        self.fail(key, AttemptOutcome::Cancelled, LoadReport::default());
     }
 
     /// No op waits past a time: what is out by then ends.
-    pub fn end_ops(&mut self, at: f64) {
-        self.ops.end_by(at);
+    pub fn end_requests(&mut self, at: f64) {
+        self.requests.end_by(at);
         self.timers.set(at, move |proxy: &mut Proxy| {
             // Danger: an answer on its way to a client would outlast the process, and end as if it were whole
             // where only its connection's end tells.
-            for key in proxy.servers.links.keys(|l| l.passing.is_some()) {
-                proxy.fail(key, Ending::Broken, Load::default());
+            for key in proxy.upstream.links.keys(|l| l.passing.is_some()) {
+                proxy.fail(key, AttemptOutcome::ConnectionLost, LoadReport::default());
             }
-            for key in proxy.servers.links.keys(|l| l.then.is_some()) {
-                if let Some(link) = proxy.servers.links.get_mut(key) {
+            for key in proxy.upstream.links.keys(|l| l.then.is_some()) {
+                if let Some(link) = proxy.upstream.links.get_mut(key) {
                     link.ends = link.ends.min(at);
                     proxy.timers.unset(link.timer.take());
-                    proxy.link_due(key);
+                    proxy.upstream_timeout(key);
                 }
             }
         });
     }
 
-    pub fn link_due(&mut self, key: usize) {
+    pub fn upstream_timeout(&mut self, key: usize) {
         let now = self.now();
-        let Some(link) = self.servers.links.get_mut(key) else { return };
+        let Some(link) = self.upstream.links.get_mut(key) else {
+            return;
+        };
         link.timer = None;
         let passing = link.passing.as_ref().map(|passing| passing.client);
         if passing.is_some() || (link.up && link.fed && !link.whole) {
@@ -161,81 +166,86 @@
             // to move tells who stalls; a client has a time of its own.
             let waits = passing.map_or_else(
                 || link.feeding.is_some() && link.outbox.as_ref().is_none_or(|o| o.held().is_empty()),
-                |client| !self.clients.has_taken(client),
+                |client| !self.downstream.has_taken(client),
             );
             link.moved = if waits { now } else { link.moved };
             let at = link.stalls_at();
             if now >= at {
                 log::info!("server {}: nothing has moved for {:.0} ms", link.server, now - link.moved);
-                let ending = if link.whole { Ending::Broken } else { Ending::Unreachable };
-                return self.fail(key, ending, Load::default());
+                let ending =
+                    if link.whole { AttemptOutcome::ConnectionLost } else { AttemptOutcome::Unreachable };
+                return self.fail(key, ending, LoadReport::default());
             }
-            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.link_due(key)));
+            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.upstream_timeout(key)));
             return;
         }
         if link.up && now < link.ends {
             let at = link.ends;
-            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.link_due(key)));
+            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.upstream_timeout(key)));
         } else {
             // Before its last byte is written it cannot have run.
-            let ending = if link.whole { Ending::TimedOut } else { Ending::Unreachable };
-            let record = &mut self.servers.records[link.server];
+            let ending = if link.whole { AttemptOutcome::TimedOut } else { AttemptOutcome::Unreachable };
+            let record = &mut self.upstream.records[link.server];
             if record.heard < link.began {
                 // Danger: a machine that is cut off says nothing, and each of its idle connections would
                 // swallow a push. A new one shows at once whether it is there.
                 for idle in std::mem::take(&mut record.idle) {
-                    self.drop_link(idle);
+                    self.drop_upstream(idle);
                 }
             }
-            self.fail(key, ending, Load::default());
+            self.fail(key, ending, LoadReport::default());
         }
     }
 
     /// Its server takes no more for now. Where the rest of the request lies here, its op's time runs.
-    pub fn note_rest(&mut self, key: usize, client: usize) {
+    pub fn note_idle(&mut self, key: usize, client: usize) {
         let now = self.clock.now();
-        let Some(link) = self.servers.links.get_mut(key).filter(|link| link.rest_since.is_none()) else {
+        let Some(link) = self.upstream.links.get_mut(key).filter(|link| link.rest_since.is_none()) else {
             return;
         };
-        if self.clients.rest_is_here(client) {
+        if self.downstream.rest_is_here(client) {
             link.rest_since = Some(now);
             self.timers.unset(link.timer.take());
             let at = link.stalls_at();
-            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.link_due(key)));
+            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.upstream_timeout(key)));
         }
     }
 
     /// Something has happened on a connection to a server.
     pub fn link(&mut self, key: usize) {
-        let Some(link) = self.servers.links.get_mut(key) else { return };
+        let Some(link) = self.upstream.links.get_mut(key) else {
+            return;
+        };
         if link.then.is_none() {
             // Idle: the server has closed it, or speaks out of turn.
-            if !silent(&link.stream) {
+            if !is_silent(&link.stream) {
                 let server = link.server;
-                self.servers.records[server].idle.retain(|k| *k != key);
-                self.drop_link(key);
+                self.upstream.records[server].idle.retain(|k| *k != key);
+                self.drop_upstream(key);
             }
             return;
         }
         if !link.up {
             if !matches!(link.stream.take_error(), Ok(None)) {
-                return self.fail(key, Ending::Unreachable, Load::default());
+                return self.fail(key, AttemptOutcome::Unreachable, LoadReport::default());
             }
             if link.stream.peer_addr().is_err() {
                 return;
             }
             link.up = true;
-            self.servers.records[link.server].heard = self.clock.now();
+            self.upstream.records[link.server].heard = self.clock.now();
         }
         if !link.begun && self.clock.now() >= link.ends {
             // Danger: it comes up, or is looked at, only after its op's time; nothing may be sent any more.
-            return self.fail(key, Ending::Unreachable, Load::default());
+            return self.fail(key, AttemptOutcome::Unreachable, LoadReport::default());
         }
         if link.feeding.is_some() && !self.feed(key) {
             return;
         }
         let (now, mut fed_whole) = (self.clock.now(), None);
-        let Some(link) = self.servers.links.get_mut(key) else { return };
+        let Some(link) = self.upstream.links.get_mut(key) else {
+            return;
+        };
         if let Some(outbox) = link.outbox.as_ref().filter(|_| link.feeding.is_none()) {
             let drained = outbox.drain(&mut link.sent, &mut link.stream);
             link.begun |= link.sent > 0;
@@ -248,10 +258,10 @@
                         let from = link.rest_since.unwrap_or(now);
                         (link.fed_at, link.ends) = (Some(now), from + link.patience);
                         self.timers.unset(link.timer.take());
-                        let due = move |proxy: &mut Proxy| proxy.link_due(key);
+                        let due = move |proxy: &mut Proxy| proxy.upstream_timeout(key);
                         link.timer = Some(self.timers.set(link.ends, due));
                     }
-                    self.tally.forwards += u64::from(link.op != NO_OP);
+                    self.access_metrics.forwards += u64::from(link.op != NO_OP);
                     link.outbox.take().into_iter().for_each(|b| self.buffers.give(b));
                 }
                 Ok(false) => {}
@@ -260,25 +270,25 @@
             }
         }
         if let Some(op) = fed_whole {
-            self.body_moves(op, key, true);
+            self.streaming_progress(op, key, true);
         }
         self.read_answer(key);
     }
 
     pub(super) fn read_answer(&mut self, key: usize) {
-        if self.servers.links[key].passing.is_some() {
+        if self.upstream.links[key].passing.is_some() {
             return self.pass(key);
         }
         loop {
-            let link = &mut self.servers.links[key];
+            let link = &mut self.upstream.links[key];
             let Some(mut inbox) = link.inbox.take().or_else(|| self.buffers.take_last()) else {
                 // Danger: no buffer to read into. The answer is lost; the push may have run.
                 self.counters.full += 1;
-                return self.fail(key, Ending::Broken, Load::default());
+                return self.fail(key, AttemptOutcome::ConnectionLost, LoadReport::default());
             };
             let filled = link.fill(&mut inbox);
             if filled == Filled::Some {
-                self.servers.records[link.server].heard = self.clock.now();
+                self.upstream.records[link.server].heard = self.clock.now();
             }
             let ended = filled == Filled::Ended;
             let whole = match read(&mut link.message, &mut inbox) {
@@ -303,12 +313,12 @@
                 return self.broken(key);
             }
             if link.passes(&inbox) {
-                self.begin_passing(key, inbox);
+                self.begin_response_stream(key, inbox);
                 return self.pass(key);
             }
             let long = |m: &Message| m.length().is_some_and(|l| l > BODY_MOST) || m.end - m.head > BODY_MOST;
             if let Some((_, ending, load)) =
-                link.message.as_ref().filter(|(m, e, _)| *e != Ending::Acked && long(m))
+                link.message.as_ref().filter(|(m, e, _)| *e != AttemptOutcome::Succeeded && long(m))
             {
                 // A refusal needs no long body: its head has said it.
                 let (ending, load) = (*ending, *load);
@@ -339,7 +349,7 @@
     /// has its op's time, and the op may go elsewhere as long as nothing of it has been passed on.
     pub(super) fn held_back(&mut self, key: usize, since: f64) {
         let now = self.clock.now();
-        let Some(link) = self.servers.links.get_mut(key).filter(|l| l.held_since == Some(since)) else {
+        let Some(link) = self.upstream.links.get_mut(key).filter(|l| l.held_since == Some(since)) else {
             return;
         };
         if link.then.is_none() || link.passing.is_some() {
@@ -347,7 +357,7 @@
         }
         let told = link.message.as_ref().is_some_and(|(m, ..)| m.length().is_some());
         if let Some(inbox) = link.inbox.take_if(|inbox| told || inbox.held().len() >= FIRST) {
-            self.begin_passing(key, inbox);
+            self.begin_response_stream(key, inbox);
             self.pass(key);
         } else if now < link.ends - FOR_THE_WAY {
             let at = link.held_until(now);
@@ -356,27 +366,33 @@
     }
 
     pub(super) fn broken(&mut self, key: usize) {
-        let whole = self.servers.links.get(key).is_some_and(|link| link.whole);
+        let whole = self.upstream.links.get(key).is_some_and(|link| link.whole);
         // What the server never had whole it has not run.
-        self.fail(key, if whole { Ending::Broken } else { Ending::Unreachable }, Load::default());
+        self.fail(
+            key,
+            if whole { AttemptOutcome::ConnectionLost } else { AttemptOutcome::Unreachable },
+            LoadReport::default(),
+        );
     }
 
     pub(super) fn answered(&mut self, key: usize, inbox: Buffer) {
-        let link = &mut self.servers.links[key];
-        let Some((message, ending, load)) = link.message.take() else { return };
+        let link = &mut self.upstream.links[key];
+        let Some((message, ending, load)) = link.message.take() else {
+            return;
+        };
         let (then, took) = (link.then.take(), link.took(self.clock.now()));
         // Danger: an answer before the request was through, or bytes behind it: what comes next on this
         // connection would be read wrongly.
         let clean = message.keep && link.whole && inbox.held().len() == message.end;
-        if clean && silent(&link.stream) {
-            self.keep_link(key);
+        if clean && is_silent(&link.stream) {
+            self.keep_upstream(key);
         } else {
-            self.drop_link(key);
+            self.drop_upstream(key);
         }
-        self.hand(then, Outcome { ending, load, answer: Some((inbox, message)), took });
+        self.hand(then, AttemptResponse { ending, load, answer: Some((inbox, message)), took });
     }
 
-    pub fn hand(&mut self, then: Option<Then<Proxy>>, outcome: Outcome) {
+    pub fn hand(&mut self, then: Option<CompletionCallback<Proxy>>, outcome: AttemptResponse) {
         match then {
             Some(then) => then(self, outcome),
             None => outcome.answer.into_iter().for_each(|(inbox, _)| self.buffers.give(inbox)),
--- a/node/src/wire/servers/links.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -6,7 +6,7 @@
 impl Proxy {
     /// What the list says of a server: where to dial it, or that it gets nothing new.
     pub fn place(&mut self, server: usize, dial: Option<(SocketAddr, f64)>) {
-        let records = &mut self.servers.records;
+        let records = &mut self.upstream.records;
         if records.len() <= server {
             records.resize_with(server + 1, Record::default);
         }
@@ -14,18 +14,18 @@
             // Danger: connections to a process that is no more may stay open and silent.
             records[server].dial = dial;
             for key in std::mem::take(&mut records[server].idle) {
-                self.drop_link(key);
+                self.drop_upstream(key);
             }
         }
     }
 
     /// Once the whole list is placed: pushes that have not begun leave servers that are not as they were.
-    pub fn leave_unsent(&mut self) {
+    pub fn leave_not_sent(&mut self) {
         // Danger: a connection that comes up only now would carry a new push past the grace.
-        let records = &self.servers.records;
-        let left = |l: &Link<Proxy>| l.unsent() && records[l.server].dial != Some(l.dial);
-        for key in self.servers.links.keys(left) {
-            self.fail(key, Ending::Unreachable, Load::default());
+        let records = &self.upstream.records;
+        let left = |l: &UpstreamConnection<Proxy>| l.unsent() && records[l.server].dial != Some(l.dial);
+        for key in self.upstream.links.keys(left) {
+            self.fail(key, AttemptOutcome::Unreachable, LoadReport::default());
         }
     }
 
@@ -34,30 +34,30 @@
     pub(super) fn idle_link(&mut self, server: usize) -> Option<usize> {
         let now = self.now();
         loop {
-            let idle = &mut self.servers.records.get_mut(server)?.idle;
-            let links = &self.servers.links;
+            let idle = &mut self.upstream.records.get_mut(server)?.idle;
+            let links = &self.upstream.links;
             let key = idle.remove(idle.iter().rposition(|key| now - links[*key].idle_since >= QUIET)?);
-            let link = &mut self.servers.links[key];
+            let link = &mut self.upstream.links[key];
             self.timers.unset(link.timer.take());
-            if silent(&link.stream) {
+            if is_silent(&link.stream) {
                 return Some(key);
             }
             // Danger: closed meanwhile, or bytes that belong to no push.
-            self.drop_link(key);
+            self.drop_upstream(key);
         }
     }
 
-    pub(super) fn dial(&mut self, server: usize) -> Result<usize, Ending> {
-        if self.servers.links.full() && !self.drop_longest_idle() {
+    pub(super) fn dial(&mut self, server: usize) -> Result<usize, AttemptOutcome> {
+        if self.upstream.links.full() && !self.close_longest_idle_upstream() {
             // Danger: out of descriptors for servers. Nothing was sent, and the op is free to go elsewhere.
             self.counters.full += 1;
-            return Err(Ending::Unsent);
+            return Err(AttemptOutcome::NotSent);
         }
-        let record = self.servers.records.get(server);
-        let dial @ (address, _) = record.and_then(|r| r.dial).ok_or(Ending::Unreachable)?;
+        let record = self.upstream.records.get(server);
+        let dial @ (address, _) = record.and_then(|r| r.dial).ok_or(AttemptOutcome::Unreachable)?;
         self.counters.dialled += 1;
         let both = Interest::READABLE | Interest::WRITABLE;
-        let key = self.servers.links.next_key();
+        let key = self.upstream.links.next_key();
         let stream = loop {
             let stream = TcpStream::connect(address).and_then(|mut stream| {
                 self.registry.register(&mut stream, SERVER.token(key), both)?;
@@ -71,21 +71,21 @@
                     | io::ErrorKind::HostUnreachable
                     | io::ErrorKind::NetworkUnreachable,
                     _,
-                )) => return Err(Ending::Unreachable),
+                )) => return Err(AttemptOutcome::Unreachable),
                 // Danger: what this machine lacks, descriptors say, would be held against the server, and
                 // clients that are idle would keep others' ops from going out.
                 Err((_, e)) => {
                     // An op that is in goes ahead of clients that have only just come.
-                    if !(self.drop_idle_client() || self.spare.give_up()) {
+                    if !(self.close_idle_downstream() || self.reserved_descriptors.give_up()) {
                         log::warn!("cannot dial: {e}");
                         self.counters.full += 1;
-                        return Err(Ending::Unsent);
+                        return Err(AttemptOutcome::NotSent);
                     }
                 }
             }
         };
         let _ = stream.set_nodelay(true);
-        self.servers.links.insert(Link {
+        self.upstream.links.insert(UpstreamConnection {
             stream,
             server,
             op: 0,
@@ -117,21 +117,25 @@
         Ok(key)
     }
 
-    pub fn drop_longest_idle(&mut self) -> bool {
-        let idle = |link: &Link<Proxy>| link.then.is_none().then_some(link.idle_since);
-        let Some(key) = self.servers.links.least(idle) else { return false };
-        let server = self.servers.links[key].server;
-        self.servers.records[server].idle.retain(|k| *k != key);
-        self.drop_link(key);
+    pub fn close_longest_idle_upstream(&mut self) -> bool {
+        let idle = |link: &UpstreamConnection<Proxy>| link.then.is_none().then_some(link.idle_since);
+        let Some(key) = self.upstream.links.least(idle) else {
+            return false;
+        };
+        let server = self.upstream.links[key].server;
+        self.upstream.records[server].idle.retain(|k| *k != key);
+        self.drop_upstream(key);
         true
     }
 
     /// The one place where a server's connection and buffers are given back.
-    pub fn drop_link(&mut self, key: usize) {
-        let Some(mut link) = self.servers.links.take(key) else { return };
+    pub fn drop_upstream(&mut self, key: usize) {
+        let Some(mut link) = self.upstream.links.take(key) else {
+            return;
+        };
         if let Some(passing) = link.passing.take() {
             // Danger: an answer that stops short, taken for a whole one. Its client is cut off and can tell.
-            self.drop_client(passing.client);
+            self.drop_downstream(passing.client);
         }
         let _ = self.registry.deregister(&mut link.stream);
         self.timers.unset(link.timer);
@@ -141,31 +145,33 @@
     }
 
     /// The push is over: its connection is closed.
-    pub fn fail(&mut self, key: usize, ending: Ending, load: Load) {
+    pub fn fail(&mut self, key: usize, ending: AttemptOutcome, load: LoadReport) {
         let now = self.now();
-        let Some(link) = self.servers.links.get_mut(key) else { return };
+        let Some(link) = self.upstream.links.get_mut(key) else {
+            return;
+        };
         let (then, took) = (link.then.take(), link.took(now));
-        self.drop_link(key);
+        self.drop_upstream(key);
         if let Some(then) = then {
-            then(self, Outcome { ending, load, answer: None, took });
+            then(self, AttemptResponse { ending, load, answer: None, took });
         }
     }
 
     /// A connection that has brought a whole answer stands idle, for as long as its server is as it was.
-    pub fn keep_link(&mut self, key: usize) {
+    pub fn keep_upstream(&mut self, key: usize) {
         let now = self.now();
-        let link = &mut self.servers.links[key];
+        let link = &mut self.upstream.links[key];
         let server = link.server;
-        if self.servers.records[server].dial != Some(link.dial) {
-            return self.drop_link(key);
+        if self.upstream.records[server].dial != Some(link.dial) {
+            return self.drop_upstream(key);
         }
         link.idle_since = now;
         self.timers.unset(link.timer.take());
         let close = move |proxy: &mut Proxy| {
-            proxy.servers.records[server].idle.retain(|k| *k != key);
-            proxy.drop_link(key);
+            proxy.upstream.records[server].idle.retain(|k| *k != key);
+            proxy.drop_upstream(key);
         };
-        link.timer = Some(self.timers.set(now + self.servers.idle_most, close));
-        self.servers.records[server].idle.push(key);
+        link.timer = Some(self.timers.set(now + self.upstream.idle_most, close));
+        self.upstream.records[server].idle.push(key);
     }
 }
--- a/node/src/wire/servers/mod.rs
+++ b/proxy/src/upstream/mod.rs
@@ -1,28 +1,29 @@
-//! Servers: connections to them, opened, kept and given back. What a push does on one stands in `pushing`.
-
-mod links;
-mod pushing;
-
-use super::bodies::{Passing, FIRST};
-use super::http::Message;
-use super::silent;
-use crate::memory::buffers::{Buffer, Filled, BODY_MOST};
-use crate::memory::tables::Table;
-use crate::memory::timers::Key;
+//! Upstreams: connections to them, opened, kept and given back. What a push does on one stands in `pushing`.
+
+mod attempts;
+mod connection_pool;
+mod load_probes;
+
+use crate::buffers::{Buffer, Filled, BODY_MOST};
+use crate::http::Message;
+use crate::slot_table::SlotTable;
+use crate::socket::is_silent;
+use crate::streaming::{Passing, FIRST};
+use crate::timers::TimerKey;
 use crate::tokens::SERVER;
-use crankmux::given;
-use crankmux::words::{Ending, Load};
+use crankmux::settings;
+use crankmux::types::{AttemptOutcome, LoadReport};
 use mio::net::TcpStream;
 use mio::Interest;
 use std::io;
 use std::net::SocketAddr;
 
 /// Reads a report on load; what is no figure of one is passed over.
-pub fn read_load(told: &str, load: &mut Load) {
+pub fn read_load(told: &str, load: &mut LoadReport) {
     for part in told.trim().trim_start_matches("TEXT").split(',') {
         if let Some((name, value)) = part.split_once('=') {
             if let Ok(value) = value.trim().parse() {
-                given::figure(load, name.trim(), value);
+                settings::set_load_value(load, name.trim(), value);
             }
         }
     }
@@ -34,16 +35,16 @@
 }
 
 /// What a push has come to; an acked one's answer goes with it.
-pub struct Outcome {
-    pub ending: Ending,
-    pub load: Load,
+pub struct AttemptResponse {
+    pub ending: AttemptOutcome,
+    pub load: LoadReport,
     pub answer: Option<(Buffer, Message)>,
     /// How long it took its server, where that is not the time since the push began.
     pub took: Option<f64>,
 }
 
 /// What is next once a push has ended.
-pub type Then<P> = Box<dyn FnOnce(&mut P, Outcome)>;
+pub type CompletionCallback<P> = Box<dyn FnOnce(&mut P, AttemptResponse)>;
 
 /// How long a connection must have been quiet since its last answer. Danger: a second copy of that answer,
 /// right behind it or some milliseconds late, is read as the next push's. Some are no more than ten; at twice
@@ -54,7 +55,7 @@
 pub const NO_OP: usize = usize::MAX;
 
 /// A connection to a server, with the push that it carries, if any.
-pub struct Link<P> {
+pub struct UpstreamConnection<P> {
     pub stream: TcpStream,
     pub server: usize,
     /// Whose push it carries, or carried last.
@@ -83,14 +84,14 @@
     pub moved: f64,
     patience: f64,
     pub inbox: Option<Buffer>,
-    pub message: Option<(Message, Ending, Load)>,
+    pub message: Option<(Message, AttemptOutcome, LoadReport)>,
     /// Its answer is being passed on in pieces.
     pub passing: Option<Passing>,
     /// Since when its answer, of unknown length, waits to be whole.
     held_since: Option<f64>,
-    pub then: Option<Then<P>>,
+    pub then: Option<CompletionCallback<P>>,
     ends: f64,
-    pub timer: Option<Key>,
+    pub timer: Option<TimerKey>,
     idle_since: f64,
 }
 
@@ -103,18 +104,18 @@
     pub heard: f64,
 }
 
-pub struct Servers<P> {
-    pub links: Table<Link<P>>,
+pub struct Upstreams<P> {
+    pub links: SlotTable<UpstreamConnection<P>>,
     pub records: Vec<Record>,
     connect_within: f64,
     idle_most: f64,
 }
 
-impl<P> Servers<P> {
+impl<P> Upstreams<P> {
     /// `most` connections, each to come up within a time and to be closed after another.
     pub fn new(most: usize, connect_within: f64, keepalive: f64) -> Self {
-        let (links, records) = (Table::new(most), Vec::new());
-        let mut servers = Servers { links, records, connect_within, idle_most: 0.0 };
+        let (links, records) = (SlotTable::new(most), Vec::new());
+        let mut servers = Upstreams { links, records, connect_within, idle_most: 0.0 };
         servers.take_times(connect_within, keepalive);
         servers
     }
@@ -148,7 +149,7 @@
     }
 }
 
-impl<P> Link<P> {
+impl<P> UpstreamConnection<P> {
     /// It carries a push of which nothing has left.
     pub fn unsent(&self) -> bool {
         !self.begun && self.outbox.is_some()
@@ -162,12 +163,14 @@
 
     /// Whether its answer may be passed on in pieces: a good one to a request written whole.
     pub fn good(&self) -> bool {
-        self.whole && self.message.as_ref().is_some_and(|(_, ending, _)| *ending == Ending::Acked)
+        self.whole && self.message.as_ref().is_some_and(|(_, ending, _)| *ending == AttemptOutcome::Succeeded)
     }
 
     /// Whether it is to be passed on now.
     pub fn passes(&self, inbox: &Buffer) -> bool {
-        let Some((message, ..)) = self.message.as_ref().filter(|_| self.good()) else { return false };
+        let Some((message, ..)) = self.message.as_ref().filter(|_| self.good()) else {
+            return false;
+        };
         let here = inbox.held().len() - message.head;
         here > BODY_MOST || (message.length().is_some_and(|l| l > BODY_MOST) && here >= FIRST)
     }
@@ -180,7 +183,9 @@
 
     /// Writes what stands to be written; whether all of it has left.
     pub fn drained(&mut self) -> bool {
-        let Some(outbox) = &mut self.outbox else { return true };
+        let Some(outbox) = &mut self.outbox else {
+            return true;
+        };
         let drained = outbox.drain(&mut self.sent, &mut self.stream);
         self.begun |= self.sent > 0;
         self.broke |= drained.is_err();
--- a/node/tests/fleet/main.rs
+++ b/proxy/tests/fleet/main.rs
@@ -1,8 +1,8 @@
 //! Several processes of the node at once, with faults between them. Each test is one danger to a fleet; bounds
 //! on times are the issue's own where it names one, and else generous.
 
-use crankmux_emulator::script::Script;
-use crankmux_rig::{Rig, Start, Way};
+use crankmux_fault_injection::{Harness, Start, Way};
+use crankmux_simulator::script::Script;
 
 /// Small ops on servers with room to spare: what is looked at is the fleet, on machines of any pace.
 const WORLD: &str = r#"
@@ -45,17 +45,17 @@
 "#;
 
 /// A rig of so many nodes; the settings tell as many, or so many.
-fn rig(name: &str, nodes: usize, change: impl FnOnce(&mut Start)) -> Rig {
+fn rig(name: &str, nodes: usize, change: impl FnOnce(&mut Start)) -> Harness {
     let mut script = Script::read(WORLD).expect("in order");
     script.nodes = nodes;
-    let folder = std::env::temp_dir().join(format!("crankmux-rig-{}-{name}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("crankmux-fault-injection-{}-{name}", std::process::id()));
     let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux"), folder);
     change(&mut start);
-    Rig::new(script, start)
+    Harness::new(script, start)
 }
 
 /// The same, all of it started and at one view, with clients bringing ops.
-fn whole(name: &str, nodes: usize) -> Rig {
+fn whole(name: &str, nodes: usize) -> Harness {
     let mut rig = rig(name, nodes, |_| ());
     rig.start_all();
     let all: Vec<usize> = (0..nodes).collect();
@@ -65,12 +65,12 @@
     rig
 }
 
-fn views(rig: &Rig) -> Vec<Option<crankmux_rig::View>> {
+fn views(rig: &Harness) -> Vec<Option<crankmux_fault_injection::View>> {
     (0..rig.nodes.len()).map(|node| rig.view(node).cloned()).collect()
 }
 
 /// No rule was broken, and ops were served.
-fn kept(rig: &mut Rig) {
+fn kept(rig: &mut Harness) {
     rig.shut();
     rig.pass(2500.0);
     assert!(rig.broken().is_empty(), "{:#?}", rig.broken());
@@ -79,7 +79,7 @@
 }
 
 /// No live node was declared failed by another.
-fn nobody_failed(rig: &Rig, live: &[usize], since: f64) {
+fn nobody_failed(rig: &Harness, live: &[usize], since: f64) {
     for view in rig.views.iter().filter(|view| view.at >= since && live.contains(&view.node)) {
         let failed = view.states.iter().find(|(n, state)| live.contains(n) && *state == "failed");
         assert!(failed.is_none(), "{view:?}");
@@ -92,7 +92,8 @@
     let at = rig.now();
     (4..6).for_each(|node| rig.kill(node));
     let live = [0, 1, 2, 3];
-    let all = |rig: &Rig| (4..6).all(|dead| rig.saw(&live, dead, "failed", at).iter().all(Option::is_some));
+    let all =
+        |rig: &Harness| (4..6).all(|dead| rig.saw(&live, dead, "failed", at).iter().all(Option::is_some));
     assert!(rig.until(8000.0, |rig| all(rig)), "{:?}", views(&rig));
     nobody_failed(&rig, &live, at);
     assert!(rig.until(2000.0, |rig| live.iter().all(|node| rig.view(*node).unwrap().reach == "part")));
@@ -193,7 +194,7 @@
     let repeated: usize = (0..4).map(|node| rig.relays.repeat(at, node, 2500.0)).sum();
     assert!(repeated > 20, "{repeated}");
     let refused =
-        |rig: &Rig| rig.nodes[0].page().map_or(0, |page| page["datagrams"]["refused"].as_u64().unwrap());
+        |rig: &Harness| rig.nodes[0].page().map_or(0, |page| page["datagrams"]["refused"].as_u64().unwrap());
     let before = refused(&rig);
     let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
     let to = rig.nodes[0].hears;
@@ -282,7 +283,7 @@
         rig.until(20_000.0, |rig| rig.pushes(2, 5, at) > 0),
         "back, for one of its own zone that was blind"
     );
-    let stricter = |rig: &Rig| rig.nodes[3].page().and_then(|page| page["held_stricter"].as_u64());
+    let stricter = |rig: &Harness| rig.nodes[3].page().and_then(|page| page["held_stricter"].as_u64());
     assert!(rig.until(10_000.0, |rig| stricter(rig) == Some(0)), "its own list has come as far");
     kept(&mut rig);
 }
@@ -336,7 +337,7 @@
     (0..3).for_each(|server| rig.restart_server(server));
     let all: Vec<usize> = (0..8).collect();
     assert!(rig.until(15_000.0, |rig| rig.agree(&all)), "{:?}", views(&rig));
-    let even = |rig: &Rig| {
+    let even = |rig: &Harness| {
         all.iter().all(|node| {
             let view = rig.view(*node).unwrap();
             view.assumed >= 7.99 && (view.cold_part - 0.5).abs() < 1e-6
@@ -357,12 +358,12 @@
     let mut script = Script::read(WORLD).expect("in order");
     (script.nodes, script.duties.cold) = (20, 8.0);
     script.machines[0].count = 6;
-    let folder = std::env::temp_dir().join(format!("crankmux-rig-{}-cold", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("crankmux-fault-injection-{}-cold", std::process::id()));
     let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux"), folder);
     start.fleet = false;
     let (share, multiple, window) =
         (script.duties.cold_share, script.duties.fall_multiple, script.duties.fall_ms);
-    let mut rig = Rig::new(script, start);
+    let mut rig = Harness::new(script, start);
     // Ten a second at each node, thirty-three at each server.
     rig.rate = 10.0;
     rig.start_all();
@@ -392,10 +393,11 @@
     // have are used up before its client leaves, and nobody leaves at all.
     (script.duties.cold, script.duties.most_pushes) = (0.001, 50);
     script.categories.iter_mut().for_each(|category| category.work_ms = 60_000.0);
-    let folder = std::env::temp_dir().join(format!("crankmux-rig-{}-leavers", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("crankmux-fault-injection-{}-leavers", std::process::id()));
     let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux"), folder);
     start.fleet = false;
-    let mut rig = Rig::new(script, start);
+    let mut rig = Harness::new(script, start);
     rig.rate = 20.0;
     rig.start_all();
     rig.pass(500.0);
--- a/node/tests/sockets/days.rs
+++ b/proxy/tests/sockets/days.rs
@@ -352,7 +352,7 @@
     let hosts = [host("s0", one.address, "Ready"), host("s1", two.address, "Ready")];
     let known = list(1, true, &hosts);
     let discovery = Discovery::new(known.clone());
-    let free = crankmux_rig::free_port();
+    let free = crankmux_fault_injection::free_port();
     let mut file = configuration(discovery.address, &known);
     (file["admin_addr"], file["listen"]) = (json!("127.0.0.1:0"), json!(free.to_string()));
     let old = Node::start(&file, None);
@@ -471,7 +471,7 @@
 
 #[test]
 fn a_long_request_goes_elsewhere_only_while_all_its_bytes_are_here() {
-    let refused = crankmux_rig::free_port();
+    let refused = crankmux_fault_injection::free_port();
     let server = counting();
     let known = list(1, true, &[host("r", refused, "Ready"), host("g", server.address, "Ready")]);
     let discovery = Discovery::new(known.clone());
--- a/node/tests/sockets/ends.rs
+++ b/proxy/tests/sockets/ends.rs
@@ -39,7 +39,7 @@
     });
 }
 
-/// How many requests of a category a server has had from a node, once that has ended and all it wrote is read.
+/// PolicyKind many requests of a category a server has had from a node, once that has ended and all it wrote is read.
 fn of_category(node: &mut Node, server: &Server, category: &str) -> usize {
     node.signal("TERM");
     assert!(node.ended().0);
@@ -494,7 +494,7 @@
         let (one, two) = (Server::saying(ok("one")), Server::saying(ok("two")));
         let known = list(1, true, &[host("one", one.address, "Ready")]);
         let agent = TcpListener::bind("127.0.0.1:0").unwrap();
-        let free = crankmux_rig::free_port();
+        let free = crankmux_fault_injection::free_port();
         let mut configuration = configuration(agent.local_addr().unwrap(), &known);
         configuration["listen"] = json!(free.to_string());
         let news =
@@ -562,7 +562,9 @@
         for mut stream in agent.incoming().flatten() {
             while let Some((head, _)) = read_message(&mut stream) {
                 heard.lock().unwrap().push(head.lines().next().unwrap_or_default().to_string());
-                let Some(body) = bodies.next() else { return std::thread::sleep(PATIENCE) };
+                let Some(body) = bodies.next() else {
+                    return std::thread::sleep(PATIENCE);
+                };
                 if stream.write_all(&ok(&body)).is_err() {
                     break;
                 }
--- a/node/tests/sockets/help.rs
+++ b/proxy/tests/sockets/help.rs
@@ -121,7 +121,9 @@
                 thread::spawn(move || {
                     while let Some((head, _)) = read_message(&mut stream) {
                         seen.lock().unwrap().push(head.lines().next().unwrap_or_default().to_string());
-                        let Ok(list) = lists.lock().unwrap().recv() else { return };
+                        let Ok(list) = lists.lock().unwrap().recv() else {
+                            return;
+                        };
                         if stream.write_all(&ok(&list.to_string())).is_err() {
                             return;
                         }
@@ -273,7 +275,7 @@
 
     /// A node with a door, at an address of its own that a second process may share.
     pub fn with_door(servers: &[&Server], change: impl FnOnce(&mut Value)) -> Self {
-        let free = crankmux_rig::free_port();
+        let free = crankmux_fault_injection::free_port();
         let doors = |configuration: &mut Value| {
             configuration["listen"] = json!(free.to_string());
             configuration["admin_addr"] = json!("127.0.0.1:0");
--- a/node/tests/sockets/main.rs
+++ b/proxy/tests/sockets/main.rs
@@ -307,7 +307,7 @@
         b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nX-Server-Load: TEXT inflight=9, queue=4\r\nContent-Length: 0\r\n\r\n"
             .to_vec(),
     );
-    let refused = crankmux_rig::free_port();
+    let refused = crankmux_fault_injection::free_port();
     let good = Server::saying(ok("yes"));
     let known = list(
         1,
@@ -724,7 +724,7 @@
 
 #[test]
 fn a_charter_is_checked_and_all_that_is_wrong_with_it_named() {
-    let file = std::env::temp_dir().join(format!("crankmux-charter-{}.toml", std::process::id()));
+    let file = std::env::temp_dir().join(format!("crankmux-operator-config-{}.toml", std::process::id()));
     let check = |text: &[u8]| {
         std::fs::write(&file, text).unwrap();
         let program = env!("CARGO_BIN_EXE_crankmux");
--- a/node/tests/sockets/told.rs
+++ b/proxy/tests/sockets/told.rs
@@ -114,7 +114,9 @@
         let rest = line.split(name).nth(1)?;
         rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
     };
-    let (Some(from), hold) = (number("from="), number("hold_ms=").unwrap_or(0)) else { return };
+    let (Some(from), hold) = (number("from="), number("hold_ms=").unwrap_or(0)) else {
+        return;
+    };
     let until = Instant::now() + Duration::from_millis(hold);
     let newest = || lists.lock().unwrap().last().and_then(|l| l["seq"].as_u64()).unwrap_or(0);
     while newest() <= from && Instant::now() < until && !down.load(Ordering::SeqCst) {
@@ -149,7 +151,7 @@
         Told { node, agent, news, servers }
     }
 
-    /// How long it takes until nothing goes to the server that drains.
+    /// PolicyKind long it takes until nothing goes to the server that drains.
     fn takes(&self, from: Instant, agent: &Agent) -> Duration {
         loop {
             // Its watch for what comes after the news says that it has them.
@@ -353,7 +355,7 @@
     let (one, two) = (Server::saying(ok("s0")), Server::saying(ok("s1")));
     let hosts = [host("s0", one.address, "Ready"), host("s1", two.address, "Ready")];
     let agent = Agent::new(list(1, true, &hosts), &[]);
-    let free = crankmux_rig::free_port();
+    let free = crankmux_fault_injection::free_port();
     let mut file = configuration(agent.address, &list(1, true, &hosts));
     file["listen"] = json!(free.to_string());
     file["admin_addr"] = json!("127.0.0.1:0");
@@ -390,7 +392,7 @@
     drop(crowd);
 }
 
-/// How long each of so many processes, killed and started anew at one moment, takes until it is ready, in order.
+/// PolicyKind long each of so many processes, killed and started anew at one moment, takes until it is ready, in order.
 fn ready_after(count: usize, discovery: SocketAddr, known: &Value) -> Vec<Duration> {
     let file = configuration(discovery, known);
     let killed: Vec<Node> = (0..count).map(|_| Node::begun(&file, None, &[])).collect();
--- a/node/tests/sockets/whole.rs
+++ b/proxy/tests/sockets/whole.rs
@@ -9,7 +9,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-/// How a server's connection ends behind what it wrote.
+/// PolicyKind a server's connection ends behind what it wrote.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Close {
     Ends,
@@ -300,7 +300,7 @@
     let mut file = configuration(discovery.address, &known);
     file["settings"]["Limits"]["SecondCopies"] = false.into();
     let node = Node::start(&file, None);
-    // How much of one goes before nothing moves: what node and sockets hold between them.
+    // PolicyKind much of one goes before nothing moves: what node and sockets hold between them.
     let mut probe = thin_client(&node);
     probe.set_write_timeout(Some(Duration::from_millis(400))).unwrap();
     let head = String::from_utf8(request("pay", 60.0, "")).unwrap().replace("Length: 0", "Length: 30000000");
--- a/lab/src/fleet.rs
+++ b/scenarios/src/fleet.rs
@@ -1,7 +1,7 @@
 //! `fleet`: a script over many processes of the node, with faults between them.
 
 use crate::scripts::{self, Failed};
-use crankmux_rig::{play, Play, Report, Start, Times};
+use crankmux_fault_injection::{play, Play, Report, Start, Times};
 use std::path::{Path, PathBuf};
 
 macro_rules! ship {
@@ -54,9 +54,9 @@
     Play::read(&text).map_err(|faulty| (2, format!("{name}: {faulty}")))
 }
 
-fn world(name: &str) -> Result<crankmux_emulator::script::Script, Failed> {
+fn world(name: &str) -> Result<crankmux_simulator::script::Script, Failed> {
     if let Some((_, text)) = WORLDS.iter().find(|(world, _)| *world == name) {
-        return crankmux_emulator::script::Script::read(text).map_err(|e| (2, e.to_string()));
+        return crankmux_simulator::script::Script::read(text).map_err(|e| (2, e.to_string()));
     }
     scripts::read(Some(Path::new(name)))
 }
--- a/lab/src/main.rs
+++ b/scenarios/src/main.rs
@@ -1,4 +1,4 @@
-//! crankmux-lab: rehearses incidents on the emulator and reports what they came to.
+//! crankmux-scenarios: rehearses incidents on the emulator and reports what they came to.
 
 mod fleet;
 mod rehearse;
@@ -10,7 +10,7 @@
 use std::process::ExitCode;
 
 #[derive(Parser)]
-#[command(name = "crankmux-lab", version, about = "Rehearses incidents before crankmux")]
+#[command(name = "crankmux-scenarios", version, about = "Rehearses incidents before crankmux")]
 struct Line {
     #[command(subcommand)]
     call: Call,
@@ -40,7 +40,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(3),
         Err((code, message)) => {
-            eprintln!("crankmux-lab: {message}");
+            eprintln!("crankmux-scenarios: {message}");
             ExitCode::from(code)
         }
     }
--- a/lab/src/rehearse.rs
+++ b/scenarios/src/rehearse.rs
@@ -2,10 +2,10 @@
 
 use crate::report;
 use crate::scripts::{self, Failed, SHIPPED};
-use crankmux_emulator::chooser::How;
-use crankmux_emulator::figures::Figures;
-use crankmux_emulator::script::Script;
-use crankmux_emulator::world;
+use crankmux_simulator::environment;
+use crankmux_simulator::policies::PolicyKind;
+use crankmux_simulator::results::RunResults;
+use crankmux_simulator::script::Script;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -41,12 +41,12 @@
 /// One play to be done.
 pub struct Play<'a> {
     pub script: &'a Script,
-    pub how: How,
+    pub how: PolicyKind,
     pub seed: u64,
 }
 
 /// Plays all, side by side; what comes back is in the order of the plays, whatever the threads.
-pub fn play_all(plays: &[Play], threads: Option<usize>) -> Result<Vec<Figures>, Failed> {
+pub fn play_all(plays: &[Play], threads: Option<usize>) -> Result<Vec<RunResults>, Failed> {
     let threads = threads.or_else(|| Some(std::thread::available_parallelism().ok()?.get())).unwrap_or(1);
     let bar = ProgressBar::new(plays.len() as u64);
     if let Ok(style) =
@@ -60,7 +60,7 @@
             scope.spawn(|| loop {
                 let index = next.fetch_add(1, Ordering::SeqCst);
                 let Some(play) = plays.get(index) else { return };
-                let figures = world::play(play.script, play.how, play.seed);
+                let figures = environment::play(play.script, play.how, play.seed);
                 bar.inc(1);
                 done.lock().unwrap_or_else(|e| e.into_inner()).push((index, figures));
             });
@@ -93,7 +93,7 @@
         }
         return Ok(true);
     }
-    let how = How::named(&call.by).ok_or_else(|| (2, format!("--by {}: no such chooser", call.by)))?;
+    let how = PolicyKind::named(&call.by).ok_or_else(|| (2, format!("--by {}: no such chooser", call.by)))?;
     let script = scripts::read(call.script.as_deref())?;
     let seeds = call.seed..call.seed + call.seeds.max(1);
     let plays: Vec<Play> = seeds.map(|seed| Play { script: &script, how, seed }).collect();
@@ -125,7 +125,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crankmux_emulator::script::Load;
+    use crankmux_simulator::script::Load;
 
     /// What CI plays in virtual time: three scripts that ship, short and with little load.
     #[test]
@@ -134,7 +134,7 @@
             let script = scripts::shipped(name).expect("it ships");
             let load = Load { share: Some(0.15), ..script.load.clone() };
             let script = Script { seconds: 22.0, load, ..script };
-            let play = Play { script: &script, how: How::Module, seed: 2 };
+            let play = Play { script: &script, how: PolicyKind::Module, seed: 2 };
             let figures = play_all(&[play], Some(1)).expect("a chooser").remove(0);
             assert_eq!(figures.broken, [0; 5], "{name}: {:?}", figures.lives.first());
             assert!(figures.all.wanted > 2000 && figures.service > worst, "{name}: {}", figures.service);
@@ -153,7 +153,8 @@
         let script = scripts::shipped("three-troubles").expect("it ships");
         let load = Load { share: Some(0.08), ..script.load.clone() };
         let script = Script { seconds: 16.0, nodes: 6, load, ..script };
-        let plays: Vec<Play> = (1..4).map(|seed| Play { script: &script, how: How::Module, seed }).collect();
+        let plays: Vec<Play> =
+            (1..4).map(|seed| Play { script: &script, how: PolicyKind::Module, seed }).collect();
         let text = |threads| serde_json::to_string(&play_all(&plays, Some(threads)).unwrap()).unwrap();
         let (one, again, three) = (text(1), text(1), text(3));
         assert!(one == again && one == three, "figures differ between runs");
--- a/lab/src/report.rs
+++ b/scenarios/src/report.rs
@@ -1,7 +1,7 @@
 //! What is printed and written: tables, report.md, charts as SVG, figures.json.
 
-use crankmux_emulator::figures::Figures;
-use crankmux_emulator::script::Script;
+use crankmux_simulator::results::RunResults;
+use crankmux_simulator::script::Script;
 use plotters::coord::Shift;
 use plotters::prelude::*;
 use std::error::Error;
@@ -12,7 +12,7 @@
     ["ops lost", "effects twice", "drains not kept", "cold servers pushed over", "ops sent on for nobody"];
 
 /// Service by second.
-pub fn seconds(figures: &Figures) -> String {
+pub fn seconds(figures: &RunResults) -> String {
     let mut text = String::from(
         "second  wanted  service  in time  late  refused  failed  tries  pushes    p50 ms    p99 ms\n",
     );
@@ -38,7 +38,7 @@
 }
 
 /// What one day came to.
-pub fn summary(figures: &Figures) -> String {
+pub fn summary(figures: &RunResults) -> String {
     let mut text = String::new();
     let f = figures;
     let _ = writeln!(
@@ -125,11 +125,11 @@
 }
 
 /// Writes report.md with its charts, and figures.json.
-pub fn write(out: &Path, script: &Script, figures: &[Figures], json: &str) -> Drawn {
+pub fn write(out: &Path, script: &Script, figures: &[RunResults], json: &str) -> Drawn {
     std::fs::create_dir_all(out)?;
     std::fs::write(out.join("figures.json"), json)?;
     let first = &figures[0];
-    let over = |of: &dyn Fn(&crankmux_emulator::figures::Second) -> f64| {
+    let over = |of: &dyn Fn(&crankmux_simulator::results::Second) -> f64| {
         first.seconds.iter().map(|s| (s.at as f64, of(s))).collect::<Vec<_>>()
     };
     let share = |n: u64, of: u64| 100.0 * n as f64 / of.max(1) as f64;
--- a/lab/src/scripts.rs
+++ b/scenarios/src/scripts.rs
@@ -1,6 +1,6 @@
 //! The scripts that ship, and reading one from a file.
 
-use crankmux_emulator::script::Script;
+use crankmux_simulator::script::Script;
 use std::path::Path;
 
 macro_rules! ship {
@@ -25,7 +25,9 @@
 
 /// A script by its file, or by the name of one that ships.
 pub fn read(named: Option<&Path>) -> Result<Script, Failed> {
-    let Some(path) = named else { return shipped(SHIPPED[0].0) };
+    let Some(path) = named else {
+        return shipped(SHIPPED[0].0);
+    };
     let name = path.to_string_lossy();
     if let (true, true) = (!path.exists(), SHIPPED.iter().any(|(shipped, _)| *shipped == name)) {
         return shipped(&name);
--- a/lab/src/tables.rs
+++ b/scenarios/src/tables.rs
@@ -2,9 +2,9 @@
 
 use crate::rehearse::{interval, play_all, Play};
 use crate::scripts::{self, Failed, SHIPPED};
-use crankmux_emulator::chooser::How;
-use crankmux_emulator::figures::Figures;
-use crankmux_emulator::script::{Fault, Kind, Script};
+use crankmux_simulator::policies::PolicyKind;
+use crankmux_simulator::results::RunResults;
+use crankmux_simulator::script::{Fault, Kind, Script};
 
 #[derive(clap::Args)]
 pub struct Scripts {
@@ -27,7 +27,7 @@
     threads: Option<usize>,
 }
 
-fn mean(of: &[Figures]) -> (f64, f64, u64) {
+fn mean(of: &[RunResults]) -> (f64, f64, u64) {
     let (mean, half) = interval(&of.iter().map(|f| f.service).collect::<Vec<_>>());
     (mean, half, of.iter().flat_map(|f| f.broken).sum())
 }
@@ -35,13 +35,13 @@
 /// A row a script: service of each chooser, a star where it broke a rule; the module's score between random
 /// choice and the one that sees the true state.
 pub fn scripts(call: &Scripts) -> Result<bool, Failed> {
-    println!("| script | {} | score |", How::ALL.map(How::name).join(" | "));
-    println!("| --- |{}", " --- |".repeat(How::ALL.len() + 1));
+    println!("| script | {} | score |", PolicyKind::ALL.map(PolicyKind::name).join(" | "));
+    println!("| --- |{}", " --- |".repeat(PolicyKind::ALL.len() + 1));
     let mut kept = true;
     for (name, _) in SHIPPED.iter().filter(|(name, _)| call.only.as_ref().is_none_or(|only| only == name)) {
         let script = scripts::shipped(name)?;
         let play = |how| (1..=call.seeds).map(move |seed| (how, seed));
-        let plays: Vec<Play> = How::ALL
+        let plays: Vec<Play> = PolicyKind::ALL
             .into_iter()
             .flat_map(play)
             .map(|(how, seed)| Play { script: &script, how, seed })
@@ -99,7 +99,7 @@
     }
     let plays: Vec<Play> = worlds
         .iter()
-        .flat_map(|script| (1..=call.seeds).map(move |seed| Play { script, how: How::Module, seed }))
+        .flat_map(|script| (1..=call.seeds).map(move |seed| Play { script, how: PolicyKind::Module, seed }))
         .collect();
     let figures = play_all(&plays, call.threads)?;
     let mut cells = figures.chunks(call.seeds as usize).map(mean);
--- a/emulator/benches/events.rs
+++ b/simulator/benches/events.rs
@@ -1,8 +1,8 @@
-//! Events a second on one core: `cargo bench -p crankmux-emulator`.
+//! Events a second on one core: `cargo bench -p crankmux-simulator`.
 
-use crankmux_emulator::chooser::How;
-use crankmux_emulator::script::Script;
-use crankmux_emulator::world::play;
+use crankmux_simulator::environment::play;
+use crankmux_simulator::policies::PolicyKind;
+use crankmux_simulator::script::Script;
 use criterion::{criterion_group, criterion_main, Criterion, Throughput};
 
 const TEXT: &str = r#"
@@ -27,7 +27,7 @@
     let script = Script::read(TEXT).expect("whole");
     let mut group = c.benchmark_group("events");
     group.sample_size(10);
-    for how in [How::Random, How::Module] {
+    for how in [PolicyKind::Random, PolicyKind::Module] {
         let events = play(&script, how, 1).expect("a chooser").events;
         group.throughput(Throughput::Elements(events));
         group.bench_function(how.name(), |b| b.iter(|| play(&script, how, 1).expect("a chooser").events));
--- a/emulator/src/world.rs
+++ b/simulator/src/environment.rs
@@ -1,14 +1,14 @@
 //! A day in virtual time: events in their order, nodes with their choosers, servers, the way between them.
 
-use crate::chance::{number, Stream};
-use crate::chooser::{Chooser, How, Truth};
 use crate::faults::{cuts, strike, weather, Struck};
-use crate::figures::{Figures, Outcome, Tally};
-use crate::judge::{Answer, Judge, Life, Repeats};
-use crate::script::{Backoff, Burst, Effect, Group, Kind, Script};
+use crate::invariants::{Answer, InvariantChecker, Life, Repeats};
+use crate::policies::{Policy, PolicyKind, Truth};
+use crate::random::{number, Stream};
+use crate::results::{Outcome, RunResults, Tally};
+use crate::script::{Backoff, Burst, Group, Idempotency, Kind, Script};
 use crate::server::{Begun, Job, Server};
-use crankmux::dispatcher::{GivenUp, Next};
-use crankmux::words::{Arrival, Ending, Listed, Load, PushEnd, Standing};
+use crankmux::dispatcher::{FinalAnswer, NextSteps};
+use crankmux::types::{AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, LoadReport, NewRequest};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -24,7 +24,7 @@
     Again { wish: usize },
     Reach { op: usize, serial: u64, push: usize, server: usize, life: u32 },
     Done { server: usize, life: u32, number: u64 },
-    Back { op: usize, serial: u64, push: usize, ending: Ending, load: Load },
+    Back { op: usize, serial: u64, push: usize, ending: AttemptOutcome, load: LoadReport },
     Patience { op: usize, serial: u64, push: usize },
     CallOff { server: usize, life: u32, op: usize, serial: u64, push: usize },
     Leave { op: usize, serial: u64 },
@@ -112,14 +112,14 @@
 }
 
 struct Node {
-    chooser: Chooser,
+    chooser: Policy,
     up: bool,
     life: u32,
     zone: usize,
     weight: f64,
     /// What the front believes.
     dealt: bool,
-    /// How much of the changes it has been told.
+    /// PolicyKind much of the changes it has been told.
     told: usize,
     tick: f64,
     links: Vec<Links>,
@@ -167,7 +167,7 @@
 
 struct World<'a> {
     script: &'a Script,
-    how: How,
+    how: PolicyKind,
     seed: u64,
     now: f64,
     end: f64,
@@ -179,7 +179,7 @@
     servers: Vec<Server>,
     /// What discovery has in its list, and every change in order.
     listed: Vec<bool>,
-    changes: Vec<Listed>,
+    changes: Vec<EndpointUpdate>,
     lists_down: usize,
     clock_off: Vec<f64>,
     wishes: Slots<Wish>,
@@ -194,12 +194,12 @@
     zone_weights: Vec<f64>,
     /// Mean work of an op, on a core of speed one.
     ordinary: f64,
-    judge: Judge,
+    judge: InvariantChecker,
     tally: Tally,
 }
 
 /// Plays a day. The error names what a chooser could not be made of.
-pub fn play(script: &Script, how: How, seed: u64) -> Result<Figures, String> {
+pub fn play(script: &Script, how: PolicyKind, seed: u64) -> Result<RunResults, String> {
     let mut world = World::new(script, how, seed)?;
     while let Some(Reverse(Due(at, _, event))) = world.queue.pop() {
         if at > world.end {
@@ -219,7 +219,7 @@
 }
 
 impl<'a> World<'a> {
-    fn new(script: &'a Script, how: How, seed: u64) -> Result<Self, String> {
+    fn new(script: &'a Script, how: PolicyKind, seed: u64) -> Result<Self, String> {
         let zones = script.zones.len();
         let mut servers = Vec::new();
         let mut pods = 0;
@@ -239,7 +239,7 @@
         for number in 0..script.nodes {
             let own = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number as u64);
             nodes.push(Node {
-                chooser: Chooser::new(how, script, number, own)?,
+                chooser: Policy::new(how, script, number, own)?,
                 up: true,
                 life: 0,
                 zone: number % zones,
@@ -289,7 +289,7 @@
             peak: script.rate() / 1000.0 * (1.0 + script.load.wave) * most,
             zone_weights,
             ordinary,
-            judge: Judge::new(
+            judge: InvariantChecker::new(
                 duties.answer_slack_ms,
                 duties.drain_grace_ms,
                 duties.fall_multiple,
@@ -340,7 +340,7 @@
             Event::Done { server, life, number } => self.done(server, life, number),
             Event::Back { op, serial, push, ending, load } => self.back(op, serial, push, ending, load),
             Event::Patience { op, serial, push } => {
-                self.back(op, serial, push, Ending::TimedOut, Load::default());
+                self.back(op, serial, push, AttemptOutcome::TimedOut, LoadReport::default());
             }
             Event::CallOff { server, life, op, serial, push } => {
                 if self.servers[server].life == life && self.servers[server].up {
@@ -441,9 +441,9 @@
         let terms = &self.script.categories[category];
         let ends = self.now + terms.ttl_ms;
         let repeats = match terms.effect {
-            Effect::Redeliverable => Repeats::Freely,
-            Effect::Deduplicated => Repeats::Deduplicated { fleet: terms.group == Group::Fleet },
-            Effect::AtMostOnce => Repeats::Never,
+            Idempotency::Idempotent => Repeats::Freely,
+            Idempotency::IdempotentWithKey => Repeats::Deduplicated { fleet: terms.group == Group::Fleet },
+            Idempotency::NotIdempotent => Repeats::Never,
         };
         self.serial += 1;
         let serial = self.serial;
@@ -468,7 +468,14 @@
             self.after(0.5 * terms.ttl_ms, Event::Leave { op, serial });
         }
         let key = (key > 0).then_some(key);
-        let arrival = Arrival { op, category, customer: None, ttl: terms.ttl_ms, retry, key };
+        let arrival = NewRequest {
+            request: op,
+            class: category,
+            tenant: None,
+            ttl_ms: terms.ttl_ms,
+            client_retry: retry,
+            key,
+        };
         let next = self.ask(node, |chooser, now, truth| chooser.arrive(now, &arrival, truth));
         self.follow(op, next);
         self.see_to(node);
@@ -478,7 +485,7 @@
     fn ask<T>(
         &mut self,
         node: usize,
-        call: impl FnOnce(&mut Chooser, f64, &dyn Fn(usize) -> Truth) -> T,
+        call: impl FnOnce(&mut Policy, f64, &dyn Fn(usize) -> Truth) -> T,
     ) -> T {
         let (servers, now, ordinary, zone) = (&self.servers, self.now, self.ordinary, self.nodes[node].zone);
         let (asks, answers, script) = (&self.cut_asks, &self.cut_answers, self.script);
@@ -527,7 +534,9 @@
     }
 
     fn leave(&mut self, op: usize, serial: u64) {
-        let Some(it) = self.live(op, serial).filter(|it| !it.answered && !it.left) else { return };
+        let Some(it) = self.live(op, serial).filter(|it| !it.answered && !it.left) else {
+            return;
+        };
         it.left = true;
         let (wish, node) = (it.wish, it.node);
         let mut it = self.ops.all[op].take().expect("looked at above");
@@ -541,7 +550,9 @@
     }
 
     fn due(&mut self, op: usize, serial: u64) {
-        let Some(it) = self.live(op, serial).filter(|it| !it.answered && !it.left) else { return };
+        let Some(it) = self.live(op, serial).filter(|it| !it.answered && !it.left) else {
+            return;
+        };
         let wish = it.wish;
         let it = self.ops.all[op].as_mut().expect("looked at above");
         it.left = true;
@@ -578,22 +589,26 @@
         mean * self.chances.way.log_normal(way.jitter)
     }
 
-    fn follow(&mut self, op: usize, next: Next) {
+    fn follow(&mut self, op: usize, next: NextSteps) {
         for push in next.cancel {
             self.cancel(op, push);
         }
-        for pick in next.picks {
-            self.push(op, pick.server, pick.patience);
+        for pick in next.attempts {
+            self.push(op, pick.endpoint, pick.timeout_ms);
         }
-        match next.given_up {
-            Some(GivenUp::Nacked { come_back }) => self.answer(op, Answer::Nacked, come_back),
-            Some(GivenUp::DeadLettered) => self.answer(op, Answer::DeadLettered, 0.0),
+        match next.final_answer {
+            Some(FinalAnswer::Rejected { retry_after_ms: come_back }) => {
+                self.answer(op, Answer::Nacked, come_back)
+            }
+            Some(FinalAnswer::Failed) => self.answer(op, Answer::DeadLettered, 0.0),
             None => {}
         }
     }
 
     fn answer(&mut self, op: usize, answer: Answer, come_back: f64) {
-        let Some(mut it) = self.ops.all[op].take() else { return };
+        let Some(mut it) = self.ops.all[op].take() else {
+            return;
+        };
         self.judge.answered(self.now, &mut it.life, answer);
         let first = !it.answered && !it.left;
         it.answered = true;
@@ -610,7 +625,7 @@
                 Answer::Nacked => self.client_failed(wish, true, come_back),
                 // A failed op that may run again is tried again by its client; others are not.
                 Answer::DeadLettered => {
-                    self.client_failed(wish, terms.effect == Effect::Redeliverable, 0.0);
+                    self.client_failed(wish, terms.effect == Idempotency::Idempotent, 0.0);
                 }
             }
         }
@@ -619,7 +634,9 @@
 
     /// A node's pushes go by its connections: an idle one, or a new one at its cost.
     fn push(&mut self, op: usize, server: usize, patience: f64) {
-        let Some(mut it) = self.ops.all[op].take() else { return };
+        let Some(mut it) = self.ops.all[op].take() else {
+            return;
+        };
         let (node, serial, push) = (it.node, it.serial, it.pushes.len());
         let zone = self.nodes[node].zone;
         let group = self.group(server, &it);
@@ -667,8 +684,8 @@
         if !up || !answered || full {
             let wait = if answered { 2.0 * way } else { self.script.way.connect_ms.min(patience) };
             self.settle(op, serial, push);
-            let load = Load::default();
-            self.after(wait, Event::Back { op, serial, push, ending: Ending::Unreachable, load });
+            let load = LoadReport::default();
+            self.after(wait, Event::Back { op, serial, push, ending: AttemptOutcome::Unreachable, load });
             return;
         }
         self.servers[server].connections += 1;
@@ -706,7 +723,9 @@
     }
 
     fn call_off(&mut self, op: usize, push: usize) {
-        let Some(it) = self.ops.all[op].as_ref() else { return };
+        let Some(it) = self.ops.all[op].as_ref() else {
+            return;
+        };
         let (server, life, serial, node) = (it.pushes[push].server, it.pushes[push].life, it.serial, it.node);
         self.close(node, server, life);
         let way = self.way(self.nodes[node].zone, self.servers[server].zone);
@@ -714,22 +733,33 @@
     }
 
     fn cancel(&mut self, op: usize, push: usize) {
-        let Some(it) = self.ops.all[op].as_mut() else { return };
+        let Some(it) = self.ops.all[op].as_mut() else {
+            return;
+        };
         if !std::mem::take(&mut it.pushes[push].out) {
             return;
         }
         let (node, took) = (it.node, self.now - it.pushes[push].at);
-        self.judge.ended(self.now, &mut it.life, push, Ending::Cancelled);
+        self.judge.ended(self.now, &mut it.life, push, AttemptOutcome::Cancelled);
         self.call_off(op, push);
-        let end = PushEnd { op, push, ending: Ending::Cancelled, took, closed: true, load: Load::default() };
+        let end = AttemptResult {
+            request: op,
+            attempt: push,
+            outcome: AttemptOutcome::Cancelled,
+            duration_ms: took,
+            request_closed: true,
+            load: LoadReport::default(),
+        };
         let next = self.ask(node, |chooser, now, truth| chooser.report(now, &end, truth));
         self.follow(op, next);
         self.free(op);
     }
 
     /// A push has ended, as its node sees it.
-    fn back(&mut self, op: usize, serial: u64, push: usize, ending: Ending, load: Load) {
-        let Some(it) = self.live(op, serial).filter(|it| it.pushes[push].out) else { return };
+    fn back(&mut self, op: usize, serial: u64, push: usize, ending: AttemptOutcome, load: LoadReport) {
+        let Some(it) = self.live(op, serial).filter(|it| it.pushes[push].out) else {
+            return;
+        };
         it.pushes[push].out = false;
         let (node, answered) = (it.node, it.answered || it.left);
         let (server, life, at) = (it.pushes[push].server, it.pushes[push].life, it.pushes[push].at);
@@ -737,21 +767,28 @@
         self.judge.ended(self.now, &mut it.life, push, ending);
         self.ops.all[op] = Some(it);
         match ending {
-            Ending::Acked | Ending::Errored | Ending::TurnedAway => {
+            AttemptOutcome::Succeeded | AttemptOutcome::Failed | AttemptOutcome::Rejected => {
                 let links = &mut self.nodes[node].links[server];
                 if links.life == life {
                     (links.idle, links.used) = (links.idle + 1, self.now);
                 }
             }
-            Ending::TimedOut => self.call_off(op, push),
-            Ending::Broken => self.close(node, server, life),
+            AttemptOutcome::TimedOut => self.call_off(op, push),
+            AttemptOutcome::ConnectionLost => self.close(node, server, life),
             _ => {}
         }
-        if ending == Ending::Acked && !answered {
+        if ending == AttemptOutcome::Succeeded && !answered {
             self.answer(op, Answer::Acked, 0.0);
         }
-        let closed = answered || ending == Ending::Acked;
-        let end = PushEnd { op, push, ending, took: self.now - at, closed, load };
+        let closed = answered || ending == AttemptOutcome::Succeeded;
+        let end = AttemptResult {
+            request: op,
+            attempt: push,
+            outcome: ending,
+            duration_ms: self.now - at,
+            request_closed: closed,
+            load,
+        };
         let next = self.ask(node, |chooser, now, truth| chooser.report(now, &end, truth));
         if self.ops.all[op].as_ref().is_some_and(|it| it.serial == serial) {
             self.follow(op, next);
@@ -790,28 +827,40 @@
         }
     }
 
-    fn line(&self, server: usize) -> Listed {
+    fn line(&self, server: usize) -> EndpointUpdate {
         let s = &self.servers[server];
-        let standing = if self.listed[server] { Standing::Ready } else { Standing::Gone };
+        let standing = if self.listed[server] { EndpointState::Ready } else { EndpointState::Removed };
         let started = if s.started > 0.0 { s.started + self.clock_off[server] } else { 0.0 };
-        Listed { server, mark: s.mark, standing, zone: s.zone, kind: 0, pod: s.pod, started }
+        EndpointUpdate {
+            endpoint: server,
+            stable_hash: s.mark,
+            state: standing,
+            zone: s.zone,
+            machine_class: 0,
+            pod: s.pod,
+            started_at_ms: started,
+        }
     }
 
     /// A node starts, knowing the list as it last was.
     fn start_node(&mut self, node: usize) {
         let told = &self.changes[..self.nodes[node].told];
-        let mut lines: Vec<Listed> = Vec::new();
+        let mut lines: Vec<EndpointUpdate> = Vec::new();
         let first = self.script.machines.iter().map(|m| m.count).sum::<usize>();
         for server in 0..first.min(self.servers.len()) {
-            lines.push(Listed { standing: Standing::Ready, started: 0.0, ..self.line(server) });
+            lines.push(EndpointUpdate {
+                state: EndpointState::Ready,
+                started_at_ms: 0.0,
+                ..self.line(server)
+            });
         }
         for change in told {
-            match lines.iter_mut().find(|l| l.server == change.server) {
+            match lines.iter_mut().find(|l| l.endpoint == change.endpoint) {
                 Some(line) => *line = *change,
                 None => lines.push(*change),
             }
         }
-        lines.retain(|line| line.standing != Standing::Gone);
+        lines.retain(|line| line.state != EndpointState::Removed);
         self.ask(node, |chooser, now, _| chooser.list(now, &lines, true, true));
         // An automatic list tells what is new without being asked.
         self.after(self.script.discovery.delay_ms, Event::Tell { node, whole: true });
@@ -826,19 +875,19 @@
         if from == self.changes.len() && !whole {
             return;
         }
-        let news: Vec<Listed> = self.changes[from..].to_vec();
+        let news: Vec<EndpointUpdate> = self.changes[from..].to_vec();
         self.nodes[node].told = self.changes.len();
         for line in &news {
             let draining = &mut self.nodes[node].draining;
-            if draining.len() <= line.server {
-                draining.resize(line.server + 1, None);
+            if draining.len() <= line.endpoint {
+                draining.resize(line.endpoint + 1, None);
             }
-            draining[line.server] = match line.standing {
-                Standing::Ready => None,
-                _ => draining[line.server].or(Some(self.now)),
+            draining[line.endpoint] = match line.state {
+                EndpointState::Ready => None,
+                _ => draining[line.endpoint].or(Some(self.now)),
             };
         }
-        let lines: Vec<Listed> = match whole {
+        let lines: Vec<EndpointUpdate> = match whole {
             true => (0..self.servers.len()).filter(|s| self.listed[*s]).map(|s| self.line(s)).collect(),
             false => news,
         };
@@ -846,7 +895,7 @@
         self.see_to(node);
     }
 
-    fn publish(&mut self, line: Listed) {
+    fn publish(&mut self, line: EndpointUpdate) {
         self.changes.push(line);
         for node in 0..self.nodes.len() {
             let wait = self.script.discovery.delay_ms * (1.0 + self.chances.lists.part());
@@ -857,16 +906,18 @@
     // ---- servers
 
     fn reach(&mut self, op: usize, serial: u64, push: usize, life: u32) {
-        let Some(it) = self.live(op, serial) else { return };
+        let Some(it) = self.live(op, serial) else {
+            return;
+        };
         let (server, fresh) = (it.pushes[push].server, it.pushes[push].fresh);
         let (node, ends, category, factor, key) = (it.node, it.ends, it.category, it.factor, it.key);
         let (zone, to) = (self.nodes[node].zone, self.servers[server].zone);
         let way = self.way(to, zone);
-        let back = |ending| Event::Back { op, serial, push, ending, load: Load::default() };
+        let back = |ending| Event::Back { op, serial, push, ending, load: LoadReport::default() };
         let s = &self.servers[server];
         if s.life != life || !s.up {
             self.settle(op, serial, push);
-            return self.after(way, back(Ending::Broken));
+            return self.after(way, back(AttemptOutcome::ConnectionLost));
         }
         let (weather, speed) = (s.weather, s.machine.speed);
         if weather.silent {
@@ -874,11 +925,11 @@
         }
         if self.chances.faults.yes(weather.resets) {
             self.settle(op, serial, push);
-            return self.after(way, back(Ending::Broken));
+            return self.after(way, back(AttemptOutcome::ConnectionLost));
         }
         if self.chances.faults.yes(weather.fail_fast) {
             self.settle(op, serial, push);
-            return self.after(way + 1.0, back(Ending::Errored));
+            return self.after(way + 1.0, back(AttemptOutcome::Failed));
         }
         let cold = s.able(self.now) < 1.0;
         let able = s.able(self.now) * speed * s.machine.cores as f64 / self.ordinary;
@@ -896,22 +947,22 @@
         if !self.servers[server].offer(self.now, job) {
             self.settle(op, serial, push);
             let load = self.load(server);
-            let ending = Ending::TurnedAway;
+            let ending = AttemptOutcome::Rejected;
             return self.after(way, Event::Back { op, serial, push, ending, load });
         }
         self.serve(server);
     }
 
-    fn load(&mut self, server: usize) -> Load {
+    fn load(&mut self, server: usize) -> LoadReport {
         let reports = &self.script.reports;
         if !reports.told {
-            return Load::default();
+            return LoadReport::default();
         }
         let told = self.servers[server].report(self.now, reports.period_ms, reports.delay_ms);
-        told.map_or(Load::default(), |(held, waiting)| Load {
-            held: Some(held),
-            waiting: Some(waiting),
-            busy: None,
+        told.map_or(LoadReport::default(), |(held, waiting)| LoadReport {
+            in_flight: Some(held),
+            queued: Some(waiting),
+            cpu_utilization: None,
         })
     }
 
@@ -930,7 +981,7 @@
                         self.ops.all[job.op] = Some(it);
                     }
                 }
-                Begun::Expired(job) => self.answer_from(server, job, Ending::TurnedAway),
+                Begun::Expired(job) => self.answer_from(server, job, AttemptOutcome::Rejected),
             }
         }
         if self.servers[server].tipped && !tipped {
@@ -938,9 +989,11 @@
         }
     }
 
-    fn answer_from(&mut self, server: usize, job: Job, ending: Ending) {
+    fn answer_from(&mut self, server: usize, job: Job, ending: AttemptOutcome) {
         let Job { op, serial, push, .. } = job;
-        let Some(it) = self.live(op, serial) else { return };
+        let Some(it) = self.live(op, serial) else {
+            return;
+        };
         let node = it.node;
         self.settle(op, serial, push);
         let (zone, from) = (self.nodes[node].zone, self.servers[server].zone);
@@ -961,7 +1014,7 @@
             Err(at) => self.after(at - self.now + 0.001, Event::Done { server, life, number }),
             Ok(None) => {}
             Ok(Some(job)) => {
-                self.answer_from(server, job, Ending::Acked);
+                self.answer_from(server, job, AttemptOutcome::Succeeded);
                 self.serve(server);
             }
         }
@@ -979,8 +1032,8 @@
             let Some(node) = node else { continue };
             let way = self.way(self.servers[server].zone, self.nodes[node].zone);
             let Job { op, serial, push, .. } = job;
-            let load = Load::default();
-            self.after(way, Event::Back { op, serial, push, ending: Ending::Broken, load });
+            let load = LoadReport::default();
+            self.after(way, Event::Back { op, serial, push, ending: AttemptOutcome::ConnectionLost, load });
         }
         if back_after.is_finite() {
             self.after(back_after, Event::Up { server });
@@ -1010,7 +1063,7 @@
         self.weathers();
         self.publish(self.line(fresh));
         self.listed[server] = false;
-        self.publish(Listed { standing: Standing::Draining, ..self.line(server) });
+        self.publish(EndpointUpdate { state: EndpointState::Draining, ..self.line(server) });
         self.after(1000.0 * self.script.discovery.drain, Event::Gone { server });
     }
 
@@ -1095,7 +1148,9 @@
     /// Each struck server stops for a while, about once a second.
     fn pause(&mut self, fault: usize) {
         let strength = self.script.faults[fault].strength;
-        let Some((_, struck)) = self.in_force.iter().find(|(f, _)| *f == fault) else { return };
+        let Some((_, struck)) = self.in_force.iter().find(|(f, _)| *f == fault) else {
+            return;
+        };
         for server in struck.servers.clone() {
             if self.chances.faults.yes(0.1) {
                 let s = &mut self.servers[server];
@@ -1120,14 +1175,16 @@
         let held = |op: &Option<Op>| op.as_ref().is_some_and(|it| it.node == node);
         let ops: Vec<usize> = (0..self.ops.all.len()).filter(|op| held(&self.ops.all[*op])).collect();
         for op in ops {
-            let Some(mut it) = self.ops.all[op].take() else { continue };
+            let Some(mut it) = self.ops.all[op].take() else {
+                continue;
+            };
             self.judge.node_died(self.now, &mut it.life);
             let open = !it.answered && !it.left;
             it.left = true;
             let wish = it.wish;
             let again = self.wishes.all[wish]
                 .as_ref()
-                .is_some_and(|w| self.script.categories[w.category].effect == Effect::Redeliverable);
+                .is_some_and(|w| self.script.categories[w.category].effect == Idempotency::Idempotent);
             let out: Vec<usize> = (0..it.pushes.len()).filter(|p| it.pushes[*p].out).collect();
             it.pushes.iter_mut().for_each(|p| p.out = false);
             self.ops.all[op] = Some(it);
@@ -1157,7 +1214,7 @@
         }
         let seed = self.seed.wrapping_add(u64::from(life) << 32).wrapping_add(node as u64);
         // It was made once from the same script.
-        if let Ok(chooser) = Chooser::new(self.how, self.script, node, seed) {
+        if let Ok(chooser) = Policy::new(self.how, self.script, node, seed) {
             let it = &mut self.nodes[node];
             (it.chooser, it.up, it.dealt) = (chooser, true, true);
             it.draining.fill(None);
--- a/emulator/src/faults.rs
+++ b/simulator/src/faults.rs
@@ -1,6 +1,6 @@
 //! Which servers and nodes a fault strikes, and what the faults in force add up to.
 
-use crate::chance::Stream;
+use crate::random::Stream;
 use crate::script::{Fault, Kind, Script};
 use crate::server::{Server, Weather};
 
--- a/emulator/src/judge.rs
+++ b/simulator/src/invariants.rs
@@ -1,7 +1,7 @@
 //! The judge: knows every op's whole life and checks the four rules, op by op, as it happens, and over all of
 //! them that clients who have left are not served on.
 
-use crankmux::words::Ending;
+use crankmux::types::AttemptOutcome;
 use std::collections::VecDeque;
 
 /// The rules, in the order of the project's pages.
@@ -41,7 +41,7 @@
     Pushed { push: usize, server: usize },
     Ran { push: usize, server: usize },
     Dropped { push: usize, server: usize },
-    Ended { push: usize, ending: Ending },
+    Ended { push: usize, ending: AttemptOutcome },
     Answered { answer: Answer },
     ClientLeft,
     NodeDied,
@@ -61,8 +61,8 @@
 struct PushLife {
     group: u64,
     at: f64,
-    /// How it ended, as the node knows.
-    ended: Option<Ending>,
+    /// PolicyKind it ended, as the node knows.
+    ended: Option<AttemptOutcome>,
 }
 
 /// One op's life.
@@ -96,10 +96,10 @@
 /// From so many such ops on it is a breach: theirs too.
 const CASES: u64 = 3;
 
-/// How many are kept with their lives; all are counted.
+/// PolicyKind many are kept with their lives; all are counted.
 const KEPT: usize = 20;
 
-pub struct Judge {
+pub struct InvariantChecker {
     pub broken: Vec<Broken>,
     counts: [u64; 4],
     /// Clients that left while their op waited, and those of their ops that were sent on too late.
@@ -114,9 +114,9 @@
     cold: Vec<VecDeque<(f64, f64)>>,
 }
 
-impl Judge {
+impl InvariantChecker {
     pub fn new(slack: f64, drain_grace: f64, fall_multiple: f64, fall_ms: f64) -> Self {
-        Judge {
+        InvariantChecker {
             broken: Vec::new(),
             counts: [0; 4],
             left: 0,
@@ -139,13 +139,13 @@
         }
     }
 
-    /// How often each rule was broken, in their order. Of ops sent on for clients that had left, two are no breach.
+    /// PolicyKind often each rule was broken, in their order. Of ops sent on for clients that had left, two are no breach.
     pub fn counts(&self) -> [u64; 5] {
         let [lost, twice, drain, cold] = self.counts;
         [lost, twice, drain, cold, if self.sent_on >= CASES { self.sent_on } else { 0 }]
     }
 
-    /// How many clients left while their op waited, and how long after that each later push of theirs went out.
+    /// PolicyKind many clients left while their op waited, and how long after that each later push of theirs went out.
     pub fn after_leaves(&self) -> (u64, &[f64]) {
         (self.left, &self.after_leaves)
     }
@@ -174,7 +174,7 @@
     pub fn pushed(&mut self, now: f64, life: &mut Life, server: usize, group: u64, draining: Option<f64>) {
         let push = life.pushes.len();
         life.steps.push((now, Step::Pushed { push, server }));
-        let known = |p: &&PushLife| !p.ended.is_some_and(Ending::never_ran);
+        let known = |p: &&PushLife| !p.ended.is_some_and(AttemptOutcome::never_executed);
         let earlier: Vec<&PushLife> = life.pushes.iter().filter(known).collect();
         let twice = match life.repeats {
             Repeats::Freely => None,
@@ -222,7 +222,7 @@
         }
     }
 
-    pub fn ended(&self, now: f64, life: &mut Life, push: usize, ending: Ending) {
+    pub fn ended(&self, now: f64, life: &mut Life, push: usize, ending: AttemptOutcome) {
         life.steps.push((now, Step::Ended { push, ending }));
         life.pushes[push].ended = Some(ending);
     }
@@ -236,7 +236,7 @@
         if now > life.ends + self.slack && !life.excused {
             self.breaks(Rule::Lost, now, "answered after its time".into(), Some(life));
         }
-        let may_have_run = life.pushes.iter().any(|p| !p.ended.is_some_and(Ending::never_ran));
+        let may_have_run = life.pushes.iter().any(|p| !p.ended.is_some_and(AttemptOutcome::never_executed));
         let harmless = match life.repeats {
             Repeats::Freely => true,
             Repeats::Deduplicated { fleet } => fleet || !may_have_run,
--- a/emulator/src/chooser.rs
+++ b/simulator/src/policies.rs
@@ -1,16 +1,16 @@
 //! Who picks the servers: the decision module, baselines as blind as a node, a chooser that sees the true
 //! state, and nodes that are wrong on purpose, for the judge.
 
-use crate::chance::Stream;
-use crate::script::{Category, Effect, Group, Script};
-use crankmux::dispatcher::{Dispatcher, GivenUp, Next, Pick};
-use crankmux::given::{self, Names};
-use crankmux::words::{Arrival, Ending, Listed, PushEnd, Standing};
+use crate::random::Stream;
+use crate::script::{Category, Group, Idempotency, Script};
+use crankmux::dispatcher::{Dispatcher, FinalAnswer, NewAttempt, NextSteps};
+use crankmux::settings::{self, NameIndex};
+use crankmux::types::{AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, NewRequest};
 use std::collections::BTreeMap;
 
 /// Which chooser a world's nodes have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum How {
+pub enum PolicyKind {
     /// The decision module.
     Module,
     Random,
@@ -28,29 +28,35 @@
     SendsOn,
 }
 
-impl How {
+impl PolicyKind {
     /// Those whose service is worth a table.
-    pub const ALL: [How; 6] =
-        [How::Module, How::Random, How::RoundRobin, How::LeastOutstanding, How::TwoChoices, How::Top];
+    pub const ALL: [PolicyKind; 6] = [
+        PolicyKind::Module,
+        PolicyKind::Random,
+        PolicyKind::RoundRobin,
+        PolicyKind::LeastOutstanding,
+        PolicyKind::TwoChoices,
+        PolicyKind::Top,
+    ];
 
     pub fn name(self) -> &'static str {
         match self {
-            How::Module => "module",
-            How::Random => "random",
-            How::RoundRobin => "round-robin",
-            How::LeastOutstanding => "least-outstanding",
-            How::TwoChoices => "two-choices",
-            How::Top => "top",
-            How::Loses => "loses",
-            How::Repeats => "repeats",
-            How::PastDrains => "past-drains",
-            How::Floods => "floods",
-            How::SendsOn => "sends-on",
+            PolicyKind::Module => "module",
+            PolicyKind::Random => "random",
+            PolicyKind::RoundRobin => "round-robin",
+            PolicyKind::LeastOutstanding => "least-outstanding",
+            PolicyKind::TwoChoices => "two-choices",
+            PolicyKind::Top => "top",
+            PolicyKind::Loses => "loses",
+            PolicyKind::Repeats => "repeats",
+            PolicyKind::PastDrains => "past-drains",
+            PolicyKind::Floods => "floods",
+            PolicyKind::SendsOn => "sends-on",
         }
     }
 
     pub fn named(name: &str) -> Option<Self> {
-        How::ALL.into_iter().find(|how| how.name() == name)
+        PolicyKind::ALL.into_iter().find(|how| how.name() == name)
     }
 }
 
@@ -60,20 +66,20 @@
     pub takes: Option<f64>,
 }
 
-pub enum Chooser {
+pub enum Policy {
     Module(Box<Dispatcher>),
     Plain(Box<Plain>),
 }
 
 pub struct Plain {
-    how: How,
+    how: PolicyKind,
     categories: Vec<Category>,
     most: usize,
     may_cancel: bool,
     come_back: f64,
     rng: Stream,
     /// By index.
-    lines: Vec<Listed>,
+    lines: Vec<EndpointUpdate>,
     out: Vec<u32>,
     turn: usize,
     ops: BTreeMap<usize, PlainOp>,
@@ -87,14 +93,14 @@
     pushes: Vec<(usize, f64, bool, bool)>,
 }
 
-impl Chooser {
-    pub fn new(how: How, script: &Script, node: usize, seed: u64) -> Result<Self, String> {
-        if how == How::Module {
-            let (_, given) = Names::read(&script.settings(node));
-            let dispatcher = Dispatcher::new(given, seed).map_err(|e| given::explain(&e))?;
-            return Ok(Chooser::Module(Box::new(dispatcher)));
+impl Policy {
+    pub fn new(how: PolicyKind, script: &Script, node: usize, seed: u64) -> Result<Self, String> {
+        if how == PolicyKind::Module {
+            let (_, given) = NameIndex::from_settings(&script.settings(node));
+            let dispatcher = Dispatcher::new(given, seed).map_err(|e| settings::explain_error(&e))?;
+            return Ok(Policy::Module(Box::new(dispatcher)));
         }
-        Ok(Chooser::Plain(Box::new(Plain {
+        Ok(Policy::Plain(Box::new(Plain {
             how,
             categories: script.categories.clone(),
             most: script.duties.most_pushes,
@@ -109,95 +115,99 @@
         })))
     }
 
-    pub fn arrive(&mut self, now: f64, arrival: &Arrival, truth: &dyn Fn(usize) -> Truth) -> Next {
+    pub fn arrive(&mut self, now: f64, arrival: &NewRequest, truth: &dyn Fn(usize) -> Truth) -> NextSteps {
         match self {
-            Chooser::Module(dispatcher) => dispatcher.pick(now, arrival),
-            Chooser::Plain(plain) => plain.arrive(now, arrival, truth),
+            Policy::Module(dispatcher) => dispatcher.request_arrived(now, arrival),
+            Policy::Plain(plain) => plain.arrive(now, arrival, truth),
         }
     }
 
-    pub fn report(&mut self, now: f64, end: &PushEnd, truth: &dyn Fn(usize) -> Truth) -> Next {
+    pub fn report(&mut self, now: f64, end: &AttemptResult, truth: &dyn Fn(usize) -> Truth) -> NextSteps {
         match self {
-            Chooser::Module(dispatcher) => dispatcher.report(now, end),
-            Chooser::Plain(plain) => plain.report(now, end, truth),
+            Policy::Module(dispatcher) => dispatcher.attempt_ended(now, end),
+            Policy::Plain(plain) => plain.report(now, end, truth),
         }
     }
 
-    pub fn departed(&mut self, now: f64, op: usize) -> Next {
+    pub fn departed(&mut self, now: f64, op: usize) -> NextSteps {
         match self {
-            Chooser::Module(dispatcher) => dispatcher.departed(now, op),
-            Chooser::Plain(plain) if plain.how == How::SendsOn => Next::default(),
-            Chooser::Plain(plain) => plain.close(op),
+            Policy::Module(dispatcher) => dispatcher.client_left(now, op),
+            Policy::Plain(plain) if plain.how == PolicyKind::SendsOn => NextSteps::default(),
+            Policy::Plain(plain) => plain.close(op),
         }
     }
 
-    pub fn list(&mut self, now: f64, lines: &[Listed], whole: bool, cached: bool) {
+    pub fn list(&mut self, now: f64, lines: &[EndpointUpdate], whole: bool, cached: bool) {
         match self {
-            Chooser::Module(dispatcher) => dispatcher.list(now, lines, whole, cached),
-            Chooser::Plain(plain) => plain.list(lines, whole),
+            Policy::Module(dispatcher) => dispatcher.update_endpoints(now, lines, whole, cached),
+            Policy::Plain(plain) => plain.list(lines, whole),
         }
     }
 
-    pub fn tick(&mut self, now: f64) -> Vec<(usize, Next)> {
+    pub fn tick(&mut self, now: f64) -> Vec<(usize, NextSteps)> {
         match self {
-            Chooser::Module(dispatcher) => dispatcher.tick(now, now),
-            Chooser::Plain(_) => Vec::new(),
+            Policy::Module(dispatcher) => dispatcher.tick(now, now),
+            Policy::Plain(_) => Vec::new(),
         }
     }
 
     /// When the next tick is due, once what it wants of the list has been seen to: whether it wants that.
     pub fn wants(&mut self) -> (Option<f64>, bool) {
         match self {
-            Chooser::Module(dispatcher) => {
-                let list = dispatcher.wants_list();
+            Policy::Module(dispatcher) => {
+                let list = dispatcher.take_list_request();
                 (dispatcher.next_tick(), list)
             }
-            Chooser::Plain(_) => (None, false),
+            Policy::Plain(_) => (None, false),
         }
     }
 }
 
 impl Plain {
-    fn list(&mut self, lines: &[Listed], whole: bool) {
-        if whole && self.how != How::PastDrains {
-            self.lines.iter_mut().for_each(|line| line.standing = Standing::Gone);
+    fn list(&mut self, lines: &[EndpointUpdate], whole: bool) {
+        if whole && self.how != PolicyKind::PastDrains {
+            self.lines.iter_mut().for_each(|line| line.state = EndpointState::Removed);
         }
         for line in lines {
-            if self.lines.len() <= line.server {
-                self.lines.resize(line.server + 1, Listed::default());
-                self.out.resize(line.server + 1, 0);
+            if self.lines.len() <= line.endpoint {
+                self.lines.resize(line.endpoint + 1, EndpointUpdate::default());
+                self.out.resize(line.endpoint + 1, 0);
             }
-            if self.how != How::PastDrains || line.standing == Standing::Ready {
-                self.lines[line.server] = *line;
+            if self.how != PolicyKind::PastDrains || line.state == EndpointState::Ready {
+                self.lines[line.endpoint] = *line;
             }
         }
     }
 
-    fn arrive(&mut self, now: f64, arrival: &Arrival, truth: &dyn Fn(usize) -> Truth) -> Next {
+    fn arrive(&mut self, now: f64, arrival: &NewRequest, truth: &dyn Fn(usize) -> Truth) -> NextSteps {
         self.taken += 1;
-        if self.how == How::Loses && self.taken.is_multiple_of(50) {
-            return Next::default();
+        if self.how == PolicyKind::Loses && self.taken.is_multiple_of(50) {
+            return NextSteps::default();
         }
-        let op = PlainOp { category: arrival.category, ends: now + arrival.ttl, pushes: Vec::new() };
-        self.ops.insert(arrival.op, op);
-        self.go_on(now, arrival.op, truth)
+        let op = PlainOp { category: arrival.class, ends: now + arrival.ttl_ms, pushes: Vec::new() };
+        self.ops.insert(arrival.request, op);
+        self.go_on(now, arrival.request, truth)
     }
 
-    fn report(&mut self, now: f64, end: &PushEnd, truth: &dyn Fn(usize) -> Truth) -> Next {
-        let Some(op) = self.ops.get_mut(&end.op) else { return Next::default() };
-        let Some(push) = op.pushes.get_mut(end.push) else { return Next::default() };
-        (push.2, push.3) = (!end.ending.never_ran(), false);
+    fn report(&mut self, now: f64, end: &AttemptResult, truth: &dyn Fn(usize) -> Truth) -> NextSteps {
+        let Some(op) = self.ops.get_mut(&end.request) else {
+            return NextSteps::default();
+        };
+        let Some(push) = op.pushes.get_mut(end.attempt) else {
+            return NextSteps::default();
+        };
+        (push.2, push.3) = (!end.outcome.never_executed(), false);
         let server = push.0;
         self.out[server] = self.out[server].saturating_sub(1);
-        let heedless = self.how == How::SendsOn && end.ending != Ending::Acked;
-        match end.closed && !heedless {
-            true => self.close(end.op),
-            false => self.go_on(now, end.op, truth),
+        let heedless = self.how == PolicyKind::SendsOn && end.outcome != AttemptOutcome::Succeeded;
+        match end.request_closed && !heedless {
+            true => self.close(end.request),
+            false => self.go_on(now, end.request, truth),
         }
     }
 
-    fn close(&mut self, op: usize) -> Next {
-        let mut next = Next::default();
+    fn close(&mut self, op: usize) -> NextSteps {
+        let mut next = NextSteps::default();
         if let Some(held) = self.ops.remove(&op) {
             for (push, (server, .., out)) in held.pushes.iter().enumerate().filter(|(_, p)| p.3) {
                 self.out[*server] = self.out[*server].saturating_sub(u32::from(*out));
@@ -209,30 +219,30 @@
         next
     }
 
-    fn go_on(&mut self, now: f64, id: usize, truth: &dyn Fn(usize) -> Truth) -> Next {
+    fn go_on(&mut self, now: f64, id: usize, truth: &dyn Fn(usize) -> Truth) -> NextSteps {
         let op = &self.ops[&id];
         let category = &self.categories[op.category];
         let left = op.ends - now;
         let ran: Vec<(usize, f64)> = op.pushes.iter().filter(|p| p.2).map(|p| (p.0, p.1)).collect();
-        let fits = |to: &Listed| {
+        let fits = |to: &EndpointUpdate| {
             let in_group = |from: usize| match category.group {
                 Group::Fleet => true,
                 Group::Zone => self.lines[from].zone == to.zone,
                 Group::Pod => self.lines[from].pod == to.pod,
             };
-            to.standing == Standing::Ready
+            to.state == EndpointState::Ready
                 && match category.effect {
-                    _ if self.how == How::Repeats => true,
-                    Effect::Redeliverable => true,
-                    Effect::Deduplicated => {
+                    _ if self.how == PolicyKind::Repeats => true,
+                    Idempotency::Idempotent => true,
+                    Idempotency::IdempotentWithKey => {
                         ran.iter().all(|(s, at)| in_group(*s) && now - at < 0.9 * category.window_ms)
                     }
-                    Effect::AtMostOnce => ran.is_empty(),
+                    Idempotency::NotIdempotent => ran.is_empty(),
                 }
         };
         let mut from: Vec<usize> = Vec::new();
         if op.pushes.len() < self.most && left > 0.0 {
-            from.extend(self.lines.iter().filter(|l| fits(l)).map(|l| l.server));
+            from.extend(self.lines.iter().filter(|l| fits(l)).map(|l| l.endpoint));
             let fresh: Vec<usize> =
                 from.iter().copied().filter(|s| !op.pushes.iter().any(|p| p.0 == *s)).collect();
             from = if fresh.is_empty() { from } else { fresh };
@@ -243,24 +253,27 @@
                 self.out[server] += 1;
                 let op = self.ops.get_mut(&id).expect("looked at above");
                 op.pushes.push((server, now, true, true));
-                Next { picks: vec![Pick { server, patience: left }], ..Next::default() }
+                NextSteps {
+                    attempts: vec![NewAttempt { endpoint: server, timeout_ms: left }],
+                    ..NextSteps::default()
+                }
             }
             None => self.give_up(id, &ran),
         }
     }
 
-    fn give_up(&mut self, id: usize, ran: &[(usize, f64)]) -> Next {
+    fn give_up(&mut self, id: usize, ran: &[(usize, f64)]) -> NextSteps {
         let category = &self.categories[self.ops[&id].category];
         let harmless = match category.effect {
-            Effect::Redeliverable => true,
-            Effect::Deduplicated => ran.is_empty() || category.group == Group::Fleet,
-            Effect::AtMostOnce => ran.is_empty(),
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotentWithKey => ran.is_empty() || category.group == Group::Fleet,
+            Idempotency::NotIdempotent => ran.is_empty(),
         };
         let given_up = match harmless {
-            true => GivenUp::Nacked { come_back: self.come_back.min(100.0) },
-            false => GivenUp::DeadLettered,
+            true => FinalAnswer::Rejected { retry_after_ms: self.come_back.min(100.0) },
+            false => FinalAnswer::Failed,
         };
-        Next { given_up: Some(given_up), ..self.close(id) }
+        NextSteps { final_answer: Some(given_up), ..self.close(id) }
     }
 
     fn pick(
@@ -275,16 +288,16 @@
         }
         let drawn = from[self.rng.under(from.len())];
         Some(match self.how {
-            How::RoundRobin => {
+            PolicyKind::RoundRobin => {
                 self.turn += 1;
                 from[self.turn % from.len()]
             }
-            How::LeastOutstanding => {
+            PolicyKind::LeastOutstanding => {
                 let least = from.iter().map(|s| self.out[*s]).min()?;
                 let even: Vec<usize> = from.iter().copied().filter(|s| self.out[*s] == least).collect();
                 even[self.rng.under(even.len())]
             }
-            How::TwoChoices => {
+            PolicyKind::TwoChoices => {
                 let other = from[self.rng.under(from.len())];
                 if self.out[other] < self.out[drawn] {
                     other
@@ -292,15 +305,15 @@
                     drawn
                 }
             }
-            How::Top => {
+            PolicyKind::Top => {
                 let soonest = from.iter().filter_map(|s| Some((truth(*s).takes?, *s)));
                 let (takes, server) = soonest.min_by(|a, b| a.0.total_cmp(&b.0))?;
                 // What cannot come in time is turned away, so that the rest can.
                 return (takes < left.min(target)).then_some(server);
             }
-            How::Floods => *from
-                .iter()
-                .max_by(|a, b| self.lines[**a].started.total_cmp(&self.lines[**b].started).then(b.cmp(a)))?,
+            PolicyKind::Floods => *from.iter().max_by(|a, b| {
+                self.lines[**a].started_at_ms.total_cmp(&self.lines[**b].started_at_ms).then(b.cmp(a))
+            })?,
             _ => drawn,
         })
     }
--- a/emulator/src/figures.rs
+++ b/simulator/src/results.rs
@@ -1,6 +1,6 @@
 //! What a day came to: service by second and by category, latency, pushes by server, rules kept or broken.
 
-use crate::judge::Judge;
+use crate::invariants::InvariantChecker;
 use crate::script::Script;
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -83,7 +83,7 @@
 
 /// One play of a script.
 #[derive(Clone, Debug, Serialize)]
-pub struct Figures {
+pub struct RunResults {
     pub script: String,
     pub chooser: String,
     pub seed: u64,
@@ -199,9 +199,9 @@
         script: &Script,
         chooser: &str,
         seed: u64,
-        judge: &Judge,
+        judge: &InvariantChecker,
         events: u64,
-    ) -> Figures {
+    ) -> RunResults {
         self.all.sum_up();
         self.categories.iter_mut().for_each(|named| named.counts.sum_up());
         let l = &self.latency;
@@ -236,7 +236,7 @@
                 b.life.iter().map(|l| format!("    {l}\n")).collect::<String>()
             )
         });
-        Figures {
+        RunResults {
             script: script.name.clone(),
             chooser: chooser.to_string(),
             seed,
--- a/emulator/src/script.rs
+++ b/simulator/src/script.rs
@@ -104,10 +104,13 @@
 
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "kebab-case")]
-pub enum Effect {
-    Redeliverable,
-    Deduplicated,
-    AtMostOnce,
+pub enum Idempotency {
+    #[serde(rename = "redeliverable")]
+    Idempotent,
+    #[serde(rename = "deduplicated")]
+    IdempotentWithKey,
+    #[serde(rename = "at-most-once")]
+    NotIdempotent,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
@@ -122,7 +125,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Category {
     pub name: String,
-    pub effect: Effect,
+    pub effect: Idempotency,
     #[serde(default = "pod")]
     pub group: Group,
     #[serde(default = "window")]
@@ -143,7 +146,7 @@
     #[serde(default = "sigma")]
     pub sigma: f64,
     pub tail: Option<f64>,
-    /// How much more work an op is whose key its server does not remember; 1 for none.
+    /// PolicyKind much more work an op is whose key its server does not remember; 1 for none.
     #[serde(default = "one")]
     pub key_miss: f64,
 }
@@ -241,7 +244,7 @@
     /// Bursts: so many times the rate, from and for so many seconds.
     #[serde(default)]
     pub bursts: Vec<Burst>,
-    /// How unlike the zones' shares are, and nodes' within a zone (sigma of log-normal weights).
+    /// PolicyKind unlike the zones' shares are, and nodes' within a zone (sigma of log-normal weights).
     #[serde(default)]
     pub zone_spread: f64,
     #[serde(default)]
@@ -288,7 +291,7 @@
     pub honour: f64,
     /// Part of them that leave halfway through their time.
     pub impatient: f64,
-    /// How long the front goes on dealing ops to a dead node.
+    /// PolicyKind long the front goes on dealing ops to a dead node.
     pub notice: f64,
 }
 
@@ -310,7 +313,7 @@
 pub struct Discovery {
     /// What passes until a node is told; each node its own, up to twice as long.
     pub delay_ms: f64,
-    /// How long a server drains before it goes, and its successor's start ahead of that.
+    /// PolicyKind long a server drains before it goes, and its successor's start ahead of that.
     pub drain: f64,
 }
 
@@ -392,14 +395,14 @@
 
 /// Why a script is refused.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Faulty {
+pub struct ScriptError {
     /// From 1.
     pub line: usize,
     pub key: String,
     pub what: String,
 }
 
-impl std::fmt::Display for Faulty {
+impl std::fmt::Display for ScriptError {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         match self.key.is_empty() {
             true => write!(f, "line {}: {}", self.line, self.what),
@@ -414,7 +417,9 @@
 
 /// The line of a key as `faults.2.strength`; the deepest part of it that is there.
 fn line_of(text: &str, key: &str) -> usize {
-    let Ok(whole) = DeTable::parse(text) else { return 1 };
+    let Ok(whole) = DeTable::parse(text) else {
+        return 1;
+    };
     let mut line = 1;
     let mut at: Option<DeValue> = Some(DeValue::Table(whole.into_inner()));
     for part in key.split('.') {
@@ -440,19 +445,19 @@
 pub fn read_whole<T: DeserializeOwned>(
     text: &str,
     check: impl FnOnce(&T) -> Result<(), (String, String)>,
-) -> Result<T, Faulty> {
-    let read: T = toml::from_str(text).map_err(|e| Faulty {
+) -> Result<T, ScriptError> {
+    let read: T = toml::from_str(text).map_err(|e| ScriptError {
         line: e.span().map_or(1, |span| line_at(text, span.start)),
         key: String::new(),
         what: e.message().to_string(),
     })?;
-    check(&read).map_err(|(key, what)| Faulty { line: line_of(text, &key), key, what })?;
+    check(&read).map_err(|(key, what)| ScriptError { line: line_of(text, &key), key, what })?;
     Ok(read)
 }
 
 impl Script {
     /// Reads a script whole, or names what is wrong with it.
-    pub fn read(text: &str) -> Result<Self, Faulty> {
+    pub fn read(text: &str) -> Result<Self, ScriptError> {
         read_whole(text, Script::check)
     }
 
@@ -594,9 +599,9 @@
     /// The settings that a node is given, in the platform's form (docs/architecture.md).
     pub fn settings(&self, node: usize) -> Value {
         let effect = |effect| match effect {
-            Effect::Redeliverable => "read_like",
-            Effect::Deduplicated => "idempotency_key",
-            Effect::AtMostOnce => "non_idempotent",
+            Idempotency::Idempotent => "read_like",
+            Idempotency::IdempotentWithKey => "idempotency_key",
+            Idempotency::NotIdempotent => "non_idempotent",
         };
         let group = |group| match group {
             Group::Fleet => "all",
--- a/emulator/src/server.rs
+++ b/simulator/src/server.rs
@@ -35,7 +35,7 @@
     pub silent: bool,
     pub answers_lost: f64,
     pub resets: f64,
-    /// How much older reports are, and how wrong.
+    /// PolicyKind much older reports are, and how wrong.
     pub late: f64,
     pub wrong: f64,
     pub missing: bool,
@@ -178,7 +178,9 @@
 
     /// Relief: holding little for long enough ends the slow state.
     fn relax(&mut self, now: f64) {
-        let Some(tips) = self.machine.tips else { return };
+        let Some(tips) = self.machine.tips else {
+            return;
+        };
         if self.held() as f64 > tips.relief * self.machine.cores as f64 {
             self.relieved_since = None;
             return;
@@ -191,7 +193,9 @@
 
     /// The job that is due, unless it was called off; or when to look again, while it is stopped.
     pub fn done(&mut self, now: f64, number: u64) -> Result<Option<Job>, f64> {
-        let Some(place) = self.at_work.iter().position(|w| w.number == number) else { return Ok(None) };
+        let Some(place) = self.at_work.iter().position(|w| w.number == number) else {
+            return Ok(None);
+        };
         if now < self.stopped_until {
             return Err(self.stopped_until);
         }
--- a/emulator/tests/worlds.rs
+++ b/simulator/tests/environments.rs
@@ -1,8 +1,8 @@
 //! Worlds in virtual time: wrong nodes are caught, chance keeps to its streams, faulty scripts are named.
 
-use crankmux_emulator::chooser::How;
-use crankmux_emulator::script::Script;
-use crankmux_emulator::world::play;
+use crankmux_simulator::environment::play;
+use crankmux_simulator::policies::PolicyKind;
+use crankmux_simulator::script::Script;
 
 /// A small fleet; `more` is added at its end.
 fn text(more: &str) -> String {
@@ -63,7 +63,7 @@
 const LOST: &str = "[[faults]]\nkind = \"answers-lost\"\nat = 3\nfor = 8\nstrength = 0.2\n";
 
 /// Rules broken, in the order of the pages: lost, twice, drains, cold.
-fn broken(how: How, more: &str) -> [u64; 5] {
+fn broken(how: PolicyKind, more: &str) -> [u64; 5] {
     let figures = play(&script(more), how, 5).expect("a chooser");
     assert!(figures.all.wanted > 1000, "{}", figures.all.wanted);
     if let Some(life) = figures.lives.first() {
@@ -74,23 +74,23 @@
 
 #[test]
 fn nodes_that_keep_the_rules_are_found_to() {
-    for how in [How::Module, How::Random, How::LeastOutstanding] {
+    for how in [PolicyKind::Module, PolicyKind::Random, PolicyKind::LeastOutstanding] {
         let [lost, twice, drains, _, left] = broken(how, &format!("{RELEASE}{LOST}{LEAVES}"));
         assert_eq!([lost, twice, drains, left], [0; 4], "{}", how.name());
     }
-    assert_eq!(broken(How::Module, &format!("{RELEASE}{LOST}")), [0; 5]);
+    assert_eq!(broken(PolicyKind::Module, &format!("{RELEASE}{LOST}")), [0; 5]);
 }
 
 #[test]
 fn a_node_that_loses_an_op_is_caught() {
-    let [lost, twice, drains, ..] = broken(How::Loses, "");
+    let [lost, twice, drains, ..] = broken(PolicyKind::Loses, "");
     assert!(lost > 20 && [twice, drains] == [0; 2], "{lost} {twice} {drains}");
 }
 
 #[test]
 fn a_node_that_repeats_what_may_have_run_is_caught_with_that_ops_life() {
     let resets = LOST.replace("answers-lost", "resets");
-    let figures = play(&script(&resets), How::Repeats, 5).expect("a chooser");
+    let figures = play(&script(&resets), PolicyKind::Repeats, 5).expect("a chooser");
     assert!(figures.broken[1] > 20 && figures.broken[2] == 0, "{:?}", figures.broken);
     let life = &figures.lives[0];
     let at = |what: &str| life.find(what).unwrap_or_else(|| panic!("{what} is missing in {life}"));
@@ -102,13 +102,13 @@
 
 #[test]
 fn a_node_that_pushes_past_a_drains_grace_is_caught() {
-    let [_, twice, drains, ..] = broken(How::PastDrains, RELEASE);
+    let [_, twice, drains, ..] = broken(PolicyKind::PastDrains, RELEASE);
     assert!(drains > 20 && twice == 0, "{drains} {twice}");
 }
 
 #[test]
 fn a_node_that_floods_a_cold_server_is_caught_and_the_server_falls_over() {
-    let figures = play(&script(RELEASE), How::Floods, 5).expect("a chooser");
+    let figures = play(&script(RELEASE), PolicyKind::Floods, 5).expect("a chooser");
     assert!(figures.broken[3] > 0 && figures.fell_over == figures.broken[3], "{:?}", figures.broken);
 }
 
@@ -119,14 +119,14 @@
     let script = text(more).replace("ttl_ms = 800", "ttl_ms = 3000").replace("ttl_ms = 900", "ttl_ms = 3000");
     let script = Script::read(&script).unwrap_or_else(|faulty| panic!("{faulty}"));
     let left = |how| play(&script, how, 5).expect("a chooser").broken[4];
-    assert!(left(How::SendsOn) > 20, "{}", left(How::SendsOn));
-    assert_eq!(left(How::Module), 0);
+    assert!(left(PolicyKind::SendsOn) > 20, "{}", left(PolicyKind::SendsOn));
+    assert_eq!(left(PolicyKind::Module), 0);
 }
 
 #[test]
 fn a_fault_more_does_not_shuffle_the_arrivals() {
     let wanted = |more: &str| {
-        let figures = play(&script(more), How::Module, 3).expect("a chooser");
+        let figures = play(&script(more), PolicyKind::Module, 3).expect("a chooser");
         figures.seconds.iter().map(|s| s.counts.wanted).collect::<Vec<_>>()
     };
     // The last second's may still be on their way at the end of the day.
@@ -136,7 +136,7 @@
 
 #[test]
 fn two_plays_of_one_seed_are_alike_to_the_byte_and_two_seeds_are_not() {
-    let bytes = |seed| serde_json::to_vec(&play(&script(LOST), How::Module, seed).unwrap()).unwrap();
+    let bytes = |seed| serde_json::to_vec(&play(&script(LOST), PolicyKind::Module, seed).unwrap()).unwrap();
     assert!(bytes(3) == bytes(3));
     assert!(bytes(3) != bytes(4));
 }
@@ -150,11 +150,11 @@
             "cores = 2\nqueue = 60\ntips = { after_ms = 150, to = 0.3, relief = 0.3, relief_for = 2 }",
         );
     let tips = Script::read(&tips).unwrap_or_else(|faulty| panic!("{faulty}"));
-    let random = play(&tips, How::Random, 5).expect("a chooser");
+    let random = play(&tips, PolicyKind::Random, 5).expect("a chooser");
     let last = &random.seconds[11].counts;
     assert!(random.tipped > 4 && last.service < 70.0, "down six seconds after the burst: {}", last.service);
     let calm = Script { seconds: 14.0, ..script("") };
-    assert!(play(&calm, How::Random, 5).expect("a chooser").service > 90.0);
+    assert!(play(&calm, PolicyKind::Random, 5).expect("a chooser").service > 90.0);
 }
 
 #[test]
@@ -162,7 +162,7 @@
     let cut = "[[faults]]\nkind = \"zone-cut\"\nzone = \"b\"\nat = 3\nfor = 6\n\
                [[faults]]\nkind = \"slow\"\nat = 4\nfor = 6\nstrength = 6.0\npart = 0.4\n";
     let of = |how| play(&script(cut), how, 5).expect("a chooser").service;
-    let (top, module, random) = (of(How::Top), of(How::Module), of(How::Random));
+    let (top, module, random) = (of(PolicyKind::Top), of(PolicyKind::Module), of(PolicyKind::Random));
     assert!(top >= module && module > random + 3.0, "{top} {module} {random}");
 }
 
--- a/src/balance.rs
+++ b/src/balancer.rs
@@ -1,24 +1,27 @@
 //! Every decision of crankmux. A node makes one [`Balancer`] from what it is given and tells it, with the
-//! present time, what happens, by its public methods. Answers leave by the [`Outlet`] given with each call;
+//! present time, what happens, by its public methods. Answers leave by the [`Actions`] given with each call;
 //! `words.rs` holds its types. The ordinary path is the split of docs/design.md; whatever narrows it says
 //! here which danger it meets.
 
-use crate::given::Duties;
-use crate::words::{Arrival, Chance, Effect, Ending, Experience, Given, Learnt, Listed, Load, Outlet};
-use crate::words::{PushEnd, Standing, Within};
+use crate::settings::Duties;
+use crate::types::{
+    Actions, AttemptOutcome, EndpointStatistics, EndpointUpdate, Idempotency, LearnedState, LoadReport,
+    NewRequest, SeededRandom, SettingsMap,
+};
+use crate::types::{AttemptResult, DeduplicationScope, EndpointState};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-type Step = Box<dyn FnOnce(&mut Balancer, &mut dyn Outlet, &PushEnd) + Send>;
-type Alarm = Box<dyn FnOnce(&mut Balancer, &mut dyn Outlet) + Send>;
+type Step = Box<dyn FnOnce(&mut Balancer, &mut dyn Actions, &AttemptResult) + Send>;
+type Alarm = Box<dyn FnOnce(&mut Balancer, &mut dyn Actions) + Send>;
 
 #[derive(Clone, Default)]
 struct Category {
     /// The only zones and the only kinds of machine that may get it; all, where none are named.
     zones: Option<Arc<[usize]>>,
     kinds: Option<Arc<[usize]>>,
-    effect: Effect,
-    within: Within,
+    effect: Idempotency,
+    within: DeduplicationScope,
     window: f64,
     target: f64,
     benefit: f64,
@@ -46,13 +49,13 @@
 
 fn category(duties: &Duties, index: usize) -> Result<Category, String> {
     let name = |part: &str| format!("category.{index}.{part}");
-    let effect = Effect::named(duties.word(&name("effect")));
+    let effect = Idempotency::parse(duties.word(&name("effect")));
     let target = duties.must(&name("target-latency"))?;
     Ok(Category {
         zones: duties.places(&name("only-zones")),
         kinds: duties.places(&name("only-kinds")),
         effect: effect.ok_or_else(|| format!("setting {} is missing or unknown", name("effect")))?,
-        within: Within::named(duties.word(&name("within"))),
+        within: DeduplicationScope::parse(duties.word(&name("within"))),
         window: duties.or(&name("window"), 0.0),
         target,
         benefit: duties.or(&name("benefit"), 1.0),
@@ -74,7 +77,7 @@
 
 #[derive(Default)]
 struct Server {
-    standing: Standing,
+    standing: EndpointState,
     /// Taken out by hand.
     suspended: bool,
     mark: u64,
@@ -85,12 +88,12 @@
     started: f64,
     latest: f64,
     warm_at: f64,
-    load: Load,
+    load: LoadReport,
     load_at: f64,
     since_load: f64,
     heard: f64,
     out: BTreeMap<(usize, usize), Sent>,
-    past: Learnt,
+    past: EndpointStatistics,
     borne_at: f64,
     cut_at: f64,
     purse: f64,
@@ -116,7 +119,11 @@
             load_at: now,
             heard: now,
             // A handful from all nodes together: a new server is neither starved nor flooded.
-            past: Learnt { best: 1.0, limit: 5.0, ..Learnt::default() },
+            past: EndpointStatistics {
+                best_relative_latency: 1.0,
+                concurrency_limit: 5.0,
+                ..EndpointStatistics::default()
+            },
             borne_at: now,
             cut_at: now,
             purse_at: now,
@@ -126,14 +133,22 @@
 
     /// A new process under the old name: what it holds still and what it once bore outlast the old one.
     fn restarted(&mut self, started: f64, now: f64, cold: (f64, f64)) {
-        let Server { standing, suspended, zone, kind, pod, past: Learnt { peak, .. }, .. } = *self;
+        let Server {
+            standing,
+            suspended,
+            zone,
+            kind,
+            pod,
+            past: EndpointStatistics { peak_throughput: peak, .. },
+            ..
+        } = *self;
         let (out, new) = (std::mem::take(&mut self.out), Server::new(self.mark, started, now, cold));
         *self = Server { standing, suspended, zone, kind, pod, out, ..new };
-        self.past.peak = peak;
+        self.past.peak_throughput = peak;
     }
 
     fn usable(&self) -> bool {
-        self.standing == Standing::Ready && !self.suspended
+        self.standing == EndpointState::Ready && !self.suspended
     }
 
     /// What it holds for all nodes together, by its own word and what went there since.
@@ -141,15 +156,15 @@
         let load = &self.load;
         // Danger: many at work leave none waiting. Use of the cores counts as one queue of that use would.
         let queue = |busy: f64| busy.min(1.0) / (1.15 - busy.min(1.0));
-        let busy = load.busy.filter(|_| load.held.is_none()).map_or(0.0, queue);
-        let told = load.held.or(load.waiting.or(load.busy.map(|_| 0.0)).map(|w| w + busy));
+        let busy = load.cpu_utilization.filter(|_| load.in_flight.is_none()).map_or(0.0, queue);
+        let told = load.in_flight.or(load.queued.or(load.cpu_utilization.map(|_| 0.0)).map(|w| w + busy));
         // A report much older than any usual refresh is none.
         told.filter(|_| now - self.load_at < 5000.0)
             .map(|told| told + self.since_load.min(self.out.len() as f64))
     }
 
     fn bears(&self, now: f64) -> f64 {
-        self.past.borne * (-(now - self.borne_at).max(0.0) / BORNE_OVER).exp()
+        self.past.throughput * (-(now - self.borne_at).max(0.0) / BORNE_OVER).exp()
     }
 }
 
@@ -180,7 +195,7 @@
 
 #[derive(Default)]
 pub struct Balancer {
-    rng: Chance,
+    rng: SeededRandom,
     now: f64,
     categories: Vec<Category>,
     customers: Vec<Customer>,
@@ -217,7 +232,7 @@
 
 impl Balancer {
     /// Reads the duties it cannot do without; a missing one is named in the error.
-    pub fn new(given: Given, seed: u64) -> Result<Self, String> {
+    pub fn new(given: SettingsMap, seed: u64) -> Result<Self, String> {
         let duties = Duties(given);
         let count = duties.must("categories")? as usize;
         let categories = (0..count).map(|k| category(&duties, k)).collect::<Result<Vec<_>, _>>()?;
@@ -230,7 +245,7 @@
         });
         let time = categories.iter().map(|c| c.time).sum::<f64>() / categories.len().max(1) as f64;
         Ok(Balancer {
-            rng: Chance(oorandom::Rand64::new(u128::from(seed))),
+            rng: SeededRandom(oorandom::Rand64::new(u128::from(seed))),
             balancers: duties.must("balancers")?.max(1.0),
             own: 1.0,
             cold_part: 1.0,
@@ -246,23 +261,35 @@
     }
 
     /// The server list has spoken: a whole list, or only what changed. A cached list may be stale.
-    pub fn list(&mut self, out: &mut dyn Outlet, now: f64, lines: &[Listed], whole: bool, cached: bool) {
+    pub fn update_endpoints(
+        &mut self,
+        out: &mut dyn Actions,
+        now: f64,
+        lines: &[EndpointUpdate],
+        whole: bool,
+        cached: bool,
+    ) {
         self.now = now;
         // Danger: a server missing from the whole list was removed unseen; it gets nothing more.
-        let missing = |id: &usize| whole && !lines.iter().any(|line| line.server == *id);
-        self.servers.iter_mut().filter(|(id, _)| missing(id)).for_each(|(_, s)| s.standing = Standing::Gone);
+        let missing = |id: &usize| whole && !lines.iter().any(|line| line.endpoint == *id);
+        self.servers
+            .iter_mut()
+            .filter(|(id, _)| missing(id))
+            .for_each(|(_, s)| s.standing = EndpointState::Removed);
         let cold = self.cold();
         for line in lines {
-            let fresh = Server::new(line.mark, line.started, now, cold);
-            let s = self.servers.entry(line.server).or_insert(fresh);
+            let fresh = Server::new(line.stable_hash, line.started_at_ms, now, cold);
+            let s = self.servers.entry(line.endpoint).or_insert(fresh);
             // Danger: where clocks differ a new start may be listed before the last one. Any other is new.
-            if line.started > s.started || (cold.1 > 0.0 && line.started > 0.0 && line.started < s.started) {
+            if line.started_at_ms > s.started
+                || (cold.1 > 0.0 && line.started_at_ms > 0.0 && line.started_at_ms < s.started)
+            {
                 // Danger: a restarted process is cold, whatever its old record or a report on its way says.
-                self.probes.remove(&line.server);
-                s.restarted(line.started, now, cold);
+                self.probes.remove(&line.endpoint);
+                s.restarted(line.started_at_ms, now, cold);
             }
-            (s.mark, s.standing, s.zone, s.pod) = (line.mark, line.standing, line.zone, line.pod);
-            s.kind = line.kind;
+            (s.mark, s.standing, s.zone, s.pod) = (line.stable_hash, line.state, line.zone, line.pod);
+            s.kind = line.machine_class;
         }
         self.forget();
         (self.solved_at, self.parted_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
@@ -280,23 +307,25 @@
     /// Danger: servers ever new fill the memory; an index used again too early is another server's.
     fn forget(&mut self) {
         let tried = |id: usize| self.ops.values().any(|op| op.pushes.iter().any(|p| p.server == id));
-        let gone = |s: &Server| s.standing == Standing::Gone && !s.suspended && self.now - s.heard > 60_000.0;
+        let gone = |s: &Server| {
+            s.standing == EndpointState::Removed && !s.suspended && self.now - s.heard > 60_000.0
+        };
         self.servers.retain(|id, s| !gone(s) || !s.out.is_empty() || tried(*id));
         self.part.retain(|id| self.servers.contains_key(id));
     }
 
-    pub fn holds(&self, server: usize) -> bool {
+    pub fn knows_endpoint(&self, server: usize) -> bool {
         self.servers.contains_key(&server)
     }
 
     /// Taken out by hand. Danger: it is restarted meanwhile, and the list may name it anew: the mark stays.
-    pub fn suspend(&mut self, now: f64, server: usize) {
+    pub fn disable_endpoint(&mut self, now: f64, server: usize) {
         (self.now, self.solved_at, self.parted_at) = (now, f64::NEG_INFINITY, f64::NEG_INFINITY);
         self.servers.entry(server).or_insert_with(|| Server::new(0, 0.0, now, (0.0, 0.0))).suspended = true;
     }
 
     /// Back by hand. Danger: the list may tell late, or not at all, that it has started anew: it comes cold.
-    pub fn resume(&mut self, now: f64, server: usize) {
+    pub fn enable_endpoint(&mut self, now: f64, server: usize) {
         (self.now, self.solved_at, self.parted_at) = (now, f64::NEG_INFINITY, f64::NEG_INFINITY);
         let cold = self.cold();
         if let Some(s) = self.servers.get_mut(&server).filter(|s| s.suspended) {
@@ -306,39 +335,46 @@
     }
 
     /// Danger: an upgrade's two processes would spend a node's budgets twice; a fleet may not be as told.
-    pub fn share(&mut self, share: f64, nodes: Option<f64>, cold: f64) {
+    pub fn set_process_share(&mut self, share: f64, nodes: Option<f64>, cold: f64) {
         let nodes = nodes.unwrap_or(self.duties.or("balancers", 1.0)).max(1.0);
         (self.own, self.cold_part, self.balancers, self.solved_at) = (share, share * cold, nodes, f64::MIN);
         self.parted_at = f64::NEG_INFINITY;
     }
 
     /// Servers in the list; those of them that are suspended, or fail in over 19 of 20 pushes.
-    pub fn census(&self) -> (usize, usize) {
-        let listed = || self.servers.values().filter(|s| s.standing != Standing::Gone);
-        (listed().count(), listed().filter(|s| s.suspended || s.past.faults > 0.95).count())
+    pub fn endpoint_counts(&self) -> (usize, usize) {
+        let listed = || self.servers.values().filter(|s| s.standing != EndpointState::Removed);
+        (listed().count(), listed().filter(|s| s.suspended || s.past.error_rate > 0.95).count())
     }
 
     /// What it has learnt, for a process that comes after this one.
-    pub fn experience(&self) -> Experience {
+    pub fn learned_state(&self) -> LearnedState {
         let servers = self.servers.iter().map(|(id, s)| (*id, s.past)).collect();
         let categories = self.categories.iter().map(|c| (c.time, c.acked)).collect();
-        Experience { time: self.time, slack: self.slack, warm_rate: self.warm_rate, categories, servers }
+        LearnedState {
+            mean_latency_ms: self.time,
+            tail_multiple: self.slack,
+            warm_throughput: self.warm_rate,
+            classes: categories,
+            endpoints: servers,
+        }
     }
 
     /// Danger: a process that knows of no server what it bears gives cold ones nothing, and all too little.
-    pub fn inherit(&mut self, from: &Experience) {
-        (self.time, self.slack, self.warm_rate) = (from.time, from.slack, from.warm_rate);
-        let both = self.categories.iter_mut().zip(&from.categories);
+    pub fn restore_learned_state(&mut self, from: &LearnedState) {
+        (self.time, self.slack, self.warm_rate) =
+            (from.mean_latency_ms, from.tail_multiple, from.warm_throughput);
+        let both = self.categories.iter_mut().zip(&from.classes);
         both.for_each(|(category, told)| (category.time, category.acked) = *told);
-        for (id, learnt) in &from.servers {
+        for (id, learnt) in &from.endpoints {
             self.servers.entry(*id).and_modify(|s| s.past = *learnt);
         }
     }
 
     /// New duties. Ops under way keep the terms that they came under, and what was learnt stays.
-    pub fn renew(&mut self, given: Given) -> Result<(), String> {
+    pub fn update_settings(&mut self, given: SettingsMap) -> Result<(), String> {
         let mut new = Balancer::new(given, 0)?;
-        new.inherit(&self.experience());
+        new.restore_learned_state(&self.learned_state());
         let both = new.customers.iter_mut().zip(&self.customers);
         both.for_each(|(new, old)| (new.purse, new.counted) = (old.purse, old.counted));
         (self.categories, self.customers, self.duties) = (new.categories, new.customers, new.duties);
@@ -347,16 +383,16 @@
         Ok(())
     }
 
-    fn follow(&mut self, out: &mut dyn Outlet) {
+    fn follow(&mut self, out: &mut dyn Actions) {
         // Danger: a cached list may be stale. Where changes come unasked, the whole list is asked for once.
         match self.duties.allow("list-must-be-asked") {
-            true => out.follow_list(),
-            false => out.ask_list(),
+            true => out.watch_endpoints(),
+            false => out.poll_endpoints(),
         }
     }
 
     /// A call to the list failed or following broke off: ask again, after growing waits.
-    pub fn list_failed(&mut self, out: &mut dyn Outlet, now: f64) {
+    pub fn discovery_failed(&mut self, out: &mut dyn Actions, now: f64) {
         // Danger: what is pushed counts at once, what was missed 6 s after the list can be had. Short waits.
         let by = if self.duties.allow("list-must-be-asked") { "ask-within" } else { "drain-grace" };
         let longest = self.duties.or(by, 8000.0).clamp(50.0, 1200.0) / 4.0;
@@ -365,46 +401,48 @@
         self.alarm(out, at, Box::new(|b, out| b.follow(out)));
     }
 
-    fn alarm(&mut self, out: &mut dyn Outlet, at: f64, alarm: Alarm) {
+    fn alarm(&mut self, out: &mut dyn Actions, at: f64, alarm: Alarm) {
         self.next_alarm += 1;
         self.alarms.insert(self.next_alarm, alarm);
-        out.wake(at, self.next_alarm);
+        out.set_timer(at, self.next_alarm);
     }
 
-    pub fn woken(&mut self, out: &mut dyn Outlet, now: f64, alarm: u64) {
+    pub fn timer_expired(&mut self, out: &mut dyn Actions, now: f64, alarm: u64) {
         self.now = now;
         if let Some(alarm) = self.alarms.remove(&alarm) {
             alarm(self, out);
         }
     }
 
-    fn take_load(&mut self, id: usize, load: Load) {
+    fn take_load(&mut self, id: usize, load: LoadReport) {
         // A report is repeated until it is renewed: only a change of any figure tells a new one.
-        let new = |s: &&mut Server| load != Load::default() && s.load != load;
+        let new = |s: &&mut Server| load != LoadReport::default() && s.load != load;
         if let Some(server) = self.servers.get_mut(&id).filter(new) {
             (server.load, server.load_at, server.since_load) = (load, self.now, 0.0);
         }
     }
 
-    fn learn(&mut self, id: usize, category: usize, sent: &Sent, end: &PushEnd) {
+    fn learn(&mut self, id: usize, category: usize, sent: &Sent, end: &AttemptResult) {
         // A single server's share of a node may be under one push; whether limits are used shows over all.
         let (now, sharers, strained, asks) = (self.now, self.sharers, self.strain() > 0.6, self.asks);
-        let ratio = end.took / sent.usual.max(1.0);
-        let good = end.ending == Ending::Acked;
+        let ratio = end.duration_ms / sent.usual.max(1.0);
+        let good = end.outcome == AttemptOutcome::Succeeded;
         // Danger: a silent server's pushes are all called off once a second copy is back.
         let silent = self.servers.get(&id).is_some_and(|s| s.heard <= sent.at);
-        let overdue = end.ending == Ending::Cancelled && end.took > sent.patience && silent;
-        let end = &PushEnd { ending: if overdue { Ending::TimedOut } else { end.ending }, ..*end };
+        let overdue = end.outcome == AttemptOutcome::Cancelled && end.duration_ms > sent.patience && silent;
+        let end =
+            &AttemptResult { outcome: if overdue { AttemptOutcome::TimedOut } else { end.outcome }, ..*end };
         // Danger: were ops ended at their target latency to tell nothing, limits would only ever grow.
-        let ended = self.holds_few && end.ending == Ending::Cancelled && end.took >= sent.target;
-        if matches!(end.ending, Ending::Cancelled | Ending::Unsent) && !ended {
+        let ended =
+            self.holds_few && end.outcome == AttemptOutcome::Cancelled && end.duration_ms >= sent.target;
+        if matches!(end.outcome, AttemptOutcome::Cancelled | AttemptOutcome::NotSent) && !ended {
             return;
         }
         // Smoothing: a tenth a push follows a slowed server within ten pushes and evens out single heavy ops.
         // Danger: one that gets little would seem slow for long: after a silence the new counts for more.
         let Some(server) = self.servers.get_mut(&id) else { return };
         let (bears, l) = (server.bears(now), &mut server.past);
-        let old = l.pace.unwrap_or(1.0);
+        let old = l.relative_latency.unwrap_or(1.0);
         let smooth = ((now - server.heard) / 2000.0).clamp(0.1, 0.5);
         if good {
             let step = 0.05 * self.slack;
@@ -415,57 +453,65 @@
             // Danger: were it to follow a crowd, a crowded fleet would look ordinary. It stiffens, not pace.
             c.acked += 1.0;
             let step = (1.0 / (c.acked + 10.0)).max(0.002);
-            c.time += step * (end.took / old.max(0.2) - c.time);
-            self.time += step * (end.took / old.max(0.2) - self.time);
+            c.time += step * (end.duration_ms / old.max(0.2) - c.time);
+            self.time += step * (end.duration_ms / old.max(0.2) - self.time);
         }
         // Danger: ops are lost on the way. A time-out beside other answers, or of an idle one, is no crowd.
-        let idle = server.load.waiting.is_some_and(|w| w <= 0.0);
-        let free = server.load.waiting.is_none() && server.load.busy.is_some_and(|busy| busy < 0.75);
+        let idle = server.load.queued.is_some_and(|w| w <= 0.0);
+        let free =
+            server.load.queued.is_none() && server.load.cpu_utilization.is_some_and(|busy| busy < 0.75);
         let known = server.heard > sent.at || (!asks && idle && now - server.load_at < 5000.0);
-        let lost = end.ending == Ending::TimedOut && known;
-        let bad = f64::from(u8::from(!good && !ended && end.ending != Ending::TurnedAway));
+        let lost = end.outcome == AttemptOutcome::TimedOut && known;
+        let bad = f64::from(u8::from(!good && !ended && end.outcome != AttemptOutcome::Rejected));
         // Two failures in a row of a server seldom heard are no proof: only good news counts for more.
-        l.faults += if good { smooth } else { 0.1 } * (bad - l.faults);
-        if end.ending != Ending::TimedOut && end.ending != Ending::Unreachable {
+        l.error_rate += if good { smooth } else { 0.1 } * (bad - l.error_rate);
+        if end.outcome != AttemptOutcome::TimedOut && end.outcome != AttemptOutcome::Unreachable {
             server.heard = now;
         }
         // Danger: a lock behind all servers, or who reads slowly, makes one look slow whose cores are free.
-        let elsewhere =
-            free && (!asks || self.holds_few) && now - server.load_at < 2000.0 && end.took > sent.patience;
-        if (good || ended || (end.ending == Ending::TimedOut && !lost)) && !elsewhere {
+        let elsewhere = free
+            && (!asks || self.holds_few)
+            && now - server.load_at < 2000.0
+            && end.duration_ms > sent.patience;
+        if (good || ended || (end.outcome == AttemptOutcome::TimedOut && !lost)) && !elsewhere {
             // Danger: a short time-out taken for a quick answer. It says "at least so long", no less.
             let ratio = if good { ratio } else { ratio.max(old) };
-            l.pace = Some(old + smooth * (ratio.min(old * 10.0) - old));
+            l.relative_latency = Some(old + smooth * (ratio.min(old * 10.0) - old));
         }
         if good {
             let borne = bears + sent.usual / self.time.max(1.0) / BORNE_OVER;
             // Danger: peaks of few pushes are chance, and add up over many nodes. They count less two errors.
             let sure = borne - (2.0 * borne / BORNE_OVER).sqrt();
-            (l.borne, server.borne_at, l.peak) = (borne, now, l.peak.max(sure));
+            (l.throughput, server.borne_at, l.peak_throughput) = (borne, now, l.peak_throughput.max(sure));
         }
         // Danger: a crowded server turns slower, and smoothed figures show it too late. A quick answer,
         // at the server's best pace, lets the limit grow; thrice the usual time or a late one cuts it.
-        let pace = l.pace.unwrap_or(1.0);
-        l.best = if pace < l.best { pace } else { l.best + 0.005 * (pace - l.best) };
-        let stretch = end.took / (sent.usual * l.best).max(1.0);
+        let pace = l.relative_latency.unwrap_or(1.0);
+        l.best_relative_latency = if pace < l.best_relative_latency {
+            pace
+        } else {
+            l.best_relative_latency + 0.005 * (pace - l.best_relative_latency)
+        };
+        let stretch = end.duration_ms / (sent.usual * l.best_relative_latency).max(1.0);
         // Danger: idle servers turn one category away. Where nothing waits, it is not full.
-        let full = end.ending == Ending::TurnedAway && !idle;
-        let failed = full || matches!(end.ending, Ending::TimedOut | Ending::Unreachable);
-        let late = !lost && !elsewhere && (failed || ended || end.took > sent.target);
-        let used = strained && (asks || server.out.len() as f64 >= 0.5 * l.limit / sharers);
+        let full = end.outcome == AttemptOutcome::Rejected && !idle;
+        let failed = full || matches!(end.outcome, AttemptOutcome::TimedOut | AttemptOutcome::Unreachable);
+        let late = !lost && !elsewhere && (failed || ended || end.duration_ms > sent.target);
+        let used = strained && (asks || server.out.len() as f64 >= 0.5 * l.concurrency_limit / sharers);
         // Failures and late answers come in heaps; those to pushes of one time are one event and cut once.
         if late && now - server.cut_at > sent.usual {
-            (l.limit, server.cut_at) = ((l.limit * if asks || full { 0.9 } else { 0.7 }).max(1.0), now);
+            (l.concurrency_limit, server.cut_at) =
+                ((l.concurrency_limit * if asks || full { 0.9 } else { 0.7 }).max(1.0), now);
         } else if good && stretch > 3.0 && !asks && !elsewhere {
-            (l.limit, server.cut_at) = ((l.limit * 0.9).max(1.0), now);
+            (l.concurrency_limit, server.cut_at) = ((l.concurrency_limit * 0.9).max(1.0), now);
         } else if good && stretch < 1.0 && used {
             // One for a round of own answers: scaled up to all nodes it would outrun the cuts.
-            l.limit = (l.limit + 1.0 / l.limit).min(1000.0);
+            l.concurrency_limit = (l.concurrency_limit + 1.0 / l.concurrency_limit).min(1000.0);
         }
         if asks {
             // Danger: quiet nodes hear each server once in seconds. What any answer says counts for all.
-            let limit = (l.limit, server.cut_at);
-            self.servers.values_mut().for_each(|s| (s.past.limit, s.cut_at) = limit);
+            let limit = (l.concurrency_limit, server.cut_at);
+            self.servers.values_mut().for_each(|s| (s.past.concurrency_limit, s.cut_at) = limit);
         }
     }
 }
@@ -565,7 +611,7 @@
                     break;
                 }
                 taken += 1.0;
-                found += 1.0 - s.past.faults;
+                found += 1.0 - s.past.error_rate;
                 part.push(*id);
             }
         }
@@ -599,14 +645,20 @@
         // without a word or a failure of it, what speaks against it fades to what a new one starts with.
         let stays = (-since / BORNE_OVER).exp();
         for s in self.servers.values_mut().filter(|s| !asks && now - s.heard.max(s.cut_at) > 1000.0) {
-            let Learnt { pace, faults, limit, .. } = &mut s.past;
+            let EndpointStatistics {
+                relative_latency: pace,
+                error_rate: faults,
+                concurrency_limit: limit,
+                ..
+            } = &mut s.past;
             (*faults, *limit) = (*faults * stays, limit.max(5.0 + (*limit - 5.0) * stays));
             *pace = pace.map(|pace| pace.min(1.0 + (pace - 1.0) * stays));
         }
         self.solved_at = now;
         let ids = self.part.clone();
         let part = ids.iter().map(|id| &self.servers[id]);
-        let paces: Vec<f64> = part.clone().filter_map(|s| s.past.pace).map(|pace| 1.0 / pace).collect();
+        let paces: Vec<f64> =
+            part.clone().filter_map(|s| s.past.relative_latency).map(|pace| 1.0 / pace).collect();
         let queues: Vec<f64> = part.filter_map(|s| self.known(s)).collect();
         let mean = |of: &[f64]| of.iter().sum::<f64>() / f64::max(of.len() as f64, 1.0);
         self.mean_pace = if paces.is_empty() { 1.0 } else { 1.0 / mean(&paces) };
@@ -646,16 +698,20 @@
         let worth = targets / self.categories.len() as f64;
         let one = |id: &usize| {
             let s = &self.servers[id];
-            let latency = (s.past.pace.unwrap_or(self.mean_pace) * self.time).max(1.0);
+            let latency = (s.past.relative_latency.unwrap_or(self.mean_pace) * self.time).max(1.0);
             let away = if s.zone == my_zone { 0.0 } else { cross * worth };
             // A failed op costs about another op's time.
-            let cost = away + latency * s.past.faults / (1.0 - s.past.faults).max(0.1);
-            let horizon =
-                if s.load != Load::default() { (self.now - s.load_at).clamp(FLOOR, 5000.0) } else { FLOOR };
+            let cost = away + latency * s.past.error_rate / (1.0 - s.past.error_rate).max(0.1);
+            let horizon = if s.load != LoadReport::default() {
+                (self.now - s.load_at).clamp(FLOOR, 5000.0)
+            } else {
+                FLOOR
+            };
             // Danger: one that fails fast answers first. Its most shrinks, to a fiftieth, to see it recover.
             // Danger: a jammed server is slow until it was mostly idle. At thrice its best pace it rests.
-            let jammed = self.asks && s.past.pace.is_some_and(|pace| pace > 3.0 * s.past.best);
-            let most = most * (1.0 - s.past.faults).max(0.02) * if jammed { 0.05 } else { 1.0 };
+            let jammed = self.asks
+                && s.past.relative_latency.is_some_and(|pace| pace > 3.0 * s.past.best_relative_latency);
+            let most = most * (1.0 - s.past.error_rate).max(0.02) * if jammed { 0.05 } else { 1.0 };
             let (queue, mu) = (self.known(s).unwrap_or(self.mean_queue), (1.0 + self.mean_queue) / latency);
             Seen { queue, mu, horizon, cost, away, most }
         };
@@ -695,7 +751,11 @@
             let Some(server) = self.servers.get_mut(id).filter(|s| self.now < s.warm_at) else { continue };
             let able = from + (1.0 - from) * ((self.now - server.latest) / time.max(1.0)).clamp(0.0, 1.0);
             // What it bore before a restart it will bear again; a stranger may be weaker than the mean.
-            let rate = self.cold_part * 0.7 * multiple * able * server.past.peak.max(0.8 * self.warm_rate);
+            let rate = self.cold_part
+                * 0.7
+                * multiple
+                * able
+                * server.past.peak_throughput.max(0.8 * self.warm_rate);
             // A full purse and a window's income stay just within one window's budget.
             let (gain, most) = (rate * (self.now - server.purse_at), 0.3 * window * rate);
             // Danger: hundreds of nodes that each save up a call. A rare one falls due evenly, and lapses.
@@ -710,50 +770,50 @@
     }
 
     /// An op has come in; it will get exactly one final answer.
-    pub fn arrive(&mut self, out: &mut dyn Outlet, now: f64, arrival: &Arrival) {
+    pub fn request_arrived(&mut self, out: &mut dyn Actions, now: f64, arrival: &NewRequest) {
         self.now = now;
         let top = self.categories.iter().map(|c| c.benefit).fold(f64::MIN_POSITIVE, f64::max);
-        let mut rank = self.categories[arrival.category].benefit / top;
-        if let Some(customer) = arrival.customer.and_then(|c| self.customers.get_mut(c)) {
+        let mut rank = self.categories[arrival.class].benefit / top;
+        if let Some(customer) = arrival.tenant.and_then(|c| self.customers.get_mut(c)) {
             let gain = self.own * customer.quota / self.balancers * (now - customer.counted);
             // Two seconds' worth may be saved up, as ops come unevenly; three ops at least, for a small part.
             customer.purse = (customer.purse + gain).min((customer.quota * 2000.0 / self.balancers).max(3.0));
             customer.counted = now;
             // A client's retry belongs to its first try and is not counted again.
-            let price = if arrival.retry { 0.0 } else { 1.0 };
+            let price = if arrival.client_retry { 0.0 } else { 1.0 };
             match customer.purse < price {
                 true => rank *= self.duties.or("excess-benefit", 1.0),
                 false => customer.purse -= price,
             }
         }
-        let Category { target, late, effect, .. } = self.categories[arrival.category];
-        let again = effect == Effect::Redeliverable;
+        let Category { target, late, effect, .. } = self.categories[arrival.class];
+        let again = effect == Idempotency::Idempotent;
         let op = Op {
-            category: arrival.category,
+            category: arrival.class,
             // Danger: clocks differ, and one with time left looks dead. Who sends cuts time-outs to its end.
-            ends: now + arrival.ttl + self.duties.or("left-margin", 0.0),
+            ends: now + arrival.ttl_ms + self.duties.or("left-margin", 0.0),
             due: if self.holds_few && late <= 0.0 && again { now + target } else { f64::MAX },
             rank,
             key: arrival.key.filter(|_| self.duties.allow("servers-know-keys")),
-            terms: self.categories[arrival.category].clone(),
+            terms: self.categories[arrival.class].clone(),
             most: self.duties.or("most-pushes", 1.0),
             ..Op::default()
         };
-        self.ops.insert(arrival.op, op);
+        self.ops.insert(arrival.request, op);
         self.solve();
         // Danger: answers that slow clients read keep others from theirs. Past the target latency, where a
         // late one brings nothing and a repeat is harmless, the op is over and its place is free.
-        let (id, due) = (arrival.op, self.ops[&arrival.op].due);
+        let (id, due) = (arrival.request, self.ops[&arrival.request].due);
         if due < f64::MAX {
-            let over = move |b: &mut Balancer, out: &mut dyn Outlet| {
+            let over = move |b: &mut Balancer, out: &mut dyn Actions| {
                 if b.ops.get(&id).is_some_and(|op| op.due == due && !op.bound) {
                     b.give_up(out, id);
                 }
             };
             self.alarm(out, due, Box::new(over));
         }
-        if !self.ask(out, arrival.op) {
-            self.go_on(out, arrival.op);
+        if !self.ask(out, arrival.request) {
+            self.go_on(out, arrival.request);
         }
     }
 
@@ -771,11 +831,11 @@
 
     /// Danger: where load is told only when asked, a quiet node knows none. An op asks two, drawn by the
     /// split or its key's first, and waits for a moment. More would crowd whoever looked empty last.
-    fn ask(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
+    fn ask(&mut self, out: &mut dyn Actions, id: usize) -> bool {
         let mut from = if self.asks { self.candidates(id) } else { Vec::new() };
         let mut asked = self.homes(self.ops[&id].key, &from);
         // A key's first server is asked alone while its last word was light: a probe has its price.
-        let light = |s: &Server| s.told(self.now).is_some_and(|told| told < 0.3 * s.past.limit);
+        let light = |s: &Server| s.told(self.now).is_some_and(|told| told < 0.3 * s.past.concurrency_limit);
         let most = if asked.first().is_some_and(|id| light(&self.servers[id])) { 1 } else { 2 };
         asked.truncate(most);
         from.retain(|(id, _)| !asked.contains(id));
@@ -802,13 +862,19 @@
         self.ops[&id].waits
     }
 
-    fn waited(&mut self, out: &mut dyn Outlet, id: usize) {
+    fn waited(&mut self, out: &mut dyn Actions, id: usize) {
         if self.ops.get_mut(&id).is_some_and(|op| std::mem::take(&mut op.waits)) {
             self.go_on(out, id);
         }
     }
 
-    pub fn probed(&mut self, out: &mut dyn Outlet, now: f64, server: usize, answer: Option<Load>) {
+    pub fn probe_ended(
+        &mut self,
+        out: &mut dyn Actions,
+        now: f64,
+        server: usize,
+        answer: Option<LoadReport>,
+    ) {
         self.now = now;
         // One not waited for any more, or never asked, tells nothing.
         let asked = self.probes.remove(&server);
@@ -821,7 +887,7 @@
     }
 
     /// The next push, or the end: a stay would feed a crowd. Nacked at once a client may come back.
-    fn go_on(&mut self, out: &mut dyn Outlet, id: usize) {
+    fn go_on(&mut self, out: &mut dyn Actions, id: usize) {
         self.solve();
         if !self.try_push(out, id) {
             self.give_up(out, id);
@@ -836,21 +902,21 @@
         // Danger: an op that cannot make its target latency costs a server's work for little.
         let left = (op.ends.min(op.due) - self.now).min(if self.asks { category.target } else { f64::MAX });
         // Danger: a repeat finds the group that it must stay in full. It was let in once: over the limit.
-        let bound =
-            category.effect == Effect::Deduplicated && op.pushes.iter().any(|p| p.may_have_run && !p.out);
+        let bound = category.effect == Idempotency::IdempotentWithKey
+            && op.pushes.iter().any(|p| p.may_have_run && !p.out);
         let fits = |s: &Server| {
             let ran = op.pushes.iter().filter(|p| p.may_have_run);
             let in_group = |p: &Pushed| match category.within {
-                Within::Fleet => true,
-                Within::Zone => self.servers.get(&p.server).is_some_and(|q| q.zone == s.zone),
-                Within::Pod => self.servers.get(&p.server).is_some_and(|q| q.pod == s.pod),
+                DeduplicationScope::Global => true,
+                DeduplicationScope::Zone => self.servers.get(&p.server).is_some_and(|q| q.zone == s.zone),
+                DeduplicationScope::Pod => self.servers.get(&p.server).is_some_and(|q| q.pod == s.pod),
             };
             // A repeat must land inside the window: keep a tenth of it for the way.
             let in_time = |p: &Pushed| self.now - p.sent.at < category.window * 0.9;
             let repeat = match category.effect {
-                Effect::Redeliverable => true,
-                Effect::Deduplicated => ran.clone().all(|p| in_group(p) && in_time(p)),
-                Effect::AtMostOnce => ran.clone().next().is_none(),
+                Idempotency::Idempotent => true,
+                Idempotency::IdempotentWithKey => ran.clone().all(|p| in_group(p) && in_time(p)),
+                Idempotency::NotIdempotent => ran.clone().next().is_none(),
             };
             // Danger: new settings while an op is under way open nothing closed to it, and close at once.
             s.usable()
@@ -858,15 +924,16 @@
                 && self.categories[op.category].open_to(s)
                 && left > 0.0
                 && repeat
-                && (bound || s.out.is_empty() || self.held(s) < s.past.limit)
+                && (bound || s.out.is_empty() || self.held(s) < s.past.concurrency_limit)
                 && (self.now >= s.warm_at || s.purse >= 1.0)
                 // Danger: one thought slow is never seen to recover. First pushes look, or its word tells.
                 && (s.expected * time / self.time < left
                     || (!self.asks && op.pushes.is_empty() && s.out.is_empty()))
         };
-        // Danger: one push from each of many nodes is over a weak server's limit. Chance takes the part.
-        let weighed =
-            |s: &Server| s.share * if self.asks { 1.0 } else { (s.past.limit / self.sharers).min(1.0) };
+        // Danger: one push from each of many nodes is over a weak server's limit. SeededRandom takes the part.
+        let weighed = |s: &Server| {
+            s.share * if self.asks { 1.0 } else { (s.past.concurrency_limit / self.sharers).min(1.0) }
+        };
         let fit = |sid: &usize| Some((*sid, weighed(self.servers.get(sid).filter(|s| fits(s))?)));
         let mut all: Vec<_> = self.part.iter().filter_map(fit).collect();
         if all.is_empty() && (bound || category.zones.is_some() || category.kinds.is_some()) {
@@ -901,7 +968,7 @@
 
     /// What is held, by each server's figure, over all limits.
     fn filled(&self, held: impl Fn(&Server) -> Option<f64>) -> f64 {
-        let of = |id: &usize| Some((held(&self.servers[id])?, self.servers[id].past.limit));
+        let of = |id: &usize| Some((held(&self.servers[id])?, self.servers[id].past.concurrency_limit));
         let (held, limits) = self.part.iter().filter_map(of).fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1));
         held / f64::max(limits, 1.0)
     }
@@ -911,7 +978,7 @@
     }
 
     /// What is held by so many own pushes and by word of the servers. Danger: a few own pushes, a sample of
-    /// those of all sharers, look like a crowd by chance. Within one standard error the reports decide.
+    /// those of all sharers, look like a crowd by chance. DeduplicationScope one standard error the reports decide.
     fn sampled(&self, own: usize, crowd: f64, told: f64) -> f64 {
         // Danger: where answers wait for readers, own pushes out are no longer at their servers.
         let exact = self.asks && !self.holds_few;
@@ -924,7 +991,7 @@
         self.sampled(s.out.len(), crowd, s.told(self.now).unwrap_or(crowd))
     }
 
-    fn try_push(&mut self, out: &mut dyn Outlet, id: usize) -> bool {
+    fn try_push(&mut self, out: &mut dyn Actions, id: usize) -> bool {
         let op = &self.ops[&id];
         if op.bound || op.pushes.len() as f64 >= op.most {
             return false;
@@ -949,7 +1016,7 @@
         true
     }
 
-    fn push(&mut self, out: &mut dyn Outlet, id: usize, to: usize) {
+    fn push(&mut self, out: &mut dyn Actions, id: usize, to: usize) {
         let (now, time) = (self.now, self.time);
         // Own rate over a second, or ten to tell a quiet node's part. Pushes: crowds of retries reach nobody.
         let over = if self.asks { 10_000.0 } else { 1000.0 };
@@ -961,18 +1028,19 @@
         let server = self.servers.get_mut(&to).expect("drawn from the list");
         server.since_load += 1.0;
         server.purse -= (usual / time).max(1.0);
-        let expected = (server.expected * usual / time).max(usual * server.past.pace.unwrap_or(1.0));
+        let expected =
+            (server.expected * usual / time).max(usual * server.past.relative_latency.unwrap_or(1.0));
         let sent = Sent { at: now, usual, target, patience: expected * self.slack };
         op.pushes.push(Pushed { server: to, sent, may_have_run: true, out: true });
         server.out.insert((id, n), sent);
-        out.push(id, to, left);
-        let copies = effect != Effect::AtMostOnce && self.duties.allow("second-copies");
+        out.start_attempt(id, to, left);
+        let copies = effect != Idempotency::NotIdempotent && self.duties.allow("second-copies");
         if copies && sent.patience < left && self.sharers * self.own < 3.0 {
             let at = now + sent.patience * (1.0 + self.strain());
             self.alarm(out, at, Box::new(move |b, out| b.overdue(out, id, n, now)));
         }
-        let step = move |b: &mut Balancer, out: &mut dyn Outlet, end: &PushEnd| {
-            // Learnt from while still counted in flight: it was part of what the limit held.
+        let step = move |b: &mut Balancer, out: &mut dyn Actions, end: &AttemptResult| {
+            // EndpointStatistics from while still counted in flight: it was part of what the limit held.
             b.learn(to, category, &sent, end);
             if let Some(server) = b.servers.get_mut(&to) {
                 server.out.remove(&(id, n));
@@ -987,24 +1055,24 @@
 
     /// Danger: what falls silent holds an op for good. A second copy goes, later the fuller all is, not where
     /// three nodes or more share a server, as copies would take each one's push or two of its limit.
-    fn overdue(&mut self, out: &mut dyn Outlet, id: usize, n: usize, at: f64) {
+    fn overdue(&mut self, out: &mut dyn Actions, id: usize, n: usize, at: f64) {
         let waits = |op: &Op| op.pushes.len() == n + 1 && op.pushes[n].out && op.pushes[n].sent.at == at;
         if self.ops.get(&id).is_some_and(waits) {
             self.try_push(out, id);
         }
     }
 
-    pub fn push_ended(&mut self, out: &mut dyn Outlet, now: f64, end: &PushEnd) {
+    pub fn attempt_ended(&mut self, out: &mut dyn Actions, now: f64, end: &AttemptResult) {
         self.now = now;
-        if let Some(step) = self.steps.remove(&(end.op, end.push)) {
+        if let Some(step) = self.steps.remove(&(end.request, end.attempt)) {
             step(self, out, end);
         }
     }
 
-    fn after_push(&mut self, out: &mut dyn Outlet, id: usize, push: usize, end: &PushEnd) {
+    fn after_push(&mut self, out: &mut dyn Actions, id: usize, push: usize, end: &AttemptResult) {
         let Some(op) = self.ops.get_mut(&id) else { return };
-        (op.pushes[push].out, op.pushes[push].may_have_run) = (false, !end.ending.never_ran());
-        if end.closed || end.ending == Ending::Acked {
+        (op.pushes[push].out, op.pushes[push].may_have_run) = (false, !end.outcome.never_executed());
+        if end.request_closed || end.outcome == AttemptOutcome::Succeeded {
             return self.close(out, id);
         }
         if !op.pushes.iter().any(|p| p.out) {
@@ -1013,24 +1081,24 @@
     }
 
     /// The one final answer where no ack will come: a nack where the client may safely try again.
-    fn give_up(&mut self, out: &mut dyn Outlet, id: usize) {
+    fn give_up(&mut self, out: &mut dyn Actions, id: usize) {
         let Some(Op { terms: category, pushes, .. }) = self.ops.get(&id) else { return };
         let ran = pushes.iter().any(|p| p.may_have_run);
         let harmless = match category.effect {
-            Effect::Redeliverable => true,
-            Effect::Deduplicated => !ran || category.within == Within::Fleet,
-            Effect::AtMostOnce => !ran,
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotentWithKey => !ran || category.within == DeduplicationScope::Global,
+            Idempotency::NotIdempotent => !ran,
         };
         // Back after the time in which the work in flight is mostly done.
         let most = self.duties.or("come-back", 0.0).min(1.0) * self.duties.or("come-back-most", 0.0);
         match harmless {
-            true => out.nack(id, (0.25 * self.time).min(most)),
-            false => out.dead_letter(id),
+            true => out.reject(id, (0.25 * self.time).min(most)),
+            false => out.fail(id),
         }
         self.close(out, id);
     }
 
-    fn close(&mut self, out: &mut dyn Outlet, id: usize) {
+    fn close(&mut self, out: &mut dyn Actions, id: usize) {
         let Some(op) = self.ops.remove(&id) else { return };
         let may = self.duties.allow("may-cancel");
         for (n, _) in op.pushes.iter().enumerate().filter(|(_, p)| p.out && may) {
@@ -1039,14 +1107,14 @@
     }
 
     /// The client has gone, or its op is closed by other means: nothing more is owed.
-    pub fn departed(&mut self, out: &mut dyn Outlet, now: f64, op: usize) {
+    pub fn client_left(&mut self, out: &mut dyn Actions, now: f64, op: usize) {
         self.now = now;
         self.close(out, op);
     }
 
     /// A long body goes to a push's server, or comes from it: the op is bound to it, and is work there only
     /// from its last byte in to its answer (`works`). Danger: slow clients would use up all limits.
-    pub fn began(&mut self, now: f64, id: usize, push: usize, works: bool) {
+    pub fn streaming(&mut self, now: f64, id: usize, push: usize, works: bool) {
         self.now = now;
         let Some(op) = self.ops.get_mut(&id) else { return };
         op.bound = true;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,9 @@
-//! crankmux: the decisions of a reverse proxy that spreads ops over HTTP servers.
+//! crankmux: the decisions of a reverse proxy that spreads requests over HTTP servers.
 //!
-//! [`balance`] holds every decision; [`words`] the plain types that go in and out; [`given`] reads what the
-//! operators give; [`dispatcher`] drives the decisions in blocking style, for network code.
+//! [`balancer`] holds every decision; [`types`] the plain types that go in and out; [`settings`] reads what the
+//! operators set; [`dispatcher`] drives the decisions in blocking style, for network code.
 
-pub mod balance;
+pub mod balancer;
 pub mod dispatcher;
-pub mod given;
-pub mod words;
+pub mod settings;
+pub mod types;
--- a/src/given.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The operators' settings to the module's plain map of names, and their other names to small indices. The
 //! bench's adapter and the real node both read by it.
 
-use crate::words::{Given, Listed, Load, Standing};
+use crate::types::{EndpointState, EndpointUpdate, LoadReport, SettingsMap};
 use serde_json::Value;
 use slab::Slab;
 use std::collections::HashMap;
@@ -46,7 +46,7 @@
 
 /// What the operators oblige and allow this node: their names and values as handed over.
 #[derive(Default)]
-pub struct Duties(pub Given);
+pub struct Duties(pub SettingsMap);
 
 impl Duties {
     pub fn must(&self, name: &str) -> Result<f64, String> {
@@ -88,7 +88,14 @@
     word.map_or_else(|| value.clone(), |(_, ours)| Value::from(*ours))
 }
 
-fn each(given: &mut Given, settings: &Value, list: &str, plural: &str, one: &str, names: &[(&str, &str)]) {
+fn each(
+    given: &mut SettingsMap,
+    settings: &Value,
+    list: &str,
+    plural: &str,
+    one: &str,
+    names: &[(&str, &str)],
+) {
     let Some(items) = settings.get(list).and_then(Value::as_array) else { return };
     given.insert(plural.into(), items.len().into());
     for (index, item) in items.iter().enumerate() {
@@ -100,8 +107,8 @@
     }
 }
 
-fn translate(settings: &Value) -> Given {
-    let mut given = Given::new();
+fn translate(settings: &Value) -> SettingsMap {
+    let mut given = SettingsMap::new();
     for (name, path) in NAMES {
         if let Some(value) = settings.pointer(path).filter(|v| !v.is_null()) {
             given.insert((*name).into(), ours(value));
@@ -116,9 +123,9 @@
     given
 }
 
-/// Names a setting whose value cannot be one. Danger: a wrong word or sign would count as none, and a node
+/// NameIndex a setting whose value cannot be one. Danger: a wrong word or sign would count as none, and a node
 /// would serve for days in a shape that nobody meant.
-pub fn check(settings: &Value) -> Result<(), String> {
+pub fn validate(settings: &Value) -> Result<(), String> {
     let faulty = |path: &str, what: &str| Err(format!("{} {what}", path.replace('/', ".").trim_matches('.')));
     for (_, path) in NAMES {
         let fine = match settings.pointer(path) {
@@ -196,7 +203,7 @@
 }
 
 /// A message of the module with the wire's name of the setting beside ours.
-pub fn explain(message: &str) -> String {
+pub fn explain_error(message: &str) -> String {
     let all = [("categories", "Categories")].into_iter();
     let all =
         all.chain(NAMES.iter().chain(CATEGORY).chain(CUSTOMER).map(|(n, w)| (*n, w.trim_start_matches('/'))));
@@ -213,15 +220,15 @@
 
 /// What stands in the settings under names: each keeps its index for good, also once it is gone from them.
 #[derive(Clone, Default)]
-pub struct Roll {
+pub struct NamedEntries {
     pub names: Vec<String>,
     items: Vec<Value>,
     served: Vec<bool>,
 }
 
-impl Roll {
+impl NamedEntries {
     /// Takes over what the settings list now, and returns all that ever was, by index.
-    fn renew(&mut self, settings: &Value, list: &str) -> Value {
+    fn update(&mut self, settings: &Value, list: &str) -> Value {
         let names = names_of(settings, list);
         self.served.fill(false);
         for (name, item) in
@@ -256,11 +263,11 @@
     }
 }
 
-/// Names to small indices, as they stand in the settings or are met in the list of servers.
+/// NameIndex to small indices, as they stand in the settings or are met in the list of servers.
 #[derive(Clone, Default)]
-pub struct Names {
-    pub categories: Roll,
-    pub customers: Roll,
+pub struct NameIndex {
+    pub classes: NamedEntries,
+    pub tenants: NamedEntries,
     zones: Vec<String>,
     kinds: Vec<String>,
     servers: Indices,
@@ -295,23 +302,23 @@
     })
 }
 
-impl Names {
+impl NameIndex {
     /// The settings' names, and what the module is given at start.
-    pub fn read(settings: &Value) -> (Self, Given) {
-        let mut names = Names::default();
-        let given = names.renew(settings);
+    pub fn from_settings(settings: &Value) -> (Self, SettingsMap) {
+        let mut names = NameIndex::default();
+        let given = names.update(settings);
         (names, given)
     }
 
     /// New settings' names: what had an index keeps it.
-    pub fn renew(&mut self, settings: &Value) -> Given {
+    pub fn update(&mut self, settings: &Value) -> SettingsMap {
         for zone in names_of(settings, "Zones") {
             self.zone(&zone);
         }
         let mut whole = settings.clone();
-        for (roll, list) in [(&mut self.categories, "Categories"), (&mut self.customers, "Customers")] {
+        for (roll, list) in [(&mut self.classes, "Categories"), (&mut self.tenants, "Customers")] {
             if settings.get(list).is_some() {
-                whole[list] = roll.renew(settings, list);
+                whole[list] = roll.update(settings, list);
             }
         }
         let mut given = translate(&whole);
@@ -345,19 +352,19 @@
 
     /// Forgets all servers but those that something still knows by their index, and pods that held no other.
     /// Danger: servers that are replaced by new ones under new names would fill the memory.
-    pub fn keep(&mut self, held: impl Fn(usize) -> bool) {
+    pub fn retain_endpoints(&mut self, held: impl Fn(usize) -> bool) {
         self.servers.keep(held);
         let (servers, pod_of) = (&self.servers.numbers, &self.pod_of);
         self.pods.keep(|pod| servers.iter().any(|(server, _)| pod_of[server] == pod));
     }
 
     /// The number by which all nodes know a server.
-    pub fn mark(&self, server: usize) -> u64 {
+    pub fn stable_hash(&self, server: usize) -> u64 {
         self.servers.numbers[server]
     }
 
     /// The index of a server by that number, which it gets if it has none.
-    pub fn server(&mut self, mark: u64) -> usize {
+    pub fn endpoint(&mut self, mark: u64) -> usize {
         let (server, pod) = (self.servers.of(mark), self.pods.of(u64::MAX - mark));
         if self.pod_of.len() <= server {
             self.pod_of.resize(server + 1, pod);
@@ -366,38 +373,46 @@
     }
 
     /// The index of a server by that number, while it is known.
-    pub fn known(&self, mark: u64) -> Option<usize> {
+    pub fn find_endpoint(&self, mark: u64) -> Option<usize> {
         self.servers.by_number.get(&mark).copied()
     }
 
     /// One line of the list. Without a pod a server shares one with no other.
-    pub fn line(
+    pub fn endpoint_update(
         &mut self,
         mark: u64,
-        standing: Standing,
+        standing: EndpointState,
         (zone, kind): (&str, &str),
         pod: Option<u64>,
         started: f64,
-    ) -> Listed {
+    ) -> EndpointUpdate {
         let (server, pod) = (self.servers.of(mark), self.pods.of(pod.unwrap_or(u64::MAX - mark)));
         if self.pod_of.len() <= server {
             self.pod_of.resize(server + 1, pod);
         }
         self.pod_of[server] = pod;
-        Listed { mark, standing, zone: self.zone(zone), kind: self.kind(kind), pod, started, server }
+        EndpointUpdate {
+            stable_hash: mark,
+            state: standing,
+            zone: self.zone(zone),
+            machine_class: self.kind(kind),
+            pod,
+            started_at_ms: started,
+            endpoint: server,
+        }
     }
 }
 
 /// Sets one figure of a server's word on its load by any of its names; others are passed over, and so is what
 /// can't be one. Danger: no number, or one without end, would make a server look empty or full for seconds.
-pub fn figure(load: &mut Load, name: &str, value: f64) {
+pub fn set_load_value(load: &mut LoadReport, name: &str, value: f64) {
     if !(0.0..1e6).contains(&value) {
         return;
     }
     match name {
-        "q" | "queue" => load.waiting = Some(value),
-        "rif" | "inflight" => load.held = Some(value),
-        "busy" | "util" => load.busy = Some(value),
+        "q" | "queue" => load.queued = Some(value),
+        "rif" | "inflight" => load.in_flight = Some(value),
+        "busy" | "util" => load.cpu_utilization = Some(value),
         _ => {}
     }
 }
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -2,8 +2,8 @@
 //! be put down to chance, 2 x root of N + 2.
 
 use crate::help::{line, node};
-use crankmux::balance::Balancer;
-use crankmux::words::*;
+use crankmux::balancer::Balancer;
+use crankmux::types::*;
 use std::thread;
 
 const WINDOW: f64 = 1000.0;
@@ -18,17 +18,17 @@
 #[derive(Default)]
 struct Sent(Option<usize>);
 
-impl Outlet for Sent {
-    fn push(&mut self, op: usize, _: usize, _: f64) {
+impl Actions for Sent {
+    fn start_attempt(&mut self, op: usize, _: usize, _: f64) {
         self.0 = Some(op);
     }
     fn probe(&mut self, _: usize) {}
     fn cancel(&mut self, _: usize, _: usize) {}
-    fn nack(&mut self, _: usize, _: f64) {}
-    fn dead_letter(&mut self, _: usize) {}
-    fn wake(&mut self, _: f64, _: u64) {}
-    fn follow_list(&mut self) {}
-    fn ask_list(&mut self) {}
+    fn reject(&mut self, _: usize, _: f64) {}
+    fn fail(&mut self, _: usize) {}
+    fn set_timer(&mut self, _: f64, _: u64) {}
+    fn watch_endpoints(&mut self) {}
+    fn poll_endpoints(&mut self) {}
 }
 
 /// Times of the three categories' ops, of which the mean is an ordinary op's.
@@ -65,7 +65,7 @@
     Upgrades,
 }
 
-fn given(number: usize, of: usize) -> Given {
+fn given(number: usize, of: usize) -> SettingsMap {
     let mut given = node(number, of);
     given.insert("second-copies".into(), false.into());
     given
@@ -76,37 +76,57 @@
 fn calls(number: usize, told: usize, rate: f64, (demand, befalls): (Demand, Befalls), seed: u64) -> Vec<f64> {
     let mut balancer = Balancer::new(given(number, told), seed).expect("all duties are given");
     let out = &mut Sent::default();
-    balancer.list(out, START - 1.0, &[line(0, Standing::Ready, 0.0)], true, false);
-    let learnt = Learnt { best: 1.0, limit: 1000.0, peak: rate, borne: rate, ..Learnt::default() };
-    balancer.inherit(&Experience {
-        time: 100.0,
-        slack: 2.0,
-        warm_rate: rate,
-        categories: TIMES.map(|time| (time, 1e6)).to_vec(),
-        servers: vec![(0, learnt)],
+    balancer.update_endpoints(out, START - 1.0, &[line(0, EndpointState::Ready, 0.0)], true, false);
+    let learnt = EndpointStatistics {
+        best_relative_latency: 1.0,
+        concurrency_limit: 1000.0,
+        peak_throughput: rate,
+        throughput: rate,
+        ..EndpointStatistics::default()
+    };
+    balancer.restore_learned_state(&LearnedState {
+        mean_latency_ms: 100.0,
+        tail_multiple: 2.0,
+        warm_throughput: rate,
+        classes: TIMES.map(|time| (time, 1e6)).to_vec(),
+        endpoints: vec![(0, learnt)],
     });
-    balancer.list(out, START, &[line(0, Standing::Ready, START)], false, false);
+    balancer.update_endpoints(out, START, &[line(0, EndpointState::Ready, START)], false, false);
     let mut rng = oorandom::Rand64::new(u128::from(seed) << 1);
     let (mut calls, mut next) = (Vec::new(), 600.0 * rng.rand_float());
     for (op, at) in arrivals(demand, rate, &mut rng).into_iter().enumerate() {
         if at >= next && befalls == Befalls::Reloads {
-            balancer.renew(given(number, told)).expect("all duties are given");
+            balancer.update_settings(given(number, told)).expect("all duties are given");
         } else if at >= next && befalls == Befalls::Upgrades {
             let mut newer = Balancer::new(given(number, told), rng.rand_u64()).expect("all duties are given");
-            newer.list(out, START + at, &[line(0, Standing::Ready, START)], true, false);
-            newer.inherit(&balancer.experience());
+            newer.update_endpoints(out, START + at, &[line(0, EndpointState::Ready, START)], true, false);
+            newer.restore_learned_state(&balancer.learned_state());
             balancer = newer;
         }
         next = if at >= next { at + 600.0 } else { next };
         let category = if demand.light { 0 } else { rng.rand_range(0..3) as usize };
-        let arrival = Arrival { op, category, customer: None, ttl: 1000.0, retry: false, key: None };
-        balancer.arrive(out, START + at, &arrival);
+        let arrival = NewRequest {
+            request: op,
+            class: category,
+            tenant: None,
+            ttl_ms: 1000.0,
+            client_retry: false,
+            key: None,
+        };
+        balancer.request_arrived(out, START + at, &arrival);
         if out.0.take() == Some(op) {
             calls.push(at);
             // Answered in its usual time; in this model nothing is ever in flight.
-            let (ending, took, load) = (Ending::Acked, TIMES[category], Load::default());
-            let end = PushEnd { op, push: 0, ending, took, closed: true, load };
-            balancer.push_ended(out, START + at, &end);
+            let (ending, took, load) = (AttemptOutcome::Succeeded, TIMES[category], LoadReport::default());
+            let end = AttemptResult {
+                request: op,
+                attempt: 0,
+                outcome: ending,
+                duration_ms: took,
+                request_closed: true,
+                load,
+            };
+            balancer.attempt_ended(out, START + at, &end);
         }
     }
     calls
