--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -1,14 +1,16 @@
 //! One small test for each failure found.
 
 use crate::help::{asked_duties, duties, line, node, Play, TTL};
-use crankmux::balance::Balancer;
-use crankmux::dispatcher::{Dispatcher, GivenUp, Next};
-use crankmux::given::{figure, Names};
-use crankmux::words::{Arrival, Effect, Ending, Listed, Load, PushEnd, Standing};
+use crankmux::balancer::Balancer;
+use crankmux::dispatcher::{Dispatcher, FinalAnswer, NextSteps};
+use crankmux::settings::{set_load_value, NameIndex};
+use crankmux::types::{
+    AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, Idempotency, LoadReport, NewRequest,
+};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
-const ACK: Option<Ending> = Some(Ending::Acked);
+const ACK: Option<AttemptOutcome> = Some(AttemptOutcome::Succeeded);
 
 #[test]
 fn a_missing_duty_is_named() {
@@ -37,7 +39,7 @@
         play.op(0);
         play.pass(300.0);
         while !play.out().is_empty() {
-            play.settle(|_| Some(Ending::TimedOut));
+            play.settle(|_| Some(AttemptOutcome::TimedOut));
         }
     }
     play.pass(30_000.0);
@@ -63,9 +65,9 @@
         for _ in 0..8 {
             let other = play.op(0);
             play.pass(20.0);
-            play.end(other, 0, Ending::Acked);
+            play.end(other, 0, AttemptOutcome::Succeeded);
         }
-        play.end(lost, 0, Ending::TimedOut);
+        play.end(lost, 0, AttemptOutcome::TimedOut);
     }
     for _ in 0..6 {
         play.op(0);
@@ -81,8 +83,8 @@
             play.op(0);
             play.pass(20.0);
             while let Some((op, push)) = play.out().pop() {
-                let load = Load { waiting: Some(waiting), ..Load::default() };
-                play.end_with(op, push, Ending::TurnedAway, load);
+                let load = LoadReport { queued: Some(waiting), ..LoadReport::default() };
+                play.end_with(op, push, AttemptOutcome::Rejected, load);
             }
         }
         play.pass(1000.0);
@@ -109,7 +111,13 @@
 #[test]
 fn a_server_that_fails_fast_draws_little() {
     let mut play = Play::new(4);
-    let fate = |server| if server == 1 { Some(Ending::Errored) } else { ACK };
+    let fate = |server| {
+        if server == 1 {
+            Some(AttemptOutcome::Failed)
+        } else {
+            ACK
+        }
+    };
     play.run(150, 20.0, fate);
     let counts = play.run(200, 20.0, fate);
     assert!(counts.get(&1).copied().unwrap_or(0) < 30, "{counts:?}");
@@ -118,7 +126,7 @@
 #[test]
 fn a_fault_of_all_servers_does_not_empty_the_pool() {
     let mut play = Play::new(4);
-    play.run(300, 20.0, |_| Some(Ending::Errored));
+    play.run(300, 20.0, |_| Some(AttemptOutcome::Failed));
     let counts = play.run(20, 20.0, |_| ACK);
     assert!(counts.values().sum::<usize>() >= 15, "{counts:?}");
 }
@@ -126,8 +134,8 @@
 #[test]
 fn drained_and_missing_servers_get_nothing_new() {
     let mut play = Play::new(3);
-    play.list(&[line(0, Standing::Draining, 0.0)], false, false);
-    play.list(&[line(0, Standing::Draining, 0.0), line(1, Standing::Ready, 0.0)], true, false);
+    play.list(&[line(0, EndpointState::Draining, 0.0)], false, false);
+    play.list(&[line(0, EndpointState::Draining, 0.0), line(1, EndpointState::Ready, 0.0)], true, false);
     let counts = play.run(30, 5.0, |_| ACK);
     assert_eq!(counts.keys().copied().collect::<Vec<_>>(), [1]);
 }
@@ -135,7 +143,7 @@
 /// Most pushes that a server started at the play's time gets in any second of its first eight.
 fn cold_burst(play: &mut Play, server: usize) -> usize {
     let start = play.model.now;
-    play.list(&[line(server, Standing::Ready, start)], false, false);
+    play.list(&[line(server, EndpointState::Ready, start)], false, false);
     play.run(1600, 5.0, |_| ACK);
     let pushes = play.model.ops.iter().flat_map(|o| &o.pushes);
     let at: Vec<f64> = pushes.filter(|p| p.server == server && p.at >= start).map(|p| p.at).collect();
@@ -160,7 +168,7 @@
         let mut play = Play::new(4);
         play.run(2000, 5.0, |_| ACK);
         let start = play.model.now;
-        play.list(&[line(server, Standing::Ready, start)], false, false);
+        play.list(&[line(server, EndpointState::Ready, start)], false, false);
         play.run(1000, 5.0, |_| ACK).get(&server).copied().unwrap_or(0)
     };
     assert!(first(0) > first(4), "{} and {}", first(0), first(4));
@@ -170,9 +178,9 @@
 fn at_most_once_goes_again_only_where_it_never_ran() {
     let mut play = Play::new(3);
     let op = play.op(2);
-    play.end(op, 0, Ending::TurnedAway);
+    play.end(op, 0, AttemptOutcome::Rejected);
     assert_eq!(play.model.ops[op].pushes.len(), 2);
-    play.end(op, 1, Ending::Broken);
+    play.end(op, 1, AttemptOutcome::ConnectionLost);
     assert_eq!(play.model.ops[op].answers, ["dead-lettered"]);
 }
 
@@ -180,11 +188,11 @@
 fn a_deduplicated_op_goes_again_within_its_pod_and_window() {
     let mut play = Play::new(6);
     let op = play.op(1);
-    play.end(op, 0, Ending::Errored);
+    play.end(op, 0, AttemptOutcome::Failed);
     let pushes = &play.model.ops[op].pushes;
     assert_eq!((pushes.len(), pushes[0].server / 3), (2, pushes[1].server / 3));
     play.pass(690.0);
-    play.settle(|_| Some(Ending::Errored));
+    play.settle(|_| Some(AttemptOutcome::Failed));
     assert_eq!(play.model.ops[op].answers, ["dead-lettered"], "too near the window's end");
 }
 
@@ -195,7 +203,7 @@
     let mut waits = Vec::new();
     for _ in 0..8 {
         let now = play.model.now;
-        play.balancer.list_failed(&mut play.model, now);
+        play.balancer.discovery_failed(&mut play.model, now);
         waits.push(play.model.alarms[0].0 - now);
         play.pass(4000.0);
     }
@@ -212,7 +220,7 @@
     let mut play = Play::with(given, 1);
     for _ in 0..8 {
         let now = play.model.now;
-        play.balancer.list_failed(&mut play.model, now);
+        play.balancer.discovery_failed(&mut play.model, now);
         // What came meanwhile counts at once: half of the grace is left to act on it.
         assert!(play.model.alarms[0].0 - now <= 250.0);
         play.pass(4000.0);
@@ -227,7 +235,7 @@
         play.op(0);
     }
     let held = play.out().len();
-    play.end(op, 0, Ending::Errored);
+    play.end(op, 0, AttemptOutcome::Failed);
     assert_eq!((play.model.ops[op].pushes.len(), play.out().len()), (2, held));
     assert!(play.model.ops[op].answers.is_empty(), "not dead-lettered");
 }
@@ -248,7 +256,9 @@
     let (mut counts, mut under_way) = ([0, 0], Vec::new());
     for n in 0..1000 {
         let op = play.op(0);
-        let Some(push) = play.model.ops[op].pushes.first() else { continue };
+        let Some(push) = play.model.ops[op].pushes.first() else {
+            continue;
+        };
         counts[push.server] += 1;
         under_way.push((op, push.server));
         play.pass(20.0);
@@ -257,7 +267,12 @@
         }
         let (op, server) = under_way.remove(0);
         let busy = Some(if server == 0 { 0.27 + f64::from(n % 7) / 100.0 } else { 0.3 });
-        play.end_with(op, 0, Ending::Acked, Load { waiting: Some(0.0), held: None, busy });
+        play.end_with(
+            op,
+            0,
+            AttemptOutcome::Succeeded,
+            LoadReport { queued: Some(0.0), in_flight: None, cpu_utilization: busy },
+        );
     }
     assert!(counts[0] > counts[1], "{counts:?}");
 }
@@ -279,7 +294,7 @@
 }
 
 /// The servers that each of `nodes` nodes draws from, seen by what it sends.
-fn parts(nodes: usize, lines: &[Listed]) -> Vec<BTreeSet<usize>> {
+fn parts(nodes: usize, lines: &[EndpointUpdate]) -> Vec<BTreeSet<usize>> {
     let part = |number| {
         let mut play = Play::with(node(number, nodes), 0);
         play.list(lines, true, false);
@@ -290,7 +305,7 @@
 
 #[test]
 fn all_nodes_together_cover_every_server_evenly() {
-    let lines: Vec<_> = (0..50).map(|s| line(s, Standing::Ready, 0.0)).collect();
+    let lines: Vec<_> = (0..50).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
     let before = parts(100, &lines);
     let nodes_of = |s: usize| before.iter().filter(|part| part.contains(&s)).count();
     let counts: Vec<usize> = (0..50).map(nodes_of).collect();
@@ -305,7 +320,9 @@
 fn a_part_in_trouble_widens() {
     let mut play = Play::with(node(3, 100), 50);
     let own: BTreeSet<usize> = play.run(150, 5.0, |_| ACK).into_keys().collect();
-    let fate = |server| Some(if own.contains(&server) { Ending::Unreachable } else { Ending::Acked });
+    let fate = |server| {
+        Some(if own.contains(&server) { AttemptOutcome::Unreachable } else { AttemptOutcome::Succeeded })
+    };
     play.run(400, 20.0, fate);
     let counts = play.run(200, 20.0, fate);
     let others: usize = counts.iter().filter(|(s, _)| !own.contains(s)).map(|(_, n)| n).sum();
@@ -322,7 +339,7 @@
         let mut play = Play::with(node(number, nodes), servers);
         play.run(40, 500.0, |_| ACK);
         let start = play.model.now;
-        play.list(&[line(0, Standing::Ready, start)], false, false);
+        play.list(&[line(0, EndpointState::Ready, start)], false, false);
         play.pass(5.0 * (number % 100) as f64);
         play.run(6, 500.0, |_| ACK);
         let pushes = play.model.ops.iter().flat_map(|o| &o.pushes);
@@ -354,8 +371,9 @@
     let (mut sick, mut sound) = (0, 0);
     for round in 0..40 {
         let bad = round < 10 || (20..30).contains(&round);
-        let counts =
-            play.run(25, 20.0, |s| Some(if s == 2 && bad { Ending::Errored } else { Ending::Acked }));
+        let counts = play.run(25, 20.0, |s| {
+            Some(if s == 2 && bad { AttemptOutcome::Failed } else { AttemptOutcome::Succeeded })
+        });
         sick += counts.get(&2).copied().unwrap_or(0);
         sound += counts.get(&1).copied().unwrap_or(0);
     }
@@ -365,7 +383,7 @@
 #[test]
 fn a_zone_cut_off_is_left_to_the_others() {
     let mut play = Play::new(6);
-    let fate = |server: usize| Some([Ending::Unreachable, Ending::Acked][server % 2]);
+    let fate = |server: usize| Some([AttemptOutcome::Unreachable, AttemptOutcome::Succeeded][server % 2]);
     play.run(300, 20.0, fate);
     let from = play.model.ops.len();
     let counts = play.run(200, 20.0, fate);
@@ -377,21 +395,21 @@
 #[test]
 fn a_single_server_left_takes_what_it_can() {
     let mut play = Play::new(3);
-    play.list(&[line(1, Standing::Gone, 0.0), line(2, Standing::Draining, 0.0)], false, false);
+    play.list(&[line(1, EndpointState::Removed, 0.0), line(2, EndpointState::Draining, 0.0)], false, false);
     let counts = play.run(100, 20.0, |_| ACK);
     assert_eq!(counts.get(&0), Some(&100), "{counts:?}");
 }
 
 #[test]
 fn odd_lists_and_counts_are_borne() {
-    let twice = [line(0, Standing::Ready, 0.0), line(0, Standing::Draining, 0.0)];
+    let twice = [line(0, EndpointState::Ready, 0.0), line(0, EndpointState::Draining, 0.0)];
     let mut play = Play::with(node(9, 0), 0);
     play.op(0);
     assert_eq!(play.model.ops[0].answers, ["nacked"], "an empty list");
     play.list(&twice, true, false);
     play.op(0);
     assert_eq!(play.model.ops[1].answers, ["nacked"], "the later line holds");
-    let many: Vec<_> = (0..3000).map(|s| line(s, Standing::Ready, 0.0)).collect();
+    let many: Vec<_> = (0..3000).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
     play.list(&many, true, false);
     let counts = play.run(50, 20.0, |_| ACK);
     assert_eq!(counts.values().sum::<usize>(), 50);
@@ -400,69 +418,78 @@
 #[test]
 fn the_dispatcher_returns_what_the_module_says() {
     let mut dispatcher = Dispatcher::new(duties(), 7).expect("all duties are given");
-    let lines: Vec<_> = (0..2).map(|s| line(s, Standing::Ready, 0.0)).collect();
-    dispatcher.list(50_000.0, &lines, true, true);
+    let lines: Vec<_> = (0..2).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
+    dispatcher.update_endpoints(50_000.0, &lines, true, true);
     assert_eq!(dispatcher.next_tick(), Some(0.0), "a cached list is to be followed at once");
-    assert!(dispatcher.wants_list() && !dispatcher.wants_list());
-    let arrival = Arrival { op: 3, category: 2, customer: None, ttl: TTL, retry: false, key: None };
-    let first = dispatcher.pick(50_000.0, &arrival);
-    assert_eq!((first.picks.len(), first.given_up), (1, None));
-    let end = |push, ending| PushEnd {
-        op: 3,
-        push,
-        ending,
-        took: 5.0,
-        closed: ending == Ending::Acked,
-        load: Load::default(),
+    assert!(dispatcher.take_list_request() && !dispatcher.take_list_request());
+    let arrival =
+        NewRequest { request: 3, class: 2, tenant: None, ttl_ms: TTL, client_retry: false, key: None };
+    let first = dispatcher.request_arrived(50_000.0, &arrival);
+    assert_eq!((first.attempts.len(), first.final_answer), (1, None));
+    let end = |push, ending| AttemptResult {
+        request: 3,
+        attempt: push,
+        outcome: ending,
+        duration_ms: 5.0,
+        request_closed: ending == AttemptOutcome::Succeeded,
+        load: LoadReport::default(),
     };
-    let second = dispatcher.report(50_005.0, &end(0, Ending::TurnedAway));
-    assert_ne!(second.picks[0].server, first.picks[0].server);
-    let last = dispatcher.report(50_010.0, &end(1, Ending::Errored));
-    assert_eq!((last.picks.len(), last.given_up), (0, Some(GivenUp::DeadLettered)));
-    assert_eq!(dispatcher.report(50_020.0, &end(1, Ending::Errored)), Next::default());
-    dispatcher.list_failed(50_030.0);
+    let second = dispatcher.attempt_ended(50_005.0, &end(0, AttemptOutcome::Rejected));
+    assert_ne!(second.attempts[0].endpoint, first.attempts[0].endpoint);
+    let last = dispatcher.attempt_ended(50_010.0, &end(1, AttemptOutcome::Failed));
+    assert_eq!((last.attempts.len(), last.final_answer), (0, Some(FinalAnswer::Failed)));
+    assert_eq!(dispatcher.attempt_ended(50_020.0, &end(1, AttemptOutcome::Failed)), NextSteps::default());
+    dispatcher.discovery_failed(50_030.0);
     let due = dispatcher.next_tick().expect("it asks again");
-    assert!(due > 50_030.0 && !dispatcher.wants_list());
-    assert!(dispatcher.tick(due, due).is_empty() && dispatcher.wants_list());
+    assert!(due > 50_030.0 && !dispatcher.take_list_request());
+    assert!(dispatcher.tick(due, due).is_empty() && dispatcher.take_list_request());
 }
 
 #[test]
 fn servers_that_are_replaced_for_ever_leave_no_names_and_no_records() {
-    let (mut names, _) = Names::read(&json!({}));
+    let (mut names, _) = NameIndex::from_settings(&json!({}));
     let mut dispatcher = Dispatcher::new(duties(), 7).expect("all duties are given");
     let mut told = |round: u64, dispatcher: &mut Dispatcher| {
-        let new = names.line(round, Standing::Ready, ("a", ""), None, 0.0);
-        let old = names.line(round.wrapping_sub(1), Standing::Gone, ("a", ""), None, 0.0);
-        dispatcher.list(50_000.0 + 1000.0 * round as f64, &[old, new], false, false);
-        names.keep(|server| dispatcher.holds(server));
-        assert_eq!(names.mark(new.server), round);
+        let new = names.endpoint_update(round, EndpointState::Ready, ("a", ""), None, 0.0);
+        let old = names.endpoint_update(round.wrapping_sub(1), EndpointState::Removed, ("a", ""), None, 0.0);
+        dispatcher.update_endpoints(50_000.0 + 1000.0 * round as f64, &[old, new], false, false);
+        names.retain_endpoints(|server| dispatcher.knows_endpoint(server));
+        assert_eq!(names.stable_hash(new.endpoint), round);
         new
     };
     let first = told(0, &mut dispatcher);
     let ttl = 1000.0 * TTL;
-    let arrival = Arrival { op: 3, category: 2, customer: None, ttl, retry: false, key: None };
-    assert_eq!(dispatcher.pick(50_000.0, &arrival).picks[0].server, first.server);
+    let arrival =
+        NewRequest { request: 3, class: 2, tenant: None, ttl_ms: ttl, client_retry: false, key: None };
+    assert_eq!(dispatcher.request_arrived(50_000.0, &arrival).attempts[0].endpoint, first.endpoint);
     for round in 1..500 {
         let new = told(round, &mut dispatcher);
-        assert!(new.server < 70 && new.pod < 70, "a minute's worth: {new:?}");
-        assert_ne!(new.server, first.server, "its push is still out");
+        assert!(new.endpoint < 70 && new.pod < 70, "a minute's worth: {new:?}");
+        assert_ne!(new.endpoint, first.endpoint, "its push is still out");
     }
     // The late report finds the server that it is about; once it is in, the index is free.
-    let load = Load::default();
-    let end = PushEnd { op: 3, push: 0, ending: Ending::Errored, took: 9.0, closed: false, load };
-    assert_eq!(dispatcher.report(550_000.0, &end).given_up, Some(GivenUp::DeadLettered));
-    assert!((500..600)
-        .any(|round| told(round, &mut dispatcher).server == first.server || !dispatcher.holds(first.server)));
+    let load = LoadReport::default();
+    let end = AttemptResult {
+        request: 3,
+        attempt: 0,
+        outcome: AttemptOutcome::Failed,
+        duration_ms: 9.0,
+        request_closed: false,
+        load,
+    };
+    assert_eq!(dispatcher.attempt_ended(550_000.0, &end).final_answer, Some(FinalAnswer::Failed));
+    assert!((500..600).any(|round| told(round, &mut dispatcher).endpoint == first.endpoint
+        || !dispatcher.knows_endpoint(first.endpoint)));
 }
 
 #[test]
 fn a_figure_that_can_not_be_is_none() {
-    let mut load = Load::default();
+    let mut load = LoadReport::default();
     for value in [f64::NAN, f64::INFINITY, -1.0, 1e300] {
-        figure(&mut load, "queue", value);
+        set_load_value(&mut load, "queue", value);
     }
-    figure(&mut load, "inflight", 3.0);
-    assert_eq!(load, Load { held: Some(3.0), ..Load::default() });
+    set_load_value(&mut load, "inflight", 3.0);
+    assert_eq!(load, LoadReport { in_flight: Some(3.0), ..LoadReport::default() });
 }
 
 #[test]
@@ -495,16 +522,16 @@
         let op = play.op(k % 2);
         for _ in 0..40 {
             play.pass(10.0);
-            play.settle(|server| (server != 0).then_some(Ending::Acked));
+            play.settle(|server| (server != 0).then_some(AttemptOutcome::Succeeded));
         }
         if play.model.ops[op].pushes.iter().any(|p| p.out) {
             // The node carries the cancel out.
-            play.end(op, 0, Ending::Cancelled);
+            play.end(op, 0, AttemptOutcome::Cancelled);
         }
     }
     let ops = &play.model.ops[from..];
     assert!(
-        ops.iter().all(|op| op.answers == ["acked"] || op.effect == Effect::Deduplicated),
+        ops.iter().all(|op| op.answers == ["acked"] || op.effect == Idempotency::IdempotentWithKey),
         "saved by a second copy"
     );
     let late = ops[20..].iter().filter(|op| op.pushes[0].server == 0).count();
@@ -567,7 +594,7 @@
     let mut play = Play::with(asked_duties(), 2);
     play.op(0);
     let start = play.model.now;
-    play.list(&[0, 1].map(|s| line(s, Standing::Ready, start - 20_000.0)), false, false);
+    play.list(&[0, 1].map(|s| line(s, EndpointState::Ready, start - 20_000.0)), false, false);
     play.tell(|_| Some(500.0));
     play.pass(50.0);
     play.settle(|_| ACK);
@@ -655,13 +682,18 @@
 #[test]
 fn a_push_has_its_ops_time_where_no_second_copy_may_go() {
     let mut dispatcher = Dispatcher::new(asked_duties(), 7).expect("all duties are given");
-    dispatcher.list(50_000.0, &[line(0, Standing::Ready, 0.0)], true, false);
-    let arrival = Arrival { op: 3, category: 1, customer: None, ttl: TTL, retry: false, key: None };
-    assert!(dispatcher.pick(50_000.0, &arrival).picks.is_empty(), "it asks first");
-    assert_eq!(dispatcher.wants_probes(), [0]);
-    dispatcher.probed(50_010.0, 0, Some(Load { held: Some(0.0), ..Load::default() }));
+    dispatcher.update_endpoints(50_000.0, &[line(0, EndpointState::Ready, 0.0)], true, false);
+    let arrival =
+        NewRequest { request: 3, class: 1, tenant: None, ttl_ms: TTL, client_retry: false, key: None };
+    assert!(dispatcher.request_arrived(50_000.0, &arrival).attempts.is_empty(), "it asks first");
+    assert_eq!(dispatcher.take_probes(), [0]);
+    dispatcher.probe_ended(50_010.0, 0, Some(LoadReport { in_flight: Some(0.0), ..LoadReport::default() }));
     let next = dispatcher.tick(50_010.0, 50_010.0);
-    assert_eq!(next[0].1.picks[0].patience, TTL - 10.0, "a heavy op is not called off to be begun again");
+    assert_eq!(
+        next[0].1.attempts[0].timeout_ms,
+        TTL - 10.0,
+        "a heavy op is not called off to be begun again"
+    );
 }
 
 #[test]
@@ -702,9 +734,9 @@
     play.suspend(1);
     play.run(30, 20.0, |_| ACK);
     let now = play.model.now;
-    play.list(&[line(1, Standing::Gone, 0.0)], false, false);
+    play.list(&[line(1, EndpointState::Removed, 0.0)], false, false);
     play.pass(70_000.0);
-    play.list(&[line(1, Standing::Ready, now)], false, false);
+    play.list(&[line(1, EndpointState::Ready, now)], false, false);
     assert!(!play.run(60, 20.0, |_| ACK).contains_key(&1));
     play.resume(1);
     // The list has not told its last start: it counts from here.
@@ -720,12 +752,12 @@
 fn a_server_suspended_before_any_list_gets_nothing() {
     let mut play = Play::new(0);
     play.suspend(2);
-    play.list(&[line(1, Standing::Ready, 0.0), line(2, Standing::Ready, 0.0)], true, false);
+    play.list(&[line(1, EndpointState::Ready, 0.0), line(2, EndpointState::Ready, 0.0)], true, false);
     assert!(!play.run(30, 20.0, |_| ACK).contains_key(&2));
     play.suspend(1);
     let op = play.op(0);
     assert_eq!(play.model.ops[op].answers, ["nacked"], "at once, with all servers out");
-    assert_eq!(play.balancer.census(), (2, 2));
+    assert_eq!(play.balancer.endpoint_counts(), (2, 2));
 }
 
 #[test]
@@ -735,15 +767,15 @@
     let (old, kept) = (play.op(0), play.model.now);
     play.renew(duties(), 2, 1);
     let new = play.op(0);
-    play.end(old, 0, Ending::Broken);
-    play.end(new, 0, Ending::Broken);
+    play.end(old, 0, AttemptOutcome::ConnectionLost);
+    play.end(new, 0, AttemptOutcome::ConnectionLost);
     assert_eq!(play.model.ops[old].pushes.len(), 2, "redeliverable still");
     assert_eq!(play.model.ops[new].answers, ["dead-lettered"], "at-most-once from then on");
     assert_eq!(play.model.now, kept);
     // What was learnt is still there: an answer at the old pace is no surprise.
     let mut given = duties();
     given.remove("cold-time");
-    assert!(play.balancer.renew(given).is_err_and(|e| e.contains("cold-time")));
+    assert!(play.balancer.update_settings(given).is_err_and(|e| e.contains("cold-time")));
 }
 
 /// Pushes to a cold server of a node that has such a share of itself, and of a told node's budget.
@@ -751,8 +783,8 @@
     let mut play = Play::new(3);
     play.run(400, 10.0, |_| ACK);
     let now = play.model.now;
-    play.list(&[line(3, Standing::Ready, now)], false, false);
-    play.balancer.share(share, None, cold);
+    play.list(&[line(3, EndpointState::Ready, now)], false, false);
+    play.balancer.set_process_share(share, None, cold);
     play.run(400, 2.5, |_| ACK).get(&3).copied().unwrap_or(0)
 }
 
@@ -779,7 +811,7 @@
             let push = play.model.ops[op].pushes.len();
             out += push;
             if push > 0 && begins {
-                play.balancer.began(play.model.now, op, 0, false);
+                play.balancer.streaming(play.model.now, op, 0, false);
             }
         }
         out
@@ -790,12 +822,12 @@
     let mut play = Play::new(2);
     let ops: Vec<usize> = (0..30).map(|_| play.op(0)).collect();
     for op in ops.iter().filter(|op| !play.model.ops[**op].pushes.is_empty()) {
-        play.balancer.began(play.model.now, *op, 0, false);
-        play.balancer.began(play.model.now, *op, 0, true);
+        play.balancer.streaming(play.model.now, *op, 0, false);
+        play.balancer.streaming(play.model.now, *op, 0, true);
     }
     let more = play.op(0);
     assert_eq!(play.model.ops[more].answers, ["nacked"]);
-    play.end(ops[0], 0, Ending::Broken);
+    play.end(ops[0], 0, AttemptOutcome::ConnectionLost);
     assert_eq!(play.model.ops[ops[0]].pushes.len(), 1, "bound to the one that it went to");
 }
 
@@ -805,14 +837,14 @@
     old.run(400, 10.0, |_| ACK);
     let cold = |play: &mut Play, now: f64| {
         play.model.now = now;
-        play.list(&[line(4, Standing::Ready, now)], false, false);
+        play.list(&[line(4, EndpointState::Ready, now)], false, false);
         // Seven a second are this node's part at first, and none is spent before it is due.
         play.run(120, 2.5, |_| ACK).get(&4).copied().unwrap_or(0)
     };
     let now = old.model.now;
     let (mut heir, mut stranger) = (Play::new(4), Play::new(4));
-    heir.balancer.inherit(&old.balancer.experience());
-    assert_eq!(heir.balancer.experience(), old.balancer.experience());
+    heir.balancer.restore_learned_state(&old.balancer.learned_state());
+    assert_eq!(heir.balancer.learned_state(), old.balancer.learned_state());
     assert!(cold(&mut heir, now) > 0);
     assert_eq!(cold(&mut stranger, now), 0, "it knows of no server what it bears");
 }
--- a/tests/module/fleet.rs
+++ b/tests/module/fleet.rs
@@ -2,10 +2,10 @@
 //! harmless in all.
 
 use crate::help::{line, node, Play, TTL};
-use crankmux::words::{Ending, Listed, Load, Standing};
+use crankmux::types::{AttemptOutcome, EndpointState, EndpointUpdate, LoadReport};
 use std::collections::BTreeMap;
 
-const ACK: Option<Ending> = Some(Ending::Acked);
+const ACK: Option<AttemptOutcome> = Some(AttemptOutcome::Succeeded);
 
 #[test]
 fn a_node_of_many_does_not_take_a_few_own_pushes_for_a_crowd() {
@@ -13,17 +13,17 @@
     // One late answer, and three pushes out looked like nineteen of nineteen, though the fourth stands idle.
     let mut play = Play::with(node(3, 100), 60);
     // Only a report that differs from the last is news.
-    let load = |waiting: f64, round: usize| Load {
-        held: Some(1.0 + waiting + 0.01 * (round % 9) as f64),
-        waiting: Some(waiting),
-        ..Load::default()
+    let load = |waiting: f64, round: usize| LoadReport {
+        in_flight: Some(1.0 + waiting + 0.01 * (round % 9) as f64),
+        queued: Some(waiting),
+        ..LoadReport::default()
     };
     let tell = |play: &mut Play, waiting: f64| {
         for round in 0..40 {
             play.op(0);
             play.pass(if round == 0 { 450.0 } else { 80.0 });
             while let Some((op, push)) = play.out().pop() {
-                play.end_with(op, push, Ending::Acked, load(waiting, round));
+                play.end_with(op, push, AttemptOutcome::Succeeded, load(waiting, round));
             }
         }
     };
@@ -47,11 +47,15 @@
         for round in 0..20 {
             let told = play.op(0);
             play.pass(20.0);
-            let load = Load { held: Some(2.0 + 0.01 * f64::from(round)), waiting: Some(waiting), busy: None };
-            play.end_with(told, 0, Ending::Acked, load);
+            let load = LoadReport {
+                in_flight: Some(2.0 + 0.01 * f64::from(round)),
+                queued: Some(waiting),
+                cpu_utilization: None,
+            };
+            play.end_with(told, 0, AttemptOutcome::Succeeded, load);
             let lost = play.op(2);
             play.pass(TTL - 1.0);
-            play.end(lost, 0, Ending::TimedOut);
+            play.end(lost, 0, AttemptOutcome::TimedOut);
         }
         for _ in 0..6 {
             play.op(0);
@@ -77,9 +81,9 @@
                     let p = &play.model.ops[op].pushes[push];
                     let (server, end) = (p.server, play.model.ops[op].ends);
                     if !cut || server % 2 == 0 {
-                        play.end(op, push, Ending::Acked);
+                        play.end(op, push, AttemptOutcome::Succeeded);
                     } else if play.model.now >= end {
-                        play.end(op, push, Ending::TimedOut);
+                        play.end(op, push, AttemptOutcome::TimedOut);
                     }
                 }
             }
@@ -112,13 +116,14 @@
     // are cold. One in eight fails all it gets. Seventy nodes start at one moment and know nothing.
     let (nodes, servers) = (100, 40_usize);
     let cold = |s: usize| s % 10 == 5;
-    let old: Vec<Listed> = (0..servers).map(|s| line(s, Standing::Ready, 0.0)).collect();
+    let old: Vec<EndpointUpdate> = (0..servers).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
     let mut first: BTreeMap<usize, usize> = BTreeMap::new();
     let mut cold_at = Vec::new();
     for number in 0..nodes {
         let mut play = Play::with(node(number, nodes), 0);
         play.list(&old, true, true);
-        let fate = |s: usize| Some(if s % 8 == 1 { Ending::Errored } else { Ending::Acked });
+        let fate =
+            |s: usize| Some(if s % 8 == 1 { AttemptOutcome::Failed } else { AttemptOutcome::Succeeded });
         if number % 10 >= 7 {
             play.run(40, 250.0, fate);
         } else {
@@ -126,8 +131,11 @@
         }
         let start = play.model.now;
         // What discovery tells them in the same moment.
-        let news: Vec<Listed> =
-            old.iter().filter(|l| cold(l.server)).map(|l| Listed { started: start, ..*l }).collect();
+        let news: Vec<EndpointUpdate> = old
+            .iter()
+            .filter(|l| cold(l.endpoint))
+            .map(|l| EndpointUpdate { started_at_ms: start, ..*l })
+            .collect();
         play.list(&news, false, false);
         let from = play.model.ops.len();
         play.op(0);
--- a/tests/module/help.rs
+++ b/tests/module/help.rs
@@ -1,19 +1,20 @@
 //! The one file of helpers: a slow, plain model of the rules that stands where the outlet does, and short
 //! ways to make lists, ops and results.
 
-use crankmux::balance::Balancer;
-use crankmux::words::*;
+use crankmux::balancer::Balancer;
+use crankmux::types::*;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
-pub const EFFECTS: [Effect; 3] = [Effect::Redeliverable, Effect::Deduplicated, Effect::AtMostOnce];
+pub const EFFECTS: [Idempotency; 3] =
+    [Idempotency::Idempotent, Idempotency::IdempotentWithKey, Idempotency::NotIdempotent];
 pub const WINDOW: f64 = 700.0;
 pub const TTL: f64 = 1000.0;
 pub const MOST_PUSHES: usize = 4;
 
 /// Three categories, one of each effect; the deduplicated one's repeats are dropped within its pod.
-pub fn duties() -> Given {
-    let mut given = Given::new();
+pub fn duties() -> SettingsMap {
+    let mut given = SettingsMap::new();
     for (name, value) in [
         ("balancers", json!(1)),
         ("categories", json!(3)),
@@ -51,7 +52,7 @@
 #[derive(Default)]
 pub struct Taken {
     /// As its category's terms stood when it came.
-    pub effect: Effect,
+    pub effect: Idempotency,
     pub most: usize,
     pub category: usize,
     pub places: Places,
@@ -63,7 +64,7 @@
 /// The zones and the kinds that a category is bound to.
 pub type Places = [Option<Vec<usize>>; 2];
 
-fn places(given: &Given, category: usize) -> Places {
+fn places(given: &SettingsMap, category: usize) -> Places {
     ["only-zones", "only-kinds"].map(|name| {
         let named = given.get(&format!("category.{category}.{name}"))?.as_array()?.iter();
         Some(named.map(|place| place.as_u64().unwrap() as usize).collect())
@@ -74,7 +75,7 @@
 #[derive(Default)]
 pub struct Model {
     pub now: f64,
-    pub list: BTreeMap<usize, Listed>,
+    pub list: BTreeMap<usize, EndpointUpdate>,
     pub ops: Vec<Taken>,
     pub alarms: Vec<(f64, u64)>,
     pub follows: usize,
@@ -99,28 +100,31 @@
     }
 }
 
-impl Outlet for Model {
-    fn push(&mut self, op: usize, server: usize, patience: f64) {
+impl Actions for Model {
+    fn start_attempt(&mut self, op: usize, server: usize, patience: f64) {
         let (now, to) = (self.now, self.list[&server]);
         let pod = |id: usize| self.list[&id].pod;
         let op = &self.ops[op];
         for [zones, kinds] in [&op.places, &self.places[op.category]] {
             assert!(zones.as_ref().is_none_or(|only| only.contains(&to.zone)), "a push to a closed zone");
-            assert!(kinds.as_ref().is_none_or(|only| only.contains(&to.kind)), "a push to a closed kind");
+            assert!(
+                kinds.as_ref().is_none_or(|only| only.contains(&to.machine_class)),
+                "a push to a closed kind"
+            );
         }
         assert!(op.answers.is_empty() && now < op.ends && patience > 0.0, "a push after the end");
-        assert!(to.standing == Standing::Ready, "a push to a server that drains or is gone");
+        assert!(to.state == EndpointState::Ready, "a push to a server that drains or is gone");
         assert!(!self.suspended.contains(&server), "a push to a suspended server");
         assert!(op.pushes.len() < op.most, "a push too many");
         assert!(!self.one_at_a_time || op.pushes.iter().all(|p| !p.out), "two pushes out");
         for earlier in op.pushes.iter().filter(|p| p.may_have_run) {
             match op.effect {
-                Effect::Redeliverable => {}
-                Effect::Deduplicated => {
+                Idempotency::Idempotent => {}
+                Idempotency::IdempotentWithKey => {
                     assert!(pod(earlier.server) == to.pod, "a repeat outside its pod");
                     assert!(now - earlier.at <= WINDOW, "a repeat outside its window");
                 }
-                Effect::AtMostOnce => panic!("an at-most-once op may run twice"),
+                Idempotency::NotIdempotent => panic!("an at-most-once op may run twice"),
             }
         }
         let id = self.ops.iter().position(|o| std::ptr::eq(o, op)).unwrap();
@@ -137,33 +141,33 @@
         assert!(push < self.ops[op].pushes.len(), "a cancel of a push never made");
     }
 
-    fn nack(&mut self, op: usize, come_back: f64) {
+    fn reject(&mut self, op: usize, come_back: f64) {
         let ran = self.ops[op].pushes.iter().any(|p| p.may_have_run);
-        let harmless = self.ops[op].effect == Effect::Redeliverable || !ran;
+        let harmless = self.ops[op].effect == Idempotency::Idempotent || !ran;
         assert!(harmless, "a nack of what may have run");
         assert!((0.0..=500.0).contains(&come_back));
         self.answer(op, "nacked");
     }
 
-    fn dead_letter(&mut self, op: usize) {
+    fn fail(&mut self, op: usize) {
         self.answer(op, "dead-lettered");
     }
 
-    fn wake(&mut self, at: f64, alarm: u64) {
+    fn set_timer(&mut self, at: f64, alarm: u64) {
         self.alarms.push((at, alarm));
     }
 
-    fn follow_list(&mut self) {
+    fn watch_endpoints(&mut self) {
         self.follows += 1;
     }
 
-    fn ask_list(&mut self) {
+    fn poll_endpoints(&mut self) {
         self.asks += 1;
     }
 }
 
 /// Duties where servers tell their load only when asked, no second copy is allowed, and a key's work is kept.
-pub fn asked_duties() -> Given {
+pub fn asked_duties() -> SettingsMap {
     let mut given = duties();
     for name in ["load-must-be-asked", "may-probe", "servers-know-keys"] {
         given.insert(name.into(), json!(true));
@@ -173,7 +177,7 @@
 }
 
 /// Duties where one category is bound to a zone, one to kinds of machine, and one to neither.
-pub fn placed_duties(zone: usize, kinds: &[usize]) -> Given {
+pub fn placed_duties(zone: usize, kinds: &[usize]) -> SettingsMap {
     let mut given = duties();
     given.insert("category.2.only-zones".into(), json!([zone]));
     given.insert("category.1.only-kinds".into(), json!(kinds));
@@ -181,7 +185,7 @@
 }
 
 /// One node of many.
-pub fn node(number: usize, of: usize) -> Given {
+pub fn node(number: usize, of: usize) -> SettingsMap {
     let mut given = duties();
     given.insert("balancers".into(), json!(of));
     given.insert("my-number".into(), json!(number));
@@ -199,41 +203,41 @@
         Self::with(duties(), servers)
     }
 
-    pub fn with(given: Given, servers: usize) -> Self {
+    pub fn with(given: SettingsMap, servers: usize) -> Self {
         let seed = given.get("my-number").and_then(|n| n.as_u64()).unwrap_or(7);
         let one_at_a_time = given.get("second-copies") == Some(&json!(false));
         let places = (0..3).map(|category| places(&given, category)).collect();
         let balancer = Balancer::new(given, seed).expect("all duties are given");
         let model = Model { now: 50_000.0, one_at_a_time, most: MOST_PUSHES, places, ..Model::default() };
         let mut play = Play { balancer, model };
-        let lines: Vec<_> = (0..servers).map(|s| line(s, Standing::Ready, 0.0)).collect();
+        let lines: Vec<_> = (0..servers).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
         play.list(&lines, true, true);
         play
     }
 
-    pub fn list(&mut self, lines: &[Listed], whole: bool, cached: bool) {
+    pub fn list(&mut self, lines: &[EndpointUpdate], whole: bool, cached: bool) {
         if whole {
-            self.model.list.values_mut().for_each(|l| l.standing = Standing::Gone);
+            self.model.list.values_mut().for_each(|l| l.state = EndpointState::Removed);
         }
         for line in lines {
-            self.model.list.insert(line.server, *line);
+            self.model.list.insert(line.endpoint, *line);
         }
         let now = self.model.now;
-        self.balancer.list(&mut self.model, now, lines, whole, cached);
+        self.balancer.update_endpoints(&mut self.model, now, lines, whole, cached);
     }
 
     pub fn suspend(&mut self, server: usize) {
         self.model.suspended.insert(server);
-        self.balancer.suspend(self.model.now, server);
+        self.balancer.disable_endpoint(self.model.now, server);
     }
 
     pub fn resume(&mut self, server: usize) {
         self.model.suspended.remove(&server);
-        self.balancer.resume(self.model.now, server);
+        self.balancer.enable_endpoint(self.model.now, server);
     }
 
     /// New settings: effects moved on by so many places, and so many pushes an op.
-    pub fn renew(&mut self, mut given: Given, moved: usize, most: usize) {
+    pub fn renew(&mut self, mut given: SettingsMap, moved: usize, most: usize) {
         for k in 0..3 {
             let effect = ["redeliverable", "deduplicated", "at-most-once"][(k + moved) % 3];
             given.insert(format!("category.{k}.effect"), json!(effect));
@@ -241,7 +245,7 @@
         given.insert("most-pushes".into(), json!(most));
         self.model.places = (0..3).map(|category| places(&given, category)).collect();
         (self.model.moved, self.model.most) = (moved, most);
-        self.balancer.renew(given).expect("all duties are given");
+        self.balancer.update_settings(given).expect("all duties are given");
     }
 
     pub fn pass(&mut self, time: f64) {
@@ -254,7 +258,7 @@
             self.model.alarms.remove(place);
             self.model.now = self.model.now.max(at);
             let now = self.model.now;
-            self.balancer.woken(&mut self.model, now, alarm);
+            self.balancer.timer_expired(&mut self.model, now, alarm);
         }
         self.model.now = till;
     }
@@ -279,41 +283,56 @@
         let places = self.model.places[category].clone();
         let (most, ends) = (self.model.most, now + TTL);
         self.model.ops.push(Taken { effect, most, category, places, ends, ..Taken::default() });
-        let arrival = Arrival { op, category, customer, ttl: TTL, retry, key };
-        self.balancer.arrive(&mut self.model, now, &arrival);
+        let arrival = NewRequest {
+            request: op,
+            class: category,
+            tenant: customer,
+            ttl_ms: TTL,
+            client_retry: retry,
+            key,
+        };
+        self.balancer.request_arrived(&mut self.model, now, &arrival);
         op
     }
 
-    pub fn end(&mut self, op: usize, push: usize, ending: Ending) {
-        self.end_with(op, push, ending, Load::default());
+    pub fn end(&mut self, op: usize, push: usize, ending: AttemptOutcome) {
+        self.end_with(op, push, ending, LoadReport::default());
     }
 
-    pub fn end_with(&mut self, op: usize, push: usize, ending: Ending, load: Load) {
+    pub fn end_with(&mut self, op: usize, push: usize, ending: AttemptOutcome, load: LoadReport) {
         let now = self.model.now;
         let sent = &mut self.model.ops[op].pushes[push];
-        (sent.out, sent.may_have_run) = (false, !ending.never_ran());
+        (sent.out, sent.may_have_run) = (false, !ending.never_executed());
         let took = now - sent.at;
-        if ending == Ending::Acked && self.model.ops[op].answers.is_empty() {
+        if ending == AttemptOutcome::Succeeded && self.model.ops[op].answers.is_empty() {
             self.model.ops[op].answers.push("acked");
         }
         let closed = !self.model.ops[op].answers.is_empty();
-        let end = PushEnd { op, push, ending, took, closed, load };
-        self.balancer.push_ended(&mut self.model, now, &end);
+        let end = AttemptResult {
+            request: op,
+            attempt: push,
+            outcome: ending,
+            duration_ms: took,
+            request_closed: closed,
+            load,
+        };
+        self.balancer.attempt_ended(&mut self.model, now, &end);
     }
 
     /// Answers all probes that are out: what each server holds, or nothing.
     pub fn tell(&mut self, held: impl Fn(usize) -> Option<f64>) -> Vec<usize> {
         let probes = std::mem::take(&mut self.model.probes);
         for server in &probes {
-            let load = held(*server).map(|held| Load { held: Some(held), ..Load::default() });
+            let load =
+                held(*server).map(|held| LoadReport { in_flight: Some(held), ..LoadReport::default() });
             let now = self.model.now;
-            self.balancer.probed(&mut self.model, now, *server, load);
+            self.balancer.probe_ended(&mut self.model, now, *server, load);
         }
         probes
     }
 
     /// Ends of what is out, as `fate` says by server; those it leaves stay out.
-    pub fn settle(&mut self, fate: impl Fn(usize) -> Option<Ending>) {
+    pub fn settle(&mut self, fate: impl Fn(usize) -> Option<AttemptOutcome>) {
         for (op, push) in self.out() {
             if let Some(ending) = fate(self.model.ops[op].pushes[push].server) {
                 self.end(op, push, ending);
@@ -332,7 +351,7 @@
         &mut self,
         ops: usize,
         time: f64,
-        fate: impl Fn(usize) -> Option<Ending>,
+        fate: impl Fn(usize) -> Option<AttemptOutcome>,
     ) -> BTreeMap<usize, usize> {
         let from = self.model.ops.len();
         for _ in 0..ops {
@@ -349,14 +368,14 @@
 }
 
 /// Servers stand in pods of three and in two zones.
-pub fn line(server: usize, standing: Standing, started: f64) -> Listed {
-    Listed {
-        server,
-        mark: server as u64,
-        standing,
+pub fn line(server: usize, standing: EndpointState, started: f64) -> EndpointUpdate {
+    EndpointUpdate {
+        endpoint: server,
+        stable_hash: server as u64,
+        state: standing,
         zone: server % 2,
-        kind: server % 3,
+        machine_class: server % 3,
         pod: server / 3,
-        started,
+        started_at_ms: started,
     }
 }
--- a/tests/module/loads.rs
+++ b/tests/module/loads.rs
@@ -1,13 +1,13 @@
 //! What reports, answers held for readers and keys make of the draw.
 
 use crate::help::{duties, node, Play, TTL};
-use crankmux::words::{Ending, Given, Load};
+use crankmux::types::{AttemptOutcome, LoadReport, SettingsMap};
 use serde_json::json;
 use std::collections::BTreeMap;
 
-const ACK: Option<Ending> = Some(Ending::Acked);
+const ACK: Option<AttemptOutcome> = Some(AttemptOutcome::Succeeded);
 
-fn with(mut given: Given, more: &[(&str, serde_json::Value)]) -> Given {
+fn with(mut given: SettingsMap, more: &[(&str, serde_json::Value)]) -> SettingsMap {
     for (name, value) in more {
         given.insert((*name).into(), value.clone());
     }
@@ -26,7 +26,12 @@
             // A little noise, or the report would look like the last one.
             let told = report(play.model.ops[op].pushes[push].server);
             let busy = told.map(|busy| busy + (n % 5) as f64 / 1000.0);
-            play.end_with(op, push, Ending::Acked, Load { busy, ..Load::default() });
+            play.end_with(
+                op,
+                push,
+                AttemptOutcome::Succeeded,
+                LoadReport { cpu_utilization: busy, ..LoadReport::default() },
+            );
         }
     }
     let mut counts = BTreeMap::new();
@@ -70,7 +75,7 @@
 }
 
 /// A node that can hold a few answers, asks servers for their load, and loses all by a late answer.
-fn few() -> Given {
+fn few() -> SettingsMap {
     let more = [("held-answers", json!(4)), ("category.0.late-benefit", json!(0.0))];
     with(duties(), &more)
 }
@@ -100,7 +105,7 @@
     let mut play = Play::with(few(), 2);
     let op = play.op(0);
     play.pass(100.0);
-    play.balancer.began(play.model.now, op, 0, false);
+    play.balancer.streaming(play.model.now, op, 0, false);
     play.pass(500.0);
     assert!(play.model.ops[op].answers.is_empty(), "its client reads it");
 }
@@ -114,11 +119,16 @@
         play.pass(100.0);
         let busy = Some(report + f64::from(round % 5) / 1000.0);
         if !play.model.ops[other].pushes.is_empty() {
-            play.end_with(other, 0, Ending::Acked, Load { busy, ..Load::default() });
+            play.end_with(
+                other,
+                0,
+                AttemptOutcome::Succeeded,
+                LoadReport { cpu_utilization: busy, ..LoadReport::default() },
+            );
         }
         play.pass(301.0);
         if !play.model.ops[slow].pushes.is_empty() {
-            play.end(slow, 0, Ending::Cancelled);
+            play.end(slow, 0, AttemptOutcome::Cancelled);
         }
     }
     for _ in 0..10 {
@@ -135,7 +145,7 @@
 
 #[test]
 fn a_keys_ops_meet_at_one_server_where_answers_tell_load() {
-    let most = |given: Given, key: Option<u64>| {
+    let most = |given: SettingsMap, key: Option<u64>| {
         let mut play = Play::with(given, 8);
         let mut counts: BTreeMap<usize, usize> = BTreeMap::new();
         for _ in 0..200 {
@@ -160,6 +170,7 @@
 fn nodes_that_hear_little_of_each_server_overrate_none() {
     let mut play = Play::with(with(node(3, 20), &[("servers-know-keys", json!(true))]), 40);
     play.run(1500, 40.0, |_| ACK);
-    let peaks: f64 = play.balancer.experience().servers.iter().map(|(_, learnt)| learnt.peak).sum();
+    let peaks: f64 =
+        play.balancer.learned_state().endpoints.iter().map(|(_, learnt)| learnt.peak_throughput).sum();
     assert!((0.01..0.036).contains(&peaks), "{peaks} a millisecond, of 0.025 that all bore");
 }
--- a/tests/module/places.rs
+++ b/tests/module/places.rs
@@ -1,15 +1,20 @@
 //! Categories bound to places, and clocks that differ.
 
 use crate::help::{duties, line, node, placed_duties, Play, MOST_PUSHES, TTL};
-use crankmux::balance::Balancer;
-use crankmux::given::{check, Names};
-use crankmux::words::{Arrival, Ending, Given, Standing};
+use crankmux::balancer::Balancer;
+use crankmux::settings::{validate, NameIndex};
+use crankmux::types::{AttemptOutcome, EndpointState, NewRequest, SettingsMap};
 use serde_json::json;
 
-const ACK: Option<Ending> = Some(Ending::Acked);
+const ACK: Option<AttemptOutcome> = Some(AttemptOutcome::Succeeded);
 
 /// The servers that a number of ops of a category went to, each settled by `fate`.
-fn went(play: &mut Play, category: usize, ops: usize, fate: impl Fn(usize) -> Option<Ending>) -> Vec<usize> {
+fn went(
+    play: &mut Play,
+    category: usize,
+    ops: usize,
+    fate: impl Fn(usize) -> Option<AttemptOutcome>,
+) -> Vec<usize> {
     let from = play.model.ops.len();
     for _ in 0..ops {
         play.op(category);
@@ -30,9 +35,9 @@
     let mut play = Play::with(placed_duties(1, &[0]), 6);
     assert_eq!(went(&mut play, 2, 60, |_| ACK), [1, 3, 5]);
     assert_eq!(went(&mut play, 1, 60, |_| ACK), [0, 3]);
-    let refused = |_| Some(Ending::TurnedAway);
+    let refused = |_| Some(AttemptOutcome::Rejected);
     assert!(went(&mut play, 2, 30, refused).iter().all(|s| s % 2 == 1), "further pushes as well");
-    play.list(&[line(1, Standing::Draining, 0.0), line(3, Standing::Gone, 0.0)], false, false);
+    play.list(&[line(1, EndpointState::Draining, 0.0), line(3, EndpointState::Removed, 0.0)], false, false);
     play.suspend(5);
     let op = play.op(2);
     let taken = &play.model.ops[op];
@@ -47,7 +52,7 @@
         let mut given = node(number, 100);
         given.insert("category.2.only-zones".into(), json!([7]));
         let mut play = Play::with(given, 0);
-        let mut lines: Vec<_> = (0..50).map(|s| line(s, Standing::Ready, 0.0)).collect();
+        let mut lines: Vec<_> = (0..50).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
         lines[13].zone = 7;
         play.list(&lines, true, false);
         assert_eq!(went(&mut play, 2, 3, |_| ACK), [13]);
@@ -59,7 +64,7 @@
     let mut play = Play::with(placed_duties(1, &[0]), 6);
     let op = play.op(2);
     play.renew(placed_duties(0, &[0]), 0, MOST_PUSHES);
-    play.end(op, 0, Ending::TurnedAway);
+    play.end(op, 0, AttemptOutcome::Rejected);
     let taken = &play.model.ops[op];
     assert_eq!((taken.pushes.len(), taken.answers.as_slice()), (1, &["nacked"][..]));
 }
@@ -86,18 +91,18 @@
         (json!({"ZonesAllowed": null}), [true; 3]),
     ] {
         for (server, place) in [("east", "fast"), ("west", "fast"), ("", "")].into_iter().enumerate() {
-            let (mut names, given) = Names::read(&settings(&bound));
-            check(&settings(&bound)).expect("nothing is faulty");
+            let (mut names, given) = NameIndex::from_settings(&settings(&bound));
+            validate(&settings(&bound)).expect("nothing is faulty");
             let mut play = Play::new(0);
             play.balancer = Balancer::new(given, 1).expect("all is given");
-            let line = names.line(9, Standing::Ready, place, None, 0.0);
+            let line = names.endpoint_update(9, EndpointState::Ready, place, None, 0.0);
             play.list(&[line], true, false);
             play.op(0);
             assert_eq!(play.out().len() == 1, goes[server], "{bound} before {place:?}");
         }
     }
     for faulty in [json!({"ZonesAllowed": "east"}), json!({"AllowedOn": [3]}), json!({"AllowedOn": [""]})] {
-        let error = check(&settings(&faulty)).expect_err("a faulty list");
+        let error = validate(&settings(&faulty)).expect_err("a faulty list");
         assert!(error.contains(faulty.as_object().unwrap().keys().next().unwrap()), "{error}");
     }
 }
@@ -108,10 +113,10 @@
     let mut given = duties();
     given.insert("start-margin".into(), json!(margin));
     let mut play = Play::with(given, 4);
-    play.list(&[line(3, Standing::Ready, play.model.now + before)], false, false);
+    play.list(&[line(3, EndpointState::Ready, play.model.now + before)], false, false);
     steady(&mut play, 4000);
     let start = play.model.now;
-    play.list(&[line(3, Standing::Ready, start + off)], false, false);
+    play.list(&[line(3, EndpointState::Ready, start + off)], false, false);
     steady(&mut play, 200);
     let pushes = play.model.ops.iter().flat_map(|o| &o.pushes);
     pushes.filter(|p| p.server == 3 && p.at >= start).count()
@@ -125,7 +130,7 @@
         let due =
             |(op, push): &(usize, usize)| play.model.now - play.model.ops[*op].pushes[*push].at >= 100.0;
         let done: Vec<_> = play.out().into_iter().filter(due).collect();
-        done.into_iter().for_each(|(op, push)| play.end(op, push, Ending::Acked));
+        done.into_iter().for_each(|(op, push)| play.end(op, push, AttemptOutcome::Succeeded));
     }
 }
 
@@ -141,14 +146,15 @@
 }
 
 fn told(margin: f64, ttl: f64) -> Play {
-    let mut given: Given = duties();
+    let mut given: SettingsMap = duties();
     given.insert("left-margin".into(), json!(margin));
     let mut play = Play::with(given, 2);
     let taken = crate::help::Taken { most: MOST_PUSHES, ends: play.model.now + TTL, ..Default::default() };
     play.model.ops.push(taken);
-    let arrival = Arrival { op: 0, category: 0, customer: None, ttl, retry: false, key: None };
+    let arrival =
+        NewRequest { request: 0, class: 0, tenant: None, ttl_ms: ttl, client_retry: false, key: None };
     let now = play.model.now;
-    play.balancer.arrive(&mut play.model, now, &arrival);
+    play.balancer.request_arrived(&mut play.model, now, &arrival);
     play
 }
 
--- a/tests/module/rules.rs
+++ b/tests/module/rules.rs
@@ -1,19 +1,19 @@
 //! The rules' slow, plain model beside the module, on generated inputs.
 
 use crate::help::{asked_duties, duties, line, placed_duties, Play, MOST_PUSHES, TTL};
-use crankmux::balance::{split, Seen};
-use crankmux::words::{Ending, Given, Load, Standing};
+use crankmux::balancer::{split, Seen};
+use crankmux::types::{AttemptOutcome, EndpointState, LoadReport, SettingsMap};
 use quickcheck::{Gen, QuickCheck};
 
-const ENDINGS: [Ending; 8] = [
-    Ending::Acked,
-    Ending::Acked,
-    Ending::Errored,
-    Ending::TurnedAway,
-    Ending::TimedOut,
-    Ending::Unreachable,
-    Ending::Broken,
-    Ending::Cancelled,
+const ENDINGS: [AttemptOutcome; 8] = [
+    AttemptOutcome::Succeeded,
+    AttemptOutcome::Succeeded,
+    AttemptOutcome::Failed,
+    AttemptOutcome::Rejected,
+    AttemptOutcome::TimedOut,
+    AttemptOutcome::Unreachable,
+    AttemptOutcome::ConnectionLost,
+    AttemptOutcome::Cancelled,
 ];
 
 fn fixed(tests: u64) -> QuickCheck {
@@ -25,7 +25,7 @@
     [duties(), asked_duties(), placed_duties(1, &[0, 2])].into_iter().all(|given| kept_with(given, &news))
 }
 
-fn kept_with(given: Given, news: &[(u8, u8, u8)]) -> bool {
+fn kept_with(given: SettingsMap, news: &[(u8, u8, u8)]) -> bool {
     let mut play = Play::with(given.clone(), 7);
     for (kind, a, b) in news {
         let (a, b) = (usize::from(*a), usize::from(*b));
@@ -39,15 +39,15 @@
             }
             10 | 11 => play.pass(f64::from(a as u8) * 2.0),
             12 => {
-                let standing = [Standing::Ready, Standing::Draining, Standing::Gone][b % 3];
+                let standing = [EndpointState::Ready, EndpointState::Draining, EndpointState::Removed][b % 3];
                 let started = if a % 2 == 0 { now - a as f64 } else { 0.0 };
                 play.list(&[line(a % 9, standing, started)], false, false);
             }
             13 => {
-                let lines: Vec<_> = (0..b % 8).map(|s| line(s, Standing::Ready, 0.0)).collect();
+                let lines: Vec<_> = (0..b % 8).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
                 play.list(&lines, true, b % 2 == 0);
             }
-            14 if a % 2 == 0 => play.balancer.list_failed(&mut play.model, now),
+            14 if a % 2 == 0 => play.balancer.discovery_failed(&mut play.model, now),
             14 => drop(play.tell(|server| Some((server * b % 11) as f64).filter(|_| b % 3 > 0))),
             15 if a % 2 == 0 => play.suspend(a % 9),
             15 => play.resume(a % 9),
@@ -57,16 +57,16 @@
             16 => play.renew(given.clone(), a % 3, 1 + b % 4),
             18 => {
                 if let Some((op, push)) = play.out().get(a % play.out().len().max(1)).copied() {
-                    play.balancer.began(now, op, push, b % 2 == 0);
+                    play.balancer.streaming(now, op, push, b % 2 == 0);
                 }
             }
-            17 => play.balancer.share(if a % 2 == 0 { 0.5 } else { 1.0 }, None, 1.0),
+            17 => play.balancer.set_process_share(if a % 2 == 0 { 0.5 } else { 1.0 }, None, 1.0),
             _ => {
                 // Ids no longer held, results after the end, alarms never set: all harmless.
-                play.balancer.woken(&mut play.model, now, u64::MAX);
-                play.balancer.departed(&mut play.model, now, usize::MAX);
-                play.balancer.began(now, usize::MAX, 0, true);
-                play.balancer.probed(&mut play.model, now, usize::MAX, Some(Load::default()));
+                play.balancer.timer_expired(&mut play.model, now, u64::MAX);
+                play.balancer.client_left(&mut play.model, now, usize::MAX);
+                play.balancer.streaming(now, usize::MAX, 0, true);
+                play.balancer.probe_ended(&mut play.model, now, usize::MAX, Some(LoadReport::default()));
             }
         }
         overdue(&mut play);
@@ -82,7 +82,7 @@
         if play.model.now >= play.model.ops[op].ends {
             // What the model sees late only because time was moved on in one stride counts as at its time.
             let now = std::mem::replace(&mut play.model.now, play.model.ops[op].ends);
-            play.end(op, push, Ending::TimedOut);
+            play.end(op, push, AttemptOutcome::TimedOut);
             play.model.now = now;
         }
     }
