--- a/bench-adapter/src/main.rs
+++ b/bench-adapter/src/main.rs
@@ -10,8 +10,12 @@
 use std::process::ExitCode;
 
 fn batch(nodes: &mut BTreeMap<u64, Node>, line: &str) -> Result<Value, String> {
-    let batch: Value = serde_json::from_str(line).map_err(|e| format!("batch is not valid JSON: {e}"))?;
-    let now = batch.get("NowMs").and_then(Value::as_f64).ok_or("batch lacks its clock NowMs")?;
+    let batch: Value =
+        serde_json::from_str(line).map_err(|e| format!("batch is not valid JSON: {e}"))?;
+    let now = batch
+        .get("NowMs")
+        .and_then(Value::as_f64)
+        .ok_or("batch lacks its clock NowMs")?;
     let news = match batch.get("news") {
         None | Some(Value::Null) => &[][..],
         Some(Value::Array(news)) => news,
--- a/bench-adapter/src/node.rs
+++ b/bench-adapter/src/node.rs
@@ -54,22 +54,29 @@
 impl Actions for Link<'_> {
     fn start_attempt(&mut self, op: usize, server: usize, patience: f64) {
         let server = self.names.stable_hash(server);
-        self.decisions.push(json!(["Route", self.inst, self.id(op), patience, server]));
+        self.decisions
+            .push(json!(["Route", self.inst, self.id(op), patience, server]));
         if let Some(held) = self.ops.held.get_mut(&op) {
             held.1 += 1;
         }
     }
 
     fn probe(&mut self, server: usize) {
-        self.decisions.push(json!(["HealthCheck", self.inst, self.names.stable_hash(server)]));
+        self.decisions.push(json!([
+            "HealthCheck",
+            self.inst,
+            self.names.stable_hash(server)
+        ]));
     }
 
     fn cancel(&mut self, op: usize, push: usize) {
-        self.decisions.push(json!(["CallOff", self.inst, self.id(op), push]));
+        self.decisions
+            .push(json!(["CallOff", self.inst, self.id(op), push]));
     }
 
     fn reject(&mut self, op: usize, come_back: f64) {
-        self.decisions.push(json!(["Decline", self.inst, self.id(op), come_back]));
+        self.decisions
+            .push(json!(["Decline", self.inst, self.id(op), come_back]));
         self.end(op);
     }
 
@@ -79,7 +86,8 @@
     }
 
     fn set_timer(&mut self, at: f64, alarm: u64) {
-        self.decisions.push(json!(["Timer", self.inst, at, alarm.to_string()]));
+        self.decisions
+            .push(json!(["Timer", self.inst, at, alarm.to_string()]));
     }
 
     fn watch_endpoints(&mut self) {
@@ -104,16 +112,22 @@
     }
 
     fn whole(&self, place: usize, name: &str) -> Result<u64, String> {
-        self.at(place).and_then(Value::as_u64).ok_or_else(|| self.wrong(name))
+        self.at(place)
+            .and_then(Value::as_u64)
+            .ok_or_else(|| self.wrong(name))
     }
 
     fn text(&self, place: usize, name: &str) -> Result<&str, String> {
-        self.at(place).and_then(Value::as_str).ok_or_else(|| self.wrong(name))
+        self.at(place)
+            .and_then(Value::as_str)
+            .ok_or_else(|| self.wrong(name))
     }
 
     /// A number that may be absent.
     fn number(&self, place: usize, name: &str) -> Result<Option<f64>, String> {
-        self.at(place).map(|v| v.as_f64().ok_or_else(|| self.wrong(name))).transpose()
+        self.at(place)
+            .map(|v| v.as_f64().ok_or_else(|| self.wrong(name)))
+            .transpose()
     }
 
     fn load(&self, place: usize) -> Result<LoadReport, String> {
@@ -134,16 +148,30 @@
 }
 
 fn start(fields: &Fields) -> Result<Node, String> {
-    let seed = fields.at(2).and_then(|v| v.as_u64().or_else(|| v.as_i64().map(|s| s as u64)));
+    let seed = fields
+        .at(2)
+        .and_then(|v| v.as_u64().or_else(|| v.as_i64().map(|s| s as u64)));
     let seed = seed.ok_or_else(|| fields.wrong("Nonce64"))?;
-    let settings = fields.at(3).filter(|v| v.is_object()).ok_or_else(|| fields.wrong("Config"))?;
+    let settings = fields
+        .at(3)
+        .filter(|v| v.is_object())
+        .ok_or_else(|| fields.wrong("Config"))?;
     let (names, given) = NameIndex::from_settings(settings);
-    let balancer = Balancer::new(given, seed).map_err(|message| settings::explain_error(&message))?;
-    Ok(Node { balancer, names, ops: Ops::default() })
+    let balancer =
+        Balancer::new(given, seed).map_err(|message| settings::explain_error(&message))?;
+    Ok(Node {
+        balancer,
+        names,
+        ops: Ops::default(),
+    })
 }
 
 fn listed(names: &mut NameIndex, line: &Value) -> Result<EndpointUpdate, String> {
-    let fields = Fields("Announce", line.as_array().ok_or("Announce: an entry is not an array")?);
+    let fields = Fields(
+        "Announce",
+        line.as_array()
+            .ok_or("Announce: an entry is not an array")?,
+    );
     let standing = match fields.whole(1, "Status")? {
         1 => EndpointState::Ready,
         2 => EndpointState::Draining,
@@ -151,7 +179,10 @@
         _ => return Err(fields.wrong("Status")),
     };
     let mark = fields.whole(5, "Server")?;
-    let pod = fields.at(3).map(|_| fields.whole(3, "Cohort")).transpose()?;
+    let pod = fields
+        .at(3)
+        .map(|_| fields.whole(3, "Cohort"))
+        .transpose()?;
     let name = |place| fields.at(place).and_then(Value::as_str).unwrap_or_default();
     let started = fields.number(4, "OnlineSinceMs")?.unwrap_or(0.0);
     Ok(names.endpoint_update(mark, standing, (name(0), name(2)), pod, started))
@@ -178,9 +209,13 @@
     decisions: &mut Vec<Value>,
 ) -> Result<(), String> {
     let values = event.as_array().ok_or("an event is not an array")?;
-    let name = values.first().and_then(Value::as_str).ok_or("an event lacks its name")?;
+    let name = values
+        .first()
+        .and_then(Value::as_str)
+        .ok_or("an event lacks its name")?;
     let known = [
-        "Born", "Announce", "Submit", "Accepted", "Probed", "Aborted", "Wake", "Returned", "Down", "NoteFrom",
+        "Born", "Announce", "Submit", "Accepted", "Probed", "Aborted", "Wake", "Returned", "Down",
+        "NoteFrom",
     ];
     if !known.contains(&name) {
         return Ok(());
@@ -196,7 +231,12 @@
         return Ok(());
     }
     // Whatever still comes for an instance that is not running is passed over.
-    let Some(Node { balancer, names, ops }) = nodes.get_mut(&inst) else {
+    let Some(Node {
+        balancer,
+        names,
+        ops,
+    }) = nodes.get_mut(&inst)
+    else {
         return Ok(());
     };
     match name {
@@ -207,8 +247,16 @@
                 Some(Value::Array(entries)) => entries,
                 Some(_) => return Err(fields.wrong("Items")),
             };
-            let lines = entries.iter().map(|line| listed(names, line)).collect::<Result<Vec<_>, _>>()?;
-            let out = &mut Link { inst, names, ops, decisions };
+            let lines = entries
+                .iter()
+                .map(|line| listed(names, line))
+                .collect::<Result<Vec<_>, _>>()?;
+            let out = &mut Link {
+                inst,
+                names,
+                ops,
+                decisions,
+            };
             match kind {
                 0 => balancer.update_endpoints(out, now, &lines, false, false),
                 1 => balancer.update_endpoints(out, now, &lines, true, false),
@@ -225,16 +273,26 @@
             let category = category.ok_or_else(|| fields.wrong("Cls"))?;
             let customer = fields.at(4).and_then(Value::as_str);
             let customer = customer.and_then(|name| names.tenants.index(name));
-            let ttl = fields.number(6, "BudgetMs")?.ok_or_else(|| fields.wrong("BudgetMs"))?;
+            let ttl = fields
+                .number(6, "BudgetMs")?
+                .ok_or_else(|| fields.wrong("BudgetMs"))?;
             let flags = fields.at(8).map_or(Ok(0), |_| fields.whole(8, "Flags"))?;
             fields.number(7, "EffortMs")?;
             let retry = flags & 2 == 2;
-            let key = fields.at(5).map(|_| fields.whole(5, "Affinity")).transpose()?;
+            let key = fields
+                .at(5)
+                .map(|_| fields.whole(5, "Affinity"))
+                .transpose()?;
             let op = ops.next;
             ops.next += 1;
             ops.by_id.insert(id, op);
             ops.held.insert(op, (id, 0, false));
-            let out = &mut Link { inst, names, ops, decisions };
+            let out = &mut Link {
+                inst,
+                names,
+                ops,
+                decisions,
+            };
             balancer.request_arrived(
                 out,
                 now,
@@ -254,8 +312,9 @@
             fields.whole(4, "Server")?;
             let ending = ending(&fields, 5)?;
             let took = fields.number(6, "TimeTakenMs")?.unwrap_or(0.0);
-            let closed =
-                fields.at(7).map_or(Ok(false), |v| v.as_bool().ok_or_else(|| fields.wrong("NoMore")))?;
+            let closed = fields.at(7).map_or(Ok(false), |v| {
+                v.as_bool().ok_or_else(|| fields.wrong("NoMore"))
+            })?;
             let load = fields.load(8)?;
             let Some(op) = ops.by_id.get(&id).copied() else {
                 return Ok(());
@@ -264,7 +323,12 @@
                 held.1 = held.1.saturating_sub(1);
                 held.2 |= closed;
             }
-            let out = &mut Link { inst, names, ops, decisions };
+            let out = &mut Link {
+                inst,
+                names,
+                ops,
+                decisions,
+            };
             balancer.attempt_ended(
                 out,
                 now,
@@ -283,7 +347,12 @@
             let Some(op) = ops.by_id.get(&fields.whole(2, "Req")?).copied() else {
                 return Ok(());
             };
-            let out = &mut Link { inst, names, ops, decisions };
+            let out = &mut Link {
+                inst,
+                names,
+                ops,
+                decisions,
+            };
             balancer.client_left(out, now, op);
             out.end(op);
         }
@@ -296,7 +365,16 @@
         "Wake" => {
             let alarm = fields.text(2, "Tag")?.parse();
             if let Ok(alarm) = alarm {
-                balancer.timer_expired(&mut Link { inst, names, ops, decisions }, now, alarm);
+                balancer.timer_expired(
+                    &mut Link {
+                        inst,
+                        names,
+                        ops,
+                        decisions,
+                    },
+                    now,
+                    alarm,
+                );
             }
         }
         "Probed" => {
@@ -307,7 +385,12 @@
             let Some(server) = names.find_endpoint(mark) else {
                 return Ok(());
             };
-            let out = &mut Link { inst, names, ops, decisions };
+            let out = &mut Link {
+                inst,
+                names,
+                ops,
+                decisions,
+            };
             balancer.probe_ended(out, now, server, answered.then_some(load));
         }
         // Nodes tell each other nothing yet.
--- a/bench-adapter/tests/wire.rs
+++ b/bench-adapter/tests/wire.rs
@@ -9,7 +9,10 @@
 fn run(lines: &[String]) -> Output {
     #[allow(clippy::disallowed_methods)]
     let mut command = Command::new(env!("CARGO_BIN_EXE_crankmux-bench-adapter"));
-    let command = command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let command = command
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
     let mut child = command.spawn().expect("the adapter starts");
     let mut input = child.stdin.take().expect("piped");
     // The adapter may end at a bad line before it has read them all.
@@ -36,7 +39,10 @@
     for line in bad {
         let output = run(std::slice::from_ref(&line));
         let message = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert!(!output.status.success() && output.stdout.is_empty(), "{line}");
+        assert!(
+            !output.status.success() && output.stdout.is_empty(),
+            "{line}"
+        );
         assert_eq!(message.lines().count(), 1, "{line}: {message}");
     }
     let missing = run(&[batch(&[&BORN.replace("\"ColdShare\":0.3,", "")])]);
@@ -47,7 +53,11 @@
 fn odd_input_is_harmless() {
     let lines = [
         r#"{"NowMs":1.0,"news":[]}"#.to_string(),
-        batch(&[BORN, LIST, r#"["Submit",0,11,"c",null,null,50.0,null,null]"#]),
+        batch(&[
+            BORN,
+            LIST,
+            r#"["Submit",0,11,"c",null,null,50.0,null,null]"#,
+        ]),
         batch(&[
             r#"["Later",0,1]"#,
             r#"["Wake",0,"never"]"#,
@@ -55,15 +65,31 @@
             r#"["Accepted",0,99,0,5,1]"#,
         ]),
         batch(&[r#"["Returned",0,11,0,5,"Ok",3.0,true,{"rif":1,"odd":2}]"#]),
-        batch(&[r#"["Returned",0,11,0,5,"Ok",3.0,true,null]"#, r#"["Probed",0,5,"Ok",1.0]"#, BORN, LIST]),
-        batch(&[r#"["Down",0]"#, r#"["Submit",0,12,"c"]"#, r#"["NoteFrom",0,1,"x"]"#]),
+        batch(&[
+            r#"["Returned",0,11,0,5,"Ok",3.0,true,null]"#,
+            r#"["Probed",0,5,"Ok",1.0]"#,
+            BORN,
+            LIST,
+        ]),
+        batch(&[
+            r#"["Down",0]"#,
+            r#"["Submit",0,12,"c"]"#,
+            r#"["NoteFrom",0,1,"x"]"#,
+        ]),
     ];
     let output = run(&lines);
     let replies = String::from_utf8(output.stdout).expect("UTF-8");
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
     assert_eq!(replies.lines().count(), lines.len());
     assert!(
-        replies.lines().nth(1).is_some_and(|reply| reply.contains(r#"["Route",0,11,50.0,5]"#)),
+        replies
+            .lines()
+            .nth(1)
+            .is_some_and(|reply| reply.contains(r#"["Route",0,11,50.0,5]"#)),
         "{replies}"
     );
 }
--- a/fault-injection/faulty-node/main.rs
+++ b/fault-injection/faulty-node/main.rs
@@ -33,7 +33,9 @@
 
 fn client(mut stream: TcpStream, servers: &[SocketAddr]) {
     while let Some(request) = head(&mut stream) {
-        let told = request.lines().find_map(|line| line.strip_prefix("X-Timeout: ")?.parse().ok());
+        let told = request
+            .lines()
+            .find_map(|line| line.strip_prefix("X-Timeout: ")?.parse().ok());
         let (from, ttl) = (Instant::now(), Duration::from_secs_f64(told.unwrap_or(0.0)));
         let mut next = servers.iter().cycle();
         let mut well = request.starts_with("GET /_health ");
@@ -41,7 +43,10 @@
             well = served(&request, *next.next().expect("it knows a server"));
         }
         let status = if well { "200 OK" } else { "502 Bad Gateway" };
-        if stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes()).is_err() {
+        if stream
+            .write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes())
+            .is_err()
+        {
             return;
         }
     }
@@ -51,12 +56,20 @@
     let file = std::env::var("BALANCER_CONFIG").expect("a configuration is named");
     let text = std::fs::read_to_string(file).expect("it can be read");
     let told: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
-    let address = |at: &serde_json::Value| at.as_str().and_then(|at| at.parse().ok()).expect("an address");
+    let address = |at: &serde_json::Value| {
+        at.as_str()
+            .and_then(|at| at.parse().ok())
+            .expect("an address")
+    };
     let discovery: SocketAddr = address(&told["discovery"]);
     let mut catalog = TcpStream::connect(discovery).expect("discovery is there");
-    catalog.write_all(b"GET /catalog/members HTTP/1.1\r\nHost: d\r\n\r\n").expect("it hears");
+    catalog
+        .write_all(b"GET /catalog/members HTTP/1.1\r\nHost: d\r\n\r\n")
+        .expect("it hears");
     let answer = head(&mut catalog).expect("it answers");
-    let length = answer.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
+    let length = answer
+        .lines()
+        .find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
     let mut list = vec![0; length.expect("its length is told")];
     catalog.read_exact(&mut list).expect("it is whole");
     let list: serde_json::Value = serde_json::from_slice(&list).expect("it is JSON");
--- a/fault-injection/src/connection.rs
+++ b/fault-injection/src/connection.rs
@@ -16,7 +16,10 @@
 
 impl Head {
     pub fn get(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+        self.headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name))
+            .map(|(_, v)| v.as_str())
     }
 }
 
@@ -32,7 +35,12 @@
 impl Conn {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Conn { stream, inbox: Vec::new(), out: Vec::new(), over: false }
+        Conn {
+            stream,
+            inbox: Vec::new(),
+            out: Vec::new(),
+            over: false,
+        }
     }
 
     /// Reads whatever has come.
@@ -54,8 +62,12 @@
     pub fn take(&mut self, answer: bool) -> Option<Head> {
         let mut headers = [httparse::EMPTY_HEADER; 64];
         let owned = |headers: &[httparse::Header]| -> Vec<(String, String)> {
-            let pair =
-                |h: &httparse::Header| (h.name.to_string(), String::from_utf8_lossy(h.value).into_owned());
+            let pair = |h: &httparse::Header| {
+                (
+                    h.name.to_string(),
+                    String::from_utf8_lossy(h.value).into_owned(),
+                )
+            };
             headers.iter().map(pair).collect()
         };
         let (ends, head) = if answer {
@@ -84,19 +96,30 @@
                     let path = read.path.unwrap_or_default().to_string();
                     (
                         ends,
-                        Head { path, status: 0, headers: owned(read.headers), keep: true, body: Vec::new() },
+                        Head {
+                            path,
+                            status: 0,
+                            headers: owned(read.headers),
+                            keep: true,
+                            body: Vec::new(),
+                        },
                     )
                 }
                 Ok(_) => return None,
                 Err(_) => return self.broken(),
             }
         };
-        let body = head.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0_usize);
+        let body = head
+            .get("content-length")
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(0_usize);
         if self.inbox.len() < ends + body {
             return None;
         }
         let body = self.inbox.drain(..ends + body).skip(ends).collect();
-        let keep = !head.get("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+        let keep = !head
+            .get("connection")
+            .is_some_and(|v| v.eq_ignore_ascii_case("close"));
         Some(Head { keep, body, ..head })
     }
 
@@ -116,7 +139,9 @@
             match self.stream.write(&self.out) {
                 Ok(0) => return self.over = true,
                 Ok(n) => drop(self.out.drain(..n)),
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => return,
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => {
+                    return
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return self.over = true,
             }
--- a/fault-injection/src/harness.rs
+++ b/fault-injection/src/harness.rs
@@ -146,9 +146,16 @@
     /// A world as a script has it, its nodes not started yet.
     pub fn new(script: Script, start: Start) -> Self {
         let poll = Poll::new().expect("the system polls");
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0);
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0.0, |d| d.as_secs_f64() * 1000.0);
         let weights: f64 = script.categories.iter().map(|c| c.weight).sum();
-        let ordinary = script.categories.iter().map(|c| c.weight * c.work_ms).sum::<f64>() / weights;
+        let ordinary = script
+            .categories
+            .iter()
+            .map(|c| c.weight * c.work_ms)
+            .sum::<f64>()
+            / weights;
         let duties = &script.duties;
         let slack = duties.answer_slack_ms + LOOP_LATE;
         let judge = InvariantChecker::new(
@@ -208,9 +215,17 @@
                 let server = self.servers.len();
                 let zone = server % script.zones.len();
                 let pod = server / machine.pod_size;
-                self.servers.push(Server::new(machine, &script.duties, server as u64, zone, pod, 0.0));
-                let dials =
-                    (0..nodes).map(|node| self.listen(Side::Server { server, node })).collect::<Vec<_>>();
+                self.servers.push(Server::new(
+                    machine,
+                    &script.duties,
+                    server as u64,
+                    zone,
+                    pod,
+                    0.0,
+                ));
+                let dials = (0..nodes)
+                    .map(|node| self.listen(Side::Server { server, node }))
+                    .collect::<Vec<_>>();
                 self.dials.push(dials);
                 self.health.push("Ready");
                 self.versions.push(1);
@@ -221,9 +236,12 @@
             let at = self.listen(Side::Discovery { node });
             self.catalog.push(at);
             let hears = free_port();
-            let advertised = self.relays.add(hears, self.poll.registry(), Token(RELAYS + node));
+            let advertised = self
+                .relays
+                .add(hears, self.poll.registry(), Token(RELAYS + node));
             let advertised = advertised.expect("a free port on loopback");
-            self.nodes.push(Node::new(&self.start, node, hears, advertised));
+            self.nodes
+                .push(Node::new(&self.start, node, hears, advertised));
         }
         (0..nodes).for_each(|node| self.furnish(node, &["the key of this rig's own fleet"]));
     }
@@ -235,9 +253,19 @@
             // A place in an order of so many.
             (settings["GroupSize"], settings["MyNumber"]) = (told.into(), (node % told).into());
         }
-        let configuration =
-            configuration(node, &self.nodes[node], self.catalog[node], self.start.seed, settings);
-        let seeds: Vec<SocketAddr> = self.nodes.iter().take(self.start.seeds).map(|n| n.advertised).collect();
+        let configuration = configuration(
+            node,
+            &self.nodes[node],
+            self.catalog[node],
+            self.start.seed,
+            settings,
+        );
+        let seeds: Vec<SocketAddr> = self
+            .nodes
+            .iter()
+            .take(self.start.seeds)
+            .map(|n| n.advertised)
+            .collect();
         self.nodes[node].furnish(&configuration, &seeds, keys);
     }
 
@@ -246,7 +274,10 @@
         let mut listener = TcpListener::bind(any).expect("a free port on loopback");
         let address = listener.local_addr().expect("bound");
         let token = Token(self.listeners.len());
-        self.poll.registry().register(&mut listener, token, Interest::READABLE).expect("the system polls");
+        self.poll
+            .registry()
+            .register(&mut listener, token, Interest::READABLE)
+            .expect("the system polls");
         self.listeners.push((listener, side));
         address
     }
@@ -304,9 +335,15 @@
         self.after(wait, move |rig| {
             rig.bring(node);
             // What is meant for one that is known to be gone goes to another.
-            let dealt: Vec<usize> = (0..rig.nodes.len()).filter(|node| rig.deals[*node]).collect();
+            let dealt: Vec<usize> = (0..rig.nodes.len())
+                .filter(|node| rig.deals[*node])
+                .collect();
             if rig.rate > 0.0 && !dealt.is_empty() {
-                let to = if rig.deals[node] { node } else { dealt[rig.chance.random_range(0..dealt.len())] };
+                let to = if rig.deals[node] {
+                    node
+                } else {
+                    dealt[rig.chance.random_range(0..dealt.len())]
+                };
                 rig.send(to);
             }
         });
@@ -339,7 +376,10 @@
 
     /// A dead or standing node owes no answers, and clients notice after a while.
     fn lose(&mut self, node: usize) {
-        self.ops.iter_mut().filter(|(_, op)| op.node == node).for_each(|(_, op)| op.excused = true);
+        self.ops
+            .iter_mut()
+            .filter(|(_, op)| op.node == node)
+            .for_each(|(_, op)| op.excused = true);
         self.after(NOTICE, move |rig| {
             rig.deals[node] = !rig.nodes[node].stopped && rig.deals[node] && rig.nodes[node].runs();
         });
@@ -356,7 +396,10 @@
     pub fn part(&mut self, groups: &[&[usize]], within: Way) {
         for group in groups {
             for other in groups {
-                let cut = Way { cut: true, ..within };
+                let cut = Way {
+                    cut: true,
+                    ..within
+                };
                 self.ways(group, other, if group == other { within } else { cut });
             }
         }
@@ -375,8 +418,12 @@
             self.awaited.remove(&(job.op, job.serial, job.push));
         }
         let of = |side: &Side| matches!(side, Side::Server { server: s, .. } if *s == server);
-        let gone: Vec<usize> =
-            self.conns.iter().filter(|(_, (_, side))| of(side)).map(|(key, _)| key).collect();
+        let gone: Vec<usize> = self
+            .conns
+            .iter()
+            .filter(|(_, (_, side))| of(side))
+            .map(|(key, _)| key)
+            .collect();
         gone.into_iter().for_each(|key| self.close(key));
         let now = self.now();
         (self.servers[server].up, self.servers[server].started) = (true, now);
@@ -414,8 +461,10 @@
     }
 
     fn turn(&mut self, until: f64) {
-        while let Some(entry) =
-            self.due.first_entry().filter(|e| e.key().0 as f64 <= self.began.elapsed().as_secs_f64() * 1e6)
+        while let Some(entry) = self
+            .due
+            .first_entry()
+            .filter(|e| e.key().0 as f64 <= self.began.elapsed().as_secs_f64() * 1e6)
         {
             let due = entry.remove();
             due(self);
@@ -423,7 +472,10 @@
         let now = self.now();
         self.relays.due(now);
         let next = self.due.keys().next().map(|(at, _)| *at as f64 / 1000.0);
-        let next = [next, self.relays.next_due()].into_iter().flatten().fold(until, f64::min);
+        let next = [next, self.relays.next_due()]
+            .into_iter()
+            .flatten()
+            .fold(until, f64::min);
         let wait = Duration::from_secs_f64((next - now).max(0.0) / 1000.0);
         let mut events = std::mem::replace(&mut self.events, Events::with_capacity(0));
         if self.poll.poll(&mut events, Some(wait)).is_ok() {
@@ -456,7 +508,10 @@
         let entry = self.conns.vacant_entry();
         let token = Token(CONNS + entry.key());
         let both = Interest::READABLE | Interest::WRITABLE;
-        self.poll.registry().register(&mut stream, token, both).expect("the system polls");
+        self.poll
+            .registry()
+            .register(&mut stream, token, both)
+            .expect("the system polls");
         let key = entry.key();
         entry.insert((Conn::new(stream), side));
         key
@@ -468,7 +523,8 @@
             if let Side::Client { node, op } = side {
                 let refused = conn.stream.peer_addr().is_err();
                 self.idle[node].retain(|idle| *idle != key);
-                op.into_iter().for_each(|op| self.unanswered(op, node, refused));
+                op.into_iter()
+                    .for_each(|op| self.unanswered(op, node, refused));
             }
             self.polls.retain(|(conn, ..)| *conn != key);
         }
@@ -531,7 +587,9 @@
         };
         self.serial += 1;
         let ends = now + terms.ttl_ms;
-        let life = self.judge.taken(now, node, repeats(&terms), terms.window_ms, ends);
+        let life = self
+            .judge
+            .taken(now, node, repeats(&terms), terms.window_ms, ends);
         let op = self.ops.insert(Op {
             node,
             serial: self.serial,
@@ -582,13 +640,20 @@
     /// Its client has waited for long enough, and closes its connection: no answer is owed any more.
     fn leave(&mut self, op: usize) {
         let now = self.now();
-        let Some(it) = self.ops.get_mut(op).filter(|it| !it.answered && !it.excused) else {
+        let Some(it) = self
+            .ops
+            .get_mut(op)
+            .filter(|it| !it.answered && !it.excused)
+        else {
             return;
         };
         let Some(conn) = it.conn.take() else { return };
         it.excused = true;
         self.judge.client_closed(now, &mut it.life);
-        self.conns[conn].1 = Side::Client { node: it.node, op: None };
+        self.conns[conn].1 = Side::Client {
+            node: it.node,
+            op: None,
+        };
         self.close(conn);
     }
 
@@ -605,12 +670,21 @@
         if !again {
             return;
         }
-        let others = (0..self.nodes.len()).filter(|other| self.deals[*other] && (*other != node || !refused));
+        let others = (0..self.nodes.len())
+            .filter(|other| self.deals[*other] && (*other != node || !refused));
         let others: Vec<usize> = others.collect();
-        let to = others.get(self.chance.random_range(0..others.len().max(1))).copied();
+        let to = others
+            .get(self.chance.random_range(0..others.len().max(1)))
+            .copied();
         let stream = to.and_then(|to| Some((to, TcpStream::connect(self.nodes[to].listen).ok()?)));
         if let Some((to, stream)) = stream {
-            let conn = self.enter(stream, Side::Client { node: to, op: Some(op) });
+            let conn = self.enter(
+                stream,
+                Side::Client {
+                    node: to,
+                    op: Some(op),
+                },
+            );
             (self.ops[op].conn, self.ops[op].node) = (Some(conn), to);
             self.ops[op].excused = self.nodes[to].stopped;
             let text = self.request(op);
@@ -620,7 +694,12 @@
 
     /// An op as it is written, with what is left of its time.
     fn request(&self, op: usize) -> String {
-        let Op { serial, category, ends, .. } = self.ops[op];
+        let Op {
+            serial,
+            category,
+            ends,
+            ..
+        } = self.ops[op];
         // In seconds, as clients tell it.
         let ttl = (ends - self.now()).max(1.0) / 1000.0;
         let name = &self.script.categories[category].name;
@@ -679,14 +758,20 @@
         let now = self.now();
         let id = head.get("x-request-id").and_then(|id| id.split_once('-'));
         let id = id.and_then(|(op, serial)| Some((op.parse().ok()?, serial.parse().ok()?)));
-        let Some((op, serial)) =
-            id.filter(|(op, serial)| self.ops.get(*op).is_some_and(|it: &Op| it.serial == *serial))
-        else {
+        let Some((op, serial)) = id.filter(|(op, serial)| {
+            self.ops
+                .get(*op)
+                .is_some_and(|it: &Op| it.serial == *serial)
+        }) else {
             // Long over, and still pushed.
             self.judge.nobodys();
             return self.close(key);
         };
-        self.reached.push(Reached { at: now, node, server });
+        self.reached.push(Reached {
+            at: now,
+            node,
+            server,
+        });
         let it = &self.ops[op];
         let (category, ends, push) = (it.category, it.ends, it.pushes);
         let group = self.group(server, category);
@@ -696,15 +781,28 @@
         let draining = self.told_drain[node][server];
         let it = &mut self.ops[op];
         it.pushes += 1;
-        self.judge.pushed(now, &mut it.life, server, group, draining);
+        self.judge
+            .pushed(now, &mut it.life, server, group, draining);
         let s = &self.servers[server];
         let able = s.able(now) * s.machine.speed * s.machine.cores as f64 / self.ordinary;
         let cold = s.able(now) < 1.0;
-        if self.judge.bears(now, server, ordinary, cold.then_some(able)) {
+        if self
+            .judge
+            .bears(now, server, ordinary, cold.then_some(able))
+        {
             self.fall(server);
             return;
         }
-        let job = Job { op, serial, push, work, came: now, ends, key: 0, key_miss: 1.0 };
+        let job = Job {
+            op,
+            serial,
+            push,
+            work,
+            came: now,
+            ends,
+            key: 0,
+            key_miss: 1.0,
+        };
         self.awaited.insert((op, serial, push), key);
         if self.servers[server].offer(now, job) {
             self.serve(server);
@@ -726,13 +824,19 @@
             match begun {
                 Begun::Started(work) => {
                     let (life, job) = (self.servers[server].life, work.job);
-                    if let Some(category) =
-                        self.ops.get(job.op).filter(|it| it.serial == job.serial).map(|it| it.category)
+                    if let Some(category) = self
+                        .ops
+                        .get(job.op)
+                        .filter(|it| it.serial == job.serial)
+                        .map(|it| it.category)
                     {
                         let group = self.group(server, category);
-                        self.judge.ran(now, &mut self.ops[job.op].life, job.push, server, group);
+                        self.judge
+                            .ran(now, &mut self.ops[job.op].life, job.push, server, group);
                     }
-                    self.after(work.due - now, move |rig| rig.done(server, life, work.number));
+                    self.after(work.due - now, move |rig| {
+                        rig.done(server, life, work.number)
+                    });
                 }
                 Begun::Expired(job) => self.reply(server, job, AttemptOutcome::Rejected),
             }
@@ -752,20 +856,32 @@
 
     fn reply(&mut self, server: usize, job: Job, ending: AttemptOutcome) {
         let now = self.now();
-        if let Some(it) = self.ops.get_mut(job.op).filter(|it| it.serial == job.serial) {
+        if let Some(it) = self
+            .ops
+            .get_mut(job.op)
+            .filter(|it| it.serial == job.serial)
+        {
             self.judge.ended(now, &mut it.life, job.push, ending);
         }
         let Some(key) = self.awaited.remove(&(job.op, job.serial, job.push)) else {
             return;
         };
         let reports = &self.script.reports;
-        let told =
-            reports.told.then(|| self.servers[server].report(now, reports.period_ms, reports.delay_ms));
+        let told = reports
+            .told
+            .then(|| self.servers[server].report(now, reports.period_ms, reports.delay_ms));
         let load = told.flatten().map_or_else(String::new, |(held, waiting)| {
             format!("X-Server-Load: TEXT inflight={held}, queue={waiting}\r\n")
         });
-        let status = if ending == AttemptOutcome::Succeeded { "200 OK" } else { "503 Service Unavailable" };
-        self.say(key, &format!("HTTP/1.1 {status}\r\n{load}Content-Length: 0\r\n\r\n"));
+        let status = if ending == AttemptOutcome::Succeeded {
+            "200 OK"
+        } else {
+            "503 Service Unavailable"
+        };
+        self.say(
+            key,
+            &format!("HTTP/1.1 {status}\r\n{load}Content-Length: 0\r\n\r\n"),
+        );
     }
 
     // ------------------------------------------------------------ discovery
@@ -773,7 +889,9 @@
     fn asked(&mut self, key: usize, node: usize, path: &str) {
         let query = |name: &str| -> Option<f64> {
             let (_, query) = path.split_once('?')?;
-            query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+            query
+                .split('&')
+                .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
         };
         let from = query("from").map_or(0, |from| from as u64);
         let until = self.now() + query("hold_ms").unwrap_or(0.0);
@@ -789,7 +907,8 @@
         let ripe = |(_, node, from, until): &(usize, usize, u64, f64)| {
             !blind[*node] && (*from == 0 || *from < seq || now >= *until)
         };
-        let (ripe, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.polls).into_iter().partition(ripe);
+        let (ripe, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.polls).into_iter().partition(ripe);
         self.polls = rest;
         for (key, node, from, _) in ripe {
             let lines: Vec<Value> = (0..self.servers.len())
@@ -805,14 +924,21 @@
             }
             let body = json!({"seq": seq, "whole": from == 0, "hosts": lines}).to_string();
             let length = body.len();
-            self.say(key, &format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"));
+            self.say(
+                key,
+                &format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"),
+            );
         }
     }
 
     fn line(&self, node: usize, server: usize) -> Value {
         let s = &self.servers[server];
         // Since the start here; clocks tell Unix time.
-        let born = if s.started > 0.0 { self.unix + s.started } else { 0.0 };
+        let born = if s.started > 0.0 {
+            self.unix + s.started
+        } else {
+            0.0
+        };
         json!({"host": format!("s{server}"), "dial": self.dials[server][node].to_string(),
                "site": self.script.zones[s.zone], "class": s.machine.kind, "block": s.pod,
                "health": self.health[server], "share": 1.0, "born_ms": born})
@@ -838,21 +964,33 @@
 
     fn viewed(&mut self, node: usize, head: &Head) {
         // It is up: clients deal ops to it.
-        self.deals[node] |= self.opened && self.now() >= self.began_at[node] && !self.nodes[node].stopped;
+        self.deals[node] |=
+            self.opened && self.now() >= self.began_at[node] && !self.nodes[node].stopped;
         let Ok(page) = serde_json::from_slice::<Value>(&head.body) else {
             return;
         };
         let member = |member: &Value| {
             let address: SocketAddr = member["address"].as_str()?.parse().ok()?;
-            let number = self.nodes.iter().position(|node| node.advertised == address)?;
+            let number = self
+                .nodes
+                .iter()
+                .position(|node| node.advertised == address)?;
             Some((number, member["state"].as_str()?.to_string()))
         };
-        let states = page["members"].as_array().into_iter().flatten().filter_map(member).collect();
+        let states = page["members"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(member)
+            .collect();
         self.views.push(View {
             at: self.now(),
             node,
             states,
-            reach: page["reach"]["state"].as_str().unwrap_or_default().to_string(),
+            reach: page["reach"]["state"]
+                .as_str()
+                .unwrap_or_default()
+                .to_string(),
             assumed: page["nodes_assumed"].as_f64().unwrap_or(0.0),
             cold_part: page["cold_part"].as_f64().unwrap_or(0.0),
         });
@@ -861,16 +999,27 @@
     /// The last view of a node, if it has one.
     pub fn view(&self, node: usize) -> Option<&View> {
         let began = self.began_at[node];
-        self.views.iter().rev().find(|view| view.node == node && view.at >= began)
+        self.views
+            .iter()
+            .rev()
+            .find(|view| view.node == node && view.at >= began)
     }
 
     /// Whether each of these nodes, by its last view, holds exactly those of them for alive.
     pub fn agree(&self, nodes: &[usize]) -> bool {
         nodes.iter().all(|node| {
-            let others: Vec<usize> = nodes.iter().copied().filter(|other| other != node).collect();
+            let others: Vec<usize> = nodes
+                .iter()
+                .copied()
+                .filter(|other| other != node)
+                .collect();
             self.view(*node).is_some_and(|view| {
-                let alive: Vec<usize> =
-                    view.states.iter().filter(|(_, s)| *s == "alive").map(|(number, _)| *number).collect();
+                let alive: Vec<usize> = view
+                    .states
+                    .iter()
+                    .filter(|(_, s)| *s == "alive")
+                    .map(|(number, _)| *number)
+                    .collect();
                 alive == others
             })
         })
@@ -880,7 +1029,9 @@
     pub fn saw(&self, nodes: &[usize], other: usize, state: &str, since: f64) -> Vec<Option<f64>> {
         let first = |node: &usize| {
             let seen = |view: &&View| {
-                view.node == *node && view.at >= since && view.states.get(&other).is_some_and(|s| s == state)
+                view.node == *node
+                    && view.at >= since
+                    && view.states.get(&other).is_some_and(|s| s == state)
             };
             self.views.iter().find(seen).map(|view| view.at)
         };
@@ -890,13 +1041,27 @@
     /// When all live nodes that are looked at were at one view, first after a moment and by another.
     pub(crate) fn equal_after(&self, from: f64, by: f64) -> Option<f64> {
         let mut last: BTreeMap<usize, (f64, Vec<usize>)> = BTreeMap::new();
-        for view in self.views.iter().filter(|view| view.at >= from && view.at <= by) {
-            let alive = view.states.iter().filter(|(_, state)| *state == "alive").map(|(number, _)| *number);
+        for view in self
+            .views
+            .iter()
+            .filter(|view| view.at >= from && view.at <= by)
+        {
+            let alive = view
+                .states
+                .iter()
+                .filter(|(_, state)| *state == "alive")
+                .map(|(number, _)| *number);
             let mut all: Vec<usize> = alive.chain([view.node]).collect();
             all.sort_unstable();
             last.insert(view.node, (view.at, all));
-            let first = last.values().next().map(|(_, all)| all.clone()).unwrap_or_default();
-            if first.iter().all(|node| last.get(node).is_some_and(|(_, all)| *all == first))
+            let first = last
+                .values()
+                .next()
+                .map(|(_, all)| all.clone())
+                .unwrap_or_default();
+            if first
+                .iter()
+                .all(|node| last.get(node).is_some_and(|(_, all)| *all == first))
                 && last.len() == first.len()
             {
                 return Some(view.at);
@@ -931,7 +1096,10 @@
 
     /// Parts of the ops of each second that were acked in time.
     pub fn by_second(&self) -> Vec<f64> {
-        self.seconds.iter().map(|(all, in_time)| *in_time as f64 / (*all).max(1) as f64).collect()
+        self.seconds
+            .iter()
+            .map(|(all, in_time)| *in_time as f64 / (*all).max(1) as f64)
+            .collect()
     }
 
     /// Garbage at a node's port, so many datagrams a second, until a moment.
@@ -956,18 +1124,28 @@
 
     /// PolicyKind many pushes reached a server from a node since a moment.
     pub fn pushes(&self, node: usize, server: usize, since: f64) -> usize {
-        self.reached.iter().filter(|r| (r.node, r.server) == (node, server) && r.at >= since).count()
+        self.reached
+            .iter()
+            .filter(|r| (r.node, r.server) == (node, server) && r.at >= since)
+            .count()
     }
 
     /// PolicyKind many pushes reached a server from all nodes since a moment.
     pub fn calls(&self, server: usize, since: f64) -> usize {
-        self.reached.iter().filter(|r| r.server == server && r.at >= since).count()
+        self.reached
+            .iter()
+            .filter(|r| r.server == server && r.at >= since)
+            .count()
     }
 
     /// The most calls that a server got from all nodes in any span of so many milliseconds since a moment.
     pub fn most_calls(&self, server: usize, since: f64, span: f64) -> usize {
-        let mut at: Vec<f64> =
-            self.reached.iter().filter(|r| r.server == server && r.at >= since).map(|r| r.at).collect();
+        let mut at: Vec<f64> = self
+            .reached
+            .iter()
+            .filter(|r| r.server == server && r.at >= since)
+            .map(|r| r.at)
+            .collect();
         at.sort_unstable_by(f64::total_cmp);
         let within = |last: usize| last + 1 - at.partition_point(|from| *from <= at[last] - span);
         (0..at.len()).map(within).max().unwrap_or(0)
@@ -975,17 +1153,25 @@
 
     /// The broken rules, in words; empty where all were kept.
     pub fn broken(&self) -> Vec<String> {
-        let told = self.judge.broken.iter().map(|b| format!("{}: {}: {:?}", b.rule.name(), b.what, b.life));
+        let told = self
+            .judge
+            .broken
+            .iter()
+            .map(|b| format!("{}: {}: {:?}", b.rule.name(), b.what, b.life));
         let counts = self.judge.counts();
         let on = (counts[Rule::Left as usize] > 0).then(|| Rule::Left.name().to_string());
-        told.chain(on).chain((counts.iter().sum::<u64>() > 0).then(|| format!("counts {counts:?}"))).collect()
+        told.chain(on)
+            .chain((counts.iter().sum::<u64>() > 0).then(|| format!("counts {counts:?}")))
+            .collect()
     }
 }
 
 fn repeats(terms: &Category) -> Repeats {
     match terms.effect {
         Idempotency::Idempotent => Repeats::Freely,
-        Idempotency::IdempotentWithKey => Repeats::Deduplicated { fleet: terms.group == Group::Fleet },
+        Idempotency::IdempotentWithKey => Repeats::Deduplicated {
+            fleet: terms.group == Group::Fleet,
+        },
         Idempotency::NotIdempotent => Repeats::Never,
     }
 }
--- a/fault-injection/src/processes.rs
+++ b/fault-injection/src/processes.rs
@@ -31,7 +31,14 @@
 
 impl Start {
     pub fn new(program: impl Into<PathBuf>, folder: impl Into<PathBuf>) -> Self {
-        Start { program: program.into(), folder: folder.into(), fleet: true, seeds: 3, told: None, seed: 1 }
+        Start {
+            program: program.into(),
+            folder: folder.into(),
+            fleet: true,
+            seeds: 3,
+            told: None,
+            seed: 1,
+        }
     }
 }
 
@@ -59,8 +66,13 @@
         let at = ("127.0.0.1", *port);
         TcpListener::bind(at).is_ok() && UdpSocket::bind(at).is_ok()
     };
-    let mut ports = std::iter::repeat_with(|| (10_000 + (own + GIVEN.fetch_add(1, SeqCst)) % 20_000) as u16);
-    let port = ports.by_ref().take(20_000).find(free).expect("a free port on loopback");
+    let mut ports =
+        std::iter::repeat_with(|| (10_000 + (own + GIVEN.fetch_add(1, SeqCst)) % 20_000) as u16);
+    let port = ports
+        .by_ref()
+        .take(20_000)
+        .find(free)
+        .expect("a free port on loopback");
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
@@ -92,9 +104,15 @@
     pub fn furnish(&self, configuration: &Value, seeds: &[SocketAddr], keys: &[&str]) {
         self.write("configuration.json", &configuration.to_string());
         let files: Vec<String> = (0..keys.len()).map(|n| format!("key-{n}")).collect();
-        files.iter().zip(keys).for_each(|(file, key)| drop(self.write(file, key)));
+        files
+            .iter()
+            .zip(keys)
+            .for_each(|(file, key)| drop(self.write(file, key)));
         let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
-        let name = self.name.as_ref().map_or_else(String::new, |name| format!("name = {name:?}\n"));
+        let name = self
+            .name
+            .as_ref()
+            .map_or_else(String::new, |name| format!("name = {name:?}\n"));
         let charter = format!(
             "[fleet]\n{name}listen = {:?}\nadvertise = {:?}\nseeds = {seeds:?}\nkey-files = {files:?}\n",
             self.hears.to_string(),
@@ -111,22 +129,36 @@
             let _ = fs::remove_dir_all(&state);
         }
         fs::create_dir_all(&state).expect("the run's folder may be written to");
-        let log = fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log"));
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("log"));
         // The rig is a tool beside the program, and starts it; the program itself starts nothing.
         #[allow(clippy::disallowed_methods)]
         let mut command = Command::new(&self.program);
-        command.env("BALANCER_CONFIG", self.folder.join("configuration.json")).env("TMPDIR", state);
+        command
+            .env("BALANCER_CONFIG", self.folder.join("configuration.json"))
+            .env("TMPDIR", state);
         command.env_remove("CRANKMUX_CHARTER");
         if self.charter {
             command.env("CRANKMUX_CHARTER", self.folder.join("charter.toml"));
         }
-        command.stdout(Stdio::null()).stderr(log.expect("the run's folder may be written to"));
-        self.child = Some(command.spawn().unwrap_or_else(|e| panic!("{}: {e}", self.program.display())));
+        command
+            .stdout(Stdio::null())
+            .stderr(log.expect("the run's folder may be written to"));
+        self.child = Some(
+            command
+                .spawn()
+                .unwrap_or_else(|e| panic!("{}: {e}", self.program.display())),
+        );
         self.stopped = false;
     }
 
     fn signal(&self, signal: Signal) {
-        let pid = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        let pid = self
+            .child
+            .as_ref()
+            .and_then(|child| Pid::from_raw(child.id() as i32));
         if let Some(pid) = pid {
             let _ = kill_process(pid, signal);
         }
@@ -160,7 +192,10 @@
 
     /// Whether its process runs; one that has ended by itself is taken note of.
     pub fn runs(&mut self) -> bool {
-        let ended = self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))));
+        let ended = self
+            .child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))));
         if ended {
             self.child = None;
         }
@@ -172,8 +207,16 @@
         let id = self.child.as_ref().map_or(0, Child::id);
         let told = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
         // Behind the name, which may hold anything; its 12th and 13th are ticks of ten milliseconds.
-        let ticks = told.rsplit_once(')').map_or("", |(_, rest)| rest).split_whitespace().skip(11).take(2);
-        ticks.filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() * 10.0
+        let ticks = told
+            .rsplit_once(')')
+            .map_or("", |(_, rest)| rest)
+            .split_whitespace()
+            .skip(11)
+            .take(2);
+        ticks
+            .filter_map(|ticks| ticks.parse::<f64>().ok())
+            .sum::<f64>()
+            * 10.0
     }
 
     pub fn log(&self) -> String {
@@ -184,7 +227,9 @@
     pub fn call(&self, path: &str) -> Option<String> {
         let mut stream = TcpStream::connect_timeout(&self.door, PATIENCE).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
-        stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: door\r\n\r\n").as_bytes()).ok()?;
+        stream
+            .write_all(format!("GET {path} HTTP/1.1\r\nHost: door\r\n\r\n").as_bytes())
+            .ok()?;
         let mut answer = String::new();
         stream.read_to_string(&mut answer).ok()?;
         let (head, body) = answer.split_once("\r\n\r\n")?;
@@ -203,7 +248,13 @@
 }
 
 /// A configuration in the platform's form.
-pub fn configuration(number: usize, node: &Node, discovery: SocketAddr, seed: u64, settings: Value) -> Value {
+pub fn configuration(
+    number: usize,
+    node: &Node,
+    discovery: SocketAddr,
+    seed: u64,
+    settings: Value,
+) -> Value {
     json!({
         "name": format!("node-{number}"), "listen": node.listen.to_string(),
         "discovery": discovery.to_string(), "admin_addr": node.door.to_string(),
--- a/fault-injection/src/relay.rs
+++ b/fault-injection/src/relay.rs
@@ -44,7 +44,12 @@
 
 impl Relays {
     /// One more, for the node that hears at an address. Returns the address to be told to others.
-    pub fn add(&mut self, to: SocketAddr, registry: &Registry, token: Token) -> io::Result<SocketAddr> {
+    pub fn add(
+        &mut self,
+        to: SocketAddr,
+        registry: &Registry,
+        token: Token,
+    ) -> io::Result<SocketAddr> {
         let mut socket = UdpSocket::bind("127.0.0.1:0".parse().expect("an address"))?;
         registry.register(&mut socket, token, Interest::READABLE)?;
         let address = socket.local_addr()?;
@@ -63,7 +68,10 @@
         while let Ok((length, from)) = self.relays[to].socket.recv_from(&mut datagram) {
             let from = self.relays.iter().position(|relay| relay.to == from);
             // A stranger's way is plain.
-            let way = from.and_then(|from| self.ways.get(&(from, to))).copied().unwrap_or_default();
+            let way = from
+                .and_then(|from| self.ways.get(&(from, to)))
+                .copied()
+                .unwrap_or_default();
             if way.cut || chance.random::<f64>() < way.loss {
                 continue;
             }
@@ -76,18 +84,29 @@
                 let at = chance.random_range(0..length.max(1));
                 bytes[at] ^= 1 << chance.random_range(0..8);
             }
-            let copies = if chance.random::<f64>() < way.twice { 2 } else { 1 };
+            let copies = if chance.random::<f64>() < way.twice {
+                2
+            } else {
+                1
+            };
             for _ in 0..copies {
                 let late = way.delay * (1.0 + chance.random::<f64>());
                 self.n += 1;
-                self.later.insert((((now + late) * 1000.0) as u64, self.n), (to, bytes.clone()));
+                self.later.insert(
+                    (((now + late) * 1000.0) as u64, self.n),
+                    (to, bytes.clone()),
+                );
             }
         }
         self.due(now);
     }
 
     pub fn due(&mut self, now: f64) {
-        while let Some(entry) = self.later.first_entry().filter(|e| e.key().0 as f64 <= now * 1000.0) {
+        while let Some(entry) = self
+            .later
+            .first_entry()
+            .filter(|e| e.key().0 as f64 <= now * 1000.0)
+        {
             let (to, bytes) = entry.remove();
             self.passed += 1;
             self.bytes += bytes.len() as u64;
@@ -103,8 +122,11 @@
 
     /// Sends one node again what came for it at least so long ago. PolicyKind many datagrams that were.
     pub fn repeat(&mut self, now: f64, to: usize, older: f64) -> usize {
-        let old: Vec<_> =
-            self.kept.iter().filter(|(at, at_node, _)| *at_node == to && now - at >= older).collect();
+        let old: Vec<_> = self
+            .kept
+            .iter()
+            .filter(|(at, at_node, _)| *at_node == to && now - at >= older)
+            .collect();
         for (.., bytes) in &old {
             let _ = self.relays[to].socket.send_to(bytes, self.relays[to].to);
         }
--- a/fault-injection/src/run.rs
+++ b/fault-injection/src/run.rs
@@ -32,7 +32,8 @@
     fn of(times: &[Option<f64>]) -> Self {
         let mut come: Vec<f64> = times.iter().flatten().copied().collect();
         come.sort_by(f64::total_cmp);
-        let at = |part: f64| come.get(((come.len() as f64 * part) as usize).min(come.len().max(1) - 1));
+        let at =
+            |part: f64| come.get(((come.len() as f64 * part) as usize).min(come.len().max(1) - 1));
         Times {
             count: times.len(),
             median: at(0.5).copied().unwrap_or(0.0),
@@ -125,11 +126,20 @@
 /// Whom a fault strikes: those named, or a part by chance; a smaller part is within a larger one.
 fn struck(fault: &Fault, all: usize, chance: &mut ChaCha8Rng) -> Vec<usize> {
     if !fault.which.is_empty() {
-        return fault.which.iter().copied().filter(|one| *one < all).collect();
+        return fault
+            .which
+            .iter()
+            .copied()
+            .filter(|one| *one < all)
+            .collect();
     }
     let mut drawn: Vec<(u64, usize)> = (0..all).map(|one| (chance.random(), one)).collect();
     drawn.sort_unstable();
-    let part = if fault.kind == Kind::Split { 1.0 } else { fault.part };
+    let part = if fault.kind == Kind::Split {
+        1.0
+    } else {
+        fault.part
+    };
     let take = (part * all as f64).round() as usize;
     let mut taken: Vec<usize> = drawn.into_iter().take(take).map(|(_, one)| one).collect();
     if fault.kind != Kind::Split {
@@ -144,10 +154,23 @@
     idle: Vec<(f64, f64, usize)>,
 }
 
-fn begin(rig: &mut Harness, playing: &Rc<RefCell<Playing>>, index: usize, fault: &Fault, who: &[usize]) {
+fn begin(
+    rig: &mut Harness,
+    playing: &Rc<RefCell<Playing>>,
+    index: usize,
+    fault: &Fault,
+    who: &[usize],
+) {
     let now = rig.now();
     let lasts = fault.lasts.map_or(f64::INFINITY, |lasts| lasts * 1000.0);
-    let nets = [Kind::Loss, Kind::Twice, Kind::Garble, Kind::Delay, Kind::Cut, Kind::Split];
+    let nets = [
+        Kind::Loss,
+        Kind::Twice,
+        Kind::Garble,
+        Kind::Delay,
+        Kind::Cut,
+        Kind::Split,
+    ];
     let mut play = playing.borrow_mut();
     if nets.contains(&fault.kind) {
         play.net.in_force.push((index, fault.clone(), who.to_vec()));
@@ -183,7 +206,13 @@
     }
 }
 
-fn end(rig: &mut Harness, playing: &Rc<RefCell<Playing>>, index: usize, fault: &Fault, who: &[usize]) {
+fn end(
+    rig: &mut Harness,
+    playing: &Rc<RefCell<Playing>>,
+    index: usize,
+    fault: &Fault,
+    who: &[usize],
+) {
     let mut play = playing.borrow_mut();
     play.net.in_force.retain(|(at, ..)| *at != index);
     lay(rig, &play.net);
@@ -211,13 +240,25 @@
 /// Plays a script in its world. Errors: processes that could not be started or never came to know each other.
 pub fn play(play: &Play, world: Script, start: Start) -> Result<Report, String> {
     let (seed, fleet) = (start.seed, start.fleet);
-    let mut world = Script { nodes: play.processes, ..world };
+    let mut world = Script {
+        nodes: play.processes,
+        ..world
+    };
     world.load.rate = play.rate.or(world.load.rate);
     let told = start.told.or(play.told).unwrap_or(play.processes);
-    let mut rig = Harness::new(world, Start { told: Some(told), ..start });
-    let late: Vec<usize> =
-        (play.faults.iter().filter(|f| f.kind == Kind::Join)).flat_map(|f| f.which.clone()).collect();
-    let first: Vec<usize> = (0..play.processes).filter(|node| !late.contains(node)).collect();
+    let mut rig = Harness::new(
+        world,
+        Start {
+            told: Some(told),
+            ..start
+        },
+    );
+    let late: Vec<usize> = (play.faults.iter().filter(|f| f.kind == Kind::Join))
+        .flat_map(|f| f.which.clone())
+        .collect();
+    let first: Vec<usize> = (0..play.processes)
+        .filter(|node| !late.contains(node))
+        .collect();
     first.iter().for_each(|node| rig.start(*node, false));
     let came = |rig: &mut Harness| {
         if fleet {
@@ -228,22 +269,35 @@
     };
     if !rig.until(JOINED, came) {
         let log = rig.nodes[0].log();
-        return Err(format!("they did not come to know each other; the first one's log:\n{log}"));
+        return Err(format!(
+            "they did not come to know each other; the first one's log:\n{log}"
+        ));
     }
     let joined = rig.now();
     rig.open();
-    let playing =
-        Rc::new(RefCell::new(Playing { net: Net::default(), killed: Vec::new(), idle: Vec::new() }));
+    let playing = Rc::new(RefCell::new(Playing {
+        net: Net::default(),
+        killed: Vec::new(),
+        idle: Vec::new(),
+    }));
     for (index, fault) in play.faults.iter().enumerate() {
-        let mut chance = ChaCha8Rng::seed_from_u64(seed ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9));
-        let all =
-            if matches!(fault.kind, Kind::Drain | Kind::Renew) { rig.servers() } else { play.processes };
+        let mut chance =
+            ChaCha8Rng::seed_from_u64(seed ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9));
+        let all = if matches!(fault.kind, Kind::Drain | Kind::Renew) {
+            rig.servers()
+        } else {
+            play.processes
+        };
         let (who, fault) = (struck(fault, all, &mut chance), fault.clone());
         let (starts, ends) = (playing.clone(), playing.clone());
         let (also, to) = (fault.clone(), who.clone());
-        rig.later(fault.at * 1000.0, move |rig| begin(rig, &starts, index, &also, &to));
+        rig.later(fault.at * 1000.0, move |rig| {
+            begin(rig, &starts, index, &also, &to)
+        });
         if let Some(lasts) = fault.lasts {
-            rig.later((fault.at + lasts) * 1000.0, move |rig| end(rig, &ends, index, &fault, &who));
+            rig.later((fault.at + lasts) * 1000.0, move |rig| {
+                end(rig, &ends, index, &fault, &who)
+            });
         }
     }
     let (bytes, cpu, at) = (rig.relays.bytes, rig.cpu(), rig.now());
@@ -255,7 +309,14 @@
     rig.shut();
     rig.pass(2500.0);
     let playing = playing.borrow();
-    Ok(report(&rig, play, &playing, (seed, fleet, told), joined, (bytes, cpu)))
+    Ok(report(
+        &rig,
+        play,
+        &playing,
+        (seed, fleet, told),
+        joined,
+        (bytes, cpu),
+    ))
 }
 
 fn report(
@@ -268,16 +329,29 @@
 ) -> Report {
     let all: Vec<usize> = (0..play.processes).collect();
     let runs = |node: usize, from: f64, to: f64| {
-        !playing.idle.iter().any(|(at, until, idle)| *idle == node && *at < to && from < *until)
+        !playing
+            .idle
+            .iter()
+            .any(|(at, until, idle)| *idle == node && *at < to && from < *until)
     };
     let mut known = Vec::new();
     for (at, dead) in &playing.killed {
         // Those that ran on for long enough to see it, while it was gone for long enough to be seen.
-        let lasted = playing.idle.iter().find(|(from, _, node)| from == at && node == dead);
+        let lasted = playing
+            .idle
+            .iter()
+            .find(|(from, _, node)| from == at && node == dead);
         if fleet && lasted.is_none_or(|(from, until, _)| until - from > 4000.0) {
-            let live: Vec<usize> =
-                all.iter().copied().filter(|n| n != dead && runs(*n, *at, at + 4000.0)).collect();
-            known.extend(rig.saw(&live, *dead, "failed", *at).iter().map(|seen| seen.map(|seen| seen - at)));
+            let live: Vec<usize> = all
+                .iter()
+                .copied()
+                .filter(|n| n != dead && runs(*n, *at, at + 4000.0))
+                .collect();
+            known.extend(
+                rig.saw(&live, *dead, "failed", *at)
+                    .iter()
+                    .map(|seen| seen.map(|seen| seen - at)),
+            );
         }
     }
     let healed: Vec<Option<f64>> = (playing.net.healing.iter())
@@ -301,7 +375,9 @@
             }
         }
     }
-    let seen = all.iter().find_map(|node| Some((*node, rig.view(*node)?.states.clone())));
+    let seen = all
+        .iter()
+        .find_map(|node| Some((*node, rig.view(*node)?.states.clone())));
     let last: Vec<f64> = all
         .iter()
         .filter_map(|node| rig.view(*node))
@@ -310,12 +386,24 @@
         .collect();
     let mut latencies: Vec<f64> = rig.latencies().to_vec();
     latencies.sort_by(f64::total_cmp);
-    let p999 = latencies.get((latencies.len() as f64 * 0.999) as usize).copied().unwrap_or(0.0);
+    let p999 = latencies
+        .get((latencies.len() as f64 * 0.999) as usize)
+        .copied()
+        .unwrap_or(0.0);
     let took: Vec<Option<f64>> = latencies.into_iter().map(Some).collect();
     let (clients_left, after) = rig.judge.after_leaves();
-    let within = |from: f64, to: f64| after.iter().filter(|since| (from..to).contains(*since)).count();
-    let pushes_after_leaves =
-        [within(0.0, 10.0), within(10.0, 30.0), within(30.0, 100.0), within(100.0, f64::INFINITY)];
+    let within = |from: f64, to: f64| {
+        after
+            .iter()
+            .filter(|since| (from..to).contains(*since))
+            .count()
+    };
+    let pushes_after_leaves = [
+        within(0.0, 10.0),
+        within(10.0, 30.0),
+        within(30.0, 100.0),
+        within(100.0, f64::INFINITY),
+    ];
     Report {
         name: play.name.clone(),
         processes: play.processes,
--- a/fault-injection/src/script.rs
+++ b/fault-injection/src/script.rs
@@ -111,7 +111,10 @@
             }
             let servers = matches!(fault.kind, Kind::Drain | Kind::Renew);
             if !servers && fault.which.iter().any(|node| *node >= self.processes) {
-                return wrong(&key("which"), "names a process that is none of this script's");
+                return wrong(
+                    &key("which"),
+                    "names a process that is none of this script's",
+                );
             }
             let share = matches!(fault.kind, Kind::Loss | Kind::Twice | Kind::Garble);
             if share && !(0.0..=1.0).contains(&fault.strength) {
@@ -132,9 +135,16 @@
     #[test]
     fn a_faulty_script_is_refused_with_its_key() {
         let good = "name = 'x'\nworld = 'fleet'\nprocesses = 3\nseconds = 5\n";
-        let fault = |text: &str| Play::read(&format!("{good}[[faults]]\n{text}")).unwrap_err().to_string();
+        let fault = |text: &str| {
+            Play::read(&format!("{good}[[faults]]\n{text}"))
+                .unwrap_err()
+                .to_string()
+        };
         assert!(Play::read(good).is_ok());
-        assert!(Play::read("name = 'x'\nprocesses = 3\n").unwrap_err().to_string().contains("world"));
+        assert!(Play::read("name = 'x'\nprocesses = 3\n")
+            .unwrap_err()
+            .to_string()
+            .contains("world"));
         assert!(fault("kind = 'kil'\nat = 1").contains("kil"));
         assert!(fault("kind = 'kill'\nat = 1\nwhich = [3]").contains("faults.0.which"));
         assert!(fault("kind = 'loss'\nat = 1\nstrength = 20").contains("faults.0.strength"));
--- a/fault-injection/tests/client_left.rs
+++ b/fault-injection/tests/client_left.rs
@@ -30,7 +30,10 @@
 #[test]
 fn a_node_that_serves_on_whoever_has_left_is_caught() {
     let script = Script::read(WORLD).unwrap_or_else(|faulty| panic!("{faulty}"));
-    let folder = std::env::temp_dir().join(format!("crankmux-fault-injection-{}-left", std::process::id()));
+    let folder = std::env::temp_dir().join(format!(
+        "crankmux-fault-injection-{}-left",
+        std::process::id()
+    ));
     let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux-faulty-node"), folder);
     start.fleet = false;
     let mut rig = Harness::new(script, start);
@@ -40,5 +43,8 @@
     rig.open();
     let caught = rig.until(20_000.0, |rig| rig.judge.counts()[4] > 10);
     assert!(caught, "{:?}", rig.broken());
-    assert!(rig.broken().iter().any(|what| what.contains("nobody who has left served on")));
+    assert!(rig
+        .broken()
+        .iter()
+        .any(|what| what.contains("nobody who has left served on")));
 }
--- a/membership/src/assumptions.rs
+++ b/membership/src/assumptions.rs
@@ -58,12 +58,20 @@
             self.out.resize(server + 1, 0);
         }
         let out = &mut self.out[server];
-        *out = if ends { out.saturating_sub(1) } else { *out + 1 };
+        *out = if ends {
+            out.saturating_sub(1)
+        } else {
+            *out + 1
+        };
     }
 
     /// A server has told with an answer what it holds.
     pub fn reported(&mut self, now: f64, server: usize, held: f64) {
-        self.told.heard(now, held, f64::from(self.out.get(server).copied().unwrap_or(0)));
+        self.told.heard(
+            now,
+            held,
+            f64::from(self.out.get(server).copied().unwrap_or(0)),
+        );
     }
 
     /// Takes in what the fleet knows now. Whether decisions are to be told. Danger: what is said before a part is
@@ -77,7 +85,14 @@
             }
         }
         let told_by_servers = self.told.nodes(now);
-        let nodes = self.count.heard(now, Others { live: others + 1, failed, told_by_servers });
+        let nodes = self.count.heard(
+            now,
+            Others {
+                live: others + 1,
+                failed,
+                told_by_servers,
+            },
+        );
         let told = self.count.told();
         let cold = (fleet.purse(told) * told).min(1.0);
         let shows = cold != self.cold || (nodes / self.nodes - 1.0).abs() > SHOWS;
--- a/membership/src/authentication.rs
+++ b/membership/src/authentication.rs
@@ -58,13 +58,23 @@
 /// A number that stands for a name, the same at every node.
 pub fn number(name: &str) -> u64 {
     let hash = blake3::hash(name.as_bytes());
-    u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("eight of thirty-two bytes"))
+    u64::from_le_bytes(
+        hash.as_bytes()[..8]
+            .try_into()
+            .expect("eight of thirty-two bytes"),
+    )
 }
 
 impl Authenticator {
     /// The first secret seals, all open: two while one is exchanged. Errors: no secret, or an empty one.
     pub fn new(secrets: &[&str], sender: u64, born: u64) -> Result<Self, String> {
-        let mut seal = Authenticator { keys: Vec::new(), sender, born, next: 0, heard: BTreeMap::new() };
+        let mut seal = Authenticator {
+            keys: Vec::new(),
+            sender,
+            born,
+            next: 0,
+            heard: BTreeMap::new(),
+        };
         seal.take_keys(secrets)?;
         Ok(seal)
     }
@@ -72,10 +82,13 @@
     /// Other secrets from now on. Errors: as at the start, and the old ones stay.
     pub fn take_keys(&mut self, secrets: &[&str]) -> Result<(), String> {
         if secrets.is_empty() || secrets.iter().any(|s| s.len() < MIN_KEY_LENGTH) {
-            return Err(format!("a fleet's key needs {MIN_KEY_LENGTH} characters at least"));
+            return Err(format!(
+                "a fleet's key needs {MIN_KEY_LENGTH} characters at least"
+            ));
         }
-        let derived =
-            |secret: &&str| blake3::derive_key("crankmux fleet datagrams, version 1", secret.as_bytes());
+        let derived = |secret: &&str| {
+            blake3::derive_key("crankmux fleet datagrams, version 1", secret.as_bytes())
+        };
         self.keys = secrets.iter().map(derived).collect();
         Ok(())
     }
@@ -101,31 +114,64 @@
     }
 
     /// Opens one, once.
-    pub fn open<'a>(&mut self, now: f64, datagram: &'a [u8]) -> Result<Opened<'a>, AuthenticationError> {
+    pub fn open<'a>(
+        &mut self,
+        now: f64,
+        datagram: &'a [u8],
+    ) -> Result<Opened<'a>, AuthenticationError> {
         if !(HEAD + MAC..=MOST).contains(&datagram.len()) || datagram[0] != VERSION {
             return Err(AuthenticationError::Shape);
         }
         let (said, mac) = datagram.split_at(datagram.len() - MAC);
         let mac = blake3::Hash::from_bytes(mac.try_into().expect("split there"));
         // Comparing hashes takes the same time wherever they differ.
-        if !self.keys.iter().any(|key| blake3::keyed_hash(key, said) == mac) {
+        if !self
+            .keys
+            .iter()
+            .any(|key| blake3::keyed_hash(key, said) == mac)
+        {
             return Err(AuthenticationError::Key);
         }
-        let number = |at: usize| u64::from_le_bytes(said[at..at + 8].try_into().expect("length was checked"));
+        let number = |at: usize| {
+            u64::from_le_bytes(said[at..at + 8].try_into().expect("length was checked"))
+        };
         let (sender, born, n) = (number(2), number(10), number(18));
         self.fresh(now, sender, born, n)?;
-        Ok(Opened { sender, born, kind: said[1], body: &said[HEAD..] })
+        Ok(Opened {
+            sender,
+            born,
+            kind: said[1],
+            body: &said[HEAD..],
+        })
     }
 
-    fn fresh(&mut self, now: f64, sender: u64, born: u64, n: u64) -> Result<(), AuthenticationError> {
+    fn fresh(
+        &mut self,
+        now: f64,
+        sender: u64,
+        born: u64,
+        n: u64,
+    ) -> Result<(), AuthenticationError> {
         if self.heard.len() >= SENDERS && !self.heard.contains_key(&sender) {
             // Danger: names ever new fill the memory. The longest unheard makes room.
-            let oldest = self.heard.iter().min_by(|a, b| a.1.at.total_cmp(&b.1.at)).map(|(id, _)| *id);
+            let oldest = self
+                .heard
+                .iter()
+                .min_by(|a, b| a.1.at.total_cmp(&b.1.at))
+                .map(|(id, _)| *id);
             oldest.and_then(|id| self.heard.remove(&id));
         }
-        let heard = self.heard.entry(sender).or_insert(Heard { born, top: 0, below: 0, at: now });
+        let heard = self.heard.entry(sender).or_insert(Heard {
+            born,
+            top: 0,
+            below: 0,
+            at: now,
+        });
         if born < heard.born {
-            return Err(AuthenticationError::Earlier { sender, born: heard.born });
+            return Err(AuthenticationError::Earlier {
+                sender,
+                born: heard.born,
+            });
         }
         if born > heard.born {
             (heard.born, heard.top, heard.below) = (born, 0, 0);
@@ -133,8 +179,11 @@
         if n > heard.top {
             let by = n - heard.top;
             // The old top joins those below it.
-            heard.below =
-                if by > 64 { 0 } else { heard.below.checked_shl(by as u32).unwrap_or(0) | 1 << (by - 1) };
+            heard.below = if by > 64 {
+                0
+            } else {
+                heard.below.checked_shl(by as u32).unwrap_or(0) | 1 << (by - 1)
+            };
             heard.top = n;
         } else {
             let back = heard.top - n;
--- a/membership/src/cluster_size.rs
+++ b/membership/src/cluster_size.rs
@@ -35,7 +35,12 @@
 impl ClusterSizeEstimate {
     pub fn new(told: f64, now: f64) -> Self {
         let told = told.max(1.0);
-        ClusterSizeEstimate { told, assumed: told, alone_since: None, at: now }
+        ClusterSizeEstimate {
+            told,
+            assumed: told,
+            alone_since: None,
+            at: now,
+        }
     }
 
     /// New settings tell another number.
@@ -148,13 +153,17 @@
         let all = (live.len() + failed.len() + 1) as f64;
         let even = 1.0 / told.max(all);
         // What one that failed holds at most, and what those leave to each that lives.
-        let fulls =
-            live.iter().filter_map(|node| self.said.get(node)).map(|said| said.full).chain([self.full]);
+        let fulls = live
+            .iter()
+            .filter_map(|node| self.said.get(node))
+            .map(|said| said.full)
+            .chain([self.full]);
         let least = fulls.filter(|full| *full > 0).min().unwrap_or(0) as f64;
         let lost = failed.len() as f64 / told.max(least);
         let left = ((1.0 - lost) / (live.len() + 1) as f64).max(0.0);
-        let says =
-            |node: &u64, same: fn(&MemberSetDigest) -> u64| self.said.get(node).map(same) == Some(same(&own));
+        let says = |node: &u64, same: fn(&MemberSetDigest) -> u64| {
+            self.said.get(node).map(same) == Some(same(&own))
+        };
         if live.iter().chain(failed).all(|node| says(node, |c| c.set)) && all > 1.0 {
             (self.held, self.full) = (even, all as usize);
         } else if alone {
@@ -162,7 +171,11 @@
             return 1.0 / told;
         } else {
             // Danger: parts of nodes that do not know of each other add up to more than one.
-            let target = if failed.is_empty() { even } else { even.min(left) };
+            let target = if failed.is_empty() {
+                even
+            } else {
+                even.min(left)
+            };
             let new = self.held <= 0.0 && !live.is_empty();
             let may = new && live.iter().all(|node| says(node, |c| c.split));
             self.held = if may { target } else { self.held.min(target) };
--- a/membership/src/endpoint_gossip.rs
+++ b/membership/src/endpoint_gossip.rs
@@ -38,10 +38,18 @@
             let before = before.unwrap_or(if first {
                 Line { standing, started }
             } else {
-                Line { standing: 0, started: 0.0 }
+                Line {
+                    standing: 0,
+                    started: 0.0,
+                }
             });
             if standing != before.standing || started > before.started {
-                say.push(EndpointGossip { server, standing, started, seq });
+                say.push(EndpointGossip {
+                    server,
+                    standing,
+                    started,
+                    seq,
+                });
             }
         }
         if whole {
@@ -51,21 +59,41 @@
                     .then_some((*server, line.started))
             };
             for (server, started) in self.own.iter().filter_map(missing).collect::<Vec<_>>() {
-                self.own.insert(server, Line { standing: 2, started });
-                say.push(EndpointGossip { server, standing: 2, started, seq });
+                self.own.insert(
+                    server,
+                    Line {
+                        standing: 2,
+                        started,
+                    },
+                );
+                say.push(EndpointGossip {
+                    server,
+                    standing: 2,
+                    started,
+                    seq,
+                });
             }
         }
         // Another numbering's versions may be lower: the list that was heard last is the one to go by.
         self.seq = seq;
-        let passed: Vec<u64> = self.heard.values().filter(|w| w.seq <= seq).map(|w| w.server).collect();
+        let passed: Vec<u64> = self
+            .heard
+            .values()
+            .filter(|w| w.seq <= seq)
+            .map(|w| w.server)
+            .collect();
         self.heard.retain(|_, word| word.seq > seq);
-        self.own.retain(|server, line| line.standing < 2 || self.heard.contains_key(server));
+        self.own
+            .retain(|server, line| line.standing < 2 || self.heard.contains_key(server));
         (say, passed)
     }
 
     /// Another node's list has told this. Whether something else holds for that server from now on.
     pub fn heard(&mut self, word: EndpointGossip) -> bool {
-        let newer = self.heard.get(&word.server).is_none_or(|old| old.seq < word.seq);
+        let newer = self
+            .heard
+            .get(&word.server)
+            .is_none_or(|old| old.seq < word.seq);
         // Danger: words without end fill the memory; of servers that are not listed here nothing is needed.
         let room = self.heard.len() < SERVERS || self.heard.contains_key(&word.server);
         if word.seq <= self.seq || !newer || !room || !self.own.contains_key(&word.server) {
@@ -81,7 +109,10 @@
         let own = self.own.get(&server)?;
         let word = self.heard.get(&server);
         Some(word.map_or((own.standing, own.started), |word| {
-            (own.standing.max(word.standing), own.started.max(word.started))
+            (
+                own.standing.max(word.standing),
+                own.started.max(word.started),
+            )
         }))
     }
 
@@ -99,12 +130,23 @@
     use super::*;
 
     fn word(server: u64, standing: u8, started: f64, seq: u64) -> EndpointGossip {
-        EndpointGossip { server, standing, started, seq }
+        EndpointGossip {
+            server,
+            standing,
+            started,
+            seq,
+        }
     }
 
     fn of(seq: u64) -> EndpointView {
         let mut lists = EndpointView::default();
-        assert!(lists.told(seq, true, &[(1, 0, 5.0), (2, 0, 0.0)]).0.is_empty(), "a first list is no news");
+        assert!(
+            lists
+                .told(seq, true, &[(1, 0, 5.0), (2, 0, 0.0)])
+                .0
+                .is_empty(),
+            "a first list is no news"
+        );
         lists
     }
 
@@ -144,7 +186,10 @@
     #[test]
     fn what_changes_is_told_to_others_once() {
         let mut lists = of(10);
-        assert_eq!(lists.told(11, false, &[(1, 1, 5.0)]).0, [word(1, 1, 5.0, 11)]);
+        assert_eq!(
+            lists.told(11, false, &[(1, 1, 5.0)]).0,
+            [word(1, 1, 5.0, 11)]
+        );
         assert!(lists.told(12, false, &[(1, 1, 5.0)]).0.is_empty());
         assert_eq!(
             lists.told(13, false, &[(1, 0, 9.0), (3, 0, 8.0)]).0,
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -12,5 +12,6 @@
 
 pub use authentication::{AuthenticationError, Authenticator};
 pub use membership::{
-    EndpointGossip, Member, MemberState, Membership, MembershipEvent, NodeId, Reachability, ZoneReachability,
+    EndpointGossip, Member, MemberState, Membership, MembershipEvent, NodeId, Reachability,
+    ZoneReachability,
 };
--- a/membership/src/member_set.rs
+++ b/membership/src/member_set.rs
@@ -57,14 +57,20 @@
         if !std::mem::take(&mut self.changed) {
             return;
         }
-        let (failed, live): (Vec<_>, Vec<_>) =
-            known.filter(|k| k.state != MemberState::Left).partition(|k| k.state == MemberState::Failed);
+        let (failed, live): (Vec<_>, Vec<_>) = known
+            .filter(|k| k.state != MemberState::Left)
+            .partition(|k| k.state == MemberState::Failed);
         // Another birth marks one that failed: no life's own has its highest bit set.
         let marked = |(node, born): Life| (node, born | 1 << 63);
         let lives: Vec<Life> = live.iter().map(|k| k.life()).chain([me]).collect();
         let lost: Vec<Life> = failed.iter().map(|k| k.life()).collect();
         self.own.set = set_of(lives.iter().chain(&lost).copied());
-        self.own.split = set_of(lives.iter().copied().chain(lost.iter().copied().map(marked)));
+        self.own.split = set_of(
+            lives
+                .iter()
+                .copied()
+                .chain(lost.iter().copied().map(marked)),
+        );
         self.live = live.iter().map(|k| k.life().0).collect();
         self.failed = lost.iter().map(|(node, _)| *node).collect();
     }
@@ -81,7 +87,9 @@
         self.told = told.unwrap_or(self.told);
         self.recount(me, known);
         let alone = self.live.is_empty() && self.failed.is_empty() && unanswered;
-        let part = self.purse.part(self.told, self.own, &self.live, &self.failed, alone);
+        let part = self
+            .purse
+            .part(self.told, self.own, &self.live, &self.failed, alone);
         self.own.full = self.purse.full();
         part
     }
--- a/membership/src/membership.rs
+++ b/membership/src/membership.rs
@@ -4,7 +4,8 @@
 use crate::cluster_size::MemberSetDigest;
 use crate::member_set::MemberSet;
 use foca::{
-    BroadcastHandler, Foca, Identity, Invalidates, Notification, PeriodicParams, PostcardCodec, Runtime,
+    BroadcastHandler, Foca, Identity, Invalidates, Notification, PeriodicParams, PostcardCodec,
+    Runtime,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -80,7 +81,10 @@
 
     /// Declared failed though it lives: it goes on under a later birth.
     fn renew(&self) -> Option<Self> {
-        Some(NodeId { born: self.born + 1, ..self.clone() })
+        Some(NodeId {
+            born: self.born + 1,
+            ..self.clone()
+        })
     }
 
     fn win_addr_conflict(&self, other: &Self) -> bool {
@@ -122,8 +126,14 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Reachability {
     Full,
-    Partial { of: usize, reached: usize, since: f64 },
-    Isolated { since: f64 },
+    Partial {
+        of: usize,
+        reached: usize,
+        since: f64,
+    },
+    Isolated {
+        since: f64,
+    },
 }
 
 /// The same of one zone.
@@ -184,7 +194,8 @@
 }
 
 /// Stands for any node, in a word that is nobody's own.
-const NOBODY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+const NOBODY: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
 
 /// Which earlier word a new one replaces.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -203,11 +214,22 @@
             // Danger: all nodes hear of a drain at one moment, and each would send the same word round. It is one
             // word, whoever says it; the later version replaces the earlier.
             Word::EndpointUpdate(word) => {
-                let order = (word.seq, u64::from(word.standing) << 56 | word.started as u64);
-                return Slot { who: NOBODY, about: word.server, order };
+                let order = (
+                    word.seq,
+                    u64::from(word.standing) << 56 | word.started as u64,
+                );
+                return Slot {
+                    who: NOBODY,
+                    about: word.server,
+                    order,
+                };
             }
         };
-        Slot { who: self.who, about, order: (self.born, self.n) }
+        Slot {
+            who: self.who,
+            about,
+            order: (self.born, self.n),
+        }
     }
 }
 
@@ -245,7 +267,11 @@
         let slot = said.slot();
         let mut words = self.0.borrow_mut();
         let at = (slot.who, slot.about);
-        if words.heard.get(&at).is_some_and(|order| *order >= slot.order) {
+        if words
+            .heard
+            .get(&at)
+            .is_some_and(|order| *order >= slot.order)
+        {
             return Ok(None);
         }
         // Danger: words without end fill the memory. Past the bound only what replaces an older one is kept.
@@ -271,8 +297,12 @@
 impl Runtime<NodeId> for Wants {
     fn notify(&mut self, notification: Notification<'_, NodeId>) {
         match notification {
-            Notification::MemberUp(name) => self.changes.push((name.clone(), Some(MemberState::Alive))),
-            Notification::MemberDown(name) => self.changes.push((name.clone(), Some(MemberState::Failed))),
+            Notification::MemberUp(name) => {
+                self.changes.push((name.clone(), Some(MemberState::Alive)))
+            }
+            Notification::MemberDown(name) => {
+                self.changes.push((name.clone(), Some(MemberState::Failed)))
+            }
             Notification::Rename(_, new) => self.changes.push((new.clone(), None)),
             Notification::Rejoin(me) => self.reborn = Some(me.born),
             _ => {}
@@ -312,12 +342,18 @@
         remove_down_after: Some(Duration::from_secs(86_400)),
         max_packet_size: some(BODY_MOST),
         notify_down_members: true,
-        periodic_announce: Some(PeriodicParams { frequency: Duration::from_secs(30), num_members: some(1) }),
+        periodic_announce: Some(PeriodicParams {
+            frequency: Duration::from_secs(30),
+            num_members: some(1),
+        }),
         periodic_announce_to_down_members: Some(PeriodicParams {
             frequency: ms(2.0 * ASK),
             num_members: some(2),
         }),
-        periodic_gossip: Some(PeriodicParams { frequency: ms(200.0), num_members: some(3) }),
+        periodic_gossip: Some(PeriodicParams {
+            frequency: ms(200.0),
+            num_members: some(3),
+        }),
     }
 }
 
@@ -356,7 +392,13 @@
 
 impl Membership {
     /// A node that knows some addresses to ask, any of which may be nobody's. Errors: a key that is none.
-    pub fn new(me: NodeId, seeds: &[SocketAddr], keys: &[&str], seed: u64, now: f64) -> Result<Self, String> {
+    pub fn new(
+        me: NodeId,
+        seeds: &[SocketAddr],
+        keys: &[&str],
+        seed: u64,
+        now: f64,
+    ) -> Result<Self, String> {
         let words = Rc::new(RefCell::new(Words::default()));
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let hearing = Hearing(Rc::clone(&words));
@@ -364,7 +406,11 @@
         let number = at(me.address);
         Ok(Membership {
             seal: Authenticator::new(keys, me.sender(), me.born)?,
-            seeds: seeds.iter().copied().filter(|seed| *seed != me.address).collect(),
+            seeds: seeds
+                .iter()
+                .copied()
+                .filter(|seed| *seed != me.address)
+                .collect(),
             me,
             foca,
             words,
@@ -403,7 +449,11 @@
 
     /// Other addresses to ask.
     pub fn take_seeds(&mut self, seeds: &[SocketAddr]) {
-        self.seeds = seeds.iter().copied().filter(|seed| *seed != self.me.address).collect();
+        self.seeds = seeds
+            .iter()
+            .copied()
+            .filter(|seed| *seed != self.me.address)
+            .collect();
     }
 
     pub fn me(&self) -> &NodeId {
@@ -412,7 +462,11 @@
 
     /// When `due` is to be called next.
     pub fn next_due(&self) -> f64 {
-        let first = self.timers.keys().next().map_or(f64::INFINITY, |(at, _)| *at as f64 / 1000.0);
+        let first = self
+            .timers
+            .keys()
+            .next()
+            .map_or(f64::INFINITY, |(at, _)| *at as f64 / 1000.0);
         first.min(self.ask_at)
     }
 
@@ -425,7 +479,12 @@
     }
 
     /// A datagram has come. Errors: it was not believed, and nothing came of it.
-    pub fn heard(&mut self, now: f64, from: SocketAddr, datagram: &[u8]) -> Result<(), AuthenticationError> {
+    pub fn heard(
+        &mut self,
+        now: f64,
+        from: SocketAddr,
+        datagram: &[u8],
+    ) -> Result<(), AuthenticationError> {
         let opened = match self.seal.open(now, datagram) {
             Ok(opened) => opened,
             Err(AuthenticationError::Earlier { sender, born }) => {
@@ -445,8 +504,9 @@
                 self.with(now, |foca, wants| foca.handle_data(&body, wants).is_ok());
             }
             LATER if opened.body.len() == 16 => {
-                let number =
-                    |at: usize| u64::from_le_bytes(opened.body[at..at + 8].try_into().expect("sixteen"));
+                let number = |at: usize| {
+                    u64::from_le_bytes(opened.body[at..at + 8].try_into().expect("sixteen"))
+                };
                 let (who, born) = (number(0), number(8));
                 if who == self.me.sender() && born >= self.me.born {
                     self.live_on(now, born + 1);
@@ -476,11 +536,15 @@
     fn warn(&mut self, now: f64, to: SocketAddr, sender: u64, born: u64) {
         if self.warned.get(&sender).is_none_or(|at| now - at > ASK) && self.warned.len() < WORDS {
             self.warned.insert(sender, now);
-            let body: Vec<u8> = [sender, born].iter().flat_map(|n| n.to_le_bytes()).collect();
+            let body: Vec<u8> = [sender, born]
+                .iter()
+                .flat_map(|n| n.to_le_bytes())
+                .collect();
             let datagram = self.seal.close(LATER, &body);
             // Danger: behind a translation of addresses it seems to come from where nobody hears.
             let reached = self.known.values().find(|k| k.name.sender() == sender);
-            self.sends.push((reached.map_or(to, |k| k.name.address), datagram));
+            self.sends
+                .push((reached.map_or(to, |k| k.name.address), datagram));
         }
     }
 
@@ -491,14 +555,20 @@
             // Danger: a paused node wakes to due times of long ago, and declares others failed whose answers
             // wait unread. Its time stood still, so all of them come later by as much.
             let by = (late * 1000.0) as u64;
-            self.timers =
-                std::mem::take(&mut self.timers).into_iter().map(|((at, n), t)| ((at + by, n), t)).collect();
+            self.timers = std::mem::take(&mut self.timers)
+                .into_iter()
+                .map(|((at, n), t)| ((at + by, n), t))
+                .collect();
             self.news.push(MembershipEvent::Paused(late));
         }
         if now >= self.ask_at {
             self.ask(now);
         }
-        while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 as f64 <= now * 1000.0) {
+        while let Some(entry) = self
+            .timers
+            .first_entry()
+            .filter(|e| e.key().0 as f64 <= now * 1000.0)
+        {
             let timer = entry.remove();
             self.with(now, |foca, wants| foca.handle_timer(timer, wants).is_ok());
         }
@@ -508,16 +578,29 @@
     /// Asks seeds who is there: all while nobody is known, else one that is not, so that two halves that forgot
     /// each other meet again.
     fn ask(&mut self, now: f64) {
-        let there = |known: &Member| matches!(known.state, MemberState::Alive | MemberState::Suspected);
+        let there =
+            |known: &Member| matches!(known.state, MemberState::Alive | MemberState::Suspected);
         let lonely = !self.known.values().any(there);
         self.tries = if lonely { self.tries + 1 } else { 0 };
-        let lost: Vec<SocketAddr> =
-            self.seeds.iter().copied().filter(|seed| !self.known.get(seed).is_some_and(there)).collect();
+        let lost: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .copied()
+            .filter(|seed| !self.known.get(seed).is_some_and(there))
+            .collect();
         let turn = (now / ASK) as usize % lost.len().max(1);
-        let asked = lost.iter().skip(if lonely { 0 } else { turn }).take(if lonely { lost.len() } else { 1 });
+        let asked = lost
+            .iter()
+            .skip(if lonely { 0 } else { turn })
+            .take(if lonely { lost.len() } else { 1 });
         for address in asked.copied().collect::<Vec<_>>() {
-            let nobody =
-                NodeId { address, born: 0, name: String::new(), zone: String::new(), ..self.me.clone() };
+            let nobody = NodeId {
+                address,
+                born: 0,
+                name: String::new(),
+                zone: String::new(),
+                ..self.me.clone()
+            };
             self.with(now, |foca, wants| foca.announce(nobody, wants).is_ok());
         }
         self.ask_at = now + if lonely { ASK } else { 5.0 * ASK };
@@ -525,8 +608,13 @@
 
     /// A life is over for the others; this node goes on under a later birth.
     fn live_on(&mut self, now: f64, born: u64) {
-        let me = NodeId { born, ..self.me.clone() };
-        self.with(now, |foca, wants| foca.change_identity(me.clone(), wants).is_ok());
+        let me = NodeId {
+            born,
+            ..self.me.clone()
+        };
+        self.with(now, |foca, wants| {
+            foca.change_identity(me.clone(), wants).is_ok()
+        });
         self.take_birth(born);
     }
 
@@ -550,7 +638,10 @@
         }
         for (after, timer) in wants.timers {
             self.next_timer += 1;
-            self.timers.insert((((now + after).max(0.0) * 1000.0) as u64, self.next_timer), timer);
+            self.timers.insert(
+                (((now + after).max(0.0) * 1000.0) as u64, self.next_timer),
+                timer,
+            );
         }
         for (to, body) in wants.sends {
             let datagram = self.seal.close(SWIM, &body);
@@ -568,7 +659,10 @@
         // tell only that it takes another's place, the member itself says which.
         let member = || {
             let of = |m: &&foca::Member<NodeId>| *m.id() == name;
-            self.foca.iter_membership_state().find(of).map(|m| seen(m.state()))
+            self.foca
+                .iter_membership_state()
+                .find(of)
+                .map(|m| seen(m.state()))
         };
         let Some(state) = state.or_else(member) else {
             return;
@@ -578,7 +672,11 @@
                 && known.name.address != name.address
                 && known.state == MemberState::Alive
         };
-        let twin = self.known.values().find(twin).map(|known| known.name.clone());
+        let twin = self
+            .known
+            .values()
+            .find(twin)
+            .map(|known| known.name.clone());
         let before = self.known.get(&name.address);
         // Gossip of a life's end that comes after its successor's start, or after its farewell, is no news.
         let stale = before.is_some_and(|b| {
@@ -587,21 +685,38 @@
         if stale {
             return;
         }
-        self.known
-            .insert(name.address, Member { number: at(name.address), name: name.clone(), state, since: now });
+        self.known.insert(
+            name.address,
+            Member {
+                number: at(name.address),
+                name: name.clone(),
+                state,
+                since: now,
+            },
+        );
         self.sharing.changed = true;
         // Danger: a new life never hears of those that failed before it came, counts another set for good, and
         // gets no part. All who know say so; one word each second of them goes round.
         if state == MemberState::Alive {
-            let failed =
-                self.known.values().filter(|k| k.state == MemberState::Failed).map(|k| k.name.clone());
+            let failed = self
+                .known
+                .values()
+                .filter(|k| k.state == MemberState::Failed)
+                .map(|k| k.name.clone());
             for name in failed.collect::<Vec<_>>() {
                 let (who, born, n) = (name.address, name.born, (now / 1000.0) as u64);
-                self.pass_on(Said { who, born, n, word: Word::Failed(name) });
+                self.pass_on(Said {
+                    who,
+                    born,
+                    n,
+                    word: Word::Failed(name),
+                });
             }
         }
         match (state, twin) {
-            (MemberState::Alive, Some(twin)) => self.news.push(MembershipEvent::TwoUnderOneName(twin, name)),
+            (MemberState::Alive, Some(twin)) => {
+                self.news.push(MembershipEvent::TwoUnderOneName(twin, name))
+            }
             (MemberState::Alive, None) => self.news.push(MembershipEvent::Up(name)),
             _ => self.news.push(MembershipEvent::Failed(name)),
         }
@@ -610,7 +725,11 @@
     fn listen(&mut self, now: f64, said: Said) {
         match said.word {
             Word::Left => {
-                let Some(known) = self.known.get_mut(&said.who).filter(|k| k.name.born <= said.born) else {
+                let Some(known) = self
+                    .known
+                    .get_mut(&said.who)
+                    .filter(|k| k.name.born <= said.born)
+                else {
                     return;
                 };
                 (known.state, known.since) = (MemberState::Left, now);
@@ -623,17 +742,27 @@
             Word::Counts(_) => {}
             Word::Failed(name) if name.address != self.me.address => {
                 // Only what nobody here has heard of: of its own neighbours each node sees for itself.
-                if self.known.get(&name.address).is_none_or(|known| known.name.born < name.born) {
+                if self
+                    .known
+                    .get(&name.address)
+                    .is_none_or(|known| known.name.born < name.born)
+                {
                     self.known.insert(
                         name.address,
-                        Member { number: at(name.address), name, state: MemberState::Failed, since: now },
+                        Member {
+                            number: at(name.address),
+                            name,
+                            state: MemberState::Failed,
+                            since: now,
+                        },
                     );
                     self.sharing.changed = true;
                 }
             }
             Word::Failed(_) => {}
             Word::EndpointUpdate(word) if said.who != self.me.address => {
-                self.news.push(MembershipEvent::EndpointUpdate(said.who, word));
+                self.news
+                    .push(MembershipEvent::EndpointUpdate(said.who, word));
             }
             Word::EndpointUpdate(_) => {}
         }
@@ -641,7 +770,12 @@
 
     fn say(&mut self, word: Word) {
         self.said += 1;
-        self.pass_on(Said { who: self.me.address, born: self.me.born, n: self.said, word });
+        self.pass_on(Said {
+            who: self.me.address,
+            born: self.me.born,
+            n: self.said,
+            word,
+        });
     }
 
     fn pass_on(&mut self, said: Said) {
@@ -673,14 +807,19 @@
         }
         self.tell_suspects(now);
         let whole = self.known.values().all(|k| k.state != MemberState::Failed);
-        self.parted = if whole { None } else { self.parted.or(Some(now)) };
+        self.parted = if whole {
+            None
+        } else {
+            self.parted.or(Some(now))
+        };
         let lost: BTreeSet<&str> = self
             .known
             .values()
             .filter(|k| k.state == MemberState::Failed)
             .map(|k| k.name.zone.as_str())
             .collect();
-        self.parted_zones.retain(|zone, _| lost.contains(zone.as_str()));
+        self.parted_zones
+            .retain(|zone, _| lost.contains(zone.as_str()));
         for zone in lost {
             if !self.parted_zones.contains_key(zone) {
                 self.parted_zones.insert(zone.to_string(), now);
@@ -693,12 +832,15 @@
         let differs = |m: &&foca::Member<NodeId>| {
             let known = self.known.get(&m.id().address);
             known.is_none_or(|k| {
-                k.name.born < m.id().born || (k.name.born == m.id().born && k.state != seen(m.state()))
+                k.name.born < m.id().born
+                    || (k.name.born == m.id().born && k.state != seen(m.state()))
             })
         };
         let members = self.foca.iter_membership_state().filter(differs);
         let changed: Vec<_> = members.map(|m| (m.id().clone(), seen(m.state()))).collect();
-        changed.into_iter().for_each(|(name, state)| self.learn(now, name, Some(state)));
+        changed
+            .into_iter()
+            .for_each(|(name, state)| self.learn(now, name, Some(state)));
         let before = self.known.len();
         self.known.retain(|_, k| match k.state {
             MemberState::Failed => now - k.since < self.forget_failed,
@@ -718,13 +860,21 @@
     /// few nodes ask the suspected one themselves; what it answers carries its denial.
     fn tell_suspects(&mut self, now: f64) {
         let suspect = |m: &&foca::Member<NodeId>| m.state() == foca::State::Suspect;
-        let suspects: Vec<NodeId> =
-            self.foca.iter_membership_state().filter(suspect).map(|m| m.id().clone()).collect();
-        self.told_suspect.retain(|address, _| suspects.iter().any(|s| s.address == *address));
+        let suspects: Vec<NodeId> = self
+            .foca
+            .iter_membership_state()
+            .filter(suspect)
+            .map(|m| m.id().clone())
+            .collect();
+        self.told_suspect
+            .retain(|address, _| suspects.iter().any(|s| s.address == *address));
         // Eight of all in the mean, however many they are: enough that one in ten lost changes nothing.
         let part = 8.0 / (self.sharing.living() + 1) as f64;
         for suspect in suspects {
-            let lately = self.told_suspect.get(&suspect.address).is_some_and(|at| now - at < PROBE / 2.0);
+            let lately = self
+                .told_suspect
+                .get(&suspect.address)
+                .is_some_and(|at| now - at < PROBE / 2.0);
             if !lately {
                 self.told_suspect.insert(suspect.address, now);
                 if self.chance.random::<f64>() < part {
@@ -768,8 +918,9 @@
             .map(|member| member.id().address)
             .collect();
         let mut all: Vec<Member> = self.known.values().cloned().collect();
-        for known in
-            all.iter_mut().filter(|k| k.state == MemberState::Alive && suspected.contains(&k.name.address))
+        for known in all
+            .iter_mut()
+            .filter(|k| k.state == MemberState::Alive && suspected.contains(&k.name.address))
         {
             known.state = MemberState::Suspected;
         }
@@ -779,17 +930,26 @@
     /// How many others live, and how many failed, of all that are known.
     pub fn census(&self) -> (usize, usize) {
         let count = |wanted: fn(&Member) -> bool| self.known.values().filter(|k| wanted(k)).count();
-        (count(Member::there), count(|k| k.state == MemberState::Failed))
+        (
+            count(Member::there),
+            count(|k| k.state == MemberState::Failed),
+        )
     }
 
     /// How much of the fleet that was last whole it reaches.
     pub fn reach(&self) -> Reachability {
         let (reached, failed) = self.census();
         match self.parted {
-            _ if reached + failed == 0 && self.tries > TRIES => Reachability::Isolated { since: self.began },
+            _ if reached + failed == 0 && self.tries > TRIES => {
+                Reachability::Isolated { since: self.began }
+            }
             None => Reachability::Full,
             Some(since) if reached == 0 => Reachability::Isolated { since },
-            Some(since) => Reachability::Partial { of: reached + failed + 1, reached: reached + 1, since },
+            Some(since) => Reachability::Partial {
+                of: reached + failed + 1,
+                reached: reached + 1,
+                since,
+            },
         }
     }
 
@@ -802,7 +962,12 @@
         }
         let reach = |(zone, (of, reached)): (&str, (usize, usize))| {
             let since = self.parted_zones.get(zone).copied();
-            ZoneReachability { zone: zone.into(), of, reached, since }
+            ZoneReachability {
+                zone: zone.into(),
+                of,
+                reached,
+                since,
+            }
         };
         zones.into_iter().map(reach).collect()
     }
--- a/membership/tests/network.rs
+++ b/membership/tests/network.rs
@@ -11,7 +11,9 @@
 const KEY: &str = "a key of the fleet's own";
 
 fn address(n: usize) -> SocketAddr {
-    format!("10.0.{}.{}:7946", n / 250, n % 250 + 1).parse().unwrap()
+    format!("10.0.{}.{}:7946", n / 250, n % 250 + 1)
+        .parse()
+        .unwrap()
 }
 
 fn name(n: usize, born: u64) -> NodeId {
@@ -84,7 +86,10 @@
         let seeds = [address(0), address(1), address(2), address(9999)];
         let seed = self.rng.random();
         self.at.insert(address(n), n);
-        self.nodes.insert(n, Membership::new(name(n, born), &seeds, &[KEY], seed, self.now).unwrap());
+        self.nodes.insert(
+            n,
+            Membership::new(name(n, born), &seeds, &[KEY], seed, self.now).unwrap(),
+        );
     }
 
     fn send(&mut self, from: usize, to: usize, datagram: Vec<u8>) {
@@ -95,7 +100,10 @@
         }
         self.n += 1;
         let late = self.delay * (0.5 + self.rng.random::<f64>());
-        self.way.insert((((self.now + late) * 1000.0) as u64, self.n), (from, to, datagram));
+        self.way.insert(
+            (((self.now + late) * 1000.0) as u64, self.n),
+            (from, to, datagram),
+        );
     }
 
     fn drain(&mut self, n: usize) {
@@ -103,7 +111,8 @@
             return;
         };
         let (sends, news) = (node.take_sends(), node.take_news());
-        self.news.extend(news.into_iter().map(|news| (self.now, n, news)));
+        self.news
+            .extend(news.into_iter().map(|news| (self.now, n, news)));
         for (to, datagram) in sends {
             let to = self.at.get(&to).copied().unwrap_or(usize::MAX);
             self.send(n, to, datagram);
@@ -117,12 +126,19 @@
             self.now += 10.0;
             let now = self.now;
             self.paused.retain(|_, till| *till > now);
-            while let Some(entry) = self.way.first_entry().filter(|e| e.key().0 as f64 <= self.now * 1000.0) {
+            while let Some(entry) = self
+                .way
+                .first_entry()
+                .filter(|e| e.key().0 as f64 <= self.now * 1000.0)
+            {
                 let (from, to, datagram) = entry.remove();
                 if self.paused.contains_key(&to) {
                     // It waits in the socket until the node goes on.
                     self.n += 1;
-                    self.way.insert((((self.paused[&to]) * 1000.0) as u64, self.n), (from, to, datagram));
+                    self.way.insert(
+                        (((self.paused[&to]) * 1000.0) as u64, self.n),
+                        (from, to, datagram),
+                    );
                     continue;
                 }
                 if self.old.len() < 2000 {
@@ -142,7 +158,10 @@
             }
             let told = self.told;
             // Whoever has met nobody is the node of today, one of the told number.
-            let met = self.nodes.values_mut().filter(|node| self.sums && !node.known().is_empty());
+            let met = self
+                .nodes
+                .values_mut()
+                .filter(|node| self.sums && !node.known().is_empty());
             let sum: f64 = met.map(|node| node.purse(told)).sum();
             self.most = self.most.max(sum);
         }
@@ -158,13 +177,19 @@
 
     fn all_see(&self, others: usize) -> bool {
         // One that was asked and has not answered yet is still there.
-        let there = |n: &usize| self.states(*n, MemberState::Alive) + self.states(*n, MemberState::Suspected);
+        let there = |n: &usize| {
+            self.states(*n, MemberState::Alive) + self.states(*n, MemberState::Suspected)
+        };
         self.nodes.keys().all(|n| there(n) == others)
     }
 
     /// Failures told of nodes that live.
     fn false_alarms(&self) -> usize {
-        let live = |name: &NodeId| self.nodes.values().any(|node| node.me().address == name.address);
+        let live = |name: &NodeId| {
+            self.nodes
+                .values()
+                .any(|node| node.me().address == name.address)
+        };
         self.news
             .iter()
             .filter(|(_, _, news)| matches!(news, MembershipEvent::Failed(name) if live(name)))
@@ -177,10 +202,24 @@
     let mut net = Net::of(24, 1);
     net.pass(5000.0);
     assert!(net.all_see(23), "all of all");
-    assert!(net.nodes.values().all(|node| node.reach() == Reachability::Full));
-    let parts: Vec<f64> = net.nodes.values_mut().map(|node| node.purse(24.0)).collect();
-    assert!(parts.iter().all(|part| (part * 24.0 - 1.0).abs() < 1e-9), "each has its part: {parts:?}");
-    assert!(net.most < 1.0 + 1e-9, "{} of a cold server's budget", net.most);
+    assert!(net
+        .nodes
+        .values()
+        .all(|node| node.reach() == Reachability::Full));
+    let parts: Vec<f64> = net
+        .nodes
+        .values_mut()
+        .map(|node| node.purse(24.0))
+        .collect();
+    assert!(
+        parts.iter().all(|part| (part * 24.0 - 1.0).abs() < 1e-9),
+        "each has its part: {parts:?}"
+    );
+    assert!(
+        net.most < 1.0 + 1e-9,
+        "{} of a cold server's budget",
+        net.most
+    );
 }
 
 #[test]
@@ -193,16 +232,33 @@
         (0..8).for_each(|n| drop(net.nodes.remove(&(3 * n))));
         net.news.clear();
         net.pass(8000.0);
-        let failed =
-            |news: &MembershipEvent| matches!(news, MembershipEvent::Failed(name) if name.zone == "a");
-        times.extend(net.news.iter().filter(|(_, _, n)| failed(n)).map(|(at, ..)| at - killed_at));
+        let failed = |news: &MembershipEvent| matches!(news, MembershipEvent::Failed(name) if name.zone == "a");
+        times.extend(
+            net.news
+                .iter()
+                .filter(|(_, _, n)| failed(n))
+                .map(|(at, ..)| at - killed_at),
+        );
         assert_eq!(net.false_alarms(), 0);
-        assert!(net.nodes.keys().all(|n| net.states(*n, MemberState::Failed) == 8), "seed {seed}");
+        assert!(
+            net.nodes
+                .keys()
+                .all(|n| net.states(*n, MemberState::Failed) == 8),
+            "seed {seed}"
+        );
     }
     times.sort_by(f64::total_cmp);
     let most = times[times.len() * 99 / 100];
-    assert!(most < 5000.0, "{most} ms at the 99th percentile of {}", times.len());
-    println!("detection: median {} ms, 99th {} ms", times[times.len() / 2], most);
+    assert!(
+        most < 5000.0,
+        "{most} ms at the 99th percentile of {}",
+        times.len()
+    );
+    println!(
+        "detection: median {} ms, 99th {} ms",
+        times[times.len() / 2],
+        most
+    );
 }
 
 #[test]
@@ -229,12 +285,21 @@
     let mut net = Net::met(9, 4);
     net.paused.insert(4, net.now + 10_000.0);
     net.pass(9990.0);
-    assert!(net.states(0, MemberState::Failed) == 1, "the others see that it does nothing");
+    assert!(
+        net.states(0, MemberState::Failed) == 1,
+        "the others see that it does nothing"
+    );
     net.pass(5000.0);
-    let by_it =
-        net.news.iter().filter(|(_, n, news)| *n == 4 && matches!(news, MembershipEvent::Failed(_))).count();
+    let by_it = net
+        .news
+        .iter()
+        .filter(|(_, n, news)| *n == 4 && matches!(news, MembershipEvent::Failed(_)))
+        .count();
     assert_eq!(by_it, 0, "it declares nobody failed");
-    assert!(net.news.iter().any(|(_, n, news)| *n == 4 && matches!(news, MembershipEvent::Paused(_))));
+    assert!(net
+        .news
+        .iter()
+        .any(|(_, n, news)| *n == 4 && matches!(news, MembershipEvent::Paused(_))));
     assert!(net.all_see(8), "all know all again");
     assert!(net.most < 1.0 + 1e-9, "{}", net.most);
 }
@@ -245,11 +310,23 @@
     net.cut = |a, b| a % 3 != b % 3;
     net.pass(20_000.0);
     assert!(
-        matches!(net.nodes[&0].reach(), Reachability::Partial { reached: 4, of: 12, .. }),
+        matches!(
+            net.nodes[&0].reach(),
+            Reachability::Partial {
+                reached: 4,
+                of: 12,
+                ..
+            }
+        ),
         "{:?}",
         net.nodes[&0].reach()
     );
-    assert!(net.nodes.values_mut().all(|node| node.purse(12.0) <= 1.0 / 12.0 + 1e-9), "nobody is freer");
+    assert!(
+        net.nodes
+            .values_mut()
+            .all(|node| node.purse(12.0) <= 1.0 / 12.0 + 1e-9),
+        "nobody is freer"
+    );
     // It heals in another order.
     net.cut = |a, b| a % 3 != b % 3 && (a % 3 == 0 || b % 3 == 0);
     net.pass(5000.0);
@@ -284,7 +361,12 @@
     net.start(5, 2);
     net.pass(4000.0);
     assert!(net.all_see(8));
-    assert!(net.view(0).iter().all(|k| k.name.name != "node-5" || k.name.born >= 2), "its new life");
+    assert!(
+        net.view(0)
+            .iter()
+            .all(|k| k.name.name != "node-5" || k.name.born >= 2),
+        "its new life"
+    );
     assert!(net.most < 1.0 + 1e-9, "{}", net.most);
 }
 
@@ -294,7 +376,10 @@
     net.nodes.remove(&5);
     net.start(5, 0);
     net.pass(8000.0);
-    assert!(net.all_see(5), "it was told, and lives on under a later birth");
+    assert!(
+        net.all_see(5),
+        "it was told, and lives on under a later birth"
+    );
     assert!(net.nodes[&5].me().born > 1);
 }
 
@@ -320,8 +405,16 @@
     net.pass(50.0);
     net.nodes.remove(&3);
     net.pass(6000.0);
-    assert!(net.nodes.keys().all(|n| net.states(*n, MemberState::Left) == 1), "all know that it left");
-    assert!(net.nodes.values_mut().all(|node| (node.purse(4.0) - 1.0 / 8.0).abs() < 1e-9));
+    assert!(
+        net.nodes
+            .keys()
+            .all(|n| net.states(*n, MemberState::Left) == 1),
+        "all know that it left"
+    );
+    assert!(net
+        .nodes
+        .values_mut()
+        .all(|node| (node.purse(4.0) - 1.0 / 8.0).abs() < 1e-9));
     assert!(net.most < 1.0 + 1e-9, "{}", net.most);
 }
 
@@ -340,7 +433,10 @@
         .news
         .iter()
         .filter(|(_, _, n)| {
-            matches!(n, MembershipEvent::EndpointUpdate(_, EndpointGossip { server: 4711, .. }))
+            matches!(
+                n,
+                MembershipEvent::EndpointUpdate(_, EndpointGossip { server: 4711, .. })
+            )
         })
         .collect();
     assert_eq!(heard.len(), 11, "each once");
@@ -355,20 +451,28 @@
     let node = net.nodes.get_mut(&0).unwrap();
     for (from, to, datagram) in old {
         if to == 0 {
-            assert!(node.heard(now, address(from), &datagram).is_err(), "a minute old");
+            assert!(
+                node.heard(now, address(from), &datagram).is_err(),
+                "a minute old"
+            );
         }
         for (place, flip) in [(0, 1u8), (30, 8), (datagram.len() - 1, 64)] {
             let mut garbled = datagram.clone();
             garbled[place] ^= flip;
             assert!(node.heard(now, address(from), &garbled).is_err());
         }
-        assert!(node.heard(now, address(from), &datagram[..datagram.len() / 2]).is_err());
+        assert!(node
+            .heard(now, address(from), &datagram[..datagram.len() / 2])
+            .is_err());
     }
-    let mut stranger = Membership::new(name(40, 1), &[address(0)], &["another fleet's key"], 1, now).unwrap();
+    let mut stranger =
+        Membership::new(name(40, 1), &[address(0)], &["another fleet's key"], 1, now).unwrap();
     stranger.due(now);
     let sent = stranger.take_sends();
     assert!(!sent.is_empty());
-    assert!(sent.iter().all(|(_, datagram)| node.heard(now, address(40), datagram).is_err()));
+    assert!(sent
+        .iter()
+        .all(|(_, datagram)| node.heard(now, address(40), datagram).is_err()));
     assert_eq!(net.view(0), before, "nothing came of it");
 }
 
@@ -376,8 +480,14 @@
 fn a_key_is_exchanged_while_the_fleet_runs() {
     let mut net = Net::of(4, 13);
     net.pass(5000.0);
-    let new =
-        Membership::new(name(4, 1), &[address(0)], &[KEY, "the next key of the fleet"], 4, net.now).unwrap();
+    let new = Membership::new(
+        name(4, 1),
+        &[address(0)],
+        &[KEY, "the next key of the fleet"],
+        4,
+        net.now,
+    )
+    .unwrap();
     net.at.insert(address(4), 4);
     net.nodes.insert(4, new);
     net.pass(5000.0);
@@ -389,12 +499,19 @@
 fn two_under_one_name_are_told_and_both_serve_on() {
     let mut net = Net::of(6, 14);
     net.pass(5000.0);
-    let twin = NodeId { name: "node-3".into(), ..name(50, 1) };
+    let twin = NodeId {
+        name: "node-3".into(),
+        ..name(50, 1)
+    };
     let twin = Membership::new(twin, &[address(0)], &[KEY], 5, net.now).unwrap();
     net.at.insert(address(50), 50);
     net.nodes.insert(50, twin);
     net.pass(5000.0);
-    let told = net.news.iter().filter(|(_, _, n)| matches!(n, MembershipEvent::TwoUnderOneName(..))).count();
+    let told = net
+        .news
+        .iter()
+        .filter(|(_, _, n)| matches!(n, MembershipEvent::TwoUnderOneName(..)))
+        .count();
     assert!(told >= 1, "named");
 }
 
@@ -404,10 +521,17 @@
     net.told = 8.0;
     net.start(7, 1);
     net.pass(500.0);
-    assert_eq!(net.nodes.get_mut(&7).unwrap().purse(8.0), 0.0, "not before all seeds were asked");
+    assert_eq!(
+        net.nodes.get_mut(&7).unwrap().purse(8.0),
+        0.0,
+        "not before all seeds were asked"
+    );
     net.pass(10_000.0);
     assert_eq!(net.nodes.get_mut(&7).unwrap().purse(8.0), 1.0 / 8.0);
-    assert!(matches!(net.nodes[&7].reach(), Reachability::Isolated { .. }));
+    assert!(matches!(
+        net.nodes[&7].reach(),
+        Reachability::Isolated { .. }
+    ));
 }
 
 #[test]
@@ -432,7 +556,10 @@
     };
     let (few, many) = (rate(10), rate(80));
     println!("{few:.0} and {many:.0} bytes a second a node");
-    assert!(many < 1.5 * few, "{few:.0} and {many:.0} bytes a second a node");
+    assert!(
+        many < 1.5 * few,
+        "{few:.0} and {many:.0} bytes a second a node"
+    );
 }
 
 #[test]
@@ -446,7 +573,10 @@
     net.pass(10_000.0);
     let parts: Vec<f64> = net.nodes.values_mut().map(|node| node.purse(9.0)).collect();
     // Two that failed may hold a ninth each; eight that live share the rest.
-    assert!(parts.iter().all(|part| *part > 0.09 && *part < 0.1), "{parts:?}");
+    assert!(
+        parts.iter().all(|part| *part > 0.09 && *part < 0.1),
+        "{parts:?}"
+    );
     assert!(net.most < 1.0 + 1e-9, "{}", net.most);
 }
 
@@ -456,8 +586,13 @@
     let mut net = Net::of(7, seed);
     net.told = [5.0, 7.0, 10.0][seed as usize % 3];
     net.pass(chance.random::<f64>() * 8000.0);
-    let cuts: [fn(usize, usize) -> bool; 5] =
-        [|_, _| false, |a, b| a % 2 != b % 2, |a, b| a % 3 != b % 3, |a, b| a < 3 && b >= 3, |a, _| a == 1];
+    let cuts: [fn(usize, usize) -> bool; 5] = [
+        |_, _| false,
+        |a, b| a % 2 != b % 2,
+        |a, b| a % 3 != b % 3,
+        |a, b| a < 3 && b >= 3,
+        |a, _| a == 1,
+    ];
     let mut births = BTreeMap::new();
     for _ in 0..12 {
         let n = chance.random_range(0..10);
@@ -467,7 +602,8 @@
             2 => net.delay = 1.0 + chance.random::<f64>() * 150.0,
             3 => drop(net.nodes.remove(&n)),
             4 if net.nodes.contains_key(&n) => {
-                net.paused.insert(n, net.now + chance.random::<f64>() * 12_000.0);
+                net.paused
+                    .insert(n, net.now + chance.random::<f64>() * 12_000.0);
             }
             5 if net.nodes.contains_key(&n) && !net.paused.contains_key(&n) => {
                 let now = net.now;
@@ -501,7 +637,10 @@
         let net = faulty(seed);
         assert!(net.most < 1.0 + 1e-9, "seed {seed}: {}", net.most);
         let others = net.nodes.len() - 1;
-        assert!(net.nodes.len() < 2 || net.all_see(others), "seed {seed}: views differ after all has healed");
+        assert!(
+            net.nodes.len() < 2 || net.all_see(others),
+            "seed {seed}: views differ after all has healed"
+        );
     }
 }
 
@@ -565,7 +704,10 @@
             })
         })
         .collect();
-    let bad: Vec<_> = runs.into_iter().flat_map(|run| run.join().unwrap()).collect();
+    let bad: Vec<_> = runs
+        .into_iter()
+        .flat_map(|run| run.join().unwrap())
+        .collect();
     println!("10,000 runs, those that broke the sum or did not heal: {bad:?}");
     assert!(bad.is_empty());
 }
--- a/operator-config/src/cluster.rs
+++ b/operator-config/src/cluster.rs
@@ -43,10 +43,18 @@
         let somewhere = |at: SocketAddr| !at.ip().is_unspecified() && at.port() != 0;
         match (listen, advertise) {
             (_, Some((address, at))) if !somewhere(address) => {
-                part.fault(at, "advertise", "is no address at which others reach this node");
+                part.fault(
+                    at,
+                    "advertise",
+                    "is no address at which others reach this node",
+                );
             }
             (Some((address, at)), None) if !somewhere(address) => {
-                part.fault(at, "listen", "needs advertise beside it: nobody reaches such an address");
+                part.fault(
+                    at,
+                    "listen",
+                    "needs advertise beside it: nobody reaches such an address",
+                );
             }
             _ => {}
         }
@@ -57,18 +65,28 @@
             }
         }
         let key_files = part.must::<Vec<String>>("key-files");
-        if let Some((_, at)) = key_files.as_ref().filter(|(files, _)| !(1..=2).contains(&files.len())) {
-            part.fault(*at, "key-files", "names one file, or two while a key is exchanged");
+        if let Some((_, at)) = key_files
+            .as_ref()
+            .filter(|(files, _)| !(1..=2).contains(&files.len()))
+        {
+            part.fault(
+                *at,
+                "key-files",
+                "names one file, or two while a key is exchanged",
+            );
         }
         // A day: whoever comes back by then is known as the one that was lost.
-        let forget =
-            part.may_at::<DurationSetting>("forget-failed").unwrap_or((DurationSetting(86_400_000.0), 0));
+        let forget = part
+            .may_at::<DurationSetting>("forget-failed")
+            .unwrap_or((DurationSetting(86_400_000.0), 0));
         if forget.0 .0 < 60_000.0 {
             // Danger: one that is cut off for a while, and pushes, would not be counted.
             part.fault(forget.1, "forget-failed", "is a minute at least");
         }
         // Some two hundred datagrams: those of several seconds.
-        let buffer = part.may_at::<SizeSetting>("receive-buffer").unwrap_or((SizeSetting(256 * 1024), 0));
+        let buffer = part
+            .may_at::<SizeSetting>("receive-buffer")
+            .unwrap_or((SizeSetting(256 * 1024), 0));
         if !(16 * 1024..=64 * 1024 * 1024).contains(&buffer.0 .0) {
             part.fault(buffer.1, "receive-buffer", "is 16KiB to 64MiB");
         }
--- a/operator-config/src/lib.rs
+++ b/operator-config/src/lib.rs
@@ -40,7 +40,9 @@
     /// Reads a charter's text. Errors: all that is wrong with it, by line.
     pub fn read(text: &str) -> Result<Self, Vec<ConfigurationError>> {
         section_reader::read(text, |whole: &mut Section| {
-            let fleet = whole.section("fleet").and_then(|part| part.all(ClusterOptions::read));
+            let fleet = whole
+                .section("fleet")
+                .and_then(|part| part.all(ClusterOptions::read));
             Some(OperatorConfig { fleet })
         })
     }
--- a/operator-config/src/section_reader.rs
+++ b/operator-config/src/section_reader.rs
@@ -20,7 +20,9 @@
 
     fn add(&self, at: usize, key: String, what: String) {
         let line = self.line(at);
-        self.faults.borrow_mut().push(ConfigurationError { line, key, what });
+        self.faults
+            .borrow_mut()
+            .push(ConfigurationError { line, key, what });
     }
 }
 
@@ -34,15 +36,35 @@
 }
 
 /// Reads a whole text by what takes its keys. Errors: all faults, by line.
-pub fn read<T>(text: &str, by: impl FnOnce(&mut Section) -> Option<T>) -> Result<T, Vec<ConfigurationError>> {
-    let begins = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n').map(|(at, _)| at + 1);
-    let found = Rc::new(Found { lines: [0].into_iter().chain(begins).collect(), faults: RefCell::default() });
+pub fn read<T>(
+    text: &str,
+    by: impl FnOnce(&mut Section) -> Option<T>,
+) -> Result<T, Vec<ConfigurationError>> {
+    let begins = text
+        .bytes()
+        .enumerate()
+        .filter(|(_, byte)| *byte == b'\n')
+        .map(|(at, _)| at + 1);
+    let found = Rc::new(Found {
+        lines: [0].into_iter().chain(begins).collect(),
+        faults: RefCell::default(),
+    });
     let (table, errors) = DeTable::parse_recoverable(text);
     for error in &errors {
-        found.add(error.span().map_or(0, |span| span.start), String::new(), error.message().to_string());
+        found.add(
+            error.span().map_or(0, |span| span.start),
+            String::new(),
+            error.message().to_string(),
+        );
     }
     let table = table.into_inner();
-    let whole = Section { found: Rc::clone(&found), path: String::new(), at: 0, table, known: Vec::new() };
+    let whole = Section {
+        found: Rc::clone(&found),
+        path: String::new(),
+        at: 0,
+        table,
+        known: Vec::new(),
+    };
     let read = whole.all(by);
     let mut faults = found.faults.take();
     faults.sort_by_key(|fault| fault.line);
@@ -58,15 +80,21 @@
         let read = by(&mut self);
         for key in self.table.keys() {
             // As far off as a slip of the hand: a third of its letters.
-            let near =
-                |known: &&&str| strsim::damerau_levenshtein(known, key.get_ref()) * 3 <= known.len().max(6);
+            let near = |known: &&&str| {
+                strsim::damerau_levenshtein(known, key.get_ref()) * 3 <= known.len().max(6)
+            };
             let nearest = self.known.iter().filter(near);
-            let nearest = nearest.min_by_key(|known| strsim::damerau_levenshtein(known, key.get_ref()));
+            let nearest =
+                nearest.min_by_key(|known| strsim::damerau_levenshtein(known, key.get_ref()));
             let what = nearest.map_or_else(
                 || format!("is not known here; known are {}", self.known.join(", ")),
                 |known| format!("is not known; {known} is meant?"),
             );
-            self.found.add(key.span().start, format!("{}{}", self.path, key.get_ref()), what);
+            self.found.add(
+                key.span().start,
+                format!("{}{}", self.path, key.get_ref()),
+                what,
+            );
         }
         read
     }
@@ -83,28 +111,37 @@
         T::deserialize(ValueDeserializer::from(value))
             .map_err(|e| {
                 let at = e.span().map_or(at, |span| span.start);
-                self.found.add(at, format!("{}{key}", self.path), e.message().to_string());
+                self.found
+                    .add(at, format!("{}{key}", self.path), e.message().to_string());
             })
             .ok()
     }
 
     /// The same with its place, for a check that a type does not make.
-    pub fn may_at<T: for<'de> Deserialize<'de>>(&mut self, key: &'static str) -> Option<(T, usize)> {
-        let at = self.table.get(key).map_or(self.at, |value| value.span().start);
+    pub fn may_at<T: for<'de> Deserialize<'de>>(
+        &mut self,
+        key: &'static str,
+    ) -> Option<(T, usize)> {
+        let at = self
+            .table
+            .get(key)
+            .map_or(self.at, |value| value.span().start);
         Some((self.may(key)?, at))
     }
 
     /// The same of a key that must be there.
     pub fn must<T: for<'de> Deserialize<'de>>(&mut self, key: &'static str) -> Option<(T, usize)> {
         if !self.table.contains_key(key) {
-            self.found.add(self.at, format!("{}{key}", self.path), "is missing".into());
+            self.found
+                .add(self.at, format!("{}{key}", self.path), "is missing".into());
         }
         self.may_at(key)
     }
 
     /// Notes a fault of a key at a place.
     pub fn fault(&self, at: usize, key: &str, what: impl Into<String>) {
-        self.found.add(at, format!("{}{key}", self.path), what.into());
+        self.found
+            .add(at, format!("{}{key}", self.path), what.into());
     }
 
     /// A table in it, if it is there.
--- a/operator-config/src/units.rs
+++ b/operator-config/src/units.rs
@@ -9,8 +9,8 @@
 
 impl<'de> Deserialize<'de> for DurationSetting {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        let text =
-            String::deserialize(from).map_err(|_| D::Error::custom("a duration is text, as \"300ms\""))?;
+        let text = String::deserialize(from)
+            .map_err(|_| D::Error::custom("a duration is text, as \"300ms\""))?;
         let read = humantime::parse_duration(&text);
         let read = read.map_err(|e| D::Error::custom(format!("{text:?} is no duration: {e}")))?;
         Ok(DurationSetting(read.as_secs_f64() * 1000.0))
@@ -23,8 +23,8 @@
 
 impl<'de> Deserialize<'de> for SizeSetting {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        let text =
-            String::deserialize(from).map_err(|_| D::Error::custom("a size is text, as \"256KiB\""))?;
+        let text = String::deserialize(from)
+            .map_err(|_| D::Error::custom("a size is text, as \"256KiB\""))?;
         let read = text.parse::<bytesize::ByteSize>();
         read.map(|size| SizeSetting(size.as_u64()))
             .map_err(|e| D::Error::custom(format!("{text:?} is no size: {e}")))
--- a/operator-config/tests/errors.rs
+++ b/operator-config/tests/errors.rs
@@ -14,24 +14,37 @@
 "#;
 
 fn told(text: &str) -> Vec<String> {
-    OperatorConfig::read(text).expect_err("faults").iter().map(ToString::to_string).collect()
+    OperatorConfig::read(text)
+        .expect_err("faults")
+        .iter()
+        .map(ToString::to_string)
+        .collect()
 }
 
 #[test]
 fn a_good_file_is_read_and_what_it_does_not_name_is_off() {
-    let read = OperatorConfig::read(GOOD).expect("in order").fleet.expect("there");
+    let read = OperatorConfig::read(GOOD)
+        .expect("in order")
+        .fleet
+        .expect("there");
     let expected = ClusterOptions {
         name: None,
         zone: Some("north".into()),
         listen: "0.0.0.0:7900".parse().unwrap(),
         advertise: "10.0.0.7:7900".parse().unwrap(),
-        seeds: vec!["10.0.0.5:7900".parse().unwrap(), "10.0.0.6:7900".parse().unwrap()],
+        seeds: vec![
+            "10.0.0.5:7900".parse().unwrap(),
+            "10.0.0.6:7900".parse().unwrap(),
+        ],
         key_files: vec!["/etc/crankmux/fleet.key".into()],
         forget_failed: 7_200_000.0,
         receive_buffer: 1024 * 1024,
     };
     assert_eq!(read, expected);
-    assert_eq!(OperatorConfig::read("# nothing\n"), Ok(OperatorConfig::default()));
+    assert_eq!(
+        OperatorConfig::read("# nothing\n"),
+        Ok(OperatorConfig::default())
+    );
 }
 
 #[test]
@@ -44,12 +57,18 @@
         ("line 1: flet: is not known; fleet is meant?", 0),
         ("line 3: fleet.name: ", 1),
         ("line 4: fleet.listen: ", 2),
-        ("line 5: fleet.advertize: is not known; advertise is meant?", 3),
+        (
+            "line 5: fleet.advertize: is not known; advertise is meant?",
+            3,
+        ),
         ("line 6: fleet.seeds: ", 4),
         ("line 7: fleet.key-files: names one file", 5),
         ("line 8: fleet.forget-failed: ", 6),
         ("line 9: fleet.receive-buffer: is 16KiB", 7),
-        ("line 10: fleet.colour: is not known here; known are name, zone", 8),
+        (
+            "line 10: fleet.colour: is not known here; known are name, zone",
+            8,
+        ),
     ];
     assert_eq!(all.len(), named.len(), "{all:#?}");
     for (start, at) in named {
@@ -61,7 +80,10 @@
 fn what_is_missing_is_told_at_its_section() {
     let all = told("\n[fleet]\n");
     for key in ["listen", "seeds", "key-files"] {
-        assert!(all.contains(&format!("line 2: fleet.{key}: is missing")), "{all:#?}");
+        assert!(
+            all.contains(&format!("line 2: fleet.{key}: is missing")),
+            "{all:#?}"
+        );
     }
     assert_eq!(all.len(), 3);
 }
@@ -74,9 +96,15 @@
         ["line 4: fleet.listen: needs advertise beside it: nobody reaches such an address"]
     );
     let nowhere = GOOD.replace("10.0.0.7", "0.0.0.0");
-    assert_eq!(told(&nowhere), ["line 5: fleet.advertise: is no address at which others reach this node"]);
+    assert_eq!(
+        told(&nowhere),
+        ["line 5: fleet.advertise: is no address at which others reach this node"]
+    );
     let seed = GOOD.replace("10.0.0.6:7900", "10.0.0.6:0");
-    assert_eq!(told(&seed), ["line 6: fleet.seeds: has one that is nobody's address"]);
+    assert_eq!(
+        told(&seed),
+        ["line 6: fleet.seeds: has one that is nobody's address"]
+    );
 }
 
 #[test]
@@ -88,10 +116,16 @@
         // no more than its lines say.
         if let Ok(read) = OperatorConfig::read(&GOOD[..cut]) {
             let fleet = read.fleet.as_ref();
-            assert!(fleet.is_none_or(|f| f.seeds == good.fleet.as_ref().unwrap().seeds), "cut at {cut}");
+            assert!(
+                fleet.is_none_or(|f| f.seeds == good.fleet.as_ref().unwrap().seeds),
+                "cut at {cut}"
+            );
         }
     }
     for twice in ["zone = \"b\"\n", "[fleet]\n"] {
-        assert!(OperatorConfig::read(&format!("{GOOD}{twice}")).is_err(), "{twice}");
+        assert!(
+            OperatorConfig::read(&format!("{GOOD}{twice}")).is_err(),
+            "{twice}"
+        );
     }
 }
--- a/proxy/src/admin/calls.rs
+++ b/proxy/src/admin/calls.rs
@@ -11,14 +11,18 @@
                 Ok((stream, _)) => self.let_in(stream),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e)
-                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
+                    if matches!(
+                        e.kind(),
+                        io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted
+                    ) => {}
                 // Danger: connections that stand idle have taken the last descriptor, and no operator gets
                 // in.
                 Err(e) => {
                     if !(lacks(&e) && self.free_descriptor()) {
                         log::warn!("the door cannot accept: {e}");
                         let at = self.now() + AGAIN;
-                        self.timers.set(at, |proxy: &mut Proxy| proxy.accept_admin_callers());
+                        self.timers
+                            .set(at, |proxy: &mut Proxy| proxy.accept_admin_callers());
                         return;
                     }
                 }
@@ -33,11 +37,14 @@
             // first.
             (0..CALLERS_MOST).for_each(|slot| self.admin_event(slot));
             let callers = self.admin.callers.iter().enumerate();
-            let ranked = callers.filter_map(|(slot, caller)| Some((slot, caller.as_ref()?.worth())));
+            let ranked =
+                callers.filter_map(|(slot, caller)| Some((slot, caller.as_ref()?.worth())));
             let order = |a: &(bool, usize, f64), b: &(bool, usize, f64)| {
                 (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
             };
-            if let (None, Some((least, _))) = (free(&self.admin), ranked.min_by(|a, b| order(&a.1, &b.1))) {
+            if let (None, Some((least, _))) =
+                (free(&self.admin), ranked.min_by(|a, b| order(&a.1, &b.1)))
+            {
                 self.send_away(least);
             }
         }
@@ -45,13 +52,29 @@
             return;
         };
         let both = Interest::READABLE | Interest::WRITABLE;
-        if let Err(e) = self.registry.register(&mut stream, Token(CALLERS.0 + slot), both) {
+        if let Err(e) = self
+            .registry
+            .register(&mut stream, Token(CALLERS.0 + slot), both)
+        {
             return log::warn!("cannot watch a caller: {e}");
         }
         let came = self.now();
-        let timer = Some(self.timers.set(came + CALL_WITHIN, move |proxy: &mut Proxy| proxy.call_due(slot)));
+        let timer = Some(
+            self.timers
+                .set(came + CALL_WITHIN, move |proxy: &mut Proxy| {
+                    proxy.call_due(slot)
+                }),
+        );
         let said = Buffer::of(2 * HEAD_MOST);
-        let caller = Caller { stream, said, answer: Vec::new(), sent: 0, past: None, came, timer };
+        let caller = Caller {
+            stream,
+            said,
+            answer: Vec::new(),
+            sent: 0,
+            past: None,
+            came,
+            timer,
+        };
         self.admin.callers[slot] = Some(caller);
         self.admin_event(slot);
     }
@@ -106,7 +129,14 @@
             }
             let filled = caller.said.fill(&mut caller.stream);
             let found = http::request(caller.said.held(), |method, target, _| {
-                (method.to_string(), http::origin(target).split('?').next().unwrap_or_default().to_string())
+                (
+                    method.to_string(),
+                    http::origin(target)
+                        .split('?')
+                        .next()
+                        .unwrap_or_default()
+                        .to_string(),
+                )
             });
             match (found, filled) {
                 (Ok(Some((_, (method, path)))), _) => {
@@ -129,12 +159,17 @@
         };
         caller.answer = http::told(status, text).into_bytes();
         self.timers.unset(caller.timer.take());
-        caller.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.send_away(slot)));
+        caller.timer = Some(
+            self.timers
+                .set(at, move |proxy: &mut Proxy| proxy.send_away(slot)),
+        );
     }
 
     /// What a call comes to: a status, and a text.
     fn call(&mut self, method: &str, path: &str) -> (u16, String) {
-        let server = path.strip_prefix("/v1/servers/").and_then(|rest| rest.rsplit_once('/'));
+        let server = path
+            .strip_prefix("/v1/servers/")
+            .and_then(|rest| rest.rsplit_once('/'));
         let needed = match (path, server) {
             ("/v1/readyz" | "/v1/metrics", _) => "GET",
             ("/fleet", _) if self.cluster.is_some() => "GET",
@@ -150,7 +185,10 @@
             None if path == "/fleet" => {
                 let now = self.now();
                 let page = self.cluster.as_ref().map(|members| members.page(now));
-                (200, page.map_or_else(String::new, |page| format!("{page:#}\n")))
+                (
+                    200,
+                    page.map_or_else(String::new, |page| format!("{page:#}\n")),
+                )
             }
             None => (200, self.figures()),
             Some((id, action)) => match decoded(id) {
@@ -164,8 +202,12 @@
     /// What the node reports, a figure a line.
     fn figures(&self) -> String {
         let (discovered, ejected) = self.dispatcher.endpoint_counts();
-        self.access_metrics.lines(&self.name_index.classes.names, self.downstream.uploads())
+        self.access_metrics
+            .lines(&self.name_index.classes.names, self.downstream.uploads())
             + &format!("discovered={discovered}\nejected={ejected}\n")
-            + &self.cluster.as_ref().map_or_else(String::new, |members| members.figures())
+            + &self
+                .cluster
+                .as_ref()
+                .map_or_else(String::new, |members| members.figures())
     }
 }
--- a/proxy/src/admin/disabled_endpoints/mod.rs
+++ b/proxy/src/admin/disabled_endpoints/mod.rs
@@ -25,7 +25,9 @@
         if self.once.insert(mark) {
             self.order.push_back(mark);
             if self.order.len() > ONCE_MOST {
-                self.order.pop_front().map(|oldest| self.once.remove(&oldest));
+                self.order
+                    .pop_front()
+                    .map(|oldest| self.once.remove(&oldest));
             }
         }
     }
--- a/proxy/src/admin/disabled_endpoints/watch.rs
+++ b/proxy/src/admin/disabled_endpoints/watch.rs
@@ -38,7 +38,10 @@
     pub fn reload_disabled_endpoints(&mut self) {
         // Danger: a folder that can't be opened for want of a descriptor says nothing of what is suspended.
         self.free_descriptor();
-        let Some(bans) = self.state_directory.bans().filter(|bans| *bans != self.disabled_endpoints.now)
+        let Some(bans) = self
+            .state_directory
+            .bans()
+            .filter(|bans| *bans != self.disabled_endpoints.now)
         else {
             return;
         };
@@ -65,7 +68,11 @@
                 self.drop_upstream(key);
             }
         }
-        for key in self.upstream.links.keys(|link| link.server == server && link.unsent()) {
+        for key in self
+            .upstream
+            .links
+            .keys(|link| link.server == server && link.unsent())
+        {
             self.fail(key, AttemptOutcome::NotSent, LoadReport::default());
         }
     }
--- a/proxy/src/admin/mod.rs
+++ b/proxy/src/admin/mod.rs
@@ -47,7 +47,10 @@
 
 impl AdminServer {
     pub fn new(listener: Option<TcpListener>) -> Self {
-        AdminServer { listener, ..AdminServer::default() }
+        AdminServer {
+            listener,
+            ..AdminServer::default()
+        }
     }
 }
 
@@ -57,7 +60,9 @@
     while let Some((byte, more)) = rest.split_first() {
         rest = more;
         if *byte == b'%' {
-            let digits = more.get(..2).filter(|d| d.iter().all(u8::is_ascii_hexdigit))?;
+            let digits = more
+                .get(..2)
+                .filter(|d| d.iter().all(u8::is_ascii_hexdigit))?;
             bytes.push(u8::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?);
             rest = &more[2..];
         } else {
--- a/proxy/src/buffers.rs
+++ b/proxy/src/buffers.rs
@@ -37,7 +37,10 @@
 impl Buffer {
     /// One of an own size, outside the pool, for whoever keeps it for good.
     pub fn of(size: usize) -> Self {
-        Buffer { bytes: vec![0; size].into_boxed_slice(), filled: 0 }
+        Buffer {
+            bytes: vec![0; size].into_boxed_slice(),
+            filled: 0,
+        }
     }
 
     /// Twice the size, up to a bound; whether it has grown.
@@ -124,7 +127,11 @@
 
 impl Buffers {
     pub fn new(bytes: usize) -> Self {
-        let mut buffers = Buffers { free: Vec::new(), made: 0, most: 0 };
+        let mut buffers = Buffers {
+            free: Vec::new(),
+            made: 0,
+            most: 0,
+        };
         buffers.resize(bytes);
         buffers
     }
--- a/proxy/src/cli/cluster.rs
+++ b/proxy/src/cli/cluster.rs
@@ -16,9 +16,14 @@
     let text = |e: std::io::Error| format!("{door}: {e}");
     let mut stream = TcpStream::connect_timeout(&door, PATIENCE).map_err(text)?;
     stream.set_read_timeout(Some(PATIENCE)).map_err(text)?;
-    stream.write_all(format!("GET /fleet HTTP/1.1\r\nHost: {door}\r\n\r\n").as_bytes()).map_err(text)?;
+    stream
+        .write_all(format!("GET /fleet HTTP/1.1\r\nHost: {door}\r\n\r\n").as_bytes())
+        .map_err(text)?;
     let mut answer = Vec::new();
-    stream.take(PAGE_MOST).read_to_end(&mut answer).map_err(text)?;
+    stream
+        .take(PAGE_MOST)
+        .read_to_end(&mut answer)
+        .map_err(text)?;
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut head = httparse::Response::new(&mut headers);
     let broken = || format!("{door}: no HTTP answer");
@@ -40,7 +45,9 @@
 }
 
 fn plain(value: &Value) -> String {
-    value.as_str().map_or_else(|| value.to_string(), str::to_string)
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_string)
 }
 
 /// The page in words and tables.
@@ -71,22 +78,46 @@
     let list = |name: &str| page[name].as_array().cloned().unwrap_or_default();
     let mut table = |heads: &[&str], rows: Vec<Vec<String>>| {
         let mut table = Table::new();
-        table.load_style(presets::NOTHING).set_header(heads.to_vec()).add_rows(rows);
+        table
+            .load_style(presets::NOTHING)
+            .set_header(heads.to_vec())
+            .add_rows(rows);
         text += &format!("{}\n\n", table.trim_fmt());
     };
     let zone = |zone: &Value| {
-        let since = Some(&zone["since_ms"]).filter(|since| !since.is_null()).map(ago).unwrap_or_default();
-        vec![plain(&zone["zone"]), format!("{} of {}", zone["reached"], zone["of"]), since]
+        let since = Some(&zone["since_ms"])
+            .filter(|since| !since.is_null())
+            .map(ago)
+            .unwrap_or_default();
+        vec![
+            plain(&zone["zone"]),
+            format!("{} of {}", zone["reached"], zone["of"]),
+            since,
+        ]
     };
-    table(&["ZONE", "REACHED", "CUT SINCE"], list("zones").iter().map(zone).collect());
+    table(
+        &["ZONE", "REACHED", "CUT SINCE"],
+        list("zones").iter().map(zone).collect(),
+    );
     let member = |member: &Value| {
         let keys = ["name", "zone", "address", "state"].map(|key| plain(&member[key]));
         let program = member["program"].as_u64().unwrap_or(0);
-        let version = format!("{}.{}.{}", program / 1_000_000, program / 1000 % 1000, program % 1000);
-        let more = [ago(&member["since_ms"]), version, plain(&member["settings"])];
+        let version = format!(
+            "{}.{}.{}",
+            program / 1_000_000,
+            program / 1000 % 1000,
+            program % 1000
+        );
+        let more = [
+            ago(&member["since_ms"]),
+            version,
+            plain(&member["settings"]),
+        ];
         keys.into_iter().chain(more).collect()
     };
-    let heads = ["NAME", "ZONE", "ADDRESS", "STATE", "SINCE", "PROGRAM", "SETTINGS"];
+    let heads = [
+        "NAME", "ZONE", "ADDRESS", "STATE", "SINCE", "PROGRAM", "SETTINGS",
+    ];
     table(&heads, list("members").iter().map(member).collect());
     text.trim_end().to_string()
 }
--- a/proxy/src/cli/mod.rs
+++ b/proxy/src/cli/mod.rs
@@ -75,7 +75,11 @@
 fn check(file: &Path) -> ExitCode {
     match operator_config::at(file) {
         Ok(charter) => {
-            let parts = if charter.fleet.is_some() { "fleet is on" } else { "nothing is on" };
+            let parts = if charter.fleet.is_some() {
+                "fleet is on"
+            } else {
+                "nothing is on"
+            };
             println!("{}: in order; {parts}", file.display());
             ExitCode::SUCCESS
         }
--- a/proxy/src/cluster/events.rs
+++ b/proxy/src/cluster/events.rs
@@ -78,7 +78,11 @@
     /// Does what is due of the fleet.
     pub fn run_cluster(&mut self) {
         let now = self.now();
-        let Some(members) = self.cluster.as_mut().filter(|members| members.next_due() <= now) else {
+        let Some(members) = self
+            .cluster
+            .as_mut()
+            .filter(|members| members.next_due() <= now)
+        else {
             return;
         };
         if now >= members.read_at {
@@ -129,14 +133,26 @@
         let line = |mark: &u64| {
             let (line, dial) = members.lines.get(mark)?;
             let (strict, started) = members.lists.holds(*mark)?;
-            let line = EndpointUpdate { state: standing(strict), started_at_ms: started, ..*line };
-            Some((line, dial.filter(|_| strict == 0).map(|(address, _)| (address, started))))
+            let line = EndpointUpdate {
+                state: standing(strict),
+                started_at_ms: started,
+                ..*line
+            };
+            Some((
+                line,
+                dial.filter(|_| strict == 0)
+                    .map(|(address, _)| (address, started)),
+            ))
         };
         let lines: Vec<_> = servers.iter().filter_map(line).collect();
         let listed: Vec<EndpointUpdate> = lines.iter().map(|(line, _)| *line).collect();
         self.dispatcher.update_endpoints(now, &listed, false, false);
         for (line, dial) in lines {
-            log::info!("fleet: server {:016x} is {:?}, by another node's list", line.stable_hash, line.state);
+            log::info!(
+                "fleet: server {:016x} is {:?}, by another node's list",
+                line.stable_hash,
+                line.state
+            );
             self.place(line.endpoint, dial);
         }
         self.leave_not_sent();
@@ -162,10 +178,14 @@
             }
         }
         let (say, passed) = members.lists.told(list.seq, list.whole, &lines);
-        say.into_iter().for_each(|word| members.fleet.tell_listed(word));
+        say.into_iter()
+            .for_each(|word| members.fleet.tell_listed(word));
         // What was told just now came over what others had told of it: the stricter counts still.
         let stricter = lines.iter().map(|(mark, ..)| *mark).filter(|mark| {
-            members.lists.holds(*mark).is_some_and(|(strict, _)| strict > 0)
+            members
+                .lists
+                .holds(*mark)
+                .is_some_and(|(strict, _)| strict > 0)
                 && members.lines.contains_key(mark)
         });
         let held: Vec<u64> = passed.into_iter().chain(stricter).collect();
--- a/proxy/src/cluster/mod.rs
+++ b/proxy/src/cluster/mod.rs
@@ -39,7 +39,9 @@
 fn version(settings: &Value) -> u64 {
     let mut common = settings.clone();
     if let Some(keys) = common.as_object_mut() {
-        ["MyNumber", "MyZone"].iter().for_each(|own| drop(keys.remove(*own)));
+        ["MyNumber", "MyZone"]
+            .iter()
+            .for_each(|own| drop(keys.remove(*own)));
     }
     hashed(&common.to_string())
 }
@@ -55,9 +57,15 @@
 impl ClusterConfig {
     pub fn new(charter: ClusterOptions, keys: Vec<String>, configuration: &Configuration) -> Self {
         let settings = configuration.whole.get("settings").unwrap_or(&Value::Null);
-        let zone = settings.get("MyZone").and_then(Value::as_str).unwrap_or_default();
+        let zone = settings
+            .get("MyZone")
+            .and_then(Value::as_str)
+            .unwrap_or_default();
         ClusterConfig {
-            name: charter.name.clone().unwrap_or_else(|| configuration.name.clone()),
+            name: charter
+                .name
+                .clone()
+                .unwrap_or_else(|| configuration.name.clone()),
             zone: charter.zone.clone().unwrap_or_else(|| zone.to_string()),
             settings: version(settings),
             // Of its own: neither two nodes nor two lives draw alike.
@@ -94,13 +102,21 @@
 
 impl Cluster {
     /// Opens the port, and asks the seeds. Errors: the port is another's, a key is none.
-    pub fn open(entry: &ClusterConfig, told: f64, now: f64, registry: &Registry) -> Result<Self, String> {
+    pub fn open(
+        entry: &ClusterConfig,
+        told: f64,
+        now: f64,
+        registry: &Registry,
+    ) -> Result<Self, String> {
         let charter = &entry.charter;
         let of_listen = |e: std::io::Error| format!("fleet.listen: {}: {e}", charter.listen);
         let mut socket = UdpSocket::bind(charter.listen).map_err(of_listen)?;
-        let held = socket2::SockRef::from(&socket).set_recv_buffer_size(charter.receive_buffer as usize);
+        let held =
+            socket2::SockRef::from(&socket).set_recv_buffer_size(charter.receive_buffer as usize);
         held.map_err(|e| format!("fleet.receive-buffer: {e}"))?;
-        registry.register(&mut socket, FLEET, Interest::READABLE).map_err(of_listen)?;
+        registry
+            .register(&mut socket, FLEET, Interest::READABLE)
+            .map_err(of_listen)?;
         let me = NodeId {
             name: entry.name.clone(),
             zone: entry.zone.clone(),
@@ -112,7 +128,12 @@
         let keys: Vec<&str> = entry.keys.iter().map(String::as_str).collect();
         let mut fleet = Membership::new(me, &charter.seeds, &keys, entry.seed ^ now as u64, now)?;
         fleet.forget_failed_after(charter.forget_failed);
-        log::info!("fleet: {} of zone {} hears at {}", entry.name, entry.zone, charter.listen);
+        log::info!(
+            "fleet: {} of zone {} hears at {}",
+            entry.name,
+            entry.zone,
+            charter.listen
+        );
         Ok(Cluster {
             socket,
             fleet,
@@ -126,7 +147,10 @@
     }
 
     pub fn next_due(&self) -> f64 {
-        self.fleet.next_due().min(self.read_at).min(self.shares.next_look())
+        self.fleet
+            .next_due()
+            .min(self.read_at)
+            .min(self.shares.next_look())
     }
 
     /// Reads what has come, not more than one turn may take.
--- a/proxy/src/cluster/status_page.rs
+++ b/proxy/src/cluster/status_page.rs
@@ -51,7 +51,12 @@
                        "since_ms": zone.since.map(ago)})
             })
             .collect();
-        let Datagrams { sent, unsent, heard, refused } = self.datagrams;
+        let Datagrams {
+            sent,
+            unsent,
+            heard,
+            refused,
+        } = self.datagrams;
         let ((nodes, cold), (told, by_servers)) = (self.shares.now(), self.shares.told(now));
         json!({
             "me": named(self.fleet.me()), "reach": reach, "zones": zones, "members": members,
@@ -65,7 +70,12 @@
     pub fn figures(&self) -> String {
         let known = self.fleet.known();
         let count = |wanted: MemberState| known.iter().filter(|k| k.state == wanted).count();
-        let Datagrams { sent, unsent, heard, refused } = self.datagrams;
+        let Datagrams {
+            sent,
+            unsent,
+            heard,
+            refused,
+        } = self.datagrams;
         let (nodes, cold) = self.shares.now();
         format!(
             "fleet_alive={}\nfleet_suspected={}\nfleet_failed={}\nfleet_left={}\nfleet_nodes_assumed={:.2}\n\
--- a/proxy/src/config/configuration.rs
+++ b/proxy/src/config/configuration.rs
@@ -32,26 +32,43 @@
     // The one key that may come and go.
     let stays = |key: &&String| *key != "AimStretch";
     let keys = |of: &Value| -> Vec<String> {
-        of.as_object().map(|o| o.keys().filter(stays).cloned().collect()).unwrap_or_default()
+        of.as_object()
+            .map(|o| o.keys().filter(stays).cloned().collect())
+            .unwrap_or_default()
     };
     for path in ["", "/settings", "/limits"] {
         let (had, has) = (running.pointer(path)?, new.pointer(path));
-        if let Some(key) = keys(had).into_iter().find(|key| has.is_none_or(|has| has.get(key).is_none())) {
-            return Some(format!("{path}/{key}").trim_start_matches('/').replace('/', "."));
+        if let Some(key) = keys(had)
+            .into_iter()
+            .find(|key| has.is_none_or(|has| has.get(key).is_none()))
+        {
+            return Some(
+                format!("{path}/{key}")
+                    .trim_start_matches('/')
+                    .replace('/', "."),
+            );
         }
     }
     let categories = |of: &Value| {
-        of.pointer("/settings/Categories").and_then(Value::as_array).cloned().unwrap_or_default()
+        of.pointer("/settings/Categories")
+            .and_then(Value::as_array)
+            .cloned()
+            .unwrap_or_default()
     };
     let had = categories(running);
-    let common = keys(had.first()?).into_iter().filter(|key| had.iter().all(|c| c.get(key).is_some()));
+    let common = keys(had.first()?)
+        .into_iter()
+        .filter(|key| had.iter().all(|c| c.get(key).is_some()));
     let common: Vec<String> = common.collect();
-    categories(new).iter().enumerate().find_map(|(index, category)| {
-        let same = had.iter().find(|c| c.get("Name") == category.get("Name"));
-        let needed = same.map_or_else(|| common.clone(), &keys);
-        let key = needed.into_iter().find(|key| category.get(key).is_none())?;
-        Some(format!("settings.Categories.{index}.{key}"))
-    })
+    categories(new)
+        .iter()
+        .enumerate()
+        .find_map(|(index, category)| {
+            let same = had.iter().find(|c| c.get("Name") == category.get("Name"));
+            let needed = same.map_or_else(|| common.clone(), &keys);
+            let key = needed.into_iter().find(|key| category.get(key).is_none())?;
+            Some(format!("settings.Categories.{index}.{key}"))
+        })
 }
 
 pub struct Configuration {
@@ -80,7 +97,11 @@
 impl Configuration {
     /// Reads the file that `BALANCER_CONFIG` names; single variables stand over it.
     pub fn at_start() -> Result<Self, String> {
-        let over = [("listen", "BALANCER_LISTEN"), ("discovery", "BALANCER_DISCOVERY"), ADMIN];
+        let over = [
+            ("listen", "BALANCER_LISTEN"),
+            ("discovery", "BALANCER_DISCOVERY"),
+            ADMIN,
+        ];
         Self::from_file(&over)
     }
 
@@ -95,11 +116,15 @@
     }
 
     fn from_file(over: &[(&str, &str)]) -> Result<Self, String> {
-        let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
+        let path = std::env::var("BALANCER_CONFIG")
+            .map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
+        let text =
+            std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
         let mut whole: Value =
             serde_json::from_str(&text).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
-        let object = whole.as_object_mut().ok_or("BALANCER_CONFIG: not a JSON object")?;
+        let object = whole
+            .as_object_mut()
+            .ok_or("BALANCER_CONFIG: not a JSON object")?;
         for (name, variable) in over {
             if let Ok(value) = std::env::var(variable) {
                 object.insert((*name).into(), value.into());
@@ -110,20 +135,33 @@
 
     pub fn read(whole: &Value) -> Result<Self, String> {
         let address = |name: &str| -> Result<SocketAddr, String> {
-            let text = whole.get(name).and_then(Value::as_str).ok_or(format!("{name} is missing"))?;
-            text.parse().map_err(|_| format!("{name} is no address with a port: {text}"))
+            let text = whole
+                .get(name)
+                .and_then(Value::as_str)
+                .ok_or(format!("{name} is missing"))?;
+            text.parse()
+                .map_err(|_| format!("{name} is no address with a port: {text}"))
         };
-        let settings = whole.get("settings").filter(|s| s.is_object()).ok_or("settings is missing")?;
+        let settings = whole
+            .get("settings")
+            .filter(|s| s.is_object())
+            .ok_or("settings is missing")?;
         let number = |path: &str, otherwise: f64| match whole.pointer(path) {
             None | Some(Value::Null) => Ok(otherwise),
             Some(value) => match value.as_f64() {
                 Some(number) if number.is_finite() && number > 0.0 => Ok(number),
-                _ => Err(format!("{} is no number above 0", path.trim_start_matches('/').replace('/', "."))),
+                _ => Err(format!(
+                    "{} is no number above 0",
+                    path.trim_start_matches('/').replace('/', ".")
+                )),
             },
         };
-        let seed = whole.get("seed").and_then(Value::as_str).ok_or("seed is missing")?;
-        let seed =
-            u64::from_str_radix(seed, 16).map_err(|_| format!("seed is no hexadecimal number: {seed}"))?;
+        let seed = whole
+            .get("seed")
+            .and_then(Value::as_str)
+            .ok_or("seed is missing")?;
+        let seed = u64::from_str_radix(seed, 16)
+            .map_err(|_| format!("seed is no hexadecimal number: {seed}"))?;
         let sockets = number("/limits/sockets", 1024.0)? as u64;
         if sockets < OTHER_SOCKETS + 8 {
             return Err(format!("limits.sockets is under {}", OTHER_SOCKETS + 8));
@@ -131,7 +169,9 @@
         let memory = number("/limits/memory_mb", 192.0)?;
         let key_header = match whole.get("key_header") {
             None | Some(Value::Null) => None,
-            Some(Value::String(name)) if name.bytes().all(token) && !name.is_empty() => Some(name.clone()),
+            Some(Value::String(name)) if name.bytes().all(token) && !name.is_empty() => {
+                Some(name.clone())
+            }
             Some(_) => return Err("key_header is no header's name".into()),
         };
         settings::validate(settings).map_err(|m| format!("settings: {m}"))?;
@@ -141,17 +181,27 @@
             // Read for its faults, under names that are thrown away.
             read_list(&mut NameIndex::default(), &known).map_err(|e| format!("known: {e}"))?;
         }
-        let dispatcher =
-            Dispatcher::new(given, seed).map_err(|m| format!("settings: {}", settings::explain_error(&m)))?;
-        let ttls = settings.get("Categories").and_then(Value::as_array).into_iter().flatten();
-        let longest = ttls.filter_map(|c| c.get("TtlMs")?.as_f64()).fold(0.0, f64::max);
+        let dispatcher = Dispatcher::new(given, seed)
+            .map_err(|m| format!("settings: {}", settings::explain_error(&m)))?;
+        let ttls = settings
+            .get("Categories")
+            .and_then(Value::as_array)
+            .into_iter()
+            .flatten();
+        let longest = ttls
+            .filter_map(|c| c.get("TtlMs")?.as_f64())
+            .fold(0.0, f64::max);
         let mut kept = whole.clone();
         if let Some(known) = kept.get_mut("known") {
             *known = Value::Null;
         }
         Ok(Configuration {
             whole: kept,
-            name: whole.get("name").and_then(Value::as_str).unwrap_or_default().to_string(),
+            name: whole
+                .get("name")
+                .and_then(Value::as_str)
+                .unwrap_or_default()
+                .to_string(),
             longest_ttl: longest,
             listen: address("listen")?,
             discovery: address("discovery")?,
--- a/proxy/src/config/operator_config.rs
+++ b/proxy/src/config/operator_config.rs
@@ -22,8 +22,12 @@
 pub fn at(path: &Path) -> Result<LoadedOperatorConfig, Vec<String>> {
     let named = |what: String| format!("{}: {what}", path.display());
     let text = std::fs::read_to_string(path).map_err(|e| vec![named(e.to_string())])?;
-    let charter = OperatorConfig::read(&text)
-        .map_err(|faults| faults.iter().map(|fault| named(fault.to_string())).collect::<Vec<_>>())?;
+    let charter = OperatorConfig::read(&text).map_err(|faults| {
+        faults
+            .iter()
+            .map(|fault| named(fault.to_string()))
+            .collect::<Vec<_>>()
+    })?;
     let Some(fleet) = charter.fleet else {
         return Ok(LoadedOperatorConfig::default());
     };
@@ -39,7 +43,9 @@
         }
     }
     match faults.is_empty() {
-        true => Ok(LoadedOperatorConfig { fleet: Some((fleet, keys)) }),
+        true => Ok(LoadedOperatorConfig {
+            fleet: Some((fleet, keys)),
+        }),
         false => Err(faults),
     }
 }
--- a/proxy/src/discovery/mod.rs
+++ b/proxy/src/discovery/mod.rs
@@ -76,7 +76,12 @@
         if list.get("whole") == Some(&Value::Bool(true)) {
             self.lines.clear();
         }
-        for line in list.get("hosts").and_then(Value::as_array).into_iter().flatten() {
+        for line in list
+            .get("hosts")
+            .and_then(Value::as_array)
+            .into_iter()
+            .flatten()
+        {
             let Some(host) = line.get("host").and_then(Value::as_str) else {
                 continue;
             };
--- a/proxy/src/discovery/poll.rs
+++ b/proxy/src/discovery/poll.rs
@@ -8,7 +8,8 @@
     pub fn apply_endpoint_list(&mut self, list: &List, cached: bool) {
         let now = self.now();
         let lines: Vec<EndpointUpdate> = list.lines.iter().map(|(line, _)| *line).collect();
-        self.dispatcher.update_endpoints(now, &lines, list.whole, cached);
+        self.dispatcher
+            .update_endpoints(now, &lines, list.whole, cached);
         if list.whole {
             let listed: HashSet<usize> = lines.iter().map(|line| line.endpoint).collect();
             for server in (0..self.upstream.met()).filter(|server| !listed.contains(server)) {
@@ -21,7 +22,8 @@
         }
         self.leave_not_sent();
         self.gossip_endpoint_list(list);
-        self.name_index.retain_endpoints(|server| self.dispatcher.knows_endpoint(server));
+        self.name_index
+            .retain_endpoints(|server| self.dispatcher.knows_endpoint(server));
     }
 
     /// Calls discovery: for the whole list first, then for what has come since.
@@ -42,7 +44,8 @@
             Some(seq) => (format!("/catalog/members?from={seq}&hold_ms={HOLD}"), HOLD),
             None => ("/catalog/members".to_string(), 0.0),
         };
-        discovery.ask = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", discovery.address).into_bytes();
+        discovery.ask =
+            format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", discovery.address).into_bytes();
         (discovery.sent, discovery.asked_at, discovery.message) = (0, now, None);
         discovery.inbox.cut(0, discovery.inbox.held().len());
         let late = |proxy: &mut Proxy| {
@@ -66,7 +69,11 @@
 
     fn dial_discovery(&self) -> std::io::Result<TcpStream> {
         let mut stream = TcpStream::connect(self.discovery.address)?;
-        self.registry.register(&mut stream, DISCOVERY, Interest::READABLE | Interest::WRITABLE)?;
+        self.registry.register(
+            &mut stream,
+            DISCOVERY,
+            Interest::READABLE | Interest::WRITABLE,
+        )?;
         Ok(stream)
     }
 
@@ -79,7 +86,11 @@
         // Danger: the old address says nothing more, and its versions need not be the new one's.
         self.hang_up();
         self.timers.unset(self.discovery.timer.take());
-        (self.discovery.address, self.discovery.seq, self.discovery.late) = (address, None, false);
+        (
+            self.discovery.address,
+            self.discovery.seq,
+            self.discovery.late,
+        ) = (address, None, false);
         self.poll_endpoints();
     }
 
@@ -136,15 +147,19 @@
             let filled = discovery.inbox.fill(stream);
             let ended = filled == Filled::Ended;
             if discovery.message.is_none() {
-                match http::answer(discovery.inbox.held(), (LIST_MOST, LIST_MOST), |status, _| status) {
+                match http::answer(
+                    discovery.inbox.held(),
+                    (LIST_MOST, LIST_MOST),
+                    |status, _| status,
+                ) {
                     Ok(found) => discovery.message = found,
                     Err(_) => return self.list_call_failed("not an HTTP answer"),
                 }
             }
             let whole = match &mut discovery.message {
-                Some((message, _)) => {
-                    message.advance(&mut discovery.inbox).map(|whole| whole || ended && message.ends_here())
-                }
+                Some((message, _)) => message
+                    .advance(&mut discovery.inbox)
+                    .map(|whole| whole || ended && message.ends_here()),
                 None => Ok(false),
             };
             match (whole, filled) {
@@ -203,7 +218,8 @@
         self.apply_endpoint_list(&list, false);
         self.has_spoken();
         if early {
-            self.timers.set(now + APART, |proxy: &mut Proxy| proxy.poll_endpoints());
+            self.timers
+                .set(now + APART, |proxy: &mut Proxy| proxy.poll_endpoints());
         } else {
             self.poll_endpoints();
         }
--- a/proxy/src/downstream/accept.rs
+++ b/proxy/src/downstream/accept.rs
@@ -6,8 +6,16 @@
 impl Proxy {
     /// Has the loop watch the listener.
     pub fn listen(&mut self) {
-        if let Some(listener) = self.downstream.listener.as_mut().filter(|_| !self.downstream.listening) {
-            match self.registry.register(listener, LISTENER, Interest::READABLE) {
+        if let Some(listener) = self
+            .downstream
+            .listener
+            .as_mut()
+            .filter(|_| !self.downstream.listening)
+        {
+            match self
+                .registry
+                .register(listener, LISTENER, Interest::READABLE)
+            {
                 Ok(()) => self.downstream.listening = true,
                 Err(e) => log::error!("cannot watch the listener: {e}"),
             }
@@ -16,7 +24,12 @@
 
     /// Leaves what comes to the other process that has this listener.
     pub fn stop_listening(&mut self) {
-        if let Some(listener) = self.downstream.listener.as_mut().filter(|_| self.downstream.listening) {
+        if let Some(listener) = self
+            .downstream
+            .listener
+            .as_mut()
+            .filter(|_| self.downstream.listening)
+        {
             let _ = self.registry.deregister(listener);
             self.downstream.listening = false;
         }
@@ -65,7 +78,8 @@
 
     fn accept_later(&mut self) {
         let at = self.now() + ACCEPT_AGAIN;
-        self.downstream.accept_again = Some(self.timers.set(at, |proxy: &mut Proxy| proxy.accept()));
+        self.downstream.accept_again =
+            Some(self.timers.set(at, |proxy: &mut Proxy| proxy.accept()));
     }
 
     /// Drops the least needed client; whether there was one. What it may have sent by now counts as taken,
@@ -74,7 +88,12 @@
         self.counters.full += 1;
         while let Some(least) = self.downstream.least_needed(self.clock.now()) {
             self.serve(least);
-            if self.downstream.table.get(least).is_none_or(DownstreamConnection::spare) {
+            if self
+                .downstream
+                .table
+                .get(least)
+                .is_none_or(DownstreamConnection::spare)
+            {
                 self.drop_downstream(least);
                 return true;
             }
@@ -86,9 +105,13 @@
     /// speak.
     pub fn close_idle_downstream(&mut self) -> bool {
         let now = self.clock.now();
-        let quiet =
-            |c: &DownstreamConnection| c.idle() && now - c.idle_since > JUST_COME && is_silent(&c.stream);
-        let idle = self.downstream.table.least(|c| quiet(c).then_some(c.idle_since));
+        let quiet = |c: &DownstreamConnection| {
+            c.idle() && now - c.idle_since > JUST_COME && is_silent(&c.stream)
+        };
+        let idle = self
+            .downstream
+            .table
+            .least(|c| quiet(c).then_some(c.idle_since));
         idle.inspect(|key| self.drop_downstream(*key)).is_some()
     }
 
@@ -144,7 +167,10 @@
             // Danger: an answer cut short whose end is the connection's would look whole. A reset tells.
             let _ = SockRef::from(&client.stream).set_linger(Some(Duration::ZERO));
         }
-        if let Some(link) = client.fed_by.filter(|link| self.upstream.links.get(*link).is_some()) {
+        if let Some(link) = client
+            .fed_by
+            .filter(|link| self.upstream.links.get(*link).is_some())
+        {
             self.counters.departed += 1;
             self.fail(link, AttemptOutcome::Cancelled, LoadReport::default());
         }
@@ -156,7 +182,8 @@
         if let Some(receipt) = client.receipt {
             // One that was cut off on its way has failed; else the client did not stay for its answer.
             let cut = client.end == Some(End::Aborted);
-            self.access_metrics.end(receipt, if cut { End::Aborted } else { End::Departed });
+            self.access_metrics
+                .end(receipt, if cut { End::Aborted } else { End::Departed });
         }
         if let Some(op) = client.op {
             self.client_left(op);
@@ -194,7 +221,8 @@
         let keys = self.downstream.table.keys(|_| true);
         for key in keys {
             self.serve(key);
-            let stands = |c: &DownstreamConnection| c.idle() && (all || now - c.idle_since > JUST_COME);
+            let stands =
+                |c: &DownstreamConnection| c.idle() && (all || now - c.idle_since > JUST_COME);
             if self.downstream.table.get(key).is_some_and(stands) {
                 self.drop_downstream(key);
             }
--- a/proxy/src/downstream/mod.rs
+++ b/proxy/src/downstream/mod.rs
@@ -92,7 +92,9 @@
 impl DownstreamConnection {
     /// Its head is in, but its body is not whole.
     fn in_body(&self) -> bool {
-        self.request.as_ref().is_some_and(|(message, _)| !message.whole())
+        self.request
+            .as_ref()
+            .is_some_and(|(message, _)| !message.whole())
     }
 
     /// By when more of its body must have come.
@@ -171,7 +173,8 @@
         let stands = |c: &DownstreamConnection| c.spare() && now - c.idle_since > JUST_COME;
         let table = &self.table;
         let over = table.least(|c| (c.lingers && stands(c)).then_some(c.idle_since));
-        let strange = || table.least(|c| (c.answers == 0 && !c.lingers && stands(c)).then_some(c.idle_since));
+        let strange =
+            || table.least(|c| (c.answers == 0 && !c.lingers && stands(c)).then_some(c.idle_since));
         let idle = || table.least(|c| (!c.lingers && stands(c)).then_some(c.idle_since));
         let hung_up = || table.least(|c| c.lingers.then_some(c.idle_since));
         over.or_else(strange).or_else(idle).or_else(hung_up)
@@ -184,7 +187,10 @@
     /// A client's buffer, empty, if it has taken all that stood in it.
     pub fn taken(&mut self, key: usize) -> Option<&mut Buffer> {
         let client = self.table.get_mut(key)?;
-        let outbox = client.outbox.as_mut().filter(|outbox| client.sent == outbox.held().len())?;
+        let outbox = client
+            .outbox
+            .as_mut()
+            .filter(|outbox| client.sent == outbox.held().len())?;
         outbox.cut(0, client.sent);
         client.sent = 0;
         Some(outbox)
@@ -192,7 +198,9 @@
 
     /// Requests taken in whose body is still coming.
     pub fn uploads(&self) -> usize {
-        self.table.keys(|c| c.receipt.is_some() && c.in_body()).len()
+        self.table
+            .keys(|c| c.receipt.is_some() && c.in_body())
+            .len()
     }
 
     /// What its answer, once it is out, makes of its op.
@@ -205,12 +213,19 @@
     /// Whether it has taken all that stood to be written.
     pub fn has_taken(&self, key: usize) -> bool {
         let client = self.table.get(key);
-        client.is_none_or(|c| c.outbox.as_ref().is_none_or(|outbox| c.sent == outbox.held().len()))
+        client.is_none_or(|c| {
+            c.outbox
+                .as_ref()
+                .is_none_or(|outbox| c.sent == outbox.held().len())
+        })
     }
 
     /// Whether its request showed that it knows chunks.
     pub fn takes_chunks(&self, key: usize) -> bool {
-        self.table.get(key).and_then(|c| c.request.as_ref()).is_none_or(|(message, _)| message.chunks)
+        self.table
+            .get(key)
+            .and_then(|c| c.request.as_ref())
+            .is_none_or(|(message, _)| message.chunks)
     }
 
     /// Its body goes on to a connection to a server.
@@ -222,16 +237,34 @@
 
     /// Its body, while it comes.
     pub fn upload(&mut self, key: usize) -> Option<Upload<'_>> {
-        let DownstreamConnection { stream, inbox, request, let_go, got, moved, .. } =
-            self.table.get_mut(key)?;
+        let DownstreamConnection {
+            stream,
+            inbox,
+            request,
+            let_go,
+            got,
+            moved,
+            ..
+        } = self.table.get_mut(key)?;
         let (inbox, (message, _)) = (inbox.as_mut()?, request.as_mut()?);
-        Some(Upload { stream, inbox, message, let_go, got, moved })
+        Some(Upload {
+            stream,
+            inbox,
+            message,
+            let_go,
+            got,
+            moved,
+        })
     }
 
     /// Whether all of its request has come, read or not, where the request tells its length.
     pub fn rest_is_here(&self, key: usize) -> bool {
-        let Some(DownstreamConnection { stream, inbox: Some(inbox), request: Some((message, _)), .. }) =
-            self.table.get(key)
+        let Some(DownstreamConnection {
+            stream,
+            inbox: Some(inbox),
+            request: Some((message, _)),
+            ..
+        }) = self.table.get(key)
         else {
             return false;
         };
@@ -274,6 +307,9 @@
 
     /// Whether any client still has an answer to come.
     pub fn busy(&self) -> bool {
-        !self.table.keys(|c| c.outbox.is_some() || c.op.is_some()).is_empty()
+        !self
+            .table
+            .keys(|c| c.outbox.is_some() || c.op.is_some())
+            .is_empty()
     }
 }
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -32,8 +32,17 @@
     }
     let header = |name: &str| http::value(headers, name).filter(|v| !v.is_empty());
     // Danger: two headers of one name are read in two ways by two readers.
-    let told_twice = |name: &&str| headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name)).count() > 1;
-    if ["X-Request-ID", "X-Priority-Class", "X-Timeout"].iter().any(told_twice) {
+    let told_twice = |name: &&str| {
+        headers
+            .iter()
+            .filter(|h| h.name.eq_ignore_ascii_case(name))
+            .count()
+            > 1
+    };
+    if ["X-Request-ID", "X-Priority-Class", "X-Timeout"]
+        .iter()
+        .any(told_twice)
+    {
         return Err(400);
     }
     let mark = ops.mark(header("X-Request-ID").ok_or(400_u16)?);
@@ -46,7 +55,9 @@
         let once = names.classes.names.iter().position(|name| name == category);
         return once.map(Asked::Vanished).ok_or(400);
     };
-    let ttl: f64 = header("X-Timeout").and_then(|v| v.parse().ok()).ok_or(400_u16)?;
+    let ttl: f64 = header("X-Timeout")
+        .and_then(|v| v.parse().ok())
+        .ok_or(400_u16)?;
     if !(ttl > 0.0 && ttl <= TTL_MOST) {
         return Err(400);
     }
@@ -79,7 +90,10 @@
             return;
         };
         self.timers.unset(client.timer.take());
-        client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.stood(key)));
+        client.timer = Some(
+            self.timers
+                .set(at, move |proxy: &mut Proxy| proxy.stood(key)),
+        );
     }
 
     /// It has stood for as long as it may; what it has sent by now is read first.
@@ -102,7 +116,10 @@
             }
             let due = client.body_due();
             if due > now + 1.0 {
-                client.timer = Some(self.timers.set(due, move |proxy: &mut Proxy| proxy.stood(key)));
+                client.timer = Some(
+                    self.timers
+                        .set(due, move |proxy: &mut Proxy| proxy.stood(key)),
+                );
                 return;
             }
             if client.op.is_some() {
@@ -144,7 +161,13 @@
         if client.lingers {
             // Danger: a client that goes on sending at full speed would keep the loop for itself. What it
             // sends past this stays with its own machine until the connection is closed.
-            if client.past >= if client.patient { BODY_LONG } else { LINGER_BYTES } {
+            if client.past
+                >= if client.patient {
+                    BODY_LONG
+                } else {
+                    LINGER_BYTES
+                }
+            {
                 return false;
             }
             return match client.stream.read(&mut [0; 16 * 1024]) {
@@ -211,7 +234,8 @@
             }
         }
         let now = self.clock.now();
-        self.timers.set(now, move |proxy: &mut Proxy| proxy.serve(key));
+        self.timers
+            .set(now, move |proxy: &mut Proxy| proxy.serve(key));
     }
 
     pub(super) fn put_back(&mut self, key: usize, inbox: Buffer) {
@@ -230,12 +254,19 @@
         let client = &mut self.downstream.table[key];
         if client.request.is_none() {
             // Danger: line ends left over behind the last request, taken for a request that never ends.
-            let blank = inbox.held().iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+            let blank = inbox
+                .held()
+                .iter()
+                .take_while(|b| matches!(b, b'\r' | b'\n'))
+                .count();
             inbox.cut(0, blank);
             let (names, ops, key) = (&self.name_index, &self.requests, self.key_header.as_deref());
             let head = http::request(inbox.held(), |method, path, headers| {
                 let expect = http::value(headers, "expect").unwrap_or_default();
-                (asked(names, ops, key, method, path, headers), expect.eq_ignore_ascii_case("100-continue"))
+                (
+                    asked(names, ops, key, method, path, headers),
+                    expect.eq_ignore_ascii_case("100-continue"),
+                )
             })?;
             let Some((message, (asked, expects))) = head else {
                 return Ok(None);
--- a/proxy/src/downstream/write_response.rs
+++ b/proxy/src/downstream/write_response.rs
@@ -68,7 +68,10 @@
                     client.lingers = true;
                     let _ = client.stream.shutdown(Shutdown::Write);
                     let at = client.idle_since + LINGER;
-                    client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.lingered(key)));
+                    client.timer = Some(
+                        self.timers
+                            .set(at, move |proxy: &mut Proxy| proxy.lingered(key)),
+                    );
                 } else {
                     let most = if client.begun { SLOW } else { IDLE_MOST };
                     self.may_stand(key, most);
@@ -84,10 +87,14 @@
         let now = self.clock.now();
         for (share, most_answers) in [(ONCE_SHARE, 1), (IDLE_SHARE, u32::MAX)] {
             let stands = |c: &DownstreamConnection| {
-                (1..=most_answers).contains(&c.answers) && c.idle() && now - c.idle_since > JUST_COME
+                (1..=most_answers).contains(&c.answers)
+                    && c.idle()
+                    && now - c.idle_since > JUST_COME
             };
             let mut standing = self.downstream.table.keys(stands);
-            let over = standing.len().saturating_sub((share * self.downstream.most as f64) as usize);
+            let over = standing
+                .len()
+                .saturating_sub((share * self.downstream.most as f64) as usize);
             if over > 0 {
                 let since = |key: &usize| self.downstream.table[*key].idle_since;
                 standing.sort_unstable_by(|a, b| since(a).total_cmp(&since(b)));
@@ -110,7 +117,10 @@
         };
         client.timer = None;
         if client.patient && now - client.moved < LINGER && client.past < BODY_LONG {
-            client.timer = Some(self.timers.set(now + LINGER, move |proxy: &mut Proxy| proxy.lingered(key)));
+            client.timer = Some(
+                self.timers
+                    .set(now + LINGER, move |proxy: &mut Proxy| proxy.lingered(key)),
+            );
         } else {
             self.drop_downstream(key);
         }
@@ -120,7 +130,12 @@
     pub(super) fn answer_due(&mut self, key: usize) {
         let now = self.clock.now();
         let waits = self.downstream.has_taken(key);
-        let Some(client) = self.downstream.table.get_mut(key).filter(|c| c.outbox.is_some()) else {
+        let Some(client) = self
+            .downstream
+            .table
+            .get_mut(key)
+            .filter(|c| c.outbox.is_some())
+        else {
             return;
         };
         client.timer = None;
@@ -133,12 +148,19 @@
             return self.drop_downstream(key);
         }
         let at = client.moved + STALL;
-        client.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.answer_due(key)));
+        client.timer = Some(
+            self.timers
+                .set(at, move |proxy: &mut Proxy| proxy.answer_due(key)),
+        );
     }
 
     /// Refuses the rest of a body that was being fed on: its push is called off before its last byte.
     pub fn reject_upload(&mut self, key: usize, status: RequestError) {
-        let op = self.downstream.table.get_mut(key).and_then(|client| client.op.take());
+        let op = self
+            .downstream
+            .table
+            .get_mut(key)
+            .and_then(|client| client.op.take());
         self.refuse(key, status);
         if let Some(op) = op {
             self.client_left(op);
@@ -155,8 +177,17 @@
 
     /// An answer of the node's own.
     pub fn answer(&mut self, key: usize, status: u16, come_back: f64) {
-        self.downstream.ends_as(key, if status == 503 { End::Declined } else { End::Aborted });
-        self.answer_by(key, |close, to| to.add(http::plain(status, come_back, close).as_bytes()));
+        self.downstream.ends_as(
+            key,
+            if status == 503 {
+                End::Declined
+            } else {
+                End::Aborted
+            },
+        );
+        self.answer_by(key, |close, to| {
+            to.add(http::plain(status, come_back, close).as_bytes())
+        });
     }
 
     /// More of a client's answer will come from a connection to a server.
@@ -185,10 +216,14 @@
         if let Some(mut inbox) = client.inbox.take() {
             if client.in_body() {
                 // What still comes of its body is read away.
-                (client.close, client.over, client.patient) = (true, false, client.receipt.is_some());
+                (client.close, client.over, client.patient) =
+                    (true, false, client.receipt.is_some());
             }
             // What came behind the request is the next one's.
-            let end = client.request.take().map_or(inbox.held().len(), |(m, _)| m.end);
+            let end = client
+                .request
+                .take()
+                .map_or(inbox.held().len(), |(m, _)| m.end);
             inbox.cut(0, end);
             if inbox.held().is_empty() || client.close {
                 self.buffers.give(inbox);
@@ -216,7 +251,10 @@
         }
         let now = self.clock.now();
         (client.outbox, client.sent, client.moved) = (Some(outbox), 0, now);
-        client.timer = Some(self.timers.set(now + STALL, move |proxy: &mut Proxy| proxy.answer_due(key)));
+        client.timer = Some(
+            self.timers
+                .set(now + STALL, move |proxy: &mut Proxy| proxy.answer_due(key)),
+        );
         self.write_answer(key);
         self.downstream.again.push(key);
     }
--- a/proxy/src/http/mod.rs
+++ b/proxy/src/http/mod.rs
@@ -83,7 +83,11 @@
                         break;
                     }
                     let chunk = matches!(self.coming, Coming::Chunk(_));
-                    self.coming = if chunk { Coming::ChunkEnd } else { Coming::Whole };
+                    self.coming = if chunk {
+                        Coming::ChunkEnd
+                    } else {
+                        Coming::Whole
+                    };
                 }
                 Coming::ChunkEnd => {
                     if here < 2 {
@@ -102,7 +106,11 @@
                         if size > self.most.saturating_sub(self.brought()) as u64 {
                             return Err(413);
                         }
-                        self.coming = if size == 0 { Coming::Trailer } else { Coming::Chunk(size as usize) };
+                        self.coming = if size == 0 {
+                            Coming::Trailer
+                        } else {
+                            Coming::Chunk(size as usize)
+                        };
                     }
                     // Danger: a chunk head without end.
                     Ok(Status::Partial) if here > 256 => return Err(400),
@@ -186,19 +194,29 @@
 
 fn lists(headers: &[Header], name: &str, word: &str) -> bool {
     let mut named = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
-    named.any(|h| h.value.split(|b| *b == b',').any(|w| w.trim_ascii().eq_ignore_ascii_case(word.as_bytes())))
+    named.any(|h| {
+        h.value
+            .split(|b| *b == b',')
+            .any(|w| w.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
+    })
 }
 
 /// Length of a body by its headers; none where none is told.
 fn length(headers: &[Header]) -> Result<Option<usize>, RequestError> {
     let mut found = None;
-    for header in headers.iter().filter(|h| h.name.eq_ignore_ascii_case("content-length")) {
+    for header in headers
+        .iter()
+        .filter(|h| h.name.eq_ignore_ascii_case("content-length"))
+    {
         let digits = header.value.trim_ascii();
         // Danger: a sign, or two lengths that differ, and the next request is read from a wrong place.
         if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
             return Err(400);
         }
-        let told = std::str::from_utf8(digits).ok().and_then(|d| d.parse().ok()).ok_or(413_u16)?;
+        let told = std::str::from_utf8(digits)
+            .ok()
+            .and_then(|d| d.parse().ok())
+            .ok_or(413_u16)?;
         if found.is_some_and(|f| f != told) {
             return Err(400);
         }
@@ -218,7 +236,9 @@
         0 => lists(headers, "connection", "keep-alive"),
         _ => !lists(headers, "connection", "close"),
     };
-    let encoding = headers.iter().find(|h| h.name.eq_ignore_ascii_case("transfer-encoding"));
+    let encoding = headers
+        .iter()
+        .find(|h| h.name.eq_ignore_ascii_case("transfer-encoding"));
     let chunked = encoding.is_some_and(|h| h.value.trim_ascii().eq_ignore_ascii_case(b"chunked"));
     let length = length(headers)?;
     let coming = match (chunked, length) {
@@ -231,7 +251,15 @@
         (false, None) => untold,
     };
     let keep = keep && !matches!(coming, Coming::Unframed);
-    Ok(Message { head, end: head, keep, chunks: version > 0, most, gone: 0, coming })
+    Ok(Message {
+        head,
+        end: head,
+        keep,
+        chunks: version > 0,
+        most,
+        gone: 0,
+        coming,
+    })
 }
 
 /// What a parser made of a head: its length once it is whole.
@@ -257,9 +285,17 @@
     let Some(head) = head(request.parse(held), held.len())? else {
         return Ok(None);
     };
-    let (method, path) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
-    let message =
-        body(request.headers, head, request.version.unwrap_or(1), (BODY_LONG, BODY_LONG), Coming::Length(0))?;
+    let (method, path) = (
+        request.method.unwrap_or_default(),
+        request.path.unwrap_or_default(),
+    );
+    let message = body(
+        request.headers,
+        head,
+        request.version.unwrap_or(1),
+        (BODY_LONG, BODY_LONG),
+        Coming::Length(0),
+    )?;
     Ok(Some((message, read(method, path, request.headers))))
 }
 
@@ -276,7 +312,13 @@
         return Ok(None);
     };
     let status = answer.code.unwrap_or_default();
-    let mut message = body(answer.headers, head, answer.version.unwrap_or(1), most, Coming::Unframed)?;
+    let mut message = body(
+        answer.headers,
+        head,
+        answer.version.unwrap_or(1),
+        most,
+        Coming::Unframed,
+    )?;
     if status < 200 || status == 204 || status == 304 {
         // These have no body, whatever their headers say.
         message.coming = Coming::Whole;
@@ -304,7 +346,9 @@
 }
 
 fn pass_on(headers: &[Header], but: &str, to: &mut Buffer) -> bool {
-    let mut passed = headers.iter().filter(|h| !own(h.name) && !h.name.eq_ignore_ascii_case(but));
+    let mut passed = headers
+        .iter()
+        .filter(|h| !own(h.name) && !h.name.eq_ignore_ascii_case(but));
     passed.all(|h| {
         let name = h.name.as_bytes();
         to.add(name) && to.add(b": ") && to.add(h.value) && to.add(b"\r\n")
@@ -321,7 +365,9 @@
         };
         to.add(format!("{method} {} HTTP/1.1\r\n", origin(path)).as_bytes())
             && pass_on(headers, "x-timeout", to)
-            && to.add(format!("X-Timeout: {:.3}\r\n{}", patience / 1000.0, framing.lines()).as_bytes())
+            && to.add(
+                format!("X-Timeout: {:.3}\r\n{}", patience / 1000.0, framing.lines()).as_bytes(),
+            )
     });
     let body = &held[message.head..message.end];
     matches!(wrote, Ok(Some((_, true)))) && piece(body, message.length().is_none(), to)
@@ -329,25 +375,42 @@
 
 /// A target without the scheme and host that may stand before its path.
 pub fn origin(target: &str) -> &str {
-    let named = target.strip_prefix("http://").map(|rest| rest.find('/').map_or("/", |at| &rest[at..]));
+    let named = target
+        .strip_prefix("http://")
+        .map(|rest| rest.find('/').map_or("/", |at| &rest[at..]));
     named.unwrap_or(target)
 }
 
 /// A server's answer as it goes back to the client; whether it fitted.
 pub fn hand_back(held: &[u8], message: &Message, close: bool, to: &mut Buffer) -> bool {
     let length = message.end - message.head;
-    pass_on_from(&held[..message.end], message.head, BodyFraming::Length(length), close, to)
+    pass_on_from(
+        &held[..message.end],
+        message.head,
+        BodyFraming::Length(length),
+        close,
+        to,
+    )
 }
 
 /// The start of an answer that goes back in pieces: its head, and what of its body is held; whether it
 /// fitted.
-pub fn pass_on_from(held: &[u8], head: usize, framing: BodyFraming, close: bool, to: &mut Buffer) -> bool {
+pub fn pass_on_from(
+    held: &[u8],
+    head: usize,
+    framing: BodyFraming,
+    close: bool,
+    to: &mut Buffer,
+) -> bool {
     let wrote = answer(held, (BODY_LONG, BODY_LONG), |_, headers| {
         let close = if close { "Connection: close\r\n" } else { "" };
         let own = format!("{close}{}", framing.lines());
-        to.add(b"HTTP/1.1 200 OK\r\n") && pass_on(headers, "x-server-load", to) && to.add(own.as_bytes())
+        to.add(b"HTTP/1.1 200 OK\r\n")
+            && pass_on(headers, "x-server-load", to)
+            && to.add(own.as_bytes())
     });
-    matches!(wrote, Ok(Some((_, true)))) && piece(&held[head..], framing == BodyFraming::Chunked, to)
+    matches!(wrote, Ok(Some((_, true))))
+        && piece(&held[head..], framing == BodyFraming::Chunked, to)
 }
 
 fn reason(status: u16) -> &'static str {
@@ -377,8 +440,11 @@
 /// An answer of the node's own.
 pub fn plain(status: u16, come_back: f64, close: bool) -> String {
     let reason = reason(status);
-    let retry =
-        if come_back > 0.0 { format!("Retry-After: {:.3}\r\n", come_back / 1000.0) } else { String::new() };
+    let retry = if come_back > 0.0 {
+        format!("Retry-After: {:.3}\r\n", come_back / 1000.0)
+    } else {
+        String::new()
+    };
     let close = if close { "Connection: close\r\n" } else { "" };
     format!("HTTP/1.1 {status} {reason}\r\n{retry}{close}Content-Length: 0\r\n\r\n")
 }
