--- a/proxy/src/lifecycle/reload.rs
+++ b/proxy/src/lifecycle/reload.rs
@@ -17,7 +17,9 @@
     match taken {
         Ok(()) => {
             proxy.access_metrics.applied += 1;
-            log::info!("listen, admin_addr, limits, seed, name and known count from the next start");
+            log::info!(
+                "listen, admin_addr, limits, seed, name and known count from the next start"
+            );
         }
         Err(e) => {
             proxy.access_metrics.rejected += 1;
--- a/proxy/src/lifecycle/start.rs
+++ b/proxy/src/lifecycle/start.rs
@@ -19,7 +19,9 @@
     let text = |e: std::io::Error| e.to_string();
     let mut poll = Poll::new().map_err(text)?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(text)?;
-    poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(text)?;
+    poll.registry()
+        .register(&mut signals, SIGNALS, Interest::READABLE)
+        .map_err(text)?;
     let mut proxy = Proxy::new(configuration, entry, &poll)?;
     // Danger: were some that lie ready left for the next turn, what is due would be done ahead of them.
     let mut events = Events::with_capacity(proxy.sockets());
--- a/proxy/src/lifecycle/state_directory.rs
+++ b/proxy/src/lifecycle/state_directory.rs
@@ -42,9 +42,14 @@
     pub fn of(name: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("crankmux-{}", plain(name)));
         match made(&folder) {
-            Ok(()) => StateDirectory { folder: Some(folder) },
+            Ok(()) => StateDirectory {
+                folder: Some(folder),
+            },
             Err(e) => {
-                log::warn!("no state directory {}: {e}; no server can be suspended", folder.display());
+                log::warn!(
+                    "no state directory {}: {e}; no server can be suspended",
+                    folder.display()
+                );
                 StateDirectory { folder: None }
             }
         }
@@ -56,7 +61,9 @@
 
     /// Notes that a server is suspended. The name alone says so: a file torn or empty counts like any.
     pub fn ban(&self, mark: u64, id: &str) -> io::Result<()> {
-        let path = self.path(&format!("{BAN}{mark:016x}")).ok_or(io::ErrorKind::NotFound)?;
+        let path = self
+            .path(&format!("{BAN}{mark:016x}"))
+            .ok_or(io::ErrorKind::NotFound)?;
         // Made first: the text is for whoever looks in, and may not fit.
         fs::File::create(&path)?;
         let _ = fs::write(&path, id.chars().take(300).collect::<String>() + "\n");
@@ -64,7 +71,9 @@
     }
 
     pub fn lift(&self, mark: u64) -> io::Result<()> {
-        let path = self.path(&format!("{BAN}{mark:016x}")).ok_or(io::ErrorKind::NotFound)?;
+        let path = self
+            .path(&format!("{BAN}{mark:016x}"))
+            .ok_or(io::ErrorKind::NotFound)?;
         match fs::remove_file(path) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
             _ => Ok(()),
@@ -75,8 +84,9 @@
     pub fn bans(&self) -> Option<Vec<u64>> {
         let files = fs::read_dir(self.folder.as_ref()?).ok()?;
         let names = files.filter_map(|file| file.ok()?.file_name().into_string().ok());
-        let mut marks: Vec<u64> =
-            names.filter_map(|name| u64::from_str_radix(name.strip_prefix(BAN)?, 16).ok()).collect();
+        let mut marks: Vec<u64> = names
+            .filter_map(|name| u64::from_str_radix(name.strip_prefix(BAN)?, 16).ok())
+            .collect();
         marks.sort_unstable();
         Some(marks)
     }
--- a/proxy/src/lifecycle/upgrade/handover.rs
+++ b/proxy/src/lifecycle/upgrade/handover.rs
@@ -20,7 +20,8 @@
                     if !(lacks(&e) && self.free_descriptor()) {
                         log::warn!("cannot hear a newer process: {e}");
                         let at = self.now() + AGAIN;
-                        self.timers.set(at, |proxy: &mut Proxy| proxy.accept_newer_process());
+                        self.timers
+                            .set(at, |proxy: &mut Proxy| proxy.accept_newer_process());
                         return;
                     }
                     continue;
@@ -45,7 +46,8 @@
         let handed = json!({"list": self.discovery.whole_list(), "once": once, "learnt": learnt});
         self.free_descriptor();
         std::fs::write(path, handed.to_string())?;
-        self.registry.register(&mut stream, NEWER, Interest::READABLE)?;
+        self.registry
+            .register(&mut stream, NEWER, Interest::READABLE)?;
         self.upgrade.newer = Some(stream);
         self.yield_cluster();
         // Danger: both together over the node's limits. This one shrinks before the other has anything.
@@ -60,7 +62,8 @@
     }
 
     fn send_listener(&self) -> io::Result<()> {
-        let (Some(stream), Some(listener)) = (&self.upgrade.newer, self.downstream.listener()) else {
+        let (Some(stream), Some(listener)) = (&self.upgrade.newer, self.downstream.listener())
+        else {
             return Err(io::ErrorKind::NotConnected.into());
         };
         let descriptors = [listener.as_fd()];
@@ -70,7 +73,12 @@
             return Err(io::ErrorKind::OutOfMemory.into());
         }
         let parts = [self.upgrade.parts.saturating_mul(2)];
-        net::sendmsg(stream, &[IoSlice::new(&parts)], &mut beside, net::SendFlags::NOSIGNAL)?;
+        net::sendmsg(
+            stream,
+            &[IoSlice::new(&parts)],
+            &mut beside,
+            net::SendFlags::NOSIGNAL,
+        )?;
         Ok(())
     }
 
@@ -84,7 +92,11 @@
                 log::info!("the newer process takes clients in");
                 self.stop_listening();
             }
-            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
+                ) => {}
             _ => self.newer_ended(),
         }
     }
@@ -113,7 +125,11 @@
         };
         match stream.read(&mut [0]) {
             Ok(1..) => {}
-            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
+                ) => {}
             _ => {
                 log::info!("the older process has ended");
                 if let Some(mut stream) = self.upgrade.older.take() {
--- a/proxy/src/lifecycle/upgrade/mod.rs
+++ b/proxy/src/lifecycle/upgrade/mod.rs
@@ -53,13 +53,20 @@
     }
 }
 
-fn receive(stream: std::os::unix::net::UnixStream, state: &StateDirectory) -> io::Result<HandoverState> {
+fn receive(
+    stream: std::os::unix::net::UnixStream,
+    state: &StateDirectory,
+) -> io::Result<HandoverState> {
     stream.set_read_timeout(Some(ANSWER_WITHIN))?;
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut beside = net::RecvAncillaryBuffer::new(&mut space);
     let mut parts = [0];
-    let told =
-        net::recvmsg(&stream, &mut [IoSliceMut::new(&mut parts)], &mut beside, net::RecvFlags::CMSG_CLOEXEC)?;
+    let told = net::recvmsg(
+        &stream,
+        &mut [IoSliceMut::new(&mut parts)],
+        &mut beside,
+        net::RecvFlags::CMSG_CLOEXEC,
+    )?;
     let sent = beside.drain().find_map(|message| match message {
         RecvAncillaryMessage::ScmRights(mut descriptors) => descriptors.next(),
         _ => None,
@@ -69,20 +76,36 @@
     };
     let path = state.path(HANDED).ok_or(io::ErrorKind::NotFound)?;
     // Danger: a torn file. The configuration's list stands in for what can't be read.
-    let told: Value = serde_json::from_slice(&std::fs::read(&path).unwrap_or_default()).unwrap_or_default();
+    let told: Value =
+        serde_json::from_slice(&std::fs::read(&path).unwrap_or_default()).unwrap_or_default();
     let _ = std::fs::remove_file(path);
     let once = told.get("once").and_then(Value::as_array);
-    let once = once.map(|once| once.iter().filter_map(Value::as_u64).collect()).unwrap_or_default();
+    let once = once
+        .map(|once| once.iter().filter_map(Value::as_u64).collect())
+        .unwrap_or_default();
     let part = |name: &str| told.get(name).cloned().unwrap_or_default();
     let (list, learnt) = (part("list"), part("learnt"));
-    Ok(HandoverState { listener: sent.into(), stream, parts: parts[0].max(2), list, once, learnt })
+    Ok(HandoverState {
+        listener: sent.into(),
+        stream,
+        parts: parts[0].max(2),
+        list,
+        once,
+        learnt,
+    })
 }
 
 /// What was learnt, in numbers and names that another process knows too.
 fn told(names: &NameIndex, experience: &LearnedState) -> Value {
-    let category = |(name, times): (&String, &(f64, f64))| (name.clone(), json!([times.0, times.1]));
-    let categories: Map<String, Value> =
-        names.classes.names.iter().zip(&experience.classes).map(category).collect();
+    let category =
+        |(name, times): (&String, &(f64, f64))| (name.clone(), json!([times.0, times.1]));
+    let categories: Map<String, Value> = names
+        .classes
+        .names
+        .iter()
+        .zip(&experience.classes)
+        .map(category)
+        .collect();
     let server = |(id, l): &(usize, EndpointStatistics)| {
         json!({"mark": names.stable_hash(*id), "pace": l.relative_latency, "best": l.best_relative_latency, "faults": l.error_rate, "borne": l.throughput,
                "peak": l.peak_throughput, "limit": l.concurrency_limit})
@@ -97,27 +120,44 @@
 /// it is.
 fn read(names: &NameIndex, told: &Value, mut experience: LearnedState) -> LearnedState {
     let figure = |of: &Value, name: &str, least: f64, most: f64| {
-        of.get(name).and_then(Value::as_f64).filter(|f| f.is_finite()).map(|f| f.clamp(least, most))
+        of.get(name)
+            .and_then(Value::as_f64)
+            .filter(|f| f.is_finite())
+            .map(|f| f.clamp(least, most))
     };
-    experience.mean_latency_ms = figure(told, "time", 0.01, 1e6).unwrap_or(experience.mean_latency_ms);
+    experience.mean_latency_ms =
+        figure(told, "time", 0.01, 1e6).unwrap_or(experience.mean_latency_ms);
     experience.tail_multiple = figure(told, "slack", 1.5, 8.0).unwrap_or(experience.tail_multiple);
-    experience.warm_throughput = figure(told, "warm_rate", 0.0, 1e3).unwrap_or(experience.warm_throughput);
+    experience.warm_throughput =
+        figure(told, "warm_rate", 0.0, 1e3).unwrap_or(experience.warm_throughput);
     for (name, times) in names.classes.names.iter().zip(&mut experience.classes) {
-        let told = told.get("categories").and_then(|c| c.get(name)).and_then(Value::as_array);
-        let numbers: Vec<f64> = told.into_iter().flatten().filter_map(Value::as_f64).collect();
+        let told = told
+            .get("categories")
+            .and_then(|c| c.get(name))
+            .and_then(Value::as_array);
+        let numbers: Vec<f64> = told
+            .into_iter()
+            .flatten()
+            .filter_map(Value::as_f64)
+            .collect();
         if let [time, acked] = numbers[..] {
             *times = (time.clamp(0.01, 1e6), acked.clamp(0.0, 1e9));
         }
     }
     let servers = told.get("servers").and_then(Value::as_array);
-    let of = |mark: u64| servers?.iter().find(|s| s.get("mark").and_then(Value::as_u64) == Some(mark));
+    let of = |mark: u64| {
+        servers?
+            .iter()
+            .find(|s| s.get("mark").and_then(Value::as_u64) == Some(mark))
+    };
     for (id, learnt) in &mut experience.endpoints {
         let Some(told) = of(names.stable_hash(*id)) else {
             continue;
         };
         *learnt = EndpointStatistics {
             relative_latency: figure(told, "pace", 0.001, 1e3),
-            best_relative_latency: figure(told, "best", 0.001, 1e3).unwrap_or(learnt.best_relative_latency),
+            best_relative_latency: figure(told, "best", 0.001, 1e3)
+                .unwrap_or(learnt.best_relative_latency),
             error_rate: figure(told, "faults", 0.0, 1.0).unwrap_or(learnt.error_rate),
             throughput: figure(told, "borne", 0.0, 1e3).unwrap_or(learnt.throughput),
             peak_throughput: figure(told, "peak", 0.0, 1e3).unwrap_or(learnt.peak_throughput),
@@ -145,7 +185,11 @@
         state: &StateDirectory,
         registry: &Registry,
     ) -> io::Result<Self> {
-        let mut upgrade = Upgrade { parts: 1, holds_back: handed.is_some(), ..Upgrade::default() };
+        let mut upgrade = Upgrade {
+            parts: 1,
+            holds_back: handed.is_some(),
+            ..Upgrade::default()
+        };
         if let Some(HandoverState { stream, parts, .. }) = handed {
             stream.set_nonblocking(true)?;
             let mut stream = UnixStream::from_std(stream);
@@ -235,14 +279,27 @@
             tail_multiple: 3.0,
             warm_throughput: 0.01,
             classes: vec![(70.0, 40.0), (90.0, 7.0)],
-            endpoints: vec![(0, learnt), (1, EndpointStatistics { relative_latency: None, ..learnt })],
+            endpoints: vec![
+                (0, learnt),
+                (
+                    1,
+                    EndpointStatistics {
+                        relative_latency: None,
+                        ..learnt
+                    },
+                ),
+            ],
         };
         assert_eq!(read(&names(), &told(&names(), &old), fresh()), old);
     }
 
     #[test]
     fn torn_or_absurd_figures_change_nothing_or_are_held_to_what_can_be() {
-        for told in [Value::Null, json!([]), json!({"servers": 3, "categories": "x", "time": "soon"})] {
+        for told in [
+            Value::Null,
+            json!([]),
+            json!({"servers": 3, "categories": "x", "time": "soon"}),
+        ] {
             assert_eq!(read(&names(), &told, fresh()), fresh());
         }
         let absurd = json!({
@@ -253,11 +310,19 @@
             ],
         });
         let got = read(&names(), &absurd, fresh());
-        assert_eq!((got.mean_latency_ms, got.tail_multiple, got.warm_throughput), (0.01, 8.0, 1e3));
+        assert_eq!(
+            (got.mean_latency_ms, got.tail_multiple, got.warm_throughput),
+            (0.01, 8.0, 1e3)
+        );
         assert_eq!(got.classes, [(100.0, 0.0), (0.01, 0.0)]);
         let first = got.endpoints[0].1;
         assert_eq!(
-            (first.concurrency_limit, first.error_rate, first.relative_latency, first.peak_throughput),
+            (
+                first.concurrency_limit,
+                first.error_rate,
+                first.relative_latency,
+                first.peak_throughput
+            ),
             (1e3, 0.0, Some(0.001), 0.0)
         );
         assert_eq!(got.endpoints[1], fresh().endpoints[1]);
--- a/proxy/src/metrics/access.rs
+++ b/proxy/src/metrics/access.rs
@@ -62,14 +62,22 @@
     pub fn lines(&self, categories: &[String], coming: usize) -> String {
         let mut text = String::new();
         for (index, name) in categories.iter().enumerate() {
-            let Ends { succeeded, declined, aborted } = self.ends.get(index).copied().unwrap_or_default();
+            let Ends {
+                succeeded,
+                declined,
+                aborted,
+            } = self.ends.get(index).copied().unwrap_or_default();
             let _ = writeln!(text, "succeeded.{name}={succeeded}");
             let _ = writeln!(text, "declined.{name}={declined}");
             let _ = writeln!(text, "aborted.{name}={aborted}");
         }
         let taken = self.outstanding.saturating_sub(coming as u64);
         let _ = writeln!(text, "outstanding={taken}\nforwards={}", self.forwards);
-        let _ = writeln!(text, "sighup_applied={}\nsighup_rejected={}", self.applied, self.rejected);
+        let _ = writeln!(
+            text,
+            "sighup_applied={}\nsighup_rejected={}",
+            self.applied, self.rejected
+        );
         text
     }
 }
@@ -82,7 +90,8 @@
     #[test]
     fn taken_is_the_sum_of_ends_and_outstanding() {
         fn holds(steps: Vec<(u8, u8)>) -> bool {
-            let (mut tally, mut open, mut taken, mut departed) = (AccessMetrics::default(), Vec::new(), 0, 0);
+            let (mut tally, mut open, mut taken, mut departed) =
+                (AccessMetrics::default(), Vec::new(), 0, 0);
             for (what, which) in steps {
                 if what % 3 == 0 || open.is_empty() {
                     open.push(tally.begin(usize::from(which) % 4));
@@ -96,15 +105,23 @@
                 }
             }
             let names: Vec<String> = (0..4).map(|n| format!("c{n}")).collect();
-            let told =
-                |line: &str| line.split_once('=').and_then(|(n, v)| Some((n.contains('.'), v.parse().ok()?)));
+            let told = |line: &str| {
+                line.split_once('=')
+                    .and_then(|(n, v)| Some((n.contains('.'), v.parse().ok()?)))
+            };
             let text = tally.lines(&names, 0);
-            let ended: u64 =
-                text.lines().filter_map(told).filter(|(of, _)| *of).map(|(_, v): (bool, u64)| v).sum();
+            let ended: u64 = text
+                .lines()
+                .filter_map(told)
+                .filter(|(of, _)| *of)
+                .map(|(_, v): (bool, u64)| v)
+                .sum();
             text.contains(&format!("outstanding={}\n", open.len()))
                 && taken == ended + departed + open.len() as u64
         }
         let seeded = Gen::from_size_and_seed(200, 20_261_202);
-        QuickCheck::new().rng(seeded).quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
+        QuickCheck::new()
+            .rng(seeded)
+            .quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
     }
 }
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -83,13 +83,21 @@
         let state = StateDirectory::of(&configuration.name);
         let mut handed = upgrade::ask(&state, configuration.listen);
         let (list, once, learnt) = handed.as_mut().map_or_else(Default::default, |handed| {
-            (handed.list.take(), std::mem::take(&mut handed.once), handed.learnt.take())
+            (
+                handed.list.take(),
+                std::mem::take(&mut handed.once),
+                handed.learnt.take(),
+            )
         });
         let taken = handed.as_ref().map(|h| h.listener.try_clone());
-        let listener = taken.unwrap_or_else(|| bound(configuration.listen)).map_err(of_listen)?;
+        let listener = taken
+            .unwrap_or_else(|| bound(configuration.listen))
+            .map_err(of_listen)?;
         listener.set_nonblocking(true).map_err(of_listen)?;
         let listener = TcpListener::from_std(listener);
-        let door = configuration.admin.map(|address| admin::listen(address, poll.registry()));
+        let door = configuration
+            .admin
+            .map(|address| admin::listen(address, poll.registry()));
         let door = door.transpose().map_err(|e| format!("admin_addr: {e}"))?;
         let most = configuration::connections(configuration.sockets as f64);
         let upgrade = Upgrade::new(handed, &state, poll.registry()).map_err(text)?;
@@ -127,16 +135,22 @@
             sockets: configuration.sockets,
             buffer_bytes: configuration.buffer_bytes,
         };
-        once.into_iter().for_each(|mark| proxy.disabled_endpoints.listed(mark));
+        once.into_iter()
+            .for_each(|mark| proxy.disabled_endpoints.listed(mark));
         // Before any list: nothing may go to a server that was taken out before this start.
         proxy.watch_disabled_endpoints();
         proxy.apply_process_share();
         // Before any list: what it tells is for the others too.
         proxy.join_cluster()?;
-        let known = if list.is_null() { configuration.known } else { list };
+        let known = if list.is_null() {
+            configuration.known
+        } else {
+            list
+        };
         match known.is_null() {
             false => {
-                let read = read_list(&mut proxy.name_index, &known).map_err(|e| format!("known: {e}"))?;
+                let read =
+                    read_list(&mut proxy.name_index, &known).map_err(|e| format!("known: {e}"))?;
                 proxy.discovery.keep(&known);
                 proxy.discovery.go_on_from(&read);
                 proxy.apply_endpoint_list(&read, true);
@@ -146,7 +160,9 @@
         proxy.restore_learned_state(&learnt);
         if !proxy.upgrade.holds_back {
             let at = proxy.now() + FIRST_LIST;
-            proxy.timers.set(at, |proxy: &mut Proxy| proxy.listen_after_first_list());
+            proxy
+                .timers
+                .set(at, |proxy: &mut Proxy| proxy.listen_after_first_list());
         }
         Ok(proxy)
     }
@@ -184,11 +200,16 @@
         self.downstream.resize(connections);
         self.upstream.links.resize(connections);
         self.requests.resize(connections * 3 / 4);
-        self.buffers.resize((self.buffer_bytes as f64 * share) as usize);
+        self.buffers
+            .resize((self.buffer_bytes as f64 * share) as usize);
         while self.upstream.links.over() && self.close_longest_idle_upstream() {}
         while self.downstream.over() && self.close_idle_downstream() {}
         let nodes = self.cluster_shares.map(|(nodes, _)| nodes);
-        self.dispatcher.set_process_share(share, nodes, self.cluster_shares.map_or(1.0, |(_, cold)| cold));
+        self.dispatcher.set_process_share(
+            share,
+            nodes,
+            self.cluster_shares.map_or(1.0, |(_, cold)| cold),
+        );
     }
 
     /// Whether everything taken in is answered, and the answers are out.
@@ -202,7 +223,9 @@
     pub fn turn(&mut self, poll: &mut Poll, events: &mut Events) -> io::Result<bool> {
         let looked = self.now();
         let fleet = self.cluster.as_ref().map(|members| members.next_due());
-        let due = [self.timers.first(), self.dispatcher.next_tick(), fleet].into_iter().flatten();
+        let due = [self.timers.first(), self.dispatcher.next_tick(), fleet]
+            .into_iter()
+            .flatten();
         let wait = due.min_by(f64::total_cmp).map(|at| (at - looked).max(0.0));
         if let Err(e) = poll.poll(events, wait.map(|ms| Duration::from_secs_f64(ms / 1000.0))) {
             if e.kind() != io::ErrorKind::Interrupted {
@@ -293,7 +316,14 @@
         // Danger: what is taken in near the end of a process must be answered before that.
         let ttl = arrival.ttl_ms.min((self.answer_by - now).max(1.0));
         let op = self.requests.admit(client, now + ttl, mark);
-        let next = self.dispatcher.request_arrived(now, &NewRequest { request: op, ttl_ms: ttl, ..arrival });
+        let next = self.dispatcher.request_arrived(
+            now,
+            &NewRequest {
+                request: op,
+                ttl_ms: ttl,
+                ..arrival
+            },
+        );
         self.follow(op, next);
         op
     }
@@ -307,7 +337,9 @@
         }
         match next.final_answer {
             None => {}
-            Some(FinalAnswer::Rejected { retry_after_ms: come_back }) => {
+            Some(FinalAnswer::Rejected {
+                retry_after_ms: come_back,
+            }) => {
                 self.counters.nacked += 1;
                 self.give_up(op, 503, come_back);
             }
@@ -332,11 +364,16 @@
         let now = self.now();
         let (push, client, ends) = self.requests.push(op);
         let to = pick.endpoint;
-        self.cluster.iter_mut().for_each(|members| members.shares.pushes(to, false));
+        self.cluster
+            .iter_mut()
+            .for_each(|members| members.shares.pushes(to, false));
         let patience = pick.timeout_ms.min(ends - now);
-        let then = Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed((op, push), to, now, outcome));
+        let then =
+            Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed((op, push), to, now, outcome));
         let sent = match client {
-            Some(client) if patience > 0.0 => self.send((op, client), pick.endpoint, patience, then),
+            Some(client) if patience > 0.0 => {
+                self.send((op, client), pick.endpoint, patience, then)
+            }
             _ => Err(AttemptOutcome::NotSent),
         };
         match sent {
@@ -348,7 +385,12 @@
                 (op, push),
                 to,
                 now,
-                AttemptResponse { ending, load: LoadReport::default(), answer: None, took: None },
+                AttemptResponse {
+                    ending,
+                    load: LoadReport::default(),
+                    answer: None,
+                    took: None,
+                },
             ),
         }
     }
@@ -362,8 +404,19 @@
     }
 
     /// A push has ended: the first ack goes to the client, anything else to the decisions.
-    fn pushed(&mut self, (op, push): (usize, usize), server: usize, at: f64, outcome: AttemptResponse) {
-        let AttemptResponse { ending, load, answer, took } = outcome;
+    fn pushed(
+        &mut self,
+        (op, push): (usize, usize),
+        server: usize,
+        at: f64,
+        outcome: AttemptResponse,
+    ) {
+        let AttemptResponse {
+            ending,
+            load,
+            answer,
+            took,
+        } = outcome;
         let count = match ending {
             AttemptOutcome::Succeeded => &mut self.counters.push_acked,
             AttemptOutcome::Failed => &mut self.counters.push_errored,
@@ -371,17 +424,28 @@
             AttemptOutcome::TimedOut => &mut self.counters.push_timed_out,
             AttemptOutcome::Unreachable => &mut self.counters.push_unreachable,
             AttemptOutcome::ConnectionLost => &mut self.counters.push_broken,
-            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => &mut self.counters.push_cancelled,
+            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => {
+                &mut self.counters.push_cancelled
+            }
         };
         *count += 1;
         let now = self.now();
         if let Some(members) = &mut self.cluster {
             members.shares.pushes(server, true);
-            load.in_flight.iter().for_each(|held| members.shares.reported(now, server, *held));
+            load.in_flight
+                .iter()
+                .for_each(|held| members.shares.reported(now, server, *held));
         }
-        log::debug!("op {op}: push {push} ended after {:.1} ms: {ending:?}", now - at);
+        log::debug!(
+            "op {op}: push {push} ended after {:.1} ms: {ending:?}",
+            now - at
+        );
         self.requests.push_ended(op, push);
-        let waiting = if ending == AttemptOutcome::Succeeded { self.requests.answered(op) } else { None };
+        let waiting = if ending == AttemptOutcome::Succeeded {
+            self.requests.answered(op)
+        } else {
+            None
+        };
         let closed = !self.requests.waits(op);
         if let Some((inbox, message)) = answer {
             if let Some(client) = waiting {
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -29,7 +29,12 @@
 
 impl Requests {
     pub fn new(most: usize) -> Self {
-        Requests { table: Slab::new(), most, open: HashSet::new(), marks: RandomState::new() }
+        Requests {
+            table: Slab::new(),
+            most,
+            open: HashSet::new(),
+            marks: RandomState::new(),
+        }
     }
 
     /// So many from now on.
@@ -50,7 +55,14 @@
     pub fn admit(&mut self, client: usize, ends: f64, mark: u64) -> usize {
         let over = self.table.len() >= self.most;
         self.open.insert(mark);
-        self.table.insert(Op { mark, client: Some(client), ends, over, pushes: Vec::new(), out: 0 })
+        self.table.insert(Op {
+            mark,
+            client: Some(client),
+            ends,
+            over,
+            pushes: Vec::new(),
+            out: 0,
+        })
     }
 
     /// Whether a client still waits for the answer.
@@ -77,7 +89,9 @@
 
     /// None may last past a time.
     pub fn end_by(&mut self, at: f64) {
-        self.table.iter_mut().for_each(|(_, op)| op.ends = op.ends.min(at));
+        self.table
+            .iter_mut()
+            .for_each(|(_, op)| op.ends = op.ends.min(at));
     }
 
     /// Where a push is out.
@@ -87,7 +101,11 @@
 
     /// The push that is out on a connection.
     pub fn push_on(&self, op: usize, link: usize) -> Option<usize> {
-        self.table.get(op)?.pushes.iter().position(|l| *l == Some(link))
+        self.table
+            .get(op)?
+            .pushes
+            .iter()
+            .position(|l| *l == Some(link))
     }
 
     pub fn push_ended(&mut self, op: usize, push: usize) {
@@ -107,7 +125,11 @@
     /// The one place where an op is given back: answered, and none of its pushes out. Danger: an index used
     /// again while a push is out would take that push's end for its own.
     pub fn drop_if_done(&mut self, op: usize) {
-        if self.table.get(op).is_some_and(|op| op.client.is_none() && op.out == 0) {
+        if self
+            .table
+            .get(op)
+            .is_some_and(|op| op.client.is_none() && op.out == 0)
+        {
             self.table.remove(op);
         }
     }
--- a/proxy/src/slot_table.rs
+++ b/proxy/src/slot_table.rs
@@ -10,7 +10,10 @@
 
 impl<T> SlotTable<T> {
     pub fn new(most: usize) -> Self {
-        SlotTable { slots: Slab::new(), most }
+        SlotTable {
+            slots: Slab::new(),
+            most,
+        }
     }
 
     /// So many from now on; those beyond stay until they are taken out.
@@ -53,13 +56,22 @@
 
     /// Keys of those that something holds for.
     pub fn keys(&self, holds: impl Fn(&T) -> bool) -> Vec<usize> {
-        self.slots.iter().filter(|(_, one)| holds(one)).map(|(key, _)| key).collect()
+        self.slots
+            .iter()
+            .filter(|(_, one)| holds(one))
+            .map(|(key, _)| key)
+            .collect()
     }
 
     /// Whoever has the least rank, of those that have one.
     pub fn least(&self, rank: impl Fn(&T) -> Option<f64>) -> Option<usize> {
-        let ranked = self.slots.iter().filter_map(|(key, one)| Some((key, rank(one)?)));
-        ranked.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
+        let ranked = self
+            .slots
+            .iter()
+            .filter_map(|(key, one)| Some((key, rank(one)?)));
+        ranked
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+            .map(|(key, _)| key)
     }
 }
 
--- a/proxy/src/streaming/response.rs
+++ b/proxy/src/streaming/response.rs
@@ -15,7 +15,8 @@
     pub fn begin_response_stream(&mut self, key: usize, mut inbox: Buffer) {
         let link = &mut self.upstream.links[key];
         let op = link.op;
-        let (Some((message, ..)), Some(client)) = (&mut link.message, self.requests.answered(op)) else {
+        let (Some((message, ..)), Some(client)) = (&mut link.message, self.requests.answered(op))
+        else {
             self.buffers.give(inbox);
             return self.fail(key, AttemptOutcome::Cancelled, LoadReport::default());
         };
@@ -26,7 +27,10 @@
             // Danger: where only the connection's end tells the answer's, one cut short is reset.
             None => BodyFraming::Unframed,
         };
-        link.passing = Some(Passing { client, chunked: framing == BodyFraming::Chunked });
+        link.passing = Some(Passing {
+            client,
+            chunked: framing == BodyFraming::Chunked,
+        });
         (link.moved, link.until) = (now, Some(now));
         self.timers.unset(link.timer.take());
         let (head, end) = (message.head, message.end);
@@ -56,7 +60,10 @@
             let Some(link) = self.upstream.links.get_mut(key) else {
                 return;
             };
-            let Some(Passing { client, chunked, .. }) = link.passing else {
+            let Some(Passing {
+                client, chunked, ..
+            }) = link.passing
+            else {
                 return;
             };
             let (Some(inbox), Some((message, ..))) = (&mut link.inbox, &mut link.message) else {
@@ -93,7 +100,10 @@
                 (Ok(_), Filled::Ended) if message.ends_here() => message.end_here(),
                 // The client is cut off with the connection, so that it can tell.
                 _ => {
-                    log::debug!("server {}: a long answer breaks off: {read:?}, {filled:?}", link.server);
+                    log::debug!(
+                        "server {}: a long answer breaks off: {read:?}, {filled:?}",
+                        link.server
+                    );
                     return self.fail(key, AttemptOutcome::ConnectionLost, LoadReport::default());
                 }
             }
@@ -112,8 +122,15 @@
         let Some((message, _, load)) = link.message.take() else {
             return;
         };
-        let clean = message.keep && link.inbox.as_ref().is_none_or(|inbox| inbox.held().is_empty());
-        link.inbox.take().into_iter().for_each(|inbox| self.buffers.give(inbox));
+        let clean = message.keep
+            && link
+                .inbox
+                .as_ref()
+                .is_none_or(|inbox| inbox.held().is_empty());
+        link.inbox
+            .take()
+            .into_iter()
+            .for_each(|inbox| self.buffers.give(inbox));
         self.counters.acked += 1;
         self.downstream.ends_as(client, End::Succeeded);
         self.downstream.fed(client);
@@ -124,6 +141,14 @@
         }
         self.write_answer(client);
         self.downstream.go_on(client);
-        self.hand(then, AttemptResponse { ending: AttemptOutcome::Succeeded, load, answer: None, took });
+        self.hand(
+            then,
+            AttemptResponse {
+                ending: AttemptOutcome::Succeeded,
+                load,
+                answer: None,
+                took,
+            },
+        );
     }
 }
--- a/proxy/src/timers.rs
+++ b/proxy/src/timers.rs
@@ -17,8 +17,13 @@
 
 impl Clock {
     pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0);
-        Clock { from: Instant::now(), unix }
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0.0, |d| d.as_secs_f64() * 1000.0);
+        Clock {
+            from: Instant::now(),
+            unix,
+        }
     }
 
     pub fn now(&self) -> f64 {
@@ -43,7 +48,10 @@
 
 impl<P> Timers<P> {
     pub fn new() -> Self {
-        Timers { due: BTreeMap::new(), next: 0 }
+        Timers {
+            due: BTreeMap::new(),
+            next: 0,
+        }
     }
 
     pub fn set(&mut self, at: f64, due: impl FnOnce(&mut P) + 'static) -> TimerKey {
@@ -65,6 +73,8 @@
     }
 
     pub fn first(&self) -> Option<f64> {
-        self.due.first_key_value().map(|(key, _)| key.0 as f64 / 1000.0)
+        self.due
+            .first_key_value()
+            .map(|(key, _)| key.0 as f64 / 1000.0)
     }
 }
--- a/proxy/src/upstream/attempts.rs
+++ b/proxy/src/upstream/attempts.rs
@@ -28,8 +28,14 @@
             return since + self.patience;
         }
         let untold = |m: &Message| m.length().is_none() && m.brought() <= BODY_MOST;
-        let short = self.passing.is_some() && self.message.as_ref().is_some_and(|(m, ..)| untold(m));
-        self.moved + if short { (self.ends - self.moved).max(0.0) + LATE_MOST } else { STALL }
+        let short =
+            self.passing.is_some() && self.message.as_ref().is_some_and(|(m, ..)| untold(m));
+        self.moved
+            + if short {
+                (self.ends - self.moved).max(0.0) + LATE_MOST
+            } else {
+                STALL
+            }
     }
 }
 
@@ -41,7 +47,10 @@
         _ => AttemptOutcome::Failed,
     };
     let mut load = LoadReport::default();
-    read_load(http::value(headers, "x-server-load").unwrap_or_default(), &mut load);
+    read_load(
+        http::value(headers, "x-server-load").unwrap_or_default(),
+        &mut load,
+    );
     (status, ending, load)
 }
 
@@ -83,14 +92,21 @@
             return Err(AttemptOutcome::NotSent);
         };
         let request = self.downstream.request(client);
-        if !request.is_some_and(|(held, message)| http::forward(held, message, patience, &mut outbox)) {
+        if !request
+            .is_some_and(|(held, message)| http::forward(held, message, patience, &mut outbox))
+        {
             self.buffers.give(outbox);
             return Err(AttemptOutcome::NotSent);
         }
         let key = self.send_written(op, server, outbox, patience, then)?;
-        if let Some((_, message)) = self.downstream.request(client).filter(|(_, message)| !message.whole()) {
+        if let Some((_, message)) = self
+            .downstream
+            .request(client)
+            .filter(|(_, message)| !message.whole())
+        {
             let link = &mut self.upstream.links[key];
-            (link.feeding, link.fed, link.chunked) = (Some(client), true, message.length().is_none());
+            (link.feeding, link.fed, link.chunked) =
+                (Some(client), true, message.length().is_none());
             self.downstream.feeds(client, key);
         }
         Ok(key)
@@ -119,8 +135,14 @@
         (link.fed, link.held_since, link.broke, link.rest_since) = (false, None, false, None);
         (link.began, link.moved, link.patience, link.ends) = (now, now, patience, now + patience);
         link.then = Some(then);
-        let first = if link.up { patience } else { patience.min(self.upstream.connect_within) };
-        link.timer = Some(self.timers.set(now + first, move |proxy: &mut Proxy| proxy.upstream_timeout(key)));
+        let first = if link.up {
+            patience
+        } else {
+            patience.min(self.upstream.connect_within)
+        };
+        link.timer = Some(self.timers.set(now + first, move |proxy: &mut Proxy| {
+            proxy.upstream_timeout(key)
+        }));
         if link.up {
             self.writable_upstream.push(key);
         }
@@ -129,7 +151,12 @@
 
     /// Danger: a push whose answer is on its way to the client, called off as one of several.
     pub fn cancel(&mut self, key: usize) {
-        if self.upstream.links.get(key).is_some_and(|link| link.passing.is_some()) {
+        if self
+            .upstream
+            .links
+            .get(key)
+            .is_some_and(|link| link.passing.is_some())
+        {
             return;
         }
         self.fail(key, AttemptOutcome::Cancelled, LoadReport::default());
@@ -165,26 +192,46 @@
             // Danger: a server that neither takes nor gives, between a client and its end. Whose turn it is
             // to move tells who stalls; a client has a time of its own.
             let waits = passing.map_or_else(
-                || link.feeding.is_some() && link.outbox.as_ref().is_none_or(|o| o.held().is_empty()),
+                || {
+                    link.feeding.is_some()
+                        && link.outbox.as_ref().is_none_or(|o| o.held().is_empty())
+                },
                 |client| !self.downstream.has_taken(client),
             );
             link.moved = if waits { now } else { link.moved };
             let at = link.stalls_at();
             if now >= at {
-                log::info!("server {}: nothing has moved for {:.0} ms", link.server, now - link.moved);
-                let ending =
-                    if link.whole { AttemptOutcome::ConnectionLost } else { AttemptOutcome::Unreachable };
+                log::info!(
+                    "server {}: nothing has moved for {:.0} ms",
+                    link.server,
+                    now - link.moved
+                );
+                let ending = if link.whole {
+                    AttemptOutcome::ConnectionLost
+                } else {
+                    AttemptOutcome::Unreachable
+                };
                 return self.fail(key, ending, LoadReport::default());
             }
-            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.upstream_timeout(key)));
+            link.timer = Some(
+                self.timers
+                    .set(at, move |proxy: &mut Proxy| proxy.upstream_timeout(key)),
+            );
             return;
         }
         if link.up && now < link.ends {
             let at = link.ends;
-            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.upstream_timeout(key)));
+            link.timer = Some(
+                self.timers
+                    .set(at, move |proxy: &mut Proxy| proxy.upstream_timeout(key)),
+            );
         } else {
             // Before its last byte is written it cannot have run.
-            let ending = if link.whole { AttemptOutcome::TimedOut } else { AttemptOutcome::Unreachable };
+            let ending = if link.whole {
+                AttemptOutcome::TimedOut
+            } else {
+                AttemptOutcome::Unreachable
+            };
             let record = &mut self.upstream.records[link.server];
             if record.heard < link.began {
                 // Danger: a machine that is cut off says nothing, and each of its idle connections would
@@ -200,14 +247,22 @@
     /// Its server takes no more for now. Where the rest of the request lies here, its op's time runs.
     pub fn note_idle(&mut self, key: usize, client: usize) {
         let now = self.clock.now();
-        let Some(link) = self.upstream.links.get_mut(key).filter(|link| link.rest_since.is_none()) else {
+        let Some(link) = self
+            .upstream
+            .links
+            .get_mut(key)
+            .filter(|link| link.rest_since.is_none())
+        else {
             return;
         };
         if self.downstream.rest_is_here(client) {
             link.rest_since = Some(now);
             self.timers.unset(link.timer.take());
             let at = link.stalls_at();
-            link.timer = Some(self.timers.set(at, move |proxy: &mut Proxy| proxy.upstream_timeout(key)));
+            link.timer = Some(
+                self.timers
+                    .set(at, move |proxy: &mut Proxy| proxy.upstream_timeout(key)),
+            );
         }
     }
 
@@ -262,7 +317,10 @@
                         link.timer = Some(self.timers.set(link.ends, due));
                     }
                     self.access_metrics.forwards += u64::from(link.op != NO_OP);
-                    link.outbox.take().into_iter().for_each(|b| self.buffers.give(b));
+                    link.outbox
+                        .take()
+                        .into_iter()
+                        .for_each(|b| self.buffers.give(b));
                 }
                 Ok(false) => {}
                 // An answer may have come before the request was through; reading tells.
@@ -292,7 +350,9 @@
             }
             let ended = filled == Filled::Ended;
             let whole = match read(&mut link.message, &mut inbox) {
-                Ok(whole) => whole || ended && link.message.as_ref().is_some_and(|(m, ..)| m.ends_here()),
+                Ok(whole) => {
+                    whole || ended && link.message.as_ref().is_some_and(|(m, ..)| m.ends_here())
+                }
                 // A broken answer ends the push as a broken connection does.
                 Err(why) => {
                     let server = link.server;
@@ -316,9 +376,13 @@
                 self.begin_response_stream(key, inbox);
                 return self.pass(key);
             }
-            let long = |m: &Message| m.length().is_some_and(|l| l > BODY_MOST) || m.end - m.head > BODY_MOST;
-            if let Some((_, ending, load)) =
-                link.message.as_ref().filter(|(m, e, _)| *e != AttemptOutcome::Succeeded && long(m))
+            let long = |m: &Message| {
+                m.length().is_some_and(|l| l > BODY_MOST) || m.end - m.head > BODY_MOST
+            };
+            if let Some((_, ending, load)) = link
+                .message
+                .as_ref()
+                .filter(|(m, e, _)| *e != AttemptOutcome::Succeeded && long(m))
             {
                 // A refusal needs no long body: its head has said it.
                 let (ending, load) = (*ending, *load);
@@ -329,7 +393,8 @@
                 let now = self.clock.now();
                 link.held_since = Some(now);
                 let at = link.held_until(now);
-                self.timers.set(at, move |proxy: &mut Proxy| proxy.held_back(key, now));
+                self.timers
+                    .set(at, move |proxy: &mut Proxy| proxy.held_back(key, now));
             }
             if inbox.held().is_empty() {
                 self.buffers.give(inbox);
@@ -349,19 +414,31 @@
     /// has its op's time, and the op may go elsewhere as long as nothing of it has been passed on.
     pub(super) fn held_back(&mut self, key: usize, since: f64) {
         let now = self.clock.now();
-        let Some(link) = self.upstream.links.get_mut(key).filter(|l| l.held_since == Some(since)) else {
+        let Some(link) = self
+            .upstream
+            .links
+            .get_mut(key)
+            .filter(|l| l.held_since == Some(since))
+        else {
             return;
         };
         if link.then.is_none() || link.passing.is_some() {
             return;
         }
-        let told = link.message.as_ref().is_some_and(|(m, ..)| m.length().is_some());
-        if let Some(inbox) = link.inbox.take_if(|inbox| told || inbox.held().len() >= FIRST) {
+        let told = link
+            .message
+            .as_ref()
+            .is_some_and(|(m, ..)| m.length().is_some());
+        if let Some(inbox) = link
+            .inbox
+            .take_if(|inbox| told || inbox.held().len() >= FIRST)
+        {
             self.begin_response_stream(key, inbox);
             self.pass(key);
         } else if now < link.ends - FOR_THE_WAY {
             let at = link.held_until(now);
-            self.timers.set(at, move |proxy: &mut Proxy| proxy.held_back(key, since));
+            self.timers
+                .set(at, move |proxy: &mut Proxy| proxy.held_back(key, since));
         }
     }
 
@@ -370,7 +447,11 @@
         // What the server never had whole it has not run.
         self.fail(
             key,
-            if whole { AttemptOutcome::ConnectionLost } else { AttemptOutcome::Unreachable },
+            if whole {
+                AttemptOutcome::ConnectionLost
+            } else {
+                AttemptOutcome::Unreachable
+            },
             LoadReport::default(),
         );
     }
@@ -389,13 +470,24 @@
         } else {
             self.drop_upstream(key);
         }
-        self.hand(then, AttemptResponse { ending, load, answer: Some((inbox, message)), took });
+        self.hand(
+            then,
+            AttemptResponse {
+                ending,
+                load,
+                answer: Some((inbox, message)),
+                took,
+            },
+        );
     }
 
     pub fn hand(&mut self, then: Option<CompletionCallback<Proxy>>, outcome: AttemptResponse) {
         match then {
             Some(then) => then(self, outcome),
-            None => outcome.answer.into_iter().for_each(|(inbox, _)| self.buffers.give(inbox)),
+            None => outcome
+                .answer
+                .into_iter()
+                .for_each(|(inbox, _)| self.buffers.give(inbox)),
         }
     }
 }
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -23,7 +23,8 @@
     pub fn leave_not_sent(&mut self) {
         // Danger: a connection that comes up only now would carry a new push past the grace.
         let records = &self.upstream.records;
-        let left = |l: &UpstreamConnection<Proxy>| l.unsent() && records[l.server].dial != Some(l.dial);
+        let left =
+            |l: &UpstreamConnection<Proxy>| l.unsent() && records[l.server].dial != Some(l.dial);
         for key in self.upstream.links.keys(left) {
             self.fail(key, AttemptOutcome::Unreachable, LoadReport::default());
         }
@@ -36,7 +37,10 @@
         loop {
             let idle = &mut self.upstream.records.get_mut(server)?.idle;
             let links = &self.upstream.links;
-            let key = idle.remove(idle.iter().rposition(|key| now - links[*key].idle_since >= QUIET)?);
+            let key = idle.remove(
+                idle.iter()
+                    .rposition(|key| now - links[*key].idle_since >= QUIET)?,
+            );
             let link = &mut self.upstream.links[key];
             self.timers.unset(link.timer.take());
             if is_silent(&link.stream) {
@@ -54,13 +58,16 @@
             return Err(AttemptOutcome::NotSent);
         }
         let record = self.upstream.records.get(server);
-        let dial @ (address, _) = record.and_then(|r| r.dial).ok_or(AttemptOutcome::Unreachable)?;
+        let dial @ (address, _) = record
+            .and_then(|r| r.dial)
+            .ok_or(AttemptOutcome::Unreachable)?;
         self.counters.dialled += 1;
         let both = Interest::READABLE | Interest::WRITABLE;
         let key = self.upstream.links.next_key();
         let stream = loop {
             let stream = TcpStream::connect(address).and_then(|mut stream| {
-                self.registry.register(&mut stream, SERVER.token(key), both)?;
+                self.registry
+                    .register(&mut stream, SERVER.token(key), both)?;
                 Ok(stream)
             });
             match stream.map_err(|e| (e.kind(), e)) {
@@ -118,7 +125,8 @@
     }
 
     pub fn close_longest_idle_upstream(&mut self) -> bool {
-        let idle = |link: &UpstreamConnection<Proxy>| link.then.is_none().then_some(link.idle_since);
+        let idle =
+            |link: &UpstreamConnection<Proxy>| link.then.is_none().then_some(link.idle_since);
         let Some(key) = self.upstream.links.least(idle) else {
             return false;
         };
@@ -153,7 +161,15 @@
         let (then, took) = (link.then.take(), link.took(now));
         self.drop_upstream(key);
         if let Some(then) = then {
-            then(self, AttemptResponse { ending, load, answer: None, took });
+            then(
+                self,
+                AttemptResponse {
+                    ending,
+                    load,
+                    answer: None,
+                    took,
+                },
+            );
         }
     }
 
--- a/proxy/src/upstream/load_probes.rs
+++ b/proxy/src/upstream/load_probes.rs
@@ -38,7 +38,9 @@
         });
         self.counters.probes += 1;
         self.probes_in_flight += 1;
-        let sent = self.send_written(NO_OP, server, outbox, PROBE_WITHIN, then).is_ok();
+        let sent = self
+            .send_written(NO_OP, server, outbox, PROBE_WITHIN, then)
+            .is_ok();
         if !sent {
             self.probes_in_flight -= 1;
         }
--- a/proxy/src/upstream/mod.rs
+++ b/proxy/src/upstream/mod.rs
@@ -31,7 +31,12 @@
 
 /// How a message starts, for the log.
 pub fn start_of(inbox: &Buffer) -> String {
-    inbox.held().iter().take(120).map(|b| std::ascii::escape_default(*b).to_string()).collect()
+    inbox
+        .held()
+        .iter()
+        .take(120)
+        .map(|b| std::ascii::escape_default(*b).to_string())
+        .collect()
 }
 
 /// What a push has come to; an acked one's answer goes with it.
@@ -115,7 +120,12 @@
     /// `most` connections, each to come up within a time and to be closed after another.
     pub fn new(most: usize, connect_within: f64, keepalive: f64) -> Self {
         let (links, records) = (SlotTable::new(most), Vec::new());
-        let mut servers = Upstreams { links, records, connect_within, idle_most: 0.0 };
+        let mut servers = Upstreams {
+            links,
+            records,
+            connect_within,
+            idle_most: 0.0,
+        };
         servers.take_times(connect_within, keepalive);
         servers
     }
@@ -129,8 +139,14 @@
 
     /// Whether a connection waits for more of a client's request.
     pub fn hungry(&self, key: Option<usize>, client: usize) -> bool {
-        let link = key.and_then(|key| self.links.get(key)).filter(|l| l.up && l.feeding == Some(client));
-        link.is_some_and(|l| l.outbox.as_ref().is_some_and(|o| l.begun && o.held().is_empty()))
+        let link = key
+            .and_then(|key| self.links.get(key))
+            .filter(|l| l.up && l.feeding == Some(client));
+        link.is_some_and(|l| {
+            l.outbox
+                .as_ref()
+                .is_some_and(|o| l.begun && o.held().is_empty())
+        })
     }
 
     /// Whether a connection may be opened without closing one that a push might use.
@@ -163,7 +179,11 @@
 
     /// Whether its answer may be passed on in pieces: a good one to a request written whole.
     pub fn good(&self) -> bool {
-        self.whole && self.message.as_ref().is_some_and(|(_, ending, _)| *ending == AttemptOutcome::Succeeded)
+        self.whole
+            && self
+                .message
+                .as_ref()
+                .is_some_and(|(_, ending, _)| *ending == AttemptOutcome::Succeeded)
     }
 
     /// Whether it is to be passed on now.
--- a/proxy/tests/sockets/ends.rs
+++ b/proxy/tests/sockets/ends.rs
@@ -16,7 +16,11 @@
     let (say, said) = std::sync::mpsc::channel::<Vec<u8>>();
     let said = Mutex::new(said);
     let server = Server::new(move |stream, _| {
-        let answer = said.lock().unwrap().recv_timeout(PATIENCE).unwrap_or_default();
+        let answer = said
+            .lock()
+            .unwrap()
+            .recv_timeout(PATIENCE)
+            .unwrap_or_default();
         !answer.is_empty() && stream.write_all(&answer).is_ok()
     });
     (server, say)
@@ -34,8 +38,11 @@
 pub fn stopped(node: &Node) {
     node.signal("STOP");
     until("it stands still", || {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", node.process())).unwrap_or_default();
-        stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+        let stat =
+            std::fs::read_to_string(format!("/proc/{}/stat", node.process())).unwrap_or_default();
+        stat.rsplit(')')
+            .next()
+            .is_some_and(|rest| rest.trim_start().starts_with('T'))
     });
 }
 
@@ -45,7 +52,13 @@
     assert!(node.ended().0);
     until("all is read", || server.open.load(Ordering::SeqCst) == 0);
     let path = format!("POST /{category}/");
-    server.asked.lock().unwrap().iter().filter(|a| a.head.starts_with(&path)).count()
+    server
+        .asked
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|a| a.head.starts_with(&path))
+        .count()
 }
 
 /// A client whose request is with a server that holds its answer back.
@@ -60,19 +73,27 @@
 /// Opens so many connections to a held server, which stand idle then: what goes to it next is written at once.
 fn warm(node: &Node, server: &Server, say: &std::sync::mpsc::Sender<Vec<u8>>, connections: usize) {
     let mut clients: Vec<_> = (0..connections).map(|_| node.client()).collect();
-    clients.iter_mut().for_each(|client| client.write_all(&request("order", 60.0, "")).unwrap());
+    clients
+        .iter_mut()
+        .for_each(|client| client.write_all(&request("order", 60.0, "")).unwrap());
     until("all are out", || server.pushes() == connections);
     (0..connections).for_each(|_| say.send(ok("warm")).unwrap());
-    clients.iter_mut().for_each(|client| assert_eq!(read_message(client).expect("an answer").1, b"warm"));
+    clients
+        .iter_mut()
+        .for_each(|client| assert_eq!(read_message(client).expect("an answer").1, b"warm"));
     // For as long as they rest.
     after(30);
 }
 
 #[test]
 fn a_client_that_sends_more_behind_its_request_and_goes_is_seen_to_go() {
-    for (behind, how) in
-        [(0, "closes"), (1, "closes"), (300_000, "closes"), (20, "resets"), (5000, "half closes")]
-    {
+    for (behind, how) in [
+        (0, "closes"),
+        (1, "closes"),
+        (300_000, "closes"),
+        (20, "resets"),
+        (5000, "half closes"),
+    ] {
         let quiet = Server::new(|stream, _| {
             // Nothing is said; whoever gives up closes.
             let _ = stream.read(&mut [0]);
@@ -86,9 +107,10 @@
             "half closes" => client.shutdown(Shutdown::Write).unwrap(),
             _ => drop(client),
         }
-        until(&format!("its push is given up, {behind} bytes behind, it {how}"), || {
-            quiet.open.load(Ordering::SeqCst) == 0
-        });
+        until(
+            &format!("its push is given up, {behind} bytes behind, it {how}"),
+            || quiet.open.load(Ordering::SeqCst) == 0,
+        );
         assert_eq!(quiet.pushes(), 1);
     }
 }
@@ -101,7 +123,10 @@
     client.write_all(&request("view", 5.0, "")).unwrap();
     for body in ["first", "second"] {
         say.send(ok(body)).unwrap();
-        assert_eq!(read_message(&mut client).expect("an answer").1, body.as_bytes());
+        assert_eq!(
+            read_message(&mut client).expect("an answer").1,
+            body.as_bytes()
+        );
     }
 }
 
@@ -121,7 +146,11 @@
     node.signal("CONT");
     say.send(ok("next")).unwrap();
     assert_eq!(node.ask(&request("order", 5.0, "")), (200, "next".into()));
-    assert_eq!(of_category(&mut node, &server, "view"), 1, "its client had left");
+    assert_eq!(
+        of_category(&mut node, &server, "view"),
+        1,
+        "its client had left"
+    );
 }
 
 #[test]
@@ -143,7 +172,9 @@
         if !known {
             client = TcpStream::connect(node.address).unwrap();
         }
-        client.write_all(&[&request("pay", 60.0, "")[..], b"behind"].concat()).unwrap();
+        client
+            .write_all(&[&request("pay", 60.0, "")[..], b"behind"].concat())
+            .unwrap();
         drop(client);
         after(30);
         node.signal("CONT");
@@ -178,7 +209,12 @@
         stopped(&node);
         go.send(()).unwrap();
         after(30);
-        let sent = server.asked.lock().unwrap().iter().any(|a| a.head.starts_with("POST /view/"));
+        let sent = server
+            .asked
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|a| a.head.starts_with("POST /view/"));
         client.write_all(b"x").unwrap();
         drop(client);
         after(30);
@@ -186,7 +222,11 @@
         go.send(()).unwrap();
         if !sent {
             assert_eq!(node.ask(&request("order", 5.0, "")).0, 200);
-            assert_eq!(of_category(&mut node, &server, "view"), 0, "its client had left");
+            assert_eq!(
+                of_category(&mut node, &server, "view"),
+                0,
+                "its client had left"
+            );
             return;
         }
     }
@@ -208,10 +248,17 @@
 #[test]
 fn a_long_body_that_ends_with_its_client_goes_to_no_server_whole() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let known = list(1, true, &[host("s0", listener.local_addr().unwrap(), "Ready")]);
+    let known = list(
+        1,
+        true,
+        &[host("s0", listener.local_addr().unwrap(), "Ready")],
+    );
     let discovery = Discovery::new(known.clone());
     let node = Node::start(&configuration(discovery.address, &known), None);
-    let (read, over) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+    let (read, over) = (
+        Arc::new(AtomicUsize::new(0)),
+        Arc::new(AtomicBool::new(false)),
+    );
     let (count, end) = (read.clone(), over.clone());
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
@@ -227,12 +274,16 @@
     let mut client = node.client();
     let own = client.local_addr().unwrap();
     client.write_all(&bytes[..first]).unwrap();
-    until("all of it went on", || read.load(Ordering::SeqCst) + 500 > first);
+    until("all of it went on", || {
+        read.load(Ordering::SeqCst) + 500 > first
+    });
     stopped(&node);
     client.write_all(&bytes[first..]).unwrap();
     drop(client);
     // State 05: the system on the node's side has its end, behind all bytes.
-    until("its end lies there", || in_state(|line| line.next() == Some(&hexed(own)), "05"));
+    until("its end lies there", || {
+        in_state(|line| line.next() == Some(&hexed(own)), "05")
+    });
     node.signal("CONT");
     until("its push is given up", || over.load(Ordering::SeqCst));
     assert!(read.load(Ordering::SeqCst) < 200_000, "its client had left");
@@ -299,8 +350,15 @@
     std::thread::sleep(left);
     node.signal("CONT");
     late.set_read_timeout(Some(PATIENCE)).unwrap();
-    assert_eq!(late.read(&mut [0]).ok(), Some(0), "closed with nothing sent");
-    assert!(matches!(status(&read_message(&mut client).expect("an answer").0), 502 | 503));
+    assert_eq!(
+        late.read(&mut [0]).ok(),
+        Some(0),
+        "closed with nothing sent"
+    );
+    assert!(matches!(
+        status(&read_message(&mut client).expect("an answer").0),
+        502 | 503
+    ));
 }
 
 #[test]
@@ -319,7 +377,10 @@
     discovery.tell(list(
         2,
         false,
-        &[host("one", one.address, "Terminating"), host("two", two.address, "Ready")],
+        &[
+            host("one", one.address, "Terminating"),
+            host("two", two.address, "Ready"),
+        ],
     ));
     // Longer than the grace.
     after(200);
@@ -354,7 +415,10 @@
     gaps.sort();
     // Waits that double to a quarter of `AskWithinMs` come to 1 s and more by the fourth. A busy machine may be
     // late once or twice; half of the nine are not.
-    assert!(gaps[gaps.len() / 2] < Duration::from_millis(450), "{gaps:?}");
+    assert!(
+        gaps[gaps.len() / 2] < Duration::from_millis(450),
+        "{gaps:?}"
+    );
 }
 
 #[test]
@@ -370,7 +434,10 @@
     let mut again = TcpStream::connect(node.address).expect("the door is open");
     again.write_all(&request("view", 2.0, "")).unwrap();
     let (head, _) = read_message(&mut again).expect("an answer");
-    assert_eq!((status(&head), header(&head, "Connection").as_deref()), (200, Some("close")));
+    assert_eq!(
+        (status(&head), header(&head, "Connection").as_deref()),
+        (200, Some("close"))
+    );
     assert!(node.ended().0);
 }
 
@@ -398,13 +465,26 @@
     until("they are out", || quiet.pushes() >= 4);
     node.signal("TERM");
     assert_eq!(status(&read_message(&mut one).expect("an answer").0), 502);
-    assert!(matches!(status(&read_message(&mut three).expect("an answer").0), 502 | 503));
+    assert!(matches!(
+        status(&read_message(&mut three).expect("an answer").0),
+        502 | 503
+    ));
     let (mut rest, from) = (Vec::new(), Instant::now());
     let _ = two.read_to_end(&mut rest);
-    assert!(from.elapsed() < Duration::from_secs(1), "it is cut with the others' time");
+    assert!(
+        from.elapsed() < Duration::from_secs(1),
+        "it is cut with the others' time"
+    );
     assert!(rest.len() > 100_000, "it has begun");
-    assert!(!rest.ends_with(b"0\r\n\r\n"), "it can tell that it is not whole");
-    assert_eq!(status(&read_message(&mut four).expect("an answer").0), 503, "a whole one of the node's own");
+    assert!(
+        !rest.ends_with(b"0\r\n\r\n"),
+        "it can tell that it is not whole"
+    );
+    assert_eq!(
+        status(&read_message(&mut four).expect("an answer").0),
+        503,
+        "a whole one of the node's own"
+    );
     assert!(node.ended().0);
 }
 
@@ -419,7 +499,9 @@
             return false;
         }
         // The second copy goes out behind the next request on this connection, if that comes within 8 ms.
-        stream.set_read_timeout(Some(Duration::from_millis(8))).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_millis(8)))
+            .unwrap();
         if stream.peek(&mut [0]).is_ok_and(|n| n > 0) && from.elapsed() < Duration::from_millis(9) {
             sent.store(true, Ordering::SeqCst);
             let _ = stream.write_all(&ok(&body));
@@ -435,13 +517,23 @@
         assert!(code != 200 || body == id, "{body} for {id}");
         after(3);
     }
-    assert!(!spoilt.load(Ordering::SeqCst), "no connection is used again so soon");
+    assert!(
+        !spoilt.load(Ordering::SeqCst),
+        "no connection is used again so soon"
+    );
 }
 
 #[test]
 fn a_drain_that_lies_there_beside_a_new_configuration_is_heeded() {
     let (one, two) = (Server::saying(ok("one")), Server::saying(ok("two")));
-    let known = list(1, true, &[host("one", one.address, "Ready"), host("two", two.address, "Ready")]);
+    let known = list(
+        1,
+        true,
+        &[
+            host("one", one.address, "Ready"),
+            host("two", two.address, "Ready"),
+        ],
+    );
     let old = Discovery::new(known.clone());
     let node = Node::start(&configuration(old.address, &known), None);
     until("it watches", || old.calls.lock().unwrap().len() >= 2);
@@ -452,7 +544,9 @@
     node.reload(&configuration(silent.local_addr().unwrap(), &known).to_string());
     after(50);
     node.signal("CONT");
-    until("it is taken over", || node.log().contains("configuration read again"));
+    until("it is taken over", || {
+        node.log().contains("configuration read again")
+    });
     let before = one.pushes();
     for _ in 0..10 {
         assert_eq!(node.ask(&request("view", 5.0, "")), (200, "two".into()));
@@ -497,8 +591,14 @@
         let free = crankmux_fault_injection::free_port();
         let mut configuration = configuration(agent.local_addr().unwrap(), &known);
         configuration["listen"] = json!(free.to_string());
-        let news =
-            list(2, false, &[host("one", one.address, "Terminating"), host("two", two.address, "Ready")]);
+        let news = list(
+            2,
+            false,
+            &[
+                host("one", one.address, "Terminating"),
+                host("two", two.address, "Ready"),
+            ],
+        );
         let (written, wrote) = std::sync::mpsc::channel::<()>();
         let said = std::thread::spawn(move || {
             let (mut stream, _) = agent.accept().unwrap();
@@ -538,7 +638,10 @@
 fn lists_torn_indented_empty_repeated_or_older_end_nothing() {
     let (one, two) = (Server::saying(ok("one")), Server::saying(ok("two")));
     let known = list(5, true, &[host("one", one.address, "Ready")]);
-    let both = [host("one", one.address, "Terminating"), host("two", two.address, "Ready")];
+    let both = [
+        host("one", one.address, "Terminating"),
+        host("two", two.address, "Ready"),
+    ];
     let indented = serde_json::to_string_pretty(&list(6, false, &both)).unwrap();
     let torn = list(7, false, &both).to_string();
     let bodies = [
@@ -561,7 +664,10 @@
         let mut bodies = bodies.into_iter();
         for mut stream in agent.incoming().flatten() {
             while let Some((head, _)) = read_message(&mut stream) {
-                heard.lock().unwrap().push(head.lines().next().unwrap_or_default().to_string());
+                heard
+                    .lock()
+                    .unwrap()
+                    .push(head.lines().next().unwrap_or_default().to_string());
                 let Some(body) = bodies.next() else {
                     return std::thread::sleep(PATIENCE);
                 };
@@ -587,7 +693,11 @@
 #[test]
 fn other_customers_settings_start_and_serve() {
     let server = Server::new(|stream, asked| {
-        let load = if asked.head.starts_with("GET /_load ") { "TEXT inflight=0" } else { "x" };
+        let load = if asked.head.starts_with("GET /_load ") {
+            "TEXT inflight=0"
+        } else {
+            "x"
+        };
         stream.write_all(&ok(load)).is_ok()
     });
     let category = |name: &str, effect: &str, ttl: f64| {
@@ -603,7 +713,14 @@
         (one("Berth.Plan", "read_like", 120_000.0), false),
         (one("x", "non_idempotent", 2000.0), true),
         (one("UPPER_lower-9", "idempotency_key", 900_000.0), true),
-        ([one("a", "non_idempotent", 100.0), one("A", "read_like", 100.0)].concat(), false),
+        (
+            [
+                one("a", "non_idempotent", 100.0),
+                one("A", "read_like", 100.0),
+            ]
+            .concat(),
+            false,
+        ),
     ] {
         let change = |c: &mut serde_json::Value| {
             c["settings"]["Categories"] = json!(categories);
@@ -615,14 +732,23 @@
             // As clients do after a nack; its time is long, so that a busy machine has enough of it.
             assert_eq!(node.ask_till_acked(&request(name, 5.0, "")), 200, "{name}");
         }
-        assert_eq!(node.ask(&request("view", 5.0, "")).0, 400, "a class that is not this customer's");
+        assert_eq!(
+            node.ask(&request("view", 5.0, "")).0,
+            400,
+            "a class that is not this customer's"
+        );
     }
     // Of one that lacks a key, the key is told.
     let known = list(1, true, &[host("s0", server.address, "Ready")]);
     let mut lacks = configuration("127.0.0.1:9".parse().unwrap(), &known);
     lacks["settings"]["Categories"] = json!(one("x", "read_like", 100.0));
-    lacks["settings"]["Categories"][0].as_object_mut().unwrap().remove("TtlMs");
-    assert!(refused_start(&lacks).expect("it does not start").contains("TtlMs"));
+    lacks["settings"]["Categories"][0]
+        .as_object_mut()
+        .unwrap()
+        .remove("TtlMs");
+    assert!(refused_start(&lacks)
+        .expect("it does not start")
+        .contains("TtlMs"));
 }
 
 #[test]
@@ -657,12 +783,22 @@
     };
     let node = Node::with(&servers.iter().collect::<Vec<_>>(), change, None);
     let mut client = node.client();
-    client.write_all(&[&request("pay", 60.0, "")[..], &request("view", 60.0, "")[..]].concat()).unwrap();
+    client
+        .write_all(
+            &[
+                &request("pay", 60.0, "")[..],
+                &request("view", 60.0, "")[..],
+            ]
+            .concat(),
+        )
+        .unwrap();
     until("it is out", || pushes() == 1);
     let readers: Vec<_> = (0..6)
         .map(|n| {
             let mut reader = node.client();
-            reader.write_all(&[request("view", 60.0, ""), request("view", 60.0, "")].concat()).unwrap();
+            reader
+                .write_all(&[request("view", 60.0, ""), request("view", 60.0, "")].concat())
+                .unwrap();
             until("it is out", || pushes() == n + 2);
             reader
         })
@@ -678,7 +814,10 @@
     go.send(()).unwrap();
     // Where none is left to read the server's answer into, it has failed; either is a final answer.
     let (head, body) = read_message(&mut client).expect("an answer");
-    assert!(matches!((status(&head), &body[..]), (200, b"paid") | (502, b"")), "{head}");
+    assert!(
+        matches!((status(&head), &body[..]), (200, b"paid") | (502, b"")),
+        "{head}"
+    );
     drop(readers);
 }
 
@@ -694,7 +833,10 @@
     after(2300);
     client.write_all(&request("pay", 60.0, "")).unwrap();
     node.signal("CONT");
-    assert_eq!(status(&read_message(&mut client).expect("an answer").0), 200);
+    assert_eq!(
+        status(&read_message(&mut client).expect("an answer").0),
+        200
+    );
 }
 
 #[test]
@@ -715,7 +857,9 @@
         .into_iter()
         .filter(|client| {
             client.set_nonblocking(true).unwrap();
-            let open = client.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+            let open = client
+                .peek(&mut [0])
+                .is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
             client.set_nonblocking(false).unwrap();
             open
         })
@@ -723,13 +867,19 @@
     // Who had its answer longest ago would go first.
     let mut first = asking.remove(0);
     first.write_all(&request("pay", 60.0, "")).unwrap();
-    let mut new: Vec<TcpStream> = (0..4).map(|_| TcpStream::connect(node.address).unwrap()).collect();
-    new.iter_mut().for_each(|client| client.write_all(&request("view", 60.0, "")).unwrap());
+    let mut new: Vec<TcpStream> = (0..4)
+        .map(|_| TcpStream::connect(node.address).unwrap())
+        .collect();
+    new.iter_mut()
+        .for_each(|client| client.write_all(&request("view", 60.0, "")).unwrap());
     node.signal("CONT");
     assert_eq!(status(&read_message(&mut first).expect("an answer").0), 200);
     for client in &mut new {
         client.set_read_timeout(Some(PATIENCE)).unwrap();
-        assert!(matches!(status(&read_message(client).expect("an answer").0), 200 | 503));
+        assert!(matches!(
+            status(&read_message(client).expect("an answer").0),
+            200 | 503
+        ));
     }
 }
 
@@ -742,21 +892,41 @@
     let (folder, mut file) = (node.folder().to_string_lossy().into_owned(), node.file());
     node.signal("KILL");
     assert!(!node.ended().0);
-    let state = std::fs::read_dir(&folder).unwrap().flatten().next().expect("its state").path();
+    let state = std::fs::read_dir(&folder)
+        .unwrap()
+        .flatten()
+        .next()
+        .expect("its state")
+        .path();
     let learnt = json!({"time": 1e-9, "slack": 1e9, "categories": {"view": [1e9, 1e9]}, "servers": [{"mark": 1, "limit": 0}]});
-    std::fs::write(state.join("handed.json"), json!({"learnt": learnt, "list": {"seq": "x"}}).to_string())
-        .unwrap();
+    std::fs::write(
+        state.join("handed.json"),
+        json!({"learnt": learnt, "list": {"seq": "x"}}).to_string(),
+    )
+    .unwrap();
     // The same classes with other effects, and one that was not there.
     let effects = ["non_idempotent", "read_like", "read_like"];
-    for (category, effect) in file["settings"]["Categories"].as_array_mut().unwrap().iter_mut().zip(effects) {
+    for (category, effect) in file["settings"]["Categories"]
+        .as_array_mut()
+        .unwrap()
+        .iter_mut()
+        .zip(effects)
+    {
         category["Effect"] = json!(effect);
     }
     let mut more = file["settings"]["Categories"][0].clone();
     more["Name"] = json!("more");
-    file["settings"]["Categories"].as_array_mut().unwrap().push(more);
+    file["settings"]["Categories"]
+        .as_array_mut()
+        .unwrap()
+        .push(more);
     let next = Node::start_under(&file, &[("TMPDIR", folder)]);
     for category in ["view", "order", "pay", "more"] {
-        assert_eq!(next.ask(&request(category, 5.0, "")), (200, "two".into()), "the mark alone is kept");
+        assert_eq!(
+            next.ask(&request(category, 5.0, "")),
+            (200, "two".into()),
+            "the mark alone is kept"
+        );
     }
 }
 
@@ -766,11 +936,18 @@
     let known = list(1, true, &[host("s0", server.address, "Ready")]);
     // It hears and says nothing.
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut node = Node::begun(&configuration(silent.local_addr().unwrap(), &known), None, &[]);
+    let mut node = Node::begun(
+        &configuration(silent.local_addr().unwrap(), &known),
+        None,
+        &[],
+    );
     let mut client = node.client();
     client.write_all(&request("view", 2.0, "")).unwrap();
     node.signal("TERM");
-    assert_eq!(status(&read_message(&mut client).expect("an answer").0), 200);
+    assert_eq!(
+        status(&read_message(&mut client).expect("an answer").0),
+        200
+    );
     assert!(node.ended().0);
 }
 
@@ -791,7 +968,8 @@
         known()
     });
     stopped(&node);
-    many.iter_mut().for_each(|client| client.write_all(b"x").unwrap());
+    many.iter_mut()
+        .for_each(|client| client.write_all(b"x").unwrap());
     say.send(ok("in time")).unwrap();
     after(600);
     node.signal("CONT");
@@ -826,7 +1004,9 @@
     let server = Server::new(move |stream, _| {
         let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nabc");
         let _ = opened.lock().unwrap().recv_timeout(PATIENCE);
-        socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+        socket2::SockRef::from(&*stream)
+            .set_linger(Some(Duration::ZERO))
+            .expect("a socket");
         false
     });
     let node = Node::before(&[&server]);
--- a/proxy/tests/sockets/help.rs
+++ b/proxy/tests/sockets/help.rs
@@ -24,22 +24,36 @@
         head.push(byte[0]);
     }
     let head = String::from_utf8_lossy(&head).into_owned();
-    let mut body = vec![0; header(&head, "Content-Length").and_then(|l| l.parse().ok()).unwrap_or(0)];
+    let mut body = vec![
+        0;
+        header(&head, "Content-Length")
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(0)
+    ];
     stream.read_exact(&mut body).ok()?;
     Some((head, body))
 }
 
 pub fn header(head: &str, name: &str) -> Option<String> {
     let mut lines = head.lines().filter_map(|l| l.split_once(':'));
-    lines.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_string())
+    lines
+        .find(|(n, _)| n.eq_ignore_ascii_case(name))
+        .map(|(_, v)| v.trim().to_string())
 }
 
 pub fn status(head: &str) -> u16 {
-    head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or_default()
+    head.split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or_default()
 }
 
 pub fn ok(body: &str) -> Vec<u8> {
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
 }
 
 pub struct Asked {
@@ -59,7 +73,10 @@
     pub fn new(script: impl Fn(&mut TcpStream, &Asked) -> bool + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("bound");
-        let (asked, open) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicUsize::new(0)));
+        let (asked, open) = (
+            Arc::new(Mutex::new(Vec::new())),
+            Arc::new(AtomicUsize::new(0)),
+        );
         let (script, seen, held) = (Arc::new(script), asked.clone(), open.clone());
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
@@ -68,7 +85,10 @@
                 thread::spawn(move || {
                     while let Some((head, body)) = read_message(&mut stream) {
                         // Counted before it is answered, so that whoever has the answer sees it counted.
-                        seen.lock().unwrap().push(Asked { head: head.clone(), body: body.clone() });
+                        seen.lock().unwrap().push(Asked {
+                            head: head.clone(),
+                            body: body.clone(),
+                        });
                         if !script(&mut stream, &Asked { head, body }) {
                             break;
                         }
@@ -78,7 +98,11 @@
                 });
             }
         });
-        Server { address, asked, open }
+        Server {
+            address,
+            asked,
+            open,
+        }
     }
 
     /// One that always answers the same bytes.
@@ -120,7 +144,9 @@
                 let (lists, seen) = (lists.clone(), seen.clone());
                 thread::spawn(move || {
                     while let Some((head, _)) = read_message(&mut stream) {
-                        seen.lock().unwrap().push(head.lines().next().unwrap_or_default().to_string());
+                        seen.lock()
+                            .unwrap()
+                            .push(head.lines().next().unwrap_or_default().to_string());
                         let Ok(list) = lists.lock().unwrap().recv() else {
                             return;
                         };
@@ -131,7 +157,11 @@
                 });
             }
         });
-        Discovery { address, calls, news }
+        Discovery {
+            address,
+            calls,
+            news,
+        }
     }
 
     pub fn tell(&self, list: Value) {
@@ -183,16 +213,27 @@
 }
 
 /// Starts the program; with a limit on descriptors that the system sets, if one is given.
-fn program(path: &std::path::Path, descriptors: Option<usize>, variables: &[(&str, String)]) -> Child {
-    let limit = descriptors.map(|n| format!("ulimit -n {n}; ")).unwrap_or_default();
+fn program(
+    path: &std::path::Path,
+    descriptors: Option<usize>,
+    variables: &[(&str, String)],
+) -> Child {
+    let limit = descriptors
+        .map(|n| format!("ulimit -n {n}; "))
+        .unwrap_or_default();
     let mut command = Command::new("/bin/sh");
-    command.arg("-c").arg(format!("{limit}exec {}", env!("CARGO_BIN_EXE_crankmux")));
+    command
+        .arg("-c")
+        .arg(format!("{limit}exec {}", env!("CARGO_BIN_EXE_crankmux")));
     // Danger: nodes of several tests have one name; each test's own folder keeps them apart.
     let folder = path.with_extension("d");
     let _ = std::fs::create_dir(&folder);
     command.env("TMPDIR", folder);
     command.envs(variables.iter().map(|(name, value)| (name, value)));
-    command.env("BALANCER_CONFIG", path).stderr(Stdio::piped()).stdout(Stdio::null());
+    command
+        .env("BALANCER_CONFIG", path)
+        .stderr(Stdio::piped())
+        .stdout(Stdio::null());
     command.spawn().expect("the node starts")
 }
 
@@ -204,7 +245,9 @@
 /// The same under variables of the environment.
 pub fn refused_start_under(configuration: &Value, variables: &[(&str, String)]) -> Option<String> {
     let path = write_configuration(configuration);
-    let output = program(&path, None, variables).wait_with_output().expect("it ends");
+    let output = program(&path, None, variables)
+        .wait_with_output()
+        .expect("it ends");
     let _ = std::fs::remove_dir_all(path.with_extension("d"));
     let _ = std::fs::remove_file(path);
     (!output.status.success()).then(|| String::from_utf8_lossy(&output.stderr).into_owned())
@@ -217,8 +260,15 @@
     }
 
     /// The same with a changed configuration, and perhaps a limit on descriptors that the system sets.
-    pub fn with(servers: &[&Server], change: impl FnOnce(&mut Value), descriptors: Option<usize>) -> Self {
-        let hosts = servers.iter().enumerate().map(|(i, s)| host(&format!("s{i}"), s.address, "Ready"));
+    pub fn with(
+        servers: &[&Server],
+        change: impl FnOnce(&mut Value),
+        descriptors: Option<usize>,
+    ) -> Self {
+        let hosts = servers
+            .iter()
+            .enumerate()
+            .map(|(i, s)| host(&format!("s{i}"), s.address, "Ready"));
         let known = list(1, true, &hosts.collect::<Vec<_>>());
         let discovery = Discovery::new(known.clone());
         let mut configuration = configuration(discovery.address, &known);
@@ -237,7 +287,11 @@
         Node::started(configuration, None, variables)
     }
 
-    fn started(configuration: &Value, descriptors: Option<usize>, variables: &[(&str, String)]) -> Self {
+    fn started(
+        configuration: &Value,
+        descriptors: Option<usize>,
+        variables: &[(&str, String)],
+    ) -> Self {
         let node = Node::begun(configuration, descriptors, variables);
         until("the node is ready", || {
             let mut client = node.client();
@@ -248,14 +302,21 @@
     }
 
     /// One whose process has a listener, ready or not.
-    pub fn begun(configuration: &Value, descriptors: Option<usize>, variables: &[(&str, String)]) -> Self {
+    pub fn begun(
+        configuration: &Value,
+        descriptors: Option<usize>,
+        variables: &[(&str, String)],
+    ) -> Self {
         let path = write_configuration(configuration);
         let mut child = program(&path, descriptors, variables);
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log = Arc::new(Mutex::new(String::new()));
         let mut door = None;
         let address = loop {
-            let line = lines.next().expect("it says where it listens").expect("text");
+            let line = lines
+                .next()
+                .expect("it says where it listens")
+                .expect("text");
             if let Some((_, address)) = line.split_once("the door is at ") {
                 door = address.parse().ok();
             }
@@ -270,7 +331,14 @@
                 kept.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        Node { address, door, child, log, configuration: path, _discovery: None }
+        Node {
+            address,
+            door,
+            child,
+            log,
+            configuration: path,
+            _discovery: None,
+        }
     }
 
     /// A node with a door, at an address of its own that a second process may share.
@@ -303,8 +371,11 @@
 
     /// A connection to the door.
     pub fn caller(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.door.expect("it has a door")).expect("the door is open");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time is set");
+        let stream =
+            TcpStream::connect(self.door.expect("it has a door")).expect("the door is open");
+        stream
+            .set_read_timeout(Some(PATIENCE))
+            .expect("a time is set");
         stream
     }
 
@@ -313,8 +384,11 @@
         let Ok(mut caller) = TcpStream::connect(self.door.expect("it has a door")) else {
             return (0, String::new());
         };
-        caller.set_read_timeout(Some(PATIENCE)).expect("a time is set");
-        let _ = caller.write_all(format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n").as_bytes());
+        caller
+            .set_read_timeout(Some(PATIENCE))
+            .expect("a time is set");
+        let _ =
+            caller.write_all(format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n").as_bytes());
         read_message(&mut caller).map_or((0, String::new()), |(head, body)| {
             (status(&head), String::from_utf8_lossy(&body).into_owned())
         })
@@ -323,7 +397,8 @@
     /// One of the figures that it reports.
     pub fn figure(&self, name: &str) -> Option<u64> {
         let (_, text) = self.call("GET", "/v1/metrics");
-        text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+        text.lines()
+            .find_map(|line| line.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
     }
 
     /// The most memory that it has held, in kB, as the system counts.
@@ -333,7 +408,9 @@
 
     pub fn client(&self) -> TcpStream {
         let stream = TcpStream::connect(self.address).expect("the node listens");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time is set");
+        stream
+            .set_read_timeout(Some(PATIENCE))
+            .expect("a time is set");
         stream
     }
 
@@ -400,9 +477,11 @@
     }
 
     fn counted(&self, name: &str) -> usize {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process())).unwrap_or_default();
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.process())).unwrap_or_default();
         let line = status.lines().find_map(|l| l.strip_prefix(name));
-        line.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok()).expect("the system tells")
+        line.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok())
+            .expect("the system tells")
     }
 
     pub fn log(&self) -> String {
@@ -486,14 +565,21 @@
             Server::new(move |stream, asked| {
                 let report = |held: usize| format!("TEXT inflight={held}");
                 if asked.head.starts_with("GET /_load ") {
-                    return stream.write_all(&ok(&report(held.load(Ordering::SeqCst)))).is_ok();
+                    return stream
+                        .write_all(&ok(&report(held.load(Ordering::SeqCst))))
+                        .is_ok();
                 }
                 let from = set.elapsed().as_secs_f64() * 1000.0;
                 let core = held.fetch_add(1, Ordering::SeqCst) % 2;
                 drop(cores[core].lock().map(|_at_work| thread::sleep(takes)));
                 let left = held.fetch_sub(1, Ordering::SeqCst) - 1;
                 let to = set.elapsed().as_secs_f64() * 1000.0;
-                runs.lock().unwrap().push(Run { server: number, head: asked.head.clone(), from, to });
+                runs.lock().unwrap().push(Run {
+                    server: number,
+                    head: asked.head.clone(),
+                    from,
+                    to,
+                });
                 let load = format!(
                     "HTTP/1.1 200 OK\r\nX-Server-Load: {}\r\nContent-Length: 0\r\n\r\n",
                     report(left)
@@ -501,7 +587,11 @@
                 stream.write_all(load.as_bytes()).is_ok()
             })
         };
-        Stage { servers: (0..servers).map(server).collect(), runs, set }
+        Stage {
+            servers: (0..servers).map(server).collect(),
+            runs,
+            set,
+        }
     }
 }
 
--- a/proxy/tests/sockets/mass.rs
+++ b/proxy/tests/sockets/mass.rs
@@ -13,7 +13,11 @@
     let discovery = Discovery::new(known.clone());
     let variables = [("TMPDIR", folder.to_string_lossy().into_owned())];
     let node = Node::start_under(&configuration(discovery.address, &known), &variables);
-    assert_eq!(node.ask(&request("view", 1.0, "")), (200, "x".into()), "it serves");
+    assert_eq!(
+        node.ask(&request("view", 1.0, "")),
+        (200, "x".into()),
+        "it serves"
+    );
     let log = node.log();
     (node, log)
 }
@@ -58,7 +62,11 @@
         let before = std::time::Instant::now();
         let (_node, log) = starts_with(&temporary);
         assert!(before.elapsed().as_secs() < 4, "{:?}", before.elapsed());
-        assert_eq!(log.contains("nothing was handed over"), kept.is_some(), "{log}");
+        assert_eq!(
+            log.contains("nothing was handed over"),
+            kept.is_some(),
+            "{log}"
+        );
     }
 }
 
@@ -70,7 +78,10 @@
     let node = Node::before(&[&server]);
     assert_eq!(node.ask(&request("view", 1.0, "")).0, 200);
     let of = |what: &str| std::path::PathBuf::from(format!("/proc/{}/{what}", node.process()));
-    let tasks: Vec<_> = std::fs::read_dir(of("task")).expect("it runs").flatten().collect();
+    let tasks: Vec<_> = std::fs::read_dir(of("task"))
+        .expect("it runs")
+        .flatten()
+        .collect();
     for task in &tasks {
         let children = std::fs::read_to_string(task.path().join("children")).unwrap_or_default();
         assert_eq!(children.trim(), "", "it has started {children}");
@@ -80,7 +91,10 @@
         assert!(!to.to_string_lossy().contains("io_uring"), "{to:?}");
     }
     let maps = std::fs::read_to_string(of("maps")).expect("it runs");
-    assert!(maps.contains("libc.so"), "linked dynamically against the C library");
+    assert!(
+        maps.contains("libc.so"),
+        "linked dynamically against the C library"
+    );
 }
 
 #[test]
@@ -95,7 +109,9 @@
             seq += 1;
             // A whole list: one server stays, four are new, those of the list before are gone.
             let fresh = (0..4).map(|k| host(&format!("s-{seq}-{k}"), server.address, "Ready"));
-            let hosts: Vec<_> = std::iter::once(host("s0", server.address, "Ready")).chain(fresh).collect();
+            let hosts: Vec<_> = std::iter::once(host("s0", server.address, "Ready"))
+                .chain(fresh)
+                .collect();
             discovery.tell(list(seq, true, &hosts));
             for _ in 0..16 {
                 assert_eq!(node.ask_till_acked(&request("view", 1.0, "")), 200);
@@ -114,5 +130,8 @@
     let early = cycle(60);
     let late = cycle(240);
     let records = 240 * 4;
-    assert!(late < early + records + 512, "{early} kB, then {late} kB over {records} more servers");
+    assert!(
+        late < early + records + 512,
+        "{early} kB, then {late} kB over {records} more servers"
+    );
 }
--- a/proxy/tests/sockets/told.rs
+++ b/proxy/tests/sockets/told.rs
@@ -65,9 +65,18 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let script = Arc::new(Mutex::new(VecDeque::from(script.to_vec())));
-        let (lists, calls) = (Arc::new(Mutex::new(vec![list])), Arc::new(Mutex::new(Vec::new())));
+        let (lists, calls) = (
+            Arc::new(Mutex::new(vec![list])),
+            Arc::new(Mutex::new(Vec::new())),
+        );
         let refuses = Arc::new(AtomicBool::new(false));
-        let agent = Agent { address, script, lists, calls, refuses };
+        let agent = Agent {
+            address,
+            script,
+            lists,
+            calls,
+            refuses,
+        };
         let (script, lists) = (agent.script.clone(), agent.lists.clone());
         let (calls, refuses) = (agent.calls.clone(), agent.refuses.clone());
         thread::spawn(move || {
@@ -112,13 +121,23 @@
 fn wait_for_news(lists: &Mutex<Vec<Value>>, line: &str, down: &AtomicBool) {
     let number = |name: &str| {
         let rest = line.split(name).nth(1)?;
-        rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
+        rest.split(|c: char| !c.is_ascii_digit())
+            .next()?
+            .parse::<u64>()
+            .ok()
     };
     let (Some(from), hold) = (number("from="), number("hold_ms=").unwrap_or(0)) else {
         return;
     };
     let until = Instant::now() + Duration::from_millis(hold);
-    let newest = || lists.lock().unwrap().last().and_then(|l| l["seq"].as_u64()).unwrap_or(0);
+    let newest = || {
+        lists
+            .lock()
+            .unwrap()
+            .last()
+            .and_then(|l| l["seq"].as_u64())
+            .unwrap_or(0)
+    };
     while newest() <= from && Instant::now() < until && !down.load(Ordering::SeqCst) {
         after(5);
     }
@@ -138,7 +157,10 @@
 impl Told {
     fn new(pushed: bool) -> Self {
         let servers = [Server::saying(ok("s0")), Server::saying(ok("s1"))];
-        let hosts = [host("s0", servers[0].address, "Ready"), host("s1", servers[1].address, "Ready")];
+        let hosts = [
+            host("s0", servers[0].address, "Ready"),
+            host("s1", servers[1].address, "Ready"),
+        ];
         let agent = Agent::new(list(1, true, &hosts), &[]);
         let mut file = configuration(agent.address, &list(1, true, &hosts));
         file["settings"]["Discovery"] = json!(if pushed { "automatic" } else { "subscribe" });
@@ -148,14 +170,24 @@
         let node = Node::start(&file, None);
         until("it watches", || agent.called() >= 2);
         let news = list(2, false, &[host("s0", servers[0].address, "Terminating")]);
-        Told { node, agent, news, servers }
+        Told {
+            node,
+            agent,
+            news,
+            servers,
+        }
     }
 
     /// PolicyKind long it takes until nothing goes to the server that drains.
     fn takes(&self, from: Instant, agent: &Agent) -> Duration {
         loop {
             // Its watch for what comes after the news says that it has them.
-            let has = agent.calls.lock().unwrap().iter().any(|(_, line)| line.contains("from=2&"));
+            let has = agent
+                .calls
+                .lock()
+                .unwrap()
+                .iter()
+                .any(|(_, line)| line.contains("from=2&"));
             if has {
                 let took = from.elapsed();
                 let before = self.servers[0].pushes();
@@ -209,8 +241,15 @@
                 let took = both(&|pushed| Told::new(pushed).after_calls(script));
                 println!("{script:?}: {took:.1?}, pushed and asked for");
                 // Three that are swallowed come to 5 s by themselves, and to under 6 s on a busy machine.
-                let within = if *script == [Swallows; 3] { Duration::from_millis(5800) } else { TOLD_WITHIN };
-                assert!(took.iter().all(|t| *t < within), "{script:?}: {took:?}, pushed and asked for");
+                let within = if *script == [Swallows; 3] {
+                    Duration::from_millis(5800)
+                } else {
+                    TOLD_WITHIN
+                };
+                assert!(
+                    took.iter().all(|t| *t < within),
+                    "{script:?}: {took:?}, pushed and asked for"
+                );
             });
         }
     });
@@ -241,7 +280,10 @@
             scope.spawn(move || {
                 let took = both(&|pushed| outage(pushed, silent));
                 println!("outage, silent {silent}: {took:.1?}, pushed and asked for");
-                assert!(took.iter().all(|t| *t < TOLD_WITHIN), "silent {silent}: {took:?}");
+                assert!(
+                    took.iter().all(|t| *t < TOLD_WITHIN),
+                    "silent {silent}: {took:?}"
+                );
             });
         }
     });
@@ -251,7 +293,11 @@
 fn a_change_is_told_within_its_time_though_discovery_moves_while_it_is_silent() {
     let moved = |pushed: bool| {
         let told = Told::new(pushed);
-        told.agent.script.lock().unwrap().extend([Does::Swallows; 64]);
+        told.agent
+            .script
+            .lock()
+            .unwrap()
+            .extend([Does::Swallows; 64]);
         let before = told.agent.called();
         until("it hears nothing", || told.agent.called() > before + 1);
         let hosts = [
@@ -268,7 +314,10 @@
     let took = both(&moved);
     println!("moved: {took:.1?}, pushed and asked for");
     // What discovery has counts 4 s after the new configuration.
-    assert!(took.iter().all(|t| *t < Duration::from_millis(3500)), "{took:?}");
+    assert!(
+        took.iter().all(|t| *t < Duration::from_millis(3500)),
+        "{took:?}"
+    );
 }
 
 #[test]
@@ -289,18 +338,33 @@
     });
     let node = Node::begun(&configuration(address, &Value::Null), None, &[]);
     let from = Instant::now();
-    until("it is ready", || node.ask(b"GET /_health HTTP/1.1\r\n\r\n").0 == 200);
-    assert!(from.elapsed() < Duration::from_secs(4), "{:?}", from.elapsed());
+    until("it is ready", || {
+        node.ask(b"GET /_health HTTP/1.1\r\n\r\n").0 == 200
+    });
+    assert!(
+        from.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        from.elapsed()
+    );
 }
 
 #[test]
 fn lists_of_thousands_of_servers_are_taken_indented_and_in_pieces() {
     let server = Server::saying(ok("x"));
     for count in [1024, 6000] {
-        let named = |i: usize| host(&format!("server-with-a-long-name-{i:06}"), server.address, "Ready");
+        let named = |i: usize| {
+            host(
+                &format!("server-with-a-long-name-{i:06}"),
+                server.address,
+                "Ready",
+            )
+        };
         let hosts: Vec<Value> = (0..count).map(named).collect();
         let text = format!("{:#}", list(1, true, &hosts)).replace("\n", "\n      ");
-        assert!(count < 6000 || text.len() > 1024 * 1024, "over what one buffer held");
+        assert!(
+            count < 6000 || text.len() > 1024 * 1024,
+            "over what one buffer held"
+        );
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         thread::spawn(move || {
@@ -333,7 +397,10 @@
         thread::spawn(move || {
             let mut stay = VecDeque::new();
             while !over.load(Ordering::SeqCst) {
-                stay.extend(TcpStream::connect_timeout(&address, Duration::from_millis(200)));
+                stay.extend(TcpStream::connect_timeout(
+                    &address,
+                    Duration::from_millis(200),
+                ));
                 if stay.len() > most {
                     stay.pop_front();
                 }
@@ -353,7 +420,10 @@
 #[test]
 fn clients_that_hold_every_descriptor_keep_out_no_list_suspension_file_or_upgrade() {
     let (one, two) = (Server::saying(ok("s0")), Server::saying(ok("s1")));
-    let hosts = [host("s0", one.address, "Ready"), host("s1", two.address, "Ready")];
+    let hosts = [
+        host("s0", one.address, "Ready"),
+        host("s1", two.address, "Ready"),
+    ];
     let agent = Agent::new(list(1, true, &hosts), &[]);
     let free = crankmux_fault_injection::free_port();
     let mut file = configuration(agent.address, &list(1, true, &hosts));
@@ -362,7 +432,11 @@
     let node = Node::start(&file, Some(40));
     until("it watches", || agent.called() >= 2);
     let crowd = Crowd::before(&node, 200);
-    let held = || std::fs::read_dir(format!("/proc/{}/fd", node.process())).unwrap().count();
+    let held = || {
+        std::fs::read_dir(format!("/proc/{}/fd", node.process()))
+            .unwrap()
+            .count()
+    };
     until("they hold all", || held() >= 40);
     // Discovery is down, and the watch with it: each call needs a connection of its own.
     agent.refuses.store(true, Ordering::SeqCst);
@@ -370,14 +444,32 @@
     agent.lists.lock().unwrap().push(list(2, false, &[]));
     agent.refuses.store(false, Ordering::SeqCst);
     until("the list is followed", || {
-        agent.calls.lock().unwrap().iter().any(|(_, line)| line.contains("from=2&"))
+        agent
+            .calls
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|(_, line)| line.contains("from=2&"))
     });
     let log = node.log();
-    assert!(log.contains("discovery: Connection reset") && !log.contains("discovery: Too many"), "{log}");
-    for (call, ejected) in [("suspend", 1), ("resume", 0), ("suspend", 1), ("resume", 0), ("suspend", 1)] {
+    assert!(
+        log.contains("discovery: Connection reset") && !log.contains("discovery: Too many"),
+        "{log}"
+    );
+    for (call, ejected) in [
+        ("suspend", 1),
+        ("resume", 0),
+        ("suspend", 1),
+        ("resume", 0),
+        ("suspend", 1),
+    ] {
         until("they hold all", || held() >= 40);
         assert_eq!(node.call("POST", &format!("/v1/servers/s0/{call}")).0, 200);
-        assert_eq!(node.figure("ejected"), Some(ejected), "it is in force, not only noted: {call}");
+        assert_eq!(
+            node.figure("ejected"),
+            Some(ejected),
+            "it is in force, not only noted: {call}"
+        );
     }
     // Not asked for at the door, whose callers leave a descriptor free behind them.
     let read = || node.log().matches("configuration read again").count();
@@ -387,7 +479,11 @@
         until("the file is read", || read() == round);
     }
     let next = node.beside();
-    assert!(node.log().contains("handed over to a newer process"), "{}", node.log());
+    assert!(
+        node.log().contains("handed over to a newer process"),
+        "{}",
+        node.log()
+    );
     assert_eq!(next.figure("ejected"), Some(1));
     drop(crowd);
 }
@@ -432,11 +528,18 @@
                 let (whole, down) = (whole.clone(), down.clone());
                 thread::spawn(move || {
                     while let Some((head, _)) = read_message(&mut stream) {
-                        if down.as_ref().is_some_and(|down| down.load(Ordering::SeqCst)) {
+                        if down
+                            .as_ref()
+                            .is_some_and(|down| down.load(Ordering::SeqCst))
+                        {
                             let _ = stream.read(&mut [0]);
                             return;
                         }
-                        after(if head.contains("hold_ms=2") { 2000 } else { pause });
+                        after(if head.contains("hold_ms=2") {
+                            2000
+                        } else {
+                            pause
+                        });
                         let _ = stream.write_all(&ok(&format!("{whole:#}")));
                     }
                 });
@@ -446,9 +549,21 @@
     };
     let cases = [
         ("at once, none known", discovery(0, None), &Value::Null),
-        ("slow by 0.7 s, none known", discovery(700, None), &Value::Null),
-        ("silent for 8 s, known", discovery(0, Some(held.clone())), &whole),
-        ("silent for 8 s, none known", discovery(0, Some(held)), &Value::Null),
+        (
+            "slow by 0.7 s, none known",
+            discovery(700, None),
+            &Value::Null,
+        ),
+        (
+            "silent for 8 s, known",
+            discovery(0, Some(held.clone())),
+            &whole,
+        ),
+        (
+            "silent for 8 s, none known",
+            discovery(0, Some(held)),
+            &Value::Null,
+        ),
     ];
     silent.store(true, Ordering::SeqCst);
     let heal = thread::spawn({
@@ -463,7 +578,12 @@
             scope.spawn(move || {
                 let took = ready_after(count, discovery, known);
                 let at = |share: f64| took[((share * count as f64) as usize).min(count - 1)];
-                println!("{name}: half {:.1?}, nine in ten {:.1?}, last {:.1?}", at(0.5), at(0.9), at(1.0));
+                println!(
+                    "{name}: half {:.1?}, nine in ten {:.1?}, last {:.1?}",
+                    at(0.5),
+                    at(0.9),
+                    at(1.0)
+                );
                 assert!(at(0.9) < Duration::from_secs(10), "{name}: {took:?}");
             });
         }
@@ -474,7 +594,10 @@
 #[test]
 fn a_list_cut_at_any_byte_is_not_taken_and_the_whole_one_behind_it_is() {
     let server = Server::saying(ok("x"));
-    let (one, two) = (host("s0", server.address, "Ready"), host("s1", server.address, "Ready"));
+    let (one, two) = (
+        host("s0", server.address, "Ready"),
+        host("s1", server.address, "Ready"),
+    );
     let known = list(1, true, std::slice::from_ref(&one));
     // A key that nobody knows is no fault.
     let mut news = list(2, true, &[one, two]);
@@ -499,11 +622,17 @@
                         reset(stream);
                     }
                 }
-                assert_eq!(node.figure("discovered"), Some(1), "nothing of what was cut");
+                assert_eq!(
+                    node.figure("discovered"),
+                    Some(1),
+                    "nothing of what was cut"
+                );
                 let (mut stream, _) = listener.accept().unwrap();
                 assert!(read_message(&mut stream).is_some());
                 stream.write_all(text).unwrap();
-                until("the whole one is taken", || node.figure("discovered") == Some(2));
+                until("the whole one is taken", || {
+                    node.figure("discovered") == Some(2)
+                });
             });
         }
     });
--- a/proxy/tests/sockets/whole.rs
+++ b/proxy/tests/sockets/whole.rs
@@ -21,7 +21,9 @@
 
 /// From now on the connection's end is a reset.
 fn resets(stream: &TcpStream) {
-    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+    socket2::SockRef::from(stream)
+        .set_linger(Some(Duration::ZERO))
+        .expect("a socket");
 }
 
 /// Writes some bytes, and after a while has the connection end; whether it is kept.
@@ -57,7 +59,11 @@
 
 /// A node that knows one server and sends no second copies: what goes again goes for a failure.
 fn alone(server: &Server) -> Node {
-    Node::with(&[server], |c| c["settings"]["Limits"]["SecondCopies"] = false.into(), None)
+    Node::with(
+        &[server],
+        |c| c["settings"]["Limits"]["SecondCopies"] = false.into(),
+        None,
+    )
 }
 
 const UNTOLD: &str = "HTTP/1.1 200 OK\r\n\r\n";
@@ -78,7 +84,11 @@
         (format!("{TEN}0123456789more"), Resets, Some("0123456789")),
         (format!("{TEN}012345"), Ends, None),
         (format!("{TEN}012345"), Resets, None),
-        (format!("{CHUNKS}5\r\nabcde\r\n0\r\n\r\n"), Resets, Some("abcde")),
+        (
+            format!("{CHUNKS}5\r\nabcde\r\n0\r\n\r\n"),
+            Resets,
+            Some("abcde"),
+        ),
         (format!("{CHUNKS}5\r\nabcde\r\n0\r\n"), Ends, None),
         (format!("{CHUNKS}5\r\nabcde\r\n"), Resets, None),
         (format!("{CHUNKS}5\r\nabcde\r\nzz\r\n"), Ends, None),
@@ -95,7 +105,11 @@
                 (None, true) => assert_eq!(got, (200, "later".into()), "{case}"),
                 (None, false) => assert_eq!(got.0, 502, "{case}: it may have run"),
             }
-            assert_eq!(server.pushes(), if whole.is_none() && again { 2 } else { 1 }, "{case}");
+            assert_eq!(
+                server.pushes(),
+                if whole.is_none() && again { 2 } else { 1 },
+                "{case}"
+            );
         }
     }
 }
@@ -121,7 +135,11 @@
         gate.send(()).unwrap();
         after(100);
         node.signal("CONT");
-        assert_eq!(read_message(&mut client).expect("an answer").1, body.as_bytes(), "{close:?}");
+        assert_eq!(
+            read_message(&mut client).expect("an answer").1,
+            body.as_bytes(),
+            "{close:?}"
+        );
     }
 }
 
@@ -133,18 +151,33 @@
         let server = first_says(part.clone(), 600, Close::Resets);
         let node = alone(&server);
         let got = node.ask(&request(category, 2.0, ""));
-        assert_eq!((got.0, status != 200 || got.1 == "later"), (status, true), "{category}");
+        assert_eq!(
+            (got.0, status != 200 || got.1 == "later"),
+            (status, true),
+            "{category}"
+        );
     }
     // The same for one that no buffer's size shows to be long.
-    let server = first_says([UNTOLD.as_bytes(), &[b'x'; 20_000]].concat(), 600, Close::Resets);
-    assert_eq!(alone(&server).ask(&request("view", 3.0, "")), (200, "later".into()));
+    let server = first_says(
+        [UNTOLD.as_bytes(), &[b'x'; 20_000]].concat(),
+        600,
+        Close::Resets,
+    );
+    assert_eq!(
+        alone(&server).ask(&request("view", 3.0, "")),
+        (200, "later".into())
+    );
     // Its server hangs: an answer of the node's own, in time.
     for (category, status) in [("view", 503), ("pay", 502)] {
         let server = first_says(part.clone(), 0, Close::Hangs);
         let node = alone(&server);
         let from = Instant::now();
         assert_eq!(node.ask(&request(category, 0.5, "")).0, status);
-        assert!(from.elapsed() < Duration::from_millis(900), "{category}: {:?}", from.elapsed());
+        assert!(
+            from.elapsed() < Duration::from_millis(900),
+            "{category}: {:?}",
+            from.elapsed()
+        );
     }
     // It breaks in the last milliseconds of its op's time: an answer all the same, and none that is cut.
     let server = Server::new(move |stream, _| {
@@ -169,7 +202,10 @@
     client.write_all(&request("pay", 3.0, "")).unwrap();
     let (head, body) = read_message(&mut client).expect("an answer");
     // Held whole, it has a length of its own.
-    assert_eq!((header(&head, "Content-Length"), body), (Some("6".into()), b"abcdef".to_vec()));
+    assert_eq!(
+        (header(&head, "Content-Length"), body),
+        (Some("6".into()), b"abcdef".to_vec())
+    );
 }
 
 #[test]
@@ -181,7 +217,11 @@
     let from = Instant::now();
     client.write_all(&request("pay", 20.0, "")).unwrap();
     client.read_exact(&mut [0; 10_000]).unwrap();
-    assert!(from.elapsed() < Duration::from_millis(1800), "{:?}", from.elapsed());
+    assert!(
+        from.elapsed() < Duration::from_millis(1800),
+        "{:?}",
+        from.elapsed()
+    );
 }
 
 /// All that a client reads of an answer, and whether its connection ended in good order.
@@ -193,20 +233,34 @@
 
 #[test]
 fn a_long_answer_that_is_reset_is_seen_to_be_cut_and_one_that_ends_is_whole() {
-    let body: Vec<u8> = (0..200_000_u32).map(|k| (k.wrapping_mul(k) >> 9) as u8).collect();
-    for (close, whole) in [(Close::Ends, true), (Close::EndsThenResets, true), (Close::Resets, false)] {
+    let body: Vec<u8> = (0..200_000_u32)
+        .map(|k| (k.wrapping_mul(k) >> 9) as u8)
+        .collect();
+    for (close, whole) in [
+        (Close::Ends, true),
+        (Close::EndsThenResets, true),
+        (Close::Resets, false),
+    ] {
         let sent = [UNTOLD.as_bytes(), &body].concat();
         let server = Server::new(move |stream, _| say(stream, &sent, 200, close));
         let node = alone(&server);
         // In chunks: the last one tells its end.
         let mut client = node.client();
         let close_after = |text: Vec<u8>| {
-            String::from_utf8(text).unwrap().replace("Host: service", "Connection: close\r\nHost: service")
+            String::from_utf8(text)
+                .unwrap()
+                .replace("Host: service", "Connection: close\r\nHost: service")
         };
-        client.write_all(close_after(request("pay", 4.0, "")).as_bytes()).unwrap();
+        client
+            .write_all(close_after(request("pay", 4.0, "")).as_bytes())
+            .unwrap();
         let (got, _) = read_all(&mut client);
         assert!(got.len() > 150_000, "{close:?}: it goes on as it comes");
-        assert_eq!(got.ends_with(b"\r\n0\r\n\r\n"), whole, "{close:?}, in chunks");
+        assert_eq!(
+            got.ends_with(b"\r\n0\r\n\r\n"),
+            whole,
+            "{close:?}, in chunks"
+        );
         // To a client that knows none, only the connection's end tells.
         let mut client = node.client();
         let old = close_after(request("pay", 4.0, "")).replace("HTTP/1.1", "HTTP/1.0");
@@ -229,8 +283,15 @@
     let from = Instant::now();
     client.write_all(&request("pay", 0.5, "")).unwrap();
     let (got, _) = read_all(&mut client);
-    assert!(got.len() > 20_000 && !got.ends_with(b"0\r\n\r\n"), "cut, and seen to be");
-    assert!(from.elapsed() < Duration::from_millis(1400), "{:?}", from.elapsed());
+    assert!(
+        got.len() > 20_000 && !got.ends_with(b"0\r\n\r\n"),
+        "cut, and seen to be"
+    );
+    assert!(
+        from.elapsed() < Duration::from_millis(1400),
+        "{:?}",
+        from.elapsed()
+    );
 }
 
 #[test]
@@ -270,8 +331,15 @@
             // There is nowhere else to go: refused where that is harmless, else failed; never served. One whose
             // request is still on its way may find its connection closed.
             let whole = read == usize::MAX;
-            let due: &[u16] = if !whole { &[503, 0] } else { &[if again { 503 } else { 502 }] };
-            assert!(due.contains(&status), "{category}, {read} bytes read: {status}");
+            let due: &[u16] = if !whole {
+                &[503, 0]
+            } else {
+                &[if again { 503 } else { 502 }]
+            };
+            assert!(
+                due.contains(&status),
+                "{category}, {read} bytes read: {status}"
+            );
             server.join().unwrap();
         }
     }
@@ -292,18 +360,28 @@
 fn a_long_request_whose_server_takes_no_more_of_it_is_answered_in_its_time() {
     // Its client has sent all of it: the rest lies with the node, whose server is cut off.
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket
+        .bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into())
+        .unwrap();
     socket.listen(16).unwrap();
     let listener: std::net::TcpListener = socket.into();
-    let known = list(1, true, &[host("s", listener.local_addr().unwrap(), "Ready")]);
+    let known = list(
+        1,
+        true,
+        &[host("s", listener.local_addr().unwrap(), "Ready")],
+    );
     let discovery = Discovery::new(known.clone());
     let mut file = configuration(discovery.address, &known);
     file["settings"]["Limits"]["SecondCopies"] = false.into();
     let node = Node::start(&file, None);
     // PolicyKind much of one goes before nothing moves: what node and sockets hold between them.
     let mut probe = thin_client(&node);
-    probe.set_write_timeout(Some(Duration::from_millis(400))).unwrap();
-    let head = String::from_utf8(request("pay", 60.0, "")).unwrap().replace("Length: 0", "Length: 30000000");
+    probe
+        .set_write_timeout(Some(Duration::from_millis(400)))
+        .unwrap();
+    let head = String::from_utf8(request("pay", 60.0, ""))
+        .unwrap()
+        .replace("Length: 0", "Length: 30000000");
     probe.write_all(head.as_bytes()).unwrap();
     let mut sent = 0;
     while let Ok(n @ 1..) = probe.write(&[b'p'; 65_536]) {
@@ -313,20 +391,31 @@
     // Less, so that all of it is here, and more than the server's side takes: how much the client's own machine holds
     // of it, and the server's, is the system's affair, so that more than one length is tried. Where the sockets take
     // all of it, it times out at the server (502); where some is still with the client, its time does not run.
-    let tried = [350_000, 300_000, 250_000, 200_000, 150_000].into_iter().any(|less| {
-        let mut client = thin_client(&node);
-        client.set_read_timeout(Some(Duration::from_millis(950))).unwrap();
-        client.write_all(&request("pay", 0.5, &"b".repeat(sent - less))).unwrap();
-        read_message(&mut client).is_some_and(|(head, _)| status(&head) == 503)
-    });
-    assert!(tried, "never answered in its time as what no server had whole");
+    let tried = [350_000, 300_000, 250_000, 200_000, 150_000]
+        .into_iter()
+        .any(|less| {
+            let mut client = thin_client(&node);
+            client
+                .set_read_timeout(Some(Duration::from_millis(950)))
+                .unwrap();
+            client
+                .write_all(&request("pay", 0.5, &"b".repeat(sent - less)))
+                .unwrap();
+            read_message(&mut client).is_some_and(|(head, _)| status(&head) == 503)
+        });
+    assert!(
+        tried,
+        "never answered in its time as what no server had whole"
+    );
     drop(listener);
 }
 
 #[test]
 fn many_that_reset_in_the_middle_of_their_answers_leave_the_others_whole() {
     // More than the sockets between node and client hold.
-    let body: Vec<u8> = (0..6_000_000_u32).map(|k| (k.wrapping_mul(k) >> 9) as u8).collect();
+    let body: Vec<u8> = (0..6_000_000_u32)
+        .map(|k| (k.wrapping_mul(k) >> 9) as u8)
+        .collect();
     let told = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
     let sent = [told.as_bytes(), &body].concat();
     let server = Server::new(move |stream, _| stream.write_all(&sent).is_ok());
@@ -347,7 +436,10 @@
     leave.iter().for_each(resets);
     drop(leave);
     node.signal("CONT");
-    assert!(read_message(&mut stays).expect("an answer").1 == body, "its own, whole");
+    assert!(
+        read_message(&mut stays).expect("an answer").1 == body,
+        "its own, whole"
+    );
     until("all that left are seen", || {
         node.signal("USR1");
         after(20);
--- a/scenarios/src/fleet.rs
+++ b/scenarios/src/fleet.rs
@@ -9,10 +9,14 @@
 }
 
 /// Scripts that ship; the first is played where none is named.
-const SHIPPED: &[(&str, &str)] = ship!["kills", "lossy", "gone", "doubled", "storm", "five", "leavers"];
+const SHIPPED: &[(&str, &str)] =
+    ship!["kills", "lossy", "gone", "doubled", "storm", "five", "leavers"];
 const WORLDS: [(&str, &str); 2] = [
     ("fleet-world", include_str!("../scripts/fleet-world.toml")),
-    ("fleet-leavers", include_str!("../scripts/fleet-leavers.toml")),
+    (
+        "fleet-leavers",
+        include_str!("../scripts/fleet-leavers.toml"),
+    ),
 ];
 
 #[derive(clap::Args)]
@@ -46,7 +50,10 @@
 
 fn read(named: Option<&Path>) -> Result<Play, Failed> {
     let name = named.map_or(SHIPPED[0].0.into(), |path| path.to_string_lossy());
-    let shipped = SHIPPED.iter().find(|(shipped, _)| *shipped == name).map(|(_, text)| text.to_string());
+    let shipped = SHIPPED
+        .iter()
+        .find(|(shipped, _)| *shipped == name)
+        .map(|(_, text)| text.to_string());
     let text = match shipped {
         Some(text) => text,
         None => std::fs::read_to_string(&*name).map_err(|e| (2, format!("{name}: {e}")))?,
@@ -68,11 +75,24 @@
     script.seconds = call.seconds.unwrap_or(script.seconds);
     script.rate = call.rate.or(script.rate);
     // Those that a smaller fleet does not have are struck by nothing.
-    script.faults.iter_mut().for_each(|fault| fault.which.retain(|node| *node < script.processes));
+    script
+        .faults
+        .iter_mut()
+        .for_each(|fault| fault.which.retain(|node| *node < script.processes));
     let beside = || Some(std::env::current_exe().ok()?.parent()?.join("crankmux"));
-    let program = call.program.clone().or_else(beside).unwrap_or_else(|| "crankmux".into());
+    let program = call
+        .program
+        .clone()
+        .or_else(beside)
+        .unwrap_or_else(|| "crankmux".into());
     if !program.exists() {
-        return Err((2, format!("{}: no program there; cargo build --release makes it", program.display())));
+        return Err((
+            2,
+            format!(
+                "{}: no program there; cargo build --release makes it",
+                program.display()
+            ),
+        ));
     }
     let start = Start {
         fleet: !call.strangers,
@@ -95,7 +115,11 @@
             t.count, t.median, t.p99, t.most, t.never
         )
     };
-    let known = if report.fleet { "know each other" } else { "do not know each other" };
+    let known = if report.fleet {
+        "know each other"
+    } else {
+        "do not know each other"
+    };
     println!(
         "{}: {} processes that {known}, told {}, seed {}",
         report.name, report.processes, report.told, report.seed
@@ -108,7 +132,10 @@
         println!("  live ones taken for failed {}", report.false_alarms);
     }
     if let Some((node, seen)) = &report.seen_at_end {
-        let seen: Vec<String> = seen.iter().map(|(other, state)| format!("{other} {state}")).collect();
+        let seen: Vec<String> = seen
+            .iter()
+            .map(|(other, state)| format!("{other} {state}"))
+            .collect();
         println!("  node {node} sees at the end  {}", seen.join(", "));
     }
     let all = (report.service.taken - report.service.gone).max(1) as f64;
@@ -134,7 +161,11 @@
         report.clients_left, report.pushes_after_leaves
     );
     println!("  rules broken {:?}", report.rules_broken);
-    report.broken.iter().take(5).for_each(|broken| println!("    {broken}"));
+    report
+        .broken
+        .iter()
+        .take(5)
+        .for_each(|broken| println!("    {broken}"));
 }
 
 #[cfg(test)]
--- a/scenarios/src/main.rs
+++ b/scenarios/src/main.rs
@@ -10,7 +10,11 @@
 use std::process::ExitCode;
 
 #[derive(Parser)]
-#[command(name = "crankmux-scenarios", version, about = "Rehearses incidents before crankmux")]
+#[command(
+    name = "crankmux-scenarios",
+    version,
+    about = "Rehearses incidents before crankmux"
+)]
 struct Line {
     #[command(subcommand)]
     call: Call,
--- a/scenarios/src/rehearse.rs
+++ b/scenarios/src/rehearse.rs
@@ -47,7 +47,9 @@
 
 /// Plays all, side by side; what comes back is in the order of the plays, whatever the threads.
 pub fn play_all(plays: &[Play], threads: Option<usize>) -> Result<Vec<RunResults>, Failed> {
-    let threads = threads.or_else(|| Some(std::thread::available_parallelism().ok()?.get())).unwrap_or(1);
+    let threads = threads
+        .or_else(|| Some(std::thread::available_parallelism().ok()?.get()))
+        .unwrap_or(1);
     let bar = ProgressBar::new(plays.len() as u64);
     if let Ok(style) =
         ProgressStyle::with_template("{bar:40} {pos}/{len} days  {elapsed} of about {duration}")
@@ -62,20 +64,26 @@
                 let Some(play) = plays.get(index) else { return };
                 let figures = environment::play(play.script, play.how, play.seed);
                 bar.inc(1);
-                done.lock().unwrap_or_else(|e| e.into_inner()).push((index, figures));
+                done.lock()
+                    .unwrap_or_else(|e| e.into_inner())
+                    .push((index, figures));
             });
         }
     });
     bar.finish_and_clear();
     let mut done = done.into_inner().unwrap_or_else(|e| e.into_inner());
     done.sort_by_key(|(index, _)| *index);
-    done.into_iter().map(|(_, figures)| figures.map_err(|e| (2, e))).collect()
+    done.into_iter()
+        .map(|(_, figures)| figures.map_err(|e| (2, e)))
+        .collect()
 }
 
 /// Mean, and half of its 95% interval (Student's t, as the days are few).
 pub fn interval(of: &[f64]) -> (f64, f64) {
     // Two-sided 95% quantiles for 1 to 10 degrees of freedom, from any table; beyond, the normal's.
-    const T: [f64; 10] = [12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228];
+    const T: [f64; 10] = [
+        12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228,
+    ];
     let n = of.len() as f64;
     let mean = of.iter().sum::<f64>() / n.max(1.0);
     if of.len() < 2 {
@@ -93,10 +101,17 @@
         }
         return Ok(true);
     }
-    let how = PolicyKind::named(&call.by).ok_or_else(|| (2, format!("--by {}: no such chooser", call.by)))?;
+    let how = PolicyKind::named(&call.by)
+        .ok_or_else(|| (2, format!("--by {}: no such chooser", call.by)))?;
     let script = scripts::read(call.script.as_deref())?;
     let seeds = call.seed..call.seed + call.seeds.max(1);
-    let plays: Vec<Play> = seeds.map(|seed| Play { script: &script, how, seed }).collect();
+    let plays: Vec<Play> = seeds
+        .map(|seed| Play {
+            script: &script,
+            how,
+            seed,
+        })
+        .collect();
     let figures = play_all(&plays, call.threads)?;
     let json = serde_json::to_string_pretty(&figures).map_err(|e| (1, e.to_string()))?;
     match call.json {
@@ -113,7 +128,8 @@
         }
     }
     if let Some(out) = &call.out {
-        report::write(out, &script, &figures, &json).map_err(|e| (1, format!("{}: {e}", out.display())))?;
+        report::write(out, &script, &figures, &json)
+            .map_err(|e| (1, format!("{}: {e}", out.display())))?;
     }
     let kept = figures.iter().all(|f| f.broken == [0; 5]);
     for life in figures.iter().flat_map(|f| &f.lives).take(5) {
@@ -130,14 +146,38 @@
     /// What CI plays in virtual time: three scripts that ship, short and with little load.
     #[test]
     fn the_module_keeps_the_rules_under_three_scripts_that_ship() {
-        for (name, worst) in [("release", 60.0), ("three-troubles", 60.0), ("mass-restart", 60.0)] {
+        for (name, worst) in [
+            ("release", 60.0),
+            ("three-troubles", 60.0),
+            ("mass-restart", 60.0),
+        ] {
             let script = scripts::shipped(name).expect("it ships");
-            let load = Load { share: Some(0.15), ..script.load.clone() };
-            let script = Script { seconds: 22.0, load, ..script };
-            let play = Play { script: &script, how: PolicyKind::Module, seed: 2 };
+            let load = Load {
+                share: Some(0.15),
+                ..script.load.clone()
+            };
+            let script = Script {
+                seconds: 22.0,
+                load,
+                ..script
+            };
+            let play = Play {
+                script: &script,
+                how: PolicyKind::Module,
+                seed: 2,
+            };
             let figures = play_all(&[play], Some(1)).expect("a chooser").remove(0);
-            assert_eq!(figures.broken, [0; 5], "{name}: {:?}", figures.lives.first());
-            assert!(figures.all.wanted > 2000 && figures.service > worst, "{name}: {}", figures.service);
+            assert_eq!(
+                figures.broken,
+                [0; 5],
+                "{name}: {:?}",
+                figures.lives.first()
+            );
+            assert!(
+                figures.all.wanted > 2000 && figures.service > worst,
+                "{name}: {}",
+                figures.service
+            );
         }
     }
 
@@ -151,11 +191,25 @@
     #[test]
     fn the_same_seed_gives_the_same_bytes_on_any_number_of_threads() {
         let script = scripts::shipped("three-troubles").expect("it ships");
-        let load = Load { share: Some(0.08), ..script.load.clone() };
-        let script = Script { seconds: 16.0, nodes: 6, load, ..script };
-        let plays: Vec<Play> =
-            (1..4).map(|seed| Play { script: &script, how: PolicyKind::Module, seed }).collect();
-        let text = |threads| serde_json::to_string(&play_all(&plays, Some(threads)).unwrap()).unwrap();
+        let load = Load {
+            share: Some(0.08),
+            ..script.load.clone()
+        };
+        let script = Script {
+            seconds: 16.0,
+            nodes: 6,
+            load,
+            ..script
+        };
+        let plays: Vec<Play> = (1..4)
+            .map(|seed| Play {
+                script: &script,
+                how: PolicyKind::Module,
+                seed,
+            })
+            .collect();
+        let text =
+            |threads| serde_json::to_string(&play_all(&plays, Some(threads)).unwrap()).unwrap();
         let (one, again, three) = (text(1), text(1), text(3));
         assert!(one == again && one == three, "figures differ between runs");
     }
--- a/scenarios/src/report.rs
+++ b/scenarios/src/report.rs
@@ -8,8 +8,13 @@
 use std::fmt::Write;
 use std::path::Path;
 
-const RULES: [&str; 5] =
-    ["ops lost", "effects twice", "drains not kept", "cold servers pushed over", "ops sent on for nobody"];
+const RULES: [&str; 5] = [
+    "ops lost",
+    "effects twice",
+    "drains not kept",
+    "cold servers pushed over",
+    "ops sent on for nobody",
+];
 
 /// Service by second.
 pub fn seconds(figures: &RunResults) -> String {
@@ -68,8 +73,12 @@
         f.fell_over,
         f.tipped
     );
-    let broken: Vec<String> =
-        RULES.iter().zip(f.broken).filter(|(_, n)| *n > 0).map(|(rule, n)| format!("{n} {rule}")).collect();
+    let broken: Vec<String> = RULES
+        .iter()
+        .zip(f.broken)
+        .filter(|(_, n)| *n > 0)
+        .map(|(rule, n)| format!("{n} {rule}"))
+        .collect();
     let _ = match broken.is_empty() {
         true => writeln!(text, "  rules kept"),
         false => writeln!(text, "  RULES BROKEN: {}", broken.join(", ")),
@@ -89,7 +98,11 @@
 ) -> Result<ChartBuilder<'a, 'b, SVGBackend<'b>>, Box<dyn Error>> {
     area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(area);
-    chart.caption(title, ("sans-serif", 20)).margin(10).x_label_area_size(35).y_label_area_size(60);
+    chart
+        .caption(title, ("sans-serif", 20))
+        .margin(10)
+        .x_label_area_size(35)
+        .y_label_area_size(60);
     Ok(chart)
 }
 
@@ -100,14 +113,22 @@
     let end = all().map(|p| p.0).fold(1.0_f64, f64::max);
     let area = SVGBackend::new(path, (900, 360)).into_drawing_area();
     let mut chart = framed(&area, title)?.build_cartesian_2d(0.0..end, 0.0..most)?;
-    chart.configure_mesh().x_desc("second").y_desc(unit).draw()?;
+    chart
+        .configure_mesh()
+        .x_desc("second")
+        .y_desc(unit)
+        .draw()?;
     let colours = [&BLUE, &RED, &BLACK, &GREEN];
     for ((name, points), colour) in lines.iter().zip(colours) {
         let series = chart.draw_series(LineSeries::new(points.iter().copied(), colour))?;
         let key = move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], *colour);
         series.label(*name).legend(key);
     }
-    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
     area.present()?;
     Ok(())
 }
@@ -115,10 +136,16 @@
 fn bars(path: &Path, title: &str, counts: &[u64]) -> Drawn {
     let most = counts.iter().copied().max().unwrap_or(1).max(1);
     let area = SVGBackend::new(path, (900, 360)).into_drawing_area();
-    let mut chart =
-        framed(&area, title)?.build_cartesian_2d(0..counts.len().max(1), 0..most + most / 20 + 1)?;
-    chart.configure_mesh().disable_x_mesh().x_desc("server").y_desc("pushes").draw()?;
-    let bar = |(server, n): (usize, &u64)| Rectangle::new([(server, 0), (server + 1, *n)], BLUE.filled());
+    let mut chart = framed(&area, title)?
+        .build_cartesian_2d(0..counts.len().max(1), 0..most + most / 20 + 1)?;
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .x_desc("server")
+        .y_desc("pushes")
+        .draw()?;
+    let bar =
+        |(server, n): (usize, &u64)| Rectangle::new([(server, 0), (server + 1, *n)], BLUE.filled());
     chart.draw_series(counts.iter().enumerate().map(bar))?;
     area.present()?;
     Ok(())
@@ -130,16 +157,28 @@
     std::fs::write(out.join("figures.json"), json)?;
     let first = &figures[0];
     let over = |of: &dyn Fn(&crankmux_simulator::results::Second) -> f64| {
-        first.seconds.iter().map(|s| (s.at as f64, of(s))).collect::<Vec<_>>()
+        first
+            .seconds
+            .iter()
+            .map(|s| (s.at as f64, of(s)))
+            .collect::<Vec<_>>()
     };
     let share = |n: u64, of: u64| 100.0 * n as f64 / of.max(1) as f64;
-    lines(&out.join("service.svg"), "Service", "points of 100", &[("service", over(&|s| s.counts.service))])?;
+    lines(
+        &out.join("service.svg"),
+        "Service",
+        "points of 100",
+        &[("service", over(&|s| s.counts.service))],
+    )?;
     lines(
         &out.join("refusals.svg"),
         "Refused and failed",
         "% of what was wanted",
         &[
-            ("refused", over(&|s| share(s.counts.refused, s.counts.wanted))),
+            (
+                "refused",
+                over(&|s| share(s.counts.refused, s.counts.wanted)),
+            ),
             ("failed", over(&|s| share(s.counts.failed, s.counts.wanted))),
         ],
     )?;
@@ -149,18 +188,32 @@
         "ms",
         &[("p50", over(&|s| s.p50_ms)), ("p99", over(&|s| s.p99_ms))],
     )?;
-    bars(&out.join("servers.svg"), "Pushes by server", &first.pushes_by_server)?;
-    let mut text =
-        format!("# {}\n\n{}\n\nSimulated servers, in virtual time.\n\n", script.name, script.about);
+    bars(
+        &out.join("servers.svg"),
+        "Pushes by server",
+        &first.pushes_by_server,
+    )?;
+    let mut text = format!(
+        "# {}\n\n{}\n\nSimulated servers, in virtual time.\n\n",
+        script.name, script.about
+    );
     for day in figures {
         let _ = writeln!(text, "```\n{}```\n", summary(day));
     }
-    for (chart, title) in
-        [("service", "Service"), ("refusals", "Refusals"), ("latency", "Latency"), ("servers", "Servers")]
-    {
+    for (chart, title) in [
+        ("service", "Service"),
+        ("refusals", "Refusals"),
+        ("latency", "Latency"),
+        ("servers", "Servers"),
+    ] {
         let _ = writeln!(text, "![{title}]({chart}.svg)\n");
     }
-    let _ = writeln!(text, "Seed {} by second:\n\n```\n{}```", first.seed, seconds(first));
+    let _ = writeln!(
+        text,
+        "Seed {} by second:\n\n```\n{}```",
+        first.seed,
+        seconds(first)
+    );
     for life in &first.lives {
         let _ = writeln!(text, "\nBroken: {life}");
     }
--- a/scenarios/src/scripts.rs
+++ b/scenarios/src/scripts.rs
@@ -29,7 +29,10 @@
         return shipped(SHIPPED[0].0);
     };
     let name = path.to_string_lossy();
-    if let (true, true) = (!path.exists(), SHIPPED.iter().any(|(shipped, _)| *shipped == name)) {
+    if let (true, true) = (
+        !path.exists(),
+        SHIPPED.iter().any(|(shipped, _)| *shipped == name),
+    ) {
         return shipped(&name);
     }
     let text = std::fs::read_to_string(path).map_err(|e| (2, format!("{name}: {e}")))?;
@@ -38,7 +41,8 @@
 
 pub fn shipped(name: &str) -> Result<Script, Failed> {
     let found = SHIPPED.iter().find(|(shipped, _)| *shipped == name);
-    let (_, text) = found.ok_or_else(|| (2, format!("{name}: no such script; --list names them")))?;
+    let (_, text) =
+        found.ok_or_else(|| (2, format!("{name}: no such script; --list names them")))?;
     Script::read(text).map_err(|faulty| (2, format!("{name}: {faulty}")))
 }
 
@@ -51,7 +55,10 @@
         for (name, _) in SHIPPED {
             let script = shipped(name).unwrap_or_else(|(_, message)| panic!("{message}"));
             assert_eq!(script.name, *name);
-            assert!(!script.about.is_empty() && !script.faults.is_empty(), "{name}");
+            assert!(
+                !script.about.is_empty() && !script.faults.is_empty(),
+                "{name}"
+            );
         }
         assert!(shipped("unheard-of").is_err_and(|(code, _)| code == 2));
     }
--- a/scenarios/src/tables.rs
+++ b/scenarios/src/tables.rs
@@ -35,25 +35,41 @@
 /// A row a script: service of each chooser, a star where it broke a rule; the module's score between random
 /// choice and the one that sees the true state.
 pub fn scripts(call: &Scripts) -> Result<bool, Failed> {
-    println!("| script | {} | score |", PolicyKind::ALL.map(PolicyKind::name).join(" | "));
+    println!(
+        "| script | {} | score |",
+        PolicyKind::ALL.map(PolicyKind::name).join(" | ")
+    );
     println!("| --- |{}", " --- |".repeat(PolicyKind::ALL.len() + 1));
     let mut kept = true;
-    for (name, _) in SHIPPED.iter().filter(|(name, _)| call.only.as_ref().is_none_or(|only| only == name)) {
+    for (name, _) in SHIPPED
+        .iter()
+        .filter(|(name, _)| call.only.as_ref().is_none_or(|only| only == name))
+    {
         let script = scripts::shipped(name)?;
         let play = |how| (1..=call.seeds).map(move |seed| (how, seed));
         let plays: Vec<Play> = PolicyKind::ALL
             .into_iter()
             .flat_map(play)
-            .map(|(how, seed)| Play { script: &script, how, seed })
+            .map(|(how, seed)| Play {
+                script: &script,
+                how,
+                seed,
+            })
             .collect();
         let figures = play_all(&plays, call.threads)?;
         let means: Vec<_> = figures.chunks(call.seeds as usize).map(mean).collect();
         kept &= means[0].2 == 0;
         let star = |broken: u64| if broken > 0 { "*" } else { "" };
-        let cells: Vec<String> =
-            means.iter().map(|(m, h, b)| format!("{m:.1} ± {h:.1}{}", star(*b))).collect();
+        let cells: Vec<String> = means
+            .iter()
+            .map(|(m, h, b)| format!("{m:.1} ± {h:.1}{}", star(*b)))
+            .collect();
         let (module, random, top) = (means[0].0, means[1].0, means[5].0);
-        println!("| {name} | {} | {:.2} |", cells.join(" | "), (module - random) / (top - random).max(1e-9));
+        println!(
+            "| {name} | {} | {:.2} |",
+            cells.join(" | "),
+            (module - random) / (top - random).max(1e-9)
+        );
     }
     Ok(kept)
 }
@@ -69,7 +85,10 @@
         machine: None,
         part,
     };
-    let cut = Fault { zone: Some("b".into()), ..fault(Kind::ZoneCut, 1.0, 1.0) };
+    let cut = Fault {
+        zone: Some("b".into()),
+        ..fault(Kind::ZoneCut, 1.0, 1.0)
+    };
     vec![
         ("slow", fault(Kind::Slow, 5.0, 0.25)),
         ("hang", fault(Kind::Hang, 1.0, 0.15)),
@@ -92,18 +111,41 @@
             let both = match std::ptr::eq(one, other) {
                 true => vec![one.clone()],
                 // The second begins while the first goes on.
-                false => vec![one.clone(), Fault { at: other.at + 4.0, ..other.clone() }],
+                false => vec![
+                    one.clone(),
+                    Fault {
+                        at: other.at + 4.0,
+                        ..other.clone()
+                    },
+                ],
             };
-            worlds.push(Script { faults: both, seconds: 30.0, ..base.clone() });
+            worlds.push(Script {
+                faults: both,
+                seconds: 30.0,
+                ..base.clone()
+            });
         }
     }
     let plays: Vec<Play> = worlds
         .iter()
-        .flat_map(|script| (1..=call.seeds).map(move |seed| Play { script, how: PolicyKind::Module, seed }))
+        .flat_map(|script| {
+            (1..=call.seeds).map(move |seed| Play {
+                script,
+                how: PolicyKind::Module,
+                seed,
+            })
+        })
         .collect();
     let figures = play_all(&plays, call.threads)?;
     let mut cells = figures.chunks(call.seeds as usize).map(mean);
-    println!("| first, and 4 s later | {} |", faults.iter().map(|(n, _)| *n).collect::<Vec<_>>().join(" | "));
+    println!(
+        "| first, and 4 s later | {} |",
+        faults
+            .iter()
+            .map(|(n, _)| *n)
+            .collect::<Vec<_>>()
+            .join(" | ")
+    );
     println!("| --- |{}", " --- |".repeat(faults.len()));
     let mut kept = true;
     for (i, (name, _)) in faults.iter().enumerate() {
--- a/simulator/benches/events.rs
+++ b/simulator/benches/events.rs
@@ -30,7 +30,9 @@
     for how in [PolicyKind::Random, PolicyKind::Module] {
         let events = play(&script, how, 1).expect("a chooser").events;
         group.throughput(Throughput::Elements(events));
-        group.bench_function(how.name(), |b| b.iter(|| play(&script, how, 1).expect("a chooser").events));
+        group.bench_function(how.name(), |b| {
+            b.iter(|| play(&script, how, 1).expect("a chooser").events)
+        });
     }
     group.finish();
 }
--- a/simulator/src/environment.rs
+++ b/simulator/src/environment.rs
@@ -8,7 +8,9 @@
 use crate::script::{Backoff, Burst, Group, Idempotency, Kind, Script};
 use crate::server::{Begun, Job, Server};
 use crankmux::dispatcher::{FinalAnswer, NextSteps};
-use crankmux::types::{AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, LoadReport, NewRequest};
+use crankmux::types::{
+    AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, LoadReport, NewRequest,
+};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -21,24 +23,81 @@
 
 enum Event {
     Arrive,
-    Again { wish: usize },
-    Reach { op: usize, serial: u64, push: usize, server: usize, life: u32 },
-    Done { server: usize, life: u32, number: u64 },
-    Back { op: usize, serial: u64, push: usize, ending: AttemptOutcome, load: LoadReport },
-    Patience { op: usize, serial: u64, push: usize },
-    CallOff { server: usize, life: u32, op: usize, serial: u64, push: usize },
-    Leave { op: usize, serial: u64 },
-    Due { op: usize, serial: u64 },
-    Tick { node: usize },
-    Tell { node: usize, whole: bool },
-    Begin { fault: usize },
-    End { fault: usize },
-    Pause { fault: usize },
-    Replace { server: usize },
-    Gone { server: usize },
-    Up { server: usize },
-    NodeUp { node: usize, life: u32 },
-    Noticed { node: usize, life: u32 },
+    Again {
+        wish: usize,
+    },
+    Reach {
+        op: usize,
+        serial: u64,
+        push: usize,
+        server: usize,
+        life: u32,
+    },
+    Done {
+        server: usize,
+        life: u32,
+        number: u64,
+    },
+    Back {
+        op: usize,
+        serial: u64,
+        push: usize,
+        ending: AttemptOutcome,
+        load: LoadReport,
+    },
+    Patience {
+        op: usize,
+        serial: u64,
+        push: usize,
+    },
+    CallOff {
+        server: usize,
+        life: u32,
+        op: usize,
+        serial: u64,
+        push: usize,
+    },
+    Leave {
+        op: usize,
+        serial: u64,
+    },
+    Due {
+        op: usize,
+        serial: u64,
+    },
+    Tick {
+        node: usize,
+    },
+    Tell {
+        node: usize,
+        whole: bool,
+    },
+    Begin {
+        fault: usize,
+    },
+    End {
+        fault: usize,
+    },
+    Pause {
+        fault: usize,
+    },
+    Replace {
+        server: usize,
+    },
+    Gone {
+        server: usize,
+    },
+    Up {
+        server: usize,
+    },
+    NodeUp {
+        node: usize,
+        life: u32,
+    },
+    Noticed {
+        node: usize,
+        life: u32,
+    },
 }
 
 /// Earliest first; at one time in the order of their making.
@@ -209,12 +268,19 @@
         world.events += 1;
         world.turn(event);
     }
-    let World { tally, judge, events, .. } = world;
+    let World {
+        tally,
+        judge,
+        events,
+        ..
+    } = world;
     Ok(tally.sum_up(script, how.name(), seed, &judge, events))
 }
 
 fn in_burst(bursts: &[Burst], second: f64) -> Option<f64> {
-    let on = bursts.iter().filter(|b| (b.at..b.at + b.lasts).contains(&second));
+    let on = bursts
+        .iter()
+        .filter(|b| (b.at..b.at + b.lasts).contains(&second));
     on.map(|b| b.times).reduce(f64::max)
 }
 
@@ -234,10 +300,14 @@
             pods += machine.count.div_ceil(machine.pod_size);
         }
         let mut shape = Stream::of(seed, "shape");
-        let zone_weights: Vec<f64> = (0..zones).map(|_| shape.log_normal(script.load.zone_spread)).collect();
+        let zone_weights: Vec<f64> = (0..zones)
+            .map(|_| shape.log_normal(script.load.zone_spread))
+            .collect();
         let mut nodes = Vec::new();
         for number in 0..script.nodes {
-            let own = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number as u64);
+            let own = seed
+                .wrapping_mul(0x9e37_79b9_7f4a_7c15)
+                .wrapping_add(number as u64);
             nodes.push(Node {
                 chooser: Policy::new(how, script, number, own)?,
                 up: true,
@@ -252,9 +322,18 @@
             });
         }
         let weights: f64 = script.categories.iter().map(|c| c.weight).sum();
-        let ordinary =
-            script.categories.iter().map(|c| c.weight * c.work_ms).sum::<f64>() / weights.max(1e-9);
-        let most = script.load.bursts.iter().map(|b| b.times).fold(1.0, f64::max);
+        let ordinary = script
+            .categories
+            .iter()
+            .map(|c| c.weight * c.work_ms)
+            .sum::<f64>()
+            / weights.max(1e-9);
+        let most = script
+            .load
+            .bursts
+            .iter()
+            .map(|b| b.times)
+            .fold(1.0, f64::max);
         let duties = &script.duties;
         let of = |name| Stream::of(seed, name);
         let mut world = World {
@@ -272,8 +351,14 @@
             servers,
             changes: Vec::new(),
             lists_down: 0,
-            wishes: Slots { all: Vec::new(), free: Vec::new() },
-            ops: Slots { all: Vec::new(), free: Vec::new() },
+            wishes: Slots {
+                all: Vec::new(),
+                free: Vec::new(),
+            },
+            ops: Slots {
+                all: Vec::new(),
+                free: Vec::new(),
+            },
             in_force: Vec::new(),
             cut_asks: vec![vec![false; zones]; zones],
             cut_answers: vec![vec![false; zones]; zones],
@@ -315,14 +400,19 @@
         let of = |zone: usize| {
             let fits = |n: &&(usize, &Node)| n.1.dealt && (zone == zones || n.1.zone == zone);
             let nodes: Vec<(usize, &Node)> = self.nodes.iter().enumerate().collect();
-            nodes.iter().filter(fits).map(|(index, n)| (*index, n.weight)).unzip()
+            nodes
+                .iter()
+                .filter(fits)
+                .map(|(index, n)| (*index, n.weight))
+                .unzip()
         };
         self.front = (0..=zones).map(of).collect();
     }
 
     fn after(&mut self, wait: f64, event: Event) {
         self.made += 1;
-        self.queue.push(Reverse(Due(self.now + wait.max(0.0), self.made, event)));
+        self.queue
+            .push(Reverse(Due(self.now + wait.max(0.0), self.made, event)));
     }
 
     fn since(&self) -> f64 {
@@ -333,16 +423,44 @@
         match event {
             Event::Arrive => self.arrive(),
             Event::Again { wish } => self.try_wish(wish),
-            Event::Reach { op, serial, push, server, life } => {
+            Event::Reach {
+                op,
+                serial,
+                push,
+                server,
+                life,
+            } => {
                 self.servers[server].coming -= 1;
                 self.reach(op, serial, push, life);
             }
-            Event::Done { server, life, number } => self.done(server, life, number),
-            Event::Back { op, serial, push, ending, load } => self.back(op, serial, push, ending, load),
+            Event::Done {
+                server,
+                life,
+                number,
+            } => self.done(server, life, number),
+            Event::Back {
+                op,
+                serial,
+                push,
+                ending,
+                load,
+            } => self.back(op, serial, push, ending, load),
             Event::Patience { op, serial, push } => {
-                self.back(op, serial, push, AttemptOutcome::TimedOut, LoadReport::default());
+                self.back(
+                    op,
+                    serial,
+                    push,
+                    AttemptOutcome::TimedOut,
+                    LoadReport::default(),
+                );
             }
-            Event::CallOff { server, life, op, serial, push } => {
+            Event::CallOff {
+                server,
+                life,
+                op,
+                serial,
+                push,
+            } => {
                 if self.servers[server].life == life && self.servers[server].up {
                     if self.servers[server].call_off(self.now, op, serial, push) {
                         self.settle(op, serial, push);
@@ -380,7 +498,8 @@
             let second = (self.since() + wait) / 1000.0;
             let load = &self.script.load;
             let wave = 1.0 + load.wave * (second / load.period * std::f64::consts::TAU).sin();
-            let rate = self.script.rate() / 1000.0 * wave * in_burst(&load.bursts, second).unwrap_or(1.0);
+            let rate =
+                self.script.rate() / 1000.0 * wave * in_burst(&load.bursts, second).unwrap_or(1.0);
             if second > self.script.seconds || self.chances.arrivals.part() * self.peak < rate {
                 break;
             }
@@ -414,7 +533,16 @@
         let clients = &mut self.chances.clients;
         let honours = clients.yes(script.clients.honour);
         let impatient = clients.yes(script.clients.impatient);
-        let wish = Wish { category, zone, key, factor, at: self.now, tries: 0, honours, impatient };
+        let wish = Wish {
+            category,
+            zone,
+            key,
+            factor,
+            at: self.now,
+            tries: 0,
+            honours,
+            impatient,
+        };
         let wish = self.wishes.put(wish);
         self.try_wish(wish);
         self.next_arrival();
@@ -442,12 +570,16 @@
         let ends = self.now + terms.ttl_ms;
         let repeats = match terms.effect {
             Idempotency::Idempotent => Repeats::Freely,
-            Idempotency::IdempotentWithKey => Repeats::Deduplicated { fleet: terms.group == Group::Fleet },
+            Idempotency::IdempotentWithKey => Repeats::Deduplicated {
+                fleet: terms.group == Group::Fleet,
+            },
             Idempotency::NotIdempotent => Repeats::Never,
         };
         self.serial += 1;
         let serial = self.serial;
-        let life = self.judge.taken(self.now, node, repeats, terms.window_ms, ends);
+        let life = self
+            .judge
+            .taken(self.now, node, repeats, terms.window_ms, ends);
         let pushes = Vec::new();
         let op = Op {
             serial,
@@ -463,7 +595,10 @@
             life,
         };
         let op = self.ops.put(op);
-        self.after(terms.ttl_ms + self.script.duties.answer_slack_ms + 0.001, Event::Due { op, serial });
+        self.after(
+            terms.ttl_ms + self.script.duties.answer_slack_ms + 0.001,
+            Event::Due { op, serial },
+        );
         if impatient {
             self.after(0.5 * terms.ttl_ms, Event::Leave { op, serial });
         }
@@ -476,7 +611,9 @@
             client_retry: retry,
             key,
         };
-        let next = self.ask(node, |chooser, now, truth| chooser.arrive(now, &arrival, truth));
+        let next = self.ask(node, |chooser, now, truth| {
+            chooser.arrive(now, &arrival, truth)
+        });
         self.follow(op, next);
         self.see_to(node);
     }
@@ -487,22 +624,38 @@
         node: usize,
         call: impl FnOnce(&mut Policy, f64, &dyn Fn(usize) -> Truth) -> T,
     ) -> T {
-        let (servers, now, ordinary, zone) = (&self.servers, self.now, self.ordinary, self.nodes[node].zone);
+        let (servers, now, ordinary, zone) = (
+            &self.servers,
+            self.now,
+            self.ordinary,
+            self.nodes[node].zone,
+        );
         let (asks, answers, script) = (&self.cut_asks, &self.cut_answers, self.script);
         let truth = |server: usize| {
             let s: &Server = &servers[server];
-            let reached = s.up && !s.weather.silent && !asks[zone][s.zone] && !answers[s.zone][zone];
+            let reached =
+                s.up && !s.weather.silent && !asks[zone][s.zone] && !answers[s.zone][zone];
             let held = s.held() + s.coming;
-            let sound = reached && s.weather.fail_fast < 0.5 && held < s.machine.cores + s.machine.queue;
+            let sound =
+                reached && s.weather.fail_fast < 0.5 && held < s.machine.cores + s.machine.queue;
             let rounds = (held + 1) as f64 / s.machine.cores as f64;
             let stopped = (s.stopped_until - now).max(0.0);
-            let way = if s.zone == zone { script.way.same_ms } else { script.way.cross_ms };
+            let way = if s.zone == zone {
+                script.way.same_ms
+            } else {
+                script.way.cross_ms
+            };
             let round = ordinary / s.speed(now).max(1e-6);
             // Works differ: half of the wait that would tip a box is left to chance.
             let waits = stopped + (rounds - 1.0).max(0.0) * round;
-            let tips = s.machine.tips.is_some_and(|tips| waits > 0.5 * tips.after_ms);
+            let tips = s
+                .machine
+                .tips
+                .is_some_and(|tips| waits > 0.5 * tips.after_ms);
             let takes = 2.0 * way + stopped + rounds.max(1.0) * round;
-            Truth { takes: (sound && !tips).then_some(takes) }
+            Truth {
+                takes: (sound && !tips).then_some(takes),
+            }
         };
         call(&mut self.nodes[node].chooser, now, &truth)
     }
@@ -513,7 +666,11 @@
         let clients = &script.clients;
         let it = self.wishes.all[wish].as_ref().expect("it still wants it");
         if !harmless || it.tries > clients.retries {
-            let outcome = if harmless { Outcome::Refused } else { Outcome::Failed };
+            let outcome = if harmless {
+                Outcome::Refused
+            } else {
+                Outcome::Failed
+            };
             return self.outcome(wish, outcome);
         }
         let own = match clients.backoff {
@@ -529,7 +686,8 @@
     fn outcome(&mut self, wish: usize, outcome: Outcome) {
         if let Some(wish) = self.wishes.drop_at(wish) {
             let took = self.now - wish.at + 2.0 * CLIENT_MS;
-            self.tally.outcome(wish.at - START, wish.category, outcome, took);
+            self.tally
+                .outcome(wish.at - START, wish.category, outcome, took);
         }
     }
 
@@ -565,12 +723,17 @@
     // ---- nodes
 
     fn live(&mut self, op: usize, serial: u64) -> Option<&mut Op> {
-        self.ops.all.get_mut(op)?.as_mut().filter(|it| it.serial == serial)
+        self.ops
+            .all
+            .get_mut(op)?
+            .as_mut()
+            .filter(|it| it.serial == serial)
     }
 
     /// An op is forgotten once it is answered, its node waits for nothing, and no server has it any more.
     fn free(&mut self, op: usize) {
-        let over = |it: &Op| (it.answered || it.left) && it.pushes.iter().all(|p| !p.out && p.settled);
+        let over =
+            |it: &Op| (it.answered || it.left) && it.pushes.iter().all(|p| !p.out && p.settled);
         if self.ops.all[op].as_ref().is_some_and(over) {
             self.ops.drop_at(op);
         }
@@ -585,7 +748,11 @@
 
     fn way(&mut self, from: usize, to: usize) -> f64 {
         let way = &self.script.way;
-        let mean = if from == to { way.same_ms } else { way.cross_ms };
+        let mean = if from == to {
+            way.same_ms
+        } else {
+            way.cross_ms
+        };
         mean * self.chances.way.log_normal(way.jitter)
     }
 
@@ -597,9 +764,9 @@
             self.push(op, pick.endpoint, pick.timeout_ms);
         }
         match next.final_answer {
-            Some(FinalAnswer::Rejected { retry_after_ms: come_back }) => {
-                self.answer(op, Answer::Nacked, come_back)
-            }
+            Some(FinalAnswer::Rejected {
+                retry_after_ms: come_back,
+            }) => self.answer(op, Answer::Nacked, come_back),
             Some(FinalAnswer::Failed) => self.answer(op, Answer::DeadLettered, 0.0),
             None => {}
         }
@@ -615,7 +782,9 @@
         let (wish, ends) = (it.wish, it.ends);
         self.ops.all[op] = Some(it);
         if first {
-            let (category, at) = self.wishes.all[wish].as_ref().map_or((0, 0.0), |w| (w.category, w.at));
+            let (category, at) = self.wishes.all[wish]
+                .as_ref()
+                .map_or((0, 0.0), |w| (w.category, w.at));
             let terms = &self.script.categories[category];
             let took = self.now - at + 2.0 * CLIENT_MS;
             match answer {
@@ -641,9 +810,17 @@
         let zone = self.nodes[node].zone;
         let group = self.group(server, &it);
         let draining = self.nodes[node].draining.get(server).copied().flatten();
-        self.judge.pushed(self.now, &mut it.life, server, group, draining);
+        self.judge
+            .pushed(self.now, &mut it.life, server, group, draining);
         let life = self.servers[server].life;
-        it.pushes.push(Push { server, life, at: self.now, fresh: false, out: true, settled: false });
+        it.pushes.push(Push {
+            server,
+            life,
+            at: self.now,
+            fresh: false,
+            out: true,
+            settled: false,
+        });
         self.ops.all[op] = Some(it);
         self.tally.pushed(self.since(), server);
         self.after(patience, Event::Patience { op, serial, push });
@@ -660,12 +837,17 @@
         }
         let links = &mut links[server];
         if links.life != life || now - links.used > keepalive {
-            let lost = if links.life == life { links.idle } else { links.open };
+            let lost = if links.life == life {
+                links.idle
+            } else {
+                links.open
+            };
             links.open -= lost.min(links.open);
             links.idle = 0;
             if links.life == life {
-                self.servers[server].connections =
-                    self.servers[server].connections.saturating_sub(lost as usize);
+                self.servers[server].connections = self.servers[server]
+                    .connections
+                    .saturating_sub(lost as usize);
             }
             links.life = life;
         }
@@ -682,10 +864,23 @@
         // A new connection: it comes up only where both sides hear each other.
         let full = self.servers[server].connections >= self.servers[server].machine.connections;
         if !up || !answered || full {
-            let wait = if answered { 2.0 * way } else { self.script.way.connect_ms.min(patience) };
+            let wait = if answered {
+                2.0 * way
+            } else {
+                self.script.way.connect_ms.min(patience)
+            };
             self.settle(op, serial, push);
             let load = LoadReport::default();
-            self.after(wait, Event::Back { op, serial, push, ending: AttemptOutcome::Unreachable, load });
+            self.after(
+                wait,
+                Event::Back {
+                    op,
+                    serial,
+                    push,
+                    ending: AttemptOutcome::Unreachable,
+                    load,
+                },
+            );
             return;
         }
         self.servers[server].connections += 1;
@@ -700,7 +895,16 @@
     fn send(&mut self, way: f64, op: usize, serial: u64, push: usize, server: usize) {
         let life = self.servers[server].life;
         self.servers[server].coming += 1;
-        self.after(way, Event::Reach { op, serial, push, server, life });
+        self.after(
+            way,
+            Event::Reach {
+                op,
+                serial,
+                push,
+                server,
+                life,
+            },
+        );
     }
 
     fn group(&self, server: usize, op: &Op) -> u64 {
@@ -713,7 +917,11 @@
 
     /// The connection of a push that ended otherwise than by a whole answer.
     fn close(&mut self, node: usize, server: usize, life: u32) {
-        let Some(links) = self.nodes[node].links.get_mut(server).filter(|links| links.life == life) else {
+        let Some(links) = self.nodes[node]
+            .links
+            .get_mut(server)
+            .filter(|links| links.life == life)
+        else {
             return;
         };
         links.open = links.open.saturating_sub(1);
@@ -726,10 +934,24 @@
         let Some(it) = self.ops.all[op].as_ref() else {
             return;
         };
-        let (server, life, serial, node) = (it.pushes[push].server, it.pushes[push].life, it.serial, it.node);
+        let (server, life, serial, node) = (
+            it.pushes[push].server,
+            it.pushes[push].life,
+            it.serial,
+            it.node,
+        );
         self.close(node, server, life);
         let way = self.way(self.nodes[node].zone, self.servers[server].zone);
-        self.after(way, Event::CallOff { server, life, op, serial, push });
+        self.after(
+            way,
+            Event::CallOff {
+                server,
+                life,
+                op,
+                serial,
+                push,
+            },
+        );
     }
 
     fn cancel(&mut self, op: usize, push: usize) {
@@ -740,7 +962,8 @@
             return;
         }
         let (node, took) = (it.node, self.now - it.pushes[push].at);
-        self.judge.ended(self.now, &mut it.life, push, AttemptOutcome::Cancelled);
+        self.judge
+            .ended(self.now, &mut it.life, push, AttemptOutcome::Cancelled);
         self.call_off(op, push);
         let end = AttemptResult {
             request: op,
@@ -756,13 +979,24 @@
     }
 
     /// A push has ended, as its node sees it.
-    fn back(&mut self, op: usize, serial: u64, push: usize, ending: AttemptOutcome, load: LoadReport) {
+    fn back(
+        &mut self,
+        op: usize,
+        serial: u64,
+        push: usize,
+        ending: AttemptOutcome,
+        load: LoadReport,
+    ) {
         let Some(it) = self.live(op, serial).filter(|it| it.pushes[push].out) else {
             return;
         };
         it.pushes[push].out = false;
         let (node, answered) = (it.node, it.answered || it.left);
-        let (server, life, at) = (it.pushes[push].server, it.pushes[push].life, it.pushes[push].at);
+        let (server, life, at) = (
+            it.pushes[push].server,
+            it.pushes[push].life,
+            it.pushes[push].at,
+        );
         let mut it = self.ops.all[op].take().expect("looked at above");
         self.judge.ended(self.now, &mut it.life, push, ending);
         self.ops.all[op] = Some(it);
@@ -790,7 +1024,10 @@
             load,
         };
         let next = self.ask(node, |chooser, now, truth| chooser.report(now, &end, truth));
-        if self.ops.all[op].as_ref().is_some_and(|it| it.serial == serial) {
+        if self.ops.all[op]
+            .as_ref()
+            .is_some_and(|it| it.serial == serial)
+        {
             self.follow(op, next);
             if self.ops.all[op].is_some() {
                 self.free(op);
@@ -829,8 +1066,16 @@
 
     fn line(&self, server: usize) -> EndpointUpdate {
         let s = &self.servers[server];
-        let standing = if self.listed[server] { EndpointState::Ready } else { EndpointState::Removed };
-        let started = if s.started > 0.0 { s.started + self.clock_off[server] } else { 0.0 };
+        let standing = if self.listed[server] {
+            EndpointState::Ready
+        } else {
+            EndpointState::Removed
+        };
+        let started = if s.started > 0.0 {
+            s.started + self.clock_off[server]
+        } else {
+            0.0
+        };
         EndpointUpdate {
             endpoint: server,
             stable_hash: s.mark,
@@ -861,9 +1106,14 @@
             }
         }
         lines.retain(|line| line.state != EndpointState::Removed);
-        self.ask(node, |chooser, now, _| chooser.list(now, &lines, true, true));
+        self.ask(node, |chooser, now, _| {
+            chooser.list(now, &lines, true, true)
+        });
         // An automatic list tells what is new without being asked.
-        self.after(self.script.discovery.delay_ms, Event::Tell { node, whole: true });
+        self.after(
+            self.script.discovery.delay_ms,
+            Event::Tell { node, whole: true },
+        );
         self.see_to(node);
     }
 
@@ -888,10 +1138,15 @@
             };
         }
         let lines: Vec<EndpointUpdate> = match whole {
-            true => (0..self.servers.len()).filter(|s| self.listed[*s]).map(|s| self.line(s)).collect(),
+            true => (0..self.servers.len())
+                .filter(|s| self.listed[*s])
+                .map(|s| self.line(s))
+                .collect(),
             false => news,
         };
-        self.ask(node, |chooser, now, _| chooser.list(now, &lines, whole, false));
+        self.ask(node, |chooser, now, _| {
+            chooser.list(now, &lines, whole, false)
+        });
         self.see_to(node);
     }
 
@@ -910,10 +1165,17 @@
             return;
         };
         let (server, fresh) = (it.pushes[push].server, it.pushes[push].fresh);
-        let (node, ends, category, factor, key) = (it.node, it.ends, it.category, it.factor, it.key);
+        let (node, ends, category, factor, key) =
+            (it.node, it.ends, it.category, it.factor, it.key);
         let (zone, to) = (self.nodes[node].zone, self.servers[server].zone);
         let way = self.way(to, zone);
-        let back = |ending| Event::Back { op, serial, push, ending, load: LoadReport::default() };
+        let back = |ending| Event::Back {
+            op,
+            serial,
+            push,
+            ending,
+            load: LoadReport::default(),
+        };
         let s = &self.servers[server];
         if s.life != life || !s.up {
             self.settle(op, serial, push);
@@ -935,20 +1197,45 @@
         let able = s.able(self.now) * speed * s.machine.cores as f64 / self.ordinary;
         let terms = &self.script.categories[category];
         let ordinary = terms.work_ms / self.ordinary;
-        if self.judge.bears(self.now, server, ordinary, cold.then_some(able)) {
+        if self
+            .judge
+            .bears(self.now, server, ordinary, cold.then_some(able))
+        {
             self.tally.fell_over += 1;
             self.kill(server, FALLEN_MS);
             return;
         }
-        let connecting = if fresh { self.servers[server].machine.connect_work_ms } else { 0.0 };
+        let connecting = if fresh {
+            self.servers[server].machine.connect_work_ms
+        } else {
+            0.0
+        };
         let work = terms.work_ms * factor + connecting;
         let key_miss = terms.key_miss;
-        let job = Job { op, serial, push, work, came: self.now, ends, key, key_miss };
+        let job = Job {
+            op,
+            serial,
+            push,
+            work,
+            came: self.now,
+            ends,
+            key,
+            key_miss,
+        };
         if !self.servers[server].offer(self.now, job) {
             self.settle(op, serial, push);
             let load = self.load(server);
             let ending = AttemptOutcome::Rejected;
-            return self.after(way, Event::Back { op, serial, push, ending, load });
+            return self.after(
+                way,
+                Event::Back {
+                    op,
+                    serial,
+                    push,
+                    ending,
+                    load,
+                },
+            );
         }
         self.serve(server);
     }
@@ -973,11 +1260,20 @@
             match begun {
                 Begun::Started(work) => {
                     let life = self.servers[server].life;
-                    self.after(work.due - self.now, Event::Done { server, life, number: work.number });
+                    self.after(
+                        work.due - self.now,
+                        Event::Done {
+                            server,
+                            life,
+                            number: work.number,
+                        },
+                    );
                     let job = work.job;
-                    if let Some(mut it) = self.ops.all[job.op].take_if(|it| it.serial == job.serial) {
+                    if let Some(mut it) = self.ops.all[job.op].take_if(|it| it.serial == job.serial)
+                    {
                         let group = self.group(server, &it);
-                        self.judge.ran(self.now, &mut it.life, job.push, server, group);
+                        self.judge
+                            .ran(self.now, &mut it.life, job.push, server, group);
                         self.ops.all[job.op] = Some(it);
                     }
                 }
@@ -990,7 +1286,9 @@
     }
 
     fn answer_from(&mut self, server: usize, job: Job, ending: AttemptOutcome) {
-        let Job { op, serial, push, .. } = job;
+        let Job {
+            op, serial, push, ..
+        } = job;
         let Some(it) = self.live(op, serial) else {
             return;
         };
@@ -998,12 +1296,24 @@
         self.settle(op, serial, push);
         let (zone, from) = (self.nodes[node].zone, self.servers[server].zone);
         let weather = self.servers[server].weather;
-        if weather.silent || self.cut_answers[from][zone] || self.chances.faults.yes(weather.answers_lost) {
+        if weather.silent
+            || self.cut_answers[from][zone]
+            || self.chances.faults.yes(weather.answers_lost)
+        {
             return;
         }
         let load = self.load(server);
         let way = self.way(from, zone);
-        self.after(way, Event::Back { op, serial, push, ending, load });
+        self.after(
+            way,
+            Event::Back {
+                op,
+                serial,
+                push,
+                ending,
+                load,
+            },
+        );
     }
 
     fn done(&mut self, server: usize, life: u32, number: u64) {
@@ -1011,7 +1321,14 @@
             return;
         }
         match self.servers[server].done(self.now, number) {
-            Err(at) => self.after(at - self.now + 0.001, Event::Done { server, life, number }),
+            Err(at) => self.after(
+                at - self.now + 0.001,
+                Event::Done {
+                    server,
+                    life,
+                    number,
+                },
+            ),
             Ok(None) => {}
             Ok(Some(job)) => {
                 self.answer_from(server, job, AttemptOutcome::Succeeded);
@@ -1031,9 +1348,20 @@
             self.settle(job.op, job.serial, job.push);
             let Some(node) = node else { continue };
             let way = self.way(self.servers[server].zone, self.nodes[node].zone);
-            let Job { op, serial, push, .. } = job;
+            let Job {
+                op, serial, push, ..
+            } = job;
             let load = LoadReport::default();
-            self.after(way, Event::Back { op, serial, push, ending: AttemptOutcome::ConnectionLost, load });
+            self.after(
+                way,
+                Event::Back {
+                    op,
+                    serial,
+                    push,
+                    ending: AttemptOutcome::ConnectionLost,
+                    load,
+                },
+            );
         }
         if back_after.is_finite() {
             self.after(back_after, Event::Up { server });
@@ -1055,7 +1383,14 @@
         }
         let old = &self.servers[server];
         let mark = number(&format!("{} after {}", self.servers.len(), old.mark));
-        let new = Server::new(&old.machine, &self.script.duties, mark, old.zone, old.pod, self.now);
+        let new = Server::new(
+            &old.machine,
+            &self.script.duties,
+            mark,
+            old.zone,
+            old.pod,
+            self.now,
+        );
         self.servers.push(new);
         self.listed.push(true);
         self.clock_off.push(self.clock_off[server]);
@@ -1063,7 +1398,10 @@
         self.weathers();
         self.publish(self.line(fresh));
         self.listed[server] = false;
-        self.publish(EndpointUpdate { state: EndpointState::Draining, ..self.line(server) });
+        self.publish(EndpointUpdate {
+            state: EndpointState::Draining,
+            ..self.line(server)
+        });
         self.after(1000.0 * self.script.discovery.drain, Event::Gone { server });
     }
 
@@ -1076,7 +1414,11 @@
 
     fn weathers(&mut self) {
         let script = self.script;
-        let in_force: Vec<_> = self.in_force.iter().map(|(f, struck)| (&script.faults[*f], struck)).collect();
+        let in_force: Vec<_> = self
+            .in_force
+            .iter()
+            .map(|(f, struck)| (&script.faults[*f], struck))
+            .collect();
         for server in 0..self.servers.len() {
             self.servers[server].weather = weather(&in_force, server);
         }
@@ -1173,7 +1515,9 @@
         self.after(notice, Event::Noticed { node, life });
         self.after(back_after, Event::NodeUp { node, life });
         let held = |op: &Option<Op>| op.as_ref().is_some_and(|it| it.node == node);
-        let ops: Vec<usize> = (0..self.ops.all.len()).filter(|op| held(&self.ops.all[*op])).collect();
+        let ops: Vec<usize> = (0..self.ops.all.len())
+            .filter(|op| held(&self.ops.all[*op]))
+            .collect();
         for op in ops {
             let Some(mut it) = self.ops.all[op].take() else {
                 continue;
@@ -1182,9 +1526,9 @@
             let open = !it.answered && !it.left;
             it.left = true;
             let wish = it.wish;
-            let again = self.wishes.all[wish]
-                .as_ref()
-                .is_some_and(|w| self.script.categories[w.category].effect == Idempotency::Idempotent);
+            let again = self.wishes.all[wish].as_ref().is_some_and(|w| {
+                self.script.categories[w.category].effect == Idempotency::Idempotent
+            });
             let out: Vec<usize> = (0..it.pushes.len()).filter(|p| it.pushes[*p].out).collect();
             it.pushes.iter_mut().for_each(|p| p.out = false);
             self.ops.all[op] = Some(it);
@@ -1212,7 +1556,10 @@
         if self.nodes[node].life != life || self.nodes[node].up {
             return;
         }
-        let seed = self.seed.wrapping_add(u64::from(life) << 32).wrapping_add(node as u64);
+        let seed = self
+            .seed
+            .wrapping_add(u64::from(life) << 32)
+            .wrapping_add(node as u64);
         // It was made once from the same script.
         if let Ok(chooser) = Policy::new(self.how, self.script, node, seed) {
             let it = &mut self.nodes[node];
--- a/simulator/src/faults.rs
+++ b/simulator/src/faults.rs
@@ -13,10 +13,19 @@
 }
 
 /// Draws them when it begins, from a stream of the fault's own.
-pub fn strike(script: &Script, index: usize, seed: u64, servers: &[Server], listed: &[bool]) -> Struck {
+pub fn strike(
+    script: &Script,
+    index: usize,
+    seed: u64,
+    servers: &[Server],
+    listed: &[bool],
+) -> Struck {
     let fault = &script.faults[index];
     let mut rng = Stream::of(seed, &format!("fault {index}"));
-    let zone = fault.zone.as_ref().and_then(|name| script.zones.iter().position(|z| z == name));
+    let zone = fault
+        .zone
+        .as_ref()
+        .and_then(|name| script.zones.iter().position(|z| z == name));
     let mut part = |all: Vec<usize>| {
         // A drawn order, of which the first are taken: a larger part holds a smaller one.
         let mut drawn: Vec<(u64, usize)> = all.into_iter().map(|one| (rng.bits(), one)).collect();
@@ -26,19 +35,35 @@
         taken.sort_unstable();
         taken
     };
-    let of_kind = |s: &Server| fault.machine.as_ref().is_none_or(|kind| s.machine.kind == *kind);
+    let of_kind = |s: &Server| {
+        fault
+            .machine
+            .as_ref()
+            .is_none_or(|kind| s.machine.kind == *kind)
+    };
     let at = |s: &Server| zone.is_none_or(|zone| s.zone == zone);
-    let all = servers.iter().enumerate().filter(|(i, s)| s.up && listed[*i] && of_kind(s) && at(s));
+    let all = servers
+        .iter()
+        .enumerate()
+        .filter(|(i, s)| s.up && listed[*i] && of_kind(s) && at(s));
     let struck = part(all.map(|(i, _)| i).collect());
-    let nodes = (0..script.nodes).filter(|n| zone.is_none_or(|zone| n % script.zones.len() == zone));
-    Struck { servers: struck, nodes: part(nodes.collect()), zone }
+    let nodes =
+        (0..script.nodes).filter(|n| zone.is_none_or(|zone| n % script.zones.len() == zone));
+    Struck {
+        servers: struck,
+        nodes: part(nodes.collect()),
+        zone,
+    }
 }
 
 /// What the faults in force do to one server.
 pub fn weather(in_force: &[(&Fault, &Struck)], server: usize) -> Weather {
     let mut weather = Weather::default();
     let either = |a: f64, b: f64| 1.0 - (1.0 - a) * (1.0 - b);
-    for (fault, _) in in_force.iter().filter(|(_, struck)| struck.servers.binary_search(&server).is_ok()) {
+    for (fault, _) in in_force
+        .iter()
+        .filter(|(_, struck)| struck.servers.binary_search(&server).is_ok())
+    {
         let strength = fault.strength;
         match fault.kind {
             Kind::Slow => weather.slow *= strength,
@@ -57,7 +82,10 @@
 
 /// Which zones' words reach which: `cut[from][to]`.
 pub fn cuts(in_force: &[(&Fault, &Struck)], zones: usize) -> (Vec<Vec<bool>>, Vec<Vec<bool>>) {
-    let (mut asks, mut answers) = (vec![vec![false; zones]; zones], vec![vec![false; zones]; zones]);
+    let (mut asks, mut answers) = (
+        vec![vec![false; zones]; zones],
+        vec![vec![false; zones]; zones],
+    );
     for (fault, struck) in in_force {
         let Some(zone) = struck.zone else { continue };
         for other in (0..zones).filter(|other| *other != zone) {
--- a/simulator/src/invariants.rs
+++ b/simulator/src/invariants.rs
@@ -135,14 +135,29 @@
         if self.broken.len() < KEPT {
             let steps = life.map(|life| life.steps.as_slice()).unwrap_or_default();
             let told = |(at, step): &(f64, Step)| format!("{at:.3} ms  {step:?}");
-            self.broken.push(Broken { rule, at, what, life: steps.iter().map(told).collect() });
+            self.broken.push(Broken {
+                rule,
+                at,
+                what,
+                life: steps.iter().map(told).collect(),
+            });
         }
     }
 
     /// PolicyKind often each rule was broken, in their order. Of ops sent on for clients that had left, two are no breach.
     pub fn counts(&self) -> [u64; 5] {
         let [lost, twice, drain, cold] = self.counts;
-        [lost, twice, drain, cold, if self.sent_on >= CASES { self.sent_on } else { 0 }]
+        [
+            lost,
+            twice,
+            drain,
+            cold,
+            if self.sent_on >= CASES {
+                self.sent_on
+            } else {
+                0
+            },
+        ]
     }
 
     /// PolicyKind many clients left while their op waited, and how long after that each later push of theirs went out.
@@ -171,7 +186,14 @@
     }
 
     /// A push leaves its node. `draining` is when the node was told that this server drains or is gone.
-    pub fn pushed(&mut self, now: f64, life: &mut Life, server: usize, group: u64, draining: Option<f64>) {
+    pub fn pushed(
+        &mut self,
+        now: f64,
+        life: &mut Life,
+        server: usize,
+        group: u64,
+        draining: Option<f64>,
+    ) {
         let push = life.pushes.len();
         life.steps.push((now, Step::Pushed { push, server }));
         let known = |p: &&PushLife| !p.ended.is_some_and(AttemptOutcome::never_executed);
@@ -180,27 +202,44 @@
             Repeats::Freely => None,
             Repeats::Deduplicated { .. } => {
                 let outside = |p: &&&PushLife| p.group != group || now - p.at > life.window;
-                earlier.iter().find(outside).map(|_| "a repeat outside its group or window")
+                earlier
+                    .iter()
+                    .find(outside)
+                    .map(|_| "a repeat outside its group or window")
+            }
+            Repeats::Never => {
+                (!earlier.is_empty()).then_some("an at-most-once op that may have run")
             }
-            Repeats::Never => (!earlier.is_empty()).then_some("an at-most-once op that may have run"),
         };
         let late = now > life.ends + self.slack;
         let (answered, excused) = (life.answered, life.excused);
-        life.pushes.push(PushLife { group, at: now, ended: None });
+        life.pushes.push(PushLife {
+            group,
+            at: now,
+            ended: None,
+        });
         if answered || late || excused {
-            self.breaks(Rule::Lost, now, format!("push {push} to server {server} after its end"), Some(life));
+            self.breaks(
+                Rule::Lost,
+                now,
+                format!("push {push} to server {server} after its end"),
+                Some(life),
+            );
         }
         let since = life.left_at.map(|left| now - left);
         self.after_leaves.extend(since);
-        if since.is_some_and(|since| since > SENT_ON) && !std::mem::replace(&mut life.sent_on, true) {
+        if since.is_some_and(|since| since > SENT_ON) && !std::mem::replace(&mut life.sent_on, true)
+        {
             self.sent_on += 1;
         }
         if let Some(what) = twice {
             self.breaks(Rule::Twice, now, format!("push {push}: {what}"), Some(life));
         }
         if let Some(told) = draining.filter(|told| now > told + self.drain_grace) {
-            let what =
-                format!("push {push} to server {server}, told {:.0} ms ago that it drains", now - told);
+            let what = format!(
+                "push {push} to server {server}, told {:.0} ms ago that it drains",
+                now - told
+            );
             self.breaks(Rule::Drain, now, what, Some(life));
         }
     }
@@ -209,7 +248,10 @@
     pub fn ran(&mut self, now: f64, life: &mut Life, push: usize, server: usize, group: u64) {
         let window = life.window;
         let dropped = matches!(life.repeats, Repeats::Deduplicated { .. })
-            && life.ran.iter().any(|(at, in_group)| *in_group == group && now - at <= window);
+            && life
+                .ran
+                .iter()
+                .any(|(at, in_group)| *in_group == group && now - at <= window);
         if dropped {
             life.steps.push((now, Step::Dropped { push, server }));
             return;
@@ -234,16 +276,29 @@
         }
         life.answered = true;
         if now > life.ends + self.slack && !life.excused {
-            self.breaks(Rule::Lost, now, "answered after its time".into(), Some(life));
+            self.breaks(
+                Rule::Lost,
+                now,
+                "answered after its time".into(),
+                Some(life),
+            );
         }
-        let may_have_run = life.pushes.iter().any(|p| !p.ended.is_some_and(AttemptOutcome::never_executed));
+        let may_have_run = life
+            .pushes
+            .iter()
+            .any(|p| !p.ended.is_some_and(AttemptOutcome::never_executed));
         let harmless = match life.repeats {
             Repeats::Freely => true,
             Repeats::Deduplicated { fleet } => fleet || !may_have_run,
             Repeats::Never => !may_have_run,
         };
         if answer == Answer::Nacked && !harmless {
-            self.breaks(Rule::Twice, now, "nacked though it may have run".into(), Some(life));
+            self.breaks(
+                Rule::Twice,
+                now,
+                "nacked though it may have run".into(),
+                Some(life),
+            );
         }
     }
 
@@ -268,7 +323,12 @@
     /// Its time and the slack are over.
     pub fn due(&mut self, now: f64, life: &Life) {
         if !life.answered && !life.excused {
-            self.breaks(Rule::Lost, now, "no final answer in its time".into(), Some(life));
+            self.breaks(
+                Rule::Lost,
+                now,
+                "no final answer in its time".into(),
+                Some(life),
+            );
         }
     }
 
@@ -281,7 +341,10 @@
         }
         let window = &mut self.cold[server];
         window.push_back((now, ops));
-        while window.front().is_some_and(|(at, _)| now - at > self.fall_ms) {
+        while window
+            .front()
+            .is_some_and(|(at, _)| now - at > self.fall_ms)
+        {
             window.pop_front();
         }
         let pushed: f64 = window.iter().map(|(_, ops)| ops).sum();
@@ -290,7 +353,12 @@
             return false;
         }
         window.clear();
-        self.breaks(Rule::Cold, now, format!("server {server}: {pushed:.1} ops, {most:.1} allowed"), None);
+        self.breaks(
+            Rule::Cold,
+            now,
+            format!("server {server}: {pushed:.1} ops, {most:.1} allowed"),
+            None,
+        );
         true
     }
 }
--- a/simulator/src/policies.rs
+++ b/simulator/src/policies.rs
@@ -97,7 +97,8 @@
     pub fn new(how: PolicyKind, script: &Script, node: usize, seed: u64) -> Result<Self, String> {
         if how == PolicyKind::Module {
             let (_, given) = NameIndex::from_settings(&script.settings(node));
-            let dispatcher = Dispatcher::new(given, seed).map_err(|e| settings::explain_error(&e))?;
+            let dispatcher =
+                Dispatcher::new(given, seed).map_err(|e| settings::explain_error(&e))?;
             return Ok(Policy::Module(Box::new(dispatcher)));
         }
         Ok(Policy::Plain(Box::new(Plain {
@@ -115,14 +116,24 @@
         })))
     }
 
-    pub fn arrive(&mut self, now: f64, arrival: &NewRequest, truth: &dyn Fn(usize) -> Truth) -> NextSteps {
+    pub fn arrive(
+        &mut self,
+        now: f64,
+        arrival: &NewRequest,
+        truth: &dyn Fn(usize) -> Truth,
+    ) -> NextSteps {
         match self {
             Policy::Module(dispatcher) => dispatcher.request_arrived(now, arrival),
             Policy::Plain(plain) => plain.arrive(now, arrival, truth),
         }
     }
 
-    pub fn report(&mut self, now: f64, end: &AttemptResult, truth: &dyn Fn(usize) -> Truth) -> NextSteps {
+    pub fn report(
+        &mut self,
+        now: f64,
+        end: &AttemptResult,
+        truth: &dyn Fn(usize) -> Truth,
+    ) -> NextSteps {
         match self {
             Policy::Module(dispatcher) => dispatcher.attempt_ended(now, end),
             Policy::Plain(plain) => plain.report(now, end, truth),
@@ -166,11 +177,14 @@
 impl Plain {
     fn list(&mut self, lines: &[EndpointUpdate], whole: bool) {
         if whole && self.how != PolicyKind::PastDrains {
-            self.lines.iter_mut().for_each(|line| line.state = EndpointState::Removed);
+            self.lines
+                .iter_mut()
+                .for_each(|line| line.state = EndpointState::Removed);
         }
         for line in lines {
             if self.lines.len() <= line.endpoint {
-                self.lines.resize(line.endpoint + 1, EndpointUpdate::default());
+                self.lines
+                    .resize(line.endpoint + 1, EndpointUpdate::default());
                 self.out.resize(line.endpoint + 1, 0);
             }
             if self.how != PolicyKind::PastDrains || line.state == EndpointState::Ready {
@@ -179,17 +193,31 @@
         }
     }
 
-    fn arrive(&mut self, now: f64, arrival: &NewRequest, truth: &dyn Fn(usize) -> Truth) -> NextSteps {
+    fn arrive(
+        &mut self,
+        now: f64,
+        arrival: &NewRequest,
+        truth: &dyn Fn(usize) -> Truth,
+    ) -> NextSteps {
         self.taken += 1;
         if self.how == PolicyKind::Loses && self.taken.is_multiple_of(50) {
             return NextSteps::default();
         }
-        let op = PlainOp { category: arrival.class, ends: now + arrival.ttl_ms, pushes: Vec::new() };
+        let op = PlainOp {
+            category: arrival.class,
+            ends: now + arrival.ttl_ms,
+            pushes: Vec::new(),
+        };
         self.ops.insert(arrival.request, op);
         self.go_on(now, arrival.request, truth)
     }
 
-    fn report(&mut self, now: f64, end: &AttemptResult, truth: &dyn Fn(usize) -> Truth) -> NextSteps {
+    fn report(
+        &mut self,
+        now: f64,
+        end: &AttemptResult,
+        truth: &dyn Fn(usize) -> Truth,
+    ) -> NextSteps {
         let Some(op) = self.ops.get_mut(&end.request) else {
             return NextSteps::default();
         };
@@ -223,7 +251,12 @@
         let op = &self.ops[&id];
         let category = &self.categories[op.category];
         let left = op.ends - now;
-        let ran: Vec<(usize, f64)> = op.pushes.iter().filter(|p| p.2).map(|p| (p.0, p.1)).collect();
+        let ran: Vec<(usize, f64)> = op
+            .pushes
+            .iter()
+            .filter(|p| p.2)
+            .map(|p| (p.0, p.1))
+            .collect();
         let fits = |to: &EndpointUpdate| {
             let in_group = |from: usize| match category.group {
                 Group::Fleet => true,
@@ -234,17 +267,20 @@
                 && match category.effect {
                     _ if self.how == PolicyKind::Repeats => true,
                     Idempotency::Idempotent => true,
-                    Idempotency::IdempotentWithKey => {
-                        ran.iter().all(|(s, at)| in_group(*s) && now - at < 0.9 * category.window_ms)
-                    }
+                    Idempotency::IdempotentWithKey => ran
+                        .iter()
+                        .all(|(s, at)| in_group(*s) && now - at < 0.9 * category.window_ms),
                     Idempotency::NotIdempotent => ran.is_empty(),
                 }
         };
         let mut from: Vec<usize> = Vec::new();
         if op.pushes.len() < self.most && left > 0.0 {
             from.extend(self.lines.iter().filter(|l| fits(l)).map(|l| l.endpoint));
-            let fresh: Vec<usize> =
-                from.iter().copied().filter(|s| !op.pushes.iter().any(|p| p.0 == *s)).collect();
+            let fresh: Vec<usize> = from
+                .iter()
+                .copied()
+                .filter(|s| !op.pushes.iter().any(|p| p.0 == *s))
+                .collect();
             from = if fresh.is_empty() { from } else { fresh };
         }
         let target = category.target_ms;
@@ -254,7 +290,10 @@
                 let op = self.ops.get_mut(&id).expect("looked at above");
                 op.pushes.push((server, now, true, true));
                 NextSteps {
-                    attempts: vec![NewAttempt { endpoint: server, timeout_ms: left }],
+                    attempts: vec![NewAttempt {
+                        endpoint: server,
+                        timeout_ms: left,
+                    }],
                     ..NextSteps::default()
                 }
             }
@@ -270,10 +309,15 @@
             Idempotency::NotIdempotent => ran.is_empty(),
         };
         let given_up = match harmless {
-            true => FinalAnswer::Rejected { retry_after_ms: self.come_back.min(100.0) },
+            true => FinalAnswer::Rejected {
+                retry_after_ms: self.come_back.min(100.0),
+            },
             false => FinalAnswer::Failed,
         };
-        NextSteps { final_answer: Some(given_up), ..self.close(id) }
+        NextSteps {
+            final_answer: Some(given_up),
+            ..self.close(id)
+        }
     }
 
     fn pick(
@@ -294,7 +338,11 @@
             }
             PolicyKind::LeastOutstanding => {
                 let least = from.iter().map(|s| self.out[*s]).min()?;
-                let even: Vec<usize> = from.iter().copied().filter(|s| self.out[*s] == least).collect();
+                let even: Vec<usize> = from
+                    .iter()
+                    .copied()
+                    .filter(|s| self.out[*s] == least)
+                    .collect();
                 even[self.rng.under(even.len())]
             }
             PolicyKind::TwoChoices => {
@@ -312,7 +360,10 @@
                 return (takes < left.min(target)).then_some(server);
             }
             PolicyKind::Floods => *from.iter().max_by(|a, b| {
-                self.lines[**a].started_at_ms.total_cmp(&self.lines[**b].started_at_ms).then(b.cmp(a))
+                self.lines[**a]
+                    .started_at_ms
+                    .total_cmp(&self.lines[**b].started_at_ms)
+                    .then(b.cmp(a))
             })?,
             _ => drawn,
         })
--- a/simulator/src/results.rs
+++ b/simulator/src/results.rs
@@ -46,7 +46,11 @@
     }
 
     fn sum_up(&mut self) {
-        self.service = if self.most_worth > 0.0 { 100.0 * self.worth / self.most_worth } else { 100.0 };
+        self.service = if self.most_worth > 0.0 {
+            100.0 * self.worth / self.most_worth
+        } else {
+            100.0
+        };
     }
 }
 
@@ -134,14 +138,23 @@
 
 impl Tally {
     pub fn new(script: &Script) -> Self {
-        let named = |name: &String| Named { name: name.clone(), counts: Counts::default() };
+        let named = |name: &String| Named {
+            name: name.clone(),
+            counts: Counts::default(),
+        };
         let seconds = script.seconds.ceil() as usize;
         Tally {
             settle: 1000.0 * script.settle,
             all: Counts::default(),
             categories: script.categories.iter().map(|c| named(&c.name)).collect(),
-            worth: script.categories.iter().map(|c| (c.benefit, c.late_benefit)).collect(),
-            seconds: (0..seconds).map(|_| (Counts::default(), 0, 0, histogram())).collect(),
+            worth: script
+                .categories
+                .iter()
+                .map(|c| (c.benefit, c.late_benefit))
+                .collect(),
+            seconds: (0..seconds)
+                .map(|_| (Counts::default(), 0, 0, histogram()))
+                .collect(),
             latency: histogram(),
             by_server: Vec::new(),
             tries: 0,
@@ -203,7 +216,9 @@
         events: u64,
     ) -> RunResults {
         self.all.sum_up();
-        self.categories.iter_mut().for_each(|named| named.counts.sum_up());
+        self.categories
+            .iter_mut()
+            .for_each(|named| named.counts.sum_up());
         let l = &self.latency;
         let latency_ms = Latency {
             p50: at(l, 0.5),
@@ -222,10 +237,19 @@
                 let (mut counts, tries, pushes, latency) = it;
                 counts.sum_up();
                 let (p50_ms, p99_ms) = (at(&latency, 0.5), at(&latency, 0.99));
-                Second { at: second, counts, tries, pushes, p50_ms, p99_ms }
+                Second {
+                    at: second,
+                    counts,
+                    tries,
+                    pushes,
+                    p50_ms,
+                    p99_ms,
+                }
             })
             .collect();
-        let counted = seconds.iter().filter(|s| s.at >= settle && s.counts.wanted >= 10);
+        let counted = seconds
+            .iter()
+            .filter(|s| s.at >= settle && s.counts.wanted >= 10);
         let worst = counted.min_by(|a, b| a.counts.service.total_cmp(&b.counts.service));
         let worst_second = worst.map_or((0, 100.0), |s| (s.at, s.counts.service));
         let lives = judge.broken.iter().map(|b| {
@@ -233,7 +257,10 @@
                 "{}: {}\n{}",
                 b.rule.name(),
                 b.what,
-                b.life.iter().map(|l| format!("    {l}\n")).collect::<String>()
+                b.life
+                    .iter()
+                    .map(|l| format!("    {l}\n"))
+                    .collect::<String>()
             )
         });
         RunResults {
