--- a/simulator/src/script.rs
+++ b/simulator/src/script.rs
@@ -59,7 +59,14 @@
 
 impl Default for Way {
     fn default() -> Self {
-        Way { same_ms: 0.3, cross_ms: 4.0, jitter: 0.2, handshake: 2.0, connect_ms: 200.0, keepalive: 60.0 }
+        Way {
+            same_ms: 0.3,
+            cross_ms: 4.0,
+            jitter: 0.2,
+            handshake: 2.0,
+            connect_ms: 200.0,
+            keepalive: 60.0,
+        }
     }
 }
 
@@ -319,7 +326,10 @@
 
 impl Default for Discovery {
     fn default() -> Self {
-        Discovery { delay_ms: 100.0, drain: 4.0 }
+        Discovery {
+            delay_ms: 100.0,
+            drain: 4.0,
+        }
     }
 }
 
@@ -334,7 +344,11 @@
 
 impl Default for Reports {
     fn default() -> Self {
-        Reports { told: true, period_ms: 500.0, delay_ms: 150.0 }
+        Reports {
+            told: true,
+            period_ms: 500.0,
+            delay_ms: 150.0,
+        }
     }
 }
 
@@ -412,7 +426,11 @@
 }
 
 fn line_at(text: &str, place: usize) -> usize {
-    text.as_bytes()[..place.min(text.len())].iter().filter(|b| **b == b'\n').count() + 1
+    text.as_bytes()[..place.min(text.len())]
+        .iter()
+        .filter(|b| **b == b'\n')
+        .count()
+        + 1
 }
 
 /// The line of a key as `faults.2.strength`; the deepest part of it that is there.
@@ -429,9 +447,10 @@
                 let name = found.map(|(name, _)| name.clone());
                 name.and_then(|name| table.remove(&name))
             }
-            Some(DeValue::Array(array)) => {
-                part.parse::<usize>().ok().and_then(|index| array.into_iter().nth(index))
-            }
+            Some(DeValue::Array(array)) => part
+                .parse::<usize>()
+                .ok()
+                .and_then(|index| array.into_iter().nth(index)),
             _ => None,
         };
         let Some(found) = next else { break };
@@ -451,7 +470,11 @@
         key: String::new(),
         what: e.message().to_string(),
     })?;
-    check(&read).map_err(|(key, what)| ScriptError { line: line_of(text, &key), key, what })?;
+    check(&read).map_err(|(key, what)| ScriptError {
+        line: line_of(text, &key),
+        key,
+        what,
+    })?;
     Ok(read)
 }
 
@@ -463,14 +486,20 @@
 
     fn check(&self) -> Result<(), (String, String)> {
         let wrong = |key: &str, what: &str| Err((key.to_string(), what.to_string()));
-        let within = |key: &str, value: f64, least: f64, most: f64| match (least..=most).contains(&value) {
-            true => Ok(()),
-            false => Err((key.to_string(), format!("is {value}; it must lie between {least} and {most}"))),
-        };
+        let within =
+            |key: &str, value: f64, least: f64, most: f64| match (least..=most).contains(&value) {
+                true => Ok(()),
+                false => Err((
+                    key.to_string(),
+                    format!("is {value}; it must lie between {least} and {most}"),
+                )),
+            };
         within("seconds", self.seconds, 1.0, 86_400.0)?;
         within("settle", self.settle, 0.0, self.seconds - 1.0)?;
         within("nodes", self.nodes as f64, 1.0, 2000.0)?;
-        if self.zones.is_empty() || (1..self.zones.len()).any(|i| self.zones[..i].contains(&self.zones[i])) {
+        if self.zones.is_empty()
+            || (1..self.zones.len()).any(|i| self.zones[..i].contains(&self.zones[i]))
+        {
             return wrong("zones", "must name at least one zone, and none twice");
         }
         let (way, duties) = (&self.way, &self.duties);
@@ -522,7 +551,9 @@
             within(&key("sigma"), category.sigma, 0.0, 3.0)?;
             within(&key("key_miss"), category.key_miss, 1.0, 100.0)?;
             within(&key("tail"), category.tail.unwrap_or(2.0), 1.05, 100.0)?;
-            if category.name.is_empty() || self.categories[..k].iter().any(|c| c.name == category.name) {
+            if category.name.is_empty()
+                || self.categories[..k].iter().any(|c| c.name == category.name)
+            {
                 return wrong(&key("name"), "is empty, or another category has it");
             }
         }
@@ -551,7 +582,10 @@
             (None, Some(share)) => within("load.share", share, 0.001, 10.0)?,
             _ => return wrong("load", "must have either rate or share"),
         }
-        for (list, name) in [(&self.load.bursts, "load.bursts"), (&self.load.hot, "load.hot")] {
+        for (list, name) in [
+            (&self.load.bursts, "load.bursts"),
+            (&self.load.hot, "load.hot"),
+        ] {
             for (k, burst) in list.iter().enumerate() {
                 within(&format!("{name}.{k}.at"), burst.at, 0.0, self.seconds)?;
                 within(&format!("{name}.{k}.for"), burst.lasts, 0.0, 86_400.0)?;
@@ -570,10 +604,18 @@
                 _ => (0.0, 1e5),
             };
             within(&key("strength"), fault.strength, least, most)?;
-            if fault.zone.as_ref().is_some_and(|zone| !self.zones.contains(zone)) {
+            if fault
+                .zone
+                .as_ref()
+                .is_some_and(|zone| !self.zones.contains(zone))
+            {
                 return wrong(&key("zone"), "names no zone of this script");
             }
-            if fault.machine.as_ref().is_some_and(|kind| !self.machines.iter().any(|m| m.kind == *kind)) {
+            if fault
+                .machine
+                .as_ref()
+                .is_some_and(|kind| !self.machines.iter().any(|m| m.kind == *kind))
+            {
                 return wrong(&key("machine"), "names no kind of machine of this script");
             }
             if matches!(fault.kind, Kind::ZoneCut | Kind::OneWayCut) && fault.zone.is_none() {
@@ -586,14 +628,25 @@
     /// Ops a second that all servers can do when warm.
     pub fn capacity(&self) -> f64 {
         let weights: f64 = self.categories.iter().map(|c| c.weight).sum();
-        let work = self.categories.iter().map(|c| c.weight * c.work_ms).sum::<f64>() / weights.max(1e-9);
-        let speed: f64 = self.machines.iter().map(|m| (m.count * m.cores) as f64 * m.speed).sum();
+        let work = self
+            .categories
+            .iter()
+            .map(|c| c.weight * c.work_ms)
+            .sum::<f64>()
+            / weights.max(1e-9);
+        let speed: f64 = self
+            .machines
+            .iter()
+            .map(|m| (m.count * m.cores) as f64 * m.speed)
+            .sum();
         1000.0 * speed / work
     }
 
     /// Ops a second that clients bring, before waves and bursts.
     pub fn rate(&self) -> f64 {
-        self.load.rate.unwrap_or_else(|| self.load.share.unwrap_or(0.5) * self.capacity())
+        self.load
+            .rate
+            .unwrap_or_else(|| self.load.share.unwrap_or(0.5) * self.capacity())
     }
 
     /// The settings that a node is given, in the platform's form (docs/architecture.md).
--- a/simulator/src/server.rs
+++ b/simulator/src/server.rs
@@ -138,7 +138,11 @@
 
     /// Work of a core a millisecond now.
     pub fn speed(&self, now: f64) -> f64 {
-        let tipped = self.machine.tips.filter(|_| self.tipped).map_or(1.0, |tips| tips.to);
+        let tipped = self
+            .machine
+            .tips
+            .filter(|_| self.tipped)
+            .map_or(1.0, |tips| tips.to);
         self.machine.speed * self.able(now) * tipped / self.weather.slow
     }
 
@@ -161,17 +165,29 @@
         if self.machine.drops_expired && job.ends <= now {
             return Some(Begun::Expired(job));
         }
-        if self.machine.tips.is_some_and(|tips| now - job.came > tips.after_ms) {
+        if self
+            .machine
+            .tips
+            .is_some_and(|tips| now - job.came > tips.after_ms)
+        {
             // Danger it plays: waiting leaves it slow after the waiting has stopped.
             (self.tipped, self.relieved_since) = (true, None);
         }
         let place = (job.key % self.keys.len() as u64) as usize;
         let known = job.key == 0 || self.keys[place] == job.key;
-        self.keys[place] = if job.key == 0 { self.keys[place] } else { job.key };
+        self.keys[place] = if job.key == 0 {
+            self.keys[place]
+        } else {
+            job.key
+        };
         let work = job.work * if known { 1.0 } else { job.key_miss };
         let due = now.max(self.stopped_until) + work / self.speed(now).max(1e-6);
         self.next += 1;
-        let at_work = AtWork { job, due, number: self.next };
+        let at_work = AtWork {
+            job,
+            due,
+            number: self.next,
+        };
         self.at_work.push(at_work);
         Some(Begun::Started(at_work))
     }
@@ -212,7 +228,11 @@
             self.relax(now);
             return true;
         }
-        let place = self.at_work.iter().position(|w| it(&w.job)).filter(|_| self.machine.stops);
+        let place = self
+            .at_work
+            .iter()
+            .position(|w| it(&w.job))
+            .filter(|_| self.machine.stops);
         if let Some(place) = place {
             self.at_work.swap_remove(place);
             self.relax(now);
@@ -230,7 +250,10 @@
         self.keys.fill(0);
         self.told.clear();
         let queue = std::mem::take(&mut self.queue);
-        queue.into_iter().chain(std::mem::take(&mut self.at_work).into_iter().map(|w| w.job)).collect()
+        queue
+            .into_iter()
+            .chain(std::mem::take(&mut self.at_work).into_iter().map(|w| w.job))
+            .collect()
     }
 
     /// What it says of itself: held and waiting, as they were when its report was taken.
@@ -243,8 +266,14 @@
         while self.told.get(1).is_some_and(|(at, ..)| *at <= old) || self.told.len() > 256 {
             self.told.pop_front();
         }
-        let (_, held, waiting) = self.told.front().filter(|(at, ..)| *at <= old && !self.weather.missing)?;
-        Some((*held as f64 * self.weather.wrong, *waiting as f64 * self.weather.wrong))
+        let (_, held, waiting) = self
+            .told
+            .front()
+            .filter(|(at, ..)| *at <= old && !self.weather.missing)?;
+        Some((
+            *held as f64 * self.weather.wrong,
+            *waiting as f64 * self.weather.wrong,
+        ))
     }
 }
 
@@ -264,19 +293,34 @@
     }
 
     fn job(push: usize, came: f64) -> Job {
-        Job { op: 1, serial: 1, push, work: 10.0, came, ends: 1e9, key: 0, key_miss: 1.0 }
+        Job {
+            op: 1,
+            serial: 1,
+            push,
+            work: 10.0,
+            came,
+            ends: 1e9,
+            key: 0,
+            key_miss: 1.0,
+        }
     }
 
     #[test]
     fn cores_and_queue_are_bounded_and_a_core_is_given_on() {
         let mut server = one("");
         assert!((0..5).all(|push| server.offer(0.0, job(push, 0.0))));
-        assert!(!server.offer(0.0, job(5, 0.0)), "two at work and three waiting are all");
+        assert!(
+            !server.offer(0.0, job(5, 0.0)),
+            "two at work and three waiting are all"
+        );
         let mut started = Vec::new();
         while let Some(Begun::Started(work)) = server.begin(0.0) {
             started.push(work);
         }
-        assert_eq!(started.iter().map(|w| w.due).collect::<Vec<_>>(), [10.0, 10.0]);
+        assert_eq!(
+            started.iter().map(|w| w.due).collect::<Vec<_>>(),
+            [10.0, 10.0]
+        );
         assert!(server.done(10.0, started[0].number).unwrap().is_some());
         assert!(matches!(server.begin(10.0), Some(Begun::Started(w)) if w.due == 20.0));
         assert_eq!(server.held(), 4);
@@ -286,13 +330,17 @@
     fn a_box_that_waited_too_long_stays_slow_until_it_is_relieved() {
         let mut server = one("tips = { after_ms = 50, to = 0.2, relief = 0.5, relief_for = 2 }");
         server.offer(0.0, job(0, -60.0));
-        let Some(Begun::Started(work)) = server.begin(0.0) else { panic!("a core is free") };
+        let Some(Begun::Started(work)) = server.begin(0.0) else {
+            panic!("a core is free")
+        };
         assert!(server.tipped && work.due == 50.0, "{work:?}");
         server.done(50.0, work.number).unwrap();
         // The waiting is over, and it is slow still, for as long as it has not rested.
         server.offer(1000.0, job(1, 1000.0));
         assert!(server.tipped);
-        let Some(Begun::Started(work)) = server.begin(1000.0) else { panic!("a core is free") };
+        let Some(Begun::Started(work)) = server.begin(1000.0) else {
+            panic!("a core is free")
+        };
         server.done(work.due, work.number).unwrap();
         server.offer(2100.0, job(2, 2100.0));
         assert!(!server.tipped, "two seconds under half of its cores");
@@ -304,7 +352,9 @@
         for push in 0..3 {
             server.offer(0.0, job(push, 0.0));
         }
-        let Some(Begun::Started(first)) = server.begin(0.0) else { panic!("a core is free") };
+        let Some(Begun::Started(first)) = server.begin(0.0) else {
+            panic!("a core is free")
+        };
         server.begin(0.0);
         assert!(server.call_off(1.0, 1, 1, 2), "it still waited");
         assert!(!server.call_off(1.0, 1, 1, 0), "work goes on here");
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -52,7 +52,11 @@
             return times;
         }
         // A burst: what comes within 700 ms comes at its end.
-        times.push(if demand.kind == 2 { (at / 700.0).ceil() * 700.0 } else { at + from });
+        times.push(if demand.kind == 2 {
+            (at / 700.0).ceil() * 700.0
+        } else {
+            at + from
+        });
     }
 }
 
@@ -73,10 +77,22 @@
 
 /// The calls that a node sends to a server that starts cold, where that bears so much of the node in the usual. It
 /// is told so many nodes.
-fn calls(number: usize, told: usize, rate: f64, (demand, befalls): (Demand, Befalls), seed: u64) -> Vec<f64> {
+fn calls(
+    number: usize,
+    told: usize,
+    rate: f64,
+    (demand, befalls): (Demand, Befalls),
+    seed: u64,
+) -> Vec<f64> {
     let mut balancer = Balancer::new(given(number, told), seed).expect("all duties are given");
     let out = &mut Sent::default();
-    balancer.update_endpoints(out, START - 1.0, &[line(0, EndpointState::Ready, 0.0)], true, false);
+    balancer.update_endpoints(
+        out,
+        START - 1.0,
+        &[line(0, EndpointState::Ready, 0.0)],
+        true,
+        false,
+    );
     let learnt = EndpointStatistics {
         best_relative_latency: 1.0,
         concurrency_limit: 1000.0,
@@ -91,20 +107,39 @@
         classes: TIMES.map(|time| (time, 1e6)).to_vec(),
         endpoints: vec![(0, learnt)],
     });
-    balancer.update_endpoints(out, START, &[line(0, EndpointState::Ready, START)], false, false);
+    balancer.update_endpoints(
+        out,
+        START,
+        &[line(0, EndpointState::Ready, START)],
+        false,
+        false,
+    );
     let mut rng = oorandom::Rand64::new(u128::from(seed) << 1);
     let (mut calls, mut next) = (Vec::new(), 600.0 * rng.rand_float());
     for (op, at) in arrivals(demand, rate, &mut rng).into_iter().enumerate() {
         if at >= next && befalls == Befalls::Reloads {
-            balancer.update_settings(given(number, told)).expect("all duties are given");
+            balancer
+                .update_settings(given(number, told))
+                .expect("all duties are given");
         } else if at >= next && befalls == Befalls::Upgrades {
-            let mut newer = Balancer::new(given(number, told), rng.rand_u64()).expect("all duties are given");
-            newer.update_endpoints(out, START + at, &[line(0, EndpointState::Ready, START)], true, false);
+            let mut newer =
+                Balancer::new(given(number, told), rng.rand_u64()).expect("all duties are given");
+            newer.update_endpoints(
+                out,
+                START + at,
+                &[line(0, EndpointState::Ready, START)],
+                true,
+                false,
+            );
             newer.restore_learned_state(&balancer.learned_state());
             balancer = newer;
         }
         next = if at >= next { at + 600.0 } else { next };
-        let category = if demand.light { 0 } else { rng.rand_range(0..3) as usize };
+        let category = if demand.light {
+            0
+        } else {
+            rng.rand_range(0..3) as usize
+        };
         let arrival = NewRequest {
             request: op,
             class: category,
@@ -117,7 +152,11 @@
         if out.0.take() == Some(op) {
             calls.push(at);
             // Answered in its usual time; in this model nothing is ever in flight.
-            let (ending, took, load) = (AttemptOutcome::Succeeded, TIMES[category], LoadReport::default());
+            let (ending, took, load) = (
+                AttemptOutcome::Succeeded,
+                TIMES[category],
+                LoadReport::default(),
+            );
             let end = AttemptResult {
                 request: op,
                 attempt: 0,
@@ -138,17 +177,33 @@
     let mut rng = oorandom::Rand64::new(u128::from(seed) * 7919 + nodes as u128);
     // The budget of the first window, 3 to 300 calls, and demand; nodes' traffic is unequal, up to thirty times.
     let budget = 3.0 * 100.0_f64.powf(rng.rand_float());
-    let demand = Demand { kind: rng.rand_range(0..4) as usize, light: rng.rand_float() < 0.3 };
+    let demand = Demand {
+        kind: rng.rand_range(0..4) as usize,
+        light: rng.rand_float() < 0.3,
+    };
     // Every other play has something befall all nodes, and tells them half or twice their number.
-    let befalls = [Befalls::Nothing, Befalls::Nothing, Befalls::Reloads, Befalls::Upgrades];
+    let befalls = [
+        Befalls::Nothing,
+        Befalls::Nothing,
+        Befalls::Reloads,
+        Befalls::Upgrades,
+    ];
     let befalls = befalls[rng.rand_range(0..4) as usize];
     let told = [nodes, nodes, nodes.div_ceil(2), 2 * nodes][rng.rand_range(0..4) as usize];
-    let weights: Vec<f64> = (0..nodes).map(|_| 30.0_f64.powf(rng.rand_float())).collect();
+    let weights: Vec<f64> = (0..nodes)
+        .map(|_| 30.0_f64.powf(rng.rand_float()))
+        .collect();
     let all: f64 = weights.iter().sum();
     let bears = budget / (MULTIPLE * SHARE * WINDOW);
     let mut at: Vec<f64> = Vec::new();
     for (number, weight) in weights.iter().enumerate() {
-        at.extend(calls(number, told, bears * weight / all, (demand, befalls), rng.rand_u64()));
+        at.extend(calls(
+            number,
+            told,
+            bears * weight / all,
+            (demand, befalls),
+            rng.rand_u64(),
+        ));
     }
     at.sort_unstable_by(f64::total_cmp);
     let budget_at = |from: f64| {
@@ -170,15 +225,28 @@
 /// Plays so many seeds on all processors: how many went over, the worst, and the mean share used.
 fn plays(nodes: usize, seeds: u64) -> (usize, f64, f64) {
     let lanes = 8;
-    let one =
-        move |lane| (0..seeds).filter(move |s| s % lanes == lane).map(|seed| play(nodes, seed)).collect();
+    let one = move |lane| {
+        (0..seeds)
+            .filter(move |s| s % lanes == lane)
+            .map(|seed| play(nodes, seed))
+            .collect()
+    };
     let all: Vec<(f64, f64)> = thread::scope(|scope| {
-        let lanes: Vec<_> = (0..lanes).map(|lane| scope.spawn(move || -> Vec<_> { one(lane) })).collect();
-        lanes.into_iter().flat_map(|lane| lane.join().expect("it plays")).collect()
+        let lanes: Vec<_> = (0..lanes)
+            .map(|lane| scope.spawn(move || -> Vec<_> { one(lane) }))
+            .collect();
+        lanes
+            .into_iter()
+            .flat_map(|lane| lane.join().expect("it plays"))
+            .collect()
     });
     let over = all.iter().filter(|(worst, _)| *worst > 2.0).count();
     let worst = all.iter().map(|(worst, _)| *worst).fold(f64::MIN, f64::max);
-    (over, worst, all.iter().map(|(_, used)| used).sum::<f64>() / all.len() as f64)
+    (
+        over,
+        worst,
+        all.iter().map(|(_, used)| used).sum::<f64>() / all.len() as f64,
+    )
 }
 
 fn no_play_goes_over(seeds: u64) {
@@ -189,7 +257,10 @@
         );
         (nodes, over, worst)
     });
-    assert!(told.iter().all(|(_, over, _)| *over == 0), "nodes, plays over, worst: {told:?}");
+    assert!(
+        told.iter().all(|(_, over, _)| *over == 0),
+        "nodes, plays over, worst: {told:?}"
+    );
 }
 
 #[test]
--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -5,7 +5,8 @@
 use crankmux::dispatcher::{Dispatcher, FinalAnswer, NextSteps};
 use crankmux::settings::{set_load_value, NameIndex};
 use crankmux::types::{
-    AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, Idempotency, LoadReport, NewRequest,
+    AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, Idempotency, LoadReport,
+    NewRequest,
 };
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,7 +30,11 @@
         play.settle(|_| ACK);
     }
     let counts = play.run(20, 5.0, |_| ACK);
-    assert_eq!(counts.values().sum::<usize>(), 20, "no lasting refusal of all: {counts:?}");
+    assert_eq!(
+        counts.values().sum::<usize>(),
+        20,
+        "no lasting refusal of all: {counts:?}"
+    );
 }
 
 #[test]
@@ -83,7 +88,10 @@
             play.op(0);
             play.pass(20.0);
             while let Some((op, push)) = play.out().pop() {
-                let load = LoadReport { queued: Some(waiting), ..LoadReport::default() };
+                let load = LoadReport {
+                    queued: Some(waiting),
+                    ..LoadReport::default()
+                };
                 play.end_with(op, push, AttemptOutcome::Rejected, load);
             }
         }
@@ -91,7 +99,11 @@
         for _ in 0..6 {
             play.op(0);
         }
-        assert!(held.contains(&play.out().len()), "{} in flight, {waiting} waiting", play.out().len());
+        assert!(
+            held.contains(&play.out().len()),
+            "{} in flight, {waiting} waiting",
+            play.out().len()
+        );
     }
 }
 
@@ -135,7 +147,14 @@
 fn drained_and_missing_servers_get_nothing_new() {
     let mut play = Play::new(3);
     play.list(&[line(0, EndpointState::Draining, 0.0)], false, false);
-    play.list(&[line(0, EndpointState::Draining, 0.0), line(1, EndpointState::Ready, 0.0)], true, false);
+    play.list(
+        &[
+            line(0, EndpointState::Draining, 0.0),
+            line(1, EndpointState::Ready, 0.0),
+        ],
+        true,
+        false,
+    );
     let counts = play.run(30, 5.0, |_| ACK);
     assert_eq!(counts.keys().copied().collect::<Vec<_>>(), [1]);
 }
@@ -146,8 +165,14 @@
     play.list(&[line(server, EndpointState::Ready, start)], false, false);
     play.run(1600, 5.0, |_| ACK);
     let pushes = play.model.ops.iter().flat_map(|o| &o.pushes);
-    let at: Vec<f64> = pushes.filter(|p| p.server == server && p.at >= start).map(|p| p.at).collect();
-    at.iter().map(|a| at.iter().filter(|b| (*a..*a + 1000.0).contains(*b)).count()).max().unwrap_or(0)
+    let at: Vec<f64> = pushes
+        .filter(|p| p.server == server && p.at >= start)
+        .map(|p| p.at)
+        .collect();
+    at.iter()
+        .map(|a| at.iter().filter(|b| (*a..*a + 1000.0).contains(*b)).count())
+        .max()
+        .unwrap_or(0)
 }
 
 #[test]
@@ -169,7 +194,10 @@
         play.run(2000, 5.0, |_| ACK);
         let start = play.model.now;
         play.list(&[line(server, EndpointState::Ready, start)], false, false);
-        play.run(1000, 5.0, |_| ACK).get(&server).copied().unwrap_or(0)
+        play.run(1000, 5.0, |_| ACK)
+            .get(&server)
+            .copied()
+            .unwrap_or(0)
     };
     assert!(first(0) > first(4), "{} and {}", first(0), first(4));
 }
@@ -190,10 +218,17 @@
     let op = play.op(1);
     play.end(op, 0, AttemptOutcome::Failed);
     let pushes = &play.model.ops[op].pushes;
-    assert_eq!((pushes.len(), pushes[0].server / 3), (2, pushes[1].server / 3));
+    assert_eq!(
+        (pushes.len(), pushes[0].server / 3),
+        (2, pushes[1].server / 3)
+    );
     play.pass(690.0);
     play.settle(|_| Some(AttemptOutcome::Failed));
-    assert_eq!(play.model.ops[op].answers, ["dead-lettered"], "too near the window's end");
+    assert_eq!(
+        play.model.ops[op].answers,
+        ["dead-lettered"],
+        "too near the window's end"
+    );
 }
 
 #[test]
@@ -209,7 +244,10 @@
     }
     assert_eq!(play.model.follows, 9);
     // They grow, and stay so short that three failures and their waits are over within 6 s.
-    assert!(waits[4] > 4.0 * waits[0] && waits.iter().all(|w| *w <= 450.0), "{waits:?}");
+    assert!(
+        waits[4] > 4.0 * waits[0] && waits.iter().all(|w| *w <= 450.0),
+        "{waits:?}"
+    );
 }
 
 #[test]
@@ -236,7 +274,10 @@
     }
     let held = play.out().len();
     play.end(op, 0, AttemptOutcome::Failed);
-    assert_eq!((play.model.ops[op].pushes.len(), play.out().len()), (2, held));
+    assert_eq!(
+        (play.model.ops[op].pushes.len(), play.out().len()),
+        (2, held)
+    );
     assert!(play.model.ops[op].answers.is_empty(), "not dead-lettered");
 }
 
@@ -266,12 +307,20 @@
             continue;
         }
         let (op, server) = under_way.remove(0);
-        let busy = Some(if server == 0 { 0.27 + f64::from(n % 7) / 100.0 } else { 0.3 });
+        let busy = Some(if server == 0 {
+            0.27 + f64::from(n % 7) / 100.0
+        } else {
+            0.3
+        });
         play.end_with(
             op,
             0,
             AttemptOutcome::Succeeded,
-            LoadReport { queued: Some(0.0), in_flight: None, cpu_utilization: busy },
+            LoadReport {
+                queued: Some(0.0),
+                in_flight: None,
+                cpu_utilization: busy,
+            },
         );
     }
     assert!(counts[0] > counts[1], "{counts:?}");
@@ -290,7 +339,12 @@
         }
         play.out().len()
     };
-    assert!(served(true) > served(false), "{} and {}", served(true), served(false));
+    assert!(
+        served(true) > served(false),
+        "{} and {}",
+        served(true),
+        served(false)
+    );
 }
 
 /// The servers that each of `nodes` nodes draws from, seen by what it sends.
@@ -305,15 +359,24 @@
 
 #[test]
 fn all_nodes_together_cover_every_server_evenly() {
-    let lines: Vec<_> = (0..50).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
+    let lines: Vec<_> = (0..50)
+        .map(|s| line(s, EndpointState::Ready, 0.0))
+        .collect();
     let before = parts(100, &lines);
     let nodes_of = |s: usize| before.iter().filter(|part| part.contains(&s)).count();
     let counts: Vec<usize> = (0..50).map(nodes_of).collect();
     assert!(counts.iter().all(|c| (4..=12).contains(c)), "{counts:?}");
     let after = parts(100, &lines[1..]);
-    let kept: usize = before.iter().zip(&after).map(|(b, a)| b.intersection(a).count()).sum();
+    let kept: usize = before
+        .iter()
+        .zip(&after)
+        .map(|(b, a)| b.intersection(a).count())
+        .sum();
     let all: usize = before.iter().map(BTreeSet::len).sum();
-    assert!(kept * 10 >= all * 7, "{kept} of {all} kept when one server goes");
+    assert!(
+        kept * 10 >= all * 7,
+        "{kept} of {all} kept when one server goes"
+    );
 }
 
 #[test]
@@ -321,11 +384,19 @@
     let mut play = Play::with(node(3, 100), 50);
     let own: BTreeSet<usize> = play.run(150, 5.0, |_| ACK).into_keys().collect();
     let fate = |server| {
-        Some(if own.contains(&server) { AttemptOutcome::Unreachable } else { AttemptOutcome::Succeeded })
+        Some(if own.contains(&server) {
+            AttemptOutcome::Unreachable
+        } else {
+            AttemptOutcome::Succeeded
+        })
     };
     play.run(400, 20.0, fate);
     let counts = play.run(200, 20.0, fate);
-    let others: usize = counts.iter().filter(|(s, _)| !own.contains(s)).map(|(_, n)| n).sum();
+    let others: usize = counts
+        .iter()
+        .filter(|(s, _)| !own.contains(s))
+        .map(|(_, n)| n)
+        .sum();
     assert!(others >= 150, "{others} pushes beyond {own:?}: {counts:?}");
 }
 
@@ -343,9 +414,16 @@
         play.pass(5.0 * (number % 100) as f64);
         play.run(6, 500.0, |_| ACK);
         let pushes = play.model.ops.iter().flat_map(|o| &o.pushes);
-        at.extend(pushes.filter(|p| p.server == 0 && p.at >= start).map(|p| p.at));
+        at.extend(
+            pushes
+                .filter(|p| p.server == 0 && p.at >= start)
+                .map(|p| p.at),
+        );
     }
-    let most = at.iter().map(|a| at.iter().filter(|b| (*a..*a + 1000.0).contains(*b)).count()).max();
+    let most = at
+        .iter()
+        .map(|a| at.iter().filter(|b| (*a..*a + 1000.0).contains(*b)).count())
+        .max();
     assert!((1..=8).contains(&most.unwrap_or(0)), "{most:?} in a second");
 }
 
@@ -359,7 +437,10 @@
     let mut play = Play::with(given, 4);
     for _ in 0..40 {
         let op = play.op_of(0, Some(0), false);
-        assert!(play.model.ops[op].pushes.len() == 1, "nacked with nothing in flight");
+        assert!(
+            play.model.ops[op].pushes.len() == 1,
+            "nacked with nothing in flight"
+        );
         play.pass(10_000.0 - TTL / 2.0);
         play.settle(|_| ACK);
     }
@@ -372,7 +453,11 @@
     for round in 0..40 {
         let bad = round < 10 || (20..30).contains(&round);
         let counts = play.run(25, 20.0, |s| {
-            Some(if s == 2 && bad { AttemptOutcome::Failed } else { AttemptOutcome::Succeeded })
+            Some(if s == 2 && bad {
+                AttemptOutcome::Failed
+            } else {
+                AttemptOutcome::Succeeded
+            })
         });
         sick += counts.get(&2).copied().unwrap_or(0);
         sound += counts.get(&1).copied().unwrap_or(0);
@@ -383,33 +468,59 @@
 #[test]
 fn a_zone_cut_off_is_left_to_the_others() {
     let mut play = Play::new(6);
-    let fate = |server: usize| Some([AttemptOutcome::Unreachable, AttemptOutcome::Succeeded][server % 2]);
+    let fate =
+        |server: usize| Some([AttemptOutcome::Unreachable, AttemptOutcome::Succeeded][server % 2]);
     play.run(300, 20.0, fate);
     let from = play.model.ops.len();
     let counts = play.run(200, 20.0, fate);
-    let cut: usize = counts.iter().filter(|(s, _)| *s % 2 == 0).map(|(_, n)| n).sum();
+    let cut: usize = counts
+        .iter()
+        .filter(|(s, _)| *s % 2 == 0)
+        .map(|(_, n)| n)
+        .sum();
     assert!(cut < 40, "{counts:?}");
-    assert!(play.model.ops[from..].iter().all(|o| o.answers == ["acked"]), "another push may go at once");
+    assert!(
+        play.model.ops[from..]
+            .iter()
+            .all(|o| o.answers == ["acked"]),
+        "another push may go at once"
+    );
 }
 
 #[test]
 fn a_single_server_left_takes_what_it_can() {
     let mut play = Play::new(3);
-    play.list(&[line(1, EndpointState::Removed, 0.0), line(2, EndpointState::Draining, 0.0)], false, false);
+    play.list(
+        &[
+            line(1, EndpointState::Removed, 0.0),
+            line(2, EndpointState::Draining, 0.0),
+        ],
+        false,
+        false,
+    );
     let counts = play.run(100, 20.0, |_| ACK);
     assert_eq!(counts.get(&0), Some(&100), "{counts:?}");
 }
 
 #[test]
 fn odd_lists_and_counts_are_borne() {
-    let twice = [line(0, EndpointState::Ready, 0.0), line(0, EndpointState::Draining, 0.0)];
+    let twice = [
+        line(0, EndpointState::Ready, 0.0),
+        line(0, EndpointState::Draining, 0.0),
+    ];
     let mut play = Play::with(node(9, 0), 0);
     play.op(0);
     assert_eq!(play.model.ops[0].answers, ["nacked"], "an empty list");
     play.list(&twice, true, false);
     play.op(0);
-    assert_eq!(play.model.ops[1].answers, ["nacked"], "the later line holds");
-    let many: Vec<_> = (0..3000).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
+    assert_eq!(
+        play.model.ops[1].answers,
+        ["nacked"],
+        "the later line holds"
+    );
+    let many: Vec<_> = (0..3000)
+        .map(|s| line(s, EndpointState::Ready, 0.0))
+        .collect();
     play.list(&many, true, false);
     let counts = play.run(50, 20.0, |_| ACK);
     assert_eq!(counts.values().sum::<usize>(), 50);
@@ -420,10 +531,20 @@
     let mut dispatcher = Dispatcher::new(duties(), 7).expect("all duties are given");
     let lines: Vec<_> = (0..2).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
     dispatcher.update_endpoints(50_000.0, &lines, true, true);
-    assert_eq!(dispatcher.next_tick(), Some(0.0), "a cached list is to be followed at once");
+    assert_eq!(
+        dispatcher.next_tick(),
+        Some(0.0),
+        "a cached list is to be followed at once"
+    );
     assert!(dispatcher.take_list_request() && !dispatcher.take_list_request());
-    let arrival =
-        NewRequest { request: 3, class: 2, tenant: None, ttl_ms: TTL, client_retry: false, key: None };
+    let arrival = NewRequest {
+        request: 3,
+        class: 2,
+        tenant: None,
+        ttl_ms: TTL,
+        client_retry: false,
+        key: None,
+    };
     let first = dispatcher.request_arrived(50_000.0, &arrival);
     assert_eq!((first.attempts.len(), first.final_answer), (1, None));
     let end = |push, ending| AttemptResult {
@@ -437,8 +558,14 @@
     let second = dispatcher.attempt_ended(50_005.0, &end(0, AttemptOutcome::Rejected));
     assert_ne!(second.attempts[0].endpoint, first.attempts[0].endpoint);
     let last = dispatcher.attempt_ended(50_010.0, &end(1, AttemptOutcome::Failed));
-    assert_eq!((last.attempts.len(), last.final_answer), (0, Some(FinalAnswer::Failed)));
-    assert_eq!(dispatcher.attempt_ended(50_020.0, &end(1, AttemptOutcome::Failed)), NextSteps::default());
+    assert_eq!(
+        (last.attempts.len(), last.final_answer),
+        (0, Some(FinalAnswer::Failed))
+    );
+    assert_eq!(
+        dispatcher.attempt_ended(50_020.0, &end(1, AttemptOutcome::Failed)),
+        NextSteps::default()
+    );
     dispatcher.discovery_failed(50_030.0);
     let due = dispatcher.next_tick().expect("it asks again");
     assert!(due > 50_030.0 && !dispatcher.take_list_request());
@@ -451,7 +578,13 @@
     let mut dispatcher = Dispatcher::new(duties(), 7).expect("all duties are given");
     let mut told = |round: u64, dispatcher: &mut Dispatcher| {
         let new = names.endpoint_update(round, EndpointState::Ready, ("a", ""), None, 0.0);
-        let old = names.endpoint_update(round.wrapping_sub(1), EndpointState::Removed, ("a", ""), None, 0.0);
+        let old = names.endpoint_update(
+            round.wrapping_sub(1),
+            EndpointState::Removed,
+            ("a", ""),
+            None,
+            0.0,
+        );
         dispatcher.update_endpoints(50_000.0 + 1000.0 * round as f64, &[old, new], false, false);
         names.retain_endpoints(|server| dispatcher.knows_endpoint(server));
         assert_eq!(names.stable_hash(new.endpoint), round);
@@ -459,12 +592,24 @@
     };
     let first = told(0, &mut dispatcher);
     let ttl = 1000.0 * TTL;
-    let arrival =
-        NewRequest { request: 3, class: 2, tenant: None, ttl_ms: ttl, client_retry: false, key: None };
-    assert_eq!(dispatcher.request_arrived(50_000.0, &arrival).attempts[0].endpoint, first.endpoint);
+    let arrival = NewRequest {
+        request: 3,
+        class: 2,
+        tenant: None,
+        ttl_ms: ttl,
+        client_retry: false,
+        key: None,
+    };
+    assert_eq!(
+        dispatcher.request_arrived(50_000.0, &arrival).attempts[0].endpoint,
+        first.endpoint
+    );
     for round in 1..500 {
         let new = told(round, &mut dispatcher);
-        assert!(new.endpoint < 70 && new.pod < 70, "a minute's worth: {new:?}");
+        assert!(
+            new.endpoint < 70 && new.pod < 70,
+            "a minute's worth: {new:?}"
+        );
         assert_ne!(new.endpoint, first.endpoint, "its push is still out");
     }
     // The late report finds the server that it is about; once it is in, the index is free.
@@ -477,9 +622,14 @@
         request_closed: false,
         load,
     };
-    assert_eq!(dispatcher.attempt_ended(550_000.0, &end).final_answer, Some(FinalAnswer::Failed));
-    assert!((500..600).any(|round| told(round, &mut dispatcher).endpoint == first.endpoint
-        || !dispatcher.knows_endpoint(first.endpoint)));
+    assert_eq!(
+        dispatcher.attempt_ended(550_000.0, &end).final_answer,
+        Some(FinalAnswer::Failed)
+    );
+    assert!((500..600).any(
+        |round| told(round, &mut dispatcher).endpoint == first.endpoint
+            || !dispatcher.knows_endpoint(first.endpoint)
+    ));
 }
 
 #[test]
@@ -489,7 +639,13 @@
         set_load_value(&mut load, "queue", value);
     }
     set_load_value(&mut load, "inflight", 3.0);
-    assert_eq!(load, LoadReport { in_flight: Some(3.0), ..LoadReport::default() });
+    assert_eq!(
+        load,
+        LoadReport {
+            in_flight: Some(3.0),
+            ..LoadReport::default()
+        }
+    );
 }
 
 #[test]
@@ -504,7 +660,11 @@
                 })
                 .collect();
             for round in to.chunks(4) {
-                assert_eq!(round.iter().collect::<BTreeSet<_>>().len(), 4, "none idle beside a heap: {to:?}");
+                assert_eq!(
+                    round.iter().collect::<BTreeSet<_>>().len(),
+                    4,
+                    "none idle beside a heap: {to:?}"
+                );
             }
             to
         })
@@ -531,18 +691,30 @@
     }
     let ops = &play.model.ops[from..];
     assert!(
-        ops.iter().all(|op| op.answers == ["acked"] || op.effect == Idempotency::IdempotentWithKey),
+        ops.iter()
+            .all(|op| op.answers == ["acked"] || op.effect == Idempotency::IdempotentWithKey),
         "saved by a second copy"
     );
-    let late = ops[20..].iter().filter(|op| op.pushes[0].server == 0).count();
+    let late = ops[20..]
+        .iter()
+        .filter(|op| op.pushes[0].server == 0)
+        .count();
     assert!(late < 8, "a silent server is found out: {late} of 40");
     let mut many = Play::with(node(0, 12), 4);
     let shared = many.op(0);
     many.pass(900.0);
-    assert_eq!(many.model.ops[shared].pushes.len(), 1, "copies of many nodes would take all room");
+    assert_eq!(
+        many.model.ops[shared].pushes.len(),
+        1,
+        "copies of many nodes would take all room"
+    );
     let only = play.op(2);
     play.pass(900.0);
-    assert_eq!(play.model.ops[only].pushes.len(), 1, "at most once, whatever time it takes");
+    assert_eq!(
+        play.model.ops[only].pushes.len(),
+        1,
+        "at most once, whatever time it takes"
+    );
 }
 
 /// Ops one after the other where load is asked for: each is settled after `time` once its probes are told.
@@ -570,9 +742,15 @@
 #[test]
 fn an_op_asks_two_servers_for_their_load_and_goes_where_less_is_held() {
     let mut play = Play::with(asked_duties(), 6);
-    assert!(play.model.probes.is_empty(), "a node without ops asks nothing");
+    assert!(
+        play.model.probes.is_empty(),
+        "a node without ops asks nothing"
+    );
     let op = play.op(0);
-    assert_eq!((play.model.probes.len(), play.model.ops[op].pushes.len()), (2, 0));
+    assert_eq!(
+        (play.model.probes.len(), play.model.ops[op].pushes.len()),
+        (2, 0)
+    );
     let asked = play.model.probes.clone();
     play.tell(|server| Some(if server == asked[0] { 4.0 } else { 0.0 }));
     assert_eq!(play.model.ops[op].pushes[0].server, asked[1]);
@@ -581,12 +759,25 @@
     play.pass(1000.0);
     let op = play.op(0);
     play.pass(41.0);
-    assert_eq!(play.model.ops[op].pushes.len(), 1, "a tenth of the target latency");
+    assert_eq!(
+        play.model.ops[op].pushes.len(),
+        1,
+        "a tenth of the target latency"
+    );
     play.tell(|_| None);
     play.settle(|_| ACK);
-    let counts = run_asked(&mut play, &[None; 200], 400.0, |server| if server < 3 { 0.0 } else { 4.0 });
+    let counts = run_asked(&mut play, &[None; 200], 400.0, |server| {
+        if server < 3 {
+            0.0
+        } else {
+            4.0
+        }
+    });
     let idle: usize = (0..3).filter_map(|server| counts.get(&server)).sum();
-    assert!(idle > 140 && idle < 200, "drawn by what is told, by chance: {counts:?}");
+    assert!(
+        idle > 140 && idle < 200,
+        "drawn by what is told, by chance: {counts:?}"
+    );
 }
 
 #[test]
@@ -594,7 +785,11 @@
     let mut play = Play::with(asked_duties(), 2);
     play.op(0);
     let start = play.model.now;
-    play.list(&[0, 1].map(|s| line(s, EndpointState::Ready, start - 20_000.0)), false, false);
+    play.list(
+        &[0, 1].map(|s| line(s, EndpointState::Ready, start - 20_000.0)),
+        false,
+        false,
+    );
     play.tell(|_| Some(500.0));
     play.pass(50.0);
     play.settle(|_| ACK);
@@ -610,12 +805,18 @@
     let mut play = Play::with(given, 12);
     for round in 0..200 {
         // Now and then three at once, and one in ten is a heavy op, late on a server that holds little.
-        let ops: Vec<usize> = (0..1 + 2 * usize::from(round % 5 == 0)).map(|_| play.op(2)).collect();
+        let ops: Vec<usize> = (0..1 + 2 * usize::from(round % 5 == 0))
+            .map(|_| play.op(2))
+            .collect();
         play.tell(|_| Some(2.0));
         play.pass(if round % 10 == 9 { 900.0 } else { 50.0 });
         play.settle(|_| ACK);
         play.pass(500.0);
-        assert!(ops.iter().all(|op| play.model.ops[*op].answers == ["acked"]), "round {round}");
+        assert!(
+            ops.iter()
+                .all(|op| play.model.ops[*op].answers == ["acked"]),
+            "round {round}"
+        );
     }
 }
 
@@ -625,7 +826,10 @@
     run_asked(&mut play, &[None; 100], 100.0, |_| 1.0);
     let counts = run_asked(&mut play, &[None; 300], 100.0, |_| 9.0);
     let sent: usize = counts.values().sum();
-    assert!((10..150).contains(&sent), "chance takes some of 300: {sent}");
+    assert!(
+        (10..150).contains(&sent),
+        "chance takes some of 300: {sent}"
+    );
 }
 
 #[test]
@@ -636,11 +840,17 @@
     let mut play = Play::with(given, 8);
     // The helper's servers stand in two zones by turns.
     let crossed = |counts: BTreeMap<usize, usize>| -> usize {
-        counts.into_iter().filter(|(server, _)| server % 2 == 0).map(|(_, n)| n).sum()
+        counts
+            .into_iter()
+            .filter(|(server, _)| server % 2 == 0)
+            .map(|(_, n)| n)
+            .sum()
     };
     let idle = crossed(run_asked(&mut play, &[None; 200], 100.0, |_| 0.0));
     assert!(idle < 40, "{idle} of 200 crossed an idle fleet");
-    let crowd = crossed(run_asked(&mut play, &[None; 200], 100.0, |s| [0.0, 4.0][s % 2]));
+    let crowd = crossed(run_asked(&mut play, &[None; 200], 100.0, |s| {
+        [0.0, 4.0][s % 2]
+    }));
     assert!(crowd > 80, "{crowd} of 200 left a crowd");
 }
 
@@ -659,15 +869,28 @@
         counts.split_off(counts.len().saturating_sub(2))
     };
     let first = two(home(1, &|_| 2.0));
-    assert_eq!(first.iter().map(|(n, _)| n).sum::<usize>(), 60, "its first two have all of it: {first:?}");
+    assert_eq!(
+        first.iter().map(|(n, _)| n).sum::<usize>(),
+        60,
+        "its first two have all of it: {first:?}"
+    );
     let servers = |of: Vec<(usize, usize)>| of.into_iter().map(|(_, s)| s).collect::<BTreeSet<_>>();
     let mut at = BTreeMap::new();
     for number in 1..21 {
         let counts = home(number, &|_| 2.0);
-        counts.iter().for_each(|(server, n)| *at.entry(*server).or_insert(0) += n);
-        assert_eq!(servers(two(counts)), servers(first.clone()), "alike at all nodes");
+        counts
+            .iter()
+            .for_each(|(server, n)| *at.entry(*server).or_insert(0) += n);
+        assert_eq!(
+            servers(two(counts)),
+            servers(first.clone()),
+            "alike at all nodes"
+        );
     }
-    let most = at.iter().max_by_key(|(_, n)| **n).map(|(server, n)| (*server, *n));
+    let most = at
+        .iter()
+        .max_by_key(|(_, n)| **n)
+        .map(|(server, n)| (*server, *n));
     let (first, n) = most.expect("served");
     assert!(n > 660, "{n} of 1200 at its first");
     // Its first server is asked alone once its last word was light.
@@ -676,18 +899,40 @@
     play.op_about(0, None, false, Some(77));
     assert_eq!(play.model.probes.len(), 1);
     let hot = home(1, &|server| if server == first { 30.0 } else { 0.0 });
-    assert!(hot.get(&first).copied().unwrap_or(0) < 20, "a full one is left: {hot:?}");
+    assert!(
+        hot.get(&first).copied().unwrap_or(0) < 20,
+        "a full one is left: {hot:?}"
+    );
 }
 
 #[test]
 fn a_push_has_its_ops_time_where_no_second_copy_may_go() {
     let mut dispatcher = Dispatcher::new(asked_duties(), 7).expect("all duties are given");
     dispatcher.update_endpoints(50_000.0, &[line(0, EndpointState::Ready, 0.0)], true, false);
-    let arrival =
-        NewRequest { request: 3, class: 1, tenant: None, ttl_ms: TTL, client_retry: false, key: None };
-    assert!(dispatcher.request_arrived(50_000.0, &arrival).attempts.is_empty(), "it asks first");
+    let arrival = NewRequest {
+        request: 3,
+        class: 1,
+        tenant: None,
+        ttl_ms: TTL,
+        client_retry: false,
+        key: None,
+    };
+    assert!(
+        dispatcher
+            .request_arrived(50_000.0, &arrival)
+            .attempts
+            .is_empty(),
+        "it asks first"
+    );
     assert_eq!(dispatcher.take_probes(), [0]);
-    dispatcher.probe_ended(50_010.0, 0, Some(LoadReport { in_flight: Some(0.0), ..LoadReport::default() }));
+    dispatcher.probe_ended(
+        50_010.0,
+        0,
+        Some(LoadReport {
+            in_flight: Some(0.0),
+            ..LoadReport::default()
+        }),
+    );
     let next = dispatcher.tick(50_010.0, 50_010.0);
     assert_eq!(
         next[0].1.attempts[0].timeout_ms,
@@ -705,8 +950,14 @@
     let ops: Vec<usize> = (0..6).map(|_| play.op(0)).collect();
     play.tell(|_| Some(0.0));
     play.pass(50.0);
-    let out = ops.iter().filter(|op| !play.model.ops[**op].pushes.is_empty()).count();
-    assert!(out >= 5, "{out} of 6, not one a server as a two-hundredth would be");
+    let out = ops
+        .iter()
+        .filter(|op| !play.model.ops[**op].pushes.is_empty())
+        .count();
+    assert!(
+        out >= 5,
+        "{out} of 6, not one a server as a two-hundredth would be"
+    );
 }
 
 #[test]
@@ -718,7 +969,10 @@
         let op = play.op(0);
         // It has little left, the others are busy; yet its answers take four times as long.
         play.tell(|server| Some(if server == 0 { 0.0 } else { 4.2 }));
-        let jammed = play.model.ops[op].pushes.first().is_some_and(|p| p.server == 0);
+        let jammed = play.model.ops[op]
+            .pushes
+            .first()
+            .is_some_and(|p| p.server == 0);
         to_jammed += usize::from(jammed && round >= 40);
         play.pass(if jammed { 200.0 } else { 50.0 });
         play.settle(|_| ACK);
@@ -745,18 +999,32 @@
     assert!(first <= 6, "{first} of 20 to a cold server");
     assert!(later >= 5, "{later} of 200 within 5 s");
     play.resume(1);
-    assert!(play.run(20, 20.0, |_| ACK).contains_key(&1), "a second call back changes nothing");
+    assert!(
+        play.run(20, 20.0, |_| ACK).contains_key(&1),
+        "a second call back changes nothing"
+    );
 }
 
 #[test]
 fn a_server_suspended_before_any_list_gets_nothing() {
     let mut play = Play::new(0);
     play.suspend(2);
-    play.list(&[line(1, EndpointState::Ready, 0.0), line(2, EndpointState::Ready, 0.0)], true, false);
+    play.list(
+        &[
+            line(1, EndpointState::Ready, 0.0),
+            line(2, EndpointState::Ready, 0.0),
+        ],
+        true,
+        false,
+    );
     assert!(!play.run(30, 20.0, |_| ACK).contains_key(&2));
     play.suspend(1);
     let op = play.op(0);
-    assert_eq!(play.model.ops[op].answers, ["nacked"], "at once, with all servers out");
+    assert_eq!(
+        play.model.ops[op].answers,
+        ["nacked"],
+        "at once, with all servers out"
+    );
     assert_eq!(play.balancer.endpoint_counts(), (2, 2));
 }
 
@@ -770,12 +1038,19 @@
     play.end(old, 0, AttemptOutcome::ConnectionLost);
     play.end(new, 0, AttemptOutcome::ConnectionLost);
     assert_eq!(play.model.ops[old].pushes.len(), 2, "redeliverable still");
-    assert_eq!(play.model.ops[new].answers, ["dead-lettered"], "at-most-once from then on");
+    assert_eq!(
+        play.model.ops[new].answers,
+        ["dead-lettered"],
+        "at-most-once from then on"
+    );
     assert_eq!(play.model.now, kept);
     // What was learnt is still there: an answer at the old pace is no surprise.
     let mut given = duties();
     given.remove("cold-time");
-    assert!(play.balancer.update_settings(given).is_err_and(|e| e.contains("cold-time")));
+    assert!(play
+        .balancer
+        .update_settings(given)
+        .is_err_and(|e| e.contains("cold-time")));
 }
 
 /// Pushes to a cold server of a node that has such a share of itself, and of a told node's budget.
@@ -821,14 +1096,21 @@
     // Once its server has it whole it is work again; a push that breaks is no other's turn.
     let mut play = Play::new(2);
     let ops: Vec<usize> = (0..30).map(|_| play.op(0)).collect();
-    for op in ops.iter().filter(|op| !play.model.ops[**op].pushes.is_empty()) {
+    for op in ops
+        .iter()
+        .filter(|op| !play.model.ops[**op].pushes.is_empty())
+    {
         play.balancer.streaming(play.model.now, *op, 0, false);
         play.balancer.streaming(play.model.now, *op, 0, true);
     }
     let more = play.op(0);
     assert_eq!(play.model.ops[more].answers, ["nacked"]);
     play.end(ops[0], 0, AttemptOutcome::ConnectionLost);
-    assert_eq!(play.model.ops[ops[0]].pushes.len(), 1, "bound to the one that it went to");
+    assert_eq!(
+        play.model.ops[ops[0]].pushes.len(),
+        1,
+        "bound to the one that it went to"
+    );
 }
 
 #[test]
@@ -843,8 +1125,13 @@
     };
     let now = old.model.now;
     let (mut heir, mut stranger) = (Play::new(4), Play::new(4));
-    heir.balancer.restore_learned_state(&old.balancer.learned_state());
+    heir.balancer
+        .restore_learned_state(&old.balancer.learned_state());
     assert_eq!(heir.balancer.learned_state(), old.balancer.learned_state());
     assert!(cold(&mut heir, now) > 0);
-    assert_eq!(cold(&mut stranger, now), 0, "it knows of no server what it bears");
+    assert_eq!(
+        cold(&mut stranger, now),
+        0,
+        "it knows of no server what it bears"
+    );
 }
--- a/tests/module/fleet.rs
+++ b/tests/module/fleet.rs
@@ -29,7 +29,9 @@
     };
     let pushed = |play: &mut Play| {
         let ops: Vec<usize> = (0..4).map(|_| play.op(0)).collect();
-        ops.iter().filter(|op| play.model.ops[**op].pushes.len() == 1).count()
+        ops.iter()
+            .filter(|op| play.model.ops[**op].pushes.len() == 1)
+            .count()
     };
     tell(&mut play, 0.0);
     assert_eq!(pushed(&mut play), 4, "of four ops at four idle servers");
@@ -60,7 +62,11 @@
         for _ in 0..6 {
             play.op(0);
         }
-        assert!(most.contains(&play.out().len()), "{} in flight, {waiting} waiting", play.out().len());
+        assert!(
+            most.contains(&play.out().len()),
+            "{} in flight, {waiting} waiting",
+            play.out().len()
+        );
     }
 }
 
@@ -97,11 +103,17 @@
         tried += silent;
         during += 150;
         let answered = |op: &crate::help::Taken| op.answers == ["acked"];
-        lost += play.model.ops[from..from + 120].iter().filter(|op| !answered(op)).count();
+        lost += play.model.ops[from..from + 120]
+            .iter()
+            .filter(|op| !answered(op))
+            .count();
         go(&mut play, 75, false);
         after += go(&mut play, 75, false).0;
     }
-    assert!(tried * 6 < during, "{tried} pushes of {during} to servers that said nothing");
+    assert!(
+        tried * 6 < during,
+        "{tried} pushes of {during} to servers that said nothing"
+    );
     assert!(
         lost * 6 < during,
         "{lost} of {during} ops were not served though half of the servers were there"
@@ -116,14 +128,21 @@
     // are cold. One in eight fails all it gets. Seventy nodes start at one moment and know nothing.
     let (nodes, servers) = (100, 40_usize);
     let cold = |s: usize| s % 10 == 5;
-    let old: Vec<EndpointUpdate> = (0..servers).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
+    let old: Vec<EndpointUpdate> = (0..servers)
+        .map(|s| line(s, EndpointState::Ready, 0.0))
+        .collect();
     let mut first: BTreeMap<usize, usize> = BTreeMap::new();
     let mut cold_at = Vec::new();
     for number in 0..nodes {
         let mut play = Play::with(node(number, nodes), 0);
         play.list(&old, true, true);
-        let fate =
-            |s: usize| Some(if s % 8 == 1 { AttemptOutcome::Failed } else { AttemptOutcome::Succeeded });
+        let fate = |s: usize| {
+            Some(if s % 8 == 1 {
+                AttemptOutcome::Failed
+            } else {
+                AttemptOutcome::Succeeded
+            })
+        };
         if number % 10 >= 7 {
             play.run(40, 250.0, fate);
         } else {
@@ -134,7 +153,10 @@
         let news: Vec<EndpointUpdate> = old
             .iter()
             .filter(|l| cold(l.endpoint))
-            .map(|l| EndpointUpdate { started_at_ms: start, ..*l })
+            .map(|l| EndpointUpdate {
+                started_at_ms: start,
+                ..*l
+            })
             .collect();
         play.list(&news, false, false);
         let from = play.model.ops.len();
@@ -154,8 +176,15 @@
     // Each server bears some ten a second; a cold one is able to do a fifth to 0.44 of that in these three
     // seconds, twice of which is allowed in any second.
     for server in [5, 15, 25, 35] {
-        let at: Vec<f64> = cold_at.iter().filter(|(s, _)| *s == server).map(|(_, at)| *at).collect();
-        let most = at.iter().map(|a| at.iter().filter(|b| (*a..*a + 1000.0).contains(*b)).count()).max();
+        let at: Vec<f64> = cold_at
+            .iter()
+            .filter(|(s, _)| *s == server)
+            .map(|(_, at)| *at)
+            .collect();
+        let most = at
+            .iter()
+            .map(|a| at.iter().filter(|b| (*a..*a + 1000.0).contains(*b)).count())
+            .max();
         assert!(most.unwrap_or(0) <= 9, "{most:?} in a second at {server}");
     }
 }
@@ -183,6 +212,9 @@
     }
     let mean = nodes * 60 / servers;
     let (least, most) = (counts.iter().min().copied(), counts.iter().max().copied());
-    assert!(least >= Some(mean / 4) && most <= Some(mean * 5 / 2), "{least:?} to {most:?} about {mean}");
+    assert!(
+        least >= Some(mean / 4) && most <= Some(mean * 5 / 2),
+        "{least:?} to {most:?} about {mean}"
+    );
     assert_eq!(nacked, 0, "a quiet node has room");
 }
--- a/tests/module/help.rs
+++ b/tests/module/help.rs
@@ -6,8 +6,11 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
-pub const EFFECTS: [Idempotency; 3] =
-    [Idempotency::Idempotent, Idempotency::IdempotentWithKey, Idempotency::NotIdempotent];
+pub const EFFECTS: [Idempotency; 3] = [
+    Idempotency::Idempotent,
+    Idempotency::IdempotentWithKey,
+    Idempotency::NotIdempotent,
+];
 pub const WINDOW: f64 = 700.0;
 pub const TTL: f64 = 1000.0;
 pub const MOST_PUSHES: usize = 4;
@@ -33,7 +36,10 @@
     ] {
         given.insert(name.into(), value);
     }
-    for (k, effect) in ["redeliverable", "deduplicated", "at-most-once"].iter().enumerate() {
+    for (k, effect) in ["redeliverable", "deduplicated", "at-most-once"]
+        .iter()
+        .enumerate()
+    {
         given.insert(format!("category.{k}.effect"), json!(effect));
         given.insert(format!("category.{k}.target-latency"), json!(400.0));
         given.insert(format!("category.{k}.window"), json!(WINDOW));
@@ -66,8 +72,15 @@
 
 fn places(given: &SettingsMap, category: usize) -> Places {
     ["only-zones", "only-kinds"].map(|name| {
-        let named = given.get(&format!("category.{category}.{name}"))?.as_array()?.iter();
-        Some(named.map(|place| place.as_u64().unwrap() as usize).collect())
+        let named = given
+            .get(&format!("category.{category}.{name}"))?
+            .as_array()?
+            .iter();
+        Some(
+            named
+                .map(|place| place.as_u64().unwrap() as usize)
+                .collect(),
+        )
     })
 }
 
@@ -106,17 +119,34 @@
         let pod = |id: usize| self.list[&id].pod;
         let op = &self.ops[op];
         for [zones, kinds] in [&op.places, &self.places[op.category]] {
-            assert!(zones.as_ref().is_none_or(|only| only.contains(&to.zone)), "a push to a closed zone");
             assert!(
-                kinds.as_ref().is_none_or(|only| only.contains(&to.machine_class)),
+                zones.as_ref().is_none_or(|only| only.contains(&to.zone)),
+                "a push to a closed zone"
+            );
+            assert!(
+                kinds
+                    .as_ref()
+                    .is_none_or(|only| only.contains(&to.machine_class)),
                 "a push to a closed kind"
             );
         }
-        assert!(op.answers.is_empty() && now < op.ends && patience > 0.0, "a push after the end");
-        assert!(to.state == EndpointState::Ready, "a push to a server that drains or is gone");
-        assert!(!self.suspended.contains(&server), "a push to a suspended server");
+        assert!(
+            op.answers.is_empty() && now < op.ends && patience > 0.0,
+            "a push after the end"
+        );
+        assert!(
+            to.state == EndpointState::Ready,
+            "a push to a server that drains or is gone"
+        );
+        assert!(
+            !self.suspended.contains(&server),
+            "a push to a suspended server"
+        );
         assert!(op.pushes.len() < op.most, "a push too many");
-        assert!(!self.one_at_a_time || op.pushes.iter().all(|p| !p.out), "two pushes out");
+        assert!(
+            !self.one_at_a_time || op.pushes.iter().all(|p| !p.out),
+            "two pushes out"
+        );
         for earlier in op.pushes.iter().filter(|p| p.may_have_run) {
             match op.effect {
                 Idempotency::Idempotent => {}
@@ -128,17 +158,31 @@
             }
         }
         let id = self.ops.iter().position(|o| std::ptr::eq(o, op)).unwrap();
-        self.ops[id].pushes.push(Push { server, at: now, may_have_run: true, out: true });
+        self.ops[id].pushes.push(Push {
+            server,
+            at: now,
+            may_have_run: true,
+            out: true,
+        });
     }
 
     fn probe(&mut self, server: usize) {
-        assert!(self.list.contains_key(&server), "a probe of a server never listed");
-        assert!(!self.suspended.contains(&server), "a probe of a suspended server");
+        assert!(
+            self.list.contains_key(&server),
+            "a probe of a server never listed"
+        );
+        assert!(
+            !self.suspended.contains(&server),
+            "a probe of a suspended server"
+        );
         self.probes.push(server);
     }
 
     fn cancel(&mut self, op: usize, push: usize) {
-        assert!(push < self.ops[op].pushes.len(), "a cancel of a push never made");
+        assert!(
+            push < self.ops[op].pushes.len(),
+            "a cancel of a push never made"
+        );
     }
 
     fn reject(&mut self, op: usize, come_back: f64) {
@@ -208,22 +252,34 @@
         let one_at_a_time = given.get("second-copies") == Some(&json!(false));
         let places = (0..3).map(|category| places(&given, category)).collect();
         let balancer = Balancer::new(given, seed).expect("all duties are given");
-        let model = Model { now: 50_000.0, one_at_a_time, most: MOST_PUSHES, places, ..Model::default() };
+        let model = Model {
+            now: 50_000.0,
+            one_at_a_time,
+            most: MOST_PUSHES,
+            places,
+            ..Model::default()
+        };
         let mut play = Play { balancer, model };
-        let lines: Vec<_> = (0..servers).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
+        let lines: Vec<_> = (0..servers)
+            .map(|s| line(s, EndpointState::Ready, 0.0))
+            .collect();
         play.list(&lines, true, true);
         play
     }
 
     pub fn list(&mut self, lines: &[EndpointUpdate], whole: bool, cached: bool) {
         if whole {
-            self.model.list.values_mut().for_each(|l| l.state = EndpointState::Removed);
+            self.model
+                .list
+                .values_mut()
+                .for_each(|l| l.state = EndpointState::Removed);
         }
         for line in lines {
             self.model.list.insert(line.endpoint, *line);
         }
         let now = self.model.now;
-        self.balancer.update_endpoints(&mut self.model, now, lines, whole, cached);
+        self.balancer
+            .update_endpoints(&mut self.model, now, lines, whole, cached);
     }
 
     pub fn suspend(&mut self, server: usize) {
@@ -245,14 +301,22 @@
         given.insert("most-pushes".into(), json!(most));
         self.model.places = (0..3).map(|category| places(&given, category)).collect();
         (self.model.moved, self.model.most) = (moved, most);
-        self.balancer.update_settings(given).expect("all duties are given");
+        self.balancer
+            .update_settings(given)
+            .expect("all duties are given");
     }
 
     pub fn pass(&mut self, time: f64) {
         let till = self.model.now + time;
         loop {
-            let due = self.model.alarms.iter().enumerate().min_by(|a, b| a.1 .0.total_cmp(&b.1 .0));
-            let Some((place, (at, alarm))) = due.map(|(p, a)| (p, *a)).filter(|(_, a)| a.0 <= till) else {
+            let due = self
+                .model
+                .alarms
+                .iter()
+                .enumerate()
+                .min_by(|a, b| a.1 .0.total_cmp(&b.1 .0));
+            let Some((place, (at, alarm))) = due.map(|(p, a)| (p, *a)).filter(|(_, a)| a.0 <= till)
+            else {
                 break;
             };
             self.model.alarms.remove(place);
@@ -282,7 +346,14 @@
         let effect = EFFECTS[(category + self.model.moved) % 3];
         let places = self.model.places[category].clone();
         let (most, ends) = (self.model.most, now + TTL);
-        self.model.ops.push(Taken { effect, most, category, places, ends, ..Taken::default() });
+        self.model.ops.push(Taken {
+            effect,
+            most,
+            category,
+            places,
+            ends,
+            ..Taken::default()
+        });
         let arrival = NewRequest {
             request: op,
             class: category,
@@ -291,7 +362,8 @@
             client_retry: retry,
             key,
         };
-        self.balancer.request_arrived(&mut self.model, now, &arrival);
+        self.balancer
+            .request_arrived(&mut self.model, now, &arrival);
         op
     }
 
@@ -323,10 +395,13 @@
     pub fn tell(&mut self, held: impl Fn(usize) -> Option<f64>) -> Vec<usize> {
         let probes = std::mem::take(&mut self.model.probes);
         for server in &probes {
-            let load =
-                held(*server).map(|held| LoadReport { in_flight: Some(held), ..LoadReport::default() });
+            let load = held(*server).map(|held| LoadReport {
+                in_flight: Some(held),
+                ..LoadReport::default()
+            });
             let now = self.model.now;
-            self.balancer.probe_ended(&mut self.model, now, *server, load);
+            self.balancer
+                .probe_ended(&mut self.model, now, *server, load);
         }
         probes
     }
@@ -342,8 +417,12 @@
 
     pub fn out(&self) -> Vec<(usize, usize)> {
         let ops = self.model.ops.iter().enumerate();
-        ops.flat_map(|(op, o)| (0..o.pushes.len()).filter(|p| o.pushes[*p].out).map(move |p| (op, p)))
-            .collect()
+        ops.flat_map(|(op, o)| {
+            (0..o.pushes.len())
+                .filter(|p| o.pushes[*p].out)
+                .map(move |p| (op, p))
+        })
+        .collect()
     }
 
     /// Ops one after the other, each settled after `time`; returns how many pushes each server got.
--- a/tests/module/loads.rs
+++ b/tests/module/loads.rs
@@ -15,13 +15,21 @@
 }
 
 /// An op each 25 ms, acked after 100 with so busy a report; how many each server got.
-fn busy(play: &mut Play, ops: usize, report: impl Fn(usize) -> Option<f64>) -> BTreeMap<usize, usize> {
+fn busy(
+    play: &mut Play,
+    ops: usize,
+    report: impl Fn(usize) -> Option<f64>,
+) -> BTreeMap<usize, usize> {
     let from = play.model.ops.len();
     for n in 0..ops {
         play.op(0);
         play.pass(25.0);
         let sent = |(op, push): &(usize, usize)| play.model.ops[*op].pushes[*push].at;
-        let due: Vec<_> = play.out().into_iter().filter(|p| play.model.now - sent(p) >= 100.0).collect();
+        let due: Vec<_> = play
+            .out()
+            .into_iter()
+            .filter(|p| play.model.now - sent(p) >= 100.0)
+            .collect();
         for (op, push) in due {
             // A little noise, or the report would look like the last one.
             let told = report(play.model.ops[op].pushes[push].server);
@@ -30,7 +38,10 @@
                 op,
                 push,
                 AttemptOutcome::Succeeded,
-                LoadReport { cpu_utilization: busy, ..LoadReport::default() },
+                LoadReport {
+                    cpu_utilization: busy,
+                    ..LoadReport::default()
+                },
             );
         }
     }
@@ -49,8 +60,14 @@
         let counts = busy(&mut play, 400, report);
         counts.get(&0).copied().unwrap_or(0)
     };
-    let (full, none) = (told(|s| Some(if s == 0 { 0.99 } else { 0.1 })), told(|_| None));
-    assert!(full * 3 < none * 2, "{full} of 400 to the busy one, {none} where none tells");
+    let (full, none) = (
+        told(|s| Some(if s == 0 { 0.99 } else { 0.1 })),
+        told(|_| None),
+    );
+    assert!(
+        full * 3 < none * 2,
+        "{full} of 400 to the busy one, {none} where none tells"
+    );
 }
 
 #[test]
@@ -76,7 +93,10 @@
 
 /// A node that can hold a few answers, asks servers for their load, and loses all by a late answer.
 fn few() -> SettingsMap {
-    let more = [("held-answers", json!(4)), ("category.0.late-benefit", json!(0.0))];
+    let more = [
+        ("held-answers", json!(4)),
+        ("category.0.late-benefit", json!(0.0)),
+    ];
     with(duties(), &more)
 }
 
@@ -87,9 +107,19 @@
     play.pass(399.0);
     assert!(play.model.ops[first].answers.is_empty());
     play.pass(2.0);
-    assert_eq!(play.model.ops[first].answers, ["nacked"], "at its target latency, not near its TTL");
-    assert!(play.model.ops[other].answers.is_empty(), "at-most-once may still be acked");
-    for given in [duties(), with(few(), &[("category.0.late-benefit", json!(0.2))])] {
+    assert_eq!(
+        play.model.ops[first].answers,
+        ["nacked"],
+        "at its target latency, not near its TTL"
+    );
+    assert!(
+        play.model.ops[other].answers.is_empty(),
+        "at-most-once may still be acked"
+    );
+    for given in [
+        duties(),
+        with(few(), &[("category.0.late-benefit", json!(0.2))]),
+    ] {
         let mut play = Play::with(given, 2);
         let op = play.op(0);
         play.pass(TTL - 10.0);
@@ -123,7 +153,10 @@
                 other,
                 0,
                 AttemptOutcome::Succeeded,
-                LoadReport { cpu_utilization: busy, ..LoadReport::default() },
+                LoadReport {
+                    cpu_utilization: busy,
+                    ..LoadReport::default()
+                },
             );
         }
         play.pass(301.0);
@@ -140,7 +173,10 @@
 #[test]
 fn ops_ended_at_their_target_cut_limits_but_those_of_servers_whose_cores_are_free() {
     let (free, full) = (after_ended(0.2), after_ended(0.97));
-    assert!(free >= 4 && full <= 2, "{free} of 10 out where cores were free, {full} where they were not");
+    assert!(
+        free >= 4 && full <= 2,
+        "{free} of 10 out where cores were free, {full} where they were not"
+    );
 }
 
 #[test]
@@ -151,16 +187,29 @@
         for _ in 0..200 {
             let op = play.op_about(0, None, false, key);
             play.pass(20.0);
-            *counts.entry(play.model.ops[op].pushes[0].server).or_default() += 1;
+            *counts
+                .entry(play.model.ops[op].pushes[0].server)
+                .or_default() += 1;
             play.settle(|_| ACK);
         }
-        counts.into_iter().map(|(server, n)| (n, server)).max().unwrap()
+        counts
+            .into_iter()
+            .map(|(server, n)| (n, server))
+            .max()
+            .unwrap()
     };
     let keys = |number| with(node(number, 16), &[("servers-know-keys", json!(true))]);
     let (n, home) = most(keys(0), Some(77));
     assert!(n >= 140, "{n} of 200 at its home");
-    assert_eq!(most(keys(2), Some(77)).1, home, "alike at every node that hears of all");
-    assert!(most(node(0, 16), Some(77)).0 < 80, "no home where servers know no keys");
+    assert_eq!(
+        most(keys(2), Some(77)).1,
+        home,
+        "alike at every node that hears of all"
+    );
+    assert!(
+        most(node(0, 16), Some(77)).0 < 80,
+        "no home where servers know no keys"
+    );
     assert!(most(keys(0), None).0 < 80, "nor for an op without a key");
 }
 
@@ -170,7 +219,15 @@
 fn nodes_that_hear_little_of_each_server_overrate_none() {
     let mut play = Play::with(with(node(3, 20), &[("servers-know-keys", json!(true))]), 40);
     play.run(1500, 40.0, |_| ACK);
-    let peaks: f64 =
-        play.balancer.learned_state().endpoints.iter().map(|(_, learnt)| learnt.peak_throughput).sum();
-    assert!((0.01..0.036).contains(&peaks), "{peaks} a millisecond, of 0.025 that all bore");
+    let peaks: f64 = play
+        .balancer
+        .learned_state()
+        .endpoints
+        .iter()
+        .map(|(_, learnt)| learnt.peak_throughput)
+        .sum();
+    assert!(
+        (0.01..0.036).contains(&peaks),
+        "{peaks} a millisecond, of 0.025 that all bore"
+    );
 }
--- a/tests/module/places.rs
+++ b/tests/module/places.rs
@@ -23,8 +23,11 @@
             play.settle(&fate);
         }
     }
-    let mut all: Vec<usize> =
-        play.model.ops[from..].iter().flat_map(|o| &o.pushes).map(|p| p.server).collect();
+    let mut all: Vec<usize> = play.model.ops[from..]
+        .iter()
+        .flat_map(|o| &o.pushes)
+        .map(|p| p.server)
+        .collect();
     all.sort_unstable();
     all.dedup();
     all
@@ -36,13 +39,30 @@
     assert_eq!(went(&mut play, 2, 60, |_| ACK), [1, 3, 5]);
     assert_eq!(went(&mut play, 1, 60, |_| ACK), [0, 3]);
     let refused = |_| Some(AttemptOutcome::Rejected);
-    assert!(went(&mut play, 2, 30, refused).iter().all(|s| s % 2 == 1), "further pushes as well");
-    play.list(&[line(1, EndpointState::Draining, 0.0), line(3, EndpointState::Removed, 0.0)], false, false);
+    assert!(
+        went(&mut play, 2, 30, refused).iter().all(|s| s % 2 == 1),
+        "further pushes as well"
+    );
+    play.list(
+        &[
+            line(1, EndpointState::Draining, 0.0),
+            line(3, EndpointState::Removed, 0.0),
+        ],
+        false,
+        false,
+    );
     play.suspend(5);
     let op = play.op(2);
     let taken = &play.model.ops[op];
-    assert_eq!((taken.pushes.len(), taken.answers.as_slice()), (0, &["nacked"][..]), "given up at once");
-    assert!(!went(&mut play, 0, 20, |_| ACK).is_empty(), "others go where they did");
+    assert_eq!(
+        (taken.pushes.len(), taken.answers.as_slice()),
+        (0, &["nacked"][..]),
+        "given up at once"
+    );
+    assert!(
+        !went(&mut play, 0, 20, |_| ACK).is_empty(),
+        "others go where they did"
+    );
 }
 
 #[test]
@@ -52,7 +72,9 @@
         let mut given = node(number, 100);
         given.insert("category.2.only-zones".into(), json!([7]));
         let mut play = Play::with(given, 0);
-        let mut lines: Vec<_> = (0..50).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
+        let mut lines: Vec<_> = (0..50)
+            .map(|s| line(s, EndpointState::Ready, 0.0))
+            .collect();
         lines[13].zone = 7;
         play.list(&lines, true, false);
         assert_eq!(went(&mut play, 2, 3, |_| ACK), [13]);
@@ -66,12 +88,19 @@
     play.renew(placed_duties(0, &[0]), 0, MOST_PUSHES);
     play.end(op, 0, AttemptOutcome::Rejected);
     let taken = &play.model.ops[op];
-    assert_eq!((taken.pushes.len(), taken.answers.as_slice()), (1, &["nacked"][..]));
+    assert_eq!(
+        (taken.pushes.len(), taken.answers.as_slice()),
+        (1, &["nacked"][..])
+    );
 }
 
 fn settings(category: &serde_json::Value) -> serde_json::Value {
     let mut category = category.clone();
-    for (key, value) in [("Name", json!("remind")), ("TargetLatencyMs", json!(400)), ("TtlMs", json!(1000))] {
+    for (key, value) in [
+        ("Name", json!("remind")),
+        ("TargetLatencyMs", json!(400)),
+        ("TtlMs", json!(1000)),
+    ] {
         category[key] = value;
     }
     category["Effect"] = json!("non_idempotent");
@@ -87,10 +116,16 @@
         (json!({"ZonesAllowed": []}), [false; 3]),
         (json!({"ZonesAllowed": ["east"]}), [true, false, false]),
         (json!({"AllowedOn": ["fast"]}), [true, true, false]),
-        (json!({"ZonesAllowed": ["west"], "AllowedOn": ["fast"]}), [false, true, false]),
+        (
+            json!({"ZonesAllowed": ["west"], "AllowedOn": ["fast"]}),
+            [false, true, false],
+        ),
         (json!({"ZonesAllowed": null}), [true; 3]),
     ] {
-        for (server, place) in [("east", "fast"), ("west", "fast"), ("", "")].into_iter().enumerate() {
+        for (server, place) in [("east", "fast"), ("west", "fast"), ("", "")]
+            .into_iter()
+            .enumerate()
+        {
             let (mut names, given) = NameIndex::from_settings(&settings(&bound));
             validate(&settings(&bound)).expect("nothing is faulty");
             let mut play = Play::new(0);
@@ -98,12 +133,23 @@
             let line = names.endpoint_update(9, EndpointState::Ready, place, None, 0.0);
             play.list(&[line], true, false);
             play.op(0);
-            assert_eq!(play.out().len() == 1, goes[server], "{bound} before {place:?}");
+            assert_eq!(
+                play.out().len() == 1,
+                goes[server],
+                "{bound} before {place:?}"
+            );
         }
     }
-    for faulty in [json!({"ZonesAllowed": "east"}), json!({"AllowedOn": [3]}), json!({"AllowedOn": [""]})] {
+    for faulty in [
+        json!({"ZonesAllowed": "east"}),
+        json!({"AllowedOn": [3]}),
+        json!({"AllowedOn": [""]}),
+    ] {
         let error = validate(&settings(&faulty)).expect_err("a faulty list");
-        assert!(error.contains(faulty.as_object().unwrap().keys().next().unwrap()), "{error}");
+        assert!(
+            error.contains(faulty.as_object().unwrap().keys().next().unwrap()),
+            "{error}"
+        );
     }
 }
 
@@ -113,7 +159,11 @@
     let mut given = duties();
     given.insert("start-margin".into(), json!(margin));
     let mut play = Play::with(given, 4);
-    play.list(&[line(3, EndpointState::Ready, play.model.now + before)], false, false);
+    play.list(
+        &[line(3, EndpointState::Ready, play.model.now + before)],
+        false,
+        false,
+    );
     steady(&mut play, 4000);
     let start = play.model.now;
     play.list(&[line(3, EndpointState::Ready, start + off)], false, false);
@@ -127,10 +177,12 @@
     for _ in 0..ops {
         play.op(0);
         play.pass(5.0);
-        let due =
-            |(op, push): &(usize, usize)| play.model.now - play.model.ops[*op].pushes[*push].at >= 100.0;
+        let due = |(op, push): &(usize, usize)| {
+            play.model.now - play.model.ops[*op].pushes[*push].at >= 100.0
+        };
         let done: Vec<_> = play.out().into_iter().filter(due).collect();
-        done.into_iter().for_each(|(op, push)| play.end(op, push, AttemptOutcome::Succeeded));
+        done.into_iter()
+            .for_each(|(op, push)| play.end(op, push, AttemptOutcome::Succeeded));
     }
 }
 
@@ -139,28 +191,55 @@
 /// of that within its first second, twice of which is allowed.
 #[test]
 fn a_start_listed_too_early_warms_no_cold_server() {
-    assert!((1..=28).contains(&cold_burst(12_000.0, -60_000.0, -11_000.0)), "11 s too early");
-    assert!((1..=28).contains(&cold_burst(30_000.0, -5000.0, -28_000.0)), "listed before its last start");
-    assert!((1..=28).contains(&cold_burst(12_000.0, -60_000.0, 11_000.0)), "11 s too late");
-    assert!(cold_burst(0.0, -60_000.0, -11_000.0) > 28, "the case is one where clocks agree to differ");
+    assert!(
+        (1..=28).contains(&cold_burst(12_000.0, -60_000.0, -11_000.0)),
+        "11 s too early"
+    );
+    assert!(
+        (1..=28).contains(&cold_burst(30_000.0, -5000.0, -28_000.0)),
+        "listed before its last start"
+    );
+    assert!(
+        (1..=28).contains(&cold_burst(12_000.0, -60_000.0, 11_000.0)),
+        "11 s too late"
+    );
+    assert!(
+        cold_burst(0.0, -60_000.0, -11_000.0) > 28,
+        "the case is one where clocks agree to differ"
+    );
 }
 
 fn told(margin: f64, ttl: f64) -> Play {
     let mut given: SettingsMap = duties();
     given.insert("left-margin".into(), json!(margin));
     let mut play = Play::with(given, 2);
-    let taken = crate::help::Taken { most: MOST_PUSHES, ends: play.model.now + TTL, ..Default::default() };
+    let taken = crate::help::Taken {
+        most: MOST_PUSHES,
+        ends: play.model.now + TTL,
+        ..Default::default()
+    };
     play.model.ops.push(taken);
-    let arrival =
-        NewRequest { request: 0, class: 0, tenant: None, ttl_ms: ttl, client_retry: false, key: None };
+    let arrival = NewRequest {
+        request: 0,
+        class: 0,
+        tenant: None,
+        ttl_ms: ttl,
+        client_retry: false,
+        key: None,
+    };
     let now = play.model.now;
-    play.balancer.request_arrived(&mut play.model, now, &arrival);
+    play.balancer
+        .request_arrived(&mut play.model, now, &arrival);
     play
 }
 
 #[test]
 fn an_op_told_to_be_out_of_time_is_tried_where_clocks_differ() {
     assert_eq!(told(500.0, 0.0).out().len(), 1);
-    assert_eq!(told(0.0, 0.0).out().len(), 0, "where they agree it is answered at once");
+    assert_eq!(
+        told(0.0, 0.0).out().len(),
+        0,
+        "where they agree it is answered at once"
+    );
     assert_eq!(told(0.0, 0.0).model.ops[0].answers, ["nacked"]);
 }
--- a/tests/module/rules.rs
+++ b/tests/module/rules.rs
@@ -17,12 +17,16 @@
 ];
 
 fn fixed(tests: u64) -> QuickCheck {
-    QuickCheck::new().tests(tests).rng(Gen::from_size_and_seed(200, 20_261_201))
+    QuickCheck::new()
+        .tests(tests)
+        .rng(Gen::from_size_and_seed(200, 20_261_201))
 }
 
 /// Whatever comes, in whatever order, the model finds no rule broken and every op has one answer.
 fn kept(news: Vec<(u8, u8, u8)>) -> bool {
-    [duties(), asked_duties(), placed_duties(1, &[0, 2])].into_iter().all(|given| kept_with(given, &news))
+    [duties(), asked_duties(), placed_duties(1, &[0, 2])]
+        .into_iter()
+        .all(|given| kept_with(given, &news))
 }
 
 fn kept_with(given: SettingsMap, news: &[(u8, u8, u8)]) -> bool {
@@ -39,12 +43,18 @@
             }
             10 | 11 => play.pass(f64::from(a as u8) * 2.0),
             12 => {
-                let standing = [EndpointState::Ready, EndpointState::Draining, EndpointState::Removed][b % 3];
+                let standing = [
+                    EndpointState::Ready,
+                    EndpointState::Draining,
+                    EndpointState::Removed,
+                ][b % 3];
                 let started = if a % 2 == 0 { now - a as f64 } else { 0.0 };
                 play.list(&[line(a % 9, standing, started)], false, false);
             }
             13 => {
-                let lines: Vec<_> = (0..b % 8).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
+                let lines: Vec<_> = (0..b % 8)
+                    .map(|s| line(s, EndpointState::Ready, 0.0))
+                    .collect();
                 play.list(&lines, true, b % 2 == 0);
             }
             14 if a % 2 == 0 => play.balancer.discovery_failed(&mut play.model, now),
@@ -60,13 +70,20 @@
                     play.balancer.streaming(now, op, push, b % 2 == 0);
                 }
             }
-            17 => play.balancer.set_process_share(if a % 2 == 0 { 0.5 } else { 1.0 }, None, 1.0),
+            17 => play
+                .balancer
+                .set_process_share(if a % 2 == 0 { 0.5 } else { 1.0 }, None, 1.0),
             _ => {
                 // Ids no longer held, results after the end, alarms never set: all harmless.
                 play.balancer.timer_expired(&mut play.model, now, u64::MAX);
                 play.balancer.client_left(&mut play.model, now, usize::MAX);
                 play.balancer.streaming(now, usize::MAX, 0, true);
-                play.balancer.probe_ended(&mut play.model, now, usize::MAX, Some(LoadReport::default()));
+                play.balancer.probe_ended(
+                    &mut play.model,
+                    now,
+                    usize::MAX,
+                    Some(LoadReport::default()),
+                );
             }
         }
         overdue(&mut play);
@@ -119,12 +136,18 @@
 /// Shares sum to one, none over its most. Where room does not decide alone, no shift between two servers
 /// lowers the cost; where it does, uncapped shares go by room.
 fn optimal(servers: Vec<(u8, u8, u8, u8)>, rate: u8) -> bool {
-    let none: Vec<_> = servers.iter().map(|(q, m, h, c)| (*q, *m, *h, c % 128)).collect();
+    let none: Vec<_> = servers
+        .iter()
+        .map(|(q, m, h, c)| (*q, *m, *h, c % 128))
+        .collect();
     optimal_for(&servers, rate) && optimal_for(&none, rate)
 }
 
 fn optimal_for(servers: &[(u8, u8, u8, u8)], rate: u8) -> bool {
-    let mut servers: Vec<Seen> = servers.iter().map(|(q, m, h, c)| seen(*q, *m, *h, *c)).collect();
+    let mut servers: Vec<Seen> = servers
+        .iter()
+        .map(|(q, m, h, c)| seen(*q, *m, *h, *c))
+        .collect();
     let all: f64 = servers.iter().map(|s| s.mu).sum();
     servers.iter_mut().for_each(|s| s.most = 1.5 * s.mu / all);
     let lambda = (f64::from(rate) / 500.0).max(all / 3.0);
@@ -133,17 +156,34 @@
         return shares.is_empty();
     }
     let sum: f64 = shares.iter().sum();
-    let bounded = shares.iter().zip(&servers).all(|(p, s)| (-1e-9..=s.most + 1e-9).contains(p));
+    let bounded = shares
+        .iter()
+        .zip(&servers)
+        .all(|(p, s)| (-1e-9..=s.most + 1e-9).contains(p));
     let room = |s: &Seen| (s.mu - s.queue / s.horizon).max(0.0);
     let pairs: Vec<_> = servers.iter().zip(shares).collect();
-    let usable: f64 = servers.iter().filter(|s| room(s) > 0.0).map(|s| s.most).sum();
+    let usable: f64 = servers
+        .iter()
+        .filter(|s| room(s) > 0.0)
+        .map(|s| s.most)
+        .sum();
     let alike = servers.windows(2).all(|w| w[0].away == w[1].away);
     let level = if alike && servers.iter().map(room).sum::<f64>() > lambda && usable > 1.0 {
-        let open: Vec<_> = pairs.iter().filter(|(s, p)| *p < s.most - 1e-6 && room(s) > 0.0).collect();
-        open.windows(2).all(|w| (w[0].1 * room(w[1].0) - w[1].1 * room(w[0].0)).abs() < 1e-6)
+        let open: Vec<_> = pairs
+            .iter()
+            .filter(|(s, p)| *p < s.most - 1e-6 && room(s) > 0.0)
+            .collect();
+        open.windows(2)
+            .all(|w| (w[0].1 * room(w[1].0) - w[1].1 * room(w[0].0)).abs() < 1e-6)
     } else {
-        let give = pairs.iter().filter(|(_, p)| *p > 1e-6).map(|(s, p)| marginal(s, *p, lambda).0);
-        let take = pairs.iter().filter(|(s, p)| *p < s.most - 1e-6).map(|(s, p)| marginal(s, *p, lambda).1);
+        let give = pairs
+            .iter()
+            .filter(|(_, p)| *p > 1e-6)
+            .map(|(s, p)| marginal(s, *p, lambda).0);
+        let take = pairs
+            .iter()
+            .filter(|(s, p)| *p < s.most - 1e-6)
+            .map(|(s, p)| marginal(s, *p, lambda).1);
         let (give, take) = (give.fold(0.0, f64::max), take.fold(f64::MAX, f64::min));
         give <= take + 1e-3 * give.max(1.0)
     };
@@ -158,11 +198,34 @@
 #[test]
 fn the_split_stands_at_the_edges() {
     assert!(split(&[], 1.0).is_empty());
-    let one = Seen { queue: 3.0, mu: 0.01, horizon: 100.0, cost: 0.0, away: 0.0, most: 1.0 };
+    let one = Seen {
+        queue: 3.0,
+        mu: 0.01,
+        horizon: 100.0,
+        cost: 0.0,
+        away: 0.0,
+        most: 1.0,
+    };
     assert_eq!(split(&[one], 0.02), [1.0]);
     let full = Seen { queue: 50.0, ..one };
-    let shares = split(&[full, full, Seen { queue: 5000.0, ..one }], 0.02);
-    assert!((shares[0] - 0.5).abs() < 1e-6 && shares[2] < 1e-6, "the fullest gets none: {shares:?}");
+    let shares = split(
+        &[
+            full,
+            full,
+            Seen {
+                queue: 5000.0,
+                ..one
+            },
+        ],
+        0.02,
+    );
+    assert!(
+        (shares[0] - 0.5).abs() < 1e-6 && shares[2] < 1e-6,
+        "the fullest gets none: {shares:?}"
+    );
     let shares = split(&[one, Seen { queue: 0.0, ..one }], 0.0);
-    assert!((shares.iter().sum::<f64>() - 1.0).abs() < 1e-6, "zero arrivals: {shares:?}");
+    assert!(
+        (shares.iter().sum::<f64>() - 1.0).abs() < 1e-6,
+        "zero arrivals: {shares:?}"
+    );
 }
