--- a/membership/src/lists.rs
+++ b/membership/src/endpoint_gossip.rs
@@ -1,7 +1,7 @@
 //! What other nodes' lists tell of servers beside one's own: the stricter counts until one's own list has come
 //! as far. All nodes' lists carry versions of one numbering; nothing counts that no list has told.
 
-use crate::fleet::ListedWord;
+use crate::membership::EndpointGossip;
 use std::collections::BTreeMap;
 
 /// Servers of which words are kept: as many as a list holds.
@@ -15,16 +15,21 @@
 
 /// One's own list, and what was heard over it.
 #[derive(Debug, Default)]
-pub struct Lists {
+pub struct EndpointView {
     seq: u64,
     own: BTreeMap<u64, Line>,
-    heard: BTreeMap<u64, ListedWord>,
+    heard: BTreeMap<u64, EndpointGossip>,
 }
 
-impl Lists {
+impl EndpointView {
     /// One's own list has told these (server, standing, started), up to a version. Returns what the other nodes
     /// are to hear of it, and the servers that were held stricter by others' words, and are no longer.
-    pub fn told(&mut self, seq: u64, whole: bool, lines: &[(u64, u8, f64)]) -> (Vec<ListedWord>, Vec<u64>) {
+    pub fn told(
+        &mut self,
+        seq: u64,
+        whole: bool,
+        lines: &[(u64, u8, f64)],
+    ) -> (Vec<EndpointGossip>, Vec<u64>) {
         let first = self.own.is_empty();
         let mut say = Vec::new();
         for (server, standing, started) in lines.iter().copied() {
@@ -33,10 +38,18 @@
             let before = before.unwrap_or(if first {
                 Line { standing, started }
             } else {
-                Line { standing: 0, started: 0.0 }
+                Line {
+                    standing: 0,
+                    started: 0.0,
+                }
             });
             if standing != before.standing || started > before.started {
-                say.push(ListedWord { server, standing, started, seq });
+                say.push(EndpointGossip {
+                    server,
+                    standing,
+                    started,
+                    seq,
+                });
             }
         }
         if whole {
@@ -46,21 +59,41 @@
                     .then_some((*server, line.started))
             };
             for (server, started) in self.own.iter().filter_map(missing).collect::<Vec<_>>() {
-                self.own.insert(server, Line { standing: 2, started });
-                say.push(ListedWord { server, standing: 2, started, seq });
+                self.own.insert(
+                    server,
+                    Line {
+                        standing: 2,
+                        started,
+                    },
+                );
+                say.push(EndpointGossip {
+                    server,
+                    standing: 2,
+                    started,
+                    seq,
+                });
             }
         }
         // Another numbering's versions may be lower: the list that was heard last is the one to go by.
         self.seq = seq;
-        let passed: Vec<u64> = self.heard.values().filter(|w| w.seq <= seq).map(|w| w.server).collect();
+        let passed: Vec<u64> = self
+            .heard
+            .values()
+            .filter(|w| w.seq <= seq)
+            .map(|w| w.server)
+            .collect();
         self.heard.retain(|_, word| word.seq > seq);
-        self.own.retain(|server, line| line.standing < 2 || self.heard.contains_key(server));
+        self.own
+            .retain(|server, line| line.standing < 2 || self.heard.contains_key(server));
         (say, passed)
     }
 
     /// Another node's list has told this. Whether something else holds for that server from now on.
-    pub fn heard(&mut self, word: ListedWord) -> bool {
-        let newer = self.heard.get(&word.server).is_none_or(|old| old.seq < word.seq);
+    pub fn heard(&mut self, word: EndpointGossip) -> bool {
+        let newer = self
+            .heard
+            .get(&word.server)
+            .is_none_or(|old| old.seq < word.seq);
         // Danger: words without end fill the memory; of servers that are not listed here nothing is needed.
         let room = self.heard.len() < SERVERS || self.heard.contains_key(&word.server);
         if word.seq <= self.seq || !newer || !room || !self.own.contains_key(&word.server) {
@@ -76,7 +109,10 @@
         let own = self.own.get(&server)?;
         let word = self.heard.get(&server);
         Some(word.map_or((own.standing, own.started), |word| {
-            (own.standing.max(word.standing), own.started.max(word.started))
+            (
+                own.standing.max(word.standing),
+                own.started.max(word.started),
+            )
         }))
     }
 
@@ -93,13 +129,24 @@
 mod tests {
     use super::*;
 
-    fn word(server: u64, standing: u8, started: f64, seq: u64) -> ListedWord {
-        ListedWord { server, standing, started, seq }
+    fn word(server: u64, standing: u8, started: f64, seq: u64) -> EndpointGossip {
+        EndpointGossip {
+            server,
+            standing,
+            started,
+            seq,
+        }
     }
 
-    fn of(seq: u64) -> Lists {
-        let mut lists = Lists::default();
-        assert!(lists.told(seq, true, &[(1, 0, 5.0), (2, 0, 0.0)]).0.is_empty(), "a first list is no news");
+    fn of(seq: u64) -> EndpointView {
+        let mut lists = EndpointView::default();
+        assert!(
+            lists
+                .told(seq, true, &[(1, 0, 5.0), (2, 0, 0.0)])
+                .0
+                .is_empty(),
+            "a first list is no news"
+        );
         lists
     }
 
@@ -139,7 +186,10 @@
     #[test]
     fn what_changes_is_told_to_others_once() {
         let mut lists = of(10);
-        assert_eq!(lists.told(11, false, &[(1, 1, 5.0)]).0, [word(1, 1, 5.0, 11)]);
+        assert_eq!(
+            lists.told(11, false, &[(1, 1, 5.0)]).0,
+            [word(1, 1, 5.0, 11)]
+        );
         assert!(lists.told(12, false, &[(1, 1, 5.0)]).0.is_empty());
         assert_eq!(
             lists.told(13, false, &[(1, 0, 9.0), (3, 0, 8.0)]).0,
--- a/node/src/life/state.rs
+++ b/proxy/src/lifecycle/state_directory.rs
@@ -9,7 +9,7 @@
 
 const BAN: &str = "suspended-";
 
-pub struct State {
+pub struct StateDirectory {
     /// None where it can't be kept.
     folder: Option<PathBuf>,
 }
@@ -20,7 +20,7 @@
     if !name.is_empty() && name.len() <= 40 && name.chars().all(fine) {
         name.to_string()
     } else {
-        format!("{:016x}", crate::names::hashed(name))
+        format!("{:016x}", crate::endpoint_list::hashed(name))
     }
 }
 
@@ -38,14 +38,19 @@
     Ok(())
 }
 
-impl State {
+impl StateDirectory {
     pub fn of(name: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("crankmux-{}", plain(name)));
         match made(&folder) {
-            Ok(()) => State { folder: Some(folder) },
+            Ok(()) => StateDirectory {
+                folder: Some(folder),
+            },
             Err(e) => {
-                log::warn!("no state directory {}: {e}; no server can be suspended", folder.display());
-                State { folder: None }
+                log::warn!(
+                    "no state directory {}: {e}; no server can be suspended",
+                    folder.display()
+                );
+                StateDirectory { folder: None }
             }
         }
     }
@@ -56,7 +61,9 @@
 
     /// Notes that a server is suspended. The name alone says so: a file torn or empty counts like any.
     pub fn ban(&self, mark: u64, id: &str) -> io::Result<()> {
-        let path = self.path(&format!("{BAN}{mark:016x}")).ok_or(io::ErrorKind::NotFound)?;
+        let path = self
+            .path(&format!("{BAN}{mark:016x}"))
+            .ok_or(io::ErrorKind::NotFound)?;
         // Made first: the text is for whoever looks in, and may not fit.
         fs::File::create(&path)?;
         let _ = fs::write(&path, id.chars().take(300).collect::<String>() + "\n");
@@ -64,7 +71,9 @@
     }
 
     pub fn lift(&self, mark: u64) -> io::Result<()> {
-        let path = self.path(&format!("{BAN}{mark:016x}")).ok_or(io::ErrorKind::NotFound)?;
+        let path = self
+            .path(&format!("{BAN}{mark:016x}"))
+            .ok_or(io::ErrorKind::NotFound)?;
         match fs::remove_file(path) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
             _ => Ok(()),
@@ -75,8 +84,9 @@
     pub fn bans(&self) -> Option<Vec<u64>> {
         let files = fs::read_dir(self.folder.as_ref()?).ok()?;
         let names = files.filter_map(|file| file.ok()?.file_name().into_string().ok());
-        let mut marks: Vec<u64> =
-            names.filter_map(|name| u64::from_str_radix(name.strip_prefix(BAN)?, 16).ok()).collect();
+        let mut marks: Vec<u64> = names
+            .filter_map(|name| u64::from_str_radix(name.strip_prefix(BAN)?, 16).ok())
+            .collect();
         marks.sort_unstable();
         Some(marks)
     }
--- a/node/src/memory/ops.rs
+++ b/proxy/src/requests.rs
@@ -1,4 +1,4 @@
-//! Ops that are under way, from their request until they are answered and their last push has ended.
+//! Requests that are under way, from their request until they are answered and their last push has ended.
 
 use slab::Slab;
 use std::collections::hash_map::RandomState;
@@ -18,7 +18,7 @@
     out: usize,
 }
 
-pub struct Ops {
+pub struct Requests {
     table: Slab<Op>,
     most: usize,
     /// Marks of those that a client waits for.
@@ -27,9 +27,14 @@
     marks: RandomState,
 }
 
-impl Ops {
+impl Requests {
     pub fn new(most: usize) -> Self {
-        Ops { table: Slab::new(), most, open: HashSet::new(), marks: RandomState::new() }
+        Requests {
+            table: Slab::new(),
+            most,
+            open: HashSet::new(),
+            marks: RandomState::new(),
+        }
     }
 
     /// So many from now on.
@@ -47,10 +52,17 @@
         self.open.contains(&mark)
     }
 
-    pub fn take_in(&mut self, client: usize, ends: f64, mark: u64) -> usize {
+    pub fn admit(&mut self, client: usize, ends: f64, mark: u64) -> usize {
         let over = self.table.len() >= self.most;
         self.open.insert(mark);
-        self.table.insert(Op { mark, client: Some(client), ends, over, pushes: Vec::new(), out: 0 })
+        self.table.insert(Op {
+            mark,
+            client: Some(client),
+            ends,
+            over,
+            pushes: Vec::new(),
+            out: 0,
+        })
     }
 
     /// Whether a client still waits for the answer.
@@ -77,7 +89,9 @@
 
     /// None may last past a time.
     pub fn end_by(&mut self, at: f64) {
-        self.table.iter_mut().for_each(|(_, op)| op.ends = op.ends.min(at));
+        self.table
+            .iter_mut()
+            .for_each(|(_, op)| op.ends = op.ends.min(at));
     }
 
     /// Where a push is out.
@@ -87,7 +101,11 @@
 
     /// The push that is out on a connection.
     pub fn push_on(&self, op: usize, link: usize) -> Option<usize> {
-        self.table.get(op)?.pushes.iter().position(|l| *l == Some(link))
+        self.table
+            .get(op)?
+            .pushes
+            .iter()
+            .position(|l| *l == Some(link))
     }
 
     pub fn push_ended(&mut self, op: usize, push: usize) {
@@ -107,7 +125,11 @@
     /// The one place where an op is given back: answered, and none of its pushes out. Danger: an index used
     /// again while a push is out would take that push's end for its own.
     pub fn drop_if_done(&mut self, op: usize) {
-        if self.table.get(op).is_some_and(|op| op.client.is_none() && op.out == 0) {
+        if self
+            .table
+            .get(op)
+            .is_some_and(|op| op.client.is_none() && op.out == 0)
+        {
             self.table.remove(op);
         }
     }
--- a/node/src/memory/tables.rs
+++ b/proxy/src/slot_table.rs
@@ -3,14 +3,17 @@
 use slab::Slab;
 use std::ops::{Index, IndexMut};
 
-pub struct Table<T> {
+pub struct SlotTable<T> {
     slots: Slab<T>,
     most: usize,
 }
 
-impl<T> Table<T> {
+impl<T> SlotTable<T> {
     pub fn new(most: usize) -> Self {
-        Table { slots: Slab::new(), most }
+        SlotTable {
+            slots: Slab::new(),
+            most,
+        }
     }
 
     /// So many from now on; those beyond stay until they are taken out.
@@ -53,17 +56,26 @@
 
     /// Keys of those that something holds for.
     pub fn keys(&self, holds: impl Fn(&T) -> bool) -> Vec<usize> {
-        self.slots.iter().filter(|(_, one)| holds(one)).map(|(key, _)| key).collect()
+        self.slots
+            .iter()
+            .filter(|(_, one)| holds(one))
+            .map(|(key, _)| key)
+            .collect()
     }
 
     /// Whoever has the least rank, of those that have one.
     pub fn least(&self, rank: impl Fn(&T) -> Option<f64>) -> Option<usize> {
-        let ranked = self.slots.iter().filter_map(|(key, one)| Some((key, rank(one)?)));
-        ranked.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
+        let ranked = self
+            .slots
+            .iter()
+            .filter_map(|(key, one)| Some((key, rank(one)?)));
+        ranked
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+            .map(|(key, _)| key)
     }
 }
 
-impl<T> Index<usize> for Table<T> {
+impl<T> Index<usize> for SlotTable<T> {
     type Output = T;
 
     fn index(&self, key: usize) -> &T {
@@ -71,7 +83,7 @@
     }
 }
 
-impl<T> IndexMut<usize> for Table<T> {
+impl<T> IndexMut<usize> for SlotTable<T> {
     fn index_mut(&mut self, key: usize) -> &mut T {
         &mut self.slots[key]
     }
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -2,8 +2,8 @@
 //! be put down to chance, 2 x root of N + 2.
 
 use crate::help::{line, node};
-use crankmux::balance::Balancer;
-use crankmux::words::*;
+use crankmux::balancer::Balancer;
+use crankmux::types::*;
 use std::thread;
 
 const WINDOW: f64 = 1000.0;
@@ -18,17 +18,17 @@
 #[derive(Default)]
 struct Sent(Option<usize>);
 
-impl Outlet for Sent {
-    fn push(&mut self, op: usize, _: usize, _: f64) {
+impl Actions for Sent {
+    fn start_attempt(&mut self, op: usize, _: usize, _: f64) {
         self.0 = Some(op);
     }
     fn probe(&mut self, _: usize) {}
     fn cancel(&mut self, _: usize, _: usize) {}
-    fn nack(&mut self, _: usize, _: f64) {}
-    fn dead_letter(&mut self, _: usize) {}
-    fn wake(&mut self, _: f64, _: u64) {}
-    fn follow_list(&mut self) {}
-    fn ask_list(&mut self) {}
+    fn reject(&mut self, _: usize, _: f64) {}
+    fn fail(&mut self, _: usize) {}
+    fn set_timer(&mut self, _: f64, _: u64) {}
+    fn watch_endpoints(&mut self) {}
+    fn poll_endpoints(&mut self) {}
 }
 
 /// Times of the three categories' ops, of which the mean is an ordinary op's.
@@ -52,7 +52,11 @@
             return times;
         }
         // A burst: what comes within 700 ms comes at its end.
-        times.push(if demand.kind == 2 { (at / 700.0).ceil() * 700.0 } else { at + from });
+        times.push(if demand.kind == 2 {
+            (at / 700.0).ceil() * 700.0
+        } else {
+            at + from
+        });
     }
 }
 
@@ -65,7 +69,7 @@
     Upgrades,
 }
 
-fn given(number: usize, of: usize) -> Given {
+fn given(number: usize, of: usize) -> SettingsMap {
     let mut given = node(number, of);
     given.insert("second-copies".into(), false.into());
     given
@@ -73,40 +77,95 @@
 
 /// The calls that a node sends to a server that starts cold, where that bears so much of the node in the usual. It
 /// is told so many nodes.
-fn calls(number: usize, told: usize, rate: f64, (demand, befalls): (Demand, Befalls), seed: u64) -> Vec<f64> {
+fn calls(
+    number: usize,
+    told: usize,
+    rate: f64,
+    (demand, befalls): (Demand, Befalls),
+    seed: u64,
+) -> Vec<f64> {
     let mut balancer = Balancer::new(given(number, told), seed).expect("all duties are given");
     let out = &mut Sent::default();
-    balancer.list(out, START - 1.0, &[line(0, Standing::Ready, 0.0)], true, false);
-    let learnt = Learnt { best: 1.0, limit: 1000.0, peak: rate, borne: rate, ..Learnt::default() };
-    balancer.inherit(&Experience {
-        time: 100.0,
-        slack: 2.0,
-        warm_rate: rate,
-        categories: TIMES.map(|time| (time, 1e6)).to_vec(),
-        servers: vec![(0, learnt)],
+    balancer.update_endpoints(
+        out,
+        START - 1.0,
+        &[line(0, EndpointState::Ready, 0.0)],
+        true,
+        false,
+    );
+    let learnt = EndpointStatistics {
+        best_relative_latency: 1.0,
+        concurrency_limit: 1000.0,
+        peak_throughput: rate,
+        throughput: rate,
+        ..EndpointStatistics::default()
+    };
+    balancer.restore_learned_state(&LearnedState {
+        mean_latency_ms: 100.0,
+        tail_multiple: 2.0,
+        warm_throughput: rate,
+        classes: TIMES.map(|time| (time, 1e6)).to_vec(),
+        endpoints: vec![(0, learnt)],
     });
-    balancer.list(out, START, &[line(0, Standing::Ready, START)], false, false);
+    balancer.update_endpoints(
+        out,
+        START,
+        &[line(0, EndpointState::Ready, START)],
+        false,
+        false,
+    );
     let mut rng = oorandom::Rand64::new(u128::from(seed) << 1);
     let (mut calls, mut next) = (Vec::new(), 600.0 * rng.rand_float());
     for (op, at) in arrivals(demand, rate, &mut rng).into_iter().enumerate() {
         if at >= next && befalls == Befalls::Reloads {
-            balancer.renew(given(number, told)).expect("all duties are given");
+            balancer
+                .update_settings(given(number, told))
+                .expect("all duties are given");
         } else if at >= next && befalls == Befalls::Upgrades {
-            let mut newer = Balancer::new(given(number, told), rng.rand_u64()).expect("all duties are given");
-            newer.list(out, START + at, &[line(0, Standing::Ready, START)], true, false);
-            newer.inherit(&balancer.experience());
+            let mut newer =
+                Balancer::new(given(number, told), rng.rand_u64()).expect("all duties are given");
+            newer.update_endpoints(
+                out,
+                START + at,
+                &[line(0, EndpointState::Ready, START)],
+                true,
+                false,
+            );
+            newer.restore_learned_state(&balancer.learned_state());
             balancer = newer;
         }
         next = if at >= next { at + 600.0 } else { next };
-        let category = if demand.light { 0 } else { rng.rand_range(0..3) as usize };
-        let arrival = Arrival { op, category, customer: None, ttl: 1000.0, retry: false, key: None };
-        balancer.arrive(out, START + at, &arrival);
+        let category = if demand.light {
+            0
+        } else {
+            rng.rand_range(0..3) as usize
+        };
+        let arrival = NewRequest {
+            request: op,
+            class: category,
+            tenant: None,
+            ttl_ms: 1000.0,
+            client_retry: false,
+            key: None,
+        };
+        balancer.request_arrived(out, START + at, &arrival);
         if out.0.take() == Some(op) {
             calls.push(at);
             // Answered in its usual time; in this model nothing is ever in flight.
-            let (ending, took, load) = (Ending::Acked, TIMES[category], Load::default());
-            let end = PushEnd { op, push: 0, ending, took, closed: true, load };
-            balancer.push_ended(out, START + at, &end);
+            let (ending, took, load) = (
+                AttemptOutcome::Succeeded,
+                TIMES[category],
+                LoadReport::default(),
+            );
+            let end = AttemptResult {
+                request: op,
+                attempt: 0,
+                outcome: ending,
+                duration_ms: took,
+                request_closed: true,
+                load,
+            };
+            balancer.attempt_ended(out, START + at, &end);
         }
     }
     calls
@@ -118,17 +177,33 @@
     let mut rng = oorandom::Rand64::new(u128::from(seed) * 7919 + nodes as u128);
     // The budget of the first window, 3 to 300 calls, and demand; nodes' traffic is unequal, up to thirty times.
     let budget = 3.0 * 100.0_f64.powf(rng.rand_float());
-    let demand = Demand { kind: rng.rand_range(0..4) as usize, light: rng.rand_float() < 0.3 };
+    let demand = Demand {
+        kind: rng.rand_range(0..4) as usize,
+        light: rng.rand_float() < 0.3,
+    };
     // Every other play has something befall all nodes, and tells them half or twice their number.
-    let befalls = [Befalls::Nothing, Befalls::Nothing, Befalls::Reloads, Befalls::Upgrades];
+    let befalls = [
+        Befalls::Nothing,
+        Befalls::Nothing,
+        Befalls::Reloads,
+        Befalls::Upgrades,
+    ];
     let befalls = befalls[rng.rand_range(0..4) as usize];
     let told = [nodes, nodes, nodes.div_ceil(2), 2 * nodes][rng.rand_range(0..4) as usize];
-    let weights: Vec<f64> = (0..nodes).map(|_| 30.0_f64.powf(rng.rand_float())).collect();
+    let weights: Vec<f64> = (0..nodes)
+        .map(|_| 30.0_f64.powf(rng.rand_float()))
+        .collect();
     let all: f64 = weights.iter().sum();
     let bears = budget / (MULTIPLE * SHARE * WINDOW);
     let mut at: Vec<f64> = Vec::new();
     for (number, weight) in weights.iter().enumerate() {
-        at.extend(calls(number, told, bears * weight / all, (demand, befalls), rng.rand_u64()));
+        at.extend(calls(
+            number,
+            told,
+            bears * weight / all,
+            (demand, befalls),
+            rng.rand_u64(),
+        ));
     }
     at.sort_unstable_by(f64::total_cmp);
     let budget_at = |from: f64| {
@@ -150,15 +225,28 @@
 /// Plays so many seeds on all processors: how many went over, the worst, and the mean share used.
 fn plays(nodes: usize, seeds: u64) -> (usize, f64, f64) {
     let lanes = 8;
-    let one =
-        move |lane| (0..seeds).filter(move |s| s % lanes == lane).map(|seed| play(nodes, seed)).collect();
+    let one = move |lane| {
+        (0..seeds)
+            .filter(move |s| s % lanes == lane)
+            .map(|seed| play(nodes, seed))
+            .collect()
+    };
     let all: Vec<(f64, f64)> = thread::scope(|scope| {
-        let lanes: Vec<_> = (0..lanes).map(|lane| scope.spawn(move || -> Vec<_> { one(lane) })).collect();
-        lanes.into_iter().flat_map(|lane| lane.join().expect("it plays")).collect()
+        let lanes: Vec<_> = (0..lanes)
+            .map(|lane| scope.spawn(move || -> Vec<_> { one(lane) }))
+            .collect();
+        lanes
+            .into_iter()
+            .flat_map(|lane| lane.join().expect("it plays"))
+            .collect()
     });
     let over = all.iter().filter(|(worst, _)| *worst > 2.0).count();
     let worst = all.iter().map(|(worst, _)| *worst).fold(f64::MIN, f64::max);
-    (over, worst, all.iter().map(|(_, used)| used).sum::<f64>() / all.len() as f64)
+    (
+        over,
+        worst,
+        all.iter().map(|(_, used)| used).sum::<f64>() / all.len() as f64,
+    )
 }
 
 fn no_play_goes_over(seeds: u64) {
@@ -169,7 +257,10 @@
         );
         (nodes, over, worst)
     });
-    assert!(told.iter().all(|(_, over, _)| *over == 0), "nodes, plays over, worst: {told:?}");
+    assert!(
+        told.iter().all(|(_, over, _)| *over == 0),
+        "nodes, plays over, worst: {told:?}"
+    );
 }
 
 #[test]
