The fault-injection harness is split by concern and takes the field's names

Change: harness/ has a module a concern (event loop, proxies, endpoints, discovery, clients, paths, observations, invariants, measurements), run/ injects faults and computes the report; relays, proxy processes, ports and the due queue (which stood twice) have modules of their own. RunError is typed; tuples that travelled between functions are structs; dead counters are gone. Callers follow the renames.

--- a/fault-injection/src/connection.rs
+++ b/fault-injection/src/connection.rs
@@ -1,149 +1,161 @@
-//! Connections of the rig's side: requests in and answers out at servers and at discovery, the other way
-//! round at clients.
+//! HTTP/1.1 over non-blocking connections, as far as the harness needs it: requests arrive at stand-in endpoints
+//! and at discovery, responses arrive at clients and observers.
 
 use mio::net::TcpStream;
 use std::io::{ErrorKind, Read, Write};
 
-/// What a message's head says.
-pub struct Head {
-    /// Method and path of a request; nothing of an answer.
-    pub path: String,
-    pub status: u16,
-    pub headers: Vec<(String, String)>,
-    pub keep: bool,
-    pub body: Vec<u8>,
-}
+const READ_SIZE: usize = 16 * 1024;
+const MAX_HEADERS: usize = 64;
+
+/// The headers of a message, in the order in which they were sent.
+pub(crate) struct Headers(Vec<(String, String)>);
+
+impl Headers {
+    fn new(parsed: &[httparse::Header]) -> Self {
+        let owned = parsed.iter().map(|header| {
+            let value = String::from_utf8_lossy(header.value).into_owned();
+            (header.name.to_string(), value)
+        });
+        Headers(owned.collect())
+    }
 
-impl Head {
-    pub fn get(&self, name: &str) -> Option<&str> {
-        self.headers
+    /// The value of the first header of this name, in any case of its letters.
+    pub(crate) fn get(&self, name: &str) -> Option<&str> {
+        self.0
             .iter()
-            .find(|(n, _)| n.eq_ignore_ascii_case(name))
-            .map(|(_, v)| v.as_str())
+            .find(|(header, _)| header.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
+    }
+
+    fn content_length(&self) -> usize {
+        self.get("content-length")
+            .and_then(|length| length.parse().ok())
+            .unwrap_or(0)
     }
+
+    fn keep_alive(&self) -> bool {
+        !self
+            .get("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+}
+
+/// A complete request. Its body is read and dropped.
+pub(crate) struct Request {
+    pub(crate) path: String,
+    pub(crate) headers: Headers,
+}
+
+/// A complete response.
+pub(crate) struct Response {
+    pub(crate) status: u16,
+    pub(crate) keep_alive: bool,
+    pub(crate) body: Vec<u8>,
 }
 
 /// One connection, with what was read of it and what is still to be written.
-pub struct Conn {
-    pub stream: TcpStream,
-    inbox: Vec<u8>,
-    out: Vec<u8>,
-    /// Read to its end, or broken.
-    pub over: bool,
+pub(crate) struct Connection {
+    pub(crate) stream: TcpStream,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    /// Read to its end, broken, or carrying what is not HTTP.
+    pub(crate) ended: bool,
 }
 
-impl Conn {
-    pub fn new(stream: TcpStream) -> Self {
+impl Connection {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        // It only saves a delay, and is refused only where the peer is already gone, which the next read finds.
         let _ = stream.set_nodelay(true);
-        Conn {
+        Connection {
             stream,
-            inbox: Vec::new(),
-            out: Vec::new(),
-            over: false,
+            input: Vec::new(),
+            output: Vec::new(),
+            ended: false,
         }
     }
 
-    /// Reads whatever has come.
-    pub fn fill(&mut self) {
-        let mut piece = [0; 16 * 1024];
+    /// Reads whatever has arrived.
+    pub(crate) fn fill(&mut self) {
+        let mut chunk = [0; READ_SIZE];
         loop {
-            match self.stream.read(&mut piece) {
-                Ok(0) => break self.over = true,
-                Ok(n) => self.inbox.extend(&piece[..n]),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::NotConnected => break,
-                Err(_) => break self.over = true,
+            match self.stream.read(&mut chunk) {
+                Ok(0) => break self.ended = true,
+                Ok(length) => self.input.extend(&chunk[..length]),
+                Err(error) => match error.kind() {
+                    ErrorKind::WouldBlock | ErrorKind::NotConnected => break,
+                    ErrorKind::Interrupted => {}
+                    _ => break self.ended = true,
+                },
             }
         }
     }
 
-    /// Takes out the next whole message. A broken one ends the connection.
-    pub fn take(&mut self, answer: bool) -> Option<Head> {
-        let mut headers = [httparse::EMPTY_HEADER; 64];
-        let owned = |headers: &[httparse::Header]| -> Vec<(String, String)> {
-            let pair = |h: &httparse::Header| {
-                (
-                    h.name.to_string(),
-                    String::from_utf8_lossy(h.value).into_owned(),
-                )
-            };
-            headers.iter().map(pair).collect()
-        };
-        let (ends, head) = if answer {
-            let mut read = httparse::Response::new(&mut headers);
-            match read.parse(&self.inbox) {
-                Ok(httparse::Status::Complete(ends)) => {
-                    let status = read.code.unwrap_or(0);
-                    (
-                        ends,
-                        Head {
-                            path: String::new(),
-                            status,
-                            headers: owned(read.headers),
-                            keep: true,
-                            body: Vec::new(),
-                        },
-                    )
-                }
-                Ok(_) => return None,
-                Err(_) => return self.broken(),
-            }
-        } else {
-            let mut read = httparse::Request::new(&mut headers);
-            match read.parse(&self.inbox) {
-                Ok(httparse::Status::Complete(ends)) => {
-                    let path = read.path.unwrap_or_default().to_string();
-                    (
-                        ends,
-                        Head {
-                            path,
-                            status: 0,
-                            headers: owned(read.headers),
-                            keep: true,
-                            body: Vec::new(),
-                        },
-                    )
-                }
-                Ok(_) => return None,
-                Err(_) => return self.broken(),
+    /// Takes out the next complete request. A malformed one ends the connection.
+    pub(crate) fn take_request(&mut self) -> Option<Request> {
+        let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut storage);
+        let status = parsed.parse(&self.input);
+        let path = parsed.path.unwrap_or_default().to_string();
+        let headers = Headers::new(parsed.headers);
+        let head_length = self.complete(status)?;
+        self.take_body(head_length, &headers)?;
+        Some(Request { path, headers })
+    }
+
+    /// Takes out the next complete response. A malformed one ends the connection.
+    pub(crate) fn take_response(&mut self) -> Option<Response> {
+        let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut storage);
+        let status = parsed.parse(&self.input);
+        let code = parsed.code.unwrap_or(0);
+        let headers = Headers::new(parsed.headers);
+        let head_length = self.complete(status)?;
+        let body = self.take_body(head_length, &headers)?;
+        Some(Response {
+            status: code,
+            keep_alive: headers.keep_alive(),
+            body,
+        })
+    }
+
+    /// The length of a message's head, once all of it is there.
+    fn complete(&mut self, parsed: httparse::Result<usize>) -> Option<usize> {
+        match parsed {
+            Ok(httparse::Status::Complete(length)) => Some(length),
+            Ok(httparse::Status::Partial) => None,
+            Err(_) => {
+                self.ended = true;
+                None
             }
-        };
-        let body = head
-            .get("content-length")
-            .and_then(|v| v.parse().ok())
-            .unwrap_or(0_usize);
-        if self.inbox.len() < ends + body {
-            return None;
         }
-        let body = self.inbox.drain(..ends + body).skip(ends).collect();
-        let keep = !head
-            .get("connection")
-            .is_some_and(|v| v.eq_ignore_ascii_case("close"));
-        Some(Head { keep, body, ..head })
     }
 
-    fn broken(&mut self) -> Option<Head> {
-        self.over = true;
-        None
+    /// Takes a message out of the input once its body is complete. Returns the body.
+    fn take_body(&mut self, head_length: usize, headers: &Headers) -> Option<Vec<u8>> {
+        let length = head_length + headers.content_length();
+        if self.input.len() < length {
+            return None;
+        }
+        Some(self.input.drain(..length).skip(head_length).collect())
     }
 
-    pub fn say(&mut self, text: &str) {
-        self.out.extend(text.as_bytes());
+    /// Queues a message and writes as much as can be written now.
+    pub(crate) fn send(&mut self, message: &str) {
+        self.output.extend(message.as_bytes());
         self.flush();
     }
 
     /// Writes what can be written now.
-    pub fn flush(&mut self) {
-        while !self.out.is_empty() {
-            match self.stream.write(&self.out) {
-                Ok(0) => return self.over = true,
-                Ok(n) => drop(self.out.drain(..n)),
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => {
-                    return
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return self.over = true,
+    pub(crate) fn flush(&mut self) {
+        while !self.output.is_empty() {
+            match self.stream.write(&self.output) {
+                Ok(0) => return self.ended = true,
+                Ok(length) => drop(self.output.drain(..length)),
+                Err(error) => match error.kind() {
+                    ErrorKind::WouldBlock | ErrorKind::NotConnected => return,
+                    ErrorKind::Interrupted => {}
+                    _ => return self.ended = true,
+                },
             }
         }
     }
--- /dev/null
+++ b/fault-injection/src/harness/event_loop.rs
@@ -0,0 +1,281 @@
+//! The run loop: waits for sockets and timers, and hands each event to whom it concerns.
+
+use super::Harness;
+use crate::connection::Connection;
+use crate::due_queue::DueQueue;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Registry, Token};
+use slab::Slab;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// Tokens below are listeners; from here on they are relays, and from the next on connections.
+const FIRST_RELAY: usize = 100_000;
+const FIRST_CONNECTION: usize = 1_000_000;
+const EVENTS_AT_ONCE: usize = 1024;
+/// How often a condition that is waited for is looked at, if nothing else happens.
+const CONDITION_INTERVAL_MS: f64 = 20.0;
+
+/// Which part of the environment a socket belongs to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Role {
+    /// An endpoint, as one proxy reaches it.
+    Endpoint {
+        endpoint: usize,
+        proxy: usize,
+    },
+    /// The discovery of one proxy.
+    Discovery {
+        proxy: usize,
+    },
+    /// A client of a proxy, with the request that waits for its answer.
+    Client {
+        proxy: usize,
+        request: Option<usize>,
+    },
+    Observer {
+        proxy: usize,
+    },
+}
+
+struct Listener {
+    socket: TcpListener,
+    role: Role,
+}
+
+pub(super) struct RoleConnection {
+    pub(super) connection: Connection,
+    pub(super) role: Role,
+}
+
+type Callback = Box<dyn FnOnce(&mut Harness)>;
+
+/// Sockets and timers.
+pub(super) struct EventLoop {
+    poll: Poll,
+    events: Events,
+    started: Instant,
+    timers: DueQueue<Callback>,
+    listeners: Vec<Listener>,
+    pub(super) connections: Slab<RoleConnection>,
+}
+
+impl EventLoop {
+    pub(super) fn new() -> Self {
+        EventLoop {
+            poll: Poll::new().expect("the system polls"),
+            events: Events::with_capacity(EVENTS_AT_ONCE),
+            started: Instant::now(),
+            timers: DueQueue::default(),
+            listeners: Vec::new(),
+            connections: Slab::new(),
+        }
+    }
+
+    pub(super) fn now_ms(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() * 1000.0
+    }
+
+    pub(super) fn registry(&self) -> &Registry {
+        self.poll.registry()
+    }
+
+    pub(super) fn relay_token(proxy: usize) -> Token {
+        Token(FIRST_RELAY + proxy)
+    }
+
+    /// Listens at a free port on loopback.
+    pub(super) fn listen(&mut self, role: Role) -> SocketAddr {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let mut socket = TcpListener::bind(any_port).expect("a free port on loopback");
+        let address = socket.local_addr().expect("bound");
+        let token = Token(self.listeners.len());
+        self.registry()
+            .register(&mut socket, token, Interest::READABLE)
+            .expect("the system polls");
+        self.listeners.push(Listener { socket, role });
+        address
+    }
+
+    /// Takes a connection into the loop. Returns its key.
+    pub(super) fn add_connection(&mut self, mut stream: TcpStream, role: Role) -> usize {
+        let entry = self.connections.vacant_entry();
+        let key = entry.key();
+        let interests = Interest::READABLE | Interest::WRITABLE;
+        self.poll
+            .registry()
+            .register(&mut stream, Token(FIRST_CONNECTION + key), interests)
+            .expect("the system polls");
+        entry.insert(RoleConnection {
+            connection: Connection::new(stream),
+            role,
+        });
+        key
+    }
+
+    /// Takes a connection out of the loop, if it is still there.
+    fn remove_connection(&mut self, key: usize) -> Option<RoleConnection> {
+        let mut removed = self.connections.try_remove(key)?;
+        // It fails only for a socket that is no longer registered, which is what is wanted.
+        let _ = self.registry().deregister(&mut removed.connection.stream);
+        Some(removed)
+    }
+
+    /// Waits until something is ready, for so long at most. Returns what is.
+    fn ready(&mut self, timeout: Duration) -> Vec<Token> {
+        // An interrupted wait is taken up again in the loop's next turn.
+        if self.poll.poll(&mut self.events, Some(timeout)).is_err() {
+            return Vec::new();
+        }
+        self.events.iter().map(|event| event.token()).collect()
+    }
+
+    /// Sends a message on a connection, if it is still there.
+    pub(super) fn send(&mut self, key: usize, message: &str) {
+        if let Some(open) = self.connections.get_mut(key) {
+            open.connection.send(message);
+        }
+    }
+}
+
+impl Harness {
+    /// Calls back once so many milliseconds have passed.
+    pub(crate) fn schedule(
+        &mut self,
+        delay_ms: f64,
+        callback: impl FnOnce(&mut Harness) + 'static,
+    ) {
+        let due_ms = self.now() + delay_ms.max(0.0);
+        self.event_loop.timers.insert(due_ms, Box::new(callback));
+    }
+
+    /// Lets so many milliseconds pass.
+    pub fn pass(&mut self, duration_ms: f64) {
+        let end_ms = self.now() + duration_ms;
+        while self.now() < end_ms {
+            self.turn(end_ms);
+        }
+    }
+
+    /// Lets time pass until a condition holds, so many milliseconds at most. Returns whether it came to hold.
+    pub fn until(
+        &mut self,
+        timeout_ms: f64,
+        mut condition: impl FnMut(&mut Harness) -> bool,
+    ) -> bool {
+        let end_ms = self.now() + timeout_ms;
+        while self.now() < end_ms {
+            if condition(self) {
+                return true;
+            }
+            let next_ms = (self.now() + CONDITION_INTERVAL_MS).min(end_ms);
+            self.turn(next_ms);
+        }
+        condition(self)
+    }
+
+    /// One turn of the loop: what is due, and then whatever comes by the next thing that is due.
+    fn turn(&mut self, end_ms: f64) {
+        self.run_due_callbacks();
+        let now_ms = self.now();
+        self.relays.forward_due(now_ms);
+        let timer_ms = self.event_loop.timers.next_due_ms();
+        let next_ms = [timer_ms, self.relays.next_due_ms()]
+            .into_iter()
+            .flatten()
+            .fold(end_ms, f64::min);
+        let wait = Duration::from_secs_f64((next_ms - now_ms).max(0.0) / 1000.0);
+        for token in self.event_loop.ready(wait) {
+            self.dispatch(token);
+        }
+    }
+
+    fn run_due_callbacks(&mut self) {
+        loop {
+            let now_ms = self.now();
+            let Some(callback) = self.event_loop.timers.pop_due(now_ms) else {
+                return;
+            };
+            callback(self);
+        }
+    }
+
+    fn dispatch(&mut self, Token(token): Token) {
+        match token {
+            0..FIRST_RELAY => self.accept(token),
+            FIRST_RELAY..FIRST_CONNECTION => {
+                let now_ms = self.now();
+                self.relays
+                    .receive(now_ms, token - FIRST_RELAY, &mut self.random);
+            }
+            _ => self.serve_connection(token - FIRST_CONNECTION),
+        }
+    }
+
+    fn accept(&mut self, listener: usize) {
+        while let Ok((stream, _)) = self.event_loop.listeners[listener].socket.accept() {
+            let role = self.event_loop.listeners[listener].role;
+            if self.is_up(role) {
+                self.event_loop.add_connection(stream, role);
+            }
+        }
+    }
+
+    /// Reads what a connection has, and handles each message that is complete.
+    fn serve_connection(&mut self, key: usize) {
+        loop {
+            let Some(open) = self.event_loop.connections.get_mut(key) else {
+                return;
+            };
+            let connection = &mut open.connection;
+            connection.flush();
+            connection.fill();
+            match open.role {
+                Role::Endpoint { endpoint, proxy } => {
+                    let Some(request) = connection.take_request() else {
+                        break;
+                    };
+                    self.on_attempt(key, endpoint, proxy, &request.headers);
+                }
+                Role::Discovery { proxy } => {
+                    let Some(request) = connection.take_request() else {
+                        break;
+                    };
+                    self.on_discovery_poll(key, proxy, &request.path);
+                }
+                Role::Client { proxy, request } => {
+                    let Some(response) = connection.take_response() else {
+                        break;
+                    };
+                    self.on_response(key, proxy, request, &response);
+                }
+                Role::Observer { proxy } => {
+                    let Some(response) = connection.take_response() else {
+                        break;
+                    };
+                    self.on_view(proxy, &response.body);
+                    self.close(key);
+                }
+            }
+        }
+        if self.event_loop.connections[key].connection.ended {
+            self.close(key);
+        }
+    }
+
+    /// Closes a connection, and sees to whoever waited on it.
+    pub(super) fn close(&mut self, key: usize) {
+        let Some(RoleConnection { connection, role }) = self.event_loop.remove_connection(key)
+        else {
+            return;
+        };
+        self.discovery.forget_connection(key);
+        if let Role::Client { proxy, request } = role {
+            let refused = connection.stream.peer_addr().is_err();
+            self.clients.forget_connection(proxy, key);
+            if let Some(request) = request {
+                self.on_closed_unanswered(request, proxy, refused);
+            }
+        }
+    }
+}
--- a/fault-injection/src/lib.rs
+++ b/fault-injection/src/lib.rs
@@ -1,17 +1,20 @@
-//! Many processes of the program on one machine, with what they need around them: servers, discovery, clients,
-//! and a relay before each node's port, all in one thread of the caller's and on loopback. Faults are put
-//! between them by call or by script. Every rule is judged over all nodes together, by what servers and
-//! clients saw themselves. docs/rig.md has the ways weighed.
+//! Fault injection for clusters: several proxy processes on one machine, with what they need around them (endpoints,
+//! discovery, clients, and a relay in front of each proxy's cluster port), all in one thread of the caller's and on
+//! loopback. Faults are put between them by call or by script. Every rule is checked over all proxies together, by
+//! what endpoints and clients saw. docs/rig.md has the designs that were considered.
 
 mod connection;
+mod due_queue;
 mod harness;
-mod processes;
-mod relay;
+mod ports;
+mod proxy_process;
+mod relays;
 mod run;
-mod script;
+mod run_script;
 
-pub use harness::{Harness, View};
-pub use processes::{free_port, Start};
-pub use relay::Way;
-pub use run::{play, Report, Times};
-pub use script::{Fault, Kind, Play};
+pub use harness::{Harness, Service, View};
+pub use ports::free_port;
+pub use proxy_process::{ProxyProcess, Start};
+pub use relays::{PathFaults, PathRelays};
+pub use run::{run, Report, RunError, Times};
+pub use run_script::{Direction, Fault, FaultKind, RunScript};
--- a/fault-injection/tests/client_left.rs
+++ b/fault-injection/tests/client_left.rs
@@ -1,10 +1,12 @@
-//! Clients that leave while their ops wait: the judge tells a node that serves them on.
+//! A client that leaves while its request waits is not to be served on: the invariant checker catches a proxy that
+//! does.
 
 use crankmux_fault_injection::{Harness, Start};
+use crankmux_simulator::invariants::Rule;
 use crankmux_simulator::script::Script;
 
-/// Servers too slow for any op, and clients that all leave halfway through its time.
-const WORLD: &str = r#"
+/// Endpoints too slow for any request, and clients that all leave halfway through its time.
+const ENVIRONMENT: &str = r#"
 name = "left"
 seconds = 10
 nodes = 1
@@ -28,23 +30,25 @@
 "#;
 
 #[test]
-fn a_node_that_serves_on_whoever_has_left_is_caught() {
-    let script = Script::read(WORLD).unwrap_or_else(|faulty| panic!("{faulty}"));
+fn a_proxy_that_retries_for_clients_that_have_left_is_caught() {
+    let environment = Script::read(ENVIRONMENT).unwrap_or_else(|error| panic!("{error}"));
     let folder = std::env::temp_dir().join(format!(
         "crankmux-fault-injection-{}-left",
         std::process::id()
     ));
     let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux-faulty-node"), folder);
-    start.fleet = false;
-    let mut rig = Harness::new(script, start);
-    rig.start_all();
-    // It hears clients as soon as it has the list.
-    rig.pass(500.0);
-    rig.open();
-    let caught = rig.until(20_000.0, |rig| rig.judge.counts()[4] > 10);
-    assert!(caught, "{:?}", rig.broken());
-    assert!(rig
+    start.cluster = false;
+    let mut harness = Harness::new(environment, start);
+    harness.start_all();
+    // It accepts clients as soon as it has the endpoint list.
+    harness.pass(500.0);
+    harness.open();
+    let caught = harness.until(20_000.0, |harness| {
+        harness.invariants.counts()[Rule::Left as usize] > 10
+    });
+    assert!(caught, "{:?}", harness.broken());
+    assert!(harness
         .broken()
         .iter()
-        .any(|what| what.contains("nobody who has left served on")));
+        .any(|broken| broken.contains("nobody who has left served on")));
 }
--- a/proxy/tests/fleet/main.rs
+++ b/proxy/tests/fleet/main.rs
@@ -1,7 +1,7 @@
 //! Several processes of the node at once, with faults between them. Each test is one danger to a fleet; bounds
 //! on times are the issue's own where it names one, and else generous.
 
-use crankmux_fault_injection::{Harness, Start, Way};
+use crankmux_fault_injection::{Harness, PathFaults, Start};
 use crankmux_simulator::script::Script;
 
 /// Small ops on servers with room to spare: what is looked at is the fleet, on machines of any pace.
@@ -73,7 +73,7 @@
 }
 
 fn views(rig: &Harness) -> Vec<Option<crankmux_fault_injection::View>> {
-    (0..rig.nodes.len())
+    (0..rig.proxies.len())
         .map(|node| rig.view(node).cloned())
         .collect()
 }
@@ -85,7 +85,8 @@
     assert!(rig.broken().is_empty(), "{:#?}", rig.broken());
     let service = rig.service;
     assert!(
-        service.taken > 0 && service.acked * 10 >= (service.taken - service.gone) * 8,
+        service.requests > 0
+            && service.succeeded * 10 >= (service.requests - service.unanswered) * 8,
         "{service:?}"
     );
 }
@@ -95,7 +96,7 @@
     for view in rig
         .views
         .iter()
-        .filter(|view| view.at >= since && live.contains(&view.node))
+        .filter(|view| view.at_ms >= since && live.contains(&view.proxy))
     {
         let failed = view
             .states
@@ -134,7 +135,7 @@
     // Back under their old names, with no word of the old ones' end waited for.
     [3, 4, 5]
         .into_iter()
-        .for_each(|node| assert!(rig.until(5000.0, |rig| !rig.nodes[node].runs())));
+        .for_each(|node| assert!(rig.until(5000.0, |rig| !rig.proxies[node].runs())));
     [3, 4, 5].into_iter().for_each(|node| rig.start(node, true));
     assert!(
         rig.until(15_000.0, |rig| rig.agree(&[0, 1, 2, 3, 4, 5])),
@@ -149,7 +150,10 @@
     let mut rig = whole("rolling", 5);
     for node in 0..5 {
         rig.terminate(node);
-        assert!(rig.until(8000.0, |rig| !rig.nodes[node].runs()), "it ends");
+        assert!(
+            rig.until(8000.0, |rig| !rig.proxies[node].runs()),
+            "it ends"
+        );
         rig.start(node, true);
         assert!(
             rig.until(15_000.0, |rig| rig.agree(&[0, 1, 2, 3, 4])),
@@ -175,7 +179,7 @@
     rig.drain(0);
     rig.pass((at + 10_000.0 - rig.now()).max(0.0));
     let woken = rig.now();
-    rig.go_on(2);
+    rig.resume(2);
     assert!(
         rig.until(8000.0, |rig| rig.agree(&[0, 1, 2, 3, 4])),
         "{:?}",
@@ -183,7 +187,7 @@
     );
     nobody_failed(&rig, &others, woken);
     let wrong = rig.views.iter().find(|view| {
-        view.node == 2 && view.at > woken && view.states.values().any(|state| state == "failed")
+        view.proxy == 2 && view.at_ms > woken && view.states.values().any(|state| state == "failed")
     });
     assert!(wrong.is_none(), "{wrong:?}");
     kept(&mut rig);
@@ -193,28 +197,28 @@
 fn a_one_way_cut_and_a_lossy_slow_net_part_nobody() {
     let mut rig = whole("oneway", 5);
     let at = rig.now();
-    rig.ways(
+    rig.set_paths(
         &[1],
         &[0],
-        Way {
+        PathFaults {
             cut: true,
-            ..Way::default()
+            ..PathFaults::default()
         },
     );
     rig.pass(5000.0);
     nobody_failed(&rig, &[0, 1, 2, 3, 4], at);
     let all = [0, 1, 2, 3, 4];
-    let bad = Way {
+    let bad = PathFaults {
         loss: 0.2,
-        delay: 100.0,
-        twice: 0.1,
-        garbled: 0.02,
+        delay_ms: 100.0,
+        duplicated: 0.1,
+        corrupted: 0.02,
         cut: false,
     };
-    rig.part(&[&all], bad);
+    rig.partition(&[&all], bad);
     rig.pass(12_000.0);
     nobody_failed(&rig, &all, at);
-    rig.part(&[&all], Way::default());
+    rig.partition(&[&all], PathFaults::default());
     assert!(
         rig.until(8000.0, |rig| rig.agree(&all)),
         "{:?}",
@@ -227,7 +231,7 @@
 fn a_split_in_three_keeps_the_count_and_cold_budgets_and_heals_in_any_order() {
     let mut rig = whole("split", 6);
     let groups: [&[usize]; 3] = [&[0, 1], &[2, 3], &[4, 5]];
-    rig.part(&groups, Way::default());
+    rig.partition(&groups, PathFaults::default());
     let at = rig.now();
     assert!(rig.until(10_000.0, |rig| rig
         .saw(&[0, 1], 5, "failed", at)
@@ -238,21 +242,21 @@
             .iter()
             .all(Option::is_some)));
     // Each part knows two of six; a server restarts cold meanwhile, and all six push to it.
-    rig.restart_server(1);
+    rig.restart_endpoint(1);
     rig.pass(3000.0);
-    for view in rig.views.iter().filter(|view| view.at > at) {
+    for view in rig.views.iter().filter(|view| view.at_ms > at) {
         assert!(
-            view.assumed >= 5.99,
+            view.assumed_proxies >= 5.99,
             "those beyond the cut push too: {view:?}"
         );
-        assert!(view.cold_part <= 1.0 + 1e-9);
+        assert!(view.slow_start_share <= 1.0 + 1e-9);
     }
-    rig.part(&[&[0, 1, 4, 5], &[2, 3]], Way::default());
+    rig.partition(&[&[0, 1, 4, 5], &[2, 3]], PathFaults::default());
     assert!(
         rig.until(15_000.0, |rig| rig.saw(&[0], 4, "alive", at + 6000.0)[0]
             .is_some())
     );
-    rig.part(&[&[0, 1, 2, 3, 4, 5]], Way::default());
+    rig.partition(&[&[0, 1, 2, 3, 4, 5]], PathFaults::default());
     let healed = rig.now();
     assert!(
         rig.until(15_000.0, |rig| rig.agree(&[0, 1, 2, 3, 4, 5])),
@@ -276,16 +280,16 @@
     rig.start(4, true);
     assert!(rig.until(15_000.0, |rig| rig.agree(&[0, 1, 2, 3, 4])));
     let at = rig.now();
-    let repeated: usize = (0..4).map(|node| rig.relays.repeat(at, node, 2500.0)).sum();
+    let repeated: usize = (0..4).map(|node| rig.relays.replay(at, node, 2500.0)).sum();
     assert!(repeated > 20, "{repeated}");
     let refused = |rig: &Harness| {
-        rig.nodes[0]
-            .page()
+        rig.proxies[0]
+            .cluster_page()
             .map_or(0, |page| page["datagrams"]["refused"].as_u64().unwrap())
     };
     let before = refused(&rig);
     let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
-    let to = rig.nodes[0].hears;
+    let to = rig.proxies[0].cluster_listen;
     // Some thousands a second, in steps of the rig's loop.
     for n in 0..300_u64 {
         for m in 0..20_u64 {
@@ -301,7 +305,7 @@
     assert!(refused(&rig) > before + 1000, "{before}");
     // One with another key is nobody.
     rig.kill(3);
-    rig.furnish(3, &["the key of quite another fleet"]);
+    rig.write_configuration(3, &["the key of quite another fleet"]);
     rig.start(3, true);
     rig.pass(4000.0);
     assert!(
@@ -325,8 +329,8 @@
     );
     for keys in [&[old, new][..], &[new, old], &[new]] {
         for node in 0..4 {
-            rig.furnish(node, keys);
-            rig.nodes[node].reload();
+            rig.write_configuration(node, keys);
+            rig.proxies[node].reload();
             rig.pass(100.0);
         }
     }
@@ -343,7 +347,7 @@
     rig.start(1, false);
     let found = rig.until(10_000.0, |rig| {
         rig.view(1)
-            .is_some_and(|v| v.reach == "alone" && v.cold_part == 1.0)
+            .is_some_and(|v| v.reach == "alone" && v.slow_start_share == 1.0)
     });
     assert!(found, "{:?}", rig.view(1));
     rig.open();
@@ -358,25 +362,25 @@
     );
     // Its datagrams alone are lost, both ways; its HTTP serves.
     let at = rig.now();
-    let cut = Way {
+    let cut = PathFaults {
         cut: true,
-        ..Way::default()
+        ..PathFaults::default()
     };
-    rig.ways(&[2], &[0, 1], cut);
-    rig.ways(&[0, 1], &[2], cut);
+    rig.set_paths(&[2], &[0, 1], cut);
+    rig.set_paths(&[0, 1], &[2], cut);
     assert!(rig.until(8000.0, |rig| rig
         .saw(&[0, 1], 2, "failed", at)
         .iter()
         .all(Option::is_some)));
-    let served = rig.reached();
+    let served = rig.attempt_count();
     rig.pass(2000.0);
     assert!(
-        rig.reached() > served && rig.view(2).unwrap().reach == "alone",
+        rig.attempt_count() > served && rig.view(2).unwrap().reach == "alone",
         "{:?}",
         rig.view(2)
     );
     assert!(
-        rig.view(0).unwrap().assumed >= 2.99,
+        rig.view(0).unwrap().assumed_proxies >= 2.99,
         "it may push: {:?}",
         rig.view(0)
     );
@@ -386,31 +390,31 @@
 #[test]
 fn a_drain_that_one_node_was_told_holds_at_those_whose_discovery_is_silent() {
     let mut rig = whole("drain", 4);
-    rig.blind[2] = true;
-    rig.blind[3] = true;
+    rig.discovery_silent[2] = true;
+    rig.discovery_silent[3] = true;
     rig.drain(5);
     rig.pass(1500.0);
     let at = rig.now();
     rig.pass(3000.0);
-    let pushes: Vec<usize> = (0..4).map(|node| rig.pushes(node, 5, at)).collect();
+    let pushes: Vec<usize> = (0..4).map(|node| rig.attempts(node, 5, at)).collect();
     assert_eq!(
         pushes,
         [0, 0, 0, 0],
         "pushes to a server that drains, by node"
     );
-    let elsewhere: usize = (0..9).map(|server| rig.pushes(2, server, at)).sum();
+    let elsewhere: usize = (0..9).map(|server| rig.attempts(2, server, at)).sum();
     assert!(elsewhere > 0, "and it pushes elsewhere");
     // Their own lists come as far, and tell that it is back.
-    rig.restart_server(5);
-    (rig.blind[2], rig.blind[3]) = (false, false);
+    rig.restart_endpoint(5);
+    (rig.discovery_silent[2], rig.discovery_silent[3]) = (false, false);
     let at = rig.now();
     assert!(
-        rig.until(20_000.0, |rig| rig.pushes(2, 5, at) > 0),
+        rig.until(20_000.0, |rig| rig.attempts(2, 5, at) > 0),
         "back, for one of its own zone that was blind"
     );
     let stricter = |rig: &Harness| {
-        rig.nodes[3]
-            .page()
+        rig.proxies[3]
+            .cluster_page()
             .and_then(|page| page["held_stricter"].as_u64())
     };
     assert!(
@@ -423,8 +427,8 @@
 #[test]
 fn two_machines_under_one_name_are_told_and_both_serve_on() {
     let mut rig = rig("twins", 4, |_| ());
-    rig.nodes[3].name = Some("node-2".into());
-    rig.furnish(3, &["the key of this rig's own fleet"]);
+    rig.proxies[3].name = Some("node-2".into());
+    rig.write_configuration(3, &["the key of this rig's own fleet"]);
     rig.start_all();
     let all = [0, 1, 2, 3];
     assert!(
@@ -436,16 +440,16 @@
     rig.open();
     rig.pass(3000.0);
     assert!(
-        rig.nodes[0]
+        rig.proxies[0]
             .log()
             .contains("two nodes call themselves node-2"),
         "{}",
-        rig.nodes[0].log()
+        rig.proxies[0].log()
     );
     nobody_failed(&rig, &all, at);
     let pushes = |node| {
         (0..9)
-            .map(|server| rig.pushes(node, server, at))
+            .map(|server| rig.attempts(node, server, at))
             .sum::<usize>()
     };
     assert!(pushes(2) > 0 && pushes(3) > 0);
@@ -467,18 +471,18 @@
     rig.pass(2000.0);
     (1..9).for_each(|node| rig.start(node, false));
     // Cold servers just as they are back: they must agree before they push there.
-    (0..3).for_each(|server| rig.restart_server(server));
+    (0..3).for_each(|server| rig.restart_endpoint(server));
     let all: Vec<usize> = (0..9).collect();
     assert!(
         rig.until(15_000.0, |rig| rig.agree(&all)),
         "{:?}",
         views(&rig)
     );
-    (3..6).for_each(|server| rig.restart_server(server));
+    (3..6).for_each(|server| rig.restart_endpoint(server));
     rig.pass(3000.0);
     let parts: f64 = all
         .iter()
-        .map(|node| rig.view(*node).unwrap().cold_part)
+        .map(|node| rig.view(*node).unwrap().slow_start_share)
         .sum();
     assert!(
         parts <= 9.0 + 1e-6 && parts > 0.0,
@@ -489,7 +493,7 @@
 
 #[test]
 fn a_fleet_larger_than_told_counts_itself_and_shares_the_cold_budget() {
-    let mut rig = rig("doubled", 8, |start| start.told = Some(4));
+    let mut rig = rig("doubled", 8, |start| start.configured_proxies = Some(4));
     (0..4).for_each(|node| rig.start(node, false));
     let first = [0, 1, 2, 3];
     assert!(
@@ -501,10 +505,10 @@
     assert!(rig.until(5000.0, |rig| first.iter().all(|node| rig
         .view(*node)
         .unwrap()
-        .cold_part
+        .slow_start_share
         == 1.0)));
     (4..8).for_each(|node| rig.start(node, false));
-    (0..3).for_each(|server| rig.restart_server(server));
+    (0..3).for_each(|server| rig.restart_endpoint(server));
     let all: Vec<usize> = (0..8).collect();
     assert!(
         rig.until(15_000.0, |rig| rig.agree(&all)),
@@ -514,14 +518,14 @@
     let even = |rig: &Harness| {
         all.iter().all(|node| {
             let view = rig.view(*node).unwrap();
-            view.assumed >= 7.99 && (view.cold_part - 0.5).abs() < 1e-6
+            view.assumed_proxies >= 7.99 && (view.slow_start_share - 0.5).abs() < 1e-6
         })
     };
     assert!(rig.until(10_000.0, |rig| even(rig)), "{:?}", views(&rig));
     // Whatever was held while views differed: never more than the budget, at any moment that was seen.
     let mut last = std::collections::BTreeMap::new();
     for view in &rig.views {
-        last.insert(view.node, view.cold_part);
+        last.insert(view.proxy, view.slow_start_share);
         assert!(
             last.values().sum::<f64>() <= 4.0 + 1e-6,
             "{view:?}: {last:?}"
@@ -540,7 +544,7 @@
         std::process::id()
     ));
     let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux"), folder);
-    start.fleet = false;
+    start.cluster = false;
     let (share, multiple, window) = (
         script.duties.cold_share,
         script.duties.fall_multiple,
@@ -555,14 +559,15 @@
     rig.pass(8000.0);
     for servers in [[0, 1], [2, 3]] {
         let at = rig.now();
-        let borne = servers.map(|server| rig.calls(server, at - 4000.0) as f64 / 4000.0);
+        let borne =
+            servers.map(|server| rig.attempts_from_all(server, at - 4000.0) as f64 / 4000.0);
         servers
             .iter()
-            .for_each(|server| rig.restart_server(*server));
+            .for_each(|server| rig.restart_endpoint(*server));
         rig.pass(4000.0);
         for (server, borne) in servers.into_iter().zip(borne) {
             let n = multiple * share * borne * window;
-            let most = rig.most_calls(server, at, window) as f64;
+            let most = rig.most_attempts_from_all(server, at, window) as f64;
             println!("server {server}: {most} calls in {window} ms, budget {n:.1}");
             assert!(
                 most <= n + 2.0 * n.sqrt() + 2.0,
@@ -589,7 +594,7 @@
         std::process::id()
     ));
     let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux"), folder);
-    start.fleet = false;
+    start.cluster = false;
     let mut rig = Harness::new(script, start);
     rig.rate = 20.0;
     rig.start_all();
@@ -599,15 +604,15 @@
     let mut broken = 0;
     let many = rig.until(20_000.0, |rig| {
         if rig.now() > 300.0 / 9.0 * broken as f64 {
-            rig.restart_server(broken % 9);
+            rig.restart_endpoint(broken % 9);
             broken += 1;
         }
-        rig.service.gone > 60
+        rig.service.unanswered > 60
     });
     assert!(many, "{:?}", rig.service);
-    let [lost, twice, drains, _, left] = rig.judge.counts();
+    let [lost, twice, drains, _, left] = rig.invariants.counts();
     assert_eq!([lost, twice, drains, left], [0; 4], "{:#?}", rig.broken());
-    let (left, after) = rig.judge.after_leaves();
+    let (left, after) = rig.invariants.after_leaves();
     let within = |from: f64, to: f64| {
         after
             .iter()
--- a/scenarios/src/fleet.rs
+++ b/scenarios/src/fleet.rs
@@ -1,7 +1,7 @@
 //! `fleet`: a script over many processes of the node, with faults between them.
 
 use crate::scripts::{self, Failed};
-use crankmux_fault_injection::{play, Play, Report, Start, Times};
+use crankmux_fault_injection::{run as run_script, Report, RunScript, Start, Times};
 use std::path::{Path, PathBuf};
 
 macro_rules! ship {
@@ -48,7 +48,7 @@
     program: Option<PathBuf>,
 }
 
-fn read(named: Option<&Path>) -> Result<Play, Failed> {
+fn read(named: Option<&Path>) -> Result<RunScript, Failed> {
     let name = named.map_or(SHIPPED[0].0.into(), |path| path.to_string_lossy());
     let shipped = SHIPPED
         .iter()
@@ -58,7 +58,7 @@
         Some(text) => text,
         None => std::fs::read_to_string(&*name).map_err(|e| (2, format!("{name}: {e}")))?,
     };
-    Play::read(&text).map_err(|faulty| (2, format!("{name}: {faulty}")))
+    RunScript::read(&text).map_err(|faulty| (2, format!("{name}: {faulty}")))
 }
 
 fn world(name: &str) -> Result<crankmux_simulator::script::Script, Failed> {
@@ -78,7 +78,7 @@
     script
         .faults
         .iter_mut()
-        .for_each(|fault| fault.which.retain(|node| *node < script.processes));
+        .for_each(|fault| fault.targets.retain(|node| *node < script.processes));
     let beside = || Some(std::env::current_exe().ok()?.parent()?.join("crankmux"));
     let program = call
         .program
@@ -95,12 +95,13 @@
         ));
     }
     let start = Start {
-        fleet: !call.strangers,
-        told: call.told,
+        cluster: !call.strangers,
+        configured_proxies: call.told,
         seed: call.seed,
         ..Start::new(program, call.out.join("run"))
     };
-    let report = play(&script, world(&script.world)?, start).map_err(|e| (1, e))?;
+    let report =
+        run_script(&script, world(&script.environment)?, start).map_err(|e| (1, e.to_string()))?;
     std::fs::create_dir_all(&call.out).map_err(|e| (1, e.to_string()))?;
     let text = serde_json::to_string_pretty(&report).map_err(|e| (1, e.to_string()))?;
     std::fs::write(call.out.join("figures.json"), text).map_err(|e| (1, e.to_string()))?;
@@ -112,23 +113,29 @@
     let times = |t: &Times| {
         format!(
             "{} of them, median {:.0} ms, p99 {:.0} ms, most {:.0} ms, never {}",
-            t.count, t.median, t.p99, t.most, t.never
+            t.count, t.median, t.p99, t.max, t.never
         )
     };
-    let known = if report.fleet {
+    let known = if report.cluster {
         "know each other"
     } else {
         "do not know each other"
     };
     println!(
         "{}: {} processes that {known}, told {}, seed {}",
-        report.name, report.processes, report.told, report.seed
+        report.name, report.processes, report.configured_proxies, report.seed
     );
     if let Some(joined) = report.joined_ms {
         println!("  all knew all after        {joined:.0} ms");
-        println!("  kills and standstills     {}", times(&report.kill_known));
-        println!("  cuts healed               {}", times(&report.healed));
-        println!("  nodes assumed at the end  {:.1}", report.assumed_at_end);
+        println!(
+            "  kills and standstills     {}",
+            times(&report.failure_detection)
+        );
+        println!("  cuts healed               {}", times(&report.convergence));
+        println!(
+            "  nodes assumed at the end  {:.1}",
+            report.assumed_proxies_at_end
+        );
         println!("  live ones taken for failed {}", report.false_alarms);
     }
     if let Some((node, seen)) = &report.seen_at_end {
@@ -138,15 +145,15 @@
             .collect();
         println!("  node {node} sees at the end  {}", seen.join(", "));
     }
-    let all = (report.service.taken - report.service.gone).max(1) as f64;
+    let all = (report.service.requests - report.service.unanswered).max(1) as f64;
     println!(
         "  ops {}: acked in time {:.2}%, acked {:.2}%, nacked {}, dead-lettered {}, gone with their node {}",
-        report.service.taken,
+        report.service.requests,
         100.0 * report.service.in_time as f64 / all,
-        100.0 * report.service.acked as f64 / all,
-        report.service.nacked,
-        report.service.dead_lettered,
-        report.service.gone
+        100.0 * report.service.succeeded as f64 / all,
+        report.service.rejected,
+        report.service.failed,
+        report.service.unanswered
     );
     println!(
         "  latency median {:.1} ms, p99 {:.1} ms, p99.9 {:.1} ms",
@@ -154,11 +161,11 @@
     );
     println!(
         "  a node: {:.0} bytes of datagrams a second, {:.1} ms of a processor a second",
-        report.datagram_bytes_a_second_a_node, report.cpu_ms_a_second_a_node
+        report.datagram_bytes_per_second, report.cpu_ms_per_second
     );
     println!(
         "  {} clients left while they waited; pushes of theirs under 10, 30, 100 ms later and over: {:?}",
-        report.clients_left, report.pushes_after_leaves
+        report.clients_left, report.attempts_after_leaves
     );
     println!("  rules broken {:?}", report.rules_broken);
     report
@@ -175,10 +182,12 @@
     #[test]
     fn every_script_that_ships_is_whole_and_names_a_world() {
         for (name, text) in SHIPPED {
-            let play = Play::read(text).unwrap_or_else(|e| panic!("{name}: {e}"));
+            let play = RunScript::read(text).unwrap_or_else(|e| panic!("{name}: {e}"));
             assert_eq!(play.name, *name);
             assert!(
-                world(&play.world).is_ok() && !play.about.is_empty() && !play.faults.is_empty(),
+                world(&play.environment).is_ok()
+                    && !play.about.is_empty()
+                    && !play.faults.is_empty(),
                 "{name}"
             );
         }
