The sub-command over several processes is called `cluster`; `fleet` is deprecated

Cause: the sub-command, its types and its source had house names; its errors were pairs of a code and a string, its test stood in the source. Change: `crankmux-scenarios cluster`; `fleet` works as before and says on standard error that it is deprecated. Printed text, exit codes, options and figures.json are as before.

--- /dev/null
+++ b/scenarios/src/cluster/mod.rs
@@ -0,0 +1,135 @@
+//! `cluster`: runs a script over several proxy processes, with faults between them.
+
+mod scripts;
+mod summary;
+
+use crate::scripts::Failed;
+use crankmux_fault_injection::{run as run_script, Report, RunError, RunScript, Start};
+use crankmux_simulator::script::{Script, ScriptError};
+use scripts::ReadError;
+use std::path::{Path, PathBuf};
+
+const FAILURE: u8 = 1;
+const WRONG_ARGUMENT: u8 = 2;
+
+/// The arguments of `cluster`.
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    /// A script's file, or the name of one that ships
+    script: Option<PathBuf>,
+    /// So many processes, over the script's
+    #[arg(long)]
+    processes: Option<usize>,
+    /// So long, over the script's
+    #[arg(long)]
+    seconds: Option<f64>,
+    /// Requests a second from all clients, over the script's
+    #[arg(long)]
+    rate: Option<f64>,
+    /// The number of proxies according to the settings
+    #[arg(long = "told")]
+    configured_proxies: Option<usize>,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Without an operator's file: proxies that do not know each other
+    #[arg(long)]
+    strangers: bool,
+    /// Where figures.json goes, and the proxies' files while they run
+    #[arg(long, default_value = "fleet-out")]
+    out: PathBuf,
+    /// The proxy's program; else the one beside this
+    #[arg(long)]
+    program: Option<PathBuf>,
+}
+
+/// Why a script was not run, or its report not written.
+#[derive(Debug, thiserror::Error)]
+enum ClusterError {
+    #[error(transparent)]
+    Script(#[from] ReadError),
+    #[error("{0}")]
+    ShippedEnvironment(ScriptError),
+    #[error("{message}")]
+    Environment { exit_code: u8, message: String },
+    #[error("{}: no program there; cargo build --release makes it", .0.display())]
+    NoProgram(PathBuf),
+    #[error(transparent)]
+    Run(#[from] RunError),
+    #[error(transparent)]
+    Write(#[from] std::io::Error),
+    #[error(transparent)]
+    Encode(#[from] serde_json::Error),
+}
+
+impl ClusterError {
+    fn exit_code(&self) -> u8 {
+        match self {
+            ClusterError::Script(_)
+            | ClusterError::ShippedEnvironment(_)
+            | ClusterError::NoProgram(_) => WRONG_ARGUMENT,
+            ClusterError::Environment { exit_code, .. } => *exit_code,
+            ClusterError::Run(_) | ClusterError::Write(_) | ClusterError::Encode(_) => FAILURE,
+        }
+    }
+}
+
+/// Runs the script that the arguments name. Returns whether all rules were kept.
+pub(crate) fn run(args: &Args) -> Result<bool, Failed> {
+    let report = run_and_write(args).map_err(|error| (error.exit_code(), error.to_string()))?;
+    summary::print(&report);
+    Ok(report.rules_broken == [0; 5])
+}
+
+fn run_and_write(args: &Args) -> Result<Report, ClusterError> {
+    let mut script = scripts::read(args.script.as_deref())?;
+    override_script(&mut script, args);
+    let program = program(args)?;
+    let start = Start {
+        cluster: !args.strangers,
+        configured_proxies: args.configured_proxies,
+        seed: args.seed,
+        ..Start::new(program, args.out.join("run"))
+    };
+    let report = run_script(&script, environment(&script.environment)?, start)?;
+    std::fs::create_dir_all(&args.out)?;
+    let text = serde_json::to_string_pretty(&report)?;
+    std::fs::write(args.out.join("figures.json"), text)?;
+    Ok(report)
+}
+
+fn override_script(script: &mut RunScript, args: &Args) {
+    script.processes = args.processes.unwrap_or(script.processes);
+    script.seconds = args.seconds.unwrap_or(script.seconds);
+    script.rate = args.rate.or(script.rate);
+    // Faults leave out the proxies that a smaller cluster does not have.
+    for fault in &mut script.faults {
+        fault.targets.retain(|target| *target < script.processes);
+    }
+}
+
+/// The program of a proxy: the one that was named, or the one beside this.
+fn program(args: &Args) -> Result<PathBuf, ClusterError> {
+    let beside = || {
+        let own = std::env::current_exe().ok()?;
+        Some(own.parent()?.join("crankmux"))
+    };
+    let program = args
+        .program
+        .clone()
+        .or_else(beside)
+        .unwrap_or_else(|| "crankmux".into());
+    if program.exists() {
+        Ok(program)
+    } else {
+        Err(ClusterError::NoProgram(program))
+    }
+}
+
+/// An environment that ships with the scripts of clusters, or any script of the simulator.
+fn environment(name: &str) -> Result<Script, ClusterError> {
+    if let Some(text) = scripts::shipped_environment(name) {
+        return Script::read(text).map_err(ClusterError::ShippedEnvironment);
+    }
+    crate::scripts::read(Some(Path::new(name)))
+        .map_err(|(exit_code, message)| ClusterError::Environment { exit_code, message })
+}
--- a/scenarios/src/main.rs
+++ b/scenarios/src/main.rs
@@ -1,6 +1,6 @@
 //! crankmux-scenarios: rehearses incidents on the emulator and reports what they came to.
 
-mod fleet;
+mod cluster;
 mod rehearse;
 mod report;
 mod scripts;
@@ -28,8 +28,11 @@
     Table(tables::Scripts),
     /// Plays all pairs of eight faults on one world: a table of service and rules
     Pairs(tables::Pairs),
-    /// Plays a script over many processes of the node, with faults between them
-    Fleet(fleet::Call),
+    /// Runs a script over several proxy processes, with faults between them
+    Cluster(cluster::Args),
+    /// The former name of `cluster`
+    #[command(hide = true)]
+    Fleet(cluster::Args),
 }
 
 /// Exit codes: 0 rules kept, 3 a rule broken, 2 a faulty script or argument, 1 what else failed.
@@ -38,7 +41,11 @@
         Call::Rehearse(call) => rehearse::run(&call),
         Call::Table(call) => tables::scripts(&call),
         Call::Pairs(call) => tables::pairs(&call),
-        Call::Fleet(call) => fleet::run(&call),
+        Call::Cluster(args) => cluster::run(&args),
+        Call::Fleet(args) => {
+            eprintln!("crankmux-scenarios: `fleet` is deprecated; use `cluster`");
+            cluster::run(&args)
+        }
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
