The harness says what its sockets are for, and why accept errors end a turn

Cause: roles of connections and one dropped error had no comment; a counter was named for the next serial while it holds the last.

--- a/fault-injection/src/harness/clients.rs
+++ b/fault-injection/src/harness/clients.rs
@@ -42,7 +42,7 @@
 pub(super) struct Clients {
     /// By the number that stands in `X-Request-ID`.
     pub(super) requests: Slab<ClientRequest>,
-    next_serial: u64,
+    last_serial: u64,
     /// Connections that may be used again, by proxy.
     idle: Vec<VecDeque<usize>>,
     /// Proxies to which requests are sent.
@@ -55,7 +55,7 @@
     pub(super) fn new(proxies: usize) -> Self {
         Clients {
             requests: Slab::new(),
-            next_serial: 0,
+            last_serial: 0,
             idle: vec![VecDeque::new(); proxies],
             in_rotation: vec![false; proxies],
             opened: false,
@@ -142,16 +142,16 @@
             return;
         };
         let terms = &self.environment.categories[class];
-        let time_ms = terms.ttl_ms;
-        let deadline_ms = now_ms + time_ms;
+        let timeout_ms = terms.ttl_ms;
+        let deadline_ms = now_ms + timeout_ms;
         let repeats = invariants::repeats(terms);
         let lifecycle = self
             .invariants
             .taken(now_ms, proxy, repeats, terms.window_ms, deadline_ms);
-        self.clients.next_serial += 1;
+        self.clients.last_serial += 1;
         let request = self.clients.requests.insert(ClientRequest {
             proxy,
-            serial: self.clients.next_serial,
+            serial: self.clients.last_serial,
             class,
             deadline_ms,
             sent_ms: now_ms,
@@ -168,13 +168,13 @@
         self.measurements.count_request(now_ms);
         self.write_request(connection, request);
         if self.random.random::<f64>() < self.environment.clients.impatient {
-            self.schedule(IMPATIENT_FRACTION * time_ms, move |harness| {
+            self.schedule(IMPATIENT_FRACTION * timeout_ms, move |harness| {
                 harness.leave(request);
             });
         }
         // Late attempts are still seen for some time after the deadline.
         let slack_ms = self.environment.duties.answer_slack_ms + LOOP_LATENESS_MS;
-        self.schedule(time_ms + slack_ms, move |harness| {
+        self.schedule(timeout_ms + slack_ms, move |harness| {
             harness.on_deadline(request);
         });
     }
--- a/fault-injection/src/harness/endpoints.rs
+++ b/fault-injection/src/harness/endpoints.rs
@@ -128,7 +128,7 @@
         });
     }
 
-    /// Where an idempotency key is remembered: everywhere, in a zone or in a pod.
+    /// Endpoints with the same number remember each other's idempotency keys.
     fn deduplication_group(&self, endpoint: usize, class: usize) -> u64 {
         let server = &self.endpoints.servers[endpoint];
         match self.environment.categories[class].group {
--- a/fault-injection/src/harness/event_loop.rs
+++ b/fault-injection/src/harness/event_loop.rs
@@ -20,29 +20,25 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Role {
     /// An endpoint, as one proxy reaches it.
-    Endpoint {
-        endpoint: usize,
-        proxy: usize,
-    },
+    Endpoint { endpoint: usize, proxy: usize },
     /// The discovery of one proxy.
-    Discovery {
-        proxy: usize,
-    },
+    Discovery { proxy: usize },
     /// A client of a proxy, with the request that waits for its answer.
     Client {
         proxy: usize,
         request: Option<usize>,
     },
-    Observer {
-        proxy: usize,
-    },
+    /// An observer of a proxy's admin API.
+    Observer { proxy: usize },
 }
 
+/// A socket that accepts connections of one role.
 struct Listener {
     socket: TcpListener,
     role: Role,
 }
 
+/// An open connection with its role.
 pub(super) struct RoleConnection {
     pub(super) connection: Connection,
     pub(super) role: Role,
@@ -213,6 +209,7 @@
     }
 
     fn accept(&mut self, listener: usize) {
+        // Any error ends the turn: mostly that nobody waits; a machine out of sockets leaves the rest waiting.
         while let Ok((stream, _)) = self.event_loop.listeners[listener].socket.accept() {
             let role = self.event_loop.listeners[listener].role;
             if self.is_up(role) {
--- a/scenarios/src/cluster/summary.rs
+++ b/scenarios/src/cluster/summary.rs
@@ -5,6 +5,7 @@
 /// Broken rules that are printed in words; figures.json has all.
 const BROKEN_PRINTED: usize = 5;
 
+/// Prints a run's figures in a few lines.
 pub(super) fn print(report: &Report) {
     print_cluster(report);
     print_service(report);
