--- a/fault-injection/src/harness/measurements.rs
+++ b/fault-injection/src/harness/measurements.rs
@@ -93,7 +93,7 @@
     }
 
     /// The number of attempts that reached endpoints at all.
-    pub fn attempt_count(&self) -> usize {
+    pub fn reached(&self) -> usize {
         self.measurements.attempts.len()
     }
 
--- a/fault-injection/src/harness/paths.rs
+++ b/fault-injection/src/harness/paths.rs
@@ -11,7 +11,7 @@
 
 impl Harness {
     /// Sets the faults on the paths from each of some proxies to each of others.
-    pub fn set_paths(&mut self, from: &[usize], to: &[usize], faults: PathFaults) {
+    pub fn ways(&mut self, from: &[usize], to: &[usize], faults: PathFaults) {
         for sender in from {
             for receiver in to {
                 self.relays.set_faults(*sender, *receiver, faults);
@@ -28,7 +28,7 @@
         for group in groups {
             for other in groups {
                 let faults = if group == other { within } else { between };
-                self.set_paths(group, other, faults);
+                self.ways(group, other, faults);
             }
         }
     }
--- a/fault-injection/src/harness/proxies.rs
+++ b/fault-injection/src/harness/proxies.rs
@@ -25,7 +25,7 @@
             self.proxies.push(process);
         }
         for proxy in 0..proxies {
-            self.write_configuration(proxy, &[CLUSTER_KEY]);
+            self.furnish(proxy, &[CLUSTER_KEY]);
         }
     }
 
@@ -33,7 +33,7 @@
     ///
     /// # Panics
     /// If the run's folder cannot be written to.
-    pub fn write_configuration(&self, proxy: usize, keys: &[&str]) {
+    pub fn furnish(&self, proxy: usize, keys: &[&str]) {
         let mut settings = self.environment.settings(proxy);
         if let Some(configured) = self.start.configured_proxies {
             settings["GroupSize"] = configured.into();
@@ -85,7 +85,7 @@
     }
 
     /// SIGCONT: it goes on where it was.
-    pub fn resume(&mut self, proxy: usize) {
+    pub fn go_on(&mut self, proxy: usize) {
         self.proxies[proxy].resume();
         self.clients.in_rotation[proxy] = true;
     }
--- a/fault-injection/src/proxy_process.rs
+++ b/fault-injection/src/proxy_process.rs
@@ -244,7 +244,7 @@
     }
 
     /// Its `/fleet` page; `None` if it does not answer.
-    pub fn cluster_page(&self) -> Option<Value> {
+    pub fn page(&self) -> Option<Value> {
         serde_json::from_str(&self.admin_get("/fleet")?).ok()
     }
 
--- a/proxy/tests/fleet/main.rs
+++ b/proxy/tests/fleet/main.rs
@@ -179,7 +179,7 @@
     rig.drain(0);
     rig.pass((at + 10_000.0 - rig.now()).max(0.0));
     let woken = rig.now();
-    rig.resume(2);
+    rig.go_on(2);
     assert!(
         rig.until(8000.0, |rig| rig.agree(&[0, 1, 2, 3, 4])),
         "{:?}",
@@ -197,7 +197,7 @@
 fn a_one_way_cut_and_a_lossy_slow_net_part_nobody() {
     let mut rig = whole("oneway", 5);
     let at = rig.now();
-    rig.set_paths(
+    rig.ways(
         &[1],
         &[0],
         PathFaults {
@@ -284,7 +284,7 @@
     assert!(repeated > 20, "{repeated}");
     let refused = |rig: &Harness| {
         rig.proxies[0]
-            .cluster_page()
+            .page()
             .map_or(0, |page| page["datagrams"]["refused"].as_u64().unwrap())
     };
     let before = refused(&rig);
@@ -305,7 +305,7 @@
     assert!(refused(&rig) > before + 1000, "{before}");
     // One with another key is nobody.
     rig.kill(3);
-    rig.write_configuration(3, &["the key of quite another fleet"]);
+    rig.furnish(3, &["the key of quite another fleet"]);
     rig.start(3, true);
     rig.pass(4000.0);
     assert!(
@@ -329,7 +329,7 @@
     );
     for keys in [&[old, new][..], &[new, old], &[new]] {
         for node in 0..4 {
-            rig.write_configuration(node, keys);
+            rig.furnish(node, keys);
             rig.proxies[node].reload();
             rig.pass(100.0);
         }
@@ -366,16 +366,16 @@
         cut: true,
         ..PathFaults::default()
     };
-    rig.set_paths(&[2], &[0, 1], cut);
-    rig.set_paths(&[0, 1], &[2], cut);
+    rig.ways(&[2], &[0, 1], cut);
+    rig.ways(&[0, 1], &[2], cut);
     assert!(rig.until(8000.0, |rig| rig
         .saw(&[0, 1], 2, "failed", at)
         .iter()
         .all(Option::is_some)));
-    let served = rig.attempt_count();
+    let served = rig.reached();
     rig.pass(2000.0);
     assert!(
-        rig.attempt_count() > served && rig.view(2).unwrap().reach == "alone",
+        rig.reached() > served && rig.view(2).unwrap().reach == "alone",
         "{:?}",
         rig.view(2)
     );
@@ -414,7 +414,7 @@
     );
     let stricter = |rig: &Harness| {
         rig.proxies[3]
-            .cluster_page()
+            .page()
             .and_then(|page| page["held_stricter"].as_u64())
     };
     assert!(
@@ -428,7 +428,7 @@
 fn two_machines_under_one_name_are_told_and_both_serve_on() {
     let mut rig = rig("twins", 4, |_| ());
     rig.proxies[3].name = Some("node-2".into());
-    rig.write_configuration(3, &["the key of this rig's own fleet"]);
+    rig.furnish(3, &["the key of this rig's own fleet"]);
     rig.start_all();
     let all = [0, 1, 2, 3];
     assert!(
