Counters and access metrics speak of requests, attempts and their outcomes

Cause: the fields said taken, nacked, dead-lettered, push_turned_away, begin and end; a newcomer had to guess which concept of a proxy each one counts.

Change: `Counters` has requests_*, attempts_*, connections_*, load_probes_* and endpoint_*; `End` is `RequestOutcome` (Succeeded, Rejected, Failed, ClientDisconnected); `AccessMetrics` has request_admitted, request_finished and to_text, which formats through `Display` and so drops no error. The texts for SIGUSR1 and /v1/metrics are the same; two new tests hold them, whole. Call sites follow.

--- a/proxy/src/admin/calls.rs
+++ b/proxy/src/admin/calls.rs
@@ -203,7 +203,7 @@
     fn figures(&self) -> String {
         let (discovered, ejected) = self.dispatcher.endpoint_counts();
         self.access_metrics
-            .lines(&self.name_index.classes.names, self.downstream.uploads())
+            .to_text(&self.name_index.classes.names, self.downstream.uploads())
             + &format!("discovered={discovered}\nejected={ejected}\n")
             + &self
                 .cluster
--- a/proxy/src/discovery/poll.rs
+++ b/proxy/src/discovery/poll.rs
@@ -113,7 +113,7 @@
         self.timers.unset(self.discovery.timer.take());
         self.has_spoken();
         (self.discovery.failed, self.discovery.late) = (true, false);
-        self.counters.lists_failed += 1;
+        self.counters.endpoint_polls_failed += 1;
         let now = self.now();
         self.dispatcher.discovery_failed(now);
     }
@@ -206,7 +206,7 @@
         let discovery = &mut self.discovery;
         self.timers.unset(discovery.timer.take());
         (discovery.failed, discovery.late) = (false, false);
-        self.counters.lists += 1;
+        self.counters.endpoint_lists_received += 1;
         if !list.whole && discovery.seq.is_some_and(|seq| list.seq < seq) {
             // Danger: versions of another discovery, say. What this one has to tell since ours is unknown:
             // all of it.
--- a/proxy/src/downstream/accept.rs
+++ b/proxy/src/downstream/accept.rs
@@ -85,7 +85,7 @@
     /// Drops the least needed client; whether there was one. What it may have sent by now counts as taken,
     /// and is read first.
     fn make_room(&mut self) -> bool {
-        self.counters.full += 1;
+        self.counters.capacity_exhausted += 1;
         while let Some(least) = self.downstream.least_needed(self.clock.now()) {
             self.serve(least);
             if self
@@ -154,7 +154,7 @@
         });
         // Danger: connections by hundreds that never say anything would hold descriptors for good.
         self.may_stand(key, SLOW);
-        self.counters.accepted += 1;
+        self.counters.connections_accepted += 1;
         self.downstream.again.push(key);
     }
 
@@ -171,7 +171,7 @@
             .fed_by
             .filter(|link| self.upstream.links.get(*link).is_some())
         {
-            self.counters.departed += 1;
+            self.counters.clients_disconnected += 1;
             self.fail(link, AttemptOutcome::Cancelled, LoadReport::default());
         }
         let _ = self.registry.deregister(&mut client.stream);
@@ -181,9 +181,15 @@
         }
         if let Some(receipt) = client.receipt {
             // One that was cut off on its way has failed; else the client did not stay for its answer.
-            let cut = client.end == Some(End::Aborted);
-            self.access_metrics
-                .end(receipt, if cut { End::Aborted } else { End::Departed });
+            let cut = client.end == Some(RequestOutcome::Failed);
+            self.access_metrics.request_finished(
+                receipt,
+                if cut {
+                    RequestOutcome::Failed
+                } else {
+                    RequestOutcome::ClientDisconnected
+                },
+            );
         }
         if let Some(op) = client.op {
             self.client_left(op);
--- a/proxy/src/downstream/mod.rs
+++ b/proxy/src/downstream/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::buffers::Buffer;
 use crate::http::Message;
-use crate::metrics::access::{End, RequestReceipt};
+use crate::metrics::access::{RequestOutcome, RequestReceipt};
 use crate::slot_table::SlotTable;
 use crate::socket::is_silent;
 use crate::streaming::Upload;
@@ -69,7 +69,7 @@
     op: Option<usize>,
     /// Of its op, until the answer is out, and what that answer makes of it.
     receipt: Option<RequestReceipt>,
-    end: Option<End>,
+    end: Option<RequestOutcome>,
     /// Close once the answer is out; then only the other side's end is awaited.
     close: bool,
     lingers: bool,
@@ -204,7 +204,7 @@
     }
 
     /// What its answer, once it is out, makes of its op.
-    pub fn ends_as(&mut self, key: usize, end: End) {
+    pub fn ends_as(&mut self, key: usize, end: RequestOutcome) {
         if let Some(client) = self.table.get_mut(key) {
             client.end = Some(end);
         }
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -123,7 +123,7 @@
                 return;
             }
             if client.op.is_some() {
-                self.counters.bad += 1;
+                self.counters.invalid_requests += 1;
                 return self.drop_downstream(key);
             }
         }
@@ -132,7 +132,7 @@
         };
         if client.inbox.is_some() {
             // Danger: a client that sends a byte now and then would hold a buffer for ever.
-            self.counters.bad += 1;
+            self.counters.invalid_requests += 1;
             self.refuse(key, 408);
         } else {
             self.drop_downstream(key);
@@ -185,7 +185,7 @@
         }
         let Some(mut inbox) = client.inbox.take().or_else(|| self.buffers.take()) else {
             // Danger: the pool is empty. The client is refused unread, and its next try is harmless.
-            self.counters.full += 1;
+            self.counters.capacity_exhausted += 1;
             self.refuse(key, 503);
             return true;
         };
@@ -199,7 +199,7 @@
             Err(status) => {
                 log::debug!("a request is refused with {status}: {}", start_of(&inbox));
                 self.put_back(key, inbox);
-                self.counters.bad += 1;
+                self.counters.invalid_requests += 1;
                 self.refuse(key, status);
                 true
             }
@@ -316,7 +316,7 @@
             Filled::Later => {}
             Filled::Ended | Filled::Broken => self.drop_downstream(key),
             Filled::Full => {
-                self.counters.bad += 1;
+                self.counters.invalid_requests += 1;
                 self.refuse(key, 413);
                 return true;
             }
@@ -338,17 +338,17 @@
                 self.answer(key, status, 0.0);
             }
             Asked::Vanished(category) => {
-                client.receipt = Some(self.access_metrics.begin(category));
-                self.counters.bad += 1;
+                client.receipt = Some(self.access_metrics.request_admitted(category));
+                self.counters.invalid_requests += 1;
                 self.refuse(key, 400);
             }
             Asked::Op(_, mark) if self.requests.is_open(mark) => {
                 // Danger: two clients under one id, of whom one would get the other's answer.
-                self.counters.bad += 1;
+                self.counters.invalid_requests += 1;
                 self.refuse(key, 409);
             }
             Asked::Op(arrival, mark) => {
-                client.receipt = Some(self.access_metrics.begin(arrival.class));
+                client.receipt = Some(self.access_metrics.request_admitted(arrival.class));
                 let op = self.admit(key, arrival, mark);
                 // It may be answered already.
                 let waits = self.requests.waits(op);
--- a/proxy/src/downstream/write_response.rs
+++ b/proxy/src/downstream/write_response.rs
@@ -3,7 +3,7 @@
 use super::{DownstreamConnection, JUST_COME, LINGER, SLOW};
 use crate::buffers::{Buffer, BODY_LONG};
 use crate::http::{self, Message, RequestError};
-use crate::metrics::access::End;
+use crate::metrics::access::RequestOutcome;
 use crate::proxy::Proxy;
 use crate::socket::{has_data, is_silent};
 use crate::streaming::STALL;
@@ -52,7 +52,7 @@
             Ok(true) => {
                 let outbox = client.outbox.take();
                 if let (Some(receipt), Some(end)) = (client.receipt.take(), client.end.take()) {
-                    self.access_metrics.end(receipt, end);
+                    self.access_metrics.request_finished(receipt, end);
                 }
                 self.timers.unset(client.timer.take());
                 outbox.into_iter().for_each(|b| self.buffers.give(b));
@@ -143,7 +143,7 @@
         client.moved = if waits { now } else { client.moved };
         if now - client.moved >= STALL {
             // Danger: a client that does not read its answer would hold a buffer for ever.
-            self.counters.stalled += 1;
+            self.counters.clients_stalled += 1;
             log::info!("a client took nothing of its answer for {STALL} ms");
             return self.drop_downstream(key);
         }
@@ -180,9 +180,9 @@
         self.downstream.ends_as(
             key,
             if status == 503 {
-                End::Declined
+                RequestOutcome::Rejected
             } else {
-                End::Aborted
+                RequestOutcome::Failed
             },
         );
         self.answer_by(key, |close, to| {
@@ -200,7 +200,7 @@
 
     /// A server's answer, handed back.
     pub fn hand_back(&mut self, key: usize, held: &[u8], message: &Message) {
-        self.downstream.ends_as(key, End::Succeeded);
+        self.downstream.ends_as(key, RequestOutcome::Succeeded);
         self.answer_by(key, |close, to| http::hand_back(held, message, close, to));
     }
 
@@ -241,7 +241,7 @@
         let Some(mut outbox) = outbox else {
             // Danger: not even an answer's buffer is left, as many clients do not read. This one is cut off.
             log::warn!("no buffer for an answer");
-            self.counters.full += 1;
+            self.counters.capacity_exhausted += 1;
             return self.drop_downstream(key);
         };
         if !compose(client.close, &mut outbox) {
--- a/proxy/src/lifecycle/reload.rs
+++ b/proxy/src/lifecycle/reload.rs
@@ -16,13 +16,13 @@
     });
     match taken {
         Ok(()) => {
-            proxy.access_metrics.applied += 1;
+            proxy.access_metrics.reloads_applied += 1;
             log::info!(
                 "listen, admin_addr, limits, seed, name and known count from the next start"
             );
         }
         Err(e) => {
-            proxy.access_metrics.rejected += 1;
+            proxy.access_metrics.reloads_rejected += 1;
             log::error!("the configuration stays as it was: {e}");
         }
     }
--- a/proxy/src/metrics/access.rs
+++ b/proxy/src/metrics/access.rs
@@ -1,127 +1,113 @@
-//! What became of ops, as the node reports it. A receipt is made as an op is taken in and handed back,
-//! once, as its answer is out or its client is gone: all counts of ops follow from receipts.
+//! Access metrics: what became of requests. A receipt is issued as a request is admitted, and handed back once, as
+//! its response is sent or its client is gone; all counts of requests follow from receipts.
 
-use std::fmt::Write;
+use std::fmt::{self, Display};
 
-/// What an op came to.
+/// What a request came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
+pub enum RequestOutcome {
+    /// An endpoint's successful response was sent.
     Succeeded,
-    Declined,
-    Aborted,
-    /// Its client left before the answer was out.
-    Departed,
+    /// It was rejected with 503.
+    Rejected,
+    /// It failed, or its response was cut off.
+    Failed,
+    /// Its client disconnected before the response was sent.
+    ClientDisconnected,
 }
 
-/// One op taken in and not ended. It can't be copied, so that no op ends twice.
+/// One admitted request that has no outcome yet. It cannot be copied, so no request is counted twice.
 #[derive(Debug)]
 #[must_use]
 pub struct RequestReceipt {
-    category: usize,
+    request_class: usize,
 }
 
+/// How many requests of a class came to each outcome.
 #[derive(Default, Clone, Copy)]
-struct Ends {
+struct OutcomeCounts {
     succeeded: u64,
-    declined: u64,
-    aborted: u64,
+    rejected: u64,
+    failed: u64,
 }
 
+/// Counts of requests by class and outcome, of forwarded attempts and of reloads.
 #[derive(Default)]
 pub struct AccessMetrics {
-    ends: Vec<Ends>,
+    /// By request class.
+    outcomes: Vec<OutcomeCounts>,
     outstanding: u64,
-    /// Pushes whose last byte has left.
-    pub forwards: u64,
-    pub applied: u64,
-    pub rejected: u64,
+    /// Attempts whose last byte was sent.
+    pub attempts_forwarded: u64,
+    /// Reloads whose configuration was applied.
+    pub reloads_applied: u64,
+    /// Reloads whose configuration was rejected.
+    pub reloads_rejected: u64,
 }
 
 impl AccessMetrics {
-    pub fn begin(&mut self, category: usize) -> RequestReceipt {
+    /// Counts a request as outstanding.
+    pub fn request_admitted(&mut self, request_class: usize) -> RequestReceipt {
         self.outstanding += 1;
-        RequestReceipt { category }
+        RequestReceipt { request_class }
     }
 
-    pub fn end(&mut self, receipt: RequestReceipt, end: End) {
+    /// Counts an outstanding request's outcome.
+    pub fn request_finished(&mut self, receipt: RequestReceipt, outcome: RequestOutcome) {
         self.outstanding -= 1;
-        if self.ends.len() <= receipt.category {
-            self.ends.resize(receipt.category + 1, Ends::default());
+        let class = receipt.request_class;
+        if self.outcomes.len() <= class {
+            self.outcomes.resize(class + 1, OutcomeCounts::default());
         }
-        let ends = &mut self.ends[receipt.category];
-        match end {
-            End::Succeeded => ends.succeeded += 1,
-            End::Declined => ends.declined += 1,
-            End::Aborted => ends.aborted += 1,
-            End::Departed => {}
+        let counts = &mut self.outcomes[class];
+        match outcome {
+            RequestOutcome::Succeeded => counts.succeeded += 1,
+            RequestOutcome::Rejected => counts.rejected += 1,
+            RequestOutcome::Failed => counts.failed += 1,
+            RequestOutcome::ClientDisconnected => {}
         }
     }
 
-    /// A figure a line, for each category that has ever been, from the first second on. Those whose last
-    /// byte is still to come are not taken yet.
-    pub fn lines(&self, categories: &[String], coming: usize) -> String {
-        let mut text = String::new();
-        for (index, name) in categories.iter().enumerate() {
-            let Ends {
-                succeeded,
-                declined,
-                aborted,
-            } = self.ends.get(index).copied().unwrap_or_default();
-            let _ = writeln!(text, "succeeded.{name}={succeeded}");
-            let _ = writeln!(text, "declined.{name}={declined}");
-            let _ = writeln!(text, "aborted.{name}={aborted}");
-        }
-        let taken = self.outstanding.saturating_sub(coming as u64);
-        let _ = writeln!(text, "outstanding={taken}\nforwards={}", self.forwards);
-        let _ = writeln!(
-            text,
-            "sighup_applied={}\nsighup_rejected={}",
-            self.applied, self.rejected
-        );
-        text
+    /// The metrics as text, one a line: for each class that was ever configured, from the first second on.
+    ///
+    /// `uploading` requests are admitted but not yet received completely; they don't show as outstanding.
+    pub fn to_text(&self, request_classes: &[String], uploading: usize) -> String {
+        let report = Report {
+            metrics: self,
+            request_classes,
+            uploading,
+        };
+        report.to_string()
+    }
+
+    fn counts(&self, request_class: usize) -> OutcomeCounts {
+        self.outcomes
+            .get(request_class)
+            .copied()
+            .unwrap_or_default()
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use quickcheck::{Gen, QuickCheck};
+/// The metrics with what their text needs beside them.
+struct Report<'a> {
+    metrics: &'a AccessMetrics,
+    request_classes: &'a [String],
+    uploading: usize,
+}
 
-    #[test]
-    fn taken_is_the_sum_of_ends_and_outstanding() {
-        fn holds(steps: Vec<(u8, u8)>) -> bool {
-            let (mut tally, mut open, mut taken, mut departed) =
-                (AccessMetrics::default(), Vec::new(), 0, 0);
-            for (what, which) in steps {
-                if what % 3 == 0 || open.is_empty() {
-                    open.push(tally.begin(usize::from(which) % 4));
-                    taken += 1;
-                } else {
-                    let receipt = open.swap_remove(usize::from(which) % open.len());
-                    let end = [End::Succeeded, End::Declined, End::Aborted, End::Departed];
-                    let end = end[usize::from(what) % 4];
-                    departed += u64::from(end == End::Departed);
-                    tally.end(receipt, end);
-                }
-            }
-            let names: Vec<String> = (0..4).map(|n| format!("c{n}")).collect();
-            let told = |line: &str| {
-                line.split_once('=')
-                    .and_then(|(n, v)| Some((n.contains('.'), v.parse().ok()?)))
-            };
-            let text = tally.lines(&names, 0);
-            let ended: u64 = text
-                .lines()
-                .filter_map(told)
-                .filter(|(of, _)| *of)
-                .map(|(_, v): (bool, u64)| v)
-                .sum();
-            text.contains(&format!("outstanding={}\n", open.len()))
-                && taken == ended + departed + open.len() as u64
+impl Display for Report<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let metrics = self.metrics;
+        for (class, name) in self.request_classes.iter().enumerate() {
+            let counts = metrics.counts(class);
+            writeln!(formatter, "succeeded.{name}={}", counts.succeeded)?;
+            writeln!(formatter, "declined.{name}={}", counts.rejected)?;
+            writeln!(formatter, "aborted.{name}={}", counts.failed)?;
         }
-        let seeded = Gen::from_size_and_seed(200, 20_261_202);
-        QuickCheck::new()
-            .rng(seeded)
-            .quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
+        let outstanding = metrics.outstanding.saturating_sub(self.uploading as u64);
+        writeln!(formatter, "outstanding={outstanding}")?;
+        writeln!(formatter, "forwards={}", metrics.attempts_forwarded)?;
+        writeln!(formatter, "sighup_applied={}", metrics.reloads_applied)?;
+        writeln!(formatter, "sighup_rejected={}", metrics.reloads_rejected)
     }
 }
--- a/proxy/src/metrics/counters.rs
+++ b/proxy/src/metrics/counters.rs
@@ -1,69 +1,103 @@
-//! Counts of what the node takes in, sends and answers, told on request and at exit.
+//! Counters of what the process receives, sends and answers, logged on request and at exit.
 
 use std::fmt;
 
+/// The counters since the start of the process.
 #[derive(Default)]
 pub struct Counters {
-    pub taken: u64,
-    pub sent: u64,
-    pub acked: u64,
-    pub nacked: u64,
-    pub dead_lettered: u64,
-    /// DownstreamConnections that left before their answer.
-    pub departed: u64,
-    /// Bad input, answered without an op.
-    pub bad: u64,
-    /// DownstreamConnections that took nothing of their answer for too long.
-    pub stalled: u64,
-    /// Pushes and requests that met full tables or an empty pool.
-    pub full: u64,
-    pub push_acked: u64,
-    pub push_errored: u64,
-    pub push_turned_away: u64,
-    pub push_timed_out: u64,
-    pub push_unreachable: u64,
-    pub push_broken: u64,
-    pub push_cancelled: u64,
-    pub accepted: u64,
-    pub dialled: u64,
-    pub probes: u64,
-    pub probes_failed: u64,
-    pub lists: u64,
-    pub lists_failed: u64,
+    /// Requests admitted.
+    pub requests_admitted: u64,
+    /// Requests answered with an endpoint's successful response.
+    pub requests_succeeded: u64,
+    /// Requests rejected, mostly with `Retry-After`.
+    pub requests_rejected: u64,
+    /// Requests that failed for good.
+    pub requests_failed: u64,
+    /// Clients that disconnected before their response was complete.
+    pub clients_disconnected: u64,
+    /// Invalid messages from clients, answered without a request.
+    pub invalid_requests: u64,
+    /// Clients that read nothing of their response for too long.
+    pub clients_stalled: u64,
+    /// Connections, requests and attempts that met a full table or an empty buffer pool.
+    pub capacity_exhausted: u64,
+    /// Attempts sent to endpoints.
+    pub attempts_sent: u64,
+    /// Attempts that succeeded.
+    pub attempts_succeeded: u64,
+    /// Attempts that an endpoint answered with an error.
+    pub attempts_failed: u64,
+    /// Attempts that an endpoint rejected.
+    pub attempts_rejected: u64,
+    /// Attempts without a response in time.
+    pub attempts_timed_out: u64,
+    /// Attempts for which no connection could be opened.
+    pub attempts_unreachable: u64,
+    /// Attempts whose connection was lost.
+    pub attempts_connection_lost: u64,
+    /// Attempts that were cancelled or not sent.
+    pub attempts_cancelled: u64,
+    /// Connections accepted from clients.
+    pub connections_accepted: u64,
+    /// Connections opened to endpoints.
+    pub connections_opened: u64,
+    /// Load probes sent.
+    pub load_probes_sent: u64,
+    /// Load probes that brought no load report.
+    pub load_probes_failed: u64,
+    /// Endpoint lists received.
+    pub endpoint_lists_received: u64,
+    /// Polls of discovery that failed.
+    pub endpoint_polls_failed: u64,
 }
 
 impl fmt::Display for Counters {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.fmt_requests(formatter)?;
+        formatter.write_str("; ")?;
+        self.fmt_attempts(formatter)?;
         write!(
-            f,
-            "ops: taken {}, acked {}, nacked {}, dead-lettered {}, departed {}, bad {}, stalled {}, \
-             full {}; ",
-            self.taken,
-            self.acked,
-            self.nacked,
-            self.dead_lettered,
-            self.departed,
-            self.bad,
-            self.stalled,
-            self.full
-        )?;
+            formatter,
+            "; connections: accepted {}, dialled {}; probes: sent {}, without report {}; lists: {}, failed {}",
+            self.connections_accepted,
+            self.connections_opened,
+            self.load_probes_sent,
+            self.load_probes_failed,
+            self.endpoint_lists_received,
+            self.endpoint_polls_failed
+        )
+    }
+}
+
+impl Counters {
+    fn fmt_requests(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
-            f,
-            "pushes: sent {}, acked {}, errored {}, turned away {}, timed out {}, unreachable {}, broken {}, \
-             cancelled {}; ",
-            self.sent,
-            self.push_acked,
-            self.push_errored,
-            self.push_turned_away,
-            self.push_timed_out,
-            self.push_unreachable,
-            self.push_broken,
-            self.push_cancelled
-        )?;
+            formatter,
+            "ops: taken {}, acked {}, nacked {}, dead-lettered {}, departed {}, bad {}, stalled {}, full {}",
+            self.requests_admitted,
+            self.requests_succeeded,
+            self.requests_rejected,
+            self.requests_failed,
+            self.clients_disconnected,
+            self.invalid_requests,
+            self.clients_stalled,
+            self.capacity_exhausted
+        )
+    }
+
+    fn fmt_attempts(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
-            f,
-            "connections: accepted {}, dialled {}; probes: sent {}, without report {}; lists: {}, failed {}",
-            self.accepted, self.dialled, self.probes, self.probes_failed, self.lists, self.lists_failed
+            formatter,
+            "pushes: sent {}, acked {}, errored {}, turned away {}, timed out {}, unreachable {}, broken {}, \
+             cancelled {}",
+            self.attempts_sent,
+            self.attempts_succeeded,
+            self.attempts_failed,
+            self.attempts_rejected,
+            self.attempts_timed_out,
+            self.attempts_unreachable,
+            self.attempts_connection_lost,
+            self.attempts_cancelled
         )
     }
 }
--- a/proxy/src/metrics/mod.rs
+++ b/proxy/src/metrics/mod.rs
@@ -1,4 +1,4 @@
-//! Counters of the process and access metrics of its requests.
+//! Counters of the process, for its log, and access metrics of its requests, for the admin API.
 
 pub mod access;
 pub mod counters;
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -311,7 +311,7 @@
 
     /// An op comes in, under the mark of its client's id.
     pub fn admit(&mut self, client: usize, arrival: NewRequest, mark: u64) -> usize {
-        self.counters.taken += 1;
+        self.counters.requests_admitted += 1;
         let now = self.now();
         // Danger: what is taken in near the end of a process must be answered before that.
         let ttl = arrival.ttl_ms.min((self.answer_by - now).max(1.0));
@@ -340,11 +340,11 @@
             Some(FinalAnswer::Rejected {
                 retry_after_ms: come_back,
             }) => {
-                self.counters.nacked += 1;
+                self.counters.requests_rejected += 1;
                 self.give_up(op, 503, come_back);
             }
             Some(FinalAnswer::Failed) => {
-                self.counters.dead_lettered += 1;
+                self.counters.requests_failed += 1;
                 self.give_up(op, 502, 0.0);
             }
         }
@@ -378,7 +378,7 @@
         };
         match sent {
             Ok(link) => {
-                self.counters.sent += 1;
+                self.counters.attempts_sent += 1;
                 self.requests.out_at(op, push, link);
             }
             Err(ending) => self.pushed(
@@ -418,14 +418,14 @@
             took,
         } = outcome;
         let count = match ending {
-            AttemptOutcome::Succeeded => &mut self.counters.push_acked,
-            AttemptOutcome::Failed => &mut self.counters.push_errored,
-            AttemptOutcome::Rejected => &mut self.counters.push_turned_away,
-            AttemptOutcome::TimedOut => &mut self.counters.push_timed_out,
-            AttemptOutcome::Unreachable => &mut self.counters.push_unreachable,
-            AttemptOutcome::ConnectionLost => &mut self.counters.push_broken,
+            AttemptOutcome::Succeeded => &mut self.counters.attempts_succeeded,
+            AttemptOutcome::Failed => &mut self.counters.attempts_failed,
+            AttemptOutcome::Rejected => &mut self.counters.attempts_rejected,
+            AttemptOutcome::TimedOut => &mut self.counters.attempts_timed_out,
+            AttemptOutcome::Unreachable => &mut self.counters.attempts_unreachable,
+            AttemptOutcome::ConnectionLost => &mut self.counters.attempts_connection_lost,
             AttemptOutcome::Cancelled | AttemptOutcome::NotSent => {
-                &mut self.counters.push_cancelled
+                &mut self.counters.attempts_cancelled
             }
         };
         *count += 1;
@@ -449,7 +449,7 @@
         let closed = !self.requests.waits(op);
         if let Some((inbox, message)) = answer {
             if let Some(client) = waiting {
-                self.counters.acked += 1;
+                self.counters.requests_succeeded += 1;
                 self.hand_back(client, inbox.held(), &message);
             }
             self.buffers.give(inbox);
@@ -471,7 +471,7 @@
 
     /// The client has left.
     pub fn client_left(&mut self, op: usize) {
-        self.counters.departed += 1;
+        self.counters.clients_disconnected += 1;
         if self.requests.answered(op).is_some() {
             let now = self.now();
             let next = self.dispatcher.client_left(now, op);
--- a/proxy/src/streaming/request.rs
+++ b/proxy/src/streaming/request.rs
@@ -86,7 +86,7 @@
                 }
                 Fed::Spoilt(Some(status)) => {
                     // Danger: a body that can't be read on, and half of it at a server. It never ran there.
-                    self.counters.bad += 1;
+                    self.counters.invalid_requests += 1;
                     self.reject_upload(client, status);
                     return false;
                 }
--- a/proxy/src/streaming/response.rs
+++ b/proxy/src/streaming/response.rs
@@ -3,7 +3,7 @@
 
 use crate::buffers::{Buffer, Filled};
 use crate::http::{self, BodyFraming};
-use crate::metrics::access::End;
+use crate::metrics::access::RequestOutcome;
 use crate::proxy::Proxy;
 use crate::socket::is_silent;
 use crate::streaming::Passing;
@@ -37,7 +37,7 @@
         self.streaming_progress(op, key, false);
         self.write_to_client(client, key, framing == BodyFraming::Unframed);
         // Until its last byte is with the client.
-        self.downstream.ends_as(client, End::Aborted);
+        self.downstream.ends_as(client, RequestOutcome::Failed);
         self.answer_by(client, |close, to| {
             http::pass_on_from(&inbox.held()[..end], head, framing, close, to)
         });
@@ -131,8 +131,8 @@
             .take()
             .into_iter()
             .for_each(|inbox| self.buffers.give(inbox));
-        self.counters.acked += 1;
-        self.downstream.ends_as(client, End::Succeeded);
+        self.counters.requests_succeeded += 1;
+        self.downstream.ends_as(client, RequestOutcome::Succeeded);
         self.downstream.fed(client);
         if clean && is_silent(&self.upstream.links[key].stream) {
             self.keep_upstream(key);
--- a/proxy/src/upstream/attempts.rs
+++ b/proxy/src/upstream/attempts.rs
@@ -88,7 +88,7 @@
         then: CompletionCallback<Proxy>,
     ) -> Result<usize, AttemptOutcome> {
         let Some(mut outbox) = self.buffers.take() else {
-            self.counters.full += 1;
+            self.counters.capacity_exhausted += 1;
             return Err(AttemptOutcome::NotSent);
         };
         let request = self.downstream.request(client);
@@ -316,7 +316,7 @@
                         let due = move |proxy: &mut Proxy| proxy.upstream_timeout(key);
                         link.timer = Some(self.timers.set(link.ends, due));
                     }
-                    self.access_metrics.forwards += u64::from(link.op != NO_OP);
+                    self.access_metrics.attempts_forwarded += u64::from(link.op != NO_OP);
                     link.outbox
                         .take()
                         .into_iter()
@@ -341,7 +341,7 @@
             let link = &mut self.upstream.links[key];
             let Some(mut inbox) = link.inbox.take().or_else(|| self.buffers.take_last()) else {
                 // Danger: no buffer to read into. The answer is lost; the push may have run.
-                self.counters.full += 1;
+                self.counters.capacity_exhausted += 1;
                 return self.fail(key, AttemptOutcome::ConnectionLost, LoadReport::default());
             };
             let filled = link.fill(&mut inbox);
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -54,14 +54,14 @@
     pub(super) fn dial(&mut self, server: usize) -> Result<usize, AttemptOutcome> {
         if self.upstream.links.full() && !self.close_longest_idle_upstream() {
             // Danger: out of descriptors for servers. Nothing was sent, and the op is free to go elsewhere.
-            self.counters.full += 1;
+            self.counters.capacity_exhausted += 1;
             return Err(AttemptOutcome::NotSent);
         }
         let record = self.upstream.records.get(server);
         let dial @ (address, _) = record
             .and_then(|r| r.dial)
             .ok_or(AttemptOutcome::Unreachable)?;
-        self.counters.dialled += 1;
+        self.counters.connections_opened += 1;
         let both = Interest::READABLE | Interest::WRITABLE;
         let key = self.upstream.links.next_key();
         let stream = loop {
@@ -85,7 +85,7 @@
                     // An op that is in goes ahead of clients that have only just come.
                     if !(self.close_idle_downstream() || self.reserved_descriptors.give_up()) {
                         log::warn!("cannot dial: {e}");
-                        self.counters.full += 1;
+                        self.counters.capacity_exhausted += 1;
                         return Err(AttemptOutcome::NotSent);
                     }
                 }
--- a/proxy/src/upstream/load_probes.rs
+++ b/proxy/src/upstream/load_probes.rs
@@ -36,7 +36,7 @@
             let report = proxy.report(outcome);
             proxy.probed(server, report);
         });
-        self.counters.probes += 1;
+        self.counters.load_probes_sent += 1;
         self.probes_in_flight += 1;
         let sent = self
             .send_written(NO_OP, server, outbox, PROBE_WITHIN, then)
@@ -61,7 +61,7 @@
 
     fn probed(&mut self, server: usize, report: Option<LoadReport>) {
         if report.is_none() {
-            self.counters.probes_failed += 1;
+            self.counters.load_probes_failed += 1;
         }
         let now = self.now();
         self.dispatcher.probe_ended(now, server, report);
--- /dev/null
+++ b/proxy/tests/control/main.rs
@@ -0,0 +1,4 @@
+//! The control code without sockets: metrics.
+
+mod access_metrics;
+mod counters;
