Discovery: schedule, connection, list reading and polling in modules of their own

Cause: one file held the dialing, the HTTP exchange, the reading of lists and the schedule of polls; the state of the watch was spread over flags (heard, late, failed) and fields that tuple assignments set together.

Change: the state is explicit: `PollInFlight` while a poll has no outcome, `PollOutcome` (Succeeded, Failed, TimedOut) in place of two flags, `first_poll_finished`, `sequence_number`. `schedule` (no I/O) chooses the request and the grace, `connection` does the exchange and says `Progress`, `response` reads the list, `poll` drives them, `apply` takes a list over, `remembered_list` keeps what an upgrade hands over; failures are a typed `PollError`. Call sites follow (`hashed` is `stable_hash`, `read_list` is `EndpointList::from_json`).

--- a/proxy/src/admin/calls.rs
+++ b/proxy/src/admin/calls.rs
@@ -192,8 +192,8 @@
             }
             None => (200, self.figures()),
             Some((id, action)) => match decoded(id) {
-                Some(id) if action == "suspend" => self.disable_endpoint(hashed(&id), &id),
-                Some(id) => self.enable_endpoint(hashed(&id), &id),
+                Some(id) if action == "suspend" => self.disable_endpoint(stable_hash(&id), &id),
+                Some(id) => self.enable_endpoint(stable_hash(&id), &id),
                 None => (400, "the id can't be read\n".into()),
             },
         }
--- a/proxy/src/admin/mod.rs
+++ b/proxy/src/admin/mod.rs
@@ -4,7 +4,7 @@
 pub mod disabled_endpoints;
 
 use crate::buffers::{Buffer, Filled, HEAD_MOST};
-use crate::endpoint_list::hashed;
+use crate::endpoint_list::stable_hash;
 use crate::http;
 use crate::timers::TimerKey;
 use crate::tokens::{CALLERS, CALLERS_MOST, DOOR};
--- a/proxy/src/cluster/events.rs
+++ b/proxy/src/cluster/events.rs
@@ -1,7 +1,7 @@
 //! What the fleet is told, and what its news change here.
 
 use super::*;
-use crate::endpoint_list::List;
+use crate::endpoint_list::{EndpointList, ListedEndpoint};
 use crate::proxy::Proxy;
 
 impl Proxy {
@@ -159,25 +159,28 @@
     }
 
     /// The own list has told something: the others hear of it, and what they told before may have passed.
-    pub fn gossip_endpoint_list(&mut self, list: &List) {
+    pub fn gossip_endpoint_list(&mut self, list: &EndpointList) {
         let Some(members) = &mut self.cluster else {
             return;
         };
         let lines: Vec<(u64, u8, f64)> = list
-            .lines
+            .endpoints
             .iter()
-            .map(|(line, _)| (line.stable_hash, strict(line.state), line.started_at_ms))
+            .map(|listed| &listed.update)
+            .map(|line| (line.stable_hash, strict(line.state), line.started_at_ms))
             .collect();
-        if list.whole {
+        if list.complete {
             members.lines.clear();
         }
-        for (line, dial) in &list.lines {
+        for ListedEndpoint { update: line, dial } in &list.endpoints {
             match line.state {
                 EndpointState::Removed => drop(members.lines.remove(&line.stable_hash)),
                 _ => drop(members.lines.insert(line.stable_hash, (*line, *dial))),
             }
         }
-        let (say, passed) = members.lists.told(list.seq, list.whole, &lines);
+        let (say, passed) = members
+            .lists
+            .told(list.sequence_number, list.complete, &lines);
         say.into_iter()
             .for_each(|word| members.fleet.tell_listed(word));
         // What was told just now came over what others had told of it: the stricter counts still.
--- a/proxy/src/cluster/mod.rs
+++ b/proxy/src/cluster/mod.rs
@@ -5,7 +5,7 @@
 mod status_page;
 
 use crate::config::configuration::Configuration;
-use crate::endpoint_list::hashed;
+use crate::endpoint_list::stable_hash;
 use crate::tokens::FLEET;
 use crankmux::types::{EndpointState, EndpointUpdate};
 use crankmux_membership::assumptions::ClusterAssumptions;
@@ -43,7 +43,7 @@
             .iter()
             .for_each(|own| drop(keys.remove(*own)));
     }
-    hashed(&common.to_string())
+    stable_hash(&common.to_string())
 }
 
 /// The program's version as one number, in which a later one is higher.
@@ -69,7 +69,7 @@
             zone: charter.zone.clone().unwrap_or_else(|| zone.to_string()),
             settings: version(settings),
             // Of its own: neither two nodes nor two lives draw alike.
-            seed: hashed(&charter.advertise.to_string()),
+            seed: stable_hash(&charter.advertise.to_string()),
             charter,
             keys,
         }
--- a/proxy/src/config/configuration.rs
+++ b/proxy/src/config/configuration.rs
@@ -1,6 +1,6 @@
 //! The one place where configuration is read, checked and given defaults.
 
-use crate::endpoint_list::read_list;
+use crate::endpoint_list::EndpointList;
 use crate::tokens::CALLERS_MOST;
 use crankmux::dispatcher::Dispatcher;
 use crankmux::settings::{self, NameIndex};
@@ -179,7 +179,8 @@
         let known = whole.get("known").cloned().unwrap_or_default();
         if !known.is_null() {
             // Read for its faults, under names that are thrown away.
-            read_list(&mut NameIndex::default(), &known).map_err(|e| format!("known: {e}"))?;
+            EndpointList::from_json(&mut NameIndex::default(), &known)
+                .map_err(|e| format!("known: {e}"))?;
         }
         let dispatcher = Dispatcher::new(given, seed)
             .map_err(|m| format!("settings: {}", settings::explain_error(&m)))?;
--- /dev/null
+++ b/proxy/src/discovery/apply.rs
@@ -0,0 +1,37 @@
+//! Takes an endpoint list over into the load balancer and the connection pools.
+
+use crate::endpoint_list::EndpointList;
+use crate::proxy::Proxy;
+use crankmux::types::EndpointUpdate;
+use std::collections::HashSet;
+
+impl Proxy {
+    /// Applies a list. A `cached` one was current in an earlier process, and may be outdated.
+    pub fn apply_endpoint_list(&mut self, list: &EndpointList, cached: bool) {
+        let now = self.now();
+        let updates: Vec<EndpointUpdate> =
+            list.endpoints.iter().map(|listed| listed.update).collect();
+        self.dispatcher
+            .update_endpoints(now, &updates, list.complete, cached);
+        if list.complete {
+            self.remove_unlisted_endpoints(&updates);
+        }
+        for listed in &list.endpoints {
+            self.disabled_endpoints.listed(listed.update.stable_hash);
+            self.place(listed.update.endpoint, listed.dial);
+        }
+        self.leave_not_sent();
+        self.gossip_endpoint_list(list);
+        self.name_index
+            .retain_endpoints(|endpoint| self.dispatcher.knows_endpoint(endpoint));
+    }
+
+    fn remove_unlisted_endpoints(&mut self, updates: &[EndpointUpdate]) {
+        let listed: HashSet<usize> = updates.iter().map(|update| update.endpoint).collect();
+        for endpoint in 0..self.upstream.met() {
+            if !listed.contains(&endpoint) {
+                self.place(endpoint, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/discovery/connection.rs
@@ -0,0 +1,190 @@
+//! The connection to discovery: one request at a time, and its response.
+
+use super::error::PollError;
+use crate::buffers::{Buffer, Filled};
+use crate::http::{self, Message};
+use crate::tokens::DISCOVERY;
+use mio::net::TcpStream;
+use mio::{Interest, Registry};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+
+/// Initial size of the receive buffer, in bytes: a list of some fifty endpoints.
+const INITIAL_BUFFER_BYTES: usize = 16 * 1024;
+/// The largest response that is read, in bytes: an indented list of tens of thousands of endpoints.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
+/// What an event on the connection has led to.
+pub(super) enum Progress {
+    /// The next event continues.
+    Pending,
+    /// The response is there.
+    ResponseComplete,
+    /// The other side closed the connection, or sent something, while no poll was in flight.
+    ClosedWhileIdle,
+}
+
+/// A complete response.
+pub(super) struct PollResponse<'a> {
+    pub(super) status: u16,
+    pub(super) body: &'a [u8],
+    /// Whether the connection may carry another request.
+    pub(super) keep_alive: bool,
+}
+
+/// The connection and its buffers. The buffers outlive a stream that is closed.
+pub(super) struct DiscoveryConnection {
+    stream: Option<TcpStream>,
+    request: Vec<u8>,
+    bytes_sent: usize,
+    received: Buffer,
+    /// The response, once its head is read.
+    response: Option<PartialResponse>,
+}
+
+struct PartialResponse {
+    status: u16,
+    message: Message,
+}
+
+impl DiscoveryConnection {
+    pub(super) fn new() -> Self {
+        DiscoveryConnection {
+            stream: None,
+            request: Vec::new(),
+            bytes_sent: 0,
+            received: Buffer::of(INITIAL_BUFFER_BYTES),
+            response: None,
+        }
+    }
+
+    pub(super) fn is_open(&self) -> bool {
+        self.stream.is_some()
+    }
+
+    /// Begins to connect, without waiting for it.
+    pub(super) fn open(&mut self, address: SocketAddr, registry: &Registry) -> io::Result<()> {
+        let mut stream = TcpStream::connect(address)?;
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        registry.register(&mut stream, DISCOVERY, interest)?;
+        self.stream = Some(stream);
+        Ok(())
+    }
+
+    pub(super) fn close(&mut self, registry: &Registry) {
+        if let Some(mut stream) = self.stream.take() {
+            // An error changes nothing: the stream is closed next, which ends its registration too.
+            let _ = registry.deregister(&mut stream);
+        }
+    }
+
+    /// Queues a request in place of the last one, and forgets what came of the last response.
+    pub(super) fn queue_request(&mut self, address: SocketAddr, target: &str) {
+        self.request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n").into_bytes();
+        self.bytes_sent = 0;
+        self.response = None;
+        self.received.cut(0, self.received.held().len());
+    }
+
+    /// Sends and reads what is possible now.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed, or the response is not one that can be read.
+    pub(super) fn advance(&mut self, poll_in_flight: bool) -> Result<Progress, PollError> {
+        let Some(stream) = &mut self.stream else {
+            return Ok(Progress::Pending);
+        };
+        if stream.peer_addr().is_err() {
+            return match stream.take_error() {
+                Ok(Some(error)) => Err(error.into()),
+                // Still connecting. If the socket's error cannot be read, the deadline ends the poll.
+                Ok(None) | Err(_) => Ok(Progress::Pending),
+            };
+        }
+        if !poll_in_flight {
+            return Ok(match self.received.fill(stream) {
+                Filled::Later => Progress::Pending,
+                _ => Progress::ClosedWhileIdle,
+            });
+        }
+        send_request(stream, &self.request, &mut self.bytes_sent)?;
+        self.read_response()
+    }
+
+    fn read_response(&mut self) -> Result<Progress, PollError> {
+        let Some(stream) = &mut self.stream else {
+            return Ok(Progress::Pending);
+        };
+        loop {
+            let filled = self.received.fill(stream);
+            let ended = filled == Filled::Ended;
+            if response_is_complete(&mut self.response, &mut self.received, ended)? {
+                return Ok(Progress::ResponseComplete);
+            }
+            match filled {
+                Filled::Some => {}
+                Filled::Later => return Ok(Progress::Pending),
+                Filled::Full => {
+                    if !self.received.grow(MAX_RESPONSE_BYTES) {
+                        return Err(PollError::ResponseTooLong);
+                    }
+                }
+                Filled::Ended | Filled::Broken => return Err(PollError::ConnectionClosed),
+            }
+        }
+    }
+
+    /// Takes the complete response, of which the body stays in the receive buffer.
+    pub(super) fn take_response(&mut self) -> Option<PollResponse<'_>> {
+        let PartialResponse { status, message } = self.response.take()?;
+        Some(PollResponse {
+            status,
+            body: &self.received.held()[message.head..message.end],
+            keep_alive: message.keep,
+        })
+    }
+
+    /// Frees what a long response needed: complete lists are rare.
+    pub(super) fn shrink_receive_buffer(&mut self) {
+        if self.received.size() > INITIAL_BUFFER_BYTES {
+            self.received = Buffer::of(INITIAL_BUFFER_BYTES);
+        }
+    }
+}
+
+fn send_request(
+    stream: &mut TcpStream,
+    request: &[u8],
+    bytes_sent: &mut usize,
+) -> Result<(), PollError> {
+    while *bytes_sent < request.len() {
+        match stream.write(&request[*bytes_sent..]) {
+            Ok(written) => *bytes_sent += written,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Ok(())
+}
+
+/// Reads on in what was received; `ended` where the connection ends behind it.
+fn response_is_complete(
+    response: &mut Option<PartialResponse>,
+    received: &mut Buffer,
+    ended: bool,
+) -> Result<bool, PollError> {
+    if response.is_none() {
+        let limits = (MAX_RESPONSE_BYTES, MAX_RESPONSE_BYTES);
+        let head = http::answer(received.held(), limits, |status, _| status)
+            .map_err(|_| PollError::InvalidResponseHead)?;
+        *response = head.map(|(message, status)| PartialResponse { status, message });
+    }
+    let Some(PartialResponse { message, .. }) = response else {
+        return Ok(false);
+    };
+    let complete = message
+        .advance(received)
+        .map_err(|_| PollError::InvalidResponseBody)?;
+    Ok(complete || (ended && message.ends_here()))
+}
--- a/proxy/src/discovery/mod.rs
+++ b/proxy/src/discovery/mod.rs
@@ -1,101 +1,89 @@
-//! Discovery: the list of servers, watched.
+//! Service discovery: polls the discovery agent for the endpoint list and watches it for changes.
+//!
+//! One poll at a time is in flight, over one connection that is kept between polls:
+//!
+//! - [`schedule`] chooses what the next poll asks for, and how long it may take.
+//! - `connection` writes the request and reads the response.
+//! - `response` reads the endpoint list from a response.
+//! - `poll` drives these on the event loop: deadlines, failures, and the next poll.
+//! - `apply` takes a list over into the load balancer and the connection pools.
+//! - `remembered_list` keeps the list for the process that follows an upgrade.
 
+mod apply;
+mod connection;
+mod error;
 mod poll;
+mod remembered_list;
+mod response;
+pub mod schedule;
 
-use crate::buffers::{Buffer, Filled};
-use crate::endpoint_list::{read_list, List};
-use crate::http::{self, Message};
+use crate::discovery::connection::DiscoveryConnection;
+use crate::discovery::remembered_list::RememberedList;
+use crate::discovery::schedule::{PollOutcome, PollRequest};
+use crate::endpoint_list::EndpointList;
 use crate::timers::TimerKey;
-use crate::tokens::DISCOVERY;
-use crankmux::types::EndpointUpdate;
-use mio::net::TcpStream;
-use mio::Interest;
-use serde_json::{json, Value};
-use std::collections::{BTreeMap, HashSet};
-use std::io::Write;
+use serde_json::Value;
 use std::net::SocketAddr;
 
-/// How long a watch waits for news, in milliseconds. Danger: what a silent discovery has to tell counts as
-/// told all the same, soon after the wait is over; a short one finds the silence early.
-const HOLD: f64 = 2000.0;
-/// An answer later than this after it was due is none: the agent is on this machine and answers at once. The
-/// call after one that was late has twice as long. Danger: one that is always slow would never be heard.
-const GRACE: f64 = 500.0;
-/// Watches that end at once without news are this far apart: no spin, and well within the 200 ms after which
-/// a new watch begins.
-const APART: f64 = 50.0;
-/// Room for a list at first, some fifty servers, and at most: tens of thousands of servers, indented.
-const LIST_FIRST: usize = 16 * 1024;
-const LIST_MOST: usize = 16 * 1024 * 1024;
-
+/// State of the watch on the endpoint list.
 pub struct Discovery {
     address: SocketAddr,
-    stream: Option<TcpStream>,
-    ask: Vec<u8>,
-    sent: usize,
-    inbox: Buffer,
-    message: Option<(Message, u16)>,
-    asked_at: f64,
-    /// The last call failed, and it did so by being late.
-    failed: bool,
-    late: bool,
-    seq: Option<u64>,
-    timer: Option<TimerKey>,
-    /// The list as last told, line by line.
-    lines: BTreeMap<String, Value>,
-    /// Has answered, or failed to, since the start.
-    pub heard: bool,
+    connection: DiscoveryConnection,
+    poll_in_flight: Option<PollInFlight>,
+    /// How the last finished poll of this address ended.
+    last_outcome: PollOutcome,
+    /// Version of the last list applied; none where a complete list is needed next.
+    sequence_number: Option<u64>,
+    remembered_list: RememberedList,
+    first_poll_finished: bool,
+}
+
+/// A poll that has no outcome yet.
+struct PollInFlight {
+    started_at_ms: f64,
+    deadline: TimerKey,
 }
 
 impl Discovery {
+    /// A watch on the list of the agent at an address, before its first poll.
     pub fn new(address: SocketAddr) -> Self {
         Discovery {
             address,
-            stream: None,
-            ask: Vec::new(),
-            sent: 0,
-            inbox: Buffer::of(LIST_FIRST),
-            message: None,
-            asked_at: 0.0,
-            failed: false,
-            late: false,
-            seq: None,
-            timer: None,
-            lines: BTreeMap::new(),
-            heard: false,
+            connection: DiscoveryConnection::new(),
+            poll_in_flight: None,
+            last_outcome: PollOutcome::Succeeded,
+            sequence_number: None,
+            remembered_list: RememberedList::default(),
+            first_poll_finished: false,
         }
     }
 
-    /// Goes on from the version of a list that was known before.
-    pub fn go_on_from(&mut self, list: &List) {
-        self.seq = Some(list.seq).filter(|_| list.whole);
+    /// Polls for changes after a list that is known from elsewhere, if that list is complete.
+    pub fn resume_after(&mut self, list: &EndpointList) {
+        self.sequence_number = list.complete.then_some(list.sequence_number);
     }
 
-    /// Keeps what a list tells, for a process that comes after this one.
-    pub fn keep(&mut self, list: &Value) {
-        if list.get("whole") == Some(&Value::Bool(true)) {
-            self.lines.clear();
-        }
-        for line in list
-            .get("hosts")
-            .and_then(Value::as_array)
-            .into_iter()
-            .flatten()
-        {
-            let Some(host) = line.get("host").and_then(Value::as_str) else {
-                continue;
-            };
-            if line.get("health").and_then(Value::as_str) == Some("Gone") {
-                self.lines.remove(host);
-            } else {
-                self.lines.insert(host.to_string(), line.clone());
-            }
-        }
+    /// Remembers a list as it came, for [`Discovery::complete_list`].
+    pub fn remember_list(&mut self, list: &Value) {
+        self.remembered_list.merge(list);
+    }
+
+    /// The current endpoint list, in the form in which discovery gives it.
+    pub fn complete_list(&self) -> Value {
+        self.remembered_list
+            .to_json(self.sequence_number.unwrap_or_default())
+    }
+
+    /// Whether any poll since the start of the process has ended, successfully or not.
+    pub fn first_poll_finished(&self) -> bool {
+        self.first_poll_finished
     }
 
-    /// The list as last told, in the form in which it is told.
-    pub fn whole_list(&self) -> Value {
-        let hosts: Vec<&Value> = self.lines.values().collect();
-        json!({"seq": self.seq.unwrap_or_default(), "whole": true, "hosts": hosts})
+    fn next_request(&self) -> PollRequest {
+        PollRequest::next(
+            self.sequence_number,
+            self.first_poll_finished,
+            self.last_outcome,
+        )
     }
 }
--- a/proxy/src/discovery/poll.rs
+++ b/proxy/src/discovery/poll.rs
@@ -1,225 +1,160 @@
-//! Calls to discovery, and what its list changes here.
+//! Polls on the event loop: one after the other, each with a deadline.
 
-use super::*;
+use super::connection::Progress;
+use super::error::PollError;
+use super::response::read_endpoint_list;
+use super::schedule::{response_grace_ms, PollOutcome, MIN_POLL_INTERVAL_MS};
+use super::PollInFlight;
+use crate::endpoint_list::EndpointList;
 use crate::proxy::Proxy;
+use std::io;
+use std::net::SocketAddr;
 
 impl Proxy {
-    /// Takes a list over: to the decisions, and where to dial.
-    pub fn apply_endpoint_list(&mut self, list: &List, cached: bool) {
-        let now = self.now();
-        let lines: Vec<EndpointUpdate> = list.lines.iter().map(|(line, _)| *line).collect();
-        self.dispatcher
-            .update_endpoints(now, &lines, list.whole, cached);
-        if list.whole {
-            let listed: HashSet<usize> = lines.iter().map(|line| line.endpoint).collect();
-            for server in (0..self.upstream.met()).filter(|server| !listed.contains(server)) {
-                self.place(server, None);
-            }
-        }
-        for (line, dial) in &list.lines {
-            self.disabled_endpoints.listed(line.stable_hash);
-            self.place(line.endpoint, *dial);
-        }
-        self.leave_not_sent();
-        self.gossip_endpoint_list(list);
-        self.name_index
-            .retain_endpoints(|server| self.dispatcher.knows_endpoint(server));
-    }
-
-    /// Calls discovery: for the whole list first, then for what has come since.
+    /// Begins a poll, unless one is in flight: for the complete list first, then for changes.
     pub fn poll_endpoints(&mut self) {
-        let now = self.now();
-        let discovery = &mut self.discovery;
-        if discovery.timer.is_some() {
-            // A call is on its way.
+        if self.discovery.poll_in_flight.is_some() {
             return;
         }
-        let (path, wait) = match discovery.seq {
-            // At the start only what has come since the known list. Danger: were all nodes of a release to
-            // ask for whole lists at one moment, discovery would be short of room. After a failure without a
-            // wait: danger, one failure behind another that each take a watch's time to show.
-            Some(seq) if !discovery.heard || discovery.failed => {
-                (format!("/catalog/members?from={seq}&hold_ms=0"), 0.0)
-            }
-            Some(seq) => (format!("/catalog/members?from={seq}&hold_ms={HOLD}"), HOLD),
-            None => ("/catalog/members".to_string(), 0.0),
-        };
-        discovery.ask =
-            format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", discovery.address).into_bytes();
-        (discovery.sent, discovery.asked_at, discovery.message) = (0, now, None);
-        discovery.inbox.cut(0, discovery.inbox.held().len());
-        let late = |proxy: &mut Proxy| {
-            proxy.list_call_failed("no answer");
-            proxy.discovery.late = true;
-        };
-        let grace = if discovery.late { 2.0 * GRACE } else { GRACE };
-        discovery.timer = Some(self.timers.set(now + wait + grace, late));
-        if discovery.stream.is_none() {
-            let mut stream = self.dial_discovery();
-            if stream.is_err() && self.free_descriptor() {
-                stream = self.dial_discovery();
-            }
-            match stream {
-                Ok(stream) => self.discovery.stream = Some(stream),
-                Err(e) => return self.list_call_failed(&e.to_string()),
+        let now = self.now();
+        let request = self.discovery.next_request();
+        let address = self.discovery.address;
+        self.discovery
+            .connection
+            .queue_request(address, &request.target());
+        let grace_ms = response_grace_ms(self.discovery.last_outcome);
+        let deadline = self
+            .timers
+            .set(now + request.hold_ms() + grace_ms, |proxy: &mut Proxy| {
+                proxy.poll_failed(&PollError::TimedOut)
+            });
+        self.discovery.poll_in_flight = Some(PollInFlight {
+            started_at_ms: now,
+            deadline,
+        });
+        if !self.discovery.connection.is_open() {
+            if let Err(error) = self.connect_to_discovery() {
+                return self.poll_failed(&error.into());
             }
         }
         self.discovery_event();
     }
 
-    fn dial_discovery(&self) -> std::io::Result<TcpStream> {
-        let mut stream = TcpStream::connect(self.discovery.address)?;
-        self.registry.register(
-            &mut stream,
-            DISCOVERY,
-            Interest::READABLE | Interest::WRITABLE,
-        )?;
-        Ok(stream)
-    }
-
-    /// Follows the list at an address, as a reload names it. The servers known so far stay until it has
-    /// spoken.
+    /// Watches the list at an address, as a reload names it. The endpoints known so far stay until the agent
+    /// there has answered.
     pub fn watch_discovery(&mut self, address: SocketAddr) {
         if self.discovery.address == address {
             return;
         }
-        // Danger: the old address says nothing more, and its versions need not be the new one's.
-        self.hang_up();
-        self.timers.unset(self.discovery.timer.take());
-        (
-            self.discovery.address,
-            self.discovery.seq,
-            self.discovery.late,
-        ) = (address, None, false);
+        // Versions of the old agent need not be those of the new one.
+        self.disconnect_from_discovery();
+        self.end_poll();
+        self.discovery.address = address;
+        self.discovery.sequence_number = None;
+        if self.discovery.last_outcome == PollOutcome::TimedOut {
+            // That it was slow is known of the old agent only.
+            self.discovery.last_outcome = PollOutcome::Failed;
+        }
         self.poll_endpoints();
     }
 
-    fn hang_up(&mut self) {
-        if let Some(mut stream) = self.discovery.stream.take() {
-            let _ = self.registry.deregister(&mut stream);
+    /// Handles an event on the connection to discovery.
+    pub fn discovery_event(&mut self) {
+        let poll_in_flight = self.discovery.poll_in_flight.is_some();
+        match self.discovery.connection.advance(poll_in_flight) {
+            Ok(Progress::Pending) => {}
+            Ok(Progress::ClosedWhileIdle) => self.disconnect_from_discovery(),
+            Ok(Progress::ResponseComplete) => self.handle_poll_response(),
+            Err(error) => self.poll_failed(&error),
         }
     }
 
-    /// Discovery has said something, or failed to.
-    fn has_spoken(&mut self) {
-        if !std::mem::replace(&mut self.discovery.heard, true) {
-            self.listen_after_first_list();
+    /// Connects; where descriptors are exhausted, one is freed for it.
+    fn connect_to_discovery(&mut self) -> io::Result<()> {
+        let address = self.discovery.address;
+        let opened = self.discovery.connection.open(address, &self.registry);
+        if opened.is_err() && self.free_descriptor() {
+            return self.discovery.connection.open(address, &self.registry);
         }
+        opened
+    }
+
+    fn disconnect_from_discovery(&mut self) {
+        self.discovery.connection.close(&self.registry);
+    }
+
+    /// Ends the poll in flight, whatever came of it.
+    fn end_poll(&mut self) -> Option<PollInFlight> {
+        let poll = self.discovery.poll_in_flight.take()?;
+        self.timers.unset(Some(poll.deadline));
+        Some(poll)
     }
 
-    fn list_call_failed(&mut self, why: &str) {
-        log::warn!("discovery: {why}");
-        self.hang_up();
-        self.timers.unset(self.discovery.timer.take());
-        self.has_spoken();
-        (self.discovery.failed, self.discovery.late) = (true, false);
+    fn poll_failed(&mut self, error: &PollError) {
+        log::warn!("discovery: {error}");
+        self.disconnect_from_discovery();
+        self.end_poll();
+        self.note_finished_poll();
+        self.discovery.last_outcome = match error {
+            PollError::TimedOut => PollOutcome::TimedOut,
+            _ => PollOutcome::Failed,
+        };
         self.counters.endpoint_polls_failed += 1;
         let now = self.now();
         self.dispatcher.discovery_failed(now);
     }
 
-    pub fn discovery_event(&mut self) {
-        let discovery = &mut self.discovery;
-        let Some(stream) = &mut discovery.stream else {
-            return;
-        };
-        if stream.peer_addr().is_err() {
-            if let Ok(Some(e)) = stream.take_error() {
-                self.list_call_failed(&e.to_string());
-            }
-            return;
-        }
-        if discovery.timer.is_none() {
-            // Between calls it has nothing to say but its end.
-            if discovery.inbox.fill(stream) != Filled::Later {
-                self.hang_up();
-            }
-            return;
-        }
-        while discovery.sent < discovery.ask.len() {
-            match stream.write(&discovery.ask[discovery.sent..]) {
-                Ok(n) => discovery.sent += n,
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break,
-                Err(e) => return self.list_call_failed(&e.to_string()),
-            }
-        }
-        loop {
-            let filled = discovery.inbox.fill(stream);
-            let ended = filled == Filled::Ended;
-            if discovery.message.is_none() {
-                match http::answer(
-                    discovery.inbox.held(),
-                    (LIST_MOST, LIST_MOST),
-                    |status, _| status,
-                ) {
-                    Ok(found) => discovery.message = found,
-                    Err(_) => return self.list_call_failed("not an HTTP answer"),
-                }
-            }
-            let whole = match &mut discovery.message {
-                Some((message, _)) => message
-                    .advance(&mut discovery.inbox)
-                    .map(|whole| whole || ended && message.ends_here()),
-                None => Ok(false),
-            };
-            match (whole, filled) {
-                (Err(_), _) => return self.list_call_failed("a broken answer"),
-                (Ok(true), _) => return self.list_answered(),
-                (Ok(false), Filled::Some) => {}
-                (Ok(false), Filled::Later) => return,
-                (Ok(false), Filled::Full) if discovery.inbox.grow(LIST_MOST) => {}
-                (Ok(false), Filled::Full) => return self.list_call_failed("too long a list"),
-                (Ok(false), _) => return self.list_call_failed("the connection ended"),
-            }
+    /// Clients are accepted once the first poll has ended, successfully or not.
+    fn note_finished_poll(&mut self) {
+        if !self.discovery.first_poll_finished {
+            self.discovery.first_poll_finished = true;
+            self.listen_after_first_list();
         }
     }
 
-    fn list_answered(&mut self) {
+    fn handle_poll_response(&mut self) {
         let now = self.now();
-        let discovery = &mut self.discovery;
-        let Some((message, status)) = discovery.message.take() else {
+        let Some(response) = self.discovery.connection.take_response() else {
             return;
         };
-        let body = &discovery.inbox.held()[message.head..message.end];
-        let list = match (status, serde_json::from_slice(body)) {
-            (200, Ok(list)) => {
-                let read = read_list(&mut self.name_index, &list);
-                if read.is_ok() {
-                    self.discovery.keep(&list);
-                }
-                read
+        let keep_alive = response.keep_alive;
+        let result = read_endpoint_list(&response, &mut self.name_index);
+        self.discovery.connection.shrink_receive_buffer();
+        let list = match result {
+            Ok((json, list)) => {
+                self.discovery.remember_list(&json);
+                list
             }
-            (200, Err(e)) => Err(e.to_string()),
-            _ => Err(format!("status {status}")),
+            Err(error) => return self.poll_failed(&error),
         };
-        if self.discovery.inbox.size() > LIST_FIRST {
-            // Whole lists are rare: what one needed is not kept.
-            self.discovery.inbox = Buffer::of(LIST_FIRST);
+        if !keep_alive {
+            self.disconnect_from_discovery();
         }
-        let list = match list {
-            Ok(list) => list,
-            Err(e) => return self.list_call_failed(&e),
+        let Some(poll) = self.end_poll() else {
+            return;
         };
-        if !message.keep {
-            self.hang_up();
-        }
-        let discovery = &mut self.discovery;
-        self.timers.unset(discovery.timer.take());
-        (discovery.failed, discovery.late) = (false, false);
+        self.discovery.last_outcome = PollOutcome::Succeeded;
         self.counters.endpoint_lists_received += 1;
-        if !list.whole && discovery.seq.is_some_and(|seq| list.seq < seq) {
-            // Danger: versions of another discovery, say. What this one has to tell since ours is unknown:
-            // all of it.
-            discovery.seq = None;
+        self.take_over_list(&list, now, now - poll.started_at_ms);
+    }
+
+    /// Applies a list that came at `now`, so long after its poll began, and begins the next poll.
+    fn take_over_list(&mut self, list: &EndpointList, now: f64, poll_duration_ms: f64) {
+        let known = self.discovery.sequence_number;
+        if !list.complete && known.is_some_and(|known| list.sequence_number < known) {
+            // These are versions of another discovery, so none of its changes since ours can be known.
+            self.discovery.sequence_number = None;
             return self.poll_endpoints();
         }
-        let early = discovery.seq == Some(list.seq) && now - discovery.asked_at < APART;
-        discovery.seq = Some(list.seq);
-        self.apply_endpoint_list(&list, false);
-        self.has_spoken();
-        if early {
+        let unchanged = known == Some(list.sequence_number);
+        self.discovery.sequence_number = Some(list.sequence_number);
+        self.apply_endpoint_list(list, false);
+        self.note_finished_poll();
+        if unchanged && poll_duration_ms < MIN_POLL_INTERVAL_MS {
             self.timers
-                .set(now + APART, |proxy: &mut Proxy| proxy.poll_endpoints());
+                .set(now + MIN_POLL_INTERVAL_MS, |proxy: &mut Proxy| {
+                    proxy.poll_endpoints()
+                });
         } else {
             self.poll_endpoints();
         }
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -2,7 +2,7 @@
 
 use super::{Asked, LINGER_BYTES, SLOW};
 use crate::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
-use crate::endpoint_list::hashed;
+use crate::endpoint_list::stable_hash;
 use crate::http::{self, RequestError};
 use crate::proxy::Proxy;
 use crate::requests::Requests;
@@ -68,7 +68,7 @@
     let customer = customer.and_then(|name| names.tenants.index(name));
     let retry = header("X-Retried") == Some("1");
     // All nodes come to the same number, so that a key's servers are known to all alike.
-    let key = key.and_then(header).map(hashed);
+    let key = key.and_then(header).map(stable_hash);
     Ok(Asked::Op(
         NewRequest {
             request: 0,
--- a/proxy/src/lifecycle/state_directory.rs
+++ b/proxy/src/lifecycle/state_directory.rs
@@ -20,7 +20,7 @@
     if !name.is_empty() && name.len() <= 40 && name.chars().all(fine) {
         name.to_string()
     } else {
-        format!("{:016x}", crate::endpoint_list::hashed(name))
+        format!("{:016x}", crate::endpoint_list::stable_hash(name))
     }
 }
 
--- a/proxy/src/lifecycle/upgrade/handover.rs
+++ b/proxy/src/lifecycle/upgrade/handover.rs
@@ -43,7 +43,8 @@
         };
         let once: Vec<u64> = self.disabled_endpoints.once().collect();
         let learnt = told(&self.name_index, &self.dispatcher.learned_state());
-        let handed = json!({"list": self.discovery.whole_list(), "once": once, "learnt": learnt});
+        let handed =
+            json!({"list": self.discovery.complete_list(), "once": once, "learnt": learnt});
         self.free_descriptor();
         std::fs::write(path, handed.to_string())?;
         self.registry
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -9,7 +9,7 @@
 use crate::cluster::{Cluster, ClusterConfig};
 use crate::discovery::Discovery;
 use crate::downstream::DownstreamConnections;
-use crate::endpoint_list::read_list;
+use crate::endpoint_list::EndpointList;
 use crate::lifecycle::state_directory::StateDirectory;
 use crate::lifecycle::upgrade::{self, Upgrade};
 use crate::listener::bound;
@@ -149,10 +149,10 @@
         };
         match known.is_null() {
             false => {
-                let read =
-                    read_list(&mut proxy.name_index, &known).map_err(|e| format!("known: {e}"))?;
-                proxy.discovery.keep(&known);
-                proxy.discovery.go_on_from(&read);
+                let read = EndpointList::from_json(&mut proxy.name_index, &known)
+                    .map_err(|e| format!("known: {e}"))?;
+                proxy.discovery.remember_list(&known);
+                proxy.discovery.resume_after(&read);
                 proxy.apply_endpoint_list(&read, true);
             }
             true => proxy.poll_endpoints(),
@@ -189,7 +189,7 @@
 
     /// Whether clients may come: there is a server to send to, and discovery has been asked.
     pub fn ready(&self) -> bool {
-        self.upstream.any() && self.discovery.heard && !self.stopping()
+        self.upstream.any() && self.discovery.first_poll_finished() && !self.stopping()
     }
 
     /// Lives on its share of the node's limits.
--- /dev/null
+++ b/proxy/tests/control/poll_schedule.rs
@@ -0,0 +1,48 @@
+//! The schedule of polls: what is asked for, and how long a response may take.
+
+use crankmux_proxy::discovery::schedule::{response_grace_ms, PollOutcome, PollRequest};
+
+const OUTCOMES: [PollOutcome; 3] = [
+    PollOutcome::Succeeded,
+    PollOutcome::Failed,
+    PollOutcome::TimedOut,
+];
+
+#[test]
+fn without_a_list_the_complete_list_is_asked_for_without_a_hold() {
+    for outcome in OUTCOMES {
+        for first_poll_finished in [false, true] {
+            let request = PollRequest::next(None, first_poll_finished, outcome);
+            assert_eq!(request.target(), "/catalog/members");
+            assert_eq!(request.hold_ms(), 0.0);
+        }
+    }
+}
+
+#[test]
+fn the_first_poll_after_a_known_list_asks_for_changes_without_a_hold() {
+    for outcome in OUTCOMES {
+        let request = PollRequest::next(Some(7), false, outcome);
+        assert_eq!(request.target(), "/catalog/members?from=7&hold_ms=0");
+        assert_eq!(request.hold_ms(), 0.0);
+    }
+}
+
+#[test]
+fn a_watch_is_held_until_a_poll_fails() {
+    let watch = PollRequest::next(Some(7), true, PollOutcome::Succeeded);
+    assert_eq!(watch.target(), "/catalog/members?from=7&hold_ms=2000");
+    assert_eq!(watch.hold_ms(), 2000.0);
+    for outcome in [PollOutcome::Failed, PollOutcome::TimedOut] {
+        let request = PollRequest::next(Some(7), true, outcome);
+        assert_eq!(request.target(), "/catalog/members?from=7&hold_ms=0");
+        assert_eq!(request.hold_ms(), 0.0);
+    }
+}
+
+#[test]
+fn only_a_timeout_doubles_the_grace() {
+    assert_eq!(response_grace_ms(PollOutcome::Succeeded), 500.0);
+    assert_eq!(response_grace_ms(PollOutcome::Failed), 500.0);
+    assert_eq!(response_grace_ms(PollOutcome::TimedOut), 1000.0);
+}
