Admin API: callers, routes, requests and responses in modules of their own

Cause: one file accepted callers, read calls, matched paths and methods as strings and answered in (u16, String) pairs; the state of a caller followed from which of its fields were empty.

Change: `Caller` has a `CallerState` (ReadingRequest, WritingResponse, Draining) and does the I/O of one connection; `callers` accepts, times and closes them; `AdminRequest::parse` routes a call, with a typed error for each refusal; `handlers` carries requests out; `AdminResponse` is what goes back. Endpoints are disabled and enabled with a typed `DisabledEndpointError`; on the wire and in file names `suspend` and `resume` stay, and so does every answer. Log lines: "the door is at" is "admin API at", "the door cannot accept" is "the admin API cannot accept", "ID is suspended/resumed" is "endpoint ID is disabled/enabled"; the socket tests look for the first by its new words.

--- /dev/null
+++ b/proxy/src/admin/disabled_endpoints/changes.rs
@@ -0,0 +1,106 @@
+//! Disables and enables endpoints, by an operator's call or by what the files of another process say.
+
+use super::DisabledEndpointError;
+use crate::endpoint_list::stable_hash;
+use crate::proxy::Proxy;
+use crankmux::types::{AttemptOutcome, LoadReport};
+
+/// How often the files are read while another process of this proxy may write them, in milliseconds: well within
+/// the second that a call may take to count.
+const RELOAD_INTERVAL_MS: f64 = 100.0;
+
+impl Proxy {
+    /// Disables an endpoint, for later processes too.
+    ///
+    /// # Errors
+    ///
+    /// The endpoint is unknown, or it cannot be stored that it is disabled.
+    pub fn disable_endpoint(&mut self, id: &str) -> Result<(), DisabledEndpointError> {
+        let stable_hash = self.known_endpoint(id)?;
+        self.free_descriptor();
+        // Stored before it is confirmed: a crash or the next process must not forget it.
+        if let Err(error) = self.state_directory.ban(stable_hash, id) {
+            log::error!("cannot store that endpoint {id} is disabled: {error}");
+            return Err(DisabledEndpointError::NotStored(error));
+        }
+        log::info!("endpoint {id} is disabled");
+        self.reload_disabled_endpoints();
+        Ok(())
+    }
+
+    /// Enables an endpoint again.
+    ///
+    /// # Errors
+    ///
+    /// The endpoint is unknown, or the file that keeps it disabled cannot be removed.
+    pub fn enable_endpoint(&mut self, id: &str) -> Result<(), DisabledEndpointError> {
+        let stable_hash = self.known_endpoint(id)?;
+        if let Err(error) = self.state_directory.lift(stable_hash) {
+            log::error!("cannot store that endpoint {id} is enabled: {error}");
+            return Err(DisabledEndpointError::NotRemoved(error));
+        }
+        log::info!("endpoint {id} is enabled");
+        self.reload_disabled_endpoints();
+        Ok(())
+    }
+
+    fn known_endpoint(&self, id: &str) -> Result<u64, DisabledEndpointError> {
+        let stable_hash = stable_hash(id);
+        if self.disabled_endpoints.knows(stable_hash) {
+            Ok(stable_hash)
+        } else {
+            Err(DisabledEndpointError::UnknownEndpoint)
+        }
+    }
+
+    /// Reads the files of the disabled endpoints, and applies what has changed.
+    pub fn reload_disabled_endpoints(&mut self) {
+        // Without a free descriptor the directory could not be read.
+        self.free_descriptor();
+        let Some(disabled) = self.state_directory.bans() else {
+            return;
+        };
+        if disabled == self.disabled_endpoints.disabled {
+            return;
+        }
+        let before = std::mem::replace(&mut self.disabled_endpoints.disabled, disabled.clone());
+        let now = self.now();
+        for stable_hash in disabled.iter().filter(|hash| !before.contains(hash)) {
+            let endpoint = self.name_index.endpoint(*stable_hash);
+            self.dispatcher.disable_endpoint(now, endpoint);
+            self.withdraw_from_endpoint(endpoint);
+        }
+        for stable_hash in before.iter().filter(|hash| !disabled.contains(hash)) {
+            if let Some(endpoint) = self.name_index.find_endpoint(*stable_hash) {
+                // Connections that are still open may lead to the process before its restart.
+                self.withdraw_from_endpoint(endpoint);
+                self.dispatcher.enable_endpoint(now, endpoint);
+            }
+        }
+    }
+
+    /// Closes the idle connections to an endpoint, and takes back attempts of which nothing was sent.
+    fn withdraw_from_endpoint(&mut self, endpoint: usize) {
+        if let Some(record) = self.upstream.records.get_mut(endpoint) {
+            for key in std::mem::take(&mut record.idle) {
+                self.drop_upstream(key);
+            }
+        }
+        let unsent = self
+            .upstream
+            .links
+            .keys(|connection| connection.server == endpoint && connection.unsent());
+        for key in unsent {
+            self.fail(key, AttemptOutcome::NotSent, LoadReport::default());
+        }
+    }
+
+    /// Reloads the disabled endpoints now, and repeatedly for as long as another process of this proxy runs.
+    pub fn watch_disabled_endpoints(&mut self) {
+        self.reload_disabled_endpoints();
+        if self.upgrade.both() {
+            let at = self.now() + RELOAD_INTERVAL_MS;
+            self.timers.set(at, Proxy::watch_disabled_endpoints);
+        }
+    }
+}
--- a/proxy/src/admin/disabled_endpoints/mod.rs
+++ b/proxy/src/admin/disabled_endpoints/mod.rs
@@ -1,42 +1,62 @@
-//! Upstreams taken out by hand: the operators' calls, the files that keep them, and what follows on the
-//! sockets. That nothing new goes there is the decisions' work.
+//! Endpoints that operators disabled: the calls, the files that keep them, and what follows on connections.
+//!
+//! The load balancer sees to it that no new request goes to a disabled endpoint. On the wire and in file names
+//! disabling is `suspend` and enabling is `resume`.
 
-mod watch;
+mod changes;
 
-use crankmux::types::{AttemptOutcome, LoadReport};
 use std::collections::{HashSet, VecDeque};
+use std::io;
 
-/// Numbers of servers once listed, the oldest forgotten first. Danger: servers are replaced under ever new
-/// ids.
-const ONCE_MOST: usize = 8192;
-/// How often the files are read while another process of this node may write them: well within the second
-/// that a call may take to count.
-const LOOK_EVERY: f64 = 100.0;
+/// How many endpoints that were ever listed are remembered; the oldest are forgotten first. Endpoints are replaced
+/// under ever new ids, so there must be a bound.
+const MAX_LISTED: usize = 8192;
 
+/// Why an endpoint could not be disabled or enabled.
+#[derive(Debug, thiserror::Error)]
+pub enum DisabledEndpointError {
+    /// No endpoint list had that id.
+    #[error("no such server was ever listed")]
+    UnknownEndpoint,
+    /// The file that keeps the endpoint disabled could not be written.
+    #[error("the suspension can't be kept")]
+    NotStored(#[source] io::Error),
+    /// The file that keeps the endpoint disabled could not be removed.
+    #[error("the suspension can't be lifted")]
+    NotRemoved(#[source] io::Error),
+}
+
+/// The disabled endpoints, and those that may be disabled, by the stable hashes of their ids.
 #[derive(Default)]
 pub struct DisabledEndpoints {
-    now: Vec<u64>,
-    once: HashSet<u64>,
-    order: VecDeque<u64>,
+    disabled: Vec<u64>,
+    listed: HashSet<u64>,
+    /// The same as `listed`, oldest first.
+    listed_order: VecDeque<u64>,
 }
 
 impl DisabledEndpoints {
-    pub fn listed(&mut self, mark: u64) {
-        if self.once.insert(mark) {
-            self.order.push_back(mark);
-            if self.order.len() > ONCE_MOST {
-                self.order
-                    .pop_front()
-                    .map(|oldest| self.once.remove(&oldest));
-            }
+    /// Records that an endpoint was in an endpoint list.
+    pub fn record_listed(&mut self, stable_hash: u64) {
+        if !self.listed.insert(stable_hash) {
+            return;
+        }
+        self.listed_order.push_back(stable_hash);
+        if self.listed_order.len() <= MAX_LISTED {
+            return;
+        }
+        if let Some(oldest) = self.listed_order.pop_front() {
+            self.listed.remove(&oldest);
         }
     }
 
-    pub fn once(&self) -> impl Iterator<Item = u64> + '_ {
-        self.order.iter().copied()
+    /// The endpoints that were in any endpoint list, oldest first.
+    pub fn ever_listed(&self) -> impl Iterator<Item = u64> + '_ {
+        self.listed_order.iter().copied()
     }
 
-    fn known(&self, mark: u64) -> bool {
-        self.once.contains(&mark) || self.now.contains(&mark)
+    /// Whether an endpoint may be disabled or enabled.
+    fn knows(&self, stable_hash: u64) -> bool {
+        self.listed.contains(&stable_hash) || self.disabled.contains(&stable_hash)
     }
 }
--- a/proxy/src/admin/mod.rs
+++ b/proxy/src/admin/mod.rs
@@ -1,44 +1,27 @@
-//! The operators' door: one call to a connection, answered in the turn in which its head is whole.
+//! The admin API for operators: HTTP/1.1, one call to a connection, answered as soon as its head is complete.
+//!
+//! - `callers` accepts connections, keeps a bounded number of them and closes them.
+//! - `caller` is one connection: it reads the call and writes the response.
+//! - [`request`] routes a call to an [`request::AdminRequest`], or says why there is none.
+//! - `response` is what goes back.
+//! - `handlers` carries out requests.
+//! - [`disabled_endpoints`] keeps the endpoints that operators disabled.
 
-mod calls;
+mod caller;
+mod callers;
 pub mod disabled_endpoints;
+mod handlers;
+pub mod request;
+mod response;
 
-use crate::buffers::{Buffer, Filled, HEAD_MOST};
-use crate::endpoint_list::stable_hash;
-use crate::http;
-use crate::timers::TimerKey;
-use crate::tokens::{CALLERS, CALLERS_MOST, DOOR};
+use crate::admin::caller::Caller;
+use crate::tokens::{CALLERS_MOST, DOOR};
 use mio::net::{TcpListener, TcpStream};
-use mio::{Interest, Token};
-use std::io::{self, Read, Write};
-use std::net::Shutdown;
-
-/// A call is one short line: whoever has not made it within this is sent away.
-const CALL_WITHIN: f64 = 3000.0;
-/// How long an answered call is still read from, so that its answer is not reset away, and how much.
-const LINGER: f64 = 1000.0;
-const LINGER_BYTES: usize = 256 * 1024;
-/// How soon accepting is tried again where no descriptor was left.
-const AGAIN: f64 = 50.0;
-
-struct Caller {
-    stream: TcpStream,
-    said: Buffer,
-    answer: Vec<u8>,
-    sent: usize,
-    /// Bytes read since the answer was out; none before.
-    past: Option<usize>,
-    came: f64,
-    timer: Option<TimerKey>,
-}
-
-impl Caller {
-    /// Who makes room first: the answered, then whoever has said least, then whoever came first.
-    fn worth(&self) -> (bool, usize, f64) {
-        (self.past.is_none(), self.said.held().len(), self.came)
-    }
-}
+use mio::{Interest, Registry};
+use std::io;
+use std::net::SocketAddr;
 
+/// The listener of the admin API, and its callers.
 #[derive(Default)]
 pub struct AdminServer {
     listener: Option<TcpListener>,
@@ -46,36 +29,42 @@
 }
 
 impl AdminServer {
+    /// A server without callers; without a listener it never has any.
     pub fn new(listener: Option<TcpListener>) -> Self {
         AdminServer {
             listener,
             ..AdminServer::default()
         }
     }
-}
 
-/// An id in a path, its percent signs read.
-fn decoded(id: &str) -> Option<String> {
-    let (mut bytes, mut rest) = (Vec::new(), id.as_bytes());
-    while let Some((byte, more)) = rest.split_first() {
-        rest = more;
-        if *byte == b'%' {
-            let digits = more
-                .get(..2)
-                .filter(|d| d.iter().all(u8::is_ascii_hexdigit))?;
-            bytes.push(u8::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?);
-            rest = &more[2..];
-        } else {
-            bytes.push(*byte);
-        }
+    /// Accepts one connection; none where there is no listener.
+    fn accept(&self) -> Option<io::Result<TcpStream>> {
+        let listener = self.listener.as_ref()?;
+        Some(listener.accept().map(|(stream, _)| stream))
+    }
+
+    fn free_slot(&self) -> Option<usize> {
+        self.callers.iter().position(Option::is_none)
+    }
+
+    /// The caller that makes room for a new one, if there is any caller.
+    fn least_needed(&self) -> Option<usize> {
+        let callers = self.callers.iter().enumerate();
+        callers
+            .filter_map(|(slot, caller)| Some((slot, caller.as_ref()?)))
+            .min_by(|(_, one), (_, other)| one.cmp_need(other))
+            .map(|(slot, _)| slot)
     }
-    String::from_utf8(bytes).ok().filter(|id| !id.is_empty())
 }
 
-/// Listens at the door's address, and has the loop watch it.
-pub fn listen(address: std::net::SocketAddr, registry: &mio::Registry) -> io::Result<TcpListener> {
+/// Listens at an address, and registers the listener with the event loop.
+///
+/// # Errors
+///
+/// The address cannot be bound, or the listener not registered.
+pub fn listen(address: SocketAddr, registry: &Registry) -> io::Result<TcpListener> {
     let mut listener = TcpListener::bind(address)?;
     registry.register(&mut listener, DOOR, Interest::READABLE)?;
-    log::info!("the door is at {}", listener.local_addr()?);
+    log::info!("admin API at {}", listener.local_addr()?);
     Ok(listener)
 }
--- a/proxy/src/discovery/apply.rs
+++ b/proxy/src/discovery/apply.rs
@@ -17,7 +17,8 @@
             self.remove_unlisted_endpoints(&updates);
         }
         for listed in &list.endpoints {
-            self.disabled_endpoints.listed(listed.update.stable_hash);
+            self.disabled_endpoints
+                .record_listed(listed.update.stable_hash);
             self.place(listed.update.endpoint, listed.dial);
         }
         self.leave_not_sent();
--- a/proxy/src/lifecycle/upgrade/handover.rs
+++ b/proxy/src/lifecycle/upgrade/handover.rs
@@ -41,7 +41,7 @@
         let Some(path) = self.state_directory.path(HANDED) else {
             return Ok(());
         };
-        let once: Vec<u64> = self.disabled_endpoints.once().collect();
+        let once: Vec<u64> = self.disabled_endpoints.ever_listed().collect();
         let learnt = told(&self.name_index, &self.dispatcher.learned_state());
         let handed =
             json!({"list": self.discovery.complete_list(), "once": once, "learnt": learnt});
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -136,7 +136,7 @@
             buffer_bytes: configuration.buffer_bytes,
         };
         once.into_iter()
-            .for_each(|mark| proxy.disabled_endpoints.listed(mark));
+            .for_each(|mark| proxy.disabled_endpoints.record_listed(mark));
         // Before any list: nothing may go to a server that was taken out before this start.
         proxy.watch_disabled_endpoints();
         proxy.apply_process_share();
--- a/proxy/tests/sockets/help.rs
+++ b/proxy/tests/sockets/help.rs
@@ -317,7 +317,7 @@
                 .next()
                 .expect("it says where it listens")
                 .expect("text");
-            if let Some((_, address)) = line.split_once("the door is at ") {
+            if let Some((_, address)) = line.split_once("admin API at ") {
                 door = address.parse().ok();
             }
             if let Some((_, address)) = line.split_once("listening on ") {
