--- a/proxy/src/discovery/connection.rs
+++ b/proxy/src/discovery/connection.rs
@@ -175,6 +175,7 @@
     ended: bool,
 ) -> Result<bool, PollError> {
     if response.is_none() {
+        // The error is a status for a client, and says nothing of a response.
         let limits = (MAX_RESPONSE_BYTES, MAX_RESPONSE_BYTES);
         let head = http::answer(received.held(), limits, |status, _| status)
             .map_err(|_| PollError::InvalidResponseHead)?;
