--- a/bench-adapter/src/node.rs
+++ b/bench-adapter/src/node.rs
@@ -156,9 +156,8 @@
         .at(3)
         .filter(|v| v.is_object())
         .ok_or_else(|| fields.wrong("Config"))?;
-    let (names, given) = NameIndex::from_settings(settings);
-    let balancer =
-        Balancer::new(given, seed).map_err(|message| settings::explain_error(&message))?;
+    let (names, settings) = NameIndex::from_settings(settings);
+    let balancer = Balancer::new(settings.map_err(|e| e.to_string())?, seed);
     Ok(Node {
         balancer,
         names,
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -3,14 +3,13 @@
 //! `words.rs` holds its types. The ordinary path is the split of docs/design.md; whatever narrows it says
 //! here which danger it meets.
 
-use crate::settings::Duties;
+use crate::settings::{ClassSettings, PlacementSet, Settings, SlowStartSettings};
 use crate::types::{
     Actions, AttemptOutcome, EndpointStatistics, EndpointUpdate, Idempotency, LearnedState, LoadReport,
-    NewRequest, SeededRandom, SettingsMap,
+    NewRequest, SeededRandom,
 };
 use crate::types::{AttemptResult, DeduplicationScope, EndpointState};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 type Step = Box<dyn FnOnce(&mut Balancer, &mut dyn Actions, &AttemptResult) + Send>;
 type Alarm = Box<dyn FnOnce(&mut Balancer, &mut dyn Actions) + Send>;
@@ -18,8 +17,8 @@
 #[derive(Clone, Default)]
 struct Category {
     /// The only zones and the only kinds of machine that may get it; all, where none are named.
-    zones: Option<Arc<[usize]>>,
-    kinds: Option<Arc<[usize]>>,
+    zones: Option<PlacementSet>,
+    kinds: Option<PlacementSet>,
     effect: Idempotency,
     within: DeduplicationScope,
     window: f64,
@@ -35,7 +34,7 @@
 impl Category {
     /// The one place that says where a category may run. Danger: a push elsewhere breaks the rule.
     fn open_to(&self, s: &Server) -> bool {
-        let named = |only: &Option<Arc<[usize]>>, one| only.as_ref().is_none_or(|only| only.contains(&one));
+        let named = |only: &Option<PlacementSet>, one| only.as_ref().is_none_or(|only| only.contains(&one));
         named(&self.zones, s.zone) && named(&self.kinds, s.kind)
     }
 }
@@ -47,23 +46,22 @@
     counted: f64,
 }
 
-fn category(duties: &Duties, index: usize) -> Result<Category, String> {
-    let name = |part: &str| format!("category.{index}.{part}");
-    let effect = Idempotency::parse(duties.word(&name("effect")));
-    let target = duties.must(&name("target-latency"))?;
-    Ok(Category {
-        zones: duties.places(&name("only-zones")),
-        kinds: duties.places(&name("only-kinds")),
-        effect: effect.ok_or_else(|| format!("setting {} is missing or unknown", name("effect")))?,
-        within: DeduplicationScope::parse(duties.word(&name("within"))),
-        window: duties.or(&name("window"), 0.0),
-        target,
-        benefit: duties.or(&name("benefit"), 1.0),
-        late: duties.or(&name("late-benefit"), 1.0),
-        // Before the first answer: a target latency is usually set at a few times the ordinary time.
-        time: target / 4.0,
-        acked: 0.0,
-    })
+impl From<ClassSettings> for Category {
+    fn from(class: ClassSettings) -> Self {
+        Category {
+            zones: class.zones,
+            kinds: class.machine_classes,
+            effect: class.idempotency,
+            within: class.deduplication_scope,
+            window: class.deduplication_window_ms,
+            target: class.latency_objective_ms,
+            benefit: class.priority_weight,
+            late: class.late_weight,
+            // Before the first answer: a target latency is usually set at a few times the ordinary time.
+            time: class.latency_objective_ms / 4.0,
+            acked: 0.0,
+        }
+    }
 }
 
 #[derive(Clone, Copy)]
@@ -199,7 +197,7 @@
     now: f64,
     categories: Vec<Category>,
     customers: Vec<Customer>,
-    duties: Duties,
+    settings: Settings,
     balancers: f64,
     /// Which part of a node this process is, and what it has of a told node's budget for cold servers.
     own: f64,
@@ -231,33 +229,28 @@
 }
 
 impl Balancer {
-    /// Reads the duties it cannot do without; a missing one is named in the error.
-    pub fn new(given: SettingsMap, seed: u64) -> Result<Self, String> {
-        let duties = Duties(given);
-        let count = duties.must("categories")? as usize;
-        let categories = (0..count).map(|k| category(&duties, k)).collect::<Result<Vec<_>, _>>()?;
-        for name in ["most-pushes", "drain-grace", "cold-share", "cold-time", "fall-multiple", "fall-time"] {
-            duties.must(name)?;
-        }
-        let customers = (0..duties.or("customers", 0.0) as usize).map(|k| {
-            let quota = duties.or(&format!("customer.{k}.quota"), f64::MAX) / 1000.0;
+    /// A balancer with these settings that draws from this seed.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let categories: Vec<_> = settings.classes.iter().cloned().map(Category::from).collect();
+        let customers = settings.tenants.iter().map(|tenant| {
+            let quota = tenant.quota_per_s / 1000.0;
             Customer { quota, purse: 3.0, counted: 0.0 }
         });
         let time = categories.iter().map(|c| c.time).sum::<f64>() / categories.len().max(1) as f64;
-        Ok(Balancer {
+        Balancer {
             rng: SeededRandom(oorandom::Rand64::new(u128::from(seed))),
-            balancers: duties.must("balancers")?.max(1.0),
+            balancers: settings.proxy_count,
             own: 1.0,
             cold_part: 1.0,
-            asks: duties.allow("load-must-be-asked") && duties.allow("may-probe"),
-            holds_few: duties.allow("held-answers"),
+            asks: settings.load_by_probes,
+            holds_few: settings.few_buffered_responses,
             customers: customers.collect(),
             categories,
-            duties,
+            settings,
             time,
             slack: 2.0,
             ..Balancer::default()
-        })
+        }
     }
 
     /// The server list has spoken: a whole list, or only what changed. A cached list may be stale.
@@ -301,7 +294,7 @@
 
     /// How long a server is cold, and how far its listed start may be off.
     fn cold(&self) -> (f64, f64) {
-        (self.duties.or("cold-time", 0.0), self.duties.or("start-margin", 0.0))
+        (self.settings.slow_start.duration_ms, self.settings.start_time_error_ms)
     }
 
     /// Danger: servers ever new fill the memory; an index used again too early is another server's.
@@ -336,7 +329,7 @@
 
     /// Danger: an upgrade's two processes would spend a node's budgets twice; a fleet may not be as told.
     pub fn set_process_share(&mut self, share: f64, nodes: Option<f64>, cold: f64) {
-        let nodes = nodes.unwrap_or(self.duties.or("balancers", 1.0)).max(1.0);
+        let nodes = nodes.unwrap_or(self.settings.proxy_count).max(1.0);
         (self.own, self.cold_part, self.balancers, self.solved_at) = (share, share * cold, nodes, f64::MIN);
         self.parted_at = f64::NEG_INFINITY;
     }
@@ -372,20 +365,19 @@
     }
 
     /// New duties. Ops under way keep the terms that they came under, and what was learnt stays.
-    pub fn update_settings(&mut self, given: SettingsMap) -> Result<(), String> {
-        let mut new = Balancer::new(given, 0)?;
+    pub fn update_settings(&mut self, settings: Settings) {
+        let mut new = Balancer::new(settings, 0);
         new.restore_learned_state(&self.learned_state());
         let both = new.customers.iter_mut().zip(&self.customers);
         both.for_each(|(new, old)| (new.purse, new.counted) = (old.purse, old.counted));
-        (self.categories, self.customers, self.duties) = (new.categories, new.customers, new.duties);
+        (self.categories, self.customers, self.settings) = (new.categories, new.customers, new.settings);
         (self.balancers, self.asks, self.holds_few) = (new.balancers, new.asks, new.holds_few);
         (self.solved_at, self.parted_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
-        Ok(())
     }
 
     fn follow(&mut self, out: &mut dyn Actions) {
         // Danger: a cached list may be stale. Where changes come unasked, the whole list is asked for once.
-        match self.duties.allow("list-must-be-asked") {
+        match self.settings.watch_endpoints {
             true => out.watch_endpoints(),
             false => out.poll_endpoints(),
         }
@@ -394,8 +386,9 @@
     /// A call to the list failed or following broke off: ask again, after growing waits.
     pub fn discovery_failed(&mut self, out: &mut dyn Actions, now: f64) {
         // Danger: what is pushed counts at once, what was missed 6 s after the list can be had. Short waits.
-        let by = if self.duties.allow("list-must-be-asked") { "ask-within" } else { "drain-grace" };
-        let longest = self.duties.or(by, 8000.0).clamp(50.0, 1200.0) / 4.0;
+        let settings = &self.settings;
+        let within = if settings.watch_endpoints { settings.poll_within_ms } else { settings.drain_grace_ms };
+        let longest = within.clamp(50.0, 1200.0) / 4.0;
         self.list_wait = (self.list_wait * 2.0).clamp(50.0_f64.min(longest), longest);
         let at = now + self.list_wait * (0.5 + self.rng.0.rand_float());
         self.alarm(out, at, Box::new(|b, out| b.follow(out)));
@@ -595,7 +588,7 @@
         let least = if self.asks { ready.len() as f64 } else { LEAST };
         let target = (NODES * ready.len() as f64 / self.balancers).max(least);
         let run = if target < ready.len() as f64 { 0.5 * target } else { target };
-        let number = self.duties.or("my-number", 0.0);
+        let number = self.settings.proxy_number.unwrap_or(0.0);
         let mut part = Vec::new();
         // The golden ratio's multiples lie evenly too, and far from the plain ones.
         for (order, place) in [(1, number / self.balancers), (2, number * 0.618_033_988_75)] {
@@ -618,7 +611,7 @@
         // Danger: a key's work is done anew at each server of many small parts. Where a node hears of all
         // servers about as often as reports renew themselves, a second or two, all are its part.
         let acked: f64 = ready.iter().map(|(_, s)| s.bears(self.now)).sum();
-        if self.duties.allow("servers-know-keys") && acked * 2000.0 > ready.len() as f64 {
+        if self.settings.key_affinity && acked * 2000.0 > ready.len() as f64 {
             part = ready.iter().map(|(id, _)| *id).collect();
         }
         part.sort_unstable();
@@ -690,8 +683,8 @@
     fn seen(&self, ids: &[usize], most: f64) -> Vec<Seen> {
         // The design's floor under the horizon.
         const FLOOR: f64 = 50.0;
-        let my_zone = self.duties.or("my-zone", 0.0) as usize;
-        let cross = self.duties.or("cross-zone-price", 0.0);
+        let my_zone = self.settings.my_zone;
+        let cross = self.settings.cross_zone_price;
         // A crossing costs a share of an op's benefit, as time does (all at the target latency) where each
         // op's servers are asked first; elsewhere an op's usual time stands for the whole.
         let targets = self.categories.iter().map(|c| c.target).sum::<f64>();
@@ -745,8 +738,12 @@
 
     /// Danger: a cold server pushed over. A node spends its part of a window's budget of calls, none ahead.
     fn fill_purses(&mut self) {
-        let duties = ["cold-time", "cold-share", "fall-multiple", "fall-time"];
-        let [time, from, multiple, window] = duties.map(|name| self.duties.or(name, 0.0));
+        let SlowStartSettings {
+            duration_ms: time,
+            initial_share: from,
+            overload_multiple: multiple,
+            window_ms: window,
+        } = self.settings.slow_start;
         for id in &self.part {
             let Some(server) = self.servers.get_mut(id).filter(|s| self.now < s.warm_at) else { continue };
             let able = from + (1.0 - from) * ((self.now - server.latest) / time.max(1.0)).clamp(0.0, 1.0);
@@ -782,7 +779,7 @@
             // A client's retry belongs to its first try and is not counted again.
             let price = if arrival.client_retry { 0.0 } else { 1.0 };
             match customer.purse < price {
-                true => rank *= self.duties.or("excess-benefit", 1.0),
+                true => rank *= self.settings.over_quota_weight,
                 false => customer.purse -= price,
             }
         }
@@ -791,12 +788,12 @@
         let op = Op {
             category: arrival.class,
             // Danger: clocks differ, and one with time left looks dead. Who sends cuts time-outs to its end.
-            ends: now + arrival.ttl_ms + self.duties.or("left-margin", 0.0),
+            ends: now + arrival.ttl_ms + self.settings.deadline_margin_ms,
             due: if self.holds_few && late <= 0.0 && again { now + target } else { f64::MAX },
             rank,
-            key: arrival.key.filter(|_| self.duties.allow("servers-know-keys")),
+            key: arrival.key.filter(|_| self.settings.key_affinity),
             terms: self.categories[arrival.class].clone(),
-            most: self.duties.or("most-pushes", 1.0),
+            most: self.settings.max_attempts,
             ..Op::default()
         };
         self.ops.insert(arrival.request, op);
@@ -1034,7 +1031,7 @@
         op.pushes.push(Pushed { server: to, sent, may_have_run: true, out: true });
         server.out.insert((id, n), sent);
         out.start_attempt(id, to, left);
-        let copies = effect != Idempotency::NotIdempotent && self.duties.allow("second-copies");
+        let copies = effect != Idempotency::NotIdempotent && self.settings.hedging;
         if copies && sent.patience < left && self.sharers * self.own < 3.0 {
             let at = now + sent.patience * (1.0 + self.strain());
             self.alarm(out, at, Box::new(move |b, out| b.overdue(out, id, n, now)));
@@ -1090,9 +1087,8 @@
             Idempotency::NotIdempotent => !ran,
         };
         // Back after the time in which the work in flight is mostly done.
-        let most = self.duties.or("come-back", 0.0).min(1.0) * self.duties.or("come-back-most", 0.0);
         match harmless {
-            true => out.reject(id, (0.25 * self.time).min(most)),
+            true => out.reject(id, (0.25 * self.time).min(self.settings.max_retry_after_ms)),
             false => out.fail(id),
         }
         self.close(out, id);
@@ -1100,7 +1096,7 @@
 
     fn close(&mut self, out: &mut dyn Actions, id: usize) {
         let Some(op) = self.ops.remove(&id) else { return };
-        let may = self.duties.allow("may-cancel");
+        let may = self.settings.cancellation;
         for (n, _) in op.pushes.iter().enumerate().filter(|(_, p)| p.out && may) {
             out.cancel(id, n);
         }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -1,8 +1,9 @@
 //! The decisions in blocking style: a call says what happened and returns what is next. It decides nothing.
 
 use crate::balancer::Balancer;
+use crate::settings::Settings;
 use crate::types::{
-    Actions, AttemptResult, EndpointId, EndpointUpdate, LearnedState, LoadReport, NewRequest, SettingsMap,
+    Actions, AttemptResult, EndpointId, EndpointUpdate, LearnedState, LoadReport, NewRequest,
 };
 use std::collections::BTreeSet;
 
@@ -97,8 +98,9 @@
 }
 
 impl Dispatcher {
-    pub fn new(given: SettingsMap, seed: u64) -> Result<Self, String> {
-        Ok(Dispatcher { balancer: Balancer::new(given, seed)?, said: Said::default() })
+    /// A dispatcher with these settings that draws from this seed.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Dispatcher { balancer: Balancer::new(settings, seed), said: Said::default() }
     }
 
     /// An op has come in.
@@ -141,8 +143,8 @@
     }
 
     /// New settings; ops under way keep those that they came under.
-    pub fn update_settings(&mut self, given: SettingsMap) -> Result<(), String> {
-        self.balancer.update_settings(given)
+    pub fn update_settings(&mut self, settings: Settings) {
+        self.balancer.update_settings(settings);
     }
 
     /// What was learnt, for a process that comes after this one.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,15 @@
+//! The operators' settings: their form on the wire, their validation, the typed form that the decisions are
+//! handed, and the index of the names in them.
+
+mod error;
+mod load_report;
+mod names;
+mod typed;
+mod validation;
+mod wire;
+
+pub use error::SettingsError;
+pub use load_report::set_load_value;
+pub use names::{NameIndex, NamedEntries};
+pub use typed::{ClassSettings, PlacementSet, Settings, SlowStartSettings, TenantSettings};
+pub use validation::validate;
--- a/src/types.rs
+++ b/src/types.rs
@@ -2,11 +2,6 @@
 //!
 //! Times are milliseconds of the caller's clock, durations milliseconds.
 
-use std::collections::BTreeMap;
-
-/// The settings as handed over at start: plain names to plain values.
-pub type SettingsMap = BTreeMap<String, serde_json::Value>;
-
 /// A small index that stands for a request while it is in flight.
 pub type RequestId = usize;
 
@@ -40,18 +35,6 @@
     NotIdempotent,
 }
 
-impl Idempotency {
-    /// Reads the word that the settings map has for it.
-    pub fn parse(word: &str) -> Option<Self> {
-        match word {
-            "redeliverable" => Some(Idempotency::Idempotent),
-            "deduplicated" => Some(Idempotency::IdempotentWithKey),
-            "at-most-once" => Some(Idempotency::NotIdempotent),
-            _ => None,
-        }
-    }
-}
-
 /// The group of endpoints that drop each other's repeats of a request with an idempotency key.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum DeduplicationScope {
@@ -64,17 +47,6 @@
     Pod,
 }
 
-impl DeduplicationScope {
-    /// Reads the word that the settings map has for it; any other is the narrowest.
-    pub fn parse(word: &str) -> Self {
-        match word {
-            "zone" => DeduplicationScope::Zone,
-            "fleet" => DeduplicationScope::Global,
-            _ => DeduplicationScope::Pod,
-        }
-    }
-}
-
 /// What the endpoint list says of an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EndpointState {
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -3,6 +3,7 @@
 
 use crate::help::{line, node};
 use crankmux::balancer::Balancer;
+use crankmux::settings::Settings;
 use crankmux::types::*;
 use std::thread;
 
@@ -69,10 +70,11 @@
     Upgrades,
 }
 
-fn given(number: usize, of: usize) -> SettingsMap {
-    let mut given = node(number, of);
-    given.insert("second-copies".into(), false.into());
-    given
+fn given(number: usize, of: usize) -> Settings {
+    Settings {
+        hedging: false,
+        ..node(number, of)
+    }
 }
 
 /// The calls that a node sends to a server that starts cold, where that bears so much of the node in the usual. It
@@ -84,7 +86,7 @@
     (demand, befalls): (Demand, Befalls),
     seed: u64,
 ) -> Vec<f64> {
-    let mut balancer = Balancer::new(given(number, told), seed).expect("all duties are given");
+    let mut balancer = Balancer::new(given(number, told), seed);
     let out = &mut Sent::default();
     balancer.update_endpoints(
         out,
@@ -118,12 +120,9 @@
     let (mut calls, mut next) = (Vec::new(), 600.0 * rng.rand_float());
     for (op, at) in arrivals(demand, rate, &mut rng).into_iter().enumerate() {
         if at >= next && befalls == Befalls::Reloads {
-            balancer
-                .update_settings(given(number, told))
-                .expect("all duties are given");
+            balancer.update_settings(given(number, told));
         } else if at >= next && befalls == Befalls::Upgrades {
-            let mut newer =
-                Balancer::new(given(number, told), rng.rand_u64()).expect("all duties are given");
+            let mut newer = Balancer::new(given(number, told), rng.rand_u64());
             newer.update_endpoints(
                 out,
                 START + at,
--- a/tests/module/failures.rs
+++ b/tests/module/failures.rs
@@ -1,9 +1,8 @@
 //! One small test for each failure found.
 
-use crate::help::{asked_duties, duties, line, node, Play, TTL};
-use crankmux::balancer::Balancer;
+use crate::help::{default_settings, line, node, probing_settings, wire_settings, Play, TTL};
 use crankmux::dispatcher::{Dispatcher, FinalAnswer, NextSteps};
-use crankmux::settings::{set_load_value, NameIndex};
+use crankmux::settings::{set_load_value, NameIndex, Settings, TenantSettings};
 use crankmux::types::{
     AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, Idempotency, LoadReport,
     NewRequest,
@@ -15,9 +14,13 @@
 
 #[test]
 fn a_missing_duty_is_named() {
-    let mut given = duties();
-    given.remove("cold-share");
-    let error = Balancer::new(given, 1).err().expect("it can't do without");
+    let mut settings = wire_settings(&json!({}));
+    settings["Obligations"]
+        .as_object_mut()
+        .unwrap()
+        .remove("ColdShare");
+    let (_, settings) = NameIndex::from_settings(&settings);
+    let error = settings.expect_err("it can't do without").to_string();
     assert!(error.contains("cold-share"), "{error}");
 }
 
@@ -252,9 +255,11 @@
 
 #[test]
 fn where_changes_are_pushed_a_failed_list_is_asked_again_within_a_drains_grace() {
-    let mut given = duties();
-    given.insert("list-must-be-asked".into(), json!(false));
-    given.insert("drain-grace".into(), json!(500.0));
+    let given = Settings {
+        watch_endpoints: false,
+        drain_grace_ms: 500.0,
+        ..default_settings()
+    };
     let mut play = Play::with(given, 1);
     for _ in 0..8 {
         let now = play.model.now;
@@ -283,8 +288,10 @@
 
 #[test]
 fn a_cached_list_is_asked_for_anew_where_changes_come_unasked() {
-    let mut given = duties();
-    given.insert("list-must-be-asked".into(), json!(false));
+    let given = Settings {
+        watch_endpoints: false,
+        ..default_settings()
+    };
     let play = Play::with(given, 1);
     assert_eq!((play.model.follows, play.model.asks), (0, 1));
 }
@@ -328,10 +335,11 @@
 
 #[test]
 fn a_clients_retries_do_not_eat_its_share() {
-    let mut given = duties();
-    given.insert("customers".into(), json!(1));
-    given.insert("customer.0.quota".into(), json!(1.0));
-    given.insert("excess-benefit".into(), json!(0.0));
+    let given = Settings {
+        tenants: vec![TenantSettings { quota_per_s: 1.0 }],
+        over_quota_weight: 0.0,
+        ..default_settings()
+    };
     let served = |retry: bool| {
         let mut play = Play::with(given.clone(), 1);
         for _ in 0..30 {
@@ -429,10 +437,11 @@
 
 #[test]
 fn a_small_part_of_a_customers_share_still_ranks() {
-    let mut given = node(0, 500);
-    given.insert("customers".into(), json!(1));
-    given.insert("customer.0.quota".into(), json!(100.0));
-    given.insert("excess-benefit".into(), json!(0.0));
+    let given = Settings {
+        tenants: vec![TenantSettings { quota_per_s: 100.0 }],
+        over_quota_weight: 0.0,
+        ..node(0, 500)
+    };
     // Half of the node's part of a hundred a second: all within the share, none to be turned down first.
     let mut play = Play::with(given, 4);
     for _ in 0..40 {
@@ -528,7 +537,7 @@
 
 #[test]
 fn the_dispatcher_returns_what_the_module_says() {
-    let mut dispatcher = Dispatcher::new(duties(), 7).expect("all duties are given");
+    let mut dispatcher = Dispatcher::new(default_settings(), 7);
     let lines: Vec<_> = (0..2).map(|s| line(s, EndpointState::Ready, 0.0)).collect();
     dispatcher.update_endpoints(50_000.0, &lines, true, true);
     assert_eq!(
@@ -575,7 +584,7 @@
 #[test]
 fn servers_that_are_replaced_for_ever_leave_no_names_and_no_records() {
     let (mut names, _) = NameIndex::from_settings(&json!({}));
-    let mut dispatcher = Dispatcher::new(duties(), 7).expect("all duties are given");
+    let mut dispatcher = Dispatcher::new(default_settings(), 7);
     let mut told = |round: u64, dispatcher: &mut Dispatcher| {
         let new = names.endpoint_update(round, EndpointState::Ready, ("a", ""), None, 0.0);
         let old = names.endpoint_update(
@@ -741,7 +750,7 @@
 
 #[test]
 fn an_op_asks_two_servers_for_their_load_and_goes_where_less_is_held() {
-    let mut play = Play::with(asked_duties(), 6);
+    let mut play = Play::with(probing_settings(), 6);
     assert!(
         play.model.probes.is_empty(),
         "a node without ops asks nothing"
@@ -782,7 +791,7 @@
 
 #[test]
 fn a_report_from_before_a_restart_tells_nothing() {
-    let mut play = Play::with(asked_duties(), 2);
+    let mut play = Play::with(probing_settings(), 2);
     play.op(0);
     let start = play.model.now;
     play.list(
@@ -800,8 +809,10 @@
 
 #[test]
 fn a_quiet_node_among_many_refuses_nothing_on_an_idle_fleet() {
-    let mut given = asked_duties();
-    given.insert("balancers".into(), json!(200));
+    let given = Settings {
+        proxy_count: 200.0,
+        ..probing_settings()
+    };
     let mut play = Play::with(given, 12);
     for round in 0..200 {
         // Now and then three at once, and one in ten is a heavy op, late on a server that holds little.
@@ -822,7 +833,7 @@
 
 #[test]
 fn a_crowded_fleet_is_neither_fed_by_all_nor_left_by_all() {
-    let mut play = Play::with(asked_duties(), 6);
+    let mut play = Play::with(probing_settings(), 6);
     run_asked(&mut play, &[None; 100], 100.0, |_| 1.0);
     let counts = run_asked(&mut play, &[None; 300], 100.0, |_| 9.0);
     let sent: usize = counts.values().sum();
@@ -834,9 +845,11 @@
 
 #[test]
 fn an_idle_fleet_is_no_reason_to_cross_and_a_crowd_is() {
-    let mut given = asked_duties();
-    given.insert("my-zone".into(), json!(1));
-    given.insert("cross-zone-price".into(), json!(0.2));
+    let given = Settings {
+        my_zone: 1,
+        cross_zone_price: 0.2,
+        ..probing_settings()
+    };
     let mut play = Play::with(given, 8);
     // The helper's servers stand in two zones by turns.
     let crossed = |counts: BTreeMap<usize, usize>| -> usize {
@@ -857,9 +870,11 @@
 #[test]
 fn ops_of_a_key_meet_at_its_home_at_every_node_and_leave_it_when_it_is_full() {
     let home = |number: u64, held: &dyn Fn(usize) -> f64| {
-        let mut given = asked_duties();
-        given.insert("balancers".into(), json!(50));
-        given.insert("my-number".into(), json!(number));
+        let given = Settings {
+            proxy_count: 50.0,
+            proxy_number: Some(number as f64),
+            ..probing_settings()
+        };
         let mut play = Play::with(given, 12);
         run_asked(&mut play, &[Some(77); 60], 60.0, held)
     };
@@ -894,7 +909,7 @@
     let (first, n) = most.expect("served");
     assert!(n > 660, "{n} of 1200 at its first");
     // Its first server is asked alone once its last word was light.
-    let mut play = Play::with(asked_duties(), 12);
+    let mut play = Play::with(probing_settings(), 12);
     run_asked(&mut play, &[Some(77); 3], 400.0, |_| 0.0);
     play.op_about(0, None, false, Some(77));
     assert_eq!(play.model.probes.len(), 1);
@@ -907,7 +922,7 @@
 
 #[test]
 fn a_push_has_its_ops_time_where_no_second_copy_may_go() {
-    let mut dispatcher = Dispatcher::new(asked_duties(), 7).expect("all duties are given");
+    let mut dispatcher = Dispatcher::new(probing_settings(), 7);
     dispatcher.update_endpoints(50_000.0, &[line(0, EndpointState::Ready, 0.0)], true, false);
     let arrival = NewRequest {
         request: 3,
@@ -943,8 +958,10 @@
 
 #[test]
 fn a_busy_node_among_many_quiet_ones_uses_what_its_traffic_needs() {
-    let mut given = asked_duties();
-    given.insert("balancers".into(), json!(200));
+    let given = Settings {
+        proxy_count: 200.0,
+        ..probing_settings()
+    };
     let mut play = Play::with(given, 2);
     run_asked(&mut play, &[None; 600], 20.0, |_| 0.3);
     let ops: Vec<usize> = (0..6).map(|_| play.op(0)).collect();
@@ -962,7 +979,7 @@
 
 #[test]
 fn a_jammed_server_rests() {
-    let mut play = Play::with(asked_duties(), 4);
+    let mut play = Play::with(probing_settings(), 4);
     run_asked(&mut play, &[None; 100], 50.0, |_| 1.0);
     let mut to_jammed = 0;
     for round in 0..120 {
@@ -1033,7 +1050,7 @@
     let mut play = Play::new(6);
     play.run(100, 20.0, |_| ACK);
     let (old, kept) = (play.op(0), play.model.now);
-    play.renew(duties(), 2, 1);
+    play.renew(default_settings(), 2, 1);
     let new = play.op(0);
     play.end(old, 0, AttemptOutcome::ConnectionLost);
     play.end(new, 0, AttemptOutcome::ConnectionLost);
@@ -1045,12 +1062,15 @@
     );
     assert_eq!(play.model.now, kept);
     // What was learnt is still there: an answer at the old pace is no surprise.
-    let mut given = duties();
-    given.remove("cold-time");
-    assert!(play
-        .balancer
-        .update_settings(given)
-        .is_err_and(|e| e.contains("cold-time")));
+    let (mut names, _) = NameIndex::from_settings(&wire_settings(&json!({})));
+    let mut settings = wire_settings(&json!({}));
+    settings["Obligations"]
+        .as_object_mut()
+        .unwrap()
+        .remove("ColdMs");
+    assert!(names
+        .update(&settings)
+        .is_err_and(|e| e.to_string().contains("cold-time")));
 }
 
 /// Pushes to a cold server of a node that has such a share of itself, and of a told node's budget.
--- a/tests/module/help.rs
+++ b/tests/module/help.rs
@@ -2,8 +2,12 @@
 //! ways to make lists, ops and results.
 
 use crankmux::balancer::Balancer;
-use crankmux::types::*;
-use serde_json::json;
+use crankmux::settings::{ClassSettings, PlacementSet, Settings, SlowStartSettings};
+use crankmux::types::{
+    Actions, AttemptOutcome, AttemptResult, DeduplicationScope, EndpointState, EndpointUpdate,
+    Idempotency, LoadReport, NewRequest,
+};
+use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 
 pub const EFFECTS: [Idempotency; 3] = [
@@ -15,37 +19,61 @@
 pub const TTL: f64 = 1000.0;
 pub const MOST_PUSHES: usize = 4;
 
-/// Three categories, one of each effect; the deduplicated one's repeats are dropped within its pod.
-pub fn duties() -> SettingsMap {
-    let mut given = SettingsMap::new();
-    for (name, value) in [
-        ("balancers", json!(1)),
-        ("categories", json!(3)),
-        ("most-pushes", json!(MOST_PUSHES)),
-        ("second-copies", json!(true)),
-        ("may-cancel", json!(true)),
-        ("come-back", json!(true)),
-        ("come-back-most", json!(500.0)),
-        ("list-must-be-asked", json!(true)),
-        ("ask-within", json!(10_000.0)),
-        ("drain-grace", json!(100.0)),
-        ("cold-share", json!(0.2)),
-        ("cold-time", json!(10_000.0)),
-        ("fall-multiple", json!(2.0)),
-        ("fall-time", json!(1000.0)),
-    ] {
-        given.insert(name.into(), value);
+/// Three request classes, one of each idempotency; the endpoints of a pod drop the repeats of the second.
+pub fn default_settings() -> Settings {
+    let class = |idempotency| ClassSettings {
+        idempotency,
+        deduplication_scope: DeduplicationScope::Pod,
+        deduplication_window_ms: WINDOW,
+        latency_objective_ms: 400.0,
+        priority_weight: 1.0,
+        late_weight: 1.0,
+        zones: None,
+        machine_classes: None,
+    };
+    Settings {
+        proxy_count: 1.0,
+        proxy_number: None,
+        my_zone: 0,
+        classes: EFFECTS.map(class).to_vec(),
+        tenants: Vec::new(),
+        over_quota_weight: 1.0,
+        max_attempts: MOST_PUSHES as f64,
+        hedging: true,
+        cancellation: true,
+        max_retry_after_ms: 500.0,
+        load_by_probes: false,
+        few_buffered_responses: false,
+        key_affinity: false,
+        cross_zone_price: 0.0,
+        watch_endpoints: true,
+        poll_within_ms: 10_000.0,
+        drain_grace_ms: 100.0,
+        deadline_margin_ms: 0.0,
+        start_time_error_ms: 0.0,
+        slow_start: SlowStartSettings {
+            duration_ms: 10_000.0,
+            initial_share: 0.2,
+            overload_multiple: 2.0,
+            window_ms: 1000.0,
+        },
     }
-    for (k, effect) in ["redeliverable", "deduplicated", "at-most-once"]
-        .iter()
-        .enumerate()
-    {
-        given.insert(format!("category.{k}.effect"), json!(effect));
-        given.insert(format!("category.{k}.target-latency"), json!(400.0));
-        given.insert(format!("category.{k}.window"), json!(WINDOW));
-        given.insert(format!("category.{k}.within"), json!("pod"));
+}
+
+/// Settings in the wire's form, with one request class.
+pub fn wire_settings(class: &Value) -> Value {
+    let mut class = class.clone();
+    for (key, value) in [
+        ("Name", json!("remind")),
+        ("TargetLatencyMs", json!(400)),
+        ("TtlMs", json!(1000)),
+    ] {
+        class[key] = value;
     }
-    given
+    class["Effect"] = json!("non_idempotent");
+    json!({"GroupSize": 1, "Categories": [class], "Limits": {"MostPushes": 3}, "Zones": ["east", "west"],
+        "Obligations": {"ColdShare": 0.2, "ColdMs": 9000, "FallMultiple": 2, "FallMs": 1000,
+            "StopSendingWithinMs": 100}})
 }
 
 pub struct Push {
@@ -68,20 +96,13 @@
 }
 
 /// The zones and the kinds that a category is bound to.
-pub type Places = [Option<Vec<usize>>; 2];
-
-fn places(given: &SettingsMap, category: usize) -> Places {
-    ["only-zones", "only-kinds"].map(|name| {
-        let named = given
-            .get(&format!("category.{category}.{name}"))?
-            .as_array()?
-            .iter();
-        Some(
-            named
-                .map(|place| place.as_u64().unwrap() as usize)
-                .collect(),
-        )
-    })
+pub type Places = [Option<PlacementSet>; 2];
+
+fn places(settings: &Settings) -> Vec<Places> {
+    let classes = settings.classes.iter();
+    classes
+        .map(|class| [class.zones.clone(), class.machine_classes.clone()])
+        .collect()
 }
 
 /// What was done, checked against the rules as it happens.
@@ -210,30 +231,31 @@
     }
 }
 
-/// Duties where servers tell their load only when asked, no second copy is allowed, and a key's work is kept.
-pub fn asked_duties() -> SettingsMap {
-    let mut given = duties();
-    for name in ["load-must-be-asked", "may-probe", "servers-know-keys"] {
-        given.insert(name.into(), json!(true));
+/// Settings where servers tell their load only when asked, no second copy is allowed, and a key's work is kept.
+pub fn probing_settings() -> Settings {
+    Settings {
+        load_by_probes: true,
+        key_affinity: true,
+        hedging: false,
+        ..default_settings()
     }
-    given.insert("second-copies".into(), json!(false));
-    given
 }
 
-/// Duties where one category is bound to a zone, one to kinds of machine, and one to neither.
-pub fn placed_duties(zone: usize, kinds: &[usize]) -> SettingsMap {
-    let mut given = duties();
-    given.insert("category.2.only-zones".into(), json!([zone]));
-    given.insert("category.1.only-kinds".into(), json!(kinds));
-    given
+/// Settings where one category is bound to a zone, one to kinds of machine, and one to neither.
+pub fn placed_settings(zone: usize, kinds: &[usize]) -> Settings {
+    let mut settings = default_settings();
+    settings.classes[2].zones = Some([zone].into());
+    settings.classes[1].machine_classes = Some(kinds.into());
+    settings
 }
 
 /// One node of many.
-pub fn node(number: usize, of: usize) -> SettingsMap {
-    let mut given = duties();
-    given.insert("balancers".into(), json!(of));
-    given.insert("my-number".into(), json!(number));
-    given
+pub fn node(number: usize, of: usize) -> Settings {
+    Settings {
+        proxy_count: of as f64,
+        proxy_number: Some(number as f64),
+        ..default_settings()
+    }
 }
 
 /// A balancer and its model, moved on together.
@@ -244,14 +266,14 @@
 
 impl Play {
     pub fn new(servers: usize) -> Self {
-        Self::with(duties(), servers)
+        Self::with(default_settings(), servers)
     }
 
-    pub fn with(given: SettingsMap, servers: usize) -> Self {
-        let seed = given.get("my-number").and_then(|n| n.as_u64()).unwrap_or(7);
-        let one_at_a_time = given.get("second-copies") == Some(&json!(false));
-        let places = (0..3).map(|category| places(&given, category)).collect();
-        let balancer = Balancer::new(given, seed).expect("all duties are given");
+    pub fn with(settings: Settings, servers: usize) -> Self {
+        let seed = settings.proxy_number.map_or(7, |number| number as u64);
+        let one_at_a_time = !settings.hedging;
+        let places = places(&settings);
+        let balancer = Balancer::new(settings, seed);
         let model = Model {
             now: 50_000.0,
             one_at_a_time,
@@ -293,17 +315,14 @@
     }
 
     /// New settings: effects moved on by so many places, and so many pushes an op.
-    pub fn renew(&mut self, mut given: SettingsMap, moved: usize, most: usize) {
-        for k in 0..3 {
-            let effect = ["redeliverable", "deduplicated", "at-most-once"][(k + moved) % 3];
-            given.insert(format!("category.{k}.effect"), json!(effect));
+    pub fn renew(&mut self, mut settings: Settings, moved: usize, most: usize) {
+        for (k, class) in settings.classes.iter_mut().enumerate() {
+            class.idempotency = EFFECTS[(k + moved) % 3];
         }
-        given.insert("most-pushes".into(), json!(most));
-        self.model.places = (0..3).map(|category| places(&given, category)).collect();
+        settings.max_attempts = most as f64;
+        self.model.places = places(&settings);
         (self.model.moved, self.model.most) = (moved, most);
-        self.balancer
-            .update_settings(given)
-            .expect("all duties are given");
+        self.balancer.update_settings(settings);
     }
 
     pub fn pass(&mut self, time: f64) {
--- a/tests/module/loads.rs
+++ b/tests/module/loads.rs
@@ -1,17 +1,17 @@
 //! What reports, answers held for readers and keys make of the draw.
 
-use crate::help::{duties, node, Play, TTL};
-use crankmux::types::{AttemptOutcome, LoadReport, SettingsMap};
-use serde_json::json;
+use crate::help::{default_settings, node, Play, TTL};
+use crankmux::settings::Settings;
+use crankmux::types::{AttemptOutcome, LoadReport};
 use std::collections::BTreeMap;
 
 const ACK: Option<AttemptOutcome> = Some(AttemptOutcome::Succeeded);
 
-fn with(mut given: SettingsMap, more: &[(&str, serde_json::Value)]) -> SettingsMap {
-    for (name, value) in more {
-        given.insert((*name).into(), value.clone());
+fn with_key_affinity(settings: Settings) -> Settings {
+    Settings {
+        key_affinity: true,
+        ..settings
     }
-    given
 }
 
 /// An op each 25 ms, acked after 100 with so busy a report; how many each server got.
@@ -92,12 +92,15 @@
 }
 
 /// A node that can hold a few answers, asks servers for their load, and loses all by a late answer.
-fn few() -> SettingsMap {
-    let more = [
-        ("held-answers", json!(4)),
-        ("category.0.late-benefit", json!(0.0)),
-    ];
-    with(duties(), &more)
+fn few() -> Settings {
+    few_with_late_weight(0.0)
+}
+
+fn few_with_late_weight(late_weight: f64) -> Settings {
+    let mut settings = default_settings();
+    settings.few_buffered_responses = true;
+    settings.classes[0].late_weight = late_weight;
+    settings
 }
 
 #[test]
@@ -116,10 +119,7 @@
         play.model.ops[other].answers.is_empty(),
         "at-most-once may still be acked"
     );
-    for given in [
-        duties(),
-        with(few(), &[("category.0.late-benefit", json!(0.2))]),
-    ] {
+    for given in [default_settings(), few_with_late_weight(0.2)] {
         let mut play = Play::with(given, 2);
         let op = play.op(0);
         play.pass(TTL - 10.0);
@@ -181,7 +181,7 @@
 
 #[test]
 fn a_keys_ops_meet_at_one_server_where_answers_tell_load() {
-    let most = |given: SettingsMap, key: Option<u64>| {
+    let most = |given: Settings, key: Option<u64>| {
         let mut play = Play::with(given, 8);
         let mut counts: BTreeMap<usize, usize> = BTreeMap::new();
         for _ in 0..200 {
@@ -198,7 +198,7 @@
             .max()
             .unwrap()
     };
-    let keys = |number| with(node(number, 16), &[("servers-know-keys", json!(true))]);
+    let keys = |number| with_key_affinity(node(number, 16));
     let (n, home) = most(keys(0), Some(77));
     assert!(n >= 140, "{n} of 200 at its home");
     assert_eq!(
@@ -217,7 +217,7 @@
 /// cold budgets of all nodes add up to.
 #[test]
 fn nodes_that_hear_little_of_each_server_overrate_none() {
-    let mut play = Play::with(with(node(3, 20), &[("servers-know-keys", json!(true))]), 40);
+    let mut play = Play::with(with_key_affinity(node(3, 20)), 40);
     play.run(1500, 40.0, |_| ACK);
     let peaks: f64 = play
         .balancer
--- a/tests/module/main.rs
+++ b/tests/module/main.rs
@@ -7,3 +7,4 @@
 mod loads;
 mod places;
 mod rules;
+mod settings;
--- a/tests/module/places.rs
+++ b/tests/module/places.rs
@@ -1,9 +1,11 @@
 //! Categories bound to places, and clocks that differ.
 
-use crate::help::{duties, line, node, placed_duties, Play, MOST_PUSHES, TTL};
+use crate::help::{
+    default_settings, line, node, placed_settings, wire_settings, Play, MOST_PUSHES, TTL,
+};
 use crankmux::balancer::Balancer;
-use crankmux::settings::{validate, NameIndex};
-use crankmux::types::{AttemptOutcome, EndpointState, NewRequest, SettingsMap};
+use crankmux::settings::{validate, NameIndex, Settings};
+use crankmux::types::{AttemptOutcome, EndpointState, NewRequest};
 use serde_json::json;
 
 const ACK: Option<AttemptOutcome> = Some(AttemptOutcome::Succeeded);
@@ -35,7 +37,7 @@
 
 #[test]
 fn a_bound_category_goes_to_its_places_alone_whatever_befalls_them() {
-    let mut play = Play::with(placed_duties(1, &[0]), 6);
+    let mut play = Play::with(placed_settings(1, &[0]), 6);
     assert_eq!(went(&mut play, 2, 60, |_| ACK), [1, 3, 5]);
     assert_eq!(went(&mut play, 1, 60, |_| ACK), [0, 3]);
     let refused = |_| Some(AttemptOutcome::Rejected);
@@ -70,7 +72,7 @@
     // One server of fifty stands in the zone; hardly any of a hundred nodes has it in its part.
     for number in 0..20 {
         let mut given = node(number, 100);
-        given.insert("category.2.only-zones".into(), json!([7]));
+        given.classes[2].zones = Some([7].into());
         let mut play = Play::with(given, 0);
         let mut lines: Vec<_> = (0..50)
             .map(|s| line(s, EndpointState::Ready, 0.0))
@@ -83,9 +85,9 @@
 
 #[test]
 fn new_settings_open_nothing_to_an_op_under_way() {
-    let mut play = Play::with(placed_duties(1, &[0]), 6);
+    let mut play = Play::with(placed_settings(1, &[0]), 6);
     let op = play.op(2);
-    play.renew(placed_duties(0, &[0]), 0, MOST_PUSHES);
+    play.renew(placed_settings(0, &[0]), 0, MOST_PUSHES);
     play.end(op, 0, AttemptOutcome::Rejected);
     let taken = &play.model.ops[op];
     assert_eq!(
@@ -94,21 +96,6 @@
     );
 }
 
-fn settings(category: &serde_json::Value) -> serde_json::Value {
-    let mut category = category.clone();
-    for (key, value) in [
-        ("Name", json!("remind")),
-        ("TargetLatencyMs", json!(400)),
-        ("TtlMs", json!(1000)),
-    ] {
-        category[key] = value;
-    }
-    category["Effect"] = json!("non_idempotent");
-    json!({"GroupSize": 1, "Categories": [category], "Limits": {"MostPushes": 3}, "Zones": ["east", "west"],
-        "Obligations": {"ColdShare": 0.2, "ColdMs": 9000, "FallMultiple": 2, "FallMs": 1000,
-            "StopSendingWithinMs": 100}})
-}
-
 #[test]
 fn names_that_no_server_has_open_no_other() {
     for (bound, goes) in [
@@ -126,10 +113,10 @@
             .into_iter()
             .enumerate()
         {
-            let (mut names, given) = NameIndex::from_settings(&settings(&bound));
-            validate(&settings(&bound)).expect("nothing is faulty");
+            let (mut names, settings) = NameIndex::from_settings(&wire_settings(&bound));
+            validate(&wire_settings(&bound)).expect("nothing is faulty");
             let mut play = Play::new(0);
-            play.balancer = Balancer::new(given, 1).expect("all is given");
+            play.balancer = Balancer::new(settings.expect("all is given"), 1);
             let line = names.endpoint_update(9, EndpointState::Ready, place, None, 0.0);
             play.list(&[line], true, false);
             play.op(0);
@@ -145,7 +132,9 @@
         json!({"AllowedOn": [3]}),
         json!({"AllowedOn": [""]}),
     ] {
-        let error = validate(&settings(&faulty)).expect_err("a faulty list");
+        let error = validate(&wire_settings(&faulty))
+            .expect_err("a faulty list")
+            .to_string();
         assert!(
             error.contains(faulty.as_object().unwrap().keys().next().unwrap()),
             "{error}"
@@ -156,8 +145,10 @@
 /// Pushes in its first second to a server which started just now and is listed as having started `off`
 /// milliseconds later, and its last start `before`; where clocks may differ by `margin`.
 fn cold_burst(margin: f64, before: f64, off: f64) -> usize {
-    let mut given = duties();
-    given.insert("start-margin".into(), json!(margin));
+    let given = Settings {
+        start_time_error_ms: margin,
+        ..default_settings()
+    };
     let mut play = Play::with(given, 4);
     play.list(
         &[line(3, EndpointState::Ready, play.model.now + before)],
@@ -210,8 +201,10 @@
 }
 
 fn told(margin: f64, ttl: f64) -> Play {
-    let mut given: SettingsMap = duties();
-    given.insert("left-margin".into(), json!(margin));
+    let given = Settings {
+        deadline_margin_ms: margin,
+        ..default_settings()
+    };
     let mut play = Play::with(given, 2);
     let taken = crate::help::Taken {
         most: MOST_PUSHES,
--- a/tests/module/rules.rs
+++ b/tests/module/rules.rs
@@ -1,8 +1,11 @@
 //! The rules' slow, plain model beside the module, on generated inputs.
 
-use crate::help::{asked_duties, duties, line, placed_duties, Play, MOST_PUSHES, TTL};
+use crate::help::{
+    default_settings, line, placed_settings, probing_settings, Play, MOST_PUSHES, TTL,
+};
 use crankmux::balancer::{split, Seen};
-use crankmux::types::{AttemptOutcome, EndpointState, LoadReport, SettingsMap};
+use crankmux::settings::Settings;
+use crankmux::types::{AttemptOutcome, EndpointState, LoadReport};
 use quickcheck::{Gen, QuickCheck};
 
 const ENDINGS: [AttemptOutcome; 8] = [
@@ -24,12 +27,16 @@
 
 /// Whatever comes, in whatever order, the model finds no rule broken and every op has one answer.
 fn kept(news: Vec<(u8, u8, u8)>) -> bool {
-    [duties(), asked_duties(), placed_duties(1, &[0, 2])]
-        .into_iter()
-        .all(|given| kept_with(given, &news))
+    [
+        default_settings(),
+        probing_settings(),
+        placed_settings(1, &[0, 2]),
+    ]
+    .into_iter()
+    .all(|given| kept_with(given, &news))
 }
 
-fn kept_with(given: SettingsMap, news: &[(u8, u8, u8)]) -> bool {
+fn kept_with(given: Settings, news: &[(u8, u8, u8)]) -> bool {
     let mut play = Play::with(given.clone(), 7);
     for (kind, a, b) in news {
         let (a, b) = (usize::from(*a), usize::from(*b));
@@ -61,8 +68,8 @@
             14 => drop(play.tell(|server| Some((server * b % 11) as f64).filter(|_| b % 3 > 0))),
             15 if a % 2 == 0 => play.suspend(a % 9),
             15 => play.resume(a % 9),
-            16 if given.contains_key("category.2.only-zones") => {
-                play.renew(placed_duties(a % 2, &[b % 3]), 0, MOST_PUSHES);
+            16 if given.classes[2].zones.is_some() => {
+                play.renew(placed_settings(a % 2, &[b % 3]), 0, MOST_PUSHES);
             }
             16 => play.renew(given.clone(), a % 3, 1 + b % 4),
             18 => {
--- /dev/null
+++ b/tests/module/settings.rs
@@ -0,0 +1,325 @@
+//! The operators' settings: what is refused, in which words, and what absent and odd values mean.
+
+use crankmux::settings::{validate, NameIndex, Settings};
+use crankmux::types::{DeduplicationScope, Idempotency};
+use serde_json::{json, Value};
+
+fn class(name: &str, idempotency: &str) -> Value {
+    json!({"Name": name, "Effect": idempotency, "Group": "all", "WindowMs": 5000.0, "TargetLatencyMs": 500.0,
+        "TtlMs": 2000.0, "Benefit": 1.0})
+}
+
+fn valid() -> Value {
+    json!({
+        "GroupSize": 1, "MyNumber": 0, "MyZone": "a", "Zones": ["a"], "Discovery": "automatic",
+        "Categories": [class("view", "read_like"), class("order", "idempotency_key"),
+            class("pay", "non_idempotent")],
+        "Customers": [{"Name": "c1", "QuotaPerS": 100, "Fraction": 0.5}],
+        "Limits": {"MostPushes": 3, "MayCancel": true, "SecondCopies": true, "RetryAfter": true,
+            "MaxRetryAfterMs": 1000.0, "ConnectTimeoutMs": 200.0, "KeepaliveMs": 60000.0},
+        "Obligations": {"ColdShare": 0.3, "ColdMs": 1000.0, "FallMultiple": 2.0, "FallMs": 1000.0,
+            "StopSendingWithinMs": 100.0, "AnswerSlackMs": 20.0, "AskWithinMs": 1000.0}
+    })
+}
+
+/// The valid settings with one value changed, or removed where it is `null`.
+fn changed(path: &str, value: &Value) -> Value {
+    let mut settings = valid();
+    let (parent, key) = path.rsplit_once('/').expect("a path from the root");
+    let parent = settings.pointer_mut(parent).expect("a known path");
+    match parent {
+        Value::Array(entries) => entries[key.parse::<usize>().expect("an index")] = value.clone(),
+        Value::Object(object) if value.is_null() => drop(object.remove(key)),
+        Value::Object(object) => drop(object.insert(key.into(), value.clone())),
+        _ => panic!("{path} has no parent"),
+    }
+    settings
+}
+
+fn read(settings: &Value) -> Result<Settings, String> {
+    validate(settings).map_err(|e| e.to_string())?;
+    NameIndex::from_settings(settings)
+        .1
+        .map_err(|e| e.to_string())
+}
+
+#[test]
+fn each_fault_is_named_by_its_key() {
+    let faults = [
+        (
+            "/GroupSize",
+            json!(null),
+            "setting balancers is missing (on the wire: GroupSize)",
+        ),
+        (
+            "/GroupSize",
+            json!("3"),
+            "GroupSize is no number from 0 and neither true nor false",
+        ),
+        ("/MyNumber", json!(4), "MyNumber is not under GroupSize"),
+        (
+            "/Categories",
+            json!(null),
+            "Categories is missing or no list",
+        ),
+        ("/Categories", json!({}), "Categories is missing or no list"),
+        (
+            "/Categories/0",
+            json!(3),
+            "Categories.0.TargetLatencyMs is no number above 0",
+        ),
+        (
+            "/Categories/0/Effect",
+            json!("once"),
+            "setting category.0.effect is missing or unknown (on the wire: Effect)",
+        ),
+        (
+            "/Categories/0/Effect",
+            json!(null),
+            "setting category.0.effect is missing or unknown (on the wire: Effect)",
+        ),
+        (
+            "/Categories/1/Group",
+            json!("planet"),
+            "Categories.1.Group is none of all, zone and cell",
+        ),
+        (
+            "/Categories/1/Group",
+            json!(3),
+            "Categories.1.Group is none of all, zone and cell",
+        ),
+        (
+            "/Categories/0/TtlMs",
+            json!(0),
+            "Categories.0.TtlMs is no number above 0",
+        ),
+        (
+            "/Categories/0/TtlMs",
+            json!(true),
+            "Categories.0.TtlMs is no number above 0",
+        ),
+        (
+            "/Categories/0/TargetLatencyMs",
+            json!(null),
+            "Categories.0.TargetLatencyMs is no number above 0",
+        ),
+        (
+            "/Categories/0/Benefit",
+            json!("x"),
+            "Categories.0.Benefit is no number from 0",
+        ),
+        (
+            "/Categories/0/LateBenefit",
+            json!(-1),
+            "Categories.0.LateBenefit is no number from 0",
+        ),
+        (
+            "/Categories/0/WindowMs",
+            json!(false),
+            "Categories.0.WindowMs is no number from 0",
+        ),
+        (
+            "/Categories/0/Name",
+            json!(""),
+            "Categories.0.Name is missing or no name",
+        ),
+        (
+            "/Categories/2/ZonesAllowed",
+            json!("a"),
+            "Categories.2.ZonesAllowed is no list of names",
+        ),
+        (
+            "/Categories/2/AllowedOn",
+            json!([3]),
+            "Categories.2.AllowedOn is no list of names",
+        ),
+        (
+            "/Customers/0/QuotaPerS",
+            json!(-1),
+            "Customers.0.QuotaPerS is no number from 0",
+        ),
+        (
+            "/Customers/0/Fraction",
+            json!(true),
+            "Customers.0.Fraction is no number from 0",
+        ),
+        (
+            "/Limits/MostPushes",
+            json!(null),
+            "Limits.MostPushes is no number above 0",
+        ),
+        (
+            "/Limits/MostPushes",
+            json!(0),
+            "Limits.MostPushes is no number above 0",
+        ),
+        (
+            "/Limits/MostPushes",
+            json!(true),
+            "Limits.MostPushes is no number above 0",
+        ),
+        (
+            "/Limits/Probes",
+            json!("x"),
+            "Limits.Probes is no number from 0 and neither true nor false",
+        ),
+        (
+            "/Fees",
+            json!({"CrossZone": -1}),
+            "Fees.CrossZone is no number from 0 and neither true nor false",
+        ),
+        (
+            "/ExcessBenefit",
+            json!([]),
+            "ExcessBenefit is no number from 0 and neither true nor false",
+        ),
+        (
+            "/Obligations/ColdShare",
+            json!("x"),
+            "Obligations.ColdShare is no number from 0 and neither true nor false",
+        ),
+        (
+            "/Obligations/BootStampErrorMs",
+            json!(-3),
+            "Obligations.BootStampErrorMs is no number from 0 and neither true nor false",
+        ),
+        (
+            "/Obligations/ColdShare",
+            json!(null),
+            "setting cold-share is missing (on the wire: Obligations/ColdShare)",
+        ),
+        (
+            "/Obligations/ColdMs",
+            json!(null),
+            "setting cold-time is missing (on the wire: Obligations/ColdMs)",
+        ),
+        (
+            "/Obligations/FallMs",
+            json!(null),
+            "setting fall-time is missing (on the wire: Obligations/FallMs)",
+        ),
+        (
+            "/Obligations/FallMultiple",
+            json!(null),
+            "setting fall-multiple is missing (on the wire: Obligations/FallMultiple)",
+        ),
+        (
+            "/Obligations/StopSendingWithinMs",
+            json!(null),
+            "setting drain-grace is missing (on the wire: Obligations/StopSendingWithinMs)",
+        ),
+        (
+            "/Reporting",
+            json!({"Via": "shout"}),
+            "Reporting.Via is none of piggyback, pull and silent",
+        ),
+        (
+            "/Reporting",
+            json!({"Via": "pull"}),
+            "Reporting.Via is pull, but Limits.Probes allows no probe",
+        ),
+    ];
+    for (path, value, message) in faults {
+        let error = read(&changed(path, &value)).expect_err(path);
+        assert_eq!(error, message, "{path} {value}");
+    }
+}
+
+#[test]
+fn what_is_unknown_or_beside_the_point_is_passed_over() {
+    let expected = read(&valid()).expect("valid");
+    for (path, value) in [
+        ("/Unknown", json!(3)),
+        ("/Categories/0/Novel", json!(1)),
+        ("/Zones", json!("a")),
+        ("/Zones", json!([{"Name": "a"}])),
+        ("/Fees", json!(null)),
+        ("/Specifics", json!([1])),
+        ("/Categories/0/Group", json!(3)),
+    ] {
+        let mut settings = read(&changed(path, &value)).expect(path);
+        settings.classes[0].deduplication_scope = expected.classes[0].deduplication_scope;
+        assert_eq!(settings, expected, "{path} {value}");
+    }
+}
+
+#[test]
+fn flags_count_as_numbers_and_null_as_absent() {
+    let with = |path: &str, value: Value| read(&changed(path, &value)).expect(path);
+    assert_eq!(with("/GroupSize", json!(true)).proxy_count, 1.0);
+    assert_eq!(with("/GroupSize", json!(0)).proxy_count, 1.0);
+    assert_eq!(
+        with("/Limits/RetryAfter", json!(0.5)).max_retry_after_ms,
+        500.0
+    );
+    assert_eq!(
+        with("/Limits/RetryAfter", json!(7)).max_retry_after_ms,
+        1000.0
+    );
+    assert_eq!(
+        with("/Limits/RetryAfter", json!(false)).max_retry_after_ms,
+        0.0
+    );
+    assert_eq!(
+        with("/Limits/MaxRetryAfterMs", json!(null)).max_retry_after_ms,
+        0.0
+    );
+    assert!(!with("/Limits/SecondCopies", json!(0)).hedging);
+    assert!(with("/Limits/SecondCopies", json!(2.5)).hedging);
+    assert_eq!(with("/MyNumber", json!(null)).proxy_number, None);
+    assert_eq!(with("/MyZone", json!(5)).my_zone, 0);
+    assert_eq!(with("/MyZone", json!("b")).my_zone, 1);
+    assert_eq!(
+        with("/Obligations/AskWithinMs", json!(null)).poll_within_ms,
+        8000.0
+    );
+    let tenants = with("/Customers/0/QuotaPerS", json!(null)).tenants;
+    assert_eq!(tenants[0].quota_per_s, f64::MAX);
+    let benefit = with("/Categories/0/Benefit", json!(null)).classes[0].priority_weight;
+    assert_eq!(benefit, 1.0);
+    let mut pull = changed("/Reporting", &json!({"Via": "pull"}));
+    pull["Limits"]["Probes"] = json!(2);
+    assert!(read(&pull).expect("probes are allowed").load_by_probes);
+}
+
+#[test]
+fn idempotency_and_scope_have_the_words_of_the_wire() {
+    let classes = read(&valid()).expect("valid").classes;
+    let idempotency: Vec<_> = classes.iter().map(|class| class.idempotency).collect();
+    assert_eq!(
+        idempotency,
+        [
+            Idempotency::Idempotent,
+            Idempotency::IdempotentWithKey,
+            Idempotency::NotIdempotent
+        ]
+    );
+    for (word, scope) in [
+        (json!("all"), DeduplicationScope::Global),
+        (json!("zone"), DeduplicationScope::Zone),
+        (json!("cell"), DeduplicationScope::Pod),
+        (json!(null), DeduplicationScope::Pod),
+    ] {
+        let settings = read(&changed("/Categories/1/Group", &word)).expect("a known word");
+        assert_eq!(settings.classes[1].deduplication_scope, scope, "{word}");
+    }
+}
+
+#[test]
+fn a_class_that_is_listed_no_more_keeps_its_index_and_weighs_nothing() {
+    let (mut names, _) = NameIndex::from_settings(&valid());
+    let fewer = changed(
+        "/Categories",
+        &json!([class("pay", "non_idempotent"), class("new", "read_like")]),
+    );
+    let settings = names.update(&fewer).expect("valid");
+    assert_eq!(names.classes.names, ["view", "order", "pay", "new"]);
+    assert_eq!(names.classes.index("view"), None);
+    assert_eq!(names.classes.index("pay"), Some(2));
+    let weights: Vec<f64> = settings
+        .classes
+        .iter()
+        .map(|class| class.priority_weight)
+        .collect();
+    assert_eq!(weights, [0.0, 0.0, 1.0, 1.0]);
+}
