--- a/proxy/src/config/configuration.rs
+++ b/proxy/src/config/configuration.rs
@@ -174,15 +174,15 @@
             }
             Some(_) => return Err("key_header is no header's name".into()),
         };
-        settings::validate(settings).map_err(|m| format!("settings: {m}"))?;
-        let (names, given) = NameIndex::from_settings(settings);
+        settings::validate(settings).map_err(|e| format!("settings: {e}"))?;
+        let (names, typed_settings) = NameIndex::from_settings(settings);
         let known = whole.get("known").cloned().unwrap_or_default();
         if !known.is_null() {
             // Read for its faults, under names that are thrown away.
             read_list(&mut NameIndex::default(), &known).map_err(|e| format!("known: {e}"))?;
         }
-        let dispatcher = Dispatcher::new(given, seed)
-            .map_err(|m| format!("settings: {}", settings::explain_error(&m)))?;
+        let typed_settings = typed_settings.map_err(|e| format!("settings: {e}"))?;
+        let dispatcher = Dispatcher::new(typed_settings, seed);
         let ttls = settings
             .get("Categories")
             .and_then(Value::as_array)
--- a/proxy/src/lifecycle/reload.rs
+++ b/proxy/src/lifecycle/reload.rs
@@ -36,8 +36,10 @@
 ) -> Result<(), String> {
     let entry = fleet.map(|(fleet, keys)| ClusterConfig::new(fleet, keys, &new));
     let mut names = proxy.name_index.clone();
-    let given = names.update(&new.whole["settings"]);
-    proxy.dispatcher.update_settings(given)?;
+    let settings = names
+        .update(&new.whole["settings"])
+        .map_err(|e| format!("settings: {e}"))?;
+    proxy.dispatcher.update_settings(settings);
     proxy.name_index = names;
     proxy.upstream.take_times(new.connect_within, new.keepalive);
     proxy.longest_ttl_ms = new.longest_ttl;
--- a/simulator/src/policies.rs
+++ b/simulator/src/policies.rs
@@ -4,7 +4,7 @@
 use crate::random::Stream;
 use crate::script::{Category, Group, Idempotency, Script};
 use crankmux::dispatcher::{Dispatcher, FinalAnswer, NewAttempt, NextSteps};
-use crankmux::settings::{self, NameIndex};
+use crankmux::settings::NameIndex;
 use crankmux::types::{AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, NewRequest};
 use std::collections::BTreeMap;
 
@@ -96,9 +96,8 @@
 impl Policy {
     pub fn new(how: PolicyKind, script: &Script, node: usize, seed: u64) -> Result<Self, String> {
         if how == PolicyKind::Module {
-            let (_, given) = NameIndex::from_settings(&script.settings(node));
-            let dispatcher =
-                Dispatcher::new(given, seed).map_err(|e| settings::explain_error(&e))?;
+            let (_, settings) = NameIndex::from_settings(&script.settings(node));
+            let dispatcher = Dispatcher::new(settings.map_err(|e| e.to_string())?, seed);
             return Ok(Policy::Module(Box::new(dispatcher)));
         }
         Ok(Policy::Plain(Box::new(Plain {
