Configuration is read into typed structs and rejected by typed errors

Cause: the platform's file was read by closures over untyped JSON in one long function, and every fault was a string. The operator's file and the start and reload of the process get typed errors too. Fields and functions carry the field's terms and their units.

--- a/proxy/src/cli/mod.rs
+++ b/proxy/src/cli/mod.rs
@@ -73,9 +73,9 @@
 }
 
 fn check(file: &Path) -> ExitCode {
-    match operator_config::at(file) {
-        Ok(charter) => {
-            let parts = if charter.fleet.is_some() {
+    match operator_config::load_file(file) {
+        Ok(config) => {
+            let parts = if config.cluster.is_some() {
                 "fleet is on"
             } else {
                 "nothing is on"
@@ -83,8 +83,8 @@
             println!("{}: in order; {parts}", file.display());
             ExitCode::SUCCESS
         }
-        Err(faults) => {
-            faults.iter().for_each(|fault| eprintln!("{fault}"));
+        Err(error) => {
+            eprintln!("{error}");
             ExitCode::FAILURE
         }
     }
--- a/proxy/src/cluster/mod.rs
+++ b/proxy/src/cluster/mod.rs
@@ -56,7 +56,10 @@
 
 impl ClusterConfig {
     pub fn new(charter: ClusterOptions, keys: Vec<String>, configuration: &Configuration) -> Self {
-        let settings = configuration.whole.get("settings").unwrap_or(&Value::Null);
+        let settings = configuration
+            .document
+            .get("settings")
+            .unwrap_or(&Value::Null);
         let zone = settings
             .get("MyZone")
             .and_then(Value::as_str)
--- /dev/null
+++ b/proxy/src/lenient_json.rs
@@ -0,0 +1,30 @@
+//! Deserializers for JSON that others write: a value of another type than expected counts as absent, so that
+//! one odd value never hides the rest.
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
+
+/// Reads an object into a struct; anything else gives the struct's default.
+pub(crate) fn read_object<T: DeserializeOwned + Default>(value: Value) -> T {
+    if value.is_object() {
+        T::deserialize(value).unwrap_or_default()
+    } else {
+        T::default()
+    }
+}
+
+/// A nested object, or the default.
+pub(crate) fn object<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: DeserializeOwned + Default,
+{
+    Value::deserialize(deserializer).map(read_object)
+}
+
+/// A string, or none.
+pub(crate) fn text<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<String>, D::Error> {
+    let value = Value::deserialize(deserializer)?;
+    Ok(value.as_str().map(str::to_string))
+}
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod downstream;
 pub mod endpoint_list;
 pub mod http;
+mod lenient_json;
 pub mod lifecycle;
 pub mod listener;
 pub mod metrics;
--- a/proxy/src/lifecycle/reload.rs
+++ b/proxy/src/lifecycle/reload.rs
@@ -1,50 +1,72 @@
-//! Reload: the configuration's file is read again, and what may change while ops are under way is taken over.
+//! Reload: the configuration is read again, and what may change while requests are in flight is applied.
 
 use crate::cluster::ClusterConfig;
 use crate::config::configuration::Configuration;
-use crate::config::operator_config;
+use crate::config::operator_config::{self, LoadedClusterOptions, OperatorConfigError};
+use crate::config::ConfigurationError;
 use crate::proxy::Proxy;
-use crankmux_operator_config::ClusterOptions;
 
-/// Requests, connections and all that was learnt live on, whatever the new file holds.
-pub fn again(proxy: &mut Proxy) {
+/// Why a reload was rejected.
+#[derive(Debug, thiserror::Error)]
+enum ReloadError {
+    #[error(transparent)]
+    Configuration(#[from] ConfigurationError),
+    #[error(transparent)]
+    OperatorConfig(#[from] OperatorConfigError),
+    /// The load balancer rejects the settings.
+    #[error("{message}")]
+    Settings { message: String },
+}
+
+/// Reads both files again. Requests, connections and learned state live on, whatever the new files hold; a
+/// faulty file, or one half written, is rejected whole, as ending a proxy that serves would be worse.
+pub fn reload(proxy: &mut Proxy) {
     proxy.free_descriptor();
-    // Danger: a faulty file, or one half written, would end a node that serves. It keeps what it has.
-    let taken = Configuration::again(&proxy.active_configuration).and_then(|new| {
-        let fleet = operator_config::named()?.fleet;
-        take_over(proxy, new, fleet)
-    });
-    match taken {
+    match load_and_apply(proxy) {
         Ok(()) => {
             proxy.access_metrics.applied += 1;
             log::info!(
                 "listen, admin_addr, limits, seed, name and known count from the next start"
             );
         }
-        Err(e) => {
+        Err(error) => {
             proxy.access_metrics.rejected += 1;
-            log::error!("the configuration stays as it was: {e}");
+            log::error!("the configuration stays as it was: {error}");
         }
     }
 }
 
+fn load_and_apply(proxy: &mut Proxy) -> Result<(), ReloadError> {
+    let configuration = Configuration::reload(&proxy.active_configuration)?;
+    let cluster = operator_config::load()?.cluster;
+    apply(proxy, configuration, cluster)
+}
+
 /// All that can fail comes first, on a copy of the names: no half of a file is ever in force.
-fn take_over(
+fn apply(
     proxy: &mut Proxy,
     new: Configuration,
-    fleet: Option<(ClusterOptions, Vec<String>)>,
-) -> Result<(), String> {
-    let entry = fleet.map(|(fleet, keys)| ClusterConfig::new(fleet, keys, &new));
-    let mut names = proxy.name_index.clone();
-    let given = names.update(&new.whole["settings"]);
-    proxy.dispatcher.update_settings(given)?;
-    proxy.name_index = names;
-    proxy.upstream.take_times(new.connect_within, new.keepalive);
-    proxy.longest_ttl_ms = new.longest_ttl;
+    cluster: Option<LoadedClusterOptions>,
+) -> Result<(), ReloadError> {
+    let cluster_config =
+        cluster.map(|cluster| ClusterConfig::new(cluster.options, cluster.keys, &new));
+    let mut name_index = proxy.name_index.clone();
+    let settings = name_index.update(&new.document["settings"]);
+    proxy
+        .dispatcher
+        .update_settings(settings)
+        .map_err(|fault| ReloadError::Settings {
+            message: fault.to_string(),
+        })?;
+    proxy.name_index = name_index;
+    proxy
+        .upstream
+        .take_times(new.connect_timeout_ms, new.keepalive_ms);
+    proxy.longest_ttl_ms = new.longest_ttl_ms;
     proxy.key_header = new.key_header;
-    proxy.active_configuration = new.whole;
-    proxy.reload_cluster(entry);
-    // The new settings tell another number of nodes, over which the fleet's own word stands.
+    proxy.active_configuration = new.document;
+    proxy.reload_cluster(cluster_config);
+    // The new settings tell another number of proxies; the cluster's own estimate takes precedence over it.
     proxy.apply_process_share();
     proxy.watch_discovery(new.discovery);
     log::info!("configuration read again; discovery at {}", new.discovery);
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -96,10 +96,10 @@
         listener.set_nonblocking(true).map_err(of_listen)?;
         let listener = TcpListener::from_std(listener);
         let door = configuration
-            .admin
+            .admin_address
             .map(|address| admin::listen(address, poll.registry()));
         let door = door.transpose().map_err(|e| format!("admin_addr: {e}"))?;
-        let most = configuration::connections(configuration.sockets as f64);
+        let most = configuration::connection_limit(configuration.descriptor_limit as f64);
         let upgrade = Upgrade::new(handed, &state, poll.registry()).map_err(text)?;
         log::info!("listening on {}", listener.local_addr().map_err(of_listen)?);
         // Danger: were all clients' connections bound by ops, others would wait unaccepted, which counts as
@@ -113,18 +113,22 @@
             access_metrics: AccessMetrics::default(),
             admin: AdminServer::new(door),
             downstream: DownstreamConnections::new(listener, most),
-            upstream: Upstreams::new(most, configuration.connect_within, configuration.keepalive),
+            upstream: Upstreams::new(
+                most,
+                configuration.connect_timeout_ms,
+                configuration.keepalive_ms,
+            ),
             discovery: Discovery::new(configuration.discovery),
             requests: Requests::new(most * 3 / 4),
             dispatcher: configuration.dispatcher,
-            name_index: configuration.names,
+            name_index: configuration.name_index,
             writable_upstream: Vec::new(),
             probes_in_flight: 0,
             key_header: configuration.key_header,
             shutdown_at: None,
             answer_by: f64::INFINITY,
-            longest_ttl_ms: configuration.longest_ttl,
-            active_configuration: configuration.whole,
+            longest_ttl_ms: configuration.longest_ttl_ms,
+            active_configuration: configuration.document,
             state_directory: state,
             disabled_endpoints: DisabledEndpoints::default(),
             upgrade,
@@ -132,7 +136,7 @@
             cluster_config: entry,
             cluster: None,
             cluster_shares: None,
-            sockets: configuration.sockets,
+            sockets: configuration.descriptor_limit,
             buffer_bytes: configuration.buffer_bytes,
         };
         once.into_iter()
@@ -143,7 +147,7 @@
         // Before any list: what it tells is for the others too.
         proxy.join_cluster()?;
         let known = if list.is_null() {
-            configuration.known
+            configuration.known_endpoints
         } else {
             list
         };
@@ -196,7 +200,7 @@
     pub fn apply_process_share(&mut self) {
         let share = self.upgrade.share();
         // Each process has descriptors of its own beside those of clients and servers.
-        let connections = configuration::connections(self.sockets as f64 * share);
+        let connections = configuration::connection_limit(self.sockets as f64 * share);
         self.downstream.resize(connections);
         self.upstream.links.resize(connections);
         self.requests.resize(connections * 3 / 4);
