The operator's file gets the field's names; the old ones still work and are told to be deprecated

Cause: `charter`, `fleet` and `door` are names of our own, also in what operators type, and what is wrong with a file was text. Both sections in one file are an error. Errors are a typed enum, durations `Duration`s, the long reader one function a key; the command line and `main` get plain names. The example is `deploy/operator-config.toml`. Tests run under both names.

--- a/operator-config/src/lib.rs
+++ b/operator-config/src/lib.rs
@@ -1,49 +1,40 @@
-//! The operator's own file: what a node does beyond what its platform tells it. TOML, read whole or not at
-//! all: every fault is told at once, each with its line and key, an unknown key with the nearest known one.
-//! Free of I/O; without a charter a node does none of this. docs/charter.md is the operators' page.
+//! The operator's own file: what a proxy does beyond what its platform sets. TOML, accepted whole or not at all:
+//! every error is reported at once, each with its line and key, an unknown key with the nearest known one. Free of
+//! I/O; without a file every option is off. `deploy/operator-config.toml` is an example.
 
 mod cluster;
+mod error;
 mod section_reader;
 mod units;
 
 pub use cluster::ClusterOptions;
+pub use error::{ConfigurationError, ErrorKind};
 pub use units::{DurationSetting, SizeSetting};
 
-use section_reader::Section;
-
-/// One thing that is wrong with a file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ConfigurationError {
-    /// From 1.
-    pub line: usize,
-    /// With its section, as `fleet.seeds`; empty where the fault is no key's.
-    pub key: String,
-    pub what: String,
-}
-
-impl std::fmt::Display for ConfigurationError {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        match self.key.is_empty() {
-            true => write!(f, "line {}: {}", self.line, self.what),
-            false => write!(f, "line {}: {}: {}", self.line, self.key, self.what),
-        }
-    }
-}
-
-/// What a charter says; a part that is not named is off.
+/// What an operator's file turns on; a section that it does not have is off.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct OperatorConfig {
-    pub fleet: Option<ClusterOptions>,
+    /// How the proxy takes part in its cluster.
+    pub cluster: Option<ClusterOptions>,
 }
 
 impl OperatorConfig {
-    /// Reads a charter's text. Errors: all that is wrong with it, by line.
-    pub fn read(text: &str) -> Result<Self, Vec<ConfigurationError>> {
-        section_reader::read(text, |whole: &mut Section| {
-            let fleet = whole
-                .section("fleet")
-                .and_then(|part| part.all(ClusterOptions::read));
-            Some(OperatorConfig { fleet })
+    /// Parses a file's text.
+    ///
+    /// # Errors
+    ///
+    /// All that is wrong with it, by line.
+    pub fn parse(text: &str) -> Result<Self, Vec<ConfigurationError>> {
+        section_reader::parse(text, |document| {
+            let section = document.renamed_section(
+                ClusterOptions::SECTION_NAME,
+                ClusterOptions::DEPRECATED_SECTION_NAME,
+            );
+            let cluster = section.and_then(|section| {
+                let name = section.name();
+                section.read_all_keys(|section| ClusterOptions::read(section, name))
+            });
+            Some(OperatorConfig { cluster })
         })
     }
 }
--- a/proxy/src/cluster/mod.rs
+++ b/proxy/src/cluster/mod.rs
@@ -114,8 +114,8 @@
         let charter = &entry.charter;
         let of_listen = |e: std::io::Error| format!("fleet.listen: {}: {e}", charter.listen);
         let mut socket = UdpSocket::bind(charter.listen).map_err(of_listen)?;
-        let held =
-            socket2::SockRef::from(&socket).set_recv_buffer_size(charter.receive_buffer as usize);
+        let held = socket2::SockRef::from(&socket)
+            .set_recv_buffer_size(charter.receive_buffer_bytes as usize);
         held.map_err(|e| format!("fleet.receive-buffer: {e}"))?;
         registry
             .register(&mut socket, FLEET, Interest::READABLE)
@@ -130,7 +130,7 @@
         };
         let keys: Vec<&str> = entry.keys.iter().map(String::as_str).collect();
         let mut fleet = Membership::new(me, &charter.seeds, &keys, entry.seed ^ now as u64, now)?;
-        fleet.forget_failed_after(charter.forget_failed);
+        fleet.forget_failed_after(charter.forget_failed.as_secs_f64() * 1000.0);
         log::info!(
             "fleet: {} of zone {} hears at {}",
             entry.name,
--- a/proxy/src/config/operator_config.rs
+++ b/proxy/src/config/operator_config.rs
@@ -2,10 +2,16 @@
 
 use crankmux_membership::authentication::MIN_KEY_LENGTH;
 use crankmux_operator_config::{ClusterOptions, ConfigurationError, OperatorConfig};
+use std::ffi::OsString;
 use std::fmt::{self, Display, Formatter};
 use std::io;
 use std::path::{Path, PathBuf};
 
+/// The environment variable that names the file.
+const VARIABLE: &str = "CRANKMUX_OPERATOR_CONFIG";
+/// Its earlier name, which is still read where the variable is not set.
+const DEPRECATED_VARIABLE: &str = "CRANKMUX_CHARTER";
+
 /// A valid operator configuration, and what was read from the files that it names.
 #[derive(Default)]
 pub struct LoadedOperatorConfig {
@@ -55,16 +61,20 @@
 #[derive(Debug, thiserror::Error)]
 pub enum KeyFileError {
     /// The file cannot be read.
-    #[error("fleet.key-files: {file}: {source}")]
+    #[error("{section}.key-files: {file}: {source}")]
     Unreadable {
+        /// The section's name as the operator's file writes it.
+        section: &'static str,
         /// The key's file as the operator's file names it.
         file: String,
         /// Why it could not be read.
         source: io::Error,
     },
     /// The key is too short to be safe.
-    #[error("fleet.key-files: {file}: a key has {MIN_KEY_LENGTH} characters at least")]
+    #[error("{section}.key-files: {file}: a key has {MIN_KEY_LENGTH} characters at least")]
     TooShort {
+        /// The section's name as the operator's file writes it.
+        section: &'static str,
         /// The key's file as the operator's file names it.
         file: String,
     },
@@ -88,16 +98,37 @@
     }
 }
 
-/// Loads the file that `CRANKMUX_CHARTER` names; without it every option is off.
+/// Loads the file that `CRANKMUX_OPERATOR_CONFIG` names; without the variable every option is off. The log
+/// tells of deprecated names.
 ///
 /// # Errors
 ///
 /// All that is wrong with it.
 pub fn load() -> Result<LoadedOperatorConfig, OperatorConfigError> {
-    match std::env::var_os("CRANKMUX_CHARTER") {
-        Some(path) => load_file(Path::new(&path)),
-        None => Ok(LoadedOperatorConfig::default()),
+    let Some(path) = path_from_environment() else {
+        return Ok(LoadedOperatorConfig::default());
+    };
+    let path = Path::new(&path);
+    let config = load_file(path)?;
+    let cluster = config.cluster.as_ref();
+    if cluster.is_some_and(|cluster| cluster.options.has_deprecated_name()) {
+        log::warn!(
+            "{}: the section [{}] is deprecated; its name is [{}]",
+            path.display(),
+            ClusterOptions::DEPRECATED_SECTION_NAME,
+            ClusterOptions::SECTION_NAME
+        );
     }
+    Ok(config)
+}
+
+fn path_from_environment() -> Option<OsString> {
+    if let Some(path) = std::env::var_os(VARIABLE) {
+        return Some(path);
+    }
+    let path = std::env::var_os(DEPRECATED_VARIABLE)?;
+    log::warn!("the variable {DEPRECATED_VARIABLE} is deprecated; its name is {VARIABLE}");
+    Some(path)
 }
 
 /// Loads an operator configuration from its file.
@@ -110,11 +141,11 @@
         path: path.into(),
         source,
     })?;
-    let config = OperatorConfig::read(&text).map_err(|faults| OperatorConfigError::Invalid {
+    let config = OperatorConfig::parse(&text).map_err(|faults| OperatorConfigError::Invalid {
         path: path.into(),
         faults,
     })?;
-    let Some(options) = config.fleet else {
+    let Some(options) = config.cluster else {
         return Ok(LoadedOperatorConfig::default());
     };
     let keys = read_keys(path, &options)?;
@@ -129,7 +160,7 @@
     let mut keys = Vec::new();
     let mut faults = Vec::new();
     for file in &options.key_files {
-        match read_key(folder, file) {
+        match read_key(folder, file, options.section_name) {
             Ok(key) => keys.push(key),
             Err(fault) => faults.push(fault),
         }
@@ -143,15 +174,21 @@
     })
 }
 
-fn read_key(folder: &Path, file: &str) -> Result<String, KeyFileError> {
+fn read_key(folder: &Path, file: &str, section: &'static str) -> Result<String, KeyFileError> {
     let file = file.to_string();
     let text = match std::fs::read_to_string(folder.join(&file)) {
         Ok(text) => text,
-        Err(source) => return Err(KeyFileError::Unreadable { file, source }),
+        Err(source) => {
+            return Err(KeyFileError::Unreadable {
+                section,
+                file,
+                source,
+            })
+        }
     };
     let key = text.trim();
     if key.len() < MIN_KEY_LENGTH {
-        return Err(KeyFileError::TooShort { file });
+        return Err(KeyFileError::TooShort { section, file });
     }
     Ok(key.to_string())
 }
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -1,18 +1,19 @@
-//! crankmux: a reverse proxy that spreads ops over HTTP servers. The decisions are the library's; this is
-//! the node that carries them out on sockets.
+//! crankmux: a reverse proxy that spreads requests over HTTP endpoints. The library `crankmux` decides; the library
+//! `crankmux_proxy` carries the decisions out on sockets; this program starts it.
 
 use crankmux_proxy::{cli, lifecycle};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    if let Some(code) = cli::asked() {
+    if let Some(code) = cli::run_command() {
         return code;
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let environment = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(environment).init();
     match lifecycle::start::run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            log::error!("{message}");
+        Err(error) => {
+            log::error!("{error}");
             ExitCode::FAILURE
         }
     }
