Tests share a temporary folder and a running proxy; one term for errors; a map of the proxy's modules

Cause: three test programs each had their own folder and process; `fault` and `error` stood for one thing; `lib.rs` did not say what is where. Change: `proxy/tests/support/`, the word error throughout `config/` and `lifecycle/`, an overview in the crate's documentation.

--- a/proxy/src/config/configuration.rs
+++ b/proxy/src/config/configuration.rs
@@ -92,7 +92,7 @@
     ///
     /// # Errors
     ///
-    /// The first fault, with its key.
+    /// What is wrong first, with its key.
     pub fn load() -> Result<Self, ConfigurationError> {
         let document = load_document(&[LISTEN_OVERRIDE, DISCOVERY_OVERRIDE, ADMIN_OVERRIDE])?;
         Self::from_document(&document)
@@ -103,7 +103,7 @@
     ///
     /// # Errors
     ///
-    /// The first fault, or the first key that the running configuration has and the file lacks.
+    /// What is wrong first, or the first key that the running configuration has and the file lacks.
     pub fn reload(running: &Value) -> Result<Self, ConfigurationError> {
         let document = load_document(&[LISTEN_OVERRIDE, ADMIN_OVERRIDE])?;
         let new = Self::from_document(&document)?;
@@ -117,7 +117,7 @@
     ///
     /// # Errors
     ///
-    /// The first fault, with its key.
+    /// What is wrong first, with its key.
     pub fn from_document(document: &Value) -> Result<Self, ConfigurationError> {
         let file: ConfigurationDocument = read_document(document);
         if !file.settings.is_object() {
@@ -131,7 +131,7 @@
             DEFAULT_MEMORY_MB,
         )?;
         let key_header = parse_key_header(file.key_header.as_ref())?;
-        settings::validate(&file.settings).map_err(|fault| settings_error(fault.to_string()))?;
+        settings::validate(&file.settings).map_err(|error| settings_error(error.to_string()))?;
         let (name_index, balancer_settings) = NameIndex::from_settings(&file.settings);
         validate_known_endpoints(&file.known)?;
         let dispatcher = build_dispatcher(balancer_settings, seed)?;
@@ -217,7 +217,7 @@
 
 fn build_dispatcher(settings: SettingsMap, seed: u64) -> Result<Dispatcher, ConfigurationError> {
     Dispatcher::new(settings, seed)
-        .map_err(|fault| settings_error(settings::explain_error(&fault.to_string())))
+        .map_err(|error| settings_error(settings::explain_error(&error.to_string())))
 }
 
 fn parse_address(key: &'static str, text: Option<&str>) -> Result<SocketAddr, ConfigurationError> {
@@ -283,15 +283,15 @@
     !name.is_empty() && name.bytes().all(fits)
 }
 
-/// Reads the list for its faults alone, into an index that is thrown away.
+/// Reads the list to reject a faulty one, into an index that is thrown away.
 fn validate_known_endpoints(known: &Value) -> Result<(), ConfigurationError> {
     if known.is_null() {
         return Ok(());
     }
     match read_list(&mut NameIndex::default(), known) {
         Ok(_) => Ok(()),
-        Err(fault) => Err(ConfigurationError::KnownEndpoints {
-            message: fault.to_string(),
+        Err(error) => Err(ConfigurationError::KnownEndpoints {
+            message: error.to_string(),
         }),
     }
 }
--- a/proxy/src/config/operator_config.rs
+++ b/proxy/src/config/operator_config.rs
@@ -27,7 +27,7 @@
     pub keys: Vec<String>,
 }
 
-/// Why an operator configuration was rejected. Its message has one line for each fault, which starts with the
+/// Why an operator configuration was rejected. Its message has one line for each error, which starts with the
 /// file's name.
 #[derive(Debug, thiserror::Error)]
 pub enum OperatorConfigError {
@@ -40,20 +40,20 @@
         source: io::Error,
     },
     /// The file's text is faulty.
-    #[error("{}", OneLineEach { path, faults })]
+    #[error("{}", OneLineEach { path, errors })]
     Invalid {
         /// The operator's file.
         path: PathBuf,
         /// All that is wrong with it, by line.
-        faults: Vec<ConfigurationError>,
+        errors: Vec<ConfigurationError>,
     },
     /// Files of keys that it names are faulty.
-    #[error("{}", OneLineEach { path, faults })]
+    #[error("{}", OneLineEach { path, errors })]
     KeyFiles {
         /// The operator's file.
         path: PathBuf,
         /// One for each faulty file.
-        faults: Vec<KeyFileError>,
+        errors: Vec<KeyFileError>,
     },
 }
 
@@ -80,19 +80,19 @@
     },
 }
 
-/// Shows faults of a file, each on a line of its own.
+/// Shows errors of a file, each on a line of its own.
 struct OneLineEach<'a, T> {
     path: &'a Path,
-    faults: &'a [T],
+    errors: &'a [T],
 }
 
 impl<T: Display> Display for OneLineEach<'_, T> {
     fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
-        for (index, fault) in self.faults.iter().enumerate() {
+        for (index, error) in self.errors.iter().enumerate() {
             if index > 0 {
                 formatter.write_str("\n")?;
             }
-            write!(formatter, "{}: {fault}", self.path.display())?;
+            write!(formatter, "{}: {error}", self.path.display())?;
         }
         Ok(())
     }
@@ -141,9 +141,9 @@
         path: path.into(),
         source,
     })?;
-    let config = OperatorConfig::parse(&text).map_err(|faults| OperatorConfigError::Invalid {
+    let config = OperatorConfig::parse(&text).map_err(|errors| OperatorConfigError::Invalid {
         path: path.into(),
-        faults,
+        errors,
     })?;
     let Some(options) = config.cluster else {
         return Ok(LoadedOperatorConfig::default());
@@ -158,19 +158,19 @@
 fn read_keys(path: &Path, options: &ClusterOptions) -> Result<Vec<String>, OperatorConfigError> {
     let folder = path.parent().unwrap_or(Path::new("."));
     let mut keys = Vec::new();
-    let mut faults = Vec::new();
+    let mut errors = Vec::new();
     for file in &options.key_files {
         match read_key(folder, file, options.section_name) {
             Ok(key) => keys.push(key),
-            Err(fault) => faults.push(fault),
+            Err(error) => errors.push(error),
         }
     }
-    if faults.is_empty() {
+    if errors.is_empty() {
         return Ok(keys);
     }
     Err(OperatorConfigError::KeyFiles {
         path: path.into(),
-        faults,
+        errors,
     })
 }
 
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -1,4 +1,11 @@
-//! The reverse proxy: carries the decisions of the `crankmux` library out on sockets.
+//! The reverse proxy: carries the decisions of the `crankmux` library out on sockets, on one thread and one event
+//! loop.
+//!
+//! [`downstream`] holds the connections of clients, [`upstream`] those to endpoints, [`streaming`] moves long bodies
+//! between both, [`http`] reads and writes messages, and [`requests`] the requests in flight. [`discovery`] keeps the
+//! endpoint list, [`cluster`] the other proxies, [`admin`] the operators' calls and [`metrics`] their figures.
+//! [`config`] reads what the proxy is set to, [`lifecycle`] starts, reloads, upgrades and stops it. [`proxy`] owns
+//! all of them and turns events into calls.
 
 pub mod admin;
 pub mod buffers;
--- a/proxy/src/lifecycle/reload.rs
+++ b/proxy/src/lifecycle/reload.rs
@@ -55,8 +55,8 @@
     proxy
         .dispatcher
         .update_settings(settings)
-        .map_err(|fault| ReloadError::Settings {
-            message: fault.to_string(),
+        .map_err(|error| ReloadError::Settings {
+            message: error.to_string(),
         })?;
     proxy.name_index = name_index;
     proxy
--- a/proxy/src/lifecycle/start.rs
+++ b/proxy/src/lifecycle/start.rs
@@ -51,8 +51,8 @@
         .map(|cluster| ClusterConfig::new(cluster.options, cluster.keys, &configuration));
     let mut poll = Poll::new().map_err(RunError::EventLoopSetup)?;
     let mut signals = watch_signals(&poll).map_err(RunError::Signals)?;
-    let mut proxy = Proxy::new(configuration, cluster_config, &poll).map_err(|fault| {
-        let message = fault.to_string();
+    let mut proxy = Proxy::new(configuration, cluster_config, &poll).map_err(|error| {
+        let message = error.to_string();
         RunError::Proxy { message }
     })?;
     // Room for an event of each descriptor: were some left for the next turn, timers that are due would run
--- a/proxy/tests/configuration/main.rs
+++ b/proxy/tests/configuration/main.rs
@@ -7,6 +7,10 @@
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::process::Command;
+use temporary_folder::TemporaryFolder;
+
+#[path = "../support/temporary_folder.rs"]
+mod temporary_folder;
 
 /// One change to the valid configuration.
 #[derive(Deserialize)]
@@ -20,7 +24,7 @@
     error: Option<String>,
 }
 
-fn valid() -> Value {
+fn valid_configuration() -> Value {
     serde_json::from_str(include_str!("valid.json")).expect("JSON")
 }
 
@@ -48,10 +52,10 @@
 
 #[test]
 fn each_fault_is_named_by_key_in_the_words_operators_know() {
-    let cases: Vec<Case> = serde_json::from_str(include_str!("faults.json")).expect("JSON");
+    let cases: Vec<Case> = serde_json::from_str(include_str!("rejections.json")).expect("JSON");
     assert_eq!(cases.len(), 48);
     for case in &cases {
-        let mut document = valid();
+        let mut document = valid_configuration();
         change(&mut document, case);
         let message = rejection(&document).map(|error| error.to_string());
         assert_eq!(message, case.error, "{}: {:?}", case.path, case.value);
@@ -67,7 +71,7 @@
         ("admin_addr", json!(5), "admin_addr is missing"),
         ("key_header", json!(""), "key_header is no header's name"),
     ] {
-        let mut document = valid();
+        let mut document = valid_configuration();
         document[key] = value;
         let error = rejection(&document).expect("a fault");
         assert_eq!(error.to_string(), message);
@@ -80,7 +84,7 @@
 
 #[test]
 fn absent_keys_have_defaults() {
-    let mut document = valid();
+    let mut document = valid_configuration();
     let object = document.as_object_mut().expect("an object");
     for key in ["name", "admin_addr", "known"] {
         object.remove(key);
@@ -104,7 +108,7 @@
 
 #[test]
 fn the_document_is_kept_without_its_endpoint_list() {
-    let document = valid();
+    let document = valid_configuration();
     let read = Configuration::from_document(&document).expect("valid");
     assert_eq!(read.known_endpoints, document["known"]);
     assert_eq!(read.longest_ttl_ms, 2000.0);
@@ -121,13 +125,11 @@
 
 #[test]
 fn a_file_that_cannot_be_loaded_ends_the_start_by_its_reason() {
-    let folder =
-        std::env::temp_dir().join(format!("crankmux-configuration-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a writable folder");
-    let file = folder.join("configuration.json");
+    let folder = TemporaryFolder::new("configuration");
+    let file = folder.path().join("configuration.json");
     let start = |named: bool| {
         let mut command = Command::new(env!("CARGO_BIN_EXE_crankmux"));
-        command.env_clear().env("TMPDIR", &folder);
+        command.env_clear().env("TMPDIR", folder.path());
         if named {
             command.env("BALANCER_CONFIG", &file);
         }
@@ -142,11 +144,10 @@
         log.contains(&format!("{named}No such file or directory")),
         "{log}"
     );
-    std::fs::write(&file, "{").expect("written");
+    folder.write("configuration.json", "{");
     let log = start(true);
     assert!(log.contains(&format!("{named}EOF while parsing")), "{log}");
-    std::fs::write(&file, "[]").expect("written");
+    folder.write("configuration.json", "[]");
     let log = start(true);
     assert!(log.contains("BALANCER_CONFIG: not a JSON object"), "{log}");
-    std::fs::remove_dir_all(&folder).expect("removed");
 }
--- a/proxy/tests/operator_config/main.rs
+++ b/proxy/tests/operator_config/main.rs
@@ -2,41 +2,20 @@
 
 #![allow(clippy::disallowed_methods)]
 
-use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
-use std::process::{Command, Stdio};
-use std::time::{Duration, Instant};
+use std::path::Path;
+use std::process::Command;
+use support::running_proxy::{valid_configuration, RunningProxy};
+use support::temporary_folder::TemporaryFolder;
+
+#[path = "../support/mod.rs"]
+mod support;
 
 const VARIABLE: &str = "CRANKMUX_OPERATOR_CONFIG";
 const DEPRECATED_VARIABLE: &str = "CRANKMUX_CHARTER";
-const PATIENCE: Duration = Duration::from_secs(10);
-
-/// A folder that is removed at the end.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let name = format!("crankmux-operator-{}-{name}", std::process::id());
-        let folder = Folder(std::env::temp_dir().join(name));
-        let _ = std::fs::remove_dir_all(&folder.0);
-        std::fs::create_dir_all(&folder.0).expect("a writable folder");
-        folder
-    }
-
-    fn write(&self, file: &str, text: &str) -> PathBuf {
-        let path = self.0.join(file);
-        std::fs::write(&path, text).expect("written");
-        path
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
+/// In the line of the cluster, the last of a start.
+const STARTED: &str = "hears at ";
 
 /// What a finished command gave.
 struct Outcome {
@@ -72,40 +51,40 @@
 
 #[test]
 fn a_check_names_the_section_as_it_was_written_and_says_nothing_more() {
-    let folder = Folder::new("check");
-    folder.write("key", &"k".repeat(32));
+    let folder = TemporaryFolder::new("check");
+    folder.write("key", "k".repeat(32));
     folder.write("short", "k");
     for name in ["cluster", "fleet"] {
-        folder.write("good.toml", &section(name, "key"));
-        let good = run(&folder.0, &["check", "good.toml"]);
+        folder.write("good.toml", section(name, "key"));
+        let good = run(folder.path(), &["check", "good.toml"]);
         assert_eq!(good.code, Some(0));
         assert_eq!(good.output, format!("good.toml: in order; {name} is on\n"));
         assert_eq!(good.errors, "");
-        folder.write("bad.toml", &section(name, "short"));
-        let bad = run(&folder.0, &["check", "bad.toml"]);
+        folder.write("bad.toml", section(name, "short"));
+        let bad = run(folder.path(), &["check", "bad.toml"]);
         assert_eq!(bad.code, Some(1));
         assert_eq!(
             bad.errors,
             format!("bad.toml: {name}.key-files: short: a key has 16 characters at least\n")
         );
         let missing = section(name, "nofile") + "seed = 1\n";
-        folder.write("bad.toml", &missing);
-        let bad = run(&folder.0, &["check", "bad.toml"]);
+        folder.write("bad.toml", missing);
+        let bad = run(folder.path(), &["check", "bad.toml"]);
         assert_eq!(
             bad.errors,
             format!("bad.toml: line 5: {name}.seed: is not known; seeds is meant?\n")
         );
-        folder.write("bad.toml", &section(name, "nofile"));
-        let bad = run(&folder.0, &["check", "bad.toml"]);
+        folder.write("bad.toml", section(name, "nofile"));
+        let bad = run(folder.path(), &["check", "bad.toml"]);
         assert_eq!(
             bad.errors,
             format!("bad.toml: {name}.key-files: nofile: No such file or directory (os error 2)\n")
         );
     }
     folder.write("empty.toml", "");
-    let empty = run(&folder.0, &["check", "empty.toml"]);
+    let empty = run(folder.path(), &["check", "empty.toml"]);
     assert_eq!(empty.output, "empty.toml: in order; nothing is on\n");
-    let absent = run(&folder.0, &["check", "absent.toml"]);
+    let absent = run(folder.path(), &["check", "absent.toml"]);
     assert_eq!(
         absent.errors,
         "absent.toml: No such file or directory (os error 2)\n"
@@ -122,34 +101,13 @@
     );
 }
 
-/// Starts a proxy with the files that the variables name, and returns its log once it listens or has ended.
-fn log_of_start(folder: &Folder, variables: &[(&str, &Path)]) -> String {
-    let mut configuration: Value =
-        serde_json::from_str(include_str!("../configuration/valid.json")).expect("JSON");
+/// Starts a proxy with the files that the variables name, and returns its log once it has these words.
+fn log_of_start(folder: &TemporaryFolder, variables: &[(&str, &Path)], words: &str) -> String {
+    let mut configuration = valid_configuration();
     configuration["name"] = "operator".into();
-    let configuration = folder.write("configuration.json", &configuration.to_string());
-    let log = folder.0.join("log");
-    let mut proxy = Command::new(env!("CARGO_BIN_EXE_crankmux"))
-        .env_clear()
-        .env("TMPDIR", &folder.0)
-        .env("BALANCER_CONFIG", configuration)
-        .envs(variables.iter().copied())
-        .stdin(Stdio::null())
-        .stderr(std::fs::File::create(&log).expect("a log"))
-        .spawn()
-        .expect("it starts");
-    let read = || std::fs::read_to_string(&log).expect("a log");
-    let start = Instant::now();
-    while start.elapsed() < PATIENCE {
-        // The cluster's line is the last of a start.
-        if read().contains("hears at ") || proxy.try_wait().expect("a state").is_some() {
-            break;
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    let _ = proxy.kill();
-    let _ = proxy.wait();
-    read()
+    let proxy = RunningProxy::start(folder, &configuration, variables);
+    proxy.wait_for(words);
+    proxy.log()
 }
 
 fn deprecations(log: &str) -> Vec<&str> {
@@ -160,38 +118,37 @@
 
 #[test]
 fn the_log_of_a_start_tells_of_each_deprecated_name_in_one_line() {
-    let folder = Folder::new("start");
-    folder.write("key", &"k".repeat(32));
-    let new = folder.write("new.toml", &section("cluster", "key"));
-    let old = folder.write("old.toml", &section("fleet", "key"));
-    let log = log_of_start(&folder, &[(VARIABLE, &new)]);
-    assert!(log.contains("hears at "), "{log}");
+    let folder = TemporaryFolder::new("start");
+    folder.write("key", "k".repeat(32));
+    let new = folder.write("new.toml", section("cluster", "key"));
+    let old = folder.write("old.toml", section("fleet", "key"));
+    let log = log_of_start(&folder, &[(VARIABLE, &new)], STARTED);
     assert!(deprecations(&log).is_empty(), "{log}");
-    let log = log_of_start(&folder, &[(DEPRECATED_VARIABLE, &new)]);
-    assert!(log.contains("hears at "), "{log}");
-    let told = deprecations(&log);
-    assert_eq!(told.len(), 1, "{log}");
-    assert!(told[0].contains("CRANKMUX_CHARTER") && told[0].contains("CRANKMUX_OPERATOR_CONFIG"));
-    let log = log_of_start(&folder, &[(VARIABLE, &old)]);
-    assert!(log.contains("hears at "), "{log}");
-    let told = deprecations(&log);
-    assert_eq!(told.len(), 1, "{log}");
-    assert!(told[0].contains("[fleet]") && told[0].contains("[cluster]"));
+    let log = log_of_start(&folder, &[(DEPRECATED_VARIABLE, &new)], STARTED);
+    let lines = deprecations(&log);
+    assert_eq!(lines.len(), 1, "{log}");
+    assert!(lines[0].contains(DEPRECATED_VARIABLE) && lines[0].contains(VARIABLE));
+    let log = log_of_start(&folder, &[(VARIABLE, &old)], STARTED);
+    let lines = deprecations(&log);
+    assert_eq!(lines.len(), 1, "{log}");
+    assert!(lines[0].contains("[fleet]") && lines[0].contains("[cluster]"));
 }
 
 #[test]
 fn the_new_variable_takes_precedence_over_the_deprecated_one() {
-    let folder = Folder::new("precedence");
-    folder.write("key", &"k".repeat(32));
-    let good = folder.write("good.toml", &section("cluster", "key"));
+    let folder = TemporaryFolder::new("precedence");
+    folder.write("key", "k".repeat(32));
+    let good = folder.write("good.toml", section("cluster", "key"));
     let bad = folder.write("bad.toml", "colour = 1\n");
-    let log = log_of_start(&folder, &[(VARIABLE, &good), (DEPRECATED_VARIABLE, &bad)]);
-    assert!(log.contains("hears at "), "{log}");
-    let log = log_of_start(&folder, &[(VARIABLE, &bad), (DEPRECATED_VARIABLE, &good)]);
-    assert!(
-        log.contains("bad.toml: line 1: colour: is not known"),
-        "{log}"
+    let variables = [(VARIABLE, &*good), (DEPRECATED_VARIABLE, &*bad)];
+    log_of_start(&folder, &variables, STARTED);
+    let variables = [(VARIABLE, &*bad), (DEPRECATED_VARIABLE, &*good)];
+    let log = log_of_start(
+        &folder,
+        &variables,
+        "bad.toml: line 1: colour: is not known",
     );
+    assert!(!log.contains(STARTED), "{log}");
 }
 
 /// An admin API that answers one call by the page of a proxy that is alone; what was asked comes back.
@@ -218,10 +175,10 @@
 
 #[test]
 fn the_deprecated_command_shows_the_same_and_says_so_in_one_line() {
-    let folder = Folder::new("command");
+    let folder = TemporaryFolder::new("command");
     let show = |command: &str, option: &str| {
         let (address, answered) = admin_api();
-        let outcome = run(&folder.0, &[command, option, &address.to_string()]);
+        let outcome = run(folder.path(), &[command, option, &address.to_string()]);
         assert_eq!(outcome.code, Some(0), "{}", outcome.errors);
         let asked = answered.join().expect("it answered");
         assert!(asked.starts_with("GET /fleet HTTP/1.1\r\n"), "{asked}");
@@ -235,6 +192,6 @@
     assert_eq!(old.errors.lines().count(), 1);
     assert!(old.errors.contains("deprecated") && old.errors.contains("cluster --admin"));
     for arguments in [["cluster", "--door"], ["fleet", "--admin"]] {
-        assert_eq!(run(&folder.0, &arguments).code, Some(2));
+        assert_eq!(run(folder.path(), &arguments).code, Some(2));
     }
 }
--- a/proxy/tests/stored_state/earlier_version.rs
+++ b/proxy/tests/stored_state/earlier_version.rs
@@ -1,5 +1,7 @@
 //! The state directory of commit a5091cd, read by this version; see `tests/fixtures/README.md`.
 
+use crate::support::running_proxy::{until, valid_configuration, RunningProxy, PATIENCE};
+use crate::support::temporary_folder::TemporaryFolder;
 use crankmux_proxy::lifecycle::upgrade::HandoverSnapshot;
 use rustix::net::{self, SendAncillaryMessage};
 use serde_json::{json, Value};
@@ -10,98 +12,29 @@
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 const DISABLED_FILE: &str = "suspended-08d8ff07b578d149";
 const HANDOVER_FILE: &str = "handed.json";
-const PATIENCE: Duration = Duration::from_secs(10);
 
 fn fixture(file: &str) -> Vec<u8> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures/state-a5091cd");
     std::fs::read(folder.join(file)).expect("a fixture")
 }
 
-/// A folder for temporary files with the state directory of a proxy in it.
-struct Temporary(PathBuf);
-
-impl Temporary {
-    fn new(name: &str) -> Self {
-        let folder = format!("crankmux-stored-{}-{name}", std::process::id());
-        let temporary = Temporary(std::env::temp_dir().join(folder));
-        let _ = std::fs::remove_dir_all(&temporary.0);
-        let state = temporary.state();
-        std::fs::create_dir_all(&state).expect("a writable folder");
-        std::fs::set_permissions(state, std::fs::Permissions::from_mode(0o700)).expect("set");
-        temporary
-    }
-
-    fn state(&self) -> PathBuf {
-        self.0.join("crankmux-n0")
-    }
+/// Makes the state directory of the proxy in a folder.
+fn state_directory(folder: &TemporaryFolder) -> PathBuf {
+    let state = folder.path().join("crankmux-n0");
+    std::fs::create_dir(&state).expect("a writable folder");
+    let owner_only = std::fs::Permissions::from_mode(0o700);
+    std::fs::set_permissions(&state, owner_only).expect("set");
+    state
 }
 
-impl Drop for Temporary {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-/// A process of this version.
-struct Proxy {
-    process: Child,
-    log: PathBuf,
-}
-
-impl Proxy {
-    fn start(temporary: &Temporary, configuration: &Value) -> Self {
-        let file = temporary.0.join("configuration.json");
-        std::fs::write(&file, configuration.to_string()).expect("written");
-        let log = temporary.0.join("log");
-        let process = Command::new(env!("CARGO_BIN_EXE_crankmux"))
-            .env_clear()
-            .env("TMPDIR", &temporary.0)
-            .env("BALANCER_CONFIG", file)
-            .stdin(Stdio::null())
-            .stderr(std::fs::File::create(&log).expect("a log"))
-            .spawn()
-            .expect("it starts");
-        Proxy { process, log }
-    }
-
-    fn log(&self) -> String {
-        std::fs::read_to_string(&self.log).expect("a log")
-    }
-
-    /// The address that a line of the log tells after these words.
-    fn address(&self, words: &str) -> SocketAddr {
-        let told = || {
-            let log = self.log();
-            let (_, rest) = log.split_once(words)?;
-            rest.lines().next()?.parse().ok()
-        };
-        until(words, told)
-    }
-}
-
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
-}
-
-fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
-    let start = Instant::now();
-    while start.elapsed() < PATIENCE {
-        if let Some(found) = found() {
-            return found;
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    panic!("{what}: not within {PATIENCE:?}");
+/// The address that a line of the log tells after these words.
+fn address_after(proxy: &RunningProxy, words: &str) -> SocketAddr {
+    proxy.wait_for(words).parse().expect("an address")
 }
 
 /// An endpoint that counts the requests that it answers.
@@ -156,8 +89,7 @@
 }
 
 fn configuration() -> Value {
-    let mut document: Value =
-        serde_json::from_str(include_str!("../configuration/valid.json")).expect("JSON");
+    let mut document = valid_configuration();
     document["discovery"] = json!(unused_address().to_string());
     document
 }
@@ -175,19 +107,19 @@
 
 #[test]
 fn an_endpoint_that_the_earlier_version_disabled_stays_so_until_it_is_enabled() {
-    let temporary = Temporary::new("disabled");
-    let file = temporary.state().join(DISABLED_FILE);
+    let folder = TemporaryFolder::new("disabled");
+    let file = state_directory(&folder).join(DISABLED_FILE);
     std::fs::write(&file, fixture(DISABLED_FILE)).expect("written");
     let (enabled, enabled_count) = endpoint();
     let (disabled, disabled_count) = endpoint();
     let mut configuration = configuration();
     configuration["known"]["hosts"] = json!([line("s0", enabled), line("s1", disabled)]);
-    let proxy = Proxy::start(&temporary, &configuration);
-    let address = proxy.address("listening on ");
+    let proxy = RunningProxy::start(&folder, &configuration, &[]);
+    let address = address_after(&proxy, "listening on ");
     send_requests(address, 0, 40);
     assert_eq!(disabled_count.load(Ordering::SeqCst), 0);
     assert_eq!(enabled_count.load(Ordering::SeqCst), 40);
-    let admin = proxy.address("the door is at ");
+    let admin = address_after(&proxy, "the door is at ");
     let enable = "POST /v1/servers/s1/resume HTTP/1.1\r\nHost: x\r\n\r\n";
     assert_eq!(status(admin, enable), "200");
     assert!(!file.exists());
@@ -252,17 +184,18 @@
 
 #[test]
 fn a_newer_process_takes_the_recorded_figures_and_hands_them_on() {
-    let temporary = Temporary::new("handover");
-    let file = temporary.state().join(HANDOVER_FILE);
+    let folder = TemporaryFolder::new("handover");
+    let state = state_directory(&folder);
+    let file = state.join(HANDOVER_FILE);
     std::fs::write(&file, fixture(HANDOVER_FILE)).expect("written");
-    let socket = temporary.state().join("handover");
+    let socket = state.join("handover");
     let older = UnixListener::bind(&socket).expect("a path");
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let mut configuration = configuration();
     configuration["listen"] = json!(listener.local_addr().expect("an address").to_string());
-    let proxy = Proxy::start(&temporary, &configuration);
+    let proxy = RunningProxy::start(&folder, &configuration, &[]);
     let _connection = hand_over(&older, &listener);
-    proxy.address("listening on ");
+    proxy.wait_for("listening on ");
     assert!(!file.exists(), "{}", proxy.log());
     // It is asked in turn by a newer one, and writes what it has before it answers.
     let mut newest = UnixStream::connect(&socket).expect("it listens");
--- a/proxy/tests/stored_state/main.rs
+++ b/proxy/tests/stored_state/main.rs
@@ -5,3 +5,6 @@
 mod earlier_version;
 mod learned_state;
 mod snapshot;
+
+#[path = "../support/mod.rs"]
+mod support;
