--- a/proxy/tests/stored_state/earlier_version.rs
+++ b/proxy/tests/stored_state/earlier_version.rs
@@ -119,7 +119,7 @@
     send_requests(address, 0, 40);
     assert_eq!(disabled_count.load(Ordering::SeqCst), 0);
     assert_eq!(enabled_count.load(Ordering::SeqCst), 40);
-    let admin = address_after(&proxy, "the door is at ");
+    let admin = address_after(&proxy, "admin API at ");
     let enable = "POST /v1/servers/s1/resume HTTP/1.1\r\nHost: x\r\n\r\n";
     assert_eq!(status(admin, enable), "200");
     assert!(!file.exists());
