membership: one module a concern, the field's names, typed errors, tests in test files

Cause. membership.rs held SWIM, gossip, timers, seeds, the member table, reachability and the datagrams of all of them in one struct of 24 fields, and member_set imported membership while membership imported member_set.

Change. types (identities, states, events), swim (foca behind calls that return what it wants done), gossip (messages and which supersedes which), timers (with the detection of pauses), seeds, member_table, member_set, reachability, suspects, incarnation_notices, slow_start_shares and load_estimate (out of cluster_size); membership ties them together. Both membership and member_set import types. born is incarnation, seal is authentication, words are gossip, parts and purses are slow-start shares, news are events. Key faults are KeyError, rejected datagrams AuthenticationError with messages. Every public item is documented. Tests of a network are split by subject, those of endpoint gossip have moved out of src. In the proxy only call sites change.

--- a/membership/src/endpoint_gossip.rs
+++ b/membership/src/endpoint_gossip.rs
@@ -1,205 +1,162 @@
-//! What other nodes' lists tell of servers beside one's own: the stricter counts until one's own list has come
-//! as far. All nodes' lists carry versions of one numbering; nothing counts that no list has told.
+//! What other proxies' endpoint lists say of endpoints beside the own list: the stricter counts until the own list
+//! has come as far. All lists carry versions of one numbering; nothing counts that no list has said.
 
-use crate::membership::EndpointGossip;
+use crate::types::EndpointGossip;
 use std::collections::BTreeMap;
 
-/// Servers of which words are kept: as many as a list holds.
-const SERVERS: usize = 8192;
+/// Endpoints of which gossip is kept: as many as a list has.
+const MAX_ENDPOINTS: usize = 8192;
+/// [`EndpointGossip::strictness`] of an endpoint that a list has no more.
+const REMOVED: u8 = 2;
 
+/// An endpoint's status, as it counts here.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EndpointStatus {
+    /// 0 ready, 1 draining, 2 removed, as [`EndpointGossip::strictness`].
+    pub strictness: u8,
+    /// Clock time of its last start in milliseconds; 0 for long ago.
+    pub started_at_ms: f64,
+}
+
+impl EndpointStatus {
+    /// The stricter and the later of both.
+    fn stricter(self, gossip: &EndpointGossip) -> Self {
+        EndpointStatus {
+            strictness: self.strictness.max(gossip.strictness),
+            started_at_ms: self.started_at_ms.max(gossip.started_at_ms),
+        }
+    }
+}
+
+/// A line of the own list.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Line {
-    standing: u8,
-    started: f64,
+pub struct ListedEndpoint {
+    /// The endpoint's stable hash, the same at all proxies.
+    pub endpoint: u64,
+    /// What the list says of it.
+    pub status: EndpointStatus,
+}
+
+/// What an update of the own list comes to.
+#[derive(Debug, Default, PartialEq)]
+pub struct ListUpdate {
+    /// What the other proxies are to hear of it.
+    pub gossip: Vec<EndpointGossip>,
+    /// Endpoints held stricter by gossip that the own list has now overtaken.
+    pub overtaken: Vec<u64>,
 }
 
-/// One's own list, and what was heard over it.
+/// The own list, and the gossip that goes beyond it.
 #[derive(Debug, Default)]
 pub struct EndpointView {
-    seq: u64,
-    own: BTreeMap<u64, Line>,
-    heard: BTreeMap<u64, EndpointGossip>,
+    list_version: u64,
+    own: BTreeMap<u64, EndpointStatus>,
+    received: BTreeMap<u64, EndpointGossip>,
 }
 
 impl EndpointView {
-    /// One's own list has told these (server, standing, started), up to a version. Returns what the other nodes
-    /// are to hear of it, and the servers that were held stricter by others' words, and are no longer.
-    pub fn told(
+    /// The own list has these lines, up to a version; `complete` where they are the whole list.
+    pub fn update_list(
         &mut self,
-        seq: u64,
-        whole: bool,
-        lines: &[(u64, u8, f64)],
-    ) -> (Vec<EndpointGossip>, Vec<u64>) {
-        let first = self.own.is_empty();
-        let mut say = Vec::new();
-        for (server, standing, started) in lines.iter().copied() {
-            let before = self.own.insert(server, Line { standing, started });
-            // A list that is new to this node is old to others; what changes while it runs may be news to them.
-            let before = before.unwrap_or(if first {
-                Line { standing, started }
-            } else {
-                Line {
-                    standing: 0,
-                    started: 0.0,
-                }
-            });
-            if standing != before.standing || started > before.started {
-                say.push(EndpointGossip {
-                    server,
-                    standing,
-                    started,
-                    seq,
-                });
-            }
+        list_version: u64,
+        complete: bool,
+        lines: &[ListedEndpoint],
+    ) -> ListUpdate {
+        let mut gossip = self.record_lines(list_version, lines);
+        if complete {
+            gossip.extend(self.record_missing(list_version, lines));
         }
-        if whole {
-            // Danger: servers removed while nobody listened are missing from the whole list.
-            let missing = |(server, line): (&u64, &Line)| {
-                (!lines.iter().any(|(listed, ..)| listed == server) && line.standing < 2)
-                    .then_some((*server, line.started))
-            };
-            for (server, started) in self.own.iter().filter_map(missing).collect::<Vec<_>>() {
-                self.own.insert(
-                    server,
-                    Line {
-                        standing: 2,
-                        started,
-                    },
-                );
-                say.push(EndpointGossip {
-                    server,
-                    standing: 2,
-                    started,
-                    seq,
-                });
-            }
-        }
-        // Another numbering's versions may be lower: the list that was heard last is the one to go by.
-        self.seq = seq;
-        let passed: Vec<u64> = self
-            .heard
+        // Versions of another numbering may be lower: the list that was received last is the one to go by.
+        self.list_version = list_version;
+        let overtaken = self
+            .received
             .values()
-            .filter(|w| w.seq <= seq)
-            .map(|w| w.server)
+            .filter(|gossip| gossip.list_version <= list_version)
+            .map(|gossip| gossip.endpoint)
             .collect();
-        self.heard.retain(|_, word| word.seq > seq);
-        self.own
-            .retain(|server, line| line.standing < 2 || self.heard.contains_key(server));
-        (say, passed)
+        self.received
+            .retain(|_, gossip| gossip.list_version > list_version);
+        let received = &self.received;
+        self.own.retain(|endpoint, status| {
+            status.strictness < REMOVED || received.contains_key(endpoint)
+        });
+        ListUpdate { gossip, overtaken }
     }
 
-    /// Another node's list has told this. Whether something else holds for that server from now on.
-    pub fn heard(&mut self, word: EndpointGossip) -> bool {
-        let newer = self
-            .heard
-            .get(&word.server)
-            .is_none_or(|old| old.seq < word.seq);
-        // Danger: words without end fill the memory; of servers that are not listed here nothing is needed.
-        let room = self.heard.len() < SERVERS || self.heard.contains_key(&word.server);
-        if word.seq <= self.seq || !newer || !room || !self.own.contains_key(&word.server) {
-            return false;
+    /// Records the lines, and returns those that are news to other proxies.
+    fn record_lines(&mut self, list_version: u64, lines: &[ListedEndpoint]) -> Vec<EndpointGossip> {
+        let is_first_list = self.own.is_empty();
+        let mut gossip = Vec::new();
+        for ListedEndpoint { endpoint, status } in lines.iter().copied() {
+            // A list that is new to this proxy is old to others; what changes while it runs may be news to them.
+            let unlisted = if is_first_list {
+                status
+            } else {
+                EndpointStatus::default()
+            };
+            let before = self.own.insert(endpoint, status).unwrap_or(unlisted);
+            let stricter_or_freer = status.strictness != before.strictness;
+            if stricter_or_freer || status.started_at_ms > before.started_at_ms {
+                gossip.push(gossip_of(endpoint, status, list_version));
+            }
         }
-        let before = self.holds(word.server);
-        self.heard.insert(word.server, word);
-        before != self.holds(word.server)
-    }
-
-    /// A server's standing and start that count here: the stricter, the later.
-    pub fn holds(&self, server: u64) -> Option<(u8, f64)> {
-        let own = self.own.get(&server)?;
-        let word = self.heard.get(&server);
-        Some(word.map_or((own.standing, own.started), |word| {
-            (
-                own.standing.max(word.standing),
-                own.started.max(word.started),
-            )
-        }))
+        gossip
     }
 
-    /// How many servers are held stricter by others' words.
-    pub fn stricter(&self) -> usize {
-        let stricter = |server: &&u64| {
-            self.holds(**server) != self.own.get(*server).map(|own| (own.standing, own.started))
-        };
-        self.heard.keys().filter(stricter).count()
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn word(server: u64, standing: u8, started: f64, seq: u64) -> EndpointGossip {
-        EndpointGossip {
-            server,
-            standing,
-            started,
-            seq,
+    /// Records as removed what is missing from the whole list: endpoints removed while nobody listened.
+    fn record_missing(
+        &mut self,
+        list_version: u64,
+        lines: &[ListedEndpoint],
+    ) -> Vec<EndpointGossip> {
+        let mut gossip = Vec::new();
+        for (endpoint, status) in &mut self.own {
+            let is_listed = lines.iter().any(|line| line.endpoint == *endpoint);
+            if !is_listed && status.strictness < REMOVED {
+                status.strictness = REMOVED;
+                gossip.push(gossip_of(*endpoint, *status, list_version));
+            }
         }
+        gossip
     }
 
-    fn of(seq: u64) -> EndpointView {
-        let mut lists = EndpointView::default();
-        assert!(
-            lists
-                .told(seq, true, &[(1, 0, 5.0), (2, 0, 0.0)])
-                .0
-                .is_empty(),
-            "a first list is no news"
-        );
-        lists
+    /// Another proxy's list says this. Returns whether another status counts for that endpoint from now on.
+    pub fn receive(&mut self, gossip: EndpointGossip) -> bool {
+        let known = self.received.get(&gossip.endpoint);
+        let is_newer = known.is_none_or(|known| known.list_version < gossip.list_version);
+        // Memory is bounded, and of endpoints that are not listed here nothing is needed.
+        let has_room = self.received.len() < MAX_ENDPOINTS || known.is_some();
+        let is_listed = self.own.contains_key(&gossip.endpoint);
+        if gossip.list_version <= self.list_version || !is_newer || !has_room || !is_listed {
+            return false;
+        }
+        let before = self.status(gossip.endpoint);
+        self.received.insert(gossip.endpoint, gossip);
+        before != self.status(gossip.endpoint)
     }
 
-    #[test]
-    fn the_stricter_counts_until_the_own_list_has_come_as_far() {
-        let mut lists = of(10);
-        assert!(lists.heard(word(1, 1, 5.0, 12)));
-        assert_eq!((lists.holds(1), lists.stricter()), (Some((1, 5.0)), 1));
-        assert_eq!(lists.told(11, false, &[]), (vec![], vec![]));
-        assert_eq!(lists.holds(1), Some((1, 5.0)), "not as far yet");
-        assert_eq!(
-            lists.told(12, false, &[]),
-            (vec![], vec![1]),
-            "the own list says otherwise, and is as late"
-        );
-        assert_eq!(lists.holds(1), Some((0, 5.0)));
+    /// The status of an endpoint that counts here.
+    pub fn status(&self, endpoint: u64) -> Option<EndpointStatus> {
+        let own = *self.own.get(&endpoint)?;
+        let gossip = self.received.get(&endpoint);
+        Some(gossip.map_or(own, |gossip| own.stricter(gossip)))
     }
 
-    #[test]
-    fn nobody_makes_a_node_freer_and_late_or_strange_words_change_nothing() {
-        let mut lists = of(10);
-        lists.told(11, false, &[(1, 1, 5.0)]);
-        assert!(!lists.heard(word(1, 0, 5.0, 20)), "ready elsewhere");
-        assert_eq!(lists.holds(1), Some((1, 5.0)));
-        assert!(!lists.heard(word(2, 2, 0.0, 11)), "as old as the own list");
-        assert!(!lists.heard(word(9, 1, 0.0, 30)), "listed nowhere here");
-        assert!(
-            lists.heard(word(2, 1, 0.0, 30)) && !lists.heard(word(2, 2, 0.0, 29)),
-            "overtaken on its way"
-        );
-        assert!(lists.heard(word(2, 0, 0.0, 31)), "taken back");
-        assert_eq!(lists.holds(2), Some((0, 0.0)));
-        assert!(lists.heard(word(2, 0, 77.0, 32)), "a new start");
-        assert_eq!(lists.holds(2), Some((0, 77.0)));
+    /// How many endpoints have another status than the own list's, by gossip.
+    pub fn overridden(&self) -> usize {
+        let is_overridden = |endpoint: &&u64| {
+            let own = self.own.get(*endpoint).copied();
+            self.status(**endpoint) != own
+        };
+        self.received.keys().filter(is_overridden).count()
     }
+}
 
-    #[test]
-    fn what_changes_is_told_to_others_once() {
-        let mut lists = of(10);
-        assert_eq!(
-            lists.told(11, false, &[(1, 1, 5.0)]).0,
-            [word(1, 1, 5.0, 11)]
-        );
-        assert!(lists.told(12, false, &[(1, 1, 5.0)]).0.is_empty());
-        assert_eq!(
-            lists.told(13, false, &[(1, 0, 9.0), (3, 0, 8.0)]).0,
-            [word(1, 0, 9.0, 13), word(3, 0, 8.0, 13)]
-        );
-        assert_eq!(
-            lists.told(14, true, &[(1, 0, 9.0), (3, 0, 8.0)]).0,
-            [word(2, 2, 0.0, 14)],
-            "missing is gone"
-        );
-        assert_eq!(lists.holds(2), None);
+fn gossip_of(endpoint: u64, status: EndpointStatus, list_version: u64) -> EndpointGossip {
+    EndpointGossip {
+        endpoint,
+        strictness: status.strictness,
+        started_at_ms: status.started_at_ms,
+        list_version,
     }
 }
--- a/membership/src/member_set.rs
+++ b/membership/src/member_set.rs
@@ -1,105 +1,117 @@
-//! What a node counts of the others, and its part of cold servers' budgets that follows.
+//! The set of members that this proxy counts, and its slow-start share that follows from it.
 
-use crate::cluster_size::{set_of, MemberSetDigest, SlowStartShares};
-use crate::membership::{Member, MemberState};
+use crate::slow_start_shares::{digest_of, MemberSetDigest, ShareInputs, SlowStartShares};
+use crate::types::{IncarnationKey, Member, MemberState};
 
-/// A life, as a number: what stands for its address, and its birth.
-type Life = (u64, u64);
+/// Marks the incarnation of a failed member in a digest: no member's own incarnation has its highest bit set.
+const FAILED_MARK: u64 = 1 << 63;
 
-pub struct MemberSet {
-    purse: SlowStartShares,
-    /// As the settings have it, when this node's part was last asked for.
-    told: f64,
-    /// The others that live and those that failed, by number.
+/// The counted set, its digest, and the share.
+pub(crate) struct MemberSet {
+    shares: SlowStartShares,
+    /// The number of proxies by the settings, when the share was last asked for.
+    configured_size: f64,
+    /// The other members that live and those that failed, by address hash.
     live: Vec<u64>,
     failed: Vec<u64>,
-    own: MemberSetDigest,
-    /// What was said last.
-    said: MemberSetDigest,
-    /// Who may push has changed since it was counted.
-    pub changed: bool,
+    digest: MemberSetDigest,
+    last_gossiped: MemberSetDigest,
+    /// Members have changed since they were counted.
+    outdated: bool,
 }
 
 impl MemberSet {
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         MemberSet {
-            purse: SlowStartShares::default(),
-            told: f64::INFINITY,
+            shares: SlowStartShares::default(),
+            configured_size: f64::INFINITY,
             live: Vec::new(),
             failed: Vec::new(),
-            own: MemberSetDigest::default(),
-            said: MemberSetDigest::default(),
-            changed: true,
+            digest: MemberSetDigest::default(),
+            last_gossiped: MemberSetDigest::default(),
+            outdated: true,
         }
     }
 
-    /// A new life has agreed with nobody yet.
-    pub fn begin_anew(&mut self) {
-        (self.purse, self.changed) = (SlowStartShares::default(), true);
+    /// A new incarnation has agreed with nobody yet.
+    pub(crate) fn reset_shares(&mut self) {
+        self.shares = SlowStartShares::default();
+        self.outdated = true;
     }
 
-    pub fn heard(&mut self, node: u64, counts: MemberSetDigest) {
-        self.purse.said(node, counts);
+    /// Members have changed.
+    pub(crate) fn invalidate(&mut self) {
+        self.outdated = true;
     }
 
-    pub fn left(&mut self, node: u64) {
-        self.purse.left(node);
-        self.changed = true;
+    /// Another member has said which set it counts.
+    pub(crate) fn digest_received(&mut self, address_hash: u64, digest: MemberSetDigest) {
+        self.shares.digest_received(address_hash, digest);
     }
 
-    /// How many of the others live.
-    pub fn living(&self) -> usize {
+    /// A member has left.
+    pub(crate) fn member_left(&mut self, address_hash: u64) {
+        self.shares.member_left(address_hash);
+        self.outdated = true;
+    }
+
+    /// How many of the others live, when they were last counted.
+    pub(crate) fn live_others(&self) -> usize {
         self.live.len()
     }
 
-    /// Takes in who may push now, where that has changed.
-    fn recount<'a>(&mut self, me: Life, known: impl Iterator<Item = &'a Member>) {
-        if !std::mem::take(&mut self.changed) {
+    /// Counts the members, where they have changed.
+    fn recount<'a>(&mut self, local: IncarnationKey, members: impl Iterator<Item = &'a Member>) {
+        if !std::mem::take(&mut self.outdated) {
             return;
         }
-        let (failed, live): (Vec<_>, Vec<_>) = known
-            .filter(|k| k.state != MemberState::Left)
-            .partition(|k| k.state == MemberState::Failed);
-        // Another birth marks one that failed: no life's own has its highest bit set.
-        let marked = |(node, born): Life| (node, born | 1 << 63);
-        let lives: Vec<Life> = live.iter().map(|k| k.life()).chain([me]).collect();
-        let lost: Vec<Life> = failed.iter().map(|k| k.life()).collect();
-        self.own.set = set_of(lives.iter().chain(&lost).copied());
-        self.own.split = set_of(
-            lives
-                .iter()
-                .copied()
-                .chain(lost.iter().copied().map(marked)),
-        );
-        self.live = live.iter().map(|k| k.life().0).collect();
-        self.failed = lost.iter().map(|(node, _)| *node).collect();
+        let (failed, live): (Vec<_>, Vec<_>) = members
+            .filter(|member| member.state != MemberState::Left)
+            .partition(|member| member.state == MemberState::Failed);
+        let live_keys = live.iter().map(|member| member.incarnation_key());
+        let live_keys: Vec<IncarnationKey> = live_keys.chain([local]).collect();
+        let failed_keys = failed.iter().map(|member| member.incarnation_key());
+        let failed_keys: Vec<IncarnationKey> = failed_keys.collect();
+        let marked_keys = failed_keys.iter().map(|key| IncarnationKey {
+            incarnation: key.incarnation | FAILED_MARK,
+            ..*key
+        });
+        self.digest.members = digest_of(live_keys.iter().chain(&failed_keys).copied());
+        self.digest.members_with_failed_marked =
+            digest_of(live_keys.iter().copied().chain(marked_keys));
+        self.live = live.iter().map(|member| member.address_hash()).collect();
+        self.failed = failed_keys.iter().map(|key| key.address_hash).collect();
     }
 
-    /// The part of this node, where so many are told by the settings, or as many as last. `unanswered`: it has
-    /// asked all that it could.
-    pub fn part<'a>(
+    /// This proxy's share, where the settings have so many proxies, or as many as when it was last asked for.
+    /// `unanswered`: all seeds were asked in vain.
+    pub(crate) fn share<'a>(
         &mut self,
-        told: Option<f64>,
-        me: Life,
-        known: impl Iterator<Item = &'a Member>,
+        configured_size: Option<f64>,
+        local: IncarnationKey,
+        members: impl Iterator<Item = &'a Member>,
         unanswered: bool,
     ) -> f64 {
-        self.told = told.unwrap_or(self.told);
-        self.recount(me, known);
-        let alone = self.live.is_empty() && self.failed.is_empty() && unanswered;
-        let part = self
-            .purse
-            .part(self.told, self.own, &self.live, &self.failed, alone);
-        self.own.full = self.purse.full();
-        part
+        self.configured_size = configured_size.unwrap_or(self.configured_size);
+        self.recount(local, members);
+        let share = self.shares.share(&ShareInputs {
+            configured_size: self.configured_size,
+            digest: self.digest,
+            live: &self.live,
+            failed: &self.failed,
+            isolated: self.live.is_empty() && self.failed.is_empty() && unanswered,
+        });
+        self.digest.agreed_size = self.shares.agreed_size();
+        share
     }
 
-    /// What is to be said of the set that this node counts, once it has changed. Danger: said before the part
-    /// was lowered, another would take what this one still spends; whoever calls takes the part first.
-    pub fn take_said(&mut self) -> Option<MemberSetDigest> {
-        (self.own != self.said).then(|| {
-            self.said = self.own;
-            self.own
-        })
+    /// The digest to gossip, once it has changed. The caller lowers the share first: once others hear the digest,
+    /// they take what this proxy would still use.
+    pub(crate) fn take_digest_to_gossip(&mut self) -> Option<MemberSetDigest> {
+        if self.digest == self.last_gossiped {
+            return None;
+        }
+        self.last_gossiped = self.digest;
+        Some(self.digest)
     }
 }
--- /dev/null
+++ b/membership/tests/network/random_faults.rs
@@ -0,0 +1,65 @@
+//! Runs in which faults are drawn by a seed, several at once.
+
+use crate::simulation::Simulation;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+const PARTITIONS: [fn(usize, usize) -> bool; 5] = [
+    |_, _| false,
+    |from, to| from % 2 != to % 2,
+    |from, to| from % 3 != to % 3,
+    |from, to| from < 3 && to >= 3,
+    |from, _| from == 1,
+];
+const FAULTS: usize = 12;
+
+/// A run with faults, after all of them are mended; the sum of all shares is worked out at each step.
+pub(crate) fn run_with_random_faults(seed: u64) -> Simulation {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut net = Simulation::start(7, seed);
+    net.configured_size = [5.0, 7.0, 10.0][seed as usize % 3];
+    net.run_for(rng.random::<f64>() * 8000.0);
+    let mut incarnations = BTreeMap::new();
+    for _ in 0..FAULTS {
+        inject_fault(&mut net, &mut rng, &mut incarnations);
+        net.run_for(rng.random::<f64>() * 6000.0);
+    }
+    net.is_cut = |_, _| false;
+    net.loss = 0.0;
+    net.delay_ms = 2.0;
+    // A member that started while all seeds were down finds nobody until one is back.
+    if !(0..3).any(|seed| net.members.contains_key(&seed)) {
+        let incarnation = incarnations.get(&0).copied().unwrap_or(1) + 1;
+        net.start_member(0, incarnation);
+    }
+    net.run_for(25_000.0);
+    net
+}
+
+fn inject_fault(
+    net: &mut Simulation,
+    rng: &mut ChaCha8Rng,
+    incarnations: &mut BTreeMap<usize, u64>,
+) {
+    let n = rng.random_range(0..10);
+    let is_running = net.members.contains_key(&n);
+    match rng.random_range(0..7) {
+        0 => net.is_cut = PARTITIONS[rng.random_range(0..PARTITIONS.len())],
+        1 => net.loss = rng.random::<f64>() * 0.4,
+        2 => net.delay_ms = 1.0 + rng.random::<f64>() * 150.0,
+        3 => drop(net.members.remove(&n)),
+        4 if is_running => {
+            let until_ms = net.now_ms + rng.random::<f64>() * 12_000.0;
+            net.paused_until_ms.insert(n, until_ms);
+        }
+        5 if is_running && !net.paused_until_ms.contains_key(&n) => net.leave(n),
+        _ if !is_running => {
+            let incarnation = incarnations.entry(n).or_insert(1);
+            *incarnation += 1;
+            net.paused_until_ms.remove(&n);
+            net.start_member(n, *incarnation);
+        }
+        _ => {}
+    }
+}
--- a/proxy/src/cluster/events.rs
+++ b/proxy/src/cluster/events.rs
@@ -12,7 +12,7 @@
         };
         let (told, now) = (self.configured_cluster_size(), self.now());
         self.cluster = Some(Cluster::open(entry, told, now, &self.registry)?);
-        self.cluster_shares = self.cluster.as_ref().map(|members| members.shares.now());
+        self.cluster_shares = self.cluster.as_ref().map(Cluster::assumed);
         self.apply_process_share();
         Ok(())
     }
@@ -44,7 +44,7 @@
     pub fn yield_cluster(&mut self) {
         if let Some(mut members) = self.cluster.take() {
             let _ = self.registry.deregister(&mut members.socket);
-            self.cluster_shares = Some((members.shares.now().0, 0.0));
+            self.cluster_shares = Some((members.shares.current().cluster_size, 0.0));
         }
     }
 
@@ -88,7 +88,7 @@
         if now >= members.read_at {
             members.read(now);
         }
-        members.fleet.due(now);
+        members.fleet.handle_timers(now);
         self.fleet_moved();
     }
 
@@ -99,23 +99,23 @@
             return;
         };
         let mut held = Vec::new();
-        for news in members.fleet.take_news() {
+        for news in members.fleet.take_events() {
             if let MembershipEvent::EndpointUpdate(_, word) = news {
-                if members.lists.heard(word) {
-                    held.push(word.server);
+                if members.lists.receive(word) {
+                    held.push(word.endpoint);
                 }
             } else {
                 told(&news);
             }
         }
-        let shows = members.shares.assume(now, &mut members.fleet);
-        let reach = members.fleet.reach();
+        let shows = members.shares.update(now, &mut members.fleet);
+        let reach = members.fleet.reachability();
         if std::mem::discriminant(&reach) != std::mem::discriminant(&members.reach) {
             log::info!("fleet: reaches {}", status_page::words(reach));
         }
         members.reach = reach;
         if shows {
-            self.cluster_shares = Some(members.shares.now());
+            self.cluster_shares = Some(members.assumed());
             self.apply_process_share();
         }
         if !held.is_empty() {
@@ -132,7 +132,10 @@
         let Some(members) = &self.cluster else { return };
         let line = |mark: &u64| {
             let (line, dial) = members.lines.get(mark)?;
-            let (strict, started) = members.lists.holds(*mark)?;
+            let EndpointStatus {
+                strictness: strict,
+                started_at_ms: started,
+            } = members.lists.status(*mark)?;
             let line = EndpointUpdate {
                 state: standing(strict),
                 started_at_ms: started,
@@ -163,10 +166,16 @@
         let Some(members) = &mut self.cluster else {
             return;
         };
-        let lines: Vec<(u64, u8, f64)> = list
+        let lines: Vec<ListedEndpoint> = list
             .lines
             .iter()
-            .map(|(line, _)| (line.stable_hash, strict(line.state), line.started_at_ms))
+            .map(|(line, _)| ListedEndpoint {
+                endpoint: line.stable_hash,
+                status: EndpointStatus {
+                    strictness: strict(line.state),
+                    started_at_ms: line.started_at_ms,
+                },
+            })
             .collect();
         if list.whole {
             members.lines.clear();
@@ -177,18 +186,20 @@
                 _ => drop(members.lines.insert(line.stable_hash, (*line, *dial))),
             }
         }
-        let (say, passed) = members.lists.told(list.seq, list.whole, &lines);
-        say.into_iter()
-            .for_each(|word| members.fleet.tell_listed(word));
+        let update = members.lists.update_list(list.seq, list.whole, &lines);
+        update
+            .gossip
+            .into_iter()
+            .for_each(|word| members.fleet.gossip_endpoint(word));
         // What was told just now came over what others had told of it: the stricter counts still.
-        let stricter = lines.iter().map(|(mark, ..)| *mark).filter(|mark| {
+        let stricter = lines.iter().map(|line| line.endpoint).filter(|mark| {
             members
                 .lists
-                .holds(*mark)
-                .is_some_and(|(strict, _)| strict > 0)
+                .status(*mark)
+                .is_some_and(|status| status.strictness > 0)
                 && members.lines.contains_key(mark)
         });
-        let held: Vec<u64> = passed.into_iter().chain(stricter).collect();
+        let held: Vec<u64> = update.overtaken.into_iter().chain(stricter).collect();
         if !held.is_empty() {
             self.hold_to(&held);
         }
@@ -202,14 +213,14 @@
         }
         MembershipEvent::Failed(name) => log::warn!("fleet: {} at {} has failed", name.name, name.address),
         MembershipEvent::Left(name) => log::info!("fleet: {} at {} has left", name.name, name.address),
-        MembershipEvent::TwoUnderOneName(one, other) => log::error!(
+        MembershipEvent::DuplicateName(one, other) => log::error!(
             "fleet: two nodes call themselves {}: {} and {}; both serve on, one is to be given another name",
             one.name,
             one.address,
             other.address
         ),
         MembershipEvent::Paused(ms) => log::warn!("fleet: this process did nothing for {ms:.0} ms"),
-        MembershipEvent::Reborn(born) => {
+        MembershipEvent::Reincarnated(born) => {
             log::warn!("fleet: it was taken for failed, and lives on under birth {born}")
         }
         MembershipEvent::EndpointUpdate(..) => {}
--- a/proxy/src/cluster/mod.rs
+++ b/proxy/src/cluster/mod.rs
@@ -9,7 +9,7 @@
 use crate::tokens::FLEET;
 use crankmux::types::{EndpointState, EndpointUpdate};
 use crankmux_membership::assumptions::ClusterAssumptions;
-use crankmux_membership::endpoint_gossip::EndpointView;
+use crankmux_membership::endpoint_gossip::{EndpointStatus, EndpointView, ListedEndpoint};
 use crankmux_membership::{Membership, MembershipEvent, NodeId, Reachability};
 use crankmux_operator_config::ClusterOptions;
 use mio::net::UdpSocket;
@@ -121,13 +121,14 @@
             name: entry.name.clone(),
             zone: entry.zone.clone(),
             address: charter.advertise,
-            born: now as u64,
-            program: program(),
-            settings: entry.settings,
+            incarnation: now as u64,
+            program_version: program(),
+            settings_version: entry.settings,
         };
         let keys: Vec<&str> = entry.keys.iter().map(String::as_str).collect();
-        let mut fleet = Membership::new(me, &charter.seeds, &keys, entry.seed ^ now as u64, now)?;
-        fleet.forget_failed_after(charter.forget_failed);
+        let mut fleet = Membership::new(me, &charter.seeds, &keys, entry.seed ^ now as u64, now)
+            .map_err(|e| e.to_string())?;
+        fleet.set_forget_failed_after(charter.forget_failed);
         log::info!(
             "fleet: {} of zone {} hears at {}",
             entry.name,
@@ -146,11 +147,17 @@
         })
     }
 
+    /// The number of proxies and the slow-start share that are assumed now.
+    fn assumed(&self) -> (f64, f64) {
+        let assumed = self.shares.current();
+        (assumed.cluster_size, assumed.slow_start_share)
+    }
+
     pub fn next_due(&self) -> f64 {
         self.fleet
-            .next_due()
+            .next_timer_ms()
             .min(self.read_at)
-            .min(self.shares.next_look())
+            .min(self.shares.next_refresh_ms())
     }
 
     /// Reads what has come, not more than one turn may take.
@@ -159,7 +166,7 @@
         self.read_at = now + READ_AGAIN;
         for _ in 0..READ_MOST {
             match self.socket.recv_from(&mut datagram) {
-                Ok((length, from)) => match self.fleet.heard(now, from, &datagram[..length]) {
+                Ok((length, from)) => match self.fleet.receive(now, from, &datagram[..length]) {
                     Ok(()) => self.datagrams.heard += 1,
                     Err(_) => self.datagrams.refused += 1,
                 },
@@ -176,7 +183,7 @@
 
     /// Sends what is to be sent. One that does not fit is lost, as any datagram may be.
     fn send(&mut self) {
-        for (to, datagram) in self.fleet.take_sends() {
+        for (to, datagram) in self.fleet.take_datagrams() {
             match self.socket.send_to(&datagram, to) {
                 Ok(_) => self.datagrams.sent += 1,
                 Err(_) => self.datagrams.unsent += 1,
@@ -187,11 +194,11 @@
     /// Other keys and seeds, as a reload has them.
     pub fn renew(&mut self, entry: &ClusterConfig, told: f64) {
         let keys: Vec<&str> = entry.keys.iter().map(String::as_str).collect();
-        if let Err(e) = self.fleet.take_keys(&keys) {
+        if let Err(e) = self.fleet.set_keys(&keys) {
             log::error!("fleet: the keys stay as they were: {e}");
         }
-        self.fleet.take_seeds(&entry.charter.seeds);
-        self.shares.renew(told);
+        self.fleet.set_seeds(&entry.charter.seeds);
+        self.shares.set_configured_size(told);
     }
 }
 
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -366,7 +366,7 @@
         let to = pick.endpoint;
         self.cluster
             .iter_mut()
-            .for_each(|members| members.shares.pushes(to, false));
+            .for_each(|cluster| cluster.shares.attempt_started(to));
         let patience = pick.timeout_ms.min(ends - now);
         let then =
             Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed((op, push), to, now, outcome));
@@ -431,10 +431,10 @@
         *count += 1;
         let now = self.now();
         if let Some(members) = &mut self.cluster {
-            members.shares.pushes(server, true);
+            members.shares.attempt_ended(server);
             load.in_flight
                 .iter()
-                .for_each(|held| members.shares.reported(now, server, *held));
+                .for_each(|held| members.shares.load_reported(now, server, *held));
         }
         log::debug!(
             "op {op}: push {push} ended after {:.1} ms: {ending:?}",
