proxy: the cluster's port, state, events, status page and command line are typed modules

Cause. proxy/src/cluster built its page from bare JSON values, its errors were strings, its files imported their parent by a glob, and names were those of the old house style.

Change. config (the operator's options completed), port (socket, datagram counters), state (Cluster), lifecycle (join, reload, yield, leave), events, endpoint_gossip, status_page (structs by serde, the keys of the page by rename), metrics, error (ClusterError with sources). `crankmux fleet` reads the same structs, and its faults are an enum. Two log lines change their words ("this process was paused for", "declared failed by others, continues as incarnation") and one says "listens" for "hears"; no page tells people to look for them. In proxy.rs and admin/calls.rs only call sites change.

--- a/proxy/src/admin/calls.rs
+++ b/proxy/src/admin/calls.rs
@@ -184,10 +184,10 @@
             None if path == "/v1/readyz" => (503, "not ready\n".into()),
             None if path == "/fleet" => {
                 let now = self.now();
-                let page = self.cluster.as_ref().map(|members| members.page(now));
+                let page = self.cluster.as_ref().map(|members| members.status(now));
                 (
                     200,
-                    page.map_or_else(String::new, |page| format!("{page:#}\n")),
+                    page.map_or_else(String::new, |page| format!("{page}\n")),
                 )
             }
             None => (200, self.figures()),
@@ -208,6 +208,6 @@
             + &self
                 .cluster
                 .as_ref()
-                .map_or_else(String::new, |members| members.figures())
+                .map_or_else(String::new, |members| members.metrics())
     }
 }
--- a/proxy/src/cli/cluster.rs
+++ b/proxy/src/cli/cluster.rs
@@ -1,128 +1,167 @@
-//! `crankmux fleet`: what a node makes of the others, asked at its door, as a table.
+//! `crankmux fleet`: the cluster as one proxy sees it, asked at its admin API, as a table.
 
+use crate::cluster::status_page::{
+    ClusterStatus, MemberStatus, ReachabilityStatus, ZoneStatus, ISOLATED, PARTIAL,
+};
 use comfy_table::{presets, Table};
-use serde_json::Value;
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-/// A node that serves answers at its door within one turn.
-const PATIENCE: Duration = Duration::from_secs(5);
-/// Several thousand members.
-const PAGE_MOST: u64 = 4 << 20;
+/// A proxy that serves answers at its admin API within one turn of its event loop.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// The longest answer: room for several thousand members.
+const MAX_ANSWER_BYTES: u64 = 4 << 20;
+const MAX_HEADERS: usize = 32;
+const ZONE_COLUMNS: [&str; 3] = ["ZONE", "REACHED", "CUT SINCE"];
+const MEMBER_COLUMNS: [&str; 7] = [
+    "NAME", "ZONE", "ADDRESS", "STATE", "SINCE", "PROGRAM", "SETTINGS",
+];
 
-/// Asks a door for the page. Errors: nobody there, no fleet there, or no page.
-fn asked(door: SocketAddr) -> Result<Value, String> {
-    let text = |e: std::io::Error| format!("{door}: {e}");
-    let mut stream = TcpStream::connect_timeout(&door, PATIENCE).map_err(text)?;
-    stream.set_read_timeout(Some(PATIENCE)).map_err(text)?;
-    stream
-        .write_all(format!("GET /fleet HTTP/1.1\r\nHost: {door}\r\n\r\n").as_bytes())
-        .map_err(text)?;
-    let mut answer = Vec::new();
-    stream
-        .take(PAGE_MOST)
-        .read_to_end(&mut answer)
-        .map_err(text)?;
-    let mut headers = [httparse::EMPTY_HEADER; 32];
+/// Why there is no table.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ClusterTableError {
+    /// The admin API cannot be reached, or the connection broke.
+    #[error("{address}: {source}")]
+    Connection {
+        /// The admin API's address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The answer is not HTTP.
+    #[error("{0}: no HTTP answer")]
+    NotHttp(SocketAddr),
+    /// The proxy takes part in no cluster.
+    #[error("{0}: this node has no [fleet] in its charter")]
+    NoCluster(SocketAddr),
+    /// The answer has another status than 200.
+    #[error("{address}: status {code}")]
+    Status {
+        /// The admin API's address.
+        address: SocketAddr,
+        /// The status.
+        code: u16,
+    },
+    /// The page cannot be read.
+    #[error("{address}: {source}")]
+    Page {
+        /// The admin API's address.
+        address: SocketAddr,
+        /// Where and why.
+        source: serde_json::Error,
+    },
+}
+
+/// The cluster as the proxy with this admin API sees it, in words and tables.
+///
+/// # Errors
+///
+/// Nobody answers there, the proxy takes part in no cluster, or the page cannot be read.
+pub(super) fn table(admin_api: SocketAddr) -> Result<String, ClusterTableError> {
+    fetch(admin_api).map(|status| render(&status))
+}
+
+fn fetch(address: SocketAddr) -> Result<ClusterStatus, ClusterTableError> {
+    let answer =
+        request(address).map_err(|source| ClusterTableError::Connection { address, source })?;
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Response::new(&mut headers);
-    let broken = || format!("{door}: no HTTP answer");
-    let ends = match head.parse(&answer).map_err(|_| broken())? {
-        httparse::Status::Complete(ends) => ends,
-        httparse::Status::Partial => return Err(broken()),
+    let Ok(httparse::Status::Complete(head_length)) = head.parse(&answer) else {
+        return Err(ClusterTableError::NotHttp(address));
     };
     match head.code {
-        Some(200) => serde_json::from_slice(&answer[ends..]).map_err(|e| format!("{door}: {e}")),
-        Some(404) => Err(format!("{door}: this node has no [fleet] in its charter")),
-        code => Err(format!("{door}: status {}", code.unwrap_or_default())),
+        Some(200) => serde_json::from_slice(&answer[head_length..])
+            .map_err(|source| ClusterTableError::Page { address, source }),
+        Some(404) => Err(ClusterTableError::NoCluster(address)),
+        code => Err(ClusterTableError::Status {
+            address,
+            code: code.unwrap_or_default(),
+        }),
     }
 }
 
-/// Milliseconds ago, in words.
-fn ago(ms: &Value) -> String {
-    let whole = Duration::from_secs(ms.as_f64().unwrap_or(0.0) as u64 / 1000);
-    format!("{} ago", humantime::format_duration(whole))
-}
-
-fn plain(value: &Value) -> String {
-    value
-        .as_str()
-        .map_or_else(|| value.to_string(), str::to_string)
+/// Everything that the admin API answers.
+fn request(address: SocketAddr) -> io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect_timeout(&address, TIMEOUT)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    stream.write_all(format!("GET /fleet HTTP/1.1\r\nHost: {address}\r\n\r\n").as_bytes())?;
+    let mut answer = Vec::new();
+    stream.take(MAX_ANSWER_BYTES).read_to_end(&mut answer)?;
+    Ok(answer)
 }
 
-/// The page in words and tables.
-fn told(page: &Value) -> String {
-    let me = &page["me"];
-    let reach = match page["reach"]["state"].as_str() {
-        Some("part") => {
-            let reach = &page["reach"];
-            format!(
-                "reaches {} of {} nodes, since {}",
-                reach["reached"],
-                reach["of"],
-                ago(&reach["since_ms"])
-            )
-        }
-        Some("alone") => format!("reaches nobody, since {}", ago(&page["reach"]["since_ms"])),
-        _ => "reaches the whole fleet".into(),
-    };
+fn render(status: &ClusterStatus) -> String {
+    let local = &status.local;
     let mut text = format!(
-        "{} of zone {} at {}: {reach}\nnodes assumed {:.1} (told {}), part of cold budgets {:.2}\n\n",
-        plain(&me["name"]),
-        plain(&me["zone"]),
-        plain(&me["address"]),
-        page["nodes_assumed"].as_f64().unwrap_or(0.0),
-        page["nodes_told"],
-        page["cold_part"].as_f64().unwrap_or(0.0),
-    );
-    let list = |name: &str| page[name].as_array().cloned().unwrap_or_default();
-    let mut table = |heads: &[&str], rows: Vec<Vec<String>>| {
-        let mut table = Table::new();
-        table
-            .load_style(presets::NOTHING)
-            .set_header(heads.to_vec())
-            .add_rows(rows);
-        text += &format!("{}\n\n", table.trim_fmt());
-    };
-    let zone = |zone: &Value| {
-        let since = Some(&zone["since_ms"])
-            .filter(|since| !since.is_null())
-            .map(ago)
-            .unwrap_or_default();
-        vec![
-            plain(&zone["zone"]),
-            format!("{} of {}", zone["reached"], zone["of"]),
-            since,
-        ]
-    };
-    table(
-        &["ZONE", "REACHED", "CUT SINCE"],
-        list("zones").iter().map(zone).collect(),
+        "{} of zone {} at {}: {}\nnodes assumed {:.1} (told {:?}), part of cold budgets {:.2}\n\n",
+        local.name,
+        local.zone,
+        local.address,
+        describe(&status.reachability),
+        status.assumed_size,
+        status.configured_size,
+        status.slow_start_share,
     );
-    let member = |member: &Value| {
-        let keys = ["name", "zone", "address", "state"].map(|key| plain(&member[key]));
-        let program = member["program"].as_u64().unwrap_or(0);
-        let version = format!(
-            "{}.{}.{}",
-            program / 1_000_000,
-            program / 1000 % 1000,
-            program % 1000
-        );
-        let more = [
-            ago(&member["since_ms"]),
-            version,
-            plain(&member["settings"]),
-        ];
-        keys.into_iter().chain(more).collect()
-    };
-    let heads = [
-        "NAME", "ZONE", "ADDRESS", "STATE", "SINCE", "PROGRAM", "SETTINGS",
-    ];
-    table(&heads, list("members").iter().map(member).collect());
+    let zones = status.zones.iter().map(zone_row);
+    text += &render_table(&ZONE_COLUMNS, zones.collect());
+    let members = status.members.iter().map(member_row);
+    text += &render_table(&MEMBER_COLUMNS, members.collect());
     text.trim_end().to_string()
 }
 
-/// The table of one door. Errors as of [`asked`].
-pub fn table(door: SocketAddr) -> Result<String, String> {
-    asked(door).map(|page| told(&page))
+fn describe(reachability: &ReachabilityStatus) -> String {
+    let since = ago(reachability.since_ms.unwrap_or(0.0));
+    match reachability.state.as_str() {
+        PARTIAL => format!(
+            "reaches {} of {} nodes, since {since}",
+            reachability.reached.unwrap_or(0),
+            reachability.members.unwrap_or(0)
+        ),
+        ISOLATED => format!("reaches nobody, since {since}"),
+        _ => "reaches the whole fleet".into(),
+    }
+}
+
+fn render_table(columns: &[&str], rows: Vec<Vec<String>>) -> String {
+    let mut table = Table::new();
+    table
+        .load_style(presets::NOTHING)
+        .set_header(columns.to_vec())
+        .add_rows(rows);
+    format!("{}\n\n", table.trim_fmt())
+}
+
+fn zone_row(zone: &ZoneStatus) -> Vec<String> {
+    vec![
+        zone.zone.clone(),
+        format!("{} of {}", zone.reached, zone.members),
+        zone.since_ms.map(ago).unwrap_or_default(),
+    ]
+}
+
+fn member_row(member: &MemberStatus) -> Vec<String> {
+    vec![
+        member.name.clone(),
+        member.zone.clone(),
+        member.address.clone(),
+        member.state.clone(),
+        ago(member.since_ms),
+        version(member.program_version),
+        member.settings_version.clone(),
+    ]
+}
+
+/// How long ago, in whole seconds.
+fn ago(milliseconds: f64) -> String {
+    let seconds = Duration::from_secs(milliseconds as u64 / 1000);
+    format!("{} ago", humantime::format_duration(seconds))
+}
+
+/// The program's version, of which the page has one number.
+fn version(number: u32) -> String {
+    let major = number / 1_000_000;
+    let minor = number / 1000 % 1000;
+    let patch = number % 1000;
+    format!("{major}.{minor}.{patch}")
 }
--- a/proxy/src/cluster/events.rs
+++ b/proxy/src/cluster/events.rs
@@ -1,227 +1,101 @@
-//! What the fleet is told, and what its news change here.
+//! Datagrams and timers of the cluster, and what their events change in the proxy.
 
-use super::*;
-use crate::endpoint_list::List;
+use super::lifecycle::shares;
+use super::state::Cluster;
+use super::status_page::describe;
 use crate::proxy::Proxy;
+use crankmux_membership::{MembershipEvent, Reachability};
+use std::mem::discriminant;
 
 impl Proxy {
-    /// Opens the port of the fleet, where a charter names one.
-    pub fn join_cluster(&mut self) -> Result<(), String> {
-        let Some(entry) = &self.cluster_config else {
-            return Ok(());
-        };
-        let (told, now) = (self.configured_cluster_size(), self.now());
-        self.cluster = Some(Cluster::open(entry, told, now, &self.registry)?);
-        self.cluster_shares = self.cluster.as_ref().map(Cluster::assumed);
-        self.apply_process_share();
-        Ok(())
-    }
-
-    /// What a reload has of the fleet: keys and seeds count at once, anything else from the next start.
-    pub fn reload_cluster(&mut self, entry: Option<ClusterConfig>) {
-        let told = self.configured_cluster_size();
-        if let (Some(members), Some(entry)) = (&mut self.cluster, &entry) {
-            members.renew(entry, told);
-        }
-        match (&mut self.cluster_config, entry) {
-            (Some(old), Some(new)) => (old.keys, old.charter.seeds) = (new.keys, new.charter.seeds),
-            (None, None) => {}
-            _ => log::info!("fleet: on or off from the next start"),
-        }
-    }
-
-    /// The number of nodes by the settings.
-    pub fn configured_cluster_size(&self) -> f64 {
-        self.active_configuration
-            .pointer("/settings/GroupSize")
-            .and_then(Value::as_f64)
-            .unwrap_or(1.0)
-            .max(1.0)
-    }
-
-    /// A newer process of this node speaks for it from now on. Danger: both would be at one address, and
-    /// both have the node's part of cold servers; the other agrees with the fleet anew.
-    pub fn yield_cluster(&mut self) {
-        if let Some(mut members) = self.cluster.take() {
-            let _ = self.registry.deregister(&mut members.socket);
-            self.cluster_shares = Some((members.shares.current().cluster_size, 0.0));
-        }
-    }
-
-    /// The newer process has failed: this one speaks for the node again.
-    pub fn rejoin_cluster(&mut self) {
-        if self.cluster.is_none() {
-            if let Err(e) = self.join_cluster() {
-                log::error!("fleet: {e}");
-            }
-        }
-    }
-
-    /// Says that this node goes, and pushes no more.
-    pub fn leave_cluster(&mut self) {
-        let now = self.now();
-        if let Some(members) = &mut self.cluster {
-            members.fleet.leave(now);
-            members.send();
-        }
-    }
-
     /// Datagrams have come.
     pub fn cluster_event(&mut self) {
-        let now = self.now();
-        if let Some(members) = &mut self.cluster {
-            members.read(now);
-            self.fleet_moved();
+        let now_ms = self.now();
+        if let Some(cluster) = &mut self.cluster {
+            cluster.read(now_ms);
+            self.apply_cluster_changes();
         }
     }
 
-    /// Does what is due of the fleet.
+    /// Does what is due.
     pub fn run_cluster(&mut self) {
-        let now = self.now();
-        let Some(members) = self
-            .cluster
-            .as_mut()
-            .filter(|members| members.next_due() <= now)
-        else {
+        let now_ms = self.now();
+        let cluster = self.cluster.as_mut();
+        let Some(cluster) = cluster.filter(|cluster| cluster.next_due_ms() <= now_ms) else {
             return;
         };
-        if now >= members.read_at {
-            members.read(now);
+        if now_ms >= cluster.port.read_again_at_ms() {
+            cluster.read(now_ms);
         }
-        members.fleet.handle_timers(now);
-        self.fleet_moved();
+        cluster.membership.handle_timers(now_ms);
+        self.apply_cluster_changes();
     }
 
-    /// Takes in what has changed, and only then lets others hear.
-    fn fleet_moved(&mut self) {
-        let now = self.now();
-        let Some(members) = &mut self.cluster else {
+    /// Takes in what has changed, and sends only then: once others hear of a change they act on it.
+    fn apply_cluster_changes(&mut self) {
+        let now_ms = self.now();
+        let Some(cluster) = &mut self.cluster else {
             return;
         };
-        let mut held = Vec::new();
-        for news in members.fleet.take_events() {
-            if let MembershipEvent::EndpointUpdate(_, word) = news {
-                if members.lists.receive(word) {
-                    held.push(word.endpoint);
-                }
-            } else {
-                told(&news);
-            }
-        }
-        let shows = members.shares.update(now, &mut members.fleet);
-        let reach = members.fleet.reachability();
-        if std::mem::discriminant(&reach) != std::mem::discriminant(&members.reach) {
-            log::info!("fleet: reaches {}", status_page::words(reach));
-        }
-        members.reach = reach;
-        if shows {
-            self.cluster_shares = Some(members.assumed());
+        let changed_endpoints = cluster.take_events();
+        let shares_changed = cluster.assumptions.update(now_ms, &mut cluster.membership);
+        cluster.log_reachability();
+        if shares_changed {
+            self.cluster_shares = Some(shares(cluster.assumed()));
             self.apply_process_share();
         }
-        if !held.is_empty() {
-            self.hold_to(&held);
+        if !changed_endpoints.is_empty() {
+            self.apply_endpoint_statuses(&changed_endpoints);
         }
-        if let Some(members) = &mut self.cluster {
-            members.send();
+        if let Some(cluster) = &mut self.cluster {
+            cluster.send();
         }
     }
+}
 
-    /// Brings servers to the standing that counts now, by the own list and others' words.
-    fn hold_to(&mut self, servers: &[u64]) {
-        let now = self.now();
-        let Some(members) = &self.cluster else { return };
-        let line = |mark: &u64| {
-            let (line, dial) = members.lines.get(mark)?;
-            let EndpointStatus {
-                strictness: strict,
-                started_at_ms: started,
-            } = members.lists.status(*mark)?;
-            let line = EndpointUpdate {
-                state: standing(strict),
-                started_at_ms: started,
-                ..*line
-            };
-            Some((
-                line,
-                dial.filter(|_| strict == 0)
-                    .map(|(address, _)| (address, started)),
-            ))
-        };
-        let lines: Vec<_> = servers.iter().filter_map(line).collect();
-        let listed: Vec<EndpointUpdate> = lines.iter().map(|(line, _)| *line).collect();
-        self.dispatcher.update_endpoints(now, &listed, false, false);
-        for (line, dial) in lines {
-            log::info!(
-                "fleet: server {:016x} is {:?}, by another node's list",
-                line.stable_hash,
-                line.state
-            );
-            self.place(line.endpoint, dial);
+impl Cluster {
+    /// Logs the events, and returns the endpoints whose status others' gossip has changed.
+    fn take_events(&mut self) -> Vec<u64> {
+        let mut changed_endpoints = Vec::new();
+        for event in self.membership.take_events() {
+            match event {
+                MembershipEvent::EndpointUpdate(_, gossip) => {
+                    if self.endpoint_view.receive(gossip) {
+                        changed_endpoints.push(gossip.endpoint);
+                    }
+                }
+                event => log_event(&event),
+            }
         }
-        self.leave_not_sent();
+        changed_endpoints
     }
 
-    /// The own list has told something: the others hear of it, and what they told before may have passed.
-    pub fn gossip_endpoint_list(&mut self, list: &List) {
-        let Some(members) = &mut self.cluster else {
-            return;
-        };
-        let lines: Vec<ListedEndpoint> = list
-            .lines
-            .iter()
-            .map(|(line, _)| ListedEndpoint {
-                endpoint: line.stable_hash,
-                status: EndpointStatus {
-                    strictness: strict(line.state),
-                    started_at_ms: line.started_at_ms,
-                },
-            })
-            .collect();
-        if list.whole {
-            members.lines.clear();
-        }
-        for (line, dial) in &list.lines {
-            match line.state {
-                EndpointState::Removed => drop(members.lines.remove(&line.stable_hash)),
-                _ => drop(members.lines.insert(line.stable_hash, (*line, *dial))),
-            }
-        }
-        let update = members.lists.update_list(list.seq, list.whole, &lines);
-        update
-            .gossip
-            .into_iter()
-            .for_each(|word| members.fleet.gossip_endpoint(word));
-        // What was told just now came over what others had told of it: the stricter counts still.
-        let stricter = lines.iter().map(|line| line.endpoint).filter(|mark| {
-            members
-                .lists
-                .status(*mark)
-                .is_some_and(|status| status.strictness > 0)
-                && members.lines.contains_key(mark)
-        });
-        let held: Vec<u64> = update.overtaken.into_iter().chain(stricter).collect();
-        if !held.is_empty() {
-            self.hold_to(&held);
+    /// Logs how much of the cluster is reached, where that is now full, partial or none and was not.
+    fn log_reachability(&mut self) {
+        let reachability = self.membership.reachability();
+        if discriminant::<Reachability>(&reachability) != discriminant(&self.logged_reachability) {
+            log::info!("fleet: reaches {}", describe(reachability));
         }
+        self.logged_reachability = reachability;
     }
 }
 
-fn told(news: &MembershipEvent) {
-    match news {
-        MembershipEvent::Up(name) => {
-            log::info!("fleet: {} of zone {} at {} is up", name.name, name.zone, name.address)
-        }
-        MembershipEvent::Failed(name) => log::warn!("fleet: {} at {} has failed", name.name, name.address),
-        MembershipEvent::Left(name) => log::info!("fleet: {} at {} has left", name.name, name.address),
-        MembershipEvent::DuplicateName(one, other) => log::error!(
+fn log_event(event: &MembershipEvent) {
+    match event {
+        MembershipEvent::Up(id) => {
+            log::info!("fleet: {} of zone {} at {} is up", id.name, id.zone, id.address);
+        }
+        MembershipEvent::Failed(id) => log::warn!("fleet: {} at {} has failed", id.name, id.address),
+        MembershipEvent::Left(id) => log::info!("fleet: {} at {} has left", id.name, id.address),
+        MembershipEvent::DuplicateName(first, second) => log::error!(
             "fleet: two nodes call themselves {}: {} and {}; both serve on, one is to be given another name",
-            one.name,
-            one.address,
-            other.address
+            first.name,
+            first.address,
+            second.address
         ),
-        MembershipEvent::Paused(ms) => log::warn!("fleet: this process did nothing for {ms:.0} ms"),
-        MembershipEvent::Reincarnated(born) => {
-            log::warn!("fleet: it was taken for failed, and lives on under birth {born}")
+        MembershipEvent::Paused(ms) => log::warn!("fleet: this process was paused for {ms:.0} ms"),
+        MembershipEvent::Reincarnated(incarnation) => {
+            log::warn!("fleet: declared failed by others, continues as incarnation {incarnation}");
         }
         MembershipEvent::EndpointUpdate(..) => {}
     }
--- /dev/null
+++ b/proxy/src/cluster/metrics.rs
@@ -0,0 +1,35 @@
+//! The cluster's lines of `/v1/metrics`. Their names are part of the interface.
+
+use super::port::DatagramCounters;
+use super::state::Cluster;
+use crankmux_membership::MemberState;
+
+impl Cluster {
+    /// One metric a line.
+    pub fn metrics(&self) -> String {
+        let members = self.membership.members();
+        let count = |state: MemberState| {
+            let in_state = members.iter().filter(|member| member.state == state);
+            in_state.count()
+        };
+        let assumed = self.assumed();
+        let DatagramCounters {
+            sent,
+            send_failed,
+            accepted,
+            rejected,
+        } = self.port.counters;
+        format!(
+            "fleet_alive={}\nfleet_suspected={}\nfleet_failed={}\nfleet_left={}\nfleet_nodes_assumed={:.2}\n\
+             fleet_cold_part={:.4}\nfleet_held_stricter={}\nfleet_sent={sent}\nfleet_unsent={send_failed}\n\
+             fleet_heard={accepted}\nfleet_refused={rejected}\n",
+            count(MemberState::Alive) + 1,
+            count(MemberState::Suspected),
+            count(MemberState::Failed),
+            count(MemberState::Left),
+            assumed.cluster_size,
+            assumed.slow_start_share,
+            self.endpoint_view.overridden(),
+        )
+    }
+}
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -141,7 +141,7 @@
         proxy.watch_disabled_endpoints();
         proxy.apply_process_share();
         // Before any list: what it tells is for the others too.
-        proxy.join_cluster()?;
+        proxy.join_cluster().map_err(|error| error.to_string())?;
         let known = if list.is_null() {
             configuration.known
         } else {
@@ -222,7 +222,7 @@
     /// either is too late at one moment. Whatever lay ready by a time is heard before that time counts.
     pub fn turn(&mut self, poll: &mut Poll, events: &mut Events) -> io::Result<bool> {
         let looked = self.now();
-        let fleet = self.cluster.as_ref().map(|members| members.next_due());
+        let fleet = self.cluster.as_ref().map(|members| members.next_due_ms());
         let due = [self.timers.first(), self.dispatcher.next_tick(), fleet]
             .into_iter()
             .flatten();
@@ -366,7 +366,7 @@
         let to = pick.endpoint;
         self.cluster
             .iter_mut()
-            .for_each(|cluster| cluster.shares.attempt_started(to));
+            .for_each(|cluster| cluster.attempt_started(to));
         let patience = pick.timeout_ms.min(ends - now);
         let then =
             Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed((op, push), to, now, outcome));
@@ -431,10 +431,10 @@
         *count += 1;
         let now = self.now();
         if let Some(members) = &mut self.cluster {
-            members.shares.attempt_ended(server);
+            members.attempt_ended(server);
             load.in_flight
                 .iter()
-                .for_each(|held| members.shares.load_reported(now, server, *held));
+                .for_each(|held| members.load_reported(now, server, *held));
         }
         log::debug!(
             "op {op}: push {push} ended after {:.1} ms: {ending:?}",
