proxy/tests/fleet is proxy/tests/cluster, split by subject, with the field's names

The test target is `cluster`; failure_detection, partitions, restarts, authentication, slow_start, draining and departed_clients share common.rs (environment, start, agreement, rules kept). Test names say behaviour. No assertion, time limit, count or environment value changes: of the numbers in the files, only the 15 s for discovery is now one constant, and the nine endpoints another.

--- /dev/null
+++ b/proxy/tests/cluster/departed_clients.rs
@@ -0,0 +1,52 @@
+//! Requests whose clients have left.
+
+use crate::common::{environment, harness_in, ENDPOINTS};
+
+#[test]
+fn a_request_whose_client_left_is_not_retried_while_endpoints_fail() {
+    let mut script = environment(2);
+    script.clients.impatient = 1.0;
+    script.duties.cold = 0.001;
+    // A retry may meet the next failure within milliseconds. With fewer attempts, a quick machine would use up all
+    // that a request may have before its client leaves, and no client would leave at all.
+    script.duties.most_pushes = 50;
+    for category in &mut script.categories {
+        category.work_ms = 60_000.0;
+    }
+    let mut harness = harness_in(script, "leavers", |start| start.fleet = false);
+    harness.rate = 20.0;
+    harness.start_all();
+    harness.pass(500.0);
+    harness.open();
+    // Clients leave after 750 ms; attempts at an endpoint fail every 300 ms, so that requests would be retried.
+    let mut restarts = 0;
+    let many_left = harness.until(20_000.0, |harness| {
+        if harness.now() > 300.0 / ENDPOINTS as f64 * restarts as f64 {
+            harness.restart_server(restarts % ENDPOINTS);
+            restarts += 1;
+        }
+        harness.service.gone > 60
+    });
+    assert!(many_left, "{:?}", harness.service);
+    let [lost, twice, drains, _, left] = harness.judge.counts();
+    assert_eq!(
+        [lost, twice, drains, left],
+        [0; 4],
+        "{:#?}",
+        harness.broken()
+    );
+    let (clients_left, attempts_after_ms) = harness.judge.after_leaves();
+    let within = |from_ms: f64, to_ms: f64| {
+        attempts_after_ms
+            .iter()
+            .filter(|after_ms| (from_ms..to_ms).contains(*after_ms))
+            .count()
+    };
+    println!(
+        "{clients_left} clients left; attempts that much later: under 10 ms {}, 10 to 30 ms {}, 30 to 100 ms {}, more {}",
+        within(0.0, 10.0),
+        within(10.0, 30.0),
+        within(30.0, 100.0),
+        within(100.0, f64::INFINITY)
+    );
+}
