--- a/proxy/src/admin/handlers.rs
+++ b/proxy/src/admin/handlers.rs
@@ -42,7 +42,7 @@
         let text = self
             .cluster
             .as_ref()
-            .map(|cluster| format!("{:#}\n", cluster.page(now)));
+            .map(|cluster| format!("{:#}\n", cluster.status(now)));
         AdminResponse::ok(text.unwrap_or_default())
     }
 
@@ -54,7 +54,7 @@
         let mut text = self.access_metrics.to_text(classes, uploading);
         text += &format!("discovered={discovered}\nejected={ejected}\n");
         if let Some(cluster) = &self.cluster {
-            text += &cluster.figures();
+            text += &cluster.metrics();
         }
         text
     }
