--- a/fault-injection/src/proxy_process.rs
+++ b/fault-injection/src/proxy_process.rs
@@ -114,11 +114,11 @@
             .as_ref()
             .map_or_else(String::new, |name| format!("name = {name:?}\n"));
         let operator_file = format!(
-            "[fleet]\n{name}listen = {:?}\nadvertise = {:?}\nseeds = {seeds:?}\nkey-files = {key_files:?}\n",
+            "[cluster]\n{name}listen = {:?}\nadvertise = {:?}\nseeds = {seeds:?}\nkey-files = {key_files:?}\n",
             self.cluster_listen.to_string(),
             self.advertised.to_string()
         );
-        self.write("charter.toml", &operator_file);
+        self.write("operator.toml", &operator_file);
     }
 
     /// Starts its process, with the state of its last one or with none.
@@ -141,9 +141,13 @@
         command
             .env("BALANCER_CONFIG", self.folder.join("configuration.json"))
             .env("TMPDIR", state)
+            .env_remove("CRANKMUX_OPERATOR_CONFIG")
             .env_remove("CRANKMUX_CHARTER");
         if self.cluster {
-            command.env("CRANKMUX_CHARTER", self.folder.join("charter.toml"));
+            command.env(
+                "CRANKMUX_OPERATOR_CONFIG",
+                self.folder.join("operator.toml"),
+            );
         }
         command.stdout(Stdio::null()).stderr(log);
         let child = command
--- a/proxy/src/cli/cluster.rs
+++ b/proxy/src/cli/cluster.rs
@@ -33,7 +33,7 @@
     #[error("{0}: no HTTP answer")]
     NotHttp(SocketAddr),
     /// The proxy takes part in no cluster.
-    #[error("{0}: this node has no [fleet] in its charter")]
+    #[error("{0}: this proxy has no [cluster] in its operator configuration")]
     NoCluster(SocketAddr),
     /// The answer has another status than 200.
     #[error("{address}: status {code}")]
--- a/proxy/src/cluster/endpoint_gossip.rs
+++ b/proxy/src/cluster/endpoint_gossip.rs
@@ -66,7 +66,7 @@
             .update_endpoints(now_ms, &updates, false, false);
         for EndpointLine { update, dial } in lines {
             log::info!(
-                "fleet: endpoint {:016x} is {:?}, by another proxy's list",
+                "cluster: endpoint {:016x} is {:?}, by another proxy's list",
                 update.stable_hash,
                 update.state
             );
--- a/proxy/src/cluster/events.rs
+++ b/proxy/src/cluster/events.rs
@@ -74,7 +74,7 @@
     fn log_reachability(&mut self) {
         let reachability = self.membership.reachability();
         if discriminant::<Reachability>(&reachability) != discriminant(&self.logged_reachability) {
-            log::info!("fleet: reaches {}", describe(reachability));
+            log::info!("cluster: reaches {}", describe(reachability));
         }
         self.logged_reachability = reachability;
     }
@@ -83,19 +83,19 @@
 fn log_event(event: &MembershipEvent) {
     match event {
         MembershipEvent::Up(id) => {
-            log::info!("fleet: {} of zone {} at {} is up", id.name, id.zone, id.address);
+            log::info!("cluster: {} of zone {} at {} is up", id.name, id.zone, id.address);
         }
-        MembershipEvent::Failed(id) => log::warn!("fleet: {} at {} has failed", id.name, id.address),
-        MembershipEvent::Left(id) => log::info!("fleet: {} at {} has left", id.name, id.address),
+        MembershipEvent::Failed(id) => log::warn!("cluster: {} at {} has failed", id.name, id.address),
+        MembershipEvent::Left(id) => log::info!("cluster: {} at {} has left", id.name, id.address),
         MembershipEvent::DuplicateName(first, second) => log::error!(
-            "fleet: two nodes call themselves {}: {} and {}; both serve on, one is to be given another name",
+            "cluster: two proxies call themselves {}: {} and {}; both serve on, one is to be given another name",
             first.name,
             first.address,
             second.address
         ),
-        MembershipEvent::Paused(ms) => log::warn!("fleet: this process was paused for {ms:.0} ms"),
+        MembershipEvent::Paused(ms) => log::warn!("cluster: this process was paused for {ms:.0} ms"),
         MembershipEvent::Reincarnated(incarnation) => {
-            log::warn!("fleet: superseded or declared failed, continues as incarnation {incarnation}");
+            log::warn!("cluster: superseded or declared failed, continues as incarnation {incarnation}");
         }
         MembershipEvent::EndpointUpdate(..) => {}
     }
--- a/proxy/src/cluster/lifecycle.rs
+++ b/proxy/src/cluster/lifecycle.rs
@@ -43,7 +43,7 @@
             }
             (None, None) => {}
             (Some(_), None) | (None, Some(_)) => {
-                log::info!("fleet: on or off from the next start");
+                log::info!("cluster: on or off from the next start");
             }
         }
     }
@@ -72,7 +72,7 @@
             return;
         }
         if let Err(error) = self.join_cluster() {
-            log::error!("fleet: {error}");
+            log::error!("cluster: {error}");
         }
     }
 
--- a/proxy/src/cluster/mod.rs
+++ b/proxy/src/cluster/mod.rs
@@ -1,5 +1,5 @@
 //! The other proxies of the cluster: a UDP port, and what comes of the datagrams. Who is a member, and what may be
-//! assumed of the others, is decided in the package `crankmux-membership`; a proxy without `[fleet]` in its operator
+//! assumed of the others, is decided in the package `crankmux-membership`; a proxy without `[cluster]` in its operator
 //! file has none of this.
 
 mod config;
--- a/proxy/src/cluster/state.rs
+++ b/proxy/src/cluster/state.rs
@@ -57,7 +57,7 @@
         )?;
         membership.set_forget_failed_after(options.forget_failed.as_secs_f64() * 1000.0);
         log::info!(
-            "fleet: {} of zone {} listens at {}",
+            "cluster: {} of zone {} listens at {}",
             config.name,
             config.zone,
             options.listen
@@ -113,7 +113,7 @@
     /// Takes over the keys and seeds of a reload.
     pub(super) fn reload(&mut self, config: &ClusterConfig, configured_size: f64) {
         if let Err(error) = self.membership.set_keys(&config.key_texts()) {
-            log::error!("fleet: the keys stay as they were: {error}");
+            log::error!("cluster: the keys stay as they were: {error}");
         }
         self.membership.set_seeds(&config.options.seeds);
         self.assumptions.set_configured_size(configured_size);
--- a/proxy/tests/cluster/restarts.rs
+++ b/proxy/tests/cluster/restarts.rs
@@ -34,7 +34,7 @@
     harness.open();
     harness.pass(3000.0);
     let log = harness.proxies[0].log();
-    assert!(log.contains("two nodes call themselves node-2"), "{log}");
+    assert!(log.contains("two proxies call themselves node-2"), "{log}");
     assert_nobody_failed(&harness, &all, opened_at_ms);
     assert!(attempts(&harness, 2, opened_at_ms) > 0);
     assert!(attempts(&harness, 3, opened_at_ms) > 0);
