--- a/scenarios/src/rehearse.rs
+++ b/scenarios/src/rehearse.rs
@@ -62,7 +62,7 @@
             scope.spawn(|| loop {
                 let index = next.fetch_add(1, Ordering::SeqCst);
                 let Some(play) = plays.get(index) else { return };
-                let figures = environment::play(play.script, play.how, play.seed);
+                let figures = environment::run(play.script, play.how, play.seed);
                 bar.inc(1);
                 done.lock()
                     .unwrap_or_else(|e| e.into_inner())
--- a/simulator/benches/events.rs
+++ b/simulator/benches/events.rs
@@ -1,6 +1,6 @@
 //! Events a second on one core: `cargo bench -p crankmux-simulator`.
 
-use crankmux_simulator::environment::play;
+use crankmux_simulator::environment::run;
 use crankmux_simulator::policies::PolicyKind;
 use crankmux_simulator::script::Script;
 use criterion::{criterion_group, criterion_main, Criterion, Throughput};
@@ -28,10 +28,10 @@
     let mut group = c.benchmark_group("events");
     group.sample_size(10);
     for how in [PolicyKind::Random, PolicyKind::Module] {
-        let events = play(&script, how, 1).expect("a chooser").events;
+        let events = run(&script, how, 1).expect("a chooser").events;
         group.throughput(Throughput::Elements(events));
         group.bench_function(how.name(), |b| {
-            b.iter(|| play(&script, how, 1).expect("a chooser").events)
+            b.iter(|| run(&script, how, 1).expect("a chooser").events)
         });
     }
     group.finish();
--- /dev/null
+++ b/simulator/src/environment/attempts.rs
@@ -0,0 +1,255 @@
+//! Attempts as the proxies see them: sent on a connection, ended, timed out, cancelled.
+
+use super::event_queue::{AttemptRef, EndpointRef, Event, RequestRef};
+use super::Environment;
+use crate::invariants::Answer;
+use crate::script::Group;
+use crankmux::types::{AttemptOutcome, AttemptResult, LoadReport};
+
+/// One attempt of a request at an endpoint.
+pub(super) struct Attempt {
+    pub(super) endpoint: EndpointRef,
+    pub(super) started_at: f64,
+    /// It went out on a new connection.
+    pub(super) on_new_connection: bool,
+    /// Its proxy waits for it.
+    pub(super) awaited: bool,
+    /// Its endpoint is done with it, or never saw it.
+    pub(super) settled: bool,
+}
+
+impl Environment<'_> {
+    /// The endpoint is done with an attempt, or never saw it.
+    pub(super) fn settle_attempt(&mut self, attempt: AttemptRef) {
+        if let Some(request) = self.request(attempt.request) {
+            request.attempts[attempt.number].settled = true;
+            self.forget_if_finished(attempt.request.index);
+        }
+    }
+
+    /// Schedules the end of an attempt, without a load report.
+    pub(super) fn schedule_attempt_end(
+        &mut self,
+        delay_ms: f64,
+        attempt: AttemptRef,
+        outcome: AttemptOutcome,
+    ) {
+        let load = LoadReport::default();
+        let ended = Event::AttemptEnds {
+            attempt,
+            outcome,
+            load,
+        };
+        self.schedule(delay_ms, ended);
+    }
+
+    /// The number of the group of endpoints in which repeats of a request are dropped.
+    pub(super) fn deduplication_group(&self, endpoint: usize, class: usize) -> u64 {
+        match self.script.categories[class].group {
+            Group::Fleet => 0,
+            Group::Zone => self.endpoints[endpoint].zone as u64,
+            Group::Pod => self.endpoints[endpoint].pod as u64,
+        }
+    }
+
+    /// A proxy sends an attempt on an idle connection, or on a new one at its cost.
+    pub(super) fn start_attempt(&mut self, request_index: usize, endpoint: usize, timeout_ms: f64) {
+        let Some((attempt, proxy)) = self.record_attempt(request_index, endpoint) else {
+            return;
+        };
+        self.schedule(timeout_ms, Event::AttemptTimesOut { attempt });
+        let from_zone = self.proxies[proxy].zone;
+        let reachability = self.reachability(from_zone, endpoint);
+        let path_ms = self.draw_path_delay(from_zone, self.endpoints[endpoint].zone);
+        if self.take_idle_connection(proxy, endpoint) {
+            if reachability.requests {
+                self.send(path_ms, attempt, endpoint);
+            } else {
+                self.settle_attempt(attempt);
+            }
+            return;
+        }
+        if !self.open_connection(proxy, endpoint, reachability) {
+            // A refusal takes a round trip; where nothing is heard, the connection times out.
+            let delay_ms = if reachability.responses {
+                2.0 * path_ms
+            } else {
+                self.script.way.connect_ms.min(timeout_ms)
+            };
+            self.settle_attempt(attempt);
+            self.schedule_attempt_end(delay_ms, attempt, AttemptOutcome::Unreachable);
+            return;
+        }
+        if let Some(request) = self.request(attempt.request) {
+            request.attempts[attempt.number].on_new_connection = true;
+        }
+        let delay_ms = path_ms * (1.0 + 2.0 * self.script.way.handshake);
+        self.send(delay_ms, attempt, endpoint);
+    }
+
+    /// Notes a new attempt with its request, the checker and the results. Returns it with its proxy.
+    fn record_attempt(
+        &mut self,
+        request_index: usize,
+        endpoint: usize,
+    ) -> Option<(AttemptRef, usize)> {
+        let class = self.requests.get(request_index)?.class;
+        let group = self.deduplication_group(endpoint, class);
+        let incarnation = self.endpoints[endpoint].life;
+        let request = self.requests.get_mut(request_index)?;
+        let proxy = request.proxy;
+        let draining_since = self.proxies[proxy].draining_since(endpoint);
+        self.checker.pushed(
+            self.now,
+            &mut request.history,
+            endpoint,
+            group,
+            draining_since,
+        );
+        let attempt = AttemptRef {
+            request: RequestRef {
+                index: request_index,
+                serial: request.serial,
+            },
+            number: request.attempts.len(),
+        };
+        request.attempts.push(Attempt {
+            endpoint: EndpointRef {
+                index: endpoint,
+                incarnation,
+            },
+            started_at: self.now,
+            on_new_connection: false,
+            awaited: true,
+            settled: false,
+        });
+        self.tally.pushed(self.elapsed_ms(), endpoint);
+        Some((attempt, proxy))
+    }
+
+    /// A proxy closes the connection of an attempt, and its endpoint learns of it a path later.
+    pub(super) fn abort_attempt(&mut self, request_index: usize, number: usize) {
+        let Some(request) = self.requests.get(request_index) else {
+            return;
+        };
+        let endpoint = request.attempts[number].endpoint;
+        let proxy = request.proxy;
+        let attempt = AttemptRef {
+            request: RequestRef {
+                index: request_index,
+                serial: request.serial,
+            },
+            number,
+        };
+        self.close_connection(proxy, endpoint);
+        let from_zone = self.proxies[proxy].zone;
+        let delay_ms = self.draw_path_delay(from_zone, self.endpoints[endpoint.index].zone);
+        self.schedule(delay_ms, Event::CancellationArrives { attempt, endpoint });
+    }
+
+    /// A policy cancels an attempt.
+    pub(super) fn cancel_attempt(&mut self, request_index: usize, number: usize) {
+        let Some(request) = self.requests.get_mut(request_index) else {
+            return;
+        };
+        let attempt = &mut request.attempts[number];
+        if !std::mem::take(&mut attempt.awaited) {
+            return;
+        }
+        let duration_ms = self.now - attempt.started_at;
+        let proxy = request.proxy;
+        let outcome = AttemptOutcome::Cancelled;
+        self.checker
+            .ended(self.now, &mut request.history, number, outcome);
+        self.abort_attempt(request_index, number);
+        let result = AttemptResult {
+            request: request_index,
+            attempt: number,
+            outcome,
+            duration_ms,
+            request_closed: true,
+            load: LoadReport::default(),
+        };
+        let steps = self.with_policy(proxy, |policy, now, truth| {
+            policy.report(now, &result, truth)
+        });
+        self.execute_steps(request_index, steps);
+        self.forget_if_finished(request_index);
+    }
+
+    /// A proxy has waited for an attempt as long as it may take.
+    pub(super) fn attempt_times_out(&mut self, attempt: AttemptRef) {
+        self.attempt_ends(attempt, AttemptOutcome::TimedOut, LoadReport::default());
+    }
+
+    /// An attempt has ended, as its proxy sees it.
+    pub(super) fn attempt_ends(
+        &mut self,
+        attempt_ref: AttemptRef,
+        outcome: AttemptOutcome,
+        load: LoadReport,
+    ) {
+        let AttemptRef {
+            request: request_ref,
+            number,
+        } = attempt_ref;
+        let index = request_ref.index;
+        let Some(request) = self.request(request_ref) else {
+            return;
+        };
+        let attempt = &mut request.attempts[number];
+        if !std::mem::take(&mut attempt.awaited) {
+            return;
+        }
+        let endpoint = attempt.endpoint;
+        let started_at = attempt.started_at;
+        let proxy = request.proxy;
+        let was_open = request.is_open();
+        if let Some(request) = self.requests.get_mut(index) {
+            self.checker
+                .ended(self.now, &mut request.history, number, outcome);
+        }
+        self.release_connection(proxy, endpoint, attempt_ref, outcome);
+        let succeeded = outcome == AttemptOutcome::Succeeded;
+        if succeeded && was_open {
+            self.answer(index, Answer::Acked, 0.0);
+        }
+        let result = AttemptResult {
+            request: index,
+            attempt: number,
+            outcome,
+            duration_ms: self.now - started_at,
+            request_closed: !was_open || succeeded,
+            load,
+        };
+        let steps = self.with_policy(proxy, |policy, now, truth| {
+            policy.report(now, &result, truth)
+        });
+        if self.request(request_ref).is_some() {
+            self.execute_steps(index, steps);
+            self.forget_if_finished(index);
+        }
+        self.serve_policy(proxy);
+    }
+
+    /// What becomes of the connection of an attempt that has ended.
+    fn release_connection(
+        &mut self,
+        proxy: usize,
+        endpoint: EndpointRef,
+        attempt: AttemptRef,
+        outcome: AttemptOutcome,
+    ) {
+        match outcome {
+            AttemptOutcome::Succeeded | AttemptOutcome::Failed | AttemptOutcome::Rejected => {
+                let pool = &mut self.proxies[proxy].connections[endpoint.index];
+                if pool.incarnation == endpoint.incarnation {
+                    pool.release(self.now);
+                }
+            }
+            AttemptOutcome::TimedOut => self.abort_attempt(attempt.request.index, attempt.number),
+            AttemptOutcome::ConnectionLost => self.close_connection(proxy, endpoint),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/simulator/src/environment/clients.rs
@@ -0,0 +1,257 @@
+//! Clients: when their calls arrive, which proxy they reach, and how they retry.
+
+use super::event_queue::{Event, RequestRef};
+use super::requests::Request;
+use super::{Environment, START_MS};
+use crate::invariants::Repeats;
+use crate::results::Outcome;
+use crate::script::{Backoff, Burst, Category, Group, Idempotency};
+use crankmux::types::NewRequest;
+
+/// Between a client and its proxy, one way.
+pub(super) const CLIENT_DELAY_MS: f64 = 0.5;
+/// Added to the time at which a deadline is checked, so that what happens at that moment comes before.
+const AFTER_DEADLINE_MS: f64 = 0.001;
+
+/// What a client wants, over all requests that it sends for it.
+pub(super) struct ClientCall {
+    pub(super) class: usize,
+    zone: usize,
+    /// What it is about; 0 for nothing.
+    key: u64,
+    /// Its work, as a multiple of the class's mean.
+    work_factor: f64,
+    pub(super) arrived_at: f64,
+    requests_sent: usize,
+    honours_retry_after: bool,
+    impatient: bool,
+}
+
+/// Proxies that clients are routed to, with their weights.
+pub(super) struct RoutingTable {
+    proxies: Vec<usize>,
+    weights: Vec<f64>,
+}
+
+/// The factor of the strongest burst at a second of the run, if there is one.
+fn burst_factor(bursts: &[Burst], second: f64) -> Option<f64> {
+    let active = bursts
+        .iter()
+        .filter(|burst| (burst.at..burst.at + burst.lasts).contains(&second));
+    active.map(|burst| burst.times).reduce(f64::max)
+}
+
+/// What the invariant checker is to know of a class.
+fn repeats(class: &Category) -> Repeats {
+    match class.effect {
+        Idempotency::Idempotent => Repeats::Freely,
+        Idempotency::IdempotentWithKey => Repeats::Deduplicated {
+            fleet: class.group == Group::Fleet,
+        },
+        Idempotency::NotIdempotent => Repeats::Never,
+    }
+}
+
+impl Environment<'_> {
+    /// Rebuilds the routing tables from the proxies that are believed to be up.
+    pub(super) fn update_routing(&mut self) {
+        let zones = self.script.zones.len();
+        let table = |zone: usize| {
+            let proxies = self.proxies.iter().enumerate();
+            let routed = proxies
+                .filter(|(_, proxy)| proxy.routed && (zone == zones || proxy.zone == zone))
+                .map(|(index, proxy)| (index, proxy.weight));
+            let (proxies, weights) = routed.unzip();
+            RoutingTable { proxies, weights }
+        };
+        self.routing = (0..=zones).map(table).collect();
+    }
+
+    /// Calls come as a Poisson process whose rate varies. It is thinned: drawn at the peak rate, and each call stays
+    /// with the probability that the rate at its time has of the peak.
+    pub(super) fn schedule_next_call(&mut self) {
+        let mut delay_ms = 0.0;
+        loop {
+            delay_ms += self.random.arrivals.wait(self.peak_rate);
+            let second = (self.elapsed_ms() + delay_ms) / 1000.0;
+            let load = &self.script.load;
+            let wave = 1.0 + load.wave * (second / load.period * std::f64::consts::TAU).sin();
+            let burst = burst_factor(&load.bursts, second).unwrap_or(1.0);
+            let rate = self.script.rate() / 1000.0 * wave * burst;
+            if second > self.script.seconds || self.random.arrivals.part() * self.peak_rate < rate {
+                break;
+            }
+        }
+        self.schedule(delay_ms, Event::CallArrives);
+    }
+
+    pub(super) fn call_arrives(&mut self) {
+        let call = self.draw_call();
+        let call = self.calls.insert(call);
+        self.send_request(call);
+        self.schedule_next_call();
+    }
+
+    fn draw_call(&mut self) -> ClientCall {
+        let script = self.script;
+        let second = self.elapsed_ms() / 1000.0;
+        let arrivals = &mut self.random.arrivals;
+        let weights: Vec<f64> = script.categories.iter().map(|class| class.weight).collect();
+        let class = arrivals.weighted(&weights);
+        let mut zone_weights = self.zone_weights.clone();
+        if script.load.shifting {
+            let zones = zone_weights.len();
+            let shift = (second / script.seconds * zones as f64) as usize % zones;
+            zone_weights.rotate_left(shift);
+        }
+        let zone = arrivals.weighted(&zone_weights);
+        let key = self.draw_key(second);
+        let settings = &script.categories[class];
+        let work_factor = match settings.tail {
+            Some(exponent) => self.random.work.pareto(exponent),
+            None => self.random.work.log_normal(settings.sigma),
+        };
+        let clients = &mut self.random.clients;
+        ClientCall {
+            class,
+            zone,
+            key,
+            work_factor,
+            arrived_at: self.now,
+            requests_sent: 0,
+            honours_retry_after: clients.yes(script.clients.honour),
+            impatient: clients.yes(script.clients.impatient),
+        }
+    }
+
+    /// The key that a call is about: 0 for none, 1 for the hot one.
+    fn draw_key(&mut self, second: f64) -> u64 {
+        let load = &self.script.load;
+        let hot_fraction = burst_factor(&load.hot, second).unwrap_or(0.0);
+        let hot = self.random.arrivals.yes(hot_fraction);
+        if load.keys == 0 {
+            return 0;
+        }
+        if hot {
+            return 1;
+        }
+        2 + self.random.arrivals.under(load.keys) as u64
+    }
+
+    /// Sends a request for a call to a proxy: the first one, or a retry.
+    pub(super) fn send_request(&mut self, call: usize) {
+        self.tally.tried(self.elapsed_ms());
+        let state = self.calls.get_mut(call).expect("an open call");
+        state.requests_sent += 1;
+        let zone = state.zone;
+        let Some(proxy) = self.draw_proxy(zone) else {
+            return self.request_unsuccessful(call, true, 0.0);
+        };
+        if !self.proxies[proxy].up {
+            // The connection was refused, so the request never reached a proxy.
+            return self.request_unsuccessful(call, true, 0.0);
+        }
+        let (request, arrival) = self.open_request(call, proxy);
+        let steps = self.with_policy(proxy, |policy, now, truth| {
+            policy.arrive(now, &arrival, truth)
+        });
+        self.execute_steps(request.index, steps);
+        self.serve_policy(proxy);
+    }
+
+    /// A proxy of this zone; of any zone where this one has none.
+    fn draw_proxy(&mut self, zone: usize) -> Option<usize> {
+        let mut table = &self.routing[zone];
+        if table.proxies.is_empty() {
+            table = &self.routing[self.script.zones.len()];
+        }
+        if table.proxies.is_empty() {
+            return None;
+        }
+        Some(table.proxies[self.random.clients.weighted(&table.weights)])
+    }
+
+    /// A proxy takes in a request of a call.
+    fn open_request(&mut self, call_index: usize, proxy: usize) -> (RequestRef, NewRequest) {
+        let call = self.calls.get(call_index).expect("an open call");
+        let class = &self.script.categories[call.class];
+        let deadline = self.now + class.ttl_ms;
+        let history =
+            self.checker
+                .taken(self.now, proxy, repeats(class), class.window_ms, deadline);
+        self.request_serial += 1;
+        let serial = self.request_serial;
+        let index = self.requests.insert(Request {
+            serial,
+            call: call_index,
+            class: call.class,
+            work_factor: call.work_factor,
+            key: call.key,
+            proxy,
+            deadline,
+            attempts: Vec::new(),
+            answered: false,
+            abandoned: false,
+            history,
+        });
+        let arrival = NewRequest {
+            request: index,
+            class: call.class,
+            tenant: None,
+            ttl_ms: class.ttl_ms,
+            client_retry: call.requests_sent > 1,
+            key: (call.key > 0).then_some(call.key),
+        };
+        let impatient = call.impatient;
+        let request = RequestRef { index, serial };
+        let deadline_check = class.ttl_ms + self.script.duties.answer_slack_ms + AFTER_DEADLINE_MS;
+        self.schedule(deadline_check, Event::DeadlinePasses { request });
+        if impatient {
+            self.schedule(0.5 * class.ttl_ms, Event::ClientLeaves { request });
+        }
+        (request, arrival)
+    }
+
+    /// A request was rejected or failed. The client retries if that is safe and it has retries left.
+    pub(super) fn request_unsuccessful(
+        &mut self,
+        call: usize,
+        safe_to_retry: bool,
+        retry_after_ms: f64,
+    ) {
+        let clients = &self.script.clients;
+        let state = self.calls.get(call).expect("an open call");
+        if !safe_to_retry {
+            return self.close_call(call, Outcome::Failed);
+        }
+        if state.requests_sent > clients.retries {
+            return self.close_call(call, Outcome::Refused);
+        }
+        let backoff_ms = match clients.backoff {
+            Backoff::None => 1.0,
+            Backoff::Fixed => clients.backoff_ms,
+            Backoff::Doubling => {
+                clients.backoff_ms * f64::powi(2.0, state.requests_sent as i32 - 1)
+            }
+        };
+        let delay_ms = if state.honours_retry_after {
+            backoff_ms.max(retry_after_ms)
+        } else {
+            backoff_ms
+        };
+        let delay_ms = delay_ms * (0.75 + 0.5 * self.random.clients.part());
+        self.schedule(
+            delay_ms + 2.0 * CLIENT_DELAY_MS,
+            Event::CallRetries { call },
+        );
+    }
+
+    /// A call is over, with or without success.
+    pub(super) fn close_call(&mut self, call: usize, outcome: Outcome) {
+        if let Some(call) = self.calls.remove(call) {
+            let took_ms = self.now - call.arrived_at + 2.0 * CLIENT_DELAY_MS;
+            let arrived_ms = call.arrived_at - START_MS;
+            self.tally.outcome(arrived_ms, call.class, outcome, took_ms);
+        }
+    }
+}
--- /dev/null
+++ b/simulator/src/environment/endpoints.rs
@@ -0,0 +1,308 @@
+//! Endpoints: attempts that arrive, work that finishes, responses, crashes and replacements.
+
+use super::event_queue::{AttemptRef, EndpointRef, Event, RequestRef};
+use super::Environment;
+use crate::random::number;
+use crate::server::{Begun, Job, Server};
+use crankmux::types::{AttemptOutcome, EndpointState, EndpointUpdate, LoadReport};
+
+/// An endpoint that was overloaded while cold is back, cold, after this.
+const RESTART_AFTER_OVERLOAD_MS: f64 = 2000.0;
+/// What an endpoint that fails at once takes to do so.
+const FAIL_FAST_MS: f64 = 1.0;
+/// Added to the end of a pause, so that work resumes after it.
+const AFTER_PAUSE_MS: f64 = 0.001;
+
+/// The attempt that a job is for.
+fn attempt_of(job: &Job) -> AttemptRef {
+    AttemptRef {
+        request: RequestRef {
+            index: job.op,
+            serial: job.serial,
+        },
+        number: job.push,
+    }
+}
+
+impl Environment<'_> {
+    pub(super) fn attempt_arrives(&mut self, attempt: AttemptRef, endpoint: EndpointRef) {
+        let server = &mut self.endpoints[endpoint.index];
+        server.coming -= 1;
+        let connected = server.up && server.life == endpoint.incarnation;
+        let Some(request) = self.request(attempt.request) else {
+            return;
+        };
+        let proxy = request.proxy;
+        let path_ms = self.draw_path_delay(
+            self.endpoints[endpoint.index].zone,
+            self.proxies[proxy].zone,
+        );
+        if !connected {
+            self.settle_attempt(attempt);
+            let outcome = AttemptOutcome::ConnectionLost;
+            return self.schedule_attempt_end(path_ms, attempt, outcome);
+        }
+        if self.fault_strikes(attempt, endpoint.index, path_ms) {
+            return;
+        }
+        if self.overloads_cold(attempt, endpoint.index) {
+            self.tally.fell_over += 1;
+            self.kill_endpoint(endpoint.index, RESTART_AFTER_OVERLOAD_MS);
+            return;
+        }
+        self.enqueue(attempt, endpoint.index, path_ms);
+    }
+
+    /// Whether a fault of the endpoint ends an attempt before any work is done.
+    fn fault_strikes(&mut self, attempt: AttemptRef, endpoint: usize, path_ms: f64) -> bool {
+        let faults = self.endpoints[endpoint].weather;
+        if faults.silent {
+            self.settle_attempt(attempt);
+            return true;
+        }
+        if self.random.faults.yes(faults.resets) {
+            self.settle_attempt(attempt);
+            self.schedule_attempt_end(path_ms, attempt, AttemptOutcome::ConnectionLost);
+            return true;
+        }
+        if self.random.faults.yes(faults.fail_fast) {
+            self.settle_attempt(attempt);
+            let delay_ms = path_ms + FAIL_FAST_MS;
+            self.schedule_attempt_end(delay_ms, attempt, AttemptOutcome::Failed);
+            return true;
+        }
+        false
+    }
+
+    /// Whether an attempt is one too many for an endpoint that is still cold.
+    fn overloads_cold(&mut self, attempt: AttemptRef, endpoint: usize) -> bool {
+        let Some(request) = self.request(attempt.request) else {
+            return false;
+        };
+        let class = request.class;
+        let server = &self.endpoints[endpoint];
+        let warmth = server.able(self.now);
+        let capacity =
+            warmth * server.machine.speed * server.machine.cores as f64 / self.mean_work_ms;
+        let relative_work = self.script.categories[class].work_ms / self.mean_work_ms;
+        let cold_capacity = (warmth < 1.0).then_some(capacity);
+        self.checker
+            .bears(self.now, endpoint, relative_work, cold_capacity)
+    }
+
+    /// An endpoint takes an attempt into its queue, or rejects it.
+    fn enqueue(&mut self, attempt: AttemptRef, endpoint: usize, path_ms: f64) {
+        let Some(job) = self.new_job(attempt, endpoint) else {
+            return;
+        };
+        if self.endpoints[endpoint].offer(self.now, job) {
+            return self.start_jobs(endpoint);
+        }
+        self.settle_attempt(attempt);
+        let load = self.load_report(endpoint);
+        let rejected = Event::AttemptEnds {
+            attempt,
+            outcome: AttemptOutcome::Rejected,
+            load,
+        };
+        self.schedule(path_ms, rejected);
+    }
+
+    fn new_job(&mut self, attempt: AttemptRef, endpoint: usize) -> Option<Job> {
+        let now = self.now;
+        let script = self.script;
+        let connect_work_ms = self.endpoints[endpoint].machine.connect_work_ms;
+        let request = self.request(attempt.request)?;
+        let class = &script.categories[request.class];
+        let setup_work_ms = if request.attempts[attempt.number].on_new_connection {
+            connect_work_ms
+        } else {
+            0.0
+        };
+        Some(Job {
+            op: attempt.request.index,
+            serial: attempt.request.serial,
+            push: attempt.number,
+            work: class.work_ms * request.work_factor + setup_work_ms,
+            came: now,
+            ends: request.deadline,
+            key: request.key,
+            key_miss: class.key_miss,
+        })
+    }
+
+    /// The load that an endpoint reports with its answers.
+    fn load_report(&mut self, endpoint: usize) -> LoadReport {
+        let settings = &self.script.reports;
+        if !settings.told {
+            return LoadReport::default();
+        }
+        let endpoint = &mut self.endpoints[endpoint];
+        let reported = endpoint.report(self.now, settings.period_ms, settings.delay_ms);
+        reported.map_or(LoadReport::default(), |(in_flight, queued)| LoadReport {
+            in_flight: Some(in_flight),
+            queued: Some(queued),
+            cpu_utilization: None,
+        })
+    }
+
+    /// Lets free cores take what waits.
+    fn start_jobs(&mut self, endpoint: usize) {
+        let was_degraded = self.endpoints[endpoint].tipped;
+        while let Some(begun) = self.endpoints[endpoint].begin(self.now) {
+            match begun {
+                Begun::Started(running) => {
+                    let finishes = Event::JobFinishes {
+                        endpoint: EndpointRef {
+                            index: endpoint,
+                            incarnation: self.endpoints[endpoint].life,
+                        },
+                        job_number: running.number,
+                    };
+                    self.schedule(running.due - self.now, finishes);
+                    self.record_execution(endpoint, &running.job);
+                }
+                Begun::Expired(job) => self.respond(endpoint, &job, AttemptOutcome::Rejected),
+            }
+        }
+        if self.endpoints[endpoint].tipped && !was_degraded {
+            self.tally.tipped += 1;
+        }
+    }
+
+    /// Tells the checker that a request is executed.
+    fn record_execution(&mut self, endpoint: usize, job: &Job) {
+        let Some(request) = self.request(attempt_of(job).request) else {
+            return;
+        };
+        let class = request.class;
+        let group = self.deduplication_group(endpoint, class);
+        if let Some(request) = self.requests.get_mut(job.op) {
+            self.checker
+                .ran(self.now, &mut request.history, job.push, endpoint, group);
+        }
+    }
+
+    /// An endpoint responds to an attempt, unless the response is lost.
+    fn respond(&mut self, endpoint: usize, job: &Job, outcome: AttemptOutcome) {
+        let attempt = attempt_of(job);
+        let Some(request) = self.request(attempt.request) else {
+            return;
+        };
+        let proxy = request.proxy;
+        let to_zone = self.proxies[proxy].zone;
+        self.settle_attempt(attempt);
+        let from_zone = self.endpoints[endpoint].zone;
+        let faults = self.endpoints[endpoint].weather;
+        if faults.silent
+            || self.partitions.responses[from_zone][to_zone]
+            || self.random.faults.yes(faults.answers_lost)
+        {
+            return;
+        }
+        let load = self.load_report(endpoint);
+        let path_ms = self.draw_path_delay(from_zone, to_zone);
+        let ends = Event::AttemptEnds {
+            attempt,
+            outcome,
+            load,
+        };
+        self.schedule(path_ms, ends);
+    }
+
+    pub(super) fn job_finishes(&mut self, endpoint: EndpointRef, job_number: u64) {
+        let server = &mut self.endpoints[endpoint.index];
+        if server.life != endpoint.incarnation {
+            return;
+        }
+        match server.done(self.now, job_number) {
+            Err(paused_until) => {
+                let finishes = Event::JobFinishes {
+                    endpoint,
+                    job_number,
+                };
+                self.schedule(paused_until - self.now + AFTER_PAUSE_MS, finishes);
+            }
+            Ok(None) => {}
+            Ok(Some(job)) => {
+                self.respond(endpoint.index, &job, AttemptOutcome::Succeeded);
+                self.start_jobs(endpoint.index);
+            }
+        }
+    }
+
+    pub(super) fn cancellation_arrives(&mut self, attempt: AttemptRef, endpoint: EndpointRef) {
+        let AttemptRef { request, number } = attempt;
+        let server = &mut self.endpoints[endpoint.index];
+        if server.life != endpoint.incarnation || !server.up {
+            return;
+        }
+        if server.call_off(self.now, request.index, request.serial, number) {
+            self.settle_attempt(attempt);
+        }
+        self.start_jobs(endpoint.index);
+    }
+
+    /// The process of an endpoint dies: the connections of what it held break. It restarts cold, if at all.
+    pub(super) fn kill_endpoint(&mut self, endpoint: usize, restart_after_ms: f64) {
+        if !self.endpoints[endpoint].up {
+            return;
+        }
+        for job in self.endpoints[endpoint].die() {
+            let attempt = attempt_of(&job);
+            let proxy = self.request(attempt.request).map(|request| request.proxy);
+            self.settle_attempt(attempt);
+            let Some(proxy) = proxy else { continue };
+            let path_ms =
+                self.draw_path_delay(self.endpoints[endpoint].zone, self.proxies[proxy].zone);
+            self.schedule_attempt_end(path_ms, attempt, AttemptOutcome::ConnectionLost);
+        }
+        if restart_after_ms.is_finite() {
+            self.schedule(restart_after_ms, Event::EndpointRestarts { endpoint });
+        }
+    }
+
+    pub(super) fn restart_endpoint(&mut self, endpoint: usize) {
+        if !self.endpoint_list.listed[endpoint] {
+            return;
+        }
+        self.endpoints[endpoint].up = true;
+        self.endpoints[endpoint].started = self.now;
+        self.publish(self.endpoint_update(endpoint));
+    }
+
+    /// A cold successor starts, and the old endpoint drains.
+    pub(super) fn replace_endpoint(&mut self, endpoint: usize) {
+        if !self.endpoint_list.listed[endpoint] {
+            return;
+        }
+        let old = &self.endpoints[endpoint];
+        let successor = self.endpoints.len();
+        self.endpoints.push(Server::new(
+            &old.machine,
+            &self.script.duties,
+            number(&format!("{successor} after {}", old.mark)),
+            old.zone,
+            old.pod,
+            self.now,
+        ));
+        let list = &mut self.endpoint_list;
+        list.listed.push(true);
+        list.clock_offsets_ms.push(list.clock_offsets_ms[endpoint]);
+        self.apply_faults();
+        self.publish(self.endpoint_update(successor));
+        self.endpoint_list.listed[endpoint] = false;
+        self.publish(EndpointUpdate {
+            state: EndpointState::Draining,
+            ..self.endpoint_update(endpoint)
+        });
+        let drain_ms = 1000.0 * self.script.discovery.drain;
+        self.schedule(drain_ms, Event::EndpointRemoved { endpoint });
+    }
+
+    /// A drained endpoint leaves the list and ends.
+    pub(super) fn remove_endpoint(&mut self, endpoint: usize) {
+        self.publish(self.endpoint_update(endpoint));
+        self.kill_endpoint(endpoint, f64::INFINITY);
+    }
+}
--- /dev/null
+++ b/simulator/src/environment/fault_schedule.rs
@@ -0,0 +1,127 @@
+//! Faults as they begin and end: what is done once, and what holds while they are active.
+
+use super::event_queue::Event;
+use super::network::Partitions;
+use super::Environment;
+use crate::faults::{cuts, strike, weather, Struck};
+use crate::script::{Fault, Kind};
+
+/// How often endpoints that pause are looked at, and the chance that one pauses then: about once a second.
+const PAUSE_INTERVAL_MS: f64 = 100.0;
+const PAUSE_PROBABILITY: f64 = 0.1;
+
+/// A fault that has begun and not ended.
+pub(super) struct ActiveFault {
+    /// Its place in the script.
+    index: usize,
+    targets: Struck,
+}
+
+impl Environment<'_> {
+    /// Sets what the active faults do to endpoints and zones.
+    pub(super) fn apply_faults(&mut self) {
+        let script = self.script;
+        let active: Vec<(&Fault, &Struck)> = self
+            .active_faults
+            .iter()
+            .map(|active| (&script.faults[active.index], &active.targets))
+            .collect();
+        for (index, endpoint) in self.endpoints.iter_mut().enumerate() {
+            endpoint.weather = weather(&active, index);
+        }
+        let (requests, responses) = cuts(&active, script.zones.len());
+        self.partitions = Partitions {
+            requests,
+            responses,
+        };
+    }
+
+    pub(super) fn begin_fault(&mut self, index: usize) {
+        let fault = &self.script.faults[index];
+        let listed = &self.endpoint_list.listed;
+        let targets = strike(self.script, index, self.seed, &self.endpoints, listed);
+        let duration_ms = 1000.0 * fault.lasts;
+        self.schedule(duration_ms, Event::FaultEnds { fault: index });
+        self.start_effects(index, fault, &targets);
+        self.active_faults.push(ActiveFault { index, targets });
+        self.apply_faults();
+    }
+
+    /// What a fault does once, when it begins.
+    fn start_effects(&mut self, index: usize, fault: &Fault, targets: &Struck) {
+        let duration_ms = 1000.0 * fault.lasts;
+        match fault.kind {
+            Kind::Hang => {
+                for endpoint in &targets.servers {
+                    self.pause_endpoint(*endpoint, duration_ms);
+                }
+            }
+            Kind::Pauses => self.schedule(0.0, Event::EndpointsPause { fault: index }),
+            Kind::Release => {
+                let step_ms = duration_ms / targets.servers.len().max(1) as f64;
+                for (turn, endpoint) in targets.servers.iter().copied().enumerate() {
+                    self.schedule(step_ms * turn as f64, Event::EndpointReplaced { endpoint });
+                }
+            }
+            Kind::KillServers => {
+                for endpoint in &targets.servers {
+                    self.kill_endpoint(*endpoint, 1000.0 * fault.strength);
+                }
+            }
+            Kind::KillNodes => {
+                for proxy in &targets.nodes {
+                    self.kill_proxy(*proxy, 1000.0 * fault.strength);
+                }
+            }
+            Kind::DiscoveryDown => self.endpoint_list.outages += 1,
+            Kind::ClockStep => self.shift_clocks(targets, 1000.0 * fault.strength),
+            _ => {}
+        }
+    }
+
+    pub(super) fn end_fault(&mut self, index: usize) {
+        let fault = &self.script.faults[index];
+        if fault.kind == Kind::DiscoveryDown {
+            self.endpoint_list.outages -= 1;
+            self.schedule_notifications(true);
+        }
+        let ended = |active: &ActiveFault| active.index == index;
+        if let Some(place) = self.active_faults.iter().position(ended) {
+            let ended = self.active_faults.remove(place);
+            if fault.kind == Kind::ClockStep {
+                self.shift_clocks(&ended.targets, -1000.0 * fault.strength);
+            }
+        }
+        self.apply_faults();
+    }
+
+    fn shift_clocks(&mut self, targets: &Struck, offset_ms: f64) {
+        for endpoint in &targets.servers {
+            self.endpoint_list.clock_offsets_ms[*endpoint] += offset_ms;
+        }
+    }
+
+    fn pause_endpoint(&mut self, endpoint: usize, duration_ms: f64) {
+        let until = self.now + duration_ms;
+        let endpoint = &mut self.endpoints[endpoint];
+        endpoint.stopped_until = endpoint.stopped_until.max(until);
+    }
+
+    /// Each target of a fault pauses now with a small chance, for as long as the fault is active.
+    pub(super) fn pause_endpoints(&mut self, index: usize) {
+        let pause_ms = self.script.faults[index].strength;
+        let active = self
+            .active_faults
+            .iter()
+            .find(|active| active.index == index);
+        let Some(active) = active else {
+            return;
+        };
+        for endpoint in active.targets.servers.clone() {
+            if self.random.faults.yes(PAUSE_PROBABILITY) {
+                self.pause_endpoint(endpoint, pause_ms);
+            }
+        }
+        self.schedule(PAUSE_INTERVAL_MS, Event::EndpointsPause { fault: index });
+    }
+}
--- /dev/null
+++ b/simulator/src/environment/mod.rs
@@ -0,0 +1,142 @@
+//! A run in virtual time: clients, proxies, the network between them and the endpoints, driven by one event queue.
+//!
+//! [`run`] takes events in order of time until the script ends. Each submodule holds the state and the event
+//! handlers of one concern.
+
+mod attempts;
+mod clients;
+mod discovery;
+mod endpoints;
+mod event_queue;
+mod fault_schedule;
+mod network;
+mod proxies;
+mod requests;
+mod setup;
+mod slab;
+
+use crate::invariants::InvariantChecker;
+use crate::policies::PolicyKind;
+use crate::random::Stream;
+use crate::results::{RunResults, Tally};
+use crate::script::Script;
+use crate::server::Server;
+use clients::{ClientCall, RoutingTable};
+use discovery::EndpointList;
+use event_queue::{Event, EventQueue};
+use fault_schedule::ActiveFault;
+use network::Partitions;
+use proxies::Proxy;
+use requests::Request;
+use slab::Slab;
+
+/// Time at the start of a run: any that is far from 0, which stands for "long ago".
+const START_MS: f64 = 1_000_000_000.0;
+
+/// One random stream for each use, so that a change of one does not shift the draws of the others.
+struct RandomStreams {
+    arrivals: Stream,
+    work: Stream,
+    clients: Stream,
+    network: Stream,
+    discovery: Stream,
+    faults: Stream,
+}
+
+/// The state of a run.
+struct Environment<'a> {
+    script: &'a Script,
+    policy_kind: PolicyKind,
+    seed: u64,
+    now: f64,
+    end: f64,
+    queue: EventQueue,
+    /// Serial number of the latest request.
+    request_serial: u64,
+    events_handled: u64,
+    proxies: Vec<Proxy>,
+    endpoints: Vec<Server>,
+    endpoint_list: EndpointList,
+    calls: Slab<ClientCall>,
+    requests: Slab<Request>,
+    active_faults: Vec<ActiveFault>,
+    partitions: Partitions,
+    random: RandomStreams,
+    /// Whom clients reach: one table for each zone, and at the end one for all proxies.
+    routing: Vec<RoutingTable>,
+    /// The highest arrival rate of the script, in calls a millisecond.
+    peak_rate: f64,
+    zone_weights: Vec<f64>,
+    /// Mean work of a request on a core of speed one.
+    mean_work_ms: f64,
+    checker: InvariantChecker,
+    tally: Tally,
+}
+
+/// Runs a script with one policy and one seed.
+///
+/// # Errors
+///
+/// A policy that cannot be made from the script's settings.
+pub fn run(script: &Script, policy_kind: PolicyKind, seed: u64) -> Result<RunResults, String> {
+    let mut environment = Environment::new(script, policy_kind, seed)?;
+    while let Some((at, event)) = environment.queue.pop() {
+        if at > environment.end {
+            break;
+        }
+        environment.now = at;
+        environment.events_handled += 1;
+        environment.handle(event);
+    }
+    let Environment {
+        tally,
+        checker,
+        events_handled,
+        ..
+    } = environment;
+    Ok(tally.sum_up(script, policy_kind.name(), seed, &checker, events_handled))
+}
+
+impl Environment<'_> {
+    fn schedule(&mut self, delay_ms: f64, event: Event) {
+        self.queue.push(self.now + delay_ms.max(0.0), event);
+    }
+
+    /// Time since the start of the run.
+    fn elapsed_ms(&self) -> f64 {
+        self.now - START_MS
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::CallArrives => self.call_arrives(),
+            Event::CallRetries { call } => self.send_request(call),
+            Event::ClientLeaves { request } => self.client_leaves(request),
+            Event::DeadlinePasses { request } => self.deadline_passes(request),
+            Event::AttemptArrives { attempt, endpoint } => self.attempt_arrives(attempt, endpoint),
+            Event::AttemptEnds {
+                attempt,
+                outcome,
+                load,
+            } => self.attempt_ends(attempt, outcome, load),
+            Event::AttemptTimesOut { attempt } => self.attempt_times_out(attempt),
+            Event::CancellationArrives { attempt, endpoint } => {
+                self.cancellation_arrives(attempt, endpoint);
+            }
+            Event::JobFinishes {
+                endpoint,
+                job_number,
+            } => self.job_finishes(endpoint, job_number),
+            Event::EndpointReplaced { endpoint } => self.replace_endpoint(endpoint),
+            Event::EndpointRemoved { endpoint } => self.remove_endpoint(endpoint),
+            Event::EndpointRestarts { endpoint } => self.restart_endpoint(endpoint),
+            Event::ProxyTicks { proxy } => self.proxy_ticks(proxy),
+            Event::ProxyNotified { proxy, full_list } => self.notify_proxy(proxy, full_list),
+            Event::ProxyRestarts { proxy } => self.restart_proxy(proxy),
+            Event::ProxyFailureNoticed { proxy } => self.proxy_failure_noticed(proxy),
+            Event::FaultBegins { fault } => self.begin_fault(fault),
+            Event::FaultEnds { fault } => self.end_fault(fault),
+            Event::EndpointsPause { fault } => self.pause_endpoints(fault),
+        }
+    }
+}
--- /dev/null
+++ b/simulator/src/environment/network.rs
@@ -0,0 +1,174 @@
+//! The network: what a path takes, partitions between zones, and the connections of proxies to endpoints.
+
+use super::event_queue::{AttemptRef, EndpointRef, Event};
+use super::Environment;
+
+/// Endpoints close an idle connection after the keepalive time; proxies use it only up to this part of that time.
+const KEEPALIVE_FRACTION_MS: f64 = 750.0;
+
+/// Which zones' messages are lost on the way to which zone: `[from][to]`.
+pub(super) struct Partitions {
+    pub(super) requests: Vec<Vec<bool>>,
+    pub(super) responses: Vec<Vec<bool>>,
+}
+
+impl Partitions {
+    pub(super) fn none(zones: usize) -> Self {
+        Partitions {
+            requests: vec![vec![false; zones]; zones],
+            responses: vec![vec![false; zones]; zones],
+        }
+    }
+}
+
+/// Connections of one proxy to one endpoint.
+#[derive(Clone, Copy, Default)]
+pub(super) struct ConnectionPool {
+    idle: u32,
+    pub(super) open: u32,
+    last_used: f64,
+    /// The endpoint's incarnation that they are connected to.
+    pub(super) incarnation: u32,
+}
+
+impl ConnectionPool {
+    /// Drops connections to an earlier incarnation, or those idle for too long. Returns how many the endpoint is
+    /// to forget.
+    fn discard_stale(&mut self, incarnation: u32, now: f64, idle_timeout_ms: f64) -> u32 {
+        if self.incarnation != incarnation {
+            self.incarnation = incarnation;
+            self.open = 0;
+            self.idle = 0;
+            return 0;
+        }
+        if now - self.last_used > idle_timeout_ms {
+            let discarded = self.idle;
+            self.open -= discarded.min(self.open);
+            self.idle = 0;
+            return discarded;
+        }
+        0
+    }
+
+    fn take_idle(&mut self) -> bool {
+        if self.idle == 0 {
+            return false;
+        }
+        self.idle -= 1;
+        true
+    }
+
+    /// A connection is free for the next attempt.
+    pub(super) fn release(&mut self, now: f64) {
+        self.idle += 1;
+        self.last_used = now;
+    }
+}
+
+/// Who is reached from a zone to an endpoint.
+#[derive(Clone, Copy)]
+pub(super) struct Reachability {
+    /// Requests arrive at the machine.
+    pub(super) requests: bool,
+    /// Responses come back as well.
+    pub(super) responses: bool,
+}
+
+impl Environment<'_> {
+    /// Draws the time that a message takes from one zone to another.
+    pub(super) fn draw_path_delay(&mut self, from_zone: usize, to_zone: usize) -> f64 {
+        let network = &self.script.way;
+        let mean_ms = if from_zone == to_zone {
+            network.same_ms
+        } else {
+            network.cross_ms
+        };
+        mean_ms * self.random.network.log_normal(network.jitter)
+    }
+
+    pub(super) fn reachability(&self, from_zone: usize, endpoint: usize) -> Reachability {
+        let endpoint = &self.endpoints[endpoint];
+        let requests =
+            !endpoint.weather.silent && !self.partitions.requests[from_zone][endpoint.zone];
+        let responses = requests && !self.partitions.responses[endpoint.zone][from_zone];
+        Reachability {
+            requests,
+            responses,
+        }
+    }
+
+    /// The pool of a proxy for an endpoint, without stale connections; its time of use is now.
+    fn refreshed_pool(&mut self, proxy: usize, endpoint: usize) -> &mut ConnectionPool {
+        let idle_timeout_ms = KEEPALIVE_FRACTION_MS * self.script.way.keepalive;
+        let server = &mut self.endpoints[endpoint];
+        let pools = &mut self.proxies[proxy].connections;
+        if pools.len() <= endpoint {
+            pools.resize(endpoint + 1, ConnectionPool::default());
+        }
+        let pool = &mut pools[endpoint];
+        let discarded = pool.discard_stale(server.life, self.now, idle_timeout_ms);
+        server.connections = server.connections.saturating_sub(discarded as usize);
+        pool.last_used = self.now;
+        pool
+    }
+
+    /// Takes an idle connection from the pool of a proxy; false where there is none.
+    pub(super) fn take_idle_connection(&mut self, proxy: usize, endpoint: usize) -> bool {
+        self.refreshed_pool(proxy, endpoint).take_idle()
+    }
+
+    /// Opens a connection; false where the endpoint is down, full, or not heard.
+    pub(super) fn open_connection(
+        &mut self,
+        proxy: usize,
+        endpoint: usize,
+        reachability: Reachability,
+    ) -> bool {
+        let server = &mut self.endpoints[endpoint];
+        let full = server.connections >= server.machine.connections;
+        if !server.up || !reachability.responses || full {
+            return false;
+        }
+        server.connections += 1;
+        self.proxies[proxy].connections[endpoint].open += 1;
+        true
+    }
+
+    /// Closes the connection of an attempt that did not end with a full response.
+    pub(super) fn close_connection(&mut self, proxy: usize, endpoint: EndpointRef) {
+        let pools = &mut self.proxies[proxy].connections;
+        let Some(pool) = pools.get_mut(endpoint.index) else {
+            return;
+        };
+        if pool.incarnation != endpoint.incarnation {
+            return;
+        }
+        pool.open = pool.open.saturating_sub(1);
+        let server = &mut self.endpoints[endpoint.index];
+        if server.life == endpoint.incarnation {
+            server.connections = server.connections.saturating_sub(1);
+        }
+    }
+
+    /// Closes all connections of a proxy that died.
+    pub(super) fn close_all_connections(&mut self, proxy: usize) {
+        let pools = self.proxies[proxy].connections.iter_mut();
+        for (pool, endpoint) in pools.zip(&mut self.endpoints) {
+            let closed = std::mem::take(pool);
+            if endpoint.life == closed.incarnation {
+                endpoint.connections = endpoint.connections.saturating_sub(closed.open as usize);
+            }
+        }
+    }
+
+    /// An attempt leaves its proxy for the endpoint as it is now.
+    pub(super) fn send(&mut self, delay_ms: f64, attempt: AttemptRef, endpoint: usize) {
+        let server = &mut self.endpoints[endpoint];
+        server.coming += 1;
+        let endpoint = EndpointRef {
+            index: endpoint,
+            incarnation: server.life,
+        };
+        self.schedule(delay_ms, Event::AttemptArrives { attempt, endpoint });
+    }
+}
--- /dev/null
+++ b/simulator/src/environment/proxies.rs
@@ -0,0 +1,234 @@
+//! Proxies: their policies, timers, deaths and restarts.
+
+use super::event_queue::{Event, ProxyRef};
+use super::network::{ConnectionPool, Partitions};
+use super::Environment;
+use crate::policies::{Policy, Truth};
+use crate::results::Outcome;
+use crate::script::{Idempotency, Script};
+use crate::server::Server;
+
+/// The policy that sees the true state avoids a machine once this part of the wait that degrades it is expected:
+/// the work of requests differs, so the rest is left to chance.
+const SAFE_WAIT_FRACTION: f64 = 0.5;
+/// From this chance of failing at once an endpoint counts as faulty.
+const FAULTY_PROBABILITY: f64 = 0.5;
+
+/// One proxy.
+pub(super) struct Proxy {
+    pub(super) policy: Policy,
+    pub(super) up: bool,
+    pub(super) incarnation: u32,
+    pub(super) zone: usize,
+    /// Weight among the proxies that clients are routed to.
+    pub(super) weight: f64,
+    /// Whether clients are routed to it: until its death is noticed.
+    pub(super) routed: bool,
+    /// How many changes of the endpoint list it was notified of.
+    pub(super) changes_seen: usize,
+    next_tick: f64,
+    /// By endpoint.
+    pub(super) connections: Vec<ConnectionPool>,
+    /// When it was notified that an endpoint drains or is removed.
+    pub(super) drain_notified_at: Vec<Option<f64>>,
+}
+
+impl Proxy {
+    pub(super) fn new(policy: Policy, zone: usize, weight: f64) -> Self {
+        Proxy {
+            policy,
+            up: true,
+            incarnation: 0,
+            zone,
+            weight,
+            routed: true,
+            changes_seen: 0,
+            next_tick: f64::INFINITY,
+            connections: Vec::new(),
+            drain_notified_at: Vec::new(),
+        }
+    }
+
+    /// When it was notified that this endpoint drains or is removed, if it does.
+    pub(super) fn draining_since(&self, endpoint: usize) -> Option<f64> {
+        self.drain_notified_at.get(endpoint).copied().flatten()
+    }
+}
+
+/// The true state of the endpoints, as it matters to a proxy of one zone.
+struct TrueState<'a> {
+    script: &'a Script,
+    endpoints: &'a [Server],
+    partitions: &'a Partitions,
+    now: f64,
+    mean_work_ms: f64,
+    zone: usize,
+}
+
+impl TrueState<'_> {
+    fn of(&self, endpoint: usize) -> Truth {
+        let endpoint = &self.endpoints[endpoint];
+        let load = endpoint.held() + endpoint.coming;
+        let machine = &endpoint.machine;
+        let has_room = load < machine.cores + machine.queue;
+        let healthy = self.reaches(endpoint) && endpoint.weather.fail_fast < FAULTY_PROBABILITY;
+        let rounds = (load + 1) as f64 / machine.cores as f64;
+        let paused_ms = (endpoint.stopped_until - self.now).max(0.0);
+        let path_ms = if endpoint.zone == self.zone {
+            self.script.way.same_ms
+        } else {
+            self.script.way.cross_ms
+        };
+        let round_ms = self.mean_work_ms / endpoint.speed(self.now).max(1e-6);
+        let wait_ms = paused_ms + (rounds - 1.0).max(0.0) * round_ms;
+        let would_degrade = machine
+            .tips
+            .is_some_and(|tips| wait_ms > SAFE_WAIT_FRACTION * tips.after_ms);
+        let latency_ms = 2.0 * path_ms + paused_ms + rounds.max(1.0) * round_ms;
+        Truth {
+            takes: (healthy && has_room && !would_degrade).then_some(latency_ms),
+        }
+    }
+
+    /// Whether requests reach an endpoint and its responses come back.
+    fn reaches(&self, endpoint: &Server) -> bool {
+        endpoint.up
+            && !endpoint.weather.silent
+            && !self.partitions.requests[self.zone][endpoint.zone]
+            && !self.partitions.responses[endpoint.zone][self.zone]
+    }
+}
+
+impl Environment<'_> {
+    /// Calls the policy of a proxy, which may look at the true state if it is one that sees it.
+    pub(super) fn with_policy<T>(
+        &mut self,
+        proxy: usize,
+        call: impl FnOnce(&mut Policy, f64, &dyn Fn(usize) -> Truth) -> T,
+    ) -> T {
+        let state = TrueState {
+            script: self.script,
+            endpoints: &self.endpoints,
+            partitions: &self.partitions,
+            now: self.now,
+            mean_work_ms: self.mean_work_ms,
+            zone: self.proxies[proxy].zone,
+        };
+        let truth = |endpoint: usize| state.of(endpoint);
+        call(&mut self.proxies[proxy].policy, self.now, &truth)
+    }
+
+    /// Sees to what a policy wants after each call: its endpoint list in full, and its next timer.
+    pub(super) fn serve_policy(&mut self, proxy: usize) {
+        let (next_tick, wants_list) = self.proxies[proxy].policy.wants();
+        if wants_list {
+            self.schedule_notification(proxy, true);
+        }
+        let state = &mut self.proxies[proxy];
+        if let Some(at) = next_tick.filter(|at| *at < state.next_tick) {
+            state.next_tick = at.max(self.now);
+            let delay_ms = state.next_tick - self.now;
+            self.schedule(delay_ms, Event::ProxyTicks { proxy });
+        }
+    }
+
+    pub(super) fn proxy_ticks(&mut self, proxy: usize) {
+        let state = &mut self.proxies[proxy];
+        if !state.up || state.next_tick > self.now {
+            return;
+        }
+        state.next_tick = f64::INFINITY;
+        let decided = self.with_policy(proxy, |policy, now, _| policy.tick(now));
+        for (request_index, steps) in decided {
+            self.execute_steps(request_index, steps);
+        }
+        self.serve_policy(proxy);
+    }
+
+    /// A proxy dies with all that it holds, and restarts after a while.
+    pub(super) fn kill_proxy(&mut self, proxy: usize, restart_after_ms: f64) {
+        let state = &mut self.proxies[proxy];
+        if !state.up {
+            return;
+        }
+        state.up = false;
+        state.incarnation += 1;
+        state.next_tick = f64::INFINITY;
+        let dead = ProxyRef {
+            index: proxy,
+            incarnation: state.incarnation,
+        };
+        let noticed_after_ms = 1000.0 * self.script.clients.notice;
+        self.schedule(noticed_after_ms, Event::ProxyFailureNoticed { proxy: dead });
+        self.schedule(restart_after_ms, Event::ProxyRestarts { proxy: dead });
+        let held: Vec<usize> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.proxy == proxy)
+            .map(|(index, _)| index)
+            .collect();
+        for request_index in held {
+            self.lose_request(request_index);
+        }
+        self.close_all_connections(proxy);
+    }
+
+    /// The proxy of a request has died.
+    fn lose_request(&mut self, request_index: usize) {
+        let Some(request) = self.requests.get_mut(request_index) else {
+            return;
+        };
+        self.checker.node_died(self.now, &mut request.history);
+        let was_open = request.is_open();
+        request.abandoned = true;
+        let call = request.call;
+        let class = request.class;
+        let mut awaited = Vec::new();
+        for (number, attempt) in request.attempts.iter_mut().enumerate() {
+            if std::mem::take(&mut attempt.awaited) {
+                awaited.push(number);
+            }
+        }
+        for number in awaited {
+            self.abort_attempt(request_index, number);
+        }
+        if was_open {
+            if self.script.categories[class].effect == Idempotency::Idempotent {
+                self.request_unsuccessful(call, true, 0.0);
+            } else {
+                self.close_call(call, Outcome::Failed);
+            }
+        }
+        self.forget_if_finished(request_index);
+    }
+
+    /// Clients are no longer routed to a dead proxy.
+    pub(super) fn proxy_failure_noticed(&mut self, proxy: ProxyRef) {
+        let state = &mut self.proxies[proxy.index];
+        if state.incarnation == proxy.incarnation && !state.up {
+            state.routed = false;
+            self.update_routing();
+        }
+    }
+
+    pub(super) fn restart_proxy(&mut self, proxy: ProxyRef) {
+        let ProxyRef { index, incarnation } = proxy;
+        if self.proxies[index].incarnation != incarnation || self.proxies[index].up {
+            return;
+        }
+        let seed = self
+            .seed
+            .wrapping_add(u64::from(incarnation) << 32)
+            .wrapping_add(index as u64);
+        // The same script made a policy at the start of the run, so there is no error to report.
+        if let Ok(policy) = Policy::new(self.policy_kind, self.script, index, seed) {
+            let state = &mut self.proxies[index];
+            state.policy = policy;
+            state.up = true;
+            state.routed = true;
+            state.drain_notified_at.fill(None);
+            self.start_proxy(index);
+            self.update_routing();
+        }
+    }
+}
--- /dev/null
+++ b/simulator/src/environment/setup.rs
@@ -0,0 +1,150 @@
+//! The state of a run at its start.
+
+use super::clients::RoutingTable;
+use super::discovery::EndpointList;
+use super::event_queue::{Event, EventQueue};
+use super::network::Partitions;
+use super::proxies::Proxy;
+use super::slab::Slab;
+use super::{Environment, RandomStreams, START_MS};
+use crate::invariants::InvariantChecker;
+use crate::policies::PolicyKind;
+use crate::random::{number, Stream};
+use crate::results::Tally;
+use crate::script::Script;
+use crate::server::Server;
+
+/// Odd multiplier (2^64 by the golden ratio) that spreads the seed of a run over the proxies' seeds.
+const SEED_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
+impl RandomStreams {
+    fn new(seed: u64) -> Self {
+        let stream = |name| Stream::of(seed, name);
+        RandomStreams {
+            arrivals: stream("arrivals"),
+            work: stream("work"),
+            clients: stream("clients"),
+            network: stream("way"),
+            discovery: stream("lists"),
+            faults: stream("faults"),
+        }
+    }
+}
+
+/// The endpoints that a script starts with. A pod stands within one zone.
+fn initial_endpoints(script: &Script) -> Vec<Server> {
+    let mut endpoints = Vec::new();
+    let mut pods = 0;
+    for machine in &script.machines {
+        for index in 0..machine.count {
+            let zone = (index / machine.pod_size) % script.zones.len();
+            let pod = pods + index / machine.pod_size;
+            let stable_hash = number(&format!("{} {index}", machine.kind));
+            endpoints.push(Server::new(
+                machine,
+                &script.duties,
+                stable_hash,
+                zone,
+                pod,
+                0.0,
+            ));
+        }
+        pods += machine.count.div_ceil(machine.pod_size);
+    }
+    endpoints
+}
+
+fn initial_proxies(
+    script: &Script,
+    policy_kind: PolicyKind,
+    seed: u64,
+    shape: &mut Stream,
+) -> Result<Vec<Proxy>, String> {
+    let mut proxies = Vec::new();
+    for index in 0..script.nodes {
+        let proxy_seed = seed
+            .wrapping_mul(SEED_MULTIPLIER)
+            .wrapping_add(index as u64);
+        let policy = crate::policies::Policy::new(policy_kind, script, index, proxy_seed)?;
+        let zone = index % script.zones.len();
+        let weight = shape.log_normal(script.load.node_spread);
+        proxies.push(Proxy::new(policy, zone, weight));
+    }
+    Ok(proxies)
+}
+
+/// Mean work of a request, over all classes by their part in the arrivals.
+fn mean_work_ms(script: &Script) -> f64 {
+    let weights: f64 = script.categories.iter().map(|class| class.weight).sum();
+    let work = script
+        .categories
+        .iter()
+        .map(|class| class.weight * class.work_ms);
+    work.sum::<f64>() / weights.max(1e-9)
+}
+
+/// The highest arrival rate, in calls a millisecond: at the crest of the wave, within the largest burst.
+fn peak_rate(script: &Script) -> f64 {
+    let bursts = script.load.bursts.iter().map(|burst| burst.times);
+    let largest_burst = bursts.fold(1.0, f64::max);
+    script.rate() / 1000.0 * (1.0 + script.load.wave) * largest_burst
+}
+
+impl<'a> Environment<'a> {
+    pub(super) fn new(
+        script: &'a Script,
+        policy_kind: PolicyKind,
+        seed: u64,
+    ) -> Result<Self, String> {
+        let zones = script.zones.len();
+        let endpoints = initial_endpoints(script);
+        let mut shape = Stream::of(seed, "shape");
+        let zone_weights: Vec<f64> = (0..zones)
+            .map(|_| shape.log_normal(script.load.zone_spread))
+            .collect();
+        let proxies = initial_proxies(script, policy_kind, seed, &mut shape)?;
+        let limits = &script.duties;
+        let mut environment = Environment {
+            script,
+            policy_kind,
+            seed,
+            now: START_MS,
+            end: START_MS + 1000.0 * script.seconds,
+            queue: EventQueue::default(),
+            request_serial: 0,
+            events_handled: 0,
+            proxies,
+            endpoint_list: EndpointList::new(endpoints.len()),
+            endpoints,
+            calls: Slab::new(),
+            requests: Slab::new(),
+            active_faults: Vec::new(),
+            partitions: Partitions::none(zones),
+            random: RandomStreams::new(seed),
+            routing: Vec::<RoutingTable>::new(),
+            peak_rate: peak_rate(script),
+            zone_weights,
+            mean_work_ms: mean_work_ms(script),
+            checker: InvariantChecker::new(
+                limits.answer_slack_ms,
+                limits.drain_grace_ms,
+                limits.fall_multiple,
+                limits.fall_ms,
+            ),
+            tally: Tally::new(script),
+        };
+        environment.schedule_first_events();
+        Ok(environment)
+    }
+
+    fn schedule_first_events(&mut self) {
+        for proxy in 0..self.proxies.len() {
+            self.start_proxy(proxy);
+        }
+        self.update_routing();
+        self.schedule_next_call();
+        for (fault, settings) in self.script.faults.iter().enumerate() {
+            self.schedule(1000.0 * settings.at, Event::FaultBegins { fault });
+        }
+    }
+}
--- a/simulator/tests/environments.rs
+++ b/simulator/tests/environments.rs
@@ -1,6 +1,6 @@
 //! Worlds in virtual time: wrong nodes are caught, chance keeps to its streams, faulty scripts are named.
 
-use crankmux_simulator::environment::play;
+use crankmux_simulator::environment::run;
 use crankmux_simulator::policies::PolicyKind;
 use crankmux_simulator::script::Script;
 
@@ -64,7 +64,7 @@
 
 /// Rules broken, in the order of the pages: lost, twice, drains, cold.
 fn broken(how: PolicyKind, more: &str) -> [u64; 5] {
-    let figures = play(&script(more), how, 5).expect("a chooser");
+    let figures = run(&script(more), how, 5).expect("a chooser");
     assert!(figures.all.wanted > 1000, "{}", figures.all.wanted);
     if let Some(life) = figures.lives.first() {
         assert!(figures.broken != [0; 5] && !life.is_empty());
@@ -100,7 +100,7 @@
 #[test]
 fn a_node_that_repeats_what_may_have_run_is_caught_with_that_ops_life() {
     let resets = LOST.replace("answers-lost", "resets");
-    let figures = play(&script(&resets), PolicyKind::Repeats, 5).expect("a chooser");
+    let figures = run(&script(&resets), PolicyKind::Repeats, 5).expect("a chooser");
     assert!(
         figures.broken[1] > 20 && figures.broken[2] == 0,
         "{:?}",
@@ -125,7 +125,7 @@
 
 #[test]
 fn a_node_that_floods_a_cold_server_is_caught_and_the_server_falls_over() {
-    let figures = play(&script(RELEASE), PolicyKind::Floods, 5).expect("a chooser");
+    let figures = run(&script(RELEASE), PolicyKind::Floods, 5).expect("a chooser");
     assert!(
         figures.broken[3] > 0 && figures.fell_over == figures.broken[3],
         "{:?}",
@@ -141,7 +141,7 @@
         .replace("ttl_ms = 800", "ttl_ms = 3000")
         .replace("ttl_ms = 900", "ttl_ms = 3000");
     let script = Script::read(&script).unwrap_or_else(|faulty| panic!("{faulty}"));
-    let left = |how| play(&script, how, 5).expect("a chooser").broken[4];
+    let left = |how| run(&script, how, 5).expect("a chooser").broken[4];
     assert!(
         left(PolicyKind::SendsOn) > 20,
         "{}",
@@ -153,7 +153,7 @@
 #[test]
 fn a_fault_more_does_not_shuffle_the_arrivals() {
     let wanted = |more: &str| {
-        let figures = play(&script(more), PolicyKind::Module, 3).expect("a chooser");
+        let figures = run(&script(more), PolicyKind::Module, 3).expect("a chooser");
         figures
             .seconds
             .iter()
@@ -168,7 +168,7 @@
 #[test]
 fn two_plays_of_one_seed_are_alike_to_the_byte_and_two_seeds_are_not() {
     let bytes =
-        |seed| serde_json::to_vec(&play(&script(LOST), PolicyKind::Module, seed).unwrap()).unwrap();
+        |seed| serde_json::to_vec(&run(&script(LOST), PolicyKind::Module, seed).unwrap()).unwrap();
     assert!(bytes(3) == bytes(3));
     assert!(bytes(3) != bytes(4));
 }
@@ -182,7 +182,7 @@
             "cores = 2\nqueue = 60\ntips = { after_ms = 150, to = 0.3, relief = 0.3, relief_for = 2 }",
         );
     let tips = Script::read(&tips).unwrap_or_else(|faulty| panic!("{faulty}"));
-    let random = play(&tips, PolicyKind::Random, 5).expect("a chooser");
+    let random = run(&tips, PolicyKind::Random, 5).expect("a chooser");
     let last = &random.seconds[11].counts;
     assert!(
         random.tipped > 4 && last.service < 70.0,
@@ -194,7 +194,7 @@
         ..script("")
     };
     assert!(
-        play(&calm, PolicyKind::Random, 5)
+        run(&calm, PolicyKind::Random, 5)
             .expect("a chooser")
             .service
             > 90.0
@@ -205,7 +205,7 @@
 fn the_one_that_sees_the_true_state_serves_best_and_cuts_are_felt() {
     let cut = "[[faults]]\nkind = \"zone-cut\"\nzone = \"b\"\nat = 3\nfor = 6\n\
                [[faults]]\nkind = \"slow\"\nat = 4\nfor = 6\nstrength = 6.0\npart = 0.4\n";
-    let of = |how| play(&script(cut), how, 5).expect("a chooser").service;
+    let of = |how| run(&script(cut), how, 5).expect("a chooser").service;
     let (top, module, random) = (
         of(PolicyKind::Top),
         of(PolicyKind::Module),
