--- a/fault-injection/src/harness.rs
+++ b/fault-injection/src/harness.rs
@@ -5,7 +5,7 @@
 use crate::relay::{Relays, Way};
 use crankmux::types::AttemptOutcome;
 use crankmux_simulator::invariants::{Answer, InvariantChecker, Life, Repeats, Rule};
-use crankmux_simulator::script::{Category, Group, Idempotency, Script};
+use crankmux_simulator::script::{DeduplicationScope, Idempotency, RequestClass, Script};
 use crankmux_simulator::server::{Begun, Job, Server};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
@@ -149,20 +149,24 @@
         let unix = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(0.0, |d| d.as_secs_f64() * 1000.0);
-        let weights: f64 = script.categories.iter().map(|c| c.weight).sum();
+        let weights: f64 = script
+            .request_classes
+            .iter()
+            .map(|c| c.arrival_weight)
+            .sum();
         let ordinary = script
-            .categories
+            .request_classes
             .iter()
-            .map(|c| c.weight * c.work_ms)
+            .map(|c| c.arrival_weight * c.mean_work_ms)
             .sum::<f64>()
             / weights;
-        let duties = &script.duties;
+        let duties = &script.limits;
         let slack = duties.answer_slack_ms + LOOP_LATE;
         let judge = InvariantChecker::new(
             slack,
             duties.drain_grace_ms + LOOP_LATE,
-            duties.fall_multiple,
-            duties.fall_ms,
+            duties.overload_multiple,
+            duties.overload_window_ms,
         );
         let mut rig = Harness {
             nodes: Vec::new(),
@@ -170,7 +174,7 @@
             judge,
             views: Vec::new(),
             service: Service::default(),
-            rate: script.rate() / script.nodes as f64,
+            rate: script.rate() / script.proxies as f64,
             poll,
             events: Events::with_capacity(1024),
             began: Instant::now(),
@@ -178,7 +182,7 @@
             chance: ChaCha8Rng::seed_from_u64(start.seed),
             listeners: Vec::new(),
             conns: Slab::new(),
-            idle: vec![VecDeque::new(); script.nodes],
+            idle: vec![VecDeque::new(); script.proxies],
             due: BTreeMap::new(),
             next_due: 0,
             servers: Vec::new(),
@@ -188,12 +192,12 @@
             health: Vec::new(),
             versions: Vec::new(),
             seq: 1,
-            blind: vec![false; script.nodes],
+            blind: vec![false; script.proxies],
             polls: Vec::new(),
-            told_drain: vec![Vec::new(); script.nodes],
-            deals: vec![false; script.nodes],
+            told_drain: vec![Vec::new(); script.proxies],
+            deals: vec![false; script.proxies],
             opened: false,
-            began_at: vec![0.0; script.nodes],
+            began_at: vec![0.0; script.proxies],
             ops: Slab::new(),
             serial: 0,
             reached: Vec::new(),
@@ -209,15 +213,15 @@
     }
 
     fn build(&mut self) {
-        let (script, nodes) = (self.script.clone(), self.script.nodes);
-        for machine in &script.machines {
+        let (script, nodes) = (self.script.clone(), self.script.proxies);
+        for machine in &script.machine_types {
             for _ in 0..machine.count {
                 let server = self.servers.len();
                 let zone = server % script.zones.len();
                 let pod = server / machine.pod_size;
                 self.servers.push(Server::new(
                     machine,
-                    &script.duties,
+                    &script.limits,
                     server as u64,
                     zone,
                     pod,
@@ -569,14 +573,19 @@
 
     fn send(&mut self, node: usize) {
         let now = self.now();
-        let total: f64 = self.script.categories.iter().map(|c| c.weight).sum();
+        let total: f64 = self
+            .script
+            .request_classes
+            .iter()
+            .map(|c| c.arrival_weight)
+            .sum();
         let mut at = self.chance.random::<f64>() * total;
-        let place = self.script.categories.iter().position(|c| {
-            at -= c.weight;
+        let place = self.script.request_classes.iter().position(|c| {
+            at -= c.arrival_weight;
             at < 0.0
         });
         let category = place.unwrap_or(0);
-        let terms = self.script.categories[category].clone();
+        let terms = self.script.request_classes[category].clone();
         let reused = !self.idle[node].is_empty();
         let conn = match self.idle[node].pop_front() {
             Some(conn) => conn,
@@ -587,9 +596,13 @@
         };
         self.serial += 1;
         let ends = now + terms.ttl_ms;
-        let life = self
-            .judge
-            .taken(now, node, repeats(&terms), terms.window_ms, ends);
+        let life = self.judge.taken(
+            now,
+            node,
+            repeats(&terms),
+            terms.deduplication_window_ms,
+            ends,
+        );
         let op = self.ops.insert(Op {
             node,
             serial: self.serial,
@@ -613,11 +626,11 @@
         self.seconds[second].0 += 1;
         let text = self.request(op);
         self.say(conn, &text);
-        if self.chance.random::<f64>() < self.script.clients.impatient {
+        if self.chance.random::<f64>() < self.script.clients.impatient_fraction {
             self.after(0.5 * terms.ttl_ms, move |rig| rig.leave(op));
         }
         // Its life is over some time after its end: late pushes are still seen until then.
-        let slack = self.script.duties.answer_slack_ms + LOOP_LATE;
+        let slack = self.script.limits.answer_slack_ms + LOOP_LATE;
         self.after(terms.ttl_ms + slack, move |rig| rig.over(op));
     }
 
@@ -702,7 +715,7 @@
         } = self.ops[op];
         // In seconds, as clients tell it.
         let ttl = (ends - self.now()).max(1.0) / 1000.0;
-        let name = &self.script.categories[category].name;
+        let name = &self.script.request_classes[category].name;
         format!(
             "GET /{name} HTTP/1.1\r\nHost: rig\r\nX-Request-ID: {op}-{serial}\r\nX-Priority-Class: {name}\r\n\
              X-Timeout: {ttl:.3}\r\n\r\n"
@@ -733,7 +746,7 @@
         match answer {
             Answer::Acked => {
                 service.acked += 1;
-                let target = self.script.categories[it.category].target_ms;
+                let target = self.script.request_classes[it.category].latency_objective_ms;
                 let in_time = u64::from(now - it.sent <= target);
                 service.in_time += in_time;
                 self.seconds[(it.sent / 1000.0) as usize].1 += in_time;
@@ -747,10 +760,10 @@
     // ------------------------------------------------------------ servers
 
     fn group(&self, server: usize, category: usize) -> u64 {
-        match self.script.categories[category].group {
-            Group::Fleet => 0,
-            Group::Zone => self.servers[server].zone as u64,
-            Group::Pod => self.servers[server].pod as u64,
+        match self.script.request_classes[category].deduplication_scope {
+            DeduplicationScope::Fleet => 0,
+            DeduplicationScope::Zone => self.servers[server].zone as u64,
+            DeduplicationScope::Pod => self.servers[server].pod as u64,
         }
     }
 
@@ -775,8 +788,8 @@
         let it = &self.ops[op];
         let (category, ends, push) = (it.category, it.ends, it.pushes);
         let group = self.group(server, category);
-        let terms = &self.script.categories[category];
-        let (work, ordinary) = (terms.work_ms, terms.work_ms / self.ordinary);
+        let terms = &self.script.request_classes[category];
+        let (work, ordinary) = (terms.mean_work_ms, terms.mean_work_ms / self.ordinary);
         let work = work * (0.5 + self.chance.random::<f64>());
         let draining = self.told_drain[node][server];
         let it = &mut self.ops[op];
@@ -866,10 +879,10 @@
         let Some(key) = self.awaited.remove(&(job.op, job.serial, job.push)) else {
             return;
         };
-        let reports = &self.script.reports;
+        let reports = &self.script.load_reports;
         let told = reports
-            .told
-            .then(|| self.servers[server].report(now, reports.period_ms, reports.delay_ms));
+            .enabled
+            .then(|| self.servers[server].report(now, reports.interval_ms, reports.delay_ms));
         let load = told.flatten().map_or_else(String::new, |(held, waiting)| {
             format!("X-Server-Load: TEXT inflight={held}, queue={waiting}\r\n")
         });
@@ -940,7 +953,7 @@
             0.0
         };
         json!({"host": format!("s{server}"), "dial": self.dials[server][node].to_string(),
-               "site": self.script.zones[s.zone], "class": s.machine.kind, "block": s.pod,
+               "site": self.script.zones[s.zone], "class": s.machine.name, "block": s.pod,
                "health": self.health[server], "share": 1.0, "born_ms": born})
     }
 
@@ -1166,11 +1179,11 @@
     }
 }
 
-fn repeats(terms: &Category) -> Repeats {
-    match terms.effect {
+fn repeats(terms: &RequestClass) -> Repeats {
+    match terms.idempotency {
         Idempotency::Idempotent => Repeats::Freely,
         Idempotency::IdempotentWithKey => Repeats::Deduplicated {
-            fleet: terms.group == Group::Fleet,
+            fleet: terms.deduplication_scope == DeduplicationScope::Fleet,
         },
         Idempotency::NotIdempotent => Repeats::Never,
     }
--- a/fault-injection/src/run.rs
+++ b/fault-injection/src/run.rs
@@ -241,7 +241,7 @@
 pub fn play(play: &Play, world: Script, start: Start) -> Result<Report, String> {
     let (seed, fleet) = (start.seed, start.fleet);
     let mut world = Script {
-        nodes: play.processes,
+        proxies: play.processes,
         ..world
     };
     world.load.rate = play.rate.or(world.load.rate);
--- a/fault-injection/src/script.rs
+++ b/fault-injection/src/script.rs
@@ -1,7 +1,7 @@
 //! A rig's script: which world, how many processes, and what goes wrong between them, as a TOML file tells it.
 //! docs/rig.md lists every key. A faulty script is refused whole, with the line and the key.
 
-use crankmux_simulator::script::{read_whole, ScriptError};
+use crankmux_simulator::script::{read_validated, InvalidKey, ScriptError};
 use serde::Deserialize;
 
 #[derive(Clone, Debug, Deserialize)]
@@ -90,11 +90,11 @@
 impl Play {
     /// Reads a script whole, or names what is wrong with it.
     pub fn read(text: &str) -> Result<Self, ScriptError> {
-        read_whole(text, Play::check)
+        read_validated(text, Play::check)
     }
 
-    fn check(&self) -> Result<(), (String, String)> {
-        let wrong = |key: &str, what: &str| Err((key.to_string(), what.to_string()));
+    fn check(&self) -> Result<(), InvalidKey> {
+        let wrong = |key: &str, rule| Err(InvalidKey::rule(key, rule));
         if self.processes < 1 || self.processes > 200 {
             return wrong("processes", "must be 1 to 200");
         }
--- a/proxy/tests/fleet/main.rs
+++ b/proxy/tests/fleet/main.rs
@@ -47,7 +47,7 @@
 /// A rig of so many nodes; the settings tell as many, or so many.
 fn rig(name: &str, nodes: usize, change: impl FnOnce(&mut Start)) -> Harness {
     let mut script = Script::read(WORLD).expect("in order");
-    script.nodes = nodes;
+    script.proxies = nodes;
     let folder = std::env::temp_dir().join(format!(
         "crankmux-fault-injection-{}-{name}",
         std::process::id()
@@ -533,8 +533,8 @@
 #[test]
 fn twenty_nodes_together_push_no_cold_server_over() {
     let mut script = Script::read(WORLD).expect("in order");
-    (script.nodes, script.duties.cold) = (20, 8.0);
-    script.machines[0].count = 6;
+    (script.proxies, script.limits.slow_start_s) = (20, 8.0);
+    script.machine_types[0].count = 6;
     let folder = std::env::temp_dir().join(format!(
         "crankmux-fault-injection-{}-cold",
         std::process::id()
@@ -542,9 +542,9 @@
     let mut start = Start::new(env!("CARGO_BIN_EXE_crankmux"), folder);
     start.fleet = false;
     let (share, multiple, window) = (
-        script.duties.cold_share,
-        script.duties.fall_multiple,
-        script.duties.fall_ms,
+        script.limits.cold_capacity_fraction,
+        script.limits.overload_multiple,
+        script.limits.overload_window_ms,
     );
     let mut rig = Harness::new(script, start);
     // Ten a second at each node, thirty-three at each server.
@@ -576,14 +576,14 @@
 #[test]
 fn whoever_leaves_while_servers_fail_one_after_another_is_not_served_on() {
     let mut script = Script::read(WORLD).expect("in order");
-    (script.nodes, script.clients.impatient) = (2, 1.0);
+    (script.proxies, script.clients.impatient_fraction) = (2, 1.0);
     // A repeat may meet the next break within milliseconds: danger, on a quick machine all pushes that an op may
     // have are used up before its client leaves, and nobody leaves at all.
-    (script.duties.cold, script.duties.most_pushes) = (0.001, 50);
+    (script.limits.slow_start_s, script.limits.max_attempts) = (0.001, 50);
     script
-        .categories
+        .request_classes
         .iter_mut()
-        .for_each(|category| category.work_ms = 60_000.0);
+        .for_each(|category| category.mean_work_ms = 60_000.0);
     let folder = std::env::temp_dir().join(format!(
         "crankmux-fault-injection-{}-leavers",
         std::process::id()
--- a/scenarios/src/rehearse.rs
+++ b/scenarios/src/rehearse.rs
@@ -153,11 +153,11 @@
         ] {
             let script = scripts::shipped(name).expect("it ships");
             let load = Load {
-                share: Some(0.15),
+                capacity_fraction: Some(0.15),
                 ..script.load.clone()
             };
             let script = Script {
-                seconds: 22.0,
+                duration_s: 22.0,
                 load,
                 ..script
             };
@@ -192,12 +192,12 @@
     fn the_same_seed_gives_the_same_bytes_on_any_number_of_threads() {
         let script = scripts::shipped("three-troubles").expect("it ships");
         let load = Load {
-            share: Some(0.08),
+            capacity_fraction: Some(0.08),
             ..script.load.clone()
         };
         let script = Script {
-            seconds: 16.0,
-            nodes: 6,
+            duration_s: 16.0,
+            proxies: 6,
             load,
             ..script
         };
--- a/scenarios/src/tables.rs
+++ b/scenarios/src/tables.rs
@@ -4,7 +4,7 @@
 use crate::scripts::{self, Failed, SHIPPED};
 use crankmux_simulator::policies::PolicyKind;
 use crankmux_simulator::results::RunResults;
-use crankmux_simulator::script::{Fault, Kind, Script};
+use crankmux_simulator::script::{Fault, FaultKind, Script};
 
 #[derive(clap::Args)]
 pub struct Scripts {
@@ -76,28 +76,28 @@
 
 /// The eight faults whose pairs are played.
 fn eight() -> Vec<(&'static str, Fault)> {
-    let fault = |kind, strength, part| Fault {
+    let fault = |kind, strength, fraction| Fault {
         kind,
-        at: 8.0,
-        lasts: 10.0,
+        start_s: 8.0,
+        duration_s: 10.0,
         strength,
         zone: None,
-        machine: None,
-        part,
+        machine_type: None,
+        fraction,
     };
     let cut = Fault {
         zone: Some("b".into()),
-        ..fault(Kind::ZoneCut, 1.0, 1.0)
+        ..fault(FaultKind::ZonePartition, 1.0, 1.0)
     };
     vec![
-        ("slow", fault(Kind::Slow, 5.0, 0.25)),
-        ("hang", fault(Kind::Hang, 1.0, 0.15)),
-        ("fail-fast", fault(Kind::FailFast, 1.0, 0.15)),
-        ("answers-lost", fault(Kind::AnswersLost, 0.1, 1.0)),
+        ("slow", fault(FaultKind::Slow, 5.0, 0.25)),
+        ("hang", fault(FaultKind::Hang, 1.0, 0.15)),
+        ("fail-fast", fault(FaultKind::FailFast, 1.0, 0.15)),
+        ("answers-lost", fault(FaultKind::ResponsesLost, 0.1, 1.0)),
         ("zone-cut", cut),
-        ("release", fault(Kind::Release, 1.0, 0.4)),
-        ("kill-nodes", fault(Kind::KillNodes, 1.0, 0.6)),
-        ("discovery-down", fault(Kind::DiscoveryDown, 1.0, 1.0)),
+        ("release", fault(FaultKind::Release, 1.0, 0.4)),
+        ("kill-nodes", fault(FaultKind::KillProxies, 1.0, 0.6)),
+        ("discovery-down", fault(FaultKind::DiscoveryDown, 1.0, 1.0)),
     ]
 }
 
@@ -114,14 +114,14 @@
                 false => vec![
                     one.clone(),
                     Fault {
-                        at: other.at + 4.0,
+                        start_s: other.start_s + 4.0,
                         ..other.clone()
                     },
                 ],
             };
             worlds.push(Script {
                 faults: both,
-                seconds: 30.0,
+                duration_s: 30.0,
                 ..base.clone()
             });
         }
--- a/simulator/src/environment/attempts.rs
+++ b/simulator/src/environment/attempts.rs
@@ -3,7 +3,7 @@
 use super::event_queue::{AttemptRef, EndpointRef, Event, RequestRef};
 use super::Environment;
 use crate::invariants::Answer;
-use crate::script::Group;
+use crate::script::DeduplicationScope;
 use crankmux::types::{AttemptOutcome, AttemptResult, LoadReport};
 
 /// One attempt of a request at an endpoint.
@@ -45,10 +45,10 @@
 
     /// The number of the group of endpoints in which repeats of a request are dropped.
     pub(super) fn deduplication_group(&self, endpoint: usize, class: usize) -> u64 {
-        match self.script.categories[class].group {
-            Group::Fleet => 0,
-            Group::Zone => self.endpoints[endpoint].zone as u64,
-            Group::Pod => self.endpoints[endpoint].pod as u64,
+        match self.script.request_classes[class].deduplication_scope {
+            DeduplicationScope::Fleet => 0,
+            DeduplicationScope::Zone => self.endpoints[endpoint].zone as u64,
+            DeduplicationScope::Pod => self.endpoints[endpoint].pod as u64,
         }
     }
 
@@ -74,7 +74,7 @@
             let delay_ms = if reachability.responses {
                 2.0 * path_ms
             } else {
-                self.script.way.connect_ms.min(timeout_ms)
+                self.script.network.connect_timeout_ms.min(timeout_ms)
             };
             self.settle_attempt(attempt);
             self.schedule_attempt_end(delay_ms, attempt, AttemptOutcome::Unreachable);
@@ -83,7 +83,7 @@
         if let Some(request) = self.request(attempt.request) {
             request.attempts[attempt.number].on_new_connection = true;
         }
-        let delay_ms = path_ms * (1.0 + 2.0 * self.script.way.handshake);
+        let delay_ms = path_ms * (1.0 + 2.0 * self.script.network.handshake_round_trips);
         self.send(delay_ms, attempt, endpoint);
     }
 
--- a/simulator/src/environment/clients.rs
+++ b/simulator/src/environment/clients.rs
@@ -5,7 +5,7 @@
 use super::{Environment, START_MS};
 use crate::invariants::Repeats;
 use crate::results::Outcome;
-use crate::script::{Backoff, Burst, Category, Group, Idempotency};
+use crate::script::{Backoff, Burst, DeduplicationScope, Idempotency, RequestClass};
 use crankmux::types::NewRequest;
 
 /// Between a client and its proxy, one way.
@@ -37,16 +37,16 @@
 fn burst_factor(bursts: &[Burst], second: f64) -> Option<f64> {
     let active = bursts
         .iter()
-        .filter(|burst| (burst.at..burst.at + burst.lasts).contains(&second));
-    active.map(|burst| burst.times).reduce(f64::max)
+        .filter(|burst| (burst.start_s..burst.start_s + burst.duration_s).contains(&second));
+    active.map(|burst| burst.factor).reduce(f64::max)
 }
 
 /// What the invariant checker is to know of a class.
-fn repeats(class: &Category) -> Repeats {
-    match class.effect {
+fn repeats(class: &RequestClass) -> Repeats {
+    match class.idempotency {
         Idempotency::Idempotent => Repeats::Freely,
         Idempotency::IdempotentWithKey => Repeats::Deduplicated {
-            fleet: class.group == Group::Fleet,
+            fleet: class.deduplication_scope == DeduplicationScope::Fleet,
         },
         Idempotency::NotIdempotent => Repeats::Never,
     }
@@ -75,10 +75,13 @@
             delay_ms += self.random.arrivals.wait(self.peak_rate);
             let second = (self.elapsed_ms() + delay_ms) / 1000.0;
             let load = &self.script.load;
-            let wave = 1.0 + load.wave * (second / load.period * std::f64::consts::TAU).sin();
+            let wave = 1.0
+                + load.wave_amplitude * (second / load.wave_period_s * std::f64::consts::TAU).sin();
             let burst = burst_factor(&load.bursts, second).unwrap_or(1.0);
             let rate = self.script.rate() / 1000.0 * wave * burst;
-            if second > self.script.seconds || self.random.arrivals.part() * self.peak_rate < rate {
+            if second > self.script.duration_s
+                || self.random.arrivals.part() * self.peak_rate < rate
+            {
                 break;
             }
         }
@@ -96,20 +99,24 @@
         let script = self.script;
         let second = self.elapsed_ms() / 1000.0;
         let arrivals = &mut self.random.arrivals;
-        let weights: Vec<f64> = script.categories.iter().map(|class| class.weight).collect();
+        let weights: Vec<f64> = script
+            .request_classes
+            .iter()
+            .map(|class| class.arrival_weight)
+            .collect();
         let class = arrivals.weighted(&weights);
         let mut zone_weights = self.zone_weights.clone();
-        if script.load.shifting {
+        if script.load.rotates_zones {
             let zones = zone_weights.len();
-            let shift = (second / script.seconds * zones as f64) as usize % zones;
+            let shift = (second / script.duration_s * zones as f64) as usize % zones;
             zone_weights.rotate_left(shift);
         }
         let zone = arrivals.weighted(&zone_weights);
         let key = self.draw_key(second);
-        let settings = &script.categories[class];
-        let work_factor = match settings.tail {
+        let settings = &script.request_classes[class];
+        let work_factor = match settings.work_tail_exponent {
             Some(exponent) => self.random.work.pareto(exponent),
-            None => self.random.work.log_normal(settings.sigma),
+            None => self.random.work.log_normal(settings.work_sigma),
         };
         let clients = &mut self.random.clients;
         ClientCall {
@@ -119,23 +126,23 @@
             work_factor,
             arrived_at: self.now,
             requests_sent: 0,
-            honours_retry_after: clients.yes(script.clients.honour),
-            impatient: clients.yes(script.clients.impatient),
+            honours_retry_after: clients.yes(script.clients.honours_retry_after_fraction),
+            impatient: clients.yes(script.clients.impatient_fraction),
         }
     }
 
     /// The key that a call is about: 0 for none, 1 for the hot one.
     fn draw_key(&mut self, second: f64) -> u64 {
         let load = &self.script.load;
-        let hot_fraction = burst_factor(&load.hot, second).unwrap_or(0.0);
+        let hot_fraction = burst_factor(&load.hot_key, second).unwrap_or(0.0);
         let hot = self.random.arrivals.yes(hot_fraction);
-        if load.keys == 0 {
+        if load.key_count == 0 {
             return 0;
         }
         if hot {
             return 1;
         }
-        2 + self.random.arrivals.under(load.keys) as u64
+        2 + self.random.arrivals.under(load.key_count) as u64
     }
 
     /// Sends a request for a call to a proxy: the first one, or a retry.
@@ -174,11 +181,15 @@
     /// A proxy takes in a request of a call.
     fn open_request(&mut self, call_index: usize, proxy: usize) -> (RequestRef, NewRequest) {
         let call = self.calls.get(call_index).expect("an open call");
-        let class = &self.script.categories[call.class];
+        let class = &self.script.request_classes[call.class];
         let deadline = self.now + class.ttl_ms;
-        let history =
-            self.checker
-                .taken(self.now, proxy, repeats(class), class.window_ms, deadline);
+        let history = self.checker.taken(
+            self.now,
+            proxy,
+            repeats(class),
+            class.deduplication_window_ms,
+            deadline,
+        );
         self.request_serial += 1;
         let serial = self.request_serial;
         let index = self.requests.insert(Request {
@@ -204,7 +215,7 @@
         };
         let impatient = call.impatient;
         let request = RequestRef { index, serial };
-        let deadline_check = class.ttl_ms + self.script.duties.answer_slack_ms + AFTER_DEADLINE_MS;
+        let deadline_check = class.ttl_ms + self.script.limits.answer_slack_ms + AFTER_DEADLINE_MS;
         self.schedule(deadline_check, Event::DeadlinePasses { request });
         if impatient {
             self.schedule(0.5 * class.ttl_ms, Event::ClientLeaves { request });
@@ -224,13 +235,13 @@
         if !safe_to_retry {
             return self.close_call(call, Outcome::Failed);
         }
-        if state.requests_sent > clients.retries {
+        if state.requests_sent > clients.max_retries {
             return self.close_call(call, Outcome::Refused);
         }
         let backoff_ms = match clients.backoff {
             Backoff::None => 1.0,
             Backoff::Fixed => clients.backoff_ms,
-            Backoff::Doubling => {
+            Backoff::Exponential => {
                 clients.backoff_ms * f64::powi(2.0, state.requests_sent as i32 - 1)
             }
         };
--- a/simulator/src/environment/discovery.rs
+++ b/simulator/src/environment/discovery.rs
@@ -65,7 +65,7 @@
     }
 
     pub(super) fn schedule_notification(&mut self, proxy: usize, full_list: bool) {
-        let mean_ms = self.script.discovery.delay_ms;
+        let mean_ms = self.script.discovery.notification_delay_ms;
         let delay_ms = mean_ms * (1.0 + self.random.discovery.part());
         self.schedule(delay_ms, Event::ProxyNotified { proxy, full_list });
     }
@@ -75,7 +75,7 @@
         let list = self.last_known_list(proxy);
         self.with_policy(proxy, |policy, now, _| policy.list(now, &list, true, true));
         // The platform's discovery is automatic: a proxy need not ask for the list.
-        let delay_ms = self.script.discovery.delay_ms;
+        let delay_ms = self.script.discovery.notification_delay_ms;
         let full_list = true;
         self.schedule(delay_ms, Event::ProxyNotified { proxy, full_list });
         self.serve_policy(proxy);
@@ -83,7 +83,7 @@
 
     /// The endpoints at the start of the run, with the changes that this proxy was notified of.
     fn last_known_list(&self, proxy: usize) -> Vec<EndpointUpdate> {
-        let initial: usize = self.script.machines.iter().map(|m| m.count).sum();
+        let initial: usize = self.script.machine_types.iter().map(|m| m.count).sum();
         let mut list: Vec<EndpointUpdate> = (0..initial.min(self.endpoints.len()))
             .map(|endpoint| EndpointUpdate {
                 state: EndpointState::Ready,
--- a/simulator/src/environment/endpoints.rs
+++ b/simulator/src/environment/endpoints.rs
@@ -84,7 +84,7 @@
         let warmth = server.able(self.now);
         let capacity =
             warmth * server.machine.speed * server.machine.cores as f64 / self.mean_work_ms;
-        let relative_work = self.script.categories[class].work_ms / self.mean_work_ms;
+        let relative_work = self.script.request_classes[class].mean_work_ms / self.mean_work_ms;
         let cold_capacity = (warmth < 1.0).then_some(capacity);
         self.checker
             .bears(self.now, endpoint, relative_work, cold_capacity)
@@ -111,9 +111,9 @@
     fn new_job(&mut self, attempt: AttemptRef, endpoint: usize) -> Option<Job> {
         let now = self.now;
         let script = self.script;
-        let connect_work_ms = self.endpoints[endpoint].machine.connect_work_ms;
+        let connect_work_ms = self.endpoints[endpoint].machine.connection_setup_work_ms;
         let request = self.request(attempt.request)?;
-        let class = &script.categories[request.class];
+        let class = &script.request_classes[request.class];
         let setup_work_ms = if request.attempts[attempt.number].on_new_connection {
             connect_work_ms
         } else {
@@ -123,22 +123,22 @@
             op: attempt.request.index,
             serial: attempt.request.serial,
             push: attempt.number,
-            work: class.work_ms * request.work_factor + setup_work_ms,
+            work: class.mean_work_ms * request.work_factor + setup_work_ms,
             came: now,
             ends: request.deadline,
             key: request.key,
-            key_miss: class.key_miss,
+            key_miss: class.key_miss_factor,
         })
     }
 
     /// The load that an endpoint reports with its answers.
     fn load_report(&mut self, endpoint: usize) -> LoadReport {
-        let settings = &self.script.reports;
-        if !settings.told {
+        let settings = &self.script.load_reports;
+        if !settings.enabled {
             return LoadReport::default();
         }
         let endpoint = &mut self.endpoints[endpoint];
-        let reported = endpoint.report(self.now, settings.period_ms, settings.delay_ms);
+        let reported = endpoint.report(self.now, settings.interval_ms, settings.delay_ms);
         reported.map_or(LoadReport::default(), |(in_flight, queued)| LoadReport {
             in_flight: Some(in_flight),
             queued: Some(queued),
@@ -280,7 +280,7 @@
         let successor = self.endpoints.len();
         self.endpoints.push(Server::new(
             &old.machine,
-            &self.script.duties,
+            &self.script.limits,
             number(&format!("{successor} after {}", old.mark)),
             old.zone,
             old.pod,
@@ -296,7 +296,7 @@
             state: EndpointState::Draining,
             ..self.endpoint_update(endpoint)
         });
-        let drain_ms = 1000.0 * self.script.discovery.drain;
+        let drain_ms = 1000.0 * self.script.discovery.drain_s;
         self.schedule(drain_ms, Event::EndpointRemoved { endpoint });
     }
 
--- a/simulator/src/environment/fault_schedule.rs
+++ b/simulator/src/environment/fault_schedule.rs
@@ -4,7 +4,7 @@
 use super::network::Partitions;
 use super::Environment;
 use crate::faults::{cuts, strike, weather, Struck};
-use crate::script::{Fault, Kind};
+use crate::script::{Fault, FaultKind};
 
 /// How often endpoints that pause are looked at, and the chance that one pauses then: about once a second.
 const PAUSE_INTERVAL_MS: f64 = 100.0;
@@ -40,7 +40,7 @@
         let fault = &self.script.faults[index];
         let listed = &self.endpoint_list.listed;
         let targets = strike(self.script, index, self.seed, &self.endpoints, listed);
-        let duration_ms = 1000.0 * fault.lasts;
+        let duration_ms = 1000.0 * fault.duration_s;
         self.schedule(duration_ms, Event::FaultEnds { fault: index });
         self.start_effects(index, fault, &targets);
         self.active_faults.push(ActiveFault { index, targets });
@@ -49,46 +49,46 @@
 
     /// What a fault does once, when it begins.
     fn start_effects(&mut self, index: usize, fault: &Fault, targets: &Struck) {
-        let duration_ms = 1000.0 * fault.lasts;
+        let duration_ms = 1000.0 * fault.duration_s;
         match fault.kind {
-            Kind::Hang => {
+            FaultKind::Hang => {
                 for endpoint in &targets.servers {
                     self.pause_endpoint(*endpoint, duration_ms);
                 }
             }
-            Kind::Pauses => self.schedule(0.0, Event::EndpointsPause { fault: index }),
-            Kind::Release => {
+            FaultKind::Pauses => self.schedule(0.0, Event::EndpointsPause { fault: index }),
+            FaultKind::Release => {
                 let step_ms = duration_ms / targets.servers.len().max(1) as f64;
                 for (turn, endpoint) in targets.servers.iter().copied().enumerate() {
                     self.schedule(step_ms * turn as f64, Event::EndpointReplaced { endpoint });
                 }
             }
-            Kind::KillServers => {
+            FaultKind::KillEndpoints => {
                 for endpoint in &targets.servers {
                     self.kill_endpoint(*endpoint, 1000.0 * fault.strength);
                 }
             }
-            Kind::KillNodes => {
+            FaultKind::KillProxies => {
                 for proxy in &targets.nodes {
                     self.kill_proxy(*proxy, 1000.0 * fault.strength);
                 }
             }
-            Kind::DiscoveryDown => self.endpoint_list.outages += 1,
-            Kind::ClockStep => self.shift_clocks(targets, 1000.0 * fault.strength),
+            FaultKind::DiscoveryDown => self.endpoint_list.outages += 1,
+            FaultKind::ClockStep => self.shift_clocks(targets, 1000.0 * fault.strength),
             _ => {}
         }
     }
 
     pub(super) fn end_fault(&mut self, index: usize) {
         let fault = &self.script.faults[index];
-        if fault.kind == Kind::DiscoveryDown {
+        if fault.kind == FaultKind::DiscoveryDown {
             self.endpoint_list.outages -= 1;
             self.schedule_notifications(true);
         }
         let ended = |active: &ActiveFault| active.index == index;
         if let Some(place) = self.active_faults.iter().position(ended) {
             let ended = self.active_faults.remove(place);
-            if fault.kind == Kind::ClockStep {
+            if fault.kind == FaultKind::ClockStep {
                 self.shift_clocks(&ended.targets, -1000.0 * fault.strength);
             }
         }
--- a/simulator/src/environment/network.rs
+++ b/simulator/src/environment/network.rs
@@ -77,13 +77,13 @@
 impl Environment<'_> {
     /// Draws the time that a message takes from one zone to another.
     pub(super) fn draw_path_delay(&mut self, from_zone: usize, to_zone: usize) -> f64 {
-        let network = &self.script.way;
+        let network = &self.script.network;
         let mean_ms = if from_zone == to_zone {
-            network.same_ms
+            network.same_zone_ms
         } else {
-            network.cross_ms
+            network.cross_zone_ms
         };
-        mean_ms * self.random.network.log_normal(network.jitter)
+        mean_ms * self.random.network.log_normal(network.jitter_sigma)
     }
 
     pub(super) fn reachability(&self, from_zone: usize, endpoint: usize) -> Reachability {
@@ -99,7 +99,7 @@
 
     /// The pool of a proxy for an endpoint, without stale connections; its time of use is now.
     fn refreshed_pool(&mut self, proxy: usize, endpoint: usize) -> &mut ConnectionPool {
-        let idle_timeout_ms = KEEPALIVE_FRACTION_MS * self.script.way.keepalive;
+        let idle_timeout_ms = KEEPALIVE_FRACTION_MS * self.script.network.keepalive_s;
         let server = &mut self.endpoints[endpoint];
         let pools = &mut self.proxies[proxy].connections;
         if pools.len() <= endpoint {
@@ -125,7 +125,7 @@
         reachability: Reachability,
     ) -> bool {
         let server = &mut self.endpoints[endpoint];
-        let full = server.connections >= server.machine.connections;
+        let full = server.connections >= server.machine.max_connections;
         if !server.up || !reachability.responses || full {
             return false;
         }
--- a/simulator/src/environment/proxies.rs
+++ b/simulator/src/environment/proxies.rs
@@ -70,20 +70,20 @@
         let endpoint = &self.endpoints[endpoint];
         let load = endpoint.held() + endpoint.coming;
         let machine = &endpoint.machine;
-        let has_room = load < machine.cores + machine.queue;
+        let has_room = load < machine.cores + machine.queue_capacity;
         let healthy = self.reaches(endpoint) && endpoint.weather.fail_fast < FAULTY_PROBABILITY;
         let rounds = (load + 1) as f64 / machine.cores as f64;
         let paused_ms = (endpoint.stopped_until - self.now).max(0.0);
         let path_ms = if endpoint.zone == self.zone {
-            self.script.way.same_ms
+            self.script.network.same_zone_ms
         } else {
-            self.script.way.cross_ms
+            self.script.network.cross_zone_ms
         };
         let round_ms = self.mean_work_ms / endpoint.speed(self.now).max(1e-6);
         let wait_ms = paused_ms + (rounds - 1.0).max(0.0) * round_ms;
         let would_degrade = machine
-            .tips
-            .is_some_and(|tips| wait_ms > SAFE_WAIT_FRACTION * tips.after_ms);
+            .degradation
+            .is_some_and(|degradation| wait_ms > SAFE_WAIT_FRACTION * degradation.queue_wait_ms);
         let latency_ms = 2.0 * path_ms + paused_ms + rounds.max(1.0) * round_ms;
         Truth {
             takes: (healthy && has_room && !would_degrade).then_some(latency_ms),
@@ -158,7 +158,7 @@
             index: proxy,
             incarnation: state.incarnation,
         };
-        let noticed_after_ms = 1000.0 * self.script.clients.notice;
+        let noticed_after_ms = 1000.0 * self.script.clients.failure_detection_s;
         self.schedule(noticed_after_ms, Event::ProxyFailureNoticed { proxy: dead });
         self.schedule(restart_after_ms, Event::ProxyRestarts { proxy: dead });
         let held: Vec<usize> = self
@@ -193,7 +193,7 @@
             self.abort_attempt(request_index, number);
         }
         if was_open {
-            if self.script.categories[class].effect == Idempotency::Idempotent {
+            if self.script.request_classes[class].idempotency == Idempotency::Idempotent {
                 self.request_unsuccessful(call, true, 0.0);
             } else {
                 self.close_call(call, Outcome::Failed);
--- a/simulator/src/environment/requests.rs
+++ b/simulator/src/environment/requests.rs
@@ -103,18 +103,18 @@
         let Some(call) = self.calls.get(call_index) else {
             return;
         };
-        let class = &self.script.categories[call.class];
+        let class = &self.script.request_classes[call.class];
         let took_ms = self.now - call.arrived_at + 2.0 * CLIENT_DELAY_MS;
         match answer {
             Answer::Acked if past_deadline => self.close_call(call_index, Outcome::Failed),
-            Answer::Acked if took_ms <= class.target_ms => {
+            Answer::Acked if took_ms <= class.latency_objective_ms => {
                 self.close_call(call_index, Outcome::InTime);
             }
             Answer::Acked => self.close_call(call_index, Outcome::Late),
             Answer::Nacked => self.request_unsuccessful(call_index, true, retry_after_ms),
             // Clients retry a failed request only if it may be executed twice.
             Answer::DeadLettered => {
-                let idempotent = class.effect == Idempotency::Idempotent;
+                let idempotent = class.idempotency == Idempotency::Idempotent;
                 self.request_unsuccessful(call_index, idempotent, 0.0);
             }
         }
--- a/simulator/src/environment/setup.rs
+++ b/simulator/src/environment/setup.rs
@@ -35,14 +35,14 @@
 fn initial_endpoints(script: &Script) -> Vec<Server> {
     let mut endpoints = Vec::new();
     let mut pods = 0;
-    for machine in &script.machines {
+    for machine in &script.machine_types {
         for index in 0..machine.count {
             let zone = (index / machine.pod_size) % script.zones.len();
             let pod = pods + index / machine.pod_size;
-            let stable_hash = number(&format!("{} {index}", machine.kind));
+            let stable_hash = number(&format!("{} {index}", machine.name));
             endpoints.push(Server::new(
                 machine,
-                &script.duties,
+                &script.limits,
                 stable_hash,
                 zone,
                 pod,
@@ -61,13 +61,13 @@
     shape: &mut Stream,
 ) -> Result<Vec<Proxy>, String> {
     let mut proxies = Vec::new();
-    for index in 0..script.nodes {
+    for index in 0..script.proxies {
         let proxy_seed = seed
             .wrapping_mul(SEED_MULTIPLIER)
             .wrapping_add(index as u64);
         let policy = crate::policies::Policy::new(policy_kind, script, index, proxy_seed)?;
         let zone = index % script.zones.len();
-        let weight = shape.log_normal(script.load.node_spread);
+        let weight = shape.log_normal(script.load.proxy_sigma);
         proxies.push(Proxy::new(policy, zone, weight));
     }
     Ok(proxies)
@@ -75,19 +75,23 @@
 
 /// Mean work of a request, over all classes by their part in the arrivals.
 fn mean_work_ms(script: &Script) -> f64 {
-    let weights: f64 = script.categories.iter().map(|class| class.weight).sum();
+    let weights: f64 = script
+        .request_classes
+        .iter()
+        .map(|class| class.arrival_weight)
+        .sum();
     let work = script
-        .categories
+        .request_classes
         .iter()
-        .map(|class| class.weight * class.work_ms);
+        .map(|class| class.arrival_weight * class.mean_work_ms);
     work.sum::<f64>() / weights.max(1e-9)
 }
 
 /// The highest arrival rate, in calls a millisecond: at the crest of the wave, within the largest burst.
 fn peak_rate(script: &Script) -> f64 {
-    let bursts = script.load.bursts.iter().map(|burst| burst.times);
+    let bursts = script.load.bursts.iter().map(|burst| burst.factor);
     let largest_burst = bursts.fold(1.0, f64::max);
-    script.rate() / 1000.0 * (1.0 + script.load.wave) * largest_burst
+    script.rate() / 1000.0 * (1.0 + script.load.wave_amplitude) * largest_burst
 }
 
 impl<'a> Environment<'a> {
@@ -100,16 +104,16 @@
         let endpoints = initial_endpoints(script);
         let mut shape = Stream::of(seed, "shape");
         let zone_weights: Vec<f64> = (0..zones)
-            .map(|_| shape.log_normal(script.load.zone_spread))
+            .map(|_| shape.log_normal(script.load.zone_sigma))
             .collect();
         let proxies = initial_proxies(script, policy_kind, seed, &mut shape)?;
-        let limits = &script.duties;
+        let limits = &script.limits;
         let mut environment = Environment {
             script,
             policy_kind,
             seed,
             now: START_MS,
-            end: START_MS + 1000.0 * script.seconds,
+            end: START_MS + 1000.0 * script.duration_s,
             queue: EventQueue::default(),
             request_serial: 0,
             events_handled: 0,
@@ -128,8 +132,8 @@
             checker: InvariantChecker::new(
                 limits.answer_slack_ms,
                 limits.drain_grace_ms,
-                limits.fall_multiple,
-                limits.fall_ms,
+                limits.overload_multiple,
+                limits.overload_window_ms,
             ),
             tally: Tally::new(script),
         };
@@ -144,7 +148,7 @@
         self.update_routing();
         self.schedule_next_call();
         for (fault, settings) in self.script.faults.iter().enumerate() {
-            self.schedule(1000.0 * settings.at, Event::FaultBegins { fault });
+            self.schedule(1000.0 * settings.start_s, Event::FaultBegins { fault });
         }
     }
 }
--- a/simulator/src/faults.rs
+++ b/simulator/src/faults.rs
@@ -1,7 +1,7 @@
 //! Which servers and nodes a fault strikes, and what the faults in force add up to.
 
 use crate::random::Stream;
-use crate::script::{Fault, Kind, Script};
+use crate::script::{Fault, FaultKind, Script};
 use crate::server::{Server, Weather};
 
 /// Whom a fault strikes.
@@ -30,16 +30,16 @@
         // A drawn order, of which the first are taken: a larger part holds a smaller one.
         let mut drawn: Vec<(u64, usize)> = all.into_iter().map(|one| (rng.bits(), one)).collect();
         drawn.sort_unstable();
-        let take = (fault.part * drawn.len() as f64).round() as usize;
+        let take = (fault.fraction * drawn.len() as f64).round() as usize;
         let mut taken: Vec<usize> = drawn.into_iter().take(take).map(|(_, one)| one).collect();
         taken.sort_unstable();
         taken
     };
     let of_kind = |s: &Server| {
         fault
-            .machine
+            .machine_type
             .as_ref()
-            .is_none_or(|kind| s.machine.kind == *kind)
+            .is_none_or(|kind| s.machine.name == *kind)
     };
     let at = |s: &Server| zone.is_none_or(|zone| s.zone == zone);
     let all = servers
@@ -48,7 +48,7 @@
         .filter(|(i, s)| s.up && listed[*i] && of_kind(s) && at(s));
     let struck = part(all.map(|(i, _)| i).collect());
     let nodes =
-        (0..script.nodes).filter(|n| zone.is_none_or(|zone| n % script.zones.len() == zone));
+        (0..script.proxies).filter(|n| zone.is_none_or(|zone| n % script.zones.len() == zone));
     Struck {
         servers: struck,
         nodes: part(nodes.collect()),
@@ -66,14 +66,16 @@
     {
         let strength = fault.strength;
         match fault.kind {
-            Kind::Slow => weather.slow *= strength,
-            Kind::FailFast => weather.fail_fast = either(weather.fail_fast, strength),
-            Kind::Silent => weather.silent = true,
-            Kind::AnswersLost => weather.answers_lost = either(weather.answers_lost, strength),
-            Kind::Resets => weather.resets = either(weather.resets, strength),
-            Kind::ReportsLate => weather.late += 1000.0 * strength,
-            Kind::ReportsWrong => weather.wrong *= strength,
-            Kind::ReportsMissing => weather.missing = true,
+            FaultKind::Slow => weather.slow *= strength,
+            FaultKind::FailFast => weather.fail_fast = either(weather.fail_fast, strength),
+            FaultKind::Unresponsive => weather.silent = true,
+            FaultKind::ResponsesLost => {
+                weather.answers_lost = either(weather.answers_lost, strength)
+            }
+            FaultKind::ConnectionResets => weather.resets = either(weather.resets, strength),
+            FaultKind::LoadReportsLate => weather.late += 1000.0 * strength,
+            FaultKind::LoadReportsWrong => weather.wrong *= strength,
+            FaultKind::LoadReportsMissing => weather.missing = true,
             _ => {}
         }
     }
@@ -89,11 +91,11 @@
     for (fault, struck) in in_force {
         let Some(zone) = struck.zone else { continue };
         for other in (0..zones).filter(|other| *other != zone) {
-            if fault.kind == Kind::ZoneCut {
+            if fault.kind == FaultKind::ZonePartition {
                 (asks[zone][other], asks[other][zone]) = (true, true);
                 (answers[zone][other], answers[other][zone]) = (true, true);
             }
-            if fault.kind == Kind::OneWayCut {
+            if fault.kind == FaultKind::OneWayPartition {
                 answers[zone][other] = true;
             }
         }
--- a/simulator/src/policies.rs
+++ b/simulator/src/policies.rs
@@ -2,7 +2,7 @@
 //! state, and nodes that are wrong on purpose, for the judge.
 
 use crate::random::Stream;
-use crate::script::{Category, Group, Idempotency, Script};
+use crate::script::{DeduplicationScope, Idempotency, RequestClass, Script};
 use crankmux::dispatcher::{Dispatcher, FinalAnswer, NewAttempt, NextSteps};
 use crankmux::settings::{self, NameIndex};
 use crankmux::types::{AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, NewRequest};
@@ -73,7 +73,7 @@
 
 pub struct Plain {
     how: PolicyKind,
-    categories: Vec<Category>,
+    categories: Vec<RequestClass>,
     most: usize,
     may_cancel: bool,
     come_back: f64,
@@ -103,10 +103,10 @@
         }
         Ok(Policy::Plain(Box::new(Plain {
             how,
-            categories: script.categories.clone(),
-            most: script.duties.most_pushes,
-            may_cancel: script.duties.may_cancel,
-            come_back: script.duties.come_back_ms,
+            categories: script.request_classes.clone(),
+            most: script.limits.max_attempts,
+            may_cancel: script.limits.cancellation_allowed,
+            come_back: script.limits.max_retry_after_ms,
             rng: Stream::of(seed, "plain chooser"),
             lines: Vec::new(),
             out: Vec::new(),
@@ -258,18 +258,18 @@
             .map(|p| (p.0, p.1))
             .collect();
         let fits = |to: &EndpointUpdate| {
-            let in_group = |from: usize| match category.group {
-                Group::Fleet => true,
-                Group::Zone => self.lines[from].zone == to.zone,
-                Group::Pod => self.lines[from].pod == to.pod,
+            let in_group = |from: usize| match category.deduplication_scope {
+                DeduplicationScope::Fleet => true,
+                DeduplicationScope::Zone => self.lines[from].zone == to.zone,
+                DeduplicationScope::Pod => self.lines[from].pod == to.pod,
             };
             to.state == EndpointState::Ready
-                && match category.effect {
+                && match category.idempotency {
                     _ if self.how == PolicyKind::Repeats => true,
                     Idempotency::Idempotent => true,
-                    Idempotency::IdempotentWithKey => ran
-                        .iter()
-                        .all(|(s, at)| in_group(*s) && now - at < 0.9 * category.window_ms),
+                    Idempotency::IdempotentWithKey => ran.iter().all(|(s, at)| {
+                        in_group(*s) && now - at < 0.9 * category.deduplication_window_ms
+                    }),
                     Idempotency::NotIdempotent => ran.is_empty(),
                 }
         };
@@ -283,7 +283,7 @@
                 .collect();
             from = if fresh.is_empty() { from } else { fresh };
         }
-        let target = category.target_ms;
+        let target = category.latency_objective_ms;
         match self.pick(&from, left, target, truth) {
             Some(server) => {
                 self.out[server] += 1;
@@ -303,9 +303,11 @@
 
     fn give_up(&mut self, id: usize, ran: &[(usize, f64)]) -> NextSteps {
         let category = &self.categories[self.ops[&id].category];
-        let harmless = match category.effect {
+        let harmless = match category.idempotency {
             Idempotency::Idempotent => true,
-            Idempotency::IdempotentWithKey => ran.is_empty() || category.group == Group::Fleet,
+            Idempotency::IdempotentWithKey => {
+                ran.is_empty() || category.deduplication_scope == DeduplicationScope::Fleet
+            }
             Idempotency::NotIdempotent => ran.is_empty(),
         };
         let given_up = match harmless {
--- a/simulator/src/results.rs
+++ b/simulator/src/results.rs
@@ -142,15 +142,19 @@
             name: name.clone(),
             counts: Counts::default(),
         };
-        let seconds = script.seconds.ceil() as usize;
+        let seconds = script.duration_s.ceil() as usize;
         Tally {
-            settle: 1000.0 * script.settle,
+            settle: 1000.0 * script.settling_s,
             all: Counts::default(),
-            categories: script.categories.iter().map(|c| named(&c.name)).collect(),
+            categories: script
+                .request_classes
+                .iter()
+                .map(|c| named(&c.name))
+                .collect(),
             worth: script
-                .categories
+                .request_classes
                 .iter()
-                .map(|c| (c.benefit, c.late_benefit))
+                .map(|c| (c.priority_weight, c.late_fraction))
                 .collect(),
             seconds: (0..seconds)
                 .map(|_| (Counts::default(), 0, 0, histogram()))
@@ -228,7 +232,7 @@
             p9999: at(l, 0.9999),
             most: l.max() as f64 / 1000.0,
         };
-        let settle = script.settle as usize;
+        let settle = script.settling_s as usize;
         let seconds: Vec<Second> = self
             .seconds
             .into_iter()
--- /dev/null
+++ b/simulator/src/script/validation.rs
@@ -0,0 +1,248 @@
+//! The rules that the values of a script keep, checked in the order of the file's sections.
+
+use super::reader::{InvalidKey, InvalidValue};
+use super::types::{Burst, Fault, FaultKind, MachineType, RequestClass, Script};
+
+/// A day.
+const MAX_DURATION_S: f64 = 86_400.0;
+
+type Validation = Result<(), InvalidKey>;
+
+fn within(key: &str, value: f64, least: f64, most: f64) -> Validation {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(InvalidKey {
+        key: key.to_string(),
+        reason: InvalidValue::OutOfRange { value, least, most },
+    })
+}
+
+/// Checks rows of key, value, least and most.
+fn all_within<const ROWS: usize>(rows: [(&str, f64, f64, f64); ROWS]) -> Validation {
+    rows.into_iter()
+        .try_for_each(|(key, value, least, most)| within(key, value, least, most))
+}
+
+/// The same for the keys of one table of an array, `section.index`.
+fn all_within_item<const ROWS: usize>(
+    item: &str,
+    rows: [(&str, f64, f64, f64); ROWS],
+) -> Validation {
+    rows.into_iter().try_for_each(|(key, value, least, most)| {
+        within(&format!("{item}.{key}"), value, least, most)
+    })
+}
+
+impl Script {
+    pub(super) fn validate(&self) -> Validation {
+        self.validate_run()?;
+        self.validate_settings()?;
+        self.validate_request_classes()?;
+        self.validate_machine_types()?;
+        self.validate_load()?;
+        for (index, fault) in self.faults.iter().enumerate() {
+            self.validate_fault(&format!("faults.{index}"), fault)?;
+        }
+        Ok(())
+    }
+
+    fn validate_run(&self) -> Validation {
+        within("seconds", self.duration_s, 1.0, MAX_DURATION_S)?;
+        within("settle", self.settling_s, 0.0, self.duration_s - 1.0)?;
+        within("nodes", self.proxies as f64, 1.0, 2000.0)?;
+        let zones = &self.zones;
+        let repeated = (1..zones.len()).any(|index| zones[..index].contains(&zones[index]));
+        if zones.is_empty() || repeated {
+            let rule = "must name at least one zone, and none twice";
+            return Err(InvalidKey::rule("zones", rule));
+        }
+        Ok(())
+    }
+
+    /// The sections whose keys are numbers within a range.
+    #[rustfmt::skip]
+    fn validate_settings(&self) -> Validation {
+        let (network, limits) = (&self.network, &self.limits);
+        let (clients, load) = (&self.clients, &self.load);
+        all_within([
+            ("way.same_ms", network.same_zone_ms, 0.0, 1e4),
+            ("way.cross_ms", network.cross_zone_ms, 0.0, 1e4),
+            ("way.jitter", network.jitter_sigma, 0.0, 3.0),
+            ("way.handshake", network.handshake_round_trips, 0.0, 20.0),
+            ("way.connect_ms", network.connect_timeout_ms, 0.0, 1e5),
+            ("way.keepalive", network.keepalive_s, 0.0, 1e5),
+            ("duties.come_back_ms", limits.max_retry_after_ms, 0.0, 1e6),
+            ("duties.drain_grace_ms", limits.drain_grace_ms, 0.0, 1e6),
+            ("duties.cold", limits.slow_start_s, 0.0, 1e5),
+            ("duties.fall_ms", limits.overload_window_ms, 0.0, 1e6),
+            ("duties.cross_zone_price", limits.cross_zone_cost, 0.0, 1.0),
+            ("duties.answer_slack_ms", limits.answer_slack_ms, 0.0, 1e4),
+            ("clients.backoff_ms", clients.backoff_ms, 0.0, 1e6),
+            ("clients.honour", clients.honours_retry_after_fraction, 0.0, 1.0),
+            ("clients.impatient", clients.impatient_fraction, 0.0, 1.0),
+            ("clients.notice", clients.failure_detection_s, 0.0, 1e3),
+            ("clients.retries", clients.max_retries as f64, 0.0, 100.0),
+            ("discovery.delay_ms", self.discovery.notification_delay_ms, 0.0, 1e6),
+            ("discovery.drain", self.discovery.drain_s, 0.0, 1e4),
+            ("reports.delay_ms", self.load_reports.delay_ms, 0.0, 1e6),
+            ("load.wave", load.wave_amplitude, 0.0, 1.0),
+            ("load.zone_spread", load.zone_sigma, 0.0, 3.0),
+            ("load.node_spread", load.proxy_sigma, 0.0, 3.0),
+            ("load.keys", load.key_count as f64, 0.0, 1e9),
+            ("duties.most_pushes", limits.max_attempts as f64, 1.0, 100.0),
+            ("duties.cold_share", limits.cold_capacity_fraction, 0.001, 1.0),
+            ("duties.fall_multiple", limits.overload_multiple, 0.1, 1e3),
+            ("reports.period_ms", self.load_reports.interval_ms, 1.0, 1e6),
+            ("load.period", load.wave_period_s, 0.1, 1e5),
+        ])
+    }
+
+    fn validate_request_classes(&self) -> Validation {
+        if self.request_classes.is_empty() {
+            return Err(InvalidKey::rule("categories", "must hold at least one"));
+        }
+        for (index, class) in self.request_classes.iter().enumerate() {
+            let item = format!("categories.{index}");
+            validate_request_class(&item, class)?;
+            let earlier = &self.request_classes[..index];
+            let taken = earlier.iter().any(|other| other.name == class.name);
+            if class.name.is_empty() || taken {
+                let rule = "is empty, or another category has it";
+                return Err(InvalidKey::rule(format!("{item}.name"), rule));
+            }
+        }
+        Ok(())
+    }
+
+    fn validate_machine_types(&self) -> Validation {
+        if self.machine_types.is_empty() {
+            return Err(InvalidKey::rule("machines", "must hold at least one kind"));
+        }
+        for (index, machine) in self.machine_types.iter().enumerate() {
+            validate_machine_type(&format!("machines.{index}"), machine)?;
+        }
+        Ok(())
+    }
+
+    fn validate_load(&self) -> Validation {
+        match (self.load.rate, self.load.capacity_fraction) {
+            (Some(rate), None) => within("load.rate", rate, 0.001, 1e6)?,
+            (None, Some(fraction)) => within("load.share", fraction, 0.001, 10.0)?,
+            _ => return Err(InvalidKey::rule("load", "must have either rate or share")),
+        }
+        self.validate_bursts("load.bursts", &self.load.bursts)?;
+        self.validate_bursts("load.hot", &self.load.hot_key)
+    }
+
+    fn validate_bursts(&self, key: &str, bursts: &[Burst]) -> Validation {
+        for (index, burst) in bursts.iter().enumerate() {
+            all_within_item(
+                &format!("{key}.{index}"),
+                [
+                    ("at", burst.start_s, 0.0, self.duration_s),
+                    ("for", burst.duration_s, 0.0, MAX_DURATION_S),
+                    ("times", burst.factor, 0.0, 100.0),
+                ],
+            )?;
+        }
+        Ok(())
+    }
+
+    fn validate_fault(&self, item: &str, fault: &Fault) -> Validation {
+        let (least, most) = match fault.kind {
+            FaultKind::Slow | FaultKind::LoadReportsWrong => (0.01, 1000.0),
+            FaultKind::FailFast | FaultKind::ResponsesLost | FaultKind::ConnectionResets => {
+                (0.0, 1.0)
+            }
+            FaultKind::ClockStep => (-86_400.0, 86_400.0),
+            _ => (0.0, 1e5),
+        };
+        all_within_item(
+            item,
+            [
+                ("at", fault.start_s, 0.0, self.duration_s),
+                ("for", fault.duration_s, 0.0, MAX_DURATION_S),
+                ("part", fault.fraction, 0.0, 1.0),
+                ("strength", fault.strength, least, most),
+            ],
+        )?;
+        self.validate_fault_targets(item, fault)
+    }
+
+    fn validate_fault_targets(&self, item: &str, fault: &Fault) -> Validation {
+        let wrong = |key: &str, rule| Err(InvalidKey::rule(format!("{item}.{key}"), rule));
+        let known_zone = |zone: &String| self.zones.contains(zone);
+        if !fault.zone.as_ref().is_none_or(known_zone) {
+            return wrong("zone", "names no zone of this script");
+        }
+        let known_type = |name: &String| {
+            self.machine_types
+                .iter()
+                .any(|machine| machine.name == *name)
+        };
+        if !fault.machine_type.as_ref().is_none_or(known_type) {
+            return wrong("machine", "names no kind of machine of this script");
+        }
+        let partition = matches!(
+            fault.kind,
+            FaultKind::ZonePartition | FaultKind::OneWayPartition
+        );
+        if partition && fault.zone.is_none() {
+            return wrong("zone", "is missing: a cut needs one");
+        }
+        Ok(())
+    }
+}
+
+fn validate_request_class(item: &str, class: &RequestClass) -> Validation {
+    let tail_exponent = class.work_tail_exponent.unwrap_or(2.0);
+    all_within_item(
+        item,
+        [
+            ("target_ms", class.latency_objective_ms, 1.0, 1e6),
+            ("ttl_ms", class.ttl_ms, 1.0, 1e6),
+            ("window_ms", class.deduplication_window_ms, 0.0, 1e7),
+            ("benefit", class.priority_weight, 0.0, 1e6),
+            ("late_benefit", class.late_fraction, 0.0, 1.0),
+            ("weight", class.arrival_weight, 0.0, 1e6),
+            ("work_ms", class.mean_work_ms, 0.01, 1e5),
+            ("sigma", class.work_sigma, 0.0, 3.0),
+            ("key_miss", class.key_miss_factor, 1.0, 100.0),
+            ("tail", tail_exponent, 1.05, 100.0),
+        ],
+    )
+}
+
+fn validate_machine_type(item: &str, machine: &MachineType) -> Validation {
+    all_within_item(
+        item,
+        [
+            ("count", machine.count as f64, 1.0, 10_000.0),
+            ("cores", machine.cores as f64, 1.0, 1024.0),
+            ("speed", machine.speed, 0.01, 100.0),
+            ("queue", machine.queue_capacity as f64, 0.0, 1e6),
+            ("connections", machine.max_connections as f64, 1.0, 1e6),
+            (
+                "connect_work_ms",
+                machine.connection_setup_work_ms,
+                0.0,
+                1e4,
+            ),
+            ("pod_size", machine.pod_size as f64, 1.0, 10_000.0),
+            ("keys", machine.key_cache_size as f64, 1.0, 1e6),
+        ],
+    )?;
+    let Some(degradation) = machine.degradation else {
+        return Ok(());
+    };
+    all_within_item(
+        item,
+        [
+            ("tips.after_ms", degradation.queue_wait_ms, 0.1, 1e6),
+            ("tips.to", degradation.speed_fraction, 0.01, 1.0),
+            ("tips.relief", degradation.recovery_load, 0.0, 1.0),
+            ("tips.relief_for", degradation.recovery_s, 0.0, 1e5),
+        ],
+    )
+}
--- a/simulator/src/server.rs
+++ b/simulator/src/server.rs
@@ -1,6 +1,6 @@
 //! One server: cores, a bounded queue, warm-up, pauses, a memory of keys, and the state that waiting leaves.
 
-use crate::script::{Machine, Obliged};
+use crate::script::{Limits, MachineType};
 use std::collections::VecDeque;
 
 /// One push at a server.
@@ -64,7 +64,7 @@
 }
 
 pub struct Server {
-    pub machine: Machine,
+    pub machine: MachineType,
     pub mark: u64,
     pub zone: usize,
     pub pod: usize,
@@ -92,8 +92,8 @@
 
 impl Server {
     pub fn new(
-        machine: &Machine,
-        duties: &Obliged,
+        machine: &MachineType,
+        limits: &Limits,
         mark: u64,
         zone: usize,
         pod: usize,
@@ -112,13 +112,13 @@
             weather: Weather::default(),
             stopped_until: 0.0,
             tipped: false,
-            cold_share: duties.cold_share,
-            cold_ms: 1000.0 * duties.cold,
+            cold_share: limits.cold_capacity_fraction,
+            cold_ms: 1000.0 * limits.slow_start_s,
             queue: VecDeque::new(),
             at_work: Vec::new(),
             next: 0,
             relieved_since: Some(f64::NEG_INFINITY),
-            keys: vec![0; machine.keys],
+            keys: vec![0; machine.key_cache_size],
             told: VecDeque::new(),
         }
     }
@@ -140,16 +140,16 @@
     pub fn speed(&self, now: f64) -> f64 {
         let tipped = self
             .machine
-            .tips
+            .degradation
             .filter(|_| self.tipped)
-            .map_or(1.0, |tips| tips.to);
+            .map_or(1.0, |degradation| degradation.speed_fraction);
         self.machine.speed * self.able(now) * tipped / self.weather.slow
     }
 
     /// Takes a job in; false where it is full, and then it never runs.
     pub fn offer(&mut self, now: f64, job: Job) -> bool {
         self.relax(now);
-        if self.held() >= self.machine.cores + self.machine.queue {
+        if self.held() >= self.machine.cores + self.machine.queue_capacity {
             return false;
         }
         self.queue.push_back(job);
@@ -167,8 +167,8 @@
         }
         if self
             .machine
-            .tips
-            .is_some_and(|tips| now - job.came > tips.after_ms)
+            .degradation
+            .is_some_and(|degradation| now - job.came > degradation.queue_wait_ms)
         {
             // Danger it plays: waiting leaves it slow after the waiting has stopped.
             (self.tipped, self.relieved_since) = (true, None);
@@ -194,15 +194,15 @@
 
     /// Relief: holding little for long enough ends the slow state.
     fn relax(&mut self, now: f64) {
-        let Some(tips) = self.machine.tips else {
+        let Some(degradation) = self.machine.degradation else {
             return;
         };
-        if self.held() as f64 > tips.relief * self.machine.cores as f64 {
+        if self.held() as f64 > degradation.recovery_load * self.machine.cores as f64 {
             self.relieved_since = None;
             return;
         }
         let since = *self.relieved_since.get_or_insert(now);
-        if self.tipped && now - since >= 1000.0 * tips.relief_for {
+        if self.tipped && now - since >= 1000.0 * degradation.recovery_s {
             self.tipped = false;
         }
     }
@@ -232,7 +232,7 @@
             .at_work
             .iter()
             .position(|w| it(&w.job))
-            .filter(|_| self.machine.stops);
+            .filter(|_| self.machine.stops_cancelled_work);
         if let Some(place) = place {
             self.at_work.swap_remove(place);
             self.relax(now);
@@ -289,7 +289,7 @@
              [[machines]]\nkind = 'm'\ncount = 1\ncores = 2\nqueue = 3\n{more}\n"
         );
         let script = Script::read(&text).expect("whole");
-        Server::new(&script.machines[0], &script.duties, 1, 0, 0, 0.0)
+        Server::new(&script.machine_types[0], &script.limits, 1, 0, 0, 0.0)
     }
 
     fn job(push: usize, came: f64) -> Job {
--- a/simulator/tests/environments.rs
+++ b/simulator/tests/environments.rs
@@ -190,7 +190,7 @@
         last.service
     );
     let calm = Script {
-        seconds: 14.0,
+        duration_s: 14.0,
         ..script("")
     };
     assert!(
@@ -278,17 +278,17 @@
         let good = text(&format!("{RELEASE}{LOST}"));
         let bad = good.replacen(from, to, 1);
         let faulty = Script::read(&bad).expect_err(to);
-        assert_eq!(faulty.key, key, "{to}: {faulty}");
+        assert_eq!(faulty.key().unwrap_or_default(), key, "{to}: {faulty}");
         assert!(faulty.to_string().contains(says), "{to}: {faulty}");
         let expected = line(&bad, to.lines().last().expect("not empty"));
         // A key that is missing is named at what it is missing from.
         assert!(
-            faulty.line <= bad.lines().count() && faulty.line > 0,
+            faulty.line() <= bad.lines().count() && faulty.line() > 0,
             "{faulty}"
         );
         if !["load", "faults.0.zone"].contains(&key) && !to.contains("at = 99") {
-            assert_eq!(faulty.line, expected, "{to}: {faulty}");
+            assert_eq!(faulty.line(), expected, "{to}: {faulty}");
         }
     }
-    assert!(Script::read("name = ").is_err_and(|faulty| faulty.line == 1));
+    assert!(Script::read("name = ").is_err_and(|faulty| faulty.line() == 1));
 }
