--- a/fault-injection/src/harness.rs
+++ b/fault-injection/src/harness.rs
@@ -4,9 +4,11 @@
 use crate::processes::{configuration, free_port, Node, Start};
 use crate::relay::{Relays, Way};
 use crankmux::types::AttemptOutcome;
-use crankmux_simulator::invariants::{Answer, InvariantChecker, Life, Repeats, Rule};
+use crankmux_simulator::endpoint::{Completion, Dequeued, Endpoint, Job};
+use crankmux_simulator::invariants::{
+    Answer, InvariantChecker, RequestHistory, RetrySafety, Rule, Tolerances,
+};
 use crankmux_simulator::script::{DeduplicationScope, Idempotency, RequestClass, Script};
-use crankmux_simulator::server::{Begun, Job, Server};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use rand::{RngExt, SeedableRng};
@@ -58,7 +60,7 @@
     category: usize,
     ends: f64,
     sent: f64,
-    life: Life,
+    life: RequestHistory,
     pushes: usize,
     /// Its node died or stood still meanwhile: no answer is owed.
     excused: bool,
@@ -112,7 +114,7 @@
     idle: Vec<VecDeque<usize>>,
     due: BTreeMap<(u64, u64), Due>,
     next_due: u64,
-    servers: Vec<Server>,
+    servers: Vec<Endpoint>,
     /// Where each node dials each server.
     dials: Vec<Vec<SocketAddr>>,
     /// At which connection a job's answer is awaited, by op, serial and push.
@@ -162,12 +164,12 @@
             / weights;
         let duties = &script.limits;
         let slack = duties.answer_slack_ms + LOOP_LATE;
-        let judge = InvariantChecker::new(
-            slack,
-            duties.drain_grace_ms + LOOP_LATE,
-            duties.overload_multiple,
-            duties.overload_window_ms,
-        );
+        let judge = InvariantChecker::new(Tolerances {
+            answer_slack_ms: slack,
+            drain_grace_ms: duties.drain_grace_ms + LOOP_LATE,
+            overload_multiple: duties.overload_multiple,
+            overload_window_ms: duties.overload_window_ms,
+        });
         let mut rig = Harness {
             nodes: Vec::new(),
             relays: Relays::default(),
@@ -219,7 +221,7 @@
                 let server = self.servers.len();
                 let zone = server % script.zones.len();
                 let pod = server / machine.pod_size;
-                self.servers.push(Server::new(
+                self.servers.push(Endpoint::new(
                     machine,
                     &script.limits,
                     server as u64,
@@ -417,9 +419,9 @@
 
     /// A server's process is replaced by a new one, which is cold.
     pub fn restart_server(&mut self, server: usize) {
-        let held = self.servers[server].die();
+        let held = self.servers[server].crash();
         for job in held {
-            self.awaited.remove(&(job.op, job.serial, job.push));
+            self.awaited.remove(&(job.request, job.serial, job.attempt));
         }
         let of = |side: &Side| matches!(side, Side::Server { server: s, .. } if *s == server);
         let gone: Vec<usize> = self
@@ -430,7 +432,7 @@
             .collect();
         gone.into_iter().for_each(|key| self.close(key));
         let now = self.now();
-        (self.servers[server].up, self.servers[server].started) = (true, now);
+        (self.servers[server].up, self.servers[server].started_at) = (true, now);
         self.health[server] = "Ready";
         self.listed(server);
     }
@@ -596,7 +598,7 @@
         };
         self.serial += 1;
         let ends = now + terms.ttl_ms;
-        let life = self.judge.taken(
+        let life = self.judge.request_received(
             now,
             node,
             repeats(&terms),
@@ -641,7 +643,7 @@
             self.service.gone += 1;
         }
         if !it.excused {
-            self.judge.due(now, &self.ops[op].life);
+            self.judge.deadline_passed(now, &self.ops[op].life);
         }
         if let Some(conn) = self.ops[op].conn.take() {
             self.close(conn);
@@ -662,7 +664,7 @@
         };
         let Some(conn) = it.conn.take() else { return };
         it.excused = true;
-        self.judge.client_closed(now, &mut it.life);
+        self.judge.client_disconnected(now, &mut it.life);
         self.conns[conn].1 = Side::Client {
             node: it.node,
             op: None,
@@ -734,9 +736,9 @@
         let it = &mut self.ops[op];
         it.conn = None;
         let answer = match head.status {
-            503 => Answer::Nacked,
-            502 => Answer::DeadLettered,
-            _ => Answer::Acked,
+            503 => Answer::Rejected,
+            502 => Answer::Failed,
+            _ => Answer::Succeeded,
         };
         it.answered = true;
         if !it.excused {
@@ -744,7 +746,7 @@
         }
         let service = &mut self.service;
         match answer {
-            Answer::Acked => {
+            Answer::Succeeded => {
                 service.acked += 1;
                 let target = self.script.request_classes[it.category].latency_objective_ms;
                 let in_time = u64::from(now - it.sent <= target);
@@ -752,8 +754,8 @@
                 self.seconds[(it.sent / 1000.0) as usize].1 += in_time;
                 self.latencies.push(now - it.sent);
             }
-            Answer::Nacked => service.nacked += 1,
-            Answer::DeadLettered => service.dead_lettered += 1,
+            Answer::Rejected => service.nacked += 1,
+            Answer::Failed => service.dead_lettered += 1,
         }
     }
 
@@ -777,7 +779,7 @@
                 .is_some_and(|it: &Op| it.serial == *serial)
         }) else {
             // Long over, and still pushed.
-            self.judge.nobodys();
+            self.judge.attempt_for_forgotten_request();
             return self.close(key);
         };
         self.reached.push(Reached {
@@ -795,29 +797,29 @@
         let it = &mut self.ops[op];
         it.pushes += 1;
         self.judge
-            .pushed(now, &mut it.life, server, group, draining);
+            .attempt_started(now, &mut it.life, server, group, draining);
         let s = &self.servers[server];
-        let able = s.able(now) * s.machine.speed * s.machine.cores as f64 / self.ordinary;
-        let cold = s.able(now) < 1.0;
+        let able = s.warmth(now) * s.machine.speed * s.machine.cores as f64 / self.ordinary;
+        let cold = s.warmth(now) < 1.0;
         if self
             .judge
-            .bears(now, server, ordinary, cold.then_some(able))
+            .overloads_cold_endpoint(now, server, ordinary, cold.then_some(able))
         {
             self.fall(server);
             return;
         }
         let job = Job {
-            op,
+            request: op,
             serial,
-            push,
-            work,
-            came: now,
-            ends,
+            attempt: push,
+            work_ms: work,
+            arrived_at: now,
+            deadline: ends,
             key: 0,
-            key_miss: 1.0,
+            key_miss_factor: 1.0,
         };
         self.awaited.insert((op, serial, push), key);
-        if self.servers[server].offer(now, job) {
+        if self.servers[server].enqueue(now, job) {
             self.serve(server);
         } else {
             self.reply(server, job, AttemptOutcome::Rejected);
@@ -833,35 +835,40 @@
 
     fn serve(&mut self, server: usize) {
         let now = self.now();
-        while let Some(begun) = self.servers[server].begin(now) {
+        while let Some(begun) = self.servers[server].start_next(now) {
             match begun {
-                Begun::Started(work) => {
-                    let (life, job) = (self.servers[server].life, work.job);
+                Dequeued::Started(work) => {
+                    let (life, job) = (self.servers[server].incarnation, work.job);
                     if let Some(category) = self
                         .ops
-                        .get(job.op)
+                        .get(job.request)
                         .filter(|it| it.serial == job.serial)
                         .map(|it| it.category)
                     {
                         let group = self.group(server, category);
-                        self.judge
-                            .ran(now, &mut self.ops[job.op].life, job.push, server, group);
+                        self.judge.attempt_executed(
+                            now,
+                            &mut self.ops[job.request].life,
+                            job.attempt,
+                            server,
+                            group,
+                        );
                     }
-                    self.after(work.due - now, move |rig| {
+                    self.after(work.finishes_at - now, move |rig| {
                         rig.done(server, life, work.number)
                     });
                 }
-                Begun::Expired(job) => self.reply(server, job, AttemptOutcome::Rejected),
+                Dequeued::Expired(job) => self.reply(server, job, AttemptOutcome::Rejected),
             }
         }
     }
 
     fn done(&mut self, server: usize, life: u32, number: u64) {
         let now = self.now();
-        if self.servers[server].life != life {
+        if self.servers[server].incarnation != life {
             return;
         }
-        if let Ok(Some(job)) = self.servers[server].done(now, number) {
+        if let Completion::Finished(job) = self.servers[server].complete(now, number) {
             self.reply(server, job, AttemptOutcome::Succeeded);
         }
         self.serve(server);
@@ -871,19 +878,21 @@
         let now = self.now();
         if let Some(it) = self
             .ops
-            .get_mut(job.op)
+            .get_mut(job.request)
             .filter(|it| it.serial == job.serial)
         {
-            self.judge.ended(now, &mut it.life, job.push, ending);
+            self.judge
+                .attempt_ended(now, &mut it.life, job.attempt, ending);
         }
-        let Some(key) = self.awaited.remove(&(job.op, job.serial, job.push)) else {
+        let Some(key) = self.awaited.remove(&(job.request, job.serial, job.attempt)) else {
             return;
         };
         let reports = &self.script.load_reports;
         let told = reports
             .enabled
-            .then(|| self.servers[server].report(now, reports.interval_ms, reports.delay_ms));
-        let load = told.flatten().map_or_else(String::new, |(held, waiting)| {
+            .then(|| self.servers[server].report_load(now, reports.interval_ms, reports.delay_ms));
+        let load = told.flatten().map_or_else(String::new, |load| {
+            let (held, waiting) = (load.in_flight, load.queued);
             format!("X-Server-Load: TEXT inflight={held}, queue={waiting}\r\n")
         });
         let status = if ending == AttemptOutcome::Succeeded {
@@ -947,8 +956,8 @@
     fn line(&self, node: usize, server: usize) -> Value {
         let s = &self.servers[server];
         // Since the start here; clocks tell Unix time.
-        let born = if s.started > 0.0 {
-            self.unix + s.started
+        let born = if s.started_at > 0.0 {
+            self.unix + s.started_at
         } else {
             0.0
         };
@@ -1168,24 +1177,25 @@
     pub fn broken(&self) -> Vec<String> {
         let told = self
             .judge
-            .broken
+            .violations
             .iter()
-            .map(|b| format!("{}: {}: {:?}", b.rule.name(), b.what, b.life));
+            .map(|b| format!("{}: {}: {:?}", b.rule.name(), b.description, b.history));
         let counts = self.judge.counts();
-        let on = (counts[Rule::Left as usize] > 0).then(|| Rule::Left.name().to_string());
+        let on = (counts[Rule::NoWorkForDepartedClients as usize] > 0)
+            .then(|| Rule::NoWorkForDepartedClients.name().to_string());
         told.chain(on)
             .chain((counts.iter().sum::<u64>() > 0).then(|| format!("counts {counts:?}")))
             .collect()
     }
 }
 
-fn repeats(terms: &RequestClass) -> Repeats {
+fn repeats(terms: &RequestClass) -> RetrySafety {
     match terms.idempotency {
-        Idempotency::Idempotent => Repeats::Freely,
-        Idempotency::IdempotentWithKey => Repeats::Deduplicated {
-            fleet: terms.deduplication_scope == DeduplicationScope::Fleet,
+        Idempotency::Idempotent => RetrySafety::Idempotent,
+        Idempotency::IdempotentWithKey => RetrySafety::Deduplicated {
+            fleet_wide: terms.deduplication_scope == DeduplicationScope::Fleet,
         },
-        Idempotency::NotIdempotent => Repeats::Never,
+        Idempotency::NotIdempotent => RetrySafety::NotIdempotent,
     }
 }
 
--- a/fault-injection/src/run.rs
+++ b/fault-injection/src/run.rs
@@ -391,7 +391,8 @@
         .copied()
         .unwrap_or(0.0);
     let took: Vec<Option<f64>> = latencies.into_iter().map(Some).collect();
-    let (clients_left, after) = rig.judge.after_leaves();
+    let clients_left = rig.judge.clients_left();
+    let after = rig.judge.attempt_delays_after_departure_ms();
     let within = |from: f64, to: f64| {
         after
             .iter()
--- a/proxy/tests/fleet/main.rs
+++ b/proxy/tests/fleet/main.rs
@@ -607,7 +607,8 @@
     assert!(many, "{:?}", rig.service);
     let [lost, twice, drains, _, left] = rig.judge.counts();
     assert_eq!([lost, twice, drains, left], [0; 4], "{:#?}", rig.broken());
-    let (left, after) = rig.judge.after_leaves();
+    let left = rig.judge.clients_left();
+    let after = rig.judge.attempt_delays_after_departure_ms();
     let within = |from: f64, to: f64| {
         after
             .iter()
--- a/scenarios/src/rehearse.rs
+++ b/scenarios/src/rehearse.rs
@@ -74,7 +74,7 @@
     let mut done = done.into_inner().unwrap_or_else(|e| e.into_inner());
     done.sort_by_key(|(index, _)| *index);
     done.into_iter()
-        .map(|(_, figures)| figures.map_err(|e| (2, e)))
+        .map(|(_, figures)| figures.map_err(|e| (2, e.to_string())))
         .collect()
 }
 
@@ -101,7 +101,7 @@
         }
         return Ok(true);
     }
-    let how = PolicyKind::named(&call.by)
+    let how = PolicyKind::from_name(&call.by)
         .ok_or_else(|| (2, format!("--by {}: no such chooser", call.by)))?;
     let script = scripts::read(call.script.as_deref())?;
     let seeds = call.seed..call.seed + call.seeds.max(1);
@@ -131,8 +131,8 @@
         report::write(out, &script, &figures, &json)
             .map_err(|e| (1, format!("{}: {e}", out.display())))?;
     }
-    let kept = figures.iter().all(|f| f.broken == [0; 5]);
-    for life in figures.iter().flat_map(|f| &f.lives).take(5) {
+    let kept = figures.iter().all(|f| f.violations == [0; 5]);
+    for life in figures.iter().flat_map(|f| &f.violation_reports).take(5) {
         eprintln!("broken: {life}");
     }
     Ok(kept)
@@ -168,13 +168,13 @@
             };
             let figures = play_all(&[play], Some(1)).expect("a chooser").remove(0);
             assert_eq!(
-                figures.broken,
+                figures.violations,
                 [0; 5],
                 "{name}: {:?}",
-                figures.lives.first()
+                figures.violation_reports.first()
             );
             assert!(
-                figures.all.wanted > 2000 && figures.service > worst,
+                figures.totals.calls > 2000 && figures.service > worst,
                 "{name}: {}",
                 figures.service
             );
--- a/scenarios/src/report.rs
+++ b/scenarios/src/report.rs
@@ -26,15 +26,15 @@
         let _ = writeln!(
             text,
             "{:6}  {:6}  {:7.2}  {:7}  {:4}  {:7}  {:6}  {:5}  {:6}  {:8.1}  {:8.1}",
-            s.at,
-            c.wanted,
+            s.second,
+            c.calls,
             c.service,
             c.in_time,
             c.late,
-            c.refused,
+            c.rejected,
             c.failed,
-            s.tries,
-            s.pushes,
+            s.requests,
+            s.attempts,
             s.p50_ms,
             s.p99_ms
         );
@@ -49,33 +49,33 @@
     let _ = writeln!(
         text,
         "{}, {}, seed {}: service {:.2} of 100; worst second {} with {:.2}",
-        f.script, f.chooser, f.seed, f.service, f.worst_second.0, f.worst_second.1
+        f.script, f.policy, f.seed, f.service, f.worst_second.second, f.worst_second.service
     );
-    for named in &f.categories {
+    for named in &f.classes {
         let c = &named.counts;
         let _ = writeln!(
             text,
             "  {:16} {:7} wanted, service {:6.2}: {} in time, {} late, {} refused, {} failed",
-            named.name, c.wanted, c.service, c.in_time, c.late, c.refused, c.failed
+            named.name, c.calls, c.service, c.in_time, c.late, c.rejected, c.failed
         );
     }
     let l = &f.latency_ms;
     let _ = writeln!(
         text,
         "  latency ms: p50 {:.1}, p90 {:.1}, p99 {:.1}, p99.9 {:.1}, p99.99 {:.1}, most {:.1}",
-        l.p50, l.p90, l.p99, l.p999, l.p9999, l.most
+        l.p50, l.p90, l.p99, l.p999, l.p9999, l.max
     );
     let _ = writeln!(
         text,
         "  {:.2} tries a wish, {:.2} pushes a wish; servers fell over {}, turned slow by waiting {}",
-        f.tries as f64 / f.all.wanted.max(1) as f64,
-        f.pushes as f64 / f.all.wanted.max(1) as f64,
-        f.fell_over,
-        f.tipped
+        f.requests as f64 / f.totals.calls.max(1) as f64,
+        f.attempts as f64 / f.totals.calls.max(1) as f64,
+        f.endpoints_overloaded,
+        f.endpoints_degraded
     );
     let broken: Vec<String> = RULES
         .iter()
-        .zip(f.broken)
+        .zip(f.violations)
         .filter(|(_, n)| *n > 0)
         .map(|(rule, n)| format!("{n} {rule}"))
         .collect();
@@ -156,11 +156,11 @@
     std::fs::create_dir_all(out)?;
     std::fs::write(out.join("figures.json"), json)?;
     let first = &figures[0];
-    let over = |of: &dyn Fn(&crankmux_simulator::results::Second) -> f64| {
+    let over = |of: &dyn Fn(&crankmux_simulator::results::SecondResults) -> f64| {
         first
             .seconds
             .iter()
-            .map(|s| (s.at as f64, of(s)))
+            .map(|s| (s.second as f64, of(s)))
             .collect::<Vec<_>>()
     };
     let share = |n: u64, of: u64| 100.0 * n as f64 / of.max(1) as f64;
@@ -177,9 +177,9 @@
         &[
             (
                 "refused",
-                over(&|s| share(s.counts.refused, s.counts.wanted)),
+                over(&|s| share(s.counts.rejected, s.counts.calls)),
             ),
-            ("failed", over(&|s| share(s.counts.failed, s.counts.wanted))),
+            ("failed", over(&|s| share(s.counts.failed, s.counts.calls))),
         ],
     )?;
     lines(
@@ -191,7 +191,7 @@
     bars(
         &out.join("servers.svg"),
         "Pushes by server",
-        &first.pushes_by_server,
+        &first.attempts_by_endpoint,
     )?;
     let mut text = format!(
         "# {}\n\n{}\n\nSimulated servers, in virtual time.\n\n",
@@ -214,7 +214,7 @@
         first.seed,
         seconds(first)
     );
-    for life in &first.lives {
+    for life in &first.violation_reports {
         let _ = writeln!(text, "\nBroken: {life}");
     }
     std::fs::write(out.join("report.md"), text)?;
--- a/scenarios/src/tables.rs
+++ b/scenarios/src/tables.rs
@@ -29,7 +29,7 @@
 
 fn mean(of: &[RunResults]) -> (f64, f64, u64) {
     let (mean, half) = interval(&of.iter().map(|f| f.service).collect::<Vec<_>>());
-    (mean, half, of.iter().flat_map(|f| f.broken).sum())
+    (mean, half, of.iter().flat_map(|f| f.violations).sum())
 }
 
 /// A row a script: service of each chooser, a star where it broke a rule; the module's score between random
--- a/simulator/benches/events.rs
+++ b/simulator/benches/events.rs
@@ -23,15 +23,15 @@
 share = 0.6
 "#;
 
-fn events(c: &mut Criterion) {
-    let script = Script::read(TEXT).expect("whole");
-    let mut group = c.benchmark_group("events");
+fn events(criterion: &mut Criterion) {
+    let script = Script::read(TEXT).expect("a valid script");
+    let mut group = criterion.benchmark_group("events");
     group.sample_size(10);
-    for how in [PolicyKind::Random, PolicyKind::Module] {
-        let events = run(&script, how, 1).expect("a chooser").events;
+    for kind in [PolicyKind::Random, PolicyKind::Module] {
+        let events = run(&script, kind, 1).expect("a valid policy").events;
         group.throughput(Throughput::Elements(events));
-        group.bench_function(how.name(), |b| {
-            b.iter(|| run(&script, how, 1).expect("a chooser").events)
+        group.bench_function(kind.name(), |bencher| {
+            bencher.iter(|| run(&script, kind, 1).expect("a valid policy").events)
         });
     }
     group.finish();
--- a/simulator/src/environment/attempts.rs
+++ b/simulator/src/environment/attempts.rs
@@ -95,11 +95,11 @@
     ) -> Option<(AttemptRef, usize)> {
         let class = self.requests.get(request_index)?.class;
         let group = self.deduplication_group(endpoint, class);
-        let incarnation = self.endpoints[endpoint].life;
+        let incarnation = self.endpoints[endpoint].incarnation;
         let request = self.requests.get_mut(request_index)?;
         let proxy = request.proxy;
         let draining_since = self.proxies[proxy].draining_since(endpoint);
-        self.checker.pushed(
+        self.checker.attempt_started(
             self.now,
             &mut request.history,
             endpoint,
@@ -123,7 +123,7 @@
             awaited: true,
             settled: false,
         });
-        self.tally.pushed(self.elapsed_ms(), endpoint);
+        self.results.attempt_sent(self.elapsed_ms(), endpoint);
         Some((attempt, proxy))
     }
 
@@ -160,7 +160,7 @@
         let proxy = request.proxy;
         let outcome = AttemptOutcome::Cancelled;
         self.checker
-            .ended(self.now, &mut request.history, number, outcome);
+            .attempt_ended(self.now, &mut request.history, number, outcome);
         self.abort_attempt(request_index, number);
         let result = AttemptResult {
             request: request_index,
@@ -171,7 +171,7 @@
             load: LoadReport::default(),
         };
         let steps = self.with_policy(proxy, |policy, now, truth| {
-            policy.report(now, &result, truth)
+            policy.attempt_ended(now, &result, truth)
         });
         self.execute_steps(request_index, steps);
         self.forget_if_finished(request_index);
@@ -207,12 +207,12 @@
         let was_open = request.is_open();
         if let Some(request) = self.requests.get_mut(index) {
             self.checker
-                .ended(self.now, &mut request.history, number, outcome);
+                .attempt_ended(self.now, &mut request.history, number, outcome);
         }
         self.release_connection(proxy, endpoint, attempt_ref, outcome);
         let succeeded = outcome == AttemptOutcome::Succeeded;
         if succeeded && was_open {
-            self.answer(index, Answer::Acked, 0.0);
+            self.answer(index, Answer::Succeeded, 0.0);
         }
         let result = AttemptResult {
             request: index,
@@ -223,7 +223,7 @@
             load,
         };
         let steps = self.with_policy(proxy, |policy, now, truth| {
-            policy.report(now, &result, truth)
+            policy.attempt_ended(now, &result, truth)
         });
         if self.request(request_ref).is_some() {
             self.execute_steps(index, steps);
--- a/simulator/src/environment/clients.rs
+++ b/simulator/src/environment/clients.rs
@@ -3,7 +3,7 @@
 use super::event_queue::{Event, RequestRef};
 use super::requests::Request;
 use super::{Environment, START_MS};
-use crate::invariants::Repeats;
+use crate::invariants::RetrySafety;
 use crate::results::Outcome;
 use crate::script::{Backoff, Burst, DeduplicationScope, Idempotency, RequestClass};
 use crankmux::types::NewRequest;
@@ -42,13 +42,13 @@
 }
 
 /// What the invariant checker is to know of a class.
-fn repeats(class: &RequestClass) -> Repeats {
+fn retry_safety(class: &RequestClass) -> RetrySafety {
     match class.idempotency {
-        Idempotency::Idempotent => Repeats::Freely,
-        Idempotency::IdempotentWithKey => Repeats::Deduplicated {
-            fleet: class.deduplication_scope == DeduplicationScope::Fleet,
+        Idempotency::Idempotent => RetrySafety::Idempotent,
+        Idempotency::IdempotentWithKey => RetrySafety::Deduplicated {
+            fleet_wide: class.deduplication_scope == DeduplicationScope::Fleet,
         },
-        Idempotency::NotIdempotent => Repeats::Never,
+        Idempotency::NotIdempotent => RetrySafety::NotIdempotent,
     }
 }
 
@@ -72,7 +72,7 @@
     pub(super) fn schedule_next_call(&mut self) {
         let mut delay_ms = 0.0;
         loop {
-            delay_ms += self.random.arrivals.wait(self.peak_rate);
+            delay_ms += self.random.arrivals.exponential(self.peak_rate);
             let second = (self.elapsed_ms() + delay_ms) / 1000.0;
             let load = &self.script.load;
             let wave = 1.0
@@ -80,7 +80,7 @@
             let burst = burst_factor(&load.bursts, second).unwrap_or(1.0);
             let rate = self.script.rate() / 1000.0 * wave * burst;
             if second > self.script.duration_s
-                || self.random.arrivals.part() * self.peak_rate < rate
+                || self.random.arrivals.unit() * self.peak_rate < rate
             {
                 break;
             }
@@ -104,14 +104,14 @@
             .iter()
             .map(|class| class.arrival_weight)
             .collect();
-        let class = arrivals.weighted(&weights);
+        let class = arrivals.weighted_index(&weights);
         let mut zone_weights = self.zone_weights.clone();
         if script.load.rotates_zones {
             let zones = zone_weights.len();
             let shift = (second / script.duration_s * zones as f64) as usize % zones;
             zone_weights.rotate_left(shift);
         }
-        let zone = arrivals.weighted(&zone_weights);
+        let zone = arrivals.weighted_index(&zone_weights);
         let key = self.draw_key(second);
         let settings = &script.request_classes[class];
         let work_factor = match settings.work_tail_exponent {
@@ -126,8 +126,8 @@
             work_factor,
             arrived_at: self.now,
             requests_sent: 0,
-            honours_retry_after: clients.yes(script.clients.honours_retry_after_fraction),
-            impatient: clients.yes(script.clients.impatient_fraction),
+            honours_retry_after: clients.chance(script.clients.honours_retry_after_fraction),
+            impatient: clients.chance(script.clients.impatient_fraction),
         }
     }
 
@@ -135,19 +135,19 @@
     fn draw_key(&mut self, second: f64) -> u64 {
         let load = &self.script.load;
         let hot_fraction = burst_factor(&load.hot_key, second).unwrap_or(0.0);
-        let hot = self.random.arrivals.yes(hot_fraction);
+        let hot = self.random.arrivals.chance(hot_fraction);
         if load.key_count == 0 {
             return 0;
         }
         if hot {
             return 1;
         }
-        2 + self.random.arrivals.under(load.key_count) as u64
+        2 + self.random.arrivals.index_below(load.key_count) as u64
     }
 
     /// Sends a request for a call to a proxy: the first one, or a retry.
     pub(super) fn send_request(&mut self, call: usize) {
-        self.tally.tried(self.elapsed_ms());
+        self.results.request_sent(self.elapsed_ms());
         let state = self.calls.get_mut(call).expect("an open call");
         state.requests_sent += 1;
         let zone = state.zone;
@@ -160,7 +160,7 @@
         }
         let (request, arrival) = self.open_request(call, proxy);
         let steps = self.with_policy(proxy, |policy, now, truth| {
-            policy.arrive(now, &arrival, truth)
+            policy.request_arrived(now, &arrival, truth)
         });
         self.execute_steps(request.index, steps);
         self.serve_policy(proxy);
@@ -175,7 +175,7 @@
         if table.proxies.is_empty() {
             return None;
         }
-        Some(table.proxies[self.random.clients.weighted(&table.weights)])
+        Some(table.proxies[self.random.clients.weighted_index(&table.weights)])
     }
 
     /// A proxy takes in a request of a call.
@@ -183,10 +183,10 @@
         let call = self.calls.get(call_index).expect("an open call");
         let class = &self.script.request_classes[call.class];
         let deadline = self.now + class.ttl_ms;
-        let history = self.checker.taken(
+        let history = self.checker.request_received(
             self.now,
             proxy,
-            repeats(class),
+            retry_safety(class),
             class.deduplication_window_ms,
             deadline,
         );
@@ -236,7 +236,7 @@
             return self.close_call(call, Outcome::Failed);
         }
         if state.requests_sent > clients.max_retries {
-            return self.close_call(call, Outcome::Refused);
+            return self.close_call(call, Outcome::Rejected);
         }
         let backoff_ms = match clients.backoff {
             Backoff::None => 1.0,
@@ -250,7 +250,7 @@
         } else {
             backoff_ms
         };
-        let delay_ms = delay_ms * (0.75 + 0.5 * self.random.clients.part());
+        let delay_ms = delay_ms * (0.75 + 0.5 * self.random.clients.unit());
         self.schedule(
             delay_ms + 2.0 * CLIENT_DELAY_MS,
             Event::CallRetries { call },
@@ -262,7 +262,8 @@
         if let Some(call) = self.calls.remove(call) {
             let took_ms = self.now - call.arrived_at + 2.0 * CLIENT_DELAY_MS;
             let arrived_ms = call.arrived_at - START_MS;
-            self.tally.outcome(arrived_ms, call.class, outcome, took_ms);
+            self.results
+                .call_closed(arrived_ms, call.class, outcome, took_ms);
         }
     }
 }
--- a/simulator/src/environment/discovery.rs
+++ b/simulator/src/environment/discovery.rs
@@ -36,14 +36,14 @@
         } else {
             EndpointState::Removed
         };
-        let started_at_ms = if endpoint.started > 0.0 {
-            endpoint.started + self.endpoint_list.clock_offsets_ms[index]
+        let started_at_ms = if endpoint.started_at > 0.0 {
+            endpoint.started_at + self.endpoint_list.clock_offsets_ms[index]
         } else {
             0.0
         };
         EndpointUpdate {
             endpoint: index,
-            stable_hash: endpoint.mark,
+            stable_hash: endpoint.stable_hash,
             state,
             zone: endpoint.zone,
             machine_class: 0,
@@ -66,14 +66,16 @@
 
     pub(super) fn schedule_notification(&mut self, proxy: usize, full_list: bool) {
         let mean_ms = self.script.discovery.notification_delay_ms;
-        let delay_ms = mean_ms * (1.0 + self.random.discovery.part());
+        let delay_ms = mean_ms * (1.0 + self.random.discovery.unit());
         self.schedule(delay_ms, Event::ProxyNotified { proxy, full_list });
     }
 
     /// A proxy starts with the list that it last knew, and asks for the current one.
     pub(super) fn start_proxy(&mut self, proxy: usize) {
         let list = self.last_known_list(proxy);
-        self.with_policy(proxy, |policy, now, _| policy.list(now, &list, true, true));
+        self.with_policy(proxy, |policy, now, _| {
+            policy.update_endpoints(now, &list, true, true)
+        });
         // The platform's discovery is automatic: a proxy need not ask for the list.
         let delay_ms = self.script.discovery.notification_delay_ms;
         let full_list = true;
@@ -122,7 +124,7 @@
             changes
         };
         self.with_policy(proxy, |policy, now, _| {
-            policy.list(now, &updates, full_list, false)
+            policy.update_endpoints(now, &updates, full_list, false)
         });
         self.serve_policy(proxy);
     }
--- a/simulator/src/environment/endpoints.rs
+++ b/simulator/src/environment/endpoints.rs
@@ -2,8 +2,8 @@
 
 use super::event_queue::{AttemptRef, EndpointRef, Event, RequestRef};
 use super::Environment;
-use crate::random::number;
-use crate::server::{Begun, Job, Server};
+use crate::endpoint::{Completion, Dequeued, Endpoint, Job};
+use crate::random::stable_hash;
 use crankmux::types::{AttemptOutcome, EndpointState, EndpointUpdate, LoadReport};
 
 /// An endpoint that was overloaded while cold is back, cold, after this.
@@ -17,18 +17,18 @@
 fn attempt_of(job: &Job) -> AttemptRef {
     AttemptRef {
         request: RequestRef {
-            index: job.op,
+            index: job.request,
             serial: job.serial,
         },
-        number: job.push,
+        number: job.attempt,
     }
 }
 
 impl Environment<'_> {
     pub(super) fn attempt_arrives(&mut self, attempt: AttemptRef, endpoint: EndpointRef) {
         let server = &mut self.endpoints[endpoint.index];
-        server.coming -= 1;
-        let connected = server.up && server.life == endpoint.incarnation;
+        server.attempts_in_transit -= 1;
+        let connected = server.up && server.incarnation == endpoint.incarnation;
         let Some(request) = self.request(attempt.request) else {
             return;
         };
@@ -46,7 +46,7 @@
             return;
         }
         if self.overloads_cold(attempt, endpoint.index) {
-            self.tally.fell_over += 1;
+            self.results.endpoints_overloaded += 1;
             self.kill_endpoint(endpoint.index, RESTART_AFTER_OVERLOAD_MS);
             return;
         }
@@ -55,17 +55,17 @@
 
     /// Whether a fault of the endpoint ends an attempt before any work is done.
     fn fault_strikes(&mut self, attempt: AttemptRef, endpoint: usize, path_ms: f64) -> bool {
-        let faults = self.endpoints[endpoint].weather;
-        if faults.silent {
+        let faults = self.endpoints[endpoint].faults;
+        if faults.unresponsive {
             self.settle_attempt(attempt);
             return true;
         }
-        if self.random.faults.yes(faults.resets) {
+        if self.random.faults.chance(faults.reset_probability) {
             self.settle_attempt(attempt);
             self.schedule_attempt_end(path_ms, attempt, AttemptOutcome::ConnectionLost);
             return true;
         }
-        if self.random.faults.yes(faults.fail_fast) {
+        if self.random.faults.chance(faults.failure_probability) {
             self.settle_attempt(attempt);
             let delay_ms = path_ms + FAIL_FAST_MS;
             self.schedule_attempt_end(delay_ms, attempt, AttemptOutcome::Failed);
@@ -81,13 +81,13 @@
         };
         let class = request.class;
         let server = &self.endpoints[endpoint];
-        let warmth = server.able(self.now);
+        let warmth = server.warmth(self.now);
         let capacity =
             warmth * server.machine.speed * server.machine.cores as f64 / self.mean_work_ms;
         let relative_work = self.script.request_classes[class].mean_work_ms / self.mean_work_ms;
         let cold_capacity = (warmth < 1.0).then_some(capacity);
         self.checker
-            .bears(self.now, endpoint, relative_work, cold_capacity)
+            .overloads_cold_endpoint(self.now, endpoint, relative_work, cold_capacity)
     }
 
     /// An endpoint takes an attempt into its queue, or rejects it.
@@ -95,7 +95,7 @@
         let Some(job) = self.new_job(attempt, endpoint) else {
             return;
         };
-        if self.endpoints[endpoint].offer(self.now, job) {
+        if self.endpoints[endpoint].enqueue(self.now, job) {
             return self.start_jobs(endpoint);
         }
         self.settle_attempt(attempt);
@@ -120,14 +120,14 @@
             0.0
         };
         Some(Job {
-            op: attempt.request.index,
+            request: attempt.request.index,
             serial: attempt.request.serial,
-            push: attempt.number,
-            work: class.mean_work_ms * request.work_factor + setup_work_ms,
-            came: now,
-            ends: request.deadline,
+            attempt: attempt.number,
+            work_ms: class.mean_work_ms * request.work_factor + setup_work_ms,
+            arrived_at: now,
+            deadline: request.deadline,
             key: request.key,
-            key_miss: class.key_miss_factor,
+            key_miss_factor: class.key_miss_factor,
         })
     }
 
@@ -138,35 +138,35 @@
             return LoadReport::default();
         }
         let endpoint = &mut self.endpoints[endpoint];
-        let reported = endpoint.report(self.now, settings.interval_ms, settings.delay_ms);
-        reported.map_or(LoadReport::default(), |(in_flight, queued)| LoadReport {
-            in_flight: Some(in_flight),
-            queued: Some(queued),
+        let reported = endpoint.report_load(self.now, settings.interval_ms, settings.delay_ms);
+        reported.map_or(LoadReport::default(), |load| LoadReport {
+            in_flight: Some(load.in_flight),
+            queued: Some(load.queued),
             cpu_utilization: None,
         })
     }
 
     /// Lets free cores take what waits.
     fn start_jobs(&mut self, endpoint: usize) {
-        let was_degraded = self.endpoints[endpoint].tipped;
-        while let Some(begun) = self.endpoints[endpoint].begin(self.now) {
+        let was_degraded = self.endpoints[endpoint].degraded;
+        while let Some(begun) = self.endpoints[endpoint].start_next(self.now) {
             match begun {
-                Begun::Started(running) => {
+                Dequeued::Started(running) => {
                     let finishes = Event::JobFinishes {
                         endpoint: EndpointRef {
                             index: endpoint,
-                            incarnation: self.endpoints[endpoint].life,
+                            incarnation: self.endpoints[endpoint].incarnation,
                         },
                         job_number: running.number,
                     };
-                    self.schedule(running.due - self.now, finishes);
+                    self.schedule(running.finishes_at - self.now, finishes);
                     self.record_execution(endpoint, &running.job);
                 }
-                Begun::Expired(job) => self.respond(endpoint, &job, AttemptOutcome::Rejected),
+                Dequeued::Expired(job) => self.respond(endpoint, &job, AttemptOutcome::Rejected),
             }
         }
-        if self.endpoints[endpoint].tipped && !was_degraded {
-            self.tally.tipped += 1;
+        if self.endpoints[endpoint].degraded && !was_degraded {
+            self.results.endpoints_degraded += 1;
         }
     }
 
@@ -177,9 +177,14 @@
         };
         let class = request.class;
         let group = self.deduplication_group(endpoint, class);
-        if let Some(request) = self.requests.get_mut(job.op) {
-            self.checker
-                .ran(self.now, &mut request.history, job.push, endpoint, group);
+        if let Some(request) = self.requests.get_mut(job.request) {
+            self.checker.attempt_executed(
+                self.now,
+                &mut request.history,
+                job.attempt,
+                endpoint,
+                group,
+            );
         }
     }
 
@@ -193,10 +198,10 @@
         let to_zone = self.proxies[proxy].zone;
         self.settle_attempt(attempt);
         let from_zone = self.endpoints[endpoint].zone;
-        let faults = self.endpoints[endpoint].weather;
-        if faults.silent
+        let faults = self.endpoints[endpoint].faults;
+        if faults.unresponsive
             || self.partitions.responses[from_zone][to_zone]
-            || self.random.faults.yes(faults.answers_lost)
+            || self.random.faults.chance(faults.response_loss)
         {
             return;
         }
@@ -212,19 +217,19 @@
 
     pub(super) fn job_finishes(&mut self, endpoint: EndpointRef, job_number: u64) {
         let server = &mut self.endpoints[endpoint.index];
-        if server.life != endpoint.incarnation {
+        if server.incarnation != endpoint.incarnation {
             return;
         }
-        match server.done(self.now, job_number) {
-            Err(paused_until) => {
+        match server.complete(self.now, job_number) {
+            Completion::PausedUntil(paused_until) => {
                 let finishes = Event::JobFinishes {
                     endpoint,
                     job_number,
                 };
                 self.schedule(paused_until - self.now + AFTER_PAUSE_MS, finishes);
             }
-            Ok(None) => {}
-            Ok(Some(job)) => {
+            Completion::Cancelled => {}
+            Completion::Finished(job) => {
                 self.respond(endpoint.index, &job, AttemptOutcome::Succeeded);
                 self.start_jobs(endpoint.index);
             }
@@ -234,10 +239,10 @@
     pub(super) fn cancellation_arrives(&mut self, attempt: AttemptRef, endpoint: EndpointRef) {
         let AttemptRef { request, number } = attempt;
         let server = &mut self.endpoints[endpoint.index];
-        if server.life != endpoint.incarnation || !server.up {
+        if server.incarnation != endpoint.incarnation || !server.up {
             return;
         }
-        if server.call_off(self.now, request.index, request.serial, number) {
+        if server.cancel(self.now, request.index, request.serial, number) {
             self.settle_attempt(attempt);
         }
         self.start_jobs(endpoint.index);
@@ -248,7 +253,7 @@
         if !self.endpoints[endpoint].up {
             return;
         }
-        for job in self.endpoints[endpoint].die() {
+        for job in self.endpoints[endpoint].crash() {
             let attempt = attempt_of(&job);
             let proxy = self.request(attempt.request).map(|request| request.proxy);
             self.settle_attempt(attempt);
@@ -267,7 +272,7 @@
             return;
         }
         self.endpoints[endpoint].up = true;
-        self.endpoints[endpoint].started = self.now;
+        self.endpoints[endpoint].started_at = self.now;
         self.publish(self.endpoint_update(endpoint));
     }
 
@@ -278,10 +283,10 @@
         }
         let old = &self.endpoints[endpoint];
         let successor = self.endpoints.len();
-        self.endpoints.push(Server::new(
+        self.endpoints.push(Endpoint::new(
             &old.machine,
             &self.script.limits,
-            number(&format!("{successor} after {}", old.mark)),
+            stable_hash(&format!("{successor} after {}", old.stable_hash)),
             old.zone,
             old.pod,
             self.now,
--- a/simulator/src/environment/fault_schedule.rs
+++ b/simulator/src/environment/fault_schedule.rs
@@ -1,9 +1,8 @@
 //! Faults as they begin and end: what is done once, and what holds while they are active.
 
 use super::event_queue::Event;
-use super::network::Partitions;
 use super::Environment;
-use crate::faults::{cuts, strike, weather, Struck};
+use crate::faults::{endpoint_faults, select_targets, FaultTargets, Partitions};
 use crate::script::{Fault, FaultKind};
 
 /// How often endpoints that pause are looked at, and the chance that one pauses then: about once a second.
@@ -14,32 +13,28 @@
 pub(super) struct ActiveFault {
     /// Its place in the script.
     index: usize,
-    targets: Struck,
+    targets: FaultTargets,
 }
 
 impl Environment<'_> {
     /// Sets what the active faults do to endpoints and zones.
     pub(super) fn apply_faults(&mut self) {
         let script = self.script;
-        let active: Vec<(&Fault, &Struck)> = self
+        let active: Vec<(&Fault, &FaultTargets)> = self
             .active_faults
             .iter()
             .map(|active| (&script.faults[active.index], &active.targets))
             .collect();
         for (index, endpoint) in self.endpoints.iter_mut().enumerate() {
-            endpoint.weather = weather(&active, index);
+            endpoint.faults = endpoint_faults(&active, index);
         }
-        let (requests, responses) = cuts(&active, script.zones.len());
-        self.partitions = Partitions {
-            requests,
-            responses,
-        };
+        self.partitions = Partitions::of(&active, script.zones.len());
     }
 
     pub(super) fn begin_fault(&mut self, index: usize) {
         let fault = &self.script.faults[index];
         let listed = &self.endpoint_list.listed;
-        let targets = strike(self.script, index, self.seed, &self.endpoints, listed);
+        let targets = select_targets(self.script, index, self.seed, &self.endpoints, listed);
         let duration_ms = 1000.0 * fault.duration_s;
         self.schedule(duration_ms, Event::FaultEnds { fault: index });
         self.start_effects(index, fault, &targets);
@@ -48,28 +43,28 @@
     }
 
     /// What a fault does once, when it begins.
-    fn start_effects(&mut self, index: usize, fault: &Fault, targets: &Struck) {
+    fn start_effects(&mut self, index: usize, fault: &Fault, targets: &FaultTargets) {
         let duration_ms = 1000.0 * fault.duration_s;
         match fault.kind {
             FaultKind::Hang => {
-                for endpoint in &targets.servers {
+                for endpoint in &targets.endpoints {
                     self.pause_endpoint(*endpoint, duration_ms);
                 }
             }
             FaultKind::Pauses => self.schedule(0.0, Event::EndpointsPause { fault: index }),
             FaultKind::Release => {
-                let step_ms = duration_ms / targets.servers.len().max(1) as f64;
-                for (turn, endpoint) in targets.servers.iter().copied().enumerate() {
+                let step_ms = duration_ms / targets.endpoints.len().max(1) as f64;
+                for (turn, endpoint) in targets.endpoints.iter().copied().enumerate() {
                     self.schedule(step_ms * turn as f64, Event::EndpointReplaced { endpoint });
                 }
             }
             FaultKind::KillEndpoints => {
-                for endpoint in &targets.servers {
+                for endpoint in &targets.endpoints {
                     self.kill_endpoint(*endpoint, 1000.0 * fault.strength);
                 }
             }
             FaultKind::KillProxies => {
-                for proxy in &targets.nodes {
+                for proxy in &targets.proxies {
                     self.kill_proxy(*proxy, 1000.0 * fault.strength);
                 }
             }
@@ -95,8 +90,8 @@
         self.apply_faults();
     }
 
-    fn shift_clocks(&mut self, targets: &Struck, offset_ms: f64) {
-        for endpoint in &targets.servers {
+    fn shift_clocks(&mut self, targets: &FaultTargets, offset_ms: f64) {
+        for endpoint in &targets.endpoints {
             self.endpoint_list.clock_offsets_ms[*endpoint] += offset_ms;
         }
     }
@@ -104,7 +99,7 @@
     fn pause_endpoint(&mut self, endpoint: usize, duration_ms: f64) {
         let until = self.now + duration_ms;
         let endpoint = &mut self.endpoints[endpoint];
-        endpoint.stopped_until = endpoint.stopped_until.max(until);
+        endpoint.paused_until = endpoint.paused_until.max(until);
     }
 
     /// Each target of a fault pauses now with a small chance, for as long as the fault is active.
@@ -117,8 +112,8 @@
         let Some(active) = active else {
             return;
         };
-        for endpoint in active.targets.servers.clone() {
-            if self.random.faults.yes(PAUSE_PROBABILITY) {
+        for endpoint in active.targets.endpoints.clone() {
+            if self.random.faults.chance(PAUSE_PROBABILITY) {
                 self.pause_endpoint(endpoint, pause_ms);
             }
         }
--- a/simulator/src/environment/mod.rs
+++ b/simulator/src/environment/mod.rs
@@ -15,17 +15,17 @@
 mod setup;
 mod slab;
 
+use crate::endpoint::Endpoint;
+use crate::faults::Partitions;
 use crate::invariants::InvariantChecker;
-use crate::policies::PolicyKind;
-use crate::random::Stream;
-use crate::results::{RunResults, Tally};
+use crate::policies::{PolicyError, PolicyKind};
+use crate::random::RandomStream;
+use crate::results::{ResultsCollector, RunResults};
 use crate::script::Script;
-use crate::server::Server;
 use clients::{ClientCall, RoutingTable};
 use discovery::EndpointList;
 use event_queue::{Event, EventQueue};
 use fault_schedule::ActiveFault;
-use network::Partitions;
 use proxies::Proxy;
 use requests::Request;
 use slab::Slab;
@@ -35,12 +35,12 @@
 
 /// One random stream for each use, so that a change of one does not shift the draws of the others.
 struct RandomStreams {
-    arrivals: Stream,
-    work: Stream,
-    clients: Stream,
-    network: Stream,
-    discovery: Stream,
-    faults: Stream,
+    arrivals: RandomStream,
+    work: RandomStream,
+    clients: RandomStream,
+    network: RandomStream,
+    discovery: RandomStream,
+    faults: RandomStream,
 }
 
 /// The state of a run.
@@ -55,7 +55,7 @@
     request_serial: u64,
     events_handled: u64,
     proxies: Vec<Proxy>,
-    endpoints: Vec<Server>,
+    endpoints: Vec<Endpoint>,
     endpoint_list: EndpointList,
     calls: Slab<ClientCall>,
     requests: Slab<Request>,
@@ -70,7 +70,7 @@
     /// Mean work of a request on a core of speed one.
     mean_work_ms: f64,
     checker: InvariantChecker,
-    tally: Tally,
+    results: ResultsCollector,
 }
 
 /// Runs a script with one policy and one seed.
@@ -78,7 +78,7 @@
 /// # Errors
 ///
 /// A policy that cannot be made from the script's settings.
-pub fn run(script: &Script, policy_kind: PolicyKind, seed: u64) -> Result<RunResults, String> {
+pub fn run(script: &Script, policy_kind: PolicyKind, seed: u64) -> Result<RunResults, PolicyError> {
     let mut environment = Environment::new(script, policy_kind, seed)?;
     while let Some((at, event)) = environment.queue.pop() {
         if at > environment.end {
@@ -89,12 +89,12 @@
         environment.handle(event);
     }
     let Environment {
-        tally,
+        results,
         checker,
         events_handled,
         ..
     } = environment;
-    Ok(tally.sum_up(script, policy_kind.name(), seed, &checker, events_handled))
+    Ok(results.finish(script, policy_kind.name(), seed, &checker, events_handled))
 }
 
 impl Environment<'_> {
--- a/simulator/src/environment/network.rs
+++ b/simulator/src/environment/network.rs
@@ -6,21 +6,6 @@
 /// Endpoints close an idle connection after the keepalive time; proxies use it only up to this part of that time.
 const KEEPALIVE_FRACTION_MS: f64 = 750.0;
 
-/// Which zones' messages are lost on the way to which zone: `[from][to]`.
-pub(super) struct Partitions {
-    pub(super) requests: Vec<Vec<bool>>,
-    pub(super) responses: Vec<Vec<bool>>,
-}
-
-impl Partitions {
-    pub(super) fn none(zones: usize) -> Self {
-        Partitions {
-            requests: vec![vec![false; zones]; zones],
-            responses: vec![vec![false; zones]; zones],
-        }
-    }
-}
-
 /// Connections of one proxy to one endpoint.
 #[derive(Clone, Copy, Default)]
 pub(super) struct ConnectionPool {
@@ -89,7 +74,7 @@
     pub(super) fn reachability(&self, from_zone: usize, endpoint: usize) -> Reachability {
         let endpoint = &self.endpoints[endpoint];
         let requests =
-            !endpoint.weather.silent && !self.partitions.requests[from_zone][endpoint.zone];
+            !endpoint.faults.unresponsive && !self.partitions.requests[from_zone][endpoint.zone];
         let responses = requests && !self.partitions.responses[endpoint.zone][from_zone];
         Reachability {
             requests,
@@ -106,7 +91,7 @@
             pools.resize(endpoint + 1, ConnectionPool::default());
         }
         let pool = &mut pools[endpoint];
-        let discarded = pool.discard_stale(server.life, self.now, idle_timeout_ms);
+        let discarded = pool.discard_stale(server.incarnation, self.now, idle_timeout_ms);
         server.connections = server.connections.saturating_sub(discarded as usize);
         pool.last_used = self.now;
         pool
@@ -145,7 +130,7 @@
         }
         pool.open = pool.open.saturating_sub(1);
         let server = &mut self.endpoints[endpoint.index];
-        if server.life == endpoint.incarnation {
+        if server.incarnation == endpoint.incarnation {
             server.connections = server.connections.saturating_sub(1);
         }
     }
@@ -155,7 +140,7 @@
         let pools = self.proxies[proxy].connections.iter_mut();
         for (pool, endpoint) in pools.zip(&mut self.endpoints) {
             let closed = std::mem::take(pool);
-            if endpoint.life == closed.incarnation {
+            if endpoint.incarnation == closed.incarnation {
                 endpoint.connections = endpoint.connections.saturating_sub(closed.open as usize);
             }
         }
@@ -164,10 +149,10 @@
     /// An attempt leaves its proxy for the endpoint as it is now.
     pub(super) fn send(&mut self, delay_ms: f64, attempt: AttemptRef, endpoint: usize) {
         let server = &mut self.endpoints[endpoint];
-        server.coming += 1;
+        server.attempts_in_transit += 1;
         let endpoint = EndpointRef {
             index: endpoint,
-            incarnation: server.life,
+            incarnation: server.incarnation,
         };
         self.schedule(delay_ms, Event::AttemptArrives { attempt, endpoint });
     }
--- a/simulator/src/environment/proxies.rs
+++ b/simulator/src/environment/proxies.rs
@@ -1,12 +1,13 @@
 //! Proxies: their policies, timers, deaths and restarts.
 
 use super::event_queue::{Event, ProxyRef};
-use super::network::{ConnectionPool, Partitions};
+use super::network::ConnectionPool;
 use super::Environment;
-use crate::policies::{Policy, Truth};
+use crate::endpoint::Endpoint;
+use crate::faults::Partitions;
+use crate::policies::{EndpointTruth, Policy};
 use crate::results::Outcome;
 use crate::script::{Idempotency, Script};
-use crate::server::Server;
 
 /// The policy that sees the true state avoids a machine once this part of the wait that degrades it is expected:
 /// the work of requests differs, so the rest is left to chance.
@@ -58,7 +59,7 @@
 /// The true state of the endpoints, as it matters to a proxy of one zone.
 struct TrueState<'a> {
     script: &'a Script,
-    endpoints: &'a [Server],
+    endpoints: &'a [Endpoint],
     partitions: &'a Partitions,
     now: f64,
     mean_work_ms: f64,
@@ -66,14 +67,15 @@
 }
 
 impl TrueState<'_> {
-    fn of(&self, endpoint: usize) -> Truth {
+    fn of(&self, endpoint: usize) -> EndpointTruth {
         let endpoint = &self.endpoints[endpoint];
-        let load = endpoint.held() + endpoint.coming;
+        let load = endpoint.in_flight() + endpoint.attempts_in_transit;
         let machine = &endpoint.machine;
         let has_room = load < machine.cores + machine.queue_capacity;
-        let healthy = self.reaches(endpoint) && endpoint.weather.fail_fast < FAULTY_PROBABILITY;
+        let healthy =
+            self.reaches(endpoint) && endpoint.faults.failure_probability < FAULTY_PROBABILITY;
         let rounds = (load + 1) as f64 / machine.cores as f64;
-        let paused_ms = (endpoint.stopped_until - self.now).max(0.0);
+        let paused_ms = (endpoint.paused_until - self.now).max(0.0);
         let path_ms = if endpoint.zone == self.zone {
             self.script.network.same_zone_ms
         } else {
@@ -85,15 +87,15 @@
             .degradation
             .is_some_and(|degradation| wait_ms > SAFE_WAIT_FRACTION * degradation.queue_wait_ms);
         let latency_ms = 2.0 * path_ms + paused_ms + rounds.max(1.0) * round_ms;
-        Truth {
-            takes: (healthy && has_room && !would_degrade).then_some(latency_ms),
+        EndpointTruth {
+            expected_latency_ms: (healthy && has_room && !would_degrade).then_some(latency_ms),
         }
     }
 
     /// Whether requests reach an endpoint and its responses come back.
-    fn reaches(&self, endpoint: &Server) -> bool {
+    fn reaches(&self, endpoint: &Endpoint) -> bool {
         endpoint.up
-            && !endpoint.weather.silent
+            && !endpoint.faults.unresponsive
             && !self.partitions.requests[self.zone][endpoint.zone]
             && !self.partitions.responses[endpoint.zone][self.zone]
     }
@@ -104,7 +106,7 @@
     pub(super) fn with_policy<T>(
         &mut self,
         proxy: usize,
-        call: impl FnOnce(&mut Policy, f64, &dyn Fn(usize) -> Truth) -> T,
+        call: impl FnOnce(&mut Policy, f64, &dyn Fn(usize) -> EndpointTruth) -> T,
     ) -> T {
         let state = TrueState {
             script: self.script,
@@ -120,12 +122,12 @@
 
     /// Sees to what a policy wants after each call: its endpoint list in full, and its next timer.
     pub(super) fn serve_policy(&mut self, proxy: usize) {
-        let (next_tick, wants_list) = self.proxies[proxy].policy.wants();
-        if wants_list {
+        let needs = self.proxies[proxy].policy.take_needs();
+        if needs.endpoint_list {
             self.schedule_notification(proxy, true);
         }
         let state = &mut self.proxies[proxy];
-        if let Some(at) = next_tick.filter(|at| *at < state.next_tick) {
+        if let Some(at) = needs.next_tick.filter(|at| *at < state.next_tick) {
             state.next_tick = at.max(self.now);
             let delay_ms = state.next_tick - self.now;
             self.schedule(delay_ms, Event::ProxyTicks { proxy });
@@ -178,7 +180,7 @@
         let Some(request) = self.requests.get_mut(request_index) else {
             return;
         };
-        self.checker.node_died(self.now, &mut request.history);
+        self.checker.proxy_died(self.now, &mut request.history);
         let was_open = request.is_open();
         request.abandoned = true;
         let call = request.call;
--- a/simulator/src/environment/requests.rs
+++ b/simulator/src/environment/requests.rs
@@ -4,7 +4,7 @@
 use super::clients::CLIENT_DELAY_MS;
 use super::event_queue::RequestRef;
 use super::Environment;
-use crate::invariants::{Answer, Life};
+use crate::invariants::{Answer, RequestHistory};
 use crate::results::Outcome;
 use crate::script::Idempotency;
 use crankmux::dispatcher::{FinalAnswer, NextSteps};
@@ -23,7 +23,7 @@
     pub(super) answered: bool,
     /// The client takes no answer any more, or the proxy is dead.
     pub(super) abandoned: bool,
-    pub(super) history: Life,
+    pub(super) history: RequestHistory,
 }
 
 impl Request {
@@ -68,9 +68,9 @@
         }
         match steps.final_answer {
             Some(FinalAnswer::Rejected { retry_after_ms }) => {
-                self.answer(request_index, Answer::Nacked, retry_after_ms);
+                self.answer(request_index, Answer::Rejected, retry_after_ms);
             }
-            Some(FinalAnswer::Failed) => self.answer(request_index, Answer::DeadLettered, 0.0),
+            Some(FinalAnswer::Failed) => self.answer(request_index, Answer::Failed, 0.0),
             None => {}
         }
     }
@@ -106,14 +106,14 @@
         let class = &self.script.request_classes[call.class];
         let took_ms = self.now - call.arrived_at + 2.0 * CLIENT_DELAY_MS;
         match answer {
-            Answer::Acked if past_deadline => self.close_call(call_index, Outcome::Failed),
-            Answer::Acked if took_ms <= class.latency_objective_ms => {
+            Answer::Succeeded if past_deadline => self.close_call(call_index, Outcome::Failed),
+            Answer::Succeeded if took_ms <= class.latency_objective_ms => {
                 self.close_call(call_index, Outcome::InTime);
             }
-            Answer::Acked => self.close_call(call_index, Outcome::Late),
-            Answer::Nacked => self.request_unsuccessful(call_index, true, retry_after_ms),
+            Answer::Succeeded => self.close_call(call_index, Outcome::Late),
+            Answer::Rejected => self.request_unsuccessful(call_index, true, retry_after_ms),
             // Clients retry a failed request only if it may be executed twice.
-            Answer::DeadLettered => {
+            Answer::Failed => {
                 let idempotent = class.idempotency == Idempotency::Idempotent;
                 self.request_unsuccessful(call_index, idempotent, 0.0);
             }
@@ -133,7 +133,7 @@
             self.checker.client_left(self.now, &mut request.history);
         }
         self.close_call(call, Outcome::Failed);
-        let steps = self.with_policy(proxy, |policy, now, _| policy.departed(now, index));
+        let steps = self.with_policy(proxy, |policy, now, _| policy.client_left(now, index));
         self.execute_steps(index, steps);
         self.serve_policy(proxy);
         self.forget_if_finished(index);
@@ -147,7 +147,7 @@
         request.abandoned = true;
         let call = request.call;
         if let Some(request) = self.requests.get(request_ref.index) {
-            self.checker.due(self.now, &request.history);
+            self.checker.deadline_passed(self.now, &request.history);
         }
         self.close_call(call, Outcome::Failed);
         self.forget_if_finished(request_ref.index);
--- a/simulator/src/environment/setup.rs
+++ b/simulator/src/environment/setup.rs
@@ -3,23 +3,23 @@
 use super::clients::RoutingTable;
 use super::discovery::EndpointList;
 use super::event_queue::{Event, EventQueue};
-use super::network::Partitions;
 use super::proxies::Proxy;
 use super::slab::Slab;
 use super::{Environment, RandomStreams, START_MS};
-use crate::invariants::InvariantChecker;
-use crate::policies::PolicyKind;
-use crate::random::{number, Stream};
-use crate::results::Tally;
+use crate::endpoint::Endpoint;
+use crate::faults::Partitions;
+use crate::invariants::{InvariantChecker, Tolerances};
+use crate::policies::{Policy, PolicyError, PolicyKind};
+use crate::random::{stable_hash, RandomStream};
+use crate::results::ResultsCollector;
 use crate::script::Script;
-use crate::server::Server;
 
 /// Odd multiplier (2^64 by the golden ratio) that spreads the seed of a run over the proxies' seeds.
 const SEED_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
 impl RandomStreams {
     fn new(seed: u64) -> Self {
-        let stream = |name| Stream::of(seed, name);
+        let stream = |name| RandomStream::named(seed, name);
         RandomStreams {
             arrivals: stream("arrivals"),
             work: stream("work"),
@@ -32,15 +32,15 @@
 }
 
 /// The endpoints that a script starts with. A pod stands within one zone.
-fn initial_endpoints(script: &Script) -> Vec<Server> {
+fn initial_endpoints(script: &Script) -> Vec<Endpoint> {
     let mut endpoints = Vec::new();
     let mut pods = 0;
     for machine in &script.machine_types {
         for index in 0..machine.count {
             let zone = (index / machine.pod_size) % script.zones.len();
             let pod = pods + index / machine.pod_size;
-            let stable_hash = number(&format!("{} {index}", machine.name));
-            endpoints.push(Server::new(
+            let stable_hash = stable_hash(&format!("{} {index}", machine.name));
+            endpoints.push(Endpoint::new(
                 machine,
                 &script.limits,
                 stable_hash,
@@ -58,14 +58,14 @@
     script: &Script,
     policy_kind: PolicyKind,
     seed: u64,
-    shape: &mut Stream,
-) -> Result<Vec<Proxy>, String> {
+    shape: &mut RandomStream,
+) -> Result<Vec<Proxy>, PolicyError> {
     let mut proxies = Vec::new();
     for index in 0..script.proxies {
         let proxy_seed = seed
             .wrapping_mul(SEED_MULTIPLIER)
             .wrapping_add(index as u64);
-        let policy = crate::policies::Policy::new(policy_kind, script, index, proxy_seed)?;
+        let policy = Policy::new(policy_kind, script, index, proxy_seed)?;
         let zone = index % script.zones.len();
         let weight = shape.log_normal(script.load.proxy_sigma);
         proxies.push(Proxy::new(policy, zone, weight));
@@ -99,10 +99,10 @@
         script: &'a Script,
         policy_kind: PolicyKind,
         seed: u64,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, PolicyError> {
         let zones = script.zones.len();
         let endpoints = initial_endpoints(script);
-        let mut shape = Stream::of(seed, "shape");
+        let mut shape = RandomStream::named(seed, "shape");
         let zone_weights: Vec<f64> = (0..zones)
             .map(|_| shape.log_normal(script.load.zone_sigma))
             .collect();
@@ -129,13 +129,13 @@
             peak_rate: peak_rate(script),
             zone_weights,
             mean_work_ms: mean_work_ms(script),
-            checker: InvariantChecker::new(
-                limits.answer_slack_ms,
-                limits.drain_grace_ms,
-                limits.overload_multiple,
-                limits.overload_window_ms,
-            ),
-            tally: Tally::new(script),
+            checker: InvariantChecker::new(Tolerances {
+                answer_slack_ms: limits.answer_slack_ms,
+                drain_grace_ms: limits.drain_grace_ms,
+                overload_multiple: limits.overload_multiple,
+                overload_window_ms: limits.overload_window_ms,
+            }),
+            results: ResultsCollector::new(script),
         };
         environment.schedule_first_events();
         Ok(environment)
--- a/simulator/src/faults.rs
+++ b/simulator/src/faults.rs
@@ -1,104 +1,134 @@
-//! Which servers and nodes a fault strikes, and what the faults in force add up to.
+//! Which endpoints and proxies a fault strikes, and what the active faults together do.
 
-use crate::random::Stream;
+use crate::endpoint::{Endpoint, EndpointFaults};
+use crate::random::RandomStream;
 use crate::script::{Fault, FaultKind, Script};
-use crate::server::{Server, Weather};
 
 /// Whom a fault strikes.
 #[derive(Clone, Debug, Default)]
-pub struct Struck {
-    pub servers: Vec<usize>,
-    pub nodes: Vec<usize>,
+pub struct FaultTargets {
+    /// Endpoints, in order of index.
+    pub endpoints: Vec<usize>,
+    /// Proxies, in order of index.
+    pub proxies: Vec<usize>,
+    /// The zone, where the fault names one.
     pub zone: Option<usize>,
 }
 
-/// Draws them when it begins, from a stream of the fault's own.
-pub fn strike(
+/// Messages that are lost between zones: `[from][to]`.
+#[derive(Clone, Debug)]
+pub struct Partitions {
+    /// Requests from proxies of one zone to endpoints of another.
+    pub requests: Vec<Vec<bool>>,
+    /// Responses from endpoints of one zone to proxies of another.
+    pub responses: Vec<Vec<bool>>,
+}
+
+impl Partitions {
+    /// All zones reach each other.
+    pub fn none(zones: usize) -> Self {
+        Partitions {
+            requests: vec![vec![false; zones]; zones],
+            responses: vec![vec![false; zones]; zones],
+        }
+    }
+
+    /// What the active faults cut off.
+    pub fn of(active: &[(&Fault, &FaultTargets)], zones: usize) -> Self {
+        let mut partitions = Partitions::none(zones);
+        for (fault, targets) in active {
+            let Some(zone) = targets.zone else { continue };
+            for other in (0..zones).filter(|other| *other != zone) {
+                if fault.kind == FaultKind::ZonePartition {
+                    partitions.requests[zone][other] = true;
+                    partitions.requests[other][zone] = true;
+                    partitions.responses[zone][other] = true;
+                    partitions.responses[other][zone] = true;
+                }
+                if fault.kind == FaultKind::OneWayPartition {
+                    partitions.responses[zone][other] = true;
+                }
+            }
+        }
+        partitions
+    }
+}
+
+/// Draws the targets of a fault when it begins, from a random stream of the fault's own.
+pub fn select_targets(
     script: &Script,
-    index: usize,
+    fault_index: usize,
     seed: u64,
-    servers: &[Server],
+    endpoints: &[Endpoint],
     listed: &[bool],
-) -> Struck {
-    let fault = &script.faults[index];
-    let mut rng = Stream::of(seed, &format!("fault {index}"));
-    let zone = fault
-        .zone
-        .as_ref()
-        .and_then(|name| script.zones.iter().position(|z| z == name));
-    let mut part = |all: Vec<usize>| {
-        // A drawn order, of which the first are taken: a larger part holds a smaller one.
-        let mut drawn: Vec<(u64, usize)> = all.into_iter().map(|one| (rng.bits(), one)).collect();
-        drawn.sort_unstable();
-        let take = (fault.fraction * drawn.len() as f64).round() as usize;
-        let mut taken: Vec<usize> = drawn.into_iter().take(take).map(|(_, one)| one).collect();
-        taken.sort_unstable();
-        taken
-    };
-    let of_kind = |s: &Server| {
-        fault
-            .machine_type
-            .as_ref()
-            .is_none_or(|kind| s.machine.name == *kind)
+) -> FaultTargets {
+    let fault = &script.faults[fault_index];
+    let mut random = RandomStream::named(seed, &format!("fault {fault_index}"));
+    let named_zone = fault.zone.as_ref();
+    let zone = named_zone.and_then(|name| script.zones.iter().position(|zone| zone == name));
+    let in_zone = |candidate: usize| zone.is_none_or(|zone| candidate == zone);
+    let of_type = |endpoint: &Endpoint| {
+        let machine_type = fault.machine_type.as_ref();
+        machine_type.is_none_or(|name| endpoint.machine.name == *name)
     };
-    let at = |s: &Server| zone.is_none_or(|zone| s.zone == zone);
-    let all = servers
-        .iter()
-        .enumerate()
-        .filter(|(i, s)| s.up && listed[*i] && of_kind(s) && at(s));
-    let struck = part(all.map(|(i, _)| i).collect());
-    let nodes =
-        (0..script.proxies).filter(|n| zone.is_none_or(|zone| n % script.zones.len() == zone));
-    Struck {
-        servers: struck,
-        nodes: part(nodes.collect()),
+    let candidates = endpoints.iter().enumerate().filter(|(index, endpoint)| {
+        endpoint.up && listed[*index] && of_type(endpoint) && in_zone(endpoint.zone)
+    });
+    let candidates = candidates.map(|(index, _)| index).collect();
+    let struck_endpoints = sample(candidates, fault.fraction, &mut random);
+    let proxies = (0..script.proxies).filter(|proxy| in_zone(proxy % script.zones.len()));
+    FaultTargets {
+        endpoints: struck_endpoints,
+        proxies: sample(proxies.collect(), fault.fraction, &mut random),
         zone,
     }
 }
 
-/// What the faults in force do to one server.
-pub fn weather(in_force: &[(&Fault, &Struck)], server: usize) -> Weather {
-    let mut weather = Weather::default();
-    let either = |a: f64, b: f64| 1.0 - (1.0 - a) * (1.0 - b);
-    for (fault, _) in in_force
-        .iter()
-        .filter(|(_, struck)| struck.servers.binary_search(&server).is_ok())
-    {
+/// Takes a fraction of the candidates from the start of a random order: a larger fraction contains a smaller one.
+fn sample(candidates: Vec<usize>, fraction: f64, random: &mut RandomStream) -> Vec<usize> {
+    let mut shuffled: Vec<(u64, usize)> = candidates
+        .into_iter()
+        .map(|candidate| (random.bits(), candidate))
+        .collect();
+    shuffled.sort_unstable();
+    let count = (fraction * shuffled.len() as f64).round() as usize;
+    let mut taken: Vec<usize> = shuffled
+        .into_iter()
+        .take(count)
+        .map(|(_, candidate)| candidate)
+        .collect();
+    taken.sort_unstable();
+    taken
+}
+
+/// The probability that at least one of two independent events happens.
+fn either(first: f64, second: f64) -> f64 {
+    1.0 - (1.0 - first) * (1.0 - second)
+}
+
+/// What the active faults do to one endpoint.
+pub fn endpoint_faults(active: &[(&Fault, &FaultTargets)], endpoint: usize) -> EndpointFaults {
+    let mut faults = EndpointFaults::default();
+    let strikes = |targets: &FaultTargets| targets.endpoints.binary_search(&endpoint).is_ok();
+    for (fault, _) in active.iter().filter(|(_, targets)| strikes(targets)) {
         let strength = fault.strength;
         match fault.kind {
-            FaultKind::Slow => weather.slow *= strength,
-            FaultKind::FailFast => weather.fail_fast = either(weather.fail_fast, strength),
-            FaultKind::Unresponsive => weather.silent = true,
-            FaultKind::ResponsesLost => {
-                weather.answers_lost = either(weather.answers_lost, strength)
+            FaultKind::Slow => faults.slowdown *= strength,
+            FaultKind::FailFast => {
+                faults.failure_probability = either(faults.failure_probability, strength);
             }
-            FaultKind::ConnectionResets => weather.resets = either(weather.resets, strength),
-            FaultKind::LoadReportsLate => weather.late += 1000.0 * strength,
-            FaultKind::LoadReportsWrong => weather.wrong *= strength,
-            FaultKind::LoadReportsMissing => weather.missing = true,
-            _ => {}
-        }
-    }
-    weather
-}
-
-/// Which zones' words reach which: `cut[from][to]`.
-pub fn cuts(in_force: &[(&Fault, &Struck)], zones: usize) -> (Vec<Vec<bool>>, Vec<Vec<bool>>) {
-    let (mut asks, mut answers) = (
-        vec![vec![false; zones]; zones],
-        vec![vec![false; zones]; zones],
-    );
-    for (fault, struck) in in_force {
-        let Some(zone) = struck.zone else { continue };
-        for other in (0..zones).filter(|other| *other != zone) {
-            if fault.kind == FaultKind::ZonePartition {
-                (asks[zone][other], asks[other][zone]) = (true, true);
-                (answers[zone][other], answers[other][zone]) = (true, true);
+            FaultKind::Unresponsive => faults.unresponsive = true,
+            FaultKind::ResponsesLost => {
+                faults.response_loss = either(faults.response_loss, strength);
             }
-            if fault.kind == FaultKind::OneWayPartition {
-                answers[zone][other] = true;
+            FaultKind::ConnectionResets => {
+                faults.reset_probability = either(faults.reset_probability, strength);
             }
+            FaultKind::LoadReportsLate => faults.report_delay_ms += 1000.0 * strength,
+            FaultKind::LoadReportsWrong => faults.report_factor *= strength,
+            FaultKind::LoadReportsMissing => faults.reports_missing = true,
+            _ => {}
         }
     }
-    (asks, answers)
+    faults
 }
--- a/simulator/src/lib.rs
+++ b/simulator/src/lib.rs
@@ -1,9 +1,10 @@
-//! Servers, discovery, clients and faults in virtual time, with a judge that knows every op's whole life.
+//! A discrete-event simulator of clients, proxies, discovery and endpoints, with faults and a checker of the rules.
 //!
-//! A [`script::Script`] describes one world; [`environment::run`] plays it against a chooser, the decision module
-//! or a baseline, and returns [`figures::RunResults`]. The same script, seed and chooser give the same bytes.
-//! All times are f64 milliseconds unless a name says seconds. Nothing here does I/O or reads a clock.
+//! A [`script::Script`] describes one environment. [`environment::run`] runs it in virtual time with one policy, the
+//! decision module or a baseline, and returns [`results::RunResults`]. The same script, seed and policy give the same
+//! bytes. All times are f64 milliseconds unless a name says otherwise. Nothing here does I/O or reads a clock.
 
+pub mod endpoint;
 pub mod environment;
 pub mod faults;
 pub mod invariants;
@@ -11,4 +12,3 @@
 pub mod random;
 pub mod results;
 pub mod script;
-pub mod server;
--- /dev/null
+++ b/simulator/src/results/collector.rs
@@ -0,0 +1,229 @@
+//! Collects results while a run goes on.
+
+use super::{
+    ClassResults, Counts, LatencyPercentiles, Outcome, RunResults, SecondResults, WorstSecond,
+};
+use crate::invariants::{InvariantChecker, Violation};
+use crate::script::{RequestClass, Script};
+use hdrhistogram::Histogram;
+
+/// The longest latency that is told apart: ten minutes.
+const MAX_LATENCY_US: u64 = 600_000_000;
+/// Significant digits of a latency.
+const LATENCY_DIGITS: u8 = 2;
+/// A second with fewer calls is never the worst one.
+const MIN_CALLS_OF_WORST_SECOND: u64 = 10;
+
+fn latency_histogram() -> Histogram<u32> {
+    Histogram::new_with_bounds(1, MAX_LATENCY_US, LATENCY_DIGITS).expect("valid bounds")
+}
+
+fn quantile_ms(histogram: &Histogram<u32>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1000.0
+}
+
+/// What a call of a class is worth.
+struct ClassWeight {
+    in_time: f64,
+    late_fraction: f64,
+}
+
+/// Counts of one second.
+struct SecondCounts {
+    counts: Counts,
+    requests: u64,
+    attempts: u64,
+    latency: Histogram<u32>,
+}
+
+impl SecondCounts {
+    fn new() -> Self {
+        SecondCounts {
+            counts: Counts::default(),
+            requests: 0,
+            attempts: 0,
+            latency: latency_histogram(),
+        }
+    }
+
+    fn finish(mut self, second: usize) -> SecondResults {
+        self.counts.compute_service();
+        SecondResults {
+            second,
+            counts: self.counts,
+            requests: self.requests,
+            attempts: self.attempts,
+            p50_ms: quantile_ms(&self.latency, 0.5),
+            p99_ms: quantile_ms(&self.latency, 0.99),
+        }
+    }
+}
+
+/// Counts as a run goes on. Times are since its start.
+pub struct ResultsCollector {
+    settling_ms: f64,
+    totals: Counts,
+    classes: Vec<ClassResults>,
+    weights: Vec<ClassWeight>,
+    seconds: Vec<SecondCounts>,
+    latency: Histogram<u32>,
+    attempts_by_endpoint: Vec<u64>,
+    requests: u64,
+    attempts: u64,
+    /// How often a cold endpoint was overloaded.
+    pub endpoints_overloaded: u64,
+    /// How often an endpoint was degraded by a long wait.
+    pub endpoints_degraded: u64,
+}
+
+impl ResultsCollector {
+    /// A collector that has counted nothing.
+    pub fn new(script: &Script) -> Self {
+        let no_calls = |class: &RequestClass| ClassResults {
+            name: class.name.clone(),
+            counts: Counts::default(),
+        };
+        let weight = |class: &RequestClass| ClassWeight {
+            in_time: class.priority_weight,
+            late_fraction: class.late_fraction,
+        };
+        let seconds = script.duration_s.ceil() as usize;
+        ResultsCollector {
+            settling_ms: 1000.0 * script.settling_s,
+            totals: Counts::default(),
+            classes: script.request_classes.iter().map(no_calls).collect(),
+            weights: script.request_classes.iter().map(weight).collect(),
+            seconds: (0..seconds).map(|_| SecondCounts::new()).collect(),
+            latency: latency_histogram(),
+            attempts_by_endpoint: Vec::new(),
+            requests: 0,
+            attempts: 0,
+            endpoints_overloaded: 0,
+            endpoints_degraded: 0,
+        }
+    }
+
+    fn second(&mut self, at_ms: f64) -> Option<&mut SecondCounts> {
+        self.seconds.get_mut((at_ms / 1000.0).max(0.0) as usize)
+    }
+
+    /// A call that arrived at a time is over.
+    pub fn call_closed(
+        &mut self,
+        arrived_ms: f64,
+        class: usize,
+        outcome: Outcome,
+        latency_ms: f64,
+    ) {
+        let ClassWeight {
+            in_time,
+            late_fraction,
+        } = self.weights[class];
+        let latency_us = ((latency_ms * 1000.0) as u64).max(1);
+        let answered = matches!(outcome, Outcome::InTime | Outcome::Late);
+        if let Some(second) = self.second(arrived_ms) {
+            second.counts.add(outcome, in_time, late_fraction);
+            if answered {
+                second.latency.saturating_record(latency_us);
+            }
+        }
+        if arrived_ms < self.settling_ms {
+            return;
+        }
+        self.totals.add(outcome, in_time, late_fraction);
+        let class = &mut self.classes[class];
+        class.counts.add(outcome, in_time, late_fraction);
+        if answered {
+            self.latency.saturating_record(latency_us);
+        }
+    }
+
+    /// A client sends a request.
+    pub fn request_sent(&mut self, at_ms: f64) {
+        self.requests += 1;
+        if let Some(second) = self.second(at_ms) {
+            second.requests += 1;
+        }
+    }
+
+    /// A proxy sends an attempt.
+    pub fn attempt_sent(&mut self, at_ms: f64, endpoint: usize) {
+        self.attempts += 1;
+        if self.attempts_by_endpoint.len() <= endpoint {
+            self.attempts_by_endpoint.resize(endpoint + 1, 0);
+        }
+        self.attempts_by_endpoint[endpoint] += 1;
+        if let Some(second) = self.second(at_ms) {
+            second.attempts += 1;
+        }
+    }
+
+    /// The results of the run.
+    pub fn finish(
+        mut self,
+        script: &Script,
+        policy: &str,
+        seed: u64,
+        checker: &InvariantChecker,
+        events: u64,
+    ) -> RunResults {
+        self.totals.compute_service();
+        for class in &mut self.classes {
+            class.counts.compute_service();
+        }
+        let seconds = self.seconds.into_iter().enumerate();
+        let seconds: Vec<SecondResults> = seconds
+            .map(|(second, counts)| counts.finish(second))
+            .collect();
+        RunResults {
+            script: script.name.clone(),
+            policy: policy.to_string(),
+            seed,
+            service: self.totals.service,
+            totals: self.totals,
+            classes: self.classes,
+            latency_ms: percentiles(&self.latency),
+            requests: self.requests,
+            attempts: self.attempts,
+            worst_second: worst_second(&seconds, script.settling_s as usize),
+            violations: checker.counts(),
+            endpoints_overloaded: self.endpoints_overloaded,
+            endpoints_degraded: self.endpoints_degraded,
+            events,
+            seconds,
+            attempts_by_endpoint: self.attempts_by_endpoint,
+            violation_reports: checker.violations.iter().map(violation_report).collect(),
+        }
+    }
+}
+
+fn percentiles(latency: &Histogram<u32>) -> LatencyPercentiles {
+    LatencyPercentiles {
+        p50: quantile_ms(latency, 0.5),
+        p90: quantile_ms(latency, 0.9),
+        p99: quantile_ms(latency, 0.99),
+        p999: quantile_ms(latency, 0.999),
+        p9999: quantile_ms(latency, 0.9999),
+        max: latency.max() as f64 / 1000.0,
+    }
+}
+
+fn worst_second(seconds: &[SecondResults], first: usize) -> WorstSecond {
+    let counted = seconds.iter().filter(|second| {
+        second.second >= first && second.counts.calls >= MIN_CALLS_OF_WORST_SECOND
+    });
+    let worst = counted.min_by(|one, other| one.counts.service.total_cmp(&other.counts.service));
+    let (second, service) = worst.map_or((0, 100.0), |worst| (worst.second, worst.counts.service));
+    WorstSecond { second, service }
+}
+
+/// A rule, how it was broken, and the history of the request indented below.
+fn violation_report(violation: &Violation) -> String {
+    let history: String = violation
+        .history
+        .iter()
+        .map(|line| format!("    {line}\n"))
+        .collect();
+    let rule = violation.rule.name();
+    format!("{rule}: {}\n{history}", violation.description)
+}
--- a/simulator/src/script/mod.rs
+++ b/simulator/src/script/mod.rs
@@ -4,15 +4,17 @@
 //! word or a value out of its range is refused in full, by an error that names line and key.
 
 mod defaults;
+mod fault;
 mod proxy_settings;
 mod reader;
 mod types;
 mod validation;
 
+pub use fault::{Fault, FaultKind};
 pub use reader::{read_validated, InvalidKey, InvalidValue, ScriptError};
 pub use types::{
-    Backoff, Burst, Clients, DeduplicationScope, Degradation, Discovery, Fault, FaultKind,
-    Idempotency, Limits, Load, LoadReports, MachineType, Network, RequestClass, Script,
+    Backoff, Burst, Clients, DeduplicationScope, Degradation, Discovery, Idempotency, Limits, Load,
+    LoadReports, MachineType, Network, RequestClass, Script,
 };
 
 impl Script {
--- a/simulator/src/script/validation.rs
+++ b/simulator/src/script/validation.rs
@@ -1,7 +1,8 @@
 //! The rules that the values of a script keep, checked in the order of the file's sections.
 
+use super::fault::{Fault, FaultKind};
 use super::reader::{InvalidKey, InvalidValue};
-use super::types::{Burst, Fault, FaultKind, MachineType, RequestClass, Script};
+use super::types::{Burst, MachineType, RequestClass, Script};
 
 /// A day.
 const MAX_DURATION_S: f64 = 86_400.0;
@@ -60,11 +61,13 @@
         Ok(())
     }
 
-    /// The sections whose keys are numbers within a range.
+    /// The sections whose keys are numbers within a range. It is a table: one row a line reads better than six.
     #[rustfmt::skip]
     fn validate_settings(&self) -> Validation {
-        let (network, limits) = (&self.network, &self.limits);
-        let (clients, load) = (&self.clients, &self.load);
+        let network = &self.network;
+        let limits = &self.limits;
+        let clients = &self.clients;
+        let load = &self.load;
         all_within([
             ("way.same_ms", network.same_zone_ms, 0.0, 1e4),
             ("way.cross_ms", network.cross_zone_ms, 0.0, 1e4),
