crankmux-scenarios is a library with a thin program; its errors are typed

Cause: commands returned pairs of an exit code and a text, modules mixed arguments, runs, statistics and output, and the tests stood inside src/. The program, its help, its output and its exit codes stay. fleet.rs keeps its pairs: only the call that reads a script changes.

--- a/scenarios/src/fleet.rs
+++ b/scenarios/src/fleet.rs
@@ -65,7 +65,7 @@
     if let Some((_, text)) = WORLDS.iter().find(|(world, _)| *world == name) {
         return crankmux_simulator::script::Script::read(text).map_err(|e| (2, e.to_string()));
     }
-    scripts::read(Some(Path::new(name)))
+    Ok(scripts::read(Some(Path::new(name)))?)
 }
 
 /// Whether all rules were kept.
--- a/scenarios/src/main.rs
+++ b/scenarios/src/main.rs
@@ -1,51 +1,20 @@
-//! crankmux-scenarios: rehearses incidents on the emulator and reports what they came to.
+//! The program `crankmux-scenarios`.
 
-mod fleet;
-mod rehearse;
-mod report;
-mod scripts;
-mod tables;
-
-use clap::{Parser, Subcommand};
+use clap::Parser;
+use crankmux_scenarios::cli::{Cli, Verdict};
 use std::process::ExitCode;
 
-#[derive(Parser)]
-#[command(
-    name = "crankmux-scenarios",
-    version,
-    about = "Rehearses incidents before crankmux"
-)]
-struct Line {
-    #[command(subcommand)]
-    call: Call,
-}
-
-#[derive(Subcommand)]
-enum Call {
-    /// Plays a script, and says what service it came to and whether the rules were kept
-    Rehearse(rehearse::Call),
-    /// Plays every script that ships by the module and the baselines: a table
-    Table(tables::Scripts),
-    /// Plays all pairs of eight faults on one world: a table of service and rules
-    Pairs(tables::Pairs),
-    /// Plays a script over many processes of the node, with faults between them
-    Fleet(fleet::Call),
-}
+/// Exit code of a run in which a rule was broken.
+const RULES_BROKEN: u8 = 3;
 
-/// Exit codes: 0 rules kept, 3 a rule broken, 2 a faulty script or argument, 1 what else failed.
+/// Exit codes: 0 rules kept, 3 a rule broken, 2 an invalid script or argument, 1 what else failed.
 fn main() -> ExitCode {
-    let done = match Line::parse().call {
-        Call::Rehearse(call) => rehearse::run(&call),
-        Call::Table(call) => tables::scripts(&call),
-        Call::Pairs(call) => tables::pairs(&call),
-        Call::Fleet(call) => fleet::run(&call),
-    };
-    match done {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(3),
-        Err((code, message)) => {
-            eprintln!("crankmux-scenarios: {message}");
-            ExitCode::from(code)
+    match Cli::parse().run() {
+        Ok(Verdict::RulesKept) => ExitCode::SUCCESS,
+        Ok(Verdict::RulesBroken) => ExitCode::from(RULES_BROKEN),
+        Err(error) => {
+            eprintln!("crankmux-scenarios: {error}");
+            ExitCode::from(error.exit_code())
         }
     }
 }
--- a/scenarios/src/scripts.rs
+++ b/scenarios/src/scripts.rs
@@ -1,14 +1,17 @@
 //! The scripts that ship, and reading one from a file.
 
+use crate::error::CommandError;
 use crankmux_simulator::script::Script;
 use std::path::Path;
 
-macro_rules! ship {
-    ($($name:literal),* $(,)?) => { &[$(($name, include_str!(concat!("../scripts/", $name, ".toml")))),*] };
+macro_rules! shipped_scripts {
+    ($($name:literal),* $(,)?) => {
+        &[$(($name, include_str!(concat!("../scripts/", $name, ".toml")))),*]
+    };
 }
 
-/// Name and text of each; the first is played where none is named.
-pub const SHIPPED: &[(&str, &str)] = ship![
+/// Name and text of each script that ships; the first is the default.
+pub const SHIPPED: &[(&str, &str)] = shipped_scripts![
     "saturday",
     "release",
     "metastable",
@@ -21,45 +24,49 @@
     "quiet-nodes",
 ];
 
+/// Exit code and message, as the command `fleet` fails.
 pub type Failed = (u8, String);
 
-/// A script by its file, or by the name of one that ships.
-pub fn read(named: Option<&Path>) -> Result<Script, Failed> {
-    let Some(path) = named else {
+/// Reads a script by its file or by the name of one that ships; the default where none is given. A file comes before
+/// a shipped script of the same name.
+///
+/// # Errors
+///
+/// A file that cannot be read, or an invalid script.
+pub fn read(file_or_name: Option<&Path>) -> Result<Script, CommandError> {
+    let Some(path) = file_or_name else {
         return shipped(SHIPPED[0].0);
     };
     let name = path.to_string_lossy();
-    if let (true, true) = (
-        !path.exists(),
-        SHIPPED.iter().any(|(shipped, _)| *shipped == name),
-    ) {
+    let ships = SHIPPED.iter().any(|(shipped, _)| *shipped == name);
+    if ships && !path.exists() {
         return shipped(&name);
     }
-    let text = std::fs::read_to_string(path).map_err(|e| (2, format!("{name}: {e}")))?;
-    Script::read(&text).map_err(|faulty| (2, format!("{name}: {faulty}")))
+    let text = std::fs::read_to_string(path).map_err(|source| CommandError::UnreadableScript {
+        path: name.to_string(),
+        source,
+    })?;
+    parse(&name, &text)
 }
 
-pub fn shipped(name: &str) -> Result<Script, Failed> {
+/// The script of this name that ships.
+///
+/// # Errors
+///
+/// No script has this name.
+pub fn shipped(name: &str) -> Result<Script, CommandError> {
     let found = SHIPPED.iter().find(|(shipped, _)| *shipped == name);
-    let (_, text) =
-        found.ok_or_else(|| (2, format!("{name}: no such script; --list names them")))?;
-    Script::read(text).map_err(|faulty| (2, format!("{name}: {faulty}")))
+    let Some((_, text)) = found else {
+        return Err(CommandError::UnknownScript {
+            name: name.to_string(),
+        });
+    };
+    parse(name, text)
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn every_script_that_ships_is_whole_and_says_what_it_plays() {
-        for (name, _) in SHIPPED {
-            let script = shipped(name).unwrap_or_else(|(_, message)| panic!("{message}"));
-            assert_eq!(script.name, *name);
-            assert!(
-                !script.about.is_empty() && !script.faults.is_empty(),
-                "{name}"
-            );
-        }
-        assert!(shipped("unheard-of").is_err_and(|(code, _)| code == 2));
-    }
+fn parse(name: &str, text: &str) -> Result<Script, CommandError> {
+    Script::read(text).map_err(|source| CommandError::InvalidScript {
+        name: name.to_string(),
+        source,
+    })
 }
--- a/scenarios/src/tables.rs
+++ b/scenarios/src/tables.rs
@@ -1,13 +1,26 @@
-//! Tables over many plays: scripts by choosers, and faults by pairs.
+//! Tables over many runs: scripts by policies, and faults by pairs.
 
-use crate::rehearse::{interval, play_all, Play};
-use crate::scripts::{self, Failed, SHIPPED};
+use crate::cli::Verdict;
+use crate::error::CommandError;
+use crate::runs::{run_all, Run};
+use crate::scripts::{self, SHIPPED};
+use crate::statistics::ConfidenceInterval;
 use crankmux_simulator::policies::PolicyKind;
 use crankmux_simulator::results::RunResults;
 use crankmux_simulator::script::{Fault, FaultKind, Script};
 
+/// The script on which pairs of faults are run, and for how long.
+const PAIRS_SCRIPT: &str = "saturday";
+const PAIRS_DURATION_S: f64 = 30.0;
+/// When the first fault of a pair begins, and how long each lasts.
+const FAULT_START_S: f64 = 8.0;
+const FAULT_DURATION_S: f64 = 10.0;
+/// The second fault of a pair begins so much later, while the first goes on.
+const SECOND_FAULT_DELAY_S: f64 = 4.0;
+
+/// The arguments of `table`.
 #[derive(clap::Args)]
-pub struct Scripts {
+pub struct TableArgs {
     /// Days of each, from seed 1 on
     #[arg(long, default_value_t = 3)]
     seeds: u64,
@@ -18,8 +31,9 @@
     only: Option<String>,
 }
 
+/// The arguments of `pairs`.
 #[derive(clap::Args)]
-pub struct Pairs {
+pub struct PairsArgs {
     /// Days of each pair, from seed 1 on
     #[arg(long, default_value_t = 2)]
     seeds: u64,
@@ -27,65 +41,107 @@
     threads: Option<usize>,
 }
 
-fn mean(of: &[RunResults]) -> (f64, f64, u64) {
-    let (mean, half) = interval(&of.iter().map(|f| f.service).collect::<Vec<_>>());
-    (mean, half, of.iter().flat_map(|f| f.violations).sum())
+/// What the runs of one cell came to.
+struct Cell {
+    service: ConfidenceInterval,
+    rules_broken: bool,
 }
 
-/// A row a script: service of each chooser, a star where it broke a rule; the module's score between random
-/// choice and the one that sees the true state.
-pub fn scripts(call: &Scripts) -> Result<bool, Failed> {
-    println!(
-        "| script | {} | score |",
-        PolicyKind::ALL.map(PolicyKind::name).join(" | ")
-    );
-    println!("| --- |{}", " --- |".repeat(PolicyKind::ALL.len() + 1));
+impl Cell {
+    fn of(results: &[RunResults]) -> Self {
+        let service: Vec<f64> = results.iter().map(|run| run.service).collect();
+        Cell {
+            service: ConfidenceInterval::of(&service),
+            rules_broken: results.iter().flat_map(|run| run.violations).sum::<u64>() > 0,
+        }
+    }
+
+    /// Marks a cell in which a rule was broken.
+    fn star(&self) -> &'static str {
+        if self.rules_broken {
+            "*"
+        } else {
+            ""
+        }
+    }
+}
+
+/// Prints a row for each script: the service of each policy, with a star where it broke a rule, and the score of the
+/// module, which is 0 for random choice and 1 for the policy that sees the true state.
+///
+/// # Errors
+///
+/// A policy that cannot be made from a script's settings.
+pub fn compare_policies(arguments: &TableArgs) -> Result<Verdict, CommandError> {
+    let policies = PolicyKind::ALL.map(PolicyKind::name);
+    println!("| script | {} | score |", policies.join(" | "));
+    println!("| --- |{}", " --- |".repeat(policies.len() + 1));
     let mut kept = true;
-    for (name, _) in SHIPPED
-        .iter()
-        .filter(|(name, _)| call.only.as_ref().is_none_or(|only| only == name))
-    {
-        let script = scripts::shipped(name)?;
-        let play = |how| (1..=call.seeds).map(move |seed| (how, seed));
-        let plays: Vec<Play> = PolicyKind::ALL
-            .into_iter()
-            .flat_map(play)
-            .map(|(how, seed)| Play {
-                script: &script,
-                how,
-                seed,
-            })
-            .collect();
-        let figures = play_all(&plays, call.threads)?;
-        let means: Vec<_> = figures.chunks(call.seeds as usize).map(mean).collect();
-        kept &= means[0].2 == 0;
-        let star = |broken: u64| if broken > 0 { "*" } else { "" };
-        let cells: Vec<String> = means
+    for (name, _) in SHIPPED {
+        if arguments.only.as_ref().is_some_and(|only| only != name) {
+            continue;
+        }
+        let cells = policy_cells(&scripts::shipped(name)?, arguments)?;
+        kept &= cells
             .iter()
-            .map(|(m, h, b)| format!("{m:.1} ± {h:.1}{}", star(*b)))
-            .collect();
-        let (module, random, top) = (means[0].0, means[1].0, means[5].0);
-        println!(
-            "| {name} | {} | {:.2} |",
-            cells.join(" | "),
-            (module - random) / (top - random).max(1e-9)
-        );
+            .all(|(policy, cell)| *policy != PolicyKind::Module || !cell.rules_broken);
+        print_policies(name, &cells);
     }
-    Ok(kept)
+    Ok(Verdict::from_kept(kept))
+}
+
+/// Runs a script by each policy.
+fn policy_cells(
+    script: &Script,
+    arguments: &TableArgs,
+) -> Result<Vec<(PolicyKind, Cell)>, CommandError> {
+    let of_policy = |policy| {
+        (1..=arguments.seeds).map(move |seed| Run {
+            script,
+            policy,
+            seed,
+        })
+    };
+    let runs: Vec<Run> = PolicyKind::ALL.into_iter().flat_map(of_policy).collect();
+    let results = run_all(&runs, arguments.threads)?;
+    let cells = results.chunks(arguments.seeds as usize).map(Cell::of);
+    Ok(PolicyKind::ALL.into_iter().zip(cells).collect())
+}
+
+fn print_policies(name: &str, cells: &[(PolicyKind, Cell)]) {
+    let texts: Vec<String> = cells
+        .iter()
+        .map(|(_, cell)| {
+            let ConfidenceInterval { mean, half_width } = cell.service;
+            format!("{mean:.1} ± {half_width:.1}{}", cell.star())
+        })
+        .collect();
+    let mean = |kind: PolicyKind| {
+        let found = cells.iter().find(|(policy, _)| *policy == kind);
+        found.map_or(0.0, |(_, cell)| cell.service.mean)
+    };
+    let module = mean(PolicyKind::Module);
+    let random = mean(PolicyKind::Random);
+    let omniscient = mean(PolicyKind::Omniscient);
+    println!(
+        "| {name} | {} | {:.2} |",
+        texts.join(" | "),
+        (module - random) / (omniscient - random).max(1e-9)
+    );
 }
 
-/// The eight faults whose pairs are played.
-fn eight() -> Vec<(&'static str, Fault)> {
+/// The faults whose pairs are run, with their names.
+fn paired_faults() -> Vec<(&'static str, Fault)> {
     let fault = |kind, strength, fraction| Fault {
         kind,
-        start_s: 8.0,
-        duration_s: 10.0,
+        start_s: FAULT_START_S,
+        duration_s: FAULT_DURATION_S,
         strength,
         zone: None,
         machine_type: None,
         fraction,
     };
-    let cut = Fault {
+    let partition = Fault {
         zone: Some("b".into()),
         ..fault(FaultKind::ZonePartition, 1.0, 1.0)
     };
@@ -94,67 +150,71 @@
         ("hang", fault(FaultKind::Hang, 1.0, 0.15)),
         ("fail-fast", fault(FaultKind::FailFast, 1.0, 0.15)),
         ("answers-lost", fault(FaultKind::ResponsesLost, 0.1, 1.0)),
-        ("zone-cut", cut),
+        ("zone-cut", partition),
         ("release", fault(FaultKind::Release, 1.0, 0.4)),
         ("kill-nodes", fault(FaultKind::KillProxies, 1.0, 0.6)),
         ("discovery-down", fault(FaultKind::DiscoveryDown, 1.0, 1.0)),
     ]
 }
 
-/// A row and a column a fault; on the diagonal it is alone. Service by the module, a star by a broken rule.
-pub fn pairs(call: &Pairs) -> Result<bool, Failed> {
-    let base = scripts::shipped("saturday")?;
-    let faults = eight();
-    let mut worlds: Vec<Script> = Vec::new();
-    for (i, (_, one)) in faults.iter().enumerate() {
-        for (_, other) in &faults[i..] {
-            let both = match std::ptr::eq(one, other) {
-                true => vec![one.clone()],
-                // The second begins while the first goes on.
-                false => vec![
-                    one.clone(),
-                    Fault {
-                        start_s: other.start_s + 4.0,
-                        ..other.clone()
-                    },
-                ],
-            };
-            worlds.push(Script {
-                faults: both,
-                duration_s: 30.0,
+/// A script for each pair of faults, by row and then by column; on the diagonal a fault is alone.
+fn pair_scripts(base: &Script, faults: &[(&str, Fault)]) -> Vec<Script> {
+    let mut scripts = Vec::new();
+    for (row, (_, first)) in faults.iter().enumerate() {
+        for (column, (_, second)) in faults.iter().enumerate().skip(row) {
+            let mut pair = vec![first.clone()];
+            if column != row {
+                pair.push(Fault {
+                    start_s: second.start_s + SECOND_FAULT_DELAY_S,
+                    ..second.clone()
+                });
+            }
+            scripts.push(Script {
+                faults: pair,
+                duration_s: PAIRS_DURATION_S,
                 ..base.clone()
             });
         }
     }
-    let plays: Vec<Play> = worlds
-        .iter()
-        .flat_map(|script| {
-            (1..=call.seeds).map(move |seed| Play {
-                script,
-                how: PolicyKind::Module,
-                seed,
-            })
+    scripts
+}
+
+/// Prints a row and a column for each fault: the service by the module, with a star where it broke a rule.
+///
+/// # Errors
+///
+/// A policy that cannot be made from the script's settings.
+pub fn compare_fault_pairs(arguments: &PairsArgs) -> Result<Verdict, CommandError> {
+    let faults = paired_faults();
+    let scripts = pair_scripts(&scripts::shipped(PAIRS_SCRIPT)?, &faults);
+    let of_script = |script| {
+        (1..=arguments.seeds).map(move |seed| Run {
+            script,
+            policy: PolicyKind::Module,
+            seed,
         })
+    };
+    let runs: Vec<Run> = scripts.iter().flat_map(of_script).collect();
+    let results = run_all(&runs, arguments.threads)?;
+    let cells: Vec<Cell> = results
+        .chunks(arguments.seeds as usize)
+        .map(Cell::of)
         .collect();
-    let figures = play_all(&plays, call.threads)?;
-    let mut cells = figures.chunks(call.seeds as usize).map(mean);
-    println!(
-        "| first, and 4 s later | {} |",
-        faults
-            .iter()
-            .map(|(n, _)| *n)
-            .collect::<Vec<_>>()
-            .join(" | ")
-    );
-    println!("| --- |{}", " --- |".repeat(faults.len()));
-    let mut kept = true;
-    for (i, (name, _)) in faults.iter().enumerate() {
-        let mut row = vec![String::new(); i];
-        for (mean, _, broken) in cells.by_ref().take(faults.len() - i) {
-            kept &= broken == 0;
-            row.push(format!("{mean:.1}{}", if broken > 0 { "*" } else { "" }));
+    print_pairs(&faults, &cells);
+    let kept = cells.iter().all(|cell| !cell.rules_broken);
+    Ok(Verdict::from_kept(kept))
+}
+
+fn print_pairs(faults: &[(&str, Fault)], cells: &[Cell]) {
+    let names: Vec<&str> = faults.iter().map(|(name, _)| *name).collect();
+    println!("| first, and 4 s later | {} |", names.join(" | "));
+    println!("| --- |{}", " --- |".repeat(names.len()));
+    let mut cells = cells.iter();
+    for (row, name) in names.iter().enumerate() {
+        let mut texts = vec![String::new(); row];
+        for cell in cells.by_ref().take(names.len() - row) {
+            texts.push(format!("{:.1}{}", cell.service.mean, cell.star()));
         }
-        println!("| {name} | {} |", row.join(" | "));
+        println!("| {name} | {} |", texts.join(" | "));
     }
-    Ok(kept)
 }
