--- a/simulator/src/environment/endpoints.rs
+++ b/simulator/src/environment/endpoints.rs
@@ -26,9 +26,9 @@
 
 impl Environment<'_> {
     pub(super) fn attempt_arrives(&mut self, attempt: AttemptRef, endpoint: EndpointRef) {
-        let server = &mut self.endpoints[endpoint.index];
-        server.attempts_in_transit -= 1;
-        let connected = server.up && server.incarnation == endpoint.incarnation;
+        let state = &mut self.endpoints[endpoint.index];
+        state.attempts_in_transit -= 1;
+        let connected = state.up && state.incarnation == endpoint.incarnation;
         let Some(request) = self.request(attempt.request) else {
             return;
         };
@@ -80,10 +80,10 @@
             return false;
         };
         let class = request.class;
-        let server = &self.endpoints[endpoint];
-        let warmth = server.warmth(self.now);
+        let state = &self.endpoints[endpoint];
+        let warmth = state.warmth(self.now);
         let capacity =
-            warmth * server.machine.speed * server.machine.cores as f64 / self.mean_work_ms;
+            warmth * state.machine.speed * state.machine.cores as f64 / self.mean_work_ms;
         let relative_work = self.script.request_classes[class].mean_work_ms / self.mean_work_ms;
         let cold_capacity = (warmth < 1.0).then_some(capacity);
         self.checker
@@ -216,11 +216,11 @@
     }
 
     pub(super) fn job_finishes(&mut self, endpoint: EndpointRef, job_number: u64) {
-        let server = &mut self.endpoints[endpoint.index];
-        if server.incarnation != endpoint.incarnation {
+        let state = &mut self.endpoints[endpoint.index];
+        if state.incarnation != endpoint.incarnation {
             return;
         }
-        match server.complete(self.now, job_number) {
+        match state.complete(self.now, job_number) {
             Completion::PausedUntil(paused_until) => {
                 let finishes = Event::JobFinishes {
                     endpoint,
@@ -238,11 +238,11 @@
 
     pub(super) fn cancellation_arrives(&mut self, attempt: AttemptRef, endpoint: EndpointRef) {
         let AttemptRef { request, number } = attempt;
-        let server = &mut self.endpoints[endpoint.index];
-        if server.incarnation != endpoint.incarnation || !server.up {
+        let state = &mut self.endpoints[endpoint.index];
+        if state.incarnation != endpoint.incarnation || !state.up {
             return;
         }
-        if server.cancel(self.now, request.index, request.serial, number) {
+        if state.cancel(self.now, request.index, request.serial, number) {
             self.settle_attempt(attempt);
         }
         self.start_jobs(endpoint.index);
--- a/simulator/src/environment/network.rs
+++ b/simulator/src/environment/network.rs
@@ -3,8 +3,9 @@
 use super::event_queue::{AttemptRef, EndpointRef, Event};
 use super::Environment;
 
-/// Endpoints close an idle connection after the keepalive time; proxies use it only up to this part of that time.
-const KEEPALIVE_FRACTION_MS: f64 = 750.0;
+/// Endpoints close an idle connection after the keepalive time. Proxies use it for three quarters of that time only:
+/// for so many milliseconds a second of it.
+const USABLE_KEEPALIVE_MS_PER_S: f64 = 750.0;
 
 /// Connections of one proxy to one endpoint.
 #[derive(Clone, Copy, Default)]
@@ -50,7 +51,7 @@
     }
 }
 
-/// Who is reached from a zone to an endpoint.
+/// Which messages pass between the proxies of a zone and an endpoint.
 #[derive(Clone, Copy)]
 pub(super) struct Reachability {
     /// Requests arrive at the machine.
@@ -84,15 +85,15 @@
 
     /// The pool of a proxy for an endpoint, without stale connections; its time of use is now.
     fn refreshed_pool(&mut self, proxy: usize, endpoint: usize) -> &mut ConnectionPool {
-        let idle_timeout_ms = KEEPALIVE_FRACTION_MS * self.script.network.keepalive_s;
-        let server = &mut self.endpoints[endpoint];
+        let idle_timeout_ms = USABLE_KEEPALIVE_MS_PER_S * self.script.network.keepalive_s;
+        let state = &mut self.endpoints[endpoint];
         let pools = &mut self.proxies[proxy].connections;
         if pools.len() <= endpoint {
             pools.resize(endpoint + 1, ConnectionPool::default());
         }
         let pool = &mut pools[endpoint];
-        let discarded = pool.discard_stale(server.incarnation, self.now, idle_timeout_ms);
-        server.connections = server.connections.saturating_sub(discarded as usize);
+        let discarded = pool.discard_stale(state.incarnation, self.now, idle_timeout_ms);
+        state.connections = state.connections.saturating_sub(discarded as usize);
         pool.last_used = self.now;
         pool
     }
@@ -109,12 +110,12 @@
         endpoint: usize,
         reachability: Reachability,
     ) -> bool {
-        let server = &mut self.endpoints[endpoint];
-        let full = server.connections >= server.machine.max_connections;
-        if !server.up || !reachability.responses || full {
+        let state = &mut self.endpoints[endpoint];
+        let full = state.connections >= state.machine.max_connections;
+        if !state.up || !reachability.responses || full {
             return false;
         }
-        server.connections += 1;
+        state.connections += 1;
         self.proxies[proxy].connections[endpoint].open += 1;
         true
     }
@@ -129,9 +130,9 @@
             return;
         }
         pool.open = pool.open.saturating_sub(1);
-        let server = &mut self.endpoints[endpoint.index];
-        if server.incarnation == endpoint.incarnation {
-            server.connections = server.connections.saturating_sub(1);
+        let state = &mut self.endpoints[endpoint.index];
+        if state.incarnation == endpoint.incarnation {
+            state.connections = state.connections.saturating_sub(1);
         }
     }
 
@@ -148,11 +149,11 @@
 
     /// An attempt leaves its proxy for the endpoint as it is now.
     pub(super) fn send(&mut self, delay_ms: f64, attempt: AttemptRef, endpoint: usize) {
-        let server = &mut self.endpoints[endpoint];
-        server.attempts_in_transit += 1;
+        let state = &mut self.endpoints[endpoint];
+        state.attempts_in_transit += 1;
         let endpoint = EndpointRef {
             index: endpoint,
-            incarnation: server.incarnation,
+            incarnation: state.incarnation,
         };
         self.schedule(delay_ms, Event::AttemptArrives { attempt, endpoint });
     }
--- a/simulator/src/environment/requests.rs
+++ b/simulator/src/environment/requests.rs
@@ -120,7 +120,7 @@
         }
     }
 
-    /// A client leaves while its request waits, and its proxy is told.
+    /// A client leaves while its request waits, and its proxy is notified.
     pub(super) fn client_leaves(&mut self, request_ref: RequestRef) {
         let Some(request) = self.open_request_mut(request_ref) else {
             return;
--- a/simulator/src/results/collector.rs
+++ b/simulator/src/results/collector.rs
@@ -7,7 +7,7 @@
 use crate::script::{RequestClass, Script};
 use hdrhistogram::Histogram;
 
-/// The longest latency that is told apart: ten minutes.
+/// The longest latency that is measured exactly: ten minutes.
 const MAX_LATENCY_US: u64 = 600_000_000;
 /// Significant digits of a latency.
 const LATENCY_DIGITS: u8 = 2;
--- a/simulator/src/script/proxy_settings.rs
+++ b/simulator/src/script/proxy_settings.rs
@@ -3,7 +3,7 @@
 use super::types::{DeduplicationScope, Idempotency, RequestClass, Script};
 use serde_json::{json, Value};
 
-/// How long a proxy may take to ask for the endpoint list, as it is told.
+/// How long a proxy may take to ask for the endpoint list, as its settings have it.
 const ASK_WITHIN_MS: f64 = 10_000.0;
 
 fn effect(idempotency: Idempotency) -> &'static str {
--- a/simulator/src/script/reader.rs
+++ b/simulator/src/script/reader.rs
@@ -53,7 +53,7 @@
 }
 
 impl InvalidKey {
-    /// A key whose value breaks a rule, which is told as it follows the key in a sentence.
+    /// A key whose value breaks a rule, worded to follow the key in a sentence.
     pub fn rule(key: impl Into<String>, rule: &'static str) -> Self {
         InvalidKey {
             key: key.into(),
@@ -75,7 +75,7 @@
         /// The most that is allowed.
         most: f64,
     },
-    /// Another rule is broken, told as it follows the key in a sentence.
+    /// Another rule is broken, worded to follow the key in a sentence.
     #[error("{0}")]
     BreaksRule(&'static str),
 }
--- a/simulator/src/script/types.rs
+++ b/simulator/src/script/types.rs
@@ -107,7 +107,7 @@
     /// ... within this window.
     #[serde(rename = "fall_ms")]
     pub overload_window_ms: f64,
-    /// Cost of a request that crosses zones, as the proxies are told.
+    /// Cost of a request that crosses zones, as the settings of the proxies have it.
     #[serde(rename = "cross_zone_price")]
     pub cross_zone_cost: f64,
     /// How late after its deadline a request may be answered.
--- a/simulator/src/script/validation.rs
+++ b/simulator/src/script/validation.rs
@@ -4,7 +4,7 @@
 use super::reader::{InvalidKey, InvalidValue};
 use super::types::{Burst, MachineType, RequestClass, Script};
 
-/// A day.
+/// No run or fault lasts longer than a day.
 const MAX_DURATION_S: f64 = 86_400.0;
 
 type Validation = Result<(), InvalidKey>;
