Simulator: mean work, retry safety and deduplication groups stand once

Cause: the script and the environment each summed the mean work, and the environment derived from a class what the checker and the endpoints know better. Change: Script::mean_work_ms, RetrySafety::of, Endpoint::deduplication_group.

--- a/simulator/src/endpoint.rs
+++ b/simulator/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! One endpoint: cores, a bounded queue, slow start, pauses, a cache of keys, and degradation by long waits.
 
-use crate::script::{Degradation, Limits, MachineType};
+use crate::script::{DeduplicationScope, Degradation, Limits, MachineType};
 use std::collections::VecDeque;
 
 /// Load measurements that are kept, at most.
@@ -181,6 +181,15 @@
         }
     }
 
+    /// The number of its group of endpoints, within which repeats of a request are dropped.
+    pub fn deduplication_group(&self, scope: DeduplicationScope) -> u64 {
+        match scope {
+            DeduplicationScope::Fleet => 0,
+            DeduplicationScope::Zone => self.zone as u64,
+            DeduplicationScope::Pod => self.pod as u64,
+        }
+    }
+
     /// Requests executed or waiting.
     pub fn in_flight(&self) -> usize {
         self.queue.len() + self.running.len()
--- a/simulator/src/environment/attempts.rs
+++ b/simulator/src/environment/attempts.rs
@@ -3,7 +3,6 @@
 use super::event_queue::{AttemptRef, EndpointRef, Event, RequestRef};
 use super::Environment;
 use crate::invariants::Answer;
-use crate::script::DeduplicationScope;
 use crankmux::types::{AttemptOutcome, AttemptResult, LoadReport};
 
 /// One attempt of a request at an endpoint.
@@ -45,11 +44,8 @@
 
     /// The number of the group of endpoints in which repeats of a request are dropped.
     pub(super) fn deduplication_group(&self, endpoint: usize, class: usize) -> u64 {
-        match self.script.request_classes[class].deduplication_scope {
-            DeduplicationScope::Fleet => 0,
-            DeduplicationScope::Zone => self.endpoints[endpoint].zone as u64,
-            DeduplicationScope::Pod => self.endpoints[endpoint].pod as u64,
-        }
+        let scope = self.script.request_classes[class].deduplication_scope;
+        self.endpoints[endpoint].deduplication_group(scope)
     }
 
     /// A proxy sends an attempt on an idle connection, or on a new one at its cost.
--- a/simulator/src/environment/clients.rs
+++ b/simulator/src/environment/clients.rs
@@ -5,7 +5,7 @@
 use super::{Environment, START_MS};
 use crate::invariants::RetrySafety;
 use crate::results::Outcome;
-use crate::script::{Backoff, Burst, DeduplicationScope, Idempotency, RequestClass};
+use crate::script::{Backoff, Burst};
 use crankmux::types::NewRequest;
 
 /// Between a client and its proxy, one way.
@@ -41,17 +41,6 @@
     active.map(|burst| burst.factor).reduce(f64::max)
 }
 
-/// What the invariant checker is to know of a class.
-fn retry_safety(class: &RequestClass) -> RetrySafety {
-    match class.idempotency {
-        Idempotency::Idempotent => RetrySafety::Idempotent,
-        Idempotency::IdempotentWithKey => RetrySafety::Deduplicated {
-            fleet_wide: class.deduplication_scope == DeduplicationScope::Fleet,
-        },
-        Idempotency::NotIdempotent => RetrySafety::NotIdempotent,
-    }
-}
-
 impl Environment<'_> {
     /// Rebuilds the routing tables from the proxies that are believed to be up.
     pub(super) fn update_routing(&mut self) {
@@ -186,7 +175,7 @@
         let history = self.checker.request_received(
             self.now,
             proxy,
-            retry_safety(class),
+            RetrySafety::of(class),
             class.deduplication_window_ms,
             deadline,
         );
--- a/simulator/src/environment/setup.rs
+++ b/simulator/src/environment/setup.rs
@@ -73,20 +73,6 @@
     Ok(proxies)
 }
 
-/// Mean work of a request, over all classes by their part in the arrivals.
-fn mean_work_ms(script: &Script) -> f64 {
-    let weights: f64 = script
-        .request_classes
-        .iter()
-        .map(|class| class.arrival_weight)
-        .sum();
-    let work = script
-        .request_classes
-        .iter()
-        .map(|class| class.arrival_weight * class.mean_work_ms);
-    work.sum::<f64>() / weights.max(1e-9)
-}
-
 /// The highest arrival rate, in calls a millisecond: at the crest of the wave, within the largest burst.
 fn peak_rate(script: &Script) -> f64 {
     let bursts = script.load.bursts.iter().map(|burst| burst.factor);
@@ -128,7 +114,7 @@
             routing: Vec::<RoutingTable>::new(),
             peak_rate: peak_rate(script),
             zone_weights,
-            mean_work_ms: mean_work_ms(script),
+            mean_work_ms: script.mean_work_ms(),
             checker: InvariantChecker::new(Tolerances {
                 answer_slack_ms: limits.answer_slack_ms,
                 drain_grace_ms: limits.drain_grace_ms,
--- a/simulator/src/invariants/history.rs
+++ b/simulator/src/invariants/history.rs
@@ -1,5 +1,6 @@
 //! The history of one request, as the checker sees it.
 
+use crate::script::{DeduplicationScope, Idempotency, RequestClass};
 use crankmux::types::AttemptOutcome;
 use std::fmt;
 
@@ -120,6 +121,19 @@
     NotIdempotent,
 }
 
+impl RetrySafety {
+    /// That of the requests of a class.
+    pub fn of(class: &RequestClass) -> Self {
+        match class.idempotency {
+            Idempotency::Idempotent => RetrySafety::Idempotent,
+            Idempotency::IdempotentWithKey => RetrySafety::Deduplicated {
+                fleet_wide: class.deduplication_scope == DeduplicationScope::Fleet,
+            },
+            Idempotency::NotIdempotent => RetrySafety::NotIdempotent,
+        }
+    }
+}
+
 /// One attempt of a request.
 pub(super) struct AttemptHistory {
     /// The endpoint's deduplication group.
--- a/simulator/src/script/mod.rs
+++ b/simulator/src/script/mod.rs
@@ -27,21 +27,25 @@
         read_validated(text, Script::validate)
     }
 
-    /// Requests a second that all endpoints can do when warm.
-    pub fn capacity(&self) -> f64 {
+    /// Mean work of a request on a core of speed one, over all classes by their weight among the arrivals.
+    pub fn mean_work_ms(&self) -> f64 {
         let classes = &self.request_classes;
         let weights: f64 = classes.iter().map(|class| class.arrival_weight).sum();
         let work: f64 = classes
             .iter()
             .map(|class| class.arrival_weight * class.mean_work_ms)
             .sum();
-        let mean_work_ms = work / weights.max(1e-9);
+        work / weights.max(1e-9)
+    }
+
+    /// Requests a second that all endpoints can do when warm.
+    pub fn capacity(&self) -> f64 {
         let speed: f64 = self
             .machine_types
             .iter()
             .map(|machine| (machine.count * machine.cores) as f64 * machine.speed)
             .sum();
-        1000.0 * speed / mean_work_ms
+        1000.0 * speed / self.mean_work_ms()
     }
 
     /// Calls a second that clients start, before waves and bursts.
