--- a/fault-injection/src/harness/clients.rs
+++ b/fault-injection/src/harness/clients.rs
@@ -4,7 +4,7 @@
 use super::event_loop::Role;
 use super::{invariants, Harness, LOOP_LATENESS_MS};
 use crate::connection::Response;
-use crankmux_simulator::invariants::{Answer, Life};
+use crankmux_simulator::invariants::{Answer, RequestHistory, RetrySafety};
 use mio::net::TcpStream;
 use rand::RngExt;
 use slab::Slab;
@@ -27,7 +27,7 @@
     pub(super) deadline_ms: f64,
     sent_ms: f64,
     /// What the invariant checker knows of it.
-    pub(super) lifecycle: Life,
+    pub(super) lifecycle: RequestHistory,
     pub(super) attempts: usize,
     /// Its proxy died or was stopped, or its client left: no answer is owed.
     excused: bool,
@@ -141,13 +141,17 @@
         let Some(connection) = self.client_connection(proxy) else {
             return;
         };
-        let terms = &self.environment.categories[class];
+        let terms = &self.environment.request_classes[class];
         let timeout_ms = terms.ttl_ms;
         let deadline_ms = now_ms + timeout_ms;
-        let repeats = invariants::repeats(terms);
-        let lifecycle = self
-            .invariants
-            .taken(now_ms, proxy, repeats, terms.window_ms, deadline_ms);
+        let repeats = RetrySafety::of(terms);
+        let lifecycle = self.invariants.request_received(
+            now_ms,
+            proxy,
+            repeats,
+            terms.deduplication_window_ms,
+            deadline_ms,
+        );
         self.clients.last_serial += 1;
         let request = self.clients.requests.insert(ClientRequest {
             proxy,
@@ -167,13 +171,13 @@
         self.service.requests += 1;
         self.measurements.count_request(now_ms);
         self.write_request(connection, request);
-        if self.random.random::<f64>() < self.environment.clients.impatient {
+        if self.random.random::<f64>() < self.environment.clients.impatient_fraction {
             self.schedule(IMPATIENT_FRACTION * timeout_ms, move |harness| {
                 harness.leave(request);
             });
         }
         // Late attempts are still seen for some time after the deadline.
-        let slack_ms = self.environment.duties.answer_slack_ms + LOOP_LATENESS_MS;
+        let slack_ms = self.environment.limits.answer_slack_ms + LOOP_LATENESS_MS;
         self.schedule(timeout_ms + slack_ms, move |harness| {
             harness.on_deadline(request);
         });
@@ -181,11 +185,11 @@
 
     /// Draws a request class by weight.
     fn random_class(&mut self) -> usize {
-        let classes = &self.environment.categories;
-        let total: f64 = classes.iter().map(|class| class.weight).sum();
+        let classes = &self.environment.request_classes;
+        let total: f64 = classes.iter().map(|class| class.arrival_weight).sum();
         let mut rest = self.random.random::<f64>() * total;
         let drawn = classes.iter().position(|class| {
-            rest -= class.weight;
+            rest -= class.arrival_weight;
             rest < 0.0
         });
         drawn.unwrap_or(0)
@@ -214,7 +218,7 @@
         let left_ms = (waiting.deadline_ms - self.now()).max(LEAST_TIMEOUT_MS);
         let timeout_seconds = left_ms / 1000.0;
         let serial = waiting.serial;
-        let class = &self.environment.categories[waiting.class].name;
+        let class = &self.environment.request_classes[waiting.class].name;
         let text = format!(
             "GET /{class} HTTP/1.1\r\nHost: rig\r\nX-Request-ID: {request}-{serial}\r\nX-Priority-Class: {class}\r\n\
              X-Timeout: {timeout_seconds:.3}\r\n\r\n"
@@ -227,7 +231,7 @@
         let now_ms = self.now();
         let over = &mut self.clients.requests[request];
         if !over.excused {
-            self.invariants.due(now_ms, &over.lifecycle);
+            self.invariants.deadline_passed(now_ms, &over.lifecycle);
         } else if !over.answered {
             self.service.unanswered += 1;
         }
@@ -253,7 +257,7 @@
         };
         waiting.excused = true;
         self.invariants
-            .client_closed(now_ms, &mut waiting.lifecycle);
+            .client_disconnected(now_ms, &mut waiting.lifecycle);
         let proxy = waiting.proxy;
         self.set_waiting_request(connection, proxy, None);
         self.close(connection);
@@ -316,17 +320,18 @@
         waiting.connection = None;
         waiting.answered = true;
         let answer = match response.status {
-            503 => Answer::Nacked,
-            502 => Answer::DeadLettered,
-            _ => Answer::Acked,
+            503 => Answer::Rejected,
+            502 => Answer::Failed,
+            _ => Answer::Succeeded,
         };
         if !waiting.excused {
             self.invariants
                 .answered(now_ms, &mut waiting.lifecycle, answer);
         }
         match answer {
-            Answer::Acked => {
-                let objective_ms = self.environment.categories[waiting.class].target_ms;
+            Answer::Succeeded => {
+                let objective_ms =
+                    self.environment.request_classes[waiting.class].latency_objective_ms;
                 let latency_ms = now_ms - waiting.sent_ms;
                 let in_time = latency_ms <= objective_ms;
                 self.service.succeeded += 1;
@@ -334,8 +339,8 @@
                 self.measurements
                     .count_success(waiting.sent_ms, latency_ms, in_time);
             }
-            Answer::Nacked => self.service.rejected += 1,
-            Answer::DeadLettered => self.service.failed += 1,
+            Answer::Rejected => self.service.rejected += 1,
+            Answer::Failed => self.service.failed += 1,
         }
     }
 }
--- a/fault-injection/src/harness/discovery.rs
+++ b/fault-injection/src/harness/discovery.rs
@@ -180,13 +180,13 @@
     fn endpoint_entry(&self, proxy: usize, endpoint: usize) -> Value {
         let server = &self.endpoints.servers[endpoint];
         // Starts are counted from the start of the run here, and in Unix time on the wire.
-        let born_ms = if server.started > 0.0 {
-            self.discovery.unix_ms + server.started
+        let born_ms = if server.started_at > 0.0 {
+            self.discovery.unix_ms + server.started_at
         } else {
             0.0
         };
         json!({"host": format!("s{endpoint}"), "dial": self.endpoints.addresses[endpoint][proxy].to_string(),
-               "site": self.environment.zones[server.zone], "class": server.machine.kind, "block": server.pod,
+               "site": self.environment.zones[server.zone], "class": server.machine.name, "block": server.pod,
                "health": self.discovery.listings[endpoint].health.name(), "share": 1.0, "born_ms": born_ms})
     }
 }
--- a/fault-injection/src/harness/endpoints.rs
+++ b/fault-injection/src/harness/endpoints.rs
@@ -5,8 +5,8 @@
 use super::Harness;
 use crate::connection::Headers;
 use crankmux::types::AttemptOutcome;
-use crankmux_simulator::script::{Group, Script};
-use crankmux_simulator::server::{AtWork, Begun, Job, Server};
+use crankmux_simulator::endpoint::{Completion, Dequeued, Endpoint, Job, RunningJob};
+use crankmux_simulator::script::Script;
 use rand::RngExt;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -25,16 +25,16 @@
 impl AttemptId {
     fn of(job: &Job) -> Self {
         AttemptId {
-            request: job.op,
+            request: job.request,
             serial: job.serial,
-            attempt: job.push,
+            attempt: job.attempt,
         }
     }
 }
 
 /// The endpoints of a run.
 pub(super) struct Endpoints {
-    pub(super) servers: Vec<Server>,
+    pub(super) servers: Vec<Endpoint>,
     /// Where each proxy reaches each endpoint: by endpoint, then by proxy.
     pub(super) addresses: Vec<Vec<SocketAddr>>,
     /// The connection on which an attempt's response is awaited.
@@ -45,32 +45,26 @@
 
 impl Endpoints {
     pub(super) fn new(environment: &Script) -> Self {
-        let classes = &environment.categories;
-        let weights: f64 = classes.iter().map(|class| class.weight).sum();
-        let work_ms: f64 = classes
-            .iter()
-            .map(|class| class.weight * class.work_ms)
-            .sum();
         Endpoints {
             servers: Vec::new(),
             addresses: Vec::new(),
             awaited: BTreeMap::new(),
-            mean_work_ms: work_ms / weights,
+            mean_work_ms: environment.mean_work_ms(),
         }
     }
 }
 
 impl Harness {
     pub(super) fn add_endpoints(&mut self) {
-        for machine in self.environment.machines.clone() {
+        for machine in self.environment.machine_types.clone() {
             for _ in 0..machine.count {
                 let endpoint = self.endpoints.servers.len();
                 let zone = endpoint % self.environment.zones.len();
                 let pod = endpoint / machine.pod_size;
-                let obligations = &self.environment.duties;
-                let server = Server::new(&machine, obligations, endpoint as u64, zone, pod, 0.0);
+                let obligations = &self.environment.limits;
+                let server = Endpoint::new(&machine, obligations, endpoint as u64, zone, pod, 0.0);
                 self.endpoints.servers.push(server);
-                let addresses = (0..self.environment.nodes)
+                let addresses = (0..self.environment.proxies)
                     .map(|proxy| self.event_loop.listen(Role::Endpoint { endpoint, proxy }))
                     .collect();
                 self.endpoints.addresses.push(addresses);
@@ -93,14 +87,14 @@
 
     /// An endpoint's process is replaced by a new one, which has to warm up.
     pub fn restart_endpoint(&mut self, endpoint: usize) {
-        for job in self.endpoints.servers[endpoint].die() {
+        for job in self.endpoints.servers[endpoint].crash() {
             self.endpoints.awaited.remove(&AttemptId::of(&job));
         }
         self.close_connections_to(endpoint);
         let now_ms = self.now();
         let server = &mut self.endpoints.servers[endpoint];
         server.up = true;
-        server.started = now_ms;
+        server.started_at = now_ms;
         self.announce_ready(endpoint);
     }
 
@@ -130,12 +124,8 @@
 
     /// Endpoints with the same number remember each other's idempotency keys.
     fn deduplication_group(&self, endpoint: usize, class: usize) -> u64 {
-        let server = &self.endpoints.servers[endpoint];
-        match self.environment.categories[class].group {
-            Group::Fleet => 0,
-            Group::Zone => server.zone as u64,
-            Group::Pod => server.pod as u64,
-        }
+        let scope = self.environment.request_classes[class].deduplication_scope;
+        self.endpoints.servers[endpoint].deduplication_group(scope)
     }
 
     /// An attempt has arrived at an endpoint.
@@ -149,7 +139,7 @@
         let now_ms = self.now();
         let Some(request) = self.request_of(headers) else {
             // Long over, and still attempted.
-            self.invariants.nobodys();
+            self.invariants.attempt_for_forgotten_request();
             return self.close(connection);
         };
         self.measurements.count_attempt(now_ms, proxy, endpoint);
@@ -161,7 +151,7 @@
         self.endpoints
             .awaited
             .insert(AttemptId::of(&job), connection);
-        if self.endpoints.servers[endpoint].offer(now_ms, job) {
+        if self.endpoints.servers[endpoint].enqueue(now_ms, job) {
             self.run_jobs(endpoint);
         } else {
             self.respond(endpoint, job, AttemptOutcome::Rejected);
@@ -180,16 +170,16 @@
     /// A request's next attempt, as work for an endpoint.
     fn job(&mut self, now_ms: f64, request: usize) -> Job {
         let waiting = &self.clients.requests[request];
-        let work_ms = self.environment.categories[waiting.class].work_ms;
+        let work_ms = self.environment.request_classes[waiting.class].mean_work_ms;
         Job {
-            op: request,
+            request,
             serial: waiting.serial,
-            push: waiting.attempts,
-            work: work_ms * (0.5 + self.random.random::<f64>()),
-            came: now_ms,
-            ends: waiting.deadline_ms,
+            attempt: waiting.attempts,
+            work_ms: work_ms * (0.5 + self.random.random::<f64>()),
+            arrived_at: now_ms,
+            deadline: waiting.deadline_ms,
             key: 0,
-            key_miss: 1.0,
+            key_miss_factor: 1.0,
         }
     }
 
@@ -201,19 +191,19 @@
         waiting.attempts += 1;
         let lifecycle = &mut waiting.lifecycle;
         self.invariants
-            .pushed(now_ms, lifecycle, endpoint, group, draining_since);
+            .attempt_started(now_ms, lifecycle, endpoint, group, draining_since);
     }
 
     /// Whether this attempt is more than an endpoint that is warming up can bear.
     fn overloads(&mut self, now_ms: f64, endpoint: usize, request: usize) -> bool {
         let class = self.clients.requests[request].class;
         let mean_work_ms = self.endpoints.mean_work_ms;
-        let mean_requests = self.environment.categories[class].work_ms / mean_work_ms;
+        let mean_requests = self.environment.request_classes[class].mean_work_ms / mean_work_ms;
         let server = &self.endpoints.servers[endpoint];
-        let warmth = server.able(now_ms);
+        let warmth = server.warmth(now_ms);
         let capacity = warmth * server.machine.speed * server.machine.cores as f64 / mean_work_ms;
         let warming_up = warmth < 1.0;
-        self.invariants.bears(
+        self.invariants.overloads_cold_endpoint(
             now_ms,
             endpoint,
             mean_requests,
@@ -224,28 +214,28 @@
     /// Starts as many jobs as an endpoint has cores for.
     fn run_jobs(&mut self, endpoint: usize) {
         let now_ms = self.now();
-        while let Some(begun) = self.endpoints.servers[endpoint].begin(now_ms) {
+        while let Some(begun) = self.endpoints.servers[endpoint].start_next(now_ms) {
             match begun {
-                Begun::Started(work) => self.on_job_started(now_ms, endpoint, work),
-                Begun::Expired(job) => self.respond(endpoint, job, AttemptOutcome::Rejected),
+                Dequeued::Started(work) => self.on_job_started(now_ms, endpoint, work),
+                Dequeued::Expired(job) => self.respond(endpoint, job, AttemptOutcome::Rejected),
             }
         }
     }
 
-    fn on_job_started(&mut self, now_ms: f64, endpoint: usize, work: AtWork) {
+    fn on_job_started(&mut self, now_ms: f64, endpoint: usize, work: RunningJob) {
         let job = work.job;
         let class = self
             .clients
-            .find(job.op, job.serial)
+            .find(job.request, job.serial)
             .map(|request| request.class);
         if let Some(class) = class {
             let group = self.deduplication_group(endpoint, class);
-            let lifecycle = &mut self.clients.requests[job.op].lifecycle;
+            let lifecycle = &mut self.clients.requests[job.request].lifecycle;
             self.invariants
-                .ran(now_ms, lifecycle, job.push, endpoint, group);
+                .attempt_executed(now_ms, lifecycle, job.attempt, endpoint, group);
         }
-        let incarnation = self.endpoints.servers[endpoint].life;
-        self.schedule(work.due - now_ms, move |harness| {
+        let incarnation = self.endpoints.servers[endpoint].incarnation;
+        self.schedule(work.finishes_at - now_ms, move |harness| {
             harness.on_job_done(endpoint, incarnation, work.number);
         });
     }
@@ -253,11 +243,11 @@
     fn on_job_done(&mut self, endpoint: usize, incarnation: u32, work: u64) {
         let now_ms = self.now();
         let server = &mut self.endpoints.servers[endpoint];
-        if server.life != incarnation {
+        if server.incarnation != incarnation {
             return;
         }
         // Only faults of the simulator pause an endpoint, so that no job is put off here.
-        if let Ok(Some(job)) = server.done(now_ms, work) {
+        if let Completion::Finished(job) = server.complete(now_ms, work) {
             self.respond(endpoint, job, AttemptOutcome::Succeeded);
         }
         self.run_jobs(endpoint);
@@ -266,9 +256,10 @@
     /// Answers an attempt, with a load report if the environment has them.
     fn respond(&mut self, endpoint: usize, job: Job, outcome: AttemptOutcome) {
         let now_ms = self.now();
-        if let Some(request) = self.clients.find(job.op, job.serial) {
+        if let Some(request) = self.clients.find(job.request, job.serial) {
             let lifecycle = &mut request.lifecycle;
-            self.invariants.ended(now_ms, lifecycle, job.push, outcome);
+            self.invariants
+                .attempt_ended(now_ms, lifecycle, job.attempt, outcome);
         }
         let Some(connection) = self.endpoints.awaited.remove(&AttemptId::of(&job)) else {
             return;
@@ -285,14 +276,16 @@
 
     /// The header with an endpoint's load; empty if there is no report.
     fn load_report(&mut self, now_ms: f64, endpoint: usize) -> String {
-        let reports = &self.environment.reports;
-        if !reports.told {
+        let reports = &self.environment.load_reports;
+        if !reports.enabled {
             return String::new();
         }
         let server = &mut self.endpoints.servers[endpoint];
         server
-            .report(now_ms, reports.period_ms, reports.delay_ms)
-            .map_or_else(String::new, |(in_flight, queued)| {
+            .report_load(now_ms, reports.interval_ms, reports.delay_ms)
+            .map_or_else(String::new, |load| {
+                let in_flight = load.in_flight;
+                let queued = load.queued;
                 format!("X-Server-Load: TEXT inflight={in_flight}, queue={queued}\r\n")
             })
     }
--- a/fault-injection/src/harness/mod.rs
+++ b/fault-injection/src/harness/mod.rs
@@ -69,7 +69,7 @@
     /// # Panics
     /// If the system has no free ports, or the run's folder cannot be written to.
     pub fn new(environment: Script, start: Start) -> Self {
-        let proxies = environment.nodes;
+        let proxies = environment.proxies;
         let mut harness = Harness {
             proxies: Vec::new(),
             relays: PathRelays::default(),
--- a/fault-injection/src/harness/proxies.rs
+++ b/fault-injection/src/harness/proxies.rs
@@ -11,7 +11,7 @@
 
 impl Harness {
     pub(super) fn add_proxies(&mut self) {
-        let proxies = self.environment.nodes;
+        let proxies = self.environment.proxies;
         for proxy in 0..proxies {
             let discovery = self.event_loop.listen(Role::Discovery { proxy });
             self.discovery.addresses.push(discovery);
--- a/fault-injection/src/run/mod.rs
+++ b/fault-injection/src/run/mod.rs
@@ -64,7 +64,7 @@
             .unwrap_or(script.processes),
     };
     let mut environment = Script {
-        nodes: script.processes,
+        proxies: script.processes,
         ..environment
     };
     environment.load.rate = script.rate.or(environment.load.rate);
--- a/fault-injection/src/run/report.rs
+++ b/fault-injection/src/run/report.rs
@@ -257,11 +257,12 @@
 
     /// The number of clients that left, and of the attempts for them, by how long after.
     fn attempts_after_leaves(&self) -> (u64, [usize; 4]) {
-        let (clients_left, delays_ms) = self.harness.invariants.after_leaves();
+        let invariants = &self.harness.invariants;
+        let delays_ms = invariants.attempt_delays_after_departure_ms();
         let counts = LATE_ATTEMPT_RANGES_MS.map(|range| {
             let in_range = delays_ms.iter().filter(|delay_ms| range.contains(delay_ms));
             in_range.count()
         });
-        (clients_left, counts)
+        (invariants.clients_left(), counts)
     }
 }
--- a/fault-injection/src/run_script.rs
+++ b/fault-injection/src/run_script.rs
@@ -1,7 +1,7 @@
 //! A run's script: which environment, how many processes, and which faults between them, from a TOML file.
 //! docs/rig.md lists every key. A script with an error is refused whole, with the line and the key.
 
-use crankmux_simulator::script::{read_whole, ScriptError};
+use crankmux_simulator::script::{read_validated, InvalidKey, ScriptError};
 use serde::Deserialize;
 use std::ops::RangeInclusive;
 
@@ -151,11 +151,8 @@
     pub direction: Direction,
 }
 
-/// A key of a script, and what is wrong with its value.
-type WrongKey = (String, String);
-
-fn wrong<T>(key: impl Into<String>, what: &str) -> Result<T, WrongKey> {
-    Err((key.into(), what.to_string()))
+fn wrong<T>(key: impl Into<String>, rule: &'static str) -> Result<T, InvalidKey> {
+    Err(InvalidKey::rule(key, rule))
 }
 
 impl RunScript {
@@ -164,10 +161,10 @@
     /// # Errors
     /// The line and the key of the first thing that is wrong.
     pub fn read(text: &str) -> Result<Self, ScriptError> {
-        read_whole(text, RunScript::check)
+        read_validated(text, RunScript::check)
     }
 
-    fn check(&self) -> Result<(), WrongKey> {
+    fn check(&self) -> Result<(), InvalidKey> {
         if self.processes < 1 || self.processes > MOST_PROCESSES {
             return wrong("processes", "must be 1 to 200");
         }
@@ -175,16 +172,17 @@
             return wrong("seconds", "must be above 0");
         }
         for (index, fault) in self.faults.iter().enumerate() {
-            fault
-                .check(self.processes)
-                .or_else(|(key, what)| wrong(format!("faults.{index}.{key}"), &what))?;
+            fault.check(self.processes).map_err(|error| InvalidKey {
+                key: format!("faults.{index}.{}", error.key),
+                ..error
+            })?;
         }
         Ok(())
     }
 }
 
 impl Fault {
-    fn check(&self, processes: usize) -> Result<(), WrongKey> {
+    fn check(&self, processes: usize) -> Result<(), InvalidKey> {
         if !(self.at_seconds >= 0.0 && self.duration_seconds.is_none_or(|seconds| seconds > 0.0)) {
             return wrong("at", "must be 0 or more, and for above 0");
         }
--- a/fault-injection/tests/client_left.rs
+++ b/fault-injection/tests/client_left.rs
@@ -44,7 +44,7 @@
     harness.pass(500.0);
     harness.open();
     let caught = harness.until(20_000.0, |harness| {
-        harness.invariants.counts()[Rule::Left as usize] > 10
+        harness.invariants.counts()[Rule::NoWorkForDepartedClients as usize] > 10
     });
     assert!(caught, "{:?}", harness.broken());
     assert!(harness
--- a/proxy/tests/cluster/common.rs
+++ b/proxy/tests/cluster/common.rs
@@ -54,7 +54,7 @@
 /// The environment of the tests, with so many proxies.
 pub(crate) fn environment(proxies: usize) -> Script {
     let mut script = Script::read(ENVIRONMENT).expect("the environment is valid");
-    script.nodes = proxies;
+    script.proxies = proxies;
     script
 }
 
--- a/proxy/tests/cluster/departed_clients.rs
+++ b/proxy/tests/cluster/departed_clients.rs
@@ -5,13 +5,13 @@
 #[test]
 fn a_request_whose_client_left_is_not_retried_while_endpoints_fail() {
     let mut script = environment(2);
-    script.clients.impatient = 1.0;
-    script.duties.cold = 0.001;
+    script.clients.impatient_fraction = 1.0;
+    script.limits.slow_start_s = 0.001;
     // A retry may meet the next failure within milliseconds. With fewer attempts, a quick machine would use up all
     // that a request may have before its client leaves, and no client would leave at all.
-    script.duties.most_pushes = 50;
-    for category in &mut script.categories {
-        category.work_ms = 60_000.0;
+    script.limits.max_attempts = 50;
+    for category in &mut script.request_classes {
+        category.mean_work_ms = 60_000.0;
     }
     let mut harness = harness_in(script, "leavers", |start| start.cluster = false);
     harness.rate = 20.0;
@@ -35,7 +35,8 @@
         "{:#?}",
         harness.broken()
     );
-    let (clients_left, attempts_after_ms) = harness.invariants.after_leaves();
+    let clients_left = harness.invariants.clients_left();
+    let attempts_after_ms = harness.invariants.attempt_delays_after_departure_ms();
     let within = |from_ms: f64, to_ms: f64| {
         attempts_after_ms
             .iter()
--- a/proxy/tests/cluster/slow_start.rs
+++ b/proxy/tests/cluster/slow_start.rs
@@ -72,10 +72,10 @@
 #[test]
 fn twenty_proxies_without_membership_keep_the_slow_start_budget() {
     let mut script = environment(20);
-    script.duties.cold = 8.0;
-    script.machines[0].count = 6;
-    let budget_multiple = script.duties.fall_multiple * script.duties.cold_share;
-    let window_ms = script.duties.fall_ms;
+    script.limits.slow_start_s = 8.0;
+    script.machine_types[0].count = 6;
+    let budget_multiple = script.limits.overload_multiple * script.limits.cold_capacity_fraction;
+    let window_ms = script.limits.overload_window_ms;
     let mut harness = harness_in(script, "cold", |start| start.cluster = false);
     // Ten requests a second at each proxy, thirty-three at each endpoint.
     harness.rate = 10.0;
--- a/scenarios/src/cluster/mod.rs
+++ b/scenarios/src/cluster/mod.rs
@@ -3,10 +3,11 @@
 mod scripts;
 mod summary;
 
-use crate::scripts::Failed;
+use crate::cli::Verdict;
+use crate::error::CommandError;
 use crankmux_fault_injection::{run as run_script, Report, RunError, RunScript, Start};
 use crankmux_simulator::script::{Script, ScriptError};
-use scripts::ReadError;
+pub use scripts::ReadError;
 use std::path::{Path, PathBuf};
 
 const FAILURE: u8 = 1;
@@ -14,7 +15,7 @@
 
 /// The arguments of `cluster`.
 #[derive(clap::Args)]
-pub(crate) struct Args {
+pub struct ClusterArgs {
     /// A script's file, or the name of one that ships
     script: Option<PathBuf>,
     /// So many processes, over the script's
@@ -44,43 +45,55 @@
 
 /// Why a script was not run, or its report not written.
 #[derive(Debug, thiserror::Error)]
-enum ClusterError {
+pub enum ClusterError {
+    /// The script cannot be read.
     #[error(transparent)]
     Script(#[from] ReadError),
-    #[error("{0}")]
+    /// An environment that ships is invalid.
+    #[error(transparent)]
     ShippedEnvironment(ScriptError),
-    #[error("{message}")]
-    Environment { exit_code: u8, message: String },
+    /// The environment that the script names cannot be read.
+    #[error(transparent)]
+    Environment(Box<CommandError>),
+    /// There is no program of a proxy.
     #[error("{}: no program there; cargo build --release makes it", .0.display())]
     NoProgram(PathBuf),
+    /// The run failed.
     #[error(transparent)]
     Run(#[from] RunError),
+    /// The report cannot be written.
     #[error(transparent)]
     Write(#[from] std::io::Error),
+    /// The report cannot be encoded as JSON.
     #[error(transparent)]
     Encode(#[from] serde_json::Error),
 }
 
 impl ClusterError {
-    fn exit_code(&self) -> u8 {
+    /// The exit code of the program.
+    pub fn exit_code(&self) -> u8 {
         match self {
             ClusterError::Script(_)
             | ClusterError::ShippedEnvironment(_)
             | ClusterError::NoProgram(_) => WRONG_ARGUMENT,
-            ClusterError::Environment { exit_code, .. } => *exit_code,
+            ClusterError::Environment(error) => error.exit_code(),
             ClusterError::Run(_) | ClusterError::Write(_) | ClusterError::Encode(_) => FAILURE,
         }
     }
 }
 
-/// Runs the script that the arguments name. Returns whether all rules were kept.
-pub(crate) fn run(args: &Args) -> Result<bool, Failed> {
-    let report = run_and_write(args).map_err(|error| (error.exit_code(), error.to_string()))?;
+/// Runs the script that the arguments name.
+///
+/// # Errors
+///
+/// An invalid script or environment, no program of a proxy, or a report that cannot be written.
+pub fn run(args: &ClusterArgs) -> Result<Verdict, ClusterError> {
+    let report = run_and_write(args)?;
     summary::print(&report);
-    Ok(report.rules_broken == [0; 5])
+    Ok(Verdict::from_kept(report.rules_broken == [0; 5]))
 }
 
-fn run_and_write(args: &Args) -> Result<Report, ClusterError> {
+fn run_and_write(args: &ClusterArgs) -> Result<Report, ClusterError> {
     let mut script = scripts::read(args.script.as_deref())?;
     override_script(&mut script, args);
     let program = program(args)?;
@@ -97,7 +110,7 @@
     Ok(report)
 }
 
-fn override_script(script: &mut RunScript, args: &Args) {
+fn override_script(script: &mut RunScript, args: &ClusterArgs) {
     script.processes = args.processes.unwrap_or(script.processes);
     script.seconds = args.seconds.unwrap_or(script.seconds);
     script.rate = args.rate.or(script.rate);
@@ -108,7 +121,7 @@
 }
 
 /// The program of a proxy: the one that was named, or the one beside this.
-fn program(args: &Args) -> Result<PathBuf, ClusterError> {
+fn program(args: &ClusterArgs) -> Result<PathBuf, ClusterError> {
     let beside = || {
         let own = std::env::current_exe().ok()?;
         Some(own.parent()?.join("crankmux"))
@@ -131,5 +144,5 @@
         return Script::read(text).map_err(ClusterError::ShippedEnvironment);
     }
     crate::scripts::read(Some(Path::new(name)))
-        .map_err(|(exit_code, message)| ClusterError::Environment { exit_code, message })
+        .map_err(|error| ClusterError::Environment(Box::new(error)))
 }
--- a/scenarios/src/cluster/scripts.rs
+++ b/scenarios/src/cluster/scripts.rs
@@ -27,14 +27,23 @@
 
 /// Why a script could not be read.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum ReadError {
+pub enum ReadError {
+    /// The file cannot be read.
     #[error("{name}: {source}")]
     File {
+        /// The file.
         name: String,
+        /// Why.
         source: std::io::Error,
     },
-    #[error("{name}: {error}")]
-    Script { name: String, error: ScriptError },
+    /// The script is invalid.
+    #[error("{name}: {source}")]
+    Script {
+        /// Its name or file.
+        name: String,
+        /// Where and why.
+        source: ScriptError,
+    },
 }
 
 /// Reads the script of this name, or from this file; the first that ships where none is named.
@@ -47,9 +56,9 @@
             source,
         })?,
     };
-    RunScript::read(&text).map_err(|error| ReadError::Script {
+    RunScript::read(&text).map_err(|source| ReadError::Script {
         name: name.into_owned(),
-        error,
+        source,
     })
 }
 
