The bench adapter has typed errors and one method an event

node.rs held ids, decoding, encoding and a function of 170 lines. They are now instance (events to calls), fields (values of a message), requests (ids), decisions (actions to the wire) and error; strings are made in main only.

--- a/bench-adapter/src/main.rs
+++ b/bench-adapter/src/main.rs
@@ -1,52 +1,67 @@
 //! Adapter between the bench's wire and the decision module: one batch a line in, one reply a line out.
 //! It decodes into calls, encodes from what the calls give, and decides nothing.
 
-mod node;
+mod decisions;
+mod error;
+mod fields;
+mod instance;
+mod requests;
 
-use node::Node;
+use error::AdapterError;
+use instance::Instances;
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::error::Error;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-fn batch(nodes: &mut BTreeMap<u64, Node>, line: &str) -> Result<Value, String> {
-    let batch: Value =
-        serde_json::from_str(line).map_err(|e| format!("batch is not valid JSON: {e}"))?;
-    let now = batch
-        .get("NowMs")
-        .and_then(Value::as_f64)
-        .ok_or("batch lacks its clock NowMs")?;
-    let news = match batch.get("news") {
-        None | Some(Value::Null) => &[][..],
-        Some(Value::Array(news)) => news,
-        Some(_) => return Err("news of the batch is not an array".into()),
-    };
-    let mut decisions = Vec::new();
-    for event in news {
-        node::decode(nodes, now, event, &mut decisions)?;
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let message = with_sources(&error).replace('\n', " ");
+            eprintln!("crankmux-bench-adapter: {message}");
+            ExitCode::FAILURE
+        }
     }
-    Ok(json!({ "decisions": decisions }))
 }
 
-fn run() -> Result<(), String> {
-    let mut nodes = BTreeMap::new();
-    let mut reply = io::stdout().lock();
+fn run() -> Result<(), AdapterError> {
+    let mut instances = Instances::default();
+    let mut replies = io::stdout().lock();
     for line in io::stdin().lock().lines() {
-        let line = line.map_err(|e| format!("batch cannot be read: {e}"))?;
-        let answer = batch(&mut nodes, &line)?;
-        writeln!(reply, "{answer}")
-            .and_then(|()| reply.flush())
-            .map_err(|e| format!("reply not written: {e}"))?;
+        let line = line.map_err(AdapterError::Read)?;
+        let reply = answer(&mut instances, &line)?;
+        writeln!(replies, "{reply}")
+            .and_then(|()| replies.flush())
+            .map_err(AdapterError::Write)?;
     }
     Ok(())
 }
 
-fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("crankmux-bench-adapter: {}", message.replace('\n', " "));
-            ExitCode::FAILURE
-        }
+/// Applies the events of a batch in their order, and replies with what is decided on them.
+fn answer(instances: &mut Instances, line: &str) -> Result<Value, AdapterError> {
+    let batch: Value = serde_json::from_str(line).map_err(AdapterError::InvalidJson)?;
+    let now_ms = batch.get("NowMs").and_then(Value::as_f64);
+    let now_ms = now_ms.ok_or(AdapterError::MissingClock)?;
+    let events = match batch.get("news") {
+        None | Some(Value::Null) => &[][..],
+        Some(Value::Array(events)) => events,
+        Some(_) => return Err(AdapterError::EventsNotAnArray),
+    };
+    let mut decisions = Vec::new();
+    for event in events {
+        instances.apply(now_ms, event, &mut decisions)?;
+    }
+    Ok(json!({ "decisions": decisions }))
+}
+
+/// The text of an error with those of its sources.
+fn with_sources(error: &AdapterError) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(&format!(": {cause}"));
+        source = cause.source();
     }
+    text
 }
