--- a/src/balancer/estimator.rs
+++ b/src/balancer/estimator.rs
@@ -10,7 +10,7 @@
 pub(super) const INITIAL_TAIL_MULTIPLE: f64 = 2.0;
 const TAIL_MULTIPLES: (f64, f64) = (1.5, 8.0);
 const TAIL_STEP: f64 = 0.05; // of the multiple
-const WARM_THROUGHPUT_OVER_MS: f64 = 60_000.0;
+const WARM_FADES_OVER_MS: f64 = 60_000.0;
 const MIN_WEIGHT: f64 = 0.1; // follows a slowed endpoint within ten attempts, and evens out heavy requests
 const MAX_WEIGHT: f64 = 0.5; // after a silence
 const SILENCE_MS: f64 = 2000.0; // over which what comes next would have all weight
@@ -63,9 +63,9 @@
 
     /// What a result says of its endpoint; nothing where the proxy itself ended the attempt.
     fn evidence(&self, attempt: &PendingAttempt, result: &AttemptResult) -> Option<Evidence> {
-        let (settings, timing, duration_ms) = (&self.settings, attempt.timing, result.duration_ms);
+        let (settings, timing) = (&self.settings, attempt.timing);
         let endpoint = self.endpoints.get(&attempt.endpoint)?;
-        let overdue = duration_ms > timing.overdue_after_ms;
+        let overdue = result.duration_ms > timing.overdue_after_ms;
         let silent = endpoint.last_answer_at_ms <= timing.sent_at_ms;
         let mut outcome = result.outcome;
         if outcome == AttemptOutcome::Cancelled && overdue && silent {
@@ -73,7 +73,7 @@
             outcome = AttemptOutcome::TimedOut;
         }
         // Were requests ended at their latency objective to tell nothing, limits would only ever grow.
-        let is_late = duration_ms >= timing.latency_objective_ms;
+        let is_late = result.duration_ms >= timing.latency_objective_ms;
         let abandoned = settings.few_buffered_responses && outcome == AttemptOutcome::Cancelled && is_late;
         if matches!(outcome, AttemptOutcome::Cancelled | AttemptOutcome::NotSent) && !abandoned {
             return None;
@@ -91,7 +91,7 @@
         Some(Evidence {
             timing,
             outcome,
-            duration_ms,
+            duration_ms: result.duration_ms,
             abandoned,
             lost: outcome == AttemptOutcome::TimedOut && (!silent || reported_idle),
             delayed_elsewhere: excused && can_be_excused && overdue,
@@ -122,8 +122,8 @@
     pub(super) fn update_warm_throughput(&mut self, elapsed_ms: f64) {
         let subset = self.subset.iter().map(|id| &self.endpoints[id]);
         let warm = subset.filter(|endpoint| self.now_ms >= endpoint.warm_at_ms);
-        let bears = mean(warm.map(|endpoint| endpoint.throughput(self.now_ms)));
-        self.warm_throughput = (self.warm_throughput * decay(elapsed_ms, WARM_THROUGHPUT_OVER_MS)).max(bears);
+        let throughput = mean(warm.map(|endpoint| endpoint.throughput(self.now_ms)));
+        self.warm_throughput = (self.warm_throughput * decay(elapsed_ms, WARM_FADES_OVER_MS)).max(throughput);
     }
 
     /// An endpoint that fell silent is hardly tried again, and would be left long after it is back. So what
@@ -131,8 +131,9 @@
     pub(super) fn fade_old_evidence(&mut self, elapsed_ms: f64) {
         let (now_ms, by_probes) = (self.now_ms, self.settings.load_by_probes);
         let remains = decay(elapsed_ms, THROUGHPUT_OVER_MS);
-        let news_at_ms = |endpoint: &Endpoint| endpoint.last_answer_at_ms.max(endpoint.limit_cut_at_ms);
-        let is_old = |endpoint: &&mut Endpoint| !by_probes && now_ms - news_at_ms(endpoint) > FADES_AFTER_MS;
+        let last_evidence_ms = |endpoint: &Endpoint| endpoint.last_answer_at_ms.max(endpoint.limit_cut_at_ms);
+        let is_old =
+            |endpoint: &&mut Endpoint| !by_probes && now_ms - last_evidence_ms(endpoint) > FADES_AFTER_MS;
         for statistics in self.endpoints.values_mut().filter(is_old).map(|endpoint| &mut endpoint.statistics)
         {
             statistics.error_rate *= remains;
--- a/src/settings/validation.rs
+++ b/src/settings/validation.rs
@@ -79,8 +79,8 @@
     for (name, field) in weights {
         require_not_negative(field, || key(name))?;
     }
-    let deduplicated = class.idempotency.text() == Some("idempotency_key");
-    if deduplicated && !class.scope.is_absent_or(&SCOPES) {
+    let has_idempotency_key = class.idempotency.text() == Some("idempotency_key");
+    if has_idempotency_key && !class.scope.is_absent_or(&SCOPES) {
         return Err(SettingsError::UnknownScope(key("Group")));
     }
     // One name instead of a list, or a number in it, would bind a class to nothing, or to no place.
--- a/tests/module/many_proxies.rs
+++ b/tests/module/many_proxies.rs
@@ -2,6 +2,7 @@
 //! harmless in all.
 
 use crate::support::{most_within_a_second, proxy_settings, ready_endpoints, Harness, SUCCESS};
+use crankmux::settings::Settings;
 use crankmux::types::{AttemptOutcome, EndpointUpdate};
 use std::collections::BTreeMap;
 
@@ -33,7 +34,10 @@
 fn a_zone_cut_off_while_lists_come_late_costs_little_and_is_used_again_within_seconds() {
     // Two dozen proxies before a dozen endpoints, the odd ones silent for six seconds: no list says so.
     let (proxies, endpoints) = (24, 12);
-    let (mut unserved, mut tried, mut during, mut after) = (0, 0, 0, 0);
+    let mut unserved = 0;
+    let mut tried = 0;
+    let mut during = 0;
+    let mut after = 0;
     for number in 0..proxies {
         let settings = proxy_settings(number, proxies);
         let mut harness = Harness::with_settings(settings, endpoints);
@@ -90,7 +94,7 @@
 
 impl SimultaneousStart {
     /// Seven proxies in ten start now and know nothing; the others have run before.
-    fn run_proxy(&mut self, settings: crankmux::settings::Settings, old_list: &[EndpointUpdate]) {
+    fn run_proxy(&mut self, settings: Settings, old_list: &[EndpointUpdate]) {
         let is_old = settings
             .proxy_number
             .is_some_and(|number| number % 10.0 >= 7.0);
