--- a/bench-adapter/tests/wire.rs
+++ b/bench-adapter/tests/wire.rs
@@ -49,6 +49,45 @@
     assert!(String::from_utf8_lossy(&missing.stderr).contains("ColdShare"));
 }
 
+#[test]
+fn each_fault_is_named_by_its_message_and_field() {
+    let without_setting = BORN.replace("\"ColdShare\":0.3,", "");
+    let faults = [
+        (
+            "{".to_string(),
+            "batch is not valid JSON: EOF while parsing an object at line 1 column 1",
+        ),
+        (r#"{"news":[]}"#.to_string(), "batch lacks its clock NowMs"),
+        (
+            r#"{"NowMs":1,"news":3}"#.to_string(),
+            "news of the batch is not an array",
+        ),
+        (batch(&["5"]), "an event is not an array"),
+        (batch(&["[5]"]), "an event lacks its name"),
+        (
+            batch(&[&without_setting]),
+            "setting cold-share is missing (on the wire: Obligations/ColdShare)",
+        ),
+        (
+            batch(&[BORN, r#"["Submit",0,"x","c",null,null,50]"#]),
+            "Submit: Req is missing or of the wrong form",
+        ),
+        (
+            batch(&[BORN, r#"["Announce",0,2,1,[5]]"#]),
+            "Announce: an entry is not an array",
+        ),
+        (
+            batch(&[BORN, r#"["Returned",0,1,0,5,"Nonsense",1.0,true]"#]),
+            "Returned: Verdict is missing or of the wrong form",
+        ),
+    ];
+    for (line, message) in faults {
+        let output = run(&[line]);
+        let told = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(told, format!("crankmux-bench-adapter: {message}\n"));
+    }
+}
+
 #[test]
 fn odd_input_is_harmless() {
     let lines = [
--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -37,7 +37,7 @@
         let objective_at_ms = self.now_ms + terms.latency_objective_ms;
         Request {
             class: arrival.class,
-            // Where clocks differ a request with time left may look dead. Senders keep to what was told.
+            // Where clocks differ a request with time left may look expired. Its sender keeps the real end.
             deadline_ms: self.now_ms + arrival.ttl_ms + self.settings.deadline_margin_ms,
             worthless_at_ms: if ends_early { objective_at_ms } else { f64::MAX },
             priority,
