--- a/src/balancer/endpoint_list.rs
+++ b/src/balancer/endpoint_list.rs
@@ -5,7 +5,6 @@
 use crate::types::{Actions, EndpointId, EndpointState, EndpointUpdate};
 
 pub(super) const INITIAL_LIMIT: f64 = 5.0; // for all proxies together: neither starved nor flooded
-const FORGET_AFTER_MS: f64 = 60_000.0; // without an answer of a removed endpoint
 const MIN_NOTIFIED_MS: f64 = 50.0;
 const MAX_NOTIFIED_MS: f64 = 1200.0;
 const MIN_BACKOFF_MS: f64 = 50.0;
@@ -67,19 +66,6 @@
         endpoint
     }
 
-    /// Replaced endpoints would fill the memory; an index used again too early would stand for two of them.
-    fn forget_removed(&mut self) {
-        let (now_ms, requests) = (self.now_ms, &self.requests);
-        self.endpoints.retain(|id, endpoint| {
-            endpoint.state != EndpointState::Removed
-                || endpoint.disabled
-                || now_ms - endpoint.last_answer_at_ms <= FORGET_AFTER_MS
-                || !endpoint.in_flight.is_empty()
-                || requests.values().any(|request| request.has_tried(*id))
-        });
-        self.subset.retain(|id| self.endpoints.contains_key(id));
-    }
-
     /// An operator takes an endpoint out. It may be restarted meanwhile and listed anew: it stays out.
     pub fn disable_endpoint(&mut self, now_ms: f64, endpoint: EndpointId) {
         self.now_ms = now_ms;
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -36,6 +36,8 @@
 
 /// An endpoint that fails more of its attempts than this is reported as avoided.
 const AVOIDED_ERROR_RATE: f64 = 0.95;
+/// The record of a removed endpoint is kept for so long after its last answer.
+const FORGET_AFTER_MS: f64 = 60_000.0;
 
 /// What is to be done when a timer expires.
 enum Timer {
@@ -170,25 +172,6 @@
         (listed().count(), listed().filter(|endpoint| endpoint.disabled || fails(endpoint)).count())
     }
 
-    /// The client has gone, or its request is closed by other means: nothing more is owed.
-    pub fn client_left(&mut self, out: &mut dyn Actions, now_ms: f64, request: RequestId) {
-        self.now_ms = now_ms;
-        self.close(out, request);
-    }
-
-    /// Ends a request whose final answer is given, and cancels what is still in flight for it.
-    fn close(&mut self, out: &mut dyn Actions, id: RequestId) {
-        let Some(request) = self.requests.remove(&id) else { return };
-        if !self.settings.cancellation {
-            return;
-        }
-        for (number, attempt) in request.attempts.iter().enumerate() {
-            if attempt.in_flight {
-                out.cancel(id, number);
-            }
-        }
-    }
-
     /// A long body is streamed to or from an attempt's endpoint, which binds the request to it. The endpoint
     /// works at it only from the body's last byte in to the response, or slow clients would use up limits.
     pub fn streaming(&mut self, now_ms: f64, request: RequestId, attempt: usize, endpoint_works: bool) {
@@ -230,6 +213,19 @@
         out.set_timer(at_ms, self.last_timer);
     }
 
+    /// Replaced endpoints would fill the memory; an index used again too early would stand for two of them.
+    fn forget_removed(&mut self) {
+        let (now_ms, requests) = (self.now_ms, &self.requests);
+        self.endpoints.retain(|id, endpoint| {
+            endpoint.state != EndpointState::Removed
+                || endpoint.disabled
+                || now_ms - endpoint.last_answer_at_ms <= FORGET_AFTER_MS
+                || !endpoint.in_flight.is_empty()
+                || requests.values().any(|request| request.has_tried(*id))
+        });
+        self.subset.retain(|id| self.endpoints.contains_key(id));
+    }
+
     /// The next decision solves the split anew, over a subset chosen anew.
     fn invalidate_solution(&mut self) {
         self.solved_at_ms = f64::NEG_INFINITY;
--- a/src/balancer/retries.rs
+++ b/src/balancer/retries.rs
@@ -111,6 +111,21 @@
         self.close(out, id);
     }
 
+    /// The client has gone, or its request is closed by other means: nothing more is owed.
+    pub fn client_left(&mut self, out: &mut dyn Actions, now_ms: f64, request: RequestId) {
+        self.now_ms = now_ms;
+        self.close(out, request);
+    }
+
+    /// Ends a request whose final answer is given, and cancels what is still in flight for it.
+    fn close(&mut self, out: &mut dyn Actions, id: RequestId) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        let in_flight = request.attempts.iter().enumerate().filter(|(_, attempt)| attempt.in_flight);
+        for (number, _) in in_flight.filter(|_| self.settings.cancellation) {
+            out.cancel(id, number);
+        }
+    }
+
     /// Ends a request whose answer is worth nothing any more, unless a body is on its way.
     pub(super) fn end_worthless(&mut self, out: &mut dyn Actions, id: RequestId, at_ms: f64) {
         let is_due = |request: &Request| request.worthless_at_ms == at_ms && !request.bound_to_attempt;
