--- a/proxy/src/admin/calls.rs
+++ b/proxy/src/admin/calls.rs
@@ -35,7 +35,7 @@
         if free(&self.admin).is_none() {
             // Danger: callers that say nothing keep a whole call out. What they have sent by now is heard
             // first.
-            (0..CALLERS_MOST).for_each(|slot| self.admin_event(slot));
+            (0..MAX_ADMIN_CALLERS).for_each(|slot| self.admin_event(slot));
             let callers = self.admin.callers.iter().enumerate();
             let ranked =
                 callers.filter_map(|(slot, caller)| Some((slot, caller.as_ref()?.worth())));
@@ -54,7 +54,7 @@
         let both = Interest::READABLE | Interest::WRITABLE;
         if let Err(e) = self
             .registry
-            .register(&mut stream, Token(CALLERS.0 + slot), both)
+            .register(&mut stream, admin_caller_token(slot), both)
         {
             return log::warn!("cannot watch a caller: {e}");
         }
--- a/proxy/src/admin/mod.rs
+++ b/proxy/src/admin/mod.rs
@@ -7,9 +7,9 @@
 use crate::endpoint_list::hashed;
 use crate::http;
 use crate::timers::TimerKey;
-use crate::tokens::{CALLERS, CALLERS_MOST, DOOR};
+use crate::tokens::{admin_caller_token, ADMIN_LISTENER, MAX_ADMIN_CALLERS};
 use mio::net::{TcpListener, TcpStream};
-use mio::{Interest, Token};
+use mio::Interest;
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
 
@@ -42,7 +42,7 @@
 #[derive(Default)]
 pub struct AdminServer {
     listener: Option<TcpListener>,
-    callers: [Option<Caller>; CALLERS_MOST],
+    callers: [Option<Caller>; MAX_ADMIN_CALLERS],
 }
 
 impl AdminServer {
@@ -75,7 +75,7 @@
 /// Listens at the door's address, and has the loop watch it.
 pub fn listen(address: std::net::SocketAddr, registry: &mio::Registry) -> io::Result<TcpListener> {
     let mut listener = TcpListener::bind(address)?;
-    registry.register(&mut listener, DOOR, Interest::READABLE)?;
+    registry.register(&mut listener, ADMIN_LISTENER, Interest::READABLE)?;
     log::info!("the door is at {}", listener.local_addr()?);
     Ok(listener)
 }
--- a/proxy/src/cluster/mod.rs
+++ b/proxy/src/cluster/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::config::configuration::Configuration;
 use crate::endpoint_list::hashed;
-use crate::tokens::FLEET;
+use crate::tokens::CLUSTER;
 use crankmux::types::{EndpointState, EndpointUpdate};
 use crankmux_membership::assumptions::ClusterAssumptions;
 use crankmux_membership::endpoint_gossip::EndpointView;
@@ -115,7 +115,7 @@
             socket2::SockRef::from(&socket).set_recv_buffer_size(charter.receive_buffer as usize);
         held.map_err(|e| format!("fleet.receive-buffer: {e}"))?;
         registry
-            .register(&mut socket, FLEET, Interest::READABLE)
+            .register(&mut socket, CLUSTER, Interest::READABLE)
             .map_err(of_listen)?;
         let me = NodeId {
             name: entry.name.clone(),
--- a/proxy/src/config/configuration.rs
+++ b/proxy/src/config/configuration.rs
@@ -1,7 +1,7 @@
 //! The one place where configuration is read, checked and given defaults.
 
 use crate::endpoint_list::read_list;
-use crate::tokens::CALLERS_MOST;
+use crate::tokens::MAX_ADMIN_CALLERS;
 use crankmux::dispatcher::Dispatcher;
 use crankmux::settings::{self, NameIndex};
 use serde_json::Value;
@@ -9,7 +9,7 @@
 
 /// Descriptors for other than clients and servers: ten for the standard streams, polling, signals, the
 /// listener and discovery, the door and its callers, and some to spare.
-const OTHER_SOCKETS: u64 = 20 + CALLERS_MOST as u64;
+const OTHER_SOCKETS: u64 = 20 + MAX_ADMIN_CALLERS as u64;
 
 const ADMIN: (&str, &str) = ("admin_addr", "BALANCER_ADMIN_ADDR");
 
--- a/proxy/src/downstream/accept.rs
+++ b/proxy/src/downstream/accept.rs
@@ -118,7 +118,7 @@
     fn add_client(&mut self, mut stream: TcpStream) {
         let key = self.downstream.table.next_key();
         let both = Interest::READABLE | Interest::WRITABLE;
-        if let Err(e) = self.registry.register(&mut stream, CLIENT.token(key), both) {
+        if let Err(e) = self.registry.register(&mut stream, client_token(key), both) {
             log::warn!("cannot watch a client: {e}");
             return;
         }
--- a/proxy/src/downstream/mod.rs
+++ b/proxy/src/downstream/mod.rs
@@ -12,7 +12,7 @@
 use crate::socket::is_silent;
 use crate::streaming::Upload;
 use crate::timers::TimerKey;
-use crate::tokens::{CLIENT, LISTENER};
+use crate::tokens::{client_token, LISTENER};
 use crankmux::types::NewRequest;
 use crankmux::types::{AttemptOutcome, LoadReport};
 use mio::net::{TcpListener, TcpStream};
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -45,7 +45,7 @@
     {
         return Err(400);
     }
-    let mark = ops.mark(header("X-Request-ID").ok_or(400_u16)?);
+    let mark = ops.hash_request_id(header("X-Request-ID").ok_or(400_u16)?);
     let category = header("X-Priority-Class").ok_or(400_u16)?;
     if path.trim_start_matches('/').split(['/', '?']).next() != Some(category) {
         return Err(400);
--- a/proxy/src/lifecycle/start.rs
+++ b/proxy/src/lifecycle/start.rs
@@ -22,7 +22,7 @@
     poll.registry()
         .register(&mut signals, SIGNALS, Interest::READABLE)
         .map_err(text)?;
-    let mut proxy = Proxy::new(configuration, entry, &poll)?;
+    let mut proxy = Proxy::new(configuration, entry, &poll).map_err(|error| error.to_string())?;
     // Danger: were some that lie ready left for the next turn, what is due would be done ahead of them.
     let mut events = Events::with_capacity(proxy.sockets());
     let mut stop = Shutdown::default();
--- a/proxy/src/lifecycle/upgrade/handover.rs
+++ b/proxy/src/lifecycle/upgrade/handover.rs
@@ -47,7 +47,7 @@
         self.free_descriptor();
         std::fs::write(path, handed.to_string())?;
         self.registry
-            .register(&mut stream, NEWER, Interest::READABLE)?;
+            .register(&mut stream, NEWER_PROCESS, Interest::READABLE)?;
         self.upgrade.newer = Some(stream);
         self.yield_cluster();
         // Danger: both together over the node's limits. This one shrinks before the other has anything.
--- a/proxy/src/lifecycle/upgrade/mod.rs
+++ b/proxy/src/lifecycle/upgrade/mod.rs
@@ -5,7 +5,7 @@
 mod handover;
 
 use crate::lifecycle::state_directory::StateDirectory;
-use crate::tokens::{HANDOVER, NEWER, OLDER};
+use crate::tokens::{NEWER_PROCESS, OLDER_PROCESS, UPGRADE_LISTENER};
 use crankmux::settings::NameIndex;
 use crankmux::types::{EndpointStatistics, LearnedState};
 use mio::net::{UnixListener, UnixStream};
@@ -193,7 +193,7 @@
         if let Some(HandoverState { stream, parts, .. }) = handed {
             stream.set_nonblocking(true)?;
             let mut stream = UnixStream::from_std(stream);
-            registry.register(&mut stream, OLDER, Interest::READABLE)?;
+            registry.register(&mut stream, OLDER_PROCESS, Interest::READABLE)?;
             (upgrade.older, upgrade.parts) = (Some(stream), parts);
         }
         upgrade.open(state, registry)?;
@@ -212,7 +212,7 @@
         let _ = std::fs::remove_file(&path);
         match UnixListener::bind(&path) {
             Ok(mut door) => {
-                registry.register(&mut door, HANDOVER, Interest::READABLE)?;
+                registry.register(&mut door, UPGRADE_LISTENER, Interest::READABLE)?;
                 self.listener = Some(door);
             }
             Err(e) => log::warn!("no upgrade can be handed over at {}: {e}", path.display()),
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -1,121 +1,246 @@
-//! The proxy: owns all tables, turns events into calls, and carries an op from its request to its answer.
-
-use crate::config::configuration::{self, Configuration};
-use crate::lifecycle::file_descriptors::ReservedDescriptors;
+//! The proxy: owner of all tables, sockets and timers. This file holds the struct and its construction; the
+//! turns of its event loop are in `event_loop`, the steps of a request in `request_lifecycle`, and what it does
+//! on sockets beside the types of each kind of connection.
 
 use crate::admin::disabled_endpoints::DisabledEndpoints;
 use crate::admin::{self, AdminServer};
 use crate::buffers::Buffers;
 use crate::cluster::{Cluster, ClusterConfig};
+use crate::config::configuration::{self, Configuration};
 use crate::discovery::Discovery;
 use crate::downstream::DownstreamConnections;
 use crate::endpoint_list::read_list;
+use crate::lifecycle::file_descriptors::ReservedDescriptors;
 use crate::lifecycle::state_directory::StateDirectory;
-use crate::lifecycle::upgrade::{self, Upgrade};
+use crate::lifecycle::upgrade::{self, HandoverState, Upgrade};
 use crate::listener::bound;
 use crate::metrics::access::AccessMetrics;
 use crate::metrics::counters::Counters;
 use crate::requests::Requests;
 use crate::timers::{Clock, Timers};
-use crate::tokens::*;
-use crate::upstream::{AttemptResponse, Upstreams};
-use crankmux::dispatcher::{Dispatcher, FinalAnswer, NewAttempt, NextSteps};
+use crate::upstream::Upstreams;
+use crankmux::dispatcher::Dispatcher;
 use crankmux::settings::NameIndex;
-use crankmux::types::{AttemptOutcome, AttemptResult, LoadReport, NewRequest};
-use mio::event::Event;
 use mio::net::TcpListener;
-use mio::{Events, Poll, Registry, Token};
+use mio::{Poll, Registry};
 use serde_json::Value;
+use std::error::Error;
 use std::io;
-use std::time::Duration;
+use std::net::SocketAddr;
+
+/// How long a new process leaves clients in the system's accept queue while discovery has not answered. The
+/// endpoint list that a process starts with is older than what the discovery agent knows, so the agent is heard
+/// first. It runs on this machine and answers at once; a tenth of a second shows that it is silent.
+const FIRST_ENDPOINT_LIST_WAIT_MS: f64 = 100.0;
 
-/// For so long, in milliseconds, a new process leaves clients with the system until discovery has spoken. Danger:
-/// what the agent knows counts from the process's first moment, and the list that it starts with is older. The
-/// agent is on this machine and answers at once; a tenth of a second tells that it is silent.
-const FIRST_LIST: f64 = 100.0;
+/// Why a proxy could not be built.
+#[derive(Debug, thiserror::Error)]
+pub enum ProxyError {
+    /// The address for clients cannot be listened at.
+    #[error("listen: {address}: {source}")]
+    Listen {
+        /// The address of the configuration.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The address of the admin API cannot be listened at.
+    #[error("admin_addr: {0}")]
+    ListenAdmin(#[source] io::Error),
+    /// The connection to the other process of an upgrade cannot be set up.
+    #[error("{0}")]
+    Upgrade(#[source] io::Error),
+    /// The poll's registry cannot be shared.
+    #[error("{0}")]
+    Registry(#[source] io::Error),
+    /// The proxy cannot join its cluster.
+    #[error("{0}")]
+    JoinCluster(#[source] Box<dyn Error + Send + Sync>),
+    /// The endpoint list of the configuration, or of the older process, cannot be read.
+    #[error("known: {0}")]
+    KnownEndpoints(#[source] Box<dyn Error + Send + Sync>),
+}
 
+/// Everything that a proxy process holds.
 pub struct Proxy {
+    /// Where sockets are registered for events.
     pub registry: Registry,
+    /// The time.
     pub clock: Clock,
+    /// The buffer pool of all connections.
     pub buffers: Buffers,
+    /// What is due when.
     pub timers: Timers<Proxy>,
+    /// Counts for operators, logged on request and at exit.
     pub counters: Counters,
+    /// Metrics of requests, by request class and tenant.
     pub access_metrics: AccessMetrics,
+    /// The admin API.
     pub admin: AdminServer,
+    /// Connections from clients.
     pub downstream: DownstreamConnections,
+    /// Connections to endpoints.
     pub upstream: Upstreams<Proxy>,
+    /// The poll for the endpoint list.
     pub discovery: Discovery,
+    /// Requests in flight.
     pub requests: Requests,
+    /// The load balancing decisions.
     pub dispatcher: Dispatcher,
+    /// Indices that stand for the names of endpoints, request classes and tenants.
     pub name_index: NameIndex,
-    /// Connections to servers that have something to write.
+    /// Connections to endpoints that have something to write.
     pub writable_upstream: Vec<usize>,
+    /// Load probes in flight.
     pub probes_in_flight: usize,
-    /// Where a request says what it is about, if it does.
+    /// The request header that carries the affinity key, if one is configured.
     pub key_header: Option<String>,
+    /// When shutdown began.
     pub shutdown_at: Option<f64>,
-    /// Whatever is not answered by then won't be, once it is stopping.
+    /// During shutdown, when the last response must be out.
     pub answer_by: f64,
-    /// Of all categories.
+    /// The longest deadline of all request classes.
     pub longest_ttl_ms: f64,
     /// The configuration in force.
     pub active_configuration: Value,
+    /// Where state outlives the process.
     pub state_directory: StateDirectory,
+    /// Endpoints disabled by an operator.
     pub disabled_endpoints: DisabledEndpoints,
+    /// The other processes of this proxy during an upgrade.
     pub upgrade: Upgrade,
+    /// File descriptors kept back for what must go on while clients hold all others.
     pub reserved_descriptors: ReservedDescriptors,
-    /// The other nodes, where a charter has them known; and what they leave to this one.
+    /// How to join the cluster, where the operator's configuration has one.
     pub cluster_config: Option<ClusterConfig>,
+    /// The cluster, once joined.
     pub cluster: Option<Cluster>,
+    /// The number of proxies that share the endpoints, and this one's part of the slow-start budget.
     pub cluster_shares: Option<(f64, f64)>,
     sockets: usize,
     buffer_bytes: usize,
 }
 
-impl Proxy {
-    pub fn new(
-        configuration: Configuration,
-        entry: Option<ClusterConfig>,
+/// What an older process hands over: its endpoint list, the hashes of endpoints once listed, and its learned
+/// state. Without an older process there is none of it.
+#[derive(Default)]
+struct InheritedState {
+    endpoint_list: Value,
+    once_listed: Vec<u64>,
+    learned_state: Value,
+}
+
+impl InheritedState {
+    fn take_from(handover: &mut HandoverState) -> Self {
+        InheritedState {
+            endpoint_list: handover.list.take(),
+            once_listed: std::mem::take(&mut handover.once),
+            learned_state: handover.learnt.take(),
+        }
+    }
+}
+
+/// The sockets that a proxy starts with.
+struct Sockets {
+    registry: Registry,
+    listener: TcpListener,
+    admin_listener: Option<TcpListener>,
+    upgrade: Upgrade,
+}
+
+impl Sockets {
+    fn open(
+        configuration: &Configuration,
+        handover: Option<HandoverState>,
+        state_directory: &StateDirectory,
         poll: &Poll,
-    ) -> Result<Self, String> {
-        let of_listen = |e: io::Error| format!("listen: {}: {e}", configuration.listen);
-        let text = |e: io::Error| e.to_string();
-        let state = StateDirectory::of(&configuration.name);
-        let mut handed = upgrade::ask(&state, configuration.listen);
-        let (list, once, learnt) = handed.as_mut().map_or_else(Default::default, |handed| {
-            (
-                handed.list.take(),
-                std::mem::take(&mut handed.once),
-                handed.learnt.take(),
-            )
-        });
-        let taken = handed.as_ref().map(|h| h.listener.try_clone());
-        let listener = taken
-            .unwrap_or_else(|| bound(configuration.listen))
-            .map_err(of_listen)?;
-        listener.set_nonblocking(true).map_err(of_listen)?;
+    ) -> Result<Self, ProxyError> {
+        let address = configuration.listen;
+        let listen_error = |source| ProxyError::Listen { address, source };
+        let listener = match &handover {
+            Some(handover) => handover.listener.try_clone(),
+            None => bound(address),
+        };
+        let listener = listener.map_err(listen_error)?;
+        listener.set_nonblocking(true).map_err(listen_error)?;
         let listener = TcpListener::from_std(listener);
-        let door = configuration
+        let admin_listener = configuration
             .admin
-            .map(|address| admin::listen(address, poll.registry()));
-        let door = door.transpose().map_err(|e| format!("admin_addr: {e}"))?;
-        let most = configuration::connections(configuration.sockets as f64);
-        let upgrade = Upgrade::new(handed, &state, poll.registry()).map_err(text)?;
-        log::info!("listening on {}", listener.local_addr().map_err(of_listen)?);
-        // Danger: were all clients' connections bound by ops, others would wait unaccepted, which counts as
-        // taken, and be lost. A quarter is left to hear them; their ops get no push and so a quick nack.
-        let mut proxy = Proxy {
-            registry: poll.registry().try_clone().map_err(text)?,
+            .map(|address| admin::listen(address, poll.registry()))
+            .transpose()
+            .map_err(ProxyError::ListenAdmin)?;
+        let upgrade = Upgrade::new(handover, state_directory, poll.registry())
+            .map_err(ProxyError::Upgrade)?;
+        log::info!(
+            "listening on {}",
+            listener.local_addr().map_err(listen_error)?
+        );
+        let registry = poll.registry().try_clone().map_err(ProxyError::Registry)?;
+        Ok(Sockets {
+            registry,
+            listener,
+            admin_listener,
+            upgrade,
+        })
+    }
+}
+
+/// How many requests may be in flight. Were all client connections bound by requests, further clients would wait
+/// unaccepted, which counts as accepted for them, and time out. A quarter is left to read their requests, which
+/// get no attempt and so a quick rejection.
+fn max_requests(max_connections: usize) -> usize {
+    max_connections * 3 / 4
+}
+
+impl Proxy {
+    /// Listens, takes over from an older process if there is one, joins the cluster, and either reads the known
+    /// endpoint list or polls discovery for one.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be listened at, or the known endpoint list cannot be read.
+    pub fn new(
+        mut configuration: Configuration,
+        cluster_config: Option<ClusterConfig>,
+        poll: &Poll,
+    ) -> Result<Self, ProxyError> {
+        let state_directory = StateDirectory::of(&configuration.name);
+        let mut handover = upgrade::ask(&state_directory, configuration.listen);
+        let inherited = handover
+            .as_mut()
+            .map(InheritedState::take_from)
+            .unwrap_or_default();
+        let sockets = Sockets::open(&configuration, handover, &state_directory, poll)?;
+        let known = std::mem::take(&mut configuration.known);
+        let mut proxy = Self::with_sockets(configuration, cluster_config, sockets, state_directory);
+        proxy.restore(inherited, known)?;
+        proxy.schedule_first_accept();
+        Ok(proxy)
+    }
+
+    fn with_sockets(
+        configuration: Configuration,
+        cluster_config: Option<ClusterConfig>,
+        sockets: Sockets,
+        state_directory: StateDirectory,
+    ) -> Self {
+        let max_connections = configuration::connections(configuration.sockets as f64);
+        Proxy {
+            registry: sockets.registry,
             clock: Clock::new(),
             buffers: Buffers::new(configuration.buffer_bytes),
             timers: Timers::new(),
             counters: Counters::default(),
             access_metrics: AccessMetrics::default(),
-            admin: AdminServer::new(door),
-            downstream: DownstreamConnections::new(listener, most),
-            upstream: Upstreams::new(most, configuration.connect_within, configuration.keepalive),
+            admin: AdminServer::new(sockets.admin_listener),
+            downstream: DownstreamConnections::new(sockets.listener, max_connections),
+            upstream: Upstreams::new(
+                max_connections,
+                configuration.connect_within,
+                configuration.keepalive,
+            ),
             discovery: Discovery::new(configuration.discovery),
-            requests: Requests::new(most * 3 / 4),
+            requests: Requests::new(max_requests(max_connections)),
             dispatcher: configuration.dispatcher,
             name_index: configuration.names,
             writable_upstream: Vec::new(),
@@ -125,357 +250,107 @@
             answer_by: f64::INFINITY,
             longest_ttl_ms: configuration.longest_ttl,
             active_configuration: configuration.whole,
-            state_directory: state,
+            state_directory,
             disabled_endpoints: DisabledEndpoints::default(),
-            upgrade,
+            upgrade: sockets.upgrade,
             reserved_descriptors: ReservedDescriptors::new(),
-            cluster_config: entry,
+            cluster_config,
             cluster: None,
             cluster_shares: None,
             sockets: configuration.sockets,
             buffer_bytes: configuration.buffer_bytes,
-        };
-        once.into_iter()
-            .for_each(|mark| proxy.disabled_endpoints.listed(mark));
-        // Before any list: nothing may go to a server that was taken out before this start.
-        proxy.watch_disabled_endpoints();
-        proxy.apply_process_share();
-        // Before any list: what it tells is for the others too.
-        proxy.join_cluster()?;
-        let known = if list.is_null() {
-            configuration.known
+        }
+    }
+
+    /// Starts from what an older process knew, else from the endpoint list of the configuration.
+    fn restore(&mut self, inherited: InheritedState, known: Value) -> Result<(), ProxyError> {
+        for stable_hash in inherited.once_listed {
+            self.disabled_endpoints.listed(stable_hash);
+        }
+        // Ahead of any endpoint list: nothing may be sent to an endpoint that was disabled before this start.
+        self.watch_disabled_endpoints();
+        self.apply_process_share();
+        // Ahead of any endpoint list, which is gossiped to the other proxies.
+        self.join_cluster()
+            .map_err(|error| ProxyError::JoinCluster(error.into()))?;
+        let endpoint_list = if inherited.endpoint_list.is_null() {
+            known
         } else {
-            list
+            inherited.endpoint_list
         };
-        match known.is_null() {
-            false => {
-                let read =
-                    read_list(&mut proxy.name_index, &known).map_err(|e| format!("known: {e}"))?;
-                proxy.discovery.keep(&known);
-                proxy.discovery.go_on_from(&read);
-                proxy.apply_endpoint_list(&read, true);
-            }
-            true => proxy.poll_endpoints(),
+        if endpoint_list.is_null() {
+            self.poll_endpoints();
+        } else {
+            self.apply_known_endpoints(&endpoint_list)?;
         }
-        proxy.restore_learned_state(&learnt);
-        if !proxy.upgrade.holds_back {
-            let at = proxy.now() + FIRST_LIST;
-            proxy
-                .timers
-                .set(at, |proxy: &mut Proxy| proxy.listen_after_first_list());
+        self.restore_learned_state(&inherited.learned_state);
+        Ok(())
+    }
+
+    fn apply_known_endpoints(&mut self, known: &Value) -> Result<(), ProxyError> {
+        let list = read_list(&mut self.name_index, known)
+            .map_err(|error| ProxyError::KnownEndpoints(error.into()))?;
+        self.discovery.keep(known);
+        self.discovery.go_on_from(&list);
+        self.apply_endpoint_list(&list, true);
+        Ok(())
+    }
+
+    fn schedule_first_accept(&mut self) {
+        if self.upgrade.holds_back {
+            return;
+        }
+        let at = self.now() + FIRST_ENDPOINT_LIST_WAIT_MS;
+        self.timers.set(at, Proxy::listen_after_first_list);
+    }
+
+    /// Accepts clients, as discovery has answered or is silent.
+    pub fn listen_after_first_list(&mut self) {
+        if !self.stopping() && !self.upgrade.holds_back && !self.upgrade.followed() {
+            self.listen();
         }
-        Ok(proxy)
     }
 
+    /// The time, in Unix milliseconds.
     pub fn now(&self) -> f64 {
         self.clock.now()
     }
 
+    /// Whether the proxy is shutting down.
     pub fn stopping(&self) -> bool {
         self.shutdown_at.is_some()
     }
 
-    /// Descriptors that it may hold, of which each has one event at most.
+    /// The most file descriptors that the proxy holds; each has one event at most in a poll.
     pub fn sockets(&self) -> usize {
         self.sockets
     }
 
-    /// Hears clients, as discovery has spoken or won't.
-    pub fn listen_after_first_list(&mut self) {
-        if !self.stopping() && !self.upgrade.holds_back && !self.upgrade.followed() {
-            self.listen();
-        }
-    }
-
-    /// Whether clients may come: there is a server to send to, and discovery has been asked.
+    /// Whether clients may come: an endpoint is known, and discovery has answered or failed to.
     pub fn ready(&self) -> bool {
         self.upstream.any() && self.discovery.heard && !self.stopping()
     }
 
-    /// Lives on its share of the node's limits.
+    /// Whether no response is owed to any client.
+    pub fn finished(&self) -> bool {
+        self.requests.none_waits() && !self.downstream.busy()
+    }
+
+    /// Applies this process's share of the proxy's limits, and the proxy's share of the endpoints.
     pub fn apply_process_share(&mut self) {
         let share = self.upgrade.share();
-        // Each process has descriptors of its own beside those of clients and servers.
-        let connections = configuration::connections(self.sockets as f64 * share);
-        self.downstream.resize(connections);
-        self.upstream.links.resize(connections);
-        self.requests.resize(connections * 3 / 4);
+        // Each process has descriptors of its own beside those for clients and endpoints.
+        let max_connections = configuration::connections(self.sockets as f64 * share);
+        self.downstream.resize(max_connections);
+        self.upstream.links.resize(max_connections);
+        self.requests.resize(max_requests(max_connections));
         self.buffers
             .resize((self.buffer_bytes as f64 * share) as usize);
         while self.upstream.links.over() && self.close_longest_idle_upstream() {}
         while self.downstream.over() && self.close_idle_downstream() {}
-        let nodes = self.cluster_shares.map(|(nodes, _)| nodes);
-        self.dispatcher.set_process_share(
-            share,
-            nodes,
-            self.cluster_shares.map_or(1.0, |(_, cold)| cold),
-        );
-    }
-
-    /// Whether everything taken in is answered, and the answers are out.
-    pub fn finished(&self) -> bool {
-        self.requests.none_waits() && !self.downstream.busy()
-    }
-
-    /// Waits for events until something is due, does what they call for, then what was due before it looked.
-    /// Danger: a process that was kept from running finds an answer, a client's end and the time at which
-    /// either is too late at one moment. Whatever lay ready by a time is heard before that time counts.
-    pub fn turn(&mut self, poll: &mut Poll, events: &mut Events) -> io::Result<bool> {
-        let looked = self.now();
-        let fleet = self.cluster.as_ref().map(|members| members.next_due());
-        let due = [self.timers.first(), self.dispatcher.next_tick(), fleet]
-            .into_iter()
-            .flatten();
-        let wait = due.min_by(f64::total_cmp).map(|at| (at - looked).max(0.0));
-        if let Err(e) = poll.poll(events, wait.map(|ms| Duration::from_secs_f64(ms / 1000.0))) {
-            if e.kind() != io::ErrorKind::Interrupted {
-                return Err(e);
-            }
-        }
-        let signalled = self.dispatch_events(events);
-        while let Some(due) = self.timers.take_due(looked) {
-            due(self);
-            self.settle();
-        }
-        let now = self.now();
-        for (op, next) in self.dispatcher.tick(now, looked) {
-            self.follow(op, next);
-        }
-        if self.dispatcher.take_list_request() {
-            self.poll_endpoints();
-        }
-        self.send_load_probes();
-        self.run_cluster();
-        if self.upgrade.holds_back && self.ready() {
-            self.start_accepting();
-        }
-        self.settle();
-        Ok(signalled)
-    }
-
-    /// Does what events call for; whether a signal is among them.
-    fn dispatch_events(&mut self, events: &Events) -> bool {
-        // Danger: a server's failure, or a place that falls free, would send on the op of a client whose end
-        // lies there too. Noted before anything is done: a key may stand for another client after that.
-        let ends = |event: &&Event| event.is_read_closed() || event.is_error();
-        for Token(n) in events.iter().filter(ends).map(|event| event.token()) {
-            if n >= TABLES && (n - TABLES).is_multiple_of(2) {
-                self.downstream.mark_closed((n - TABLES) / 2);
-            }
-        }
-        let mut signalled = false;
-        // Danger: under a flood of clients an operator would wait for all of them.
-        for Token(at) in events.iter().map(|event| event.token()) {
-            match at {
-                _ if at == DOOR.0 => self.accept_admin_callers(),
-                _ if at == HANDOVER.0 => self.accept_newer_process(),
-                _ if at == NEWER.0 => self.newer_process_event(),
-                _ if at == OLDER.0 => self.older_process_event(),
-                _ if at == FLEET.0 => self.cluster_event(),
-                _ if (CALLERS.0..TABLES).contains(&at) => self.admin_event(at - CALLERS.0),
-                // Danger: a drain lies there, and a push to that server goes out ahead of it.
-                _ if at == DISCOVERY.0 => self.discovery_event(),
-                _ => continue,
-            }
-            self.settle();
-        }
-        for client in self.downstream.ended() {
-            self.serve(client);
-            self.settle();
-        }
-        for event in events.iter() {
-            match event.token() {
-                Token(n) if (DOOR.0..TABLES).contains(&n) => continue,
-                LISTENER => self.accept(),
-                SIGNALS => signalled = true,
-                DISCOVERY => continue,
-                Token(n) if (n - TABLES).is_multiple_of(2) => self.serve((n - TABLES) / 2),
-                Token(n) => self.link((n - TABLES) / 2),
-            }
-            self.settle();
-        }
-        signalled
-    }
-
-    /// Does what the last event has left to do on other connections.
-    fn settle(&mut self) {
-        while !(self.writable_upstream.is_empty() && self.downstream.none_ready()) {
-            while let Some(key) = self.writable_upstream.pop() {
-                self.link(key);
-            }
-            self.serve_ready_clients();
-        }
-    }
-
-    // ------------------------------------------------------------ an op's life
-
-    /// An op comes in, under the mark of its client's id.
-    pub fn admit(&mut self, client: usize, arrival: NewRequest, mark: u64) -> usize {
-        self.counters.taken += 1;
-        let now = self.now();
-        // Danger: what is taken in near the end of a process must be answered before that.
-        let ttl = arrival.ttl_ms.min((self.answer_by - now).max(1.0));
-        let op = self.requests.admit(client, now + ttl, mark);
-        let next = self.dispatcher.request_arrived(
-            now,
-            &NewRequest {
-                request: op,
-                ttl_ms: ttl,
-                ..arrival
-            },
-        );
-        self.follow(op, next);
-        op
-    }
-
-    /// Carries out what is next for an op.
-    fn follow(&mut self, op: usize, next: NextSteps) {
-        for push in next.cancel {
-            if let Some(link) = self.requests.link(op, push) {
-                self.cancel(link);
-            }
-        }
-        match next.final_answer {
-            None => {}
-            Some(FinalAnswer::Rejected {
-                retry_after_ms: come_back,
-            }) => {
-                self.counters.nacked += 1;
-                self.give_up(op, 503, come_back);
-            }
-            Some(FinalAnswer::Failed) => {
-                self.counters.dead_lettered += 1;
-                self.give_up(op, 502, 0.0);
-            }
-        }
-        for pick in next.attempts {
-            self.push(op, pick);
-        }
-        self.requests.drop_if_done(op);
-    }
-
-    fn give_up(&mut self, op: usize, status: u16, come_back: f64) {
-        if let Some(client) = self.requests.answered(op) {
-            self.answer(client, status, come_back);
-        }
-    }
-
-    fn push(&mut self, op: usize, pick: NewAttempt) {
-        let now = self.now();
-        let (push, client, ends) = self.requests.push(op);
-        let to = pick.endpoint;
-        self.cluster
-            .iter_mut()
-            .for_each(|members| members.shares.pushes(to, false));
-        let patience = pick.timeout_ms.min(ends - now);
-        let then =
-            Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed((op, push), to, now, outcome));
-        let sent = match client {
-            Some(client) if patience > 0.0 => {
-                self.send((op, client), pick.endpoint, patience, then)
-            }
-            _ => Err(AttemptOutcome::NotSent),
-        };
-        match sent {
-            Ok(link) => {
-                self.counters.sent += 1;
-                self.requests.out_at(op, push, link);
-            }
-            Err(ending) => self.pushed(
-                (op, push),
-                to,
-                now,
-                AttemptResponse {
-                    ending,
-                    load: LoadReport::default(),
-                    answer: None,
-                    took: None,
-                },
-            ),
-        }
-    }
-
-    /// A push's long body has begun to go to its server, is there whole, or begins to come back.
-    pub fn streaming_progress(&mut self, op: usize, link: usize, works: bool) {
-        if let Some(push) = self.requests.push_on(op, link) {
-            let now = self.now();
-            self.dispatcher.streaming(now, op, push, works);
-        }
-    }
-
-    /// A push has ended: the first ack goes to the client, anything else to the decisions.
-    fn pushed(
-        &mut self,
-        (op, push): (usize, usize),
-        server: usize,
-        at: f64,
-        outcome: AttemptResponse,
-    ) {
-        let AttemptResponse {
-            ending,
-            load,
-            answer,
-            took,
-        } = outcome;
-        let count = match ending {
-            AttemptOutcome::Succeeded => &mut self.counters.push_acked,
-            AttemptOutcome::Failed => &mut self.counters.push_errored,
-            AttemptOutcome::Rejected => &mut self.counters.push_turned_away,
-            AttemptOutcome::TimedOut => &mut self.counters.push_timed_out,
-            AttemptOutcome::Unreachable => &mut self.counters.push_unreachable,
-            AttemptOutcome::ConnectionLost => &mut self.counters.push_broken,
-            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => {
-                &mut self.counters.push_cancelled
-            }
-        };
-        *count += 1;
-        let now = self.now();
-        if let Some(members) = &mut self.cluster {
-            members.shares.pushes(server, true);
-            load.in_flight
-                .iter()
-                .for_each(|held| members.shares.reported(now, server, *held));
-        }
-        log::debug!(
-            "op {op}: push {push} ended after {:.1} ms: {ending:?}",
-            now - at
-        );
-        self.requests.push_ended(op, push);
-        let waiting = if ending == AttemptOutcome::Succeeded {
-            self.requests.answered(op)
-        } else {
-            None
-        };
-        let closed = !self.requests.waits(op);
-        if let Some((inbox, message)) = answer {
-            if let Some(client) = waiting {
-                self.counters.acked += 1;
-                self.hand_back(client, inbox.held(), &message);
-            }
-            self.buffers.give(inbox);
-        }
-        let took = took.unwrap_or(now - at);
-        let next = self.dispatcher.attempt_ended(
-            now,
-            &AttemptResult {
-                request: op,
-                attempt: push,
-                outcome: ending,
-                duration_ms: took,
-                request_closed: closed,
-                load,
-            },
-        );
-        self.follow(op, next);
-    }
-
-    /// The client has left.
-    pub fn client_left(&mut self, op: usize) {
-        self.counters.departed += 1;
-        if self.requests.answered(op).is_some() {
-            let now = self.now();
-            let next = self.dispatcher.client_left(now, op);
-            self.follow(op, next);
-        }
+        let proxies = self.cluster_shares.map(|(proxies, _)| proxies);
+        let slow_start_share = self.cluster_shares.map_or(1.0, |(_, share)| share);
+        self.dispatcher
+            .set_process_share(share, proxies, slow_start_share);
     }
 }
--- /dev/null
+++ b/proxy/src/request_lifecycle.rs
@@ -0,0 +1,202 @@
+//! The life of a request: admitted, sent out in attempts as the dispatcher decides, answered, and dropped.
+
+use crate::proxy::Proxy;
+use crate::upstream::AttemptResponse;
+use crankmux::dispatcher::{FinalAnswer, NewAttempt, NextSteps};
+use crankmux::types::{
+    AttemptOutcome, AttemptResult, EndpointId, LoadReport, NewRequest, RequestId,
+};
+
+/// The least time that a request gets when it is admitted near the end of the process.
+const MIN_TTL_MS: f64 = 1.0;
+
+/// One attempt of a request, since its start.
+#[derive(Clone, Copy)]
+struct StartedAttempt {
+    request: RequestId,
+    /// Counted from 0 within the request.
+    number: usize,
+    endpoint: EndpointId,
+    started_at: f64,
+}
+
+impl Proxy {
+    /// Admits a client's request, known by the hash of its request id, and takes its first steps.
+    pub fn admit(
+        &mut self,
+        client: usize,
+        new_request: NewRequest,
+        request_id_hash: u64,
+    ) -> RequestId {
+        self.counters.taken += 1;
+        let now = self.now();
+        // What is admitted near the end of the process must be answered before that.
+        let ttl_ms = new_request
+            .ttl_ms
+            .min((self.answer_by - now).max(MIN_TTL_MS));
+        let request = self.requests.admit(client, now + ttl_ms, request_id_hash);
+        let steps = self.dispatcher.request_arrived(
+            now,
+            &NewRequest {
+                request,
+                ttl_ms,
+                ..new_request
+            },
+        );
+        self.follow_steps(request, steps);
+        request
+    }
+
+    /// Carries out what the dispatcher has decided for a request.
+    pub(crate) fn follow_steps(&mut self, request: RequestId, steps: NextSteps) {
+        for attempt in steps.cancel {
+            if let Some(connection) = self.requests.connection_of(request, attempt) {
+                self.cancel(connection);
+            }
+        }
+        match steps.final_answer {
+            None => {}
+            Some(FinalAnswer::Rejected { retry_after_ms }) => {
+                self.counters.nacked += 1;
+                self.answer_without_response(request, 503, retry_after_ms);
+            }
+            Some(FinalAnswer::Failed) => {
+                self.counters.dead_lettered += 1;
+                self.answer_without_response(request, 502, 0.0);
+            }
+        }
+        for attempt in steps.attempts {
+            self.start_attempt(request, attempt);
+        }
+        self.requests.drop_if_done(request);
+    }
+
+    fn answer_without_response(&mut self, request: RequestId, status: u16, retry_after_ms: f64) {
+        if let Some(client) = self.requests.answered(request) {
+            self.answer(client, status, retry_after_ms);
+        }
+    }
+
+    fn start_attempt(&mut self, request: RequestId, attempt: NewAttempt) {
+        let now = self.now();
+        let entry = self.requests.start_attempt(request);
+        let started = StartedAttempt {
+            request,
+            number: entry.number,
+            endpoint: attempt.endpoint,
+            started_at: now,
+        };
+        if let Some(cluster) = &mut self.cluster {
+            cluster.shares.pushes(attempt.endpoint, false);
+        }
+        let timeout_ms = attempt.timeout_ms.min(entry.deadline - now);
+        let on_complete =
+            Box::new(move |proxy: &mut Proxy, response| proxy.attempt_ended(started, response));
+        let sent = match entry.client {
+            Some(client) if timeout_ms > 0.0 => {
+                self.send(request, client, attempt.endpoint, timeout_ms, on_complete)
+            }
+            _ => Err(AttemptOutcome::NotSent),
+        };
+        match sent {
+            Ok(connection) => {
+                self.counters.sent += 1;
+                self.requests
+                    .attempt_sent(request, entry.number, connection);
+            }
+            Err(outcome) => self.attempt_ended(started, AttemptResponse::without_answer(outcome)),
+        }
+    }
+
+    /// The body of an attempt is streamed: its request has begun to go to the endpoint, or has gone whole, or its
+    /// response begins to come back. `endpoint_works` is whether the endpoint works at the request from now on.
+    pub fn streaming_progress(
+        &mut self,
+        request: RequestId,
+        connection: usize,
+        endpoint_works: bool,
+    ) {
+        if let Some(attempt) = self.requests.attempt_on(request, connection) {
+            let now = self.now();
+            self.dispatcher
+                .streaming(now, request, attempt, endpoint_works);
+        }
+    }
+
+    /// An attempt has ended: the first successful response goes to the client, any outcome to the dispatcher.
+    fn attempt_ended(&mut self, attempt: StartedAttempt, response: AttemptResponse) {
+        let AttemptResponse {
+            outcome,
+            load,
+            answer,
+            endpoint_duration_ms,
+        } = response;
+        self.count_outcome(outcome);
+        let now = self.now();
+        self.report_to_cluster(attempt.endpoint, &load, now);
+        let elapsed_ms = now - attempt.started_at;
+        log::debug!(
+            "request {}: attempt {} ended after {elapsed_ms:.1} ms: {outcome:?}",
+            attempt.request,
+            attempt.number
+        );
+        self.requests.attempt_ended(attempt.request, attempt.number);
+        let client = if outcome == AttemptOutcome::Succeeded {
+            self.requests.answered(attempt.request)
+        } else {
+            None
+        };
+        let request_closed = !self.requests.waits(attempt.request);
+        if let Some((inbox, message)) = answer {
+            if let Some(client) = client {
+                self.counters.acked += 1;
+                self.hand_back(client, inbox.held(), &message);
+            }
+            self.buffers.give(inbox);
+        }
+        let result = AttemptResult {
+            request: attempt.request,
+            attempt: attempt.number,
+            outcome,
+            duration_ms: endpoint_duration_ms.unwrap_or(elapsed_ms),
+            request_closed,
+            load,
+        };
+        let steps = self.dispatcher.attempt_ended(now, &result);
+        self.follow_steps(attempt.request, steps);
+    }
+
+    fn count_outcome(&mut self, outcome: AttemptOutcome) {
+        let counters = &mut self.counters;
+        let count = match outcome {
+            AttemptOutcome::Succeeded => &mut counters.push_acked,
+            AttemptOutcome::Failed => &mut counters.push_errored,
+            AttemptOutcome::Rejected => &mut counters.push_turned_away,
+            AttemptOutcome::TimedOut => &mut counters.push_timed_out,
+            AttemptOutcome::Unreachable => &mut counters.push_unreachable,
+            AttemptOutcome::ConnectionLost => &mut counters.push_broken,
+            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => &mut counters.push_cancelled,
+        };
+        *count += 1;
+    }
+
+    fn report_to_cluster(&mut self, endpoint: EndpointId, load: &LoadReport, now: f64) {
+        let Some(cluster) = &mut self.cluster else {
+            return;
+        };
+        cluster.shares.pushes(endpoint, true);
+        if let Some(in_flight) = load.in_flight {
+            cluster.shares.reported(now, endpoint, in_flight);
+        }
+    }
+
+    /// The client has left before its request was answered.
+    pub fn client_left(&mut self, request: RequestId) {
+        self.counters.departed += 1;
+        if self.requests.answered(request).is_some() {
+            let now = self.now();
+            let steps = self.dispatcher.client_left(now, request);
+            self.follow_steps(request, steps);
+        }
+    }
+}
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -1,136 +1,165 @@
-//! Requests that are under way, from their request until they are answered and their last push has ended.
+//! Requests in flight: from their admission until they are answered and their last attempt has ended.
 
+use crankmux::types::RequestId;
 use slab::Slab;
 use std::collections::hash_map::RandomState;
 use std::collections::HashSet;
 use std::hash::BuildHasher;
 
-struct Op {
-    /// What its client's id is hashed to.
-    mark: u64,
-    /// None once it is answered, or the client is gone.
+struct Request {
+    request_id_hash: u64,
+    /// The client that waits; none once the request is answered or the client has left.
     client: Option<usize>,
-    ends: f64,
-    /// Came in when as many as may be were under way.
-    over: bool,
-    /// Where each push is out; none once it has ended.
-    pushes: Vec<Option<usize>>,
-    out: usize,
+    deadline: f64,
+    /// It was admitted beyond the capacity, and gets no attempt.
+    over_capacity: bool,
+    /// The connection of each attempt; none before it is sent and once it has ended.
+    attempts: Vec<Option<usize>>,
+    attempts_in_flight: usize,
 }
 
+/// An attempt that is about to be sent.
+pub struct AttemptEntry {
+    /// Counted from 0 within the request.
+    pub number: usize,
+    /// The client whose request it carries; none where there is nothing to be sent.
+    pub client: Option<usize>,
+    /// When the request must be answered.
+    pub deadline: f64,
+}
+
+/// The table of requests in flight.
 pub struct Requests {
-    table: Slab<Op>,
-    most: usize,
-    /// Marks of those that a client waits for.
-    open: HashSet<u64>,
-    /// Keyed anew at each start, so that nobody outside can make two ids meet.
-    marks: RandomState,
+    table: Slab<Request>,
+    capacity: usize,
+    /// Hashes of the request ids that a client waits for.
+    open_ids: HashSet<u64>,
+    /// Keyed anew at each start, so that nobody outside can choose request ids that collide.
+    id_hasher: RandomState,
 }
 
 impl Requests {
-    pub fn new(most: usize) -> Self {
+    /// An empty table; requests beyond its capacity are admitted, but get no attempt.
+    pub fn new(capacity: usize) -> Self {
         Requests {
             table: Slab::new(),
-            most,
-            open: HashSet::new(),
-            marks: RandomState::new(),
+            capacity,
+            open_ids: HashSet::new(),
+            id_hasher: RandomState::new(),
         }
     }
 
-    /// So many from now on.
-    pub fn resize(&mut self, most: usize) {
-        self.most = most;
+    /// Changes the capacity for requests that are admitted from now on.
+    pub fn resize(&mut self, capacity: usize) {
+        self.capacity = capacity;
     }
 
-    /// What a client's id is known by here.
-    pub fn mark(&self, id: &str) -> u64 {
-        self.marks.hash_one(id)
+    /// The hash by which a client's request id is known here.
+    pub fn hash_request_id(&self, id: &str) -> u64 {
+        self.id_hasher.hash_one(id)
     }
 
-    /// Whether a client waits under this id already.
-    pub fn is_open(&self, mark: u64) -> bool {
-        self.open.contains(&mark)
+    /// Whether a client waits under this request id already.
+    pub fn is_open(&self, request_id_hash: u64) -> bool {
+        self.open_ids.contains(&request_id_hash)
     }
 
-    pub fn admit(&mut self, client: usize, ends: f64, mark: u64) -> usize {
-        let over = self.table.len() >= self.most;
-        self.open.insert(mark);
-        self.table.insert(Op {
-            mark,
+    /// Admits a client's request.
+    pub fn admit(&mut self, client: usize, deadline: f64, request_id_hash: u64) -> RequestId {
+        let over_capacity = self.table.len() >= self.capacity;
+        self.open_ids.insert(request_id_hash);
+        self.table.insert(Request {
+            request_id_hash,
             client: Some(client),
-            ends,
-            over,
-            pushes: Vec::new(),
-            out: 0,
+            deadline,
+            over_capacity,
+            attempts: Vec::new(),
+            attempts_in_flight: 0,
         })
     }
 
-    /// Whether a client still waits for the answer.
-    pub fn waits(&self, op: usize) -> bool {
-        self.table.get(op).is_some_and(|op| op.client.is_some())
+    /// Whether a client still waits for the response.
+    pub fn waits(&self, request: RequestId) -> bool {
+        self.table
+            .get(request)
+            .is_some_and(|request| request.client.is_some())
     }
 
-    /// Whether no client waits for any answer.
+    /// Whether no client waits for any response.
     pub fn none_waits(&self) -> bool {
-        self.table.iter().all(|(_, op)| op.client.is_none())
+        self.table
+            .iter()
+            .all(|(_, request)| request.client.is_none())
     }
 
-    /// A push begins: its number, the client whose request it carries unless the op is over, and its end.
-    pub fn push(&mut self, op: usize) -> (usize, Option<usize>, f64) {
-        let op = &mut self.table[op];
-        op.pushes.push(None);
-        op.out += 1;
-        (op.pushes.len() - 1, op.client.filter(|_| !op.over), op.ends)
+    /// Counts a new attempt in.
+    pub fn start_attempt(&mut self, request: RequestId) -> AttemptEntry {
+        let request = &mut self.table[request];
+        let number = request.attempts.len();
+        request.attempts.push(None);
+        request.attempts_in_flight += 1;
+        AttemptEntry {
+            number,
+            client: request.client.filter(|_| !request.over_capacity),
+            deadline: request.deadline,
+        }
     }
 
-    pub fn out_at(&mut self, op: usize, push: usize, link: usize) {
-        self.table[op].pushes[push] = Some(link);
+    /// Notes the connection that an attempt is sent on.
+    pub fn attempt_sent(&mut self, request: RequestId, attempt: usize, connection: usize) {
+        self.table[request].attempts[attempt] = Some(connection);
     }
 
-    /// None may last past a time.
-    pub fn end_by(&mut self, at: f64) {
-        self.table
-            .iter_mut()
-            .for_each(|(_, op)| op.ends = op.ends.min(at));
+    /// Moves all deadlines to a time, where they are later.
+    pub fn limit_deadlines(&mut self, latest: f64) {
+        for (_, request) in &mut self.table {
+            request.deadline = request.deadline.min(latest);
+        }
     }
 
-    /// Where a push is out.
-    pub fn link(&self, op: usize, push: usize) -> Option<usize> {
-        self.table.get(op)?.pushes.get(push).copied().flatten()
+    /// The connection that an attempt is in flight on.
+    pub fn connection_of(&self, request: RequestId, attempt: usize) -> Option<usize> {
+        self.table
+            .get(request)?
+            .attempts
+            .get(attempt)
+            .copied()
+            .flatten()
     }
 
-    /// The push that is out on a connection.
-    pub fn push_on(&self, op: usize, link: usize) -> Option<usize> {
+    /// The attempt that is in flight on a connection.
+    pub fn attempt_on(&self, request: RequestId, connection: usize) -> Option<usize> {
         self.table
-            .get(op)?
-            .pushes
+            .get(request)?
+            .attempts
             .iter()
-            .position(|l| *l == Some(link))
+            .position(|sent_on| *sent_on == Some(connection))
     }
 
-    pub fn push_ended(&mut self, op: usize, push: usize) {
-        let op = &mut self.table[op];
-        op.pushes[push] = None;
-        op.out -= 1;
+    /// Counts an attempt out.
+    pub fn attempt_ended(&mut self, request: RequestId, attempt: usize) {
+        let request = &mut self.table[request];
+        request.attempts[attempt] = None;
+        request.attempts_in_flight -= 1;
     }
 
-    /// The client that waits, as its answer is made or it has left; from then on none does.
-    pub fn answered(&mut self, op: usize) -> Option<usize> {
-        let op = self.table.get_mut(op)?;
-        let client = op.client.take()?;
-        self.open.remove(&op.mark);
+    /// Takes the client that waits, as its response is made or it has left; from then on none waits.
+    pub fn answered(&mut self, request: RequestId) -> Option<usize> {
+        let request = self.table.get_mut(request)?;
+        let client = request.client.take()?;
+        self.open_ids.remove(&request.request_id_hash);
         Some(client)
     }
 
-    /// The one place where an op is given back: answered, and none of its pushes out. Danger: an index used
-    /// again while a push is out would take that push's end for its own.
-    pub fn drop_if_done(&mut self, op: usize) {
-        if self
+    /// Removes a request that is answered and has no attempt in flight. This is the only place that removes one:
+    /// an index used again while an attempt is in flight would take that attempt's end for its own.
+    pub fn drop_if_done(&mut self, request: RequestId) {
+        let is_done = self
             .table
-            .get(op)
-            .is_some_and(|op| op.client.is_none() && op.out == 0)
-        {
-            self.table.remove(op);
+            .get(request)
+            .is_some_and(|request| request.client.is_none() && request.attempts_in_flight == 0);
+        if is_done {
+            self.table.remove(request);
         }
     }
 }
--- a/proxy/src/streaming/response.rs
+++ b/proxy/src/streaming/response.rs
@@ -144,10 +144,10 @@
         self.hand(
             then,
             AttemptResponse {
-                ending: AttemptOutcome::Succeeded,
+                outcome: AttemptOutcome::Succeeded,
                 load,
                 answer: None,
-                took,
+                endpoint_duration_ms: took,
             },
         );
     }
--- a/proxy/src/tokens.rs
+++ b/proxy/src/tokens.rs
@@ -1,30 +1,96 @@
-//! What the poll names each source of events by.
+//! Tokens of the poll: which source of events each number stands for.
 
 use mio::Token;
 
-/// Callers at the door at once: more than operators and whatever fetches the figures need.
-pub const CALLERS_MOST: usize = 12;
+/// Connections to the admin API at once: more than operators and scrapers need.
+pub const MAX_ADMIN_CALLERS: usize = 12;
 
+/// The listener for clients.
 pub const LISTENER: Token = Token(0);
+/// Signals of the system.
 pub const SIGNALS: Token = Token(1);
+/// The connection to discovery.
 pub const DISCOVERY: Token = Token(2);
-pub const DOOR: Token = Token(3);
-pub const HANDOVER: Token = Token(4);
-pub const NEWER: Token = Token(5);
-pub const OLDER: Token = Token(6);
-pub const FLEET: Token = Token(7);
-/// The first of the door's callers, and the first of both tables.
-pub const CALLERS: Token = Token(8);
-pub const TABLES: usize = CALLERS.0 + CALLERS_MOST;
-
-/// Tokens of one table: its keys, beside those of the other.
-#[derive(Clone, Copy)]
-pub struct Side(usize);
-pub const CLIENT: Side = Side(0);
-pub const SERVER: Side = Side(1);
-
-impl Side {
-    pub fn token(self, key: usize) -> Token {
-        Token(TABLES + 2 * key + self.0)
+/// The listener of the admin API.
+pub const ADMIN_LISTENER: Token = Token(3);
+/// The Unix socket at which a newer process connects.
+pub const UPGRADE_LISTENER: Token = Token(4);
+/// The connection to the newer process of an upgrade.
+pub const NEWER_PROCESS: Token = Token(5);
+/// The connection to the older process of an upgrade.
+pub const OLDER_PROCESS: Token = Token(6);
+/// The cluster's datagram socket.
+pub const CLUSTER: Token = Token(7);
+
+const FIRST_ADMIN_CALLER: usize = 8;
+/// From here on the keys of both connection tables take turns: even offsets are clients, odd ones endpoints.
+const FIRST_CONNECTION: usize = FIRST_ADMIN_CALLER + MAX_ADMIN_CALLERS;
+
+/// The token of a connection to the admin API.
+pub const fn admin_caller_token(slot: usize) -> Token {
+    Token(FIRST_ADMIN_CALLER + slot)
+}
+
+/// The token of a client's connection.
+pub const fn client_token(key: usize) -> Token {
+    Token(FIRST_CONNECTION + 2 * key)
+}
+
+/// The token of a connection to an endpoint.
+pub const fn upstream_token(key: usize) -> Token {
+    Token(FIRST_CONNECTION + 2 * key + 1)
+}
+
+/// What an event comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventSource {
+    /// The listener for clients.
+    Listener,
+    /// Signals of the system.
+    Signals,
+    /// The connection to discovery.
+    Discovery,
+    /// The listener of the admin API.
+    AdminListener,
+    /// The Unix socket at which a newer process connects.
+    UpgradeListener,
+    /// The connection to the newer process of an upgrade.
+    NewerProcess,
+    /// The connection to the older process of an upgrade.
+    OlderProcess,
+    /// The cluster's datagram socket.
+    Cluster,
+    /// A connection to the admin API, by its slot.
+    AdminCaller(usize),
+    /// A client's connection, by its key.
+    Client(usize),
+    /// A connection to an endpoint, by its key.
+    Upstream(usize),
+}
+
+impl EventSource {
+    /// The source that a token stands for.
+    pub const fn of(token: Token) -> Self {
+        match token {
+            LISTENER => EventSource::Listener,
+            SIGNALS => EventSource::Signals,
+            DISCOVERY => EventSource::Discovery,
+            ADMIN_LISTENER => EventSource::AdminListener,
+            UPGRADE_LISTENER => EventSource::UpgradeListener,
+            NEWER_PROCESS => EventSource::NewerProcess,
+            OLDER_PROCESS => EventSource::OlderProcess,
+            CLUSTER => EventSource::Cluster,
+            Token(number) if number < FIRST_CONNECTION => {
+                EventSource::AdminCaller(number - FIRST_ADMIN_CALLER)
+            }
+            Token(number) => {
+                let offset = number - FIRST_CONNECTION;
+                if offset.is_multiple_of(2) {
+                    EventSource::Client(offset / 2)
+                } else {
+                    EventSource::Upstream(offset / 2)
+                }
+            }
+        }
     }
 }
--- a/proxy/src/upstream/attempts.rs
+++ b/proxy/src/upstream/attempts.rs
@@ -82,7 +82,8 @@
     /// once.
     pub fn send(
         &mut self,
-        (op, client): (usize, usize),
+        op: usize,
+        client: usize,
         server: usize,
         patience: f64,
         then: CompletionCallback<Proxy>,
@@ -164,7 +165,7 @@
 
     /// No op waits past a time: what is out by then ends.
     pub fn end_requests(&mut self, at: f64) {
-        self.requests.end_by(at);
+        self.requests.limit_deadlines(at);
         self.timers.set(at, move |proxy: &mut Proxy| {
             // Danger: an answer on its way to a client would outlast the process, and end as if it were whole
             // where only its connection's end tells.
@@ -267,7 +268,7 @@
     }
 
     /// Something has happened on a connection to a server.
-    pub fn link(&mut self, key: usize) {
+    pub fn upstream_event(&mut self, key: usize) {
         let Some(link) = self.upstream.links.get_mut(key) else {
             return;
         };
@@ -473,10 +474,10 @@
         self.hand(
             then,
             AttemptResponse {
-                ending,
+                outcome: ending,
                 load,
                 answer: Some((inbox, message)),
-                took,
+                endpoint_duration_ms: took,
             },
         );
     }
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -67,7 +67,7 @@
         let stream = loop {
             let stream = TcpStream::connect(address).and_then(|mut stream| {
                 self.registry
-                    .register(&mut stream, SERVER.token(key), both)?;
+                    .register(&mut stream, upstream_token(key), both)?;
                 Ok(stream)
             });
             match stream.map_err(|e| (e.kind(), e)) {
@@ -164,10 +164,10 @@
             then(
                 self,
                 AttemptResponse {
-                    ending,
+                    outcome: ending,
                     load,
                     answer: None,
-                    took,
+                    endpoint_duration_ms: took,
                 },
             );
         }
--- a/proxy/src/upstream/load_probes.rs
+++ b/proxy/src/upstream/load_probes.rs
@@ -52,7 +52,7 @@
         let (inbox, message) = outcome.answer?;
         let body = &inbox.held()[message.head..message.end];
         let mut load = LoadReport::default();
-        if outcome.ending == AttemptOutcome::Succeeded && body.len() <= REPORT_MOST {
+        if outcome.outcome == AttemptOutcome::Succeeded && body.len() <= REPORT_MOST {
             read_load(&String::from_utf8_lossy(body), &mut load);
         }
         self.buffers.give(inbox);
--- a/proxy/src/upstream/mod.rs
+++ b/proxy/src/upstream/mod.rs
@@ -10,7 +10,7 @@
 use crate::socket::is_silent;
 use crate::streaming::{Passing, FIRST};
 use crate::timers::TimerKey;
-use crate::tokens::SERVER;
+use crate::tokens::upstream_token;
 use crankmux::settings;
 use crankmux::types::{AttemptOutcome, LoadReport};
 use mio::net::TcpStream;
@@ -41,11 +41,23 @@
 
 /// What a push has come to; an acked one's answer goes with it.
 pub struct AttemptResponse {
-    pub ending: AttemptOutcome,
+    pub outcome: AttemptOutcome,
     pub load: LoadReport,
     pub answer: Option<(Buffer, Message)>,
     /// How long it took its server, where that is not the time since the push began.
-    pub took: Option<f64>,
+    pub endpoint_duration_ms: Option<f64>,
+}
+
+impl AttemptResponse {
+    /// What a push has come to that brought nothing.
+    pub fn without_answer(outcome: AttemptOutcome) -> Self {
+        AttemptResponse {
+            outcome,
+            load: LoadReport::default(),
+            answer: None,
+            endpoint_duration_ms: None,
+        }
+    }
 }
 
 /// What is next once a push has ended.
