Upstream connections and attempts are typed states, one module a concern

Cause: a connection to an endpoint had some twenty flags and options, and attempts.rs held sending, reading, timeouts and the end of an attempt in one file of 493 lines.

Change: a connection is connecting, active or idle; an attempt has a request state (buffered, streamed, written) and a response state (awaiting head, buffering, streaming), each with its transitions in one place (connection.rs, attempt.rs). sending, receiving, timeouts, completion, connection_pool, response and load_probes are modules of their own, and so are the pieces of streaming/. A load probe is an attempt without a request, in place of a reserved index. Constants carry their unit.

--- a/proxy/src/admin/disabled_endpoints/watch.rs
+++ b/proxy/src/admin/disabled_endpoints/watch.rs
@@ -63,17 +63,13 @@
 
     /// Closes what stands idle to a server, and takes back what has not begun.
     fn leave(&mut self, server: usize) {
-        if let Some(record) = self.upstream.records.get_mut(server) {
-            for key in std::mem::take(&mut record.idle) {
-                self.drop_upstream(key);
-            }
-        }
+        self.close_idle_connections(server);
         for key in self
             .upstream
-            .links
-            .keys(|link| link.server == server && link.unsent())
+            .connections
+            .keys(|link| link.endpoint == server && link.is_unsent())
         {
-            self.fail(key, AttemptOutcome::NotSent, LoadReport::default());
+            self.fail_attempt(key, AttemptOutcome::NotSent, LoadReport::default());
         }
     }
 
--- a/proxy/src/cluster/events.rs
+++ b/proxy/src/cluster/events.rs
@@ -153,9 +153,9 @@
                 line.stable_hash,
                 line.state
             );
-            self.place(line.endpoint, dial);
+            self.update_endpoint_process(line.endpoint, dial);
         }
-        self.leave_not_sent();
+        self.withdraw_unsent_attempts();
     }
 
     /// The own list has told something: the others hear of it, and what they told before may have passed.
--- a/proxy/src/discovery/poll.rs
+++ b/proxy/src/discovery/poll.rs
@@ -12,15 +12,17 @@
             .update_endpoints(now, &lines, list.whole, cached);
         if list.whole {
             let listed: HashSet<usize> = lines.iter().map(|line| line.endpoint).collect();
-            for server in (0..self.upstream.met()).filter(|server| !listed.contains(server)) {
-                self.place(server, None);
+            for server in
+                (0..self.upstream.endpoint_count()).filter(|server| !listed.contains(server))
+            {
+                self.update_endpoint_process(server, None);
             }
         }
         for (line, dial) in &list.lines {
             self.disabled_endpoints.listed(line.stable_hash);
-            self.place(line.endpoint, *dial);
+            self.update_endpoint_process(line.endpoint, *dial);
         }
-        self.leave_not_sent();
+        self.withdraw_unsent_attempts();
         self.gossip_endpoint_list(list);
         self.name_index
             .retain_endpoints(|server| self.dispatcher.knows_endpoint(server));
--- a/proxy/src/downstream/accept.rs
+++ b/proxy/src/downstream/accept.rs
@@ -169,10 +169,10 @@
         }
         if let Some(link) = client
             .fed_by
-            .filter(|link| self.upstream.links.get(*link).is_some())
+            .filter(|link| self.upstream.connections.get(*link).is_some())
         {
             self.counters.departed += 1;
-            self.fail(link, AttemptOutcome::Cancelled, LoadReport::default());
+            self.fail_attempt(link, AttemptOutcome::Cancelled, LoadReport::default());
         }
         let _ = self.registry.deregister(&mut client.stream);
         self.timers.unset(client.timer);
--- a/proxy/src/downstream/mod.rs
+++ b/proxy/src/downstream/mod.rs
@@ -251,9 +251,9 @@
             stream,
             inbox,
             message,
-            let_go,
-            got,
-            moved,
+            released: let_go,
+            received_bytes: got,
+            last_received_at: moved,
         })
     }
 
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -6,7 +6,7 @@
 use crate::http::{self, RequestError};
 use crate::proxy::Proxy;
 use crate::requests::Requests;
-use crate::upstream::start_of;
+use crate::upstream::log_excerpt;
 use crankmux::settings::NameIndex;
 use crankmux::types::NewRequest;
 use httparse::Header;
@@ -110,7 +110,7 @@
             return;
         }
         if client.in_body() {
-            if client.op.is_some() && !self.upstream.hungry(client.feeds, key) {
+            if client.op.is_some() && !self.upstream.awaits_request_body(client.feeds, key) {
                 // It is the server's turn: what it takes its time for is not held against the client.
                 (client.body_from, client.got, client.moved) = (now, 0, now);
             }
@@ -197,7 +197,10 @@
             }
             Ok(None) => self.read_more(key, inbox),
             Err(status) => {
-                log::debug!("a request is refused with {status}: {}", start_of(&inbox));
+                log::debug!(
+                    "a request is refused with {status}: {}",
+                    log_excerpt(&inbox)
+                );
                 self.put_back(key, inbox);
                 self.counters.bad += 1;
                 self.refuse(key, status);
--- a/proxy/src/downstream/write_response.rs
+++ b/proxy/src/downstream/write_response.rs
@@ -6,7 +6,7 @@
 use crate::metrics::access::End;
 use crate::proxy::Proxy;
 use crate::socket::{has_data, is_silent};
-use crate::streaming::STALL;
+use crate::streaming::STALL_TIMEOUT_MS;
 use std::net::Shutdown;
 
 /// How long a connection stays on which no request follows the last answer: longer than clients pause
@@ -141,13 +141,13 @@
         client.timer = None;
         // It is the server's turn.
         client.moved = if waits { now } else { client.moved };
-        if now - client.moved >= STALL {
+        if now - client.moved >= STALL_TIMEOUT_MS {
             // Danger: a client that does not read its answer would hold a buffer for ever.
             self.counters.stalled += 1;
-            log::info!("a client took nothing of its answer for {STALL} ms");
+            log::info!("a client took nothing of its answer for {STALL_TIMEOUT_MS} ms");
             return self.drop_downstream(key);
         }
-        let at = client.moved + STALL;
+        let at = client.moved + STALL_TIMEOUT_MS;
         client.timer = Some(
             self.timers
                 .set(at, move |proxy: &mut Proxy| proxy.answer_due(key)),
@@ -253,7 +253,9 @@
         (client.outbox, client.sent, client.moved) = (Some(outbox), 0, now);
         client.timer = Some(
             self.timers
-                .set(now + STALL, move |proxy: &mut Proxy| proxy.answer_due(key)),
+                .set(now + STALL_TIMEOUT_MS, move |proxy: &mut Proxy| {
+                    proxy.answer_due(key)
+                }),
         );
         self.write_answer(key);
         self.downstream.again.push(key);
--- a/proxy/src/lifecycle/reload.rs
+++ b/proxy/src/lifecycle/reload.rs
@@ -39,7 +39,9 @@
     let given = names.update(&new.whole["settings"]);
     proxy.dispatcher.update_settings(given)?;
     proxy.name_index = names;
-    proxy.upstream.take_times(new.connect_within, new.keepalive);
+    proxy
+        .upstream
+        .set_timeouts(new.connect_within, new.keepalive);
     proxy.longest_ttl_ms = new.longest_ttl;
     proxy.key_header = new.key_header;
     proxy.active_configuration = new.whole;
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -328,7 +328,7 @@
 
     /// Whether clients may come: an endpoint is known, and discovery has answered or failed to.
     pub fn ready(&self) -> bool {
-        self.upstream.any() && self.discovery.heard && !self.stopping()
+        self.upstream.any_available() && self.discovery.heard && !self.stopping()
     }
 
     /// Whether no response is owed to any client.
@@ -342,11 +342,11 @@
         // Each process has descriptors of its own beside those for clients and endpoints.
         let max_connections = configuration::connections(self.sockets as f64 * share);
         self.downstream.resize(max_connections);
-        self.upstream.links.resize(max_connections);
+        self.upstream.connections.resize(max_connections);
         self.requests.resize(max_requests(max_connections));
         self.buffers
             .resize((self.buffer_bytes as f64 * share) as usize);
-        while self.upstream.links.over() && self.close_longest_idle_upstream() {}
+        while self.upstream.connections.over() && self.close_longest_idle_upstream() {}
         while self.downstream.over() && self.close_idle_downstream() {}
         let proxies = self.cluster_shares.map(|(proxies, _)| proxies);
         let slow_start_share = self.cluster_shares.map_or(1.0, |(_, share)| share);
--- a/proxy/src/request_lifecycle.rs
+++ b/proxy/src/request_lifecycle.rs
@@ -1,7 +1,7 @@
 //! The life of a request: admitted, sent out in attempts as the dispatcher decides, answered, and dropped.
 
 use crate::proxy::Proxy;
-use crate::upstream::AttemptResponse;
+use crate::upstream::{AttemptResponse, BufferedResponse};
 use crankmux::dispatcher::{FinalAnswer, NewAttempt, NextSteps};
 use crankmux::types::{
     AttemptOutcome, AttemptResult, EndpointId, LoadReport, NewRequest, RequestId,
@@ -147,12 +147,12 @@
             None
         };
         let request_closed = !self.requests.waits(attempt.request);
-        if let Some((inbox, message)) = answer {
+        if let Some(BufferedResponse { buffer, message }) = answer {
             if let Some(client) = client {
                 self.counters.acked += 1;
-                self.hand_back(client, inbox.held(), &message);
+                self.hand_back(client, buffer.held(), &message);
             }
-            self.buffers.give(inbox);
+            self.buffers.give(buffer);
         }
         let result = AttemptResult {
             request: attempt.request,
--- a/proxy/src/streaming/mod.rs
+++ b/proxy/src/streaming/mod.rs
@@ -1,4 +1,4 @@
-//! Long bodies on their way: what is known of one.
+//! Streaming: request and response bodies that are too long for one buffer go through in pieces.
 
 mod request;
 mod response;
@@ -7,33 +7,31 @@
 use crate::http::Message;
 use mio::net::TcpStream;
 
-/// An answer whose head tells that it is long goes on once so much has come, and so may one of unknown length.
-/// Danger: one that is cut or hangs soon, and whose op could still go elsewhere; spoilt answers bring little.
-pub const FIRST: usize = 8 * 1024;
-/// What has come of an answer of unknown length, at least `FIRST` of it, is held back for no longer: half of
-/// the 2 s that operators call held back. A shorter one counts with its last byte, and loses nothing meanwhile.
-pub const HELD_MOST: f64 = 1000.0;
-/// How long after its op's time an answer that may still turn out to be short waits for more: the half second
-/// after which it would be lost, less a share for the way.
-pub const LATE_MOST: f64 = 400.0;
-/// A server that has begun its answer, and a client that takes one, may pause for seconds, but not for so
+/// A long response, or one of unknown length, is streamed once so many bytes of it have been received. Before that
+/// its request may still be retried if the response breaks off or stands still.
+pub const FIRST_PIECE_BYTES: usize = 8 * 1024;
+/// A response of unknown length of which the first piece is here is held back for no longer: half of the 2 s from
+/// which on operators call a response delayed. A shorter one counts with its last byte, and loses nothing meanwhile.
+pub const BUFFERING_LIMIT_MS: f64 = 1000.0;
+/// How long after its request's deadline a response that may still turn out to be short waits for more: the half
+/// second after which it would be lost, less a share for the way.
+pub const SHORT_RESPONSE_GRACE_MS: f64 = 400.0;
+/// An endpoint that has begun its response, and a client that takes one, may pause for seconds, but not for so
 /// long.
-pub const STALL: f64 = 10_000.0;
+pub const STALL_TIMEOUT_MS: f64 = 10_000.0;
 
-/// An answer on its way through: to which client, and how.
-pub struct Passing {
-    pub client: usize,
-    pub chunked: bool,
-}
-
-/// A client's body that is still coming.
+/// The body of a client's request while it is being received.
 pub struct Upload<'a> {
+    /// The client's socket.
     pub stream: &'a mut TcpStream,
+    /// Bytes received that have not gone on.
     pub inbox: &'a mut Buffer,
+    /// Where head and body end in the inbox.
     pub message: &'a mut Message,
-    /// What came first has been let go: the op can't go elsewhere any more.
-    pub let_go: &'a mut bool,
-    /// Bytes of the body so far, and when the last of them came.
-    pub got: &'a mut usize,
-    pub moved: &'a mut f64,
+    /// Whether the first piece has been released, so that the request can no longer be retried.
+    pub released: &'a mut bool,
+    /// Bytes of the body received so far.
+    pub received_bytes: &'a mut usize,
+    /// When the last of them came.
+    pub last_received_at: &'a mut f64,
 }
--- a/proxy/src/streaming/request.rs
+++ b/proxy/src/streaming/request.rs
@@ -1,91 +1,107 @@
-//! Requests too long for one buffer, fed to their server piece by piece: the client is read only once the
-//! server has taken the piece before, so that neither side's pace costs more than two buffers.
+//! Requests too long for one buffer: the client is read only once the endpoint has taken the piece before, so that
+//! neither side's pace costs more than two buffers.
 
 use crate::buffers::{Buffer, Filled};
+use crate::http::RequestError;
 use crate::proxy::Proxy;
 use crate::streaming::Upload;
+use crate::upstream::RequestState;
 use crankmux::types::{AttemptOutcome, LoadReport};
 
-enum Fed {
-    More,
-    Whole,
-    Later,
-    /// The client has ended too early, or its body can't be read.
-    Spoilt(Option<u16>),
+/// What moving the next piece of a body has come to.
+enum PieceMoved {
+    /// A piece has moved or has been received.
+    Progress,
+    /// The last piece has moved.
+    LastPiece,
+    /// The client has sent nothing more yet.
+    Pending,
+    /// The client has ended too early.
+    ClientEnded,
+    /// The body cannot be read.
+    Malformed(RequestError),
 }
 
-/// Moves the next piece of a body from its client to the server's connection.
-fn next(upload: &mut Upload, outbox: &mut Buffer, chunked: bool, now: f64) -> Fed {
-    match upload.message.advance(upload.inbox) {
-        Err(status) => return Fed::Spoilt(Some(status)),
-        Ok(_) => {
-            upload.message.move_on(upload.inbox, outbox, chunked);
-        }
+/// Moves the next piece of a body from its client to the buffer of the connection to the endpoint.
+fn move_next_piece(
+    upload: &mut Upload,
+    outbox: &mut Buffer,
+    chunked: bool,
+    now: f64,
+) -> PieceMoved {
+    if let Err(status) = upload.message.advance(upload.inbox) {
+        return PieceMoved::Malformed(status);
     }
+    upload.message.move_on(upload.inbox, outbox, chunked);
     if upload.message.whole() {
-        return Fed::Whole;
+        return PieceMoved::LastPiece;
     }
     if !outbox.held().is_empty() {
-        return Fed::More;
+        return PieceMoved::Progress;
     }
-    let before = upload.inbox.held().len();
+    let held_before = upload.inbox.held().len();
     match upload.inbox.fill(upload.stream) {
         Filled::Some => {
-            *upload.got += upload.inbox.held().len() - before;
-            *upload.moved = now;
-            Fed::More
+            *upload.received_bytes += upload.inbox.held().len() - held_before;
+            *upload.last_received_at = now;
+            PieceMoved::Progress
         }
-        Filled::Later => Fed::Later,
-        Filled::Ended | Filled::Broken => Fed::Spoilt(None),
-        Filled::Full => Fed::Spoilt(Some(400)),
+        Filled::Later => PieceMoved::Pending,
+        Filled::Ended | Filled::Broken => PieceMoved::ClientEnded,
+        Filled::Full => PieceMoved::Malformed(400),
     }
 }
 
 impl Proxy {
-    /// Feeds a push's request on, as far as both sides go. Whether its connection is still there: danger, a
-    /// key given back stands for another connection, opened for the next push.
-    pub fn feed(&mut self, key: usize) -> bool {
+    /// Streams a request body on, as far as client and endpoint go. Returns whether the connection is still there:
+    /// a key given back may stand for the connection of the next attempt.
+    pub(crate) fn stream_request_body(&mut self, key: usize) -> bool {
         let now = self.now();
         loop {
-            let Some(link) = self.upstream.links.get_mut(key) else {
+            let Some(connection) = self.upstream.connections.get_mut(key) else {
                 return false;
             };
-            let Some(client) = link.feeding else {
+            let Some((stream, attempt)) = connection.stream_and_attempt() else {
                 return true;
             };
-            if !link.drained() {
-                self.note_idle(key, client);
+            let RequestState::Streamed(streamed) = &attempt.request_state else {
                 return true;
-            }
-            let (op, chunked) = (link.op, link.chunked);
-            link.moved = now;
+            };
+            let Some(client) = streamed.source else {
+                return true;
+            };
+            let chunked = streamed.chunked;
+            let request = attempt.request;
+            let Some(outbox) = attempt.write_piece(stream, now) else {
+                self.endpoint_takes_no_more(key, client);
+                return true;
+            };
             let Some(mut upload) = self.downstream.upload(client) else {
-                // Its client has gone, and its server never had it whole.
-                self.fail(key, AttemptOutcome::Cancelled, LoadReport::default());
+                // The client has left, and the endpoint never had the request whole.
+                self.fail_attempt(key, AttemptOutcome::Cancelled, LoadReport::default());
                 return false;
             };
-            if !std::mem::replace(upload.let_go, true) {
-                // The first piece is with the server, and makes room for the next.
+            if !std::mem::replace(upload.released, true) {
+                // The first piece is with the endpoint, and makes room for the next.
                 upload.message.let_go(upload.inbox);
-                self.streaming_progress(op, key, false);
+                if let Some(request) = request {
+                    self.streaming_progress(request, key, false);
+                }
                 continue;
             }
-            let Some(outbox) = &mut link.outbox else {
-                return true;
-            };
-            match next(&mut upload, outbox, chunked, now) {
-                Fed::More => {}
-                Fed::Whole => {
-                    link.feeding = None;
+            match move_next_piece(&mut upload, outbox, chunked, now) {
+                PieceMoved::Progress => {}
+                PieceMoved::LastPiece => {
+                    attempt.request_source_finished();
                     return true;
                 }
-                Fed::Later => return true,
-                Fed::Spoilt(None) => {
+                PieceMoved::Pending => return true,
+                PieceMoved::ClientEnded => {
                     self.drop_downstream(client);
                     return false;
                 }
-                Fed::Spoilt(Some(status)) => {
-                    // Danger: a body that can't be read on, and half of it at a server. It never ran there.
+                PieceMoved::Malformed(status) => {
+                    // The endpoint has half of the body and so never ran the request.
                     self.counters.bad += 1;
                     self.reject_upload(client, status);
                     return false;
--- a/proxy/src/streaming/response.rs
+++ b/proxy/src/streaming/response.rs
@@ -1,154 +1,213 @@
-//! Answers too long for one buffer, passed on piece by piece: each is read only once the client has taken the
-//! one before, so that neither side's pace costs more than two buffers.
+//! Responses too long for one buffer: the endpoint is read only once the client has taken the piece before, so that
+//! neither side's pace costs more than two buffers.
 
 use crate::buffers::{Buffer, Filled};
 use crate::http::{self, BodyFraming};
 use crate::metrics::access::End;
 use crate::proxy::Proxy;
-use crate::socket::is_silent;
-use crate::streaming::Passing;
-use crate::upstream::AttemptResponse;
+use crate::upstream::{AttemptResponse, ResponseState};
 use crankmux::types::{AttemptOutcome, LoadReport};
 
+/// What streaming one piece has come to.
+enum PieceStreamed {
+    /// A piece has moved or has been received.
+    Progress,
+    /// The last piece is with the client's connection.
+    LastPiece,
+    /// Client or endpoint are not ready for the next piece.
+    Pending,
+    /// The response breaks off.
+    Broken,
+}
+
 impl Proxy {
-    /// Its head and first piece go to the client, whose final answer it is from now on.
-    pub fn begin_response_stream(&mut self, key: usize, mut inbox: Buffer) {
-        let link = &mut self.upstream.links[key];
-        let op = link.op;
-        let (Some((message, ..)), Some(client)) = (&mut link.message, self.requests.answered(op))
+    /// Sends head and first piece to the client, whose final response it is from now on.
+    pub(crate) fn begin_response_stream(&mut self, key: usize, mut inbox: Buffer) {
+        let now = self.clock.now();
+        let attempt = self.upstream.connections[key].attempt_mut();
+        let Some((attempt, request)) = attempt.and_then(|a| a.request.map(|request| (a, request)))
         else {
-            self.buffers.give(inbox);
-            return self.fail(key, AttemptOutcome::Cancelled, LoadReport::default());
+            return self.cancel_response_stream(key, inbox);
         };
-        let now = self.clock.now();
-        let framing = match message.length() {
+        let (Some(response), Some(client)) = (
+            attempt.response_state.response(),
+            self.requests.answered(request),
+        ) else {
+            return self.cancel_response_stream(key, inbox);
+        };
+        let head = response.message.head;
+        let end = response.message.end;
+        let framing = match response.message.length() {
             Some(length) => BodyFraming::Length(length),
             None if self.downstream.takes_chunks(client) => BodyFraming::Chunked,
-            // Danger: where only the connection's end tells the answer's, one cut short is reset.
+            // Only the connection's end delimits the response, so one cut short is reset.
             None => BodyFraming::Unframed,
         };
-        link.passing = Some(Passing {
-            client,
-            chunked: framing == BodyFraming::Chunked,
-        });
-        (link.moved, link.until) = (now, Some(now));
-        self.timers.unset(link.timer.take());
-        let (head, end) = (message.head, message.end);
-        self.streaming_progress(op, key, false);
+        attempt.response_streaming_began(client, framing == BodyFraming::Chunked, now);
+        let timer = self.upstream.connections[key].timer.take();
+        self.timers.unset(timer);
+        self.streaming_progress(request, key, false);
         self.write_to_client(client, key, framing == BodyFraming::Unframed);
         // Until its last byte is with the client.
         self.downstream.ends_as(client, End::Aborted);
-        self.answer_by(client, |close, to| {
-            http::pass_on_from(&inbox.held()[..end], head, framing, close, to)
+        self.answer_by(client, |close, outbox| {
+            http::pass_on_from(&inbox.held()[..end], head, framing, close, outbox)
         });
-        match self.upstream.links.get_mut(key) {
-            Some(link) => {
-                if let Some((message, ..)) = &mut link.message {
-                    message.let_go(&mut inbox);
-                }
-                link.inbox = Some(inbox);
-            }
-            None => return self.buffers.give(inbox),
+        let attempt = self
+            .upstream
+            .connections
+            .get_mut(key)
+            .and_then(|connection| connection.attempt_mut());
+        let Some(attempt) = attempt else {
+            return self.buffers.give(inbox);
+        };
+        if let Some(response) = attempt.response_state.response_mut() {
+            response.message.let_go(&mut inbox);
         }
+        attempt.inbox = Some(inbox);
         self.upstream_timeout(key);
     }
 
-    /// Passes on what has come and reads the next piece, if the client has taken the last one.
-    pub fn pass(&mut self, key: usize) {
+    /// Nobody waits for the response any more.
+    fn cancel_response_stream(&mut self, key: usize, inbox: Buffer) {
+        self.buffers.give(inbox);
+        self.fail_attempt(key, AttemptOutcome::Cancelled, LoadReport::default());
+    }
+
+    /// Streams a response body on, as far as endpoint and client go.
+    pub(crate) fn stream_response_body(&mut self, key: usize) {
         loop {
-            let now = self.clock.now();
-            let Some(link) = self.upstream.links.get_mut(key) else {
-                return;
-            };
-            let Some(Passing {
-                client, chunked, ..
-            }) = link.passing
-            else {
-                return;
-            };
-            let (Some(inbox), Some((message, ..))) = (&mut link.inbox, &mut link.message) else {
-                return;
-            };
-            let Some(piece) = self.downstream.taken(client) else {
-                return;
-            };
-            if message.end > message.head || message.whole() {
-                message.move_on(inbox, piece, chunked);
-                link.moved = now;
-                self.downstream.given(client, now);
-                if message.whole() {
-                    return self.passed(key);
+            match self.stream_piece(key) {
+                PieceStreamed::Progress => {}
+                PieceStreamed::Pending => return,
+                PieceStreamed::LastPiece => return self.response_streamed(key),
+                PieceStreamed::Broken => {
+                    // The client is cut off with the connection, so that it can tell.
+                    let outcome = AttemptOutcome::ConnectionLost;
+                    return self.fail_attempt(key, outcome, LoadReport::default());
                 }
-                self.write_answer(client);
-                continue;
             }
-            let Some(mut inbox) = link.inbox.take() else {
-                return;
-            };
-            let filled = link.fill(&mut inbox);
-            if filled == Filled::Some {
-                self.upstream.records[link.server].heard = now;
-                link.moved = now;
+        }
+    }
+
+    /// Moves the piece that is here to the client, or reads the next one.
+    fn stream_piece(&mut self, key: usize) -> PieceStreamed {
+        let now = self.clock.now();
+        let attempt = self
+            .upstream
+            .connections
+            .get_mut(key)
+            .and_then(|connection| connection.attempt_mut());
+        let Some(attempt) = attempt else {
+            return PieceStreamed::Pending;
+        };
+        let ResponseState::Streaming {
+            response,
+            client,
+            chunked,
+            ..
+        } = &mut attempt.response_state
+        else {
+            return PieceStreamed::Pending;
+        };
+        let client = *client;
+        let Some(inbox) = &mut attempt.inbox else {
+            return PieceStreamed::Pending;
+        };
+        let Some(outbox) = self.downstream.taken(client) else {
+            return PieceStreamed::Pending;
+        };
+        let message = &mut response.message;
+        let has_piece = message.end > message.head;
+        if !has_piece && !message.whole() {
+            return self.receive_piece(key, now);
+        }
+        message.move_on(inbox, outbox, *chunked);
+        let is_last = message.whole();
+        attempt.last_progress_at = now;
+        self.downstream.given(client, now);
+        if is_last {
+            return PieceStreamed::LastPiece;
+        }
+        self.write_answer(client);
+        PieceStreamed::Progress
+    }
+
+    fn receive_piece(&mut self, key: usize, now: f64) -> PieceStreamed {
+        let connection = &mut self.upstream.connections[key];
+        let endpoint = connection.endpoint;
+        let inbox = connection
+            .attempt_mut()
+            .and_then(|attempt| attempt.inbox.take());
+        let Some(mut inbox) = inbox else {
+            return PieceStreamed::Pending;
+        };
+        let filled = connection.read_into(&mut inbox);
+        if filled == Filled::Some {
+            self.upstream.note_heard(endpoint, now);
+        }
+        let Some(attempt) = self.upstream.connections[key].attempt_mut() else {
+            self.buffers.give(inbox);
+            return PieceStreamed::Pending;
+        };
+        if filled == Filled::Some {
+            attempt.last_progress_at = now;
+        }
+        let inbox = attempt.inbox.insert(inbox);
+        let Some(response) = attempt.response_state.response_mut() else {
+            return PieceStreamed::Pending;
+        };
+        let message = &mut response.message;
+        let read = message.advance(inbox);
+        match (&read, filled) {
+            (Ok(_), Filled::Some) => PieceStreamed::Progress,
+            (Ok(_), Filled::Later) => PieceStreamed::Pending,
+            (Ok(_), Filled::Ended) if message.ends_here() => {
+                message.end_here();
+                PieceStreamed::Progress
             }
-            let (inbox, Some((message, ..))) = (link.inbox.insert(inbox), &mut link.message) else {
-                return;
-            };
-            let read = message.advance(inbox);
-            match (&read, filled) {
-                (Ok(_), Filled::Some) => {}
-                (Ok(_), Filled::Later) => return,
-                (Ok(_), Filled::Ended) if message.ends_here() => message.end_here(),
-                // The client is cut off with the connection, so that it can tell.
-                _ => {
-                    log::debug!(
-                        "server {}: a long answer breaks off: {read:?}, {filled:?}",
-                        link.server
-                    );
-                    return self.fail(key, AttemptOutcome::ConnectionLost, LoadReport::default());
-                }
+            _ => {
+                log::debug!(
+                    "endpoint {endpoint}: a long response breaks off: {read:?}, {filled:?}"
+                );
+                PieceStreamed::Broken
             }
         }
     }
 
-    /// All of it is with the client's side.
-    fn passed(&mut self, key: usize) {
-        let Some(link) = self.upstream.links.get_mut(key) else {
-            return;
-        };
-        let Some(Passing { client, .. }) = link.passing.take() else {
+    /// All of the response is with the client's connection.
+    fn response_streamed(&mut self, key: usize) {
+        let now = self.clock.now();
+        let connection = &mut self.upstream.connections[key];
+        let Some(attempt) = connection.finish_attempt(now) else {
             return;
         };
-        let (then, took) = (link.then.take(), link.took(self.clock.now()));
-        let Some((message, _, load)) = link.message.take() else {
+        let endpoint_duration_ms = attempt.endpoint_duration_ms(now);
+        let ResponseState::Streaming {
+            response, client, ..
+        } = attempt.response_state
+        else {
             return;
         };
-        let clean = message.keep
-            && link
-                .inbox
-                .as_ref()
-                .is_none_or(|inbox| inbox.held().is_empty());
-        link.inbox
-            .take()
-            .into_iter()
-            .for_each(|inbox| self.buffers.give(inbox));
+        let has_bytes_behind = attempt
+            .inbox
+            .as_ref()
+            .is_some_and(|inbox| !inbox.held().is_empty());
+        if let Some(inbox) = attempt.inbox {
+            self.buffers.give(inbox);
+        }
         self.counters.acked += 1;
         self.downstream.ends_as(client, End::Succeeded);
         self.downstream.fed(client);
-        if clean && is_silent(&self.upstream.links[key].stream) {
-            self.keep_upstream(key);
-        } else {
-            self.drop_upstream(key);
-        }
+        self.keep_or_close(key, response.message.keep && !has_bytes_behind);
         self.write_answer(client);
         self.downstream.go_on(client);
-        self.hand(
-            then,
-            AttemptResponse {
-                outcome: AttemptOutcome::Succeeded,
-                load,
-                answer: None,
-                endpoint_duration_ms: took,
-            },
-        );
+        let response = AttemptResponse {
+            outcome: AttemptOutcome::Succeeded,
+            load: response.load,
+            answer: None,
+            endpoint_duration_ms,
+        };
+        (attempt.on_complete)(self, response);
     }
 }
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -1,193 +1,291 @@
-//! Connections to servers: taken, kept, dropped.
+//! Connections to endpoints: opened, kept while they are idle, and closed.
 
-use super::*;
+use super::connection::{EndpointProcess, UpstreamConnection};
+use super::CompletionCallback;
 use crate::proxy::Proxy;
+use crate::slot_table::SlotTable;
+use crate::socket::is_silent;
+use crate::tokens::upstream_token;
+use crankmux::types::{AttemptOutcome, EndpointId, LoadReport};
+use mio::net::TcpStream;
+use mio::Interest;
+use std::io;
+use std::net::SocketAddr;
+
+/// How long a connection rests after a response. A duplicate of that response, right behind it or some
+/// milliseconds late, would be read as the response to the next attempt. Some come up to ten milliseconds late; at
+/// twice that, the cost of new connections shows.
+const REST_AFTER_RESPONSE_MS: f64 = 10.0;
+
+/// The share of the endpoints' keep-alive time for which an idle connection is used. An attempt that is written
+/// while the endpoint closes is lost and may have run; the rest allows for clocks and the way there.
+const KEEPALIVE_SHARE: f64 = 0.75;
+
+/// What is known of the connections to one endpoint.
+#[derive(Default)]
+pub struct EndpointConnections {
+    /// Where new connections go; none where the endpoint gets no new attempt.
+    process: Option<EndpointProcess>,
+    /// Keys of idle connections, the one used last at the end.
+    idle: Vec<usize>,
+    /// When a connection was last established, or brought anything.
+    pub(super) last_heard_at: f64,
+}
+
+/// All connections to endpoints.
+pub struct Upstreams<P> {
+    /// The connections, by key.
+    pub connections: SlotTable<UpstreamConnection<P>>,
+    pub(super) endpoints: Vec<EndpointConnections>,
+    pub(super) connect_timeout_ms: f64,
+    idle_timeout_ms: f64,
+}
+
+impl<P> Upstreams<P> {
+    /// A table for so many connections.
+    pub fn new(max_connections: usize, connect_timeout_ms: f64, keepalive_ms: f64) -> Self {
+        Upstreams {
+            connections: SlotTable::new(max_connections),
+            endpoints: Vec::new(),
+            connect_timeout_ms,
+            idle_timeout_ms: KEEPALIVE_SHARE * keepalive_ms,
+        }
+    }
+
+    /// Changes the time for connecting, and the time for which endpoints keep idle connections open, for
+    /// connections that are used from now on.
+    pub fn set_timeouts(&mut self, connect_timeout_ms: f64, keepalive_ms: f64) {
+        self.connect_timeout_ms = connect_timeout_ms;
+        self.idle_timeout_ms = KEEPALIVE_SHARE * keepalive_ms;
+    }
+
+    /// Whether a connection has written all that has come of a client's request, and waits for more.
+    pub fn awaits_request_body(&self, connection: Option<usize>, client: usize) -> bool {
+        connection
+            .and_then(|key| self.connections.get(key))
+            .filter(|connection| connection.is_connected())
+            .and_then(|connection| connection.attempt())
+            .is_some_and(|attempt| {
+                attempt.request_source() == Some(client)
+                    && !attempt.is_unsent()
+                    && attempt.awaits_request_source()
+            })
+    }
+
+    /// Whether a connection may be opened without closing one that an attempt might use.
+    pub fn has_room(&self) -> bool {
+        !self.connections.full()
+    }
+
+    /// The number of endpoints met; all indices of endpoints are below it.
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Whether any endpoint may get new attempts.
+    pub fn any_available(&self) -> bool {
+        self.endpoints
+            .iter()
+            .any(|endpoint| endpoint.process.is_some())
+    }
+
+    /// A connection to an endpoint has been established, or has brought something.
+    pub(crate) fn note_heard(&mut self, endpoint: EndpointId, now: f64) {
+        self.endpoints[endpoint].last_heard_at = now;
+    }
+
+    fn remove_idle(&mut self, endpoint: EndpointId, key: usize) {
+        self.endpoints[endpoint].idle.retain(|idle| *idle != key);
+    }
+}
 
 impl Proxy {
-    /// What the list says of a server: where to dial it, or that it gets nothing new.
-    pub fn place(&mut self, server: usize, dial: Option<(SocketAddr, f64)>) {
-        let records = &mut self.upstream.records;
-        if records.len() <= server {
-            records.resize_with(server + 1, Record::default);
+    /// What the endpoint list says of an endpoint: its address and start, or that it gets no new attempt.
+    pub fn update_endpoint_process(
+        &mut self,
+        endpoint: EndpointId,
+        process: Option<(SocketAddr, f64)>,
+    ) {
+        let process = process.map(EndpointProcess::from);
+        let endpoints = &mut self.upstream.endpoints;
+        if endpoints.len() <= endpoint {
+            endpoints.resize_with(endpoint + 1, EndpointConnections::default);
         }
-        if records[server].dial != dial {
-            // Danger: connections to a process that is no more may stay open and silent.
-            records[server].dial = dial;
-            for key in std::mem::take(&mut records[server].idle) {
-                self.drop_upstream(key);
-            }
+        if endpoints[endpoint].process != process {
+            endpoints[endpoint].process = process;
+            // Connections to a process that is no more may stay open and silent.
+            self.close_idle_connections(endpoint);
         }
     }
 
-    /// Once the whole list is placed: pushes that have not begun leave servers that are not as they were.
-    pub fn leave_not_sent(&mut self) {
-        // Danger: a connection that comes up only now would carry a new push past the grace.
-        let records = &self.upstream.records;
-        let left =
-            |l: &UpstreamConnection<Proxy>| l.unsent() && records[l.server].dial != Some(l.dial);
-        for key in self.upstream.links.keys(left) {
-            self.fail(key, AttemptOutcome::Unreachable, LoadReport::default());
+    /// Once all of a list is applied: attempts of which nothing is written leave endpoints that have changed. A
+    /// connection that is established only after that would carry a new attempt past the grace of a drain.
+    pub fn withdraw_unsent_attempts(&mut self) {
+        let endpoints = &self.upstream.endpoints;
+        let outdated = |connection: &UpstreamConnection<Proxy>| {
+            connection.is_unsent()
+                && endpoints[connection.endpoint].process != Some(connection.process)
+        };
+        for key in self.upstream.connections.keys(outdated) {
+            self.fail_attempt(key, AttemptOutcome::Unreachable, LoadReport::default());
         }
     }
 
-    /// A connection that stands idle and is still open: the one used last, so that others may be closed,
-    /// but none that has only just brought its answer.
-    pub(super) fn idle_link(&mut self, server: usize) -> Option<usize> {
+    /// Takes the idle connection that was used last, so that others may be closed, but none that has only just
+    /// brought its response.
+    pub(super) fn take_idle_connection(&mut self, endpoint: EndpointId) -> Option<usize> {
         let now = self.now();
         loop {
-            let idle = &mut self.upstream.records.get_mut(server)?.idle;
-            let links = &self.upstream.links;
-            let key = idle.remove(
-                idle.iter()
-                    .rposition(|key| now - links[*key].idle_since >= QUIET)?,
-            );
-            let link = &mut self.upstream.links[key];
-            self.timers.unset(link.timer.take());
-            if is_silent(&link.stream) {
+            let idle = &mut self.upstream.endpoints.get_mut(endpoint)?.idle;
+            let connections = &self.upstream.connections;
+            let has_rested = |key: &usize| {
+                connections[*key]
+                    .idle_since()
+                    .is_some_and(|since| now - since >= REST_AFTER_RESPONSE_MS)
+            };
+            let key = idle.remove(idle.iter().rposition(has_rested)?);
+            let connection = &mut self.upstream.connections[key];
+            self.timers.unset(connection.timer.take());
+            if is_silent(&connection.stream) {
                 return Some(key);
             }
-            // Danger: closed meanwhile, or bytes that belong to no push.
-            self.drop_upstream(key);
+            // The endpoint has closed it meanwhile, or sent bytes that belong to no attempt.
+            self.close_connection(key);
         }
     }
 
-    pub(super) fn dial(&mut self, server: usize) -> Result<usize, AttemptOutcome> {
-        if self.upstream.links.full() && !self.close_longest_idle_upstream() {
-            // Danger: out of descriptors for servers. Nothing was sent, and the op is free to go elsewhere.
+    /// Starts to connect to an endpoint. Returns the key that the connection will have, with its socket.
+    pub(super) fn connect(
+        &mut self,
+        endpoint: EndpointId,
+    ) -> Result<(usize, TcpStream, EndpointProcess), AttemptOutcome> {
+        if !self.upstream.has_room() && !self.close_longest_idle_upstream() {
+            // Nothing was sent, and the request is free to go elsewhere.
             self.counters.full += 1;
             return Err(AttemptOutcome::NotSent);
         }
-        let record = self.upstream.records.get(server);
-        let dial @ (address, _) = record
-            .and_then(|r| r.dial)
+        let process = self
+            .upstream
+            .endpoints
+            .get(endpoint)
+            .and_then(|endpoint| endpoint.process)
             .ok_or(AttemptOutcome::Unreachable)?;
         self.counters.dialled += 1;
-        let both = Interest::READABLE | Interest::WRITABLE;
-        let key = self.upstream.links.next_key();
-        let stream = loop {
-            let stream = TcpStream::connect(address).and_then(|mut stream| {
-                self.registry
-                    .register(&mut stream, upstream_token(key), both)?;
-                Ok(stream)
-            });
-            match stream.map_err(|e| (e.kind(), e)) {
-                Ok(stream) => break stream,
-                Err((
-                    io::ErrorKind::ConnectionRefused
-                    | io::ErrorKind::ConnectionReset
-                    | io::ErrorKind::HostUnreachable
-                    | io::ErrorKind::NetworkUnreachable,
-                    _,
-                )) => return Err(AttemptOutcome::Unreachable),
-                // Danger: what this machine lacks, descriptors say, would be held against the server, and
-                // clients that are idle would keep others' ops from going out.
-                Err((_, e)) => {
-                    // An op that is in goes ahead of clients that have only just come.
-                    if !(self.close_idle_downstream() || self.reserved_descriptors.give_up()) {
-                        log::warn!("cannot dial: {e}");
-                        self.counters.full += 1;
-                        return Err(AttemptOutcome::NotSent);
-                    }
-                }
+        let key = self.upstream.connections.next_key();
+        loop {
+            let error = match self.open_socket(process, key) {
+                Ok(stream) => return Ok((key, stream, process)),
+                Err(error) => error,
+            };
+            if is_unreachable(&error) {
+                return Err(AttemptOutcome::Unreachable);
             }
-        };
-        let _ = stream.set_nodelay(true);
-        self.upstream.links.insert(UpstreamConnection {
-            stream,
-            server,
-            op: 0,
-            dial,
-            up: false,
-            began: 0.0,
-            outbox: None,
-            sent: 0,
-            begun: false,
-            whole: false,
-            broke: false,
-            feeding: None,
-            chunked: false,
-            fed: false,
-            rest_since: None,
-            fed_at: None,
-            until: None,
-            moved: 0.0,
-            patience: 0.0,
-            inbox: None,
-            message: None,
-            passing: None,
-            held_since: None,
-            then: None,
-            ends: 0.0,
-            timer: None,
-            idle_since: 0.0,
-        });
-        Ok(key)
+            // What this machine lacks, such as descriptors, is not held against the endpoint; and requests that are
+            // admitted go ahead of clients that are idle.
+            if !(self.close_idle_downstream() || self.reserved_descriptors.give_up()) {
+                log::warn!("cannot dial: {error}");
+                self.counters.full += 1;
+                return Err(AttemptOutcome::NotSent);
+            }
+        }
     }
 
+    fn open_socket(&self, process: EndpointProcess, key: usize) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(process.address)?;
+        self.registry.register(
+            &mut stream,
+            upstream_token(key),
+            Interest::READABLE | Interest::WRITABLE,
+        )?;
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(
+                "small packets to {} may be delayed: {error}",
+                process.address
+            );
+        }
+        Ok(stream)
+    }
+
+    /// Closes the connection that has been idle longest; returns whether there was one.
     pub fn close_longest_idle_upstream(&mut self) -> bool {
-        let idle =
-            |link: &UpstreamConnection<Proxy>| link.then.is_none().then_some(link.idle_since);
-        let Some(key) = self.upstream.links.least(idle) else {
-            return false;
-        };
-        let server = self.upstream.links[key].server;
-        self.upstream.records[server].idle.retain(|k| *k != key);
-        self.drop_upstream(key);
-        true
+        let longest_idle = self
+            .upstream
+            .connections
+            .least(UpstreamConnection::idle_since);
+        if let Some(key) = longest_idle {
+            self.close_idle_connection(key);
+        }
+        longest_idle.is_some()
     }
 
-    /// The one place where a server's connection and buffers are given back.
-    pub fn drop_upstream(&mut self, key: usize) {
-        let Some(mut link) = self.upstream.links.take(key) else {
+    /// Closes all idle connections to an endpoint.
+    pub fn close_idle_connections(&mut self, endpoint: EndpointId) {
+        let Some(connections) = self.upstream.endpoints.get_mut(endpoint) else {
             return;
         };
-        if let Some(passing) = link.passing.take() {
-            // Danger: an answer that stops short, taken for a whole one. Its client is cut off and can tell.
-            self.drop_downstream(passing.client);
-        }
-        let _ = self.registry.deregister(&mut link.stream);
-        self.timers.unset(link.timer);
-        for buffer in [link.outbox, link.inbox].into_iter().flatten() {
-            self.buffers.give(buffer);
+        for key in std::mem::take(&mut connections.idle) {
+            self.close_connection(key);
         }
     }
 
-    /// The push is over: its connection is closed.
-    pub fn fail(&mut self, key: usize, ending: AttemptOutcome, load: LoadReport) {
-        let now = self.now();
-        let Some(link) = self.upstream.links.get_mut(key) else {
+    pub(super) fn close_idle_connection(&mut self, key: usize) {
+        let Some(connection) = self.upstream.connections.get(key) else {
             return;
         };
-        let (then, took) = (link.then.take(), link.took(now));
-        self.drop_upstream(key);
-        if let Some(then) = then {
-            then(
-                self,
-                AttemptResponse {
-                    outcome: ending,
-                    load,
-                    answer: None,
-                    endpoint_duration_ms: took,
-                },
-            );
+        let endpoint = connection.endpoint;
+        self.upstream.remove_idle(endpoint, key);
+        self.close_connection(key);
+    }
+
+    /// Closes a connection and returns the callback of the attempt that it carried. This is the only place where a
+    /// connection to an endpoint and its buffers are given back.
+    pub(super) fn close_connection(&mut self, key: usize) -> Option<CompletionCallback<Proxy>> {
+        let mut connection = self.upstream.connections.take(key)?;
+        let now = self.clock.now();
+        let attempt = connection.finish_attempt(now);
+        if let Some(client) = attempt
+            .as_ref()
+            .and_then(|attempt| attempt.response_target())
+        {
+            // Its client is cut off and can tell: a response that stops short could be taken for a whole one.
+            self.drop_downstream(client);
+        }
+        if let Err(error) = self.registry.deregister(&mut connection.stream) {
+            log::debug!("a connection to an endpoint was not watched: {error}");
         }
+        self.timers.unset(connection.timer);
+        let attempt = attempt?;
+        for buffer in [attempt.request_state.into_buffer(), attempt.inbox] {
+            buffer
+                .into_iter()
+                .for_each(|buffer| self.buffers.give(buffer));
+        }
+        Some(attempt.on_complete)
     }
 
-    /// A connection that has brought a whole answer stands idle, for as long as its server is as it was.
-    pub fn keep_upstream(&mut self, key: usize) {
-        let now = self.now();
-        let link = &mut self.upstream.links[key];
-        let server = link.server;
-        if self.upstream.records[server].dial != Some(link.dial) {
-            return self.drop_upstream(key);
+    /// Keeps an idle connection for the next attempt, unless its endpoint has changed since it was opened.
+    pub(super) fn keep_connection(&mut self, key: usize) {
+        let connection = &mut self.upstream.connections[key];
+        let endpoint = connection.endpoint;
+        if self.upstream.endpoints[endpoint].process != Some(connection.process) {
+            self.close_connection(key);
+            return;
         }
-        link.idle_since = now;
-        self.timers.unset(link.timer.take());
-        let close = move |proxy: &mut Proxy| {
-            proxy.upstream.records[server].idle.retain(|k| *k != key);
-            proxy.drop_upstream(key);
-        };
-        link.timer = Some(self.timers.set(now + self.upstream.idle_most, close));
-        self.upstream.records[server].idle.push(key);
+        self.timers.unset(connection.timer.take());
+        let closes_at = self.clock.now() + self.upstream.idle_timeout_ms;
+        let close = move |proxy: &mut Proxy| proxy.close_idle_connection(key);
+        connection.timer = Some(self.timers.set(closes_at, close));
+        self.upstream.endpoints[endpoint].idle.push(key);
     }
 }
+
+/// Whether the endpoint, and not this machine, is why a connection cannot be opened.
+fn is_unreachable(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+    )
+}
--- /dev/null
+++ b/proxy/src/upstream/sending.rs
@@ -0,0 +1,165 @@
+//! Sending: an attempt is given a connection, and its request is written.
+
+use super::attempt::{Attempt, PendingWrite, RequestState, StreamedRequest};
+use super::connection::{ConnectionState, UpstreamConnection};
+use super::CompletionCallback;
+use crate::http;
+use crate::proxy::Proxy;
+use crate::socket::is_silent;
+use crankmux::types::{AttemptOutcome, EndpointId, LoadReport, RequestId};
+
+impl Proxy {
+    /// Sends a request to an endpoint, as its client gave it. Returns the key of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of an attempt that cannot even be started; its callback is not called.
+    pub fn send(
+        &mut self,
+        request: RequestId,
+        client: usize,
+        endpoint: EndpointId,
+        timeout_ms: f64,
+        on_complete: CompletionCallback<Proxy>,
+    ) -> Result<usize, AttemptOutcome> {
+        let Some(mut outbox) = self.buffers.take() else {
+            self.counters.full += 1;
+            return Err(AttemptOutcome::NotSent);
+        };
+        let client_request = self.downstream.request(client);
+        let Some((_, message)) = client_request
+            .filter(|(held, message)| http::forward(held, message, timeout_ms, &mut outbox))
+        else {
+            self.buffers.give(outbox);
+            return Err(AttemptOutcome::NotSent);
+        };
+        let pending = PendingWrite::new(outbox);
+        if message.whole() {
+            let state = RequestState::Buffered(pending);
+            return self.send_request(Some(request), endpoint, state, timeout_ms, on_complete);
+        }
+        let state = RequestState::Streamed(StreamedRequest {
+            pending,
+            source: Some(client),
+            chunked: message.length().is_none(),
+            rest_received_at: None,
+        });
+        let key = self.send_request(Some(request), endpoint, state, timeout_ms, on_complete)?;
+        self.downstream.feeds(client, key);
+        Ok(key)
+    }
+
+    /// Sends a request, or a load probe, to an endpoint on an idle connection or a new one.
+    pub(super) fn send_request(
+        &mut self,
+        request: Option<RequestId>,
+        endpoint: EndpointId,
+        state: RequestState,
+        timeout_ms: f64,
+        on_complete: CompletionCallback<Proxy>,
+    ) -> Result<usize, AttemptOutcome> {
+        if let Some(key) = self.take_idle_connection(endpoint) {
+            let now = self.now();
+            let attempt = Attempt::new(request, state, now, timeout_ms, on_complete);
+            self.upstream.connections[key].start_attempt(attempt);
+            self.set_attempt_timer(key, now + timeout_ms);
+            self.writable_upstream.push(key);
+            return Ok(key);
+        }
+        let (key, stream, process) = match self.connect(endpoint) {
+            Ok(connecting) => connecting,
+            Err(outcome) => {
+                let buffer = state.into_buffer();
+                buffer
+                    .into_iter()
+                    .for_each(|buffer| self.buffers.give(buffer));
+                return Err(outcome);
+            }
+        };
+        let now = self.now();
+        let attempt = Attempt::new(request, state, now, timeout_ms, on_complete);
+        let connection = UpstreamConnection::connecting(stream, endpoint, process, attempt);
+        self.upstream.connections.insert(connection);
+        let connect_timeout_ms = self.upstream.connect_timeout_ms;
+        self.set_attempt_timer(key, now + timeout_ms.min(connect_timeout_ms));
+        Ok(key)
+    }
+
+    /// A connection to an endpoint can be read or written, or has ended.
+    pub(crate) fn upstream_event(&mut self, key: usize) {
+        let Some(connection) = self.upstream.connections.get(key) else {
+            return;
+        };
+        match connection.state() {
+            ConnectionState::Idle { .. } => {
+                // The endpoint has closed it, or speaks out of turn.
+                if !is_silent(&connection.stream) {
+                    self.close_idle_connection(key);
+                }
+                return;
+            }
+            ConnectionState::Connecting(_) => {
+                if !self.finish_connecting(key) {
+                    return;
+                }
+            }
+            ConnectionState::Active(_) => {}
+        }
+        if self.is_unsent_past_deadline(key) {
+            let outcome = AttemptOutcome::Unreachable;
+            return self.fail_attempt(key, outcome, LoadReport::default());
+        }
+        if self.stream_request_body(key) {
+            self.write_last_piece(key);
+            self.read_response(key);
+        }
+    }
+
+    /// Whether the connection is established. One that could not be is closed.
+    fn finish_connecting(&mut self, key: usize) -> bool {
+        let connection = &mut self.upstream.connections[key];
+        if !matches!(connection.stream.take_error(), Ok(None)) {
+            self.fail_attempt(key, AttemptOutcome::Unreachable, LoadReport::default());
+            return false;
+        }
+        if connection.stream.peer_addr().is_err() {
+            // The handshake is still under way.
+            return false;
+        }
+        connection.connected();
+        let endpoint = connection.endpoint;
+        self.upstream.note_heard(endpoint, self.clock.now());
+        true
+    }
+
+    /// Whether nothing is written, and nothing may be any more: the connection was established, or looked at, only
+    /// after the deadline.
+    fn is_unsent_past_deadline(&self, key: usize) -> bool {
+        let Some(attempt) = self.upstream.connections[key].attempt() else {
+            return false;
+        };
+        attempt.is_unsent() && self.clock.now() >= attempt.deadline
+    }
+
+    /// Writes the request, or the last piece of one that is streamed.
+    fn write_last_piece(&mut self, key: usize) {
+        let now = self.clock.now();
+        let Some((stream, attempt)) = self.upstream.connections[key].stream_and_attempt() else {
+            return;
+        };
+        let request = attempt.request;
+        let was_streamed = matches!(attempt.request_state, RequestState::Streamed(_));
+        let Some(outbox) = attempt.write_last_piece(stream, now) else {
+            return;
+        };
+        let deadline = attempt.deadline;
+        if was_streamed {
+            self.set_attempt_timer(key, deadline);
+        }
+        self.access_metrics.forwards += u64::from(request.is_some());
+        self.buffers.give(outbox);
+        if let Some(request) = request.filter(|_| was_streamed) {
+            self.streaming_progress(request, key, true);
+        }
+    }
+}
