Request and response states of an attempt have files of their own

Change: request_state.rs and response_state.rs stand beside attempt.rs; reading and judging a response, and streaming a request and its next piece, are separate functions. No order of steps changes.

--- a/proxy/src/streaming/request.rs
+++ b/proxy/src/streaming/request.rs
@@ -5,17 +5,19 @@
 use crate::http::RequestError;
 use crate::proxy::Proxy;
 use crate::streaming::Upload;
-use crate::upstream::RequestState;
+use crate::upstream::{RequestState, StreamedRequest};
 use crankmux::types::{AttemptOutcome, LoadReport};
 
 /// What moving the next piece of a body has come to.
 enum PieceMoved {
-    /// A piece has moved or has been received.
+    /// A piece has moved or has been received, or the endpoint has taken the first one.
     Progress,
     /// The last piece has moved.
     LastPiece,
-    /// The client has sent nothing more yet.
+    /// The client has sent nothing more yet, or the endpoint takes no more.
     Pending,
+    /// The client has left, and its connection is gone.
+    ClientGone,
     /// The client has ended too early.
     ClientEnded,
     /// The body cannot be read.
@@ -58,44 +60,23 @@
     pub(crate) fn stream_request_body(&mut self, key: usize) -> bool {
         let now = self.now();
         loop {
-            let Some(connection) = self.upstream.connections.get_mut(key) else {
+            let Some(connection) = self.upstream.connections.get(key) else {
                 return false;
             };
-            let Some((stream, attempt)) = connection.stream_and_attempt() else {
+            let source = connection
+                .attempt()
+                .and_then(|attempt| attempt.request_source());
+            let Some(client) = source else {
                 return true;
             };
-            let RequestState::Streamed(streamed) = &attempt.request_state else {
-                return true;
-            };
-            let Some(client) = streamed.source else {
-                return true;
-            };
-            let chunked = streamed.chunked;
-            let request = attempt.request;
-            let Some(outbox) = attempt.write_piece(stream, now) else {
-                self.endpoint_takes_no_more(key, client);
-                return true;
-            };
-            let Some(mut upload) = self.downstream.upload(client) else {
-                // The client has left, and the endpoint never had the request whole.
-                self.fail_attempt(key, AttemptOutcome::Cancelled, LoadReport::default());
-                return false;
-            };
-            if !std::mem::replace(upload.released, true) {
-                // The first piece is with the endpoint, and makes room for the next.
-                upload.message.let_go(upload.inbox);
-                if let Some(request) = request {
-                    self.streaming_progress(request, key, false);
-                }
-                continue;
-            }
-            match move_next_piece(&mut upload, outbox, chunked, now) {
+            match self.stream_request_piece(key, client, now) {
                 PieceMoved::Progress => {}
-                PieceMoved::LastPiece => {
-                    attempt.request_source_finished();
-                    return true;
+                PieceMoved::LastPiece | PieceMoved::Pending => return true,
+                PieceMoved::ClientGone => {
+                    // The endpoint never had the request whole.
+                    self.fail_attempt(key, AttemptOutcome::Cancelled, LoadReport::default());
+                    return false;
                 }
-                PieceMoved::Pending => return true,
                 PieceMoved::ClientEnded => {
                     self.drop_downstream(client);
                     return false;
@@ -109,4 +90,36 @@
             }
         }
     }
+
+    /// Writes the pending piece, and once the endpoint has taken it moves the next one up.
+    fn stream_request_piece(&mut self, key: usize, client: usize, now: f64) -> PieceMoved {
+        let connection = &mut self.upstream.connections[key];
+        let Some((stream, attempt)) = connection.stream_and_attempt() else {
+            return PieceMoved::Pending;
+        };
+        let RequestState::Streamed(StreamedRequest { chunked, .. }) = attempt.request_state else {
+            return PieceMoved::Pending;
+        };
+        let request = attempt.request;
+        let Some(outbox) = attempt.write_piece(stream, now) else {
+            self.endpoint_takes_no_more(key, client);
+            return PieceMoved::Pending;
+        };
+        let Some(mut upload) = self.downstream.upload(client) else {
+            return PieceMoved::ClientGone;
+        };
+        if !std::mem::replace(upload.released, true) {
+            // The first piece is with the endpoint, and makes room for the next.
+            upload.message.let_go(upload.inbox);
+            if let Some(request) = request {
+                self.streaming_progress(request, key, false);
+            }
+            return PieceMoved::Progress;
+        }
+        let moved = move_next_piece(&mut upload, outbox, chunked, now);
+        if matches!(moved, PieceMoved::LastPiece) {
+            attempt.request_source_finished();
+        }
+        moved
+    }
 }
--- a/proxy/src/upstream/attempt.rs
+++ b/proxy/src/upstream/attempt.rs
@@ -1,7 +1,9 @@
 //! An attempt on its connection: how far its request is written, and how far its response is read. The two go on
 //! side by side, as an endpoint may answer before it has read the whole request.
 
+use super::request_state::{RequestState, StreamedRequest};
 use super::response::{read_response, Response};
+use super::response_state::ResponseState;
 use crate::buffers::{Buffer, BODY_MOST};
 use crate::http::{Message, RequestError};
 use crate::streaming::{
@@ -9,7 +11,6 @@
 };
 use crankmux::types::{AttemptOutcome, LoadReport, RequestId};
 use mio::net::TcpStream;
-use std::io;
 
 /// What is kept of a request's time for the way of a response's first bytes: the slack that the protocol allows,
 /// and a few times what a turn of the event loop takes where many proxies share cores.
@@ -50,137 +51,6 @@
 /// What is called once an attempt has ended.
 pub type CompletionCallback<P> = Box<dyn FnOnce(&mut P, AttemptResponse)>;
 
-/// Bytes of a request that are still to be written.
-pub struct PendingWrite {
-    buffer: Buffer,
-    written: usize,
-    /// Whether any byte of the request has been written, also of earlier pieces.
-    started: bool,
-}
-
-impl PendingWrite {
-    /// Starts with a buffer of which nothing is written yet.
-    pub fn new(buffer: Buffer) -> Self {
-        PendingWrite {
-            buffer,
-            written: 0,
-            started: false,
-        }
-    }
-
-    /// Writes as much as the socket takes; returns whether all has been written.
-    fn write_to(&mut self, stream: &mut TcpStream) -> io::Result<bool> {
-        let result = self.buffer.drain(&mut self.written, stream);
-        self.started |= self.written > 0;
-        result
-    }
-
-    /// Makes room for the next piece, once all has been written.
-    fn clear(&mut self) {
-        self.buffer.cut(0, self.written);
-        self.written = 0;
-    }
-}
-
-/// A request that is too long for one buffer.
-pub struct StreamedRequest {
-    /// The piece that is being written.
-    pub pending: PendingWrite,
-    /// The client that the next piece comes from; none once the last piece is pending.
-    pub source: Option<usize>,
-    /// Whether the body goes on in chunks.
-    pub chunked: bool,
-    /// Since when the rest of the request has lain here while the endpoint took no more: its client has sent the
-    /// last byte.
-    pub rest_received_at: Option<f64>,
-}
-
-/// How far the request of an attempt is written.
-pub enum RequestState {
-    /// The whole request is in one buffer, and being written.
-    Buffered(PendingWrite),
-    /// It is written in pieces, each read from the client once the piece before has been written.
-    Streamed(StreamedRequest),
-    /// It is written whole.
-    Written {
-        /// When its last byte left, if it was streamed.
-        streamed_at: Option<f64>,
-    },
-}
-
-impl RequestState {
-    /// What is still to be written.
-    fn pending(&self) -> Option<&PendingWrite> {
-        match self {
-            RequestState::Buffered(pending) => Some(pending),
-            RequestState::Streamed(streamed) => Some(&streamed.pending),
-            RequestState::Written { .. } => None,
-        }
-    }
-
-    /// The buffer of what is still to be written.
-    pub fn into_buffer(self) -> Option<Buffer> {
-        match self {
-            RequestState::Buffered(pending) => Some(pending.buffer),
-            RequestState::Streamed(streamed) => Some(streamed.pending.buffer),
-            RequestState::Written { .. } => None,
-        }
-    }
-}
-
-/// How far the response of an attempt is read.
-pub enum ResponseState {
-    /// Its head has not been received whole.
-    AwaitingHead,
-    /// Its body is being received, and held back from the client.
-    Buffering {
-        /// Its head, and where its body ends.
-        response: Response,
-        /// Since when a response that may have to be streamed has waited to be whole.
-        held_since: Option<f64>,
-    },
-    /// Its body is being streamed to the client.
-    Streaming {
-        /// Its head, and where its body ends.
-        response: Response,
-        /// The client.
-        client: usize,
-        /// Whether the body goes on in chunks.
-        chunked: bool,
-        /// When the first piece went to the client.
-        started_at: f64,
-    },
-}
-
-impl ResponseState {
-    /// What has been received of the response, once its head is whole.
-    pub fn response(&self) -> Option<&Response> {
-        match self {
-            ResponseState::AwaitingHead => None,
-            ResponseState::Buffering { response, .. }
-            | ResponseState::Streaming { response, .. } => Some(response),
-        }
-    }
-
-    /// As `response`, to be changed.
-    pub fn response_mut(&mut self) -> Option<&mut Response> {
-        match self {
-            ResponseState::AwaitingHead => None,
-            ResponseState::Buffering { response, .. }
-            | ResponseState::Streaming { response, .. } => Some(response),
-        }
-    }
-
-    /// What has been received of the response.
-    pub fn into_response(self) -> Option<Response> {
-        match self {
-            ResponseState::AwaitingHead => None,
-            ResponseState::Buffering { response, .. }
-            | ResponseState::Streaming { response, .. } => Some(response),
-        }
-    }
-}
-
 /// An attempt, from the time it is given a connection until its outcome is handed to its completion callback.
 pub struct Attempt<P> {
     /// The request that it is for; none for a load probe.
@@ -230,7 +100,7 @@
     pub fn is_unsent(&self) -> bool {
         self.request_state
             .pending()
-            .is_some_and(|pending| !pending.started)
+            .is_some_and(|pending| !pending.is_started())
     }
 
     /// Whether the request is written whole. Before that the endpoint cannot have run it.
@@ -252,7 +122,7 @@
             && self
                 .request_state
                 .pending()
-                .is_some_and(|pending| pending.buffer.held().is_empty())
+                .is_some_and(|pending| pending.is_empty())
     }
 
     /// The client that the response is streamed to.
@@ -328,9 +198,8 @@
         if !matches!(result, Ok(true)) {
             return None;
         }
-        streamed.pending.clear();
         self.last_progress_at = now;
-        Some(&mut streamed.pending.buffer)
+        Some(streamed.pending.clear())
     }
 
     /// The last piece of a streamed request is pending.
--- a/proxy/src/upstream/load_probes.rs
+++ b/proxy/src/upstream/load_probes.rs
@@ -1,6 +1,7 @@
 //! Load probes: endpoints are asked for their load, where the settings say that they report it only so.
 
-use super::attempt::{AttemptResponse, BufferedResponse, PendingWrite, RequestState};
+use super::attempt::{AttemptResponse, BufferedResponse};
+use super::request_state::{PendingWrite, RequestState};
 use super::response::read_load;
 use crate::proxy::Proxy;
 use crankmux::types::{AttemptOutcome, EndpointId, LoadReport};
--- a/proxy/src/upstream/receiving.rs
+++ b/proxy/src/upstream/receiving.rs
@@ -61,7 +61,14 @@
         if filled == Filled::Some {
             self.upstream.note_heard(endpoint, self.clock.now());
         }
-        let Some(attempt) = self.upstream.connections[key].attempt_mut() else {
+        self.handle_received(key, inbox, filled)
+    }
+
+    /// Decides what is to be done with what has been received so far.
+    fn handle_received(&mut self, key: usize, mut inbox: Buffer, filled: Filled) -> ReadStep {
+        let connection = &mut self.upstream.connections[key];
+        let endpoint = connection.endpoint;
+        let Some(attempt) = connection.attempt_mut() else {
             self.buffers.give(inbox);
             return ReadStep::Wait;
         };
--- a/proxy/src/upstream/sending.rs
+++ b/proxy/src/upstream/sending.rs
@@ -1,7 +1,8 @@
 //! Sending: an attempt is given a connection, and its request is written.
 
-use super::attempt::{Attempt, PendingWrite, RequestState, StreamedRequest};
+use super::attempt::Attempt;
 use super::connection::{ConnectionState, UpstreamConnection};
+use super::request_state::{PendingWrite, RequestState, StreamedRequest};
 use super::CompletionCallback;
 use crate::http;
 use crate::proxy::Proxy;
--- a/proxy/src/upstream/timeouts.rs
+++ b/proxy/src/upstream/timeouts.rs
@@ -1,6 +1,6 @@
 //! Timeouts: of connecting, of an attempt, and of a streamed body that stands still.
 
-use super::attempt::RequestState;
+use super::request_state::RequestState;
 use crate::proxy::Proxy;
 use crankmux::types::{AttemptOutcome, LoadReport};
 
