Limits and freeing of descriptors stand beside the proxy; the circle with lifecycle goes

Cause: lifecycle/file_descriptors.rs used Proxy, and proxy.rs used its type.

Change: resource_limits.rs has Proxy::free_descriptor and Proxy::apply_process_share; file_descriptors.rs knows the system alone.

--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod proxy;
 pub mod request_lifecycle;
 pub mod requests;
+pub mod resource_limits;
 pub mod slot_table;
 pub mod socket;
 pub mod streaming;
--- a/proxy/src/lifecycle/file_descriptors.rs
+++ b/proxy/src/lifecycle/file_descriptors.rs
@@ -1,6 +1,5 @@
 //! Descriptors, where connections of clients have taken the last ones.
 
-use crate::proxy::Proxy;
 use rustix::io::Errno;
 use std::fs::File;
 use std::io;
@@ -48,18 +47,7 @@
     }
 }
 
-impl Proxy {
-    /// Makes room for one more descriptor; whether there is. Danger: clients hold the last one, and the list is
-    /// not asked for, a suspension not read, a new configuration turned down, an upgrade not handed over.
-    pub fn free_descriptor(&mut self) -> bool {
-        let free = !File::open("/dev/null").is_err_and(|e| lacks(&e));
-        let freed = free
-            || self.reserved_descriptors.give_up()
-            || self.close_longest_idle_upstream()
-            || self.close_idle_downstream();
-        if !freed {
-            log::warn!("no descriptor is left, and nobody stands idle");
-        }
-        freed
-    }
+/// Whether a descriptor can be opened.
+pub fn is_descriptor_available() -> bool {
+    !File::open("/dev/null").is_err_and(|e| lacks(&e))
 }
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -17,6 +17,7 @@
 use crate::metrics::access::AccessMetrics;
 use crate::metrics::counters::Counters;
 use crate::requests::Requests;
+use crate::resource_limits::max_requests;
 use crate::timers::{Clock, Timers};
 use crate::upstream::Upstreams;
 use crankmux::dispatcher::Dispatcher;
@@ -117,8 +118,10 @@
     pub cluster: Option<Cluster>,
     /// The number of proxies that share the endpoints, and this one's part of the slow-start budget.
     pub cluster_shares: Option<(f64, f64)>,
-    sockets: usize,
-    buffer_bytes: usize,
+    /// File descriptors that all processes of the proxy may hold together.
+    pub(crate) sockets: usize,
+    /// Memory for buffers that all processes of the proxy may hold together.
+    pub(crate) buffer_bytes: usize,
 }
 
 /// What an older process hands over: its endpoint list, the hashes of endpoints once listed, and its learned
@@ -185,13 +188,6 @@
     }
 }
 
-/// How many requests may be in flight. Were all client connections bound by requests, further clients would wait
-/// unaccepted, which counts as accepted for them, and time out. A quarter is left to read their requests, which
-/// get no attempt and so a quick rejection.
-fn max_requests(max_connections: usize) -> usize {
-    max_connections * 3 / 4
-}
-
 impl Proxy {
     /// Listens, takes over from an older process if there is one, joins the cluster, and either reads the known
     /// endpoint list or polls discovery for one.
@@ -335,22 +331,4 @@
     pub fn finished(&self) -> bool {
         self.requests.none_waits() && !self.downstream.busy()
     }
-
-    /// Applies this process's share of the proxy's limits, and the proxy's share of the endpoints.
-    pub fn apply_process_share(&mut self) {
-        let share = self.upgrade.share();
-        // Each process has descriptors of its own beside those for clients and endpoints.
-        let max_connections = configuration::connections(self.sockets as f64 * share);
-        self.downstream.resize(max_connections);
-        self.upstream.connections.resize(max_connections);
-        self.requests.resize(max_requests(max_connections));
-        self.buffers
-            .resize((self.buffer_bytes as f64 * share) as usize);
-        while self.upstream.connections.over() && self.close_longest_idle_upstream() {}
-        while self.downstream.over() && self.close_idle_downstream() {}
-        let proxies = self.cluster_shares.map(|(proxies, _)| proxies);
-        let slow_start_share = self.cluster_shares.map_or(1.0, |(_, share)| share);
-        self.dispatcher
-            .set_process_share(share, proxies, slow_start_share);
-    }
 }
--- /dev/null
+++ b/proxy/src/resource_limits.rs
@@ -0,0 +1,45 @@
+//! Limits on connections, requests, buffers and descriptors: what a process may hold, and what makes room.
+
+use crate::config::configuration;
+use crate::lifecycle::file_descriptors::is_descriptor_available;
+use crate::proxy::Proxy;
+
+/// How many requests may be in flight. Were all client connections bound by requests, further clients would wait
+/// unaccepted, which counts as accepted for them, and time out. A quarter is left to read their requests, which
+/// get no attempt and so a quick rejection.
+pub(crate) fn max_requests(max_connections: usize) -> usize {
+    max_connections * 3 / 4
+}
+
+impl Proxy {
+    /// Applies this process's share of the proxy's limits, and the proxy's share of the endpoints.
+    pub fn apply_process_share(&mut self) {
+        let share = self.upgrade.share();
+        // Each process has descriptors of its own beside those for clients and endpoints.
+        let max_connections = configuration::connections(self.sockets as f64 * share);
+        self.downstream.resize(max_connections);
+        self.upstream.connections.resize(max_connections);
+        self.requests.resize(max_requests(max_connections));
+        self.buffers
+            .resize((self.buffer_bytes as f64 * share) as usize);
+        while self.upstream.connections.over() && self.close_longest_idle_upstream() {}
+        while self.downstream.over() && self.close_idle_downstream() {}
+        let proxies = self.cluster_shares.map(|(proxies, _)| proxies);
+        let slow_start_share = self.cluster_shares.map_or(1.0, |(_, share)| share);
+        self.dispatcher
+            .set_process_share(share, proxies, slow_start_share);
+    }
+
+    /// Makes room for one more descriptor; returns whether there is one. Clients may hold the last one, while the
+    /// endpoint list must be polled, disabled endpoints read, a configuration reloaded and an upgrade handed over.
+    pub fn free_descriptor(&mut self) -> bool {
+        let is_free = is_descriptor_available()
+            || self.reserved_descriptors.give_up()
+            || self.close_longest_idle_upstream()
+            || self.close_idle_downstream();
+        if !is_free {
+            log::warn!("no descriptor is left, and nobody stands idle");
+        }
+        is_free
+    }
+}
