A response that has been received whole is called complete

Cause: the code said whole where the field says complete.

Change: names in receiving.rs and attempt.rs only.

--- a/proxy/src/upstream/attempt.rs
+++ b/proxy/src/upstream/attempt.rs
@@ -219,12 +219,12 @@
         let Some(mut response) = read_response(inbox)? else {
             return Ok(false);
         };
-        let is_whole = response.message.advance(inbox);
+        let is_complete = response.message.advance(inbox);
         self.response_state = ResponseState::Buffering {
             response,
             held_since: None,
         };
-        is_whole
+        is_complete
     }
 
     /// The response goes to its client in pieces from now on.
--- a/proxy/src/upstream/receiving.rs
+++ b/proxy/src/upstream/receiving.rs
@@ -1,8 +1,7 @@
 //! Receiving: the response of an attempt is read, and either held until it is whole or streamed to its client.
 
 use super::response::log_excerpt;
-use super::Response;
-use super::ResponseState;
+use super::{Response, ResponseState};
 use crate::buffers::{Buffer, Filled, BODY_MOST};
 use crate::proxy::Proxy;
 use crate::streaming::FIRST_PIECE_BYTES;
@@ -10,8 +9,8 @@
 
 /// What is to be done after a read.
 enum ReadStep {
-    /// The response is whole.
-    Whole(Buffer),
+    /// The response is complete.
+    Complete(Buffer),
     /// The response is too long to be held, and goes to its client in pieces.
     Stream(Buffer),
     /// The attempt has ended with this outcome; the rest of the response is of no interest.
@@ -35,7 +34,7 @@
             match self.read_once(key) {
                 ReadStep::Continue => {}
                 ReadStep::Wait => return,
-                ReadStep::Whole(inbox) => return self.response_received(key, inbox),
+                ReadStep::Complete(inbox) => return self.response_received(key, inbox),
                 ReadStep::Stream(inbox) => {
                     self.begin_response_stream(key, inbox);
                     return self.stream_response_body(key);
@@ -72,8 +71,8 @@
             self.buffers.give(inbox);
             return ReadStep::Wait;
         };
-        let is_whole = match attempt.read_response(&mut inbox) {
-            Ok(is_whole) => is_whole,
+        let is_complete = match attempt.read_response(&mut inbox) {
+            Ok(is_complete) => is_complete,
             Err(status) => {
                 log::debug!(
                     "endpoint {endpoint}: a response that cannot be read ({status}): {}",
@@ -85,8 +84,8 @@
         };
         let response = attempt.response_state.response();
         let ends_here = response.is_some_and(|response| response.message.ends_here());
-        if is_whole || (filled == Filled::Ended && ends_here) {
-            return ReadStep::Whole(inbox);
+        if is_complete || (filled == Filled::Ended && ends_here) {
+            return ReadStep::Complete(inbox);
         }
         if attempt.must_stream_response(&inbox) {
             if attempt.request.is_some() {
