--- a/proxy/src/admin/callers.rs
+++ b/proxy/src/admin/callers.rs
@@ -4,7 +4,7 @@
 use super::response::AdminResponse;
 use crate::lifecycle::file_descriptors::is_out_of_descriptors;
 use crate::proxy::Proxy;
-use crate::tokens::{CALLERS, CALLERS_MOST};
+use crate::tokens::{admin_caller_token, MAX_ADMIN_CALLERS};
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use std::io::ErrorKind;
@@ -51,7 +51,7 @@
         let Some(slot) = self.admin.free_slot() else {
             return;
         };
-        let token = Token(CALLERS.0 + slot);
+        let token = admin_caller_token(slot);
         let interest = Interest::READABLE | Interest::WRITABLE;
         if let Err(error) = self.registry.register(&mut stream, token, interest) {
             log::warn!("cannot watch an admin API caller: {error}");
@@ -70,7 +70,7 @@
     /// Closes the least needed caller: callers that send nothing must not keep a complete call out. What they have
     /// sent by now is answered first.
     fn make_room_for_admin_caller(&mut self) {
-        for slot in 0..CALLERS_MOST {
+        for slot in 0..MAX_ADMIN_CALLERS {
             self.admin_event(slot);
         }
         if self.admin.free_slot().is_some() {
--- a/proxy/src/admin/disabled_endpoints/changes.rs
+++ b/proxy/src/admin/disabled_endpoints/changes.rs
@@ -81,17 +81,13 @@
 
     /// Closes the idle connections to an endpoint, and takes back attempts of which nothing was sent.
     fn withdraw_from_endpoint(&mut self, endpoint: usize) {
-        if let Some(record) = self.upstream.records.get_mut(endpoint) {
-            for key in std::mem::take(&mut record.idle) {
-                self.drop_upstream(key);
-            }
-        }
+        self.close_idle_connections(endpoint);
         let unsent = self
             .upstream
-            .links
-            .keys(|connection| connection.server == endpoint && connection.unsent());
+            .connections
+            .keys(|connection| connection.endpoint == endpoint && connection.is_unsent());
         for key in unsent {
-            self.fail(key, AttemptOutcome::NotSent, LoadReport::default());
+            self.fail_attempt(key, AttemptOutcome::NotSent, LoadReport::default());
         }
     }
 
--- a/proxy/src/admin/mod.rs
+++ b/proxy/src/admin/mod.rs
@@ -15,7 +15,7 @@
 mod response;
 
 use crate::admin::caller::Caller;
-use crate::tokens::{CALLERS_MOST, DOOR};
+use crate::tokens::{ADMIN_LISTENER, MAX_ADMIN_CALLERS};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry};
 use std::io;
@@ -25,7 +25,7 @@
 #[derive(Default)]
 pub struct AdminServer {
     listener: Option<TcpListener>,
-    callers: [Option<Caller>; CALLERS_MOST],
+    callers: [Option<Caller>; MAX_ADMIN_CALLERS],
 }
 
 impl AdminServer {
@@ -64,7 +64,7 @@
 /// The address cannot be bound, or the listener not registered.
 pub fn listen(address: SocketAddr, registry: &Registry) -> io::Result<TcpListener> {
     let mut listener = TcpListener::bind(address)?;
-    registry.register(&mut listener, DOOR, Interest::READABLE)?;
+    registry.register(&mut listener, ADMIN_LISTENER, Interest::READABLE)?;
     log::info!("admin API at {}", listener.local_addr()?);
     Ok(listener)
 }
--- a/proxy/src/cluster/endpoint_gossip.rs
+++ b/proxy/src/cluster/endpoint_gossip.rs
@@ -70,9 +70,9 @@
                 update.stable_hash,
                 update.state
             );
-            self.place(update.endpoint, dial);
+            self.update_endpoint_process(update.endpoint, dial);
         }
-        self.leave_not_sent();
+        self.withdraw_unsent_attempts();
     }
 }
 
--- a/proxy/src/cluster/port.rs
+++ b/proxy/src/cluster/port.rs
@@ -1,7 +1,7 @@
 //! The UDP port of the cluster.
 
 use super::error::ClusterError;
-use crate::tokens::FLEET;
+use crate::tokens::CLUSTER;
 use crankmux_membership::Membership;
 use crankmux_operator_config::ClusterOptions;
 use mio::net::UdpSocket;
@@ -49,7 +49,7 @@
             .set_recv_buffer_size(options.receive_buffer_bytes as usize)
             .map_err(|source| ClusterError::ReceiveBuffer { section, source })?;
         registry
-            .register(&mut socket, FLEET, Interest::READABLE)
+            .register(&mut socket, CLUSTER, Interest::READABLE)
             .map_err(listen_error)?;
         Ok(ClusterPort {
             socket,
--- a/proxy/src/config/configuration.rs
+++ b/proxy/src/config/configuration.rs
@@ -4,7 +4,7 @@
 use super::reload_check::first_missing_key;
 use super::ConfigurationError;
 use crate::endpoint_list::EndpointList;
-use crate::tokens::CALLERS_MOST;
+use crate::tokens::MAX_ADMIN_CALLERS;
 use crankmux::dispatcher::Dispatcher;
 use crankmux::settings::{self, NameIndex};
 use serde::Deserialize;
@@ -14,7 +14,7 @@
 
 /// Descriptors for other than clients and endpoints: ten for the standard streams, polling, signals, the
 /// listener and discovery, the admin API and its callers, and some to spare.
-const OTHER_DESCRIPTORS: u64 = 20 + CALLERS_MOST as u64;
+const OTHER_DESCRIPTORS: u64 = 20 + MAX_ADMIN_CALLERS as u64;
 /// The fewest descriptors with which a proxy starts: four connections of clients and four to endpoints.
 const MIN_DESCRIPTORS: u64 = OTHER_DESCRIPTORS + 8;
 /// The fewest connections of either side, however small the share of a process.
--- a/proxy/src/discovery/apply.rs
+++ b/proxy/src/discovery/apply.rs
@@ -19,9 +19,9 @@
         for listed in &list.endpoints {
             self.disabled_endpoints
                 .record_listed(listed.update.stable_hash);
-            self.place(listed.update.endpoint, listed.dial);
+            self.update_endpoint_process(listed.update.endpoint, listed.dial);
         }
-        self.leave_not_sent();
+        self.withdraw_unsent_attempts();
         self.gossip_endpoint_list(list);
         self.name_index
             .retain_endpoints(|endpoint| self.dispatcher.knows_endpoint(endpoint));
@@ -29,9 +29,9 @@
 
     fn remove_unlisted_endpoints(&mut self, updates: &[EndpointUpdate]) {
         let listed: HashSet<usize> = updates.iter().map(|update| update.endpoint).collect();
-        for endpoint in 0..self.upstream.met() {
+        for endpoint in 0..self.upstream.endpoint_count() {
             if !listed.contains(&endpoint) {
-                self.place(endpoint, None);
+                self.update_endpoint_process(endpoint, None);
             }
         }
     }
--- a/proxy/src/downstream/accept.rs
+++ b/proxy/src/downstream/accept.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::proxy::Proxy;
+use crate::tokens::client_token;
 
 impl Proxy {
     /// Has the loop watch the listener.
@@ -118,7 +119,7 @@
     fn add_client(&mut self, mut stream: TcpStream) {
         let key = self.downstream.table.next_key();
         let both = Interest::READABLE | Interest::WRITABLE;
-        if let Err(e) = self.registry.register(&mut stream, CLIENT.token(key), both) {
+        if let Err(e) = self.registry.register(&mut stream, client_token(key), both) {
             log::warn!("cannot watch a client: {e}");
             return;
         }
@@ -169,10 +170,10 @@
         }
         if let Some(link) = client
             .fed_by
-            .filter(|link| self.upstream.links.get(*link).is_some())
+            .filter(|link| self.upstream.connections.get(*link).is_some())
         {
             self.counters.clients_disconnected += 1;
-            self.fail(link, AttemptOutcome::Cancelled, LoadReport::default());
+            self.fail_attempt(link, AttemptOutcome::Cancelled, LoadReport::default());
         }
         let _ = self.registry.deregister(&mut client.stream);
         self.timers.unset(client.timer);
--- a/proxy/src/downstream/mod.rs
+++ b/proxy/src/downstream/mod.rs
@@ -12,7 +12,7 @@
 use crate::socket::is_silent;
 use crate::streaming::Upload;
 use crate::timers::TimerKey;
-use crate::tokens::{CLIENT, LISTENER};
+use crate::tokens::{client_token, LISTENER};
 use crankmux::types::NewRequest;
 use crankmux::types::{AttemptOutcome, LoadReport};
 use mio::net::{TcpListener, TcpStream};
@@ -251,9 +251,9 @@
             stream,
             inbox,
             message,
-            let_go,
-            got,
-            moved,
+            released: let_go,
+            received_bytes: got,
+            last_received_at: moved,
         })
     }
 
--- a/proxy/src/lifecycle/file_descriptors.rs
+++ b/proxy/src/lifecycle/file_descriptors.rs
@@ -1,6 +1,5 @@
 //! File descriptors, where connections of clients have taken the last ones.
 
-use crate::proxy::Proxy;
 use rustix::io::Errno;
 use std::fs::File;
 use std::io;
@@ -53,19 +52,7 @@
     }
 }
 
-impl Proxy {
-    /// Makes room for one more file descriptor; whether there is. Otherwise clients could hold the last one, and
-    /// the endpoint list would not be polled, a disabled endpoint not noticed, a new configuration rejected and
-    /// an upgrade not handed over.
-    pub fn free_descriptor(&mut self) -> bool {
-        let available = !File::open(PLACEHOLDER).is_err_and(|error| is_out_of_descriptors(&error));
-        let freed = available
-            || self.reserved_descriptors.release_one()
-            || self.close_longest_idle_upstream()
-            || self.close_idle_downstream();
-        if !freed {
-            log::warn!("no descriptor is left, and nobody stands idle");
-        }
-        freed
-    }
+/// Whether a descriptor can be opened.
+pub fn is_descriptor_available() -> bool {
+    !File::open(PLACEHOLDER).is_err_and(|error| is_out_of_descriptors(&error))
 }
--- a/proxy/src/lifecycle/reload.rs
+++ b/proxy/src/lifecycle/reload.rs
@@ -57,7 +57,7 @@
     proxy.name_index = name_index;
     proxy
         .upstream
-        .take_times(new.connect_timeout_ms, new.keepalive_ms);
+        .set_timeouts(new.connect_timeout_ms, new.keepalive_ms);
     proxy.longest_ttl_ms = new.longest_ttl_ms;
     proxy.key_header = new.key_header;
     proxy.active_configuration = new.document;
--- a/proxy/src/lifecycle/start.rs
+++ b/proxy/src/lifecycle/start.rs
@@ -6,7 +6,7 @@
 use crate::config::configuration::Configuration;
 use crate::config::operator_config::{self, OperatorConfigError};
 use crate::config::ConfigurationError;
-use crate::proxy::Proxy;
+use crate::proxy::{Proxy, ProxyError};
 use crate::tokens::SIGNALS;
 use mio::{Events, Interest, Poll};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
@@ -29,11 +29,8 @@
     #[error("cannot receive signals: {0}")]
     Signals(#[source] io::Error),
     /// A socket or a part of the proxy cannot be set up.
-    #[error("{message}")]
-    Proxy {
-        /// What failed.
-        message: String,
-    },
+    #[error(transparent)]
+    Proxy(#[from] ProxyError),
     /// Waiting for events failed.
     #[error("cannot wait for events: {0}")]
     EventLoop(#[source] io::Error),
@@ -51,10 +48,7 @@
         .map(|cluster| ClusterConfig::new(cluster.options, cluster.keys, &configuration));
     let mut poll = Poll::new().map_err(RunError::EventLoopSetup)?;
     let mut signals = watch_signals(&poll).map_err(RunError::Signals)?;
-    let mut proxy = Proxy::new(configuration, cluster_config, &poll).map_err(|error| {
-        let message = error.to_string();
-        RunError::Proxy { message }
-    })?;
+    let mut proxy = Proxy::new(configuration, cluster_config, &poll)?;
     // Room for an event of each descriptor: were some left for the next turn, timers that are due would run
     // ahead of them.
     let mut events = Events::with_capacity(proxy.sockets());
--- a/proxy/src/lifecycle/upgrade/mod.rs
+++ b/proxy/src/lifecycle/upgrade/mod.rs
@@ -12,7 +12,7 @@
 pub use snapshot::HandoverSnapshot;
 
 use crate::lifecycle::state_directory::StateDirectory;
-use crate::tokens::{HANDOVER, OLDER};
+use crate::tokens::{OLDER_PROCESS, UPGRADE_LISTENER};
 use mio::net::{UnixListener, UnixStream};
 use mio::{Interest, Registry};
 use std::io;
@@ -80,7 +80,7 @@
         if let Some(handover) = handover {
             handover.stream.set_nonblocking(true)?;
             let mut stream = UnixStream::from_std(handover.stream);
-            registry.register(&mut stream, OLDER, Interest::READABLE)?;
+            registry.register(&mut stream, OLDER_PROCESS, Interest::READABLE)?;
             upgrade.older = OlderProcess::Accepting(OlderConnection {
                 stream,
                 share_divisor: handover.share_divisor,
@@ -102,7 +102,7 @@
         let _ = std::fs::remove_file(&path);
         match UnixListener::bind(&path) {
             Ok(mut listener) => {
-                registry.register(&mut listener, HANDOVER, Interest::READABLE)?;
+                registry.register(&mut listener, UPGRADE_LISTENER, Interest::READABLE)?;
                 self.listener = Some(listener);
             }
             Err(error) => log::warn!(
--- a/proxy/src/lifecycle/upgrade/older_process.rs
+++ b/proxy/src/lifecycle/upgrade/older_process.rs
@@ -4,7 +4,7 @@
 use super::{HandoverSnapshot, LearnedStateSnapshot};
 use crate::lifecycle::file_descriptors::is_out_of_descriptors;
 use crate::proxy::Proxy;
-use crate::tokens::NEWER;
+use crate::tokens::NEWER_PROCESS;
 use mio::net::UnixStream;
 use mio::Interest;
 use std::io;
@@ -53,7 +53,7 @@
         self.free_descriptor();
         snapshot.store(&path)?;
         self.registry
-            .register(&mut stream, NEWER, Interest::READABLE)?;
+            .register(&mut stream, NEWER_PROCESS, Interest::READABLE)?;
         self.upgrade.newer = Some(stream);
         self.yield_cluster();
         // Before the newer process has anything, so that both together never exceed the limits.
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -1,124 +1,223 @@
-//! The proxy: owns all tables, turns events into calls, and carries an op from its request to its answer.
-
-use crate::config::configuration::{self, Configuration};
-use crate::lifecycle::file_descriptors::ReservedDescriptors;
+//! The proxy: owner of all tables, sockets and timers. This file holds the struct and its construction; the
+//! turns of its event loop are in `event_loop`, the steps of a request in `request_lifecycle`, and what it does
+//! on sockets beside the types of each kind of connection.
 
 use crate::admin::disabled_endpoints::DisabledEndpoints;
 use crate::admin::{self, AdminServer};
 use crate::buffers::Buffers;
-use crate::cluster::{Cluster, ClusterConfig};
+use crate::cluster::{Cluster, ClusterConfig, ClusterError};
+use crate::config::configuration::{self, Configuration};
 use crate::discovery::Discovery;
 use crate::downstream::DownstreamConnections;
-use crate::endpoint_list::EndpointList;
+use crate::endpoint_list::{EndpointList, EndpointListError};
+use crate::lifecycle::file_descriptors::ReservedDescriptors;
 use crate::lifecycle::state_directory::StateDirectory;
-use crate::lifecycle::upgrade::{self, Upgrade};
+use crate::lifecycle::upgrade::{self, Handover, HandoverSnapshot, Upgrade};
 use crate::listener;
 use crate::metrics::access::AccessMetrics;
 use crate::metrics::counters::Counters;
 use crate::requests::Requests;
+use crate::resource_limits::max_requests;
 use crate::timers::{Clock, Timers};
-use crate::tokens::*;
-use crate::upstream::{AttemptResponse, Upstreams};
-use crankmux::dispatcher::{Dispatcher, FinalAnswer, NewAttempt, NextSteps};
+use crate::upstream::Upstreams;
+use crankmux::dispatcher::Dispatcher;
 use crankmux::settings::NameIndex;
-use crankmux::types::{AttemptOutcome, AttemptResult, LoadReport, NewRequest};
-use mio::event::Event;
 use mio::net::TcpListener;
-use mio::{Events, Poll, Registry, Token};
+use mio::{Poll, Registry};
 use serde_json::Value;
 use std::io;
-use std::time::Duration;
+use std::net::SocketAddr;
+
+/// How long a new process leaves clients in the system's accept queue while discovery has not answered. The
+/// endpoint list that a process starts with is older than what the discovery agent knows, so the agent is heard
+/// first. It runs on this machine and answers at once; a tenth of a second shows that it is silent.
+const FIRST_ENDPOINT_LIST_WAIT_MS: f64 = 100.0;
 
-/// For so long, in milliseconds, a new process leaves clients with the system until discovery has spoken. Danger:
-/// what the agent knows counts from the process's first moment, and the list that it starts with is older. The
-/// agent is on this machine and answers at once; a tenth of a second tells that it is silent.
-const FIRST_LIST: f64 = 100.0;
+/// Why a proxy could not be built.
+#[derive(Debug, thiserror::Error)]
+pub enum ProxyError {
+    /// The address for clients cannot be listened at.
+    #[error("listen: {address}: {source}")]
+    Listen {
+        /// The address of the configuration.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The address of the admin API cannot be listened at.
+    #[error("admin_addr: {0}")]
+    ListenAdmin(#[source] io::Error),
+    /// The connection to the other process of an upgrade cannot be set up.
+    #[error(transparent)]
+    Upgrade(io::Error),
+    /// The poll's registry cannot be shared.
+    #[error(transparent)]
+    Registry(io::Error),
+    /// The proxy cannot join its cluster.
+    #[error(transparent)]
+    JoinCluster(#[from] ClusterError),
+    /// The endpoint list of the configuration, or of the older process, cannot be read.
+    #[error("known: {0}")]
+    KnownEndpoints(#[from] EndpointListError),
+}
 
+/// Everything that a proxy process holds.
 pub struct Proxy {
+    /// Where sockets are registered for events.
     pub registry: Registry,
+    /// The time.
     pub clock: Clock,
+    /// The buffer pool of all connections.
     pub buffers: Buffers,
+    /// What is due when.
     pub timers: Timers<Proxy>,
+    /// Counts for operators, logged on request and at exit.
     pub counters: Counters,
+    /// Metrics of requests, by request class and tenant.
     pub access_metrics: AccessMetrics,
+    /// The admin API.
     pub admin: AdminServer,
+    /// Connections from clients.
     pub downstream: DownstreamConnections,
+    /// Connections to endpoints.
     pub upstream: Upstreams<Proxy>,
+    /// The poll for the endpoint list.
     pub discovery: Discovery,
+    /// Requests in flight.
     pub requests: Requests,
+    /// The load balancing decisions.
     pub dispatcher: Dispatcher,
+    /// Indices that stand for the names of endpoints, request classes and tenants.
     pub name_index: NameIndex,
-    /// Connections to servers that have something to write.
+    /// Connections to endpoints that have something to write.
     pub writable_upstream: Vec<usize>,
+    /// Load probes in flight.
     pub probes_in_flight: usize,
-    /// Where a request says what it is about, if it does.
+    /// The request header that carries the affinity key, if one is configured.
     pub key_header: Option<String>,
+    /// When shutdown began.
     pub shutdown_at: Option<f64>,
-    /// Whatever is not answered by then won't be, once it is stopping.
+    /// During shutdown, when the last response must be out.
     pub answer_by: f64,
-    /// Of all categories.
+    /// The longest deadline of all request classes.
     pub longest_ttl_ms: f64,
     /// The configuration in force.
     pub active_configuration: Value,
+    /// Where state outlives the process.
     pub state_directory: StateDirectory,
+    /// Endpoints disabled by an operator.
     pub disabled_endpoints: DisabledEndpoints,
+    /// The other processes of this proxy during an upgrade.
     pub upgrade: Upgrade,
+    /// File descriptors kept back for what must go on while clients hold all others.
     pub reserved_descriptors: ReservedDescriptors,
-    /// The other nodes, where a charter has them known; and what they leave to this one.
+    /// How to join the cluster, where the operator's configuration has one.
     pub cluster_config: Option<ClusterConfig>,
+    /// The cluster, once joined.
     pub cluster: Option<Cluster>,
+    /// The number of proxies that share the endpoints, and this one's part of the slow-start budget.
     pub cluster_shares: Option<(f64, f64)>,
-    sockets: usize,
-    buffer_bytes: usize,
+    /// File descriptors that all processes of the proxy may hold together.
+    pub(crate) sockets: usize,
+    /// Memory for buffers that all processes of the proxy may hold together.
+    pub(crate) buffer_bytes: usize,
+}
+
+/// The sockets that a proxy starts with.
+struct Sockets {
+    registry: Registry,
+    listener: TcpListener,
+    admin_listener: Option<TcpListener>,
+    upgrade: Upgrade,
+}
+
+impl Sockets {
+    fn open(
+        configuration: &Configuration,
+        handover: Option<Handover>,
+        state_directory: &StateDirectory,
+        poll: &Poll,
+    ) -> Result<Self, ProxyError> {
+        let address = configuration.listen;
+        let listen_error = |source| ProxyError::Listen { address, source };
+        let listener = match &handover {
+            Some(handover) => handover.listener.try_clone(),
+            None => listener::bind(address),
+        };
+        let listener = listener.map_err(listen_error)?;
+        listener.set_nonblocking(true).map_err(listen_error)?;
+        let listener = TcpListener::from_std(listener);
+        let admin_listener = configuration
+            .admin_address
+            .map(|address| admin::listen(address, poll.registry()))
+            .transpose()
+            .map_err(ProxyError::ListenAdmin)?;
+        let upgrade = Upgrade::new(handover, state_directory, poll.registry())
+            .map_err(ProxyError::Upgrade)?;
+        log::info!(
+            "listening on {}",
+            listener.local_addr().map_err(listen_error)?
+        );
+        let registry = poll.registry().try_clone().map_err(ProxyError::Registry)?;
+        Ok(Sockets {
+            registry,
+            listener,
+            admin_listener,
+            upgrade,
+        })
+    }
 }
 
 impl Proxy {
+    /// Listens, takes over from an older process if there is one, joins the cluster, and either reads the known
+    /// endpoint list or polls discovery for one.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be listened at, or the known endpoint list cannot be read.
     pub fn new(
-        configuration: Configuration,
-        entry: Option<ClusterConfig>,
+        mut configuration: Configuration,
+        cluster_config: Option<ClusterConfig>,
         poll: &Poll,
-    ) -> Result<Self, String> {
-        let of_listen = |e: io::Error| format!("listen: {}: {e}", configuration.listen);
-        let text = |e: io::Error| e.to_string();
-        let state = StateDirectory::open(&configuration.name);
-        let mut handover = upgrade::request_handover(&state, configuration.listen);
-        let snapshot = handover
+    ) -> Result<Self, ProxyError> {
+        let state_directory = StateDirectory::open(&configuration.name);
+        let mut handover = upgrade::request_handover(&state_directory, configuration.listen);
+        let inherited = handover
             .as_mut()
             .map(|handover| std::mem::take(&mut handover.snapshot))
             .unwrap_or_default();
-        let taken = handover
-            .as_ref()
-            .map(|handover| handover.listener.try_clone());
-        let listener = taken
-            .unwrap_or_else(|| listener::bind(configuration.listen))
-            .map_err(of_listen)?;
-        listener.set_nonblocking(true).map_err(of_listen)?;
-        let listener = TcpListener::from_std(listener);
-        let door = configuration
-            .admin_address
-            .map(|address| admin::listen(address, poll.registry()));
-        let door = door.transpose().map_err(|e| format!("admin_addr: {e}"))?;
-        let most = configuration::connection_limit(configuration.descriptor_limit as f64);
-        let upgrade = Upgrade::new(handover, &state, poll.registry()).map_err(text)?;
-        log::info!("listening on {}", listener.local_addr().map_err(of_listen)?);
-        // Danger: were all clients' connections bound by ops, others would wait unaccepted, which counts as
-        // taken, and be lost. A quarter is left to hear them; their ops get no push and so a quick nack.
-        let mut proxy = Proxy {
-            registry: poll.registry().try_clone().map_err(text)?,
+        let sockets = Sockets::open(&configuration, handover, &state_directory, poll)?;
+        let known = std::mem::take(&mut configuration.known_endpoints);
+        let mut proxy = Self::with_sockets(configuration, cluster_config, sockets, state_directory);
+        proxy.restore(inherited, known)?;
+        proxy.schedule_first_accept();
+        Ok(proxy)
+    }
+
+    fn with_sockets(
+        configuration: Configuration,
+        cluster_config: Option<ClusterConfig>,
+        sockets: Sockets,
+        state_directory: StateDirectory,
+    ) -> Self {
+        let max_connections =
+            configuration::connection_limit(configuration.descriptor_limit as f64);
+        Proxy {
+            registry: sockets.registry,
             clock: Clock::new(),
             buffers: Buffers::new(configuration.buffer_bytes),
             timers: Timers::new(),
             counters: Counters::default(),
             access_metrics: AccessMetrics::default(),
-            admin: AdminServer::new(door),
-            downstream: DownstreamConnections::new(listener, most),
+            admin: AdminServer::new(sockets.admin_listener),
+            downstream: DownstreamConnections::new(sockets.listener, max_connections),
             upstream: Upstreams::new(
-                most,
+                max_connections,
                 configuration.connect_timeout_ms,
                 configuration.keepalive_ms,
             ),
             discovery: Discovery::new(configuration.discovery),
-            requests: Requests::new(most * 3 / 4),
+            requests: Requests::new(max_requests(max_connections)),
             dispatcher: configuration.dispatcher,
             name_index: configuration.name_index,
             writable_upstream: Vec::new(),
@@ -128,360 +227,88 @@
             answer_by: f64::INFINITY,
             longest_ttl_ms: configuration.longest_ttl_ms,
             active_configuration: configuration.document,
-            state_directory: state,
+            state_directory,
             disabled_endpoints: DisabledEndpoints::default(),
-            upgrade,
+            upgrade: sockets.upgrade,
             reserved_descriptors: ReservedDescriptors::new(),
-            cluster_config: entry,
+            cluster_config,
             cluster: None,
             cluster_shares: None,
             sockets: configuration.descriptor_limit,
             buffer_bytes: configuration.buffer_bytes,
-        };
-        snapshot
-            .ever_listed
-            .into_iter()
-            .for_each(|mark| proxy.disabled_endpoints.record_listed(mark));
-        // Before any list: nothing may go to a server that was taken out before this start.
-        proxy.watch_disabled_endpoints();
-        proxy.apply_process_share();
-        // Before any list: what it tells is for the others too.
-        proxy.join_cluster().map_err(|error| error.to_string())?;
-        let known = if snapshot.endpoint_list.is_null() {
-            configuration.known_endpoints
-        } else {
-            snapshot.endpoint_list
-        };
-        match known.is_null() {
-            false => {
-                let read = EndpointList::from_json(&mut proxy.name_index, &known)
-                    .map_err(|e| format!("known: {e}"))?;
-                proxy.discovery.remember_list(&known);
-                proxy.discovery.resume_after(&read);
-                proxy.apply_endpoint_list(&read, true);
-            }
-            true => proxy.poll_endpoints(),
-        }
-        proxy.restore_learned_state(&snapshot.learned_state);
-        if !proxy.upgrade.waits_to_accept() {
-            let at = proxy.now() + FIRST_LIST;
-            proxy
-                .timers
-                .set(at, |proxy: &mut Proxy| proxy.listen_after_first_list());
         }
-        Ok(proxy)
-    }
-
-    pub fn now(&self) -> f64 {
-        self.clock.now()
-    }
-
-    pub fn stopping(&self) -> bool {
-        self.shutdown_at.is_some()
-    }
-
-    /// Descriptors that it may hold, of which each has one event at most.
-    pub fn sockets(&self) -> usize {
-        self.sockets
-    }
-
-    /// Hears clients, as discovery has spoken or won't.
-    pub fn listen_after_first_list(&mut self) {
-        if !self.stopping() && !self.upgrade.waits_to_accept() && !self.upgrade.has_newer_process()
-        {
-            self.listen();
-        }
-    }
-
-    /// Whether clients may come: there is a server to send to, and discovery has been asked.
-    pub fn ready(&self) -> bool {
-        self.upstream.any() && self.discovery.first_poll_finished() && !self.stopping()
     }
 
-    /// Lives on its share of the node's limits.
-    pub fn apply_process_share(&mut self) {
-        let share = self.upgrade.process_share();
-        // Each process has descriptors of its own beside those of clients and servers.
-        let connections = configuration::connection_limit(self.sockets as f64 * share);
-        self.downstream.resize(connections);
-        self.upstream.links.resize(connections);
-        self.requests.resize(connections * 3 / 4);
-        self.buffers
-            .resize((self.buffer_bytes as f64 * share) as usize);
-        while self.upstream.links.over() && self.close_longest_idle_upstream() {}
-        while self.downstream.over() && self.close_idle_downstream() {}
-        let nodes = self.cluster_shares.map(|(nodes, _)| nodes);
-        self.dispatcher.set_process_share(
-            share,
-            nodes,
-            self.cluster_shares.map_or(1.0, |(_, cold)| cold),
-        );
-    }
-
-    /// Whether everything taken in is answered, and the answers are out.
-    pub fn finished(&self) -> bool {
-        self.requests.none_waits() && !self.downstream.busy()
-    }
-
-    /// Waits for events until something is due, does what they call for, then what was due before it looked.
-    /// Danger: a process that was kept from running finds an answer, a client's end and the time at which
-    /// either is too late at one moment. Whatever lay ready by a time is heard before that time counts.
-    pub fn turn(&mut self, poll: &mut Poll, events: &mut Events) -> io::Result<bool> {
-        let looked = self.now();
-        let fleet = self.cluster.as_ref().map(|members| members.next_due_ms());
-        let due = [self.timers.first(), self.dispatcher.next_tick(), fleet]
-            .into_iter()
-            .flatten();
-        let wait = due.min_by(f64::total_cmp).map(|at| (at - looked).max(0.0));
-        if let Err(e) = poll.poll(events, wait.map(|ms| Duration::from_secs_f64(ms / 1000.0))) {
-            if e.kind() != io::ErrorKind::Interrupted {
-                return Err(e);
-            }
-        }
-        let signalled = self.dispatch_events(events);
-        while let Some(due) = self.timers.take_due(looked) {
-            due(self);
-            self.settle();
+    /// Starts from what an older process knew, else from the endpoint list of the configuration.
+    fn restore(&mut self, inherited: HandoverSnapshot, known: Value) -> Result<(), ProxyError> {
+        for stable_hash in inherited.ever_listed {
+            self.disabled_endpoints.record_listed(stable_hash);
         }
-        let now = self.now();
-        for (op, next) in self.dispatcher.tick(now, looked) {
-            self.follow(op, next);
-        }
-        if self.dispatcher.take_list_request() {
+        // Ahead of any endpoint list: nothing may be sent to an endpoint that was disabled before this start.
+        self.watch_disabled_endpoints();
+        self.apply_process_share();
+        // Ahead of any endpoint list, which is gossiped to the other proxies.
+        self.join_cluster()?;
+        let endpoint_list = if inherited.endpoint_list.is_null() {
+            known
+        } else {
+            inherited.endpoint_list
+        };
+        if endpoint_list.is_null() {
             self.poll_endpoints();
+        } else {
+            self.apply_known_endpoints(&endpoint_list)?;
         }
-        self.send_load_probes();
-        self.run_cluster();
-        if self.upgrade.waits_to_accept() && self.ready() {
-            self.start_accepting();
-        }
-        self.settle();
-        Ok(signalled)
+        self.restore_learned_state(&inherited.learned_state);
+        Ok(())
     }
 
-    /// Does what events call for; whether a signal is among them.
-    fn dispatch_events(&mut self, events: &Events) -> bool {
-        // Danger: a server's failure, or a place that falls free, would send on the op of a client whose end
-        // lies there too. Noted before anything is done: a key may stand for another client after that.
-        let ends = |event: &&Event| event.is_read_closed() || event.is_error();
-        for Token(n) in events.iter().filter(ends).map(|event| event.token()) {
-            if n >= TABLES && (n - TABLES).is_multiple_of(2) {
-                self.downstream.mark_closed((n - TABLES) / 2);
-            }
-        }
-        let mut signalled = false;
-        // Danger: under a flood of clients an operator would wait for all of them.
-        for Token(at) in events.iter().map(|event| event.token()) {
-            match at {
-                _ if at == DOOR.0 => self.accept_admin_callers(),
-                _ if at == HANDOVER.0 => self.accept_newer_process(),
-                _ if at == NEWER.0 => self.newer_process_event(),
-                _ if at == OLDER.0 => self.older_process_event(),
-                _ if at == FLEET.0 => self.cluster_event(),
-                _ if (CALLERS.0..TABLES).contains(&at) => self.admin_event(at - CALLERS.0),
-                // Danger: a drain lies there, and a push to that server goes out ahead of it.
-                _ if at == DISCOVERY.0 => self.discovery_event(),
-                _ => continue,
-            }
-            self.settle();
-        }
-        for client in self.downstream.ended() {
-            self.serve(client);
-            self.settle();
-        }
-        for event in events.iter() {
-            match event.token() {
-                Token(n) if (DOOR.0..TABLES).contains(&n) => continue,
-                LISTENER => self.accept(),
-                SIGNALS => signalled = true,
-                DISCOVERY => continue,
-                Token(n) if (n - TABLES).is_multiple_of(2) => self.serve((n - TABLES) / 2),
-                Token(n) => self.link((n - TABLES) / 2),
-            }
-            self.settle();
-        }
-        signalled
+    fn apply_known_endpoints(&mut self, known: &Value) -> Result<(), ProxyError> {
+        let list = EndpointList::from_json(&mut self.name_index, known)?;
+        self.discovery.remember_list(known);
+        self.discovery.resume_after(&list);
+        self.apply_endpoint_list(&list, true);
+        Ok(())
     }
 
-    /// Does what the last event has left to do on other connections.
-    fn settle(&mut self) {
-        while !(self.writable_upstream.is_empty() && self.downstream.none_ready()) {
-            while let Some(key) = self.writable_upstream.pop() {
-                self.link(key);
-            }
-            self.serve_ready_clients();
+    fn schedule_first_accept(&mut self) {
+        if self.upgrade.waits_to_accept() {
+            return;
         }
+        let at = self.now() + FIRST_ENDPOINT_LIST_WAIT_MS;
+        self.timers.set(at, Proxy::listen_after_first_list);
     }
 
-    // ------------------------------------------------------------ an op's life
-
-    /// An op comes in, under the mark of its client's id.
-    pub fn admit(&mut self, client: usize, arrival: NewRequest, mark: u64) -> usize {
-        self.counters.requests_admitted += 1;
-        let now = self.now();
-        // Danger: what is taken in near the end of a process must be answered before that.
-        let ttl = arrival.ttl_ms.min((self.answer_by - now).max(1.0));
-        let op = self.requests.admit(client, now + ttl, mark);
-        let next = self.dispatcher.request_arrived(
-            now,
-            &NewRequest {
-                request: op,
-                ttl_ms: ttl,
-                ..arrival
-            },
-        );
-        self.follow(op, next);
-        op
-    }
-
-    /// Carries out what is next for an op.
-    fn follow(&mut self, op: usize, next: NextSteps) {
-        for push in next.cancel {
-            if let Some(link) = self.requests.link(op, push) {
-                self.cancel(link);
-            }
-        }
-        match next.final_answer {
-            None => {}
-            Some(FinalAnswer::Rejected {
-                retry_after_ms: come_back,
-            }) => {
-                self.counters.requests_rejected += 1;
-                self.give_up(op, 503, come_back);
-            }
-            Some(FinalAnswer::Failed) => {
-                self.counters.requests_failed += 1;
-                self.give_up(op, 502, 0.0);
-            }
-        }
-        for pick in next.attempts {
-            self.push(op, pick);
+    /// Accepts clients, as discovery has answered or is silent.
+    pub fn listen_after_first_list(&mut self) {
+        if !self.stopping() && !self.upgrade.waits_to_accept() && !self.upgrade.has_newer_process()
+        {
+            self.listen();
         }
-        self.requests.drop_if_done(op);
     }
 
-    fn give_up(&mut self, op: usize, status: u16, come_back: f64) {
-        if let Some(client) = self.requests.answered(op) {
-            self.answer(client, status, come_back);
-        }
+    /// The time, in Unix milliseconds.
+    pub fn now(&self) -> f64 {
+        self.clock.now()
     }
 
-    fn push(&mut self, op: usize, pick: NewAttempt) {
-        let now = self.now();
-        let (push, client, ends) = self.requests.push(op);
-        let to = pick.endpoint;
-        self.cluster
-            .iter_mut()
-            .for_each(|cluster| cluster.attempt_started(to));
-        let patience = pick.timeout_ms.min(ends - now);
-        let then =
-            Box::new(move |proxy: &mut Proxy, outcome| proxy.pushed((op, push), to, now, outcome));
-        let sent = match client {
-            Some(client) if patience > 0.0 => {
-                self.send((op, client), pick.endpoint, patience, then)
-            }
-            _ => Err(AttemptOutcome::NotSent),
-        };
-        match sent {
-            Ok(link) => {
-                self.counters.attempts_sent += 1;
-                self.requests.out_at(op, push, link);
-            }
-            Err(ending) => self.pushed(
-                (op, push),
-                to,
-                now,
-                AttemptResponse {
-                    ending,
-                    load: LoadReport::default(),
-                    answer: None,
-                    took: None,
-                },
-            ),
-        }
+    /// Whether the proxy is shutting down.
+    pub fn stopping(&self) -> bool {
+        self.shutdown_at.is_some()
     }
 
-    /// A push's long body has begun to go to its server, is there whole, or begins to come back.
-    pub fn streaming_progress(&mut self, op: usize, link: usize, works: bool) {
-        if let Some(push) = self.requests.push_on(op, link) {
-            let now = self.now();
-            self.dispatcher.streaming(now, op, push, works);
-        }
+    /// The most file descriptors that the proxy holds; each has one event at most in a poll.
+    pub fn sockets(&self) -> usize {
+        self.sockets
     }
 
-    /// A push has ended: the first ack goes to the client, anything else to the decisions.
-    fn pushed(
-        &mut self,
-        (op, push): (usize, usize),
-        server: usize,
-        at: f64,
-        outcome: AttemptResponse,
-    ) {
-        let AttemptResponse {
-            ending,
-            load,
-            answer,
-            took,
-        } = outcome;
-        let count = match ending {
-            AttemptOutcome::Succeeded => &mut self.counters.attempts_succeeded,
-            AttemptOutcome::Failed => &mut self.counters.attempts_failed,
-            AttemptOutcome::Rejected => &mut self.counters.attempts_rejected,
-            AttemptOutcome::TimedOut => &mut self.counters.attempts_timed_out,
-            AttemptOutcome::Unreachable => &mut self.counters.attempts_unreachable,
-            AttemptOutcome::ConnectionLost => &mut self.counters.attempts_connection_lost,
-            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => {
-                &mut self.counters.attempts_cancelled
-            }
-        };
-        *count += 1;
-        let now = self.now();
-        if let Some(members) = &mut self.cluster {
-            members.attempt_ended(server);
-            load.in_flight
-                .iter()
-                .for_each(|held| members.load_reported(now, server, *held));
-        }
-        log::debug!(
-            "op {op}: push {push} ended after {:.1} ms: {ending:?}",
-            now - at
-        );
-        self.requests.push_ended(op, push);
-        let waiting = if ending == AttemptOutcome::Succeeded {
-            self.requests.answered(op)
-        } else {
-            None
-        };
-        let closed = !self.requests.waits(op);
-        if let Some((inbox, message)) = answer {
-            if let Some(client) = waiting {
-                self.counters.requests_succeeded += 1;
-                self.hand_back(client, inbox.held(), &message);
-            }
-            self.buffers.give(inbox);
-        }
-        let took = took.unwrap_or(now - at);
-        let next = self.dispatcher.attempt_ended(
-            now,
-            &AttemptResult {
-                request: op,
-                attempt: push,
-                outcome: ending,
-                duration_ms: took,
-                request_closed: closed,
-                load,
-            },
-        );
-        self.follow(op, next);
+    /// Whether clients may come: an endpoint is known, and discovery has answered or failed to.
+    pub fn ready(&self) -> bool {
+        self.upstream.any_available() && self.discovery.first_poll_finished() && !self.stopping()
     }
 
-    /// The client has left.
-    pub fn client_left(&mut self, op: usize) {
-        self.counters.clients_disconnected += 1;
-        if self.requests.answered(op).is_some() {
-            let now = self.now();
-            let next = self.dispatcher.client_left(now, op);
-            self.follow(op, next);
-        }
+    /// Whether no response is owed to any client.
+    pub fn finished(&self) -> bool {
+        self.requests.none_waits() && !self.downstream.busy()
     }
 }
--- a/proxy/tests/operator_config/main.rs
+++ b/proxy/tests/operator_config/main.rs
@@ -15,7 +15,7 @@
 const VARIABLE: &str = "CRANKMUX_OPERATOR_CONFIG";
 const DEPRECATED_VARIABLE: &str = "CRANKMUX_CHARTER";
 /// In the line of the cluster, the last of a start.
-const STARTED: &str = "hears at ";
+const STARTED: &str = "listens at ";
 
 /// What a finished command gave.
 struct Outcome {
