--- a/proxy/tests/sockets/admin_api.rs
+++ b/proxy/tests/sockets/admin_api.rs
@@ -56,7 +56,7 @@
     assert_eq!(
         proxy.send_request(b"GET /v1/metrics HTTP/1.1\r\n\r\n").0,
         400,
-        "no door for clients"
+        "no admin API for clients"
     );
 }
 
@@ -79,7 +79,7 @@
         assert_eq!(proxy.admin_call("GET", "/v1/metrics").0, 200);
         assert!(from.elapsed() < Duration::from_millis(500));
     }
-    // What stays without a word does not stay for good.
+    // An idle connection is not kept forever.
     let last = stay.last_mut().unwrap();
     assert_eq!(
         read_message(last).map(|(head, _)| status_code(&head)),
--- a/proxy/tests/sockets/client_disconnects.rs
+++ b/proxy/tests/sockets/client_disconnects.rs
@@ -28,7 +28,7 @@
     let proxy = ProxyProcess::in_front_of(&[&silent]);
     let mut client = proxy.connect();
     client.write_all(&request("view", 4.0, "")).unwrap();
-    wait_until("the push is out", || {
+    wait_until("the attempt is sent", || {
         silent.open_connections.load(Ordering::SeqCst) == 1
     });
     drop(client);
@@ -39,7 +39,8 @@
 
 const INTERNAL_ERROR_RESPONSE: &[u8] = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
 
-/// Opens so many connections to a held server, which stand idle then: what goes to it next is written at once.
+/// Opens so many idle connections to an endpoint that holds its responses back: the next attempts are written at
+/// once.
 fn open_idle_connections(
     proxy: &ProxyProcess,
     endpoint: &TestEndpoint,
@@ -50,12 +51,12 @@
     clients
         .iter_mut()
         .for_each(|client| client.write_all(&request("order", 60.0, "")).unwrap());
-    wait_until("all are out", || endpoint.received_count() == connections);
+    wait_until("all are sent", || endpoint.received_count() == connections);
     (0..connections).for_each(|_| responses.send(ok_response("warm")).unwrap());
     clients
         .iter_mut()
-        .for_each(|client| assert_eq!(read_message(client).expect("an answer").1, b"warm"));
-    // For as long as they rest.
+        .for_each(|client| assert_eq!(read_message(client).expect("a response").1, b"warm"));
+    // Until they may be reused.
     sleep_ms(30);
 }
 
@@ -69,7 +70,7 @@
         (5000, "half closes"),
     ] {
         let quiet = TestEndpoint::new(|stream, _| {
-            // Nothing is said; whoever gives up closes.
+            // It never answers, and closes once the proxy closes or sends more.
             let _ = stream.read(&mut [0]);
             false
         });
@@ -82,7 +83,7 @@
             _ => drop(client),
         }
         wait_until(
-            &format!("its push is given up, {behind} bytes behind, it {how}"),
+            &format!("its attempt is cancelled, {behind} bytes behind, it {how}"),
             || quiet.open_connections.load(Ordering::SeqCst) == 0,
         );
         assert_eq!(quiet.received_count(), 1);
@@ -96,7 +97,7 @@
     open_idle_connections(&proxy, &endpoint, &responses, 2);
     let mut client = proxy.send_and_wait_for_attempt(&endpoint, &request("view", 60.0, ""));
     proxy.pause();
-    // The failure lies there first, then the client's end behind some bytes.
+    // The failure is ready first, then the client's close behind some bytes.
     responses.send(INTERNAL_ERROR_RESPONSE.to_vec()).unwrap();
     sleep_ms(50);
     client.write_all(b"x").unwrap();
@@ -117,7 +118,7 @@
 
 #[test]
 fn request_ready_together_with_its_clients_close_is_not_forwarded() {
-    // One on a connection that the node knows, one on a new one.
+    // Once on a connection that the proxy has accepted before, once on a new one.
     for known in [true, false] {
         let (endpoint, responses) = TestEndpoint::answering_on_command();
         let mut proxy = ProxyProcess::in_front_of(&[&endpoint]);
@@ -125,7 +126,7 @@
         let mut client = proxy.connect();
         if known {
             client.write_all(&request("view", 60.0, "")).unwrap();
-            wait_until("it is out", || endpoint.received_count() == 3);
+            wait_until("the attempt is sent", || endpoint.received_count() == 3);
             responses.send(ok_response("x")).unwrap();
             assert!(read_message(&mut client).is_some());
             sleep_ms(30);
@@ -151,7 +152,8 @@
 
 #[test]
 fn load_probe_answered_together_with_its_clients_close_forwards_nothing() {
-    // A probe waits for a quarter of a second at most; where the machine is too busy for that, it is tried again.
+    // A probe waits for a quarter of a second at most; where the machine is too busy for that, the test tries
+    // again.
     for _ in 0..5 {
         let (allow, allowed) = mpsc::channel::<()>();
         let allowed = Mutex::new(allowed);
@@ -164,7 +166,7 @@
         });
         let shape = |c: &mut Value| {
             report_load_to_probes_alone(c);
-            // An op waits for a tenth of it.
+            // A request waits for a probe for a tenth of it.
             c["settings"]["Categories"][0]["TargetLatencyMs"] = json!(60_000.0);
         };
         let mut proxy = ProxyProcess::with_configuration(&[&endpoint], shape, None);
@@ -205,10 +207,10 @@
     let (_discovery, proxy) = ProxyProcess::with_connect_timeout(&known, 60_000.0);
     let mut client = proxy.connect();
     client.write_all(&request("view", 60.0, "")).unwrap();
-    wait_until("it dials", || is_connecting_to(address));
+    wait_until("it connects", || is_connecting_to(address));
     client.write_all(b"behind").unwrap();
     drop(client);
-    wait_until("it dials no more", || !is_connecting_to(address));
+    wait_until("it has stopped connecting", || !is_connecting_to(address));
 }
 
 #[test]
@@ -237,26 +239,26 @@
         end.store(true, Ordering::SeqCst);
     });
     let bytes = request("pay", 60.0, &"x".repeat(200_000));
-    // So little is left that it fits into any window, the end behind it too.
+    // So little is left that it fits into any window, the close behind it too.
     let first = bytes.len() - 2000;
     let mut client = proxy.connect();
     let own = client.local_addr().unwrap();
     client.write_all(&bytes[..first]).unwrap();
-    wait_until("all of it went on", || {
+    wait_until("all of it is forwarded", || {
         read.load(Ordering::SeqCst) + 500 > first
     });
     proxy.pause();
     client.write_all(&bytes[first..]).unwrap();
     drop(client);
-    // State 05: the system on the node's side has its end, behind all bytes.
-    wait_until("its end lies there", || {
+    // State 05 (FIN_WAIT2) on the client's side: the proxy's kernel has its close, behind all bytes.
+    wait_until("its close has arrived", || {
         any_connection_in_state(
             |addresses| addresses.next() == Some(&proc_net_address(own)),
             "05",
         )
     });
     proxy.resume();
-    wait_until("its push is given up", || over.load(Ordering::SeqCst));
+    wait_until("its attempt is cancelled", || over.load(Ordering::SeqCst));
     assert!(read.load(Ordering::SeqCst) < 200_000, "its client had left");
 }
 
@@ -272,7 +274,7 @@
     }
     sleep_ms(100);
     proxy.resume();
-    wait_until("they are heard", || {
+    wait_until("they are read", || {
         proxy.signal(Signal::USR1);
         proxy.log().contains("taken 302")
     });
@@ -285,7 +287,7 @@
 
 #[test]
 fn client_that_leaves_while_its_response_is_buffered_gets_no_retry() {
-    // A short answer of unknown length, held for its end: its client leaves, then it breaks.
+    // A short response of unknown length, buffered until its end: its client leaves, then it breaks.
     let (gate, opened) = mpsc::channel::<()>();
     let opened = Mutex::new(opened);
     let endpoint = TestEndpoint::new(move |stream, _| {
@@ -300,7 +302,7 @@
     let client = proxy.send_and_wait_for_attempt(&endpoint, &request("view", 60.0, ""));
     sleep_ms(50);
     proxy.pause();
-    // The break lies there first, then the client's end.
+    // The break is ready first, then the client's close.
     gate.send(()).unwrap();
     sleep_ms(50);
     drop(client);
--- a/proxy/tests/sockets/complete_responses.rs
+++ b/proxy/tests/sockets/complete_responses.rs
@@ -24,7 +24,7 @@
     ];
     for answer in answers {
         let endpoint = TestEndpoint::new(move |stream, _| {
-            // Byte by byte, as a slow network may bring it; what stands behind an answer comes with it.
+            // Byte by byte, as a slow network may deliver it; what follows a response comes with it.
             stream.set_nodelay(true).unwrap();
             let piece = if answer.ends_with(b"more") {
                 answer.len()
@@ -59,7 +59,7 @@
 #[test]
 fn each_response_ending_is_complete_or_retried_as_its_class_allows() {
     use ConnectionEnd::{Closes, ClosesThenResets, Resets};
-    // Bytes and close, and whether what they tell is whole.
+    // The bytes, how the connection ends behind them, and the body if that makes a complete response.
     let cases: [(String, ConnectionEnd, Option<&str>); 14] = [
         (format!("{HEAD_WITHOUT_LENGTH}abcde"), Closes, Some("abcde")),
         (
@@ -101,7 +101,7 @@
             match (complete, retried) {
                 (Some(body), _) => assert_eq!(got, (200, body.into()), "{case}"),
                 (None, true) => assert_eq!(got, (200, "later".into()), "{case}"),
-                (None, false) => assert_eq!(got.0, 502, "{case}: it may have run"),
+                (None, false) => assert_eq!(got.0, 502, "{case}: it may have been executed"),
             }
             assert_eq!(
                 endpoint.received_count(),
@@ -114,7 +114,7 @@
 
 #[test]
 fn reset_ready_together_with_its_response_is_not_its_end() {
-    // The node stands still until answer and reset both lie ready.
+    // The proxy is paused until both response and reset are ready.
     for (end, body) in [
         (ConnectionEnd::Resets, "later"),
         (ConnectionEnd::ClosesThenResets, "abcde"),
@@ -137,13 +137,13 @@
         let proxy = proxy_without_hedging(&endpoint);
         let mut client = proxy.connect();
         client.write_all(&request("view", 4.0, "")).unwrap();
-        wait_until("it is out", || endpoint.received_count() == 1);
+        wait_until("the attempt is sent", || endpoint.received_count() == 1);
         proxy.pause();
         gate.send(()).unwrap();
         sleep_ms(100);
         proxy.resume();
         assert_eq!(
-            read_message(&mut client).expect("an answer").1,
+            read_message(&mut client).expect("a response").1,
             body.as_bytes(),
             "{end:?}"
         );
@@ -152,7 +152,8 @@
 
 #[test]
 fn response_that_breaks_late_or_hangs_is_not_begun_to_its_client() {
-    // Long after its head: a few hundred bytes, whose op may go elsewhere as long as none of them has gone on.
+    // Long after its head: a few hundred bytes, whose request may be retried as long as none of them has been
+    // forwarded.
     let part = format!("{HEAD_WITHOUT_LENGTH}{}", "x".repeat(700)).into_bytes();
     for (request_class, status) in [("view", 200), ("order", 200), ("pay", 502)] {
         let endpoint = endpoint_with_first_response(part.clone(), 600, ConnectionEnd::Resets);
@@ -164,7 +165,7 @@
             "{request_class}"
         );
     }
-    // The same for one that no buffer's size shows to be long.
+    // The same for one that is not known to be long by a buffer's size.
     let endpoint = endpoint_with_first_response(
         [HEAD_WITHOUT_LENGTH.as_bytes(), &[b'x'; 20_000]].concat(),
         600,
@@ -174,7 +175,7 @@
         proxy_without_hedging(&endpoint).send_request(&request("view", 3.0, "")),
         (200, "later".into())
     );
-    // Its server hangs: an answer of the node's own, in time.
+    // Its endpoint hangs: a response of the proxy's own, in time.
     for (request_class, status) in [("view", 503), ("pay", 502)] {
         let endpoint = endpoint_with_first_response(part.clone(), 0, ConnectionEnd::Hangs);
         let proxy = proxy_without_hedging(&endpoint);
@@ -189,7 +190,8 @@
             from.elapsed()
         );
     }
-    // It breaks in the last milliseconds of its op's time: an answer all the same, and none that is cut.
+    // It breaks in the last milliseconds before the request's deadline: a response all the same, and none that
+    // is cut.
     let endpoint = TestEndpoint::new(move |stream, _| {
         sleep_ms(465);
         write_then_end(stream, &part, 10, ConnectionEnd::Resets)
@@ -210,8 +212,8 @@
     let proxy = proxy_without_hedging(&endpoint);
     let mut client = proxy.connect();
     client.write_all(&request("pay", 3.0, "")).unwrap();
-    let (head, body) = read_message(&mut client).expect("an answer");
-    // Held whole, it has a length of its own.
+    let (head, body) = read_message(&mut client).expect("a response");
+    // Buffered completely, it gets a length of its own.
     assert_eq!(
         (header_value(&head, "Content-Length"), body),
         (Some("6".into()), b"abcdef".to_vec())
--- a/proxy/tests/sockets/connection_limits.rs
+++ b/proxy/tests/sockets/connection_limits.rs
@@ -21,7 +21,11 @@
     for _ in 0..3 {
         kept.write_all(&request("view", 1.0, "")).unwrap();
         assert_eq!(
-            status_code(&read_message(&mut kept).expect("the op's client stays").0),
+            status_code(
+                &read_message(&mut kept)
+                    .expect("the client's connection is kept")
+                    .0
+            ),
             200
         );
         let mut checks: Vec<_> = (0..20).map(|_| proxy.connect()).collect();
@@ -29,7 +33,7 @@
             check
                 .write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
                 .unwrap();
-            let (head, _) = read_message(check).expect("an answer");
+            let (head, _) = read_message(check).expect("a response");
             assert_eq!(
                 (
                     status_code(&head),
@@ -56,14 +60,14 @@
             let mut client = proxy.connect();
             client.write_all(&request("view", 1.0, "")).unwrap();
             assert_eq!(
-                status_code(&read_message(&mut client).expect("an answer").0),
+                status_code(&read_message(&mut client).expect("a response").0),
                 200
             );
             sleep_ms(20);
             client
         })
         .collect();
-    // Of sixty at most seven, and those that have just had theirs.
+    // Of sixty connections at most seven idle ones are kept, and those that have just had their response.
     let open = once.iter_mut().filter_map(|client| {
         client.set_nonblocking(true).unwrap();
         client.read(&mut [0]).err()
@@ -122,7 +126,8 @@
                     proxy.send_with_reconnect(&request("view", 0.6, "")),
                     502 | 503
                 ));
-                // Whoever waited unaccepted while the first ones were out would come after their time.
+                // A client that was not accepted while the first requests were in flight would be served after
+                // its deadline.
                 assert!(from.elapsed() < Duration::from_millis(750));
             });
         }
@@ -135,7 +140,7 @@
         sleep_ms(100);
         stream.write_all(&ok_response("x")).is_ok()
     });
-    // The system's own limit is lower still.
+    // The system's limit on descriptors is lower still.
     let proxy = ProxyProcess::with_configuration(
         &[&slow],
         |c| c["limits"]["sockets"] = json!(40),
--- a/proxy/tests/sockets/descriptor_exhaustion.rs
+++ b/proxy/tests/sockets/descriptor_exhaustion.rs
@@ -15,7 +15,7 @@
 use std::thread;
 use std::time::Duration;
 
-/// Clients that connect, say nothing and stay, ever new ones, until it is dropped.
+/// Clients that connect and stay silent, with new ones all the time, until it is dropped.
 struct IdleConnectionFlood(Arc<AtomicBool>);
 
 impl IdleConnectionFlood {
@@ -48,10 +48,8 @@
 
 #[test]
 fn clients_that_hold_every_descriptor_block_no_update_disable_reload_or_upgrade() {
-    let (one, two) = (
-        TestEndpoint::always_answering(ok_response("s0")),
-        TestEndpoint::always_answering(ok_response("s1")),
-    );
+    let one = TestEndpoint::always_answering(ok_response("s0"));
+    let two = TestEndpoint::always_answering(ok_response("s1"));
     let hosts = [
         endpoint_entry("s0", one.address, "Ready"),
         endpoint_entry("s1", two.address, "Ready"),
@@ -70,7 +68,7 @@
             .count()
     };
     wait_until("they hold all", || held() >= 40);
-    // Discovery is down, and the watch with it: each call needs a connection of its own.
+    // Discovery is down, and the watch with it: each call needs a new connection.
     discovery.refuses.store(true, Ordering::SeqCst);
     sleep_ms(3000);
     discovery
@@ -79,7 +77,7 @@
         .unwrap()
         .push(endpoint_list(2, false, &[]));
     discovery.refuses.store(false, Ordering::SeqCst);
-    wait_until("the list is followed", || {
+    wait_until("the update is applied", || {
         discovery
             .calls
             .lock()
@@ -109,10 +107,10 @@
         assert_eq!(
             proxy.metric("ejected"),
             Some(ejected),
-            "it is in force, not only noted: {call}"
+            "it is applied, not only stored: {call}"
         );
     }
-    // Not asked for at the door, whose callers leave a descriptor free behind them.
+    // Not checked by the admin API, whose callers leave a descriptor free behind them.
     let read = || proxy.log().matches("configuration read again").count();
     for round in 1..=10 {
         wait_until("they hold all", || held() >= 40);
--- a/proxy/tests/sockets/disabled_endpoints.rs
+++ b/proxy/tests/sockets/disabled_endpoints.rs
@@ -12,7 +12,8 @@
 
 #[test]
 fn disabled_endpoint_gets_nothing_across_a_crash_until_it_is_enabled() {
-    let (one, two) = (TestEndpoint::echoing(), TestEndpoint::echoing());
+    let one = TestEndpoint::echoing();
+    let two = TestEndpoint::echoing();
     let mut proxy = ProxyProcess::with_admin_api(&[&one, &two], |_| ());
     let all = |proxy: &ProxyProcess| {
         (0..12).all(|_| proxy.send_request(&request("view", 2.0, "")).0 == 200)
@@ -24,7 +25,7 @@
         assert_eq!(
             proxy.admin_call("POST", "/v1/servers/s0/suspend").0,
             200,
-            "may be repeated"
+            "may be called again"
         );
     }
     wait_until("idle connections are closed", || {
@@ -109,7 +110,7 @@
     {
         std::fs::write(entry.path(), "").unwrap();
     }
-    // Gone from the list it is still known, and still out.
+    // An endpoint that is not in the list any more is still known, and still disabled.
     discovery.notify(endpoint_list(2, true, &hosts[1..]));
     wait_until("one is gone", || proxy.metric("discovered") == Some(1));
     assert_eq!(
--- a/proxy/tests/sockets/discovery.rs
+++ b/proxy/tests/sockets/discovery.rs
@@ -23,7 +23,7 @@
         200,
         "served by the list it knew"
     );
-    // After the broken answer nothing is said: it must call again and again, on new connections.
+    // After the broken response discovery is silent: the proxy must call again and again, on new connections.
     wait_until("it has called three times", || {
         discovery.calls.lock().unwrap().len() >= 3
     });
@@ -53,8 +53,8 @@
     let _node = ProxyProcess::start(&configuration, None);
     let mut gaps = gaps.join().unwrap();
     gaps.sort();
-    // Waits that double to a quarter of `AskWithinMs` come to 1 s and more by the fourth. A busy machine may be
-    // late once or twice; half of the nine are not.
+    // Backoff that doubles to a quarter of `AskWithinMs` comes to 1 s and more by the fourth retry. A busy
+    // machine may be late once or twice; half of the nine are not.
     assert!(
         gaps[gaps.len() / 2] < Duration::from_millis(450),
         "{gaps:?}"
@@ -66,7 +66,7 @@
     let endpoint = TestEndpoint::echoing();
     let ready = [endpoint_entry("s0", endpoint.address, "Ready")];
     let known = endpoint_list(7, true, &ready);
-    // It answers the first call with its own version, older than the one that is known.
+    // It answers the first call with its own version, older than the known one.
     let discovery = TestDiscovery::new(endpoint_list(3, false, &[]));
     discovery.notify(endpoint_list(3, true, &ready));
     let proxy = ProxyProcess::start(&configuration(discovery.address, &known), None);
--- a/proxy/tests/sockets/discovery_faults.rs
+++ b/proxy/tests/sockets/discovery_faults.rs
@@ -12,10 +12,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The bound of the operators is 6 s; a busy machine is given a second of it.
+/// The operators' limit is 6 s; one second of it is left for a busy machine.
 const MAX_NOTIFICATION_TIME: Duration = Duration::from_millis(5000);
 
-/// A node of a process of its own before two servers, of which the first drains once discovery has its change.
+/// A proxy with two endpoints, of which the first drains once discovery has the update.
 struct DrainNotification {
     proxy: ProxyProcess,
     discovery: ScriptedDiscovery,
@@ -36,7 +36,7 @@
         let discovery = ScriptedDiscovery::new(endpoint_list(1, true, &hosts), &[]);
         let mut config = configuration(discovery.address, &endpoint_list(1, true, &hosts));
         config["settings"]["Discovery"] = json!(if watched { "automatic" } else { "subscribe" });
-        // The longest that settings have been seen to tell.
+        // The longest interval that settings have been seen to give.
         config["settings"]["Obligations"]["AskWithinMs"] = json!(8000.0);
         config["settings"]["Obligations"]["StopSendingWithinMs"] = json!(5000.0);
         let proxy = ProxyProcess::start(&config, None);
@@ -54,10 +54,10 @@
         }
     }
 
-    /// PolicyKind long it takes until nothing goes to the server that drains.
+    /// How long it takes until nothing goes to the draining endpoint.
     fn time_until_drained(&self, from: Instant, discovery: &ScriptedDiscovery) -> Duration {
         loop {
-            // Its watch for what comes after the news says that it has them.
+            // The proxy's watch for changes after the update shows that it has the update.
             let has = discovery
                 .calls
                 .lock()
@@ -73,14 +73,14 @@
                 assert_eq!(self.endpoints[0].received_count(), before, "it drains");
                 return took;
             }
-            assert!(from.elapsed() < Duration::from_secs(12), "never taken");
+            assert!(from.elapsed() < Duration::from_secs(12), "never applied");
             sleep_ms(10);
         }
     }
 
-    /// The change comes, and this becomes of the calls: the watch that is open first.
+    /// How long the update takes when the calls, beginning with the open watch, have these outcomes.
     fn time_after_calls(&self, script: &[CallOutcome]) -> Duration {
-        // A watch that was opened before the script: it is let go, and the next is the script's first.
+        // A watch that was opened before the script is left to end; the next one is the script's first.
         self.discovery.script.lock().unwrap().extend(script);
         let before = self.discovery.call_count();
         wait_until("the next watch is open", || {
@@ -96,7 +96,7 @@
     }
 }
 
-/// Plays a case where lists are pushed and where they are asked for, each with a process of its own.
+/// Runs a case with watches and with polls, each with a proxy of its own.
 fn watched_and_polled(case: &(dyn Fn(bool) -> Duration + Sync)) -> [Duration; 2] {
     thread::scope(|scope| {
         let watched = scope.spawn(|| case(true));
@@ -125,8 +125,8 @@
                 let took = watched_and_polled(&|watched| {
                     DrainNotification::new(watched).time_after_calls(script)
                 });
-                println!("{script:?}: {took:.1?}, pushed and asked for");
-                // Three that are swallowed come to 5 s by themselves, and to under 6 s on a busy machine.
+                println!("{script:?}: {took:.1?}, watched and polled");
+                // Three unanswered calls take 5 s by themselves, and under 6 s on a busy machine.
                 let limit = if *script == [Unanswered; 3] {
                     Duration::from_millis(5800)
                 } else {
@@ -134,7 +134,7 @@
                 };
                 assert!(
                     took.iter().all(|t| *t < limit),
-                    "{script:?}: {took:?}, pushed and asked for"
+                    "{script:?}: {took:?}, watched and polled"
                 );
             });
         }
@@ -143,7 +143,7 @@
 
 #[test]
 fn update_after_an_outage_is_applied_in_time() {
-    // Long enough for waits to have grown to their longest; then one more call is refused and one breaks.
+    // Long enough for the backoff to reach its maximum; then one more call is reset and one is broken off.
     let outage = |watched: bool, silent: bool| {
         let notification = DrainNotification::new(watched);
         let unanswered = [CallOutcome::Unanswered; 64];
@@ -179,7 +179,7 @@
             let outage = &outage;
             scope.spawn(move || {
                 let took = watched_and_polled(&|watched| outage(watched, silent));
-                println!("outage, silent {silent}: {took:.1?}, pushed and asked for");
+                println!("outage, silent {silent}: {took:.1?}, watched and polled");
                 assert!(
                     took.iter().all(|t| *t < MAX_NOTIFICATION_TIME),
                     "silent {silent}: {took:?}"
@@ -200,7 +200,7 @@
             .unwrap()
             .extend([CallOutcome::Unanswered; 64]);
         let before = notification.discovery.call_count();
-        wait_until("it hears nothing", || {
+        wait_until("its calls stay unanswered", || {
             notification.discovery.call_count() > before + 1
         });
         let hosts = [
@@ -218,8 +218,8 @@
         notification.time_until_drained(from, &new)
     };
     let took = watched_and_polled(&moved);
-    println!("moved: {took:.1?}, pushed and asked for");
-    // What discovery has counts 4 s after the new configuration.
+    println!("moved: {took:.1?}, watched and polled");
+    // The list of the new discovery must be applied within 4 s of the new configuration.
     assert!(
         took.iter().all(|t| *t < Duration::from_millis(3500)),
         "{took:?}"
--- a/proxy/tests/sockets/draining.rs
+++ b/proxy/tests/sockets/draining.rs
@@ -12,10 +12,8 @@
 
 #[test]
 fn draining_endpoint_gets_no_new_requests() {
-    let (one, two) = (
-        TestEndpoint::always_answering(ok_response("one")),
-        TestEndpoint::always_answering(ok_response("two")),
-    );
+    let one = TestEndpoint::always_answering(ok_response("one"));
+    let two = TestEndpoint::always_answering(ok_response("two"));
     let known = endpoint_list(
         1,
         true,
@@ -52,7 +50,7 @@
             (200, "two".into())
         );
     }
-    // A whole list without it says the same of the other.
+    // A complete list without the other one has the same effect on that.
     discovery.notify(endpoint_list(
         3,
         true,
@@ -70,7 +68,7 @@
 
 #[test]
 fn attempt_still_connecting_leaves_a_draining_endpoint() {
-    // Its queue of connections is full, so that a further one comes up late, if at all.
+    // Its accept queue is full, so that a further connection is established late, if at all.
     let (_listener, address, _queued) = full_accept_queue();
     let good = TestEndpoint::always_answering(ok_response("good"));
     let known = endpoint_list(1, true, &[endpoint_entry("stuck", address, "Ready")]);
@@ -84,6 +82,6 @@
     ];
     let from = Instant::now();
     discovery.notify(endpoint_list(2, false, &hosts));
-    assert_eq!(read_message(&mut client).expect("an answer").1, b"good");
+    assert_eq!(read_message(&mut client).expect("a response").1, b"good");
     assert!(from.elapsed() < Duration::from_millis(500), "at once");
 }
--- a/proxy/tests/sockets/duplicate_responses.rs
+++ b/proxy/tests/sockets/duplicate_responses.rs
@@ -11,8 +11,8 @@
 
 #[test]
 fn duplicate_response_right_behind_the_first_reaches_no_client() {
-    // Whether a copy came later than any that is sent right behind, which is all that the node sees through: a
-    // busy machine sets the server's thread aside between the two.
+    // Whether a duplicate came later than those that are sent right behind, which are all that the proxy can
+    // detect: a busy machine may suspend the endpoint's thread between the two.
     let second_was_late = Arc::new(AtomicBool::new(false));
     let set_aside = second_was_late.clone();
     let endpoint = TestEndpoint::new(move |stream, received| {
@@ -20,7 +20,7 @@
         stream.set_nodelay(true).unwrap();
         let number: u32 = String::from_utf8_lossy(&received.body).parse().unwrap_or(0);
         if number.is_multiple_of(2) {
-            // Both in one go.
+            // Both in one write.
             return stream.write_all(&answer.repeat(2)).is_ok();
         }
         let from = Instant::now();
@@ -38,14 +38,14 @@
     for number in 0..100 {
         let body = number.to_string();
         client.write_all(&request("pay", 2.0, &body)).unwrap();
-        let (head, got) = read_message(&mut client).expect("an answer");
+        let (head, got) = read_message(&mut client).expect("a response");
         let same = (
             status_code(&head),
             String::from_utf8_lossy(&got).into_owned(),
         ) == (200, body.clone());
         sleep_ms(if same { 0 } else { 20 });
         if second_was_late.swap(false, Ordering::SeqCst) {
-            // What comes of that copy is not this test's.
+            // The effect of that duplicate is not tested here.
             client = proxy.connect();
             continue;
         }
@@ -65,7 +65,7 @@
         if stream.write_all(&ok_response(&body)).is_err() {
             return false;
         }
-        // The second copy goes out behind the next request on this connection, if that comes within 8 ms.
+        // The duplicate is sent behind the next request on this connection, if that comes within 8 ms.
         stream
             .set_read_timeout(Some(Duration::from_millis(8)))
             .unwrap();
@@ -86,6 +86,6 @@
     }
     assert!(
         !duplicate_sent.load(Ordering::SeqCst),
-        "no connection is used again so soon"
+        "no connection is reused so soon"
     );
 }
--- a/proxy/tests/sockets/endpoint_list.rs
+++ b/proxy/tests/sockets/endpoint_list.rs
@@ -15,10 +15,8 @@
 
 #[test]
 fn torn_indented_empty_repeated_and_older_lists_are_survived() {
-    let (one, two) = (
-        TestEndpoint::always_answering(ok_response("one")),
-        TestEndpoint::always_answering(ok_response("two")),
-    );
+    let one = TestEndpoint::always_answering(ok_response("one"));
+    let two = TestEndpoint::always_answering(ok_response("two"));
     let known = endpoint_list(5, true, &[endpoint_entry("one", one.address, "Ready")]);
     let both = [
         endpoint_entry("one", one.address, "Terminating"),
@@ -34,7 +32,7 @@
         indented.clone(),
         indented,
         endpoint_list(6, false, &[]).to_string(),
-        // Older: what has come since is asked for whole.
+        // An older list: the proxy then asks for the complete list.
         endpoint_list(2, false, &[]).to_string(),
         endpoint_list(6, true, &both).to_string(),
     ];
@@ -60,7 +58,7 @@
         }
     });
     let proxy = ProxyProcess::start(&configuration(address, &known), None);
-    wait_until("all of them are told", || calls.lock().unwrap().len() == 10);
+    wait_until("all of them are sent", || calls.lock().unwrap().len() == 10);
     let requests = calls.lock().unwrap().clone();
     assert!(
         requests[8].starts_with("GET /catalog/members HTTP"),
@@ -90,7 +88,7 @@
         let text = format!("{:#}", endpoint_list(1, true, &hosts)).replace("\n", "\n      ");
         assert!(
             count < 6000 || text.len() > 1024 * 1024,
-            "over what one buffer held"
+            "more than one buffer holds"
         );
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
@@ -117,19 +115,18 @@
 #[test]
 fn list_cut_at_any_byte_is_ignored_and_the_complete_one_after_it_is_applied() {
     let endpoint = TestEndpoint::always_answering(ok_response("x"));
-    let (one, two) = (
-        endpoint_entry("s0", endpoint.address, "Ready"),
-        endpoint_entry("s1", endpoint.address, "Ready"),
-    );
+    let one = endpoint_entry("s0", endpoint.address, "Ready");
+    let two = endpoint_entry("s1", endpoint.address, "Ready");
     let known = endpoint_list(1, true, std::slice::from_ref(&one));
-    // A key that nobody knows is no fault.
+    // An unknown key is not an error.
     let mut update = endpoint_list(2, true, &[one, two]);
     update["more"] = json!({"odd": [1]});
     let text = ok_response(&update.to_string());
     let lanes = 12;
     thread::scope(|scope| {
         for lane in 0..lanes {
-            let (text, known) = (&text, &known);
+            let text = &text;
+            let known = &known;
             scope.spawn(move || {
                 let cuts: Vec<usize> = (lane..text.len()).step_by(lanes).collect();
                 let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -154,7 +151,7 @@
                 let (mut stream, _) = listener.accept().unwrap();
                 assert!(read_message(&mut stream).is_some());
                 stream.write_all(text).unwrap();
-                wait_until("the whole one is taken", || {
+                wait_until("the complete one is applied", || {
                     proxy.metric("discovered") == Some(2)
                 });
             });
--- a/proxy/tests/sockets/event_order.rs
+++ b/proxy/tests/sockets/event_order.rs
@@ -16,27 +16,25 @@
 fn response_ready_at_the_deadline_is_not_a_timeout() {
     let (endpoint, responses) = TestEndpoint::answering_on_command();
     let proxy = ProxyProcess::in_front_of(&[&endpoint]);
-    // At most once: a time-out beside the answer would be a failure for good.
+    // Not idempotent: a timeout beside the response would be a final failure.
     let mut client = proxy.send_and_wait_for_attempt(&endpoint, &request("pay", 0.4, ""));
     proxy.pause();
     responses.send(ok_response("in time")).unwrap();
     sleep_ms(600);
     proxy.resume();
-    let (head, body) = read_message(&mut client).expect("an answer");
+    let (head, body) = read_message(&mut client).expect("a response");
     assert_eq!((status_code(&head), &body[..]), (200, &b"in time"[..]));
 }
 
 #[test]
 fn drain_is_applied_before_a_request_that_arrived_ahead_of_it() {
-    let (one, two) = (
-        TestEndpoint::always_answering(ok_response("one")),
-        TestEndpoint::always_answering(ok_response("two")),
-    );
+    let one = TestEndpoint::always_answering(ok_response("one"));
+    let two = TestEndpoint::always_answering(ok_response("two"));
     let known = endpoint_list(1, true, &[endpoint_entry("one", one.address, "Ready")]);
     let (discovery, proxy) = ProxyProcess::with_known_list(&known);
     let mut client = proxy.connect();
     client.write_all(&request("view", 5.0, "")).unwrap();
-    assert_eq!(read_message(&mut client).expect("an answer").1, b"one");
+    assert_eq!(read_message(&mut client).expect("a response").1, b"one");
     wait_until("it watches", || discovery.calls.lock().unwrap().len() >= 2);
     proxy.pause();
     client.write_all(&request("view", 60.0, "")).unwrap();
@@ -49,19 +47,17 @@
             endpoint_entry("two", two.address, "Ready"),
         ],
     ));
-    // Longer than the grace.
+    // Longer than the drain grace.
     sleep_ms(200);
     proxy.resume();
-    assert_eq!(read_message(&mut client).expect("an answer").1, b"two");
+    assert_eq!(read_message(&mut client).expect("a response").1, b"two");
     assert_eq!(one.received_count(), 1);
 }
 
 #[test]
 fn drain_ready_together_with_a_reload_is_applied() {
-    let (one, two) = (
-        TestEndpoint::always_answering(ok_response("one")),
-        TestEndpoint::always_answering(ok_response("two")),
-    );
+    let one = TestEndpoint::always_answering(ok_response("one"));
+    let two = TestEndpoint::always_answering(ok_response("two"));
     let known = endpoint_list(
         1,
         true,
@@ -73,7 +69,7 @@
     let old = TestDiscovery::new(known.clone());
     let proxy = ProxyProcess::start(&configuration(old.address, &known), None);
     wait_until("it watches", || old.calls.lock().unwrap().len() >= 2);
-    // The new one hears and says nothing.
+    // The new discovery accepts calls and never answers.
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     proxy.pause();
     old.notify(endpoint_list(
@@ -84,7 +80,7 @@
     proxy.reload(&configuration(silent.local_addr().unwrap(), &known).to_string());
     sleep_ms(50);
     proxy.resume();
-    wait_until("it is taken over", || {
+    wait_until("it is applied", || {
         proxy.log().contains("configuration read again")
     });
     let before = one.received_count();
@@ -105,12 +101,12 @@
     client.write_all(&request("view", 5.0, "")).unwrap();
     assert!(read_message(&mut client).is_some());
     proxy.pause();
-    // Connections stand idle for 2 s at most.
+    // Connections may be idle for 2 s at most.
     sleep_ms(2300);
     client.write_all(&request("pay", 60.0, "")).unwrap();
     proxy.resume();
     assert_eq!(
-        status_code(&read_message(&mut client).expect("an answer").0),
+        status_code(&read_message(&mut client).expect("a response").0),
         200
     );
 }
@@ -127,10 +123,10 @@
     let mut idle: Vec<TcpStream> = (0..8).map(|_| proxy.connect()).collect();
     for client in &mut idle {
         client.write_all(&request("view", 5.0, "")).unwrap();
-        // One of them may have made room for another that came; it is the first ones that count below.
+        // One of them may have been evicted for another; the first of those that remain counts below.
         let _ = read_message(client);
     }
-    // So long that they count as standing, and no longer than they may.
+    // So long that they count as idle, and shorter than the idle timeout.
     sleep_ms(150);
     proxy.pause();
     let mut asking: Vec<TcpStream> = idle
@@ -144,7 +140,7 @@
             open
         })
         .collect();
-    // Who had its answer longest ago would go first.
+    // The connection with the oldest response would be evicted first.
     let mut first = asking.remove(0);
     first.write_all(&request("pay", 60.0, "")).unwrap();
     let mut new: Vec<TcpStream> = (0..4)
@@ -154,13 +150,13 @@
         .for_each(|client| client.write_all(&request("view", 60.0, "")).unwrap());
     proxy.resume();
     assert_eq!(
-        status_code(&read_message(&mut first).expect("an answer").0),
+        status_code(&read_message(&mut first).expect("a response").0),
         200
     );
     for client in &mut new {
         client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
         assert!(matches!(
-            status_code(&read_message(client).expect("an answer").0),
+            status_code(&read_message(client).expect("a response").0),
             200 | 503
         ));
     }
@@ -168,7 +164,7 @@
 
 #[test]
 fn more_than_a_thousand_ready_events_are_handled_before_due_timers() {
-    // The usual limit of 1,024 descriptors is under what this test holds.
+    // The usual limit of 1,024 descriptors is too low for what this test opens.
     let mut limit = getrlimit(Resource::Nofile);
     limit.current = limit.maximum;
     setrlimit(Resource::Nofile, limit).expect("up to the hard limit anybody may go");
@@ -179,10 +175,11 @@
         None,
     );
     let mut client = proxy.send_and_wait_for_attempt(&endpoint, &request("pay", 0.4, ""));
-    // Twelve hundred that have come and say something, all of it ready at once, ahead of the answer.
+    // Twelve hundred clients that are connected and send something, all of it ready at once, ahead of the
+    // response.
     let mut many: Vec<TcpStream> = (0..1200).map(|_| proxy.connect()).collect();
     let known = || proxy.log().contains("accepted 1202");
-    wait_until("all are known", || {
+    wait_until("all are accepted", || {
         proxy.signal(Signal::USR1);
         known()
     });
@@ -192,6 +189,6 @@
     responses.send(ok_response("in time")).unwrap();
     sleep_ms(600);
     proxy.resume();
-    let (head, body) = read_message(&mut client).expect("an answer");
+    let (head, body) = read_message(&mut client).expect("a response");
     assert_eq!((status_code(&head), &body[..]), (200, &b"in time"[..]));
 }
--- a/proxy/tests/sockets/keep_alive.rs
+++ b/proxy/tests/sockets/keep_alive.rs
@@ -23,7 +23,7 @@
     let ask = || assert_eq!(proxy.send_request(&request("view", 1.0, "")).0, 200);
     thread::scope(|scope| (0..3).for_each(|_| drop(scope.spawn(ask))));
     assert_eq!(endpoint.open_connections.load(Ordering::SeqCst), 3, "kept");
-    // Long enough for them to be used again.
+    // Long enough for them to be reused.
     sleep_ms(50);
     silent.store(true, Ordering::SeqCst);
     assert_eq!(proxy.send_request(&request("pay", 0.3, "")).0, 502);
@@ -40,13 +40,13 @@
     for _ in 0..20 {
         client.write_all(&request("pay", 2.0, "")).unwrap();
         assert_eq!(
-            status_code(&read_message(&mut client).expect("an answer").0),
+            status_code(&read_message(&mut client).expect("a response").0),
             200
         );
         wait_until("it is closed", || {
             closes.open_connections.load(Ordering::SeqCst) == 0
         });
-        // The news of that is on its way.
+        // The close is on its way to the proxy.
         sleep_ms(20);
     }
 }
@@ -77,7 +77,7 @@
     for body in ["first", "second"] {
         responses.send(ok_response(body)).unwrap();
         assert_eq!(
-            read_message(&mut client).expect("an answer").1,
+            read_message(&mut client).expect("a response").1,
             body.as_bytes()
         );
     }
--- a/proxy/tests/sockets/main.rs
+++ b/proxy/tests/sockets/main.rs
@@ -19,6 +19,7 @@
 mod load_probes;
 mod memory;
 mod metrics;
+mod mixed_load_reporting;
 mod process;
 mod reload;
 mod request_forwarding;
--- a/proxy/tests/sockets/memory.rs
+++ b/proxy/tests/sockets/memory.rs
@@ -32,7 +32,7 @@
         })
         .collect();
     sleep_ms(50);
-    // What it sent is read on without a buffer: a reset would take the answer with it.
+    // What the client sent is read without a buffer: a reset would discard the response.
     assert_eq!(proxy.send_request(&request("view", 1.0, "")).0, 503);
     drop(begun);
     wait_until("buffers are back", || {
@@ -50,17 +50,17 @@
                   received: &ReceivedRequest,
                   allowed: &Mutex<_>,
                   all_out: &AtomicBool| {
-        wait_until("all are out", || all_out.load(Ordering::SeqCst));
+        wait_until("all are sent", || all_out.load(Ordering::SeqCst));
         if received.head.starts_with("POST /pay/") {
             let allowed: MutexGuard<Receiver<()>> = allowed.lock().unwrap();
             let _ = allowed.recv_timeout(TEST_TIMEOUT);
             return stream.write_all(&ok_response("paid")).is_ok();
         }
-        // Whoever asked for this takes nothing of it.
+        // The client of this one reads nothing of it.
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
         stream.write_all(head.as_bytes()).is_ok() && stream.write_all(&vec![b'x'; LONG]).is_ok()
     };
-    // As many as have room for all of them from the start.
+    // As many endpoints as have capacity for all requests from the start.
     let endpoints: Vec<TestEndpoint> = (0..3)
         .map(|_| {
             let allowed = allowed.clone();
@@ -74,7 +74,7 @@
             .map(TestEndpoint::received_count)
             .sum::<usize>()
     };
-    // Sixteen buffers, of which requests and pushes leave eight.
+    // Sixteen buffers, of which requests and attempts leave eight.
     let change = |c: &mut Value| {
         c["limits"]["memory_mb"] = json!(1);
         disable_hedging(c);
@@ -91,28 +91,28 @@
             .concat(),
         )
         .unwrap();
-    wait_until("it is out", || attempts() == 1);
+    wait_until("the attempt is sent", || attempts() == 1);
     let readers: Vec<_> = (0..6)
         .map(|n| {
             let mut reader = proxy.connect();
             reader
                 .write_all(&[request("view", 60.0, ""), request("view", 60.0, "")].concat())
                 .unwrap();
-            wait_until("it is out", || attempts() == n + 2);
+            wait_until("the attempt is sent", || attempts() == n + 2);
             reader
         })
         .collect();
-    // One more waits for its body.
+    // One more request has not sent its body yet.
     let mut half = proxy.connect();
     half.write_all(&request("view", 60.0, "xx")[..90]).unwrap();
     all_out.store(true, Ordering::SeqCst);
-    // One for which none is left to read its server's answer into has failed, and is told so. None is cut off.
+    // A request without a buffer left for its response has failed, and is answered so. None is cut off.
     let answer_begun = |stream: &TcpStream| stream.peek(&mut [0; 12]).is_ok_and(|n| n == 12);
-    wait_until("answers begin", || readers.iter().all(answer_begun));
+    wait_until("responses begin", || readers.iter().all(answer_begun));
     sleep_ms(200);
     allow.send(()).unwrap();
-    // Where none is left to read the server's answer into, it has failed; either is a final answer.
-    let (head, body) = read_message(&mut client).expect("an answer");
+    // Without a buffer left for the response, the request has failed; either is a final response.
+    let (head, body) = read_message(&mut client).expect("a response");
     assert!(
         matches!((status_code(&head), &body[..]), (200, b"paid") | (502, b"")),
         "{head}"
@@ -180,14 +180,14 @@
         ));
         assert!(
             from.elapsed() < Duration::from_millis(1500),
-            "short ops keep their time"
+            "short requests keep their deadline"
         );
     }
     let got: Vec<usize> = slow
         .into_iter()
         .map(|client| client.join().unwrap())
         .collect();
-    assert!(got.iter().all(|n| *n > 0), "each has an answer: {got:?}");
+    assert!(got.iter().all(|n| *n > 0), "each has a response: {got:?}");
     assert!(
         proxy.peak_memory_kb() - before < 12 * 1024,
         "{} kB from {before}",
@@ -204,7 +204,7 @@
     let mut cycle = |ids: usize| {
         for _ in 0..ids {
             version += 1;
-            // A whole list: one server stays, four are new, those of the list before are gone.
+            // A complete list: one endpoint stays, four are new, those of the previous list are removed.
             let fresh = (0..4)
                 .map(|k| endpoint_entry(&format!("s-{version}-{k}"), endpoint.address, "Ready"));
             let hosts: Vec<_> = std::iter::once(endpoint_entry("s0", endpoint.address, "Ready"))
@@ -223,13 +223,13 @@
         sleep_ms(200);
         proxy.memory_kb()
     };
-    // A server is forgotten a minute after its last word (the module's tests let that pass), and no test here
-    // waits so long: what may grow meanwhile is a record a server, under a kilobyte.
+    // An endpoint is forgotten a minute after it was last heard of (the module's tests cover that), and no test
+    // here waits so long: until then memory may grow by one record per endpoint, less than a kilobyte.
     let early = cycle(60);
     let late = cycle(240);
     let records = 240 * 4;
     assert!(
         late < early + records + 512,
-        "{early} kB, then {late} kB over {records} more servers"
+        "{early} kB, then {late} kB over {records} more endpoints"
     );
 }
--- a/proxy/tests/sockets/metrics.rs
+++ b/proxy/tests/sockets/metrics.rs
@@ -61,11 +61,11 @@
     assert_eq!(
         proxy.send_request(&request("pay", 2.0, "half")).0,
         0,
-        "cut off, and seen to be"
+        "visibly cut off"
     );
     let mut waits = proxy.connect();
     waits.write_all(&request("pay", 3.0, "wait")).unwrap();
-    wait_until("it is out", || {
+    wait_until("the attempt is sent", || {
         proxy.metric("outstanding") == Some(1) && proxy.metric("forwards") == Some(6)
     });
     assert_eq!(
@@ -81,20 +81,22 @@
     assert_eq!(
         proxy.send_request(&request("order", 2.0, "")).0,
         503,
-        "all are out"
+        "all are sent"
     );
     assert_eq!(proxy.metric("declined.order"), Some(1));
-    // A category that vanishes takes no count with it, and files are counted as they are taken.
+    // A request class that is removed keeps its counts, and reloads are counted as they are applied.
     let mut config = proxy.configuration();
     config["settings"]["Categories"]
         .as_array_mut()
         .unwrap()
         .remove(0);
     proxy.reload(&config.to_string());
-    wait_until("it is taken", || proxy.metric("sighup_applied") == Some(1));
+    wait_until("it is applied", || {
+        proxy.metric("sighup_applied") == Some(1)
+    });
     assert_eq!(proxy.metric("succeeded.view"), Some(3));
     proxy.reload("{");
-    wait_until("it is turned down", || {
+    wait_until("it is rejected", || {
         proxy.metric("sighup_rejected") == Some(1)
     });
     assert_eq!(proxy.metric("sighup_applied"), Some(1));
--- a/proxy/tests/sockets/process.rs
+++ b/proxy/tests/sockets/process.rs
@@ -7,8 +7,8 @@
 
 #[test]
 fn proxy_is_one_process_without_io_uring_and_starts_no_program() {
-    // What else would be refused (splice, sendfile, a copy within the kernel) has no call in the node:
-    // clippy.toml names the ways to them, and CI runs it.
+    // What else a platform may forbid (splice, sendfile, copy_file_range) is not called by the proxy:
+    // clippy.toml names the functions, and CI runs it.
     let endpoint = TestEndpoint::always_answering(ok_response("x"));
     let proxy = ProxyProcess::in_front_of(&[&endpoint]);
     assert_eq!(proxy.send_request(&request("view", 1.0, "")).0, 200);
--- a/proxy/tests/sockets/reload.rs
+++ b/proxy/tests/sockets/reload.rs
@@ -24,14 +24,14 @@
         &[endpoint_entry("new", new.address, "Ready")],
     ));
     let start = configuration(first.address, &known);
-    // What the variable said at the start must not hide what a new file says.
+    // The environment variable of the start must not override what a new file says.
     let proxy = ProxyProcess::start_with_environment(
         &start,
         &[("BALANCER_DISCOVERY", first.address.to_string())],
     );
     let mut client = proxy.connect();
     client.write_all(&request("pay", 2.0, "")).unwrap();
-    wait_until("its op is out", || slow.received_count() == 1);
+    wait_until("the attempt is sent", || slow.received_count() == 1);
     let mut faulty = configuration(second.address, &known);
     faulty["limits"]["sockets"] = json!("many");
     for (text, log) in [
@@ -39,11 +39,11 @@
         (faulty.to_string(), "limits.sockets"),
     ] {
         proxy.reload(&text);
-        wait_until("it says what is wrong", || proxy.log().contains(log));
+        wait_until("the error is logged", || proxy.log().contains(log));
     }
     assert!(
         second.calls.lock().unwrap().is_empty(),
-        "the old state stays"
+        "the old configuration stays"
     );
     proxy.reload(&configuration(second.address, &known).to_string());
     wait_until("the new address is watched", || {
@@ -55,7 +55,7 @@
             .any(|c| c.contains("from=3&hold_ms="))
     });
     assert_eq!(
-        read_message(&mut client).expect("the op lives on").1,
+        read_message(&mut client).expect("the request goes on").1,
         b"old"
     );
     client.write_all(&request("view", 2.0, "")).unwrap();
@@ -68,7 +68,7 @@
 #[test]
 fn reloaded_settings_apply_to_new_requests_and_open_ones_keep_theirs() {
     let endpoint = TestEndpoint::new(|stream, received| match &received.body[..] {
-        // Breaks when it has run, a while after it came.
+        // Breaks once it has run, a while after it came.
         b"break" => {
             sleep_ms(400);
             false
@@ -78,7 +78,7 @@
     let proxy = ProxyProcess::with_admin_api(&[&endpoint], disable_hedging);
     let mut under_way = proxy.connect();
     under_way.write_all(&request("view", 2.0, "break")).unwrap();
-    wait_until("it is out", || endpoint.received_count() == 1);
+    wait_until("the attempt is sent", || endpoint.received_count() == 1);
     let mut config = proxy.configuration();
     let request_classes = &mut config["settings"]["Categories"];
     request_classes[0]["Effect"] = json!("non_idempotent");
@@ -87,7 +87,9 @@
     request_classes[1] = new;
     config["settings"]["Limits"]["MostPushes"] = json!(1);
     proxy.reload(&config.to_string());
-    wait_until("it is taken", || proxy.metric("sighup_applied") == Some(1));
+    wait_until("it is applied", || {
+        proxy.metric("sighup_applied") == Some(1)
+    });
     assert_eq!(proxy.send_request(&request("fresh", 1.0, "")).0, 200);
     assert_eq!(
         proxy.send_request(&request("order", 1.0, "")).0,
@@ -98,12 +100,12 @@
     assert_eq!(
         proxy.send_request(&request("view", 1.5, "break")).0,
         502,
-        "at-most-once from now on"
+        "not idempotent from now on"
     );
     assert_eq!(
         read_message(&mut under_way).map(|(head, _)| status_code(&head)),
         Some(503),
-        "redeliverable still"
+        "still idempotent"
     );
     let of_old = endpoint
         .received
@@ -114,7 +116,7 @@
         .count();
     assert!(
         before >= 2 && of_old >= 3,
-        "pushed again, as it might be when it came: {of_old}"
+        "retried, as its settings allowed when it came: {of_old}"
     );
     assert_eq!(
         (
@@ -125,14 +127,11 @@
     );
 }
 
-#[test]
-fn faulty_file_is_rejected_completely_and_its_key_named() {
-    let endpoint = TestEndpoint::echoing();
-    let proxy = ProxyProcess::with_admin_api(&[&endpoint], |_| ());
-    let good = proxy.configuration();
+/// Configuration files made faulty in one way each, with a part of the log line that names the fault.
+fn faulty_files(good: &Value) -> Vec<(String, &'static str)> {
     let changed = |path: &str, value: Option<Value>| {
         let mut config = good.clone();
-        // What could be in force by half: a category that does not exist yet.
+        // What could be applied partially: a request class that does not exist yet.
         let mut new = config["settings"]["Categories"][0].clone();
         new["Name"] = json!("half");
         config["settings"]["Categories"]
@@ -148,7 +147,7 @@
         config.to_string()
     };
     let text = good.to_string();
-    let configs = [
+    vec![
         (String::new(), "EOF"),
         (text[..text.len() / 2].to_string(), "EOF"),
         ("[]".into(), "not a JSON object"),
@@ -205,10 +204,18 @@
             changed("/settings/Limits/MostPushes", Some(Value::Null)),
             "Limits.MostPushes",
         ),
-    ];
-    for (count, (config, named)) in configs.iter().enumerate() {
+    ]
+}
+
+#[test]
+fn faulty_file_is_rejected_completely_and_its_key_named() {
+    let endpoint = TestEndpoint::echoing();
+    let proxy = ProxyProcess::with_admin_api(&[&endpoint], |_| ());
+    let good = proxy.configuration();
+    let text = good.to_string();
+    for (count, (config, named)) in faulty_files(&good).iter().enumerate() {
         proxy.reload(config);
-        wait_until("it is turned down", || {
+        wait_until("it is rejected", || {
             proxy.metric("sighup_rejected") == Some(count as u64 + 1)
         });
         let last = || {
@@ -226,7 +233,7 @@
         (200, "x".into())
     );
     proxy.reload(&text);
-    wait_until("the old one is taken again", || {
+    wait_until("the old one is applied again", || {
         proxy.metric("sighup_applied") == Some(1)
     });
 }
--- a/proxy/tests/sockets/request_forwarding.rs
+++ b/proxy/tests/sockets/request_forwarding.rs
@@ -40,10 +40,10 @@
     let bytes = request("pay", 2.0, "");
     let mut first = proxy.connect();
     first.write_all(&bytes).unwrap();
-    wait_until("it is out", || slow.received_count() == 1);
+    wait_until("the attempt is sent", || slow.received_count() == 1);
     assert_eq!(proxy.send_request(&bytes).0, 409);
     assert_eq!(
-        status_code(&read_message(&mut first).expect("an answer").0),
+        status_code(&read_message(&mut first).expect("a response").0),
         200
     );
     assert_eq!(slow.received_count(), 1);
--- a/proxy/tests/sockets/request_parsing.rs
+++ b/proxy/tests/sockets/request_parsing.rs
@@ -12,17 +12,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-#[test]
-fn invalid_request_gets_its_status_and_no_attempt() {
-    let endpoint = TestEndpoint::always_answering(ok_response("x"));
-    let proxy = ProxyProcess::in_front_of(&[&endpoint]);
-    let good = String::from_utf8(request("view", 1.0, "")).unwrap();
+/// Requests made invalid in one way each, with the status that each must get.
+fn invalid_requests(good: &str) -> Vec<(u16, Vec<u8>)> {
     let without = |name: &str| {
         let kept = good.split("\r\n").filter(|line| !line.starts_with(name));
         kept.collect::<Vec<_>>().join("\r\n").into_bytes()
     };
     let long = format!("X-Long: {}\r\nHost:", "x".repeat(9000));
-    for (status, bytes) in [
+    vec![
         (400, b"nonsense\r\n\r\n".to_vec()),
         (400, vec![0xff; 40]),
         (400, without("X-Request-ID")),
@@ -93,7 +90,15 @@
                 .into_bytes(),
         ),
         (405, good.replace("POST", "HEAD").into_bytes()),
-    ] {
+    ]
+}
+
+#[test]
+fn invalid_request_gets_its_status_and_no_attempt() {
+    let endpoint = TestEndpoint::always_answering(ok_response("x"));
+    let proxy = ProxyProcess::in_front_of(&[&endpoint]);
+    let good = String::from_utf8(request("view", 1.0, "")).unwrap();
+    for (status, bytes) in invalid_requests(&good) {
         assert_eq!(
             proxy.send_request(&bytes).0,
             status,
@@ -102,7 +107,7 @@
         );
     }
     assert_eq!(endpoint.received_count(), 0);
-    assert_eq!(proxy.send_request(good.as_bytes()).0, 200, "still there");
+    assert_eq!(proxy.send_request(good.as_bytes()).0, 200, "still serving");
 }
 
 #[test]
@@ -128,7 +133,7 @@
             }
             bytes = (text + "0\r\nX-Trailer: t\r\n\r\n").into_bytes();
         }
-        // A second request follows at once, after a stray line end.
+        // A second request follows at once, after a stray line break.
         bytes.extend_from_slice(b"\r\n");
         bytes.extend_from_slice(&request("view", 4.0, "next"));
         let mut client = TcpStream::connect(address).unwrap();
@@ -151,7 +156,7 @@
     });
 }
 
-/// Bytes as they should be, some of them changed, the end perhaps missing.
+/// Valid bytes, some of them changed, perhaps truncated.
 fn garble(g: &mut Gen, good: &[u8]) -> Vec<u8> {
     let mut bytes = good.to_vec();
     for _ in 0..usize::arbitrary(g) % 6 {
@@ -185,7 +190,7 @@
         if !whole {
             let _ = client.shutdown(Shutdown::Write);
         }
-        // What is whole has an answer, made of what a server sent or of the node's own.
+        // A complete request has a response, either the endpoint's or the proxy's own.
         let answer = read_message(&mut client).map(|(head, _)| status_code(&head));
         answer.map_or(!whole, |status| {
             matches!(status, 200 | 400 | 405 | 413 | 431 | 502 | 503)
@@ -209,7 +214,7 @@
             sent += more;
             assert!(
                 from.elapsed() < Duration::from_secs(3),
-                "neither refused nor closed"
+                "neither rejected nor closed"
             );
         }
         sent
@@ -237,7 +242,7 @@
     client.shutdown(Shutdown::Write).unwrap();
     sleep_ms(50);
     assert_eq!(
-        status_code(&read_message(&mut client).expect("an answer").0),
+        status_code(&read_message(&mut client).expect("a response").0),
         413
     );
 }
--- a/proxy/tests/sockets/request_streaming.rs
+++ b/proxy/tests/sockets/request_streaming.rs
@@ -15,7 +15,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// A long body, sent in a framing and in pieces of any size; what the server got of it.
+/// Sends a long body in a framing and in pieces of any size; the response's status and body.
 fn send_body_in_pieces(
     proxy: &ProxyProcess,
     body: &[u8],
@@ -75,7 +75,7 @@
 fn request_timeout_starts_with_its_last_byte() {
     let endpoint = TestEndpoint::answering_checksums();
     let proxy = ProxyProcess::in_front_of(&[&endpoint]);
-    // Three seconds to send, under a TTL of one.
+    // Three seconds to send, with a timeout of one.
     let body = pseudo_random_bytes(300_000);
     assert_eq!(send_body_in_pieces(&proxy, &body, false, 30, 100).0, 200);
     assert_eq!(send_body_in_pieces(&proxy, &body, true, 30, 100).0, 200);
@@ -100,7 +100,7 @@
             200
         );
     }
-    // One that breaks in the middle of a body never had it whole: the op may be tried again by its client.
+    // An endpoint that breaks in the middle of a body never had all of it: the client may try the request again.
     let breaks = TcpListener::bind("127.0.0.1:0").unwrap();
     let known = endpoint_list(
         1,
@@ -145,7 +145,7 @@
         );
     }
     assert!(from.elapsed() < Duration::from_secs(3));
-    // A byte now and then is no body.
+    // A byte now and then is not accepted as a body.
     let mut client = proxy.connect();
     client
         .write_all(head.replace("Length: 0", "Length: 9000").as_bytes())
@@ -157,10 +157,10 @@
         let _ = client.write_all(b"x");
         client.read(&mut [0; 100]).is_ok()
     });
-    assert!(gone, "it creeps on");
+    assert!(gone, "it goes on trickling");
 }
 
-/// A client whose own machine holds little of what it sends.
+/// A client with a small send buffer.
 fn connect_with_small_send_buffer(proxy: &ProxyProcess) -> TcpStream {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket.set_send_buffer_size(128 * 1024).unwrap();
@@ -173,7 +173,7 @@
 
 #[test]
 fn long_request_to_an_endpoint_that_stops_reading_is_answered_in_time() {
-    // Its client has sent all of it: the rest lies with the node, whose server is cut off.
+    // The client has sent all of it: the rest is buffered in the proxy, whose endpoint is cut off.
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket
         .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
@@ -189,7 +189,7 @@
     let mut config = configuration(discovery.address, &known);
     disable_hedging(&mut config);
     let proxy = ProxyProcess::start(&config, None);
-    // PolicyKind much of one goes before nothing moves: what node and sockets hold between them.
+    // How much of a request is taken before nothing moves: what the proxy and the sockets hold together.
     let mut probe = connect_with_small_send_buffer(&proxy);
     probe
         .set_write_timeout(Some(Duration::from_millis(400)))
@@ -203,9 +203,9 @@
         sent += n;
     }
     drop(probe);
-    // Less, so that all of it is here, and more than the server's side takes: how much the client's own machine holds
-    // of it, and the server's, is the system's affair, so that more than one length is tried. Where the sockets take
-    // all of it, it times out at the server (502); where some is still with the client, its time does not run.
+    // Less than that, so that all of it has left the client, and more than the endpoint's side takes. How much
+    // the kernel buffers on either side varies, so several lengths are tried. Where the sockets take all of it,
+    // it times out at the endpoint (502); where some is still with the client, its deadline does not run.
     let tried = [350_000, 300_000, 250_000, 200_000, 150_000]
         .into_iter()
         .any(|held_back| {
@@ -220,7 +220,7 @@
         });
     assert!(
         tried,
-        "never answered in its time as what no server had whole"
+        "never answered in time as a request that no endpoint had completely"
     );
     drop(listener);
 }
--- a/proxy/tests/sockets/response_streaming.rs
+++ b/proxy/tests/sockets/response_streaming.rs
@@ -20,7 +20,7 @@
     let long = pseudo_random_bytes(700_000);
     let body = long.clone();
     let endpoint = TestEndpoint::new(move |stream, received| {
-        // As its body asks: whole, with bytes behind it, broken off, or standing still half way.
+        // As the request body asks: complete, with further bytes behind it, cut, or stalled half way.
         let cut = if matches!(&received.body[..], b"half" | b"wait") {
             body.len() / 2
         } else {
@@ -42,22 +42,22 @@
     let mut client = proxy.connect();
     for body in ["", "more", ""] {
         client.write_all(&request("pay", 4.0, body)).unwrap();
-        // A slow reader holds up nobody else.
+        // A slow reader delays nobody else.
         sleep_ms(50);
         assert_eq!(
             proxy.send_request(&request("view", 4.0, "half")).0,
             0,
-            "short, and seen to be"
+            "visibly cut short"
         );
-        let (head, got) = read_message(&mut client).expect("an answer");
+        let (head, got) = read_message(&mut client).expect("a response");
         assert!(
             status_code(&head) == 200 && got == long,
             "{head}{}",
             got.len()
         );
     }
-    assert_eq!(endpoint.received_count(), 6, "none goes again");
-    // A client that leaves in the middle takes the connection with it; the end of its time does not cut it
+    assert_eq!(endpoint.received_count(), 6, "none is retried");
+    // A client that leaves in the middle takes the connection with it; the end of its deadline does not cut it
     // off.
     let open = endpoint.open_connections.load(Ordering::SeqCst);
     let mut leaves: Vec<_> = (0..5).map(|_| proxy.connect()).collect();
@@ -72,13 +72,13 @@
     late.read_exact(&mut [0; 1000]).unwrap();
     sleep_ms(600);
     late.read_exact(&mut [0; 300_000])
-        .expect("the rest of what has come, past its time");
+        .expect("the rest of what has come, past the deadline");
     drop(late);
     wait_until("all are closed", || {
         endpoint.open_connections.load(Ordering::SeqCst) <= open
     });
     client.write_all(&request("view", 4.0, "")).unwrap();
-    assert_eq!(read_message(&mut client).expect("still there").1, long);
+    assert_eq!(read_message(&mut client).expect("still serving").1, long);
 }
 
 #[test]
@@ -116,16 +116,17 @@
         };
         let begun =
             stream.write_all(&[b"HTTP/1.1 200 OK\r\n", head.as_bytes(), b"\r\n", &first].concat());
-        // It pauses for longer than the op's time.
+        // It pauses for longer than the request's deadline.
         sleep_ms(900);
         begun.is_ok()
             && stream.write_all(&rest).is_ok()
             && head.contains("-Length") | head.contains("chunked")
     });
     let proxy = ProxyProcess::in_front_of(&[&endpoint]);
-    // What its head or its first piece shows to be long goes on at once, a shorter first piece of unknown length
-    // within its op's time, in which it may yet turn out to be a short answer that goes wrong. A busy machine may
-    // set the node aside as that time ends: one try of three must be in time, and each is whole.
+    // A response that its head or its first piece shows to be long is streamed at once, a shorter first piece of
+    // unknown length before the request's deadline, until which it may turn out to be a short response that
+    // fails. A busy machine may suspend the proxy around the deadline: one attempt of three must be in time, and
+    // each must be complete.
     let cases = [
         ("length", 300),
         ("chunked 100000", 300),
@@ -164,9 +165,9 @@
             };
             assert!(got == body, "{framing}: {} bytes", got.len());
         }
-        assert!(in_time, "{framing}: held back");
+        assert!(in_time, "{framing}: not streamed in time");
     }
-    // One that begins just before the end of its op's time goes on too.
+    // One that begins just before the request's deadline is streamed too.
     let late = TestEndpoint::new(|stream, _| {
         sleep_ms(350);
         let _ = stream.write_all(&response_with_body(&pseudo_random_bytes(200_000))[..3000]);
@@ -177,7 +178,7 @@
     });
     let other = ProxyProcess::in_front_of(&[&late]);
     assert_eq!(other.send_request(&request("pay", 0.45, "")).0, 200);
-    // To a client that knows no chunks, the connection's end tells.
+    // For a client without chunked encoding, the connection's end marks the end.
     let mut client = proxy.connect();
     let old = String::from_utf8(request("pay", 0.6, "chunked"))
         .unwrap()
@@ -206,7 +207,7 @@
     );
 }
 
-/// All that a client reads of an answer, and whether its connection ended in good order.
+/// All that a client reads of a response, and whether its connection was closed without an error.
 fn read_until_closed(client: &mut TcpStream) -> (Vec<u8>, bool) {
     let mut got = Vec::new();
     let ended = client.read_to_end(&mut got).is_ok();
@@ -226,7 +227,7 @@
         let sent = [HEAD_WITHOUT_LENGTH.as_bytes(), &body].concat();
         let endpoint = TestEndpoint::new(move |stream, _| write_then_end(stream, &sent, 200, end));
         let proxy = proxy_without_hedging(&endpoint);
-        // In chunks: the last one tells its end.
+        // In chunks: the last one marks the end.
         let mut client = proxy.connect();
         let close_after = |text: Vec<u8>| {
             String::from_utf8(text)
@@ -237,13 +238,13 @@
             .write_all(close_after(request("pay", 4.0, "")).as_bytes())
             .unwrap();
         let (got, _) = read_until_closed(&mut client);
-        assert!(got.len() > 150_000, "{end:?}: it goes on as it comes");
+        assert!(got.len() > 150_000, "{end:?}: it is streamed");
         assert_eq!(
             got.ends_with(b"\r\n0\r\n\r\n"),
             complete,
             "{end:?}, in chunks"
         );
-        // To a client that knows none, only the connection's end tells.
+        // For a client without chunked encoding, only the connection's end marks the end.
         let mut client = proxy.connect();
         let old = close_after(request("pay", 4.0, "")).replace("HTTP/1.1", "HTTP/1.0");
         client.write_all(old.as_bytes()).unwrap();
@@ -268,7 +269,7 @@
     let (got, _) = read_until_closed(&mut client);
     assert!(
         got.len() > 20_000 && !got.ends_with(b"0\r\n\r\n"),
-        "cut, and seen to be"
+        "visibly cut"
     );
     assert!(
         from.elapsed() < Duration::from_millis(1400),
@@ -279,7 +280,7 @@
 
 #[test]
 fn many_clients_that_reset_mid_response_leave_other_responses_complete() {
-    // More than the sockets between node and client hold.
+    // More than the sockets between proxy and client hold.
     let body: Vec<u8> = (0..6_000_000_u32)
         .map(|k| (k.wrapping_mul(k) >> 9) as u8)
         .collect();
@@ -295,7 +296,7 @@
     let mut stays = asks();
     let mut leave = Vec::new();
     while leave.len() < 100 {
-        // Where too many are out at once one is nacked, and another asks.
+        // Where too many are in flight at once one is rejected, and another client sends its request.
         let mut client = asks();
         leave.extend(client.read_exact(&mut [0; 1000]).is_ok().then_some(client));
     }
@@ -304,16 +305,16 @@
     drop(leave);
     proxy.resume();
     assert!(
-        read_message(&mut stays).expect("an answer").1 == body,
-        "its own, whole"
+        read_message(&mut stays).expect("a response").1 == body,
+        "its own, complete"
     );
-    wait_until("all that left are seen", || {
+    wait_until("all disconnects are noticed", || {
         proxy.signal(Signal::USR1);
         sleep_ms(20);
         proxy.log().contains("departed 100,")
     });
-    // All buffers are back: as many pass again.
+    // All buffers are free again: as many responses pass once more.
     for _ in 0..10 {
-        assert!(read_message(&mut asks()).expect("an answer").1 == body);
+        assert!(read_message(&mut asks()).expect("a response").1 == body);
     }
 }
--- a/proxy/tests/sockets/retries.rs
+++ b/proxy/tests/sockets/retries.rs
@@ -29,17 +29,14 @@
         assert_eq!(
             proxy.send_request(&request("pay", 3.0, "")).0,
             502,
-            "it may have run"
+            "it may have been executed"
         );
         assert_eq!(
             bad.received_count(),
             1,
-            "an at-most-once op that may have run goes nowhere else"
-        );
-        assert!(
-            from.elapsed() < Duration::from_secs(1),
-            "given up on at once"
+            "a request that is not idempotent and may have been executed is not retried"
         );
+        assert!(from.elapsed() < Duration::from_secs(1), "abandoned at once");
         assert_eq!(proxy.send_request(&request("view", 3.0, "")).0, 503);
         assert!(bad.received_count() > 1);
     }
@@ -74,8 +71,8 @@
 
 #[test]
 fn endpoint_reset_around_the_last_request_byte_is_not_a_response() {
-    // Before its last byte it never ran, and goes again whatever its category; after it, as that allows.
-    // More than the sockets between them hold.
+    // Before its last byte it was never executed, and is retried whatever its class; after it, as its class
+    // allows. The body is longer than what the sockets between them hold.
     let body = "b".repeat(20_000_000);
     for (request_class, retried) in [("view", true), ("order", true), ("pay", false)] {
         for read in [0, 100_000, usize::MAX] {
@@ -92,7 +89,8 @@
                         left = left.saturating_sub(stream.read(&mut piece).unwrap_or(left).max(1));
                     }
                 }
-                // An answer with no length, and a reset: what it read of the request does not matter.
+                // A response without a length, and a reset: how much of the request was read makes no
+                // difference.
                 let _ = stream.write_all(format!("{HEAD_WITHOUT_LENGTH}abc").as_bytes());
                 sleep_ms(20);
                 reset_on_close(&stream);
@@ -106,8 +104,8 @@
             let _ = client.write_all(&request(request_class, 2.0, &body));
             let got = read_message(&mut client);
             let status = got.as_ref().map_or(0, |(head, _)| status_code(head));
-            // There is nowhere else to go: refused where that is harmless, else failed; never served. One whose
-            // request is still on its way may find its connection closed.
+            // There is no other endpoint: rejected where a retry is harmless, else failed; never served. A
+            // client that is still sending its request may find its connection closed.
             let received_all = read == usize::MAX;
             let due: &[u16] = if !received_all {
                 &[503, 0]
--- a/proxy/tests/sockets/shutdown.rs
+++ b/proxy/tests/sockets/shutdown.rs
@@ -22,7 +22,7 @@
     let mut idle = proxy.connect();
     let mut first = proxy.connect();
     first.write_all(&request("pay", 3.0, "")).unwrap();
-    wait_until("it is out", || {
+    wait_until("the attempt is sent", || {
         slow.open_connections.load(Ordering::SeqCst) == 1
     });
     proxy.signal(Signal::TERM);
@@ -30,7 +30,7 @@
     let mut second = proxy.connect();
     second.write_all(&request("view", 3.0, "")).unwrap();
     for client in [&mut first, &mut second] {
-        let (head, body) = read_message(client).expect("an answer");
+        let (head, body) = read_message(client).expect("a response");
         assert_eq!((status_code(&head), &body[..]), (200, &b"late"[..]));
         assert_eq!(header_value(&head, "Connection").as_deref(), Some("close"));
     }
@@ -47,11 +47,11 @@
     idle.write_all(&request("view", 2.0, "")).unwrap();
     assert!(read_message(&mut idle).is_some());
     proxy.signal(Signal::TERM);
-    // Its next request would cross this close.
+    // The client's next request would cross this close.
     assert_eq!(idle.read(&mut [0]).ok(), Some(0));
-    let mut again = TcpStream::connect(proxy.address).expect("the door is open");
+    let mut again = TcpStream::connect(proxy.address).expect("the listener is open");
     again.write_all(&request("view", 2.0, "")).unwrap();
-    let (head, _) = read_message(&mut again).expect("an answer");
+    let (head, _) = read_message(&mut again).expect("a response");
     assert_eq!(
         (
             status_code(&head),
@@ -64,8 +64,8 @@
 
 #[test]
 fn shutdown_answers_requests_that_would_outlast_it() {
-    // One at a server that never answers, two at a server whose answer never ends: of the first so much has come
-    // that it is passed on, of the second one byte, with which nothing has begun.
+    // One at an endpoint that never answers, two at an endpoint whose response never ends: of the first so much
+    // has come that it is streamed, of the second one byte, with which streaming has not begun.
     let quiet = TestEndpoint::new(|stream, received| {
         if received.head.starts_with("POST /view/") {
             let size = if received.body == b"much" { 100_000 } else { 1 };
@@ -77,20 +77,22 @@
         false
     });
     let mut proxy = ProxyProcess::in_front_of(&[&quiet]);
-    let (mut one, mut two, mut three) = (proxy.connect(), proxy.connect(), proxy.connect());
+    let mut one = proxy.connect();
+    let mut two = proxy.connect();
+    let mut three = proxy.connect();
     let mut four = proxy.connect();
     one.write_all(&request("pay", 60.0, "")).unwrap();
     two.write_all(&request("view", 60.0, "much")).unwrap();
     three.write_all(&request("order", 60.0, "")).unwrap();
     four.write_all(&request("view", 60.0, "")).unwrap();
-    wait_until("they are out", || quiet.received_count() >= 4);
+    wait_until("the attempts are sent", || quiet.received_count() >= 4);
     proxy.signal(Signal::TERM);
     assert_eq!(
-        status_code(&read_message(&mut one).expect("an answer").0),
+        status_code(&read_message(&mut one).expect("a response").0),
         502
     );
     assert!(matches!(
-        status_code(&read_message(&mut three).expect("an answer").0),
+        status_code(&read_message(&mut three).expect("a response").0),
         502 | 503
     ));
     let mut rest = Vec::new();
@@ -98,43 +100,44 @@
     let _ = two.read_to_end(&mut rest);
     assert!(
         from.elapsed() < Duration::from_secs(1),
-        "it is cut with the others' time"
+        "it is cut at the others' deadline"
     );
     assert!(rest.len() > 100_000, "it has begun");
     assert!(
         !rest.ends_with(b"0\r\n\r\n"),
-        "it can tell that it is not whole"
+        "the client can tell that it is cut"
     );
     assert_eq!(
-        status_code(&read_message(&mut four).expect("an answer").0),
+        status_code(&read_message(&mut four).expect("a response").0),
         503,
-        "a whole one of the node's own"
+        "a complete response of the proxy's own"
     );
     assert!(proxy.wait_for_exit().0);
 }
 
 #[test]
 fn request_in_the_accept_queue_when_the_listener_would_close_is_answered() {
-    // The door stays open for 0.9 s; where the machine is too busy to stop the node within that, it is tried again.
+    // The listener stays open for 0.9 s; where the machine is too busy to pause the proxy within that, the test
+    // tries again.
     for _ in 0..5 {
         let endpoint = TestEndpoint::always_answering(ok_response("x"));
         let mut proxy = ProxyProcess::in_front_of(&[&endpoint]);
         let from = Instant::now();
         proxy.signal(Signal::TERM);
-        wait_until("it is told", || proxy.log().contains("stopping"));
+        wait_until("the shutdown begins", || proxy.log().contains("stopping"));
         proxy.signal(Signal::STOP);
         if from.elapsed() > Duration::from_millis(600) {
             continue;
         }
         proxy.pause();
-        // Past the time until which clients may come, and well before the end.
+        // Past the time until which clients may connect, and well before the exit.
         sleep_ms(1200);
-        let mut late = TcpStream::connect(proxy.address).expect("the system takes it");
+        let mut late = TcpStream::connect(proxy.address).expect("the kernel accepts it");
         late.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
         late.write_all(&request("view", 2.0, "")).unwrap();
         proxy.resume();
         assert_eq!(
-            status_code(&read_message(&mut late).expect("an answer").0),
+            status_code(&read_message(&mut late).expect("a response").0),
             200
         );
         assert!(proxy.wait_for_exit().0);
@@ -147,7 +150,7 @@
 fn shutdown_before_the_first_endpoint_list_answers_waiting_clients() {
     let endpoint = TestEndpoint::always_answering(ok_response("x"));
     let known = endpoint_list(1, true, &[endpoint_entry("s0", endpoint.address, "Ready")]);
-    // It hears and says nothing.
+    // It accepts calls and never answers.
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut proxy = ProxyProcess::spawn(
         &configuration(silent.local_addr().unwrap(), &known),
@@ -158,7 +161,7 @@
     client.write_all(&request("view", 2.0, "")).unwrap();
     proxy.signal(Signal::TERM);
     assert_eq!(
-        status_code(&read_message(&mut client).expect("an answer").0),
+        status_code(&read_message(&mut client).expect("a response").0),
         200
     );
     assert!(proxy.wait_for_exit().0);
--- a/proxy/tests/sockets/startup.rs
+++ b/proxy/tests/sockets/startup.rs
@@ -17,12 +17,10 @@
 
 #[test]
 fn new_process_applies_the_endpoint_list_before_it_serves_clients() {
-    // Where the machine is too busy for the agent to speak within a tenth of a second, it is tried again.
+    // Where the machine is too busy for discovery to answer within a tenth of a second, the test tries again.
     for _ in 0..5 {
-        let (one, two) = (
-            TestEndpoint::always_answering(ok_response("one")),
-            TestEndpoint::always_answering(ok_response("two")),
-        );
+        let one = TestEndpoint::always_answering(ok_response("one"));
+        let two = TestEndpoint::always_answering(ok_response("two"));
         let known = endpoint_list(1, true, &[endpoint_entry("one", one.address, "Ready")]);
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let free = crankmux_fault_injection::free_port();
@@ -41,7 +39,8 @@
             let (mut stream, _) = discovery.accept().unwrap();
             read_message(&mut stream).expect("it asks");
             let called = Instant::now();
-            // Not before its client has written, and a node that does not wait has had the time to send that on.
+            // Not before the client has written, and a proxy that does not wait has had the time to forward
+            // that.
             wrote.recv_timeout(TEST_TIMEOUT).expect("a client");
             sleep_ms(30);
             stream.write_all(&ok_response(&update.to_string())).unwrap();
@@ -58,7 +57,7 @@
             client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
             client.write_all(&request("view", 5.0, "")).unwrap();
             written.send(()).unwrap();
-            read_message(&mut client).expect("an answer").1
+            read_message(&mut client).expect("a response").1
         });
         let _node = ProxyProcess::start(&configuration, None);
         let (took, ..) = discovery_calls.join().unwrap();
@@ -110,7 +109,7 @@
         let proxy = ProxyProcess::with_configuration(&[&endpoint], change, None);
         for request_class in &request_classes {
             let name = request_class["Name"].as_str().unwrap();
-            // As clients do after a nack; its time is long, so that a busy machine has enough of it.
+            // As clients do after a rejection; the deadline is long, so that a busy machine has enough time.
             assert_eq!(
                 proxy.send_until_accepted(&request(name, 5.0, "")),
                 200,
@@ -120,10 +119,10 @@
         assert_eq!(
             proxy.send_request(&request("view", 5.0, "")).0,
             400,
-            "a class that is not this customer's"
+            "a class of other settings"
         );
     }
-    // Of one that lacks a key, the key is told.
+    // Where a key is missing, the key is named.
     let known = endpoint_list(1, true, &[endpoint_entry("s0", endpoint.address, "Ready")]);
     let mut lacks = configuration("127.0.0.1:9".parse().unwrap(), &known);
     lacks["settings"]["Categories"] = json!(one("x", "read_like", 100.0));
@@ -166,7 +165,8 @@
     );
 }
 
-/// PolicyKind long each of so many processes, killed and started anew at one moment, takes until it is ready, in order.
+/// How long each of so many processes, killed and started again at the same time, takes until it is ready, in
+/// order.
 fn times_until_ready(count: usize, discovery: SocketAddr, known: &Value) -> Vec<Duration> {
     let config = configuration(discovery, known);
     let killed: Vec<ProxyProcess> = (0..count)
@@ -201,7 +201,7 @@
     let entry = |i: usize| endpoint_entry(&format!("server-{i:04}"), endpoint.address, "Ready");
     let hosts: Vec<Value> = (0..1024).map(entry).collect();
     let complete_list = endpoint_list(1, true, &hosts);
-    // Silent for 8 s from the second start on, slow, and one that answers at once; with a list known before and
+    // Silent for the first 8 s after the second start, slow, and answering at once; with a list known before and
     // with none.
     let count = 12;
     let silent = Arc::new(AtomicBool::new(false));
@@ -212,7 +212,8 @@
         let complete_list = complete_list.clone();
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
-                let (complete_list, down) = (complete_list.clone(), down.clone());
+                let complete_list = complete_list.clone();
+                let down = down.clone();
                 thread::spawn(move || {
                     while let Some((head, _)) = read_message(&mut stream) {
                         if down
--- a/proxy/tests/sockets/startup_errors.rs
+++ b/proxy/tests/sockets/startup_errors.rs
@@ -73,6 +73,8 @@
     let mut bad = good;
     bad["settings"]["Reporting"] = json!({"Via": "pull"});
     proxy.reload(&bad.to_string());
-    wait_until("it says so", || proxy.log().contains("Reporting.Via"));
+    wait_until("the error is logged", || {
+        proxy.log().contains("Reporting.Via")
+    });
     assert_eq!(proxy.send_request(&request("view", 1.0, "")).0, 200);
 }
--- a/proxy/tests/sockets/state_directory.rs
+++ b/proxy/tests/sockets/state_directory.rs
@@ -14,10 +14,8 @@
 
 #[test]
 fn state_directory_of_another_deployment_changes_no_request() {
-    let (one, two) = (
-        TestEndpoint::always_answering(ok_response("one")),
-        TestEndpoint::always_answering(ok_response("two")),
-    );
+    let one = TestEndpoint::always_answering(ok_response("one"));
+    let two = TestEndpoint::always_answering(ok_response("two"));
     let mut proxy = ProxyProcess::with_admin_api(&[&one, &two], |_| ());
     assert_eq!(proxy.admin_call("POST", "/v1/servers/s0/suspend").0, 200);
     assert_eq!(
@@ -40,7 +38,7 @@
         json!({"learnt": learned_state, "list": {"seq": "x"}}).to_string(),
     )
     .unwrap();
-    // The same classes with other effects, and one that was not there.
+    // The same request classes with other idempotency, and one that is new.
     let effects = ["non_idempotent", "read_like", "read_like"];
     for (request_class, effect) in config["settings"]["Categories"]
         .as_array_mut()
@@ -61,12 +59,12 @@
         assert_eq!(
             next.send_request(&request(request_class, 5.0, "")),
             (200, "two".into()),
-            "the mark alone is kept"
+            "only the disabled endpoint is kept"
         );
     }
 }
 
-/// Whether a node that starts with this state folder serves, and what its log says.
+/// Starts a proxy with this temporary directory, checks that it serves, and returns it with its log.
 fn start_with_temp_dir(folder: &Path) -> (ProxyProcess, String) {
     let endpoint = TestEndpoint::always_answering(ok_response("x"));
     let known = endpoint_list(1, true, &[endpoint_entry("s0", endpoint.address, "Ready")]);
@@ -92,7 +90,7 @@
 
 #[test]
 fn proxy_logs_and_serves_without_a_handover_socket() {
-    // Longer than any such socket's path may be.
+    // Longer than the path of a Unix socket may be.
     let long = fresh_temp_dir("long").join("x".repeat(120));
     std::fs::create_dir_all(&long).expect("a writable folder");
     let (_node, log) = start_with_temp_dir(&long);
@@ -113,7 +111,8 @@
 
 #[test]
 fn unanswered_handover_does_not_delay_a_start() {
-    // A listener that takes the call in and says nothing; and one that is gone, its socket left behind.
+    // A listener that accepts the connection and never answers; and one that is gone, its socket file left
+    // behind.
     for dead in [false, true] {
         let temporary = fresh_temp_dir(if dead { "dead" } else { "mute" });
         let state = temporary.join("crankmux-n0");
--- a/proxy/tests/sockets/timeouts.rs
+++ b/proxy/tests/sockets/timeouts.rs
@@ -31,24 +31,26 @@
 fn silent_and_incomplete_clients_are_closed_within_3_s() {
     let endpoint = TestEndpoint::always_answering(ok_response("x"));
     let proxy = ProxyProcess::in_front_of(&[&endpoint]);
-    let (mut silent, mut half, mut kept) = (proxy.connect(), proxy.connect(), proxy.connect());
+    let mut silent = proxy.connect();
+    let mut half = proxy.connect();
+    let mut kept = proxy.connect();
     let from = Instant::now();
     half.write_all(b"POST /view HTTP/1.1\r\nX-Req").unwrap();
     kept.write_all(&request("view", 1.0, "")).unwrap();
     assert_eq!(
-        status_code(&read_message(&mut kept).expect("an answer").0),
+        status_code(&read_message(&mut kept).expect("a response").0),
         200
     );
     assert_eq!(silent.read(&mut [0]).ok(), Some(0), "closed");
     assert_eq!(
-        status_code(&read_message(&mut half).expect("an answer").0),
+        status_code(&read_message(&mut half).expect("a response").0),
         408
     );
     assert!(
         from.elapsed() > Duration::from_millis(2000)
             && from.elapsed() < Duration::from_millis(3000)
     );
-    // So is whoever asked once and stays: it would hold a descriptor for good.
+    // So is a client that has had its response and stays idle: it would hold a descriptor forever.
     assert_eq!(kept.read(&mut [0]).ok(), Some(0), "closed");
     assert!(from.elapsed() < Duration::from_millis(3000));
 }
@@ -61,9 +63,9 @@
     let mut client = proxy.connect();
     client.write_all(&request("pay", 1.5, "")).unwrap();
     let from = Instant::now();
-    wait_until("it dials", || is_connecting_to(address));
+    wait_until("it connects", || is_connecting_to(address));
     proxy.pause();
-    // Room, so that the connection comes up when its first packet is sent again.
+    // Makes room, so that the connection is established when its SYN is sent again.
     for _ in 0..queued.len() {
         listener.accept().unwrap();
     }
@@ -79,7 +81,7 @@
         "closed with nothing sent"
     );
     assert!(matches!(
-        status_code(&read_message(&mut client).expect("an answer").0),
+        status_code(&read_message(&mut client).expect("a response").0),
         502 | 503
     ));
 }
--- a/proxy/tests/sockets/upgrade.rs
+++ b/proxy/tests/sockets/upgrade.rs
@@ -16,7 +16,8 @@
 
 #[test]
 fn upgrade_loses_no_request_and_both_processes_share_disabled_endpoints() {
-    let (one, two) = (TestEndpoint::echoing(), TestEndpoint::echoing());
+    let one = TestEndpoint::echoing();
+    let two = TestEndpoint::echoing();
     let mut old = ProxyProcess::with_admin_api(&[&one, &two], |_| ());
     let address = old.address;
     let stop = Arc::new(AtomicBool::new(false));
@@ -24,7 +25,7 @@
         .map(|_| {
             let stop = stop.clone();
             thread::spawn(move || {
-                // Half of the connections are kept for as long as the node keeps them.
+                // Half of the connections are kept for as long as the proxy keeps them.
                 let mut served = 0;
                 let mut kept = None::<TcpStream>;
                 while !stop.load(Ordering::SeqCst) {
@@ -33,8 +34,8 @@
                         .unwrap_or_else(|| TcpStream::connect(address).unwrap());
                     client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
                     client.write_all(&request("pay", 2.0, "x")).unwrap();
-                    let (head, body) = read_message(&mut client).expect("an answer");
-                    // With one server out, half a node's limits may be full for a moment.
+                    let (head, body) = read_message(&mut client).expect("a response");
+                    // With one endpoint disabled, half a proxy's limits may be used up for a moment.
                     assert!(
                         matches!((status_code(&head), &body[..]), (200, b"x") | (503, b"")),
                         "{head}"
@@ -52,11 +53,13 @@
     wait_until("the new process can serve", || {
         new.admin_call("GET", "/v1/readyz").0 == 200
     });
-    // Either may be called; both heed it.
+    // Either process may be called; both apply it.
     assert_eq!(new.admin_call("POST", "/v1/servers/s0/suspend").0, 200);
-    wait_until("the old one heeds it", || old.metric("ejected") == Some(1));
+    wait_until("the old process applies it", || {
+        old.metric("ejected") == Some(1)
+    });
     old.signal(Signal::TERM);
-    wait_until("it says so", || {
+    wait_until("the error is logged", || {
         old.admin_call("GET", "/v1/readyz").0 != 200
     });
     assert!(old.wait_for_exit().0);
@@ -74,8 +77,8 @@
         .sum();
     assert!(served > 100, "{served}");
     assert!(new.metric("succeeded.pay").is_some_and(|n| n > 20));
-    // All limits are the new one's, and another upgrade follows.
-    wait_until("it has heard of the end", || {
+    // All limits belong to the new process, and another upgrade follows.
+    wait_until("it has noticed the exit", || {
         new.log().contains("the older process has ended")
     });
     let third = new.start_successor();
@@ -95,7 +98,7 @@
     let log =
         failed_start_log_with_environment(&config, &[("TMPDIR", folder)]).expect("it can't start");
     assert!(log.contains("admin_addr"), "{log}");
-    wait_until("the first has heard of it", || {
+    wait_until("the first process has noticed it", || {
         old.log().contains("the newer process has ended")
     });
     for _ in 0..20 {
@@ -108,9 +111,9 @@
     wait_until("the next one can serve", || {
         new.admin_call("GET", "/v1/readyz").0 == 200
     });
-    // One that is killed gives back what it was given.
+    // A process that is killed gives back what it was given.
     new.signal(Signal::KILL);
-    wait_until("the first takes clients in", || {
+    wait_until("the first process accepts clients", || {
         old.log().matches("the newer process has ended").count() == 2
     });
     assert_eq!(
@@ -128,7 +131,8 @@
 
 #[test]
 fn endpoints_removed_for_the_old_process_stay_removed_for_the_new_one() {
-    let (one, two) = (TestEndpoint::echoing(), TestEndpoint::echoing());
+    let one = TestEndpoint::echoing();
+    let two = TestEndpoint::echoing();
     let hosts = [
         endpoint_entry("s0", one.address, "Ready"),
         endpoint_entry("s1", two.address, "Ready"),
@@ -146,7 +150,7 @@
         &[endpoint_entry("s0", one.address, "Gone")],
     ));
     wait_until("it is gone", || old.metric("discovered") == Some(1));
-    // From here on discovery is silent: it has nothing more to tell.
+    // From here on discovery is silent: it has no further update.
     let new = old.start_successor();
     wait_until("it can serve", || {
         new.admin_call("GET", "/v1/readyz").0 == 200
