Clients and endpoints of long socket tests are functions of their own

Cause: some socket tests held a client's or an endpoint's whole behaviour in one closure, and some names of the last steps were wrong for what they named. Change: the clients of the upgrade and of the long bodies, the endpoint and the reader of streamed responses and the discovery of the start test become functions; the steps and their order are as they were.

--- a/proxy/tests/sockets/client_disconnects.rs
+++ b/proxy/tests/sockets/client_disconnects.rs
@@ -164,10 +164,10 @@
             }
             stream.write_all(&ok_response("x")).is_ok()
         });
-        let shape = |c: &mut Value| {
-            report_load_to_probes_alone(c);
+        let shape = |config: &mut Value| {
+            report_load_to_probes_alone(config);
             // A request waits for a probe for a tenth of it.
-            c["settings"]["Categories"][0]["TargetLatencyMs"] = json!(60_000.0);
+            config["settings"]["Categories"][0]["TargetLatencyMs"] = json!(60_000.0);
         };
         let mut proxy = ProxyProcess::with_configuration(&[&endpoint], shape, None);
         let mut client = proxy.connect();
--- a/proxy/tests/sockets/descriptor_exhaustion.rs
+++ b/proxy/tests/sockets/descriptor_exhaustion.rs
@@ -62,12 +62,12 @@
     let proxy = ProxyProcess::start(&config, Some(40));
     wait_until("it watches", || discovery.call_count() >= 2);
     let flood = IdleConnectionFlood::before(&proxy, 200);
-    let held = || {
+    let open_descriptors = || {
         std::fs::read_dir(format!("/proc/{}/fd", proxy.pid()))
             .unwrap()
             .count()
     };
-    wait_until("they hold all", || held() >= 40);
+    wait_until("they hold all", || open_descriptors() >= 40);
     // Discovery is down, and the watch with it: each call needs a new connection.
     discovery.refuses.store(true, Ordering::SeqCst);
     sleep_ms(3000);
@@ -97,7 +97,7 @@
         ("resume", 0),
         ("suspend", 1),
     ] {
-        wait_until("they hold all", || held() >= 40);
+        wait_until("they hold all", || open_descriptors() >= 40);
         assert_eq!(
             proxy
                 .admin_call("POST", &format!("/v1/servers/s0/{call}"))
@@ -113,7 +113,7 @@
     // Not checked by the admin API, whose callers leave a descriptor free behind them.
     let read = || proxy.log().matches("configuration read again").count();
     for round in 1..=10 {
-        wait_until("they hold all", || held() >= 40);
+        wait_until("they hold all", || open_descriptors() >= 40);
         proxy.reload(&config.to_string());
         wait_until("the file is read", || read() == round);
     }
--- a/proxy/tests/sockets/discovery.rs
+++ b/proxy/tests/sockets/discovery.rs
@@ -50,7 +50,7 @@
         }
         gaps
     });
-    let _node = ProxyProcess::start(&configuration, None);
+    let _proxy = ProxyProcess::start(&configuration, None);
     let mut gaps = gaps.join().unwrap();
     gaps.sort();
     // Backoff that doubles to a quarter of `AskWithinMs` comes to 1 s and more by the fourth retry. A busy
--- a/proxy/tests/sockets/endpoint_list.rs
+++ b/proxy/tests/sockets/endpoint_list.rs
@@ -39,12 +39,12 @@
     let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = discovery.local_addr().unwrap();
     let calls = Arc::new(Mutex::new(Vec::new()));
-    let heard = calls.clone();
+    let recorded_calls = calls.clone();
     thread::spawn(move || {
         let mut bodies = bodies.into_iter();
         for mut stream in discovery.incoming().flatten() {
             while let Some((head, _)) = read_message(&mut stream) {
-                heard
+                recorded_calls
                     .lock()
                     .unwrap()
                     .push(head.lines().next().unwrap_or_default().to_string());
--- a/proxy/tests/sockets/keep_alive.rs
+++ b/proxy/tests/sockets/keep_alive.rs
@@ -20,8 +20,8 @@
         falls.load(Ordering::SeqCst) || stream.write_all(&ok_response("x")).is_ok()
     });
     let proxy = ProxyProcess::in_front_of(&[&endpoint]);
-    let ask = || assert_eq!(proxy.send_request(&request("view", 1.0, "")).0, 200);
-    thread::scope(|scope| (0..3).for_each(|_| drop(scope.spawn(ask))));
+    let send = || assert_eq!(proxy.send_request(&request("view", 1.0, "")).0, 200);
+    thread::scope(|scope| (0..3).for_each(|_| drop(scope.spawn(send))));
     assert_eq!(endpoint.open_connections.load(Ordering::SeqCst), 3, "kept");
     // Long enough for them to be reused.
     sleep_ms(50);
--- a/proxy/tests/sockets/memory.rs
+++ b/proxy/tests/sockets/memory.rs
@@ -75,9 +75,9 @@
             .sum::<usize>()
     };
     // Sixteen buffers, of which requests and attempts leave eight.
-    let change = |c: &mut Value| {
-        c["limits"]["memory_mb"] = json!(1);
-        disable_hedging(c);
+    let change = |config: &mut Value| {
+        config["limits"]["memory_mb"] = json!(1);
+        disable_hedging(config);
     };
     let proxy =
         ProxyProcess::with_configuration(&endpoints.iter().collect::<Vec<_>>(), change, None);
@@ -120,11 +120,37 @@
     drop(readers);
 }
 
+/// Sends three million bytes, and may be answered with as many: reads them slowly. How many bytes it has read.
+fn exchange_slowly(proxy: &ProxyProcess, body: &[u8]) -> usize {
+    let mut client = proxy.connect();
+    let head = String::from_utf8(request("pay", 2.0, "")).unwrap();
+    let head = head.replace("Length: 0", &format!("Length: {}", body.len()));
+    let _ = client.write_all(head.as_bytes());
+    for piece in body.chunks(300_000) {
+        if client.write_all(piece).is_err() {
+            break;
+        }
+        sleep_ms(30);
+    }
+    let mut got = 0;
+    let mut piece = vec![0; 100_000];
+    while let Ok(n @ 1..) = client.read(&mut piece) {
+        got += n;
+        if got < 1_000_000 {
+            sleep_ms(2);
+        }
+        if got > 3_000_000 || (got < 200 && n < 200) {
+            break;
+        }
+    }
+    got
+}
+
 #[test]
 fn more_long_bodies_than_memory_holds_pass_through_slow_peers() {
     let endpoint = TestEndpoint::answering_checksums();
     let body = pseudo_random_bytes(3_000_000);
-    let clients = 40;
+    let client_count = 40;
     let sent = response_with_body(&body);
     let answers = TestEndpoint::new(move |stream, _| stream.write_all(&sent).is_ok());
     let known = endpoint_list(
@@ -140,35 +166,11 @@
     config["limits"]["memory_mb"] = json!(32);
     let proxy = Arc::new(ProxyProcess::start(&config, None));
     let before = proxy.peak_memory_kb();
-    let slow: Vec<_> = (0..clients)
+    let slow: Vec<_> = (0..client_count)
         .map(|_| {
             let proxy = proxy.clone();
             let body = body.clone();
-            thread::spawn(move || {
-                // Sends three million bytes, and may be answered with as many: reads them slowly.
-                let mut client = proxy.connect();
-                let head = String::from_utf8(request("pay", 2.0, "")).unwrap();
-                let head = head.replace("Length: 0", &format!("Length: {}", body.len()));
-                let _ = client.write_all(head.as_bytes());
-                for piece in body.chunks(300_000) {
-                    if client.write_all(piece).is_err() {
-                        break;
-                    }
-                    sleep_ms(30);
-                }
-                let mut got = 0;
-                let mut piece = vec![0; 100_000];
-                while let Ok(n @ 1..) = client.read(&mut piece) {
-                    got += n;
-                    if got < 1_000_000 {
-                        sleep_ms(2);
-                    }
-                    if got > 3_000_000 || (got < 200 && n < 200) {
-                        break;
-                    }
-                }
-                got
-            })
+            thread::spawn(move || exchange_slowly(&proxy, &body))
         })
         .collect();
     sleep_ms(150);
--- a/proxy/tests/sockets/reload.rs
+++ b/proxy/tests/sockets/reload.rs
@@ -34,12 +34,12 @@
     wait_until("the attempt is sent", || slow.received_count() == 1);
     let mut faulty = configuration(second.address, &known);
     faulty["limits"]["sockets"] = json!("many");
-    for (text, log) in [
+    for (text, expected) in [
         ("{\"name\":".to_string(), "BALANCER_CONFIG"),
         (faulty.to_string(), "limits.sockets"),
     ] {
         proxy.reload(&text);
-        wait_until("the error is logged", || proxy.log().contains(log));
+        wait_until("the error is logged", || proxy.log().contains(expected));
     }
     assert!(
         second.calls.lock().unwrap().is_empty(),
--- a/proxy/tests/sockets/request_parsing.rs
+++ b/proxy/tests/sockets/request_parsing.rs
@@ -182,17 +182,21 @@
     check_generated(400, move |g| {
         let mut client = TcpStream::connect(address).unwrap();
         client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-        let whole = bool::arbitrary(g);
+        let complete = bool::arbitrary(g);
         let request = request("view", 0.2, "some body");
         client
-            .write_all(&if whole { request } else { garble(g, &request) })
+            .write_all(&if complete {
+                request
+            } else {
+                garble(g, &request)
+            })
             .unwrap();
-        if !whole {
+        if !complete {
             let _ = client.shutdown(Shutdown::Write);
         }
         // A complete request has a response, either the endpoint's or the proxy's own.
         let answer = read_message(&mut client).map(|(head, _)| status_code(&head));
-        answer.map_or(!whole, |status| {
+        answer.map_or(!complete, |status| {
             matches!(status, 200 | 400 | 405 | 413 | 431 | 502 | 503)
         })
     });
--- a/proxy/tests/sockets/request_streaming.rs
+++ b/proxy/tests/sockets/request_streaming.rs
@@ -59,13 +59,18 @@
 fn long_request_is_streamed_in_any_framing_and_pieces() {
     let endpoint = TestEndpoint::answering_checksums();
     let proxy = Arc::new(ProxyProcess::in_front_of(&[&endpoint]));
-    let fed = proxy.clone();
+    let streaming_proxy = proxy.clone();
     check_generated(24, move |g| {
         let body = pseudo_random_bytes(66_000 + usize::arbitrary(g) % 900_000);
         let chunked = bool::arbitrary(g);
         let pieces = 1 + usize::arbitrary(g) % 40;
-        let (status, response) =
-            send_body_in_pieces(&fed, &body, chunked, pieces, u64::from(pieces < 10));
+        let (status, response) = send_body_in_pieces(
+            &streaming_proxy,
+            &body,
+            chunked,
+            pieces,
+            u64::from(pieces < 10),
+        );
         status == 200 && response == format!("{} {}", body.len(), checksum(&body)).as_bytes()
     });
     assert_eq!(proxy.send_request(&request("view", 1.0, "x")).0, 200);
@@ -153,11 +158,11 @@
     client
         .set_read_timeout(Some(Duration::from_millis(100)))
         .unwrap();
-    let gone = (0..60).any(|_| {
+    let closed = (0..60).any(|_| {
         let _ = client.write_all(b"x");
         client.read(&mut [0; 100]).is_ok()
     });
-    assert!(gone, "it goes on trickling");
+    assert!(closed, "it goes on trickling");
 }
 
 /// A client with a small send buffer.
--- a/proxy/tests/sockets/response_streaming.rs
+++ b/proxy/tests/sockets/response_streaming.rs
@@ -81,14 +81,15 @@
     assert_eq!(read_message(&mut client).expect("still serving").1, long);
 }
 
-#[test]
-fn long_responses_of_any_framing_are_streamed_at_once_and_complete() {
-    let body = pseudo_random_bytes(400_000);
-    let sent = body.clone();
-    let endpoint = TestEndpoint::new(move |stream, received| {
-        let log = String::from_utf8_lossy(&received.body).into_owned();
-        let (framing, length) = log.split_once(' ').unwrap_or((&log, "20000"));
-        let (first, rest) = sent.split_at(length.parse().unwrap());
+/// An endpoint that answers in the framing that a request's body names, with a pause behind the first piece, whose
+/// length the request's body may name too.
+fn endpoint_pausing_mid_response(body: Vec<u8>) -> TestEndpoint {
+    TestEndpoint::new(move |stream, received| {
+        let request_body = String::from_utf8_lossy(&received.body).into_owned();
+        let (framing, length) = request_body
+            .split_once(' ')
+            .unwrap_or((&request_body, "20000"));
+        let (first, rest) = body.split_at(length.parse().unwrap());
         let chunk = |bytes: &[u8]| {
             [
                 format!("{:x};x\r\n", bytes.len()).as_bytes(),
@@ -99,7 +100,7 @@
         };
         let (head, first, rest) = match framing {
             "length" => (
-                format!("Content-Length: {}\r\n", sent.len()),
+                format!("Content-Length: {}\r\n", body.len()),
                 first.to_vec(),
                 rest.to_vec(),
             ),
@@ -121,7 +122,36 @@
         begun.is_ok()
             && stream.write_all(&rest).is_ok()
             && head.contains("-Length") | head.contains("chunked")
-    });
+    })
+}
+
+/// Reads the rest of a response behind its first bytes, and decodes the body from its framing.
+fn read_body(client: &mut TcpStream, first: &[u8], framing: &str) -> Vec<u8> {
+    let mut got = first.to_vec();
+    let head = got.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
+    let head_text = String::from_utf8_lossy(&got[..head]).into_owned();
+    let complete = |got: &[u8]| match header_value(&head_text, "Content-Length") {
+        Some(length) => got.len() - head >= length.parse().unwrap(),
+        None => got.ends_with(b"\r\n0\r\n\r\n"),
+    };
+    let mut piece = [0; 65_536];
+    while !complete(&got) {
+        match client.read(&mut piece) {
+            Ok(n @ 1..) => got.extend_from_slice(&piece[..n]),
+            other => panic!("{framing}: {other:?} after {}", got.len()),
+        }
+    }
+    if framing == "length" {
+        got.split_off(head)
+    } else {
+        decode_chunked(&got[head..])
+    }
+}
+
+#[test]
+fn long_responses_of_any_framing_are_streamed_at_once_and_complete() {
+    let body = pseudo_random_bytes(400_000);
+    let endpoint = endpoint_pausing_mid_response(body.clone());
     let proxy = ProxyProcess::in_front_of(&[&endpoint]);
     // A response that its head or its first piece shows to be long is streamed at once, a shorter first piece of
     // unknown length before the request's deadline, until which it may turn out to be a short response that
@@ -144,25 +174,7 @@
             let mut first = [0; 5000];
             client.read_exact(&mut first).unwrap();
             in_time |= from.elapsed() < Duration::from_millis(limit_ms);
-            let mut got = first.to_vec();
-            let head = got.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
-            let head_text = String::from_utf8_lossy(&got[..head]).into_owned();
-            let whole = |got: &[u8]| match header_value(&head_text, "Content-Length") {
-                Some(length) => got.len() - head >= length.parse().unwrap(),
-                None => got.ends_with(b"\r\n0\r\n\r\n"),
-            };
-            let mut piece = [0; 65_536];
-            while !whole(&got) {
-                match client.read(&mut piece) {
-                    Ok(n @ 1..) => got.extend_from_slice(&piece[..n]),
-                    other => panic!("{framing}: {other:?} after {}", got.len()),
-                }
-            }
-            let got = if framing == "length" {
-                got.split_off(head)
-            } else {
-                decode_chunked(&got[head..])
-            };
+            let got = read_body(&mut client, &first, framing);
             assert!(got == body, "{framing}: {} bytes", got.len());
         }
         assert!(in_time, "{framing}: not streamed in time");
@@ -288,16 +300,16 @@
     let sent = [head.as_bytes(), &body].concat();
     let endpoint = TestEndpoint::new(move |stream, _| stream.write_all(&sent).is_ok());
     let proxy = ProxyProcess::in_front_of(&[&endpoint]);
-    let asks = || {
+    let send_request = || {
         let mut client = proxy.connect();
         client.write_all(&request("pay", 20.0, "")).unwrap();
         client
     };
-    let mut stays = asks();
+    let mut stays = send_request();
     let mut leave = Vec::new();
     while leave.len() < 100 {
         // Where too many are in flight at once one is rejected, and another client sends its request.
-        let mut client = asks();
+        let mut client = send_request();
         leave.extend(client.read_exact(&mut [0; 1000]).is_ok().then_some(client));
     }
     proxy.pause();
@@ -315,6 +327,6 @@
     });
     // All buffers are free again: as many responses pass once more.
     for _ in 0..10 {
-        assert!(read_message(&mut asks()).expect("a response").1 == body);
+        assert!(read_message(&mut send_request()).expect("a response").1 == body);
     }
 }
--- a/proxy/tests/sockets/startup.rs
+++ b/proxy/tests/sockets/startup.rs
@@ -37,7 +37,7 @@
         let (written, wrote) = mpsc::channel::<()>();
         let discovery_calls = thread::spawn(move || {
             let (mut stream, _) = discovery.accept().unwrap();
-            read_message(&mut stream).expect("it asks");
+            read_message(&mut stream).expect("it calls");
             let called = Instant::now();
             // Not before the client has written, and a proxy that does not wait has had the time to forward
             // that.
@@ -59,7 +59,7 @@
             written.send(()).unwrap();
             read_message(&mut client).expect("a response").1
         });
-        let _node = ProxyProcess::start(&configuration, None);
+        let _proxy = ProxyProcess::start(&configuration, None);
         let (took, ..) = discovery_calls.join().unwrap();
         let body = client.join().unwrap();
         if took < Duration::from_millis(85) {
@@ -85,9 +85,9 @@
                "TtlMs": ttl_ms, "Benefit": 3.5, "LateBenefit": 0.0})
     };
     let one = |name: &str, effect: &str, ttl_ms: f64| vec![class_settings(name, effect, ttl_ms)];
-    let small = |c: &mut Value| {
-        c["limits"] = json!({"cores": 0.1, "memory_mb": 1, "sockets": 48});
-        c["settings"]["Limits"]["MostPushes"] = json!(1);
+    let small = |config: &mut Value| {
+        config["limits"] = json!({"cores": 0.1, "memory_mb": 1, "sockets": 48});
+        config["settings"]["Limits"]["MostPushes"] = json!(1);
     };
     for (request_classes, limits) in [
         (one("Berth.Plan", "read_like", 120_000.0), false),
@@ -102,9 +102,9 @@
             false,
         ),
     ] {
-        let change = |c: &mut Value| {
-            c["settings"]["Categories"] = json!(request_classes);
-            limits.then(|| small(c));
+        let change = |config: &mut Value| {
+            config["settings"]["Categories"] = json!(request_classes);
+            limits.then(|| small(config));
         };
         let proxy = ProxyProcess::with_configuration(&[&endpoint], change, None);
         for request_class in &request_classes {
@@ -195,45 +195,53 @@
     took
 }
 
+/// A discovery that always answers with this list, after a pause, or not at all while it is `down`.
+fn start_discovery(
+    complete_list: &Value,
+    pause_ms: u64,
+    down: Option<Arc<AtomicBool>>,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let complete_list = complete_list.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let complete_list = complete_list.clone();
+            let down = down.clone();
+            thread::spawn(move || {
+                while let Some((head, _)) = read_message(&mut stream) {
+                    if down
+                        .as_ref()
+                        .is_some_and(|down| down.load(Ordering::SeqCst))
+                    {
+                        let _ = stream.read(&mut [0]);
+                        return;
+                    }
+                    sleep_ms(if head.contains("hold_ms=2") {
+                        2000
+                    } else {
+                        pause_ms
+                    });
+                    let _ = stream.write_all(&ok_response(&format!("{complete_list:#}")));
+                }
+            });
+        }
+    });
+    address
+}
+
 #[test]
 fn nine_in_ten_processes_started_at_once_are_ready_within_ten_seconds() {
     let endpoint = TestEndpoint::always_answering(ok_response("x"));
     let entry = |i: usize| endpoint_entry(&format!("server-{i:04}"), endpoint.address, "Ready");
     let hosts: Vec<Value> = (0..1024).map(entry).collect();
     let complete_list = endpoint_list(1, true, &hosts);
-    // Silent for the first 8 s after the second start, slow, and answering at once; with a list known before and
-    // with none.
+    // Silent for 8 s, slow, and answering at once; with a list known before and with none.
     let count = 12;
     let silent = Arc::new(AtomicBool::new(false));
-    let held = silent.clone();
+    let silent_flag = silent.clone();
     let discovery = |pause_ms: u64, down: Option<Arc<AtomicBool>>| {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let complete_list = complete_list.clone();
-        thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                let complete_list = complete_list.clone();
-                let down = down.clone();
-                thread::spawn(move || {
-                    while let Some((head, _)) = read_message(&mut stream) {
-                        if down
-                            .as_ref()
-                            .is_some_and(|down| down.load(Ordering::SeqCst))
-                        {
-                            let _ = stream.read(&mut [0]);
-                            return;
-                        }
-                        sleep_ms(if head.contains("hold_ms=2") {
-                            2000
-                        } else {
-                            pause_ms
-                        });
-                        let _ = stream.write_all(&ok_response(&format!("{complete_list:#}")));
-                    }
-                });
-            }
-        });
-        address
+        start_discovery(&complete_list, pause_ms, down)
     };
     let cases = [
         ("at once, none known", discovery(0, None), &Value::Null),
@@ -244,12 +252,12 @@
         ),
         (
             "silent for 8 s, known",
-            discovery(0, Some(held.clone())),
+            discovery(0, Some(silent_flag.clone())),
             &complete_list,
         ),
         (
             "silent for 8 s, none known",
-            discovery(0, Some(held)),
+            discovery(0, Some(silent_flag)),
             &Value::Null,
         ),
     ];
--- a/proxy/tests/sockets/state_directory.rs
+++ b/proxy/tests/sockets/state_directory.rs
@@ -93,19 +93,19 @@
     // Longer than the path of a Unix socket may be.
     let long = fresh_temp_dir("long").join("x".repeat(120));
     std::fs::create_dir_all(&long).expect("a writable folder");
-    let (_node, log) = start_with_temp_dir(&long);
+    let (_proxy, log) = start_with_temp_dir(&long);
     assert!(log.contains("no upgrade can be handed over"), "{log}");
 }
 
 #[test]
 fn proxy_logs_and_serves_without_a_state_directory() {
     let missing = fresh_temp_dir("missing").join("not").join("there");
-    let (_node, log) = start_with_temp_dir(&missing);
+    let (_proxy, log) = start_with_temp_dir(&missing);
     assert!(log.contains("no state directory"), "{log}");
     let file = fresh_temp_dir("file").join("a-file");
     std::fs::write(&file, "").expect("written");
     std::fs::set_permissions(&file, std::fs::Permissions::from_mode(0o600)).expect("set");
-    let (_node, log) = start_with_temp_dir(&file);
+    let (_proxy, log) = start_with_temp_dir(&file);
     assert!(log.contains("no state directory"), "{log}");
 }
 
@@ -120,7 +120,7 @@
         let listener = UnixListener::bind(state.join("handover")).expect("a free path");
         let open_listener = (!dead).then_some(listener);
         let before = Instant::now();
-        let (_node, log) = start_with_temp_dir(&temporary);
+        let (_proxy, log) = start_with_temp_dir(&temporary);
         assert!(before.elapsed().as_secs() < 4, "{:?}", before.elapsed());
         assert_eq!(
             log.contains("nothing was handed over"),
--- a/proxy/tests/sockets/upgrade.rs
+++ b/proxy/tests/sockets/upgrade.rs
@@ -9,11 +9,35 @@
 use rustix::process::Signal;
 use serde_json::json;
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 
+/// Sends requests one after the other until `stop`; how many were served. Each must have a response.
+fn send_requests_until(address: SocketAddr, stop: &AtomicBool) -> usize {
+    // Half of the connections are kept for as long as the proxy keeps them.
+    let mut served = 0;
+    let mut kept = None::<TcpStream>;
+    while !stop.load(Ordering::SeqCst) {
+        let mut client = kept
+            .take()
+            .unwrap_or_else(|| TcpStream::connect(address).unwrap());
+        client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        client.write_all(&request("pay", 2.0, "x")).unwrap();
+        let (head, body) = read_message(&mut client).expect("a response");
+        // With one endpoint disabled, half a proxy's limits may be used up for a moment.
+        assert!(
+            matches!((status_code(&head), &body[..]), (200, b"x") | (503, b"")),
+            "{head}"
+        );
+        served += usize::from(status_code(&head) == 200);
+        kept = Some(client).filter(|_| header_value(&head, "Connection").is_none());
+        sleep_ms(5);
+    }
+    served
+}
+
 #[test]
 fn upgrade_loses_no_request_and_both_processes_share_disabled_endpoints() {
     let one = TestEndpoint::echoing();
@@ -24,28 +48,7 @@
     let clients: Vec<_> = (0..6)
         .map(|_| {
             let stop = stop.clone();
-            thread::spawn(move || {
-                // Half of the connections are kept for as long as the proxy keeps them.
-                let mut served = 0;
-                let mut kept = None::<TcpStream>;
-                while !stop.load(Ordering::SeqCst) {
-                    let mut client = kept
-                        .take()
-                        .unwrap_or_else(|| TcpStream::connect(address).unwrap());
-                    client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-                    client.write_all(&request("pay", 2.0, "x")).unwrap();
-                    let (head, body) = read_message(&mut client).expect("a response");
-                    // With one endpoint disabled, half a proxy's limits may be used up for a moment.
-                    assert!(
-                        matches!((status_code(&head), &body[..]), (200, b"x") | (503, b"")),
-                        "{head}"
-                    );
-                    served += usize::from(status_code(&head) == 200);
-                    kept = Some(client).filter(|_| header_value(&head, "Connection").is_none());
-                    sleep_ms(5);
-                }
-                served
-            })
+            thread::spawn(move || send_requests_until(address, &stop))
         })
         .collect();
     sleep_ms(100);
@@ -59,7 +62,7 @@
         old.metric("ejected") == Some(1)
     });
     old.signal(Signal::TERM);
-    wait_until("the error is logged", || {
+    wait_until("it is not ready any more", || {
         old.admin_call("GET", "/v1/readyz").0 != 200
     });
     assert!(old.wait_for_exit().0);
