Checks and scripts of three long socket tests are named functions

Change: their steps and checks become functions with names; the steps, their order, limits and counts are as they were.

--- a/proxy/tests/sockets/descriptor_exhaustion.rs
+++ b/proxy/tests/sockets/descriptor_exhaustion.rs
@@ -7,7 +7,7 @@
 use crate::support::proxy_process::ProxyProcess;
 use crate::support::scripted_discovery::ScriptedDiscovery;
 use crate::support::wait::{sleep_ms, wait_until};
-use serde_json::json;
+use serde_json::{json, Value};
 use std::collections::VecDeque;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -46,6 +46,50 @@
     }
 }
 
+/// The limit on descriptors that the system sets for the proxy.
+const MAX_DESCRIPTORS: usize = 40;
+
+fn wait_until_descriptors_are_exhausted(proxy: &ProxyProcess) {
+    let open_descriptors = || {
+        std::fs::read_dir(format!("/proc/{}/fd", proxy.pid()))
+            .unwrap()
+            .count()
+    };
+    wait_until("they hold all", || open_descriptors() >= MAX_DESCRIPTORS);
+}
+
+fn assert_disable_calls_are_applied(proxy: &ProxyProcess) {
+    for (call, ejected) in [
+        ("suspend", 1),
+        ("resume", 0),
+        ("suspend", 1),
+        ("resume", 0),
+        ("suspend", 1),
+    ] {
+        wait_until_descriptors_are_exhausted(proxy);
+        assert_eq!(
+            proxy
+                .admin_call("POST", &format!("/v1/servers/s0/{call}"))
+                .0,
+            200
+        );
+        assert_eq!(
+            proxy.metric("ejected"),
+            Some(ejected),
+            "it is applied, not only stored: {call}"
+        );
+    }
+}
+
+fn assert_reloads_are_applied(proxy: &ProxyProcess, config: &Value) {
+    let read = || proxy.log().matches("configuration read again").count();
+    for round in 1..=10 {
+        wait_until_descriptors_are_exhausted(proxy);
+        proxy.reload(&config.to_string());
+        wait_until("the file is read", || read() == round);
+    }
+}
+
 #[test]
 fn clients_that_hold_every_descriptor_block_no_update_disable_reload_or_upgrade() {
     let one = TestEndpoint::always_answering(ok_response("s0"));
@@ -59,15 +103,10 @@
     let mut config = configuration(discovery.address, &endpoint_list(1, true, &hosts));
     config["listen"] = json!(free.to_string());
     config["admin_addr"] = json!("127.0.0.1:0");
-    let proxy = ProxyProcess::start(&config, Some(40));
+    let proxy = ProxyProcess::start(&config, Some(MAX_DESCRIPTORS));
     wait_until("it watches", || discovery.call_count() >= 2);
     let flood = IdleConnectionFlood::before(&proxy, 200);
-    let open_descriptors = || {
-        std::fs::read_dir(format!("/proc/{}/fd", proxy.pid()))
-            .unwrap()
-            .count()
-    };
-    wait_until("they hold all", || open_descriptors() >= 40);
+    wait_until_descriptors_are_exhausted(&proxy);
     // Discovery is down, and the watch with it: each call needs a new connection.
     discovery.refuses.store(true, Ordering::SeqCst);
     sleep_ms(3000);
@@ -90,33 +129,9 @@
         log.contains("discovery: Connection reset") && !log.contains("discovery: Too many"),
         "{log}"
     );
-    for (call, ejected) in [
-        ("suspend", 1),
-        ("resume", 0),
-        ("suspend", 1),
-        ("resume", 0),
-        ("suspend", 1),
-    ] {
-        wait_until("they hold all", || open_descriptors() >= 40);
-        assert_eq!(
-            proxy
-                .admin_call("POST", &format!("/v1/servers/s0/{call}"))
-                .0,
-            200
-        );
-        assert_eq!(
-            proxy.metric("ejected"),
-            Some(ejected),
-            "it is applied, not only stored: {call}"
-        );
-    }
+    assert_disable_calls_are_applied(&proxy);
     // Not checked by the admin API, whose callers leave a descriptor free behind them.
-    let read = || proxy.log().matches("configuration read again").count();
-    for round in 1..=10 {
-        wait_until("they hold all", || open_descriptors() >= 40);
-        proxy.reload(&config.to_string());
-        wait_until("the file is read", || read() == round);
-    }
+    assert_reloads_are_applied(&proxy, &config);
     let next = proxy.start_successor();
     assert!(
         proxy.log().contains("handed over to a newer process"),
--- a/proxy/tests/sockets/memory.rs
+++ b/proxy/tests/sockets/memory.rs
@@ -12,7 +12,7 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Receiver;
-use std::sync::{mpsc, Arc, Mutex, MutexGuard};
+use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -40,32 +40,41 @@
     });
 }
 
+/// The length of a response that fills every buffer on its way.
+const LONG_RESPONSE_BYTES: usize = 30 * 1024 * 1024;
+
+/// Answers a request once all are sent: one of the class `pay` shortly, once it is allowed, any other with a long
+/// response.
+fn answer_when_all_are_sent(
+    stream: &mut TcpStream,
+    received: &ReceivedRequest,
+    allowed: &Mutex<Receiver<()>>,
+    all_out: &AtomicBool,
+) -> bool {
+    wait_until("all are sent", || all_out.load(Ordering::SeqCst));
+    if received.head.starts_with("POST /pay/") {
+        let _ = allowed.lock().unwrap().recv_timeout(TEST_TIMEOUT);
+        return stream.write_all(&ok_response("paid")).is_ok();
+    }
+    // The client of this one reads nothing of it.
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_RESPONSE_BYTES}\r\n\r\n");
+    stream.write_all(head.as_bytes()).is_ok()
+        && stream.write_all(&vec![b'x'; LONG_RESPONSE_BYTES]).is_ok()
+}
+
 #[test]
 fn pipelined_requests_do_not_hold_the_last_buffer_from_a_response() {
-    const LONG: usize = 30 * 1024 * 1024;
     let (allow, allowed) = mpsc::channel::<()>();
     let allowed = Arc::new(Mutex::new(allowed));
     let all_out = Arc::new(AtomicBool::new(false));
-    let script = |stream: &mut TcpStream,
-                  received: &ReceivedRequest,
-                  allowed: &Mutex<_>,
-                  all_out: &AtomicBool| {
-        wait_until("all are sent", || all_out.load(Ordering::SeqCst));
-        if received.head.starts_with("POST /pay/") {
-            let allowed: MutexGuard<Receiver<()>> = allowed.lock().unwrap();
-            let _ = allowed.recv_timeout(TEST_TIMEOUT);
-            return stream.write_all(&ok_response("paid")).is_ok();
-        }
-        // The client of this one reads nothing of it.
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
-        stream.write_all(head.as_bytes()).is_ok() && stream.write_all(&vec![b'x'; LONG]).is_ok()
-    };
     // As many endpoints as have capacity for all requests from the start.
     let endpoints: Vec<TestEndpoint> = (0..3)
         .map(|_| {
             let allowed = allowed.clone();
             let all_out = all_out.clone();
-            TestEndpoint::new(move |stream, received| script(stream, received, &allowed, &all_out))
+            TestEndpoint::new(move |stream, received| {
+                answer_when_all_are_sent(stream, received, &allowed, &all_out)
+            })
         })
         .collect();
     let attempts = || {
--- a/proxy/tests/sockets/mixed_load_reporting.rs
+++ b/proxy/tests/sockets/mixed_load_reporting.rs
@@ -68,6 +68,47 @@
     }
 }
 
+/// Checks that endpoint 0 gets nothing once it has drained, and endpoint 3 little while it is warming up.
+fn assert_drain_and_slow_start(runs: &[RecordedRun], cold_at_ms: f64, drain_at_ms: f64) {
+    let attempts_at = |endpoint: usize, from_ms: f64, to_ms: f64| {
+        runs.iter()
+            .filter(|run| run.endpoint == endpoint && (from_ms..to_ms).contains(&run.from_ms))
+            .count() as f64
+    };
+    // The drain grace is 100 ms; a busy machine is given the rest.
+    assert_eq!(
+        attempts_at(0, drain_at_ms + 600.0, f64::MAX),
+        0.0,
+        "nothing new after the grace"
+    );
+    assert!(
+        attempts_at(0, cold_at_ms, drain_at_ms) > 0.0,
+        "it was in use"
+    );
+    // In its first 1.5 s it can do up to 27% of the work of an endpoint that is warmed up; one and a half times
+    // that, and some allowance for chance.
+    let warm =
+        (attempts_at(1, cold_at_ms, drain_at_ms) + attempts_at(2, cold_at_ms, drain_at_ms)) / 2.0;
+    let cold = attempts_at(3, cold_at_ms, drain_at_ms);
+    assert!(cold <= 0.41 * warm + 5.0, "{cold} attempts beside {warm}");
+}
+
+/// Checks that the clients of neither kind of proxy (0 without probes, 1 with probes) are starved.
+fn assert_fair(answers: &[(usize, u16)]) {
+    let served = |kind: usize| {
+        answers
+            .iter()
+            .filter(|(answered_kind, status)| *answered_kind == kind && *status == 200)
+            .count() as f64
+    };
+    let old = served(0);
+    let new = served(1);
+    assert!(
+        old > 0.5 * new && new > 0.5 * old && old + new > 100.0,
+        "without probes {old}, with probes {new}"
+    );
+}
+
 #[test]
 fn proxies_with_and_without_probes_share_endpoints_by_the_rules_and_fairly() {
     let recording = RecordingEndpoints::start(4, Duration::from_millis(20));
@@ -127,37 +168,6 @@
     let mut runs = std::mem::take(&mut *recording.runs.lock().unwrap());
     runs.sort_by(|first, second| first.from_ms.total_cmp(&second.from_ms));
     assert_runs_follow_the_rules(&runs);
-    let attempts_at = |endpoint: usize, from_ms: f64, to_ms: f64| {
-        runs.iter()
-            .filter(|run| run.endpoint == endpoint && (from_ms..to_ms).contains(&run.from_ms))
-            .count() as f64
-    };
-    // The drain grace is 100 ms; a busy machine is given the rest.
-    assert_eq!(
-        attempts_at(0, drain_at_ms + 600.0, f64::MAX),
-        0.0,
-        "nothing new after the grace"
-    );
-    assert!(
-        attempts_at(0, cold_at_ms, drain_at_ms) > 0.0,
-        "it was in use"
-    );
-    // In its first 1.5 s it can do up to 27% of the work of an endpoint that is warmed up; one and a half times
-    // that, and some allowance for chance.
-    let warm =
-        (attempts_at(1, cold_at_ms, drain_at_ms) + attempts_at(2, cold_at_ms, drain_at_ms)) / 2.0;
-    let cold = attempts_at(3, cold_at_ms, drain_at_ms);
-    assert!(cold <= 0.41 * warm + 5.0, "{cold} attempts beside {warm}");
-    let served = |kind: usize| {
-        answers
-            .iter()
-            .filter(|(answered_kind, status)| *answered_kind == kind && *status == 200)
-            .count() as f64
-    };
-    let old = served(0);
-    let new = served(1);
-    assert!(
-        old > 0.5 * new && new > 0.5 * old && old + new > 100.0,
-        "without probes {old}, with probes {new}"
-    );
+    assert_drain_and_slow_start(&runs, cold_at_ms, drain_at_ms);
+    assert_fair(&answers);
 }
