--- a/proxy/tests/sockets/client_disconnects.rs
+++ b/proxy/tests/sockets/client_disconnects.rs
@@ -5,7 +5,7 @@
 use crate::support::configuration::report_load_to_probes_alone;
 use crate::support::connection::{
     any_connection_in_state, full_accept_queue, is_connecting_to, proc_net_address,
-    reset_connection,
+    reset_connection, reset_on_close,
 };
 use crate::support::discovery::{endpoint_entry, endpoint_list};
 use crate::support::endpoint::TestEndpoint;
@@ -20,7 +20,6 @@
 use std::sync::mpsc::Sender;
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
-use std::time::Duration;
 
 #[test]
 fn client_close_cancels_its_attempt() {
@@ -37,6 +36,7 @@
     });
 }
 
+/// A response that fails an attempt for good where its class allows no retry.
 const INTERNAL_ERROR_RESPONSE: &[u8] = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
 
 /// Opens so many idle connections to an endpoint that holds its responses back: the next attempts are written at
@@ -172,7 +172,7 @@
         let mut proxy = ProxyProcess::with_configuration(&[&endpoint], shape, None);
         let mut client = proxy.connect();
         client.write_all(&request("view", 60.0, "")).unwrap();
-        wait_until("the probe is out", || endpoint.received_count() == 1);
+        wait_until("the probe is sent", || endpoint.received_count() == 1);
         proxy.pause();
         allow.send(()).unwrap();
         sleep_ms(30);
@@ -293,9 +293,7 @@
     let endpoint = TestEndpoint::new(move |stream, _| {
         let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nabc");
         let _ = opened.lock().unwrap().recv_timeout(TEST_TIMEOUT);
-        socket2::SockRef::from(&*stream)
-            .set_linger(Some(Duration::ZERO))
-            .expect("a socket");
+        reset_on_close(stream);
         false
     });
     let proxy = ProxyProcess::in_front_of(&[&endpoint]);
--- a/proxy/tests/sockets/complete_responses.rs
+++ b/proxy/tests/sockets/complete_responses.rs
@@ -52,8 +52,10 @@
     }
 }
 
+/// A response head that announces a chunked body.
 const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// A response head that announces a body of ten bytes.
 const HEAD_WITH_LENGTH_10: &str = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
 
 #[test]
--- a/proxy/tests/sockets/metrics.rs
+++ b/proxy/tests/sockets/metrics.rs
@@ -81,7 +81,7 @@
     assert_eq!(
         proxy.send_request(&request("order", 2.0, "")).0,
         503,
-        "all are sent"
+        "all endpoints are disabled"
     );
     assert_eq!(proxy.metric("declined.order"), Some(1));
     // A request class that is removed keeps its counts, and reloads are counted as they are applied.
