HTTP messages by concern: heads, body framing, forwarding, own responses, typed errors

Cause: one file of 450 lines parsed heads, decoded bodies, composed what is forwarded and wrote the proxy's own answers; an error was the bare status code that it is answered with.

Change: http/ has a module for each (head, body, forward, local_response, status, error), names of RFC 9110 and 9112, and ParseError. downstream::RequestError says why a request is rejected, and has the status code that was answered before; the check of a request's head moves to downstream/request_head.rs. The two body limits of a response, always equal, are one. A response head that httparse calls complete and that lacks a status or version cannot occur; it is an error now and no longer a status of 0.

--- a/proxy/src/admin/calls.rs
+++ b/proxy/src/admin/calls.rs
@@ -128,10 +128,10 @@
                 continue;
             }
             let filled = caller.said.fill(&mut caller.stream);
-            let found = http::request(caller.said.held(), |method, target, _| {
+            let found = http::parse_request(caller.said.held(), |method, target, _| {
                 (
                     method.to_string(),
-                    http::origin(target)
+                    http::origin_form(target)
                         .split('?')
                         .next()
                         .unwrap_or_default()
@@ -143,7 +143,7 @@
                     let (status, text) = self.call(&method, &path);
                     self.reply(slot, status, &text);
                 }
-                (Err(status), _) => self.reply(slot, status, ""),
+                (Err(error), _) => self.reply(slot, error.status(), ""),
                 (Ok(None), Filled::Some) => {}
                 (Ok(None), Filled::Later) => return,
                 (Ok(None), Filled::Full) => self.reply(slot, 431, ""),
@@ -157,7 +157,7 @@
         let Some(caller) = &mut self.admin.callers[slot] else {
             return;
         };
-        caller.answer = http::told(status, text).into_bytes();
+        caller.answer = http::text_response(status, text).into_bytes();
         self.timers.unset(caller.timer.take());
         caller.timer = Some(
             self.timers
--- a/proxy/src/discovery/poll.rs
+++ b/proxy/src/discovery/poll.rs
@@ -147,11 +147,7 @@
             let filled = discovery.inbox.fill(stream);
             let ended = filled == Filled::Ended;
             if discovery.message.is_none() {
-                match http::answer(
-                    discovery.inbox.held(),
-                    (LIST_MOST, LIST_MOST),
-                    |status, _| status,
-                ) {
+                match http::parse_response(discovery.inbox.held(), LIST_MOST, |status, _| status) {
                     Ok(found) => discovery.message = found,
                     Err(_) => return self.list_call_failed("not an HTTP answer"),
                 }
@@ -159,7 +155,7 @@
             let whole = match &mut discovery.message {
                 Some((message, _)) => message
                     .advance(&mut discovery.inbox)
-                    .map(|whole| whole || ended && message.ends_here()),
+                    .map(|whole| whole || ended && message.ends_at_close()),
                 None => Ok(false),
             };
             match (whole, filled) {
@@ -180,7 +176,7 @@
         let Some((message, status)) = discovery.message.take() else {
             return;
         };
-        let body = &discovery.inbox.held()[message.head..message.end];
+        let body = &discovery.inbox.held()[message.body_start..message.body_end];
         let list = match (status, serde_json::from_slice(body)) {
             (200, Ok(list)) => {
                 let read = read_list(&mut self.name_index, &list);
@@ -200,7 +196,7 @@
             Ok(list) => list,
             Err(e) => return self.list_call_failed(&e),
         };
-        if !message.keep {
+        if !message.keep_alive {
             self.hang_up();
         }
         let discovery = &mut self.discovery;
--- a/proxy/src/downstream/mod.rs
+++ b/proxy/src/downstream/mod.rs
@@ -3,8 +3,12 @@
 
 mod accept;
 mod read_request;
+mod request_error;
+mod request_head;
 mod write_response;
 
+pub use request_error::RequestError;
+
 use crate::buffers::Buffer;
 use crate::http::Message;
 use crate::metrics::access::{End, RequestReceipt};
@@ -13,10 +17,10 @@
 use crate::streaming::Upload;
 use crate::timers::TimerKey;
 use crate::tokens::{CLIENT, LISTENER};
-use crankmux::types::NewRequest;
 use crankmux::types::{AttemptOutcome, LoadReport};
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
+use request_head::RequestKind;
 use socket2::SockRef;
 use std::io;
 use std::time::Duration;
@@ -32,16 +36,6 @@
 /// Beyond that a body keeps this pace, in bytes a millisecond: a quarter of the slowest that is promised.
 const PACE: f64 = 16.0;
 
-/// What a request asks for.
-#[derive(Clone, Copy)]
-enum Asked {
-    Health,
-    /// With the mark of its id.
-    Op(NewRequest, u64),
-    /// For a category that was served once.
-    Vanished(usize),
-}
-
 /// How soon accepting is tried again after an error: a few times within any client's patience.
 const ACCEPT_AGAIN: f64 = 50.0;
 /// A client that has connected, or begun a request, goes on at once: within the way there, which is under
@@ -52,7 +46,7 @@
     stream: TcpStream,
     /// The request, from its first byte until it is answered.
     inbox: Option<Buffer>,
-    request: Option<(Message, Asked)>,
+    request: Option<(Message, RequestKind)>,
     outbox: Option<Buffer>,
     sent: usize,
     /// The connection to a server from which more of its answer comes.
@@ -94,7 +88,7 @@
     fn in_body(&self) -> bool {
         self.request
             .as_ref()
-            .is_some_and(|(message, _)| !message.whole())
+            .is_some_and(|(message, _)| !message.is_complete())
     }
 
     /// By when more of its body must have come.
@@ -225,7 +219,7 @@
         self.table
             .get(key)
             .and_then(|c| c.request.as_ref())
-            .is_none_or(|(message, _)| message.chunks)
+            .is_none_or(|(message, _)| message.accepts_chunked)
     }
 
     /// Its body goes on to a connection to a server.
@@ -269,8 +263,9 @@
             return false;
         };
         let unread = rustix::io::ioctl_fionread(stream).unwrap_or(0) as usize;
-        let here = message.brought() + inbox.held().len().saturating_sub(message.end) + unread;
-        message.length().is_some_and(|length| here >= length)
+        let here =
+            message.body_received() + inbox.held().len().saturating_sub(message.body_end) + unread;
+        message.body_length().is_some_and(|length| here >= length)
     }
 
     /// It has been given more to take: its time to take it starts now, not as its server paused.
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -1,87 +1,13 @@
 //! Reading from clients: a request's head is checked as soon as it is in, its body awaited or fed on.
 
-use super::{Asked, LINGER_BYTES, SLOW};
+use super::request_head::{RequestHead, RequestKind};
+use super::{RequestError, LINGER_BYTES, SLOW};
 use crate::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
-use crate::endpoint_list::hashed;
-use crate::http::{self, RequestError};
+use crate::http;
 use crate::proxy::Proxy;
-use crate::requests::Requests;
 use crate::upstream::start_of;
-use crankmux::settings::NameIndex;
-use crankmux::types::NewRequest;
-use httparse::Header;
 use std::io::{self, Read, Write};
 
-/// Longer than any client waits: a deadline past it is a mistake.
-const TTL_MOST: f64 = 3600.0;
-
-fn asked(
-    names: &NameIndex,
-    ops: &Requests,
-    key: Option<&str>,
-    method: &str,
-    path: &str,
-    headers: &[Header],
-) -> Result<Asked, RequestError> {
-    if path == "/_health" {
-        return Ok(Asked::Health);
-    }
-    if matches!(method, "HEAD" | "CONNECT") {
-        // Their answers have no body, whatever is told of its length.
-        return Err(405);
-    }
-    let header = |name: &str| http::value(headers, name).filter(|v| !v.is_empty());
-    // Danger: two headers of one name are read in two ways by two readers.
-    let told_twice = |name: &&str| {
-        headers
-            .iter()
-            .filter(|h| h.name.eq_ignore_ascii_case(name))
-            .count()
-            > 1
-    };
-    if ["X-Request-ID", "X-Priority-Class", "X-Timeout"]
-        .iter()
-        .any(told_twice)
-    {
-        return Err(400);
-    }
-    let mark = ops.mark(header("X-Request-ID").ok_or(400_u16)?);
-    let category = header("X-Priority-Class").ok_or(400_u16)?;
-    if path.trim_start_matches('/').split(['/', '?']).next() != Some(category) {
-        return Err(400);
-    }
-    let Some(category) = names.classes.index(category) else {
-        // Danger: clients that have not heard of it yet, whose failures no figure would tell.
-        let once = names.classes.names.iter().position(|name| name == category);
-        return once.map(Asked::Vanished).ok_or(400);
-    };
-    let ttl: f64 = header("X-Timeout")
-        .and_then(|v| v.parse().ok())
-        .ok_or(400_u16)?;
-    if !(ttl > 0.0 && ttl <= TTL_MOST) {
-        return Err(400);
-    }
-    let customer = header("X-Tenant-Id");
-    if customer.is_none() && !names.tenants.is_empty() {
-        return Err(400);
-    }
-    let customer = customer.and_then(|name| names.tenants.index(name));
-    let retry = header("X-Retried") == Some("1");
-    // All nodes come to the same number, so that a key's servers are known to all alike.
-    let key = key.and_then(header).map(hashed);
-    Ok(Asked::Op(
-        NewRequest {
-            request: 0,
-            class: category,
-            tenant: customer,
-            ttl_ms: ttl * 1000.0,
-            client_retry: retry,
-            key,
-        },
-        mark,
-    ))
-}
-
 impl Proxy {
     /// From now on nothing but a whole request may keep the connection for longer than this.
     pub(super) fn may_stand(&mut self, key: usize, most: f64) {
@@ -133,7 +59,7 @@
         if client.inbox.is_some() {
             // Danger: a client that sends a byte now and then would hold a buffer for ever.
             self.counters.bad += 1;
-            self.refuse(key, 408);
+            self.refuse(key, RequestError::Timeout);
         } else {
             self.drop_downstream(key);
         }
@@ -186,7 +112,7 @@
         let Some(mut inbox) = client.inbox.take().or_else(|| self.buffers.take()) else {
             // Danger: the pool is empty. The client is refused unread, and its next try is harmless.
             self.counters.full += 1;
-            self.refuse(key, 503);
+            self.refuse(key, RequestError::NoBuffer);
             return true;
         };
         match self.read_whole(key, &mut inbox) {
@@ -196,11 +122,13 @@
                 true
             }
             Ok(None) => self.read_more(key, inbox),
-            Err(status) => {
-                log::debug!("a request is refused with {status}: {}", start_of(&inbox));
+            Err(error) => {
+                let status = error.status();
+                let start = start_of(&inbox);
+                log::debug!("request rejected with {status}, {error}: {start}");
                 self.put_back(key, inbox);
                 self.counters.bad += 1;
-                self.refuse(key, status);
+                self.refuse(key, error);
                 true
             }
         }
@@ -250,7 +178,7 @@
         &mut self,
         key: usize,
         inbox: &mut Buffer,
-    ) -> Result<Option<Asked>, RequestError> {
+    ) -> Result<Option<RequestKind>, RequestError> {
         let client = &mut self.downstream.table[key];
         if client.request.is_none() {
             // Danger: line ends left over behind the last request, taken for a request that never ends.
@@ -260,18 +188,23 @@
                 .take_while(|b| matches!(b, b'\r' | b'\n'))
                 .count();
             inbox.cut(0, blank);
-            let (names, ops, key) = (&self.name_index, &self.requests, self.key_header.as_deref());
-            let head = http::request(inbox.held(), |method, path, headers| {
-                let expect = http::value(headers, "expect").unwrap_or_default();
-                (
-                    asked(names, ops, key, method, path, headers),
-                    expect.eq_ignore_ascii_case("100-continue"),
-                )
+            let key_header = self.key_header.as_deref();
+            let head = http::parse_request(inbox.held(), |method, target, headers| {
+                let head = RequestHead {
+                    method,
+                    target,
+                    headers,
+                };
+                let kind = head.classify(&self.name_index, &self.requests, key_header);
+                (kind, head.expects_continue())
             })?;
             let Some((message, (asked, expects))) = head else {
                 return Ok(None);
             };
-            log::trace!("{}", String::from_utf8_lossy(&inbox.held()[..message.head]));
+            log::trace!(
+                "{}",
+                String::from_utf8_lossy(&inbox.held()[..message.body_start])
+            );
             // What its head rules out is refused before its body has come.
             client.request = Some((message, asked?));
             let now = self.clock.now();
@@ -287,7 +220,7 @@
         };
         // One too long to be held whole is heard before its end.
         let whole = message.advance(inbox)?;
-        Ok((whole || message.end - message.head > BODY_MOST).then_some(*asked))
+        Ok((whole || message.body_end - message.body_start > BODY_MOST).then_some(*asked))
     }
 
     /// Reads on; whether anything came.
@@ -317,37 +250,37 @@
             Filled::Ended | Filled::Broken => self.drop_downstream(key),
             Filled::Full => {
                 self.counters.bad += 1;
-                self.refuse(key, 413);
+                self.refuse(key, RequestError::TooLong);
                 return true;
             }
         }
         false
     }
 
-    pub(super) fn hear(&mut self, key: usize, asked: Asked) {
+    pub(super) fn hear(&mut self, key: usize, asked: RequestKind) {
         let client = &mut self.downstream.table[key];
         self.timers.unset(client.timer.take());
         client.begun = false;
-        client.close = !client.request.as_ref().is_some_and(|(m, _)| m.keep);
+        client.close = !client.request.as_ref().is_some_and(|(m, _)| m.keep_alive);
         // Danger: health checks that keep their connection, a thousand a second, leave no room for ops.
-        client.close |= matches!(asked, Asked::Health);
+        client.close |= matches!(asked, RequestKind::HealthCheck);
         client.over = client.close;
         match asked {
-            Asked::Health => {
+            RequestKind::HealthCheck => {
                 let status = if self.ready() { 200 } else { 503 };
                 self.answer(key, status, 0.0);
             }
-            Asked::Vanished(category) => {
+            RequestKind::RetiredClass(category) => {
                 client.receipt = Some(self.access_metrics.begin(category));
                 self.counters.bad += 1;
-                self.refuse(key, 400);
+                self.refuse(key, RequestError::RetiredClass);
             }
-            Asked::Op(_, mark) if self.requests.is_open(mark) => {
+            RequestKind::Forwarded(_, mark) if self.requests.is_open(mark) => {
                 // Danger: two clients under one id, of whom one would get the other's answer.
                 self.counters.bad += 1;
-                self.refuse(key, 409);
+                self.refuse(key, RequestError::DuplicateRequestId);
             }
-            Asked::Op(arrival, mark) => {
+            RequestKind::Forwarded(arrival, mark) => {
                 client.receipt = Some(self.access_metrics.begin(arrival.class));
                 let op = self.admit(key, arrival, mark);
                 // It may be answered already.
--- /dev/null
+++ b/proxy/src/downstream/request_head.rs
@@ -0,0 +1,131 @@
+//! What a request's head asks for, checked before its body has come.
+
+use super::RequestError;
+use crate::endpoint_list::hashed;
+use crate::http::header_value;
+use crate::requests::Requests;
+use crankmux::settings::NameIndex;
+use crankmux::types::{ClassId, NewRequest};
+use httparse::Header;
+
+/// Longer than any client waits, in seconds: a timeout past it is a mistake.
+const MAX_TIMEOUT_S: f64 = 3600.0;
+/// The path of the front's health checks.
+const HEALTH_CHECK_PATH: &str = "/_health";
+
+const REQUEST_ID: &str = "X-Request-ID";
+const PRIORITY_CLASS: &str = "X-Priority-Class";
+const TIMEOUT: &str = "X-Timeout";
+const TENANT_ID: &str = "X-Tenant-Id";
+const RETRIED: &str = "X-Retried";
+
+/// What a request asks for.
+#[derive(Clone, Copy)]
+pub(super) enum RequestKind {
+    /// A health check of the proxy.
+    HealthCheck,
+    /// A request to be forwarded, with the hash of its id.
+    Forwarded(NewRequest, u64),
+    /// A request of a class that was configured once: rejected, but counted for the class.
+    RetiredClass(ClassId),
+}
+
+/// A request's head, with what it is checked against.
+pub(super) struct RequestHead<'a, 'h> {
+    pub(super) method: &'a str,
+    pub(super) target: &'a str,
+    pub(super) headers: &'a [Header<'h>],
+}
+
+impl<'h> RequestHead<'_, 'h> {
+    /// Whether the client waits for `100 Continue` before it sends the body.
+    pub(super) fn expects_continue(&self) -> bool {
+        header_value(self.headers, "expect")
+            .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"))
+    }
+
+    /// Checks the head, and tells what it asks for. `key_header` is the header that names the request's key, if
+    /// one is configured.
+    pub(super) fn classify(
+        &self,
+        names: &NameIndex,
+        requests: &Requests,
+        key_header: Option<&str>,
+    ) -> Result<RequestKind, RequestError> {
+        if self.target == HEALTH_CHECK_PATH {
+            return Ok(RequestKind::HealthCheck);
+        }
+        if matches!(self.method, "HEAD" | "CONNECT") {
+            return Err(RequestError::MethodNotAllowed);
+        }
+        self.reject_repeated_headers()?;
+        let id_hash = requests.mark(self.required_header(REQUEST_ID)?);
+        let class_name = self.required_header(PRIORITY_CLASS)?;
+        if self.first_path_segment() != Some(class_name) {
+            return Err(RequestError::ClassNotInPath);
+        }
+        let Some(class) = names.classes.index(class_name) else {
+            // Clients that have not heard of the new configuration yet; their failures are counted.
+            let all_classes = &names.classes.names;
+            let retired = all_classes.iter().position(|name| name == class_name);
+            return retired
+                .map(RequestKind::RetiredClass)
+                .ok_or(RequestError::UnknownClass);
+        };
+        let ttl_ms = self.timeout_s()? * 1000.0;
+        let tenant_name = self.header(TENANT_ID);
+        if tenant_name.is_none() && !names.tenants.is_empty() {
+            return Err(RequestError::MissingHeader(TENANT_ID));
+        }
+        let tenant = tenant_name.and_then(|name| names.tenants.index(name));
+        let client_retry = self.header(RETRIED) == Some("1");
+        // All proxies come to the same hash, so that a key's endpoints are the same for all.
+        let key = key_header.and_then(|name| self.header(name)).map(hashed);
+        let request = NewRequest {
+            // Not known until the request is admitted.
+            request: 0,
+            class,
+            tenant,
+            ttl_ms,
+            client_retry,
+            key,
+        };
+        Ok(RequestKind::Forwarded(request, id_hash))
+    }
+
+    /// The value of a header that is there and not empty.
+    fn header(&self, name: &str) -> Option<&'h str> {
+        header_value(self.headers, name).filter(|value| !value.is_empty())
+    }
+
+    fn required_header(&self, name: &'static str) -> Result<&'h str, RequestError> {
+        self.header(name).ok_or(RequestError::MissingHeader(name))
+    }
+
+    /// Two headers of one name are read in two ways by two readers.
+    fn reject_repeated_headers(&self) -> Result<(), RequestError> {
+        for name in [REQUEST_ID, PRIORITY_CLASS, TIMEOUT] {
+            let same_name = |header: &&Header| header.name.eq_ignore_ascii_case(name);
+            if self.headers.iter().filter(same_name).count() > 1 {
+                return Err(RequestError::RepeatedHeader(name));
+            }
+        }
+        Ok(())
+    }
+
+    fn first_path_segment(&self) -> Option<&str> {
+        self.target.trim_start_matches('/').split(['/', '?']).next()
+    }
+
+    fn timeout_s(&self) -> Result<f64, RequestError> {
+        let timeout_s: f64 = self
+            .required_header(TIMEOUT)?
+            .parse()
+            .map_err(|_| RequestError::InvalidTimeout)?;
+        if timeout_s > 0.0 && timeout_s <= MAX_TIMEOUT_S {
+            Ok(timeout_s)
+        } else {
+            Err(RequestError::InvalidTimeout)
+        }
+    }
+}
--- a/proxy/src/downstream/write_response.rs
+++ b/proxy/src/downstream/write_response.rs
@@ -1,8 +1,8 @@
 //! Writing to clients: answers as far as their sockets take them, and what becomes of the connection after.
 
-use super::{DownstreamConnection, JUST_COME, LINGER, SLOW};
+use super::{DownstreamConnection, RequestError, JUST_COME, LINGER, SLOW};
 use crate::buffers::{Buffer, BODY_LONG};
-use crate::http::{self, Message, RequestError};
+use crate::http::{self, Message};
 use crate::metrics::access::End;
 use crate::proxy::Proxy;
 use crate::socket::{has_data, is_silent};
@@ -155,23 +155,23 @@
     }
 
     /// Refuses the rest of a body that was being fed on: its push is called off before its last byte.
-    pub fn reject_upload(&mut self, key: usize, status: RequestError) {
+    pub fn reject_upload(&mut self, key: usize, error: RequestError) {
         let op = self
             .downstream
             .table
             .get_mut(key)
             .and_then(|client| client.op.take());
-        self.refuse(key, status);
+        self.refuse(key, error);
         if let Some(op) = op {
             self.client_left(op);
         }
     }
 
     /// Refuses what cannot be read on; the connection goes with it.
-    pub(super) fn refuse(&mut self, key: usize, status: RequestError) {
+    pub(super) fn refuse(&mut self, key: usize, error: RequestError) {
         if let Some(client) = self.downstream.table.get_mut(key) {
             (client.close, client.over) = (true, false);
-            self.answer(key, status, 0.0);
+            self.answer(key, error.status(), 0.0);
         }
     }
 
@@ -186,7 +186,7 @@
             },
         );
         self.answer_by(key, |close, to| {
-            to.add(http::plain(status, come_back, close).as_bytes())
+            to.add(http::empty_response(status, come_back, close).as_bytes())
         });
     }
 
@@ -201,7 +201,9 @@
     /// A server's answer, handed back.
     pub fn hand_back(&mut self, key: usize, held: &[u8], message: &Message) {
         self.downstream.ends_as(key, End::Succeeded);
-        self.answer_by(key, |close, to| http::hand_back(held, message, close, to));
+        self.answer_by(key, |close, to| {
+            http::write_response(held, message, close, to)
+        });
     }
 
     /// Writes an answer as far as it goes, and gives the request's buffer back.
@@ -223,7 +225,7 @@
             let end = client
                 .request
                 .take()
-                .map_or(inbox.held().len(), |(m, _)| m.end);
+                .map_or(inbox.held().len(), |(m, _)| m.body_end);
             inbox.cut(0, end);
             if inbox.held().is_empty() || client.close {
                 self.buffers.give(inbox);
--- /dev/null
+++ b/proxy/src/http/body.rs
@@ -0,0 +1,250 @@
+//! Body framing (RFC 9112, section 6): where a body ends, and how a forwarded one says so.
+
+use super::ParseError;
+use crate::buffers::{Buffer, HEAD_MOST};
+use httparse::Status;
+
+/// A chunk's size line may be so long, in bytes; one without end would fill the buffer.
+const MAX_CHUNK_SIZE_LINE: usize = 256;
+
+/// What of a body is still to come.
+#[derive(Clone, Copy)]
+pub(super) enum BodyState {
+    /// So many bytes, by `Content-Length`.
+    Length { remaining: usize },
+    /// A chunk's size line.
+    ChunkSize,
+    /// So many bytes of a chunk.
+    ChunkData { remaining: usize },
+    /// The line end behind a chunk's data.
+    ChunkEnd,
+    /// The trailer section behind the last chunk.
+    Trailers,
+    /// Whatever comes until the connection is closed.
+    UntilClose,
+    /// Nothing.
+    Complete,
+}
+
+/// How a forwarded body says where it ends.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// `Content-Length`.
+    Length(usize),
+    /// `Transfer-Encoding: chunked`.
+    Chunked,
+    /// The end of the connection; a request framed like this has no body.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// The last lines of a head.
+    pub(super) fn last_head_lines(self) -> String {
+        match self {
+            BodyFraming::Length(length) => format!("Content-Length: {length}\r\n\r\n"),
+            BodyFraming::Chunked => "Transfer-Encoding: chunked\r\n\r\n".into(),
+            BodyFraming::UntilClose => "\r\n".into(),
+        }
+    }
+}
+
+/// Adds a piece of a body, as a chunk where the body is chunked; whether it fitted.
+pub(super) fn write_body_piece(bytes: &[u8], chunked: bool, buffer: &mut Buffer) -> bool {
+    // An empty chunk would end the body.
+    if !chunked || bytes.is_empty() {
+        return buffer.add(bytes);
+    }
+    buffer.add(format!("{:x}\r\n", bytes.len()).as_bytes())
+        && buffer.add(bytes)
+        && buffer.add(b"\r\n")
+}
+
+/// A message in a buffer: its body, decoded as far as it has been received, lies from `body_start` to
+/// `body_end`.
+pub struct Message {
+    /// Where its head ends and its body begins.
+    pub body_start: usize,
+    /// Where the decoded part of its body ends.
+    pub body_end: usize,
+    /// The connection may carry another message.
+    pub keep_alive: bool,
+    /// Its sender knows chunked bodies, as HTTP/1.1 does.
+    pub accepts_chunked: bool,
+    max_body: usize,
+    /// Bytes of its body that have left the buffer.
+    released: usize,
+    state: BodyState,
+}
+
+impl Message {
+    pub(super) fn new(
+        head_length: usize,
+        keep_alive: bool,
+        accepts_chunked: bool,
+        max_body: usize,
+        state: BodyState,
+    ) -> Self {
+        Message {
+            body_start: head_length,
+            body_end: head_length,
+            keep_alive,
+            accepts_chunked,
+            max_body,
+            released: 0,
+            state,
+        }
+    }
+
+    /// Decodes what has been received since the last call; whether the body is complete.
+    ///
+    /// # Errors
+    /// The body is malformed or too long.
+    pub fn advance(&mut self, buffer: &mut Buffer) -> Result<bool, ParseError> {
+        let mut next = self.body_end;
+        while self.decode_step(buffer.held_mut(), &mut next)? {}
+        buffer.cut(self.body_end, next);
+        Ok(self.is_complete())
+    }
+
+    /// Decodes one part of what lies from `next` on; false where it needs more bytes or is complete.
+    fn decode_step(&mut self, bytes: &mut [u8], next: &mut usize) -> Result<bool, ParseError> {
+        match self.state {
+            BodyState::Complete => Ok(false),
+            BodyState::Length { remaining } => {
+                let remaining = self.take_data(bytes, next, remaining);
+                self.state = if remaining == 0 {
+                    BodyState::Complete
+                } else {
+                    BodyState::Length { remaining }
+                };
+                Ok(remaining == 0)
+            }
+            BodyState::ChunkData { remaining } => {
+                let remaining = self.take_data(bytes, next, remaining);
+                self.state = if remaining == 0 {
+                    BodyState::ChunkEnd
+                } else {
+                    BodyState::ChunkData { remaining }
+                };
+                Ok(remaining == 0)
+            }
+            BodyState::ChunkEnd => self.take_chunk_end(&bytes[*next..], next),
+            BodyState::ChunkSize => self.take_chunk_size(&bytes[*next..], next),
+            BodyState::Trailers => self.take_trailer(&bytes[*next..], next),
+            BodyState::UntilClose => {
+                let received = bytes.len() - *next;
+                if self.body_received() + received > self.max_body {
+                    return Err(ParseError::BodyTooLong);
+                }
+                self.body_end += received;
+                *next += received;
+                Ok(false)
+            }
+        }
+    }
+
+    /// Moves data up to the end of the decoded body; how much of `wanted` is still to come.
+    fn take_data(&mut self, bytes: &mut [u8], next: &mut usize, wanted: usize) -> usize {
+        let taken = wanted.min(bytes.len() - *next);
+        if taken > 0 && *next != self.body_end {
+            bytes.copy_within(*next..*next + taken, self.body_end);
+        }
+        self.body_end += taken;
+        *next += taken;
+        wanted - taken
+    }
+
+    fn take_chunk_end(&mut self, rest: &[u8], next: &mut usize) -> Result<bool, ParseError> {
+        if rest.len() < 2 {
+            return Ok(false);
+        }
+        if &rest[..2] != b"\r\n" {
+            return Err(ParseError::MalformedChunk);
+        }
+        *next += 2;
+        self.state = BodyState::ChunkSize;
+        Ok(true)
+    }
+
+    fn take_chunk_size(&mut self, rest: &[u8], next: &mut usize) -> Result<bool, ParseError> {
+        match httparse::parse_chunk_size(rest) {
+            Ok(Status::Complete((line_length, size))) => {
+                *next += line_length;
+                // A chunked body that never ends would fill the buffer.
+                if size > self.max_body.saturating_sub(self.body_received()) as u64 {
+                    return Err(ParseError::BodyTooLong);
+                }
+                self.state = if size == 0 {
+                    BodyState::Trailers
+                } else {
+                    BodyState::ChunkData {
+                        remaining: size as usize,
+                    }
+                };
+                Ok(true)
+            }
+            Ok(Status::Partial) if rest.len() <= MAX_CHUNK_SIZE_LINE => Ok(false),
+            Ok(Status::Partial) | Err(_) => Err(ParseError::MalformedChunk),
+        }
+    }
+
+    fn take_trailer(&mut self, rest: &[u8], next: &mut usize) -> Result<bool, ParseError> {
+        match rest.windows(2).position(|pair| pair == b"\r\n") {
+            Some(line_length) => {
+                *next += line_length + 2;
+                if line_length == 0 {
+                    self.state = BodyState::Complete;
+                }
+                Ok(true)
+            }
+            None if rest.len() > HEAD_MOST => Err(ParseError::TrailersTooLong),
+            None => Ok(false),
+        }
+    }
+
+    /// The length of its body, where its head says so or it is complete.
+    pub fn body_length(&self) -> Option<usize> {
+        match self.state {
+            BodyState::Length { remaining } => Some(self.body_received() + remaining),
+            BodyState::Complete => Some(self.body_received()),
+            _ => None,
+        }
+    }
+
+    /// How many bytes of its body have been received, including those that have left the buffer.
+    pub fn body_received(&self) -> usize {
+        self.released + self.body_end - self.body_start
+    }
+
+    /// Whether all of its body has been received.
+    pub fn is_complete(&self) -> bool {
+        matches!(self.state, BodyState::Complete)
+    }
+
+    /// Whether the end of the connection ends its body.
+    pub fn ends_at_close(&self) -> bool {
+        matches!(self.state, BodyState::UntilClose)
+    }
+
+    /// Nothing more comes of its body: the connection has ended, or there is none.
+    pub fn complete(&mut self) {
+        self.state = BodyState::Complete;
+    }
+
+    /// Removes its head, and what is here of its body, from the buffer.
+    pub fn release(&mut self, buffer: &mut Buffer) {
+        self.released += self.body_end - self.body_start;
+        buffer.cut(0, self.body_end);
+        self.body_start = 0;
+        self.body_end = 0;
+    }
+
+    /// Moves what is here of its body to another buffer, which is empty and of the same size.
+    pub fn forward_body(&mut self, from: &mut Buffer, to: &mut Buffer, chunked: bool) {
+        let body = &from.held()[self.body_start..self.body_end];
+        let fitted = write_body_piece(body, chunked, to)
+            && (!chunked || !self.is_complete() || to.add(b"0\r\n\r\n"));
+        debug_assert!(fitted, "no buffer is filled to its end");
+        self.release(from);
+    }
+}
--- /dev/null
+++ b/proxy/src/http/head.rs
@@ -0,0 +1,198 @@
+//! Heads of requests and responses: parsing, header lookup, and the framing that headers announce.
+
+use super::body::{BodyState, Message};
+use super::{status, ParseError};
+use crate::buffers::{BODY_LONG, HEAD_MOST};
+use httparse::{Header, Status, EMPTY_HEADER};
+
+/// More headers than any client of ours sends; each costs stack only.
+const MAX_HEADERS: usize = 64;
+
+/// The value of the first header of a name; none where it is not UTF-8.
+pub fn header_value<'a>(headers: &[Header<'a>], name: &str) -> Option<&'a str> {
+    let header = headers
+        .iter()
+        .find(|header| header.name.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(header.value).ok().map(str::trim)
+}
+
+/// Whether a header that is a comma-separated list has an element.
+fn list_contains(headers: &[Header], name: &str, element: &str) -> bool {
+    headers
+        .iter()
+        .filter(|header| header.name.eq_ignore_ascii_case(name))
+        .flat_map(|header| header.value.split(|byte| *byte == b','))
+        .any(|listed| listed.trim_ascii().eq_ignore_ascii_case(element.as_bytes()))
+}
+
+/// The body's length by `Content-Length`; none without that header.
+///
+/// Signs and lengths that differ are errors: with either, the next request on the connection would be read
+/// from a wrong place.
+fn content_length(headers: &[Header]) -> Result<Option<usize>, ParseError> {
+    let mut found = None;
+    for header in headers
+        .iter()
+        .filter(|header| header.name.eq_ignore_ascii_case("content-length"))
+    {
+        let digits = header.value.trim_ascii();
+        if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+            return Err(ParseError::InvalidContentLength);
+        }
+        // Digits that are no `usize` are too many of them.
+        let length = std::str::from_utf8(digits)
+            .ok()
+            .and_then(|digits| digits.parse().ok())
+            .ok_or(ParseError::BodyTooLong)?;
+        if found.is_some_and(|other| other != length) {
+            return Err(ParseError::ConflictingContentLength);
+        }
+        found = Some(length);
+    }
+    Ok(found)
+}
+
+/// How the body is framed by its headers; `default` where they do not say.
+fn body_state(
+    headers: &[Header],
+    max_body: usize,
+    default: BodyState,
+) -> Result<BodyState, ParseError> {
+    let transfer_encoding = headers
+        .iter()
+        .find(|header| header.name.eq_ignore_ascii_case("transfer-encoding"));
+    let content_length = content_length(headers)?;
+    if let Some(header) = transfer_encoding {
+        if !header.value.trim_ascii().eq_ignore_ascii_case(b"chunked") {
+            return Err(ParseError::UnsupportedTransferCoding);
+        }
+        // Two framings in one message are read in two ways by two readers: request smuggling.
+        if content_length.is_some() {
+            return Err(ParseError::ConflictingFraming);
+        }
+        return Ok(BodyState::ChunkSize);
+    }
+    match content_length {
+        Some(length) if length > max_body => Err(ParseError::BodyTooLong),
+        Some(length) => Ok(BodyState::Length { remaining: length }),
+        None => Ok(default),
+    }
+}
+
+/// The message whose head ends at `head_length`.
+fn message(
+    headers: &[Header],
+    head_length: usize,
+    minor_version: u8,
+    max_body: usize,
+    default: BodyState,
+) -> Result<Message, ParseError> {
+    // HTTP/1.0 closes by default, HTTP/1.1 keeps the connection.
+    let persistent = if minor_version == 0 {
+        list_contains(headers, "connection", "keep-alive")
+    } else {
+        !list_contains(headers, "connection", "close")
+    };
+    let state = body_state(headers, max_body, default)?;
+    let keep_alive = persistent && !matches!(state, BodyState::UntilClose);
+    let accepts_chunked = minor_version > 0;
+    Ok(Message::new(
+        head_length,
+        keep_alive,
+        accepts_chunked,
+        max_body,
+        state,
+    ))
+}
+
+/// The length of a head, by what the parser made of it; none until it is complete.
+fn head_length(
+    parsed: httparse::Result<usize>,
+    received: usize,
+) -> Result<Option<usize>, ParseError> {
+    match parsed {
+        Ok(Status::Complete(length)) if length > HEAD_MOST => Err(ParseError::HeadTooLong),
+        Ok(Status::Complete(length)) => Ok(Some(length)),
+        // A head without end would fill the buffer.
+        Ok(Status::Partial) if received >= HEAD_MOST => Err(ParseError::HeadTooLong),
+        Ok(Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(ParseError::TooManyHeaders),
+        Err(error) => Err(ParseError::MalformedHead(error)),
+    }
+}
+
+/// Parses a request's head and hands method, target and headers to `read`; none until the head is complete.
+///
+/// # Errors
+/// The head is malformed or too long, or its framing is ambiguous.
+pub fn parse_request<T>(
+    bytes: &[u8],
+    read: impl FnOnce(&str, &str, &[Header]) -> T,
+) -> Result<Option<(Message, T)>, ParseError> {
+    let mut headers = [EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let parsed = request.parse(bytes);
+    let Some(head_length) = head_length(parsed, bytes.len())? else {
+        return Ok(None);
+    };
+    let (Some(method), Some(target), Some(minor_version)) =
+        (request.method, request.path, request.version)
+    else {
+        return Err(ParseError::IncompleteStartLine);
+    };
+    let message = message(
+        request.headers,
+        head_length,
+        minor_version,
+        BODY_LONG,
+        BodyState::Length { remaining: 0 },
+    )?;
+    Ok(Some((message, read(method, target, request.headers))))
+}
+
+/// Parses a response's head and hands status code and headers to `read`; none until the head is complete. Its
+/// body may be as long as `max_body`.
+///
+/// # Errors
+/// The head is malformed or too long, or its framing is ambiguous.
+pub fn parse_response<T>(
+    bytes: &[u8],
+    max_body: usize,
+    read: impl FnOnce(u16, &[Header]) -> T,
+) -> Result<Option<(Message, T)>, ParseError> {
+    let mut headers = [EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let parsed = response.parse(bytes);
+    let Some(head_length) = head_length(parsed, bytes.len())? else {
+        return Ok(None);
+    };
+    let (Some(status), Some(minor_version)) = (response.code, response.version) else {
+        return Err(ParseError::IncompleteStartLine);
+    };
+    let mut message = message(
+        response.headers,
+        head_length,
+        minor_version,
+        max_body,
+        BodyState::UntilClose,
+    )?;
+    let informational = status < status::OK;
+    if informational || status == status::NO_CONTENT || status == status::NOT_MODIFIED {
+        // These have no body, whatever their headers say.
+        message.complete();
+        message.keep_alive = !list_contains(response.headers, "connection", "close");
+    }
+    Ok(Some((message, read(status, response.headers))))
+}
+
+/// A request target in origin-form (RFC 9112, section 3.2.1): without the scheme and host that absolute-form
+/// has before the path.
+pub fn origin_form(target: &str) -> &str {
+    let Some(authority_and_path) = target.strip_prefix("http://") else {
+        return target;
+    };
+    match authority_and_path.find('/') {
+        Some(path_start) => &authority_and_path[path_start..],
+        None => "/",
+    }
+}
--- a/proxy/src/streaming/request.rs
+++ b/proxy/src/streaming/request.rs
@@ -2,6 +2,7 @@
 //! server has taken the piece before, so that neither side's pace costs more than two buffers.
 
 use crate::buffers::{Buffer, Filled};
+use crate::downstream::RequestError;
 use crate::proxy::Proxy;
 use crate::streaming::Upload;
 use crankmux::types::{AttemptOutcome, LoadReport};
@@ -11,18 +12,18 @@
     Whole,
     Later,
     /// The client has ended too early, or its body can't be read.
-    Spoilt(Option<u16>),
+    Spoilt(Option<RequestError>),
 }
 
 /// Moves the next piece of a body from its client to the server's connection.
 fn next(upload: &mut Upload, outbox: &mut Buffer, chunked: bool, now: f64) -> Fed {
     match upload.message.advance(upload.inbox) {
-        Err(status) => return Fed::Spoilt(Some(status)),
+        Err(error) => return Fed::Spoilt(Some(error.into())),
         Ok(_) => {
-            upload.message.move_on(upload.inbox, outbox, chunked);
+            upload.message.forward_body(upload.inbox, outbox, chunked);
         }
     }
-    if upload.message.whole() {
+    if upload.message.is_complete() {
         return Fed::Whole;
     }
     if !outbox.held().is_empty() {
@@ -37,7 +38,7 @@
         }
         Filled::Later => Fed::Later,
         Filled::Ended | Filled::Broken => Fed::Spoilt(None),
-        Filled::Full => Fed::Spoilt(Some(400)),
+        Filled::Full => Fed::Spoilt(Some(RequestError::UndecodableBody)),
     }
 }
 
@@ -66,7 +67,7 @@
             };
             if !std::mem::replace(upload.let_go, true) {
                 // The first piece is with the server, and makes room for the next.
-                upload.message.let_go(upload.inbox);
+                upload.message.release(upload.inbox);
                 self.streaming_progress(op, key, false);
                 continue;
             }
@@ -84,10 +85,10 @@
                     self.drop_downstream(client);
                     return false;
                 }
-                Fed::Spoilt(Some(status)) => {
+                Fed::Spoilt(Some(error)) => {
                     // Danger: a body that can't be read on, and half of it at a server. It never ran there.
                     self.counters.bad += 1;
-                    self.reject_upload(client, status);
+                    self.reject_upload(client, error);
                     return false;
                 }
             }
--- a/proxy/src/streaming/response.rs
+++ b/proxy/src/streaming/response.rs
@@ -21,11 +21,11 @@
             return self.fail(key, AttemptOutcome::Cancelled, LoadReport::default());
         };
         let now = self.clock.now();
-        let framing = match message.length() {
+        let framing = match message.body_length() {
             Some(length) => BodyFraming::Length(length),
             None if self.downstream.takes_chunks(client) => BodyFraming::Chunked,
             // Danger: where only the connection's end tells the answer's, one cut short is reset.
-            None => BodyFraming::Unframed,
+            None => BodyFraming::UntilClose,
         };
         link.passing = Some(Passing {
             client,
@@ -33,18 +33,18 @@
         });
         (link.moved, link.until) = (now, Some(now));
         self.timers.unset(link.timer.take());
-        let (head, end) = (message.head, message.end);
+        let (head, end) = (message.body_start, message.body_end);
         self.streaming_progress(op, key, false);
-        self.write_to_client(client, key, framing == BodyFraming::Unframed);
+        self.write_to_client(client, key, framing == BodyFraming::UntilClose);
         // Until its last byte is with the client.
         self.downstream.ends_as(client, End::Aborted);
         self.answer_by(client, |close, to| {
-            http::pass_on_from(&inbox.held()[..end], head, framing, close, to)
+            http::write_response_start(&inbox.held()[..end], head, framing, close, to)
         });
         match self.upstream.links.get_mut(key) {
             Some(link) => {
                 if let Some((message, ..)) = &mut link.message {
-                    message.let_go(&mut inbox);
+                    message.release(&mut inbox);
                 }
                 link.inbox = Some(inbox);
             }
@@ -72,11 +72,11 @@
             let Some(piece) = self.downstream.taken(client) else {
                 return;
             };
-            if message.end > message.head || message.whole() {
-                message.move_on(inbox, piece, chunked);
+            if message.body_end > message.body_start || message.is_complete() {
+                message.forward_body(inbox, piece, chunked);
                 link.moved = now;
                 self.downstream.given(client, now);
-                if message.whole() {
+                if message.is_complete() {
                     return self.passed(key);
                 }
                 self.write_answer(client);
@@ -97,7 +97,7 @@
             match (&read, filled) {
                 (Ok(_), Filled::Some) => {}
                 (Ok(_), Filled::Later) => return,
-                (Ok(_), Filled::Ended) if message.ends_here() => message.end_here(),
+                (Ok(_), Filled::Ended) if message.ends_at_close() => message.complete(),
                 // The client is cut off with the connection, so that it can tell.
                 _ => {
                     log::debug!(
@@ -122,7 +122,7 @@
         let Some((message, _, load)) = link.message.take() else {
             return;
         };
-        let clean = message.keep
+        let clean = message.keep_alive
             && link
                 .inbox
                 .as_ref()
--- a/proxy/src/upstream/attempts.rs
+++ b/proxy/src/upstream/attempts.rs
@@ -27,7 +27,7 @@
         if let Some(since) = self.rest_since.filter(|_| !self.whole) {
             return since + self.patience;
         }
-        let untold = |m: &Message| m.length().is_none() && m.brought() <= BODY_MOST;
+        let untold = |m: &Message| m.body_length().is_none() && m.body_received() <= BODY_MOST;
         let short =
             self.passing.is_some() && self.message.as_ref().is_some_and(|(m, ..)| untold(m));
         self.moved
@@ -40,7 +40,7 @@
 }
 
 fn word(status: u16, headers: &[Header]) -> (u16, AttemptOutcome, LoadReport) {
-    let never = http::value(headers, "x-not-processed") == Some("1");
+    let never = http::header_value(headers, "x-not-processed") == Some("1");
     let ending = match status {
         200 => AttemptOutcome::Succeeded,
         503 | 504 if never => AttemptOutcome::Rejected,
@@ -48,7 +48,7 @@
     };
     let mut load = LoadReport::default();
     read_load(
-        http::value(headers, "x-server-load").unwrap_or_default(),
+        http::header_value(headers, "x-server-load").unwrap_or_default(),
         &mut load,
     );
     (status, ending, load)
@@ -58,13 +58,13 @@
 fn read(
     at: &mut Option<(Message, AttemptOutcome, LoadReport)>,
     inbox: &mut Buffer,
-) -> Result<bool, http::RequestError> {
+) -> Result<bool, http::ParseError> {
     loop {
         if let Some((message, ..)) = at {
             return message.advance(inbox);
         }
         let Some((message, (status, ending, load))) =
-            http::answer(inbox.held(), (BODY_LONG, BODY_LONG), word)?
+            http::parse_response(inbox.held(), BODY_LONG, word)?
         else {
             return Ok(false);
         };
@@ -72,7 +72,7 @@
             *at = Some((message, ending, load));
         } else {
             // One of the answers that only say that another will come.
-            inbox.cut(0, message.head);
+            inbox.cut(0, message.body_start);
         }
     }
 }
@@ -92,9 +92,9 @@
             return Err(AttemptOutcome::NotSent);
         };
         let request = self.downstream.request(client);
-        if !request
-            .is_some_and(|(held, message)| http::forward(held, message, patience, &mut outbox))
-        {
+        if !request.is_some_and(|(held, message)| {
+            http::write_request(held, message, patience, &mut outbox)
+        }) {
             self.buffers.give(outbox);
             return Err(AttemptOutcome::NotSent);
         }
@@ -102,11 +102,11 @@
         if let Some((_, message)) = self
             .downstream
             .request(client)
-            .filter(|(_, message)| !message.whole())
+            .filter(|(_, message)| !message.is_complete())
         {
             let link = &mut self.upstream.links[key];
             (link.feeding, link.fed, link.chunked) =
-                (Some(client), true, message.length().is_none());
+                (Some(client), true, message.body_length().is_none());
             self.downstream.feeds(client, key);
         }
         Ok(key)
@@ -351,7 +351,12 @@
             let ended = filled == Filled::Ended;
             let whole = match read(&mut link.message, &mut inbox) {
                 Ok(whole) => {
-                    whole || ended && link.message.as_ref().is_some_and(|(m, ..)| m.ends_here())
+                    whole
+                        || ended
+                            && link
+                                .message
+                                .as_ref()
+                                .is_some_and(|(m, ..)| m.ends_at_close())
                 }
                 // A broken answer ends the push as a broken connection does.
                 Err(why) => {
@@ -377,7 +382,8 @@
                 return self.pass(key);
             }
             let long = |m: &Message| {
-                m.length().is_some_and(|l| l > BODY_MOST) || m.end - m.head > BODY_MOST
+                m.body_length().is_some_and(|l| l > BODY_MOST)
+                    || m.body_end - m.body_start > BODY_MOST
             };
             if let Some((_, ending, load)) = link
                 .message
@@ -428,7 +434,7 @@
         let told = link
             .message
             .as_ref()
-            .is_some_and(|(m, ..)| m.length().is_some());
+            .is_some_and(|(m, ..)| m.body_length().is_some());
         if let Some(inbox) = link
             .inbox
             .take_if(|inbox| told || inbox.held().len() >= FIRST)
@@ -464,7 +470,7 @@
         let (then, took) = (link.then.take(), link.took(self.clock.now()));
         // Danger: an answer before the request was through, or bytes behind it: what comes next on this
         // connection would be read wrongly.
-        let clean = message.keep && link.whole && inbox.held().len() == message.end;
+        let clean = message.keep_alive && link.whole && inbox.held().len() == message.body_end;
         if clean && is_silent(&link.stream) {
             self.keep_upstream(key);
         } else {
--- a/proxy/src/upstream/load_probes.rs
+++ b/proxy/src/upstream/load_probes.rs
@@ -50,7 +50,7 @@
     /// The load that a probe's answer tells: none from any status but 200, or a body that is no report.
     fn report(&mut self, outcome: AttemptResponse) -> Option<LoadReport> {
         let (inbox, message) = outcome.answer?;
-        let body = &inbox.held()[message.head..message.end];
+        let body = &inbox.held()[message.body_start..message.body_end];
         let mut load = LoadReport::default();
         if outcome.ending == AttemptOutcome::Succeeded && body.len() <= REPORT_MOST {
             read_load(&String::from_utf8_lossy(body), &mut load);
--- a/proxy/src/upstream/mod.rs
+++ b/proxy/src/upstream/mod.rs
@@ -191,14 +191,14 @@
         let Some((message, ..)) = self.message.as_ref().filter(|_| self.good()) else {
             return false;
         };
-        let here = inbox.held().len() - message.head;
-        here > BODY_MOST || (message.length().is_some_and(|l| l > BODY_MOST) && here >= FIRST)
+        let here = inbox.held().len() - message.body_start;
+        here > BODY_MOST || (message.body_length().is_some_and(|l| l > BODY_MOST) && here >= FIRST)
     }
 
     /// Whether it will be passed on if it is not whole soon.
     pub fn may_pass(&self) -> bool {
         let message = self.message.as_ref().filter(|_| self.good());
-        message.is_some_and(|(m, ..)| m.length().is_none_or(|length| length > BODY_MOST))
+        message.is_some_and(|(m, ..)| m.body_length().is_none_or(|length| length > BODY_MOST))
     }
 
     /// Writes what stands to be written; whether all of it has left.
