Clients' connections: states that exclude each other, transitions in one place

Cause: a client's connection had six flags and six optional fields, of which most combinations cannot be, and the transitions stood in four files that imported each other whole.

Change: ConnectionState (idle, reading a request, awaiting the response, starting and writing it, lingering) and AfterResponse (keep alive, close, linger), with every transition in downstream/connection.rs. What belongs to the request or to the response being written lives with it. Modules by concern: connections (the table as others see it), accept, eviction, close, request_head, read_request, write_response, timeouts. Order of events, timers and bytes stay as they were.

--- a/proxy/src/admin/calls.rs
+++ b/proxy/src/admin/calls.rs
@@ -202,9 +202,10 @@
     /// What the node reports, a figure a line.
     fn figures(&self) -> String {
         let (discovered, ejected) = self.dispatcher.endpoint_counts();
-        self.access_metrics
-            .lines(&self.name_index.classes.names, self.downstream.uploads())
-            + &format!("discovered={discovered}\nejected={ejected}\n")
+        self.access_metrics.lines(
+            &self.name_index.classes.names,
+            self.downstream.incomplete_requests(),
+        ) + &format!("discovered={discovered}\nejected={ejected}\n")
             + &self
                 .cluster
                 .as_ref()
--- /dev/null
+++ b/proxy/src/downstream/close.rs
@@ -0,0 +1,120 @@
+//! How clients' connections end.
+
+use super::connection::{ConnectionState, DownstreamConnection, ResponseSource};
+use super::{DISCARD_BYTES, LINGER_MS};
+use crate::buffers::BODY_LONG;
+use crate::metrics::access::End;
+use crate::proxy::Proxy;
+use crate::slot_table::SlotKey;
+use crankmux::types::{AttemptOutcome, LoadReport};
+use socket2::SockRef;
+use std::io::{self, Read};
+use std::time::Duration;
+
+impl Proxy {
+    /// Takes no more clients: those that wait are accepted and the listener is closed.
+    pub fn shut(&mut self) {
+        if !self.upgrade.followed() {
+            self.accept();
+        }
+        self.stop_listening();
+        self.downstream.listener = None;
+    }
+
+    /// Closes a connection: the one place where it and its buffers are given back.
+    pub fn drop_downstream(&mut self, key: SlotKey) {
+        let Some(mut client) = self.downstream.table.take(key) else {
+            return;
+        };
+        if let Some(source) = client.response_source() {
+            self.abort_response_stream(&client, source);
+        }
+        // It was registered as it was accepted, which is all that this could fail for.
+        let _ = self.registry.deregister(&mut client.stream);
+        self.timers.unset(client.timer);
+        let awaited_request = client.awaited_request();
+        let write_buffer = match client.state {
+            ConnectionState::WritingResponse(writer) => Some(writer.buffer),
+            _ => None,
+        };
+        for buffer in [client.read_buffer, write_buffer].into_iter().flatten() {
+            self.buffers.give(buffer);
+        }
+        if let Some(receipt) = client.receipt {
+            // A response that was cut off on its way has failed; else the client did not stay for it.
+            let outcome = if client.outcome == Some(End::Aborted) {
+                End::Aborted
+            } else {
+                End::Departed
+            };
+            self.access_metrics.end(receipt, outcome);
+        }
+        if let Some(request_id) = awaited_request {
+            self.client_left(request_id);
+        }
+    }
+
+    /// The client's connection ends in the middle of a response that is streamed to it.
+    fn abort_response_stream(&mut self, client: &DownstreamConnection, source: ResponseSource) {
+        if source.ends_at_close {
+            // A response cut short whose end is the connection's would look whole. A reset tells.
+            if let Err(error) = SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)) {
+                log::debug!("cannot reset a client's connection: {error}");
+            }
+        }
+        if self.upstream.links.get(source.upstream).is_some() {
+            self.counters.departed += 1;
+            let no_report = LoadReport::default();
+            self.fail(source.upstream, AttemptOutcome::Cancelled, no_report);
+        }
+    }
+
+    /// Discards what a lingering client sends; whether there may be more at once.
+    pub(super) fn discard_input(&mut self, key: SlotKey) -> bool {
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return false;
+        };
+        let ConnectionState::Lingering(lingering) = &mut client.state else {
+            return false;
+        };
+        // A client that goes on sending at full speed would keep the event loop for itself.
+        if lingering.is_spent() {
+            return false;
+        }
+        match client.stream.read(&mut [0; DISCARD_BYTES]) {
+            Ok(read @ 1..) => {
+                lingering.discarded_bytes += read;
+                client.last_progress_ms = self.clock.now();
+                true
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => false,
+            _ => {
+                self.drop_downstream(key);
+                false
+            }
+        }
+    }
+
+    /// A client has lingered for a while: one whose body still comes may go on, or it would not read its
+    /// response.
+    pub(super) fn linger_timeout(&mut self, key: SlotKey) {
+        let now_ms = self.clock.now();
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return;
+        };
+        client.timer = None;
+        let body_still_comes = match &client.state {
+            ConnectionState::Lingering(lingering) => {
+                lingering.body_outstanding
+                    && now_ms - client.last_progress_ms < LINGER_MS
+                    && lingering.discarded_bytes < BODY_LONG
+            }
+            _ => false,
+        };
+        if body_still_comes {
+            self.set_downstream_timer(key, now_ms + LINGER_MS, Proxy::linger_timeout);
+        } else {
+            self.drop_downstream(key);
+        }
+    }
+}
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -1,297 +1,257 @@
-//! Reading from clients: a request's head is checked as soon as it is in, its body awaited or fed on.
+//! Reading from clients: a request's head is checked as soon as it is in, its body buffered or streamed.
 
+use super::connection::{AfterResponse, ConnectionState};
 use super::request_head::{RequestHead, RequestKind};
-use super::{RequestError, LINGER_BYTES, SLOW};
-use crate::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
+use super::{RequestError, DISCARD_BYTES, REQUEST_TIMEOUT_MS};
+use crate::buffers::{Buffer, Filled, BODY_MOST};
 use crate::http;
 use crate::proxy::Proxy;
+use crate::slot_table::SlotKey;
 use crate::upstream::start_of;
+use crankmux::types::NewRequest;
 use std::io::{self, Read, Write};
 
 impl Proxy {
-    /// From now on nothing but a whole request may keep the connection for longer than this.
-    pub(super) fn may_stand(&mut self, key: usize, most: f64) {
-        let at = self.clock.now() + most;
+    /// Reads what a client's connection waits for; whether there is more to do at once.
+    pub(super) fn read_request(&mut self, key: SlotKey) -> bool {
         let Some(client) = self.downstream.table.get_mut(key) else {
-            return;
-        };
-        self.timers.unset(client.timer.take());
-        client.timer = Some(
-            self.timers
-                .set(at, move |proxy: &mut Proxy| proxy.stood(key)),
-        );
-    }
-
-    /// It has stood for as long as it may; what it has sent by now is read first.
-    pub(super) fn stood(&mut self, key: usize) {
-        if let Some(client) = self.downstream.table.get_mut(key) {
-            client.timer = None;
-        }
-        self.serve(key);
-        let now = self.clock.now();
-        let Some(client) = self.downstream.table.get_mut(key) else {
-            return;
+            return false;
         };
-        if client.outbox.is_some() || client.timer.is_some() {
-            return;
-        }
-        if client.in_body() {
-            if client.op.is_some() && !self.upstream.hungry(client.feeds, key) {
-                // It is the server's turn: what it takes its time for is not held against the client.
-                (client.body_from, client.got, client.moved) = (now, 0, now);
-            }
-            let due = client.body_due();
-            if due > now + 1.0 {
-                client.timer = Some(
-                    self.timers
-                        .set(due, move |proxy: &mut Proxy| proxy.stood(key)),
-                );
-                return;
+        match client.state {
+            ConnectionState::Idle | ConnectionState::ReadingRequest => self.read_next_request(key),
+            ConnectionState::AwaitingResponse(_) => {
+                self.read_while_awaiting_response(key);
+                false
             }
-            if client.op.is_some() {
-                self.counters.bad += 1;
-                return self.drop_downstream(key);
-            }
-        }
-        let Some(client) = self.downstream.table.get(key).filter(|c| c.spare()) else {
-            return;
-        };
-        if client.inbox.is_some() {
-            // Danger: a client that sends a byte now and then would hold a buffer for ever.
-            self.counters.bad += 1;
-            self.refuse(key, RequestError::Timeout);
-        } else {
-            self.drop_downstream(key);
+            // Nothing is read until the response is out.
+            ConnectionState::StartingResponse(_) | ConnectionState::WritingResponse(_) => false,
+            ConnectionState::Lingering(_) => self.discard_input(key),
         }
     }
 
-    /// Reads towards the next request and has it served; whether there is more to do at once.
-    pub(super) fn read_request(&mut self, key: usize) -> bool {
-        let Some(client) = self.downstream.table.get_mut(key) else {
-            return false;
-        };
-        if client.op.is_some() && client.ended {
-            // Danger: whoever has left is served on by one server after another.
-            self.drop_downstream(key);
-            return false;
-        }
-        if client.op.is_some() && client.in_body() {
-            // Whoever it feeds reads on.
-            self.writable_upstream.extend(client.feeds);
-            return false;
-        }
-        if client.op.is_some() {
-            self.read_behind(key);
-            return false;
-        }
-        if client.lingers {
-            // Danger: a client that goes on sending at full speed would keep the loop for itself. What it
-            // sends past this stays with its own machine until the connection is closed.
-            if client.past
-                >= if client.patient {
-                    BODY_LONG
-                } else {
-                    LINGER_BYTES
-                }
-            {
-                return false;
-            }
-            return match client.stream.read(&mut [0; 16 * 1024]) {
-                Ok(read @ 1..) => {
-                    client.past += read;
-                    client.moved = self.clock.now();
-                    true
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => false,
-                _ => {
-                    self.drop_downstream(key);
-                    false
-                }
-            };
-        }
-        let Some(mut inbox) = client.inbox.take().or_else(|| self.buffers.take()) else {
-            // Danger: the pool is empty. The client is refused unread, and its next try is harmless.
+    /// Reads towards the next request and handles it; whether there is more to do at once.
+    fn read_next_request(&mut self, key: SlotKey) -> bool {
+        let client = &mut self.downstream.table[key];
+        let read_buffer = client.read_buffer.take();
+        let Some(mut buffer) = read_buffer.or_else(|| self.buffers.take()) else {
+            // The pool is empty. The client is rejected unread, and its retry is harmless.
             self.counters.full += 1;
-            self.refuse(key, RequestError::NoBuffer);
+            self.reject(key, RequestError::NoBuffer);
             return true;
         };
-        match self.read_whole(key, &mut inbox) {
-            Ok(Some(asked)) => {
-                self.put_back(key, inbox);
-                self.hear(key, asked);
+        match self.parse_request(key, &mut buffer) {
+            Ok(Some(kind)) => {
+                self.downstream.table[key].read_buffer = Some(buffer);
+                self.handle_request(key, kind);
                 true
             }
-            Ok(None) => self.read_more(key, inbox),
+            Ok(None) => self.receive(key, buffer),
             Err(error) => {
                 let status = error.status();
-                let start = start_of(&inbox);
+                let start = start_of(&buffer);
                 log::debug!("request rejected with {status}, {error}: {start}");
-                self.put_back(key, inbox);
+                self.downstream.table[key].read_buffer = Some(buffer);
                 self.counters.bad += 1;
-                self.refuse(key, error);
+                self.reject(key, error);
                 true
             }
         }
     }
 
-    /// What comes behind a request waits for its answer. Danger: an end shows only once all bytes before it
-    /// are read, and a client that sends much at once and goes would never be seen to go.
-    fn read_behind(&mut self, key: usize) {
-        let Some(client) = self.downstream.table.get_mut(key) else {
-            return;
-        };
-        let (mut read, mut beyond) = (0, [0; 16 * 1024]);
-        // Danger: one that goes on sending at full speed would keep the loop for itself.
-        while read < BODY_MOST {
-            let held = client.inbox.as_mut().filter(|_| !client.close);
-            let filled = held.map_or(Filled::Full, |inbox| inbox.fill(&mut client.stream));
-            match filled {
-                Filled::Some => {}
-                Filled::Later => return,
-                Filled::Ended | Filled::Broken => return self.drop_downstream(key),
-                // It can't be kept, so nothing behind this request is answered: the connection goes with it.
-                Filled::Full => match client.stream.read(&mut beyond) {
-                    Ok(more @ 1..) => {
-                        (client.close, client.over) = (true, false);
-                        read += more;
-                    }
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    _ => return self.drop_downstream(key),
-                },
-            }
-        }
-        let now = self.clock.now();
-        self.timers
-            .set(now, move |proxy: &mut Proxy| proxy.serve(key));
-    }
-
-    pub(super) fn put_back(&mut self, key: usize, inbox: Buffer) {
-        match self.downstream.table.get_mut(key) {
-            Some(client) => client.inbox = Some(inbox),
-            None => self.buffers.give(inbox),
-        }
-    }
-
-    /// What is asked, once the whole request is in.
-    pub(super) fn read_whole(
+    /// What is asked for, once the whole request is in, or more of it than is buffered.
+    fn parse_request(
         &mut self,
-        key: usize,
-        inbox: &mut Buffer,
+        key: SlotKey,
+        buffer: &mut Buffer,
     ) -> Result<Option<RequestKind>, RequestError> {
-        let client = &mut self.downstream.table[key];
-        if client.request.is_none() {
-            // Danger: line ends left over behind the last request, taken for a request that never ends.
-            let blank = inbox
-                .held()
-                .iter()
-                .take_while(|b| matches!(b, b'\r' | b'\n'))
-                .count();
-            inbox.cut(0, blank);
-            let key_header = self.key_header.as_deref();
-            let head = http::parse_request(inbox.held(), |method, target, headers| {
-                let head = RequestHead {
-                    method,
-                    target,
-                    headers,
-                };
-                let kind = head.classify(&self.name_index, &self.requests, key_header);
-                (kind, head.expects_continue())
-            })?;
-            let Some((message, (asked, expects))) = head else {
-                return Ok(None);
-            };
-            log::trace!(
-                "{}",
-                String::from_utf8_lossy(&inbox.held()[..message.body_start])
-            );
-            // What its head rules out is refused before its body has come.
-            client.request = Some((message, asked?));
-            let now = self.clock.now();
-            (client.body_from, client.got, client.moved) = (now, 0, now);
-            (client.feeds, client.let_go) = (None, false);
-            if expects {
-                // So short a line fits into an empty socket buffer.
-                let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
-            }
+        if self.downstream.table[key].request.is_none() && !self.parse_head(key, buffer)? {
+            return Ok(None);
         }
-        let Some((message, asked)) = &mut client.request else {
+        let Some(request) = &mut self.downstream.table[key].request else {
             return Ok(None);
         };
-        // One too long to be held whole is heard before its end.
-        let whole = message.advance(inbox)?;
-        Ok((whole || message.body_end - message.body_start > BODY_MOST).then_some(*asked))
+        let message = &mut request.message;
+        let complete = message.advance(buffer)?;
+        // One too long to be buffered whole is handled before its end.
+        let is_streamed = message.body_end - message.body_start > BODY_MOST;
+        Ok((complete || is_streamed).then_some(request.kind))
     }
 
-    /// Reads on; whether anything came.
-    pub(super) fn read_more(&mut self, key: usize, mut inbox: Buffer) -> bool {
+    /// Parses and checks the head of a request; whether it is complete. What the head rules out is rejected
+    /// before the body has come.
+    fn parse_head(&mut self, key: SlotKey, buffer: &mut Buffer) -> Result<bool, RequestError> {
+        remove_blank_lines(buffer);
+        let key_header = self.key_header.as_deref();
+        let parsed = http::parse_request(buffer.held(), |method, target, headers| {
+            let head = RequestHead {
+                method,
+                target,
+                headers,
+            };
+            let kind = head.classify(&self.name_index, &self.requests, key_header);
+            (kind, head.expects_continue())
+        })?;
+        let Some((message, (kind, expects_continue))) = parsed else {
+            return Ok(false);
+        };
+        let head = &buffer.held()[..message.body_start];
+        log::trace!("{}", String::from_utf8_lossy(head));
+        let now_ms = self.clock.now();
         let client = &mut self.downstream.table[key];
-        let before = inbox.held().len();
-        let filled = inbox.fill(&mut client.stream);
-        if inbox.held().len() > before {
-            client.got += inbox.held().len() - before;
-            client.moved = self.clock.now();
+        client.accept_head(message, kind?, now_ms);
+        if expects_continue {
+            // So short a line fits into an empty socket buffer; a failure shows as the connection is read.
+            let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
-        if inbox.held().is_empty() {
-            self.buffers.give(inbox);
+        Ok(true)
+    }
+
+    /// Receives more of a request; whether there is more to do at once.
+    fn receive(&mut self, key: SlotKey, mut buffer: Buffer) -> bool {
+        let client = &mut self.downstream.table[key];
+        let length_before = buffer.held().len();
+        let filled = buffer.fill(&mut client.stream);
+        let received = buffer.held().len() - length_before;
+        if received > 0 {
+            client.last_progress_ms = self.clock.now();
+            if let Some(request) = &mut client.request {
+                request.body_bytes += received;
+            }
+        }
+        if buffer.held().is_empty() {
+            self.buffers.give(buffer);
         } else {
-            client.inbox = Some(inbox);
-            if !std::mem::replace(&mut client.begun, true) {
-                client.idle_since = self.clock.now();
-                // A new connection's time has run since it came.
-                if client.answers > 0 {
-                    self.may_stand(key, SLOW);
-                }
+            client.read_buffer = Some(buffer);
+            // A new connection's time has run since it came.
+            if client.begin_request(self.clock.now()) && client.responses_sent > 0 {
+                self.limit_wait(key, REQUEST_TIMEOUT_MS);
             }
         }
         match filled {
-            Filled::Some => return true,
-            Filled::Later => {}
-            Filled::Ended | Filled::Broken => self.drop_downstream(key),
+            Filled::Some => true,
+            Filled::Later => false,
+            Filled::Ended | Filled::Broken => {
+                self.drop_downstream(key);
+                false
+            }
             Filled::Full => {
                 self.counters.bad += 1;
-                self.refuse(key, RequestError::TooLong);
-                return true;
+                self.reject(key, RequestError::TooLong);
+                true
             }
         }
-        false
     }
 
-    pub(super) fn hear(&mut self, key: usize, asked: RequestKind) {
+    /// Handles a request that is in, or whose body is long.
+    fn handle_request(&mut self, key: SlotKey, kind: RequestKind) {
         let client = &mut self.downstream.table[key];
         self.timers.unset(client.timer.take());
-        client.begun = false;
-        client.close = !client.request.as_ref().is_some_and(|(m, _)| m.keep_alive);
-        // Danger: health checks that keep their connection, a thousand a second, leave no room for ops.
-        client.close |= matches!(asked, RequestKind::HealthCheck);
-        client.over = client.close;
-        match asked {
+        let keep_alive = client
+            .request
+            .as_ref()
+            .is_some_and(|request| request.message.keep_alive);
+        // Health checks that kept their connection, a thousand a second, would leave no room for requests.
+        client.after_response = if keep_alive && !matches!(kind, RequestKind::HealthCheck) {
+            AfterResponse::KeepAlive
+        } else {
+            AfterResponse::Close
+        };
+        match kind {
             RequestKind::HealthCheck => {
-                let status = if self.ready() { 200 } else { 503 };
+                let status = if self.ready() {
+                    http::status::OK
+                } else {
+                    http::status::SERVICE_UNAVAILABLE
+                };
                 self.answer(key, status, 0.0);
             }
-            RequestKind::RetiredClass(category) => {
-                client.receipt = Some(self.access_metrics.begin(category));
+            RequestKind::RetiredClass(class) => {
+                client.receipt = Some(self.access_metrics.begin(class));
                 self.counters.bad += 1;
-                self.refuse(key, RequestError::RetiredClass);
+                self.reject(key, RequestError::RetiredClass);
             }
-            RequestKind::Forwarded(_, mark) if self.requests.is_open(mark) => {
-                // Danger: two clients under one id, of whom one would get the other's answer.
+            RequestKind::Forwarded(_, id_hash) if self.requests.is_open(id_hash) => {
                 self.counters.bad += 1;
-                self.refuse(key, RequestError::DuplicateRequestId);
+                self.reject(key, RequestError::DuplicateRequestId);
+            }
+            RequestKind::Forwarded(request, id_hash) => {
+                client.receipt = Some(self.access_metrics.begin(request.class));
+                self.admit_request(key, request, id_hash);
             }
-            RequestKind::Forwarded(arrival, mark) => {
-                client.receipt = Some(self.access_metrics.begin(arrival.class));
-                let op = self.admit(key, arrival, mark);
-                // It may be answered already.
-                let waits = self.requests.waits(op);
-                if let Some(client) = self.downstream.table.get_mut(key).filter(|_| waits) {
-                    client.op = Some(op);
-                    if client.in_body() {
-                        self.may_stand(key, SLOW);
+        }
+    }
+
+    /// Admits a request, which may be answered in the course of it.
+    fn admit_request(&mut self, key: SlotKey, request: NewRequest, id_hash: u64) {
+        let request_id = self.admit(key, request, id_hash);
+        if !self.requests.waits(request_id) {
+            return;
+        }
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return;
+        };
+        client.await_response(request_id);
+        if client.is_receiving_body() {
+            self.limit_wait(key, REQUEST_TIMEOUT_MS);
+        }
+    }
+
+    /// Hears a client whose response is awaited: it may have left, or go on with its body.
+    fn read_while_awaiting_response(&mut self, key: SlotKey) {
+        let client = &self.downstream.table[key];
+        if client.peer_closed {
+            // The request of a client that has left would be retried on one endpoint after another.
+            return self.drop_downstream(key);
+        }
+        if client.is_receiving_body() {
+            // Whoever its body is streamed to reads on.
+            let upstream = client.request.as_ref().and_then(|request| request.upstream);
+            self.writable_upstream.extend(upstream);
+            return;
+        }
+        self.read_pipelined(key);
+    }
+
+    /// Reads what comes behind a request; it waits for the response. The client's close shows only once all
+    /// bytes before it are read, and a client that sends much at once and goes would never be seen to go.
+    fn read_pipelined(&mut self, key: SlotKey) {
+        let client = &mut self.downstream.table[key];
+        let mut discarded = 0;
+        let mut discard_buffer = [0; DISCARD_BYTES];
+        // A client that goes on sending at full speed would keep the event loop for itself.
+        while discarded < BODY_MOST {
+            let keeps_alive = !client.after_response.closes();
+            let buffer = client.read_buffer.as_mut().filter(|_| keeps_alive);
+            match buffer.map_or(Filled::Full, |buffer| buffer.fill(&mut client.stream)) {
+                Filled::Some => {}
+                Filled::Later => return,
+                Filled::Ended | Filled::Broken => return self.drop_downstream(key),
+                // It cannot be kept, so nothing behind this request is answered: the connection goes with it.
+                Filled::Full => match client.stream.read(&mut discard_buffer) {
+                    Ok(read @ 1..) => {
+                        client.after_response = AfterResponse::Linger {
+                            body_outstanding: false,
+                        };
+                        discarded += read;
                     }
-                }
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                    Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                    _ => return self.drop_downstream(key),
+                },
             }
         }
+        let now_ms = self.clock.now();
+        self.timers
+            .set(now_ms, move |proxy: &mut Proxy| proxy.serve(key));
     }
 }
+
+/// Line ends left over behind the last request would be taken for a request that never ends.
+fn remove_blank_lines(buffer: &mut Buffer) {
+    let blank = buffer
+        .held()
+        .iter()
+        .take_while(|byte| matches!(byte, b'\r' | b'\n'))
+        .count();
+    buffer.cut(0, blank);
+}
--- a/proxy/src/downstream/write_response.rs
+++ b/proxy/src/downstream/write_response.rs
@@ -1,263 +1,224 @@
-//! Writing to clients: answers as far as their sockets take them, and what becomes of the connection after.
+//! Writing to clients: responses as far as their sockets take them, and what becomes of the connection after.
 
-use super::{DownstreamConnection, RequestError, JUST_COME, LINGER, SLOW};
-use crate::buffers::{Buffer, BODY_LONG};
+use super::connection::{AfterResponse, ConnectionState, ResponseSource};
+use super::{RequestError, LINGER_MS, REQUEST_TIMEOUT_MS};
+use crate::buffers::Buffer;
 use crate::http::{self, Message};
 use crate::metrics::access::End;
 use crate::proxy::Proxy;
+use crate::slot_table::SlotKey;
 use crate::socket::{has_data, is_silent};
-use crate::streaming::STALL;
 use std::net::Shutdown;
 
-/// How long a connection stays on which no request follows the last answer: longer than clients pause
+/// How long a connection stays on which no request follows the last response: longer than clients pause
 /// between two requests while they have work.
-const IDLE_MOST: f64 = 2000.0;
-/// The share of all clients' connections that may stand idle after an answer. Danger: clients that ask once
-/// and stay use up what their side may open, and others, who would ask, find no connection left.
-const IDLE_SHARE: f64 = 1.0 / 3.0;
-/// The same of those that have asked only once: clients with more to ask have mostly come back.
-const ONCE_SHARE: f64 = 1.0 / 8.0;
+const IDLE_TIMEOUT_MS: f64 = 2000.0;
 
 impl Proxy {
-    /// Writes what is left of an answer; whether the connection may be read.
-    pub fn write_answer(&mut self, key: usize) -> bool {
+    /// Writes what is left of a response; whether the connection may be read.
+    pub fn write_answer(&mut self, key: SlotKey) -> bool {
         let Some(client) = self.downstream.table.get_mut(key) else {
             return false;
         };
-        let Some(outbox) = &client.outbox else {
+        let ConnectionState::WritingResponse(writer) = &mut client.state else {
             return true;
         };
-        let before = client.sent;
-        let drained = outbox.drain(&mut client.sent, &mut client.stream);
-        if client.sent > before {
-            client.moved = self.clock.now();
+        let written_before = writer.written;
+        let drained = writer.buffer.drain(&mut writer.written, &mut client.stream);
+        if writer.written > written_before {
+            client.last_progress_ms = self.clock.now();
         }
         match drained {
-            Ok(false) => false,
-            Err(e) => {
-                log::debug!("a client left in the middle of its answer: {e}");
-                self.drop_downstream(key);
+            Ok(true) if writer.source.is_some() => {
+                self.request_next_piece(key);
                 false
             }
-            Ok(true) if client.fed_by.is_some() => {
-                // What it has taken makes room for the next piece; nothing else but its end is of interest.
-                if client.ended || !(is_silent(&client.stream) || has_data(&client.stream)) {
-                    log::debug!("a client left in the middle of its answer");
-                    self.drop_downstream(key);
-                } else {
-                    self.writable_upstream.extend(client.fed_by);
-                }
+            Ok(true) => self.response_sent(key),
+            Ok(false) => false,
+            Err(error) => {
+                log::debug!("a client left in the middle of its response: {error}");
+                self.drop_downstream(key);
                 false
             }
-            Ok(true) => {
-                let outbox = client.outbox.take();
-                if let (Some(receipt), Some(end)) = (client.receipt.take(), client.end.take()) {
-                    self.access_metrics.end(receipt, end);
-                }
-                self.timers.unset(client.timer.take());
-                outbox.into_iter().for_each(|b| self.buffers.give(b));
-                client.idle_since = self.clock.now();
-                client.answers = client.answers.saturating_add(1);
-                client.begun = client.inbox.is_some();
-                if client.over && client.inbox.is_none() && is_silent(&client.stream) {
-                    self.drop_downstream(key);
-                    return false;
-                }
-                if client.close {
-                    // Danger: closing with bytes unread resets the connection, and the answer is lost.
-                    client.lingers = true;
-                    let _ = client.stream.shutdown(Shutdown::Write);
-                    let at = client.idle_since + LINGER;
-                    client.timer = Some(
-                        self.timers
-                            .set(at, move |proxy: &mut Proxy| proxy.lingered(key)),
-                    );
-                } else {
-                    let most = if client.begun { SLOW } else { IDLE_MOST };
-                    self.may_stand(key, most);
-                    self.bound_idle();
-                }
-                true
-            }
         }
     }
 
-    /// Closes whoever had its answer longest ago, where too many stand there since theirs.
-    pub(super) fn bound_idle(&mut self) {
-        let now = self.clock.now();
-        for (share, most_answers) in [(ONCE_SHARE, 1), (IDLE_SHARE, u32::MAX)] {
-            let stands = |c: &DownstreamConnection| {
-                (1..=most_answers).contains(&c.answers)
-                    && c.idle()
-                    && now - c.idle_since > JUST_COME
-            };
-            let mut standing = self.downstream.table.keys(stands);
-            let over = standing
-                .len()
-                .saturating_sub((share * self.downstream.most as f64) as usize);
-            if over > 0 {
-                let since = |key: &usize| self.downstream.table[*key].idle_since;
-                standing.sort_unstable_by(|a, b| since(a).total_cmp(&since(b)));
-            }
-            for key in standing.into_iter().take(over) {
-                // One that speaks up just now is heard.
-                if is_silent(&self.downstream.table[key].stream) {
-                    self.drop_downstream(key);
-                }
-            }
+    /// A client has taken all that there is of a response that is streamed, which makes room for the next piece.
+    /// Nothing else but its close is of interest.
+    fn request_next_piece(&mut self, key: SlotKey) {
+        let client = &self.downstream.table[key];
+        let has_left =
+            client.peer_closed || !(is_silent(&client.stream) || has_data(&client.stream));
+        if has_left {
+            log::debug!("a client left in the middle of its response");
+            return self.drop_downstream(key);
         }
+        let upstream = client.response_source().map(|source| source.upstream);
+        self.writable_upstream.extend(upstream);
     }
 
-    /// An answered client has been read from for a while: one whose body still comes may go on, or would not
-    /// read its answer.
-    pub(super) fn lingered(&mut self, key: usize) {
-        let now = self.clock.now();
-        let Some(client) = self.downstream.table.get_mut(key) else {
-            return;
-        };
-        client.timer = None;
-        if client.patient && now - client.moved < LINGER && client.past < BODY_LONG {
-            client.timer = Some(
-                self.timers
-                    .set(now + LINGER, move |proxy: &mut Proxy| proxy.lingered(key)),
-            );
-        } else {
+    /// A response is out; whether the connection may be read.
+    fn response_sent(&mut self, key: SlotKey) -> bool {
+        let client = &mut self.downstream.table[key];
+        let buffer = client.end_response();
+        if let (Some(receipt), Some(outcome)) = (client.receipt.take(), client.outcome.take()) {
+            self.access_metrics.end(receipt, outcome);
+        }
+        self.timers.unset(client.timer.take());
+        if let Some(buffer) = buffer {
+            self.buffers.give(buffer);
+        }
+        client.idle_since_ms = self.clock.now();
+        client.responses_sent = client.responses_sent.saturating_add(1);
+        let is_finished = client.after_response == AfterResponse::Close
+            && client.read_buffer.is_none()
+            && is_silent(&client.stream);
+        if is_finished {
             self.drop_downstream(key);
+            return false;
         }
-    }
-
-    /// Whether a client takes its answer at all.
-    pub(super) fn answer_due(&mut self, key: usize) {
-        let now = self.clock.now();
-        let waits = self.downstream.has_taken(key);
-        let Some(client) = self
-            .downstream
-            .table
-            .get_mut(key)
-            .filter(|c| c.outbox.is_some())
-        else {
-            return;
-        };
-        client.timer = None;
-        // It is the server's turn.
-        client.moved = if waits { now } else { client.moved };
-        if now - client.moved >= STALL {
-            // Danger: a client that does not read its answer would hold a buffer for ever.
-            self.counters.stalled += 1;
-            log::info!("a client took nothing of its answer for {STALL} ms");
-            return self.drop_downstream(key);
+        if client.after_response.closes() {
+            client.linger();
+            // It fails where the client has reset the connection, which shows as it is read.
+            let _ = client.stream.shutdown(Shutdown::Write);
+            let at_ms = client.idle_since_ms + LINGER_MS;
+            self.set_downstream_timer(key, at_ms, Proxy::linger_timeout);
+            return true;
         }
-        let at = client.moved + STALL;
-        client.timer = Some(
-            self.timers
-                .set(at, move |proxy: &mut Proxy| proxy.answer_due(key)),
-        );
+        let next_request_begun = client.read_buffer.is_some();
+        let wait_ms = if next_request_begun {
+            REQUEST_TIMEOUT_MS
+        } else {
+            IDLE_TIMEOUT_MS
+        };
+        self.limit_wait(key, wait_ms);
+        self.close_excess_idle();
+        true
     }
 
-    /// Refuses the rest of a body that was being fed on: its push is called off before its last byte.
-    pub fn reject_upload(&mut self, key: usize, error: RequestError) {
-        let op = self
-            .downstream
-            .table
-            .get_mut(key)
-            .and_then(|client| client.op.take());
-        self.refuse(key, error);
-        if let Some(op) = op {
-            self.client_left(op);
+    /// Rejects a request of which part has been streamed to an endpoint: the attempt is cancelled before its
+    /// last byte.
+    pub fn reject_upload(&mut self, key: SlotKey, error: RequestError) {
+        let client = self.downstream.table.get_mut(key);
+        let request_id = client.and_then(|client| client.stop_awaiting());
+        self.reject(key, error);
+        if let Some(request_id) = request_id {
+            self.client_left(request_id);
         }
     }
 
-    /// Refuses what cannot be read on; the connection goes with it.
-    pub(super) fn refuse(&mut self, key: usize, error: RequestError) {
+    /// Rejects what cannot be read on; the connection is closed after the response.
+    pub(super) fn reject(&mut self, key: SlotKey, error: RequestError) {
         if let Some(client) = self.downstream.table.get_mut(key) {
-            (client.close, client.over) = (true, false);
+            client.after_response = AfterResponse::Linger {
+                body_outstanding: false,
+            };
             self.answer(key, error.status(), 0.0);
         }
     }
 
-    /// An answer of the node's own.
-    pub fn answer(&mut self, key: usize, status: u16, come_back: f64) {
-        self.downstream.ends_as(
-            key,
-            if status == 503 {
-                End::Declined
-            } else {
-                End::Aborted
-            },
-        );
-        self.answer_by(key, |close, to| {
-            to.add(http::empty_response(status, come_back, close).as_bytes())
+    /// Answers a client with a response of the proxy's own, with a `Retry-After` where `retry_after_ms` is
+    /// positive.
+    pub fn answer(&mut self, key: SlotKey, status: u16, retry_after_ms: f64) {
+        let outcome = if status == http::status::SERVICE_UNAVAILABLE {
+            End::Declined
+        } else {
+            End::Aborted
+        };
+        self.downstream.set_outcome(key, outcome);
+        self.answer_by(key, |close, buffer| {
+            buffer.add(http::empty_response(status, retry_after_ms, close).as_bytes())
         });
     }
 
-    /// More of a client's answer will come from a connection to a server.
-    pub fn write_to_client(&mut self, key: usize, link: usize, unframed: bool) {
-        if let Some(client) = self.downstream.table.get_mut(key) {
-            (client.fed_by, client.unframed) = (Some(link), unframed);
-            client.close |= unframed;
-        }
+    /// Answers a client with an endpoint's whole response.
+    pub fn hand_back(&mut self, key: SlotKey, bytes: &[u8], message: &Message) {
+        self.downstream.set_outcome(key, End::Succeeded);
+        self.answer_by(key, |close, buffer| {
+            http::write_response(bytes, message, close, buffer)
+        });
     }
 
-    /// A server's answer, handed back.
-    pub fn hand_back(&mut self, key: usize, held: &[u8], message: &Message) {
-        self.downstream.ends_as(key, End::Succeeded);
-        self.answer_by(key, |close, to| {
-            http::write_response(held, message, close, to)
-        });
+    /// A client's response will be streamed from an upstream connection; `ends_at_close` where only the end of
+    /// the client's connection tells its end.
+    pub fn write_to_client(&mut self, key: SlotKey, upstream: SlotKey, ends_at_close: bool) {
+        if let Some(client) = self.downstream.table.get_mut(key) {
+            client.stream_response_from(ResponseSource {
+                upstream,
+                ends_at_close,
+            });
+        }
     }
 
-    /// Writes an answer as far as it goes, and gives the request's buffer back.
-    pub fn answer_by(&mut self, key: usize, compose: impl FnOnce(bool, &mut Buffer) -> bool) {
+    /// Writes a response as far as it goes, and gives the request's buffer back. `compose` is told whether the
+    /// connection ends with the response, and returns whether the response fitted into the buffer.
+    pub fn answer_by(&mut self, key: SlotKey, compose: impl FnOnce(bool, &mut Buffer) -> bool) {
         let stopping = self.stopping();
         let Some(client) = self.downstream.table.get_mut(key) else {
             return;
         };
-        client.op = None;
-        client.close |= stopping;
-        self.timers.unset(client.timer.take());
-        if let Some(mut inbox) = client.inbox.take() {
-            if client.in_body() {
-                // What still comes of its body is read away.
-                (client.close, client.over, client.patient) =
-                    (true, false, client.receipt.is_some());
-            }
-            // What came behind the request is the next one's.
-            let end = client
-                .request
-                .take()
-                .map_or(inbox.held().len(), |(m, _)| m.body_end);
-            inbox.cut(0, end);
-            if inbox.held().is_empty() || client.close {
-                self.buffers.give(inbox);
-            } else {
-                client.inbox = Some(inbox);
-            }
-        }
-        let mut outbox = self.buffers.take_last();
-        if let Some(behind) = client.inbox.take_if(|_| outbox.is_none()) {
-            // Danger: requests behind this one hold the last buffer, and its answer is lost. They come again.
-            self.buffers.give(behind);
-            (client.close, client.over) = (true, false);
-            outbox = self.buffers.take_last();
+        client.stop_awaiting();
+        if stopping {
+            client.after_response.require_close();
         }
-        let Some(mut outbox) = outbox else {
-            // Danger: not even an answer's buffer is left, as many clients do not read. This one is cut off.
-            log::warn!("no buffer for an answer");
+        self.timers.unset(client.timer.take());
+        self.release_request(key);
+        let Some(mut buffer) = self.take_response_buffer(key) else {
+            // As many clients do not read, not even a response's buffer is left. This one is cut off.
+            log::warn!("no buffer for a response");
             self.counters.full += 1;
             return self.drop_downstream(key);
         };
-        if !compose(client.close, &mut outbox) {
-            // Danger: a server's head that does not fit. The client must not take it for an answer.
-            self.buffers.give(outbox);
+        let client = &mut self.downstream.table[key];
+        if !compose(client.after_response.closes(), &mut buffer) {
+            // An endpoint's head that does not fit. The client must not take it for a response.
+            self.buffers.give(buffer);
             return self.drop_downstream(key);
         }
-        let now = self.clock.now();
-        (client.outbox, client.sent, client.moved) = (Some(outbox), 0, now);
-        client.timer = Some(
-            self.timers
-                .set(now + STALL, move |proxy: &mut Proxy| proxy.answer_due(key)),
-        );
+        let now_ms = self.clock.now();
+        client.begin_response(buffer, now_ms);
+        self.limit_response_stall(key, now_ms);
         self.write_answer(key);
-        self.downstream.again.push(key);
+        self.downstream.ready.push(key);
+    }
+
+    /// Removes a request from its buffer, and keeps what has come behind it for the next one.
+    fn release_request(&mut self, key: SlotKey) {
+        let client = &mut self.downstream.table[key];
+        let Some(mut buffer) = client.read_buffer.take() else {
+            return;
+        };
+        if client.is_receiving_body() {
+            // What still comes of its body is discarded.
+            client.after_response = AfterResponse::Linger {
+                body_outstanding: client.receipt.is_some(),
+            };
+        }
+        let request_end = match client.request.take() {
+            Some(request) => request.message.body_end,
+            None => buffer.held().len(),
+        };
+        buffer.cut(0, request_end);
+        if buffer.held().is_empty() || client.after_response.closes() {
+            self.buffers.give(buffer);
+        } else {
+            client.read_buffer = Some(buffer);
+        }
+    }
+
+    /// A buffer for a client's response.
+    fn take_response_buffer(&mut self, key: SlotKey) -> Option<Buffer> {
+        if let Some(buffer) = self.buffers.take_last() {
+            return Some(buffer);
+        }
+        // Requests behind the answered one may hold the last buffer, and its response would be lost. They come
+        // again.
+        let client = &mut self.downstream.table[key];
+        let pipelined = client.read_buffer.take()?;
+        client.after_response = AfterResponse::Linger {
+            body_outstanding: false,
+        };
+        self.buffers.give(pipelined);
+        self.buffers.take_last()
     }
 }
--- a/proxy/src/lifecycle/shutdown.rs
+++ b/proxy/src/lifecycle/shutdown.rs
@@ -59,7 +59,7 @@
         }
         if proxy.now() < self.idle_until {
             // With nobody left there is nothing to wait for.
-            return self.shut && proxy.finished() && proxy.downstream.none();
+            return self.shut && proxy.finished() && proxy.downstream.is_empty();
         }
         if proxy.now() >= self.door_until && !std::mem::replace(&mut self.shut, true) {
             proxy.shut();
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -197,13 +197,13 @@
         let share = self.upgrade.share();
         // Each process has descriptors of its own beside those of clients and servers.
         let connections = configuration::connections(self.sockets as f64 * share);
-        self.downstream.resize(connections);
+        self.downstream.set_capacity(connections);
         self.upstream.links.resize(connections);
         self.requests.resize(connections * 3 / 4);
         self.buffers
             .resize((self.buffer_bytes as f64 * share) as usize);
         while self.upstream.links.over() && self.close_longest_idle_upstream() {}
-        while self.downstream.over() && self.close_idle_downstream() {}
+        while self.downstream.is_over_capacity() && self.close_idle_downstream() {}
         let nodes = self.cluster_shares.map(|(nodes, _)| nodes);
         self.dispatcher.set_process_share(
             share,
@@ -214,7 +214,7 @@
 
     /// Whether everything taken in is answered, and the answers are out.
     pub fn finished(&self) -> bool {
-        self.requests.none_waits() && !self.downstream.busy()
+        self.requests.none_waits() && !self.downstream.any_busy()
     }
 
     /// Waits for events until something is due, does what they call for, then what was due before it looked.
@@ -279,7 +279,7 @@
             }
             self.settle();
         }
-        for client in self.downstream.ended() {
+        for client in self.downstream.take_closed() {
             self.serve(client);
             self.settle();
         }
--- a/proxy/src/slot_table.rs
+++ b/proxy/src/slot_table.rs
@@ -3,6 +3,9 @@
 use slab::Slab;
 use std::ops::{Index, IndexMut};
 
+/// Names an entry of a table. It is small, and used again once the entry is taken out.
+pub type SlotKey = usize;
+
 pub struct SlotTable<T> {
     slots: Slab<T>,
     most: usize,
--- a/proxy/src/streaming/response.rs
+++ b/proxy/src/streaming/response.rs
@@ -23,7 +23,7 @@
         let now = self.clock.now();
         let framing = match message.body_length() {
             Some(length) => BodyFraming::Length(length),
-            None if self.downstream.takes_chunks(client) => BodyFraming::Chunked,
+            None if self.downstream.accepts_chunked(client) => BodyFraming::Chunked,
             // Danger: where only the connection's end tells the answer's, one cut short is reset.
             None => BodyFraming::UntilClose,
         };
@@ -37,7 +37,7 @@
         self.streaming_progress(op, key, false);
         self.write_to_client(client, key, framing == BodyFraming::UntilClose);
         // Until its last byte is with the client.
-        self.downstream.ends_as(client, End::Aborted);
+        self.downstream.set_outcome(client, End::Aborted);
         self.answer_by(client, |close, to| {
             http::write_response_start(&inbox.held()[..end], head, framing, close, to)
         });
@@ -69,13 +69,13 @@
             let (Some(inbox), Some((message, ..))) = (&mut link.inbox, &mut link.message) else {
                 return;
             };
-            let Some(piece) = self.downstream.taken(client) else {
+            let Some(piece) = self.downstream.drained_response_buffer(client) else {
                 return;
             };
             if message.body_end > message.body_start || message.is_complete() {
                 message.forward_body(inbox, piece, chunked);
                 link.moved = now;
-                self.downstream.given(client, now);
+                self.downstream.restart_response_timeout(client, now);
                 if message.is_complete() {
                     return self.passed(key);
                 }
@@ -132,15 +132,15 @@
             .into_iter()
             .for_each(|inbox| self.buffers.give(inbox));
         self.counters.acked += 1;
-        self.downstream.ends_as(client, End::Succeeded);
-        self.downstream.fed(client);
+        self.downstream.set_outcome(client, End::Succeeded);
+        self.downstream.end_response_source(client);
         if clean && is_silent(&self.upstream.links[key].stream) {
             self.keep_upstream(key);
         } else {
             self.drop_upstream(key);
         }
         self.write_answer(client);
-        self.downstream.go_on(client);
+        self.downstream.serve_later(client);
         self.hand(
             then,
             AttemptResponse {
--- a/proxy/src/upstream/attempts.rs
+++ b/proxy/src/upstream/attempts.rs
@@ -107,7 +107,7 @@
             let link = &mut self.upstream.links[key];
             (link.feeding, link.fed, link.chunked) =
                 (Some(client), true, message.body_length().is_none());
-            self.downstream.feeds(client, key);
+            self.downstream.stream_request_to(client, key);
         }
         Ok(key)
     }
@@ -196,7 +196,7 @@
                     link.feeding.is_some()
                         && link.outbox.as_ref().is_none_or(|o| o.held().is_empty())
                 },
-                |client| !self.downstream.has_taken(client),
+                |client| !self.downstream.has_drained_response(client),
             );
             link.moved = if waits { now } else { link.moved };
             let at = link.stalls_at();
@@ -255,7 +255,7 @@
         else {
             return;
         };
-        if self.downstream.rest_is_here(client) {
+        if self.downstream.whole_request_received(client) {
             link.rest_since = Some(now);
             self.timers.unset(link.timer.take());
             let at = link.stalls_at();
