--- a/proxy/src/admin/calls.rs
+++ b/proxy/src/admin/calls.rs
@@ -65,7 +65,7 @@
                     proxy.call_due(slot)
                 }),
         );
-        let said = Buffer::of(2 * HEAD_MOST);
+        let said = Buffer::with_capacity(2 * MAX_HEAD_BYTES);
         let caller = Caller {
             stream,
             said,
@@ -85,7 +85,7 @@
             return;
         };
         let _ = self.registry.deregister(&mut caller.stream);
-        self.timers.unset(caller.timer);
+        self.timers.cancel(caller.timer);
     }
 
     fn call_due(&mut self, slot: usize) {
@@ -93,7 +93,7 @@
             return;
         };
         caller.timer = None;
-        if caller.answer.is_empty() && !caller.said.held().is_empty() {
+        if caller.answer.is_empty() && !caller.said.filled().is_empty() {
             self.reply(slot, 408, "");
             self.admin_event(slot);
         } else {
@@ -127,8 +127,8 @@
                 }
                 continue;
             }
-            let filled = caller.said.fill(&mut caller.stream);
-            let found = http::parse_request(caller.said.held(), |method, target, _| {
+            let filled = caller.said.read_from(&mut caller.stream);
+            let found = http::parse_request(caller.said.filled(), |method, target, _| {
                 (
                     method.to_string(),
                     http::origin_form(target)
@@ -144,10 +144,12 @@
                     self.reply(slot, status, &text);
                 }
                 (Err(error), _) => self.reply(slot, error.status(), ""),
-                (Ok(None), Filled::Some) => {}
-                (Ok(None), Filled::Later) => return,
-                (Ok(None), Filled::Full) => self.reply(slot, 431, ""),
-                (Ok(None), Filled::Ended | Filled::Broken) => return self.send_away(slot),
+                (Ok(None), ReadOutcome::Received) => {}
+                (Ok(None), ReadOutcome::WouldBlock) => return,
+                (Ok(None), ReadOutcome::BufferFull) => self.reply(slot, 431, ""),
+                (Ok(None), ReadOutcome::Closed | ReadOutcome::Failed) => {
+                    return self.send_away(slot)
+                }
             }
         }
     }
@@ -158,7 +160,7 @@
             return;
         };
         caller.answer = http::text_response(status, text).into_bytes();
-        self.timers.unset(caller.timer.take());
+        self.timers.cancel(caller.timer.take());
         caller.timer = Some(
             self.timers
                 .set(at, move |proxy: &mut Proxy| proxy.send_away(slot)),
--- a/proxy/src/admin/disabled_endpoints/watch.rs
+++ b/proxy/src/admin/disabled_endpoints/watch.rs
@@ -71,7 +71,7 @@
         for key in self
             .upstream
             .links
-            .keys(|link| link.server == server && link.unsent())
+            .keys_where(|link| link.server == server && link.unsent())
         {
             self.fail(key, AttemptOutcome::NotSent, LoadReport::default());
         }
--- a/proxy/src/admin/mod.rs
+++ b/proxy/src/admin/mod.rs
@@ -3,7 +3,7 @@
 mod calls;
 pub mod disabled_endpoints;
 
-use crate::buffers::{Buffer, Filled, HEAD_MOST};
+use crate::buffers::{Buffer, ReadOutcome, MAX_HEAD_BYTES};
 use crate::endpoint_list::hashed;
 use crate::http;
 use crate::timers::TimerKey;
@@ -35,7 +35,7 @@
 impl Caller {
     /// Who makes room first: the answered, then whoever has said least, then whoever came first.
     fn worth(&self) -> (bool, usize, f64) {
-        (self.past.is_none(), self.said.held().len(), self.came)
+        (self.past.is_none(), self.said.filled().len(), self.came)
     }
 }
 
--- a/proxy/src/discovery/mod.rs
+++ b/proxy/src/discovery/mod.rs
@@ -2,7 +2,7 @@
 
 mod poll;
 
-use crate::buffers::{Buffer, Filled};
+use crate::buffers::{Buffer, ReadOutcome};
 use crate::endpoint_list::{read_list, List};
 use crate::http::{self, Message};
 use crate::timers::TimerKey;
@@ -54,7 +54,7 @@
             stream: None,
             ask: Vec::new(),
             sent: 0,
-            inbox: Buffer::of(LIST_FIRST),
+            inbox: Buffer::with_capacity(LIST_FIRST),
             message: None,
             asked_at: 0.0,
             failed: false,
--- a/proxy/src/discovery/poll.rs
+++ b/proxy/src/discovery/poll.rs
@@ -47,7 +47,7 @@
         discovery.ask =
             format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", discovery.address).into_bytes();
         (discovery.sent, discovery.asked_at, discovery.message) = (0, now, None);
-        discovery.inbox.cut(0, discovery.inbox.held().len());
+        discovery.inbox.remove(0..discovery.inbox.filled().len());
         let late = |proxy: &mut Proxy| {
             proxy.list_call_failed("no answer");
             proxy.discovery.late = true;
@@ -85,7 +85,7 @@
         }
         // Danger: the old address says nothing more, and its versions need not be the new one's.
         self.hang_up();
-        self.timers.unset(self.discovery.timer.take());
+        self.timers.cancel(self.discovery.timer.take());
         (
             self.discovery.address,
             self.discovery.seq,
@@ -110,7 +110,7 @@
     fn list_call_failed(&mut self, why: &str) {
         log::warn!("discovery: {why}");
         self.hang_up();
-        self.timers.unset(self.discovery.timer.take());
+        self.timers.cancel(self.discovery.timer.take());
         self.has_spoken();
         (self.discovery.failed, self.discovery.late) = (true, false);
         self.counters.lists_failed += 1;
@@ -131,7 +131,7 @@
         }
         if discovery.timer.is_none() {
             // Between calls it has nothing to say but its end.
-            if discovery.inbox.fill(stream) != Filled::Later {
+            if discovery.inbox.read_from(stream) != ReadOutcome::WouldBlock {
                 self.hang_up();
             }
             return;
@@ -144,10 +144,11 @@
             }
         }
         loop {
-            let filled = discovery.inbox.fill(stream);
-            let ended = filled == Filled::Ended;
+            let filled = discovery.inbox.read_from(stream);
+            let ended = filled == ReadOutcome::Closed;
             if discovery.message.is_none() {
-                match http::parse_response(discovery.inbox.held(), LIST_MOST, |status, _| status) {
+                match http::parse_response(discovery.inbox.filled(), LIST_MOST, |status, _| status)
+                {
                     Ok(found) => discovery.message = found,
                     Err(_) => return self.list_call_failed("not an HTTP answer"),
                 }
@@ -161,10 +162,12 @@
             match (whole, filled) {
                 (Err(_), _) => return self.list_call_failed("a broken answer"),
                 (Ok(true), _) => return self.list_answered(),
-                (Ok(false), Filled::Some) => {}
-                (Ok(false), Filled::Later) => return,
-                (Ok(false), Filled::Full) if discovery.inbox.grow(LIST_MOST) => {}
-                (Ok(false), Filled::Full) => return self.list_call_failed("too long a list"),
+                (Ok(false), ReadOutcome::Received) => {}
+                (Ok(false), ReadOutcome::WouldBlock) => return,
+                (Ok(false), ReadOutcome::BufferFull) if discovery.inbox.grow(LIST_MOST) => {}
+                (Ok(false), ReadOutcome::BufferFull) => {
+                    return self.list_call_failed("too long a list")
+                }
                 (Ok(false), _) => return self.list_call_failed("the connection ended"),
             }
         }
@@ -176,7 +179,7 @@
         let Some((message, status)) = discovery.message.take() else {
             return;
         };
-        let body = &discovery.inbox.held()[message.body_start..message.body_end];
+        let body = &discovery.inbox.filled()[message.body_start..message.body_end];
         let list = match (status, serde_json::from_slice(body)) {
             (200, Ok(list)) => {
                 let read = read_list(&mut self.name_index, &list);
@@ -188,9 +191,9 @@
             (200, Err(e)) => Err(e.to_string()),
             _ => Err(format!("status {status}")),
         };
-        if self.discovery.inbox.size() > LIST_FIRST {
+        if self.discovery.inbox.capacity() > LIST_FIRST {
             // Whole lists are rare: what one needed is not kept.
-            self.discovery.inbox = Buffer::of(LIST_FIRST);
+            self.discovery.inbox = Buffer::with_capacity(LIST_FIRST);
         }
         let list = match list {
             Ok(list) => list,
@@ -200,7 +203,7 @@
             self.hang_up();
         }
         let discovery = &mut self.discovery;
-        self.timers.unset(discovery.timer.take());
+        self.timers.cancel(discovery.timer.take());
         (discovery.failed, discovery.late) = (false, false);
         self.counters.lists += 1;
         if !list.whole && discovery.seq.is_some_and(|seq| list.seq < seq) {
--- a/proxy/src/downstream/accept.rs
+++ b/proxy/src/downstream/accept.rs
@@ -48,10 +48,10 @@
         if !self.downstream.listening {
             return;
         }
-        self.timers.unset(self.downstream.accept_retry.take());
+        self.timers.cancel(self.downstream.accept_retry.take());
         loop {
             // Without a free slot the connections that only stand idle would keep new clients out.
-            if self.downstream.table.full() && !self.evict_client() {
+            if self.downstream.table.is_full() && !self.evict_client() {
                 // All have a request in flight or have just come; the others wait until one is answered.
                 self.downstream.accept_pending = true;
                 return self.retry_accept_later();
@@ -94,7 +94,7 @@
     }
 
     fn add_client(&mut self, mut stream: TcpStream) {
-        let key = self.downstream.table.next_key();
+        let key = self.downstream.table.vacant_key();
         let interest = Interest::READABLE | Interest::WRITABLE;
         if let Err(error) = self
             .registry
--- a/proxy/src/downstream/close.rs
+++ b/proxy/src/downstream/close.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{ConnectionState, DownstreamConnection, ResponseSource};
 use super::{DISCARD_BYTES, LINGER_MS};
-use crate::buffers::BODY_LONG;
+use crate::buffers::MAX_BODY_BYTES;
 use crate::metrics::access::End;
 use crate::proxy::Proxy;
 use crate::slot_table::SlotKey;
@@ -23,7 +23,7 @@
 
     /// Closes a connection: the one place where it and its buffers are given back.
     pub fn drop_downstream(&mut self, key: SlotKey) {
-        let Some(mut client) = self.downstream.table.take(key) else {
+        let Some(mut client) = self.downstream.table.remove(key) else {
             return;
         };
         if let Some(source) = client.response_source() {
@@ -31,14 +31,14 @@
         }
         // It was registered as it was accepted, which is all that this could fail for.
         let _ = self.registry.deregister(&mut client.stream);
-        self.timers.unset(client.timer);
+        self.timers.cancel(client.timer);
         let awaited_request = client.awaited_request();
         let write_buffer = match client.state {
             ConnectionState::WritingResponse(writer) => Some(writer.buffer),
             _ => None,
         };
         for buffer in [client.read_buffer, write_buffer].into_iter().flatten() {
-            self.buffers.give(buffer);
+            self.buffers.give_back(buffer);
         }
         if let Some(receipt) = client.receipt {
             // A response that was cut off on its way has failed; else the client did not stay for it.
@@ -107,7 +107,7 @@
             ConnectionState::Lingering(lingering) => {
                 lingering.body_outstanding
                     && now_ms - client.last_progress_ms < LINGER_MS
-                    && lingering.discarded_bytes < BODY_LONG
+                    && lingering.discarded_bytes < MAX_BODY_BYTES
             }
             _ => false,
         };
--- a/proxy/src/downstream/connection.rs
+++ b/proxy/src/downstream/connection.rs
@@ -2,7 +2,7 @@
 
 use super::request_head::RequestKind;
 use super::{MAX_LINGER_BYTES, REQUEST_TIMEOUT_MS};
-use crate::buffers::{Buffer, BODY_LONG};
+use crate::buffers::{Buffer, MAX_BODY_BYTES};
 use crate::http::Message;
 use crate::metrics::access::{End, RequestReceipt};
 use crate::slot_table::SlotKey;
@@ -58,7 +58,7 @@
 impl ResponseWriter {
     /// Whether the client has taken all that stands in the buffer.
     pub(super) fn is_drained(&self) -> bool {
-        self.written == self.buffer.held().len()
+        self.written == self.buffer.filled().len()
     }
 }
 
@@ -75,7 +75,7 @@
     /// connection is closed.
     pub(super) fn is_spent(&self) -> bool {
         let most = if self.body_outstanding {
-            BODY_LONG
+            MAX_BODY_BYTES
         } else {
             MAX_LINGER_BYTES
         };
--- a/proxy/src/downstream/connections.rs
+++ b/proxy/src/downstream/connections.rs
@@ -49,12 +49,12 @@
     /// Changes the capacity; connections beyond it stay until they are closed.
     pub fn set_capacity(&mut self, capacity: usize) {
         self.capacity = capacity;
-        self.table.resize(capacity);
+        self.table.set_capacity(capacity);
     }
 
     /// Whether there are more connections than the capacity allows.
     pub fn is_over_capacity(&self) -> bool {
-        self.table.over()
+        self.table.is_over_capacity()
     }
 
     /// Whether no client is connected.
@@ -64,25 +64,28 @@
 
     /// Whether neither a connection nor the listener has something to be done at once.
     pub fn none_ready(&self) -> bool {
-        self.ready.is_empty() && (self.table.full() || !self.accept_pending)
+        self.ready.is_empty() && (self.table.is_full() || !self.accept_pending)
     }
 
     /// Whether any client still has a response to come.
     pub fn any_busy(&self) -> bool {
-        !self.table.keys(DownstreamConnection::is_busy).is_empty()
+        !self
+            .table
+            .keys_where(DownstreamConnection::is_busy)
+            .is_empty()
     }
 
     /// How many admitted requests have a body that is still coming.
     pub fn incomplete_requests(&self) -> usize {
         self.table
-            .keys(|client| client.receipt.is_some() && client.is_receiving_body())
+            .keys_where(|client| client.receipt.is_some() && client.is_receiving_body())
             .len()
     }
 
     /// A client's request: the bytes that are held of it, and its message.
     pub fn request(&self, key: SlotKey) -> Option<(&[u8], &Message)> {
         let client = self.table.get(key)?;
-        let bytes = client.read_buffer.as_ref()?.held();
+        let bytes = client.read_buffer.as_ref()?.filled();
         Some((bytes, &client.request.as_ref()?.message))
     }
 
@@ -135,7 +138,7 @@
         // Where the system does not say, what it may hold does not count.
         let unread = rustix::io::ioctl_fionread(&client.stream).unwrap_or(0) as usize;
         let message = &request.message;
-        let undecoded = buffer.held().len().saturating_sub(message.body_end);
+        let undecoded = buffer.filled().len().saturating_sub(message.body_end);
         let received = message.body_received() + undecoded + unread;
         message
             .body_length()
@@ -147,7 +150,7 @@
     pub fn drained_response_buffer(&mut self, key: SlotKey) -> Option<&mut Buffer> {
         let client = self.table.get_mut(key)?;
         let writer = client.writer_mut().filter(|writer| writer.is_drained())?;
-        writer.buffer.cut(0, writer.written);
+        writer.buffer.remove(0..writer.written);
         writer.written = 0;
         Some(&mut writer.buffer)
     }
--- a/proxy/src/downstream/eviction.rs
+++ b/proxy/src/downstream/eviction.rs
@@ -25,7 +25,7 @@
         };
         let longest_idle = |is_candidate: &dyn Fn(&DownstreamConnection) -> bool| {
             self.table
-                .least(|client| is_candidate(client).then_some(client.idle_since_ms))
+                .key_with_least(|client| is_candidate(client).then_some(client.idle_since_ms))
         };
         longest_idle(&|client| client.is_lingering() && is_settled(client))
             .or_else(|| {
@@ -58,7 +58,7 @@
     /// speak.
     pub fn close_idle_downstream(&mut self) -> bool {
         let now_ms = self.clock.now();
-        let longest_idle = self.downstream.table.least(|client| {
+        let longest_idle = self.downstream.table.key_with_least(|client| {
             let may_close = client.is_idle()
                 && now_ms - client.idle_since_ms > NEW_CLIENT_GRACE_MS
                 && is_silent(&client.stream);
@@ -74,7 +74,7 @@
     /// come only where `all` are to go: they are about to speak, and are told to close then.
     pub fn close_idle(&mut self, all: bool) {
         let now_ms = self.clock.now();
-        for key in self.downstream.table.keys(|_| true) {
+        for key in self.downstream.table.keys_where(|_| true) {
             self.serve(key);
             let may_close = |client: &DownstreamConnection| {
                 client.is_idle() && (all || now_ms - client.idle_since_ms > NEW_CLIENT_GRACE_MS)
@@ -94,7 +94,7 @@
 
     /// The same for one share, of connections that had so many responses at most.
     fn close_idle_beyond(&mut self, max_share: f64, max_responses: u32, now_ms: f64) {
-        let mut idle = self.downstream.table.keys(|client| {
+        let mut idle = self.downstream.table.keys_where(|client| {
             (1..=max_responses).contains(&client.responses_sent)
                 && client.is_idle()
                 && now_ms - client.idle_since_ms > NEW_CLIENT_GRACE_MS
--- a/proxy/src/downstream/mod.rs
+++ b/proxy/src/downstream/mod.rs
@@ -49,7 +49,7 @@
         while let Some(key) = self.downstream.ready.pop() {
             self.serve(key);
         }
-        if self.downstream.accept_pending && !self.downstream.table.full() {
+        if self.downstream.accept_pending && !self.downstream.table.is_full() {
             self.accept();
         }
     }
@@ -59,7 +59,7 @@
         let Some(client) = self.downstream.table.get_mut(key) else {
             return;
         };
-        self.timers.unset(client.timer.take());
+        self.timers.cancel(client.timer.take());
         let timer = self
             .timers
             .set(at_ms, move |proxy: &mut Proxy| due(proxy, key));
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -3,7 +3,7 @@
 use super::connection::{AfterResponse, ConnectionState};
 use super::request_head::{RequestHead, RequestKind};
 use super::{RequestError, DISCARD_BYTES, REQUEST_TIMEOUT_MS};
-use crate::buffers::{Buffer, Filled, BODY_MOST};
+use crate::buffers::{Buffer, ReadOutcome, MAX_BUFFERED_BODY_BYTES};
 use crate::http;
 use crate::proxy::Proxy;
 use crate::slot_table::SlotKey;
@@ -73,7 +73,7 @@
         let message = &mut request.message;
         let complete = message.advance(buffer)?;
         // One too long to be buffered whole is handled before its end.
-        let is_streamed = message.body_end - message.body_start > BODY_MOST;
+        let is_streamed = message.body_end - message.body_start > MAX_BUFFERED_BODY_BYTES;
         Ok((complete || is_streamed).then_some(request.kind))
     }
 
@@ -82,7 +82,7 @@
     fn parse_head(&mut self, key: SlotKey, buffer: &mut Buffer) -> Result<bool, RequestError> {
         remove_blank_lines(buffer);
         let key_header = self.key_header.as_deref();
-        let parsed = http::parse_request(buffer.held(), |method, target, headers| {
+        let parsed = http::parse_request(buffer.filled(), |method, target, headers| {
             let head = RequestHead {
                 method,
                 target,
@@ -94,7 +94,7 @@
         let Some((message, (kind, expects_continue))) = parsed else {
             return Ok(false);
         };
-        let head = &buffer.held()[..message.body_start];
+        let head = &buffer.filled()[..message.body_start];
         log::trace!("{}", String::from_utf8_lossy(head));
         let now_ms = self.clock.now();
         let client = &mut self.downstream.table[key];
@@ -109,17 +109,17 @@
     /// Receives more of a request; whether there is more to do at once.
     fn receive(&mut self, key: SlotKey, mut buffer: Buffer) -> bool {
         let client = &mut self.downstream.table[key];
-        let length_before = buffer.held().len();
-        let filled = buffer.fill(&mut client.stream);
-        let received = buffer.held().len() - length_before;
+        let length_before = buffer.filled().len();
+        let filled = buffer.read_from(&mut client.stream);
+        let received = buffer.filled().len() - length_before;
         if received > 0 {
             client.last_progress_ms = self.clock.now();
             if let Some(request) = &mut client.request {
                 request.body_bytes += received;
             }
         }
-        if buffer.held().is_empty() {
-            self.buffers.give(buffer);
+        if buffer.filled().is_empty() {
+            self.buffers.give_back(buffer);
         } else {
             client.read_buffer = Some(buffer);
             // A new connection's time has run since it came.
@@ -128,13 +128,13 @@
             }
         }
         match filled {
-            Filled::Some => true,
-            Filled::Later => false,
-            Filled::Ended | Filled::Broken => {
+            ReadOutcome::Received => true,
+            ReadOutcome::WouldBlock => false,
+            ReadOutcome::Closed | ReadOutcome::Failed => {
                 self.drop_downstream(key);
                 false
             }
-            Filled::Full => {
+            ReadOutcome::BufferFull => {
                 self.counters.bad += 1;
                 self.reject(key, RequestError::TooLong);
                 true
@@ -145,7 +145,7 @@
     /// Handles a request that is in, or whose body is long.
     fn handle_request(&mut self, key: SlotKey, kind: RequestKind) {
         let client = &mut self.downstream.table[key];
-        self.timers.unset(client.timer.take());
+        self.timers.cancel(client.timer.take());
         let keep_alive = client
             .request
             .as_ref()
@@ -219,15 +219,17 @@
         let mut discarded = 0;
         let mut discard_buffer = [0; DISCARD_BYTES];
         // A client that goes on sending at full speed would keep the event loop for itself.
-        while discarded < BODY_MOST {
+        while discarded < MAX_BUFFERED_BODY_BYTES {
             let keeps_alive = !client.after_response.closes();
             let buffer = client.read_buffer.as_mut().filter(|_| keeps_alive);
-            match buffer.map_or(Filled::Full, |buffer| buffer.fill(&mut client.stream)) {
-                Filled::Some => {}
-                Filled::Later => return,
-                Filled::Ended | Filled::Broken => return self.drop_downstream(key),
+            match buffer.map_or(ReadOutcome::BufferFull, |buffer| {
+                buffer.read_from(&mut client.stream)
+            }) {
+                ReadOutcome::Received => {}
+                ReadOutcome::WouldBlock => return,
+                ReadOutcome::Closed | ReadOutcome::Failed => return self.drop_downstream(key),
                 // It cannot be kept, so nothing behind this request is answered: the connection goes with it.
-                Filled::Full => match client.stream.read(&mut discard_buffer) {
+                ReadOutcome::BufferFull => match client.stream.read(&mut discard_buffer) {
                     Ok(read @ 1..) => {
                         client.after_response = AfterResponse::Linger {
                             body_outstanding: false,
@@ -249,9 +251,9 @@
 /// Line ends left over behind the last request would be taken for a request that never ends.
 fn remove_blank_lines(buffer: &mut Buffer) {
     let blank = buffer
-        .held()
+        .filled()
         .iter()
         .take_while(|byte| matches!(byte, b'\r' | b'\n'))
         .count();
-    buffer.cut(0, blank);
+    buffer.remove(0..blank);
 }
--- a/proxy/src/downstream/write_response.rs
+++ b/proxy/src/downstream/write_response.rs
@@ -7,7 +7,7 @@
 use crate::metrics::access::End;
 use crate::proxy::Proxy;
 use crate::slot_table::SlotKey;
-use crate::socket::{has_data, is_silent};
+use crate::socket::{has_unread_data, is_silent};
 use std::net::Shutdown;
 
 /// How long a connection stays on which no request follows the last response: longer than clients pause
@@ -24,7 +24,9 @@
             return true;
         };
         let written_before = writer.written;
-        let drained = writer.buffer.drain(&mut writer.written, &mut client.stream);
+        let drained = writer
+            .buffer
+            .write_to(&mut writer.written, &mut client.stream);
         if writer.written > written_before {
             client.last_progress_ms = self.clock.now();
         }
@@ -48,7 +50,7 @@
     fn request_next_piece(&mut self, key: SlotKey) {
         let client = &self.downstream.table[key];
         let has_left =
-            client.peer_closed || !(is_silent(&client.stream) || has_data(&client.stream));
+            client.peer_closed || !(is_silent(&client.stream) || has_unread_data(&client.stream));
         if has_left {
             log::debug!("a client left in the middle of its response");
             return self.drop_downstream(key);
@@ -64,9 +66,9 @@
         if let (Some(receipt), Some(outcome)) = (client.receipt.take(), client.outcome.take()) {
             self.access_metrics.end(receipt, outcome);
         }
-        self.timers.unset(client.timer.take());
+        self.timers.cancel(client.timer.take());
         if let Some(buffer) = buffer {
-            self.buffers.give(buffer);
+            self.buffers.give_back(buffer);
         }
         client.idle_since_ms = self.clock.now();
         client.responses_sent = client.responses_sent.saturating_add(1);
@@ -127,7 +129,7 @@
         };
         self.downstream.set_outcome(key, outcome);
         self.answer_by(key, |close, buffer| {
-            buffer.add(http::empty_response(status, retry_after_ms, close).as_bytes())
+            buffer.append(http::empty_response(status, retry_after_ms, close).as_bytes())
         });
     }
 
@@ -161,7 +163,7 @@
         if stopping {
             client.after_response.require_close();
         }
-        self.timers.unset(client.timer.take());
+        self.timers.cancel(client.timer.take());
         self.release_request(key);
         let Some(mut buffer) = self.take_response_buffer(key) else {
             // As many clients do not read, not even a response's buffer is left. This one is cut off.
@@ -172,7 +174,7 @@
         let client = &mut self.downstream.table[key];
         if !compose(client.after_response.closes(), &mut buffer) {
             // An endpoint's head that does not fit. The client must not take it for a response.
-            self.buffers.give(buffer);
+            self.buffers.give_back(buffer);
             return self.drop_downstream(key);
         }
         let now_ms = self.clock.now();
@@ -196,11 +198,11 @@
         }
         let request_end = match client.request.take() {
             Some(request) => request.message.body_end,
-            None => buffer.held().len(),
+            None => buffer.filled().len(),
         };
-        buffer.cut(0, request_end);
-        if buffer.held().is_empty() || client.after_response.closes() {
-            self.buffers.give(buffer);
+        buffer.remove(0..request_end);
+        if buffer.filled().is_empty() || client.after_response.closes() {
+            self.buffers.give_back(buffer);
         } else {
             client.read_buffer = Some(buffer);
         }
@@ -208,7 +210,7 @@
 
     /// A buffer for a client's response.
     fn take_response_buffer(&mut self, key: SlotKey) -> Option<Buffer> {
-        if let Some(buffer) = self.buffers.take_last() {
+        if let Some(buffer) = self.buffers.take_reserved() {
             return Some(buffer);
         }
         // Requests behind the answered one may hold the last buffer, and its response would be lost. They come
@@ -218,7 +220,7 @@
         client.after_response = AfterResponse::Linger {
             body_outstanding: false,
         };
-        self.buffers.give(pipelined);
-        self.buffers.take_last()
+        self.buffers.give_back(pipelined);
+        self.buffers.take_reserved()
     }
 }
--- a/proxy/src/http/body.rs
+++ b/proxy/src/http/body.rs
@@ -1,7 +1,7 @@
 //! Body framing (RFC 9112, section 6): where a body ends, and how a forwarded one says so.
 
 use super::ParseError;
-use crate::buffers::{Buffer, HEAD_MOST};
+use crate::buffers::{Buffer, MAX_HEAD_BYTES};
 use httparse::Status;
 
 /// A chunk's size line may be so long, in bytes; one without end would fill the buffer.
@@ -52,11 +52,11 @@
 pub(super) fn write_body_piece(bytes: &[u8], chunked: bool, buffer: &mut Buffer) -> bool {
     // An empty chunk would end the body.
     if !chunked || bytes.is_empty() {
-        return buffer.add(bytes);
+        return buffer.append(bytes);
     }
-    buffer.add(format!("{:x}\r\n", bytes.len()).as_bytes())
-        && buffer.add(bytes)
-        && buffer.add(b"\r\n")
+    buffer.append(format!("{:x}\r\n", bytes.len()).as_bytes())
+        && buffer.append(bytes)
+        && buffer.append(b"\r\n")
 }
 
 /// A message in a buffer: its body, decoded as far as it has been received, lies from `body_start` to
@@ -101,8 +101,8 @@
     /// The body is malformed or too long.
     pub fn advance(&mut self, buffer: &mut Buffer) -> Result<bool, ParseError> {
         let mut next = self.body_end;
-        while self.decode_step(buffer.held_mut(), &mut next)? {}
-        buffer.cut(self.body_end, next);
+        while self.decode_step(buffer.filled_mut(), &mut next)? {}
+        buffer.remove(self.body_end..next);
         Ok(self.is_complete())
     }
 
@@ -197,7 +197,7 @@
                 }
                 Ok(true)
             }
-            None if rest.len() > HEAD_MOST => Err(ParseError::TrailersTooLong),
+            None if rest.len() > MAX_HEAD_BYTES => Err(ParseError::TrailersTooLong),
             None => Ok(false),
         }
     }
@@ -234,16 +234,16 @@
     /// Removes its head, and what is here of its body, from the buffer.
     pub fn release(&mut self, buffer: &mut Buffer) {
         self.released += self.body_end - self.body_start;
-        buffer.cut(0, self.body_end);
+        buffer.remove(0..self.body_end);
         self.body_start = 0;
         self.body_end = 0;
     }
 
     /// Moves what is here of its body to another buffer, which is empty and of the same size.
     pub fn forward_body(&mut self, from: &mut Buffer, to: &mut Buffer, chunked: bool) {
-        let body = &from.held()[self.body_start..self.body_end];
+        let body = &from.filled()[self.body_start..self.body_end];
         let fitted = write_body_piece(body, chunked, to)
-            && (!chunked || !self.is_complete() || to.add(b"0\r\n\r\n"));
+            && (!chunked || !self.is_complete() || to.append(b"0\r\n\r\n"));
         debug_assert!(fitted, "no buffer is filled to its end");
         self.release(from);
     }
--- a/proxy/src/http/forward.rs
+++ b/proxy/src/http/forward.rs
@@ -2,7 +2,7 @@
 
 use super::body::{write_body_piece, BodyFraming, Message};
 use super::head::{origin_form, parse_request, parse_response};
-use crate::buffers::{Buffer, BODY_LONG};
+use crate::buffers::{Buffer, MAX_BODY_BYTES};
 use httparse::Header;
 
 /// Headers that concern one connection only (RFC 9110, section 7.6.1), or that the proxy writes itself.
@@ -33,10 +33,10 @@
         .iter()
         .filter(|header| is_forwarded(header.name, excluded))
         .all(|header| {
-            buffer.add(header.name.as_bytes())
-                && buffer.add(b": ")
-                && buffer.add(header.value)
-                && buffer.add(b"\r\n")
+            buffer.append(header.name.as_bytes())
+                && buffer.append(b": ")
+                && buffer.append(header.value)
+                && buffer.append(b"\r\n")
         })
 }
 
@@ -57,10 +57,10 @@
             (None, _) => BodyFraming::Chunked,
         };
         let timeout_s = attempt_timeout_ms / 1000.0;
-        buffer.add(format!("{method} {} HTTP/1.1\r\n", origin_form(target)).as_bytes())
+        buffer.append(format!("{method} {} HTTP/1.1\r\n", origin_form(target)).as_bytes())
             && write_forwarded_headers(headers, "x-timeout", buffer)
-            && buffer.add(format!("X-Timeout: {timeout_s:.3}\r\n").as_bytes())
-            && buffer.add(framing.last_head_lines().as_bytes())
+            && buffer.append(format!("X-Timeout: {timeout_s:.3}\r\n").as_bytes())
+            && buffer.append(framing.last_head_lines().as_bytes())
     });
     let head_fitted = matches!(head, Ok(Some((_, true))));
     let body = &bytes[message.body_start..message.body_end];
@@ -88,12 +88,12 @@
     close: bool,
     buffer: &mut Buffer,
 ) -> bool {
-    let head = parse_response(bytes, BODY_LONG, |_, headers| {
+    let head = parse_response(bytes, MAX_BODY_BYTES, |_, headers| {
         let connection = if close { "Connection: close\r\n" } else { "" };
-        buffer.add(b"HTTP/1.1 200 OK\r\n")
+        buffer.append(b"HTTP/1.1 200 OK\r\n")
             && write_forwarded_headers(headers, "x-server-load", buffer)
-            && buffer.add(connection.as_bytes())
-            && buffer.add(framing.last_head_lines().as_bytes())
+            && buffer.append(connection.as_bytes())
+            && buffer.append(framing.last_head_lines().as_bytes())
     });
     let head_fitted = matches!(head, Ok(Some((_, true))));
     head_fitted
--- a/proxy/src/http/head.rs
+++ b/proxy/src/http/head.rs
@@ -2,7 +2,7 @@
 
 use super::body::{BodyState, Message};
 use super::{status, ParseError};
-use crate::buffers::{BODY_LONG, HEAD_MOST};
+use crate::buffers::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use httparse::{Header, Status, EMPTY_HEADER};
 
 /// More headers than any client of ours sends; each costs stack only.
@@ -111,10 +111,10 @@
     received: usize,
 ) -> Result<Option<usize>, ParseError> {
     match parsed {
-        Ok(Status::Complete(length)) if length > HEAD_MOST => Err(ParseError::HeadTooLong),
+        Ok(Status::Complete(length)) if length > MAX_HEAD_BYTES => Err(ParseError::HeadTooLong),
         Ok(Status::Complete(length)) => Ok(Some(length)),
         // A head without end would fill the buffer.
-        Ok(Status::Partial) if received >= HEAD_MOST => Err(ParseError::HeadTooLong),
+        Ok(Status::Partial) if received >= MAX_HEAD_BYTES => Err(ParseError::HeadTooLong),
         Ok(Status::Partial) => Ok(None),
         Err(httparse::Error::TooManyHeaders) => Err(ParseError::TooManyHeaders),
         Err(error) => Err(ParseError::MalformedHead(error)),
@@ -144,7 +144,7 @@
         request.headers,
         head_length,
         minor_version,
-        BODY_LONG,
+        MAX_BODY_BYTES,
         BodyState::Length { remaining: 0 },
     )?;
     Ok(Some((message, read(method, target, request.headers))))
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -5,7 +5,7 @@
 
 use crate::admin::disabled_endpoints::DisabledEndpoints;
 use crate::admin::{self, AdminServer};
-use crate::buffers::Buffers;
+use crate::buffers::BufferPool;
 use crate::cluster::{Cluster, ClusterConfig};
 use crate::discovery::Discovery;
 use crate::downstream::DownstreamConnections;
@@ -37,7 +37,7 @@
 pub struct Proxy {
     pub registry: Registry,
     pub clock: Clock,
-    pub buffers: Buffers,
+    pub buffers: BufferPool,
     pub timers: Timers<Proxy>,
     pub counters: Counters,
     pub access_metrics: AccessMetrics,
@@ -107,7 +107,7 @@
         let mut proxy = Proxy {
             registry: poll.registry().try_clone().map_err(text)?,
             clock: Clock::new(),
-            buffers: Buffers::new(configuration.buffer_bytes),
+            buffers: BufferPool::new(configuration.buffer_bytes),
             timers: Timers::new(),
             counters: Counters::default(),
             access_metrics: AccessMetrics::default(),
@@ -198,11 +198,11 @@
         // Each process has descriptors of its own beside those of clients and servers.
         let connections = configuration::connections(self.sockets as f64 * share);
         self.downstream.set_capacity(connections);
-        self.upstream.links.resize(connections);
+        self.upstream.links.set_capacity(connections);
         self.requests.resize(connections * 3 / 4);
         self.buffers
             .resize((self.buffer_bytes as f64 * share) as usize);
-        while self.upstream.links.over() && self.close_longest_idle_upstream() {}
+        while self.upstream.links.is_over_capacity() && self.close_longest_idle_upstream() {}
         while self.downstream.is_over_capacity() && self.close_idle_downstream() {}
         let nodes = self.cluster_shares.map(|(nodes, _)| nodes);
         self.dispatcher.set_process_share(
@@ -223,9 +223,13 @@
     pub fn turn(&mut self, poll: &mut Poll, events: &mut Events) -> io::Result<bool> {
         let looked = self.now();
         let fleet = self.cluster.as_ref().map(|members| members.next_due());
-        let due = [self.timers.first(), self.dispatcher.next_tick(), fleet]
-            .into_iter()
-            .flatten();
+        let due = [
+            self.timers.next_due_ms(),
+            self.dispatcher.next_tick(),
+            fleet,
+        ]
+        .into_iter()
+        .flatten();
         let wait = due.min_by(f64::total_cmp).map(|at| (at - looked).max(0.0));
         if let Err(e) = poll.poll(events, wait.map(|ms| Duration::from_secs_f64(ms / 1000.0))) {
             if e.kind() != io::ErrorKind::Interrupted {
@@ -450,9 +454,9 @@
         if let Some((inbox, message)) = answer {
             if let Some(client) = waiting {
                 self.counters.acked += 1;
-                self.hand_back(client, inbox.held(), &message);
+                self.hand_back(client, inbox.filled(), &message);
             }
-            self.buffers.give(inbox);
+            self.buffers.give_back(inbox);
         }
         let took = took.unwrap_or(now - at);
         let next = self.dispatcher.attempt_ended(
--- a/proxy/src/slot_table.rs
+++ b/proxy/src/slot_table.rs
@@ -1,93 +1,101 @@
-//! Bounded tables of connections. Keys are small, and used again once what they stood for is taken out.
+//! Bounded tables of connections.
 
 use slab::Slab;
 use std::ops::{Index, IndexMut};
 
-/// Names an entry of a table. It is small, and used again once the entry is taken out.
+/// Names an entry of a table. Keys are small, so that they serve as event tokens, and are used again once the
+/// entry is removed.
 pub type SlotKey = usize;
 
+/// A table with a capacity that may change while it is in use.
 pub struct SlotTable<T> {
-    slots: Slab<T>,
-    most: usize,
+    entries: Slab<T>,
+    capacity: usize,
 }
 
 impl<T> SlotTable<T> {
-    pub fn new(most: usize) -> Self {
+    /// An empty table.
+    pub fn new(capacity: usize) -> Self {
         SlotTable {
-            slots: Slab::new(),
-            most,
+            entries: Slab::new(),
+            capacity,
         }
     }
 
-    /// So many from now on; those beyond stay until they are taken out.
-    pub fn resize(&mut self, most: usize) {
-        self.most = most;
+    /// Changes the capacity; entries beyond it stay until they are removed.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.capacity = capacity;
     }
 
-    pub fn over(&self) -> bool {
-        self.slots.len() > self.most
+    /// Whether it has more entries than its capacity allows.
+    pub fn is_over_capacity(&self) -> bool {
+        self.entries.len() > self.capacity
     }
 
+    /// Whether it has no entries.
     pub fn is_empty(&self) -> bool {
-        self.slots.is_empty()
+        self.entries.is_empty()
     }
 
-    pub fn full(&self) -> bool {
-        self.slots.len() >= self.most
+    /// Whether its capacity allows no other entry.
+    pub fn is_full(&self) -> bool {
+        self.entries.len() >= self.capacity
     }
 
-    /// The key that the next one will have.
-    pub fn next_key(&self) -> usize {
-        self.slots.vacant_key()
+    /// The key that the next entry will have.
+    pub fn vacant_key(&self) -> SlotKey {
+        self.entries.vacant_key()
     }
 
-    pub fn insert(&mut self, one: T) -> usize {
-        self.slots.insert(one)
+    /// Adds an entry, also beyond the capacity: whoever adds one has asked [`Self::is_full`].
+    pub fn insert(&mut self, entry: T) -> SlotKey {
+        self.entries.insert(entry)
     }
 
-    pub fn get(&self, key: usize) -> Option<&T> {
-        self.slots.get(key)
+    /// The entry of a key.
+    pub fn get(&self, key: SlotKey) -> Option<&T> {
+        self.entries.get(key)
     }
 
-    pub fn get_mut(&mut self, key: usize) -> Option<&mut T> {
-        self.slots.get_mut(key)
+    /// The entry of a key.
+    pub fn get_mut(&mut self, key: SlotKey) -> Option<&mut T> {
+        self.entries.get_mut(key)
     }
 
-    pub fn take(&mut self, key: usize) -> Option<T> {
-        self.slots.try_remove(key)
+    /// Removes an entry; its key is free for another.
+    pub fn remove(&mut self, key: SlotKey) -> Option<T> {
+        self.entries.try_remove(key)
     }
 
-    /// Keys of those that something holds for.
-    pub fn keys(&self, holds: impl Fn(&T) -> bool) -> Vec<usize> {
-        self.slots
+    /// The keys of all entries that match, in their order.
+    pub fn keys_where(&self, matches: impl Fn(&T) -> bool) -> Vec<SlotKey> {
+        self.entries
             .iter()
-            .filter(|(_, one)| holds(one))
+            .filter(|(_, entry)| matches(entry))
             .map(|(key, _)| key)
             .collect()
     }
 
-    /// Whoever has the least rank, of those that have one.
-    pub fn least(&self, rank: impl Fn(&T) -> Option<f64>) -> Option<usize> {
-        let ranked = self
-            .slots
+    /// The key of the entry with the least rank, of those that have one; the first of equals.
+    pub fn key_with_least(&self, rank: impl Fn(&T) -> Option<f64>) -> Option<SlotKey> {
+        self.entries
             .iter()
-            .filter_map(|(key, one)| Some((key, rank(one)?)));
-        ranked
-            .min_by(|a, b| a.1.total_cmp(&b.1))
+            .filter_map(|(key, entry)| Some((key, rank(entry)?)))
+            .min_by(|(_, left), (_, right)| left.total_cmp(right))
             .map(|(key, _)| key)
     }
 }
 
-impl<T> Index<usize> for SlotTable<T> {
+impl<T> Index<SlotKey> for SlotTable<T> {
     type Output = T;
 
-    fn index(&self, key: usize) -> &T {
-        &self.slots[key]
+    fn index(&self, key: SlotKey) -> &T {
+        &self.entries[key]
     }
 }
 
-impl<T> IndexMut<usize> for SlotTable<T> {
-    fn index_mut(&mut self, key: usize) -> &mut T {
-        &mut self.slots[key]
+impl<T> IndexMut<SlotKey> for SlotTable<T> {
+    fn index_mut(&mut self, key: SlotKey) -> &mut T {
+        &mut self.entries[key]
     }
 }
--- a/proxy/src/socket.rs
+++ b/proxy/src/socket.rs
@@ -4,7 +4,7 @@
 use std::io;
 
 /// Whether there are bytes to be read on a connection.
-pub fn has_data(stream: &TcpStream) -> bool {
+pub fn has_unread_data(stream: &TcpStream) -> bool {
     matches!(stream.peek(&mut [0]), Ok(1..))
 }
 
--- a/proxy/src/streaming/request.rs
+++ b/proxy/src/streaming/request.rs
@@ -1,7 +1,7 @@
 //! Requests too long for one buffer, fed to their server piece by piece: the client is read only once the
 //! server has taken the piece before, so that neither side's pace costs more than two buffers.
 
-use crate::buffers::{Buffer, Filled};
+use crate::buffers::{Buffer, ReadOutcome};
 use crate::downstream::RequestError;
 use crate::proxy::Proxy;
 use crate::streaming::Upload;
@@ -26,19 +26,19 @@
     if upload.message.is_complete() {
         return Fed::Whole;
     }
-    if !outbox.held().is_empty() {
+    if !outbox.filled().is_empty() {
         return Fed::More;
     }
-    let before = upload.inbox.held().len();
-    match upload.inbox.fill(upload.stream) {
-        Filled::Some => {
-            *upload.got += upload.inbox.held().len() - before;
+    let before = upload.inbox.filled().len();
+    match upload.inbox.read_from(upload.stream) {
+        ReadOutcome::Received => {
+            *upload.got += upload.inbox.filled().len() - before;
             *upload.moved = now;
             Fed::More
         }
-        Filled::Later => Fed::Later,
-        Filled::Ended | Filled::Broken => Fed::Spoilt(None),
-        Filled::Full => Fed::Spoilt(Some(RequestError::UndecodableBody)),
+        ReadOutcome::WouldBlock => Fed::Later,
+        ReadOutcome::Closed | ReadOutcome::Failed => Fed::Spoilt(None),
+        ReadOutcome::BufferFull => Fed::Spoilt(Some(RequestError::UndecodableBody)),
     }
 }
 
--- a/proxy/src/streaming/response.rs
+++ b/proxy/src/streaming/response.rs
@@ -1,7 +1,7 @@
 //! Answers too long for one buffer, passed on piece by piece: each is read only once the client has taken the
 //! one before, so that neither side's pace costs more than two buffers.
 
-use crate::buffers::{Buffer, Filled};
+use crate::buffers::{Buffer, ReadOutcome};
 use crate::http::{self, BodyFraming};
 use crate::metrics::access::End;
 use crate::proxy::Proxy;
@@ -17,7 +17,7 @@
         let op = link.op;
         let (Some((message, ..)), Some(client)) = (&mut link.message, self.requests.answered(op))
         else {
-            self.buffers.give(inbox);
+            self.buffers.give_back(inbox);
             return self.fail(key, AttemptOutcome::Cancelled, LoadReport::default());
         };
         let now = self.clock.now();
@@ -32,14 +32,14 @@
             chunked: framing == BodyFraming::Chunked,
         });
         (link.moved, link.until) = (now, Some(now));
-        self.timers.unset(link.timer.take());
+        self.timers.cancel(link.timer.take());
         let (head, end) = (message.body_start, message.body_end);
         self.streaming_progress(op, key, false);
         self.write_to_client(client, key, framing == BodyFraming::UntilClose);
         // Until its last byte is with the client.
         self.downstream.set_outcome(client, End::Aborted);
         self.answer_by(client, |close, to| {
-            http::write_response_start(&inbox.held()[..end], head, framing, close, to)
+            http::write_response_start(&inbox.filled()[..end], head, framing, close, to)
         });
         match self.upstream.links.get_mut(key) {
             Some(link) => {
@@ -48,7 +48,7 @@
                 }
                 link.inbox = Some(inbox);
             }
-            None => return self.buffers.give(inbox),
+            None => return self.buffers.give_back(inbox),
         }
         self.upstream_timeout(key);
     }
@@ -86,7 +86,7 @@
                 return;
             };
             let filled = link.fill(&mut inbox);
-            if filled == Filled::Some {
+            if filled == ReadOutcome::Received {
                 self.upstream.records[link.server].heard = now;
                 link.moved = now;
             }
@@ -95,9 +95,9 @@
             };
             let read = message.advance(inbox);
             match (&read, filled) {
-                (Ok(_), Filled::Some) => {}
-                (Ok(_), Filled::Later) => return,
-                (Ok(_), Filled::Ended) if message.ends_at_close() => message.complete(),
+                (Ok(_), ReadOutcome::Received) => {}
+                (Ok(_), ReadOutcome::WouldBlock) => return,
+                (Ok(_), ReadOutcome::Closed) if message.ends_at_close() => message.complete(),
                 // The client is cut off with the connection, so that it can tell.
                 _ => {
                     log::debug!(
@@ -126,11 +126,11 @@
             && link
                 .inbox
                 .as_ref()
-                .is_none_or(|inbox| inbox.held().is_empty());
+                .is_none_or(|inbox| inbox.filled().is_empty());
         link.inbox
             .take()
             .into_iter()
-            .for_each(|inbox| self.buffers.give(inbox));
+            .for_each(|inbox| self.buffers.give_back(inbox));
         self.counters.acked += 1;
         self.downstream.set_outcome(client, End::Succeeded);
         self.downstream.end_response_source(client);
--- a/proxy/src/timers.rs
+++ b/proxy/src/timers.rs
@@ -1,12 +1,12 @@
-//! The time, and what is due when: each due time holds a closure that is handed the proxy.
+//! The clock, and timers: each holds a callback that is handed the proxy once it is due.
 
 use std::collections::BTreeMap;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// Unix milliseconds that only advance.
+/// Unix time in milliseconds that only advances, whatever is done to the system's clock.
 pub struct Clock {
-    from: Instant,
-    unix: f64,
+    started: Instant,
+    started_unix_ms: f64,
 }
 
 impl Default for Clock {
@@ -16,28 +16,40 @@
 }
 
 impl Clock {
+    /// A clock that starts with the system's time.
     pub fn new() -> Self {
-        let unix = SystemTime::now()
+        // A system that believes to be before 1970 has no time to go by; times only need to advance then.
+        let started_unix_ms = SystemTime::now()
             .duration_since(UNIX_EPOCH)
-            .map_or(0.0, |d| d.as_secs_f64() * 1000.0);
+            .map_or(0.0, |since_epoch| since_epoch.as_secs_f64() * 1000.0);
         Clock {
-            from: Instant::now(),
-            unix,
+            started: Instant::now(),
+            started_unix_ms,
         }
     }
 
+    /// The time, in Unix milliseconds.
     pub fn now(&self) -> f64 {
-        self.unix + self.from.elapsed().as_secs_f64() * 1000.0
+        self.started_unix_ms + self.started.elapsed().as_secs_f64() * 1000.0
     }
 }
 
+/// What is done when a timer is due.
 pub type TimerCallback<P> = Box<dyn FnOnce(&mut P)>;
-/// Microseconds and a running number: unlike floating-point times these have an order.
-pub type TimerKey = (u64, u64);
 
+/// Names a timer. Timers are due in the order of their times, and those of one time in the order in which they
+/// were set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimerKey {
+    /// Whole microseconds: unlike floating-point times these have a total order.
+    due_us: u64,
+    sequence: u64,
+}
+
+/// All timers of a proxy `P`.
 pub struct Timers<P> {
-    due: BTreeMap<TimerKey, TimerCallback<P>>,
-    next: u64,
+    callbacks: BTreeMap<TimerKey, TimerCallback<P>>,
+    last_sequence: u64,
 }
 
 impl<P> Default for Timers<P> {
@@ -47,34 +59,43 @@
 }
 
 impl<P> Timers<P> {
+    /// No timers.
     pub fn new() -> Self {
         Timers {
-            due: BTreeMap::new(),
-            next: 0,
+            callbacks: BTreeMap::new(),
+            last_sequence: 0,
         }
     }
 
-    pub fn set(&mut self, at: f64, due: impl FnOnce(&mut P) + 'static) -> TimerKey {
-        self.next += 1;
-        let key = ((at.max(0.0) * 1000.0) as u64, self.next);
-        self.due.insert(key, Box::new(due));
+    /// Sets a timer that is due at a time, in Unix milliseconds.
+    pub fn set(&mut self, at_ms: f64, callback: impl FnOnce(&mut P) + 'static) -> TimerKey {
+        self.last_sequence += 1;
+        let key = TimerKey {
+            due_us: (at_ms.max(0.0) * 1000.0) as u64,
+            sequence: self.last_sequence,
+        };
+        self.callbacks.insert(key, Box::new(callback));
         key
     }
 
-    pub fn unset(&mut self, key: Option<TimerKey>) {
+    /// Cancels a timer, if there is one and it has not been due yet.
+    pub fn cancel(&mut self, key: Option<TimerKey>) {
         if let Some(key) = key {
-            self.due.remove(&key);
+            self.callbacks.remove(&key);
         }
     }
 
-    pub fn take_due(&mut self, now: f64) -> Option<TimerCallback<P>> {
-        let first = self.due.first_entry()?;
-        (first.key().0 as f64 <= now * 1000.0).then(|| first.remove())
+    /// Takes the first timer that is due by `now_ms`.
+    pub fn take_due(&mut self, now_ms: f64) -> Option<TimerCallback<P>> {
+        let first = self.callbacks.first_entry()?;
+        let is_due = first.key().due_us as f64 <= now_ms * 1000.0;
+        is_due.then(|| first.remove())
     }
 
-    pub fn first(&self) -> Option<f64> {
-        self.due
+    /// When the first timer is due, in Unix milliseconds.
+    pub fn next_due_ms(&self) -> Option<f64> {
+        self.callbacks
             .first_key_value()
-            .map(|(key, _)| key.0 as f64 / 1000.0)
+            .map(|(key, _)| key.due_us as f64 / 1000.0)
     }
 }
--- a/proxy/src/upstream/attempts.rs
+++ b/proxy/src/upstream/attempts.rs
@@ -2,7 +2,7 @@
 //! sent it.
 
 use super::{read_load, start_of, AttemptResponse, CompletionCallback, UpstreamConnection, NO_OP};
-use crate::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
+use crate::buffers::{Buffer, ReadOutcome, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::http::{self, Message};
 use crate::proxy::Proxy;
 use crate::socket::is_silent;
@@ -27,7 +27,8 @@
         if let Some(since) = self.rest_since.filter(|_| !self.whole) {
             return since + self.patience;
         }
-        let untold = |m: &Message| m.body_length().is_none() && m.body_received() <= BODY_MOST;
+        let untold =
+            |m: &Message| m.body_length().is_none() && m.body_received() <= MAX_BUFFERED_BODY_BYTES;
         let short =
             self.passing.is_some() && self.message.as_ref().is_some_and(|(m, ..)| untold(m));
         self.moved
@@ -64,7 +65,7 @@
             return message.advance(inbox);
         }
         let Some((message, (status, ending, load))) =
-            http::parse_response(inbox.held(), BODY_LONG, word)?
+            http::parse_response(inbox.filled(), MAX_BODY_BYTES, word)?
         else {
             return Ok(false);
         };
@@ -72,7 +73,7 @@
             *at = Some((message, ending, load));
         } else {
             // One of the answers that only say that another will come.
-            inbox.cut(0, message.body_start);
+            inbox.remove(0..message.body_start);
         }
     }
 }
@@ -95,7 +96,7 @@
         if !request.is_some_and(|(held, message)| {
             http::write_request(held, message, patience, &mut outbox)
         }) {
-            self.buffers.give(outbox);
+            self.buffers.give_back(outbox);
             return Err(AttemptOutcome::NotSent);
         }
         let key = self.send_written(op, server, outbox, patience, then)?;
@@ -124,7 +125,7 @@
         let key = match self.idle_link(server).map_or_else(|| self.dial(server), Ok) {
             Ok(key) => key,
             Err(ending) => {
-                self.buffers.give(outbox);
+                self.buffers.give_back(outbox);
                 return Err(ending);
             }
         };
@@ -168,13 +169,13 @@
         self.timers.set(at, move |proxy: &mut Proxy| {
             // Danger: an answer on its way to a client would outlast the process, and end as if it were whole
             // where only its connection's end tells.
-            for key in proxy.upstream.links.keys(|l| l.passing.is_some()) {
+            for key in proxy.upstream.links.keys_where(|l| l.passing.is_some()) {
                 proxy.fail(key, AttemptOutcome::ConnectionLost, LoadReport::default());
             }
-            for key in proxy.upstream.links.keys(|l| l.then.is_some()) {
+            for key in proxy.upstream.links.keys_where(|l| l.then.is_some()) {
                 if let Some(link) = proxy.upstream.links.get_mut(key) {
                     link.ends = link.ends.min(at);
-                    proxy.timers.unset(link.timer.take());
+                    proxy.timers.cancel(link.timer.take());
                     proxy.upstream_timeout(key);
                 }
             }
@@ -194,7 +195,7 @@
             let waits = passing.map_or_else(
                 || {
                     link.feeding.is_some()
-                        && link.outbox.as_ref().is_none_or(|o| o.held().is_empty())
+                        && link.outbox.as_ref().is_none_or(|o| o.filled().is_empty())
                 },
                 |client| !self.downstream.has_drained_response(client),
             );
@@ -257,7 +258,7 @@
         };
         if self.downstream.whole_request_received(client) {
             link.rest_since = Some(now);
-            self.timers.unset(link.timer.take());
+            self.timers.cancel(link.timer.take());
             let at = link.stalls_at();
             link.timer = Some(
                 self.timers
@@ -302,7 +303,7 @@
             return;
         };
         if let Some(outbox) = link.outbox.as_ref().filter(|_| link.feeding.is_none()) {
-            let drained = outbox.drain(&mut link.sent, &mut link.stream);
+            let drained = outbox.write_to(&mut link.sent, &mut link.stream);
             link.begun |= link.sent > 0;
             match drained {
                 Ok(true) => {
@@ -312,7 +313,7 @@
                         // An op's time starts with its last byte.
                         let from = link.rest_since.unwrap_or(now);
                         (link.fed_at, link.ends) = (Some(now), from + link.patience);
-                        self.timers.unset(link.timer.take());
+                        self.timers.cancel(link.timer.take());
                         let due = move |proxy: &mut Proxy| proxy.upstream_timeout(key);
                         link.timer = Some(self.timers.set(link.ends, due));
                     }
@@ -320,7 +321,7 @@
                     link.outbox
                         .take()
                         .into_iter()
-                        .for_each(|b| self.buffers.give(b));
+                        .for_each(|b| self.buffers.give_back(b));
                 }
                 Ok(false) => {}
                 // An answer may have come before the request was through; reading tells.
@@ -339,16 +340,16 @@
         }
         loop {
             let link = &mut self.upstream.links[key];
-            let Some(mut inbox) = link.inbox.take().or_else(|| self.buffers.take_last()) else {
+            let Some(mut inbox) = link.inbox.take().or_else(|| self.buffers.take_reserved()) else {
                 // Danger: no buffer to read into. The answer is lost; the push may have run.
                 self.counters.full += 1;
                 return self.fail(key, AttemptOutcome::ConnectionLost, LoadReport::default());
             };
             let filled = link.fill(&mut inbox);
-            if filled == Filled::Some {
+            if filled == ReadOutcome::Received {
                 self.upstream.records[link.server].heard = self.clock.now();
             }
-            let ended = filled == Filled::Ended;
+            let ended = filled == ReadOutcome::Closed;
             let whole = match read(&mut link.message, &mut inbox) {
                 Ok(whole) => {
                     whole
@@ -382,8 +383,8 @@
                 return self.pass(key);
             }
             let long = |m: &Message| {
-                m.body_length().is_some_and(|l| l > BODY_MOST)
-                    || m.body_end - m.body_start > BODY_MOST
+                m.body_length().is_some_and(|l| l > MAX_BUFFERED_BODY_BYTES)
+                    || m.body_end - m.body_start > MAX_BUFFERED_BODY_BYTES
             };
             if let Some((_, ending, load)) = link
                 .message
@@ -402,15 +403,17 @@
                 self.timers
                     .set(at, move |proxy: &mut Proxy| proxy.held_back(key, now));
             }
-            if inbox.held().is_empty() {
-                self.buffers.give(inbox);
+            if inbox.filled().is_empty() {
+                self.buffers.give_back(inbox);
             } else {
                 link.inbox = Some(inbox);
             }
             match filled {
-                Filled::Some => {}
-                Filled::Later => return,
-                Filled::Ended | Filled::Broken | Filled::Full => return self.broken(key),
+                ReadOutcome::Received => {}
+                ReadOutcome::WouldBlock => return,
+                ReadOutcome::Closed | ReadOutcome::Failed | ReadOutcome::BufferFull => {
+                    return self.broken(key)
+                }
             }
         }
     }
@@ -437,7 +440,7 @@
             .is_some_and(|(m, ..)| m.body_length().is_some());
         if let Some(inbox) = link
             .inbox
-            .take_if(|inbox| told || inbox.held().len() >= FIRST)
+            .take_if(|inbox| told || inbox.filled().len() >= FIRST)
         {
             self.begin_response_stream(key, inbox);
             self.pass(key);
@@ -470,7 +473,7 @@
         let (then, took) = (link.then.take(), link.took(self.clock.now()));
         // Danger: an answer before the request was through, or bytes behind it: what comes next on this
         // connection would be read wrongly.
-        let clean = message.keep_alive && link.whole && inbox.held().len() == message.body_end;
+        let clean = message.keep_alive && link.whole && inbox.filled().len() == message.body_end;
         if clean && is_silent(&link.stream) {
             self.keep_upstream(key);
         } else {
@@ -493,7 +496,7 @@
             None => outcome
                 .answer
                 .into_iter()
-                .for_each(|(inbox, _)| self.buffers.give(inbox)),
+                .for_each(|(inbox, _)| self.buffers.give_back(inbox)),
         }
     }
 }
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -25,7 +25,7 @@
         let records = &self.upstream.records;
         let left =
             |l: &UpstreamConnection<Proxy>| l.unsent() && records[l.server].dial != Some(l.dial);
-        for key in self.upstream.links.keys(left) {
+        for key in self.upstream.links.keys_where(left) {
             self.fail(key, AttemptOutcome::Unreachable, LoadReport::default());
         }
     }
@@ -42,7 +42,7 @@
                     .rposition(|key| now - links[*key].idle_since >= QUIET)?,
             );
             let link = &mut self.upstream.links[key];
-            self.timers.unset(link.timer.take());
+            self.timers.cancel(link.timer.take());
             if is_silent(&link.stream) {
                 return Some(key);
             }
@@ -52,7 +52,7 @@
     }
 
     pub(super) fn dial(&mut self, server: usize) -> Result<usize, AttemptOutcome> {
-        if self.upstream.links.full() && !self.close_longest_idle_upstream() {
+        if self.upstream.links.is_full() && !self.close_longest_idle_upstream() {
             // Danger: out of descriptors for servers. Nothing was sent, and the op is free to go elsewhere.
             self.counters.full += 1;
             return Err(AttemptOutcome::NotSent);
@@ -63,7 +63,7 @@
             .ok_or(AttemptOutcome::Unreachable)?;
         self.counters.dialled += 1;
         let both = Interest::READABLE | Interest::WRITABLE;
-        let key = self.upstream.links.next_key();
+        let key = self.upstream.links.vacant_key();
         let stream = loop {
             let stream = TcpStream::connect(address).and_then(|mut stream| {
                 self.registry
@@ -127,7 +127,7 @@
     pub fn close_longest_idle_upstream(&mut self) -> bool {
         let idle =
             |link: &UpstreamConnection<Proxy>| link.then.is_none().then_some(link.idle_since);
-        let Some(key) = self.upstream.links.least(idle) else {
+        let Some(key) = self.upstream.links.key_with_least(idle) else {
             return false;
         };
         let server = self.upstream.links[key].server;
@@ -138,7 +138,7 @@
 
     /// The one place where a server's connection and buffers are given back.
     pub fn drop_upstream(&mut self, key: usize) {
-        let Some(mut link) = self.upstream.links.take(key) else {
+        let Some(mut link) = self.upstream.links.remove(key) else {
             return;
         };
         if let Some(passing) = link.passing.take() {
@@ -146,9 +146,9 @@
             self.drop_downstream(passing.client);
         }
         let _ = self.registry.deregister(&mut link.stream);
-        self.timers.unset(link.timer);
+        self.timers.cancel(link.timer);
         for buffer in [link.outbox, link.inbox].into_iter().flatten() {
-            self.buffers.give(buffer);
+            self.buffers.give_back(buffer);
         }
     }
 
@@ -182,7 +182,7 @@
             return self.drop_upstream(key);
         }
         link.idle_since = now;
-        self.timers.unset(link.timer.take());
+        self.timers.cancel(link.timer.take());
         let close = move |proxy: &mut Proxy| {
             proxy.upstream.records[server].idle.retain(|k| *k != key);
             proxy.drop_upstream(key);
--- a/proxy/src/upstream/load_probes.rs
+++ b/proxy/src/upstream/load_probes.rs
@@ -29,7 +29,7 @@
         let Some(mut outbox) = self.buffers.take() else {
             return false;
         };
-        let written = outbox.add(b"GET /_load HTTP/1.1\r\nHost: server\r\n\r\n");
+        let written = outbox.append(b"GET /_load HTTP/1.1\r\nHost: server\r\n\r\n");
         debug_assert!(written, "a fresh buffer holds one short line");
         let then = Box::new(move |proxy: &mut Proxy, outcome: AttemptResponse| {
             proxy.probes_in_flight -= 1;
@@ -50,12 +50,12 @@
     /// The load that a probe's answer tells: none from any status but 200, or a body that is no report.
     fn report(&mut self, outcome: AttemptResponse) -> Option<LoadReport> {
         let (inbox, message) = outcome.answer?;
-        let body = &inbox.held()[message.body_start..message.body_end];
+        let body = &inbox.filled()[message.body_start..message.body_end];
         let mut load = LoadReport::default();
         if outcome.ending == AttemptOutcome::Succeeded && body.len() <= REPORT_MOST {
             read_load(&String::from_utf8_lossy(body), &mut load);
         }
-        self.buffers.give(inbox);
+        self.buffers.give_back(inbox);
         (load != LoadReport::default()).then_some(load)
     }
 
--- a/proxy/src/upstream/mod.rs
+++ b/proxy/src/upstream/mod.rs
@@ -4,7 +4,7 @@
 mod connection_pool;
 mod load_probes;
 
-use crate::buffers::{Buffer, Filled, BODY_MOST};
+use crate::buffers::{Buffer, ReadOutcome, MAX_BUFFERED_BODY_BYTES};
 use crate::http::Message;
 use crate::slot_table::SlotTable;
 use crate::socket::is_silent;
@@ -32,7 +32,7 @@
 /// How a message starts, for the log.
 pub fn start_of(inbox: &Buffer) -> String {
     inbox
-        .held()
+        .filled()
         .iter()
         .take(120)
         .map(|b| std::ascii::escape_default(*b).to_string())
@@ -145,13 +145,13 @@
         link.is_some_and(|l| {
             l.outbox
                 .as_ref()
-                .is_some_and(|o| l.begun && o.held().is_empty())
+                .is_some_and(|o| l.begun && o.filled().is_empty())
         })
     }
 
     /// Whether a connection may be opened without closing one that a push might use.
     pub fn roomy(&self) -> bool {
-        !self.links.full()
+        !self.links.is_full()
     }
 
     /// All servers' indices are under this.
@@ -191,14 +191,21 @@
         let Some((message, ..)) = self.message.as_ref().filter(|_| self.good()) else {
             return false;
         };
-        let here = inbox.held().len() - message.body_start;
-        here > BODY_MOST || (message.body_length().is_some_and(|l| l > BODY_MOST) && here >= FIRST)
+        let here = inbox.filled().len() - message.body_start;
+        here > MAX_BUFFERED_BODY_BYTES
+            || (message
+                .body_length()
+                .is_some_and(|l| l > MAX_BUFFERED_BODY_BYTES)
+                && here >= FIRST)
     }
 
     /// Whether it will be passed on if it is not whole soon.
     pub fn may_pass(&self) -> bool {
         let message = self.message.as_ref().filter(|_| self.good());
-        message.is_some_and(|(m, ..)| m.body_length().is_none_or(|length| length > BODY_MOST))
+        message.is_some_and(|(m, ..)| {
+            m.body_length()
+                .is_none_or(|length| length > MAX_BUFFERED_BODY_BYTES)
+        })
     }
 
     /// Writes what stands to be written; whether all of it has left.
@@ -206,22 +213,22 @@
         let Some(outbox) = &mut self.outbox else {
             return true;
         };
-        let drained = outbox.drain(&mut self.sent, &mut self.stream);
+        let drained = outbox.write_to(&mut self.sent, &mut self.stream);
         self.begun |= self.sent > 0;
         self.broke |= drained.is_err();
         if !matches!(drained, Ok(true)) {
             // An error shows as the connection is read.
             return false;
         }
-        outbox.cut(0, self.sent);
+        outbox.remove(0..self.sent);
         self.sent = 0;
         true
     }
 
     /// Reads what has come of an answer.
-    pub fn fill(&mut self, inbox: &mut Buffer) -> Filled {
-        match inbox.fill(&mut self.stream) {
-            Filled::Ended if self.broke => Filled::Broken,
+    pub fn fill(&mut self, inbox: &mut Buffer) -> ReadOutcome {
+        match inbox.read_from(&mut self.stream) {
+            ReadOutcome::Closed if self.broke => ReadOutcome::Failed,
             filled => filled,
         }
     }
