--- a/proxy/src/downstream/connection.rs
+++ b/proxy/src/downstream/connection.rs
@@ -15,13 +15,15 @@
 
 /// What a connection is doing.
 ///
-/// ```text
-/// Idle ──> ReadingRequest ──> AwaitingResponse ──> StartingResponse ──┐
-///  ^ ^        │  ^  │                │  (streamed from upstream)      │
-///  │ │        │  │  └────────────────┴──────────> WritingResponse <───┘
-///  │ └────────┼──┴───────────────────────────────────┘  │
-///  │          └─> rejected: WritingResponse             └──> Lingering ──> closed
-/// ```
+/// | from | by | to |
+/// | --- | --- | --- |
+/// | `Idle` | `begin_request` | `ReadingRequest` |
+/// | `ReadingRequest` | `await_response` | `AwaitingResponse` |
+/// | `AwaitingResponse` | `stop_awaiting`, as it is answered or rejected | `ReadingRequest` |
+/// | `AwaitingResponse` | `stream_response_from` | `StartingResponse` |
+/// | `Idle`, `ReadingRequest`, `StartingResponse` | `begin_response` | `WritingResponse` |
+/// | `WritingResponse` | `end_response` | `Idle`, or `ReadingRequest` where the next one has begun |
+/// | `Idle` | `linger`, as the connection may carry no other request | `Lingering` |
 pub(super) enum ConnectionState {
     /// Nothing of the next request has come.
     Idle,
