--- a/proxy/src/admin/caller.rs
+++ b/proxy/src/admin/caller.rs
@@ -1,7 +1,7 @@
 //! A connection of one caller: reads its call, writes the response, and drains what still comes.
 
 use super::response::AdminResponse;
-use crate::buffers::{Buffer, Filled, HEAD_MOST};
+use crate::buffers::{Buffer, ReadOutcome, MAX_HEAD_BYTES};
 use crate::http;
 use crate::timers::TimerKey;
 use mio::net::TcpStream;
@@ -47,7 +47,7 @@
     pub(super) fn new(stream: TcpStream, accepted_at_ms: f64, timer: TimerKey) -> Self {
         Caller {
             stream,
-            received: Buffer::of(2 * HEAD_MOST),
+            received: Buffer::with_capacity(2 * MAX_HEAD_BYTES),
             state: CallerState::ReadingRequest,
             accepted_at_ms,
             timer: Some(timer),
@@ -57,7 +57,7 @@
     /// Orders callers by who makes room first: one that has its response, then whoever has sent the least, then
     /// whoever came first.
     pub(super) fn cmp_need(&self, other: &Caller) -> Ordering {
-        let received_bytes = |caller: &Caller| caller.received.held().len();
+        let received_bytes = |caller: &Caller| caller.received.filled().len();
         self.is_answered()
             .cmp(&other.is_answered())
             .reverse()
@@ -72,13 +72,13 @@
 
     /// Whether part of a call has come, but not all of it.
     pub(super) fn is_call_incomplete(&self) -> bool {
-        matches!(self.state, CallerState::ReadingRequest) && !self.received.held().is_empty()
+        matches!(self.state, CallerState::ReadingRequest) && !self.received.filled().is_empty()
     }
 
     /// Queues the response; [`Caller::advance`] writes it.
     pub(super) fn respond(&mut self, response: &AdminResponse) {
         self.state = CallerState::WritingResponse {
-            response: http::told(response.status, &response.body).into_bytes(),
+            response: http::text_response(response.status, &response.body).into_bytes(),
             sent: 0,
         };
     }
@@ -98,18 +98,23 @@
     }
 
     fn read_request(&mut self) -> Option<CallerEvent> {
-        let filled = self.received.fill(&mut self.stream);
-        let request = http::request(self.received.held(), |method, target, _| {
-            let path = http::origin(target).split('?').next().unwrap_or_default();
+        let filled = self.received.read_from(&mut self.stream);
+        let request = http::parse_request(self.received.filled(), |method, target, _| {
+            let path = http::origin_form(target)
+                .split('?')
+                .next()
+                .unwrap_or_default();
             (method.to_string(), path.to_string())
         });
         match (request, filled) {
             (Ok(Some((_, (method, path)))), _) => Some(CallerEvent::Call { method, path }),
-            (Err(status), _) => Some(CallerEvent::InvalidCall { status }),
-            (Ok(None), Filled::Some) => None,
-            (Ok(None), Filled::Later) => Some(CallerEvent::Pending),
-            (Ok(None), Filled::Full) => Some(CallerEvent::InvalidCall { status: 431 }),
-            (Ok(None), Filled::Ended | Filled::Broken) => Some(CallerEvent::Closed),
+            (Err(error), _) => Some(CallerEvent::InvalidCall {
+                status: error.status(),
+            }),
+            (Ok(None), ReadOutcome::Received) => None,
+            (Ok(None), ReadOutcome::WouldBlock) => Some(CallerEvent::Pending),
+            (Ok(None), ReadOutcome::BufferFull) => Some(CallerEvent::InvalidCall { status: 431 }),
+            (Ok(None), ReadOutcome::Closed | ReadOutcome::Failed) => Some(CallerEvent::Closed),
         }
     }
 
--- a/proxy/src/admin/callers.rs
+++ b/proxy/src/admin/callers.rs
@@ -88,7 +88,7 @@
         };
         // An error changes nothing: the stream is closed next, which ends its registration too.
         let _ = self.registry.deregister(&mut caller.stream);
-        self.timers.unset(caller.timer);
+        self.timers.cancel(caller.timer);
     }
 
     fn admin_call_timed_out(&mut self, slot: usize) {
@@ -127,7 +127,7 @@
             return;
         };
         caller.respond(response);
-        self.timers.unset(caller.timer.take());
+        self.timers.cancel(caller.timer.take());
         let timer = self.timers.set(close_at, move |proxy: &mut Proxy| {
             proxy.close_admin_caller(slot)
         });
--- a/proxy/src/admin/disabled_endpoints/changes.rs
+++ b/proxy/src/admin/disabled_endpoints/changes.rs
@@ -85,7 +85,7 @@
         let unsent = self
             .upstream
             .connections
-            .keys(|connection| connection.endpoint == endpoint && connection.is_unsent());
+            .keys_where(|connection| connection.endpoint == endpoint && connection.is_unsent());
         for key in unsent {
             self.fail_attempt(key, AttemptOutcome::NotSent, LoadReport::default());
         }
--- a/proxy/src/admin/handlers.rs
+++ b/proxy/src/admin/handlers.rs
@@ -49,7 +49,7 @@
     /// All metrics, one a line.
     fn metrics_text(&self) -> String {
         let classes = &self.name_index.classes.names;
-        let uploading = self.downstream.uploads();
+        let uploading = self.downstream.incomplete_requests();
         let (discovered, ejected) = self.dispatcher.endpoint_counts();
         let mut text = self.access_metrics.to_text(classes, uploading);
         text += &format!("discovered={discovered}\nejected={ejected}\n");
--- a/proxy/src/discovery/connection.rs
+++ b/proxy/src/discovery/connection.rs
@@ -1,7 +1,7 @@
 //! The connection to discovery: one request at a time, and its response.
 
 use super::error::PollError;
-use crate::buffers::{Buffer, Filled};
+use crate::buffers::{Buffer, ReadOutcome};
 use crate::http::{self, Message};
 use crate::tokens::DISCOVERY;
 use mio::net::TcpStream;
@@ -53,7 +53,7 @@
             stream: None,
             request: Vec::new(),
             bytes_sent: 0,
-            received: Buffer::of(INITIAL_BUFFER_BYTES),
+            received: Buffer::with_capacity(INITIAL_BUFFER_BYTES),
             response: None,
         }
     }
@@ -83,7 +83,7 @@
         self.request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n").into_bytes();
         self.bytes_sent = 0;
         self.response = None;
-        self.received.cut(0, self.received.held().len());
+        self.received.remove(0..self.received.filled().len());
     }
 
     /// Sends and reads what is possible now.
@@ -103,8 +103,8 @@
             };
         }
         if !poll_in_flight {
-            return Ok(match self.received.fill(stream) {
-                Filled::Later => Progress::Pending,
+            return Ok(match self.received.read_from(stream) {
+                ReadOutcome::WouldBlock => Progress::Pending,
                 _ => Progress::ClosedWhileIdle,
             });
         }
@@ -117,20 +117,22 @@
             return Ok(Progress::Pending);
         };
         loop {
-            let filled = self.received.fill(stream);
-            let ended = filled == Filled::Ended;
+            let filled = self.received.read_from(stream);
+            let ended = filled == ReadOutcome::Closed;
             if response_is_complete(&mut self.response, &mut self.received, ended)? {
                 return Ok(Progress::ResponseComplete);
             }
             match filled {
-                Filled::Some => {}
-                Filled::Later => return Ok(Progress::Pending),
-                Filled::Full => {
+                ReadOutcome::Received => {}
+                ReadOutcome::WouldBlock => return Ok(Progress::Pending),
+                ReadOutcome::BufferFull => {
                     if !self.received.grow(MAX_RESPONSE_BYTES) {
                         return Err(PollError::ResponseTooLong);
                     }
                 }
-                Filled::Ended | Filled::Broken => return Err(PollError::ConnectionClosed),
+                ReadOutcome::Closed | ReadOutcome::Failed => {
+                    return Err(PollError::ConnectionClosed)
+                }
             }
         }
     }
@@ -140,15 +142,15 @@
         let PartialResponse { status, message } = self.response.take()?;
         Some(PollResponse {
             status,
-            body: &self.received.held()[message.head..message.end],
-            keep_alive: message.keep,
+            body: &self.received.filled()[message.body_start..message.body_end],
+            keep_alive: message.keep_alive,
         })
     }
 
     /// Frees what a long response needed: complete lists are rare.
     pub(super) fn shrink_receive_buffer(&mut self) {
-        if self.received.size() > INITIAL_BUFFER_BYTES {
-            self.received = Buffer::of(INITIAL_BUFFER_BYTES);
+        if self.received.capacity() > INITIAL_BUFFER_BYTES {
+            self.received = Buffer::with_capacity(INITIAL_BUFFER_BYTES);
         }
     }
 }
@@ -175,9 +177,7 @@
     ended: bool,
 ) -> Result<bool, PollError> {
     if response.is_none() {
-        // The error is a status for a client, and says nothing of a response.
-        let limits = (MAX_RESPONSE_BYTES, MAX_RESPONSE_BYTES);
-        let head = http::answer(received.held(), limits, |status, _| status)
+        let head = http::parse_response(received.filled(), MAX_RESPONSE_BYTES, |status, _| status)
             .map_err(|_| PollError::InvalidResponseHead)?;
         *response = head.map(|(message, status)| PartialResponse { status, message });
     }
@@ -187,5 +187,5 @@
     let complete = message
         .advance(received)
         .map_err(|_| PollError::InvalidResponseBody)?;
-    Ok(complete || (ended && message.ends_here()))
+    Ok(complete || (ended && message.ends_at_close()))
 }
--- a/proxy/src/discovery/poll.rs
+++ b/proxy/src/discovery/poll.rs
@@ -86,7 +86,7 @@
     /// Ends the poll in flight, whatever came of it.
     fn end_poll(&mut self) -> Option<PollInFlight> {
         let poll = self.discovery.poll_in_flight.take()?;
-        self.timers.unset(Some(poll.deadline));
+        self.timers.cancel(Some(poll.deadline));
         Some(poll)
     }
 
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -1,367 +1,259 @@
-//! Reading from clients: a request's head is checked as soon as it is in, its body awaited or fed on.
+//! Reading from clients: a request's head is checked as soon as it is in, its body buffered or streamed.
 
-use super::{Asked, LINGER_BYTES, SLOW};
-use crate::buffers::{Buffer, Filled, BODY_LONG, BODY_MOST};
-use crate::endpoint_list::stable_hash;
-use crate::http::{self, RequestError};
+use super::connection::{AfterResponse, ConnectionState};
+use super::request_head::{RequestHead, RequestKind};
+use super::{RequestError, DISCARD_BYTES, REQUEST_TIMEOUT_MS};
+use crate::buffers::{Buffer, ReadOutcome, MAX_BUFFERED_BODY_BYTES};
+use crate::http;
 use crate::proxy::Proxy;
-use crate::requests::Requests;
+use crate::slot_table::SlotKey;
 use crate::upstream::log_excerpt;
-use crankmux::settings::NameIndex;
 use crankmux::types::NewRequest;
-use httparse::Header;
 use std::io::{self, Read, Write};
 
-/// Longer than any client waits: a deadline past it is a mistake.
-const TTL_MOST: f64 = 3600.0;
-
-fn asked(
-    names: &NameIndex,
-    ops: &Requests,
-    key: Option<&str>,
-    method: &str,
-    path: &str,
-    headers: &[Header],
-) -> Result<Asked, RequestError> {
-    if path == "/_health" {
-        return Ok(Asked::Health);
-    }
-    if matches!(method, "HEAD" | "CONNECT") {
-        // Their answers have no body, whatever is told of its length.
-        return Err(405);
-    }
-    let header = |name: &str| http::value(headers, name).filter(|v| !v.is_empty());
-    // Danger: two headers of one name are read in two ways by two readers.
-    let told_twice = |name: &&str| {
-        headers
-            .iter()
-            .filter(|h| h.name.eq_ignore_ascii_case(name))
-            .count()
-            > 1
-    };
-    if ["X-Request-ID", "X-Priority-Class", "X-Timeout"]
-        .iter()
-        .any(told_twice)
-    {
-        return Err(400);
-    }
-    let mark = ops.hash_request_id(header("X-Request-ID").ok_or(400_u16)?);
-    let category = header("X-Priority-Class").ok_or(400_u16)?;
-    if path.trim_start_matches('/').split(['/', '?']).next() != Some(category) {
-        return Err(400);
-    }
-    let Some(category) = names.classes.index(category) else {
-        // Danger: clients that have not heard of it yet, whose failures no figure would tell.
-        let once = names.classes.names.iter().position(|name| name == category);
-        return once.map(Asked::Vanished).ok_or(400);
-    };
-    let ttl: f64 = header("X-Timeout")
-        .and_then(|v| v.parse().ok())
-        .ok_or(400_u16)?;
-    if !(ttl > 0.0 && ttl <= TTL_MOST) {
-        return Err(400);
-    }
-    let customer = header("X-Tenant-Id");
-    if customer.is_none() && !names.tenants.is_empty() {
-        return Err(400);
-    }
-    let customer = customer.and_then(|name| names.tenants.index(name));
-    let retry = header("X-Retried") == Some("1");
-    // All nodes come to the same number, so that a key's servers are known to all alike.
-    let key = key.and_then(header).map(stable_hash);
-    Ok(Asked::Op(
-        NewRequest {
-            request: 0,
-            class: category,
-            tenant: customer,
-            ttl_ms: ttl * 1000.0,
-            client_retry: retry,
-            key,
-        },
-        mark,
-    ))
-}
-
 impl Proxy {
-    /// From now on nothing but a whole request may keep the connection for longer than this.
-    pub(super) fn may_stand(&mut self, key: usize, most: f64) {
-        let at = self.clock.now() + most;
-        let Some(client) = self.downstream.table.get_mut(key) else {
-            return;
-        };
-        self.timers.unset(client.timer.take());
-        client.timer = Some(
-            self.timers
-                .set(at, move |proxy: &mut Proxy| proxy.stood(key)),
-        );
-    }
-
-    /// It has stood for as long as it may; what it has sent by now is read first.
-    pub(super) fn stood(&mut self, key: usize) {
-        if let Some(client) = self.downstream.table.get_mut(key) {
-            client.timer = None;
-        }
-        self.serve(key);
-        let now = self.clock.now();
+    /// Reads what a client's connection waits for; whether there is more to do at once.
+    pub(super) fn read_request(&mut self, key: SlotKey) -> bool {
         let Some(client) = self.downstream.table.get_mut(key) else {
-            return;
+            return false;
         };
-        if client.outbox.is_some() || client.timer.is_some() {
-            return;
-        }
-        if client.in_body() {
-            if client.op.is_some() && !self.upstream.awaits_request_body(client.feeds, key) {
-                // It is the server's turn: what it takes its time for is not held against the client.
-                (client.body_from, client.got, client.moved) = (now, 0, now);
-            }
-            let due = client.body_due();
-            if due > now + 1.0 {
-                client.timer = Some(
-                    self.timers
-                        .set(due, move |proxy: &mut Proxy| proxy.stood(key)),
-                );
-                return;
-            }
-            if client.op.is_some() {
-                self.counters.invalid_requests += 1;
-                return self.drop_downstream(key);
+        match client.state {
+            ConnectionState::Idle | ConnectionState::ReadingRequest => self.read_next_request(key),
+            ConnectionState::AwaitingResponse(_) => {
+                self.read_while_awaiting_response(key);
+                false
             }
-        }
-        let Some(client) = self.downstream.table.get(key).filter(|c| c.spare()) else {
-            return;
-        };
-        if client.inbox.is_some() {
-            // Danger: a client that sends a byte now and then would hold a buffer for ever.
-            self.counters.invalid_requests += 1;
-            self.refuse(key, 408);
-        } else {
-            self.drop_downstream(key);
+            // Nothing is read until the response is out.
+            ConnectionState::StartingResponse(_) | ConnectionState::WritingResponse(_) => false,
+            ConnectionState::Lingering(_) => self.discard_input(key),
         }
     }
 
-    /// Reads towards the next request and has it served; whether there is more to do at once.
-    pub(super) fn read_request(&mut self, key: usize) -> bool {
-        let Some(client) = self.downstream.table.get_mut(key) else {
-            return false;
-        };
-        if client.op.is_some() && client.ended {
-            // Danger: whoever has left is served on by one server after another.
-            self.drop_downstream(key);
-            return false;
-        }
-        if client.op.is_some() && client.in_body() {
-            // Whoever it feeds reads on.
-            self.writable_upstream.extend(client.feeds);
-            return false;
-        }
-        if client.op.is_some() {
-            self.read_behind(key);
-            return false;
-        }
-        if client.lingers {
-            // Danger: a client that goes on sending at full speed would keep the loop for itself. What it
-            // sends past this stays with its own machine until the connection is closed.
-            if client.past
-                >= if client.patient {
-                    BODY_LONG
-                } else {
-                    LINGER_BYTES
-                }
-            {
-                return false;
-            }
-            return match client.stream.read(&mut [0; 16 * 1024]) {
-                Ok(read @ 1..) => {
-                    client.past += read;
-                    client.moved = self.clock.now();
-                    true
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => false,
-                _ => {
-                    self.drop_downstream(key);
-                    false
-                }
-            };
-        }
-        let Some(mut inbox) = client.inbox.take().or_else(|| self.buffers.take()) else {
-            // Danger: the pool is empty. The client is refused unread, and its next try is harmless.
+    /// Reads towards the next request and handles it; whether there is more to do at once.
+    fn read_next_request(&mut self, key: SlotKey) -> bool {
+        let client = &mut self.downstream.table[key];
+        let read_buffer = client.read_buffer.take();
+        let Some(mut buffer) = read_buffer.or_else(|| self.buffers.take()) else {
+            // The pool is empty. The client is rejected unread, and its retry is harmless.
             self.counters.capacity_exhausted += 1;
-            self.refuse(key, 503);
+            self.reject(key, RequestError::NoBuffer);
             return true;
         };
-        match self.read_whole(key, &mut inbox) {
-            Ok(Some(asked)) => {
-                self.put_back(key, inbox);
-                self.hear(key, asked);
+        match self.parse_request(key, &mut buffer) {
+            Ok(Some(kind)) => {
+                self.downstream.table[key].read_buffer = Some(buffer);
+                self.handle_request(key, kind);
                 true
             }
-            Ok(None) => self.read_more(key, inbox),
-            Err(status) => {
-                log::debug!(
-                    "a request is refused with {status}: {}",
-                    log_excerpt(&inbox)
-                );
-                self.put_back(key, inbox);
+            Ok(None) => self.receive(key, buffer),
+            Err(error) => {
+                let status = error.status();
+                let start = log_excerpt(&buffer);
+                log::debug!("request rejected with {status}, {error}: {start}");
+                self.downstream.table[key].read_buffer = Some(buffer);
                 self.counters.invalid_requests += 1;
-                self.refuse(key, status);
+                self.reject(key, error);
                 true
             }
         }
     }
 
-    /// What comes behind a request waits for its answer. Danger: an end shows only once all bytes before it
-    /// are read, and a client that sends much at once and goes would never be seen to go.
-    fn read_behind(&mut self, key: usize) {
-        let Some(client) = self.downstream.table.get_mut(key) else {
-            return;
-        };
-        let (mut read, mut beyond) = (0, [0; 16 * 1024]);
-        // Danger: one that goes on sending at full speed would keep the loop for itself.
-        while read < BODY_MOST {
-            let held = client.inbox.as_mut().filter(|_| !client.close);
-            let filled = held.map_or(Filled::Full, |inbox| inbox.fill(&mut client.stream));
-            match filled {
-                Filled::Some => {}
-                Filled::Later => return,
-                Filled::Ended | Filled::Broken => return self.drop_downstream(key),
-                // It can't be kept, so nothing behind this request is answered: the connection goes with it.
-                Filled::Full => match client.stream.read(&mut beyond) {
-                    Ok(more @ 1..) => {
-                        (client.close, client.over) = (true, false);
-                        read += more;
-                    }
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    _ => return self.drop_downstream(key),
-                },
-            }
-        }
-        let now = self.clock.now();
-        self.timers
-            .set(now, move |proxy: &mut Proxy| proxy.serve(key));
-    }
-
-    pub(super) fn put_back(&mut self, key: usize, inbox: Buffer) {
-        match self.downstream.table.get_mut(key) {
-            Some(client) => client.inbox = Some(inbox),
-            None => self.buffers.give(inbox),
+    /// What is asked for, once the whole request is in, or more of it than is buffered.
+    fn parse_request(
+        &mut self,
+        key: SlotKey,
+        buffer: &mut Buffer,
+    ) -> Result<Option<RequestKind>, RequestError> {
+        if self.downstream.table[key].request.is_none() && !self.parse_head(key, buffer)? {
+            return Ok(None);
         }
+        let Some(request) = &mut self.downstream.table[key].request else {
+            return Ok(None);
+        };
+        let message = &mut request.message;
+        let complete = message.advance(buffer)?;
+        // One too long to be buffered whole is handled before its end.
+        let is_streamed = message.body_end - message.body_start > MAX_BUFFERED_BODY_BYTES;
+        Ok((complete || is_streamed).then_some(request.kind))
     }
 
-    /// What is asked, once the whole request is in.
-    pub(super) fn read_whole(
-        &mut self,
-        key: usize,
-        inbox: &mut Buffer,
-    ) -> Result<Option<Asked>, RequestError> {
-        let client = &mut self.downstream.table[key];
-        if client.request.is_none() {
-            // Danger: line ends left over behind the last request, taken for a request that never ends.
-            let blank = inbox
-                .held()
-                .iter()
-                .take_while(|b| matches!(b, b'\r' | b'\n'))
-                .count();
-            inbox.cut(0, blank);
-            let (names, ops, key) = (&self.name_index, &self.requests, self.key_header.as_deref());
-            let head = http::request(inbox.held(), |method, path, headers| {
-                let expect = http::value(headers, "expect").unwrap_or_default();
-                (
-                    asked(names, ops, key, method, path, headers),
-                    expect.eq_ignore_ascii_case("100-continue"),
-                )
-            })?;
-            let Some((message, (asked, expects))) = head else {
-                return Ok(None);
+    /// Parses and checks the head of a request; whether it is complete. What the head rules out is rejected
+    /// before the body has come.
+    fn parse_head(&mut self, key: SlotKey, buffer: &mut Buffer) -> Result<bool, RequestError> {
+        remove_blank_lines(buffer);
+        let key_header = self.key_header.as_deref();
+        let parsed = http::parse_request(buffer.filled(), |method, target, headers| {
+            let head = RequestHead {
+                method,
+                target,
+                headers,
             };
-            log::trace!("{}", String::from_utf8_lossy(&inbox.held()[..message.head]));
-            // What its head rules out is refused before its body has come.
-            client.request = Some((message, asked?));
-            let now = self.clock.now();
-            (client.body_from, client.got, client.moved) = (now, 0, now);
-            (client.feeds, client.let_go) = (None, false);
-            if expects {
-                // So short a line fits into an empty socket buffer.
-                let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
-            }
-        }
-        let Some((message, asked)) = &mut client.request else {
-            return Ok(None);
+            let kind = head.classify(&self.name_index, &self.requests, key_header);
+            (kind, head.expects_continue())
+        })?;
+        let Some((message, (kind, expects_continue))) = parsed else {
+            return Ok(false);
         };
-        // One too long to be held whole is heard before its end.
-        let whole = message.advance(inbox)?;
-        Ok((whole || message.end - message.head > BODY_MOST).then_some(*asked))
+        let head = &buffer.filled()[..message.body_start];
+        log::trace!("{}", String::from_utf8_lossy(head));
+        let now_ms = self.clock.now();
+        let client = &mut self.downstream.table[key];
+        client.accept_head(message, kind?, now_ms);
+        if expects_continue {
+            // So short a line fits into an empty socket buffer; a failure shows as the connection is read.
+            let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        Ok(true)
     }
 
-    /// Reads on; whether anything came.
-    pub(super) fn read_more(&mut self, key: usize, mut inbox: Buffer) -> bool {
+    /// Receives more of a request; whether there is more to do at once.
+    fn receive(&mut self, key: SlotKey, mut buffer: Buffer) -> bool {
         let client = &mut self.downstream.table[key];
-        let before = inbox.held().len();
-        let filled = inbox.fill(&mut client.stream);
-        if inbox.held().len() > before {
-            client.got += inbox.held().len() - before;
-            client.moved = self.clock.now();
+        let length_before = buffer.filled().len();
+        let filled = buffer.read_from(&mut client.stream);
+        let received = buffer.filled().len() - length_before;
+        if received > 0 {
+            client.last_progress_ms = self.clock.now();
+            if let Some(request) = &mut client.request {
+                request.body_bytes += received;
+            }
         }
-        if inbox.held().is_empty() {
-            self.buffers.give(inbox);
+        if buffer.filled().is_empty() {
+            self.buffers.give_back(buffer);
         } else {
-            client.inbox = Some(inbox);
-            if !std::mem::replace(&mut client.begun, true) {
-                client.idle_since = self.clock.now();
-                // A new connection's time has run since it came.
-                if client.answers > 0 {
-                    self.may_stand(key, SLOW);
-                }
+            client.read_buffer = Some(buffer);
+            // A new connection's time has run since it came.
+            if client.begin_request(self.clock.now()) && client.responses_sent > 0 {
+                self.limit_wait(key, REQUEST_TIMEOUT_MS);
             }
         }
         match filled {
-            Filled::Some => return true,
-            Filled::Later => {}
-            Filled::Ended | Filled::Broken => self.drop_downstream(key),
-            Filled::Full => {
+            ReadOutcome::Received => true,
+            ReadOutcome::WouldBlock => false,
+            ReadOutcome::Closed | ReadOutcome::Failed => {
+                self.drop_downstream(key);
+                false
+            }
+            ReadOutcome::BufferFull => {
                 self.counters.invalid_requests += 1;
-                self.refuse(key, 413);
-                return true;
+                self.reject(key, RequestError::TooLong);
+                true
             }
         }
-        false
     }
 
-    pub(super) fn hear(&mut self, key: usize, asked: Asked) {
+    /// Handles a request that is in, or whose body is long.
+    fn handle_request(&mut self, key: SlotKey, kind: RequestKind) {
         let client = &mut self.downstream.table[key];
-        self.timers.unset(client.timer.take());
-        client.begun = false;
-        client.close = !client.request.as_ref().is_some_and(|(m, _)| m.keep);
-        // Danger: health checks that keep their connection, a thousand a second, leave no room for ops.
-        client.close |= matches!(asked, Asked::Health);
-        client.over = client.close;
-        match asked {
-            Asked::Health => {
-                let status = if self.ready() { 200 } else { 503 };
+        self.timers.cancel(client.timer.take());
+        let keep_alive = client
+            .request
+            .as_ref()
+            .is_some_and(|request| request.message.keep_alive);
+        // Health checks that kept their connection, a thousand a second, would leave no room for requests.
+        client.after_response = if keep_alive && !matches!(kind, RequestKind::HealthCheck) {
+            AfterResponse::KeepAlive
+        } else {
+            AfterResponse::Close
+        };
+        match kind {
+            RequestKind::HealthCheck => {
+                let status = if self.ready() {
+                    http::status::OK
+                } else {
+                    http::status::SERVICE_UNAVAILABLE
+                };
                 self.answer(key, status, 0.0);
             }
-            Asked::Vanished(category) => {
-                client.receipt = Some(self.access_metrics.request_admitted(category));
+            RequestKind::RetiredClass(class) => {
+                client.receipt = Some(self.access_metrics.request_admitted(class));
                 self.counters.invalid_requests += 1;
-                self.refuse(key, 400);
+                self.reject(key, RequestError::RetiredClass);
             }
-            Asked::Op(_, mark) if self.requests.is_open(mark) => {
-                // Danger: two clients under one id, of whom one would get the other's answer.
+            RequestKind::Forwarded(_, id_hash) if self.requests.is_open(id_hash) => {
                 self.counters.invalid_requests += 1;
-                self.refuse(key, 409);
+                self.reject(key, RequestError::DuplicateRequestId);
+            }
+            RequestKind::Forwarded(request, id_hash) => {
+                client.receipt = Some(self.access_metrics.request_admitted(request.class));
+                self.admit_request(key, request, id_hash);
             }
-            Asked::Op(arrival, mark) => {
-                client.receipt = Some(self.access_metrics.request_admitted(arrival.class));
-                let op = self.admit(key, arrival, mark);
-                // It may be answered already.
-                let waits = self.requests.waits(op);
-                if let Some(client) = self.downstream.table.get_mut(key).filter(|_| waits) {
-                    client.op = Some(op);
-                    if client.in_body() {
-                        self.may_stand(key, SLOW);
+        }
+    }
+
+    /// Admits a request, which may be answered in the course of it.
+    fn admit_request(&mut self, key: SlotKey, request: NewRequest, id_hash: u64) {
+        let request_id = self.admit(key, request, id_hash);
+        if !self.requests.waits(request_id) {
+            return;
+        }
+        let Some(client) = self.downstream.table.get_mut(key) else {
+            return;
+        };
+        client.await_response(request_id);
+        if client.is_receiving_body() {
+            self.limit_wait(key, REQUEST_TIMEOUT_MS);
+        }
+    }
+
+    /// Hears a client whose response is awaited: it may have left, or go on with its body.
+    fn read_while_awaiting_response(&mut self, key: SlotKey) {
+        let client = &self.downstream.table[key];
+        if client.peer_closed {
+            // The request of a client that has left would be retried on one endpoint after another.
+            return self.drop_downstream(key);
+        }
+        if client.is_receiving_body() {
+            // Whoever its body is streamed to reads on.
+            let upstream = client.request.as_ref().and_then(|request| request.upstream);
+            self.writable_upstream.extend(upstream);
+            return;
+        }
+        self.read_pipelined(key);
+    }
+
+    /// Reads what comes behind a request; it waits for the response. The client's close shows only once all
+    /// bytes before it are read, and a client that sends much at once and goes would never be seen to go.
+    fn read_pipelined(&mut self, key: SlotKey) {
+        let client = &mut self.downstream.table[key];
+        let mut discarded = 0;
+        let mut discard_buffer = [0; DISCARD_BYTES];
+        // A client that goes on sending at full speed would keep the event loop for itself.
+        while discarded < MAX_BUFFERED_BODY_BYTES {
+            let keeps_alive = !client.after_response.closes();
+            let buffer = client.read_buffer.as_mut().filter(|_| keeps_alive);
+            match buffer.map_or(ReadOutcome::BufferFull, |buffer| {
+                buffer.read_from(&mut client.stream)
+            }) {
+                ReadOutcome::Received => {}
+                ReadOutcome::WouldBlock => return,
+                ReadOutcome::Closed | ReadOutcome::Failed => return self.drop_downstream(key),
+                // It cannot be kept, so nothing behind this request is answered: the connection goes with it.
+                ReadOutcome::BufferFull => match client.stream.read(&mut discard_buffer) {
+                    Ok(read @ 1..) => {
+                        client.after_response = AfterResponse::Linger {
+                            body_outstanding: false,
+                        };
+                        discarded += read;
                     }
-                }
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                    Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                    _ => return self.drop_downstream(key),
+                },
             }
         }
+        let now_ms = self.clock.now();
+        self.timers
+            .set(now_ms, move |proxy: &mut Proxy| proxy.serve(key));
     }
 }
+
+/// Line ends left over behind the last request would be taken for a request that never ends.
+fn remove_blank_lines(buffer: &mut Buffer) {
+    let blank = buffer
+        .filled()
+        .iter()
+        .take_while(|byte| matches!(byte, b'\r' | b'\n'))
+        .count();
+    buffer.remove(0..blank);
+}
--- a/proxy/src/event_loop.rs
+++ b/proxy/src/event_loop.rs
@@ -33,7 +33,7 @@
     fn time_until_next_due(&self, now: f64) -> Option<Duration> {
         let cluster_due = self.cluster.as_ref().map(|cluster| cluster.next_due_ms());
         [
-            self.timers.first(),
+            self.timers.next_due_ms(),
             self.dispatcher.next_tick(),
             cluster_due,
         ]
@@ -72,7 +72,7 @@
                 self.settle();
             }
         }
-        for client in self.downstream.ended() {
+        for client in self.downstream.take_closed() {
             self.serve(client);
             self.settle();
         }
--- a/proxy/src/lifecycle/shutdown.rs
+++ b/proxy/src/lifecycle/shutdown.rs
@@ -62,7 +62,7 @@
         }
         if proxy.now() < self.idle_until_ms {
             // With no client left there is nothing to wait for.
-            return self.listener_closed && proxy.finished() && proxy.downstream.none();
+            return self.listener_closed && proxy.finished() && proxy.downstream.is_empty();
         }
         if proxy.now() >= self.listener_until_ms && !self.listener_closed {
             self.listener_closed = true;
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -4,7 +4,7 @@
 
 use crate::admin::disabled_endpoints::DisabledEndpoints;
 use crate::admin::{self, AdminServer};
-use crate::buffers::Buffers;
+use crate::buffers::BufferPool;
 use crate::cluster::{Cluster, ClusterConfig, ClusterError};
 use crate::config::configuration::{self, Configuration};
 use crate::discovery::Discovery;
@@ -68,7 +68,7 @@
     /// The time.
     pub clock: Clock,
     /// The buffer pool of all connections.
-    pub buffers: Buffers,
+    pub buffers: BufferPool,
     /// What is due when.
     pub timers: Timers<Proxy>,
     /// Counts for operators, logged on request and at exit.
@@ -205,7 +205,7 @@
         Proxy {
             registry: sockets.registry,
             clock: Clock::new(),
-            buffers: Buffers::new(configuration.buffer_bytes),
+            buffers: BufferPool::new(configuration.buffer_bytes),
             timers: Timers::new(),
             counters: Counters::default(),
             access_metrics: AccessMetrics::default(),
@@ -309,6 +309,6 @@
 
     /// Whether no response is owed to any client.
     pub fn finished(&self) -> bool {
-        self.requests.none_waits() && !self.downstream.busy()
+        self.requests.none_waits() && !self.downstream.any_busy()
     }
 }
--- a/proxy/src/request_lifecycle.rs
+++ b/proxy/src/request_lifecycle.rs
@@ -150,9 +150,9 @@
         if let Some(BufferedResponse { buffer, message }) = answer {
             if let Some(client) = client {
                 self.counters.requests_succeeded += 1;
-                self.hand_back(client, buffer.held(), &message);
+                self.hand_back(client, buffer.filled(), &message);
             }
-            self.buffers.give(buffer);
+            self.buffers.give_back(buffer);
         }
         let result = AttemptResult {
             request: attempt.request,
--- a/proxy/src/resource_limits.rs
+++ b/proxy/src/resource_limits.rs
@@ -17,13 +17,13 @@
         let share = self.upgrade.process_share();
         // Each process has descriptors of its own beside those for clients and endpoints.
         let max_connections = configuration::connection_limit(self.sockets as f64 * share);
-        self.downstream.resize(max_connections);
-        self.upstream.connections.resize(max_connections);
+        self.downstream.set_capacity(max_connections);
+        self.upstream.connections.set_capacity(max_connections);
         self.requests.resize(max_requests(max_connections));
         self.buffers
             .resize((self.buffer_bytes as f64 * share) as usize);
-        while self.upstream.connections.over() && self.close_longest_idle_upstream() {}
-        while self.downstream.over() && self.close_idle_downstream() {}
+        while self.upstream.connections.is_over_capacity() && self.close_longest_idle_upstream() {}
+        while self.downstream.is_over_capacity() && self.close_idle_downstream() {}
         let proxies = self.cluster_shares.map(|(proxies, _)| proxies);
         let slow_start_share = self.cluster_shares.map_or(1.0, |(_, share)| share);
         self.dispatcher
--- a/proxy/src/streaming/request.rs
+++ b/proxy/src/streaming/request.rs
@@ -1,8 +1,8 @@
 //! Requests too long for one buffer: the client is read only once the endpoint has taken the piece before, so that
 //! neither side's pace costs more than two buffers.
 
-use crate::buffers::{Buffer, Filled};
-use crate::http::RequestError;
+use crate::buffers::{Buffer, ReadOutcome};
+use crate::downstream::RequestError;
 use crate::proxy::Proxy;
 use crate::streaming::Upload;
 use crate::upstream::{RequestState, StreamedRequest};
@@ -31,26 +31,26 @@
     chunked: bool,
     now: f64,
 ) -> PieceMoved {
-    if let Err(status) = upload.message.advance(upload.inbox) {
-        return PieceMoved::Malformed(status);
+    if let Err(error) = upload.message.advance(upload.inbox) {
+        return PieceMoved::Malformed(error.into());
     }
-    upload.message.move_on(upload.inbox, outbox, chunked);
-    if upload.message.whole() {
+    upload.message.forward_body(upload.inbox, outbox, chunked);
+    if upload.message.is_complete() {
         return PieceMoved::LastPiece;
     }
-    if !outbox.held().is_empty() {
+    if !outbox.filled().is_empty() {
         return PieceMoved::Progress;
     }
-    let held_before = upload.inbox.held().len();
-    match upload.inbox.fill(upload.stream) {
-        Filled::Some => {
-            *upload.received_bytes += upload.inbox.held().len() - held_before;
+    let held_before = upload.inbox.filled().len();
+    match upload.inbox.read_from(upload.stream) {
+        ReadOutcome::Received => {
+            *upload.received_bytes += upload.inbox.filled().len() - held_before;
             *upload.last_received_at = now;
             PieceMoved::Progress
         }
-        Filled::Later => PieceMoved::Pending,
-        Filled::Ended | Filled::Broken => PieceMoved::ClientEnded,
-        Filled::Full => PieceMoved::Malformed(400),
+        ReadOutcome::WouldBlock => PieceMoved::Pending,
+        ReadOutcome::Closed | ReadOutcome::Failed => PieceMoved::ClientEnded,
+        ReadOutcome::BufferFull => PieceMoved::Malformed(RequestError::UndecodableBody),
     }
 }
 
@@ -81,10 +81,10 @@
                     self.drop_downstream(client);
                     return false;
                 }
-                PieceMoved::Malformed(status) => {
+                PieceMoved::Malformed(error) => {
                     // The endpoint has half of the body and so never ran the request.
                     self.counters.invalid_requests += 1;
-                    self.reject_upload(client, status);
+                    self.reject_upload(client, error);
                     return false;
                 }
             }
@@ -110,7 +110,7 @@
         };
         if !std::mem::replace(upload.released, true) {
             // The first piece is with the endpoint, and makes room for the next.
-            upload.message.let_go(upload.inbox);
+            upload.message.release(upload.inbox);
             if let Some(request) = request {
                 self.streaming_progress(request, key, false);
             }
--- a/proxy/src/streaming/response.rs
+++ b/proxy/src/streaming/response.rs
@@ -1,7 +1,7 @@
 //! Responses too long for one buffer: the endpoint is read only once the client has taken the piece before, so that
 //! neither side's pace costs more than two buffers.
 
-use crate::buffers::{Buffer, Filled};
+use crate::buffers::{Buffer, ReadOutcome};
 use crate::http::{self, BodyFraming};
 use crate::metrics::access::RequestOutcome;
 use crate::proxy::Proxy;
@@ -35,23 +35,23 @@
         ) else {
             return self.cancel_response_stream(key, inbox);
         };
-        let head = response.message.head;
-        let end = response.message.end;
-        let framing = match response.message.length() {
+        let head = response.message.body_start;
+        let end = response.message.body_end;
+        let framing = match response.message.body_length() {
             Some(length) => BodyFraming::Length(length),
-            None if self.downstream.takes_chunks(client) => BodyFraming::Chunked,
+            None if self.downstream.accepts_chunked(client) => BodyFraming::Chunked,
             // Only the connection's end delimits the response, so one cut short is reset.
-            None => BodyFraming::Unframed,
+            None => BodyFraming::UntilClose,
         };
         attempt.response_streaming_began(client, framing == BodyFraming::Chunked, now);
         let timer = self.upstream.connections[key].timer.take();
-        self.timers.unset(timer);
+        self.timers.cancel(timer);
         self.streaming_progress(request, key, false);
-        self.write_to_client(client, key, framing == BodyFraming::Unframed);
+        self.write_to_client(client, key, framing == BodyFraming::UntilClose);
         // Until its last byte is with the client.
-        self.downstream.ends_as(client, RequestOutcome::Failed);
+        self.downstream.set_outcome(client, RequestOutcome::Failed);
         self.answer_by(client, |close, outbox| {
-            http::pass_on_from(&inbox.held()[..end], head, framing, close, outbox)
+            http::write_response_start(&inbox.filled()[..end], head, framing, close, outbox)
         });
         let attempt = self
             .upstream
@@ -59,10 +59,10 @@
             .get_mut(key)
             .and_then(|connection| connection.attempt_mut());
         let Some(attempt) = attempt else {
-            return self.buffers.give(inbox);
+            return self.buffers.give_back(inbox);
         };
         if let Some(response) = attempt.response_state.response_mut() {
-            response.message.let_go(&mut inbox);
+            response.message.release(&mut inbox);
         }
         attempt.inbox = Some(inbox);
         self.upstream_timeout(key);
@@ -70,7 +70,7 @@
 
     /// Nobody waits for the response any more.
     fn cancel_response_stream(&mut self, key: usize, inbox: Buffer) {
-        self.buffers.give(inbox);
+        self.buffers.give_back(inbox);
         self.fail_attempt(key, AttemptOutcome::Cancelled, LoadReport::default());
     }
 
@@ -114,18 +114,18 @@
         let Some(inbox) = &mut attempt.inbox else {
             return PieceStreamed::Pending;
         };
-        let Some(outbox) = self.downstream.taken(client) else {
+        let Some(outbox) = self.downstream.drained_response_buffer(client) else {
             return PieceStreamed::Pending;
         };
         let message = &mut response.message;
-        let has_piece = message.end > message.head;
-        if !has_piece && !message.whole() {
+        let has_piece = message.body_end > message.body_start;
+        if !has_piece && !message.is_complete() {
             return self.receive_piece(key, now);
         }
-        message.move_on(inbox, outbox, *chunked);
-        let is_last = message.whole();
+        message.forward_body(inbox, outbox, *chunked);
+        let is_last = message.is_complete();
         attempt.last_progress_at = now;
-        self.downstream.given(client, now);
+        self.downstream.restart_response_timeout(client, now);
         if is_last {
             return PieceStreamed::LastPiece;
         }
@@ -143,14 +143,14 @@
             return PieceStreamed::Pending;
         };
         let filled = connection.read_into(&mut inbox);
-        if filled == Filled::Some {
+        if filled == ReadOutcome::Received {
             self.upstream.note_heard(endpoint, now);
         }
         let Some(attempt) = self.upstream.connections[key].attempt_mut() else {
-            self.buffers.give(inbox);
+            self.buffers.give_back(inbox);
             return PieceStreamed::Pending;
         };
-        if filled == Filled::Some {
+        if filled == ReadOutcome::Received {
             attempt.last_progress_at = now;
         }
         let inbox = attempt.inbox.insert(inbox);
@@ -160,10 +160,10 @@
         let message = &mut response.message;
         let read = message.advance(inbox);
         match (&read, filled) {
-            (Ok(_), Filled::Some) => PieceStreamed::Progress,
-            (Ok(_), Filled::Later) => PieceStreamed::Pending,
-            (Ok(_), Filled::Ended) if message.ends_here() => {
-                message.end_here();
+            (Ok(_), ReadOutcome::Received) => PieceStreamed::Progress,
+            (Ok(_), ReadOutcome::WouldBlock) => PieceStreamed::Pending,
+            (Ok(_), ReadOutcome::Closed) if message.ends_at_close() => {
+                message.complete();
                 PieceStreamed::Progress
             }
             _ => {
@@ -192,16 +192,17 @@
         let has_bytes_behind = attempt
             .inbox
             .as_ref()
-            .is_some_and(|inbox| !inbox.held().is_empty());
+            .is_some_and(|inbox| !inbox.filled().is_empty());
         if let Some(inbox) = attempt.inbox {
-            self.buffers.give(inbox);
+            self.buffers.give_back(inbox);
         }
         self.counters.requests_succeeded += 1;
-        self.downstream.ends_as(client, RequestOutcome::Succeeded);
-        self.downstream.fed(client);
-        self.keep_or_close(key, response.message.keep && !has_bytes_behind);
+        self.downstream
+            .set_outcome(client, RequestOutcome::Succeeded);
+        self.downstream.end_response_source(client);
+        self.keep_or_close(key, response.message.keep_alive && !has_bytes_behind);
         self.write_answer(client);
-        self.downstream.go_on(client);
+        self.downstream.serve_later(client);
         let response = AttemptResponse {
             outcome: AttemptOutcome::Succeeded,
             load: response.load,
--- a/proxy/src/upstream/attempt.rs
+++ b/proxy/src/upstream/attempt.rs
@@ -4,8 +4,8 @@
 use super::request_state::{RequestState, StreamedRequest};
 use super::response::{read_response, Response};
 use super::response_state::ResponseState;
-use crate::buffers::{Buffer, BODY_MOST};
-use crate::http::{Message, RequestError};
+use crate::buffers::{Buffer, MAX_BUFFERED_BODY_BYTES};
+use crate::http::{Message, ParseError};
 use crate::streaming::{
     BUFFERING_LIMIT_MS, FIRST_PIECE_BYTES, SHORT_RESPONSE_GRACE_MS, STALL_TIMEOUT_MS,
 };
@@ -212,7 +212,7 @@
     // Transitions of the response.
 
     /// Goes on through the bytes received; returns whether the response is whole.
-    pub(super) fn read_response(&mut self, inbox: &mut Buffer) -> Result<bool, RequestError> {
+    pub(super) fn read_response(&mut self, inbox: &mut Buffer) -> Result<bool, ParseError> {
         if let Some(response) = self.response_state.response_mut() {
             return response.message.advance(inbox);
         }
@@ -255,9 +255,11 @@
         let Some(Response { message, .. }) = self.streamable_response() else {
             return false;
         };
-        let received = inbox.held().len() - message.head;
-        let is_long = message.length().is_some_and(|length| length > BODY_MOST);
-        received > BODY_MOST || (is_long && received >= FIRST_PIECE_BYTES)
+        let received = inbox.filled().len() - message.body_start;
+        let is_long = message
+            .body_length()
+            .is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES);
+        received > MAX_BUFFERED_BODY_BYTES || (is_long && received >= FIRST_PIECE_BYTES)
     }
 
     /// Whether the response will be streamed if it is not whole soon.
@@ -265,8 +267,8 @@
         self.streamable_response().is_some_and(|response| {
             response
                 .message
-                .length()
-                .is_none_or(|length| length > BODY_MOST)
+                .body_length()
+                .is_none_or(|length| length > MAX_BUFFERED_BODY_BYTES)
         })
     }
 
@@ -306,6 +308,7 @@
         let ResponseState::Streaming { response, .. } = &self.response_state else {
             return false;
         };
-        response.message.length().is_none() && response.message.brought() <= BODY_MOST
+        response.message.body_length().is_none()
+            && response.message.body_received() <= MAX_BUFFERED_BODY_BYTES
     }
 }
--- a/proxy/src/upstream/completion.rs
+++ b/proxy/src/upstream/completion.rs
@@ -60,20 +60,21 @@
     pub(super) fn response_received(&mut self, key: usize, inbox: Buffer) {
         let now = self.clock.now();
         let Some(attempt) = self.upstream.connections[key].finish_attempt(now) else {
-            return self.buffers.give(inbox);
+            return self.buffers.give_back(inbox);
         };
         let is_written = attempt.is_written();
         let endpoint_duration_ms = attempt.endpoint_duration_ms(now);
         if let Some(unwritten) = attempt.request_state.into_buffer() {
-            self.buffers.give(unwritten);
+            self.buffers.give_back(unwritten);
         }
         let Some(response) = attempt.response_state.into_response() else {
-            return self.buffers.give(inbox);
+            return self.buffers.give_back(inbox);
         };
         // After a response ahead of its request's end, or with bytes behind it, the next response on this
         // connection would be read wrongly.
         let message = response.message;
-        let is_reusable = message.keep && is_written && inbox.held().len() == message.end;
+        let is_reusable =
+            message.keep_alive && is_written && inbox.filled().len() == message.body_end;
         self.keep_or_close(key, is_reusable);
         let answer = BufferedResponse {
             buffer: inbox,
--- a/proxy/src/upstream/connection.rs
+++ b/proxy/src/upstream/connection.rs
@@ -1,7 +1,7 @@
 //! A connection to an endpoint, as the states that it goes through.
 
 use super::attempt::Attempt;
-use crate::buffers::{Buffer, Filled};
+use crate::buffers::{Buffer, ReadOutcome};
 use crate::timers::TimerKey;
 use crankmux::types::EndpointId;
 use mio::net::TcpStream;
@@ -146,10 +146,10 @@
     }
 
     /// Reads what has come of a response. An end after a failed write counts as broken.
-    pub fn read_into(&mut self, inbox: &mut Buffer) -> Filled {
+    pub fn read_into(&mut self, inbox: &mut Buffer) -> ReadOutcome {
         let write_failed = self.attempt().is_some_and(|attempt| attempt.write_failed);
-        match inbox.fill(&mut self.stream) {
-            Filled::Ended if write_failed => Filled::Broken,
+        match inbox.read_from(&mut self.stream) {
+            ReadOutcome::Closed if write_failed => ReadOutcome::Failed,
             filled => filled,
         }
     }
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -74,7 +74,7 @@
 
     /// Whether a connection may be opened without closing one that an attempt might use.
     pub fn has_room(&self) -> bool {
-        !self.connections.full()
+        !self.connections.is_full()
     }
 
     /// The number of endpoints met; all indices of endpoints are below it.
@@ -126,7 +126,7 @@
             connection.is_unsent()
                 && endpoints[connection.endpoint].process != Some(connection.process)
         };
-        for key in self.upstream.connections.keys(outdated) {
+        for key in self.upstream.connections.keys_where(outdated) {
             self.fail_attempt(key, AttemptOutcome::Unreachable, LoadReport::default());
         }
     }
@@ -145,7 +145,7 @@
             };
             let key = idle.remove(idle.iter().rposition(has_rested)?);
             let connection = &mut self.upstream.connections[key];
-            self.timers.unset(connection.timer.take());
+            self.timers.cancel(connection.timer.take());
             if is_silent(&connection.stream) {
                 return Some(key);
             }
@@ -171,7 +171,7 @@
             .and_then(|endpoint| endpoint.process)
             .ok_or(AttemptOutcome::Unreachable)?;
         self.counters.connections_opened += 1;
-        let key = self.upstream.connections.next_key();
+        let key = self.upstream.connections.vacant_key();
         loop {
             let error = match self.open_socket(process, key) {
                 Ok(stream) => return Ok((key, stream, process)),
@@ -211,7 +211,7 @@
         let longest_idle = self
             .upstream
             .connections
-            .least(UpstreamConnection::idle_since);
+            .key_with_least(UpstreamConnection::idle_since);
         if let Some(key) = longest_idle {
             self.close_idle_connection(key);
         }
@@ -240,7 +240,7 @@
     /// Closes a connection and returns the callback of the attempt that it carried. This is the only place where a
     /// connection to an endpoint and its buffers are given back.
     pub(super) fn close_connection(&mut self, key: usize) -> Option<CompletionCallback<Proxy>> {
-        let mut connection = self.upstream.connections.take(key)?;
+        let mut connection = self.upstream.connections.remove(key)?;
         let now = self.clock.now();
         let attempt = connection.finish_attempt(now);
         if let Some(client) = attempt
@@ -253,12 +253,12 @@
         if let Err(error) = self.registry.deregister(&mut connection.stream) {
             log::debug!("a connection to an endpoint was not watched: {error}");
         }
-        self.timers.unset(connection.timer);
+        self.timers.cancel(connection.timer);
         let attempt = attempt?;
         for buffer in [attempt.request_state.into_buffer(), attempt.inbox] {
             buffer
                 .into_iter()
-                .for_each(|buffer| self.buffers.give(buffer));
+                .for_each(|buffer| self.buffers.give_back(buffer));
         }
         Some(attempt.on_complete)
     }
@@ -271,7 +271,7 @@
             self.close_connection(key);
             return;
         }
-        self.timers.unset(connection.timer.take());
+        self.timers.cancel(connection.timer.take());
         let closes_at = self.clock.now() + self.upstream.idle_timeout_ms;
         let close = move |proxy: &mut Proxy| proxy.close_idle_connection(key);
         connection.timer = Some(self.timers.set(closes_at, close));
--- a/proxy/src/upstream/load_probes.rs
+++ b/proxy/src/upstream/load_probes.rs
@@ -33,7 +33,7 @@
         let Some(mut outbox) = self.buffers.take() else {
             return false;
         };
-        let fitted = outbox.add(PROBE_REQUEST);
+        let fitted = outbox.append(PROBE_REQUEST);
         debug_assert!(fitted, "an empty buffer holds one short line");
         let on_complete = Box::new(move |proxy: &mut Proxy, response: AttemptResponse| {
             proxy.probes_in_flight -= 1;
@@ -55,12 +55,12 @@
     /// The load that the response to a probe reports: none from any status but 200, or a body that is no report.
     fn take_load_report(&mut self, response: AttemptResponse) -> Option<LoadReport> {
         let BufferedResponse { buffer, message } = response.answer?;
-        let body = &buffer.held()[message.head..message.end];
+        let body = &buffer.filled()[message.body_start..message.body_end];
         let mut load = LoadReport::default();
         if response.outcome == AttemptOutcome::Succeeded && body.len() <= MAX_REPORT_BYTES {
             read_load(&String::from_utf8_lossy(body), &mut load);
         }
-        self.buffers.give(buffer);
+        self.buffers.give_back(buffer);
         (load != LoadReport::default()).then_some(load)
     }
 
--- a/proxy/src/upstream/receiving.rs
+++ b/proxy/src/upstream/receiving.rs
@@ -2,7 +2,7 @@
 
 use super::response::log_excerpt;
 use super::{Response, ResponseState};
-use crate::buffers::{Buffer, Filled, BODY_MOST};
+use crate::buffers::{Buffer, ReadOutcome, MAX_BUFFERED_BODY_BYTES};
 use crate::proxy::Proxy;
 use crate::streaming::FIRST_PIECE_BYTES;
 use crankmux::types::{AttemptOutcome, LoadReport};
@@ -51,24 +51,24 @@
         let inbox = connection
             .attempt_mut()
             .and_then(|attempt| attempt.inbox.take());
-        let Some(mut inbox) = inbox.or_else(|| self.buffers.take_last()) else {
+        let Some(mut inbox) = inbox.or_else(|| self.buffers.take_reserved()) else {
             // The response is lost; the request may have run.
             self.counters.capacity_exhausted += 1;
             return ReadStep::Ended(AttemptOutcome::ConnectionLost, LoadReport::default());
         };
         let filled = connection.read_into(&mut inbox);
-        if filled == Filled::Some {
+        if filled == ReadOutcome::Received {
             self.upstream.note_heard(endpoint, self.clock.now());
         }
         self.handle_received(key, inbox, filled)
     }
 
     /// Decides what is to be done with what has been received so far.
-    fn handle_received(&mut self, key: usize, mut inbox: Buffer, filled: Filled) -> ReadStep {
+    fn handle_received(&mut self, key: usize, mut inbox: Buffer, filled: ReadOutcome) -> ReadStep {
         let connection = &mut self.upstream.connections[key];
         let endpoint = connection.endpoint;
         let Some(attempt) = connection.attempt_mut() else {
-            self.buffers.give(inbox);
+            self.buffers.give_back(inbox);
             return ReadStep::Wait;
         };
         let is_complete = match attempt.read_response(&mut inbox) {
@@ -83,8 +83,8 @@
             }
         };
         let response = attempt.response_state.response();
-        let ends_here = response.is_some_and(|response| response.message.ends_here());
-        if is_complete || (filled == Filled::Ended && ends_here) {
+        let ends_here = response.is_some_and(|response| response.message.ends_at_close());
+        if is_complete || (filled == ReadOutcome::Closed && ends_here) {
             return ReadStep::Complete(inbox);
         }
         if attempt.must_stream_response(&inbox) {
@@ -101,9 +101,9 @@
         }
         self.hold_back(key, inbox);
         match filled {
-            Filled::Some => ReadStep::Continue,
-            Filled::Later => ReadStep::Wait,
-            Filled::Ended | Filled::Broken | Filled::Full => ReadStep::Broken,
+            ReadOutcome::Received => ReadStep::Continue,
+            ReadOutcome::WouldBlock => ReadStep::Wait,
+            ReadOutcome::Closed | ReadOutcome::Failed | ReadOutcome::BufferFull => ReadStep::Broken,
         }
     }
 
@@ -111,7 +111,7 @@
     fn hold_back(&mut self, key: usize, inbox: Buffer) {
         let now = self.clock.now();
         let Some(attempt) = self.upstream.connections[key].attempt_mut() else {
-            return self.buffers.give(inbox);
+            return self.buffers.give_back(inbox);
         };
         if attempt.request.is_some() && attempt.may_stream_response() {
             let at = attempt.held_until(now);
@@ -124,8 +124,8 @@
                 }
             }
         }
-        if inbox.held().is_empty() {
-            self.buffers.give(inbox);
+        if inbox.filled().is_empty() {
+            self.buffers.give_back(inbox);
         } else {
             attempt.inbox = Some(inbox);
         }
@@ -155,10 +155,10 @@
         if *held_since != since {
             return;
         }
-        let tells_length = response.message.length().is_some();
+        let tells_length = response.message.body_length().is_some();
         let ready = attempt
             .inbox
-            .take_if(|inbox| tells_length || inbox.held().len() >= FIRST_PIECE_BYTES);
+            .take_if(|inbox| tells_length || inbox.filled().len() >= FIRST_PIECE_BYTES);
         if let Some(inbox) = ready {
             self.begin_response_stream(key, inbox);
             self.stream_response_body(key);
@@ -178,7 +178,9 @@
         outcome,
         load,
     } = response;
-    let is_long = message.length().is_some_and(|length| length > BODY_MOST)
-        || message.end - message.head > BODY_MOST;
+    let is_long = message
+        .body_length()
+        .is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES)
+        || message.body_end - message.body_start > MAX_BUFFERED_BODY_BYTES;
     (*outcome != AttemptOutcome::Succeeded && is_long).then_some((*outcome, *load))
 }
--- a/proxy/src/upstream/request_state.rs
+++ b/proxy/src/upstream/request_state.rs
@@ -24,14 +24,14 @@
 
     /// Writes as much as the socket takes; returns whether all has been written.
     pub(super) fn write_to(&mut self, stream: &mut TcpStream) -> io::Result<bool> {
-        let result = self.buffer.drain(&mut self.written, stream);
+        let result = self.buffer.write_to(&mut self.written, stream);
         self.started |= self.written > 0;
         result
     }
 
     /// Makes room for the next piece, once all has been written; returns the empty buffer.
     pub(super) fn clear(&mut self) -> &mut Buffer {
-        self.buffer.cut(0, self.written);
+        self.buffer.remove(0..self.written);
         self.written = 0;
         &mut self.buffer
     }
@@ -43,7 +43,7 @@
 
     /// Whether all that has come of the request is written.
     pub(super) fn is_empty(&self) -> bool {
-        self.buffer.held().is_empty()
+        self.buffer.filled().is_empty()
     }
 }
 
--- a/proxy/src/upstream/response.rs
+++ b/proxy/src/upstream/response.rs
@@ -1,7 +1,7 @@
 //! What an endpoint answers: its status, whether it has run the request, and the load that it reports.
 
-use crate::buffers::{Buffer, BODY_LONG};
-use crate::http::{self, Message, RequestError};
+use crate::buffers::{Buffer, MAX_BODY_BYTES};
+use crate::http::{self, Message, ParseError};
 use crankmux::settings;
 use crankmux::types::{AttemptOutcome, LoadReport};
 use httparse::Header;
@@ -36,7 +36,7 @@
 /// How a message starts, for the log.
 pub fn log_excerpt(inbox: &Buffer) -> String {
     inbox
-        .held()
+        .filled()
         .iter()
         .take(EXCERPT_BYTES)
         .map(|byte| std::ascii::escape_default(*byte).to_string())
@@ -44,7 +44,7 @@
 }
 
 fn outcome_of(status: u16, headers: &[Header]) -> AttemptOutcome {
-    let not_processed = http::value(headers, "x-not-processed") == Some("1");
+    let not_processed = http::header_value(headers, "x-not-processed") == Some("1");
     match status {
         200 => AttemptOutcome::Succeeded,
         503 | 504 if not_processed => AttemptOutcome::Rejected,
@@ -54,16 +54,16 @@
 
 fn reported_load(headers: &[Header]) -> LoadReport {
     let mut load = LoadReport::default();
-    if let Some(text) = http::value(headers, "x-server-load") {
+    if let Some(text) = http::header_value(headers, "x-server-load") {
         read_load(text, &mut load);
     }
     load
 }
 
 /// Reads the head of a response, past those that only announce another one; none until the head is whole.
-pub(super) fn read_response(inbox: &mut Buffer) -> Result<Option<Response>, RequestError> {
+pub(super) fn read_response(inbox: &mut Buffer) -> Result<Option<Response>, ParseError> {
     loop {
-        let head = http::answer(inbox.held(), (BODY_LONG, BODY_LONG), |status, headers| {
+        let head = http::parse_response(inbox.filled(), MAX_BODY_BYTES, |status, headers| {
             (status, outcome_of(status, headers), reported_load(headers))
         })?;
         let Some((message, (status, outcome, load))) = head else {
@@ -76,6 +76,6 @@
                 load,
             }));
         }
-        inbox.cut(0, message.head);
+        inbox.remove(0..message.body_start);
     }
 }
--- a/proxy/src/upstream/sending.rs
+++ b/proxy/src/upstream/sending.rs
@@ -29,24 +29,24 @@
         };
         let client_request = self.downstream.request(client);
         let Some((_, message)) = client_request
-            .filter(|(held, message)| http::forward(held, message, timeout_ms, &mut outbox))
+            .filter(|(held, message)| http::write_request(held, message, timeout_ms, &mut outbox))
         else {
-            self.buffers.give(outbox);
+            self.buffers.give_back(outbox);
             return Err(AttemptOutcome::NotSent);
         };
         let pending = PendingWrite::new(outbox);
-        if message.whole() {
+        if message.is_complete() {
             let state = RequestState::Buffered(pending);
             return self.send_request(Some(request), endpoint, state, timeout_ms, on_complete);
         }
         let state = RequestState::Streamed(StreamedRequest {
             pending,
             source: Some(client),
-            chunked: message.length().is_none(),
+            chunked: message.body_length().is_none(),
             rest_received_at: None,
         });
         let key = self.send_request(Some(request), endpoint, state, timeout_ms, on_complete)?;
-        self.downstream.feeds(client, key);
+        self.downstream.stream_request_to(client, key);
         Ok(key)
     }
 
@@ -73,7 +73,7 @@
                 let buffer = state.into_buffer();
                 buffer
                     .into_iter()
-                    .for_each(|buffer| self.buffers.give(buffer));
+                    .for_each(|buffer| self.buffers.give_back(buffer));
                 return Err(outcome);
             }
         };
@@ -158,7 +158,7 @@
             self.set_attempt_timer(key, deadline);
         }
         self.access_metrics.attempts_forwarded += u64::from(request.is_some());
-        self.buffers.give(outbox);
+        self.buffers.give_back(outbox);
         if let Some(request) = request.filter(|_| was_streamed) {
             self.streaming_progress(request, key, true);
         }
--- a/proxy/src/upstream/timeouts.rs
+++ b/proxy/src/upstream/timeouts.rs
@@ -10,7 +10,7 @@
         let Some(connection) = self.upstream.connections.get_mut(key) else {
             return;
         };
-        self.timers.unset(connection.timer.take());
+        self.timers.cancel(connection.timer.take());
         let timeout = move |proxy: &mut Proxy| proxy.upstream_timeout(key);
         connection.timer = Some(self.timers.set(at, timeout));
     }
@@ -47,7 +47,7 @@
             return;
         };
         let is_clients_turn = match attempt.response_target() {
-            Some(client) => !self.downstream.has_taken(client),
+            Some(client) => !self.downstream.has_drained_response(client),
             None => attempt.awaits_request_source(),
         };
         if is_clients_turn {
@@ -97,7 +97,7 @@
         let RequestState::Streamed(streamed) = &mut attempt.request_state else {
             return;
         };
-        if streamed.rest_received_at.is_some() || !self.downstream.rest_is_here(client) {
+        if streamed.rest_received_at.is_some() || !self.downstream.whole_request_received(client) {
             return;
         }
         streamed.rest_received_at = Some(now);
@@ -115,7 +115,7 @@
     fn end_attempts(&mut self, deadline: f64) {
         // A response that is being streamed would outlast the process, and end as if it were whole where only the
         // connection's end delimits it.
-        let streaming = self.upstream.connections.keys(|connection| {
+        let streaming = self.upstream.connections.keys_where(|connection| {
             connection
                 .attempt()
                 .is_some_and(|attempt| attempt.response_target().is_some())
@@ -127,7 +127,7 @@
         let in_flight = self
             .upstream
             .connections
-            .keys(|connection| connection.attempt().is_some());
+            .keys_where(|connection| connection.attempt().is_some());
         for key in in_flight {
             let Some(connection) = self.upstream.connections.get_mut(key) else {
                 continue;
@@ -135,7 +135,7 @@
             if let Some(attempt) = connection.attempt_mut() {
                 attempt.deadline = attempt.deadline.min(deadline);
             }
-            self.timers.unset(connection.timer.take());
+            self.timers.cancel(connection.timer.take());
             self.upstream_timeout(key);
         }
     }
