--- a/proxy/tests/sockets/complete_responses.rs
+++ b/proxy/tests/sockets/complete_responses.rs
@@ -58,11 +58,10 @@
 /// A response head that announces a body of ten bytes.
 const HEAD_WITH_LENGTH_10: &str = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
 
-#[test]
-fn each_response_ending_is_complete_or_retried_as_its_class_allows() {
+/// The bytes of a response, how the connection ends behind them, and the body if that makes a complete response.
+fn response_endings() -> [(String, ConnectionEnd, Option<&'static str>); 14] {
     use ConnectionEnd::{Closes, ClosesThenResets, Resets};
-    // The bytes, how the connection ends behind them, and the body if that makes a complete response.
-    let cases: [(String, ConnectionEnd, Option<&str>); 14] = [
+    [
         (format!("{HEAD_WITHOUT_LENGTH}abcde"), Closes, Some("abcde")),
         (
             format!("{HEAD_WITHOUT_LENGTH}abcde"),
@@ -93,8 +92,12 @@
         (format!("{CHUNKED_HEAD}5\r\nabcde\r\n"), Resets, None),
         (format!("{CHUNKED_HEAD}5\r\nabcde\r\nzz\r\n"), Closes, None),
         (format!("{CHUNKED_HEAD}5\r\nabcdefgh"), Closes, None),
-    ];
-    for (bytes, end, complete) in cases {
+    ]
+}
+
+#[test]
+fn each_response_ending_is_complete_or_retried_as_its_class_allows() {
+    for (bytes, end, complete) in response_endings() {
         for (request_class, retried) in [("view", true), ("order", true), ("pay", false)] {
             let endpoint = endpoint_with_first_response(bytes.clone().into_bytes(), 30, end);
             let proxy = proxy_without_hedging(&endpoint);
--- a/proxy/tests/sockets/disabled_endpoints.rs
+++ b/proxy/tests/sockets/disabled_endpoints.rs
@@ -69,6 +69,23 @@
     );
 }
 
+/// Empties every file in the proxy's state directory, as a crash in the middle of a write may leave them.
+fn empty_state_files(proxy: &ProxyProcess) {
+    let folder = std::fs::read_dir(proxy.temp_dir())
+        .unwrap()
+        .flatten()
+        .next()
+        .unwrap()
+        .path();
+    for entry in std::fs::read_dir(folder)
+        .unwrap()
+        .flatten()
+        .filter(|f| f.path().is_file())
+    {
+        std::fs::write(entry.path(), "").unwrap();
+    }
+}
+
 #[test]
 fn any_endpoint_id_can_be_disabled_and_a_torn_file_counts() {
     let endpoint = TestEndpoint::echoing();
@@ -97,19 +114,7 @@
         ),
         (Some(2), 503)
     );
-    let folder = std::fs::read_dir(proxy.temp_dir())
-        .unwrap()
-        .flatten()
-        .next()
-        .unwrap()
-        .path();
-    for entry in std::fs::read_dir(folder)
-        .unwrap()
-        .flatten()
-        .filter(|f| f.path().is_file())
-    {
-        std::fs::write(entry.path(), "").unwrap();
-    }
+    empty_state_files(&proxy);
     // An endpoint that is not in the list any more is still known, and still disabled.
     discovery.notify(endpoint_list(2, true, &hosts[1..]));
     wait_until("one is gone", || proxy.metric("discovered") == Some(1));
--- a/proxy/tests/sockets/draining.rs
+++ b/proxy/tests/sockets/draining.rs
@@ -27,14 +27,7 @@
         proxy.send_request(&request("view", 1.0, ""));
         one.received_count() > 0 && two.received_count() > 0
     });
-    wait_until("it watches", || {
-        discovery
-            .calls
-            .lock()
-            .unwrap()
-            .iter()
-            .any(|c| c.contains("from=1&hold_ms="))
-    });
+    wait_until("it watches", || discovery.is_watched_from(1));
     discovery.notify(endpoint_list(
         2,
         false,
--- a/proxy/tests/sockets/endpoint_list.rs
+++ b/proxy/tests/sockets/endpoint_list.rs
@@ -9,22 +9,15 @@
 use crate::support::wait::{sleep_ms, wait_until, TEST_TIMEOUT};
 use serde_json::{json, Value};
 use std::io::Write;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-#[test]
-fn torn_indented_empty_repeated_and_older_lists_are_survived() {
-    let one = TestEndpoint::always_answering(ok_response("one"));
-    let two = TestEndpoint::always_answering(ok_response("two"));
-    let known = endpoint_list(5, true, &[endpoint_entry("one", one.address, "Ready")]);
-    let both = [
-        endpoint_entry("one", one.address, "Terminating"),
-        endpoint_entry("two", two.address, "Ready"),
-    ];
-    let indented = serde_json::to_string_pretty(&endpoint_list(6, false, &both)).unwrap();
-    let torn = endpoint_list(7, false, &both).to_string();
-    let bodies = [
+/// Answers of discovery, some of them no list or no newer one, in which `both` stands from version 6 on.
+fn torn_indented_empty_repeated_and_older_lists(both: &[Value]) -> [String; 9] {
+    let indented = serde_json::to_string_pretty(&endpoint_list(6, false, both)).unwrap();
+    let torn = endpoint_list(7, false, both).to_string();
+    [
         torn[..torn.len() / 2].to_string(),
         String::new(),
         "null".into(),
@@ -34,8 +27,13 @@
         endpoint_list(6, false, &[]).to_string(),
         // An older list: the proxy then asks for the complete list.
         endpoint_list(2, false, &[]).to_string(),
-        endpoint_list(6, true, &both).to_string(),
-    ];
+        endpoint_list(6, true, both).to_string(),
+    ]
+}
+
+/// A discovery that answers its calls with these bodies in order, and then no more; its address, and the request
+/// line of each call.
+fn start_discovery_answering(bodies: [String; 9]) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
     let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = discovery.local_addr().unwrap();
     let calls = Arc::new(Mutex::new(Vec::new()));
@@ -57,6 +55,20 @@
             }
         }
     });
+    (address, calls)
+}
+
+#[test]
+fn torn_indented_empty_repeated_and_older_lists_are_survived() {
+    let one = TestEndpoint::always_answering(ok_response("one"));
+    let two = TestEndpoint::always_answering(ok_response("two"));
+    let known = endpoint_list(5, true, &[endpoint_entry("one", one.address, "Ready")]);
+    let both = [
+        endpoint_entry("one", one.address, "Terminating"),
+        endpoint_entry("two", two.address, "Ready"),
+    ];
+    let bodies = torn_indented_empty_repeated_and_older_lists(&both);
+    let (address, calls) = start_discovery_answering(bodies);
     let proxy = ProxyProcess::start(&configuration(address, &known), None);
     wait_until("all of them are sent", || calls.lock().unwrap().len() == 10);
     let requests = calls.lock().unwrap().clone();
--- a/proxy/tests/sockets/load_probes.rs
+++ b/proxy/tests/sockets/load_probes.rs
@@ -6,11 +6,10 @@
 use crate::support::proxy_process::ProxyProcess;
 use std::io::Write;
 
-#[test]
-fn endpoint_that_reports_load_by_pull_is_probed_and_invalid_reports_are_ignored() {
-    // A valid report, an invalid one, a broken response, an error status, silence, a close, and an oversized
-    // body.
-    let reports: Vec<Vec<u8>> = vec![
+/// Answers to a load probe: a valid report, an invalid one, a broken response, an error status, silence, a close,
+/// and an oversized body.
+fn probe_responses() -> Vec<Vec<u8>> {
+    vec![
         ok_response("TEXT inflight=2, queue=0"),
         ok_response("inflight=, queue=-1, \u{1}"),
         b"HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n".to_vec(),
@@ -22,15 +21,37 @@
             &vec![b'x'; 900_000],
         ]
         .concat(),
-    ];
-    for report in reports {
-        let load_report = report.clone();
-        let endpoint = TestEndpoint::new(move |stream, received| {
-            if !received.head.starts_with("GET /_load ") {
-                return stream.write_all(&ok_response("x")).is_ok();
-            }
-            load_report != b"close" && stream.write_all(&load_report).is_ok()
-        });
+    ]
+}
+
+/// An endpoint that answers load probes with this report, or closes instead, and any other request with success.
+fn endpoint_with_probe_response(report: Vec<u8>) -> TestEndpoint {
+    TestEndpoint::new(move |stream, received| {
+        if !received.head.starts_with("GET /_load ") {
+            return stream.write_all(&ok_response("x")).is_ok();
+        }
+        report != b"close" && stream.write_all(&report).is_ok()
+    })
+}
+
+/// Checks that of the requests received three are no probes, and one to three are.
+fn assert_three_requests_and_their_probes(endpoint: &TestEndpoint) {
+    let received = endpoint.received.lock().unwrap();
+    let probes = received
+        .iter()
+        .filter(|a| a.head.starts_with("GET /_load "))
+        .count();
+    assert!(
+        (1..=3).contains(&probes) && received.len() - probes == 3,
+        "{probes} of {}",
+        received.len()
+    );
+}
+
+#[test]
+fn endpoint_that_reports_load_by_pull_is_probed_and_invalid_reports_are_ignored() {
+    for report in probe_responses() {
+        let endpoint = endpoint_with_probe_response(report.clone());
         let proxy =
             ProxyProcess::with_configuration(&[&endpoint], report_load_to_probes_alone, None);
         for _ in 0..3 {
@@ -41,16 +62,7 @@
                 String::from_utf8_lossy(&report)
             );
         }
-        let received = endpoint.received.lock().unwrap();
-        let probes = received
-            .iter()
-            .filter(|a| a.head.starts_with("GET /_load "))
-            .count();
-        assert!(
-            (1..=3).contains(&probes) && received.len() - probes == 3,
-            "{probes} of {}",
-            received.len()
-        );
+        assert_three_requests_and_their_probes(&endpoint);
     }
     let quiet = TestEndpoint::always_answering(ok_response("x"));
     assert_eq!(
--- a/proxy/tests/sockets/memory.rs
+++ b/proxy/tests/sockets/memory.rs
@@ -62,13 +62,13 @@
         && stream.write_all(&vec![b'x'; LONG_RESPONSE_BYTES]).is_ok()
 }
 
-#[test]
-fn pipelined_requests_do_not_hold_the_last_buffer_from_a_response() {
-    let (allow, allowed) = mpsc::channel::<()>();
+/// As many endpoints as have capacity for all requests from the start; they answer once all are sent.
+fn endpoints_answering_when_all_are_sent(
+    allowed: Receiver<()>,
+    all_out: &Arc<AtomicBool>,
+) -> Vec<TestEndpoint> {
     let allowed = Arc::new(Mutex::new(allowed));
-    let all_out = Arc::new(AtomicBool::new(false));
-    // As many endpoints as have capacity for all requests from the start.
-    let endpoints: Vec<TestEndpoint> = (0..3)
+    (0..3)
         .map(|_| {
             let allowed = allowed.clone();
             let all_out = all_out.clone();
@@ -76,37 +76,50 @@
                 answer_when_all_are_sent(stream, received, &allowed, &all_out)
             })
         })
-        .collect();
-    let attempts = || {
-        endpoints
-            .iter()
-            .map(TestEndpoint::received_count)
-            .sum::<usize>()
-    };
-    // Sixteen buffers, of which requests and attempts leave eight.
+        .collect()
+}
+
+/// A proxy with sixteen buffers, of which requests and attempts leave eight.
+fn proxy_with_sixteen_buffers(endpoints: &[TestEndpoint]) -> ProxyProcess {
     let change = |config: &mut Value| {
         config["limits"]["memory_mb"] = json!(1);
         disable_hedging(config);
     };
-    let proxy =
-        ProxyProcess::with_configuration(&endpoints.iter().collect::<Vec<_>>(), change, None);
+    ProxyProcess::with_configuration(&endpoints.iter().collect::<Vec<_>>(), change, None)
+}
+
+/// Sends two requests at once on a new connection, the first of this class.
+fn send_pipelined_requests(proxy: &ProxyProcess, first_class: &str) -> TcpStream {
     let mut client = proxy.connect();
     client
         .write_all(
             &[
-                &request("pay", 60.0, "")[..],
+                &request(first_class, 60.0, "")[..],
                 &request("view", 60.0, "")[..],
             ]
             .concat(),
         )
         .unwrap();
+    client
+}
+
+#[test]
+fn pipelined_requests_do_not_hold_the_last_buffer_from_a_response() {
+    let (allow, allowed) = mpsc::channel::<()>();
+    let all_out = Arc::new(AtomicBool::new(false));
+    let endpoints = endpoints_answering_when_all_are_sent(allowed, &all_out);
+    let attempts = || {
+        endpoints
+            .iter()
+            .map(TestEndpoint::received_count)
+            .sum::<usize>()
+    };
+    let proxy = proxy_with_sixteen_buffers(&endpoints);
+    let mut client = send_pipelined_requests(&proxy, "pay");
     wait_until("the attempt is sent", || attempts() == 1);
     let readers: Vec<_> = (0..6)
         .map(|n| {
-            let mut reader = proxy.connect();
-            reader
-                .write_all(&[request("view", 60.0, ""), request("view", 60.0, "")].concat())
-                .unwrap();
+            let reader = send_pipelined_requests(&proxy, "view");
             wait_until("the attempt is sent", || attempts() == n + 2);
             reader
         })
--- a/proxy/tests/sockets/mixed_load_reporting.rs
+++ b/proxy/tests/sockets/mixed_load_reporting.rs
@@ -109,6 +109,32 @@
     );
 }
 
+/// Starts two clients of each proxy, which send until `over`; each answer is recorded with the kind of its proxy
+/// (0 without probes, 1 with probes).
+fn start_clients<'scope>(
+    scope: &'scope thread::Scope<'scope, '_>,
+    proxies: &'scope [(ProxyProcess, TestDiscovery)],
+    over: &'scope AtomicBool,
+    answers: &'scope Mutex<Vec<(usize, u16)>>,
+) {
+    for (number, (proxy, _)) in proxies.iter().enumerate() {
+        for _ in 0..2 {
+            scope.spawn(move || {
+                send_requests_until(proxy, over, |status| {
+                    answers.lock().unwrap().push((number % 2, status));
+                });
+            });
+        }
+    }
+}
+
+/// Sends an endpoint list to all proxies.
+fn notify_all(proxies: &[(ProxyProcess, TestDiscovery)], list: &Value) {
+    for (_, discovery) in proxies {
+        discovery.notify(list.clone());
+    }
+}
+
 #[test]
 fn proxies_with_and_without_probes_share_endpoints_by_the_rules_and_fairly() {
     let recording = RecordingEndpoints::start(4, Duration::from_millis(20));
@@ -130,31 +156,20 @@
     let mut cold_at_ms = 0.0;
     let mut drain_at_ms = 0.0;
     thread::scope(|scope| {
-        for (number, (proxy, _)) in proxies.iter().enumerate() {
-            for _ in 0..2 {
-                let over = &over;
-                let answers = &answers;
-                scope.spawn(move || {
-                    send_requests_until(proxy, over, |status| {
-                        answers.lock().unwrap().push((number % 2, status));
-                    });
-                });
-            }
-        }
+        start_clients(scope, &proxies, &over, &answers);
         let elapsed_ms = || recording.started.elapsed().as_secs_f64() * 1000.0;
         sleep_ms(1500);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         let mut cold = named(3, "Ready");
         cold["born_ms"] = json!(unix.as_secs_f64() * 1000.0);
         cold_at_ms = elapsed_ms();
-        for (_, discovery) in &proxies {
-            discovery.notify(endpoint_list(2, false, &[cold.clone()]));
-        }
+        notify_all(&proxies, &endpoint_list(2, false, &[cold]));
         sleep_ms(1500);
         drain_at_ms = elapsed_ms();
-        for (_, discovery) in &proxies {
-            discovery.notify(endpoint_list(3, false, &[named(0, "Terminating")]));
-        }
+        notify_all(
+            &proxies,
+            &endpoint_list(3, false, &[named(0, "Terminating")]),
+        );
         sleep_ms(1500);
         over.store(true, Ordering::SeqCst);
     });
--- a/proxy/tests/sockets/reload.rs
+++ b/proxy/tests/sockets/reload.rs
@@ -46,14 +46,7 @@
         "the old configuration stays"
     );
     proxy.reload(&configuration(second.address, &known).to_string());
-    wait_until("the new address is watched", || {
-        second
-            .calls
-            .lock()
-            .unwrap()
-            .iter()
-            .any(|c| c.contains("from=3&hold_ms="))
-    });
+    wait_until("the new address is watched", || second.is_watched_from(3));
     assert_eq!(
         read_message(&mut client).expect("the request goes on").1,
         b"old"
@@ -65,27 +58,36 @@
     );
 }
 
-#[test]
-fn reloaded_settings_apply_to_new_requests_and_open_ones_keep_theirs() {
-    let endpoint = TestEndpoint::new(|stream, received| match &received.body[..] {
-        // Breaks once it has run, a while after it came.
+/// An endpoint that breaks its connection once it has run a request with the body `break`, a while after it came.
+fn endpoint_breaking_on_demand() -> TestEndpoint {
+    TestEndpoint::new(|stream, received| match &received.body[..] {
         b"break" => {
             sleep_ms(400);
             false
         }
         _ => stream.write_all(&ok_response("x")).is_ok(),
-    });
-    let proxy = ProxyProcess::with_admin_api(&[&endpoint], disable_hedging);
-    let mut under_way = proxy.connect();
-    under_way.write_all(&request("view", 2.0, "break")).unwrap();
-    wait_until("the attempt is sent", || endpoint.received_count() == 1);
-    let mut config = proxy.configuration();
+    })
+}
+
+/// The class `view` is not idempotent any more, `fresh` stands in the place of `order`, and no request is retried.
+fn change_request_classes(config: &mut Value) {
     let request_classes = &mut config["settings"]["Categories"];
     request_classes[0]["Effect"] = json!("non_idempotent");
     let mut new = request_classes[2].clone();
     new["Name"] = json!("fresh");
     request_classes[1] = new;
     config["settings"]["Limits"]["MostPushes"] = json!(1);
+}
+
+#[test]
+fn reloaded_settings_apply_to_new_requests_and_open_ones_keep_theirs() {
+    let endpoint = endpoint_breaking_on_demand();
+    let proxy = ProxyProcess::with_admin_api(&[&endpoint], disable_hedging);
+    let mut under_way = proxy.connect();
+    under_way.write_all(&request("view", 2.0, "break")).unwrap();
+    wait_until("the attempt is sent", || endpoint.received_count() == 1);
+    let mut config = proxy.configuration();
+    change_request_classes(&mut config);
     proxy.reload(&config.to_string());
     wait_until("it is applied", || {
         proxy.metric("sighup_applied") == Some(1)
@@ -127,25 +129,29 @@
     );
 }
 
-/// Configuration files made faulty in one way each, with a part of the log line that names the fault.
-fn faulty_files(good: &Value) -> Vec<(String, &'static str)> {
-    let changed = |path: &str, value: Option<Value>| {
-        let mut config = good.clone();
-        // What could be applied partially: a request class that does not exist yet.
-        let mut new = config["settings"]["Categories"][0].clone();
-        new["Name"] = json!("half");
-        config["settings"]["Categories"]
-            .as_array_mut()
-            .unwrap()
-            .push(new);
-        let (parent, key) = path.rsplit_once('/').unwrap();
-        let parent = config.pointer_mut(parent).unwrap();
-        match value {
-            Some(value) => parent[key] = value,
-            None => drop(parent.as_object_mut().unwrap().remove(key)),
-        }
-        config.to_string()
-    };
+/// A configuration file with another request class, and with the key at this path changed, or removed.
+fn with_change(good: &Value, path: &str, value: Option<Value>) -> String {
+    let mut config = good.clone();
+    // What could be applied partially: a request class that does not exist yet.
+    let mut new = config["settings"]["Categories"][0].clone();
+    new["Name"] = json!("half");
+    config["settings"]["Categories"]
+        .as_array_mut()
+        .unwrap()
+        .push(new);
+    let (parent, key) = path.rsplit_once('/').unwrap();
+    let parent = config.pointer_mut(parent).unwrap();
+    match value {
+        Some(value) => parent[key] = value,
+        None => drop(parent.as_object_mut().unwrap().remove(key)),
+    }
+    config.to_string()
+}
+
+/// Configuration files that are no complete object, or lack a whole section, with a part of the log line that names
+/// the fault.
+fn files_with_faulty_sections(good: &Value) -> Vec<(String, &'static str)> {
+    let changed = |path: &str, value: Option<Value>| with_change(good, path, value);
     let text = good.to_string();
     vec![
         (String::new(), "EOF"),
@@ -160,6 +166,13 @@
             changed("/settings/Categories", Some(json!({}))),
             "Categories",
         ),
+    ]
+}
+
+/// Configuration files with one faulty request class, with a part of the log line that names the fault.
+fn files_with_faulty_request_classes(good: &Value) -> Vec<(String, &'static str)> {
+    let changed = |path: &str, value: Option<Value>| with_change(good, path, value);
+    vec![
         (
             changed("/settings/Categories/1/WindowMs", None),
             "settings.Categories.1.WindowMs",
@@ -192,6 +205,13 @@
             changed("/settings/Categories/2/Effect", Some(json!("unheard-of"))),
             "Effect",
         ),
+    ]
+}
+
+/// Configuration files with one faulty limit, with a part of the log line that names the fault.
+fn files_with_faulty_limits(good: &Value) -> Vec<(String, &'static str)> {
+    let changed = |path: &str, value: Option<Value>| with_change(good, path, value);
+    vec![
         (
             changed("/settings/Limits/MostPushes", Some(json!(0))),
             "Limits.MostPushes",
@@ -207,6 +227,16 @@
     ]
 }
 
+/// Configuration files made faulty in one way each, with a part of the log line that names the fault.
+fn faulty_files(good: &Value) -> Vec<(String, &'static str)> {
+    [
+        files_with_faulty_sections(good),
+        files_with_faulty_request_classes(good),
+        files_with_faulty_limits(good),
+    ]
+    .concat()
+}
+
 #[test]
 fn faulty_file_is_rejected_completely_and_its_key_named() {
     let endpoint = TestEndpoint::echoing();
--- a/proxy/tests/sockets/request_parsing.rs
+++ b/proxy/tests/sockets/request_parsing.rs
@@ -12,13 +12,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Requests made invalid in one way each, with the status that each must get.
-fn invalid_requests(good: &str) -> Vec<(u16, Vec<u8>)> {
+/// Requests whose head is invalid in one way each, with the status that each must get.
+fn requests_with_invalid_head(good: &str) -> Vec<(u16, Vec<u8>)> {
     let without = |name: &str| {
         let kept = good.split("\r\n").filter(|line| !line.starts_with(name));
         kept.collect::<Vec<_>>().join("\r\n").into_bytes()
     };
-    let long = format!("X-Long: {}\r\nHost:", "x".repeat(9000));
     vec![
         (400, b"nonsense\r\n\r\n".to_vec()),
         (400, vec![0xff; 40]),
@@ -48,6 +47,12 @@
             good.replace("X-Request-ID: ", "X-Request-ID: other\r\nX-Request-ID: ")
                 .into_bytes(),
         ),
+    ]
+}
+
+/// Requests whose body framing is invalid or announces too long a body, with the status that each must get.
+fn requests_with_invalid_framing(good: &str) -> Vec<(u16, Vec<u8>)> {
+    vec![
         (400, good.replace("Length: 0", "Length: +3").into_bytes()),
         (
             400,
@@ -83,6 +88,13 @@
             (good.replace("Content-Length: 0", "Transfer-Encoding: chunked") + "2000001\r\n")
                 .into_bytes(),
         ),
+    ]
+}
+
+/// Requests with an oversized head, or with a method that is not allowed, with the status that each must get.
+fn requests_with_oversized_head_or_wrong_method(good: &str) -> Vec<(u16, Vec<u8>)> {
+    let long = format!("X-Long: {}\r\nHost:", "x".repeat(9000));
+    vec![
         (431, good.replace("Host:", &long).into_bytes()),
         (
             431,
@@ -93,6 +105,16 @@
     ]
 }
 
+/// Requests made invalid in one way each, with the status that each must get.
+fn invalid_requests(good: &str) -> Vec<(u16, Vec<u8>)> {
+    [
+        requests_with_invalid_head(good),
+        requests_with_invalid_framing(good),
+        requests_with_oversized_head_or_wrong_method(good),
+    ]
+    .concat()
+}
+
 #[test]
 fn invalid_request_gets_its_status_and_no_attempt() {
     let endpoint = TestEndpoint::always_answering(ok_response("x"));
--- a/proxy/tests/sockets/request_streaming.rs
+++ b/proxy/tests/sockets/request_streaming.rs
@@ -176,26 +176,19 @@
     client
 }
 
-#[test]
-fn long_request_to_an_endpoint_that_stops_reading_is_answered_in_time() {
-    // The client has sent all of it: the rest is buffered in the proxy, whose endpoint is cut off.
+/// A listener that accepts no connection: what is sent to it stays in the sockets.
+fn listener_that_accepts_nothing() -> TcpListener {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket
         .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
         .unwrap();
     socket.listen(16).unwrap();
-    let listener: TcpListener = socket.into();
-    let known = endpoint_list(
-        1,
-        true,
-        &[endpoint_entry("s", listener.local_addr().unwrap(), "Ready")],
-    );
-    let discovery = TestDiscovery::new(known.clone());
-    let mut config = configuration(discovery.address, &known);
-    disable_hedging(&mut config);
-    let proxy = ProxyProcess::start(&config, None);
-    // How much of a request is taken before nothing moves: what the proxy and the sockets hold together.
-    let mut probe = connect_with_small_send_buffer(&proxy);
+    socket.into()
+}
+
+/// How much of a request is taken before nothing moves: what the proxy and the sockets hold together.
+fn bytes_taken_before_nothing_moves(proxy: &ProxyProcess) -> usize {
+    let mut probe = connect_with_small_send_buffer(proxy);
     probe
         .set_write_timeout(Some(Duration::from_millis(400)))
         .unwrap();
@@ -207,7 +200,23 @@
     while let Ok(n @ 1..) = probe.write(&[b'p'; 65_536]) {
         sent += n;
     }
-    drop(probe);
+    sent
+}
+
+#[test]
+fn long_request_to_an_endpoint_that_stops_reading_is_answered_in_time() {
+    // The client has sent all of it: the rest is buffered in the proxy, whose endpoint is cut off.
+    let listener = listener_that_accepts_nothing();
+    let known = endpoint_list(
+        1,
+        true,
+        &[endpoint_entry("s", listener.local_addr().unwrap(), "Ready")],
+    );
+    let discovery = TestDiscovery::new(known.clone());
+    let mut config = configuration(discovery.address, &known);
+    disable_hedging(&mut config);
+    let proxy = ProxyProcess::start(&config, None);
+    let sent = bytes_taken_before_nothing_moves(&proxy);
     // Less than that, so that all of it has left the client, and more than the endpoint's side takes. How much
     // the kernel buffers on either side varies, so several lengths are tried. Where the sockets take all of it,
     // it times out at the endpoint (502); where some is still with the client, its deadline does not run.
--- a/proxy/tests/sockets/response_streaming.rs
+++ b/proxy/tests/sockets/response_streaming.rs
@@ -15,12 +15,10 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-#[test]
-fn response_longer_than_a_buffer_is_streamed() {
-    let long = pseudo_random_bytes(700_000);
-    let body = long.clone();
-    let endpoint = TestEndpoint::new(move |stream, received| {
-        // As the request body asks: complete, with further bytes behind it, cut, or stalled half way.
+/// An endpoint that answers with a long body as the request body asks: complete, with further bytes behind it, cut,
+/// or stalled half way.
+fn endpoint_with_long_response(body: Vec<u8>) -> TestEndpoint {
+    TestEndpoint::new(move |stream, received| {
         let cut = if matches!(&received.body[..], b"half" | b"wait") {
             body.len() / 2
         } else {
@@ -37,7 +35,35 @@
             .is_ok();
         sent && received.body != b"half"
             && (received.body != b"wait" || stream.read(&mut [0]).is_ok_and(|n| n > 0))
-    });
+    })
+}
+
+/// Clients that leave in the middle of a long response.
+fn leave_mid_response(proxy: &ProxyProcess, endpoint: &TestEndpoint) {
+    let mut leaves: Vec<_> = (0..5).map(|_| proxy.connect()).collect();
+    for client in &mut leaves {
+        client.write_all(&request("pay", 4.0, "wait")).unwrap();
+        client.read_exact(&mut [0; 100_000]).unwrap();
+    }
+    assert!(endpoint.open_connections.load(Ordering::SeqCst) >= 5);
+    drop(leaves);
+}
+
+/// A client that reads on past its deadline, and then leaves.
+fn read_past_the_deadline(proxy: &ProxyProcess) {
+    let mut late = proxy.connect();
+    late.write_all(&request("pay", 0.3, "wait")).unwrap();
+    late.read_exact(&mut [0; 1000]).unwrap();
+    sleep_ms(600);
+    late.read_exact(&mut [0; 300_000])
+        .expect("the rest of what has come, past the deadline");
+    drop(late);
+}
+
+#[test]
+fn response_longer_than_a_buffer_is_streamed() {
+    let long = pseudo_random_bytes(700_000);
+    let endpoint = endpoint_with_long_response(long.clone());
     let proxy = ProxyProcess::in_front_of(&[&endpoint]);
     let mut client = proxy.connect();
     for body in ["", "more", ""] {
@@ -60,20 +86,8 @@
     // A client that leaves in the middle takes the connection with it; the end of its deadline does not cut it
     // off.
     let open = endpoint.open_connections.load(Ordering::SeqCst);
-    let mut leaves: Vec<_> = (0..5).map(|_| proxy.connect()).collect();
-    for client in &mut leaves {
-        client.write_all(&request("pay", 4.0, "wait")).unwrap();
-        client.read_exact(&mut [0; 100_000]).unwrap();
-    }
-    assert!(endpoint.open_connections.load(Ordering::SeqCst) >= 5);
-    drop(leaves);
-    let mut late = proxy.connect();
-    late.write_all(&request("pay", 0.3, "wait")).unwrap();
-    late.read_exact(&mut [0; 1000]).unwrap();
-    sleep_ms(600);
-    late.read_exact(&mut [0; 300_000])
-        .expect("the rest of what has come, past the deadline");
-    drop(late);
+    leave_mid_response(&proxy, &endpoint);
+    read_past_the_deadline(&proxy);
     wait_until("all are closed", || {
         endpoint.open_connections.load(Ordering::SeqCst) <= open
     });
@@ -148,6 +162,32 @@
     }
 }
 
+/// Checks that one that begins just before the request's deadline is streamed too.
+fn assert_response_that_begins_late_is_streamed() {
+    let late = TestEndpoint::new(|stream, _| {
+        sleep_ms(350);
+        let _ = stream.write_all(&response_with_body(&pseudo_random_bytes(200_000))[..3000]);
+        sleep_ms(400);
+        stream
+            .write_all(&response_with_body(&pseudo_random_bytes(200_000))[3000..])
+            .is_ok()
+    });
+    let other = ProxyProcess::in_front_of(&[&late]);
+    assert_eq!(other.send_request(&request("pay", 0.45, "")).0, 200);
+}
+
+/// Checks that for a client without chunked encoding, the connection's end marks the end.
+fn assert_http_1_0_client_gets_an_unframed_response(proxy: &ProxyProcess, body: &[u8]) {
+    let mut client = proxy.connect();
+    let old = String::from_utf8(request("pay", 0.6, "chunked"))
+        .unwrap()
+        .replace("HTTP/1.1", "HTTP/1.0");
+    client.write_all(old.as_bytes()).unwrap();
+    let mut got = Vec::new();
+    client.read_to_end(&mut got).unwrap();
+    assert!(got.ends_with(body) && !String::from_utf8_lossy(&got[..200]).contains("chunked"));
+}
+
 #[test]
 fn long_responses_of_any_framing_are_streamed_at_once_and_complete() {
     let body = pseudo_random_bytes(400_000);
@@ -179,26 +219,8 @@
         }
         assert!(in_time, "{framing}: not streamed in time");
     }
-    // One that begins just before the request's deadline is streamed too.
-    let late = TestEndpoint::new(|stream, _| {
-        sleep_ms(350);
-        let _ = stream.write_all(&response_with_body(&pseudo_random_bytes(200_000))[..3000]);
-        sleep_ms(400);
-        stream
-            .write_all(&response_with_body(&pseudo_random_bytes(200_000))[3000..])
-            .is_ok()
-    });
-    let other = ProxyProcess::in_front_of(&[&late]);
-    assert_eq!(other.send_request(&request("pay", 0.45, "")).0, 200);
-    // For a client without chunked encoding, the connection's end marks the end.
-    let mut client = proxy.connect();
-    let old = String::from_utf8(request("pay", 0.6, "chunked"))
-        .unwrap()
-        .replace("HTTP/1.1", "HTTP/1.0");
-    client.write_all(old.as_bytes()).unwrap();
-    let mut got = Vec::new();
-    client.read_to_end(&mut got).unwrap();
-    assert!(got.ends_with(&body) && !String::from_utf8_lossy(&got[..200]).contains("chunked"));
+    assert_response_that_begins_late_is_streamed();
+    assert_http_1_0_client_gets_an_unframed_response(&proxy, &body);
 }
 
 #[test]
--- a/proxy/tests/sockets/shutdown.rs
+++ b/proxy/tests/sockets/shutdown.rs
@@ -62,11 +62,10 @@
     assert!(proxy.wait_for_exit().0);
 }
 
-#[test]
-fn shutdown_answers_requests_that_would_outlast_it() {
-    // One at an endpoint that never answers, two at an endpoint whose response never ends: of the first so much
-    // has come that it is streamed, of the second one byte, with which streaming has not begun.
-    let quiet = TestEndpoint::new(|stream, received| {
+/// An endpoint that begins a response to requests of the class `view`, with many bytes or one as their body says,
+/// and never ends it; others it never answers.
+fn endpoint_that_never_finishes() -> TestEndpoint {
+    TestEndpoint::new(|stream, received| {
         if received.head.starts_with("POST /view/") {
             let size = if received.body == b"much" { 100_000 } else { 1 };
             let chunk = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
@@ -75,7 +74,30 @@
         }
         let _ = stream.read(&mut [0]);
         false
-    });
+    })
+}
+
+/// Checks that a response that has begun ends soon, and visibly incomplete.
+fn assert_cut_visibly(client: &mut TcpStream) {
+    let mut rest = Vec::new();
+    let from = Instant::now();
+    let _ = client.read_to_end(&mut rest);
+    assert!(
+        from.elapsed() < Duration::from_secs(1),
+        "it is cut at the others' deadline"
+    );
+    assert!(rest.len() > 100_000, "it has begun");
+    assert!(
+        !rest.ends_with(b"0\r\n\r\n"),
+        "the client can tell that it is cut"
+    );
+}
+
+#[test]
+fn shutdown_answers_requests_that_would_outlast_it() {
+    // Two that get no byte of a response, two whose response never ends: of the first so much has come that it is
+    // streamed, of the second one byte, with which streaming has not begun.
+    let quiet = endpoint_that_never_finishes();
     let mut proxy = ProxyProcess::in_front_of(&[&quiet]);
     let mut one = proxy.connect();
     let mut two = proxy.connect();
@@ -95,18 +117,7 @@
         status_code(&read_message(&mut three).expect("a response").0),
         502 | 503
     ));
-    let mut rest = Vec::new();
-    let from = Instant::now();
-    let _ = two.read_to_end(&mut rest);
-    assert!(
-        from.elapsed() < Duration::from_secs(1),
-        "it is cut at the others' deadline"
-    );
-    assert!(rest.len() > 100_000, "it has begun");
-    assert!(
-        !rest.ends_with(b"0\r\n\r\n"),
-        "the client can tell that it is cut"
-    );
+    assert_cut_visibly(&mut two);
     assert_eq!(
         status_code(&read_message(&mut four).expect("a response").0),
         503,
--- a/proxy/tests/sockets/startup.rs
+++ b/proxy/tests/sockets/startup.rs
@@ -11,10 +11,48 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, Sender};
 use std::sync::{mpsc, Arc};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+/// Answers the first call of discovery with this list, once a client has written; how long that took, with the
+/// sockets, which stay open.
+fn answer_first_call_after_client(
+    discovery: TcpListener,
+    update: Value,
+    wrote: Receiver<()>,
+) -> JoinHandle<(Duration, TcpStream, TcpListener)> {
+    thread::spawn(move || {
+        let (mut stream, _) = discovery.accept().unwrap();
+        read_message(&mut stream).expect("it calls");
+        let called = Instant::now();
+        // Not before the client has written, and a proxy that does not wait has had the time to forward
+        // that.
+        wrote.recv_timeout(TEST_TIMEOUT).expect("a client");
+        sleep_ms(30);
+        stream.write_all(&ok_response(&update.to_string())).unwrap();
+        (called.elapsed(), stream, discovery)
+    })
+}
+
+/// Sends a request as soon as a proxy listens at this address; the body of its response.
+fn send_request_once_it_listens(proxy: SocketAddr, written: Sender<()>) -> JoinHandle<Vec<u8>> {
+    thread::spawn(move || {
+        let from = Instant::now();
+        let mut client = loop {
+            match TcpStream::connect(proxy) {
+                Ok(client) => break client,
+                Err(_) => assert!(from.elapsed() < TEST_TIMEOUT, "it listens"),
+            }
+        };
+        client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        client.write_all(&request("view", 5.0, "")).unwrap();
+        written.send(()).unwrap();
+        read_message(&mut client).expect("a response").1
+    })
+}
+
 #[test]
 fn new_process_applies_the_endpoint_list_before_it_serves_clients() {
     // Where the machine is too busy for discovery to answer within a tenth of a second, the test tries again.
@@ -35,30 +73,8 @@
             ],
         );
         let (written, wrote) = mpsc::channel::<()>();
-        let discovery_calls = thread::spawn(move || {
-            let (mut stream, _) = discovery.accept().unwrap();
-            read_message(&mut stream).expect("it calls");
-            let called = Instant::now();
-            // Not before the client has written, and a proxy that does not wait has had the time to forward
-            // that.
-            wrote.recv_timeout(TEST_TIMEOUT).expect("a client");
-            sleep_ms(30);
-            stream.write_all(&ok_response(&update.to_string())).unwrap();
-            (called.elapsed(), stream, discovery)
-        });
-        let client = thread::spawn(move || {
-            let from = Instant::now();
-            let mut client = loop {
-                match TcpStream::connect(free) {
-                    Ok(client) => break client,
-                    Err(_) => assert!(from.elapsed() < TEST_TIMEOUT, "it listens"),
-                }
-            };
-            client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-            client.write_all(&request("view", 5.0, "")).unwrap();
-            written.send(()).unwrap();
-            read_message(&mut client).expect("a response").1
-        });
+        let discovery_calls = answer_first_call_after_client(discovery, update, wrote);
+        let client = send_request_once_it_listens(free, written);
         let _proxy = ProxyProcess::start(&configuration, None);
         let (took, ..) = discovery_calls.join().unwrap();
         let body = client.join().unwrap();
@@ -70,62 +86,60 @@
     panic!("no machine is so busy five times in a row");
 }
 
-#[test]
-fn settings_of_other_deployments_start_and_serve() {
-    let endpoint = TestEndpoint::new(|stream, received| {
+/// An endpoint that reports its load to probes, and answers any other request.
+fn endpoint_reporting_load_to_probes() -> TestEndpoint {
+    TestEndpoint::new(|stream, received| {
         let load = if received.head.starts_with("GET /_load ") {
             "TEXT inflight=0"
         } else {
             "x"
         };
         stream.write_all(&ok_response(load)).is_ok()
-    });
-    let class_settings = |name: &str, effect: &str, ttl_ms: f64| {
+    })
+}
+
+/// Settings with one request class.
+fn one_class(name: &str, effect: &str, ttl_ms: f64) -> Vec<Value> {
+    vec![
         json!({"Name": name, "Effect": effect, "Group": "cell", "WindowMs": 5000.0, "TargetLatencyMs": ttl_ms / 4.0,
-               "TtlMs": ttl_ms, "Benefit": 3.5, "LateBenefit": 0.0})
-    };
-    let one = |name: &str, effect: &str, ttl_ms: f64| vec![class_settings(name, effect, ttl_ms)];
-    let small = |config: &mut Value| {
-        config["limits"] = json!({"cores": 0.1, "memory_mb": 1, "sockets": 48});
-        config["settings"]["Limits"]["MostPushes"] = json!(1);
+               "TtlMs": ttl_ms, "Benefit": 3.5, "LateBenefit": 0.0}),
+    ]
+}
+
+/// Little memory, few sockets, and no retries.
+fn set_small_limits(config: &mut Value) {
+    config["limits"] = json!({"cores": 0.1, "memory_mb": 1, "sockets": 48});
+    config["settings"]["Limits"]["MostPushes"] = json!(1);
+}
+
+/// Checks that a proxy with these request classes, and with small limits if `limits`, serves them and no others.
+fn assert_classes_are_served(endpoint: &TestEndpoint, request_classes: &[Value], limits: bool) {
+    let change = |config: &mut Value| {
+        config["settings"]["Categories"] = json!(request_classes);
+        limits.then(|| set_small_limits(config));
     };
-    for (request_classes, limits) in [
-        (one("Berth.Plan", "read_like", 120_000.0), false),
-        (one("x", "non_idempotent", 2000.0), true),
-        (one("UPPER_lower-9", "idempotency_key", 900_000.0), true),
-        (
-            [
-                one("a", "non_idempotent", 100.0),
-                one("A", "read_like", 100.0),
-            ]
-            .concat(),
-            false,
-        ),
-    ] {
-        let change = |config: &mut Value| {
-            config["settings"]["Categories"] = json!(request_classes);
-            limits.then(|| small(config));
-        };
-        let proxy = ProxyProcess::with_configuration(&[&endpoint], change, None);
-        for request_class in &request_classes {
-            let name = request_class["Name"].as_str().unwrap();
-            // As clients do after a rejection; the deadline is long, so that a busy machine has enough time.
-            assert_eq!(
-                proxy.send_until_accepted(&request(name, 5.0, "")),
-                200,
-                "{name}"
-            );
-        }
+    let proxy = ProxyProcess::with_configuration(&[endpoint], change, None);
+    for request_class in request_classes {
+        let name = request_class["Name"].as_str().unwrap();
+        // As clients do after a rejection; the deadline is long, so that a busy machine has enough time.
         assert_eq!(
-            proxy.send_request(&request("view", 5.0, "")).0,
-            400,
-            "a class of other settings"
+            proxy.send_until_accepted(&request(name, 5.0, "")),
+            200,
+            "{name}"
         );
     }
-    // Where a key is missing, the key is named.
+    assert_eq!(
+        proxy.send_request(&request("view", 5.0, "")).0,
+        400,
+        "a class of other settings"
+    );
+}
+
+/// Checks that where a key is missing, the key is named.
+fn assert_missing_key_is_named(endpoint: &TestEndpoint) {
     let known = endpoint_list(1, true, &[endpoint_entry("s0", endpoint.address, "Ready")]);
     let mut lacks = configuration("127.0.0.1:9".parse().unwrap(), &known);
-    lacks["settings"]["Categories"] = json!(one("x", "read_like", 100.0));
+    lacks["settings"]["Categories"] = json!(one_class("x", "read_like", 100.0));
     lacks["settings"]["Categories"][0]
         .as_object_mut()
         .unwrap()
@@ -135,6 +149,30 @@
         .contains("TtlMs"));
 }
 
+#[test]
+fn settings_of_other_deployments_start_and_serve() {
+    let endpoint = endpoint_reporting_load_to_probes();
+    for (request_classes, limits) in [
+        (one_class("Berth.Plan", "read_like", 120_000.0), false),
+        (one_class("x", "non_idempotent", 2000.0), true),
+        (
+            one_class("UPPER_lower-9", "idempotency_key", 900_000.0),
+            true,
+        ),
+        (
+            [
+                one_class("a", "non_idempotent", 100.0),
+                one_class("A", "read_like", 100.0),
+            ]
+            .concat(),
+            false,
+        ),
+    ] {
+        assert_classes_are_served(&endpoint, &request_classes, limits);
+    }
+    assert_missing_key_is_named(&endpoint);
+}
+
 #[test]
 fn proxy_becomes_ready_with_a_slow_discovery() {
     let endpoint = TestEndpoint::always_answering(ok_response("x"));
@@ -230,6 +268,35 @@
     address
 }
 
+/// How many processes are started at once.
+const PROCESSES_AT_ONCE: usize = 12;
+
+/// Starts so many processes at once, and checks that nine in ten of them are ready in time.
+fn assert_nine_in_ten_are_ready_in_time(name: &str, discovery: SocketAddr, known: &Value) {
+    let count = PROCESSES_AT_ONCE;
+    let took = times_until_ready(count, discovery, known);
+    let at = |share: f64| took[((share * count as f64) as usize).min(count - 1)];
+    println!(
+        "{name}: half {:.1?}, nine in ten {:.1?}, last {:.1?}",
+        at(0.5),
+        at(0.9),
+        at(1.0)
+    );
+    assert!(at(0.9) < Duration::from_secs(10), "{name}: {took:?}");
+}
+
+/// Makes discovery silent, and answering again after 8 s.
+fn silence_for_eight_seconds(silent: &Arc<AtomicBool>) -> JoinHandle<()> {
+    silent.store(true, Ordering::SeqCst);
+    thread::spawn({
+        let silent = silent.clone();
+        move || {
+            sleep_ms(8000);
+            silent.store(false, Ordering::SeqCst);
+        }
+    })
+}
+
 #[test]
 fn nine_in_ten_processes_started_at_once_are_ready_within_ten_seconds() {
     let endpoint = TestEndpoint::always_answering(ok_response("x"));
@@ -237,7 +304,6 @@
     let hosts: Vec<Value> = (0..1024).map(entry).collect();
     let complete_list = endpoint_list(1, true, &hosts);
     // Silent for 8 s, slow, and answering at once; with a list known before and with none.
-    let count = 12;
     let silent = Arc::new(AtomicBool::new(false));
     let silent_flag = silent.clone();
     let discovery = |pause_ms: u64, down: Option<Arc<AtomicBool>>| {
@@ -261,27 +327,10 @@
             &Value::Null,
         ),
     ];
-    silent.store(true, Ordering::SeqCst);
-    let recovery = thread::spawn({
-        let silent = silent.clone();
-        move || {
-            sleep_ms(8000);
-            silent.store(false, Ordering::SeqCst);
-        }
-    });
+    let recovery = silence_for_eight_seconds(&silent);
     thread::scope(|scope| {
         for (name, discovery, known) in cases {
-            scope.spawn(move || {
-                let took = times_until_ready(count, discovery, known);
-                let at = |share: f64| took[((share * count as f64) as usize).min(count - 1)];
-                println!(
-                    "{name}: half {:.1?}, nine in ten {:.1?}, last {:.1?}",
-                    at(0.5),
-                    at(0.9),
-                    at(1.0)
-                );
-                assert!(at(0.9) < Duration::from_secs(10), "{name}: {took:?}");
-            });
+            scope.spawn(move || assert_nine_in_ten_are_ready_in_time(name, discovery, known));
         }
     });
     recovery.join().unwrap();
--- a/proxy/tests/sockets/support/discovery.rs
+++ b/proxy/tests/sockets/support/discovery.rs
@@ -64,6 +64,16 @@
         }
     }
 
+    /// Whether a call has come that waits for changes after this version of the list.
+    pub(crate) fn is_watched_from(&self, version: u64) -> bool {
+        let watch = format!("from={version}&hold_ms=");
+        self.calls
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|call| call.contains(&watch))
+    }
+
     /// Answers the open call, or the next one, with this list.
     pub(crate) fn notify(&self, list: Value) {
         self.updates.send(list).expect("discovery runs");
