--- a/scenarios/tests/cluster.rs
+++ b/scenarios/tests/cluster.rs
@@ -1,7 +1,8 @@
 //! The scripts of clusters that ship, and the sub-command that runs them.
 
+// Public, as the library re-exports the error type of this file and so cannot restrict it to the crate.
 #[path = "../src/cluster/scripts.rs"]
-mod scripts;
+pub mod scripts;
 
 use crankmux_simulator::script::Script;
 use scripts::SHIPPED;
