Each public module has a line of documentation, and bundled lets are apart

A let that bound several values at once becomes one let for each, in the same order, and a one-letter member number gets its name, in the tests of membership and in bench-adapter.

--- a/bench-adapter/src/decisions.rs
+++ b/bench-adapter/src/decisions.rs
@@ -21,7 +21,8 @@
 
 impl Actions for DecisionWriter<'_> {
     fn start_attempt(&mut self, request: usize, endpoint: usize, timeout_ms: f64) {
-        let (id, endpoint) = (self.requests.id(request), self.names.stable_hash(endpoint));
+        let id = self.requests.id(request);
+        let endpoint = self.names.stable_hash(endpoint);
         self.push(json!(["Route", self.instance, id, timeout_ms, endpoint]));
         self.requests.attempt_started(request);
     }
--- a/membership/tests/network/failure_detection.rs
+++ b/membership/tests/network/failure_detection.rs
@@ -134,7 +134,8 @@
         net.run_for(10_000.0);
         (net.bytes - from) as f64 / count as f64 / 10.0
     };
-    let (few, many) = (rate(10), rate(80));
+    let few = rate(10);
+    let many = rate(80);
     println!("{few:.0} and {many:.0} bytes a second a member");
     assert!(
         many < 1.5 * few,
--- a/membership/tests/network/incarnations.rs
+++ b/membership/tests/network/incarnations.rs
@@ -83,7 +83,9 @@
 
 #[test]
 fn a_member_never_lists_an_earlier_incarnation_of_its_own_address() {
-    let (me, relay, requester) = (member_id(0, 2), member_id(1, 1), member_id(2, 1));
+    let me = member_id(0, 2);
+    let relay = member_id(1, 1);
+    let requester = member_id(2, 1);
     let packet = indirect_probe(&relay, member_id(0, 1), &me, &requester);
     let now_ms = 1_000_000.0;
     let mut member = Membership::new(me, &[], &[KEY], 1, now_ms).unwrap();
--- a/membership/tests/network/random_faults.rs
+++ b/membership/tests/network/random_faults.rs
@@ -42,23 +42,23 @@
     rng: &mut ChaCha8Rng,
     incarnations: &mut BTreeMap<usize, u64>,
 ) {
-    let n = rng.random_range(0..10);
-    let is_running = net.members.contains_key(&n);
+    let member = rng.random_range(0..10);
+    let is_running = net.members.contains_key(&member);
     match rng.random_range(0..7) {
         0 => net.is_cut = PARTITIONS[rng.random_range(0..PARTITIONS.len())],
         1 => net.loss = rng.random::<f64>() * 0.4,
         2 => net.delay_ms = 1.0 + rng.random::<f64>() * 150.0,
-        3 => drop(net.members.remove(&n)),
+        3 => drop(net.members.remove(&member)),
         4 if is_running => {
             let until_ms = net.now_ms + rng.random::<f64>() * 12_000.0;
-            net.paused_until_ms.insert(n, until_ms);
+            net.paused_until_ms.insert(member, until_ms);
         }
-        5 if is_running && !net.paused_until_ms.contains_key(&n) => net.leave(n),
+        5 if is_running && !net.paused_until_ms.contains_key(&member) => net.leave(member),
         _ if !is_running => {
-            let incarnation = incarnations.entry(n).or_insert(1);
+            let incarnation = incarnations.entry(member).or_insert(1);
             *incarnation += 1;
-            net.paused_until_ms.remove(&n);
-            net.start_member(n, *incarnation);
+            net.paused_until_ms.remove(&member);
+            net.start_member(member, *incarnation);
         }
         _ => {}
     }
--- a/proxy/src/admin/mod.rs
+++ b/proxy/src/admin/mod.rs
@@ -9,8 +9,10 @@
 
 mod caller;
 mod callers;
+/// Endpoints that operators disabled, kept in files across restarts.
 pub mod disabled_endpoints;
 mod handlers;
+/// Requests of the admin API and their routes.
 pub mod request;
 mod response;
 
--- a/proxy/src/cluster/mod.rs
+++ b/proxy/src/cluster/mod.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod port;
 mod state;
+/// The cluster status page `GET /fleet` of the admin API.
 pub mod status_page;
 
 pub use config::ClusterConfig;
--- a/proxy/src/discovery/mod.rs
+++ b/proxy/src/discovery/mod.rs
@@ -15,6 +15,7 @@
 mod poll;
 mod remembered_list;
 mod response;
+/// Content, deadline and backoff of the next discovery poll.
 pub mod schedule;
 
 use crate::discovery::connection::DiscoveryConnection;
--- a/proxy/src/http/mod.rs
+++ b/proxy/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod forward;
 mod head;
 mod local_response;
+/// Status codes of the proxy's own responses.
 pub mod status;
 
 pub use body::{BodyFraming, Message};
