--- a/proxy/tests/sockets/descriptor_exhaustion.rs
+++ b/proxy/tests/sockets/descriptor_exhaustion.rs
@@ -133,11 +133,10 @@
     // Not checked by the admin API, whose callers leave a descriptor free behind them.
     assert_reloads_are_applied(&proxy, &config);
     let next = proxy.start_successor();
-    assert!(
-        proxy.log().contains("handed over to a newer process"),
-        "{}",
-        proxy.log()
-    );
+    // The newer process may be ready before the older one has logged what it sent.
+    wait_until("it has handed over", || {
+        proxy.log().contains("handed over to a newer process")
+    });
     assert_eq!(next.metric("ejected"), Some(1));
     drop(flood);
 }
