--- a/proxy/src/admin/mod.rs
+++ b/proxy/src/admin/mod.rs
@@ -2,10 +2,10 @@
 //!
 //! - `callers` accepts connections, keeps a bounded number of them and closes them.
 //! - `caller` is one connection: it reads the call and writes the response.
-//! - [`request`] routes a call to an [`request::AdminRequest`], or says why there is none.
+//! - `request` routes a call to an `request::AdminRequest`, or says why there is none.
 //! - `response` is what goes back.
 //! - `handlers` carries out requests.
-//! - [`disabled_endpoints`] keeps the endpoints that operators disabled.
+//! - `disabled_endpoints` keeps the endpoints that operators disabled.
 
 mod caller;
 mod callers;
--- a/proxy/src/discovery/mod.rs
+++ b/proxy/src/discovery/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! One poll at a time is in flight, over one connection that is kept between polls:
 //!
-//! - [`schedule`] chooses what the next poll asks for, and how long it may take.
+//! - `schedule` chooses what the next poll asks for, and how long it may take.
 //! - `connection` writes the request and reads the response.
 //! - `response` reads the endpoint list from a response.
 //! - `poll` drives these on the event loop: deadlines, failures, and the next poll.
--- a/simulator/src/environment/mod.rs
+++ b/simulator/src/environment/mod.rs
@@ -1,6 +1,6 @@
 //! A run in virtual time: clients, proxies, the network between them and the endpoints, driven by one event queue.
 //!
-//! [`run`] takes events in order of time until the script ends. Each submodule holds the state and the event
+//! `run` takes events in order of time until the script ends. Each submodule holds the state and the event
 //! handlers of one concern.
 
 mod attempts;
