--- a/fault-injection/src/harness/clients.rs
+++ b/fault-injection/src/harness/clients.rs
@@ -2,7 +2,7 @@
 //! before its proxy can have read anything.
 
 use super::event_loop::Role;
-use super::{invariants, Harness, LOOP_LATENESS_MS};
+use super::{Harness, LOOP_LATENESS_MS};
 use crate::connection::Response;
 use crankmux_simulator::invariants::{Answer, RequestHistory, RetrySafety};
 use mio::net::TcpStream;
--- a/proxy/src/admin/callers.rs
+++ b/proxy/src/admin/callers.rs
@@ -6,7 +6,7 @@
 use crate::proxy::Proxy;
 use crate::tokens::{admin_caller_token, MAX_ADMIN_CALLERS};
 use mio::net::TcpStream;
-use mio::{Interest, Token};
+use mio::Interest;
 use std::io::ErrorKind;
 
 /// How long a caller has for its call, in milliseconds: a call is one short line.
