--- a/bench-adapter/src/decisions.rs
+++ b/bench-adapter/src/decisions.rs
@@ -2,7 +2,7 @@
 
 use crate::requests::RequestTable;
 use crankmux::settings::NameIndex;
-use crankmux::types::Actions;
+use crankmux::types::{Actions, EndpointId, RequestId};
 use serde_json::{json, Value};
 
 /// Appends the actions of one instance to the decisions of a batch.
@@ -20,29 +20,29 @@
 }
 
 impl Actions for DecisionWriter<'_> {
-    fn start_attempt(&mut self, request: usize, endpoint: usize, timeout_ms: f64) {
+    fn start_attempt(&mut self, request: RequestId, endpoint: EndpointId, timeout_ms: f64) {
         let (id, endpoint) = (self.requests.id(request), self.names.stable_hash(endpoint));
         self.push(json!(["Route", self.instance, id, timeout_ms, endpoint]));
         self.requests.attempt_started(request);
     }
 
-    fn probe(&mut self, endpoint: usize) {
+    fn probe(&mut self, endpoint: EndpointId) {
         let endpoint = self.names.stable_hash(endpoint);
         self.push(json!(["HealthCheck", self.instance, endpoint]));
     }
 
-    fn cancel(&mut self, request: usize, attempt: usize) {
+    fn cancel(&mut self, request: RequestId, attempt: usize) {
         let id = self.requests.id(request);
         self.push(json!(["CallOff", self.instance, id, attempt]));
     }
 
-    fn reject(&mut self, request: usize, retry_after_ms: f64) {
+    fn reject(&mut self, request: RequestId, retry_after_ms: f64) {
         let id = self.requests.id(request);
         self.push(json!(["Decline", self.instance, id, retry_after_ms]));
         self.requests.close(request);
     }
 
-    fn fail(&mut self, request: usize) {
+    fn fail(&mut self, request: RequestId) {
         let id = self.requests.id(request);
         self.push(json!(["Fail", self.instance, id]));
         self.requests.close(request);
--- a/bench-adapter/src/instance.rs
+++ b/bench-adapter/src/instance.rs
@@ -183,10 +183,10 @@
     /// A request has come in.
     fn submit(&mut self, fields: &Fields, mut batch: Batch) -> Result<(), AdapterError> {
         let id = fields.integer(2, "Req")?;
-        let class = self.names.classes.index(fields.text(3, "Cls")?);
+        let class = self.names.class(fields.text(3, "Cls")?);
         let class = class.ok_or_else(|| fields.invalid("Cls"))?;
         let tenant = fields.optional_text(4);
-        let tenant = tenant.and_then(|name| self.names.tenants.index(name));
+        let tenant = tenant.and_then(|name| self.names.tenant(name));
         let ttl_ms = fields.optional_number(6, "BudgetMs")?;
         let ttl_ms = ttl_ms.ok_or_else(|| fields.invalid("BudgetMs"))?;
         let flags = fields.optional_integer(8, "Flags")?.unwrap_or(0);
@@ -216,7 +216,7 @@
         let duration_ms = fields.optional_number(6, "TimeTakenMs")?.unwrap_or(0.0);
         let request_closed = fields.optional_flag(7, "NoMore")?.unwrap_or(false);
         let load = fields.load(8, "Load")?;
-        let Some(request) = self.requests.index(id) else {
+        let Some(request) = self.requests.find(id) else {
             return Ok(());
         };
         self.requests.attempt_ended(request, request_closed);
@@ -237,7 +237,7 @@
 
     /// The client has gone.
     fn aborted(&mut self, fields: &Fields, mut batch: Batch) -> Result<(), AdapterError> {
-        let Some(request) = self.requests.index(fields.integer(2, "Req")?) else {
+        let Some(request) = self.requests.find(fields.integer(2, "Req")?) else {
             return Ok(());
         };
         let now_ms = batch.now_ms;
@@ -251,7 +251,7 @@
     /// counts for stays as it is.
     fn accepted(&mut self, fields: &Fields, batch: Batch) -> Result<(), AdapterError> {
         const NO_ATTEMPT: usize = usize::MAX;
-        if let Some(request) = self.requests.index(fields.integer(2, "Req")?) {
+        if let Some(request) = self.requests.find(fields.integer(2, "Req")?) {
             self.balancer
                 .streaming(batch.now_ms, request, NO_ATTEMPT, true);
         }
--- a/bench-adapter/src/requests.rs
+++ b/bench-adapter/src/requests.rs
@@ -1,5 +1,6 @@
 //! The requests of one instance: the bench's ids, and the indices that the decisions know them by.
 
+use crankmux::types::RequestId;
 use std::collections::{BTreeMap, HashMap};
 
 /// A request that the bench may still speak of.
@@ -13,63 +14,65 @@
 /// The known requests, by id and by index. An index is never used again.
 #[derive(Default)]
 pub(crate) struct RequestTable {
-    by_id: HashMap<u64, usize>,
-    by_index: BTreeMap<usize, KnownRequest>,
+    by_id: HashMap<u64, RequestId>,
+    by_index: BTreeMap<RequestId, KnownRequest>,
     next_index: usize,
 }
 
 impl RequestTable {
     /// A request has come in; returns its index.
-    pub(crate) fn insert(&mut self, id: u64) -> usize {
-        let index = self.next_index;
+    pub(crate) fn insert(&mut self, id: u64) -> RequestId {
+        let request_id = RequestId::new(self.next_index);
         self.next_index += 1;
-        self.by_id.insert(id, index);
+        self.by_id.insert(id, request_id);
         let request = KnownRequest {
             id,
             attempts_in_flight: 0,
             closed: false,
         };
-        self.by_index.insert(index, request);
-        index
+        self.by_index.insert(request_id, request);
+        request_id
     }
 
-    pub(crate) fn index(&self, id: u64) -> Option<usize> {
+    pub(crate) fn find(&self, id: u64) -> Option<RequestId> {
         self.by_id.get(&id).copied()
     }
 
     /// The bench's id of a request; 0 where it is forgotten.
-    pub(crate) fn id(&self, index: usize) -> u64 {
-        self.by_index.get(&index).map_or(0, |request| request.id)
+    pub(crate) fn id(&self, request_id: RequestId) -> u64 {
+        self.by_index
+            .get(&request_id)
+            .map_or(0, |request| request.id)
     }
 
-    pub(crate) fn attempt_started(&mut self, index: usize) {
-        if let Some(request) = self.by_index.get_mut(&index) {
+    pub(crate) fn attempt_started(&mut self, request_id: RequestId) {
+        if let Some(request) = self.by_index.get_mut(&request_id) {
             request.attempts_in_flight += 1;
         }
     }
 
-    pub(crate) fn attempt_ended(&mut self, index: usize, request_closed: bool) {
-        if let Some(request) = self.by_index.get_mut(&index) {
+    pub(crate) fn attempt_ended(&mut self, request_id: RequestId, request_closed: bool) {
+        if let Some(request) = self.by_index.get_mut(&request_id) {
             request.attempts_in_flight = request.attempts_in_flight.saturating_sub(1);
             request.closed |= request_closed;
         }
     }
 
-    pub(crate) fn close(&mut self, index: usize) {
-        if let Some(request) = self.by_index.get_mut(&index) {
+    pub(crate) fn close(&mut self, request_id: RequestId) {
+        if let Some(request) = self.by_index.get_mut(&request_id) {
             request.closed = true;
         }
-        self.forget_if_done(index);
+        self.forget_if_done(request_id);
     }
 
     /// Forgets a request that has its final answer, once no attempt is in flight for it.
-    pub(crate) fn forget_if_done(&mut self, index: usize) {
-        let Some(request) = self.by_index.get(&index) else {
+    pub(crate) fn forget_if_done(&mut self, request_id: RequestId) {
+        let Some(request) = self.by_index.get(&request_id) else {
             return;
         };
         if request.closed && request.attempts_in_flight == 0 {
             self.by_id.remove(&request.id);
-            self.by_index.remove(&index);
+            self.by_index.remove(&request_id);
         }
     }
 }
--- a/proxy/src/admin/disabled_endpoints/changes.rs
+++ b/proxy/src/admin/disabled_endpoints/changes.rs
@@ -3,7 +3,7 @@
 use super::DisabledEndpointError;
 use crate::endpoint_list::stable_hash;
 use crate::proxy::Proxy;
-use crankmux::types::{AttemptOutcome, LoadReport};
+use crankmux::types::{AttemptOutcome, EndpointId, LoadReport};
 
 /// How often the files are read while another process of this proxy may write them, in milliseconds: well within
 /// the second that a call may take to count.
@@ -80,7 +80,7 @@
     }
 
     /// Closes the idle connections to an endpoint, and takes back attempts of which nothing was sent.
-    fn withdraw_from_endpoint(&mut self, endpoint: usize) {
+    fn withdraw_from_endpoint(&mut self, endpoint: EndpointId) {
         self.close_idle_connections(endpoint);
         let unsent = self
             .upstream
--- a/proxy/src/cluster/state.rs
+++ b/proxy/src/cluster/state.rs
@@ -3,7 +3,7 @@
 use super::config::ClusterConfig;
 use super::error::ClusterError;
 use super::port::ClusterPort;
-use crankmux::types::EndpointUpdate;
+use crankmux::types::{EndpointId, EndpointUpdate};
 use crankmux_membership::assumptions::{Assumed, ClusterAssumptions};
 use crankmux_membership::endpoint_gossip::EndpointView;
 use crankmux_membership::{Membership, Reachability};
@@ -86,18 +86,19 @@
     }
 
     /// An attempt starts at an endpoint.
-    pub fn attempt_started(&mut self, endpoint: usize) {
-        self.assumptions.attempt_started(endpoint);
+    pub fn attempt_started(&mut self, endpoint: EndpointId) {
+        self.assumptions.attempt_started(endpoint.index());
     }
 
     /// An attempt has ended at an endpoint.
-    pub fn attempt_ended(&mut self, endpoint: usize) {
-        self.assumptions.attempt_ended(endpoint);
+    pub fn attempt_ended(&mut self, endpoint: EndpointId) {
+        self.assumptions.attempt_ended(endpoint.index());
     }
 
     /// An endpoint has reported with an answer how many requests it has in flight.
-    pub fn load_reported(&mut self, now_ms: f64, endpoint: usize, in_flight: f64) {
-        self.assumptions.load_reported(now_ms, endpoint, in_flight);
+    pub fn load_reported(&mut self, now_ms: f64, endpoint: EndpointId, in_flight: f64) {
+        self.assumptions
+            .load_reported(now_ms, endpoint.index(), in_flight);
     }
 
     /// Reads the datagrams that have come.
--- a/proxy/src/discovery/apply.rs
+++ b/proxy/src/discovery/apply.rs
@@ -2,7 +2,7 @@
 
 use crate::endpoint_list::EndpointList;
 use crate::proxy::Proxy;
-use crankmux::types::EndpointUpdate;
+use crankmux::types::{EndpointId, EndpointUpdate};
 use std::collections::HashSet;
 
 impl Proxy {
@@ -28,11 +28,12 @@
     }
 
     fn remove_unlisted_endpoints(&mut self, updates: &[EndpointUpdate]) {
-        let listed: HashSet<usize> = updates.iter().map(|update| update.endpoint).collect();
-        for endpoint in 0..self.upstream.endpoint_count() {
-            if !listed.contains(&endpoint) {
-                self.update_endpoint_process(endpoint, None);
-            }
+        let listed: HashSet<EndpointId> = updates.iter().map(|update| update.endpoint).collect();
+        let is_unlisted = |endpoint: &EndpointId| !listed.contains(endpoint);
+        let endpoints = self.upstream.endpoint_ids();
+        let unlisted: Vec<EndpointId> = endpoints.filter(is_unlisted).collect();
+        for endpoint in unlisted {
+            self.update_endpoint_process(endpoint, None);
         }
     }
 }
--- a/proxy/src/downstream/request_head.rs
+++ b/proxy/src/downstream/request_head.rs
@@ -5,7 +5,7 @@
 use crate::http::header_value;
 use crate::requests::Requests;
 use crankmux::settings::NameIndex;
-use crankmux::types::{ClassId, NewRequest};
+use crankmux::types::{ClassId, NewRequest, RequestId};
 use httparse::Header;
 
 /// Longer than any client waits, in seconds: a timeout past it is a mistake.
@@ -64,12 +64,12 @@
         if self.first_path_segment() != Some(class_name) {
             return Err(RequestError::ClassNotInPath);
         }
-        let Some(class) = names.classes.index(class_name) else {
+        let Some(class) = names.class(class_name) else {
             // Clients that have not heard of the new configuration yet; their failures are counted.
             let all_classes = &names.classes.names;
             let retired = all_classes.iter().position(|name| name == class_name);
             return retired
-                .map(RequestKind::RetiredClass)
+                .map(|index| RequestKind::RetiredClass(ClassId::new(index)))
                 .ok_or(RequestError::UnknownClass);
         };
         let ttl_ms = self.timeout_s()? * 1000.0;
@@ -77,7 +77,7 @@
         if tenant_name.is_none() && !names.tenants.is_empty() {
             return Err(RequestError::MissingHeader(TENANT_ID));
         }
-        let tenant = tenant_name.and_then(|name| names.tenants.index(name));
+        let tenant = tenant_name.and_then(|name| names.tenant(name));
         let client_retry = self.header(RETRIED) == Some("1");
         // All proxies come to the same hash, so that a key's endpoints are the same for all.
         let key = key_header
@@ -85,7 +85,7 @@
             .map(stable_hash);
         let request = NewRequest {
             // Not known until the request is admitted.
-            request: 0,
+            request: RequestId::default(),
             class,
             tenant,
             ttl_ms,
--- a/proxy/src/metrics/access.rs
+++ b/proxy/src/metrics/access.rs
@@ -1,6 +1,7 @@
 //! Access metrics: what became of requests. A receipt is issued as a request is admitted, and handed back once, as
 //! its response is sent or its client is gone; all counts of requests follow from receipts.
 
+use crankmux::types::ClassId;
 use std::fmt::{self, Display};
 
 /// What a request came to.
@@ -20,7 +21,7 @@
 #[derive(Debug)]
 #[must_use]
 pub struct RequestReceipt {
-    request_class: usize,
+    request_class: ClassId,
 }
 
 /// How many requests of a class came to each outcome.
@@ -47,7 +48,7 @@
 
 impl AccessMetrics {
     /// Counts a request as outstanding.
-    pub fn request_admitted(&mut self, request_class: usize) -> RequestReceipt {
+    pub fn request_admitted(&mut self, request_class: ClassId) -> RequestReceipt {
         self.outstanding += 1;
         RequestReceipt { request_class }
     }
@@ -55,7 +56,7 @@
     /// Counts an outstanding request's outcome.
     pub fn request_finished(&mut self, receipt: RequestReceipt, outcome: RequestOutcome) {
         self.outstanding -= 1;
-        let class = receipt.request_class;
+        let class = receipt.request_class.index();
         if self.outcomes.len() <= class {
             self.outcomes.resize(class + 1, OutcomeCounts::default());
         }
@@ -80,9 +81,9 @@
         report.to_string()
     }
 
-    fn counts(&self, request_class: usize) -> OutcomeCounts {
+    fn counts(&self, request_class: ClassId) -> OutcomeCounts {
         self.outcomes
-            .get(request_class)
+            .get(request_class.index())
             .copied()
             .unwrap_or_default()
     }
@@ -99,7 +100,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let metrics = self.metrics;
         for (class, name) in self.request_classes.iter().enumerate() {
-            let counts = metrics.counts(class);
+            let counts = metrics.counts(ClassId::new(class));
             writeln!(formatter, "succeeded.{name}={}", counts.succeeded)?;
             writeln!(formatter, "declined.{name}={}", counts.rejected)?;
             writeln!(formatter, "aborted.{name}={}", counts.failed)?;
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -68,20 +68,21 @@
     pub fn admit(&mut self, client: usize, deadline: f64, request_id_hash: u64) -> RequestId {
         let over_capacity = self.table.len() >= self.capacity;
         self.open_ids.insert(request_id_hash);
-        self.table.insert(Request {
+        let index = self.table.insert(Request {
             request_id_hash,
             client: Some(client),
             deadline,
             over_capacity,
             attempts: Vec::new(),
             attempts_in_flight: 0,
-        })
+        });
+        RequestId::new(index)
     }
 
     /// Whether a client still waits for the response.
     pub fn waits(&self, request: RequestId) -> bool {
         self.table
-            .get(request)
+            .get(request.index())
             .is_some_and(|request| request.client.is_some())
     }
 
@@ -94,7 +95,7 @@
 
     /// Counts a new attempt in.
     pub fn start_attempt(&mut self, request: RequestId) -> AttemptEntry {
-        let request = &mut self.table[request];
+        let request = &mut self.table[request.index()];
         let number = request.attempts.len();
         request.attempts.push(None);
         request.attempts_in_flight += 1;
@@ -107,7 +108,7 @@
 
     /// Notes the connection that an attempt is sent on.
     pub fn attempt_sent(&mut self, request: RequestId, attempt: usize, connection: usize) {
-        self.table[request].attempts[attempt] = Some(connection);
+        self.table[request.index()].attempts[attempt] = Some(connection);
     }
 
     /// Moves all deadlines to a time, where they are later.
@@ -120,7 +121,7 @@
     /// The connection that an attempt is in flight on.
     pub fn connection_of(&self, request: RequestId, attempt: usize) -> Option<usize> {
         self.table
-            .get(request)?
+            .get(request.index())?
             .attempts
             .get(attempt)
             .copied()
@@ -130,7 +131,7 @@
     /// The attempt that is in flight on a connection.
     pub fn attempt_on(&self, request: RequestId, connection: usize) -> Option<usize> {
         self.table
-            .get(request)?
+            .get(request.index())?
             .attempts
             .iter()
             .position(|sent_on| *sent_on == Some(connection))
@@ -138,14 +139,14 @@
 
     /// Counts an attempt out.
     pub fn attempt_ended(&mut self, request: RequestId, attempt: usize) {
-        let request = &mut self.table[request];
+        let request = &mut self.table[request.index()];
         request.attempts[attempt] = None;
         request.attempts_in_flight -= 1;
     }
 
     /// Takes the client that waits, as its response is made or it has left; from then on none waits.
     pub fn answered(&mut self, request: RequestId) -> Option<usize> {
-        let request = self.table.get_mut(request)?;
+        let request = self.table.get_mut(request.index())?;
         let client = request.client.take()?;
         self.open_ids.remove(&request.request_id_hash);
         Some(client)
@@ -156,10 +157,10 @@
     pub fn drop_if_done(&mut self, request: RequestId) {
         let is_done = self
             .table
-            .get(request)
+            .get(request.index())
             .is_some_and(|request| request.client.is_none() && request.attempts_in_flight == 0);
         if is_done {
-            self.table.remove(request);
+            self.table.remove(request.index());
         }
     }
 }
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -77,9 +77,9 @@
         !self.connections.is_full()
     }
 
-    /// The number of endpoints met; all indices of endpoints are below it.
-    pub fn endpoint_count(&self) -> usize {
-        self.endpoints.len()
+    /// All endpoints met.
+    pub fn endpoint_ids(&self) -> impl Iterator<Item = EndpointId> {
+        (0..self.endpoints.len()).map(EndpointId::new)
     }
 
     /// Whether any endpoint may get new attempts.
@@ -91,11 +91,13 @@
 
     /// A connection to an endpoint has been established, or has brought something.
     pub(crate) fn note_heard(&mut self, endpoint: EndpointId, now: f64) {
-        self.endpoints[endpoint].last_heard_at = now;
+        self.endpoints[endpoint.index()].last_heard_at = now;
     }
 
     fn remove_idle(&mut self, endpoint: EndpointId, key: usize) {
-        self.endpoints[endpoint].idle.retain(|idle| *idle != key);
+        self.endpoints[endpoint.index()]
+            .idle
+            .retain(|idle| *idle != key);
     }
 }
 
@@ -108,11 +110,11 @@
     ) {
         let process = process.map(EndpointProcess::from);
         let endpoints = &mut self.upstream.endpoints;
-        if endpoints.len() <= endpoint {
-            endpoints.resize_with(endpoint + 1, EndpointConnections::default);
+        if endpoints.len() <= endpoint.index() {
+            endpoints.resize_with(endpoint.index() + 1, EndpointConnections::default);
         }
-        if endpoints[endpoint].process != process {
-            endpoints[endpoint].process = process;
+        if endpoints[endpoint.index()].process != process {
+            endpoints[endpoint.index()].process = process;
             // Connections to a process that is no more may stay open and silent.
             self.close_idle_connections(endpoint);
         }
@@ -124,7 +126,7 @@
         let endpoints = &self.upstream.endpoints;
         let outdated = |connection: &UpstreamConnection<Proxy>| {
             connection.is_unsent()
-                && endpoints[connection.endpoint].process != Some(connection.process)
+                && endpoints[connection.endpoint.index()].process != Some(connection.process)
         };
         for key in self.upstream.connections.keys_where(outdated) {
             self.fail_attempt(key, AttemptOutcome::Unreachable, LoadReport::default());
@@ -136,7 +138,7 @@
     pub(super) fn take_idle_connection(&mut self, endpoint: EndpointId) -> Option<usize> {
         let now = self.now();
         loop {
-            let idle = &mut self.upstream.endpoints.get_mut(endpoint)?.idle;
+            let idle = &mut self.upstream.endpoints.get_mut(endpoint.index())?.idle;
             let connections = &self.upstream.connections;
             let has_rested = |key: &usize| {
                 connections[*key]
@@ -167,7 +169,7 @@
         let process = self
             .upstream
             .endpoints
-            .get(endpoint)
+            .get(endpoint.index())
             .and_then(|endpoint| endpoint.process)
             .ok_or(AttemptOutcome::Unreachable)?;
         self.counters.connections_opened += 1;
@@ -220,7 +222,7 @@
 
     /// Closes all idle connections to an endpoint.
     pub fn close_idle_connections(&mut self, endpoint: EndpointId) {
-        let Some(connections) = self.upstream.endpoints.get_mut(endpoint) else {
+        let Some(connections) = self.upstream.endpoints.get_mut(endpoint.index()) else {
             return;
         };
         for key in std::mem::take(&mut connections.idle) {
@@ -267,7 +269,7 @@
     pub(super) fn keep_connection(&mut self, key: usize) {
         let connection = &mut self.upstream.connections[key];
         let endpoint = connection.endpoint;
-        if self.upstream.endpoints[endpoint].process != Some(connection.process) {
+        if self.upstream.endpoints[endpoint.index()].process != Some(connection.process) {
             self.close_connection(key);
             return;
         }
@@ -275,7 +277,7 @@
         let closes_at = self.clock.now() + self.upstream.idle_timeout_ms;
         let close = move |proxy: &mut Proxy| proxy.close_idle_connection(key);
         connection.timer = Some(self.timers.set(closes_at, close));
-        self.upstream.endpoints[endpoint].idle.push(key);
+        self.upstream.endpoints[endpoint.index()].idle.push(key);
     }
 }
 
--- a/proxy/src/upstream/timeouts.rs
+++ b/proxy/src/upstream/timeouts.rs
@@ -74,7 +74,7 @@
         } else {
             AttemptOutcome::Unreachable
         };
-        if self.upstream.endpoints[endpoint].last_heard_at < attempt.started_at {
+        if self.upstream.endpoints[endpoint.index()].last_heard_at < attempt.started_at {
             // A machine that is cut off says nothing, and each idle connection to it would swallow an attempt. A
             // new connection shows at once whether it is there.
             self.close_idle_connections(endpoint);
--- a/proxy/tests/control/access_metrics.rs
+++ b/proxy/tests/control/access_metrics.rs
@@ -1,5 +1,6 @@
 //! Access metrics: every admitted request is counted once.
 
+use crankmux::types::ClassId;
 use crankmux_proxy::metrics::access::{AccessMetrics, RequestOutcome};
 use quickcheck::{Gen, QuickCheck};
 
@@ -31,7 +32,7 @@
         for (action, choice) in steps {
             let choice = usize::from(choice);
             if action % 3 == 0 || open.is_empty() {
-                open.push(metrics.request_admitted(choice % REQUEST_CLASSES));
+                open.push(metrics.request_admitted(ClassId::new(choice % REQUEST_CLASSES)));
                 admitted += 1;
                 continue;
             }
@@ -69,10 +70,10 @@
         RequestOutcome::ClientDisconnected,
     ];
     for outcome in outcomes {
-        let receipt = metrics.request_admitted(1);
+        let receipt = metrics.request_admitted(ClassId::new(1));
         metrics.request_finished(receipt, outcome);
     }
-    let _open = [metrics.request_admitted(0), metrics.request_admitted(0)];
+    let _open = [0, 0].map(|class| metrics.request_admitted(ClassId::new(class)));
     metrics.attempts_forwarded = 9;
     metrics.reloads_applied = 4;
     metrics.reloads_rejected = 5;
--- a/proxy/tests/control/endpoint_list.rs
+++ b/proxy/tests/control/endpoint_list.rs
@@ -1,7 +1,7 @@
 //! Endpoint lists: which forms of the JSON are read, and which are errors.
 
 use crankmux::settings::NameIndex;
-use crankmux::types::EndpointState;
+use crankmux::types::{EndpointId, EndpointState};
 use crankmux_proxy::endpoint_list::{stable_hash, EndpointList, EndpointListError, ListedEndpoint};
 use serde_json::{json, Value};
 
@@ -32,7 +32,8 @@
     assert_eq!(first.update.state, EndpointState::Ready);
     assert_eq!(first.dial, Some(("127.0.0.1:80".parse().unwrap(), 5.0)));
     assert_eq!(second.dial, Some(("127.0.0.1:81".parse().unwrap(), 6.5)));
-    assert_eq!((first.update.endpoint, second.update.endpoint), (0, 1));
+    assert_eq!(first.update.endpoint, EndpointId::new(0));
+    assert_eq!(second.update.endpoint, EndpointId::new(1));
     assert_eq!(first.update.pod, second.update.pod);
     assert_ne!(first.update.zone, second.update.zone);
     assert_ne!(first.update.machine_class, second.update.machine_class);
--- a/proxy/tests/stored_state/learned_state.rs
+++ b/proxy/tests/stored_state/learned_state.rs
@@ -1,7 +1,7 @@
 //! What was learned is restored as it was captured, within what figures can be.
 
 use crankmux::settings::NameIndex;
-use crankmux::types::{EndpointStatistics, LearnedState};
+use crankmux::types::{EndpointId, EndpointStatistics, LearnedState};
 use crankmux_proxy::lifecycle::upgrade::{HandoverSnapshot, LearnedStateSnapshot};
 use serde_json::{json, Value};
 
@@ -24,7 +24,10 @@
         mean_latency_ms: 100.0,
         tail_multiple: 2.0,
         classes: vec![(100.0, 0.0); 2],
-        endpoints: vec![(0, statistics), (1, statistics)],
+        endpoints: vec![
+            (EndpointId::new(0), statistics),
+            (EndpointId::new(1), statistics),
+        ],
         ..LearnedState::default()
     }
 }
@@ -55,7 +58,10 @@
         tail_multiple: 3.0,
         warm_throughput: 0.01,
         classes: vec![(70.0, 40.0), (90.0, 7.0)],
-        endpoints: vec![(0, statistics), (1, unanswered)],
+        endpoints: vec![
+            (EndpointId::new(0), statistics),
+            (EndpointId::new(1), unanswered),
+        ],
     };
     let captured = LearnedStateSnapshot::capture(&name_index(), &old);
     let stored = serde_json::to_value(captured).expect("JSON");
--- a/simulator/src/environment/attempts.rs
+++ b/simulator/src/environment/attempts.rs
@@ -3,7 +3,7 @@
 use super::event_queue::{AttemptRef, EndpointRef, Event, RequestRef};
 use super::Environment;
 use crate::invariants::Answer;
-use crankmux::types::{AttemptOutcome, AttemptResult, LoadReport};
+use crankmux::types::{AttemptOutcome, AttemptResult, LoadReport, RequestId};
 
 /// One attempt of a request at an endpoint.
 pub(super) struct Attempt {
@@ -159,7 +159,7 @@
             .attempt_ended(self.now, &mut request.history, number, outcome);
         self.abort_attempt(request_index, number);
         let result = AttemptResult {
-            request: request_index,
+            request: RequestId::new(request_index),
             attempt: number,
             outcome,
             duration_ms,
@@ -211,7 +211,7 @@
             self.answer(index, Answer::Succeeded, 0.0);
         }
         let result = AttemptResult {
-            request: index,
+            request: RequestId::new(index),
             attempt: number,
             outcome,
             duration_ms: self.now - started_at,
--- a/simulator/src/environment/clients.rs
+++ b/simulator/src/environment/clients.rs
@@ -6,7 +6,7 @@
 use crate::invariants::RetrySafety;
 use crate::results::Outcome;
 use crate::script::{Backoff, Burst};
-use crankmux::types::NewRequest;
+use crankmux::types::{ClassId, NewRequest, RequestId};
 
 /// Between a client and its proxy, one way.
 pub(super) const CLIENT_DELAY_MS: f64 = 0.5;
@@ -195,8 +195,8 @@
             history,
         });
         let arrival = NewRequest {
-            request: index,
-            class: call.class,
+            request: RequestId::new(index),
+            class: ClassId::new(call.class),
             tenant: None,
             ttl_ms: class.ttl_ms,
             client_retry: call.requests_sent > 1,
--- a/simulator/src/environment/discovery.rs
+++ b/simulator/src/environment/discovery.rs
@@ -2,7 +2,7 @@
 
 use super::event_queue::Event;
 use super::Environment;
-use crankmux::types::{EndpointState, EndpointUpdate};
+use crankmux::types::{EndpointId, EndpointState, EndpointUpdate};
 
 /// What discovery knows of the endpoints.
 pub(super) struct EndpointList {
@@ -42,7 +42,7 @@
             0.0
         };
         EndpointUpdate {
-            endpoint: index,
+            endpoint: EndpointId::new(index),
             stable_hash: endpoint.stable_hash,
             state,
             zone: endpoint.zone,
@@ -140,10 +140,10 @@
     fn note_drains(&mut self, proxy: usize, changes: &[EndpointUpdate]) {
         let notified_at = &mut self.proxies[proxy].drain_notified_at;
         for change in changes {
-            if notified_at.len() <= change.endpoint {
-                notified_at.resize(change.endpoint + 1, None);
+            if notified_at.len() <= change.endpoint.index() {
+                notified_at.resize(change.endpoint.index() + 1, None);
             }
-            let noted = &mut notified_at[change.endpoint];
+            let noted = &mut notified_at[change.endpoint.index()];
             if change.state == EndpointState::Ready {
                 *noted = None;
             } else {
--- a/simulator/src/environment/proxies.rs
+++ b/simulator/src/environment/proxies.rs
@@ -8,6 +8,7 @@
 use crate::policies::{EndpointTruth, Policy};
 use crate::results::Outcome;
 use crate::script::{Idempotency, Script};
+use crankmux::types::EndpointId;
 
 /// The policy that sees the true state avoids a machine once this part of the wait that degrades it is expected:
 /// the work of requests differs, so the rest is left to chance.
@@ -106,7 +107,7 @@
     pub(super) fn with_policy<T>(
         &mut self,
         proxy: usize,
-        call: impl FnOnce(&mut Policy, f64, &dyn Fn(usize) -> EndpointTruth) -> T,
+        call: impl FnOnce(&mut Policy, f64, &dyn Fn(EndpointId) -> EndpointTruth) -> T,
     ) -> T {
         let state = TrueState {
             script: self.script,
@@ -116,7 +117,7 @@
             mean_work_ms: self.mean_work_ms,
             zone: self.proxies[proxy].zone,
         };
-        let truth = |endpoint: usize| state.of(endpoint);
+        let truth = |endpoint: EndpointId| state.of(endpoint.index());
         call(&mut self.proxies[proxy].policy, self.now, &truth)
     }
 
@@ -141,8 +142,8 @@
         }
         state.next_tick = f64::INFINITY;
         let decided = self.with_policy(proxy, |policy, now, _| policy.tick(now));
-        for (request_index, steps) in decided {
-            self.execute_steps(request_index, steps);
+        for (request, steps) in decided {
+            self.execute_steps(request.index(), steps);
         }
         self.serve_policy(proxy);
     }
--- a/simulator/src/environment/requests.rs
+++ b/simulator/src/environment/requests.rs
@@ -8,6 +8,7 @@
 use crate::results::Outcome;
 use crate::script::Idempotency;
 use crankmux::dispatcher::{FinalAnswer, NextSteps};
+use crankmux::types::RequestId;
 
 /// One request of a client, as its proxy and the endpoints have it.
 pub(super) struct Request {
@@ -64,7 +65,7 @@
             self.cancel_attempt(request_index, attempt);
         }
         for attempt in steps.attempts {
-            self.start_attempt(request_index, attempt.endpoint, attempt.timeout_ms);
+            self.start_attempt(request_index, attempt.endpoint.index(), attempt.timeout_ms);
         }
         match steps.final_answer {
             Some(FinalAnswer::Rejected { retry_after_ms }) => {
@@ -133,7 +134,9 @@
             self.checker.client_left(self.now, &mut request.history);
         }
         self.close_call(call, Outcome::Failed);
-        let steps = self.with_policy(proxy, |policy, now, _| policy.client_left(now, index));
+        let steps = self.with_policy(proxy, |policy, now, _| {
+            policy.client_left(now, RequestId::new(index))
+        });
         self.execute_steps(index, steps);
         self.serve_policy(proxy);
         self.forget_if_finished(index);
--- a/simulator/src/policies/baseline.rs
+++ b/simulator/src/policies/baseline.rs
@@ -4,7 +4,10 @@
 use crate::random::RandomStream;
 use crate::script::{DeduplicationScope, Idempotency, RequestClass, Script};
 use crankmux::dispatcher::{FinalAnswer, NewAttempt, NextSteps};
-use crankmux::types::{AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, NewRequest};
+use crankmux::types::{
+    AttemptOutcome, AttemptResult, ClassId, EndpointId, EndpointState, EndpointUpdate, NewRequest,
+    RequestId,
+};
 use std::collections::BTreeMap;
 
 /// The policy that loses requests loses every one of so many.
@@ -29,19 +32,19 @@
     /// Attempts in flight by endpoint.
     in_flight: Vec<u32>,
     round_robin_turn: usize,
-    requests: BTreeMap<usize, OpenRequest>,
+    requests: BTreeMap<RequestId, OpenRequest>,
     requests_received: u64,
 }
 
 struct OpenRequest {
-    class: usize,
+    class: ClassId,
     deadline: f64,
     attempts: Vec<SentAttempt>,
 }
 
 #[derive(Clone, Copy)]
 struct SentAttempt {
-    endpoint: usize,
+    endpoint: EndpointId,
     started_at: f64,
     may_have_executed: bool,
     in_flight: bool,
@@ -54,7 +57,7 @@
             .any(|attempt| attempt.may_have_executed)
     }
 
-    fn was_sent_to(&self, endpoint: usize) -> bool {
+    fn was_sent_to(&self, endpoint: EndpointId) -> bool {
         self.attempts
             .iter()
             .any(|attempt| attempt.endpoint == endpoint)
@@ -86,7 +89,7 @@
             }
         }
         for update in updates {
-            let index = update.endpoint;
+            let index = update.endpoint.index();
             if self.endpoints.len() <= index {
                 self.endpoints.resize(index + 1, EndpointUpdate::default());
                 self.in_flight.resize(index + 1, 0);
@@ -101,7 +104,7 @@
         &mut self,
         now: f64,
         arrival: &NewRequest,
-        truth: &dyn Fn(usize) -> EndpointTruth,
+        truth: &dyn Fn(EndpointId) -> EndpointTruth,
     ) -> NextSteps {
         self.requests_received += 1;
         let is_lost = self.requests_received.is_multiple_of(LOST_REQUEST_INTERVAL);
@@ -121,7 +124,7 @@
         &mut self,
         now: f64,
         result: &AttemptResult,
-        truth: &dyn Fn(usize) -> EndpointTruth,
+        truth: &dyn Fn(EndpointId) -> EndpointTruth,
     ) -> NextSteps {
         let Some(request) = self.requests.get_mut(&result.request) else {
             return NextSteps::default();
@@ -131,7 +134,7 @@
         };
         attempt.may_have_executed = !result.outcome.never_executed();
         attempt.in_flight = false;
-        let in_flight = &mut self.in_flight[attempt.endpoint];
+        let in_flight = &mut self.in_flight[attempt.endpoint.index()];
         *in_flight = in_flight.saturating_sub(1);
         let goes_on_regardless = self.kind == PolicyKind::IgnoresDepartures
             && result.outcome != AttemptOutcome::Succeeded;
@@ -141,7 +144,7 @@
         self.send_or_give_up(now, result.request, truth)
     }
 
-    pub(super) fn client_left(&mut self, request: usize) -> NextSteps {
+    pub(super) fn client_left(&mut self, request: RequestId) -> NextSteps {
         if self.kind == PolicyKind::IgnoresDepartures {
             return NextSteps::default();
         }
@@ -149,14 +152,14 @@
     }
 
     /// Forgets a request, and cancels what is in flight of it.
-    fn close(&mut self, request: usize) -> NextSteps {
+    fn close(&mut self, request: RequestId) -> NextSteps {
         let mut steps = NextSteps::default();
         let Some(request) = self.requests.remove(&request) else {
             return steps;
         };
         let attempts = request.attempts.iter().enumerate();
         for (number, attempt) in attempts.filter(|(_, attempt)| attempt.in_flight) {
-            let in_flight = &mut self.in_flight[attempt.endpoint];
+            let in_flight = &mut self.in_flight[attempt.endpoint.index()];
             *in_flight = in_flight.saturating_sub(1);
             if self.cancellation_allowed {
                 steps.cancel.push(number);
@@ -168,18 +171,18 @@
     fn send_or_give_up(
         &mut self,
         now: f64,
-        request_id: usize,
-        truth: &dyn Fn(usize) -> EndpointTruth,
+        request_id: RequestId,
+        truth: &dyn Fn(EndpointId) -> EndpointTruth,
     ) -> NextSteps {
         let request = &self.requests[&request_id];
         let remaining_ms = request.deadline - now;
-        let objective_ms = self.classes[request.class].latency_objective_ms;
+        let objective_ms = self.classes[request.class.index()].latency_objective_ms;
         let candidates = self.candidates(now, request);
         let latency_limit_ms = remaining_ms.min(objective_ms);
         let Some(endpoint) = self.choose(&candidates, latency_limit_ms, truth) else {
             return self.give_up(request_id);
         };
-        self.in_flight[endpoint] += 1;
+        self.in_flight[endpoint.index()] += 1;
         if let Some(request) = self.requests.get_mut(&request_id) {
             request.attempts.push(SentAttempt {
                 endpoint,
@@ -198,17 +201,17 @@
     }
 
     /// Endpoints that an attempt may go to: those without an earlier attempt of the request, where there are any.
-    fn candidates(&self, now: f64, request: &OpenRequest) -> Vec<usize> {
+    fn candidates(&self, now: f64, request: &OpenRequest) -> Vec<EndpointId> {
         if request.attempts.len() >= self.max_attempts || request.deadline - now <= 0.0 {
             return Vec::new();
         }
-        let allowed: Vec<usize> = self
+        let allowed: Vec<EndpointId> = self
             .endpoints
             .iter()
             .filter(|endpoint| self.may_send(now, request, endpoint))
             .map(|endpoint| endpoint.endpoint)
             .collect();
-        let untried: Vec<usize> = allowed
+        let untried: Vec<EndpointId> = allowed
             .iter()
             .copied()
             .filter(|endpoint| !request.was_sent_to(*endpoint))
@@ -228,7 +231,7 @@
         if self.kind == PolicyKind::RetriesUnsafely {
             return true;
         }
-        let class = &self.classes[request.class];
+        let class = &self.classes[request.class.index()];
         match class.idempotency {
             Idempotency::Idempotent => true,
             Idempotency::IdempotentWithKey => request
@@ -248,20 +251,20 @@
     fn share_deduplication(
         &self,
         class: &RequestClass,
-        earlier: usize,
+        earlier: EndpointId,
         endpoint: &EndpointUpdate,
     ) -> bool {
         match class.deduplication_scope {
             DeduplicationScope::Fleet => true,
-            DeduplicationScope::Zone => self.endpoints[earlier].zone == endpoint.zone,
-            DeduplicationScope::Pod => self.endpoints[earlier].pod == endpoint.pod,
+            DeduplicationScope::Zone => self.endpoints[earlier.index()].zone == endpoint.zone,
+            DeduplicationScope::Pod => self.endpoints[earlier.index()].pod == endpoint.pod,
         }
     }
 
     /// Rejects a request where its client may retry it without a second effect, and fails it otherwise.
-    fn give_up(&mut self, request_id: usize) -> NextSteps {
+    fn give_up(&mut self, request_id: RequestId) -> NextSteps {
         let request = &self.requests[&request_id];
-        let class = &self.classes[request.class];
+        let class = &self.classes[request.class.index()];
         let may_have_executed = request.may_have_executed();
         let safe_to_retry = match class.idempotency {
             Idempotency::Idempotent => true,
@@ -285,10 +288,10 @@
 
     fn choose(
         &mut self,
-        candidates: &[usize],
+        candidates: &[EndpointId],
         latency_limit_ms: f64,
-        truth: &dyn Fn(usize) -> EndpointTruth,
-    ) -> Option<usize> {
+        truth: &dyn Fn(EndpointId) -> EndpointTruth,
+    ) -> Option<EndpointId> {
         if candidates.is_empty() {
             return None;
         }
@@ -302,7 +305,8 @@
             PolicyKind::LeastOutstanding => self.least_outstanding(candidates),
             PolicyKind::TwoChoices => {
                 let other = self.random_of(candidates);
-                let other_is_better = self.in_flight[other] < self.in_flight[random];
+                let other_is_better =
+                    self.in_flight[other.index()] < self.in_flight[random.index()];
                 Some(if other_is_better { other } else { random })
             }
             PolicyKind::Omniscient => fastest(candidates, latency_limit_ms, truth),
@@ -311,23 +315,25 @@
         }
     }
 
-    fn random_of(&mut self, candidates: &[usize]) -> usize {
+    fn random_of(&mut self, candidates: &[EndpointId]) -> EndpointId {
         candidates[self.random.index_below(candidates.len())]
     }
 
-    fn least_outstanding(&mut self, candidates: &[usize]) -> Option<usize> {
-        let in_flight = candidates.iter().map(|endpoint| self.in_flight[*endpoint]);
+    fn least_outstanding(&mut self, candidates: &[EndpointId]) -> Option<EndpointId> {
+        let in_flight = candidates
+            .iter()
+            .map(|endpoint| self.in_flight[endpoint.index()]);
         let least = in_flight.min()?;
-        let tied: Vec<usize> = candidates
+        let tied: Vec<EndpointId> = candidates
             .iter()
             .copied()
-            .filter(|endpoint| self.in_flight[*endpoint] == least)
+            .filter(|endpoint| self.in_flight[endpoint.index()] == least)
             .collect();
         Some(self.random_of(&tied))
     }
 
-    fn newest(&self, candidates: &[usize]) -> Option<usize> {
-        let started_at = |endpoint: usize| self.endpoints[endpoint].started_at_ms;
+    fn newest(&self, candidates: &[EndpointId]) -> Option<EndpointId> {
+        let started_at = |endpoint: EndpointId| self.endpoints[endpoint.index()].started_at_ms;
         candidates.iter().copied().max_by(|one, other| {
             let by_start = started_at(*one).total_cmp(&started_at(*other));
             by_start.then(other.cmp(one))
@@ -338,10 +344,10 @@
 /// The endpoint with the lowest expected latency. None where that is over the limit: what cannot be answered in time
 /// is rejected, so that the rest can be.
 fn fastest(
-    candidates: &[usize],
+    candidates: &[EndpointId],
     latency_limit_ms: f64,
-    truth: &dyn Fn(usize) -> EndpointTruth,
-) -> Option<usize> {
+    truth: &dyn Fn(EndpointId) -> EndpointTruth,
+) -> Option<EndpointId> {
     let expected = candidates
         .iter()
         .filter_map(|endpoint| Some((truth(*endpoint).expected_latency_ms?, *endpoint)));
--- a/simulator/src/policies/mod.rs
+++ b/simulator/src/policies/mod.rs
@@ -7,7 +7,7 @@
 use baseline::BaselinePolicy;
 use crankmux::dispatcher::{Dispatcher, NextSteps};
 use crankmux::settings::{NameIndex, SettingsError};
-use crankmux::types::{AttemptResult, EndpointUpdate, NewRequest};
+use crankmux::types::{AttemptResult, EndpointId, EndpointUpdate, NewRequest, RequestId};
 use thiserror::Error;
 
 /// The kinds of policies.
@@ -127,7 +127,7 @@
         &mut self,
         now: f64,
         request: &NewRequest,
-        truth: &dyn Fn(usize) -> EndpointTruth,
+        truth: &dyn Fn(EndpointId) -> EndpointTruth,
     ) -> NextSteps {
         match self {
             Policy::Module(dispatcher) => dispatcher.request_arrived(now, request),
@@ -140,7 +140,7 @@
         &mut self,
         now: f64,
         result: &AttemptResult,
-        truth: &dyn Fn(usize) -> EndpointTruth,
+        truth: &dyn Fn(EndpointId) -> EndpointTruth,
     ) -> NextSteps {
         match self {
             Policy::Module(dispatcher) => dispatcher.attempt_ended(now, result),
@@ -149,7 +149,7 @@
     }
 
     /// The client of a request has left.
-    pub fn client_left(&mut self, now: f64, request: usize) -> NextSteps {
+    pub fn client_left(&mut self, now: f64, request: RequestId) -> NextSteps {
         match self {
             Policy::Module(dispatcher) => dispatcher.client_left(now, request),
             Policy::Baseline(baseline) => baseline.client_left(request),
@@ -173,7 +173,7 @@
     }
 
     /// The time that it wanted to be called at has come.
-    pub fn tick(&mut self, now: f64) -> Vec<(usize, NextSteps)> {
+    pub fn tick(&mut self, now: f64) -> Vec<(RequestId, NextSteps)> {
         match self {
             Policy::Module(dispatcher) => dispatcher.tick(now, now),
             Policy::Baseline(_) => Vec::new(),
--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -29,7 +29,7 @@
 
     fn new_request(&mut self, arrival: &NewRequest) -> Request {
         let priority = self.priority(arrival);
-        let terms = Arc::clone(&self.classes[arrival.class].settings);
+        let terms = Arc::clone(&self.classes[arrival.class.index()].settings);
         // Responses that slow clients read keep others from theirs. Where a late one is worth nothing and a
         // repeat is harmless, the request ends at its latency objective and its place is free.
         let may_end = terms.late_weight <= 0.0 && terms.idempotency == Idempotency::Idempotent;
@@ -52,8 +52,8 @@
     pub(super) fn priority(&mut self, arrival: &NewRequest) -> f64 {
         let weights = self.classes.iter().map(|class| class.settings.priority_weight);
         let highest = weights.fold(f64::MIN_POSITIVE, f64::max);
-        let priority = self.classes[arrival.class].settings.priority_weight / highest;
-        let tenant = arrival.tenant.and_then(|tenant| self.tenants.get_mut(tenant));
+        let priority = self.classes[arrival.class.index()].settings.priority_weight / highest;
+        let tenant = arrival.tenant.and_then(|tenant| self.tenants.get_mut(tenant.index()));
         let Some(tenant) = tenant else { return priority };
         let rate = self.process_share * tenant.quota_per_ms / self.proxy_count;
         let capacity = (tenant.quota_per_ms * SAVED_QUOTA_MS / self.proxy_count).max(MIN_SAVED_REQUESTS);
--- a/src/balancer/candidates.rs
+++ b/src/balancer/candidates.rs
@@ -43,7 +43,7 @@
         // stay in its scope may find all of it full: let in once, it goes over the limit.
         endpoint.is_usable()
             && may_run_on(&request.terms, endpoint)
-            && may_run_on(&self.classes[request.class].settings, endpoint)
+            && may_run_on(&self.classes[request.class.index()].settings, endpoint)
             && self.may_repeat_on(request, endpoint)
             && (must_stay_in_scope(request) || self.has_capacity(endpoint))
             && (self.now_ms >= endpoint.warm_at_ms || endpoint.slow_start_budget.has_token())
@@ -78,7 +78,7 @@
         let by_probes = self.settings.load_by_probes;
         let objective_ms = if by_probes { request.terms.latency_objective_ms } else { f64::MAX };
         let left_ms = (request.deadline_ms.min(request.worthless_at_ms) - self.now_ms).min(objective_ms);
-        let class_latency_ms = self.classes[request.class].mean_latency_ms;
+        let class_latency_ms = self.classes[request.class.index()].mean_latency_ms;
         let expected_ms = endpoint.expected_time_ms * class_latency_ms / self.mean_latency_ms;
         let looks = !by_probes && request.attempts.is_empty() && endpoint.in_flight.is_empty();
         left_ms > 0.0 && (expected_ms < left_ms || looks)
--- a/src/balancer/estimator.rs
+++ b/src/balancer/estimator.rs
@@ -110,7 +110,7 @@
         let step = TAIL_STEP * self.tail_multiple;
         follow_95th_percentile(&mut self.tail_multiple, above, step, TAIL_MULTIPLES);
         // Were the mean to follow a crowd, a crowded fleet would look ordinary: it stiffens with successes.
-        let class = &mut self.classes[class];
+        let class = &mut self.classes[class.index()];
         class.successes += 1.0;
         let weight = (1.0 / (class.successes + 10.0)).max(MIN_CLASS_WEIGHT);
         let latency_ms = evidence.duration_ms / before.max(0.2);
--- a/src/balancer/retries.rs
+++ b/src/balancer/retries.rs
@@ -42,7 +42,7 @@
         self.attempt_rate.record(self.now_ms, rate_over_ms);
         let request = self.requests.get_mut(&id).expect("the caller holds it");
         let endpoint = self.endpoints.get_mut(&endpoint_id).expect("it was drawn from those known");
-        let usual_latency_ms = self.classes[request.class].mean_latency_ms;
+        let usual_latency_ms = self.classes[request.class.index()].mean_latency_ms;
         // A heavy request costs what it is of an ordinary one; a light one still is a call.
         endpoint.slow_start_budget.take((usual_latency_ms / self.mean_latency_ms).max(1.0));
         let queued_ms = endpoint.expected_time_ms * usual_latency_ms / self.mean_latency_ms;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod balancer;
 pub mod dispatcher;
+mod ids;
 mod moving_average;
 mod ranking;
 pub mod settings;
--- a/src/settings/names.rs
+++ b/src/settings/names.rs
@@ -3,7 +3,7 @@
 use super::error::SettingsError;
 use super::typed::{ClassPlacement, PlacementSet, Settings};
 use super::wire::{Field, List, Named, Number, PlaceName, WireClass, WireSettings, WireTenant};
-use crate::types::{EndpointState, EndpointUpdate};
+use crate::types::{ClassId, EndpointId, EndpointState, EndpointUpdate, TenantId};
 use serde_json::Value;
 use slab::Slab;
 use std::collections::HashMap;
@@ -18,7 +18,7 @@
 
 impl NamedEntries {
     /// The index of one that the settings list now.
-    pub fn index(&self, name: &str) -> Option<usize> {
+    fn index(&self, name: &str) -> Option<usize> {
         self.names.iter().position(|known| known == name).filter(|index| self.listed[*index])
     }
 
@@ -95,6 +95,16 @@
         Settings::read(&wire, my_zone, placement)
     }
 
+    /// The request class of this name that the settings list now.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.classes.index(name).map(ClassId::new)
+    }
+
+    /// The tenant of this name that the settings list now.
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        self.tenants.index(name).map(TenantId::new)
+    }
+
     /// The weight of a class that is listed no more would make all others look small.
     fn clear_unlisted_weights(&self, wire: &mut WireSettings) {
         let List::Valid(classes) = &mut wire.classes else { return };
@@ -119,30 +129,30 @@
 
     /// Forgets all endpoints but those still in use, and the pods that held no other. Endpoints that are
     /// replaced under new numbers would otherwise fill the memory.
-    pub fn retain_endpoints(&mut self, in_use: impl Fn(usize) -> bool) {
-        self.endpoints.retain(in_use);
+    pub fn retain_endpoints(&mut self, in_use: impl Fn(EndpointId) -> bool) {
+        self.endpoints.retain(|index| in_use(EndpointId::new(index)));
         let (endpoints, pod_of_endpoint) = (&self.endpoints.numbers, &self.pod_of_endpoint);
         self.pods.retain(|pod| endpoints.iter().any(|(endpoint, _)| pod_of_endpoint[endpoint] == pod));
     }
 
     /// The number by which all proxies know an endpoint.
-    pub fn stable_hash(&self, endpoint: usize) -> u64 {
-        self.endpoints.numbers[endpoint]
+    pub fn stable_hash(&self, endpoint: EndpointId) -> u64 {
+        self.endpoints.numbers[endpoint.index()]
     }
 
     /// The index of an endpoint by that number, which it gets if it has none.
-    pub fn endpoint(&mut self, stable_hash: u64) -> usize {
+    pub fn endpoint(&mut self, stable_hash: u64) -> EndpointId {
         let endpoint = self.endpoints.index(stable_hash);
         let pod = self.pods.index(u64::MAX - stable_hash);
         if self.pod_of_endpoint.len() <= endpoint {
             self.pod_of_endpoint.resize(endpoint + 1, pod);
         }
-        endpoint
+        EndpointId::new(endpoint)
     }
 
     /// The index of an endpoint by that number, while it is known.
-    pub fn find_endpoint(&self, stable_hash: u64) -> Option<usize> {
-        self.endpoints.by_number.get(&stable_hash).copied()
+    pub fn find_endpoint(&self, stable_hash: u64) -> Option<EndpointId> {
+        self.endpoints.by_number.get(&stable_hash).copied().map(EndpointId::new)
     }
 
     /// One line of the endpoint list. Without a pod an endpoint shares one with no other.
@@ -161,7 +171,7 @@
         }
         self.pod_of_endpoint[endpoint] = pod;
         EndpointUpdate {
-            endpoint,
+            endpoint: EndpointId::new(endpoint),
             stable_hash,
             state,
             zone: self.zone(zone),
--- a/src/types.rs
+++ b/src/types.rs
@@ -2,17 +2,7 @@
 //!
 //! Times are milliseconds of the caller's clock, durations milliseconds.
 
-/// A small index that stands for a request while it is in flight.
-pub type RequestId = usize;
-
-/// A small index that stands for an endpoint, a server process, while it is known.
-pub type EndpointId = usize;
-
-/// The index of a request class in the settings.
-pub type ClassId = usize;
-
-/// The index of a tenant in the settings.
-pub type TenantId = usize;
+pub use crate::ids::{ClassId, EndpointId, RequestId, TenantId};
 
 /// The seeded random generator of the decisions.
 pub struct SeededRandom(pub oorandom::Rand64);
--- a/tests/module/dispatcher.rs
+++ b/tests/module/dispatcher.rs
@@ -2,11 +2,11 @@
 
 use crate::support::{default_settings, ready_endpoints, TTL_MS};
 use crankmux::dispatcher::{Dispatcher, FinalAnswer, NextSteps};
-use crankmux::types::{AttemptOutcome, AttemptResult, LoadReport, NewRequest};
+use crankmux::types::{AttemptOutcome, AttemptResult, ClassId, LoadReport, NewRequest, RequestId};
 
 fn result(attempt: usize, outcome: AttemptOutcome) -> AttemptResult {
     AttemptResult {
-        request: 3,
+        request: RequestId::new(3),
         attempt,
         outcome,
         duration_ms: 5.0,
@@ -26,8 +26,8 @@
     );
     assert!(dispatcher.take_list_request() && !dispatcher.take_list_request());
     let arrival = NewRequest {
-        request: 3,
-        class: 2,
+        request: RequestId::new(3),
+        class: ClassId::new(2),
         tenant: None,
         ttl_ms: TTL_MS,
         client_retry: false,
--- a/tests/module/endpoint_list.rs
+++ b/tests/module/endpoint_list.rs
@@ -6,7 +6,10 @@
 };
 use crankmux::dispatcher::{Dispatcher, FinalAnswer};
 use crankmux::settings::{NameIndex, Settings};
-use crankmux::types::{AttemptOutcome, AttemptResult, EndpointState, LoadReport, NewRequest};
+use crankmux::types::{
+    AttemptOutcome, AttemptResult, ClassId, EndpointId, EndpointState, LoadReport, NewRequest,
+    RequestId,
+};
 use serde_json::json;
 
 #[test]
@@ -163,7 +166,7 @@
 
 impl ReplacedEndpoints {
     /// Lists a new endpoint in place of the last; returns its index and that of its pod.
-    fn replace(&mut self, round: u64) -> (usize, usize) {
+    fn replace(&mut self, round: u64) -> (EndpointId, usize) {
         let mut update =
             |number, state| (self.names).endpoint_update(number, state, ("a", ""), None, 0.0);
         let new = update(round, EndpointState::Ready);
@@ -186,8 +189,8 @@
     };
     let (first, _) = replaced.replace(0);
     let arrival = NewRequest {
-        request: 3,
-        class: 2,
+        request: RequestId::new(3),
+        class: ClassId::new(2),
         tenant: None,
         ttl_ms: 1000.0 * TTL_MS,
         client_retry: false,
@@ -198,14 +201,14 @@
     for round in 1..500 {
         let (endpoint, pod) = replaced.replace(round);
         assert!(
-            endpoint < 70 && pod < 70,
+            endpoint.index() < 70 && pod < 70,
             "a minute's worth: {endpoint}, {pod}"
         );
         assert_ne!(endpoint, first, "its attempt is still in flight");
     }
     // The late report finds the endpoint that it is about; once it is in, the index is free.
     let result = AttemptResult {
-        request: 3,
+        request: RequestId::new(3),
         attempt: 0,
         outcome: AttemptOutcome::Failed,
         duration_ms: 9.0,
--- a/tests/module/invariants.rs
+++ b/tests/module/invariants.rs
@@ -5,7 +5,7 @@
     MAX_ATTEMPTS, TTL_MS,
 };
 use crankmux::settings::Settings;
-use crankmux::types::{AttemptOutcome, EndpointState, LoadReport};
+use crankmux::types::{AttemptOutcome, EndpointId, EndpointState, LoadReport, RequestId};
 
 const OUTCOMES: [AttemptOutcome; 8] = [
     AttemptOutcome::Succeeded,
@@ -86,8 +86,7 @@
         }
         18 => {
             if let Some((request, attempt)) = some_attempt(harness, first) {
-                let balancer = &mut harness.balancer;
-                balancer.streaming(now_ms, request, attempt, second % 2 == 0);
+                harness.streaming(request, attempt, second % 2 == 0);
             }
         }
         _ => apply_unknown_ids(harness),
@@ -101,13 +100,19 @@
 
 /// Ids no longer held, results after the end, timers never set: all harmless.
 fn apply_unknown_ids(harness: &mut Harness) {
-    const UNKNOWN: usize = usize::MAX;
+    const UNKNOWN_REQUEST: RequestId = RequestId::new(usize::MAX);
+    const UNKNOWN_ENDPOINT: EndpointId = EndpointId::new(usize::MAX);
     let (balancer, checker) = (&mut harness.balancer, &mut harness.checker);
     let now_ms = checker.now_ms;
     balancer.timer_expired(checker, now_ms, u64::MAX);
-    balancer.client_left(checker, now_ms, UNKNOWN);
-    balancer.streaming(now_ms, UNKNOWN, 0, true);
-    balancer.probe_ended(checker, now_ms, UNKNOWN, Some(LoadReport::default()));
+    balancer.client_left(checker, now_ms, UNKNOWN_REQUEST);
+    balancer.streaming(now_ms, UNKNOWN_REQUEST, 0, true);
+    balancer.probe_ended(
+        checker,
+        now_ms,
+        UNKNOWN_ENDPOINT,
+        Some(LoadReport::default()),
+    );
 }
 
 /// Whoever sends an attempt ends it at the deadline of its request.
--- a/tests/module/load_reports.rs
+++ b/tests/module/load_reports.rs
@@ -115,8 +115,7 @@
     let mut harness = Harness::with_settings(few_buffers(0.0), 2);
     let request = harness.send(0);
     harness.advance(100.0);
-    let now_ms = harness.checker.now_ms;
-    harness.balancer.streaming(now_ms, request, 0, false);
+    harness.streaming(request, 0, false);
     harness.advance(500.0);
     assert!(
         harness.checker.requests[request].answers.is_empty(),
--- a/tests/module/many_proxies.rs
+++ b/tests/module/many_proxies.rs
@@ -107,7 +107,9 @@
         }
         let started_at_ms = harness.checker.now_ms;
         // What discovery tells them in the same moment.
-        let restarted = old_list.iter().filter(|update| is_new(update.endpoint));
+        let restarted = old_list
+            .iter()
+            .filter(|update| is_new(update.endpoint.index()));
         let changes: Vec<EndpointUpdate> = restarted
             .map(|update| EndpointUpdate {
                 started_at_ms,
--- a/tests/module/probing.rs
+++ b/tests/module/probing.rs
@@ -3,7 +3,7 @@
 use crate::support::{endpoint_update, probing_settings, Harness, SUCCESS, TTL_MS};
 use crankmux::dispatcher::Dispatcher;
 use crankmux::settings::Settings;
-use crankmux::types::{EndpointState, LoadReport, NewRequest};
+use crankmux::types::{ClassId, EndpointId, EndpointState, LoadReport, NewRequest, RequestId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Requests one after the other, each ended after an interval once its probes are answered. Returns how many
@@ -224,8 +224,8 @@
     let listed = [endpoint_update(0, EndpointState::Ready, 0.0)];
     dispatcher.update_endpoints(50_000.0, &listed, true, false);
     let arrival = NewRequest {
-        request: 3,
-        class: 1,
+        request: RequestId::new(3),
+        class: ClassId::new(1),
         tenant: None,
         ttl_ms: TTL_MS,
         client_retry: false,
@@ -233,12 +233,12 @@
     };
     let steps = dispatcher.request_arrived(50_000.0, &arrival);
     assert!(steps.attempts.is_empty(), "it asks first");
-    assert_eq!(dispatcher.take_probes(), [0]);
+    assert_eq!(dispatcher.take_probes(), [EndpointId::new(0)]);
     let idle = LoadReport {
         in_flight: Some(0.0),
         ..LoadReport::default()
     };
-    dispatcher.probe_ended(50_010.0, 0, Some(idle));
+    dispatcher.probe_ended(50_010.0, EndpointId::new(0), Some(idle));
     let next = dispatcher.tick(50_010.0, 50_010.0);
     assert_eq!(
         next[0].1.attempts[0].timeout_ms,
--- a/tests/module/retries.rs
+++ b/tests/module/retries.rs
@@ -5,7 +5,7 @@
     TTL_MS,
 };
 use crankmux::settings::Settings;
-use crankmux::types::{AttemptOutcome, Idempotency, NewRequest};
+use crankmux::types::{AttemptOutcome, ClassId, Idempotency, NewRequest, RequestId};
 use std::collections::BTreeSet;
 
 #[test]
@@ -140,8 +140,7 @@
         let attempts = harness.checker.requests[request].attempts.len();
         sent += attempts;
         if attempts > 0 && streaming {
-            let now_ms = harness.checker.now_ms;
-            harness.balancer.streaming(now_ms, request, 0, false);
+            harness.streaming(request, 0, false);
         }
     }
     sent
@@ -162,9 +161,8 @@
     let requests: Vec<usize> = (0..30).map(|_| harness.send(0)).collect();
     for request in &requests {
         if !harness.checker.requests[*request].attempts.is_empty() {
-            let now_ms = harness.checker.now_ms;
-            harness.balancer.streaming(now_ms, *request, 0, false);
-            harness.balancer.streaming(now_ms, *request, 0, true);
+            harness.streaming(*request, 0, false);
+            harness.streaming(*request, 0, true);
         }
     }
     let more = harness.send(0);
@@ -191,8 +189,8 @@
     };
     harness.checker.requests.push(request);
     let arrival = NewRequest {
-        request: 0,
-        class: 0,
+        request: RequestId::new(0),
+        class: ClassId::new(0),
         tenant: None,
         ttl_ms: 0.0,
         client_retry: false,
--- a/tests/module/settings.rs
+++ b/tests/module/settings.rs
@@ -1,7 +1,7 @@
 //! The operators' settings: what is refused, in which words, and what absent and odd values mean.
 
 use crankmux::settings::{validate, NameIndex, Settings};
-use crankmux::types::{DeduplicationScope, Idempotency};
+use crankmux::types::{ClassId, DeduplicationScope, Idempotency};
 use serde_json::{json, Value};
 
 fn class(name: &str, idempotency: &str) -> Value {
@@ -185,8 +185,8 @@
     );
     let settings = names.update(&fewer).expect("valid");
     assert_eq!(names.classes.names, ["view", "order", "pay", "new"]);
-    assert_eq!(names.classes.index("view"), None);
-    assert_eq!(names.classes.index("pay"), Some(2));
+    assert_eq!(names.class("view"), None);
+    assert_eq!(names.class("pay"), Some(ClassId::new(2)));
     let weights: Vec<f64> = settings
         .classes
         .iter()
--- a/tests/module/slow_start_budget.rs
+++ b/tests/module/slow_start_budget.rs
@@ -5,8 +5,8 @@
 use crankmux::balancer::Balancer;
 use crankmux::settings::Settings;
 use crankmux::types::{
-    Actions, AttemptOutcome, AttemptResult, EndpointState, EndpointStatistics, LearnedState,
-    LoadReport, NewRequest,
+    Actions, AttemptOutcome, AttemptResult, ClassId, EndpointId, EndpointState, EndpointStatistics,
+    LearnedState, LoadReport, NewRequest, RequestId,
 };
 use oorandom::Rand64;
 use std::thread;
@@ -27,16 +27,16 @@
 
 /// The request that an attempt was started for.
 #[derive(Default)]
-struct StartedAttempt(Option<usize>);
+struct StartedAttempt(Option<RequestId>);
 
 impl Actions for StartedAttempt {
-    fn start_attempt(&mut self, request: usize, _: usize, _: f64) {
+    fn start_attempt(&mut self, request: RequestId, _: EndpointId, _: f64) {
         self.0 = Some(request);
     }
-    fn probe(&mut self, _: usize) {}
-    fn cancel(&mut self, _: usize, _: usize) {}
-    fn reject(&mut self, _: usize, _: f64) {}
-    fn fail(&mut self, _: usize) {}
+    fn probe(&mut self, _: EndpointId) {}
+    fn cancel(&mut self, _: RequestId, _: usize) {}
+    fn reject(&mut self, _: RequestId, _: f64) {}
+    fn fail(&mut self, _: RequestId) {}
     fn set_timer(&mut self, _: f64, _: u64) {}
     fn watch_endpoints(&mut self) {}
     fn poll_endpoints(&mut self) {}
@@ -134,7 +134,7 @@
             tail_multiple: 2.0,
             warm_throughput: rate,
             classes: LATENCIES_MS.map(|latency_ms| (latency_ms, 1e6)).to_vec(),
-            endpoints: vec![(0, statistics)],
+            endpoints: vec![(EndpointId::new(0), statistics)],
         });
         let restarted = [endpoint_update(0, EndpointState::Ready, START_MS)];
         balancer.update_endpoints(out, START_MS, &restarted, false, false);
@@ -155,7 +155,7 @@
         let mut attempts_ms = Vec::new();
         for (request, at_ms) in arrivals_ms.into_iter().enumerate() {
             self.befall(at_ms);
-            if self.request_arrives(request, at_ms) {
+            if self.request_arrives(RequestId::new(request), at_ms) {
                 attempts_ms.push(at_ms);
             }
         }
@@ -184,7 +184,7 @@
 
     /// Whether a request that comes in is sent. It is answered in its usual time; in this model nothing is ever in
     /// flight.
-    fn request_arrives(&mut self, request: usize, at_ms: f64) -> bool {
+    fn request_arrives(&mut self, request: RequestId, at_ms: f64) -> bool {
         let class = if self.scenario.light {
             0
         } else {
@@ -192,7 +192,7 @@
         };
         let arrival = NewRequest {
             request,
-            class,
+            class: ClassId::new(class),
             tenant: None,
             ttl_ms: 1000.0,
             client_retry: false,
--- a/tests/module/support/harness.rs
+++ b/tests/module/support/harness.rs
@@ -6,7 +6,8 @@
 use crankmux::balancer::Balancer;
 use crankmux::settings::Settings;
 use crankmux::types::{
-    AttemptOutcome, AttemptResult, EndpointState, EndpointUpdate, LoadReport, NewRequest,
+    AttemptOutcome, AttemptResult, ClassId, EndpointId, EndpointState, EndpointUpdate, LoadReport,
+    NewRequest, RequestId, TenantId,
 };
 use std::collections::BTreeMap;
 
@@ -53,7 +54,9 @@
             }
         }
         for update in updates {
-            self.checker.endpoints.insert(update.endpoint, *update);
+            self.checker
+                .endpoints
+                .insert(update.endpoint.index(), *update);
         }
         let now_ms = self.checker.now_ms;
         self.balancer
@@ -74,12 +77,13 @@
     pub(crate) fn disable(&mut self, endpoint: usize) {
         self.checker.disabled.insert(endpoint);
         self.balancer
-            .disable_endpoint(self.checker.now_ms, endpoint);
+            .disable_endpoint(self.checker.now_ms, EndpointId::new(endpoint));
     }
 
     pub(crate) fn enable(&mut self, endpoint: usize) {
         self.checker.disabled.remove(&endpoint);
-        self.balancer.enable_endpoint(self.checker.now_ms, endpoint);
+        self.balancer
+            .enable_endpoint(self.checker.now_ms, EndpointId::new(endpoint));
     }
 
     /// New settings, in which the idempotency of the classes has moved on by so many.
@@ -155,9 +159,9 @@
             ..TrackedRequest::default()
         });
         let arrival = NewRequest {
-            request,
-            class,
-            tenant,
+            request: RequestId::new(request),
+            class: ClassId::new(class),
+            tenant: tenant.map(TenantId::new),
             ttl_ms: TTL_MS,
             client_retry,
             key,
@@ -188,7 +192,7 @@
             tracked.answers.push(Answer::Succeeded);
         }
         let result = AttemptResult {
-            request,
+            request: RequestId::new(request),
             attempt,
             outcome,
             duration_ms,
@@ -199,6 +203,13 @@
             .attempt_ended(&mut self.checker, now_ms, &result);
     }
 
+    /// A long body is streamed to or from the endpoint of an attempt.
+    pub(crate) fn streaming(&mut self, request: usize, attempt: usize, endpoint_works: bool) {
+        let now_ms = self.checker.now_ms;
+        self.balancer
+            .streaming(now_ms, RequestId::new(request), attempt, endpoint_works);
+    }
+
     /// Answers all probes that are out: what each endpoint holds, or nothing.
     pub(crate) fn answer_probes(&mut self, held: impl Fn(usize) -> Option<f64>) -> Vec<usize> {
         let probes = std::mem::take(&mut self.checker.probes);
@@ -209,7 +220,7 @@
             });
             let now_ms = self.checker.now_ms;
             self.balancer
-                .probe_ended(&mut self.checker, now_ms, *endpoint, load);
+                .probe_ended(&mut self.checker, now_ms, EndpointId::new(*endpoint), load);
         }
         probes
     }
--- a/tests/module/support/mod.rs
+++ b/tests/module/support/mod.rs
@@ -11,7 +11,7 @@
     wire_settings_without, MAX_ATTEMPTS,
 };
 
-use crankmux::types::{AttemptOutcome, EndpointState, EndpointUpdate};
+use crankmux::types::{AttemptOutcome, EndpointId, EndpointState, EndpointUpdate};
 use quickcheck::{Gen, QuickCheck};
 
 pub(crate) const SUCCESS: Option<AttemptOutcome> = Some(AttemptOutcome::Succeeded);
@@ -25,7 +25,7 @@
     started_at_ms: f64,
 ) -> EndpointUpdate {
     EndpointUpdate {
-        endpoint,
+        endpoint: EndpointId::new(endpoint),
         stable_hash: endpoint as u64,
         state,
         zone: endpoint % 2,
--- a/tests/module/support/rule_checker.rs
+++ b/tests/module/support/rule_checker.rs
@@ -2,7 +2,7 @@
 
 use super::settings::{DEDUPLICATION_WINDOW_MS, MAX_RETRY_AFTER_MS};
 use crankmux::settings::{PlacementSet, Settings};
-use crankmux::types::{Actions, EndpointState, EndpointUpdate, Idempotency};
+use crankmux::types::{Actions, EndpointId, EndpointState, EndpointUpdate, Idempotency, RequestId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The final answer to a request.
@@ -126,7 +126,7 @@
             "an attempt to an endpoint that drains or is gone"
         );
         assert!(
-            !self.disabled.contains(&endpoint.endpoint),
+            !self.disabled.contains(&endpoint.endpoint.index()),
             "an attempt to a disabled endpoint"
         );
     }
@@ -164,7 +164,8 @@
 }
 
 impl Actions for RuleChecker {
-    fn start_attempt(&mut self, id: usize, endpoint: usize, timeout_ms: f64) {
+    fn start_attempt(&mut self, request: RequestId, endpoint: EndpointId, timeout_ms: f64) {
+        let (id, endpoint) = (request.index(), endpoint.index());
         let (request, update) = (&self.requests[id], &self.endpoints[&endpoint]);
         self.check_placement(request, update);
         assert!(
@@ -181,7 +182,8 @@
         });
     }
 
-    fn probe(&mut self, endpoint: usize) {
+    fn probe(&mut self, endpoint: EndpointId) {
+        let endpoint = endpoint.index();
         assert!(
             self.endpoints.contains_key(&endpoint),
             "a probe of an endpoint never listed"
@@ -193,14 +195,15 @@
         self.probes.push(endpoint);
     }
 
-    fn cancel(&mut self, request: usize, attempt: usize) {
+    fn cancel(&mut self, request: RequestId, attempt: usize) {
         assert!(
-            attempt < self.requests[request].attempts.len(),
+            attempt < self.requests[request.index()].attempts.len(),
             "a cancel of an attempt never made"
         );
     }
 
-    fn reject(&mut self, id: usize, retry_after_ms: f64) {
+    fn reject(&mut self, request: RequestId, retry_after_ms: f64) {
+        let id = request.index();
         let request = &self.requests[id];
         let may_have_run = request.attempts.iter().any(|attempt| attempt.may_have_run);
         let harmless = request.idempotency == Idempotency::Idempotent || !may_have_run;
@@ -209,8 +212,8 @@
         self.answer(id, Answer::Rejected);
     }
 
-    fn fail(&mut self, request: usize) {
-        self.answer(request, Answer::Failed);
+    fn fail(&mut self, request: RequestId) {
+        self.answer(request.index(), Answer::Failed);
     }
 
     fn set_timer(&mut self, at_ms: f64, timer: u64) {
