--- a/scenarios/src/cluster/mod.rs
+++ b/scenarios/src/cluster/mod.rs
@@ -1,13 +1,12 @@
 //! `cluster`: runs a script over several proxy processes, with faults between them.
 
-mod scripts;
+pub mod scripts;
 mod summary;
 
 use crate::cli::Verdict;
 use crate::error::CommandError;
 use crankmux_fault_injection::{run as run_script, Report, RunError, RunScript, Start};
 use crankmux_simulator::script::{Script, ScriptError};
-pub use scripts::ReadError;
 use std::path::{Path, PathBuf};
 
 const FAILURE: u8 = 1;
@@ -48,7 +47,7 @@
 pub enum ClusterError {
     /// The script cannot be read.
     #[error(transparent)]
-    Script(#[from] ReadError),
+    Script(#[from] scripts::ReadError),
     /// An environment that ships is invalid.
     #[error(transparent)]
     ShippedEnvironment(ScriptError),
--- a/scenarios/src/cluster/scripts.rs
+++ b/scenarios/src/cluster/scripts.rs
@@ -11,7 +11,7 @@
 }
 
 /// Name and text of each script that ships; the first is run where none is named.
-pub(crate) const SHIPPED: &[(&str, &str)] =
+pub const SHIPPED: &[(&str, &str)] =
     ship!["kills", "lossy", "gone", "doubled", "storm", "five", "leavers"];
 
 const ENVIRONMENTS: [(&str, &str); 2] = [
@@ -47,7 +47,11 @@
 }
 
 /// Reads the script of this name, or from this file; the first that ships where none is named.
-pub(crate) fn read(named: Option<&Path>) -> Result<RunScript, ReadError> {
+///
+/// # Errors
+///
+/// The file cannot be read, or the script is invalid.
+pub fn read(named: Option<&Path>) -> Result<RunScript, ReadError> {
     let name = named.map_or(SHIPPED[0].0.into(), Path::to_string_lossy);
     let text = match text_of(SHIPPED, &name) {
         Some(text) => text.to_string(),
@@ -63,7 +67,7 @@
 }
 
 /// The text of the environment of this name, if it ships.
-pub(crate) fn shipped_environment(name: &str) -> Option<&'static str> {
+pub fn shipped_environment(name: &str) -> Option<&'static str> {
     text_of(&ENVIRONMENTS, name)
 }
 
--- a/scenarios/tests/cluster.rs
+++ b/scenarios/tests/cluster.rs
@@ -1,10 +1,7 @@
 //! The scripts of clusters that ship, and the sub-command that runs them.
 
-#[path = "../src/cluster/scripts.rs"]
-mod scripts;
-
+use crankmux_scenarios::cluster::scripts::{self, SHIPPED};
 use crankmux_simulator::script::Script;
-use scripts::SHIPPED;
 use std::path::Path;
 use std::process::{Command, Output};
 
