Keys of clients' and endpoints' connections are types of their own

Cause: both tables of connections named their entries by a usize, so that the compiler took the key of a client's connection for that of a connection to an endpoint, as they stand side by side in the requests, the streams and the tokens.

Change: slot_table has DownstreamKey and UpstreamKey, and SlotTable<K, T> hands out and takes only keys of its own kind, by the trait SlotKey. Tokens and event sources carry them too. No log line or answer prints a key.

--- a/proxy/src/downstream/close.rs
+++ b/proxy/src/downstream/close.rs
@@ -5,7 +5,7 @@
 use crate::buffers::MAX_BODY_BYTES;
 use crate::metrics::access::RequestOutcome;
 use crate::proxy::Proxy;
-use crate::slot_table::SlotKey;
+use crate::slot_table::DownstreamKey;
 use crankmux::types::{AttemptOutcome, LoadReport};
 use socket2::SockRef;
 use std::io::{self, Read};
@@ -22,7 +22,7 @@
     }
 
     /// Closes a connection: the one place where it and its buffers are given back.
-    pub fn drop_downstream(&mut self, key: SlotKey) {
+    pub fn drop_downstream(&mut self, key: DownstreamKey) {
         let Some(mut client) = self.downstream.table.remove(key) else {
             return;
         };
@@ -70,7 +70,7 @@
     }
 
     /// Discards what a lingering client sends; whether there may be more at once.
-    pub(super) fn discard_input(&mut self, key: SlotKey) -> bool {
+    pub(super) fn discard_input(&mut self, key: DownstreamKey) -> bool {
         let Some(client) = self.downstream.table.get_mut(key) else {
             return false;
         };
@@ -97,7 +97,7 @@
 
     /// A client has lingered for a while: one whose body still comes may go on, or it would not read its
     /// response.
-    pub(super) fn linger_timeout(&mut self, key: SlotKey) {
+    pub(super) fn linger_timeout(&mut self, key: DownstreamKey) {
         let now_ms = self.clock.now();
         let Some(client) = self.downstream.table.get_mut(key) else {
             return;
--- a/proxy/src/downstream/connection.rs
+++ b/proxy/src/downstream/connection.rs
@@ -5,7 +5,7 @@
 use crate::buffers::{Buffer, MAX_BODY_BYTES};
 use crate::http::Message;
 use crate::metrics::access::{RequestOutcome, RequestReceipt};
-use crate::slot_table::SlotKey;
+use crate::slot_table::UpstreamKey;
 use crate::timers::TimerKey;
 use crankmux::types::RequestId;
 use mio::net::TcpStream;
@@ -43,7 +43,7 @@
 /// The upstream connection from which a response is streamed.
 #[derive(Clone, Copy)]
 pub(super) struct ResponseSource {
-    pub(super) upstream: SlotKey,
+    pub(super) upstream: UpstreamKey,
     /// Only the end of the client's connection tells where the response ends.
     pub(super) ends_at_close: bool,
 }
@@ -118,7 +118,7 @@
     pub(super) message: Message,
     pub(super) kind: RequestKind,
     /// The upstream connection to which its body is streamed.
-    pub(super) upstream: Option<SlotKey>,
+    pub(super) upstream: Option<UpstreamKey>,
     /// The first piece of its body has left the buffer: it cannot be sent to another endpoint any more.
     pub(super) released: bool,
     /// Since when its body comes at the client's pace, and how many bytes have come since.
--- a/proxy/src/downstream/connections.rs
+++ b/proxy/src/downstream/connections.rs
@@ -5,7 +5,7 @@
 use crate::buffers::Buffer;
 use crate::http::Message;
 use crate::metrics::access::RequestOutcome;
-use crate::slot_table::{SlotKey, SlotTable};
+use crate::slot_table::{DownstreamKey, SlotTable, UpstreamKey};
 use crate::streaming::Upload;
 use crate::timers::TimerKey;
 use mio::net::TcpListener;
@@ -15,15 +15,15 @@
     pub(super) listener: Option<TcpListener>,
     /// Whether the event loop watches the listener.
     pub(super) listening: bool,
-    pub(super) table: SlotTable<DownstreamConnection>,
+    pub(super) table: SlotTable<DownstreamKey, DownstreamConnection>,
     pub(super) capacity: usize,
     /// Connections wait to be accepted.
     pub(super) accept_pending: bool,
     pub(super) accept_retry: Option<TimerKey>,
     /// Connections that were answered and may have more to say.
-    pub(super) ready: Vec<SlotKey>,
+    pub(super) ready: Vec<DownstreamKey>,
     /// Connections whose client has just closed its side.
-    closed_by_peer: Vec<SlotKey>,
+    closed_by_peer: Vec<DownstreamKey>,
 }
 
 impl DownstreamConnections {
@@ -83,21 +83,21 @@
     }
 
     /// A client's request: the bytes that are held of it, and its message.
-    pub fn request(&self, key: SlotKey) -> Option<(&[u8], &Message)> {
+    pub fn request(&self, key: DownstreamKey) -> Option<(&[u8], &Message)> {
         let client = self.table.get(key)?;
         let bytes = client.read_buffer.as_ref()?.filled();
         Some((bytes, &client.request.as_ref()?.message))
     }
 
     /// How a client's request is counted once its response is out.
-    pub fn set_outcome(&mut self, key: SlotKey, outcome: RequestOutcome) {
+    pub fn set_outcome(&mut self, key: DownstreamKey, outcome: RequestOutcome) {
         if let Some(client) = self.table.get_mut(key) {
             client.outcome = Some(outcome);
         }
     }
 
     /// Whether a client's request showed that it knows chunked bodies.
-    pub fn accepts_chunked(&self, key: SlotKey) -> bool {
+    pub fn accepts_chunked(&self, key: DownstreamKey) -> bool {
         self.table
             .get(key)
             .and_then(|client| client.request.as_ref())
@@ -105,7 +105,7 @@
     }
 
     /// A client's request body is streamed to an upstream connection from now on.
-    pub fn stream_request_to(&mut self, key: SlotKey, upstream: SlotKey) {
+    pub fn stream_request_to(&mut self, key: DownstreamKey, upstream: UpstreamKey) {
         let client = self.table.get_mut(key);
         if let Some(request) = client.and_then(|client| client.request.as_mut()) {
             request.upstream = Some(upstream);
@@ -113,7 +113,7 @@
     }
 
     /// The request that a client is sending, for whoever streams its body.
-    pub fn upload(&mut self, key: SlotKey) -> Option<Upload<'_>> {
+    pub fn upload(&mut self, key: DownstreamKey) -> Option<Upload<'_>> {
         let client = self.table.get_mut(key)?;
         let inbox = client.read_buffer.as_mut()?;
         let request = client.request.as_mut()?;
@@ -128,7 +128,7 @@
     }
 
     /// Whether all of a client's request has come, read or not, where the request tells its length.
-    pub fn whole_request_received(&self, key: SlotKey) -> bool {
+    pub fn whole_request_received(&self, key: DownstreamKey) -> bool {
         let Some(client) = self.table.get(key) else {
             return false;
         };
@@ -147,7 +147,7 @@
 
     /// The buffer that a client's response is written from, empty, if the client has taken all that stood in
     /// it.
-    pub fn drained_response_buffer(&mut self, key: SlotKey) -> Option<&mut Buffer> {
+    pub fn drained_response_buffer(&mut self, key: DownstreamKey) -> Option<&mut Buffer> {
         let client = self.table.get_mut(key)?;
         let writer = client.writer_mut().filter(|writer| writer.is_drained())?;
         writer.buffer.remove(0..writer.written);
@@ -156,7 +156,7 @@
     }
 
     /// Whether a client has taken all that stood to be written.
-    pub fn has_drained_response(&self, key: SlotKey) -> bool {
+    pub fn has_drained_response(&self, key: DownstreamKey) -> bool {
         self.table
             .get(key)
             .and_then(DownstreamConnection::writer)
@@ -164,21 +164,21 @@
     }
 
     /// A client has been given more of its response: its time to take it starts now, not as its endpoint paused.
-    pub fn restart_response_timeout(&mut self, key: SlotKey, now_ms: f64) {
+    pub fn restart_response_timeout(&mut self, key: DownstreamKey, now_ms: f64) {
         if let Some(client) = self.table.get_mut(key) {
             client.last_progress_ms = now_ms;
         }
     }
 
     /// Nothing more of a client's response comes from upstream.
-    pub fn end_response_source(&mut self, key: SlotKey) {
+    pub fn end_response_source(&mut self, key: DownstreamKey) {
         if let Some(client) = self.table.get_mut(key) {
             client.end_response_source();
         }
     }
 
     /// A client has closed its side or reset the connection; what it sent before that may still be unread.
-    pub fn mark_closed(&mut self, key: SlotKey) {
+    pub fn mark_closed(&mut self, key: DownstreamKey) {
         if let Some(client) = self.table.get_mut(key) {
             client.peer_closed = true;
             self.closed_by_peer.push(key);
@@ -186,12 +186,12 @@
     }
 
     /// The connections that were marked as closed since the last call.
-    pub fn take_closed(&mut self) -> Vec<SlotKey> {
+    pub fn take_closed(&mut self) -> Vec<DownstreamKey> {
         std::mem::take(&mut self.closed_by_peer)
     }
 
     /// A client may have more to say.
-    pub fn serve_later(&mut self, key: SlotKey) {
+    pub fn serve_later(&mut self, key: DownstreamKey) {
         self.ready.push(key);
     }
 }
--- a/proxy/src/downstream/eviction.rs
+++ b/proxy/src/downstream/eviction.rs
@@ -3,7 +3,7 @@
 use super::connection::DownstreamConnection;
 use super::{DownstreamConnections, NEW_CLIENT_GRACE_MS};
 use crate::proxy::Proxy;
-use crate::slot_table::SlotKey;
+use crate::slot_table::DownstreamKey;
 use crate::socket::is_silent;
 
 /// The share of all clients' connections that may stand idle after a response. Clients that ask once and stay
@@ -19,7 +19,7 @@
     ///
     /// Were idle ones always first, a new client would go before it could speak, and hundreds that say nothing
     /// would push out those that do.
-    fn least_needed(&self, now_ms: f64) -> Option<SlotKey> {
+    fn least_needed(&self, now_ms: f64) -> Option<DownstreamKey> {
         let is_settled = |client: &DownstreamConnection| {
             !client.is_busy() && now_ms - client.idle_since_ms > NEW_CLIENT_GRACE_MS
         };
@@ -104,7 +104,7 @@
         if excess == 0 {
             return;
         }
-        let idle_since_ms = |key: &SlotKey| self.downstream.table[*key].idle_since_ms;
+        let idle_since_ms = |key: &DownstreamKey| self.downstream.table[*key].idle_since_ms;
         idle.sort_unstable_by(|left, right| idle_since_ms(left).total_cmp(&idle_since_ms(right)));
         for key in idle.into_iter().take(excess) {
             // One that speaks up just now is heard.
--- a/proxy/src/downstream/mod.rs
+++ b/proxy/src/downstream/mod.rs
@@ -22,7 +22,7 @@
 pub use request_error::RequestError;
 
 use crate::proxy::Proxy;
-use crate::slot_table::SlotKey;
+use crate::slot_table::DownstreamKey;
 
 /// The head of a new connection's first request, and of a later one from its first byte on, must be in within
 /// this, and a body may not stand still for so long: under the 3 s in which even a client that does not wait is
@@ -40,7 +40,7 @@
 
 impl Proxy {
     /// Does for a client whatever can be done now.
-    pub fn serve(&mut self, key: SlotKey) {
+    pub fn serve(&mut self, key: DownstreamKey) {
         while self.write_answer(key) && self.read_request(key) {}
     }
 
@@ -55,7 +55,12 @@
     }
 
     /// Sets the one timer of a client's connection, in place of the one that was set before.
-    fn set_downstream_timer(&mut self, key: SlotKey, at_ms: f64, due: fn(&mut Proxy, SlotKey)) {
+    fn set_downstream_timer(
+        &mut self,
+        key: DownstreamKey,
+        at_ms: f64,
+        due: fn(&mut Proxy, DownstreamKey),
+    ) {
         let Some(client) = self.downstream.table.get_mut(key) else {
             return;
         };
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -6,14 +6,14 @@
 use crate::buffers::{Buffer, ReadOutcome, MAX_BUFFERED_BODY_BYTES};
 use crate::http;
 use crate::proxy::Proxy;
-use crate::slot_table::SlotKey;
+use crate::slot_table::DownstreamKey;
 use crate::upstream::log_excerpt;
 use crankmux::types::NewRequest;
 use std::io::{self, Read, Write};
 
 impl Proxy {
     /// Reads what a client's connection waits for; whether there is more to do at once.
-    pub(super) fn read_request(&mut self, key: SlotKey) -> bool {
+    pub(super) fn read_request(&mut self, key: DownstreamKey) -> bool {
         let Some(client) = self.downstream.table.get_mut(key) else {
             return false;
         };
@@ -30,7 +30,7 @@
     }
 
     /// Reads towards the next request and handles it; whether there is more to do at once.
-    fn read_next_request(&mut self, key: SlotKey) -> bool {
+    fn read_next_request(&mut self, key: DownstreamKey) -> bool {
         let client = &mut self.downstream.table[key];
         let read_buffer = client.read_buffer.take();
         let Some(mut buffer) = read_buffer.or_else(|| self.buffers.take()) else {
@@ -61,7 +61,7 @@
     /// What is asked for, once the whole request is in, or more of it than is buffered.
     fn parse_request(
         &mut self,
-        key: SlotKey,
+        key: DownstreamKey,
         buffer: &mut Buffer,
     ) -> Result<Option<RequestKind>, RequestError> {
         if self.downstream.table[key].request.is_none() && !self.parse_head(key, buffer)? {
@@ -79,7 +79,11 @@
 
     /// Parses and checks the head of a request; whether it is complete. What the head rules out is rejected
     /// before the body has come.
-    fn parse_head(&mut self, key: SlotKey, buffer: &mut Buffer) -> Result<bool, RequestError> {
+    fn parse_head(
+        &mut self,
+        key: DownstreamKey,
+        buffer: &mut Buffer,
+    ) -> Result<bool, RequestError> {
         remove_blank_lines(buffer);
         let key_header = self.key_header.as_deref();
         let parsed = http::parse_request(buffer.filled(), |method, target, headers| {
@@ -107,7 +111,7 @@
     }
 
     /// Receives more of a request; whether there is more to do at once.
-    fn receive(&mut self, key: SlotKey, mut buffer: Buffer) -> bool {
+    fn receive(&mut self, key: DownstreamKey, mut buffer: Buffer) -> bool {
         let client = &mut self.downstream.table[key];
         let length_before = buffer.filled().len();
         let filled = buffer.read_from(&mut client.stream);
@@ -143,7 +147,7 @@
     }
 
     /// Handles a request that is in, or whose body is long.
-    fn handle_request(&mut self, key: SlotKey, kind: RequestKind) {
+    fn handle_request(&mut self, key: DownstreamKey, kind: RequestKind) {
         let client = &mut self.downstream.table[key];
         self.timers.cancel(client.timer.take());
         let keep_alive = client
@@ -182,7 +186,7 @@
     }
 
     /// Admits a request, which may be answered in the course of it.
-    fn admit_request(&mut self, key: SlotKey, request: NewRequest, id_hash: u64) {
+    fn admit_request(&mut self, key: DownstreamKey, request: NewRequest, id_hash: u64) {
         let request_id = self.admit(key, request, id_hash);
         if !self.requests.waits(request_id) {
             return;
@@ -197,7 +201,7 @@
     }
 
     /// Hears a client whose response is awaited: it may have left, or go on with its body.
-    fn read_while_awaiting_response(&mut self, key: SlotKey) {
+    fn read_while_awaiting_response(&mut self, key: DownstreamKey) {
         let client = &self.downstream.table[key];
         if client.peer_closed {
             // The request of a client that has left would be retried on one endpoint after another.
@@ -214,7 +218,7 @@
 
     /// Reads what comes behind a request; it waits for the response. The client's close shows only once all
     /// bytes before it are read, and a client that sends much at once and goes would never be seen to go.
-    fn read_pipelined(&mut self, key: SlotKey) {
+    fn read_pipelined(&mut self, key: DownstreamKey) {
         let client = &mut self.downstream.table[key];
         let mut discarded = 0;
         let mut discard_buffer = [0; DISCARD_BYTES];
--- a/proxy/src/downstream/timeouts.rs
+++ b/proxy/src/downstream/timeouts.rs
@@ -2,7 +2,7 @@
 
 use super::RequestError;
 use crate::proxy::Proxy;
-use crate::slot_table::SlotKey;
+use crate::slot_table::DownstreamKey;
 use crate::streaming::STALL_TIMEOUT_MS;
 
 /// A body whose time ends within this is late already: no timer is set for so little.
@@ -10,13 +10,13 @@
 
 impl Proxy {
     /// From now on nothing but a whole request may keep the connection for longer than this.
-    pub(super) fn limit_wait(&mut self, key: SlotKey, wait_ms: f64) {
+    pub(super) fn limit_wait(&mut self, key: DownstreamKey, wait_ms: f64) {
         let at_ms = self.clock.now() + wait_ms;
         self.set_downstream_timer(key, at_ms, Proxy::wait_timeout);
     }
 
     /// A client has kept the proxy waiting for as long as it may; what it has sent by now is read first.
-    fn wait_timeout(&mut self, key: SlotKey) {
+    fn wait_timeout(&mut self, key: DownstreamKey) {
         if let Some(client) = self.downstream.table.get_mut(key) {
             client.timer = None;
         }
@@ -47,7 +47,7 @@
 
     /// The same for a client whose body is coming: it goes on while it keeps pace, and where its request was
     /// admitted it is closed if not. Whether that settles it.
-    fn body_timeout(&mut self, key: SlotKey) -> bool {
+    fn body_timeout(&mut self, key: DownstreamKey) -> bool {
         let now_ms = self.clock.now();
         let Some(client) = self.downstream.table.get_mut(key) else {
             return true;
@@ -74,12 +74,12 @@
     }
 
     /// The time in which a client must take something of its response.
-    pub(super) fn limit_response_stall(&mut self, key: SlotKey, since_ms: f64) {
+    pub(super) fn limit_response_stall(&mut self, key: DownstreamKey, since_ms: f64) {
         self.set_downstream_timer(key, since_ms + STALL_TIMEOUT_MS, Proxy::response_timeout);
     }
 
     /// Whether a client takes its response at all.
-    fn response_timeout(&mut self, key: SlotKey) {
+    fn response_timeout(&mut self, key: DownstreamKey) {
         let now_ms = self.clock.now();
         let has_drained = self.downstream.has_drained_response(key);
         let Some(client) = self.downstream.table.get_mut(key) else {
--- a/proxy/src/downstream/write_response.rs
+++ b/proxy/src/downstream/write_response.rs
@@ -6,7 +6,7 @@
 use crate::http::{self, Message};
 use crate::metrics::access::RequestOutcome;
 use crate::proxy::Proxy;
-use crate::slot_table::SlotKey;
+use crate::slot_table::{DownstreamKey, UpstreamKey};
 use crate::socket::{has_unread_data, is_silent};
 use std::net::Shutdown;
 
@@ -16,7 +16,7 @@
 
 impl Proxy {
     /// Writes what is left of a response; whether the connection may be read.
-    pub fn write_answer(&mut self, key: SlotKey) -> bool {
+    pub fn write_answer(&mut self, key: DownstreamKey) -> bool {
         let Some(client) = self.downstream.table.get_mut(key) else {
             return false;
         };
@@ -47,7 +47,7 @@
 
     /// A client has taken all that there is of a response that is streamed, which makes room for the next piece.
     /// Nothing else but its close is of interest.
-    fn request_next_piece(&mut self, key: SlotKey) {
+    fn request_next_piece(&mut self, key: DownstreamKey) {
         let client = &self.downstream.table[key];
         let has_left =
             client.peer_closed || !(is_silent(&client.stream) || has_unread_data(&client.stream));
@@ -60,7 +60,7 @@
     }
 
     /// A response is out; whether the connection may be read.
-    fn response_sent(&mut self, key: SlotKey) -> bool {
+    fn response_sent(&mut self, key: DownstreamKey) -> bool {
         let client = &mut self.downstream.table[key];
         let buffer = client.end_response();
         if let (Some(receipt), Some(outcome)) = (client.receipt.take(), client.outcome.take()) {
@@ -100,7 +100,7 @@
 
     /// Rejects a request of which part has been streamed to an endpoint: the attempt is cancelled before its
     /// last byte.
-    pub fn reject_upload(&mut self, key: SlotKey, error: RequestError) {
+    pub fn reject_upload(&mut self, key: DownstreamKey, error: RequestError) {
         let client = self.downstream.table.get_mut(key);
         let request_id = client.and_then(|client| client.stop_awaiting());
         self.reject(key, error);
@@ -110,7 +110,7 @@
     }
 
     /// Rejects what cannot be read on; the connection is closed after the response.
-    pub(super) fn reject(&mut self, key: SlotKey, error: RequestError) {
+    pub(super) fn reject(&mut self, key: DownstreamKey, error: RequestError) {
         if let Some(client) = self.downstream.table.get_mut(key) {
             client.after_response = AfterResponse::Linger {
                 body_outstanding: false,
@@ -121,7 +121,7 @@
 
     /// Answers a client with a response of the proxy's own, with a `Retry-After` where `retry_after_ms` is
     /// positive.
-    pub fn answer(&mut self, key: SlotKey, status: u16, retry_after_ms: f64) {
+    pub fn answer(&mut self, key: DownstreamKey, status: u16, retry_after_ms: f64) {
         let outcome = if status == http::status::SERVICE_UNAVAILABLE {
             RequestOutcome::Rejected
         } else {
@@ -134,7 +134,7 @@
     }
 
     /// Answers a client with an endpoint's whole response.
-    pub fn hand_back(&mut self, key: SlotKey, bytes: &[u8], message: &Message) {
+    pub fn hand_back(&mut self, key: DownstreamKey, bytes: &[u8], message: &Message) {
         self.downstream.set_outcome(key, RequestOutcome::Succeeded);
         self.answer_by(key, |close, buffer| {
             http::write_response(bytes, message, close, buffer)
@@ -143,7 +143,12 @@
 
     /// A client's response will be streamed from an upstream connection; `ends_at_close` where only the end of
     /// the client's connection tells its end.
-    pub fn write_to_client(&mut self, key: SlotKey, upstream: SlotKey, ends_at_close: bool) {
+    pub fn write_to_client(
+        &mut self,
+        key: DownstreamKey,
+        upstream: UpstreamKey,
+        ends_at_close: bool,
+    ) {
         if let Some(client) = self.downstream.table.get_mut(key) {
             client.stream_response_from(ResponseSource {
                 upstream,
@@ -154,7 +159,11 @@
 
     /// Writes a response as far as it goes, and gives the request's buffer back. `compose` is told whether the
     /// connection ends with the response, and returns whether the response fitted into the buffer.
-    pub fn answer_by(&mut self, key: SlotKey, compose: impl FnOnce(bool, &mut Buffer) -> bool) {
+    pub fn answer_by(
+        &mut self,
+        key: DownstreamKey,
+        compose: impl FnOnce(bool, &mut Buffer) -> bool,
+    ) {
         let stopping = self.stopping();
         let Some(client) = self.downstream.table.get_mut(key) else {
             return;
@@ -185,7 +194,7 @@
     }
 
     /// Removes a request from its buffer, and keeps what has come behind it for the next one.
-    fn release_request(&mut self, key: SlotKey) {
+    fn release_request(&mut self, key: DownstreamKey) {
         let client = &mut self.downstream.table[key];
         let Some(mut buffer) = client.read_buffer.take() else {
             return;
@@ -209,7 +218,7 @@
     }
 
     /// A buffer for a client's response.
-    fn take_response_buffer(&mut self, key: SlotKey) -> Option<Buffer> {
+    fn take_response_buffer(&mut self, key: DownstreamKey) -> Option<Buffer> {
         if let Some(buffer) = self.buffers.take_reserved() {
             return Some(buffer);
         }
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -18,6 +18,7 @@
 use crate::metrics::counters::Counters;
 use crate::requests::Requests;
 use crate::resource_limits::max_requests;
+use crate::slot_table::UpstreamKey;
 use crate::timers::{Clock, Timers};
 use crate::upstream::Upstreams;
 use crankmux::dispatcher::Dispatcher;
@@ -90,7 +91,7 @@
     /// Indices that stand for the names of endpoints, request classes and tenants.
     pub name_index: NameIndex,
     /// Connections to endpoints that have something to write.
-    pub writable_upstream: Vec<usize>,
+    pub writable_upstream: Vec<UpstreamKey>,
     /// Load probes in flight.
     pub probes_in_flight: usize,
     /// The request header that carries the affinity key, if one is configured.
--- a/proxy/src/request_lifecycle.rs
+++ b/proxy/src/request_lifecycle.rs
@@ -1,6 +1,7 @@
 //! The life of a request: admitted, sent out in attempts as the dispatcher decides, answered, and dropped.
 
 use crate::proxy::Proxy;
+use crate::slot_table::{DownstreamKey, UpstreamKey};
 use crate::upstream::{AttemptResponse, BufferedResponse};
 use crankmux::dispatcher::{FinalAnswer, NewAttempt, NextSteps};
 use crankmux::types::{
@@ -24,7 +25,7 @@
     /// Admits a client's request, known by the hash of its request id, and takes its first steps.
     pub fn admit(
         &mut self,
-        client: usize,
+        client: DownstreamKey,
         new_request: NewRequest,
         request_id_hash: u64,
     ) -> RequestId {
@@ -113,7 +114,7 @@
     pub fn streaming_progress(
         &mut self,
         request: RequestId,
-        connection: usize,
+        connection: UpstreamKey,
         endpoint_works: bool,
     ) {
         if let Some(attempt) = self.requests.attempt_on(request, connection) {
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -1,5 +1,6 @@
 //! Requests in flight: from their admission until they are answered and their last attempt has ended.
 
+use crate::slot_table::{DownstreamKey, UpstreamKey};
 use crankmux::types::RequestId;
 use slab::Slab;
 use std::collections::hash_map::RandomState;
@@ -9,12 +10,12 @@
 struct Request {
     request_id_hash: u64,
     /// The client that waits; none once the request is answered or the client has left.
-    client: Option<usize>,
+    client: Option<DownstreamKey>,
     deadline: f64,
     /// It was admitted beyond the capacity, and gets no attempt.
     over_capacity: bool,
     /// The connection of each attempt; none before it is sent and once it has ended.
-    attempts: Vec<Option<usize>>,
+    attempts: Vec<Option<UpstreamKey>>,
     attempts_in_flight: usize,
 }
 
@@ -23,7 +24,7 @@
     /// Counted from 0 within the request.
     pub number: usize,
     /// The client whose request it carries; none where there is nothing to be sent.
-    pub client: Option<usize>,
+    pub client: Option<DownstreamKey>,
     /// When the request must be answered.
     pub deadline: f64,
 }
@@ -65,7 +66,12 @@
     }
 
     /// Admits a client's request.
-    pub fn admit(&mut self, client: usize, deadline: f64, request_id_hash: u64) -> RequestId {
+    pub fn admit(
+        &mut self,
+        client: DownstreamKey,
+        deadline: f64,
+        request_id_hash: u64,
+    ) -> RequestId {
         let over_capacity = self.table.len() >= self.capacity;
         self.open_ids.insert(request_id_hash);
         let index = self.table.insert(Request {
@@ -107,7 +113,7 @@
     }
 
     /// Notes the connection that an attempt is sent on.
-    pub fn attempt_sent(&mut self, request: RequestId, attempt: usize, connection: usize) {
+    pub fn attempt_sent(&mut self, request: RequestId, attempt: usize, connection: UpstreamKey) {
         self.table[request.index()].attempts[attempt] = Some(connection);
     }
 
@@ -119,7 +125,7 @@
     }
 
     /// The connection that an attempt is in flight on.
-    pub fn connection_of(&self, request: RequestId, attempt: usize) -> Option<usize> {
+    pub fn connection_of(&self, request: RequestId, attempt: usize) -> Option<UpstreamKey> {
         self.table
             .get(request.index())?
             .attempts
@@ -129,7 +135,7 @@
     }
 
     /// The attempt that is in flight on a connection.
-    pub fn attempt_on(&self, request: RequestId, connection: usize) -> Option<usize> {
+    pub fn attempt_on(&self, request: RequestId, connection: UpstreamKey) -> Option<usize> {
         self.table
             .get(request.index())?
             .attempts
@@ -145,7 +151,7 @@
     }
 
     /// Takes the client that waits, as its response is made or it has left; from then on none waits.
-    pub fn answered(&mut self, request: RequestId) -> Option<usize> {
+    pub fn answered(&mut self, request: RequestId) -> Option<DownstreamKey> {
         let request = self.table.get_mut(request.index())?;
         let client = request.client.take()?;
         self.open_ids.remove(&request.request_id_hash);
--- a/proxy/src/streaming/request.rs
+++ b/proxy/src/streaming/request.rs
@@ -4,6 +4,7 @@
 use crate::buffers::{Buffer, ReadOutcome};
 use crate::downstream::RequestError;
 use crate::proxy::Proxy;
+use crate::slot_table::{DownstreamKey, UpstreamKey};
 use crate::streaming::Upload;
 use crate::upstream::{RequestState, StreamedRequest};
 use crankmux::types::{AttemptOutcome, LoadReport};
@@ -57,7 +58,7 @@
 impl Proxy {
     /// Streams a request body on, as far as client and endpoint go. Returns whether the connection is still there:
     /// a key given back may stand for the connection of the next attempt.
-    pub(crate) fn stream_request_body(&mut self, key: usize) -> bool {
+    pub(crate) fn stream_request_body(&mut self, key: UpstreamKey) -> bool {
         let now = self.now();
         loop {
             let Some(connection) = self.upstream.connections.get(key) else {
@@ -92,7 +93,12 @@
     }
 
     /// Writes the pending piece, and once the endpoint has taken it moves the next one up.
-    fn stream_request_piece(&mut self, key: usize, client: usize, now: f64) -> PieceMoved {
+    fn stream_request_piece(
+        &mut self,
+        key: UpstreamKey,
+        client: DownstreamKey,
+        now: f64,
+    ) -> PieceMoved {
         let connection = &mut self.upstream.connections[key];
         let Some((stream, attempt)) = connection.stream_and_attempt() else {
             return PieceMoved::Pending;
--- a/proxy/src/streaming/response.rs
+++ b/proxy/src/streaming/response.rs
@@ -5,6 +5,7 @@
 use crate::http::{self, BodyFraming};
 use crate::metrics::access::RequestOutcome;
 use crate::proxy::Proxy;
+use crate::slot_table::UpstreamKey;
 use crate::upstream::{AttemptResponse, ResponseState};
 use crankmux::types::{AttemptOutcome, LoadReport};
 
@@ -22,7 +23,7 @@
 
 impl Proxy {
     /// Sends head and first piece to the client, whose final response it is from now on.
-    pub(crate) fn begin_response_stream(&mut self, key: usize, mut inbox: Buffer) {
+    pub(crate) fn begin_response_stream(&mut self, key: UpstreamKey, mut inbox: Buffer) {
         let now = self.clock.now();
         let attempt = self.upstream.connections[key].attempt_mut();
         let Some((attempt, request)) = attempt.and_then(|a| a.request.map(|request| (a, request)))
@@ -69,13 +70,13 @@
     }
 
     /// Nobody waits for the response any more.
-    fn cancel_response_stream(&mut self, key: usize, inbox: Buffer) {
+    fn cancel_response_stream(&mut self, key: UpstreamKey, inbox: Buffer) {
         self.buffers.give_back(inbox);
         self.fail_attempt(key, AttemptOutcome::Cancelled, LoadReport::default());
     }
 
     /// Streams a response body on, as far as endpoint and client go.
-    pub(crate) fn stream_response_body(&mut self, key: usize) {
+    pub(crate) fn stream_response_body(&mut self, key: UpstreamKey) {
         loop {
             match self.stream_piece(key) {
                 PieceStreamed::Progress => {}
@@ -91,7 +92,7 @@
     }
 
     /// Moves the piece that is here to the client, or reads the next one.
-    fn stream_piece(&mut self, key: usize) -> PieceStreamed {
+    fn stream_piece(&mut self, key: UpstreamKey) -> PieceStreamed {
         let now = self.clock.now();
         let attempt = self
             .upstream
@@ -133,7 +134,7 @@
         PieceStreamed::Progress
     }
 
-    fn receive_piece(&mut self, key: usize, now: f64) -> PieceStreamed {
+    fn receive_piece(&mut self, key: UpstreamKey, now: f64) -> PieceStreamed {
         let connection = &mut self.upstream.connections[key];
         let endpoint = connection.endpoint;
         let inbox = connection
@@ -176,7 +177,7 @@
     }
 
     /// All of the response is with the client's connection.
-    fn response_streamed(&mut self, key: usize) {
+    fn response_streamed(&mut self, key: UpstreamKey) {
         let now = self.clock.now();
         let connection = &mut self.upstream.connections[key];
         let Some(attempt) = connection.finish_attempt(now) else {
--- a/proxy/src/tokens.rs
+++ b/proxy/src/tokens.rs
@@ -1,5 +1,6 @@
 //! Tokens of the poll: which source of events each number stands for.
 
+use crate::slot_table::{DownstreamKey, UpstreamKey};
 use mio::Token;
 
 /// Connections to the admin API at once: more than operators and scrapers need.
@@ -32,13 +33,13 @@
 }
 
 /// The token of a client's connection.
-pub const fn client_token(key: usize) -> Token {
-    Token(FIRST_CONNECTION + 2 * key)
+pub const fn client_token(key: DownstreamKey) -> Token {
+    Token(FIRST_CONNECTION + 2 * key.index())
 }
 
 /// The token of a connection to an endpoint.
-pub const fn upstream_token(key: usize) -> Token {
-    Token(FIRST_CONNECTION + 2 * key + 1)
+pub const fn upstream_token(key: UpstreamKey) -> Token {
+    Token(FIRST_CONNECTION + 2 * key.index() + 1)
 }
 
 /// What an event comes from.
@@ -63,9 +64,9 @@
     /// A connection to the admin API, by its slot.
     AdminCaller(usize),
     /// A client's connection, by its key.
-    Client(usize),
+    Client(DownstreamKey),
     /// A connection to an endpoint, by its key.
-    Upstream(usize),
+    Upstream(UpstreamKey),
 }
 
 impl EventSource {
@@ -86,9 +87,9 @@
             Token(number) => {
                 let offset = number - FIRST_CONNECTION;
                 if offset.is_multiple_of(2) {
-                    EventSource::Client(offset / 2)
+                    EventSource::Client(DownstreamKey::new(offset / 2))
                 } else {
-                    EventSource::Upstream(offset / 2)
+                    EventSource::Upstream(UpstreamKey::new(offset / 2))
                 }
             }
         }
--- a/proxy/src/upstream/attempt.rs
+++ b/proxy/src/upstream/attempt.rs
@@ -6,6 +6,7 @@
 use super::response_state::ResponseState;
 use crate::buffers::{Buffer, MAX_BUFFERED_BODY_BYTES};
 use crate::http::{Message, ParseError};
+use crate::slot_table::DownstreamKey;
 use crate::streaming::{
     BUFFERING_LIMIT_MS, FIRST_PIECE_BYTES, SHORT_RESPONSE_GRACE_MS, STALL_TIMEOUT_MS,
 };
@@ -109,7 +110,7 @@
     }
 
     /// The client that more of the request comes from.
-    pub fn request_source(&self) -> Option<usize> {
+    pub fn request_source(&self) -> Option<DownstreamKey> {
         match &self.request_state {
             RequestState::Streamed(streamed) => streamed.source,
             RequestState::Buffered(_) | RequestState::Written { .. } => None,
@@ -126,7 +127,7 @@
     }
 
     /// The client that the response is streamed to.
-    pub fn response_target(&self) -> Option<usize> {
+    pub fn response_target(&self) -> Option<DownstreamKey> {
         match &self.response_state {
             ResponseState::Streaming { client, .. } => Some(*client),
             ResponseState::AwaitingHead | ResponseState::Buffering { .. } => None,
@@ -228,7 +229,7 @@
     }
 
     /// The response goes to its client in pieces from now on.
-    pub fn response_streaming_began(&mut self, client: usize, chunked: bool, now: f64) {
+    pub fn response_streaming_began(&mut self, client: DownstreamKey, chunked: bool, now: f64) {
         let state = std::mem::replace(&mut self.response_state, ResponseState::AwaitingHead);
         if let Some(response) = state.into_response() {
             self.response_state = ResponseState::Streaming {
--- a/proxy/src/upstream/completion.rs
+++ b/proxy/src/upstream/completion.rs
@@ -3,12 +3,13 @@
 use super::{AttemptResponse, BufferedResponse};
 use crate::buffers::Buffer;
 use crate::proxy::Proxy;
+use crate::slot_table::UpstreamKey;
 use crate::socket::is_silent;
 use crankmux::types::{AttemptOutcome, LoadReport};
 
 impl Proxy {
     /// Cancels an attempt, unless its response is being streamed to the client already.
-    pub(crate) fn cancel(&mut self, key: usize) {
+    pub(crate) fn cancel(&mut self, key: UpstreamKey) {
         let attempt = self
             .upstream
             .connections
@@ -21,7 +22,7 @@
     }
 
     /// Ends an attempt without a response; its connection is closed.
-    pub fn fail_attempt(&mut self, key: usize, outcome: AttemptOutcome, load: LoadReport) {
+    pub fn fail_attempt(&mut self, key: UpstreamKey, outcome: AttemptOutcome, load: LoadReport) {
         let now = self.now();
         let endpoint_duration_ms = self
             .upstream
@@ -41,7 +42,7 @@
     }
 
     /// The connection, or the response on it, is broken. What the endpoint never had whole it has not run.
-    pub(crate) fn connection_lost(&mut self, key: usize) {
+    pub(crate) fn connection_lost(&mut self, key: UpstreamKey) {
         let is_written = self
             .upstream
             .connections
@@ -57,7 +58,7 @@
     }
 
     /// The response has been received whole.
-    pub(super) fn response_received(&mut self, key: usize, inbox: Buffer) {
+    pub(super) fn response_received(&mut self, key: UpstreamKey, inbox: Buffer) {
         let now = self.clock.now();
         let Some(attempt) = self.upstream.connections[key].finish_attempt(now) else {
             return self.buffers.give_back(inbox);
@@ -92,7 +93,7 @@
     }
 
     /// Keeps an idle connection if it may be used again and is still open.
-    pub(crate) fn keep_or_close(&mut self, key: usize, is_reusable: bool) {
+    pub(crate) fn keep_or_close(&mut self, key: UpstreamKey, is_reusable: bool) {
         if is_reusable && is_silent(&self.upstream.connections[key].stream) {
             self.keep_connection(key);
         } else {
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -3,7 +3,7 @@
 use super::connection::{EndpointProcess, UpstreamConnection};
 use super::CompletionCallback;
 use crate::proxy::Proxy;
-use crate::slot_table::SlotTable;
+use crate::slot_table::{DownstreamKey, SlotTable, UpstreamKey};
 use crate::socket::is_silent;
 use crate::tokens::upstream_token;
 use crankmux::types::{AttemptOutcome, EndpointId, LoadReport};
@@ -27,7 +27,7 @@
     /// Where new connections go; none where the endpoint gets no new attempt.
     process: Option<EndpointProcess>,
     /// Keys of idle connections, the one used last at the end.
-    idle: Vec<usize>,
+    idle: Vec<UpstreamKey>,
     /// When a connection was last established, or brought anything.
     pub(super) last_heard_at: f64,
 }
@@ -35,7 +35,7 @@
 /// All connections to endpoints.
 pub struct Upstreams<P> {
     /// The connections, by key.
-    pub connections: SlotTable<UpstreamConnection<P>>,
+    pub connections: SlotTable<UpstreamKey, UpstreamConnection<P>>,
     pub(super) endpoints: Vec<EndpointConnections>,
     pub(super) connect_timeout_ms: f64,
     idle_timeout_ms: f64,
@@ -60,7 +60,11 @@
     }
 
     /// Whether a connection has written all that has come of a client's request, and waits for more.
-    pub fn awaits_request_body(&self, connection: Option<usize>, client: usize) -> bool {
+    pub fn awaits_request_body(
+        &self,
+        connection: Option<UpstreamKey>,
+        client: DownstreamKey,
+    ) -> bool {
         connection
             .and_then(|key| self.connections.get(key))
             .filter(|connection| connection.is_connected())
@@ -94,7 +98,7 @@
         self.endpoints[endpoint.index()].last_heard_at = now;
     }
 
-    fn remove_idle(&mut self, endpoint: EndpointId, key: usize) {
+    fn remove_idle(&mut self, endpoint: EndpointId, key: UpstreamKey) {
         self.endpoints[endpoint.index()]
             .idle
             .retain(|idle| *idle != key);
@@ -135,12 +139,12 @@
 
     /// Takes the idle connection that was used last, so that others may be closed, but none that has only just
     /// brought its response.
-    pub(super) fn take_idle_connection(&mut self, endpoint: EndpointId) -> Option<usize> {
+    pub(super) fn take_idle_connection(&mut self, endpoint: EndpointId) -> Option<UpstreamKey> {
         let now = self.now();
         loop {
             let idle = &mut self.upstream.endpoints.get_mut(endpoint.index())?.idle;
             let connections = &self.upstream.connections;
-            let has_rested = |key: &usize| {
+            let has_rested = |key: &UpstreamKey| {
                 connections[*key]
                     .idle_since()
                     .is_some_and(|since| now - since >= REST_AFTER_RESPONSE_MS)
@@ -160,7 +164,7 @@
     pub(super) fn connect(
         &mut self,
         endpoint: EndpointId,
-    ) -> Result<(usize, TcpStream, EndpointProcess), AttemptOutcome> {
+    ) -> Result<(UpstreamKey, TcpStream, EndpointProcess), AttemptOutcome> {
         if !self.upstream.has_room() && !self.close_longest_idle_upstream() {
             // Nothing was sent, and the request is free to go elsewhere.
             self.counters.capacity_exhausted += 1;
@@ -192,7 +196,7 @@
         }
     }
 
-    fn open_socket(&self, process: EndpointProcess, key: usize) -> io::Result<TcpStream> {
+    fn open_socket(&self, process: EndpointProcess, key: UpstreamKey) -> io::Result<TcpStream> {
         let mut stream = TcpStream::connect(process.address)?;
         self.registry.register(
             &mut stream,
@@ -230,7 +234,7 @@
         }
     }
 
-    pub(super) fn close_idle_connection(&mut self, key: usize) {
+    pub(super) fn close_idle_connection(&mut self, key: UpstreamKey) {
         let Some(connection) = self.upstream.connections.get(key) else {
             return;
         };
@@ -241,7 +245,10 @@
 
     /// Closes a connection and returns the callback of the attempt that it carried. This is the only place where a
     /// connection to an endpoint and its buffers are given back.
-    pub(super) fn close_connection(&mut self, key: usize) -> Option<CompletionCallback<Proxy>> {
+    pub(super) fn close_connection(
+        &mut self,
+        key: UpstreamKey,
+    ) -> Option<CompletionCallback<Proxy>> {
         let mut connection = self.upstream.connections.remove(key)?;
         let now = self.clock.now();
         let attempt = connection.finish_attempt(now);
@@ -266,7 +273,7 @@
     }
 
     /// Keeps an idle connection for the next attempt, unless its endpoint has changed since it was opened.
-    pub(super) fn keep_connection(&mut self, key: usize) {
+    pub(super) fn keep_connection(&mut self, key: UpstreamKey) {
         let connection = &mut self.upstream.connections[key];
         let endpoint = connection.endpoint;
         if self.upstream.endpoints[endpoint.index()].process != Some(connection.process) {
--- a/proxy/src/upstream/receiving.rs
+++ b/proxy/src/upstream/receiving.rs
@@ -4,6 +4,7 @@
 use super::{Response, ResponseState};
 use crate::buffers::{Buffer, ReadOutcome, MAX_BUFFERED_BODY_BYTES};
 use crate::proxy::Proxy;
+use crate::slot_table::UpstreamKey;
 use crate::streaming::FIRST_PIECE_BYTES;
 use crankmux::types::{AttemptOutcome, LoadReport};
 
@@ -25,7 +26,7 @@
 
 impl Proxy {
     /// Reads what has come of a response.
-    pub(super) fn read_response(&mut self, key: usize) {
+    pub(super) fn read_response(&mut self, key: UpstreamKey) {
         let attempt = self.upstream.connections[key].attempt();
         if attempt.is_some_and(|attempt| attempt.response_target().is_some()) {
             return self.stream_response_body(key);
@@ -45,7 +46,7 @@
         }
     }
 
-    fn read_once(&mut self, key: usize) -> ReadStep {
+    fn read_once(&mut self, key: UpstreamKey) -> ReadStep {
         let connection = &mut self.upstream.connections[key];
         let endpoint = connection.endpoint;
         let inbox = connection
@@ -64,7 +65,12 @@
     }
 
     /// Decides what is to be done with what has been received so far.
-    fn handle_received(&mut self, key: usize, mut inbox: Buffer, filled: ReadOutcome) -> ReadStep {
+    fn handle_received(
+        &mut self,
+        key: UpstreamKey,
+        mut inbox: Buffer,
+        filled: ReadOutcome,
+    ) -> ReadStep {
         let connection = &mut self.upstream.connections[key];
         let endpoint = connection.endpoint;
         let Some(attempt) = connection.attempt_mut() else {
@@ -108,7 +114,7 @@
     }
 
     /// Keeps what has come of a response that is not whole. One that may have to be streamed is looked at again.
-    fn hold_back(&mut self, key: usize, inbox: Buffer) {
+    fn hold_back(&mut self, key: UpstreamKey, inbox: Buffer) {
         let now = self.clock.now();
         let Some(attempt) = self.upstream.connections[key].attempt_mut() else {
             return self.buffers.give_back(inbox);
@@ -135,7 +141,7 @@
     /// endpoint pauses would otherwise be held back from a client that waits, or be cut off at the deadline though
     /// it comes. One that has brought little is no long one yet: it may take until the deadline, and as long as
     /// nothing of it has gone to the client the request may be retried.
-    fn held_back_long_enough(&mut self, key: usize, since: f64) {
+    fn held_back_long_enough(&mut self, key: UpstreamKey, since: f64) {
         let now = self.clock.now();
         let attempt = self
             .upstream
--- a/proxy/src/upstream/request_state.rs
+++ b/proxy/src/upstream/request_state.rs
@@ -1,6 +1,7 @@
 //! How far the request of an attempt is written.
 
 use crate::buffers::Buffer;
+use crate::slot_table::DownstreamKey;
 use mio::net::TcpStream;
 use std::io;
 
@@ -52,7 +53,7 @@
     /// The piece that is being written.
     pub pending: PendingWrite,
     /// The client that the next piece comes from; none once the last piece is pending.
-    pub source: Option<usize>,
+    pub source: Option<DownstreamKey>,
     /// Whether the body goes on in chunks.
     pub chunked: bool,
     /// Since when the rest of the request has lain here while the endpoint took no more: its client has sent the
--- a/proxy/src/upstream/response_state.rs
+++ b/proxy/src/upstream/response_state.rs
@@ -1,6 +1,7 @@
 //! How far the response of an attempt is read.
 
 use super::response::Response;
+use crate::slot_table::DownstreamKey;
 
 /// How far the response of an attempt is read.
 pub enum ResponseState {
@@ -18,7 +19,7 @@
         /// Its head, and where its body ends.
         response: Response,
         /// The client.
-        client: usize,
+        client: DownstreamKey,
         /// Whether the body goes on in chunks.
         chunked: bool,
         /// When the first piece went to the client.
--- a/proxy/src/upstream/sending.rs
+++ b/proxy/src/upstream/sending.rs
@@ -6,6 +6,7 @@
 use super::CompletionCallback;
 use crate::http;
 use crate::proxy::Proxy;
+use crate::slot_table::{DownstreamKey, UpstreamKey};
 use crate::socket::is_silent;
 use crankmux::types::{AttemptOutcome, EndpointId, LoadReport, RequestId};
 
@@ -18,11 +19,11 @@
     pub fn send(
         &mut self,
         request: RequestId,
-        client: usize,
+        client: DownstreamKey,
         endpoint: EndpointId,
         timeout_ms: f64,
         on_complete: CompletionCallback<Proxy>,
-    ) -> Result<usize, AttemptOutcome> {
+    ) -> Result<UpstreamKey, AttemptOutcome> {
         let Some(mut outbox) = self.buffers.take() else {
             self.counters.capacity_exhausted += 1;
             return Err(AttemptOutcome::NotSent);
@@ -58,7 +59,7 @@
         state: RequestState,
         timeout_ms: f64,
         on_complete: CompletionCallback<Proxy>,
-    ) -> Result<usize, AttemptOutcome> {
+    ) -> Result<UpstreamKey, AttemptOutcome> {
         if let Some(key) = self.take_idle_connection(endpoint) {
             let now = self.now();
             let attempt = Attempt::new(request, state, now, timeout_ms, on_complete);
@@ -87,7 +88,7 @@
     }
 
     /// A connection to an endpoint can be read or written, or has ended.
-    pub(crate) fn upstream_event(&mut self, key: usize) {
+    pub(crate) fn upstream_event(&mut self, key: UpstreamKey) {
         let Some(connection) = self.upstream.connections.get(key) else {
             return;
         };
@@ -117,7 +118,7 @@
     }
 
     /// Whether the connection is established. One that could not be is closed.
-    fn finish_connecting(&mut self, key: usize) -> bool {
+    fn finish_connecting(&mut self, key: UpstreamKey) -> bool {
         let connection = &mut self.upstream.connections[key];
         if !matches!(connection.stream.take_error(), Ok(None)) {
             self.fail_attempt(key, AttemptOutcome::Unreachable, LoadReport::default());
@@ -135,7 +136,7 @@
 
     /// Whether nothing is written, and nothing may be any more: the connection was established, or looked at, only
     /// after the deadline.
-    fn is_unsent_past_deadline(&self, key: usize) -> bool {
+    fn is_unsent_past_deadline(&self, key: UpstreamKey) -> bool {
         let Some(attempt) = self.upstream.connections[key].attempt() else {
             return false;
         };
@@ -143,7 +144,7 @@
     }
 
     /// Writes the request, or the last piece of one that is streamed.
-    fn write_last_piece(&mut self, key: usize) {
+    fn write_last_piece(&mut self, key: UpstreamKey) {
         let now = self.clock.now();
         let Some((stream, attempt)) = self.upstream.connections[key].stream_and_attempt() else {
             return;
--- a/proxy/src/upstream/timeouts.rs
+++ b/proxy/src/upstream/timeouts.rs
@@ -2,11 +2,12 @@
 
 use super::request_state::RequestState;
 use crate::proxy::Proxy;
+use crate::slot_table::{DownstreamKey, UpstreamKey};
 use crankmux::types::{AttemptOutcome, LoadReport};
 
 impl Proxy {
     /// Looks at an attempt again at a time, in place of any time set before.
-    pub(super) fn set_attempt_timer(&mut self, key: usize, at: f64) {
+    pub(super) fn set_attempt_timer(&mut self, key: UpstreamKey, at: f64) {
         let Some(connection) = self.upstream.connections.get_mut(key) else {
             return;
         };
@@ -16,7 +17,7 @@
     }
 
     /// An attempt may have run out of time, or its streamed body may have stood still for too long.
-    pub(crate) fn upstream_timeout(&mut self, key: usize) {
+    pub(crate) fn upstream_timeout(&mut self, key: UpstreamKey) {
         let Some(connection) = self.upstream.connections.get_mut(key) else {
             return;
         };
@@ -39,7 +40,7 @@
 
     /// Ends an attempt whose endpoint neither takes nor gives anything. Whose turn it is tells who stalls; a client
     /// has a timeout of its own.
-    fn check_stall(&mut self, key: usize) {
+    fn check_stall(&mut self, key: UpstreamKey) {
         let now = self.now();
         let connection = &mut self.upstream.connections[key];
         let endpoint = connection.endpoint;
@@ -62,7 +63,7 @@
         self.connection_lost(key);
     }
 
-    fn attempt_timed_out(&mut self, key: usize) {
+    fn attempt_timed_out(&mut self, key: UpstreamKey) {
         let connection = &self.upstream.connections[key];
         let endpoint = connection.endpoint;
         let Some(attempt) = connection.attempt() else {
@@ -84,7 +85,7 @@
 
     /// The endpoint takes no more of a streamed request for now. Where the rest of the request lies here, its time
     /// runs.
-    pub(crate) fn endpoint_takes_no_more(&mut self, key: usize, client: usize) {
+    pub(crate) fn endpoint_takes_no_more(&mut self, key: UpstreamKey, client: DownstreamKey) {
         let now = self.clock.now();
         let attempt = self
             .upstream
--- a/proxy/tests/event_sources.rs
+++ b/proxy/tests/event_sources.rs
@@ -1,5 +1,6 @@
 //! Each source of events has a token of its own, from which it is found again.
 
+use crankmux_proxy::slot_table::{DownstreamKey, UpstreamKey};
 use crankmux_proxy::tokens::{
     admin_caller_token, client_token, upstream_token, EventSource, ADMIN_LISTENER, CLUSTER,
     DISCOVERY, LISTENER, MAX_ADMIN_CALLERS, NEWER_PROCESS, OLDER_PROCESS, SIGNALS,
@@ -23,8 +24,10 @@
         sources.push((admin_caller_token(slot), EventSource::AdminCaller(slot)));
     }
     for key in 0..1000 {
-        sources.push((client_token(key), EventSource::Client(key)));
-        sources.push((upstream_token(key), EventSource::Upstream(key)));
+        let client = DownstreamKey::new(key);
+        let upstream = UpstreamKey::new(key);
+        sources.push((client_token(client), EventSource::Client(client)));
+        sources.push((upstream_token(upstream), EventSource::Upstream(upstream)));
     }
     for (token, source) in &sources {
         assert_eq!(EventSource::of(*token), *source);
