--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -3,7 +3,7 @@
 use super::connection::{EndpointProcess, UpstreamConnection};
 use super::CompletionCallback;
 use crate::proxy::Proxy;
-use crate::slot_table::SlotTable;
+use crate::slot_table::{DownstreamKey, SlotTable, UpstreamKey};
 use crate::socket::is_silent;
 use crate::tokens::upstream_token;
 use crankmux::types::{AttemptOutcome, EndpointId, LoadReport};
@@ -27,7 +27,7 @@
     /// Where new connections go; none where the endpoint gets no new attempt.
     process: Option<EndpointProcess>,
     /// Keys of idle connections, the one used last at the end.
-    idle: Vec<usize>,
+    idle: Vec<UpstreamKey>,
     /// When a connection was last established, or brought anything.
     pub(super) last_heard_at: f64,
 }
@@ -35,7 +35,7 @@
 /// All connections to endpoints.
 pub struct Upstreams<P> {
     /// The connections, by key.
-    pub connections: SlotTable<UpstreamConnection<P>>,
+    pub connections: SlotTable<UpstreamKey, UpstreamConnection<P>>,
     pub(super) endpoints: Vec<EndpointConnections>,
     pub(super) connect_timeout_ms: f64,
     idle_timeout_ms: f64,
@@ -60,7 +60,11 @@
     }
 
     /// Whether a connection has written all that has come of a client's request, and waits for more.
-    pub fn awaits_request_body(&self, connection: Option<usize>, client: usize) -> bool {
+    pub fn awaits_request_body(
+        &self,
+        connection: Option<UpstreamKey>,
+        client: DownstreamKey,
+    ) -> bool {
         connection
             .and_then(|key| self.connections.get(key))
             .filter(|connection| connection.is_connected())
@@ -77,9 +81,9 @@
         !self.connections.is_full()
     }
 
-    /// The number of endpoints met; all indices of endpoints are below it.
-    pub fn endpoint_count(&self) -> usize {
-        self.endpoints.len()
+    /// All endpoints met.
+    pub fn endpoint_ids(&self) -> impl Iterator<Item = EndpointId> {
+        (0..self.endpoints.len()).map(EndpointId::new)
     }
 
     /// Whether any endpoint may get new attempts.
@@ -91,11 +95,13 @@
 
     /// A connection to an endpoint has been established, or has brought something.
     pub(crate) fn note_heard(&mut self, endpoint: EndpointId, now: f64) {
-        self.endpoints[endpoint].last_heard_at = now;
+        self.endpoints[endpoint.index()].last_heard_at = now;
     }
 
-    fn remove_idle(&mut self, endpoint: EndpointId, key: usize) {
-        self.endpoints[endpoint].idle.retain(|idle| *idle != key);
+    fn remove_idle(&mut self, endpoint: EndpointId, key: UpstreamKey) {
+        self.endpoints[endpoint.index()]
+            .idle
+            .retain(|idle| *idle != key);
     }
 }
 
@@ -108,11 +114,11 @@
     ) {
         let process = process.map(EndpointProcess::from);
         let endpoints = &mut self.upstream.endpoints;
-        if endpoints.len() <= endpoint {
-            endpoints.resize_with(endpoint + 1, EndpointConnections::default);
+        if endpoints.len() <= endpoint.index() {
+            endpoints.resize_with(endpoint.index() + 1, EndpointConnections::default);
         }
-        if endpoints[endpoint].process != process {
-            endpoints[endpoint].process = process;
+        if endpoints[endpoint.index()].process != process {
+            endpoints[endpoint.index()].process = process;
             // Connections to a process that is no more may stay open and silent.
             self.close_idle_connections(endpoint);
         }
@@ -124,7 +130,7 @@
         let endpoints = &self.upstream.endpoints;
         let outdated = |connection: &UpstreamConnection<Proxy>| {
             connection.is_unsent()
-                && endpoints[connection.endpoint].process != Some(connection.process)
+                && endpoints[connection.endpoint.index()].process != Some(connection.process)
         };
         for key in self.upstream.connections.keys_where(outdated) {
             self.fail_attempt(key, AttemptOutcome::Unreachable, LoadReport::default());
@@ -133,12 +139,12 @@
 
     /// Takes the idle connection that was used last, so that others may be closed, but none that has only just
     /// brought its response.
-    pub(super) fn take_idle_connection(&mut self, endpoint: EndpointId) -> Option<usize> {
+    pub(super) fn take_idle_connection(&mut self, endpoint: EndpointId) -> Option<UpstreamKey> {
         let now = self.now();
         loop {
-            let idle = &mut self.upstream.endpoints.get_mut(endpoint)?.idle;
+            let idle = &mut self.upstream.endpoints.get_mut(endpoint.index())?.idle;
             let connections = &self.upstream.connections;
-            let has_rested = |key: &usize| {
+            let has_rested = |key: &UpstreamKey| {
                 connections[*key]
                     .idle_since()
                     .is_some_and(|since| now - since >= REST_AFTER_RESPONSE_MS)
@@ -158,7 +164,7 @@
     pub(super) fn connect(
         &mut self,
         endpoint: EndpointId,
-    ) -> Result<(usize, TcpStream, EndpointProcess), AttemptOutcome> {
+    ) -> Result<(UpstreamKey, TcpStream, EndpointProcess), AttemptOutcome> {
         if !self.upstream.has_room() && !self.close_longest_idle_upstream() {
             // Nothing was sent, and the request is free to go elsewhere.
             self.counters.capacity_exhausted += 1;
@@ -167,7 +173,7 @@
         let process = self
             .upstream
             .endpoints
-            .get(endpoint)
+            .get(endpoint.index())
             .and_then(|endpoint| endpoint.process)
             .ok_or(AttemptOutcome::Unreachable)?;
         self.counters.connections_opened += 1;
@@ -190,7 +196,7 @@
         }
     }
 
-    fn open_socket(&self, process: EndpointProcess, key: usize) -> io::Result<TcpStream> {
+    fn open_socket(&self, process: EndpointProcess, key: UpstreamKey) -> io::Result<TcpStream> {
         let mut stream = TcpStream::connect(process.address)?;
         self.registry.register(
             &mut stream,
@@ -220,7 +226,7 @@
 
     /// Closes all idle connections to an endpoint.
     pub fn close_idle_connections(&mut self, endpoint: EndpointId) {
-        let Some(connections) = self.upstream.endpoints.get_mut(endpoint) else {
+        let Some(connections) = self.upstream.endpoints.get_mut(endpoint.index()) else {
             return;
         };
         for key in std::mem::take(&mut connections.idle) {
@@ -228,7 +234,7 @@
         }
     }
 
-    pub(super) fn close_idle_connection(&mut self, key: usize) {
+    pub(super) fn close_idle_connection(&mut self, key: UpstreamKey) {
         let Some(connection) = self.upstream.connections.get(key) else {
             return;
         };
@@ -239,7 +245,10 @@
 
     /// Closes a connection and returns the callback of the attempt that it carried. This is the only place where a
     /// connection to an endpoint and its buffers are given back.
-    pub(super) fn close_connection(&mut self, key: usize) -> Option<CompletionCallback<Proxy>> {
+    pub(super) fn close_connection(
+        &mut self,
+        key: UpstreamKey,
+    ) -> Option<CompletionCallback<Proxy>> {
         let mut connection = self.upstream.connections.remove(key)?;
         let now = self.clock.now();
         let attempt = connection.finish_attempt(now);
@@ -264,10 +273,10 @@
     }
 
     /// Keeps an idle connection for the next attempt, unless its endpoint has changed since it was opened.
-    pub(super) fn keep_connection(&mut self, key: usize) {
+    pub(super) fn keep_connection(&mut self, key: UpstreamKey) {
         let connection = &mut self.upstream.connections[key];
         let endpoint = connection.endpoint;
-        if self.upstream.endpoints[endpoint].process != Some(connection.process) {
+        if self.upstream.endpoints[endpoint.index()].process != Some(connection.process) {
             self.close_connection(key);
             return;
         }
@@ -275,7 +284,7 @@
         let closes_at = self.clock.now() + self.upstream.idle_timeout_ms;
         let close = move |proxy: &mut Proxy| proxy.close_idle_connection(key);
         connection.timer = Some(self.timers.set(closes_at, close));
-        self.upstream.endpoints[endpoint].idle.push(key);
+        self.upstream.endpoints[endpoint.index()].idle.push(key);
     }
 }
 
--- a/scenarios/tests/cluster.rs
+++ b/scenarios/tests/cluster.rs
@@ -1,11 +1,7 @@
 //! The scripts of clusters that ship, and the sub-command that runs them.
 
-// Public, as the library re-exports the error type of this file and so cannot restrict it to the crate.
-#[path = "../src/cluster/scripts.rs"]
-pub mod scripts;
-
+use crankmux_scenarios::cluster::scripts::{self, SHIPPED};
 use crankmux_simulator::script::Script;
-use scripts::SHIPPED;
 use std::path::Path;
 use std::process::{Command, Output};
 
