--- a/scenarios/src/cluster/mod.rs
+++ b/scenarios/src/cluster/mod.rs
@@ -1,5 +1,6 @@
 //! `cluster`: runs a script over several proxy processes, with faults between them.
 
+/// The scripts that ship, their environments, and reading a script.
 pub mod scripts;
 mod summary;
 
