--- a/tests/module/admission.rs
+++ b/tests/module/admission.rs
@@ -22,7 +22,8 @@
         }
         harness.in_flight().len()
     };
-    let (retries, first) = (in_flight(true), in_flight(false));
+    let retries = in_flight(true);
+    let first = in_flight(false);
     assert!(retries > first, "{retries} and {first}");
 }
 
--- a/tests/module/endpoint_list.rs
+++ b/tests/module/endpoint_list.rs
@@ -313,7 +313,8 @@
         let counts = harness.run(1000, 5.0, |_| SUCCESS);
         counts.get(&endpoint).copied().unwrap_or(0)
     };
-    let (restarted, new) = (attempts(0), attempts(4));
+    let restarted = attempts(0);
+    let new = attempts(4);
     assert!(restarted > new, "{restarted} and {new}");
 }
 
@@ -321,7 +322,8 @@
 fn hundreds_of_proxies_do_not_overload_an_endpoint_that_warms_up() {
     // Every proxy takes two requests a second; forty endpoints bear ten each. The new one is able to do 20 to 40%
     // of that in its first three seconds, twice of which is allowed in any second.
-    let (proxies, endpoints) = (200, 40);
+    let proxies = 200;
+    let endpoints = 40;
     let mut times_ms = Vec::new();
     for number in 0..proxies {
         let mut harness = Harness::with_settings(proxy_settings(number, proxies), endpoints);
--- a/tests/module/estimation.rs
+++ b/tests/module/estimation.rs
@@ -156,7 +156,8 @@
 #[test]
 fn a_flapping_endpoint_draws_less_than_a_sound_one() {
     let mut harness = Harness::new(4);
-    let (mut flapping, mut sound) = (0, 0);
+    let mut flapping = 0;
+    let mut sound = 0;
     for round in 0..40 {
         let fails = round < 10 || (20..30).contains(&round);
         let counts = harness.run(25, 20.0, |endpoint| {
@@ -199,7 +200,8 @@
     // The same queue with another share of cores in use is a new report: what was sent before it is counted
     // in it. Were it taken for the old one, the endpoint would seem to fill up and its shares would go.
     let mut harness = Harness::with_settings(proxy_settings(0, 3), 2);
-    let (mut counts, mut under_way) = ([0, 0], Vec::new());
+    let mut counts = [0, 0];
+    let mut under_way = Vec::new();
     for round in 0..1000 {
         let request = harness.send(0);
         let Some(attempt) = harness.checker.requests[request].attempts.first() else {
--- a/tests/module/invariants.rs
+++ b/tests/module/invariants.rs
@@ -52,7 +52,8 @@
 }
 
 fn apply(harness: &mut Harness, settings: &Settings, (kind, first, second): GeneratedEvent) {
-    let (first, second) = (usize::from(first), usize::from(second));
+    let first = usize::from(first);
+    let second = usize::from(second);
     let now_ms = harness.checker.now_ms;
     let is_even = first % 2 == 0;
     match kind % KINDS {
@@ -102,7 +103,8 @@
 fn apply_unknown_ids(harness: &mut Harness) {
     const UNKNOWN_REQUEST: RequestId = RequestId::new(usize::MAX);
     const UNKNOWN_ENDPOINT: EndpointId = EndpointId::new(usize::MAX);
-    let (balancer, checker) = (&mut harness.balancer, &mut harness.checker);
+    let balancer = &mut harness.balancer;
+    let checker = &mut harness.checker;
     let now_ms = checker.now_ms;
     balancer.timer_expired(checker, now_ms, u64::MAX);
     balancer.client_left(checker, now_ms, UNKNOWN_REQUEST);
--- a/tests/module/load_reports.rs
+++ b/tests/module/load_reports.rs
@@ -68,7 +68,9 @@
         }
         harness.in_flight().len()
     };
-    let (idle, silent, full) = (in_flight(Some(0.1)), in_flight(None), in_flight(Some(0.99)));
+    let idle = in_flight(Some(0.1));
+    let silent = in_flight(None);
+    let full = in_flight(Some(0.99));
     assert!(
         idle > silent && full <= silent,
         "{idle} in flight where all report that they are idle, {silent}, {full}"
@@ -86,7 +88,8 @@
 #[test]
 fn a_request_that_is_worth_nothing_any_more_gives_its_place_back() {
     let mut harness = Harness::with_settings(few_buffers(0.0), 2);
-    let (first, other) = (harness.send(0), harness.send(2));
+    let first = harness.send(0);
+    let other = harness.send(2);
     harness.advance(399.0);
     assert!(harness.checker.requests[first].answers.is_empty());
     harness.advance(2.0);
@@ -128,7 +131,8 @@
 fn sent_after_abandoned(cpu_utilization: f64) -> usize {
     let mut harness = Harness::with_settings(few_buffers(0.0), 1);
     for round in 0..30 {
-        let (slow, other) = (harness.send(0), harness.send(2));
+        let slow = harness.send(0);
+        let other = harness.send(2);
         harness.advance(100.0);
         let load = utilization_report(Some(cpu_utilization + f64::from(round % 5) / 1000.0));
         if !harness.checker.requests[other].attempts.is_empty() {
@@ -147,7 +151,8 @@
 
 #[test]
 fn requests_ended_at_their_objective_cut_limits_but_those_of_endpoints_whose_cores_are_free() {
-    let (free, full) = (sent_after_abandoned(0.2), sent_after_abandoned(0.97));
+    let free = sent_after_abandoned(0.2);
+    let full = sent_after_abandoned(0.97);
     assert!(
         free >= 4 && full <= 2,
         "{free} of 10 in flight where cores were free, {full} where they were not"
--- a/tests/module/many_proxies.rs
+++ b/tests/module/many_proxies.rs
@@ -33,7 +33,8 @@
 #[test]
 fn a_zone_cut_off_while_lists_come_late_costs_little_and_is_used_again_within_seconds() {
     // Two dozen proxies before a dozen endpoints, the odd ones silent for six seconds: no list says so.
-    let (proxies, endpoints) = (24, 12);
+    let proxies = 24;
+    let endpoints = 12;
     let mut unserved = 0;
     let mut tried = 0;
     let mut during = 0;
@@ -136,7 +137,8 @@
 fn seven_in_ten_proxies_that_start_at_once_with_one_old_list_crowd_nobody() {
     // A hundred proxies before forty endpoints; the old list knows nothing of a release: endpoints 5, 15, 25 and
     // 35 are warming up.
-    let (proxies, endpoints) = (100, 40);
+    let proxies = 100;
+    let endpoints = 40;
     let old_list = ready_endpoints(endpoints);
     let mut start = SimultaneousStart::default();
     for number in 0..proxies {
@@ -160,7 +162,8 @@
 
 #[test]
 fn proxies_that_see_two_requests_a_second_neither_starve_nor_flood_any_of_two_hundred_endpoints() {
-    let (proxies, endpoints) = (300, 200);
+    let proxies = 300;
+    let endpoints = 200;
     let mut counts = vec![0_usize; endpoints];
     let mut unserved = 0;
     for number in 0..proxies {
@@ -181,7 +184,8 @@
         }
     }
     let mean = proxies * 60 / endpoints;
-    let (least, most) = (counts.iter().min().copied(), counts.iter().max().copied());
+    let least = counts.iter().min().copied();
+    let most = counts.iter().max().copied();
     assert!(
         least >= Some(mean / 4) && most <= Some(mean * 5 / 2),
         "{least:?} to {most:?} about {mean}"
--- a/tests/module/settings.rs
+++ b/tests/module/settings.rs
@@ -1,6 +1,6 @@
 //! The operators' settings: what is refused, in which words, and what absent and odd values mean.
 
-use crankmux::settings::{validate, NameIndex, Settings};
+use crankmux::settings::{validate, NameIndex, Settings, SettingsError};
 use crankmux::types::{ClassId, DeduplicationScope, Idempotency};
 use serde_json::{json, Value};
 
@@ -36,11 +36,9 @@
     settings
 }
 
-fn read(settings: &Value) -> Result<Settings, String> {
-    validate(settings).map_err(|e| e.to_string())?;
-    NameIndex::from_settings(settings)
-        .1
-        .map_err(|e| e.to_string())
+fn read(settings: &Value) -> Result<Settings, SettingsError> {
+    validate(settings)?;
+    NameIndex::from_settings(settings).1
 }
 
 /// What is changed, the value that it gets (none where it is `null`), and the fault that is told.
@@ -91,7 +89,7 @@
             panic!("{row} has not three columns");
         };
         let value = serde_json::from_str(value).expect("JSON");
-        let error = read(&changed(path, &value)).expect_err(row);
+        let error = read(&changed(path, &value)).expect_err(row).to_string();
         assert_eq!(error, message, "{row}");
     }
 }
--- a/tests/module/slow_start_budget.rs
+++ b/tests/module/slow_start_budget.rs
@@ -91,7 +91,8 @@
             Demand::Triple | Demand::Bursts => (3.0, 0.0),
             Demand::TripleAfterPause => (3.0, 2000.0),
         };
-        let (mut arrivals_ms, mut at_ms) = (Vec::new(), 0.0);
+        let mut arrivals_ms = Vec::new();
+        let mut at_ms = 0.0;
         loop {
             at_ms -= (1.0 - rng.rand_float()).ln() / (rate * multiple);
             if at_ms + pause_ms >= RUN_MS {
@@ -226,7 +227,8 @@
 
 /// The most attempts over the budget of a window, in roots of that budget.
 fn worst_excess(attempts_ms: &[f64], warm_rate: f64) -> f64 {
-    let (mut first, mut worst) = (0, f64::MIN);
+    let mut first = 0;
+    let mut worst = f64::MIN;
     for (last, at_ms) in attempts_ms.iter().enumerate() {
         while at_ms - attempts_ms[first] >= WINDOW_MS {
             first += 1;
--- a/tests/module/split.rs
+++ b/tests/module/split.rs
@@ -60,7 +60,8 @@
 
 /// Whether no shift between two endpoints lowers the cost.
 fn has_level_costs(models: &[QueueModel], shares: &[f64], arrival_rate: f64) -> bool {
-    let (mut highest_given, mut lowest_taken) = (0.0_f64, f64::MAX);
+    let mut highest_given = 0.0_f64;
+    let mut lowest_taken = f64::MAX;
     for (model, share) in models.iter().zip(shares) {
         let (under, over) = marginal_costs(model, *share, arrival_rate);
         if *share > 1e-6 {
--- a/tests/module/support/harness.rs
+++ b/tests/module/support/harness.rs
@@ -149,7 +149,8 @@
         client_retry: bool,
         key: Option<u64>,
     ) -> usize {
-        let (request, now_ms) = (self.checker.requests.len(), self.checker.now_ms);
+        let request = self.checker.requests.len();
+        let now_ms = self.checker.now_ms;
         self.checker.requests.push(TrackedRequest {
             idempotency: IDEMPOTENCY[(class + self.checker.idempotency_shift) % 3],
             max_attempts: self.checker.max_attempts,
--- a/tests/module/support/rule_checker.rs
+++ b/tests/module/support/rule_checker.rs
@@ -165,8 +165,10 @@
 
 impl Actions for RuleChecker {
     fn start_attempt(&mut self, request: RequestId, endpoint: EndpointId, timeout_ms: f64) {
-        let (id, endpoint) = (request.index(), endpoint.index());
-        let (request, update) = (&self.requests[id], &self.endpoints[&endpoint]);
+        let id = request.index();
+        let endpoint = endpoint.index();
+        let request = &self.requests[id];
+        let update = &self.endpoints[&endpoint];
         self.check_placement(request, update);
         assert!(
             request.answers.is_empty() && self.now_ms < request.deadline_ms && timeout_ms > 0.0,
--- a/tests/module/upgrade.rs
+++ b/tests/module/upgrade.rs
@@ -21,7 +21,8 @@
 fn a_request_under_way_keeps_the_terms_that_it_came_under() {
     let mut harness = Harness::new(6);
     harness.run(100, 20.0, |_| SUCCESS);
-    let (old, sent_at_ms) = (harness.send(0), harness.checker.now_ms);
+    let old = harness.send(0);
+    let sent_at_ms = harness.checker.now_ms;
     harness.update_settings(default_settings(), 2, 1);
     let new = harness.send(0);
     harness.end_attempt(old, 0, AttemptOutcome::ConnectionLost);
@@ -82,7 +83,8 @@
         let counts = harness.run(120, 2.5, |_| SUCCESS);
         counts.get(&4).copied().unwrap_or(0)
     };
-    let (mut successor, mut stranger) = (Harness::new(4), Harness::new(4));
+    let mut successor = Harness::new(4);
+    let mut stranger = Harness::new(4);
     let learned = old.balancer.learned_state();
     successor.balancer.restore_learned_state(&learned);
     assert_eq!(successor.balancer.learned_state(), learned);
