A descriptor that is not found is counted by purpose and logged with who holds the others

Cause: the log said "cannot accept: Too many open files" some 150 times a second and nothing else; hypotheses about who empties the two reserved descriptors could not be told apart. Change: each request for a descriptor names its purpose (`DescriptorPurpose`). One that finds none is counted in the metrics (`descriptor_shortages.PURPOSE`) and logged once a second for each purpose with the count since, the number of clients, how many are busy, how long the others have been idle, the connections to endpoints, and what the reserved ones were released for. What is reserved, and who may take it, is as before.

--- a/proxy/src/admin/callers.rs
+++ b/proxy/src/admin/callers.rs
@@ -2,7 +2,7 @@
 
 use super::caller::{Caller, CallerEvent};
 use super::response::AdminResponse;
-use crate::lifecycle::file_descriptors::is_out_of_descriptors;
+use crate::descriptors::{is_out_of_descriptors, DescriptorPurpose};
 use crate::proxy::Proxy;
 use crate::tokens::{admin_caller_token, MAX_ADMIN_CALLERS};
 use mio::net::TcpStream;
@@ -33,7 +33,8 @@
                 _ => {}
             }
             // Idle connections that hold the last descriptor must not keep operators out.
-            if is_out_of_descriptors(&error) && self.free_descriptor() {
+            if is_out_of_descriptors(&error) && self.free_descriptor(DescriptorPurpose::AdminCaller)
+            {
                 continue;
             }
             log::warn!("the admin API cannot accept: {error}");
--- a/proxy/src/admin/disabled_endpoints/changes.rs
+++ b/proxy/src/admin/disabled_endpoints/changes.rs
@@ -1,6 +1,7 @@
 //! Disables and enables endpoints, by an operator's call or by what the files of another process say.
 
 use super::DisabledEndpointError;
+use crate::descriptors::DescriptorPurpose;
 use crate::endpoint_list::stable_hash;
 use crate::proxy::Proxy;
 use crankmux::types::{AttemptOutcome, EndpointId, LoadReport};
@@ -17,7 +18,7 @@
     /// The endpoint is unknown, or it cannot be stored that it is disabled.
     pub fn disable_endpoint(&mut self, id: &str) -> Result<(), DisabledEndpointError> {
         let stable_hash = self.known_endpoint(id)?;
-        self.free_descriptor();
+        self.free_descriptor(DescriptorPurpose::File);
         // Stored before it is confirmed: a crash or the next process must not forget it.
         if let Err(error) = self.state_directory.store_disabled(stable_hash, id) {
             log::error!("cannot store that endpoint {id} is disabled: {error}");
@@ -56,7 +57,7 @@
     /// Reads the files of the disabled endpoints, and applies what has changed.
     pub fn reload_disabled_endpoints(&mut self) {
         // Without a free descriptor the directory could not be read.
-        self.free_descriptor();
+        self.free_descriptor(DescriptorPurpose::File);
         let Some(disabled) = self.state_directory.disabled_endpoints() else {
             return;
         };
--- a/proxy/src/admin/handlers.rs
+++ b/proxy/src/admin/handlers.rs
@@ -53,6 +53,7 @@
         let (discovered, ejected) = self.dispatcher.endpoint_counts();
         let mut text = self.access_metrics.to_text(classes, uploading);
         text += &format!("discovered={discovered}\nejected={ejected}\n");
+        text += &self.descriptor_shortages.to_string();
         if let Some(cluster) = &self.cluster {
             text += &cluster.metrics();
         }
--- a/proxy/src/discovery/poll.rs
+++ b/proxy/src/discovery/poll.rs
@@ -5,6 +5,7 @@
 use super::response::read_endpoint_list;
 use super::schedule::{response_grace_ms, PollOutcome, MIN_POLL_INTERVAL_MS};
 use super::PollInFlight;
+use crate::descriptors::DescriptorPurpose;
 use crate::endpoint_list::EndpointList;
 use crate::proxy::Proxy;
 use std::io;
@@ -73,7 +74,7 @@
     fn connect_to_discovery(&mut self) -> io::Result<()> {
         let address = self.discovery.address;
         let opened = self.discovery.connection.open(address, &self.registry);
-        if opened.is_err() && self.free_descriptor() {
+        if opened.is_err() && self.free_descriptor(DescriptorPurpose::Discovery) {
             return self.discovery.connection.open(address, &self.registry);
         }
         opened
--- a/proxy/src/downstream/accept.rs
+++ b/proxy/src/downstream/accept.rs
@@ -2,6 +2,7 @@
 
 use super::connection::DownstreamConnection;
 use super::REQUEST_TIMEOUT_MS;
+use crate::descriptors::DescriptorPurpose;
 use crate::proxy::Proxy;
 use crate::tokens::{client_token, LISTENER};
 use mio::net::TcpStream;
@@ -74,7 +75,7 @@
                 // trying again at once, over and over, would take the whole core.
                 Err(error) => {
                     if !self.free_descriptor_for_client() {
-                        log::warn!("cannot accept: {error}");
+                        self.report_socket_failure(DescriptorPurpose::Client, &error);
                         return self.retry_accept_later();
                     }
                 }
--- a/proxy/src/downstream/connections.rs
+++ b/proxy/src/downstream/connections.rs
@@ -3,6 +3,7 @@
 
 use super::connection::DownstreamConnection;
 use crate::buffers::Buffer;
+use crate::descriptors::DescriptorUsage;
 use crate::http::Message;
 use crate::metrics::access::RequestOutcome;
 use crate::slot_table::{DownstreamKey, SlotTable, UpstreamKey};
@@ -62,6 +63,21 @@
         self.table.is_empty()
     }
 
+    /// Who of the clients holds descriptors.
+    pub fn descriptor_usage(&self, now_ms: f64) -> DescriptorUsage {
+        let idle_ms = || {
+            let idle = self.table.values().filter(|client| !client.is_busy());
+            idle.map(|client| now_ms - client.idle_since_ms)
+        };
+        DescriptorUsage {
+            clients: self.table.len(),
+            busy_clients: self.table.len() - idle_ms().count(),
+            youngest_idle_ms: idle_ms().min_by(f64::total_cmp),
+            oldest_idle_ms: idle_ms().max_by(f64::total_cmp),
+            ..DescriptorUsage::default()
+        }
+    }
+
     /// Whether neither a connection nor the listener has something to be done at once.
     pub fn none_ready(&self) -> bool {
         self.ready.is_empty() && (self.table.is_full() || !self.accept_pending)
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod cluster;
 /// Configuration files: the platform's JSON and the operator's TOML.
 pub mod config;
+/// File descriptors: held in reserve by purpose, and what found none.
+pub mod descriptors;
 /// Service discovery: polls for the endpoint list and its changes.
 pub mod discovery;
 /// Client connections.
--- a/proxy/src/lifecycle/mod.rs
+++ b/proxy/src/lifecycle/mod.rs
@@ -1,7 +1,5 @@
 //! Start, reload, shutdown and upgrade of the process, and what it keeps on disk.
 
-/// Handling of file descriptor exhaustion.
-pub mod file_descriptors;
 /// Configuration reload while requests are in flight.
 pub mod reload;
 /// Graceful shutdown.
--- a/proxy/src/lifecycle/reload.rs
+++ b/proxy/src/lifecycle/reload.rs
@@ -4,6 +4,7 @@
 use crate::config::configuration::Configuration;
 use crate::config::operator_config::{self, LoadedClusterOptions, OperatorConfigError};
 use crate::config::ConfigurationError;
+use crate::descriptors::DescriptorPurpose;
 use crate::proxy::Proxy;
 use crankmux::settings::SettingsError;
 
@@ -22,7 +23,7 @@
 /// Reads both files again. Requests, connections and learned state live on, whatever the new files hold; a
 /// faulty file, or one half written, is rejected whole, as ending a proxy that serves would be worse.
 pub fn reload(proxy: &mut Proxy) {
-    proxy.free_descriptor();
+    proxy.free_descriptor(DescriptorPurpose::File);
     match load_and_apply(proxy) {
         Ok(()) => {
             proxy.access_metrics.reloads_applied += 1;
--- a/proxy/src/lifecycle/upgrade/older_process.rs
+++ b/proxy/src/lifecycle/upgrade/older_process.rs
@@ -2,7 +2,7 @@
 
 use super::protocol::{self, HandoverError, PeerEvent};
 use super::{HandoverSnapshot, LearnedStateSnapshot};
-use crate::lifecycle::file_descriptors::is_out_of_descriptors;
+use crate::descriptors::{is_out_of_descriptors, DescriptorPurpose};
 use crate::proxy::Proxy;
 use crate::tokens::NEWER_PROCESS;
 use mio::net::UnixStream;
@@ -24,7 +24,9 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) => {
                     // Without a descriptor the newer process would go on without what this one knows.
-                    if !(is_out_of_descriptors(&error) && self.free_descriptor()) {
+                    if !(is_out_of_descriptors(&error)
+                        && self.free_descriptor(DescriptorPurpose::Handover))
+                    {
                         log::warn!("cannot hear a newer process: {error}");
                         let retry_at = self.now() + ACCEPT_RETRY_MS;
                         self.timers.set(retry_at, Proxy::accept_newer_process);
@@ -50,7 +52,7 @@
             return Ok(());
         };
         let snapshot = self.handover_snapshot();
-        self.free_descriptor();
+        self.free_descriptor(DescriptorPurpose::File);
         snapshot.store(&path)?;
         self.registry
             .register(&mut stream, NEWER_PROCESS, Interest::READABLE)?;
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -7,10 +7,10 @@
 use crate::buffers::BufferPool;
 use crate::cluster::{Cluster, ClusterConfig, ClusterError};
 use crate::config::configuration::{self, Configuration};
+use crate::descriptors::{DescriptorShortages, ReservedDescriptors};
 use crate::discovery::Discovery;
 use crate::downstream::DownstreamConnections;
 use crate::endpoint_list::{EndpointList, EndpointListError};
-use crate::lifecycle::file_descriptors::ReservedDescriptors;
 use crate::lifecycle::state_directory::StateDirectory;
 use crate::lifecycle::upgrade::{self, Handover, HandoverSnapshot, Upgrade};
 use crate::listener;
@@ -112,6 +112,8 @@
     pub upgrade: Upgrade,
     /// File descriptors kept back for what must go on while clients hold all others.
     pub reserved_descriptors: ReservedDescriptors,
+    /// What wanted a file descriptor and found none.
+    pub descriptor_shortages: DescriptorShortages,
     /// How to join the cluster, where the operator's configuration has one.
     pub cluster_config: Option<ClusterConfig>,
     /// The cluster, once joined.
@@ -232,6 +234,7 @@
             disabled_endpoints: DisabledEndpoints::default(),
             upgrade: sockets.upgrade,
             reserved_descriptors: ReservedDescriptors::new(),
+            descriptor_shortages: DescriptorShortages::default(),
             cluster_config,
             cluster: None,
             cluster_shares: None,
--- a/proxy/src/slot_table.rs
+++ b/proxy/src/slot_table.rs
@@ -83,6 +83,16 @@
         self.entries.len() > self.capacity
     }
 
+    /// The number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// All entries, in the order of their keys.
+    pub fn values(&self) -> impl Iterator<Item = &T> {
+        self.entries.iter().map(|(_, entry)| entry)
+    }
+
     /// Whether it has no entries.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -2,6 +2,7 @@
 
 use super::connection::{EndpointProcess, UpstreamConnection};
 use super::CompletionCallback;
+use crate::descriptors::DescriptorPurpose;
 use crate::proxy::Proxy;
 use crate::slot_table::{DownstreamKey, SlotTable, UpstreamKey};
 use crate::socket::is_silent;
@@ -81,6 +82,12 @@
         !self.connections.is_full()
     }
 
+    /// The number of connections, and of those that are idle.
+    pub fn connection_counts(&self) -> (usize, usize) {
+        let idle = self.endpoints.iter().map(|endpoint| endpoint.idle.len());
+        (self.connections.len(), idle.sum())
+    }
+
     /// All endpoints met.
     pub fn endpoint_ids(&self) -> impl Iterator<Item = EndpointId> {
         (0..self.endpoints.len()).map(EndpointId::new)
@@ -188,8 +195,12 @@
             }
             // What this machine lacks, such as descriptors, is not held against the endpoint; and requests that are
             // admitted go ahead of clients that are idle.
-            if !(self.close_idle_downstream() || self.reserved_descriptors.release_one()) {
-                log::warn!("cannot dial: {error}");
+            if !(self.close_idle_downstream()
+                || self
+                    .reserved_descriptors
+                    .release_one(DescriptorPurpose::Attempt))
+            {
+                self.report_socket_failure(DescriptorPurpose::Attempt, &error);
                 self.counters.capacity_exhausted += 1;
                 return Err(AttemptOutcome::NotSent);
             }
