Descriptors are reserved by purpose, and a disable call is applied from memory

Symptom: while clients hold every descriptor, a disable call is answered 503, and one answered 200 may not be in force; requests that are admitted get no connection to an endpoint. Cause, by the trace lines: two reserved descriptors were shared by all purposes and refilled only as the next client was accepted. With requests in flight, attempts take them the same way. After the file was made the directory was read anew, which could fail without a word: the call was confirmed all the same. Change: each purpose has descriptors of its own (a file, discovery, two callers of the admin API, the connection to a newer process, the cluster's port while it is closed, and, where the system allows fewer than `limits.sockets`, an eighth of them for connections to endpoints), which are held again as soon as one is closed. Accepting clients closes no connection to an endpoint below that eighth. A disable or enable call changes the state in memory once its file is made or removed; a directory that cannot be read is logged and read again. A table key is taken after room was made for the connection, not before. "handed over" is logged only where the listener was sent.

--- a/proxy/src/admin/caller.rs
+++ b/proxy/src/admin/caller.rs
@@ -12,6 +12,8 @@
 /// How much is still read from an answered caller, in bytes, so that unread bytes don't reset the connection and
 /// lose the response.
 const MAX_DRAINED_BYTES: usize = 256 * 1024;
+/// A caller that has connected sends its call within the round trip, which is under this, in milliseconds.
+const NEW_CALLER_GRACE_MS: f64 = 200.0;
 /// Read at once while draining.
 const DRAIN_CHUNK_BYTES: usize = 4096;
 
@@ -65,6 +67,11 @@
             .then_with(|| self.accepted_at_ms.total_cmp(&other.accepted_at_ms))
     }
 
+    /// Whether it had its response, or time to send its call.
+    pub(super) fn is_settled(&self, now_ms: f64) -> bool {
+        self.is_answered() || now_ms - self.accepted_at_ms > NEW_CALLER_GRACE_MS
+    }
+
     /// Whether the response has been written completely.
     fn is_answered(&self) -> bool {
         matches!(self.state, CallerState::Draining { .. })
--- a/proxy/src/admin/callers.rs
+++ b/proxy/src/admin/callers.rs
@@ -19,7 +19,9 @@
 impl Proxy {
     /// Accepts all callers that wait.
     pub fn accept_admin_callers(&mut self) {
-        while let Some(accepted) = self.admin.accept() {
+        loop {
+            let accepted =
+                self.open_reserved(DescriptorPurpose::AdminCaller, |proxy| proxy.admin.accept());
             let error = match accepted {
                 Ok(stream) => {
                     self.add_admin_caller(stream);
@@ -32,12 +34,14 @@
                 ErrorKind::Interrupted | ErrorKind::ConnectionAborted => continue,
                 _ => {}
             }
-            // Idle connections that hold the last descriptor must not keep operators out.
-            if is_out_of_descriptors(&error) && self.free_descriptor(DescriptorPurpose::AdminCaller)
-            {
-                continue;
+            // Callers that say nothing must not keep a complete call out.
+            if is_out_of_descriptors(&error) {
+                if self.close_settled_admin_caller() {
+                    continue;
+                }
+            } else {
+                log::warn!("the admin API cannot accept: {error}");
             }
-            log::warn!("the admin API cannot accept: {error}");
             let at = self.now() + ACCEPT_RETRY_MS;
             self.timers
                 .set(at, |proxy: &mut Proxy| proxy.accept_admin_callers());
@@ -50,12 +54,16 @@
             self.make_room_for_admin_caller();
         }
         let Some(slot) = self.admin.free_slot() else {
+            drop(stream);
+            self.replenish_reserve_of(DescriptorPurpose::AdminCaller);
             return;
         };
         let token = admin_caller_token(slot);
         let interest = Interest::READABLE | Interest::WRITABLE;
         if let Err(error) = self.registry.register(&mut stream, token, interest) {
             log::warn!("cannot watch an admin API caller: {error}");
+            drop(stream);
+            self.replenish_reserve_of(DescriptorPurpose::AdminCaller);
             return;
         }
         let now = self.now();
@@ -77,9 +85,27 @@
         if self.admin.free_slot().is_some() {
             return;
         }
-        if let Some(slot) = self.admin.least_needed() {
+        if let Some(slot) = self.admin.least_needed(|_| true) {
+            self.close_admin_caller(slot);
+        }
+    }
+
+    /// Closes a caller that had its response, or time to say something, as its descriptor is needed; whether there
+    /// was one. What callers have sent by now is answered first.
+    fn close_settled_admin_caller(&mut self) -> bool {
+        let before = self.admin.caller_count();
+        for slot in 0..MAX_ADMIN_CALLERS {
+            self.admin_event(slot);
+        }
+        if self.admin.caller_count() < before {
+            return true;
+        }
+        let now_ms = self.now();
+        let settled = self.admin.least_needed(|caller| caller.is_settled(now_ms));
+        if let Some(slot) = settled {
             self.close_admin_caller(slot);
         }
+        settled.is_some()
     }
 
     /// The one place where a caller's connection is closed.
@@ -90,6 +116,8 @@
         // An error changes nothing: the stream is closed next, which ends its registration too.
         let _ = self.registry.deregister(&mut caller.stream);
         self.timers.cancel(caller.timer);
+        drop(caller);
+        self.replenish_reserve_of(DescriptorPurpose::AdminCaller);
     }
 
     fn admin_call_timed_out(&mut self, slot: usize) {
--- a/proxy/src/admin/disabled_endpoints/changes.rs
+++ b/proxy/src/admin/disabled_endpoints/changes.rs
@@ -1,7 +1,6 @@
 //! Disables and enables endpoints, by an operator's call or by what the files of another process say.
 
 use super::DisabledEndpointError;
-use crate::descriptors::DescriptorPurpose;
 use crate::endpoint_list::stable_hash;
 use crate::proxy::Proxy;
 use crankmux::types::{AttemptOutcome, EndpointId, LoadReport};
@@ -18,14 +17,20 @@
     /// The endpoint is unknown, or it cannot be stored that it is disabled.
     pub fn disable_endpoint(&mut self, id: &str) -> Result<(), DisabledEndpointError> {
         let stable_hash = self.known_endpoint(id)?;
-        self.free_descriptor(DescriptorPurpose::File);
         // Stored before it is confirmed: a crash or the next process must not forget it.
-        if let Err(error) = self.state_directory.store_disabled(stable_hash, id) {
+        let stored = self
+            .with_file_descriptor(|proxy| proxy.state_directory.store_disabled(stable_hash, id));
+        if let Err(error) = stored {
             log::error!("cannot store that endpoint {id} is disabled: {error}");
             return Err(DisabledEndpointError::NotStored(error));
         }
         log::info!("endpoint {id} is disabled");
-        self.reload_disabled_endpoints();
+        // Applied without reading the files back: that may fail, and the call is confirmed next.
+        let mut disabled = self.disabled_endpoints.disabled.clone();
+        if let Err(position) = disabled.binary_search(&stable_hash) {
+            disabled.insert(position, stable_hash);
+        }
+        self.apply_disabled_endpoints(disabled);
         Ok(())
     }
 
@@ -41,7 +46,9 @@
             return Err(DisabledEndpointError::NotRemoved(error));
         }
         log::info!("endpoint {id} is enabled");
-        self.reload_disabled_endpoints();
+        let mut disabled = self.disabled_endpoints.disabled.clone();
+        disabled.retain(|hash| *hash != stable_hash);
+        self.apply_disabled_endpoints(disabled);
         Ok(())
     }
 
@@ -54,13 +61,22 @@
         }
     }
 
-    /// Reads the files of the disabled endpoints, and applies what has changed.
-    pub fn reload_disabled_endpoints(&mut self) {
-        // Without a free descriptor the directory could not be read.
-        self.free_descriptor(DescriptorPurpose::File);
-        let Some(disabled) = self.state_directory.disabled_endpoints() else {
-            return;
-        };
+    /// Reads the files of the disabled endpoints, and applies what has changed; whether they could be read.
+    fn reload_disabled_endpoints(&mut self) -> bool {
+        match self.with_file_descriptor(|proxy| proxy.state_directory.disabled_endpoints()) {
+            Ok(disabled) => {
+                self.apply_disabled_endpoints(disabled);
+                true
+            }
+            Err(error) => {
+                log::warn!("cannot read which endpoints are disabled: {error}");
+                false
+            }
+        }
+    }
+
+    /// Applies which endpoints are disabled from now on; the hashes are sorted.
+    fn apply_disabled_endpoints(&mut self, disabled: Vec<u64>) {
         if disabled == self.disabled_endpoints.disabled {
             return;
         }
@@ -92,10 +108,11 @@
         }
     }
 
-    /// Reloads the disabled endpoints now, and repeatedly for as long as another process of this proxy runs.
+    /// Reloads the disabled endpoints now, and repeatedly for as long as they cannot be read or another process of
+    /// this proxy runs.
     pub fn watch_disabled_endpoints(&mut self) {
-        self.reload_disabled_endpoints();
-        if self.upgrade.has_other_process() {
+        let is_read = self.reload_disabled_endpoints();
+        if !is_read || self.upgrade.has_other_process() {
             let at = self.now() + RELOAD_INTERVAL_MS;
             self.timers.set(at, Proxy::watch_disabled_endpoints);
         }
--- a/proxy/src/admin/mod.rs
+++ b/proxy/src/admin/mod.rs
@@ -39,21 +39,34 @@
         }
     }
 
-    /// Accepts one connection; none where there is no listener.
-    fn accept(&self) -> Option<io::Result<TcpStream>> {
-        let listener = self.listener.as_ref()?;
-        Some(listener.accept().map(|(stream, _)| stream))
+    /// Accepts one connection; where there is no listener, none waits.
+    fn accept(&self) -> io::Result<TcpStream> {
+        match &self.listener {
+            Some(listener) => listener.accept().map(|(stream, _)| stream),
+            None => Err(io::ErrorKind::WouldBlock.into()),
+        }
+    }
+
+    /// Whether operators can call.
+    pub(crate) fn is_listening(&self) -> bool {
+        self.listener.is_some()
+    }
+
+    /// The number of callers.
+    pub(crate) fn caller_count(&self) -> usize {
+        self.callers.iter().flatten().count()
     }
 
     fn free_slot(&self) -> Option<usize> {
         self.callers.iter().position(Option::is_none)
     }
 
-    /// The caller that makes room for a new one, if there is any caller.
-    fn least_needed(&self) -> Option<usize> {
+    /// The caller that makes room for a new one, of those that may; none where none may.
+    fn least_needed(&self, may_close: impl Fn(&Caller) -> bool) -> Option<usize> {
         let callers = self.callers.iter().enumerate();
         callers
             .filter_map(|(slot, caller)| Some((slot, caller.as_ref()?)))
+            .filter(|(_, caller)| may_close(caller))
             .min_by(|(_, one), (_, other)| one.cmp_need(other))
             .map(|(slot, _)| slot)
     }
--- a/proxy/src/cluster/lifecycle.rs
+++ b/proxy/src/cluster/lifecycle.rs
@@ -3,6 +3,7 @@
 use super::config::ClusterConfig;
 use super::error::ClusterError;
 use super::state::Cluster;
+use crate::descriptors::DescriptorPurpose;
 use crate::proxy::Proxy;
 use crankmux_membership::assumptions::Assumed;
 use serde_json::Value;
@@ -64,6 +65,8 @@
             cluster.port.close(&self.registry);
             self.cluster_shares = Some((cluster.assumed().cluster_size, 0.0));
         }
+        // The port of a proxy that may have to join again.
+        self.replenish_reserve_of(DescriptorPurpose::Cluster);
     }
 
     /// The newer process has failed: this one takes its place in the cluster again.
@@ -71,8 +74,11 @@
         if self.cluster.is_some() {
             return;
         }
+        self.reserved_descriptors
+            .release(DescriptorPurpose::Cluster);
         if let Err(error) = self.join_cluster() {
             log::error!("cluster: {error}");
+            self.replenish_reserve_of(DescriptorPurpose::Cluster);
         }
     }
 
--- a/proxy/src/descriptors/mod.rs
+++ b/proxy/src/descriptors/mod.rs
@@ -1,17 +1,21 @@
 //! File descriptors, where connections of clients have taken the last ones.
 //!
-//! - `reserve` holds descriptors back for what must go on whatever clients do.
+//! - `reserve` holds descriptors back for what must go on whatever clients do, for each purpose apart.
+//! - `limit` tells how many the system allows.
+//! - `proxy_reserve` keeps the reserve of a running proxy in step with what is open.
 //! - `shortage` counts and reports what wanted a descriptor and found none.
 
+mod limit;
+mod proxy_reserve;
 mod reserve;
 mod shortage;
 
+pub use limit::attempt_reserve;
 pub use reserve::ReservedDescriptors;
 pub use shortage::{DescriptorShortages, DescriptorUsage};
 
 use rustix::io::Errno;
 use std::fmt;
-use std::fs::File;
 use std::io;
 
 /// A file that every process may open.
@@ -79,8 +83,3 @@
         Some(Errno::MFILE | Errno::NFILE)
     )
 }
-
-/// Whether a descriptor can be opened.
-pub fn is_descriptor_available() -> bool {
-    !File::open(PLACEHOLDER).is_err_and(|error| is_out_of_descriptors(&error))
-}
--- a/proxy/src/descriptors/reserve.rs
+++ b/proxy/src/descriptors/reserve.rs
@@ -1,64 +1,52 @@
-//! Descriptors held in reserve.
+//! Descriptors held in reserve, by purpose.
 
 use super::{is_out_of_descriptors, DescriptorPurpose, PLACEHOLDER};
 use std::fmt;
 use std::fs::File;
 
-/// An upgrade needs two at once: a connection that stays open, and a file beside it.
-const RESERVED: usize = 2;
-
-/// File descriptors held in reserve, to be released for what must go on whatever clients do.
+/// File descriptors that are held open for one purpose each, so that no other takes them. Whoever opens something
+/// releases one of its own purpose first, and has it replenished once the descriptor is closed again.
+///
+/// A pool that all purposes share guarantees none of them anything: what is never done, such as connecting to
+/// endpoints or polling discovery, takes from it what an operator's call needs.
+#[derive(Default)]
 pub struct ReservedDescriptors {
-    held: Vec<File>,
-    /// What the others were released for, since the reserve was last full.
-    released_for: Vec<DescriptorPurpose>,
-}
-
-impl Default for ReservedDescriptors {
-    fn default() -> Self {
-        ReservedDescriptors::new()
-    }
+    held: [Vec<File>; DescriptorPurpose::ALL.len()],
 }
 
 impl ReservedDescriptors {
-    /// Reserves as many as there are to have.
-    pub fn new() -> Self {
-        let mut reserved = ReservedDescriptors {
-            held: Vec::new(),
-            released_for: Vec::new(),
-        };
-        reserved.replenish();
-        reserved
+    /// Releases one that is held for a purpose, if there is one.
+    pub fn release(&mut self, purpose: DescriptorPurpose) {
+        self.held[purpose.index()].pop();
     }
 
-    /// Releases one for a purpose; whether there was one.
-    pub fn release_one(&mut self, purpose: DescriptorPurpose) -> bool {
-        let is_released = self.held.pop().is_some();
-        if is_released {
-            self.released_for.push(purpose);
-        }
-        is_released
-    }
-
-    /// Takes back what was released; whether the reserve is full. To be called before clients are accepted:
-    /// they would take each descriptor that becomes free, and the reserve would stay empty.
-    pub fn replenish(&mut self) -> bool {
-        while self.held.len() < RESERVED {
+    /// Holds so many for a purpose, or as many as there are to have; whether all are held.
+    pub fn hold(&mut self, purpose: DescriptorPurpose, count: usize) -> bool {
+        let held = &mut self.held[purpose.index()];
+        held.truncate(count);
+        while held.len() < count {
             match File::open(PLACEHOLDER) {
-                Ok(file) => self.held.push(file),
+                Ok(file) => held.push(file),
                 Err(error) => return !is_out_of_descriptors(&error),
             }
         }
-        self.released_for.clear();
         true
     }
+
+    /// How many are held for a purpose.
+    pub fn held(&self, purpose: DescriptorPurpose) -> usize {
+        self.held[purpose.index()].len()
+    }
 }
 
 impl fmt::Display for ReservedDescriptors {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{} of {RESERVED}", self.held.len())?;
-        for purpose in &self.released_for {
-            write!(formatter, ", one released for {purpose}")?;
+        formatter.write_str("reserved")?;
+        let reserving = DescriptorPurpose::ALL
+            .into_iter()
+            .filter(|purpose| *purpose != DescriptorPurpose::Client);
+        for purpose in reserving {
+            write!(formatter, " {purpose}={}", self.held(purpose))?;
         }
         Ok(())
     }
--- a/proxy/src/discovery/mod.rs
+++ b/proxy/src/discovery/mod.rs
@@ -80,6 +80,11 @@
         self.first_poll_finished
     }
 
+    /// Whether the connection to the agent is open, or being opened.
+    pub(crate) fn is_connected(&self) -> bool {
+        self.connection.is_open()
+    }
+
     fn next_request(&self) -> PollRequest {
         PollRequest::next(
             self.sequence_number,
--- a/proxy/src/discovery/poll.rs
+++ b/proxy/src/discovery/poll.rs
@@ -70,18 +70,16 @@
         }
     }
 
-    /// Connects; where descriptors are exhausted, one is freed for it.
     fn connect_to_discovery(&mut self) -> io::Result<()> {
-        let address = self.discovery.address;
-        let opened = self.discovery.connection.open(address, &self.registry);
-        if opened.is_err() && self.free_descriptor(DescriptorPurpose::Discovery) {
-            return self.discovery.connection.open(address, &self.registry);
-        }
-        opened
+        self.open_reserved(DescriptorPurpose::Discovery, |proxy| {
+            let address = proxy.discovery.address;
+            proxy.discovery.connection.open(address, &proxy.registry)
+        })
     }
 
     fn disconnect_from_discovery(&mut self) {
         self.discovery.connection.close(&self.registry);
+        self.replenish_reserve_of(DescriptorPurpose::Discovery);
     }
 
     /// Ends the poll in flight, whatever came of it.
--- a/proxy/src/downstream/accept.rs
+++ b/proxy/src/downstream/accept.rs
@@ -2,7 +2,7 @@
 
 use super::connection::DownstreamConnection;
 use super::REQUEST_TIMEOUT_MS;
-use crate::descriptors::DescriptorPurpose;
+use crate::descriptors::{is_out_of_descriptors, DescriptorPurpose};
 use crate::proxy::Proxy;
 use crate::tokens::{client_token, LISTENER};
 use mio::net::TcpStream;
@@ -57,16 +57,17 @@
                 self.downstream.accept_pending = true;
                 return self.retry_accept_later();
             }
-            let Some(listener) = &self.downstream.listener else {
-                return;
-            };
-            if !self.reserved_descriptors.replenish() {
+            if !self.replenish_reserve() {
                 // Clients would take the place of the descriptor that was given up as soon as it is free.
                 if !self.free_descriptor_for_client() {
+                    self.report_descriptor_shortage(DescriptorPurpose::Client);
                     return self.retry_accept_later();
                 }
                 continue;
             }
+            let Some(listener) = &self.downstream.listener else {
+                return;
+            };
             match listener.accept() {
                 Ok((stream, _)) => self.add_client(stream),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
@@ -75,7 +76,11 @@
                 // trying again at once, over and over, would take the whole core.
                 Err(error) => {
                     if !self.free_descriptor_for_client() {
-                        self.report_socket_failure(DescriptorPurpose::Client, &error);
+                        if is_out_of_descriptors(&error) {
+                            self.report_descriptor_shortage(DescriptorPurpose::Client);
+                        } else {
+                            log::warn!("cannot accept: {error}");
+                        }
                         return self.retry_accept_later();
                     }
                 }
@@ -91,7 +96,7 @@
 
     /// Closes the connection that is needed least; whether there was one.
     fn free_descriptor_for_client(&mut self) -> bool {
-        self.evict_client() || self.close_longest_idle_upstream()
+        self.evict_client() || self.close_unreserved_idle_upstream()
     }
 
     fn add_client(&mut self, mut stream: TcpStream) {
--- a/proxy/src/lifecycle/reload.rs
+++ b/proxy/src/lifecycle/reload.rs
@@ -4,7 +4,6 @@
 use crate::config::configuration::Configuration;
 use crate::config::operator_config::{self, LoadedClusterOptions, OperatorConfigError};
 use crate::config::ConfigurationError;
-use crate::descriptors::DescriptorPurpose;
 use crate::proxy::Proxy;
 use crankmux::settings::SettingsError;
 
@@ -23,7 +22,6 @@
 /// Reads both files again. Requests, connections and learned state live on, whatever the new files hold; a
 /// faulty file, or one half written, is rejected whole, as ending a proxy that serves would be worse.
 pub fn reload(proxy: &mut Proxy) {
-    proxy.free_descriptor(DescriptorPurpose::File);
     match load_and_apply(proxy) {
         Ok(()) => {
             proxy.access_metrics.reloads_applied += 1;
@@ -39,11 +37,16 @@
 }
 
 fn load_and_apply(proxy: &mut Proxy) -> Result<(), ReloadError> {
-    let configuration = Configuration::reload(&proxy.active_configuration)?;
-    let cluster = operator_config::load()?.cluster;
+    let (configuration, cluster) = proxy.with_file_descriptor(|proxy| load(proxy))?;
     apply(proxy, configuration, cluster)
 }
 
+fn load(proxy: &Proxy) -> Result<(Configuration, Option<LoadedClusterOptions>), ReloadError> {
+    let configuration = Configuration::reload(&proxy.active_configuration)?;
+    let operator_config = operator_config::load()?;
+    Ok((configuration, operator_config.cluster))
+}
+
 /// All that can fail comes first, on a copy of the names: no half of a file is ever in force.
 fn apply(
     proxy: &mut Proxy,
--- a/proxy/src/lifecycle/state_directory.rs
+++ b/proxy/src/lifecycle/state_directory.rs
@@ -85,15 +85,22 @@
         }
     }
 
-    /// Hashes of the disabled endpoints, sorted, as the files say now; none where they cannot be read.
-    pub fn disabled_endpoints(&self) -> Option<Vec<u64>> {
-        let files = fs::read_dir(self.folder.as_ref()?).ok()?;
-        let names = files.filter_map(|file| file.ok()?.file_name().into_string().ok());
-        let mut hashes: Vec<u64> = names
-            .filter_map(|name| u64::from_str_radix(name.strip_prefix(DISABLED_PREFIX)?, 16).ok())
-            .collect();
+    /// Hashes of the disabled endpoints, sorted, as the files say now. Without a directory there is none.
+    ///
+    /// # Errors
+    ///
+    /// The directory cannot be read, or not to its end: an endpoint of which the file was not seen may be disabled.
+    pub fn disabled_endpoints(&self) -> Result<Vec<u64>, StateDirectoryError> {
+        let Some(folder) = &self.folder else {
+            return Ok(Vec::new());
+        };
+        let mut hashes = Vec::new();
+        for file in fs::read_dir(folder)? {
+            let name = file?.file_name();
+            hashes.extend(name.to_str().and_then(disabled_hash));
+        }
         hashes.sort_unstable();
-        Some(hashes)
+        Ok(hashes)
     }
 
     fn disabled_path(&self, stable_hash: u64) -> Result<PathBuf, StateDirectoryError> {
@@ -102,6 +109,12 @@
     }
 }
 
+/// The endpoint that a file of this name keeps disabled; none where it is another file.
+fn disabled_hash(file_name: &str) -> Option<u64> {
+    let digits = file_name.strip_prefix(DISABLED_PREFIX)?;
+    u64::from_str_radix(digits, 16).ok()
+}
+
 /// A proxy's name as a file's: short, and without what a path would read otherwise.
 fn file_name(proxy_name: &str) -> String {
     let fits = |letter: char| letter.is_ascii_alphanumeric() || "-_".contains(letter);
--- a/proxy/src/lifecycle/upgrade/mod.rs
+++ b/proxy/src/lifecycle/upgrade/mod.rs
@@ -113,6 +113,14 @@
         Ok(())
     }
 
+    /// Accepts the connection of a newer process; where there is no listener, none waits.
+    fn accept(&self) -> io::Result<UnixStream> {
+        match &self.listener {
+            Some(listener) => listener.accept().map(|(stream, _)| stream),
+            None => Err(io::ErrorKind::WouldBlock.into()),
+        }
+    }
+
     /// Whether it leaves clients to the older process still.
     pub fn waits_to_accept(&self) -> bool {
         matches!(self.older, OlderProcess::Accepting(_))
--- a/proxy/src/lifecycle/upgrade/older_process.rs
+++ b/proxy/src/lifecycle/upgrade/older_process.rs
@@ -17,34 +17,34 @@
 impl Proxy {
     /// A newer process asks for what this one has.
     pub fn accept_newer_process(&mut self) {
-        while let Some(listener) = &self.upgrade.listener {
-            match listener.accept() {
-                Ok((stream, _)) => self.newer_process_connected(stream),
+        // Without a descriptor the newer process would go on without what this one knows.
+        loop {
+            let accepted =
+                self.open_reserved(DescriptorPurpose::Handover, |proxy| proxy.upgrade.accept());
+            match accepted {
+                Ok(stream) => self.newer_process_connected(stream),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) => {
-                    // Without a descriptor the newer process would go on without what this one knows.
-                    if !(is_out_of_descriptors(&error)
-                        && self.free_descriptor(DescriptorPurpose::Handover))
-                    {
+                    if !is_out_of_descriptors(&error) {
                         log::warn!("cannot hear a newer process: {error}");
-                        let retry_at = self.now() + ACCEPT_RETRY_MS;
-                        self.timers.set(retry_at, Proxy::accept_newer_process);
-                        return;
                     }
+                    let retry_at = self.now() + ACCEPT_RETRY_MS;
+                    self.timers.set(retry_at, Proxy::accept_newer_process);
+                    return;
                 }
             }
         }
     }
 
     fn newer_process_connected(&mut self, stream: UnixStream) {
-        if self.stopping() || self.upgrade.has_newer_process() {
-            // There is nothing to hand over any more, or it is handed over: that one goes on alone.
-            return;
-        }
-        if let Err(error) = self.hand_over_to(stream) {
-            log::warn!("cannot hand over: {error}");
+        // There is nothing to hand over while it stops, or where that is done: then the newer process goes on alone.
+        if !self.stopping() && !self.upgrade.has_newer_process() {
+            if let Err(error) = self.hand_over_to(stream) {
+                log::warn!("cannot hand over: {error}");
+            }
         }
+        self.replenish_reserve_of(DescriptorPurpose::Handover);
     }
 
     fn hand_over_to(&mut self, mut stream: UnixStream) -> Result<(), HandoverError> {
@@ -52,21 +52,20 @@
             return Ok(());
         };
         let snapshot = self.handover_snapshot();
-        self.free_descriptor(DescriptorPurpose::File);
-        snapshot.store(&path)?;
+        self.with_file_descriptor(|_| snapshot.store(&path))?;
         self.registry
             .register(&mut stream, NEWER_PROCESS, Interest::READABLE)?;
         self.upgrade.newer = Some(stream);
         self.yield_cluster();
         // Before the newer process has anything, so that both together never exceed the limits.
         self.apply_process_share();
-        let sent = self.send_listener();
-        if sent.is_err() {
+        if let Err(error) = self.send_listener() {
             self.newer_process_ended();
+            return Err(error);
         }
         log::info!("handed over to a newer process");
         self.watch_disabled_endpoints();
-        sent
+        Ok(())
     }
 
     fn handover_snapshot(&self) -> HandoverSnapshot {
@@ -108,6 +107,7 @@
         if let Some(mut stream) = self.upgrade.newer.take() {
             let _ = self.registry.deregister(&mut stream);
         }
+        // Applies this process's own reserve too, with the descriptor of that connection.
         self.apply_process_share();
         if self.stopping() {
             return;
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -110,8 +110,10 @@
     pub disabled_endpoints: DisabledEndpoints,
     /// The other processes of this proxy during an upgrade.
     pub upgrade: Upgrade,
-    /// File descriptors kept back for what must go on while clients hold all others.
+    /// File descriptors kept back for what must go on while clients hold all others, by purpose.
     pub reserved_descriptors: ReservedDescriptors,
+    /// How many file descriptors connections to endpoints have for themselves, open or reserved.
+    pub(crate) attempt_reserve: usize,
     /// What wanted a file descriptor and found none.
     pub descriptor_shortages: DescriptorShortages,
     /// How to join the cluster, where the operator's configuration has one.
@@ -233,7 +235,8 @@
             state_directory,
             disabled_endpoints: DisabledEndpoints::default(),
             upgrade: sockets.upgrade,
-            reserved_descriptors: ReservedDescriptors::new(),
+            reserved_descriptors: ReservedDescriptors::default(),
+            attempt_reserve: 0,
             descriptor_shortages: DescriptorShortages::default(),
             cluster_config,
             cluster: None,
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{EndpointProcess, UpstreamConnection};
 use super::CompletionCallback;
-use crate::descriptors::DescriptorPurpose;
+use crate::descriptors::{is_out_of_descriptors, DescriptorPurpose};
 use crate::proxy::Proxy;
 use crate::slot_table::{DownstreamKey, SlotTable, UpstreamKey};
 use crate::socket::is_silent;
@@ -184,27 +184,25 @@
             .and_then(|endpoint| endpoint.process)
             .ok_or(AttemptOutcome::Unreachable)?;
         self.counters.connections_opened += 1;
-        let key = self.upstream.connections.vacant_key();
-        loop {
-            let error = match self.open_socket(process, key) {
-                Ok(stream) => return Ok((key, stream, process)),
-                Err(error) => error,
-            };
-            if is_unreachable(&error) {
-                return Err(AttemptOutcome::Unreachable);
-            }
-            // What this machine lacks, such as descriptors, is not held against the endpoint; and requests that are
-            // admitted go ahead of clients that are idle.
-            if !(self.close_idle_downstream()
-                || self
-                    .reserved_descriptors
-                    .release_one(DescriptorPurpose::Attempt))
-            {
-                self.report_socket_failure(DescriptorPurpose::Attempt, &error);
-                self.counters.capacity_exhausted += 1;
-                return Err(AttemptOutcome::NotSent);
-            }
+        let opened = self.open_reserved(DescriptorPurpose::Attempt, |proxy| {
+            // Taken only now: connections that are closed to make room free keys of this table.
+            let key = proxy.upstream.connections.vacant_key();
+            let stream = proxy.open_socket(process, key)?;
+            Ok((key, stream))
+        });
+        let error = match opened {
+            Ok((key, stream)) => return Ok((key, stream, process)),
+            Err(error) => error,
+        };
+        if is_unreachable(&error) {
+            return Err(AttemptOutcome::Unreachable);
+        }
+        // What this machine lacks, such as descriptors, is not held against the endpoint.
+        if !is_out_of_descriptors(&error) {
+            log::warn!("cannot connect to {}: {error}", process.address);
         }
+        self.counters.capacity_exhausted += 1;
+        Err(AttemptOutcome::NotSent)
     }
 
     fn open_socket(&self, process: EndpointProcess, key: UpstreamKey) -> io::Result<TcpStream> {
@@ -274,6 +272,8 @@
             log::debug!("a connection to an endpoint was not watched: {error}");
         }
         self.timers.cancel(connection.timer);
+        drop(connection.stream);
+        self.replenish_reserve_of(DescriptorPurpose::Attempt);
         let attempt = attempt?;
         for buffer in [attempt.request_state.into_buffer(), attempt.inbox] {
             buffer
--- a/proxy/tests/sockets/reserved_descriptors.rs
+++ b/proxy/tests/sockets/reserved_descriptors.rs
@@ -10,7 +10,7 @@
 use crate::support::configuration::configuration;
 use crate::support::discovery::{endpoint_entry, endpoint_list};
 use crate::support::endpoint::TestEndpoint;
-use crate::support::http::request;
+use crate::support::http::{ok_response, read_message, request, status_code};
 use crate::support::proxy_process::ProxyProcess;
 use crate::support::scripted_discovery::ScriptedDiscovery;
 use crate::support::wait::{sleep_ms, wait_until};
@@ -153,3 +153,63 @@
         assert_eq!(newer.metric("ejected"), Some(1));
     }
 }
+
+/// Requests that are under way at once, as many as an eighth of the lower limit allows, less one.
+const REQUESTS_AT_ONCE: usize = 4;
+/// Clients that hold descriptors or wait for one.
+const INCOMPLETE_REQUESTS: usize = 80;
+/// How long an endpoint works, so that the requests overlap.
+const WORK_MS: u64 = 300;
+
+/// Clients in the middle of a request's head, which are not closed for an attempt.
+fn connect_until_descriptors_are_exhausted(
+    proxy: &ProxyProcess,
+    max_descriptors: usize,
+) -> Vec<TcpStream> {
+    let clients = (0..INCOMPLETE_REQUESTS)
+        .map(|_| {
+            let mut client = proxy.connect();
+            client.write_all(b"POST /view/7 HTTP/1.1\r\n").unwrap();
+            client
+        })
+        .collect();
+    let open_descriptors = || {
+        std::fs::read_dir(format!("/proc/{}/fd", proxy.pid()))
+            .unwrap()
+            .count()
+    };
+    wait_until("they hold all", || open_descriptors() >= max_descriptors);
+    clients
+}
+
+/// Some of these requests were answered 503: accepting the new clients had closed the idle connections to endpoints,
+/// and two reserved descriptors were all that new connections could have (`no descriptor for attempt: ... upstream=2
+/// idle_upstream=0 reserved: 0 of 2`).
+#[test]
+fn admitted_requests_reach_endpoints_while_new_clients_hold_every_descriptor() {
+    for max_descriptors in DESCRIPTOR_LIMITS {
+        let endpoints: Vec<TestEndpoint> = (0..ENDPOINTS)
+            .map(|_| {
+                TestEndpoint::new(|stream, _| {
+                    sleep_ms(WORK_MS);
+                    stream.write_all(&ok_response("done")).is_ok()
+                })
+            })
+            .collect();
+        let endpoints: Vec<&TestEndpoint> = endpoints.iter().collect();
+        let proxy = ProxyProcess::with_configuration(&endpoints, |_| (), Some(max_descriptors));
+        let mut clients: Vec<TcpStream> = (0..REQUESTS_AT_ONCE).map(|_| proxy.connect()).collect();
+        let mut send_all = || {
+            for client in &mut clients {
+                client.write_all(&request("pay", 1.5, "")).unwrap();
+            }
+            let responses = clients
+                .iter_mut()
+                .map(|client| read_message(client).map_or(0, |(head, _)| status_code(&head)));
+            responses.collect::<Vec<u16>>()
+        };
+        assert_eq!(send_all(), [200; REQUESTS_AT_ONCE], "before");
+        let _others = connect_until_descriptors_are_exhausted(&proxy, max_descriptors);
+        assert_eq!(send_all(), [200; REQUESTS_AT_ONCE], "{}", proxy.log());
+    }
+}
