--- a/proxy/tests/sockets/reload.rs
+++ b/proxy/tests/sockets/reload.rs
@@ -267,3 +267,30 @@
         proxy.metric("sighup_applied") == Some(1)
     });
 }
+
+/// A file that was cut short and still parses must be rejected whole. Where the running configuration had no
+/// `limits`, the check for keys that a new file lacks ended there, and a request class could lose its terms: the
+/// reload was logged as applied.
+#[test]
+fn a_class_that_loses_a_key_is_rejected_where_the_configuration_has_no_limits() {
+    let endpoint = TestEndpoint::always_answering(ok_response("x"));
+    let without_limits = |configuration: &mut Value| {
+        configuration
+            .as_object_mut()
+            .expect("an object")
+            .remove("limits");
+    };
+    let proxy = ProxyProcess::with_configuration(&[&endpoint], without_limits, None);
+    let mut cut = proxy.configuration();
+    let class = cut["settings"]["Categories"][1]
+        .as_object_mut()
+        .expect("a class");
+    class.remove("WindowMs");
+    proxy.reload(&cut.to_string());
+    wait_until("the file is judged", || {
+        proxy.log().contains("the configuration stays as it was")
+            || proxy.log().contains("configuration read again")
+    });
+    let log = proxy.log();
+    assert!(log.contains("settings.Categories.1.WindowMs"), "{log}");
+}
--- a/tests/module/settings.rs
+++ b/tests/module/settings.rs
@@ -94,6 +94,22 @@
     }
 }
 
+/// A deployment whose endpoints report their load to probes alone, with probes limited to `0.0`, started and never
+/// heard of any load: only the integer 0 was taken for a limit that allows none.
+#[test]
+fn load_that_is_pulled_needs_probes_and_any_zero_allows_none() {
+    for probes in [json!(0), json!(0.0), json!(-0.0), json!(false), json!(null)] {
+        let mut settings = changed("/Reporting", &json!({"Via": "pull"}));
+        settings["Limits"]["Probes"] = probes.clone();
+        let error = read(&settings).expect_err("no probe is allowed");
+        assert_eq!(
+            error.to_string(),
+            "Reporting.Via is pull, but Limits.Probes allows no probe",
+            "{probes}"
+        );
+    }
+}
+
 #[test]
 fn what_is_unknown_or_beside_the_point_is_passed_over() {
     let expected = read(&valid()).expect("valid");
