A limit of probes of 0.0 allows none, and missing keys are looked for beside no limits

Symptom: with load pulled by probes and `Limits.Probes: 0.0` a proxy started that never heard of load. Where the running configuration had no `limits`, a file that was cut short lost a request class its terms and was applied. Cause: the limit was compared with the integer 0 only; the comparison of keys returned at the first object that the running configuration does not have, and never came to the request classes. Change: any zero allows no probe; an object that is absent requires no keys and the others are compared.

--- a/proxy/src/config/reload_check.rs
+++ b/proxy/src/config/reload_check.rs
@@ -12,7 +12,8 @@
 /// `limits` and in each request class. A class that is new must have the keys that all others had.
 pub(super) fn first_missing_key(running: &Value, new: &Value) -> Option<String> {
     for pointer in COMPARED_OBJECTS {
-        let required = keys(running.pointer(pointer)?);
+        // What the running configuration does not have is not required; the other objects are compared all the same.
+        let required = running.pointer(pointer).map(keys).unwrap_or_default();
         let found = new.pointer(pointer);
         let missing = required
             .into_iter()
--- a/src/settings/wire.rs
+++ b/src/settings/wire.rs
@@ -41,12 +41,12 @@
         }
     }
 
-    /// Whether it is set, and neither `false` nor the integer 0.
+    /// Whether it is set, and neither `false` nor zero, as a whole number or with decimals.
     pub(super) fn is_set(&self) -> bool {
         match self {
             Field::Absent => false,
             Field::Valid(Number::Flag(flag)) => *flag,
-            Field::Valid(Number::Number(number)) => number.as_i64() != Some(0),
+            Field::Valid(Number::Number(number)) => number.as_f64() != Some(0.0),
             Field::Invalid => true,
         }
     }
