A soak: proxies are reloaded, restarted and upgraded under load, a run for each seed

Cause: nothing played restarts as the platform carries them out, with clients that go on using their connections until SIGKILL, signals in series, a crowd and an operator's calls.

--- a/fault-injection/src/connection.rs
+++ b/fault-injection/src/connection.rs
@@ -58,6 +58,8 @@
     pub(crate) stream: TcpStream,
     input: Vec<u8>,
     output: Vec<u8>,
+    /// The other side's machine has accepted it: something could be written.
+    pub(crate) established: bool,
     /// Read to its end, broken, or carrying what is not HTTP.
     pub(crate) ended: bool,
 }
@@ -70,6 +72,7 @@
             stream,
             input: Vec::new(),
             output: Vec::new(),
+            established: false,
             ended: false,
         }
     }
@@ -150,7 +153,10 @@
         while !self.output.is_empty() {
             match self.stream.write(&self.output) {
                 Ok(0) => return self.ended = true,
-                Ok(length) => drop(self.output.drain(..length)),
+                Ok(length) => {
+                    self.established = true;
+                    self.output.drain(..length);
+                }
                 Err(error) => match error.kind() {
                     ErrorKind::WouldBlock | ErrorKind::NotConnected => return,
                     ErrorKind::Interrupted => {}
--- a/fault-injection/src/harness/clients.rs
+++ b/fault-injection/src/harness/clients.rs
@@ -62,6 +62,19 @@
         }
     }
 
+    /// Takes the requests that still wait at a proxy for an answer that is owed; none is owed after this.
+    pub(super) fn take_unanswered_at(&mut self, proxy: usize) -> Vec<usize> {
+        let mut unanswered = Vec::new();
+        for (number, request) in &mut self.requests {
+            let waits = request.connection.is_some() && !request.answered && !request.excused;
+            if request.proxy == proxy && waits {
+                request.excused = true;
+                unanswered.push(number);
+            }
+        }
+        unanswered
+    }
+
     /// No request that waits at a proxy is owed an answer any more.
     pub(super) fn excuse_requests_at(&mut self, proxy: usize) {
         for (_, request) in &mut self.requests {
@@ -126,7 +139,10 @@
         if self.rate <= 0.0 || in_rotation.is_empty() {
             return;
         }
-        let to = if self.clients.in_rotation[proxy] {
+        // Clients go on using the connections that they have to one that is shutting down.
+        let keeps_connections =
+            self.shutdowns.is_shutting_down(proxy) && !self.clients.idle[proxy].is_empty();
+        let to = if self.clients.in_rotation[proxy] || keeps_connections {
             proxy
         } else {
             in_rotation[self.random.random_range(0..in_rotation.len())]
@@ -268,7 +284,8 @@
     pub(super) fn on_closed_unanswered(&mut self, request: usize, proxy: usize, refused: bool) {
         let now_ms = self.now();
         // Whoever has died has read nothing either, if no attempt was made.
-        let refused = refused || !self.proxies[proxy].runs();
+        let is_shutting_down = self.shutdowns.is_shutting_down(proxy);
+        let refused = refused || !(is_shutting_down || self.proxies[proxy].runs());
         let waiting = &mut self.clients.requests[request];
         waiting.connection = None;
         let unread = (waiting.on_reused_connection || refused) && waiting.attempts == 0;
--- a/fault-injection/src/harness/discovery.rs
+++ b/fault-injection/src/harness/discovery.rs
@@ -1,5 +1,6 @@
 //! Stand-in discovery: answers each proxy's polls with the endpoint list, or holds them until it changes.
 
+use super::event_loop::Role;
 use super::Harness;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -46,6 +47,10 @@
     held_polls: Vec<HeldPoll>,
     /// When each proxy was told that an endpoint drains: by proxy, then by endpoint.
     draining_since_ms: Vec<Vec<Option<f64>>>,
+    /// Proxies whose connections to it are closed, and new ones at once.
+    pub(super) closed: Vec<bool>,
+    /// When each proxy was told which version: by proxy, in the order of time.
+    told_versions: Vec<Vec<(f64, u64)>>,
     /// When the run began.
     unix_ms: f64,
 }
@@ -62,6 +67,8 @@
             version: 1,
             held_polls: Vec::new(),
             draining_since_ms: vec![Vec::new(); proxies],
+            closed: vec![false; proxies],
+            told_versions: vec![Vec::new(); proxies],
             unix_ms,
         }
     }
@@ -101,6 +108,7 @@
 
     /// A proxy is told the health of all endpoints.
     fn note_told(&mut self, now_ms: f64, proxy: usize) {
+        self.told_versions[proxy].push((now_ms, self.version));
         let told = &mut self.draining_since_ms[proxy];
         for (listing, draining_since_ms) in self.listings.iter().zip(told) {
             match listing.health {
@@ -127,6 +135,46 @@
         self.list(endpoint, Health::Draining);
     }
 
+    /// Closes all connections of a proxy to discovery, and new ones at once.
+    pub(crate) fn close_discovery(&mut self, proxy: usize) {
+        self.discovery.closed[proxy] = true;
+        let connections: Vec<usize> = self
+            .event_loop
+            .connections
+            .iter()
+            .filter(|(_, open)| open.role == Role::Discovery { proxy })
+            .map(|(key, _)| key)
+            .collect();
+        for connection in connections {
+            self.close(connection);
+        }
+    }
+
+    /// Discovery answers all proxies again, whatever kept it from that.
+    pub(crate) fn recover_discovery(&mut self) {
+        self.discovery.closed.fill(false);
+        self.discovery_silent.fill(false);
+        self.answer_polls();
+    }
+
+    /// Discovery moves to another address for a proxy, which its configuration names from now on.
+    pub(crate) fn move_discovery(&mut self, proxy: usize) {
+        self.discovery.addresses[proxy] = self.event_loop.listen(Role::Discovery { proxy });
+        self.write_files(proxy);
+    }
+
+    /// The version of the endpoint list now.
+    pub(crate) fn list_version(&self) -> u64 {
+        self.discovery.version
+    }
+
+    /// Whether a proxy was told this version of the list, or a later one, by a moment.
+    pub(crate) fn was_told(&self, proxy: usize, version: u64, by_ms: f64) -> bool {
+        self.discovery.told_versions[proxy]
+            .iter()
+            .any(|(at_ms, told)| *told >= version && *at_ms <= by_ms)
+    }
+
     pub(super) fn announce_ready(&mut self, endpoint: usize) {
         self.list(endpoint, Health::Ready);
     }
--- a/fault-injection/src/harness/endpoints.rs
+++ b/fault-injection/src/harness/endpoints.rs
@@ -81,6 +81,7 @@
     pub(super) fn is_up(&self, role: Role) -> bool {
         match role {
             Role::Endpoint { endpoint, .. } => self.endpoints.servers[endpoint].up,
+            Role::Discovery { proxy } => !self.discovery.closed[proxy],
             _ => true,
         }
     }
@@ -186,7 +187,14 @@
     fn check_attempt(&mut self, now_ms: f64, request: usize, endpoint: usize, proxy: usize) {
         let class = self.clients.requests[request].class;
         let group = self.deduplication_group(endpoint, class);
-        let draining_since = self.discovery.draining_since(proxy, endpoint);
+        // Once an operator was told that it is disabled, an endpoint gets as little as one that drains.
+        let draining_since = [
+            self.discovery.draining_since(proxy, endpoint),
+            self.admin_calls.disabled_since(proxy, endpoint),
+        ]
+        .into_iter()
+        .flatten()
+        .min_by(f64::total_cmp);
         let waiting = &mut self.clients.requests[request];
         waiting.attempts += 1;
         let lifecycle = &mut waiting.lifecycle;
--- a/fault-injection/src/harness/event_loop.rs
+++ b/fault-injection/src/harness/event_loop.rs
@@ -30,6 +30,10 @@
     },
     /// An observer of a proxy's admin API.
     Observer { proxy: usize },
+    /// An operator's call to a proxy's admin API.
+    AdminCall { call: usize },
+    /// A client of a proxy that says nothing.
+    IdleClient { proxy: usize },
 }
 
 /// A socket that accepts connections of one role.
@@ -246,6 +250,15 @@
                     };
                     self.on_response(key, proxy, request, &response);
                 }
+                Role::AdminCall { call } => {
+                    let Some(response) = connection.take_response() else {
+                        break;
+                    };
+                    self.on_call_answered(call, response.status);
+                    self.close(key);
+                    return;
+                }
+                Role::IdleClient { .. } => break,
                 Role::Observer { proxy } => {
                     let Some(response) = connection.take_response() else {
                         break;
@@ -260,6 +273,28 @@
         }
     }
 
+    /// How many connections a proxy has to endpoints.
+    pub(crate) fn endpoint_connections(&self, proxy: usize) -> usize {
+        let of_proxy =
+            |role: Role| matches!(role, Role::Endpoint { proxy: from, .. } if from == proxy);
+        let connections = self.event_loop.connections.iter();
+        connections.filter(|(_, open)| of_proxy(open.role)).count()
+    }
+
+    /// Closes the connections of all clients that wait for nothing.
+    pub(crate) fn close_idle_clients(&mut self) {
+        let idle: Vec<usize> = self
+            .event_loop
+            .connections
+            .iter()
+            .filter(|(_, open)| matches!(open.role, Role::Client { request: None, .. }))
+            .map(|(key, _)| key)
+            .collect();
+        for connection in idle {
+            self.close(connection);
+        }
+    }
+
     /// Closes a connection, and sees to whoever waited on it.
     pub(super) fn close(&mut self, key: usize) {
         let Some(RoleConnection { connection, role }) = self.event_loop.remove_connection(key)
@@ -267,8 +302,18 @@
             return;
         };
         self.discovery.forget_connection(key);
+        if let Role::IdleClient { proxy } = role {
+            self.crowd.forget_connection(proxy, key);
+        }
+        if let Role::AdminCall { call } = role {
+            self.on_call_closed(call);
+        }
         if let Role::Client { proxy, request } = role {
-            let refused = connection.stream.peer_addr().is_err();
+            let refused = if self.shutdowns.is_shutting_down(proxy) {
+                !connection.established
+            } else {
+                connection.stream.peer_addr().is_err()
+            };
             self.clients.forget_connection(proxy, key);
             if let Some(request) = request {
                 self.on_closed_unanswered(request, proxy, refused);
--- a/fault-injection/src/harness/mod.rs
+++ b/fault-injection/src/harness/mod.rs
@@ -1,7 +1,9 @@
 //! The environment around the proxies of a run, all in one event loop: stand-in endpoints, discovery, clients and
 //! relays, and the record of what they saw.
 
+mod admin_calls;
 mod clients;
+mod crowd;
 mod discovery;
 mod endpoints;
 mod event_loop;
@@ -10,15 +12,19 @@
 mod observations;
 mod paths;
 mod proxies;
+mod shutdowns;
 
+pub(crate) use admin_calls::{AdminCall, CallOutcome};
 pub use measurements::Service;
 pub use observations::View;
 
 use crate::proxy_process::{ProxyProcess, Start};
 use crate::relays::PathRelays;
+use admin_calls::AdminCalls;
 use clients::Clients;
 use crankmux_simulator::invariants::InvariantChecker;
 use crankmux_simulator::script::Script;
+use crowd::Crowd;
 use discovery::Discovery;
 use endpoints::Endpoints;
 use event_loop::EventLoop;
@@ -26,6 +32,7 @@
 use observations::Observations;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use shutdowns::Shutdowns;
 
 /// How late this loop, on a machine that is busy with other tests, may be before an answer counts as late.
 const LOOP_LATENESS_MS: f64 = 700.0;
@@ -61,6 +68,9 @@
     clients: Clients,
     observations: Observations,
     measurements: Measurements,
+    admin_calls: AdminCalls,
+    crowd: Crowd,
+    shutdowns: Shutdowns,
 }
 
 impl Harness {
@@ -85,6 +95,9 @@
             clients: Clients::new(proxies),
             observations: Observations::new(proxies),
             measurements: Measurements::default(),
+            admin_calls: AdminCalls::new(&environment),
+            crowd: Crowd::new(proxies),
+            shutdowns: Shutdowns::new(proxies),
             environment,
             start,
         };
--- a/fault-injection/src/harness/proxies.rs
+++ b/fault-injection/src/harness/proxies.rs
@@ -25,10 +25,15 @@
             self.proxies.push(process);
         }
         for proxy in 0..proxies {
-            self.furnish(proxy, &[CLUSTER_KEY]);
+            self.write_files(proxy);
         }
     }
 
+    /// Writes a proxy's files as they are at the start of a run.
+    pub(crate) fn write_files(&self, proxy: usize) {
+        self.furnish(proxy, &[CLUSTER_KEY]);
+    }
+
     /// Writes a proxy's files, with these cluster keys.
     ///
     /// # Panics
--- a/fault-injection/src/lib.rs
+++ b/fault-injection/src/lib.rs
@@ -11,10 +11,12 @@
 mod relays;
 mod run;
 mod run_script;
+mod soak;
 
 pub use harness::{Harness, Service, View};
 pub use ports::free_port;
-pub use proxy_process::{ProxyProcess, Start};
+pub use proxy_process::{DescriptorLimits, ProxyProcess, Start};
 pub use relays::{PathFaults, PathRelays};
 pub use run::{run, Report, RunError, Times};
 pub use run_script::{Direction, Fault, FaultKind, RunScript};
+pub use soak::{run_soak, Finding, FindingKind, SoakError, SoakPlan, SoakReport};
--- a/fault-injection/src/proxy_process.rs
+++ b/fault-injection/src/proxy_process.rs
@@ -5,7 +5,7 @@
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -16,6 +16,11 @@
 /// The unit in which `/proc` counts processor time.
 const CPU_TICK_MS: f64 = 10.0;
 
+/// `limits.memory_mb` of each proxy's configuration.
+pub(crate) const MEMORY_MB: usize = 192;
+/// `limits.sockets` of each proxy's configuration, if the run has no other.
+const DEFAULT_SOCKETS: usize = 1024;
+
 /// How the proxies of a cluster are started.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -31,6 +36,17 @@
     pub configured_proxies: Option<usize>,
     /// Seeds the harness and, with its number, each proxy.
     pub seed: u64,
+    /// How many descriptors each proxy may hold, if not as many as usual.
+    pub descriptors: Option<DescriptorLimits>,
+}
+
+/// How many descriptors a proxy may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DescriptorLimits {
+    /// `limits.sockets` of its configuration.
+    pub configured: usize,
+    /// The system's limit.
+    pub system: usize,
 }
 
 impl Start {
@@ -43,6 +59,7 @@
             seeds: 3,
             configured_proxies: None,
             seed: 1,
+            descriptors: None,
         }
     }
 }
@@ -53,6 +70,8 @@
     pub listen: SocketAddr,
     /// Where its admin API listens.
     pub admin: SocketAddr,
+    /// Where the admin API of a newer process listens that is not ready yet.
+    pub(crate) newer_admin: Option<SocketAddr>,
     /// Where it listens for the datagrams of the cluster.
     pub cluster_listen: SocketAddr,
     /// The relay in front of that, which the others are told.
@@ -64,7 +83,10 @@
     folder: PathBuf,
     program: PathBuf,
     cluster: bool,
+    descriptors: Option<DescriptorLimits>,
     child: Option<Child>,
+    /// The process that a newer one has taken over from, until it has ended.
+    older: Option<Child>,
 }
 
 impl ProxyProcess {
@@ -79,6 +101,7 @@
         ProxyProcess {
             listen: free_port(),
             admin: free_port(),
+            newer_admin: None,
             cluster_listen,
             advertised,
             stopped: false,
@@ -86,7 +109,9 @@
             folder,
             program: start.program.clone(),
             cluster: start.cluster,
+            descriptors: start.descriptors,
             child: None,
+            older: None,
         }
     }
 
@@ -130,17 +155,28 @@
             let _ = fs::remove_dir_all(&state);
         }
         fs::create_dir_all(&state).expect("the run's folder may be written to");
+        self.child = Some(self.spawn());
+        self.stopped = false;
+    }
+
+    /// Starts a newer process beside the running one, as in an upgrade. The caller has given it an address for its
+    /// admin API in the configuration.
+    pub(crate) fn start_newer(&mut self) {
+        self.kill_older();
+        self.older = self.child.take();
+        self.child = Some(self.spawn());
+    }
+
+    fn spawn(&self) -> Child {
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
             .open(self.folder.join("log"))
             .expect("the run's folder may be written to");
-        // The proxy itself starts no processes, which is why the method is disallowed; the harness has to.
-        #[allow(clippy::disallowed_methods)]
-        let mut command = Command::new(&self.program);
+        let mut command = self.command();
         command
             .env("BALANCER_CONFIG", self.folder.join("configuration.json"))
-            .env("TMPDIR", state)
+            .env("TMPDIR", self.folder.join("state"))
             .env_remove("CRANKMUX_OPERATOR_CONFIG")
             .env_remove("CRANKMUX_CHARTER");
         if self.cluster {
@@ -150,18 +186,27 @@
             );
         }
         command.stdout(Stdio::null()).stderr(log);
-        let child = command
+        command
             .spawn()
-            .unwrap_or_else(|error| panic!("{}: {error}", self.program.display()));
-        self.child = Some(child);
-        self.stopped = false;
+            .unwrap_or_else(|error| panic!("{}: {error}", self.program.display()))
+    }
+
+    /// The program, under the system's limit of descriptors if it has one of its own.
+    fn command(&self) -> Command {
+        // The proxy itself starts no processes, which is why the method is disallowed; the harness has to.
+        #[allow(clippy::disallowed_methods)]
+        let new_command = |program: &Path| Command::new(program);
+        let Some(limits) = self.descriptors else {
+            return new_command(&self.program);
+        };
+        let mut command = new_command(Path::new("/bin/sh"));
+        let script = format!("ulimit -n {}; exec \"$0\"", limits.system);
+        command.arg("-c").arg(script).arg(&self.program);
+        command
     }
 
     fn signal(&self, signal: Signal) {
-        let pid = self
-            .child
-            .as_ref()
-            .and_then(|child| Pid::from_raw(child.id() as i32));
+        let pid = self.child.as_ref().and_then(pid);
         if let Some(pid) = pid {
             // It fails only for a process that has ended, which `runs` finds.
             let _ = kill_process(pid, signal);
@@ -195,6 +240,33 @@
         self.signal(Signal::TERM);
     }
 
+    /// SIGTERM to the process that a newer one has taken over from.
+    pub(crate) fn terminate_older(&self) {
+        let pid = self.older.as_ref().and_then(pid);
+        if let Some(pid) = pid {
+            // It fails only for a process that has ended already, as it may.
+            let _ = kill_process(pid, Signal::TERM);
+        }
+    }
+
+    /// SIGKILL to the process that a newer one has taken over from, and waits for its end.
+    pub(crate) fn kill_older(&mut self) {
+        if let Some(mut older) = self.older.take() {
+            let _ = older.kill();
+            let _ = older.wait();
+        }
+    }
+
+    /// Whether it has had two processes since the last upgrade.
+    pub(crate) fn has_older(&self) -> bool {
+        self.older.is_some()
+    }
+
+    /// SIGUSR1: logs its counters.
+    pub(crate) fn log_counters(&self) {
+        self.signal(Signal::USR1);
+    }
+
     /// SIGHUP: reads its configuration again.
     pub fn reload(&self) {
         self.signal(Signal::HUP);
@@ -212,6 +284,29 @@
         self.child.is_some()
     }
 
+    /// The number of descriptors that its process holds; `None` once it has ended.
+    pub(crate) fn open_descriptors(&self) -> Option<usize> {
+        let id = self.child.as_ref()?.id();
+        Some(fs::read_dir(format!("/proc/{id}/fd")).ok()?.count())
+    }
+
+    /// The most memory that its process has held, in kB, as the system counts; `None` once it has ended.
+    pub(crate) fn peak_memory_kb(&self) -> Option<usize> {
+        let id = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        peak.trim().trim_end_matches(" kB").parse().ok()
+    }
+
+    /// Cuts its configuration file short in the middle, as a writer that dies would leave it.
+    pub(crate) fn cut_configuration_short(&self) {
+        let path = self.folder.join("configuration.json");
+        let text = fs::read_to_string(path).expect("it was written before the start");
+        self.write("configuration.json", &text[..text.len() / 2]);
+    }
+
     /// Milliseconds of processor time that its process has used, as the system counts them.
     pub(crate) fn cpu_ms(&self) -> f64 {
         let id = self.child.as_ref().map_or(0, Child::id);
@@ -260,18 +355,26 @@
         seed: u64,
         settings: Value,
     ) -> Value {
+        let sockets = self
+            .descriptors
+            .map_or(DEFAULT_SOCKETS, |limits| limits.configured);
         let own_seed = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ number as u64;
         json!({
             "name": format!("node-{number}"), "listen": self.listen.to_string(),
             "discovery": discovery.to_string(), "admin_addr": self.admin.to_string(),
             "seed": format!("{own_seed:016x}"),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": null, "settings": settings
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": sockets}, "known": null, "settings": settings
         })
     }
 }
 
+fn pid(child: &Child) -> Option<Pid> {
+    Pid::from_raw(child.id() as i32)
+}
+
 impl Drop for ProxyProcess {
     fn drop(&mut self) {
+        self.kill_older();
         self.kill();
     }
 }
--- a/scenarios/src/cli.rs
+++ b/scenarios/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::error::CommandError;
-use crate::{cluster, rehearse, tables};
+use crate::{cluster, rehearse, soak, tables};
 use clap::{Parser, Subcommand};
 
 /// The command line of `crankmux-scenarios`.
@@ -26,6 +26,8 @@
     Pairs(tables::PairsArgs),
     /// Runs a script over several proxy processes, with faults between them
     Cluster(cluster::ClusterArgs),
+    /// Restarts, reloads and upgrades proxies under load and faults, a run for each seed
+    Soak(soak::SoakArgs),
     /// The former name of `cluster`
     #[command(hide = true)]
     Fleet(cluster::ClusterArgs),
@@ -63,6 +65,7 @@
             Command::Table(arguments) => tables::compare_policies(arguments),
             Command::Pairs(arguments) => tables::compare_fault_pairs(arguments),
             Command::Cluster(arguments) => Ok(cluster::run(arguments)?),
+            Command::Soak(arguments) => Ok(soak::run(arguments)?),
             Command::Fleet(arguments) => {
                 eprintln!("crankmux-scenarios: `fleet` is deprecated; use `cluster`");
                 Ok(cluster::run(arguments)?)
--- a/scenarios/src/cluster/mod.rs
+++ b/scenarios/src/cluster/mod.rs
@@ -96,7 +96,7 @@
 fn run_and_write(args: &ClusterArgs) -> Result<Report, ClusterError> {
     let mut script = scripts::read(args.script.as_deref())?;
     override_script(&mut script, args);
-    let program = program(args)?;
+    let program = find_program(args.program.as_deref()).map_err(ClusterError::NoProgram)?;
     let start = Start {
         cluster: !args.strangers,
         configured_proxies: args.configured_proxies,
@@ -121,20 +121,23 @@
 }
 
 /// The program of a proxy: the one that was named, or the one beside this.
-fn program(args: &ClusterArgs) -> Result<PathBuf, ClusterError> {
+///
+/// # Errors
+///
+/// The path at which there is no program.
+pub(crate) fn find_program(named: Option<&Path>) -> Result<PathBuf, PathBuf> {
     let beside = || {
         let own = std::env::current_exe().ok()?;
         Some(own.parent()?.join("crankmux"))
     };
-    let program = args
-        .program
-        .clone()
+    let program = named
+        .map(Path::to_path_buf)
         .or_else(beside)
         .unwrap_or_else(|| "crankmux".into());
     if program.exists() {
         Ok(program)
     } else {
-        Err(ClusterError::NoProgram(program))
+        Err(program)
     }
 }
 
--- a/scenarios/src/error.rs
+++ b/scenarios/src/error.rs
@@ -1,6 +1,7 @@
 //! Why a command fails.
 
 use crate::cluster::ClusterError;
+use crate::soak::SoakCommandError;
 use crankmux_simulator::policies::PolicyError;
 use crankmux_simulator::script::ScriptError;
 use plotters::drawing::DrawingAreaErrorKind;
@@ -61,6 +62,9 @@
     /// The command `cluster` failed.
     #[error(transparent)]
     Cluster(#[from] ClusterError),
+    /// The command `soak` failed.
+    #[error(transparent)]
+    Soak(#[from] SoakCommandError),
 }
 
 impl CommandError {
@@ -74,6 +78,7 @@
             | CommandError::Policy(_) => INVALID_INPUT,
             CommandError::Json(_) | CommandError::UnwritableReport { .. } => OTHER_FAILURE,
             CommandError::Cluster(error) => error.exit_code(),
+            CommandError::Soak(error) => error.exit_code(),
         }
     }
 }
--- a/scenarios/src/lib.rs
+++ b/scenarios/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod runs;
 /// The built-in scripts, and loading a script from a file.
 pub mod scripts;
+/// The `soak` command: restarts, reloads and upgrades proxies under load, by seed.
+pub mod soak;
 /// Statistics over the runs of a script.
 pub mod statistics;
 /// Tables over many runs: scripts by policies, and faults by pairs.
