--- a/fault-injection/src/harness/shutdowns.rs
+++ b/fault-injection/src/harness/shutdowns.rs
@@ -147,6 +147,8 @@
         // Its connections end now, and nothing of them is owed any more.
         self.pass_over_connections(proxy);
         self.shutdowns.shutting_down[proxy] = false;
+        // Whoever starts a process gives it a whole file; one that was cut short is for reloads alone.
+        self.write_files(proxy);
         self.start_when_ready(proxy, true);
     }
 
--- a/fault-injection/src/soak/mod.rs
+++ b/fault-injection/src/soak/mod.rs
@@ -59,6 +59,7 @@
         ..Start::new(program, folder)
     };
     let mut harness = Harness::new(environment, start);
+    harness.rate = plan.rate;
     start_all(&mut harness)?;
     let at_rest = RestState::of(&harness);
     let record = Rc::new(RefCell::new(SoakRecord::default()));
--- a/fault-injection/src/soak/plan.rs
+++ b/fault-injection/src/soak/plan.rs
@@ -3,6 +3,7 @@
 use crate::proxy_process::DescriptorLimits;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::fmt;
 use std::ops::Range;
 
 /// How long clients send requests.
@@ -26,6 +27,8 @@
 const SIGNALS_AROUND_SHUTDOWN_MS: Range<f64> = -20.0..300.0;
 /// How long a drained endpoint takes to come back.
 const DRAIN_MS: f64 = 3000.0;
+/// Requests a second at each proxy.
+const RATE: Range<f64> = 60.0..250.0;
 const MOST_RELOADS: usize = 8;
 const PROXIES: Range<usize> = 2..4;
 const ENDPOINTS: usize = 6;
@@ -143,6 +146,8 @@
     pub cluster: bool,
     /// How many descriptors each proxy may hold.
     pub descriptors: DescriptorLimits,
+    /// Requests a second at each proxy.
+    pub rate: f64,
     /// How many idle clients are at each proxy; 0 without a crowd.
     pub crowd: usize,
     pub(super) actions: Vec<PlannedAction>,
@@ -155,6 +160,7 @@
         let proxies = random.random_range(PROXIES);
         let is_crowded = random.random::<f64>() < CROWDED_FRACTION;
         let cluster = random.random::<f64>() < CLUSTER_FRACTION;
+        let rate = random.random_range(RATE);
         let (descriptors, crowd) = if is_crowded {
             CROWDS[random.random_range(0..CROWDS.len())]
         } else {
@@ -172,12 +178,24 @@
             proxies,
             cluster,
             descriptors,
+            rate,
             crowd,
             actions,
         }
     }
 }
 
+impl fmt::Display for SoakPlan {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        let DescriptorLimits { configured, system } = self.descriptors;
+        write!(
+            formatter,
+            "proxies {}, cluster {}, rate {:.0}, crowd {}, descriptors {configured} and {system}",
+            self.proxies, self.cluster, self.rate, self.crowd
+        )
+    }
+}
+
 /// Draws the actions of a plan.
 struct Planner {
     random: ChaCha8Rng,
