--- a/simulator/src/environment/mod.rs
+++ b/simulator/src/environment/mod.rs
@@ -88,13 +88,21 @@
         environment.events_handled += 1;
         environment.handle(event);
     }
+    let overdue_requests = environment.overdue_requests();
     let Environment {
         results,
         checker,
         events_handled,
         ..
     } = environment;
-    Ok(results.finish(script, policy_kind.name(), seed, &checker, events_handled))
+    Ok(results.finish(
+        script,
+        policy_kind.name(),
+        seed,
+        &checker,
+        events_handled,
+        overdue_requests,
+    ))
 }
 
 impl Environment<'_> {
--- a/simulator/src/environment/requests.rs
+++ b/simulator/src/environment/requests.rs
@@ -10,6 +10,9 @@
 use crankmux::dispatcher::{FinalAnswer, NextSteps};
 use crankmux::types::RequestId;
 
+/// How long after its deadline a request is overdue, in milliseconds: endpoints drop what they have of it by then.
+const OVERDUE_MS: f64 = 2000.0;
+
 /// One request of a client, as its proxy and the endpoints have it.
 pub(super) struct Request {
     pub(super) serial: u64,
@@ -47,6 +50,15 @@
         (found.serial == request.serial).then_some(found)
     }
 
+    /// How many requests are held though their deadline was long ago.
+    pub(super) fn overdue_requests(&self) -> usize {
+        let overdue_since = self.now - OVERDUE_MS;
+        let requests = self.requests.iter();
+        requests
+            .filter(|(_, request)| request.deadline < overdue_since)
+            .count()
+    }
+
     /// The request, if its client still waits for an answer.
     fn open_request_mut(&mut self, request: RequestRef) -> Option<&mut Request> {
         self.request(request).filter(|request| request.is_open())
--- a/simulator/src/results/collector.rs
+++ b/simulator/src/results/collector.rs
@@ -166,6 +166,7 @@
         seed: u64,
         checker: &InvariantChecker,
         events: u64,
+        overdue_requests: usize,
     ) -> RunResults {
         self.totals.compute_service();
         for class in &mut self.classes {
@@ -192,6 +193,7 @@
             events,
             seconds,
             attempts_by_endpoint: self.attempts_by_endpoint,
+            overdue_requests,
             violation_reports: checker.violations.iter().map(violation_report).collect(),
         }
     }
--- a/simulator/src/results/mod.rs
+++ b/simulator/src/results/mod.rs
@@ -183,6 +183,9 @@
     /// Attempts by endpoint.
     #[serde(rename = "pushes_by_server")]
     pub attempts_by_endpoint: Vec<u64>,
+    /// Requests that were still held at the end, long after their deadline: an attempt of theirs was never settled.
+    #[serde(skip)]
+    pub overdue_requests: usize,
     /// The first violations, each with the history of its request.
     #[serde(skip)]
     pub violation_reports: Vec<String>,
--- a/simulator/tests/environment.rs
+++ b/simulator/tests/environment.rs
@@ -91,6 +91,15 @@
     );
 }
 
+/// An attempt that overloaded a cold endpoint was never settled: its proxy waited for it until the attempt timed out,
+/// as if the endpoint were silent, and its request was held until the end of the run.
+#[test]
+fn an_attempt_that_overloads_an_endpoint_ends_with_its_connection() {
+    let results = run(&script(RELEASE), PolicyKind::FloodsNewest, 5).expect("a valid policy");
+    assert!(results.endpoints_overloaded > 0);
+    assert_eq!(results.overdue_requests, 0, "held to the end");
+}
+
 #[test]
 fn a_policy_that_goes_on_for_departed_clients_is_caught() {
     // Unresponsive machines: each attempt takes a second to fail, and clients leave after one and a half.
