--- a/scenarios/src/tables.rs
+++ b/scenarios/src/tables.rs
@@ -22,7 +22,7 @@
 #[derive(clap::Args)]
 pub struct TableArgs {
     /// Days of each, from seed 1 on
-    #[arg(long, default_value_t = 3)]
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..))]
     seeds: u64,
     #[arg(long)]
     threads: Option<usize>,
@@ -35,7 +35,7 @@
 #[derive(clap::Args)]
 pub struct PairsArgs {
     /// Days of each pair, from seed 1 on
-    #[arg(long, default_value_t = 2)]
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..))]
     seeds: u64,
     #[arg(long)]
     threads: Option<usize>,
--- a/simulator/src/environment/endpoints.rs
+++ b/simulator/src/environment/endpoints.rs
@@ -47,6 +47,9 @@
         }
         if self.overloads_cold(attempt, endpoint.index) {
             self.results.endpoints_overloaded += 1;
+            // It breaks with the connections of whatever the endpoint had.
+            self.settle_attempt(attempt);
+            self.schedule_attempt_end(path_ms, attempt, AttemptOutcome::ConnectionLost);
             self.kill_endpoint(endpoint.index, RESTART_AFTER_OVERLOAD_MS);
             return;
         }
