The confirmed enable call that is not in force is provoked, and stays away

Change: a test that disables an endpoint in good time and enables it while requests hold every descriptor.

--- a/proxy/tests/sockets/reserved_descriptors.rs
+++ b/proxy/tests/sockets/reserved_descriptors.rs
@@ -70,6 +70,11 @@
 
 impl ExhaustedProxy {
     fn start(max_descriptors: usize) -> Self {
+        Self::start_after(max_descriptors, |_| ())
+    }
+
+    /// The same, with something done before clients hold the descriptors.
+    fn start_after(max_descriptors: usize, before: impl FnOnce(&ProxyProcess)) -> Self {
         let endpoints: Vec<TestEndpoint> = (0..ENDPOINTS).map(|_| endpoint_that_stalls()).collect();
         let entries: Vec<Value> = endpoints
             .iter()
@@ -83,6 +88,7 @@
         configuration["admin_addr"] = json!("127.0.0.1:0");
         let proxy = ProxyProcess::start(&configuration, Some(max_descriptors));
         wait_until("it watches the list", || discovery.call_count() >= 2);
+        before(&proxy);
         let clients = connect_busy_clients(&proxy);
         assert!(clients.len() > 4, "some are served: {}", clients.len());
         ExhaustedProxy {
@@ -108,6 +114,22 @@
     }
 }
 
+/// An endpoint that was disabled in good time is enabled while nothing is free: no descriptor is needed to remove its
+/// file, and the call was answered 200. But the directory could not be read afterwards, which passed for one that had
+/// not changed, and the endpoint stayed disabled.
+#[test]
+fn an_enable_call_that_is_confirmed_is_in_force_while_requests_hold_every_descriptor() {
+    for max_descriptors in DESCRIPTOR_LIMITS {
+        let exhausted = ExhaustedProxy::start_after(max_descriptors, |proxy| {
+            assert_eq!(proxy.admin_call("POST", "/v1/servers/s0/suspend").0, 200);
+        });
+        let proxy = &exhausted.proxy;
+        let (status, _) = proxy.admin_call("POST", "/v1/servers/s0/resume");
+        let ejected = proxy.metric("ejected");
+        assert_eq!((status, ejected), (200, Some(0)), "{}", proxy.log());
+    }
+}
+
 #[test]
 fn a_reload_is_applied_while_requests_hold_every_descriptor() {
     for max_descriptors in DESCRIPTOR_LIMITS {
