Harness reads a new connection as it accepts it; more tests of reserved descriptors

The hedged request was on a new connection: the harness accepted it, and read it only in the next turn of its loop, after the answer that lay ready beside it. The proxy had written the request first. Of the guards of the reserve, five could be taken out with no test failing. Change: what a new connection has brought is read at once. Tests for silent callers of the admin API, for the reserve of attempts without connections kept from before, for connections that accepting clients may not close, and for an attempt that asks for any descriptor that is free.

--- a/fault-injection/src/harness/event_loop.rs
+++ b/fault-injection/src/harness/event_loop.rs
@@ -217,7 +217,10 @@
         while let Ok((stream, _)) = self.event_loop.listeners[listener].socket.accept() {
             let role = self.event_loop.listeners[listener].role;
             if self.is_up(role) {
-                self.event_loop.add_connection(stream, role);
+                let connection = self.event_loop.add_connection(stream, role);
+                // What it has brought already came before whatever lies ready on others: a hedged request would be
+                // judged after the answer to its request.
+                self.serve_connection(connection);
             }
         }
     }
--- a/proxy/tests/sockets/reserved_descriptors.rs
+++ b/proxy/tests/sockets/reserved_descriptors.rs
@@ -18,7 +18,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const DESCRIPTOR_LIMITS: [usize; 2] = [40, 41];
 const ENDPOINTS: usize = 8;
@@ -27,6 +27,8 @@
 const FIRST_RESPONSE_BYTES: usize = 100_000;
 /// How long a client waits for its response before it counts as one that got no descriptor.
 const RESPONSE_WAIT: Duration = Duration::from_millis(300);
+/// Within which an operator's call is due.
+const CALL_DUE: Duration = Duration::from_secs(1);
 
 /// A proxy with few descriptors, and what stands around it.
 struct ExhaustedProxy {
@@ -34,7 +36,8 @@
     discovery: ScriptedDiscovery,
     configuration: Value,
     _endpoints: Vec<TestEndpoint>,
-    _clients: Vec<TcpStream>,
+    /// The last of them was served nothing.
+    clients: Vec<TcpStream>,
 }
 
 /// An endpoint that begins a long response and never ends it.
@@ -96,17 +99,28 @@
             discovery,
             configuration,
             _endpoints: endpoints,
-            _clients: clients,
+            clients,
         }
     }
+
+    /// The client that was served nothing asks again: its attempt would take any descriptor that is free.
+    fn ask_again(&mut self) {
+        let Some(client) = self.clients.last_mut() else {
+            return;
+        };
+        // It may wait to be accepted still, or be closed.
+        let _ = client.write_all(&request("pay", 4.0, ""));
+        let _ = client.read(&mut [0; FIRST_RESPONSE_BYTES]);
+    }
 }
 
 #[test]
 fn operators_calls_are_answered_and_applied_while_requests_hold_every_descriptor() {
     for max_descriptors in DESCRIPTOR_LIMITS {
-        let exhausted = ExhaustedProxy::start(max_descriptors);
-        let proxy = &exhausted.proxy;
+        let mut exhausted = ExhaustedProxy::start(max_descriptors);
         for (call, ejected) in [("suspend", 1), ("resume", 0), ("suspend", 1)] {
+            exhausted.ask_again();
+            let proxy = &exhausted.proxy;
             let (status, _) = proxy.admin_call("POST", &format!("/v1/servers/s0/{call}"));
             assert_eq!(status, 200, "{call} at {max_descriptors}: {}", proxy.log());
             assert_eq!(proxy.metric("ejected"), Some(ejected), "{call} is applied");
@@ -146,10 +160,13 @@
 #[test]
 fn the_endpoint_list_is_heard_again_while_requests_hold_every_descriptor() {
     for max_descriptors in DESCRIPTOR_LIMITS {
-        let exhausted = ExhaustedProxy::start(max_descriptors);
-        let discovery = &exhausted.discovery;
+        let mut exhausted = ExhaustedProxy::start(max_descriptors);
+        let discovery = exhausted.discovery.clone();
         discovery.refuses.store(true, Ordering::SeqCst);
-        sleep_ms(1000);
+        for _ in 0..5 {
+            sleep_ms(100);
+            exhausted.ask_again();
+        }
         let update = endpoint_list(2, false, &[]);
         discovery.lists.lock().unwrap().push(update);
         discovery.refuses.store(false, Ordering::SeqCst);
@@ -176,6 +193,22 @@
     }
 }
 
+/// Callers that hold both descriptors of the admin API and say nothing would keep an operator's call waiting for as
+/// long as they may stay, which is longer than the second within which it is due.
+#[test]
+fn silent_callers_of_the_admin_api_keep_no_call_out_while_requests_hold_every_descriptor() {
+    for max_descriptors in DESCRIPTOR_LIMITS {
+        let exhausted = ExhaustedProxy::start(max_descriptors);
+        let proxy = &exhausted.proxy;
+        let _silent: Vec<TcpStream> = (0..3).map(|_| proxy.connect_admin()).collect();
+        let called_at = Instant::now();
+        let (status, _) = proxy.admin_call("POST", "/v1/servers/s0/suspend");
+        assert_eq!(status, 200, "{}", proxy.log());
+        let took = called_at.elapsed();
+        assert!(took < CALL_DUE, "{took:?}: {}", proxy.log());
+    }
+}
+
 /// Requests that are under way at once, as many as an eighth of the lower limit allows, less one.
 const REQUESTS_AT_ONCE: usize = 4;
 /// Clients that hold descriptors or wait for one.
@@ -204,34 +237,71 @@
     clients
 }
 
-/// Some of these requests were answered 503: accepting the new clients had closed the idle connections to endpoints,
-/// and two reserved descriptors were all that new connections could have (`no descriptor for attempt: ... upstream=2
-/// idle_upstream=0 reserved: 0 of 2`).
+/// A proxy whose endpoints work for a while at each request, and clients with a connection each that was used before.
+fn proxy_with_clients(
+    endpoints: &[TestEndpoint],
+    max_descriptors: usize,
+) -> (ProxyProcess, Vec<TcpStream>) {
+    let endpoints: Vec<&TestEndpoint> = endpoints.iter().collect();
+    let proxy = ProxyProcess::with_configuration(&endpoints, |_| (), Some(max_descriptors));
+    let mut clients: Vec<TcpStream> = (0..REQUESTS_AT_ONCE).map(|_| proxy.connect()).collect();
+    assert_eq!(send_at_once(&mut clients), [200; REQUESTS_AT_ONCE]);
+    (proxy, clients)
+}
+
+/// Each client sends a request, before any has its response; the statuses.
+fn send_at_once(clients: &mut [TcpStream]) -> Vec<u16> {
+    for client in clients.iter_mut() {
+        client.write_all(&request("pay", 1.5, "")).unwrap();
+    }
+    let responses = clients
+        .iter_mut()
+        .map(|client| read_message(client).map_or(0, |(head, _)| status_code(&head)));
+    responses.collect()
+}
+
+/// Endpoints that work for a while at each request; they close the connection then, unless they keep it.
+fn working_endpoints(keep: bool) -> Vec<TestEndpoint> {
+    let endpoint = |_| {
+        TestEndpoint::new(move |stream, _| {
+            sleep_ms(WORK_MS);
+            stream.write_all(&ok_response("done")).is_ok() && keep
+        })
+    };
+    (0..ENDPOINTS).map(endpoint).collect()
+}
+
+fn open_connections(endpoints: &[TestEndpoint]) -> usize {
+    let open = |endpoint: &TestEndpoint| endpoint.open_connections.load(Ordering::SeqCst);
+    endpoints.iter().map(open).sum()
+}
+
+/// Some of these requests were answered 503: two reserved descriptors were all that new connections to endpoints could
+/// have (`no descriptor for attempt: ... upstream=2 idle_upstream=0 reserved: 0 of 2`).
 #[test]
 fn admitted_requests_reach_endpoints_while_new_clients_hold_every_descriptor() {
     for max_descriptors in DESCRIPTOR_LIMITS {
-        let endpoints: Vec<TestEndpoint> = (0..ENDPOINTS)
-            .map(|_| {
-                TestEndpoint::new(|stream, _| {
-                    sleep_ms(WORK_MS);
-                    stream.write_all(&ok_response("done")).is_ok()
-                })
-            })
-            .collect();
-        let endpoints: Vec<&TestEndpoint> = endpoints.iter().collect();
-        let proxy = ProxyProcess::with_configuration(&endpoints, |_| (), Some(max_descriptors));
-        let mut clients: Vec<TcpStream> = (0..REQUESTS_AT_ONCE).map(|_| proxy.connect()).collect();
-        let mut send_all = || {
-            for client in &mut clients {
-                client.write_all(&request("pay", 1.5, "")).unwrap();
-            }
-            let responses = clients
-                .iter_mut()
-                .map(|client| read_message(client).map_or(0, |(head, _)| status_code(&head)));
-            responses.collect::<Vec<u16>>()
-        };
-        assert_eq!(send_all(), [200; REQUESTS_AT_ONCE], "before");
+        let endpoints = working_endpoints(false);
+        let (proxy, mut clients) = proxy_with_clients(&endpoints, max_descriptors);
+        wait_until("endpoints have closed", || {
+            open_connections(&endpoints) == 0
+        });
+        let _others = connect_until_descriptors_are_exhausted(&proxy, max_descriptors);
+        let statuses = send_at_once(&mut clients);
+        assert_eq!(statuses, [200; REQUESTS_AT_ONCE], "{}", proxy.log());
+    }
+}
+
+/// Accepting clients closed idle connections to endpoints one after the other, and took their place.
+#[test]
+fn new_clients_close_no_connection_to_an_endpoint_that_requests_need() {
+    for max_descriptors in DESCRIPTOR_LIMITS {
+        let endpoints = working_endpoints(true);
+        let (proxy, mut clients) = proxy_with_clients(&endpoints, max_descriptors);
+        let kept = open_connections(&endpoints);
         let _others = connect_until_descriptors_are_exhausted(&proxy, max_descriptors);
-        assert_eq!(send_all(), [200; REQUESTS_AT_ONCE], "{}", proxy.log());
+        let statuses = send_at_once(&mut clients);
+        assert_eq!(statuses, [200; REQUESTS_AT_ONCE], "{}", proxy.log());
+        assert!(open_connections(&endpoints) >= kept, "of {kept}");
     }
 }
