Figures of handed.json are read as they were written

Symptom: learned figures lost their last binary digit on the way to a newer process. Cause: the JSON reader's fast path rounds figures of more than 53 bits; the text was exact. One test of the reserve looks at the connections before the requests, as it caught nothing after them.

--- a/proxy/tests/sockets/reserved_descriptors.rs
+++ b/proxy/tests/sockets/reserved_descriptors.rs
@@ -300,8 +300,10 @@
         let (proxy, mut clients) = proxy_with_clients(&endpoints, max_descriptors);
         let kept = open_connections(&endpoints);
         let _others = connect_until_descriptors_are_exhausted(&proxy, max_descriptors);
+        // Endpoints see a close some milliseconds later.
+        sleep_ms(50);
+        assert_eq!(open_connections(&endpoints), kept);
         let statuses = send_at_once(&mut clients);
         assert_eq!(statuses, [200; REQUESTS_AT_ONCE], "{}", proxy.log());
-        assert!(open_connections(&endpoints) >= kept, "of {kept}");
     }
 }
--- a/proxy/tests/stored_state/snapshot.rs
+++ b/proxy/tests/stored_state/snapshot.rs
@@ -1,6 +1,7 @@
 //! The form of the handover's file, and what is made of one that is torn.
 
-use crankmux_proxy::lifecycle::upgrade::HandoverSnapshot;
+use crankmux_proxy::lifecycle::upgrade::{HandoverSnapshot, LearnedStateSnapshot};
+use quickcheck::quickcheck;
 use serde_json::{json, Value};
 
 #[test]
@@ -51,3 +52,23 @@
     assert_eq!(snapshot.ever_listed, [0; 0]);
     assert_eq!(snapshot.learned_state.mean_latency_ms, Some(7.0));
 }
+
+quickcheck! {
+    /// Some figures lost their last binary digit on the way through the file: the text was exact, and the reader's
+    /// fast path rounded it.
+    fn figures_are_read_as_they_were_written(figure: f64) -> bool {
+        if !figure.is_finite() {
+            return true;
+        }
+        let snapshot = HandoverSnapshot {
+            learned_state: LearnedStateSnapshot {
+                mean_latency_ms: Some(figure),
+                ..LearnedStateSnapshot::default()
+            },
+            ..HandoverSnapshot::default()
+        };
+        let text = serde_json::to_vec(&snapshot).expect("JSON");
+        let read = HandoverSnapshot::parse(&text).learned_state.mean_latency_ms;
+        read.map(f64::to_bits) == Some(figure.to_bits())
+    }
+}
