--- a/fault-injection/src/harness/admin_calls.rs
+++ b/fault-injection/src/harness/admin_calls.rs
@@ -149,7 +149,8 @@
         if std::mem::replace(&mut open.ended, true) {
             return;
         }
-        let (proxy, call) = (open.proxy, open.call);
+        let proxy = open.proxy;
+        let call = open.call;
         let is_confirmed = outcome == CallOutcome::Answered(200);
         match call {
             AdminCall::Readiness if is_confirmed => return self.on_ready(proxy),
--- a/fault-injection/src/harness/event_loop.rs
+++ b/fault-injection/src/harness/event_loop.rs
@@ -285,7 +285,7 @@
     }
 
     /// Closes the connections of all clients that wait for nothing.
-    pub(crate) fn close_idle_clients(&mut self) {
+    pub(crate) fn close_unused_connections(&mut self) {
         let idle: Vec<usize> = self
             .event_loop
             .connections
@@ -306,7 +306,7 @@
         };
         self.discovery.forget_connection(key);
         if let Role::IdleClient { proxy } = role {
-            self.crowd.forget_connection(proxy, key);
+            self.idle_clients.forget_connection(proxy, key);
         }
         if let Role::AdminCall { call } = role {
             self.on_call_closed(call);
--- a/fault-injection/src/harness/idle_clients.rs
+++ b/fault-injection/src/harness/idle_clients.rs
@@ -1,4 +1,4 @@
-//! A crowd: idle clients that hold connections to proxies, and go on coming.
+//! Idle clients: they hold connections to proxies, say nothing, and go on coming.
 
 use super::event_loop::Role;
 use super::Harness;
@@ -9,15 +9,15 @@
 const INTERVAL_MS: f64 = 4.0;
 
 /// The connections of the idle clients, oldest first, by proxy.
-pub(super) struct Crowd {
+pub(super) struct IdleClients {
     connections: Vec<VecDeque<usize>>,
     /// How many stay at each proxy.
     size: usize,
 }
 
-impl Crowd {
+impl IdleClients {
     pub(super) fn new(proxies: usize) -> Self {
-        Crowd {
+        IdleClients {
             connections: vec![VecDeque::new(); proxies],
             size: 0,
         }
@@ -30,38 +30,38 @@
 
 impl Harness {
     /// Has idle clients come to each proxy from now on, so many of which stay at each.
-    pub(crate) fn begin_crowd(&mut self, size: usize) {
-        self.crowd.size = size;
+    pub(crate) fn begin_idle_clients(&mut self, size: usize) {
+        self.idle_clients.size = size;
         for proxy in 0..self.proxies.len() {
-            self.add_to_crowd(proxy);
+            self.add_idle_client(proxy);
         }
     }
 
     /// All idle clients leave, and no more come.
-    pub(crate) fn end_crowd(&mut self) {
-        self.crowd.size = 0;
+    pub(crate) fn end_idle_clients(&mut self) {
+        self.idle_clients.size = 0;
         for proxy in 0..self.proxies.len() {
-            while let Some(oldest) = self.crowd.connections[proxy].pop_front() {
+            while let Some(oldest) = self.idle_clients.connections[proxy].pop_front() {
                 self.close(oldest);
             }
         }
     }
 
-    fn add_to_crowd(&mut self, proxy: usize) {
-        if self.crowd.size == 0 {
+    fn add_idle_client(&mut self, proxy: usize) {
+        if self.idle_clients.size == 0 {
             return;
         }
         // Where no proxy listens, the next one tries again.
         if let Ok(stream) = TcpStream::connect(self.proxies[proxy].listen) {
             let role = Role::IdleClient { proxy };
             let connection = self.event_loop.add_connection(stream, role);
-            self.crowd.connections[proxy].push_back(connection);
+            self.idle_clients.connections[proxy].push_back(connection);
         }
-        if self.crowd.connections[proxy].len() > self.crowd.size {
-            if let Some(oldest) = self.crowd.connections[proxy].pop_front() {
+        if self.idle_clients.connections[proxy].len() > self.idle_clients.size {
+            if let Some(oldest) = self.idle_clients.connections[proxy].pop_front() {
                 self.close(oldest);
             }
         }
-        self.schedule(INTERVAL_MS, move |harness| harness.add_to_crowd(proxy));
+        self.schedule(INTERVAL_MS, move |harness| harness.add_idle_client(proxy));
     }
 }
--- a/fault-injection/src/harness/mod.rs
+++ b/fault-injection/src/harness/mod.rs
@@ -3,10 +3,10 @@
 
 mod admin_calls;
 mod clients;
-mod crowd;
 mod discovery;
 mod endpoints;
 mod event_loop;
+mod idle_clients;
 mod invariants;
 mod measurements;
 mod observations;
@@ -24,10 +24,10 @@
 use clients::Clients;
 use crankmux_simulator::invariants::InvariantChecker;
 use crankmux_simulator::script::Script;
-use crowd::Crowd;
 use discovery::Discovery;
 use endpoints::Endpoints;
 use event_loop::EventLoop;
+use idle_clients::IdleClients;
 use measurements::Measurements;
 use observations::Observations;
 use rand::SeedableRng;
@@ -69,7 +69,7 @@
     observations: Observations,
     measurements: Measurements,
     admin_calls: AdminCalls,
-    crowd: Crowd,
+    idle_clients: IdleClients,
     shutdowns: Shutdowns,
 }
 
@@ -96,7 +96,7 @@
             observations: Observations::new(proxies),
             measurements: Measurements::default(),
             admin_calls: AdminCalls::new(&environment),
-            crowd: Crowd::new(proxies),
+            idle_clients: IdleClients::new(proxies),
             shutdowns: Shutdowns::new(proxies),
             environment,
             start,
--- a/fault-injection/src/soak/checks.rs
+++ b/fault-injection/src/soak/checks.rs
@@ -157,7 +157,7 @@
 
 /// Once clients have left, a process holds what it held before the load, and kept connections to endpoints.
 fn held_descriptors(harness: &mut Harness, proxy: usize, at_rest: usize) -> Option<FindingKind> {
-    harness.close_idle_clients();
+    harness.close_unused_connections();
     let excess = |harness: &Harness| {
         let after = harness.proxies[proxy].open_descriptors()?;
         let upstream = harness.endpoint_connections(proxy);
--- a/fault-injection/src/soak/mod.rs
+++ b/fault-injection/src/soak/mod.rs
@@ -1,5 +1,5 @@
 //! A soak: proxies are reloaded, restarted and upgraded under load, while discovery fails, operators call and, in
-//! some runs, a crowd of idle clients holds the descriptors. Each run follows a plan that its seed draws.
+//! some runs, idle clients hold the descriptors. Each run follows a plan that its seed draws.
 
 mod checks;
 mod plan;
@@ -65,12 +65,12 @@
     let record = Rc::new(RefCell::new(SoakRecord::default()));
     schedule(&mut harness, &plan, &record);
     harness.open();
-    if plan.crowd > 0 {
-        harness.begin_crowd(plan.crowd);
+    if plan.idle_clients > 0 {
+        harness.begin_idle_clients(plan.idle_clients);
     }
     harness.pass(LOAD_MS);
     harness.shut();
-    harness.end_crowd();
+    harness.end_idle_clients();
     harness.pass(SETTLE_MS);
     let record = record.borrow();
     Ok(checks::judge(&mut harness, seed, &at_rest, &record))
--- a/fault-injection/src/soak/plan.rs
+++ b/fault-injection/src/soak/plan.rs
@@ -32,7 +32,7 @@
 const MOST_RELOADS: usize = 8;
 const PROXIES: Range<usize> = 2..4;
 const ENDPOINTS: usize = 6;
-const CROWDED_FRACTION: f64 = 0.4;
+const IDLE_CLIENTS_FRACTION: f64 = 0.4;
 const CLUSTER_FRACTION: f64 = 0.3;
 const DRAIN_FRACTION: f64 = 0.7;
 
@@ -40,8 +40,8 @@
     configured: 512,
     system: 1024,
 };
-/// Limits of runs with a crowd, and how many clients that has at each proxy.
-const CROWDS: [(DescriptorLimits, usize); 3] = [
+/// Limits of runs with idle clients, and how many of those are at each proxy.
+const IDLE_CLIENT_RUNS: [(DescriptorLimits, usize); 3] = [
     (
         DescriptorLimits {
             configured: 128,
@@ -148,8 +148,8 @@
     pub descriptors: DescriptorLimits,
     /// Requests a second at each proxy.
     pub rate: f64,
-    /// How many idle clients are at each proxy; 0 without a crowd.
-    pub crowd: usize,
+    /// How many idle clients are at each proxy, beside those that send requests.
+    pub idle_clients: usize,
     pub(super) actions: Vec<PlannedAction>,
 }
 
@@ -158,11 +158,11 @@
     pub fn of_seed(seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let proxies = random.random_range(PROXIES);
-        let is_crowded = random.random::<f64>() < CROWDED_FRACTION;
+        let has_idle_clients = random.random::<f64>() < IDLE_CLIENTS_FRACTION;
         let cluster = random.random::<f64>() < CLUSTER_FRACTION;
         let rate = random.random_range(RATE);
-        let (descriptors, crowd) = if is_crowded {
-            CROWDS[random.random_range(0..CROWDS.len())]
+        let (descriptors, idle_clients) = if has_idle_clients {
+            IDLE_CLIENT_RUNS[random.random_range(0..IDLE_CLIENT_RUNS.len())]
         } else {
             (USUAL_DESCRIPTORS, 0)
         };
@@ -179,7 +179,7 @@
             cluster,
             descriptors,
             rate,
-            crowd,
+            idle_clients,
             actions,
         }
     }
@@ -190,8 +190,8 @@
         let DescriptorLimits { configured, system } = self.descriptors;
         write!(
             formatter,
-            "proxies {}, cluster {}, rate {:.0}, crowd {}, descriptors {configured} and {system}",
-            self.proxies, self.cluster, self.rate, self.crowd
+            "proxies {}, cluster {}, rate {:.0}, idle clients {}, descriptors {configured} and {system}",
+            self.proxies, self.cluster, self.rate, self.idle_clients
         )
     }
 }
--- a/fault-injection/tests/soak_plan.rs
+++ b/fault-injection/tests/soak_plan.rs
@@ -13,18 +13,19 @@
 }
 
 #[test]
-fn some_runs_have_a_crowd_and_fewer_descriptors_and_some_a_cluster() {
+fn some_runs_have_idle_clients_and_fewer_descriptors_and_some_a_cluster() {
     let plans: Vec<SoakPlan> = SEEDS.map(SoakPlan::of_seed).collect();
-    let crowded: Vec<&SoakPlan> = plans.iter().filter(|plan| plan.crowd > 0).collect();
+    let with_idle_clients: Vec<&SoakPlan> =
+        plans.iter().filter(|plan| plan.idle_clients > 0).collect();
     assert!(
-        crowded.len() > 12 && crowded.len() < 40,
+        with_idle_clients.len() > 12 && with_idle_clients.len() < 40,
         "{}",
-        crowded.len()
+        with_idle_clients.len()
     );
-    assert!(crowded
+    assert!(with_idle_clients
         .iter()
         .any(|plan| plan.descriptors.system < plan.descriptors.configured));
-    assert!(crowded
+    assert!(with_idle_clients
         .iter()
         .all(|plan| plan.descriptors.system <= plan.descriptors.configured));
     assert!(plans.iter().any(|plan| plan.cluster));
--- a/scenarios/src/soak.rs
+++ b/scenarios/src/soak.rs
@@ -50,7 +50,8 @@
     fn from_str(text: &str) -> Result<Self, SeedsError> {
         let (first, last) = text.split_once("..").unwrap_or((text, text));
         let number = |end: &str| end.parse().map_err(|_| SeedsError::NotNumbers);
-        let (first, last) = (number(first)?, number(last)?);
+        let first: u64 = number(first)?;
+        let last: u64 = number(last)?;
         if first > last {
             return Err(SeedsError::Empty);
         }
