--- a/fault-injection/src/lib.rs
+++ b/fault-injection/src/lib.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod due_queue;
 mod harness;
+mod open_descriptors;
 mod ports;
 mod proxy_process;
 mod relays;
--- a/fault-injection/src/proxy_process.rs
+++ b/fault-injection/src/proxy_process.rs
@@ -9,6 +9,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use crate::open_descriptors;
 use crate::ports::free_port;
 
 /// The admin API answers within a turn of its event loop; a busy machine may take a while to get there.
@@ -290,6 +291,12 @@
         Some(fs::read_dir(format!("/proc/{id}/fd")).ok()?.count())
     }
 
+    /// What the descriptors of its process are, in words.
+    pub(crate) fn describe_descriptors(&self) -> Vec<String> {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        open_descriptors::describe(id)
+    }
+
     /// The most memory that its process has held, in kB, as the system counts; `None` once it has ended.
     pub(crate) fn peak_memory_kb(&self) -> Option<usize> {
         let id = self.child.as_ref()?.id();
--- a/fault-injection/src/soak/checks.rs
+++ b/fault-injection/src/soak/checks.rs
@@ -165,6 +165,7 @@
             at_rest,
             after,
             upstream,
+            descriptions: harness.proxies[proxy].describe_descriptors(),
         })
     };
     harness.until(AT_REST_WITHIN_MS, |harness| excess(harness).is_none());
--- a/fault-injection/src/soak/report.rs
+++ b/fault-injection/src/soak/report.rs
@@ -34,6 +34,8 @@
         after: usize,
         /// Connections to endpoints that are open after it, which may be kept.
         upstream: usize,
+        /// What they are.
+        descriptions: Vec<String>,
     },
     /// More memory was held than the configuration allows.
     MemoryExceeded {
@@ -73,9 +75,11 @@
                 at_rest,
                 after,
                 upstream,
+                descriptions,
             } => write!(
                 formatter,
-                "{after} descriptors after the load, {at_rest} before, {upstream} to endpoints"
+                "{after} descriptors after the load, {at_rest} before, {upstream} to endpoints: {}",
+                descriptions.join(", ")
             ),
             FindingKind::MemoryExceeded { peak_kb } => {
                 write!(formatter, "{peak_kb} kB of memory at its peak")
--- a/proxy/tests/soak/main.rs
+++ b/proxy/tests/soak/main.rs
@@ -27,6 +27,14 @@
     )
 }
 
+/// This seed has shown one descriptor more after the load than before it and the connections kept to endpoints (49, 17
+/// and 31), once in nine runs. What it was is not known; since then the finding tells what each descriptor is.
+#[test]
+fn seed_52_holds_no_descriptor_after_the_load() {
+    let broken = soak(52);
+    assert!(broken.is_empty(), "{broken}");
+}
+
 #[test]
 fn a_short_soak_breaks_nothing() {
     let next = AtomicUsize::new(0);
