--- a/fault-injection/src/soak/mod.rs
+++ b/fault-injection/src/soak/mod.rs
@@ -18,6 +18,8 @@
 use std::rc::Rc;
 
 const ENVIRONMENT: &str = include_str!("environment.toml");
+/// How long the proxies are left alone before what they hold at rest is counted.
+const BEFORE_LOAD_MS: f64 = 300.0;
 /// How long after the last request answers are awaited: the longest deadline, and what this loop may be late.
 const SETTLE_MS: f64 = 2500.0;
 
@@ -61,6 +63,9 @@
     let mut harness = Harness::new(environment, start);
     harness.rate = plan.rate;
     start_all(&mut harness)?;
+    // The last call for readiness may still be answered: a proxy lends a reserved descriptor out for that, and for an
+    // instant holds one less.
+    harness.pass(BEFORE_LOAD_MS);
     let at_rest = RestState::of(&harness);
     let record = Rc::new(RefCell::new(SoakRecord::default()));
     schedule(&mut harness, &plan, &record);
--- a/proxy/tests/soak/main.rs
+++ b/proxy/tests/soak/main.rs
@@ -28,7 +28,9 @@
 }
 
 /// This seed has shown one descriptor more after the load than before it and the connections kept to endpoints (49, 17
-/// and 31), once in nine runs. What it was is not known; since then the finding tells what each descriptor is.
+/// and 31), once in 81 runs. Nothing was held: the 17 was wrong. Left alone, its proxies hold 18 (2,400 of 2,400 reads);
+/// beside calls for readiness, which take a descriptor of the reserve for an instant, 17 in 835 of 70,983 reads. What
+/// they hold at rest was counted as the last such call was answered. Now they are left alone before.
 #[test]
 fn seed_52_holds_no_descriptor_after_the_load() {
     let broken = soak(52);
