--- a/review/standins/src/bin/case1.rs
+++ b/review/standins/src/bin/case1.rs
@@ -48,22 +48,35 @@
         if !trouble() {
             return Pace::default();
         }
-        let begins_after = if self.number == LATE_SERVER { LATE_BY } else { Duration::ZERO };
-        Pace { begins_after, pieces: Some((READ_PAUSE, READ_BYTES)) }
+        let begins_after = if self.number == LATE_SERVER {
+            LATE_BY
+        } else {
+            Duration::ZERO
+        };
+        Pace {
+            begins_after,
+            pieces: Some((READ_PAUSE, READ_BYTES)),
+        }
     }
 
     fn run(&self, request: &Message) -> Option<Vec<u8>> {
-        let id = request.header("x-request-id").unwrap_or_default().to_string();
+        let id = request
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_string();
         let (number, length, ran) = (self.number, request.body.len(), digest(&request.body));
         let mut requests = self.requests.lock().expect("not poisoned");
         let Some(sent) = requests.sent.get(&id).copied() else {
             return Some(response(400, "no client sent this id"));
         };
         if let Some(answer) = requests.ran.get(&id) {
-            self.record.line(&format!("server {number}: {id} is a repeat, dropped"));
+            self.record
+                .line(&format!("server {number}: {id} is a repeat, dropped"));
             return Some(answer.clone());
         }
-        self.record.line(&format!("server {number}: ran {id}, a body of {length} bytes, digest {ran:016x}"));
+        self.record.line(&format!(
+            "server {number}: ran {id}, a body of {length} bytes, digest {ran:016x}"
+        ));
         if ran != sent {
             requests.broken.push(format!(
                 "server {number} ran {id} with a body of {length} bytes, digest {ran:016x}; its client sent {BODY_BYTES} \
@@ -81,9 +94,21 @@
     let id = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
     let body = client::body(number, BODY_BYTES);
     let sent = digest(&body);
-    requests.lock().expect("not poisoned").sent.insert(id.clone(), sent);
-    let head = Head { class: "enrol", method: "POST", tenant: "valley", id: &id, timeout_ms: TIMEOUT_MS };
-    record.line(&format!("client {number}: sends {id}, {BODY_BYTES} bytes, digest {sent:016x}"));
+    requests
+        .lock()
+        .expect("not poisoned")
+        .sent
+        .insert(id.clone(), sent);
+    let head = Head {
+        class: "enrol",
+        method: "POST",
+        tenant: "valley",
+        id: &id,
+        timeout_ms: TIMEOUT_MS,
+    };
+    record.line(&format!(
+        "client {number}: sends {id}, {BODY_BYTES} bytes, digest {sent:016x}"
+    ));
     let answer = client::connect(proxy).and_then(|mut stream| {
         use std::io::Write;
         stream.write_all(head.text("Transfer-Encoding: chunked").as_bytes())?;
@@ -96,9 +121,14 @@
     match answer {
         Ok(answer) => {
             let told = String::from_utf8_lossy(&answer.body).into_owned();
-            record.line(&format!("client {number}: {id} answered {} {told}", answer.status()));
+            record.line(&format!(
+                "client {number}: {id} answered {} {told}",
+                answer.status()
+            ));
             if answer.status() == 200 && told != format!("{sent:016x}") {
-                let broken = format!("client {number} was answered 200 for a body that it did not send: {id}");
+                let broken = format!(
+                    "client {number} was answered 200 for a body that it did not send: {id}"
+                );
                 requests.lock().expect("not poisoned").broken.push(broken);
             }
         }
@@ -109,11 +139,24 @@
 fn main() {
     let record = Arc::new(Record::open());
     let requests = Arc::new(Mutex::new(Requests::default()));
-    let options = SocketOptions { receive_buffer: Some(4096), segment_size: Some(1460) };
+    let options = SocketOptions {
+        receive_buffer: Some(4096),
+        segment_size: Some(1460),
+    };
     let listed = |number: usize| {
-        let server = Server { number, record: Arc::clone(&record), requests: Arc::clone(&requests) };
+        let server = Server {
+            number,
+            record: Arc::clone(&record),
+            requests: Arc::clone(&requests),
+        };
         let address = server::start(options, Arc::new(server));
-        Listed { host: format!("s-{number}"), address, site: "a".into(), block: 1, health: "Ready" }
+        Listed {
+            host: format!("s-{number}"),
+            address,
+            site: "a".into(),
+            block: 1,
+            health: "Ready",
+        }
     };
     let discovery = Discovery::start((0..SERVERS).map(listed).collect());
     let mut proxies = Vec::new();
--- a/review/standins/src/bin/case2.rs
+++ b/review/standins/src/bin/case2.rs
@@ -49,17 +49,24 @@
 impl Behaviour for Server {
     fn pace(&self) -> Pace {
         let is_late = trouble() && self.number != FAILING_SERVER;
-        Pace { begins_after: if is_late { READ_AFTER } else { Duration::ZERO }, pieces: None }
+        Pace {
+            begins_after: if is_late { READ_AFTER } else { Duration::ZERO },
+            pieces: None,
+        }
     }
 
     fn run(&self, request: &Message) -> Option<Vec<u8>> {
-        let id = request.header("x-request-id").unwrap_or_default().to_string();
+        let id = request
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_string();
         let number = self.number;
         let mut requests = self.requests.lock().expect("not poisoned");
         let now = self.record.now();
         let first = requests.ran.get(&id).copied();
         if first.is_some_and(|first| now - first < f64::from(WINDOW_MS) + SLACK_MS) {
-            self.record.line(&format!("server {number}: {id} is a repeat, dropped"));
+            self.record
+                .line(&format!("server {number}: {id} is a repeat, dropped"));
             return Some(response(200, "done"));
         }
         requests.runs += 1;
@@ -77,25 +84,41 @@
                 requests.broken.push(broken);
             }
         }
-        let fails = trouble() && number == FAILING_SERVER && requests.runs % 10 != 0;
+        let fails = trouble() && number == FAILING_SERVER && !requests.runs.is_multiple_of(10);
         drop(requests);
         thread::sleep(WORK);
-        Some(if fails { response(500, "") } else { response(200, "done") })
+        Some(if fails {
+            response(500, "")
+        } else {
+            response(200, "done")
+        })
     }
 }
 
 fn send(number: u64, proxy: SocketAddr, record: &Record) {
     let id = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
     let body = client::body(number, BODY_BYTES);
-    let head = Head { class: "slot", method: "POST", tenant: "valley", id: &id, timeout_ms: f64::from(TTL_MS) };
+    let head = Head {
+        class: "slot",
+        method: "POST",
+        tenant: "valley",
+        id: &id,
+        timeout_ms: f64::from(TTL_MS),
+    };
     record.line(&format!("client {number}: sends {id}, {BODY_BYTES} bytes"));
     let answer = client::connect(proxy).and_then(|mut stream| {
-        stream.write_all(head.text(&format!("Content-Length: {BODY_BYTES}")).as_bytes())?;
+        stream.write_all(
+            head.text(&format!("Content-Length: {BODY_BYTES}"))
+                .as_bytes(),
+        )?;
         stream.write_all(&body)?;
         client::read_answer(&mut stream, Duration::from_secs(4))
     });
     match answer {
-        Ok(answer) => record.line(&format!("client {number}: {id} answered {}", answer.status())),
+        Ok(answer) => record.line(&format!(
+            "client {number}: {id} answered {}",
+            answer.status()
+        )),
         Err(error) => record.line(&format!("client {number}: {id} not answered: {error}")),
     }
 }
@@ -103,11 +126,24 @@
 fn main() {
     let record = Arc::new(Record::open());
     let requests = Arc::new(Mutex::new(Requests::default()));
-    let options = SocketOptions { receive_buffer: Some(2048), segment_size: Some(1460) };
+    let options = SocketOptions {
+        receive_buffer: Some(2048),
+        segment_size: Some(1460),
+    };
     let listed = |number: usize| {
-        let server = Server { number, record: Arc::clone(&record), requests: Arc::clone(&requests) };
+        let server = Server {
+            number,
+            record: Arc::clone(&record),
+            requests: Arc::clone(&requests),
+        };
         let address = server::start(options, Arc::new(server));
-        Listed { host: format!("s-{number}"), address, site: "a".into(), block: 1, health: "Ready" }
+        Listed {
+            host: format!("s-{number}"),
+            address,
+            site: "a".into(),
+            block: 1,
+            health: "Ready",
+        }
     };
     let discovery = Discovery::start((0..SERVERS).map(listed).collect());
     let mut proxies = Vec::new();
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -17,7 +17,13 @@
 impl Head<'_> {
     /// The head as it is sent; `framing` is the header that tells the body's end.
     pub fn text(&self, framing: &str) -> String {
-        let Head { class, method, tenant, id, timeout_ms } = self;
+        let Head {
+            class,
+            method,
+            tenant,
+            id,
+            timeout_ms,
+        } = self;
         let timeout = timeout_ms / 1000.0;
         format!(
             "{method} /{class} HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\n\
--- a/review/standins/src/discovery.rs
+++ b/review/standins/src/discovery.rs
@@ -21,14 +21,23 @@
 /// The list in discovery's form.
 pub fn list_text(sequence: u64, servers: &[Listed]) -> String {
     let entry = |server: &Listed| {
-        let Listed { host, address, site, block, health } = server;
+        let Listed {
+            host,
+            address,
+            site,
+            block,
+            health,
+        } = server;
         format!(
             "{{\"host\":\"{host}\",\"dial\":\"{address}\",\"site\":\"{site}\",\"class\":\"std\",\"block\":{block},\
              \"health\":\"{health}\",\"share\":1.0,\"born_ms\":0}}"
         )
     };
     let hosts: Vec<String> = servers.iter().map(entry).collect();
-    format!("{{\"seq\":{sequence},\"whole\":true,\"hosts\":[{}]}}", hosts.join(","))
+    format!(
+        "{{\"seq\":{sequence},\"whole\":true,\"hosts\":[{}]}}",
+        hosts.join(",")
+    )
 }
 
 /// A running discovery.
@@ -68,14 +77,21 @@
 
 fn query(target: &str, name: &str) -> Option<u64> {
     let (_, query) = target.split_once('?')?;
-    let value = query.split('&').find_map(|part| part.strip_prefix(name)?.strip_prefix('='))?;
+    let value = query
+        .split('&')
+        .find_map(|part| part.strip_prefix(name)?.strip_prefix('='))?;
     value.parse().ok()
 }
 
 fn serve(mut stream: TcpStream, list: &Mutex<(u64, Vec<Listed>)>) {
     let mut reader = Reader::default();
     while let Ok(request) = reader.read(&mut stream) {
-        let target = request.first_line.split(' ').nth(1).unwrap_or_default().to_string();
+        let target = request
+            .first_line
+            .split(' ')
+            .nth(1)
+            .unwrap_or_default()
+            .to_string();
         let from = query(&target, "from");
         let until = Instant::now() + Duration::from_millis(query(&target, "hold_ms").unwrap_or(0));
         let text = loop {
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -22,7 +22,9 @@
 }
 
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(known, _)| known.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
@@ -103,7 +105,11 @@
         } else if let Some(length) = find(&headers, "content-length") {
             body = self.take(stream, length.parse().map_err(|_| end())?)?;
         }
-        Ok(Message { first_line, headers, body })
+        Ok(Message {
+            first_line,
+            headers,
+            body,
+        })
     }
 }
 
@@ -115,5 +121,7 @@
 
 /// A digest of a body (FNV-1a), to tell bodies apart in the record.
 pub fn digest(body: &[u8]) -> u64 {
-    body.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+    body.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    })
 }
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -28,7 +28,11 @@
     for line in broken {
         record.line(&format!("BROKEN: {line}"));
     }
-    let verdict = if broken.is_empty() { "the rule held" } else { "the rule was broken" };
+    let verdict = if broken.is_empty() {
+        "the rule held"
+    } else {
+        "the rule was broken"
+    };
     record.line(&format!("{verdict}: {} breaks", broken.len()));
     std::process::exit(i32::from(!broken.is_empty()));
 }
--- a/review/standins/src/proxy.rs
+++ b/review/standins/src/proxy.rs
@@ -15,7 +15,8 @@
 impl Folder {
     /// Makes a folder under `FOLDER`, which the script made and removes.
     pub fn new(name: &str) -> Self {
-        let path = PathBuf::from(std::env::var("FOLDER").expect("FOLDER names the run's folder")).join(name);
+        let path = PathBuf::from(std::env::var("FOLDER").expect("FOLDER names the run's folder"))
+            .join(name);
         fs::create_dir_all(&path).expect("the folder can be made");
         Folder(path)
     }
@@ -35,25 +36,41 @@
 /// The command that the deploy file names for one node.
 fn run_command() -> String {
     let text = fs::read_to_string(root().join("deploy/balancer.toml")).expect("the deploy file");
-    let line = text.lines().find(|line| line.starts_with("run ")).expect("a line for run");
-    line.split('"').nth(1).expect("a quoted command").to_string()
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("run "))
+        .expect("a line for run");
+    line.split('"')
+        .nth(1)
+        .expect("a quoted command")
+        .to_string()
 }
 
 /// Notes a process for the script, which ends it should this program be stopped.
 fn note_process(id: u32) {
-    let path = PathBuf::from(std::env::var("FOLDER").expect("FOLDER names the run's folder")).join("processes");
+    let path = PathBuf::from(std::env::var("FOLDER").expect("FOLDER names the run's folder"))
+        .join("processes");
     let file = File::options().append(true).create(true).open(path);
     writeln!(file.expect("the processes can be noted"), "{id}").expect("the process can be noted");
 }
 
 impl Proxy {
     /// Starts a proxy with this configuration.
-    pub fn start(folder: &Path, configuration: &str, listen: SocketAddr, discovery: SocketAddr) -> Self {
+    pub fn start(
+        folder: &Path,
+        configuration: &str,
+        listen: SocketAddr,
+        discovery: SocketAddr,
+    ) -> Self {
         let path = folder.join("config.json");
         fs::write(&path, configuration).expect("the configuration can be written");
         let state = folder.join("tmp");
         fs::create_dir_all(&state).expect("the state's folder can be made");
-        let log = File::options().append(true).create(true).open(folder.join("log")).expect("the log can be written");
+        let log = File::options()
+            .append(true)
+            .create(true)
+            .open(folder.join("log"))
+            .expect("the log can be written");
         let child = Command::new("/bin/sh")
             .args(["-c", &run_command()])
             .current_dir(root())
@@ -69,7 +86,10 @@
             .spawn()
             .expect("the proxy starts");
         note_process(child.id());
-        Proxy { address: listen, child }
+        Proxy {
+            address: listen,
+            child,
+        }
     }
 
     /// Waits until the health check answers 200, for ten seconds at most.
@@ -85,7 +105,9 @@
     }
 
     fn health_check(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.address) else { return false };
+        let Ok(mut stream) = TcpStream::connect(self.address) else {
+            return false;
+        };
         let request = b"GET /_health HTTP/1.1\r\nHost: service.internal\r\n\r\n";
         if stream.write_all(request).is_err() {
             return false;
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -15,7 +15,10 @@
     pub fn open() -> Self {
         let path = std::env::var("RECORD").expect("RECORD names the record's file");
         let file = File::create(path).expect("the record's file can be written");
-        Record { started: Instant::now(), file: Mutex::new(file) }
+        Record {
+            started: Instant::now(),
+            file: Mutex::new(file),
+        }
     }
 
     /// Milliseconds since the start.
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -60,7 +60,9 @@
 
 impl Read for Paced<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        let Some((pause, bytes)) = self.pace.pieces else { return self.stream.read(buffer) };
+        let Some((pause, bytes)) = self.pace.pieces else {
+            return self.stream.read(buffer);
+        };
         thread::sleep(pause);
         let length = buffer.len().min(bytes);
         self.stream.read(&mut buffer[..length])
@@ -77,8 +79,15 @@
         }
         let pace = behaviour.pace();
         thread::sleep(pace.begins_after);
-        let Ok(request) = reader.read(&mut Paced { stream: &stream, pace }) else { return };
-        let Some(answer) = behaviour.run(&request) else { return };
+        let Ok(request) = reader.read(&mut Paced {
+            stream: &stream,
+            pace,
+        }) else {
+            return;
+        };
+        let Some(answer) = behaviour.run(&request) else {
+            return;
+        };
         if stream.write_all(&answer).is_err() {
             return;
         }
--- a/review/standins/src/settings.rs
+++ b/review/standins/src/settings.rs
@@ -17,7 +17,14 @@
 }
 
 /// One class.
-pub fn class(name: &str, effect: &str, group: &str, window_ms: u32, target_ms: u32, ttl_ms: u32) -> String {
+pub fn class(
+    name: &str,
+    effect: &str,
+    group: &str,
+    window_ms: u32,
+    target_ms: u32,
+    ttl_ms: u32,
+) -> String {
     format!(
         "{{\"Benefit\":5.0,\"Effect\":\"{effect}\",\"Group\":\"{group}\",\"LateBenefit\":0.25,\"Name\":\"{name}\",\
          \"Streaming\":false,\"TargetLatencyMs\":{target_ms}.0,\"TtlMs\":{ttl_ms}.0,\"WindowMs\":{window_ms}.0}}"
@@ -27,7 +34,16 @@
 impl Deployment<'_> {
     /// The configuration file's text.
     pub fn text(&self) -> String {
-        let Deployment { classes, proxies, number, connect_timeout_ms, second_copies, known, listen, discovery } = self;
+        let Deployment {
+            classes,
+            proxies,
+            number,
+            connect_timeout_ms,
+            second_copies,
+            known,
+            listen,
+            discovery,
+        } = self;
         format!(
             r#"{{"name":"n{number}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be96{number}",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -15,7 +15,8 @@
 
 extern "C" {
     fn kill(pid: c_int, signal: c_int) -> c_int;
-    fn setsockopt(fd: c_int, level: c_int, name: c_int, value: *const c_void, length: u32) -> c_int;
+    fn setsockopt(fd: c_int, level: c_int, name: c_int, value: *const c_void, length: u32)
+        -> c_int;
     fn ioctl(fd: c_int, request: c_ulong, ...) -> c_int;
 }
 
