--- a/review/standins/src/bin/case1.rs
+++ b/review/standins/src/bin/case1.rs
@@ -16,14 +16,14 @@
 
 const SERVERS: usize = 4;
 const PROXIES: u32 = 2;
-const ROUNDS: u64 = 12;
-const CLIENTS: u64 = 4;
-const BODY_BYTES: usize = 800_000;
+const ROUNDS: u64 = 8;
+const CLIENTS: u64 = 8;
+const BODY_BYTES: usize = 400_000;
 const CHUNK_BYTES: usize = 16 * 1024;
-/// A server reads up to 16 KiB each 10 ms, so that a body takes it some seconds, and one server in four begins late.
+/// A server reads up to 16 KiB each 10 ms, so that a body takes it some seconds, and two servers of four begin late.
 const READ_PAUSE: Duration = Duration::from_millis(10);
 const READ_BYTES: usize = 16 * 1024;
-const LATE_SERVER: usize = 0;
+const LATE_SERVERS: usize = 2;
 const LATE_BY: Duration = Duration::from_millis(1200);
 const TIMEOUT_MS: f64 = 1600.0;
 
@@ -48,7 +48,7 @@
         if !trouble() {
             return Pace::default();
         }
-        let begins_after = if self.number == LATE_SERVER {
+        let begins_after = if self.number < LATE_SERVERS {
             LATE_BY
         } else {
             Duration::ZERO
@@ -140,7 +140,7 @@
     let record = Arc::new(Record::open());
     let requests = Arc::new(Mutex::new(Requests::default()));
     let options = SocketOptions {
-        receive_buffer: Some(4096),
+        receive_buffer: Some(2048),
         segment_size: Some(1460),
     };
     let listed = |number: usize| {
--- a/review/standins/src/bin/case3.rs
+++ b/review/standins/src/bin/case3.rs
@@ -19,11 +19,14 @@
 const SERVERS: usize = 4;
 const PROXIES: u32 = 2;
 /// Uploads at each node in each round.
-const UPLOADS: u64 = 16;
+const UPLOADS: u64 = 40;
 const UPLOAD_SPACING: Duration = Duration::from_millis(10);
 /// A client sends its body evenly over this time, at some 170 kB a second.
 const UPLOAD_TIME: Duration = Duration::from_millis(1600);
-const BODY_BYTES: usize = 260_000;
+/// How much the sockets between a node and a server take varies, so the lengths do.
+const LEAST_BYTES: usize = 180_000;
+const LENGTH_STEP: usize = 5_000;
+const LENGTHS: u64 = 31;
 const CHUNK_BYTES: usize = 8 * 1024;
 /// The clients wait for half of the 6 s of their class.
 const TIMEOUT_MS: f64 = 3000.0;
@@ -79,8 +82,13 @@
 
 impl Upload {
     /// Sends the request; returns when the node's machine had all of it, and the answer.
-    fn send(&self, id: &str, chunked: bool) -> io::Result<(f64, io::Result<Message>)> {
-        let body = client::body(self.number, BODY_BYTES);
+    fn send(
+        &self,
+        id: &str,
+        length: usize,
+        chunked: bool,
+    ) -> io::Result<(f64, io::Result<Message>)> {
+        let body = client::body(self.number, length);
         let head = Head {
             class: "approve",
             method: "POST",
@@ -91,7 +99,7 @@
         let framing = if chunked {
             "Transfer-Encoding: chunked".to_string()
         } else {
-            format!("Content-Length: {BODY_BYTES}")
+            format!("Content-Length: {length}")
         };
         let mut stream = client::connect(self.proxy)?;
         stream.write_all(head.text(&framing).as_bytes())?;
@@ -125,15 +133,16 @@
         let Upload { number, node, .. } = self;
         let id = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let chunked = number.is_multiple_of(2);
+        let length = LEAST_BYTES + LENGTH_STEP * (number % LENGTHS) as usize;
         let form = if chunked {
             "in chunks"
         } else {
             "with its length"
         };
         self.record.line(&format!(
-            "client {number}: sends {id} to n{node}, {BODY_BYTES} bytes {form}"
+            "client {number}: sends {id} to n{node}, {length} bytes {form}"
         ));
-        let (taken_at, answer) = match self.send(&id, chunked) {
+        let (taken_at, answer) = match self.send(&id, length, chunked) {
             Ok(sent) => sent,
             Err(error) => {
                 // Its last byte never came to the node's machine.
@@ -147,7 +156,9 @@
             Ok(answer) => format!("answered {}", answer.status()),
             Err(error) => format!("not answered ({error})"),
         };
-        let line = format!("{id} at n{node}, {form}: {told}, {after:.0} ms after its last byte");
+        let line = format!(
+            "{id} at n{node}, {length} bytes {form}: {told}, {after:.0} ms after its last byte"
+        );
         self.record.line(&format!("client {number}: {line}"));
         if answer.is_err() || after > TIMEOUT_MS + SLACK_MS {
             let mut broken = self.broken.lock().expect("not poisoned");
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -3,10 +3,11 @@
 use crate::http::{Message, Reader};
 use crate::system;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// How a server reads a request.
 #[derive(Clone, Copy, Default)]
@@ -33,9 +34,20 @@
     pub segment_size: Option<i32>,
 }
 
+/// A loopback address of this server's own. The system remembers figures of earlier connections by address, and sizes
+/// the send buffers of later ones by them.
+fn fresh_host() -> Ipv4Addr {
+    static STARTED: AtomicU8 = AtomicU8::new(0);
+    let number = STARTED.fetch_add(1, Ordering::Relaxed);
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let second = since_epoch.map_or(0, |time| time.as_secs());
+    Ipv4Addr::new(127, 16 + (second % 200) as u8, high ^ low, 1 + number)
+}
+
 /// Starts a server; returns its address.
 pub fn start(options: SocketOptions, behaviour: Arc<impl Behaviour>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind((fresh_host(), 0)).expect("a free port");
     if let Some(bytes) = options.receive_buffer {
         system::set_receive_buffer(&listener, bytes);
     }
