Copies of a long request: the first to take a piece streams the body alone

Cause: that the first piece of a body had been sent was recorded at the client, for all copies of its request. The second copy found it sent, and took the client's next pieces in turn with the first. The connection that a client's bytes woke was the copy started last, whichever streamed. Change: the request records the connection that took the first piece (body_target); all other attempts of the request are cancelled then, connected or not, as they can never be complete. They end as CancelledIncomplete: never executed.

--- a/proxy/src/downstream/connection.rs
+++ b/proxy/src/downstream/connection.rs
@@ -116,10 +116,9 @@
 pub(super) struct ReceivedRequest {
     pub(super) message: Message,
     pub(super) kind: RequestKind,
-    /// The upstream connection to which its body is streamed.
-    pub(super) upstream: Option<UpstreamKey>,
-    /// The first piece of the body has left the buffer, so the request can no longer be retried.
-    pub(super) first_piece_sent: bool,
+    /// The upstream connection that took the first piece of the body: it alone gets the rest, and the request can no
+    /// longer be retried.
+    pub(super) body_target: Option<UpstreamKey>,
     /// Start of the period over which the body's rate is measured. Waiting for the endpoint restarts it.
     pub(super) body_since_ms: f64,
     /// Body bytes received since `body_since_ms`.
@@ -182,8 +181,7 @@
         self.request = Some(ReceivedRequest {
             message,
             kind,
-            upstream: None,
-            first_piece_sent: false,
+            body_target: None,
             body_since_ms: now_ms,
             body_bytes: 0,
         });
--- a/proxy/src/downstream/connections.rs
+++ b/proxy/src/downstream/connections.rs
@@ -6,7 +6,7 @@
 use crate::descriptors::DescriptorUsage;
 use crate::http::Message;
 use crate::metrics::access::RequestOutcome;
-use crate::slot_table::{DownstreamKey, SlotTable, UpstreamKey};
+use crate::slot_table::{DownstreamKey, SlotTable};
 use crate::streaming::Upload;
 use crate::timers::TimerKey;
 use mio::net::TcpListener;
@@ -119,14 +119,6 @@
             .is_none_or(|request| request.message.accepts_chunked)
     }
 
-    /// Records the upstream connection to which a client's request body is streamed.
-    pub fn stream_request_to(&mut self, key: DownstreamKey, upstream: UpstreamKey) {
-        let client = self.table.get_mut(key);
-        if let Some(request) = client.and_then(|client| client.request.as_mut()) {
-            request.upstream = Some(upstream);
-        }
-    }
-
     /// Access to a request body that is being received, for streaming it.
     pub fn upload(&mut self, key: DownstreamKey) -> Option<Upload<'_>> {
         let client = self.table.get_mut(key)?;
@@ -136,7 +128,7 @@
             stream: &mut client.stream,
             read_buffer,
             message: &mut request.message,
-            first_piece_sent: &mut request.first_piece_sent,
+            body_target: &mut request.body_target,
             received_bytes: &mut request.body_bytes,
             last_received_at: &mut client.last_progress_ms,
         })
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -209,8 +209,11 @@
         }
         if client.is_receiving_body() {
             // The upstream connection that the body is streamed to reads it.
-            let upstream = client.request.as_ref().and_then(|request| request.upstream);
-            self.writable_upstream.extend(upstream);
+            let body_target = client
+                .request
+                .as_ref()
+                .and_then(|request| request.body_target);
+            self.writable_upstream.extend(body_target);
             return;
         }
         self.read_pipelined(key);
--- a/proxy/src/downstream/timeouts.rs
+++ b/proxy/src/downstream/timeouts.rs
@@ -54,7 +54,7 @@
         };
         let admitted = client.awaited_request().is_some();
         if let Some(request) = client.request.as_mut().filter(|_| admitted) {
-            if !self.upstream.awaits_request_body(request.upstream, key) {
+            if !self.upstream.awaits_request_body(request.body_target, key) {
                 // The endpoint is behind, so the client's rate is measured anew.
                 request.body_since_ms = now_ms;
                 request.body_bytes = 0;
--- a/proxy/src/request_lifecycle.rs
+++ b/proxy/src/request_lifecycle.rs
@@ -126,6 +126,16 @@
         }
     }
 
+    /// Cancels all attempts of a request but the one that streams the body: the bytes that it takes from the client
+    /// are missing for the others, which could only send the body with gaps.
+    pub fn cancel_other_attempts(&mut self, request: RequestId, streaming: UpstreamKey) {
+        for connection in self.requests.connections_of(request) {
+            if connection != streaming {
+                self.cancel_attempt(connection);
+            }
+        }
+    }
+
     /// Handles the end of an attempt: sends the first successful response to the client, and notifies the dispatcher
     /// of the outcome.
     fn attempt_ended(&mut self, attempt: StartedAttempt, completion: AttemptCompletion) {
@@ -179,7 +189,9 @@
             AttemptOutcome::TimedOut => &mut counters.attempts_timed_out,
             AttemptOutcome::Unreachable => &mut counters.attempts_unreachable,
             AttemptOutcome::ConnectionLost => &mut counters.attempts_connection_lost,
-            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => &mut counters.attempts_cancelled,
+            AttemptOutcome::Cancelled
+            | AttemptOutcome::CancelledIncomplete
+            | AttemptOutcome::NotSent => &mut counters.attempts_cancelled,
         };
         *count += 1;
     }
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -134,6 +134,14 @@
             .flatten()
     }
 
+    /// Returns the connections of all attempts in flight.
+    pub fn connections_of(&self, request: RequestId) -> Vec<UpstreamKey> {
+        self.table
+            .get(request.index())
+            .map(|request| request.attempts.iter().copied().flatten().collect())
+            .unwrap_or_default()
+    }
+
     /// Returns the attempt in flight on a connection.
     pub fn attempt_on(&self, request: RequestId, connection: UpstreamKey) -> Option<usize> {
         self.table
--- a/proxy/src/streaming/mod.rs
+++ b/proxy/src/streaming/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::buffers::Buffer;
 use crate::http::Message;
+use crate::slot_table::UpstreamKey;
 use mio::net::TcpStream;
 
 /// A long response, or one of unknown length, is streamed once this many bytes have been received. Until then the
@@ -27,8 +28,8 @@
     pub read_buffer: &'a mut Buffer,
     /// The message in the read buffer.
     pub message: &'a mut Message,
-    /// Whether the endpoint has taken the first piece, so that the request can no longer be retried.
-    pub first_piece_sent: &'a mut bool,
+    /// The connection of the endpoint that has taken the first piece; it alone gets the rest.
+    pub body_target: &'a mut Option<UpstreamKey>,
     /// Body bytes received in the current rate measurement.
     pub received_bytes: &'a mut usize,
     /// When the last of them were received.
--- a/proxy/src/streaming/request.rs
+++ b/proxy/src/streaming/request.rs
@@ -116,14 +116,21 @@
         let Some(mut upload) = self.downstream.upload(client) else {
             return RequestStreamStep::ClientGone;
         };
-        if !std::mem::replace(upload.first_piece_sent, true) {
+        if upload.body_target.is_none() {
             // The first piece has been written, so its bytes can be removed from the read buffer.
+            *upload.body_target = Some(key);
             upload.message.consume(upload.read_buffer);
             if let Some(request) = request {
                 self.streaming_progress(request, key, false);
+                self.cancel_other_attempts(request, key);
             }
             return RequestStreamStep::Progress;
         }
+        debug_assert_eq!(
+            *upload.body_target,
+            Some(key),
+            "only one attempt streams the body"
+        );
         let moved = move_request_piece(&mut upload, write_buffer, chunked, now);
         if matches!(moved, RequestStreamStep::LastPiece) {
             attempt.finish_request_source();
--- a/proxy/src/upstream/completion.rs
+++ b/proxy/src/upstream/completion.rs
@@ -14,7 +14,13 @@
         if attempt.is_some_and(|attempt| attempt.response_target().is_some()) {
             return;
         }
-        self.fail_attempt(key, AttemptOutcome::Cancelled, LoadReport::default());
+        let is_incomplete = attempt.is_some_and(|attempt| !attempt.is_written());
+        let outcome = if is_incomplete {
+            AttemptOutcome::CancelledIncomplete
+        } else {
+            AttemptOutcome::Cancelled
+        };
+        self.fail_attempt(key, outcome, LoadReport::default());
     }
 
     /// Ends an attempt without a response and closes its connection.
--- a/proxy/src/upstream/sending.rs
+++ b/proxy/src/upstream/sending.rs
@@ -46,9 +46,7 @@
             chunked: message.body_length().is_none(),
             write_blocked_at: None,
         });
-        let key = self.send_request(Some(request), endpoint, state, timeout_ms, on_complete)?;
-        self.downstream.stream_request_to(client, key);
-        Ok(key)
+        self.send_request(Some(request), endpoint, state, timeout_ms, on_complete)
     }
 
     /// Sends a request or a load probe on an idle connection or a new one.
--- a/proxy/tests/sockets/main.rs
+++ b/proxy/tests/sockets/main.rs
@@ -15,6 +15,7 @@
 mod duplicate_responses;
 mod endpoint_list;
 mod event_order;
+mod hedged_uploads;
 mod keep_alive;
 mod load_probes;
 mod memory;
--- a/proxy/tests/sockets/support/mod.rs
+++ b/proxy/tests/sockets/support/mod.rs
@@ -12,4 +12,5 @@
 pub(crate) mod recording_endpoints;
 pub(crate) mod response_endings;
 pub(crate) mod scripted_discovery;
+pub(crate) mod slow_reader;
 pub(crate) mod wait;
--- a/src/balancer/estimator.rs
+++ b/src/balancer/estimator.rs
@@ -68,14 +68,14 @@
         let overdue = result.duration_ms > timing.tail_latency_ms;
         let unresponsive = endpoint.last_response_at_ms <= timing.sent_at_ms;
         let mut outcome = result.outcome;
-        if outcome == AttemptOutcome::Cancelled && overdue && unresponsive {
+        if outcome.is_cancelled() && overdue && unresponsive {
             // Hedging cancels the attempts at an unresponsive endpoint before they time out.
             outcome = AttemptOutcome::TimedOut;
         }
         // Requests abandoned at their latency objective count, or limits would only grow.
         let is_late = result.duration_ms >= timing.latency_objective_ms;
-        let abandoned = settings.limited_response_buffers && outcome == AttemptOutcome::Cancelled && is_late;
-        if matches!(outcome, AttemptOutcome::Cancelled | AttemptOutcome::NotSent) && !abandoned {
+        let abandoned = settings.limited_response_buffers && outcome.is_cancelled() && is_late;
+        if (outcome.is_cancelled() || outcome == AttemptOutcome::NotSent) && !abandoned {
             return None;
         }
         let report = &endpoint.report;
--- a/src/types.rs
+++ b/src/types.rs
@@ -102,6 +102,8 @@
     ConnectionLost,
     /// The proxy cancelled it.
     Cancelled,
+    /// The proxy cancelled it before the endpoint had the entire request.
+    CancelledIncomplete,
     /// The attempt was never sent.
     NotSent,
 }
@@ -109,7 +111,18 @@
 impl AttemptOutcome {
     /// Whether the endpoint certainly did not execute the request.
     pub fn never_executed(self) -> bool {
-        matches!(self, AttemptOutcome::Rejected | AttemptOutcome::Unreachable | AttemptOutcome::NotSent)
+        matches!(
+            self,
+            AttemptOutcome::Rejected
+                | AttemptOutcome::Unreachable
+                | AttemptOutcome::CancelledIncomplete
+                | AttemptOutcome::NotSent
+        )
+    }
+
+    /// Whether the proxy cancelled the attempt.
+    pub fn is_cancelled(self) -> bool {
+        matches!(self, AttemptOutcome::Cancelled | AttemptOutcome::CancelledIncomplete)
     }
 }
 
--- a/tests/module/invariants.rs
+++ b/tests/module/invariants.rs
@@ -7,7 +7,7 @@
 use crankmux::settings::Settings;
 use crankmux::types::{AttemptOutcome, EndpointId, EndpointState, LoadReport, RequestId};
 
-const OUTCOMES: [AttemptOutcome; 8] = [
+const OUTCOMES: [AttemptOutcome; 9] = [
     AttemptOutcome::Succeeded,
     AttemptOutcome::Succeeded,
     AttemptOutcome::Failed,
@@ -16,6 +16,7 @@
     AttemptOutcome::Unreachable,
     AttemptOutcome::ConnectionLost,
     AttemptOutcome::Cancelled,
+    AttemptOutcome::CancelledIncomplete,
 ];
 const STATES: [EndpointState; 3] = [
     EndpointState::Ready,
