An unfinished upload ends with its request, also where attempts may not be cancelled

Cause: the same as of the copies that shared a body: the attempt refers to a client, and nothing ends it when the request no longer is that client's. Only the balancer's cancellation did, which this setting turns off. Change: attempts that need more of the body end as soon as their request has no client, whatever the setting.

--- a/proxy/src/request_lifecycle.rs
+++ b/proxy/src/request_lifecycle.rs
@@ -69,9 +69,23 @@
         for attempt in steps.attempts {
             self.start_attempt(request, attempt);
         }
+        if !self.requests.is_unanswered(request) {
+            self.cancel_incomplete_uploads(request);
+        }
         self.requests.remove_if_finished(request);
     }
 
+    /// Cancels the attempts of an answered or abandoned request that need more of its body. Their endpoints could never
+    /// execute it, so this is not subject to the setting that permits cancellation.
+    fn cancel_incomplete_uploads(&mut self, request: RequestId) {
+        for connection in self.requests.connections_of(request) {
+            let attempt = self.upstream.attempt(connection);
+            if attempt.is_some_and(|attempt| attempt.request_source().is_some()) {
+                self.cancel_attempt(connection);
+            }
+        }
+    }
+
     fn answer_without_response(&mut self, request: RequestId, status: u16, retry_after_ms: f64) {
         if let Some(client) = self.requests.take_client(request) {
             self.send_local_response(client, status, retry_after_ms);
--- a/proxy/tests/sockets/hedged_uploads.rs
+++ b/proxy/tests/sockets/hedged_uploads.rs
@@ -1,12 +1,14 @@
 //! Copies of a long request whose body is streamed, and attempts that outlive their client.
 
 use crate::support::body::{checksum, pseudo_random_bytes};
-use crate::support::discovery::{endpoint_entry, endpoint_list};
+use crate::support::configuration::{configuration, disable_hedging};
+use crate::support::discovery::{endpoint_entry, endpoint_list, TestDiscovery};
 use crate::support::http::{header_value, ok_response, read_message, request, status_code};
 use crate::support::proxy_process::ProxyProcess;
 use crate::support::slow_reader::{listener_with_receive_buffer, read_slowly};
 use crate::support::wait::{sleep_ms, wait_until, TEST_TIMEOUT};
-use std::io::{Read, Write};
+use serde_json::json;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -109,3 +111,38 @@
         );
     }
 }
+
+/// Guards against an attempt that outlives its client where attempts may not be cancelled: its request could never be
+/// completed, and the client's place in the table, from which its body is read, goes to the next client.
+#[test]
+fn unfinished_upload_ends_with_its_client_even_without_cancellation() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let known = endpoint_list(
+        1,
+        true,
+        &[endpoint_entry("s", listener.local_addr().unwrap(), "Ready")],
+    );
+    let discovery = TestDiscovery::new(known.clone());
+    let mut config = configuration(discovery.address, &known);
+    disable_hedging(&mut config);
+    config["settings"]["Limits"]["MayCancel"] = json!(false);
+    let proxy = ProxyProcess::start(&config, None);
+    let head = String::from_utf8(request("view", 10.0, "")).unwrap();
+    let head = head.replace("Length: 0", &format!("Length: {BODY_BYTES}"));
+    let mut client = proxy.connect();
+    client.write_all(head.as_bytes()).unwrap();
+    client
+        .write_all(&pseudo_random_bytes(BODY_BYTES / 2))
+        .unwrap();
+    let (mut stream, _) = listener.accept().unwrap();
+    read_head(&mut stream);
+    let mut first_half = vec![0; BODY_BYTES / 2];
+    stream.read_exact(&mut first_half).unwrap();
+    drop(client);
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let read = stream.read(&mut [0; 1024]).map_err(|error| error.kind());
+    assert!(
+        matches!(read, Ok(0) | Err(ErrorKind::ConnectionReset)),
+        "the attempt goes on: {read:?}"
+    );
+}
