A retry with an idempotency key reaches no endpoint after the deduplication window

Cause: the window was checked at the decision only. A late connection, an endpoint that takes the bytes late and the system's send buffer, which delivers what it holds even after a close, each put the last byte after it. Change: attempts get a send deadline (balancer/deduplication.rs) beside another one that may have executed. It is checked before the last write; at the deadline what is not written, or written and unsent, is cancelled; such a close is a reset.

--- a/proxy/src/downstream/close.rs
+++ b/proxy/src/downstream/close.rs
@@ -6,10 +6,9 @@
 use crate::metrics::access::RequestOutcome;
 use crate::proxy::Proxy;
 use crate::slot_table::DownstreamKey;
+use crate::socket::reset_on_close;
 use crankmux::types::{AttemptOutcome, LoadReport};
-use socket2::SockRef;
 use std::io::{self, Read};
-use std::time::Duration;
 
 impl Proxy {
     /// Accepts the pending connections, unless a newer process does, and closes the listener.
@@ -58,9 +57,7 @@
     fn abort_response_stream(&mut self, client: &DownstreamConnection, source: ResponseSource) {
         if source.ends_at_close {
             // The close delimits this response, so only a reset tells the client that it is truncated.
-            if let Err(error) = SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)) {
-                log::debug!("cannot set SO_LINGER to reset a client connection: {error}");
-            }
+            reset_on_close(&client.stream);
         }
         if self.upstream.connections.get(source.upstream).is_some() {
             self.counters.clients_disconnected += 1;
--- a/proxy/src/request_lifecycle.rs
+++ b/proxy/src/request_lifecycle.rs
@@ -3,7 +3,7 @@
 use crate::proxy::Proxy;
 use crate::slot_table::{DownstreamKey, UpstreamKey};
 use crate::upstream::{AttemptCompletion, BufferedResponse};
-use crankmux::dispatcher::{FinalResponse, NewAttempt, NextSteps};
+use crankmux::dispatcher::{FinalResponse, NewAttempt, NextSteps, SendDeadline};
 use crankmux::types::{
     AttemptOutcome, AttemptResult, EndpointId, LoadReport, NewRequest, RequestId,
 };
@@ -66,6 +66,9 @@
                 self.answer_without_response(request, 502, 0.0);
             }
         }
+        for deadline in steps.send_deadlines {
+            self.set_send_deadline(request, deadline);
+        }
         for attempt in steps.attempts {
             self.start_attempt(request, attempt);
         }
@@ -75,6 +78,36 @@
         self.requests.remove_if_finished(request);
     }
 
+    fn set_send_deadline(&mut self, request: RequestId, deadline: SendDeadline) {
+        let SendDeadline { attempt, at_ms } = deadline;
+        self.requests.set_send_deadline(request, attempt, at_ms);
+        if at_ms.is_finite() {
+            self.timers.set(at_ms, move |proxy: &mut Proxy| {
+                proxy.send_deadline_expired(request, attempt)
+            });
+        }
+    }
+
+    /// Cancels an attempt whose request is not completely sent at its send deadline. The deadline may have been changed
+    /// since the timer was set, and is checked again.
+    fn send_deadline_expired(&mut self, request: RequestId, attempt: usize) {
+        if self.now() < self.requests.send_deadline(request, attempt) {
+            return;
+        }
+        let Some(key) = self.requests.connection_of(request, attempt) else {
+            return;
+        };
+        if self.upstream.is_request_unsent(key) {
+            self.cancel_attempt(key);
+        }
+    }
+
+    /// Whether an attempt's request may not be sent any more.
+    pub fn is_past_send_deadline(&self, request: RequestId, connection: UpstreamKey) -> bool {
+        let attempt = self.requests.attempt_on(request, connection);
+        attempt.is_some_and(|number| self.now() >= self.requests.send_deadline(request, number))
+    }
+
     /// Cancels the attempts of an answered or abandoned request that need more of its body. Their endpoints could never
     /// execute it, so this is not subject to the setting that permits cancellation.
     fn cancel_incomplete_uploads(&mut self, request: RequestId) {
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -17,6 +17,8 @@
     /// The connection of each attempt; `None` before it is sent and after it has ended.
     attempts: Vec<Option<UpstreamKey>>,
     attempts_in_flight: usize,
+    /// Until when attempts may be sent, by number; those beyond its end have no limit.
+    send_deadlines: Vec<f64>,
 }
 
 /// An attempt that is about to be sent.
@@ -81,6 +83,7 @@
             over_capacity,
             attempts: Vec::new(),
             attempts_in_flight: 0,
+            send_deadlines: Vec::new(),
         });
         RequestId::new(index)
     }
@@ -117,6 +120,25 @@
         self.table[request.index()].attempts[attempt] = Some(connection);
     }
 
+    /// Sets until when an attempt may be sent, which may not have been started yet.
+    pub fn set_send_deadline(&mut self, request: RequestId, attempt: usize, at: f64) {
+        let Some(request) = self.table.get_mut(request.index()) else {
+            return;
+        };
+        let count = request.send_deadlines.len().max(attempt + 1);
+        request.send_deadlines.resize(count, f64::INFINITY);
+        request.send_deadlines[attempt] = at;
+    }
+
+    /// Until when an attempt may be sent; infinite if there is no limit.
+    pub fn send_deadline(&self, request: RequestId, attempt: usize) -> f64 {
+        self.table
+            .get(request.index())
+            .and_then(|request| request.send_deadlines.get(attempt))
+            .copied()
+            .unwrap_or(f64::INFINITY)
+    }
+
     /// Limits all deadlines to `latest`.
     pub fn limit_deadlines(&mut self, latest: f64) {
         for (_, request) in &mut self.table {
--- a/proxy/src/upstream/attempt.rs
+++ b/proxy/src/upstream/attempt.rs
@@ -124,6 +124,11 @@
                 .is_some_and(|pending| pending.is_empty())
     }
 
+    /// Whether nothing of the response has been received.
+    pub fn awaits_response(&self) -> bool {
+        matches!(self.response_state, ResponseState::AwaitingHead) && self.read_buffer.is_none()
+    }
+
     /// The client that the response is streamed to.
     pub fn response_target(&self) -> Option<DownstreamKey> {
         match &self.response_state {
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -6,7 +6,7 @@
 use crate::descriptors::{is_out_of_descriptors, DescriptorPurpose};
 use crate::proxy::Proxy;
 use crate::slot_table::{DownstreamKey, SlotTable, UpstreamKey};
-use crate::socket::is_open_and_idle;
+use crate::socket::{has_unsent_data, is_open_and_idle, reset_on_close};
 use crate::tokens::upstream_token;
 use crankmux::types::{AttemptOutcome, EndpointId, LoadReport};
 use mio::net::TcpStream;
@@ -81,6 +81,17 @@
         self.connections.get(connection)?.attempt()
     }
 
+    /// Whether an endpoint does not have all of an attempt's request: it is not written, or the system still holds some
+    /// of it. An endpoint that responds has all that it needs.
+    pub fn is_request_unsent(&self, connection: UpstreamKey) -> bool {
+        self.connections.get(connection).is_some_and(|connection| {
+            connection.attempt().is_some_and(|attempt| {
+                let is_held = attempt.awaits_response() && has_unsent_data(&connection.stream);
+                !attempt.is_written() || is_held
+            })
+        })
+    }
+
     /// Mutable access to the attempt on a connection.
     pub fn attempt_mut(&mut self, connection: UpstreamKey) -> Option<&mut Attempt<P>> {
         self.connections.get_mut(connection)?.attempt_mut()
@@ -277,6 +288,10 @@
             log::debug!("cannot deregister a connection to an endpoint: {error}");
         }
         self.timers.cancel(connection.timer);
+        if attempt.as_ref().is_some_and(|attempt| !attempt.is_unsent()) {
+            // The part of the request that the endpoint does not have yet must not reach it any more.
+            reset_on_close(&connection.stream);
+        }
         drop(connection.stream);
         self.replenish_reserve_of(DescriptorPurpose::Attempt);
         let attempt = attempt?;
--- a/proxy/src/upstream/sending.rs
+++ b/proxy/src/upstream/sending.rs
@@ -109,9 +109,14 @@
             let outcome = AttemptOutcome::Unreachable;
             return self.fail_attempt(key, outcome, LoadReport::default());
         }
-        if self.stream_request_body(key) {
+        if !self.stream_request_body(key) {
+            return;
+        }
+        if self.may_write_last_piece(key) {
             self.write_last_piece(key);
             self.read_response(key);
+        } else {
+            self.cancel_attempt(key);
         }
     }
 
@@ -140,6 +145,15 @@
         attempt.is_unsent() && self.clock.now() >= attempt.deadline
     }
 
+    /// Whether the request is written already, or its send deadline has not passed. Checked right before the write, as
+    /// much time may have passed since the attempt was decided or its last bytes were written.
+    fn may_write_last_piece(&self, key: UpstreamKey) -> bool {
+        let attempt = self.upstream.attempt(key);
+        let incomplete = attempt.filter(|attempt| !attempt.is_written());
+        let request = incomplete.and_then(|attempt| attempt.request);
+        request.is_none_or(|request| !self.is_past_send_deadline(request, key))
+    }
+
     /// Writes the buffered request, or the last piece of a streamed one.
     fn write_last_piece(&mut self, key: UpstreamKey) {
         let now = self.clock.now();
--- a/proxy/tests/sockets/main.rs
+++ b/proxy/tests/sockets/main.rs
@@ -7,6 +7,7 @@
 mod command_line;
 mod complete_responses;
 mod connection_limits;
+mod deduplication_window;
 mod descriptor_exhaustion;
 mod disabled_endpoints;
 mod discovery;
--- a/src/balancer/candidates.rs
+++ b/src/balancer/candidates.rs
@@ -3,11 +3,9 @@
 use super::Balancer;
 use crate::settings::ClassSettings;
 use crate::state::{Attempt, Endpoint, Request};
-use crate::types::{DeduplicationScope, EndpointId, Idempotency, RequestId};
+use crate::types::{EndpointId, Idempotency, RequestId};
 use crate::weighted_choice::{choose_weighted, Candidate};
 
-const DEDUPLICATION_WINDOW_FRACTION: f64 = 0.9; // the rest allows for network delay
-
 impl Balancer {
     /// The endpoints that may get a request's next attempt, with their weights.
     pub(super) fn candidates(&mut self, id: RequestId) -> Vec<Candidate> {
@@ -60,18 +58,6 @@
         }
     }
 
-    /// Whether an endpoint deduplicates a retry of an earlier attempt by its idempotency key.
-    fn deduplicates(&self, settings: &ClassSettings, earlier: &Attempt, endpoint: &Endpoint) -> bool {
-        let window_ms = settings.deduplication_window_ms * DEDUPLICATION_WINDOW_FRACTION;
-        let first = self.endpoints.get(&earlier.endpoint);
-        let is_in_scope = match settings.deduplication_scope {
-            DeduplicationScope::Global => true,
-            DeduplicationScope::Zone => first.is_some_and(|first| first.zone == endpoint.zone),
-            DeduplicationScope::Pod => first.is_some_and(|first| first.pod == endpoint.pod),
-        };
-        is_in_scope && self.now_ms - earlier.timing.sent_at_ms < window_ms
-    }
-
     /// Whether a timely response is expected. First attempts also explore idle endpoints that look too slow,
     /// as their recovery would go unnoticed otherwise; load probes make this unnecessary.
     fn meets_deadline(&self, request: &Request, endpoint: &Endpoint) -> bool {
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -12,6 +12,7 @@
 
 mod admission;
 mod candidates;
+mod deduplication;
 mod endpoint_list;
 mod estimator;
 mod load;
--- a/src/balancer/retries.rs
+++ b/src/balancer/retries.rs
@@ -1,5 +1,6 @@
 //! Attempts, retries and hedged requests, up to the final response.
 
+use super::deduplication::update_send_deadlines;
 use super::{Balancer, Timer};
 use crate::state::{Attempt, AttemptKey, AttemptTiming, PendingAttempt, Request};
 use crate::types::{Actions, AttemptOutcome, AttemptResult, EndpointId, RequestId};
@@ -56,6 +57,7 @@
         self.pending_attempts
             .insert(key, PendingAttempt { endpoint: endpoint_id, class: request.class, timing });
         let timeout_ms = request.deadline_ms - self.now_ms;
+        update_send_deadlines(actions, id, request);
         actions.start_attempt(id, endpoint_id, timeout_ms);
         // An overdue attempt is hedged; the delay grows with utilization, to limit the additional load.
         let retryable = request.settings.idempotency != Idempotency::NotIdempotent;
@@ -93,7 +95,9 @@
         request.end_attempt(result.attempt, result.outcome);
         if result.request_closed || result.outcome == AttemptOutcome::Succeeded {
             self.close(actions, result.request);
-        } else if !request.has_attempt_in_flight() {
+        } else if request.has_attempt_in_flight() {
+            update_send_deadlines(actions, result.request, request);
+        } else {
             self.continue_request(actions, result.request);
         }
     }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -17,6 +17,15 @@
     pub timeout_ms: f64,
 }
 
+/// Until when an attempt may be sent; it is to be cancelled if the endpoint does not have the entire request by then.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SendDeadline {
+    /// The number of the attempt.
+    pub attempt: usize,
+    /// The time; infinite if there is no limit any more.
+    pub at_ms: f64,
+}
+
 /// The final response to a request without a successful attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum FinalResponse {
@@ -34,6 +43,8 @@
 pub struct NextSteps {
     /// The numbers of the attempts to cancel.
     pub cancel: Vec<usize>,
+    /// Until when attempts in flight or to be started may be sent.
+    pub send_deadlines: Vec<SendDeadline>,
     /// The attempts to start.
     pub attempts: Vec<NewAttempt>,
     /// The response to send to the client.
@@ -87,6 +98,10 @@
         self.probes.push(endpoint);
     }
 
+    fn set_send_deadline(&mut self, request: RequestId, attempt: usize, at_ms: f64) {
+        self.steps_mut(request).send_deadlines.push(SendDeadline { attempt, at_ms });
+    }
+
     fn cancel(&mut self, request: RequestId, attempt: usize) {
         self.steps_mut(request).cancel.push(attempt);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -48,6 +48,8 @@
     pub(crate) timing: AttemptTiming,
     pub(crate) may_have_executed: bool,
     pub(crate) in_flight: bool,
+    /// Until when it may be sent; infinite unless another attempt has a deduplication window.
+    pub(crate) send_deadline_ms: f64,
 }
 
 /// An attempt without a result yet. It may outlive its request.
@@ -87,7 +89,13 @@
         endpoint: EndpointId,
         timing: AttemptTiming,
     ) -> AttemptKey {
-        self.attempts.push(Attempt { endpoint, timing, may_have_executed: true, in_flight: true });
+        self.attempts.push(Attempt {
+            endpoint,
+            timing,
+            may_have_executed: true,
+            in_flight: true,
+            send_deadline_ms: f64::INFINITY,
+        });
         (id, self.attempts.len() - 1)
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -192,6 +192,11 @@
     fn start_attempt(&mut self, request: RequestId, endpoint: EndpointId, timeout_ms: f64);
     /// Sends a load probe to an endpoint; `Balancer::probe_ended` takes the result, also when it fails.
     fn probe(&mut self, endpoint: EndpointId);
+    /// Sets until when an attempt, in flight or about to be started, may be sent: it must be cancelled if the endpoint
+    /// does not have the entire request by then. Does nothing by default, for callers that send requests whole at once.
+    fn set_send_deadline(&mut self, request: RequestId, attempt: usize, at_ms: f64) {
+        let _ = (request, attempt, at_ms);
+    }
     /// Cancels an attempt in flight.
     fn cancel(&mut self, request: RequestId, attempt: usize);
     /// Tells the client that the request was rejected and may be retried after a delay.
--- a/tests/module/retries.rs
+++ b/tests/module/retries.rs
@@ -221,3 +221,28 @@
     );
     assert_eq!(harness.checker.requests[0].answers, [Answer::Rejected]);
 }
+
+/// Guards against a send deadline that stays after the attempt that it is due to has ended without being executed, and
+/// against one for a class that may be executed any number of times.
+#[test]
+fn an_attempt_has_a_send_deadline_only_beside_one_that_may_have_executed() {
+    let mut harness = Harness::new(4);
+    harness.run(400, 20.0, |_| SUCCESS);
+    let hedged = |harness: &mut Harness, class| {
+        let request = harness.send(class);
+        while harness.checker.requests[request].attempts.len() < 2 {
+            harness.advance(5.0);
+        }
+        request
+    };
+    let read_like = hedged(&mut harness, 0);
+    assert!(harness.checker.requests[read_like]
+        .send_deadlines
+        .is_empty());
+    let keyed = hedged(&mut harness, 1);
+    let send_deadlines = |harness: &Harness| harness.checker.requests[keyed].send_deadlines.clone();
+    let both = send_deadlines(&harness);
+    assert!(both[&0] > both[&1] && both[&0].is_finite(), "{both:?}");
+    harness.end_attempt(keyed, 1, AttemptOutcome::CancelledIncomplete);
+    assert_eq!(send_deadlines(&harness)[&0], f64::INFINITY);
+}
--- a/tests/module/support/rule_checker.rs
+++ b/tests/module/support/rule_checker.rs
@@ -21,6 +21,13 @@
     pub(crate) in_flight: bool,
 }
 
+impl TrackedAttempt {
+    /// When the endpoints that executed the attempt may have forgotten its idempotency key.
+    fn window_end_ms(&self) -> f64 {
+        self.sent_at_ms + DEDUPLICATION_WINDOW_MS
+    }
+}
+
 /// The zones and the machine classes allowed for a request class; `None` allows all.
 pub(crate) type Placement = [Option<PlacementSet>; 2];
 
@@ -41,9 +48,29 @@
     pub(crate) deadline_ms: f64,
     pub(crate) answers: Vec<Answer>,
     pub(crate) attempts: Vec<TrackedAttempt>,
+    /// Until when attempts may be sent, by number.
+    pub(crate) send_deadlines: BTreeMap<usize, f64>,
 }
 
 impl TrackedRequest {
+    /// Checks that no attempt in flight may be sent after the window of another one that may have executed.
+    fn check_send_deadlines(&self) {
+        if self.idempotency != Idempotency::IdempotentWithKey {
+            return;
+        }
+        let attempts = || self.attempts.iter().enumerate();
+        for (number, _) in attempts().filter(|(_, attempt)| attempt.in_flight) {
+            let send_deadline_ms = self.send_deadlines.get(&number).copied();
+            for (_, other) in attempts().filter(|(other, _)| *other != number) {
+                assert!(
+                    !other.may_have_executed
+                        || send_deadline_ms.is_some_and(|at_ms| at_ms <= other.window_end_ms()),
+                    "attempt {number} may be sent after the window of another one"
+                );
+            }
+        }
+    }
+
     pub(crate) fn has_succeeded(&self) -> bool {
         self.answers == [Answer::Succeeded]
     }
@@ -186,6 +213,12 @@
             may_have_executed: true,
             in_flight: true,
         });
+        self.requests[id].check_send_deadlines();
+    }
+
+    fn set_send_deadline(&mut self, request: RequestId, attempt: usize, at_ms: f64) {
+        let send_deadlines = &mut self.requests[request.index()].send_deadlines;
+        send_deadlines.insert(attempt, at_ms);
     }
 
     fn probe(&mut self, endpoint: EndpointId) {
