A long request at a hanging endpoint is answered in its time, and before a shutdown ends

Cause: until a long request is written whole its attempt was held to a stall. That all of it had arrived was looked at in one place: never known of a request in chunks, not reached once the last piece had been read, and the limit of a shutdown set a deadline that nobody looks at during a stall. Change: the arrival of a body's bytes is recorded, read or not; when the request's time since then is over and the endpoint takes no more, the socket is looked at (a peek for a body in chunks). A stall never outlasts a shutdown.

--- a/proxy/src/downstream/connection.rs
+++ b/proxy/src/downstream/connection.rs
@@ -1,5 +1,6 @@
 //! The state machine of a client connection.
 
+use super::body_arrival::BodyArrival;
 use super::request_head::RequestKind;
 use super::{MAX_LINGER_BYTES, REQUEST_TIMEOUT_MS};
 use crate::buffers::{Buffer, MAX_BODY_BYTES};
@@ -123,6 +124,8 @@
     pub(super) body_since_ms: f64,
     /// Body bytes received since `body_since_ms`.
     pub(super) body_bytes: usize,
+    /// When the body's bytes arrived at this machine.
+    pub(super) arrival: BodyArrival,
 }
 
 /// A client connection.
@@ -184,6 +187,7 @@
             body_target: None,
             body_since_ms: now_ms,
             body_bytes: 0,
+            arrival: BodyArrival::new(now_ms),
         });
     }
 
--- a/proxy/src/downstream/connections.rs
+++ b/proxy/src/downstream/connections.rs
@@ -2,14 +2,14 @@
 //! may be reused once its connection is closed.
 
 use super::connection::DownstreamConnection;
-use crate::buffers::Buffer;
+use crate::buffers::{Buffer, MAX_BODY_BYTES};
 use crate::descriptors::DescriptorUsage;
 use crate::http::Message;
 use crate::metrics::access::RequestOutcome;
 use crate::slot_table::{DownstreamKey, SlotTable};
 use crate::streaming::Upload;
 use crate::timers::TimerKey;
-use mio::net::TcpListener;
+use mio::net::{TcpListener, TcpStream};
 
 /// All client connections, and their listener.
 pub struct DownstreamConnections {
@@ -130,27 +130,45 @@
             message: &mut request.message,
             body_target: &mut request.body_target,
             received_bytes: &mut request.body_bytes,
+            arrival: &mut request.arrival,
             last_received_at: &mut client.last_progress_ms,
         })
     }
 
-    /// Whether all of a client's request has been received, counting bytes in the socket buffer. Always false for a
-    /// body of unknown length.
-    pub fn whole_request_received(&self, key: DownstreamKey) -> bool {
+    /// Looks whether more of a request body has arrived. Returns when bytes last arrived.
+    pub fn record_arrival(&mut self, key: DownstreamKey, now_ms: f64) -> Option<f64> {
+        let client = self.table.get_mut(key)?;
+        let request = client.request.as_mut()?;
+        let unread = unread_bytes(&client.stream);
+        request.arrival.record_unread(unread, now_ms);
+        Some(request.arrival.last_arrived_at())
+    }
+
+    /// When the last byte of a client's request arrived, counting bytes in the socket; none if it has not.
+    pub fn request_received_at(&mut self, key: DownstreamKey, now_ms: f64) -> Option<f64> {
+        let arrived_at = self.record_arrival(key, now_ms)?;
+        self.whole_request_received(key).then_some(arrived_at)
+    }
+
+    fn whole_request_received(&self, key: DownstreamKey) -> bool {
         let Some(client) = self.table.get(key) else {
             return false;
         };
         let (Some(buffer), Some(request)) = (&client.read_buffer, &client.request) else {
             return false;
         };
-        // If the system call fails, only bytes read so far count.
-        let unread = rustix::io::ioctl_fionread(&client.stream).unwrap_or(0) as usize;
         let message = &request.message;
-        let undecoded = buffer.filled().len().saturating_sub(message.body_end);
-        let received = message.body_received() + undecoded + unread;
-        message
-            .body_length()
-            .is_some_and(|length| received >= length)
+        let undecoded = &buffer.filled()[message.body_end..];
+        let unread = unread_bytes(&client.stream);
+        if let Some(length) = message.body_length() {
+            return message.body_received() + undecoded.len() + unread >= length;
+        }
+        // Only the chunks themselves tell where the body ends.
+        let mut bytes = undecoded.to_vec();
+        bytes.resize(undecoded.len() + unread.min(MAX_BODY_BYTES), 0);
+        let peeked = client.stream.peek(&mut bytes[undecoded.len()..]);
+        bytes.truncate(undecoded.len() + peeked.unwrap_or(0));
+        message.is_completed_by(&mut bytes)
     }
 
     /// The emptied write buffer of a client's response, if everything in it has been written.
@@ -203,3 +221,8 @@
         self.ready.push(key);
     }
 }
+
+/// How many bytes wait in a socket; none if the system call fails.
+fn unread_bytes(stream: &TcpStream) -> usize {
+    rustix::io::ioctl_fionread(stream).unwrap_or(0) as usize
+}
--- a/proxy/src/downstream/mod.rs
+++ b/proxy/src/downstream/mod.rs
@@ -4,10 +4,12 @@
 //! - `connections`: the connection table and its interface to other modules;
 //! - `accept`, `eviction`, `close`: the life cycle of a connection;
 //! - `request_head`, `read_request`, `request_error`: parsing, validation and admission of requests;
+//! - `body_arrival`: when the bytes of a request body arrived;
 //! - `write_response`: non-blocking writes of responses;
 //! - `timeouts`: read and write timeouts.
 
 mod accept;
+mod body_arrival;
 mod close;
 mod connection;
 mod connections;
@@ -18,6 +20,7 @@
 mod timeouts;
 mod write_response;
 
+pub use body_arrival::BodyArrival;
 pub use connections::DownstreamConnections;
 pub use request_error::RequestError;
 
--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -120,6 +120,9 @@
             client.last_progress_ms = self.clock.now();
             if let Some(request) = &mut client.request {
                 request.body_bytes += received;
+                request
+                    .arrival
+                    .record_read(received, client.last_progress_ms);
             }
         }
         if buffer.filled().is_empty() {
@@ -208,7 +211,9 @@
             return self.close_downstream(key);
         }
         if client.is_receiving_body() {
+            self.downstream.record_arrival(key, self.clock.now());
             // The upstream connection that the body is streamed to reads it.
+            let client = &self.downstream.table[key];
             let body_target = client
                 .request
                 .as_ref()
--- a/proxy/src/http/body.rs
+++ b/proxy/src/http/body.rs
@@ -60,6 +60,7 @@
 }
 
 /// A message in a buffer. The part of its body that has been received and decoded is at `body_start..body_end`.
+#[derive(Clone)]
 pub struct Message {
     /// End of the head and start of the body.
     pub body_start: usize,
@@ -220,6 +221,17 @@
         matches!(self.state, BodyState::Complete)
     }
 
+    /// Whether these bytes, which follow those decoded so far, complete the body. Decodes them in place.
+    pub fn is_completed_by(&self, bytes: &mut [u8]) -> bool {
+        let mut rest = self.clone();
+        rest.consumed_bytes = self.body_received();
+        rest.body_start = 0;
+        rest.body_end = 0;
+        let mut next = 0;
+        while let Ok(true) = rest.decode_next(bytes, &mut next) {}
+        rest.is_complete()
+    }
+
     /// Whether the body is delimited by the close of the connection.
     pub fn ends_at_close(&self) -> bool {
         matches!(self.state, BodyState::UntilClose)
--- a/proxy/src/streaming/mod.rs
+++ b/proxy/src/streaming/mod.rs
@@ -4,6 +4,7 @@
 mod response;
 
 use crate::buffers::Buffer;
+use crate::downstream::BodyArrival;
 use crate::http::Message;
 use crate::slot_table::UpstreamKey;
 use mio::net::TcpStream;
@@ -32,6 +33,8 @@
     pub body_target: &'a mut Option<UpstreamKey>,
     /// Body bytes received in the current rate measurement.
     pub received_bytes: &'a mut usize,
+    /// When the body's bytes arrived at this machine.
+    pub arrival: &'a mut BodyArrival,
     /// When the last of them were received.
     pub last_received_at: &'a mut f64,
 }
--- a/proxy/src/streaming/request.rs
+++ b/proxy/src/streaming/request.rs
@@ -47,8 +47,10 @@
     let length_before_read = upload.read_buffer.filled().len();
     match upload.read_buffer.read_from(upload.stream) {
         ReadOutcome::Received => {
-            *upload.received_bytes += upload.read_buffer.filled().len() - length_before_read;
+            let received = upload.read_buffer.filled().len() - length_before_read;
+            *upload.received_bytes += received;
             *upload.last_received_at = now;
+            upload.arrival.record_read(received, now);
             RequestStreamStep::Progress
         }
         ReadOutcome::WouldBlock => RequestStreamStep::Pending,
@@ -133,7 +135,9 @@
         );
         let moved = move_request_piece(&mut upload, write_buffer, chunked, now);
         if matches!(moved, RequestStreamStep::LastPiece) {
-            attempt.finish_request_source();
+            attempt.finish_request_source(upload.arrival.last_arrived_at());
+            let stall_deadline = attempt.stall_deadline();
+            self.set_attempt_timer(key, stall_deadline);
         }
         moved
     }
--- a/proxy/src/upstream/attempt.rs
+++ b/proxy/src/upstream/attempt.rs
@@ -177,7 +177,7 @@
     fn request_written(&mut self, now: f64) -> Option<Buffer> {
         let streamed_at = match &self.request_state {
             RequestState::Streamed(streamed) => {
-                let timeout_from = streamed.write_blocked_at.unwrap_or(now);
+                let timeout_from = streamed.received_at.unwrap_or(now);
                 self.deadline = timeout_from + self.timeout_ms;
                 Some(now)
             }
@@ -205,12 +205,25 @@
     }
 
     /// Marks the pending piece of a streamed request as the last one.
-    pub fn finish_request_source(&mut self) {
+    pub fn finish_request_source(&mut self, received_at: f64) {
         if let RequestState::Streamed(streamed) = &mut self.request_state {
             streamed.source = None;
+            streamed.received_at = Some(received_at);
         }
     }
 
+    /// Records when the last byte of a streamed request arrived from the client.
+    pub(super) fn set_request_received_at(&mut self, at: f64) {
+        if let RequestState::Streamed(streamed) = &mut self.request_state {
+            streamed.received_at = Some(at);
+        }
+    }
+
+    /// When the attempt times out if the last byte of the request arrived at `received_at`.
+    pub(super) fn deadline_after(&self, received_at: f64) -> f64 {
+        received_at + self.timeout_ms
+    }
+
     /// Parses the received bytes; returns whether the response is complete.
     pub(super) fn read_response(&mut self, read_buffer: &mut Buffer) -> Result<bool, ParseError> {
         if let Some(response) = self.response_state.response_mut() {
@@ -283,15 +296,14 @@
     }
 
     /// When a streamed body without progress counts as stalled. Two cases time out before `STALL_TIMEOUT_MS`: a
-    /// request that has been received completely while the endpoint accepts no more data, and a response of unknown
-    /// length that may turn out to be short.
-    pub(super) fn stall_deadline(&self) -> f64 {
+    /// request that has been received completely, and a response of unknown length that may turn out to be short.
+    pub fn stall_deadline(&self) -> f64 {
         if let RequestState::Streamed(StreamedRequest {
-            write_blocked_at: Some(blocked_at),
+            received_at: Some(received_at),
             ..
         }) = &self.request_state
         {
-            return blocked_at + self.timeout_ms;
+            return self.deadline_after(*received_at);
         }
         self.last_progress_at
             + if self.streams_short_response() {
--- a/proxy/src/upstream/request_state.rs
+++ b/proxy/src/upstream/request_state.rs
@@ -54,8 +54,8 @@
     pub source: Option<DownstreamKey>,
     /// Whether the body is forwarded with chunked encoding.
     pub chunked: bool,
-    /// When a write first blocked after the client had sent the entire request.
-    pub write_blocked_at: Option<f64>,
+    /// When the last byte of the request arrived from the client, once that is known.
+    pub received_at: Option<f64>,
 }
 
 /// Progress of writing the request of an attempt.
--- a/proxy/src/upstream/sending.rs
+++ b/proxy/src/upstream/sending.rs
@@ -44,7 +44,7 @@
             pending,
             source: Some(client),
             chunked: message.body_length().is_none(),
-            write_blocked_at: None,
+            received_at: None,
         });
         self.send_request(Some(request), endpoint, state, timeout_ms, on_complete)
     }
--- a/proxy/src/upstream/timeouts.rs
+++ b/proxy/src/upstream/timeouts.rs
@@ -7,7 +7,7 @@
 
 impl Proxy {
     /// Sets the timer of an attempt, replacing any earlier one.
-    pub(super) fn set_attempt_timer(&mut self, key: UpstreamKey, at: f64) {
+    pub(crate) fn set_attempt_timer(&mut self, key: UpstreamKey, at: f64) {
         let Some(connection) = self.upstream.connections.get_mut(key) else {
             return;
         };
@@ -38,9 +38,11 @@
         self.attempt_timed_out(key);
     }
 
-    /// Ends an attempt whose endpoint has stalled. Waiting for the client does not count: it has its own timeout.
+    /// Ends an attempt whose endpoint has stalled, or whose request is past its time. Waiting for the client does not
+    /// count as a stall: it has its own timeout.
     fn check_stall(&mut self, key: UpstreamKey) {
         let now = self.now();
+        self.record_received_request(key);
         let connection = &mut self.upstream.connections[key];
         let endpoint = connection.endpoint;
         let Some(attempt) = connection.attempt_mut() else {
@@ -53,7 +55,7 @@
         if waits_for_client {
             attempt.last_progress_at = now;
         }
-        let stall_deadline = attempt.stall_deadline();
+        let stall_deadline = attempt.stall_deadline().min(self.response_deadline);
         if now < stall_deadline {
             return self.set_attempt_timer(key, stall_deadline);
         }
@@ -62,6 +64,20 @@
         self.connection_lost(key);
     }
 
+    /// Records when the last byte of a streamed request arrived, if it has: the request's time counts from then.
+    fn record_received_request(&mut self, key: UpstreamKey) {
+        let now = self.clock.now();
+        let Some(attempt) = self.upstream.attempt_mut(key) else {
+            return;
+        };
+        let received_at = attempt
+            .request_source()
+            .and_then(|client| self.downstream.request_received_at(client, now));
+        if let Some(received_at) = received_at {
+            attempt.set_request_received_at(received_at);
+        }
+    }
+
     fn attempt_timed_out(&mut self, key: UpstreamKey) {
         let connection = &self.upstream.connections[key];
         let endpoint = connection.endpoint;
@@ -82,22 +98,19 @@
         self.fail_attempt(key, outcome, LoadReport::default());
     }
 
-    /// Handles an endpoint that accepts no more of a streamed request for now. If the client has sent the entire
-    /// request, its timeout starts.
+    /// Handles an endpoint that accepts no more of a streamed request for now. All of the request may have arrived, so the
+    /// attempt is checked when its time would be over.
     pub(crate) fn request_write_blocked(&mut self, key: UpstreamKey, client: DownstreamKey) {
         let now = self.clock.now();
         let Some(attempt) = self.upstream.attempt_mut(key) else {
             return;
         };
-        let RequestState::Streamed(streamed) = &mut attempt.request_state else {
-            return;
-        };
-        if streamed.write_blocked_at.is_some() || !self.downstream.whole_request_received(client) {
-            return;
-        }
-        streamed.write_blocked_at = Some(now);
         let stall_deadline = attempt.stall_deadline();
-        self.set_attempt_timer(key, stall_deadline);
+        let arrived_at = self.downstream.record_arrival(client, now);
+        let check_at = arrived_at.map_or(stall_deadline, |at| {
+            attempt.deadline_after(at).min(stall_deadline)
+        });
+        self.set_attempt_timer(key, check_at);
     }
 
     /// Limits all deadlines to `at`. Then streamed responses are ended, and the other attempts' deadlines checked.
--- a/proxy/tests/sockets/main.rs
+++ b/proxy/tests/sockets/main.rs
@@ -16,6 +16,7 @@
 mod duplicate_responses;
 mod endpoint_list;
 mod event_order;
+mod hanging_endpoints;
 mod hedged_uploads;
 mod keep_alive;
 mod load_probes;
--- a/proxy/tests/sockets/support/connection.rs
+++ b/proxy/tests/sockets/support/connection.rs
@@ -1,5 +1,6 @@
 //! TCP connections in unusual states: reset, or waiting in a full accept queue.
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -51,3 +52,21 @@
         "02",
     )
 }
+
+/// Makes a connection writable only while its system holds no byte that it has not sent.
+pub(crate) fn hold_no_unsent_bytes(stream: &TcpStream) {
+    socket2::SockRef::from(stream)
+        .set_tcp_notsent_lowat(1)
+        .expect("a socket");
+}
+
+/// Whether a connection becomes writable within a time. After [`hold_no_unsent_bytes`], all that was written has been
+/// sent then; on loopback, it is at the other side.
+pub(crate) fn becomes_writable(stream: &TcpStream, limit: Duration) -> bool {
+    let timeout = Timespec {
+        tv_sec: limit.as_secs() as i64,
+        tv_nsec: i64::from(limit.subsec_nanos()),
+    };
+    let mut descriptors = [PollFd::new(stream, PollFlags::OUT)];
+    poll(&mut descriptors, Some(&timeout)).is_ok_and(|ready| ready == 1)
+}
--- a/proxy/tests/sockets/support/slow_reader.rs
+++ b/proxy/tests/sockets/support/slow_reader.rs
@@ -12,7 +12,7 @@
 
 /// A loopback address that no other test uses: the system remembers figures of connections by address, and would
 /// enlarge the buffers of later ones.
-fn unused_loopback_address() -> Ipv4Addr {
+pub(crate) fn unused_loopback_address() -> Ipv4Addr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let [.., high, low] = std::process::id().to_be_bytes();
     Ipv4Addr::new(
