A request on a late connection tells its endpoint the time that is left

What endpoints saw: an X-Timeout longer than the proxy waits, by the time that the connection took. Change: a buffered request is written anew once its connection is up. A streamed one keeps its time, which starts later.

--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -95,6 +95,11 @@
             .is_some_and(|request| request.client.is_some())
     }
 
+    /// The client that waits for the response.
+    pub fn client(&self, request: RequestId) -> Option<DownstreamKey> {
+        self.table.get(request.index())?.client
+    }
+
     /// Whether no client is waiting for a response.
     pub fn all_answered(&self) -> bool {
         self.table
--- a/proxy/src/upstream/request_state.rs
+++ b/proxy/src/upstream/request_state.rs
@@ -37,6 +37,13 @@
         &mut self.buffer
     }
 
+    /// Empties the buffer of a request of which nothing has been written, to write it anew.
+    pub(super) fn discard(&mut self) -> &mut Buffer {
+        let length = self.buffer.filled().len();
+        self.buffer.remove(0..length);
+        &mut self.buffer
+    }
+
     pub(super) fn is_started(&self) -> bool {
         self.started
     }
--- a/proxy/src/upstream/sending.rs
+++ b/proxy/src/upstream/sending.rs
@@ -90,6 +90,7 @@
         let Some(connection) = self.upstream.connections.get(key) else {
             return;
         };
+        let is_new = !connection.is_connected();
         match connection.state() {
             ConnectionState::Idle { .. } => {
                 // The endpoint has closed the connection, or sent bytes that belong to no attempt.
@@ -109,6 +110,10 @@
             let outcome = AttemptOutcome::Unreachable;
             return self.fail_attempt(key, outcome, LoadReport::default());
         }
+        if is_new && !self.update_sent_timeout(key) {
+            let outcome = AttemptOutcome::NotSent;
+            return self.fail_attempt(key, outcome, LoadReport::default());
+        }
         if !self.stream_request_body(key) {
             return;
         }
@@ -137,6 +142,28 @@
         true
     }
 
+    /// Writes a buffered request anew for a connection that has just been established, as its `X-Timeout` has become
+    /// shorter meanwhile. The time of a streamed request only starts with its last byte. Returns whether it fitted.
+    fn update_sent_timeout(&mut self, key: UpstreamKey) -> bool {
+        let now = self.clock.now();
+        let Some(attempt) = self.upstream.attempt_mut(key) else {
+            return true;
+        };
+        let timeout_ms = attempt.deadline - now;
+        let client = attempt
+            .request
+            .and_then(|request| self.requests.client(request));
+        let request = client.and_then(|client| self.downstream.request(client));
+        let Some((bytes, message)) = request else {
+            return true;
+        };
+        let RequestState::Buffered(pending) = &mut attempt.request_state else {
+            return true;
+        };
+        let write_buffer = pending.discard();
+        http::write_request(bytes, message, timeout_ms, write_buffer)
+    }
+
     /// Whether the deadline has passed before any byte of the request was written.
     fn is_unsent_past_deadline(&self, key: UpstreamKey) -> bool {
         let Some(attempt) = self.upstream.connections[key].attempt() else {
--- a/proxy/tests/sockets/timeouts.rs
+++ b/proxy/tests/sockets/timeouts.rs
@@ -3,7 +3,7 @@
 use crate::support::connection::{full_accept_queue, is_connecting_to};
 use crate::support::discovery::{endpoint_entry, endpoint_list, TestDiscovery};
 use crate::support::endpoint::TestEndpoint;
-use crate::support::http::{ok_response, read_message, request, status_code};
+use crate::support::http::{header_value, ok_response, read_message, request, status_code};
 use crate::support::proxy_process::ProxyProcess;
 use crate::support::wait::{wait_until, TEST_TIMEOUT};
 use std::io::{Read, Write};
@@ -130,3 +130,28 @@
         502 | 503
     ));
 }
+
+/// Guards against a request that tells its endpoint a timeout from before its connection was established: the endpoint
+/// would work for a proxy that has given up.
+#[test]
+fn request_on_a_late_connection_tells_the_time_that_is_left() {
+    // A connection to a full accept queue is established a second later, when its first packet is sent again.
+    let (listener, address, queued) = full_accept_queue();
+    let known = endpoint_list(1, true, &[endpoint_entry("late", address, "Ready")]);
+    let (_discovery, proxy) = ProxyProcess::with_connect_timeout(&known, 60_000.0);
+    let mut client = proxy.connect();
+    client.write_all(&request("pay", 5.0, "")).unwrap();
+    let sent_at = Instant::now();
+    wait_until("it connects", || is_connecting_to(address));
+    for _ in 0..queued.len() {
+        listener.accept().unwrap();
+    }
+    drop(queued);
+    let (mut late, _) = listener.accept().unwrap();
+    let (head, _) = read_message(&mut late).expect("a request");
+    let connected_after = sent_at.elapsed().as_secs_f64();
+    assert!(connected_after > 0.5, "the connection was late");
+    let timeout = header_value(&head, "X-Timeout").expect("a timeout");
+    let timeout: f64 = timeout.parse().expect("a number");
+    assert!(timeout < 4.5, "{timeout} s after {connected_after} s");
+}
