Bytes behind a long request do not prolong its time

What callers would see: no answer in time to a long request at a hanging endpoint, while the client sends the next one on the same connection. Cause: the time was counted from the last arrival in the socket, which may be of another request.

--- a/proxy/src/downstream/connections.rs
+++ b/proxy/src/downstream/connections.rs
@@ -135,40 +135,38 @@
         })
     }
 
-    /// Looks whether more of a request body has arrived. Returns when bytes last arrived.
+    /// Looks whether more of a request body has arrived. Returns when the last byte arrived, unless more of the body is
+    /// still to come.
     pub fn record_arrival(&mut self, key: DownstreamKey, now_ms: f64) -> Option<f64> {
         let client = self.table.get_mut(key)?;
         let request = client.request.as_mut()?;
         let unread = unread_bytes(&client.stream);
+        let unread_before = request.arrival.unread_bytes();
+        let has_length = request.message.body_length().is_some();
+        // A body of unknown length may have been complete before these bytes, which may be another request.
+        let is_check_due =
+            !has_length && unread > unread_before && request.arrival.begin_check(now_ms);
+        if is_check_due && client.has_arrived_whole(unread_before) {
+            client.record_complete_request();
+        }
+        let request = client.request.as_mut()?;
         request.arrival.record_unread(unread, now_ms);
+        if has_length && client.has_arrived_whole(unread) {
+            client.record_complete_request();
+        }
+        let request = client.request.as_ref()?;
         Some(request.arrival.last_arrived_at())
     }
 
     /// When the last byte of a client's request arrived, counting bytes in the socket; none if it has not.
     pub fn request_received_at(&mut self, key: DownstreamKey, now_ms: f64) -> Option<f64> {
-        let arrived_at = self.record_arrival(key, now_ms)?;
-        self.whole_request_received(key).then_some(arrived_at)
-    }
-
-    fn whole_request_received(&self, key: DownstreamKey) -> bool {
-        let Some(client) = self.table.get(key) else {
-            return false;
-        };
-        let (Some(buffer), Some(request)) = (&client.read_buffer, &client.request) else {
-            return false;
-        };
-        let message = &request.message;
-        let undecoded = &buffer.filled()[message.body_end..];
-        let unread = unread_bytes(&client.stream);
-        if let Some(length) = message.body_length() {
-            return message.body_received() + undecoded.len() + unread >= length;
+        self.record_arrival(key, now_ms)?;
+        let client = self.table.get_mut(key)?;
+        let arrival = &client.request.as_ref()?.arrival;
+        if arrival.received_at().is_none() && client.has_arrived_whole(arrival.unread_bytes()) {
+            client.record_complete_request();
         }
-        // Only the chunks themselves tell where the body ends.
-        let mut bytes = undecoded.to_vec();
-        bytes.resize(undecoded.len() + unread.min(MAX_BODY_BYTES), 0);
-        let peeked = client.stream.peek(&mut bytes[undecoded.len()..]);
-        bytes.truncate(undecoded.len() + peeked.unwrap_or(0));
-        message.is_completed_by(&mut bytes)
+        client.request.as_ref()?.arrival.received_at()
     }
 
     /// The emptied write buffer of a client's response, if everything in it has been written.
@@ -222,6 +220,32 @@
     }
 }
 
+impl DownstreamConnection {
+    /// Whether the bytes read so far and this many bytes in the socket complete the request.
+    fn has_arrived_whole(&self, unread: usize) -> bool {
+        let (Some(buffer), Some(request)) = (&self.read_buffer, &self.request) else {
+            return false;
+        };
+        let message = &request.message;
+        let undecoded = &buffer.filled()[message.body_end..];
+        if let Some(length) = message.body_length() {
+            return message.body_received() + undecoded.len() + unread >= length;
+        }
+        // Only the chunks themselves tell where the body ends.
+        let mut bytes = undecoded.to_vec();
+        bytes.resize(undecoded.len() + unread.min(MAX_BODY_BYTES), 0);
+        let peeked = self.stream.peek(&mut bytes[undecoded.len()..]);
+        bytes.truncate(undecoded.len() + peeked.unwrap_or(0));
+        message.is_completed_by(&mut bytes)
+    }
+
+    fn record_complete_request(&mut self) {
+        if let Some(request) = &mut self.request {
+            request.arrival.record_complete();
+        }
+    }
+}
+
 /// How many bytes wait in a socket; none if the system call fails.
 fn unread_bytes(stream: &TcpStream) -> usize {
     rustix::io::ioctl_fionread(stream).unwrap_or(0) as usize
--- a/proxy/src/streaming/request.rs
+++ b/proxy/src/streaming/request.rs
@@ -135,7 +135,7 @@
         );
         let moved = move_request_piece(&mut upload, write_buffer, chunked, now);
         if matches!(moved, RequestStreamStep::LastPiece) {
-            attempt.finish_request_source(upload.arrival.last_arrived_at());
+            attempt.finish_request_source(upload.arrival.record_complete());
             let stall_deadline = attempt.stall_deadline();
             self.set_attempt_timer(key, stall_deadline);
         }
--- a/proxy/tests/sockets/hanging_endpoints.rs
+++ b/proxy/tests/sockets/hanging_endpoints.rs
@@ -18,6 +18,8 @@
 const BODY_LENGTHS: std::ops::RangeInclusive<usize> = 100_000..=1_000_000;
 /// Lengths of the part before the last piece: some fill the endpoint's side up to a part of that piece.
 const EARLY_LENGTHS: std::ops::RangeInclusive<usize> = 100_000..=460_000;
+/// Lengths of which the proxy holds a part, in front of further bytes.
+const BEHIND_LENGTHS: std::ops::RangeInclusive<usize> = 430_000..=610_000;
 const LAST_PIECE_BYTES: usize = 60_000;
 const LENGTH_STEP: usize = 30_000;
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
@@ -144,6 +146,34 @@
     check_responses_in_time(false);
 }
 
+/// Guards against taking bytes of the next request for the end of a long one, whose time would start anew with each.
+#[test]
+fn bytes_behind_a_long_request_do_not_prolong_its_time() {
+    for chunked in [false, true] {
+        let hanging = HangingEndpoint::start();
+        let lengths = BEHIND_LENGTHS.step_by(LENGTH_STEP);
+        let mut clients: Vec<TcpStream> = lengths
+            .filter_map(|length| hanging.send(REQUEST_TIMEOUT, length, chunked))
+            .collect();
+        assert!(!clients.is_empty(), "no request arrived whole");
+        let sent = Instant::now();
+        while sent.elapsed() < REQUEST_TIMEOUT + TOLERANCE {
+            for client in &mut clients {
+                // Fails once the connection is closed behind the response.
+                let _ = client.write_all(b"\r\n");
+            }
+            thread::sleep(REQUEST_TIMEOUT / 4);
+        }
+        for client in &mut clients {
+            client
+                .set_read_timeout(Some(Duration::from_millis(1)))
+                .unwrap();
+            let status = read_status(client);
+            assert!(matches!(status, 502 | 503), "chunked {chunked}: {status}");
+        }
+    }
+}
+
 /// Guards against a last piece that comes long after the attempt began, to an endpoint that has taken all before it: no
 /// write had to wait until then, so nothing had been timed by the request's arrival.
 #[test]
