--- a/membership/src/load_estimate.rs
+++ b/membership/src/load_estimate.rs
@@ -16,8 +16,8 @@
 /// this proxy has in flight there, assuming that all proxies send similar load.
 ///
 /// Both are sampled when a response arrives: responses are more frequent from lightly loaded endpoints, and sampling
-/// only one of the two by the clock would bias the ratio. With few proxies, which avoid endpoints where they already
-/// have requests in flight, the estimate is up to twice too high.
+/// only one of the two by the clock biases the ratio: twelve proxies looked like four. With few proxies, which avoid
+/// endpoints where they already have requests in flight, the estimate is up to twice too high.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadBasedEstimate {
     reported_sum: f64,
--- a/proxy/src/downstream/accept.rs
+++ b/proxy/src/downstream/accept.rs
@@ -115,7 +115,7 @@
         self.downstream
             .table
             .insert(DownstreamConnection::new(stream, now_ms));
-        // Closes connections that never send a request.
+        // Closes connections that never send a request, which would hold descriptors forever.
         self.set_read_timeout(key, REQUEST_TIMEOUT_MS);
         self.counters.connections_accepted += 1;
         self.downstream.ready.push(key);
--- a/proxy/src/downstream/request_error.rs
+++ b/proxy/src/downstream/request_error.rs
@@ -30,7 +30,7 @@
     /// `X-Timeout` is not a number of seconds, or out of range.
     #[error("invalid X-Timeout")]
     InvalidTimeout,
-    /// Another request with the same id is in flight; the two could not be told apart.
+    /// Another request with the same id is in flight; one of the clients could get the other's response.
     #[error("request id already in flight")]
     DuplicateRequestId,
     /// The request was not complete in time.
--- a/proxy/src/downstream/timeouts.rs
+++ b/proxy/src/downstream/timeouts.rs
@@ -82,7 +82,8 @@
         );
     }
 
-    /// Closes the connection if no response bytes could be written for the whole timeout.
+    /// Closes the connection if no response bytes could be written for the whole timeout. A client that does not
+    /// read would hold a buffer forever.
     fn write_timeout_expired(&mut self, key: DownstreamKey) {
         let now_ms = self.clock.now();
         let has_drained = self.downstream.has_drained_response(key);
--- a/proxy/src/http/body.rs
+++ b/proxy/src/http/body.rs
@@ -4,7 +4,7 @@
 use crate::buffers::{Buffer, MAX_HEAD_BYTES};
 use httparse::Status;
 
-/// Limit on a chunk's size line, including extensions.
+/// Limit on a chunk's size line, including extensions: one without an end would fill the buffer.
 const MAX_CHUNK_SIZE_LINE_BYTES: usize = 256;
 
 /// What the decoder expects next.
--- a/proxy/src/lifecycle/shutdown.rs
+++ b/proxy/src/lifecycle/shutdown.rs
@@ -7,7 +7,7 @@
 /// to notice the shutdown.
 const IDLE_GRACE_MS: f64 = 600.0;
 /// How long the listener stays open after idle connections are closed. A client whose request crosses the close
-/// retries it once on a new connection.
+/// retries it once on a new connection: a few times the 100 ms within which a new client is expected to send.
 const RETRY_GRACE_MS: f64 = 300.0;
 /// The process exits at the latest this long after the longest deadline.
 const EXIT_DELAY_MS: f64 = 700.0;
--- a/proxy/src/upstream/connection_pool.rs
+++ b/proxy/src/upstream/connection_pool.rs
@@ -15,7 +15,8 @@
 use std::net::SocketAddr;
 
 /// How long a connection is not reused after a response. A late duplicate of that response would be read as the
-/// response to the next attempt.
+/// response to the next attempt. Duplicates come up to ten milliseconds late; at twice that the cost of new
+/// connections shows.
 const REUSE_DELAY_MS: f64 = 10.0;
 
 /// The fraction of the endpoints' keep-alive timeout for which an idle connection is reused. A request sent while
--- a/src/balancer/candidates.rs
+++ b/src/balancer/candidates.rs
@@ -85,6 +85,7 @@
     }
 }
 
+/// Whether a class may run on an endpoint. The only place that decides this.
 fn may_run_on(class: &ClassSettings, endpoint: &Endpoint) -> bool {
     let zone_fits = class.zones.as_ref().is_none_or(|zones| zones.contains(&endpoint.zone));
     let machines = class.machine_classes.as_ref();
--- a/src/balancer/endpoint_list.rs
+++ b/src/balancer/endpoint_list.rs
@@ -4,7 +4,7 @@
 use crate::state::Endpoint;
 use crate::types::{Actions, EndpointId, EndpointState, EndpointUpdate};
 
-pub(super) const INITIAL_CONCURRENCY_LIMIT: f64 = 5.0; // for all proxies together
+pub(super) const INITIAL_CONCURRENCY_LIMIT: f64 = 5.0; // for all proxies together; neither starves nor floods
 const MIN_NOTIFICATION_MS: f64 = 50.0;
 const MAX_NOTIFICATION_MS: f64 = 1200.0;
 const MIN_BACKOFF_MS: f64 = 50.0;
--- a/src/balancer/estimator.rs
+++ b/src/balancer/estimator.rs
@@ -6,19 +6,19 @@
 use crate::state::{Endpoint, Observation, PendingAttempt, THROUGHPUT_TIME_CONSTANT_MS};
 use crate::types::{AttemptOutcome, AttemptResult, ClassId, EndpointId, LoadReport};
 
-pub(super) const INITIAL_LATENCY_FRACTION: f64 = 0.25; // of the latency objective
+pub(super) const INITIAL_LATENCY_FRACTION: f64 = 0.25; // of the latency objective, a few times the usual latency
 pub(super) const INITIAL_TAIL_MULTIPLE: f64 = 2.0;
 const TAIL_MULTIPLE_BOUNDS: (f64, f64) = (1.5, 8.0);
 const TAIL_MULTIPLE_STEP: f64 = 0.05; // as a fraction of the multiple
 const WARM_THROUGHPUT_TIME_CONSTANT_MS: f64 = 60_000.0;
-const MIN_WEIGHT: f64 = 0.1; // averages over about ten attempts
-const MAX_WEIGHT: f64 = 0.5;
+const MIN_WEIGHT: f64 = 0.1; // about ten attempts: follows a slowed endpoint, evens out heavy requests
+const MAX_WEIGHT: f64 = 0.5; // after a pause
 const FULL_WEIGHT_AFTER_MS: f64 = 2000.0; // the weight is the time since the last response divided by this
 const MIN_CLASS_WEIGHT: f64 = 0.002;
 const BEST_LATENCY_WEIGHT: f64 = 0.005;
 const MAX_SAMPLE_RATIO: f64 = 10.0; // to the average
 const LIMIT_GROWTH_UTILIZATION: f64 = 0.6; // of the subset; limits grow only above this
-const LIMIT_GROWTH_SHARE: f64 = 0.5; // of this proxy's share of a limit; it grows only at or above this
+const LIMIT_GROWTH_SHARE: f64 = 0.5; // of this proxy's share of a limit, which may be below one attempt
 const MAX_CONCURRENCY_LIMIT: f64 = 1000.0;
 const SMALL_DECREASE: f64 = 0.9;
 const LARGE_DECREASE: f64 = 0.7;
--- a/src/balancer/probing.rs
+++ b/src/balancer/probing.rs
@@ -6,7 +6,7 @@
 use crate::weighted_choice::choose_weighted;
 
 const PROBES_PER_REQUEST: usize = 2; // more would overload the endpoint that last reported low load
-const LIGHT_LOAD_FRACTION: f64 = 0.3; // of its limit; below it only a key's first endpoint is probed
+const LIGHT_LOAD_FRACTION: f64 = 0.3; // of its limit; below it only a key's first endpoint is probed, to save probes
 const FRESH_REPORT_AGE_MS: f64 = 300.0; // endpoints refresh reports a few times per second at most
 const MAX_WAIT: f64 = 0.1; // as a fraction of the latency objective; a probe may be queued or lost
 
--- a/src/balancer/solver.rs
+++ b/src/balancer/solver.rs
@@ -9,7 +9,7 @@
 
 const SOLVE_INTERVAL_MS: f64 = 100.0;
 const MAX_ELAPSED_MS: f64 = 1000.0;
-const MIN_HORIZON_MS: f64 = 50.0;
+const MIN_HORIZON_MS: f64 = 50.0; // as in the paper
 const MAX_HORIZON_MS: f64 = 5000.0; // older reports are ignored
 const MAX_SHARE_FACTOR: f64 = 1.5; // relative to the endpoint's fraction of the total service rate
 const MIN_TRAFFIC_INTENSITY: f64 = 1.0 / 3.0;
