A client's bytes wake an attempt that has not taken the first piece yet

What callers would see: no answer in time to a long request at a hanging endpoint, if its last byte comes after it was looked at and not even its first 64 KiB were taken; a stall of 10 s ended it. Cause: a client's bytes woke the connection that streams the body. Change: as long as no attempt streams the body, a client's bytes wake all attempts of its request.

--- a/proxy/src/downstream/read_request.rs
+++ b/proxy/src/downstream/read_request.rs
@@ -211,19 +211,28 @@
             return self.close_downstream(key);
         }
         if client.is_receiving_body() {
-            self.downstream.record_arrival(key, self.clock.now());
-            // The upstream connection that the body is streamed to reads it.
-            let client = &self.downstream.table[key];
-            let body_target = client
-                .request
-                .as_ref()
-                .and_then(|request| request.body_target);
-            self.writable_upstream.extend(body_target);
-            return;
+            return self.body_bytes_arrived(key);
         }
         self.read_pipelined(key);
     }
 
+    /// Wakes the upstream connection that the body is streamed to, which reads it. While none has taken the first piece,
+    /// wakes those of all attempts, whose time may start with these bytes.
+    fn body_bytes_arrived(&mut self, key: DownstreamKey) {
+        self.downstream.record_arrival(key, self.clock.now());
+        let client = &self.downstream.table[key];
+        let request = client.request.as_ref();
+        let body_target = request.and_then(|request| request.body_target);
+        match (body_target, client.awaited_request()) {
+            (Some(upstream), _) => self.writable_upstream.push(upstream),
+            (None, Some(request)) => {
+                let attempts = self.requests.connections_of(request);
+                self.writable_upstream.extend(attempts);
+            }
+            (None, None) => {}
+        }
+    }
+
     /// Reads pipelined input while a response is awaited. It is discarded if it cannot be buffered, as the client's
     /// close is detected only after all input before it has been read.
     fn read_pipelined(&mut self, key: DownstreamKey) {
--- a/proxy/tests/sockets/hanging_endpoints.rs
+++ b/proxy/tests/sockets/hanging_endpoints.rs
@@ -20,6 +20,8 @@
 const EARLY_LENGTHS: std::ops::RangeInclusive<usize> = 100_000..=460_000;
 /// Lengths of which the proxy holds a part, in front of further bytes.
 const BEHIND_LENGTHS: std::ops::RangeInclusive<usize> = 430_000..=610_000;
+/// More than the proxy reads before it admits a request.
+const FIRST_PART_BYTES: usize = 80_000;
 const LAST_PIECE_BYTES: usize = 60_000;
 const LENGTH_STEP: usize = 30_000;
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
@@ -37,7 +39,11 @@
 
 impl HangingEndpoint {
     fn start() -> Self {
-        let listener = listener_with_receive_buffer(32 * 1024);
+        HangingEndpoint::start_with_receive_buffer(32 * 1024)
+    }
+
+    fn start_with_receive_buffer(bytes: usize) -> Self {
+        let listener = listener_with_receive_buffer(bytes);
         let known = endpoint_list(
             1,
             true,
@@ -146,6 +152,27 @@
     check_responses_in_time(false);
 }
 
+/// Guards against a request whose first piece is not taken, and whose last byte arrives after it was looked at: nothing
+/// looked again before a stall.
+#[test]
+fn slow_request_whose_first_piece_is_not_taken_is_answered_in_its_time() {
+    let hanging = HangingEndpoint::start_with_receive_buffer(4096);
+    let head = String::from_utf8(request("pay", REQUEST_TIMEOUT.as_secs_f64(), "")).unwrap();
+    let length = FIRST_PART_BYTES + LAST_PIECE_BYTES;
+    let mut client = hanging.proxy.connect();
+    let mut message = head
+        .replace("Length: 0", &format!("Length: {length}"))
+        .into_bytes();
+    message.resize(message.len() + FIRST_PART_BYTES, b'f');
+    client.write_all(&message).unwrap();
+    thread::sleep(2 * REQUEST_TIMEOUT);
+    client.write_all(&[b'l'; LAST_PIECE_BYTES]).unwrap();
+    client
+        .set_read_timeout(Some(REQUEST_TIMEOUT + TOLERANCE))
+        .unwrap();
+    assert_eq!(read_status(&mut client), 503, "no endpoint had it whole");
+}
+
 /// Guards against taking bytes of the next request for the end of a long one, whose time would start anew with each.
 #[test]
 fn bytes_behind_a_long_request_do_not_prolong_its_time() {
