Tests: one way to start a proxy without hedging; three comments in plainer words

Change: ProxyProcess::without_hedging in five files of tests; "anew" is gone from two comments of the proxy and one of a test. No assertion, bound or line of product code differs.

--- a/proxy/src/upstream/request_state.rs
+++ b/proxy/src/upstream/request_state.rs
@@ -37,7 +37,7 @@
         &mut self.buffer
     }
 
-    /// Empties the buffer of a request of which nothing has been written, to write it anew.
+    /// Empties the buffer of a request of which nothing has been written, so that it can be rewritten.
     pub(super) fn discard(&mut self) -> &mut Buffer {
         let length = self.buffer.filled().len();
         self.buffer.remove(0..length);
--- a/proxy/src/upstream/sending.rs
+++ b/proxy/src/upstream/sending.rs
@@ -142,7 +142,7 @@
         true
     }
 
-    /// Writes a buffered request anew for a connection that has just been established, as its `X-Timeout` has become
+    /// Rewrites a buffered request for a connection that has just been established, as its `X-Timeout` has become
     /// shorter meanwhile. The time of a streamed request only starts with its last byte. Returns whether it fitted.
     fn update_sent_timeout(&mut self, key: UpstreamKey) -> bool {
         let now = self.clock.now();
--- a/proxy/tests/sockets/deduplication_window.rs
+++ b/proxy/tests/sockets/deduplication_window.rs
@@ -1,9 +1,8 @@
 //! Retries of a request with an idempotency key reach no endpoint after the deduplication window.
 
 use crate::support::body::pseudo_random_bytes;
-use crate::support::configuration::{configuration, disable_hedging};
 use crate::support::connection::full_accept_queue;
-use crate::support::discovery::{endpoint_entry, endpoint_list, TestDiscovery};
+use crate::support::discovery::TestDiscovery;
 use crate::support::endpoint::TestEndpoint;
 use crate::support::http::{header_value, ok_response, read_message, request, status_code};
 use crate::support::proxy_process::ProxyProcess;
@@ -107,22 +106,13 @@
     window: Duration,
     connect_timeout_ms: f64,
 ) -> (TestDiscovery, ProxyProcess) {
-    let entries: Vec<_> = endpoints
-        .iter()
-        .enumerate()
-        .map(|(i, address)| endpoint_entry(&format!("s{i}"), *address, "Ready"))
-        .collect();
-    let known = endpoint_list(1, true, &entries);
-    let discovery = TestDiscovery::new(known.clone());
-    let mut config = configuration(discovery.address, &known);
-    disable_hedging(&mut config);
-    config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(connect_timeout_ms);
-    for class in config["settings"]["Categories"].as_array_mut().unwrap() {
-        class["WindowMs"] = json!(window.as_secs_f64() * 1000.0);
-        class["TtlMs"] = json!(4000.0);
-    }
-    let proxy = ProxyProcess::start(&config, None);
-    (discovery, proxy)
+    ProxyProcess::without_hedging(endpoints, |config| {
+        config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(connect_timeout_ms);
+        for class in config["settings"]["Categories"].as_array_mut().unwrap() {
+            class["WindowMs"] = json!(window.as_secs_f64() * 1000.0);
+            class["TtlMs"] = json!(4000.0);
+        }
+    })
 }
 
 fn send_order(proxy: &ProxyProcess) -> u16 {
--- a/proxy/tests/sockets/hanging_endpoints.rs
+++ b/proxy/tests/sockets/hanging_endpoints.rs
@@ -1,8 +1,7 @@
 //! Long requests at an endpoint that hangs: it is connected, and takes no bytes beyond what its socket holds.
 
-use crate::support::configuration::{configuration, disable_hedging};
 use crate::support::connection::{becomes_writable, hold_no_unsent_bytes};
-use crate::support::discovery::{endpoint_entry, endpoint_list, TestDiscovery};
+use crate::support::discovery::TestDiscovery;
 use crate::support::http::{ok_response, read_message, request, status_code};
 use crate::support::proxy_process::ProxyProcess;
 use crate::support::slow_reader::{listener_with_receive_buffer, unused_loopback_address};
@@ -44,19 +43,14 @@
 
     fn start_with_receive_buffer(bytes: usize) -> Self {
         let listener = listener_with_receive_buffer(bytes);
-        let known = endpoint_list(
-            1,
-            true,
-            &[endpoint_entry("h", listener.local_addr().unwrap(), "Ready")],
-        );
-        let discovery = TestDiscovery::new(known.clone());
-        let mut config = configuration(discovery.address, &known);
-        disable_hedging(&mut config);
-        config["listen"] = json!(format!("{}:0", unused_loopback_address()));
+        let addresses = [listener.local_addr().unwrap()];
+        let (discovery, proxy) = ProxyProcess::without_hedging(&addresses, |config| {
+            config["listen"] = json!(format!("{}:0", unused_loopback_address()));
+        });
         HangingEndpoint {
             listener,
-            proxy: ProxyProcess::start(&config, None),
             discovery,
+            proxy,
         }
     }
 
@@ -173,7 +167,7 @@
     assert_eq!(read_status(&mut client), 503, "no endpoint had it whole");
 }
 
-/// Guards against taking bytes of the next request for the end of a long one, whose time would start anew with each.
+/// Guards against taking bytes of the next request for the end of a long one, whose time would restart with each.
 #[test]
 fn bytes_behind_a_long_request_do_not_prolong_its_time() {
     for chunked in [false, true] {
--- a/proxy/tests/sockets/hedged_uploads.rs
+++ b/proxy/tests/sockets/hedged_uploads.rs
@@ -1,8 +1,7 @@
 //! Copies of a long request whose body is streamed, and attempts that outlive their client.
 
 use crate::support::body::{checksum, pseudo_random_bytes};
-use crate::support::configuration::{configuration, disable_hedging};
-use crate::support::discovery::{endpoint_entry, endpoint_list, TestDiscovery};
+use crate::support::discovery::{endpoint_entry, endpoint_list};
 use crate::support::http::{header_value, ok_response, read_message, request, status_code};
 use crate::support::proxy_process::ProxyProcess;
 use crate::support::slow_reader::{listener_with_receive_buffer, read_slowly};
@@ -117,16 +116,10 @@
 #[test]
 fn unfinished_upload_ends_with_its_client_even_without_cancellation() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let known = endpoint_list(
-        1,
-        true,
-        &[endpoint_entry("s", listener.local_addr().unwrap(), "Ready")],
-    );
-    let discovery = TestDiscovery::new(known.clone());
-    let mut config = configuration(discovery.address, &known);
-    disable_hedging(&mut config);
-    config["settings"]["Limits"]["MayCancel"] = json!(false);
-    let proxy = ProxyProcess::start(&config, None);
+    let addresses = [listener.local_addr().unwrap()];
+    let (_discovery, proxy) = ProxyProcess::without_hedging(&addresses, |config| {
+        config["settings"]["Limits"]["MayCancel"] = json!(false);
+    });
     let head = String::from_utf8(request("view", 10.0, "")).unwrap();
     let head = head.replace("Length: 0", &format!("Length: {BODY_BYTES}"));
     let mut client = proxy.connect();
--- a/proxy/tests/sockets/request_streaming.rs
+++ b/proxy/tests/sockets/request_streaming.rs
@@ -1,8 +1,7 @@
 //! Long request bodies are streamed to their endpoint.
 
 use crate::support::body::{checksum, pseudo_random_bytes};
-use crate::support::configuration::{configuration, disable_hedging};
-use crate::support::discovery::{endpoint_entry, endpoint_list, TestDiscovery};
+use crate::support::discovery::{endpoint_entry, endpoint_list};
 use crate::support::endpoint::TestEndpoint;
 use crate::support::generated::check_generated;
 use crate::support::http::{read_message, request, status_code};
@@ -207,15 +206,8 @@
 fn long_request_to_an_endpoint_that_stops_reading_is_answered_in_time() {
     // The client has sent all of it: the rest is buffered in the proxy, whose endpoint is cut off.
     let listener = listener_that_accepts_nothing();
-    let known = endpoint_list(
-        1,
-        true,
-        &[endpoint_entry("s", listener.local_addr().unwrap(), "Ready")],
-    );
-    let discovery = TestDiscovery::new(known.clone());
-    let mut config = configuration(discovery.address, &known);
-    disable_hedging(&mut config);
-    let proxy = ProxyProcess::start(&config, None);
+    let addresses = [listener.local_addr().unwrap()];
+    let (_discovery, proxy) = ProxyProcess::without_hedging(&addresses, |_| ());
     let sent = bytes_taken_before_nothing_moves(&proxy);
     // Less than that, so that all of it has left the client, and more than the endpoint's side takes. How much
     // the kernel buffers on either side varies, so several lengths are tried. Where the sockets take all of it,
--- a/proxy/tests/sockets/retries.rs
+++ b/proxy/tests/sockets/retries.rs
@@ -1,8 +1,7 @@
 //! What is retried after a failed attempt, and what must not be.
 
-use crate::support::configuration::{configuration, disable_hedging};
 use crate::support::connection::reset_on_close;
-use crate::support::discovery::{endpoint_entry, endpoint_list, TestDiscovery};
+use crate::support::discovery::{endpoint_entry, endpoint_list};
 use crate::support::endpoint::TestEndpoint;
 use crate::support::http::{ok_response, read_message, request, status_code};
 use crate::support::proxy_process::ProxyProcess;
@@ -95,11 +94,7 @@
                 sleep_ms(20);
                 reset_on_close(&stream);
             });
-            let known = endpoint_list(1, true, &[endpoint_entry("s", address, "Ready")]);
-            let discovery = TestDiscovery::new(known.clone());
-            let mut config = configuration(discovery.address, &known);
-            disable_hedging(&mut config);
-            let proxy = ProxyProcess::start(&config, None);
+            let (_discovery, proxy) = ProxyProcess::without_hedging(&[address], |_| ());
             let mut client = proxy.connect();
             let _ = client.write_all(&request(request_class, 2.0, &body));
             let got = read_message(&mut client);
--- a/proxy/tests/sockets/support/proxy_process.rs
+++ b/proxy/tests/sockets/support/proxy_process.rs
@@ -1,6 +1,6 @@
 //! The proxy as a process: its start, its configuration file, its clients and their requests.
 
-use super::configuration::configuration;
+use super::configuration::{configuration, disable_hedging};
 use super::discovery::{endpoint_entry, endpoint_list, TestDiscovery};
 use super::endpoint::TestEndpoint;
 use super::http::{read_message, status_code};
@@ -124,7 +124,25 @@
         (discovery, proxy)
     }
 
-    /// The same with another connect timeout.
+    /// A proxy that sends no hedged requests and knows endpoints at these addresses, with a changed configuration.
+    pub(crate) fn without_hedging(
+        addresses: &[SocketAddr],
+        change: impl FnOnce(&mut Value),
+    ) -> (TestDiscovery, Self) {
+        let entries = addresses
+            .iter()
+            .enumerate()
+            .map(|(i, address)| endpoint_entry(&format!("s{i}"), *address, "Ready"));
+        let known = endpoint_list(1, true, &entries.collect::<Vec<_>>());
+        let discovery = TestDiscovery::new(known.clone());
+        let mut configuration = configuration(discovery.address, &known);
+        disable_hedging(&mut configuration);
+        change(&mut configuration);
+        let proxy = ProxyProcess::start(&configuration, None);
+        (discovery, proxy)
+    }
+
+    /// A proxy that knows this endpoint list, with another connect timeout.
     pub(crate) fn with_connect_timeout(
         known: &Value,
         connect_timeout_ms: f64,
