Review: one answer that never ends stops the whole proxy

Cause: interim heads are removed without a limit, and a response is read for as long as bytes are there; no other connection and no timer is served in that turn of the event loop. Change: case review/6 (one spoilt answer of fifty: 1xx heads without end). Stand-ins for it and for the next case; those of a third (many long answers) for the report.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,9 +1,12 @@
-//! Stand-ins for the cases in `review/6` to `review/10`: `standins-2 CASE FOLDER`.
+//! Stand-ins for the cases in `review/6` to `review/10` and for further findings: `standins-2 CASE FOLDER`.
 
+mod blank_lines;
 mod discovery;
+mod endless_answer;
 mod http;
 mod late_connection;
 mod long_answer;
+mod long_answers;
 mod node;
 mod record;
 mod server;
@@ -11,6 +14,7 @@
 mod slow_discovery;
 mod upgrade_id;
 mod upgrade_memory;
+mod usual_client;
 
 use record::Record;
 use std::path::{Path, PathBuf};
@@ -54,7 +58,10 @@
     let verdict = match case.as_str() {
         "upgrade-id" => upgrade_id::play(&run),
         "upgrade-memory" => upgrade_memory::play(&run),
+        "blank-lines" => blank_lines::play(&run),
+        "endless-answer" => endless_answer::play(&run),
         "long-answer" => long_answer::play(&run),
+        "long-answers" => long_answers::play(&run),
         "late-connection" => late_connection::play(&run),
         "slow-discovery" => slow_discovery::play(&run),
         _ => node::cannot_run("no such case"),
