Review: clients that send blank lines at full speed stop the whole proxy

Cause: blank lines before a head are removed without a limit, and a client is read for as long as bytes are there. The upgrade at little memory is now review/8, the id in an upgrade review/9, the long answer that pauses review/10.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Plays the case long-answer (claim.txt). Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Plays the case upgrade-memory (claim.txt). Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 plays it without the disruption.
-exec "$(dirname "$0")/../standins-2/play.sh" long-answer "$(dirname "$0")"
+exec "$(dirname "$0")/../standins-2/play.sh" upgrade-memory "$(dirname "$0")"
